--- /dev/null
+++ b/cloud/cloud.c
@@ -0,0 +1,99 @@
+#include "cloud/cloud.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/counters.h"
+#include "common/rest.h"
+
+#define URL_MAX          256
+#define HTTP_NO_CAPACITY 503
+
+struct op {
+    rk_notices_fn *on_notices;
+    rk_cloud_fn *fn;
+    void *ctx;
+};
+
+static void parse_notice(struct json_object *o, struct rk_notice *n)
+{
+    struct json_object *v;
+    if (json_object_object_get_ex(o, "seq", &v))
+        n->seq = json_object_get_int64(v);
+    if (json_object_object_get_ex(o, "id", &v))
+        rk_strcpy(n->vm, sizeof(n->vm), json_object_get_string(v));
+    if (json_object_object_get_ex(o, "incarnation", &v))
+        n->incarnation = (uint64_t)json_object_get_int64(v);
+    if (json_object_object_get_ex(o, "in_ms", &v))
+        n->in_ms = json_object_get_int64(v);
+}
+
+static void end_notices(struct op *op, const struct rk_rest_answer *answer)
+{
+    enum rk_status st = answer->status;
+    struct json_object *array =
+        st == RK_OK ? json_tokener_parse(answer->body) : NULL;
+    if (st == RK_OK && !json_object_is_type(array, json_type_array))
+        st = RK_EPROTO;
+    size_t len = st == RK_OK ? json_object_array_length(array) : 0;
+    struct rk_notice *notices = rk_alloc(len + 1, sizeof(*notices));
+    for (size_t i = 0; i < len; i++)
+        parse_notice(json_object_array_get_idx(array, i), &notices[i]);
+    op->on_notices(op->ctx, st, notices, len);
+    free(notices);
+    json_object_put(array);
+}
+
+static void on_answer(void *ctx, const struct rk_rest_answer *answer)
+{
+    struct op *op = ctx;
+    if (op->on_notices)
+        end_notices(op, answer);
+    else
+        op->fn(op->ctx, answer->http_status == HTTP_NO_CAPACITY ? RK_EUNAVAILABLE
+                                                                : answer->status);
+    free(op);
+}
+
+void rk_cloud_notices(struct rk_http *http, const char *base, int64_t after,
+                      int64_t wait_ms, rk_notices_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_notices = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url),
+             "%s/cloud/notices?after=%" PRId64 "&wait_ms=%" PRId64, base, after,
+             wait_ms);
+    const struct rk_rest_call call = {
+        .method = "GET", .url = url, .wait_ms = wait_ms};
+    rk_count(RK_C_OBJECT_READS, 1);
+    rk_rest_start(http, &call, on_answer, op);
+}
+
+void rk_cloud_start_vm(struct rk_http *http, const char *base,
+                       const struct rk_vm_order *order, rk_cloud_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.fn = fn, .ctx = ctx};
+    char url[URL_MAX], body[URL_MAX * 2];
+    snprintf(url, sizeof(url), "%s/cloud/vms", base);
+    snprintf(body, sizeof(body),
+             "{\"vm_class\":\"%s\",\"failure_domain\":\"%s\",\"service\":\"%s\","
+             "\"token\":\"%s\"}",
+             order->vm_class, order->domain, order->service, order->token);
+    const struct rk_rest_call call = {.method = "POST", .url = url, .body = body};
+    rk_rest_start(http, &call, on_answer, op);
+}
+
+void rk_cloud_stop_vm(struct rk_http *http, const char *base, const char *vm,
+                      rk_cloud_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.fn = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "%s/cloud/vms/%s", base, vm);
+    const struct rk_rest_call call = {.method = "DELETE", .url = url};
+    rk_rest_start(http, &call, on_answer, op);
+}
--- /dev/null
+++ b/common/counters.h
@@ -0,0 +1,49 @@
+/* Process-wide counters in Prometheus text. Adding is one relaxed atomic. */
+#ifndef RK_COMMON_COUNTERS_H
+#define RK_COMMON_COUNTERS_H
+
+#include <stdint.h>
+
+struct rk_buf;
+
+#define RK_COUNTERS(X)                                                             \
+    X(CALLS, "calls_total", "Calls taken from callers")                            \
+    X(ANSWERS_OK, "answers_ok_total", "Whole answers given to callers")            \
+    X(REFUSED_NOT_RUN, "refused_not_run_total", "Refusals with verdict not-run")   \
+    X(REFUSED_MAYBE, "refused_may_have_run_total", "Failures that may have run")   \
+    X(BAD_INPUT, "bad_input_total", "Calls refused as malformed")                  \
+    X(ATTEMPTS, "attempts_total", "Attempts sent to upstreams")                    \
+    X(RETRIES, "retries_total", "Attempts after the first")                        \
+    X(RETRY_DENIED, "retry_denied_total", "Retries the budget refused")            \
+    X(RESUMES, "stream_resumes_total", "Streams resumed at another upstream")      \
+    X(RECOMPUTED, "recomputed_tokens_total",                                       \
+      "Tokens prefilled again after a move")                                       \
+    X(PROMPT_TOKENS, "prompt_tokens_total", "Prompt tokens of model calls")        \
+    X(TOKENS, "tokens_total", "Generated tokens passed to callers")                \
+    X(CROSSED, "crossed_answers_total", "Answers dropped: not for this attempt")   \
+    X(FORWARDS, "forwards_total", "Calls forwarded to a peer")                     \
+    X(FORWARDED_IN, "forwarded_in_total", "Calls taken from a peer")               \
+    X(CLAIMS, "claims_total", "Idempotency keys claimed")                          \
+    X(CLAIM_COMMITS, "claim_commits_total", "Claim records written")               \
+    X(CLAIM_REPLAYS, "claim_replays_total", "Repeated keys answered from memory")  \
+    X(OBJECT_READS, "object_reads_total", "Reads and watches at the object API")   \
+    X(OBJECT_WRITES, "object_writes_total", "Writes at the object API")            \
+    X(PEER_BYTES, "peer_bytes_sent_total", "Control bytes sent to peers")          \
+    X(GOSSIP_ROUNDS, "gossip_rounds_total", "Gossip exchanges begun")              \
+    X(EXPIRED, "expired_total", "Calls whose deadline passed")
+
+enum rk_counter {
+#define RK_COUNTER_ENUM(id, name, help) RK_C_##id,
+    RK_COUNTERS(RK_COUNTER_ENUM)
+#undef RK_COUNTER_ENUM
+        RK_C_COUNT
+};
+
+/* Any thread. */
+void rk_count(enum rk_counter c, uint64_t n);
+uint64_t rk_counted(enum rk_counter c);
+
+/* Append all counters as Prometheus text, each prefixed "rillknot_". */
+void rk_counters_render(struct rk_buf *out);
+
+#endif
--- /dev/null
+++ b/common/http.c
@@ -0,0 +1,244 @@
+#include "common/http.h"
+
+#include <assert.h>
+#include <ctype.h>
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "common/loop.h"
+#include "common/util.h"
+
+#define HEADER_NAME_MAX   64
+#define HEADER_VALUE_MAX  512
+#define MAX_IDLE_CONNS    64L
+#define KEEP_IDLE_SECONDS 20L
+
+struct rk_http {
+    struct rk_loop *loop;
+    CURLM *multi;
+    struct rk_timer timer;
+};
+
+struct rk_http_req {
+    struct rk_http *http;
+    CURL *easy;
+    struct curl_slist *headers;
+    char *body;
+    struct rk_http_handlers handlers;
+    void *ctx;
+    bool handed;
+    bool once;
+    char error[CURL_ERROR_SIZE];
+};
+
+static void free_req(struct rk_http_req *r)
+{
+    curl_multi_remove_handle(r->http->multi, r->easy);
+    curl_easy_cleanup(r->easy);
+    curl_slist_free_all(r->headers);
+    free(r->body);
+    free(r);
+}
+
+static void finish(struct rk_http_req *r, CURLcode code)
+{
+    struct rk_http_result res = {
+        .curl_code = (int)code,
+        .handed = r->handed,
+        .timed_out = code == CURLE_OPERATION_TIMEDOUT,
+        .error = r->error[0] ? r->error : curl_easy_strerror(code),
+    };
+    curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &res.status);
+    r->handlers.on_done(r->ctx, &res);
+    free_req(r);
+}
+
+static void reap(struct rk_http *h)
+{
+    CURLMsg *msg;
+    int left;
+    while ((msg = curl_multi_info_read(h->multi, &left))) {
+        if (msg->msg != CURLMSG_DONE)
+            continue;
+        struct rk_http_req *r = NULL;
+        CURLcode code = msg->data.result;
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &r);
+        finish(r, code);
+    }
+}
+
+static void on_fd(void *ctx, int fd, uint32_t events)
+{
+    struct rk_http *h = ctx;
+    int bits = 0;
+    if (events & (EPOLLIN | EPOLLHUP))
+        bits |= CURL_CSELECT_IN;
+    if (events & EPOLLOUT)
+        bits |= CURL_CSELECT_OUT;
+    if (events & EPOLLERR)
+        bits |= CURL_CSELECT_ERR;
+    int running;
+    curl_multi_socket_action(h->multi, fd, bits, &running);
+    reap(h);
+}
+
+static void on_timer(void *ctx)
+{
+    struct rk_http *h = ctx;
+    int running;
+    curl_multi_socket_action(h->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    reap(h);
+}
+
+static int curl_timer_cb(CURLM *multi, long ms, void *ctx)
+{
+    (void)multi;
+    struct rk_http *h = ctx;
+    if (ms < 0)
+        rk_timer_stop(h->loop, &h->timer);
+    else
+        rk_timer_start(h->loop, &h->timer, ms);
+    return 0;
+}
+
+static int curl_socket_cb(CURL *easy, curl_socket_t fd, int what, void *ctx,
+                          void *sock)
+{
+    (void)easy;
+    (void)sock;
+    static const uint32_t wanted[] = {
+        [CURL_POLL_NONE] = 0,       [CURL_POLL_IN] = EPOLLIN,
+        [CURL_POLL_OUT] = EPOLLOUT, [CURL_POLL_INOUT] = EPOLLIN | EPOLLOUT,
+        [CURL_POLL_REMOVE] = 0,
+    };
+    struct rk_http *h = ctx;
+    rk_loop_watch(h->loop, fd, wanted[what], on_fd, h);
+    return 0;
+}
+
+struct rk_http *rk_http_create(struct rk_loop *loop)
+{
+    struct rk_http *h = rk_alloc(1, sizeof(*h));
+    h->loop = loop;
+    h->timer = (struct rk_timer){.fn = on_timer, .ctx = h};
+    h->multi = curl_multi_init();
+    assert(h->multi);
+    curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, curl_socket_cb);
+    curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
+    curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, curl_timer_cb);
+    curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
+    curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNS);
+    return h;
+}
+
+void rk_http_destroy(struct rk_http *h)
+{
+    if (!h)
+        return;
+    curl_multi_cleanup(h->multi);
+    rk_timer_stop(h->loop, &h->timer);
+    free(h);
+}
+
+static int prereq_cb(void *ctx, char *remote, char *local, int rport, int lport)
+{
+    (void)remote;
+    (void)local;
+    (void)rport;
+    (void)lport;
+    struct rk_http_req *r = ctx;
+    if (r->handed && r->once)
+        return CURL_PREREQFUNC_ABORT;
+    r->handed = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+static size_t write_cb(char *data, size_t size, size_t n, void *ctx)
+{
+    struct rk_http_req *r = ctx;
+    if (r->handlers.on_data && !r->handlers.on_data(r->ctx, data, size * n))
+        return 0;
+    return size * n;
+}
+
+static size_t header_cb(char *line, size_t size, size_t n, void *ctx)
+{
+    struct rk_http_req *r = ctx;
+    size_t len = size * n;
+    char *colon = memchr(line, ':', len);
+    if (!colon || !r->handlers.on_header)
+        return len;
+    char name[HEADER_NAME_MAX] = "", value[HEADER_VALUE_MAX] = "";
+    size_t name_len = (size_t)(colon - line);
+    for (size_t i = 0; i < name_len && i < sizeof(name) - 1; i++)
+        name[i] = (char)tolower((unsigned char)line[i]);
+    const char *v = colon + 1, *end = line + len;
+    while (v < end && *v == ' ')
+        v++;
+    while (end > v && (end[-1] == '\r' || end[-1] == '\n'))
+        end--;
+    size_t value_len = (size_t)(end - v);
+    if (value_len >= sizeof(value))
+        value_len = sizeof(value) - 1;
+    memcpy(value, v, value_len);
+    r->handlers.on_header(r->ctx, name, value);
+    return len;
+}
+
+struct rk_http_req *rk_http_start(struct rk_http *http,
+                                  const struct rk_http_spec *spec)
+{
+    struct rk_http_req *r = rk_alloc(1, sizeof(*r));
+    r->http = http;
+    r->handlers = spec->handlers;
+    r->ctx = spec->ctx;
+    r->once = spec->once;
+    CURL *e = r->easy = curl_easy_init();
+    assert(e);
+    for (size_t i = 0; spec->headers && spec->headers[i]; i++)
+        r->headers = curl_slist_append(r->headers, spec->headers[i]);
+    /* Waiting for "100 Continue" would be one more way to send twice. */
+    r->headers = curl_slist_append(r->headers, "Expect:");
+    curl_easy_setopt(e, CURLOPT_PRIVATE, r);
+    curl_easy_setopt(e, CURLOPT_ERRORBUFFER, r->error);
+    curl_easy_setopt(e, CURLOPT_URL, spec->url);
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_HTTPHEADER, r->headers);
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, spec->connect_timeout_ms);
+    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, spec->timeout_ms);
+    curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, KEEP_IDLE_SECONDS);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, prereq_cb);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, r);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, write_cb);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, header_cb);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, r);
+    if (spec->body) {
+        r->body = rk_alloc(1, spec->body_len + 1);
+        memcpy(r->body, spec->body, spec->body_len);
+        curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)spec->body_len);
+        curl_easy_setopt(e, CURLOPT_POSTFIELDS, r->body);
+    }
+    if (!strcmp(spec->method, "HEAD"))
+        curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+    curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, spec->method);
+    if (spec->once) {
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    }
+    curl_multi_add_handle(http->multi, e);
+    return r;
+}
+
+bool rk_http_cancel(struct rk_http_req *r)
+{
+    bool handed = r->handed;
+    free_req(r);
+    return handed;
+}
--- /dev/null
+++ b/common/loop.c
@@ -0,0 +1,239 @@
+#include "common/loop.h"
+
+#include <assert.h>
+#include <ck_ring.h>
+#include <errno.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "common/util.h"
+
+#define DISPATCH_SLOTS 4096 /* a power of two, as ck_ring wants */
+#define EVENT_BATCH    64
+#define IDLE_WAIT_MS   60000
+
+struct dispatch_entry {
+    rk_call_fn *fn;
+    void *ctx;
+};
+
+struct watch {
+    rk_fd_fn *fn;
+    void *ctx;
+    uint32_t events;
+};
+
+CK_RING_PROTOTYPE(dispatch, dispatch_entry)
+
+struct rk_loop {
+    int epfd;
+    int wakefd;
+    atomic_bool stopping;
+    struct watch *watches; /* indexed by fd */
+    size_t watches_len;
+    struct rk_timer **heap; /* min-heap by due_ms */
+    size_t heap_len, heap_cap;
+    rk_call_fn *before, *after;
+    void *hook_ctx;
+    ck_ring_t ring;
+    struct dispatch_entry *ring_buf;
+};
+
+struct rk_loop *rk_loop_create(void)
+{
+    struct rk_loop *l = rk_alloc(1, sizeof(*l));
+    l->epfd = epoll_create1(EPOLL_CLOEXEC);
+    l->wakefd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    assert(l->epfd >= 0 && l->wakefd >= 0);
+    l->ring_buf = rk_alloc(DISPATCH_SLOTS, sizeof(*l->ring_buf));
+    ck_ring_init(&l->ring, DISPATCH_SLOTS);
+    struct epoll_event ev = {.events = EPOLLIN, .data.fd = l->wakefd};
+    epoll_ctl(l->epfd, EPOLL_CTL_ADD, l->wakefd, &ev);
+    return l;
+}
+
+void rk_loop_destroy(struct rk_loop *l)
+{
+    if (!l)
+        return;
+    close(l->epfd);
+    close(l->wakefd);
+    free(l->watches);
+    free(l->heap);
+    free(l->ring_buf);
+    free(l);
+}
+
+static void wake(struct rk_loop *l)
+{
+    uint64_t one = 1;
+    ssize_t n = write(l->wakefd, &one, sizeof(one));
+    (void)n; /* a full eventfd counter is a pending wake-up already */
+}
+
+void rk_loop_stop(struct rk_loop *l)
+{
+    atomic_store(&l->stopping, true);
+    wake(l);
+}
+
+void rk_loop_set_hooks(struct rk_loop *l, rk_call_fn *before, rk_call_fn *after,
+                       void *ctx)
+{
+    l->before = before;
+    l->after = after;
+    l->hook_ctx = ctx;
+}
+
+bool rk_loop_post(struct rk_loop *l, rk_call_fn *fn, void *ctx)
+{
+    struct dispatch_entry e = {.fn = fn, .ctx = ctx};
+    if (!CK_RING_ENQUEUE_MPSC(dispatch, &l->ring, l->ring_buf, &e))
+        return false;
+    wake(l);
+    return true;
+}
+
+static void run_dispatched(struct rk_loop *l)
+{
+    uint64_t count;
+    ssize_t n = read(l->wakefd, &count, sizeof(count));
+    (void)n;
+    struct dispatch_entry e;
+    while (CK_RING_DEQUEUE_MPSC(dispatch, &l->ring, l->ring_buf, &e))
+        e.fn(e.ctx);
+}
+
+void rk_loop_watch(struct rk_loop *l, int fd, uint32_t events, rk_fd_fn *fn,
+                   void *ctx)
+{
+    assert(fd >= 0);
+    if ((size_t)fd >= l->watches_len) {
+        size_t len = (size_t)fd * 2 + 16;
+        l->watches = rk_realloc(l->watches, len * sizeof(*l->watches));
+        for (size_t i = l->watches_len; i < len; i++)
+            l->watches[i] = (struct watch){0};
+        l->watches_len = len;
+    }
+    struct watch *w = &l->watches[fd];
+    struct epoll_event ev = {.events = events, .data.fd = fd};
+    if (!events) {
+        epoll_ctl(l->epfd, EPOLL_CTL_DEL, fd, &ev);
+    } else if (epoll_ctl(l->epfd, w->events ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+                         &ev) < 0) {
+        /* The fd was closed and its number used again behind our back. */
+        epoll_ctl(l->epfd, errno == EEXIST ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+                  &ev);
+    }
+    *w = (struct watch){.fn = fn, .ctx = ctx, .events = events};
+}
+
+static void heap_put(struct rk_loop *l, size_t i, struct rk_timer *t)
+{
+    l->heap[i] = t;
+    t->slot = i + 1;
+}
+
+static void heap_up(struct rk_loop *l, size_t i)
+{
+    struct rk_timer *t = l->heap[i];
+    while (i > 0 && l->heap[(i - 1) / 2]->due_ms > t->due_ms) {
+        heap_put(l, i, l->heap[(i - 1) / 2]);
+        i = (i - 1) / 2;
+    }
+    heap_put(l, i, t);
+}
+
+static void heap_down(struct rk_loop *l, size_t i)
+{
+    struct rk_timer *t = l->heap[i];
+    for (;;) {
+        size_t child = i * 2 + 1;
+        if (child >= l->heap_len)
+            break;
+        if (child + 1 < l->heap_len &&
+            l->heap[child + 1]->due_ms < l->heap[child]->due_ms)
+            child++;
+        if (l->heap[child]->due_ms >= t->due_ms)
+            break;
+        heap_put(l, i, l->heap[child]);
+        i = child;
+    }
+    heap_put(l, i, t);
+}
+
+void rk_timer_stop(struct rk_loop *l, struct rk_timer *t)
+{
+    if (!t->slot)
+        return;
+    size_t i = t->slot - 1;
+    t->slot = 0;
+    struct rk_timer *last = l->heap[--l->heap_len];
+    if (last == t)
+        return;
+    heap_put(l, i, last);
+    heap_up(l, i);
+    heap_down(l, last->slot - 1);
+}
+
+void rk_timer_start(struct rk_loop *l, struct rk_timer *t, int64_t delay_ms)
+{
+    rk_timer_stop(l, t);
+    if (l->heap_len == l->heap_cap) {
+        l->heap_cap = l->heap_cap ? l->heap_cap * 2 : 32;
+        l->heap = rk_realloc(l->heap, l->heap_cap * sizeof(struct rk_timer *));
+    }
+    t->due_ms = rk_mono_ms() + (delay_ms > 0 ? delay_ms : 0);
+    heap_put(l, l->heap_len, t);
+    heap_up(l, l->heap_len++);
+}
+
+static void run_timers(struct rk_loop *l)
+{
+    int64_t now = rk_mono_ms();
+    while (l->heap_len && l->heap[0]->due_ms <= now) {
+        struct rk_timer *t = l->heap[0];
+        rk_timer_stop(l, t);
+        t->fn(t->ctx);
+    }
+}
+
+static int wait_ms(struct rk_loop *l, int max_ms)
+{
+    if (!l->heap_len)
+        return max_ms;
+    int64_t left = l->heap[0]->due_ms - rk_mono_ms();
+    if (left <= 0)
+        return 0;
+    return left < max_ms ? (int)left : max_ms;
+}
+
+void rk_loop_step(struct rk_loop *l, int max_ms)
+{
+    struct epoll_event evs[EVENT_BATCH];
+    int n = epoll_wait(l->epfd, evs, EVENT_BATCH, wait_ms(l, max_ms));
+    if (l->before)
+        l->before(l->hook_ctx);
+    for (int i = 0; i < n; i++) {
+        int fd = evs[i].data.fd;
+        if (fd == l->wakefd) {
+            run_dispatched(l);
+            continue;
+        }
+        struct watch w = l->watches[fd];
+        if (w.events)
+            w.fn(w.ctx, fd, evs[i].events);
+    }
+    run_timers(l);
+    if (l->after)
+        l->after(l->hook_ctx);
+}
+
+void rk_loop_run(struct rk_loop *l)
+{
+    while (!atomic_load(&l->stopping))
+        rk_loop_step(l, IDLE_WAIT_MS);
+}
--- /dev/null
+++ b/control/claims_io.c
@@ -0,0 +1,302 @@
+/* The claims of the shards this node answers for: messages from traffic in,
+ * decisions out, and the object API between (core/claims.h decides). */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "control/state.h"
+#include "objects/objects.h"
+#include "serve/traffic.h"
+
+#define PATIENCE_MS  1500
+#define ANSWER_BYTES (2 * 1024 * 1024) /* kept for each shard */
+#define MAX_TICKETS  4096
+#define THREAD_SHIFT 56 /* a ticket's top byte names its traffic thread */
+
+struct shard {
+    struct rk_claims_io *io;
+    struct rk_claims *claims; /* NULL until a key comes */
+};
+
+struct rk_claims_io {
+    struct rk_control *c;
+    struct shard shards[RK_MAX_SHARDS];
+    struct rk_timer tick;
+};
+
+/* One object API call for a shard. */
+struct op {
+    struct shard *s;
+};
+
+static struct op *make_op(struct shard *s)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    op->s = s;
+    return op;
+}
+
+static void wake_tick(struct rk_claims_io *io)
+{
+    if (io->tick.slot)
+        return;
+    int64_t pause = io->c->config->claim_commit_ms;
+    rk_timer_start(io->c->loop, &io->tick, pause > 1 ? pause : 1);
+}
+
+/* ---- ops ---- */
+
+static void object_name(char out[RK_OBJECT_NAME_MAX], uint32_t shard, unsigned slot)
+{
+    snprintf(out, RK_OBJECT_NAME_MAX, "claims/%03u/%02u", shard, slot);
+}
+
+static void on_ring(void *ctx, enum rk_status st, const struct rk_object *os,
+                    size_t len, int64_t revision)
+{
+    (void)revision;
+    struct op *op = ctx;
+    struct rk_slot_read *slots = rk_alloc(len + 1, sizeof(*slots));
+    for (size_t i = 0; i < len; i++) {
+        const char *slash = strrchr(os[i].name, '/');
+        slots[i] =
+            (struct rk_slot_read){.version = os[i].version, .value = os[i].value};
+        slots[i].slot =
+            slash ? (unsigned)strtoul(slash + 1, NULL, 10) : RK_CLAIM_SLOTS;
+    }
+    rk_claims_on_ring(op->s->claims, st, slots, len, rk_mono_ms(), rk_wall_ms());
+    wake_tick(op->s->io);
+    free(slots);
+    free(op);
+}
+
+static void read_ring(void *ctx, uint32_t shard)
+{
+    struct shard *s = ctx;
+    char prefix[RK_OBJECT_NAME_MAX];
+    snprintf(prefix, sizeof(prefix), "claims/%03u/", shard);
+    rk_objects_list(s->io->c->objects, prefix, "", on_ring, make_op(s));
+}
+
+static void on_written(void *ctx, enum rk_status st, int64_t version)
+{
+    struct op *op = ctx;
+    if (st == RK_OK)
+        rk_count(RK_C_CLAIM_COMMITS, 1);
+    else if (st == RK_ECONFLICT)
+        RK_WARN("claims.stepped_down", RK_N("shard", op->s - op->s->io->shards));
+    rk_claims_on_written(op->s->claims, st, version, rk_mono_ms(), rk_wall_ms());
+    wake_tick(op->s->io);
+    free(op);
+}
+
+static void write_slot(void *ctx, uint32_t shard, unsigned slot, int64_t expect,
+                       const char *value)
+{
+    struct shard *s = ctx;
+    char name[RK_OBJECT_NAME_MAX];
+    object_name(name, shard, slot);
+    rk_objects_write(s->io->c->objects, name, expect, value, on_written,
+                     make_op(s));
+}
+
+static void on_slot(void *ctx, enum rk_status st, const struct rk_object *o)
+{
+    struct op *op = ctx;
+    rk_claims_on_slot(op->s->claims, st, o->version, o->value, rk_mono_ms(),
+                      rk_wall_ms());
+    wake_tick(op->s->io);
+    free(op);
+}
+
+static void read_slot(void *ctx, uint32_t shard, unsigned slot)
+{
+    struct shard *s = ctx;
+    char name[RK_OBJECT_NAME_MAX];
+    object_name(name, shard, slot);
+    rk_objects_read(s->io->c->objects, name, on_slot, make_op(s));
+}
+
+static void decided(void *ctx, uint64_t ticket, const struct rk_claim_result *r)
+{
+    struct shard *s = ctx;
+    struct rk_claim_reply reply = {
+        .ticket = ticket & ((1ULL << THREAD_SHIFT) - 1),
+        .shard = (uint32_t)(s - s->io->shards),
+        .decision = r->decision,
+        .verdict = r->verdict,
+        .retry_after_ms = r->retry_after_ms,
+        .detail = r->detail,
+        .has_answer = r->answer != NULL,
+    };
+    if (r->key)
+        reply.key = *r->key;
+    if (r->answer) {
+        reply.answer = *r->answer;
+        reply.answer.body = rk_alloc(1, r->answer->len + 1);
+        memcpy(reply.answer.body, r->answer->body, r->answer->len);
+    }
+    rk_traffic_claim_decided(s->io->c->traffic[ticket >> THREAD_SHIFT], &reply);
+}
+
+static const struct rk_claims_ops ops = {
+    .read_ring = read_ring,
+    .write_slot = write_slot,
+    .read_slot = read_slot,
+    .decided = decided,
+};
+
+static struct rk_claims *claims_of(struct rk_claims_io *io, uint32_t shard)
+{
+    struct shard *s = &io->shards[shard % RK_MAX_SHARDS];
+    if (s->claims)
+        return s->claims;
+    const struct rk_claims_config cfg = {
+        .shard = shard,
+        .owner = io->c->opt.id,
+        .retention_ms = io->c->config->claim_retention_s * RK_MS_PER_S,
+        .patience_ms = PATIENCE_MS,
+        .answer_bytes = ANSWER_BYTES,
+        .max_tickets = MAX_TICKETS,
+        .seed = rk_rng_next(&io->c->rng),
+    };
+    s->io = io;
+    s->claims = rk_claims_create(&cfg, &ops, s);
+    return s->claims;
+}
+
+static void on_tick(void *ctx)
+{
+    struct rk_claims_io *io = ctx;
+    bool busy = false;
+    for (size_t i = 0; i < RK_MAX_SHARDS; i++) {
+        struct rk_claims *claims = io->shards[i].claims;
+        if (!claims)
+            continue;
+        rk_claims_tick(claims, rk_mono_ms(), rk_wall_ms());
+        busy = busy || rk_claims_busy(claims);
+    }
+    if (busy)
+        wake_tick(io);
+}
+
+/* ---- messages from traffic ---- */
+
+struct message {
+    struct rk_claims_io *io;
+    enum { MSG_ASK, MSG_CANCEL, MSG_FINISH } kind;
+    uint64_t ticket;
+    uint32_t shard;
+    struct rk_claim_key key;
+    bool local;
+    enum rk_verdict verdict;
+    bool has_answer;
+    struct rk_answer answer; /* body owned */
+    int64_t retry_after_ms;
+};
+
+static void on_message(void *ctx)
+{
+    struct message *m = ctx;
+    struct rk_claims *claims = claims_of(m->io, m->shard);
+    switch (m->kind) {
+    case MSG_ASK:
+        rk_claims_ask(claims, m->ticket, m->key, m->local, rk_mono_ms());
+        wake_tick(m->io);
+        break;
+    case MSG_CANCEL:
+        rk_claims_cancel(claims, m->ticket);
+        break;
+    case MSG_FINISH:
+        rk_claims_finish(claims, m->key, m->verdict,
+                         m->has_answer ? &m->answer : NULL, m->retry_after_ms);
+        break;
+    }
+    free(m->answer.body);
+    free(m);
+}
+
+static struct message *make_message(struct rk_claims_io *io, int kind,
+                                    uint32_t shard)
+{
+    struct message *m = rk_alloc(1, sizeof(*m));
+    *m = (struct message){.io = io, .shard = shard};
+    m->kind = kind;
+    return m;
+}
+
+static bool post(struct message *m)
+{
+    if (rk_loop_post(m->io->c->loop, on_message, m))
+        return true;
+    free(m->answer.body);
+    free(m);
+    return false;
+}
+
+static uint64_t thread_ticket(unsigned thread, uint64_t ticket)
+{
+    return ((uint64_t)thread << THREAD_SHIFT) | ticket;
+}
+
+static bool port_ask(void *ctx, unsigned thread, uint64_t ticket, uint32_t shard,
+                     struct rk_claim_key key, bool local)
+{
+    struct message *m = make_message(ctx, MSG_ASK, shard);
+    m->ticket = thread_ticket(thread, ticket);
+    m->key = key;
+    m->local = local;
+    return post(m);
+}
+
+static void port_cancel(void *ctx, unsigned thread, uint64_t ticket, uint32_t shard)
+{
+    struct message *m = make_message(ctx, MSG_CANCEL, shard);
+    m->ticket = thread_ticket(thread, ticket);
+    /* Lost when control's queue is full: the decision then finds nobody. */
+    post(m);
+}
+
+static void port_finish(void *ctx, uint32_t shard, struct rk_claim_key key,
+                        enum rk_verdict verdict, const struct rk_answer *answer,
+                        int64_t retry_after_ms)
+{
+    struct message *m = make_message(ctx, MSG_FINISH, shard);
+    m->key = key;
+    m->verdict = verdict;
+    m->retry_after_ms = retry_after_ms;
+    if (answer) {
+        m->has_answer = true;
+        m->answer = *answer;
+        m->answer.body = rk_alloc(1, answer->len + 1);
+        memcpy(m->answer.body, answer->body, answer->len);
+    }
+    /* Lost when control's queue is full: the key then counts as running until
+     * it is forgotten, which errs on the safe side. */
+    post(m);
+}
+
+struct rk_claim_port rk_claims_io_port(struct rk_claims_io *io)
+{
+    return (struct rk_claim_port){
+        .ctx = io, .ask = port_ask, .cancel = port_cancel, .finish = port_finish};
+}
+
+struct rk_claims_io *rk_claims_io_create(struct rk_control *c)
+{
+    struct rk_claims_io *io = rk_alloc(1, sizeof(*io));
+    io->c = c;
+    io->tick = (struct rk_timer){.fn = on_tick, .ctx = io};
+    return io;
+}
+
+void rk_claims_io_destroy(struct rk_claims_io *io)
+{
+    if (!io)
+        return;
+    for (size_t i = 0; i < RK_MAX_SHARDS; i++)
+        rk_claims_destroy(io->shards[i].claims);
+    free(io);
+}
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,202 @@
+#include "control/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/eventlog.h"
+#include "common/http.h"
+#include "control/state.h"
+#include "core/shards.h"
+#include "objects/objects.h"
+
+#define PUBLISH_SOON_MS 500 /* for loads */
+#define PUBLISH_NOW_MS  1
+
+bool rk_member_is_bridge(const struct rk_members *m, const struct rk_member *row)
+{
+    int before = 0;
+    for (size_t i = 0; i < rk_members_count(m); i++) {
+        const struct rk_member *o = rk_members_at(m, i);
+        bool serves = o->state != RK_MEMBER_DEAD && !o->leaving;
+        if (serves && !strcmp(o->domain, row->domain) && strcmp(o->id, row->id) < 0)
+            before++;
+    }
+    return before < RK_WATCHERS;
+}
+
+bool rk_control_is_watcher(const struct rk_control *c)
+{
+    return rk_member_is_bridge(c->members, rk_members_self(c->members));
+}
+
+/* ---- the view ---- */
+
+static void copy_vms(const struct rk_control *c, struct rk_view *v)
+{
+    size_t n = rk_members_vm_count(c->members);
+    v->vms = rk_alloc(n + 1, sizeof(*v->vms));
+    for (size_t i = 0; i < n; i++) {
+        const struct rk_vm *vm = rk_members_vm_at(c->members, i);
+        if (!strcmp(vm->domain, v->domain))
+            v->vms[v->vms_len++] = *vm;
+    }
+}
+
+/* Copies the peers; place[i] gets where member i went, or -1. */
+static void copy_peers(const struct rk_control *c, struct rk_view *v, int *place)
+{
+    size_t n = rk_members_count(c->members);
+    v->peers = rk_alloc(n + 1, sizeof(*v->peers));
+    for (size_t i = 0; i < n; i++) {
+        const struct rk_member *m = rk_members_at(c->members, i);
+        bool peer = i > 0 && m->state != RK_MEMBER_DEAD;
+        place[i] = peer ? (int)v->peers_len : -1;
+        if (peer)
+            v->peers[v->peers_len++] = *m;
+    }
+}
+
+static struct rk_view *build_view(struct rk_control *c)
+{
+    struct rk_view *v = rk_alloc(1, sizeof(*v));
+    const struct rk_member *self = rk_members_self(c->members);
+    static int place[RK_MAX_MEMBERS];
+    v->serial = ++c->serial;
+    v->config = rk_config_create(rk_changelog_tree(c->changes),
+                                 rk_changelog_head(c->changes));
+    rk_strcpy(v->self, sizeof(v->self), self->id);
+    rk_strcpy(v->domain, sizeof(v->domain), self->domain);
+    v->leaving = self->leaving;
+    copy_vms(c, v);
+    copy_peers(c, v, place);
+    for (uint32_t s = 0; s < RK_MAX_SHARDS; s++)
+        v->shard_owner[s] = (int64_t)s < v->config->claim_shards
+                                ? place[rk_shard_owner(c->members, s)]
+                                : -1;
+    return v;
+}
+
+static void publish(void *ctx)
+{
+    struct rk_control *c = ctx;
+    rk_view_publish(c->opt.views, build_view(c));
+    c->published_ms = rk_mono_ms();
+    for (size_t i = 0; i < c->traffic_len; i++)
+        rk_traffic_view_changed(c->traffic[i]);
+}
+
+void rk_control_dirty(struct rk_control *c, bool urgent)
+{
+    int64_t delay = urgent ? PUBLISH_NOW_MS : PUBLISH_SOON_MS;
+    if (c->publish.slot && c->publish.due_ms <= rk_mono_ms() + delay)
+        return;
+    rk_timer_start(c->loop, &c->publish, delay);
+}
+
+void rk_control_settings_moved(struct rk_control *c)
+{
+    int64_t head = rk_changelog_head(c->changes);
+    rk_config_destroy(c->config);
+    c->config = rk_config_create(rk_changelog_tree(c->changes), head);
+    rk_members_set_head(c->members, head);
+    RK_EVENT("settings.in_force", RK_N("head", head),
+             RK_N("skipped", rk_changelog_skipped(c->changes)));
+    rk_control_dirty(c, true);
+}
+
+/* ---- making ---- */
+
+struct rk_control *rk_control_create(const struct rk_control_options *opt)
+{
+    struct rk_control *c = rk_alloc(1, sizeof(*c));
+    c->opt = *opt;
+    c->rng.state = opt->seed;
+    c->loop = rk_loop_create();
+    c->http = rk_http_create(c->loop);
+    c->objects = rk_objects_create(c->http, opt->platform);
+    c->changes = rk_changelog_create();
+    c->config = rk_config_create(rk_changelog_tree(c->changes), 0);
+    c->publish = (struct rk_timer){.fn = publish, .ctx = c};
+    c->gossip = rk_gossip_create(c);
+    if (!c->gossip) {
+        rk_control_destroy(c);
+        return NULL;
+    }
+    struct rk_member self = {.incarnation = (uint64_t)rk_wall_ms()};
+    rk_strcpy(self.id, sizeof(self.id), opt->id);
+    rk_strcpy(self.domain, sizeof(self.domain), opt->domain);
+    rk_strcpy(self.control_addr, sizeof(self.control_addr),
+              opt->control_advertise[0] ? opt->control_advertise
+                                        : rk_gossip_addr(c->gossip));
+    rk_strcpy(self.forward_addr, sizeof(self.forward_addr), opt->forward_advertise);
+    c->members = rk_members_create(&self);
+    c->settings = rk_settings_sync_create(c);
+    c->vms = rk_vms_sync_create(c);
+    c->claims = rk_claims_io_create(c);
+    return c;
+}
+
+void rk_control_destroy(struct rk_control *c)
+{
+    if (!c)
+        return;
+    rk_http_destroy(c->http);
+    rk_gossip_destroy(c->gossip);
+    rk_settings_sync_destroy(c->settings);
+    rk_vms_sync_destroy(c->vms);
+    rk_claims_io_destroy(c->claims);
+    rk_objects_destroy(c->objects);
+    rk_changelog_destroy(c->changes);
+    rk_config_destroy(c->config);
+    rk_members_destroy(c->members);
+    rk_loop_destroy(c->loop);
+    free(c);
+}
+
+void rk_control_set_traffic(struct rk_control *c, struct rk_traffic **traffic,
+                            size_t n)
+{
+    memcpy(c->traffic, traffic, n * sizeof(*traffic));
+    c->traffic_len = n;
+}
+
+struct rk_claim_port rk_control_claim_port(struct rk_control *c)
+{
+    return rk_claims_io_port(c->claims);
+}
+
+const char *rk_control_addr(const struct rk_control *c)
+{
+    return rk_gossip_addr(c->gossip);
+}
+
+void rk_control_start(struct rk_control *c)
+{
+    publish(c);
+    rk_gossip_start(c->gossip);
+    rk_settings_sync_start(c->settings);
+    rk_vms_sync_start(c->vms);
+}
+
+void rk_control_run(struct rk_control *c)
+{
+    rk_loop_run(c->loop);
+}
+
+void rk_control_stop(struct rk_control *c)
+{
+    rk_loop_stop(c->loop);
+}
+
+static void do_leave(void *ctx)
+{
+    struct rk_control *c = ctx;
+    rk_members_set_leaving(c->members);
+    rk_gossip_push(c->gossip);
+    rk_control_dirty(c, true);
+}
+
+void rk_control_leave(struct rk_control *c)
+{
+    rk_loop_post(c->loop, do_leave, c);
+}
--- /dev/null
+++ b/core/admit.c
@@ -0,0 +1,243 @@
+#include "core/admit.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VTIME_SCALE 1000
+
+struct heap {
+    struct rk_waiter **items;
+    size_t len, cap;
+    bool by_rank; /* rank first, then deadline */
+};
+
+/* The waiting calls of one organisation; lives while any wait. */
+struct rk_org_queue {
+    char org[RK_ID_MAX];
+    struct heap ready, deferred;
+    int64_t vtime; /* slot time used, over weight */
+};
+
+struct rk_admit {
+    struct rk_org_queue **orgs;
+    size_t orgs_len, orgs_cap;
+    int64_t vtime; /* of the call taken last: where a newcomer starts */
+    size_t len;
+    int64_t ahead_ms[RK_RANKS];
+};
+
+/* ---- heap ---- */
+
+static bool before(const struct heap *h, const struct rk_waiter *a,
+                   const struct rk_waiter *b)
+{
+    if (h->by_rank && a->rank != b->rank)
+        return a->rank < b->rank;
+    return a->deadline_ms < b->deadline_ms;
+}
+
+static void put(struct heap *h, size_t i, struct rk_waiter *w)
+{
+    h->items[i] = w;
+    w->heap_slot = i + 1;
+}
+
+static void sift_up(struct heap *h, size_t i)
+{
+    struct rk_waiter *w = h->items[i];
+    while (i && before(h, w, h->items[(i - 1) / 2])) {
+        put(h, i, h->items[(i - 1) / 2]);
+        i = (i - 1) / 2;
+    }
+    put(h, i, w);
+}
+
+static void sift_down(struct heap *h, size_t i)
+{
+    struct rk_waiter *w = h->items[i];
+    for (;;) {
+        size_t c = 2 * i + 1;
+        if (c >= h->len)
+            break;
+        if (c + 1 < h->len && before(h, h->items[c + 1], h->items[c]))
+            c++;
+        if (!before(h, h->items[c], w))
+            break;
+        put(h, i, h->items[c]);
+        i = c;
+    }
+    put(h, i, w);
+}
+
+static void heap_push(struct heap *h, struct rk_waiter *w)
+{
+    if (h->len == h->cap) {
+        h->cap = h->cap ? h->cap * 2 : 16;
+        h->items = rk_realloc(h->items, h->cap * sizeof(struct rk_waiter *));
+    }
+    put(h, h->len, w);
+    sift_up(h, h->len++);
+}
+
+static void heap_remove(struct heap *h, struct rk_waiter *w)
+{
+    size_t i = w->heap_slot - 1;
+    assert(h->items[i] == w);
+    w->heap_slot = 0;
+    struct rk_waiter *last = h->items[--h->len];
+    if (last == w)
+        return;
+    put(h, i, last);
+    sift_up(h, i);
+    sift_down(h, last->heap_slot - 1);
+}
+
+/* ---- organisations ---- */
+
+static struct rk_org_queue *org_queue(struct rk_admit *a, const char *org)
+{
+    for (size_t i = 0; i < a->orgs_len; i++)
+        if (!strcmp(a->orgs[i]->org, org))
+            return a->orgs[i];
+    if (a->orgs_len == a->orgs_cap) {
+        a->orgs_cap = a->orgs_cap ? a->orgs_cap * 2 : 16;
+        a->orgs = rk_realloc(a->orgs, a->orgs_cap * sizeof(struct rk_org_queue *));
+    }
+    struct rk_org_queue *q = rk_alloc(1, sizeof(*q));
+    rk_strcpy(q->org, sizeof(q->org), org);
+    q->ready.by_rank = true;
+    q->vtime = a->vtime; /* no credit for the time it asked for nothing */
+    a->orgs[a->orgs_len++] = q;
+    return q;
+}
+
+static void free_queue(struct rk_org_queue *q)
+{
+    free(q->ready.items);
+    free(q->deferred.items);
+    free(q);
+}
+
+/* An idle organisation is forgotten once the others have caught up with it, so
+ * that emptying its queue for a moment doesn't wash its use away. */
+static void drop_idle(struct rk_admit *a)
+{
+    for (size_t i = 0; i < a->orgs_len;) {
+        struct rk_org_queue *q = a->orgs[i];
+        if (!q->ready.len && !q->deferred.len && q->vtime <= a->vtime) {
+            free_queue(q);
+            a->orgs[i] = a->orgs[--a->orgs_len];
+        } else {
+            i++;
+        }
+    }
+}
+
+struct rk_admit *rk_admit_create(void)
+{
+    return rk_alloc(1, sizeof(struct rk_admit));
+}
+
+void rk_admit_destroy(struct rk_admit *a)
+{
+    if (!a)
+        return;
+    assert(!a->len);
+    for (size_t i = 0; i < a->orgs_len; i++)
+        free_queue(a->orgs[i]);
+    free(a->orgs);
+    free(a);
+}
+
+static void push_ready(struct rk_admit *a, struct rk_org_queue *q,
+                       struct rk_waiter *w)
+{
+    heap_push(&q->ready, w);
+    w->in_deferred = false;
+    a->ahead_ms[w->rank] += w->cost_ms;
+}
+
+void rk_admit_push(struct rk_admit *a, struct rk_waiter *w)
+{
+    assert(!w->heap_slot && w->rank >= 0 && w->rank < RK_RANKS);
+    struct rk_org_queue *q = org_queue(a, w->org);
+    w->queue = q;
+    a->len++;
+    if (!w->deferrable) {
+        push_ready(a, q, w);
+        return;
+    }
+    heap_push(&q->deferred, w);
+    w->in_deferred = true;
+}
+
+void rk_admit_remove(struct rk_admit *a, struct rk_waiter *w)
+{
+    if (!w->heap_slot)
+        return;
+    if (w->in_deferred) {
+        heap_remove(&w->queue->deferred, w);
+    } else {
+        heap_remove(&w->queue->ready, w);
+        a->ahead_ms[w->rank] -= w->cost_ms;
+    }
+    a->len--;
+}
+
+static void promote(struct rk_admit *a, struct rk_org_queue *q, int64_t now_ms)
+{
+    while (q->deferred.len) {
+        struct rk_waiter *w = q->deferred.items[0];
+        if (w->deadline_ms - now_ms > w->promote_ms)
+            return;
+        heap_remove(&q->deferred, w);
+        if (w->rank > RK_PROMOTED_RANK)
+            w->rank = RK_PROMOTED_RANK;
+        w->deferrable = false;
+        push_ready(a, q, w);
+    }
+}
+
+struct rk_waiter *rk_admit_peek(struct rk_admit *a, bool deferred, int64_t now_ms)
+{
+    struct rk_org_queue *best = NULL, *best_deferred = NULL;
+    for (size_t i = 0; i < a->orgs_len; i++) {
+        struct rk_org_queue *q = a->orgs[i];
+        promote(a, q, now_ms);
+        if (q->ready.len) {
+            int rank = q->ready.items[0]->rank;
+            int best_rank = best ? best->ready.items[0]->rank : RK_RANKS;
+            if (rank < best_rank || (rank == best_rank && q->vtime < best->vtime))
+                best = q;
+        }
+        if (q->deferred.len && (!best_deferred || q->vtime < best_deferred->vtime))
+            best_deferred = q;
+    }
+    if (best)
+        return best->ready.items[0];
+    return deferred && best_deferred ? best_deferred->deferred.items[0] : NULL;
+}
+
+void rk_admit_take(struct rk_admit *a, struct rk_waiter *w)
+{
+    struct rk_org_queue *q = w->queue;
+    rk_admit_remove(a, w);
+    if (q->vtime > a->vtime)
+        a->vtime = q->vtime;
+    q->vtime += (w->cost_ms + 1) * VTIME_SCALE / w->weight;
+    drop_idle(a);
+}
+
+size_t rk_admit_len(const struct rk_admit *a)
+{
+    return a->len;
+}
+
+int64_t rk_admit_ahead_ms(const struct rk_admit *a, int rank)
+{
+    int64_t ms = 0;
+    for (int r = 0; r <= rank; r++)
+        ms += a->ahead_ms[r];
+    return ms;
+}
--- /dev/null
+++ b/core/claims.c
@@ -0,0 +1,754 @@
+#include "core/claims.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS          1024
+#define KEY_TEXT_LEN     40 /* 16 + 16 + 8 hex digits */
+#define MAX_TAKEOVERS    4  /* tries in a row before claims are refused */
+#define RETRY_AFTER_MS   1000
+#define RELOAD_PAUSE_MS  200
+#define SECOND_HASH_SEED 0x5bd1e995
+
+enum entry_state {
+    ENTRY_PENDING,  /* not durable yet */
+    ENTRY_RUNNING,  /* granted, its call goes on */
+    ENTRY_DONE,     /* it ran; answer may be kept */
+    ENTRY_RELEASED, /* durable, proved not to have run */
+    ENTRY_FOREIGN,  /* durable, may have run */
+};
+
+struct ticket {
+    uint64_t id;
+    bool local;
+    int64_t since_ms;
+    struct ticket *next;
+};
+
+struct entry {
+    struct rk_claim_key key;
+    enum entry_state state;
+    bool queued;   /* in the list of those to write */
+    bool in_batch; /* part of the write that is under way or unresolved */
+    int64_t born_ms;
+    struct ticket *tickets;
+    struct rk_answer answer;
+    bool has_answer;
+    struct entry *next;      /* in the bucket */
+    struct entry *next_wait; /* among the pending */
+};
+
+enum owner_state {
+    OWNER_NONE,    /* the ring isn't known */
+    OWNER_READING, /* read_ring is out */
+    OWNER_READY,   /* the ring is known; no I/O is out */
+    OWNER_WRITING, /* write_slot is out */
+    OWNER_CHECKING /* read_slot is out, to learn a write's fate */
+};
+
+struct slot {
+    int64_t version; /* 0: absent */
+    int64_t seq;
+    int64_t newest_wall_ms;
+};
+
+struct rk_claims {
+    struct rk_claims_config cfg;
+    char owner[RK_ID_MAX];
+    const struct rk_claims_ops *ops;
+    void *ctx;
+    enum owner_state state;
+    bool unresolved; /* a write's fate is open: read back before all else */
+    bool ever_ready; /* the ring was read once by this node */
+    bool fenced;     /* our epoch stands in the ring, as far as we know */
+    int64_t epoch;
+    struct slot slots[RK_CLAIM_SLOTS];
+    unsigned current;
+    bool sealed;         /* the current slot takes no more keys */
+    char **current_keys; /* RK_CLAIM_SLOT_KEYS texts of the current slot */
+    size_t current_len;
+    /* The write under way. */
+    unsigned write_slot;
+    int64_t write_expect, write_seq, write_wall_ms;
+    uint64_t nonce;
+    char *write_value;
+    size_t write_new;  /* keys it adds */
+    size_t write_base; /* keys it repeats from the current slot */
+    int takeovers;
+    int64_t not_before_ms;
+    struct entry *buckets[BUCKETS];
+    struct entry *pending, **pending_end;
+    size_t entries, tickets, answer_bytes;
+    int64_t swept_ms;
+};
+
+struct rk_claim_key rk_claim_key_make(const char *organisation, const char *service,
+                                      const char *key, const char *path,
+                                      const void *body, size_t body_len)
+{
+    struct rk_claim_key k;
+    uint64_t seeds[2] = {0, SECOND_HASH_SEED}, out[2];
+    for (int i = 0; i < 2; i++) {
+        uint64_t h = rk_hash_str(seeds[i], organisation);
+        h = rk_hash_str(rk_hash_str(h, "\n"), service);
+        out[i] = rk_hash_str(rk_hash_str(h, "\n"), key);
+    }
+    k.hi = out[0];
+    k.lo = out[1];
+    k.fingerprint = (uint32_t)rk_hash(rk_hash_str(0, path), body, body_len);
+    return k;
+}
+
+/* ---- table of keys ---- */
+
+static struct entry **find(struct rk_claims *c, const struct rk_claim_key *k)
+{
+    struct entry **p = &c->buckets[k->lo % BUCKETS];
+    while (*p && ((*p)->key.hi != k->hi || (*p)->key.lo != k->lo))
+        p = &(*p)->next;
+    return p;
+}
+
+static struct entry *add_entry(struct rk_claims *c, const struct rk_claim_key *k,
+                               enum entry_state state, int64_t born_ms)
+{
+    struct entry **p = find(c, k);
+    assert(!*p);
+    struct entry *e = rk_alloc(1, sizeof(*e));
+    *e = (struct entry){.key = *k, .state = state, .born_ms = born_ms};
+    *p = e;
+    c->entries++;
+    return e;
+}
+
+static void drop_answer(struct rk_claims *c, struct entry *e)
+{
+    if (!e->has_answer)
+        return;
+    c->answer_bytes -= e->answer.len;
+    free(e->answer.body);
+    e->has_answer = false;
+}
+
+static void free_entry(struct rk_claims *c, struct entry **p)
+{
+    struct entry *e = *p;
+    *p = e->next;
+    drop_answer(c, e);
+    free(e);
+    c->entries--;
+}
+
+/* Queue an entry for the next write; in the list already, it stays there. */
+static void enqueue(struct rk_claims *c, struct entry *e)
+{
+    if (e->queued)
+        return;
+    e->queued = true;
+    e->next_wait = NULL;
+    *c->pending_end = e;
+    c->pending_end = &e->next_wait;
+}
+
+/* Take the whole list; the caller queues again what stays. */
+static struct entry *take_queue(struct rk_claims *c)
+{
+    struct entry *first = c->pending;
+    for (struct entry *e = first; e; e = e->next_wait)
+        e->queued = false;
+    c->pending = NULL;
+    c->pending_end = &c->pending;
+    return first;
+}
+
+static void add_ticket(struct rk_claims *c, struct entry *e, uint64_t id,
+                       bool local, int64_t now_ms)
+{
+    struct ticket *t = rk_alloc(1, sizeof(*t));
+    *t = (struct ticket){.id = id, .local = local, .since_ms = now_ms};
+    struct ticket **end = &e->tickets;
+    while (*end)
+        end = &(*end)->next;
+    *end = t;
+    c->tickets++;
+}
+
+static struct ticket *pop_ticket(struct rk_claims *c, struct entry *e)
+{
+    struct ticket *t = e->tickets;
+    if (t) {
+        e->tickets = t->next;
+        c->tickets--;
+    }
+    return t;
+}
+
+static void decide(struct rk_claims *c, const struct rk_claim_key *key,
+                   uint64_t ticket, enum rk_claim_decision d, enum rk_verdict v,
+                   const struct rk_answer *answer, int64_t retry_after_ms,
+                   const char *detail)
+{
+    struct rk_claim_result r = {.decision = d,
+                                .verdict = v,
+                                .key = key,
+                                .answer = answer,
+                                .retry_after_ms = retry_after_ms,
+                                .detail = detail};
+    c->ops->decided(c->ctx, ticket, &r);
+}
+
+static void decide_all(struct rk_claims *c, struct entry *e,
+                       enum rk_claim_decision d, enum rk_verdict v,
+                       const struct rk_answer *answer, int64_t retry_after_ms,
+                       const char *detail)
+{
+    struct ticket *t;
+    while ((t = pop_ticket(c, e))) {
+        decide(c, &e->key, t->id, d, v, answer, retry_after_ms, detail);
+        free(t);
+    }
+}
+
+/* ---- making ---- */
+
+struct rk_claims *rk_claims_create(const struct rk_claims_config *cfg,
+                                   const struct rk_claims_ops *ops, void *ctx)
+{
+    struct rk_claims *c = rk_alloc(1, sizeof(*c));
+    c->cfg = *cfg;
+    rk_strcpy(c->owner, sizeof(c->owner), cfg->owner);
+    c->ops = ops;
+    c->ctx = ctx;
+    c->pending_end = &c->pending;
+    c->current_keys = rk_alloc(RK_CLAIM_SLOT_KEYS, sizeof(char *));
+    return c;
+}
+
+static void clear_current(struct rk_claims *c)
+{
+    for (size_t i = 0; i < c->current_len; i++)
+        free(c->current_keys[i]);
+    c->current_len = 0;
+}
+
+void rk_claims_destroy(struct rk_claims *c)
+{
+    if (!c)
+        return;
+    for (size_t i = 0; i < BUCKETS; i++) {
+        while (c->buckets[i]) {
+            struct ticket *t;
+            while ((t = pop_ticket(c, c->buckets[i])))
+                free(t);
+            free_entry(c, &c->buckets[i]);
+        }
+    }
+    clear_current(c);
+    free(c->current_keys);
+    free(c->write_value);
+    free(c);
+}
+
+size_t rk_claims_keys(const struct rk_claims *c)
+{
+    return c->entries;
+}
+
+bool rk_claims_busy(const struct rk_claims *c)
+{
+    return c->pending != NULL;
+}
+
+/* ---- slots as text ---- */
+
+static void key_text(char out[KEY_TEXT_LEN + 1], const struct rk_claim_key *k)
+{
+    snprintf(out, KEY_TEXT_LEN + 1, "%016" PRIx64 "%016" PRIx64 "%08" PRIx32, k->hi,
+             k->lo, k->fingerprint);
+}
+
+static bool parse_key(const char *s, struct rk_claim_key *k)
+{
+    return s && strlen(s) == KEY_TEXT_LEN &&
+           sscanf(s, "%16" SCNx64 "%16" SCNx64 "%8" SCNx32, &k->hi, &k->lo,
+                  &k->fingerprint) == 3;
+}
+
+static int64_t get_int(struct json_object *o, const char *name)
+{
+    struct json_object *v;
+    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
+}
+
+static void build_value(struct rk_claims *c)
+{
+    struct rk_buf b = {0};
+    bool full = c->write_base + c->write_new == RK_CLAIM_SLOT_KEYS;
+    rk_buf_printf(&b,
+                  "{\"epoch\":%" PRId64 ",\"owner\":\"%s\",\"seq\":%" PRId64
+                  ",\"sealed\":%s,\"newest_ms\":%" PRId64 ",\"nonce\":\"%" PRIx64
+                  "\",\"keys\":[",
+                  c->epoch, c->owner, c->write_seq, full ? "true" : "false",
+                  c->write_wall_ms, c->nonce);
+    size_t n = 0;
+    for (; n < c->write_base; n++)
+        rk_buf_printf(&b, "%s\"%s\"", n ? "," : "", c->current_keys[n]);
+    for (struct entry *e = c->pending; e; e = e->next_wait) {
+        char text[KEY_TEXT_LEN + 1];
+        if (!e->in_batch)
+            continue;
+        key_text(text, &e->key);
+        rk_buf_printf(&b, "%s\"%s\"", n++ ? "," : "", text);
+    }
+    rk_buf_addstr(&b, "]}");
+    free(c->write_value);
+    c->write_value = b.data;
+}
+
+/* ---- committing ---- */
+
+static void refuse_pending(struct rk_claims *c, const char *detail);
+
+static bool slot_is_free(const struct rk_claims *c, unsigned slot, int64_t wall_ms)
+{
+    const struct slot *s = &c->slots[slot];
+    return !s->version || wall_ms - s->newest_wall_ms > c->cfg.retention_ms;
+}
+
+/* Decide where the next write goes. False: the ring is full of young keys. */
+static bool aim_write(struct rk_claims *c, int64_t wall_ms)
+{
+    unsigned slot = c->current;
+    c->write_base = c->current_len;
+    c->write_seq = c->slots[slot].seq;
+    if (c->sealed) {
+        slot = (slot + 1) % RK_CLAIM_SLOTS;
+        if (!slot_is_free(c, slot, wall_ms))
+            return false;
+        c->write_base = 0;
+        c->write_seq++;
+    }
+    c->write_slot = slot;
+    c->write_expect = c->slots[slot].version;
+    c->write_wall_ms = wall_ms;
+    return true;
+}
+
+static void start_write(struct rk_claims *c, int64_t wall_ms)
+{
+    if (!aim_write(c, wall_ms)) {
+        refuse_pending(c, "the shard's ring is full");
+        return;
+    }
+    if (!c->fenced)
+        c->epoch++;
+    size_t room = RK_CLAIM_SLOT_KEYS - c->write_base;
+    c->write_new = 0;
+    for (struct entry *e = c->pending; e; e = e->next_wait) {
+        e->in_batch = c->write_new < room;
+        c->write_new += e->in_batch;
+    }
+    /* Unlike any other write's, so that a read-back knows its own. */
+    c->nonce = rk_hash_str((uint64_t)wall_ms ^ c->nonce ^ c->cfg.seed, c->owner);
+    build_value(c);
+    c->state = OWNER_WRITING;
+    c->ops->write_slot(c->ctx, c->cfg.shard, c->write_slot, c->write_expect,
+                       c->write_value);
+}
+
+static void start_read(struct rk_claims *c)
+{
+    c->state = OWNER_READING;
+    c->ops->read_ring(c->ctx, c->cfg.shard);
+}
+
+static void advance(struct rk_claims *c, int64_t now_ms, int64_t wall_ms)
+{
+    if (!c->pending || now_ms < c->not_before_ms)
+        return;
+    if (c->state == OWNER_NONE) {
+        start_read(c);
+    } else if (c->state == OWNER_READY && c->unresolved) {
+        c->state = OWNER_CHECKING;
+        c->ops->read_slot(c->ctx, c->cfg.shard, c->write_slot);
+    } else if (c->state == OWNER_READY) {
+        start_write(c, wall_ms);
+    }
+}
+
+/* Somebody else owns the shard: forget the ring, not what we know ourselves. */
+static void step_down(struct rk_claims *c, int64_t now_ms)
+{
+    c->state = OWNER_NONE;
+    c->fenced = false;
+    c->unresolved = false;
+    clear_current(c);
+    for (struct entry *e = c->pending; e; e = e->next_wait)
+        e->in_batch = false;
+    if (++c->takeovers >= MAX_TAKEOVERS) {
+        c->takeovers = 0;
+        c->not_before_ms = now_ms + RELOAD_PAUSE_MS;
+        refuse_pending(c, "the shard changes hands");
+    }
+}
+
+static void grant(struct rk_claims *c, struct entry *e)
+{
+    struct ticket *t = pop_ticket(c, e);
+    if (!t) {
+        e->state = ENTRY_RELEASED; /* everyone left while we wrote */
+        return;
+    }
+    e->state = ENTRY_RUNNING;
+    uint64_t id = t->id;
+    free(t);
+    decide(c, &e->key, id, RK_CLAIM_GRANTED, RK_NOT_RUN, NULL, 0, "");
+}
+
+static void write_stands(struct rk_claims *c, int64_t version)
+{
+    c->slots[c->write_slot] = (struct slot){.version = version,
+                                            .seq = c->write_seq,
+                                            .newest_wall_ms = c->write_wall_ms};
+    if (c->write_slot != c->current || c->write_base == 0)
+        clear_current(c);
+    c->current = c->write_slot;
+    c->sealed = c->write_base + c->write_new == RK_CLAIM_SLOT_KEYS;
+    c->state = OWNER_READY;
+    c->unresolved = false;
+    c->fenced = true;
+    c->takeovers = 0;
+    struct entry *e = take_queue(c);
+    for (struct entry *next; e; e = next) {
+        next = e->next_wait;
+        if (!e->in_batch) {
+            enqueue(c, e);
+            continue;
+        }
+        char text[KEY_TEXT_LEN + 1];
+        key_text(text, &e->key);
+        c->current_keys[c->current_len++] = rk_strdup(text);
+        e->in_batch = false;
+        if (e->state == ENTRY_PENDING)
+            grant(c, e);
+    }
+}
+
+void rk_claims_on_written(struct rk_claims *c, enum rk_status st, int64_t version,
+                          int64_t now_ms, int64_t wall_ms)
+{
+    assert(c->state == OWNER_WRITING);
+    if (st == RK_OK) {
+        write_stands(c, version);
+    } else if (st == RK_ECONFLICT && !c->unresolved) {
+        step_down(c, now_ms);
+    } else {
+        /* Lost, or in conflict with what may be our own lost write. */
+        c->unresolved = true;
+        c->state = OWNER_READY;
+    }
+    advance(c, now_ms, wall_ms);
+}
+
+void rk_claims_on_slot(struct rk_claims *c, enum rk_status st, int64_t version,
+                       const char *value, int64_t now_ms, int64_t wall_ms)
+{
+    assert(c->state == OWNER_CHECKING);
+    c->state = OWNER_READY;
+    if (st == RK_ENOTFOUND) {
+        version = 0;
+        st = RK_OK;
+        value = "{}";
+    }
+    if (st != RK_OK) {
+        c->not_before_ms = now_ms + RELOAD_PAUSE_MS;
+        return;
+    }
+    struct json_object *o = json_tokener_parse(value), *nonce;
+    char ours[24];
+    snprintf(ours, sizeof(ours), "%" PRIx64, c->nonce);
+    bool stands = json_object_object_get_ex(o, "nonce", &nonce) &&
+                  !strcmp(json_object_get_string(nonce), ours);
+    json_object_put(o);
+    if (stands) {
+        write_stands(c, version);
+    } else if (version == c->write_expect) {
+        /* Not there yet, but it may still land: only the same write is safe. */
+        c->state = OWNER_WRITING;
+        c->ops->write_slot(c->ctx, c->cfg.shard, c->write_slot, c->write_expect,
+                           c->write_value);
+        return;
+    } else {
+        step_down(c, now_ms);
+    }
+    advance(c, now_ms, wall_ms);
+}
+
+/* ---- taking a shard over ---- */
+
+static void learn_key(struct rk_claims *c, const char *text, int64_t born_ms)
+{
+    struct rk_claim_key k;
+    if (!parse_key(text, &k))
+        return;
+    struct entry *e = *find(c, &k);
+    if (!e) {
+        add_entry(c, &k, ENTRY_FOREIGN, born_ms);
+        return;
+    }
+    if (e->state != ENTRY_PENDING)
+        return;
+    /* We asked for it, another owner has it: it isn't ours to write. */
+    struct entry *all = take_queue(c);
+    for (struct entry *next; all; all = next) {
+        next = all->next_wait;
+        if (all != e)
+            enqueue(c, all);
+    }
+    e->state = ENTRY_FOREIGN;
+    e->in_batch = false;
+    decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+               "the key may have run under another node");
+}
+
+static void learn_slot(struct rk_claims *c, const struct rk_slot_read *r,
+                       int64_t now_ms, int64_t wall_ms)
+{
+    struct json_object *o = json_tokener_parse(r->value), *keys = NULL, *v;
+    struct slot *s = &c->slots[r->slot];
+    *s = (struct slot){.version = r->version,
+                       .seq = get_int(o, "seq"),
+                       .newest_wall_ms = get_int(o, "newest_ms")};
+    int64_t epoch = get_int(o, "epoch");
+    if (epoch > c->epoch)
+        c->epoch = epoch;
+    int64_t age = wall_ms - s->newest_wall_ms;
+    json_object_object_get_ex(o, "keys", &keys);
+    size_t len = keys ? json_object_array_length(keys) : 0;
+    if (len > RK_CLAIM_SLOT_KEYS)
+        len = RK_CLAIM_SLOT_KEYS;
+    bool young = age <= c->cfg.retention_ms;
+    for (size_t i = 0; young && i < len; i++)
+        learn_key(c, json_object_get_string(json_object_array_get_idx(keys, i)),
+                  now_ms - (age > 0 ? age : 0));
+    if (s->seq >= c->slots[c->current].seq) {
+        c->current = r->slot;
+        c->sealed = json_object_object_get_ex(o, "sealed", &v) &&
+                    json_object_get_boolean(v);
+        clear_current(c);
+        for (; c->current_len < len; c->current_len++)
+            c->current_keys[c->current_len] = rk_strdup(json_object_get_string(
+                json_object_array_get_idx(keys, c->current_len)));
+    }
+    json_object_put(o);
+}
+
+void rk_claims_on_ring(struct rk_claims *c, enum rk_status st,
+                       const struct rk_slot_read *slots, size_t len, int64_t now_ms,
+                       int64_t wall_ms)
+{
+    assert(c->state == OWNER_READING);
+    if (st != RK_OK) {
+        c->state = OWNER_NONE;
+        c->not_before_ms = now_ms + RELOAD_PAUSE_MS;
+        return;
+    }
+    memset(c->slots, 0, sizeof(c->slots));
+    c->current = 0;
+    c->sealed = false;
+    clear_current(c);
+    for (size_t i = 0; i < len; i++)
+        if (slots[i].slot < RK_CLAIM_SLOTS)
+            learn_slot(c, &slots[i], now_ms, wall_ms);
+    c->state = OWNER_READY;
+    c->ever_ready = true;
+    advance(c, now_ms, wall_ms);
+}
+
+/* ---- asking ---- */
+
+static bool answer_known(struct rk_claims *c, struct entry *e, uint64_t ticket,
+                         bool local, const struct rk_claim_key *key, int64_t now_ms)
+{
+    if (e->key.fingerprint != key->fingerprint) {
+        decide(c, key, ticket, RK_CLAIM_MISMATCH, RK_MAY_HAVE_RUN, NULL, 0,
+               "the key was used for a different request");
+        return true;
+    }
+    switch (e->state) {
+    case ENTRY_DONE:
+        decide(c, key, ticket, RK_CLAIM_REPLAY, RK_RAN,
+               e->has_answer ? &e->answer : NULL, 0, "the key ran before");
+        return true;
+    case ENTRY_FOREIGN:
+        decide(c, key, ticket, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+               "the key may have run before");
+        return true;
+    case ENTRY_RUNNING:
+    case ENTRY_PENDING:
+        add_ticket(c, e, ticket, local, now_ms);
+        return true;
+    case ENTRY_RELEASED:
+        /* It goes through a commit again: that proves we still own the shard. */
+        add_ticket(c, e, ticket, local, now_ms);
+        e->state = ENTRY_PENDING;
+        enqueue(c, e);
+        return true;
+    }
+    return false;
+}
+
+void rk_claims_ask(struct rk_claims *c, uint64_t ticket, struct rk_claim_key key,
+                   bool local, int64_t now_ms)
+{
+    if (c->tickets >= c->cfg.max_tickets) {
+        decide(c, &key, ticket, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
+               RETRY_AFTER_MS, "too many claims wait");
+        return;
+    }
+    struct entry *e = *find(c, &key);
+    if (e) {
+        answer_known(c, e, ticket, local, &key, now_ms);
+    } else {
+        e = add_entry(c, &key, ENTRY_PENDING, now_ms);
+        add_ticket(c, e, ticket, local, now_ms);
+        enqueue(c, e);
+    }
+}
+
+void rk_claims_cancel(struct rk_claims *c, uint64_t ticket)
+{
+    for (size_t i = 0; i < BUCKETS; i++) {
+        for (struct entry *e = c->buckets[i]; e; e = e->next) {
+            struct ticket **p = &e->tickets;
+            while (*p && (*p)->id != ticket)
+                p = &(*p)->next;
+            if (!*p)
+                continue;
+            struct ticket *t = *p;
+            *p = t->next;
+            free(t);
+            c->tickets--;
+            return;
+        }
+    }
+}
+
+static void keep_answer(struct rk_claims *c, struct entry *e,
+                        const struct rk_answer *a)
+{
+    if (!a || c->answer_bytes + a->len > c->cfg.answer_bytes)
+        return;
+    e->answer = *a;
+    e->answer.body = rk_alloc(1, a->len + 1);
+    memcpy(e->answer.body, a->body ? a->body : "", a->len);
+    e->has_answer = true;
+    c->answer_bytes += a->len;
+}
+
+void rk_claims_finish(struct rk_claims *c, struct rk_claim_key key,
+                      enum rk_verdict v, const struct rk_answer *answer,
+                      int64_t retry_after_ms)
+{
+    struct entry *e = *find(c, &key);
+    if (!e || e->state != ENTRY_RUNNING)
+        return;
+    switch (v) {
+    case RK_NOT_RUN:
+        e->state = ENTRY_RELEASED;
+        decide_all(c, e, RK_CLAIM_REFUSED, RK_NOT_RUN, NULL, retry_after_ms,
+                   "the call this one joined did not run");
+        break;
+    case RK_RAN:
+        e->state = ENTRY_DONE;
+        keep_answer(c, e, answer);
+        decide_all(c, e, RK_CLAIM_REPLAY, RK_RAN,
+                   e->has_answer ? &e->answer : answer, 0,
+                   "the key ran once, for both");
+        break;
+    case RK_MAY_HAVE_RUN:
+        e->state = ENTRY_FOREIGN;
+        decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+                   "the call this one joined may have run");
+        break;
+    }
+}
+
+/* ---- time ---- */
+
+/* Keep a queued entry if somebody waits for it, if its write may stand, or if
+ * it was granted from memory and is still to be written. */
+static void requeue_or_drop(struct rk_claims *c, struct entry *e)
+{
+    if (e->tickets || e->in_batch || e->state != ENTRY_PENDING)
+        enqueue(c, e);
+    else
+        free_entry(c, find(c, &e->key));
+}
+
+/* End every waiting claim. Not "not run": without a write of ours that stands
+ * we can't know what another owner did with the key. */
+static void refuse_pending(struct rk_claims *c, const char *detail)
+{
+    struct entry *e = take_queue(c);
+    for (struct entry *next; e; e = next) {
+        next = e->next_wait;
+        if (e->state == ENTRY_PENDING)
+            decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
+                       RETRY_AFTER_MS, detail);
+        requeue_or_drop(c, e);
+    }
+}
+
+/* The platform is away. Calls that may go on from memory do, if this node knew
+ * the shard; the key stays queued and is written once the platform is back. */
+static void lose_patience(struct rk_claims *c, struct entry *e, int64_t now_ms)
+{
+    struct ticket *t = e->tickets;
+    if (!t || e->state != ENTRY_PENDING ||
+        now_ms - t->since_ms < c->cfg.patience_ms)
+        return;
+    if (t->local && c->ever_ready) {
+        grant(c, e);
+        return;
+    }
+    decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL, RETRY_AFTER_MS,
+               "the platform can't take the claim");
+}
+
+static void give_up_waiting(struct rk_claims *c, int64_t now_ms)
+{
+    struct entry *e = take_queue(c);
+    for (struct entry *next; e; e = next) {
+        next = e->next_wait;
+        lose_patience(c, e, now_ms);
+        requeue_or_drop(c, e);
+    }
+}
+
+static void sweep(struct rk_claims *c, int64_t now_ms)
+{
+    if (now_ms - c->swept_ms < 1000)
+        return;
+    c->swept_ms = now_ms;
+    for (size_t i = 0; i < BUCKETS; i++) {
+        for (struct entry **p = &c->buckets[i]; *p;) {
+            bool idle = !(*p)->queued && (*p)->state != ENTRY_RUNNING;
+            if (idle && now_ms - (*p)->born_ms > c->cfg.retention_ms)
+                free_entry(c, p);
+            else
+                p = &(*p)->next;
+        }
+    }
+}
+
+void rk_claims_tick(struct rk_claims *c, int64_t now_ms, int64_t wall_ms)
+{
+    give_up_waiting(c, now_ms);
+    sweep(c, now_ms);
+    advance(c, now_ms, wall_ms);
+}
--- /dev/null
+++ b/core/jsonlines.c
@@ -0,0 +1,158 @@
+#include "core/jsonlines.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/util.h"
+
+#define MAX_DEPTH    16
+#define PATH_MAX_LEN 512
+
+struct place {
+    char *path;
+    int line;
+};
+
+struct rk_jsonlines {
+    struct place *places;
+    size_t len, cap;
+    const char *duplicate;
+    int duplicate_line;
+};
+
+struct scanner {
+    const char *p;
+    int line;
+    int depth;
+    char path[PATH_MAX_LEN];
+    size_t path_len[MAX_DEPTH + 1]; /* length of the path above each level */
+};
+
+static void add_place(struct rk_jsonlines *jl, const char *path, int line)
+{
+    if (!jl->duplicate && rk_jsonlines_find(jl, path)) {
+        jl->duplicate = rk_strdup(path);
+        jl->duplicate_line = line;
+    }
+    if (jl->len == jl->cap) {
+        jl->cap = jl->cap ? jl->cap * 2 : 64;
+        jl->places = rk_realloc(jl->places, jl->cap * sizeof(*jl->places));
+    }
+    jl->places[jl->len++] = (struct place){.path = rk_strdup(path), .line = line};
+}
+
+static void skip_comment(struct scanner *s)
+{
+    if (s->p[1] == '/') {
+        while (*s->p && *s->p != '\n')
+            s->p++;
+        return;
+    }
+    const char *end = strstr(s->p + 2, "*/");
+    for (; *s->p && (!end || s->p < end + 2); s->p++)
+        s->line += *s->p == '\n';
+}
+
+/* Copy the string at p (after its quote) raw and step behind its end. */
+static void read_string(struct scanner *s, char *out, size_t size)
+{
+    size_t n = 0;
+    while (*s->p && *s->p != '"') {
+        if (*s->p == '\\' && s->p[1])
+            s->p++;
+        s->line += *s->p == '\n';
+        if (n + 1 < size)
+            out[n++] = *s->p;
+        s->p++;
+    }
+    out[n] = '\0';
+    if (*s->p)
+        s->p++;
+}
+
+static int is_key(const struct scanner *s)
+{
+    const char *p = s->p;
+    while (*p == ' ' || *p == '\t' || *p == '\n' || *p == '\r')
+        p++;
+    return *p == ':';
+}
+
+static void take_string(struct rk_jsonlines *jl, struct scanner *s)
+{
+    char key[RK_ID_MAX * 2];
+    int line = s->line;
+    s->p++;
+    read_string(s, key, sizeof(key));
+    if (!is_key(s) || s->depth < 1 || s->depth > MAX_DEPTH)
+        return;
+    size_t at = s->path_len[s->depth - 1];
+    if (at + strlen(key) + 2 > sizeof(s->path))
+        return;
+    s->path[at] = '/';
+    strcpy(s->path + at + 1, key);
+    s->path_len[s->depth] = at + 1 + strlen(key);
+    add_place(jl, s->path, line);
+}
+
+struct rk_jsonlines *rk_jsonlines_create(const char *text)
+{
+    struct rk_jsonlines *jl = rk_alloc(1, sizeof(*jl));
+    struct scanner s = {.p = text, .line = 1};
+    while (*s.p) {
+        switch (*s.p) {
+        case '/':
+            skip_comment(&s);
+            continue;
+        case '"':
+            take_string(jl, &s);
+            continue;
+        case '{':
+            s.depth++;
+            break;
+        case '}':
+            s.depth -= s.depth > 0;
+            break;
+        case '\n':
+            s.line++;
+            break;
+        default:
+            break;
+        }
+        s.p++;
+    }
+    return jl;
+}
+
+void rk_jsonlines_destroy(struct rk_jsonlines *jl)
+{
+    if (!jl)
+        return;
+    for (size_t i = 0; i < jl->len; i++)
+        free(jl->places[i].path);
+    free(jl->places);
+    free((char *)jl->duplicate);
+    free(jl);
+}
+
+int rk_jsonlines_find(const struct rk_jsonlines *jl, const char *path)
+{
+    for (size_t i = 0; i < jl->len; i++)
+        if (!strcmp(jl->places[i].path, path))
+            return jl->places[i].line;
+    return 0;
+}
+
+const char *rk_jsonlines_duplicate(const struct rk_jsonlines *jl, int *line)
+{
+    *line = jl->duplicate_line;
+    return jl->duplicate;
+}
+
+int rk_jsonlines_line_at(const char *text, size_t offset)
+{
+    int line = 1;
+    for (size_t i = 0; i < offset && text[i]; i++)
+        line += text[i] == '\n';
+    return line;
+}
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,385 @@
+#include "core/members.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define INDEX_SLOTS 16384 /* a power of two, well above all rows */
+
+struct rk_members {
+    struct rk_member *members; /* [0] is this node */
+    size_t members_len;
+    struct rk_vm *vms;
+    size_t vms_len;
+    uint64_t seq;
+    uint16_t *member_index; /* open addressing: place plus one; 0: free */
+    uint16_t *vm_index;     /* by id_hash */
+};
+
+static uint32_t id_hash(const char *id)
+{
+    return (uint32_t)rk_hash_str(0, id);
+}
+
+/* ---- index ---- */
+
+static void index_put(uint16_t *index, uint32_t hash, size_t place)
+{
+    size_t i = hash % INDEX_SLOTS;
+    while (index[i])
+        i = (i + 1) % INDEX_SLOTS;
+    index[i] = (uint16_t)(place + 1);
+}
+
+static void rebuild_index(struct rk_members *m)
+{
+    memset(m->member_index, 0, INDEX_SLOTS * sizeof(uint16_t));
+    memset(m->vm_index, 0, INDEX_SLOTS * sizeof(uint16_t));
+    for (size_t i = 0; i < m->members_len; i++)
+        index_put(m->member_index, id_hash(m->members[i].id), i);
+    for (size_t i = 0; i < m->vms_len; i++)
+        index_put(m->vm_index, m->vms[i].id_hash, i);
+}
+
+int rk_members_index(const struct rk_members *m, const char *id)
+{
+    size_t i = id_hash(id) % INDEX_SLOTS;
+    for (; m->member_index[i]; i = (i + 1) % INDEX_SLOTS)
+        if (!strcmp(m->members[m->member_index[i] - 1].id, id))
+            return m->member_index[i] - 1;
+    return -1;
+}
+
+static struct rk_vm *vm_by_hash(const struct rk_members *m, uint32_t hash,
+                                const char *id)
+{
+    size_t i = hash % INDEX_SLOTS;
+    for (; m->vm_index[i]; i = (i + 1) % INDEX_SLOTS) {
+        struct rk_vm *v = &m->vms[m->vm_index[i] - 1];
+        if (v->id_hash == hash && (!id || !strcmp(v->id, id)))
+            return v;
+    }
+    return NULL;
+}
+
+/* ---- making and looking ---- */
+
+struct rk_members *rk_members_create(const struct rk_member *self)
+{
+    struct rk_members *m = rk_alloc(1, sizeof(*m));
+    m->members = rk_alloc(RK_MAX_MEMBERS, sizeof(*m->members));
+    m->vms = rk_alloc(RK_MAX_VMS, sizeof(*m->vms));
+    m->member_index = rk_alloc(INDEX_SLOTS, sizeof(uint16_t));
+    m->vm_index = rk_alloc(INDEX_SLOTS, sizeof(uint16_t));
+    m->members[0] = *self;
+    m->members[0].state = RK_MEMBER_ALIVE;
+    m->members[0].changed = ++m->seq;
+    m->members[0].told_by = -1;
+    m->members_len = 1;
+    rebuild_index(m);
+    return m;
+}
+
+void rk_members_destroy(struct rk_members *m)
+{
+    if (!m)
+        return;
+    free(m->members);
+    free(m->vms);
+    free(m->member_index);
+    free(m->vm_index);
+    free(m);
+}
+
+const struct rk_member *rk_members_self(const struct rk_members *m)
+{
+    return &m->members[0];
+}
+
+size_t rk_members_count(const struct rk_members *m)
+{
+    return m->members_len;
+}
+
+const struct rk_member *rk_members_at(const struct rk_members *m, size_t i)
+{
+    return &m->members[i];
+}
+
+const struct rk_member *rk_members_find(const struct rk_members *m, const char *id)
+{
+    int i = rk_members_index(m, id);
+    return i < 0 ? NULL : &m->members[i];
+}
+
+size_t rk_members_vm_count(const struct rk_members *m)
+{
+    return m->vms_len;
+}
+
+const struct rk_vm *rk_members_vm_at(const struct rk_members *m, size_t i)
+{
+    return &m->vms[i];
+}
+
+const struct rk_vm *rk_members_find_vm(const struct rk_members *m, const char *id)
+{
+    return vm_by_hash(m, id_hash(id), id);
+}
+
+/* ---- members ---- */
+
+static void touch(struct rk_members *m, struct rk_member *row, int told_by)
+{
+    row->changed = ++m->seq;
+    row->told_by = told_by;
+}
+
+static void set_state(struct rk_members *m, struct rk_member *row,
+                      enum rk_member_state state, int told_by, int64_t now_ms)
+{
+    row->state = state;
+    row->since_ms = now_ms;
+    touch(m, row, told_by);
+}
+
+/* Somebody says we are suspect or dead, or an older run of us is remembered. */
+static bool refute(struct rk_members *m, const struct rk_member *row)
+{
+    struct rk_member *self = &m->members[0];
+    if (row->incarnation < self->incarnation)
+        return false;
+    if (row->incarnation == self->incarnation && row->state == RK_MEMBER_ALIVE)
+        return false;
+    self->incarnation = row->incarnation + 1;
+    touch(m, self, -1);
+    return true;
+}
+
+static bool add_member(struct rk_members *m, const struct rk_member *row,
+                       int told_by, int64_t now_ms)
+{
+    /* A dead member that we never knew is no news. */
+    if (row->state == RK_MEMBER_DEAD || m->members_len == RK_MAX_MEMBERS)
+        return false;
+    struct rk_member *n = &m->members[m->members_len];
+    *n = *row;
+    n->since_ms = now_ms;
+    touch(m, n, told_by);
+    index_put(m->member_index, id_hash(n->id), m->members_len++);
+    return true;
+}
+
+bool rk_members_merge(struct rk_members *m, const struct rk_member *row,
+                      int told_by, int64_t now_ms)
+{
+    int i = rk_members_index(m, row->id);
+    if (i == 0)
+        return refute(m, row);
+    if (i < 0)
+        return add_member(m, row, told_by, now_ms);
+    struct rk_member *old = &m->members[i];
+    if (row->incarnation < old->incarnation)
+        return false;
+    if (row->incarnation > old->incarnation) {
+        uint64_t attr_seq = old->attr_seq;
+        struct rk_member keep = *old;
+        *old = *row;
+        if (row->attr_seq < attr_seq && row->incarnation == keep.incarnation + 1) {
+            /* A refutation carries the attributes of the same run. */
+            old->attr_seq = attr_seq;
+            old->head = keep.head;
+            old->spare = keep.spare;
+        }
+        old->since_ms = now_ms;
+        touch(m, old, told_by);
+        return true;
+    }
+    bool acted = false;
+    if (row->attr_seq > old->attr_seq) {
+        old->attr_seq = row->attr_seq;
+        old->head = row->head;
+        old->spare = row->spare;
+        touch(m, old, told_by);
+    }
+    if (row->leaving && !old->leaving) {
+        old->leaving = true;
+        touch(m, old, told_by);
+        acted = true;
+    }
+    if (row->state > old->state) {
+        set_state(m, old, row->state, told_by, now_ms);
+        acted = true;
+    }
+    return acted;
+}
+
+void rk_members_set_head(struct rk_members *m, int64_t head)
+{
+    struct rk_member *self = &m->members[0];
+    assert(head >= self->head);
+    if (head == self->head)
+        return;
+    self->head = head;
+    self->attr_seq++;
+    touch(m, self, -1);
+}
+
+void rk_members_set_spare(struct rk_members *m, uint32_t spare)
+{
+    struct rk_member *self = &m->members[0];
+    /* Told only when it moved by a quarter: a round number costs no bytes. */
+    uint32_t step = self->spare / 4 + 1;
+    if (spare + step > self->spare && spare < self->spare + step)
+        return;
+    self->spare = spare;
+    self->attr_seq++;
+    touch(m, self, -1);
+}
+
+void rk_members_set_leaving(struct rk_members *m)
+{
+    m->members[0].leaving = true;
+    touch(m, &m->members[0], -1);
+}
+
+void rk_members_suspect(struct rk_members *m, const char *id, int64_t now_ms)
+{
+    int i = rk_members_index(m, id);
+    if (i > 0 && m->members[i].state == RK_MEMBER_ALIVE)
+        set_state(m, &m->members[i], RK_MEMBER_SUSPECT, -1, now_ms);
+}
+
+void rk_members_heard(struct rk_members *m, const char *id, int64_t now_ms)
+{
+    int i = rk_members_index(m, id);
+    /* Only our own suspicion is taken back here; the member refutes the rest. */
+    if (i > 0 && m->members[i].state == RK_MEMBER_SUSPECT &&
+        m->members[i].told_by == -1)
+        set_state(m, &m->members[i], RK_MEMBER_ALIVE, -1, now_ms);
+}
+
+bool rk_members_expire(struct rk_members *m, int64_t timeout_ms, int64_t now_ms)
+{
+    bool any = false;
+    for (size_t i = 1; i < m->members_len; i++) {
+        struct rk_member *row = &m->members[i];
+        if (row->state == RK_MEMBER_SUSPECT &&
+            now_ms - row->since_ms >= timeout_ms) {
+            set_state(m, row, RK_MEMBER_DEAD, -1, now_ms);
+            any = true;
+        }
+    }
+    return any;
+}
+
+void rk_members_forget(struct rk_members *m, int64_t keep_ms, int64_t now_ms)
+{
+    size_t before = m->members_len + m->vms_len;
+    for (size_t i = 1; i < m->members_len;) {
+        struct rk_member *row = &m->members[i];
+        if (row->state == RK_MEMBER_DEAD && now_ms - row->since_ms > keep_ms)
+            *row = m->members[--m->members_len];
+        else
+            i++;
+    }
+    for (size_t i = 0; i < m->vms_len;) {
+        struct rk_vm *v = &m->vms[i];
+        if (v->state == RK_VM_GONE && now_ms - v->since_ms > keep_ms)
+            *v = m->vms[--m->vms_len];
+        else
+            i++;
+    }
+    if (m->members_len + m->vms_len == before)
+        return;
+    /* Places moved: nobody's told_by can be trusted any more. */
+    for (size_t i = 0; i < m->members_len; i++)
+        m->members[i].told_by = -1;
+    for (size_t i = 0; i < m->vms_len; i++)
+        m->vms[i].told_by = -1;
+    rebuild_index(m);
+}
+
+/* ---- vms ---- */
+
+static void take_load(struct rk_members *m, struct rk_vm *v, uint64_t load_seq,
+                      uint32_t running, uint32_t queued, int told_by,
+                      int64_t now_ms)
+{
+    if (load_seq <= v->load_seq)
+        return;
+    /* An unchanged load refreshes its age here but is not passed on. */
+    bool same = v->load_seq && v->running == running && v->queued == queued;
+    v->load_seq = load_seq;
+    v->load_ms = now_ms;
+    v->running = running;
+    v->queued = queued;
+    if (same)
+        return;
+    v->load_changed = ++m->seq;
+    v->told_by = told_by;
+}
+
+bool rk_members_merge_vm(struct rk_members *m, const struct rk_vm *row, int told_by,
+                         int64_t now_ms)
+{
+    uint32_t hash = id_hash(row->id);
+    struct rk_vm *old = vm_by_hash(m, hash, row->id);
+    if (!old) {
+        if (row->state == RK_VM_GONE || m->vms_len == RK_MAX_VMS)
+            return false;
+        old = &m->vms[m->vms_len];
+        *old = *row;
+        index_put(m->vm_index, hash, m->vms_len++);
+    } else if (row->incarnation > old->incarnation) {
+        *old = *row;
+    } else if (row->incarnation == old->incarnation && row->state > old->state) {
+        old->state = row->state;
+        old->leave_at_ms = row->leave_at_ms;
+    } else {
+        if (row->incarnation == old->incarnation)
+            take_load(m, old, row->load_seq, row->running, row->queued, told_by,
+                      now_ms);
+        return false;
+    }
+    old->id_hash = hash;
+    old->changed = ++m->seq;
+    old->since_ms = now_ms;
+    old->load_ms = now_ms;
+    old->told_by = told_by;
+    return true;
+}
+
+void rk_members_merge_load(struct rk_members *m, uint32_t hash, uint64_t load_seq,
+                           uint32_t running, uint32_t queued, int told_by,
+                           int64_t now_ms)
+{
+    struct rk_vm *v = vm_by_hash(m, hash, NULL);
+    if (v)
+        take_load(m, v, load_seq, running, queued, told_by, now_ms);
+}
+
+/* ---- deltas ---- */
+
+void rk_members_delta(const struct rk_members *m, uint64_t mark, int peer,
+                      const char *only_domain, struct rk_delta *out)
+{
+    out->members_len = out->vms_len = out->loads_len = 0;
+    out->next_mark = m->seq;
+    for (size_t i = 0; i < m->members_len; i++) {
+        const struct rk_member *row = &m->members[i];
+        if (row->changed > mark && (peer < 0 || row->told_by != peer))
+            out->members[out->members_len++] = (uint16_t)i;
+    }
+    for (size_t i = 0; i < m->vms_len; i++) {
+        const struct rk_vm *v = &m->vms[i];
+        if (only_domain && strcmp(v->domain, only_domain) != 0)
+            continue;
+        if (peer >= 0 && v->told_by == peer)
+            continue;
+        if (v->changed > mark)
+            out->vms[out->vms_len++] = (uint16_t)i;
+        else if (v->load_changed > mark)
+            out->loads[out->loads_len++] = (uint16_t)i;
+    }
+}
--- /dev/null
+++ b/core/prefix.c
@@ -0,0 +1,175 @@
+#include "core/prefix.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/util.h"
+
+#define BUCKETS 16384 /* a power of two */
+#define WAYS    4     /* blocks in a bucket */
+#define HOLDERS 8     /* vms remembered for a block */
+#define NO_VM   UINT16_MAX
+
+struct holder {
+    uint16_t vm;
+    uint64_t clock;
+};
+
+struct block {
+    uint64_t hash;
+    uint64_t used; /* logical time, for replacement in the bucket */
+    struct holder holders[HOLDERS];
+};
+
+struct rk_prefixes {
+    struct block *blocks; /* BUCKETS x WAYS */
+    uint64_t tick;
+};
+
+void rk_prompt_begin(struct rk_prompt_reader *r, struct rk_prompt *out)
+{
+    *r = (struct rk_prompt_reader){.prompt = out};
+    out->blocks_len = out->tokens = 0;
+    out->root = 0;
+}
+
+static void end_word(struct rk_prompt_reader *r)
+{
+    struct rk_prompt *p = r->prompt;
+    p->tokens++;
+    r->in_word = 0;
+    if (++r->words_in_block < RK_BLOCK_WORDS)
+        return;
+    r->words_in_block = 0;
+    if (p->blocks_len == RK_MAX_BLOCKS)
+        return;
+    p->blocks[p->blocks_len++] = r->hash;
+    if (p->blocks_len == RK_ROOT_BLOCKS)
+        p->root = r->hash;
+}
+
+void rk_prompt_add(struct rk_prompt_reader *r, const char *text, size_t len)
+{
+    for (size_t i = 0; i < len;) {
+        size_t start = i;
+        while (i < len && !isspace((unsigned char)text[i]))
+            i++;
+        if (i > start) {
+            r->hash = rk_hash(r->hash, text + start, i - start);
+            r->in_word = 1;
+        }
+        if (i < len) {
+            if (r->in_word)
+                end_word(r);
+            i++;
+        }
+    }
+}
+
+void rk_prompt_end(struct rk_prompt_reader *r)
+{
+    if (r->in_word)
+        end_word(r);
+    if (!r->prompt->root && r->prompt->blocks_len)
+        r->prompt->root = r->prompt->blocks[r->prompt->blocks_len - 1];
+}
+
+struct rk_prefixes *rk_prefixes_create(void)
+{
+    struct rk_prefixes *p = rk_alloc(1, sizeof(*p));
+    p->blocks = rk_alloc((size_t)BUCKETS * WAYS, sizeof(*p->blocks));
+    return p;
+}
+
+void rk_prefixes_destroy(struct rk_prefixes *p)
+{
+    if (!p)
+        return;
+    free(p->blocks);
+    free(p);
+}
+
+static struct block *bucket_of(const struct rk_prefixes *p, uint64_t hash)
+{
+    return &p->blocks[(hash % BUCKETS) * WAYS];
+}
+
+static struct block *find_block(const struct rk_prefixes *p, uint64_t hash)
+{
+    struct block *b = bucket_of(p, hash);
+    for (size_t i = 0; i < WAYS; i++)
+        if (b[i].used && b[i].hash == hash)
+            return &b[i];
+    return NULL;
+}
+
+/* Find the block or take the bucket's least recently used place. */
+static struct block *take_block(struct rk_prefixes *p, uint64_t hash)
+{
+    struct block *b = find_block(p, hash);
+    if (!b) {
+        b = bucket_of(p, hash);
+        for (size_t i = 1; i < WAYS; i++)
+            if (bucket_of(p, hash)[i].used < b->used)
+                b = &bucket_of(p, hash)[i];
+        b->hash = hash;
+        for (size_t i = 0; i < HOLDERS; i++)
+            b->holders[i].vm = NO_VM;
+    }
+    b->used = ++p->tick;
+    return b;
+}
+
+void rk_prefixes_match(const struct rk_prefixes *p, const struct rk_prompt *prompt,
+                       const uint64_t *clocks, const uint64_t *cache_tokens,
+                       uint32_t *cached, size_t len)
+{
+    memset(cached, 0, len * sizeof(*cached));
+    for (uint32_t n = 0; n < prompt->blocks_len; n++) {
+        const struct block *b = find_block(p, prompt->blocks[n]);
+        bool any = false;
+        for (size_t i = 0; b && i < HOLDERS; i++) {
+            uint16_t vm = b->holders[i].vm;
+            /* A block counts only where all before it are cached too. */
+            if (vm >= len || cached[vm] != n * RK_BLOCK_WORDS)
+                continue;
+            if (clocks[vm] - b->holders[i].clock >= cache_tokens[vm])
+                continue;
+            cached[vm] += RK_BLOCK_WORDS;
+            any = true;
+        }
+        if (!any)
+            return;
+    }
+}
+
+static void set_holder(struct block *b, uint16_t vm, uint64_t clock)
+{
+    struct holder *place = &b->holders[0];
+    for (size_t i = 0; i < HOLDERS; i++) {
+        struct holder *h = &b->holders[i];
+        if (h->vm == vm) {
+            place = h;
+            break;
+        }
+        if (place->vm != NO_VM && (h->vm == NO_VM || h->clock < place->clock))
+            place = h;
+    }
+    *place = (struct holder){.vm = vm, .clock = clock};
+}
+
+void rk_prefixes_insert(struct rk_prefixes *p, const struct rk_prompt *prompt,
+                        uint16_t vm, uint64_t clock)
+{
+    for (uint32_t n = 0; n < prompt->blocks_len; n++)
+        set_holder(take_block(p, prompt->blocks[n]), vm, clock);
+}
+
+void rk_prefixes_forget(struct rk_prefixes *p, uint16_t vm)
+{
+    for (size_t i = 0; i < (size_t)BUCKETS * WAYS; i++)
+        for (size_t k = 0; k < HOLDERS; k++)
+            if (p->blocks[i].holders[k].vm == vm)
+                p->blocks[i].holders[k].vm = NO_VM;
+}
--- /dev/null
+++ b/core/router.c
@@ -0,0 +1,716 @@
+#include "core/router.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/shards.h"
+
+#define MAX_SERVICES       64
+#define ROOTS              1024 /* prefixes whose calls in hand are counted */
+#define FAILURES_TO_PAUSE  2
+#define PAUSE_MS           1000
+#define PAUSE_MAX_MS       16000
+#define LOAD_TRUST_MS      4000 /* age at which a peer's load row counts for nothing */
+#define EWMA               0.1
+#define LIMIT_CUT          0.8
+#define LIMIT_CUT_EVERY_MS 500
+#define BOUNDED_LOAD       1.25 /* of the mean share of prefixes a vm may get */
+#define DEFER_ROOM         0.75 /* share of slots deferred work may fill */
+#define HOLDER_OVERCOMMIT  2    /* calls that may wait at a full holder */
+#define MIN_RETRY_MS       100
+#define DEFAULT_MEAN_MS    50.0
+
+struct vm {
+    char id[RK_ID_MAX];
+    char addr[RK_ADDR_MAX];
+    uint64_t incarnation;
+    struct rk_service *svc;
+    bool used;    /* the row is in use */
+    bool present; /* in the newest view */
+    bool live;
+    int in_flight;
+    int others;        /* calls of other nodes, from its load row */
+    int64_t others_ms; /* when that was true */
+    uint64_t load_seq;
+    double limit; /* calls this node keeps there at most; adapts */
+    int64_t cut_ms;
+    int failures;
+    int64_t paused_until_ms;
+    double slow; /* observed over predicted time to the first token */
+};
+
+struct rk_service {
+    struct rk_policy policy;
+    struct rk_admit *queue;
+    bool used;
+    int live_vms;
+    int in_flight;
+    double mean_ms; /* time in a slot */
+    uint32_t turn;  /* round robin */
+};
+
+struct root {
+    uint64_t hash;
+    int in_hand; /* queued or sent */
+};
+
+struct org {
+    char name[RK_ID_MAX];
+    int64_t in_hand;
+};
+
+struct rk_router {
+    enum rk_route_policy policy;
+    struct rk_rng rng;
+    struct vm vms[RK_ROUTER_MAX_VMS];
+    size_t vms_len;
+    struct rk_service services[MAX_SERVICES];
+    size_t services_len;
+    struct rk_prefixes *prefixes;
+    uint64_t clocks[RK_ROUTER_MAX_VMS];       /* tokens prefilled at each vm */
+    uint64_t cache_tokens[RK_ROUTER_MAX_VMS]; /* size of its cache */
+    uint32_t cached[RK_ROUTER_MAX_VMS];       /* scratch of one choice */
+    struct root roots[ROOTS];
+    struct org orgs[1024];
+    size_t orgs_len;
+};
+
+struct rk_router *rk_router_create(uint64_t seed, enum rk_route_policy policy)
+{
+    struct rk_router *r = rk_alloc(1, sizeof(*r));
+    r->policy = policy;
+    r->rng.state = seed;
+    r->prefixes = rk_prefixes_create();
+    return r;
+}
+
+void rk_router_destroy(struct rk_router *r)
+{
+    if (!r)
+        return;
+    for (size_t i = 0; i < r->services_len; i++)
+        rk_admit_destroy(r->services[i].queue);
+    rk_prefixes_destroy(r->prefixes);
+    free(r);
+}
+
+/* ---- rows ---- */
+
+static struct rk_service *find_service(struct rk_router *r, const char *name)
+{
+    for (size_t i = 0; i < r->services_len; i++)
+        if (!strcmp(r->services[i].policy.service, name))
+            return &r->services[i];
+    return NULL;
+}
+
+static void update_services(struct rk_router *r, const struct rk_config *cfg)
+{
+    for (size_t i = 0; i < r->services_len; i++) {
+        r->services[i].used = false;
+        r->services[i].live_vms = 0;
+    }
+    for (size_t i = 0; i < cfg->policies_len; i++) {
+        const struct rk_policy *p = &cfg->policies[i];
+        if (p->call[0])
+            continue;
+        struct rk_service *s = find_service(r, p->service);
+        if (!s) {
+            if (r->services_len == MAX_SERVICES)
+                continue;
+            s = &r->services[r->services_len++];
+            s->queue = rk_admit_create();
+            s->mean_ms = DEFAULT_MEAN_MS;
+        }
+        s->policy = *p;
+        s->used = true;
+    }
+}
+
+static struct vm *find_vm(struct rk_router *r, const struct rk_vm *row)
+{
+    struct vm *free_row = NULL;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        struct vm *v = &r->vms[i];
+        if (v->used && v->incarnation == row->incarnation &&
+            !strcmp(v->id, row->id))
+            return v;
+        if (!v->used && !free_row)
+            free_row = v;
+    }
+    if (!free_row && r->vms_len < RK_ROUTER_MAX_VMS)
+        free_row = &r->vms[r->vms_len++];
+    return free_row;
+}
+
+static void begin_vm(struct rk_router *r, struct vm *v, const struct rk_vm *row,
+                     struct rk_service *svc)
+{
+    size_t i = (size_t)(v - r->vms);
+    *v = (struct vm){.used = true, .svc = svc, .incarnation = row->incarnation};
+    v->limit = (double)svc->policy.slots;
+    v->slow = 1;
+    rk_strcpy(v->id, sizeof(v->id), row->id);
+    rk_strcpy(v->addr, sizeof(v->addr), row->addr);
+    rk_prefixes_forget(r->prefixes, (uint16_t)i);
+    r->clocks[i] = 0;
+}
+
+static void take_load(struct vm *v, const struct rk_vm *row)
+{
+    if (row->load_seq <= v->load_seq)
+        return;
+    v->load_seq = row->load_seq;
+    v->others_ms = row->load_ms;
+    int total = (int)(row->running + row->queued);
+    v->others = total > v->in_flight ? total - v->in_flight : 0;
+}
+
+void rk_router_update(struct rk_router *r, const struct rk_config *cfg,
+                      const struct rk_vm *vms, size_t len, const char *domain,
+                      int64_t now_ms)
+{
+    (void)now_ms;
+    update_services(r, cfg);
+    for (size_t i = 0; i < r->vms_len; i++)
+        r->vms[i].present = false;
+    for (size_t i = 0; i < len; i++) {
+        struct rk_service *svc = find_service(r, vms[i].service);
+        if (!svc || !svc->used || strcmp(vms[i].domain, domain) != 0)
+            continue;
+        struct vm *v = find_vm(r, &vms[i]);
+        if (!v)
+            continue;
+        if (!v->used)
+            begin_vm(r, v, &vms[i], svc);
+        v->present = true;
+        v->live = vms[i].state == RK_VM_LIVE;
+        if (v->limit > (double)svc->policy.slots)
+            v->limit = (double)svc->policy.slots;
+        r->cache_tokens[v - r->vms] = (uint64_t)svc->policy.cache_tokens;
+        take_load(v, &vms[i]);
+        svc->live_vms += v->live;
+    }
+    for (size_t i = 0; i < r->vms_len; i++) {
+        struct vm *v = &r->vms[i];
+        if (v->present)
+            continue;
+        v->live = false;
+        if (!v->in_flight)
+            v->used = false;
+    }
+}
+
+/* ---- counts of calls in hand ---- */
+
+static struct root *find_root(struct rk_router *r, const struct rk_job *job)
+{
+    if (!job->prompt || !job->prompt->root)
+        return NULL;
+    struct root *b = &r->roots[job->prompt->root % ROOTS];
+    if (b->hash == job->prompt->root)
+        return b;
+    if (b->in_hand)
+        return NULL; /* the place is taken: this prefix goes uncounted */
+    b->hash = job->prompt->root;
+    return b;
+}
+
+static void count_root(struct rk_router *r, const struct rk_job *job, int n)
+{
+    struct root *b = find_root(r, job);
+    if (b && b->in_hand + n >= 0)
+        b->in_hand += n;
+}
+
+static struct org *find_org(struct rk_router *r, const char *name)
+{
+    struct org *idle = NULL;
+    for (size_t i = 0; i < r->orgs_len; i++) {
+        if (!strcmp(r->orgs[i].name, name))
+            return &r->orgs[i];
+        if (!r->orgs[i].in_hand && !idle)
+            idle = &r->orgs[i];
+    }
+    if (r->orgs_len < RK_ARRAY_LEN(r->orgs))
+        idle = &r->orgs[r->orgs_len++];
+    if (idle) {
+        idle->in_hand = 0;
+        rk_strcpy(idle->name, sizeof(idle->name), name);
+    }
+    return idle;
+}
+
+/* ---- choice ---- */
+
+static double load_of(const struct vm *v, int64_t now_ms)
+{
+    double trust = 1.0 - (double)(now_ms - v->others_ms) / LOAD_TRUST_MS;
+    return v->in_flight + (trust > 0 ? v->others * trust : 0);
+}
+
+static bool is_excluded(const struct rk_job *job, int vm)
+{
+    for (size_t i = 0; i < job->excluded_len; i++)
+        if (job->excluded[i] == vm)
+            return true;
+    return false;
+}
+
+static bool is_candidate(const struct rk_router *r, const struct rk_job *job,
+                         size_t i, int64_t now_ms)
+{
+    const struct vm *v = &r->vms[i];
+    return v->used && v->live && v->svc == job->svc &&
+           v->paused_until_ms <= now_ms && !is_excluded(job, (int)i);
+}
+
+static bool has_room(const struct vm *v, int64_t now_ms)
+{
+    return load_of(v, now_ms) < v->limit;
+}
+
+static double first_token_ms(const struct vm *v, uint32_t uncached)
+{
+    const struct rk_policy *p = &v->svc->policy;
+    return (p->prefill_base_ms + p->prefill_token_ms * uncached) * v->slow;
+}
+
+/* Mean prefilled tokens of the candidates: what a fair share is measured by. */
+static double mean_clock(const struct rk_router *r, const struct rk_job *job,
+                         int64_t now_ms)
+{
+    double sum = 0;
+    size_t n = 0;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        if (!is_candidate(r, job, i, now_ms))
+            continue;
+        sum += (double)r->clocks[i];
+        n++;
+    }
+    return n ? sum / (double)n : 0;
+}
+
+/* A place for a prefix nobody holds, or for one more copy: rendezvous hashing
+ * with bounded loads, so that nodes that know nothing of each other agree. */
+static int place_copy(const struct rk_router *r, const struct rk_job *job,
+                      int64_t now_ms)
+{
+    double bound = mean_clock(r, job, now_ms) * BOUNDED_LOAD + job->prompt->tokens;
+    int best = -1, fallback = -1;
+    uint64_t best_weight = 0;
+    double least = 0;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        if (!is_candidate(r, job, i, now_ms) || !has_room(&r->vms[i], now_ms))
+            continue;
+        if (r->cached[i] * 2 >= job->prompt->blocks_len * RK_BLOCK_WORDS)
+            continue; /* holds most of it already */
+        double load = load_of(&r->vms[i], now_ms);
+        if (fallback < 0 || load < least) {
+            fallback = (int)i;
+            least = load;
+        }
+        uint64_t weight = rk_rendezvous(job->prompt->root, r->vms[i].id);
+        if ((double)r->clocks[i] + job->prompt->tokens <= bound &&
+            (best < 0 || weight > best_weight)) {
+            best = (int)i;
+            best_weight = weight;
+        }
+    }
+    return best >= 0 ? best : fallback;
+}
+
+struct holders {
+    int best;     /* the one with room that answers first; -1 */
+    int nearest;  /* the least loaded, with room or without; -1 */
+    double slots; /* slots of all that hold most of the prompt */
+};
+
+static struct holders find_holders(const struct rk_router *r,
+                                   const struct rk_job *job, int64_t now_ms)
+{
+    struct holders h = {.best = -1, .nearest = -1};
+    double best_ms = 0;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        const struct vm *v = &r->vms[i];
+        if (!is_candidate(r, job, i, now_ms))
+            continue;
+        if (r->cached[i] * 2 < job->prompt->blocks_len * RK_BLOCK_WORDS)
+            continue;
+        h.slots += v->limit;
+        if (h.nearest < 0 ||
+            load_of(v, now_ms) < load_of(&r->vms[h.nearest], now_ms))
+            h.nearest = (int)i;
+        if (!has_room(v, now_ms))
+            continue;
+        double ms = first_token_ms(v, job->prompt->tokens - r->cached[i]) +
+                    load_of(v, now_ms) * v->svc->policy.token_ms;
+        if (h.best < 0 || ms < best_ms) {
+            h.best = (int)i;
+            best_ms = ms;
+        }
+    }
+    return h;
+}
+
+static int choose_by_prefix(struct rk_router *r, struct rk_job *job, int64_t now_ms)
+{
+    rk_prefixes_match(r->prefixes, job->prompt, r->clocks, r->cache_tokens,
+                      r->cached, r->vms_len);
+    struct holders h = find_holders(r, job, now_ms);
+    struct root *root = find_root(r, job);
+    int demand = root ? root->in_hand : 1;
+    if (h.best >= 0)
+        return h.best;
+    /* Holders are full. One more copy pays when the prefix's own calls fill
+     * them; when others' calls do, a slot there is soon free. */
+    if (h.nearest >= 0 && demand <= h.slots) {
+        const struct vm *v = &r->vms[h.nearest];
+        if (load_of(v, now_ms) < v->limit + HOLDER_OVERCOMMIT)
+            return h.nearest;
+    }
+    return place_copy(r, job, now_ms);
+}
+
+static int choose_least_loaded(const struct rk_router *r, const struct rk_job *job,
+                               bool limited, int64_t now_ms)
+{
+    int best = -1;
+    double least = 0;
+    uint64_t tie = 0;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        const struct vm *v = &r->vms[i];
+        if (!is_candidate(r, job, i, now_ms) || (limited && !has_room(v, now_ms)))
+            continue;
+        double load = load_of(v, now_ms);
+        uint64_t w = rk_rendezvous((uint64_t)job->submitted_ms, v->id);
+        if (best < 0 || load < least || (load == least && w > tie)) {
+            best = (int)i;
+            least = load;
+            tie = w;
+        }
+    }
+    return best;
+}
+
+static int choose_round_robin(struct rk_router *r, const struct rk_job *job,
+                              int64_t now_ms)
+{
+    for (size_t n = 0; n < r->vms_len; n++) {
+        size_t i = job->svc->turn++ % r->vms_len;
+        if (is_candidate(r, job, i, now_ms))
+            return (int)i;
+    }
+    return -1;
+}
+
+static int choose_sticky(const struct rk_router *r, const struct rk_job *job,
+                         int64_t now_ms)
+{
+    uint64_t root = job->prompt ? job->prompt->root : 0, best_weight = 0;
+    int best = -1;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        uint64_t w = rk_rendezvous(root, r->vms[i].id);
+        if (is_candidate(r, job, i, now_ms) && (best < 0 || w > best_weight)) {
+            best = (int)i;
+            best_weight = w;
+        }
+    }
+    return best;
+}
+
+static int choose(struct rk_router *r, struct rk_job *job, int64_t now_ms)
+{
+    switch (r->policy) {
+    case RK_ROUTE_ROUND_ROBIN:
+        return choose_round_robin(r, job, now_ms);
+    case RK_ROUTE_LEAST_LOADED:
+        return choose_least_loaded(r, job, false, now_ms);
+    case RK_ROUTE_STICKY:
+        return choose_sticky(r, job, now_ms);
+    case RK_ROUTE_ADAPTIVE:
+        break;
+    }
+    if (job->prompt && job->prompt->root)
+        return choose_by_prefix(r, job, now_ms);
+    return choose_least_loaded(r, job, true, now_ms);
+}
+
+/* ---- life of a job ---- */
+
+static double slot_ms(const struct rk_job *job)
+{
+    const struct rk_policy *p = &job->svc->policy;
+    if (!job->prompt)
+        return job->svc->mean_ms;
+    return p->prefill_base_ms + p->token_ms * (double)job->max_tokens;
+}
+
+static double total_limit(const struct rk_router *r, const struct rk_service *svc)
+{
+    double limit = 0;
+    for (size_t i = 0; i < r->vms_len; i++)
+        if (r->vms[i].used && r->vms[i].live && r->vms[i].svc == svc)
+            limit += r->vms[i].limit;
+    return limit;
+}
+
+/* How long a job of this rank would wait for a slot. */
+static int64_t wait_ms(const struct rk_router *r, const struct rk_job *job,
+                       int64_t now_ms)
+{
+    double limit = 0, busy = 0;
+    for (size_t i = 0; i < r->vms_len; i++) {
+        const struct vm *v = &r->vms[i];
+        if (!v->used || !v->live || v->svc != job->svc)
+            continue;
+        double load = load_of(v, now_ms);
+        limit += v->limit;
+        busy += load < v->limit ? load : v->limit;
+    }
+    if (limit < 1)
+        limit = 1;
+    double ahead = (double)rk_admit_ahead_ms(job->svc->queue, job->rank);
+    double free_ms = (limit - busy) * job->svc->mean_ms;
+    return ahead > free_ms ? (int64_t)((ahead - free_ms) / limit) : 0;
+}
+
+static int64_t allowed_wait_ms(const struct rk_job *job, int64_t now_ms)
+{
+    int64_t slack = job->deadline_ms - now_ms - (int64_t)slot_ms(job);
+    return slack < job->queue_ms ? slack : job->queue_ms;
+}
+
+static void fill_waiter(struct rk_job *job)
+{
+    job->waiter = (struct rk_waiter){
+        .weight = job->org_weight > 0 ? job->org_weight : 1,
+        .rank = job->rank,
+        .deferrable = job->deferrable,
+        .promote_ms = job->promote_ms,
+        .deadline_ms = job->deadline_ms,
+        .cost_ms = (int64_t)slot_ms(job),
+    };
+    rk_strcpy(job->waiter.org, sizeof(job->waiter.org), job->org);
+}
+
+enum rk_submit rk_router_submit(struct rk_router *r, struct rk_job *job,
+                                int64_t now_ms, int64_t *retry_after_ms)
+{
+    *retry_after_ms = MIN_RETRY_MS;
+    job->svc = find_service(r, job->service);
+    if (!job->svc || !job->svc->used)
+        return RK_SUBMIT_NO_SERVICE;
+    if (!job->svc->live_vms) {
+        *retry_after_ms = RK_MS_PER_S;
+        return RK_SUBMIT_NO_VM;
+    }
+    struct org *org = find_org(r, job->org);
+    if (!org || org->in_hand >= job->org_max) {
+        *retry_after_ms = (int64_t)job->svc->mean_ms + MIN_RETRY_MS;
+        return RK_SUBMIT_ORG_FULL;
+    }
+    int64_t wait = r->policy == RK_ROUTE_ADAPTIVE ? wait_ms(r, job, now_ms) : 0;
+    int64_t allowed = allowed_wait_ms(job, now_ms);
+    if (!job->retry && wait > (allowed > 0 ? allowed : 0)) {
+        *retry_after_ms = wait - (allowed > 0 ? allowed : 0) + MIN_RETRY_MS;
+        return RK_SUBMIT_REFUSED;
+    }
+    org->in_hand++;
+    count_root(r, job, 1);
+    fill_waiter(job);
+    job->submitted_ms = now_ms;
+    job->vm = -1;
+    job->first_seen = false;
+    rk_admit_push(job->svc->queue, &job->waiter);
+    job->state = RK_JOB_QUEUED;
+    return RK_SUBMIT_QUEUED;
+}
+
+static void send(struct rk_router *r, struct rk_job *job, int i, int64_t now_ms)
+{
+    struct vm *v = &r->vms[i];
+    rk_admit_take(job->svc->queue, &job->waiter);
+    job->state = RK_JOB_SENT;
+    job->vm = i;
+    job->sent_ms = now_ms;
+    job->first_seen = false;
+    v->in_flight++;
+    job->svc->in_flight++;
+    if (!job->prompt)
+        return;
+    if (r->policy != RK_ROUTE_ADAPTIVE)
+        rk_prefixes_match(r->prefixes, job->prompt, r->clocks, r->cache_tokens,
+                          r->cached, r->vms_len);
+    uint32_t cached = job->prompt->blocks_len ? r->cached[i] : 0;
+    job->uncached_tokens = job->prompt->tokens - cached;
+    r->clocks[i] += job->uncached_tokens;
+    rk_prefixes_insert(r->prefixes, job->prompt, (uint16_t)i, r->clocks[i]);
+}
+
+static struct rk_job *job_of(struct rk_waiter *w)
+{
+    return (struct rk_job *)((char *)w - offsetof(struct rk_job, waiter));
+}
+
+/* Deferred work leaves room for what may come. */
+static bool may_defer(const struct rk_router *r, const struct rk_service *svc)
+{
+    return svc->in_flight < total_limit(r, svc) * DEFER_ROOM;
+}
+
+struct rk_job *rk_router_next(struct rk_router *r, int64_t now_ms)
+{
+    for (size_t n = 0; n < r->services_len; n++) {
+        struct rk_service *svc = &r->services[n];
+        if (!rk_admit_len(svc->queue))
+            continue;
+        bool defer = r->policy != RK_ROUTE_ADAPTIVE || may_defer(r, svc);
+        struct rk_waiter *w = rk_admit_peek(svc->queue, defer, now_ms);
+        if (!w)
+            continue;
+        struct rk_job *job = job_of(w);
+        int vm = choose(r, job, now_ms);
+        if (vm < 0)
+            continue;
+        send(r, job, vm, now_ms);
+        return job;
+    }
+    return NULL;
+}
+
+static void adapt_limit(struct vm *v, int64_t took_ms, int64_t now_ms)
+{
+    double slots = (double)v->svc->policy.slots;
+    if (took_ms > v->svc->policy.target_first_ms) {
+        if (now_ms - v->cut_ms < LIMIT_CUT_EVERY_MS)
+            return;
+        v->cut_ms = now_ms;
+        v->limit = v->limit * LIMIT_CUT > 1 ? v->limit * LIMIT_CUT : 1;
+    } else if (v->limit < slots) {
+        v->limit =
+            v->limit + 1 / v->limit < slots ? v->limit + 1 / v->limit : slots;
+    }
+}
+
+void rk_router_first(struct rk_router *r, struct rk_job *job, int64_t now_ms)
+{
+    if (job->state != RK_JOB_SENT || job->first_seen)
+        return;
+    job->first_seen = true;
+    struct vm *v = &r->vms[job->vm];
+    int64_t took = now_ms - job->sent_ms;
+    adapt_limit(v, took, now_ms);
+    v->failures = 0;
+    if (!job->prompt)
+        return;
+    const struct rk_policy *p = &v->svc->policy;
+    double expected = p->prefill_base_ms +
+                      p->prefill_token_ms * job->uncached_tokens + p->token_ms;
+    double ratio = (double)took / expected;
+    ratio = ratio < 0.5 ? 0.5 : ratio > 4 ? 4 : ratio;
+    v->slow += EWMA * (ratio - v->slow);
+}
+
+static void note_failure(struct vm *v, int64_t now_ms)
+{
+    if (++v->failures < FAILURES_TO_PAUSE)
+        return;
+    int64_t pause = PAUSE_MS;
+    for (int i = FAILURES_TO_PAUSE; i < v->failures && pause < PAUSE_MAX_MS; i++)
+        pause *= 2;
+    v->paused_until_ms = now_ms + pause;
+}
+
+static void leave_vm(struct rk_router *r, struct rk_job *job, bool failed,
+                     int64_t now_ms)
+{
+    struct vm *v = &r->vms[job->vm];
+    v->in_flight--;
+    job->svc->in_flight--;
+    if (failed)
+        note_failure(v, now_ms);
+    else
+        job->svc->mean_ms +=
+            EWMA * ((double)(now_ms - job->sent_ms) - job->svc->mean_ms);
+    if (!v->in_flight && !v->present)
+        v->used = false;
+}
+
+void rk_router_end(struct rk_router *r, struct rk_job *job, bool failed,
+                   int64_t now_ms)
+{
+    if (job->state == RK_JOB_NEW || job->state == RK_JOB_ENDED)
+        return;
+    if (job->state == RK_JOB_SENT)
+        leave_vm(r, job, failed, now_ms);
+    else
+        rk_admit_remove(job->svc->queue, &job->waiter);
+    struct org *org = find_org(r, job->org);
+    if (org && org->in_hand)
+        org->in_hand--;
+    count_root(r, job, -1);
+    job->state = RK_JOB_ENDED;
+}
+
+void rk_router_retry(struct rk_router *r, struct rk_job *job, int64_t now_ms)
+{
+    assert(job->state == RK_JOB_SENT);
+    if (job->excluded_len < RK_MAX_EXCLUDED)
+        job->excluded[job->excluded_len++] = job->vm;
+    leave_vm(r, job, true, now_ms);
+    job->retry = true;
+    fill_waiter(job);
+    /* Its first wait is behind it: it goes at once, deferrable or not. */
+    job->waiter.deferrable = false;
+    rk_admit_push(job->svc->queue, &job->waiter);
+    job->state = RK_JOB_QUEUED;
+}
+
+const char *rk_router_vm_addr(const struct rk_router *r, int vm)
+{
+    return r->vms[vm].addr;
+}
+
+const char *rk_router_vm_id(const struct rk_router *r, int vm)
+{
+    return r->vms[vm].id;
+}
+
+bool rk_router_vm_leaving(const struct rk_router *r, int vm)
+{
+    return !r->vms[vm].live;
+}
+
+bool rk_router_can_serve(const struct rk_router *r, const struct rk_job *job)
+{
+    (void)r;
+    return job->svc->used && job->svc->live_vms > 0;
+}
+
+uint32_t rk_router_spare(const struct rk_router *r)
+{
+    double least = UINT32_MAX;
+    bool any = false;
+    for (size_t n = 0; n < r->services_len; n++) {
+        const struct rk_service *svc = &r->services[n];
+        if (!svc->used || !svc->live_vms)
+            continue;
+        double spare = total_limit(r, svc) - svc->in_flight;
+        if (spare < least)
+            least = spare;
+        any = true;
+    }
+    return any && least > 0 ? (uint32_t)least : 0;
+}
+
+int64_t rk_router_wake_ms(const struct rk_router *r)
+{
+    int64_t wake = INT64_MAX;
+    for (size_t i = 0; i < r->vms_len; i++)
+        if (r->vms[i].used && r->vms[i].live && r->vms[i].paused_until_ms < wake &&
+            r->vms[i].paused_until_ms)
+            wake = r->vms[i].paused_until_ms;
+    return wake;
+}
--- /dev/null
+++ b/engines/attempt.c
@@ -0,0 +1,147 @@
+#include "engines/attempt.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/http.h"
+#include "common/loop.h"
+#include "common/util.h"
+#include "core/stream.h"
+
+#define URL_MAX    256
+#define HEADER_MAX 96
+#define HTTP_OK    200
+
+struct rk_engine_attempt {
+    struct rk_loop *loop;
+    struct rk_http_req *req;
+    struct rk_engine_handlers handlers;
+    void *ctx;
+    char request_id[RK_ID_MAX];
+    struct rk_sse sse;
+    struct rk_timer silence;
+    int64_t silence_ms;
+    bool crossed, whole, unwanted;
+};
+
+static void free_attempt(struct rk_engine_attempt *a)
+{
+    rk_timer_stop(a->loop, &a->silence);
+    rk_sse_free(&a->sse);
+    free(a);
+}
+
+static void on_header(void *ctx, const char *name, const char *value)
+{
+    struct rk_engine_attempt *a = ctx;
+    if (!strcmp(name, "x-request-id") && strcmp(value, a->request_id) != 0)
+        a->crossed = true;
+}
+
+static bool on_event(void *ctx, const char *text)
+{
+    struct rk_engine_attempt *a = ctx;
+    struct rk_chunk chunk;
+    if (rk_chunk_parse(text, &chunk) != RK_OK)
+        return false;
+    if (chunk.done) {
+        a->whole = true;
+        return true;
+    }
+    if (strcmp(chunk.id, a->request_id) != 0) {
+        a->crossed = true;
+        return false;
+    }
+    if (a->handlers.on_chunk(a->ctx, &chunk, text))
+        return true;
+    a->unwanted = true;
+    return false;
+}
+
+static bool on_data(void *ctx, const char *data, size_t len)
+{
+    struct rk_engine_attempt *a = ctx;
+    if (a->crossed)
+        return false;
+    rk_timer_start(a->loop, &a->silence, a->silence_ms);
+    return rk_sse_feed(&a->sse, data, len, on_event, a);
+}
+
+static void end(struct rk_engine_attempt *a, const struct rk_attempt_end *e,
+                bool whole, const char *detail)
+{
+    if (a->crossed)
+        rk_count(RK_C_CROSSED, 1);
+    a->handlers.on_end(a->ctx, e, whole, detail);
+    free_attempt(a);
+}
+
+static void on_done(void *ctx, const struct rk_http_result *res)
+{
+    struct rk_engine_attempt *a = ctx;
+    bool whole =
+        !res->curl_code && res->status == HTTP_OK && a->whole && !a->crossed;
+    struct rk_attempt_end e = {
+        .handed = res->handed,
+        .answered =
+            whole || (!res->curl_code && res->status != HTTP_OK && !a->crossed),
+        .http_status = (int)res->status,
+    };
+    const char *detail = a->crossed    ? "an answer to another request"
+                         : a->unwanted ? "a gap in the tokens"
+                                       : res->error;
+    end(a, &e, whole, whole ? "whole" : detail);
+}
+
+static void on_silence(void *ctx)
+{
+    struct rk_engine_attempt *a = ctx;
+    struct rk_attempt_end e = {.handed = rk_http_cancel(a->req)};
+    end(a, &e, false, "silent for too long");
+}
+
+struct rk_engine_attempt *
+rk_engine_attempt_start(struct rk_loop *loop, struct rk_http *http,
+                        const struct rk_engine_spec *spec,
+                        const struct rk_engine_handlers *h, void *ctx)
+{
+    struct rk_engine_attempt *a = rk_alloc(1, sizeof(*a));
+    *a = (struct rk_engine_attempt){
+        .loop = loop, .handlers = *h, .ctx = ctx, .silence_ms = spec->silence_ms};
+    rk_strcpy(a->request_id, sizeof(a->request_id), spec->request_id);
+    a->silence = (struct rk_timer){.fn = on_silence, .ctx = a};
+    char url[URL_MAX], id[HEADER_MAX], attempt[HEADER_MAX], priority[HEADER_MAX],
+        resume[HEADER_MAX];
+    snprintf(url, sizeof(url), "http://%s%s", spec->addr, spec->path);
+    snprintf(id, sizeof(id), "X-Request-Id: %s", spec->request_id);
+    snprintf(attempt, sizeof(attempt), "X-Attempt: %d", spec->attempt);
+    snprintf(priority, sizeof(priority), "X-Priority: %d", spec->priority);
+    snprintf(resume, sizeof(resume), "X-Resume-From: %" PRId64, spec->resume_from);
+    const char *headers[] = {
+        id, attempt, priority, "Content-Type: application/json", resume, NULL};
+    struct rk_http_spec http_spec = {
+        .method = "POST",
+        .url = url,
+        .headers = headers,
+        .body = spec->body,
+        .body_len = strlen(spec->body),
+        .connect_timeout_ms = spec->connect_ms,
+        .once = spec->once,
+        .handlers = {.on_header = on_header,
+                     .on_data = on_data,
+                     .on_done = on_done},
+        .ctx = a,
+    };
+    a->req = rk_http_start(http, &http_spec);
+    rk_timer_start(loop, &a->silence, spec->silence_ms);
+    return a;
+}
+
+void rk_engine_attempt_cancel(struct rk_engine_attempt *a)
+{
+    rk_http_cancel(a->req);
+    free_attempt(a);
+}
--- /dev/null
+++ b/engines/side.c
@@ -0,0 +1,68 @@
+#include "engines/side.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/rest.h"
+#include "common/util.h"
+
+#define URL_MAX  256
+#define BODY_MAX 256
+
+struct op {
+    rk_engine_load_fn *on_load;
+    rk_engine_order_fn *on_order;
+    void *ctx;
+};
+
+static uint32_t number(struct json_object *o, const char *name)
+{
+    struct json_object *v;
+    return json_object_object_get_ex(o, name, &v)
+               ? (uint32_t)json_object_get_int64(v)
+               : 0;
+}
+
+static void on_answer(void *ctx, const struct rk_rest_answer *answer)
+{
+    struct op *op = ctx;
+    if (op->on_order) {
+        op->on_order(op->ctx, answer->status);
+    } else {
+        struct json_object *o = json_tokener_parse(answer->body);
+        enum rk_status st = answer->status;
+        if (st == RK_OK && !json_object_is_type(o, json_type_object))
+            st = RK_EPROTO;
+        op->on_load(op->ctx, st, number(o, "running"), number(o, "queued"));
+        json_object_put(o);
+    }
+    free(op);
+}
+
+void rk_engine_load(struct rk_http *http, const char *addr, rk_engine_load_fn *fn,
+                    void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_load = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "http://%s/load", addr);
+    const struct rk_rest_call call = {.method = "GET", .url = url};
+    rk_rest_start(http, &call, on_answer, op);
+}
+
+void rk_engine_order(struct rk_http *http, const char *addr, const char *order,
+                     const char *argument, int64_t epoch, rk_engine_order_fn *fn,
+                     void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_order = fn, .ctx = ctx};
+    char url[URL_MAX], body[BODY_MAX];
+    snprintf(url, sizeof(url), "http://%s/orders", addr);
+    snprintf(body, sizeof(body),
+             "{\"order\":\"%s\",\"argument\":\"%s\",\"epoch\":%" PRId64 "}", order,
+             argument, epoch);
+    const struct rk_rest_call call = {.method = "POST", .url = url, .body = body};
+    rk_rest_start(http, &call, on_answer, op);
+}
--- /dev/null
+++ b/objects/objects.c
@@ -0,0 +1,142 @@
+#include "objects/objects.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/rest.h"
+#include "common/util.h"
+
+#define URL_MAX 768
+
+struct rk_objects {
+    struct rk_http *http;
+    char base[RK_ADDR_MAX * 2];
+};
+
+/* One call under way; freed when it ends. */
+struct op {
+    rk_object_read_fn *on_read;
+    rk_object_list_fn *on_list;
+    rk_object_write_fn *on_write;
+    void *ctx;
+    char name[RK_OBJECT_NAME_MAX];
+};
+
+struct rk_objects *rk_objects_create(struct rk_http *http, const char *base)
+{
+    struct rk_objects *o = rk_alloc(1, sizeof(*o));
+    o->http = http;
+    rk_strcpy(o->base, sizeof(o->base), base);
+    return o;
+}
+
+void rk_objects_destroy(struct rk_objects *o)
+{
+    free(o);
+}
+
+static const char *json_str(struct json_object *o, const char *name)
+{
+    struct json_object *v;
+    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
+}
+
+static void end_list(struct op *op, const struct rk_rest_answer *answer)
+{
+    enum rk_status st = answer->status;
+    struct json_object *array =
+        st == RK_OK ? json_tokener_parse(answer->body) : NULL;
+    if (st == RK_OK && !json_object_is_type(array, json_type_array))
+        st = RK_EPROTO;
+    size_t len = st == RK_OK ? json_object_array_length(array) : 0;
+    struct rk_object *os = rk_alloc(len + 1, sizeof(*os));
+    for (size_t i = 0; i < len; i++) {
+        struct json_object *row = json_object_array_get_idx(array, i), *v;
+        rk_strcpy(os[i].name, sizeof(os[i].name), json_str(row, "name"));
+        if (json_object_object_get_ex(row, "version", &v))
+            os[i].version = json_object_get_int64(v);
+        os[i].value = json_str(row, "value");
+    }
+    op->on_list(op->ctx, st, os, len, answer->revision);
+    free(os);
+    json_object_put(array);
+}
+
+static void on_done(void *ctx, const struct rk_rest_answer *answer)
+{
+    struct op *op = ctx;
+    if (op->on_write) {
+        op->on_write(op->ctx, answer->status, answer->version);
+    } else if (op->on_list) {
+        end_list(op, answer);
+    } else {
+        struct rk_object o = {.version = answer->version, .value = answer->body};
+        rk_strcpy(o.name, sizeof(o.name), op->name);
+        op->on_read(op->ctx, answer->status, &o);
+    }
+    free(op);
+}
+
+static void get(struct rk_objects *o, struct op *op, const char *url,
+                int64_t wait_ms)
+{
+    const struct rk_rest_call call = {
+        .method = "GET", .url = url, .wait_ms = wait_ms};
+    rk_count(RK_C_OBJECT_READS, 1);
+    rk_rest_start(o->http, &call, on_done, op);
+}
+
+void rk_objects_read(struct rk_objects *o, const char *name, rk_object_read_fn *fn,
+                     void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_read = fn, .ctx = ctx};
+    rk_strcpy(op->name, sizeof(op->name), name);
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "%s/objects/%s", o->base, name);
+    get(o, op, url, 0);
+}
+
+void rk_objects_list(struct rk_objects *o, const char *prefix, const char *after,
+                     rk_object_list_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_list = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "%s/objects?prefix=%s&after=%s", o->base, prefix,
+             after);
+    get(o, op, url, 0);
+}
+
+void rk_objects_watch(struct rk_objects *o, const char *prefix, int64_t since,
+                      int64_t wait_ms, rk_object_list_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_list = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url),
+             "%s/objects?prefix=%s&since=%" PRId64 "&wait_ms=%" PRId64, o->base,
+             prefix, since, wait_ms);
+    get(o, op, url, wait_ms);
+}
+
+void rk_objects_write(struct rk_objects *o, const char *name, int64_t expect,
+                      const char *value, rk_object_write_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_write = fn, .ctx = ctx};
+    char url[URL_MAX], match[64];
+    snprintf(url, sizeof(url), "%s/objects/%s", o->base, name);
+    if (expect)
+        snprintf(match, sizeof(match), "If-Match: %" PRId64, expect);
+    else
+        snprintf(match, sizeof(match), "If-None-Match: *");
+    const struct rk_rest_call call = {
+        .method = "PUT", .url = url, .match = match, .body = value};
+    rk_count(RK_C_OBJECT_WRITES, 1);
+    rk_rest_start(o->http, &call, on_done, op);
+}
--- /dev/null
+++ b/operators/session.c
@@ -0,0 +1,294 @@
+#include "operators/session.h"
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http.h"
+#include "common/loop.h"
+#include "common/rest.h"
+#include "common/util.h"
+#include "objects/objects.h"
+
+#define WRITE_TRIES 5
+#define RACE_TRIES  64 /* lost races against unrelated changes */
+#define STEP_MS     1000
+#define URL_MAX     256
+
+struct rk_session {
+    struct rk_loop *loop;
+    struct rk_http *http;
+    struct rk_objects *objects;
+    struct rk_changelog *log;
+    struct rk_rng rng;
+    /* The answer being waited for. */
+    bool done;
+    enum rk_status st;
+    char *value;
+};
+
+struct rk_session *rk_session_create(const char *platform)
+{
+    struct rk_session *s = rk_alloc(1, sizeof(*s));
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    s->loop = rk_loop_create();
+    s->http = rk_http_create(s->loop);
+    s->objects = rk_objects_create(s->http, platform);
+    s->log = rk_changelog_create();
+    s->rng.state = (uint64_t)rk_mono_us() ^ (uint64_t)(uintptr_t)s;
+    return s;
+}
+
+void rk_session_destroy(struct rk_session *s)
+{
+    if (!s)
+        return;
+    rk_http_destroy(s->http);
+    rk_objects_destroy(s->objects);
+    rk_loop_destroy(s->loop);
+    rk_changelog_destroy(s->log);
+    free(s->value);
+    free(s);
+    curl_global_cleanup();
+}
+
+const struct rk_changelog *rk_session_log(const struct rk_session *s)
+{
+    return s->log;
+}
+
+static enum rk_status wait_done(struct rk_session *s)
+{
+    while (!s->done)
+        rk_loop_step(s->loop, STEP_MS);
+    return s->st;
+}
+
+static void begin(struct rk_session *s)
+{
+    s->done = false;
+    free(s->value);
+    s->value = NULL;
+}
+
+/* ---- reading ---- */
+
+static void on_read(void *ctx, enum rk_status st, const struct rk_object *o)
+{
+    struct rk_session *s = ctx;
+    s->st = st;
+    s->value = rk_strdup(o->value);
+    s->done = true;
+}
+
+static enum rk_status read_object(struct rk_session *s, const char *name)
+{
+    begin(s);
+    rk_objects_read(s->objects, name, on_read, s);
+    return wait_done(s);
+}
+
+static void on_list(void *ctx, enum rk_status st, const struct rk_object *os,
+                    size_t len, int64_t revision)
+{
+    (void)revision;
+    struct rk_session *s = ctx;
+    s->st = st;
+    for (size_t i = 0; i < len; i++)
+        rk_changelog_take(s->log, rk_change_number(os[i].name), os[i].value);
+    s->done = true;
+}
+
+static enum rk_status read_changes(struct rk_session *s)
+{
+    char after[RK_CHANGE_NAME_MAX];
+    rk_change_name(after, rk_changelog_head(s->log));
+    begin(s);
+    rk_objects_list(s->objects, RK_CHANGES_PREFIX, after, on_list, s);
+    if (wait_done(s) != RK_OK)
+        return rk_fail(RK_EUNAVAILABLE, "the platform doesn't answer");
+    return RK_OK;
+}
+
+enum rk_status rk_session_load(struct rk_session *s)
+{
+    enum rk_status st = read_object(s, RK_SNAPSHOT_NAME);
+    if (st == RK_OK)
+        rk_changelog_restore(s->log, s->value);
+    else if (st != RK_ENOTFOUND)
+        return rk_fail(RK_EUNAVAILABLE, "the platform doesn't answer");
+    return read_changes(s);
+}
+
+/* ---- committing ---- */
+
+static void on_written(void *ctx, enum rk_status st, int64_t version)
+{
+    (void)version;
+    struct rk_session *s = ctx;
+    s->st = st;
+    s->done = true;
+}
+
+static bool has_id(const char *change, const char *id)
+{
+    struct json_object *o = json_tokener_parse(change), *v;
+    bool same = json_object_object_get_ex(o, "id", &v) &&
+                !strcmp(json_object_get_string(v), id);
+    json_object_put(o);
+    return same;
+}
+
+/* Create change n. RK_ECONFLICT: n is somebody else's (its text in s->value).
+ * An answer that was lost is settled by reading n back. */
+static enum rk_status write_change(struct rk_session *s, int64_t n,
+                                   const char *text, const char *id)
+{
+    char name[RK_CHANGE_NAME_MAX];
+    rk_change_name(name, n);
+    bool maybe = false; /* an earlier write of ours may have stood */
+    for (int i = 0; i < WRITE_TRIES; i++) {
+        begin(s);
+        rk_objects_write(s->objects, name, 0, text, on_written, s);
+        enum rk_status st = wait_done(s);
+        if (st == RK_OK)
+            return RK_OK;
+        maybe = maybe || st == RK_EUNKNOWN;
+        if (st == RK_EUNAVAILABLE)
+            continue;
+        st = read_object(s, name);
+        if (st == RK_OK)
+            return has_id(s->value, id) ? RK_OK : RK_ECONFLICT;
+        /* A read may be stale: absent proves nothing, the same write is safe. */
+    }
+    return maybe ? RK_EUNKNOWN : RK_EUNAVAILABLE;
+}
+
+static char *change_text(const char *id, const char *author, int64_t base,
+                         const char *set)
+{
+    struct rk_buf b = {0};
+    rk_buf_printf(&b, "{\"id\":\"%s\",\"author\":", id);
+    rk_buf_json_str(&b, author);
+    rk_buf_printf(&b, ",\"wall_ms\":%" PRId64 ",\"base\":%" PRId64 ",\"set\":%s}",
+                  rk_wall_ms(), base, set);
+    return b.data;
+}
+
+/* Check the change on the newest tree known; see whether it still applies. */
+static enum rk_status check(const struct rk_session *s, const char *text,
+                            struct rk_problems *problems)
+{
+    struct rk_settings *tree;
+    enum rk_status st =
+        rk_change_apply(rk_changelog_tree(s->log), text, &tree, problems);
+    if (st == RK_OK)
+        rk_settings_destroy(tree);
+    return st;
+}
+
+enum rk_status rk_session_commit(struct rk_session *s, const char *author,
+                                 const char *set, int64_t *number,
+                                 struct rk_problems *problems)
+{
+    char id[40];
+    snprintf(id, sizeof(id), "%016" PRIx64 "%016" PRIx64, rk_rng_next(&s->rng),
+             rk_rng_next(&s->rng) ^ (uint64_t)rk_wall_ms());
+    char *text = change_text(id, author, rk_changelog_head(s->log), set);
+    enum rk_status st = RK_ECONFLICT;
+    for (int i = 0; i < RACE_TRIES && st == RK_ECONFLICT; i++) {
+        st = check(s, text, problems);
+        if (st != RK_OK)
+            break;
+        *number = rk_changelog_head(s->log) + 1;
+        st = write_change(s, *number, text, id);
+        if (st != RK_ECONFLICT)
+            break;
+        bool same_paths = rk_changes_conflict(text, s->value);
+        rk_changelog_take(s->log, *number, s->value);
+        if (same_paths) {
+            st = rk_fail(RK_ECONFLICT,
+                         "change %" PRId64 " set the same paths first", *number);
+            break;
+        }
+    }
+    if (st == RK_EUNKNOWN)
+        rk_fail(st, "it may have been accepted as change %" PRId64 ", id %s",
+                *number, id);
+    else if (st == RK_EUNAVAILABLE)
+        rk_fail(st, "the platform can't be reached; nothing was changed");
+    free(text);
+    return st;
+}
+
+/* ---- difference of two trees ---- */
+
+static void add_path(struct rk_buf *out, const char *path, struct json_object *v)
+{
+    rk_buf_addstr(out, out->len > 1 ? "," : "");
+    rk_buf_json_str(out, path);
+    rk_buf_printf(out, ":%s", v ? json_object_to_json_string(v) : "null");
+}
+
+static void diff_node(const char *path, struct json_object *from,
+                      struct json_object *to, struct rk_buf *out)
+{
+    char sub[RK_SETTING_PATH_MAX];
+    struct json_object *other;
+    json_object_object_foreach(from, gone, old)
+    {
+        (void)old;
+        if (json_object_object_get_ex(to, gone, &other))
+            continue;
+        snprintf(sub, sizeof(sub), "%s/%s", path, gone);
+        add_path(out, sub, NULL);
+    }
+    json_object_object_foreach(to, key, v)
+    {
+        snprintf(sub, sizeof(sub), "%s/%s", path, key);
+        bool had = json_object_object_get_ex(from, key, &other);
+        bool nodes = had && json_object_is_type(v, json_type_object) &&
+                     json_object_is_type(other, json_type_object);
+        if (nodes)
+            diff_node(sub, other, v, out);
+        else if (!had || !json_object_equal(v, other))
+            add_path(out, sub, v);
+    }
+}
+
+void rk_session_diff(const struct rk_session *s, const struct rk_settings *tree,
+                     struct rk_buf *set)
+{
+    rk_buf_addstr(set, "{");
+    diff_node("", rk_settings_json(rk_changelog_tree(s->log)),
+              rk_settings_json(tree), set);
+    rk_buf_addstr(set, "}");
+}
+
+/* ---- pages ---- */
+
+static void on_page(void *ctx, const struct rk_rest_answer *a)
+{
+    struct rk_session *s = ctx;
+    s->st = a->http_status ? RK_OK : a->status;
+    s->value = rk_strdup(a->body);
+    s->done = true;
+}
+
+enum rk_status rk_session_page(struct rk_session *s, const char *entry,
+                               const char *path, char **body)
+{
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "http://%s%s", entry, path);
+    const struct rk_rest_call call = {.method = "GET", .url = url};
+    begin(s);
+    rk_rest_start(s->http, &call, on_page, s);
+    if (wait_done(s) != RK_OK)
+        return rk_fail(RK_EUNAVAILABLE, "%s doesn't answer", entry);
+    *body = s->value;
+    s->value = NULL;
+    return RK_OK;
+}
--- /dev/null
+++ b/peers/link.c
@@ -0,0 +1,336 @@
+#include "peers/link.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+#include "common/loop.h"
+#include "common/util.h"
+
+#define HEADER_LEN  4
+#define SEND_BUFFER (8 * 1024 * 1024)
+#define READ_CHUNK  (64 * 1024)
+#define BACKLOG     256
+
+struct rk_link {
+    struct rk_loop *loop;
+    int fd;
+    const struct rk_link_ops *ops;
+    void *ctx;
+    bool up, was_up, down;
+    bool in_callback, destroyed; /* destroyed inside its own callback */
+    struct rk_buf in, out;
+};
+
+struct rk_listener {
+    struct rk_loop *loop;
+    int fd;
+    const struct rk_link_ops *ops;
+    void (*on_accept)(void *ctx, struct rk_link *l);
+    void *ctx;
+    char addr[RK_ADDR_MAX];
+};
+
+static bool parse_addr(const char *s, struct sockaddr_in *out)
+{
+    char ip[RK_ADDR_MAX];
+    const char *colon = strrchr(s, ':');
+    if (!colon || (size_t)(colon - s) >= sizeof(ip))
+        return false;
+    memcpy(ip, s, (size_t)(colon - s));
+    ip[colon - s] = '\0';
+    char *end;
+    long port = strtol(colon + 1, &end, 10);
+    *out = (struct sockaddr_in){.sin_family = AF_INET,
+                                .sin_port = htons((uint16_t)port)};
+    return !*end && port >= 0 && port <= UINT16_MAX &&
+           inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static struct rk_link *make_link(struct rk_loop *loop, int fd,
+                                 const struct rk_link_ops *ops, void *ctx)
+{
+    struct rk_link *l = rk_alloc(1, sizeof(*l));
+    *l = (struct rk_link){.loop = loop, .fd = fd, .ops = ops, .ctx = ctx};
+    l->in.max = RK_FRAME_MAX + HEADER_LEN + READ_CHUNK;
+    l->out.max = SEND_BUFFER;
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    return l;
+}
+
+static void free_link(struct rk_link *l)
+{
+    rk_buf_free(&l->in);
+    rk_buf_free(&l->out);
+    free(l);
+}
+
+static void close_fd(struct rk_link *l)
+{
+    if (l->fd < 0)
+        return;
+    rk_loop_watch(l->loop, l->fd, 0, NULL, NULL);
+    close(l->fd);
+    l->fd = -1;
+}
+
+static void go_down(struct rk_link *l)
+{
+    if (l->down)
+        return;
+    l->down = true;
+    l->up = false;
+    close_fd(l);
+    if (!l->destroyed)
+        l->ops->on_down(l->ctx, l);
+}
+
+static void on_ready(void *ctx, int fd, uint32_t events);
+
+static void update_watch(struct rk_link *l)
+{
+    if (l->fd < 0)
+        return;
+    uint32_t events = EPOLLIN;
+    if (!l->up || l->out.len)
+        events |= EPOLLOUT;
+    rk_loop_watch(l->loop, l->fd, events, on_ready, l);
+}
+
+static bool flush(struct rk_link *l)
+{
+    while (l->out.len) {
+        ssize_t n = send(l->fd, l->out.data, l->out.len, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            return true;
+        if (n <= 0)
+            return false;
+        rk_buf_consume(&l->out, (size_t)n);
+    }
+    return true;
+}
+
+long rk_frame_decode(const uint8_t *data, size_t len, Rillknot__Frame **frame)
+{
+    *frame = NULL;
+    if (len < HEADER_LEN)
+        return 0;
+    size_t body = ((size_t)data[0] << 24) | ((size_t)data[1] << 16) |
+                  ((size_t)data[2] << 8) | data[3];
+    if (!body || body > RK_FRAME_MAX)
+        return -1;
+    if (len < HEADER_LEN + body)
+        return 0;
+    *frame = rillknot__frame__unpack(NULL, body, data + HEADER_LEN);
+    return *frame ? (long)(HEADER_LEN + body) : -1;
+}
+
+static bool take_frames(struct rk_link *l)
+{
+    size_t used = 0;
+    while (!l->destroyed && !l->down) {
+        Rillknot__Frame *f;
+        long n =
+            rk_frame_decode((uint8_t *)l->in.data + used, l->in.len - used, &f);
+        if (n < 0)
+            return false;
+        if (n == 0)
+            break;
+        used += (size_t)n;
+        l->ops->on_frame(l->ctx, l, f);
+        rillknot__frame__free_unpacked(f, NULL);
+    }
+    if (!l->destroyed)
+        rk_buf_consume(&l->in, used);
+    return true;
+}
+
+static bool read_some(struct rk_link *l)
+{
+    static _Thread_local char chunk[READ_CHUNK];
+    for (;;) {
+        ssize_t n = recv(l->fd, chunk, sizeof(chunk), 0);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            return true;
+        if (n <= 0)
+            return false;
+        if (!rk_buf_add(&l->in, chunk, (size_t)n) || !take_frames(l))
+            return false;
+        if (l->destroyed || l->down || (size_t)n < sizeof(chunk))
+            return true;
+    }
+}
+
+static bool finish_connect(struct rk_link *l)
+{
+    int err = 0;
+    socklen_t len = sizeof(err);
+    getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &err, &len);
+    if (err)
+        return false;
+    l->up = l->was_up = true;
+    if (l->ops->on_up)
+        l->ops->on_up(l->ctx, l);
+    return true;
+}
+
+static void on_ready(void *ctx, int fd, uint32_t events)
+{
+    (void)fd;
+    struct rk_link *l = ctx;
+    l->in_callback = true;
+    bool ok = true;
+    if (!l->up)
+        ok = !(events & (EPOLLERR | EPOLLHUP)) && finish_connect(l);
+    if (ok && !l->destroyed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+        ok = read_some(l);
+    if (ok && !l->destroyed && !l->down)
+        ok = flush(l);
+    if (!ok)
+        go_down(l);
+    else if (!l->destroyed)
+        update_watch(l);
+    l->in_callback = false;
+    if (l->destroyed)
+        free_link(l);
+}
+
+struct rk_link *rk_link_connect(struct rk_loop *loop, const char *addr,
+                                const struct rk_link_ops *ops, void *ctx)
+{
+    struct sockaddr_in sa;
+    if (!parse_addr(addr, &sa))
+        return NULL;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return NULL;
+    if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return NULL;
+    }
+    struct rk_link *l = make_link(loop, fd, ops, ctx);
+    update_watch(l);
+    return l;
+}
+
+void rk_link_destroy(struct rk_link *l)
+{
+    if (!l)
+        return;
+    l->destroyed = true;
+    close_fd(l);
+    if (!l->in_callback)
+        free_link(l);
+}
+
+bool rk_link_send(struct rk_link *l, const Rillknot__Frame *frame)
+{
+    if (l->down || l->destroyed)
+        return false;
+    size_t len = rillknot__frame__get_packed_size(frame);
+    if (len > RK_FRAME_MAX || l->out.len + len + HEADER_LEN > SEND_BUFFER)
+        return false;
+    uint8_t *packed = rk_alloc(1, len + HEADER_LEN);
+    for (int i = 0; i < HEADER_LEN; i++)
+        packed[i] = (uint8_t)(len >> (8 * (HEADER_LEN - 1 - i)));
+    rillknot__frame__pack(frame, packed + HEADER_LEN);
+    rk_buf_add(&l->out, packed, len + HEADER_LEN);
+    free(packed);
+    /* A failed send shows as an event; callbacks never run from here. */
+    if (l->up)
+        flush(l);
+    update_watch(l);
+    return true;
+}
+
+bool rk_link_was_up(const struct rk_link *l)
+{
+    return l->was_up;
+}
+
+bool rk_link_is_down(const struct rk_link *l)
+{
+    return l->down;
+}
+
+void *rk_link_ctx(const struct rk_link *l)
+{
+    return l->ctx;
+}
+
+void rk_link_set_ctx(struct rk_link *l, void *ctx)
+{
+    l->ctx = ctx;
+}
+
+static void on_incoming(void *ctx, int fd, uint32_t events)
+{
+    (void)events;
+    struct rk_listener *l = ctx;
+    for (;;) {
+        int c = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (c < 0)
+            return;
+        struct rk_link *link = make_link(l->loop, c, l->ops, NULL);
+        link->up = link->was_up = true;
+        l->on_accept(l->ctx, link);
+        update_watch(link);
+    }
+}
+
+struct rk_listener *
+rk_listener_create(struct rk_loop *loop, const char *addr,
+                   const struct rk_link_ops *ops,
+                   void (*on_accept)(void *ctx, struct rk_link *l), void *ctx)
+{
+    struct sockaddr_in sa;
+    if (!parse_addr(addr, &sa)) {
+        rk_fail(RK_EINVAL, "%s: expected ip:port", addr);
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
+    socklen_t len = sizeof(sa);
+    if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
+        listen(fd, BACKLOG) < 0 ||
+        getsockname(fd, (struct sockaddr *)&sa, &len) < 0) {
+        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
+        close(fd);
+        return NULL;
+    }
+    struct rk_listener *l = rk_alloc(1, sizeof(*l));
+    *l = (struct rk_listener){
+        .loop = loop, .fd = fd, .ops = ops, .on_accept = on_accept, .ctx = ctx};
+    char ip[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &sa.sin_addr, ip, sizeof(ip));
+    snprintf(l->addr, sizeof(l->addr), "%s:%u", ip, ntohs(sa.sin_port));
+    rk_loop_watch(loop, fd, EPOLLIN, on_incoming, l);
+    return l;
+}
+
+void rk_listener_destroy(struct rk_listener *l)
+{
+    if (!l)
+        return;
+    rk_loop_watch(l->loop, l->fd, 0, NULL, NULL);
+    close(l->fd);
+    free(l);
+}
+
+const char *rk_listener_addr(const struct rk_listener *l)
+{
+    return l->addr;
+}
--- /dev/null
+++ b/peers/link.h
@@ -0,0 +1,56 @@
+/* A framed TCP connection between two processes of the system: each frame is a
+ * protobuf message behind its length. Non-blocking, on one event loop, with a
+ * bounded send buffer. Loop thread only. */
+#ifndef RK_PEERS_LINK_H
+#define RK_PEERS_LINK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/status.h"
+#include "peers/peers.pb-c.h"
+
+#define RK_FRAME_MAX (2 * 1024 * 1024)
+
+struct rk_loop;
+struct rk_link;
+struct rk_listener;
+
+struct rk_link_ops {
+    /* The frame is freed after the call. */
+    void (*on_frame)(void *ctx, struct rk_link *link, const Rillknot__Frame *frame);
+    void (*on_up)(void *ctx, struct rk_link *link); /* may be NULL */
+    /* The link is dead; the owner destroys it, now or later. */
+    void (*on_down)(void *ctx, struct rk_link *link);
+};
+
+/* addr: "ip:port". Connects in the background. NULL when addr is malformed. */
+struct rk_link *rk_link_connect(struct rk_loop *loop, const char *addr,
+                                const struct rk_link_ops *ops, void *ctx);
+void rk_link_destroy(struct rk_link *link);
+
+/* False when the link is dead or its buffer is full: nothing was sent. */
+bool rk_link_send(struct rk_link *link, const Rillknot__Frame *frame);
+
+/* Did the connection ever stand? If not, nothing sent on it has left. */
+bool rk_link_was_up(const struct rk_link *link);
+bool rk_link_is_down(const struct rk_link *link);
+void *rk_link_ctx(const struct rk_link *link);
+void rk_link_set_ctx(struct rk_link *link, void *ctx);
+
+/* Accept links. on_accept sets the link's ctx by rk_link_set_ctx(). */
+struct rk_listener *
+rk_listener_create(struct rk_loop *loop, const char *addr,
+                   const struct rk_link_ops *ops,
+                   void (*on_accept)(void *ctx, struct rk_link *l), void *ctx);
+void rk_listener_destroy(struct rk_listener *l);
+
+/* The address it is bound to, with the port the kernel gave. */
+const char *rk_listener_addr(const struct rk_listener *l);
+
+/* Read frames out of bytes; exposed for tests. Returns the bytes used by the
+ * first whole frame and the frame (NULL: none yet), or -1 for garbage. */
+long rk_frame_decode(const uint8_t *data, size_t len, Rillknot__Frame **frame);
+
+#endif
--- /dev/null
+++ b/programs/entry.c
@@ -0,0 +1,334 @@
+/* rillknot-entry: an entry VM. Traffic threads take calls and answer them; the
+ * main thread runs control state; a third waits for signals and walks the node
+ * through a planned stop. */
+#include <argp.h>
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "callers/callers.h"
+#include "common/eventlog.h"
+#include "common/loop.h"
+#include "common/util.h"
+#include "control/control.h"
+#include "core/procfile.h"
+#include "serve/traffic.h"
+#include "serve/view.h"
+
+#define IDLE_S        20
+#define MAX_UPLOAD_MS 20000
+#define MAX_UNREAD    (1024 * 1024)
+#define DRAIN_STEP_MS 50
+#define BALANCER_MS   500  /* least time health says "leaving" before the end */
+#define HAND_OVER_MS  1000 /* before the notice is over */
+
+struct worker {
+    pthread_t thread;
+    struct rk_traffic *traffic;
+    struct rk_callers *callers;
+    char id_prefix[RK_ID_MAX / 2];
+    _Atomic size_t busy; /* calls and answers in hand, as told last */
+};
+
+struct node {
+    struct rk_procfile file;
+    struct rk_view_cell *views;
+    struct rk_control *control;
+    struct worker workers[RK_MAX_TRAFFIC];
+    size_t workers_len;
+};
+
+static struct {
+    const char *settings;
+    enum rk_route_policy policy;
+    enum rk_log_level level;
+} args = {.level = RK_LOG_INFO};
+
+static const char *const policies[] = {
+    [RK_ROUTE_ADAPTIVE] = "adaptive",
+    [RK_ROUTE_ROUND_ROBIN] = "round-robin",
+    [RK_ROUTE_LEAST_LOADED] = "least-loaded",
+    [RK_ROUTE_STICKY] = "sticky",
+};
+
+static error_t parse_opt(int key, char *arg, struct argp_state *state)
+{
+    switch (key) {
+    case 'q':
+        args.level = RK_LOG_WARN;
+        return 0;
+    case 'r':
+        for (size_t i = 0; i < RK_ARRAY_LEN(policies); i++)
+            if (!strcmp(policies[i], arg)) {
+                args.policy = (enum rk_route_policy)i;
+                return 0;
+            }
+        argp_error(state, "unknown routing policy '%s'", arg);
+        return EINVAL;
+    case ARGP_KEY_ARG:
+        if (args.settings)
+            argp_usage(state);
+        args.settings = arg;
+        return 0;
+    case ARGP_KEY_END:
+        if (!args.settings)
+            argp_usage(state);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option options[] = {
+    {"quiet", 'q', NULL, 0, "Log warnings and errors only", 0},
+    {"routing", 'r', "POLICY", 0,
+     "adaptive (default), or a baseline to measure against: round-robin, "
+     "least-loaded, sticky",
+     0},
+    {0},
+};
+
+static const struct argp argp = {
+    options,
+    parse_opt,
+    "SETTINGS-FILE",
+    "Take calls, route them to upstreams, and answer them.\v"
+    "SETTINGS-FILE says who this process is and where it listens. Events go to "
+    "standard output, a JSON object a line. SIGTERM begins a planned stop.",
+    0,
+    0,
+    0};
+
+static void *run_worker(void *arg)
+{
+    struct worker *w = arg;
+    rk_traffic_run(w->traffic);
+    return NULL;
+}
+
+static uint64_t random_seed(void)
+{
+    uint64_t seed = (uint64_t)rk_wall_ms() ^ (uint64_t)(uintptr_t)&seed;
+    FILE *f = fopen("/dev/urandom", "rb");
+    if (f) {
+        if (fread(&seed, sizeof(seed), 1, f) != 1)
+            seed ^= 1;
+        fclose(f);
+    }
+    return seed;
+}
+
+/* ---- planned stop ---- */
+
+static void count_busy(void *ctx)
+{
+    struct worker *w = ctx;
+    atomic_store(&w->busy,
+                 rk_traffic_in_hand(w->traffic) + rk_callers_open(w->callers));
+}
+
+static void hand_over(void *ctx)
+{
+    struct worker *w = ctx;
+    rk_traffic_hand_over(w->traffic);
+}
+
+static size_t total_busy(struct node *n)
+{
+    size_t busy = 0;
+    for (size_t i = 0; i < n->workers_len; i++) {
+        rk_loop_post(n->workers[i].traffic->loop, count_busy, &n->workers[i]);
+        busy += atomic_load(&n->workers[i].busy);
+    }
+    return busy;
+}
+
+static void sleep_ms(int64_t ms)
+{
+    struct timespec ts = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+    nanosleep(&ts, NULL);
+}
+
+/* Health says leaving; what comes is still served; the node goes when it has
+ * been idle for a while, or hands its streams over when the notice ends. */
+static void planned_stop(struct node *n)
+{
+    int64_t begin = rk_mono_ms(), notice = n->file.notice_ms, idle_since = begin;
+    bool handed = false;
+    RK_EVENT("node.leaving", RK_N("notice_ms", notice));
+    rk_control_leave(n->control);
+    for (size_t i = 0; i < n->workers_len; i++)
+        atomic_store(&n->workers[i].busy, 1);
+    while (rk_mono_ms() - begin < notice) {
+        int64_t now = rk_mono_ms();
+        if (total_busy(n))
+            idle_since = now;
+        else if (now - idle_since >= BALANCER_MS && now - begin >= BALANCER_MS)
+            break;
+        if (!handed && now - begin > notice - HAND_OVER_MS) {
+            handed = true;
+            for (size_t i = 0; i < n->workers_len; i++)
+                rk_loop_post(n->workers[i].traffic->loop, hand_over,
+                             &n->workers[i]);
+        }
+        sleep_ms(DRAIN_STEP_MS);
+    }
+    RK_EVENT("node.stopped", RK_N("in_hand", (int64_t)total_busy(n)),
+             RK_N("took_ms", rk_mono_ms() - begin));
+}
+
+static void *wait_for_signal(void *arg)
+{
+    struct node *n = arg;
+    sigset_t set;
+    int sig;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigwait(&set, &sig);
+    planned_stop(n);
+    for (size_t i = 0; i < n->workers_len; i++)
+        rk_loop_stop(n->workers[i].traffic->loop);
+    for (size_t i = 0; i < n->workers_len; i++)
+        pthread_join(n->workers[i].thread, NULL);
+    rk_control_stop(n->control);
+    return NULL;
+}
+
+/* ---- start ---- */
+
+static const char *or_any(const char *addr)
+{
+    return addr[0] ? addr : "127.0.0.1:0";
+}
+
+static bool create_control(struct node *n, const char *forward_addr, uint64_t seed)
+{
+    struct rk_control_options opt = {.seed = seed, .views = n->views};
+    const struct rk_procfile *f = &n->file;
+    rk_strcpy(opt.id, sizeof(opt.id), f->id);
+    rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
+    rk_strcpy(opt.platform, sizeof(opt.platform), f->platform);
+    rk_strcpy(opt.control_listen, RK_ADDR_MAX, or_any(f->control_listen));
+    rk_strcpy(opt.control_advertise, RK_ADDR_MAX, f->control_advertise);
+    rk_strcpy(opt.forward_advertise, RK_ADDR_MAX,
+              f->forward_advertise[0] ? f->forward_advertise : forward_addr);
+    memcpy(opt.seeds, f->peers, sizeof(opt.seeds));
+    opt.seeds_len = f->peers_len;
+    n->control = rk_control_create(&opt);
+    return n->control != NULL;
+}
+
+static bool create_worker(struct node *n, size_t i, const char *listen,
+                          const char *forward, uint64_t seed)
+{
+    struct worker *w = &n->workers[i];
+    const struct rk_traffic_options opt = {.index = (unsigned)i,
+                                           .forward_addr = forward,
+                                           .seed = seed,
+                                           .policy = args.policy,
+                                           .views = n->views};
+    w->traffic = rk_traffic_create(&opt);
+    if (!w->traffic)
+        return false;
+    snprintf(w->id_prefix, sizeof(w->id_prefix), "%.10s-%x%zu", n->file.id,
+             (unsigned)(rk_wall_ms() & 0xffffff), i);
+    const struct rk_callers_options copt = {
+        .listen = listen,
+        .id_prefix = w->id_prefix,
+        .max_body = (size_t)n->file.max_body,
+        .max_connections = (unsigned)n->file.max_connections,
+        .idle_s = IDLE_S,
+        .max_upload_ms = MAX_UPLOAD_MS,
+        .max_unread = MAX_UNREAD,
+    };
+    w->callers = rk_callers_create(w->traffic, &copt);
+    if (!w->callers)
+        return false;
+    n->workers_len++;
+    return true;
+}
+
+static bool create_node(struct node *n)
+{
+    uint64_t seed = random_seed();
+    char listen[RK_ADDR_MAX], forward[RK_ADDR_MAX];
+    n->views = rk_view_cell_create();
+    rk_strcpy(listen, sizeof(listen), or_any(n->file.listen));
+    rk_strcpy(forward, sizeof(forward), or_any(n->file.forward_listen));
+    for (size_t i = 0; i < (size_t)n->file.traffic_threads; i++) {
+        if (!create_worker(n, i, listen, forward, seed))
+            return false;
+        if (i > 0)
+            continue;
+        /* The other threads share the ports the first one got. */
+        char *colon = strrchr(listen, ':');
+        snprintf(colon, (size_t)(listen + sizeof(listen) - colon), ":%u",
+                 rk_callers_port(n->workers[0].callers));
+        rk_strcpy(forward, sizeof(forward),
+                  rk_traffic_forward_addr(n->workers[0].traffic));
+    }
+    if (!create_control(n, forward, seed))
+        return false;
+    struct rk_traffic *traffic[RK_MAX_TRAFFIC];
+    for (size_t i = 0; i < n->workers_len; i++) {
+        traffic[i] = n->workers[i].traffic;
+        traffic[i]->opt.claims = rk_control_claim_port(n->control);
+    }
+    rk_control_set_traffic(n->control, traffic, n->workers_len);
+    RK_EVENT("listening", RK_N("port", rk_callers_port(n->workers[0].callers)),
+             RK_S("control", rk_control_addr(n->control)),
+             RK_S("forward", forward));
+    return true;
+}
+
+static void destroy_node(struct node *n)
+{
+    for (size_t i = 0; i < n->workers_len; i++) {
+        rk_view_enter(n->workers[i].traffic->views);
+        rk_callers_destroy(n->workers[i].callers);
+        rk_view_leave(n->workers[i].traffic->views);
+        rk_traffic_destroy(n->workers[i].traffic);
+    }
+    rk_control_destroy(n->control);
+    rk_view_cell_destroy(n->views);
+}
+
+int main(int argc, char **argv)
+{
+    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    static struct node n;
+    if (rk_procfile_load(args.settings, &n.file) != RK_OK) {
+        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        return 2;
+    }
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    rk_log_init(n.file.id, n.file.failure_domain, args.level);
+    if (!create_node(&n)) {
+        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        return 1;
+    }
+    rk_control_start(n.control);
+    for (size_t i = 0; i < n.workers_len; i++)
+        pthread_create(&n.workers[i].thread, NULL, run_worker, &n.workers[i]);
+    pthread_t signals;
+    pthread_create(&signals, NULL, wait_for_signal, &n);
+    rk_control_run(n.control);
+    pthread_join(signals, NULL);
+    destroy_node(&n);
+    rk_log_shutdown();
+    curl_global_cleanup();
+    return 0;
+}
--- /dev/null
+++ b/serve/forward.c
@@ -0,0 +1,417 @@
+#include "serve/forward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/loop.h"
+#include "core/members.h"
+#include "peers/link.h"
+#include "serve/exchange.h"
+#include "serve/traffic.h"
+
+#define ACK_MS 500 /* silence after which a peer counts as lost for a call */
+
+/* A call handed out and not ended. */
+struct outbound {
+    uint64_t id;
+    struct rk_forwards *f;
+    struct peer *peer;
+    struct rk_timer ack;
+    struct outbound *next;
+};
+
+/* The link to one peer; goes with its last call or its failure. */
+struct peer {
+    char id[RK_ID_MAX];
+    struct rk_forwards *f;
+    struct rk_link *link;
+    struct outbound *calls;
+    struct peer *next;
+};
+
+/* A call taken from a peer. */
+struct inbound {
+    uint64_t id;
+    struct conn *conn;
+    struct rk_exchange *exchange;
+    struct inbound *next;
+};
+
+/* A link a peer opened. */
+struct conn {
+    struct rk_forwards *f;
+    struct rk_link *link;
+    struct inbound *calls;
+    struct conn *next;
+};
+
+struct rk_forwards {
+    struct rk_traffic *t;
+    struct rk_listener *listener;
+    struct peer *peers;
+    struct conn *conns;
+};
+
+/* ---- out ---- */
+
+static struct outbound **find_outbound(struct peer *p, uint64_t id)
+{
+    struct outbound **o = &p->calls;
+    while (*o && (*o)->id != id)
+        o = &(*o)->next;
+    return o;
+}
+
+static bool drop_outbound(struct peer *p, uint64_t id)
+{
+    struct outbound **o = find_outbound(p, id), *gone = *o;
+    if (!gone)
+        return false;
+    *o = gone->next;
+    rk_timer_stop(p->f->t->loop, &gone->ack);
+    free(gone);
+    return true;
+}
+
+static void lose_call(struct rk_forwards *f, uint64_t id, bool may_have_left,
+                      const char *detail)
+{
+    struct rk_exchange *x = rk_exchange_find(f->t, id);
+    if (!x)
+        return;
+    const struct rk_outcome o = {
+        .status = 502,
+        .verdict = may_have_left ? RK_MAY_HAVE_RUN : RK_NOT_RUN,
+        .not_sent = !may_have_left,
+        .detail = detail,
+    };
+    rk_exchange_peer_end(x, &o, true);
+}
+
+static void on_ack_late(void *ctx)
+{
+    struct outbound *o = ctx;
+    struct peer *p = o->peer;
+    uint64_t id = o->id;
+    bool left = rk_link_was_up(p->link);
+    Rillknot__ForwardCancel c = RILLKNOT__FORWARD_CANCEL__INIT;
+    c.id = id;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_CANCEL;
+    frame.forward_cancel = &c;
+    rk_link_send(p->link, &frame);
+    drop_outbound(p, id);
+    lose_call(p->f, id, left, "the peer doesn't answer");
+}
+
+static void on_out_frame(void *ctx, struct rk_link *link,
+                         const Rillknot__Frame *frame)
+{
+    (void)link;
+    struct peer *p = ctx;
+    struct rk_traffic *t = p->f->t;
+    if (frame->body_case == RILLKNOT__FRAME__BODY_FORWARD_ACK) {
+        struct outbound *o = *find_outbound(p, frame->forward_ack->id);
+        if (o)
+            rk_timer_stop(t->loop, &o->ack);
+    } else if (frame->body_case == RILLKNOT__FRAME__BODY_FORWARD_DATA) {
+        const Rillknot__ForwardData *d = frame->forward_data;
+        struct rk_exchange *x = rk_exchange_find(t, d->id);
+        if (!x || !*find_outbound(p, d->id))
+            return;
+        const struct rk_part part = {.status = (int)d->status,
+                                     .content_type = d->content_type,
+                                     .index = d->index,
+                                     .data = (const char *)d->data.data,
+                                     .len = d->data.len};
+        rk_exchange_peer_part(x, &part);
+    } else if (frame->body_case == RILLKNOT__FRAME__BODY_FORWARD_END) {
+        const Rillknot__ForwardEnd *e = frame->forward_end;
+        struct rk_exchange *x = rk_exchange_find(t, e->id);
+        if (!drop_outbound(p, e->id) || !x)
+            return;
+        const struct rk_outcome o = {.status = (int)e->status,
+                                     .verdict = e->verdict <= RK_RAN
+                                                    ? (enum rk_verdict)e->verdict
+                                                    : RK_MAY_HAVE_RUN,
+                                     .whole = e->whole,
+                                     .not_sent = e->not_sent,
+                                     .replayed = e->replayed,
+                                     .resume = e->resume,
+                                     .retry_after_ms = e->retry_after_ms,
+                                     .detail = e->detail};
+        rk_exchange_peer_end(x, &o, false);
+    }
+}
+
+static void on_out_down(void *ctx, struct rk_link *link)
+{
+    struct peer *p = ctx;
+    struct rk_forwards *f = p->f;
+    bool left = rk_link_was_up(link);
+    struct peer **at = &f->peers;
+    while (*at != p)
+        at = &(*at)->next;
+    *at = p->next;
+    struct outbound *calls = p->calls;
+    rk_link_destroy(link);
+    free(p);
+    for (struct outbound *next; calls; calls = next) {
+        next = calls->next;
+        uint64_t id = calls->id;
+        rk_timer_stop(f->t->loop, &calls->ack);
+        free(calls);
+        lose_call(f, id, left,
+                  left ? "the link to the peer broke"
+                       : "the peer can't be reached");
+    }
+}
+
+static const struct rk_link_ops out_ops = {.on_frame = on_out_frame,
+                                           .on_down = on_out_down};
+
+static struct peer *peer_link(struct rk_forwards *f, const struct rk_member *m)
+{
+    struct peer *p = f->peers;
+    while (p && strcmp(p->id, m->id) != 0)
+        p = p->next;
+    if (p)
+        return p;
+    p = rk_alloc(1, sizeof(*p));
+    p->f = f;
+    rk_strcpy(p->id, sizeof(p->id), m->id);
+    p->link = rk_link_connect(f->t->loop, m->forward_addr, &out_ops, p);
+    if (!p->link) {
+        free(p);
+        return NULL;
+    }
+    p->next = f->peers;
+    f->peers = p;
+    return p;
+}
+
+bool rk_forwards_send(struct rk_forwards *f, const struct rk_member *m, uint64_t id,
+                      const struct rk_request *r, int64_t deadline_left_ms)
+{
+    struct peer *p = peer_link(f, m);
+    if (!p)
+        return false;
+    Rillknot__ForwardBegin b = RILLKNOT__FORWARD_BEGIN__INIT;
+    b.id = id;
+    b.request_id = (char *)r->id;
+    b.organisation = (char *)r->org;
+    b.class_ = (char *)r->cls;
+    b.service = (char *)r->service;
+    b.call = (char *)r->call;
+    b.method = (char *)r->method;
+    b.path = (char *)r->path;
+    b.key = (char *)r->key;
+    b.content_type = (char *)r->content_type;
+    b.body.data = (uint8_t *)r->body;
+    b.body.len = r->body_len;
+    b.deadline_left_ms = deadline_left_ms;
+    b.resume_from = r->resume_from;
+    b.hops = r->hops;
+    b.to_owner = r->to_owner;
+    b.stream = r->stream;
+    b.claimed = r->claimed;
+    b.completion = r->completion;
+    b.chat = r->chat;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_BEGIN;
+    frame.forward_begin = &b;
+    if (!rk_link_send(p->link, &frame))
+        return false;
+    struct outbound *o = rk_alloc(1, sizeof(*o));
+    *o = (struct outbound){.id = id, .f = f, .peer = p, .next = p->calls};
+    o->ack = (struct rk_timer){.fn = on_ack_late, .ctx = o};
+    p->calls = o;
+    rk_timer_start(f->t->loop, &o->ack, ACK_MS);
+    return true;
+}
+
+void rk_forwards_cancel(struct rk_forwards *f, const char *peer, uint64_t id)
+{
+    struct peer *p = f->peers;
+    while (p && strcmp(p->id, peer) != 0)
+        p = p->next;
+    if (!p || !drop_outbound(p, id))
+        return;
+    Rillknot__ForwardCancel c = RILLKNOT__FORWARD_CANCEL__INIT;
+    c.id = id;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_CANCEL;
+    frame.forward_cancel = &c;
+    rk_link_send(p->link, &frame);
+}
+
+/* ---- in ---- */
+
+static void drop_inbound(struct inbound *in)
+{
+    struct inbound **p = &in->conn->calls;
+    while (*p != in)
+        p = &(*p)->next;
+    *p = in->next;
+    free(in);
+}
+
+static void in_part(void *ctx, const struct rk_part *part)
+{
+    struct inbound *in = ctx;
+    Rillknot__ForwardData d = RILLKNOT__FORWARD_DATA__INIT;
+    d.id = in->id;
+    d.status = (uint32_t)part->status;
+    d.content_type = (char *)part->content_type;
+    d.index = part->index;
+    d.data.data = (uint8_t *)part->data;
+    d.data.len = part->len;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_DATA;
+    frame.forward_data = &d;
+    rk_link_send(in->conn->link, &frame);
+}
+
+static void in_end(void *ctx, const struct rk_outcome *o)
+{
+    struct inbound *in = ctx;
+    Rillknot__ForwardEnd e = RILLKNOT__FORWARD_END__INIT;
+    e.id = in->id;
+    e.status = (uint32_t)o->status;
+    e.verdict = o->verdict;
+    e.retry_after_ms = o->retry_after_ms;
+    e.detail = (char *)(o->detail ? o->detail : "");
+    e.whole = o->whole;
+    e.not_sent = o->not_sent;
+    e.replayed = o->replayed;
+    e.resume = o->resume;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_END;
+    frame.forward_end = &e;
+    rk_link_send(in->conn->link, &frame);
+    drop_inbound(in);
+}
+
+static const struct rk_sink in_sink = {.part = in_part, .end = in_end};
+
+static void send_ack(struct conn *c, uint64_t id)
+{
+    Rillknot__ForwardAck ack = RILLKNOT__FORWARD_ACK__INIT;
+    ack.id = id;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_ACK;
+    frame.forward_ack = &ack;
+    rk_link_send(c->link, &frame);
+}
+
+static void take_call(struct conn *c, const Rillknot__ForwardBegin *b)
+{
+    struct rk_request r = {
+        .deadline_in_ms = b->deadline_left_ms,
+        .resume_from = b->resume_from,
+        .completion = b->completion,
+        .chat = b->chat,
+        .stream = b->stream,
+        .hops = b->hops,
+        .to_owner = b->to_owner,
+        .claimed = b->claimed,
+    };
+    rk_strcpy(r.id, sizeof(r.id), b->request_id);
+    rk_strcpy(r.org, sizeof(r.org), b->organisation);
+    rk_strcpy(r.cls, sizeof(r.cls), b->class_);
+    rk_strcpy(r.service, sizeof(r.service), b->service);
+    rk_strcpy(r.call, sizeof(r.call), b->call);
+    rk_strcpy(r.method, sizeof(r.method), b->method);
+    rk_strcpy(r.path, sizeof(r.path), b->path);
+    rk_strcpy(r.key, sizeof(r.key), b->key);
+    rk_strcpy(r.content_type, sizeof(r.content_type), b->content_type);
+    r.body = rk_alloc(1, b->body.len + 1);
+    if (b->body.len)
+        memcpy(r.body, b->body.data, b->body.len);
+    r.body_len = b->body.len;
+    struct inbound *in = rk_alloc(1, sizeof(*in));
+    *in = (struct inbound){.id = b->id, .conn = c, .next = c->calls};
+    c->calls = in;
+    rk_count(RK_C_FORWARDED_IN, 1);
+    send_ack(c, b->id);
+    struct rk_exchange *x = rk_exchange_start(c->f->t, &r, &in_sink, in);
+    if (x)
+        in->exchange = x;
+}
+
+static void on_in_frame(void *ctx, struct rk_link *link,
+                        const Rillknot__Frame *frame)
+{
+    (void)link;
+    struct conn *c = ctx;
+    if (frame->body_case == RILLKNOT__FRAME__BODY_FORWARD_BEGIN) {
+        take_call(c, frame->forward_begin);
+    } else if (frame->body_case == RILLKNOT__FRAME__BODY_FORWARD_CANCEL) {
+        struct inbound *in = c->calls;
+        while (in && in->id != frame->forward_cancel->id)
+            in = in->next;
+        if (!in)
+            return;
+        rk_exchange_cancel(in->exchange);
+        drop_inbound(in);
+    }
+}
+
+static void on_in_down(void *ctx, struct rk_link *link)
+{
+    struct conn *c = ctx;
+    while (c->calls) {
+        rk_exchange_cancel(c->calls->exchange);
+        drop_inbound(c->calls);
+    }
+    struct conn **p = &c->f->conns;
+    while (*p != c)
+        p = &(*p)->next;
+    *p = c->next;
+    rk_link_destroy(link);
+    free(c);
+}
+
+static const struct rk_link_ops in_ops = {.on_frame = on_in_frame,
+                                          .on_down = on_in_down};
+
+static void on_accept(void *ctx, struct rk_link *link)
+{
+    struct rk_forwards *f = ctx;
+    struct conn *c = rk_alloc(1, sizeof(*c));
+    *c = (struct conn){.f = f, .link = link, .next = f->conns};
+    f->conns = c;
+    rk_link_set_ctx(link, c);
+}
+
+/* ---- making ---- */
+
+struct rk_forwards *rk_forwards_create(struct rk_traffic *t, const char *addr)
+{
+    struct rk_forwards *f = rk_alloc(1, sizeof(*f));
+    f->t = t;
+    f->listener = rk_listener_create(t->loop, addr, &in_ops, on_accept, f);
+    if (!f->listener) {
+        free(f);
+        return NULL;
+    }
+    return f;
+}
+
+void rk_forwards_destroy(struct rk_forwards *f)
+{
+    if (!f)
+        return;
+    rk_listener_destroy(f->listener);
+    while (f->conns)
+        on_in_down(f->conns, f->conns->link);
+    while (f->peers)
+        on_out_down(f->peers, f->peers->link);
+    free(f);
+}
+
+const char *rk_forwards_addr(const struct rk_forwards *f)
+{
+    return rk_listener_addr(f->listener);
+}
--- /dev/null
+++ b/serve/traffic.c
@@ -0,0 +1,139 @@
+#include "serve/traffic.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http.h"
+#include "common/loop.h"
+#include "serve/exchange.h"
+#include "serve/forward.h"
+#include "serve/view.h"
+
+/* A message from control; freed on the traffic thread. */
+struct message {
+    struct rk_traffic *t;
+    struct rk_claim_reply reply;
+};
+
+static void enter_batch(void *ctx)
+{
+    struct rk_traffic *t = ctx;
+    rk_view_enter(t->views);
+}
+
+static void leave_batch(void *ctx)
+{
+    struct rk_traffic *t = ctx;
+    rk_view_leave(t->views);
+}
+
+struct rk_traffic *rk_traffic_create(const struct rk_traffic_options *opt)
+{
+    struct rk_traffic *t = rk_alloc(1, sizeof(*t));
+    t->opt = *opt;
+    t->rng.state = opt->seed + opt->index;
+    t->loop = rk_loop_create();
+    t->http = rk_http_create(t->loop);
+    t->router = rk_router_create(t->rng.state, opt->policy);
+    t->views = rk_view_reader_create(opt->views);
+    rk_loop_set_hooks(t->loop, enter_batch, leave_batch, t);
+    t->forwards = rk_forwards_create(t, opt->forward_addr);
+    if (!t->forwards) {
+        rk_traffic_destroy(t);
+        return NULL;
+    }
+    return t;
+}
+
+void rk_traffic_destroy(struct rk_traffic *t)
+{
+    if (!t)
+        return;
+    rk_view_enter(t->views);
+    while (t->exchanges)
+        rk_exchange_abort(t->exchanges);
+    rk_forwards_destroy(t->forwards);
+    rk_view_leave(t->views);
+    rk_http_destroy(t->http);
+    rk_view_reader_destroy(t->views);
+    rk_router_destroy(t->router);
+    rk_loop_destroy(t->loop);
+    free(t->by_id);
+    free(t);
+}
+
+const char *rk_traffic_forward_addr(const struct rk_traffic *t)
+{
+    return rk_forwards_addr(t->forwards);
+}
+
+void rk_traffic_run(struct rk_traffic *t)
+{
+    rk_loop_run(t->loop);
+}
+
+const struct rk_view *rk_traffic_view(struct rk_traffic *t)
+{
+    return rk_view_get(t->views);
+}
+
+size_t rk_traffic_in_hand(const struct rk_traffic *t)
+{
+    return t->exchanges_len;
+}
+
+void rk_traffic_hand_over(struct rk_traffic *t)
+{
+    rk_exchange_hand_over(t);
+}
+
+static void on_view_changed(void *ctx)
+{
+    struct rk_traffic *t = ctx;
+    const struct rk_view *v = rk_traffic_view(t);
+    if (v->serial == t->view_serial)
+        return;
+    t->view_serial = v->serial;
+    rk_router_update(t->router, v->config, v->vms, v->vms_len, v->domain,
+                     rk_mono_ms());
+    rk_exchange_view_changed(t);
+}
+
+void rk_traffic_view_changed(struct rk_traffic *t)
+{
+    /* A full queue is no loss: the next view brings what this one did. */
+    rk_loop_post(t->loop, on_view_changed, t);
+}
+
+/* A grant nobody waits for any more: the key was not run, and can be. */
+static void give_back(struct rk_traffic *t, const struct rk_claim_reply *r)
+{
+    if (r->decision == RK_CLAIM_GRANTED)
+        t->opt.claims.finish(t->opt.claims.ctx, r->shard, r->key, RK_NOT_RUN, NULL,
+                             0);
+}
+
+static void on_claim_decided(void *ctx)
+{
+    struct message *m = ctx;
+    struct rk_exchange *x = rk_exchange_find(m->t, m->reply.ticket);
+    if (x)
+        rk_exchange_claim_decided(x, &m->reply);
+    else
+        give_back(m->t, &m->reply);
+    free(m->reply.answer.body);
+    free(m);
+}
+
+void rk_traffic_claim_decided(struct rk_traffic *t,
+                              const struct rk_claim_reply *reply)
+{
+    struct message *m = rk_alloc(1, sizeof(*m));
+    *m = (struct message){.t = t, .reply = *reply};
+    if (rk_loop_post(t->loop, on_claim_decided, m))
+        return;
+    /* The call ends by its deadline; its key is given back. */
+    give_back(t, reply);
+    free(m->reply.answer.body);
+    free(m);
+}
--- /dev/null
+++ b/standins/service.c
@@ -0,0 +1,151 @@
+/* Stand-in for a plain service: runs whatever call it gets and counts the runs
+ * by key, so that a test can see what really ran, not what we believe.
+ *
+ *   any method, any path   runs the call; echoes X-Request-Id and the body
+ *   GET  /_runs            {"key": runs, ...}; key: Idempotency-Key or the id
+ *   POST /_fault           {"mode": ..., "count": n, "ms": n}
+ *
+ * Modes: refuse (503, not run), refuse-run (503 after running), cut-before
+ * (connection cut, not run), cut-after (run, then cut before the answer), late
+ * (run, answer after ms), crossed (run, answer under another id), short (run,
+ * answer cut in the middle). */
+#include <argp.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standins/httpd.h"
+
+#define MAX_KEYS 200000
+#define KEY_MAX  160
+
+struct run {
+    char key[KEY_MAX];
+    int count;
+};
+
+static struct {
+    pthread_mutex_t lock;
+    struct run *runs;
+    size_t len;
+    struct si_fault fault;
+    int64_t work_ms;
+} svc = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static void count_run(struct si_req *req)
+{
+    const char *key = si_header(req, "Idempotency-Key");
+    if (!key)
+        key = si_header(req, "X-Request-Id");
+    if (!key)
+        key = "none";
+    pthread_mutex_lock(&svc.lock);
+    size_t i = 0;
+    while (i < svc.len && strcmp(svc.runs[i].key, key) != 0)
+        i++;
+    if (i == svc.len && svc.len < MAX_KEYS)
+        rk_strcpy(svc.runs[svc.len++].key, KEY_MAX, key);
+    if (i < svc.len)
+        svc.runs[i].count++;
+    pthread_mutex_unlock(&svc.lock);
+}
+
+static enum MHD_Result show_runs(struct si_req *req)
+{
+    struct rk_buf b = {0};
+    rk_buf_addstr(&b, "{");
+    pthread_mutex_lock(&svc.lock);
+    for (size_t i = 0; i < svc.len; i++) {
+        rk_buf_addstr(&b, i ? ",\n" : "");
+        rk_buf_json_str(&b, svc.runs[i].key);
+        rk_buf_printf(&b, ":%d", svc.runs[i].count);
+    }
+    pthread_mutex_unlock(&svc.lock);
+    rk_buf_addstr(&b, "}\n");
+    return si_reply_json(req, 200, &b);
+}
+
+static ssize_t short_body(void *cls, uint64_t pos, char *buf, size_t max)
+{
+    (void)cls;
+    (void)max;
+    if (pos > 0)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    memcpy(buf, "{\"par", 5);
+    return 5;
+}
+
+static enum MHD_Result reply_short(struct si_req *req)
+{
+    struct MHD_Response *r =
+        MHD_create_response_from_callback(1000, 64, short_body, NULL, NULL);
+    MHD_add_response_header(r, "X-Request-Id", si_header(req, "X-Request-Id"));
+    enum MHD_Result ret = MHD_queue_response(req->conn, 200, r);
+    MHD_destroy_response(r);
+    return ret;
+}
+
+static enum MHD_Result handle(void *ctx, struct si_req *req)
+{
+    (void)ctx;
+    if (!strcmp(req->path, "/_fault"))
+        return si_set_fault(req, &svc.fault);
+    if (!strcmp(req->path, "/_runs"))
+        return show_runs(req);
+    struct si_fault fault = {0};
+    si_take_fault(&svc.fault, &fault);
+    if (!strcmp(fault.mode, "refuse"))
+        return si_reply(req, 503, "busy", 4, NULL);
+    if (!strcmp(fault.mode, "cut-before"))
+        return MHD_NO;
+    count_run(req);
+    if (!strcmp(fault.mode, "refuse-run"))
+        return si_reply(req, 503, "busy", 4, NULL);
+    si_sleep_ms(svc.work_ms + fault.ms);
+    if (!strcmp(fault.mode, "cut-after"))
+        return MHD_NO;
+    if (!strcmp(fault.mode, "short"))
+        return reply_short(req);
+    const char *id = si_header(req, "X-Request-Id");
+    if (!strcmp(fault.mode, "crossed"))
+        id = "somebody-elses";
+    const char *headers[] = {"X-Request-Id", id ? id : "", "Content-Type",
+                             "application/json", NULL};
+    struct rk_buf b = {0};
+    rk_buf_printf(&b, "{\"done\":\"%s\",\"echo\":", req->path);
+    rk_buf_json_str(&b, req->body.data);
+    rk_buf_addstr(&b, "}\n");
+    enum MHD_Result ret = si_reply(req, 200, b.data, b.len, headers);
+    rk_buf_free(&b);
+    return ret;
+}
+
+static uint16_t port;
+
+static error_t parse_opt(int key, char *arg, struct argp_state *state)
+{
+    (void)state;
+    if (key == 'p')
+        port = (uint16_t)atoi(arg);
+    else if (key == 'w')
+        svc.work_ms = atoi(arg);
+    else
+        return ARGP_ERR_UNKNOWN;
+    return 0;
+}
+
+int main(int argc, char **argv)
+{
+    static const struct argp_option options[] = {
+        {"port", 'p', "PORT", 0, "Listen on 127.0.0.1:PORT (0: any)", 0},
+        {"work-ms", 'w', "MS", 0, "How long a call takes", 0},
+        {0},
+    };
+    static const struct argp argp = {
+        options, parse_opt, NULL, "Stand-in for a plain service", 0, 0, 0};
+    svc.work_ms = 5;
+    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    svc.runs = rk_alloc(MAX_KEYS, sizeof(*svc.runs));
+    const struct si_server server = {.handle = handle};
+    return si_serve(&server, port, "standin-service");
+}
--- /dev/null
+++ b/vmlist/vmlist.c
@@ -0,0 +1,76 @@
+#include "vmlist/vmlist.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/rest.h"
+#include "common/util.h"
+
+#define URL_MAX 256
+
+struct op {
+    rk_vmlist_fn *fn;
+    void *ctx;
+};
+
+static const char *json_str(struct json_object *o, const char *name)
+{
+    struct json_object *v;
+    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
+}
+
+enum rk_vm_state rk_vmlist_state(const char *s)
+{
+    if (!strcmp(s, "live"))
+        return RK_VM_LIVE;
+    return !strcmp(s, "leaving") ? RK_VM_LEAVING : RK_VM_GONE;
+}
+
+static void parse_row(struct json_object *o, struct rk_vm *vm)
+{
+    struct json_object *v;
+    rk_strcpy(vm->id, sizeof(vm->id), json_str(o, "id"));
+    rk_strcpy(vm->addr, sizeof(vm->addr), json_str(o, "addr"));
+    rk_strcpy(vm->domain, sizeof(vm->domain), json_str(o, "failure_domain"));
+    rk_strcpy(vm->service, sizeof(vm->service), json_str(o, "service"));
+    rk_strcpy(vm->vm_class, sizeof(vm->vm_class), json_str(o, "vm_class"));
+    if (json_object_object_get_ex(o, "incarnation", &v))
+        vm->incarnation = (uint64_t)json_object_get_int64(v);
+    vm->state = rk_vmlist_state(json_str(o, "state"));
+}
+
+static void on_answer(void *ctx, const struct rk_rest_answer *answer)
+{
+    struct op *op = ctx;
+    enum rk_status st = answer->status;
+    struct json_object *array =
+        st == RK_OK ? json_tokener_parse(answer->body) : NULL;
+    if (st == RK_OK && !json_object_is_type(array, json_type_array))
+        st = RK_EPROTO;
+    size_t len = st == RK_OK ? json_object_array_length(array) : 0;
+    struct rk_vm *vms = rk_alloc(len + 1, sizeof(*vms));
+    for (size_t i = 0; i < len; i++)
+        parse_row(json_object_array_get_idx(array, i), &vms[i]);
+    op->fn(op->ctx, st, vms, len, answer->revision);
+    free(vms);
+    json_object_put(array);
+    free(op);
+}
+
+void rk_vmlist_watch(struct rk_http *http, const char *base, int64_t since,
+                     int64_t wait_ms, rk_vmlist_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.fn = fn, .ctx = ctx};
+    char url[URL_MAX];
+    snprintf(url, sizeof(url), "%s/vms?since=%" PRId64 "&wait_ms=%" PRId64, base,
+             since, wait_ms);
+    const struct rk_rest_call call = {
+        .method = "GET", .url = url, .wait_ms = wait_ms};
+    rk_count(RK_C_OBJECT_READS, 1);
+    rk_rest_start(http, &call, on_answer, op);
+}
