tests, serve: whole answers, reclaims, planned stops under failure

A repeatable call that was reached may now go back to such a vm, bounded by 8 attempts and the retry budget. Jobs waiting for a pause to end were only looked at when something else happened; they are rechecked every 25 ms while any wait.

--- a/common/eventlog.c
+++ b/common/eventlog.c
@@ -69,6 +69,11 @@
     log4c_category_set_priority(category, levels[min].priority);
 }
 
+void rk_log_set_level(enum rk_log_level min)
+{
+    log4c_category_set_priority(category, levels[min].priority);
+}
+
 void rk_log_shutdown(void)
 {
     category = NULL;
--- a/common/eventlog.h
+++ b/common/eventlog.h
@@ -21,6 +21,7 @@
 /* Once, before any thread starts. process and domain are copied. */
 void rk_log_init(const char *process, const char *domain, enum rk_log_level min);
 void rk_log_shutdown(void);
+void rk_log_set_level(enum rk_log_level min);
 
 /* Any thread. fields may be NULL when count is 0. */
 void rk_log_event(enum rk_log_level level, const char *event,
--- a/core/router.c
+++ b/core/router.c
@@ -709,12 +709,15 @@
     return any && least > 0 ? (uint32_t)least : 0;
 }
 
-int64_t rk_router_wake_ms(const struct rk_router *r)
+size_t rk_router_waiting(const struct rk_router *r)
 {
-    int64_t wake = INT64_MAX;
-    for (size_t i = 0; i < r->vms_len; i++)
-        if (r->vms[i].used && r->vms[i].live && r->vms[i].paused_until_ms < wake &&
-            r->vms[i].paused_until_ms)
-            wake = r->vms[i].paused_until_ms;
-    return wake;
+    size_t n = 0;
+    for (size_t i = 0; i < r->services_len; i++)
+        n += rk_admit_len(r->services[i].queue);
+    return n;
+}
+
+void rk_router_forgive(struct rk_job *job)
+{
+    job->excluded_len = 0;
 }
--- a/core/router.h
+++ b/core/router.h
@@ -103,8 +103,11 @@
 /* Free slots of all services, as the node tells its peers. */
 uint32_t rk_router_spare(const struct rk_router *r);
 
-/* When a waiting job should be looked at again though nothing ends (a vm's
- * pause is over); INT64_MAX: never. */
-int64_t rk_router_wake_ms(const struct rk_router *r);
+/* Jobs that wait. While there are any, rk_router_next() is to be called every
+ * few tens of milliseconds: a pause ends, deferred work is promoted. */
+size_t rk_router_waiting(const struct rk_router *r);
+
+/* Let a job go to vms that failed it before. */
+void rk_router_forgive(struct rk_job *job);
 
 #endif
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -315,11 +315,12 @@
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    rk_log_init(n.file.id, n.file.failure_domain, args.level);
+    rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
     if (!create_node(&n)) {
         fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
         return 1;
     }
+    rk_log_set_level(args.level);
     rk_control_start(n.control);
     for (size_t i = 0; i < n.workers_len; i++)
         pthread_create(&n.workers[i].thread, NULL, run_worker, &n.workers[i]);
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -27,6 +27,7 @@
 #define DETACHED_MS       60000 /* how long a call runs on without its caller */
 #define DETAIL_MAX        160
 #define SPARE_EVERY_MS    100
+#define RECHECK_MS        25
 
 enum state {
     X_CLAIMING,
@@ -73,7 +74,7 @@
 
 static void run(struct rk_exchange *x);
 static void queue_or_spill(struct rk_exchange *x);
-static void leave_domain(struct rk_exchange *x);
+static void leave_domain(struct rk_exchange *x, bool reached);
 
 /* ---- table ---- */
 
@@ -305,7 +306,7 @@
     rk_router_retry(x->t->router, &x->job, rk_mono_ms());
     x->state = X_QUEUED;
     if (!rk_router_can_serve(x->t->router, &x->job))
-        leave_domain(x);
+        leave_domain(x, end->handed);
 }
 
 static bool on_chunk(void *ctx, const struct rk_chunk *chunk, const char *raw)
@@ -459,6 +460,8 @@
     while ((job = rk_router_next(t->router, rk_mono_ms())))
         send_attempt((struct rk_exchange *)((char *)job -
                                             offsetof(struct rk_exchange, job)));
+    if (!t->recheck.slot && rk_router_waiting(t->router))
+        rk_timer_start(t->loop, &t->recheck, RECHECK_MS);
 }
 
 /* ---- peers ---- */
@@ -564,14 +567,22 @@
     j->max_tokens = x->policy.engine ? x->completion.max_tokens : 0;
 }
 
-/* No vm here can take the call: another failure domain does, or it ends at
- * once, not at its deadline. */
-static void leave_domain(struct rk_exchange *x)
+/* No vm here can take the call: another failure domain does, or a vm that failed
+ * it once gets another try, or it ends at once, not at its deadline. */
+static void leave_domain(struct rk_exchange *x, bool reached)
 {
-    rk_router_end(x->t->router, &x->job, false, rk_mono_ms());
-    if (!spill(x))
-        give_up(x, x->verdict == RK_NOT_RUN ? 503 : 502, OVERLOAD_RETRY_MS,
-                x->detail);
+    struct rk_router *router = x->t->router;
+    if (x->spills < MAX_SPILLS) {
+        rk_router_end(router, &x->job, false, rk_mono_ms());
+        if (spill(x))
+            return;
+        rk_router_forgive(&x->job);
+        if (reached && x->policy.repeatable) {
+            queue_or_spill(x);
+            return;
+        }
+    }
+    give_up(x, x->verdict == RK_NOT_RUN ? 503 : 502, OVERLOAD_RETRY_MS, x->detail);
 }
 
 static void queue_or_spill(struct rk_exchange *x)
@@ -909,7 +920,7 @@
             /* The last vm of its service may have left. */
             if (!rk_router_can_serve(t->router, &x->job)) {
                 snprintf(x->detail, sizeof(x->detail), "no upstream vm is live");
-                leave_domain(x);
+                leave_domain(x, false);
             }
         }
     }
--- a/serve/traffic.c
+++ b/serve/traffic.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "common/http.h"
-#include "common/loop.h"
 #include "serve/exchange.h"
 #include "serve/forward.h"
 #include "serve/view.h"
@@ -27,6 +26,11 @@
     rk_view_leave(t->views);
 }
 
+static void on_recheck(void *ctx)
+{
+    rk_exchange_dispatch(ctx);
+}
+
 struct rk_traffic *rk_traffic_create(const struct rk_traffic_options *opt)
 {
     struct rk_traffic *t = rk_alloc(1, sizeof(*t));
@@ -36,6 +40,7 @@
     t->http = rk_http_create(t->loop);
     t->router = rk_router_create(t->rng.state, opt->policy);
     t->views = rk_view_reader_create(opt->views);
+    t->recheck = (struct rk_timer){.fn = on_recheck, .ctx = t};
     rk_loop_set_hooks(t->loop, enter_batch, leave_batch, t);
     t->forwards = rk_forwards_create(t, opt->forward_addr);
     if (!t->forwards) {
--- a/serve/traffic.h
+++ b/serve/traffic.h
@@ -11,12 +11,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/loop.h"
 #include "core/budget.h"
 #include "core/call.h"
 #include "core/claims.h"
 #include "core/router.h"
 
-struct rk_loop;
 struct rk_http;
 struct rk_view;
 struct rk_view_cell;
@@ -76,6 +76,7 @@
     struct rk_exchange **by_id; /* hash buckets */
     _Atomic uint32_t spare;     /* calls it could take; read by control */
     int64_t spare_ms;
+    struct rk_timer recheck; /* while jobs wait */
 };
 
 /* NULL when the forward address can't be bound: see rk_last_error(). */
--- /dev/null
+++ b/tests/proc_stop.py
@@ -0,0 +1,114 @@
+"""Promise 6: a planned stop cuts off no request."""
+import threading
+import time
+
+from cluster import Answer, call, chat, request
+from fakes import cluster, small
+
+PROMPT = "Prepare the patient for the visit at the clinic in Otjiwarongo. " * 10
+
+
+class Balancer:
+    """Like the platform's: sends to nodes whose /health says ready, polled."""
+
+    def __init__(self, c):
+        self.c, self.ready, self.stop = c, [], threading.Event()
+        self.turn = 0
+        self.poll()
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def poll(self):
+        self.ready = [e for e in list(self.c.entries)
+                      if e.popen.poll() is None and
+                      request(e.port, "GET", "/health", timeout=2).status == 200]
+
+    def run(self):
+        while not self.stop.wait(0.1):
+            self.poll()
+
+    def pick(self):
+        self.turn += 1
+        return self.ready[self.turn % len(self.ready)]
+
+    def close(self):
+        self.stop.set()
+        self.thread.join()
+
+
+def stream_through(balancer, prompt, max_tokens):
+    """A caller that comes back with Last-Event-ID when told to resume."""
+    text, last, resumes = "", None, 0
+    while True:
+        h = {"Last-Event-ID": str(last)} if last is not None else {}
+        a = chat(balancer.pick().port, prompt, max_tokens=max_tokens, headers=h)
+        if a.status != 200:
+            return a, text, resumes
+        text += a.text()
+        ids = [i for i, _ in a.events() if i is not None]
+        last = ids[-1] if ids else last
+        told = any(isinstance(d, tuple) and d[0] == "resume" for _, d in a.events())
+        if not told:
+            return a, text, resumes
+        resumes += 1
+
+
+def rolling(c, notice_ms, max_tokens, seconds=None):
+    b = Balancer(c)
+    want = chat(c.entries[0].port, PROMPT, max_tokens=max_tokens).text()
+    got, lock, stop = [], threading.Lock(), threading.Event()
+
+    def work(n):
+        i = 0
+        while not stop.is_set():
+            i += 1
+            if n % 2:
+                a = call(b.pick().port, "slots/confirm", "r%d-%d" % (n, i))
+                ok, resumes = a.whole(), 0
+            else:
+                a, text, resumes = stream_through(b, PROMPT, max_tokens)
+                ok = a.whole() and text == want
+            with lock:
+                got.append((ok, resumes, a))
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(8)]
+    for t in threads:
+        t.start()
+    time.sleep(1)
+    for e in list(c.entries):
+        code = e.stop()
+        assert code == 0, (e.name, code)
+        c.add_entry(e.name, e.domain, extra={"notice_ms": notice_ms})
+        time.sleep(0.5)
+    stop.set()
+    for t in threads:
+        t.join()
+    b.close()
+    bad = [(a.status, a.error, a.verdict, a.body[-200:]) for ok, _, a in got if not ok]
+    assert not bad, (len(bad), len(got), bad[:3])
+    assert all(n == 1 for n in c.runs().values())
+    return "%d calls over a rolling restart of %d nodes, 0 cut, %d resumed at a peer" % (
+        len(got), len(c.entries), sum(r for _, r, _ in got))
+
+
+def test_rolling_restart_of_all_entry_nodes():
+    with cluster(entries=2, engines=2) as c:
+        return rolling(c, 15000, 40)
+
+
+def test_streams_longer_than_the_notice_are_handed_over():
+    with cluster(entries=2, engines=2, proc_extra={"notice_ms": 2500}) as c:
+        out = rolling(c, 2500, 400)
+        assert " 0 resumed" not in out, out
+        return out
+
+
+def test_confirmation_in_hand_at_a_stopping_node():
+    with small(engines=0, service_args=["--work-ms", "1500"]) as c:
+        out = []
+        t = threading.Thread(target=lambda: out.append(
+            call(c.entries[0].port, "slots/confirm", "k")))
+        t.start()
+        time.sleep(0.5)
+        assert c.entries[0].stop() == 0
+        t.join()
+        assert isinstance(out[0], Answer) and out[0].whole(), (out[0].status, out[0].error)
