--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 CXX     ?= g++
 LIBS    := libmicrohttpd libcurl json-c ck libprotobuf-c log4c
 SAN     ?=
+comma   := ,
 BUILD   := build$(if $(SAN),/$(SAN))
 SANFLAGS := $(if $(filter address,$(SAN)),-fsanitize=address$(comma)undefined -fno-sanitize-recover=all,$(if $(SAN),-fsanitize=$(SAN)))
-comma   := ,
 WARN    := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror
 CFLAGS  += -std=gnu11 -D_GNU_SOURCE -O2 -g -I. -pthread $(WARN) $(SANFLAGS) $(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 CXXFLAGS += -std=c++17 -O1 -g -I. -pthread -Wall $(SANFLAGS)
--- a/callers/parse.c
+++ b/callers/parse.c
@@ -31,6 +31,15 @@
     return true;
 }
 
+/* Visible ASCII only, and none of the characters of `but`. */
+static bool is_plain(const char *s, const char *but)
+{
+    for (; *s; s++)
+        if (*s <= 0x20 || *s > 0x7e || strchr(but, *s))
+            return false;
+    return true;
+}
+
 /* A visible-ASCII value that fits. */
 static bool copy_value(char *dst, size_t size, const char *src)
 {
@@ -66,9 +75,8 @@
     r->call[call_len] = '\0';
     if (!is_name(r->service) || (r->call[0] && !is_name(r->call)))
         return false;
-    for (const char *q = rest; *q; q++)
-        if ((unsigned char)*q <= 0x20 || *q == '#' || *q == '?' || *q == '%')
-            return false;
+    if (!is_plain(rest, "#?%") || !is_plain(query, "#"))
+        return false;
     return rk_strcpy(r->path, sizeof(r->path), rest) &&
            strlen(r->path) + strlen(query) < sizeof(r->path) &&
            strcat(r->path, query);
--- a/core/call.h
+++ b/core/call.h
@@ -7,6 +7,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "common/util.h"
 #include "core/verdict.h"
@@ -64,9 +65,10 @@
     void (*end)(void *ctx, const struct rk_outcome *outcome); /* once */
 };
 
+/* Free the body. */
 static inline void rk_request_free(struct rk_request *r)
 {
-    rk_buf_free(&(struct rk_buf){.data = r->body});
+    free(r->body);
     r->body = NULL;
 }
 
--- a/core/claims.c
+++ b/core/claims.c
@@ -228,6 +228,8 @@
     c->ctx = ctx;
     c->pending_end = &c->pending;
     c->current_keys = rk_alloc(RK_CLAIM_SLOT_KEYS, sizeof(char *));
+    if (!c->cfg.slot_keys || c->cfg.slot_keys > RK_CLAIM_SLOT_KEYS)
+        c->cfg.slot_keys = RK_CLAIM_SLOT_KEYS;
     return c;
 }
 
@@ -295,7 +297,7 @@
 static void build_value(struct rk_claims *c)
 {
     struct rk_buf b = {0};
-    bool full = c->write_base + c->write_new == RK_CLAIM_SLOT_KEYS;
+    bool full = c->write_base + c->write_new == c->cfg.slot_keys;
     rk_buf_printf(&b,
                   "{\"epoch\":%" PRId64 ",\"owner\":\"%s\",\"seq\":%" PRId64
                   ",\"sealed\":%s,\"newest_ms\":%" PRId64 ",\"nonce\":\"%" PRIx64
@@ -354,7 +356,7 @@
     }
     if (!c->fenced)
         c->epoch++;
-    size_t room = RK_CLAIM_SLOT_KEYS - c->write_base;
+    size_t room = c->cfg.slot_keys - c->write_base;
     c->write_new = 0;
     for (struct entry *e = c->pending; e; e = e->next_wait) {
         e->in_batch = c->write_new < room;
@@ -425,7 +427,7 @@
     if (c->write_slot != c->current || c->write_base == 0)
         clear_current(c);
     c->current = c->write_slot;
-    c->sealed = c->write_base + c->write_new == RK_CLAIM_SLOT_KEYS;
+    c->sealed = c->write_base + c->write_new == c->cfg.slot_keys;
     c->state = OWNER_READY;
     c->unresolved = false;
     c->fenced = true;
@@ -537,8 +539,8 @@
     int64_t age = wall_ms - s->newest_wall_ms;
     json_object_object_get_ex(o, "keys", &keys);
     size_t len = keys ? json_object_array_length(keys) : 0;
-    if (len > RK_CLAIM_SLOT_KEYS)
-        len = RK_CLAIM_SLOT_KEYS;
+    if (len > c->cfg.slot_keys)
+        len = c->cfg.slot_keys;
     bool young = age <= c->cfg.retention_ms;
     for (size_t i = 0; young && i < len; i++)
         learn_key(c, json_object_get_string(json_object_array_get_idx(keys, i)),
--- a/core/claims.h
+++ b/core/claims.h
@@ -86,6 +86,7 @@
     size_t answer_bytes; /* answers kept, at most */
     size_t max_tickets;  /* calls waiting, at most */
     uint64_t seed;       /* differs between runs of one node */
+    size_t slot_keys;    /* keys in a slot; 0: RK_CLAIM_SLOT_KEYS */
 };
 
 struct rk_claims *rk_claims_create(const struct rk_claims_config *cfg,
--- a/core/lease.c
+++ b/core/lease.c
@@ -10,30 +10,31 @@
     return l->life_ms - l->life_ms * RK_LEASE_MARGIN_PCT / 100;
 }
 
-void rk_lease_seen(struct rk_lease *l, int64_t version, const char *value,
-                   int64_t now_ms)
+static int64_t number(struct json_object *o, const char *name)
+{
+    struct json_object *v;
+    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
+}
+
+void rk_lease_seen(struct rk_lease *l, int64_t version, const char *value, int64_t now_ms)
 {
     bool first = !l->seen_ms;
-    if (version == l->version && !first)
+    /* A read may be stale: versions only rise. */
+    if (version <= l->version && !first)
         return;
     l->version = version;
     l->seen_ms = now_ms;
     struct json_object *o = version ? json_tokener_parse(value) : NULL, *v;
-    l->epoch =
-        json_object_object_get_ex(o, "epoch", &v) ? json_object_get_int64(v) : 0;
+    l->epoch = number(o, "epoch");
     bool named = json_object_object_get_ex(o, "holder", &v);
     rk_strcpy(l->seen_holder, sizeof(l->seen_holder),
               named ? json_object_get_string(v) : "");
+    l->held = !strcmp(l->seen_holder, l->holder) && l->epoch == l->held_epoch;
+    /* Maybe by a write whose answer was lost. The lease counts from when that
+     * very write began, which the value tells: a later try proves nothing. */
+    if (l->held)
+        l->held_from_ms = number(o, "beat");
     json_object_put(o);
-    if (l->held &&
-        (l->epoch != l->held_epoch || strcmp(l->seen_holder, l->holder) != 0))
-        l->held = false;
-    /* A write of ours whose answer was lost did stand. */
-    if (!l->held && l->try_ms && !strcmp(l->seen_holder, l->holder) &&
-        l->epoch == l->held_epoch) {
-        l->held = true;
-        l->held_from_ms = l->try_ms;
-    }
 }
 
 bool rk_lease_wants(struct rk_lease *l, int64_t now_ms,
@@ -72,7 +73,6 @@
         rk_strcpy(l->seen_holder, sizeof(l->seen_holder), l->holder);
     } else if (st == RK_ECONFLICT) {
         l->held = false;
-        l->try_ms = 0;
     }
 }
 
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -32,7 +32,7 @@
     pthread_t thread;
     struct rk_traffic *traffic;
     struct rk_callers *callers;
-    char id_prefix[RK_ID_MAX - 12];
+    char id_prefix[RK_ID_MAX];
     _Atomic size_t busy; /* calls and answers in hand, as told last */
 };
 
@@ -237,8 +237,8 @@
     w->traffic = rk_traffic_create(&opt);
     if (!w->traffic)
         return false;
-    snprintf(w->id_prefix, sizeof(w->id_prefix), "%.24s-%x%zu", n->file.id,
-             (unsigned)(rk_wall_ms() & 0xffffff), i);
+    snprintf(w->id_prefix, sizeof(w->id_prefix), "%.24s-%x%u", n->file.id,
+             (unsigned)(rk_wall_ms() & 0xffffff), (unsigned)i);
     const struct rk_callers_options copt = {
         .listen = listen,
         .id_prefix = w->id_prefix,
