--- a/core/lease.c
+++ b/core/lease.c
@@ -30,7 +30,8 @@
     bool named = json_object_object_get_ex(o, "holder", &v);
     rk_strcpy(l->seen_holder, sizeof(l->seen_holder),
               named ? json_object_get_string(v) : "");
-    l->held = !strcmp(l->seen_holder, l->holder) && l->epoch == l->held_epoch;
+    l->held =
+        version && !strcmp(l->seen_holder, l->holder) && l->epoch == l->held_epoch;
     /* Maybe by a write whose answer was lost. The lease counts from when that
      * very write began, which the value tells: a later try proves nothing. */
     if (l->held)
--- /dev/null
+++ b/tests/test_core.c
@@ -0,0 +1,483 @@
+/* Units of the core: settings and their mistakes, configuration, prompts,
+ * prefixes, the router's choices, the vm plan. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/budget.h"
+#include "core/completion.h"
+#include "core/config.h"
+#include "core/lease.h"
+#include "core/plan.h"
+#include "core/prefix.h"
+#include "core/procfile.h"
+#include "core/router.h"
+#include "core/settings.h"
+
+/* ---- settings ---- */
+
+static struct rk_problems problems;
+
+static struct rk_settings *parse(const char *text)
+{
+    struct rk_settings *s = NULL;
+    rk_settings_parse(text, &s, &problems);
+    return s;
+}
+
+/* Each kind of mistake is named by path, line and what was expected. */
+static void mistakes_are_named(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *text, *path;
+        int line;
+        const char *expected;
+    } cases[] = {
+        {"{\n\"deadline_ms\" 5000\n}", "/", 2, "JSON"},
+        {"{\n\"machines\": {}}", "/machines", 2, "services"},
+        {"{\n\n\"dead_line\": 5}", "/dead_line", 3, "known setting"},
+        {"{\"deadline_ms\":\n \"soon\"}", "/deadline_ms", 1, "whole number"},
+        {"{\n\"deadline_ms\": 1}", "/deadline_ms", 2, "from 10"},
+        {"{\"services\": {\n\"s\": {\"kind\": \"car\"}}}", "/services/s/kind", 2,
+         "engine|service"},
+        {"{\"classes\": {\"a\": {\n\"price\": 3}}}", "/classes/a/price", 2,
+         "belongs elsewhere"},
+        {"{\"organisations\": {\"a\": {\n\"default_class\": \"none\"}}}",
+         "/organisations/a/default_class", 2, "member of /classes"},
+        {"{\n\"services\": 4}", "/services", 2, "node"},
+        {"{\"max_calls\": 5,\n\"max_calls\": 6}", "/max_calls", 2, "once"},
+        {"{\"classes\": {\n\"a b\": {}}}", "/classes", 1, "letters"},
+        {"{\"services\": {\n\"s\": {\"kind\": \"engine\"}}}", "/services/s", 2,
+         "model"},
+        {"{\"services\": {\n\"s\": {}}}", "/services/s", 2, "kind"},
+        {"{\"vm_classes\": {\n\"v\": {}}}", "/vm_classes/v", 2, "price"},
+        {"{\"classes\": {\"a\": {\"rank\": {\n}}}}", "/classes/a/rank", 1, "value"},
+        {"{\"claim_retention_s\": 10, \"services\": {\n\"s\": {\"kind\": "
+         "\"service\"}}}",
+         "/services/s", 2, "outlive"},
+    };
+    for (size_t i = 0; i < RK_ARRAY_LEN(cases); i++) {
+        assert_null(parse(cases[i].text));
+        assert_string_equal(problems.items[0].path, cases[i].path);
+        assert_int_equal(problems.items[0].line, cases[i].line);
+        assert_non_null(strstr(problems.items[0].expected, cases[i].expected));
+    }
+}
+
+static void all_mistakes_are_told_at_once(void **state)
+{
+    (void)state;
+    assert_null(parse("{\"a\": 1, \"b\": 2, \"deadline_ms\": 0}"));
+    assert_int_equal(problems.count, 3);
+}
+
+static const char *const tree_text =
+    "{ \"deadline_ms\": 4000, // for all\n"
+    "  \"services\": { \"deadline_ms\": 3000,\n"
+    "    \"s\": { \"kind\": \"service\", \"go\": { \"deadline_ms\": 100 },\n"
+    "           \"look\": { \"repeatable\": true } },\n"
+    "    \"e\": { \"kind\": \"engine\", \"model\": \"m\", \"repeatable\": true } "
+    "},\n"
+    "  \"classes\": { \"c\": { \"rank\": 1 } },\n"
+    "  \"organisations\": { \"weight\": 2, \"o\": {}, \"p\": { \"weight\": 5 } } }";
+
+static void values_are_inherited(void **state)
+{
+    (void)state;
+    struct rk_settings *s = parse(tree_text);
+    char origin[RK_SETTING_PATH_MAX];
+    assert_non_null(s);
+    assert_int_equal(rk_settings_int(s, "/services/s/go", "deadline_ms"), 100);
+    assert_int_equal(rk_settings_int(s, "/services/s/look", "deadline_ms"), 3000);
+    assert_int_equal(rk_settings_int(s, "/organisations/o", "weight"), 2);
+    rk_settings_get(s, "/services/s/look", "deadline_ms", origin);
+    assert_string_equal(origin, "/services/deadline_ms");
+    rk_settings_get(s, "/services/s", "vm_slots", origin);
+    assert_string_equal(origin, "");
+    rk_settings_destroy(s);
+}
+
+static void config_finds_policies(void **state)
+{
+    (void)state;
+    struct rk_settings *s = parse(tree_text);
+    struct rk_config *c = rk_config_create(s, 7);
+    assert_int_equal(rk_config_policy(c, "s", "go")->deadline_ms, 100);
+    assert_true(rk_config_policy(c, "s", "look")->repeatable);
+    assert_string_equal(rk_config_policy(c, "s", "other")->call, "");
+    assert_null(rk_config_policy(c, "x", ""));
+    assert_string_equal(rk_config_model(c, "m")->service, "e");
+    assert_int_equal(rk_config_org(c, "p")->weight, 5);
+    assert_null(rk_config_org(c, "nobody"));
+    assert_int_equal(rk_config_class(c, "c")->rank, 1);
+    rk_config_destroy(c);
+    rk_settings_destroy(s);
+}
+
+/* ---- prompts and prefixes ---- */
+
+static void make_prompt(struct rk_prompt *p, const char *head, int words, int tail)
+{
+    struct rk_prompt_reader r;
+    char word[64];
+    rk_prompt_begin(&r, p);
+    for (int i = 0; i < words; i++) {
+        snprintf(word, sizeof(word), "%s%d ", head, i);
+        rk_prompt_add(&r, word, strlen(word));
+    }
+    snprintf(word, sizeof(word), "tail%d", tail);
+    rk_prompt_add(&r, word, strlen(word));
+    rk_prompt_end(&r);
+}
+
+static void prefixes_are_matched_and_forgotten(void **state)
+{
+    (void)state;
+    static struct rk_prompt a, b;
+    struct rk_prefixes *p = rk_prefixes_create();
+    uint64_t clocks[3] = {0}, sizes[3] = {1000, 1000, 1000};
+    uint32_t cached[3];
+    make_prompt(&a, "x", 320, 1);
+    make_prompt(&b, "x", 320, 2);
+    assert_int_equal(a.tokens, 321);
+    assert_int_equal(a.root, b.root);
+    rk_prefixes_insert(p, &a, 1, clocks[1]);
+    rk_prefixes_match(p, &b, clocks, sizes, cached, 3);
+    assert_int_equal(cached[0], 0);
+    assert_int_equal(cached[1], 320);
+    clocks[1] = 1000; /* as much was prefilled there since as its cache holds */
+    rk_prefixes_match(p, &b, clocks, sizes, cached, 3);
+    assert_int_equal(cached[1], 0);
+    rk_prefixes_insert(p, &a, 2, 0);
+    rk_prefixes_forget(p, 2);
+    rk_prefixes_match(p, &b, clocks, sizes, cached, 3);
+    assert_int_equal(cached[2], 0);
+    rk_prefixes_destroy(p);
+}
+
+static void completions_are_read(void **state)
+{
+    (void)state;
+    static struct rk_prompt p;
+    struct rk_completion c;
+    const char *body = "{\"model\":\"m\",\"max_tokens\":7,\"temperature\":0.5,"
+                       "\"messages\":[{\"content\":\"a b\"},{\"content\":\"c\"}]}";
+    assert_int_equal(rk_completion_parse(body, strlen(body), true, &p, &c), RK_OK);
+    assert_int_equal(c.max_tokens, 7);
+    assert_false(c.stream);
+    assert_int_equal(p.tokens, 3);
+    assert_non_null(strstr(c.upstream_body, "temperature"));
+    assert_non_null(strstr(c.upstream_body, "\"stream\": true"));
+    free(c.upstream_body);
+    assert_int_equal(rk_completion_parse("[]", 2, true, &p, &c), RK_EINVAL);
+}
+
+/* ---- router ---- */
+
+struct fixture {
+    struct rk_router *r;
+    struct rk_config *cfg;
+    struct rk_settings *tree;
+    struct rk_vm vms[4];
+};
+
+static void router_setup(struct fixture *f, int vms, const char *service)
+{
+    f->tree = parse(tree_text);
+    f->cfg = rk_config_create(f->tree, 1);
+    f->r = rk_router_create(1, RK_ROUTE_ADAPTIVE);
+    for (int i = 0; i < vms; i++) {
+        f->vms[i] = (struct rk_vm){.incarnation = 1};
+        snprintf(f->vms[i].id, RK_ID_MAX, "vm%d", i);
+        rk_strcpy(f->vms[i].service, RK_ID_MAX, service);
+        rk_strcpy(f->vms[i].domain, RK_ID_MAX, "d");
+    }
+    rk_router_update(f->r, f->cfg, f->vms, (size_t)vms, "d", 0);
+}
+
+static void router_teardown(struct fixture *f)
+{
+    rk_router_destroy(f->r);
+    rk_config_destroy(f->cfg);
+    rk_settings_destroy(f->tree);
+}
+
+static struct rk_job job_for(const char *service, struct rk_prompt *prompt)
+{
+    struct rk_job j = {.org_weight = 1,
+                       .org_max = 100,
+                       .rank = 3,
+                       .queue_ms = 100000,
+                       .deadline_ms = 200000,
+                       .prompt = prompt,
+                       .max_tokens = prompt ? 60 : 0};
+    rk_strcpy(j.service, RK_ID_MAX, service);
+    rk_strcpy(j.org, RK_ID_MAX, "o");
+    return j;
+}
+
+static struct rk_job *submit_and_send(struct fixture *f, struct rk_job *j,
+                                      int64_t now)
+{
+    int64_t after;
+    assert_int_equal(rk_router_submit(f->r, j, now, &after), RK_SUBMIT_QUEUED);
+    return rk_router_next(f->r, now);
+}
+
+static void a_prefix_sticks_until_its_own_demand_is_too_much(void **state)
+{
+    (void)state;
+    struct fixture f;
+    static struct rk_prompt p;
+    struct rk_job jobs[8];
+    router_setup(&f, 2, "e");
+    make_prompt(&p, "x", 640, 1);
+    /* One after the other: always the same vm. */
+    for (int i = 0; i < 3; i++) {
+        jobs[i] = job_for("e", &p);
+        assert_ptr_equal(submit_and_send(&f, &jobs[i], i), &jobs[i]);
+        assert_int_equal(jobs[i].vm, jobs[0].vm);
+        rk_router_end(f.r, &jobs[i], false, i + 10);
+    }
+    /* More at once than its slots: the prefix is copied. */
+    int elsewhere = 0;
+    for (int i = 0; i < 8; i++) {
+        jobs[i] = job_for("e", &p);
+        assert_ptr_equal(submit_and_send(&f, &jobs[i], 100), &jobs[i]);
+        elsewhere += jobs[i].vm != jobs[0].vm;
+    }
+    assert_int_equal(elsewhere, 4);
+    for (int i = 0; i < 8; i++)
+        rk_router_end(f.r, &jobs[i], false, 200);
+    router_teardown(&f);
+}
+
+static void leaving_vms_get_nothing(void **state)
+{
+    (void)state;
+    struct fixture f;
+    struct rk_job j = job_for("s", NULL);
+    int64_t after;
+    router_setup(&f, 2, "s");
+    f.vms[0].state = RK_VM_LEAVING;
+    rk_router_update(f.r, f.cfg, f.vms, 2, "d", 1);
+    assert_ptr_equal(submit_and_send(&f, &j, 1), &j);
+    assert_string_equal(rk_router_vm_id(f.r, j.vm), "vm1");
+    f.vms[1].state = RK_VM_LEAVING;
+    rk_router_update(f.r, f.cfg, f.vms, 2, "d", 2);
+    assert_true(rk_router_vm_leaving(f.r, j.vm));
+    rk_router_retry(f.r, &j, 3);
+    assert_false(rk_router_can_serve(f.r, &j));
+    rk_router_end(f.r, &j, false, 4);
+    j = job_for("s", NULL);
+    assert_int_equal(rk_router_submit(f.r, &j, 5, &after), RK_SUBMIT_NO_VM);
+    assert_true(after > 0);
+    router_teardown(&f);
+}
+
+static void what_cannot_make_its_deadline_is_refused(void **state)
+{
+    (void)state;
+    struct fixture f;
+    static struct rk_prompt p;
+    struct rk_job jobs[40];
+    int64_t after;
+    int refused = 0, queued = 0;
+    router_setup(&f, 1, "e");
+    make_prompt(&p, "x", 64, 1);
+    for (int i = 0; i < 40; i++) {
+        jobs[i] = job_for("e", &p);
+        jobs[i].deadline_ms = 3000;
+        if (rk_router_submit(f.r, &jobs[i], 0, &after) == RK_SUBMIT_QUEUED)
+            queued++;
+        else
+            refused += after > 0;
+        rk_router_next(f.r, 0);
+    }
+    /* Four slots of 920 ms: about eight more make it within 3 s. */
+    assert_in_range(queued, 8, 14);
+    assert_int_equal(refused, 40 - queued);
+    for (int i = 0; i < 40; i++)
+        rk_router_end(f.r, &jobs[i], false, 10);
+    router_teardown(&f);
+}
+
+static void an_organisations_limit_holds(void **state)
+{
+    (void)state;
+    struct fixture f;
+    struct rk_job a = job_for("s", NULL), b = job_for("s", NULL);
+    int64_t after;
+    router_setup(&f, 1, "s");
+    a.org_max = b.org_max = 1;
+    assert_int_equal(rk_router_submit(f.r, &a, 0, &after), RK_SUBMIT_QUEUED);
+    assert_int_equal(rk_router_submit(f.r, &b, 0, &after), RK_SUBMIT_ORG_FULL);
+    rk_router_end(f.r, &a, false, 1);
+    assert_int_equal(rk_router_submit(f.r, &b, 2, &after), RK_SUBMIT_QUEUED);
+    rk_router_end(f.r, &b, false, 3);
+    router_teardown(&f);
+}
+
+/* ---- plan ---- */
+
+static struct rk_plan_input plan_input(void)
+{
+    struct rk_plan_input in = {.classes_len = 2,
+                               .slots_per_vm = 4,
+                               .headroom = 0.25,
+                               .weight_cost = 1,
+                               .weight_recompute = 1,
+                               .tokens_per_reclaim = 8000,
+                               .price_per_mtoken = 100,
+                               .now_ms = 1000};
+    rk_strcpy(in.classes[0].name, RK_ID_MAX, "spot");
+    in.classes[0].price = 1;
+    in.classes[0].reclaimable = true;
+    rk_strcpy(in.classes[1].name, RK_ID_MAX, "fixed");
+    in.classes[1].price = 3;
+    return in;
+}
+
+static void urgent_work_gets_a_floor(void **state)
+{
+    (void)state;
+    struct rk_plan_input in = plan_input();
+    struct rk_plan plan;
+    in.demand_slots = 12;
+    in.urgent_slots = 6;
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.want_floor, 2);
+    assert_int_equal(plan.want_total, 4);
+    assert_int_equal(plan.len, 2);
+    assert_int_equal(plan.actions[0].cls, 1);
+    assert_int_equal(plan.actions[0].count, 2);
+    assert_int_equal(plan.actions[1].cls, 0);
+    assert_int_equal(plan.actions[1].count, 2);
+    in.elsewhere_slots = 6; /* a wave here is carried by the others */
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.want_floor, 0);
+}
+
+static void refused_starts_back_off_and_turn_elsewhere(void **state)
+{
+    (void)state;
+    struct rk_plan_input in = plan_input();
+    struct rk_plan plan;
+    in.demand_slots = 3;
+    rk_plan_refused(&in.classes[0], in.now_ms);
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.actions[0].cls, 1);
+    int64_t first = in.classes[0].refused_until_ms;
+    rk_plan_refused(&in.classes[0], in.now_ms);
+    assert_true(in.classes[0].refused_until_ms - in.now_ms > first - in.now_ms);
+    rk_plan_started(&in.classes[0]);
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.actions[0].cls, 0);
+}
+
+static void weights_decide_between_price_and_recompute(void **state)
+{
+    (void)state;
+    struct rk_plan_input in = plan_input();
+    in.classes[0].reclaims_per_hour = 4; /* 3.2 of recomputed tokens an hour */
+    in.weight_recompute = 0.1;
+    assert_true(rk_plan_price(&in, &in.classes[0]) <
+                rk_plan_price(&in, &in.classes[1]));
+    in.weight_recompute = 1;
+    assert_true(rk_plan_price(&in, &in.classes[0]) >
+                rk_plan_price(&in, &in.classes[1]));
+}
+
+static void stops_keep_the_floor(void **state)
+{
+    (void)state;
+    struct rk_plan_input in = plan_input();
+    struct rk_plan plan;
+    in.classes[0].held = 6;
+    in.classes[1].held = 2;
+    in.demand_slots = 6;
+    in.urgent_slots = 6;
+    rk_plan_make(&in, &plan);
+    for (size_t i = 0; i < plan.len; i++) {
+        assert_int_equal(plan.actions[i].kind, RK_PLAN_STOP);
+        assert_int_equal(plan.actions[i].cls, 0);
+    }
+    assert_int_equal(plan.len, 1);
+}
+
+/* ---- the rest ---- */
+
+static void budgets_bound_retries(void **state)
+{
+    (void)state;
+    struct rk_budget b = {0};
+    int spent = 0;
+    for (int i = 0; i < 1000; i++) {
+        rk_budget_earn(&b, 10);
+        spent += rk_budget_spend(&b);
+    }
+    assert_in_range(spent, 100, 100 + RK_BUDGET_BURST);
+}
+
+/* A candidate that lost a race reads before it tries again. */
+static void a_lost_race_is_followed_by_a_read(void **state)
+{
+    (void)state;
+    struct rk_lease l = {.holder = "me", .life_ms = 1000};
+    char value[RK_LEASE_VALUE_MAX];
+    int64_t expect;
+    rk_lease_seen(&l, 0, "", 1);
+    assert_true(rk_lease_wants(&l, 2, value, &expect));
+    assert_int_equal(expect, 0);
+    rk_lease_written(&l, RK_ECONFLICT, 0, 3);
+    assert_false(rk_lease_wants(&l, 4, value, &expect));
+    rk_lease_seen(&l, 1, "{\"holder\":\"x\",\"epoch\":1,\"beat\":2}", 5);
+    assert_false(rk_lease_wants(&l, 900, value, &expect));
+    assert_true(rk_lease_wants(&l, 1100, value, &expect));
+    assert_int_equal(expect, 1);
+}
+
+static void process_files_are_checked(void **state)
+{
+    (void)state;
+    struct rk_procfile f;
+    char path[] = "/tmp/rillknot-procfile-XXXXXX";
+    int fd = mkstemp(path);
+    FILE *out = fdopen(fd, "w");
+    fputs("{ // one\n \"id\": \"a\",\n \"traffic_threads\": 99 }", out);
+    fclose(out);
+    assert_int_equal(rk_procfile_load(path, &f), RK_EINVAL);
+    assert_non_null(strstr(rk_last_error(), ":3: /traffic_threads"));
+    remove(path);
+    assert_int_equal(rk_procfile_load(path, &f), RK_ENOTFOUND);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(mistakes_are_named),
+        cmocka_unit_test(all_mistakes_are_told_at_once),
+        cmocka_unit_test(values_are_inherited),
+        cmocka_unit_test(config_finds_policies),
+        cmocka_unit_test(prefixes_are_matched_and_forgotten),
+        cmocka_unit_test(completions_are_read),
+        cmocka_unit_test(a_prefix_sticks_until_its_own_demand_is_too_much),
+        cmocka_unit_test(leaving_vms_get_nothing),
+        cmocka_unit_test(what_cannot_make_its_deadline_is_refused),
+        cmocka_unit_test(an_organisations_limit_holds),
+        cmocka_unit_test(urgent_work_gets_a_floor),
+        cmocka_unit_test(refused_starts_back_off_and_turn_elsewhere),
+        cmocka_unit_test(weights_decide_between_price_and_recompute),
+        cmocka_unit_test(stops_keep_the_floor),
+        cmocka_unit_test(budgets_bound_retries),
+        cmocka_unit_test(a_lost_race_is_followed_by_a_read),
+        cmocka_unit_test(process_files_are_checked),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
