--- a/control/gossip.c
+++ b/control/gossip.c
@@ -8,6 +8,7 @@
 #include "common/eventlog.h"
 #include "control/state.h"
 #include "peers/link.h"
+#include "peers/rows.h"
 #include "serve/traffic.h"
 
 #define ROUND_MS        1000
@@ -50,46 +51,6 @@
 
 /* ---- frames ---- */
 
-static void fill_member(Rillknot__MemberRow *row, const struct rk_member *m)
-{
-    *row = (Rillknot__MemberRow)RILLKNOT__MEMBER_ROW__INIT;
-    row->id = (char *)m->id;
-    row->domain = (char *)m->domain;
-    row->control_addr = (char *)m->control_addr;
-    row->forward_addr = (char *)m->forward_addr;
-    row->incarnation = m->incarnation;
-    row->state = m->state;
-    row->attr_seq = m->attr_seq;
-    row->head = m->head;
-    row->spare = m->spare;
-    row->leaving = m->leaving;
-}
-
-static void fill_vm(Rillknot__VmRow *row, const struct rk_vm *v)
-{
-    *row = (Rillknot__VmRow)RILLKNOT__VM_ROW__INIT;
-    row->id = (char *)v->id;
-    row->addr = (char *)v->addr;
-    row->domain = (char *)v->domain;
-    row->service = (char *)v->service;
-    row->vm_class = (char *)v->vm_class;
-    row->incarnation = v->incarnation;
-    row->state = v->state;
-    row->load_seq = v->load_seq;
-    row->running = v->running;
-    row->queued = v->queued;
-    row->leave_at_ms = v->leave_at_ms;
-}
-
-static void fill_load(Rillknot__VmLoad *row, const struct rk_vm *v)
-{
-    *row = (Rillknot__VmLoad)RILLKNOT__VM_LOAD__INIT;
-    row->id_hash = v->id_hash;
-    row->load_seq = v->load_seq;
-    row->running = v->running;
-    row->queued = v->queued;
-}
-
 static bool send_frame(struct rk_link *link, Rillknot__Frame *frame)
 {
     rk_count(RK_C_PEER_BYTES, rillknot__frame__get_packed_size(frame) + 4);
@@ -107,48 +68,17 @@
     rk_members_delta(m, mark, peer, NULL, &g->delta);
     /* Rows of vms stay in their failure domain. */
     bool with_vms = !to || !strcmp(to->domain, self->domain);
-    size_t vms = with_vms ? g->delta.vms_len : 0;
-    size_t loads = with_vms ? g->delta.loads_len : 0;
-    size_t n = g->delta.members_len;
-    Rillknot__MemberRow *rows = rk_alloc(n + 1, sizeof(*rows));
-    Rillknot__MemberRow **row_ptrs = rk_alloc(n + 1, sizeof(*row_ptrs));
-    Rillknot__VmRow *vm_rows = rk_alloc(vms + 1, sizeof(*vm_rows));
-    Rillknot__VmRow **vm_ptrs = rk_alloc(vms + 1, sizeof(*vm_ptrs));
-    Rillknot__VmLoad *load_rows = rk_alloc(loads + 1, sizeof(*load_rows));
-    Rillknot__VmLoad **load_ptrs = rk_alloc(loads + 1, sizeof(*load_ptrs));
-    for (size_t i = 0; i < n; i++) {
-        fill_member(&rows[i], rk_members_at(m, g->delta.members[i]));
-        row_ptrs[i] = &rows[i];
-    }
-    for (size_t i = 0; i < vms; i++) {
-        fill_vm(&vm_rows[i], rk_members_vm_at(m, g->delta.vms[i]));
-        vm_ptrs[i] = &vm_rows[i];
-    }
-    for (size_t i = 0; i < loads; i++) {
-        fill_load(&load_rows[i], rk_members_vm_at(m, g->delta.loads[i]));
-        load_ptrs[i] = &load_rows[i];
-    }
-    Rillknot__Gossip gossip = RILLKNOT__GOSSIP__INIT;
-    gossip.from = (char *)self->id;
-    gossip.from_addr = (char *)self->control_addr;
-    gossip.reply = reply;
-    gossip.head = rk_changelog_head(g->c->changes);
-    gossip.n_members = n;
-    gossip.members = row_ptrs;
-    gossip.n_vms = vms;
-    gossip.vms = vm_ptrs;
-    gossip.n_loads = loads;
-    gossip.loads = load_ptrs;
+    struct rk_rows rows;
+    rk_rows_fill(&rows, m, &g->delta, with_vms);
+    rows.gossip.from = (char *)self->id;
+    rows.gossip.from_addr = (char *)self->control_addr;
+    rows.gossip.reply = reply;
+    rows.gossip.head = rk_changelog_head(g->c->changes);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_GOSSIP;
-    frame.gossip = &gossip;
+    frame.gossip = &rows.gossip;
     bool sent = send_frame(link, &frame);
-    free(rows);
-    free(row_ptrs);
-    free(vm_rows);
-    free(vm_ptrs);
-    free(load_rows);
-    free(load_ptrs);
+    rk_rows_free(&rows);
     return sent ? g->delta.next_mark : mark;
 }
 
@@ -196,20 +126,9 @@
 static void take_member(struct rk_gossip *g, const Rillknot__MemberRow *row,
                         int from)
 {
-    struct rk_member m = {
-        .incarnation = row->incarnation,
-        .state = row->state <= RK_MEMBER_DEAD ? (enum rk_member_state)row->state
-                                              : RK_MEMBER_SUSPECT,
-        .leaving = row->leaving,
-        .attr_seq = row->attr_seq,
-        .head = row->head,
-        .spare = row->spare,
-    };
-    if (!rk_strcpy(m.id, sizeof(m.id), row->id) || !m.id[0])
+    struct rk_member m;
+    if (!rk_rows_member(row, &m))
         return;
-    rk_strcpy(m.domain, sizeof(m.domain), row->domain);
-    rk_strcpy(m.control_addr, sizeof(m.control_addr), row->control_addr);
-    rk_strcpy(m.forward_addr, sizeof(m.forward_addr), row->forward_addr);
     if (!rk_members_merge(g->c->members, &m, from, rk_mono_ms())) {
         rk_control_dirty(g->c, false); /* its spare may have moved */
         return;
@@ -221,21 +140,9 @@
 
 static void take_vm(struct rk_gossip *g, const Rillknot__VmRow *row, int from)
 {
-    struct rk_vm v = {
-        .incarnation = row->incarnation,
-        .state =
-            row->state <= RK_VM_GONE ? (enum rk_vm_state)row->state : RK_VM_GONE,
-        .load_seq = row->load_seq,
-        .running = row->running,
-        .queued = row->queued,
-        .leave_at_ms = row->leave_at_ms,
-    };
-    if (!rk_strcpy(v.id, sizeof(v.id), row->id) || !v.id[0])
+    struct rk_vm v;
+    if (!rk_rows_vm(row, &v))
         return;
-    rk_strcpy(v.addr, sizeof(v.addr), row->addr);
-    rk_strcpy(v.domain, sizeof(v.domain), row->domain);
-    rk_strcpy(v.service, sizeof(v.service), row->service);
-    rk_strcpy(v.vm_class, sizeof(v.vm_class), row->vm_class);
     if (!rk_members_merge_vm(g->c->members, &v, from, rk_mono_ms())) {
         rk_control_dirty(g->c, false);
         return;
--- a/control/vms_sync.c
+++ b/control/vms_sync.c
@@ -15,7 +15,7 @@
 #define WATCH_MS       25000
 #define RETRY_MS       500
 #define POLL_MS        1000
-#define POLL_MS_PER_VM 12 /* polls slow down with the domain's size */
+#define POLL_MS_PER_VM 24 /* polls slow down with the domain's size */
 
 struct rk_vms_sync {
     struct rk_control *c;
--- a/keeper/keeper.c
+++ b/keeper/keeper.c
@@ -19,6 +19,7 @@
 #include "engines/side.h"
 #include "objects/objects.h"
 #include "peers/link.h"
+#include "peers/rows.h"
 
 #define LOAD_ORDER       "load"
 #define TICK_MS          500
@@ -86,31 +87,14 @@
 {
     int64_t now = rk_mono_ms();
     rk_strcpy(k->entry_id, sizeof(k->entry_id), g->from);
-    for (size_t i = 0; i < g->n_members; i++) {
-        const Rillknot__MemberRow *row = g->members[i];
-        struct rk_member m = {.incarnation = row->incarnation,
-                              .state = (enum rk_member_state)(row->state % 3),
-                              .leaving = row->leaving,
-                              .attr_seq = row->attr_seq,
-                              .spare = row->spare};
-        rk_strcpy(m.id, sizeof(m.id), row->id);
-        rk_strcpy(m.domain, sizeof(m.domain), row->domain);
-        rk_members_merge(k->members, &m, -1, now);
-    }
-    for (size_t i = 0; i < g->n_vms; i++) {
-        const Rillknot__VmRow *row = g->vms[i];
-        struct rk_vm v = {.incarnation = row->incarnation,
-                          .state = (enum rk_vm_state)(row->state % 3),
-                          .load_seq = row->load_seq,
-                          .running = row->running,
-                          .queued = row->queued};
-        rk_strcpy(v.id, sizeof(v.id), row->id);
-        rk_strcpy(v.addr, sizeof(v.addr), row->addr);
-        rk_strcpy(v.domain, sizeof(v.domain), row->domain);
-        rk_strcpy(v.service, sizeof(v.service), row->service);
-        rk_strcpy(v.vm_class, sizeof(v.vm_class), row->vm_class);
-        rk_members_merge_vm(k->members, &v, -1, now);
-    }
+    struct rk_member m;
+    struct rk_vm v;
+    for (size_t i = 0; i < g->n_members; i++)
+        if (rk_rows_member(g->members[i], &m))
+            rk_members_merge(k->members, &m, -1, now);
+    for (size_t i = 0; i < g->n_vms; i++)
+        if (rk_rows_vm(g->vms[i], &v))
+            rk_members_merge_vm(k->members, &v, -1, now);
 }
 
 static void take_changes(struct rk_keeper *k, const Rillknot__Changes *c)
--- a/programs/load.c
+++ b/programs/load.c
@@ -16,7 +16,8 @@
 #define URL_MAX       160
 #define HEADER_MAX    96
 #define CALL_LIMIT_MS 120000
-#define OWN_WORDS     4 /* of a prompt, that no other call has */
+#define MAX_TENANTS   256
+#define OWN_WORDS     4     /* of a prompt, that no other call has */
 #define GRACE_MS      60000 /* for calls in hand after the last was begun */
 
 /* What one call of a pattern is. */
@@ -156,8 +157,7 @@
 
 static const struct pattern patterns[] = {
     {"find", "a plain call that may be repeated", shape_find},
-    {"tenants", "many tenants, each with a long prompt of its own",
-     shape_tenants},
+    {"tenants", "many tenants, each with a long prompt of its own", shape_tenants},
     {"hot", "one tenant", shape_hot},
     {"mix", "half of the calls one tenant's, the rest of all", shape_mix},
     {"hospital", "clinics, call centre, patients: letters, chat, slots",
@@ -238,11 +238,27 @@
         begin_call();
 }
 
-/* A tenant's words are the same in each call; the last ones are this call's. */
+/* A tenant's words, written once: writing them for each call would hold up the
+ * answers of others, and be measured as theirs. */
+static const struct rk_buf *tenant_words(int tenant, int words)
+{
+    static struct rk_buf texts[MAX_TENANTS];
+    static int lengths[MAX_TENANTS];
+    struct rk_buf *b = &texts[tenant % MAX_TENANTS];
+    if (lengths[tenant % MAX_TENANTS] == words)
+        return b;
+    rk_buf_free(b);
+    lengths[tenant % MAX_TENANTS] = words;
+    for (int i = 0; i < words; i++)
+        rk_buf_printf(b, "t%dw%d ", tenant, i);
+    return b;
+}
+
+/* The last words are this call's own. */
 static void add_prompt(struct rk_buf *b, const struct shape *s, uint64_t n)
 {
-    for (int i = 0; i < s->prompt_words; i++)
-        rk_buf_printf(b, "t%dw%d ", s->tenant, i);
+    const struct rk_buf *words = tenant_words(s->tenant, s->prompt_words);
+    rk_buf_add(b, words->data, words->len);
     for (int i = 0; i < OWN_WORDS; i++)
         rk_buf_printf(b, "q%" PRIu64 "x%d ", n, i);
 }
--- /dev/null
+++ b/serve/attempts.c
@@ -0,0 +1,250 @@
+/* Attempts of an exchange at upstreams: begun when the router says where, ended
+ * with a verdict, retried or resumed as that allows. */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "engines/attempt.h"
+#include "serve/exchange_impl.h"
+#include "services/attempt.h"
+
+#define MAX_ATTEMPTS   8
+#define COLLECT_MAX    (1024 * 1024)
+#define SPARE_EVERY_MS 100
+#define RECHECK_MS     25
+
+static void finish_whole(struct rk_exchange *x, int status)
+{
+    struct rk_outcome o = {.status = status, .verdict = RK_RAN, .whole = true};
+    rk_exchange_finish(x, &o);
+}
+
+static void finish_completion(struct rk_exchange *x)
+{
+    if (!x->req.stream) {
+        struct rk_buf b = {0};
+        rk_completion_answer(&b, x->req.id, x->policy.model, x->req.chat,
+                             x->collected.data ? x->collected.data : "",
+                             x->prompt.tokens, x->stream.next);
+        rk_exchange_give_body(x, 200, "application/json", b.data, b.len);
+        rk_buf_free(&b);
+    }
+    finish_whole(x, 200);
+}
+
+static void log_attempt(const struct rk_exchange *x, const char *event,
+                        const char *at, const char *verdict, const char *detail)
+{
+    RK_EVENT(event, RK_S("request", x->req.id), RK_N("attempt", x->attempts),
+             RK_S("at", at), RK_S("verdict", verdict),
+             RK_N("next_token", x->stream.next), RK_S("detail", detail));
+}
+
+/* After a failed attempt: may another one go out? */
+static bool may_retry(struct rk_exchange *x, enum rk_verdict v, bool overload)
+{
+    if (x->attempts >= MAX_ATTEMPTS ||
+        !rk_verdict_allows_retry(v, x->policy.repeatable))
+        return false;
+    /* A lost vm asks for no budget: its work must go somewhere. A refusal or a
+     * silence does: a retry there adds load to load. */
+    if (!overload || rk_budget_spend(&x->t->budget))
+        return true;
+    rk_count(RK_C_RETRY_DENIED, 1);
+    return false;
+}
+
+void rk_exchange_attempt_failed(struct rk_exchange *x,
+                                const struct rk_attempt_end *end,
+                                const char *detail)
+{
+    const struct rk_refusal_contract contract = {.refusal_not_run =
+                                                     x->policy.refusal_not_run};
+    enum rk_verdict v = rk_verdict_of(end, &contract);
+    const char *at = rk_router_vm_id(x->t->router, x->job.vm);
+    log_attempt(x, "attempt.failed", at, rk_verdict_str(v), detail);
+    snprintf(x->detail, sizeof(x->detail), "%s", detail);
+    x->verdict = rk_verdict_join(x->verdict, v);
+    bool leaving = rk_router_vm_leaving(x->t->router, x->job.vm);
+    bool overload =
+        end->http_status || (end->handed && !leaving && !x->stream.next);
+    if (!x->sink && v != RK_NOT_RUN) {
+        rk_exchange_give_up(x, 504, 0, x->detail);
+        return;
+    }
+    if (!may_retry(x, v, overload)) {
+        int64_t after =
+            v == RK_NOT_RUN || x->policy.repeatable ? RK_OVERLOAD_RETRY_MS : 0;
+        rk_exchange_give_up(
+            x, end->http_status == 429 || end->http_status == 503 ? 503 : 502,
+            after, x->detail);
+        return;
+    }
+    rk_count(RK_C_RETRIES, 1);
+    rk_router_retry(x->t->router, &x->job, rk_mono_ms());
+    x->state = X_QUEUED;
+    if (!rk_router_can_serve(x->t->router, &x->job))
+        rk_exchange_leave_domain(x, end->handed);
+}
+
+static bool on_chunk(void *ctx, const struct rk_chunk *chunk, const char *raw)
+{
+    struct rk_exchange *x = ctx;
+    rk_router_first(x->t->router, &x->job, rk_mono_ms());
+    int64_t index = chunk->index >= 0 ? chunk->index : x->stream.next;
+    enum rk_token_fate fate = rk_stream_take(&x->stream, index);
+    if (fate == RK_TOKEN_REPEAT)
+        return true;
+    if (fate == RK_TOKEN_GAP)
+        return false;
+    rk_count(RK_C_TOKENS, 1);
+    if (!x->req.stream) {
+        x->collected.max = COLLECT_MAX;
+        return rk_buf_addstr(&x->collected, chunk->text);
+    }
+    struct rk_part part = {.status = 200,
+                           .content_type = "text/event-stream",
+                           .index = index,
+                           .data = raw,
+                           .len = strlen(raw)};
+    rk_exchange_give_part(x, &part);
+    return true;
+}
+
+static void on_engine_end(void *ctx, const struct rk_attempt_end *end, bool whole,
+                          const char *detail)
+{
+    struct rk_exchange *x = ctx;
+    struct rk_traffic *t = x->t;
+    x->engine = NULL;
+    bool rejected = end->answered && end->http_status >= 400 &&
+                    end->http_status < 500 && end->http_status != 429;
+    if (whole) {
+        log_attempt(x, "attempt.whole", rk_router_vm_id(t->router, x->job.vm),
+                    "ran", "");
+        finish_completion(x);
+    } else if (rejected) {
+        x->verdict = RK_RAN;
+        rk_exchange_give_up(x, end->http_status, 0,
+                            "the engine rejected the request");
+    } else {
+        rk_exchange_attempt_failed(x, end, detail);
+    }
+    rk_exchange_dispatch(t);
+}
+
+static void on_service_end(void *ctx, const struct rk_service_answer *a)
+{
+    struct rk_exchange *x = ctx;
+    struct rk_traffic *t = x->t;
+    x->service = NULL;
+    rk_router_first(t->router, &x->job, rk_mono_ms());
+    int status = a->end.http_status;
+    bool refusal = status == 429 || (status >= 502 && status <= 504);
+    if (a->end.answered && !refusal) {
+        const struct rk_refusal_contract contract = {0};
+        enum rk_verdict v = rk_verdict_of(&a->end, &contract);
+        log_attempt(x, "attempt.whole", rk_router_vm_id(t->router, x->job.vm),
+                    rk_verdict_str(v), "");
+        rk_exchange_give_body(x, status, a->content_type, a->body, a->len);
+        struct rk_outcome o = {.status = status, .verdict = v, .whole = true};
+        rk_exchange_finish(x, &o);
+    } else {
+        rk_exchange_attempt_failed(x, &a->end, a->detail);
+    }
+    rk_exchange_dispatch(t);
+}
+
+static const struct rk_engine_handlers engine_handlers = {
+    .on_chunk = on_chunk,
+    .on_end = on_engine_end,
+};
+
+static void start_engine(struct rk_exchange *x)
+{
+    if (x->stream.next) {
+        rk_count(RK_C_RESUMES, 1);
+        rk_count(RK_C_RECOMPUTED,
+                 x->job.uncached_tokens + (uint64_t)x->stream.next);
+    }
+    const struct rk_engine_spec spec = {
+        .addr = rk_router_vm_addr(x->t->router, x->job.vm),
+        .path = x->req.path,
+        .request_id = x->req.id,
+        .attempt = x->attempts,
+        .priority = x->job.waiter.rank,
+        .body = x->completion.upstream_body,
+        .resume_from = x->stream.next,
+        .connect_ms = x->policy.connect_ms,
+        .silence_ms = x->policy.attempt_ms,
+        .once = !x->policy.repeatable,
+    };
+    x->engine =
+        rk_engine_attempt_start(x->t->loop, x->t->http, &spec, &engine_handlers, x);
+}
+
+static void start_service(struct rk_exchange *x)
+{
+    const struct rk_service_spec spec = {
+        .addr = rk_router_vm_addr(x->t->router, x->job.vm),
+        .method = x->req.method,
+        .path = x->req.path,
+        .request_id = x->req.id,
+        .attempt = x->attempts,
+        .key = x->req.key,
+        .content_type = x->req.content_type,
+        .body = x->req.body,
+        .body_len = x->req.body_len,
+        .connect_ms = x->policy.connect_ms,
+        .silence_ms = x->policy.attempt_ms,
+        .once = !x->policy.repeatable,
+    };
+    x->service =
+        rk_service_attempt_start(x->t->loop, x->t->http, &spec, on_service_end, x);
+}
+
+static void send_attempt(struct rk_exchange *x)
+{
+    /* A pause may have come between the decision and now: past its deadline a
+     * claimed key may be forgotten elsewhere, so nothing is sent any more. */
+    if (rk_mono_ms() >= x->deadline_ms) {
+        rk_exchange_give_up(x, 504, 0, "the deadline passed before it was sent");
+        return;
+    }
+    if (!x->attempts && !rk_router_in_time(&x->job, rk_mono_ms())) {
+        rk_exchange_give_up(x, 503, RK_OVERLOAD_RETRY_MS,
+                            "it would miss its deadline");
+        return;
+    }
+    x->state = X_SENT;
+    x->attempts++;
+    x->ever_sent = true;
+    rk_count(RK_C_ATTEMPTS, 1);
+    log_attempt(x, "attempt.start", rk_router_vm_id(x->t->router, x->job.vm), "",
+                "");
+    if (x->policy.engine)
+        start_engine(x);
+    else
+        start_service(x);
+}
+
+static void publish_spare(struct rk_traffic *t, int64_t now_ms)
+{
+    if (now_ms - t->spare_ms < SPARE_EVERY_MS)
+        return;
+    t->spare_ms = now_ms;
+    atomic_store_explicit(&t->spare, rk_router_spare(t->router),
+                          memory_order_relaxed);
+}
+
+void rk_exchange_dispatch(struct rk_traffic *t)
+{
+    struct rk_job *job;
+    publish_spare(t, rk_mono_ms());
+    while ((job = rk_router_next(t->router, rk_mono_ms())))
+        send_attempt((struct rk_exchange *)((char *)job -
+                                            offsetof(struct rk_exchange, job)));
+    if (!t->recheck.slot && rk_router_waiting(t->router))
+        rk_timer_start(t->loop, &t->recheck, RECHECK_MS);
+}
