serve, engines, plan, tools: KV caches move along; dear vms are replaced

A stream that moves before a reclaim has the next engine fetch its KV cache from the vm that goes, bounded by the time that vm has left, and resumes with or without it (setting kv_move).

The plan replaces a vm whose price is 1.25 times another class's, once that one is ready.

--- a/common/counters.h
+++ b/common/counters.h
@@ -16,6 +16,7 @@
     X(RETRIES, "retries_total", "Attempts after the first")                        \
     X(RETRY_DENIED, "retry_denied_total", "Retries the budget refused")            \
     X(RESUMES, "stream_resumes_total", "Streams resumed at another upstream")      \
+    X(KV_MOVES, "kv_moves_total", "Streams that took their KV cache along")        \
     X(RECOMPUTED, "recomputed_tokens_total",                                       \
       "Tokens prefilled again after a move")                                       \
     X(PROMPT_TOKENS, "prompt_tokens_total", "Prompt tokens of model calls")        \
--- a/common/rest.c
+++ b/common/rest.c
@@ -80,7 +80,7 @@
         .connect_timeout_ms = CONNECT_MS,
         /* A write sent again by the library would conflict with itself. */
         .no_resend = strcmp(call->method, "GET") != 0,
-        .timeout_ms = CALL_MS + call->wait_ms,
+        .timeout_ms = call->limit_ms ? call->limit_ms : CALL_MS + call->wait_ms,
         .handlers = {.on_header = on_header,
                      .on_data = on_data,
                      .on_done = on_done},
--- a/common/rest.h
+++ b/common/rest.h
@@ -28,6 +28,7 @@
     const char *match; /* a conditional header line, or NULL */
     const char *body;  /* JSON, or NULL */
     int64_t wait_ms;   /* how long the peer may hold the call (a watch) */
+    int64_t limit_ms;  /* longest time in all; 0: the usual */
 };
 
 /* fn is called exactly once, never before this returns. */
--- a/core/config.c
+++ b/core/config.c
@@ -59,6 +59,7 @@
         .repeatable = rk_settings_bool(b->s, node, "repeatable"),
         .refusal_not_run = rk_settings_bool(b->s, node, "refusal_not_run"),
         .checks_fences = rk_settings_bool(b->s, node, "checks_fences"),
+        .kv_move = rk_settings_bool(b->s, node, "kv_move"),
         .key_required = rk_settings_bool(b->s, node, "key_required"),
         .deadline_ms = rk_settings_int(b->s, node, "deadline_ms"),
         .connect_ms = rk_settings_int(b->s, node, "connect_ms"),
--- a/core/config.h
+++ b/core/config.h
@@ -17,7 +17,8 @@
     char call[RK_ID_MAX]; /* "": every call without a node of its own */
     bool engine;
     char model[RK_ID_MAX];
-    bool repeatable, refusal_not_run, checks_fences, key_required, claims_local;
+    bool repeatable, refusal_not_run, checks_fences, key_required, claims_local,
+        kv_move;
     int64_t deadline_ms, connect_ms, attempt_ms;
     int64_t target_first_ms, target_token_ms;
     int64_t slots, cache_tokens, min_vms;
--- a/core/plan.c
+++ b/core/plan.c
@@ -5,7 +5,8 @@
 
 #define BACKOFF_MS     5000
 #define BACKOFF_MAX_MS 120000
-#define STOP_SLACK     1 /* vms held beyond the plan before any is stopped */
+#define STOP_SLACK     1    /* vms held beyond the plan before any is stopped */
+#define SWAP_RATIO     1.25 /* of prices, at which a vm is replaced by a cheaper */
 
 double rk_plan_price(const struct rk_plan_input *in, const struct rk_plan_class *c)
 {
@@ -45,14 +46,14 @@
 
 /* Stop what is beyond the plan, the dearest first; never below the floor. */
 static void plan_stops(const struct rk_plan_input *in, struct rk_plan *out,
-                       int held, int on_demand)
+                       int ready, int on_demand)
 {
-    int excess = held - out->want_total - STOP_SLACK;
+    int excess = ready - out->want_total - STOP_SLACK;
     bool done[RK_PLAN_CLASSES] = {0};
     while (excess > 0) {
         int dearest = -1;
         for (size_t i = 0; i < in->classes_len; i++)
-            if (!done[i] && in->classes[i].held &&
+            if (!done[i] && in->classes[i].ready &&
                 (dearest < 0 || rk_plan_price(in, &in->classes[i]) >
                                     rk_plan_price(in, &in->classes[dearest])))
                 dearest = (int)i;
@@ -60,7 +61,7 @@
             return;
         done[dearest] = true;
         const struct rk_plan_class *c = &in->classes[dearest];
-        int n = c->held < excess ? c->held : excess;
+        int n = c->ready < excess ? c->ready : excess;
         if (!c->reclaimable && on_demand - n < out->want_floor)
             n = on_demand - out->want_floor;
         if (n <= 0)
@@ -70,12 +71,32 @@
     }
 }
 
+/* Start one vm of a cheaper class beyond the plan; once it is ready, the stops
+ * take the dearest. */
+static void plan_swap(const struct rk_plan_input *in, struct rk_plan *out, int held,
+                      int on_demand)
+{
+    int cheap = cheapest(in, false);
+    if (cheap < 0 || held > out->want_total + STOP_SLACK)
+        return;
+    double price = rk_plan_price(in, &in->classes[cheap]) * SWAP_RATIO;
+    for (size_t i = 0; i < in->classes_len; i++) {
+        const struct rk_plan_class *c = &in->classes[i];
+        bool may_go = c->ready && (c->reclaimable || on_demand > out->want_floor);
+        if (!may_go || rk_plan_price(in, c) <= price)
+            continue;
+        add(out, RK_PLAN_START, cheap, out->want_total + STOP_SLACK + 1 - held);
+        return;
+    }
+}
+
 void rk_plan_make(const struct rk_plan_input *in, struct rk_plan *out)
 {
     *out = (struct rk_plan){0};
-    int held = 0, on_demand = 0;
+    int held = 0, ready = 0, on_demand = 0;
     for (size_t i = 0; i < in->classes_len; i++) {
         held += in->classes[i].held;
+        ready += in->classes[i].ready;
         on_demand += in->classes[i].reclaimable ? 0 : in->classes[i].held;
     }
     double urgent = in->urgent_slots - in->elsewhere_slots;
@@ -93,7 +114,9 @@
     if (held < out->want_total)
         add(out, RK_PLAN_START, cheapest(in, false), out->want_total - held);
     else
-        plan_stops(in, out, held, on_demand);
+        plan_stops(in, out, ready, on_demand);
+    if (!out->len && held)
+        plan_swap(in, out, held, on_demand);
 }
 
 void rk_plan_refused(struct rk_plan_class *c, int64_t now_ms)
--- a/core/plan.h
+++ b/core/plan.h
@@ -6,7 +6,8 @@
  * reclaimed at once. Every reclaimable vm of a failure domain may go in one
  * wave, so the floor is on-demand, less what other failure domains have spare.
  * All above the floor goes to the class of the least effective price, which
- * counts the tokens that its reclaims make us compute again. */
+ * counts the tokens that its reclaims make us compute again. Prices move: a vm
+ * that became much dearer than another class is replaced, one at a time. */
 #ifndef RK_CORE_PLAN_H
 #define RK_CORE_PLAN_H
 
@@ -26,6 +27,7 @@
     bool reclaimable;
     double reclaims_per_hour; /* of one vm, from history */
     int held;                 /* live and starting, not leaving */
+    int ready;                /* live, not leaving */
     int64_t refused_until_ms; /* no start is tried before */
     int refusals;             /* in a row */
 };
--- a/core/settings.c
+++ b/core/settings.c
@@ -67,6 +67,8 @@
             "a 429 or 503 of the upstream proves: not run"),
     BOOLEAN("checks_fences", SVC, "false",
             "upstreams refuse orders of an older epoch"),
+    BOOLEAN("kv_move", SVC, "true",
+            "streams take their KV cache along when they move"),
     BOOLEAN("key_required", SVC, "false", "calls must carry an Idempotency-Key"),
     CHOICE("claims_when_down", SVC, "refuse|local", "\"refuse\"",
            "keyed calls while the platform is away"),
--- a/engines/side.c
+++ b/engines/side.c
@@ -14,6 +14,7 @@
 struct op {
     rk_engine_load_fn *on_load;
     rk_engine_order_fn *on_order;
+    rk_engine_kv_fn *on_kv;
     void *ctx;
 };
 
@@ -30,6 +31,8 @@
     struct op *op = ctx;
     if (op->on_order) {
         op->on_order(op->ctx, answer->status);
+    } else if (op->on_kv) {
+        op->on_kv(op->ctx, answer->status);
     } else {
         struct json_object *o = json_tokener_parse(answer->body);
         enum rk_status st = answer->status;
@@ -52,6 +55,23 @@
     rk_rest_start(http, &call, on_answer, op);
 }
 
+void rk_engine_kv_import(struct rk_http *http, const char *addr, const char *from,
+                         const char *request_id, const char *body, int64_t wait_ms,
+                         rk_engine_kv_fn *fn, void *ctx)
+{
+    struct op *op = rk_alloc(1, sizeof(*op));
+    *op = (struct op){.on_kv = fn, .ctx = ctx};
+    char url[URL_MAX];
+    struct rk_buf b = {0};
+    snprintf(url, sizeof(url), "http://%s/kv/import", addr);
+    rk_buf_printf(&b, "{\"from\":\"%s\",\"request_id\":\"%s\",\"completion\":%s}",
+                  from, request_id, body);
+    const struct rk_rest_call call = {
+        .method = "POST", .url = url, .body = b.data, .limit_ms = wait_ms};
+    rk_rest_start(http, &call, on_answer, op);
+    rk_buf_free(&b);
+}
+
 void rk_engine_order(struct rk_http *http, const char *addr, const char *order,
                      const char *argument, int64_t epoch, rk_engine_order_fn *fn,
                      void *ctx)
--- a/keeper/keeper.c
+++ b/keeper/keeper.c
@@ -220,7 +220,7 @@
 static void count_vms(struct rk_keeper *k, struct holding *h, double *load)
 {
     for (size_t i = 0; i < h->classes_len; i++)
-        h->classes[i].held = 0;
+        h->classes[i].held = h->classes[i].ready = 0;
     for (size_t i = 0; i < rk_members_vm_count(k->members); i++) {
         const struct rk_vm *v = rk_members_vm_at(k->members, i);
         if (strcmp(v->service, h->service) != 0 ||
@@ -234,6 +234,7 @@
         }
         if (!c)
             continue;
+        c->ready += v->state == RK_VM_LIVE;
         c->held += v->state == RK_VM_LIVE;
         *load += v->state == RK_VM_GONE ? 0 : v->running + v->queued;
     }
--- a/serve/attempts.c
+++ b/serve/attempts.c
@@ -1,11 +1,13 @@
 /* Attempts of an exchange at upstreams: begun when the router says where, ended
  * with a verdict, retried or resumed as that allows. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "engines/attempt.h"
+#include "engines/side.h"
 #include "serve/exchange_impl.h"
 #include "services/attempt.h"
 
@@ -163,8 +165,11 @@
 
 static void start_engine(struct rk_exchange *x)
 {
-    if (x->stream.next) {
+    if (x->stream.next)
         rk_count(RK_C_RESUMES, 1);
+    if (x->stream.next && x->kv_came) {
+        rk_count(RK_C_KV_MOVES, 1);
+    } else if (x->stream.next) {
         rk_count(RK_C_RECOMPUTED,
                  x->job.uncached_tokens + (uint64_t)x->stream.next);
     }
@@ -184,6 +189,38 @@
         rk_engine_attempt_start(x->t->loop, x->t->http, &spec, &engine_handlers, x);
 }
 
+/* An import on its way, found again by the exchange's id. */
+struct import {
+    struct rk_traffic *t;
+    uint64_t id;
+};
+
+static void on_imported(void *ctx, enum rk_status st)
+{
+    struct import *i = ctx;
+    struct rk_exchange *x = rk_exchange_find(i->t, i->id);
+    if (x && x->state == X_MOVING) {
+        x->kv_came = st == RK_OK;
+        RK_EVENT("kv.moved", RK_S("request", x->req.id), RK_N("whole", x->kv_came));
+        x->state = X_SENT;
+        start_engine(x);
+    }
+    free(i);
+}
+
+/* Fetch the stream's KV cache from the vm that goes, while there is time; then,
+ * with or without it, resume. */
+static void import_kv(struct rk_exchange *x)
+{
+    struct import *i = rk_alloc(1, sizeof(*i));
+    *i = (struct import){.t = x->t, .id = x->id};
+    x->state = X_MOVING;
+    rk_engine_kv_import(x->t->http, rk_router_vm_addr(x->t->router, x->job.vm),
+                        x->moved_from, x->req.id, x->completion.upstream_body,
+                        x->move_by_ms - rk_mono_ms(), on_imported, i);
+    x->moved_from[0] = '\0';
+}
+
 static void start_service(struct rk_exchange *x)
 {
     const struct rk_service_spec spec = {
@@ -223,7 +260,10 @@
     rk_count(RK_C_ATTEMPTS, 1);
     log_attempt(x, "attempt.start", rk_router_vm_id(x->t->router, x->job.vm), "",
                 "");
-    if (x->policy.engine)
+    x->kv_came = false;
+    if (x->policy.engine && x->moved_from[0] && x->move_by_ms > rk_mono_ms())
+        import_kv(x);
+    else if (x->policy.engine)
         start_engine(x);
     else
         start_service(x);
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -474,8 +474,11 @@
     return wall_ms + needs > (int64_t)row->leave_at_ms;
 }
 
-static void move(struct rk_exchange *x)
+static void move(struct rk_exchange *x, const struct rk_vm *row, int64_t wall_ms)
 {
+    if (x->policy.kv_move)
+        rk_strcpy(x->moved_from, sizeof(x->moved_from), row->addr);
+    x->move_by_ms = rk_mono_ms() + (int64_t)row->leave_at_ms - wall_ms;
     rk_engine_attempt_cancel(x->engine);
     x->engine = NULL;
     struct rk_attempt_end end = {.handed = true};
@@ -500,7 +503,7 @@
             const struct rk_vm *row =
                 find_row(v, rk_router_vm_id(t->router, x->job.vm));
             if (row && must_move(x, row, wall_ms))
-                move(x);
+                move(x, row, wall_ms);
         } else if (x->state == X_QUEUED && x->job.svc) {
             /* The last vm of its service may have left. */
             if (!rk_router_can_serve(t->router, &x->job)) {
--- a/serve/exchange_impl.h
+++ b/serve/exchange_impl.h
@@ -20,6 +20,7 @@
 enum state {
     X_CLAIMING,
     X_QUEUED,
+    X_MOVING,    /* its KV cache is on its way to the next upstream */
     X_SENT,      /* at an upstream */
     X_FORWARDED, /* at a peer */
 };
@@ -48,8 +49,10 @@
     enum rk_verdict verdict; /* of all attempts so far */
     bool ever_sent;
     struct rk_stream stream;
-    bool part_sent; /* the sink got something */
-    bool moving;    /* the attempt is being left on purpose */
+    bool part_sent;               /* the sink got something */
+    char moved_from[RK_ADDR_MAX]; /* whence its KV cache can be fetched; "" */
+    bool kv_came;                 /* to the vm it is sent to now */
+    int64_t move_by_ms;           /* when that vm goes, monotonic */
     struct rk_engine_attempt *engine;
     struct rk_service_attempt *service;
     char peer[RK_ID_MAX];
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -8,7 +8,8 @@
  *        X-Request-Id echoed; X-Priority: lower runs first;
  *        X-Resume-From: first token index wanted
  *   GET  /load            {"running","queued"}
- *   POST /kv/import       {"prompt": TEXT}  the prompt counts as cached
+ *   POST /kv/import       {"from","request_id","completion"}  the request's
+ *                         prompt and tokens so far count as cached
  *   POST /orders          {"order","epoch"}; 409 below the highest epoch seen
  *   GET  /_runs           {"prefill_tokens","hit_tokens","tokens","calls",
  *                          "orders"}
@@ -28,6 +29,7 @@
 #define BLOCK_TOKENS       16
 #define MAX_BLOCKS         65536
 #define DEFAULT_MAX_TOKENS 16
+#define MAX_IMPORTED       64
 
 struct block {
     uint64_t hash;
@@ -47,6 +49,8 @@
     double base_ms, per_token_ms, step_ms;
     bool checks_fences;
     struct si_fault fault;
+    char imported[MAX_IMPORTED][RK_ID_MAX]; /* requests whose KV cache is here */
+    size_t imports;
 } eng = {
     .lock = PTHREAD_MUTEX_INITIALIZER,
     .freed = PTHREAD_COND_INITIALIZER,
@@ -222,6 +226,14 @@
     return ret;
 }
 
+static bool was_imported(const char *id)
+{
+    for (size_t i = 0; i < MAX_IMPORTED; i++)
+        if (!strcmp(eng.imported[i], id))
+            return true;
+    return false;
+}
+
 static enum MHD_Result complete(struct si_req *req)
 {
     struct si_fault fault = {0};
@@ -249,7 +261,7 @@
     pthread_mutex_lock(&eng.lock);
     eng.calls++;
     take_slot(s);
-    int64_t uncached = prefill(prompt, s->next);
+    int64_t uncached = prefill(prompt, was_imported(s->id) ? 0 : s->next);
     pthread_mutex_unlock(&eng.lock);
     free(prompt);
     json_object_put(o);
@@ -277,9 +289,16 @@
 
 static enum MHD_Result import_kv(struct si_req *req)
 {
-    struct json_object *o = json_tokener_parse(req->body.data);
-    char *prompt = prompt_of(o);
+    struct json_object *o = json_tokener_parse(req->body.data), *completion, *id;
+    if (!json_object_object_get_ex(o, "completion", &completion) ||
+        !json_object_object_get_ex(o, "request_id", &id)) {
+        json_object_put(o);
+        return si_reply(req, 400, "", 0, NULL);
+    }
+    char *prompt = prompt_of(completion);
     pthread_mutex_lock(&eng.lock);
+    rk_strcpy(eng.imported[eng.imports++ % MAX_IMPORTED], RK_ID_MAX,
+              json_object_get_string(id));
     int64_t before = eng.prefill_tokens, hits = eng.hit_tokens;
     prefill(prompt, 0);
     eng.prefill_tokens = before;
--- a/tests/proc_reclaim.py
+++ b/tests/proc_reclaim.py
@@ -46,7 +46,29 @@
         t.join()
         assert out[0].whole() and out[0].text() == want
         m = metrics(e.port)
-        return "moved with %d tokens recomputed" % m["recomputed_tokens_total"]
+        assert m["kv_moves_total"] == 1 and m["recomputed_tokens_total"] == 0, m
+
+
+def recomputed(kv_move):
+    """Tokens the engines prefilled again, as they counted, for one moved stream."""
+    with small(engines=2, services=0) as c:
+        c.put_change(2, {"id": "kv", "set": {"/services/booking/kv_move": kv_move}})
+        c.wait_head(2)
+        e = c.entries[0]
+        t, out = background(lambda: chat(e.port, PROMPT, max_tokens=100))
+        wait_for(lambda: metrics(e.port)["tokens_total"] > 5, 10, "tokens")
+        vm = busy_engine(c, e)
+        before = sum(get_json(m.port, "/_runs")["prefill_tokens"] for m in c.engines)
+        c.reclaim(vm.name, in_ms=900)
+        t.join()
+        assert out[0].whole()
+        return sum(get_json(m.port, "/_runs")["prefill_tokens"] for m in c.engines) - before
+
+
+def test_moved_streams_take_their_kv_cache_along():
+    without, taken = recomputed(False), recomputed(True)
+    assert taken < without / 4, (taken, without)
+    return "%d tokens recomputed with the KV cache, %d without" % (taken, without)
 
 
 def test_a_whole_domain_is_reclaimed_with_the_keepers_dead():
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -394,13 +394,39 @@
                 rk_plan_price(&in, &in.classes[1]));
 }
 
+/* A vm is stopped for a cheaper one only when that is ready. */
+static void dear_vms_are_replaced(void **state)
+{
+    (void)state;
+    struct rk_plan_input in = plan_input();
+    struct rk_plan plan;
+    in.classes[1].held = in.classes[1].ready = 2;
+    in.demand_slots = 6;
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.len, 1);
+    assert_int_equal(plan.actions[0].kind, RK_PLAN_START);
+    assert_int_equal(plan.actions[0].cls, 0);
+    in.classes[0].held = plan.actions[0].count;
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.len, 0); /* still starting */
+    in.classes[0].ready = in.classes[0].held;
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.len, 1);
+    assert_int_equal(plan.actions[0].kind, RK_PLAN_STOP);
+    assert_int_equal(plan.actions[0].cls, 1);
+    in.classes[0].price = 2.9; /* too little to gain */
+    in.classes[0].held = in.classes[0].ready = 0;
+    rk_plan_make(&in, &plan);
+    assert_int_equal(plan.len, 0);
+}
+
 static void stops_keep_the_floor(void **state)
 {
     (void)state;
     struct rk_plan_input in = plan_input();
     struct rk_plan plan;
-    in.classes[0].held = 6;
-    in.classes[1].held = 2;
+    in.classes[0].held = in.classes[0].ready = 6;
+    in.classes[1].held = in.classes[1].ready = 2;
     in.demand_slots = 6;
     in.urgent_slots = 6;
     rk_plan_make(&in, &plan);
@@ -474,6 +500,7 @@
         cmocka_unit_test(urgent_work_gets_a_floor),
         cmocka_unit_test(refused_starts_back_off_and_turn_elsewhere),
         cmocka_unit_test(weights_decide_between_price_and_recompute),
+        cmocka_unit_test(dear_vms_are_replaced),
         cmocka_unit_test(stops_keep_the_floor),
         cmocka_unit_test(budgets_bound_retries),
         cmocka_unit_test(a_lost_race_is_followed_by_a_read),
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -137,7 +137,122 @@
         print("  idle: %.2f%% of a core" % ((cpu_s(e) - before) / 5 * 100))
 
 
-SECTIONS = {"routing": routing, "routing2": routing2, "overhead": overhead}
+def tool_lines(name):
+    out = subprocess.run([os.path.join(os.path.dirname(os.path.abspath(__file__)), "..",
+                                       BUILD, name)], stdout=subprocess.PIPE, check=True)
+    return [json.loads(x) for x in out.stdout.splitlines()]
+
+
+def slopes():
+    print("slopes: the core alone, in one process")
+    rows = tool_lines("slopes")
+    for r in rows:
+        print("  %3d nodes, %d domains, %3d workers: decision %.2f us (x%.2f); rows %.0f kB"
+              " a node; gossip sent %.0f B/s (most %.0f), %.1f us of processor a second; a"
+              " mark nobody pushed reaches all in %d rounds (%d with 10%% dead)" % (
+                  r["nodes"], r["domains"], r["workers"], r["decision_us"],
+                  r["decision_us"] / rows[0]["decision_us"], r["rows_bytes"] / 1000,
+                  r["gossip_bytes_s"], r["gossip_bytes_s_most"], r["gossip_cpu_us_s"],
+                  r["spread_rounds"], r["spread_rounds_10pct_dead"]))
+
+
+def plan():
+    print("holding vms over a modelled day of prices, waves and refused starts; ratios to "
+          "the plan")
+    base = None
+    for r in tool_lines("holding"):
+        if r["policy"] == "plan":
+            base = r
+        print("  %-9s %-26s cost/1000 slot s at target %.4f (x%.2f)  missed %.3f%% urgent "
+              "%.4f%%  recomputed: no KV %d, KV %d, long moved first %d, last %d" % (
+                  r["user"], r["policy"], r["cost_per_1000_slot_s_met"],
+                  r["cost_per_1000_slot_s_met"] / base["cost_per_1000_slot_s_met"],
+                  r["missed_pct"], r["urgent_missed_pct"], r["recomputed_no_kv"],
+                  r["recomputed_kv"], r["recomputed_long_first"],
+                  r["recomputed_long_last"]))
+
+
+def rss_kb(p):
+    with open("/proc/%d/status" % p.popen.pid) as f:
+        return next(int(x.split()[1]) for x in f if x.startswith("VmRSS"))
+
+
+def users():
+    print("both users' workloads, open loop, a reclaim of two engines in the middle")
+    cases = [("hospital", "etc/hospital.json", "klein-hall", "booking", "slots", "12"),
+             ("taxi", "etc/taxi.json", "kadikoy", "dispatch", "rides", "14")]
+    for name, settings, domain, engine, plain, rate in cases:
+        with Cluster(build=BUILD, settings=settings, domains=[domain], entries=2, engines=6,
+                     services=2, engine_service=engine, plain_service=plain,
+                     entry_args=["--quiet"]) as c:
+            def wave(cluster=c):
+                time.sleep(8)
+                for m in cluster.engines[:2]:
+                    cluster.reclaim(m.name, in_ms=2000)
+                time.sleep(2.1)
+                for m in cluster.engines[:2]:
+                    m.kill()
+            t = threading.Thread(target=wave)
+            t.start()
+            r = load(c, c.entries, ["-p", name, "-m", engine, "-n", "300", "-r", rate])
+            t.join()
+            m = [metrics(e.port) for e in c.entries]
+            price = 0.9 if name == "hospital" else 0.8
+            vm_hours = (6 * r["seconds"] - 2 * (r["seconds"] - 10)) / 3600
+            print("  %-9s %d of %d whole; first p50 %.0f p95 %.0f ms; between tokens p95 %.1f"
+                  " ms; %d tokens recomputed in %d resumes; cost per 1000 whole %.3f" % (
+                      name, r["whole"], r["requests"], r["first_ms"]["p50"],
+                      r["first_ms"]["p95"], r["token_gap_ms"]["p95"],
+                      sum(x["recomputed_tokens_total"] for x in m),
+                      sum(x["stream_resumes_total"] for x in m),
+                      vm_hours * price / max(1, r["whole"]) * 1000))
+
+
+def gossip():
+    """Control's cost with real processes, at growing sizes of one failure domain."""
+    print("control of real processes over 20 s at rest, by nodes and vms of a domain")
+    for domains, nodes, vms in ((1, 6, 12), (1, 24, 40), (1, 46, 86), (3, 46, 86)):
+        names = ["d%d" % i for i in range(domains)]
+        with Cluster(build=BUILD, domains=names, entries=nodes, engines=2, services=0,
+                     entry_args=["--quiet"]) as c:
+            for d in names:
+                real = [m for m in c.engines if m.domain == d]
+                for i in range(vms - 2):
+                    c.list_vm("%s-x%d" % (d, i), real[i % 2].port, d, "booking", "standard")
+            c.wait_ready()
+            time.sleep(8)
+            stats = get_json(c.platform.port, "/_stats")
+            before = [(metrics(e.port), cpu_s(e)) for e in c.entries]
+            time.sleep(20)
+            after = [(metrics(e.port), cpu_s(e)) for e in c.entries]
+            stats2 = get_json(c.platform.port, "/_stats")
+            sent = sorted((b[0]["peer_bytes_sent_total"] - a[0]["peer_bytes_sent_total"]) / 20
+                          for a, b in zip(before, after))
+            cpu = sorted((b[1] - a[1]) / 20 * 100 for a, b in zip(before, after))
+            rss = sorted(rss_kb(e) for e in c.entries)
+            start = time.monotonic()
+            c.reclaim(names[0] + "-x1", in_ms=30000)
+            mine = [e for e in c.entries if e.domain == names[0]]
+            while not all(v["state"] != "live" for e in mine
+                          for v in get_json(e.port, "/status")["vms"]
+                          if v["id"] == names[0] + "-x1"):
+                pass
+            mark = (time.monotonic() - start) * 1000
+            start = time.monotonic()
+            c.put_change(2, {"id": "g", "set": {"/max_calls": 4321}})
+            c.wait_head(2)
+            change = (time.monotonic() - start) * 1000
+            print("  %d x %2d nodes, %2d vms: sent %.0f B/s a node (most %.0f); %.2f%% of a "
+                  "core (most %.2f%%); %.1f MB resident (most %.1f); platform %.1f reads/s; "
+                  "mark known to all in %.0f ms, a change in %.0f ms" % (
+                      domains, nodes, vms, sum(sent) / len(sent), sent[-1],
+                      sum(cpu) / len(cpu), cpu[-1], sum(rss) / len(rss) / 1000,
+                      rss[-1] / 1000, (stats2["reads"] - stats["reads"]) / 20, mark, change),
+                  flush=True)
+
+
+SECTIONS = {"routing": routing, "routing2": routing2, "overhead": overhead, "users": users,
+            "plan": plan, "slopes": slopes, "gossip": gossip}
 
 
 def main():
