--- a/tests/run.py
+++ b/tests/run.py
@@ -22,6 +22,24 @@
 TEST_TIMEOUT_S = 400
 
 
+# What each file proves, in the order of the table that --prove prints.
+PROMISES = {
+    "proc_reclaim": "1, 5  accepted work survives a reclaim; a leaving vm gets no new work",
+    "proc_answers": "2     whole answers to the right caller",
+    "proc_refusals": "3     a refusal that says not run is true",
+    "proc_once": "4     at most once",
+    "prop_claims": "4     at most once, any order",
+    "proc_stop": "6     a planned stop cuts off nothing",
+    "proc_settings": "7     settings in force, never reverting",
+    "proc_keeper": "8     leases and orders",
+    "proc_overload": "9     overload",
+    "proc_input": "10    bad input",
+    "prop_fuzz": "10    bad input, bytes",
+    "prop_core": "2-9   rows, streams, leases, shares in any order",
+    "proc_traces": "all   recorded traces as stated",
+}
+
+
 def known_red():
     path = os.path.join(ROOT, "KNOWN-RED.txt")
     if not os.path.exists(path):
@@ -91,6 +109,16 @@
     print("measured: %s" % out if out else "")
 
 
+def print_table(table):
+    print("\nWhat was proved in this run, with the counts as the upstreams saw them:")
+    for module, promise in PROMISES.items():
+        rows = table.get(module, [])
+        print("\n%s: %d of %d" % (promise, sum(ok for _, ok, _ in rows), len(rows)))
+        for test, ok, measured in sorted(rows):
+            print("  %-7s %-66s %s" % ("holds" if ok else "FAILED",
+                                       test.replace("test_", "").replace("_", " "), measured))
+
+
 def main():
     p = argparse.ArgumentParser()
     p.add_argument("--build", default="build")
@@ -107,10 +135,13 @@
         run_one(args.one, args.build)
         return 0
     red, passed, failed, expected = known_red(), 0, 0, []
+    table = {}
 
     def report(name, ok, out, took=None):
         nonlocal passed, failed
         measured = re.findall(r"^measured: (.+)$", out, re.M)
+        table.setdefault(name.split(".")[0], []).append(
+            (name.split(".")[-1], ok, measured[0] if measured else ""))
         if not ok and name in red:
             expected.append(red[name])
             print("known red  %s" % name)
@@ -139,6 +170,8 @@
             for f in concurrent.futures.as_completed(futures):
                 ok, out, took = f.result()
                 report("%s.%s" % futures[f], ok, out, took)
+    if args.prove:
+        print_table(table)
     for line in expected:
         print("KNOWN-RED: %s" % line)
     if not args.no_count:
