--- a/callers/callers.c
+++ b/callers/callers.c
@@ -1,6 +1,5 @@
 #include "callers/callers.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -11,6 +10,7 @@
 
 #include "callers/pages.h"
 #include "callers/parse.h"
+#include "common/addr.h"
 #include "common/counters.h"
 #include "common/loop.h"
 #include "common/status.h"
@@ -371,24 +371,11 @@
 
 /* ---- making ---- */
 
-static bool parse_listen(const char *s, struct sockaddr_in *out)
-{
-    char ip[RK_ADDR_MAX];
-    const char *colon = strrchr(s, ':');
-    if (!colon || (size_t)(colon - s) >= sizeof(ip))
-        return false;
-    memcpy(ip, s, (size_t)(colon - s));
-    ip[colon - s] = '\0';
-    *out = (struct sockaddr_in){.sin_family = AF_INET,
-                                .sin_port = htons((uint16_t)atoi(colon + 1))};
-    return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 struct rk_callers *rk_callers_create(struct rk_traffic *t,
                                      const struct rk_callers_options *opt)
 {
     struct sockaddr_in addr;
-    if (!parse_listen(opt->listen, &addr)) {
+    if (!rk_addr_parse(opt->listen, &addr)) {
         rk_fail(RK_EINVAL, "%s: expected ip:port", opt->listen);
         return NULL;
     }
--- a/cloud/cloud.c
+++ b/cloud/cloud.c
@@ -1,11 +1,11 @@
 #include "cloud/cloud.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "common/counters.h"
+#include "common/json.h"
 #include "common/rest.h"
 
 #define URL_MAX          256
@@ -19,15 +19,10 @@
 
 static void parse_notice(struct json_object *o, struct rk_notice *n)
 {
-    struct json_object *v;
-    if (json_object_object_get_ex(o, "seq", &v))
-        n->seq = json_object_get_int64(v);
-    if (json_object_object_get_ex(o, "id", &v))
-        rk_strcpy(n->vm, sizeof(n->vm), json_object_get_string(v));
-    if (json_object_object_get_ex(o, "incarnation", &v))
-        n->incarnation = (uint64_t)json_object_get_int64(v);
-    if (json_object_object_get_ex(o, "in_ms", &v))
-        n->in_ms = json_object_get_int64(v);
+    n->seq = rk_json_int(o, "seq", 0);
+    n->incarnation = (uint64_t)rk_json_int(o, "incarnation", 0);
+    n->in_ms = rk_json_int(o, "in_ms", 0);
+    rk_strcpy(n->vm, sizeof(n->vm), rk_json_str(o, "id"));
 }
 
 static void end_notices(struct op *op, const struct rk_rest_answer *answer)
@@ -48,11 +43,10 @@
 
 static void end_order(struct op *op, const struct rk_rest_answer *answer)
 {
-    struct json_object *o = json_tokener_parse(answer->body), *id = NULL;
-    bool named = json_object_object_get_ex(o, "id", &id);
+    struct json_object *o = json_tokener_parse(answer->body);
     bool refused = answer->http_status == HTTP_NO_CAPACITY;
     op->fn(op->ctx, refused ? RK_EUNAVAILABLE : answer->status,
-           named ? json_object_get_string(id) : "");
+           rk_json_str(o, "id"));
     json_object_put(o);
 }
 
--- /dev/null
+++ b/common/json.h
@@ -0,0 +1,30 @@
+/* Look-ups in json-c objects. A missing member, or a NULL object, is no error. */
+#ifndef RK_COMMON_JSON_H
+#define RK_COMMON_JSON_H
+
+#include <json-c/json.h>
+#include <stdint.h>
+
+/* The member, borrowed; NULL when there is none. */
+static inline struct json_object *rk_json_get(struct json_object *o,
+                                              const char *name)
+{
+    struct json_object *v = NULL;
+    return json_object_object_get_ex(o, name, &v) ? v : NULL;
+}
+
+/* The member as text, borrowed; "" when there is none. */
+static inline const char *rk_json_str(struct json_object *o, const char *name)
+{
+    struct json_object *v = rk_json_get(o, name);
+    return v ? json_object_get_string(v) : "";
+}
+
+static inline int64_t rk_json_int(struct json_object *o, const char *name,
+                                  int64_t fallback)
+{
+    struct json_object *v = rk_json_get(o, name);
+    return v ? json_object_get_int64(v) : fallback;
+}
+
+#endif
--- a/control/control.c
+++ b/control/control.c
@@ -50,8 +50,7 @@
     const struct rk_member *self = rk_members_self(c->members);
     static int place[RK_MAX_MEMBERS];
     v->serial = ++c->serial;
-    v->config = rk_config_create(rk_changelog_tree(c->changes),
-                                 rk_changelog_head(c->changes));
+    v->config = rk_config_ref(c->config);
     rk_strcpy(v->self, sizeof(v->self), self->id);
     rk_strcpy(v->domain, sizeof(v->domain), self->domain);
     v->leaving = self->leaving;
--- a/control/gossip.c
+++ b/control/gossip.c
@@ -17,15 +17,25 @@
 #define FORGET_MS       600000
 #define SEED_EVERY      5 /* rounds between words to a seed or a dead member */
 #define BRIDGE_EVERY    2 /* rounds between a bridge's words to other domains */
+#define DIFFERS_LIMIT   3 /* messages with other digests before all is told */
 #define CHANGES_A_FRAME 64
 
+/* What a peer was told. A peer begins with this node's own row and the digests;
+ * if its rows differ it is sent all, at once when it is new to us, later only if
+ * they differ for a while (rows are on their way all the time). */
+struct told {
+    uint64_t mark; /* rows up to here */
+    bool known;    /* it has answered since */
+    int differs;   /* messages in a row with other digests */
+};
+
 /* A link to a peer's control thread. */
 struct contact {
     struct rk_gossip *g;
     char addr[RK_ADDR_MAX];
     char id[RK_ID_MAX]; /* "" until it told */
     struct rk_link *link;
-    uint64_t mark; /* rows up to here it was told */
+    struct told told;
     struct rk_timer reply;
     struct contact *next;
 };
@@ -35,7 +45,7 @@
     struct rk_gossip *g;
     struct rk_link *link;
     char id[RK_ID_MAX]; /* "" until it told */
-    uint64_t mark;      /* rows up to here it was told, while we have no contact */
+    struct told told;   /* while we have no contact */
     struct guest *next;
 };
 
@@ -58,29 +68,33 @@
     return rk_link_send(link, frame);
 }
 
-/* Send what changed after mark; returns the mark to use next. */
-static uint64_t send_rows(struct rk_gossip *g, struct rk_link *link,
-                          const char *peer_id, uint64_t mark, bool reply)
+/* Send what the peer hasn't been told, and this node's own row to who is new. */
+static void send_rows(struct rk_gossip *g, struct rk_link *link,
+                      const char *peer_id, struct told *told, bool reply)
 {
     const struct rk_members *m = g->c->members;
     const struct rk_member *self = rk_members_self(m);
     int peer = peer_id[0] ? rk_members_index(m, peer_id) : -1;
     const struct rk_member *to = peer >= 0 ? rk_members_at(m, (size_t)peer) : NULL;
-    rk_members_delta(m, mark, peer, rk_mono_ms(), &g->delta);
-    /* Rows of vms stay in their failure domain. */
-    bool with_vms = !to || !strcmp(to->domain, self->domain);
+    rk_members_delta(m, told->mark, peer, rk_mono_ms(), &g->delta);
+    if (!told->known && !g->delta.members_len)
+        g->delta.members[g->delta.members_len++] = 0;
+    struct rk_digest digest = rk_members_digest(m);
     struct rk_rows rows;
-    rk_rows_fill(&rows, m, &g->delta, with_vms);
+    /* Rows of vms stay in their failure domain. */
+    rk_rows_fill(&rows, m, &g->delta, !to || !strcmp(to->domain, self->domain));
     rows.gossip.from = (char *)self->id;
     rows.gossip.from_addr = (char *)self->control_addr;
     rows.gossip.reply = reply;
     rows.gossip.head = rk_changelog_head(g->c->changes);
+    rows.gossip.members_digest = digest.members;
+    rows.gossip.vms_digest = digest.vms;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_GOSSIP;
     frame.gossip = &rows.gossip;
-    bool sent = send_frame(link, &frame);
+    if (send_frame(link, &frame))
+        told->mark = g->delta.next_mark;
     rk_rows_free(&rows);
-    return sent ? g->delta.next_mark : mark;
 }
 
 static void ask_changes(struct rk_gossip *g, struct rk_link *link)
@@ -211,6 +225,37 @@
     }
 }
 
+static bool in_domain(const struct rk_gossip *g, const struct rk_member *m)
+{
+    return !strcmp(m->domain, rk_members_self(g->c->members)->domain);
+}
+
+/* ---- what a peer was told ---- */
+
+static struct told fresh(const struct rk_gossip *g)
+{
+    return (struct told){.mark = rk_members_mark(g->c->members)};
+}
+
+/* After its rows were taken in: does the peer still lack some of ours, or we of
+ * its? Then tell it all; it does the same. */
+static void compare_rows(struct rk_gossip *g, struct told *told,
+                         const Rillknot__Gossip *msg)
+{
+    const struct rk_member *peer = rk_members_find(g->c->members, msg->from);
+    struct rk_digest mine = rk_members_digest(g->c->members);
+    bool same = msg->members_digest == mine.members;
+    if (peer && in_domain(g, peer))
+        same = same && msg->vms_digest == mine.vms;
+    bool first = !told->known;
+    told->known = true;
+    told->differs = same ? 0 : told->differs + 1;
+    if (same || (!first && told->differs < DIFFERS_LIMIT))
+        return;
+    told->differs = 0;
+    told->mark = 0;
+}
+
 /* ---- contacts ---- */
 
 static struct guest *find_guest(struct rk_gossip *g, const char *id)
@@ -236,7 +281,7 @@
     *p = k->next;
     struct guest *guest = k->id[0] ? find_guest(k->g, k->id) : NULL;
     if (guest)
-        guest->mark = 0; /* what was sent last may be lost */
+        guest->told.mark = 0; /* what was sent last may be lost */
     free_contact(k);
 }
 
@@ -263,6 +308,8 @@
         rk_strcpy(k->id, sizeof(k->id), frame->gossip->from);
     }
     take_common(k->g, link, frame);
+    if (frame->body_case == RILLKNOT__FRAME__BODY_GOSSIP)
+        compare_rows(k->g, &k->told, frame->gossip);
 }
 
 static void on_contact_down(void *ctx, struct rk_link *link)
@@ -298,7 +345,7 @@
         return NULL;
     }
     struct guest *guest = id[0] ? find_guest(g, id) : NULL;
-    k->mark = guest ? guest->mark : 0;
+    k->told = guest ? guest->told : fresh(g);
     k->next = g->contacts;
     g->contacts = k;
     return k;
@@ -317,7 +364,7 @@
     struct contact *k = contact(g, addr, id);
     if (!k)
         return;
-    k->mark = send_rows(g, k->link, k->id, k->mark, false);
+    send_rows(g, k->link, k->id, &k->told, false);
     rk_count(RK_C_GOSSIP_ROUNDS, 1);
     if (!k->reply.slot)
         rk_timer_start(g->c->loop, &k->reply, REPLY_MS);
@@ -331,7 +378,8 @@
     struct guest *guest = ctx;
     struct rk_gossip *g = guest->g;
     if (frame->body_case == RILLKNOT__FRAME__BODY_STATE_WANTED) {
-        send_rows(g, link, "", 0, true);
+        struct told nothing = {.known = true};
+        send_rows(g, link, "", &nothing, true);
         send_changes(g, link, -1);
         return;
     }
@@ -341,8 +389,9 @@
     /* Answer over the same link, from the mark of our own contact there. */
     rk_strcpy(guest->id, sizeof(guest->id), frame->gossip->from);
     struct contact *k = find_contact(g, guest->id);
-    uint64_t *mark = k ? &k->mark : &guest->mark;
-    *mark = send_rows(g, link, frame->gossip->from, *mark, true);
+    struct told *told = k ? &k->told : &guest->told;
+    compare_rows(g, told, frame->gossip);
+    send_rows(g, link, guest->id, told, true);
 }
 
 static void on_guest_down(void *ctx, struct rk_link *link)
@@ -355,7 +404,7 @@
     /* What we answered last may not have come through: tell it all again. */
     struct contact *k = guest->id[0] ? find_contact(guest->g, guest->id) : NULL;
     if (k)
-        k->mark = 0;
+        k->told.mark = 0;
     rk_link_destroy(link);
     free(guest);
 }
@@ -367,18 +416,14 @@
 {
     struct rk_gossip *g = ctx;
     struct guest *guest = rk_alloc(1, sizeof(*guest));
-    *guest = (struct guest){.g = g, .link = link, .next = g->guests};
+    *guest =
+        (struct guest){.g = g, .link = link, .told = fresh(g), .next = g->guests};
     g->guests = guest;
     rk_link_set_ctx(link, guest);
 }
 
 /* ---- rounds ---- */
 
-static bool in_domain(const struct rk_gossip *g, const struct rk_member *m)
-{
-    return !strcmp(m->domain, rk_members_self(g->c->members)->domain);
-}
-
 /* Walk the members in turn, so that each is probed within one lap. */
 static void talk_in_domain(struct rk_gossip *g)
 {
--- a/control/settings_sync.c
+++ b/control/settings_sync.c
@@ -2,10 +2,10 @@
  * platform when it starts, watches it while it is one of its failure domain's
  * watchers, and otherwise hears of changes from peers. */
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "common/json.h"
 
 #include "common/eventlog.h"
 #include "control/state.h"
@@ -98,9 +98,8 @@
 
 static int64_t snapshot_number(const char *value)
 {
-    struct json_object *o = json_tokener_parse(value), *v;
-    int64_t head =
-        json_object_object_get_ex(o, "head", &v) ? json_object_get_int64(v) : 0;
+    struct json_object *o = json_tokener_parse(value);
+    int64_t head = rk_json_int(o, "head", 0);
     json_object_put(o);
     return head;
 }
--- a/core/changes.c
+++ b/core/changes.c
@@ -1,11 +1,11 @@
 #include "core/changes.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json.h"
 #include "common/util.h"
 
 /* Changes kept for peers; who is further behind takes a snapshot. */
@@ -34,12 +34,6 @@
     return *end || n <= 0 ? -1 : n;
 }
 
-static struct json_object *get(struct json_object *o, const char *name)
-{
-    struct json_object *v = NULL;
-    return json_object_object_get_ex(o, name, &v) ? v : NULL;
-}
-
 /* Set or delete one path in a tree that is ours to change. */
 static bool set_path(struct json_object *root, const char *path,
                      struct json_object *v)
@@ -54,7 +48,7 @@
             return false;
         memcpy(part, p, (size_t)(slash - p));
         part[slash - p] = '\0';
-        struct json_object *next = get(at, part);
+        struct json_object *next = rk_json_get(at, part);
         if (!next) {
             next = json_object_new_object();
             json_object_object_add(at, part, next);
@@ -77,7 +71,7 @@
  * a tree without services may still choose it. */
 static bool moves_keys(const struct rk_settings *from, const struct rk_settings *to)
 {
-    return get(rk_settings_json(from), "services") &&
+    return rk_json_get(rk_settings_json(from), "services") &&
            rk_settings_int(from, "", "claim_shards") !=
                rk_settings_int(to, "", "claim_shards");
 }
@@ -88,7 +82,7 @@
 {
     struct json_object *root = NULL;
     struct json_object *c = json_tokener_parse(change);
-    struct json_object *set = get(c, "set");
+    struct json_object *set = rk_json_get(c, "set");
     enum rk_status st = RK_OK;
     problems->count = 0;
     if (!json_object_is_type(set, json_type_object)) {
@@ -134,7 +128,7 @@
 bool rk_changes_conflict(const char *a, const char *b)
 {
     struct json_object *x = json_tokener_parse(a), *y = json_tokener_parse(b);
-    struct json_object *sx = get(x, "set"), *sy = get(y, "set");
+    struct json_object *sx = rk_json_get(x, "set"), *sy = rk_json_get(y, "set");
     bool conflict = false;
     if (sx && sy) {
         json_object_object_foreach(sx, px, vx)
@@ -213,8 +207,8 @@
 enum rk_status rk_changelog_restore(struct rk_changelog *log, const char *snapshot)
 {
     struct json_object *o = json_tokener_parse(snapshot);
-    struct json_object *tree = get(o, "tree");
-    int64_t head = json_object_get_int64(get(o, "head"));
+    struct json_object *tree = rk_json_get(o, "tree");
+    int64_t head = json_object_get_int64(rk_json_get(o, "head"));
     struct rk_settings *s = NULL;
     struct rk_problems problems;
     enum rk_status st = RK_OK;
--- a/core/claims.c
+++ b/core/claims.c
@@ -10,7 +10,7 @@
 
 #define BUCKETS           1024
 #define KEY_TEXT_LEN      40 /* 16 + 16 + 8 hex digits */
-#define MAX_TAKEOVERS     4  /* tries in a row before claims are refused */
+#define TAKEOVER_PAUSE_MS 15 /* after each lost race for the shard, growing */
 #define RETRY_AFTER_MS    1000
 #define RELOAD_PAUSE_MS   200
 #define AWAY_PATIENCE_PCT 10 /* of the patience, while the platform is away */
@@ -396,12 +396,17 @@
 {
     if (!c->pending || now_ms < c->not_before_ms)
         return;
+    /* Credit first: a ring that was read must be written while it is fresh. */
+    bool begins =
+        c->state == OWNER_NONE || (c->state == OWNER_READY && !c->unresolved);
+    if (begins && !has_credit(c, now_ms))
+        return;
     if (c->state == OWNER_NONE) {
         start_read(c);
     } else if (c->state == OWNER_READY && c->unresolved) {
         c->state = OWNER_CHECKING;
         c->ops->read_slot(c->ctx, c->cfg.shard, c->write_slot);
-    } else if (c->state == OWNER_READY && has_credit(c, now_ms)) {
+    } else if (c->state == OWNER_READY) {
         c->credit -= 1;
         start_write(c, wall_ms);
     }
@@ -416,11 +421,11 @@
     clear_current(c);
     for (struct entry *e = c->pending; e; e = e->next_wait)
         e->in_batch = false;
-    if (++c->takeovers >= MAX_TAKEOVERS) {
-        c->takeovers = 0;
-        c->not_before_ms = now_ms + RELOAD_PAUSE_MS;
-        refuse_pending(c, "the shard changes hands");
-    }
+    /* Another node believes it owns the shard, too, until its view and ours are
+     * one: give way a little longer each time, by an amount of our own. */
+    c->takeovers++;
+    int64_t pause = c->takeovers * TAKEOVER_PAUSE_MS;
+    c->not_before_ms = now_ms + pause + (int64_t)(c->nonce % TAKEOVER_PAUSE_MS);
 }
 
 static void grant(struct rk_claims *c, struct entry *e)
--- a/core/claims.h
+++ b/core/claims.h
@@ -25,7 +25,7 @@
 #include "core/verdict.h"
 
 #define RK_CLAIM_SLOTS     32
-#define RK_CLAIM_SLOT_KEYS 512
+#define RK_CLAIM_SLOT_KEYS 1024
 
 /* Writes a shard may make from standing, above its rate: while little is asked, a
  * claim waits for no other. */
--- a/core/completion.c
+++ b/core/completion.c
@@ -1,29 +1,23 @@
+#include "common/json.h"
 #include "core/completion.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <string.h>
 
 #include "core/prefix.h"
 
 #define MAX_TOKENS_LIMIT 1000000
 
-static struct json_object *member(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? v : NULL;
-}
-
 static enum rk_status read_messages(struct json_object *o,
                                     struct rk_prompt_reader *r)
 {
-    struct json_object *messages = member(o, "messages");
+    struct json_object *messages = rk_json_get(o, "messages");
     if (!json_object_is_type(messages, json_type_array) ||
         !json_object_array_length(messages))
         return rk_fail(RK_EINVAL, "messages: expected a list of messages");
     for (size_t i = 0; i < json_object_array_length(messages); i++) {
         struct json_object *content =
-            member(json_object_array_get_idx(messages, i), "content");
+            rk_json_get(json_object_array_get_idx(messages, i), "content");
         if (!json_object_is_type(content, json_type_string))
             return rk_fail(RK_EINVAL, "messages[%zu].content: expected a string",
                            i);
@@ -36,7 +30,7 @@
 
 static enum rk_status read_prompt(struct json_object *o, struct rk_prompt_reader *r)
 {
-    struct json_object *prompt = member(o, "prompt");
+    struct json_object *prompt = rk_json_get(o, "prompt");
     if (!json_object_is_type(prompt, json_type_string))
         return rk_fail(RK_EINVAL, "prompt: expected a string");
     rk_prompt_add(r, json_object_get_string(prompt),
@@ -46,7 +40,8 @@
 
 static enum rk_status read_options(struct json_object *o, struct rk_completion *out)
 {
-    struct json_object *model = member(o, "model"), *max = member(o, "max_tokens");
+    struct json_object *model = rk_json_get(o, "model"),
+                       *max = rk_json_get(o, "max_tokens");
     if (!json_object_is_type(model, json_type_string) ||
         !rk_strcpy(out->model, sizeof(out->model), json_object_get_string(model)))
         return rk_fail(RK_EINVAL, "model: expected the name of a model");
@@ -58,7 +53,7 @@
             return rk_fail(RK_EINVAL, "max_tokens: expected a number from 1 to %d",
                            MAX_TOKENS_LIMIT);
     }
-    out->stream = json_object_get_boolean(member(o, "stream"));
+    out->stream = json_object_get_boolean(rk_json_get(o, "stream"));
     return RK_OK;
 }
 
--- a/core/config.c
+++ b/core/config.c
@@ -186,6 +186,7 @@
 {
     struct rk_config *c = rk_alloc(1, sizeof(*c));
     struct build b = {.s = s, .c = c};
+    c->refs = 1;
     c->head = head;
     each_node(section(s, "services"), add_service, &b);
     each_node(section(s, "classes"), add_class, &b);
@@ -207,9 +208,15 @@
     return c;
 }
 
+struct rk_config *rk_config_ref(struct rk_config *c)
+{
+    c->refs++;
+    return c;
+}
+
 void rk_config_destroy(struct rk_config *c)
 {
-    if (!c)
+    if (!c || --c->refs)
         return;
     free(c->policies);
     free(c->classes);
--- a/core/config.h
+++ b/core/config.h
@@ -51,6 +51,7 @@
 };
 
 struct rk_config {
+    int refs; /* of one thread: control's */
     int64_t head;
     struct rk_policy *policies;
     size_t policies_len;
@@ -69,6 +70,8 @@
 };
 
 struct rk_config *rk_config_create(const struct rk_settings *s, int64_t head);
+/* One more owner; each calls rk_config_destroy(). Control thread only. */
+struct rk_config *rk_config_ref(struct rk_config *c);
 void rk_config_destroy(struct rk_config *c);
 
 /* The policy of a call; falls back to its service's. NULL: no such service. */
--- a/core/lease.c
+++ b/core/lease.c
@@ -1,7 +1,7 @@
+#include "common/json.h"
 #include "core/lease.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -10,12 +10,6 @@
     return l->life_ms - l->life_ms * RK_LEASE_MARGIN_PCT / 100;
 }
 
-static int64_t number(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
-}
-
 void rk_lease_seen(struct rk_lease *l, int64_t version, const char *value,
                    int64_t now_ms)
 {
@@ -25,17 +19,15 @@
         return;
     l->version = version;
     l->seen_ms = now_ms;
-    struct json_object *o = version ? json_tokener_parse(value) : NULL, *v;
-    l->epoch = number(o, "epoch");
-    bool named = json_object_object_get_ex(o, "holder", &v);
-    rk_strcpy(l->seen_holder, sizeof(l->seen_holder),
-              named ? json_object_get_string(v) : "");
+    struct json_object *o = version ? json_tokener_parse(value) : NULL;
+    l->epoch = rk_json_int(o, "epoch", 0);
+    rk_strcpy(l->seen_holder, sizeof(l->seen_holder), rk_json_str(o, "holder"));
     l->held =
         version && !strcmp(l->seen_holder, l->holder) && l->epoch == l->held_epoch;
     /* Maybe by a write whose answer was lost. The lease counts from when that
      * very write began, which the value tells: a later try proves nothing. */
     if (l->held)
-        l->held_from_ms = number(o, "beat");
+        l->held_from_ms = rk_json_int(o, "beat", 0);
     json_object_put(o);
 }
 
--- a/core/members.c
+++ b/core/members.c
@@ -414,3 +414,26 @@
             out->loads[out->loads_len++] = (uint16_t)i;
     }
 }
+
+uint64_t rk_members_mark(const struct rk_members *m)
+{
+    return m->seq;
+}
+
+struct rk_digest rk_members_digest(const struct rk_members *m)
+{
+    struct rk_digest d = {0};
+    for (size_t i = 0; i < m->members_len; i++) {
+        const struct rk_member *row = &m->members[i];
+        uint64_t about[] = {row->incarnation, row->leaving};
+        if (row->state != RK_MEMBER_DEAD)
+            d.members ^= rk_hash(rk_hash_str(0, row->id), about, sizeof(about));
+    }
+    for (size_t i = 0; i < m->vms_len; i++) {
+        const struct rk_vm *v = &m->vms[i];
+        uint64_t about[] = {v->incarnation, v->state};
+        if (v->state != RK_VM_GONE)
+            d.vms ^= rk_hash(rk_hash_str(0, v->id), about, sizeof(about));
+    }
+    return d;
+}
--- a/core/members.h
+++ b/core/members.h
@@ -126,6 +126,16 @@
 void rk_members_delta(const struct rk_members *m, uint64_t mark, int peer,
                       int64_t now_ms, struct rk_delta *out);
 
+/* Digests of the rows that matter (not the dead and gone): equal tables have
+ * equal digests. */
+struct rk_digest {
+    uint64_t members, vms;
+};
+struct rk_digest rk_members_digest(const struct rk_members *m);
+
+/* The mark that a peer starts from which is told only what changes from now on. */
+uint64_t rk_members_mark(const struct rk_members *m);
+
 int rk_members_index(const struct rk_members *m, const char *id);
 
 #endif
--- a/core/router.c
+++ b/core/router.c
@@ -80,6 +80,22 @@
     size_t orgs_len;
 };
 
+bool rk_route_policy_parse(const char *name, enum rk_route_policy *out)
+{
+    static const char *const names[] = {
+        [RK_ROUTE_ADAPTIVE] = "adaptive",
+        [RK_ROUTE_ROUND_ROBIN] = "round-robin",
+        [RK_ROUTE_LEAST_LOADED] = "least-loaded",
+        [RK_ROUTE_STICKY] = "sticky",
+    };
+    for (size_t i = 0; i < RK_ARRAY_LEN(names); i++)
+        if (!strcmp(names[i], name)) {
+            *out = (enum rk_route_policy)i;
+            return true;
+        }
+    return false;
+}
+
 struct rk_router *rk_router_create(uint64_t seed, enum rk_route_policy policy)
 {
     struct rk_router *r = rk_alloc(1, sizeof(*r));
--- a/core/router.h
+++ b/core/router.h
@@ -30,6 +30,10 @@
     RK_ROUTE_STICKY,
 };
 
+/* A policy by its name: adaptive, round-robin, least-loaded, sticky. False: none
+ * has it. */
+bool rk_route_policy_parse(const char *name, enum rk_route_policy *out);
+
 struct rk_router;
 
 enum rk_job_state { RK_JOB_NEW, RK_JOB_QUEUED, RK_JOB_SENT, RK_JOB_ENDED };
--- a/core/stream.c
+++ b/core/stream.c
@@ -1,6 +1,6 @@
+#include "common/json.h"
 #include "core/stream.h"
 
-#include <json-c/json.h>
 #include <string.h>
 
 #define END_MARK "[DONE]"
@@ -53,23 +53,17 @@
     rk_buf_free(&sse->line);
 }
 
-static struct json_object *member(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? v : NULL;
-}
-
 /* content of a chat chunk, or text of a plain one */
 static const char *chunk_text(struct json_object *o)
 {
-    struct json_object *choices = member(o, "choices");
+    struct json_object *choices = rk_json_get(o, "choices");
     if (!json_object_is_type(choices, json_type_array) ||
         !json_object_array_length(choices))
         return "";
     struct json_object *first = json_object_array_get_idx(choices, 0);
-    struct json_object *v = member(member(first, "delta"), "content");
+    struct json_object *v = rk_json_get(rk_json_get(first, "delta"), "content");
     if (!v)
-        v = member(first, "text");
+        v = rk_json_get(first, "text");
     return v ? json_object_get_string(v) : "";
 }
 
@@ -82,7 +76,8 @@
     }
     struct json_object *o = json_tokener_parse(data);
     enum rk_status st = RK_OK;
-    struct json_object *id = member(o, "id"), *index = member(o, "rk_index");
+    struct json_object *id = rk_json_get(o, "id"),
+                       *index = rk_json_get(o, "rk_index");
     if (!json_object_is_type(id, json_type_string) ||
         !rk_strcpy(out->id, sizeof(out->id), json_object_get_string(id)))
         st = rk_fail(RK_EPROTO, "a chunk without a usable id");
--- a/engines/side.c
+++ b/engines/side.c
@@ -1,10 +1,10 @@
 #include "engines/side.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "common/json.h"
 #include "common/rest.h"
 #include "common/util.h"
 
@@ -18,14 +18,6 @@
     void *ctx;
 };
 
-static uint32_t number(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v)
-               ? (uint32_t)json_object_get_int64(v)
-               : 0;
-}
-
 static void on_answer(void *ctx, const struct rk_rest_answer *answer)
 {
     struct op *op = ctx;
@@ -38,7 +30,8 @@
         enum rk_status st = answer->status;
         if (st == RK_OK && !json_object_is_type(o, json_type_object))
             st = RK_EPROTO;
-        op->on_load(op->ctx, st, number(o, "running"), number(o, "queued"));
+        op->on_load(op->ctx, st, (uint32_t)rk_json_int(o, "running", 0),
+                    (uint32_t)rk_json_int(o, "queued", 0));
         json_object_put(o);
     }
     free(op);
--- a/objects/objects.c
+++ b/objects/objects.c
@@ -1,12 +1,12 @@
 #include "objects/objects.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/counters.h"
+#include "common/json.h"
 #include "common/rest.h"
 #include "common/util.h"
 
@@ -39,12 +39,6 @@
     free(o);
 }
 
-static const char *json_str(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
-}
-
 static void end_list(struct op *op, const struct rk_rest_answer *answer)
 {
     enum rk_status st = answer->status;
@@ -55,11 +49,10 @@
     size_t len = st == RK_OK ? json_object_array_length(array) : 0;
     struct rk_object *os = rk_alloc(len + 1, sizeof(*os));
     for (size_t i = 0; i < len; i++) {
-        struct json_object *row = json_object_array_get_idx(array, i), *v;
-        rk_strcpy(os[i].name, sizeof(os[i].name), json_str(row, "name"));
-        if (json_object_object_get_ex(row, "version", &v))
-            os[i].version = json_object_get_int64(v);
-        os[i].value = json_str(row, "value");
+        struct json_object *row = json_object_array_get_idx(array, i);
+        rk_strcpy(os[i].name, sizeof(os[i].name), rk_json_str(row, "name"));
+        os[i].version = rk_json_int(row, "version", 0);
+        os[i].value = rk_json_str(row, "value");
     }
     op->on_list(op->ctx, st, os, len, answer->revision);
     free(os);
--- a/peers/link.c
+++ b/peers/link.c
@@ -12,7 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "common/counters.h"
+#include "common/addr.h"
 #include "common/loop.h"
 #include "common/util.h"
 
@@ -40,22 +40,6 @@
     char addr[RK_ADDR_MAX];
 };
 
-static bool parse_addr(const char *s, struct sockaddr_in *out)
-{
-    char ip[RK_ADDR_MAX];
-    const char *colon = strrchr(s, ':');
-    if (!colon || (size_t)(colon - s) >= sizeof(ip))
-        return false;
-    memcpy(ip, s, (size_t)(colon - s));
-    ip[colon - s] = '\0';
-    char *end;
-    long port = strtol(colon + 1, &end, 10);
-    *out = (struct sockaddr_in){.sin_family = AF_INET,
-                                .sin_port = htons((uint16_t)port)};
-    return !*end && port >= 0 && port <= UINT16_MAX &&
-           inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 static struct rk_link *make_link(struct rk_loop *loop, int fd,
                                  const struct rk_link_ops *ops, void *ctx)
 {
@@ -209,7 +193,7 @@
                                 const struct rk_link_ops *ops, void *ctx)
 {
     struct sockaddr_in sa;
-    if (!parse_addr(addr, &sa))
+    if (!rk_addr_parse(addr, &sa))
         return NULL;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
@@ -295,7 +279,7 @@
                    void (*on_accept)(void *ctx, struct rk_link *l), void *ctx)
 {
     struct sockaddr_in sa;
-    if (!parse_addr(addr, &sa)) {
+    if (!rk_addr_parse(addr, &sa)) {
         rk_fail(RK_EINVAL, "%s: expected ip:port", addr);
         return NULL;
     }
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1037,7 +1037,7 @@
   (ProtobufCMessageInit) rillknot__vm_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__gossip__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rillknot__gossip__field_descriptors[10] =
 {
   {
     "from",
@@ -1135,6 +1135,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_digest",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Gossip, members_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms_digest",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Gossip, vms_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__gossip__field_indices_by_name[] = {
   0,   /* field[0] = from */
@@ -1142,14 +1166,16 @@
   6,   /* field[6] = head */
   5,   /* field[5] = loads */
   3,   /* field[3] = members */
+  8,   /* field[8] = members_digest */
   2,   /* field[2] = reply */
   1,   /* field[1] = seq */
   4,   /* field[4] = vms */
+  9,   /* field[9] = vms_digest */
 };
 static const ProtobufCIntRange rillknot__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor rillknot__gossip__descriptor =
 {
@@ -1159,7 +1185,7 @@
   "Rillknot__Gossip",
   "rillknot",
   sizeof(Rillknot__Gossip),
-  8,
+  10,
   rillknot__gossip__field_descriptors,
   rillknot__gossip__field_indices_by_name,
   1,  rillknot__gossip__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -111,10 +111,15 @@
   Rillknot__VmLoad **loads;
   int64_t head;
   char *from_addr;
+  /*
+   * Of the rows the sender holds: who differs is sent all of them.
+   */
+  uint64_t members_digest;
+  uint64_t vms_digest;
 };
 #define RILLKNOT__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__gossip__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Rillknot__ChangesWanted
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -50,13 +50,6 @@
     enum rk_log_level level;
 } args = {.level = RK_LOG_INFO};
 
-static const char *const policies[] = {
-    [RK_ROUTE_ADAPTIVE] = "adaptive",
-    [RK_ROUTE_ROUND_ROBIN] = "round-robin",
-    [RK_ROUTE_LEAST_LOADED] = "least-loaded",
-    [RK_ROUTE_STICKY] = "sticky",
-};
-
 static error_t parse_opt(int key, char *arg, struct argp_state *state)
 {
     switch (key) {
@@ -64,13 +57,9 @@
         args.level = RK_LOG_WARN;
         return 0;
     case 'r':
-        for (size_t i = 0; i < RK_ARRAY_LEN(policies); i++)
-            if (!strcmp(policies[i], arg)) {
-                args.policy = (enum rk_route_policy)i;
-                return 0;
-            }
-        argp_error(state, "unknown routing policy '%s'", arg);
-        return EINVAL;
+        if (!rk_route_policy_parse(arg, &args.policy))
+            argp_error(state, "unknown routing policy '%s'", arg);
+        return 0;
     case ARGP_KEY_ARG:
         if (args.settings)
             argp_usage(state);
--- a/programs/replay.c
+++ b/programs/replay.c
@@ -16,11 +16,11 @@
  *   {"expect": {NAME: {"min", "max"}}}                       last; names below */
 #include <argp.h>
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json.h"
 #include "common/util.h"
 #include "core/budget.h"
 #include "core/config.h"
@@ -88,19 +88,6 @@
     enum rk_route_policy policy;
 } args;
 
-static const char *str(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
-}
-
-static int64_t num(struct json_object *o, const char *name, int64_t fallback)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-                                                  : fallback;
-}
-
 static bool has(struct json_object *o, const char *name)
 {
     return json_object_object_get_ex(o, name, NULL);
@@ -135,7 +122,7 @@
 
 static void take_vm(struct json_object *o)
 {
-    struct sim_vm *v = find_vm(str(o, "vm"));
+    struct sim_vm *v = find_vm(rk_json_str(o, "vm"));
     if (!v) {
         if (sim.vms_len == MAX_VMS)
             return;
@@ -143,15 +130,15 @@
         *v = (struct sim_vm){
             .live_from_ms = sim.now_ms, .gone_ms = -1, .reclaim_ms = -1};
         v->row.incarnation = 1;
-        rk_strcpy(v->row.id, RK_ID_MAX, str(o, "vm"));
+        rk_strcpy(v->row.id, RK_ID_MAX, rk_json_str(o, "vm"));
         rk_strcpy(v->row.addr, RK_ADDR_MAX, "trace:0");
         rk_strcpy(v->row.domain, RK_ID_MAX, DOMAIN_NAME);
-        rk_strcpy(v->row.service, RK_ID_MAX, str(o, "service"));
-        rk_strcpy(v->row.vm_class, RK_ID_MAX, str(o, "vm_class"));
+        rk_strcpy(v->row.service, RK_ID_MAX, rk_json_str(o, "service"));
+        rk_strcpy(v->row.vm_class, RK_ID_MAX, rk_json_str(o, "vm_class"));
     }
     /* As in the members' table: a state never falls. */
     enum rk_vm_state state =
-        !strcmp(str(o, "state"), "leaving") ? RK_VM_LEAVING : RK_VM_LIVE;
+        !strcmp(rk_json_str(o, "state"), "leaving") ? RK_VM_LEAVING : RK_VM_LIVE;
     if (state > v->row.state)
         v->row.state = state;
 }
@@ -329,7 +316,7 @@
     struct rk_job *j = &c->job;
     int64_t limit =
         cls && cls->deadline_ms ? cls->deadline_ms : c->policy->deadline_ms;
-    int64_t asked = num(o, "deadline_ms", limit);
+    int64_t asked = rk_json_int(o, "deadline_ms", limit);
     c->deadline_ms = sim.now_ms + (asked < limit ? asked : limit);
     rk_strcpy(j->service, RK_ID_MAX, c->policy->service);
     rk_strcpy(j->org, RK_ID_MAX, c->org);
@@ -341,7 +328,7 @@
     j->queue_ms = cls ? cls->queue_ms : c->policy->deadline_ms;
     j->deadline_ms = c->deadline_ms;
     j->prompt = c->policy->engine ? &c->prompt : NULL;
-    j->max_tokens = c->policy->engine ? num(o, "max_tokens", 16) : 0;
+    j->max_tokens = c->policy->engine ? rk_json_int(o, "max_tokens", 16) : 0;
 }
 
 /* A key seen before is answered from its first call: it never runs again. */
@@ -360,13 +347,13 @@
 {
     struct call *c = &sim.calls[sim.next_call++];
     char service[RK_ID_MAX], *slash;
-    rk_strcpy(service, sizeof(service), str(o, "service"));
+    rk_strcpy(service, sizeof(service), rk_json_str(o, "service"));
     if ((slash = strchr(service, '/')))
         *slash++ = '\0';
     *c = (struct call){.at_ms = sim.now_ms, .first_ms = -1, .vm = -1};
-    rk_strcpy(c->org, RK_ID_MAX, str(o, "organisation"));
-    rk_strcpy(c->cls, RK_ID_MAX, str(o, "class"));
-    rk_strcpy(c->key, RK_ID_MAX, str(o, "key"));
+    rk_strcpy(c->org, RK_ID_MAX, rk_json_str(o, "organisation"));
+    rk_strcpy(c->cls, RK_ID_MAX, rk_json_str(o, "class"));
+    rk_strcpy(c->key, RK_ID_MAX, rk_json_str(o, "key"));
     const struct rk_org *org = rk_config_org(sim.cfg, c->org);
     if (!c->cls[0] && org)
         rk_strcpy(c->cls, RK_ID_MAX, org->default_class);
@@ -383,8 +370,8 @@
         say(c, "key is taken", c->key);
         return;
     }
-    make_prompt(&c->prompt, num(o, "tenant", 0), num(o, "prompt_tokens", 0),
-                sim.next_call);
+    make_prompt(&c->prompt, rk_json_int(o, "tenant", 0),
+                rk_json_int(o, "prompt_tokens", 0), sim.next_call);
     fill_job(c, o);
     rk_budget_earn(&sim.budget, sim.cfg->retry_budget_pct);
     int64_t after;
@@ -405,14 +392,14 @@
         take_vm(o);
     else if (has(o, "call"))
         arrive(o);
-    else if (has(o, "reclaim") && (v = find_vm(str(o, "reclaim")))) {
+    else if (has(o, "reclaim") && (v = find_vm(rk_json_str(o, "reclaim")))) {
         v->row.state = RK_VM_LEAVING;
-        v->reclaim_ms = sim.now_ms + num(o, "in_ms", 30000);
+        v->reclaim_ms = sim.now_ms + rk_json_int(o, "in_ms", 30000);
         v->gone_ms = v->reclaim_ms;
-    } else if (has(o, "kill") && (v = find_vm(str(o, "kill")))) {
+    } else if (has(o, "kill") && (v = find_vm(rk_json_str(o, "kill")))) {
         v->gone_ms = sim.now_ms;
-    } else if (has(o, "fault") && (v = find_vm(str(o, "fault")))) {
-        rk_strcpy(v->fault, sizeof(v->fault), str(o, "mode"));
+    } else if (has(o, "fault") && (v = find_vm(rk_json_str(o, "fault")))) {
+        rk_strcpy(v->fault, sizeof(v->fault), rk_json_str(o, "mode"));
     }
     if (!has(o, "call"))
         tell_router();
@@ -441,7 +428,7 @@
 {
     while (!all_over()) {
         while (sim.next_event < sim.events_len &&
-               num(sim.events[sim.next_event], "at_ms", 0) <= sim.now_ms)
+               rk_json_int(sim.events[sim.next_event], "at_ms", 0) <= sim.now_ms)
             take_event(sim.events[sim.next_event++]);
         for (size_t i = 0; i < sim.vms_len; i++)
             forget_if_gone(&sim.vms[i]);
@@ -640,13 +627,6 @@
     return ok && sim.cfg;
 }
 
-static const char *const policies[] = {
-    [RK_ROUTE_ADAPTIVE] = "adaptive",
-    [RK_ROUTE_ROUND_ROBIN] = "round-robin",
-    [RK_ROUTE_LEAST_LOADED] = "least-loaded",
-    [RK_ROUTE_STICKY] = "sticky",
-};
-
 static error_t parse_opt(int key, char *arg, struct argp_state *state)
 {
     switch (key) {
@@ -654,13 +634,9 @@
         args.decisions = true;
         return 0;
     case 'r':
-        for (size_t i = 0; i < RK_ARRAY_LEN(policies); i++)
-            if (!strcmp(policies[i], arg)) {
-                args.policy = (enum rk_route_policy)i;
-                return 0;
-            }
-        argp_error(state, "unknown routing policy '%s'", arg);
-        return EINVAL;
+        if (!rk_route_policy_parse(arg, &args.policy))
+            argp_error(state, "unknown routing policy '%s'", arg);
+        return 0;
     case ARGP_KEY_ARG:
         if (args.file)
             argp_usage(state);
--- a/programs/timeline.c
+++ b/programs/timeline.c
@@ -4,12 +4,12 @@
  * is taken by a peer after it was forwarded and before its end came back. */
 #include <argp.h>
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json.h"
 #include "common/util.h"
 #include "core/procfile.h"
 
@@ -55,18 +55,6 @@
 
 /* ---- reading ---- */
 
-static const char *str(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
-}
-
-static int64_t num(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
-}
-
 static int process_of(const char *name, const char *domain)
 {
     for (size_t i = 0; i < tl.processes_len; i++)
@@ -107,12 +95,14 @@
 static void take_line(const char *line)
 {
     struct json_object *o = json_tokener_parse(line);
-    if (!json_object_is_type(o, json_type_object) || !num(o, "wall_ms")) {
+    if (!json_object_is_type(o, json_type_object) ||
+        !rk_json_int(o, "wall_ms", 0)) {
         tl.skipped++;
         json_object_put(o);
         return;
     }
-    int process = process_of(str(o, "process"), str(o, "failure_domain"));
+    int process =
+        process_of(rk_json_str(o, "process"), rk_json_str(o, "failure_domain"));
     if (process >= 0) {
         if (tl.len == tl.cap) {
             tl.cap = tl.cap ? tl.cap * 2 : 1024;
@@ -122,13 +112,13 @@
         *e = (struct event){
             .process = process,
             /* The wall clock has whole ms; the other's rest orders. */
-            .at_ms = (double)num(o, "wall_ms") +
-                     (double)(num(o, "mono_us") % 1000) / 1e6,
-            .hops = num(o, "hops"),
-            .attempt = num(o, "attempt")};
-        rk_strcpy(e->name, sizeof(e->name), str(o, "event"));
-        rk_strcpy(e->request, sizeof(e->request), str(o, "request"));
-        rk_strcpy(e->peer, sizeof(e->peer), str(o, "peer"));
+            .at_ms = (double)rk_json_int(o, "wall_ms", 0) +
+                     (double)(rk_json_int(o, "mono_us", 0) % 1000) / 1e6,
+            .hops = rk_json_int(o, "hops", 0),
+            .attempt = rk_json_int(o, "attempt", 0)};
+        rk_strcpy(e->name, sizeof(e->name), rk_json_str(o, "event"));
+        rk_strcpy(e->request, sizeof(e->request), rk_json_str(o, "request"));
+        rk_strcpy(e->peer, sizeof(e->peer), rk_json_str(o, "peer"));
         e->fields = other_fields(o);
     }
     json_object_put(o);
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -18,11 +18,11 @@
  *                         (ms before the first token), refuse (503) */
 #include <argp.h>
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "common/json.h"
 
 #include "standins/httpd.h"
 
@@ -208,13 +208,6 @@
     return b.data;
 }
 
-static int64_t json_int(struct json_object *o, const char *name, int64_t fallback)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-                                                  : fallback;
-}
-
 static enum MHD_Result reply_stream(struct si_req *req, struct stream *s)
 {
     struct MHD_Response *r = MHD_create_response_from_callback(
@@ -254,7 +247,7 @@
     s->fault = fault;
     s->next = from ? atoll(from) : 0;
     s->priority = priority ? atoi(priority) & 7 : 4;
-    s->max_tokens = json_int(o, "max_tokens", DEFAULT_MAX_TOKENS);
+    s->max_tokens = rk_json_int(o, "max_tokens", DEFAULT_MAX_TOKENS);
     char *prompt = prompt_of(o);
     s->prompt_hash = rk_hash_str(0, prompt);
     req->state = s;
@@ -275,7 +268,7 @@
 static enum MHD_Result take_order(struct si_req *req)
 {
     struct json_object *o = json_tokener_parse(req->body.data);
-    int64_t epoch = json_int(o, "epoch", 0);
+    int64_t epoch = rk_json_int(o, "epoch", 0);
     json_object_put(o);
     pthread_mutex_lock(&eng.lock);
     bool stale = eng.checks_fences && epoch < eng.epoch;
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -22,11 +22,11 @@
  *          no-starts */
 #include <argp.h>
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include "common/json.h"
 
 #include "standins/httpd.h"
 
@@ -267,19 +267,6 @@
     return reply_rows(req, &b);
 }
 
-static const char *json_str(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
-}
-
-static int64_t json_num(struct json_object *o, const char *name, int64_t fallback)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-                                                  : fallback;
-}
-
 static struct vm *find_vm(const char *id)
 {
     for (size_t i = 0; i < plat.vms_len; i++)
@@ -299,17 +286,17 @@
 {
     struct json_object *o = json_tokener_parse(req->body.data);
     pthread_mutex_lock(&plat.lock);
-    struct vm *v = find_vm(json_str(o, "id"));
+    struct vm *v = find_vm(rk_json_str(o, "id"));
     if (!v && plat.vms_len < MAX_VMS)
         v = &plat.vms[plat.vms_len++];
     if (v) {
-        rk_strcpy(v->id, sizeof(v->id), json_str(o, "id"));
-        rk_strcpy(v->addr, sizeof(v->addr), json_str(o, "addr"));
-        rk_strcpy(v->domain, sizeof(v->domain), json_str(o, "failure_domain"));
-        rk_strcpy(v->service, sizeof(v->service), json_str(o, "service"));
-        rk_strcpy(v->vm_class, sizeof(v->vm_class), json_str(o, "vm_class"));
-        v->incarnation = json_num(o, "incarnation", 1);
-        touch_vm(v, json_str(o, "state"));
+        rk_strcpy(v->id, sizeof(v->id), rk_json_str(o, "id"));
+        rk_strcpy(v->addr, sizeof(v->addr), rk_json_str(o, "addr"));
+        rk_strcpy(v->domain, sizeof(v->domain), rk_json_str(o, "failure_domain"));
+        rk_strcpy(v->service, sizeof(v->service), rk_json_str(o, "service"));
+        rk_strcpy(v->vm_class, sizeof(v->vm_class), rk_json_str(o, "vm_class"));
+        v->incarnation = rk_json_int(o, "incarnation", 1);
+        touch_vm(v, rk_json_str(o, "state"));
     }
     pthread_mutex_unlock(&plat.lock);
     json_object_put(o);
@@ -319,9 +306,9 @@
 static bool spare_fits(const struct vm *v, struct json_object *want)
 {
     return !strcmp(v->state, "spare") &&
-           !strcmp(v->domain, json_str(want, "failure_domain")) &&
-           !strcmp(v->service, json_str(want, "service")) &&
-           !strcmp(v->vm_class, json_str(want, "vm_class"));
+           !strcmp(v->domain, rk_json_str(want, "failure_domain")) &&
+           !strcmp(v->service, rk_json_str(want, "service")) &&
+           !strcmp(v->vm_class, rk_json_str(want, "vm_class"));
 }
 
 static enum MHD_Result start_vm(struct si_req *req)
@@ -336,12 +323,12 @@
     /* The token makes a repeated order give the VM of the first. */
     for (size_t i = 0; i < plat.vms_len && !got; i++)
         if (plat.vms[i].token[0] &&
-            !strcmp(plat.vms[i].token, json_str(o, "token")))
+            !strcmp(plat.vms[i].token, rk_json_str(o, "token")))
             got = &plat.vms[i];
     for (size_t i = 0; i < plat.vms_len && !got; i++)
         if (spare_fits(&plat.vms[i], o)) {
             got = &plat.vms[i];
-            rk_strcpy(got->token, sizeof(got->token), json_str(o, "token"));
+            rk_strcpy(got->token, sizeof(got->token), rk_json_str(o, "token"));
             plat.starts++;
             touch_vm(got, "live");
         }
@@ -369,14 +356,14 @@
 {
     struct json_object *o = json_tokener_parse(req->body.data);
     pthread_mutex_lock(&plat.lock);
-    struct vm *v = find_vm(json_str(o, "id"));
+    struct vm *v = find_vm(rk_json_str(o, "id"));
     if (v && plat.notices_len < MAX_NOTICES) {
         struct notice *n = &plat.notices[plat.notices_len++];
         rk_strcpy(n->id, sizeof(n->id), v->id);
         n->incarnation = v->incarnation;
-        n->in_ms = json_num(o, "in_ms", 30000);
+        n->in_ms = rk_json_int(o, "in_ms", 30000);
         plat.revision++;
-        if (json_num(o, "list", 0))
+        if (rk_json_int(o, "list", 0))
             touch_vm(v, "leaving");
         pthread_cond_broadcast(&plat.changed);
     }
--- a/vmlist/vmlist.c
+++ b/vmlist/vmlist.c
@@ -1,12 +1,12 @@
 #include "vmlist/vmlist.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/counters.h"
+#include "common/json.h"
 #include "common/rest.h"
 #include "common/util.h"
 
@@ -17,12 +17,6 @@
     void *ctx;
 };
 
-static const char *json_str(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
-}
-
 enum rk_vm_state rk_vmlist_state(const char *s)
 {
     if (!strcmp(s, "live"))
@@ -32,15 +26,13 @@
 
 static void parse_row(struct json_object *o, struct rk_vm *vm)
 {
-    struct json_object *v;
-    rk_strcpy(vm->id, sizeof(vm->id), json_str(o, "id"));
-    rk_strcpy(vm->addr, sizeof(vm->addr), json_str(o, "addr"));
-    rk_strcpy(vm->domain, sizeof(vm->domain), json_str(o, "failure_domain"));
-    rk_strcpy(vm->service, sizeof(vm->service), json_str(o, "service"));
-    rk_strcpy(vm->vm_class, sizeof(vm->vm_class), json_str(o, "vm_class"));
-    if (json_object_object_get_ex(o, "incarnation", &v))
-        vm->incarnation = (uint64_t)json_object_get_int64(v);
-    vm->state = rk_vmlist_state(json_str(o, "state"));
+    rk_strcpy(vm->id, sizeof(vm->id), rk_json_str(o, "id"));
+    rk_strcpy(vm->addr, sizeof(vm->addr), rk_json_str(o, "addr"));
+    rk_strcpy(vm->domain, sizeof(vm->domain), rk_json_str(o, "failure_domain"));
+    rk_strcpy(vm->service, sizeof(vm->service), rk_json_str(o, "service"));
+    rk_strcpy(vm->vm_class, sizeof(vm->vm_class), rk_json_str(o, "vm_class"));
+    vm->incarnation = (uint64_t)rk_json_int(o, "incarnation", 0);
+    vm->state = rk_vmlist_state(rk_json_str(o, "state"));
 }
 
 static void on_answer(void *ctx, const struct rk_rest_answer *answer)
