--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: all, deps, demo, check, prove, bench, lint, format, clean.
+# Targets: all, deps, demo, check, prove, bench, mutants, lint, format, proto,
+# clean.
 # SAN=address|thread builds into a folder of its own with that sanitizer.
 CC      ?= gcc
 CXX     ?= g++
@@ -20,7 +21,7 @@
 UNIT_TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 PROP_TESTS := $(patsubst tests/%.cc,$(BUILD)/%,$(wildcard tests/prop_*.cc))
 BENCHES  := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
-ALL_C    := $(filter-out %.pb-c.c,$(LIB_SRC)) $(wildcard programs/*.c standins/*.c tools/*.c tests/*.c)
+ALL_C    := $(filter-out %.pb-c.c,$(LIB_SRC)) $(wildcard programs/*.c standins/*.c tools/*.c tests/*.c tests/*.cc)
 TIDY_FLAGS := -std=gnu11 -D_GNU_SOURCE -I. $(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 
 all: $(PROGRAMS) $(STANDINS) $(UNIT_TESTS) $(PROP_TESTS) $(BENCHES)
@@ -83,6 +84,10 @@
 	@$(MAKE) -s -j8 all
 	@python3 tools/bench.py $(BUILD)
 
+mutants: deps
+	@$(MAKE) -s -j8 all
+	@python3 tools/mutants.py
+
 lint: deps
 	clang-format --dry-run -Werror $(ALL_C) $(filter-out %.pb-c.h,$(wildcard $(LIB_DIRS:%=%/*.h)) $(wildcard standins/*.h tests/*.h))
 	printf '%s\n' $(filter-out %.pb-c.c,$(LIB_SRC)) $(wildcard programs/*.c standins/*.c tools/*.c) | \
@@ -97,4 +102,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps demo check prove bench lint format proto clean
+.PHONY: all programs deps demo check prove bench mutants lint format proto clean
--- a/core/router.c
+++ b/core/router.c
@@ -4,82 +4,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/shards.h"
-
-#define MAX_SERVICES      64
-#define ROOTS             1024 /* prefixes whose calls in hand are counted */
-#define FAILURES_TO_PAUSE 2
-#define PAUSE_MS          1000
-#define PAUSE_MAX_MS      16000
-#define LOAD_TRUST_MS                                                              \
-    20000 /* age at which a peer's load row counts for nothing                     \
-           */
+#include "core/router_impl.h"
+
+#define FAILURES_TO_PAUSE  2
+#define PAUSE_MS           1000
+#define PAUSE_MAX_MS       16000
 #define EWMA               0.1
 #define LIMIT_CUT          0.8
 #define LIMIT_CUT_EVERY_MS 500
-#define BOUNDED_LOAD       1.25 /* of the mean share of prefixes a vm may get */
 #define DEFER_ROOM         0.75 /* share of slots deferred work may fill */
-#define HOLDER_OVERCOMMIT  2    /* calls that may wait at a full holder */
 #define MIN_RETRY_MS       100
 #define SURE_SHARE         0.8 /* of the expected time: what a call surely takes */
 #define DEFAULT_MEAN_MS    50.0
 
-struct vm {
-    char id[RK_ID_MAX];
-    char addr[RK_ADDR_MAX];
-    uint64_t incarnation;
-    struct rk_service *svc;
-    bool used;    /* the row is in use */
-    bool present; /* in the newest view */
-    bool live;
-    int in_flight;
-    int others;        /* calls of other nodes, from its load row */
-    int64_t others_ms; /* when that was true */
-    uint64_t load_seq;
-    double limit; /* calls this node keeps there at most; adapts */
-    int64_t cut_ms;
-    int failures;
-    int64_t paused_until_ms;
-    double slow; /* observed over predicted time to the first token */
-};
-
-struct rk_service {
-    struct rk_policy policy;
-    struct rk_admit *queue;
-    bool used;
-    int live_vms;
-    int in_flight;
-    double mean_ms; /* time in a slot */
-    double pace;    /* observed over expected time in a slot */
-    uint32_t turn;  /* round robin */
-};
-
-struct root {
-    uint64_t hash;
-    int in_hand; /* queued or sent */
-};
-
-struct org {
-    char name[RK_ID_MAX];
-    int64_t in_hand;
-};
-
-struct rk_router {
-    enum rk_route_policy policy;
-    struct rk_rng rng;
-    struct vm vms[RK_ROUTER_MAX_VMS];
-    size_t vms_len;
-    struct rk_service services[MAX_SERVICES];
-    size_t services_len;
-    struct rk_prefixes *prefixes;
-    uint64_t clocks[RK_ROUTER_MAX_VMS];       /* tokens prefilled at each vm */
-    uint64_t cache_tokens[RK_ROUTER_MAX_VMS]; /* size of its cache */
-    uint32_t cached[RK_ROUTER_MAX_VMS];       /* scratch of one choice */
-    struct root roots[ROOTS];
-    struct org orgs[1024];
-    size_t orgs_len;
-};
-
 bool rk_route_policy_parse(const char *name, enum rk_route_policy *out)
 {
     static const char *const names[] = {
@@ -225,7 +162,7 @@
 
 /* ---- counts of calls in hand ---- */
 
-static struct root *find_root(struct rk_router *r, const struct rk_job *job)
+struct root *rk_router_root(struct rk_router *r, const struct rk_job *job)
 {
     if (!job->prompt || !job->prompt->root)
         return NULL;
@@ -240,7 +177,7 @@
 
 static void count_root(struct rk_router *r, const struct rk_job *job, int n)
 {
-    struct root *b = find_root(r, job);
+    struct root *b = rk_router_root(r, job);
     if (b && b->in_hand + n >= 0)
         b->in_hand += n;
 }
@@ -263,201 +200,6 @@
     return idle;
 }
 
-/* ---- choice ---- */
-
-static double load_of(const struct vm *v, int64_t now_ms)
-{
-    double trust = 1.0 - (double)(now_ms - v->others_ms) / LOAD_TRUST_MS;
-    return v->in_flight + (trust > 0 ? v->others * trust : 0);
-}
-
-static bool is_excluded(const struct rk_job *job, int vm)
-{
-    for (size_t i = 0; i < job->excluded_len; i++)
-        if (job->excluded[i] == vm)
-            return true;
-    return false;
-}
-
-static bool is_candidate(const struct rk_router *r, const struct rk_job *job,
-                         size_t i, int64_t now_ms)
-{
-    const struct vm *v = &r->vms[i];
-    return v->used && v->live && v->svc == job->svc &&
-           v->paused_until_ms <= now_ms && !is_excluded(job, (int)i);
-}
-
-static bool has_room(const struct vm *v, int64_t now_ms)
-{
-    return load_of(v, now_ms) < v->limit;
-}
-
-static double first_token_ms(const struct vm *v, uint32_t uncached)
-{
-    const struct rk_policy *p = &v->svc->policy;
-    return (p->prefill_base_ms + p->prefill_token_ms * uncached) * v->slow;
-}
-
-/* Mean prefilled tokens of the candidates: what a fair share is measured by. */
-static double mean_clock(const struct rk_router *r, const struct rk_job *job,
-                         int64_t now_ms)
-{
-    double sum = 0;
-    size_t n = 0;
-    for (size_t i = 0; i < r->vms_len; i++) {
-        if (!is_candidate(r, job, i, now_ms))
-            continue;
-        sum += (double)r->clocks[i];
-        n++;
-    }
-    return n ? sum / (double)n : 0;
-}
-
-/* A place for a prefix nobody holds, or for one more copy: rendezvous hashing
- * with bounded loads, so that nodes that know nothing of each other agree. */
-static int place_copy(const struct rk_router *r, const struct rk_job *job,
-                      int64_t now_ms)
-{
-    double bound = mean_clock(r, job, now_ms) * BOUNDED_LOAD + job->prompt->tokens;
-    int best = -1, fallback = -1;
-    uint64_t best_weight = 0;
-    double least = 0;
-    for (size_t i = 0; i < r->vms_len; i++) {
-        if (!is_candidate(r, job, i, now_ms) || !has_room(&r->vms[i], now_ms))
-            continue;
-        if (r->cached[i] * 2 >= job->prompt->blocks_len * RK_BLOCK_WORDS)
-            continue; /* holds most of it already */
-        double load = load_of(&r->vms[i], now_ms);
-        if (fallback < 0 || load < least) {
-            fallback = (int)i;
-            least = load;
-        }
-        uint64_t weight = rk_rendezvous(job->prompt->root, r->vms[i].id);
-        if ((double)r->clocks[i] + job->prompt->tokens <= bound &&
-            (best < 0 || weight > best_weight)) {
-            best = (int)i;
-            best_weight = weight;
-        }
-    }
-    return best >= 0 ? best : fallback;
-}
-
-struct holders {
-    int best;     /* the one with room that answers first; -1 */
-    int nearest;  /* the least loaded, with room or without; -1 */
-    double slots; /* slots of all that hold most of the prompt */
-};
-
-static struct holders find_holders(const struct rk_router *r,
-                                   const struct rk_job *job, int64_t now_ms)
-{
-    struct holders h = {.best = -1, .nearest = -1};
-    double best_ms = 0;
-    for (size_t i = 0; i < r->vms_len; i++) {
-        const struct vm *v = &r->vms[i];
-        if (!is_candidate(r, job, i, now_ms))
-            continue;
-        if (r->cached[i] * 2 < job->prompt->blocks_len * RK_BLOCK_WORDS)
-            continue;
-        h.slots += v->limit;
-        if (h.nearest < 0 ||
-            load_of(v, now_ms) < load_of(&r->vms[h.nearest], now_ms))
-            h.nearest = (int)i;
-        if (!has_room(v, now_ms))
-            continue;
-        double ms = first_token_ms(v, job->prompt->tokens - r->cached[i]) +
-                    load_of(v, now_ms) * v->svc->policy.token_ms;
-        if (h.best < 0 || ms < best_ms) {
-            h.best = (int)i;
-            best_ms = ms;
-        }
-    }
-    return h;
-}
-
-static int choose_by_prefix(struct rk_router *r, struct rk_job *job, int64_t now_ms)
-{
-    rk_prefixes_match(r->prefixes, job->prompt, r->clocks, r->cache_tokens,
-                      r->cached, r->vms_len);
-    struct holders h = find_holders(r, job, now_ms);
-    struct root *root = find_root(r, job);
-    int demand = root ? root->in_hand : 1;
-    if (h.best >= 0)
-        return h.best;
-    /* Holders are full. One more copy pays when the prefix's own calls fill
-     * them; when others' calls do, a slot there is soon free. */
-    if (h.nearest >= 0 && demand <= h.slots) {
-        const struct vm *v = &r->vms[h.nearest];
-        if (load_of(v, now_ms) < v->limit + HOLDER_OVERCOMMIT)
-            return h.nearest;
-    }
-    return place_copy(r, job, now_ms);
-}
-
-static int choose_least_loaded(const struct rk_router *r, const struct rk_job *job,
-                               bool limited, int64_t now_ms)
-{
-    int best = -1;
-    double least = 0;
-    uint64_t tie = 0;
-    for (size_t i = 0; i < r->vms_len; i++) {
-        const struct vm *v = &r->vms[i];
-        if (!is_candidate(r, job, i, now_ms) || (limited && !has_room(v, now_ms)))
-            continue;
-        double load = load_of(v, now_ms);
-        uint64_t w = rk_rendezvous((uint64_t)job->submitted_ms, v->id);
-        if (best < 0 || load < least || (load == least && w > tie)) {
-            best = (int)i;
-            least = load;
-            tie = w;
-        }
-    }
-    return best;
-}
-
-static int choose_round_robin(struct rk_router *r, const struct rk_job *job,
-                              int64_t now_ms)
-{
-    for (size_t n = 0; n < r->vms_len; n++) {
-        size_t i = job->svc->turn++ % r->vms_len;
-        if (is_candidate(r, job, i, now_ms))
-            return (int)i;
-    }
-    return -1;
-}
-
-static int choose_sticky(const struct rk_router *r, const struct rk_job *job,
-                         int64_t now_ms)
-{
-    uint64_t root = job->prompt ? job->prompt->root : 0, best_weight = 0;
-    int best = -1;
-    for (size_t i = 0; i < r->vms_len; i++) {
-        uint64_t w = rk_rendezvous(root, r->vms[i].id);
-        if (is_candidate(r, job, i, now_ms) && (best < 0 || w > best_weight)) {
-            best = (int)i;
-            best_weight = w;
-        }
-    }
-    return best;
-}
-
-static int choose(struct rk_router *r, struct rk_job *job, int64_t now_ms)
-{
-    switch (r->policy) {
-    case RK_ROUTE_ROUND_ROBIN:
-        return choose_round_robin(r, job, now_ms);
-    case RK_ROUTE_LEAST_LOADED:
-        return choose_least_loaded(r, job, false, now_ms);
-    case RK_ROUTE_STICKY:
-        return choose_sticky(r, job, now_ms);
-    case RK_ROUTE_ADAPTIVE:
-        break;
-    }
-    if (job->prompt && job->prompt->root)
-        return choose_by_prefix(r, job, now_ms);
-    return choose_least_loaded(r, job, true, now_ms);
-}
-
 /* ---- life of a job ---- */
 
 static double slot_ms(const struct rk_job *job)
@@ -487,7 +229,7 @@
         const struct vm *v = &r->vms[i];
         if (!v->used || !v->live || v->svc != job->svc)
             continue;
-        double load = load_of(v, now_ms);
+        double load = rk_router_load(v, now_ms);
         limit += v->limit;
         busy += load < v->limit ? load : v->limit;
     }
@@ -597,7 +339,7 @@
         if (!w)
             continue;
         struct rk_job *job = job_of(w);
-        int vm = choose(r, job, now_ms);
+        int vm = rk_router_choose(r, job, now_ms);
         if (vm < 0)
             continue;
         send(r, job, vm, now_ms);
@@ -723,7 +465,8 @@
 {
     for (size_t i = 0; i < r->vms_len; i++) {
         const struct vm *v = &r->vms[i];
-        if (v->used && v->live && v->svc == job->svc && !is_excluded(job, (int)i))
+        if (v->used && v->live && v->svc == job->svc &&
+            !rk_router_excluded(job, (int)i))
             return true;
     }
     return false;
--- a/tests/prop_claims.cc
+++ b/tests/prop_claims.cc
@@ -38,7 +38,7 @@
     int id = 0;
     struct rk_claims *claims = nullptr;
     Op op;
-    std::map<int, bool> running;  // keys granted here: was it sent?
+    std::map<int, bool> running; // keys granted here: was it sent?
 };
 
 struct World {
@@ -64,7 +64,8 @@
     static_cast<Owner *>(ctx)->op = Op{Op::ReadRing, 0, 0, ""};
 }
 
-void write_slot(void *ctx, uint32_t, unsigned slot, int64_t expect, const char *value)
+void write_slot(void *ctx, uint32_t, unsigned slot, int64_t expect,
+                const char *value)
 {
     static_cast<Owner *>(ctx)->op = Op{Op::Write, slot, expect, value};
 }
@@ -142,13 +143,16 @@
         }
         bool ok = apply(w, op, &version);
         rk_claims_on_written(o->claims,
-                             lost ? RK_EUNKNOWN : ok ? RK_OK : RK_ECONFLICT, version,
-                             w.now, w.now);
+                             lost ? RK_EUNKNOWN
+                             : ok ? RK_OK
+                                  : RK_ECONFLICT,
+                             version, w.now, w.now);
     } else if (op.kind == Op::ReadRing) {
         std::vector<struct rk_slot_read> slots;
         for (auto &e : w.store)
             if (e.second.version)
-                slots.push_back({e.first, e.second.version, e.second.value.c_str()});
+                slots.push_back(
+                    {e.first, e.second.version, e.second.value.c_str()});
         rk_claims_on_ring(o->claims, lost ? RK_EUNKNOWN : RK_OK, slots.data(),
                           slots.size(), w.now, w.now);
     } else if (op.kind == Op::ReadSlot) {
@@ -256,8 +260,13 @@
 
 struct Guard {
     World *w;
-    explicit Guard(World *world) : w(world) {}
-    ~Guard() { destroy_world(w); }
+    explicit Guard(World *world) : w(world)
+    {
+    }
+    ~Guard()
+    {
+        destroy_world(w);
+    }
 };
 
 using Steps = std::vector<std::tuple<int, int, int>>;
@@ -287,23 +296,24 @@
 int main()
 {
     bool ok = report("at_most_once_sent_at_once",
-                     rc::check("a key runs at most once", [] {
-                         run_steps(*steps_gen(), true);
-                     }));
+                     rc::check("a key runs at most once",
+                               [] { run_steps(*steps_gen(), true); }));
     ok = report("at_most_once_sent_late",
-                rc::check("also when the owner sleeps between grant and send", [] {
-                    run_steps(*steps_gen(), false);
-                })) && ok;
+                rc::check("also when the owner sleeps between grant and send",
+                          [] { run_steps(*steps_gen(), false); })) &&
+         ok;
     ok = report("a_lone_owner_serves_every_key",
-                rc::check("without faults each new key is granted", [] {
-                    Guard g(make_world(true));
-                    int n = *rc::gen::inRange(1, 3 * RK_CLAIM_SLOTS);
-                    for (int k = 0; k < n; k++) {
-                        step(*g.w, 0, 0, k);
-                        while (g.w->owners[0]->op.kind != Op::None)
-                            answer(g.w->owners[0].get(), Good);
-                    }
-                    RC_ASSERT(g.w->granted == n);
-                })) && ok;
+                rc::check("without faults each new key is granted",
+                          [] {
+                              Guard g(make_world(true));
+                              int n = *rc::gen::inRange(1, 3 * RK_CLAIM_SLOTS);
+                              for (int k = 0; k < n; k++) {
+                                  step(*g.w, 0, 0, k);
+                                  while (g.w->owners[0]->op.kind != Op::None)
+                                      answer(g.w->owners[0].get(), Good);
+                              }
+                              RC_ASSERT(g.w->granted == n);
+                          })) &&
+         ok;
     return ok ? 0 : 1;
 }
--- a/tests/prop_core.cc
+++ b/tests/prop_core.cc
@@ -41,7 +41,8 @@
     struct rk_refusal_contract contract = {*rc::gen::arbitrary<bool>()};
     enum rk_verdict v = rk_verdict_of(&end, &contract);
     bool refusal = end.http_status == 429 || end.http_status == 503;
-    RC_ASSERT((v == RK_NOT_RUN) == (!end.handed || (refusal && contract.refusal_not_run)));
+    RC_ASSERT((v == RK_NOT_RUN) ==
+              (!end.handed || (refusal && contract.refusal_not_run)));
     RC_ASSERT(v != RK_RAN || (end.answered && !refusal));
     RC_ASSERT(!rk_verdict_allows_retry(v, false) || v == RK_NOT_RUN);
     RC_ASSERT(!rk_verdict_allows_retry(RK_RAN, true));
@@ -88,7 +89,8 @@
     auto words = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100000));
     std::string bytes;
     for (int w : words)
-        bytes += "data: {\"w\":" + std::to_string(w) + "}\r\n\r\n: comment\nid: 4\n";
+        bytes +=
+            "data: {\"w\":" + std::to_string(w) + "}\r\n\r\n: comment\nid: 4\n";
     struct rk_sse whole = {}, cut = {};
     std::vector<std::string> a, b;
     rk_sse_feed(&whole, bytes.data(), bytes.size(), collect, &a);
@@ -176,11 +178,12 @@
         rk_members_delta(a.get(), mark, -1, r, &delta);
         mark = delta.next_mark;
         for (size_t i = 0; i < delta.vms_len; i++)
-            rk_members_merge_vm(b.get(), rk_members_vm_at(a.get(), delta.vms[i]), -1, r);
+            rk_members_merge_vm(b.get(), rk_members_vm_at(a.get(), delta.vms[i]),
+                                -1, r);
         for (size_t i = 0; i < delta.loads_len; i++) {
             const struct rk_vm *v = rk_members_vm_at(a.get(), delta.loads[i]);
-            rk_members_merge_load(b.get(), v->id_hash, v->load_seq, v->running, v->queued,
-                                  -1, r);
+            rk_members_merge_load(b.get(), v->id_hash, v->load_seq, v->running,
+                                  v->queued, -1, r);
         }
     }
     for (size_t i = 0; i < rk_members_vm_count(a.get()); i++) {
@@ -203,7 +206,8 @@
     rk_members_merge(b.get(), &row, -1, 1);
     rk_members_merge(a.get(), &row, -1, 1);
     const struct rk_member *self = rk_members_self(a.get());
-    RC_ASSERT(self->incarnation > row.incarnation && self->state == RK_MEMBER_ALIVE);
+    RC_ASSERT(self->incarnation > row.incarnation &&
+              self->state == RK_MEMBER_ALIVE);
     rk_members_merge(b.get(), self, -1, 2);
     RC_ASSERT(rk_members_find(b.get(), "a")->state == RK_MEMBER_ALIVE);
 }
@@ -243,8 +247,8 @@
 
 std::string change(int n, int path, int value)
 {
-    static const char *paths[] = {"/deadline_ms", "/classes/a/rank", "/claim_shards",
-                                  "/organisations/x/weight"};
+    static const char *paths[] = {"/deadline_ms", "/classes/a/rank",
+                                  "/claim_shards", "/organisations/x/weight"};
     return "{\"id\":\"" + std::to_string(n) + "\",\"set\":{\"" + paths[path % 4] +
            "\":" + std::to_string(value) + "}}";
 }
@@ -256,7 +260,8 @@
     std::vector<std::string> log;
     int n = *rc::gen::inRange(1, 12);
     for (int i = 0; i < n; i++)
-        log.push_back(change(i, *rc::gen::inRange(0, 4), *rc::gen::inRange(-3, 12)));
+        log.push_back(
+            change(i, *rc::gen::inRange(0, 4), *rc::gen::inRange(-3, 12)));
     struct rk_changelog *straight = rk_changelog_create();
     for (int i = 0; i < n; i++)
         rk_changelog_take(straight, i + 1, log[i].c_str());
@@ -317,7 +322,10 @@
                 value = text;
             }
             now += *rc::gen::inRange(0, 300); // the holder may sleep here
-            rk_lease_written(x, fate >= 2 ? RK_EUNKNOWN : stands ? RK_OK : RK_ECONFLICT,
+            rk_lease_written(x,
+                             fate >= 2 ? RK_EUNKNOWN
+                             : stands  ? RK_OK
+                                       : RK_ECONFLICT,
                              version, now);
         }
         int valid = 0;
--- a/tests/prop_fuzz.cc
+++ b/tests/prop_fuzz.cc
@@ -86,17 +86,19 @@
 {
     std::string s = *rc::gen::arbitrary<bool>() ? garbage() : damage(good_frame());
     Rillknot__Frame *f;
-    long n = rk_frame_decode(reinterpret_cast<const uint8_t *>(s.data()), s.size(), &f);
+    long n =
+        rk_frame_decode(reinterpret_cast<const uint8_t *>(s.data()), s.size(), &f);
     RC_ASSERT(n <= static_cast<long>(s.size()));
     RC_ASSERT((n > 0) == (f != nullptr));
     if (f)
         rillknot__frame__free_unpacked(f, nullptr);
 }
 
-const char *kTree = "{ // comment\n \"deadline_ms\": 500, \"services\": {\"s\": {\"kind\": "
-                    "\"engine\", \"model\": \"m\", \"c\": {\"repeatable\": true}}},\n"
-                    "\"classes\": {\"a\": {\"rank\": 1}}, \"vm_classes\": {\"v\": "
-                    "{\"price\": 1.5}} /* end */ }";
+const char *kTree =
+    "{ // comment\n \"deadline_ms\": 500, \"services\": {\"s\": {\"kind\": "
+    "\"engine\", \"model\": \"m\", \"c\": {\"repeatable\": true}}},\n"
+    "\"classes\": {\"a\": {\"rank\": 1}}, \"vm_classes\": {\"v\": "
+    "{\"price\": 1.5}} /* end */ }";
 
 void settings()
 {
@@ -117,7 +119,8 @@
     rk_changelog_take(log, 1, s.c_str());
     RC_ASSERT(rk_changelog_head(log) == 1);
     rk_changelog_restore(log, s.c_str());
-    rk_changelog_restore(log, text(damage("{\"head\":4,\"tree\":{\"deadline_ms\":50}}")).c_str());
+    rk_changelog_restore(
+        log, text(damage("{\"head\":4,\"tree\":{\"deadline_ms\":50}}")).c_str());
     rk_changelog_destroy(log);
 }
 
@@ -130,10 +133,11 @@
 
 void streams()
 {
-    std::string s = *rc::gen::arbitrary<bool>()
-                        ? garbage()
-                        : damage("data: {\"id\":\"r\",\"choices\":[{\"delta\":{\"content\":"
-                                 "\"w\"}}],\"rk_index\":3}\n\ndata: [DONE]\n\n");
+    std::string s =
+        *rc::gen::arbitrary<bool>()
+            ? garbage()
+            : damage("data: {\"id\":\"r\",\"choices\":[{\"delta\":{\"content\":"
+                     "\"w\"}}],\"rk_index\":3}\n\ndata: [DONE]\n\n");
     struct rk_sse sse = {};
     rk_sse_feed(&sse, s.data(), s.size(), on_event, nullptr);
     rk_sse_free(&sse);
@@ -152,10 +156,11 @@
 
 void completions()
 {
-    std::string s = *rc::gen::arbitrary<bool>()
-                        ? garbage()
-                        : damage("{\"model\":\"m\",\"max_tokens\":4,\"stream\":true,"
-                                 "\"messages\":[{\"content\":\"a b c\"}]}");
+    std::string s =
+        *rc::gen::arbitrary<bool>()
+            ? garbage()
+            : damage("{\"model\":\"m\",\"max_tokens\":4,\"stream\":true,"
+                     "\"messages\":[{\"content\":\"a b c\"}]}");
     static struct rk_prompt prompt;
     struct rk_completion c;
     if (rk_completion_parse(s.data(), s.size(), true, &prompt, &c) == RK_OK)
@@ -181,7 +186,8 @@
 void requests()
 {
     Headers h;
-    static const char *good[] = {"org", "urgent", "key-1", "text/plain", "500", "4"};
+    static const char *good[] = {"org",        "urgent", "key-1",
+                                 "text/plain", "500",    "4"};
     for (int i = 0; i < 6; i++)
         h.values[i] = text(*rc::gen::inRange(0, 3) ? damage(good[i]) : garbage());
     std::string path = text(damage("/services/slots/confirm/17"));
@@ -195,14 +201,23 @@
         RC_ASSERT(static_cast<unsigned char>(*p) > 0x20);
 }
 
-void no_read(void *, uint32_t) {}
-void no_write(void *, uint32_t, unsigned, int64_t, const char *) {}
-void no_slot(void *, uint32_t, unsigned) {}
-void no_decision(void *, uint64_t, const struct rk_claim_result *) {}
+void no_read(void *, uint32_t)
+{
+}
+void no_write(void *, uint32_t, unsigned, int64_t, const char *)
+{
+}
+void no_slot(void *, uint32_t, unsigned)
+{
+}
+void no_decision(void *, uint64_t, const struct rk_claim_result *)
+{
+}
 
 void claim_slots()
 {
-    static const struct rk_claims_ops ops = {no_read, no_write, no_slot, no_decision};
+    static const struct rk_claims_ops ops = {no_read, no_write, no_slot,
+                                             no_decision};
     struct rk_claims_config cfg = {};
     cfg.owner = "a";
     cfg.retention_ms = 1000;
@@ -213,7 +228,8 @@
     rk_claims_tick(c, 1, 1);
     std::string value = text(damage(
         "{\"epoch\":3,\"owner\":\"b\",\"seq\":2,\"sealed\":false,\"newest_ms\":1,"
-        "\"nonce\":\"ab\",\"keys\":[\"00112233445566778899aabbccddeeff00112233\"]}"));
+        "\"nonce\":\"ab\",\"keys\":[\"00112233445566778899aabbccddeeff00112233\"]"
+        "}"));
     struct rk_slot_read slot = {0, 4, value.c_str()};
     rk_claims_on_ring(c, RK_OK, &slot, 1, 2, 2);
     rk_claims_destroy(c);
