keeper: asks its entry node for what it lacks, as often as it needs it

Cause: reading keeper and gossip as a newcomer: each keeper was sent the whole tree of settings and all rows twice a second.

--- a/control/gossip.c
+++ b/control/gossip.c
@@ -380,7 +380,9 @@
     if (frame->body_case == RILLKNOT__FRAME__BODY_STATE_WANTED) {
         struct told nothing = {.known = true};
         send_rows(g, link, "", &nothing, true);
-        send_changes(g, link, -1);
+        int64_t head = frame->state_wanted->head;
+        if (head < rk_changelog_head(g->c->changes))
+            send_changes(g, link, head);
         return;
     }
     take_common(g, link, frame);
--- a/keeper/keeper.c
+++ b/keeper/keeper.c
@@ -23,6 +23,8 @@
 
 #define LOAD_ORDER       "load"
 #define TICK_MS          500
+#define ASK_MS           1000 /* between questions to the entry node */
+#define ASK_IDLE_MS      10000
 #define PLAN_EVERY_MS    1000
 #define HEADROOM         0.25
 #define DEMAND_EWMA      0.2
@@ -63,7 +65,6 @@
     char vm[RK_ID_MAX];
     uint64_t incarnation;
     int64_t epoch;
-    bool confirmed;
 };
 
 struct rk_keeper {
@@ -77,6 +78,7 @@
     struct rk_timer tick;
     int64_t planned_ms;
     struct rk_link *entry;
+    int64_t asked_ms;
     char entry_id[RK_ID_MAX];
     struct rk_members *members;
     struct rk_changelog *changes;
@@ -113,7 +115,7 @@
     for (size_t i = 0; i < c->n_items; i++)
         rk_changelog_take(k->changes, c->items[i]->number, c->items[i]->text);
     int64_t head = rk_changelog_head(k->changes);
-    if (head == before && k->config)
+    if (head == before)
         return;
     rk_config_destroy(k->config);
     k->config = rk_config_create(rk_changelog_tree(k->changes), head);
@@ -145,7 +147,9 @@
         k->entry = rk_link_connect(k->loop, k->file->entry, &entry_ops, k);
     if (!k->entry)
         return;
+    k->asked_ms = rk_mono_ms();
     Rillknot__StateWanted w = RILLKNOT__STATE_WANTED__INIT;
+    w.head = rk_changelog_head(k->changes);
     w.from = k->lease.holder;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_STATE_WANTED;
@@ -435,8 +439,6 @@
     RK_EVENT("engine.order", RK_S("order", LOAD_ORDER), RK_S("vm", op->vm),
              RK_N("epoch", op->epoch), RK_S("status", rk_status_str(st)));
     struct ordered *o = find_ordered(op->k, op->vm);
-    if (o && o->epoch == op->epoch)
-        o->confirmed = st == RK_OK;
     if (st == RK_ECONFLICT) {
         RK_WARN("lease.fenced", RK_S("vm", op->vm), RK_N("epoch", op->epoch));
         op->k->lease.held = false;
@@ -494,7 +496,10 @@
 {
     struct rk_keeper *k = ctx;
     rk_timer_start(k->loop, &k->tick, TICK_MS);
-    ask_entry(k);
+    /* Who doesn't stand for the lease only has to notice when it should. */
+    bool stands = k->lease.held || !k->config || is_candidate(k);
+    if (rk_mono_ms() - k->asked_ms >= (stands ? ASK_MS : ASK_IDLE_MS))
+        ask_entry(k);
     tend_lease(k);
     int64_t epoch, now = rk_mono_ms();
     if (!k->config || now - k->planned_ms < PLAN_EVERY_MS ||
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1912,7 +1912,7 @@
   (ProtobufCMessageInit) rillknot__forward_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__state_wanted__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rillknot__state_wanted__field_descriptors[2] =
 {
   {
     "from",
@@ -1926,14 +1926,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "head",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StateWanted, head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__state_wanted__field_indices_by_name[] = {
   0,   /* field[0] = from */
+  1,   /* field[1] = head */
 };
 static const ProtobufCIntRange rillknot__state_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor rillknot__state_wanted__descriptor =
 {
@@ -1943,7 +1956,7 @@
   "Rillknot__StateWanted",
   "rillknot",
   sizeof(Rillknot__StateWanted),
-  1,
+  2,
   rillknot__state_wanted__field_descriptors,
   rillknot__state_wanted__field_indices_by_name,
   1,  rillknot__state_wanted__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -239,16 +239,18 @@
 
 
 /*
- * A keeper asks its entry node for all rows and the settings.
+ * A keeper asks its entry node for all rows, and for the settings after the head
+ * it has.
  */
 struct  Rillknot__StateWanted
 {
   ProtobufCMessage base;
   char *from;
+  int64_t head;
 };
 #define RILLKNOT__STATE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__state_wanted__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -90,7 +90,7 @@
     RK_EVENT("keeper.started", RK_S("entry", file.entry));
     rk_keeper_start(k);
     rk_loop_run(loop);
-    RK_EVENT("keeper.stopped", RK_N("held", 0));
+    RK_EVENT("keeper.stopped", RK_S("entry", file.entry));
     rk_keeper_destroy(k);
     close(signals);
     rk_loop_destroy(loop);
