--- a/common/http.c
+++ b/common/http.c
@@ -37,7 +37,8 @@
 
 static void free_req(struct rk_http_req *r)
 {
-    *r->prev = r->next;
+    if (r->prev)
+        *r->prev = r->next;
     if (r->next)
         r->next->prev = r->prev;
     curl_multi_remove_handle(r->http->multi, r->easy);
@@ -142,8 +143,16 @@
 {
     if (!h)
         return;
-    while (h->reqs)
-        finish(h->reqs, CURLE_ABORTED_BY_CALLBACK);
+    /* Callbacks may start others: until none is left. */
+    while (h->reqs) {
+        struct rk_http_req *r = h->reqs;
+        h->reqs = r->next;
+        if (r->next)
+            r->next->prev = &h->reqs;
+        r->next = NULL;
+        r->prev = NULL;
+        finish(r, CURLE_ABORTED_BY_CALLBACK);
+    }
     curl_multi_cleanup(h->multi);
     rk_timer_stop(h->loop, &h->timer);
     free(h);
