load, replay: what the linter can't see is said

args.pattern is checked by the command line and a call without a policy never ends whole; both are now stated where they are used. make lint: clean.

--- a/programs/load.c
+++ b/programs/load.c
@@ -2,6 +2,7 @@
  * hand, in patterns like the users' work. Reports percentiles and verdicts as
  * one JSON object, and can record a trace that rillknot-replay reads. */
 #include <argp.h>
+#include <assert.h>
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -327,6 +328,7 @@
 
 static void begin_call(void)
 {
+    assert(args.pattern);
     uint64_t n = (uint64_t)run.begun++;
     struct shape s = {.org = "khomas-clinics",
                       .cls = "",
@@ -372,6 +374,7 @@
 
 static void report(void)
 {
+    assert(args.pattern);
     double seconds = (double)(rk_mono_us() - run.begin_us) / 1e6;
     size_t n = run.measured;
     printf("{\"pattern\":\"%s\",\"requests\":%" PRId64 ",\"whole\":%" PRId64
--- a/programs/replay.c
+++ b/programs/replay.c
@@ -463,7 +463,7 @@
 /* Whole, its first token or answer within the target, and its deadline kept. */
 static bool met_target(const struct call *c)
 {
-    if (c->end != CALL_WHOLE || c->end_ms > c->deadline_ms)
+    if (!c->policy || c->end != CALL_WHOLE || c->end_ms > c->deadline_ms)
         return false;
     return c->job.deferrable ||
            c->first_ms - c->at_ms <= c->policy->target_first_ms;
