--- a/control/settings_sync.c
+++ b/control/settings_sync.c
@@ -54,10 +54,11 @@
     return !gap;
 }
 
-static void on_watch(void *ctx, enum rk_status st, const struct rk_object *os,
-                     size_t len, int64_t revision)
+/* Rows of a list or a watch. relist: read the log when a change is missing. */
+static void on_rows(struct rk_settings_sync *s, enum rk_status st,
+                    const struct rk_object *os, size_t len, int64_t revision,
+                    bool relist)
 {
-    struct rk_settings_sync *s = ctx;
     if (st != RK_OK) {
         again(s);
         return;
@@ -66,26 +67,24 @@
     bool whole = take(s, os, len);
     if (revision > s->revision)
         s->revision = revision;
-    if (whole)
-        rk_settings_sync_tick(s);
-    else
+    if (!whole && relist) {
         list(s);
+        return;
+    }
+    s->caught_up = true;
+    rk_settings_sync_tick(s);
+}
+
+static void on_watch(void *ctx, enum rk_status st, const struct rk_object *os,
+                     size_t len, int64_t revision)
+{
+    on_rows(ctx, st, os, len, revision, true);
 }
 
 static void on_list(void *ctx, enum rk_status st, const struct rk_object *os,
                     size_t len, int64_t revision)
 {
-    struct rk_settings_sync *s = ctx;
-    if (st != RK_OK) {
-        again(s);
-        return;
-    }
-    s->busy = false;
-    take(s, os, len);
-    s->caught_up = true;
-    if (revision > s->revision)
-        s->revision = revision;
-    rk_settings_sync_tick(s);
+    on_rows(ctx, st, os, len, revision, false);
 }
 
 static void list(struct rk_settings_sync *s)
--- a/serve/forward.c
+++ b/serve/forward.c
@@ -89,18 +89,23 @@
     rk_exchange_peer_end(x, &o, true);
 }
 
-static void on_ack_late(void *ctx)
+static void send_cancel(struct peer *p, uint64_t id)
 {
-    struct outbound *o = ctx;
-    struct peer *p = o->peer;
-    uint64_t id = o->id;
-    bool left = rk_link_was_up(p->link);
     Rillknot__ForwardCancel c = RILLKNOT__FORWARD_CANCEL__INIT;
     c.id = id;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_CANCEL;
     frame.forward_cancel = &c;
     rk_link_send(p->link, &frame);
+}
+
+static void on_ack_late(void *ctx)
+{
+    struct outbound *o = ctx;
+    struct peer *p = o->peer;
+    uint64_t id = o->id;
+    bool left = rk_link_was_up(p->link);
+    send_cancel(p, id);
     drop_outbound(p, id);
     lose_call(p->f, id, left, "the peer doesn't answer");
 }
@@ -245,12 +250,7 @@
         p = p->next;
     if (!p || !drop_outbound(p, id))
         return;
-    Rillknot__ForwardCancel c = RILLKNOT__FORWARD_CANCEL__INIT;
-    c.id = id;
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_CANCEL;
-    frame.forward_cancel = &c;
-    rk_link_send(p->link, &frame);
+    send_cancel(p, id);
 }
 
 /* ---- in ---- */
