--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -243,7 +244,8 @@
                  entries=2, engines=3, services=1, engine_args=(), service_args=(),
                  keepers=False, entry_args=(), proc_extra=None, workdir=None,
                  engine_service="booking", plain_service="slots", platform_cut=False,
-                 peer_cuts=False):
+                 peer_cuts=False, keep_logs=False):
+        self.keep_logs = keep_logs
         self.build = os.path.join(ROOT, build)
         self.dir = workdir or tempfile.mkdtemp(prefix="rillknot-")
         self.domains = domains or ["klein-hall", "eros-hall", "olympia-hall"]
@@ -449,6 +451,8 @@
 
     def __exit__(self, *exc):
         self.close()
+        if not exc[0] and not self.keep_logs:
+            shutil.rmtree(self.dir, ignore_errors=True)
 
 
 def strip_comments(text):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -26,7 +26,8 @@
     started = time.time()
     ok = True
     print("starting the platform, 9 engines, 3 slot services, 6 entry nodes, 6 keepers")
-    with Cluster(build=build, entries=2, engines=3, services=1, keepers=True) as c:
+    with Cluster(build=build, entries=2, engines=3, services=1, keepers=True,
+                 keep_logs=True) as c:
         print("ready after %.1f s; logs in %s" % (time.time() - started, c.dir))
         nodes = c.entries
         print("\nwork through several nodes:")
--- a/tools/holding.c
+++ b/tools/holding.c
@@ -27,7 +27,8 @@
 static const char *const policy_names[] = {"plan", "all on-demand",
                                            "cheapest first"};
 
-/* A user's day, as recorded: demand by hour, prices by class and hour, waves. */
+/* A user's day, modelled (no trace of theirs is here): demand by hour, prices by
+ * class and hour, waves. */
 struct user {
     const char *name;
     double weight_cost, weight_recompute;
