settings: a tree fits one object; keys are found by hash

The test showed that a tree of that size took 7.3 s to check in rillknotctl: each key was compared with all before it. By hash: 0.16 s for the whole test program.

--- a/core/jsonlines.c
+++ b/core/jsonlines.c
@@ -7,15 +7,16 @@
 
 #define MAX_DEPTH    16
 #define PATH_MAX_LEN 512
+#define BUCKETS      4096
 
 struct place {
     char *path;
     int line;
+    struct place *next; /* in the bucket */
 };
 
 struct rk_jsonlines {
-    struct place *places;
-    size_t len, cap;
+    struct place *buckets[BUCKETS];
     const char *duplicate;
     int duplicate_line;
 };
@@ -34,11 +35,10 @@
         jl->duplicate = rk_strdup(path);
         jl->duplicate_line = line;
     }
-    if (jl->len == jl->cap) {
-        jl->cap = jl->cap ? jl->cap * 2 : 64;
-        jl->places = rk_realloc(jl->places, jl->cap * sizeof(*jl->places));
-    }
-    jl->places[jl->len++] = (struct place){.path = rk_strdup(path), .line = line};
+    struct place **bucket = &jl->buckets[rk_hash_str(0, path) % BUCKETS];
+    struct place *p = rk_alloc(1, sizeof(*p));
+    *p = (struct place){.path = rk_strdup(path), .line = line, .next = *bucket};
+    *bucket = p;
 }
 
 static void skip_comment(struct scanner *s)
@@ -128,19 +128,23 @@
 {
     if (!jl)
         return;
-    for (size_t i = 0; i < jl->len; i++)
-        free(jl->places[i].path);
-    free(jl->places);
+    for (size_t i = 0; i < BUCKETS; i++) {
+        for (struct place *p = jl->buckets[i], *next; p; p = next) {
+            next = p->next;
+            free(p->path);
+            free(p);
+        }
+    }
     free((char *)jl->duplicate);
     free(jl);
 }
 
 int rk_jsonlines_find(const struct rk_jsonlines *jl, const char *path)
 {
-    for (size_t i = 0; i < jl->len; i++)
-        if (!strcmp(jl->places[i].path, path))
-            return jl->places[i].line;
-    return 0;
+    const struct place *p = jl->buckets[rk_hash_str(0, path) % BUCKETS];
+    while (p && strcmp(p->path, path) != 0)
+        p = p->next;
+    return p ? p->line : 0;
 }
 
 const char *rk_jsonlines_duplicate(const struct rk_jsonlines *jl, int *line)
--- a/core/settings.c
+++ b/core/settings.c
@@ -365,6 +365,9 @@
     s->root = json_object_get(root);
     if (!problems->count)
         check_whole(&c, s);
+    /* A snapshot of it must fit one object of the platform. */
+    if (strlen(json_object_to_json_string(root)) > RK_SETTINGS_MAX_BYTES)
+        problem(&c, "/", "expected at most %d bytes in all", RK_SETTINGS_MAX_BYTES);
     if (problems->count) {
         rk_settings_destroy(s);
         return rk_fail(RK_EINVAL, "%s:%d: %s", problems->items[0].path,
--- a/core/settings.h
+++ b/core/settings.h
@@ -22,8 +22,9 @@
 struct rk_settings;
 struct rk_buf;
 
-#define RK_SETTING_PATH_MAX 256
-#define RK_MAX_PROBLEMS     32
+#define RK_SETTING_PATH_MAX   256
+#define RK_MAX_PROBLEMS       32
+#define RK_SETTINGS_MAX_BYTES (900 * 1024)
 
 /* The parts of the tree a setting may stand in (besides the root). */
 enum rk_section {
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -70,6 +70,19 @@
     }
 }
 
+static void a_tree_fits_one_object(void **state)
+{
+    (void)state;
+    struct rk_buf b = {0};
+    rk_buf_addstr(&b, "{\"organisations\":{\"o\":{}");
+    for (int i = 0; b.len <= RK_SETTINGS_MAX_BYTES; i++)
+        rk_buf_printf(&b, ",\"organisation-%d\":{\"weight\":%d}", i, 1 + i % 1000);
+    rk_buf_addstr(&b, "}}");
+    assert_null(parse(b.data));
+    assert_non_null(strstr(problems.items[0].expected, "bytes"));
+    rk_buf_free(&b);
+}
+
 static void all_mistakes_are_told_at_once(void **state)
 {
     (void)state;
@@ -488,6 +501,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(mistakes_are_named),
+        cmocka_unit_test(a_tree_fits_one_object),
         cmocka_unit_test(all_mistakes_are_told_at_once),
         cmocka_unit_test(values_are_inherited),
         cmocka_unit_test(config_finds_policies),
