--- a/core/choice.c
+++ b/core/choice.c
@@ -8,6 +8,7 @@
 #define LOAD_TRUST_MS     20000 /* age at which a load row counts for nothing */
 #define BOUNDED_LOAD      1.25  /* of the mean share of prefixes a vm may get */
 #define HOLDER_OVERCOMMIT 2     /* calls that may wait at a full holder */
+#define HOLDER_SHARE      0.75 /* of its slots a prefix may fill before it is copied */
 
 double rk_router_load(const struct vm *v, int64_t now_ms)
 {
@@ -126,11 +127,18 @@
     struct holders h = find_holders(r, job, now_ms);
     struct root *root = rk_router_root(r, job);
     int demand = root ? root->in_hand : 1;
+    /* One more copy pays when the prefix's own calls fill its holders; when
+     * others' calls do, a slot there is soon free. */
+    bool crowded = h.nearest >= 0 && demand > h.slots * HOLDER_SHARE &&
+                   demand > r->vms[h.nearest].limit;
+    if (crowded) {
+        int copy = place_copy(r, job, now_ms);
+        if (copy >= 0)
+            return copy;
+    }
     if (h.best >= 0)
         return h.best;
-    /* Holders are full. One more copy pays when the prefix's own calls fill
-     * them; when others' calls do, a slot there is soon free. */
-    if (h.nearest >= 0 && demand <= h.slots) {
+    if (h.nearest >= 0 && !crowded) {
         const struct vm *v = &r->vms[h.nearest];
         if (rk_router_load(v, now_ms) < v->limit + HOLDER_OVERCOMMIT)
             return h.nearest;
