peers, lease, control, vmlist: what nothing calls is gone

Found by reading the whole change: rk_link_is_down, rk_link_ctx and rk_lease_wait_out_ms had no caller, published_ms was written and never read, and the VM list's parser of a state was public for nobody. Behaviour is the same.

Left: the argument parsers of rillknot-entry and rillknot-replay are alike (options and the file argument), as are the properties' small main functions and the stand-ins' options; a shared table would be longer than what it saves.

--- a/control/control.c
+++ b/control/control.c
@@ -67,7 +67,6 @@
 {
     struct rk_control *c = ctx;
     rk_view_publish(c->opt.views, build_view(c));
-    c->published_ms = rk_mono_ms();
     for (size_t i = 0; i < c->traffic_len; i++)
         rk_traffic_view_changed(c->traffic[i]);
 }
--- a/control/state.h
+++ b/control/state.h
@@ -32,7 +32,6 @@
     struct rk_vms_sync *vms;
     struct rk_claims_io *claims;
     struct rk_timer publish;
-    int64_t published_ms;
     uint64_t serial;
     struct rk_rng rng;
 };
--- a/core/lease.c
+++ b/core/lease.c
@@ -78,8 +78,3 @@
     *epoch = l->held_epoch;
     return true;
 }
-
-int64_t rk_lease_wait_out_ms(const struct rk_lease *l)
-{
-    return l->life_ms;
-}
--- a/core/lease.h
+++ b/core/lease.h
@@ -47,8 +47,4 @@
 /* May an order go out now? Its epoch is *epoch. */
 bool rk_lease_valid(const struct rk_lease *l, int64_t now_ms, int64_t *epoch);
 
-/* The longest a former holder may still act on its lease, after another took
- * it: what orders that are harmful when late must wait out. */
-int64_t rk_lease_wait_out_ms(const struct rk_lease *l);
-
 #endif
--- a/peers/link.c
+++ b/peers/link.c
@@ -243,16 +243,6 @@
     return l->was_up;
 }
 
-bool rk_link_is_down(const struct rk_link *l)
-{
-    return l->down;
-}
-
-void *rk_link_ctx(const struct rk_link *l)
-{
-    return l->ctx;
-}
-
 void rk_link_set_ctx(struct rk_link *l, void *ctx)
 {
     l->ctx = ctx;
--- a/peers/link.h
+++ b/peers/link.h
@@ -35,8 +35,6 @@
 
 /* Did the connection ever stand? If not, nothing sent on it has left. */
 bool rk_link_was_up(const struct rk_link *link);
-bool rk_link_is_down(const struct rk_link *link);
-void *rk_link_ctx(const struct rk_link *link);
 void rk_link_set_ctx(struct rk_link *link, void *ctx);
 
 /* Accept links. on_accept sets the link's ctx by rk_link_set_ctx(). */
--- a/vmlist/vmlist.c
+++ b/vmlist/vmlist.c
@@ -17,7 +17,8 @@
     void *ctx;
 };
 
-enum rk_vm_state rk_vmlist_state(const char *s)
+/* A state by its name in the platform's dialect. */
+static enum rk_vm_state parse_state(const char *s)
 {
     if (!strcmp(s, "live"))
         return RK_VM_LIVE;
@@ -32,7 +33,7 @@
     rk_strcpy(vm->service, sizeof(vm->service), rk_json_str(o, "service"));
     rk_strcpy(vm->vm_class, sizeof(vm->vm_class), rk_json_str(o, "vm_class"));
     vm->incarnation = (uint64_t)rk_json_int(o, "incarnation", 0);
-    vm->state = rk_vmlist_state(rk_json_str(o, "state"));
+    vm->state = parse_state(rk_json_str(o, "state"));
 }
 
 static void on_answer(void *ctx, const struct rk_rest_answer *answer)
--- a/vmlist/vmlist.h
+++ b/vmlist/vmlist.h
@@ -19,7 +19,4 @@
 void rk_vmlist_watch(struct rk_http *http, const char *base, int64_t since,
                      int64_t wait_ms, rk_vmlist_fn *fn, void *ctx);
 
-/* A state's name in the platform's dialect, and the JSON row of one vm. */
-enum rk_vm_state rk_vmlist_state(const char *s);
-
 #endif
