--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,9 @@
 WARN    := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror
 CFLAGS  += -std=gnu11 -D_GNU_SOURCE -O2 -g -I. -pthread $(WARN) $(SANFLAGS) $(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 CXXFLAGS += -std=c++17 -O1 -g -I. -pthread -Wall $(SANFLAGS)
-LDLIBS  += $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lm -pthread
+LDLIBS  += $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lhttp_parser -lm -pthread
 
-LIB_DIRS := common core callers engines services objects cloud vmlist peers serve control operators keeper
+LIB_DIRS := common core callers engines services objects cloud vmlist peers serve control operators keeper node platform
 LIB_SRC  := $(wildcard $(LIB_DIRS:%=%/*.c))
 LIB_OBJ  := $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS := $(patsubst programs/%.c,$(BUILD)/rillknot-%,$(filter-out programs/ctl.c,$(wildcard programs/[a-z]*.c))) $(BUILD)/rillknotctl
--- /dev/null
+++ b/common/http1.c
@@ -0,0 +1,204 @@
+#include "common/http1.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define HEAD_SLACK 64 /* bytes of a head that are not its text */
+
+const char *rk_head_name(const struct rk_head *h, size_t line)
+{
+    return h->text.data + h->lines[line].name;
+}
+
+const char *rk_head_value(const struct rk_head *h, size_t line)
+{
+    return h->text.data + h->lines[line].value;
+}
+
+const char *rk_head_target(const struct rk_head *h)
+{
+    return h->text.data + h->target;
+}
+
+const char *rk_head_get(const struct rk_head *h, const char *name)
+{
+    for (size_t i = 0; i < h->lines_len; i++)
+        if (!strcasecmp(rk_head_name(h, i), name))
+            return rk_head_value(h, i);
+    return NULL;
+}
+
+static struct rk_http1 *reader(http_parser *p)
+{
+    return p->data;
+}
+
+/* Append to the text; strings in it are ended by the next one's start. */
+static int add_text(struct rk_http1 *r, const char *s, size_t len)
+{
+    r->head_len += len;
+    if (r->head_len > r->head_max || memchr(s, 0, len)) {
+        r->too_large = r->head_len > r->head_max;
+        return -1;
+    }
+    rk_buf_add(&r->head.text, s, len);
+    return 0;
+}
+
+static size_t new_string(struct rk_http1 *r)
+{
+    rk_buf_add(&r->head.text, "", 1);
+    return r->head.text.len;
+}
+
+static int on_begin(http_parser *p)
+{
+    struct rk_http1 *r = reader(p);
+    r->head.text.len = 0;
+    r->head.lines_len = 0;
+    r->head_len = 0;
+    r->in_value = false;
+    r->head_done = false;
+    r->head.target = new_string(r);
+    return 0;
+}
+
+static int on_url(http_parser *p, const char *s, size_t len)
+{
+    return add_text(reader(p), s, len);
+}
+
+static int on_field(http_parser *p, const char *s, size_t len)
+{
+    struct rk_http1 *r = reader(p);
+    struct rk_head *h = &r->head;
+    if (r->head_done)
+        return 0; /* a trailer */
+    if (r->in_value || !h->lines_len) {
+        if (h->lines_len == RK_HEAD_LINES) {
+            r->too_large = true;
+            return -1;
+        }
+        h->lines[h->lines_len].name = new_string(r);
+        h->lines[h->lines_len].value = 0;
+        h->lines_len++;
+        r->in_value = false;
+        r->head_len += 4; /* colon, blank, end of line */
+    }
+    return add_text(r, s, len);
+}
+
+static int on_value(http_parser *p, const char *s, size_t len)
+{
+    struct rk_http1 *r = reader(p);
+    if (r->head_done)
+        return 0;
+    if (!r->in_value) {
+        r->head.lines[r->head.lines_len - 1].value = new_string(r);
+        r->in_value = true;
+    }
+    return add_text(r, s, len);
+}
+
+static int on_head(http_parser *p)
+{
+    struct rk_http1 *r = reader(p);
+    struct rk_head *h = &r->head;
+    new_string(r);
+    r->head_done = true;
+    h->method = (enum http_method)p->method;
+    h->status = p->status_code;
+    h->minor = p->http_minor;
+    h->chunked = p->flags & F_CHUNKED;
+    h->body_length = h->chunked || p->content_length == UINT64_MAX
+                         ? -1
+                         : (int64_t)p->content_length;
+    h->keep_alive = http_should_keep_alive(p);
+    if (p->type == HTTP_RESPONSE && h->status / 100 == 1)
+        return 0;
+    return r->ops->on_head(r->ctx, h) ? 0 : 1;
+}
+
+static int on_body(http_parser *p, const char *s, size_t len)
+{
+    struct rk_http1 *r = reader(p);
+    r->ops->on_body(r->ctx, s, len);
+    return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+    struct rk_http1 *r = reader(p);
+    if (p->type == HTTP_RESPONSE && r->head.status / 100 == 1)
+        return 0; /* the real answer follows */
+    r->ended = true;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+void rk_http1_init(struct rk_http1 *r, bool requests, size_t head_max,
+                   const struct rk_http1_ops *ops, void *ctx)
+{
+    *r = (struct rk_http1){.ops = ops, .ctx = ctx, .head_max = head_max};
+    http_parser_init(&r->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    r->parser.data = r;
+    http_parser_set_max_header_size((uint32_t)(head_max + HEAD_SLACK) * 2);
+}
+
+void rk_http1_free(struct rk_http1 *r)
+{
+    rk_buf_free(&r->head.text);
+}
+
+static size_t execute(struct rk_http1 *r, const char *data, size_t len)
+{
+    size_t used = http_parser_execute(&r->parser, &settings, data, len);
+    enum http_errno err = HTTP_PARSER_ERRNO(&r->parser);
+    if (err == HPE_HEADER_OVERFLOW)
+        r->too_large = true;
+    if (err != HPE_OK && err != HPE_PAUSED)
+        r->failed = true;
+    if (r->parser.upgrade)
+        r->failed = true; /* CONNECT and Upgrade are not spoken here */
+    if (r->ended)
+        r->ops->on_end(r->ctx);
+    return used;
+}
+
+size_t rk_http1_feed(struct rk_http1 *r, const char *data, size_t len)
+{
+    if (r->ended || r->failed || !len)
+        return 0;
+    return execute(r, data, len);
+}
+
+void rk_http1_eof(struct rk_http1 *r)
+{
+    if (!r->ended && !r->failed)
+        execute(r, "", 0);
+}
+
+void rk_http1_next(struct rk_http1 *r)
+{
+    r->ended = false;
+    r->head_done = false;
+    r->head_len = 0;
+    r->head.text.len = 0;
+    http_parser_pause(&r->parser, 0);
+}
+
+bool rk_http1_begun(const struct rk_http1 *r)
+{
+    return r->parser.nread > 0 || r->head.text.len > 0;
+}
--- a/common/status.c
+++ b/common/status.c
@@ -16,6 +16,7 @@
     [RK_EUNKNOWN] = "unknown-outcome",
     [RK_EFULL] = "full",
     [RK_EPROTO] = "protocol-error",
+    [RK_EGONE] = "gone",
     [RK_ESYSTEM] = "system-error",
 };
 
--- a/common/status.h
+++ b/common/status.h
@@ -12,6 +12,7 @@
     RK_EUNKNOWN,     /* the request was sent, its outcome is not known */
     RK_EFULL,        /* a bounded queue or table is at its limit */
     RK_EPROTO,       /* the peer broke its protocol */
+    RK_EGONE,        /* what was asked for was known once and is forgotten */
     RK_ESYSTEM,      /* an operating system call failed */
 };
 
--- a/core/budget.h
+++ b/core/budget.h
@@ -10,19 +10,25 @@
 
 struct rk_budget {
     int64_t hundredths; /* tokens times 100 */
+    int64_t burst;      /* retries from standing; 0: RK_BUDGET_BURST */
     bool started;
 };
 
+static inline int64_t rk_budget_cap(const struct rk_budget *b)
+{
+    return (b->burst ? b->burst : RK_BUDGET_BURST) * 100;
+}
+
 /* A call came: it earns pct hundredths of a retry. */
 static inline void rk_budget_earn(struct rk_budget *b, int64_t pct)
 {
     if (!b->started) {
         b->started = true;
-        b->hundredths = pct ? RK_BUDGET_BURST * 100 : 0;
+        b->hundredths = pct ? rk_budget_cap(b) : 0;
     }
     b->hundredths += pct;
-    if (b->hundredths > RK_BUDGET_BURST * 100)
-        b->hundredths = RK_BUDGET_BURST * 100;
+    if (b->hundredths > rk_budget_cap(b))
+        b->hundredths = rk_budget_cap(b);
 }
 
 /* May a retry be sent? Takes its token. */
--- /dev/null
+++ b/core/dialect.h
@@ -0,0 +1,27 @@
+/* Names of the headers by which callers and upstreams of a deployment say what
+ * the product has to know. The product's code goes by the members; the texts
+ * belong to the deployment's platform. */
+#ifndef RK_CORE_DIALECT_H
+#define RK_CORE_DIALECT_H
+
+struct rk_dialect {
+    /* Of requests, set by callers. */
+    const char *request_id;
+    const char *deadline_ms; /* how long the caller waits; told on to upstreams */
+    const char *key;         /* of an organisation; never passed on */
+    const char *model;
+    const char *tokens; /* "IN,OUT": of the prompt, and the most generated */
+    const char *prefix; /* "ID:TOKENS,...": parts of the prompt in order */
+    const char *resume_after; /* id of the last event the caller has */
+    /* Of requests, set for upstreams whatever the caller sent. */
+    const char *organisation;
+    const char *vm_id; /* another vm must not run the request */
+    const char *rank;  /* urgency at an engine, 0 first */
+    /* Of answers. */
+    const char *signature; /* of the upstream that made the body */
+    const char *not_run;   /* proves that the request did not run */
+    /* Where the balancer asks whether this node takes new connections. */
+    const char *ready_path;
+};
+
+#endif
--- /dev/null
+++ b/core/events.c
@@ -0,0 +1,80 @@
+#include "core/events.h"
+
+#include <string.h>
+
+/* Length of the first whole event in the text, 0 if there is none: it ends with
+ * an empty line. */
+static size_t event_length(const char *data, size_t len)
+{
+    size_t line = 0;
+    for (size_t i = 0; i < len; i++) {
+        if (data[i] != '\n')
+            continue;
+        size_t chars = i - line;
+        if (chars && data[i - 1] == '\r')
+            chars--;
+        if (!chars && line)
+            return i + 1;
+        line = i + 1;
+    }
+    return 0;
+}
+
+/* The id line of an event. */
+static void find_id(const char *data, size_t len, char id[RK_EVENT_ID_MAX])
+{
+    id[0] = '\0';
+    for (const char *line = data, *end = data + len; line < end;) {
+        const char *stop = memchr(line, '\n', (size_t)(end - line));
+        if (!stop)
+            return;
+        size_t chars = (size_t)(stop - line);
+        if (chars && line[chars - 1] == '\r')
+            chars--;
+        if (chars > 3 && !memcmp(line, "id:", 3)) {
+            const char *v = line + 3;
+            size_t n = chars - 3;
+            if (*v == ' ') {
+                v++;
+                n--;
+            }
+            if (n < RK_EVENT_ID_MAX) {
+                memcpy(id, v, n);
+                id[n] = '\0';
+            }
+        }
+        line = stop + 1;
+    }
+}
+
+void rk_events_feed(struct rk_events *e, const char *data, size_t len,
+                    rk_event_fn *fn, void *ctx)
+{
+    if (e->failed)
+        return;
+    e->part.max = RK_EVENT_MAX;
+    if (!rk_buf_add(&e->part, data, len)) {
+        e->failed = true;
+        return;
+    }
+    size_t at = 0, n;
+    while ((n = event_length(e->part.data + at, e->part.len - at))) {
+        char id[RK_EVENT_ID_MAX];
+        find_id(e->part.data + at, n, id);
+        if (id[0])
+            rk_strcpy(e->last_id, sizeof(e->last_id), id);
+        fn(ctx, e->part.data + at, n, id);
+        at += n;
+    }
+    rk_buf_consume(&e->part, at);
+}
+
+void rk_events_restart(struct rk_events *e)
+{
+    e->part.len = 0;
+}
+
+void rk_events_free(struct rk_events *e)
+{
+    rk_buf_free(&e->part);
+}
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,334 @@
+#include "core/place.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_TOKENS_PER_MS 30.0  /* of prompts, at an engine */
+#define RUNNING_MS         0.4   /* what each running call adds for a new one */
+#define OTHER_DOMAIN_MS    4.0   /* way there and back, and the price of its bytes */
+#define PLAIN_CALL_MS      15.0  /* of a plain service's slot */
+#define JITTER_MS          2     /* so that nodes don't all choose the same */
+#define PAUSE_FIRST_MS     250   /* after a failure, doubling */
+#define PAUSE_MAX_MS       2000
+#define PAUSED_MS          5000.0 /* cost of a paused vm: the last resort */
+#define FULL_MS            3000.0 /* cost of a vm with all slots taken */
+#define ERROR_MS           400.0  /* cost of a vm that fails each call */
+#define ERROR_SHARE        0.1    /* weight of a new outcome */
+#define KNOWN_MS           12000  /* how long a part is taken to stay cached */
+#define ASSUMED_SHARE      0.7    /* of a shared prefix, at its first choice */
+#define MEMO_SLOTS         8192   /* a power of two */
+
+/* A part was read at a vm. */
+struct memo {
+    uint64_t chain, vm;
+    int64_t at_ms;
+};
+
+struct rk_place {
+    char domain[RK_ID_MAX];
+    struct rk_rng rng;
+    struct rk_place_vm *vms;
+    struct memo memos[MEMO_SLOTS];
+};
+
+struct rk_place *rk_place_create(const char *domain, uint64_t seed)
+{
+    struct rk_place *p = rk_alloc(1, sizeof(*p));
+    rk_strcpy(p->domain, sizeof(p->domain), domain);
+    p->rng.state = seed;
+    return p;
+}
+
+void rk_place_destroy(struct rk_place *p)
+{
+    for (struct rk_place_vm *v = p->vms, *next; v; v = next) {
+        next = v->next;
+        free(v);
+    }
+    free(p);
+}
+
+const struct rk_place_vm *rk_place_vms(const struct rk_place *p)
+{
+    return p->vms;
+}
+
+/* ---- rows ---- */
+
+static struct rk_place_vm *find(struct rk_place *p, const char *id)
+{
+    uint64_t hash = rk_hash_str(0, id);
+    struct rk_place_vm *v = p->vms;
+    while (v && (v->hash != hash || strcmp(v->row.id, id) != 0))
+        v = v->next;
+    return v;
+}
+
+/* Forget vms that are off the list and have no call of ours in hand. */
+static void sweep(struct rk_place *p)
+{
+    for (struct rk_place_vm **at = &p->vms; *at;) {
+        struct rk_place_vm *v = *at;
+        if (v->listed || v->calls) {
+            at = &v->next;
+            continue;
+        }
+        *at = v->next;
+        free(v);
+    }
+}
+
+void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len)
+{
+    for (struct rk_place_vm *v = p->vms; v; v = v->next)
+        v->listed = false;
+    for (size_t i = 0; i < len; i++) {
+        struct rk_place_vm *v = find(p, rows[i].id);
+        if (!v) {
+            v = rk_alloc(1, sizeof(*v));
+            v->hash = rk_hash_str(0, rows[i].id);
+            v->service_hash = (uint32_t)rk_hash_str(0, rows[i].service);
+            v->next = p->vms;
+            p->vms = v;
+        }
+        bool leaving = v->row.leaving || rows[i].leaving;
+        v->row = rows[i];
+        v->row.leaving = leaving; /* it never comes back */
+        v->listed = true;
+    }
+    sweep(p);
+}
+
+void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
+                        size_t len)
+{
+    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
+        v->peers_running = 0;
+        v->peers_waiting_tokens = 0;
+    }
+    for (size_t i = 0; i < len; i++) {
+        struct rk_place_vm *v = find(p, loads[i].id);
+        if (!v)
+            continue;
+        v->peers_running += loads[i].running;
+        v->peers_waiting_tokens += loads[i].waiting_tokens;
+    }
+}
+
+/* ---- what is cached where ---- */
+
+void rk_place_parse_parts(struct rk_place_query *q, const char *text)
+{
+    uint64_t chain = 0;
+    q->parts_len = 0;
+    while (*text && q->parts_len < RK_PLACE_PARTS) {
+        size_t id = strcspn(text, ":,");
+        chain = rk_hash(chain, text, id);
+        text += id;
+        long tokens = *text == ':' ? strtol(text + 1, NULL, 10) : 0;
+        q->parts[q->parts_len++] = (struct rk_place_part){
+            .chain = chain, .tokens = tokens > 0 ? (uint32_t)tokens : 0};
+        text += strcspn(text, ",");
+        if (*text == ',')
+            text++;
+    }
+}
+
+static struct memo *memo(struct rk_place *p, uint64_t chain, uint64_t vm)
+{
+    return &p->memos[(chain ^ vm * 0x9e3779b97f4a7c15ULL) & (MEMO_SLOTS - 1)];
+}
+
+static bool known(struct rk_place *p, uint64_t chain, uint64_t vm, int64_t now_ms)
+{
+    const struct memo *m = memo(p, chain, vm);
+    return m->chain == chain && m->vm == vm && now_ms - m->at_ms < KNOWN_MS;
+}
+
+/* The part by which calls are kept together: the last that is shared. */
+static uint64_t affinity(const struct rk_place_query *q)
+{
+    if (q->parts_len >= 2)
+        return q->parts[q->parts_len - 2].chain;
+    return q->parts_len ? q->parts[0].chain : 0;
+}
+
+static double shared_tokens(const struct rk_place_query *q)
+{
+    double sum = 0;
+    for (size_t i = 0; i + 1 < q->parts_len; i++)
+        sum += q->parts[i].tokens;
+    return sum;
+}
+
+/* Tokens of the prompt that need not be read at a vm. */
+static double cached(struct rk_place *p, const struct rk_place_query *q,
+                     const struct rk_place_vm *v, bool first_choice, int64_t now_ms)
+{
+    double sum = 0;
+    for (size_t i = 0; i < q->parts_len; i++) {
+        if (!known(p, q->parts[i].chain, v->hash, now_ms))
+            break;
+        sum += q->parts[i].tokens;
+    }
+    double assumed = first_choice ? shared_tokens(q) * ASSUMED_SHARE : 0;
+    return sum > assumed ? sum : assumed;
+}
+
+/* ---- choice ---- */
+
+static bool is_excluded(const struct rk_place_query *q, const struct rk_place_vm *v)
+{
+    for (size_t i = 0; i < q->excluded_len; i++)
+        if (q->excluded[i] == v->hash)
+            return true;
+    return false;
+}
+
+static bool can_take(const struct rk_place_query *q, uint32_t service_hash,
+                     const struct rk_place_vm *v)
+{
+    return v->listed && !v->row.leaving && v->service_hash == service_hash &&
+           !is_excluded(q, v) && !strcmp(v->row.service, q->service);
+}
+
+static double trouble_ms(const struct rk_place_vm *v, int64_t now_ms)
+{
+    double ms = v->error_rate * ERROR_MS;
+    if (now_ms < v->paused_until_ms)
+        ms += PAUSED_MS;
+    int64_t in_hand = v->running + (int64_t)v->peers_running;
+    if (v->row.slots > 0 && in_hand >= v->row.slots)
+        ms += FULL_MS;
+    return ms;
+}
+
+static double engine_ms(struct rk_place *p, const struct rk_place_query *q,
+                        const struct rk_place_vm *v, bool first_choice,
+                        int64_t now_ms)
+{
+    double read = q->tokens_in - cached(p, q, v, first_choice, now_ms);
+    double waiting = v->waiting_tokens + v->peers_waiting_tokens;
+    return (waiting + (read > 0 ? read : 0)) / READ_TOKENS_PER_MS +
+           RUNNING_MS * (v->running + (double)v->peers_running);
+}
+
+static double plain_ms(const struct rk_place_vm *v)
+{
+    double slots = v->row.slots > 0 ? (double)v->row.slots : 1;
+    double in_hand = v->running + (double)v->peers_running;
+    return PLAIN_CALL_MS * (1 + in_hand / slots);
+}
+
+/* The vm to which all nodes send a prefix while nothing speaks against it. */
+static const struct rk_place_vm *first_choice(const struct rk_place *p,
+                                              const struct rk_place_query *q,
+                                              uint32_t service_hash)
+{
+    const struct rk_place_vm *best = NULL;
+    uint64_t best_weight = 0, key = affinity(q);
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
+        if (!can_take(q, service_hash, v))
+            continue;
+        uint64_t weight = rk_hash(key, &v->hash, sizeof(v->hash));
+        if (!best || weight > best_weight) {
+            best = v;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+struct rk_place_vm *rk_place_choose(struct rk_place *p,
+                                    const struct rk_place_query *q, int64_t now_ms,
+                                    double *first_ms)
+{
+    uint32_t service_hash = (uint32_t)rk_hash_str(0, q->service);
+    const struct rk_place_vm *first =
+        q->engine && q->parts_len ? first_choice(p, q, service_hash) : NULL;
+    struct rk_place_vm *best = NULL;
+    double best_ms = INFINITY;
+    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
+        if (!can_take(q, service_hash, v))
+            continue;
+        double ms = q->engine ? engine_ms(p, q, v, v == first, now_ms) : plain_ms(v);
+        ms += trouble_ms(v, now_ms);
+        if (strcmp(v->row.domain, p->domain) != 0)
+            ms += OTHER_DOMAIN_MS;
+        ms += rk_rng_below(&p->rng, JITTER_MS);
+        if (ms < best_ms) {
+            best_ms = ms;
+            best = v;
+        }
+    }
+    *first_ms = best_ms;
+    return best;
+}
+
+/* ---- a call's life ---- */
+
+double rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
+                     const struct rk_place_query *q, int64_t now_ms)
+{
+    vm->calls++;
+    vm->running++;
+    if (!q->engine)
+        return 0;
+    double read = q->tokens_in - cached(p, q, vm, false, now_ms);
+    for (size_t i = 0; i < q->parts_len; i++)
+        *memo(p, q->parts[i].chain, vm->hash) = (struct memo){
+            .chain = q->parts[i].chain, .vm = vm->hash, .at_ms = now_ms};
+    if (read < 0)
+        read = 0;
+    vm->waiting_tokens += read;
+    return read;
+}
+
+void rk_place_first(struct rk_place_vm *vm, double tokens)
+{
+    vm->waiting_tokens -= tokens;
+    if (vm->waiting_tokens < 0)
+        vm->waiting_tokens = 0;
+}
+
+static void note_outcome(struct rk_place_vm *vm, bool failed)
+{
+    vm->error_rate += ERROR_SHARE * ((failed ? 1.0 : 0.0) - vm->error_rate);
+}
+
+static void pause_vm(struct rk_place_vm *vm, int64_t now_ms)
+{
+    int64_t ms = PAUSE_FIRST_MS;
+    for (int i = 0; i < vm->failures && ms < PAUSE_MAX_MS; i++)
+        ms *= 2;
+    vm->failures++;
+    vm->paused_until_ms = now_ms + (ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS);
+}
+
+void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm, double tokens,
+                    enum rk_place_end end, int64_t now_ms)
+{
+    vm->calls--;
+    vm->running--;
+    if (tokens > 0)
+        rk_place_first(vm, tokens);
+    switch (end) {
+    case RK_PLACE_DONE:
+        vm->failures = 0;
+        vm->paused_until_ms = 0;
+        note_outcome(vm, false);
+        break;
+    case RK_PLACE_ERROR:
+        note_outcome(vm, true);
+        break;
+    case RK_PLACE_LOST:
+        note_outcome(vm, true);
+        pause_vm(vm, now_ms);
+        break;
+    case RK_PLACE_CALLED_OFF:
+        break;
+    }
+    if (!vm->listed && !vm->calls)
+        sweep(p);
+}
--- /dev/null
+++ b/core/place.h
@@ -0,0 +1,106 @@
+/* Where a routed call runs: the upstream vms of the fleet, what is in hand at
+ * each by this node and by its peers, and the choice by predicted time to the
+ * first byte. Deterministic but for the seed; one thread's. */
+#ifndef RK_CORE_PLACE_H
+#define RK_CORE_PLACE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/util.h"
+
+#define RK_PLACE_PARTS    16
+#define RK_PLACE_EXCLUDED 4
+
+/* A vm as the platform's list tells it. */
+struct rk_vm_row {
+    char id[RK_ID_MAX]; /* of its incarnation */
+    char addr[RK_ADDR_MAX];
+    char service[RK_ID_MAX];
+    char domain[RK_ID_MAX];
+    int64_t slots;
+    bool leaving;
+    bool reclaimable;
+    int64_t leaves_in_ms; /* of a leaving one, -1: not told */
+};
+
+/* What other nodes have in hand at a vm, summed. */
+struct rk_vm_load {
+    char id[RK_ID_MAX];
+    uint32_t running;
+    double waiting_tokens; /* of prompts not begun */
+};
+
+/* One vm. Readable for all, written by place.c. */
+struct rk_place_vm {
+    struct rk_vm_row row;
+    struct rk_place_vm *next;
+    uint64_t hash;
+    uint32_t service_hash;
+    bool listed;
+    int calls; /* of this node, in hand: kept until none is left */
+    int running;
+    double waiting_tokens;
+    uint32_t peers_running;
+    double peers_waiting_tokens;
+    int failures; /* in a row */
+    int64_t paused_until_ms;
+    double error_rate; /* share of own answers that were failures, smoothed */
+    double rtt_ms;     /* smoothed time of plain calls */
+};
+
+struct rk_place_part {
+    uint64_t chain; /* hash of this part and all before it */
+    uint32_t tokens;
+};
+
+/* A call to place. */
+struct rk_place_query {
+    const char *service;
+    bool engine;
+    struct rk_place_part parts[RK_PLACE_PARTS];
+    size_t parts_len;
+    double tokens_in;
+    uint64_t excluded[RK_PLACE_EXCLUDED]; /* hashes of vms that failed it */
+    size_t excluded_len;
+};
+
+struct rk_place;
+
+struct rk_place *rk_place_create(const char *domain, uint64_t seed);
+void rk_place_destroy(struct rk_place *p);
+
+/* The list as it stands now. */
+void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len);
+void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
+                        size_t len);
+
+/* Parse "ID:TOKENS,..." into the query's parts. */
+void rk_place_parse_parts(struct rk_place_query *q, const char *text);
+
+/* The best vm, or NULL when none can take the call. *first_ms: predicted time to
+ * the first byte. */
+struct rk_place_vm *rk_place_choose(struct rk_place *p,
+                                    const struct rk_place_query *q, int64_t now_ms,
+                                    double *first_ms);
+
+/* A call's life at a vm. sent returns the tokens that will have to be read. */
+double rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
+                     const struct rk_place_query *q, int64_t now_ms);
+void rk_place_first(struct rk_place_vm *vm, double tokens);
+
+enum rk_place_end {
+    RK_PLACE_DONE,
+    RK_PLACE_ERROR,  /* it answered that it failed */
+    RK_PLACE_LOST,   /* unreachable, reset, silent */
+    RK_PLACE_CALLED_OFF,
+};
+/* tokens: what rk_place_sent() gave, if rk_place_first() was not called, else 0. */
+void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm, double tokens,
+                    enum rk_place_end end, int64_t now_ms);
+
+/* All vms, a list by ->next. */
+const struct rk_place_vm *rk_place_vms(const struct rk_place *p);
+
+#endif
--- a/core/procfile.c
+++ b/core/procfile.c
@@ -10,7 +10,7 @@
 
 #define FILE_LIMIT (4 * 1024 * 1024)
 
-enum field_type { FIELD_TEXT, FIELD_NUMBER };
+enum field_type { FIELD_TEXT, FIELD_NUMBER, FIELD_REAL, FIELD_BOOL };
 
 static const struct field {
     const char *name;
@@ -30,6 +30,14 @@
         .offset = offsetof(struct rk_procfile, n), .min = lo, .max = hi,           \
         .fallback = def                                                            \
     }
+#define REAL(n)                                                                    \
+    {                                                                              \
+        .name = #n, .type = FIELD_REAL, .offset = offsetof(struct rk_procfile, n)  \
+    }
+#define BOOL(n)                                                                    \
+    {                                                                              \
+        .name = #n, .type = FIELD_BOOL, .offset = offsetof(struct rk_procfile, n)  \
+    }
     TEXT(id, true),
     TEXT(failure_domain, true),
     TEXT(platform, true),
@@ -43,6 +51,19 @@
     NUMBER(notice_ms, 0, 600000, 20000),
     NUMBER(max_body, 1024, 1024 * 1024, 1024 * 1024),
     NUMBER(max_connections, 1, 100000, 4000),
+    TEXT(dialect, false),
+    TEXT(cloud, false),
+    TEXT(ready_listen, false),
+    TEXT(metrics_listen, false),
+    BOOL(first_start),
+    NUMBER(stop_s, 1, 3600, 20),
+    NUMBER(lease_ms, 100, 600000, 3000),
+    NUMBER(usage_window_s, 1, 86400, 5),
+    NUMBER(usage_late_s, 1, 86400, 10),
+    NUMBER(quota_window_s, 1, 3600, 8),
+    NUMBER(quota_slack, 0, 1000000000, 0),
+    NUMBER(retry_burst, 0, 1000000, 20),
+    REAL(retry_ratio),
 };
 
 char *rk_read_file(const char *path)
@@ -91,6 +112,22 @@
                            f->size - 1);
         return RK_OK;
     }
+    if (f->type == FIELD_BOOL) {
+        if (!json_object_is_type(v, json_type_boolean))
+            return rk_fail(RK_EINVAL, "expected true or false");
+        *(bool *)at = json_object_get_boolean(v);
+        return RK_OK;
+    }
+    if (f->type == FIELD_REAL) {
+        double d = json_object_get_double(v);
+        if (!json_object_is_type(v, json_type_double) &&
+            !json_object_is_type(v, json_type_int))
+            return rk_fail(RK_EINVAL, "expected a number");
+        if (!(d >= 0 && d <= 1))
+            return rk_fail(RK_EINVAL, "expected a number from 0 to 1");
+        *(double *)at = d;
+        return RK_OK;
+    }
     int64_t n = json_object_get_int64(v);
     if (!json_object_is_type(v, json_type_int) || n < f->min || n > f->max)
         return rk_fail(RK_EINVAL, "expected a number from %lld to %lld",
--- /dev/null
+++ b/core/quota.h
@@ -0,0 +1,48 @@
+/* Quotas of organisations over all nodes: what each organisation used within a
+ * sliding window, by this node's count and by what peers tell. A node that hears
+ * only some of its peers holds to their part. Pure. */
+#ifndef RK_CORE_QUOTA_H
+#define RK_CORE_QUOTA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/util.h"
+
+#define RK_QUOTA_BUCKETS   33 /* one more than make the window: the oldest is part */
+#define RK_QUOTA_ORGS      64
+#define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
+
+/* One organisation's use. */
+struct rk_quota_org {
+    char name[RK_ID_MAX];
+    double used[RK_QUOTA_BUCKETS]; /* units, by time */
+    int64_t bucket;                /* number of the newest */
+    double own_total;              /* admitted here since the start */
+};
+
+struct rk_quota {
+    int64_t window_ms;
+    struct rk_quota_org orgs[RK_QUOTA_ORGS];
+    size_t orgs_len;
+    int nodes_heard, nodes_total; /* this one included */
+    double slack;                 /* units that the deployment forgives */
+};
+
+void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack);
+
+/* May units be used? Counts them if so. rate 0: no limit. If not,
+ * *retry_after_ms says when some are free again. */
+bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
+                    double units, int64_t now_ms, int64_t *retry_after_ms);
+
+/* Units that were admitted elsewhere just now, or given back (negative). */
+void rk_quota_add(struct rk_quota *q, const char *org, double units,
+                  int64_t now_ms);
+
+/* Give back what was admitted here and did not run. */
+void rk_quota_refund(struct rk_quota *q, const char *org, double units,
+                     int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/usage.h
@@ -0,0 +1,39 @@
+/* How many calls of each organisation began to run in each window of the wall
+ * clock, as told by each node. Counts of one node only rise, so they may be told
+ * any number of times, in any order. Pure. */
+#ifndef RK_CORE_USAGE_H
+#define RK_CORE_USAGE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/util.h"
+
+/* One node's count. node: a hash of its id and incarnation. */
+struct rk_usage_row {
+    uint64_t node;
+    int64_t window;
+    char org[RK_ID_MAX];
+    uint64_t count;
+};
+
+struct rk_usage {
+    struct rk_usage_row *rows;
+    size_t len, cap;
+};
+
+/* Add one at this node. */
+void rk_usage_count(struct rk_usage *u, uint64_t node, int64_t window,
+                    const char *org);
+
+/* A node's count as told: kept if it is more than what was known. */
+void rk_usage_merge(struct rk_usage *u, const struct rk_usage_row *row);
+
+/* Sum over all nodes. */
+uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org);
+
+/* Forget windows before `window`. */
+void rk_usage_forget(struct rk_usage *u, int64_t window);
+void rk_usage_free(struct rk_usage *u);
+
+#endif
--- /dev/null
+++ b/node/node.c
@@ -0,0 +1,322 @@
+#include "node/node.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "callers/server.h"
+#include "cloud/duties.h"
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "common/http.h"
+#include "common/http1.h"
+#include "node/state.h"
+#include "objects/store.h"
+
+#define PAGE_HEADER_BYTES 8192
+#define PAGE_IDLE_MS      10000
+#define PAGE_CLIENTS      32
+#define STOP_STEP_MS      50
+#define BALANCER_MS       2600 /* until the balancer sends nobody here any more */
+#define SETTLE_MS         400  /* of quiet, before a stop is over */
+#define STOP_MARGIN_MS    700  /* before the platform kills the process */
+
+static const struct rk_server_limits page_limits = {
+    .header_bytes = PAGE_HEADER_BYTES,
+    .header_ms = PAGE_IDLE_MS,
+    .idle_ms = PAGE_IDLE_MS,
+    .max_clients = PAGE_CLIENTS,
+};
+
+/* ---- pages for the balancer and for operators ---- */
+
+static bool is_path(struct rk_client *client, const char *path)
+{
+    const char *target = rk_head_target(rk_client_head(client));
+    size_t len = strlen(path);
+    return !strncmp(target, path, len) && (!target[len] || target[len] == '?');
+}
+
+static void on_ready_request(void *ctx, struct rk_client *client)
+{
+    struct rk_node *n = ctx;
+    int status = 404;
+    if (is_path(client, n->platform->dialect->ready_path))
+        status = rk_sync_ready(n->sync) && !n->leaving ? 200 : 503;
+    rk_client_answer(client, status, "", "", 0);
+}
+
+static void render_gauges(struct rk_node *n, struct rk_buf *out)
+{
+    const struct {
+        const char *name;
+        int64_t value;
+    } gauges[] = {
+        {"settings_version", rk_sync_version(n->sync)},
+        {"settings_age_ms", rk_sync_settings_age_ms(n->sync)},
+        {"list_revision", rk_sync_list_revision(n->sync)},
+        {"nodes_heard", rk_mesh_heard(n->mesh)},
+        {"nodes_known", rk_mesh_total(n->mesh)},
+        {"calls_in_hand", n->report ? (int64_t)n->report->in_hand : 0},
+        {"leaving", n->leaving},
+    };
+    for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
+        rk_buf_printf(out, "# TYPE rillknot_%s gauge\nrillknot_%s %" PRId64 "\n",
+                      gauges[i].name, gauges[i].name, gauges[i].value);
+}
+
+static void on_metrics_request(void *ctx, struct rk_client *client)
+{
+    struct rk_node *n = ctx;
+    if (!is_path(client, "/metrics")) {
+        rk_client_answer(client, 404, "", "", 0);
+        return;
+    }
+    struct rk_buf b = {0};
+    rk_counters_render(&b);
+    render_gauges(n, &b);
+    rk_client_answer(client, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+                     b.data, b.len);
+    rk_buf_free(&b);
+}
+
+static void on_page_gone(void *ctx, void *user)
+{
+    (void)ctx;
+    (void)user;
+}
+
+static const struct rk_server_ops ready_ops = {.on_request = on_ready_request,
+                                               .on_gone = on_page_gone};
+static const struct rk_server_ops metrics_ops = {.on_request = on_metrics_request,
+                                                 .on_gone = on_page_gone};
+
+/* ---- the relay's reports ---- */
+
+struct report_message {
+    struct rk_node *n;
+    struct rk_relay_report *report;
+};
+
+static void take_report(void *ctx)
+{
+    struct report_message *m = ctx;
+    struct rk_node *n = m->n;
+    if (n->report)
+        rk_relay_report_free(n->report);
+    n->report = m->report;
+    for (size_t i = 0; i < n->report->usage_len; i++)
+        rk_usage_merge(&n->usage, &n->report->usage[i]);
+    free(m);
+}
+
+static void on_report(void *ctx, struct rk_relay_report *report)
+{
+    struct report_message *m = rk_alloc(1, sizeof(*m));
+    *m = (struct report_message){.n = ctx, .report = report};
+    if (rk_loop_post(m->n->loop, take_report, m))
+        return;
+    rk_relay_report_free(report); /* control is behind; the next one tells all */
+    free(m);
+}
+
+/* ---- planned stop ---- */
+
+static void on_removed(void *ctx, enum rk_status st, const struct rk_store_object *o)
+{
+    (void)ctx;
+    (void)st;
+    (void)o;
+}
+
+static void end_stop(struct rk_node *n)
+{
+    RK_EVENT("node.stopped",
+             RK_N("in_hand", n->report ? (int64_t)n->report->in_hand : 0),
+             RK_N("took_ms", rk_mono_ms() - n->leaving_since_ms));
+    rk_relay_stop(n->relay);
+    rk_loop_stop(n->loop);
+}
+
+static void on_stop_step(void *ctx)
+{
+    struct rk_node *n = ctx;
+    int64_t in_ms = rk_mono_ms() - n->leaving_since_ms;
+    int64_t last_ms = n->file.stop_s * RK_MS_PER_S - STOP_MARGIN_MS;
+    bool quiet = !n->report || !n->report->in_hand;
+    if (in_ms >= last_ms || (quiet && in_ms >= BALANCER_MS + SETTLE_MS)) {
+        end_stop(n);
+        return;
+    }
+    if (in_ms >= BALANCER_MS)
+        rk_relay_close_idle(n->relay);
+    rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
+}
+
+static void begin_stop(void *ctx)
+{
+    struct rk_node *n = ctx;
+    if (n->leaving)
+        return;
+    n->leaving = true;
+    n->leaving_since_ms = rk_mono_ms();
+    RK_EVENT("node.leaving", RK_N("notice_ms", n->file.stop_s * RK_MS_PER_S));
+    rk_relay_close(n->relay);
+    rk_mesh_report(n->mesh);
+    n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_removed, n);
+    rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
+}
+
+void rk_node_leave(struct rk_node *n)
+{
+    rk_loop_post(n->loop, begin_stop, n);
+}
+
+struct reload_message {
+    struct rk_node *n;
+    struct rk_procfile file;
+};
+
+static void take_reload(void *ctx)
+{
+    struct reload_message *m = ctx;
+    struct rk_procfile *file = &m->n->file;
+    file->stop_s = m->file.stop_s;
+    file->usage_late_s = m->file.usage_late_s;
+    RK_EVENT("node.reloaded", RK_N("stop_s", file->stop_s));
+    free(m);
+}
+
+void rk_node_reload(struct rk_node *n, const struct rk_procfile *file)
+{
+    struct reload_message *m = rk_alloc(1, sizeof(*m));
+    *m = (struct reload_message){.n = n, .file = *file};
+    if (!rk_loop_post(n->loop, take_reload, m))
+        free(m);
+}
+
+/* ---- making ---- */
+
+static enum rk_status create_relay(struct rk_node *n)
+{
+    const struct rk_procfile *f = &n->file;
+    struct rk_relay_options opt = {
+        .dialect = n->platform->dialect,
+        .listen = f->listen,
+        .node = n->hash,
+        .seed = rk_rng_next(&n->rng),
+        .max_clients = (int)f->max_connections,
+        .bounds = {.retry_pct = (int64_t)(f->retry_ratio * 100),
+                   .retry_burst = f->retry_burst,
+                   .quota_window_ms = f->quota_window_s * RK_MS_PER_S,
+                   .quota_slack = (double)f->quota_slack,
+                   .usage_window_ms = f->usage_window_s * RK_MS_PER_S},
+        .on_report = on_report,
+        .ctx = n,
+    };
+    rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
+    n->relay = rk_relay_create(&opt);
+    return n->relay ? RK_OK : RK_ESYSTEM;
+}
+
+static enum rk_status create_servers(struct rk_node *n)
+{
+    n->ready_server = rk_server_create(n->loop, n->file.ready_listen, &page_limits,
+                                       &ready_ops, n);
+    if (!n->ready_server)
+        return RK_ESYSTEM;
+    if (!n->file.metrics_listen[0])
+        return RK_OK;
+    n->metrics_server = rk_server_create(n->loop, n->file.metrics_listen,
+                                         &page_limits, &metrics_ops, n);
+    return n->metrics_server ? RK_OK : RK_ESYSTEM;
+}
+
+static uint64_t random_seed(void)
+{
+    uint64_t seed = (uint64_t)rk_wall_ms() ^ (uint64_t)rk_mono_us() << 20;
+    FILE *f = fopen("/dev/urandom", "rb");
+    if (!f)
+        return seed;
+    uint64_t noise = 0;
+    if (fread(&noise, sizeof(noise), 1, f) == 1)
+        seed ^= noise;
+    fclose(f);
+    return seed;
+}
+
+static enum rk_status create_parts(struct rk_node *n)
+{
+    n->loop = rk_loop_create();
+    n->http = rk_http_create(n->loop);
+    n->store = n->platform->create_store(n->http, n->file.platform);
+    n->duties = n->platform->create_duties(n->http, n->file.cloud);
+    n->sync = rk_sync_create(n);
+    n->duty_keeper = rk_duty_keeper_create(n);
+    if (create_relay(n) != RK_OK)
+        return RK_ESYSTEM;
+    n->mesh = rk_mesh_create(n);
+    return n->mesh ? create_servers(n) : RK_ESYSTEM;
+}
+
+enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out)
+{
+    const struct rk_platform *platform = rk_platform_find(file->dialect);
+    if (!platform)
+        return rk_fail(RK_EINVAL, "/dialect: expected a known platform, not '%s'",
+                       file->dialect);
+    struct rk_node *n = rk_alloc(1, sizeof(*n));
+    n->file = *file;
+    n->platform = platform;
+    n->rng.state = random_seed();
+    n->incarnation = rk_rng_next(&n->rng);
+    n->hash = rk_hash(n->incarnation, file->id, strlen(file->id));
+    n->started_ms = rk_mono_ms();
+    n->stop = (struct rk_timer){.fn = on_stop_step, .ctx = n};
+    enum rk_status st = create_parts(n);
+    if (st != RK_OK)
+        return st; /* the process ends */
+    *out = n;
+    return RK_OK;
+}
+
+void rk_node_destroy(struct rk_node *n)
+{
+    rk_timer_stop(n->loop, &n->stop);
+    rk_server_destroy(n->ready_server);
+    rk_server_destroy(n->metrics_server);
+    rk_relay_destroy(n->relay);
+    rk_http_destroy(n->http);
+    rk_mesh_destroy(n->mesh);
+    rk_duty_keeper_destroy(n->duty_keeper);
+    rk_sync_destroy(n->sync);
+    n->duties->ops->destroy(n->duties);
+    n->store->ops->destroy(n->store);
+    if (n->report)
+        rk_relay_report_free(n->report);
+    rk_usage_free(&n->usage);
+    rk_loop_destroy(n->loop);
+    free(n);
+}
+
+static void *run_relay(void *arg)
+{
+    rk_relay_run(arg);
+    return NULL;
+}
+
+void rk_node_run(struct rk_node *n)
+{
+    pthread_t traffic;
+    RK_EVENT("node.started", RK_S("listen", rk_relay_addr(n->relay)),
+             RK_S("ready", rk_server_addr(n->ready_server)),
+             RK_N("first_start", n->file.first_start));
+    rk_sync_start(n->sync);
+    rk_mesh_start(n->mesh);
+    rk_duty_keeper_start(n->duty_keeper);
+    pthread_create(&traffic, NULL, run_relay, n->relay);
+    rk_loop_run(n->loop);
+    pthread_join(traffic, NULL);
+}
--- /dev/null
+++ b/node/state.h
@@ -0,0 +1,76 @@
+/* State of a node's control thread, shared by the files of node/. */
+#ifndef RK_NODE_STATE_H
+#define RK_NODE_STATE_H
+
+#include "common/loop.h"
+#include "core/procfile.h"
+#include "core/usage.h"
+#include "node/platform.h"
+#include "peers/peers.pb-c.h"
+#include "serve/relay.h"
+
+struct rk_http;
+struct rk_store;
+struct rk_duties;
+struct rk_server;
+struct rk_sync;
+struct rk_mesh;
+struct rk_duty_keeper;
+
+struct rk_node {
+    struct rk_procfile file;
+    const struct rk_platform *platform;
+    struct rk_loop *loop;
+    struct rk_http *http;
+    struct rk_store *store;
+    struct rk_duties *duties;
+    struct rk_relay *relay;
+    struct rk_server *ready_server, *metrics_server;
+    struct rk_sync *sync;
+    struct rk_mesh *mesh;
+    struct rk_duty_keeper *duty_keeper;
+    struct rk_usage usage;          /* of all nodes */
+    struct rk_relay_report *report; /* the relay's last */
+    struct rk_rng rng;
+    uint64_t incarnation;
+    uint64_t hash; /* of id and incarnation */
+    int64_t started_ms;
+    bool leaving;
+    int64_t leaving_since_ms;
+    struct rk_timer stop;
+};
+
+/* sync.c: settings and vms as the store, or a peer, tells them. */
+struct rk_sync *rk_sync_create(struct rk_node *n);
+void rk_sync_destroy(struct rk_sync *s);
+void rk_sync_start(struct rk_sync *s);
+bool rk_sync_ready(const struct rk_sync *s); /* both are known */
+int64_t rk_sync_version(const struct rk_sync *s);
+int64_t rk_sync_list_revision(const struct rk_sync *s);
+const struct rk_routes *rk_sync_routes(const struct rk_sync *s);
+const struct rk_vm_row *rk_sync_vm_at(const struct rk_sync *s, size_t i); /* or NULL */
+int64_t rk_sync_settings_age_ms(const struct rk_sync *s); /* since the store spoke */
+/* For a peer that asks; the message's parts belong to s until the next call. */
+void rk_sync_tell(struct rk_sync *s, const Rillknot__StoreWanted *wanted,
+                  Rillknot__StoreText *out);
+void rk_sync_take(struct rk_sync *s, const Rillknot__StoreText *text);
+
+/* mesh.c: the other nodes. */
+struct rk_mesh *rk_mesh_create(struct rk_node *n);
+void rk_mesh_destroy(struct rk_mesh *m);
+void rk_mesh_start(struct rk_mesh *m);
+void rk_mesh_report(struct rk_mesh *m); /* tell all peers now */
+int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
+int rk_mesh_total(const struct rk_mesh *m);
+
+/* duties.c: the lease, usage, orders for vms. */
+struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n);
+void rk_duty_keeper_destroy(struct rk_duty_keeper *k);
+void rk_duty_keeper_start(struct rk_duty_keeper *k);
+/* What a peer holds; false: nothing to tell. value is valid until the next call. */
+bool rk_duty_keeper_lease(const struct rk_duty_keeper *k, int64_t *version,
+                          const char **value);
+void rk_duty_keeper_seen(struct rk_duty_keeper *k, int64_t version,
+                         const char *value);
+
+#endif
--- a/peers/link.c
+++ b/peers/link.c
@@ -21,6 +21,8 @@
 #define READ_CHUNK  (64 * 1024)
 #define BACKLOG     256
 
+#define USER_TIMEOUT_MS 2500 /* unacknowledged bytes for so long: the path is gone */
+
 struct rk_link {
     struct rk_loop *loop;
     int fd;
@@ -47,8 +49,9 @@
     *l = (struct rk_link){.loop = loop, .fd = fd, .ops = ops, .ctx = ctx};
     l->in.max = RK_FRAME_MAX + HEADER_LEN + READ_CHUNK;
     l->out.max = SEND_BUFFER;
-    int one = 1;
+    int one = 1, limit = USER_TIMEOUT_MS;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     return l;
 }
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -592,6 +592,366 @@
   assert(message->base.descriptor == &rillknot__state_wanted__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__vm_use__init
+                     (Rillknot__VmUse         *message)
+{
+  static const Rillknot__VmUse init_value = RILLKNOT__VM_USE__INIT;
+  *message = init_value;
+}
+size_t rillknot__vm_use__get_packed_size
+                     (const Rillknot__VmUse *message)
+{
+  assert(message->base.descriptor == &rillknot__vm_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__vm_use__pack
+                     (const Rillknot__VmUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__vm_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__vm_use__pack_to_buffer
+                     (const Rillknot__VmUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__vm_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__VmUse *
+       rillknot__vm_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__VmUse *)
+     protobuf_c_message_unpack (&rillknot__vm_use__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__vm_use__free_unpacked
+                     (Rillknot__VmUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__vm_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__org_use__init
+                     (Rillknot__OrgUse         *message)
+{
+  static const Rillknot__OrgUse init_value = RILLKNOT__ORG_USE__INIT;
+  *message = init_value;
+}
+size_t rillknot__org_use__get_packed_size
+                     (const Rillknot__OrgUse *message)
+{
+  assert(message->base.descriptor == &rillknot__org_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__org_use__pack
+                     (const Rillknot__OrgUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__org_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__org_use__pack_to_buffer
+                     (const Rillknot__OrgUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__org_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__OrgUse *
+       rillknot__org_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__OrgUse *)
+     protobuf_c_message_unpack (&rillknot__org_use__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__org_use__free_unpacked
+                     (Rillknot__OrgUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__org_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__usage_row__init
+                     (Rillknot__UsageRow         *message)
+{
+  static const Rillknot__UsageRow init_value = RILLKNOT__USAGE_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__usage_row__get_packed_size
+                     (const Rillknot__UsageRow *message)
+{
+  assert(message->base.descriptor == &rillknot__usage_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__usage_row__pack
+                     (const Rillknot__UsageRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__usage_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__usage_row__pack_to_buffer
+                     (const Rillknot__UsageRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__usage_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__UsageRow *
+       rillknot__usage_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__UsageRow *)
+     protobuf_c_message_unpack (&rillknot__usage_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__usage_row__free_unpacked
+                     (Rillknot__UsageRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__usage_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__lease_row__init
+                     (Rillknot__LeaseRow         *message)
+{
+  static const Rillknot__LeaseRow init_value = RILLKNOT__LEASE_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__lease_row__get_packed_size
+                     (const Rillknot__LeaseRow *message)
+{
+  assert(message->base.descriptor == &rillknot__lease_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__lease_row__pack
+                     (const Rillknot__LeaseRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__lease_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__lease_row__pack_to_buffer
+                     (const Rillknot__LeaseRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__lease_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__LeaseRow *
+       rillknot__lease_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__LeaseRow *)
+     protobuf_c_message_unpack (&rillknot__lease_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__lease_row__free_unpacked
+                     (Rillknot__LeaseRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__lease_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__node_report__init
+                     (Rillknot__NodeReport         *message)
+{
+  static const Rillknot__NodeReport init_value = RILLKNOT__NODE_REPORT__INIT;
+  *message = init_value;
+}
+size_t rillknot__node_report__get_packed_size
+                     (const Rillknot__NodeReport *message)
+{
+  assert(message->base.descriptor == &rillknot__node_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__node_report__pack
+                     (const Rillknot__NodeReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__node_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__node_report__pack_to_buffer
+                     (const Rillknot__NodeReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__node_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__NodeReport *
+       rillknot__node_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__NodeReport *)
+     protobuf_c_message_unpack (&rillknot__node_report__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__node_report__free_unpacked
+                     (Rillknot__NodeReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__node_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__store_wanted__init
+                     (Rillknot__StoreWanted         *message)
+{
+  static const Rillknot__StoreWanted init_value = RILLKNOT__STORE_WANTED__INIT;
+  *message = init_value;
+}
+size_t rillknot__store_wanted__get_packed_size
+                     (const Rillknot__StoreWanted *message)
+{
+  assert(message->base.descriptor == &rillknot__store_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__store_wanted__pack
+                     (const Rillknot__StoreWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__store_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__store_wanted__pack_to_buffer
+                     (const Rillknot__StoreWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__store_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__StoreWanted *
+       rillknot__store_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__StoreWanted *)
+     protobuf_c_message_unpack (&rillknot__store_wanted__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__store_wanted__free_unpacked
+                     (Rillknot__StoreWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__store_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__list_row__init
+                     (Rillknot__ListRow         *message)
+{
+  static const Rillknot__ListRow init_value = RILLKNOT__LIST_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__list_row__get_packed_size
+                     (const Rillknot__ListRow *message)
+{
+  assert(message->base.descriptor == &rillknot__list_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__list_row__pack
+                     (const Rillknot__ListRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__list_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__list_row__pack_to_buffer
+                     (const Rillknot__ListRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__list_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__ListRow *
+       rillknot__list_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__ListRow *)
+     protobuf_c_message_unpack (&rillknot__list_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__list_row__free_unpacked
+                     (Rillknot__ListRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__list_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__store_text__init
+                     (Rillknot__StoreText         *message)
+{
+  static const Rillknot__StoreText init_value = RILLKNOT__STORE_TEXT__INIT;
+  *message = init_value;
+}
+size_t rillknot__store_text__get_packed_size
+                     (const Rillknot__StoreText *message)
+{
+  assert(message->base.descriptor == &rillknot__store_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__store_text__pack
+                     (const Rillknot__StoreText *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__store_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__store_text__pack_to_buffer
+                     (const Rillknot__StoreText *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__store_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__StoreText *
+       rillknot__store_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__StoreText *)
+     protobuf_c_message_unpack (&rillknot__store_text__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__store_text__free_unpacked
+                     (Rillknot__StoreText *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__store_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__frame__init
                      (Rillknot__Frame         *message)
 {
@@ -1963,50 +2323,666 @@
   (ProtobufCMessageInit) rillknot__state_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rillknot__vm_use__field_descriptors[3] =
 {
   {
-    "gossip",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rillknot__Frame, body_case),
-    offsetof(Rillknot__Frame, gossip),
-    &rillknot__gossip__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmUse, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "changes_wanted",
+    "running",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rillknot__Frame, body_case),
-    offsetof(Rillknot__Frame, changes_wanted),
-    &rillknot__changes_wanted__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmUse, running),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "changes",
+    "waiting_tokens",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rillknot__Frame, body_case),
-    offsetof(Rillknot__Frame, changes),
-    &rillknot__changes__descriptor,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmUse, waiting_tokens),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rillknot__vm_use__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = running */
+  2,   /* field[2] = waiting_tokens */
+};
+static const ProtobufCIntRange rillknot__vm_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rillknot__vm_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.VmUse",
+  "VmUse",
+  "Rillknot__VmUse",
+  "rillknot",
+  sizeof(Rillknot__VmUse),
+  3,
+  rillknot__vm_use__field_descriptors,
+  rillknot__vm_use__field_indices_by_name,
+  1,  rillknot__vm_use__number_ranges,
+  (ProtobufCMessageInit) rillknot__vm_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[2] =
+{
   {
-    "forward_begin",
-    4,
+    "org",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rillknot__Frame, body_case),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__OrgUse, org),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__OrgUse, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__org_use__field_indices_by_name[] = {
+  0,   /* field[0] = org */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange rillknot__org_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rillknot__org_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.OrgUse",
+  "OrgUse",
+  "Rillknot__OrgUse",
+  "rillknot",
+  sizeof(Rillknot__OrgUse),
+  2,
+  rillknot__org_use__field_descriptors,
+  rillknot__org_use__field_indices_by_name,
+  1,  rillknot__org_use__number_ranges,
+  (ProtobufCMessageInit) rillknot__org_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__usage_row__field_descriptors[4] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__UsageRow, node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__UsageRow, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "org",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__UsageRow, org),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__UsageRow, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__usage_row__field_indices_by_name[] = {
+  3,   /* field[3] = count */
+  0,   /* field[0] = node */
+  2,   /* field[2] = org */
+  1,   /* field[1] = window */
+};
+static const ProtobufCIntRange rillknot__usage_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rillknot__usage_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.UsageRow",
+  "UsageRow",
+  "Rillknot__UsageRow",
+  "rillknot",
+  sizeof(Rillknot__UsageRow),
+  4,
+  rillknot__usage_row__field_descriptors,
+  rillknot__usage_row__field_indices_by_name,
+  1,  rillknot__usage_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__usage_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__lease_row__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__LeaseRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__LeaseRow, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__lease_row__field_indices_by_name[] = {
+  1,   /* field[1] = value */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange rillknot__lease_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rillknot__lease_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.LeaseRow",
+  "LeaseRow",
+  "Rillknot__LeaseRow",
+  "rillknot",
+  sizeof(Rillknot__LeaseRow),
+  2,
+  rillknot__lease_row__field_descriptors,
+  rillknot__lease_row__field_indices_by_name,
+  1,  rillknot__lease_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__lease_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[12] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settings_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, settings_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, list_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__NodeReport, n_vms),
+    offsetof(Rillknot__NodeReport, vms),
+    &rillknot__vm_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__NodeReport, n_uses),
+    offsetof(Rillknot__NodeReport, uses),
+    &rillknot__org_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__NodeReport, n_usage),
+    offsetof(Rillknot__NodeReport, usage),
+    &rillknot__usage_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, lease),
+    &rillknot__lease_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peers",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Rillknot__NodeReport, n_peers),
+    offsetof(Rillknot__NodeReport, peers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__node_report__field_indices_by_name[] = {
+  2,   /* field[2] = addr */
+  1,   /* field[1] = domain */
+  0,   /* field[0] = id */
+  3,   /* field[3] = incarnation */
+  10,   /* field[10] = lease */
+  6,   /* field[6] = leaving */
+  5,   /* field[5] = list_revision */
+  11,   /* field[11] = peers */
+  4,   /* field[4] = settings_version */
+  9,   /* field[9] = usage */
+  8,   /* field[8] = uses */
+  7,   /* field[7] = vms */
+};
+static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.NodeReport",
+  "NodeReport",
+  "Rillknot__NodeReport",
+  "rillknot",
+  sizeof(Rillknot__NodeReport),
+  12,
+  rillknot__node_report__field_descriptors,
+  rillknot__node_report__field_indices_by_name,
+  1,  rillknot__node_report__number_ranges,
+  (ProtobufCMessageInit) rillknot__node_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__store_wanted__field_descriptors[2] =
+{
+  {
+    "settings",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreWanted, settings),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreWanted, list),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__store_wanted__field_indices_by_name[] = {
+  1,   /* field[1] = list */
+  0,   /* field[0] = settings */
+};
+static const ProtobufCIntRange rillknot__store_wanted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.StoreWanted",
+  "StoreWanted",
+  "Rillknot__StoreWanted",
+  "rillknot",
+  sizeof(Rillknot__StoreWanted),
+  2,
+  rillknot__store_wanted__field_descriptors,
+  rillknot__store_wanted__field_indices_by_name,
+  1,  rillknot__store_wanted__number_ranges,
+  (ProtobufCMessageInit) rillknot__store_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__list_row__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ListRow, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ListRow, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ListRow, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__list_row__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange rillknot__list_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rillknot__list_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.ListRow",
+  "ListRow",
+  "Rillknot__ListRow",
+  "rillknot",
+  sizeof(Rillknot__ListRow),
+  3,
+  rillknot__list_row__field_descriptors,
+  rillknot__list_row__field_indices_by_name,
+  1,  rillknot__list_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__list_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__store_text__field_descriptors[4] =
+{
+  {
+    "settings_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreText, settings_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settings",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreText, settings),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreText, list_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__StoreText, n_list),
+    offsetof(Rillknot__StoreText, list),
+    &rillknot__list_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__store_text__field_indices_by_name[] = {
+  3,   /* field[3] = list */
+  2,   /* field[2] = list_revision */
+  1,   /* field[1] = settings */
+  0,   /* field[0] = settings_revision */
+};
+static const ProtobufCIntRange rillknot__store_text__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rillknot__store_text__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.StoreText",
+  "StoreText",
+  "Rillknot__StoreText",
+  "rillknot",
+  sizeof(Rillknot__StoreText),
+  4,
+  rillknot__store_text__field_descriptors,
+  rillknot__store_text__field_indices_by_name,
+  1,  rillknot__store_text__number_ranges,
+  (ProtobufCMessageInit) rillknot__store_text__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[12] =
+{
+  {
+    "gossip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, gossip),
+    &rillknot__gossip__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes_wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, changes_wanted),
+    &rillknot__changes_wanted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, changes),
+    &rillknot__changes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_begin",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
     offsetof(Rillknot__Frame, forward_begin),
     &rillknot__forward_begin__descriptor,
     NULL,
@@ -2073,6 +3049,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "node_report",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, node_report),
+    &rillknot__node_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_wanted",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, store_wanted),
+    &rillknot__store_wanted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_text",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, store_text),
+    &rillknot__store_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__frame__field_indices_by_name[] = {
   2,   /* field[2] = changes */
@@ -2083,12 +3095,15 @@
   4,   /* field[4] = forward_data */
   5,   /* field[5] = forward_end */
   0,   /* field[0] = gossip */
+  9,   /* field[9] = node_report */
   7,   /* field[7] = state_wanted */
+  11,   /* field[11] = store_text */
+  10,   /* field[10] = store_wanted */
 };
 static const ProtobufCIntRange rillknot__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor rillknot__frame__descriptor =
 {
@@ -2098,7 +3113,7 @@
   "Rillknot__Frame",
   "rillknot",
   sizeof(Rillknot__Frame),
-  9,
+  12,
   rillknot__frame__field_descriptors,
   rillknot__frame__field_indices_by_name,
   1,  rillknot__frame__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -28,6 +28,14 @@
 typedef struct Rillknot__ForwardAck Rillknot__ForwardAck;
 typedef struct Rillknot__ForwardCancel Rillknot__ForwardCancel;
 typedef struct Rillknot__StateWanted Rillknot__StateWanted;
+typedef struct Rillknot__VmUse Rillknot__VmUse;
+typedef struct Rillknot__OrgUse Rillknot__OrgUse;
+typedef struct Rillknot__UsageRow Rillknot__UsageRow;
+typedef struct Rillknot__LeaseRow Rillknot__LeaseRow;
+typedef struct Rillknot__NodeReport Rillknot__NodeReport;
+typedef struct Rillknot__StoreWanted Rillknot__StoreWanted;
+typedef struct Rillknot__ListRow Rillknot__ListRow;
+typedef struct Rillknot__StoreText Rillknot__StoreText;
 typedef struct Rillknot__Frame Rillknot__Frame;
 
 
@@ -253,6 +261,140 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What one node has in hand at a vm.
+ */
+struct  Rillknot__VmUse
+{
+  ProtobufCMessage base;
+  char *id;
+  uint32_t running;
+  double waiting_tokens;
+};
+#define RILLKNOT__VM_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What an organisation used at one node since that node's start.
+ */
+struct  Rillknot__OrgUse
+{
+  ProtobufCMessage base;
+  char *org;
+  double units;
+};
+#define RILLKNOT__ORG_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__org_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Calls of an organisation that began to run in a window, at one node.
+ */
+struct  Rillknot__UsageRow
+{
+  ProtobufCMessage base;
+  uint64_t node;
+  int64_t window;
+  char *org;
+  uint64_t count;
+};
+#define RILLKNOT__USAGE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__usage_row__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A lease as its holder last wrote it.
+ */
+struct  Rillknot__LeaseRow
+{
+  ProtobufCMessage base;
+  int64_t version;
+  char *value;
+};
+#define RILLKNOT__LEASE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__lease_row__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * What a node of a hosted deployment tells each other, a few times a second. It
+ * also is the heartbeat.
+ */
+struct  Rillknot__NodeReport
+{
+  ProtobufCMessage base;
+  char *id;
+  char *domain;
+  char *addr;
+  uint64_t incarnation;
+  int64_t settings_version;
+  int64_t list_revision;
+  protobuf_c_boolean leaving;
+  size_t n_vms;
+  Rillknot__VmUse **vms;
+  size_t n_uses;
+  Rillknot__OrgUse **uses;
+  size_t n_usage;
+  Rillknot__UsageRow **usage;
+  Rillknot__LeaseRow *lease;
+  /*
+   * Addresses of nodes it heard lately.
+   */
+  size_t n_peers;
+  char **peers;
+};
+#define RILLKNOT__NODE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
+
+
+/*
+ * The sender knows less than a report told.
+ */
+struct  Rillknot__StoreWanted
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean settings;
+  protobuf_c_boolean list;
+};
+#define RILLKNOT__STORE_WANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_wanted__descriptor) \
+    , 0, 0 }
+
+
+struct  Rillknot__ListRow
+{
+  ProtobufCMessage base;
+  char *name;
+  int64_t revision;
+  char *text;
+};
+#define RILLKNOT__LIST_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__list_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The newest of the platform's store that a node has.
+ */
+struct  Rillknot__StoreText
+{
+  ProtobufCMessage base;
+  int64_t settings_revision;
+  char *settings;
+  int64_t list_revision;
+  size_t n_list;
+  Rillknot__ListRow **list;
+};
+#define RILLKNOT__STORE_TEXT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_text__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 typedef enum {
   RILLKNOT__FRAME__BODY__NOT_SET = 0,
   RILLKNOT__FRAME__BODY_GOSSIP = 1,
@@ -263,7 +405,10 @@
   RILLKNOT__FRAME__BODY_FORWARD_END = 6,
   RILLKNOT__FRAME__BODY_FORWARD_CANCEL = 7,
   RILLKNOT__FRAME__BODY_STATE_WANTED = 8,
-  RILLKNOT__FRAME__BODY_FORWARD_ACK = 9
+  RILLKNOT__FRAME__BODY_FORWARD_ACK = 9,
+  RILLKNOT__FRAME__BODY_NODE_REPORT = 10,
+  RILLKNOT__FRAME__BODY_STORE_WANTED = 11,
+  RILLKNOT__FRAME__BODY_STORE_TEXT = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RILLKNOT__FRAME__BODY__CASE)
 } Rillknot__Frame__BodyCase;
 
@@ -281,6 +426,9 @@
     Rillknot__ForwardCancel *forward_cancel;
     Rillknot__StateWanted *state_wanted;
     Rillknot__ForwardAck *forward_ack;
+    Rillknot__NodeReport *node_report;
+    Rillknot__StoreWanted *store_wanted;
+    Rillknot__StoreText *store_text;
   };
 };
 #define RILLKNOT__FRAME__INIT \
@@ -535,6 +683,158 @@
 void   rillknot__state_wanted__free_unpacked
                      (Rillknot__StateWanted *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__VmUse methods */
+void   rillknot__vm_use__init
+                     (Rillknot__VmUse         *message);
+size_t rillknot__vm_use__get_packed_size
+                     (const Rillknot__VmUse   *message);
+size_t rillknot__vm_use__pack
+                     (const Rillknot__VmUse   *message,
+                      uint8_t             *out);
+size_t rillknot__vm_use__pack_to_buffer
+                     (const Rillknot__VmUse   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__VmUse *
+       rillknot__vm_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__vm_use__free_unpacked
+                     (Rillknot__VmUse *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__OrgUse methods */
+void   rillknot__org_use__init
+                     (Rillknot__OrgUse         *message);
+size_t rillknot__org_use__get_packed_size
+                     (const Rillknot__OrgUse   *message);
+size_t rillknot__org_use__pack
+                     (const Rillknot__OrgUse   *message,
+                      uint8_t             *out);
+size_t rillknot__org_use__pack_to_buffer
+                     (const Rillknot__OrgUse   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__OrgUse *
+       rillknot__org_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__org_use__free_unpacked
+                     (Rillknot__OrgUse *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__UsageRow methods */
+void   rillknot__usage_row__init
+                     (Rillknot__UsageRow         *message);
+size_t rillknot__usage_row__get_packed_size
+                     (const Rillknot__UsageRow   *message);
+size_t rillknot__usage_row__pack
+                     (const Rillknot__UsageRow   *message,
+                      uint8_t             *out);
+size_t rillknot__usage_row__pack_to_buffer
+                     (const Rillknot__UsageRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__UsageRow *
+       rillknot__usage_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__usage_row__free_unpacked
+                     (Rillknot__UsageRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__LeaseRow methods */
+void   rillknot__lease_row__init
+                     (Rillknot__LeaseRow         *message);
+size_t rillknot__lease_row__get_packed_size
+                     (const Rillknot__LeaseRow   *message);
+size_t rillknot__lease_row__pack
+                     (const Rillknot__LeaseRow   *message,
+                      uint8_t             *out);
+size_t rillknot__lease_row__pack_to_buffer
+                     (const Rillknot__LeaseRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__LeaseRow *
+       rillknot__lease_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__lease_row__free_unpacked
+                     (Rillknot__LeaseRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__NodeReport methods */
+void   rillknot__node_report__init
+                     (Rillknot__NodeReport         *message);
+size_t rillknot__node_report__get_packed_size
+                     (const Rillknot__NodeReport   *message);
+size_t rillknot__node_report__pack
+                     (const Rillknot__NodeReport   *message,
+                      uint8_t             *out);
+size_t rillknot__node_report__pack_to_buffer
+                     (const Rillknot__NodeReport   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__NodeReport *
+       rillknot__node_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__node_report__free_unpacked
+                     (Rillknot__NodeReport *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__StoreWanted methods */
+void   rillknot__store_wanted__init
+                     (Rillknot__StoreWanted         *message);
+size_t rillknot__store_wanted__get_packed_size
+                     (const Rillknot__StoreWanted   *message);
+size_t rillknot__store_wanted__pack
+                     (const Rillknot__StoreWanted   *message,
+                      uint8_t             *out);
+size_t rillknot__store_wanted__pack_to_buffer
+                     (const Rillknot__StoreWanted   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__StoreWanted *
+       rillknot__store_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__store_wanted__free_unpacked
+                     (Rillknot__StoreWanted *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__ListRow methods */
+void   rillknot__list_row__init
+                     (Rillknot__ListRow         *message);
+size_t rillknot__list_row__get_packed_size
+                     (const Rillknot__ListRow   *message);
+size_t rillknot__list_row__pack
+                     (const Rillknot__ListRow   *message,
+                      uint8_t             *out);
+size_t rillknot__list_row__pack_to_buffer
+                     (const Rillknot__ListRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__ListRow *
+       rillknot__list_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__list_row__free_unpacked
+                     (Rillknot__ListRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__StoreText methods */
+void   rillknot__store_text__init
+                     (Rillknot__StoreText         *message);
+size_t rillknot__store_text__get_packed_size
+                     (const Rillknot__StoreText   *message);
+size_t rillknot__store_text__pack
+                     (const Rillknot__StoreText   *message,
+                      uint8_t             *out);
+size_t rillknot__store_text__pack_to_buffer
+                     (const Rillknot__StoreText   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__StoreText *
+       rillknot__store_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__store_text__free_unpacked
+                     (Rillknot__StoreText *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__Frame methods */
 void   rillknot__frame__init
                      (Rillknot__Frame         *message);
@@ -595,6 +895,30 @@
 typedef void (*Rillknot__StateWanted_Closure)
                  (const Rillknot__StateWanted *message,
                   void *closure_data);
+typedef void (*Rillknot__VmUse_Closure)
+                 (const Rillknot__VmUse *message,
+                  void *closure_data);
+typedef void (*Rillknot__OrgUse_Closure)
+                 (const Rillknot__OrgUse *message,
+                  void *closure_data);
+typedef void (*Rillknot__UsageRow_Closure)
+                 (const Rillknot__UsageRow *message,
+                  void *closure_data);
+typedef void (*Rillknot__LeaseRow_Closure)
+                 (const Rillknot__LeaseRow *message,
+                  void *closure_data);
+typedef void (*Rillknot__NodeReport_Closure)
+                 (const Rillknot__NodeReport *message,
+                  void *closure_data);
+typedef void (*Rillknot__StoreWanted_Closure)
+                 (const Rillknot__StoreWanted *message,
+                  void *closure_data);
+typedef void (*Rillknot__ListRow_Closure)
+                 (const Rillknot__ListRow *message,
+                  void *closure_data);
+typedef void (*Rillknot__StoreText_Closure)
+                 (const Rillknot__StoreText *message,
+                  void *closure_data);
 typedef void (*Rillknot__Frame_Closure)
                  (const Rillknot__Frame *message,
                   void *closure_data);
@@ -617,6 +941,14 @@
 extern const ProtobufCMessageDescriptor rillknot__forward_ack__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__forward_cancel__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__state_wanted__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__vm_use__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__org_use__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__usage_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__lease_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__node_report__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__list_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__store_text__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/serve/relay.c
@@ -0,0 +1,260 @@
+#include "serve/relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "callers/server.h"
+#include "common/eventlog.h"
+#include "serve/relay_call.h"
+#include "services/upstream.h"
+
+#define REPORT_MS          200
+#define USAGE_KEPT_WINDOWS 6
+
+/* Until the routes tell others. */
+static const struct rk_server_limits default_limits = {
+    .header_bytes = 16 * 1024,
+    .body_bytes = 4 * 1024 * 1024,
+    .header_ms = 3000,
+    .idle_ms = 15000,
+};
+
+void rk_relay_report_free(struct rk_relay_report *r)
+{
+    free(r->loads);
+    free(r->uses);
+    free(r->usage);
+    free(r);
+}
+
+void rk_relay_peers_free(struct rk_relay_peers *p)
+{
+    free(p->loads);
+    free(p->uses);
+    free(p);
+}
+
+/* ---- reports ---- */
+
+static void fill_loads(const struct rk_relay *r, struct rk_relay_report *report)
+{
+    size_t n = 0;
+    for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next)
+        n += v->running > 0;
+    report->loads = rk_alloc(n + 1, sizeof(*report->loads));
+    for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next) {
+        if (v->running <= 0)
+            continue;
+        struct rk_vm_load *load = &report->loads[report->loads_len++];
+        rk_strcpy(load->id, sizeof(load->id), v->row.id);
+        load->running = (uint32_t)v->running;
+        load->waiting_tokens = v->waiting_tokens;
+    }
+}
+
+static void fill_uses(const struct rk_relay *r, struct rk_relay_report *report)
+{
+    report->uses = rk_alloc(r->quota.orgs_len + 1, sizeof(*report->uses));
+    for (size_t i = 0; i < r->quota.orgs_len; i++) {
+        struct rk_org_use *use = &report->uses[report->uses_len++];
+        rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
+        use->units = r->quota.orgs[i].own_total;
+    }
+}
+
+static void fill_usage(struct rk_relay *r, struct rk_relay_report *report)
+{
+    int64_t window = rk_wall_ms() / r->opt.bounds.usage_window_ms;
+    rk_usage_forget(&r->usage, window - USAGE_KEPT_WINDOWS);
+    report->usage = rk_alloc(r->usage.len + 1, sizeof(*report->usage));
+    if (r->usage.len)
+        memcpy(report->usage, r->usage.rows, r->usage.len * sizeof(*r->usage.rows));
+    report->usage_len = r->usage.len;
+}
+
+static void on_report(void *ctx)
+{
+    struct rk_relay *r = ctx;
+    rk_timer_start(r->loop, &r->report, REPORT_MS);
+    struct rk_relay_report *report = rk_alloc(1, sizeof(*report));
+    fill_loads(r, report);
+    fill_uses(r, report);
+    fill_usage(r, report);
+    report->in_hand = r->calls_len + rk_server_busy(r->server);
+    r->opt.on_report(r->opt.ctx, report);
+}
+
+/* ---- messages from control ---- */
+
+struct message {
+    struct rk_relay *r;
+    struct rk_routes *routes;
+    struct rk_vm_row *rows;
+    size_t rows_len;
+    struct rk_relay_peers *peers;
+};
+
+static bool post(struct rk_relay *r, rk_call_fn *fn, const struct message *m)
+{
+    struct message *copy = rk_alloc(1, sizeof(*copy));
+    *copy = *m;
+    copy->r = r;
+    if (rk_loop_post(r->loop, fn, copy))
+        return true;
+    free(copy);
+    return false;
+}
+
+static void take_routes(void *ctx)
+{
+    struct message *m = ctx;
+    struct rk_relay *r = m->r;
+    const struct rk_caller_limits *l = &m->routes->limits;
+    const struct rk_server_limits limits = {
+        .header_bytes = (size_t)l->header_bytes,
+        .body_bytes = (size_t)l->body_bytes,
+        .header_ms = l->header_ms,
+        .idle_ms = l->idle_ms,
+        .max_clients = r->opt.max_clients,
+    };
+    rk_server_set_limits(r->server, &limits);
+    rk_routes_unref(r->routes);
+    r->routes = m->routes;
+    free(m);
+}
+
+bool rk_relay_set_routes(struct rk_relay *r, struct rk_routes *routes)
+{
+    if (post(r, take_routes, &(struct message){.routes = routes}))
+        return true;
+    rk_routes_unref(routes);
+    return false;
+}
+
+static void take_vms(void *ctx)
+{
+    struct message *m = ctx;
+    rk_place_set_vms(m->r->place, m->rows, m->rows_len);
+    free(m->rows);
+    free(m);
+}
+
+bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len)
+{
+    if (post(r, take_vms, &(struct message){.rows = rows, .rows_len = len}))
+        return true;
+    free(rows);
+    return false;
+}
+
+static void take_peers(void *ctx)
+{
+    struct message *m = ctx;
+    struct rk_relay *r = m->r;
+    const struct rk_relay_peers *p = m->peers;
+    int64_t now_ms = rk_mono_ms();
+    rk_place_set_loads(r->place, p->loads, p->loads_len);
+    for (size_t i = 0; i < p->uses_len; i++)
+        rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
+    r->quota.nodes_heard = p->nodes_heard;
+    r->quota.nodes_total = p->nodes_total;
+    rk_relay_peers_free(m->peers);
+    free(m);
+}
+
+bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers)
+{
+    if (post(r, take_peers, &(struct message){.peers = peers}))
+        return true;
+    rk_relay_peers_free(peers);
+    return false;
+}
+
+static void take_close(void *ctx)
+{
+    struct rk_relay *r = ctx;
+    rk_server_set_closing(r->server);
+}
+
+void rk_relay_close(struct rk_relay *r)
+{
+    rk_loop_post(r->loop, take_close, r);
+}
+
+static void take_close_idle(void *ctx)
+{
+    struct rk_relay *r = ctx;
+    rk_server_close_idle(r->server);
+}
+
+void rk_relay_close_idle(struct rk_relay *r)
+{
+    rk_loop_post(r->loop, take_close_idle, r);
+}
+
+void rk_relay_stop(struct rk_relay *r)
+{
+    rk_loop_stop(r->loop);
+}
+
+/* ---- making ---- */
+
+static void on_request(void *ctx, struct rk_client *client)
+{
+    rk_relay_call_start(ctx, client);
+}
+
+static void on_gone(void *ctx, void *user)
+{
+    (void)ctx;
+    if (user)
+        rk_relay_call_gone(user);
+}
+
+static const struct rk_server_ops server_ops = {.on_request = on_request,
+                                                .on_gone = on_gone};
+
+struct rk_relay *rk_relay_create(const struct rk_relay_options *opt)
+{
+    struct rk_relay *r = rk_alloc(1, sizeof(*r));
+    r->opt = *opt;
+    r->loop = rk_loop_create();
+    struct rk_server_limits limits = default_limits;
+    limits.max_clients = opt->max_clients;
+    r->server = rk_server_create(r->loop, opt->listen, &limits, &server_ops, r);
+    if (!r->server) {
+        rk_loop_destroy(r->loop);
+        free(r);
+        return NULL;
+    }
+    r->upstreams = rk_upstreams_create(r->loop);
+    r->place = rk_place_create(opt->domain, opt->seed);
+    r->rng.state = opt->seed + 1;
+    rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack);
+    r->report = (struct rk_timer){.fn = on_report, .ctx = r};
+    rk_timer_start(r->loop, &r->report, REPORT_MS);
+    return r;
+}
+
+void rk_relay_destroy(struct rk_relay *r)
+{
+    while (r->calls)
+        rk_relay_call_abort(r->calls);
+    rk_server_destroy(r->server);
+    rk_upstreams_destroy(r->upstreams);
+    rk_place_destroy(r->place);
+    rk_usage_free(&r->usage);
+    rk_routes_unref(r->routes);
+    rk_loop_destroy(r->loop);
+    free(r);
+}
+
+void rk_relay_run(struct rk_relay *r)
+{
+    rk_loop_run(r->loop);
+}
+
+const char *rk_relay_addr(const struct rk_relay *r)
+{
+    return rk_server_addr(r->server);
+}
--- /dev/null
+++ b/serve/relay.h
@@ -0,0 +1,87 @@
+/* A traffic thread that relays calls by routes: takes them from callers, chooses
+ * a vm, passes bytes on, repeats what may be repeated, and answers each call
+ * once. It holds no lock; control tells it what to believe by messages. */
+#ifndef RK_SERVE_RELAY_H
+#define RK_SERVE_RELAY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/dialect.h"
+#include "core/place.h"
+#include "core/routes.h"
+#include "core/usage.h"
+
+struct rk_relay;
+struct rk_loop;
+
+/* What bounds the calls of all nodes together; from the process file. */
+struct rk_relay_bounds {
+    int64_t retry_pct;        /* retries, in hundredths of a service's calls */
+    int64_t retry_burst;      /* on top, of all nodes */
+    int64_t quota_window_ms;
+    double quota_slack;       /* units that the deployment forgives */
+    int64_t usage_window_ms;
+};
+
+/* What one organisation used here since the start, in units of its quota. */
+struct rk_org_use {
+    char org[RK_ID_MAX];
+    double units;
+};
+
+/* What a relay tells control, a few times a second. */
+struct rk_relay_report {
+    struct rk_vm_load *loads;
+    size_t loads_len;
+    struct rk_org_use *uses;
+    size_t uses_len;
+    struct rk_usage_row *usage; /* counts so far of recent windows */
+    size_t usage_len;
+    size_t in_hand;
+};
+void rk_relay_report_free(struct rk_relay_report *r);
+
+/* What control tells of the peers. */
+struct rk_relay_peers {
+    struct rk_vm_load *loads; /* all peers' */
+    size_t loads_len;
+    struct rk_org_use *uses; /* used by them since the last telling */
+    size_t uses_len;
+    int nodes_heard, nodes_total; /* this one included */
+};
+void rk_relay_peers_free(struct rk_relay_peers *p);
+
+struct rk_relay_options {
+    const struct rk_dialect *dialect;
+    const char *listen; /* for callers */
+    char domain[RK_ID_MAX];
+    uint64_t node; /* hash of this node's id and incarnation */
+    uint64_t seed;
+    int max_clients;
+    struct rk_relay_bounds bounds;
+    /* On the relay's thread; the receiver owns the report. */
+    void (*on_report)(void *ctx, struct rk_relay_report *report);
+    void *ctx;
+};
+
+/* NULL when the address can't be bound: see rk_last_error(). */
+struct rk_relay *rk_relay_create(const struct rk_relay_options *opt);
+void rk_relay_destroy(struct rk_relay *r); /* after its thread ended */
+void rk_relay_run(struct rk_relay *r);     /* until rk_relay_stop() */
+const char *rk_relay_addr(const struct rk_relay *r);
+
+/* Any thread. What is passed in is taken over. False: the relay's queue is full,
+ * and what was passed is freed. */
+bool rk_relay_set_routes(struct rk_relay *r, struct rk_routes *routes);
+bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
+bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
+
+/* Any thread: new connections are not wanted any more, the present ones end when
+ * they are idle. */
+void rk_relay_close(struct rk_relay *r);
+void rk_relay_close_idle(struct rk_relay *r);
+void rk_relay_stop(struct rk_relay *r);
+
+#endif
--- /dev/null
+++ b/serve/relay_call.h
@@ -0,0 +1,50 @@
+/* One relayed call, from its arrival to its one answer. Relay thread only. */
+#ifndef RK_SERVE_RELAY_CALL_H
+#define RK_SERVE_RELAY_CALL_H
+
+#include "common/loop.h"
+#include "core/budget.h"
+#include "core/events.h"
+#include "core/quota.h"
+#include "serve/relay.h"
+
+struct rk_client;
+struct rk_server;
+struct rk_upstreams;
+struct rk_upstream_call;
+
+#define RK_RELAY_SERVICES 32
+
+/* Retries of one service. */
+struct rk_service_budget {
+    char service[RK_ID_MAX];
+    struct rk_budget budget;
+};
+
+struct rk_relay {
+    struct rk_relay_options opt;
+    struct rk_loop *loop;
+    struct rk_server *server;
+    struct rk_upstreams *upstreams;
+    struct rk_place *place;
+    struct rk_quota quota;
+    struct rk_usage usage;
+    struct rk_routes *routes; /* NULL: none known yet */
+    struct rk_service_budget budgets[RK_RELAY_SERVICES];
+    size_t budgets_len;
+    struct rk_relay_call *calls;
+    size_t calls_len;
+    struct rk_rng rng;
+    struct rk_timer report;
+};
+
+/* Take a request that a caller sent. */
+void rk_relay_call_start(struct rk_relay *r, struct rk_client *client);
+
+/* Its caller is gone. */
+void rk_relay_call_gone(struct rk_relay_call *call);
+
+/* The relay ends. */
+void rk_relay_call_abort(struct rk_relay_call *call);
+
+#endif
