quota, relay: quotas hold through a restart of all nodes; a stop refuses what outlasts it

Change: the peers' use is guessed ahead by their last rate; a process that had an earlier life takes the quota as used, until a peer remembers; a lowered quota counts after one window.

Ruled out for QUOTA: clocks (ages are sent, not times), retries (they don't count twice here).

--- a/core/quota.c
+++ b/core/quota.c
@@ -2,15 +2,23 @@
 
 #include <string.h>
 
-#define RETRY_MIN_MS 250
+#define RETRY_MIN_MS   250
+#define SLACK_SHARE    0.1  /* of the slack that is planned with; the rest covers
+                               what peers admit before this node hears of it */
+#define REPORT_LAG_MS  300  /* age of what the peers tell, when it comes */
+#define LAG_MAX_MS     1500 /* what is guessed of silent peers ends somewhere */
+#define USUAL_PART     0.8  /* of its rate an organisation gets while it isn't known
+                               what it used before a restart */
 
-void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack)
+void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
+                   int64_t forgot_ms)
 {
     memset(q, 0, sizeof(*q));
     q->window_ms = window_ms > 0 ? window_ms : RK_QUOTA_WINDOW_MS;
     q->slack = slack;
     q->nodes_heard = 1;
     q->nodes_total = 1;
+    q->forgot_ms = forgot_ms;
 }
 
 static int64_t bucket_ms(const struct rk_quota *q)
@@ -37,20 +45,79 @@
     int64_t now = now_ms / bucket_ms(q);
     if (now - o->bucket >= RK_QUOTA_BUCKETS) {
         memset(o->used, 0, sizeof(o->used));
+        memset(o->own, 0, sizeof(o->own));
         o->bucket = now;
     }
     while (o->bucket < now) {
         o->bucket++;
         o->used[o->bucket % RK_QUOTA_BUCKETS] = 0;
+        o->own[o->bucket % RK_QUOTA_BUCKETS] = 0;
     }
 }
 
-static double used(const struct rk_quota_org *o)
+static double sum(const double buckets[RK_QUOTA_BUCKETS])
 {
-    double sum = 0;
+    double total = 0;
     for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++)
-        sum += o->used[i];
-    return sum;
+        total += buckets[i];
+    return total;
+}
+
+double rk_quota_own(const struct rk_quota *q, const struct rk_quota_org *o)
+{
+    (void)q;
+    return sum(o->own);
+}
+
+/* What the peers probably admitted since their last word. */
+static double unheard(const struct rk_quota *q, const struct rk_quota_org *o,
+                      int64_t now_ms)
+{
+    if (!q->told_ms)
+        return 0;
+    int64_t ms = now_ms - q->told_ms + REPORT_LAG_MS;
+    return o->peers_per_ms * (double)(ms < LAG_MAX_MS ? ms : LAG_MAX_MS);
+}
+
+/* What is taken as used before a restart of all nodes: the whole quota, leaving
+ * the window somewhat slower than the rate fills it. */
+static double forgotten(const struct rk_quota *q, double quota, double rate,
+                        int64_t now_ms)
+{
+    int64_t age_ms = now_ms - q->forgot_ms;
+    if (!q->forgot_ms || age_ms >= q->window_ms)
+        return 0;
+    double left = quota - rate * USUAL_PART * (double)age_ms / RK_MS_PER_S;
+    return left > 0 ? left : 0;
+}
+
+int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms)
+{
+    int64_t age_ms = now_ms - q->forgot_ms;
+    return q->forgot_ms && age_ms < q->window_ms ? age_ms : q->window_ms;
+}
+
+void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms, int64_t now_ms)
+{
+    if (remembers_ms >= q->window_ms)
+        q->forgot_ms = 0;
+    else if (q->forgot_ms && now_ms - remembers_ms < q->forgot_ms)
+        q->forgot_ms = now_ms - remembers_ms;
+}
+
+/* The quota that counts now. */
+static double effective(const struct rk_quota *q, struct rk_quota_org *o,
+                        double quota, int64_t now_ms)
+{
+    if (now_ms >= o->old_until_ms)
+        o->old_quota = 0;
+    if (quota < o->quota) {
+        if (o->quota > o->old_quota)
+            o->old_quota = o->quota;
+        o->old_until_ms = now_ms + q->window_ms;
+    }
+    o->quota = quota;
+    return quota > o->old_quota ? quota : o->old_quota;
 }
 
 void rk_quota_add(struct rk_quota *q, const char *org, double units, int64_t now_ms)
@@ -60,6 +127,14 @@
         return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
+    int64_t since_ms = q->told_ms ? now_ms - q->told_ms : 0;
+    if (since_ms > 0)
+        o->peers_per_ms += units / (double)since_ms;
+}
+
+void rk_quota_told(struct rk_quota *q, int64_t now_ms)
+{
+    q->told_ms = now_ms;
 }
 
 /* When the oldest use that must leave the window for `need` has left it. */
@@ -85,14 +160,18 @@
     double part = 1.0;
     if (q->nodes_total > 0 && q->nodes_heard < q->nodes_total)
         part = (double)q->nodes_heard / q->nodes_total;
-    double limit = (rate * (double)q->window_ms / RK_MS_PER_S + burst) * part +
-                   q->slack * part;
-    double over = used(o) + units - limit;
+    double quota = effective(
+        q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
+    double limit = (quota + q->slack * SLACK_SHARE) * part;
+    double used = sum(o->used) + unheard(q, o, now_ms);
+    double before = forgotten(q, quota * part, rate * part, now_ms);
+    double over = used + before + units - limit;
     if (rate > 0 && over > 0) {
         *retry_after_ms = free_in_ms(q, o, over);
         return false;
     }
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
+    o->own[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->own_total += units;
     return true;
 }
@@ -100,8 +179,11 @@
 void rk_quota_refund(struct rk_quota *q, const char *org, double units,
                      int64_t now_ms)
 {
-    rk_quota_add(q, org, -units, now_ms);
     struct rk_quota_org *o = find(q, org);
-    if (o)
-        o->own_total -= units;
+    if (!o)
+        return;
+    advance(q, o, now_ms);
+    o->used[o->bucket % RK_QUOTA_BUCKETS] -= units;
+    o->own[o->bucket % RK_QUOTA_BUCKETS] -= units;
+    o->own_total -= units;
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -18,8 +18,13 @@
 struct rk_quota_org {
     char name[RK_ID_MAX];
     double used[RK_QUOTA_BUCKETS]; /* units, by time */
+    double own[RK_QUOTA_BUCKETS];  /* the part of it admitted here */
     int64_t bucket;                /* number of the newest */
     double own_total;              /* admitted here since the start */
+    double peers_per_ms;           /* how fast the peers use it, by their last word */
+    double quota;                  /* units a window, as asked for last */
+    double old_quota;              /* a higher one that still counts */
+    int64_t old_until_ms;
 };
 
 struct rk_quota {
@@ -28,19 +33,38 @@
     size_t orgs_len;
     int nodes_heard, nodes_total; /* this one included */
     double slack;                 /* units that the deployment forgives */
+    int64_t told_ms;              /* when the peers told last; 0: never */
+    int64_t forgot_ms; /* start of a process that had an earlier life: what was used
+                          before is not known; 0: the first */
 };
 
-void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack);
+/* forgot_ms: see above. */
+void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
+                   int64_t forgot_ms);
 
-/* May units be used? Counts them if so. rate 0: no limit. If not,
+/* A lowered quota takes effect after one window: until then the higher one counts.
+ * May units be used? Counts them if so. rate 0: no limit. If not,
  * *retry_after_ms says when some are free again. */
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
                     double units, int64_t now_ms, int64_t *retry_after_ms);
 
-/* Units that were admitted elsewhere just now, or given back (negative). */
+/* Units that were admitted elsewhere since the peers' last word, or given back
+ * (negative). */
 void rk_quota_add(struct rk_quota *q, const char *org, double units,
                   int64_t now_ms);
 
+/* The peers told all they had to tell; rk_quota_add() was called for each. */
+void rk_quota_told(struct rk_quota *q, int64_t now_ms);
+
+/* How far back this node's knowledge goes, at most the window. */
+int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms);
+
+/* A peer whose own use was just added knows of so long a time. */
+void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms, int64_t now_ms);
+
+/* Units admitted here within the window. */
+double rk_quota_own(const struct rk_quota *q, const struct rk_quota_org *o);
+
 /* Give back what was admitted here and did not run. */
 void rk_quota_refund(struct rk_quota *q, const char *org, double units,
                      int64_t now_ms);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -37,6 +37,7 @@
     int64_t known_ms; /* since when it is a member */
     bool heard;       /* as told last */
     bool leaving;
+    int64_t remembers_ms;
     struct rk_vm_load *loads;
     size_t loads_len;
     struct rk_org_use *uses; /* since its start, as told last */
@@ -204,6 +205,7 @@
         rillknot__org_use__init(&p->uses[i]);
         p->uses[i].org = r->uses[i].org;
         p->uses[i].units = r->uses[i].units;
+        p->uses[i].recent = r->uses[i].recent;
         p->use_ptrs[i] = &p->uses[i];
     }
     p->report.n_uses = r->uses_len;
@@ -263,6 +265,7 @@
     if (!n->report)
         return;
     int64_t window = rk_wall_ms() / (n->file.usage_window_s * RK_MS_PER_S);
+    p->report.remembers_ms = n->report->remembers_ms;
     fill_vms(p, n->report);
     fill_uses(p, n->report);
     fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
@@ -305,8 +308,9 @@
 
 /* ---- reports in ---- */
 
-/* What the node used since its last report goes to the relay with the next. */
-static void take_uses(struct member *k, const Rillknot__NodeReport *r)
+/* What the node used since its last report goes to the relay with the next. Of a
+ * node heard for the first time that is what it used within the window. */
+static void take_uses(struct member *k, const Rillknot__NodeReport *r, bool first)
 {
     struct rk_mesh *m = k->m;
     struct rk_org_use *uses = rk_alloc(r->n_uses + 1, sizeof(*uses));
@@ -314,7 +318,7 @@
     for (size_t i = 0; i < r->n_uses; i++) {
         rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
         uses[i].units = r->uses[i]->units;
-        double before = 0;
+        double before = first ? uses[i].units - r->uses[i]->recent : 0;
         for (size_t j = 0; j < k->uses_len; j++)
             if (!strcmp(k->uses[j].org, uses[i].org))
                 before = k->uses[j].units;
@@ -374,6 +378,7 @@
     if (is_self(m, r->id, r->addr))
         return;
     struct member *k = learn(m, r->id, r->addr);
+    bool first = !k->incarnation;
     if (k->incarnation != r->incarnation) {
         k->incarnation = r->incarnation;
         k->uses_len = 0; /* it counts from its start */
@@ -381,7 +386,8 @@
     rk_strcpy(k->domain, sizeof(k->domain), r->domain);
     k->heard_ms = rk_mono_ms();
     k->leaving = r->leaving;
-    take_uses(k, r);
+    k->remembers_ms = r->remembers_ms;
+    take_uses(k, r, first);
     take_loads(k, r);
     take_usage(m->n, r);
     if (r->lease)
@@ -505,7 +511,11 @@
         loads += is_heard(k, now_ms) ? k->loads_len : 0;
     p->loads = rk_alloc(loads + 1, sizeof(*p->loads));
     for (struct member *k = m->members; k; k = k->next) {
-        if (!is_heard(k, now_ms) || !k->loads_len)
+        if (!is_heard(k, now_ms))
+            continue;
+        if (k->remembers_ms > p->remembers_ms)
+            p->remembers_ms = k->remembers_ms;
+        if (!k->loads_len)
             continue;
         memcpy(p->loads + p->loads_len, k->loads, k->loads_len * sizeof(*k->loads));
         p->loads_len += k->loads_len;
--- a/node/node.c
+++ b/node/node.c
@@ -140,13 +140,18 @@
     rk_loop_stop(n->loop);
 }
 
+/* When the process ends at the latest, from the stop's begin. */
+static int64_t stop_limit_ms(const struct rk_node *n)
+{
+    return n->file.stop_s * RK_MS_PER_S - STOP_MARGIN_MS;
+}
+
 static void on_stop_step(void *ctx)
 {
     struct rk_node *n = ctx;
     int64_t in_ms = rk_mono_ms() - n->leaving_since_ms;
-    int64_t last_ms = n->file.stop_s * RK_MS_PER_S - STOP_MARGIN_MS;
     bool quiet = !n->report || !n->report->in_hand;
-    if (in_ms >= last_ms || (quiet && in_ms >= BALANCER_MS + SETTLE_MS)) {
+    if (in_ms >= stop_limit_ms(n) || (quiet && in_ms >= BALANCER_MS + SETTLE_MS)) {
         end_stop(n);
         return;
     }
@@ -163,7 +168,7 @@
     n->leaving = true;
     n->leaving_since_ms = rk_mono_ms();
     RK_EVENT("node.leaving", RK_N("notice_ms", n->file.stop_s * RK_MS_PER_S));
-    rk_relay_close(n->relay);
+    rk_relay_close(n->relay, stop_limit_ms(n));
     rk_mesh_report(n->mesh);
     n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_removed, n);
     rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
@@ -212,7 +217,8 @@
                    .retry_burst = f->retry_burst,
                    .quota_window_ms = f->quota_window_s * RK_MS_PER_S,
                    .quota_slack = (double)f->quota_slack,
-                   .usage_window_ms = f->usage_window_s * RK_MS_PER_S},
+                   .usage_window_ms = f->usage_window_s * RK_MS_PER_S,
+                   .first_start = f->first_start},
         .on_report = on_report,
         .ctx = n,
     };
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2387,7 +2387,7 @@
   (ProtobufCMessageInit) rillknot__vm_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[3] =
 {
   {
     "org",
@@ -2413,15 +2413,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__OrgUse, recent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__org_use__field_indices_by_name[] = {
   0,   /* field[0] = org */
+  2,   /* field[2] = recent */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange rillknot__org_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rillknot__org_use__descriptor =
 {
@@ -2431,7 +2444,7 @@
   "Rillknot__OrgUse",
   "rillknot",
   sizeof(Rillknot__OrgUse),
-  2,
+  3,
   rillknot__org_use__field_descriptors,
   rillknot__org_use__field_indices_by_name,
   1,  rillknot__org_use__number_ranges,
@@ -2566,7 +2579,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[13] =
 {
   {
     "id",
@@ -2712,6 +2725,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "remembers_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, remembers_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -2722,6 +2747,7 @@
   6,   /* field[6] = leaving */
   5,   /* field[5] = list_revision */
   11,   /* field[11] = peers */
+  12,   /* field[12] = remembers_ms */
   4,   /* field[4] = settings_version */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
@@ -2730,7 +2756,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -2740,7 +2766,7 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  12,
+  13,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -284,10 +284,14 @@
   ProtobufCMessage base;
   char *org;
   double units;
+  /*
+   * The part of it within the quota's window, for who hears of it first.
+   */
+  double recent;
 };
 #define RILLKNOT__ORG_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__org_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -346,10 +350,14 @@
    */
   size_t n_peers;
   char **peers;
+  /*
+   * How far back its knowledge of quotas goes.
+   */
+  int64_t remembers_ms;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -59,6 +59,7 @@
         struct rk_org_use *use = &report->uses[report->uses_len++];
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_total;
+        use->recent = rk_quota_own(&r->quota, &r->quota.orgs[i]);
     }
 }
 
@@ -80,6 +81,7 @@
     fill_loads(r, report);
     fill_uses(r, report);
     fill_usage(r, report);
+    report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->in_hand = r->calls_len + rk_server_busy(r->server);
     r->opt.on_report(r->opt.ctx, report);
 }
@@ -154,8 +156,12 @@
     const struct rk_relay_peers *p = m->peers;
     int64_t now_ms = rk_mono_ms();
     rk_place_set_loads(r->place, p->loads, p->loads_len);
+    for (size_t i = 0; i < r->quota.orgs_len; i++)
+        r->quota.orgs[i].peers_per_ms = 0;
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
+    rk_quota_told(&r->quota, now_ms);
+    rk_quota_remind(&r->quota, p->remembers_ms, now_ms);
     r->quota.nodes_heard = p->nodes_heard;
     r->quota.nodes_total = p->nodes_total;
     rk_relay_peers_free(m->peers);
@@ -176,8 +182,11 @@
     rk_server_set_closing(r->server);
 }
 
-void rk_relay_close(struct rk_relay *r)
+void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms)
 {
+    int64_t now_ms = rk_mono_ms();
+    atomic_store(&r->close_ends_ms, now_ms + ends_in_ms);
+    atomic_store(&r->close_began_ms, now_ms);
     rk_loop_post(r->loop, take_close, r);
 }
 
@@ -230,7 +239,8 @@
     r->upstreams = rk_upstreams_create(r->loop);
     r->place = rk_place_create(opt->domain, opt->seed);
     r->rng.state = opt->seed + 1;
-    rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack);
+    rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack,
+                  opt->bounds.first_start ? 0 : rk_mono_ms());
     r->report = (struct rk_timer){.fn = on_report, .ctx = r};
     rk_timer_start(r->loop, &r->report, REPORT_MS);
     return r;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -23,12 +23,14 @@
     int64_t quota_window_ms;
     double quota_slack;       /* units that the deployment forgives */
     int64_t usage_window_ms;
+    bool first_start; /* nothing was used before */
 };
 
 /* What one organisation used here since the start, in units of its quota. */
 struct rk_org_use {
     char org[RK_ID_MAX];
     double units;
+    double recent; /* the part of it within the quota's window */
 };
 
 /* What a relay tells control, a few times a second. */
@@ -39,6 +41,7 @@
     size_t uses_len;
     struct rk_usage_row *usage; /* counts so far of recent windows */
     size_t usage_len;
+    int64_t remembers_ms; /* how far back the knowledge of quotas goes */
     size_t in_hand;
 };
 void rk_relay_report_free(struct rk_relay_report *r);
@@ -49,6 +52,7 @@
     size_t loads_len;
     struct rk_org_use *uses; /* used by them since the last telling */
     size_t uses_len;
+    int64_t remembers_ms; /* the longest memory of quotas among them; 0: none told */
     int nodes_heard, nodes_total; /* this one included */
 };
 void rk_relay_peers_free(struct rk_relay_peers *p);
@@ -78,9 +82,10 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
-/* Any thread: new connections are not wanted any more, the present ones end when
- * they are idle. */
-void rk_relay_close(struct rk_relay *r);
+/* Any thread: this process ends in so many ms. Connections end with their next
+ * answer; calls that can't end by then are refused. */
+void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms);
+/* Any thread: end connections that are idle. */
 void rk_relay_close_idle(struct rk_relay *r);
 void rk_relay_stop(struct rk_relay *r);
 
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -27,6 +27,8 @@
 #define MAX_CHOICES        4    /* vms tried that could not even be connected to */
 #define MAX_CONNS_DEFAULT  64
 #define LOGGED_ONE_IN      16 /* of calls that ended well */
+#define STOP_TAKES_MS      2700 /* after a stop began, calls of any length are taken:
+                                   the balancer may not know yet */
 #define UNSENT_MAX         (4 * 1024 * 1024) /* bytes kept for a slow caller */
 
 enum {
@@ -718,6 +720,15 @@
     return x;
 }
 
+/* Would the call outlast this process, which stops? */
+static bool outlasts_stop(struct rk_relay *r, int64_t left_ms)
+{
+    int64_t began_ms = atomic_load(&r->close_began_ms), now_ms = rk_mono_ms();
+    if (!began_ms || now_ms - began_ms < STOP_TAKES_MS)
+        return false;
+    return now_ms + left_ms > atomic_load(&r->close_ends_ms);
+}
+
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
 {
     const struct rk_head *head = rk_client_head(client);
@@ -746,6 +757,10 @@
         refuse(r, client, HTTP_TIMEOUT, 0, "the deadline has passed");
         return;
     }
+    if (outlasts_stop(r, left_ms)) {
+        refuse(r, client, HTTP_REFUSED, 1, "this node stops");
+        return;
+    }
     struct rk_relay_call *x = create_call(r, client, route, org);
     x->end_ms = x->started_ms + left_ms;
     rk_timer_start(r->loop, &x->end, left_ms);
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -36,6 +36,8 @@
     size_t calls_len;
     struct rk_rng rng;
     struct rk_timer report;
+    /* Of a planned stop; 0: none. */
+    _Atomic int64_t close_began_ms, close_ends_ms;
 };
 
 /* Take a request that a caller sent. */
