quota: a restarted node takes over what a peer with a whole window's memory knows

Also, until it has the list of nodes, a node took itself to be alone. Change: reports tell what the sender knows of all; it is taken over with the memory. Without a list a node counts on eight nodes.

--- a/core/quota.c
+++ b/core/quota.c
@@ -17,7 +17,7 @@
     q->window_ms = window_ms > 0 ? window_ms : RK_QUOTA_WINDOW_MS;
     q->slack = slack;
     q->nodes_heard = 1;
-    q->nodes_total = 1;
+    q->nodes_total = RK_UNKNOWN_NODES;
     q->forgot_ms = forgot_ms;
 }
 
@@ -63,12 +63,16 @@
     return total;
 }
 
-double rk_quota_own(const struct rk_quota *q, const struct rk_quota_org *o)
+double rk_quota_own(const struct rk_quota_org *o)
 {
-    (void)q;
     return sum(o->own);
 }
 
+double rk_quota_known(const struct rk_quota_org *o)
+{
+    return sum(o->used);
+}
+
 /* What the peers probably admitted since their last word. */
 static double unheard(const struct rk_quota *q, const struct rk_quota_org *o,
                       int64_t now_ms)
@@ -97,12 +101,21 @@
     return q->forgot_ms && age_ms < q->window_ms ? age_ms : q->window_ms;
 }
 
-void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms, int64_t now_ms)
+void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms)
 {
     if (remembers_ms >= q->window_ms)
         q->forgot_ms = 0;
-    else if (q->forgot_ms && now_ms - remembers_ms < q->forgot_ms)
-        q->forgot_ms = now_ms - remembers_ms;
+}
+
+void rk_quota_know(struct rk_quota *q, const char *org, double units, int64_t now_ms)
+{
+    struct rk_quota_org *o = find(q, org);
+    if (!o)
+        return;
+    advance(q, o, now_ms);
+    double missing = units - sum(o->used);
+    if (missing > 0)
+        o->used[o->bucket % RK_QUOTA_BUCKETS] += missing;
 }
 
 /* The quota that counts now. */
--- a/core/quota.h
+++ b/core/quota.h
@@ -13,6 +13,7 @@
 #define RK_QUOTA_BUCKETS   33 /* one more than make the window: the oldest is part */
 #define RK_QUOTA_ORGS      64
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
+#define RK_UNKNOWN_NODES   8    /* taken to exist while a node knows no list of them */
 
 /* One organisation's use. */
 struct rk_quota_org {
@@ -59,11 +60,17 @@
 /* How far back this node's knowledge goes, at most the window. */
 int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms);
 
-/* A peer whose own use was just added knows of so long a time. */
-void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms, int64_t now_ms);
+/* A peer remembers a whole window; rk_quota_know() was called for each of its
+ * organisations. */
+void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms);
 
-/* Units admitted here within the window. */
-double rk_quota_own(const struct rk_quota *q, const struct rk_quota_org *o);
+/* All nodes used so much of it within the window, by what a peer remembers. */
+void rk_quota_know(struct rk_quota *q, const char *org, double units,
+                   int64_t now_ms);
+
+/* Units within the window: admitted here, and by all as far as known here. */
+double rk_quota_own(const struct rk_quota_org *o);
+double rk_quota_known(const struct rk_quota_org *o);
 
 /* Give back what was admitted here and did not run. */
 void rk_quota_refund(struct rk_quota *q, const char *org, double units,
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -8,6 +8,7 @@
 
 #include "common/eventlog.h"
 #include "common/json.h"
+#include "core/quota.h"
 #include "node/state.h"
 #include "objects/store.h"
 #include "peers/link.h"
@@ -146,7 +147,7 @@
     int count = 1;
     for (const struct member *k = m->members; k; k = k->next)
         count += k->id[0] != '\0';
-    return count;
+    return m->listed || count > RK_UNKNOWN_NODES ? count : RK_UNKNOWN_NODES;
 }
 
 /* Forget who was silent for long, and log who came and went. */
@@ -206,6 +207,7 @@
         p->uses[i].org = r->uses[i].org;
         p->uses[i].units = r->uses[i].units;
         p->uses[i].recent = r->uses[i].recent;
+        p->uses[i].known = r->uses[i].known;
         p->use_ptrs[i] = &p->uses[i];
     }
     p->report.n_uses = r->uses_len;
@@ -236,7 +238,10 @@
 static void fill_peers(struct report_parts *p, const struct rk_mesh *m)
 {
     int64_t now_ms = rk_mono_ms();
-    p->peers = rk_alloc((size_t)rk_mesh_total(m) + 1, sizeof(*p->peers));
+    size_t count = 0;
+    for (struct member *k = m->members; k; k = k->next)
+        count++;
+    p->peers = rk_alloc(count + 1, sizeof(*p->peers));
     for (struct member *k = m->members; k; k = k->next)
         if (k->id[0] && is_heard(k, now_ms))
             p->peers[p->report.n_peers++] = k->addr;
@@ -318,6 +323,7 @@
     for (size_t i = 0; i < r->n_uses; i++) {
         rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
         uses[i].units = r->uses[i]->units;
+        uses[i].known = r->uses[i]->known;
         double before = first ? uses[i].units - r->uses[i]->recent : 0;
         for (size_t j = 0; j < k->uses_len; j++)
             if (!strcmp(k->uses[j].org, uses[i].org))
@@ -503,6 +509,23 @@
 
 /* ---- the relay's view of the peers ---- */
 
+/* What the peer with the longest memory knows of quotas. */
+static void fill_known(const struct rk_mesh *m, struct rk_relay_peers *p,
+                       int64_t now_ms)
+{
+    const struct member *best = NULL;
+    for (const struct member *k = m->members; k; k = k->next)
+        if (is_heard(k, now_ms) && (!best || k->remembers_ms > best->remembers_ms))
+            best = k;
+    if (!best)
+        return;
+    p->remembers_ms = best->remembers_ms;
+    p->known = rk_alloc(best->uses_len + 1, sizeof(*p->known));
+    p->known_len = best->uses_len;
+    for (size_t i = 0; i < best->uses_len; i++)
+        p->known[i] = best->uses[i];
+}
+
 static void tell_relay(struct rk_mesh *m, int64_t now_ms)
 {
     struct rk_relay_peers *p = rk_alloc(1, sizeof(*p));
@@ -511,15 +534,12 @@
         loads += is_heard(k, now_ms) ? k->loads_len : 0;
     p->loads = rk_alloc(loads + 1, sizeof(*p->loads));
     for (struct member *k = m->members; k; k = k->next) {
-        if (!is_heard(k, now_ms))
-            continue;
-        if (k->remembers_ms > p->remembers_ms)
-            p->remembers_ms = k->remembers_ms;
-        if (!k->loads_len)
+        if (!is_heard(k, now_ms) || !k->loads_len)
             continue;
         memcpy(p->loads + p->loads_len, k->loads, k->loads_len * sizeof(*k->loads));
         p->loads_len += k->loads_len;
     }
+    fill_known(m, p, now_ms);
     p->uses = m->news;
     p->uses_len = m->news_len;
     m->news = NULL;
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2387,7 +2387,7 @@
   (ProtobufCMessageInit) rillknot__vm_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[4] =
 {
   {
     "org",
@@ -2425,8 +2425,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__OrgUse, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__org_use__field_indices_by_name[] = {
+  3,   /* field[3] = known */
   0,   /* field[0] = org */
   2,   /* field[2] = recent */
   1,   /* field[1] = units */
@@ -2434,7 +2447,7 @@
 static const ProtobufCIntRange rillknot__org_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rillknot__org_use__descriptor =
 {
@@ -2444,7 +2457,7 @@
   "Rillknot__OrgUse",
   "rillknot",
   sizeof(Rillknot__OrgUse),
-  3,
+  4,
   rillknot__org_use__field_descriptors,
   rillknot__org_use__field_indices_by_name,
   1,  rillknot__org_use__number_ranges,
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -31,6 +31,7 @@
 {
     free(p->loads);
     free(p->uses);
+    free(p->known);
     free(p);
 }
 
@@ -59,7 +60,8 @@
         struct rk_org_use *use = &report->uses[report->uses_len++];
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_total;
-        use->recent = rk_quota_own(&r->quota, &r->quota.orgs[i]);
+        use->recent = rk_quota_own(&r->quota.orgs[i]);
+        use->known = rk_quota_known(&r->quota.orgs[i]);
     }
 }
 
@@ -161,7 +163,9 @@
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
     rk_quota_told(&r->quota, now_ms);
-    rk_quota_remind(&r->quota, p->remembers_ms, now_ms);
+    for (size_t i = 0; r->quota.forgot_ms && i < p->known_len; i++)
+        rk_quota_know(&r->quota, p->known[i].org, p->known[i].known, now_ms);
+    rk_quota_remind(&r->quota, p->remembers_ms);
     r->quota.nodes_heard = p->nodes_heard;
     r->quota.nodes_total = p->nodes_total;
     rk_relay_peers_free(m->peers);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -31,6 +31,7 @@
     char org[RK_ID_MAX];
     double units;
     double recent; /* the part of it within the quota's window */
+    double known;  /* what all nodes used within it, as far as known here */
 };
 
 /* What a relay tells control, a few times a second. */
@@ -52,7 +53,9 @@
     size_t loads_len;
     struct rk_org_use *uses; /* used by them since the last telling */
     size_t uses_len;
-    int64_t remembers_ms; /* the longest memory of quotas among them; 0: none told */
+    struct rk_org_use *known; /* by the peer with the longest memory */
+    size_t known_len;
+    int64_t remembers_ms; /* that peer's memory */
     int nodes_heard, nodes_total; /* this one included */
 };
 void rk_relay_peers_free(struct rk_relay_peers *p);
