--- a/core/quota.c
+++ b/core/quota.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define RETRY_MIN_MS   250
-#define SLACK_SHARE    0.1  /* of the slack that is planned with; the rest covers
+#define SLACK_SHARE    0.6  /* of the slack that is planned with; the rest covers
                                what peers admit before this node hears of it */
 #define REPORT_LAG_MS  300  /* age of what the peers tell, when it comes */
 #define LAG_MAX_MS     1500 /* what is guessed of silent peers ends somewhere */
--- a/node/node.c
+++ b/node/node.c
@@ -140,6 +140,17 @@
     rk_loop_stop(n->loop);
 }
 
+static void take_stopped(void *ctx)
+{
+    end_stop(ctx);
+}
+
+static void on_stopped(void *ctx)
+{
+    struct rk_node *n = ctx;
+    rk_loop_post(n->loop, take_stopped, n);
+}
+
 /* When the process ends at the latest, from the stop's begin. */
 static int64_t stop_limit_ms(const struct rk_node *n)
 {
@@ -150,13 +161,14 @@
 {
     struct rk_node *n = ctx;
     int64_t in_ms = rk_mono_ms() - n->leaving_since_ms;
-    bool quiet = !n->report || !n->report->in_hand;
-    if (in_ms >= stop_limit_ms(n) || (quiet && in_ms >= BALANCER_MS + SETTLE_MS)) {
+    if (in_ms >= stop_limit_ms(n)) {
         end_stop(n);
         return;
     }
     if (in_ms >= BALANCER_MS)
         rk_relay_close_idle(n->relay);
+    if (in_ms >= BALANCER_MS + SETTLE_MS)
+        rk_relay_stop_idle(n->relay);
     rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
 }
 
@@ -220,6 +232,7 @@
                    .usage_window_ms = f->usage_window_s * RK_MS_PER_S,
                    .first_start = f->first_start},
         .on_report = on_report,
+        .on_stopped = on_stopped,
         .ctx = n,
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -205,6 +205,20 @@
     rk_loop_post(r->loop, take_close_idle, r);
 }
 
+static void take_stop_idle(void *ctx)
+{
+    struct rk_relay *r = ctx;
+    if (r->calls_len || rk_server_busy(r->server))
+        return;
+    rk_loop_stop(r->loop);
+    r->opt.on_stopped(r->opt.ctx);
+}
+
+void rk_relay_stop_idle(struct rk_relay *r)
+{
+    rk_loop_post(r->loop, take_stop_idle, r);
+}
+
 void rk_relay_stop(struct rk_relay *r)
 {
     rk_loop_stop(r->loop);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -70,6 +70,8 @@
     struct rk_relay_bounds bounds;
     /* On the relay's thread; the receiver owns the report. */
     void (*on_report)(void *ctx, struct rk_relay_report *report);
+    /* On the relay's thread: it stopped, as asked by rk_relay_stop_idle(). */
+    void (*on_stopped)(void *ctx);
     void *ctx;
 };
 
@@ -90,6 +92,8 @@
 void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms);
 /* Any thread: end connections that are idle. */
 void rk_relay_close_idle(struct rk_relay *r);
+/* Any thread: stop if nothing is in hand; nothing can come in between. */
+void rk_relay_stop_idle(struct rk_relay *r);
 void rk_relay_stop(struct rk_relay *r);
 
 #endif
