holding, orders: one on-demand vm a domain, the rest reclaimable by demand

Change: every node follows demand (prompt tokens to be read, calls in hand) from the reports; the holder of the duties orders counts: one on-demand vm in each failure domain, one reclaimable, more of these by demand, on-demand ones only while none of the other kind can be had. Orders are counts and compared with the list.

--- /dev/null
+++ b/core/holding.c
@@ -0,0 +1,107 @@
+#include "core/holding.h"
+
+#include <math.h>
+#include <stdbool.h>
+#include <string.h>
+
+#define READ_PER_S      30000.0 /* prompt tokens that one engine reads */
+#define READ_SHARE      0.4     /* of that, planned with: calls come in clumps */
+#define RUNNING_SHARE   0.35    /* of its slots */
+#define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
+#define RECLAIMABLE_MIN 1       /* a domain, where that kind is cheaper */
+#define SHORT_SHARE     0.7     /* of the need: below it on-demand vms stand in */
+
+double rk_holding_need(double read_per_s, double running, double slots)
+{
+    double by_reading = read_per_s / (READ_PER_S * READ_SHARE);
+    double by_running = slots > 0 ? running / (slots * RUNNING_SHARE) : 0;
+    return by_reading > by_running ? by_reading : by_running;
+}
+
+double rk_holding_smooth(double before, double now, int64_t passed_ms)
+{
+    double left = before * exp2(-(double)passed_ms / HALVED_IN_MS);
+    return now > left ? now : left;
+}
+
+static int room(const struct rk_holding_input *in, const struct rk_holding_target *t)
+{
+    return in->max_vms - t->on_demand - t->reclaimable;
+}
+
+static bool can_be_had(const struct rk_holding_input *in, size_t i)
+{
+    return in->now_ms >= in->domains[i].refused_until_ms;
+}
+
+/* The domain for one more reclaimable vm: the fewest, then the cheapest. */
+static int next_reclaimable(const struct rk_holding_input *in,
+                            const struct rk_holding_target *targets)
+{
+    int best = -1;
+    for (size_t i = 0; i < in->domains_len; i++) {
+        if (room(in, &targets[i]) <= 0 || !can_be_had(in, i))
+            continue;
+        if (best < 0 || targets[i].reclaimable < targets[best].reclaimable ||
+            (targets[i].reclaimable == targets[best].reclaimable &&
+             in->domains[i].price < in->domains[best].price))
+            best = (int)i;
+    }
+    return best;
+}
+
+static int next_on_demand(const struct rk_holding_input *in,
+                          const struct rk_holding_target *targets)
+{
+    int best = -1;
+    for (size_t i = 0; i < in->domains_len; i++) {
+        if (room(in, &targets[i]) <= 0)
+            continue;
+        if (best < 0 || in->domains[i].price < in->domains[best].price)
+            best = (int)i;
+    }
+    return best;
+}
+
+static int held(const struct rk_holding_input *in)
+{
+    int sum = 0;
+    for (size_t i = 0; i < in->domains_len; i++)
+        sum += in->domains[i].on_demand + in->domains[i].reclaimable;
+    return sum;
+}
+
+static int planned(const struct rk_holding_input *in,
+                   const struct rk_holding_target *targets)
+{
+    int sum = 0;
+    for (size_t i = 0; i < in->domains_len; i++)
+        sum += targets[i].on_demand + targets[i].reclaimable;
+    return sum;
+}
+
+void rk_holding_plan(const struct rk_holding_input *in,
+                     struct rk_holding_target targets[RK_HOLDING_DOMAINS])
+{
+    bool cheaper = in->spot_price > 0 && in->spot_price < 1;
+    int total = (int)ceil(in->need);
+    memset(targets, 0, RK_HOLDING_DOMAINS * sizeof(*targets));
+    for (size_t i = 0; i < in->domains_len; i++) {
+        targets[i].on_demand = in->min_vms > 1 ? in->min_vms : 1;
+        /* Those held stay: who can't get more keeps what there is. */
+        if (cheaper && (can_be_had(in, i) || in->domains[i].reclaimable))
+            targets[i].reclaimable = RECLAIMABLE_MIN;
+    }
+    for (int at; cheaper && planned(in, targets) < total;) {
+        if ((at = next_reclaimable(in, targets)) < 0)
+            break;
+        targets[at].reclaimable++;
+    }
+    double shortfall = in->need * SHORT_SHARE - held(in);
+    bool stand_in = !cheaper || shortfall > 0;
+    for (int at; stand_in && planned(in, targets) < total;) {
+        if ((at = next_on_demand(in, targets)) < 0)
+            break;
+        targets[at].on_demand++;
+    }
+}
--- /dev/null
+++ b/core/holding.h
@@ -0,0 +1,49 @@
+/* How many vms of an engine service to hold in each failure domain, and of which
+ * kind. One on-demand vm a domain is the floor: a domain that is cut off serves
+ * its own, and the loss of all reclaimable vms at once leaves something. What
+ * demand asks for above that is reclaimable, spread over the domains, and turns
+ * on-demand only while none of that kind can be had. Pure. */
+#ifndef RK_CORE_HOLDING_H
+#define RK_CORE_HOLDING_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/util.h"
+
+#define RK_HOLDING_DOMAINS 16
+
+/* One failure domain as the list shows it. */
+struct rk_holding_domain {
+    char name[RK_ID_MAX];
+    double price;             /* of an on-demand vm */
+    int on_demand;            /* held, not leaving */
+    int reclaimable;          /* the same, of the other kind */
+    int64_t refused_until_ms; /* no reclaimable one can be had there before */
+};
+
+struct rk_holding_input {
+    struct rk_holding_domain domains[RK_HOLDING_DOMAINS];
+    size_t domains_len;
+    int min_vms, max_vms; /* a domain, both kinds together */
+    double spot_price;    /* of a reclaimable vm, in prices of the others */
+    double need;          /* vms, from rk_holding_need() */
+    int64_t now_ms;
+};
+
+struct rk_holding_target {
+    int on_demand, reclaimable;
+};
+
+/* What demand asks for, in vms. read_per_s: prompt tokens to be read; running:
+ * calls in hand. */
+double rk_holding_need(double read_per_s, double running, double slots);
+
+/* Smooth: up at once, down slowly. passed_ms: since `before` was made. */
+double rk_holding_smooth(double before, double now, int64_t passed_ms);
+
+/* targets[i] is domains[i]'s. */
+void rk_holding_plan(const struct rk_holding_input *in,
+                     struct rk_holding_target targets[RK_HOLDING_DOMAINS]);
+
+#endif
--- a/node/duties.c
+++ b/node/duties.c
@@ -57,6 +57,7 @@
     struct rk_timer tick;
     char value[RK_LEASE_VALUE_MAX]; /* of the write that stood last */
     struct window windows[WINDOWS];
+    struct rk_orders *orders;
     int64_t first_window; /* none before is due */
 };
 
@@ -310,6 +311,8 @@
     tend_lease(k);
     note_lease(k);
     tend_usage(k);
+    struct rk_duty_token t;
+    rk_orders_tick(k->orders, token(k, &t) ? &t : NULL);
     int64_t window = rk_wall_ms() / (k->n->file.usage_window_s * RK_MS_PER_S);
     rk_usage_forget(&k->n->usage, window - WINDOWS);
 }
@@ -318,6 +321,7 @@
 {
     struct rk_duty_keeper *k = rk_alloc(1, sizeof(*k));
     k->n = n;
+    k->orders = rk_orders_create(n);
     k->tick = (struct rk_timer){.fn = on_tick, .ctx = k};
     snprintf(k->holder, sizeof(k->holder), "%.30s/%08x", n->file.id,
              (unsigned)n->incarnation);
@@ -341,5 +345,6 @@
     rk_timer_stop(k->n->loop, &k->tick);
     for (size_t i = 0; i < WINDOWS; i++)
         free(k->windows[i].counts);
+    rk_orders_destroy(k->orders);
     free(k);
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -43,6 +43,8 @@
     size_t loads_len;
     struct rk_org_use *uses; /* since its start, as told last */
     size_t uses_len;
+    struct rk_service_use *services; /* the same */
+    size_t services_len;
 };
 
 /* A link that a peer opened. */
@@ -107,6 +109,7 @@
     rk_link_destroy(k->link);
     free(k->loads);
     free(k->uses);
+    free(k->services);
     free(k);
 }
 
@@ -180,6 +183,7 @@
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
     Rillknot__UsageRow *usage, **usage_ptrs;
+    Rillknot__ServiceUse *services, **service_ptrs;
     char **peers;
 };
 
@@ -235,6 +239,21 @@
     p->report.usage = p->usage_ptrs;
 }
 
+static void fill_services(struct report_parts *p, const struct rk_relay_report *r)
+{
+    p->services = rk_alloc(r->services_len + 1, sizeof(*p->services));
+    p->service_ptrs = rk_alloc(r->services_len + 1, sizeof(*p->service_ptrs));
+    for (size_t i = 0; i < r->services_len; i++) {
+        rillknot__service_use__init(&p->services[i]);
+        p->services[i].service = r->services[i].service;
+        p->services[i].read_tokens = r->services[i].read_tokens;
+        p->services[i].running = r->services[i].running;
+        p->service_ptrs[i] = &p->services[i];
+    }
+    p->report.n_services = r->services_len;
+    p->report.services = p->service_ptrs;
+}
+
 static void fill_peers(struct report_parts *p, const struct rk_mesh *m)
 {
     int64_t now_ms = rk_mono_ms();
@@ -274,6 +293,7 @@
     fill_vms(p, n->report);
     fill_uses(p, n->report);
     fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
+    fill_services(p, n->report);
 }
 
 static void free_report(struct report_parts *p)
@@ -284,6 +304,8 @@
     free(p->use_ptrs);
     free(p->usage);
     free(p->usage_ptrs);
+    free(p->services);
+    free(p->service_ptrs);
     free(p->peers);
 }
 
@@ -350,6 +372,35 @@
     }
 }
 
+static void take_services(struct member *k, const Rillknot__NodeReport *r)
+{
+    k->services = rk_realloc(k->services, (r->n_services + 1) * sizeof(*k->services));
+    k->services_len = r->n_services;
+    for (size_t i = 0; i < r->n_services; i++) {
+        struct rk_service_use *use = &k->services[i];
+        rk_strcpy(use->service, sizeof(use->service), r->services[i]->service);
+        use->read_tokens = r->services[i]->read_tokens;
+        use->running = r->services[i]->running;
+    }
+}
+
+struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
+                                          const char *service)
+{
+    struct rk_service_use sum = {0};
+    int64_t now_ms = rk_mono_ms();
+    rk_strcpy(sum.service, sizeof(sum.service), service);
+    for (const struct member *k = m->members; k; k = k->next)
+        for (size_t i = 0; i < k->services_len; i++) {
+            if (strcmp(k->services[i].service, service) != 0)
+                continue;
+            sum.read_tokens += k->services[i].read_tokens;
+            if (is_heard(k, now_ms))
+                sum.running += k->services[i].running;
+        }
+    return sum;
+}
+
 static void take_usage(struct rk_node *n, const Rillknot__NodeReport *r)
 {
     for (size_t i = 0; i < r->n_usage; i++) {
@@ -395,6 +446,7 @@
     k->remembers_ms = r->remembers_ms;
     take_uses(k, r, first);
     take_loads(k, r);
+    take_services(k, r);
     take_usage(m->n, r);
     if (r->lease)
         rk_duty_keeper_seen(m->n->duty_keeper, r->lease->version, r->lease->value);
--- /dev/null
+++ b/node/orders.c
@@ -0,0 +1,222 @@
+/* Orders for vms: demand is followed at every node, so that whoever takes the
+ * duties over knows it; the holder compares the plan with the list and orders the
+ * difference. Orders are counts, so a repeated one does no harm. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cloud/duties.h"
+#include "common/eventlog.h"
+#include "core/holding.h"
+#include "node/state.h"
+
+#define SERVICES         8
+#define DEMAND_MS        1000 /* over which demand is measured */
+#define ORDER_AGAIN_MS   3000 /* on top of a vm's boot, before an order is repeated */
+#define REFUSED_MS       3000 /* after "none to be had" */
+#define SETTLE_MS        2000 /* a holder looks at the list for so long first */
+
+/* An order of one kind in one domain. */
+struct order {
+    struct service *s;
+    size_t domain;
+    bool reclaimable;
+    bool busy;
+    int target; /* ordered last; -1: none */
+    int64_t at_ms;
+    int64_t refused_until_ms;
+};
+
+struct service {
+    struct rk_orders *o;
+    char name[RK_ID_MAX];
+    double read_before;
+    int64_t measured_ms;
+    double need; /* smoothed */
+    struct order orders[RK_HOLDING_DOMAINS][2];
+};
+
+struct rk_orders {
+    struct rk_node *n;
+    struct service services[SERVICES];
+    size_t services_len;
+    int64_t since_ms; /* the duties are held; 0: they aren't */
+};
+
+static struct service *service_of(struct rk_orders *o, const char *name)
+{
+    for (size_t i = 0; i < o->services_len; i++)
+        if (!strcmp(o->services[i].name, name))
+            return &o->services[i];
+    if (o->services_len == SERVICES)
+        return NULL;
+    struct service *s = &o->services[o->services_len++];
+    *s = (struct service){.o = o};
+    rk_strcpy(s->name, sizeof(s->name), name);
+    for (size_t i = 0; i < RK_HOLDING_DOMAINS; i++)
+        for (int kind = 0; kind < 2; kind++)
+            s->orders[i][kind] = (struct order){
+                .s = s, .domain = i, .reclaimable = kind == 1, .target = -1};
+    return s;
+}
+
+/* ---- demand ---- */
+
+static struct rk_service_use use_of(const struct rk_node *n, const char *service)
+{
+    struct rk_service_use sum = rk_mesh_service_use(n->mesh, service);
+    for (size_t i = 0; n->report && i < n->report->services_len; i++) {
+        const struct rk_service_use *own = &n->report->services[i];
+        if (strcmp(own->service, service) != 0)
+            continue;
+        sum.read_tokens += own->read_tokens;
+        sum.running += own->running;
+    }
+    return sum;
+}
+
+static void measure(struct service *s, const struct rk_service_info *info)
+{
+    int64_t now_ms = rk_mono_ms(), passed_ms = now_ms - s->measured_ms;
+    if (passed_ms < DEMAND_MS)
+        return;
+    struct rk_service_use use = use_of(s->o->n, s->name);
+    double read = use.read_tokens - s->read_before;
+    /* A node that started again counts from nothing. */
+    bool known = s->measured_ms && read >= 0;
+    double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
+    double need = rk_holding_need(per_s, use.running, (double)info->slots);
+    s->need = rk_holding_smooth(s->need, need, passed_ms);
+    s->read_before = use.read_tokens;
+    s->measured_ms = now_ms;
+}
+
+void rk_orders_watch(struct rk_orders *o)
+{
+    const struct rk_routes *routes = rk_sync_routes(o->n->sync);
+    for (size_t i = 0; routes && i < routes->services_len; i++) {
+        const struct rk_service_info *info = &routes->services[i];
+        struct service *s = info->scaled ? service_of(o, info->name) : NULL;
+        if (s)
+            measure(s, info);
+    }
+}
+
+/* ---- orders ---- */
+
+static void on_ordered(void *ctx, enum rk_status st, const char *detail)
+{
+    struct order *order = ctx;
+    order->busy = false;
+    RK_EVENT("vms.ordered", RK_S("service", order->s->name),
+             RK_N("domain", (int64_t)order->domain),
+             RK_N("reclaimable", order->reclaimable), RK_N("count", order->target),
+             RK_S("status", rk_status_str(st)), RK_S("detail", detail));
+    if (st == RK_OK)
+        return;
+    if (st == RK_ECONFLICT)
+        order->refused_until_ms = rk_mono_ms() + REFUSED_MS;
+    order->target = -1; /* again, with what is known then */
+    order->at_ms = rk_mono_ms();
+}
+
+static void send_order(struct order *order, const struct rk_service_info *info,
+                       const struct rk_duty_token *token, int count)
+{
+    struct rk_duties *duties = order->s->o->n->duties;
+    const struct rk_vm_target target = {.service = order->s->name,
+                                        .domain = info->prices[order->domain].domain,
+                                        .count = count,
+                                        .reclaimable = order->reclaimable};
+    order->busy = true;
+    order->target = count;
+    order->at_ms = rk_mono_ms();
+    duties->ops->order_vms(duties, token, &target, on_ordered, order);
+}
+
+static void tend_order(struct order *order, const struct rk_service_info *info,
+                       const struct rk_duty_token *token, int held, int target)
+{
+    int64_t now_ms = rk_mono_ms();
+    int64_t patience_ms = info->boot_ms + ORDER_AGAIN_MS;
+    bool waiting = order->target == target && now_ms - order->at_ms < patience_ms;
+    if (order->busy || held == target || waiting ||
+        now_ms < order->refused_until_ms)
+        return;
+    send_order(order, info, token, target);
+}
+
+static void count_held(const struct rk_node *n, const struct rk_service_info *info,
+                       struct rk_holding_input *in)
+{
+    const struct rk_vm_row *row;
+    for (size_t i = 0; (row = rk_sync_vm_at(n->sync, i)); i++) {
+        if (row->leaving || strcmp(row->service, info->name) != 0)
+            continue;
+        for (size_t d = 0; d < in->domains_len; d++) {
+            if (strcmp(in->domains[d].name, row->domain) != 0)
+                continue;
+            if (row->reclaimable)
+                in->domains[d].reclaimable++;
+            else
+                in->domains[d].on_demand++;
+        }
+    }
+}
+
+static void tend_service(struct service *s, const struct rk_service_info *info,
+                         const struct rk_duty_token *token)
+{
+    struct rk_holding_input in = {.min_vms = (int)info->min_vms,
+                                  .max_vms = (int)info->max_vms,
+                                  .spot_price = info->spot_price,
+                                  .need = s->need,
+                                  .now_ms = rk_mono_ms()};
+    for (size_t i = 0; i < info->prices_len && i < RK_HOLDING_DOMAINS; i++) {
+        struct rk_holding_domain *d = &in.domains[in.domains_len++];
+        rk_strcpy(d->name, sizeof(d->name), info->prices[i].domain);
+        d->price = info->prices[i].price;
+        d->refused_until_ms = s->orders[i][1].refused_until_ms;
+    }
+    count_held(s->o->n, info, &in);
+    struct rk_holding_target targets[RK_HOLDING_DOMAINS];
+    rk_holding_plan(&in, targets);
+    for (size_t i = 0; i < in.domains_len; i++) {
+        tend_order(&s->orders[i][0], info, token, in.domains[i].on_demand,
+                   targets[i].on_demand);
+        tend_order(&s->orders[i][1], info, token, in.domains[i].reclaimable,
+                   targets[i].reclaimable);
+    }
+}
+
+void rk_orders_tick(struct rk_orders *o, const struct rk_duty_token *token)
+{
+    const struct rk_routes *routes = rk_sync_routes(o->n->sync);
+    rk_orders_watch(o);
+    if (!token) {
+        o->since_ms = 0;
+        return;
+    }
+    if (!o->since_ms)
+        o->since_ms = rk_mono_ms();
+    if (!routes || !rk_sync_ready(o->n->sync) ||
+        rk_mono_ms() - o->since_ms < SETTLE_MS)
+        return;
+    for (size_t i = 0; i < routes->services_len; i++) {
+        const struct rk_service_info *info = &routes->services[i];
+        struct service *s = info->scaled ? service_of(o, info->name) : NULL;
+        if (s)
+            tend_service(s, info, token);
+    }
+}
+
+struct rk_orders *rk_orders_create(struct rk_node *n)
+{
+    struct rk_orders *o = rk_alloc(1, sizeof(*o));
+    o->n = n;
+    return o;
+}
+
+void rk_orders_destroy(struct rk_orders *o)
+{
+    free(o);
+}
--- a/node/state.h
+++ b/node/state.h
@@ -62,6 +62,20 @@
 void rk_mesh_report(struct rk_mesh *m); /* tell all peers now */
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
+/* What the peers asked of a service: tokens since their starts, calls in hand. */
+struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
+                                          const char *service);
+
+/* orders.c: how many vms to hold. */
+struct rk_orders;
+struct rk_orders *rk_orders_create(struct rk_node *n);
+void rk_orders_destroy(struct rk_orders *o);
+/* While this node holds the duties: look at demand and the list, order what is
+ * missing. refused: called when a higher fencing token was seen. */
+struct rk_duty_token;
+void rk_orders_tick(struct rk_orders *o, const struct rk_duty_token *token);
+/* The rest of the time: demand is followed, nothing is ordered. */
+void rk_orders_watch(struct rk_orders *o);
 
 /* duties.c: the lease, usage, orders for vms. */
 struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &rillknot__usage_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__service_use__init
+                     (Rillknot__ServiceUse         *message)
+{
+  static const Rillknot__ServiceUse init_value = RILLKNOT__SERVICE_USE__INIT;
+  *message = init_value;
+}
+size_t rillknot__service_use__get_packed_size
+                     (const Rillknot__ServiceUse *message)
+{
+  assert(message->base.descriptor == &rillknot__service_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__service_use__pack
+                     (const Rillknot__ServiceUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__service_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__service_use__pack_to_buffer
+                     (const Rillknot__ServiceUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__service_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__ServiceUse *
+       rillknot__service_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__ServiceUse *)
+     protobuf_c_message_unpack (&rillknot__service_use__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__service_use__free_unpacked
+                     (Rillknot__ServiceUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__service_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__lease_row__init
                      (Rillknot__LeaseRow         *message)
 {
@@ -2541,6 +2586,70 @@
   (ProtobufCMessageInit) rillknot__usage_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rillknot__service_use__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ServiceUse, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ServiceUse, read_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ServiceUse, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__service_use__field_indices_by_name[] = {
+  1,   /* field[1] = read_tokens */
+  2,   /* field[2] = running */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange rillknot__service_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rillknot__service_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.ServiceUse",
+  "ServiceUse",
+  "Rillknot__ServiceUse",
+  "rillknot",
+  sizeof(Rillknot__ServiceUse),
+  3,
+  rillknot__service_use__field_descriptors,
+  rillknot__service_use__field_indices_by_name,
+  1,  rillknot__service_use__number_ranges,
+  (ProtobufCMessageInit) rillknot__service_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rillknot__lease_row__field_descriptors[2] =
 {
   {
@@ -2592,7 +2701,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[14] =
 {
   {
     "id",
@@ -2750,6 +2859,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "services",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__NodeReport, n_services),
+    offsetof(Rillknot__NodeReport, services),
+    &rillknot__service_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -2761,6 +2882,7 @@
   5,   /* field[5] = list_revision */
   11,   /* field[11] = peers */
   12,   /* field[12] = remembers_ms */
+  13,   /* field[13] = services */
   4,   /* field[4] = settings_version */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
@@ -2769,7 +2891,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -2779,7 +2901,7 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  13,
+  14,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Rillknot__VmUse Rillknot__VmUse;
 typedef struct Rillknot__OrgUse Rillknot__OrgUse;
 typedef struct Rillknot__UsageRow Rillknot__UsageRow;
+typedef struct Rillknot__ServiceUse Rillknot__ServiceUse;
 typedef struct Rillknot__LeaseRow Rillknot__LeaseRow;
 typedef struct Rillknot__NodeReport Rillknot__NodeReport;
 typedef struct Rillknot__StoreWanted Rillknot__StoreWanted;
@@ -314,6 +315,21 @@
     , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What a node asked of an engine service since its start, and has in hand.
+ */
+struct  Rillknot__ServiceUse
+{
+  ProtobufCMessage base;
+  char *service;
+  double read_tokens;
+  uint32_t running;
+};
+#define RILLKNOT__SERVICE_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__service_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * A lease as its holder last wrote it.
  */
@@ -358,10 +374,12 @@
    * How far back its knowledge of quotas goes.
    */
   int64_t remembers_ms;
+  size_t n_services;
+  Rillknot__ServiceUse **services;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -752,6 +770,25 @@
 void   rillknot__usage_row__free_unpacked
                      (Rillknot__UsageRow *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__ServiceUse methods */
+void   rillknot__service_use__init
+                     (Rillknot__ServiceUse         *message);
+size_t rillknot__service_use__get_packed_size
+                     (const Rillknot__ServiceUse   *message);
+size_t rillknot__service_use__pack
+                     (const Rillknot__ServiceUse   *message,
+                      uint8_t             *out);
+size_t rillknot__service_use__pack_to_buffer
+                     (const Rillknot__ServiceUse   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__ServiceUse *
+       rillknot__service_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__service_use__free_unpacked
+                     (Rillknot__ServiceUse *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__LeaseRow methods */
 void   rillknot__lease_row__init
                      (Rillknot__LeaseRow         *message);
@@ -916,6 +953,9 @@
 typedef void (*Rillknot__UsageRow_Closure)
                  (const Rillknot__UsageRow *message,
                   void *closure_data);
+typedef void (*Rillknot__ServiceUse_Closure)
+                 (const Rillknot__ServiceUse *message,
+                  void *closure_data);
 typedef void (*Rillknot__LeaseRow_Closure)
                  (const Rillknot__LeaseRow *message,
                   void *closure_data);
@@ -956,6 +996,7 @@
 extern const ProtobufCMessageDescriptor rillknot__vm_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__org_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__usage_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__service_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__lease_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__node_report__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -24,6 +24,7 @@
     free(r->loads);
     free(r->uses);
     free(r->usage);
+    free(r->services);
     free(r);
 }
 
@@ -75,6 +76,19 @@
     report->usage_len = r->usage.len;
 }
 
+static void fill_services(const struct rk_relay *r, struct rk_relay_report *report)
+{
+    report->services = rk_alloc(r->services_len + 1, sizeof(*report->services));
+    for (size_t i = 0; i < r->services_len; i++) {
+        struct rk_service_use *use = &report->services[report->services_len++];
+        rk_strcpy(use->service, sizeof(use->service), r->services[i].name);
+        use->read_tokens = r->services[i].read_tokens;
+        for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next)
+            if (!strcmp(v->row.service, use->service))
+                use->running += (uint32_t)v->running;
+    }
+}
+
 static void on_report(void *ctx)
 {
     struct rk_relay *r = ctx;
@@ -83,6 +97,7 @@
     fill_loads(r, report);
     fill_uses(r, report);
     fill_usage(r, report);
+    fill_services(r, report);
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->in_hand = r->calls_len + rk_server_busy(r->server);
     r->opt.on_report(r->opt.ctx, report);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -34,6 +34,13 @@
     double known;  /* what all nodes used within it, as far as known here */
 };
 
+/* What was asked of an engine service here since the start, and is in hand. */
+struct rk_service_use {
+    char service[RK_ID_MAX];
+    double read_tokens; /* of prompts, not found cached */
+    uint32_t running;
+};
+
 /* What a relay tells control, a few times a second. */
 struct rk_relay_report {
     struct rk_vm_load *loads;
@@ -42,6 +49,8 @@
     size_t uses_len;
     struct rk_usage_row *usage; /* counts so far of recent windows */
     size_t usage_len;
+    struct rk_service_use *services;
+    size_t services_len;
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
     size_t in_hand;
 };
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -191,22 +191,27 @@
 
 /* ---- retries ---- */
 
-static struct rk_budget *budget(struct rk_relay *r, const char *service)
+static struct rk_relay_service *service_of(struct rk_relay *r, const char *name)
 {
-    for (size_t i = 0; i < r->budgets_len; i++)
-        if (!strcmp(r->budgets[i].service, service))
-            return &r->budgets[i].budget;
-    if (r->budgets_len == RK_RELAY_SERVICES)
-        r->budgets_len = 0; /* services come and go with configurations */
-    struct rk_service_budget *b = &r->budgets[r->budgets_len++];
-    *b = (struct rk_service_budget){0};
-    rk_strcpy(b->service, sizeof(b->service), service);
-    return &b->budget;
+    for (size_t i = 0; i < r->services_len; i++)
+        if (!strcmp(r->services[i].name, name))
+            return &r->services[i];
+    if (r->services_len == RK_RELAY_SERVICES)
+        r->services_len = 0; /* services come and go with configurations */
+    struct rk_relay_service *s = &r->services[r->services_len++];
+    *s = (struct rk_relay_service){0};
+    rk_strcpy(s->name, sizeof(s->name), name);
+    return s;
+}
+
+static struct rk_budget *budget(struct rk_relay_call *x)
+{
+    return &service_of(x->r, x->query.service)->budget;
 }
 
 static void earn_retries(struct rk_relay_call *x)
 {
-    struct rk_budget *b = budget(x->r, x->query.service);
+    struct rk_budget *b = budget(x);
     int nodes = x->r->quota.nodes_total > 0 ? x->r->quota.nodes_total : 1;
     int64_t burst = x->r->opt.bounds.retry_burst / (2 * (int64_t)nodes);
     b->burst = burst > 0 ? burst : 1;
@@ -218,7 +223,7 @@
 {
     if (x->attempts >= x->route->max_attempts)
         return false;
-    if (!rk_budget_spend(budget(x->r, x->query.service))) {
+    if (!rk_budget_spend(budget(x))) {
         rk_count(RK_C_RETRY_DENIED, 1);
         return false;
     }
@@ -590,6 +595,7 @@
         x->sent_wall_ms = rk_wall_ms();
         x->counted = false;
         if (start_attempt(x)) {
+            service_of(x->r, x->query.service)->read_tokens += x->unread_tokens;
             x->attempts++;
             rk_count(RK_C_ATTEMPTS, 1);
             watch_silence(x);
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -15,10 +15,11 @@
 
 #define RK_RELAY_SERVICES 32
 
-/* Retries of one service. */
-struct rk_service_budget {
-    char service[RK_ID_MAX];
-    struct rk_budget budget;
+/* What a relay keeps for a service. */
+struct rk_relay_service {
+    char name[RK_ID_MAX];
+    struct rk_budget budget; /* of retries */
+    double read_tokens;      /* asked of engines since the start */
 };
 
 struct rk_relay {
@@ -30,8 +31,8 @@
     struct rk_quota quota;
     struct rk_usage usage;
     struct rk_routes *routes; /* NULL: none known yet */
-    struct rk_service_budget budgets[RK_RELAY_SERVICES];
-    size_t budgets_len;
+    struct rk_relay_service services[RK_RELAY_SERVICES];
+    size_t services_len;
     struct rk_relay_call *calls;
     size_t calls_len;
     struct rk_rng rng;
