holding: on-demand vms stand in for reclaimable ones, and go one at a time

Change: demand is measured over 3 s; stand-ins are added only while reclaimable vms are refused, kept where they are, and given up one in 4 s once reclaimable ones serve in their place, at once only when nothing runs.

--- a/core/holding.c
+++ b/core/holding.c
@@ -9,7 +9,7 @@
 #define RUNNING_SHARE   0.35    /* of its slots */
 #define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
 #define RECLAIMABLE_MIN 1       /* a domain, where that kind is cheaper */
-#define SHORT_SHARE     0.7     /* of the need: below it on-demand vms stand in */
+#define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
 
 double rk_holding_need(double read_per_s, double running, double slots)
 {
@@ -29,18 +29,13 @@
     return in->max_vms - t->on_demand - t->reclaimable;
 }
 
-static bool can_be_had(const struct rk_holding_input *in, size_t i)
-{
-    return in->now_ms >= in->domains[i].refused_until_ms;
-}
-
 /* The domain for one more reclaimable vm: the fewest, then the cheapest. */
 static int next_reclaimable(const struct rk_holding_input *in,
                             const struct rk_holding_target *targets)
 {
     int best = -1;
     for (size_t i = 0; i < in->domains_len; i++) {
-        if (room(in, &targets[i]) <= 0 || !can_be_had(in, i))
+        if (room(in, &targets[i]) <= 0)
             continue;
         if (best < 0 || targets[i].reclaimable < targets[best].reclaimable ||
             (targets[i].reclaimable == targets[best].reclaimable &&
@@ -50,27 +45,26 @@
     return best;
 }
 
+/* The domain for one more on-demand vm: one that has it already, else the
+ * cheapest with room. */
 static int next_on_demand(const struct rk_holding_input *in,
                           const struct rk_holding_target *targets)
 {
     int best = -1;
+    bool best_held = false;
     for (size_t i = 0; i < in->domains_len; i++) {
-        if (room(in, &targets[i]) <= 0)
+        bool held = targets[i].on_demand < in->domains[i].on_demand;
+        if (room(in, &targets[i]) <= 0 && !held)
             continue;
-        if (best < 0 || in->domains[i].price < in->domains[best].price)
+        if (best < 0 || held > best_held ||
+            (held == best_held && in->domains[i].price < in->domains[best].price)) {
             best = (int)i;
+            best_held = held;
+        }
     }
     return best;
 }
 
-static int held(const struct rk_holding_input *in)
-{
-    int sum = 0;
-    for (size_t i = 0; i < in->domains_len; i++)
-        sum += in->domains[i].on_demand + in->domains[i].reclaimable;
-    return sum;
-}
-
 static int planned(const struct rk_holding_input *in,
                    const struct rk_holding_target *targets)
 {
@@ -80,26 +74,42 @@
     return sum;
 }
 
+/* On-demand vms above the floor. */
+static int stand_ins(const struct rk_holding_input *in, int floor, bool cheaper)
+{
+    int on_demand = 0, reclaimable = 0;
+    for (size_t i = 0; i < in->domains_len; i++) {
+        on_demand += in->domains[i].on_demand;
+        reclaimable += in->domains[i].reclaimable;
+    }
+    int held = on_demand > floor ? on_demand - floor : 0;
+    int wanted = (int)ceil(in->need * STAND_IN_SHARE) - floor - reclaimable;
+    if (wanted < 0)
+        wanted = 0;
+    if (wanted >= held)
+        return in->refused || !cheaper ? wanted : held;
+    if (in->idle)
+        return wanted;
+    return in->settled ? held - 1 : held;
+}
+
 void rk_holding_plan(const struct rk_holding_input *in,
                      struct rk_holding_target targets[RK_HOLDING_DOMAINS])
 {
     bool cheaper = in->spot_price > 0 && in->spot_price < 1;
-    int total = (int)ceil(in->need);
+    int total = (int)ceil(in->need), floor = 0;
     memset(targets, 0, RK_HOLDING_DOMAINS * sizeof(*targets));
     for (size_t i = 0; i < in->domains_len; i++) {
         targets[i].on_demand = in->min_vms > 1 ? in->min_vms : 1;
-        /* Those held stay: who can't get more keeps what there is. */
-        if (cheaper && (can_be_had(in, i) || in->domains[i].reclaimable))
-            targets[i].reclaimable = RECLAIMABLE_MIN;
+        targets[i].reclaimable = cheaper ? RECLAIMABLE_MIN : 0;
+        floor += targets[i].on_demand;
     }
     for (int at; cheaper && planned(in, targets) < total;) {
         if ((at = next_reclaimable(in, targets)) < 0)
             break;
         targets[at].reclaimable++;
     }
-    double shortfall = in->need * SHORT_SHARE - held(in);
-    bool stand_in = !cheaper || shortfall > 0;
-    for (int at; stand_in && planned(in, targets) < total;) {
+    for (int more = stand_ins(in, floor, cheaper), at; more > 0; more--) {
         if ((at = next_on_demand(in, targets)) < 0)
             break;
         targets[at].on_demand++;
--- a/core/holding.h
+++ b/core/holding.h
@@ -1,11 +1,13 @@
 /* How many vms of an engine service to hold in each failure domain, and of which
  * kind. One on-demand vm a domain is the floor: a domain that is cut off serves
  * its own, and the loss of all reclaimable vms at once leaves something. What
- * demand asks for above that is reclaimable, spread over the domains, and turns
- * on-demand only while none of that kind can be had. Pure. */
+ * demand asks for above that is reclaimable, spread over the domains. While none
+ * of that kind can be had, on-demand vms stand in; they go again one at a time,
+ * once reclaimable ones serve in their place. Pure. */
 #ifndef RK_CORE_HOLDING_H
 #define RK_CORE_HOLDING_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -16,10 +18,9 @@
 /* One failure domain as the list shows it. */
 struct rk_holding_domain {
     char name[RK_ID_MAX];
-    double price;             /* of an on-demand vm */
-    int on_demand;            /* held, not leaving */
-    int reclaimable;          /* the same, of the other kind */
-    int64_t refused_until_ms; /* no reclaimable one can be had there before */
+    double price;    /* of an on-demand vm */
+    int on_demand;   /* held, not leaving */
+    int reclaimable; /* the same, of the other kind */
 };
 
 struct rk_holding_input {
@@ -28,7 +29,9 @@
     int min_vms, max_vms; /* a domain, both kinds together */
     double spot_price;    /* of a reclaimable vm, in prices of the others */
     double need;          /* vms, from rk_holding_need() */
-    int64_t now_ms;
+    bool refused; /* lately there were no reclaimable vms to be had */
+    bool idle;    /* nothing runs: vms may go all at once */
+    bool settled; /* the last on-demand vm went long enough ago */
 };
 
 struct rk_holding_target {
--- a/node/orders.c
+++ b/node/orders.c
@@ -10,9 +10,11 @@
 #include "node/state.h"
 
 #define SERVICES         8
-#define DEMAND_MS        1000 /* over which demand is measured */
+#define DEMAND_MS        3000 /* over which demand is measured */
 #define ORDER_AGAIN_MS   3000 /* on top of a vm's boot, before an order is repeated */
-#define REFUSED_MS       3000 /* after "none to be had" */
+#define REFUSED_MS       3000 /* after "none to be had": asked again then */
+#define SHORT_MS         6000 /* after it: on-demand vms may stand in */
+#define SHRINK_MS        4000 /* between on-demand vms that are given up */
 #define SETTLE_MS        2000 /* a holder looks at the list for so long first */
 
 /* An order of one kind in one domain. */
@@ -32,6 +34,9 @@
     double read_before;
     int64_t measured_ms;
     double need; /* smoothed */
+    uint32_t running;
+    int64_t refused_ms; /* "none to be had" was heard last; 0: never */
+    int64_t shrunk_ms;  /* an on-demand vm was given up last */
     struct order orders[RK_HOLDING_DOMAINS][2];
 };
 
@@ -86,6 +91,7 @@
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
     double need = rk_holding_need(per_s, use.running, (double)info->slots);
     s->need = rk_holding_smooth(s->need, need, passed_ms);
+    s->running = use.running;
     s->read_before = use.read_tokens;
     s->measured_ms = now_ms;
 }
@@ -113,8 +119,10 @@
              RK_S("status", rk_status_str(st)), RK_S("detail", detail));
     if (st == RK_OK)
         return;
-    if (st == RK_ECONFLICT)
+    if (st == RK_ECONFLICT) {
         order->refused_until_ms = rk_mono_ms() + REFUSED_MS;
+        order->s->refused_ms = rk_mono_ms();
+    }
     order->target = -1; /* again, with what is known then */
     order->at_ms = rk_mono_ms();
 }
@@ -142,6 +150,8 @@
     if (order->busy || held == target || waiting ||
         now_ms < order->refused_until_ms)
         return;
+    if (!order->reclaimable && target < held)
+        order->s->shrunk_ms = now_ms;
     send_order(order, info, token, target);
 }
 
@@ -170,12 +180,14 @@
                                   .max_vms = (int)info->max_vms,
                                   .spot_price = info->spot_price,
                                   .need = s->need,
-                                  .now_ms = rk_mono_ms()};
+                                  .idle = !s->running};
+    int64_t now_ms = rk_mono_ms();
+    in.refused = s->refused_ms && now_ms - s->refused_ms < SHORT_MS;
+    in.settled = now_ms - s->shrunk_ms >= SHRINK_MS;
     for (size_t i = 0; i < info->prices_len && i < RK_HOLDING_DOMAINS; i++) {
         struct rk_holding_domain *d = &in.domains[in.domains_len++];
         rk_strcpy(d->name, sizeof(d->name), info->prices[i].domain);
         d->price = info->prices[i].price;
-        d->refused_until_ms = s->orders[i][1].refused_until_ms;
     }
     count_held(s->o->n, info, &in);
     struct rk_holding_target targets[RK_HOLDING_DOMAINS];
