--- a/callers/server.c
+++ b/callers/server.c
@@ -146,8 +146,8 @@
     c->state = CLIENT_ANSWERING;
     c->chunked = false;
     c->unframed = false;
-    c->no_body = c->reader.head.method == HTTP_HEAD || status == 204 ||
-                 status == 304;
+    c->no_body =
+        c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
     c->close = c->close || c->s->closing || !c->reader.head.keep_alive;
     snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status, reason(status));
     write_str(c, line);
@@ -255,7 +255,9 @@
 {
     struct rk_client *c = ctx;
     const char *expect = rk_head_get(head, "Expect");
-    if (head->body_length > (int64_t)c->limits.body_bytes)
+    if (head->major != 1)
+        c->refuse = 505;
+    else if (head->body_length > (int64_t)c->limits.body_bytes)
         c->refuse = 413;
     else if (expect && !strcasecmp(expect, "100-continue"))
         write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
--- a/common/conn.c
+++ b/common/conn.c
@@ -13,9 +13,10 @@
 #include "common/loop.h"
 #include "common/util.h"
 
-#define READ_BLOCK      (32 * 1024)
-#define LINGER_MS       1000 /* for the peer to read the last bytes and close */
-#define USER_TIMEOUT_MS 3000 /* unacknowledged bytes for so long: the path is gone */
+#define READ_BLOCK (32 * 1024)
+#define LINGER_MS  1000 /* for the peer to read the last bytes and close */
+#define USER_TIMEOUT_MS                                                            \
+    3000 /* unacknowledged bytes for so long: the path is gone */
 
 struct rk_conn {
     struct rk_loop *loop;
@@ -105,8 +106,8 @@
 static void flush(struct rk_conn *c)
 {
     while (rk_conn_unsent(c)) {
-        ssize_t n = send(c->fd, c->out.data + c->out_pos, rk_conn_unsent(c),
-                         MSG_NOSIGNAL);
+        ssize_t n =
+            send(c->fd, c->out.data + c->out_pos, rk_conn_unsent(c), MSG_NOSIGNAL);
         if (n < 0) {
             if (errno == EAGAIN || errno == EINTR)
                 break;
--- a/common/http1.c
+++ b/common/http1.c
@@ -109,6 +109,7 @@
     r->head_done = true;
     h->method = (enum http_method)p->method;
     h->status = p->status_code;
+    h->major = p->http_major;
     h->minor = p->http_minor;
     h->chunked = p->flags & F_CHUNKED;
     h->body_length = h->chunked || p->content_length == UINT64_MAX
--- a/common/http1.h
+++ b/common/http1.h
@@ -23,7 +23,7 @@
     } lines[RK_HEAD_LINES];
     enum http_method method;
     int status;          /* of an answer */
-    int minor;           /* HTTP/1.minor */
+    int major, minor;    /* HTTP/major.minor */
     int64_t body_length; /* -1: none was given */
     bool chunked;
     bool keep_alive; /* the connection may be used again */
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -10,8 +10,8 @@
     const char *deadline_ms; /* how long the caller waits; told on to upstreams */
     const char *key;         /* of an organisation; never passed on */
     const char *model;
-    const char *tokens; /* "IN,OUT": of the prompt, and the most generated */
-    const char *prefix; /* "ID:TOKENS,...": parts of the prompt in order */
+    const char *tokens;       /* "IN,OUT": of the prompt, and the most generated */
+    const char *prefix;       /* "ID:TOKENS,...": parts of the prompt in order */
     const char *resume_after; /* id of the last event the caller has */
     /* Of requests, set for upstreams whatever the caller sent. */
     const char *organisation;
--- a/core/events.h
+++ b/core/events.h
@@ -8,8 +8,8 @@
 
 #include "common/util.h"
 
-#define RK_EVENT_ID_MAX   32
-#define RK_EVENT_MAX      (256 * 1024)
+#define RK_EVENT_ID_MAX 32
+#define RK_EVENT_MAX    (256 * 1024)
 
 struct rk_events {
     struct rk_buf part; /* an event that is not whole yet */
--- a/core/holding.c
+++ b/core/holding.c
@@ -24,7 +24,8 @@
     return now > left ? now : left;
 }
 
-static int room(const struct rk_holding_input *in, const struct rk_holding_target *t)
+static int room(const struct rk_holding_input *in,
+                const struct rk_holding_target *t)
 {
     return in->max_vms - t->on_demand - t->reclaimable;
 }
--- a/core/holding.h
+++ b/core/holding.h
@@ -29,9 +29,9 @@
     int min_vms, max_vms; /* a domain, both kinds together */
     double spot_price;    /* of a reclaimable vm, in prices of the others */
     double need;          /* vms, from rk_holding_need() */
-    bool refused; /* lately there were no reclaimable vms to be had */
-    bool idle;    /* nothing runs: vms may go all at once */
-    bool settled; /* the last on-demand vm went long enough ago */
+    bool refused;         /* lately there were no reclaimable vms to be had */
+    bool idle;            /* nothing runs: vms may go all at once */
+    bool settled;         /* the last on-demand vm went long enough ago */
 };
 
 struct rk_holding_target {
--- a/core/place.c
+++ b/core/place.c
@@ -4,13 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_TOKENS_PER_MS 30.0  /* of prompts, at an engine */
-#define RUNNING_MS         0.4   /* what each running call adds for a new one */
-#define OTHER_DOMAIN_MS    4.0   /* way there and back, and the price of its bytes */
-#define PLAIN_CALL_MS      15.0  /* of a plain service's slot */
-#define JITTER_MS          2     /* so that nodes don't all choose the same */
-#define PAUSE_FIRST_MS     250   /* after a failure, doubling */
+#define READ_TOKENS_PER_MS 30.0 /* of prompts, at an engine */
+#define RUNNING_MS         0.4  /* what each running call adds for a new one */
+#define OTHER_DOMAIN_MS    4.0  /* way there and back, and the price of its bytes */
+#define PLAIN_CALL_MS      15.0 /* of a plain service's slot */
+#define JITTER_MS          2    /* so that nodes don't all choose the same */
+#define PAUSE_FIRST_MS     250  /* after a failure, doubling */
 #define PAUSE_MAX_MS       2000
+#define PAUSE_REFUSED_MS   100    /* after a refusal: it is full for a moment */
 #define PAUSED_MS          5000.0 /* cost of a paused vm: the last resort */
 #define FULL_MS            3000.0 /* cost of a vm with all slots taken */
 #define ERROR_MS           400.0  /* cost of a vm that fails each call */
@@ -252,7 +253,8 @@
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!can_take(q, service_hash, v))
             continue;
-        double ms = q->engine ? engine_ms(p, q, v, v == first, now_ms) : plain_ms(v);
+        double ms =
+            q->engine ? engine_ms(p, q, v, v == first, now_ms) : plain_ms(v);
         ms += trouble_ms(v, now_ms);
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += OTHER_DOMAIN_MS;
@@ -326,6 +328,10 @@
         note_outcome(vm, true);
         pause_vm(vm, now_ms);
         break;
+    case RK_PLACE_REFUSED:
+        if (vm->paused_until_ms < now_ms + PAUSE_REFUSED_MS)
+            vm->paused_until_ms = now_ms + PAUSE_REFUSED_MS;
+        break;
     case RK_PLACE_CALLED_OFF:
         break;
     }
--- a/core/place.h
+++ b/core/place.h
@@ -92,8 +92,9 @@
 
 enum rk_place_end {
     RK_PLACE_DONE,
-    RK_PLACE_ERROR,  /* it answered that it failed */
-    RK_PLACE_LOST,   /* unreachable, reset, silent */
+    RK_PLACE_ERROR,   /* it answered that it failed */
+    RK_PLACE_LOST,    /* unreachable, reset, silent */
+    RK_PLACE_REFUSED, /* it proved that it did not run the call */
     RK_PLACE_CALLED_OFF,
 };
 /* tokens: what rk_place_sent() gave, if rk_place_first() was not called, else 0. */
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -29,12 +29,12 @@
     int64_t max_body;
     int64_t max_connections;
     /* Of a node that a platform hosts (rillknot-node). */
-    char dialect[RK_ID_MAX];           /* word of the platform's driver */
-    char cloud[RK_ADDR_MAX];           /* where duties are done */
-    char ready_listen[RK_ADDR_MAX];    /* for the balancer */
-    char metrics_listen[RK_ADDR_MAX];  /* "": none */
-    bool first_start;                  /* of the whole deployment */
-    int64_t stop_s;                    /* from SIGTERM to SIGKILL */
+    char dialect[RK_ID_MAX];          /* word of the platform's driver */
+    char cloud[RK_ADDR_MAX];          /* where duties are done */
+    char ready_listen[RK_ADDR_MAX];   /* for the balancer */
+    char metrics_listen[RK_ADDR_MAX]; /* "": none */
+    bool first_start;                 /* of the whole deployment */
+    int64_t stop_s;                   /* from SIGTERM to SIGKILL */
     int64_t lease_ms;
     int64_t usage_window_s, usage_late_s;
     int64_t quota_window_s, quota_slack;
--- a/core/quota.c
+++ b/core/quota.c
@@ -2,13 +2,15 @@
 
 #include <string.h>
 
-#define RETRY_MIN_MS   250
-#define SLACK_SHARE    0.6  /* of the slack that is planned with; the rest covers
-                               what peers admit before this node hears of it */
-#define REPORT_LAG_MS  300  /* age of what the peers tell, when it comes */
-#define LAG_MAX_MS     1500 /* what is guessed of silent peers ends somewhere */
-#define USUAL_PART     0.8  /* of its rate an organisation gets while it isn't known
-                               what it used before a restart */
+#define RETRY_MIN_MS 250
+#define SLACK_SHARE                                                                \
+    0.6                    /* of the slack that is planned with; the rest covers   \
+                              what peers admit before this node hears of it */
+#define REPORT_LAG_MS 300  /* age of what the peers tell, when it comes */
+#define LAG_MAX_MS    1500 /* what is guessed of silent peers ends somewhere */
+#define USUAL_PART                                                                 \
+    0.8 /* of its rate an organisation gets while it isn't known                   \
+           what it used before a restart */
 
 void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
                    int64_t forgot_ms)
@@ -107,7 +109,8 @@
         q->forgot_ms = 0;
 }
 
-void rk_quota_know(struct rk_quota *q, const char *org, double units, int64_t now_ms)
+void rk_quota_know(struct rk_quota *q, const char *org, double units,
+                   int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
     if (!o)
@@ -173,8 +176,8 @@
     double part = 1.0;
     if (q->nodes_total > 0 && q->nodes_heard < q->nodes_total)
         part = (double)q->nodes_heard / q->nodes_total;
-    double quota = effective(
-        q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
+    double quota =
+        effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
     double used = sum(o->used) + unheard(q, o, now_ms);
     double before = forgotten(q, quota * part, rate * part, now_ms);
--- a/core/quota.h
+++ b/core/quota.h
@@ -10,10 +10,11 @@
 
 #include "common/util.h"
 
-#define RK_QUOTA_BUCKETS   33 /* one more than make the window: the oldest is part */
+#define RK_QUOTA_BUCKETS 33 /* one more than make the window: the oldest is part   \
+                             */
 #define RK_QUOTA_ORGS      64
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
-#define RK_UNKNOWN_NODES   8    /* taken to exist while a node knows no list of them */
+#define RK_UNKNOWN_NODES   8 /* taken to exist while a node knows no list of them */
 
 /* One organisation's use. */
 struct rk_quota_org {
@@ -22,9 +23,9 @@
     double own[RK_QUOTA_BUCKETS];  /* the part of it admitted here */
     int64_t bucket;                /* number of the newest */
     double own_total;              /* admitted here since the start */
-    double peers_per_ms;           /* how fast the peers use it, by their last word */
-    double quota;                  /* units a window, as asked for last */
-    double old_quota;              /* a higher one that still counts */
+    double peers_per_ms; /* how fast the peers use it, by their last word */
+    double quota;        /* units a window, as asked for last */
+    double old_quota;    /* a higher one that still counts */
     int64_t old_until_ms;
 };
 
--- a/core/routes.c
+++ b/core/routes.c
@@ -136,7 +136,8 @@
     uint32_t hash = host_hash(host);
     for (size_t i = 0; i < r->routes_len; i++) {
         const struct rk_route *route = &r->routes[i];
-        if (route->host_hash != hash || (best && best->prefix_len >= route->prefix_len))
+        if (route->host_hash != hash ||
+            (best && best->prefix_len >= route->prefix_len))
             continue;
         if (!strncmp(path, route->prefix, route->prefix_len) &&
             same_host(route->host, host))
--- a/core/routes.h
+++ b/core/routes.h
@@ -57,9 +57,9 @@
     char name[RK_ID_MAX];
     int64_t max_conns; /* that one vm takes from all callers */
     bool engine;
-    int64_t slots;     /* calls at once, of an engine */
-    int64_t kv_tokens; /* its memory */
-    bool scaled;       /* its vms are ordered by this system */
+    int64_t slots;            /* calls at once, of an engine */
+    int64_t kv_tokens;        /* its memory */
+    bool scaled;              /* its vms are ordered by this system */
     int64_t min_vms, max_vms; /* a failure domain */
     int64_t boot_ms;
     double spot_price; /* of a reclaimable vm, in prices of the others */
--- a/node/duties.c
+++ b/node/duties.c
@@ -16,17 +16,17 @@
 #include "node/state.h"
 #include "objects/store.h"
 
-#define TICK_MS          200
-#define LEASE_KIND       "rillknot-leases"
-#define LEASE_NAME       "duties"
-#define USAGE_KIND       "rillknot-usage"
-#define STAND_JITTER_MS  1200 /* candidates don't all try at once */
-#define LOST_WAIT_MS     5000 /* who lost the lease stands again later than others */
-#define STRAGGLERS_MS    1500 /* after a window's end: reports on their way */
-#define SILENT_WAIT_MS   4000 /* the same while a node is silent */
-#define USAGE_RETRY_MS   400
-#define WINDOWS          8    /* looked back at */
-#define KEPT_WINDOWS     30   /* in the store */
+#define TICK_MS         200
+#define LEASE_KIND      "rillknot-leases"
+#define LEASE_NAME      "duties"
+#define USAGE_KIND      "rillknot-usage"
+#define STAND_JITTER_MS 1200 /* candidates don't all try at once */
+#define LOST_WAIT_MS    5000 /* who lost the lease stands again later than others */
+#define STRAGGLERS_MS   1500 /* after a window's end: reports on their way */
+#define SILENT_WAIT_MS  4000 /* the same while a node is silent */
+#define USAGE_RETRY_MS  400
+#define WINDOWS         8  /* looked back at */
+#define KEPT_WINDOWS    30 /* in the store */
 
 /* A window's report on its way. */
 enum window_state {
@@ -72,7 +72,8 @@
     k->was_held = held;
     if (!held)
         k->lost_ms = rk_mono_ms();
-    RK_EVENT(held ? "lease.taken" : "lease.lost", RK_N("epoch", k->lease.held_epoch),
+    RK_EVENT(held ? "lease.taken" : "lease.lost",
+             RK_N("epoch", k->lease.held_epoch),
              RK_S("seen_holder", k->lease.seen_holder),
              RK_N("seen_epoch", k->lease.epoch));
 }
@@ -95,7 +96,8 @@
     note_lease(k);
 }
 
-static void on_written(void *ctx, enum rk_status st, const struct rk_store_object *o)
+static void on_written(void *ctx, enum rk_status st,
+                       const struct rk_store_object *o)
 {
     struct rk_duty_keeper *k = ctx;
     k->busy = false;
@@ -147,8 +149,8 @@
     k->busy = true;
     rk_strcpy(k->value, sizeof(k->value), value);
     if (expect)
-        store->ops->replace(store, LEASE_KIND, LEASE_NAME, expect, value, on_written,
-                            k);
+        store->ops->replace(store, LEASE_KIND, LEASE_NAME, expect, value,
+                            on_written, k);
     else
         store->ops->create(store, LEASE_KIND, LEASE_NAME, value, on_written, k);
 }
@@ -244,7 +246,8 @@
     report(w);
 }
 
-static void on_removed(void *ctx, enum rk_status st, const struct rk_store_object *o)
+static void on_removed(void *ctx, enum rk_status st,
+                       const struct rk_store_object *o)
 {
     (void)ctx;
     (void)st;
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -17,7 +17,7 @@
 #define REPORT_SOON_MS  5    /* after news of the store */
 #define HEARD_MS        1200 /* a node silent for longer is not heard */
 #define FORGET_MS       15000
-#define DIAL_MS         500  /* between tries to reach a node */
+#define DIAL_MS         500 /* between tries to reach a node */
 #define CONNECT_MS      1000
 #define ASK_AGAIN_MS    300
 #define NODES_KIND      "rillknot-nodes"
@@ -133,7 +133,8 @@
 
 static bool is_self(const struct rk_mesh *m, const char *id, const char *addr)
 {
-    return !strcmp(id, m->n->file.id) || !strcmp(addr, rk_listener_addr(m->listener));
+    return !strcmp(id, m->n->file.id) ||
+           !strcmp(addr, rk_listener_addr(m->listener));
 }
 
 int rk_mesh_heard(const struct rk_mesh *m)
@@ -374,7 +375,8 @@
 
 static void take_services(struct member *k, const Rillknot__NodeReport *r)
 {
-    k->services = rk_realloc(k->services, (r->n_services + 1) * sizeof(*k->services));
+    k->services =
+        rk_realloc(k->services, (r->n_services + 1) * sizeof(*k->services));
     k->services_len = r->n_services;
     for (size_t i = 0; i < r->n_services; i++) {
         struct rk_service_use *use = &k->services[i];
@@ -508,9 +510,8 @@
     rk_mesh_report(k->m);
 }
 
-static const struct rk_link_ops member_ops = {.on_frame = on_member_frame,
-                                              .on_up = on_member_up,
-                                              .on_down = on_member_down};
+static const struct rk_link_ops member_ops = {
+    .on_frame = on_member_frame, .on_up = on_member_up, .on_down = on_member_down};
 
 static void on_guest_frame(void *ctx, struct rk_link *link,
                            const Rillknot__Frame *frame)
@@ -658,8 +659,8 @@
         snprintf(spec, sizeof(spec), "{\"addr\":\"%s\"}",
                  rk_listener_addr(m->listener));
         m->enrolled = true;
-        if (strcmp(rk_json_str(object->spec, "addr"), rk_listener_addr(m->listener)) !=
-            0) {
+        if (strcmp(rk_json_str(object->spec, "addr"),
+                   rk_listener_addr(m->listener)) != 0) {
             store->ops->replace(store, NODES_KIND, m->n->file.id, object->revision,
                                 spec, on_enrolled, m);
             return;
@@ -682,7 +683,8 @@
         return;
     }
     char spec[RK_ADDR_MAX + 32];
-    snprintf(spec, sizeof(spec), "{\"addr\":\"%s\"}", rk_listener_addr(m->listener));
+    snprintf(spec, sizeof(spec), "{\"addr\":\"%s\"}",
+             rk_listener_addr(m->listener));
     store->ops->create(store, NODES_KIND, m->n->file.id, spec, on_enrolled, m);
 }
 
@@ -704,6 +706,11 @@
     return NULL;
 }
 
+const char *rk_mesh_addr(const struct rk_mesh *m)
+{
+    return rk_listener_addr(m->listener);
+}
+
 void rk_mesh_start(struct rk_mesh *m)
 {
     for (size_t i = 0; i < m->n->file.peers_len; i++) {
--- a/node/node.c
+++ b/node/node.c
@@ -124,7 +124,8 @@
 
 /* ---- planned stop ---- */
 
-static void on_removed(void *ctx, enum rk_status st, const struct rk_store_object *o)
+static void on_removed(void *ctx, enum rk_status st,
+                       const struct rk_store_object *o)
 {
     (void)ctx;
     (void)st;
@@ -329,9 +330,12 @@
 void rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
-    RK_EVENT("node.started", RK_S("listen", rk_relay_addr(n->relay)),
-             RK_S("ready", rk_server_addr(n->ready_server)),
-             RK_N("first_start", n->file.first_start));
+    RK_EVENT(
+        "node.started", RK_S("listen", rk_relay_addr(n->relay)),
+        RK_S("ready", rk_server_addr(n->ready_server)),
+        RK_S("control", rk_mesh_addr(n->mesh)),
+        RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
+        RK_N("first_start", n->file.first_start));
     rk_sync_start(n->sync);
     rk_mesh_start(n->mesh);
     rk_duty_keeper_start(n->duty_keeper);
--- a/node/orders.c
+++ b/node/orders.c
@@ -9,13 +9,14 @@
 #include "core/holding.h"
 #include "node/state.h"
 
-#define SERVICES         8
-#define DEMAND_MS        3000 /* over which demand is measured */
-#define ORDER_AGAIN_MS   3000 /* on top of a vm's boot, before an order is repeated */
-#define REFUSED_MS       3000 /* after "none to be had": asked again then */
-#define SHORT_MS         6000 /* after it: on-demand vms may stand in */
-#define SHRINK_MS        4000 /* between on-demand vms that are given up */
-#define SETTLE_MS        2000 /* a holder looks at the list for so long first */
+#define SERVICES       8
+#define DEMAND_MS      3000 /* over which demand is measured */
+#define ORDER_AGAIN_MS 3000 /* on top of a vm's boot, before an order is repeated  \
+                             */
+#define REFUSED_MS 3000     /* after "none to be had": asked again then */
+#define SHORT_MS   6000     /* after it: on-demand vms may stand in */
+#define SHRINK_MS  4000     /* between on-demand vms that are given up */
+#define SETTLE_MS  2000     /* a holder looks at the list for so long first */
 
 /* An order of one kind in one domain. */
 struct order {
@@ -132,7 +133,8 @@
 {
     struct rk_duties *duties = order->s->o->n->duties;
     const struct rk_vm_target target = {.service = order->s->name,
-                                        .domain = info->prices[order->domain].domain,
+                                        .domain =
+                                            info->prices[order->domain].domain,
                                         .count = count,
                                         .reclaimable = order->reclaimable};
     order->busy = true;
--- a/node/platform.h
+++ b/node/platform.h
@@ -19,7 +19,8 @@
     const char *settings_kind, *settings_name; /* the object with the routes */
     const char *vms_kind;
     /* RK_EINVAL with a last message when it can't be used. */
-    enum rk_status (*parse_routes)(struct json_object *spec, struct rk_routes **out);
+    enum rk_status (*parse_routes)(struct json_object *spec,
+                                   struct rk_routes **out);
     bool (*parse_vm)(const char *name, struct json_object *spec,
                      struct rk_vm_row *out);
     struct rk_store *(*create_store)(struct rk_http *http, const char *addr);
--- a/node/state.h
+++ b/node/state.h
@@ -48,8 +48,10 @@
 int64_t rk_sync_version(const struct rk_sync *s);
 int64_t rk_sync_list_revision(const struct rk_sync *s);
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s);
-const struct rk_vm_row *rk_sync_vm_at(const struct rk_sync *s, size_t i); /* or NULL */
-int64_t rk_sync_settings_age_ms(const struct rk_sync *s); /* since the store spoke */
+const struct rk_vm_row *rk_sync_vm_at(const struct rk_sync *s,
+                                      size_t i); /* or NULL */
+int64_t
+rk_sync_settings_age_ms(const struct rk_sync *s); /* since the store spoke */
 /* For a peer that asks; the message's parts belong to s until the next call. */
 void rk_sync_tell(struct rk_sync *s, const Rillknot__StoreWanted *wanted,
                   Rillknot__StoreText *out);
@@ -58,8 +60,9 @@
 /* mesh.c: the other nodes. */
 struct rk_mesh *rk_mesh_create(struct rk_node *n);
 void rk_mesh_destroy(struct rk_mesh *m);
+const char *rk_mesh_addr(const struct rk_mesh *m); /* where peers reach it */
 void rk_mesh_start(struct rk_mesh *m);
-void rk_mesh_report(struct rk_mesh *m); /* tell all peers now */
+void rk_mesh_report(struct rk_mesh *m);     /* tell all peers now */
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
 /* What the peers asked of a service: tokens since their starts, calls in hand. */
--- a/node/sync.c
+++ b/node/sync.c
@@ -49,12 +49,12 @@
 
 /* ---- settings ---- */
 
-static void use_routes(struct rk_sync *s, struct rk_routes *routes, const char *text,
-                       const char *from)
+static void use_routes(struct rk_sync *s, struct rk_routes *routes,
+                       const char *text, const char *from)
 {
     RK_EVENT("settings.version", RK_N("version", routes->version),
-             RK_N("before", s->routes ? s->routes->version : 0),
-             RK_S("from", from), RK_N("routes", (int64_t)routes->routes_len),
+             RK_N("before", s->routes ? s->routes->version : 0), RK_S("from", from),
+             RK_N("routes", (int64_t)routes->routes_len),
              RK_N("organisations", (int64_t)routes->orgs_len));
     rk_routes_unref(s->routes);
     s->routes = routes;
@@ -133,7 +133,8 @@
 {
     struct rk_vm_row row;
     struct entry *e = find_entry(s, name);
-    if ((e && e->revision >= revision) || !s->n->platform->parse_vm(name, spec, &row))
+    if ((e && e->revision >= revision) ||
+        !s->n->platform->parse_vm(name, spec, &row))
         return false;
     const char *what = e ? "updated" : "added";
     bool was_leaving = e && e->row.leaving;
--- a/peers/link.c
+++ b/peers/link.c
@@ -21,7 +21,8 @@
 #define READ_CHUNK  (64 * 1024)
 #define BACKLOG     256
 
-#define USER_TIMEOUT_MS 2500 /* unacknowledged bytes for so long: the path is gone */
+#define USER_TIMEOUT_MS                                                            \
+    2500 /* unacknowledged bytes for so long: the path is gone */
 
 struct rk_link {
     struct rk_loop *loop;
--- a/programs/node.c
+++ b/programs/node.c
@@ -58,7 +58,8 @@
     "[PROCESS-FILE]",
     "Relay calls by the routes in the platform's store.\v"
     "PROCESS-FILE says who this process is and where it listens; without it, the "
-    "variable RILLKNOT_CONFIG names it. Events go to standard output, a JSON object "
+    "variable RILLKNOT_CONFIG names it. Events go to standard output, a JSON "
+    "object "
     "a line. SIGTERM begins a planned stop; SIGHUP reads PROCESS-FILE again.",
     0,
     0,
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -18,10 +18,10 @@
 
 /* What bounds the calls of all nodes together; from the process file. */
 struct rk_relay_bounds {
-    int64_t retry_pct;        /* retries, in hundredths of a service's calls */
-    int64_t retry_burst;      /* on top, of all nodes */
+    int64_t retry_pct;   /* retries, in hundredths of a service's calls */
+    int64_t retry_burst; /* on top, of all nodes */
     int64_t quota_window_ms;
-    double quota_slack;       /* units that the deployment forgives */
+    double quota_slack; /* units that the deployment forgives */
     int64_t usage_window_ms;
     bool first_start; /* nothing was used before */
 };
@@ -64,7 +64,7 @@
     size_t uses_len;
     struct rk_org_use *known; /* by the peer with the longest memory */
     size_t known_len;
-    int64_t remembers_ms; /* that peer's memory */
+    int64_t remembers_ms;         /* that peer's memory */
     int nodes_heard, nodes_total; /* this one included */
 };
 void rk_relay_peers_free(struct rk_relay_peers *p);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -12,24 +12,27 @@
 #include "common/http1.h"
 #include "services/upstream.h"
 
-#define REQUEST_ID_MAX     96
-#define LINE_MAX_LEN       192
-#define PROBLEM_MAX        256
-#define CONNECT_PLAIN_MS   150
-#define CONNECT_STREAM_MS  400
-#define REST_ONCE_MS       1500 /* an older connection may close under a call that
-                                   must not be lost */
-#define REST_ANY_MS        12000
-#define SILENT_PLAIN_MS    150  /* a repeatable call that has no answer so long is
-                                   tried at another vm */
-#define SILENT_STREAM_MS   1500
-#define RETRY_AFTER_MS     300  /* told with a refusal when nothing better is known */
-#define MAX_CHOICES        4    /* vms tried that could not even be connected to */
-#define MAX_CONNS_DEFAULT  64
-#define LOGGED_ONE_IN      16 /* of calls that ended well */
-#define STOP_TAKES_MS      2700 /* after a stop began, calls of any length are taken:
-                                   the balancer may not know yet */
-#define UNSENT_MAX         (4 * 1024 * 1024) /* bytes kept for a slow caller */
+#define REQUEST_ID_MAX    96
+#define LINE_MAX_LEN      192
+#define PROBLEM_MAX       256
+#define CONNECT_PLAIN_MS  150
+#define CONNECT_STREAM_MS 400
+#define REST_ONCE_MS                                                               \
+    1500 /* an older connection may close under a call that                        \
+            must not be lost */
+#define REST_ANY_MS 12000
+#define SILENT_PLAIN_MS                                                            \
+    150 /* a repeatable call that has no answer so long is                         \
+           tried at another vm */
+#define SILENT_STREAM_MS  1500
+#define RETRY_AFTER_MS    300 /* told with a refusal when nothing better is known */
+#define MAX_CHOICES       4   /* vms tried that could not even be connected to */
+#define MAX_CONNS_DEFAULT 64
+#define LOGGED_ONE_IN     16 /* of calls that ended well */
+#define STOP_TAKES_MS                                                              \
+    2700 /* after a stop began, calls of any length are taken:                     \
+            the balancer may not know yet */
+#define UNSENT_MAX (4 * 1024 * 1024) /* bytes kept for a slow caller */
 
 enum {
     HTTP_BAD_REQUEST = 400,
@@ -45,10 +48,10 @@
 
 /* What becomes of the answer that an attempt is getting. */
 enum fate {
-    FATE_NONE,   /* no head yet */
-    FATE_PASS,   /* goes to the caller */
+    FATE_NONE,    /* no head yet */
+    FATE_PASS,    /* goes to the caller */
     FATE_NOT_RUN, /* proves that the call did not run */
-    FATE_REPEAT, /* a failure, but the call may be repeated */
+    FATE_REPEAT,  /* a failure, but the call may be repeated */
 };
 
 struct rk_relay_call {
@@ -75,7 +78,7 @@
     /* All attempts. */
     int attempts;
     bool may_have_run;
-    bool ran; /* it counts for the quota */
+    bool ran;   /* it counts for the quota */
     bool begun; /* the caller has got the head */
     bool got_bytes;
     struct rk_events events;
@@ -172,11 +175,10 @@
 /* No attempt is left: the truth about whether it may have run decides. */
 static void give_up_sending(struct rk_relay_call *x, const char *why)
 {
-    if (x->may_have_run && !repeatable(x))
+    if (x->may_have_run)
         give_up(x, HTTP_BROKEN, 0, why);
     else
-        give_up(x, x->may_have_run ? HTTP_BROKEN : HTTP_REFUSED, RETRY_AFTER_MS,
-                why);
+        give_up(x, HTTP_REFUSED, RETRY_AFTER_MS, why);
 }
 
 static void finish_well(struct rk_relay_call *x, int status)
@@ -247,8 +249,8 @@
 }
 
 /* An attempt is over without a final answer; its upstream call is gone. */
-static void attempt_failed(struct rk_relay_call *x, bool sent, enum rk_place_end end,
-                           const char *what)
+static void attempt_failed(struct rk_relay_call *x, bool sent,
+                           enum rk_place_end end, const char *what)
 {
     log_attempt(x, what, sent);
     exclude_vm(x);
@@ -282,7 +284,7 @@
 {
     log_attempt(x, what, true);
     exclude_vm(x);
-    end_attempt(x, RK_PLACE_CALLED_OFF);
+    end_attempt(x, RK_PLACE_REFUSED);
     rk_timer_stop(x->r->loop, &x->silent);
     x->fate = FATE_NONE;
     if (x->client && may_send_again(x))
@@ -307,9 +309,9 @@
 static bool is_hop_header(const char *name)
 {
     static const char *const names[] = {
-        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate",
-        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",
-        "Content-Length"};
+        "Connection",         "Keep-Alive", "Proxy-Connection",
+        "Proxy-Authenticate", "TE",         "Trailer",
+        "Transfer-Encoding",  "Upgrade",    "Content-Length"};
     for (size_t i = 0; i < RK_ARRAY_LEN(names); i++)
         if (!strcasecmp(names[i], name))
             return true;
@@ -488,8 +490,8 @@
 /* Headers that this node sets itself, or that are not for the vm. */
 static bool is_own_header(const struct rk_dialect *d, const char *name)
 {
-    const char *const names[] = {d->key,   d->organisation, d->vm_id,
-                                 d->rank,  d->deadline_ms,  "Expect"};
+    const char *const names[] = {d->key,  d->organisation, d->vm_id,
+                                 d->rank, d->deadline_ms,  "Expect"};
     for (size_t i = 0; i < RK_ARRAY_LEN(names); i++)
         if (!strcasecmp(names[i], name))
             return true;
@@ -526,7 +528,8 @@
     rk_buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_str(head->method),
                   rk_head_target(head));
     copy_headers(x, head, b);
-    rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms, left_ms > 1 ? left_ms : 1);
+    rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms,
+                  left_ms > 1 ? left_ms : 1);
     add_line(b, d->vm_id, x->vm->row.id);
     if (x->org)
         add_line(b, d->organisation, x->org->name);
@@ -636,10 +639,10 @@
 static void refuse(struct rk_relay *r, struct rk_client *client, int status,
                    int64_t retry_after_ms, const char *why)
 {
-    const char *id = rk_head_get(rk_client_head(client), r->opt.dialect->request_id);
+    const char *id =
+        rk_head_get(rk_client_head(client), r->opt.dialect->request_id);
     RK_EVENT("call.refused", RK_S("request", id ? id : ""), RK_N("status", status),
-             RK_S("why", why),
-             RK_N("version", r->routes ? r->routes->version : 0));
+             RK_S("why", why), RK_N("version", r->routes ? r->routes->version : 0));
     rk_count(RK_C_BAD_INPUT, 1);
     answer_problem(client, status, retry_after_ms, why);
 }
@@ -709,8 +712,7 @@
                                 .started_ms = rk_mono_ms(),
                                 .first_ms = -1};
     rk_strcpy(x->id, sizeof(x->id), rk_head_get(head, r->opt.dialect->request_id));
-    x->query.service =
-        rk_route_service(route, (uint32_t)rk_hash_str(0, x->id));
+    x->query.service = rk_route_service(route, (uint32_t)rk_hash_str(0, x->id));
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
     x->end = (struct rk_timer){.fn = on_time_over, .ctx = x};
@@ -771,10 +773,11 @@
     x->end_ms = x->started_ms + left_ms;
     rk_timer_start(r->loop, &x->end, left_ms);
     int64_t retry_after_ms;
-    if (org && !rk_quota_admit(&r->quota, org->name, org->rate, org->burst, x->units,
-                               x->started_ms, &retry_after_ms)) {
+    if (org && !rk_quota_admit(&r->quota, org->name, org->rate, org->burst,
+                               x->units, x->started_ms, &retry_after_ms)) {
         x->units = 0;
-        give_up(x, HTTP_QUOTA, retry_after_ms, "the organisation's quota is used up");
+        give_up(x, HTTP_QUOTA, retry_after_ms,
+                "the organisation's quota is used up");
         return;
     }
     earn_retries(x);
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -8,10 +8,10 @@
 #include "common/loop.h"
 #include "common/util.h"
 
-#define HEAD_MAX         (64 * 1024)
-#define IDLE_DEFAULT_MS  8000 /* when the vm doesn't tell how long it keeps one */
-#define IDLE_MARGIN_MS   1200 /* less than what it tells */
-#define SWEEP_MS         1000
+#define HEAD_MAX        (64 * 1024)
+#define IDLE_DEFAULT_MS 8000 /* when the vm doesn't tell how long it keeps one */
+#define IDLE_MARGIN_MS  1200 /* less than what it tells */
+#define SWEEP_MS        1000
 
 /* A connection to a vm: idle in its pool, or with a call. */
 struct link {
@@ -338,8 +338,7 @@
     if (p->open >= spec->max_conns)
         return NULL;
     struct link *l = rk_alloc(1, sizeof(*l));
-    l->conn =
-        rk_conn_connect(p->u->loop, p->addr, spec->connect_ms, &conn_ops, l);
+    l->conn = rk_conn_connect(p->u->loop, p->addr, spec->connect_ms, &conn_ops, l);
     if (!l->conn) {
         free(l);
         return NULL;
--- /dev/null
+++ b/tests/proc_hosted_calls.py
@@ -0,0 +1,384 @@
+"""Calls relayed by a hosted node: bytes untouched, at most once, whole answers,
+streams that go on elsewhere, final answers in time."""
+import time
+
+from hosted import Hosted, http, read_answer, reset, wait_until
+
+ANSWER_S = 1.0  # "at once", with room for a busy machine
+
+
+def plain(workers=2, kind="idempotent", attempts=2, **kw):
+    """One node before plain workers of one route."""
+    d = Hosted(**kw).__enter__()
+    for _ in range(workers):
+        d.add_worker("plain")
+    d.configure([d.route("r", "plain", kind, maxAttempts=attempts)])
+    d.wait_ready()
+    return d
+
+
+def stream(workers=2, events=6, resumable=True, **route):
+    d = Hosted().__enter__()
+    for _ in range(workers):
+        d.add_worker("llm", events=events, slots=32)
+    d.configure([d.route("s", "llm", "streaming", resumable=resumable, **route)],
+                services=["llm"])
+    d.wait_ready()
+    return d
+
+
+def expected(ident, upto):
+    return b"".join(b"id: %d\ndata: %s token %d\n\n" % (n, ident.encode(), n)
+                    for n in range(1, upto + 1))
+
+
+def test_a_call_reaches_its_worker_untouched():
+    with plain(workers=1) as d:
+        body = bytes(range(256)) * 20
+        a = d.call("/r/a%2Fb/../c?x=%41&y", method="PATCH", body=body, deadline=1500,
+                   headers=[("X-Other", "kept"), ("Connection", "x-hop"), ("X-Hop", "no"),
+                            ("Rillknot-Tenant-Id", "forged")])
+        assert a.status == 200 and a.whole, (a.status, a.body)
+        w = d.workers[0]
+        seen = w.seen[0]
+        assert (seen.method, seen.target, seen.body) == \
+            ("PATCH", "/r/a%2Fb/../c?x=%41&y", body)
+        assert seen.get("Rillknot-Attempt-Id") == a.ident
+        assert seen.get("X-Other") == "kept" and not seen.get("X-Hop")
+        assert seen.get("Rillknot-Tenant-Id") == "clinic" and not seen.get("X-Api-Key")
+        assert seen.get("Rillknot-Expect-Instance") == w.id
+        assert 0 < int(seen.get("Rillknot-Deadline-Ms")) <= 1500
+        assert a.headers["rillknot-server-signature"] == w.signature(seen)
+        assert a.body == w.body(seen)
+
+
+def test_routes_keys_and_unknown_ones():
+    with plain(workers=1) as d:
+        d.configure([d.route("r", "plain"), d.route("open", "plain", anonymous=True)])
+        assert d.call("/nowhere/x").status == 404
+        assert d.call("/r/x", host="other.example").status == 404
+        assert d.call("/r/x", host="API.example:8080").status == 200
+        assert d.call("/r/x", key="wrong").status == 401
+        assert d.call("/r/x", key=None).status == 401
+        assert d.call("/open/x", key=None).status == 200
+        assert not d.workers[0].seen[-1].get("Rillknot-Tenant-Id")
+
+
+def test_before_any_settings_a_node_refuses_truthfully():
+    with Hosted() as d:
+        node = d.nodes[0]
+        assert not d.ready(node)
+        a = d.call("/r/x")
+        assert a.status == 503 and float(a.headers["retry-after"]) > 0
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        wait_until(lambda: d.ready(node))
+        assert d.call("/r/x").status == 200
+
+
+def test_what_a_worker_did_not_run_goes_to_another():
+    with plain(bounds={"budgetExtra": 400}) as d:
+        for w in d.workers[:1]:
+            w.fault = lambda w, req, conn: w.shed(req, conn)
+        for _ in range(6):
+            a = d.call("/r/x")
+            assert a.status == 200 and d.runs(a.ident) == 1, a.status
+
+
+def test_a_refusal_is_true_and_says_when_to_come_back():
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.workers[0].fault = lambda w, req, conn: w.shed(req, conn)
+        a = d.call("/r/x")
+        assert a.status == 503 and float(a.headers["retry-after"]) > 0
+        assert a.took_s < ANSWER_S and d.runs(a.ident) == 0
+        assert len(d.workers[0].seen) == 1
+
+
+def test_a_refusal_without_proof_is_not_passed_on():
+    """A worker's 503 that doesn't say "not run" promises what nobody knows."""
+    def busy(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        conn.sendall(w.head(req, 503, b"Content-Length: 0\r\n"))
+        return True
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.workers[0].fault = busy
+        a = d.call("/r/x")
+        assert a.status == 502 and "rillknot-server-signature" not in a.headers
+
+
+def test_a_lost_answer_is_not_run_again():
+    def lose(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        reset(conn)
+        return False
+    with plain(kind="non_idempotent", attempts=2) as d:
+        for w in d.workers:
+            w.fault = lose
+        for _ in range(4):
+            a = d.call("/r/x")
+            assert a.status == 502 and d.runs(a.ident) == 1, (a.status, d.runs(a.ident))
+
+
+def test_a_lost_answer_of_a_repeatable_call_is_asked_for_elsewhere():
+    def lose(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        reset(conn)
+        return False
+    with plain() as d:
+        d.workers[0].fault = lose
+        for _ in range(5):
+            assert d.call("/r/x").status == 200
+
+
+def test_a_silent_worker_is_given_up_for_a_repeatable_call():
+    def hang(w, req, conn):
+        time.sleep(5)
+        return False
+    with plain() as d:
+        d.workers[0].fault = hang
+        for _ in range(3):
+            a = d.call("/r/x", deadline=3000)
+            assert a.status == 200 and a.took_s < 2
+
+
+def test_retries_stay_within_their_budget():
+    def fail(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        reset(conn)
+        return False
+    with plain(bounds={"budgetExtra": 8, "retryBudgetRatio": 0.1}) as d:
+        for w in d.workers:
+            w.fault = fail
+        calls = 60
+        for _ in range(calls):
+            d.call("/r/x")
+        arrivals = sum(len(w.seen) for w in d.workers)
+        assert calls < arrivals <= calls * 1.1 + 8, arrivals
+
+
+def test_an_answer_of_another_request_is_skipped():
+    """A surplus answer in the place where the next one is due."""
+    def crossed(w, req, conn):
+        body = b"of somebody else"
+        conn.sendall(b"HTTP/1.1 200 OK\r\nRillknot-Attempt-Id: other\r\n"
+                     b"Rillknot-Server-Signature: x\r\nContent-Length: %d\r\n\r\n%s"
+                     % (len(body), body))
+        time.sleep(0.05)
+        return None
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.workers[0].fault = crossed
+        for _ in range(3):
+            a = d.call("/r/x")
+            assert a.status == 200 and a.ident.encode() in a.body
+            assert d.runs(a.ident) == 1
+
+
+def test_bytes_behind_an_answer_belong_to_nobody():
+    def surplus(w, req, conn):
+        w.run(req, conn)
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+        return True
+    with plain(workers=1) as d:
+        d.workers[0].fault = surplus
+        s = d.connect()
+        for n in range(3):
+            s.sendall(b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: surplus-%d\r\n\r\n" % n)
+            a = read_answer(s)
+            assert a.status == 200 and a.body.endswith(b"surplus-%d" % n), a.body
+            time.sleep(0.05)
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    def unframed(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        conn.sendall(w.head(req) + w.body(req))
+        return False
+    with plain(workers=1) as d:
+        d.workers[0].fault = unframed
+        a = d.call("/r/x")
+        assert a.status == 200 and a.whole and a.ident.encode() in a.body
+
+
+def test_a_cut_answer_looks_cut():
+    def cut(framing):
+        def fault(w, req, conn):
+            w.runs[req.get("Rillknot-Attempt-Id")] += 1
+            conn.sendall(w.head(req, framing=framing) + b"5\r\nhello\r\n")
+            time.sleep(0.1)
+            reset(conn)
+            return False
+        return fault
+    for framing in (b"Content-Length: 400\r\n", b"Transfer-Encoding: chunked\r\n", b""):
+        with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+            d.workers[0].fault = cut(framing)
+            a = d.call("/r/x")
+            assert not a.whole or a.status == 502, (framing, a.status, a.body)
+
+
+def test_a_success_without_signature_is_no_success():
+    def forged(w, req, conn):
+        conn.sendall(b"HTTP/1.1 200 OK\r\nRillknot-Attempt-Id: %s\r\nContent-Length: 2\r\n"
+                     b"\r\nhi" % req.get("Rillknot-Attempt-Id").encode())
+        return True
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.workers[0].fault = forged
+        assert d.call("/r/x").status == 502
+
+
+def test_a_failure_of_a_worker_goes_back_unchanged():
+    def fail(w, req, conn):
+        conn.sendall(w.head(req, 500, b"Content-Length: 4\r\n") + b"oops")
+        return True
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.workers[0].fault = fail
+        a = d.call("/r/x")
+        assert (a.status, a.body) == (500, b"oops")
+        assert "rillknot-server-signature" in a.headers
+
+
+def test_an_early_answer_to_a_long_request():
+    """The worker answers and goes on reading: what follows must not be a request."""
+    def early(w, req, conn):
+        conn.sendall(w.head(req, 413, b"Content-Length: 0\r\n"))
+        return True
+    with plain(workers=1) as d:
+        d.workers[0].fault = early
+        a = d.call("/r/x", body=b"x" * 60000)
+        assert a.status == 413
+        d.workers[0].fault = None
+        assert d.call("/r/x").status == 200
+
+
+def test_an_address_that_went_to_another_vm_runs_nothing():
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        old = d.workers[0]
+        old.id = "i-somebody-else"  # the list still has the old id at this address
+        a = d.call("/r/x")
+        assert a.status == 503 and d.runs(a.ident) == 0
+
+
+def test_events_pass_as_they_come_and_byte_for_byte():
+    with stream(workers=1, events=5) as d:
+        d.workers[0].gap_s = 0.15
+        a = d.call("/s/x")
+        assert a.whole and a.body == expected(a.ident, 5), a.body
+        s = d.connect()
+        s.sendall(b"POST /s/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                  b"Rillknot-Attempt-Id: slow\r\nContent-Length: 0\r\n\r\n")
+        start = time.monotonic()
+        s.recv(4096)
+        assert time.monotonic() - start < 0.6  # the first, not the last
+
+
+def test_a_broken_stream_goes_on_at_another_worker():
+    def torn(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        w.stream(req, conn, 3, end=False)
+        part = w.event(req, 4)[:9]  # in the middle of an event
+        conn.sendall(b"%x\r\n%s\r\n" % (len(part), part))
+        time.sleep(0.05)
+        reset(conn)
+        return False
+    with stream(events=7) as d:
+        for first in d.workers:
+            for w in d.workers:
+                w.fault = torn if w is first else None
+            a = d.call("/s/x", ident="torn-%s" % first.id)
+            assert a.whole and a.body == expected(a.ident, 7), a.body
+        torn_at = [w for w in d.workers if any(r.get("Last-Event-Id") == "3" for r in w.seen)]
+        assert torn_at
+
+
+def test_a_stream_that_may_not_be_resumed_is_cut():
+    def torn(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        w.stream(req, conn, 3, end=False)
+        reset(conn)
+        return False
+    with stream(resumable=False, maxAttempts=1) as d:
+        for w in d.workers:
+            w.fault = torn
+        a = d.call("/s/x")
+        assert not a.whole and d.runs(a.ident) == 1
+
+
+def test_a_silent_stream_goes_on_at_another_worker():
+    def fall_silent(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        w.stream(req, conn, 2, end=False)
+        time.sleep(8)
+        return False
+    with stream(events=5, timeoutMs=8000) as d:
+        for first in d.workers:
+            for w in d.workers:
+                w.fault = fall_silent if w is first else None
+            a = d.call("/s/x", ident="silent-%s" % first.id, deadline=7000)
+            assert a.whole and a.body == expected(a.ident, 5), (a.body, a.took_s)
+
+
+def test_a_caller_resumes_its_stream():
+    with stream(workers=1, events=6) as d:
+        a = d.call("/s/x", headers=[("Last-Event-Id", "4")])
+        assert a.whole and a.body == expected(a.ident, 6)[len(expected(a.ident, 4)):]
+
+
+def test_a_worker_stops_when_its_caller_leaves():
+    with stream(workers=1, events=200) as d:
+        w = d.workers[0]
+        w.gap_s = 0.02
+        s = d.connect()
+        s.sendall(b"POST /s/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                  b"Rillknot-Attempt-Id: leaver\r\nContent-Length: 0\r\n\r\n")
+        s.recv(4096)
+        gone = time.monotonic()
+        s.close()
+        wait_until(lambda: w.left, timeout=5)
+        assert w.left[0][1] - gone < ANSWER_S
+
+
+def test_a_final_answer_at_the_routes_timeout():
+    def hang(w, req, conn):
+        time.sleep(5)
+        return False
+    with plain(workers=1, kind="non_idempotent", attempts=1) as d:
+        d.configure([d.route("r", "plain", "non_idempotent", timeoutMs=400, maxAttempts=1)])
+        d.workers[0].fault = hang
+        a = d.call("/r/x", deadline=5000)
+        assert a.status == 504 and 0.35 < a.took_s < 0.4 + ANSWER_S
+        a = d.call("/r/x", deadline=200)
+        assert a.status == 504 and a.took_s < 0.2 + ANSWER_S
+
+
+def test_kept_and_pipelined_connections():
+    with plain(workers=1) as d:
+        s = d.connect()
+        one = (b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+               b"Rillknot-Attempt-Id: pipe-%d\r\n\r\n")
+        s.sendall(b"".join(one % n for n in range(5)))
+        rest = []
+        for n in range(5):
+            a = read_answer(s, rest=rest)
+            assert a.status == 200 and a.body.endswith(b"pipe-%d" % n), a.body
+
+
+def test_a_chunked_request_keeps_its_body():
+    with plain(workers=1) as d:
+        s = d.connect()
+        s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                  b"Rillknot-Attempt-Id: chunks\r\nTransfer-Encoding: chunked\r\n"
+                  b"Expect: 100-continue\r\n\r\n")
+        assert s.recv(4096).startswith(b"HTTP/1.1 100")
+        s.sendall(b"3\r\nabc\r\n4;ext=1\r\ndefg\r\n0\r\n\r\n")
+        assert read_answer(s).status == 200
+        assert d.workers[0].seen[0].body == b"abcdefg"
+
+
+def test_metrics_are_prometheus_text():
+    with plain(workers=1) as d:
+        d.call("/r/x")
+        text = d.metrics(d.nodes[0])
+        assert d.gauge(d.nodes[0], "calls_total") == 1
+        for line in text.splitlines():
+            assert line.startswith("#") or len(line.split(" ")) == 2, line
+        assert http(d.port(d.nodes[0].ready["metrics"]), "GET", "/other").status == 404
--- /dev/null
+++ b/tests/proc_hosted_fleet.py
@@ -0,0 +1,390 @@
+"""Several hosted nodes: settings and vms reach all and never go back, quotas hold
+over all, one usage count a window, fenced duties, planned stops."""
+import collections
+import http.client
+import os
+import re
+import signal
+import threading
+import time
+
+from hosted import Hosted, answer_json, read_answer, reset, wait_until
+
+
+def fleet(nodes=3, workers=2, kind="idempotent", zones=("a-hall", "b-hall", "c-hall"),
+          tenants=None, **kw):
+    d = Hosted(nodes=nodes, zones=zones, **kw).__enter__()
+    for n in range(workers):
+        d.add_worker("plain", zone=zones[n % len(zones)])
+    d.configure([d.route("r", "plain", kind)], tenants=tenants)
+    d.wait_ready()
+    wait_until(lambda: all(d.gauge(n, "nodes_heard") == nodes ==
+                           d.gauge(n, "nodes_known") for n in d.nodes))
+    time.sleep(0.4)  # the relays are told with the next report
+    return d
+
+
+def test_a_new_version_is_in_force_everywhere_and_stays():
+    with fleet() as d:
+        for _ in range(5):
+            version = d.configure([d.route("r", "plain"), d.route("n%d" % d.version, "plain")])
+            for n in range(3):
+                assert d.call("/n%d/x" % (version - 3), node=n).status == 200
+        old = dict(d.store.objects["config"]["main"]["spec"], version=1, routes=[])
+        d.store.put("config", "main", old)
+        time.sleep(0.6)
+        for n in range(3):
+            assert d.call("/r/x", node=n).status == 200
+
+
+def test_a_key_taken_away_is_refused_everywhere():
+    with fleet() as d:
+        assert all(d.call("/r/x", node=n).status == 200 for n in range(3))
+        d.configure([d.route("r", "plain")],
+                    tenants=[{"name": "clinic", "apiKeys": ["key-2"], "ratePerS": 0}])
+        assert all(d.call("/r/x", node=n).status == 401 for n in range(3))
+        assert all(d.call("/r/x", node=n, key="key-2").status == 200 for n in range(3))
+
+
+def turn_away(d, node, how):
+    """The store turns a node away and serves all others. Ends when undone."""
+    real = d.store.handle
+
+    def handle(req, conn):
+        if conn.getpeername()[1] not in ports_of(node.popen.pid):
+            return real(req, conn)
+        if how == "silent":
+            time.sleep(20)
+            return False
+        if how == "reset":
+            reset(conn)
+            return False
+        answer_json(conn, how, {})
+        return True
+    d.store.handle = handle
+
+
+def test_a_node_that_the_store_turns_away_hears_from_its_peers():
+    """Settings, a taken key and a draining vm come over the mesh."""
+    for how in ("reset", "silent", 503, 429):
+        with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+            leaving = d.workers[0]
+            turn_away(d, d.nodes[1], how)
+            time.sleep(0.2)
+            d.configure([d.route("r", "plain"), d.route("new", "plain")],
+                        tenants=[{"name": "clinic", "apiKeys": ["key-2"], "ratePerS": 0}],
+                        wait=False)
+            d.drain(leaving)
+            revision = d.store.revision
+            d.wait_version(d.version, timeout=6)
+            assert d.call("/new/x", node=1, key="key-2").status == 200
+            assert d.call("/new/x", node=1).status == 401
+            wait_until(lambda: all(d.gauge(n, "list_revision") >= revision
+                                   for n in d.nodes), timeout=6)
+            before = len(leaving.seen)
+            for _ in range(10):
+                assert d.call("/r/x", node=1, key="key-2").status == 200
+            assert len(leaving.seen) == before and d.workers[1].seen
+
+
+def ports_of(pid):
+    """Local ports of a process's TCP connections."""
+    inodes = set()
+    for fd in os.listdir("/proc/%d/fd" % pid):
+        try:
+            link = os.readlink("/proc/%d/fd/%s" % (pid, fd))
+        except OSError:
+            continue
+        found = re.match(r"socket:\[(\d+)\]", link)
+        if found:
+            inodes.add(found.group(1))
+    ports = set()
+    with open("/proc/%d/net/tcp" % pid) as f:
+        for line in f.readlines()[1:]:
+            parts = line.split()
+            if parts[9] in inodes:
+                ports.add(int(parts[1].split(":")[1], 16))
+    return ports
+
+
+def test_a_node_restarted_without_the_store_learns_from_its_peers():
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        d.store.fault = lambda req: "reset"
+        d.nodes[1].kill()
+        node = d.add_node(first_start=False)
+        wait_until(lambda: d.ready(node))
+        assert d.call("/r/x", node=2).status == 200
+
+
+def test_history_forgotten_and_watches_cut():
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        for n in range(4):
+            d.store.forget_history()
+            d.configure([d.route("v%d" % n, "plain")])
+            assert d.call("/v%d/x" % n).status == 200
+        w = d.add_worker("plain")
+        d.store.forget_history()
+        for old in d.workers[:-1]:
+            d.store.drop("servers", old.id)
+        wait_until(lambda: d.call("/v3/x").status == 200 and w.seen)
+
+
+def test_a_draining_vm_gets_no_new_calls():
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        first = d.workers[0]
+        d.drain(first)
+        revision = d.store.revision
+        wait_until(lambda: all(d.gauge(n, "list_revision") >= revision for n in d.nodes))
+        time.sleep(0.1)
+        before = len(first.seen)
+        for n in range(20):
+            assert d.call("/r/x", node=n % 2).status == 200
+        assert len(first.seen) == before
+
+
+def test_a_quota_holds_over_all_nodes():
+    """Three nodes, asked as fast as they answer: together they admit one quota."""
+    rate, burst, window = 20, 20, 4
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": rate, "burst": burst}]
+    with fleet(tenants=tenants, bounds={"quotaWindowS": window}) as d:
+        admitted, lock, end = [], threading.Lock(), time.monotonic() + 9
+        refused = []
+
+        def ask(node):
+            n = 0
+            while time.monotonic() < end:
+                n += 1
+                a = d.call("/r/x", node=node, ident="quota-%d-%d" % (node, n))
+                with lock:
+                    (admitted if a.status == 200 else refused).append(
+                        (time.monotonic(), a))
+                time.sleep(0.02)
+        threads = [threading.Thread(target=ask, args=(n,)) for n in range(3)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        assert all(a.status == 429 and float(a.headers["retry-after"]) > 0
+                   for _, a in refused)
+        times = sorted(t for t, _ in admitted)
+        most = max(sum(1 for u in times if t <= u < t + window) for t in times)
+        bound = rate * window + burst
+        assert bound * 0.6 <= most <= bound * 1.25, (most, bound)
+        return "%d admitted in the fullest window of %d allowed" % (most, bound)
+
+
+def test_tokens_count_for_the_quota():
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": 100, "burst": 100}]
+    with fleet(nodes=1, zones=("a-hall",), tenants=tenants) as d:
+        big = [("Rillknot-Token-Usage", "300,100")]
+        assert d.call("/r/x", headers=big).status == 200
+        assert d.call("/r/x", headers=big).status == 429
+        assert d.call("/r/x").status == 200
+
+
+def windows(d):
+    """window -> the set of different counts that were taken for it."""
+    out = collections.defaultdict(set)
+    for window, counts, _, _ in d.cloud.usage:
+        out[window].add(tuple(sorted(counts.items())))
+    return out
+
+
+def test_one_usage_count_a_window_over_takeovers():
+    """Calls run while holders are killed: no window has two counts, each call is in
+    one, and no token is used by two holders."""
+    with fleet(nodes=3) as d:
+        made = collections.Counter()
+        stop = threading.Event()
+
+        def load():
+            n = 0
+            while not stop.is_set():
+                n += 1
+                for node in range(len(d.nodes)):
+                    if d.nodes[node].popen.poll() is None:
+                        a = d.call("/r/x", node=node, ident="use-%d-%d" % (n, node))
+                        if a.status == 200:
+                            made[int(time.time())] += 1
+                time.sleep(0.05)
+        t = threading.Thread(target=load)
+        t.start()
+        try:
+            wait_until(lambda: len(windows(d)) >= 2, 30)
+            holder = d.cloud.usage[-1][2]
+            time.sleep(1)
+            [n for n in d.nodes if n.name == holder][0].kill()
+            wait_until(lambda: d.cloud.usage[-1][2] != holder, 30)
+            last = max(windows(d))
+            wait_until(lambda: max(windows(d)) >= last + 4, 30)
+        finally:
+            stop.set()
+            t.join()
+        different = {w: c for w, c in windows(d).items() if len(c) > 1}
+        assert not different, different
+        by_fence = collections.defaultdict(set)
+        for _, _, name, fence in d.cloud.usage:
+            by_fence[fence].add(name)
+        assert all(len(names) == 1 for names in by_fence.values()), by_fence
+        told = sum(dict(c).get("clinic", 0) for w in windows(d).values() for c in w)
+        ran = sum(made[w] for w in windows(d))
+        assert told and abs(told - ran) <= 0.15 * ran, (told, ran)
+        return "%d windows, %d calls told, %d made in them" % (len(windows(d)), told, ran)
+
+
+def test_a_report_whose_answer_is_lost_is_repeated_exactly():
+    lost = {"n": 0}
+
+    def fault(req):
+        lost["n"] += 1
+        return "lost" if req.target == "/usage" and lost["n"] % 2 else None
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        d.cloud.fault = fault
+        for _ in range(10):
+            d.call("/r/x")
+        wait_until(lambda: len(windows(d)) >= 3, 30)
+        assert all(len(c) == 1 for c in windows(d).values()), windows(d)
+
+
+def test_lost_answers_of_the_store_make_no_second_holder():
+    """Half of the writes are done and not answered."""
+    state = {"n": 0}
+
+    def fault(req):
+        if req.method in ("PUT", "POST") and "leases" in req.target:
+            state["n"] += 1
+            return "lost" if state["n"] % 2 else None
+        return None
+    with fleet(nodes=3) as d:
+        d.store.fault = fault
+        time.sleep(8)
+        d.store.fault = None
+        wait_until(lambda: d.cloud.usage, 20)
+        by_fence = collections.defaultdict(set)
+        for _, _, name, fence in d.cloud.usage:
+            by_fence[fence].add(name)
+        assert all(len(names) == 1 for names in by_fence.values()), by_fence
+        assert all(len(c) == 1 for c in windows(d).values())
+
+
+def test_a_frozen_holder_does_not_act_when_it_wakes():
+    with fleet(nodes=3) as d:
+        wait_until(lambda: d.cloud.usage, 20)
+        old = [n for n in d.nodes if n.name == d.cloud.usage[-1][2]][0]
+        old.freeze()
+        wait_until(lambda: d.cloud.usage[-1][2] != old.name, 30)
+        fence = d.cloud.usage[-1][3]
+        old.thaw()
+        time.sleep(3)
+        late = [u for u in d.cloud.usage if u[2] == old.name and u[3] >= fence]
+        assert not late, late
+        assert len([r for r in d.cloud.refused if r[2] == old.name]) <= 1
+
+
+def engine_service(**scaling):
+    spec = {"min": 1, "max": 4, "bootS": 0.5, "spotPrice": 0.2,
+            "zonePrices": {"a-hall": 1.0, "b-hall": 1.2}}
+    spec.update(scaling)
+    return {"name": "llm", "healthPath": "/healthz", "maxConns": 200,
+            "engine": {"slots": 32, "kvCapacity": 100000}, "scaling": spec}
+
+
+def test_vms_are_ordered_by_kind_and_domain():
+    with Hosted(nodes=1, zones=("a-hall",)) as d:
+        for zone in ("a-hall", "b-hall"):
+            for _ in range(3):
+                d.add_worker("llm", events=3, zone=zone, slots=32)
+        d.configure([d.route("s", "llm", "streaming")], services=[engine_service()])
+        wait_until(lambda: len({o[1:3] for o in d.cloud.orders}) == 4, 20)
+        last = {o[1:3]: o[3] for o in d.cloud.orders}
+        assert last == {("a-hall", False): 1, ("a-hall", True): 1,
+                        ("b-hall", False): 1, ("b-hall", True): 1}, last
+
+
+def test_on_demand_vms_are_kept_while_no_others_can_be_had():
+    with Hosted(nodes=1, zones=("a-hall",)) as d:
+        d.cloud.refuse_spot = True
+        kept = [d.add_worker("llm", events=3, zone=z, slots=32)
+                for z in ("a-hall", "b-hall")]
+        d.configure([d.route("s", "llm", "streaming")], services=[engine_service()])
+        d.wait_ready()
+        time.sleep(5)
+        assert all(o[3] >= 1 for o in d.cloud.orders if not o[2]), d.cloud.orders
+        assert kept[0].id and not [o for o in d.cloud.orders if o[2]]
+
+
+def test_a_stop_cuts_nothing_off():
+    """Not ready at once, the request in hand is finished, kept connections are told
+    to close, the process ends by itself."""
+    def slow(w, req, conn):
+        time.sleep(1.0)
+        return None
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        for w in d.workers:
+            w.fault = slow
+        got = []
+        t = threading.Thread(target=lambda: got.append(d.call("/r/x", deadline=2800)))
+        idle = d.connect()
+        t.start()
+        time.sleep(0.3)
+        d.nodes[0].signal(signal.SIGTERM)
+        wait_until(lambda: not d.ready(d.nodes[0]), 2)
+        for w in d.workers:
+            w.fault = None
+        idle.sendall(b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                     b"Rillknot-Attempt-Id: during-stop\r\n\r\n")
+        a = read_answer(idle)
+        assert a.status == 200 and a.headers.get("connection") == "close"
+        t.join()
+        assert got[0].status == 200 and got[0].whole
+        assert d.nodes[0].popen.wait(10) == 0
+        names = set(d.store.objects["rillknot-nodes"])
+        assert d.nodes[0].name not in names and d.nodes[1].name in names
+
+
+def test_a_stop_under_load_loses_no_call():
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        lost, done, stop = [], [0], threading.Event()
+
+        def ask(n):
+            k = 0
+            while not stop.is_set():
+                k += 1
+                try:
+                    a = d.call("/r/x", ident="load-%d-%d" % (n, k))
+                except (ConnectionRefusedError, http.client.HTTPException):
+                    return
+                if a.status != 200 and d.runs(a.ident):
+                    lost.append(a.ident)
+                done[0] += a.status == 200
+                time.sleep(0.005)
+        threads = [threading.Thread(target=ask, args=(n,)) for n in range(8)]
+        for t in threads:
+            t.start()
+        time.sleep(0.5)
+        d.nodes[0].signal(signal.SIGTERM)
+        # A balancer stops sending; here the callers do.
+        time.sleep(2.0)
+        stop.set()
+        for t in threads:
+            t.join()
+        assert d.nodes[0].popen.wait(10) == 0
+        assert not lost and done[0] > 50, (lost, done)
+
+
+def test_a_hup_reads_the_file_again():
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        node = d.nodes[0]
+        with open(node.file) as f:
+            good = f.read()
+        with open(node.file, "w") as f:
+            f.write("{ not json")
+        node.signal(signal.SIGHUP)
+        node.wait_event("node.reload_failed", 10)
+        with open(node.file, "w") as f:
+            f.write(good)
+        node.signal(signal.SIGHUP)
+        node.wait_event("node.reloaded", 10)
+        assert d.call("/r/x").status == 200
--- /dev/null
+++ b/tests/proc_hosted_input.py
@@ -0,0 +1,136 @@
+"""Bad input at a hosted node: a clear answer, no crash, nothing run."""
+import socket
+import time
+
+from hosted import Hosted, read_answer, wait_until
+from proc_hosted_calls import plain
+
+HEAD = (b"Host: api.example\r\nX-Api-Key: key-1\r\nRillknot-Attempt-Id: bad\r\n")
+
+
+def raw(d, data, shut=False):
+    s = d.connect()
+    s.sendall(data)
+    if shut:
+        s.shutdown(socket.SHUT_WR)
+    return read_answer(s)
+
+
+def test_malformed_requests_are_refused_and_nothing_runs():
+    cases = {
+        b"GARBAGE\r\n\r\n": 400,
+        b"GET /r/x\r\n\r\n": 505,
+        b"GET /r/x HTTP/1.1\r\nno colon\r\n\r\n": 400,
+        b"\x00\x01\x02\x03\r\n\r\n": 400,
+        # Two lengths, or a length beside chunks: where does the request end?
+        b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello": 400,
+        b"POST /r/x HTTP/1.1\r\n" + HEAD +
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /r/y HTTP/1.1\r\n\r\n": 400,
+        b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n": 400,
+        b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Content-Length: -5\r\n\r\n": 400,
+        b"GET /r/x HTTP/1.1\r\nX-Api-Key: key-1\r\nRillknot-Attempt-Id: a\r\n\r\n": 404,  # no host
+        b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n\r\n": 400,  # no id
+        b"GET /r/x HTTP/1.1\r\n" + HEAD + b"X-Long: " + b"a" * 9000 + b"\r\n\r\n": 431,
+        b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Content-Length: 70000\r\n\r\n": 413,
+        b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Rillknot-Deadline-Ms: 0\r\nContent-Length: 0\r\n\r\n": 408,
+    }
+    with plain(workers=1) as d:
+        for data, status in cases.items():
+            a = raw(d, data)
+            assert a.status == status, (data[:60], a.status, status)
+        big = b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        assert raw(d, big + b"10000\r\n" + b"x" * 65536 + b"\r\n5\r\nhello\r\n0\r\n\r\n").status == 413
+        assert not d.workers[0].seen
+        assert d.call("/r/x").status == 200
+        assert d.nodes[0].popen.poll() is None
+
+
+def test_a_half_sent_head_and_body_end_in_time():
+    with plain(workers=1) as d:
+        s = d.connect()
+        s.sendall(b"GET /r/x HTTP/1.1\r\nHost: api")
+        start = time.monotonic()
+        assert read_answer(s).status == 408
+        assert 1.0 < time.monotonic() - start < 4.5
+        s = d.connect()
+        s.sendall(b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Content-Length: 10\r\n\r\nhal")
+        s.shutdown(socket.SHUT_WR)
+        time.sleep(0.3)
+        assert not d.workers[0].seen
+
+
+def test_settings_that_can_not_be_used_stay_out():
+    with plain(workers=1) as d:
+        before = d.version
+        bad = [
+            {"version": 1000},
+            {"version": 1001, "routes": "none"},
+            {"version": 1002, "routes": [dict(d.route("r", "nowhere"))], "services": []},
+            {"version": 1003, "routes": [dict(d.route("r", "plain"), timeoutMs=0)],
+             "services": [{"name": "plain"}], "limits": {}},
+            {"version": 1004, "routes": [dict(d.route("r", "plain"), pathPrefix="x")],
+             "services": [{"name": "plain"}], "limits": {}},
+            {"version": 1005, "routes": [d.route("r", "plain")], "services": [{"name": "plain"}],
+             "limits": {"maxHeaderBytes": -1}},
+            [], "text", None,
+        ]
+        for spec in bad:
+            d.store.put("config", "main", spec)
+        time.sleep(0.5)
+        assert d.gauge(d.nodes[0], "settings_version") == before
+        assert d.call("/r/x").status == 200
+        rejected = [e for e in d.nodes[0].events() if e["event"] == "settings.rejected"]
+        assert len(rejected) >= 6 and all(e["why"] for e in rejected)
+
+
+def test_vms_that_can_not_be_read_stay_out():
+    with plain(workers=1) as d:
+        for n, spec in enumerate([{}, {"service": "plain"}, "text", {"address": 5},
+                                  {"service": "plain", "address": "not an address",
+                                   "zone": "klein-hall", "slots": 6, "state": "ready"}]):
+            d.store.put("servers", "i-bad%d" % n, spec)
+        time.sleep(0.4)
+        for _ in range(8):
+            assert d.call("/r/x").status == 200
+
+
+def test_a_process_file_with_mistakes_is_named():
+    import os
+    import subprocess
+    import tempfile
+    with Hosted(nodes=0) as d:
+        for text, word in (('{"id": "a"}', "failure_domain"), ("{", "JSON"),
+                           ('{"id":"a","failure_domain":"b","platform":"x","retry_ratio":7}',
+                            "retry_ratio"),
+                           ('{"id":"a","failure_domain":"b","platform":"x","first_start":1}',
+                            "first_start"),
+                           ('{"id":"a","failure_domain":"b","platform":"x","dialect":"none"}',
+                            "dialect")):
+            with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as f:
+                f.write(text)
+            out = subprocess.run([os.path.join(d.build, "rillknot-node"), f.name],
+                                 stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                                 timeout=20, check=False)
+            assert out.returncode in (1, 2) and word in out.stdout.decode(), out.stdout
+            os.unlink(f.name)
+
+
+def test_a_store_that_talks_nonsense():
+    """Answers that are no JSON, or of the wrong shape: the node waits, and goes on."""
+    state = {"bad": True}
+    with Hosted(nodes=0) as d:
+        real = d.store._answer
+
+        def nonsense(req):
+            if state["bad"]:
+                return 200, ["no", "object"]
+            return real(req)
+        d.store._answer = nonsense
+        node = d.add_node()
+        time.sleep(0.5)
+        assert node.popen.poll() is None and not d.ready(node)
+        state["bad"] = False
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        wait_until(lambda: d.ready(node))
+        assert d.call("/r/x").status == 200
--- a/tests/run.py
+++ b/tests/run.py
@@ -37,6 +37,9 @@
     "prop_fuzz": "10    bad input, bytes",
     "prop_core": "2-9   rows, streams, leases, shares in any order",
     "proc_traces": "all   recorded traces as stated",
+    "proc_hosted_calls": "hosted  calls by routes: bytes, at most once, streams, time",
+    "proc_hosted_input": "hosted  bad input",
+    "proc_hosted_fleet": "hosted  settings, vms, quotas, duties, stops over several nodes",
 }
 
 
--- /dev/null
+++ b/tests/test_hosted.c
@@ -0,0 +1,532 @@
+/* Units of what a hosted node decides by: routes, quotas, usage, events, the
+ * choice of a vm, how many vms to hold. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/events.h"
+#include "core/holding.h"
+#include "core/place.h"
+#include "core/quota.h"
+#include "core/routes.h"
+#include "core/usage.h"
+
+/* ---- routes ---- */
+
+static void add_route(struct rk_routes *r, const char *name, const char *host,
+                      const char *prefix, const char *service)
+{
+    struct rk_route *route = rk_routes_add(r);
+    rk_strcpy(route->name, sizeof(route->name), name);
+    rk_strcpy(route->host, sizeof(route->host), host);
+    rk_strcpy(route->prefix, sizeof(route->prefix), prefix);
+    route->timeout_ms = 1000;
+    route->max_attempts = 1;
+    rk_strcpy(route->shares[0].service, RK_ID_MAX, service);
+    route->shares[0].weight = 1;
+    route->shares_len = 1;
+}
+
+static struct rk_routes *some_routes(void)
+{
+    struct rk_routes *r = rk_routes_create();
+    r->limits = (struct rk_caller_limits){8192, 65536, 1000, 5000};
+    rk_strcpy(rk_routes_add_service(r)->name, RK_ID_MAX, "slots");
+    add_route(r, "short", "a.example", "/x/", "slots");
+    add_route(r, "long", "a.example", "/x/y/", "slots");
+    add_route(r, "other", "b.example", "/x/", "slots");
+    return r;
+}
+
+static const char *found(const struct rk_routes *r, const char *host,
+                         const char *path)
+{
+    const struct rk_route *route = rk_routes_find(r, host, path);
+    return route ? route->name : "none";
+}
+
+static void longest_prefix_of_the_host_wins(void **state)
+{
+    (void)state;
+    struct rk_routes *r = some_routes();
+    assert_int_equal(rk_routes_finish(r), RK_OK);
+    assert_string_equal(found(r, "a.example", "/x/1"), "short");
+    assert_string_equal(found(r, "a.example", "/x/y/1"), "long");
+    assert_string_equal(found(r, "A.Example:80", "/x/y/"), "long");
+    assert_string_equal(found(r, "b.example", "/x/y/1"), "other");
+    assert_string_equal(found(r, "a.example", "/x"), "none");
+    assert_string_equal(found(r, "a.example", "/z/"), "none");
+    assert_string_equal(found(r, "c.example", "/x/1"), "none");
+    assert_string_equal(found(r, "a.example.org", "/x/1"), "none");
+    rk_routes_unref(r);
+}
+
+static void routes_that_can_not_be_used_are_refused(void **state)
+{
+    (void)state;
+    struct rk_routes *r = some_routes();
+    add_route(r, "lost", "a.example", "/l/", "nowhere");
+    assert_int_equal(rk_routes_finish(r), RK_EINVAL);
+    assert_non_null(strstr(rk_last_error(), "nowhere"));
+    rk_routes_unref(r);
+    r = some_routes();
+    add_route(r, "bad", "a.example", "no-slash", "slots");
+    assert_int_equal(rk_routes_finish(r), RK_EINVAL);
+    rk_routes_unref(r);
+    r = some_routes();
+    r->limits.idle_ms = 0;
+    assert_int_equal(rk_routes_finish(r), RK_EINVAL);
+    rk_routes_unref(r);
+}
+
+static void keys_lead_to_their_organisation(void **state)
+{
+    (void)state;
+    struct rk_routes *r = some_routes();
+    for (size_t i = 0; i < 40; i++) {
+        snprintf(rk_routes_add_org(r)->name, RK_ID_MAX, "org-%zu", i);
+        for (int k = 0; k < 3; k++) {
+            struct rk_org_key *key = rk_routes_add_key(r);
+            snprintf(key->key, sizeof(key->key), "key-%zu-%d", i, k);
+            key->org = i;
+        }
+    }
+    assert_int_equal(rk_routes_finish(r), RK_OK);
+    assert_string_equal(rk_routes_org_of_key(r, "key-7-2")->name, "org-7");
+    assert_string_equal(rk_routes_org_of_key(r, "key-39-0")->name, "org-39");
+    assert_null(rk_routes_org_of_key(r, "key-40-0"));
+    assert_null(rk_routes_org_of_key(r, ""));
+    rk_routes_unref(r);
+}
+
+static void shares_follow_their_weights(void **state)
+{
+    (void)state;
+    struct rk_route route = {.shares = {{"a", 90}, {"b", 10}}, .shares_len = 2};
+    int b = 0;
+    for (uint32_t i = 0; i < 1000; i++)
+        b += !strcmp(rk_route_service(&route, i * 7919), "b");
+    assert_in_range(b, 80, 120);
+    route.shares[0].weight = 0;
+    assert_string_equal(rk_route_service(&route, 5), "b");
+}
+
+/* ---- quotas ---- */
+
+#define WINDOW_MS 8000
+
+static double admit_for(struct rk_quota *q, double rate, double burst,
+                        int64_t from_ms, int64_t to_ms, int64_t step_ms,
+                        double units)
+{
+    double sum = 0;
+    int64_t retry_ms;
+    for (int64_t t = from_ms; t < to_ms; t += step_ms)
+        if (rk_quota_admit(q, "org", rate, burst, units, t, &retry_ms))
+            sum += units;
+    return sum;
+}
+
+static struct rk_quota lone_quota(int64_t forgot_ms)
+{
+    struct rk_quota q;
+    rk_quota_init(&q, WINDOW_MS, 0, forgot_ms);
+    q.nodes_total = 1;
+    return q;
+}
+
+static void a_window_admits_its_quota(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(0);
+    double first = admit_for(&q, 100, 100, 100000, 108000, 10, 5);
+    assert_in_range((int)first, 880, 900);
+    double second = admit_for(&q, 100, 100, 108000, 116000, 10, 5);
+    assert_in_range((int)second, 700, 900);
+}
+
+static void a_node_that_hears_few_holds_to_their_part(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(0);
+    q.nodes_total = 4;
+    q.nodes_heard = 1;
+    assert_in_range((int)admit_for(&q, 100, 100, 100000, 108000, 10, 1), 215, 226);
+}
+
+static void before_it_knows_the_nodes_a_node_takes_them_to_be_many(void **state)
+{
+    (void)state;
+    struct rk_quota q;
+    rk_quota_init(&q, WINDOW_MS, 0, 0);
+    double most = 900.0 / RK_UNKNOWN_NODES + 1;
+    assert_true(admit_for(&q, 100, 100, 100000, 108000, 10, 1) <= most);
+}
+
+/* Killed in the middle of a window, all nodes together: what was used before and
+ * what is admitted after stay within the bound of one window. */
+static void a_restart_does_not_double_a_quota(void **state)
+{
+    (void)state;
+    for (int64_t used_ms = 500; used_ms < WINDOW_MS; used_ms += 500) {
+        struct rk_quota before = lone_quota(0);
+        double spent =
+            admit_for(&before, 100, 100, 100000, 100000 + used_ms, 10, 1);
+        int64_t start = 100000 + used_ms + 800; /* down meanwhile */
+        struct rk_quota after = lone_quota(start);
+        double more = admit_for(&after, 100, 100, start, 100000 + WINDOW_MS, 10, 1);
+        assert_true(spent + more <= 900 * 1.1);
+    }
+}
+
+static void an_organisation_that_uses_little_is_served_after_a_restart(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(100000);
+    double got = admit_for(&q, 100, 100, 100050, 108050, 20, 1); /* 50 a second */
+    assert_true(got >= 390);
+}
+
+static void a_lowered_quota_counts_after_a_window(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(0);
+    admit_for(&q, 100, 100, 100000, 104000, 10, 1);
+    double soon = admit_for(&q, 10, 10, 104000, 108000, 10, 1);
+    assert_true(soon > 300);
+    assert_int_equal((int)admit_for(&q, 10, 10, 112500, 113500, 10, 1), 0);
+    double later = admit_for(&q, 10, 10, 125000, 133000, 10, 1);
+    assert_in_range((int)later, 80, 90);
+}
+
+static void what_peers_used_and_probably_use_counts(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(0);
+    int64_t retry_ms;
+    rk_quota_admit(&q, "org", 100, 100, 1, 100000, &retry_ms);
+    rk_quota_told(&q, 100000);
+    rk_quota_add(&q, "org", 500, 100250); /* 2 in a ms */
+    rk_quota_told(&q, 100250);
+    assert_false(rk_quota_admit(&q, "org", 100, 100, 10, 100260, &retry_ms));
+    assert_true(retry_ms > 0);
+}
+
+static void a_peer_with_a_memory_lifts_the_caution(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(100000);
+    int64_t retry_ms;
+    assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &retry_ms));
+    rk_quota_know(&q, "org", 300, 100200);
+    rk_quota_remind(&q, WINDOW_MS);
+    assert_in_range((int)admit_for(&q, 100, 100, 100250, 100260, 1, 100), 600, 600);
+}
+
+static void a_refund_is_no_use(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(0);
+    int64_t retry_ms;
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100000, &retry_ms));
+    assert_false(rk_quota_admit(&q, "org", 10, 10, 90, 100010, &retry_ms));
+    rk_quota_refund(&q, "org", 90, 100020);
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100030, &retry_ms));
+    assert_true(rk_quota_own(&q.orgs[0]) == 90);
+}
+
+/* ---- usage ---- */
+
+static void usage_merges_in_any_order(void **state)
+{
+    (void)state;
+    struct rk_usage u = {0};
+    rk_usage_count(&u, 1, 7, "a");
+    rk_usage_count(&u, 1, 7, "a");
+    struct rk_usage_row row = {.node = 2, .window = 7, .org = "a", .count = 5};
+    rk_usage_merge(&u, &row);
+    row.count = 3; /* older news */
+    rk_usage_merge(&u, &row);
+    rk_usage_merge(&u, &row);
+    assert_int_equal(rk_usage_sum(&u, 7, "a"), 7);
+    assert_int_equal(rk_usage_sum(&u, 8, "a"), 0);
+    assert_int_equal(rk_usage_sum(&u, 7, "b"), 0);
+    rk_usage_forget(&u, 8);
+    assert_int_equal(rk_usage_sum(&u, 7, "a"), 0);
+    rk_usage_free(&u);
+}
+
+/* ---- events ---- */
+
+static void collect(void *ctx, const char *data, size_t len, const char *id)
+{
+    (void)id;
+    rk_buf_add(ctx, data, len);
+    rk_buf_addstr(ctx, "|");
+}
+
+/* However the bytes are cut, the same events come out, and only whole ones. */
+static void events_are_cut_where_they_end(void **state)
+{
+    (void)state;
+    static const char text[] = "id: 1\ndata: a\n\nid:22\r\ndata: b\r\n\r\n"
+                               ": comment\n\ndata: no id\n\nid: 3\ndata: half";
+    for (size_t cut = 1; cut < sizeof(text); cut++) {
+        struct rk_events e = {0};
+        struct rk_buf out = {0};
+        for (size_t at = 0; at < sizeof(text) - 1; at += cut) {
+            size_t left = sizeof(text) - 1 - at;
+            rk_events_feed(&e, text + at, cut < left ? cut : left, collect, &out);
+        }
+        assert_string_equal(out.data, "id: 1\ndata: a\n\n|id:22\r\ndata: b\r\n\r\n|"
+                                      ": comment\n\n|data: no id\n\n|");
+        assert_string_equal(e.last_id, "22");
+        assert_int_equal(e.part.len, strlen("id: 3\ndata: half"));
+        rk_events_restart(&e);
+        rk_events_feed(&e, "id: 4\n\n", 7, collect, &out);
+        assert_string_equal(e.last_id, "4");
+        rk_events_free(&e);
+        rk_buf_free(&out);
+    }
+}
+
+/* ---- the choice of a vm ---- */
+
+static struct rk_vm_row vm_row(const char *id, const char *domain, int64_t slots)
+{
+    struct rk_vm_row row = {.slots = slots, .leaves_in_ms = -1};
+    rk_strcpy(row.id, sizeof(row.id), id);
+    rk_strcpy(row.service, sizeof(row.service), "llm");
+    rk_strcpy(row.domain, sizeof(row.domain), domain);
+    return row;
+}
+
+static struct rk_place *three_vms(struct rk_vm_row rows[3])
+{
+    rows[0] = vm_row("vm-a", "here", 32);
+    rows[1] = vm_row("vm-b", "here", 32);
+    rows[2] = vm_row("vm-c", "there", 32);
+    struct rk_place *p = rk_place_create("here", 1);
+    rk_place_set_vms(p, rows, 3);
+    return p;
+}
+
+static struct rk_place_query engine_query(const char *parts, double tokens)
+{
+    struct rk_place_query q = {
+        .service = "llm", .engine = true, .tokens_in = tokens};
+    rk_place_parse_parts(&q, parts);
+    return q;
+}
+
+static void a_prefix_stays_with_its_vm_until_that_is_busy(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:2000,bb:4000,cc:100", 6100);
+    double ms;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &ms);
+    for (int i = 0; i < 20; i++) {
+        struct rk_place_vm *v = rk_place_choose(p, &q, 1000 + i, &ms);
+        assert_ptr_equal(v, first);
+        double read = rk_place_sent(p, v, &q, 1000 + i);
+        rk_place_first(v, read);
+        rk_place_ended(p, v, 0, RK_PLACE_DONE, 1000 + i);
+    }
+    struct rk_place_query other = engine_query("dd:30000,ee:1", 30001);
+    rk_place_sent(p, first, &other, 1020);
+    assert_ptr_not_equal(rk_place_choose(p, &q, 1021, &ms), first);
+    rk_place_destroy(p);
+}
+
+static void nodes_agree_on_the_vm_of_a_prefix(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *a = three_vms(rows);
+    struct rk_place *b = rk_place_create("there", 99);
+    rk_place_set_vms(b, rows, 3);
+    for (int i = 0; i < 50; i++) {
+        char parts[64];
+        double ms;
+        snprintf(parts, sizeof(parts), "p%d:4000,own%d:50", i, i);
+        struct rk_place_query q = engine_query(parts, 4050);
+        assert_string_equal(rk_place_choose(a, &q, 1000, &ms)->row.id,
+                            rk_place_choose(b, &q, 1000, &ms)->row.id);
+    }
+    rk_place_destroy(a);
+    rk_place_destroy(b);
+}
+
+static void leaving_excluded_and_paused_vms_are_passed_over(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("", 100);
+    double ms;
+    rows[0].leaving = true;
+    rk_place_set_vms(p, rows, 3);
+    rows[0].leaving = false; /* a list that lags doesn't bring it back */
+    rk_place_set_vms(p, rows, 3);
+    struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &ms);
+    assert_string_equal(v->row.id, "vm-b");
+    rk_place_sent(p, v, &q, 1000);
+    rk_place_ended(p, v, 100, RK_PLACE_LOST, 1001);
+    assert_string_equal(rk_place_choose(p, &q, 1002, &ms)->row.id, "vm-c");
+    q.excluded[q.excluded_len++] = rk_hash_str(0, "vm-c");
+    assert_string_equal(rk_place_choose(p, &q, 1002, &ms)->row.id, "vm-b");
+    q.excluded[q.excluded_len++] = rk_hash_str(0, "vm-b");
+    assert_null(rk_place_choose(p, &q, 1002, &ms));
+    rk_place_destroy(p);
+}
+
+static void a_vm_off_the_list_is_kept_while_it_has_calls(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("", 100);
+    double ms;
+    struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &ms);
+    rk_place_sent(p, v, &q, 1000);
+    rk_place_set_vms(p, rows, 0);
+    assert_null(rk_place_choose(p, &q, 1000, &ms));
+    assert_ptr_equal(rk_place_vms(p), v);
+    rk_place_ended(p, v, 100, RK_PLACE_DONE, 1001);
+    assert_null(rk_place_vms(p));
+    rk_place_destroy(p);
+}
+
+static void what_peers_have_in_hand_counts(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_vm_load loads[] = {
+        {.id = "vm-a", .running = 3, .waiting_tokens = 60000},
+        {.id = "vm-a", .waiting_tokens = 1000},
+        {.id = "gone", .running = 7}};
+    struct rk_place_query q = engine_query("", 100);
+    double ms;
+    rk_place_set_loads(p, loads, 3);
+    assert_string_equal(rk_place_choose(p, &q, 1000, &ms)->row.id, "vm-b");
+    rk_place_destroy(p);
+}
+
+/* ---- how many vms to hold ---- */
+
+static struct rk_holding_input three_domains(void)
+{
+    return (struct rk_holding_input){
+        .domains = {{"a", 0.85, 1, 1}, {"b", 1.2, 1, 1}, {"c", 1.0, 1, 1}},
+        .domains_len = 3,
+        .min_vms = 1,
+        .max_vms = 6,
+        .spot_price = 0.2,
+        .settled = true};
+}
+
+static int sum_of(const struct rk_holding_target *targets, bool reclaimable)
+{
+    int sum = 0;
+    for (int i = 0; i < 3; i++)
+        sum += reclaimable ? targets[i].reclaimable : targets[i].on_demand;
+    return sum;
+}
+
+static void the_floor_is_one_on_demand_vm_a_domain(void **state)
+{
+    (void)state;
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = three_domains();
+    rk_holding_plan(&in, t);
+    for (int i = 0; i < 3; i++)
+        assert_true(t[i].on_demand == 1 && t[i].reclaimable == 1);
+    in.need = 8.2;
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 3);
+    assert_int_equal(sum_of(t, true), 6);
+    in.need = 100; /* the platform's limit holds */
+    rk_holding_plan(&in, t);
+    for (int i = 0; i < 3; i++)
+        assert_int_equal(t[i].on_demand + t[i].reclaimable, 6);
+}
+
+static void on_demand_vms_stand_in_and_go_one_at_a_time(void **state)
+{
+    (void)state;
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = three_domains();
+    for (int i = 0; i < 3; i++)
+        in.domains[i].reclaimable = 0;
+    in.need = 7.5;
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 3); /* they were ordered, and will come */
+    in.refused = true;
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 6);
+    assert_int_equal(t[0].on_demand, 4); /* where it costs least */
+    in.domains[0].on_demand = 4;
+    in.refused = false;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 4); /* kept: nothing serves in their place */
+    for (int i = 0; i < 3; i++)
+        in.domains[i].reclaimable = 2;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 3);
+    in.settled = false;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 4);
+    in.idle = true;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 1);
+}
+
+static void demand_rises_at_once_and_falls_slowly(void **state)
+{
+    (void)state;
+    double need = rk_holding_need(60000, 10, 128);
+    assert_true(need > 4 && need < 6);
+    assert_true(rk_holding_need(0, 100, 32) > rk_holding_need(0, 100, 128));
+    assert_true(rk_holding_smooth(2, 6, 1000) == 6);
+    double later = rk_holding_smooth(6, 1, 1000);
+    assert_true(later > 5 && later < 6);
+    assert_true(rk_holding_smooth(6, 1, 100000) == 1);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(longest_prefix_of_the_host_wins),
+        cmocka_unit_test(routes_that_can_not_be_used_are_refused),
+        cmocka_unit_test(keys_lead_to_their_organisation),
+        cmocka_unit_test(shares_follow_their_weights),
+        cmocka_unit_test(a_window_admits_its_quota),
+        cmocka_unit_test(a_node_that_hears_few_holds_to_their_part),
+        cmocka_unit_test(before_it_knows_the_nodes_a_node_takes_them_to_be_many),
+        cmocka_unit_test(a_restart_does_not_double_a_quota),
+        cmocka_unit_test(
+            an_organisation_that_uses_little_is_served_after_a_restart),
+        cmocka_unit_test(a_lowered_quota_counts_after_a_window),
+        cmocka_unit_test(what_peers_used_and_probably_use_counts),
+        cmocka_unit_test(a_peer_with_a_memory_lifts_the_caution),
+        cmocka_unit_test(a_refund_is_no_use),
+        cmocka_unit_test(usage_merges_in_any_order),
+        cmocka_unit_test(events_are_cut_where_they_end),
+        cmocka_unit_test(a_prefix_stays_with_its_vm_until_that_is_busy),
+        cmocka_unit_test(nodes_agree_on_the_vm_of_a_prefix),
+        cmocka_unit_test(leaving_excluded_and_paused_vms_are_passed_over),
+        cmocka_unit_test(a_vm_off_the_list_is_kept_while_it_has_calls),
+        cmocka_unit_test(what_peers_have_in_hand_counts),
+        cmocka_unit_test(the_floor_is_one_on_demand_vm_a_domain),
+        cmocka_unit_test(on_demand_vms_stand_in_and_go_one_at_a_time),
+        cmocka_unit_test(demand_rises_at_once_and_falls_slowly),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tools/hosted.py
@@ -0,0 +1,617 @@
+"""A stand-in for the platform that hosts rillknot-node: its metadata store, its
+cloud API and its workers, by their published protocol, with the faults that tests
+ask for; and a deployment of real nodes in front of them. All in one process of the
+test, on ports of the kernel's choice."""
+import collections
+import itertools
+import json
+import os
+import re
+import socket
+import struct
+import tempfile
+import threading
+import time
+import urllib.parse
+
+from cluster import ROOT, Proc
+
+TEMPLATE = os.path.join(ROOT, "deploy", "entry.json")
+REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected",
+           429: "Too Many", 503: "Unavailable"}
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.at = time.monotonic()
+
+    def get(self, name, fallback=""):
+        return self.headers.get(name.lower(), fallback)
+
+
+class RawServer:
+    """HTTP/1.1 on raw sockets, a thread for each connection, so that a test can
+    answer with any bytes. handle(request, conn) returns False to end it."""
+
+    def __init__(self):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(256)
+        self.port = self.sock.getsockname()[1]
+        self.addr = "127.0.0.1:%d" % self.port
+        self.connections = 0
+        self.conns = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self.sock.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self.conns.add(conn)
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn):
+        buf = b""
+        try:
+            while True:
+                req, buf = self._read(conn, buf)
+                if req is None or self.handle(req, conn) is False:
+                    return
+        except OSError:
+            pass
+        finally:
+            self.conns.discard(conn)
+            conn.close()
+
+    @staticmethod
+    def _read(conn, buf):
+        while b"\r\n\r\n" not in buf:
+            part = conn.recv(65536)
+            if not part:
+                return None, b""
+            buf += part
+        head, buf = buf.split(b"\r\n\r\n", 1)
+        lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ", 2)
+        headers = {}
+        for line in lines[1:]:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+        length = int(headers.get("content-length", 0))
+        while len(buf) < length:
+            part = conn.recv(65536)
+            if not part:
+                return None, b""
+            buf += part
+        return Request(method, target, headers, buf[:length]), buf[length:]
+
+    def close(self):
+        """As a vm that is gone: nothing listens, what was open is reset."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for conn in list(self.conns):
+            reset(conn)
+
+    def handle(self, req, conn):
+        raise NotImplementedError
+
+
+def reset(conn):
+    try:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+    except OSError:
+        pass
+
+
+def answer_json(conn, status, value):
+    body = json.dumps(value).encode()
+    conn.sendall(b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+                 b"Content-Length: %d\r\n\r\n%s"
+                 % (status, REASONS.get(status, "X").encode(), len(body), body))
+
+
+class Store(RawServer):
+    """The metadata store. fault(request) may return "lost" (done, not answered),
+    "silent", "reset", a status to answer with, or None."""
+
+    def __init__(self):
+        self.objects = collections.defaultdict(dict)  # kind -> name -> object
+        self.log = []  # (revision, kind, gone, object)
+        self.revision = 100
+        self.oldest = 0  # history before it is forgotten
+        self.cond = threading.Condition()
+        self.fault = None
+        self.calls = []
+        super().__init__()
+
+    def put(self, kind, name, spec):
+        """As the operator or a worker writes it."""
+        with self.cond:
+            return self._write(kind, name, spec)
+
+    def drop(self, kind, name):
+        with self.cond:
+            self._remove(kind, name)
+
+    def forget_history(self):
+        with self.cond:
+            self.oldest = self.revision
+            self.cond.notify_all()
+
+    def _write(self, kind, name, spec):
+        self.revision += 1
+        made = self.objects[kind].get(name, {}).get("metadata", {}).get("made", self.revision)
+        o = {"metadata": {"name": name, "revision": self.revision, "made": made,
+                          "finalizers": [], "deleting": False}, "spec": spec, "status": None}
+        self.objects[kind][name] = o
+        self.log.append((self.revision, kind, False, o))
+        self.cond.notify_all()
+        return o
+
+    def _remove(self, kind, name):
+        o = self.objects[kind].pop(name)
+        self.revision += 1
+        self.log.append((self.revision, kind, True, o))
+        self.cond.notify_all()
+
+    def handle(self, req, conn):
+        self.calls.append(req)
+        fault = self.fault(req) if self.fault else None
+        if fault == "silent":
+            time.sleep(30)
+            return False
+        if fault == "reset":
+            reset(conn)
+            return False
+        if isinstance(fault, int):
+            answer_json(conn, fault, {})
+            return True
+        status, value = self._answer(req)
+        if fault == "lost":
+            time.sleep(30)
+            return False
+        answer_json(conn, status, value)
+        return True
+
+    def _answer(self, req):
+        url = urllib.parse.urlsplit(req.target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        parts = url.path[len("/api/objects/"):].split("/")
+        kind, name = parts[0], parts[1] if len(parts) > 1 else None
+        if req.method == "GET" and name is None:
+            if "watch" in query:
+                return self._watch(kind, int(query["watch"]), int(query["waitMs"]))
+            return self._list(kind, query.get("sinceRev", ""))
+        with self.cond:
+            return self._one(req, kind, name)
+
+    def _list(self, kind, after):
+        with self.cond:
+            names = sorted(n for n in self.objects[kind] if n > after)
+            page = names[:5]  # small pages, so that paging is exercised
+            return 200, {"entries": [self.objects[kind][n] for n in page],
+                         "more": len(names) > len(page), "at": self.revision}
+
+    def _watch(self, kind, since, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self.cond:
+            while True:
+                if since < self.oldest:
+                    return 410, {"error": "history is gone"}
+                events = [{"gone": gone, "object": o} for rev, k, gone, o in self.log
+                          if k == kind and rev > since]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    return 200, {"events": events, "at": self.revision}
+                self.cond.wait(left)
+
+    def _one(self, req, kind, name):
+        body = json.loads(req.body) if req.body else {}
+        if req.method == "POST":
+            name = body["metadata"]["name"]
+            if name in self.objects[kind]:
+                return 409, self.objects[kind][name]
+            return 200, self._write(kind, name, body["spec"])
+        o = self.objects[kind].get(name)
+        if o is None:
+            return 404, {}
+        if req.method == "GET":
+            return 200, o
+        wanted = body.get("metadata", {}).get("revision")
+        if wanted is not None and wanted != o["metadata"]["revision"]:
+            return 409, o
+        if req.method == "DELETE":
+            self._remove(kind, name)
+            return 200, o
+        if o["spec"] == body["spec"]:
+            return 200, o
+        return 200, self._write(kind, name, body["spec"])
+
+
+class Cloud(RawServer):
+    """Usage and orders, with fencing. refuse_spot: none to be had."""
+
+    def __init__(self):
+        self.usage = []  # (window, counts, holder, fence), those taken
+        self.orders = []
+        self.highest = {}
+        self.refused = []
+        self.refuse_spot = False
+        self.fault = None
+        super().__init__()
+
+    def handle(self, req, conn):
+        body = json.loads(req.body)
+        fence = int(req.get("Rillknot-Fencing-Token"))
+        holder = req.get("Rillknot-Duty-Holder")
+        subject = "usage" if req.target == "/usage" else (body["service"], body["zone"])
+        fault = self.fault(req) if self.fault else None
+        if isinstance(fault, int):
+            answer_json(conn, fault, {})
+            return True
+        if fence < self.highest.get(subject, 0):
+            self.refused.append((subject, fence, holder))
+            answer_json(conn, 409, {"error": "a higher fence was seen"})
+            return True
+        self.highest[subject] = fence
+        if req.target == "/usage":
+            self.usage.append((body["windowId"], body["counts"], holder, fence))
+        elif body.get("spot") and self.refuse_spot:
+            answer_json(conn, 409, {"error": "none of that kind is to be had"})
+            return True
+        else:
+            self.orders.append((body["service"], body["zone"], bool(body.get("spot")),
+                                body["desiredCount"], holder, fence))
+        if fault == "lost":
+            time.sleep(30)
+            return False
+        answer_json(conn, 200, {})
+        return True
+
+
+class Worker(RawServer):
+    """A plain or model worker. fault(worker, request, conn) may answer in its own
+    way: it returns None to leave it to the worker, else what handle() returns."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, service, zone, events=0, slots=6):
+        self.id = "i-%010x" % next(self.ids)
+        self.service, self.zone, self.slots = service, zone, slots
+        self.events = events  # of a stream; 0: plain
+        self.gap_s = 0.0
+        self.fault = None
+        self.seen = []
+        self.runs = collections.Counter()
+        self.left = []  # requests whose connection closed while they ran
+        super().__init__()
+
+    def spec(self, state="ready", spot=False):
+        return {"service": self.service, "address": self.addr, "zone": self.zone,
+                "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0,
+                "spot": spot, "seqNo": 1}
+
+    def handle(self, req, conn):
+        self.seen.append(req)
+        if req.get("Rillknot-Expect-Instance", self.id) != self.id:
+            conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nRillknot-Instance-Id: %s\r\n"
+                         b"Content-Length: 0\r\n\r\n" % self.id.encode())
+            return True
+        if self.fault:
+            result = self.fault(self, req, conn)
+            if result is not None:
+                return result
+        return self.run(req, conn)
+
+    def signature(self, req):
+        return "%s.%s" % (self.id, req.get("Rillknot-Attempt-Id"))
+
+    def head(self, req, status=200, framing=b"", extra=b""):
+        return (b"HTTP/1.1 %d %s\r\nRillknot-Attempt-Id: %s\r\n"
+                b"Rillknot-Server-Signature: %s\r\n%s%s\r\n"
+                % (status, REASONS.get(status, "X").encode(),
+                   req.get("Rillknot-Attempt-Id").encode(),
+                   self.signature(req).encode(), framing, extra))
+
+    def shed(self, req, conn):
+        conn.sendall(b"HTTP/1.1 503 Service Unavailable\r\nRillknot-Not-Executed: 1\r\n"
+                     b"Rillknot-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                     % req.get("Rillknot-Attempt-Id").encode())
+        return True
+
+    def body(self, req):
+        return b"answer of %s to %s" % (self.id.encode(),
+                                        req.get("Rillknot-Attempt-Id").encode())
+
+    def run(self, req, conn):
+        self.runs[req.get("Rillknot-Attempt-Id")] += 1
+        if self.events:
+            return self.stream(req, conn, self.events)
+        body = self.body(req)
+        conn.sendall(self.head(req, framing=b"Content-Length: %d\r\n" % len(body)) + body)
+        return True
+
+    @staticmethod
+    def event(req, number):
+        return b"id: %d\ndata: %s token %d\n\n" % (
+            number, req.get("Rillknot-Attempt-Id").encode(), number)
+
+    def stream(self, req, conn, upto, end=True):
+        """Events after Last-Event-Id up to `upto`, in chunks."""
+        conn.sendall(self.head(req, framing=b"Transfer-Encoding: chunked\r\n",
+                               extra=b"Content-Type: text/event-stream\r\n"))
+        for number in range(int(req.get("Last-Event-Id", 0)) + 1, upto + 1):
+            if self.gap_s:
+                time.sleep(self.gap_s)
+            data = self.event(req, number)
+            try:
+                conn.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            except OSError:
+                self.left.append((req.get("Rillknot-Attempt-Id"), time.monotonic()))
+                raise
+        if end:
+            conn.sendall(b"0\r\n\r\n")
+        return True
+
+
+def render(text, fields):
+    """The platform's template language, as far as deploy/entry.json uses it."""
+    def look(name):
+        value = fields
+        for part in name.split("."):
+            value = value[int(part)] if isinstance(value, list) else value[part]
+        return value
+
+    def each(match):
+        items = look(match.group(1))
+        out = []
+        for i, item in enumerate(items):
+            s = match.group(2).replace("{{.}}", str(item))
+            out.append(s.replace("{{,}}", "," if i + 1 < len(items) else ""))
+        return "".join(out)
+
+    def one(match):
+        value = look(match.group(1))
+        return json.dumps(value) if isinstance(value, bool) else str(value)
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", each, text, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", one, text)
+
+
+BOUNDS = {"graceS": 8, "leaseMs": 1200, "reportWindowS": 1, "usageLateS": 4,
+          "quotaWindowS": 4, "quotaSlack": 0, "budgetExtra": 40, "retryBudgetRatio": 0.2}
+
+
+class Answer:
+    def __init__(self, status, headers, body, whole):
+        self.status, self.headers, self.body, self.whole = status, headers, body, whole
+        self.took_s = 0.0
+
+
+class Hosted:
+    """A deployment: store, cloud, workers, nodes. Use as a context manager."""
+
+    def __init__(self, nodes=1, zones=("klein-hall",), build=None, bounds=None):
+        self.build = build or os.environ.get("RILLKNOT_BUILD", "build")
+        self.zones = list(zones)
+        self.bounds = dict(BOUNDS, **(bounds or {}))
+        self.store, self.cloud = Store(), Cloud()
+        self.dir = tempfile.mkdtemp(prefix="rillknot-hosted-")
+        self.workers, self.nodes = [], []
+        self.version = 0
+        self.ids = itertools.count(1)
+        self.first_nodes = nodes
+
+    def __enter__(self):
+        for _ in range(self.first_nodes):
+            self.add_node()
+        return self
+
+    def __exit__(self, *_):
+        for node in self.nodes:
+            if node.popen.poll() is None:
+                node.kill()
+        for server in [self.store, self.cloud] + self.workers:
+            try:
+                server.close()
+            except OSError:
+                pass
+
+    # ---- parts ----
+
+    def add_node(self, first_start=True):
+        number = len(self.nodes) + 1
+        zone = self.zones[(number - 1) % len(self.zones)]
+        any_port = "127.0.0.1:0"
+        fields = {"nodeName": "edge-%s-%d" % (zone, number), "zone": zone,
+                  "ip": "127.0.0.1", "portRange": [0, 0],
+                  "platform": {"address": self.store.addr},
+                  "cloud": {"address": self.cloud.addr},
+                  "listen": {"front": any_port, "readiness": any_port, "control": any_port},
+                  "seeds": [n.ready["control"] for n in self.nodes[:3]],
+                  "bootstrap": first_start, "bounds": self.bounds}
+        path = os.path.join(self.dir, "%s.json" % fields["nodeName"])
+        with open(TEMPLATE) as f, open(path, "w") as out:
+            out.write(render(f.read(), fields))
+        node = Proc([os.path.join(self.build, "rillknot-node"), path], path + ".log",
+                    "node.started")
+        node.name, node.file = fields["nodeName"], path
+        self.nodes.append(node)
+        return node
+
+    def add_worker(self, service, events=0, zone=None, spot=False, **kw):
+        worker = Worker(service, zone or self.zones[0], events, **kw)
+        worker.spot = spot
+        self.workers.append(worker)
+        self.store.put("servers", worker.id, worker.spec(spot=spot))
+        return worker
+
+    def drain(self, worker):
+        self.store.put("servers", worker.id, worker.spec("draining", worker.spot))
+
+    @staticmethod
+    def route(name, service, kind="idempotent", **kw):
+        r = {"name": name, "host": "api.example", "pathPrefix": "/%s/" % name,
+             "routeType": kind, "timeoutMs": 3000, "sloMs": 500, "priority": 1,
+             "service": service, "maxAttempts": 2, "anonymous": False, "sticky": False,
+             "resumable": False}
+        r.update(kw)
+        return r
+
+    def configure(self, routes, services=("plain",), tenants=None, wait=True, **kw):
+        """Write the next version; wait until all nodes have it."""
+        self.version += 3
+        spec = {"version": self.version, "routes": routes,
+                "services": [s if isinstance(s, dict) else
+                             {"name": s, "healthPath": "/healthz", "maxConns": 200,
+                              "protocol": "h1", "tls": False} for s in services],
+                "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                           "headerTimeoutMs": 1500, "idleTimeoutMs": 6000},
+                "tenants": tenants if tenants is not None else
+                [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                  "plainTokens": 1, "ratePerS": 0, "burst": 0}]}
+        spec.update(kw)
+        self.store.put("config", "main", spec)
+        if wait:
+            self.wait_version(spec["version"])
+        return spec["version"]
+
+    def wait_version(self, version, nodes=None, timeout=20):
+        wait_until(lambda: all(self.gauge(n, "settings_version") >= version
+                               for n in nodes or self.nodes), timeout)
+
+    def wait_ready(self, timeout=20):
+        wait_until(lambda: all(self.ready(n) for n in self.nodes), timeout)
+
+    # ---- asking nodes ----
+
+    @staticmethod
+    def port(addr):
+        return int(addr.rsplit(":", 1)[1])
+
+    def page(self, addr, path):
+        return http(self.port(addr), "GET", path)
+
+    def ready(self, node):
+        return self.page(node.ready["ready"], "/api/readyz").status == 200
+
+    def metrics(self, node):
+        return self.page(node.ready["metrics"], "/metrics").body.decode()
+
+    def gauge(self, node, name):
+        found = re.search(r"^rillknot_%s (-?\d+)$" % name, self.metrics(node), re.M)
+        return int(found.group(1)) if found else 0
+
+    def call(self, target, node=0, method="POST", body=b"hello", key="key-1", ident=None,
+             deadline=2000, headers=(), host="api.example", timeout=20):
+        ident = ident or "%016x" % next(self.ids)
+        fields = [("Host", host), ("Rillknot-Attempt-Id", ident),
+                  ("Rillknot-Deadline-Ms", str(deadline))]
+        if key:
+            fields.append(("X-Api-Key", key))
+        answer = http(self.port(self.nodes[node].ready["listen"]), method, target,
+                      fields + list(headers), body, timeout)
+        answer.ident = ident
+        return answer
+
+    def connect(self, node=0):
+        s = socket.create_connection(
+            ("127.0.0.1", self.port(self.nodes[node].ready["listen"])))
+        s.settimeout(20)
+        return s
+
+    def runs(self, ident):
+        return sum(w.runs[ident] for w in self.workers)
+
+
+def http(port, method, target, headers=(("Host", "x"),), body=b"", timeout=20):
+    """One request on a connection of its own; says whether the answer was whole."""
+    start = time.monotonic()
+    s = socket.create_connection(("127.0.0.1", port), timeout)
+    s.settimeout(timeout)
+    lines = ["%s %s HTTP/1.1" % (method, target)] + ["%s: %s" % h for h in headers]
+    if body or method in ("POST", "PUT"):
+        lines.append("Content-Length: %d" % len(body))
+    try:
+        s.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        answer = read_answer(s, method)
+    except OSError:
+        answer = Answer(0, {}, b"", False)
+    s.close()
+    answer.took_s = time.monotonic() - start
+    return answer
+
+
+def read_answer(s, method="GET", rest=None):
+    """rest: a list that keeps bytes behind the answer for the next call."""
+    buf = rest.pop() if rest else b""
+    try:
+        while b"\r\n\r\n" not in buf:
+            part = s.recv(65536)
+            if not part:
+                return Answer(0, {}, buf, False)
+            buf += part
+        head, buf = buf.split(b"\r\n\r\n", 1)
+        lines = head.decode("latin-1").split("\r\n")
+        status = int(lines[0].split(" ")[1])
+        headers = dict((k.lower(), v.strip()) for k, v in
+                       (x.split(":", 1) for x in lines[1:]))
+        body, buf, whole = read_body(s, headers, buf, method)
+    except OSError:
+        return Answer(0, {}, buf, False)
+    if rest is not None:
+        rest.append(buf)
+    return Answer(status, headers, body, whole)
+
+
+def read_body(s, headers, buf, method):
+    def more():
+        nonlocal buf
+        try:
+            part = s.recv(65536)
+        except OSError:
+            return None
+        buf += part
+        return part
+
+    if method == "HEAD":
+        return b"", buf, True
+    if "content-length" in headers:
+        length = int(headers["content-length"])
+        while len(buf) < length:
+            if not more():
+                return buf, b"", False
+        return buf[:length], buf[length:], True
+    if "chunked" not in headers.get("transfer-encoding", ""):
+        while True:
+            part = more()
+            if not part:
+                return buf, b"", part is not None
+    body = b""
+    while True:
+        while b"\r\n" not in buf:
+            if not more():
+                return body, b"", False
+        size, buf = buf.split(b"\r\n", 1)
+        size = int(size, 16)
+        while len(buf) < size + 2:
+            if not more():
+                return body + buf, b"", False
+        body, buf = body + buf[:size], buf[size + 2:]
+        if not size:
+            return body, buf, True
+
+
+def wait_until(condition, timeout=20, step=0.02):
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(step)
+    raise AssertionError("not in %s s: %s" % (timeout, condition))
