--- a/callers/server.c
+++ b/callers/server.c
@@ -46,8 +46,6 @@
     bool close;   /* the connection ends with the answer */
     bool unframed;
     int refuse; /* status to refuse the request with; 0: none */
-    int entered;
-    bool freed;
 };
 
 struct rk_server {
@@ -66,34 +64,36 @@
 
 /* ---- life of a client ---- */
 
-static void free_client(struct rk_client *c)
+static void free_client(void *ctx)
 {
-    if (!c->freed) {
-        c->freed = true;
-        *c->prev = c->next;
-        if (c->next)
-            c->next->prev = c->prev;
-        c->s->clients_len--;
-        rk_timer_stop(c->s->loop, &c->timer);
-    }
-    if (c->entered)
-        return;
+    struct rk_client *c = ctx;
     rk_http1_free(&c->reader);
     rk_buf_free(&c->body);
     rk_buf_free(&c->rest);
     free(c);
 }
 
+/* Its functions may be on the stack: memory goes when they have returned. */
+static void release_client(struct rk_client *c)
+{
+    *c->prev = c->next;
+    if (c->next)
+        c->next->prev = c->prev;
+    c->s->clients_len--;
+    c->timer.fn = free_client;
+    rk_timer_start(c->s->loop, &c->timer, 0);
+}
+
 static void close_client(struct rk_client *c)
 {
     rk_conn_close(c->conn);
-    free_client(c);
+    release_client(c);
 }
 
 static void abort_client(struct rk_client *c)
 {
     rk_conn_abort(c->conn);
-    free_client(c);
+    release_client(c);
 }
 
 static void wait_for_request(struct rk_client *c)
@@ -182,12 +182,8 @@
         return;
     struct rk_buf rest = c->rest;
     c->rest = (struct rk_buf){0};
-    c->entered++;
     feed(c, rest.data, rest.len);
-    c->entered--;
     rk_buf_free(&rest);
-    if (c->freed)
-        free_client(c);
 }
 
 void rk_client_end(struct rk_client *c)
@@ -320,11 +316,7 @@
         keep_rest(c, data, len);
         return;
     }
-    c->entered++;
     feed(c, data, len);
-    c->entered--;
-    if (c->freed)
-        free_client(c);
 }
 
 static void gone(struct rk_client *c)
@@ -426,7 +418,7 @@
     struct rk_server *s = rk_alloc(1, sizeof(*s));
     *s = (struct rk_server){
         .loop = loop, .fd = fd, .limits = *limits, .ops = ops, .ctx = ctx};
-    struct sockaddr_in sin;
+    struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
     char ip[INET_ADDRSTRLEN];
--- a/common/conn.c
+++ b/common/conn.c
@@ -28,14 +28,21 @@
     bool lingering; /* ended in order; only flushes and waits */
     bool fin_sent;
     bool has_sent;
-    bool dead;
-    int entered; /* depth of event handling: freed when it is left */
+    bool dead; /* freed in the loop's next turn */
     uint32_t watched;
     struct rk_buf out;
     size_t out_pos;
     struct rk_timer timer; /* of the connect, or of lingering */
 };
 
+static void free_conn(void *ctx)
+{
+    struct rk_conn *c = ctx;
+    rk_buf_free(&c->out);
+    free(c);
+}
+
+/* Its functions may be on the stack: memory goes when they have returned. */
 static void release(struct rk_conn *c)
 {
     if (c->fd >= 0) {
@@ -43,24 +50,9 @@
         close(c->fd);
         c->fd = -1;
     }
-    rk_timer_stop(c->loop, &c->timer);
     c->dead = true;
-    if (c->entered)
-        return;
-    rk_buf_free(&c->out);
-    free(c);
-}
-
-static void enter(struct rk_conn *c)
-{
-    c->entered++;
-}
-
-static void leave(struct rk_conn *c)
-{
-    c->entered--;
-    if (c->dead && !c->entered)
-        release(c);
+    c->timer.fn = free_conn;
+    rk_timer_start(c->loop, &c->timer, 0);
 }
 
 static void on_event(void *ctx, int fd, uint32_t events);
@@ -165,10 +157,8 @@
 {
     (void)fd;
     struct rk_conn *c = ctx;
-    enter(c);
     if (c->connecting) {
         finish_connect(c);
-        leave(c);
         return;
     }
     if (events & EPOLLOUT) {
@@ -182,18 +172,15 @@
         take(c);
     else if (!c->dead && c->ops && c->paused && (events & EPOLLRDHUP))
         end(c, 0);
-    leave(c);
 }
 
 static void on_timer(void *ctx)
 {
     struct rk_conn *c = ctx;
-    enter(c);
     if (c->lingering)
         release(c);
     else
         end(c, ETIMEDOUT);
-    leave(c);
 }
 
 static struct rk_conn *create(struct rk_loop *loop, int fd,
@@ -251,9 +238,7 @@
     rk_buf_add(&c->out, data, len);
     if (c->connecting)
         return;
-    enter(c);
     flush(c);
-    leave(c);
 }
 
 size_t rk_conn_unsent(const struct rk_conn *c)
@@ -306,9 +291,7 @@
     c->lingering = true;
     rk_conn_pause(c, false);
     rk_timer_start(c->loop, &c->timer, LINGER_MS);
-    enter(c);
     flush(c);
-    leave(c);
 }
 
 void rk_conn_abort(struct rk_conn *c)
--- a/core/quota.h
+++ b/core/quota.h
@@ -10,11 +10,10 @@
 
 #include "common/util.h"
 
-#define RK_QUOTA_BUCKETS 33 /* one more than make the window: the oldest is part   \
-                             */
+#define RK_QUOTA_BUCKETS   33 /* one more than a window: the oldest is part */
 #define RK_QUOTA_ORGS      64
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
-#define RK_UNKNOWN_NODES   8 /* taken to exist while a node knows no list of them */
+#define RK_UNKNOWN_NODES   8    /* taken to exist until a list of them is known */
 
 /* One organisation's use. */
 struct rk_quota_org {
--- a/node/orders.c
+++ b/node/orders.c
@@ -11,12 +11,11 @@
 
 #define SERVICES       8
 #define DEMAND_MS      3000 /* over which demand is measured */
-#define ORDER_AGAIN_MS 3000 /* on top of a vm's boot, before an order is repeated  \
-                             */
-#define REFUSED_MS 3000     /* after "none to be had": asked again then */
-#define SHORT_MS   6000     /* after it: on-demand vms may stand in */
-#define SHRINK_MS  4000     /* between on-demand vms that are given up */
-#define SETTLE_MS  2000     /* a holder looks at the list for so long first */
+#define ORDER_AGAIN_MS 3000 /* past a vm's boot: the order is repeated */
+#define REFUSED_MS     3000 /* after "none to be had": asked again then */
+#define SHORT_MS       6000 /* after it: on-demand vms may stand in */
+#define SHRINK_MS      4000 /* between on-demand vms that are given up */
+#define SETTLE_MS      2000 /* a holder looks at the list for so long first */
 
 /* An order of one kind in one domain. */
 struct order {
--- a/node/sync.c
+++ b/node/sync.c
@@ -101,11 +101,17 @@
     return NULL;
 }
 
-static void remove_entry(struct rk_sync *s, struct entry *e)
+static void free_entry(struct entry *e)
 {
     free(e->name);
     free(e->text);
-    *e = s->entries[--s->entries_len];
+}
+
+static void remove_entry(struct rk_sync *s, struct entry *e)
+{
+    struct entry last = s->entries[--s->entries_len];
+    free_entry(e);
+    *e = last;
 }
 
 static struct entry *add_entry(struct rk_sync *s, const char *name)
@@ -127,6 +133,14 @@
              RK_N("leaving", row->leaving), RK_N("reclaimable", row->reclaimable));
 }
 
+static bool same_row(const struct rk_vm_row *a, const struct rk_vm_row *b)
+{
+    return !strcmp(a->addr, b->addr) && !strcmp(a->service, b->service) &&
+           !strcmp(a->domain, b->domain) && a->slots == b->slots &&
+           a->leaving == b->leaving && a->reclaimable == b->reclaimable &&
+           a->leaves_in_ms == b->leaves_in_ms;
+}
+
 /* Returns true if traffic has to know. */
 static bool set_entry(struct rk_sync *s, const char *name, int64_t revision,
                       struct json_object *spec, const char *from)
@@ -140,7 +154,7 @@
     bool was_leaving = e && e->row.leaving;
     if (!e)
         e = add_entry(s, name);
-    bool changed = memcmp(&e->row, &row, sizeof(row)) != 0;
+    bool changed = !same_row(&e->row, &row);
     row.leaving = row.leaving || was_leaving;
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
@@ -365,8 +379,8 @@
 {
     rk_timer_stop(s->n->loop, &s->settings.retry);
     rk_timer_stop(s->n->loop, &s->vms.retry);
-    while (s->entries_len)
-        remove_entry(s, &s->entries[0]);
+    for (size_t i = 0; i < s->entries_len; i++)
+        free_entry(&s->entries[i]);
     free(s->entries);
     free(s->rows);
     free(s->row_ptrs);
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -26,8 +26,8 @@
     bool reusable;
     bool skipping; /* an answer that is not the call's */
     bool gone;     /* its connection is over */
-    int entered;
-    bool freed;
+    bool dropped;  /* freed in the loop's next turn */
+    struct rk_timer timer;
 };
 
 struct pool {
@@ -66,26 +66,25 @@
     l->prev = NULL;
 }
 
-static void free_link(struct link *l)
+static void free_link(void *ctx)
 {
-    if (!l->freed) {
-        l->freed = true;
-        unlink_idle(l);
-        l->pool->open--;
-    }
-    if (l->entered)
-        return;
+    struct link *l = ctx;
     rk_http1_free(&l->reader);
     free(l);
 }
 
-/* Abort: what is in flight is nobody's any more. */
+/* Abort: what is in flight is nobody's any more. Its functions may be on the
+ * stack: memory goes when they have returned. */
 static void drop_link(struct link *l)
 {
-    if (l->freed)
+    if (l->dropped)
         return;
+    l->dropped = true;
     rk_conn_abort(l->conn);
-    free_link(l);
+    unlink_idle(l);
+    l->pool->open--;
+    l->timer = (struct rk_timer){.fn = free_link, .ctx = l};
+    rk_timer_start(l->pool->u->loop, &l->timer, 0);
 }
 
 static void fail_call(struct link *l, int error, const char *what)
@@ -134,7 +133,7 @@
     if (!call)
         return true; /* cancelled in this very block */
     l->skipping = call->ops->on_head(call->ctx, head) == RK_HEAD_SKIP;
-    if (l->freed || !l->call)
+    if (l->dropped || !l->call)
         return true;
     l->reusable = l->reusable && head->keep_alive && !l->skipping;
     l->keep_ms = keep_alive_ms(head);
@@ -180,9 +179,9 @@
 /* Messages in the bytes, until the call's own is whole. */
 static void feed(struct link *l, const char *data, size_t len)
 {
-    while (len && l->call && !l->freed) {
+    while (len && l->call && !l->dropped) {
         size_t n = rk_http1_feed(&l->reader, data, len);
-        if (l->freed || !l->call)
+        if (l->dropped || !l->call)
             return;
         if (l->reader.failed) {
             fail_call(l, 0, "the answer is no HTTP");
@@ -208,11 +207,7 @@
         drop_link(l); /* bytes that no call asked for */
         return;
     }
-    l->entered++;
     feed(l, data, len);
-    l->entered--;
-    if (l->freed)
-        free_link(l);
 }
 
 static void on_eof(void *ctx)
@@ -222,18 +217,14 @@
         drop_link(l);
         return;
     }
-    l->entered++;
     l->gone = true;
     rk_http1_eof(&l->reader);
-    if (!l->freed && l->call) {
+    if (!l->dropped && l->call) {
         if (l->reader.ended && !l->skipping)
             finish_call(l, false);
         else
             fail_call(l, 0, "the vm closed before its answer was whole");
     }
-    l->entered--;
-    if (l->freed)
-        free_link(l);
 }
 
 static void on_error(void *ctx, int error)
