holding, relay: two reclaimable vms a domain; what would come too late is refused

Change: two reclaimable vms a domain (each costs a fifth); a third of an engine's reading is planned with instead of 0.4; reclaimable vms that can't be had take no room; a first attempt whose predicted first byte lies past its target (1.5 targets for the most urgent rank) is refused at once with the time to come back.

--- a/core/holding.c
+++ b/core/holding.c
@@ -5,10 +5,10 @@
 #include <string.h>
 
 #define READ_PER_S      30000.0 /* prompt tokens that one engine reads */
-#define READ_SHARE      0.4     /* of that, planned with: calls come in clumps */
+#define READ_SHARE      0.33    /* of that, planned with: calls come in clumps */
 #define RUNNING_SHARE   0.35    /* of its slots */
 #define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
-#define RECLAIMABLE_MIN 1       /* a domain, where that kind is cheaper */
+#define RECLAIMABLE_MIN 2       /* a domain, where that kind is cheaper */
 #define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
 
 double rk_holding_need(double read_per_s, double running, double slots)
@@ -24,10 +24,15 @@
     return now > left ? now : left;
 }
 
+/* How many more the platform lets a domain have. Reclaimable vms that can't be had
+ * take no room. */
 static int room(const struct rk_holding_input *in,
-                const struct rk_holding_target *t)
+                const struct rk_holding_target *targets, size_t i)
 {
-    return in->max_vms - t->on_demand - t->reclaimable;
+    int reclaimable = targets[i].reclaimable;
+    if (in->refused && reclaimable > in->domains[i].reclaimable)
+        reclaimable = in->domains[i].reclaimable;
+    return in->max_vms - targets[i].on_demand - reclaimable;
 }
 
 /* The domain for one more reclaimable vm: the fewest, then the cheapest. */
@@ -36,7 +41,7 @@
 {
     int best = -1;
     for (size_t i = 0; i < in->domains_len; i++) {
-        if (room(in, &targets[i]) <= 0)
+        if (targets[i].on_demand + targets[i].reclaimable >= in->max_vms)
             continue;
         if (best < 0 || targets[i].reclaimable < targets[best].reclaimable ||
             (targets[i].reclaimable == targets[best].reclaimable &&
@@ -55,7 +60,7 @@
     bool best_held = false;
     for (size_t i = 0; i < in->domains_len; i++) {
         bool held = targets[i].on_demand < in->domains[i].on_demand;
-        if (room(in, &targets[i]) <= 0 && !held)
+        if (room(in, targets, i) <= 0 && !held)
             continue;
         if (best < 0 || held > best_held ||
             (held == best_held && in->domains[i].price < in->domains[best].price)) {
@@ -102,7 +107,10 @@
     memset(targets, 0, RK_HOLDING_DOMAINS * sizeof(*targets));
     for (size_t i = 0; i < in->domains_len; i++) {
         targets[i].on_demand = in->min_vms > 1 ? in->min_vms : 1;
-        targets[i].reclaimable = cheaper ? RECLAIMABLE_MIN : 0;
+        int left = in->max_vms - targets[i].on_demand;
+        if (cheaper)
+            targets[i].reclaimable =
+                left < RECLAIMABLE_MIN ? left : RECLAIMABLE_MIN;
         floor += targets[i].on_demand;
     }
     for (int at; cheaper && planned(in, targets) < total;) {
--- a/core/place.c
+++ b/core/place.c
@@ -250,21 +250,22 @@
         q->engine && q->parts_len ? first_choice(p, q, service_hash) : NULL;
     struct rk_place_vm *best = NULL;
     double best_ms = INFINITY;
+    *first_ms = 0;
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!can_take(q, service_hash, v))
             continue;
-        double ms =
+        double work_ms =
             q->engine ? engine_ms(p, q, v, v == first, now_ms) : plain_ms(v);
-        ms += trouble_ms(v, now_ms);
+        double ms = work_ms + trouble_ms(v, now_ms);
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += OTHER_DOMAIN_MS;
         ms += rk_rng_below(&p->rng, JITTER_MS);
         if (ms < best_ms) {
             best_ms = ms;
+            *first_ms = work_ms;
             best = v;
         }
     }
-    *first_ms = best_ms;
     return best;
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -80,7 +80,7 @@
 void rk_place_parse_parts(struct rk_place_query *q, const char *text);
 
 /* The best vm, or NULL when none can take the call. *first_ms: predicted time to
- * the first byte. */
+ * the first byte, as far as what is in hand there decides it. */
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
                                     const struct rk_place_query *q, int64_t now_ms,
                                     double *first_ms);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -28,6 +28,9 @@
 #define RETRY_AFTER_MS    300 /* told with a refusal when nothing better is known */
 #define MAX_CHOICES       4   /* vms tried that could not even be connected to */
 #define MAX_CONNS_DEFAULT 64
+#define URGENT_RANK       0
+#define LATE_URGENT       1.5 /* times its target, a predicted first byte may come */
+#define LATE_OTHERS       1.0
 #define LOGGED_ONE_IN     16 /* of calls that ended well */
 #define STOP_TAKES_MS                                                              \
     2700 /* after a stop began, calls of any length are taken:                     \
@@ -586,6 +589,17 @@
                           : SILENT_PLAIN_MS);
 }
 
+/* Would a first attempt get its first byte so late that the answer is worth little?
+ * Then others are served better without it, and its caller may come back. */
+static bool comes_too_late(const struct rk_relay_call *x, double first_ms)
+{
+    double target_ms = (double)x->route->target_ms;
+    if (!x->query.engine || x->attempts || x->begun || target_ms <= 0)
+        return false;
+    double slack = rank(x) <= URGENT_RANK ? LATE_URGENT : LATE_OTHERS;
+    return first_ms > target_ms * slack;
+}
+
 static void send_to_vm(struct rk_relay_call *x)
 {
     double first_ms;
@@ -594,6 +608,12 @@
         x->vm = rk_place_choose(x->r->place, &x->query, now_ms, &first_ms);
         if (!x->vm)
             break;
+        if (comes_too_late(x, first_ms)) {
+            x->vm = NULL;
+            give_up(x, HTTP_REFUSED, (int64_t)first_ms - x->route->target_ms / 2,
+                    "its first byte would come too late");
+            return;
+        }
         x->unread_tokens = rk_place_sent(x->r->place, x->vm, &x->query, now_ms);
         x->sent_wall_ms = rk_wall_ms();
         x->counted = false;
