log, metrics: a reader that sleeps costs lines, not time; latency histograms

Cause: an event line was written to standard output where it arose; a full pipe held up the thread that answers calls. Change: lines go through a ring of 64 KiB that is written as far as poll() says, dropped lines are counted and told. First byte and whole time by service and outcome as Prometheus histograms; the page is read by the well-known client library's parser in the test.

--- a/common/counters.h
+++ b/common/counters.h
@@ -31,7 +31,12 @@
     X(OBJECT_WRITES, "object_writes_total", "Writes at the object API")            \
     X(PEER_BYTES, "peer_bytes_sent_total", "Control bytes sent to peers")          \
     X(GOSSIP_ROUNDS, "gossip_rounds_total", "Gossip exchanges begun")              \
-    X(EXPIRED, "expired_total", "Calls whose deadline passed")
+    X(EXPIRED, "expired_total", "Calls whose deadline passed")                     \
+    X(QUOTA_REFUSED, "quota_refused_total",                                        \
+      "Calls beyond an organisation's quota")                                      \
+    X(LATE_REFUSED, "late_refused_total",                                          \
+      "Calls refused because their first byte would come too late")                \
+    X(LOG_DROPPED, "log_lines_dropped_total", "Log lines nobody read in time")
 
 enum rk_counter {
 #define RK_COUNTER_ENUM(id, name, help) RK_C_##id,
--- a/common/eventlog.c
+++ b/common/eventlog.c
@@ -2,11 +2,27 @@
 
 #include <inttypes.h>
 #include <log4c.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
+#include "common/counters.h"
 #include "common/util.h"
 
-#define LINE_MAX_BYTES 4096
+#define LINE_MAX_BYTES 4000
+#define RING_BYTES     (64 * 1024)
+#define WRITE_BYTES    4096 /* a writable pipe takes so much without waiting */
+
+/* Lines that standard output hasn't taken yet. A full ring costs lines, not time;
+ * how many is told in a line of its own. */
+static struct {
+    pthread_mutex_t lock;
+    char bytes[RING_BYTES];
+    size_t start, len;
+    uint64_t dropped;
+} ring = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 static log4c_category_t *category;
 static char process_name[RK_ID_MAX];
@@ -37,12 +53,65 @@
     .format = json_line_format,
 };
 
+/* ---- the ring ---- */
+
+static bool ring_add(const char *line, size_t len)
+{
+    if (ring.len + len > RING_BYTES)
+        return false;
+    for (size_t i = 0; i < len; i++)
+        ring.bytes[(ring.start + ring.len + i) % RING_BYTES] = line[i];
+    ring.len += len;
+    return true;
+}
+
+/* Write what can be written without waiting. */
+static void ring_drain(void)
+{
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    while (ring.len && poll(&out, 1, 0) == 1 && (out.revents & POLLOUT)) {
+        size_t n = RING_BYTES - ring.start;
+        n = n < ring.len ? n : ring.len;
+        n = n < WRITE_BYTES ? n : WRITE_BYTES;
+        ssize_t written = write(STDOUT_FILENO, ring.bytes + ring.start, n);
+        if (written <= 0)
+            return;
+        ring.start = (ring.start + (size_t)written) % RING_BYTES;
+        ring.len -= (size_t)written;
+    }
+}
+
+static void tell_dropped(void)
+{
+    char line[LINE_MAX_BYTES];
+    int len = snprintf(line, sizeof(line),
+                       "{\"wall_ms\":%" PRId64 ",\"mono_us\":%" PRId64
+                       ",\"level\":\"warn\",\"process\":\"%s\""
+                       ",\"failure_domain\":\"%s\",\"event\":\"log.dropped\""
+                       ",\"lines\":%" PRIu64 "}\n",
+                       rk_wall_ms(), rk_mono_us(), process_name, domain_name,
+                       ring.dropped);
+    if (ring_add(line, (size_t)len))
+        ring.dropped = 0;
+}
+
 /* Only the rendered line: log4c's own stream appender adds a prefix. */
 static int write_line(log4c_appender_t *appender,
                       const log4c_logging_event_t *event)
 {
     (void)appender;
-    return fputs(event->evt_rendered_msg, stdout);
+    const char *line = event->evt_rendered_msg;
+    pthread_mutex_lock(&ring.lock);
+    ring_drain();
+    if (ring.dropped)
+        tell_dropped();
+    if (ring.dropped || !ring_add(line, strlen(line))) {
+        ring.dropped++;
+        rk_count(RK_C_LOG_DROPPED, 1);
+    }
+    ring_drain();
+    pthread_mutex_unlock(&ring.lock);
+    return 0;
 }
 
 static const log4c_appender_type_t stdout_appender = {
@@ -54,7 +123,6 @@
 {
     rk_strcpy(process_name, sizeof(process_name), process);
     rk_strcpy(domain_name, sizeof(domain_name), domain);
-    setvbuf(stdout, NULL, _IOLBF, 0);
     log4c_init();
     log4c_layout_type_set(&json_line_layout);
     log4c_layout_t *layout = log4c_layout_get("rillknot");
@@ -74,8 +142,16 @@
     log4c_category_set_priority(category, levels[min].priority);
 }
 
+void rk_log_flush(void)
+{
+    pthread_mutex_lock(&ring.lock);
+    ring_drain();
+    pthread_mutex_unlock(&ring.lock);
+}
+
 void rk_log_shutdown(void)
 {
+    rk_log_flush();
     category = NULL;
     log4c_fini();
 }
--- a/common/eventlog.h
+++ b/common/eventlog.h
@@ -1,5 +1,6 @@
-/* Event log: one JSON object a line through log4c, on standard output. The
- * time line is drawn from these lines, so each carries both clocks, the
+/* Event log: one JSON object a line through log4c, on standard output, by way of a
+ * ring: a reader that is slow or gone costs lines, never time. The time line is
+ * drawn from these lines, so each carries both clocks, the
  * process, its failure domain and the event's fields by name. */
 #ifndef RK_COMMON_EVENTLOG_H
 #define RK_COMMON_EVENTLOG_H
@@ -21,6 +22,9 @@
 /* Once, before any thread starts. process and domain are copied. */
 void rk_log_init(const char *process, const char *domain, enum rk_log_level min);
 void rk_log_shutdown(void);
+
+/* Write what is kept and can be written without waiting. Any thread. */
+void rk_log_flush(void);
 void rk_log_set_level(enum rk_log_level min);
 
 /* Any thread. fields may be NULL when count is 0. */
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -607,6 +607,7 @@
     struct rk_mesh *m = ctx;
     int64_t now_ms = rk_mono_ms();
     rk_timer_start(m->n->loop, &m->tick, REPORT_MS);
+    rk_log_flush();
     review_members(m, now_ms);
     dial_members(m, now_ms);
     tell_all(m);
--- a/node/node.c
+++ b/node/node.c
@@ -12,6 +12,7 @@
 #include "common/eventlog.h"
 #include "common/http.h"
 #include "common/http1.h"
+#include "common/latency.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -76,6 +77,7 @@
     }
     struct rk_buf b = {0};
     rk_counters_render(&b);
+    rk_latency_render(&b);
     render_gauges(n, &b);
     rk_client_answer(client, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                      b.data, b.len);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -10,6 +10,7 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/latency.h"
 #include "services/upstream.h"
 
 #define REQUEST_ID_MAX    96
@@ -141,6 +142,16 @@
              RK_N("took_ms", rk_mono_ms() - x->started_ms));
 }
 
+/* The call's end in the histograms. */
+static void observe(const struct rk_relay_call *x, const char *outcome)
+{
+    if (x->first_ms >= 0)
+        rk_latency_observe(RK_LATENCY_FIRST, x->query.service, outcome,
+                           x->first_ms);
+    rk_latency_observe(RK_LATENCY_WHOLE, x->query.service, outcome,
+                       rk_mono_ms() - x->started_ms);
+}
+
 static void answer_problem(struct rk_client *client, int status,
                            int64_t retry_after_ms, const char *why)
 {
@@ -163,6 +174,7 @@
     struct rk_client *client = x->client;
     bool begun = x->begun;
     log_end(x, status, why);
+    observe(x, !x->client ? "gone" : x->may_have_run ? "failed" : "refused");
     rk_count(x->may_have_run ? RK_C_REFUSED_MAYBE : RK_C_REFUSED_NOT_RUN, 1);
     if (x->org && !x->ran)
         rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
@@ -189,6 +201,7 @@
     struct rk_client *client = x->client;
     rk_count(RK_C_ANSWERS_OK, 1);
     log_end(x, status, "");
+    observe(x, "served");
     free_call(x);
     if (client)
         rk_client_end(client);
@@ -610,6 +623,7 @@
             break;
         if (comes_too_late(x, first_ms)) {
             x->vm = NULL;
+            rk_count(RK_C_LATE_REFUSED, 1);
             give_up(x, HTTP_REFUSED, (int64_t)first_ms - x->route->target_ms / 2,
                     "its first byte would come too late");
             return;
@@ -796,6 +810,7 @@
     if (org && !rk_quota_admit(&r->quota, org->name, org->rate, org->burst,
                                x->units, x->started_ms, &retry_after_ms)) {
         x->units = 0;
+        rk_count(RK_C_QUOTA_REFUSED, 1);
         give_up(x, HTTP_QUOTA, retry_after_ms,
                 "the organisation's quota is used up");
         return;
@@ -811,6 +826,7 @@
         return; /* it runs on: nobody may learn too late that it was cut off */
     cancel_attempt(x, RK_PLACE_CALLED_OFF);
     log_end(x, 0, "the caller is gone");
+    observe(x, "gone");
     free_call(x);
 }
 
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -1,7 +1,13 @@
 """Calls relayed by a hosted node: bytes untouched, at most once, whole answers,
 streams that go on elsewhere, final answers in time."""
+import json
+import os
+import re
+import subprocess
 import time
 
+from prometheus_client.parser import text_string_to_metric_families
+
 from hosted import Hosted, http, read_answer, reset, wait_until
 
 ANSWER_S = 1.0  # "at once", with room for a busy machine
@@ -381,6 +387,55 @@
         d.call("/r/x")
         text = d.metrics(d.nodes[0])
         assert d.gauge(d.nodes[0], "calls_total") == 1
-        for line in text.splitlines():
-            assert line.startswith("#") or len(line.split(" ")) == 2, line
+        families = {f.name: f for f in text_string_to_metric_families(text)}
+        whole = families["rillknot_whole_ms"]
+        assert whole.type == "histogram"
+        counts = [s.value for s in whole.samples if s.name.endswith("_count")]
+        assert counts == [1.0], counts
+        assert families["rillknot_nodes_known"].type == "gauge"
         assert http(d.port(d.nodes[0].ready["metrics"]), "GET", "/other").status == 404
+
+
+def test_a_reader_of_the_log_that_sleeps_costs_lines_not_time():
+    """Standard output is a pipe that nobody reads."""
+    with plain(workers=1) as d:
+        read_end, write_end = os.pipe()
+        node = subprocess.Popen([os.path.join(d.build, "rillknot-node"), d.nodes[0].file],
+                                stdout=write_end, stderr=subprocess.DEVNULL)
+        os.close(write_end)
+        try:
+            started = json.loads(os.read(read_end, 4096).split(b"\n")[0])
+            port = d.port(started["listen"])
+            wait_until(lambda: http(d.port(started["ready"]), "GET",
+                                    "/api/readyz").status == 200)
+            slowest = 0
+            for n in range(900):
+                a = http(port, "GET", "/nowhere/" + "x" * 200,
+                         [("Host", "api.example"), ("Rillknot-Attempt-Id", "log-%d" % n)])
+                assert a.status == 404
+                slowest = max(slowest, a.took_s)
+            assert slowest < 2
+            page = http(d.port(started["metrics"]), "GET", "/metrics").body.decode()
+            assert re.search(r"^rillknot_log_lines_dropped_total [1-9]", page, re.M)
+            lines = [drain(read_end)]
+
+            def dropped_told():
+                http(port, "GET", "/nowhere/", [("Host", "api.example")])
+                lines.append(drain(read_end))
+                return b'"event":"log.dropped"' in b"".join(lines)
+            wait_until(dropped_told, step=0.1)
+        finally:
+            node.kill()
+            node.wait()
+            os.close(read_end)
+
+
+def drain(fd):
+    os.set_blocking(fd, False)
+    out = b""
+    for _ in range(100):
+        try:
+            out += os.read(fd, 65536)
+        except BlockingIOError:
+            return out
+    return out
--- a/tests/run.py
+++ b/tests/run.py
@@ -16,6 +16,8 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
 sys.path[:0] = [HERE, os.path.join(ROOT, "tools")]
+# Debian's packages, also where another Python stands first in the path.
+sys.path.append("/usr/lib/python3/dist-packages")
 
 SEED = "20261202"
 PARALLEL = 3  # process tests at once: each starts up to a dozen processes
