relay: units are given back only for what provably did not run

Cause: calls that were sent and ended without an answer gave their quota back, though they may have run.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -176,7 +176,7 @@
     log_end(x, status, why);
     observe(x, !x->client ? "gone" : x->may_have_run ? "failed" : "refused");
     rk_count(x->may_have_run ? RK_C_REFUSED_MAYBE : RK_C_REFUSED_NOT_RUN, 1);
-    if (x->org && !x->ran)
+    if (x->org && !x->ran && !x->may_have_run)
         rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
     free_call(x);
     if (!client)
