quota: a peer's memory is taken over once, with the time of each part

With a line for each admission (trial) one node stood out: killed just after a burst, it was told the sum of the last window, spread it evenly, and let it expire while its peers still counted it; from 12 s on it alone admitted.

Now only a peer that was there for a whole window is believed, once.

--- a/core/quota.c
+++ b/core/quota.c
@@ -105,16 +105,41 @@
         q->forgot_ms = 0;
 }
 
-void rk_quota_know(struct rk_quota *q, const char *org, double units,
-                   int64_t now_ms)
+/* The part of the window that a bucket lies in, by its age. */
+static size_t part_of(const struct rk_quota_org *o, size_t index)
+{
+    size_t newest = (size_t)(o->bucket % RK_QUOTA_BUCKETS);
+    size_t age = (newest + RK_QUOTA_BUCKETS - index) % RK_QUOTA_BUCKETS;
+    size_t part = age * RK_QUOTA_PARTS / (RK_QUOTA_BUCKETS - 1);
+    return part < RK_QUOTA_PARTS ? part : RK_QUOTA_PARTS - 1;
+}
+
+void rk_quota_tell(const struct rk_quota *q, struct rk_quota_org *o,
+                   double parts[RK_QUOTA_PARTS], int64_t now_ms)
+{
+    advance(q, o, now_ms);
+    memset(parts, 0, RK_QUOTA_PARTS * sizeof(*parts));
+    for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++)
+        parts[part_of(o, i)] += o->used[i];
+}
+
+void rk_quota_know(struct rk_quota *q, const char *org,
+                   const double parts[RK_QUOTA_PARTS], int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
+    double mine[RK_QUOTA_PARTS];
+    size_t buckets[RK_QUOTA_PARTS] = {0};
     if (!o)
         return;
-    advance(q, o, now_ms);
-    double missing = units - sum(o->used);
-    for (size_t i = 0; missing > 0 && i < RK_QUOTA_BUCKETS; i++)
-        o->used[i] += missing / RK_QUOTA_BUCKETS;
+    rk_quota_tell(q, o, mine, now_ms);
+    for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++)
+        buckets[part_of(o, i)]++;
+    for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++) {
+        size_t part = part_of(o, i);
+        double missing = parts[part] - mine[part];
+        if (missing > 0)
+            o->used[i] += missing / (double)buckets[part];
+    }
 }
 
 void rk_quota_restore(struct rk_quota *q, const char *org, double units,
--- a/core/quota.h
+++ b/core/quota.h
@@ -11,6 +11,7 @@
 #include "common/util.h"
 
 #define RK_QUOTA_BUCKETS   33 /* one more than a window: the oldest is part */
+#define RK_QUOTA_PARTS     8  /* of a window, as nodes tell each other */
 #define RK_QUOTA_ORGS      64
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
 #define RK_UNKNOWN_NODES   8    /* taken to exist until a list of them is known */
@@ -68,10 +69,14 @@
  * organisations. */
 void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms);
 
-/* All nodes used so much of it within the window, by what a peer remembers; when
- * is not told, so it is spread over the window. */
-void rk_quota_know(struct rk_quota *q, const char *org, double units,
-                   int64_t now_ms);
+/* What all nodes used by what a peer remembers, the newest part of the window
+ * first. Kept where it is more than what is known here. */
+void rk_quota_know(struct rk_quota *q, const char *org,
+                   const double parts[RK_QUOTA_PARTS], int64_t now_ms);
+
+/* What is known here, the same way. */
+void rk_quota_tell(const struct rk_quota *q, struct rk_quota_org *o,
+                   double parts[RK_QUOTA_PARTS], int64_t now_ms);
 
 /* All nodes used so much of it within the window before, by what was kept; it was
  * true so long ago. It counts until that moment leaves the window. */
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -187,6 +187,7 @@
     Rillknot__LeaseRow lease;
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
+    uint64_t *known;
     Rillknot__UsageRow *usage, **usage_ptrs;
     Rillknot__ServiceUse *services, **service_ptrs;
     char **peers;
@@ -210,12 +211,16 @@
 static void fill_uses(struct report_parts *p, const struct rk_relay_report *r)
 {
     p->uses = rk_alloc(r->uses_len + 1, sizeof(*p->uses));
+    p->known = rk_alloc(r->uses_len * RK_QUOTA_PARTS + 1, sizeof(*p->known));
     p->use_ptrs = rk_alloc(r->uses_len + 1, sizeof(*p->use_ptrs));
     for (size_t i = 0; i < r->uses_len; i++) {
         rillknot__org_use__init(&p->uses[i]);
         p->uses[i].org = r->uses[i].org;
         p->uses[i].units = r->uses[i].units;
-        p->uses[i].known = r->uses[i].known;
+        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
+            p->known[i * RK_QUOTA_PARTS + j] = (uint64_t)r->uses[i].known[j];
+        p->uses[i].n_known = RK_QUOTA_PARTS;
+        p->uses[i].known = &p->known[i * RK_QUOTA_PARTS];
         p->use_ptrs[i] = &p->uses[i];
     }
     p->report.n_uses = r->uses_len;
@@ -305,6 +310,7 @@
     free(p->vms);
     free(p->vm_ptrs);
     free(p->uses);
+    free(p->known);
     free(p->use_ptrs);
     free(p->usage);
     free(p->usage_ptrs);
@@ -350,7 +356,8 @@
     for (size_t i = 0; i < r->n_uses; i++) {
         rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
         uses[i].units = r->uses[i]->units;
-        uses[i].known = r->uses[i]->known;
+        for (size_t j = 0; j < r->uses[i]->n_known && j < RK_QUOTA_PARTS; j++)
+            uses[i].known[j] = (double)r->uses[i]->known[j];
         double before = first ? uses[i].units : 0;
         for (size_t j = 0; j < k->uses_len; j++)
             if (!strcmp(k->uses[j].org, uses[i].org))
--- a/node/remember.c
+++ b/node/remember.c
@@ -35,6 +35,15 @@
     return org->rate * (double)n->file.quota_window_s + org->burst;
 }
 
+/* What all nodes used of it within the window. */
+static double used_of(const struct rk_org_use *use)
+{
+    double sum = 0;
+    for (size_t i = 0; i < RK_QUOTA_PARTS; i++)
+        sum += use->known[i];
+    return sum;
+}
+
 /* The organisations near their quotas as JSON; false: none is. */
 static bool build(struct rk_remember *m, struct rk_buf *b)
 {
@@ -45,11 +54,12 @@
     for (size_t i = 0; routes && n->report && i < n->report->uses_len; i++) {
         const struct rk_org_use *use = &n->report->uses[i];
         const struct rk_org_info *org = rk_routes_org(routes, use->org);
-        if (!org || org->rate <= 0 || use->known < quota_of(n, org) * NEARLY_SHARE)
+        if (!org || org->rate <= 0 ||
+            used_of(use) < quota_of(n, org) * NEARLY_SHARE)
             continue;
         rk_buf_addstr(b, any ? "," : "");
         rk_buf_json_str(b, use->org);
-        rk_buf_printf(b, ":%.0f", use->known);
+        rk_buf_printf(b, ":%.0f", used_of(use));
         any = true;
     }
     rk_buf_addstr(b, "}}");
@@ -99,7 +109,7 @@
     json_object_object_foreach(used, org, units)
     {
         rk_strcpy(uses[n].org, sizeof(uses[n].org), org);
-        uses[n++].known = json_object_get_double(units);
+        uses[n++].known[0] = json_object_get_double(units);
     }
     RK_EVENT("quota.restored", RK_N("organisations", (int64_t)n),
              RK_N("age_ms", age_ms));
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2461,13 +2461,13 @@
   {
     "known",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Rillknot__OrgUse, n_known),
     offsetof(Rillknot__OrgUse, known),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -286,13 +286,15 @@
   char *org;
   double units;
   /*
-   * What all nodes used within the quota's window, as far as the sender knows.
+   * What all nodes used within the quota's window, as far as the sender knows, by
+   * parts of it, the newest first.
    */
-  double known;
+  size_t n_known;
+  uint64_t *known;
 };
 #define RILLKNOT__ORG_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__org_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -54,14 +54,14 @@
     }
 }
 
-static void fill_uses(const struct rk_relay *r, struct rk_relay_report *report)
+static void fill_uses(struct rk_relay *r, struct rk_relay_report *report)
 {
     report->uses = rk_alloc(r->quota.orgs_len + 1, sizeof(*report->uses));
     for (size_t i = 0; i < r->quota.orgs_len; i++) {
         struct rk_org_use *use = &report->uses[report->uses_len++];
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_total;
-        use->known = rk_quota_known(&r->quota.orgs[i]);
+        rk_quota_tell(&r->quota, &r->quota.orgs[i], use->known, rk_mono_ms());
     }
 }
 
@@ -177,7 +177,9 @@
     rk_place_set_loads(r->place, p->loads, p->loads_len);
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
-    for (size_t i = 0; r->quota.forgot_ms && i < p->known_len; i++)
+    /* Once: told again and again, the same use would count in two parts. */
+    bool whole = p->remembers_ms >= r->quota.window_ms;
+    for (size_t i = 0; whole && r->quota.forgot_ms && i < p->known_len; i++)
         rk_quota_know(&r->quota, p->known[i].org, p->known[i].known, now_ms);
     rk_quota_remind(&r->quota, p->remembers_ms);
     r->quota.nodes_heard = p->nodes_heard;
@@ -199,8 +201,8 @@
     struct message *m = ctx;
     int64_t now_ms = rk_mono_ms();
     for (size_t i = 0; i < m->uses_len; i++)
-        rk_quota_restore(&m->r->quota, m->uses[i].org, m->uses[i].known, m->age_ms,
-                         now_ms);
+        rk_quota_restore(&m->r->quota, m->uses[i].org, m->uses[i].known[0],
+                         m->age_ms, now_ms);
     free(m->uses);
     free(m);
 }
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -10,6 +10,7 @@
 
 #include "core/dialect.h"
 #include "core/place.h"
+#include "core/quota.h"
 #include "core/routes.h"
 #include "core/usage.h"
 
@@ -30,8 +31,9 @@
 struct rk_org_use {
     char org[RK_ID_MAX];
     double units;
-    double
-        known; /* what all used within the quota's window, as far as known here */
+    /* What all used within the quota's window, as far as known here, by parts of
+     * it, the newest first. */
+    double known[RK_QUOTA_PARTS];
 };
 
 /* What was asked of an engine service here since the start, and is in hand. */
@@ -96,7 +98,7 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
-/* What the store remembers of quotas (known of each), so old. */
+/* What the store remembers of quotas (all in known[0]), so old. */
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
                       int64_t age_ms);
 
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -208,6 +208,28 @@
         return "%d admitted of %d allowed" % (len(admitted), bound)
 
 
+def test_an_organisation_within_its_quota_is_served_after_a_kill_of_all_nodes():
+    """It asks for half of its rate; nodes that all started again must not count each
+    other's news twice."""
+    rate, window = 40, 4
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": rate, "burst": rate}]
+    with fleet(nodes=3, tenants=tenants, bounds={"quotaWindowS": window}) as d:
+        for node in d.nodes[:3]:
+            node.kill()
+        for _ in range(3):
+            d.add_node(first_start=False)
+        wait_until(lambda: all(d.ready(n) for n in d.nodes[3:]))
+        statuses, end, n = [], time.monotonic() + 2 * window, 0
+        while time.monotonic() < end:
+            n += 1
+            statuses.append(d.call("/r/x", node=3 + n % 3, ident="half-%d" % n).status)
+            time.sleep(2.0 / rate)
+        refused = sum(s == 429 for s in statuses)
+        assert refused <= len(statuses) * 0.1, (refused, len(statuses))
+        return "%d of %d refused" % (refused, len(statuses))
+
+
 def test_tokens_count_for_the_quota():
     tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
                 "plainTokens": 1, "ratePerS": 100, "burst": 100}]
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -221,11 +221,33 @@
     struct rk_quota q = lone_quota(100000);
     struct rk_quota_answer answer;
     assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &answer));
-    rk_quota_know(&q, "org", 300, 100200);
+    const double parts[RK_QUOTA_PARTS] = {300};
+    rk_quota_know(&q, "org", parts, 100200);
     rk_quota_remind(&q, WINDOW_MS);
     assert_in_range((int)admit_for(&q, 100, 100, 100250, 100260, 1, 100), 600, 600);
 }
 
+/* A node killed just after a burst takes over when it was: as long as its peers
+ * count it, it counts it, too. */
+static void a_burst_is_taken_over_with_its_time(void **state)
+{
+    (void)state;
+    struct rk_quota peer = lone_quota(0), fresh = lone_quota(101500);
+    struct rk_quota_answer answer;
+    double parts[RK_QUOTA_PARTS];
+    for (int i = 0; i < 80; i++)
+        rk_quota_admit(&peer, "org", 100, 100, 10, 100000 + i * 10, &answer);
+    rk_quota_tell(&peer, &peer.orgs[0], parts, 101600);
+    rk_quota_know(&fresh, "org", parts, 101600);
+    rk_quota_remind(&fresh, WINDOW_MS);
+    for (int64_t t = 102000; t < 107500; t += 500) {
+        rk_quota_admit(&fresh, "org", 100, 100, 0, t, &answer);
+        assert_true(answer.used >= 799);
+    }
+    rk_quota_admit(&fresh, "org", 100, 100, 0, 110000, &answer);
+    assert_true(answer.used < 1);
+}
+
 /* A whole quota used in one second, then all nodes are killed: what the store kept
  * holds until that second leaves the window. */
 static void what_the_store_kept_holds_after_a_restart(void **state)
@@ -528,6 +550,7 @@
         cmocka_unit_test(a_lowered_quota_counts_after_a_window),
         cmocka_unit_test(what_peers_used_and_probably_use_counts),
         cmocka_unit_test(a_peer_with_a_memory_lifts_the_caution),
+        cmocka_unit_test(a_burst_is_taken_over_with_its_time),
         cmocka_unit_test(what_the_store_kept_holds_after_a_restart),
         cmocka_unit_test(a_refund_is_no_use),
         cmocka_unit_test(usage_merges_in_any_order),
