mesh: reports to twelve peers at once, in turn; news of the store to all

Change: with more than twelve peers a node tells twelve with each report, in turn; silence is judged and the peers' use guessed ahead by that pace; news of settings and vms goes to all at once.

tests: a deployment was started twice by its own "with" (twice the nodes): it is started once now; restarted nodes keep their names. tools: the time line reads collected lines.

--- a/core/quota.c
+++ b/core/quota.c
@@ -7,7 +7,7 @@
 #define SLACK_SHARE                                                                \
     0.6                     /* of the slack that is planned with; the rest covers  \
                                what peers admit before this node hears of it */
-#define REPORT_LAG_MS 250   /* age of what the peers tell */
+#define REPORT_LAG_MS 250   /* age of what the peers tell, until it is known */
 #define RATE_MS       400.0 /* over which the peers' rate is taken */
 #define USUAL_PART                                                                 \
     0.8 /* of its rate an organisation gets while it isn't known                   \
@@ -21,6 +21,7 @@
     q->slack = slack;
     q->nodes_heard = 1;
     q->nodes_total = RK_UNKNOWN_NODES;
+    q->lag_ms = REPORT_LAG_MS;
     q->since_ms = since_ms;
     q->forgot_ms = since_ms;
 }
@@ -76,9 +77,10 @@
 }
 
 /* What the peers probably admitted since their last word. */
-static double unheard(const struct rk_quota_org *o, int64_t now_ms)
+static double unheard(const struct rk_quota *q, const struct rk_quota_org *o,
+                      int64_t now_ms)
 {
-    return peers_recent(o, now_ms) / RATE_MS * REPORT_LAG_MS;
+    return peers_recent(o, now_ms) / RATE_MS * (double)q->lag_ms;
 }
 
 /* What is taken as used before a restart of all nodes: the whole quota, leaving
@@ -204,7 +206,7 @@
     double quota =
         effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
-    double used = sum(o->used) + unheard(o, now_ms);
+    double used = sum(o->used) + unheard(q, o, now_ms);
     double before = forgotten(q, quota * part, rate * part, now_ms);
     double kept = q->forgot_ms && now_ms < o->kept_until_ms ? o->kept * part : 0;
     if (kept > before)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -18,6 +18,7 @@
 #define REPORT_SOON_MS  5  /* after news of the store */
 #define HEARD_MS        900 /* a node silent for longer is not heard */
 #define FORGET_MS       15000
+#define FANOUT          12  /* peers told at once; of more, some in turn */
 #define DIAL_MS         500 /* between tries to reach a node */
 #define CONNECT_MS      1000
 #define ASK_AGAIN_MS    300
@@ -62,6 +63,8 @@
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol;
     int64_t told_ms; /* the peers, last */
+    bool urgent;     /* all are told with the next telling */
+    size_t turn;     /* where telling some in turn goes on */
     int64_t enrol_ms;
     bool enrolled, listed;
     int64_t asked_ms;
@@ -72,9 +75,24 @@
 
 /* ---- members ---- */
 
+static size_t count_members(const struct rk_mesh *m)
+{
+    size_t count = 0;
+    for (const struct member *k = m->members; k; k = k->next)
+        count++;
+    return count;
+}
+
+/* Rounds of reports until a node has told each other. */
+static int64_t rounds(const struct rk_mesh *m)
+{
+    int64_t count = (int64_t)count_members(m);
+    return count > FANOUT ? (count + FANOUT - 1) / FANOUT : 1;
+}
+
 static bool is_heard(const struct member *k, int64_t now_ms)
 {
-    return k->heard_ms && now_ms - k->heard_ms < HEARD_MS;
+    return k->heard_ms && now_ms - k->heard_ms < HEARD_MS * rounds(k->m);
 }
 
 static struct member *find_by_id(struct rk_mesh *m, const char *id)
@@ -266,10 +284,7 @@
 static void fill_peers(struct report_parts *p, const struct rk_mesh *m)
 {
     int64_t now_ms = rk_mono_ms();
-    size_t count = 0;
-    for (struct member *k = m->members; k; k = k->next)
-        count++;
-    p->peers = rk_alloc(count + 1, sizeof(*p->peers));
+    p->peers = rk_alloc(count_members(m) + 1, sizeof(*p->peers));
     for (struct member *k = m->members; k; k = k->next)
         if (k->id[0] && is_heard(k, now_ms))
             p->peers[p->report.n_peers++] = k->addr;
@@ -319,27 +334,36 @@
     free(p->peers);
 }
 
-static void tell_all(struct rk_mesh *m)
+/* Tell up to `most` peers, going on where the last telling ended. */
+static void tell(struct rk_mesh *m, size_t most)
 {
-    m->told_ms = rk_mono_ms();
     struct report_parts p;
+    size_t count = count_members(m), at = 0;
+    m->told_ms = rk_mono_ms();
     fill_report(&p, m);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
-    for (struct member *k = m->members; k; k = k->next)
-        if (k->link && rk_link_was_up(k->link))
+    for (struct member *k = m->members; k; k = k->next, at++) {
+        bool in_turn = (at + count - m->turn % count) % count < most;
+        if (in_turn && k->link && rk_link_was_up(k->link))
             rk_link_send(k->link, &frame);
+    }
+    if (count)
+        m->turn = (m->turn + most) % count;
     free_report(&p);
 }
 
 static void on_soon(void *ctx)
 {
-    tell_all(ctx);
+    struct rk_mesh *m = ctx;
+    tell(m, m->urgent ? count_members(m) : FANOUT);
+    m->urgent = false;
 }
 
-void rk_mesh_report(struct rk_mesh *m)
+void rk_mesh_report(struct rk_mesh *m, bool urgent)
 {
+    m->urgent = m->urgent || urgent;
     if (!m->soon.slot)
         rk_timer_start(m->n->loop, &m->soon, REPORT_SOON_MS);
 }
@@ -520,7 +544,7 @@
 {
     (void)link;
     struct member *k = ctx;
-    rk_mesh_report(k->m);
+    rk_mesh_report(k->m, false);
 }
 
 static const struct rk_link_ops member_ops = {
@@ -612,6 +636,7 @@
     m->news_len = 0;
     p->nodes_heard = rk_mesh_heard(m);
     p->nodes_total = rk_mesh_total(m);
+    p->lag_ms = REPORT_MS * rounds(m);
     rk_relay_set_peers(m->n->relay, p);
 }
 
@@ -624,7 +649,7 @@
     review_members(m, now_ms);
     dial_members(m, now_ms);
     if (now_ms - m->told_ms >= REPORT_MS)
-        tell_all(m); /* else the relay's reports set the pace */
+        tell(m, FANOUT); /* else the relay's reports set the pace */
     tell_relay(m, now_ms);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -111,7 +111,7 @@
     n->report = m->report;
     for (size_t i = 0; i < n->report->usage_len; i++)
         rk_usage_merge(&n->usage, &n->report->usage[i]);
-    rk_mesh_report(n->mesh);
+    rk_mesh_report(n->mesh, false);
     free(m);
 }
 
@@ -185,7 +185,7 @@
     n->leaving_since_ms = rk_mono_ms();
     RK_EVENT("node.leaving", RK_N("notice_ms", n->file.stop_s * RK_MS_PER_S));
     rk_relay_close(n->relay, stop_limit_ms(n));
-    rk_mesh_report(n->mesh);
+    rk_mesh_report(n->mesh, true);
     n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_removed, n);
     rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
 }
--- a/node/state.h
+++ b/node/state.h
@@ -63,7 +63,8 @@
 void rk_mesh_destroy(struct rk_mesh *m);
 const char *rk_mesh_addr(const struct rk_mesh *m); /* where peers reach it */
 void rk_mesh_start(struct rk_mesh *m);
-void rk_mesh_report(struct rk_mesh *m);     /* tell all peers now */
+/* Tell peers soon: all of them (urgent), or the next in turn. */
+void rk_mesh_report(struct rk_mesh *m, bool urgent);
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
 /* What the peers asked of a service: tokens since their starts, calls in hand. */
--- a/node/sync.c
+++ b/node/sync.c
@@ -61,7 +61,7 @@
     free(s->settings_text);
     s->settings_text = rk_strdup(text);
     rk_relay_set_routes(s->n->relay, rk_routes_ref(routes));
-    rk_mesh_report(s->n->mesh);
+    rk_mesh_report(s->n->mesh, true);
 }
 
 static void take_settings(struct rk_sync *s, struct json_object *spec,
@@ -206,7 +206,7 @@
     for (size_t i = 0; i < s->entries_len; i++)
         rows[i] = s->entries[i].row;
     rk_relay_set_vms(s->n->relay, rows, s->entries_len);
-    rk_mesh_report(s->n->mesh);
+    rk_mesh_report(s->n->mesh, true);
 }
 
 static void take_vms(struct rk_sync *s, const struct rk_store_object *objects,
--- a/programs/timeline.c
+++ b/programs/timeline.c
@@ -92,9 +92,12 @@
     return b.data;
 }
 
+/* Something else may stand before the event, as where many processes' lines were
+ * collected: a time, a name. */
 static void take_line(const char *line)
 {
-    struct json_object *o = json_tokener_parse(line);
+    const char *event = strchr(line, '{');
+    struct json_object *o = event ? json_tokener_parse(event) : NULL;
     if (!json_object_is_type(o, json_type_object) ||
         !rk_json_int(o, "wall_ms", 0)) {
         tl.skipped++;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -182,6 +182,7 @@
     for (size_t i = 0; whole && r->quota.forgot_ms && i < p->known_len; i++)
         rk_quota_know(&r->quota, p->known[i].org, p->known[i].known, now_ms);
     rk_quota_remind(&r->quota, p->remembers_ms);
+    r->quota.lag_ms = p->lag_ms;
     r->quota.nodes_heard = p->nodes_heard;
     r->quota.nodes_total = p->nodes_total;
     rk_relay_peers_free(m->peers);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -68,6 +68,7 @@
     size_t known_len;
     int64_t remembers_ms;         /* that peer's memory */
     int nodes_heard, nodes_total; /* this one included */
+    int64_t lag_ms;               /* age of what they tell, when it comes */
 };
 void rk_relay_peers_free(struct rk_relay_peers *p);
 
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -15,7 +15,7 @@
 
 def plain(workers=2, kind="idempotent", attempts=2, **kw):
     """One node before plain workers of one route."""
-    d = Hosted(**kw).__enter__()
+    d = Hosted(**kw).start()
     for _ in range(workers):
         d.add_worker("plain")
     d.configure([d.route("r", "plain", kind, maxAttempts=attempts)])
@@ -24,7 +24,7 @@
 
 
 def stream(workers=2, events=6, resumable=True, **route):
-    d = Hosted().__enter__()
+    d = Hosted().start()
     for _ in range(workers):
         d.add_worker("llm", events=events, slots=32)
     d.configure([d.route("s", "llm", "streaming", resumable=resumable, **route)],
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -13,7 +13,7 @@
 
 def fleet(nodes=3, workers=2, kind="idempotent", zones=("a-hall", "b-hall", "c-hall"),
           tenants=None, **kw):
-    d = Hosted(nodes=nodes, zones=zones, **kw).__enter__()
+    d = Hosted(nodes=nodes, zones=zones, **kw).start()
     for n in range(workers):
         d.add_worker("plain", zone=zones[n % len(zones)])
     d.configure([d.route("r", "plain", kind)], tenants=tenants)
@@ -37,6 +37,30 @@
             assert d.call("/r/x", node=n).status == 200
 
 
+def test_more_nodes_than_are_told_at_once():
+    """Sixteen nodes: each hears each, and news reaches all though the store turns
+    most of them away."""
+    with fleet(nodes=16) as d:
+        away = set()
+        for node in d.nodes[2:]:
+            away |= {node.popen.pid}
+        real = d.store.handle
+
+        def handle(req, conn):
+            port = conn.getpeername()[1]
+            if any(port in ports_of(pid) for pid in away):
+                reset(conn)
+                return False
+            return real(req, conn)
+        d.store.handle = handle
+        start = time.monotonic()
+        d.configure([d.route("r", "plain"), d.route("new", "plain")])
+        took = time.monotonic() - start
+        assert took < 10, took
+        wait_until(lambda: all(d.gauge(n, "nodes_heard") == 16 for n in d.nodes))
+        return "in force at 16 nodes after %.1f s" % took
+
+
 def test_a_key_taken_away_is_refused_everywhere():
     with fleet() as d:
         assert all(d.call("/r/x", node=n).status == 200 for n in range(3))
@@ -111,9 +135,9 @@
     with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
         d.store.fault = lambda req: "reset"
         d.nodes[1].kill()
-        node = d.add_node(first_start=False)
+        node = d.restart_node(1)
         wait_until(lambda: d.ready(node))
-        assert d.call("/r/x", node=2).status == 200
+        assert d.call("/r/x", node=1).status == 200
 
 
 def test_history_forgotten_and_watches_cut():
@@ -192,16 +216,16 @@
             ask(n % 2, "before-%d" % n)
         wait_until(lambda: "recent" in d.store.objects["rillknot-quotas"], 10)
         time.sleep(0.8)
-        for node in d.nodes[:2]:
+        for node in d.nodes:
             node.kill()
-        for _ in range(2):
-            d.add_node(first_start=False)
-        wait_until(lambda: d.ready(d.nodes[2]) and d.ready(d.nodes[3]))
+        for n in range(2):
+            d.restart_node(n)
+        d.wait_ready()
         end = admitted[0] + window - 0.5
         n = 0
         while time.monotonic() < end:
             n += 1
-            ask(2 + n % 2, "after-%d" % n)
+            ask(n % 2, "after-%d" % n)
             time.sleep(0.01)
         bound = rate * window + burst
         assert len(admitted) <= bound * 1.25, (len(admitted), bound)
@@ -215,15 +239,15 @@
     tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
                 "plainTokens": 1, "ratePerS": rate, "burst": rate}]
     with fleet(nodes=3, tenants=tenants, bounds={"quotaWindowS": window}) as d:
-        for node in d.nodes[:3]:
+        for node in d.nodes:
             node.kill()
-        for _ in range(3):
-            d.add_node(first_start=False)
-        wait_until(lambda: all(d.ready(n) for n in d.nodes[3:]))
+        for n in range(3):
+            d.restart_node(n)
+        d.wait_ready()
         statuses, end, n = [], time.monotonic() + 2 * window, 0
         while time.monotonic() < end:
             n += 1
-            statuses.append(d.call("/r/x", node=3 + n % 3, ident="half-%d" % n).status)
+            statuses.append(d.call("/r/x", node=n % 3, ident="half-%d" % n).status)
             time.sleep(2.0 / rate)
         refused = sum(s == 429 for s in statuses)
         assert refused <= len(statuses) * 0.1, (refused, len(statuses))
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -409,7 +409,11 @@
         self.first_nodes = nodes
 
     def __enter__(self):
-        for _ in range(self.first_nodes):
+        return self.start()
+
+    def start(self):
+        """Start the first nodes, once."""
+        while len(self.nodes) < self.first_nodes:
             self.add_node()
         return self
 
@@ -445,6 +449,19 @@
         self.nodes.append(node)
         return node
 
+    def restart_node(self, index):
+        """The same node again, as after a kill: the deployment has started before."""
+        old = self.nodes[index]
+        with open(old.file) as f:
+            text = f.read().replace('"first_start": true', '"first_start": false')
+        with open(old.file, "w") as f:
+            f.write(text)
+        node = Proc([os.path.join(self.build, "rillknot-node"), old.file],
+                    "%s.%d.log" % (old.file, next(self.ids)), "node.started")
+        node.name, node.file = old.name, old.file
+        self.nodes[index] = node
+        return node
+
     def add_worker(self, service, events=0, zone=None, spot=False, **kw):
         worker = Worker(service, zone or self.zones[0], events, **kw)
         worker.spot = spot
