--- a/common/util.h
+++ b/common/util.h
@@ -16,6 +16,12 @@
 #define RK_MS_PER_S  1000
 #define RK_NS_PER_MS 1000000LL
 
+/* Seconds as whole milliseconds. */
+static inline int64_t rk_s_to_ms(double s)
+{
+    return (int64_t)(s * RK_MS_PER_S + 0.5);
+}
+
 /* Monotonic and wall clock, in milliseconds. */
 int64_t rk_mono_ms(void);
 int64_t rk_wall_ms(void);
--- a/core/procfile.c
+++ b/core/procfile.c
@@ -30,9 +30,10 @@
         .offset = offsetof(struct rk_procfile, n), .min = lo, .max = hi,           \
         .fallback = def                                                            \
     }
-#define REAL(n)                                                                    \
+#define REAL(n, lo, hi, def)                                                       \
     {                                                                              \
-        .name = #n, .type = FIELD_REAL, .offset = offsetof(struct rk_procfile, n)  \
+        .name = #n, .type = FIELD_REAL, .offset = offsetof(struct rk_procfile, n), \
+        .min = lo, .max = hi, .fallback = def                                      \
     }
 #define BOOL(n)                                                                    \
     {                                                                              \
@@ -56,14 +57,14 @@
     TEXT(ready_listen, false),
     TEXT(metrics_listen, false),
     BOOL(first_start),
-    NUMBER(stop_s, 1, 3600, 20),
-    NUMBER(lease_ms, 100, 600000, 3000),
-    NUMBER(usage_window_s, 1, 86400, 5),
-    NUMBER(usage_late_s, 1, 86400, 10),
-    NUMBER(quota_window_s, 1, 3600, 8),
-    NUMBER(quota_slack, 0, 1000000000, 0),
-    NUMBER(retry_burst, 0, 1000000, 20),
-    REAL(retry_ratio),
+    REAL(stop_s, 1, 3600, 20),
+    REAL(lease_ms, 100, 600000, 3000),
+    REAL(usage_window_s, 1, 86400, 5),
+    REAL(usage_late_s, 1, 86400, 10),
+    REAL(quota_window_s, 1, 3600, 8),
+    REAL(quota_slack, 0, 1000000000, 0),
+    REAL(retry_burst, 0, 1000000, 20),
+    REAL(retry_ratio, 0, 1, 0),
 };
 
 char *rk_read_file(const char *path)
@@ -123,8 +124,9 @@
         if (!json_object_is_type(v, json_type_double) &&
             !json_object_is_type(v, json_type_int))
             return rk_fail(RK_EINVAL, "expected a number");
-        if (!(d >= 0 && d <= 1))
-            return rk_fail(RK_EINVAL, "expected a number from 0 to 1");
+        if (!(d >= (double)f->min && d <= (double)f->max))
+            return rk_fail(RK_EINVAL, "expected a number from %lld to %lld",
+                           (long long)f->min, (long long)f->max);
         *(double *)at = d;
         return RK_OK;
     }
@@ -163,6 +165,9 @@
     for (size_t i = 0; i < RK_ARRAY_LEN(fields); i++)
         if (fields[i].type == FIELD_NUMBER)
             *(int64_t *)((char *)out + fields[i].offset) = fields[i].fallback;
+        else if (fields[i].type == FIELD_REAL)
+            *(double *)((char *)out + fields[i].offset) =
+                (double)fields[i].fallback;
     char *text = rk_read_file(path);
     if (!text)
         return RK_ENOTFOUND;
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -34,12 +34,12 @@
     char ready_listen[RK_ADDR_MAX];   /* for the balancer */
     char metrics_listen[RK_ADDR_MAX]; /* "": none */
     bool first_start;                 /* of the whole deployment */
-    int64_t stop_s;                   /* from SIGTERM to SIGKILL */
-    int64_t lease_ms;
-    int64_t usage_window_s, usage_late_s;
-    int64_t quota_window_s, quota_slack;
-    int64_t retry_burst; /* of all nodes */
-    double retry_ratio;  /* retries to calls, of all nodes */
+    double stop_s;                    /* from SIGTERM to SIGKILL */
+    double lease_ms;
+    double usage_window_s, usage_late_s;
+    double quota_window_s, quota_slack;
+    double retry_burst; /* of all nodes */
+    double retry_ratio; /* retries to calls, of all nodes */
 };
 
 /* Fill out from a file. On failure rk_last_error() names key, line and what was
--- a/node/duties.c
+++ b/node/duties.c
@@ -121,7 +121,7 @@
 /* How long this node waits for a sign of the holder. */
 static int64_t patience_ms(const struct rk_duty_keeper *k)
 {
-    int64_t ms = k->n->file.lease_ms;
+    int64_t ms = (int64_t)k->n->file.lease_ms;
     if (k->lease.held)
         return ms;
     ms += k->jitter_ms;
@@ -143,7 +143,7 @@
     int64_t expect;
     k->lease.life_ms = patience_ms(k);
     bool wants = rk_lease_wants(&k->lease, rk_mono_ms(), value, &expect);
-    k->lease.life_ms = k->n->file.lease_ms;
+    k->lease.life_ms = (int64_t)k->n->file.lease_ms;
     if (!wants || (k->n->leaving && !k->was_held))
         return;
     k->busy = true;
@@ -287,7 +287,7 @@
     struct rk_duty_token t;
     if (!rk_sync_routes(n->sync) || !token(k, &t))
         return;
-    int64_t size_ms = n->file.usage_window_s * RK_MS_PER_S;
+    int64_t size_ms = rk_s_to_ms(n->file.usage_window_s);
     int64_t wall_ms = rk_wall_ms(), now_ms = rk_mono_ms();
     bool silent = rk_mesh_heard(n->mesh) < rk_mesh_total(n->mesh);
     int64_t wait_ms = silent ? SILENT_WAIT_MS : STRAGGLERS_MS;
@@ -319,7 +319,7 @@
     rk_orders_tick(k->orders, held ? &t : NULL);
     if (held)
         rk_remember_tick(k->n->remember);
-    int64_t window = rk_wall_ms() / (k->n->file.usage_window_s * RK_MS_PER_S);
+    int64_t window = rk_wall_ms() / rk_s_to_ms(k->n->file.usage_window_s);
     rk_usage_forget(&k->n->usage, window - WINDOWS);
 }
 
@@ -332,10 +332,9 @@
     snprintf(k->holder, sizeof(k->holder), "%.30s/%08x", n->file.id,
              (unsigned)n->incarnation);
     rk_strcpy(k->lease.holder, sizeof(k->lease.holder), k->holder);
-    k->lease.life_ms = n->file.lease_ms;
+    k->lease.life_ms = (int64_t)n->file.lease_ms;
     k->jitter_ms = rk_rng_below(&n->rng, STAND_JITTER_MS);
-    k->first_window =
-        rk_wall_ms() / (n->file.usage_window_s * RK_MS_PER_S) - WINDOWS;
+    k->first_window = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s) - WINDOWS;
     if (n->file.first_start)
         k->first_window += WINDOWS;
     return k;
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -312,7 +312,7 @@
     fill_peers(p, m);
     if (!n->report)
         return;
-    int64_t window = rk_wall_ms() / (n->file.usage_window_s * RK_MS_PER_S);
+    int64_t window = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s);
     p->report.remembers_ms = n->report->remembers_ms;
     fill_vms(p, n->report);
     fill_uses(p, n->report);
--- a/node/node.c
+++ b/node/node.c
@@ -158,7 +158,7 @@
 /* When the process ends at the latest, from the stop's begin. */
 static int64_t stop_limit_ms(const struct rk_node *n)
 {
-    return n->file.stop_s * RK_MS_PER_S - STOP_MARGIN_MS;
+    return rk_s_to_ms(n->file.stop_s) - STOP_MARGIN_MS;
 }
 
 static void on_stop_step(void *ctx)
@@ -183,7 +183,7 @@
         return;
     n->leaving = true;
     n->leaving_since_ms = rk_mono_ms();
-    RK_EVENT("node.leaving", RK_N("notice_ms", n->file.stop_s * RK_MS_PER_S));
+    RK_EVENT("node.leaving", RK_N("notice_ms", rk_s_to_ms(n->file.stop_s)));
     rk_relay_close(n->relay, stop_limit_ms(n));
     rk_mesh_report(n->mesh, true);
     n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_removed, n);
@@ -206,7 +206,7 @@
     struct rk_procfile *file = &m->n->file;
     file->stop_s = m->file.stop_s;
     file->usage_late_s = m->file.usage_late_s;
-    RK_EVENT("node.reloaded", RK_N("stop_s", file->stop_s));
+    RK_EVENT("node.reloaded", RK_N("stop_ms", rk_s_to_ms(file->stop_s)));
     free(m);
 }
 
@@ -230,10 +230,10 @@
         .seed = rk_rng_next(&n->rng),
         .max_clients = (int)f->max_connections,
         .bounds = {.retry_pct = (int64_t)(f->retry_ratio * 100),
-                   .retry_burst = f->retry_burst,
-                   .quota_window_ms = f->quota_window_s * RK_MS_PER_S,
-                   .quota_slack = (double)f->quota_slack,
-                   .usage_window_ms = f->usage_window_s * RK_MS_PER_S,
+                   .retry_burst = (int64_t)f->retry_burst,
+                   .quota_window_ms = rk_s_to_ms(f->quota_window_s),
+                   .quota_slack = f->quota_slack,
+                   .usage_window_ms = rk_s_to_ms(f->usage_window_s),
                    .first_start = f->first_start},
         .on_report = on_report,
         .on_stopped = on_stopped,
--- a/node/remember.c
+++ b/node/remember.c
@@ -32,7 +32,7 @@
 
 static double quota_of(const struct rk_node *n, const struct rk_org_info *org)
 {
-    return org->rate * (double)n->file.quota_window_s + org->burst;
+    return org->rate * n->file.quota_window_s + org->burst;
 }
 
 /* What all nodes used of it within the window. */
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -115,6 +115,19 @@
             os.unlink(f.name)
 
 
+def test_bounds_may_be_fractions():
+    """The platform's figures are whole numbers or fractions."""
+    bounds = {"graceS": 7.5, "leaseMs": 1200.5, "reportWindowS": 1.0, "usageLateS": 4.25,
+              "quotaWindowS": 3.5, "quotaSlack": 10.75, "budgetExtra": 16.9,
+              "retryBudgetRatio": 0.15}
+    with Hosted(nodes=1, bounds=bounds) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        assert d.call("/r/x").status == 200
+        wait_until(lambda: d.cloud.usage, 20)
+
+
 def test_a_store_that_talks_nonsense():
     """Answers that are no JSON, or of the wrong shape: the node waits, and goes on."""
     state = {"bad": True}
