--- /dev/null
+++ b/node/report.c
@@ -0,0 +1,210 @@
+/* What nodes tell each other: making a report of this node, and taking in what
+ * another one says of itself. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/mesh_impl.h"
+
+#define USAGE_WINDOWS 4 /* told of, the current one included */
+
+static void fill_vms(struct rk_report *p, const struct rk_relay_report *r)
+{
+    p->vms = rk_alloc(r->loads_len + 1, sizeof(*p->vms));
+    p->vm_ptrs = rk_alloc(r->loads_len + 1, sizeof(*p->vm_ptrs));
+    for (size_t i = 0; i < r->loads_len; i++) {
+        rillknot__vm_use__init(&p->vms[i]);
+        p->vms[i].id = r->loads[i].id;
+        p->vms[i].running = r->loads[i].running;
+        p->vms[i].waiting_tokens = r->loads[i].waiting_tokens;
+        p->vm_ptrs[i] = &p->vms[i];
+    }
+    p->report.n_vms = r->loads_len;
+    p->report.vms = p->vm_ptrs;
+}
+
+static void fill_uses(struct rk_report *p, const struct rk_relay_report *r)
+{
+    p->uses = rk_alloc(r->uses_len + 1, sizeof(*p->uses));
+    p->known = rk_alloc(r->uses_len * RK_QUOTA_PARTS + 1, sizeof(*p->known));
+    p->use_ptrs = rk_alloc(r->uses_len + 1, sizeof(*p->use_ptrs));
+    for (size_t i = 0; i < r->uses_len; i++) {
+        rillknot__org_use__init(&p->uses[i]);
+        p->uses[i].org = r->uses[i].org;
+        p->uses[i].units = r->uses[i].units;
+        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
+            p->known[i * RK_QUOTA_PARTS + j] = (uint64_t)r->uses[i].known[j];
+        p->uses[i].n_known = RK_QUOTA_PARTS;
+        p->uses[i].known = &p->known[i * RK_QUOTA_PARTS];
+        p->use_ptrs[i] = &p->uses[i];
+    }
+    p->report.n_uses = r->uses_len;
+    p->report.uses = p->use_ptrs;
+}
+
+static void fill_usage(struct rk_report *p, const struct rk_relay_report *r,
+                       int64_t oldest)
+{
+    p->usage = rk_alloc(r->usage_len + 1, sizeof(*p->usage));
+    p->usage_ptrs = rk_alloc(r->usage_len + 1, sizeof(*p->usage_ptrs));
+    size_t n = 0;
+    for (size_t i = 0; i < r->usage_len; i++) {
+        if (r->usage[i].window < oldest)
+            continue;
+        rillknot__usage_row__init(&p->usage[n]);
+        p->usage[n].node = r->usage[i].node;
+        p->usage[n].window = r->usage[i].window;
+        p->usage[n].org = r->usage[i].org;
+        p->usage[n].count = r->usage[i].count;
+        p->usage_ptrs[n] = &p->usage[n];
+        n++;
+    }
+    p->report.n_usage = n;
+    p->report.usage = p->usage_ptrs;
+}
+
+static void fill_services(struct rk_report *p, const struct rk_relay_report *r)
+{
+    p->services = rk_alloc(r->services_len + 1, sizeof(*p->services));
+    p->service_ptrs = rk_alloc(r->services_len + 1, sizeof(*p->service_ptrs));
+    for (size_t i = 0; i < r->services_len; i++) {
+        rillknot__service_use__init(&p->services[i]);
+        p->services[i].service = r->services[i].service;
+        p->services[i].read_tokens = r->services[i].read_tokens;
+        p->services[i].running = r->services[i].running;
+        p->service_ptrs[i] = &p->services[i];
+    }
+    p->report.n_services = r->services_len;
+    p->report.services = p->service_ptrs;
+}
+
+static void fill_peers(struct rk_report *p, const struct rk_mesh *m)
+{
+    int64_t now_ms = rk_mono_ms();
+    p->peers = rk_alloc(rk_mesh_count(m) + 1, sizeof(*p->peers));
+    for (struct member *k = m->members; k; k = k->next)
+        if (k->id[0] && rk_mesh_is_heard(k, now_ms))
+            p->peers[p->report.n_peers++] = k->addr;
+    p->report.peers = p->peers;
+}
+
+void rk_report_fill(struct rk_report *p, struct rk_mesh *m)
+{
+    struct rk_node *n = m->n;
+    *p = (struct rk_report){0};
+    rillknot__node_report__init(&p->report);
+    rillknot__lease_row__init(&p->lease);
+    p->report.id = n->file.id;
+    p->report.domain = n->file.failure_domain;
+    p->report.addr = (char *)rk_mesh_addr(m);
+    p->report.incarnation = n->incarnation;
+    p->report.settings_version = rk_sync_version(n->sync);
+    p->report.list_revision = rk_sync_list_revision(n->sync);
+    p->report.leaving = n->leaving;
+    const char *value;
+    if (rk_duty_keeper_lease(n->duty_keeper, &p->lease.version, &value)) {
+        p->lease.value = (char *)value;
+        p->report.lease = &p->lease;
+    }
+    fill_peers(p, m);
+    if (!n->report)
+        return;
+    int64_t window = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s);
+    p->report.remembers_ms = n->report->remembers_ms;
+    fill_vms(p, n->report);
+    fill_uses(p, n->report);
+    fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
+    fill_services(p, n->report);
+}
+
+void rk_report_free(struct rk_report *p)
+{
+    free(p->vms);
+    free(p->vm_ptrs);
+    free(p->uses);
+    free(p->known);
+    free(p->use_ptrs);
+    free(p->usage);
+    free(p->usage_ptrs);
+    free(p->services);
+    free(p->service_ptrs);
+    free(p->peers);
+}
+
+/* What the node used since its last report goes to the relay with the next. What a
+ * node heard for the first time used before is among what peers remember. */
+static void take_uses(struct member *k, const Rillknot__NodeReport *r, bool first)
+{
+    struct rk_mesh *m = k->m;
+    struct rk_org_use *uses = rk_alloc(r->n_uses + 1, sizeof(*uses));
+    m->news = rk_realloc(m->news, (m->news_len + r->n_uses + 1) * sizeof(*m->news));
+    for (size_t i = 0; i < r->n_uses; i++) {
+        rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
+        uses[i].units = r->uses[i]->units;
+        for (size_t j = 0; j < r->uses[i]->n_known && j < RK_QUOTA_PARTS; j++)
+            uses[i].known[j] = (double)r->uses[i]->known[j];
+        double before = first ? uses[i].units : 0;
+        for (size_t j = 0; j < k->uses_len; j++)
+            if (!strcmp(k->uses[j].org, uses[i].org))
+                before = k->uses[j].units;
+        struct rk_org_use *news = &m->news[m->news_len];
+        *news = uses[i];
+        news->units -= before;
+        if (news->units != 0)
+            m->news_len++;
+    }
+    free(k->uses);
+    k->uses = uses;
+    k->uses_len = r->n_uses;
+}
+
+static void take_loads(struct member *k, const Rillknot__NodeReport *r)
+{
+    k->loads = rk_realloc(k->loads, (r->n_vms + 1) * sizeof(*k->loads));
+    k->loads_len = r->n_vms;
+    for (size_t i = 0; i < r->n_vms; i++) {
+        rk_strcpy(k->loads[i].id, sizeof(k->loads[i].id), r->vms[i]->id);
+        k->loads[i].running = r->vms[i]->running;
+        k->loads[i].waiting_tokens = r->vms[i]->waiting_tokens;
+    }
+}
+
+static void take_services(struct member *k, const Rillknot__NodeReport *r)
+{
+    k->services =
+        rk_realloc(k->services, (r->n_services + 1) * sizeof(*k->services));
+    k->services_len = r->n_services;
+    for (size_t i = 0; i < r->n_services; i++) {
+        struct rk_service_use *use = &k->services[i];
+        rk_strcpy(use->service, sizeof(use->service), r->services[i]->service);
+        use->read_tokens = r->services[i]->read_tokens;
+        use->running = r->services[i]->running;
+    }
+}
+
+static void take_usage(struct rk_node *n, const Rillknot__NodeReport *r)
+{
+    for (size_t i = 0; i < r->n_usage; i++) {
+        struct rk_usage_row row = {.node = r->usage[i]->node,
+                                   .window = r->usage[i]->window,
+                                   .count = r->usage[i]->count};
+        rk_strcpy(row.org, sizeof(row.org), r->usage[i]->org);
+        rk_usage_merge(&n->usage, &row);
+    }
+}
+
+void rk_report_take(struct member *k, const Rillknot__NodeReport *r)
+{
+    bool first = !k->incarnation;
+    if (k->incarnation != r->incarnation) {
+        k->incarnation = r->incarnation;
+        k->uses_len = 0; /* it counts from its start */
+    }
+    rk_strcpy(k->domain, sizeof(k->domain), r->domain);
+    k->heard_ms = rk_mono_ms();
+    k->leaving = r->leaving;
+    k->remembers_ms = r->remembers_ms;
+    take_uses(k, r, first);
+    take_loads(k, r);
+    take_services(k, r);
+    take_usage(k->m->n, r);
+}
