relay: a call's arrival and answer in files of their own; ready once the relay is

Cause of one failed test (503 "no vm can take it" in the first millisecond): a node called itself ready by what control knew; its relay took the vms in a moment later. Readiness and the version gauge come from the relay's report now.

--- a/node/node.c
+++ b/node/node.c
@@ -40,12 +40,19 @@
     return !strncmp(target, path, len) && (!target[len] || target[len] == '?');
 }
 
+/* Does the relay, too, have routes and vms? */
+static bool is_ready(const struct rk_node *n)
+{
+    return rk_sync_ready(n->sync) && n->report && n->report->version &&
+           n->report->vms_known;
+}
+
 static void on_ready_request(void *ctx, struct rk_client *client)
 {
     struct rk_node *n = ctx;
     int status = 404;
     if (is_path(client, n->platform->dialect->ready_path))
-        status = rk_sync_ready(n->sync) && !n->leaving ? 200 : 503;
+        status = is_ready(n) && !n->leaving ? 200 : 503;
     rk_client_answer(client, status, "", "", 0);
 }
 
@@ -55,7 +62,7 @@
         const char *name;
         int64_t value;
     } gauges[] = {
-        {"settings_version", rk_sync_version(n->sync)},
+        {"settings_version", n->report ? n->report->version : 0},
         {"settings_age_ms", rk_sync_settings_age_ms(n->sync)},
         {"list_revision", rk_sync_list_revision(n->sync)},
         {"nodes_heard", rk_mesh_heard(n->mesh)},
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -98,6 +98,8 @@
     fill_usage(r, report);
     fill_services(r, report);
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
+    report->version = r->routes ? r->routes->version : 0;
+    report->vms_known = r->vms_known;
     report->in_hand = r->calls_len + rk_server_busy(r->server);
     r->opt.on_report(r->opt.ctx, report);
 }
@@ -156,6 +158,7 @@
 {
     struct message *m = ctx;
     rk_place_set_vms(m->r->place, m->rows, m->rows_len);
+    m->r->vms_known = true;
     free(m->rows);
     free(m);
 }
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -54,6 +54,8 @@
     struct rk_service_use *services;
     size_t services_len;
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
+    int64_t version;      /* of the routes in force; 0: none */
+    bool vms_known;
     size_t in_hand;
 };
 void rk_relay_report_free(struct rk_relay_report *r);
--- /dev/null
+++ b/serve/relay_arrive.c
@@ -0,0 +1,178 @@
+/* What a caller asks: its route, its organisation, its time, its quota. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "callers/server.h"
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "common/http1.h"
+#include "serve/relay_call_impl.h"
+
+/* After a stop began, calls of any length are taken: the balancer may not know. */
+#define STOP_TAKES_MS 2700
+
+static void refuse(struct rk_relay *r, struct rk_client *client, int status,
+                   int64_t retry_after_ms, const char *why)
+{
+    const char *id =
+        rk_head_get(rk_client_head(client), r->opt.dialect->request_id);
+    RK_EVENT("call.refused", RK_S("request", id ? id : ""), RK_N("status", status),
+             RK_S("why", why), RK_N("version", r->routes ? r->routes->version : 0));
+    rk_count(RK_C_BAD_INPUT, 1);
+    rk_call_answer_problem(client, status, retry_after_ms, why);
+}
+
+static const struct rk_route *find_route(struct rk_relay *r,
+                                         struct rk_client *client)
+{
+    const struct rk_head *head = rk_client_head(client);
+    const char *host = rk_head_get(head, "Host");
+    char path[RK_ROUTE_TEXT * 4];
+    rk_strcpy(path, sizeof(path), rk_head_target(head));
+    path[strcspn(path, "?#")] = '\0';
+    return host ? rk_routes_find(r->routes, host, path) : NULL;
+}
+
+/* The organisation of the request's key. False: it may not call the route. */
+static bool find_org(struct rk_relay *r, const struct rk_route *route,
+                     const struct rk_head *head, const struct rk_org_info **org)
+{
+    *org = NULL;
+    if (!r->routes->keyed || route->anonymous)
+        return true;
+    const char *key = rk_head_get(head, r->opt.dialect->key);
+    *org = key ? rk_routes_org_of_key(r->routes, key) : NULL;
+    return *org != NULL;
+}
+
+static void parse_tokens(struct rk_relay_call *x, const struct rk_head *head)
+{
+    const struct rk_dialect *d = x->r->opt.dialect;
+    const char *tokens = rk_head_get(head, d->tokens);
+    const char *prefix = rk_head_get(head, d->prefix);
+    double out = 0;
+    if (tokens) {
+        char *end;
+        x->query.tokens_in = strtod(tokens, &end);
+        out = *end == ',' ? strtod(end + 1, NULL) : 0;
+    }
+    if (prefix)
+        rk_place_parse_parts(&x->query, prefix);
+    if (x->org && x->org->counts_tokens)
+        x->units = tokens ? x->query.tokens_in + out : (double)x->org->plain_units;
+    else
+        x->units = 1;
+}
+
+static int64_t time_left(const struct rk_relay *r, const struct rk_route *route,
+                         const struct rk_head *head)
+{
+    const char *deadline = rk_head_get(head, r->opt.dialect->deadline_ms);
+    int64_t ms = deadline ? strtoll(deadline, NULL, 10) : route->timeout_ms;
+    return ms < route->timeout_ms ? ms : route->timeout_ms;
+}
+
+static struct rk_relay_call *create_call(struct rk_relay *r,
+                                         struct rk_client *client,
+                                         const struct rk_route *route,
+                                         const struct rk_org_info *org)
+{
+    const struct rk_head *head = rk_client_head(client);
+    struct rk_relay_call *x = rk_alloc(1, sizeof(*x));
+    *x = (struct rk_relay_call){.r = r,
+                                .client = client,
+                                .routes = rk_routes_ref(r->routes),
+                                .route = route,
+                                .org = org,
+                                .started_ms = rk_mono_ms(),
+                                .first_ms = -1};
+    rk_strcpy(x->id, sizeof(x->id), rk_head_get(head, r->opt.dialect->request_id));
+    x->query.service = rk_route_service(route, (uint32_t)rk_hash_str(0, x->id));
+    x->service = rk_routes_service(r->routes, x->query.service);
+    x->query.engine = x->service->engine;
+    x->end = (struct rk_timer){.fn = rk_call_time_over, .ctx = x};
+    x->silent = (struct rk_timer){.fn = rk_call_silent, .ctx = x};
+    x->next = r->calls;
+    x->prev = &r->calls;
+    if (x->next)
+        x->next->prev = &x->next;
+    r->calls = x;
+    r->calls_len++;
+    parse_tokens(x, head);
+    rk_client_set_user(client, x);
+    return x;
+}
+
+/* Would the call outlast this process, which stops? */
+static bool outlasts_stop(struct rk_relay *r, int64_t left_ms)
+{
+    int64_t began_ms = atomic_load(&r->close_began_ms), now_ms = rk_mono_ms();
+    if (!began_ms || now_ms - began_ms < STOP_TAKES_MS)
+        return false;
+    return now_ms + left_ms > atomic_load(&r->close_ends_ms);
+}
+
+/* Does its organisation's quota allow the call? If not, it is refused. */
+static bool admit(struct rk_relay_call *x)
+{
+    struct rk_quota *q = &x->r->quota;
+    struct rk_quota_answer answer;
+    if (!x->org || rk_quota_admit(q, x->org->name, x->org->rate, x->org->burst,
+                                  x->units, x->started_ms, &answer))
+        return true;
+    rk_count(RK_C_QUOTA_REFUSED, 1);
+    RK_EVENT(
+        "quota.refused", RK_S("request", x->id), RK_S("organisation", x->org->name),
+        RK_N("units", (int64_t)x->units), RK_N("used", (int64_t)answer.used),
+        RK_N("before", (int64_t)answer.before),
+        RK_N("limit", (int64_t)answer.limit), RK_N("nodes_heard", q->nodes_heard),
+        RK_N("nodes_total", q->nodes_total));
+    x->units = 0;
+    rk_call_give_up(x, HTTP_QUOTA, answer.retry_after_ms,
+                    "the organisation's quota is used up");
+    return false;
+}
+
+void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
+{
+    const struct rk_head *head = rk_client_head(client);
+    const char *id = rk_head_get(head, r->opt.dialect->request_id);
+    const struct rk_org_info *org;
+    rk_count(RK_C_CALLS, 1);
+    if (!r->routes) {
+        refuse(r, client, HTTP_REFUSED, RETRY_AFTER_MS, "no routes are known yet");
+        return;
+    }
+    const struct rk_route *route = find_route(r, client);
+    if (!route) {
+        refuse(r, client, HTTP_NO_ROUTE, 0, "no such route");
+        return;
+    }
+    if (!find_org(r, route, head, &org)) {
+        refuse(r, client, HTTP_UNKNOWN_KEY, 0, "the key is not known");
+        return;
+    }
+    if (!id || strlen(id) >= REQUEST_ID_MAX) {
+        refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a request id");
+        return;
+    }
+    int64_t left_ms = time_left(r, route, head);
+    if (left_ms <= 0) {
+        refuse(r, client, HTTP_TIMEOUT, 0, "the deadline has passed");
+        return;
+    }
+    if (outlasts_stop(r, left_ms)) {
+        refuse(r, client, HTTP_REFUSED, 1, "this node stops");
+        return;
+    }
+    struct rk_relay_call *x = create_call(r, client, route, org);
+    x->end_ms = x->started_ms + left_ms;
+    rk_timer_start(r->loop, &x->end, left_ms);
+    if (!admit(x))
+        return;
+    rk_call_earn_retries(x);
+    rk_call_send(x);
+}
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -31,6 +31,7 @@
     struct rk_quota quota;
     struct rk_usage usage;
     struct rk_routes *routes; /* NULL: none known yet */
+    bool vms_known;
     struct rk_relay_service services[RK_RELAY_SERVICES];
     size_t services_len;
     struct rk_relay_call *calls;
--- /dev/null
+++ b/serve/relay_call_impl.h
@@ -0,0 +1,92 @@
+/* State of a relayed call, shared by relay_call.c (its life, attempts, ends),
+ * relay_answer.c (what a vm answers) and relay_arrive.c (what a caller asks). Not
+ * for others. Relay thread only. */
+#ifndef RK_SERVE_RELAY_CALL_IMPL_H
+#define RK_SERVE_RELAY_CALL_IMPL_H
+
+#include "serve/relay_call.h"
+#include "services/upstream.h"
+
+#define REQUEST_ID_MAX   96
+#define SILENT_STREAM_MS 1500
+#define RETRY_AFTER_MS   300 /* told with a refusal when nothing better is known */
+
+enum {
+    HTTP_BAD_REQUEST = 400,
+    HTTP_UNKNOWN_KEY = 401,
+    HTTP_NO_ROUTE = 404,
+    HTTP_TIMEOUT = 408,
+    HTTP_MISDIRECTED = 421,
+    HTTP_QUOTA = 429,
+    HTTP_BROKEN = 502,
+    HTTP_REFUSED = 503,
+    HTTP_TOO_LATE = 504,
+};
+
+/* What becomes of the answer that an attempt is getting. */
+enum fate {
+    FATE_NONE,    /* no head yet */
+    FATE_PASS,    /* goes to the caller */
+    FATE_NOT_RUN, /* proves that the call did not run */
+    FATE_REPEAT,  /* a failure, but the call may be repeated */
+};
+
+struct rk_relay_call {
+    struct rk_relay *r;
+    struct rk_relay_call *next, **prev;
+    struct rk_client *client; /* NULL: gone */
+    char id[REQUEST_ID_MAX];
+    struct rk_routes *routes; /* the version it is served by */
+    const struct rk_route *route;
+    const struct rk_service_info *service;
+    const struct rk_org_info *org; /* NULL: none */
+    struct rk_place_query query;
+    double units; /* of the organisation's quota */
+    int64_t started_ms, end_ms;
+    struct rk_timer end;    /* the deadline or the route's timeout */
+    struct rk_timer silent; /* the vm says nothing */
+    /* The attempt under way. */
+    struct rk_upstream_call *up;
+    struct rk_place_vm *vm;
+    double unread_tokens;
+    enum fate fate;
+    int64_t sent_wall_ms;
+    bool counted; /* this attempt's beginning, in usage */
+    /* All attempts. */
+    int attempts;
+    bool may_have_run;
+    bool ran;   /* it counts for the quota */
+    bool begun; /* the caller has got the head */
+    bool got_bytes;
+    struct rk_events events;
+    int64_t first_ms; /* to the first byte; -1 */
+};
+
+/* relay_call.c: ends. The call is gone after them. */
+void rk_call_answer_problem(struct rk_client *client, int status,
+                            int64_t retry_after_ms, const char *why);
+void rk_call_give_up(struct rk_relay_call *x, int status, int64_t retry_after_ms,
+                     const char *why);
+void rk_call_finish(struct rk_relay_call *x, int status);
+
+/* relay_call.c: attempts. */
+bool rk_call_repeatable(const struct rk_relay_call *x);
+void rk_call_earn_retries(struct rk_relay_call *x);
+void rk_call_send(struct rk_relay_call *x);
+void rk_call_end_attempt(struct rk_relay_call *x, enum rk_place_end end);
+void rk_call_cancel_attempt(struct rk_relay_call *x, enum rk_place_end end);
+void rk_call_attempt_failed(struct rk_relay_call *x, bool sent,
+                            enum rk_place_end end, const char *what);
+void rk_call_attempt_not_run(struct rk_relay_call *x, const char *what);
+
+/* relay_call.c: timers. */
+void rk_call_time_over(void *ctx);
+void rk_call_silent(void *ctx);
+
+/* relay_answer.c */
+extern const struct rk_upstream_ops rk_call_upstream_ops;
+bool rk_call_is_hop_header(const char *name);
+/* Is the header named in the Connection header? */
+bool rk_call_is_nominated(const char *connection, const char *name);
+
+#endif
