--- a/tools/demo.py
+++ b/tools/demo.py
@@ -21,6 +21,34 @@
     return a.whole()
 
 
+def hosted_part(build):
+    """The same product on the platform that hosts it: process files from the deploy
+    file's template, settings and vms from its store."""
+    from hosted import Hosted, wait_until
+    print("\non the users' platform: store, cloud, 3 nodes in 3 failure domains")
+    zones = ("klein-hall", "eros-hall", "olympia-hall")
+    with Hosted(nodes=3, zones=zones, build=build) as d:
+        for zone in zones:
+            d.add_worker("slots", zone=zone)
+            d.add_worker("draft", events=8, zone=zone, slots=32)
+        d.configure([d.route("confirm", "slots", "non_idempotent", maxAttempts=1),
+                     d.route("chat", "draft", "streaming", resumable=True)],
+                    services=["slots", "draft"])
+        d.wait_ready()
+        ok = True
+        for n, target in ((0, "/confirm/17"), (1, "/chat/visits"), (2, "/confirm/18")):
+            a = d.call(target, node=n)
+            ran = d.runs(a.ident)
+            print("  %-34s via %-18s %3d %-9s ran %d" % (
+                target, d.nodes[n].name, a.status, "whole" if a.whole else "NOT WHOLE", ran))
+            ok &= a.whole and a.status == 200 and ran == 1
+        wait_until(lambda: d.cloud.usage, 30)
+        window, counts, holder, fence = d.cloud.usage[-1]
+        print("  usage of window %d: %s, told by %s under token %d" %
+              (window, counts, holder, fence))
+    return ok
+
+
 def main():
     build = sys.argv[1] if len(sys.argv) > 1 else "build"
     started = time.time()
@@ -78,6 +106,7 @@
         rid = a.headers["rillknot-request-id"]
         sys.stdout.flush()
         ok &= subprocess.call([tool, "--request", rid, *logs]) == 0
+    ok &= hosted_part(build)
     print("\n%s in %.1f s" % ("all answers whole" if ok else "FAILED",
                               time.time() - started))
     return 0 if ok else 1
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -418,6 +418,13 @@
         return self
 
     def __exit__(self, *_):
+        self.stop()
+        for node in self.nodes:
+            with open(node.log, "rb") as f:
+                if b"Sanitizer" in f.read():
+                    raise AssertionError("a sanitizer's report: %s" % node.log)
+
+    def stop(self):
         for node in self.nodes:
             if node.popen.poll() is None:
                 node.kill()
