relay: a failure that a vm answered is logged and counted as one; dead code out

Found on reading the change again. Cause: a whole answer ended its call as status 200, whatever the vm had answered; a passed-on 500 was logged as 200 (and sampled away with those that ended well), counted in answers_ok_total, and stood in the histograms as served. What the caller got was right.

Taken out, as nothing called it: rk_upstreams_opened, rk_server_clients, rk_client_set_close, a server field that was only written, a call's got_bytes.

--- a/callers/server.c
+++ b/callers/server.c
@@ -44,8 +44,7 @@
     bool chunked; /* the answer's framing */
     bool no_body; /* of the answer */
     bool close;   /* the connection ends with the answer */
-    bool unframed;
-    int refuse; /* status to refuse the request with; 0: none */
+    int refuse;   /* status to refuse the request with; 0: none */
 };
 
 struct rk_server {
@@ -134,7 +133,6 @@
         c->chunked = true;
         write_str(c, "Transfer-Encoding: chunked\r\n");
     } else {
-        c->unframed = true;
         c->close = true;
     }
 }
@@ -145,7 +143,6 @@
     char line[LINE_MAX_LEN];
     c->state = CLIENT_ANSWERING;
     c->chunked = false;
-    c->unframed = false;
     c->no_body =
         c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
     c->close = c->close || c->s->closing || !c->reader.head.keep_alive;
@@ -210,11 +207,6 @@
     rk_client_end(c);
 }
 
-void rk_client_set_close(struct rk_client *c)
-{
-    c->close = true;
-}
-
 size_t rk_client_unsent(const struct rk_client *c)
 {
     return rk_conn_unsent(c->conn);
@@ -476,8 +468,3 @@
         busy += !is_idle(c);
     return busy;
 }
-
-size_t rk_server_clients(const struct rk_server *s)
-{
-    return s->clients_len;
-}
--- a/callers/server.h
+++ b/callers/server.h
@@ -50,7 +50,6 @@
 
 /* Connections with a request in hand or an answer not all out. */
 size_t rk_server_busy(const struct rk_server *s);
-size_t rk_server_clients(const struct rk_server *s);
 
 /* About the request in hand. */
 const struct rk_head *rk_client_head(const struct rk_client *c);
@@ -72,7 +71,4 @@
 /* Bytes of the answer that the caller hasn't taken. */
 size_t rk_client_unsent(const struct rk_client *c);
 
-/* The connection ends with this answer. */
-void rk_client_set_close(struct rk_client *c);
-
 #endif
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -63,6 +63,7 @@
             rk_buf_printf(&b, "%s: %s\r\n", name, rk_head_value(head, i));
     }
     x->begun = true;
+    x->status = head->status;
     if (x->first_ms < 0)
         x->first_ms = rk_mono_ms() - x->started_ms;
     if (x->client)
@@ -183,7 +184,7 @@
     if (x->events.part.len && x->client)
         rk_client_data(x->client, x->events.part.data, x->events.part.len);
     rk_call_end_attempt(x, RK_PLACE_DONE);
-    rk_call_finish(x, 200);
+    rk_call_finish(x);
 }
 
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -131,12 +131,15 @@
         rk_call_give_up(x, HTTP_REFUSED, RETRY_AFTER_MS, why);
 }
 
-void rk_call_finish(struct rk_relay_call *x, int status)
+/* The caller has got the vm's whole answer, a success or a failure of the vm's. */
+void rk_call_finish(struct rk_relay_call *x)
 {
     struct rk_client *client = x->client;
-    rk_count(RK_C_ANSWERS_OK, 1);
-    log_end(x, status, "");
-    observe(x, "served");
+    bool served = x->status < HTTP_BAD_REQUEST;
+    if (served)
+        rk_count(RK_C_ANSWERS_OK, 1);
+    log_end(x, x->status, "");
+    observe(x, served ? "served" : "failed");
     free_call(x);
     if (client)
         rk_client_end(client);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -57,7 +57,7 @@
     bool may_have_run;
     bool ran;   /* it counts for the quota */
     bool begun; /* the caller has got the head */
-    bool got_bytes;
+    int status; /* of that head */
     struct rk_events events;
     int64_t first_ms; /* to the first byte; -1 */
 };
@@ -67,7 +67,7 @@
                             int64_t retry_after_ms, const char *why);
 void rk_call_give_up(struct rk_relay_call *x, int status, int64_t retry_after_ms,
                      const char *why);
-void rk_call_finish(struct rk_relay_call *x, int status);
+void rk_call_finish(struct rk_relay_call *x);
 
 /* relay_call.c: attempts. */
 bool rk_call_repeatable(const struct rk_relay_call *x);
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -43,7 +43,6 @@
     struct rk_loop *loop;
     struct pool *pools;
     struct rk_timer sweep;
-    uint64_t opened;
 };
 
 struct rk_upstream_call {
@@ -289,11 +288,6 @@
     free(u);
 }
 
-uint64_t rk_upstreams_opened(const struct rk_upstreams *u)
-{
-    return u->opened;
-}
-
 static struct pool *pool_of(struct rk_upstreams *u, const char *vm_id,
                             const char *addr)
 {
@@ -338,7 +332,6 @@
     l->reusable = true;
     rk_http1_init(&l->reader, false, HEAD_MAX, &reader_ops, l);
     p->open++;
-    p->u->opened++;
     return l;
 }
 
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -63,7 +63,4 @@
 /* Has a byte of the request left? */
 bool rk_upstream_sent(const struct rk_upstream_call *call);
 
-/* Connections opened since the start. */
-uint64_t rk_upstreams_opened(const struct rk_upstreams *u);
-
 #endif
