--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, deps, demo, check, prove, bench, mutants, lint, format, proto,
-# clean.
+# clean. days plays tests/days with the users' bench (FLEETBENCH, SITES).
 # SAN=address|thread builds into a folder of its own with that sanitizer.
 CC      ?= gcc
 CXX     ?= g++
@@ -102,4 +102,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps demo check prove bench mutants lint format proto clean
+.PHONY: days all programs deps demo check prove bench mutants lint format proto clean
+
+days:
+	@for s in $(SITES); do python3 tools/days.py $$s; done
--- a/core/quota.c
+++ b/core/quota.c
@@ -1,26 +1,28 @@
 #include "core/quota.h"
 
+#include <math.h>
 #include <string.h>
 
 #define RETRY_MIN_MS 250
 #define SLACK_SHARE                                                                \
-    0.6                    /* of the slack that is planned with; the rest covers   \
-                              what peers admit before this node hears of it */
-#define REPORT_LAG_MS 300  /* age of what the peers tell, when it comes */
-#define LAG_MAX_MS    1500 /* what is guessed of silent peers ends somewhere */
+    0.6                     /* of the slack that is planned with; the rest covers  \
+                               what peers admit before this node hears of it */
+#define REPORT_LAG_MS 250   /* age of what the peers tell */
+#define RATE_MS       400.0 /* over which the peers' rate is taken */
 #define USUAL_PART                                                                 \
     0.8 /* of its rate an organisation gets while it isn't known                   \
            what it used before a restart */
 
 void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
-                   int64_t forgot_ms)
+                   int64_t since_ms)
 {
     memset(q, 0, sizeof(*q));
     q->window_ms = window_ms > 0 ? window_ms : RK_QUOTA_WINDOW_MS;
     q->slack = slack;
     q->nodes_heard = 1;
     q->nodes_total = RK_UNKNOWN_NODES;
-    q->forgot_ms = forgot_ms;
+    q->since_ms = since_ms;
+    q->forgot_ms = since_ms;
 }
 
 static int64_t bucket_ms(const struct rk_quota *q)
@@ -47,13 +49,11 @@
     int64_t now = now_ms / bucket_ms(q);
     if (now - o->bucket >= RK_QUOTA_BUCKETS) {
         memset(o->used, 0, sizeof(o->used));
-        memset(o->own, 0, sizeof(o->own));
         o->bucket = now;
     }
     while (o->bucket < now) {
         o->bucket++;
         o->used[o->bucket % RK_QUOTA_BUCKETS] = 0;
-        o->own[o->bucket % RK_QUOTA_BUCKETS] = 0;
     }
 }
 
@@ -65,24 +65,20 @@
     return total;
 }
 
-double rk_quota_own(const struct rk_quota_org *o)
+double rk_quota_known(const struct rk_quota_org *o)
 {
-    return sum(o->own);
+    return sum(o->used);
 }
 
-double rk_quota_known(const struct rk_quota_org *o)
+static double peers_recent(const struct rk_quota_org *o, int64_t now_ms)
 {
-    return sum(o->used);
+    return o->peers_recent * exp(-(double)(now_ms - o->peers_recent_ms) / RATE_MS);
 }
 
 /* What the peers probably admitted since their last word. */
-static double unheard(const struct rk_quota *q, const struct rk_quota_org *o,
-                      int64_t now_ms)
+static double unheard(const struct rk_quota_org *o, int64_t now_ms)
 {
-    if (!q->told_ms)
-        return 0;
-    int64_t ms = now_ms - q->told_ms + REPORT_LAG_MS;
-    return o->peers_per_ms * (double)(ms < LAG_MAX_MS ? ms : LAG_MAX_MS);
+    return peers_recent(o, now_ms) / RATE_MS * REPORT_LAG_MS;
 }
 
 /* What is taken as used before a restart of all nodes: the whole quota, leaving
@@ -99,8 +95,8 @@
 
 int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms)
 {
-    int64_t age_ms = now_ms - q->forgot_ms;
-    return q->forgot_ms && age_ms < q->window_ms ? age_ms : q->window_ms;
+    int64_t age_ms = now_ms - q->since_ms;
+    return q->since_ms && age_ms < q->window_ms ? age_ms : q->window_ms;
 }
 
 void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms)
@@ -117,8 +113,18 @@
         return;
     advance(q, o, now_ms);
     double missing = units - sum(o->used);
-    if (missing > 0)
-        o->used[o->bucket % RK_QUOTA_BUCKETS] += missing;
+    for (size_t i = 0; missing > 0 && i < RK_QUOTA_BUCKETS; i++)
+        o->used[i] += missing / RK_QUOTA_BUCKETS;
+}
+
+void rk_quota_restore(struct rk_quota *q, const char *org, double units,
+                      int64_t age_ms, int64_t now_ms)
+{
+    struct rk_quota_org *o = find(q, org);
+    if (!o || !q->forgot_ms)
+        return; /* it, or a peer, remembers itself */
+    o->kept = units;
+    o->kept_until_ms = now_ms - age_ms + q->window_ms;
 }
 
 /* The quota that counts now. */
@@ -143,14 +149,8 @@
         return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
-    int64_t since_ms = q->told_ms ? now_ms - q->told_ms : 0;
-    if (since_ms > 0)
-        o->peers_per_ms += units / (double)since_ms;
-}
-
-void rk_quota_told(struct rk_quota *q, int64_t now_ms)
-{
-    q->told_ms = now_ms;
+    o->peers_recent = peers_recent(o, now_ms) + units;
+    o->peers_recent_ms = now_ms;
 }
 
 /* When the oldest use that must leave the window for `need` has left it. */
@@ -166,9 +166,9 @@
 }
 
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
-                    double units, int64_t now_ms, int64_t *retry_after_ms)
+                    double units, int64_t now_ms, struct rk_quota_answer *answer)
 {
-    *retry_after_ms = RETRY_MIN_MS;
+    *answer = (struct rk_quota_answer){.retry_after_ms = RETRY_MIN_MS};
     struct rk_quota_org *o = find(q, org);
     if (!o)
         return true;
@@ -179,15 +179,20 @@
     double quota =
         effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
-    double used = sum(o->used) + unheard(q, o, now_ms);
+    double used = sum(o->used) + unheard(o, now_ms);
     double before = forgotten(q, quota * part, rate * part, now_ms);
+    double kept = q->forgot_ms && now_ms < o->kept_until_ms ? o->kept * part : 0;
+    if (kept > before)
+        before = kept;
     double over = used + before + units - limit;
+    answer->used = used;
+    answer->before = before;
+    answer->limit = limit;
     if (rate > 0 && over > 0) {
-        *retry_after_ms = free_in_ms(q, o, over);
+        answer->retry_after_ms = free_in_ms(q, o, over);
         return false;
     }
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
-    o->own[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->own_total += units;
     return true;
 }
@@ -200,6 +205,5 @@
         return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] -= units;
-    o->own[o->bucket % RK_QUOTA_BUCKETS] -= units;
     o->own_total -= units;
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -19,13 +19,15 @@
 struct rk_quota_org {
     char name[RK_ID_MAX];
     double used[RK_QUOTA_BUCKETS]; /* units, by time */
-    double own[RK_QUOTA_BUCKETS];  /* the part of it admitted here */
     int64_t bucket;                /* number of the newest */
     double own_total;              /* admitted here since the start */
-    double peers_per_ms; /* how fast the peers use it, by their last word */
-    double quota;        /* units a window, as asked for last */
-    double old_quota;    /* a higher one that still counts */
+    double peers_recent;           /* of the peers, decaying: shows their rate */
+    int64_t peers_recent_ms;       /* when it was reckoned */
+    double quota;                  /* units a window, as asked for last */
+    double old_quota;              /* a higher one that still counts */
     int64_t old_until_ms;
+    double kept;           /* used before a restart, by what was kept */
+    int64_t kept_until_ms; /* it counts until then */
 };
 
 struct rk_quota {
@@ -34,42 +36,49 @@
     size_t orgs_len;
     int nodes_heard, nodes_total; /* this one included */
     double slack;                 /* units that the deployment forgives */
-    int64_t told_ms;              /* when the peers told last; 0: never */
-    int64_t forgot_ms; /* start of a process that had an earlier life: what was used
-                          before is not known; 0: the first */
+    int64_t since_ms;  /* own knowledge goes back to then; 0: to the first start */
+    int64_t forgot_ms; /* the same until a peer told what was used before */
 };
 
-/* forgot_ms: see above. */
+/* since_ms: see above. */
 void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
-                   int64_t forgot_ms);
+                   int64_t since_ms);
+
+/* What decided about a call. */
+struct rk_quota_answer {
+    double used, before,
+        limit;              /* units: known, guessed of an earlier life, allowed */
+    int64_t retry_after_ms; /* when some are free again */
+};
 
 /* A lowered quota takes effect after one window: until then the higher one counts.
- * May units be used? Counts them if so. rate 0: no limit. If not,
- * *retry_after_ms says when some are free again. */
+ * May units be used? Counts them if so. rate 0: no limit. */
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
-                    double units, int64_t now_ms, int64_t *retry_after_ms);
+                    double units, int64_t now_ms, struct rk_quota_answer *answer);
 
 /* Units that were admitted elsewhere since the peers' last word, or given back
  * (negative). */
 void rk_quota_add(struct rk_quota *q, const char *org, double units,
                   int64_t now_ms);
 
-/* The peers told all they had to tell; rk_quota_add() was called for each. */
-void rk_quota_told(struct rk_quota *q, int64_t now_ms);
-
-/* How far back this node's knowledge goes, at most the window. */
+/* How far back this node's own knowledge goes, at most the window. */
 int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms);
 
 /* A peer remembers a whole window; rk_quota_know() was called for each of its
  * organisations. */
 void rk_quota_remind(struct rk_quota *q, int64_t remembers_ms);
 
-/* All nodes used so much of it within the window, by what a peer remembers. */
+/* All nodes used so much of it within the window, by what a peer remembers; when
+ * is not told, so it is spread over the window. */
 void rk_quota_know(struct rk_quota *q, const char *org, double units,
                    int64_t now_ms);
 
-/* Units within the window: admitted here, and by all as far as known here. */
-double rk_quota_own(const struct rk_quota_org *o);
+/* All nodes used so much of it within the window before, by what was kept; it was
+ * true so long ago. It counts until that moment leaves the window. */
+void rk_quota_restore(struct rk_quota *q, const char *org, double units,
+                      int64_t age_ms, int64_t now_ms);
+
+/* Units used by all within the window, as far as known here. */
 double rk_quota_known(const struct rk_quota_org *o);
 
 /* Give back what was admitted here and did not run. */
--- a/node/duties.c
+++ b/node/duties.c
@@ -315,7 +315,10 @@
     note_lease(k);
     tend_usage(k);
     struct rk_duty_token t;
-    rk_orders_tick(k->orders, token(k, &t) ? &t : NULL);
+    bool held = token(k, &t);
+    rk_orders_tick(k->orders, held ? &t : NULL);
+    if (held)
+        rk_remember_tick(k->n->remember);
     int64_t window = rk_wall_ms() / (k->n->file.usage_window_s * RK_MS_PER_S);
     rk_usage_forget(&k->n->usage, window - WINDOWS);
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -14,8 +14,9 @@
 #include "peers/link.h"
 
 #define REPORT_MS       250
-#define REPORT_SOON_MS  5    /* after news of the store */
-#define HEARD_MS        1200 /* a node silent for longer is not heard */
+#define RELAY_SOON_MS   20 /* after a peer's report: for those that come together */
+#define REPORT_SOON_MS  5  /* after news of the store */
+#define HEARD_MS        900 /* a node silent for longer is not heard */
 #define FORGET_MS       15000
 #define DIAL_MS         500 /* between tries to reach a node */
 #define CONNECT_MS      1000
@@ -59,7 +60,8 @@
     struct rk_listener *listener;
     struct member *members;
     struct guest *guests;
-    struct rk_timer tick, soon, enrol;
+    struct rk_timer tick, soon, relay_soon, enrol;
+    int64_t told_ms; /* the peers, last */
     int64_t enrol_ms;
     bool enrolled, listed;
     int64_t asked_ms;
@@ -146,11 +148,13 @@
     return count;
 }
 
+/* A node that said that it leaves is gone once it is silent. */
 int rk_mesh_total(const struct rk_mesh *m)
 {
     int count = 1;
+    int64_t now_ms = rk_mono_ms();
     for (const struct member *k = m->members; k; k = k->next)
-        count += k->id[0] != '\0';
+        count += k->id[0] && (!k->leaving || is_heard(k, now_ms));
     return m->listed || count > RK_UNKNOWN_NODES ? count : RK_UNKNOWN_NODES;
 }
 
@@ -211,7 +215,6 @@
         rillknot__org_use__init(&p->uses[i]);
         p->uses[i].org = r->uses[i].org;
         p->uses[i].units = r->uses[i].units;
-        p->uses[i].recent = r->uses[i].recent;
         p->uses[i].known = r->uses[i].known;
         p->use_ptrs[i] = &p->uses[i];
     }
@@ -312,6 +315,7 @@
 
 static void tell_all(struct rk_mesh *m)
 {
+    m->told_ms = rk_mono_ms();
     struct report_parts p;
     fill_report(&p, m);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
@@ -336,8 +340,8 @@
 
 /* ---- reports in ---- */
 
-/* What the node used since its last report goes to the relay with the next. Of a
- * node heard for the first time that is what it used within the window. */
+/* What the node used since its last report goes to the relay with the next. What a
+ * node heard for the first time used before is among what peers remember. */
 static void take_uses(struct member *k, const Rillknot__NodeReport *r, bool first)
 {
     struct rk_mesh *m = k->m;
@@ -347,7 +351,7 @@
         rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
         uses[i].units = r->uses[i]->units;
         uses[i].known = r->uses[i]->known;
-        double before = first ? uses[i].units - r->uses[i]->recent : 0;
+        double before = first ? uses[i].units : 0;
         for (size_t j = 0; j < k->uses_len; j++)
             if (!strcmp(k->uses[j].org, uses[i].org))
                 before = k->uses[j].units;
@@ -450,6 +454,8 @@
     take_loads(k, r);
     take_services(k, r);
     take_usage(m->n, r);
+    if (!m->relay_soon.slot)
+        rk_timer_start(m->n->loop, &m->relay_soon, RELAY_SOON_MS);
     if (r->lease)
         rk_duty_keeper_seen(m->n->duty_keeper, r->lease->version, r->lease->value);
     for (size_t i = 0; i < r->n_peers; i++)
@@ -610,10 +616,16 @@
     rk_log_flush();
     review_members(m, now_ms);
     dial_members(m, now_ms);
-    tell_all(m);
+    if (now_ms - m->told_ms >= REPORT_MS)
+        tell_all(m); /* else the relay's reports set the pace */
     tell_relay(m, now_ms);
 }
 
+static void on_relay_soon(void *ctx)
+{
+    tell_relay(ctx, rk_mono_ms());
+}
+
 /* ---- the list of nodes in the store ---- */
 
 static void enrol_later(struct rk_mesh *m)
@@ -697,6 +709,7 @@
     m->n = n;
     m->enrol_ms = REGISTER_MIN_MS;
     m->tick = (struct rk_timer){.fn = on_tick, .ctx = m};
+    m->relay_soon = (struct rk_timer){.fn = on_relay_soon, .ctx = m};
     m->soon = (struct rk_timer){.fn = on_soon, .ctx = m};
     m->enrol = (struct rk_timer){.fn = on_enrol, .ctx = m};
     m->listener = rk_listener_create(n->loop, n->file.control_listen, &guest_ops,
@@ -727,6 +740,7 @@
 {
     rk_timer_stop(m->n->loop, &m->tick);
     rk_timer_stop(m->n->loop, &m->soon);
+    rk_timer_stop(m->n->loop, &m->relay_soon);
     rk_timer_stop(m->n->loop, &m->enrol);
     while (m->members) {
         struct member *k = m->members;
--- a/node/node.c
+++ b/node/node.c
@@ -111,6 +111,7 @@
     n->report = m->report;
     for (size_t i = 0; i < n->report->usage_len; i++)
         rk_usage_merge(&n->usage, &n->report->usage[i]);
+    rk_mesh_report(n->mesh);
     free(m);
 }
 
@@ -276,6 +277,7 @@
     n->store = n->platform->create_store(n->http, n->file.platform);
     n->duties = n->platform->create_duties(n->http, n->file.cloud);
     n->sync = rk_sync_create(n);
+    n->remember = rk_remember_create(n);
     n->duty_keeper = rk_duty_keeper_create(n);
     if (create_relay(n) != RK_OK)
         return RK_ESYSTEM;
@@ -313,6 +315,7 @@
     rk_http_destroy(n->http);
     rk_mesh_destroy(n->mesh);
     rk_duty_keeper_destroy(n->duty_keeper);
+    rk_remember_destroy(n->remember);
     rk_sync_destroy(n->sync);
     n->duties->ops->destroy(n->duties);
     n->store->ops->destroy(n->store);
@@ -338,6 +341,7 @@
         RK_S("control", rk_mesh_addr(n->mesh)),
         RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
         RK_N("first_start", n->file.first_start));
+    rk_remember_start(n->remember);
     rk_sync_start(n->sync);
     rk_mesh_start(n->mesh);
     rk_duty_keeper_start(n->duty_keeper);
--- a/node/state.h
+++ b/node/state.h
@@ -29,6 +29,7 @@
     struct rk_sync *sync;
     struct rk_mesh *mesh;
     struct rk_duty_keeper *duty_keeper;
+    struct rk_remember *remember;
     struct rk_usage usage;          /* of all nodes */
     struct rk_relay_report *report; /* the relay's last */
     struct rk_rng rng;
@@ -80,6 +81,13 @@
 /* The rest of the time: demand is followed, nothing is ordered. */
 void rk_orders_watch(struct rk_orders *o);
 
+/* remember.c: what must outlast a kill of all nodes at once. */
+struct rk_remember;
+struct rk_remember *rk_remember_create(struct rk_node *n);
+void rk_remember_destroy(struct rk_remember *m);
+void rk_remember_start(struct rk_remember *m); /* read what there is */
+void rk_remember_tick(struct rk_remember *m); /* while this node holds the duties */
+
 /* duties.c: the lease, usage, orders for vms. */
 struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n);
 void rk_duty_keeper_destroy(struct rk_duty_keeper *k);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2432,7 +2432,7 @@
   (ProtobufCMessageInit) rillknot__vm_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[3] =
 {
   {
     "org",
@@ -2458,21 +2458,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "recent",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Rillknot__OrgUse, recent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "known",
-    4,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -2484,15 +2472,14 @@
   },
 };
 static const unsigned rillknot__org_use__field_indices_by_name[] = {
-  3,   /* field[3] = known */
+  2,   /* field[2] = known */
   0,   /* field[0] = org */
-  2,   /* field[2] = recent */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange rillknot__org_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rillknot__org_use__descriptor =
 {
@@ -2502,7 +2489,7 @@
   "Rillknot__OrgUse",
   "rillknot",
   sizeof(Rillknot__OrgUse),
-  4,
+  3,
   rillknot__org_use__field_descriptors,
   rillknot__org_use__field_indices_by_name,
   1,  rillknot__org_use__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -286,17 +286,13 @@
   char *org;
   double units;
   /*
-   * The part of it within the quota's window, for who hears of it first.
-   */
-  double recent;
-  /*
-   * What all nodes used within it, as far as the sender knows.
+   * What all nodes used within the quota's window, as far as the sender knows.
    */
   double known;
 };
 #define RILLKNOT__ORG_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__org_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -61,7 +61,6 @@
         struct rk_org_use *use = &report->uses[report->uses_len++];
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_total;
-        use->recent = rk_quota_own(&r->quota.orgs[i]);
         use->known = rk_quota_known(&r->quota.orgs[i]);
     }
 }
@@ -111,6 +110,9 @@
     struct rk_vm_row *rows;
     size_t rows_len;
     struct rk_relay_peers *peers;
+    struct rk_org_use *uses;
+    size_t uses_len;
+    int64_t age_ms;
 };
 
 static bool post(struct rk_relay *r, rk_call_fn *fn, const struct message *m)
@@ -173,11 +175,8 @@
     const struct rk_relay_peers *p = m->peers;
     int64_t now_ms = rk_mono_ms();
     rk_place_set_loads(r->place, p->loads, p->loads_len);
-    for (size_t i = 0; i < r->quota.orgs_len; i++)
-        r->quota.orgs[i].peers_per_ms = 0;
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
-    rk_quota_told(&r->quota, now_ms);
     for (size_t i = 0; r->quota.forgot_ms && i < p->known_len; i++)
         rk_quota_know(&r->quota, p->known[i].org, p->known[i].known, now_ms);
     rk_quota_remind(&r->quota, p->remembers_ms);
@@ -195,6 +194,27 @@
     return false;
 }
 
+static void take_restore(void *ctx)
+{
+    struct message *m = ctx;
+    int64_t now_ms = rk_mono_ms();
+    for (size_t i = 0; i < m->uses_len; i++)
+        rk_quota_restore(&m->r->quota, m->uses[i].org, m->uses[i].known, m->age_ms,
+                         now_ms);
+    free(m->uses);
+    free(m);
+}
+
+bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
+                      int64_t age_ms)
+{
+    const struct message m = {.uses = uses, .uses_len = len, .age_ms = age_ms};
+    if (post(r, take_restore, &m))
+        return true;
+    free(uses);
+    return false;
+}
+
 static void take_close(void *ctx)
 {
     struct rk_relay *r = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -30,8 +30,8 @@
 struct rk_org_use {
     char org[RK_ID_MAX];
     double units;
-    double recent; /* the part of it within the quota's window */
-    double known;  /* what all nodes used within it, as far as known here */
+    double
+        known; /* what all used within the quota's window, as far as known here */
 };
 
 /* What was asked of an engine service here since the start, and is in hand. */
@@ -96,6 +96,10 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
+/* What the store remembers of quotas (known of each), so old. */
+bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
+                      int64_t age_ms);
+
 /* Any thread: this process ends in so many ms. Connections end with their next
  * answer; calls that can't end by then are refused. */
 void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -771,6 +771,27 @@
     return now_ms + left_ms > atomic_load(&r->close_ends_ms);
 }
 
+/* Does its organisation's quota allow the call? If not, it is refused. */
+static bool admit(struct rk_relay_call *x)
+{
+    struct rk_quota *q = &x->r->quota;
+    struct rk_quota_answer answer;
+    if (!x->org || rk_quota_admit(q, x->org->name, x->org->rate, x->org->burst,
+                                  x->units, x->started_ms, &answer))
+        return true;
+    rk_count(RK_C_QUOTA_REFUSED, 1);
+    RK_EVENT(
+        "quota.refused", RK_S("request", x->id), RK_S("organisation", x->org->name),
+        RK_N("units", (int64_t)x->units), RK_N("used", (int64_t)answer.used),
+        RK_N("before", (int64_t)answer.before),
+        RK_N("limit", (int64_t)answer.limit), RK_N("nodes_heard", q->nodes_heard),
+        RK_N("nodes_total", q->nodes_total));
+    x->units = 0;
+    give_up(x, HTTP_QUOTA, answer.retry_after_ms,
+            "the organisation's quota is used up");
+    return false;
+}
+
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
 {
     const struct rk_head *head = rk_client_head(client);
@@ -806,15 +827,8 @@
     struct rk_relay_call *x = create_call(r, client, route, org);
     x->end_ms = x->started_ms + left_ms;
     rk_timer_start(r->loop, &x->end, left_ms);
-    int64_t retry_after_ms;
-    if (org && !rk_quota_admit(&r->quota, org->name, org->rate, org->burst,
-                               x->units, x->started_ms, &retry_after_ms)) {
-        x->units = 0;
-        rk_count(RK_C_QUOTA_REFUSED, 1);
-        give_up(x, HTTP_QUOTA, retry_after_ms,
-                "the organisation's quota is used up");
+    if (!admit(x))
         return;
-    }
     earn_retries(x);
     send_to_vm(x);
 }
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -174,6 +174,40 @@
         return "%d admitted in the fullest window of %d allowed" % (most, bound)
 
 
+def test_a_quota_holds_over_a_kill_of_all_nodes():
+    """A whole quota is used at once, then every process is killed and started again:
+    what was used is kept in the store and still counts."""
+    rate, burst, window = 20, 60, 8
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": rate, "burst": burst}]
+    with fleet(nodes=2, zones=("a-hall", "b-hall"), tenants=tenants,
+               bounds={"quotaWindowS": window}) as d:
+        admitted = []
+
+        def ask(node, ident):
+            if d.call("/r/x", node=node, ident=ident).status == 200:
+                admitted.append(time.monotonic())
+        wait_until(lambda: d.cloud.usage, 20)  # somebody holds the duties
+        for n in range(rate * window + burst + 40):
+            ask(n % 2, "before-%d" % n)
+        wait_until(lambda: "recent" in d.store.objects["rillknot-quotas"], 10)
+        time.sleep(0.8)
+        for node in d.nodes[:2]:
+            node.kill()
+        for _ in range(2):
+            d.add_node(first_start=False)
+        wait_until(lambda: d.ready(d.nodes[2]) and d.ready(d.nodes[3]))
+        end = admitted[0] + window - 0.5
+        n = 0
+        while time.monotonic() < end:
+            n += 1
+            ask(2 + n % 2, "after-%d" % n)
+            time.sleep(0.01)
+        bound = rate * window + burst
+        assert len(admitted) <= bound * 1.25, (len(admitted), bound)
+        return "%d admitted of %d allowed" % (len(admitted), bound)
+
+
 def test_tokens_count_for_the_quota():
     tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
                 "plainTokens": 1, "ratePerS": 100, "burst": 100}]
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -124,9 +124,9 @@
                         double units)
 {
     double sum = 0;
-    int64_t retry_ms;
+    struct rk_quota_answer answer;
     for (int64_t t = from_ms; t < to_ms; t += step_ms)
-        if (rk_quota_admit(q, "org", rate, burst, units, t, &retry_ms))
+        if (rk_quota_admit(q, "org", rate, burst, units, t, &answer))
             sum += units;
     return sum;
 }
@@ -207,36 +207,47 @@
 {
     (void)state;
     struct rk_quota q = lone_quota(0);
-    int64_t retry_ms;
-    rk_quota_admit(&q, "org", 100, 100, 1, 100000, &retry_ms);
-    rk_quota_told(&q, 100000);
-    rk_quota_add(&q, "org", 500, 100250); /* 2 in a ms */
-    rk_quota_told(&q, 100250);
-    assert_false(rk_quota_admit(&q, "org", 100, 100, 10, 100260, &retry_ms));
-    assert_true(retry_ms > 0);
+    struct rk_quota_answer answer;
+    rk_quota_admit(&q, "org", 100, 100, 1, 100000, &answer);
+    rk_quota_add(&q, "org", 300, 100150);
+    rk_quota_add(&q, "org", 300, 100250);
+    assert_false(rk_quota_admit(&q, "org", 100, 100, 10, 100260, &answer));
+    assert_true(answer.retry_after_ms > 0);
 }
 
 static void a_peer_with_a_memory_lifts_the_caution(void **state)
 {
     (void)state;
     struct rk_quota q = lone_quota(100000);
-    int64_t retry_ms;
-    assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &retry_ms));
+    struct rk_quota_answer answer;
+    assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &answer));
     rk_quota_know(&q, "org", 300, 100200);
     rk_quota_remind(&q, WINDOW_MS);
     assert_in_range((int)admit_for(&q, 100, 100, 100250, 100260, 1, 100), 600, 600);
 }
 
+/* A whole quota used in one second, then all nodes are killed: what the store kept
+ * holds until that second leaves the window. */
+static void what_the_store_kept_holds_after_a_restart(void **state)
+{
+    (void)state;
+    struct rk_quota q = lone_quota(100000);
+    rk_quota_restore(&q, "org", 880, 1000, 100000);
+    double soon = admit_for(&q, 100, 100, 100000, 106900, 10, 1);
+    assert_true(880 + soon <= 900 + 1);
+    assert_true(admit_for(&q, 100, 100, 107000, 108000, 10, 1) > 50);
+}
+
 static void a_refund_is_no_use(void **state)
 {
     (void)state;
     struct rk_quota q = lone_quota(0);
-    int64_t retry_ms;
-    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100000, &retry_ms));
-    assert_false(rk_quota_admit(&q, "org", 10, 10, 90, 100010, &retry_ms));
+    struct rk_quota_answer answer;
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100000, &answer));
+    assert_false(rk_quota_admit(&q, "org", 10, 10, 90, 100010, &answer));
     rk_quota_refund(&q, "org", 90, 100020);
-    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100030, &retry_ms));
-    assert_true(rk_quota_own(&q.orgs[0]) == 90);
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100030, &answer));
+    assert_true(rk_quota_known(&q.orgs[0]) == 90);
 }
 
 /* ---- usage ---- */
@@ -517,6 +528,7 @@
         cmocka_unit_test(a_lowered_quota_counts_after_a_window),
         cmocka_unit_test(what_peers_used_and_probably_use_counts),
         cmocka_unit_test(a_peer_with_a_memory_lifts_the_caution),
+        cmocka_unit_test(what_the_store_kept_holds_after_a_restart),
         cmocka_unit_test(a_refund_is_no_use),
         cmocka_unit_test(usage_merges_in_any_order),
         cmocka_unit_test(events_are_cut_where_they_end),
