--- a/core/holding.c
+++ b/core/holding.c
@@ -10,6 +10,7 @@
 #define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
 #define RECLAIMABLE_MIN 2       /* a domain, where that kind is cheaper */
 #define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
+#define GIVEN_UP_SHARE  0.5 /* of the stand-ins that are not needed, at a time */
 
 double rk_holding_need(double read_per_s, double running, double slots)
 {
@@ -96,7 +97,8 @@
         return in->refused || !cheaper ? wanted : held;
     if (in->idle)
         return wanted;
-    return in->settled ? held - 1 : held;
+    int given_up = (int)((held - wanted) * GIVEN_UP_SHARE);
+    return in->settled ? held - (given_up > 1 ? given_up : 1) : held;
 }
 
 void rk_holding_plan(const struct rk_holding_input *in,
--- a/core/holding.h
+++ b/core/holding.h
@@ -2,7 +2,7 @@
  * kind. One on-demand vm a domain is the floor: a domain that is cut off serves
  * its own, and the loss of all reclaimable vms at once leaves something. What
  * demand asks for above that is reclaimable, spread over the domains. While none
- * of that kind can be had, on-demand vms stand in; they go again one at a time,
+ * of that kind can be had, on-demand vms stand in; they go again half at a time,
  * once reclaimable ones serve in their place. Pure. */
 #ifndef RK_CORE_HOLDING_H
 #define RK_CORE_HOLDING_H
--- a/core/usage.c
+++ b/core/usage.c
@@ -3,21 +3,64 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define FIRST_ROWS 64 /* a power of two */
+
+static uint64_t key_of(uint64_t node, int64_t window, const char *org)
+{
+    return rk_hash_str(node ^ (uint64_t)window * 0x9e3779b97f4a7c15ULL, org);
+}
+
+static bool is_row(const struct rk_usage_row *row, uint64_t node, int64_t window,
+                   const char *org)
+{
+    return row->window == window && row->node == node && !strcmp(row->org, org);
+}
+
+/* The index has twice as many places as there may be rows: one is always free. */
+static size_t index_mask(const struct rk_usage *u)
+{
+    return u->cap * 2 - 1;
+}
+
+/* The place of a row in the index, or the free one where it would stand. */
+static size_t place_of(const struct rk_usage *u, uint64_t node, int64_t window,
+                       const char *org)
+{
+    size_t at = key_of(node, window, org) & index_mask(u);
+    while (u->index[at] && !is_row(&u->rows[u->index[at] - 1], node, window, org))
+        at = (at + 1) & index_mask(u);
+    return at;
+}
+
+static void index_rows(struct rk_usage *u)
+{
+    memset(u->index, 0, u->cap * 2 * sizeof(*u->index));
+    for (size_t i = 0; i < u->len; i++) {
+        const struct rk_usage_row *row = &u->rows[i];
+        u->index[place_of(u, row->node, row->window, row->org)] = (uint32_t)i + 1;
+    }
+}
+
+static void grow(struct rk_usage *u)
+{
+    u->cap = u->cap ? u->cap * 2 : FIRST_ROWS;
+    u->rows = rk_realloc(u->rows, u->cap * sizeof(*u->rows));
+    u->index = rk_realloc(u->index, u->cap * 2 * sizeof(*u->index));
+    index_rows(u);
+}
+
 static struct rk_usage_row *find(struct rk_usage *u, uint64_t node, int64_t window,
                                  const char *org)
 {
-    for (size_t i = u->len; i-- > 0;) {
-        struct rk_usage_row *row = &u->rows[i];
-        if (row->window == window && row->node == node && !strcmp(row->org, org))
-            return row;
-    }
-    if (u->len == u->cap) {
-        u->cap = u->cap ? u->cap * 2 : 64;
-        u->rows = rk_realloc(u->rows, u->cap * sizeof(*u->rows));
-    }
+    if (u->len == u->cap)
+        grow(u);
+    size_t at = place_of(u, node, window, org);
+    if (u->index[at])
+        return &u->rows[u->index[at] - 1];
     struct rk_usage_row *row = &u->rows[u->len++];
     *row = (struct rk_usage_row){.node = node, .window = window};
     rk_strcpy(row->org, sizeof(row->org), org);
+    u->index[at] = (uint32_t)u->len;
     return row;
 }
 
@@ -49,11 +92,15 @@
     for (size_t i = 0; i < u->len; i++)
         if (u->rows[i].window >= window)
             u->rows[kept++] = u->rows[i];
+    if (kept == u->len)
+        return;
     u->len = kept;
+    index_rows(u);
 }
 
 void rk_usage_free(struct rk_usage *u)
 {
     free(u->rows);
+    free(u->index);
     *u = (struct rk_usage){0};
 }
--- a/core/usage.h
+++ b/core/usage.h
@@ -17,8 +17,10 @@
     uint64_t count;
 };
 
+/* Rows in no order, found by an index: a fleet has thousands. */
 struct rk_usage {
     struct rk_usage_row *rows;
+    uint32_t *index; /* hash table of row numbers plus one; 0: free */
     size_t len, cap;
 };
 
--- a/node/orders.c
+++ b/node/orders.c
@@ -16,6 +16,8 @@
 #define SHORT_MS       6000 /* after it: on-demand vms may stand in */
 #define SHRINK_MS      4000 /* between on-demand vms that are given up */
 #define SETTLE_MS      2000 /* a holder looks at the list for so long first */
+/* Without a call for so long, what stood there at first is no estimate any more. */
+#define ESTIMATE_MS 30000
 
 /* An order of one kind in one domain. */
 struct order {
@@ -35,8 +37,10 @@
     int64_t measured_ms;
     double need; /* smoothed */
     uint32_t running;
-    int64_t refused_ms; /* "none to be had" was heard last; 0: never */
-    int64_t shrunk_ms;  /* an on-demand vm was given up last */
+    bool asked;          /* calls came */
+    int64_t followed_ms; /* since when demand is followed */
+    int64_t refused_ms;  /* "none to be had" was heard last; 0: never */
+    int64_t shrunk_ms;   /* an on-demand vm was given up last */
     struct order orders[RK_HOLDING_DOMAINS][2];
 };
 
@@ -79,9 +83,32 @@
     return sum;
 }
 
+static int count_vms(const struct rk_node *n, const char *service)
+{
+    const struct rk_vm_row *row;
+    int count = 0;
+    for (size_t i = 0; (row = rk_sync_vm_at(n->sync, i)); i++)
+        count += !row->leaving && !strcmp(row->service, service);
+    return count;
+}
+
+/* Until the first calls come, the vms that stand there are the best estimate of
+ * what will be asked. */
+static void estimate(struct service *s, int64_t now_ms)
+{
+    if (!s->followed_ms)
+        s->followed_ms = now_ms;
+    if (s->asked || now_ms - s->followed_ms > ESTIMATE_MS)
+        return;
+    double held = count_vms(s->o->n, s->name);
+    if (held > s->need)
+        s->need = held;
+}
+
 static void measure(struct service *s, const struct rk_service_info *info)
 {
     int64_t now_ms = rk_mono_ms(), passed_ms = now_ms - s->measured_ms;
+    estimate(s, now_ms);
     if (passed_ms < DEMAND_MS)
         return;
     struct rk_service_use use = use_of(s->o->n, s->name);
@@ -90,6 +117,7 @@
     bool known = s->measured_ms && read >= 0;
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
     double need = rk_holding_need(per_s, use.running, (double)info->slots);
+    s->asked = s->asked || need > 0;
     s->need = rk_holding_smooth(s->need, need, passed_ms);
     s->running = use.running;
     s->read_before = use.read_tokens;
