--- a/core/procfile.c
+++ b/core/procfile.c
@@ -65,6 +65,7 @@
     REAL(quota_slack, 0, 1000000000, 0),
     REAL(retry_burst, 0, 1000000, 20),
     REAL(retry_ratio, 0, 1, 0),
+    REAL(cpu_share, 0, 1024, 1),
 };
 
 char *rk_read_file(const char *path)
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -40,6 +40,7 @@
     double quota_window_s, quota_slack;
     double retry_burst; /* of all nodes */
     double retry_ratio; /* retries to calls, of all nodes */
+    double cpu_share;   /* of a core, that this machine has */
 };
 
 /* Fill out from a file. On failure rk_last_error() names key, line and what was
--- /dev/null
+++ b/node/digest.c
@@ -0,0 +1,503 @@
+/* Digests: in a larger fleet the bridges of a failure domain hear its nodes, tell
+ * their sum to the bridges of the other domains, and tell the fleet's sum to the
+ * nodes of their own. A node counts one source at a time and notes what the others
+ * say meanwhile, so that nothing is counted twice or lost when one takes over. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/mesh_impl.h"
+#include "peers/link.h"
+
+#define FRESH_MS     900
+#define LINGER_MS    2500 /* a fleet's sum counts for so long without a newer one */
+#define DIGEST_MS    250
+#define MEMBERS_EACH 4 /* digests, one tells who the members are */
+
+/* ---- whose digest counts ---- */
+
+/* Is a a better source than b? It hears more nodes; among equals by id. */
+static bool is_better(const struct member *a, const struct member *b)
+{
+    if (!b || a->digest.nodes_heard != b->digest.nodes_heard)
+        return !b || a->digest.nodes_heard > b->digest.nodes_heard;
+    return strcmp(a->id, b->id) < 0;
+}
+
+static const struct member *source(const struct rk_mesh *m, const char *domain,
+                                   bool fleet, int64_t now_ms, int64_t age_ms)
+{
+    const struct member *best = NULL;
+    for (const struct member *k = m->members; k; k = k->next)
+        if (k->digest.heard_ms && now_ms - k->digest.heard_ms < age_ms &&
+            k->digest.fleet == fleet && !strcmp(k->domain, domain) &&
+            is_better(k, best))
+            best = k;
+    return best;
+}
+
+const struct member *rk_digest_of_fleet(const struct rk_mesh *m, int64_t now_ms)
+{
+    if (m->bridge)
+        return NULL;
+    const char *domain = m->n->file.failure_domain;
+    const struct member *k = source(m, domain, true, now_ms, FRESH_MS);
+    return k ? k : source(m, domain, true, now_ms, LINGER_MS);
+}
+
+const struct member *rk_digest_of_domain(const struct rk_mesh *m,
+                                         const char *domain, int64_t now_ms)
+{
+    return source(m, domain, false, now_ms, FRESH_MS);
+}
+
+bool rk_digest_counts(const struct member *k, int64_t now_ms)
+{
+    return k->digest.heard_ms && !rk_mesh_is_near(k) &&
+           rk_digest_of_domain(k->m, k->domain, now_ms) == k;
+}
+
+/* ---- counting one ---- */
+
+static void rebase(struct digest *d)
+{
+    d->based = true;
+    rk_tally_clear(&d->base_uses);
+    rk_tally_clear(&d->base_reads);
+    for (size_t i = 0; i < d->uses_len; i++)
+        *rk_tally_at(&d->base_uses, d->uses[i].org) = d->uses[i].units;
+    for (size_t i = 0; i < d->services_len; i++)
+        *rk_tally_at(&d->base_reads, d->services[i].service) =
+            d->services[i].read_tokens;
+}
+
+/* All sources of the same kind are counted up to now. */
+static void rebase_all(struct rk_mesh *m, const struct member *counted)
+{
+    for (struct member *k = m->members; k; k = k->next)
+        if (k->digest.heard_ms && k->digest.fleet == counted->digest.fleet &&
+            !strcmp(k->domain, counted->domain))
+            rebase(&k->digest);
+}
+
+/* This node's own part of what a fleet's counter rose by. */
+static double own_rise(struct rk_tally *based, const char *name, double now)
+{
+    double *before = rk_tally_at(based, name);
+    double rise = now - *before;
+    *before = now;
+    return rise;
+}
+
+static double own_use(const struct rk_mesh *m, const char *org)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++)
+        if (!strcmp(r->uses[i].org, org))
+            return r->uses[i].units;
+    return 0;
+}
+
+static double own_read(const struct rk_mesh *m, const char *service)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->services_len; i++)
+        if (!strcmp(r->services[i].service, service))
+            return r->services[i].read_tokens;
+    return 0;
+}
+
+static void count_uses(struct rk_mesh *m, const struct digest *d)
+{
+    for (size_t i = 0; i < d->uses_len; i++) {
+        const struct rk_org_use *use = &d->uses[i];
+        double rise = use->units - rk_tally_total(&d->base_uses, use->org);
+        if (d->fleet)
+            rise -= own_rise(&m->based_uses, use->org, own_use(m, use->org));
+        else
+            *rk_tally_at(&m->fleet_uses, use->org) += rise;
+        rk_mesh_add_news(m, use->org, rise);
+    }
+}
+
+static void count_reads(struct rk_mesh *m, const struct digest *d)
+{
+    for (size_t i = 0; i < d->services_len; i++) {
+        const struct rk_service_use *use = &d->services[i];
+        double rise =
+            use->read_tokens - rk_tally_total(&d->base_reads, use->service);
+        if (d->fleet)
+            rise -=
+                own_rise(&m->based_reads, use->service, own_read(m, use->service));
+        else
+            *rk_tally_at(&m->fleet_reads, use->service) += rise;
+        *rk_tally_at(&m->peer_reads, use->service) += rise;
+    }
+}
+
+static void base_own(struct rk_mesh *m)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++)
+        own_rise(&m->based_uses, r->uses[i].org, r->uses[i].units);
+    for (size_t i = 0; r && i < r->services_len; i++)
+        own_rise(&m->based_reads, r->services[i].service,
+                 r->services[i].read_tokens);
+}
+
+static void count(struct member *k)
+{
+    struct rk_mesh *m = k->m;
+    if (k->digest.based) {
+        count_uses(m, &k->digest);
+        count_reads(m, &k->digest);
+    } else if (k->digest.fleet) {
+        base_own(m);
+    }
+    rebase_all(m, k);
+}
+
+/* ---- taking one in ---- */
+
+static void take_loads(struct digest *to, const Rillknot__Digest *d)
+{
+    to->loads = rk_realloc(to->loads, (d->n_vms + 1) * sizeof(*to->loads));
+    to->loads_len = d->n_vms;
+    for (size_t i = 0; i < d->n_vms; i++) {
+        to->loads[i] =
+            (struct rk_vm_load){.running = d->vms[i]->running,
+                                .waiting_tokens = d->vms[i]->waiting_tokens};
+        rk_strcpy(to->loads[i].id, sizeof(to->loads[i].id), d->vms[i]->id);
+    }
+}
+
+static void take_uses(struct digest *to, const Rillknot__Digest *d)
+{
+    to->uses = rk_realloc(to->uses, (d->n_uses + 1) * sizeof(*to->uses));
+    to->uses_len = d->n_uses;
+    for (size_t i = 0; i < d->n_uses; i++) {
+        const Rillknot__OrgUse *use = d->uses[i];
+        to->uses[i] = (struct rk_org_use){.units = use->units};
+        rk_strcpy(to->uses[i].org, sizeof(to->uses[i].org), use->org);
+        for (size_t j = 0; j < use->n_known && j < RK_QUOTA_PARTS; j++)
+            to->uses[i].known[j] = (double)use->known[j];
+    }
+}
+
+static void take_services(struct digest *to, const Rillknot__Digest *d)
+{
+    to->services =
+        rk_realloc(to->services, (d->n_services + 1) * sizeof(*to->services));
+    to->services_len = d->n_services;
+    for (size_t i = 0; i < d->n_services; i++) {
+        const Rillknot__ServiceUse *use = d->services[i];
+        to->services[i] = (struct rk_service_use){.read_tokens = use->read_tokens,
+                                                  .running = use->running};
+        rk_strcpy(to->services[i].service, sizeof(to->services[i].service),
+                  use->service);
+    }
+}
+
+/* A bridge's word on the nodes of its own domain, or on all if it tells of the
+ * fleet: those it doesn't hear are not told by it any more. */
+static void take_members(struct rk_mesh *m, const Rillknot__Digest *d)
+{
+    for (size_t i = 0; i < d->n_members; i++) {
+        const Rillknot__NodeRow *row = d->members[i];
+        if (rk_mesh_is_self(m, row->id, row->addr))
+            continue;
+        struct member *k = rk_mesh_find(m, row->id);
+        if (k && !row->heard)
+            k->told_ms = 0;
+        if (!row->heard)
+            continue;
+        if (!k || strcmp(k->addr, row->addr) != 0)
+            k = rk_mesh_learn(m, row->id, row->addr);
+        rk_strcpy(k->domain, sizeof(k->domain), row->domain);
+        k->capacity = row->capacity;
+        k->told_ms = rk_mono_ms();
+        k->unproven = false;
+        k->leaving = row->leaving;
+    }
+}
+
+void rk_digest_take(struct member *k, const Rillknot__Digest *d)
+{
+    struct digest *to = &k->digest;
+    int64_t now_ms = rk_mono_ms();
+    if (to->incarnation != d->incarnation || to->fleet != d->fleet) {
+        to->incarnation = d->incarnation;
+        to->based = false; /* it counts from nothing */
+    }
+    to->heard_ms = now_ms;
+    if (d->fleet)
+        k->m->fleet_ms = now_ms;
+    to->fleet = d->fleet;
+    to->nodes_heard = (int)d->nodes_heard;
+    to->nodes_total = (int)d->nodes_total;
+    if (d->n_members)
+        to->remembers_ms = d->remembers_ms;
+    take_loads(to, d);
+    take_uses(to, d);
+    take_services(to, d);
+    take_members(k->m, d);
+    const struct member *counts =
+        to->fleet ? rk_digest_of_fleet(k->m, now_ms)
+                  : rk_digest_of_domain(k->m, k->domain, now_ms);
+    if (counts == k && (to->fleet || k->m->bridge))
+        count(k);
+}
+
+void rk_digest_free(struct digest *d)
+{
+    free(d->loads);
+    free(d->uses);
+    free(d->services);
+    rk_tally_free(&d->base_uses);
+    rk_tally_free(&d->base_reads);
+}
+
+/* ---- making one ---- */
+
+/* A digest in the making. */
+struct making {
+    Rillknot__Digest digest;
+    Rillknot__LeaseRow lease;
+    struct rk_tally running, waiting; /* by vm */
+    struct rk_tally in_hand;          /* calls, by service */
+    Rillknot__VmUse *vms, **vm_ptrs;
+    Rillknot__OrgUse *uses, **use_ptrs;
+    uint64_t *known;
+    Rillknot__ServiceUse *services, **service_ptrs;
+    Rillknot__NodeRow *members, **member_ptrs;
+};
+
+static void add_loads(struct making *p, const struct rk_vm_load *loads, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        *rk_tally_at(&p->running, loads[i].id) += loads[i].running;
+        *rk_tally_at(&p->waiting, loads[i].id) += loads[i].waiting_tokens;
+    }
+}
+
+static void add_in_hand(struct making *p, const struct rk_service_use *services,
+                        size_t len)
+{
+    for (size_t i = 0; i < len; i++)
+        *rk_tally_at(&p->in_hand, services[i].service) += services[i].running;
+}
+
+/* Sum what runs at the nodes of this domain, and of the others if fleet. */
+static void add_nodes(struct making *p, const struct rk_mesh *m, bool fleet)
+{
+    const struct rk_relay_report *r = m->n->report;
+    int64_t now_ms = rk_mono_ms();
+    p->digest.nodes_heard = 1;
+    if (r) {
+        add_loads(p, r->loads, r->loads_len);
+        add_in_hand(p, r->services, r->services_len);
+    }
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (rk_mesh_is_near(k) && rk_mesh_is_heard(k, now_ms)) {
+            p->digest.nodes_heard++;
+            add_loads(p, k->loads, k->loads_len);
+            add_in_hand(p, k->services, k->services_len);
+        } else if (fleet && rk_digest_counts(k, now_ms)) {
+            p->digest.nodes_heard += (uint32_t)k->digest.nodes_heard;
+            add_loads(p, k->digest.loads, k->digest.loads_len);
+            add_in_hand(p, k->digest.services, k->digest.services_len);
+        }
+    }
+}
+
+static void fill_vms(struct making *p)
+{
+    size_t len = p->running.len;
+    p->vms = rk_alloc(len + 1, sizeof(*p->vms));
+    p->vm_ptrs = rk_alloc(len + 1, sizeof(*p->vm_ptrs));
+    for (size_t i = 0; i < len; i++) {
+        rillknot__vm_use__init(&p->vms[i]);
+        p->vms[i].id = p->running.rows[i].name;
+        p->vms[i].running = (uint32_t)p->running.rows[i].total;
+        p->vms[i].waiting_tokens = p->waiting.rows[i].total;
+        p->vm_ptrs[i] = &p->vms[i];
+    }
+    p->digest.n_vms = len;
+    p->digest.vms = p->vm_ptrs;
+}
+
+static void fill_known(struct making *p, const struct rk_mesh *m, size_t row)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++) {
+        if (strcmp(r->uses[i].org, p->uses[row].org) != 0)
+            continue;
+        uint64_t *known = &p->known[row * RK_QUOTA_PARTS];
+        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
+            known[j] = (uint64_t)r->uses[i].known[j];
+        p->uses[row].known = known;
+        p->uses[row].n_known = RK_QUOTA_PARTS;
+    }
+}
+
+static void fill_uses(struct making *p, const struct rk_mesh *m,
+                      const struct rk_tally *uses, bool known)
+{
+    p->uses = rk_alloc(uses->len + 1, sizeof(*p->uses));
+    p->use_ptrs = rk_alloc(uses->len + 1, sizeof(*p->use_ptrs));
+    p->known = rk_alloc(uses->len * RK_QUOTA_PARTS + 1, sizeof(*p->known));
+    for (size_t i = 0; i < uses->len; i++) {
+        rillknot__org_use__init(&p->uses[i]);
+        p->uses[i].org = uses->rows[i].name;
+        p->uses[i].units = uses->rows[i].total;
+        if (known)
+            fill_known(p, m, i);
+        p->use_ptrs[i] = &p->uses[i];
+    }
+    p->digest.n_uses = uses->len;
+    p->digest.uses = p->use_ptrs;
+}
+
+static void fill_services(struct making *p, const struct rk_tally *reads)
+{
+    p->services = rk_alloc(reads->len + 1, sizeof(*p->services));
+    p->service_ptrs = rk_alloc(reads->len + 1, sizeof(*p->service_ptrs));
+    for (size_t i = 0; i < reads->len; i++) {
+        Rillknot__ServiceUse *use = &p->services[i];
+        rillknot__service_use__init(use);
+        use->service = reads->rows[i].name;
+        use->read_tokens = reads->rows[i].total;
+        use->running = (uint32_t)rk_tally_total(&p->in_hand, use->service);
+        p->service_ptrs[i] = use;
+    }
+    p->digest.n_services = reads->len;
+    p->digest.services = p->service_ptrs;
+}
+
+static void fill_members(struct making *p, const struct rk_mesh *m, bool fleet)
+{
+    int64_t now_ms = rk_mono_ms();
+    size_t len = rk_mesh_count(m);
+    p->members = rk_alloc(len + 1, sizeof(*p->members));
+    p->member_ptrs = rk_alloc(len + 1, sizeof(*p->member_ptrs));
+    for (struct member *k = m->members; k; k = k->next) {
+        if (!k->id[0] || !k->domain[0] || (!fleet && !rk_mesh_is_near(k)))
+            continue;
+        Rillknot__NodeRow *row = &p->members[p->digest.n_members];
+        rillknot__node_row__init(row);
+        row->id = k->id;
+        row->addr = k->addr;
+        row->domain = k->domain;
+        row->capacity = k->capacity;
+        row->heard = rk_mesh_is_near(k) ? rk_mesh_is_heard(k, now_ms)
+                                        : k->told_ms && rk_mesh_is_alive(k, now_ms);
+        row->leaving = k->leaving;
+        p->member_ptrs[p->digest.n_members++] = row;
+    }
+    p->digest.members = p->member_ptrs;
+}
+
+static void fill(struct making *p, struct rk_mesh *m, bool fleet, bool members)
+{
+    struct rk_node *n = m->n;
+    *p = (struct making){0};
+    rillknot__digest__init(&p->digest);
+    rillknot__lease_row__init(&p->lease);
+    p->digest.id = n->file.id;
+    p->digest.addr = (char *)rk_mesh_addr(m);
+    p->digest.domain = n->file.failure_domain;
+    p->digest.incarnation = n->incarnation;
+    p->digest.fleet = fleet;
+    p->digest.settings_version = rk_sync_version(n->sync);
+    p->digest.list_revision = rk_sync_list_revision(n->sync);
+    p->digest.store_age_ms = rk_sync_age_ms(n->sync);
+    p->digest.nodes_total = (uint32_t)rk_mesh_total(m);
+    p->digest.remembers_ms = n->report ? n->report->remembers_ms : 0;
+    const char *value;
+    if (rk_duty_keeper_newest(n->duty_keeper, &p->lease.version, &value)) {
+        p->lease.value = (char *)value;
+        p->digest.lease = &p->lease;
+    }
+    add_nodes(p, m, fleet);
+    fill_vms(p);
+    fill_uses(p, m, fleet ? &m->fleet_uses : &m->domain_uses, fleet && members);
+    fill_services(p, fleet ? &m->fleet_reads : &m->domain_reads);
+    if (members)
+        fill_members(p, m, fleet);
+}
+
+static void free_making(struct making *p)
+{
+    rk_tally_free(&p->running);
+    rk_tally_free(&p->waiting);
+    rk_tally_free(&p->in_hand);
+    free(p->vms);
+    free(p->vm_ptrs);
+    free(p->uses);
+    free(p->use_ptrs);
+    free(p->known);
+    free(p->services);
+    free(p->service_ptrs);
+    free(p->members);
+    free(p->member_ptrs);
+}
+
+/* ---- telling one ---- */
+
+/* Add to a bridge's counters what this node used and read since the last time. */
+static void add_own(struct rk_mesh *m)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++) {
+        const char *org = r->uses[i].org;
+        double rise = own_rise(&m->own_uses, org, r->uses[i].units);
+        *rk_tally_at(&m->domain_uses, org) += rise;
+        *rk_tally_at(&m->fleet_uses, org) += rise;
+    }
+    for (size_t i = 0; r && i < r->services_len; i++) {
+        const char *service = r->services[i].service;
+        double rise = own_rise(&m->own_reads, service, r->services[i].read_tokens);
+        *rk_tally_at(&m->domain_reads, service) += rise;
+        *rk_tally_at(&m->fleet_reads, service) += rise;
+    }
+}
+
+void rk_digest_begin(struct rk_mesh *m)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++)
+        own_rise(&m->own_uses, r->uses[i].org, r->uses[i].units);
+    for (size_t i = 0; r && i < r->services_len; i++)
+        own_rise(&m->own_reads, r->services[i].service, r->services[i].read_tokens);
+    for (struct member *k = m->members; k; k = k->next) {
+        k->incarnation = 0; /* its next report is where counting begins */
+        k->digest.based = false;
+    }
+}
+
+static void tell(struct rk_mesh *m, bool fleet, bool members)
+{
+    struct making p;
+    fill(&p, m, fleet, members);
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
+    frame.digest = &p.digest;
+    for (struct member *k = m->members; k; k = k->next) {
+        bool wants = fleet ? rk_mesh_is_near(k) && !k->bridge
+                           : !rk_mesh_is_near(k) && k->bridge;
+        if (wants && k->link && rk_link_was_up(k->link))
+            rk_link_send(k->link, &frame);
+    }
+    free_making(&p);
+}
+
+void rk_digest_tell(struct rk_mesh *m)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (!m->bridge || now_ms - m->digest_ms < DIGEST_MS)
+        return;
+    bool members = m->digests++ % MEMBERS_EACH == 0;
+    m->digest_ms = now_ms;
+    add_own(m);
+    tell(m, false, members);
+    tell(m, true, members);
+}
--- a/node/duties.c
+++ b/node/duties.c
@@ -55,7 +55,8 @@
     int64_t lost_ms;
     int64_t jitter_ms;
     struct rk_timer tick;
-    char value[RK_LEASE_VALUE_MAX]; /* of the write that stood last */
+    char value[RK_LEASE_VALUE_MAX];      /* of the write that stood last */
+    char seen_value[RK_LEASE_VALUE_MAX]; /* of another holder */
     struct window windows[WINDOWS];
     struct rk_orders *orders;
     int64_t first_window; /* none before is due */
@@ -82,6 +83,7 @@
 {
     const char *value = o && o->spec ? json_object_to_json_string(o->spec) : "{}";
     rk_lease_seen(&k->lease, o ? o->revision : 0, value, rk_mono_ms());
+    rk_strcpy(k->seen_value, sizeof(k->seen_value), o ? value : "");
     k->must_read = false;
 }
 
@@ -169,11 +171,31 @@
 void rk_duty_keeper_seen(struct rk_duty_keeper *k, int64_t version,
                          const char *value)
 {
-    if (!k->busy && k->lease.seen_ms)
+    if (!k->busy && k->lease.seen_ms) {
+        bool newer = version > k->lease.version;
         rk_lease_seen(&k->lease, version, value, rk_mono_ms());
+        if (newer)
+            rk_strcpy(k->seen_value, sizeof(k->seen_value), value);
+    }
     note_lease(k);
 }
 
+bool rk_duty_keeper_newest(const struct rk_duty_keeper *k, int64_t *version,
+                           const char **value)
+{
+    if (rk_duty_keeper_lease(k, version, value))
+        return true;
+    *version = k->lease.version;
+    *value = k->seen_value;
+    return k->lease.version && k->seen_value[0];
+}
+
+void rk_duty_keeper_holder(const struct rk_duty_keeper *k, char id[RK_ID_MAX])
+{
+    rk_strcpy(id, RK_ID_MAX, k->lease.seen_holder);
+    id[strcspn(id, "/")] = '\0';
+}
+
 /* Another holder acted: this token is worth nothing any more. */
 static void refused(struct rk_duty_keeper *k, const char *duty, const char *detail)
 {
--- a/node/enrol.c
+++ b/node/enrol.c
@@ -12,6 +12,19 @@
 #define NODES_KIND      "rillknot-nodes"
 #define REGISTER_MIN_MS 200
 #define REGISTER_MAX_MS 2000
+#define SPEC_MAX        192
+#define LISTS           3     /* read at the start: others enrol meanwhile */
+#define LIST_MS         1500  /* between them */
+#define LOOK_AGAIN_MS   8000  /* the same, after nodes were forgotten */
+#define LOST_MS         60000 /* for so long */
+#define MILLI           1000.0
+
+static void build_spec(const struct rk_mesh *m, char spec[SPEC_MAX])
+{
+    snprintf(spec, SPEC_MAX, "{\"addr\":\"%s\",\"domain\":\"%s\",\"capacity\":%d}",
+             rk_mesh_addr(m), m->n->file.failure_domain,
+             (int)(m->n->file.cpu_share * MILLI));
+}
 
 static void enrol_later(struct rk_mesh *m)
 {
@@ -21,6 +34,29 @@
         m->enrol_ms * 2 < REGISTER_MAX_MS ? m->enrol_ms * 2 : REGISTER_MAX_MS;
 }
 
+/* A node of the list. One that was silent so long that it was forgotten may still
+ * be cut off, but isn't counted until it is heard. */
+static void learn(struct rk_mesh *m, const struct rk_store_object *o)
+{
+    const char *addr = rk_json_str(o->spec, "addr");
+    if (!addr[0] || rk_mesh_is_self(m, o->name, addr))
+        return;
+    bool known = rk_mesh_find(m, o->name) != NULL;
+    struct member *k = rk_mesh_learn(m, o->name, addr);
+    if (known)
+        return;
+    rk_strcpy(k->domain, sizeof(k->domain), rk_json_str(o->spec, "domain"));
+    k->capacity = rk_json_int(o->spec, "capacity", 0);
+    k->unproven = m->forgotten_ms != 0;
+}
+
+static void list_later(struct rk_mesh *m)
+{
+    int64_t wait_ms = --m->lists_left > 0 ? LIST_MS : LOOK_AGAIN_MS;
+    int64_t jitter = rk_rng_below(&m->n->rng, LIST_MS);
+    rk_timer_start(m->n->loop, &m->enrol, wait_ms + jitter);
+}
+
 static void on_nodes(void *ctx, enum rk_status st,
                      const struct rk_store_object *objects, size_t len, int64_t at)
 {
@@ -30,14 +66,13 @@
         enrol_later(m);
         return;
     }
+    m->enrol_ms = REGISTER_MIN_MS;
     m->listed = true;
-    for (size_t i = 0; i < len; i++) {
-        const char *addr = rk_json_str(objects[i].spec, "addr");
-        if (addr[0] && !rk_mesh_is_self(m, objects[i].name, addr))
-            rk_mesh_learn(m, objects[i].name, addr);
-    }
+    for (size_t i = 0; i < len; i++)
+        learn(m, &objects[i]);
     RK_EVENT("mesh.enrolled", RK_N("nodes", (int64_t)len));
     rk_mesh_dial(m, rk_mono_ms());
+    list_later(m);
 }
 
 static void list_nodes(struct rk_mesh *m)
@@ -53,8 +88,8 @@
     struct rk_store *store = m->n->store;
     if (st == RK_ECONFLICT && object && !m->enrolled) {
         /* Of an earlier life of this node. */
-        char spec[RK_ADDR_MAX + 32];
-        snprintf(spec, sizeof(spec), "{\"addr\":\"%s\"}", rk_mesh_addr(m));
+        char spec[SPEC_MAX];
+        build_spec(m, spec);
         m->enrolled = true;
         if (strcmp(rk_json_str(object->spec, "addr"), rk_mesh_addr(m)) != 0) {
             store->ops->replace(store, NODES_KIND, m->n->file.id, object->revision,
@@ -70,22 +105,34 @@
     list_nodes(m);
 }
 
+/* After the first readings the list is read only while nodes may be cut off, by
+ * those who would reach them. */
+static void tend_list(struct rk_mesh *m)
+{
+    bool lost = m->forgotten_ms && rk_mono_ms() - m->forgotten_ms < LOST_MS;
+    if (!m->listed || m->lists_left > 0 || (lost && (m->direct || m->bridge)))
+        list_nodes(m);
+    else
+        rk_timer_start(m->n->loop, &m->enrol, LOOK_AGAIN_MS);
+}
+
 static void on_enrol(void *ctx)
 {
     struct rk_mesh *m = ctx;
     struct rk_store *store = m->n->store;
     if (m->enrolled) {
-        list_nodes(m);
+        tend_list(m);
         return;
     }
-    char spec[RK_ADDR_MAX + 32];
-    snprintf(spec, sizeof(spec), "{\"addr\":\"%s\"}", rk_mesh_addr(m));
+    char spec[SPEC_MAX];
+    build_spec(m, spec);
     store->ops->create(store, NODES_KIND, m->n->file.id, spec, on_enrolled, m);
 }
 
 void rk_enrol_init(struct rk_mesh *m)
 {
     m->enrol_ms = REGISTER_MIN_MS;
+    m->lists_left = LISTS;
     m->enrol = (struct rk_timer){.fn = on_enrol, .ctx = m};
 }
 
--- /dev/null
+++ b/node/follow.c
@@ -0,0 +1,106 @@
+#include "node/follow.h"
+
+#include "common/eventlog.h"
+
+#define WATCH_MS       2500 /* a watch that hangs must be noticed within contact */
+#define RETRY_FIRST_MS 100
+#define RETRY_MAX_MS   1000
+
+static void next(struct rk_follow *f);
+
+static void note_store(struct rk_follow *f, enum rk_status st)
+{
+    bool lost = st != RK_OK && st != RK_EGONE;
+    int64_t now_ms = rk_mono_ms();
+    if (!lost)
+        f->heard_ms = now_ms;
+    if (lost == f->lost)
+        return;
+    f->lost = lost;
+    if (!lost)
+        f->back_ms = now_ms;
+    RK_EVENT(lost ? "store.lost" : "store.back", RK_S("kind", f->kind),
+             RK_S("status", rk_status_str(st)), RK_N("at", f->at));
+}
+
+static void retry_later(struct rk_follow *f)
+{
+    int64_t jitter = rk_rng_below(&f->n->rng, (uint32_t)f->retry_ms + 1);
+    rk_timer_start(f->n->loop, &f->again, f->retry_ms / 2 + jitter);
+    f->retry_ms = f->retry_ms * 2 < RETRY_MAX_MS ? f->retry_ms * 2 : RETRY_MAX_MS;
+}
+
+static void on_answer(void *ctx, enum rk_status st,
+                      const struct rk_store_object *objects, size_t len, int64_t at)
+{
+    struct rk_follow *f = ctx;
+    f->busy = false;
+    note_store(f, st);
+    if (st == RK_EGONE) {
+        RK_EVENT("store.history_gone", RK_S("kind", f->kind), RK_N("at", f->at));
+        f->at = 0;
+        next(f);
+        return;
+    }
+    if (st != RK_OK) {
+        retry_later(f);
+        return;
+    }
+    f->retry_ms = RETRY_FIRST_MS;
+    /* A peer may have told more meanwhile. */
+    if (at >= f->at) {
+        f->apply(f->ctx, objects, len, f->listing, at);
+        f->at = at;
+    }
+    if (len && f->pace_ms)
+        rk_timer_start(f->n->loop, &f->again, f->pace_ms);
+    else
+        next(f);
+}
+
+static void next(struct rk_follow *f)
+{
+    struct rk_store *store = f->n->store;
+    if (f->busy || !f->on)
+        return;
+    rk_timer_stop(f->n->loop, &f->again);
+    f->busy = true;
+    f->listing = !f->at;
+    if (f->listing)
+        store->ops->list(store, f->kind, on_answer, f);
+    else
+        store->ops->watch(store, f->kind, f->at, WATCH_MS, on_answer, f);
+}
+
+static void on_again(void *ctx)
+{
+    next(ctx);
+}
+
+void rk_follow_init(struct rk_follow *f)
+{
+    f->retry_ms = RETRY_FIRST_MS;
+    f->again = (struct rk_timer){.fn = on_again, .ctx = f};
+}
+
+void rk_follow_set(struct rk_follow *f, bool on)
+{
+    if (f->on == on)
+        return;
+    f->on = on;
+    if (on)
+        next(f);
+    else
+        rk_timer_stop(f->n->loop, &f->again);
+}
+
+void rk_follow_skip(struct rk_follow *f, int64_t at)
+{
+    if (at > f->at)
+        f->at = at;
+}
+
+void rk_follow_destroy(struct rk_follow *f)
+{
+    rk_timer_stop(f->n->loop, &f->again);
+}
--- /dev/null
+++ b/node/loads.c
@@ -0,0 +1,86 @@
+/* What the other nodes have in hand, as far as this one is told: by each of them,
+ * or by a bridge in one sum that holds this node's own part, too. */
+#include <string.h>
+
+#include "node/mesh_impl.h"
+
+static void add(struct rk_relay_peers *p, const struct rk_vm_load *loads,
+                size_t len)
+{
+    p->loads = rk_realloc(p->loads, (p->loads_len + len + 1) * sizeof(*p->loads));
+    if (len)
+        memcpy(p->loads + p->loads_len, loads, len * sizeof(*loads));
+    p->loads_len += len;
+}
+
+/* Take this node's own part out of a sum. */
+static void take_out_own(const struct rk_mesh *m, struct rk_relay_peers *p)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->loads_len; i++) {
+        const struct rk_vm_load *own = &r->loads[i];
+        for (size_t j = 0; j < p->loads_len; j++) {
+            struct rk_vm_load *sum = &p->loads[j];
+            if (strcmp(sum->id, own->id) != 0)
+                continue;
+            sum->running -=
+                own->running < sum->running ? own->running : sum->running;
+            sum->waiting_tokens -= own->waiting_tokens;
+            if (sum->waiting_tokens < 0)
+                sum->waiting_tokens = 0;
+        }
+    }
+}
+
+/* Does a member's own report count here? */
+static bool counts(const struct member *k, int64_t now_ms)
+{
+    return rk_mesh_is_heard(k, now_ms) && (k->m->direct || rk_mesh_is_near(k));
+}
+
+void rk_loads_fill(const struct rk_mesh *m, struct rk_relay_peers *p,
+                   int64_t now_ms)
+{
+    const struct member *source = rk_digest_of_fleet(m, now_ms);
+    if (source) {
+        add(p, source->digest.loads, source->digest.loads_len);
+        take_out_own(m, p);
+        return;
+    }
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (counts(k, now_ms))
+            add(p, k->loads, k->loads_len);
+        else if (!m->direct && rk_digest_counts(k, now_ms))
+            add(p, k->digest.loads, k->digest.loads_len);
+    }
+}
+
+static uint32_t running(const struct rk_service_use *services, size_t len,
+                        const char *service)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(services[i].service, service))
+            return services[i].running;
+    return 0;
+}
+
+uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
+                          int64_t now_ms)
+{
+    const struct rk_relay_report *r = m->n->report;
+    const struct member *source = rk_digest_of_fleet(m, now_ms);
+    if (source) {
+        uint32_t all =
+            running(source->digest.services, source->digest.services_len, service);
+        uint32_t own = r ? running(r->services, r->services_len, service) : 0;
+        return all > own ? all - own : 0;
+    }
+    uint32_t sum = 0;
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (counts(k, now_ms))
+            sum += running(k->services, k->services_len, service);
+        else if (!m->direct && rk_digest_counts(k, now_ms))
+            sum += running(k->digest.services, k->digest.services_len, service);
+    }
+    return sum;
+}
--- /dev/null
+++ b/node/members.c
@@ -0,0 +1,275 @@
+/* The nodes that are known, who of them is heard, and who bridges each failure
+ * domain: the nodes with the most processor time, by a hash among equals. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/eventlog.h"
+#include "core/quota.h"
+#include "node/mesh_impl.h"
+#include "peers/link.h"
+
+#define HEARD_MS  900  /* a node silent for longer is not heard */
+#define TOLD_MS   2500 /* a bridge's word that it hears a node, the same */
+#define NEW_MS    1500 /* a node that was just learnt of is taken to live */
+#define FORGET_MS 15000
+#define MILLI     1000.0
+
+size_t rk_mesh_count(const struct rk_mesh *m)
+{
+    size_t count = 0;
+    for (const struct member *k = m->members; k; k = k->next)
+        count++;
+    return count;
+}
+
+bool rk_mesh_is_heard(const struct member *k, int64_t now_ms)
+{
+    return k->heard_ms && now_ms - k->heard_ms < HEARD_MS;
+}
+
+/* What a bridge told counts if it is younger than what was heard here. While no
+ * bridge tells anything, its last word stands. */
+bool rk_mesh_is_alive(const struct member *k, int64_t now_ms)
+{
+    if (rk_mesh_is_heard(k, now_ms))
+        return true;
+    if (!k->heard_ms && !k->told_ms)
+        return now_ms - k->known_ms < NEW_MS;
+    if (k->told_ms <= k->heard_ms + HEARD_MS)
+        return false;
+    return k->told_ms > (k->m->bridge ? now_ms : k->m->fleet_ms) - TOLD_MS;
+}
+
+bool rk_mesh_is_near(const struct member *k)
+{
+    return !strcmp(k->domain, k->m->n->file.failure_domain);
+}
+
+struct member *rk_mesh_find(const struct rk_mesh *m, const char *id)
+{
+    struct member *k = m->members;
+    while (k && strcmp(k->id, id) != 0)
+        k = k->next;
+    return k;
+}
+
+struct member *rk_mesh_find_addr(const struct rk_mesh *m, const char *addr)
+{
+    struct member *k = m->members;
+    while (k && strcmp(k->addr, addr) != 0)
+        k = k->next;
+    return k;
+}
+
+static struct member *add_member(struct rk_mesh *m, const char *id,
+                                 const char *addr)
+{
+    struct member *k = rk_alloc(1, sizeof(*k));
+    k->m = m;
+    k->known_ms = rk_mono_ms();
+    k->hash = rk_hash_str(0, id);
+    rk_strcpy(k->id, sizeof(k->id), id);
+    rk_strcpy(k->addr, sizeof(k->addr), addr);
+    k->next = m->members;
+    m->members = k;
+    return k;
+}
+
+static void free_member(struct member *k)
+{
+    rk_link_destroy(k->link);
+    free(k->loads);
+    free(k->uses);
+    free(k->services);
+    rk_digest_free(&k->digest);
+    free(k);
+}
+
+void rk_mesh_free_members(struct rk_mesh *m)
+{
+    while (m->members) {
+        struct member *k = m->members;
+        m->members = k->next;
+        free_member(k);
+    }
+}
+
+struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr)
+{
+    struct member *k = id[0] ? rk_mesh_find(m, id) : NULL;
+    if (!k)
+        k = rk_mesh_find_addr(m, addr);
+    if (!k)
+        k = add_member(m, id, addr);
+    if (id[0]) {
+        rk_strcpy(k->id, sizeof(k->id), id);
+        k->hash = rk_hash_str(0, id);
+    }
+    if (strcmp(k->addr, addr) != 0) {
+        rk_strcpy(k->addr, sizeof(k->addr), addr);
+        rk_link_destroy(k->link);
+        k->link = NULL;
+    }
+    return k;
+}
+
+bool rk_mesh_is_self(const struct rk_mesh *m, const char *id, const char *addr)
+{
+    return !strcmp(id, m->n->file.id) || !strcmp(addr, rk_mesh_addr(m));
+}
+
+static int count_heard(const struct rk_mesh *m, int64_t now_ms)
+{
+    int count = 1;
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (m->direct || rk_mesh_is_near(k))
+            count += rk_mesh_is_heard(k, now_ms);
+        else if (rk_digest_counts(k, now_ms))
+            count += k->digest.nodes_heard;
+    }
+    return count;
+}
+
+int rk_mesh_heard(const struct rk_mesh *m)
+{
+    int64_t now_ms = rk_mono_ms();
+    const struct member *source = rk_digest_of_fleet(m, now_ms);
+    return source ? source->digest.nodes_heard : count_heard(m, now_ms);
+}
+
+/* A node that said that it leaves is gone once it is silent. */
+int rk_mesh_total(const struct rk_mesh *m)
+{
+    int count = 1;
+    int64_t now_ms = rk_mono_ms();
+    for (const struct member *k = m->members; k; k = k->next)
+        count += k->id[0] && !k->unproven &&
+                 (!k->leaving || rk_mesh_is_alive(k, now_ms));
+    return m->listed || count > RK_UNKNOWN_NODES ? count : RK_UNKNOWN_NODES;
+}
+
+void rk_mesh_review(struct rk_mesh *m, int64_t now_ms)
+{
+    for (struct member **at = &m->members; *at;) {
+        struct member *k = *at;
+        bool heard = (k->heard_ms || k->told_ms) && rk_mesh_is_alive(k, now_ms);
+        if (heard != k->heard) {
+            k->heard = heard;
+            RK_EVENT(heard ? "peer.heard" : "peer.silent", RK_S("peer", k->id),
+                     RK_S("domain", k->domain), RK_N("leaving", k->leaving));
+        }
+        int64_t since = k->heard_ms > k->told_ms ? k->heard_ms : k->told_ms;
+        if (k->known_ms > since)
+            since = k->known_ms;
+        if (now_ms - since < FORGET_MS) {
+            at = &k->next;
+            continue;
+        }
+        RK_EVENT("peer.forgotten", RK_S("peer", k->id), RK_S("addr", k->addr));
+        *at = k->next;
+        m->forgotten_ms = now_ms;
+        free_member(k);
+    }
+}
+
+/* ---- who bridges a domain ---- */
+
+struct candidate {
+    int64_t capacity;
+    uint64_t hash;
+};
+
+/* The first nodes of a domain. */
+struct first {
+    char domain[RK_ID_MAX];
+    struct candidate nodes[RK_MESH_BRIDGES];
+    size_t len;
+};
+
+static bool precedes(struct candidate a, struct candidate b)
+{
+    if (a.capacity != b.capacity)
+        return a.capacity > b.capacity;
+    return a.hash < b.hash;
+}
+
+static void offer(struct first *f, struct candidate c)
+{
+    size_t at = f->len;
+    while (at > 0 && precedes(c, f->nodes[at - 1]))
+        at--;
+    if (at == RK_MESH_BRIDGES)
+        return;
+    if (f->len < RK_MESH_BRIDGES)
+        f->len++;
+    memmove(&f->nodes[at + 1], &f->nodes[at],
+            (f->len - 1 - at) * sizeof(f->nodes[0]));
+    f->nodes[at] = c;
+}
+
+static bool is_first(const struct first *f, uint64_t hash)
+{
+    for (size_t i = 0; i < f->len; i++)
+        if (f->nodes[i].hash == hash)
+            return true;
+    return false;
+}
+
+static struct first *first_of(struct first *all, size_t *len, const char *domain)
+{
+    for (size_t i = 0; i < *len; i++)
+        if (!strcmp(all[i].domain, domain))
+            return &all[i];
+    if (*len == RK_DOMAIN_PRICES)
+        return NULL;
+    struct first *f = &all[(*len)++];
+    *f = (struct first){0};
+    rk_strcpy(f->domain, sizeof(f->domain), domain);
+    return f;
+}
+
+static bool may_bridge(const struct member *k, int64_t now_ms)
+{
+    return k->id[0] && k->domain[0] && !k->leaving && rk_mesh_is_alive(k, now_ms);
+}
+
+void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms)
+{
+    const struct candidate self = {.capacity =
+                                       (int64_t)(m->n->file.cpu_share * MILLI),
+                                   .hash = rk_hash_str(0, m->n->file.id)};
+    struct first all[RK_DOMAIN_PRICES];
+    size_t len = 0;
+    struct first *f = first_of(all, &len, m->n->file.failure_domain);
+    bool was_direct = m->direct;
+    m->direct = rk_mesh_count(m) < RK_MESH_DIRECT;
+    m->preceded = 0;
+    if (!m->n->leaving)
+        offer(f, self);
+    for (struct member *k = m->members; k; k = k->next) {
+        const struct candidate c = {.capacity = k->capacity, .hash = k->hash};
+        if (!may_bridge(k, now_ms))
+            continue;
+        if ((f = first_of(all, &len, k->domain)))
+            offer(f, c);
+        m->preceded += rk_mesh_is_near(k) && precedes(c, self);
+    }
+    for (struct member *k = m->members; k; k = k->next) {
+        f = may_bridge(k, now_ms) ? first_of(all, &len, k->domain) : NULL;
+        k->bridge = !m->direct && f && is_first(f, k->hash);
+    }
+    bool bridge = !m->direct && is_first(&all[0], self.hash);
+    if ((bridge && !m->bridge) || (m->direct && !was_direct))
+        rk_digest_begin(m);
+    if (bridge != m->bridge)
+        RK_EVENT("mesh.bridge", RK_N("on", bridge), RK_N("preceded", m->preceded));
+    m->bridge = bridge;
+}
+
+int rk_mesh_rank(const struct rk_mesh *m)
+{
+    if (m->direct || m->bridge)
+        return -1;
+    int before = m->preceded - RK_MESH_BRIDGES;
+    return before > 0 ? before : 0;
+}
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -1,223 +1,145 @@
-/* The other nodes of a hosted deployment. Each node tells each other a report a
- * few times a second: its heartbeat, what it has in hand, what it used of quotas,
- * what it knows of the store. Whoever knows less of the store asks for it. */
-#include <json-c/json.h>
+/* Links to the other nodes and who is told what. Each node tells a report a few
+ * times a second: its heartbeat, what it has in hand, what it used of quotas, what
+ * it knows of the store. In a small fleet each tells each; in a larger one each
+ * tells the bridges of its failure domain, who tell digests on. Whoever knows less
+ * of the store asks for it. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/eventlog.h"
-#include "common/json.h"
 #include "core/quota.h"
 #include "node/mesh_impl.h"
-#include "objects/store.h"
 #include "peers/link.h"
 
 #define REPORT_MS      250
+#define BRIDGED_LAG_MS 600 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
 #define REPORT_SOON_MS 5   /* after news of the store */
-#define HEARD_MS       900 /* a node silent for longer is not heard */
-#define FORGET_MS      15000
-#define FANOUT         12  /* peers told at once; of more, some in turn */
-#define DIAL_MS        500 /* between tries to reach a node */
+#define USAGE_MS       1000 /* between tellings of usage in a larger fleet */
+#define DIAL_MS        500  /* between tries to reach a node */
 #define CONNECT_MS     1000
+#define UNWANTED_MS    5000 /* a link that nobody needs is kept for so long */
 #define ASK_AGAIN_MS   300
 
-/* ---- members ---- */
-
-size_t rk_mesh_count(const struct rk_mesh *m)
-{
-    size_t count = 0;
-    for (const struct member *k = m->members; k; k = k->next)
-        count++;
-    return count;
-}
+/* ---- reports out ---- */
 
-/* Rounds of reports until a node has told each other. */
-static int64_t rounds(const struct rk_mesh *m)
+/* Does this node tell a member its report? */
+static bool is_told(const struct member *k)
 {
-    int64_t count = (int64_t)rk_mesh_count(m);
-    return count > FANOUT ? (count + FANOUT - 1) / FANOUT : 1;
+    const struct rk_mesh *m = k->m;
+    return m->direct || (rk_mesh_is_near(k) && k->bridge);
 }
 
-bool rk_mesh_is_heard(const struct member *k, int64_t now_ms)
+static void tell(struct rk_mesh *m)
 {
-    return k->heard_ms && now_ms - k->heard_ms < HEARD_MS * rounds(k->m);
+    struct rk_report p;
+    int64_t now_ms = rk_mono_ms();
+    bool usage = m->direct || now_ms - m->usage_ms >= USAGE_MS;
+    m->told_ms = now_ms;
+    if (usage)
+        m->usage_ms = now_ms;
+    rk_report_fill(&p, m, usage);
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
+    frame.node_report = &p.report;
+    for (struct member *k = m->members; k; k = k->next)
+        if (is_told(k) && k->link && rk_link_was_up(k->link))
+            rk_link_send(k->link, &frame);
+    rk_report_free(&p);
 }
 
-static struct member *find_by_id(struct rk_mesh *m, const char *id)
+static void on_soon(void *ctx)
 {
-    struct member *k = m->members;
-    while (k && strcmp(k->id, id) != 0)
-        k = k->next;
-    return k;
+    tell(ctx);
 }
 
-static struct member *find_by_addr(struct rk_mesh *m, const char *addr)
+void rk_mesh_report(struct rk_mesh *m)
 {
-    struct member *k = m->members;
-    while (k && strcmp(k->addr, addr) != 0)
-        k = k->next;
-    return k;
+    if (!m->soon.slot)
+        rk_timer_start(m->n->loop, &m->soon, REPORT_SOON_MS);
 }
 
-static struct member *add_member(struct rk_mesh *m, const char *id,
-                                 const char *addr)
-{
-    struct member *k = rk_alloc(1, sizeof(*k));
-    k->m = m;
-    k->known_ms = rk_mono_ms();
-    rk_strcpy(k->id, sizeof(k->id), id);
-    rk_strcpy(k->addr, sizeof(k->addr), addr);
-    k->next = m->members;
-    m->members = k;
-    return k;
-}
+/* ---- news of the store ---- */
 
-static void free_member(struct member *k)
+void rk_mesh_push(struct rk_mesh *m, const Rillknot__StoreText *text,
+                  bool from_store)
 {
-    rk_link_destroy(k->link);
-    free(k->loads);
-    free(k->uses);
-    free(k->services);
-    free(k);
-}
-
-/* A node at an address; it may be known by that address only. */
-struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr)
-{
-    struct member *k = id[0] ? find_by_id(m, id) : NULL;
-    if (!k)
-        k = find_by_addr(m, addr);
-    if (!k)
-        k = add_member(m, id, addr);
-    if (id[0])
-        rk_strcpy(k->id, sizeof(k->id), id);
-    if (strcmp(k->addr, addr) != 0) {
-        rk_strcpy(k->addr, sizeof(k->addr), addr);
-        rk_link_destroy(k->link);
-        k->link = NULL;
+    if (!m->bridge)
+        return;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
+    frame.store_text = (Rillknot__StoreText *)text;
+    for (struct member *k = m->members; k; k = k->next) {
+        bool wants = rk_mesh_is_near(k) || (from_store && k->bridge);
+        if (wants && k->link && rk_link_was_up(k->link))
+            rk_link_send(k->link, &frame);
     }
-    return k;
-}
-
-bool rk_mesh_is_self(const struct rk_mesh *m, const char *id, const char *addr)
-{
-    return !strcmp(id, m->n->file.id) ||
-           !strcmp(addr, rk_listener_addr(m->listener));
-}
-
-int rk_mesh_heard(const struct rk_mesh *m)
-{
-    int64_t now_ms = rk_mono_ms();
-    int count = 1;
-    for (const struct member *k = m->members; k; k = k->next)
-        count += rk_mesh_is_heard(k, now_ms);
-    return count;
 }
 
-/* A node that said that it leaves is gone once it is silent. */
-int rk_mesh_total(const struct rk_mesh *m)
+void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
+                           int64_t settings_version, int64_t list_revision)
 {
-    int count = 1;
+    Rillknot__StoreWanted w = RILLKNOT__STORE_WANTED__INIT;
+    w.settings = settings_version > rk_sync_version(m->n->sync);
+    w.list = list_revision > rk_sync_list_revision(m->n->sync);
+    w.list_since = rk_sync_list_revision(m->n->sync);
     int64_t now_ms = rk_mono_ms();
-    for (const struct member *k = m->members; k; k = k->next)
-        count += k->id[0] && (!k->leaving || rk_mesh_is_heard(k, now_ms));
-    return m->listed || count > RK_UNKNOWN_NODES ? count : RK_UNKNOWN_NODES;
-}
-
-/* Forget who was silent for long, and log who came and went. */
-static void review_members(struct rk_mesh *m, int64_t now_ms)
-{
-    for (struct member **at = &m->members; *at;) {
-        struct member *k = *at;
-        bool heard = rk_mesh_is_heard(k, now_ms);
-        if (heard != k->heard) {
-            k->heard = heard;
-            RK_EVENT(heard ? "peer.heard" : "peer.silent", RK_S("peer", k->id),
-                     RK_S("domain", k->domain), RK_N("leaving", k->leaving));
-        }
-        int64_t since = k->heard_ms ? k->heard_ms : k->known_ms;
-        if (now_ms - since < FORGET_MS) {
-            at = &k->next;
-            continue;
-        }
-        RK_EVENT("peer.forgotten", RK_S("peer", k->id), RK_S("addr", k->addr));
-        *at = k->next;
-        free_member(k);
-    }
+    if ((!w.settings && !w.list) || now_ms - m->asked_ms < ASK_AGAIN_MS)
+        return;
+    m->asked_ms = now_ms;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_STORE_WANTED;
+    frame.store_wanted = &w;
+    rk_link_send(link, &frame);
 }
 
-/* ---- reports out ---- */
-
-/* Tell up to `most` peers, going on where the last telling ended. */
-static void tell(struct rk_mesh *m, size_t most)
+static void answer_wanted(struct rk_mesh *m, struct rk_link *link,
+                          const Rillknot__StoreWanted *wanted)
 {
-    struct rk_report p;
-    size_t count = rk_mesh_count(m), at = 0;
-    m->told_ms = rk_mono_ms();
-    rk_report_fill(&p, m);
+    Rillknot__StoreText text;
+    rk_sync_tell(m->n->sync, wanted, &text);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
-    frame.node_report = &p.report;
-    for (struct member *k = m->members; k; k = k->next, at++) {
-        bool in_turn = (at + count - m->turn % count) % count < most;
-        if (in_turn && k->link && rk_link_was_up(k->link))
-            rk_link_send(k->link, &frame);
-    }
-    if (count)
-        m->turn = (m->turn + most) % count;
-    rk_report_free(&p);
+    frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
+    frame.store_text = &text;
+    rk_link_send(link, &frame);
 }
 
-static void on_soon(void *ctx)
+/* ---- usage for the holder of the duties ---- */
+
+/* Bridges tell the holder what the nodes of their domain counted. */
+static void tell_counts(struct rk_mesh *m, int64_t now_ms)
 {
-    struct rk_mesh *m = ctx;
-    tell(m, m->urgent ? rk_mesh_count(m) : FANOUT);
-    m->urgent = false;
+    char id[RK_ID_MAX];
+    rk_duty_keeper_holder(m->n->duty_keeper, id);
+    struct member *holder = m->bridge && id[0] ? rk_mesh_find(m, id) : NULL;
+    if (!holder || now_ms - m->counts_ms < USAGE_MS)
+        return;
+    holder->wanted_ms = now_ms;
+    if (!holder->link || !rk_link_was_up(holder->link))
+        return;
+    m->counts_ms = now_ms;
+    rk_report_send_counts(m, holder->link);
 }
 
-void rk_mesh_report(struct rk_mesh *m, bool urgent)
+static void take_counts(struct rk_mesh *m, const Rillknot__UsageCounts *counts)
 {
-    m->urgent = m->urgent || urgent;
-    if (!m->soon.slot)
-        rk_timer_start(m->n->loop, &m->soon, REPORT_SOON_MS);
+    for (size_t i = 0; i < counts->n_rows; i++)
+        rk_report_take_usage(m->n, counts->rows[i]);
 }
 
-/* ---- reports in ---- */
+/* ---- frames in ---- */
 
-struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
-                                          const char *service)
+static void relay_soon(struct rk_mesh *m)
 {
-    struct rk_service_use sum = {0};
-    int64_t now_ms = rk_mono_ms();
-    rk_strcpy(sum.service, sizeof(sum.service), service);
-    for (const struct member *k = m->members; k; k = k->next)
-        for (size_t i = 0; i < k->services_len; i++) {
-            if (strcmp(k->services[i].service, service) != 0)
-                continue;
-            sum.read_tokens += k->services[i].read_tokens;
-            if (rk_mesh_is_heard(k, now_ms))
-                sum.running += k->services[i].running;
-        }
-    return sum;
+    if (!m->relay_soon.slot)
+        rk_timer_start(m->n->loop, &m->relay_soon, RELAY_SOON_MS);
 }
 
-/* Ask a peer that knows more of the store. */
-static void ask_if_behind(struct rk_mesh *m, struct rk_link *link,
-                          const Rillknot__NodeReport *r)
+static void take_lease(struct rk_mesh *m, const Rillknot__LeaseRow *lease)
 {
-    Rillknot__StoreWanted w = RILLKNOT__STORE_WANTED__INIT;
-    w.settings = r->settings_version > rk_sync_version(m->n->sync);
-    w.list = r->list_revision > rk_sync_list_revision(m->n->sync);
-    int64_t now_ms = rk_mono_ms();
-    if ((!w.settings && !w.list) || now_ms - m->asked_ms < ASK_AGAIN_MS)
-        return;
-    m->asked_ms = now_ms;
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_STORE_WANTED;
-    frame.store_wanted = &w;
-    rk_link_send(link, &frame);
+    if (lease)
+        rk_duty_keeper_seen(m->n->duty_keeper, lease->version, lease->value);
 }
 
 static void take_report(struct rk_mesh *m, struct rk_link *link,
@@ -227,25 +149,29 @@
         return;
     struct member *k = rk_mesh_learn(m, r->id, r->addr);
     rk_report_take(k, r);
-    if (!m->relay_soon.slot)
-        rk_timer_start(m->n->loop, &m->relay_soon, RELAY_SOON_MS);
-    if (r->lease)
-        rk_duty_keeper_seen(m->n->duty_keeper, r->lease->version, r->lease->value);
+    rk_sync_confirm(m->n->sync, r->store_age_ms);
+    relay_soon(m);
+    take_lease(m, r->lease);
     for (size_t i = 0; i < r->n_peers; i++)
-        if (!rk_mesh_is_self(m, "", r->peers[i]) && !find_by_addr(m, r->peers[i]))
-            add_member(m, "", r->peers[i]);
-    ask_if_behind(m, link, r);
+        if (!rk_mesh_is_self(m, "", r->peers[i]) &&
+            !rk_mesh_find_addr(m, r->peers[i]))
+            rk_mesh_learn(m, "", r->peers[i]);
+    rk_mesh_ask_if_behind(m, link, r->settings_version, r->list_revision);
 }
 
-static void answer_wanted(struct rk_mesh *m, struct rk_link *link,
-                          const Rillknot__StoreWanted *wanted)
+static void take_digest(struct rk_mesh *m, struct rk_link *link,
+                        const Rillknot__Digest *d)
 {
-    Rillknot__StoreText text;
-    rk_sync_tell(m->n->sync, wanted, &text);
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
-    frame.store_text = &text;
-    rk_link_send(link, &frame);
+    if (rk_mesh_is_self(m, d->id, d->addr))
+        return;
+    struct member *k = rk_mesh_learn(m, d->id, d->addr);
+    rk_strcpy(k->domain, sizeof(k->domain), d->domain);
+    k->heard_ms = rk_mono_ms();
+    rk_digest_take(k, d);
+    rk_sync_confirm(m->n->sync, d->store_age_ms);
+    relay_soon(m);
+    take_lease(m, d->lease);
+    rk_mesh_ask_if_behind(m, link, d->settings_version, d->list_revision);
 }
 
 static void take_frame(struct rk_mesh *m, struct rk_link *link,
@@ -255,6 +181,12 @@
     case RILLKNOT__FRAME__BODY_NODE_REPORT:
         take_report(m, link, frame->node_report);
         return;
+    case RILLKNOT__FRAME__BODY_DIGEST:
+        take_digest(m, link, frame->digest);
+        return;
+    case RILLKNOT__FRAME__BODY_USAGE_COUNTS:
+        take_counts(m, frame->usage_counts);
+        return;
     case RILLKNOT__FRAME__BODY_STORE_WANTED:
         answer_wanted(m, link, frame->store_wanted);
         return;
@@ -286,7 +218,7 @@
 {
     (void)link;
     struct member *k = ctx;
-    rk_mesh_report(k->m, false);
+    rk_mesh_report(k->m);
 }
 
 static const struct rk_link_ops member_ops = {
@@ -322,17 +254,34 @@
     rk_link_set_ctx(link, g);
 }
 
-/* Keep a link to each member. */
+/* Does this node have to reach a member? */
+static bool is_needed(const struct member *k)
+{
+    const struct rk_mesh *m = k->m;
+    if (is_told(k) || !k->id[0])
+        return true;
+    return m->bridge && (rk_mesh_is_near(k) || k->bridge || !k->domain[0]);
+}
+
+static void hang_up(struct member *k)
+{
+    rk_link_destroy(k->link);
+    k->link = NULL;
+}
+
+/* Keep a link to each member that has to be reached. */
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms)
 {
     for (struct member *k = m->members; k; k = k->next) {
+        if (is_needed(k))
+            k->wanted_ms = now_ms;
+        bool wanted = k->wanted_ms && now_ms - k->wanted_ms < UNWANTED_MS;
         bool stuck = k->link && !rk_link_was_up(k->link) &&
                      now_ms - k->dialled_ms > CONNECT_MS;
-        if (stuck) {
-            rk_link_destroy(k->link);
-            k->link = NULL;
-        }
-        if (k->link || (k->dialled_ms && now_ms - k->dialled_ms < DIAL_MS))
+        if (k->link && (stuck || !wanted))
+            hang_up(k);
+        if (k->link || !wanted ||
+            (k->dialled_ms && now_ms - k->dialled_ms < DIAL_MS))
             continue;
         k->dialled_ms = now_ms;
         k->link = rk_link_connect(m->n->loop, k->addr, &member_ops, k);
@@ -341,37 +290,55 @@
 
 /* ---- the relay's view of the peers ---- */
 
+void rk_mesh_add_news(struct rk_mesh *m, const char *org, double units)
+{
+    if (units == 0)
+        return;
+    m->news = rk_realloc(m->news, (m->news_len + 1) * sizeof(*m->news));
+    struct rk_org_use *news = &m->news[m->news_len++];
+    *news = (struct rk_org_use){.units = units};
+    rk_strcpy(news->org, sizeof(news->org), org);
+}
+
+struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
+                                          const char *service)
+{
+    int64_t now_ms = rk_mono_ms();
+    struct rk_service_use sum = {.read_tokens =
+                                     rk_tally_total(&m->peer_reads, service)};
+    rk_strcpy(sum.service, sizeof(sum.service), service);
+    sum.running = rk_loads_running(m, service, now_ms);
+    return sum;
+}
+
 /* What the peer with the longest memory knows of quotas. */
 static void fill_known(const struct rk_mesh *m, struct rk_relay_peers *p,
                        int64_t now_ms)
 {
-    const struct member *best = NULL;
-    for (const struct member *k = m->members; k; k = k->next)
-        if (rk_mesh_is_heard(k, now_ms) &&
-            (!best || k->remembers_ms > best->remembers_ms))
-            best = k;
-    if (!best)
-        return;
-    p->remembers_ms = best->remembers_ms;
-    p->known = rk_alloc(best->uses_len + 1, sizeof(*p->known));
-    p->known_len = best->uses_len;
-    for (size_t i = 0; i < best->uses_len; i++)
-        p->known[i] = best->uses[i];
+    const struct rk_org_use *uses = NULL;
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (!rk_mesh_is_heard(k, now_ms) ||
+            (uses && k->remembers_ms <= p->remembers_ms))
+            continue;
+        p->remembers_ms = k->remembers_ms;
+        p->known_len = k->uses_len;
+        uses = k->uses;
+    }
+    const struct member *source = rk_digest_of_fleet(m, now_ms);
+    if (source && (!uses || source->digest.remembers_ms > p->remembers_ms)) {
+        p->remembers_ms = source->digest.remembers_ms;
+        p->known_len = source->digest.uses_len;
+        uses = source->digest.uses;
+    }
+    p->known = rk_alloc(p->known_len + 1, sizeof(*p->known));
+    if (p->known_len)
+        memcpy(p->known, uses, p->known_len * sizeof(*p->known));
 }
 
 static void tell_relay(struct rk_mesh *m, int64_t now_ms)
 {
     struct rk_relay_peers *p = rk_alloc(1, sizeof(*p));
-    size_t loads = 0;
-    for (struct member *k = m->members; k; k = k->next)
-        loads += rk_mesh_is_heard(k, now_ms) ? k->loads_len : 0;
-    p->loads = rk_alloc(loads + 1, sizeof(*p->loads));
-    for (struct member *k = m->members; k; k = k->next) {
-        if (!rk_mesh_is_heard(k, now_ms) || !k->loads_len)
-            continue;
-        memcpy(p->loads + p->loads_len, k->loads, k->loads_len * sizeof(*k->loads));
-        p->loads_len += k->loads_len;
-    }
+    rk_loads_fill(m, p, now_ms);
     fill_known(m, p, now_ms);
     p->uses = m->news;
     p->uses_len = m->news_len;
@@ -379,7 +346,7 @@
     m->news_len = 0;
     p->nodes_heard = rk_mesh_heard(m);
     p->nodes_total = rk_mesh_total(m);
-    p->lag_ms = REPORT_MS * rounds(m);
+    p->lag_ms = m->direct ? REPORT_MS : BRIDGED_LAG_MS;
     rk_relay_set_peers(m->n->relay, p);
 }
 
@@ -389,10 +356,13 @@
     int64_t now_ms = rk_mono_ms();
     rk_timer_start(m->n->loop, &m->tick, REPORT_MS);
     rk_log_flush();
-    review_members(m, now_ms);
+    rk_mesh_review(m, now_ms);
+    rk_mesh_elect(m, now_ms);
     rk_mesh_dial(m, now_ms);
     if (now_ms - m->told_ms >= REPORT_MS)
-        tell(m, FANOUT); /* else the relay's reports set the pace */
+        tell(m); /* else the relay's reports set the pace */
+    rk_digest_tell(m);
+    tell_counts(m, now_ms);
     tell_relay(m, now_ms);
 }
 
@@ -407,6 +377,7 @@
 {
     struct rk_mesh *m = rk_alloc(1, sizeof(*m));
     m->n = n;
+    m->direct = true;
     m->tick = (struct rk_timer){.fn = on_tick, .ctx = m};
     m->relay_soon = (struct rk_timer){.fn = on_relay_soon, .ctx = m};
     m->soon = (struct rk_timer){.fn = on_soon, .ctx = m};
@@ -428,8 +399,8 @@
 {
     for (size_t i = 0; i < m->n->file.peers_len; i++) {
         const char *addr = m->n->file.peers[i];
-        if (!rk_mesh_is_self(m, "", addr) && !find_by_addr(m, addr))
-            add_member(m, "", addr);
+        if (!rk_mesh_is_self(m, "", addr) && !rk_mesh_find_addr(m, addr))
+            rk_mesh_learn(m, "", addr);
     }
     rk_timer_start(m->n->loop, &m->tick, 0);
     rk_enrol_start(m);
@@ -441,11 +412,7 @@
     rk_timer_stop(m->n->loop, &m->soon);
     rk_timer_stop(m->n->loop, &m->relay_soon);
     rk_timer_stop(m->n->loop, &m->enrol);
-    while (m->members) {
-        struct member *k = m->members;
-        m->members = k->next;
-        free_member(k);
-    }
+    rk_mesh_free_members(m);
     while (m->guests) {
         struct guest *g = m->guests;
         m->guests = g->next;
@@ -453,6 +420,12 @@
         free(g);
     }
     rk_listener_destroy(m->listener);
+    struct rk_tally *const tallies[] = {
+        &m->peer_reads,   &m->domain_uses, &m->fleet_uses,
+        &m->domain_reads, &m->fleet_reads, &m->own_uses,
+        &m->own_reads,    &m->based_uses,  &m->based_reads};
+    for (size_t i = 0; i < RK_ARRAY_LEN(tallies); i++)
+        rk_tally_free(tallies[i]);
     free(m->news);
     free(m);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -1,25 +1,57 @@
-/* State of the mesh, shared by mesh.c (members and links), report.c (what nodes
- * tell each other) and enrol.c (the list of nodes in the store). Not for others. */
+/* State of the mesh, shared by mesh.c (links, who is told what), members.c (the
+ * nodes that are known), report.c (what nodes tell of themselves), digest.c (what
+ * bridges tell of several nodes) and enrol.c (the list of nodes in the store). Not
+ * for others. */
 #ifndef RK_NODE_MESH_IMPL_H
 #define RK_NODE_MESH_IMPL_H
 
+#include "core/tally.h"
 #include "node/state.h"
 
+/* In a fleet of up to so many nodes each tells each; in a larger one the first
+ * nodes of each failure domain are its bridges. */
+#define RK_MESH_DIRECT  12
+#define RK_MESH_BRIDGES 2
+
 struct rk_link;
 struct rk_listener;
 
+/* The last digest of a node. */
+struct digest {
+    int64_t heard_ms; /* 0: none */
+    uint64_t incarnation;
+    bool fleet;
+    int nodes_heard, nodes_total;
+    int64_t remembers_ms;
+    struct rk_vm_load *loads;
+    size_t loads_len;
+    struct rk_org_use *uses; /* known[] is told now and then */
+    size_t uses_len;
+    struct rk_service_use *services;
+    size_t services_len;
+    /* Its counters when a digest of its kind was counted last. */
+    bool based;
+    struct rk_tally base_uses, base_reads;
+};
+
 struct member {
     struct rk_mesh *m;
     struct member *next;
     char id[RK_ID_MAX]; /* "": a seed that has not told its name */
     char addr[RK_ADDR_MAX];
-    char domain[RK_ID_MAX];
+    char domain[RK_ID_MAX]; /* "": not known yet */
+    int64_t capacity;       /* thousandths of a core */
+    uint64_t hash;          /* of its id */
+    bool bridge;            /* of its domain, as elected last */
+    bool unproven;          /* listed again after it was forgotten, not heard */
     uint64_t incarnation;
     struct rk_link *link; /* that this node opened */
     int64_t dialled_ms;
-    int64_t heard_ms;
-    int64_t known_ms; /* since when it is a member */
-    bool heard;       /* as told last */
+    int64_t wanted_ms; /* when the link was needed last */
+    int64_t heard_ms;  /* itself */
+    int64_t told_ms;   /* when a bridge told that it hears it */
+    int64_t known_ms;  /* since when it is a member */
+    bool heard;        /* as logged last */
     bool leaving;
     int64_t remembers_ms;
     struct rk_vm_load *loads;
@@ -28,6 +60,7 @@
     size_t uses_len;
     struct rk_service_use *services; /* the same */
     size_t services_len;
+    struct digest digest;
 };
 
 /* A link that a peer opened. */
@@ -43,15 +76,31 @@
     struct member *members;
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol;
-    int64_t told_ms; /* the peers, last */
-    bool urgent;     /* all are told with the next telling */
-    size_t turn;     /* where telling some in turn goes on */
+    int64_t told_ms;   /* the peers, last */
+    int64_t digest_ms; /* the same, a digest */
+    unsigned digests;  /* made so far */
+    int64_t counts_ms; /* usage told to the holder of the duties, last */
+    int64_t usage_ms;  /* own usage told, last */
     int64_t enrol_ms;
+    int lists_left;       /* how often the store's list of nodes is read again */
+    int64_t forgotten_ms; /* a member was forgotten last; 0: never */
     bool enrolled, listed;
     int64_t asked_ms;
+    int64_t fleet_ms; /* when a digest of the fleet was heard last */
+    /* As elected last. */
+    bool direct;  /* each node tells each */
+    bool bridge;  /* this node bridges its domain */
+    int preceded; /* nodes of this domain that come before this one */
     /* Used by peers since the relay was told. */
     struct rk_org_use *news;
     size_t news_len;
+    struct rk_tally peer_reads; /* tokens read for the peers, by service */
+    /* Of a bridge: what its domain, and the fleet, used and read since its start,
+     * and how much of this node's own is in that. */
+    struct rk_tally domain_uses, fleet_uses, domain_reads, fleet_reads;
+    struct rk_tally own_uses, own_reads;
+    /* Own counters as counted with the last digest of a bridge. */
+    struct rk_tally based_uses, based_reads;
 };
 
 /* A report in the making. */
@@ -66,17 +115,59 @@
     char **peers;
 };
 
-/* mesh.c */
+/* members.c */
 size_t rk_mesh_count(const struct rk_mesh *m); /* members, this node not counted */
-bool rk_mesh_is_heard(const struct member *k, int64_t now_ms);
+bool rk_mesh_is_heard(const struct member *k, int64_t now_ms); /* itself */
+/* Heard itself or by a bridge, or too new to say. */
+bool rk_mesh_is_alive(const struct member *k, int64_t now_ms);
 bool rk_mesh_is_self(const struct rk_mesh *m, const char *id, const char *addr);
+bool rk_mesh_is_near(const struct member *k); /* in this node's domain */
+struct member *rk_mesh_find(const struct rk_mesh *m, const char *id);
+struct member *rk_mesh_find_addr(const struct rk_mesh *m, const char *addr);
+/* A node at an address; it may be known by that address only. */
 struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr);
+void rk_mesh_free_members(struct rk_mesh *m);
+/* Forget who was silent for long, and log who came and went. */
+void rk_mesh_review(struct rk_mesh *m, int64_t now_ms);
+/* Say who bridges which domain. */
+void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms);
+
+/* mesh.c */
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms);
+/* Ask a peer that knows more of the store. */
+void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
+                           int64_t settings_version, int64_t list_revision);
+/* Peers used units of an organisation, or gave some back: told to the relay. */
+void rk_mesh_add_news(struct rk_mesh *m, const char *org, double units);
 
 /* report.c: make a report of this node; take in what a member told. */
-void rk_report_fill(struct rk_report *p, struct rk_mesh *m);
+void rk_report_fill(struct rk_report *p, struct rk_mesh *m, bool usage);
 void rk_report_free(struct rk_report *p);
 void rk_report_take(struct member *k, const Rillknot__NodeReport *r);
+void rk_report_take_usage(struct rk_node *n, const Rillknot__UsageRow *row);
+/* Counts of recent windows, of all nodes that are known here. */
+void rk_report_send_counts(struct rk_mesh *m, struct rk_link *link);
+
+/* loads.c: what the peers have in hand. */
+void rk_loads_fill(const struct rk_mesh *m, struct rk_relay_peers *p,
+                   int64_t now_ms);
+uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
+                          int64_t now_ms);
+
+/* digest.c */
+void rk_digest_take(struct member *k, const Rillknot__Digest *d);
+void rk_digest_free(struct digest *d);
+/* Tell a digest to those who need it, if this node is a bridge. */
+void rk_digest_tell(struct rk_mesh *m);
+/* Begin to count as a bridge. */
+void rk_digest_begin(struct rk_mesh *m);
+/* The node whose digest of the fleet counts here; NULL: none is fresh enough. */
+const struct member *rk_digest_of_fleet(const struct rk_mesh *m, int64_t now_ms);
+/* The node whose digest of another domain counts here. */
+const struct member *rk_digest_of_domain(const struct rk_mesh *m,
+                                         const char *domain, int64_t now_ms);
+/* Does a member's digest count now? */
+bool rk_digest_counts(const struct member *k, int64_t now_ms);
 
 /* enrol.c: write this node to the list, read who is there. */
 void rk_enrol_init(struct rk_mesh *m);
--- a/node/node.c
+++ b/node/node.c
@@ -63,7 +63,7 @@
         int64_t value;
     } gauges[] = {
         {"settings_version", n->report ? n->report->version : 0},
-        {"settings_age_ms", rk_sync_settings_age_ms(n->sync)},
+        {"settings_age_ms", rk_sync_age_ms(n->sync)},
         {"list_revision", rk_sync_list_revision(n->sync)},
         {"nodes_heard", rk_mesh_heard(n->mesh)},
         {"nodes_known", rk_mesh_total(n->mesh)},
@@ -118,7 +118,7 @@
     n->report = m->report;
     for (size_t i = 0; i < n->report->usage_len; i++)
         rk_usage_merge(&n->usage, &n->report->usage[i]);
-    rk_mesh_report(n->mesh, false);
+    rk_mesh_report(n->mesh);
     free(m);
 }
 
@@ -192,7 +192,7 @@
     n->leaving_since_ms = rk_mono_ms();
     RK_EVENT("node.leaving", RK_N("notice_ms", rk_s_to_ms(n->file.stop_s)));
     rk_relay_close(n->relay, stop_limit_ms(n));
-    rk_mesh_report(n->mesh, true);
+    rk_mesh_report(n->mesh);
     n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_removed, n);
     rk_timer_start(n->loop, &n->stop, STOP_STEP_MS);
 }
--- a/node/orders.c
+++ b/node/orders.c
@@ -38,6 +38,7 @@
     double need; /* smoothed */
     uint32_t running;
     bool asked;          /* calls came */
+    int at_first;        /* vms that stood there then; 0: none seen yet */
     int64_t followed_ms; /* since when demand is followed */
     int64_t refused_ms;  /* "none to be had" was heard last; 0: never */
     int64_t shrunk_ms;   /* an on-demand vm was given up last */
@@ -92,17 +93,16 @@
     return count;
 }
 
-/* Until the first calls come, the vms that stand there are the best estimate of
- * what will be asked. */
+/* Until the first calls come, the vms that stood there at first are the best
+ * estimate of what will be asked. */
 static void estimate(struct service *s, int64_t now_ms)
 {
-    if (!s->followed_ms)
+    if (!s->at_first) {
+        s->at_first = count_vms(s->o->n, s->name);
         s->followed_ms = now_ms;
-    if (s->asked || now_ms - s->followed_ms > ESTIMATE_MS)
-        return;
-    double held = count_vms(s->o->n, s->name);
-    if (held > s->need)
-        s->need = held;
+    }
+    if (!s->asked && now_ms - s->followed_ms < ESTIMATE_MS && s->need < s->at_first)
+        s->need = s->at_first;
 }
 
 static void measure(struct service *s, const struct rk_service_info *info)
--- a/node/report.c
+++ b/node/report.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 #include "node/mesh_impl.h"
+#include "peers/link.h"
 
 #define USAGE_WINDOWS 4 /* told of, the current one included */
+#define MILLI         1000.0
 
 static void fill_vms(struct rk_report *p, const struct rk_relay_report *r)
 {
@@ -77,9 +79,12 @@
     p->report.services = p->service_ptrs;
 }
 
+/* Who else is there; in a larger fleet bridges tell. */
 static void fill_peers(struct rk_report *p, const struct rk_mesh *m)
 {
     int64_t now_ms = rk_mono_ms();
+    if (!m->direct)
+        return;
     p->peers = rk_alloc(rk_mesh_count(m) + 1, sizeof(*p->peers));
     for (struct member *k = m->members; k; k = k->next)
         if (k->id[0] && rk_mesh_is_heard(k, now_ms))
@@ -87,7 +92,7 @@
     p->report.peers = p->peers;
 }
 
-void rk_report_fill(struct rk_report *p, struct rk_mesh *m)
+void rk_report_fill(struct rk_report *p, struct rk_mesh *m, bool usage)
 {
     struct rk_node *n = m->n;
     *p = (struct rk_report){0};
@@ -100,6 +105,8 @@
     p->report.settings_version = rk_sync_version(n->sync);
     p->report.list_revision = rk_sync_list_revision(n->sync);
     p->report.leaving = n->leaving;
+    p->report.store_age_ms = rk_sync_age_ms(n->sync);
+    p->report.capacity = (int64_t)(n->file.cpu_share * MILLI);
     const char *value;
     if (rk_duty_keeper_lease(n->duty_keeper, &p->lease.version, &value)) {
         p->lease.value = (char *)value;
@@ -112,7 +119,8 @@
     p->report.remembers_ms = n->report->remembers_ms;
     fill_vms(p, n->report);
     fill_uses(p, n->report);
-    fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
+    if (usage)
+        fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
     fill_services(p, n->report);
 }
 
@@ -130,27 +138,43 @@
     free(p->peers);
 }
 
+/* Does what a member tells of itself count here? In a larger fleet the bridges of
+ * its domain count it, and the others hear of it by their digests. */
+static bool counts(const struct member *k)
+{
+    return k->m->direct || (k->m->bridge && rk_mesh_is_near(k));
+}
+
+static double used_before(const struct member *k, const char *org)
+{
+    for (size_t i = 0; i < k->uses_len; i++)
+        if (!strcmp(k->uses[i].org, org))
+            return k->uses[i].units;
+    return 0;
+}
+
+static void count_use(struct member *k, const char *org, double rise)
+{
+    struct rk_mesh *m = k->m;
+    if (!counts(k) || rise == 0)
+        return;
+    rk_mesh_add_news(m, org, rise);
+    *rk_tally_at(&m->domain_uses, org) += rise;
+    *rk_tally_at(&m->fleet_uses, org) += rise;
+}
+
 /* What the node used since its last report goes to the relay with the next. What a
  * node heard for the first time used before is among what peers remember. */
 static void take_uses(struct member *k, const Rillknot__NodeReport *r, bool first)
 {
-    struct rk_mesh *m = k->m;
     struct rk_org_use *uses = rk_alloc(r->n_uses + 1, sizeof(*uses));
-    m->news = rk_realloc(m->news, (m->news_len + r->n_uses + 1) * sizeof(*m->news));
     for (size_t i = 0; i < r->n_uses; i++) {
         rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
         uses[i].units = r->uses[i]->units;
         for (size_t j = 0; j < r->uses[i]->n_known && j < RK_QUOTA_PARTS; j++)
             uses[i].known[j] = (double)r->uses[i]->known[j];
-        double before = first ? uses[i].units : 0;
-        for (size_t j = 0; j < k->uses_len; j++)
-            if (!strcmp(k->uses[j].org, uses[i].org))
-                before = k->uses[j].units;
-        struct rk_org_use *news = &m->news[m->news_len];
-        *news = uses[i];
-        news->units -= before;
-        if (news->units != 0)
-            m->news_len++;
+        double before = first ? uses[i].units : used_before(k, uses[i].org);
+        count_use(k, uses[i].org, uses[i].units - before);
     }
     free(k->uses);
     k->uses = uses;
@@ -168,28 +192,48 @@
     }
 }
 
-static void take_services(struct member *k, const Rillknot__NodeReport *r)
+static double read_before(const struct member *k, const char *service)
 {
-    k->services =
-        rk_realloc(k->services, (r->n_services + 1) * sizeof(*k->services));
-    k->services_len = r->n_services;
+    for (size_t i = 0; i < k->services_len; i++)
+        if (!strcmp(k->services[i].service, service))
+            return k->services[i].read_tokens;
+    return 0;
+}
+
+static void count_read(struct member *k, const char *service, double rise)
+{
+    struct rk_mesh *m = k->m;
+    if (!counts(k) || rise <= 0)
+        return;
+    *rk_tally_at(&m->peer_reads, service) += rise;
+    *rk_tally_at(&m->domain_reads, service) += rise;
+    *rk_tally_at(&m->fleet_reads, service) += rise;
+}
+
+static void take_services(struct member *k, const Rillknot__NodeReport *r,
+                          bool first)
+{
+    struct rk_service_use *services =
+        rk_alloc(r->n_services + 1, sizeof(*services));
     for (size_t i = 0; i < r->n_services; i++) {
-        struct rk_service_use *use = &k->services[i];
+        struct rk_service_use *use = &services[i];
         rk_strcpy(use->service, sizeof(use->service), r->services[i]->service);
         use->read_tokens = r->services[i]->read_tokens;
         use->running = r->services[i]->running;
+        double before = first ? use->read_tokens : read_before(k, use->service);
+        count_read(k, use->service, use->read_tokens - before);
     }
+    free(k->services);
+    k->services = services;
+    k->services_len = r->n_services;
 }
 
-static void take_usage(struct rk_node *n, const Rillknot__NodeReport *r)
+void rk_report_take_usage(struct rk_node *n, const Rillknot__UsageRow *told)
 {
-    for (size_t i = 0; i < r->n_usage; i++) {
-        struct rk_usage_row row = {.node = r->usage[i]->node,
-                                   .window = r->usage[i]->window,
-                                   .count = r->usage[i]->count};
-        rk_strcpy(row.org, sizeof(row.org), r->usage[i]->org);
-        rk_usage_merge(&n->usage, &row);
-    }
+    struct rk_usage_row row = {
+        .node = told->node, .window = told->window, .count = told->count};
+    rk_strcpy(row.org, sizeof(row.org), told->org);
+    rk_usage_merge(&n->usage, &row);
 }
 
 void rk_report_take(struct member *k, const Rillknot__NodeReport *r)
@@ -198,13 +242,44 @@
     if (k->incarnation != r->incarnation) {
         k->incarnation = r->incarnation;
         k->uses_len = 0; /* it counts from its start */
+        k->services_len = 0;
     }
     rk_strcpy(k->domain, sizeof(k->domain), r->domain);
+    k->capacity = r->capacity;
     k->heard_ms = rk_mono_ms();
+    k->unproven = false;
     k->leaving = r->leaving;
     k->remembers_ms = r->remembers_ms;
     take_uses(k, r, first);
     take_loads(k, r);
-    take_services(k, r);
-    take_usage(k->m->n, r);
+    take_services(k, r, first);
+    for (size_t i = 0; i < r->n_usage; i++)
+        rk_report_take_usage(k->m->n, r->usage[i]);
+}
+
+void rk_report_send_counts(struct rk_mesh *m, struct rk_link *link)
+{
+    const struct rk_usage *u = &m->n->usage;
+    int64_t current = rk_wall_ms() / rk_s_to_ms(m->n->file.usage_window_s);
+    Rillknot__UsageRow *rows = rk_alloc(u->len + 1, sizeof(*rows));
+    Rillknot__UsageRow **ptrs = rk_alloc(u->len + 1, sizeof(*ptrs));
+    Rillknot__UsageCounts counts = RILLKNOT__USAGE_COUNTS__INIT;
+    for (size_t i = 0; i < u->len; i++) {
+        if (u->rows[i].window <= current - USAGE_WINDOWS)
+            continue;
+        Rillknot__UsageRow *row = &rows[counts.n_rows];
+        rillknot__usage_row__init(row);
+        row->node = u->rows[i].node;
+        row->window = u->rows[i].window;
+        row->org = u->rows[i].org;
+        row->count = u->rows[i].count;
+        ptrs[counts.n_rows++] = row;
+    }
+    counts.rows = ptrs;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_USAGE_COUNTS;
+    frame.usage_counts = &counts;
+    rk_link_send(link, &frame);
+    free(rows);
+    free(ptrs);
 }
--- a/node/state.h
+++ b/node/state.h
@@ -51,8 +51,10 @@
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s);
 const struct rk_vm_row *rk_sync_vm_at(const struct rk_sync *s,
                                       size_t i); /* or NULL */
-int64_t
-rk_sync_settings_age_ms(const struct rk_sync *s); /* since the store spoke */
+/* Since the store confirmed, here or to a peer, that all this is the newest; -1:
+ * never. */
+int64_t rk_sync_age_ms(const struct rk_sync *s);
+void rk_sync_confirm(struct rk_sync *s, int64_t age_ms); /* by a peer's word */
 /* For a peer that asks; the message's parts belong to s until the next call. */
 void rk_sync_tell(struct rk_sync *s, const Rillknot__StoreWanted *wanted,
                   Rillknot__StoreText *out);
@@ -63,11 +65,19 @@
 void rk_mesh_destroy(struct rk_mesh *m);
 const char *rk_mesh_addr(const struct rk_mesh *m); /* where peers reach it */
 void rk_mesh_start(struct rk_mesh *m);
-/* Tell peers soon: all of them (urgent), or the next in turn. */
-void rk_mesh_report(struct rk_mesh *m, bool urgent);
+/* Tell peers a report soon. */
+void rk_mesh_report(struct rk_mesh *m);
+/* Nodes of this domain that should follow the store before this one does; -1: this
+ * one should. */
+int rk_mesh_rank(const struct rk_mesh *m);
+/* News of the store, to the nodes that a bridge tells of it; from_store: it is
+ * known first hand. */
+void rk_mesh_push(struct rk_mesh *m, const Rillknot__StoreText *text,
+                  bool from_store);
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
-/* What the peers asked of a service: tokens since their starts, calls in hand. */
+/* What the peers asked of a service: tokens since this node's start, calls in
+ * hand. */
 struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
                                           const char *service);
 
@@ -98,5 +108,10 @@
                           const char **value);
 void rk_duty_keeper_seen(struct rk_duty_keeper *k, int64_t version,
                          const char *value);
+/* The newest version of the lease that is known here, whoever holds it. */
+bool rk_duty_keeper_newest(const struct rk_duty_keeper *k, int64_t *version,
+                           const char **value);
+/* The id of the node that holds the duties by that; "": not known. */
+void rk_duty_keeper_holder(const struct rk_duty_keeper *k, char id[RK_ID_MAX]);
 
 #endif
--- a/node/sync.c
+++ b/node/sync.c
@@ -1,54 +1,75 @@
-/* Settings and vms: watched in the store, one waiting call for each; what a peer
- * knows better is taken from it. Settings only rise in a process's life. */
+/* Settings and vms. A few nodes of each failure domain follow them in the store and
+ * tell the others what changed; a node that nobody tells follows them itself.
+ * Settings only rise in a process's life. */
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/eventlog.h"
+#include "node/follow.h"
 #include "node/state.h"
-#include "objects/store.h"
-
-#define WATCH_MS       2500 /* a watch that hangs must be noticed within contact */
-#define RETRY_FIRST_MS 100
-#define RETRY_MAX_MS   1000
-
-/* One kind of object, followed by list and watch. */
-struct follow {
-    struct rk_sync *s;
-    const char *kind;
-    int64_t at; /* the store's revision that is known; 0: none yet */
-    int64_t retry_ms;
-    bool busy, listing;
-    bool lost; /* the store doesn't answer */
-    struct rk_timer retry;
-    void (*apply)(struct rk_sync *s, const struct rk_store_object *objects,
-                  size_t len, bool all);
-};
+
+#define TICK_MS    250
+#define PACE_MS    100  /* between watches of vms that brought something */
+#define STALE_MS   3600 /* what is not confirmed for so long is followed here */
+#define STAGGER_MS 100  /* more for each node that comes before this one */
+#define START_MS   3000 /* a node follows the store at its start in any case */
+#define LAPSED_MS                                                                  \
+    2000              /* vms whose entries lapsed with the store are back by then */
+#define GONE_KEPT 128 /* vms that left, remembered for peers */
 
 /* A vm's object. */
 struct entry {
     char *name;
     char *text; /* its contents, for peers */
     int64_t revision;
+    int64_t lapsed_ms; /* since when the store doesn't list it; 0: it does */
     struct rk_vm_row row;
 };
 
+/* A vm that left the list. */
+struct gone {
+    char name[RK_ID_MAX];
+    int64_t revision;
+    bool lapsed; /* just after the store had been away */
+};
+
 struct rk_sync {
     struct rk_node *n;
-    struct follow settings, vms;
+    struct rk_follow settings, vms;
+    struct rk_timer tick;
+    int64_t started_ms;
+    int64_t confirmed_ms; /* until when all this was known to be the newest */
     struct rk_routes *routes;
     char *settings_text;
-    int64_t heard_ms; /* when the store answered last */
     struct entry *entries;
     size_t entries_len, entries_cap;
     bool list_known;
-    int64_t list_revision; /* of the last change to the list */
+    int64_t list_revision; /* every change up to it is known */
+    struct gone gone[GONE_KEPT];
+    size_t gone_len;    /* ever; the newest GONE_KEPT are there */
+    int64_t gone_since; /* those since this revision are remembered */
     /* A message to a peer in the making. */
     Rillknot__ListRow *rows, **row_ptrs;
+    Rillknot__GoneRow gone_rows[GONE_KEPT], *gone_ptrs[GONE_KEPT];
 };
 
 /* ---- settings ---- */
 
+/* Tell peers what changed since a revision of the list, and the settings if they
+ * changed, too. */
+static void push(struct rk_sync *s, bool settings, int64_t list_since,
+                 const char *from)
+{
+    const Rillknot__StoreWanted wanted = {
+        .settings = settings, .list = list_since >= 0, .list_since = list_since};
+    Rillknot__StoreText text;
+    rk_sync_tell(s, &wanted, &text);
+    if (text.settings || text.list_since)
+        rk_mesh_push(s->n->mesh, &text, !strcmp(from, "store"));
+    rk_mesh_report(s->n->mesh);
+}
+
 static void use_routes(struct rk_sync *s, struct rk_routes *routes,
                        const char *text, const char *from)
 {
@@ -61,7 +82,7 @@
     free(s->settings_text);
     s->settings_text = rk_strdup(text);
     rk_relay_set_routes(s->n->relay, rk_routes_ref(routes));
-    rk_mesh_report(s->n->mesh, true);
+    push(s, true, -1, from);
 }
 
 static void take_settings(struct rk_sync *s, struct json_object *spec,
@@ -81,10 +102,12 @@
     use_routes(s, routes, json_object_to_json_string(spec), from);
 }
 
-static void apply_settings(struct rk_sync *s, const struct rk_store_object *objects,
-                           size_t len, bool all)
+static void apply_settings(void *ctx, const struct rk_store_object *objects,
+                           size_t len, bool all, int64_t at)
 {
+    struct rk_sync *s = ctx;
     (void)all;
+    (void)at;
     for (size_t i = 0; i < len; i++)
         if (!objects[i].gone && objects[i].spec &&
             !strcmp(objects[i].name, s->n->platform->settings_name))
@@ -159,22 +182,39 @@
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
     e->revision = revision;
+    e->lapsed_ms = 0;
     e->row = row;
-    if (revision > s->list_revision)
-        s->list_revision = revision;
     if (changed)
         log_vm(&row, what, from);
     return changed;
 }
 
+static void remember_gone(struct rk_sync *s, const char *name, int64_t revision,
+                          bool lapsed)
+{
+    struct gone *g = &s->gone[s->gone_len++ % GONE_KEPT];
+    if (s->gone_len > GONE_KEPT && g->revision > s->gone_since)
+        s->gone_since = g->revision;
+    *g = (struct gone){.revision = revision, .lapsed = lapsed};
+    rk_strcpy(g->name, sizeof(g->name), name);
+}
+
+/* A vm is off the list. One that lapsed while the store was away is kept a little:
+ * it comes back if it lives. */
 static bool drop_entry(struct rk_sync *s, const char *name, int64_t revision,
-                       const char *from)
+                       bool lapsed, const char *from)
 {
     struct entry *e = find_entry(s, name);
-    if (revision > s->list_revision)
-        s->list_revision = revision;
-    if (!e)
+    if (!e || (e->revision > revision))
         return false;
+    remember_gone(s, name, revision, lapsed);
+    if (lapsed && !e->row.leaving) {
+        if (!e->lapsed_ms)
+            log_vm(&e->row, "lapsed", from);
+        e->lapsed_ms = e->lapsed_ms ? e->lapsed_ms : rk_mono_ms();
+        e->revision = revision;
+        return false;
+    }
     log_vm(&e->row, "removed", from);
     remove_entry(s, e);
     return true;
@@ -191,12 +231,30 @@
 
 /* A whole list: what it doesn't have is gone. */
 static bool drop_missing(struct rk_sync *s, const struct rk_store_object *objects,
-                         size_t len, const char *from)
+                         size_t len, int64_t at, bool lapsed, const char *from)
+{
+    bool changed = false;
+    for (size_t i = s->entries_len; i-- > 0;) {
+        const struct entry *e = &s->entries[i];
+        if (!e->lapsed_ms && !is_told(objects, len, e->name))
+            changed |= drop_entry(s, e->name, at, lapsed, from);
+    }
+    return changed;
+}
+
+/* Those that lapsed and did not come back. */
+static bool drop_lapsed(struct rk_sync *s)
 {
+    int64_t now_ms = rk_mono_ms();
     bool changed = false;
-    for (size_t i = s->entries_len; i-- > 0;)
-        if (!is_told(objects, len, s->entries[i].name))
-            changed |= drop_entry(s, s->entries[i].name, 0, from);
+    for (size_t i = s->entries_len; i-- > 0;) {
+        struct entry *e = &s->entries[i];
+        if (!e->lapsed_ms || now_ms - e->lapsed_ms < LAPSED_MS)
+            continue;
+        log_vm(&e->row, "removed", "time");
+        remove_entry(s, e);
+        changed = true;
+    }
     return changed;
 }
 
@@ -206,101 +264,93 @@
     for (size_t i = 0; i < s->entries_len; i++)
         rows[i] = s->entries[i].row;
     rk_relay_set_vms(s->n->relay, rows, s->entries_len);
-    rk_mesh_report(s->n->mesh, true);
 }
 
-static void take_vms(struct rk_sync *s, const struct rk_store_object *objects,
-                     size_t len, bool all, const char *from)
+/* Did entries lapse with the store, rather than because their vms left? */
+static bool store_was_away(const struct rk_sync *s)
 {
-    bool changed = !s->list_known;
+    const struct rk_follow *f = &s->vms;
+    return f->back_ms && rk_mono_ms() - f->back_ms < LAPSED_MS;
+}
+
+/* The last change to the list that an answer tells. One that removed something may
+ * have no revision of its own. */
+static int64_t known_by(const struct rk_store_object *objects, size_t len, bool all,
+                        int64_t at)
+{
+    int64_t known = all ? at : 0;
+    for (size_t i = 0; i < len; i++) {
+        if (objects[i].gone)
+            known = at;
+        else if (objects[i].revision > known)
+            known = objects[i].revision;
+    }
+    return known < at ? known : at;
+}
+
+static void apply_vms(void *ctx, const struct rk_store_object *objects, size_t len,
+                      bool all, int64_t at)
+{
+    struct rk_sync *s = ctx;
+    int64_t before = s->list_known ? s->list_revision : 0;
+    bool changed = !s->list_known, lapsed = store_was_away(s);
     if (all)
-        changed |= drop_missing(s, objects, len, from);
+        changed |= drop_missing(s, objects, len, at, lapsed, "store");
     for (size_t i = 0; i < len; i++) {
         if (objects[i].gone)
-            changed |= drop_entry(s, objects[i].name, objects[i].revision, from);
+            changed |= drop_entry(s, objects[i].name, at, lapsed, "store");
         else if (objects[i].spec)
             changed |= set_entry(s, objects[i].name, objects[i].revision,
-                                 objects[i].spec, from);
+                                 objects[i].spec, "store");
     }
+    int64_t known = known_by(objects, len, all, at);
+    if (known > s->list_revision)
+        s->list_revision = known;
     s->list_known = true;
     if (changed)
         publish_vms(s);
+    if (s->list_revision > before)
+        push(s, false, before, "store");
 }
 
-static void apply_vms(struct rk_sync *s, const struct rk_store_object *objects,
-                      size_t len, bool all)
-{
-    take_vms(s, objects, len, all, "store");
-}
-
-/* ---- following ---- */
-
-static void follow_next(struct follow *f);
-
-static void note_store(struct follow *f, enum rk_status st)
-{
-    bool lost = st != RK_OK && st != RK_EGONE;
-    if (!lost)
-        f->s->heard_ms = rk_mono_ms();
-    if (lost == f->lost)
-        return;
-    f->lost = lost;
-    RK_EVENT(lost ? "store.lost" : "store.back", RK_S("kind", f->kind),
-             RK_S("status", rk_status_str(st)), RK_N("at", f->at));
-}
-
-static void retry_later(struct follow *f)
-{
-    int64_t jitter = rk_rng_below(&f->s->n->rng, (uint32_t)f->retry_ms + 1);
-    rk_timer_start(f->s->n->loop, &f->retry, f->retry_ms / 2 + jitter);
-    f->retry_ms = f->retry_ms * 2 < RETRY_MAX_MS ? f->retry_ms * 2 : RETRY_MAX_MS;
-}
+/* ---- peers ---- */
 
-static void on_answer(void *ctx, enum rk_status st,
-                      const struct rk_store_object *objects, size_t len, int64_t at)
+static void tell_rows(struct rk_sync *s, int64_t since, Rillknot__StoreText *out)
 {
-    struct follow *f = ctx;
-    f->busy = false;
-    note_store(f, st);
-    if (st == RK_EGONE) {
-        RK_EVENT("store.history_gone", RK_S("kind", f->kind), RK_N("at", f->at));
-        f->at = 0;
-        follow_next(f);
-        return;
-    }
-    if (st != RK_OK) {
-        retry_later(f);
-        return;
-    }
-    f->retry_ms = RETRY_FIRST_MS;
-    /* A peer may have told more meanwhile. */
-    if (at >= f->at) {
-        f->apply(f->s, objects, len, f->listing);
-        f->at = at;
+    size_t size = s->entries_len + 1;
+    s->rows = rk_realloc(s->rows, size * sizeof(*s->rows));
+    s->row_ptrs = rk_realloc(s->row_ptrs, size * sizeof(*s->row_ptrs));
+    for (size_t i = 0; i < s->entries_len; i++) {
+        const struct entry *e = &s->entries[i];
+        if (e->lapsed_ms || e->revision <= since)
+            continue;
+        Rillknot__ListRow *row = &s->rows[out->n_list];
+        rillknot__list_row__init(row);
+        row->name = e->name;
+        row->revision = e->revision;
+        row->text = e->text;
+        s->row_ptrs[out->n_list++] = row;
     }
-    follow_next(f);
-}
-
-static void follow_next(struct follow *f)
-{
-    struct rk_store *store = f->s->n->store;
-    if (f->busy)
-        return;
-    f->busy = true;
-    f->listing = !f->at;
-    if (f->listing)
-        store->ops->list(store, f->kind, on_answer, f);
-    else
-        store->ops->watch(store, f->kind, f->at, WATCH_MS, on_answer, f);
+    out->list = s->row_ptrs;
 }
 
-static void on_retry(void *ctx)
+static void tell_gone(struct rk_sync *s, int64_t since, Rillknot__StoreText *out)
 {
-    follow_next(ctx);
+    size_t kept = s->gone_len < GONE_KEPT ? s->gone_len : GONE_KEPT;
+    for (size_t i = 0; i < kept; i++) {
+        struct gone *g = &s->gone[i];
+        if (g->revision <= since)
+            continue;
+        Rillknot__GoneRow *row = &s->gone_rows[out->n_gone];
+        rillknot__gone_row__init(row);
+        row->name = g->name;
+        row->revision = g->revision;
+        row->lapsed = g->lapsed;
+        s->gone_ptrs[out->n_gone++] = row;
+    }
+    out->gone = s->gone_ptrs;
 }
 
-/* ---- peers ---- */
-
 void rk_sync_tell(struct rk_sync *s, const Rillknot__StoreWanted *wanted,
                   Rillknot__StoreText *out)
 {
@@ -311,37 +361,52 @@
     }
     if (!wanted->list || !s->list_known)
         return;
-    size_t size = s->entries_len + 1;
-    s->rows = rk_realloc(s->rows, size * sizeof(*s->rows));
-    s->row_ptrs = rk_realloc(s->row_ptrs, size * sizeof(*s->row_ptrs));
-    for (size_t i = 0; i < s->entries_len; i++) {
-        rillknot__list_row__init(&s->rows[i]);
-        s->rows[i].name = s->entries[i].name;
-        s->rows[i].revision = s->entries[i].revision;
-        s->rows[i].text = s->entries[i].text;
-        s->row_ptrs[i] = &s->rows[i];
-    }
+    int64_t since = wanted->list_since;
+    if (since < s->gone_since || since > s->list_revision)
+        since = 0; /* the whole list */
     out->list_revision = s->list_revision;
-    out->n_list = s->entries_len;
-    out->list = s->row_ptrs;
+    out->list_since = since;
+    tell_rows(s, since, out);
+    if (since)
+        tell_gone(s, since, out);
 }
 
-static void take_list_text(struct rk_sync *s, const Rillknot__StoreText *text)
+/* The message's rows as objects of the store. */
+static struct rk_store_object *read_rows(const Rillknot__StoreText *text)
 {
-    size_t len = text->n_list;
-    struct rk_store_object *objects = rk_alloc(len + 1, sizeof(*objects));
-    for (size_t i = 0; i < len; i++)
+    struct rk_store_object *objects = rk_alloc(text->n_list + 1, sizeof(*objects));
+    for (size_t i = 0; i < text->n_list; i++)
         objects[i] = (struct rk_store_object){
             .name = text->list[i]->name,
             .revision = text->list[i]->revision,
             .spec = json_tokener_parse(text->list[i]->text)};
-    take_vms(s, objects, len, true, "peer");
-    for (size_t i = 0; i < len; i++)
+    return objects;
+}
+
+static void take_list_text(struct rk_sync *s, const Rillknot__StoreText *text)
+{
+    struct rk_store_object *objects = read_rows(text);
+    int64_t before = s->list_known ? s->list_revision : 0;
+    bool changed = !s->list_known;
+    if (!text->list_since)
+        changed |= drop_missing(s, objects, text->n_list, text->list_revision,
+                                store_was_away(s), "peer");
+    for (size_t i = 0; i < text->n_gone; i++)
+        changed |= drop_entry(s, text->gone[i]->name, text->gone[i]->revision,
+                              text->gone[i]->lapsed, "peer");
+    for (size_t i = 0; i < text->n_list; i++) {
+        if (objects[i].spec)
+            changed |= set_entry(s, objects[i].name, objects[i].revision,
+                                 objects[i].spec, "peer");
         json_object_put(objects[i].spec);
+    }
     free(objects);
+    s->list_known = true;
     s->list_revision = text->list_revision;
-    if (text->list_revision > s->vms.at)
-        s->vms.at = text->list_revision;
+    rk_follow_skip(&s->vms, text->list_revision);
+    if (changed)
+        publish_vms(s);
+    push(s, false, before, "peer");
 }
 
 void rk_sync_take(struct rk_sync *s, const Rillknot__StoreText *text)
@@ -352,33 +417,81 @@
             take_settings(s, spec, "peer");
         json_object_put(spec);
     }
-    if (text->list_revision > s->list_revision)
+    int64_t known = s->list_known ? s->list_revision : 0;
+    /* What begins after what is known here has a gap: a report makes us ask. */
+    if (text->list_revision > known && text->list_since <= known)
         take_list_text(s, text);
 }
 
+/* ---- how old it is ---- */
+
+void rk_sync_confirm(struct rk_sync *s, int64_t age_ms)
+{
+    int64_t at_ms = rk_mono_ms() - age_ms;
+    if (age_ms >= 0 && at_ms > s->confirmed_ms)
+        s->confirmed_ms = at_ms;
+}
+
+int64_t rk_sync_age_ms(const struct rk_sync *s)
+{
+    int64_t own_ms = s->settings.heard_ms < s->vms.heard_ms ? s->settings.heard_ms
+                                                            : s->vms.heard_ms;
+    int64_t best_ms = own_ms > s->confirmed_ms ? own_ms : s->confirmed_ms;
+    return best_ms ? rk_mono_ms() - best_ms : -1;
+}
+
+/* Should this node follow the store itself? */
+static bool should_follow(const struct rk_sync *s)
+{
+    int before = rk_mesh_rank(s->n->mesh); /* nodes that should do so first */
+    if (before < 0 || rk_mono_ms() - s->started_ms < START_MS || !rk_sync_ready(s))
+        return true;
+    int64_t age_ms = rk_sync_age_ms(s);
+    return age_ms < 0 || age_ms > STALE_MS + before * STAGGER_MS;
+}
+
+static void on_tick(void *ctx)
+{
+    struct rk_sync *s = ctx;
+    rk_timer_start(s->n->loop, &s->tick, TICK_MS);
+    bool follow = should_follow(s);
+    if (follow != s->vms.on)
+        RK_EVENT("store.following", RK_N("on", follow),
+                 RK_N("age_ms", rk_sync_age_ms(s)),
+                 RK_N("rank", rk_mesh_rank(s->n->mesh)));
+    rk_follow_set(&s->settings, follow);
+    rk_follow_set(&s->vms, follow);
+    if (drop_lapsed(s))
+        publish_vms(s);
+}
+
 /* ---- making ---- */
 
 struct rk_sync *rk_sync_create(struct rk_node *n)
 {
     struct rk_sync *s = rk_alloc(1, sizeof(*s));
     s->n = n;
-    s->settings = (struct follow){.s = s,
-                                  .kind = n->platform->settings_kind,
-                                  .retry_ms = RETRY_FIRST_MS,
-                                  .apply = apply_settings};
-    s->vms = (struct follow){.s = s,
-                             .kind = n->platform->vms_kind,
-                             .retry_ms = RETRY_FIRST_MS,
-                             .apply = apply_vms};
-    s->settings.retry = (struct rk_timer){.fn = on_retry, .ctx = &s->settings};
-    s->vms.retry = (struct rk_timer){.fn = on_retry, .ctx = &s->vms};
+    s->settings = (struct rk_follow){.n = n,
+                                     .kind = n->platform->settings_kind,
+                                     .apply = apply_settings,
+                                     .ctx = s};
+    s->vms = (struct rk_follow){.n = n,
+                                .kind = n->platform->vms_kind,
+                                .apply = apply_vms,
+                                .ctx = s,
+                                .pace_ms = PACE_MS};
+    rk_follow_init(&s->settings);
+    rk_follow_init(&s->vms);
+    s->tick = (struct rk_timer){.fn = on_tick, .ctx = s};
+    s->started_ms = rk_mono_ms();
     return s;
 }
 
 void rk_sync_destroy(struct rk_sync *s)
 {
-    rk_timer_stop(s->n->loop, &s->settings.retry);
-    rk_timer_stop(s->n->loop, &s->vms.retry);
+    rk_timer_stop(s->n->loop, &s->tick);
+    rk_follow_destroy(&s->settings);
+    rk_follow_destroy(&s->vms);
     for (size_t i = 0; i < s->entries_len; i++)
         free_entry(&s->entries[i]);
     free(s->entries);
@@ -391,8 +504,7 @@
 
 void rk_sync_start(struct rk_sync *s)
 {
-    follow_next(&s->settings);
-    follow_next(&s->vms);
+    on_tick(s);
 }
 
 bool rk_sync_ready(const struct rk_sync *s)
@@ -419,8 +531,3 @@
 {
     return i < s->entries_len ? &s->entries[i].row : NULL;
 }
-
-int64_t rk_sync_settings_age_ms(const struct rk_sync *s)
-{
-    return s->heard_ms ? rk_mono_ms() - s->heard_ms : -1;
-}
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -862,6 +862,141 @@
   assert(message->base.descriptor == &rillknot__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__node_row__init
+                     (Rillknot__NodeRow         *message)
+{
+  static const Rillknot__NodeRow init_value = RILLKNOT__NODE_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__node_row__get_packed_size
+                     (const Rillknot__NodeRow *message)
+{
+  assert(message->base.descriptor == &rillknot__node_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__node_row__pack
+                     (const Rillknot__NodeRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__node_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__node_row__pack_to_buffer
+                     (const Rillknot__NodeRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__node_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__NodeRow *
+       rillknot__node_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__NodeRow *)
+     protobuf_c_message_unpack (&rillknot__node_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__node_row__free_unpacked
+                     (Rillknot__NodeRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__node_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__digest__init
+                     (Rillknot__Digest         *message)
+{
+  static const Rillknot__Digest init_value = RILLKNOT__DIGEST__INIT;
+  *message = init_value;
+}
+size_t rillknot__digest__get_packed_size
+                     (const Rillknot__Digest *message)
+{
+  assert(message->base.descriptor == &rillknot__digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__digest__pack
+                     (const Rillknot__Digest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__digest__pack_to_buffer
+                     (const Rillknot__Digest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__Digest *
+       rillknot__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__Digest *)
+     protobuf_c_message_unpack (&rillknot__digest__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__digest__free_unpacked
+                     (Rillknot__Digest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__usage_counts__init
+                     (Rillknot__UsageCounts         *message)
+{
+  static const Rillknot__UsageCounts init_value = RILLKNOT__USAGE_COUNTS__INIT;
+  *message = init_value;
+}
+size_t rillknot__usage_counts__get_packed_size
+                     (const Rillknot__UsageCounts *message)
+{
+  assert(message->base.descriptor == &rillknot__usage_counts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__usage_counts__pack
+                     (const Rillknot__UsageCounts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__usage_counts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__usage_counts__pack_to_buffer
+                     (const Rillknot__UsageCounts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__usage_counts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__UsageCounts *
+       rillknot__usage_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__UsageCounts *)
+     protobuf_c_message_unpack (&rillknot__usage_counts__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__usage_counts__free_unpacked
+                     (Rillknot__UsageCounts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__usage_counts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__store_wanted__init
                      (Rillknot__StoreWanted         *message)
 {
@@ -952,6 +1087,51 @@
   assert(message->base.descriptor == &rillknot__list_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__gone_row__init
+                     (Rillknot__GoneRow         *message)
+{
+  static const Rillknot__GoneRow init_value = RILLKNOT__GONE_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__gone_row__get_packed_size
+                     (const Rillknot__GoneRow *message)
+{
+  assert(message->base.descriptor == &rillknot__gone_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__gone_row__pack
+                     (const Rillknot__GoneRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__gone_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__gone_row__pack_to_buffer
+                     (const Rillknot__GoneRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__gone_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__GoneRow *
+       rillknot__gone_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__GoneRow *)
+     protobuf_c_message_unpack (&rillknot__gone_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__gone_row__free_unpacked
+                     (Rillknot__GoneRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__gone_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__store_text__init
                      (Rillknot__StoreText         *message)
 {
@@ -2688,7 +2868,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[16] =
 {
   {
     "id",
@@ -2858,9 +3038,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_age_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
+  15,   /* field[15] = capacity */
   1,   /* field[1] = domain */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
@@ -2871,6 +3076,7 @@
   12,   /* field[12] = remembers_ms */
   13,   /* field[13] = services */
   4,   /* field[4] = settings_version */
+  14,   /* field[14] = store_age_ms */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
   7,   /* field[7] = vms */
@@ -2878,7 +3084,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -2888,14 +3094,388 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  14,
+  16,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
   (ProtobufCMessageInit) rillknot__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__store_wanted__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__node_row__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  3,   /* field[3] = capacity */
+  2,   /* field[2] = domain */
+  4,   /* field[4] = heard */
+  0,   /* field[0] = id */
+  5,   /* field[5] = leaving */
+};
+static const ProtobufCIntRange rillknot__node_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rillknot__node_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.NodeRow",
+  "NodeRow",
+  "Rillknot__NodeRow",
+  "rillknot",
+  sizeof(Rillknot__NodeRow),
+  6,
+  rillknot__node_row__field_descriptors,
+  rillknot__node_row__field_indices_by_name,
+  1,  rillknot__node_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__node_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[16] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settings_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, settings_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, list_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, lease),
+    &rillknot__lease_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes_heard",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, nodes_heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes_total",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, nodes_total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Digest, n_vms),
+    offsetof(Rillknot__Digest, vms),
+    &rillknot__vm_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Digest, n_uses),
+    offsetof(Rillknot__Digest, uses),
+    &rillknot__org_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remembers_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, remembers_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Digest, n_services),
+    offsetof(Rillknot__Digest, services),
+    &rillknot__service_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Digest, n_members),
+    offsetof(Rillknot__Digest, members),
+    &rillknot__node_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__digest__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  2,   /* field[2] = domain */
+  4,   /* field[4] = fleet */
+  0,   /* field[0] = id */
+  3,   /* field[3] = incarnation */
+  8,   /* field[8] = lease */
+  6,   /* field[6] = list_revision */
+  15,   /* field[15] = members */
+  9,   /* field[9] = nodes_heard */
+  10,   /* field[10] = nodes_total */
+  13,   /* field[13] = remembers_ms */
+  14,   /* field[14] = services */
+  5,   /* field[5] = settings_version */
+  7,   /* field[7] = store_age_ms */
+  12,   /* field[12] = uses */
+  11,   /* field[11] = vms */
+};
+static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor rillknot__digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.Digest",
+  "Digest",
+  "Rillknot__Digest",
+  "rillknot",
+  sizeof(Rillknot__Digest),
+  16,
+  rillknot__digest__field_descriptors,
+  rillknot__digest__field_indices_by_name,
+  1,  rillknot__digest__number_ranges,
+  (ProtobufCMessageInit) rillknot__digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__usage_counts__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__UsageCounts, n_rows),
+    offsetof(Rillknot__UsageCounts, rows),
+    &rillknot__usage_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__usage_counts__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange rillknot__usage_counts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rillknot__usage_counts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.UsageCounts",
+  "UsageCounts",
+  "Rillknot__UsageCounts",
+  "rillknot",
+  sizeof(Rillknot__UsageCounts),
+  1,
+  rillknot__usage_counts__field_descriptors,
+  rillknot__usage_counts__field_indices_by_name,
+  1,  rillknot__usage_counts__number_ranges,
+  (ProtobufCMessageInit) rillknot__usage_counts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__store_wanted__field_descriptors[3] =
 {
   {
     "settings",
@@ -2921,15 +3501,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_since",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreWanted, list_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__store_wanted__field_indices_by_name[] = {
   1,   /* field[1] = list */
+  2,   /* field[2] = list_since */
   0,   /* field[0] = settings */
 };
 static const ProtobufCIntRange rillknot__store_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor =
 {
@@ -2939,7 +3532,7 @@
   "Rillknot__StoreWanted",
   "rillknot",
   sizeof(Rillknot__StoreWanted),
-  2,
+  3,
   rillknot__store_wanted__field_descriptors,
   rillknot__store_wanted__field_indices_by_name,
   1,  rillknot__store_wanted__number_ranges,
@@ -3010,7 +3603,71 @@
   (ProtobufCMessageInit) rillknot__list_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__store_text__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rillknot__gone_row__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__GoneRow, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__GoneRow, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__GoneRow, lapsed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__gone_row__field_indices_by_name[] = {
+  2,   /* field[2] = lapsed */
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange rillknot__gone_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rillknot__gone_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.GoneRow",
+  "GoneRow",
+  "Rillknot__GoneRow",
+  "rillknot",
+  sizeof(Rillknot__GoneRow),
+  3,
+  rillknot__gone_row__field_descriptors,
+  rillknot__gone_row__field_indices_by_name,
+  1,  rillknot__gone_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__gone_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__store_text__field_descriptors[6] =
 {
   {
     "settings_revision",
@@ -3060,17 +3717,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_since",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreText, list_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__StoreText, n_gone),
+    offsetof(Rillknot__StoreText, gone),
+    &rillknot__gone_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__store_text__field_indices_by_name[] = {
+  5,   /* field[5] = gone */
   3,   /* field[3] = list */
   2,   /* field[2] = list_revision */
+  4,   /* field[4] = list_since */
   1,   /* field[1] = settings */
   0,   /* field[0] = settings_revision */
 };
 static const ProtobufCIntRange rillknot__store_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rillknot__store_text__descriptor =
 {
@@ -3080,14 +3763,14 @@
   "Rillknot__StoreText",
   "rillknot",
   sizeof(Rillknot__StoreText),
-  4,
+  6,
   rillknot__store_text__field_descriptors,
   rillknot__store_text__field_indices_by_name,
   1,  rillknot__store_text__number_ranges,
   (ProtobufCMessageInit) rillknot__store_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[14] =
 {
   {
     "gossip",
@@ -3233,10 +3916,35 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, digest),
+    &rillknot__digest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_counts",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, usage_counts),
+    &rillknot__usage_counts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__frame__field_indices_by_name[] = {
   2,   /* field[2] = changes */
   1,   /* field[1] = changes_wanted */
+  12,   /* field[12] = digest */
   8,   /* field[8] = forward_ack */
   3,   /* field[3] = forward_begin */
   6,   /* field[6] = forward_cancel */
@@ -3247,11 +3955,12 @@
   7,   /* field[7] = state_wanted */
   11,   /* field[11] = store_text */
   10,   /* field[10] = store_wanted */
+  13,   /* field[13] = usage_counts */
 };
 static const ProtobufCIntRange rillknot__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor rillknot__frame__descriptor =
 {
@@ -3261,7 +3970,7 @@
   "Rillknot__Frame",
   "rillknot",
   sizeof(Rillknot__Frame),
-  12,
+  14,
   rillknot__frame__field_descriptors,
   rillknot__frame__field_indices_by_name,
   1,  rillknot__frame__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -34,8 +34,12 @@
 typedef struct Rillknot__ServiceUse Rillknot__ServiceUse;
 typedef struct Rillknot__LeaseRow Rillknot__LeaseRow;
 typedef struct Rillknot__NodeReport Rillknot__NodeReport;
+typedef struct Rillknot__NodeRow Rillknot__NodeRow;
+typedef struct Rillknot__Digest Rillknot__Digest;
+typedef struct Rillknot__UsageCounts Rillknot__UsageCounts;
 typedef struct Rillknot__StoreWanted Rillknot__StoreWanted;
 typedef struct Rillknot__ListRow Rillknot__ListRow;
+typedef struct Rillknot__GoneRow Rillknot__GoneRow;
 typedef struct Rillknot__StoreText Rillknot__StoreText;
 typedef struct Rillknot__Frame Rillknot__Frame;
 
@@ -374,10 +378,89 @@
   int64_t remembers_ms;
   size_t n_services;
   Rillknot__ServiceUse **services;
+  /*
+   * Since the store confirmed what the sender knows of it; -1: never.
+   */
+  int64_t store_age_ms;
+  /*
+   * Of its machine, in thousandths of a core.
+   */
+  int64_t capacity;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * A node as a bridge knows it.
+ */
+struct  Rillknot__NodeRow
+{
+  ProtobufCMessage base;
+  char *id;
+  char *addr;
+  char *domain;
+  int64_t capacity;
+  protobuf_c_boolean heard;
+  protobuf_c_boolean leaving;
+};
+#define RILLKNOT__NODE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * What a bridge knows of several nodes, in sum: of its failure domain, told to the
+ * bridges of others, or of the whole fleet, told to the nodes of its domain.
+ */
+struct  Rillknot__Digest
+{
+  ProtobufCMessage base;
+  char *id;
+  char *addr;
+  char *domain;
+  uint64_t incarnation;
+  protobuf_c_boolean fleet;
+  int64_t settings_version;
+  int64_t list_revision;
+  int64_t store_age_ms;
+  Rillknot__LeaseRow *lease;
+  uint32_t nodes_heard;
+  uint32_t nodes_total;
+  size_t n_vms;
+  Rillknot__VmUse **vms;
+  /*
+   * Units used since the sender's start.
+   */
+  size_t n_uses;
+  Rillknot__OrgUse **uses;
+  int64_t remembers_ms;
+  size_t n_services;
+  Rillknot__ServiceUse **services;
+  /*
+   * Now and then; empty between.
+   */
+  size_t n_members;
+  Rillknot__NodeRow **members;
+};
+#define RILLKNOT__DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Counts of several nodes, told to the holder of the duties.
+ */
+struct  Rillknot__UsageCounts
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Rillknot__UsageRow **rows;
+};
+#define RILLKNOT__USAGE_COUNTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__usage_counts__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -388,10 +471,14 @@
   ProtobufCMessage base;
   protobuf_c_boolean settings;
   protobuf_c_boolean list;
+  /*
+   * The sender knows the list up to this revision; 0: nothing of it.
+   */
+  int64_t list_since;
 };
 #define RILLKNOT__STORE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_wanted__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Rillknot__ListRow
@@ -406,6 +493,24 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * An entry that left the list.
+ */
+struct  Rillknot__GoneRow
+{
+  ProtobufCMessage base;
+  char *name;
+  int64_t revision;
+  /*
+   * The store was away just before: it may come back.
+   */
+  protobuf_c_boolean lapsed;
+};
+#define RILLKNOT__GONE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__gone_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * The newest of the platform's store that a node has.
  */
@@ -417,10 +522,16 @@
   int64_t list_revision;
   size_t n_list;
   Rillknot__ListRow **list;
+  /*
+   * Only what changed after this revision is told; 0: the whole list.
+   */
+  int64_t list_since;
+  size_t n_gone;
+  Rillknot__GoneRow **gone;
 };
 #define RILLKNOT__STORE_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_text__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0,NULL }
 
 
 typedef enum {
@@ -436,7 +547,9 @@
   RILLKNOT__FRAME__BODY_FORWARD_ACK = 9,
   RILLKNOT__FRAME__BODY_NODE_REPORT = 10,
   RILLKNOT__FRAME__BODY_STORE_WANTED = 11,
-  RILLKNOT__FRAME__BODY_STORE_TEXT = 12
+  RILLKNOT__FRAME__BODY_STORE_TEXT = 12,
+  RILLKNOT__FRAME__BODY_DIGEST = 13,
+  RILLKNOT__FRAME__BODY_USAGE_COUNTS = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RILLKNOT__FRAME__BODY__CASE)
 } Rillknot__Frame__BodyCase;
 
@@ -457,6 +570,8 @@
     Rillknot__NodeReport *node_report;
     Rillknot__StoreWanted *store_wanted;
     Rillknot__StoreText *store_text;
+    Rillknot__Digest *digest;
+    Rillknot__UsageCounts *usage_counts;
   };
 };
 #define RILLKNOT__FRAME__INIT \
@@ -825,6 +940,63 @@
 void   rillknot__node_report__free_unpacked
                      (Rillknot__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__NodeRow methods */
+void   rillknot__node_row__init
+                     (Rillknot__NodeRow         *message);
+size_t rillknot__node_row__get_packed_size
+                     (const Rillknot__NodeRow   *message);
+size_t rillknot__node_row__pack
+                     (const Rillknot__NodeRow   *message,
+                      uint8_t             *out);
+size_t rillknot__node_row__pack_to_buffer
+                     (const Rillknot__NodeRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__NodeRow *
+       rillknot__node_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__node_row__free_unpacked
+                     (Rillknot__NodeRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__Digest methods */
+void   rillknot__digest__init
+                     (Rillknot__Digest         *message);
+size_t rillknot__digest__get_packed_size
+                     (const Rillknot__Digest   *message);
+size_t rillknot__digest__pack
+                     (const Rillknot__Digest   *message,
+                      uint8_t             *out);
+size_t rillknot__digest__pack_to_buffer
+                     (const Rillknot__Digest   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__Digest *
+       rillknot__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__digest__free_unpacked
+                     (Rillknot__Digest *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__UsageCounts methods */
+void   rillknot__usage_counts__init
+                     (Rillknot__UsageCounts         *message);
+size_t rillknot__usage_counts__get_packed_size
+                     (const Rillknot__UsageCounts   *message);
+size_t rillknot__usage_counts__pack
+                     (const Rillknot__UsageCounts   *message,
+                      uint8_t             *out);
+size_t rillknot__usage_counts__pack_to_buffer
+                     (const Rillknot__UsageCounts   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__UsageCounts *
+       rillknot__usage_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__usage_counts__free_unpacked
+                     (Rillknot__UsageCounts *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__StoreWanted methods */
 void   rillknot__store_wanted__init
                      (Rillknot__StoreWanted         *message);
@@ -863,6 +1035,25 @@
 void   rillknot__list_row__free_unpacked
                      (Rillknot__ListRow *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__GoneRow methods */
+void   rillknot__gone_row__init
+                     (Rillknot__GoneRow         *message);
+size_t rillknot__gone_row__get_packed_size
+                     (const Rillknot__GoneRow   *message);
+size_t rillknot__gone_row__pack
+                     (const Rillknot__GoneRow   *message,
+                      uint8_t             *out);
+size_t rillknot__gone_row__pack_to_buffer
+                     (const Rillknot__GoneRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__GoneRow *
+       rillknot__gone_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__gone_row__free_unpacked
+                     (Rillknot__GoneRow *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__StoreText methods */
 void   rillknot__store_text__init
                      (Rillknot__StoreText         *message);
@@ -960,12 +1151,24 @@
 typedef void (*Rillknot__NodeReport_Closure)
                  (const Rillknot__NodeReport *message,
                   void *closure_data);
+typedef void (*Rillknot__NodeRow_Closure)
+                 (const Rillknot__NodeRow *message,
+                  void *closure_data);
+typedef void (*Rillknot__Digest_Closure)
+                 (const Rillknot__Digest *message,
+                  void *closure_data);
+typedef void (*Rillknot__UsageCounts_Closure)
+                 (const Rillknot__UsageCounts *message,
+                  void *closure_data);
 typedef void (*Rillknot__StoreWanted_Closure)
                  (const Rillknot__StoreWanted *message,
                   void *closure_data);
 typedef void (*Rillknot__ListRow_Closure)
                  (const Rillknot__ListRow *message,
                   void *closure_data);
+typedef void (*Rillknot__GoneRow_Closure)
+                 (const Rillknot__GoneRow *message,
+                  void *closure_data);
 typedef void (*Rillknot__StoreText_Closure)
                  (const Rillknot__StoreText *message,
                   void *closure_data);
@@ -997,8 +1200,12 @@
 extern const ProtobufCMessageDescriptor rillknot__service_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__lease_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__node_report__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__node_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__digest__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__usage_counts__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__list_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__gone_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_text__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__frame__descriptor;
 
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -446,7 +446,8 @@
                   "cloud": {"address": self.cloud.addr},
                   "listen": {"front": any_port, "readiness": any_port, "control": any_port},
                   "seeds": [n.ready["control"] for n in self.nodes[:3]],
-                  "bootstrap": first_start, "bounds": self.bounds}
+                  "bootstrap": first_start, "bounds": self.bounds,
+                  "limits": {"cpuShare": 0.25}}
         path = os.path.join(self.dir, "%s.json" % fields["nodeName"])
         with open(TEMPLATE) as f, open(path, "w") as out:
             out.write(render(f.read(), fields))
