place: four homes a call; orders again at once when vms left

Cause: 77 nodes that see the same old figures all chose the same idle vm (predicted first byte 46 ms, real 819 at the median of a sample), and a hot prefix overflowed to whoever was idle, to be read there anew. What was sent to a prefix's home was counted as all to be read, so demand looked larger than it was. After a reclaim the same order was held to be still on its way for 7 s.

Change: a call has four homes by rendezvous hashing, of its prefix where it shares 1,000 tokens and more, else of itself; another vm must be 250 ms better. Homes count as having most of the prefix. Orders go again once vms have left; on-demand ones stand in for 0.55 of the need (its plan has three times the reading); at the first start vms are looked at for 4.5 s. call.sent is logged for sampled calls, with what decided.

--- a/core/holding.c
+++ b/core/holding.c
@@ -9,7 +9,7 @@
 #define RUNNING_SHARE   0.35    /* of its slots */
 #define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
 #define RECLAIMABLE_MIN 2       /* a domain, where that kind is cheaper */
-#define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
+#define STAND_IN_SHARE  0.55    /* of the need that on-demand vms stand in for */
 #define GIVEN_UP_SHARE  0.5 /* of the stand-ins that are not needed, at a time */
 
 double rk_holding_need(double read_per_s, double running, double slots)
--- a/core/place.c
+++ b/core/place.c
@@ -17,8 +17,18 @@
 #define ERROR_MS           400.0  /* cost of a vm that fails each call */
 #define ERROR_SHARE        0.1    /* weight of a new outcome */
 #define KNOWN_MS           12000  /* how long a part is taken to stay cached */
-#define ASSUMED_SHARE      0.7    /* of a shared prefix, at its first choice */
-#define MEMO_SLOTS         8192   /* a power of two */
+#define HOMES              4      /* vms that a prefix is sent to first */
+#define SHARED_MIN         1000   /* tokens: calls that share less are spread */
+#define OUTSIDE_MS                                                                 \
+    250.0                /* less must speak for a vm that is no home: what is      \
+                            told of it is old, and all nodes see the same */
+#define FIRST_MS    60.0 /* to the first token of a prompt that is read */
+#define COPY_WEIGHT 1.5  /* of reading: it also holds up all others there */
+#define MEMO_SLOTS  8192 /* a power of two */
+
+/* How much of a shared prefix is taken to be cached at its homes, in their order:
+ * those that come later are used only while the first are busy. */
+static const double home_shares[HOMES] = {0.95, 0.7, 0.5, 0.35};
 
 /* A part was read at a vm. */
 struct memo {
@@ -163,9 +173,10 @@
     return sum;
 }
 
-/* Tokens of the prompt that need not be read at a vm. */
+/* Tokens of the prompt that need not be read at a vm, by what was sent there and by
+ * the share of its prefix that it is taken to have. */
 static double cached(struct rk_place *p, const struct rk_place_query *q,
-                     const struct rk_place_vm *v, bool first_choice, int64_t now_ms)
+                     const struct rk_place_vm *v, double share, int64_t now_ms)
 {
     double sum = 0;
     for (size_t i = 0; i < q->parts_len; i++) {
@@ -173,7 +184,7 @@
             break;
         sum += q->parts[i].tokens;
     }
-    double assumed = first_choice ? shared_tokens(q) * ASSUMED_SHARE : 0;
+    double assumed = shared_tokens(q) * share;
     return sum > assumed ? sum : assumed;
 }
 
@@ -194,6 +205,59 @@
            !is_excluded(q, v) && !strcmp(v->row.service, q->service);
 }
 
+/* The vms that all nodes send a prefix to while nothing speaks against it: the
+ * first by rendezvous hashing. */
+struct homes {
+    const struct rk_place_vm *vms[HOMES];
+    uint64_t weights[HOMES];
+    size_t len;
+    bool shared; /* they are a prefix's */
+};
+
+static void offer_home(struct homes *h, const struct rk_place_vm *v,
+                       uint64_t weight)
+{
+    size_t at = h->len;
+    while (at > 0 && weight > h->weights[at - 1])
+        at--;
+    if (at == HOMES)
+        return;
+    if (h->len < HOMES)
+        h->len++;
+    for (size_t i = h->len - 1; i > at; i--) {
+        h->vms[i] = h->vms[i - 1];
+        h->weights[i] = h->weights[i - 1];
+    }
+    h->vms[at] = v;
+    h->weights[at] = weight;
+}
+
+static void find_homes(const struct rk_place *p, const struct rk_place_query *q,
+                       uint32_t service_hash, struct homes *h)
+{
+    *h = (struct homes){.shared = shared_tokens(q) >= SHARED_MIN};
+    uint64_t key = h->shared ? affinity(q) : q->request;
+    if (!q->engine)
+        return;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next)
+        if (can_take(q, service_hash, v))
+            offer_home(h, v, rk_hash(key, &v->hash, sizeof(v->hash)));
+}
+
+static int home_of(const struct homes *h, const struct rk_place_vm *v)
+{
+    for (size_t i = 0; i < h->len; i++)
+        if (h->vms[i] == v)
+            return (int)i;
+    return -1;
+}
+
+static double home_share(const struct homes *h, const struct rk_place_vm *v)
+{
+    int home = home_of(h, v);
+    return h->shared && home >= 0 ? home_shares[home] : 0;
+}
+
 static double trouble_ms(const struct rk_place_vm *v, int64_t now_ms)
 {
     double ms = v->error_rate * ERROR_MS;
@@ -205,14 +269,19 @@
     return ms;
 }
 
+/* Time to the first byte; *cost_ms: the same, with what the reading costs others.
+ */
 static double engine_ms(struct rk_place *p, const struct rk_place_query *q,
-                        const struct rk_place_vm *v, bool first_choice,
-                        int64_t now_ms)
+                        const struct rk_place_vm *v, double share, int64_t now_ms,
+                        double *cost_ms)
 {
-    double read = q->tokens_in - cached(p, q, v, first_choice, now_ms);
+    double read = q->tokens_in - cached(p, q, v, share, now_ms);
+    double read_ms = read > 0 ? read / READ_TOKENS_PER_MS : 0;
     double waiting = v->waiting_tokens + v->peers_waiting_tokens;
-    return (waiting + (read > 0 ? read : 0)) / READ_TOKENS_PER_MS +
-           RUNNING_MS * (v->running + (double)v->peers_running);
+    double wait_ms = waiting / READ_TOKENS_PER_MS +
+                     RUNNING_MS * (v->running + (double)v->peers_running);
+    *cost_ms = wait_ms + read_ms * COPY_WEIGHT;
+    return wait_ms + read_ms + FIRST_MS;
 }
 
 static double plain_ms(const struct rk_place_vm *v)
@@ -222,23 +291,12 @@
     return PLAIN_CALL_MS * (1 + in_hand / slots);
 }
 
-/* The vm to which all nodes send a prefix while nothing speaks against it. */
-static const struct rk_place_vm *first_choice(const struct rk_place *p,
-                                              const struct rk_place_query *q,
-                                              uint32_t service_hash)
+int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
+                  const struct rk_place_vm *vm)
 {
-    const struct rk_place_vm *best = NULL;
-    uint64_t best_weight = 0, key = affinity(q);
-    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
-        if (!can_take(q, service_hash, v))
-            continue;
-        uint64_t weight = rk_hash(key, &v->hash, sizeof(v->hash));
-        if (!best || weight > best_weight) {
-            best = v;
-            best_weight = weight;
-        }
-    }
-    return best;
+    struct homes homes;
+    find_homes(p, q, vm->service_hash, &homes);
+    return home_of(&homes, vm);
 }
 
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
@@ -246,17 +304,20 @@
                                     double *first_ms)
 {
     uint32_t service_hash = (uint32_t)rk_hash_str(0, q->service);
-    const struct rk_place_vm *first =
-        q->engine && q->parts_len ? first_choice(p, q, service_hash) : NULL;
+    struct homes homes;
     struct rk_place_vm *best = NULL;
     double best_ms = INFINITY;
     *first_ms = 0;
+    find_homes(p, q, service_hash, &homes);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!can_take(q, service_hash, v))
             continue;
-        double work_ms =
-            q->engine ? engine_ms(p, q, v, v == first, now_ms) : plain_ms(v);
-        double ms = work_ms + trouble_ms(v, now_ms);
+        double ms = plain_ms(v), work_ms = ms;
+        if (q->engine)
+            work_ms = engine_ms(p, q, v, home_share(&homes, v), now_ms, &ms);
+        if (q->engine && home_of(&homes, v) < 0)
+            ms += OUTSIDE_MS;
+        ms += trouble_ms(v, now_ms);
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += OTHER_DOMAIN_MS;
         ms += rk_rng_below(&p->rng, JITTER_MS);
@@ -278,7 +339,9 @@
     vm->running++;
     if (!q->engine)
         return 0;
-    double read = q->tokens_in - cached(p, q, vm, false, now_ms);
+    struct homes homes;
+    find_homes(p, q, vm->service_hash, &homes);
+    double read = q->tokens_in - cached(p, q, vm, home_share(&homes, vm), now_ms);
     for (size_t i = 0; i < q->parts_len; i++)
         *memo(p, q->parts[i].chain, vm->hash) = (struct memo){
             .chain = q->parts[i].chain, .vm = vm->hash, .at_ms = now_ms};
--- a/core/place.h
+++ b/core/place.h
@@ -62,6 +62,7 @@
     struct rk_place_part parts[RK_PLACE_PARTS];
     size_t parts_len;
     double tokens_in;
+    uint64_t request; /* a hash: spreads calls that share little */
     uint64_t excluded[RK_PLACE_EXCLUDED]; /* hashes of vms that failed it */
     size_t excluded_len;
 };
@@ -85,6 +86,10 @@
                                     const struct rk_place_query *q, int64_t now_ms,
                                     double *first_ms);
 
+/* Which of the homes of the query's prefix a vm is; -1: none. */
+int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
+                  const struct rk_place_vm *vm);
+
 /* A call's life at a vm. sent returns the tokens that will have to be read. */
 double rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
                      const struct rk_place_query *q, int64_t now_ms);
--- a/node/orders.c
+++ b/node/orders.c
@@ -16,6 +16,7 @@
 #define SHORT_MS       6000 /* after it: on-demand vms may stand in */
 #define SHRINK_MS      4000 /* between on-demand vms that are given up */
 #define SETTLE_MS      2000 /* a holder looks at the list for so long first */
+#define ENROL_MS       4500 /* the same at the first start: vms enrol meanwhile */
 /* Without a call for so long, what stood there at first is no estimate any more. */
 #define ESTIMATE_MS 30000
 
@@ -26,6 +27,7 @@
     bool reclaimable;
     bool busy;
     int target; /* ordered last; -1: none */
+    int held;   /* when it was ordered, or the most since */
     int64_t at_ms;
     int64_t refused_until_ms;
 };
@@ -38,7 +40,7 @@
     double need; /* smoothed */
     uint32_t running;
     bool asked;          /* calls came */
-    int at_first;        /* vms that stood there then; 0: none seen yet */
+    int at_first;        /* on-demand vms that stood there then */
     int64_t followed_ms; /* since when demand is followed */
     int64_t refused_ms;  /* "none to be had" was heard last; 0: never */
     int64_t shrunk_ms;   /* an on-demand vm was given up last */
@@ -84,24 +86,28 @@
     return sum;
 }
 
-static int count_vms(const struct rk_node *n, const char *service)
+static int count_on_demand(const struct rk_node *n, const char *service)
 {
     const struct rk_vm_row *row;
     int count = 0;
     for (size_t i = 0; (row = rk_sync_vm_at(n->sync, i)); i++)
-        count += !row->leaving && !strcmp(row->service, service);
+        count +=
+            !row->leaving && !row->reclaimable && !strcmp(row->service, service);
     return count;
 }
 
-/* Until the first calls come, the vms that stood there at first are the best
+/* Until the first calls come, the on-demand vms that stood there are the best
  * estimate of what will be asked. */
 static void estimate(struct service *s, int64_t now_ms)
 {
-    if (!s->at_first) {
-        s->at_first = count_vms(s->o->n, s->name);
+    if (!s->followed_ms)
         s->followed_ms = now_ms;
-    }
-    if (!s->asked && now_ms - s->followed_ms < ESTIMATE_MS && s->need < s->at_first)
+    if (s->asked || now_ms - s->followed_ms > ESTIMATE_MS)
+        return;
+    int count = count_on_demand(s->o->n, s->name);
+    if (count > s->at_first)
+        s->at_first = count;
+    if (s->need < s->at_first)
         s->need = s->at_first;
 }
 
@@ -165,6 +171,7 @@
                                         .count = count,
                                         .reclaimable = order->reclaimable};
     order->busy = true;
+    order->held = 0;
     order->target = count;
     order->at_ms = rk_mono_ms();
     duties->ops->order_vms(duties, token, &target, on_ordered, order);
@@ -175,7 +182,11 @@
 {
     int64_t now_ms = rk_mono_ms();
     int64_t patience_ms = info->boot_ms + ORDER_AGAIN_MS;
-    bool waiting = order->target == target && now_ms - order->at_ms < patience_ms;
+    bool lost = held < order->held; /* vms left since it was ordered */
+    bool waiting =
+        order->target == target && !lost && now_ms - order->at_ms < patience_ms;
+    if (held > order->held)
+        order->held = held;
     if (order->busy || held == target || waiting ||
         now_ms < order->refused_until_ms)
         return;
@@ -239,8 +250,9 @@
     }
     if (!o->since_ms)
         o->since_ms = rk_mono_ms();
+    int64_t settle_ms = o->n->file.first_start ? ENROL_MS : SETTLE_MS;
     if (!routes || !rk_sync_ready(o->n->sync) ||
-        rk_mono_ms() - o->since_ms < SETTLE_MS)
+        rk_mono_ms() - o->since_ms < settle_ms)
         return;
     for (size_t i = 0; i < routes->services_len; i++) {
         const struct rk_service_info *info = &routes->services[i];
--- a/serve/relay_arrive.c
+++ b/serve/relay_arrive.c
@@ -93,6 +93,7 @@
     x->query.service = rk_route_service(route, (uint32_t)rk_hash_str(0, x->id));
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
+    x->query.request = rk_hash_str(0, x->id);
     x->end = (struct rk_timer){.fn = rk_call_time_over, .ctx = x};
     x->silent = (struct rk_timer){.fn = rk_call_silent, .ctx = x};
     x->next = r->calls;
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -65,10 +65,30 @@
     rk_call_end_attempt(x, end);
 }
 
+/* Calls that ended well are logged as a sample, the same ones by each event. */
+static bool is_sampled(const struct rk_relay_call *x)
+{
+    return rk_hash_str(0, x->id) % LOGGED_ONE_IN == 0;
+}
+
+static void log_sent(const struct rk_relay_call *x, double first_ms)
+{
+    if (!is_sampled(x))
+        return;
+    RK_EVENT("call.sent", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
+             RK_N("attempt", x->attempts), RK_N("first_ms", (int64_t)first_ms),
+             RK_N("read_tokens", (int64_t)x->unread_tokens),
+             RK_N("home", rk_place_home(x->r->place, &x->query, x->vm)),
+             RK_N("running", x->vm->running),
+             RK_N("peers_running", x->vm->peers_running),
+             RK_N("waiting", (int64_t)x->vm->waiting_tokens),
+             RK_N("peers_waiting", (int64_t)x->vm->peers_waiting_tokens));
+}
+
 static void log_end(const struct rk_relay_call *x, int status, const char *why)
 {
     bool well = status && status < HTTP_BAD_REQUEST && !why[0];
-    if (well && rk_hash_str(0, x->id) % LOGGED_ONE_IN)
+    if (well && !is_sampled(x))
         return;
     RK_EVENT("call.end", RK_S("request", x->id), RK_S("route", x->route->name),
              RK_N("version", x->routes->version), RK_N("status", status),
@@ -387,6 +407,7 @@
             service_of(x->r, x->query.service)->read_tokens += x->unread_tokens;
             x->attempts++;
             rk_count(RK_C_ATTEMPTS, 1);
+            log_sent(x, first_ms);
             watch_silence(x);
             return;
         }
