quota: hold between the peers' words, and take others to do as this node does

The guess of what peers admitted since their last word decayed between words, just when most was unheard; and when a part of the quota got free, every node used it for itself until it heard of the others.

Change: the peers' rate is held between their words and follows a rise at once; a node that admits takes the others to admit as much for their shares, up to three times the mean. Vms: on-demand ones stand in for the need of the last seconds, reclaimable ones are kept by the need of a minute, because they are cheap and at times can't be had.

--- a/core/holding.c
+++ b/core/holding.c
@@ -7,9 +7,8 @@
 #define READ_PER_S      30000.0 /* prompt tokens that one engine reads */
 #define READ_SHARE      0.33    /* of that, planned with: calls come in clumps */
 #define RUNNING_SHARE   0.35    /* of its slots */
-#define HALVED_IN_MS    20000.0 /* demand that is gone is forgotten so fast */
 #define RECLAIMABLE_MIN 2       /* a domain, where that kind is cheaper */
-#define STAND_IN_SHARE  0.55    /* of the need that on-demand vms stand in for */
+#define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
 #define GIVEN_UP_SHARE  0.5 /* of the stand-ins that are not needed, at a time */
 
 double rk_holding_need(double read_per_s, double running, double slots)
@@ -19,9 +18,10 @@
     return by_reading > by_running ? by_reading : by_running;
 }
 
-double rk_holding_smooth(double before, double now, int64_t passed_ms)
+double rk_holding_smooth(double before, double now, int64_t passed_ms,
+                         double halved_ms)
 {
-    double left = before * exp2(-(double)passed_ms / HALVED_IN_MS);
+    double left = before * exp2(-(double)passed_ms / halved_ms);
     return now > left ? now : left;
 }
 
@@ -90,7 +90,7 @@
         reclaimable += in->domains[i].reclaimable;
     }
     int held = on_demand > floor ? on_demand - floor : 0;
-    int wanted = (int)ceil(in->need * STAND_IN_SHARE) - floor - reclaimable;
+    int wanted = (int)ceil(in->need_now * STAND_IN_SHARE) - floor - reclaimable;
     if (wanted < 0)
         wanted = 0;
     if (wanted >= held)
--- a/core/holding.h
+++ b/core/holding.h
@@ -28,7 +28,8 @@
     size_t domains_len;
     int min_vms, max_vms; /* a domain, both kinds together */
     double spot_price;    /* of a reclaimable vm, in prices of the others */
-    double need;          /* vms, from rk_holding_need() */
+    double need;          /* vms, from rk_holding_need(), forgotten slowly */
+    double need_now;      /* the same, forgotten soon: for the dear ones */
     bool refused;         /* lately there were no reclaimable vms to be had */
     bool idle;            /* nothing runs: vms may go all at once */
     bool settled;         /* the last on-demand vm went long enough ago */
@@ -42,8 +43,10 @@
  * calls in hand. */
 double rk_holding_need(double read_per_s, double running, double slots);
 
-/* Smooth: up at once, down slowly. passed_ms: since `before` was made. */
-double rk_holding_smooth(double before, double now, int64_t passed_ms);
+/* Smooth: up at once, down slowly. passed_ms: since `before` was made; halved_ms:
+ * in which what is gone is forgotten by half. */
+double rk_holding_smooth(double before, double now, int64_t passed_ms,
+                         double halved_ms);
 
 /* targets[i] is domains[i]'s. */
 void rk_holding_plan(const struct rk_holding_input *in,
--- a/core/quota.c
+++ b/core/quota.c
@@ -9,6 +9,10 @@
                                what peers admit before this node hears of it */
 #define REPORT_LAG_MS 250   /* age of what the peers tell, until it is known */
 #define RATE_MS       400.0 /* over which the peers' rate is taken */
+#define SLOT_MS       250   /* the same, while it rises */
+#define WORD_MAX_MS   600   /* their last word is taken to be no older than this */
+#define RECENT_SLOTS  3     /* buckets that show what was admitted here lately */
+#define SURGE         3.0 /* peers are taken to admit so many times the mean at most */
 #define USUAL_PART                                                                 \
     0.8 /* of its rate an organisation gets while it isn't known                   \
            what it used before a restart */
@@ -50,11 +54,13 @@
     int64_t now = now_ms / bucket_ms(q);
     if (now - o->bucket >= RK_QUOTA_BUCKETS) {
         memset(o->used, 0, sizeof(o->used));
+        memset(o->own, 0, sizeof(o->own));
         o->bucket = now;
     }
     while (o->bucket < now) {
         o->bucket++;
         o->used[o->bucket % RK_QUOTA_BUCKETS] = 0;
+        o->own[o->bucket % RK_QUOTA_BUCKETS] = 0;
     }
 }
 
@@ -76,11 +82,55 @@
     return o->peers_recent * exp(-(double)(now_ms - o->peers_recent_ms) / RATE_MS);
 }
 
-/* What the peers probably admitted since their last word. */
+/* Begin the slot of now_ms. */
+static void turn_slots(struct rk_quota_org *o, int64_t now_ms)
+{
+    int64_t slot = now_ms / SLOT_MS;
+    if (slot == o->peers_slot)
+        return;
+    o->peers_slots[1] = slot == o->peers_slot + 1 ? o->peers_slots[0] : 0;
+    o->peers_slots[0] = 0;
+    o->peers_slot = slot;
+}
+
+/* Units a ms that the peers use: by their last words, or more while it rises. */
+static double peers_rate(const struct rk_quota_org *o, int64_t now_ms)
+{
+    int64_t slot = now_ms / SLOT_MS;
+    double newest = slot <= o->peers_slot + 1 ? o->peers_slots[0] : 0;
+    double last = slot <= o->peers_slot ? o->peers_slots[1] : 0;
+    double rising = (newest > last ? newest : last) / SLOT_MS;
+    double steady = o->peers_recent / RATE_MS;
+    return rising > steady ? rising : steady;
+}
+
+/* Units that the peers admitted in so many ms if they did as this node did: all see
+ * the same part of a quota get free, and would use it each for itself. */
+static double as_here(const struct rk_quota *q, const struct rk_quota_org *o,
+                      double total, int64_t age_ms)
+{
+    double own = sum(o->own), lately = 0;
+    if (q->nodes_total <= 1 || own <= 0 || total <= own)
+        return 0;
+    for (int64_t i = 0; i < RECENT_SLOTS; i++)
+        lately += o->own[(o->bucket + RK_QUOTA_BUCKETS - i) % RK_QUOTA_BUCKETS];
+    double spread_ms = (double)(RECENT_SLOTS * bucket_ms(q));
+    double others = lately * (total / own - 1) * (double)age_ms / spread_ms;
+    double most = SURGE * total / (double)q->window_ms * (double)age_ms;
+    return others < most ? others : most;
+}
+
+/* What the peers probably admitted since their last word, which was old when it
+ * came. When none comes for long they have gone quiet. */
 static double unheard(const struct rk_quota *q, const struct rk_quota_org *o,
-                      int64_t now_ms)
+                      double total, int64_t now_ms)
 {
-    return peers_recent(o, now_ms) / RATE_MS * (double)q->lag_ms;
+    int64_t since_ms = now_ms - o->peers_recent_ms;
+    if (since_ms > WORD_MAX_MS)
+        return peers_recent(o, now_ms) / RATE_MS * (double)q->lag_ms;
+    double told = peers_rate(o, now_ms) * (double)(q->lag_ms + since_ms);
+    double guess = as_here(q, o, total, q->lag_ms + since_ms);
+    return told > guess ? told : guess;
 }
 
 /* What is taken as used before a restart of all nodes: the whole quota, leaving
@@ -178,6 +228,8 @@
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->peers_recent = peers_recent(o, now_ms) + units;
     o->peers_recent_ms = now_ms;
+    turn_slots(o, now_ms);
+    o->peers_slots[0] += units;
 }
 
 /* When the oldest use that must leave the window for `need` has left it. */
@@ -206,7 +258,8 @@
     double quota =
         effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
-    double used = sum(o->used) + unheard(q, o, now_ms);
+    double known = sum(o->used);
+    double used = known + unheard(q, o, known, now_ms);
     double before = forgotten(q, quota * part, rate * part, now_ms);
     double kept = q->forgot_ms && now_ms < o->kept_until_ms ? o->kept * part : 0;
     if (kept > before)
@@ -220,6 +273,7 @@
         return false;
     }
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
+    o->own[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->own_total += units;
     return true;
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -20,12 +20,15 @@
 struct rk_quota_org {
     char name[RK_ID_MAX];
     double used[RK_QUOTA_BUCKETS]; /* units, by time */
+    double own[RK_QUOTA_BUCKETS];  /* of that, admitted here */
     int64_t bucket;                /* number of the newest */
     double own_total;              /* admitted here since the start */
     double peers_recent;           /* of the peers, decaying: shows their rate */
-    int64_t peers_recent_ms;       /* when it was reckoned */
-    double quota;                  /* units a window, as asked for last */
-    double old_quota;              /* a higher one that still counts */
+    int64_t peers_recent_ms;       /* when it was reckoned: at their last word */
+    double peers_slots[2]; /* of the peers: this short while, the last one */
+    int64_t peers_slot;    /* number of this one */
+    double quota;          /* units a window, as asked for last */
+    double old_quota;      /* a higher one that still counts */
     int64_t old_until_ms;
     double kept;           /* used before a restart, by what was kept */
     int64_t kept_until_ms; /* it counts until then */
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -13,7 +13,7 @@
 #include "peers/link.h"
 
 #define REPORT_MS      250
-#define BRIDGED_LAG_MS 600 /* age of what bridges tell of other nodes */
+#define BRIDGED_LAG_MS 450 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
 #define REPORT_SOON_MS 5   /* after news of the store */
 #define USAGE_MS       1000 /* between tellings of usage in a larger fleet */
--- a/node/orders.c
+++ b/node/orders.c
@@ -10,12 +10,14 @@
 #include "node/state.h"
 
 #define SERVICES       8
-#define DEMAND_MS      3000 /* over which demand is measured */
-#define ORDER_AGAIN_MS 3000 /* past a vm's boot: the order is repeated */
-#define REFUSED_MS     3000 /* after "none to be had": asked again then */
-#define SHORT_MS       6000 /* after it: on-demand vms may stand in */
-#define SHRINK_MS      4000 /* between on-demand vms that are given up */
-#define SETTLE_MS      2000 /* a holder looks at the list for so long first */
+#define DEMAND_MS      3000    /* over which demand is measured */
+#define KEPT_HALVED_MS 60000.0 /* in which past demand is forgotten by half */
+#define HALVED_MS      8000.0  /* the same, as far as dear vms are kept for it */
+#define ORDER_AGAIN_MS 3000    /* past a vm's boot: the order is repeated */
+#define REFUSED_MS     3000    /* after "none to be had": asked again then */
+#define SHORT_MS       6000    /* after it: on-demand vms may stand in */
+#define SHRINK_MS      4000    /* between on-demand vms that are given up */
+#define SETTLE_MS      2000    /* a holder looks at the list for so long first */
 #define ENROL_MS       4500 /* the same at the first start: vms enrol meanwhile */
 /* Without a call for so long, what stood there at first is no estimate any more. */
 #define ESTIMATE_MS 30000
@@ -37,7 +39,9 @@
     char name[RK_ID_MAX];
     double read_before;
     int64_t measured_ms;
-    double need; /* smoothed */
+    double need,
+        need_now; /* smoothed: reclaimable vms are kept for a while, as they
+                     are cheap and at times can't be had; others go soon */
     uint32_t running;
     bool asked;          /* calls came */
     int at_first;        /* on-demand vms that stood there then */
@@ -108,7 +112,7 @@
     if (count > s->at_first)
         s->at_first = count;
     if (s->need < s->at_first)
-        s->need = s->at_first;
+        s->need = s->need_now = s->at_first;
 }
 
 static void measure(struct service *s, const struct rk_service_info *info)
@@ -124,7 +128,8 @@
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
     double need = rk_holding_need(per_s, use.running, (double)info->slots);
     s->asked = s->asked || need > 0;
-    s->need = rk_holding_smooth(s->need, need, passed_ms);
+    s->need = rk_holding_smooth(s->need, need, passed_ms, KEPT_HALVED_MS);
+    s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
     s->running = use.running;
     s->read_before = use.read_tokens;
     s->measured_ms = now_ms;
@@ -220,6 +225,7 @@
                                   .max_vms = (int)info->max_vms,
                                   .spot_price = info->spot_price,
                                   .need = s->need,
+                                  .need_now = s->need_now,
                                   .idle = !s->running};
     int64_t now_ms = rk_mono_ms();
     in.refused = s->refused_ms && now_ms - s->refused_ms < SHORT_MS;
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -6,6 +6,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/events.h"
@@ -215,6 +216,73 @@
     assert_true(answer.retry_after_ms > 0);
 }
 
+/* A fleet that hears of itself in digests: each node is told four times a second
+ * what all had admitted a while before. */
+#define FLEET       40
+#define STEP_MS     10
+#define DIGEST_MS   250
+#define TOLD_AGE_MS 350
+#define RUN_MS      30000
+
+struct fleet {
+    struct rk_quota q[FLEET];
+    double own[FLEET], told[FLEET];
+    double total[RUN_MS / STEP_MS]; /* admitted by all, up to each step */
+    double own_then[FLEET][TOLD_AGE_MS / STEP_MS + 1];
+};
+
+static void tell_fleet(struct fleet *f, int step)
+{
+    int age = TOLD_AGE_MS / STEP_MS;
+    for (int i = 0; i < FLEET; i++) {
+        if ((step * STEP_MS + i * 37) % DIGEST_MS >= STEP_MS || step < age)
+            continue;
+        double total = f->total[step - age];
+        double own = f->own_then[i][(step - age) % (age + 1)];
+        double peers = total - own;
+        rk_quota_add(&f->q[i], "org", peers - f->told[i], 100000 + step * STEP_MS);
+        f->told[i] = peers;
+    }
+}
+
+/* An organisation that suddenly sends ten times its rate gets no more than its
+ * quota, a tenth and the slack in any window, and no less than its quota. */
+static void a_fleet_holds_a_quota_through_a_burst(void **state)
+{
+    (void)state;
+    const double rate = 240000, burst = 600000, units = 3000, slack = 72000;
+    struct fleet *f = rk_alloc(1, sizeof(*f));
+    struct rk_rng rng = {.state = 7};
+    struct rk_quota_answer answer;
+    double owed = 0, most = 0, window = rate * WINDOW_MS / 1000 + burst;
+    for (int i = 0; i < FLEET; i++) {
+        rk_quota_init(&f->q[i], WINDOW_MS, slack, 0);
+        f->q[i].nodes_heard = f->q[i].nodes_total = FLEET;
+        f->q[i].lag_ms = TOLD_AGE_MS;
+    }
+    for (int step = 0; step < RUN_MS / STEP_MS; step++) {
+        double per_s = step * STEP_MS < 10000 ? rate / 2 : rate * 8;
+        f->total[step] = step ? f->total[step - 1] : 0;
+        tell_fleet(f, step);
+        for (owed += per_s * STEP_MS / 1000; owed > 0; owed -= units) {
+            int i = (int)rk_rng_below(&rng, FLEET);
+            if (!rk_quota_admit(&f->q[i], "org", rate, burst, units,
+                                100000 + step * STEP_MS, &answer))
+                continue;
+            f->own[i] += units;
+            f->total[step] += units;
+        }
+        for (int i = 0; i < FLEET; i++)
+            f->own_then[i][step % (TOLD_AGE_MS / STEP_MS + 1)] = f->own[i];
+        int before = step - WINDOW_MS / STEP_MS;
+        double in_window = f->total[step] - (before >= 0 ? f->total[before] : 0);
+        most = in_window > most ? in_window : most;
+    }
+    assert_true(most > window * 0.95);
+    assert_true(most < window * 1.1 + slack);
+    free(f);
+}
+
 static void a_peer_with_a_memory_lifts_the_caution(void **state)
 {
     (void)state;
@@ -565,7 +633,7 @@
     struct rk_holding_input in = three_domains();
     for (int i = 0; i < 3; i++)
         in.domains[i].reclaimable = 0;
-    in.need = 10.5;
+    in.need = in.need_now = 7.5;
     in.max_vms = 4; /* those that can't be had take no room */
     rk_holding_plan(&in, t);
     assert_int_equal(sum_of(t, false), 3); /* they were ordered, and will come */
@@ -596,7 +664,7 @@
     struct rk_holding_target t[RK_HOLDING_DOMAINS];
     struct rk_holding_input in = three_domains();
     in.max_vms = 40;
-    in.need = 45;
+    in.need = in.need_now = 45;
     for (int i = 0; i < 3; i++) {
         in.domains[i].on_demand = 20;
         in.domains[i].reclaimable = 14;
@@ -615,10 +683,10 @@
     double need = rk_holding_need(60000, 10, 128);
     assert_true(need > 5 && need < 7);
     assert_true(rk_holding_need(0, 100, 32) > rk_holding_need(0, 100, 128));
-    assert_true(rk_holding_smooth(2, 6, 1000) == 6);
-    double later = rk_holding_smooth(6, 1, 1000);
+    assert_true(rk_holding_smooth(2, 6, 1000, 20000) == 6);
+    double later = rk_holding_smooth(6, 1, 1000, 20000);
     assert_true(later > 5 && later < 6);
-    assert_true(rk_holding_smooth(6, 1, 100000) == 1);
+    assert_true(rk_holding_smooth(6, 1, 100000, 20000) == 1);
 }
 
 int main(void)
@@ -636,6 +704,7 @@
             an_organisation_that_uses_little_is_served_after_a_restart),
         cmocka_unit_test(a_lowered_quota_counts_after_a_window),
         cmocka_unit_test(what_peers_used_and_probably_use_counts),
+        cmocka_unit_test(a_fleet_holds_a_quota_through_a_burst),
         cmocka_unit_test(a_peer_with_a_memory_lifts_the_caution),
         cmocka_unit_test(a_burst_is_taken_over_with_its_time),
         cmocka_unit_test(what_the_store_kept_holds_after_a_restart),
