--- a/core/holding.h
+++ b/core/holding.h
@@ -2,7 +2,7 @@
  * kind. One on-demand vm a domain is the floor: a domain that is cut off serves
  * its own, and the loss of all reclaimable vms at once leaves something. What
  * demand asks for above that is reclaimable, spread over the domains. While none
- * of that kind can be had, on-demand vms stand in; they go again one at a time,
+ * of that kind can be had, on-demand vms stand in; they go again half at a time,
  * once reclaimable ones serve in their place. Pure. */
 #ifndef RK_CORE_HOLDING_H
 #define RK_CORE_HOLDING_H
@@ -28,7 +28,8 @@
     size_t domains_len;
     int min_vms, max_vms; /* a domain, both kinds together */
     double spot_price;    /* of a reclaimable vm, in prices of the others */
-    double need;          /* vms, from rk_holding_need() */
+    double need;          /* vms, from rk_holding_need(), forgotten slowly */
+    double need_now;      /* the same, forgotten soon: for the dear ones */
     bool refused;         /* lately there were no reclaimable vms to be had */
     bool idle;            /* nothing runs: vms may go all at once */
     bool settled;         /* the last on-demand vm went long enough ago */
@@ -42,8 +43,10 @@
  * calls in hand. */
 double rk_holding_need(double read_per_s, double running, double slots);
 
-/* Smooth: up at once, down slowly. passed_ms: since `before` was made. */
-double rk_holding_smooth(double before, double now, int64_t passed_ms);
+/* Smooth: up at once, down slowly. passed_ms: since `before` was made; halved_ms:
+ * in which what is gone is forgotten by half. */
+double rk_holding_smooth(double before, double now, int64_t passed_ms,
+                         double halved_ms);
 
 /* targets[i] is domains[i]'s. */
 void rk_holding_plan(const struct rk_holding_input *in,
--- a/node/orders.c
+++ b/node/orders.c
@@ -10,12 +10,17 @@
 #include "node/state.h"
 
 #define SERVICES       8
-#define DEMAND_MS      3000 /* over which demand is measured */
-#define ORDER_AGAIN_MS 3000 /* past a vm's boot: the order is repeated */
-#define REFUSED_MS     3000 /* after "none to be had": asked again then */
-#define SHORT_MS       6000 /* after it: on-demand vms may stand in */
-#define SHRINK_MS      4000 /* between on-demand vms that are given up */
-#define SETTLE_MS      2000 /* a holder looks at the list for so long first */
+#define DEMAND_MS      3000    /* over which demand is measured */
+#define KEPT_HALVED_MS 60000.0 /* in which past demand is forgotten by half */
+#define HALVED_MS      8000.0  /* the same, as far as dear vms are kept for it */
+#define ORDER_AGAIN_MS 3000    /* past a vm's boot: the order is repeated */
+#define REFUSED_MS     3000    /* after "none to be had": asked again then */
+#define SHORT_MS       6000    /* after it: on-demand vms may stand in */
+#define SHRINK_MS      4000    /* between on-demand vms that are given up */
+#define SETTLE_MS      2000    /* a holder looks at the list for so long first */
+#define ENROL_MS       4500 /* the same at the first start: vms enrol meanwhile */
+/* Without a call for so long, what stood there at first is no estimate any more. */
+#define ESTIMATE_MS 30000
 
 /* An order of one kind in one domain. */
 struct order {
@@ -24,6 +29,7 @@
     bool reclaimable;
     bool busy;
     int target; /* ordered last; -1: none */
+    int held;   /* when it was ordered, or the most since */
     int64_t at_ms;
     int64_t refused_until_ms;
 };
@@ -33,10 +39,15 @@
     char name[RK_ID_MAX];
     double read_before;
     int64_t measured_ms;
-    double need; /* smoothed */
+    double need,
+        need_now; /* smoothed: reclaimable vms are kept for a while, as they
+                     are cheap and at times can't be had; others go soon */
     uint32_t running;
-    int64_t refused_ms; /* "none to be had" was heard last; 0: never */
-    int64_t shrunk_ms;  /* an on-demand vm was given up last */
+    bool asked;          /* calls came */
+    int at_first;        /* on-demand vms that stood there then */
+    int64_t followed_ms; /* since when demand is followed */
+    int64_t refused_ms;  /* "none to be had" was heard last; 0: never */
+    int64_t shrunk_ms;   /* an on-demand vm was given up last */
     struct order orders[RK_HOLDING_DOMAINS][2];
 };
 
@@ -79,9 +90,35 @@
     return sum;
 }
 
+static int count_on_demand(const struct rk_node *n, const char *service)
+{
+    const struct rk_vm_row *row;
+    int count = 0;
+    for (size_t i = 0; (row = rk_sync_vm_at(n->sync, i)); i++)
+        count +=
+            !row->leaving && !row->reclaimable && !strcmp(row->service, service);
+    return count;
+}
+
+/* Until the first calls come, the on-demand vms that stood there are the best
+ * estimate of what will be asked. */
+static void estimate(struct service *s, int64_t now_ms)
+{
+    if (!s->followed_ms)
+        s->followed_ms = now_ms;
+    if (s->asked || now_ms - s->followed_ms > ESTIMATE_MS)
+        return;
+    int count = count_on_demand(s->o->n, s->name);
+    if (count > s->at_first)
+        s->at_first = count;
+    if (s->need < s->at_first)
+        s->need = s->need_now = s->at_first;
+}
+
 static void measure(struct service *s, const struct rk_service_info *info)
 {
     int64_t now_ms = rk_mono_ms(), passed_ms = now_ms - s->measured_ms;
+    estimate(s, now_ms);
     if (passed_ms < DEMAND_MS)
         return;
     struct rk_service_use use = use_of(s->o->n, s->name);
@@ -90,7 +127,9 @@
     bool known = s->measured_ms && read >= 0;
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
     double need = rk_holding_need(per_s, use.running, (double)info->slots);
-    s->need = rk_holding_smooth(s->need, need, passed_ms);
+    s->asked = s->asked || need > 0;
+    s->need = rk_holding_smooth(s->need, need, passed_ms, KEPT_HALVED_MS);
+    s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
     s->running = use.running;
     s->read_before = use.read_tokens;
     s->measured_ms = now_ms;
@@ -137,6 +176,7 @@
                                         .count = count,
                                         .reclaimable = order->reclaimable};
     order->busy = true;
+    order->held = 0;
     order->target = count;
     order->at_ms = rk_mono_ms();
     duties->ops->order_vms(duties, token, &target, on_ordered, order);
@@ -147,7 +187,11 @@
 {
     int64_t now_ms = rk_mono_ms();
     int64_t patience_ms = info->boot_ms + ORDER_AGAIN_MS;
-    bool waiting = order->target == target && now_ms - order->at_ms < patience_ms;
+    bool lost = held < order->held; /* vms left since it was ordered */
+    bool waiting =
+        order->target == target && !lost && now_ms - order->at_ms < patience_ms;
+    if (held > order->held)
+        order->held = held;
     if (order->busy || held == target || waiting ||
         now_ms < order->refused_until_ms)
         return;
@@ -181,6 +225,7 @@
                                   .max_vms = (int)info->max_vms,
                                   .spot_price = info->spot_price,
                                   .need = s->need,
+                                  .need_now = s->need_now,
                                   .idle = !s->running};
     int64_t now_ms = rk_mono_ms();
     in.refused = s->refused_ms && now_ms - s->refused_ms < SHORT_MS;
@@ -211,8 +256,9 @@
     }
     if (!o->since_ms)
         o->since_ms = rk_mono_ms();
+    int64_t settle_ms = o->n->file.first_start ? ENROL_MS : SETTLE_MS;
     if (!routes || !rk_sync_ready(o->n->sync) ||
-        rk_mono_ms() - o->since_ms < SETTLE_MS)
+        rk_mono_ms() - o->since_ms < settle_ms)
         return;
     for (size_t i = 0; i < routes->services_len; i++) {
         const struct rk_service_info *info = &routes->services[i];
