sync: entries that lapse are kept only if the store was away for all

The store had turned single nodes away; its first answer to such a node was the very change, taken for an entry that had lapsed with the store, and the vm was kept for two seconds.

Change: a store was away if no node, by what peers tell, had an answer for 2.6 s while this one had lost it; lapsed entries go 1.9 s after its return. Ruled out: a shorter keeping alone (a vm that left would still get calls for no reason).

Calls to the store: only the first bridge of a domain follows it all the time, the others when nothing is confirmed; bridges alone stand for the lease while one does; the list of nodes is read once after a restart; a change waits up to 200 ms for those that follow.

A node may advertise another address to its peers (control_advertise), as entry nodes can.

Tests: a_vm_that_left_while_a_node_was_turned_away_gets_nothing (fails before), vms_whose_entries_lapsed_with_the_store_are_used_on.

--- a/node/duties.c
+++ b/node/duties.c
@@ -60,6 +60,7 @@
     struct window windows[WINDOWS];
     struct rk_orders *orders;
     int64_t first_window; /* none before is due */
+    int64_t started_ms;
 };
 
 /* ---- the lease ---- */
@@ -132,10 +133,19 @@
     return ms;
 }
 
+/* In a large fleet bridges stand for the lease; others only when it seems that no
+ * bridge does. */
+static bool may_stand(const struct rk_duty_keeper *k)
+{
+    int64_t since_ms = k->lease.seen_ms ? k->lease.seen_ms : k->started_ms;
+    return k->was_held || rk_mesh_stands(k->n->mesh) ||
+           rk_mono_ms() - since_ms > 3 * (int64_t)k->n->file.lease_ms;
+}
+
 static void tend_lease(struct rk_duty_keeper *k)
 {
     struct rk_store *store = k->n->store;
-    if (k->busy)
+    if (k->busy || !may_stand(k))
         return;
     if (!k->lease.seen_ms || k->must_read) {
         read_lease(k);
@@ -171,7 +181,7 @@
 void rk_duty_keeper_seen(struct rk_duty_keeper *k, int64_t version,
                          const char *value)
 {
-    if (!k->busy && k->lease.seen_ms) {
+    if (!k->busy) {
         bool newer = version > k->lease.version;
         rk_lease_seen(&k->lease, version, value, rk_mono_ms());
         if (newer)
@@ -350,6 +360,7 @@
     struct rk_duty_keeper *k = rk_alloc(1, sizeof(*k));
     k->n = n;
     k->orders = rk_orders_create(n);
+    k->started_ms = rk_mono_ms();
     k->tick = (struct rk_timer){.fn = on_tick, .ctx = k};
     snprintf(k->holder, sizeof(k->holder), "%.30s/%08x", n->file.id,
              (unsigned)n->incarnation);
--- a/node/enrol.c
+++ b/node/enrol.c
@@ -13,7 +13,7 @@
 #define REGISTER_MIN_MS 200
 #define REGISTER_MAX_MS 2000
 #define SPEC_MAX        192
-#define LISTS           3     /* read at the start: others enrol meanwhile */
+#define LISTS           3     /* read at the first start: others enrol meanwhile */
 #define LIST_MS         1500  /* between them */
 #define LOOK_AGAIN_MS   8000  /* the same, after nodes were forgotten */
 #define LOST_MS         60000 /* for so long */
@@ -132,7 +132,7 @@
 void rk_enrol_init(struct rk_mesh *m)
 {
     m->enrol_ms = REGISTER_MIN_MS;
-    m->lists_left = LISTS;
+    m->lists_left = m->n->file.first_start ? LISTS : 1;
     m->enrol = (struct rk_timer){.fn = on_enrol, .ctx = m};
 }
 
--- a/node/follow.c
+++ b/node/follow.c
@@ -11,14 +11,13 @@
 static void note_store(struct rk_follow *f, enum rk_status st)
 {
     bool lost = st != RK_OK && st != RK_EGONE;
-    int64_t now_ms = rk_mono_ms();
-    if (!lost)
-        f->heard_ms = now_ms;
+    if (!lost) {
+        f->heard_ms = rk_mono_ms();
+        f->heard(f->ctx);
+    }
     if (lost == f->lost)
         return;
     f->lost = lost;
-    if (!lost)
-        f->back_ms = now_ms;
     RK_EVENT(lost ? "store.lost" : "store.back", RK_S("kind", f->kind),
              RK_S("status", rk_status_str(st)), RK_N("at", f->at));
 }
--- a/node/follow.h
+++ b/node/follow.h
@@ -14,11 +14,11 @@
     /* What the store told. all: it is the whole list. */
     void (*apply)(void *ctx, const struct rk_store_object *objects, size_t len,
                   bool all, int64_t at);
+    void (*heard)(void *ctx); /* the store answered; before apply */
     void *ctx;
     int64_t pace_ms;  /* between watches, so that changes come together */
     int64_t at;       /* the store's revision that is known; 0: none yet */
     int64_t heard_ms; /* when the store answered last; 0: never */
-    int64_t back_ms;  /* when it answered again after it had been lost */
     bool lost;        /* it doesn't answer */
     bool on;
     bool busy, listing;
--- a/node/members.c
+++ b/node/members.c
@@ -268,8 +268,10 @@
 
 int rk_mesh_rank(const struct rk_mesh *m)
 {
-    if (m->direct || m->bridge)
-        return -1;
-    int before = m->preceded - RK_MESH_BRIDGES;
-    return before > 0 ? before : 0;
+    return m->direct || (m->bridge && !m->preceded) ? -1 : m->preceded;
+}
+
+bool rk_mesh_stands(const struct rk_mesh *m)
+{
+    return m->direct || m->bridge;
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -331,7 +331,7 @@
         uses = source->digest.uses;
     }
     p->known = rk_alloc(p->known_len + 1, sizeof(*p->known));
-    if (p->known_len)
+    if (uses && p->known_len)
         memcpy(p->known, uses, p->known_len * sizeof(*p->known));
 }
 
@@ -392,7 +392,8 @@
 
 const char *rk_mesh_addr(const struct rk_mesh *m)
 {
-    return rk_listener_addr(m->listener);
+    const char *advertised = m->n->file.control_advertise;
+    return advertised[0] ? advertised : rk_listener_addr(m->listener);
 }
 
 void rk_mesh_start(struct rk_mesh *m)
--- a/node/state.h
+++ b/node/state.h
@@ -70,6 +70,8 @@
 /* Nodes of this domain that should follow the store before this one does; -1: this
  * one should. */
 int rk_mesh_rank(const struct rk_mesh *m);
+/* Should this node stand for the lease of the duties? */
+bool rk_mesh_stands(const struct rk_mesh *m);
 /* News of the store, to the nodes that a bridge tells of it; from_store: it is
  * known first hand. */
 void rk_mesh_push(struct rk_mesh *m, const Rillknot__StoreText *text,
--- a/node/sync.c
+++ b/node/sync.c
@@ -10,13 +10,12 @@
 #include "node/state.h"
 
 #define TICK_MS    250
-#define PACE_MS    100  /* between watches of vms that brought something */
+#define PACE_MS    200  /* between watches of vms that brought something */
 #define STALE_MS   3600 /* what is not confirmed for so long is followed here */
 #define STAGGER_MS 100  /* more for each node that comes before this one */
-#define START_MS   3000 /* a node follows the store at its start in any case */
-#define LAPSED_MS                                                                  \
-    2000              /* vms whose entries lapsed with the store are back by then */
-#define GONE_KEPT 128 /* vms that left, remembered for peers */
+#define AWAY_MS    2600 /* a store that answers no node for so long was away */
+#define LAPSED_MS  1900 /* vms whose entries lapsed then are back so long after */
+#define GONE_KEPT  128  /* vms that left, remembered for peers */
 
 /* A vm's object. */
 struct entry {
@@ -38,8 +37,9 @@
     struct rk_node *n;
     struct rk_follow settings, vms;
     struct rk_timer tick;
-    int64_t started_ms;
     int64_t confirmed_ms; /* until when all this was known to be the newest */
+    int64_t answered_ms;  /* when the store answered last, here or to a peer */
+    int64_t back_ms;      /* when it did so after it had been away; 0: never */
     struct rk_routes *routes;
     char *settings_text;
     struct entry *entries;
@@ -189,6 +189,30 @@
     return changed;
 }
 
+/* The store answered this node, or a peer, at that time. One that turns only this
+ * node away answers peers meanwhile. */
+static void note_answer(struct rk_sync *s, int64_t at_ms)
+{
+    bool lost = s->settings.lost || s->vms.lost;
+    if (lost && s->answered_ms && at_ms - s->answered_ms > AWAY_MS) {
+        s->back_ms = rk_mono_ms();
+        RK_EVENT("store.was_away", RK_N("ms", at_ms - s->answered_ms));
+    }
+    if (at_ms > s->answered_ms)
+        s->answered_ms = at_ms;
+}
+
+static void on_heard(void *ctx)
+{
+    note_answer(ctx, rk_mono_ms());
+}
+
+/* Did entries lapse with the store, rather than because their vms left? */
+static bool store_was_away(const struct rk_sync *s)
+{
+    return s->back_ms && rk_mono_ms() - s->back_ms < LAPSED_MS;
+}
+
 static void remember_gone(struct rk_sync *s, const char *name, int64_t revision,
                           bool lapsed)
 {
@@ -211,7 +235,8 @@
     if (lapsed && !e->row.leaving) {
         if (!e->lapsed_ms)
             log_vm(&e->row, "lapsed", from);
-        e->lapsed_ms = e->lapsed_ms ? e->lapsed_ms : rk_mono_ms();
+        if (!e->lapsed_ms)
+            e->lapsed_ms = store_was_away(s) ? s->back_ms : rk_mono_ms();
         e->revision = revision;
         return false;
     }
@@ -266,13 +291,6 @@
     rk_relay_set_vms(s->n->relay, rows, s->entries_len);
 }
 
-/* Did entries lapse with the store, rather than because their vms left? */
-static bool store_was_away(const struct rk_sync *s)
-{
-    const struct rk_follow *f = &s->vms;
-    return f->back_ms && rk_mono_ms() - f->back_ms < LAPSED_MS;
-}
-
 /* The last change to the list that an answer tells. One that removed something may
  * have no revision of its own. */
 static int64_t known_by(const struct rk_store_object *objects, size_t len, bool all,
@@ -428,7 +446,10 @@
 void rk_sync_confirm(struct rk_sync *s, int64_t age_ms)
 {
     int64_t at_ms = rk_mono_ms() - age_ms;
-    if (age_ms >= 0 && at_ms > s->confirmed_ms)
+    if (age_ms < 0)
+        return;
+    note_answer(s, at_ms);
+    if (at_ms > s->confirmed_ms)
         s->confirmed_ms = at_ms;
 }
 
@@ -444,7 +465,7 @@
 static bool should_follow(const struct rk_sync *s)
 {
     int before = rk_mesh_rank(s->n->mesh); /* nodes that should do so first */
-    if (before < 0 || rk_mono_ms() - s->started_ms < START_MS || !rk_sync_ready(s))
+    if (before < 0 || !rk_sync_ready(s))
         return true;
     int64_t age_ms = rk_sync_age_ms(s);
     return age_ms < 0 || age_ms > STALE_MS + before * STAGGER_MS;
@@ -474,16 +495,17 @@
     s->settings = (struct rk_follow){.n = n,
                                      .kind = n->platform->settings_kind,
                                      .apply = apply_settings,
+                                     .heard = on_heard,
                                      .ctx = s};
     s->vms = (struct rk_follow){.n = n,
                                 .kind = n->platform->vms_kind,
                                 .apply = apply_vms,
+                                .heard = on_heard,
                                 .ctx = s,
                                 .pace_ms = PACE_MS};
     rk_follow_init(&s->settings);
     rk_follow_init(&s->vms);
     s->tick = (struct rk_timer){.fn = on_tick, .ctx = s};
-    s->started_ms = rk_mono_ms();
     return s;
 }
 
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -61,6 +61,49 @@
         return "in force at 16 nodes after %.1f s" % took
 
 
+def test_a_vm_that_left_while_a_node_was_turned_away_gets_nothing():
+    """The store answered the other node all the time: what is off its list is gone,
+    and isn't kept as if it had lapsed with the store."""
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        gone = d.workers[1]  # the nearer one
+        real = d.store.handle
+        turn_away(d, d.nodes[1], 503)
+        time.sleep(4)
+        d.store.handle = real
+        time.sleep(1.3)  # its watch waits, and is answered with the very change
+        d.store.drop("servers", gone.id)
+        wait_until(lambda: d.gauge(d.nodes[1], "list_revision") >= d.store.revision, 6)
+        before = len(gone.seen)
+        for _ in range(10):
+            assert d.call("/r/x", node=1).status == 200
+        assert len(gone.seen) == before
+
+
+def test_vms_whose_entries_lapsed_with_the_store_are_used_on():
+    """The store is away for all, and comes back without the vms' entries, which the
+    vms write anew within two seconds."""
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        d.store.fault = lambda req: 503
+        time.sleep(6)  # watches that wait are answered still
+        for w in d.workers:
+            d.store.drop("servers", w.id)
+        d.store.fault = None
+        end = time.monotonic() + 1.2
+        while time.monotonic() < end:
+            assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
+        for w in d.workers:
+            d.store.put("servers", w.id, w.spec())
+        time.sleep(4)  # the store is long back
+        assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
+        dropped = d.workers[0]
+        d.store.drop("servers", dropped.id)
+        wait_until(lambda: all(d.gauge(n, "list_revision") >= d.store.revision
+                               for n in d.nodes), 6)
+        before = len(dropped.seen)
+        assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
+        assert len(dropped.seen) == before
+
+
 def test_a_key_taken_away_is_refused_everywhere():
     with fleet() as d:
         assert all(d.call("/r/x", node=n).status == 200 for n in range(3))
--- /dev/null
+++ b/tools/faultproxy.py
@@ -0,0 +1,193 @@
+"""A TCP proxy on loopback that harms what passes through it: delays it, holds it back
+in one direction or both, or resets connections. One thread serves all of them."""
+import selectors
+import socket
+import struct
+import threading
+import time
+
+CHUNK = 65536
+HOLD_MAX = 4 * 1024 * 1024  # bytes kept back for one direction
+TICK_S = 0.01
+
+PASS, SILENT, UP_ONLY, DOWN_ONLY, RESET = "pass", "silent", "up-only", "down-only", "reset"
+
+
+class Direction:
+    """Bytes on their way from one socket to the other."""
+
+    def __init__(self, source, sink, up):
+        self.source, self.sink, self.up = source, sink, up
+        self.held = []  # (time it may leave, bytes)
+        self.size = 0
+        self.ended = False
+
+
+class Pair:
+    def __init__(self, client, server):
+        self.client, self.server = client, server
+        self.ways = (Direction(client, server, True), Direction(server, client, False))
+
+
+class Loop:
+    """The thread that all proxies share."""
+
+    def __init__(self):
+        self.selector = selectors.DefaultSelector()
+        self.pairs = {}  # Pair -> FaultProxy
+        self.lock = threading.Lock()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while True:
+            for key, _ in self.selector.select(TICK_S):
+                try:
+                    key.data()
+                except OSError:
+                    pass
+            with self.lock:
+                pairs = list(self.pairs.items())
+            for pair, proxy in pairs:
+                proxy.flush(pair)
+
+    def watch(self, sock, callback):
+        sock.setblocking(False)
+        self.selector.register(sock, selectors.EVENT_READ, callback)
+
+    def forget(self, sock):
+        try:
+            self.selector.unregister(sock)
+        except (KeyError, ValueError):
+            pass
+
+
+LOOP = None
+
+
+def shared_loop():
+    global LOOP
+    if LOOP is None:
+        LOOP = Loop()
+    return LOOP
+
+
+class FaultProxy:
+    """Listens on a port of the kernel's choice; target may be set later."""
+
+    def __init__(self, target=None):
+        self.target = target
+        self.mode, self.delay_s = PASS, 0.0
+        self.loop = shared_loop()
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(256)
+        self.addr = "127.0.0.1:%d" % self.sock.getsockname()[1]
+        self.loop.watch(self.sock, self._accept)
+
+    def harm(self, mode, delay_s=0.0):
+        self.mode, self.delay_s = mode, delay_s
+        if mode == RESET:
+            for pair in self._own_pairs():
+                self._end(pair, abort=True)
+
+    def heal(self):
+        self.mode, self.delay_s = PASS, 0.0
+
+    def close(self):
+        self.loop.forget(self.sock)
+        self.sock.close()
+        for pair in self._own_pairs():
+            self._end(pair, abort=True)
+
+    def _own_pairs(self):
+        with self.loop.lock:
+            return [p for p, proxy in self.loop.pairs.items() if proxy is self]
+
+    def _accept(self):
+        client, _ = self.sock.accept()
+        if self.mode == RESET or self.target is None:
+            abort(client)
+            return
+        host, port = self.target.rsplit(":", 1)
+        server = socket.socket()
+        try:
+            server.connect((host, int(port)))
+        except OSError:
+            abort(client)
+            return
+        pair = Pair(client, server)
+        with self.loop.lock:
+            self.loop.pairs[pair] = self
+        for way in pair.ways:
+            self.loop.watch(way.source, lambda w=way, p=pair: self._read(p, w))
+
+    def _read(self, pair, way):
+        if way.size > HOLD_MAX or way.ended:
+            return
+        try:
+            data = way.source.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._end(pair, abort=True)
+            return
+        if not data:
+            way.ended = True
+            self.loop.forget(way.source)
+        way.held.append((time.monotonic() + self.delay_s, data))
+        way.size += len(data)
+
+    def _blocked(self, way):
+        return self.mode == SILENT or (self.mode == UP_ONLY and not way.up) or \
+            (self.mode == DOWN_ONLY and way.up)
+
+    def flush(self, pair):
+        now = time.monotonic()
+        for way in pair.ways:
+            while way.held and way.held[0][0] <= now and not self._blocked(way):
+                data = way.held[0][1]
+                if not self._send(pair, way, data):
+                    break
+
+    def _send(self, pair, way, data):
+        try:
+            if not data:
+                way.held.pop(0)
+                way.sink.shutdown(socket.SHUT_WR)
+                if all(w.ended and not w.held for w in pair.ways):
+                    self._end(pair)
+                return False
+            sent = way.sink.send(data)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self._end(pair, abort=True)
+            return False
+        way.size -= sent
+        if sent < len(data):
+            way.held[0] = (way.held[0][0], data[sent:])
+            return False
+        way.held.pop(0)
+        return True
+
+    def _end(self, pair, abort=False):
+        with self.loop.lock:
+            self.loop.pairs.pop(pair, None)
+        for sock in (pair.client, pair.server):
+            self.loop.forget(sock)
+            if abort:
+                abort_socket(sock)
+            else:
+                sock.close()
+
+
+def abort_socket(sock):
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+    except OSError:
+        pass
+
+
+abort = abort_socket
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -436,7 +436,8 @@
 
     # ---- parts ----
 
-    def add_node(self, first_start=True):
+    def add_node(self, first_start=True, **more):
+        """more: fields of the platform's settings that differ, and `advertise`."""
         number = len(self.nodes) + 1
         zone = self.zones[(number - 1) % len(self.zones)]
         any_port = "127.0.0.1:0"
@@ -448,9 +449,15 @@
                   "seeds": [n.ready["control"] for n in self.nodes[:3]],
                   "bootstrap": first_start, "bounds": self.bounds,
                   "limits": {"cpuShare": 0.25}}
+        advertise = more.pop("advertise", None)
+        fields.update(more)
         path = os.path.join(self.dir, "%s.json" % fields["nodeName"])
-        with open(TEMPLATE) as f, open(path, "w") as out:
-            out.write(render(f.read(), fields))
+        with open(TEMPLATE) as f:
+            text = render(f.read(), fields)
+        if advertise:
+            text = text.replace("{", '{"control_advertise": "%s",' % advertise, 1)
+        with open(path, "w") as out:
+            out.write(text)
         node = Proc([os.path.join(self.build, "rillknot-node"), path], path + ".log",
                     "node.started")
         node.name, node.file = fields["nodeName"], path
