sync: a vm's end takes out what is no newer than it, and nothing else

An entry that had lapsed with the store and come back in one answer was kept at the answer's revision, so that its return looked older; the vm was dropped two seconds later and never came back. The same number, told to peers as the end's revision, would have taken out rows that were newer.

Change: an end takes out entries up to its own revision (that of the entry's last change, if it has none); the store's revision when it was seen only decides who must be told.

Test: a_vm_that_lapsed_and_came_back_in_one_answer_is_used (fails before).

--- a/node/sync.c
+++ b/node/sync.c
@@ -29,8 +29,9 @@
 /* A vm that left the list. */
 struct gone {
     char name[RK_ID_MAX];
-    int64_t revision;
-    bool lapsed; /* just after the store had been away */
+    int64_t revision; /* up to which its entries are gone */
+    int64_t at;       /* the store's, when that was seen */
+    bool lapsed;      /* just after the store had been away */
 };
 
 struct rk_sync {
@@ -213,31 +214,27 @@
     return s->back_ms && rk_mono_ms() - s->back_ms < LAPSED_MS;
 }
 
-static void remember_gone(struct rk_sync *s, const char *name, int64_t revision,
-                          bool lapsed)
+static void remember_gone(struct rk_sync *s, const struct gone *gone)
 {
     struct gone *g = &s->gone[s->gone_len++ % GONE_KEPT];
-    if (s->gone_len > GONE_KEPT && g->revision > s->gone_since)
-        s->gone_since = g->revision;
-    *g = (struct gone){.revision = revision, .lapsed = lapsed};
-    rk_strcpy(g->name, sizeof(g->name), name);
+    if (s->gone_len > GONE_KEPT && g->at > s->gone_since)
+        s->gone_since = g->at;
+    *g = *gone;
 }
 
 /* A vm is off the list. One that lapsed while the store was away is kept a little:
- * it comes back if it lives. */
-static bool drop_entry(struct rk_sync *s, const char *name, int64_t revision,
-                       bool lapsed, const char *from)
+ * it comes back, under a higher revision, if it lives. */
+static bool drop_entry(struct rk_sync *s, const struct gone *told, const char *from)
 {
-    struct entry *e = find_entry(s, name);
-    if (!e || (e->revision > revision))
+    struct entry *e = find_entry(s, told->name);
+    if (!e || e->revision > told->revision)
         return false;
-    remember_gone(s, name, revision, lapsed);
-    if (lapsed && !e->row.leaving) {
+    remember_gone(s, told);
+    if (told->lapsed && !e->row.leaving) {
         if (!e->lapsed_ms)
             log_vm(&e->row, "lapsed", from);
         if (!e->lapsed_ms)
             e->lapsed_ms = store_was_away(s) ? s->back_ms : rk_mono_ms();
-        e->revision = revision;
         return false;
     }
     log_vm(&e->row, "removed", from);
@@ -245,6 +242,19 @@
     return true;
 }
 
+/* What the store tells of a vm that is gone may carry the revision of its last
+ * change: its end has none of its own then. */
+static bool drop_told(struct rk_sync *s, const struct rk_store_object *o,
+                      int64_t at, bool lapsed)
+{
+    const struct entry *e = find_entry(s, o->name);
+    struct gone g = {.revision = o->revision, .at = at, .lapsed = lapsed};
+    if (e && e->revision > g.revision)
+        g.revision = e->revision;
+    rk_strcpy(g.name, sizeof(g.name), o->name);
+    return drop_entry(s, &g, "store");
+}
+
 static bool is_told(const struct rk_store_object *objects, size_t len,
                     const char *name)
 {
@@ -261,8 +271,11 @@
     bool changed = false;
     for (size_t i = s->entries_len; i-- > 0;) {
         const struct entry *e = &s->entries[i];
-        if (!e->lapsed_ms && !is_told(objects, len, e->name))
-            changed |= drop_entry(s, e->name, at, lapsed, from);
+        if (e->lapsed_ms || e->revision > at || is_told(objects, len, e->name))
+            continue;
+        struct gone g = {.revision = e->revision, .at = at, .lapsed = lapsed};
+        rk_strcpy(g.name, sizeof(g.name), e->name);
+        changed |= drop_entry(s, &g, from);
     }
     return changed;
 }
@@ -316,7 +329,7 @@
         changed |= drop_missing(s, objects, len, at, lapsed, "store");
     for (size_t i = 0; i < len; i++) {
         if (objects[i].gone)
-            changed |= drop_entry(s, objects[i].name, at, lapsed, "store");
+            changed |= drop_told(s, &objects[i], at, lapsed);
         else if (objects[i].spec)
             changed |= set_entry(s, objects[i].name, objects[i].revision,
                                  objects[i].spec, "store");
@@ -357,7 +370,7 @@
     size_t kept = s->gone_len < GONE_KEPT ? s->gone_len : GONE_KEPT;
     for (size_t i = 0; i < kept; i++) {
         struct gone *g = &s->gone[i];
-        if (g->revision <= since)
+        if (g->at <= since)
             continue;
         Rillknot__GoneRow *row = &s->gone_rows[out->n_gone];
         rillknot__gone_row__init(row);
@@ -401,6 +414,14 @@
     return objects;
 }
 
+static bool drop_by_peer(struct rk_sync *s, const Rillknot__GoneRow *row,
+                         int64_t at)
+{
+    struct gone g = {.revision = row->revision, .at = at, .lapsed = row->lapsed};
+    rk_strcpy(g.name, sizeof(g.name), row->name);
+    return drop_entry(s, &g, "peer");
+}
+
 static void take_list_text(struct rk_sync *s, const Rillknot__StoreText *text)
 {
     struct rk_store_object *objects = read_rows(text);
@@ -410,8 +431,7 @@
         changed |= drop_missing(s, objects, text->n_list, text->list_revision,
                                 store_was_away(s), "peer");
     for (size_t i = 0; i < text->n_gone; i++)
-        changed |= drop_entry(s, text->gone[i]->name, text->gone[i]->revision,
-                              text->gone[i]->lapsed, "peer");
+        changed |= drop_by_peer(s, text->gone[i], text->list_revision);
     for (size_t i = 0; i < text->n_list; i++) {
         if (objects[i].spec)
             changed |= set_entry(s, objects[i].name, objects[i].revision,
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -104,6 +104,23 @@
         assert len(dropped.seen) == before
 
 
+def test_a_vm_that_lapsed_and_came_back_in_one_answer_is_used():
+    """Its end and its return reach a node with the same answer of the store, and its
+    end has no revision of its own."""
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        d.store.fault = lambda req: 503
+        time.sleep(6)
+        for w in d.workers:
+            d.store.drop("servers", w.id)
+            d.store.put("servers", w.id, w.spec())
+            d.store.put("other", "thing", {})  # the store goes on
+        d.store.fault = None
+        end = time.monotonic() + 5
+        while time.monotonic() < end:
+            assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
+            time.sleep(0.05)
+
+
 def test_a_key_taken_away_is_refused_everywhere():
     with fleet() as d:
         assert all(d.call("/r/x", node=n).status == 200 for n in range(3))
