mesh, place: what a fleet of hundreds costs

Each digest told all vms to a hundred nodes (821 kB a second in the middle, 22 MB at the busiest), messages piled up behind links of 10 Mbit/s, and sums and look-ups of vms were quadratic.

Change: a link that is 256 KB behind is told no more until it has read; vms are told in fewer digests the more there are (one in eight from 1,400); sums are sorted, vms are found by an index. Test: many_vms_come_and_go; the fleet's process tests.

--- a/core/place.c
+++ b/core/place.c
@@ -24,6 +24,7 @@
                             told of it is old, and all nodes see the same */
 #define FIRST_MS    60.0 /* to the first token of a prompt that is read */
 #define COPY_WEIGHT 1.5  /* of reading: it also holds up all others there */
+#define INDEX_FIRST 64   /* places for vms; a power of two */
 #define MEMO_SLOTS  8192 /* a power of two */
 
 /* How much of a shared prefix is taken to be cached at its homes, in their order:
@@ -40,6 +41,9 @@
     char domain[RK_ID_MAX];
     struct rk_rng rng;
     struct rk_place_vm *vms;
+    size_t vms_len;
+    struct rk_place_vm **index; /* hash table of vms; NULL: free */
+    size_t index_len;           /* a power of two, twice vms_len or more */
     struct memo memos[MEMO_SLOTS];
 };
 
@@ -57,6 +61,7 @@
         next = v->next;
         free(v);
     }
+    free(p->index);
     free(p);
 }
 
@@ -67,18 +72,56 @@
 
 /* ---- rows ---- */
 
+/* The place of a vm in the index, or the free one where it would stand. */
+static size_t place_of(const struct rk_place *p, const char *id, uint64_t hash)
+{
+    size_t at = hash & (p->index_len - 1);
+    while (p->index[at] &&
+           (p->index[at]->hash != hash || strcmp(p->index[at]->row.id, id) != 0))
+        at = (at + 1) & (p->index_len - 1);
+    return at;
+}
+
+static void index_vms(struct rk_place *p)
+{
+    memset(p->index, 0, p->index_len * sizeof(struct rk_place_vm *));
+    for (struct rk_place_vm *v = p->vms; v; v = v->next)
+        p->index[place_of(p, v->row.id, v->hash)] = v;
+}
+
+/* Room for one more vm. */
+static void reserve(struct rk_place *p)
+{
+    if (p->index_len && (p->vms_len + 1) * 2 <= p->index_len)
+        return;
+    p->index_len = p->index_len ? p->index_len * 2 : INDEX_FIRST;
+    p->index = rk_realloc(p->index, p->index_len * sizeof(struct rk_place_vm *));
+    index_vms(p);
+}
+
 static struct rk_place_vm *find(struct rk_place *p, const char *id)
 {
-    uint64_t hash = rk_hash_str(0, id);
-    struct rk_place_vm *v = p->vms;
-    while (v && (v->hash != hash || strcmp(v->row.id, id) != 0))
-        v = v->next;
+    return p->index_len ? p->index[place_of(p, id, rk_hash_str(0, id))] : NULL;
+}
+
+static struct rk_place_vm *add(struct rk_place *p, const struct rk_vm_row *row)
+{
+    struct rk_place_vm *v = rk_alloc(1, sizeof(*v));
+    reserve(p);
+    v->row = *row;
+    v->hash = rk_hash_str(0, row->id);
+    v->service_hash = (uint32_t)rk_hash_str(0, row->service);
+    v->next = p->vms;
+    p->vms = v;
+    p->vms_len++;
+    p->index[place_of(p, row->id, v->hash)] = v;
     return v;
 }
 
 /* Forget vms that are off the list and have no call of ours in hand. */
 static void sweep(struct rk_place *p)
 {
+    size_t before = p->vms_len;
     for (struct rk_place_vm **at = &p->vms; *at;) {
         struct rk_place_vm *v = *at;
         if (v->listed || v->calls) {
@@ -86,8 +129,11 @@
             continue;
         }
         *at = v->next;
+        p->vms_len--;
         free(v);
     }
+    if (p->vms_len != before)
+        index_vms(p);
 }
 
 void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len)
@@ -96,13 +142,8 @@
         v->listed = false;
     for (size_t i = 0; i < len; i++) {
         struct rk_place_vm *v = find(p, rows[i].id);
-        if (!v) {
-            v = rk_alloc(1, sizeof(*v));
-            v->hash = rk_hash_str(0, rows[i].id);
-            v->service_hash = (uint32_t)rk_hash_str(0, rows[i].service);
-            v->next = p->vms;
-            p->vms = v;
-        }
+        if (!v)
+            v = add(p, &rows[i]);
         bool leaving = v->row.leaving || rows[i].leaving;
         v->row = rows[i];
         v->row.leaving = leaving; /* it never comes back */
--- a/node/digest.c
+++ b/node/digest.c
@@ -11,7 +11,9 @@
 #define FRESH_MS     900
 #define LINGER_MS    2500 /* a fleet's sum counts for so long without a newer one */
 #define DIGEST_MS    250
-#define MEMBERS_EACH 4 /* digests, one tells who the members are */
+#define MEMBERS_EACH 4   /* digests, one tells who the members are */
+#define VMS_AT_ONCE  200 /* more are told in fewer of the digests */
+#define VMS_EACH_MAX 8   /* at least one of so many */
 
 /* ---- whose digest counts ---- */
 
@@ -252,7 +254,8 @@
     to->nodes_total = (int)d->nodes_total;
     if (d->n_members)
         to->remembers_ms = d->remembers_ms;
-    take_loads(to, d);
+    if (d->vms_told)
+        take_loads(to, d);
     take_uses(to, d);
     take_services(to, d);
     take_members(k->m, d);
@@ -284,8 +287,9 @@
 struct making {
     Rillknot__Digest digest;
     Rillknot__LeaseRow lease;
-    struct rk_tally running, waiting; /* by vm */
-    struct rk_tally in_hand;          /* calls, by service */
+    struct rk_vm_load *loads; /* a row for each node and vm, then for each vm */
+    size_t loads_len;
+    struct rk_tally in_hand; /* calls, by service */
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
     uint64_t *known;
@@ -295,10 +299,32 @@
 
 static void add_loads(struct making *p, const struct rk_vm_load *loads, size_t len)
 {
-    for (size_t i = 0; i < len; i++) {
-        *rk_tally_at(&p->running, loads[i].id) += loads[i].running;
-        *rk_tally_at(&p->waiting, loads[i].id) += loads[i].waiting_tokens;
+    p->loads = rk_realloc(p->loads, (p->loads_len + len + 1) * sizeof(*p->loads));
+    if (len)
+        memcpy(p->loads + p->loads_len, loads, len * sizeof(*loads));
+    p->loads_len += len;
+}
+
+static int by_id(const void *a, const void *b)
+{
+    return strcmp(((const struct rk_vm_load *)a)->id,
+                  ((const struct rk_vm_load *)b)->id);
+}
+
+/* One row for each vm. */
+static void sum_loads(struct making *p)
+{
+    size_t len = 0;
+    qsort(p->loads, p->loads_len, sizeof(*p->loads), by_id);
+    for (size_t i = 0; i < p->loads_len; i++) {
+        if (len && !strcmp(p->loads[len - 1].id, p->loads[i].id)) {
+            p->loads[len - 1].running += p->loads[i].running;
+            p->loads[len - 1].waiting_tokens += p->loads[i].waiting_tokens;
+        } else {
+            p->loads[len++] = p->loads[i];
+        }
     }
+    p->loads_len = len;
 }
 
 static void add_in_hand(struct making *p, const struct rk_service_use *services,
@@ -333,18 +359,26 @@
 
 static void fill_vms(struct making *p)
 {
-    size_t len = p->running.len;
+    size_t len = p->loads_len;
     p->vms = rk_alloc(len + 1, sizeof(*p->vms));
     p->vm_ptrs = rk_alloc(len + 1, sizeof(*p->vm_ptrs));
     for (size_t i = 0; i < len; i++) {
         rillknot__vm_use__init(&p->vms[i]);
-        p->vms[i].id = p->running.rows[i].name;
-        p->vms[i].running = (uint32_t)p->running.rows[i].total;
-        p->vms[i].waiting_tokens = p->waiting.rows[i].total;
+        p->vms[i].id = p->loads[i].id;
+        p->vms[i].running = p->loads[i].running;
+        p->vms[i].waiting_tokens = p->loads[i].waiting_tokens;
         p->vm_ptrs[i] = &p->vms[i];
     }
     p->digest.n_vms = len;
     p->digest.vms = p->vm_ptrs;
+    p->digest.vms_told = true;
+}
+
+/* Are vms told with this digest? */
+static bool tells_vms(const struct rk_mesh *m, size_t vms)
+{
+    size_t each = 1 + vms / VMS_AT_ONCE;
+    return m->digests % (each < VMS_EACH_MAX ? each : VMS_EACH_MAX) == 0;
 }
 
 static void fill_known(struct making *p, const struct rk_mesh *m, size_t row)
@@ -440,7 +474,9 @@
         p->digest.lease = &p->lease;
     }
     add_nodes(p, m, fleet);
-    fill_vms(p);
+    sum_loads(p);
+    if (tells_vms(m, p->loads_len))
+        fill_vms(p);
     fill_uses(p, m, fleet ? &m->fleet_uses : &m->domain_uses, members);
     fill_services(p, fleet ? &m->fleet_reads : &m->domain_reads);
     if (members)
@@ -449,8 +485,7 @@
 
 static void free_making(struct making *p)
 {
-    rk_tally_free(&p->running);
-    rk_tally_free(&p->waiting);
+    free(p->loads);
     rk_tally_free(&p->in_hand);
     free(p->vms);
     free(p->vm_ptrs);
@@ -506,7 +541,7 @@
     for (struct member *k = m->members; k; k = k->next) {
         bool wants = fleet ? rk_mesh_is_near(k) && !k->bridge
                            : !rk_mesh_is_near(k) && k->bridge;
-        if (wants && k->link && rk_link_was_up(k->link))
+        if (wants && rk_mesh_takes(k->link))
             rk_link_send(k->link, &frame);
     }
     free_making(&p);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -24,6 +24,11 @@
 
 /* ---- reports out ---- */
 
+bool rk_mesh_takes(const struct rk_link *link)
+{
+    return link && rk_link_was_up(link) && rk_link_unsent(link) < RK_MESH_BEHIND;
+}
+
 /* Does this node tell a member its report? */
 static bool is_told(const struct member *k)
 {
@@ -44,7 +49,7 @@
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
     for (struct member *k = m->members; k; k = k->next)
-        if (is_told(k) && k->link && rk_link_was_up(k->link))
+        if (is_told(k) && rk_mesh_takes(k->link))
             rk_link_send(k->link, &frame);
     rk_report_free(&p);
 }
@@ -72,7 +77,7 @@
     frame.store_text = (Rillknot__StoreText *)text;
     for (struct member *k = m->members; k; k = k->next) {
         bool wants = rk_mesh_is_near(k) || (from_store && k->bridge);
-        if (wants && k->link && rk_link_was_up(k->link))
+        if (wants && rk_mesh_takes(k->link))
             rk_link_send(k->link, &frame);
     }
 }
@@ -98,6 +103,8 @@
                           const Rillknot__StoreWanted *wanted)
 {
     Rillknot__StoreText text;
+    if (!rk_mesh_takes(link))
+        return;
     rk_sync_tell(m->n->sync, wanted, &text);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
@@ -116,7 +123,7 @@
     if (!holder || now_ms - m->counts_ms < USAGE_MS)
         return;
     holder->wanted_ms = now_ms;
-    if (!holder->link || !rk_link_was_up(holder->link))
+    if (!rk_mesh_takes(holder->link))
         return;
     m->counts_ms = now_ms;
     rk_report_send_counts(m, holder->link);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -13,6 +13,10 @@
 #define RK_MESH_DIRECT  12
 #define RK_MESH_BRIDGES 2
 
+/* A peer that is so far behind is told no more for now: news come again, and what
+ * it misses of the store it asks for. */
+#define RK_MESH_BEHIND (256 * 1024)
+
 struct rk_link;
 struct rk_listener;
 
@@ -135,6 +139,8 @@
 void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms);
 
 /* mesh.c */
+/* Is there a link that takes a message now? */
+bool rk_mesh_takes(const struct rk_link *link);
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms);
 /* Ask a peer that knows more of the store. */
 void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
--- a/peers/link.c
+++ b/peers/link.c
@@ -242,6 +242,11 @@
     return true;
 }
 
+size_t rk_link_unsent(const struct rk_link *l)
+{
+    return l->out.len;
+}
+
 bool rk_link_was_up(const struct rk_link *l)
 {
     return l->was_up;
--- a/peers/link.h
+++ b/peers/link.h
@@ -34,6 +34,8 @@
 bool rk_link_send(struct rk_link *link, const Rillknot__Frame *frame);
 
 /* Did the connection ever stand? If not, nothing sent on it has left. */
+/* Bytes that wait for the peer to read. */
+size_t rk_link_unsent(const struct rk_link *l);
 bool rk_link_was_up(const struct rk_link *link);
 void rk_link_set_ctx(struct rk_link *link, void *ctx);
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3204,7 +3204,7 @@
   (ProtobufCMessageInit) rillknot__node_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[16] =
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[17] =
 {
   {
     "id",
@@ -3398,6 +3398,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vms_told",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, vms_told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__digest__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -3416,11 +3428,12 @@
   7,   /* field[7] = store_age_ms */
   12,   /* field[12] = uses */
   11,   /* field[11] = vms */
+  16,   /* field[16] = vms_told */
 };
 static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor rillknot__digest__descriptor =
 {
@@ -3430,7 +3443,7 @@
   "Rillknot__Digest",
   "rillknot",
   sizeof(Rillknot__Digest),
-  16,
+  17,
   rillknot__digest__field_descriptors,
   rillknot__digest__field_indices_by_name,
   1,  rillknot__digest__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -443,10 +443,14 @@
    */
   size_t n_members;
   Rillknot__NodeRow **members;
+  /*
+   * vms are told; else they are as they were.
+   */
+  protobuf_c_boolean vms_told;
 };
 #define RILLKNOT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -543,6 +543,39 @@
     rk_place_destroy(p);
 }
 
+/* Vms come and go by the hundred: each is found again, none that left is chosen. */
+static void many_vms_come_and_go(void **state)
+{
+    (void)state;
+    enum { VMS = 700 };
+    struct rk_vm_row *rows = rk_alloc(VMS, sizeof(*rows));
+    struct rk_place *p = rk_place_create("here", 1);
+    struct rk_place_query q = engine_query("", 100);
+    double ms;
+    for (int i = 0; i < VMS; i++) {
+        rows[i] = (struct rk_vm_row){
+            .service = "llm", .domain = "here", .slots = 8, .leaves_in_ms = -1};
+        snprintf(rows[i].id, sizeof(rows[i].id), "vm-%d", i);
+    }
+    for (int round = 0; round < 7; round++) {
+        rk_place_set_vms(p, rows + 100 * round, (size_t)(VMS - 100 * round));
+        struct rk_vm_load load = {.running = 5};
+        rk_strcpy(load.id, sizeof(load.id), rows[VMS - 1].id);
+        rk_place_set_loads(p, &load, 1);
+        int loaded = 0, count = 0;
+        for (const struct rk_place_vm *v = rk_place_vms(p); v; v = v->next) {
+            count++;
+            loaded += v->peers_running == 5;
+            assert_true(atoi(v->row.id + 3) >= 100 * round);
+        }
+        assert_int_equal(count, VMS - 100 * round);
+        assert_int_equal(loaded, 1);
+        assert_non_null(rk_place_choose(p, &q, 1000, &ms));
+    }
+    rk_place_destroy(p);
+    free(rows);
+}
+
 /* A prefix that fills its first vm goes to a second one, the same at all nodes, and
  * not to whoever is idle. */
 static void a_busy_prefix_overflows_to_one_more_vm(void **state)
@@ -717,6 +750,7 @@
         cmocka_unit_test(leaving_excluded_and_paused_vms_are_passed_over),
         cmocka_unit_test(a_vm_off_the_list_is_kept_while_it_has_calls),
         cmocka_unit_test(what_peers_have_in_hand_counts),
+        cmocka_unit_test(many_vms_come_and_go),
         cmocka_unit_test(a_busy_prefix_overflows_to_one_more_vm),
         cmocka_unit_test(the_home_of_a_prefix_is_taken_to_have_it),
         cmocka_unit_test(the_floor_is_one_on_demand_vm_a_domain),
