node: a process file that changes without a signal is read, too

Cause: the platform may change the file without a signal, and SIGHUP took over two figures only. Now the file's time is looked at every 2 s (the wait for signals has that bound), and lease, quota slack and retry figures are taken over as well, by a message to the relay. Test: a_file_that_changes_without_a_signal_is_read.

--- a/node/node.c
+++ b/node/node.c
@@ -202,6 +202,11 @@
     rk_loop_post(n->loop, begin_stop, n);
 }
 
+static int64_t retry_pct(const struct rk_procfile *file)
+{
+    return (int64_t)(file->retry_ratio * 100);
+}
+
 struct reload_message {
     struct rk_node *n;
     struct rk_procfile file;
@@ -213,7 +218,15 @@
     struct rk_procfile *file = &m->n->file;
     file->stop_s = m->file.stop_s;
     file->usage_late_s = m->file.usage_late_s;
-    RK_EVENT("node.reloaded", RK_N("stop_ms", rk_s_to_ms(file->stop_s)));
+    file->lease_ms = m->file.lease_ms;
+    file->quota_slack = m->file.quota_slack;
+    file->retry_ratio = m->file.retry_ratio;
+    file->retry_burst = m->file.retry_burst;
+    rk_relay_set_bounds(m->n->relay, retry_pct(file), (int64_t)file->retry_burst,
+                        file->quota_slack);
+    RK_EVENT("node.reloaded", RK_N("stop_ms", rk_s_to_ms(file->stop_s)),
+             RK_N("retry_pct", retry_pct(file)),
+             RK_N("quota_slack", (int64_t)file->quota_slack));
     free(m);
 }
 
@@ -236,7 +249,7 @@
         .node = n->hash,
         .seed = rk_rng_next(&n->rng),
         .max_clients = (int)f->max_connections,
-        .bounds = {.retry_pct = (int64_t)(f->retry_ratio * 100),
+        .bounds = {.retry_pct = retry_pct(f),
                    .retry_burst = (int64_t)f->retry_burst,
                    .quota_window_ms = rk_s_to_ms(f->quota_window_s),
                    .quota_slack = f->quota_slack,
--- a/programs/node.c
+++ b/programs/node.c
@@ -7,6 +7,8 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
+#include <time.h>
 
 #include "common/eventlog.h"
 #include "common/status.h"
@@ -14,6 +16,7 @@
 #include "node/node.h"
 
 #define SETTINGS_VARIABLE "RILLKNOT_CONFIG"
+#define FILE_LOOK_S       2 /* between looks at the process file */
 
 static struct {
     const char *settings;
@@ -60,7 +63,9 @@
     "PROCESS-FILE says who this process is and where it listens; without it, the "
     "variable RILLKNOT_CONFIG names it. Events go to standard output, a JSON "
     "object "
-    "a line. SIGTERM begins a planned stop; SIGHUP reads PROCESS-FILE again.",
+    "a line. SIGTERM begins a planned stop; PROCESS-FILE is read again on SIGHUP "
+    "and "
+    "when it has changed.",
     0,
     0,
     0};
@@ -74,22 +79,35 @@
         RK_WARN("node.reload_failed", RK_S("why", rk_last_error()));
 }
 
+/* Did the process file change since it was looked at last? */
+static bool file_changed(struct timespec *seen)
+{
+    struct stat st;
+    if (stat(args.settings, &st) != 0)
+        return false; /* being replaced: the next look tells */
+    bool changed =
+        st.st_mtim.tv_sec != seen->tv_sec || st.st_mtim.tv_nsec != seen->tv_nsec;
+    *seen = st.st_mtim;
+    return changed;
+}
+
 static void *wait_for_signals(void *arg)
 {
     struct rk_node *n = arg;
+    const struct timespec look = {.tv_sec = FILE_LOOK_S};
+    struct timespec seen = {0};
     sigset_t set;
-    int sig;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
+    file_changed(&seen);
     for (;;) {
-        if (sigwait(&set, &sig))
-            continue;
-        if (sig == SIGHUP)
-            reload(n);
-        else
+        int sig = sigtimedwait(&set, NULL, &look);
+        if (sig == SIGTERM || sig == SIGINT)
             rk_node_leave(n);
+        else if (file_changed(&seen) || sig == SIGHUP)
+            reload(n);
     }
     return NULL;
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -115,6 +115,8 @@
     struct rk_org_use *uses;
     size_t uses_len;
     int64_t age_ms;
+    int64_t retry_pct, retry_burst;
+    double quota_slack;
 };
 
 static bool post(struct rk_relay *r, rk_call_fn *fn, const struct message *m)
@@ -202,6 +204,25 @@
     return false;
 }
 
+static void take_bounds(void *ctx)
+{
+    struct message *m = ctx;
+    m->r->opt.bounds.retry_pct = m->retry_pct;
+    m->r->opt.bounds.retry_burst = m->retry_burst;
+    m->r->opt.bounds.quota_slack = m->quota_slack;
+    m->r->quota.slack = m->quota_slack;
+    free(m);
+}
+
+bool rk_relay_set_bounds(struct rk_relay *r, int64_t retry_pct, int64_t retry_burst,
+                         double quota_slack)
+{
+    const struct message m = {.retry_pct = retry_pct,
+                              .retry_burst = retry_burst,
+                              .quota_slack = quota_slack};
+    return post(r, take_bounds, &m);
+}
+
 static void take_restore(void *ctx)
 {
     struct message *m = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -103,6 +103,10 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
+/* Bounds that may change while it runs; see struct rk_relay_bounds. */
+bool rk_relay_set_bounds(struct rk_relay *r, int64_t retry_pct, int64_t retry_burst,
+                         double quota_slack);
+
 /* What the store remembers of quotas (all in known[0]), so old. */
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
                       int64_t age_ms);
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -538,3 +538,16 @@
         node.signal(signal.SIGHUP)
         node.wait_event("node.reloaded", 10)
         assert d.call("/r/x").status == 200
+
+
+def test_a_file_that_changes_without_a_signal_is_read():
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        node = d.nodes[0]
+        with open(node.file) as f:
+            good = f.read()
+        assert '"quota_slack": 0' in good
+        with open(node.file, "w") as f:
+            f.write(good.replace('"quota_slack": 0', '"quota_slack": 123'))
+        reloaded = node.wait_event("node.reloaded", 10)
+        assert reloaded["quota_slack"] == 123, reloaded
+        assert d.call("/r/x").status == 200
