--- a/core/tally.c
+++ b/core/tally.c
@@ -34,11 +34,12 @@
     return row ? row->total : 0;
 }
 
-void rk_tally_copy(struct rk_tally *to, const struct rk_tally *from)
+double rk_tally_rise(struct rk_tally *t, const char *name, double now)
 {
-    rk_tally_clear(to);
-    for (size_t i = 0; i < from->len; i++)
-        *rk_tally_at(to, from->rows[i].name) = from->rows[i].total;
+    double *total = rk_tally_at(t, name);
+    double rise = now - *total;
+    *total = now;
+    return rise;
 }
 
 void rk_tally_clear(struct rk_tally *t)
--- a/core/tally.h
+++ b/core/tally.h
@@ -20,7 +20,8 @@
 /* The counter of a name, made if need be; valid until the next is made. */
 double *rk_tally_at(struct rk_tally *t, const char *name);
 double rk_tally_total(const struct rk_tally *t, const char *name); /* 0: none */
-void rk_tally_copy(struct rk_tally *to, const struct rk_tally *from);
+/* Set a counter; by how much it rose. */
+double rk_tally_rise(struct rk_tally *t, const char *name, double now);
 void rk_tally_clear(struct rk_tally *t); /* no counter is left */
 void rk_tally_free(struct rk_tally *t);
 
--- a/node/digest.c
+++ b/node/digest.c
@@ -1,19 +1,15 @@
-/* Digests: in a larger fleet the bridges of a failure domain hear its nodes, tell
- * their sum to the bridges of the other domains, and tell the fleet's sum to the
- * nodes of their own. A node counts one source at a time and notes what the others
- * say meanwhile, so that nothing is counted twice or lost when one takes over. */
+/* Taking digests in. In a larger fleet the bridges of a failure domain hear its
+ * nodes, tell their sum to the bridges of the other domains, and tell the fleet's
+ * sum to the nodes of their own. A node counts one source at a time and notes what
+ * the others say meanwhile, so that nothing is counted twice or lost when one takes
+ * over. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "node/mesh_impl.h"
-#include "peers/link.h"
 
-#define FRESH_MS     900
-#define LINGER_MS    2500 /* a fleet's sum counts for so long without a newer one */
-#define DIGEST_MS    250
-#define MEMBERS_EACH 4   /* digests, one tells who the members are */
-#define VMS_AT_ONCE  200 /* more are told in fewer of the digests */
-#define VMS_EACH_MAX 8   /* at least one of so many */
+#define FRESH_MS  900  /* a source that is silent for longer has gone */
+#define LINGER_MS 2500 /* a fleet's sum counts for so long without a newer one */
 
 /* ---- whose digest counts ---- */
 
@@ -81,15 +77,6 @@
             rebase(&k->digest);
 }
 
-/* This node's own part of what a fleet's counter rose by. */
-static double own_rise(struct rk_tally *based, const char *name, double now)
-{
-    double *before = rk_tally_at(based, name);
-    double rise = now - *before;
-    *before = now;
-    return rise;
-}
-
 static double own_use(const struct rk_mesh *m, const char *org)
 {
     const struct rk_relay_report *r = m->n->report;
@@ -114,7 +101,7 @@
         const struct rk_org_use *use = &d->uses[i];
         double rise = use->units - rk_tally_total(&d->base_uses, use->org);
         if (d->fleet)
-            rise -= own_rise(&m->based_uses, use->org, own_use(m, use->org));
+            rise -= rk_tally_rise(&m->based_uses, use->org, own_use(m, use->org));
         else
             *rk_tally_at(&m->fleet_uses, use->org) += rise;
         rk_mesh_add_news(m, use->org, rise);
@@ -128,8 +115,8 @@
         double rise =
             use->read_tokens - rk_tally_total(&d->base_reads, use->service);
         if (d->fleet)
-            rise -=
-                own_rise(&m->based_reads, use->service, own_read(m, use->service));
+            rise -= rk_tally_rise(&m->based_reads, use->service,
+                                  own_read(m, use->service));
         else
             *rk_tally_at(&m->fleet_reads, use->service) += rise;
         *rk_tally_at(&m->peer_reads, use->service) += rise;
@@ -140,10 +127,10 @@
 {
     const struct rk_relay_report *r = m->n->report;
     for (size_t i = 0; r && i < r->uses_len; i++)
-        own_rise(&m->based_uses, r->uses[i].org, r->uses[i].units);
+        rk_tally_rise(&m->based_uses, r->uses[i].org, r->uses[i].units);
     for (size_t i = 0; r && i < r->services_len; i++)
-        own_rise(&m->based_reads, r->services[i].service,
-                 r->services[i].read_tokens);
+        rk_tally_rise(&m->based_reads, r->services[i].service,
+                      r->services[i].read_tokens);
 }
 
 static void count(struct member *k)
@@ -280,281 +267,3 @@
     rk_tally_free(&d->base_uses);
     rk_tally_free(&d->base_reads);
 }
-
-/* ---- making one ---- */
-
-/* A digest in the making. */
-struct making {
-    Rillknot__Digest digest;
-    Rillknot__LeaseRow lease;
-    struct rk_vm_load *loads; /* a row for each node and vm, then for each vm */
-    size_t loads_len;
-    struct rk_tally in_hand; /* calls, by service */
-    Rillknot__VmUse *vms, **vm_ptrs;
-    Rillknot__OrgUse *uses, **use_ptrs;
-    uint64_t *known;
-    Rillknot__ServiceUse *services, **service_ptrs;
-    Rillknot__NodeRow *members, **member_ptrs;
-};
-
-static void add_loads(struct making *p, const struct rk_vm_load *loads, size_t len)
-{
-    p->loads = rk_realloc(p->loads, (p->loads_len + len + 1) * sizeof(*p->loads));
-    if (len)
-        memcpy(p->loads + p->loads_len, loads, len * sizeof(*loads));
-    p->loads_len += len;
-}
-
-static int by_id(const void *a, const void *b)
-{
-    return strcmp(((const struct rk_vm_load *)a)->id,
-                  ((const struct rk_vm_load *)b)->id);
-}
-
-/* One row for each vm. */
-static void sum_loads(struct making *p)
-{
-    size_t len = 0;
-    qsort(p->loads, p->loads_len, sizeof(*p->loads), by_id);
-    for (size_t i = 0; i < p->loads_len; i++) {
-        if (len && !strcmp(p->loads[len - 1].id, p->loads[i].id)) {
-            p->loads[len - 1].running += p->loads[i].running;
-            p->loads[len - 1].waiting_tokens += p->loads[i].waiting_tokens;
-        } else {
-            p->loads[len++] = p->loads[i];
-        }
-    }
-    p->loads_len = len;
-}
-
-static void add_in_hand(struct making *p, const struct rk_service_use *services,
-                        size_t len)
-{
-    for (size_t i = 0; i < len; i++)
-        *rk_tally_at(&p->in_hand, services[i].service) += services[i].running;
-}
-
-/* Sum what runs at the nodes of this domain, and of the others if fleet. */
-static void add_nodes(struct making *p, const struct rk_mesh *m, bool fleet)
-{
-    const struct rk_relay_report *r = m->n->report;
-    int64_t now_ms = rk_mono_ms();
-    p->digest.nodes_heard = 1;
-    if (r) {
-        add_loads(p, r->loads, r->loads_len);
-        add_in_hand(p, r->services, r->services_len);
-    }
-    for (const struct member *k = m->members; k; k = k->next) {
-        if (rk_mesh_is_near(k) && rk_mesh_is_heard(k, now_ms)) {
-            p->digest.nodes_heard++;
-            add_loads(p, k->loads, k->loads_len);
-            add_in_hand(p, k->services, k->services_len);
-        } else if (fleet && rk_digest_counts(k, now_ms)) {
-            p->digest.nodes_heard += (uint32_t)k->digest.nodes_heard;
-            add_loads(p, k->digest.loads, k->digest.loads_len);
-            add_in_hand(p, k->digest.services, k->digest.services_len);
-        }
-    }
-}
-
-static void fill_vms(struct making *p)
-{
-    size_t len = p->loads_len;
-    p->vms = rk_alloc(len + 1, sizeof(*p->vms));
-    p->vm_ptrs = rk_alloc(len + 1, sizeof(*p->vm_ptrs));
-    for (size_t i = 0; i < len; i++) {
-        rillknot__vm_use__init(&p->vms[i]);
-        p->vms[i].id = p->loads[i].id;
-        p->vms[i].running = p->loads[i].running;
-        p->vms[i].waiting_tokens = p->loads[i].waiting_tokens;
-        p->vm_ptrs[i] = &p->vms[i];
-    }
-    p->digest.n_vms = len;
-    p->digest.vms = p->vm_ptrs;
-    p->digest.vms_told = true;
-}
-
-/* Are vms told with this digest? */
-static bool tells_vms(const struct rk_mesh *m, size_t vms)
-{
-    size_t each = 1 + vms / VMS_AT_ONCE;
-    return m->digests % (each < VMS_EACH_MAX ? each : VMS_EACH_MAX) == 0;
-}
-
-static void fill_known(struct making *p, const struct rk_mesh *m, size_t row)
-{
-    const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->uses_len; i++) {
-        if (strcmp(r->uses[i].org, p->uses[row].org) != 0)
-            continue;
-        uint64_t *known = &p->known[row * RK_QUOTA_PARTS];
-        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
-            known[j] = (uint64_t)r->uses[i].known[j];
-        p->uses[row].known = known;
-        p->uses[row].n_known = RK_QUOTA_PARTS;
-    }
-}
-
-static void fill_uses(struct making *p, const struct rk_mesh *m,
-                      const struct rk_tally *uses, bool known)
-{
-    p->uses = rk_alloc(uses->len + 1, sizeof(*p->uses));
-    p->use_ptrs = rk_alloc(uses->len + 1, sizeof(*p->use_ptrs));
-    p->known = rk_alloc(uses->len * RK_QUOTA_PARTS + 1, sizeof(*p->known));
-    for (size_t i = 0; i < uses->len; i++) {
-        rillknot__org_use__init(&p->uses[i]);
-        p->uses[i].org = uses->rows[i].name;
-        p->uses[i].units = uses->rows[i].total;
-        if (known)
-            fill_known(p, m, i);
-        p->use_ptrs[i] = &p->uses[i];
-    }
-    p->digest.n_uses = uses->len;
-    p->digest.uses = p->use_ptrs;
-}
-
-static void fill_services(struct making *p, const struct rk_tally *reads)
-{
-    p->services = rk_alloc(reads->len + 1, sizeof(*p->services));
-    p->service_ptrs = rk_alloc(reads->len + 1, sizeof(*p->service_ptrs));
-    for (size_t i = 0; i < reads->len; i++) {
-        Rillknot__ServiceUse *use = &p->services[i];
-        rillknot__service_use__init(use);
-        use->service = reads->rows[i].name;
-        use->read_tokens = reads->rows[i].total;
-        use->running = (uint32_t)rk_tally_total(&p->in_hand, use->service);
-        p->service_ptrs[i] = use;
-    }
-    p->digest.n_services = reads->len;
-    p->digest.services = p->service_ptrs;
-}
-
-static void fill_members(struct making *p, const struct rk_mesh *m, bool fleet)
-{
-    int64_t now_ms = rk_mono_ms();
-    size_t len = rk_mesh_count(m);
-    p->members = rk_alloc(len + 1, sizeof(*p->members));
-    p->member_ptrs = rk_alloc(len + 1, sizeof(*p->member_ptrs));
-    for (struct member *k = m->members; k; k = k->next) {
-        if (!k->id[0] || !k->domain[0] || (!fleet && !rk_mesh_is_near(k)))
-            continue;
-        Rillknot__NodeRow *row = &p->members[p->digest.n_members];
-        rillknot__node_row__init(row);
-        row->id = k->id;
-        row->addr = k->addr;
-        row->domain = k->domain;
-        row->capacity = k->capacity;
-        row->heard = rk_mesh_is_near(k) ? rk_mesh_is_heard(k, now_ms)
-                                        : k->told_ms && rk_mesh_is_alive(k, now_ms);
-        row->leaving = k->leaving;
-        p->member_ptrs[p->digest.n_members++] = row;
-    }
-    p->digest.members = p->member_ptrs;
-}
-
-static void fill(struct making *p, struct rk_mesh *m, bool fleet, bool members)
-{
-    struct rk_node *n = m->n;
-    *p = (struct making){0};
-    rillknot__digest__init(&p->digest);
-    rillknot__lease_row__init(&p->lease);
-    p->digest.id = n->file.id;
-    p->digest.addr = (char *)rk_mesh_addr(m);
-    p->digest.domain = n->file.failure_domain;
-    p->digest.incarnation = n->incarnation;
-    p->digest.fleet = fleet;
-    p->digest.settings_version = rk_sync_version(n->sync);
-    p->digest.list_revision = rk_sync_list_revision(n->sync);
-    p->digest.store_age_ms = rk_sync_age_ms(n->sync);
-    p->digest.nodes_total = (uint32_t)rk_mesh_total(m);
-    p->digest.remembers_ms = n->report ? n->report->remembers_ms : 0;
-    const char *value;
-    if (rk_duty_keeper_newest(n->duty_keeper, &p->lease.version, &value)) {
-        p->lease.value = (char *)value;
-        p->digest.lease = &p->lease;
-    }
-    add_nodes(p, m, fleet);
-    sum_loads(p);
-    if (tells_vms(m, p->loads_len))
-        fill_vms(p);
-    fill_uses(p, m, fleet ? &m->fleet_uses : &m->domain_uses, members);
-    fill_services(p, fleet ? &m->fleet_reads : &m->domain_reads);
-    if (members)
-        fill_members(p, m, fleet);
-}
-
-static void free_making(struct making *p)
-{
-    free(p->loads);
-    rk_tally_free(&p->in_hand);
-    free(p->vms);
-    free(p->vm_ptrs);
-    free(p->uses);
-    free(p->use_ptrs);
-    free(p->known);
-    free(p->services);
-    free(p->service_ptrs);
-    free(p->members);
-    free(p->member_ptrs);
-}
-
-/* ---- telling one ---- */
-
-/* Add to a bridge's counters what this node used and read since the last time. */
-static void add_own(struct rk_mesh *m)
-{
-    const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->uses_len; i++) {
-        const char *org = r->uses[i].org;
-        double rise = own_rise(&m->own_uses, org, r->uses[i].units);
-        *rk_tally_at(&m->domain_uses, org) += rise;
-        *rk_tally_at(&m->fleet_uses, org) += rise;
-    }
-    for (size_t i = 0; r && i < r->services_len; i++) {
-        const char *service = r->services[i].service;
-        double rise = own_rise(&m->own_reads, service, r->services[i].read_tokens);
-        *rk_tally_at(&m->domain_reads, service) += rise;
-        *rk_tally_at(&m->fleet_reads, service) += rise;
-    }
-}
-
-void rk_digest_begin(struct rk_mesh *m)
-{
-    const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->uses_len; i++)
-        own_rise(&m->own_uses, r->uses[i].org, r->uses[i].units);
-    for (size_t i = 0; r && i < r->services_len; i++)
-        own_rise(&m->own_reads, r->services[i].service, r->services[i].read_tokens);
-    for (struct member *k = m->members; k; k = k->next) {
-        k->incarnation = 0; /* its next report is where counting begins */
-        k->digest.based = false;
-    }
-}
-
-static void tell(struct rk_mesh *m, bool fleet, bool members)
-{
-    struct making p;
-    fill(&p, m, fleet, members);
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
-    frame.digest = &p.digest;
-    for (struct member *k = m->members; k; k = k->next) {
-        bool wants = fleet ? rk_mesh_is_near(k) && !k->bridge
-                           : !rk_mesh_is_near(k) && k->bridge;
-        if (wants && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
-    }
-    free_making(&p);
-}
-
-void rk_digest_tell(struct rk_mesh *m)
-{
-    int64_t now_ms = rk_mono_ms();
-    if (!m->bridge || now_ms - m->digest_ms < DIGEST_MS)
-        return;
-    bool members = m->digests++ % MEMBERS_EACH == 0;
-    m->digest_ms = now_ms;
-    add_own(m);
-    tell(m, false, members);
-    tell(m, true, members);
-}
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -1,7 +1,8 @@
-/* State of the mesh, shared by mesh.c (links, who is told what), members.c (the
- * nodes that are known), report.c (what nodes tell of themselves), digest.c (what
- * bridges tell of several nodes) and enrol.c (the list of nodes in the store). Not
- * for others. */
+/* State of the mesh, shared by its files: members.c (the nodes that are known, who
+ * bridges), mesh.c (links, who is told what), report.c (what nodes tell of
+ * themselves), digest.c and digest_tell.c (what bridges tell of several nodes),
+ * loads.c (what runs where) and enrol.c (the list of nodes in the store). Not for
+ * others. */
 #ifndef RK_NODE_MESH_IMPL_H
 #define RK_NODE_MESH_IMPL_H
 
@@ -162,13 +163,9 @@
 uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
                           int64_t now_ms);
 
-/* digest.c */
+/* digest.c: what bridges tell. */
 void rk_digest_take(struct member *k, const Rillknot__Digest *d);
 void rk_digest_free(struct digest *d);
-/* Tell a digest to those who need it, if this node is a bridge. */
-void rk_digest_tell(struct rk_mesh *m);
-/* Begin to count as a bridge. */
-void rk_digest_begin(struct rk_mesh *m);
 /* The node whose digest of the fleet counts here; NULL: none is fresh enough. */
 const struct member *rk_digest_of_fleet(const struct rk_mesh *m, int64_t now_ms);
 /* The node whose digest of another domain counts here. */
@@ -177,6 +174,12 @@
 /* Does a member's digest count now? */
 bool rk_digest_counts(const struct member *k, int64_t now_ms);
 
+/* digest_tell.c */
+/* Tell a digest to those who need it, if this node is a bridge. */
+void rk_digest_tell(struct rk_mesh *m);
+/* Begin to count as a bridge. */
+void rk_digest_begin(struct rk_mesh *m);
+
 /* enrol.c: write this node to the list, read who is there. */
 void rk_enrol_init(struct rk_mesh *m);
 void rk_enrol_start(struct rk_mesh *m);
