--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """make bench: what measurement says of the routing, of a node's cost, and of the
 size of two years, as ratios in one run. Sections by name: routing, overhead,
-reclaim, plan, slopes, gossip."""
+reclaim, slopes, gossip."""
 import concurrent.futures
 import json
 import os
@@ -176,22 +176,6 @@
                   r["spread_rounds"], r["spread_rounds_10pct_dead"]))
 
 
-def plan():
-    print("holding vms over a modelled day of prices, waves and refused starts; ratios to "
-          "the plan")
-    base = None
-    for r in tool_lines("holding"):
-        if r["policy"] == "plan":
-            base = r
-        print("  %-9s %-26s cost/1000 slot s at target %.4f (x%.2f)  missed %.3f%% urgent "
-              "%.4f%%  recomputed: no KV %d, KV %d, long moved first %d, last %d" % (
-                  r["user"], r["policy"], r["cost_per_1000_slot_s_met"],
-                  r["cost_per_1000_slot_s_met"] / base["cost_per_1000_slot_s_met"],
-                  r["missed_pct"], r["urgent_missed_pct"], r["recomputed_no_kv"],
-                  r["recomputed_kv"], r["recomputed_long_first"],
-                  r["recomputed_long_last"]))
-
-
 def rss_kb(p):
     with open("/proc/%d/status" % p.popen.pid) as f:
         return next(int(x.split()[1]) for x in f if x.startswith("VmRSS"))
@@ -273,7 +257,7 @@
 
 SECTIONS = {"routing": routing, "routing2": routing2, "overhead": overhead,
             "streams": streams, "users": users,
-            "plan": plan, "slopes": slopes, "gossip": gossip}
+            "slopes": slopes, "gossip": gossip}
 
 
 def main():
