mesh: a node that knows a few addresses only learns the fleet from them

Cause: in a fleet with bridges a node that starts while the store is away knows its seeds only; these told it nothing, as it isn't of those whom they tell, and it stayed unready until the store was back. Now whoever gets a report of a node without settings answers with a digest and the members. Test: a_node_restarted_without_the_store_learns_from_its_seeds (fails before).

--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -157,6 +157,15 @@
     p->digest.services = p->service_ptrs;
 }
 
+/* Is a member told as heard? A bridge speaks for its own domain from what it hears
+ * itself; the rest is what was told here. */
+static bool is_told_of(const struct member *k, int64_t now_ms)
+{
+    if (rk_mesh_is_near(k) && k->m->bridge)
+        return rk_mesh_is_heard(k, now_ms);
+    return (k->told_ms || k->heard_ms) && rk_mesh_is_alive(k, now_ms);
+}
+
 static void fill_members(struct making *p, const struct rk_mesh *m, bool fleet)
 {
     int64_t now_ms = rk_mono_ms();
@@ -172,8 +181,7 @@
         row->addr = k->addr;
         row->domain = k->domain;
         row->capacity = k->capacity;
-        row->heard = rk_mesh_is_near(k) ? rk_mesh_is_heard(k, now_ms)
-                                        : k->told_ms && rk_mesh_is_alive(k, now_ms);
+        row->heard = is_told_of(k, now_ms);
         row->leaving = k->leaving;
         p->member_ptrs[p->digest.n_members++] = row;
     }
@@ -288,3 +296,14 @@
     tell(m, false, members);
     tell(m, true, members);
 }
+
+void rk_digest_answer(struct rk_mesh *m, struct rk_link *link)
+{
+    struct making p;
+    fill(&p, m, true, true);
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
+    frame.digest = &p.digest;
+    rk_link_send(link, &frame);
+    free_making(&p);
+}
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -163,6 +163,8 @@
         if (!rk_mesh_is_self(m, "", r->peers[i]) &&
             !rk_mesh_find_addr(m, r->peers[i]))
             rk_mesh_learn(m, "", r->peers[i]);
+    if (!m->direct && !r->settings_version)
+        rk_digest_answer(m, link);
     rk_mesh_ask_if_behind(m, link, r->settings_version, r->list_revision);
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -177,6 +177,8 @@
 /* digest_tell.c */
 /* Tell a digest to those who need it, if this node is a bridge. */
 void rk_digest_tell(struct rk_mesh *m);
+/* Tell who the members are to a node that just knows this one's address. */
+void rk_digest_answer(struct rk_mesh *m, struct rk_link *link);
 /* Begin to count as a bridge. */
 void rk_digest_begin(struct rk_mesh *m);
 
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -166,6 +166,18 @@
             assert d.call("/r/x", node=n).status == 200
 
 
+def test_a_node_restarted_without_the_store_learns_from_its_seeds():
+    """It knows a few addresses only, of nodes that may bridge nothing."""
+    with fleet(nodes=NODES) as d:
+        settled(d)
+        d.store.fault = lambda req: 503
+        d.nodes[NODES - 1].kill()
+        node = d.restart_node(NODES - 1)
+        wait_until(lambda: d.ready(node), 10)
+        assert d.call("/r/x", node=NODES - 1).status == 200
+        wait_until(lambda: d.gauge(node, "nodes_heard") == NODES, 10)
+
+
 def test_a_fleet_that_grows_past_the_limit_gets_bridges():
     with Hosted(nodes=11, zones=ZONES) as d:
         d.add_worker("plain", zone=ZONES[0])
