--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Targets: all, deps, demo, check, prove, bench, mutants, lint, format, proto,
-# clean. days plays tests/days with the users' bench (FLEETBENCH, SITES).
+# clean. days plays tests/days with the users' bench (FLEETBENCH, SITES). soak
+# harms real processes with SEEDS fresh seeds.
 # SAN=address|thread builds into a folder of its own with that sanitizer.
 CC      ?= gcc
 CXX     ?= g++
@@ -102,7 +103,13 @@
 clean:
 	rm -rf build
 
-.PHONY: days all programs deps demo check prove bench mutants lint format proto clean
+.PHONY: days soak all programs deps demo check prove bench mutants lint format proto clean
 
 days:
 	@for s in $(SITES); do python3 tools/days.py $$s; done
+
+# Fresh seeds, then those that ever failed.
+soak: deps
+	@$(MAKE) -s -j8 programs
+	@python3 tools/soak.py --seeds $(or $(SEEDS),50)
+	@python3 tools/soak.py --regress
--- a/tools/faultproxy.py
+++ b/tools/faultproxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy on loopback that harms what passes through it: delays it, holds it back
 in one direction or both, or resets connections. One thread serves all of them."""
+import collections
 import selectors
 import socket
 import struct
@@ -34,8 +35,8 @@
 
     def __init__(self):
         self.selector = selectors.DefaultSelector()
-        self.pairs = {}  # Pair -> FaultProxy
-        self.lock = threading.Lock()
+        self.pairs = {}  # Pair -> FaultProxy; this thread's, as the selector is
+        self.calls = collections.deque()  # asked for by other threads
         threading.Thread(target=self._run, daemon=True).start()
 
     def _run(self):
@@ -45,11 +46,15 @@
                     key.data()
                 except OSError:
                     pass
-            with self.lock:
-                pairs = list(self.pairs.items())
-            for pair, proxy in pairs:
+            while self.calls:
+                self.calls.popleft()()
+            for pair, proxy in list(self.pairs.items()):
                 proxy.flush(pair)
 
+    def call(self, function):
+        """Run it on the thread of the proxies."""
+        self.calls.append(function)
+
     def watch(self, sock, callback):
         sock.setblocking(False)
         self.selector.register(sock, selectors.EVENT_READ, callback)
@@ -83,42 +88,42 @@
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(256)
         self.addr = "127.0.0.1:%d" % self.sock.getsockname()[1]
-        self.loop.watch(self.sock, self._accept)
+        self.loop.call(lambda: self.loop.watch(self.sock, self._accept))
 
     def harm(self, mode, delay_s=0.0):
         self.mode, self.delay_s = mode, delay_s
         if mode == RESET:
-            for pair in self._own_pairs():
-                self._end(pair, abort=True)
+            self.loop.call(self._reset)
 
     def heal(self):
         self.mode, self.delay_s = PASS, 0.0
 
     def close(self):
+        self.loop.call(self._close)
+
+    def _close(self):
         self.loop.forget(self.sock)
         self.sock.close()
-        for pair in self._own_pairs():
-            self._end(pair, abort=True)
+        self._reset()
 
-    def _own_pairs(self):
-        with self.loop.lock:
-            return [p for p, proxy in self.loop.pairs.items() if proxy is self]
+    def _reset(self):
+        for pair in [p for p, proxy in self.loop.pairs.items() if proxy is self]:
+            self._end(pair, abort=True)
 
     def _accept(self):
         client, _ = self.sock.accept()
         if self.mode == RESET or self.target is None:
-            abort(client)
+            abort_socket(client)
             return
         host, port = self.target.rsplit(":", 1)
         server = socket.socket()
         try:
             server.connect((host, int(port)))
         except OSError:
-            abort(client)
+            abort_socket(client)
             return
         pair = Pair(client, server)
-        with self.loop.lock:
-            self.loop.pairs[pair] = self
+        self.loop.pairs[pair] = self
         for way in pair.ways:
             self.loop.watch(way.source, lambda w=way, p=pair: self._read(p, w))
 
@@ -172,8 +177,8 @@
         return True
 
     def _end(self, pair, abort=False):
-        with self.loop.lock:
-            self.loop.pairs.pop(pair, None)
+        if self.loop.pairs.pop(pair, None) is None:
+            return
         for sock in (pair.client, pair.server):
             self.loop.forget(sock)
             if abort:
@@ -188,6 +193,3 @@
         sock.close()
     except OSError:
         pass
-
-
-abort = abort_socket
