relay: what only the system may set towards an upstream is not taken from a caller

Cause: the list of own headers in relay_call.c named the six that this system sends. Orders for an engine's memory (holds, pins, backups, copies) passed through as the caller sent them. Change: the dialect says for each header whose it is: the caller's (always passed on, whatever Connection names), ours (dropped), other (passed on but for the connection's). Ruled out: rillknot-entry builds its heads from nothing and passes no header on. Tests: three, each fails on the code before (forged header reached a worker; a request id named in Connection was lost).

--- /dev/null
+++ b/core/dialect.c
@@ -0,0 +1,30 @@
+#include "core/dialect.h"
+
+#include <stdbool.h>
+#include <strings.h>
+
+#include "common/util.h"
+
+static bool is_one_of(const char *const *names, size_t len, const char *name)
+{
+    for (size_t i = 0; i < len; i++)
+        if (names[i] && !strcasecmp(names[i], name))
+            return true;
+    return false;
+}
+
+enum rk_header_owner rk_dialect_owner(const struct rk_dialect *d, const char *name)
+{
+    /* "Expect" is answered by this node, which has the whole body before it sends
+     * a byte. */
+    const char *const ours[] = {d->key,   d->deadline_ms, d->organisation,
+                                d->vm_id, d->rank,        "Expect"};
+    const char *const callers[] = {d->request_id, d->model, d->tokens, d->prefix,
+                                   d->resume_after};
+    if (is_one_of(ours, RK_ARRAY_LEN(ours), name) ||
+        is_one_of(d->orders, d->orders_len, name))
+        return RK_HEADER_OURS;
+    if (is_one_of(callers, RK_ARRAY_LEN(callers), name))
+        return RK_HEADER_CALLERS;
+    return RK_HEADER_OTHER;
+}
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -1,9 +1,11 @@
 /* Names of the headers by which callers and upstreams of a deployment say what
- * the product has to know. The product's code goes by the members; the texts
- * belong to the deployment's platform. */
+ * the product has to know, and who may set each. The product's code goes by the
+ * members; the texts belong to the deployment's platform. */
 #ifndef RK_CORE_DIALECT_H
 #define RK_CORE_DIALECT_H
 
+#include <stddef.h>
+
 struct rk_dialect {
     /* Of requests, set by callers. */
     const char *request_id;
@@ -17,6 +19,10 @@
     const char *organisation;
     const char *vm_id; /* another vm must not run the request */
     const char *rank;  /* urgency at an engine, 0 first */
+    /* Orders to an upstream that only this system may give: memory set aside or
+     * kept, copies of memory fetched or sent. Some are never sent by it. */
+    const char *const *orders;
+    size_t orders_len;
     /* Of answers. */
     const char *signature; /* of the upstream that made the body */
     const char *not_run;   /* proves that the request did not run */
@@ -24,4 +30,14 @@
     const char *ready_path;
 };
 
+/* Whose a header of a request is. */
+enum rk_header_owner {
+    RK_HEADER_CALLERS, /* the caller's word for the upstream: always passed on */
+    RK_HEADER_OURS,    /* this system's alone: what the caller sent is dropped */
+    RK_HEADER_OTHER,   /* passed on, unless it concerns only the connection */
+};
+
+/* name: in any case. */
+enum rk_header_owner rk_dialect_owner(const struct rk_dialect *d, const char *name);
+
 #endif
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -274,30 +274,31 @@
     rk_buf_printf(b, "%s: %s\r\n", name, value);
 }
 
-/* Headers that this node sets itself, or that are not for the vm. */
-static bool is_own_header(const struct rk_dialect *d, const char *name)
+/* Does a header that the caller sent go to the vm? Connection may name headers
+ * that concern only the connection; not those by which the vm knows the call. */
+static bool is_passed_on(const struct rk_relay_call *x, const char *connection,
+                         const char *name)
 {
-    const char *const names[] = {d->key,  d->organisation, d->vm_id,
-                                 d->rank, d->deadline_ms,  "Expect"};
-    for (size_t i = 0; i < RK_ARRAY_LEN(names); i++)
-        if (!strcasecmp(names[i], name))
-            return true;
-    return false;
+    const struct rk_dialect *d = x->r->opt.dialect;
+    switch (rk_dialect_owner(d, name)) {
+    case RK_HEADER_OURS:
+        return false;
+    case RK_HEADER_CALLERS:
+        return !(x->begun && !strcasecmp(name, d->resume_after));
+    case RK_HEADER_OTHER:
+        break;
+    }
+    return !rk_call_is_hop_header(name) && !rk_call_is_nominated(connection, name);
 }
 
 static void copy_headers(const struct rk_relay_call *x, const struct rk_head *head,
                          struct rk_buf *b)
 {
-    const struct rk_dialect *d = x->r->opt.dialect;
     const char *connection = rk_head_get(head, "Connection");
     for (size_t i = 0; i < head->lines_len; i++) {
         const char *name = rk_head_name(head, i);
-        if (rk_call_is_hop_header(name) || rk_call_is_nominated(connection, name) ||
-            is_own_header(d, name))
-            continue;
-        if (x->begun && !strcasecmp(name, d->resume_after))
-            continue;
-        add_line(b, name, rk_head_value(head, i));
+        if (is_passed_on(x, connection, name))
+            add_line(b, name, rk_head_value(head, i));
     }
 }
 
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -38,6 +38,20 @@
                     for n in range(1, upto + 1))
 
 
+def torn(upto, part=0):
+    """A fault: the stream is reset after so many events and bytes of the next."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        w.stream(req, conn, upto, end=False)
+        if part:
+            piece = w.event(req, upto + 1)[:part]
+            conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            time.sleep(0.05)
+        reset(conn)
+        return False
+    return fault
+
+
 def until_resumed(d, events, last_id):
     """Call until one call was begun at the faulty worker; all must be whole."""
     for _ in range(40):
@@ -68,6 +82,68 @@
         assert a.body == w.body(seen)
 
 
+SYSTEMS_OWN = ["Rillknot-Cache-Hold", "Rillknot-Pin-Ms", "Rillknot-Kv-Backup", "Kv-From",
+               "Kv-Fetch", "Rillknot-Request-Priority", "Rillknot-Expect-Instance",
+               "Rillknot-Tenant-Id"]
+
+
+def forged():
+    """Each header that only the system sets, in several cases, and repeated."""
+    return [(form, "forged") for name in SYSTEMS_OWN
+            for form in (name, name.lower(), name.upper(), name)]
+
+
+def assert_none_forged(seen):
+    for name in SYSTEMS_OWN:
+        assert "forged" not in seen.get(name), (name, seen.get(name))
+    assert not any("forged" in v for v in seen.headers.values()), seen.headers
+
+
+def test_what_only_the_system_sets_is_not_taken_from_a_caller():
+    with plain(workers=1) as d:
+        assert d.call("/r/x", headers=forged()).status == 200
+        assert_none_forged(d.workers[0].seen[-1])
+        named = [("Connection", ", ".join(SYSTEMS_OWN))]
+        assert d.call("/r/x", headers=forged() + named).status == 200
+        assert_none_forged(d.workers[0].seen[-1])
+
+
+def test_what_only_the_system_sets_is_not_taken_on_a_retry_or_resume():
+    def lose(w, req, conn):
+        reset(conn)
+        return False
+    with plain() as d:
+        d.workers[0].fault = lose
+        for _ in range(40):
+            assert d.call("/r/x", headers=forged()).status == 200
+            if d.workers[0].seen:
+                break
+        assert d.workers[0].seen, "the faulty worker was never chosen"
+        for w in d.workers:
+            for seen in w.seen:
+                assert_none_forged(seen)
+    with stream() as d:
+        d.workers[1].fault = torn(2)
+        resumed = []
+        while not resumed and len(d.workers[0].seen) < 40:
+            d.call("/s/x", deadline=7000, headers=forged())
+            resumed = [r for r in d.workers[0].seen if r.get("Last-Event-Id")]
+        assert resumed
+        for seen in resumed:
+            assert_none_forged(seen)
+
+
+def test_connection_does_not_take_away_what_a_call_is_known_by():
+    with stream(workers=1) as d:
+        kept = {"Rillknot-Model-Name": "m", "Rillknot-Token-Usage": "10,20",
+                "Rillknot-Prompt-Prefix": "a:4,b:6", "Last-Event-Id": "2"}
+        d.call("/s/x", deadline=3000, headers=list(kept.items()) + [
+            ("Connection", ", ".join(kept) + ", Rillknot-Attempt-Id")])
+        seen = d.workers[0].seen[-1]
+        assert {n: seen.get(n) for n in kept} == kept, seen.headers
+        assert seen.get("Rillknot-Attempt-Id")
+
+
 def test_routes_keys_and_unknown_ones():
     with plain(workers=1) as d:
         d.configure([d.route("r", "plain"), d.route("open", "plain", anonymous=True)])
@@ -295,28 +371,15 @@
 
 
 def test_a_broken_stream_goes_on_at_another_worker():
-    def torn(w, req, conn):
-        w.runs[req.get("Rillknot-Attempt-Id")] += 1
-        w.stream(req, conn, 3, end=False)
-        part = w.event(req, 4)[:9]  # in the middle of an event
-        conn.sendall(b"%x\r\n%s\r\n" % (len(part), part))
-        time.sleep(0.05)
-        reset(conn)
-        return False
     with stream(events=7) as d:
-        d.workers[0].fault = torn
+        d.workers[0].fault = torn(3, part=9)
         until_resumed(d, 7, "3")
 
 
 def test_a_stream_that_may_not_be_resumed_is_cut():
-    def torn(w, req, conn):
-        w.runs[req.get("Rillknot-Attempt-Id")] += 1
-        w.stream(req, conn, 3, end=False)
-        reset(conn)
-        return False
     with stream(resumable=False, maxAttempts=1) as d:
         for w in d.workers:
-            w.fault = torn
+            w.fault = torn(3)
         a = d.call("/s/x")
         assert not a.whole and d.runs(a.ident) == 1
 
