sync: the store's return is noticed by a short watch; lapsed entries go by one time for all nodes

The first change, a vm's end 4 s after the return, was taken for the return itself, and the vm for one that had lapsed with the store: used for 1.9 s more, and up to 250 ms more by the tick that looks for lapsed ones. Change: a watch that follows a failed one waits 200 ms only; retries are 0.5 s apart at most; lapsed entries have a timer of their own; peers tell how long an entry may still come back, not that it lapsed (so one node's late notice doesn't start a new 1.9 s). Test: proc_hosted_fleet.a_vm_that_leaves_after_the_store_was_back_gets_nothing, failed 3 of 3 before, passes 3 of 3 now.

--- a/node/follow.c
+++ b/node/follow.c
@@ -3,8 +3,9 @@
 #include "common/eventlog.h"
 
 #define WATCH_MS       2500 /* a watch that hangs must be noticed within contact */
+#define WATCH_LOST_MS  200  /* its end tells soon that the store is back */
 #define RETRY_FIRST_MS 100
-#define RETRY_MAX_MS   1000
+#define RETRY_MAX_MS   500 /* with WATCH_LOST_MS: back within 2 s, as entries are */
 
 static void next(struct rk_follow *f);
 
@@ -68,7 +69,8 @@
     if (f->listing)
         store->ops->list(store, f->kind, on_answer, f);
     else
-        store->ops->watch(store, f->kind, f->at, WATCH_MS, on_answer, f);
+        store->ops->watch(store, f->kind, f->at, f->lost ? WATCH_LOST_MS : WATCH_MS,
+                          on_answer, f);
 }
 
 static void on_again(void *ctx)
--- a/node/sync.c
+++ b/node/sync.c
@@ -22,22 +22,23 @@
     char *name;
     char *text; /* its contents, for peers */
     int64_t revision;
-    int64_t lapsed_ms; /* since when the store doesn't list it; 0: it does */
+    int64_t
+        lapse_ends_ms; /* off the store's list, used on till then; 0: it is on */
     struct rk_vm_row row;
 };
 
 /* A vm that left the list. */
 struct gone {
     char name[RK_ID_MAX];
-    int64_t revision; /* up to which its entries are gone */
-    int64_t at;       /* the store's, when that was seen */
-    bool lapsed;      /* just after the store had been away */
+    int64_t revision;      /* up to which its entries are gone */
+    int64_t at;            /* the store's, when that was seen */
+    int64_t lapse_ends_ms; /* it may come back till then; 0: it left */
 };
 
 struct rk_sync {
     struct rk_node *n;
     struct rk_follow settings, vms;
-    struct rk_timer tick;
+    struct rk_timer tick, lapses;
     int64_t confirmed_ms; /* until when all this was known to be the newest */
     int64_t answered_ms;  /* when the store answered last, here or to a peer */
     int64_t back_ms;      /* when it did so after it had been away; 0: never */
@@ -183,7 +184,7 @@
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
     e->revision = revision;
-    e->lapsed_ms = 0;
+    e->lapse_ends_ms = 0;
     e->row = row;
     if (changed)
         log_vm(&row, what, from);
@@ -208,10 +209,26 @@
     note_answer(ctx, rk_mono_ms());
 }
 
-/* Did entries lapse with the store, rather than because their vms left? */
-static bool store_was_away(const struct rk_sync *s)
+/* Until when entries that go now count as lapsed with the store, rather than as
+ * ends of their vms; 0: they don't. */
+static int64_t lapse_ends_ms(const struct rk_sync *s)
 {
-    return s->back_ms && rk_mono_ms() - s->back_ms < LAPSED_MS;
+    int64_t ends_ms = s->back_ms + LAPSED_MS;
+    return s->back_ms && rk_mono_ms() < ends_ms ? ends_ms : 0;
+}
+
+/* Wake up when the first of the lapsed entries is to go. */
+static void await_lapses(struct rk_sync *s)
+{
+    int64_t first_ms = 0, now_ms = rk_mono_ms();
+    for (size_t i = 0; i < s->entries_len; i++) {
+        int64_t ends_ms = s->entries[i].lapse_ends_ms;
+        if (ends_ms && (!first_ms || ends_ms < first_ms))
+            first_ms = ends_ms;
+    }
+    if (first_ms)
+        rk_timer_start(s->n->loop, &s->lapses,
+                       first_ms > now_ms ? first_ms - now_ms : 0);
 }
 
 static void remember_gone(struct rk_sync *s, const struct gone *gone)
@@ -230,11 +247,12 @@
     if (!e || e->revision > told->revision)
         return false;
     remember_gone(s, told);
-    if (told->lapsed && !e->row.leaving) {
-        if (!e->lapsed_ms)
-            log_vm(&e->row, "lapsed", from);
-        if (!e->lapsed_ms)
-            e->lapsed_ms = store_was_away(s) ? s->back_ms : rk_mono_ms();
+    if (told->lapse_ends_ms && !e->row.leaving) {
+        if (e->lapse_ends_ms)
+            return false;
+        log_vm(&e->row, "lapsed", from);
+        e->lapse_ends_ms = told->lapse_ends_ms;
+        await_lapses(s);
         return false;
     }
     log_vm(&e->row, "removed", from);
@@ -245,10 +263,11 @@
 /* What the store tells of a vm that is gone may carry the revision of its last
  * change: its end has none of its own then. */
 static bool drop_told(struct rk_sync *s, const struct rk_store_object *o,
-                      int64_t at, bool lapsed)
+                      int64_t at)
 {
     const struct entry *e = find_entry(s, o->name);
-    struct gone g = {.revision = o->revision, .at = at, .lapsed = lapsed};
+    struct gone g = {
+        .revision = o->revision, .at = at, .lapse_ends_ms = lapse_ends_ms(s)};
     if (e && e->revision > g.revision)
         g.revision = e->revision;
     rk_strcpy(g.name, sizeof(g.name), o->name);
@@ -266,14 +285,15 @@
 
 /* A whole list: what it doesn't have is gone. */
 static bool drop_missing(struct rk_sync *s, const struct rk_store_object *objects,
-                         size_t len, int64_t at, bool lapsed, const char *from)
+                         size_t len, int64_t at, const char *from)
 {
     bool changed = false;
     for (size_t i = s->entries_len; i-- > 0;) {
         const struct entry *e = &s->entries[i];
-        if (e->lapsed_ms || e->revision > at || is_told(objects, len, e->name))
+        if (e->lapse_ends_ms || e->revision > at || is_told(objects, len, e->name))
             continue;
-        struct gone g = {.revision = e->revision, .at = at, .lapsed = lapsed};
+        struct gone g = {
+            .revision = e->revision, .at = at, .lapse_ends_ms = lapse_ends_ms(s)};
         rk_strcpy(g.name, sizeof(g.name), e->name);
         changed |= drop_entry(s, &g, from);
     }
@@ -287,7 +307,7 @@
     bool changed = false;
     for (size_t i = s->entries_len; i-- > 0;) {
         struct entry *e = &s->entries[i];
-        if (!e->lapsed_ms || now_ms - e->lapsed_ms < LAPSED_MS)
+        if (!e->lapse_ends_ms || now_ms < e->lapse_ends_ms)
             continue;
         log_vm(&e->row, "removed", "time");
         remove_entry(s, e);
@@ -324,12 +344,12 @@
 {
     struct rk_sync *s = ctx;
     int64_t before = s->list_known ? s->list_revision : 0;
-    bool changed = !s->list_known, lapsed = store_was_away(s);
+    bool changed = !s->list_known;
     if (all)
-        changed |= drop_missing(s, objects, len, at, lapsed, "store");
+        changed |= drop_missing(s, objects, len, at, "store");
     for (size_t i = 0; i < len; i++) {
         if (objects[i].gone)
-            changed |= drop_told(s, &objects[i], at, lapsed);
+            changed |= drop_told(s, &objects[i], at);
         else if (objects[i].spec)
             changed |= set_entry(s, objects[i].name, objects[i].revision,
                                  objects[i].spec, "store");
@@ -353,7 +373,7 @@
     s->row_ptrs = rk_realloc(s->row_ptrs, size * sizeof(*s->row_ptrs));
     for (size_t i = 0; i < s->entries_len; i++) {
         const struct entry *e = &s->entries[i];
-        if (e->lapsed_ms || e->revision <= since)
+        if (e->lapse_ends_ms || e->revision <= since)
             continue;
         Rillknot__ListRow *row = &s->rows[out->n_list];
         rillknot__list_row__init(row);
@@ -368,6 +388,7 @@
 static void tell_gone(struct rk_sync *s, int64_t since, Rillknot__StoreText *out)
 {
     size_t kept = s->gone_len < GONE_KEPT ? s->gone_len : GONE_KEPT;
+    int64_t now_ms = rk_mono_ms();
     for (size_t i = 0; i < kept; i++) {
         struct gone *g = &s->gone[i];
         if (g->at <= since)
@@ -376,7 +397,8 @@
         rillknot__gone_row__init(row);
         row->name = g->name;
         row->revision = g->revision;
-        row->lapsed = g->lapsed;
+        row->lapse_left_ms =
+            g->lapse_ends_ms > now_ms ? g->lapse_ends_ms - now_ms : 0;
         s->gone_ptrs[out->n_gone++] = row;
     }
     out->gone = s->gone_ptrs;
@@ -417,7 +439,9 @@
 static bool drop_by_peer(struct rk_sync *s, const Rillknot__GoneRow *row,
                          int64_t at)
 {
-    struct gone g = {.revision = row->revision, .at = at, .lapsed = row->lapsed};
+    struct gone g = {.revision = row->revision, .at = at};
+    if (row->lapse_left_ms > 0)
+        g.lapse_ends_ms = rk_mono_ms() + row->lapse_left_ms;
     rk_strcpy(g.name, sizeof(g.name), row->name);
     return drop_entry(s, &g, "peer");
 }
@@ -428,8 +452,8 @@
     int64_t before = s->list_known ? s->list_revision : 0;
     bool changed = !s->list_known;
     if (!text->list_since)
-        changed |= drop_missing(s, objects, text->n_list, text->list_revision,
-                                store_was_away(s), "peer");
+        changed |=
+            drop_missing(s, objects, text->n_list, text->list_revision, "peer");
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= drop_by_peer(s, text->gone[i], text->list_revision);
     for (size_t i = 0; i < text->n_list; i++) {
@@ -503,8 +527,14 @@
                  RK_N("rank", rk_mesh_rank(s->n->mesh)));
     rk_follow_set(&s->settings, follow);
     rk_follow_set(&s->vms, follow);
+}
+
+static void on_lapses(void *ctx)
+{
+    struct rk_sync *s = ctx;
     if (drop_lapsed(s))
         publish_vms(s);
+    await_lapses(s);
 }
 
 /* ---- making ---- */
@@ -526,12 +556,14 @@
     rk_follow_init(&s->settings);
     rk_follow_init(&s->vms);
     s->tick = (struct rk_timer){.fn = on_tick, .ctx = s};
+    s->lapses = (struct rk_timer){.fn = on_lapses, .ctx = s};
     return s;
 }
 
 void rk_sync_destroy(struct rk_sync *s)
 {
     rk_timer_stop(s->n->loop, &s->tick);
+    rk_timer_stop(s->n->loop, &s->lapses);
     rk_follow_destroy(&s->settings);
     rk_follow_destroy(&s->vms);
     for (size_t i = 0; i < s->entries_len; i++)
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3643,12 +3643,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lapsed",
-    3,
+    "lapse_left_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rillknot__GoneRow, lapsed),
+    offsetof(Rillknot__GoneRow, lapse_left_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -3656,13 +3656,14 @@
   },
 };
 static const unsigned rillknot__gone_row__field_indices_by_name[] = {
-  2,   /* field[2] = lapsed */
+  2,   /* field[2] = lapse_left_ms */
   0,   /* field[0] = name */
   1,   /* field[1] = revision */
 };
-static const ProtobufCIntRange rillknot__gone_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange rillknot__gone_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 4, 2 },
   { 0, 3 }
 };
 const ProtobufCMessageDescriptor rillknot__gone_row__descriptor =
@@ -3676,7 +3677,7 @@
   3,
   rillknot__gone_row__field_descriptors,
   rillknot__gone_row__field_indices_by_name,
-  1,  rillknot__gone_row__number_ranges,
+  2,  rillknot__gone_row__number_ranges,
   (ProtobufCMessageInit) rillknot__gone_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -506,9 +506,10 @@
   char *name;
   int64_t revision;
   /*
-   * The store was away just before: it may come back.
+   * The store was away just before, and the entry may come back for so much longer;
+   * 0: it left.
    */
-  protobuf_c_boolean lapsed;
+  int64_t lapse_left_ms;
 };
 #define RILLKNOT__GONE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__gone_row__descriptor) \
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -104,6 +104,26 @@
         assert len(dropped.seen) == before
 
 
+def test_a_vm_that_leaves_after_the_store_was_back_gets_nothing():
+    """No change tells of the store's return: nodes must notice it by themselves, or
+    they take the next end of a vm for an entry that lapsed with the store."""
+    with Hosted(nodes=2) as d:
+        old, kept = d.add_worker("plain"), d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        d.store.fault = lambda req: "silent"
+        time.sleep(3.9)  # any watch before it is over, so all nodes miss the store
+        d.store.fault = None
+        time.sleep(3.2)  # the store is taken as sound again
+        d.store.drop("servers", old.id)
+        time.sleep(0.6)
+        before = len(old.seen)
+        for n in range(12):
+            d.call("/r/x", node=n % 2)
+        assert len(old.seen) == before, "calls reached a vm that had left"
+        assert kept.seen
+
+
 def test_a_vm_that_lapsed_and_came_back_in_one_answer_is_used():
     """Its end and its return reach a node with the same answer of the store, and its
     end has no revision of its own."""
