engines: speed is learnt from own calls; choice of vm, lateness and need of vms use it

Cause: core/place and core/holding had one engine's figures (30 tokens a ms, 60 ms, 0.4 ms a running call). The penalty of a vm that is no home is 3 first tokens instead of 250 ms.

--- a/core/holding.c
+++ b/core/holding.c
@@ -4,16 +4,16 @@
 #include <stdbool.h>
 #include <string.h>
 
-#define READ_PER_S      30000.0 /* prompt tokens that one engine reads */
-#define READ_SHARE      0.33    /* of that, planned with: calls come in clumps */
-#define RUNNING_SHARE   0.35    /* of its slots */
-#define RECLAIMABLE_MIN 2       /* a domain, where that kind is cheaper */
-#define STAND_IN_SHARE  0.8     /* of the need that on-demand vms stand in for */
-#define GIVEN_UP_SHARE  0.5 /* of the stand-ins that are not needed, at a time */
+#define READ_SHARE      0.48 /* of what a vm reads, planned with: calls clump */
+#define RUNNING_SHARE   0.35 /* of its slots */
+#define RECLAIMABLE_MIN 2    /* a domain, where that kind is cheaper */
+#define STAND_IN_SHARE  0.8  /* of the need that on-demand vms stand in for */
+#define GIVEN_UP_SHARE  0.5  /* of the stand-ins that are not needed, at a time */
 
-double rk_holding_need(double read_per_s, double running, double slots)
+double rk_holding_need(double read_per_s, double vm_per_s, double running,
+                       double slots)
 {
-    double by_reading = read_per_s / (READ_PER_S * READ_SHARE);
+    double by_reading = read_per_s / (vm_per_s * READ_SHARE);
     double by_running = slots > 0 ? running / (slots * RUNNING_SHARE) : 0;
     return by_reading > by_running ? by_reading : by_running;
 }
--- a/core/holding.h
+++ b/core/holding.h
@@ -39,9 +39,10 @@
     int on_demand, reclaimable;
 };
 
-/* What demand asks for, in vms. read_per_s: prompt tokens to be read; running:
- * calls in hand. */
-double rk_holding_need(double read_per_s, double running, double slots);
+/* What demand asks for, in vms. read_per_s: prompt tokens to be read; vm_per_s:
+ * what one vm reads; running: calls in hand. */
+double rk_holding_need(double read_per_s, double vm_per_s, double running,
+                       double slots);
 
 /* Smooth: up at once, down slowly. passed_ms: since `before` was made; halved_ms:
  * in which what is gone is forgotten by half. */
--- a/core/place.c
+++ b/core/place.c
@@ -4,28 +4,25 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_TOKENS_PER_MS 30.0 /* of prompts, at an engine */
-#define RUNNING_MS         0.4  /* what each running call adds for a new one */
-#define OTHER_DOMAIN_MS    4.0  /* way there and back, and the price of its bytes */
-#define PLAIN_CALL_MS      15.0 /* of a plain service's slot */
-#define JITTER_MS          2    /* so that nodes don't all choose the same */
-#define PAUSE_FIRST_MS     250  /* after a failure, doubling */
-#define PAUSE_MAX_MS       2000
-#define PAUSE_REFUSED_MS   100    /* after a refusal: it is full for a moment */
-#define PAUSED_MS          5000.0 /* cost of a paused vm: the last resort */
-#define FULL_MS            3000.0 /* cost of a vm with all slots taken */
-#define ERROR_MS           400.0  /* cost of a vm that fails each call */
-#define ERROR_SHARE        0.1    /* weight of a new outcome */
-#define KNOWN_MS           12000  /* how long a part is taken to stay cached */
-#define HOMES              4      /* vms that a prefix is sent to first */
-#define SHARED_MIN         1000   /* tokens: calls that share less are spread */
-#define OUTSIDE_MS                                                                 \
-    250.0                /* less must speak for a vm that is no home: what is      \
-                            told of it is old, and all nodes see the same */
-#define FIRST_MS    60.0 /* to the first token of a prompt that is read */
-#define COPY_WEIGHT 1.5  /* of reading: it also holds up all others there */
-#define INDEX_FIRST 64   /* places for vms; a power of two */
-#define MEMO_SLOTS  8192 /* a power of two */
+#define OTHER_DOMAIN_MS  4.0 /* way there and back, and the price of its bytes */
+#define JITTER_MS        2   /* so that nodes don't all choose the same */
+#define PAUSE_FIRST_MS   250 /* after a failure, doubling */
+#define PAUSE_MAX_MS     2000
+#define PAUSE_REFUSED_MS 100    /* after a refusal: it is full for a moment */
+#define PAUSED_MS        5000.0 /* cost of a paused vm: the last resort */
+#define FULL_MS          3000.0 /* cost of a vm with all slots taken */
+#define ERROR_MS         400.0  /* cost of a vm that fails each call */
+#define ERROR_SHARE      0.1    /* weight of a new outcome */
+#define KNOWN_MS         12000  /* how long a part is taken to stay cached */
+#define HOMES            4      /* vms that a prefix is sent to first */
+#define SHARED_MIN       1000   /* tokens: calls that share less are spread */
+#define OUTSIDE_FIRSTS                                                             \
+    3.0 /* times a first token, less must speak for a vm that is no home: what is  \
+           told of it is old, and all nodes see the same */
+#define COPY_WEIGHT    1.5  /* of reading: it also holds up all others there */
+#define WAITING_WEIGHT 1.0  /* of what waits */
+#define INDEX_FIRST    64   /* places for vms; a power of two */
+#define MEMO_SLOTS     8192 /* a power of two */
 
 /* How much of a shared prefix is taken to be cached at its homes, in their order:
  * those that come later are used only while the first are busy. */
@@ -42,6 +39,7 @@
     struct rk_rng rng;
     struct rk_place_vm *vms;
     size_t vms_len;
+    struct rk_speeds speeds;
     struct rk_place_vm **index; /* hash table of vms; NULL: free */
     size_t index_len;           /* a power of two, twice vms_len or more */
     struct memo memos[MEMO_SLOTS];
@@ -62,6 +60,7 @@
         free(v);
     }
     free(p->index);
+    rk_speeds_free(&p->speeds);
     free(p);
 }
 
@@ -70,6 +69,16 @@
     return p->vms;
 }
 
+struct rk_speed *rk_place_speeds(struct rk_place *p)
+{
+    return p->speeds.first;
+}
+
+struct rk_speed *rk_place_speed_of(struct rk_place *p, const char *service)
+{
+    return rk_speeds_of(&p->speeds, service);
+}
+
 /* ---- rows ---- */
 
 /* The place of a vm in the index, or the free one where it would stand. */
@@ -111,6 +120,7 @@
     v->row = *row;
     v->hash = rk_hash_str(0, row->id);
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
+    v->speed = rk_speeds_of(&p->speeds, row->service);
     v->next = p->vms;
     p->vms = v;
     p->vms_len++;
@@ -310,26 +320,57 @@
     return ms;
 }
 
-/* Time to the first byte; *cost_ms: the same, with what the reading costs others.
- */
-static double engine_ms(struct rk_place *p, const struct rk_place_query *q,
-                        const struct rk_place_vm *v, double share, int64_t now_ms,
-                        double *cost_ms)
+static struct rk_engine_load load_of(struct rk_place *p,
+                                     const struct rk_place_query *q,
+                                     const struct rk_place_vm *v, double share,
+                                     int64_t now_ms)
 {
-    double read = q->tokens_in - cached(p, q, v, share, now_ms);
-    double read_ms = read > 0 ? read / READ_TOKENS_PER_MS : 0;
-    double waiting = v->waiting_tokens + v->peers_waiting_tokens;
-    double wait_ms = waiting / READ_TOKENS_PER_MS +
-                     RUNNING_MS * (v->running + (double)v->peers_running);
-    *cost_ms = wait_ms + read_ms * COPY_WEIGHT;
-    return wait_ms + read_ms + FIRST_MS;
+    double unread = q->tokens_in - cached(p, q, v, share, now_ms);
+    return (struct rk_engine_load){
+        .unread = unread > 0 ? unread : 0,
+        .waiting = v->waiting_tokens + v->peers_waiting_tokens,
+        .running = v->running + (double)v->peers_running};
 }
 
-static double plain_ms(const struct rk_place_vm *v)
+/* What sending a call there costs it and others: the time to its first token, but
+ * all that waits counts, as what is told of it is old, and its own reading counts
+ * more, as it holds up others. */
+static double cost_of(const struct rk_place_vm *v,
+                      const struct rk_engine_load *load)
+{
+    const struct rk_engine_load dearer = {.unread = load->unread * COPY_WEIGHT +
+                                                    load->waiting * WAITING_WEIGHT,
+                                          .running = load->running};
+    return rk_engine_first(&v->speed->engine, &dearer).ms;
+}
+
+static double in_hand_per_slot(const struct rk_place_vm *v)
 {
     double slots = v->row.slots > 0 ? (double)v->row.slots : 1;
-    double in_hand = v->running + (double)v->peers_running;
-    return PLAIN_CALL_MS * (1 + in_hand / slots);
+    return (v->running + (double)v->peers_running) / slots;
+}
+
+/* Predicted time to the first byte, and *cost_ms by which vms are compared. */
+static struct rk_engine_forecast forecast(struct rk_place *p,
+                                          const struct rk_place_query *q,
+                                          const struct rk_place_vm *v,
+                                          const struct homes *homes, int64_t now_ms,
+                                          double *cost_ms)
+{
+    double pace = rk_pace_factor(&v->pace, now_ms);
+    struct rk_engine_forecast f = {0};
+    if (!q->engine) {
+        f.ms = rk_speed_plain(v->speed, in_hand_per_slot(v)) * pace;
+        *cost_ms = f.ms;
+        return f;
+    }
+    struct rk_engine_load load = load_of(p, q, v, home_share(homes, v), now_ms);
+    f = rk_engine_first(&v->speed->engine, &load);
+    f.ms *= pace;
+    *cost_ms = cost_of(v, &load) * pace;
+    if (home_of(homes, v) < 0)
+        *cost_ms += OUTSIDE_FIRSTS * v->speed->engine.coef[0];
+    return f;
 }
 
 int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
@@ -342,29 +383,26 @@
 
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
                                     const struct rk_place_query *q, int64_t now_ms,
-                                    double *first_ms)
+                                    struct rk_engine_forecast *first)
 {
     uint32_t service_hash = (uint32_t)rk_hash_str(0, q->service);
     struct homes homes;
     struct rk_place_vm *best = NULL;
     double best_ms = INFINITY;
-    *first_ms = 0;
+    *first = (struct rk_engine_forecast){0};
     find_homes(p, q, service_hash, &homes);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!can_take(q, service_hash, v))
             continue;
-        double ms = plain_ms(v), work_ms = ms;
-        if (q->engine)
-            work_ms = engine_ms(p, q, v, home_share(&homes, v), now_ms, &ms);
-        if (q->engine && home_of(&homes, v) < 0)
-            ms += OUTSIDE_MS;
+        double ms;
+        struct rk_engine_forecast f = forecast(p, q, v, &homes, now_ms, &ms);
         ms += trouble_ms(v, now_ms);
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += OTHER_DOMAIN_MS;
         ms += rk_rng_below(&p->rng, JITTER_MS);
         if (ms < best_ms) {
             best_ms = ms;
-            *first_ms = work_ms;
+            *first = f;
             best = v;
         }
     }
@@ -373,32 +411,70 @@
 
 /* ---- a call's life ---- */
 
-double rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
-                     const struct rk_place_query *q, int64_t now_ms)
+static void remember_parts(struct rk_place *p, const struct rk_place_vm *vm,
+                           const struct rk_place_query *q, int64_t now_ms)
 {
-    vm->calls++;
-    vm->running++;
-    if (!q->engine)
-        return 0;
-    struct homes homes;
-    find_homes(p, q, vm->service_hash, &homes);
-    double read = q->tokens_in - cached(p, q, vm, home_share(&homes, vm), now_ms);
     for (size_t i = 0; i < q->parts_len; i++)
         *memo(p, q->parts[i].chain, vm->hash) = (struct memo){
             .chain = q->parts[i].chain, .vm = vm->hash, .at_ms = now_ms};
-    if (read < 0)
-        read = 0;
-    vm->waiting_tokens += read;
-    return read;
 }
 
-void rk_place_first(struct rk_place_vm *vm, double tokens)
+void rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
+                   const struct rk_place_query *q, int64_t now_ms,
+                   struct rk_place_job *job)
+{
+    *job = (struct rk_place_job){.engine = q->engine, .sent_ms = now_ms};
+    if (q->engine) {
+        struct homes homes;
+        find_homes(p, q, vm->service_hash, &homes);
+        job->load = load_of(p, q, vm, home_share(&homes, vm), now_ms);
+        job->expected_ms = rk_engine_first(&vm->speed->engine, &job->load).ms;
+        remember_parts(p, vm, q, now_ms);
+        vm->waiting_tokens += job->load.unread;
+    } else {
+        job->in_hand_per_slot = in_hand_per_slot(vm);
+        job->expected_ms = rk_speed_plain(vm->speed, job->in_hand_per_slot);
+    }
+    vm->calls++;
+    vm->running++;
+}
+
+/* Its prompt is read, or will not be. */
+static void stop_waiting(struct rk_place_vm *vm, struct rk_place_job *job)
 {
-    vm->waiting_tokens -= tokens;
+    if (job->first)
+        return;
+    job->first = true;
+    vm->waiting_tokens -= job->load.unread;
     if (vm->waiting_tokens < 0)
         vm->waiting_tokens = 0;
 }
 
+void rk_place_first(struct rk_place_vm *vm, struct rk_place_job *job,
+                    int64_t now_ms)
+{
+    double took_ms = (double)(now_ms - job->sent_ms);
+    if (job->first)
+        return;
+    stop_waiting(vm, job);
+    if (job->odd)
+        return;
+    rk_pace_learn(&vm->pace, took_ms, job->expected_ms, now_ms);
+    if (job->engine)
+        rk_engine_learn(&vm->speed->engine, &job->load, took_ms);
+    else
+        rk_speed_plain_learn(vm->speed, job->in_hand_per_slot, took_ms);
+}
+
+/* It was given up without a first byte, later than expected. */
+static void note_silence(struct rk_place_vm *vm, const struct rk_place_job *job,
+                         int64_t now_ms)
+{
+    double took_ms = (double)(now_ms - job->sent_ms);
+    if (!job->first && !job->odd && took_ms > job->expected_ms)
+        rk_pace_learn(&vm->pace, took_ms, job->expected_ms, now_ms);
+}
+
 static void note_outcome(struct rk_place_vm *vm, bool failed)
 {
     vm->error_rate += ERROR_SHARE * ((failed ? 1.0 : 0.0) - vm->error_rate);
@@ -413,13 +489,14 @@
     vm->paused_until_ms = now_ms + (ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS);
 }
 
-void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm, double tokens,
-                    enum rk_place_end end, int64_t now_ms)
+void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm,
+                    struct rk_place_job *job, enum rk_place_end end, int64_t now_ms)
 {
     vm->calls--;
     vm->running--;
-    if (tokens > 0)
-        rk_place_first(vm, tokens);
+    if (end == RK_PLACE_LOST)
+        note_silence(vm, job, now_ms);
+    stop_waiting(vm, job);
     switch (end) {
     case RK_PLACE_DONE:
         vm->failures = 0;
--- a/core/place.h
+++ b/core/place.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "common/util.h"
+#include "core/speeds.h"
 
 #define RK_PLACE_PARTS    16
 #define RK_PLACE_EXCLUDED 4
@@ -46,8 +47,9 @@
     double peers_waiting_tokens;
     int failures; /* in a row */
     int64_t paused_until_ms;
-    double error_rate; /* share of own answers that were failures, smoothed */
-    double rtt_ms;     /* smoothed time of plain calls */
+    double error_rate;      /* share of own answers that were failures, smoothed */
+    struct rk_speed *speed; /* of its service */
+    struct rk_pace pace;
 };
 
 struct rk_place_part {
@@ -80,20 +82,33 @@
 /* Parse "ID:TOKENS,..." into the query's parts. */
 void rk_place_parse_parts(struct rk_place_query *q, const char *text);
 
-/* The best vm, or NULL when none can take the call. *first_ms: predicted time to
- * the first byte, as far as what is in hand there decides it. */
+/* The best vm, or NULL when none can take the call. first: predicted time to its
+ * first byte there, without what speaks against the vm itself. */
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
                                     const struct rk_place_query *q, int64_t now_ms,
-                                    double *first_ms);
+                                    struct rk_engine_forecast *first);
 
 /* Which of the homes of the query's prefix a vm is; -1: none. */
 int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
                   const struct rk_place_vm *vm);
 
-/* A call's life at a vm. sent returns the tokens that will have to be read. */
-double rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
-                     const struct rk_place_query *q, int64_t now_ms);
-void rk_place_first(struct rk_place_vm *vm, double tokens);
+/* A call's attempt at a vm, from when it is sent until it ends. */
+struct rk_place_job {
+    struct rk_engine_load load; /* what it met there; of an engine */
+    double in_hand_per_slot;    /* the same, of a plain service */
+    double expected_ms;         /* to its first byte, by the service's speed */
+    int64_t sent_ms;
+    bool engine;
+    bool first; /* it has got its first byte */
+    bool odd;   /* it goes on with a stream: no measure of the vm's speed */
+};
+
+void rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
+                   const struct rk_place_query *q, int64_t now_ms,
+                   struct rk_place_job *job);
+/* Its first byte came; only the first time counts. */
+void rk_place_first(struct rk_place_vm *vm, struct rk_place_job *job,
+                    int64_t now_ms);
 
 enum rk_place_end {
     RK_PLACE_DONE,
@@ -102,9 +117,13 @@
     RK_PLACE_REFUSED, /* it proved that it did not run the call */
     RK_PLACE_CALLED_OFF,
 };
-/* tokens: what rk_place_sent() gave, if rk_place_first() was not called, else 0. */
-void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm, double tokens,
-                    enum rk_place_end end, int64_t now_ms);
+void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm,
+                    struct rk_place_job *job, enum rk_place_end end,
+                    int64_t now_ms);
+
+/* What is known of services' speeds, a list by ->next. */
+struct rk_speed *rk_place_speeds(struct rk_place *p);
+struct rk_speed *rk_place_speed_of(struct rk_place *p, const char *service);
 
 /* All vms, a list by ->next. */
 const struct rk_place_vm *rk_place_vms(const struct rk_place *p);
--- a/node/orders.c
+++ b/node/orders.c
@@ -86,6 +86,7 @@
             continue;
         sum.read_tokens += own->read_tokens;
         sum.running += own->running;
+        sum.engine = own->engine;
     }
     return sum;
 }
@@ -126,7 +127,8 @@
     /* A node that started again counts from nothing. */
     bool known = s->measured_ms && read >= 0;
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
-    double need = rk_holding_need(per_s, use.running, (double)info->slots);
+    double need = rk_holding_need(per_s, rk_engine_read_per_s(&use.engine),
+                                  use.running, (double)info->slots);
     s->asked = s->asked || need > 0;
     s->need = rk_holding_smooth(s->need, need, passed_ms, KEPT_HALVED_MS);
     s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -82,6 +82,8 @@
         struct rk_service_use *use = &report->services[report->services_len++];
         rk_strcpy(use->service, sizeof(use->service), r->services[i].name);
         use->read_tokens = r->services[i].read_tokens;
+        use->engine =
+            rk_engine_learnt(&rk_place_speed_of(r->place, use->service)->engine);
         for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next)
             if (!strcmp(v->row.service, use->service))
                 use->running += (uint32_t)v->running;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "core/dialect.h"
+#include "core/engine.h"
 #include "core/place.h"
 #include "core/quota.h"
 #include "core/routes.h"
@@ -41,6 +42,7 @@
     char service[RK_ID_MAX];
     double read_tokens; /* of prompts, not found cached */
     uint32_t running;
+    struct rk_engine_estimate engine; /* learnt here */
 };
 
 /* What a relay tells control, a few times a second. */
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -13,6 +13,16 @@
 
 #define UNSENT_MAX (4 * 1024 * 1024) /* bytes kept for a slow caller */
 
+/* The vm's first byte: what was predicted is compared with it. */
+static void note_first(struct rk_relay_call *x)
+{
+    if (x->job.first)
+        return;
+    int64_t now_ms = rk_mono_ms();
+    rk_place_first(x->vm, &x->job, now_ms);
+    rk_call_log_first(x, now_ms - x->job.sent_ms);
+}
+
 static void count_beginning(struct rk_relay_call *x, int64_t wall_ms)
 {
     if (x->counted)
@@ -144,10 +154,7 @@
     struct rk_relay_call *x = ctx;
     if (x->fate != FATE_PASS)
         return;
-    if (x->unread_tokens > 0) {
-        rk_place_first(x->vm, x->unread_tokens);
-        x->unread_tokens = 0;
-    }
+    note_first(x);
     count_beginning(x, rk_wall_ms());
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silent, SILENT_STREAM_MS);
--- a/serve/relay_arrive.c
+++ b/serve/relay_arrive.c
@@ -59,6 +59,7 @@
         x->query.tokens_in = strtod(tokens, &end);
         out = *end == ',' ? strtod(end + 1, NULL) : 0;
     }
+    x->resumes = rk_head_get(head, d->resume_after) != NULL;
     if (prefix)
         rk_place_parse_parts(&x->query, prefix);
     if (x->org && x->org->counts_tokens)
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -24,7 +24,8 @@
 #define URGENT_RANK       0
 #define LATE_URGENT       1.5 /* times its target, a predicted first byte may come */
 #define LATE_OTHERS       1.0
-#define LOGGED_ONE_IN     16 /* of calls that ended well */
+#define DOUBTS            2.0 /* standard errors: one in forty is worse */
+#define LOGGED_ONE_IN     16  /* of calls that ended well */
 
 /* ---- life ---- */
 
@@ -52,9 +53,8 @@
 {
     if (!x->vm)
         return;
-    rk_place_ended(x->r->place, x->vm, x->unread_tokens, end, rk_mono_ms());
+    rk_place_ended(x->r->place, x->vm, &x->job, end, rk_mono_ms());
     x->vm = NULL;
-    x->unread_tokens = 0;
 }
 
 void rk_call_cancel_attempt(struct rk_relay_call *x, enum rk_place_end end)
@@ -71,18 +71,26 @@
     return rk_hash_str(0, x->id) % LOGGED_ONE_IN == 0;
 }
 
-static void log_sent(const struct rk_relay_call *x, double first_ms)
+static void log_sent(const struct rk_relay_call *x)
 {
     if (!is_sampled(x))
         return;
     RK_EVENT("call.sent", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
-             RK_N("attempt", x->attempts), RK_N("first_ms", (int64_t)first_ms),
-             RK_N("read_tokens", (int64_t)x->unread_tokens),
-             RK_N("home", rk_place_home(x->r->place, &x->query, x->vm)),
-             RK_N("running", x->vm->running),
-             RK_N("peers_running", x->vm->peers_running),
-             RK_N("waiting", (int64_t)x->vm->waiting_tokens),
-             RK_N("peers_waiting", (int64_t)x->vm->peers_waiting_tokens));
+             RK_N("attempt", x->attempts),
+             RK_N("first_ms", (int64_t)x->forecast.ms),
+             RK_N("doubt_ms", (int64_t)x->forecast.doubt_ms),
+             RK_N("read_tokens", (int64_t)x->job.load.unread),
+             RK_N("waiting_tokens", (int64_t)x->job.load.waiting),
+             RK_N("running", (int64_t)x->job.load.running),
+             RK_N("home", rk_place_home(x->r->place, &x->query, x->vm)));
+}
+
+void rk_call_log_first(const struct rk_relay_call *x, int64_t seen_ms)
+{
+    if (is_sampled(x))
+        RK_EVENT("call.first", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
+                 RK_N("expected_ms", (int64_t)x->job.expected_ms),
+                 RK_N("seen_ms", seen_ms));
 }
 
 static void log_end(const struct rk_relay_call *x, int status, const char *why)
@@ -375,41 +383,52 @@
 }
 
 /* Would a first attempt get its first byte so late that the answer is worth little?
- * Then others are served better without it, and its caller may come back. */
-static bool comes_too_late(const struct rk_relay_call *x, double first_ms)
+ * Then others are served better without it, and its caller may come back. In doubt
+ * it is tried: engines are known only by what was sent to them. */
+static bool comes_too_late(const struct rk_relay_call *x)
 {
     double target_ms = (double)x->route->target_ms;
     if (!x->query.engine || x->attempts || x->begun || target_ms <= 0)
         return false;
     double slack = rank(x) <= URGENT_RANK ? LATE_URGENT : LATE_OTHERS;
-    return first_ms > target_ms * slack;
+    return x->forecast.ms - DOUBTS * x->forecast.doubt_ms > target_ms * slack;
+}
+
+static void refuse_late(struct rk_relay_call *x)
+{
+    x->vm = NULL;
+    rk_count(RK_C_LATE_REFUSED, 1);
+    rk_call_give_up(x, HTTP_REFUSED,
+                    (int64_t)x->forecast.ms - x->route->target_ms / 2,
+                    "its first byte would come too late");
+}
+
+static void note_sent(struct rk_relay_call *x)
+{
+    service_of(x->r, x->query.service)->read_tokens += x->job.load.unread;
+    x->attempts++;
+    rk_count(RK_C_ATTEMPTS, 1);
+    log_sent(x);
+    watch_silence(x);
 }
 
 void rk_call_send(struct rk_relay_call *x)
 {
-    double first_ms;
     for (int i = 0; i < MAX_CHOICES; i++) {
         int64_t now_ms = rk_mono_ms();
-        x->vm = rk_place_choose(x->r->place, &x->query, now_ms, &first_ms);
+        x->vm = rk_place_choose(x->r->place, &x->query, now_ms, &x->forecast);
         if (!x->vm)
             break;
-        if (comes_too_late(x, first_ms)) {
-            x->vm = NULL;
-            rk_count(RK_C_LATE_REFUSED, 1);
-            rk_call_give_up(x, HTTP_REFUSED,
-                            (int64_t)first_ms - x->route->target_ms / 2,
-                            "its first byte would come too late");
+        if (comes_too_late(x)) {
+            refuse_late(x);
             return;
         }
-        x->unread_tokens = rk_place_sent(x->r->place, x->vm, &x->query, now_ms);
+        rk_place_sent(x->r->place, x->vm, &x->query, now_ms, &x->job);
+        x->job.odd = x->begun || x->resumes;
         x->sent_wall_ms = rk_wall_ms();
         x->counted = false;
         if (start_attempt(x)) {
-            service_of(x->r, x->query.service)->read_tokens += x->unread_tokens;
-            x->attempts++;
-            rk_count(RK_C_ATTEMPTS, 1);
-            log_sent(x, first_ms);
-            watch_silence(x);
+            note_sent(x);
             return;
         }
         exclude_vm(x);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -48,16 +48,18 @@
     /* The attempt under way. */
     struct rk_upstream_call *up;
     struct rk_place_vm *vm;
-    double unread_tokens;
+    struct rk_place_job job;
+    struct rk_engine_forecast forecast; /* of its first byte */
     enum fate fate;
     int64_t sent_wall_ms;
     bool counted; /* this attempt's beginning, in usage */
     /* All attempts. */
     int attempts;
     bool may_have_run;
-    bool ran;   /* it counts for the quota */
-    bool begun; /* the caller has got the head */
-    int status; /* of that head */
+    bool resumes; /* the caller goes on with a stream */
+    bool ran;     /* it counts for the quota */
+    bool begun;   /* the caller has got the head */
+    int status;   /* of that head */
     struct rk_events events;
     int64_t first_ms; /* to the first byte; -1 */
 };
@@ -70,6 +72,7 @@
 void rk_call_finish(struct rk_relay_call *x);
 
 /* relay_call.c: attempts. */
+void rk_call_log_first(const struct rk_relay_call *x, int64_t seen_ms);
 bool rk_call_repeatable(const struct rk_relay_call *x);
 void rk_call_earn_retries(struct rk_relay_call *x);
 void rk_call_send(struct rk_relay_call *x);
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -72,7 +72,8 @@
         d.store.handle = real
         time.sleep(1.3)  # its watch waits, and is answered with the very change
         d.store.drop("servers", gone.id)
-        wait_until(lambda: d.gauge(d.nodes[1], "list_revision") >= d.store.revision, 6)
+        dropped_at = d.store.revision  # nodes go on writing other kinds
+        wait_until(lambda: d.gauge(d.nodes[1], "list_revision") >= dropped_at, 6)
         before = len(gone.seen)
         for _ in range(10):
             assert d.call("/r/x", node=1).status == 200
@@ -97,7 +98,8 @@
         assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
         dropped = d.workers[0]
         d.store.drop("servers", dropped.id)
-        wait_until(lambda: all(d.gauge(n, "list_revision") >= d.store.revision
+        dropped_at = d.store.revision  # nodes go on writing other kinds
+        wait_until(lambda: all(d.gauge(n, "list_revision") >= dropped_at
                                for n in d.nodes), 6)
         before = len(dropped.seen)
         assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,393 @@
+/* Units of where calls run and how many vms are held for them. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/holding.h"
+#include "core/place.h"
+
+/* ---- the choice of a vm ---- */
+
+static struct rk_vm_row vm_row(const char *id, const char *domain, int64_t slots)
+{
+    struct rk_vm_row row = {.slots = slots, .leaves_in_ms = -1};
+    rk_strcpy(row.id, sizeof(row.id), id);
+    rk_strcpy(row.service, sizeof(row.service), "llm");
+    rk_strcpy(row.domain, sizeof(row.domain), domain);
+    return row;
+}
+
+static struct rk_place *three_vms(struct rk_vm_row rows[3])
+{
+    rows[0] = vm_row("vm-a", "here", 32);
+    rows[1] = vm_row("vm-b", "here", 32);
+    rows[2] = vm_row("vm-c", "there", 32);
+    struct rk_place *p = rk_place_create("here", 1);
+    rk_place_set_vms(p, rows, 3);
+    return p;
+}
+
+static struct rk_place_query engine_query(const char *parts, double tokens)
+{
+    struct rk_place_query q = {
+        .service = "llm", .engine = true, .tokens_in = tokens};
+    rk_place_parse_parts(&q, parts);
+    return q;
+}
+
+static void a_prefix_stays_with_its_vm_until_that_is_busy(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:2000,bb:4000,cc:100", 6100);
+    struct rk_engine_forecast forecast;
+    struct rk_place_job job;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &forecast);
+    for (int i = 0; i < 20; i++) {
+        struct rk_place_vm *v = rk_place_choose(p, &q, 1000 + i, &forecast);
+        assert_ptr_equal(v, first);
+        rk_place_sent(p, v, &q, 1000 + i, &job);
+        rk_place_first(v, &job, 1050 + i);
+        rk_place_ended(p, v, &job, RK_PLACE_DONE, 1050 + i);
+    }
+    struct rk_place_query other = engine_query("dd:1,ee:30000", 30001);
+    rk_place_sent(p, first, &other, 1020, &job);
+    assert_ptr_not_equal(rk_place_choose(p, &q, 1021, &forecast), first);
+    rk_place_destroy(p);
+}
+
+static void nodes_agree_on_the_vm_of_a_prefix(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *a = three_vms(rows);
+    struct rk_place *b = rk_place_create("there", 99);
+    rk_place_set_vms(b, rows, 3);
+    for (int i = 0; i < 50; i++) {
+        char parts[64];
+        struct rk_engine_forecast first;
+        snprintf(parts, sizeof(parts), "p%d:4000,own%d:50", i, i);
+        struct rk_place_query q = engine_query(parts, 4050);
+        assert_string_equal(rk_place_choose(a, &q, 1000, &first)->row.id,
+                            rk_place_choose(b, &q, 1000, &first)->row.id);
+    }
+    rk_place_destroy(a);
+    rk_place_destroy(b);
+}
+
+static void leaving_excluded_and_paused_vms_are_passed_over(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("", 100);
+    struct rk_engine_forecast first;
+    struct rk_place_job job;
+    rows[0].leaving = true;
+    rk_place_set_vms(p, rows, 3);
+    rows[0].leaving = false; /* a list that lags doesn't bring it back */
+    rk_place_set_vms(p, rows, 3);
+    struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &first);
+    assert_string_equal(v->row.id, "vm-b");
+    rk_place_sent(p, v, &q, 1000, &job);
+    rk_place_ended(p, v, &job, RK_PLACE_LOST, 1001);
+    assert_string_equal(rk_place_choose(p, &q, 1002, &first)->row.id, "vm-c");
+    q.excluded[q.excluded_len++] = rk_hash_str(0, "vm-c");
+    assert_string_equal(rk_place_choose(p, &q, 1002, &first)->row.id, "vm-b");
+    q.excluded[q.excluded_len++] = rk_hash_str(0, "vm-b");
+    assert_null(rk_place_choose(p, &q, 1002, &first));
+    rk_place_destroy(p);
+}
+
+static void a_vm_off_the_list_is_kept_while_it_has_calls(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("", 100);
+    struct rk_engine_forecast first;
+    struct rk_place_job job;
+    struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &first);
+    rk_place_sent(p, v, &q, 1000, &job);
+    rk_place_set_vms(p, rows, 0);
+    assert_null(rk_place_choose(p, &q, 1000, &first));
+    assert_ptr_equal(rk_place_vms(p), v);
+    rk_place_ended(p, v, &job, RK_PLACE_DONE, 1001);
+    assert_null(rk_place_vms(p));
+    rk_place_destroy(p);
+}
+
+static void what_peers_have_in_hand_counts(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_vm_load loads[] = {
+        {.id = "vm-a", .running = 3, .waiting_tokens = 60000},
+        {.id = "vm-a", .waiting_tokens = 1000},
+        {.id = "gone", .running = 7}};
+    struct rk_place_query q = engine_query("", 100);
+    struct rk_engine_forecast first;
+    rk_place_set_loads(p, loads, 3);
+    assert_string_equal(rk_place_choose(p, &q, 1000, &first)->row.id, "vm-b");
+    rk_place_destroy(p);
+}
+
+/* Vms come and go by the hundred: each is found again, none that left is chosen. */
+static void many_vms_come_and_go(void **state)
+{
+    (void)state;
+    enum { VMS = 700 };
+    struct rk_vm_row *rows = rk_alloc(VMS, sizeof(*rows));
+    struct rk_place *p = rk_place_create("here", 1);
+    struct rk_place_query q = engine_query("", 100);
+    struct rk_engine_forecast first;
+    for (int i = 0; i < VMS; i++) {
+        rows[i] = (struct rk_vm_row){
+            .service = "llm", .domain = "here", .slots = 8, .leaves_in_ms = -1};
+        snprintf(rows[i].id, sizeof(rows[i].id), "vm-%d", i);
+    }
+    for (int round = 0; round < 7; round++) {
+        rk_place_set_vms(p, rows + 100 * round, (size_t)(VMS - 100 * round));
+        struct rk_vm_load load = {.running = 5};
+        rk_strcpy(load.id, sizeof(load.id), rows[VMS - 1].id);
+        rk_place_set_loads(p, &load, 1);
+        int loaded = 0, count = 0;
+        for (const struct rk_place_vm *v = rk_place_vms(p); v; v = v->next) {
+            count++;
+            loaded += v->peers_running == 5;
+            assert_true(atoi(v->row.id + 3) >= 100 * round);
+        }
+        assert_int_equal(count, VMS - 100 * round);
+        assert_int_equal(loaded, 1);
+        assert_non_null(rk_place_choose(p, &q, 1000, &first));
+    }
+    rk_place_destroy(p);
+    free(rows);
+}
+
+/* A prefix that fills its first vm goes to a second one, the same at all nodes, and
+ * not to whoever is idle. */
+static void a_busy_prefix_overflows_to_one_more_vm(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[12];
+    for (int i = 0; i < 12; i++) {
+        rows[i] = (struct rk_vm_row){
+            .service = "llm", .domain = "here", .slots = 32, .leaves_in_ms = -1};
+        snprintf(rows[i].id, sizeof(rows[i].id), "vm-%d", i);
+    }
+    struct rk_place_query q = engine_query("aa:2000,bb:6000,cc:100", 8100);
+    char first[RK_ID_MAX] = "", second[RK_ID_MAX] = "";
+    struct rk_engine_forecast forecast;
+    for (uint64_t node = 1; node <= 5; node++) {
+        struct rk_place *p = rk_place_create("here", node);
+        rk_place_set_vms(p, rows, 12);
+        const char *id = rk_place_choose(p, &q, 1000, &forecast)->row.id;
+        assert_true(node == 1 || !strcmp(id, first));
+        rk_strcpy(first, sizeof(first), id);
+        struct rk_vm_load load = {.running = 4, .waiting_tokens = 6000};
+        rk_strcpy(load.id, sizeof(load.id), first);
+        rk_place_set_loads(p, &load, 1);
+        id = rk_place_choose(p, &q, 1000, &forecast)->row.id;
+        assert_string_not_equal(id, first);
+        assert_true(node == 1 || !strcmp(id, second));
+        rk_strcpy(second, sizeof(second), id);
+        rk_place_destroy(p);
+    }
+}
+
+/* What is sent to a prefix's home is not all to be read. */
+static void the_home_of_a_prefix_is_taken_to_have_it(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:2000,bb:6000,cc:100", 8100);
+    struct rk_engine_forecast first;
+    struct rk_place_job job;
+    struct rk_place_vm *home = rk_place_choose(p, &q, 1000, &first);
+    rk_place_sent(p, home, &q, 1000, &job);
+    assert_true(job.load.unread < 1000);
+    rk_place_destroy(p);
+}
+
+/* ---- speeds ---- */
+
+/* A slow vm gets less, though its service is as fast as ever, and is tried again.
+ */
+static void a_slow_vm_is_passed_over_for_a_while(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("", 2000);
+    struct rk_engine_forecast first;
+    struct rk_place_job job;
+    struct rk_place_vm *slow = rk_place_choose(p, &q, 1000, &first);
+    for (int i = 0; i < 5; i++) {
+        rk_place_sent(p, slow, &q, 1000, &job);
+        rk_place_first(slow, &job, 1000 + (int64_t)(job.expected_ms * 6));
+        rk_place_ended(p, slow, &job, RK_PLACE_DONE, 1600);
+    }
+    assert_ptr_not_equal(rk_place_choose(p, &q, 1700, &first), slow);
+    assert_ptr_equal(rk_place_choose(p, &q, 60000, &first), slow);
+    rk_place_destroy(p);
+}
+
+/* What was given up without a byte says that the vm is slow, too. */
+static void silence_counts_as_slowness(void **state)
+{
+    (void)state;
+    struct rk_pace pace = {0};
+    assert_true(rk_pace_factor(&pace, 5) == 1);
+    for (int i = 0; i < 3; i++)
+        rk_pace_learn(&pace, 4000, 100, 1000);
+    assert_true(rk_pace_factor(&pace, 1000) > 1.5);
+    assert_true(rk_pace_factor(&pace, 30000) < 1.01);
+}
+
+static void plain_calls_teach_how_long_they_take(void **state)
+{
+    (void)state;
+    struct rk_speeds speeds = {0};
+    struct rk_speed *s = rk_speeds_of(&speeds, "slots");
+    assert_ptr_equal(rk_speeds_of(&speeds, "slots"), s);
+    for (int i = 0; i < 100; i++)
+        rk_speed_plain_learn(s, 0.5, 90);
+    assert_true(s->plain_ms > 55 && s->plain_ms < 65);
+    assert_true(rk_speed_plain(s, 1) > rk_speed_plain(s, 0));
+    rk_speeds_free(&speeds);
+}
+
+/* ---- how many vms to hold ---- */
+
+static struct rk_holding_input three_domains(void)
+{
+    return (struct rk_holding_input){
+        .domains = {{"a", 0.85, 1, 1}, {"b", 1.2, 1, 1}, {"c", 1.0, 1, 1}},
+        .domains_len = 3,
+        .min_vms = 1,
+        .max_vms = 6,
+        .spot_price = 0.2,
+        .settled = true};
+}
+
+static int sum_of(const struct rk_holding_target *targets, bool reclaimable)
+{
+    int sum = 0;
+    for (int i = 0; i < 3; i++)
+        sum += reclaimable ? targets[i].reclaimable : targets[i].on_demand;
+    return sum;
+}
+
+static void the_floor_is_one_on_demand_vm_a_domain(void **state)
+{
+    (void)state;
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = three_domains();
+    rk_holding_plan(&in, t);
+    for (int i = 0; i < 3; i++)
+        assert_true(t[i].on_demand == 1 && t[i].reclaimable == 2);
+    in.need = 8.2;
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 3);
+    assert_int_equal(sum_of(t, true), 6);
+    in.need = 100; /* the platform's limit holds */
+    rk_holding_plan(&in, t);
+    for (int i = 0; i < 3; i++)
+        assert_int_equal(t[i].on_demand + t[i].reclaimable, 6);
+}
+
+static void on_demand_vms_stand_in_and_go_some_at_a_time(void **state)
+{
+    (void)state;
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = three_domains();
+    for (int i = 0; i < 3; i++)
+        in.domains[i].reclaimable = 0;
+    in.need = in.need_now = 7.5;
+    in.max_vms = 4; /* those that can't be had take no room */
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 3); /* they were ordered, and will come */
+    in.refused = true;
+    rk_holding_plan(&in, t);
+    assert_int_equal(sum_of(t, false), 6);
+    assert_int_equal(t[0].on_demand, 4); /* where it costs least */
+    in.domains[0].on_demand = 4;
+    in.refused = false;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 4); /* kept: nothing serves in their place */
+    for (int i = 0; i < 3; i++)
+        in.domains[i].reclaimable = 2;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 3);
+    in.settled = false;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 4);
+    in.idle = true;
+    rk_holding_plan(&in, t);
+    assert_int_equal(t[0].on_demand, 1);
+}
+
+/* Sixty on-demand vms that are not needed: one in 4 s would take four minutes. */
+static void a_large_provision_goes_within_a_minute(void **state)
+{
+    (void)state;
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = three_domains();
+    in.max_vms = 40;
+    in.need = in.need_now = 45;
+    for (int i = 0; i < 3; i++) {
+        in.domains[i].on_demand = 20;
+        in.domains[i].reclaimable = 14;
+    }
+    for (int step = 0; step < 12; step++) {
+        rk_holding_plan(&in, t);
+        for (int i = 0; i < 3; i++)
+            in.domains[i].on_demand = t[i].on_demand;
+    }
+    assert_int_equal(sum_of(t, false), 3);
+}
+
+static void demand_rises_at_once_and_falls_slowly(void **state)
+{
+    (void)state;
+    double need = rk_holding_need(60000, 20000, 10, 128);
+    assert_true(need > 5 && need < 7);
+    assert_true(rk_holding_need(60000, 80000, 10, 128) < need / 3);
+    assert_true(rk_holding_need(0, 20000, 100, 32) >
+                rk_holding_need(0, 20000, 100, 128));
+    assert_true(rk_holding_smooth(2, 6, 1000, 20000) == 6);
+    double later = rk_holding_smooth(6, 1, 1000, 20000);
+    assert_true(later > 5 && later < 6);
+    assert_true(rk_holding_smooth(6, 1, 100000, 20000) == 1);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_prefix_stays_with_its_vm_until_that_is_busy),
+        cmocka_unit_test(nodes_agree_on_the_vm_of_a_prefix),
+        cmocka_unit_test(leaving_excluded_and_paused_vms_are_passed_over),
+        cmocka_unit_test(a_vm_off_the_list_is_kept_while_it_has_calls),
+        cmocka_unit_test(what_peers_have_in_hand_counts),
+        cmocka_unit_test(many_vms_come_and_go),
+        cmocka_unit_test(a_busy_prefix_overflows_to_one_more_vm),
+        cmocka_unit_test(the_home_of_a_prefix_is_taken_to_have_it),
+        cmocka_unit_test(a_slow_vm_is_passed_over_for_a_while),
+        cmocka_unit_test(silence_counts_as_slowness),
+        cmocka_unit_test(plain_calls_teach_how_long_they_take),
+        cmocka_unit_test(the_floor_is_one_on_demand_vm_a_domain),
+        cmocka_unit_test(on_demand_vms_stand_in_and_go_some_at_a_time),
+        cmocka_unit_test(a_large_provision_goes_within_a_minute),
+        cmocka_unit_test(demand_rises_at_once_and_falls_slowly),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
