--- a/core/engine.c
+++ b/core/engine.c
@@ -16,7 +16,7 @@
  * of the engines measured. */
 static const double prior_off[RK_ENGINE_TERMS] = {60.0, 30.0, 1.0};
 
-#define TOLD_WEIGHT     8.0   /* calls that peers' estimates weigh at most */
+#define TOLD_WEIGHT     4.0   /* calls that peers' estimates weigh at most */
 #define MEMORY          120.0 /* calls: seconds of a busy node's, a minute's else */
 #define MEMORY_DRIFTING 12.0  /* calls, while the estimate doesn't fit any more */
 #define DRIFTS          1.2   /* errors all to one side, in units of error_ms */
@@ -27,6 +27,7 @@
 #define HUBER           2.0   /* errors above so many times error_ms weigh less */
 #define ERROR_MIN_MS    3.0   /* clocks and loops are no finer */
 #define READING_LEFT    0.5 /* of a prompt that is being read, at a random moment */
+#define SOUND_MAX       1e6 /* ms, or samples: what is told above it is no estimate */
 #define KTOKEN_MIN_MS   0.5 /* no engine reads more than 2,000 tokens a ms */
 
 static void terms_of(const struct rk_engine_load *load, double x[RK_ENGINE_TERMS])
@@ -92,6 +93,17 @@
     solve(e);
 }
 
+bool rk_engine_is_sound(const struct rk_engine_estimate *estimate)
+{
+    const double values[] = {estimate->fixed_ms, estimate->ktoken_ms,
+                             estimate->running_ms, estimate->error_ms,
+                             estimate->samples};
+    for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+        if (!isfinite(values[i]) || values[i] < 0 || values[i] > SOUND_MAX)
+            return false;
+    return true;
+}
+
 void rk_engine_set_prior(struct rk_engine *e, const struct rk_engine_estimate *told)
 {
     if (told->samples <= 0)
--- a/core/engine.h
+++ b/core/engine.h
@@ -60,6 +60,9 @@
 void rk_engine_set_prior(struct rk_engine *e,
                          const struct rk_engine_estimate *told);
 
+/* Can it be one? A peer or the store may tell anything. */
+bool rk_engine_is_sound(const struct rk_engine_estimate *estimate);
+
 /* samples counts this node's own calls only: what was told isn't told on. */
 struct rk_engine_estimate rk_engine_learnt(const struct rk_engine *e);
 
--- a/node/digest.c
+++ b/node/digest.c
@@ -195,8 +195,10 @@
     to->services_len = d->n_services;
     for (size_t i = 0; i < d->n_services; i++) {
         const Rillknot__ServiceUse *use = d->services[i];
-        to->services[i] = (struct rk_service_use){.read_tokens = use->read_tokens,
-                                                  .running = use->running};
+        to->services[i] =
+            (struct rk_service_use){.read_tokens = use->read_tokens,
+                                    .running = use->running,
+                                    .engine = rk_engines_get(use->engine)};
         rk_strcpy(to->services[i].service, sizeof(to->services[i].service),
                   use->service);
     }
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -22,6 +22,7 @@
     Rillknot__OrgUse *uses, **use_ptrs;
     uint64_t *known;
     Rillknot__ServiceUse *services, **service_ptrs;
+    Rillknot__EngineEstimate *engines;
     Rillknot__NodeRow *members, **member_ptrs;
 };
 
@@ -141,8 +142,10 @@
     p->digest.uses = p->use_ptrs;
 }
 
-static void fill_services(struct making *p, const struct rk_tally *reads)
+static void fill_services(struct making *p, const struct rk_mesh *m, bool fleet)
 {
+    const struct rk_tally *reads = fleet ? &m->fleet_reads : &m->domain_reads;
+    p->engines = rk_alloc(reads->len + 1, sizeof(*p->engines));
     p->services = rk_alloc(reads->len + 1, sizeof(*p->services));
     p->service_ptrs = rk_alloc(reads->len + 1, sizeof(*p->service_ptrs));
     for (size_t i = 0; i < reads->len; i++) {
@@ -151,6 +154,11 @@
         use->service = reads->rows[i].name;
         use->read_tokens = reads->rows[i].total;
         use->running = (uint32_t)rk_tally_total(&p->in_hand, use->service);
+        struct rk_engine_estimate e = rk_engines_of(m, use->service, fleet);
+        if (e.samples > 0) {
+            rk_engines_put(&p->engines[i], &e);
+            use->engine = &p->engines[i];
+        }
         p->service_ptrs[i] = use;
     }
     p->digest.n_services = reads->len;
@@ -214,7 +222,7 @@
     if (tells_vms(m, p->loads_len))
         fill_vms(p);
     fill_uses(p, m, fleet ? &m->fleet_uses : &m->domain_uses, members);
-    fill_services(p, fleet ? &m->fleet_reads : &m->domain_reads);
+    fill_services(p, m, fleet);
     if (members)
         fill_members(p, m, fleet);
 }
@@ -229,6 +237,7 @@
     free(p->use_ptrs);
     free(p->known);
     free(p->services);
+    free(p->engines);
     free(p->service_ptrs);
     free(p->members);
     free(p->member_ptrs);
--- /dev/null
+++ b/node/engines.c
@@ -0,0 +1,81 @@
+/* What the nodes learnt of engines' speed: told with what they asked of a service,
+ * merged here, and given to the relay as what to start from. */
+#include <string.h>
+
+#include "node/mesh_impl.h"
+
+void rk_engines_put(Rillknot__EngineEstimate *out,
+                    const struct rk_engine_estimate *e)
+{
+    rillknot__engine_estimate__init(out);
+    out->fixed_ms = (float)e->fixed_ms;
+    out->ktoken_ms = (float)e->ktoken_ms;
+    out->running_ms = (float)e->running_ms;
+    out->error_ms = (float)e->error_ms;
+    out->samples = (float)e->samples;
+}
+
+struct rk_engine_estimate rk_engines_get(const Rillknot__EngineEstimate *told)
+{
+    struct rk_engine_estimate e = {0};
+    if (!told)
+        return e;
+    e = (struct rk_engine_estimate){.fixed_ms = told->fixed_ms,
+                                    .ktoken_ms = told->ktoken_ms,
+                                    .running_ms = told->running_ms,
+                                    .error_ms = told->error_ms,
+                                    .samples = told->samples};
+    return rk_engine_is_sound(&e) ? e : (struct rk_engine_estimate){0};
+}
+
+static void merge(struct rk_engine_estimate *sum,
+                  const struct rk_service_use *services, size_t len,
+                  const char *service)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(services[i].service, service))
+            rk_engine_merge(sum, &services[i].engine);
+}
+
+/* Of this node and those of its domain that it hears. */
+static void merge_domain(struct rk_engine_estimate *sum, const struct rk_mesh *m,
+                         const char *service, int64_t now_ms)
+{
+    const struct rk_relay_report *r = m->n->report;
+    if (r)
+        merge(sum, r->services, r->services_len, service);
+    for (const struct member *k = m->members; k; k = k->next)
+        if (rk_mesh_is_heard(k, now_ms) && (m->direct || rk_mesh_is_near(k)))
+            merge(sum, k->services, k->services_len, service);
+}
+
+struct rk_engine_estimate rk_engines_of(const struct rk_mesh *m,
+                                        const char *service, bool fleet)
+{
+    struct rk_engine_estimate sum = {0};
+    int64_t now_ms = rk_mono_ms();
+    const struct member *source = fleet ? rk_digest_of_fleet(m, now_ms) : NULL;
+    if (source) {
+        merge(&sum, source->digest.services, source->digest.services_len, service);
+        return sum;
+    }
+    merge_domain(&sum, m, service, now_ms);
+    for (const struct member *k = m->members; k && fleet && !m->direct; k = k->next)
+        if (!rk_mesh_is_near(k) && rk_digest_counts(k, now_ms))
+            merge(&sum, k->digest.services, k->digest.services_len, service);
+    return sum;
+}
+
+void rk_engines_fill(const struct rk_mesh *m, struct rk_relay_peers *p)
+{
+    const struct rk_routes *routes = rk_sync_routes(m->n->sync);
+    size_t len = routes ? routes->services_len : 0;
+    p->services = rk_alloc(len + 1, sizeof(*p->services));
+    for (size_t i = 0; i < len; i++) {
+        if (!routes->services[i].engine)
+            continue;
+        struct rk_service_use *use = &p->services[p->services_len++];
+        rk_strcpy(use->service, sizeof(use->service), routes->services[i].name);
+        use->engine = rk_engines_of(m, use->service, true);
+    }
+}
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -317,6 +317,7 @@
                                      rk_tally_total(&m->peer_reads, service)};
     rk_strcpy(sum.service, sizeof(sum.service), service);
     sum.running = rk_loads_running(m, service, now_ms);
+    sum.engine = rk_engines_of(m, service, true);
     return sum;
 }
 
@@ -362,6 +363,7 @@
     struct rk_relay_peers *p = rk_alloc(1, sizeof(*p));
     rk_loads_fill(m, p, now_ms);
     fill_known(m, p, now_ms);
+    rk_engines_fill(m, p);
     p->uses = m->news;
     p->uses_len = m->news_len;
     m->news = NULL;
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -119,6 +119,7 @@
     uint64_t *known;
     Rillknot__UsageRow *usage, **usage_ptrs;
     Rillknot__ServiceUse *services, **service_ptrs;
+    Rillknot__EngineEstimate *engines;
     char **peers;
 };
 
@@ -163,6 +164,15 @@
 uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
                           int64_t now_ms);
 
+/* engines.c: what the nodes learnt of engines' speed. */
+void rk_engines_put(Rillknot__EngineEstimate *out,
+                    const struct rk_engine_estimate *e);
+struct rk_engine_estimate rk_engines_get(const Rillknot__EngineEstimate *told);
+/* The mean of this domain's nodes, or of the whole fleet's; this one's included. */
+struct rk_engine_estimate rk_engines_of(const struct rk_mesh *m,
+                                        const char *service, bool fleet);
+void rk_engines_fill(const struct rk_mesh *m, struct rk_relay_peers *p);
+
 /* digest.c: what bridges tell. */
 void rk_digest_take(struct member *k, const Rillknot__Digest *d);
 void rk_digest_free(struct digest *d);
--- a/node/orders.c
+++ b/node/orders.c
@@ -86,7 +86,6 @@
             continue;
         sum.read_tokens += own->read_tokens;
         sum.running += own->running;
-        sum.engine = own->engine;
     }
     return sum;
 }
--- a/node/report.c
+++ b/node/report.c
@@ -68,11 +68,16 @@
 {
     p->services = rk_alloc(r->services_len + 1, sizeof(*p->services));
     p->service_ptrs = rk_alloc(r->services_len + 1, sizeof(*p->service_ptrs));
+    p->engines = rk_alloc(r->services_len + 1, sizeof(*p->engines));
     for (size_t i = 0; i < r->services_len; i++) {
         rillknot__service_use__init(&p->services[i]);
         p->services[i].service = r->services[i].service;
         p->services[i].read_tokens = r->services[i].read_tokens;
         p->services[i].running = r->services[i].running;
+        if (r->services[i].engine.samples > 0) {
+            rk_engines_put(&p->engines[i], &r->services[i].engine);
+            p->services[i].engine = &p->engines[i];
+        }
         p->service_ptrs[i] = &p->services[i];
     }
     p->report.n_services = r->services_len;
@@ -135,6 +140,7 @@
     free(p->usage_ptrs);
     free(p->services);
     free(p->service_ptrs);
+    free(p->engines);
     free(p->peers);
 }
 
@@ -220,6 +226,7 @@
         rk_strcpy(use->service, sizeof(use->service), r->services[i]->service);
         use->read_tokens = r->services[i]->read_tokens;
         use->running = r->services[i]->running;
+        use->engine = rk_engines_get(r->services[i]->engine);
         double before = first ? use->read_tokens : read_before(k, use->service);
         count_read(k, use->service, use->read_tokens - before);
     }
--- a/node/state.h
+++ b/node/state.h
@@ -81,7 +81,7 @@
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
 /* What the peers asked of a service: tokens since this node's start, calls in
- * hand. */
+ * hand; and what all nodes learnt of its engines. */
 struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
                                           const char *service);
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &rillknot__usage_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__engine_estimate__init
+                     (Rillknot__EngineEstimate         *message)
+{
+  static const Rillknot__EngineEstimate init_value = RILLKNOT__ENGINE_ESTIMATE__INIT;
+  *message = init_value;
+}
+size_t rillknot__engine_estimate__get_packed_size
+                     (const Rillknot__EngineEstimate *message)
+{
+  assert(message->base.descriptor == &rillknot__engine_estimate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__engine_estimate__pack
+                     (const Rillknot__EngineEstimate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__engine_estimate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__engine_estimate__pack_to_buffer
+                     (const Rillknot__EngineEstimate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__engine_estimate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__EngineEstimate *
+       rillknot__engine_estimate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__EngineEstimate *)
+     protobuf_c_message_unpack (&rillknot__engine_estimate__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__engine_estimate__free_unpacked
+                     (Rillknot__EngineEstimate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__engine_estimate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__service_use__init
                      (Rillknot__ServiceUse         *message)
 {
@@ -2753,7 +2798,97 @@
   (ProtobufCMessageInit) rillknot__usage_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__service_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rillknot__engine_estimate__field_descriptors[5] =
+{
+  {
+    "fixed_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, fixed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ktoken_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, ktoken_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, running_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, error_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__engine_estimate__field_indices_by_name[] = {
+  3,   /* field[3] = error_ms */
+  0,   /* field[0] = fixed_ms */
+  1,   /* field[1] = ktoken_ms */
+  2,   /* field[2] = running_ms */
+  4,   /* field[4] = samples */
+};
+static const ProtobufCIntRange rillknot__engine_estimate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rillknot__engine_estimate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.EngineEstimate",
+  "EngineEstimate",
+  "Rillknot__EngineEstimate",
+  "rillknot",
+  sizeof(Rillknot__EngineEstimate),
+  5,
+  rillknot__engine_estimate__field_descriptors,
+  rillknot__engine_estimate__field_indices_by_name,
+  1,  rillknot__engine_estimate__number_ranges,
+  (ProtobufCMessageInit) rillknot__engine_estimate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__service_use__field_descriptors[4] =
 {
   {
     "service",
@@ -2791,8 +2926,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engine",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ServiceUse, engine),
+    &rillknot__engine_estimate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__service_use__field_indices_by_name[] = {
+  3,   /* field[3] = engine */
   1,   /* field[1] = read_tokens */
   2,   /* field[2] = running */
   0,   /* field[0] = service */
@@ -2800,7 +2948,7 @@
 static const ProtobufCIntRange rillknot__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rillknot__service_use__descriptor =
 {
@@ -2810,7 +2958,7 @@
   "Rillknot__ServiceUse",
   "rillknot",
   sizeof(Rillknot__ServiceUse),
-  3,
+  4,
   rillknot__service_use__field_descriptors,
   rillknot__service_use__field_indices_by_name,
   1,  rillknot__service_use__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Rillknot__VmUse Rillknot__VmUse;
 typedef struct Rillknot__OrgUse Rillknot__OrgUse;
 typedef struct Rillknot__UsageRow Rillknot__UsageRow;
+typedef struct Rillknot__EngineEstimate Rillknot__EngineEstimate;
 typedef struct Rillknot__ServiceUse Rillknot__ServiceUse;
 typedef struct Rillknot__LeaseRow Rillknot__LeaseRow;
 typedef struct Rillknot__NodeReport Rillknot__NodeReport;
@@ -317,6 +318,24 @@
     , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What a node learnt of an engine service's speed: core/engine.h. Nothing, if
+ * samples is 0.
+ */
+struct  Rillknot__EngineEstimate
+{
+  ProtobufCMessage base;
+  float fixed_ms;
+  float ktoken_ms;
+  float running_ms;
+  float error_ms;
+  float samples;
+};
+#define RILLKNOT__ENGINE_ESTIMATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__engine_estimate__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * What a node asked of an engine service since its start, and has in hand.
  */
@@ -326,10 +345,11 @@
   char *service;
   double read_tokens;
   uint32_t running;
+  Rillknot__EngineEstimate *engine;
 };
 #define RILLKNOT__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL }
 
 
 /*
@@ -888,6 +908,25 @@
 void   rillknot__usage_row__free_unpacked
                      (Rillknot__UsageRow *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__EngineEstimate methods */
+void   rillknot__engine_estimate__init
+                     (Rillknot__EngineEstimate         *message);
+size_t rillknot__engine_estimate__get_packed_size
+                     (const Rillknot__EngineEstimate   *message);
+size_t rillknot__engine_estimate__pack
+                     (const Rillknot__EngineEstimate   *message,
+                      uint8_t             *out);
+size_t rillknot__engine_estimate__pack_to_buffer
+                     (const Rillknot__EngineEstimate   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__EngineEstimate *
+       rillknot__engine_estimate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__engine_estimate__free_unpacked
+                     (Rillknot__EngineEstimate *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__ServiceUse methods */
 void   rillknot__service_use__init
                      (Rillknot__ServiceUse         *message);
@@ -1147,6 +1186,9 @@
 typedef void (*Rillknot__UsageRow_Closure)
                  (const Rillknot__UsageRow *message,
                   void *closure_data);
+typedef void (*Rillknot__EngineEstimate_Closure)
+                 (const Rillknot__EngineEstimate *message,
+                  void *closure_data);
 typedef void (*Rillknot__ServiceUse_Closure)
                  (const Rillknot__ServiceUse *message,
                   void *closure_data);
@@ -1202,6 +1244,7 @@
 extern const ProtobufCMessageDescriptor rillknot__vm_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__org_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__usage_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__engine_estimate__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__service_use__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__lease_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__node_report__descriptor;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -33,6 +33,7 @@
     free(p->loads);
     free(p->uses);
     free(p->known);
+    free(p->services);
     free(p);
 }
 
@@ -175,6 +176,16 @@
     return false;
 }
 
+/* What the fleet learnt of engines is what this node starts from. */
+static void set_priors(struct rk_relay *r, const struct rk_service_use *services,
+                       size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        struct rk_speed *speed = rk_place_speed_of(r->place, services[i].service);
+        rk_engine_set_prior(&speed->engine, &services[i].engine);
+    }
+}
+
 static void take_peers(void *ctx)
 {
     struct message *m = ctx;
@@ -189,6 +200,7 @@
     bool wanted = p->catch_up || (whole && r->quota.forgot_ms);
     for (size_t i = 0; wanted && i < p->known_len; i++)
         rk_quota_know(&r->quota, p->known[i].org, p->known[i].known, now_ms);
+    set_priors(r, p->services, p->services_len);
     rk_quota_remind(&r->quota, p->remembers_ms);
     r->quota.lag_ms = p->lag_ms;
     r->quota.word_ms = p->silent_ms >= 0 ? now_ms - p->silent_ms : 0;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -70,6 +70,8 @@
     size_t uses_len;
     struct rk_org_use *known; /* by the peer with the longest memory */
     size_t known_len;
+    struct rk_service_use *services; /* only what is known of engines' speed */
+    size_t services_len;
     int64_t remembers_ms;         /* that peer's memory */
     bool catch_up;                /* what it knows was not told while it was used */
     int nodes_heard, nodes_total; /* this one included */
