quota: after a restart of all, what the store kept is gone by; capacity by an engine's fastest times

Change: the holder keeps the use of all organisations by parts of the window, each 300 ms; a node that starts within 2.5 s of that goes by it, plus what may have been used in half of that time at twice the last rate. Change: need goes by calm_ktoken_ms, which follows the estimate down soon and up slowly.

--- a/core/engine.c
+++ b/core/engine.c
@@ -26,9 +26,14 @@
 #define ERROR_CUT       5.0   /* an outlier counts as so many times error_ms */
 #define HUBER           2.0   /* errors above so many times error_ms weigh less */
 #define ERROR_MIN_MS    3.0   /* clocks and loops are no finer */
-#define READING_LEFT    0.5 /* of a prompt that is being read, at a random moment */
-#define SOUND_MAX       1e6 /* ms, or samples: what is told above it is no estimate */
-#define KTOKEN_MIN_MS   0.5 /* no engine reads more than 2,000 tokens a ms */
+/* What an engine can read shows while little waits there: overload looks like slow
+ * reading, and must not ask for ever more vms. Weights of a new estimate: */
+#define CALM_DOWN     0.1
+#define CALM_UP       0.005 /* some hundred calls for engines that became slower */
+#define FIRST_CALLS   30    /* before them nothing is known */
+#define READING_LEFT  0.5   /* of a prompt that is being read, at a random moment */
+#define SOUND_MAX     1e6 /* ms, or samples: what is told above it is no estimate */
+#define KTOKEN_MIN_MS 0.5 /* no engine reads more than 2,000 tokens a ms */
 
 static void terms_of(const struct rk_engine_load *load, double x[RK_ENGINE_TERMS])
 {
@@ -89,15 +94,16 @@
     *e = (struct rk_engine){
         .prior = {PRIOR_FIXED_MS, PRIOR_KTOKEN_MS, PRIOR_RUNNING_MS},
         .prior_weight = 1,
+        .calm_ktoken_ms = PRIOR_KTOKEN_MS,
         .error_ms = PRIOR_ERROR_MS};
     solve(e);
 }
 
 bool rk_engine_is_sound(const struct rk_engine_estimate *estimate)
 {
-    const double values[] = {estimate->fixed_ms, estimate->ktoken_ms,
-                             estimate->running_ms, estimate->error_ms,
-                             estimate->samples};
+    const double values[] = {estimate->fixed_ms,       estimate->ktoken_ms,
+                             estimate->calm_ktoken_ms, estimate->running_ms,
+                             estimate->error_ms,       estimate->samples};
     for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++)
         if (!isfinite(values[i]) || values[i] < 0 || values[i] > SOUND_MAX)
             return false;
@@ -112,8 +118,10 @@
     e->prior[1] = told->ktoken_ms;
     e->prior[2] = told->running_ms;
     e->prior_weight = fmax(1, fmin(told->samples, TOLD_WEIGHT));
-    if (e->samples < 1)
+    if (e->samples < 1) {
         e->error_ms = fmax(told->error_ms, ERROR_MIN_MS);
+        e->calm_ktoken_ms = fmax(told->calm_ktoken_ms, KTOKEN_MIN_MS);
+    }
     solve(e);
 }
 
@@ -131,6 +139,14 @@
     e->samples *= keep;
 }
 
+static void follow_calm(struct rk_engine *e)
+{
+    double share = e->coef[1] < e->calm_ktoken_ms ? CALM_DOWN : CALM_UP;
+    if (e->learnt < FIRST_CALLS)
+        share = fmax(share, 1 / (e->learnt + 1)); /* the mean, at first */
+    e->calm_ktoken_ms += share * (e->coef[1] - e->calm_ktoken_ms);
+}
+
 void rk_engine_learn(struct rk_engine *e, const struct rk_engine_load *load,
                      double first_ms)
 {
@@ -151,6 +167,8 @@
             e->gram[i][j] += weight * x[i] * x[j];
     }
     solve(e);
+    e->learnt++;
+    follow_calm(e);
 }
 
 struct rk_engine_forecast rk_engine_first(const struct rk_engine *e,
@@ -170,6 +188,7 @@
 {
     return (struct rk_engine_estimate){.fixed_ms = e->coef[0],
                                        .ktoken_ms = e->coef[1],
+                                       .calm_ktoken_ms = e->calm_ktoken_ms,
                                        .running_ms = e->coef[2],
                                        .error_ms = e->error_ms,
                                        .samples = e->samples};
@@ -178,7 +197,7 @@
 double rk_engine_read_per_s(const struct rk_engine_estimate *estimate)
 {
     double ktoken_ms =
-        estimate->ktoken_ms > 0 ? estimate->ktoken_ms : PRIOR_KTOKEN_MS;
+        estimate->calm_ktoken_ms > 0 ? estimate->calm_ktoken_ms : PRIOR_KTOKEN_MS;
     return KTOKEN * KTOKEN / fmax(ktoken_ms, KTOKEN_MIN_MS);
 }
 
@@ -191,6 +210,7 @@
     double share = more->samples / all;
     sum->fixed_ms += share * (more->fixed_ms - sum->fixed_ms);
     sum->ktoken_ms += share * (more->ktoken_ms - sum->ktoken_ms);
+    sum->calm_ktoken_ms += share * (more->calm_ktoken_ms - sum->calm_ktoken_ms);
     sum->running_ms += share * (more->running_ms - sum->running_ms);
     sum->error_ms += share * (more->error_ms - sum->error_ms);
     sum->samples = all;
--- a/core/engine.h
+++ b/core/engine.h
@@ -22,11 +22,12 @@
 
 /* An estimate, as nodes tell each other. */
 struct rk_engine_estimate {
-    double fixed_ms;   /* of every first token */
-    double ktoken_ms;  /* more for each 1,000 tokens to be read */
-    double running_ms; /* more for each call in hand */
-    double error_ms;   /* typical size of what it misses by */
-    double samples;    /* calls that it rests on; 0: nothing is known */
+    double fixed_ms;       /* of every first token */
+    double ktoken_ms;      /* more for each 1,000 tokens to be read */
+    double calm_ktoken_ms; /* the same by its fastest times: what it can read */
+    double running_ms;     /* more for each call in hand */
+    double error_ms;       /* typical size of what it misses by */
+    double samples;        /* calls that it rests on; 0: nothing is known */
 };
 
 struct rk_engine {
@@ -35,11 +36,13 @@
     double cov[RK_ENGINE_TERMS][RK_ENGINE_TERMS]; /* of coef, in units of error² */
     double coef[RK_ENGINE_TERMS];
     double prior[RK_ENGINE_TERMS];
-    double prior_weight; /* in calls */
-    double samples;      /* calls that are remembered */
-    double error_ms;     /* smoothed absolute error, outliers cut */
-    double drift;        /* smoothed error in units of error_ms: 0 if it fits */
-    double worsening;    /* the same of its size: about 1 if it fits */
+    double prior_weight;   /* in calls */
+    double samples;        /* calls that are remembered */
+    double learnt;         /* calls ever */
+    double calm_ktoken_ms; /* follows coef down soon, and up slowly */
+    double error_ms;       /* smoothed absolute error, outliers cut */
+    double drift;          /* smoothed error in units of error_ms: 0 if it fits */
+    double worsening;      /* the same of its size: about 1 if it fits */
 };
 
 struct rk_engine_forecast {
--- a/core/quota.c
+++ b/core/quota.c
@@ -7,13 +7,17 @@
 #define SLACK_SHARE                                                                \
     0.6                     /* of the slack that is planned with; the rest covers  \
                                what peers admit before this node hears of it */
-#define REPORT_LAG_MS 250   /* age of what the peers tell, until it is known */
-#define RATE_MS       400.0 /* over which the peers' rate is taken */
-#define SLOT_MS       250   /* the same, while it rises */
-#define WORD_MAX_MS   600   /* their last word is taken to be no older than this */
-#define SILENT_MAX_MS 1500  /* without a word their rate goes on for so long */
-#define RECENT_SLOTS  3     /* buckets that show what was admitted here lately */
-#define SURGE         3.0 /* peers are taken to admit so many times the mean at most */
+#define REPORT_LAG_MS   250 /* age of what the peers tell, until it is known */
+#define RATE_MS         400.0 /* over which the peers' rate is taken */
+#define SLOT_MS         250   /* the same, while it rises */
+#define WORD_MAX_MS     600  /* their last word is taken to be no older than this */
+#define SILENT_MAX_MS   1500 /* without a word their rate goes on for so long */
+#define RECENT_SLOTS    3    /* buckets that show what was admitted here lately */
+#define SURGE           3.0 /* peers are taken to admit so many times the mean at most */
+#define RESTORED_MAX_MS 2500  /* what was kept before is too old to go by */
+#define UNKEPT_MIN_MS   400.0 /* use that may have missed the last writing */
+#define UNKEPT_PART     0.5   /* of its age: the rest, nothing ran any more */
+#define UNKEPT_SURGE    2.0   /* times its rate then, it may have been used at */
 #define USUAL_PART                                                                 \
     0.8 /* of its rate an organisation gets while it isn't known                   \
            what it used before a restart */
@@ -56,12 +60,14 @@
     if (now - o->bucket >= RK_QUOTA_BUCKETS) {
         memset(o->used, 0, sizeof(o->used));
         memset(o->own, 0, sizeof(o->own));
+        memset(o->restored, 0, sizeof(o->restored));
         o->bucket = now;
     }
     while (o->bucket < now) {
         o->bucket++;
         o->used[o->bucket % RK_QUOTA_BUCKETS] = 0;
         o->own[o->bucket % RK_QUOTA_BUCKETS] = 0;
+        o->restored[o->bucket % RK_QUOTA_BUCKETS] = 0;
     }
 }
 
@@ -141,16 +147,17 @@
     return told > guess ? told : guess;
 }
 
-/* What is taken as used before a restart of all nodes: the whole quota, leaving
- * the window somewhat slower than the rate fills it. */
-static double forgotten(const struct rk_quota *q, double quota, double rate,
-                        int64_t now_ms)
+/* What is taken as used before a restart of all nodes: what was kept. Without that,
+ * the whole quota, leaving the window somewhat slower than the rate fills it. */
+static double forgotten(const struct rk_quota *q, const struct rk_quota_org *o,
+                        double quota, double rate, int64_t now_ms)
 {
     int64_t age_ms = now_ms - q->forgot_ms;
     if (!q->forgot_ms || age_ms >= q->window_ms)
         return 0;
+    double restored = sum(o->restored);
     double left = quota - rate * USUAL_PART * (double)age_ms / RK_MS_PER_S;
-    return left > 0 ? left : 0;
+    return q->restored || left < restored ? restored : left;
 }
 
 int64_t rk_quota_remembers_ms(const struct rk_quota *q, int64_t now_ms)
@@ -202,14 +209,43 @@
     }
 }
 
-void rk_quota_restore(struct rk_quota *q, const char *org, double units,
-                      int64_t age_ms, int64_t now_ms)
+/* Used so long ago; what has left the window is passed over. */
+static void add_restored(const struct rk_quota *q, struct rk_quota_org *o,
+                         double units, int64_t age_ms)
+{
+    int64_t age = age_ms / bucket_ms(q);
+    if (age < RK_QUOTA_BUCKETS)
+        o->restored[(o->bucket + RK_QUOTA_BUCKETS - age) % RK_QUOTA_BUCKETS] +=
+            units;
+}
+
+void rk_quota_restore(struct rk_quota *q, const char *org,
+                      const double parts[RK_QUOTA_PARTS], int64_t age_ms,
+                      int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
     if (!o || !q->forgot_ms)
         return; /* it, or a peer, remembers itself */
-    o->kept = units;
-    o->kept_until_ms = now_ms - age_ms + q->window_ms;
+    advance(q, o, now_ms);
+    double all = 0, newest = parts[0] > parts[1] ? parts[0] : parts[1];
+    int64_t part_ms = q->window_ms / RK_QUOTA_PARTS;
+    for (int64_t i = 0; i < RK_QUOTA_PARTS; i++) {
+        for (int64_t ms = bucket_ms(q) / 2; ms < part_ms; ms += bucket_ms(q))
+            add_restored(q, o, parts[i] * (double)bucket_ms(q) / (double)part_ms,
+                         age_ms + i * part_ms + ms);
+        all += parts[i];
+    }
+    double mean = all / RK_QUOTA_PARTS;
+    double rate = (newest > mean ? newest : mean) / (double)part_ms;
+    double unkept_ms = (double)age_ms * UNKEPT_PART;
+    if (unkept_ms < UNKEPT_MIN_MS)
+        unkept_ms = UNKEPT_MIN_MS;
+    add_restored(q, o, rate * UNKEPT_SURGE * unkept_ms, age_ms / 2);
+}
+
+void rk_quota_restored(struct rk_quota *q, int64_t age_ms)
+{
+    q->restored = age_ms <= RESTORED_MAX_MS;
 }
 
 /* The quota that counts now. */
@@ -268,10 +304,7 @@
     double limit = (quota + q->slack * SLACK_SHARE) * part;
     double known = sum(o->used);
     double used = known + unheard(q, o, known, now_ms);
-    double before = forgotten(q, quota * part, rate * part, now_ms);
-    double kept = q->forgot_ms && now_ms < o->kept_until_ms ? o->kept * part : 0;
-    if (kept > before)
-        before = kept;
+    double before = forgotten(q, o, quota, rate, now_ms) * part;
     double over = used + before + units - limit;
     answer->used = used;
     answer->before = before;
--- a/core/quota.h
+++ b/core/quota.h
@@ -30,8 +30,7 @@
     double quota;          /* units a window, as asked for last */
     double old_quota;      /* a higher one that still counts */
     int64_t old_until_ms;
-    double kept;           /* used before a restart, by what was kept */
-    int64_t kept_until_ms; /* it counts until then */
+    double restored[RK_QUOTA_BUCKETS]; /* by all before a restart, as was kept */
 };
 
 struct rk_quota {
@@ -44,6 +43,7 @@
     int64_t word_ms;   /* when any of them told something last; 0: never */
     int64_t since_ms;  /* own knowledge goes back to then; 0: to the first start */
     int64_t forgot_ms; /* the same until a peer told what was used before */
+    bool restored;     /* what was kept is new enough to go by */
 };
 
 /* since_ms: see above. */
@@ -83,10 +83,16 @@
 void rk_quota_tell(const struct rk_quota *q, struct rk_quota_org *o,
                    double parts[RK_QUOTA_PARTS], int64_t now_ms);
 
-/* All nodes used so much of it within the window before, by what was kept; it was
- * true so long ago. It counts until that moment leaves the window. */
-void rk_quota_restore(struct rk_quota *q, const char *org, double units,
-                      int64_t age_ms, int64_t now_ms);
+/* What all nodes used by what was kept in the store, the newest part of the window
+ * first; it was true so long ago, and what may have been used since is added. It
+ * counts until a peer tells what it remembers itself. */
+void rk_quota_restore(struct rk_quota *q, const char *org,
+                      const double parts[RK_QUOTA_PARTS], int64_t age_ms,
+                      int64_t now_ms);
+
+/* That was all. What was kept just before this start is gone by; else any more may
+ * have been used up to the quota. */
+void rk_quota_restored(struct rk_quota *q, int64_t age_ms);
 
 /* Units used by all within the window, as far as known here. */
 double rk_quota_known(const struct rk_quota_org *o);
--- a/node/engines.c
+++ b/node/engines.c
@@ -10,6 +10,7 @@
     rillknot__engine_estimate__init(out);
     out->fixed_ms = (float)e->fixed_ms;
     out->ktoken_ms = (float)e->ktoken_ms;
+    out->calm_ktoken_ms = (float)e->calm_ktoken_ms;
     out->running_ms = (float)e->running_ms;
     out->error_ms = (float)e->error_ms;
     out->samples = (float)e->samples;
@@ -22,6 +23,7 @@
         return e;
     e = (struct rk_engine_estimate){.fixed_ms = told->fixed_ms,
                                     .ktoken_ms = told->ktoken_ms,
+                                    .calm_ktoken_ms = told->calm_ktoken_ms,
                                     .running_ms = told->running_ms,
                                     .error_ms = told->error_ms,
                                     .samples = told->samples};
--- a/node/remember.c
+++ b/node/remember.c
@@ -1,6 +1,6 @@
-/* What must outlast a kill of all nodes at once: the use of quotas that are nearly
- * used up. The holder of the duties writes it to the store while there is any; a
- * process that had an earlier life reads it once. */
+/* What must outlast a kill of all nodes at once: the use of quotas. The holder of
+ * the duties writes it to the store while there is any; a process that had an
+ * earlier life reads it once. */
 #include <inttypes.h>
 #include <json-c/json.h>
 #include <stdio.h>
@@ -12,12 +12,12 @@
 #include "node/state.h"
 #include "objects/store.h"
 
-#define KIND         "rillknot-quotas"
-#define NAME         "recent"
-#define WRITE_MS     700  /* between writes */
-#define NEARLY_SHARE 0.45 /* of a quota: less is not written */
-#define READ_TRIES   4
-#define READ_MS      300
+#define KIND       "rillknot-quotas"
+#define NAME       "recent"
+#define WRITE_MS   300  /* between writes: what was used since is guessed */
+#define SOME_SHARE 0.02 /* of a quota: less is not written */
+#define READ_TRIES 4
+#define READ_MS    300
 
 struct rk_remember {
     struct rk_node *n;
@@ -44,7 +44,14 @@
     return sum;
 }
 
-/* The organisations near their quotas as JSON; false: none is. */
+static void add_parts(struct rk_buf *b, const struct rk_org_use *use)
+{
+    for (size_t i = 0; i < RK_QUOTA_PARTS; i++)
+        rk_buf_printf(b, "%s%.0f", i ? "," : "[", use->known[i]);
+    rk_buf_addstr(b, "]");
+}
+
+/* What organisations used of their quotas as JSON; false: nothing. */
 static bool build(struct rk_remember *m, struct rk_buf *b)
 {
     struct rk_node *n = m->n;
@@ -54,12 +61,12 @@
     for (size_t i = 0; routes && n->report && i < n->report->uses_len; i++) {
         const struct rk_org_use *use = &n->report->uses[i];
         const struct rk_org_info *org = rk_routes_org(routes, use->org);
-        if (!org || org->rate <= 0 ||
-            used_of(use) < quota_of(n, org) * NEARLY_SHARE)
+        if (!org || org->rate <= 0 || used_of(use) < quota_of(n, org) * SOME_SHARE)
             continue;
         rk_buf_addstr(b, any ? "," : "");
         rk_buf_json_str(b, use->org);
-        rk_buf_printf(b, ":%.0f", used_of(use));
+        rk_buf_addstr(b, ":");
+        add_parts(b, use);
         any = true;
     }
     rk_buf_addstr(b, "}}");
@@ -98,6 +105,13 @@
 
 /* ---- reading ---- */
 
+static double part_at(struct json_object *parts, size_t i)
+{
+    if (!json_object_is_type(parts, json_type_array))
+        return 0;
+    return json_object_get_double(json_object_array_get_idx(parts, i));
+}
+
 static void restore(struct rk_remember *m, struct json_object *spec)
 {
     struct json_object *used = rk_json_get(spec, "used");
@@ -106,10 +120,12 @@
         return;
     size_t len = (size_t)json_object_object_length(used), n = 0;
     struct rk_org_use *uses = rk_alloc(len + 1, sizeof(*uses));
-    json_object_object_foreach(used, org, units)
+    json_object_object_foreach(used, org, parts)
     {
         rk_strcpy(uses[n].org, sizeof(uses[n].org), org);
-        uses[n++].known[0] = json_object_get_double(units);
+        for (size_t i = 0; i < RK_QUOTA_PARTS; i++)
+            uses[n].known[i] = part_at(parts, i);
+        n++;
     }
     RK_EVENT("quota.restored", RK_N("organisations", (int64_t)n),
              RK_N("age_ms", age_ms));
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2798,7 +2798,7 @@
   (ProtobufCMessageInit) rillknot__usage_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__engine_estimate__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rillknot__engine_estimate__field_descriptors[6] =
 {
   {
     "fixed_ms",
@@ -2860,8 +2860,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "calm_ktoken_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__EngineEstimate, calm_ktoken_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__engine_estimate__field_indices_by_name[] = {
+  5,   /* field[5] = calm_ktoken_ms */
   3,   /* field[3] = error_ms */
   0,   /* field[0] = fixed_ms */
   1,   /* field[1] = ktoken_ms */
@@ -2871,7 +2884,7 @@
 static const ProtobufCIntRange rillknot__engine_estimate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rillknot__engine_estimate__descriptor =
 {
@@ -2881,7 +2894,7 @@
   "Rillknot__EngineEstimate",
   "rillknot",
   sizeof(Rillknot__EngineEstimate),
-  5,
+  6,
   rillknot__engine_estimate__field_descriptors,
   rillknot__engine_estimate__field_indices_by_name,
   1,  rillknot__engine_estimate__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -330,10 +330,11 @@
   float running_ms;
   float error_ms;
   float samples;
+  float calm_ktoken_ms;
 };
 #define RILLKNOT__ENGINE_ESTIMATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__engine_estimate__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -111,7 +111,7 @@
 bool rk_relay_set_bounds(struct rk_relay *r, int64_t retry_pct, int64_t retry_burst,
                          double quota_slack);
 
-/* What the store remembers of quotas (all in known[0]), so old. */
+/* What the store remembers of quotas, so old. */
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
                       int64_t age_ms);
 
