lease: a holder that starts again takes its own lease at once

Nobody else can have taken it, and the earlier life has ended: the same name with another life in the object is proof. Epochs still rise. Tests: a_holder_that_starts_again_goes_on; leases_exclude has restarts now.

--- a/core/lease.c
+++ b/core/lease.c
@@ -31,11 +31,23 @@
     json_object_put(o);
 }
 
+/* Is the holder an earlier life of this process? It has ended, as this one began;
+ * what it sent last carries its own epoch. Nobody else can have taken the lease
+ * since. */
+static bool is_own_earlier(const struct rk_lease *l)
+{
+    const char *slash = strrchr(l->holder, '/');
+    size_t name = slash ? (size_t)(slash - l->holder) + 1 : 0;
+    return name && l->version && strcmp(l->seen_holder, l->holder) != 0 &&
+           !strncmp(l->seen_holder, l->holder, name);
+}
+
 bool rk_lease_wants(struct rk_lease *l, int64_t now_ms,
                     char value[RK_LEASE_VALUE_MAX], int64_t *expect)
 {
     bool renew = l->held && now_ms - l->held_from_ms >= l->life_ms / 3;
-    bool lapsed = l->seen_ms && (!l->version || now_ms - l->seen_ms > l->life_ms);
+    bool lapsed = l->seen_ms && (!l->version || is_own_earlier(l) ||
+                                 now_ms - l->seen_ms > l->life_ms);
     if (!renew && (l->held || !lapsed))
         return false;
     /* A holder that slept past its lease starts over, under a new epoch. */
--- a/core/lease.h
+++ b/core/lease.h
@@ -1,7 +1,8 @@
 /* A lease kept by conditional updates of one object. No wall clock: a candidate
  * takes the lease when it has seen the same version for a whole lease time by
  * its own clock; the holder counts from before its last write that stood, less
- * a margin, and checks that before each order. Every order carries the epoch.
+ * a margin, and checks that before each order. Every order carries the epoch. A
+ * process that finds the lease held by its own earlier life takes it at once.
  *
  * Pure; the caller reads and writes the object. */
 #ifndef RK_CORE_LEASE_H
@@ -17,7 +18,7 @@
 #define RK_LEASE_VALUE_MAX  192
 
 struct rk_lease {
-    char holder[RK_ID_MAX]; /* this process */
+    char holder[RK_ID_MAX]; /* this process: "NAME/LIFE", or a name alone */
     int64_t life_ms;
     /* What the object said last. */
     int64_t version; /* 0: absent */
--- a/tests/prop_core.cc
+++ b/tests/prop_core.cc
@@ -291,23 +291,33 @@
 
 // ---- leases ----
 
-// Holders that sleep, writes that are lost or land: no two ever hold a valid
-// lease at once, and epochs only rise.
+struct rk_lease new_life(int node, int life)
+{
+    struct rk_lease l = {};
+    snprintf(l.holder, sizeof(l.holder), "h%d/%d", node, life);
+    l.life_ms = 1000;
+    return l;
+}
+
+// Holders that sleep or start again, writes that are lost or land: no two ever hold
+// a valid lease at once, and epochs only rise.
 void leases_exclude()
 {
     constexpr int kHolders = 3;
-    struct rk_lease l[kHolders] = {};
-    for (int i = 0; i < kHolders; i++) {
-        snprintf(l[i].holder, sizeof(l[i].holder), "h%d", i);
-        l[i].life_ms = 1000;
-    }
+    struct rk_lease l[kHolders];
+    for (int i = 0; i < kHolders; i++)
+        l[i] = new_life(i, 0);
     int64_t version = 0, now = 1, last_epoch = 0;
     std::string value;
     int steps = *rc::gen::inRange(10, 200);
     for (int s = 0; s < steps; s++) {
-        struct rk_lease *x = &l[*rc::gen::inRange(0, kHolders)];
+        int who = *rc::gen::inRange(0, kHolders);
+        struct rk_lease *x = &l[who];
         now += *rc::gen::inRange(0, 400);
-        int what = *rc::gen::inRange(0, 3);
+        int what = *rc::gen::inRange(0, 8);
+        if (what == 7)
+            *x = new_life(who, s + 1); // killed and started again
+        what %= 3;
         char text[RK_LEASE_VALUE_MAX];
         int64_t expect;
         if (what == 0) {
@@ -340,6 +350,25 @@
     }
 }
 
+// Who held it is back before anybody else may take it.
+void a_holder_that_starts_again_goes_on()
+{
+    struct rk_lease before = new_life(0, 1), after = new_life(0, 2),
+                    other = new_life(1, 1);
+    char text[RK_LEASE_VALUE_MAX];
+    int64_t expect, epoch, now = *rc::gen::inRange(1, 1000);
+    rk_lease_seen(&before, 0, "", now);
+    RC_ASSERT(rk_lease_wants(&before, now, text, &expect));
+    std::string value = text;
+    now += *rc::gen::inRange(0, 900);
+    rk_lease_seen(&after, 1, value.c_str(), now);
+    rk_lease_seen(&other, 1, value.c_str(), now);
+    RC_ASSERT(!rk_lease_wants(&other, now, text, &expect));
+    RC_ASSERT(rk_lease_wants(&after, now, text, &expect) && expect == 1);
+    rk_lease_written(&after, RK_OK, 2, now);
+    RC_ASSERT(rk_lease_valid(&after, now, &epoch) && epoch == 2);
+}
+
 // ---- admission ----
 
 // Under steady demand organisations get slot time by weight, whatever each asks.
@@ -421,6 +450,7 @@
         {"shards_move_little", shards_move_little},
         {"settings_never_revert", settings_never_revert},
         {"leases_exclude", leases_exclude},
+        {"a_holder_that_starts_again_goes_on", a_holder_that_starts_again_goes_on},
         {"shares_follow_weights", shares_follow_weights},
         {"ranks_and_promotion", ranks_and_promotion},
     };
