--- a/core/procfile.c
+++ b/core/procfile.c
@@ -63,6 +63,7 @@
     REAL(usage_late_s, 1, 86400, 10),
     REAL(quota_window_s, 1, 3600, 8),
     REAL(quota_slack, 0, 1000000000, 0),
+    REAL(quota_overrun, 0, 1, 0),
     REAL(retry_burst, 0, 1000000, 20),
     REAL(retry_ratio, 0, 1, 0),
     REAL(cpu_share, 0, 1024, 1),
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -37,7 +37,7 @@
     double stop_s;                    /* from SIGTERM to SIGKILL */
     double lease_ms;
     double usage_window_s, usage_late_s;
-    double quota_window_s, quota_slack;
+    double quota_window_s, quota_slack, quota_overrun;
     double retry_burst; /* of all nodes */
     double retry_ratio; /* retries to calls, of all nodes */
     double cpu_share;   /* of a core, that this machine has */
--- a/core/quota.c
+++ b/core/quota.c
@@ -190,6 +190,19 @@
         parts[part_of(o, i)] += o->used[i];
 }
 
+bool rk_quota_knows_all(const struct rk_quota *q, int64_t now_ms)
+{
+    return !q->forgot_ms || q->restored || now_ms - q->forgot_ms >= q->window_ms;
+}
+
+void rk_quota_keep(const struct rk_quota *q, struct rk_quota_org *o,
+                   double parts[RK_QUOTA_PARTS], int64_t now_ms)
+{
+    rk_quota_tell(q, o, parts, now_ms);
+    for (size_t i = 0; q->forgot_ms && i < RK_QUOTA_BUCKETS; i++)
+        parts[part_of(o, i)] += o->restored[i];
+}
+
 void rk_quota_know(struct rk_quota *q, const char *org,
                    const double parts[RK_QUOTA_PARTS], int64_t now_ms)
 {
@@ -288,6 +301,14 @@
     return ms > RETRY_MIN_MS ? ms : RETRY_MIN_MS;
 }
 
+/* The part of a quota that the nodes which are heard may use. */
+static double part_here(const struct rk_quota *q)
+{
+    if (q->nodes_total <= 0 || q->nodes_heard >= q->nodes_total)
+        return 1;
+    return (double)q->nodes_heard / q->nodes_total;
+}
+
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
                     double units, int64_t now_ms, struct rk_quota_answer *answer)
 {
@@ -296,12 +317,12 @@
     if (!o)
         return true;
     advance(q, o, now_ms);
-    double part = 1.0;
-    if (q->nodes_total > 0 && q->nodes_heard < q->nodes_total)
-        part = (double)q->nodes_heard / q->nodes_total;
+    double part = part_here(q);
     double quota =
         effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
+    if (part < 1)
+        limit += quota * q->overrun * OVERRUN_SHARE * part;
     double known = sum(o->used);
     double used = known + unheard(q, o, known, now_ms);
     double before = forgotten(q, o, quota, rate, now_ms) * part;
--- a/core/quota.h
+++ b/core/quota.h
@@ -39,7 +39,8 @@
     size_t orgs_len;
     int nodes_heard, nodes_total; /* this one included */
     double slack;                 /* units that the deployment forgives */
-    int64_t lag_ms;               /* age of what the peers tell */
+    double overrun; /* share of a quota that it forgives; 0 after rk_quota_init() */
+    int64_t lag_ms; /* age of what the peers tell */
     int64_t word_ms;   /* when any of them told something last; 0: never */
     int64_t since_ms;  /* own knowledge goes back to then; 0: to the first start */
     int64_t forgot_ms; /* the same until a peer told what was used before */
@@ -83,6 +84,12 @@
 void rk_quota_tell(const struct rk_quota *q, struct rk_quota_org *o,
                    double parts[RK_QUOTA_PARTS], int64_t now_ms);
 
+/* The same, with what was restored here: to be kept in the store. */
+void rk_quota_keep(const struct rk_quota *q, struct rk_quota_org *o,
+                   double parts[RK_QUOTA_PARTS], int64_t now_ms);
+/* Is that all that was used within the window? */
+bool rk_quota_knows_all(const struct rk_quota *q, int64_t now_ms);
+
 /* What all nodes used by what was kept in the store, the newest part of the window
  * first; it was true so long ago, and what may have been used since is added. It
  * counts until a peer tells what it remembers itself. */
--- a/node/node.c
+++ b/node/node.c
@@ -207,6 +207,18 @@
     return (int64_t)(file->retry_ratio * 100);
 }
 
+static struct rk_relay_bounds bounds_of(const struct rk_procfile *file)
+{
+    return (struct rk_relay_bounds){
+        .retry_pct = retry_pct(file),
+        .retry_burst = (int64_t)file->retry_burst,
+        .quota_window_ms = rk_s_to_ms(file->quota_window_s),
+        .quota_slack = file->quota_slack,
+        .quota_overrun = file->quota_overrun,
+        .usage_window_ms = rk_s_to_ms(file->usage_window_s),
+        .first_start = file->first_start};
+}
+
 struct reload_message {
     struct rk_node *n;
     struct rk_procfile file;
@@ -220,10 +232,11 @@
     file->usage_late_s = m->file.usage_late_s;
     file->lease_ms = m->file.lease_ms;
     file->quota_slack = m->file.quota_slack;
+    file->quota_overrun = m->file.quota_overrun;
     file->retry_ratio = m->file.retry_ratio;
     file->retry_burst = m->file.retry_burst;
-    rk_relay_set_bounds(m->n->relay, retry_pct(file), (int64_t)file->retry_burst,
-                        file->quota_slack);
+    struct rk_relay_bounds bounds = bounds_of(file);
+    rk_relay_set_bounds(m->n->relay, &bounds);
     RK_EVENT("node.reloaded", RK_N("stop_ms", rk_s_to_ms(file->stop_s)),
              RK_N("retry_pct", retry_pct(file)),
              RK_N("quota_slack", (int64_t)file->quota_slack));
@@ -249,12 +262,7 @@
         .node = n->hash,
         .seed = rk_rng_next(&n->rng),
         .max_clients = (int)f->max_connections,
-        .bounds = {.retry_pct = retry_pct(f),
-                   .retry_burst = (int64_t)f->retry_burst,
-                   .quota_window_ms = rk_s_to_ms(f->quota_window_s),
-                   .quota_slack = f->quota_slack,
-                   .usage_window_ms = rk_s_to_ms(f->usage_window_s),
-                   .first_start = f->first_start},
+        .bounds = bounds_of(f),
         .on_report = on_report,
         .on_stopped = on_stopped,
         .ctx = n,
--- a/node/orders.c
+++ b/node/orders.c
@@ -17,7 +17,8 @@
 #define REFUSED_MS     3000    /* after "none to be had": asked again then */
 #define SHORT_MS       6000    /* after it: on-demand vms may stand in */
 #define SHRINK_MS      4000    /* between on-demand vms that are given up */
-#define SETTLE_MS      2000    /* a holder looks at the list for so long first */
+#define IDLE_MS        4000 /* without a call: longer than a start of all takes */
+#define SETTLE_MS      2000 /* a holder looks at the list for so long first */
 #define ENROL_MS       4500 /* the same at the first start: vms enrol meanwhile */
 /* Without a call for so long, what stood there at first is no estimate any more. */
 #define ESTIMATE_MS 30000
@@ -40,9 +41,9 @@
     double read_before;
     int64_t measured_ms;
     double need,
-        need_now; /* smoothed: reclaimable vms are kept for a while, as they
-                     are cheap and at times can't be had; others go soon */
-    uint32_t running;
+        need_now;        /* smoothed: reclaimable vms are kept for a while, as they
+                            are cheap and at times can't be had; others go soon */
+    int64_t busy_ms;     /* calls ran last */
     bool asked;          /* calls came */
     int at_first;        /* on-demand vms that stood there then */
     int64_t followed_ms; /* since when demand is followed */
@@ -66,7 +67,7 @@
     if (o->services_len == SERVICES)
         return NULL;
     struct service *s = &o->services[o->services_len++];
-    *s = (struct service){.o = o};
+    *s = (struct service){.o = o, .busy_ms = rk_mono_ms()};
     rk_strcpy(s->name, sizeof(s->name), name);
     for (size_t i = 0; i < RK_HOLDING_DOMAINS; i++)
         for (int kind = 0; kind < 2; kind++)
@@ -131,7 +132,6 @@
     s->asked = s->asked || need > 0;
     s->need = rk_holding_smooth(s->need, need, passed_ms, KEPT_HALVED_MS);
     s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
-    s->running = use.running;
     s->read_before = use.read_tokens;
     s->measured_ms = now_ms;
 }
@@ -219,6 +219,15 @@
     }
 }
 
+/* Nothing runs. Just after a start that is not known. */
+static bool is_idle(struct service *s)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (use_of(s->o->n, s->name).running)
+        s->busy_ms = now_ms;
+    return now_ms - s->busy_ms >= IDLE_MS;
+}
+
 static void tend_service(struct service *s, const struct rk_service_info *info,
                          const struct rk_duty_token *token)
 {
@@ -227,7 +236,7 @@
                                   .spot_price = info->spot_price,
                                   .need = s->need,
                                   .need_now = s->need_now,
-                                  .idle = !s->running};
+                                  .idle = is_idle(s)};
     int64_t now_ms = rk_mono_ms();
     in.refused = s->refused_ms && now_ms - s->refused_ms < SHORT_MS;
     in.settled = now_ms - s->shrunk_ms >= SHRINK_MS;
--- a/node/remember.c
+++ b/node/remember.c
@@ -40,14 +40,14 @@
 {
     double sum = 0;
     for (size_t i = 0; i < RK_QUOTA_PARTS; i++)
-        sum += use->known[i];
+        sum += use->kept[i];
     return sum;
 }
 
 static void add_parts(struct rk_buf *b, const struct rk_org_use *use)
 {
     for (size_t i = 0; i < RK_QUOTA_PARTS; i++)
-        rk_buf_printf(b, "%s%.0f", i ? "," : "[", use->known[i]);
+        rk_buf_printf(b, "%s%.0f", i ? "," : "[", use->kept[i]);
     rk_buf_addstr(b, "]");
 }
 
@@ -57,8 +57,11 @@
     struct rk_node *n = m->n;
     const struct rk_routes *routes = rk_sync_routes(n->sync);
     bool any = false;
+    /* What is not all would be taken for it. */
+    if (!n->report || !n->report->knows_all)
+        return false;
     rk_buf_printf(b, "{\"wall_ms\":%" PRId64 ",\"used\":{", rk_wall_ms());
-    for (size_t i = 0; routes && n->report && i < n->report->uses_len; i++) {
+    for (size_t i = 0; routes && i < n->report->uses_len; i++) {
         const struct rk_org_use *use = &n->report->uses[i];
         const struct rk_org_info *org = rk_routes_org(routes, use->org);
         if (!org || org->rate <= 0 || used_of(use) < quota_of(n, org) * SOME_SHARE)
@@ -82,6 +85,8 @@
         m->revision = o->revision;
     else if (st == RK_ENOTFOUND)
         m->revision = 0;
+    if (st == RK_ECONFLICT)
+        m->written_ms = 0; /* another node's: now that its revision is known */
 }
 
 void rk_remember_tick(struct rk_remember *m)
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -63,6 +63,7 @@
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_total;
         rk_quota_tell(&r->quota, &r->quota.orgs[i], use->known, rk_mono_ms());
+        rk_quota_keep(&r->quota, &r->quota.orgs[i], use->kept, rk_mono_ms());
     }
 }
 
@@ -100,6 +101,7 @@
     fill_uses(r, report);
     fill_usage(r, report);
     fill_services(r, report);
+    report->knows_all = rk_quota_knows_all(&r->quota, rk_mono_ms());
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->version = r->routes ? r->routes->version : 0;
     report->vms_known = r->vms_known;
@@ -118,8 +120,7 @@
     struct rk_org_use *uses;
     size_t uses_len;
     int64_t age_ms;
-    int64_t retry_pct, retry_burst;
-    double quota_slack;
+    struct rk_relay_bounds bounds;
 };
 
 static bool post(struct rk_relay *r, rk_call_fn *fn, const struct message *m)
@@ -221,20 +222,17 @@
 static void take_bounds(void *ctx)
 {
     struct message *m = ctx;
-    m->r->opt.bounds.retry_pct = m->retry_pct;
-    m->r->opt.bounds.retry_burst = m->retry_burst;
-    m->r->opt.bounds.quota_slack = m->quota_slack;
-    m->r->quota.slack = m->quota_slack;
+    struct rk_relay *r = m->r;
+    r->opt.bounds.retry_pct = m->bounds.retry_pct;
+    r->opt.bounds.retry_burst = m->bounds.retry_burst;
+    r->quota.slack = m->bounds.quota_slack;
+    r->quota.overrun = m->bounds.quota_overrun;
     free(m);
 }
 
-bool rk_relay_set_bounds(struct rk_relay *r, int64_t retry_pct, int64_t retry_burst,
-                         double quota_slack)
+bool rk_relay_set_bounds(struct rk_relay *r, const struct rk_relay_bounds *bounds)
 {
-    const struct message m = {.retry_pct = retry_pct,
-                              .retry_burst = retry_burst,
-                              .quota_slack = quota_slack};
-    return post(r, take_bounds, &m);
+    return post(r, take_bounds, &(struct message){.bounds = *bounds});
 }
 
 static void take_restore(void *ctx)
@@ -338,6 +336,7 @@
     r->rng.state = opt->seed + 1;
     rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack,
                   opt->bounds.first_start ? 0 : rk_mono_ms());
+    r->quota.overrun = opt->bounds.quota_overrun;
     r->report = (struct rk_timer){.fn = on_report, .ctx = r};
     rk_timer_start(r->loop, &r->report, REPORT_MS);
     return r;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -23,7 +23,8 @@
     int64_t retry_pct;   /* retries, in hundredths of a service's calls */
     int64_t retry_burst; /* on top, of all nodes */
     int64_t quota_window_ms;
-    double quota_slack; /* units that the deployment forgives */
+    double quota_slack;   /* units that the deployment forgives */
+    double quota_overrun; /* and a share of the quota */
     int64_t usage_window_ms;
     bool first_start; /* nothing was used before */
 };
@@ -35,6 +36,8 @@
     /* What all used within the quota's window, as far as known here, by parts of
      * it, the newest first. */
     double known[RK_QUOTA_PARTS];
+    /* The same, with what the store remembered; only in reports to control. */
+    double kept[RK_QUOTA_PARTS];
 };
 
 /* What was asked of an engine service here since the start, and is in hand. */
@@ -56,6 +59,7 @@
     struct rk_service_use *services;
     size_t services_len;
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
+    bool knows_all;       /* uses[].kept is all that was used in the window */
     int64_t version;      /* of the routes in force; 0: none */
     bool vms_known;
     size_t in_hand;
@@ -107,9 +111,8 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
-/* Bounds that may change while it runs; see struct rk_relay_bounds. */
-bool rk_relay_set_bounds(struct rk_relay *r, int64_t retry_pct, int64_t retry_burst,
-                         double quota_slack);
+/* Of the bounds, those of retries, and what is forgiven of quotas, change. */
+bool rk_relay_set_bounds(struct rk_relay *r, const struct rk_relay_bounds *bounds);
 
 /* What the store remembers of quotas, so old. */
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -156,6 +156,23 @@
     assert_in_range((int)admit_for(&q, 100, 100, 100000, 108000, 10, 1), 215, 226);
 }
 
+/* All sides together stay within what is forgiven. */
+static void sides_use_what_is_forgiven(void **state)
+{
+    (void)state;
+    double sum = 0;
+    for (int side = 1; side <= 6; side += 5) {
+        struct rk_quota q = lone_quota(0);
+        q.overrun = 0.1;
+        q.nodes_total = 7;
+        q.nodes_heard = side;
+        double units = admit_for(&q, 100, 100, 100000, 100100, 1, 1);
+        assert_true(units > 900.0 * side / 7);
+        sum += units;
+    }
+    assert_true(sum <= 900 * 1.1);
+}
+
 static void before_it_knows_the_nodes_a_node_takes_them_to_be_many(void **state)
 {
     (void)state;
@@ -340,6 +357,27 @@
     assert_true(admit_for(&q, 100, 100, 104000, 104100, 1, 10) > 100);
 }
 
+/* Killed twice: what was restored is kept again; what is not all isn't taken for
+ * it. */
+static void what_was_restored_is_kept_again(void **state)
+{
+    (void)state;
+    double parts[RK_QUOTA_PARTS] = {880};
+    struct rk_quota q = lone_quota(100000);
+    assert_false(rk_quota_knows_all(&q, 100000));
+    rk_quota_restore(&q, "org", parts, 500, 100000);
+    rk_quota_restored(&q, 500);
+    assert_true(rk_quota_knows_all(&q, 100000));
+    rk_quota_tell(&q, &q.orgs[0], parts, 101000);
+    assert_true(parts[0] + parts[1] + parts[2] == 0); /* peers have it themselves */
+    rk_quota_keep(&q, &q.orgs[0], parts, 101000);
+    assert_true(parts[1] + parts[2] >= 880);
+    struct rk_quota second = lone_quota(101500);
+    rk_quota_restore(&second, "org", parts, 500, 101500);
+    rk_quota_restored(&second, 500);
+    assert_true(admit_for(&second, 100, 100, 101500, 105500, 10, 1) <= 21);
+}
+
 /* What was kept long before says nothing of what was used last. */
 static void what_was_kept_long_ago_is_a_floor(void **state)
 {
@@ -450,6 +488,7 @@
         cmocka_unit_test(shares_follow_their_weights),
         cmocka_unit_test(a_window_admits_its_quota),
         cmocka_unit_test(a_node_that_hears_few_holds_to_their_part),
+        cmocka_unit_test(sides_use_what_is_forgiven),
         cmocka_unit_test(before_it_knows_the_nodes_a_node_takes_them_to_be_many),
         cmocka_unit_test(a_restart_does_not_double_a_quota),
         cmocka_unit_test(
@@ -461,6 +500,7 @@
         cmocka_unit_test(a_burst_is_taken_over_with_its_time),
         cmocka_unit_test(what_the_store_kept_holds_after_a_restart),
         cmocka_unit_test(what_was_kept_is_gone_by_after_a_restart),
+        cmocka_unit_test(what_was_restored_is_kept_again),
         cmocka_unit_test(what_was_kept_long_ago_is_a_floor),
         cmocka_unit_test(a_refund_is_no_use),
         cmocka_unit_test(usage_merges_in_any_order),
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -385,7 +385,7 @@
 
 
 BOUNDS = {"graceS": 8, "leaseMs": 1200, "reportWindowS": 1, "usageLateS": 4,
-          "quotaWindowS": 4, "quotaSlack": 0, "budgetExtra": 40, "retryBudgetRatio": 0.2}
+          "quotaWindowS": 4, "quotaSlack": 0, "quotaOverrun": 0.0, "budgetExtra": 40, "retryBudgetRatio": 0.2}
 
 
 class Answer:
