--- a/core/quota.c
+++ b/core/quota.c
@@ -5,9 +5,12 @@
 
 #define RETRY_MIN_MS 250
 #define SLACK_SHARE                                                                \
-    0.6                     /* of the slack that is planned with; the rest covers  \
-                               what peers admit before this node hears of it */
-#define REPORT_LAG_MS   250 /* age of what the peers tell, until it is known */
+    0.6 /* of the slack that is planned with; the rest covers                      \
+           what peers admit before this node hears of it */
+#define OVERRUN_SHARE                                                              \
+    0.8 /* of what is forgiven of a quota, used while some nodes aren't heard:     \
+           most of them are gone, but each may be serving its part */
+#define REPORT_LAG_MS   250   /* age of what the peers tell, until it is known */
 #define RATE_MS         400.0 /* over which the peers' rate is taken */
 #define SLOT_MS         250   /* the same, while it rises */
 #define WORD_MAX_MS     600  /* their last word is taken to be no older than this */
