--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -166,7 +166,7 @@
         q.overrun = 0.1;
         q.nodes_total = 7;
         q.nodes_heard = side;
-        double units = admit_for(&q, 100, 100, 100000, 100100, 1, 1);
+        double units = admit_for(&q, 100, 100, 100000, 100100, 1, 10);
         assert_true(units > 900.0 * side / 7);
         sum += units;
     }
