relay: connections wait while a node that starts knows nothing

Change: the listening socket isn't read until these are known, 400 ms at most. Test: calls_that_come_while_a_node_starts_wait_a_little, fails 3 of 3 before, passes 3 of 3.

--- a/callers/server.c
+++ b/callers/server.c
@@ -441,6 +441,14 @@
     s->limits = *l;
 }
 
+void rk_server_set_accepting(struct rk_server *s, bool on)
+{
+    if (on)
+        rk_loop_watch(s->loop, s->fd, EPOLLIN, on_accept, s);
+    else
+        rk_loop_watch(s->loop, s->fd, 0, NULL, NULL);
+}
+
 void rk_server_set_closing(struct rk_server *s)
 {
     s->closing = true;
--- a/callers/server.h
+++ b/callers/server.h
@@ -42,6 +42,10 @@
 /* For connections made from now on. */
 void rk_server_set_limits(struct rk_server *s, const struct rk_server_limits *l);
 
+/* Take new connections, or let them wait in the system's queue; they are taken from
+ * the start on. */
+void rk_server_set_accepting(struct rk_server *s, bool on);
+
 /* Answers say that the connection ends. */
 void rk_server_set_closing(struct rk_server *s);
 
--- a/node/remember.c
+++ b/node/remember.c
@@ -143,7 +143,9 @@
     if (st == RK_OK && o) {
         m->revision = o->revision;
         restore(m, o->spec);
-    } else if (st != RK_ENOTFOUND && ++m->tries < READ_TRIES) {
+    } else if (st == RK_ENOTFOUND) {
+        rk_relay_restore(m->n->relay, NULL, 0, INT64_MAX);
+    } else if (++m->tries < READ_TRIES) {
         rk_timer_start(m->n->loop, &m->again, READ_MS);
     }
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -9,6 +9,7 @@
 #include "services/upstream.h"
 
 #define REPORT_MS          200
+#define ACCEPT_MAX_MS      400 /* of a start, in which new connections wait */
 #define USAGE_KEPT_WINDOWS 6
 
 /* Until the routes tell others. */
@@ -134,6 +135,21 @@
     return false;
 }
 
+static void accept_now(void *ctx)
+{
+    struct rk_relay *r = ctx;
+    rk_timer_stop(r->loop, &r->accept);
+    rk_server_set_accepting(r->server, true);
+}
+
+/* A call taken before this node knows anything could only be refused: for the tens
+ * of ms that this takes, connections wait. */
+static void accept_if_known(struct rk_relay *r)
+{
+    if (r->accept.slot && r->routes && r->vms_known && r->store_read)
+        accept_now(r);
+}
+
 static void take_routes(void *ctx)
 {
     struct message *m = ctx;
@@ -149,6 +165,7 @@
     rk_server_set_limits(r->server, &limits);
     rk_routes_unref(r->routes);
     r->routes = m->routes;
+    accept_if_known(r);
     free(m);
 }
 
@@ -165,6 +182,7 @@
     struct message *m = ctx;
     rk_place_set_vms(m->r->place, m->rows, m->rows_len);
     m->r->vms_known = true;
+    accept_if_known(m->r);
     free(m->rows);
     free(m);
 }
@@ -243,6 +261,8 @@
         rk_quota_restore(&m->r->quota, m->uses[i].org, m->uses[i].known, m->age_ms,
                          now_ms);
     rk_quota_restored(&m->r->quota, m->age_ms);
+    m->r->store_read = true;
+    accept_if_known(m->r);
     free(m->uses);
     free(m);
 }
@@ -337,6 +357,10 @@
     rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack,
                   opt->bounds.first_start ? 0 : rk_mono_ms());
     r->quota.overrun = opt->bounds.quota_overrun;
+    r->store_read = opt->bounds.first_start;
+    r->accept = (struct rk_timer){.fn = accept_now, .ctx = r};
+    rk_server_set_accepting(r->server, false);
+    rk_timer_start(r->loop, &r->accept, ACCEPT_MAX_MS);
     r->report = (struct rk_timer){.fn = on_report, .ctx = r};
     rk_timer_start(r->loop, &r->report, REPORT_MS);
     return r;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -114,7 +114,7 @@
 /* Of the bounds, those of retries, and what is forgiven of quotas, change. */
 bool rk_relay_set_bounds(struct rk_relay *r, const struct rk_relay_bounds *bounds);
 
-/* What the store remembers of quotas, so old. */
+/* What the store remembers of quotas, so old; len 0: nothing. */
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
                       int64_t age_ms);
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -32,6 +32,8 @@
     struct rk_usage usage;
     struct rk_routes *routes; /* NULL: none known yet */
     bool vms_known;
+    bool store_read; /* what it remembers of an earlier life is known, or nothing */
+    struct rk_timer accept;
     struct rk_relay_service services[RK_RELAY_SERVICES];
     size_t services_len;
     struct rk_relay_call *calls;
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -143,6 +143,17 @@
             time.sleep(0.05)
 
 
+def test_calls_that_come_while_a_node_starts_wait_a_little():
+    """A store that takes 50 ms an answer: what comes before a node knows its routes
+    waits for them, instead of being refused."""
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        d.nodes[0].kill()
+        d.store.fault = lambda req: time.sleep(0.05)
+        d.restart_node(0)
+        statuses = [d.call("/r/x").status for _ in range(3)]
+        assert statuses == [200] * 3, statuses
+
+
 def test_a_key_taken_away_is_refused_everywhere():
     with fleet() as d:
         assert all(d.call("/r/x", node=n).status == 200 for n in range(3))
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """Plays variants of the code on the users' bench and compares them pair by pair.
 
-A variant is NAME=COMMIT, or NAME=. for the working tree as it is. Each is built in a
-folder of its own. A pair is one day of one site with one seed, played by each
+A variant is NAME=COMMIT, or NAME=FOLDER for a working tree as it is. Each is built in
+a folder of its own. A pair is one day of one site with one seed, played by each
 variant; what is printed is the mean difference of worth to the first variant, with
 the 95% interval of Student's t, by site and over all. Plays that are in --out
 already are not played again, so a run that was ended goes on where it stopped.
@@ -40,12 +40,12 @@
     if os.path.exists(folder):
         return
     subprocess.run(["git", "clone", "-q", ROOT, folder], check=True)
-    if source == ".":
+    if os.path.isdir(source):
         for name in os.listdir(folder):
             if name not in (".git", "journal"):
                 path = os.path.join(folder, name)
                 shutil.rmtree(path) if os.path.isdir(path) else os.remove(path)
-        shutil.copytree(ROOT, folder, ignore=NOT_COPIED, dirs_exist_ok=True)
+        shutil.copytree(source, folder, ignore=NOT_COPIED, dirs_exist_ok=True)
     else:
         commit = subprocess.run(["git", "rev-parse", source], cwd=ROOT, check=True,
                                 stdout=subprocess.PIPE).stdout.decode().strip()
@@ -165,7 +165,7 @@
     p = argparse.ArgumentParser(description=__doc__,
                                 formatter_class=argparse.RawDescriptionHelpFormatter)
     p.add_argument("sites", nargs="+")
-    p.add_argument("--variant", action="append", required=True, metavar="NAME=COMMIT")
+    p.add_argument("--variant", action="append", required=True, metavar="NAME=COMMIT or NAME=FOLDER")
     p.add_argument("--days", default="trouble|scale", help="pattern of names of days")
     p.add_argument("--seeds", type=int, default=3, help="the day's own, and others")
     p.add_argument("--jobs", type=int, default=4)
