engines: what was learnt outlasts a kill of all nodes; process tests

The holder of the duties keeps the fleet's estimates in one object of the store (each 10 s, conditionally); a process that had an earlier life reads it and starts from it, until peers tell more. remember.c has one machinery for both objects. Nonsense in the store is no estimate.

--- a/common/json.h
+++ b/common/json.h
@@ -27,4 +27,10 @@
     return v ? json_object_get_int64(v) : fallback;
 }
 
+/* The member as a number; 0 when there is none. */
+static inline double rk_json_real(struct json_object *o, const char *name)
+{
+    return json_object_get_double(rk_json_get(o, name));
+}
+
 #endif
--- a/node/remember.c
+++ b/node/remember.c
@@ -12,15 +12,23 @@
 #include "node/state.h"
 #include "objects/store.h"
 
-#define KIND       "rillknot-quotas"
-#define NAME       "recent"
-#define WRITE_MS   300  /* between writes: what was used since is guessed */
-#define SOME_SHARE 0.02 /* of a quota: less is not written */
-#define READ_TRIES 4
-#define READ_MS    300
+#define QUOTAS_KIND  "rillknot-quotas"
+#define ENGINES_KIND "rillknot-engines"
+#define NAME         "recent"
+#define QUOTAS_MS    300   /* between writes: what was used since is guessed */
+#define ENGINES_MS   10000 /* the same: what is older is unlearnt by then */
+#define SOME_SHARE   0.02  /* of a quota: less is not written */
+#define SOME_SAMPLES 20    /* calls that an estimate rests on: fewer say little */
+#define READ_TRIES   4
+#define READ_MS      300
 
-struct rk_remember {
-    struct rk_node *n;
+/* One object. */
+struct kept {
+    struct rk_remember *m;
+    const char *kind;
+    int64_t every_ms;
+    bool (*build)(struct rk_remember *m, struct rk_buf *b); /* false: nothing */
+    void (*restore)(struct rk_remember *m, struct json_object *spec); /* or NULL */
     int64_t revision; /* of the object; 0: not known */
     int64_t written_ms;
     bool busy;
@@ -28,6 +36,11 @@
     struct rk_timer again;
 };
 
+struct rk_remember {
+    struct rk_node *n;
+    struct kept quotas, engines;
+};
+
 /* ---- writing ---- */
 
 static double quota_of(const struct rk_node *n, const struct rk_org_info *org)
@@ -52,7 +65,7 @@
 }
 
 /* What organisations used of their quotas as JSON; false: nothing. */
-static bool build(struct rk_remember *m, struct rk_buf *b)
+static bool build_quotas(struct rk_remember *m, struct rk_buf *b)
 {
     struct rk_node *n = m->n;
     const struct rk_routes *routes = rk_sync_routes(n->sync);
@@ -76,38 +89,70 @@
     return any;
 }
 
+/* What the nodes learnt of each engine service as JSON; false: too little. */
+static bool build_engines(struct rk_remember *m, struct rk_buf *b)
+{
+    const struct rk_routes *routes = rk_sync_routes(m->n->sync);
+    bool any = false;
+    rk_buf_addstr(b, "{");
+    for (size_t i = 0; routes && i < routes->services_len; i++) {
+        const char *service = routes->services[i].name;
+        struct rk_engine_estimate e =
+            rk_mesh_service_use(m->n->mesh, service).engine;
+        if (!routes->services[i].engine || e.samples < SOME_SAMPLES)
+            continue;
+        rk_buf_addstr(b, any ? "," : "");
+        rk_buf_json_str(b, service);
+        rk_buf_printf(b,
+                      ":{\"fixed_ms\":%.3f,\"ktoken_ms\":%.3f,"
+                      "\"calm_ktoken_ms\":%.3f,\"running_ms\":%.3f,"
+                      "\"error_ms\":%.3f,\"samples\":%.0f}",
+                      e.fixed_ms, e.ktoken_ms, e.calm_ktoken_ms, e.running_ms,
+                      e.error_ms, e.samples);
+        any = true;
+    }
+    rk_buf_addstr(b, "}");
+    return any;
+}
+
 static void on_written(void *ctx, enum rk_status st,
                        const struct rk_store_object *o)
 {
-    struct rk_remember *m = ctx;
-    m->busy = false;
+    struct kept *k = ctx;
+    k->busy = false;
     if ((st == RK_OK || st == RK_ECONFLICT) && o)
-        m->revision = o->revision;
+        k->revision = o->revision;
     else if (st == RK_ENOTFOUND)
-        m->revision = 0;
+        k->revision = 0;
     if (st == RK_ECONFLICT)
-        m->written_ms = 0; /* another node's: now that its revision is known */
+        k->written_ms = 0; /* another node's: now that its revision is known */
 }
 
-void rk_remember_tick(struct rk_remember *m)
+static void write_kept(struct kept *k)
 {
-    struct rk_store *store = m->n->store;
+    struct rk_store *store = k->m->n->store;
     int64_t now_ms = rk_mono_ms();
-    if (m->busy || now_ms - m->written_ms < WRITE_MS)
+    if (k->busy || (k->written_ms && now_ms - k->written_ms < k->every_ms))
         return;
     struct rk_buf b = {0};
-    if (build(m, &b)) {
-        m->busy = true;
-        m->written_ms = now_ms;
-        if (m->revision)
-            store->ops->replace(store, KIND, NAME, m->revision, b.data, on_written,
-                                m);
+    if (k->build(k->m, &b)) {
+        k->busy = true;
+        k->written_ms = now_ms;
+        if (k->revision)
+            store->ops->replace(store, k->kind, NAME, k->revision, b.data,
+                                on_written, k);
         else
-            store->ops->create(store, KIND, NAME, b.data, on_written, m);
+            store->ops->create(store, k->kind, NAME, b.data, on_written, k);
     }
     rk_buf_free(&b);
 }
 
+void rk_remember_tick(struct rk_remember *m)
+{
+    write_kept(&m->quotas);
+    write_kept(&m->engines);
+}
+
 /* ---- reading ---- */
 
 static double part_at(struct json_object *parts, size_t i)
@@ -117,12 +162,14 @@
     return json_object_get_double(json_object_array_get_idx(parts, i));
 }
 
-static void restore(struct rk_remember *m, struct json_object *spec)
+static void restore_quotas(struct rk_remember *m, struct json_object *spec)
 {
     struct json_object *used = rk_json_get(spec, "used");
     int64_t age_ms = rk_wall_ms() - rk_json_int(spec, "wall_ms", 0);
-    if (!json_object_is_type(used, json_type_object))
+    if (!json_object_is_type(used, json_type_object)) {
+        rk_relay_restore(m->n->relay, NULL, 0, INT64_MAX);
         return;
+    }
     size_t len = (size_t)json_object_object_length(used), n = 0;
     struct rk_org_use *uses = rk_alloc(len + 1, sizeof(*uses));
     json_object_object_foreach(used, org, parts)
@@ -137,41 +184,82 @@
     rk_relay_restore(m->n->relay, uses, n, age_ms > 0 ? age_ms : 0);
 }
 
+static struct rk_engine_estimate parse_estimate(struct json_object *o)
+{
+    const struct rk_engine_estimate e = {
+        .fixed_ms = rk_json_real(o, "fixed_ms"),
+        .ktoken_ms = rk_json_real(o, "ktoken_ms"),
+        .calm_ktoken_ms = rk_json_real(o, "calm_ktoken_ms"),
+        .running_ms = rk_json_real(o, "running_ms"),
+        .error_ms = rk_json_real(o, "error_ms"),
+        .samples = rk_json_real(o, "samples")};
+    return rk_engine_is_sound(&e) ? e : (struct rk_engine_estimate){0};
+}
+
+static void restore_engines(struct rk_remember *m, struct json_object *spec)
+{
+    if (!json_object_is_type(spec, json_type_object))
+        return;
+    size_t len = (size_t)json_object_object_length(spec), n = 0;
+    struct rk_service_use *services = rk_alloc(len + 1, sizeof(*services));
+    json_object_object_foreach(spec, service, estimate)
+    {
+        rk_strcpy(services[n].service, sizeof(services[n].service), service);
+        services[n++].engine = parse_estimate(estimate);
+    }
+    RK_EVENT("engines.restored", RK_N("services", (int64_t)n));
+    rk_relay_set_engines(m->n->relay, services, n);
+}
+
 static void on_read(void *ctx, enum rk_status st, const struct rk_store_object *o)
 {
-    struct rk_remember *m = ctx;
+    struct kept *k = ctx;
     if (st == RK_OK && o) {
-        m->revision = o->revision;
-        restore(m, o->spec);
+        k->revision = o->revision;
+        k->restore(k->m, o->spec);
     } else if (st == RK_ENOTFOUND) {
-        rk_relay_restore(m->n->relay, NULL, 0, INT64_MAX);
-    } else if (++m->tries < READ_TRIES) {
-        rk_timer_start(m->n->loop, &m->again, READ_MS);
+        k->restore(k->m, NULL);
+    } else if (++k->tries < READ_TRIES) {
+        rk_timer_start(k->m->n->loop, &k->again, READ_MS);
     }
 }
 
 static void on_again(void *ctx)
 {
-    struct rk_remember *m = ctx;
-    m->n->store->ops->read(m->n->store, KIND, NAME, on_read, m);
+    struct kept *k = ctx;
+    k->m->n->store->ops->read(k->m->n->store, k->kind, NAME, on_read, k);
 }
 
 void rk_remember_start(struct rk_remember *m)
 {
-    if (!m->n->file.first_start)
-        on_again(m);
+    if (m->n->file.first_start)
+        return;
+    on_again(&m->quotas);
+    on_again(&m->engines);
 }
 
 struct rk_remember *rk_remember_create(struct rk_node *n)
 {
     struct rk_remember *m = rk_alloc(1, sizeof(*m));
     m->n = n;
-    m->again = (struct rk_timer){.fn = on_again, .ctx = m};
+    m->quotas = (struct kept){.m = m,
+                              .kind = QUOTAS_KIND,
+                              .every_ms = QUOTAS_MS,
+                              .build = build_quotas,
+                              .restore = restore_quotas};
+    m->engines = (struct kept){.m = m,
+                               .kind = ENGINES_KIND,
+                               .every_ms = ENGINES_MS,
+                               .build = build_engines,
+                               .restore = restore_engines};
+    m->quotas.again = (struct rk_timer){.fn = on_again, .ctx = &m->quotas};
+    m->engines.again = (struct rk_timer){.fn = on_again, .ctx = &m->engines};
     return m;
 }
 
 void rk_remember_destroy(struct rk_remember *m)
 {
-    rk_timer_stop(m->n->loop, &m->again);
+    rk_timer_stop(m->n->loop, &m->quotas.again);
+    rk_timer_stop(m->n->loop, &m->engines.again);
     free(m);
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -120,6 +120,8 @@
     struct rk_relay_peers *peers;
     struct rk_org_use *uses;
     size_t uses_len;
+    struct rk_service_use *services;
+    size_t services_len;
     int64_t age_ms;
     struct rk_relay_bounds bounds;
 };
@@ -277,6 +279,24 @@
     return false;
 }
 
+static void take_engines(void *ctx)
+{
+    struct message *m = ctx;
+    set_priors(m->r, m->services, m->services_len);
+    free(m->services);
+    free(m);
+}
+
+bool rk_relay_set_engines(struct rk_relay *r, struct rk_service_use *services,
+                          size_t len)
+{
+    const struct message m = {.services = services, .services_len = len};
+    if (post(r, take_engines, &m))
+        return true;
+    free(services);
+    return false;
+}
+
 static void take_close(void *ctx)
 {
     struct rk_relay *r = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -118,6 +118,10 @@
 bool rk_relay_restore(struct rk_relay *r, struct rk_org_use *uses, size_t len,
                       int64_t age_ms);
 
+/* What the store remembers of engines' speed: a start, until peers tell more. */
+bool rk_relay_set_engines(struct rk_relay *r, struct rk_service_use *services,
+                          size_t len);
+
 /* Any thread: this process ends in so many ms. Connections end with their next
  * answer; calls that can't end by then are refused. */
 void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms);
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -286,6 +286,7 @@
         self.service, self.zone, self.slots = service, zone, slots
         self.events = events  # of a stream; 0: plain
         self.gap_s = 0.0
+        self.tokens_per_s = 0  # of prompts, read before the first event; 0: at once
         self.fault = None
         self.seen = []
         self.runs = collections.Counter()
@@ -344,6 +345,9 @@
 
     def stream(self, req, conn, upto, end=True):
         """Events after Last-Event-Id up to `upto`, in chunks."""
+        if self.tokens_per_s:
+            tokens = float(req.get("Rillknot-Token-Usage", "0,0").split(",")[0])
+            time.sleep(tokens / self.tokens_per_s)
         conn.sendall(self.head(req, framing=b"Transfer-Encoding: chunked\r\n",
                                extra=b"Content-Type: text/event-stream\r\n"))
         for number in range(int(req.get("Last-Event-Id", 0)) + 1, upto + 1):
