orders: who takes the duties over orders at once

The wait counts from the process's start now. Test: who_takes_the_duties_over_orders_at_once, 4.8 s before, 0.2 s now.

--- a/node/orders.c
+++ b/node/orders.c
@@ -18,8 +18,8 @@
 #define SHORT_MS       6000    /* after it: on-demand vms may stand in */
 #define SHRINK_MS      4000    /* between on-demand vms that are given up */
 #define IDLE_MS        4000 /* without a call: longer than a start of all takes */
-#define SETTLE_MS      2000 /* a holder looks at the list for so long first */
-#define ENROL_MS       4500 /* the same at the first start: vms enrol meanwhile */
+#define SETTLE_MS      2000 /* after its start a node looks at the list first */
+#define ENROL_MS       4500 /* the same at the first of all: vms enrol meanwhile */
 /* Without a call for so long, what stood there at first is no estimate any more. */
 #define ESTIMATE_MS 30000
 
@@ -56,7 +56,6 @@
     struct rk_node *n;
     struct service services[SERVICES];
     size_t services_len;
-    int64_t since_ms; /* the duties are held; 0: they aren't */
 };
 
 static struct service *service_of(struct rk_orders *o, const char *name)
@@ -260,15 +259,11 @@
 {
     const struct rk_routes *routes = rk_sync_routes(o->n->sync);
     rk_orders_watch(o);
-    if (!token) {
-        o->since_ms = 0;
-        return;
-    }
-    if (!o->since_ms)
-        o->since_ms = rk_mono_ms();
+    /* Who takes the duties over knows the list, and the vms that are missing are
+     * missing now. */
     int64_t settle_ms = o->n->file.first_start ? ENROL_MS : SETTLE_MS;
-    if (!routes || !rk_sync_ready(o->n->sync) ||
-        rk_mono_ms() - o->since_ms < settle_ms)
+    if (!token || !routes || !rk_sync_ready(o->n->sync) ||
+        rk_mono_ms() - o->n->started_ms < settle_ms)
         return;
     for (size_t i = 0; i < routes->services_len; i++) {
         const struct rk_service_info *info = &routes->services[i];
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -486,6 +486,25 @@
         wait_until(lambda: last() == expected, 20)
 
 
+def test_who_takes_the_duties_over_orders_at_once():
+    with Hosted(nodes=2, zones=("a-hall",)) as d:
+        workers = [d.add_worker("llm", events=3, zone=z, slots=32)
+                   for z in ("a-hall", "b-hall")]
+        d.configure([d.route("s", "llm", "streaming")], services=[engine_service()])
+        wait_until(lambda: d.cloud.orders, 20)
+        before = d.cloud.orders[-1]
+        old = [n for n in d.nodes if n.name == before[4]][0]
+        old.kill()
+        d.store.drop("servers", workers[0].id)  # one more is missing
+        wait_until(lambda: d.store.objects["rillknot-leases"]["duties"]["spec"]["epoch"] >
+                   before[5], 20)
+        taken = time.monotonic()
+        wait_until(lambda: d.cloud.orders[-1][4] != old.name, 20)
+        took = time.monotonic() - taken
+        assert took < 2, took
+        return "first order %.1f s after the lease was taken" % took
+
+
 def test_on_demand_vms_are_kept_while_no_others_can_be_had():
     with Hosted(nodes=1, zones=("a-hall",)) as d:
         d.cloud.refuse_spot = True
