--- a/common/latency.c
+++ b/common/latency.c
@@ -13,7 +13,9 @@
 #define BUCKETS (RK_ARRAY_LEN(bounds_ms) + 1)
 
 static const char *const names[RK_LATENCY_COUNT] = {
-    [RK_LATENCY_FIRST] = "first_byte_ms", [RK_LATENCY_WHOLE] = "whole_ms"};
+    [RK_LATENCY_FIRST] = "first_byte_ms",
+    [RK_LATENCY_WHOLE] = "whole_ms",
+    [RK_LATENCY_MISS] = "first_byte_error_ms"};
 
 struct series {
     char service[RK_ID_MAX];
--- a/common/latency.h
+++ b/common/latency.h
@@ -10,6 +10,8 @@
 enum rk_latency {
     RK_LATENCY_FIRST, /* from a call's arrival to its answer's head */
     RK_LATENCY_WHOLE, /* to the answer's end, whatever it was */
+    RK_LATENCY_MISS,  /* by how much the predicted first byte was off; the outcome
+                         says which way: early or late */
     RK_LATENCY_COUNT
 };
 
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -9,6 +9,7 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/latency.h"
 #include "serve/relay_call_impl.h"
 
 #define UNSENT_MAX (4 * 1024 * 1024) /* bytes kept for a slow caller */
@@ -18,9 +19,13 @@
 {
     if (x->job.first)
         return;
-    int64_t now_ms = rk_mono_ms();
+    int64_t now_ms = rk_mono_ms(), seen_ms = now_ms - x->job.sent_ms;
+    int64_t late_ms = seen_ms - (int64_t)x->job.expected_ms;
     rk_place_first(x->vm, &x->job, now_ms);
-    rk_call_log_first(x, now_ms - x->job.sent_ms);
+    rk_latency_observe(RK_LATENCY_MISS, x->query.service,
+                       late_ms > 0 ? "late" : "early",
+                       late_ms > 0 ? late_ms : -late_ms);
+    rk_call_log_first(x, seen_ms);
 }
 
 static void count_beginning(struct rk_relay_call *x, int64_t wall_ms)
--- a/tests/proc_hosted_engines.py
+++ b/tests/proc_hosted_engines.py
@@ -1,6 +1,7 @@
 """Engines of unknown speed: what nodes learn of them decides, and outlasts nodes."""
 import json
 import random
+import re
 import time
 
 from hosted import Hosted, wait_until
@@ -57,6 +58,18 @@
         assert_refused(d)
 
 
+def test_how_far_predictions_are_off_is_a_metric():
+    with engines(SLOW) as d:
+        teach(d)
+        text = d.metrics(d.nodes[0])
+        counts = [float(x) for x in re.findall(
+            r'^rillknot_first_byte_error_ms_count\{service="llm".*\} (\S+)$', text, re.M)]
+        small = [float(x) for x in re.findall(
+            r'^rillknot_first_byte_error_ms_bucket\{service="llm".*le="100"\} (\S+)$', text, re.M)]
+        assert sum(counts) == TAUGHT, text
+        assert sum(small) >= 0.7 * TAUGHT, (small, counts)
+
+
 def test_an_unknown_engine_is_tried():
     with engines(FAST) as d:
         assert ask(d, LONG).status == 200
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,62 @@
+#!/usr/bin/env python3
+"""Writes copies of the working tree with one mechanism switched off in each, by
+edits of its source, and prints them as variants for tools/experiment.py:
+
+    tools/experiment.py --variant all=. $(tools/ablation.py FOLDER) SITE...
+"""
+import os
+import shutil
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+NOT_COPIED = shutil.ignore_patterns(".git", "build", "target", "journal")
+
+# Name: file, text that must be there once, what stands there instead.
+MECHANISMS = {
+    "no-lateness-refusals": ("serve/relay_call.c", "target_ms <= 0)\n        return false;",
+                             "target_ms <= 0 || x->r)\n        return false;"),
+    "no-pace-of-vms": ("core/speeds.c", "return p->log_ratio != 0 ?", "return 0 && now_ms ?"),
+    "no-homes": ("core/place.c", "    if (!q->engine)\n        return;\n    for",
+                 "    if (p)\n        return;\n    for"),
+    "no-ranks": ("serve/relay_call.c", "return x->org && x->org->rank >= 0 ? x->org->rank : x->route->rank;",
+                 "return x->org ? 1 : 1;"),
+    "no-pauses": ("core/place.c", "    if (now_ms < v->paused_until_ms)", "    if (0 && now_ms < 0)"),
+    "no-error-rates": ("core/place.c", "double ms = v->error_rate * ERROR_MS;",
+                       "double ms = v->error_rate * 0;"),
+    "no-stand-ins": ("core/holding.c", "    if (wanted < 0)\n", "    if (wanted)\n"),
+    "no-peers-loads": ("serve/relay.c", "    rk_place_set_loads(r->place, p->loads, p->loads_len);",
+                       "    rk_place_set_loads(r->place, p->loads, 0);"),
+    "no-resumes": ("serve/relay_call.c", "if (x->begun && !x->route->resumable)",
+                   "if (x->begun)"),
+    "no-retries": ("serve/relay_call.c", "if (x->attempts >= x->route->max_attempts)\n        return false;",
+                   "if (x->attempts)\n        return false;"),
+    "no-quotas-kept": ("core/quota.c", "q->restored = age_ms <= RESTORED_MAX_MS;",
+                       "q->restored = age_ms < 0;"),
+    "no-overrun": ("core/quota.c", "    if (part < 1)\n", "    if (part < 0)\n"),
+    "no-engines-told": ("serve/relay.c", "        rk_engine_set_prior(&speed->engine, &services[i].engine);",
+                        "        (void)speed;"),
+    "no-own-domain-first": ("core/place.c", "            ms += OTHER_DOMAIN_MS;", "            ms += 0;"),
+    "no-wait-at-start": ("serve/relay.c", "    rk_server_set_accepting(r->server, false);",
+                         "    rk_server_set_accepting(r->server, true);"),
+    "no-reclaimable-minimum": ("core/holding.c", "left < RECLAIMABLE_MIN ? left : RECLAIMABLE_MIN",
+                               "left < 0 ? left : 0"),
+}
+
+
+def main():
+    folder = sys.argv[1]
+    for name, (path, old, new) in MECHANISMS.items():
+        with open(os.path.join(ROOT, path)) as f:
+            text = f.read()
+        if text.count(old) != 1:
+            sys.exit("%s: expected once in %s: %r" % (name, path, old))
+        place = os.path.join(folder, name)
+        shutil.rmtree(place, ignore_errors=True)
+        shutil.copytree(ROOT, place, ignore=NOT_COPIED)
+        with open(os.path.join(place, path), "w") as f:
+            f.write(text.replace(old, new))
+        print("--variant", "%s=%s" % (name, place))
+
+
+if __name__ == "__main__":
+    main()
