--- a/tests/prop_claims.cc
+++ b/tests/prop_claims.cc
@@ -1,7 +1,7 @@
 // Promise 4, in the core: two owners of one shard over a store that loses
 // answers, drops writes, lets them land late; owners restart and sleep. Whatever
 // the order, a key runs at most once and no refusal is false.
-#include <rapidcheck.h>
+#include "tests/props.h"
 
 #include <deque>
 #include <map>
@@ -285,12 +285,6 @@
     return rc::gen::resize(600, rc::gen::container<Steps>(one));
 }
 
-bool report(const char *name, bool ok)
-{
-    printf("[ %s ] %s\n", ok ? "      OK" : "  FAILED", name);
-    return ok;
-}
-
 } // namespace
 
 int main()
--- a/tests/prop_core.cc
+++ b/tests/prop_core.cc
@@ -1,6 +1,6 @@
 // Properties of the core's smaller parts: whatever the order of rows, tokens,
 // changes and waiters, what the brief promises of each holds.
-#include <rapidcheck.h>
+#include "tests/props.h"
 
 #include <cstring>
 #include <memory>
@@ -19,12 +19,6 @@
 
 namespace {
 
-bool report(const char *name, bool ok)
-{
-    printf("[ %s ] %s\n", ok ? "      OK" : "  FAILED", name);
-    return ok;
-}
-
 template <typename T> T pick(int low, int high)
 {
     return static_cast<T>(*rc::gen::inRange(low, high));
@@ -437,10 +431,7 @@
 
 int main()
 {
-    static const struct {
-        const char *name;
-        void (*fn)();
-    } props[] = {
+    static const Property properties[] = {
         {"verdicts_are_true", verdicts_are_true},
         {"streams_are_whole", streams_are_whole},
         {"sse_is_cut_anywhere", sse_is_cut_anywhere},
@@ -454,8 +445,5 @@
         {"shares_follow_weights", shares_follow_weights},
         {"ranks_and_promotion", ranks_and_promotion},
     };
-    bool ok = true;
-    for (const auto &p : props)
-        ok = report(p.name, rc::check(p.name, p.fn)) && ok;
-    return ok ? 0 : 1;
+    return run_properties(properties);
 }
--- a/tests/prop_engine.cc
+++ b/tests/prop_engine.cc
@@ -1,7 +1,7 @@
 // Properties of what is learnt of engines: whatever the engine, forecasts come
 // close within a few seconds' calls, outliers don't carry them away, a changed
 // engine is learnt anew, and an unknown one is not taken to be slow.
-#include <rapidcheck.h>
+#include "tests/props.h"
 
 #include <algorithm>
 #include <cmath>
@@ -159,20 +159,11 @@
     RC_ASSERT(sum.samples == 100 + samples);
 }
 
-bool report(const char *name, bool ok)
-{
-    printf("[ %s ] %s\n", ok ? "      OK" : "  FAILED", name);
-    return ok;
-}
-
 } // namespace
 
 int main()
 {
-    static const struct {
-        const char *name;
-        void (*fn)();
-    } props[] = {
+    static const Property properties[] = {
         {"any_engine_is_learnt", any_engine_is_learnt},
         {"outliers_do_not_carry_it_away", outliers_do_not_carry_it_away},
         {"a_changed_engine_is_learnt_anew", a_changed_engine_is_learnt_anew},
@@ -181,8 +172,5 @@
         {"an_overload_is_no_slower_engine", an_overload_is_no_slower_engine},
         {"estimates_merge_by_their_samples", estimates_merge_by_their_samples},
     };
-    bool ok = true;
-    for (const auto &p : props)
-        ok = report(p.name, rc::check(p.name, p.fn)) && ok;
-    return ok ? 0 : 1;
+    return run_properties(properties);
 }
--- a/tests/prop_fuzz.cc
+++ b/tests/prop_fuzz.cc
@@ -1,7 +1,7 @@
 // Promise 10: bytes from outside. Frames, settings, streams, requests and
 // snapshots are fed garbage and damaged good input, seeds fixed: no crash, no
 // leak (under the sanitizer build), bounded memory.
-#include <rapidcheck.h>
+#include "tests/props.h"
 
 #include <cstring>
 #include <string>
@@ -21,12 +21,6 @@
 
 namespace {
 
-bool report(const char *name, bool ok)
-{
-    printf("[ %s ] %s\n", ok ? "      OK" : "  FAILED", name);
-    return ok;
-}
-
 std::string garbage()
 {
     auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
@@ -239,10 +233,7 @@
 
 int main()
 {
-    static const struct {
-        const char *name;
-        void (*fn)();
-    } props[] = {
+    static const Property properties[] = {
         {"frames", frames},
         {"settings", settings},
         {"changes", changes},
@@ -252,8 +243,5 @@
         {"requests", requests},
         {"claim_slots", claim_slots},
     };
-    bool ok = true;
-    for (const auto &p : props)
-        ok = report(p.name, rc::check(p.name, p.fn)) && ok;
-    return ok ? 0 : 1;
+    return run_properties(properties);
 }
