--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -546,8 +546,9 @@
         assert d.nodes[0].name not in names and d.nodes[1].name in names
 
 
-def test_a_stop_under_load_loses_no_call():
+def stop_under_load(store_fault=None):
     with fleet(nodes=1, zones=("a-hall",)) as d:
+        d.store.fault = store_fault
         lost, done, stop = [], [0], threading.Event()
 
         def ask(n):
@@ -576,6 +577,47 @@
         assert not lost and done[0] > 50, (lost, done)
 
 
+def test_a_stop_under_load_loses_no_call():
+    stop_under_load()
+
+
+def test_a_stop_under_load_loses_no_call_while_the_store_is_away():
+    stop_under_load(lambda req: "silent")
+
+
+def test_a_call_is_answered_whole_while_the_store_comes_and_goes():
+    """What disturbs the store alone cuts no call, also one that may not be repeated."""
+    with fleet(nodes=2, kind="non_idempotent") as d:
+        faults = ["silent", "reset", 503, None, "reset", "silent", None]
+        for n, fault in enumerate(faults):
+            d.store.fault = (lambda f: lambda req: f)(fault) if fault else None
+            end, k = time.monotonic() + 0.8, 0
+            while time.monotonic() < end:
+                k += 1
+                a = d.call("/r/x", node=k % 2, ident="store-%d-%d" % (n, k))
+                assert a.status == 200 and a.whole and d.runs(a.ident) == 1, (fault, a.status)
+
+
+def test_a_draining_vm_gets_nothing_while_the_store_is_away():
+    """A node that knows that a vm leaves is bound by it, whatever the store does."""
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        leaving = d.workers[0]
+        d.store.put("servers", leaving.id, leaving.spec(state="draining"))
+        told_at = d.store.revision
+        wait_until(lambda: all(d.gauge(n, "list_revision") >= told_at for n in d.nodes), 6)
+        before = len(leaving.seen)
+        d.store.fault = lambda req: "reset"
+        end, k = time.monotonic() + 5, 0
+        while time.monotonic() < end:
+            k += 1
+            assert d.call("/r/x", node=k % 2, ident="away-%d" % k).status == 200
+            time.sleep(0.01)
+        d.store.fault = None
+        time.sleep(1)
+        assert all(d.call("/r/x", node=n).status == 200 for n in range(2))
+        assert len(leaving.seen) == before, "calls reached a vm that leaves"
+
+
 def test_a_hup_reads_the_file_again():
     with fleet(nodes=1, zones=("a-hall",)) as d:
         node = d.nodes[0]
