engines, quotas: what is rejected is logged; constants say where they come from

An estimate that can't be one, from a peer or the store, and a start without anything kept of quotas have a log line. rk_place_speeds() had no caller.

--- a/core/place.c
+++ b/core/place.c
@@ -19,8 +19,10 @@
 #define OUTSIDE_FIRSTS                                                             \
     3.0 /* times a first token, less must speak for a vm that is no home: what is  \
            told of it is old, and all nodes see the same */
-#define COPY_WEIGHT    1.5  /* of reading: it also holds up all others there */
-#define WAITING_WEIGHT 1.0  /* of what waits */
+/* Of tokens, as they count when vms are compared; both by measurement on two sites.
+ */
+#define COPY_WEIGHT    1.5 /* of its own prompt: it also holds up all others there */
+#define WAITING_WEIGHT 1.0  /* of what waits: what is told of it is old */
 #define INDEX_FIRST    64   /* places for vms; a power of two */
 #define MEMO_SLOTS     8192 /* a power of two */
 
@@ -69,11 +71,6 @@
     return p->vms;
 }
 
-struct rk_speed *rk_place_speeds(struct rk_place *p)
-{
-    return p->speeds.first;
-}
-
 struct rk_speed *rk_place_speed_of(struct rk_place *p, const char *service)
 {
     return rk_speeds_of(&p->speeds, service);
--- a/core/place.h
+++ b/core/place.h
@@ -121,8 +121,7 @@
                     struct rk_place_job *job, enum rk_place_end end,
                     int64_t now_ms);
 
-/* What is known of services' speeds, a list by ->next. */
-struct rk_speed *rk_place_speeds(struct rk_place *p);
+/* What is known of a service's speed. */
 struct rk_speed *rk_place_speed_of(struct rk_place *p, const char *service);
 
 /* All vms, a list by ->next. */
--- a/node/engines.c
+++ b/node/engines.c
@@ -2,6 +2,7 @@
  * merged here, and given to the relay as what to start from. */
 #include <string.h>
 
+#include "common/eventlog.h"
 #include "node/mesh_impl.h"
 
 void rk_engines_put(Rillknot__EngineEstimate *out,
@@ -27,7 +28,10 @@
                                     .running_ms = told->running_ms,
                                     .error_ms = told->error_ms,
                                     .samples = told->samples};
-    return rk_engine_is_sound(&e) ? e : (struct rk_engine_estimate){0};
+    if (rk_engine_is_sound(&e))
+        return e;
+    RK_WARN("engines.rejected", RK_S("from", "peer"));
+    return (struct rk_engine_estimate){0};
 }
 
 static void merge(struct rk_engine_estimate *sum,
--- a/node/remember.c
+++ b/node/remember.c
@@ -167,6 +167,7 @@
     struct json_object *used = rk_json_get(spec, "used");
     int64_t age_ms = rk_wall_ms() - rk_json_int(spec, "wall_ms", 0);
     if (!json_object_is_type(used, json_type_object)) {
+        RK_EVENT("quota.nothing_restored", RK_N("object", spec != NULL));
         rk_relay_restore(m->n->relay, NULL, 0, INT64_MAX);
         return;
     }
@@ -193,7 +194,10 @@
         .running_ms = rk_json_real(o, "running_ms"),
         .error_ms = rk_json_real(o, "error_ms"),
         .samples = rk_json_real(o, "samples")};
-    return rk_engine_is_sound(&e) ? e : (struct rk_engine_estimate){0};
+    if (rk_engine_is_sound(&e))
+        return e;
+    RK_WARN("engines.rejected", RK_S("from", "store"));
+    return (struct rk_engine_estimate){0};
 }
 
 static void restore_engines(struct rk_remember *m, struct json_object *spec)
