relay: a caller's resume is told to the next vm when the first sent no event

After a head the caller's Last-Event-Id was left out for this node's own, which was empty: the next vm began at the first event.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -292,7 +292,9 @@
     case RK_HEADER_OURS:
         return false;
     case RK_HEADER_CALLERS:
-        return !(x->begun && !strcasecmp(name, d->resume_after));
+        /* This node says where to go on, once a vm has sent an event. */
+        return !(x->begun && x->events.last_id[0] &&
+                 !strcasecmp(name, d->resume_after));
     case RK_HEADER_OTHER:
         break;
     }
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -395,6 +395,21 @@
         until_resumed(d, 5, "2")
 
 
+def test_a_callers_resume_goes_on_where_it_asked_after_a_vm_that_sent_nothing():
+    """The first vm answers with a head and dies before an event: the next one must
+    begin behind the caller's last event, not at the start."""
+    with stream(events=6) as d:
+        d.workers[0].fault = torn(4)  # a head only, as events 5 and 6 are asked for
+        want = None
+        for _ in range(40):
+            a = d.call("/s/x", deadline=7000, headers=[("Last-Event-Id", "4")])
+            want = expected(a.ident, 6)[len(expected(a.ident, 4)):]
+            assert a.whole and a.body == want, a.body
+            if d.workers[0].seen:
+                return
+        raise AssertionError("the faulty worker was never chosen")
+
+
 def test_a_caller_resumes_its_stream():
     with stream(workers=1, events=6) as d:
         a = d.call("/s/x", headers=[("Last-Event-Id", "4")])
