--- a/node/follow.c
+++ b/node/follow.c
@@ -2,8 +2,11 @@
 
 #include "common/eventlog.h"
 
-#define WATCH_MS       2500 /* a watch that hangs must be noticed within contact */
-#define WATCH_LOST_MS  200  /* its end tells soon that the store is back */
+#define WATCH_MS 2500 /* a watch that hangs must be noticed within contact */
+#define WATCH_FEW_MS                                                               \
+    1400                   /* where few follow for all: their silence tells sooner \
+                            */
+#define WATCH_LOST_MS  200 /* its end tells soon that the store is back */
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS   500 /* with WATCH_LOST_MS: back within 2 s, as entries are */
 
@@ -58,6 +61,13 @@
         next(f);
 }
 
+static int64_t watch_ms(const struct rk_follow *f)
+{
+    if (f->lost)
+        return WATCH_LOST_MS;
+    return f->few ? WATCH_FEW_MS : WATCH_MS;
+}
+
 static void next(struct rk_follow *f)
 {
     struct rk_store *store = f->n->store;
@@ -69,8 +79,7 @@
     if (f->listing)
         store->ops->list(store, f->kind, on_answer, f);
     else
-        store->ops->watch(store, f->kind, f->at, f->lost ? WATCH_LOST_MS : WATCH_MS,
-                          on_answer, f);
+        store->ops->watch(store, f->kind, f->at, watch_ms(f), on_answer, f);
 }
 
 static void on_again(void *ctx)
--- a/node/follow.h
+++ b/node/follow.h
@@ -16,6 +16,7 @@
                   bool all, int64_t at);
     void (*heard)(void *ctx); /* the store answered; before apply */
     void *ctx;
+    bool few;         /* few nodes follow, for all: watches are shorter */
     int64_t pace_ms;  /* between watches, so that changes come together */
     int64_t at;       /* the store's revision that is known; 0: none yet */
     int64_t heard_ms; /* when the store answered last; 0: never */
