--- a/node/sync.c
+++ b/node/sync.c
@@ -12,7 +12,7 @@
 #define TICK_MS 250
 #define PACE_MS 200 /* in a large fleet, between watches that brought something */
 #define STALE_MS                                                                   \
-    2300 /* what is not confirmed for so long is followed here: a watch of         \
+    1950 /* what is not confirmed for so long is followed here: a watch of         \
             WATCH_FEW_MS and the way of its news are shorter */
 #define STAGGER_MS 100  /* more for each node that comes before this one */
 #define AWAY_MS    2600 /* a store that answers no node for so long was away */
