--- a/common/addr.c
+++ b/common/addr.c
@@ -1,10 +1,14 @@
 #include "common/addr.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "common/status.h"
 #include "common/util.h"
 
 bool rk_addr_parse(const char *s, struct sockaddr_in *out)
@@ -22,3 +26,19 @@
     return !*end && port >= 0 && port <= UINT16_MAX &&
            inet_pton(AF_INET, ip, &out->sin_addr) == 1;
 }
+
+bool rk_addr_is_free(const struct sockaddr_in *addr)
+{
+    if (!addr->sin_port)
+        return true;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int one = 1;
+    bool is_free = fd >= 0 &&
+                   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
+                   bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) == 0;
+    if (!is_free)
+        rk_fail(RK_ESYSTEM, "port %u: %s", ntohs(addr->sin_port), strerror(errno));
+    if (fd >= 0)
+        close(fd);
+    return is_free;
+}
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -423,8 +423,8 @@
     m->soon = (struct rk_timer){.fn = on_soon, .ctx = m};
     rk_enrol_init(m);
     rk_tell_init(m);
-    m->listener = rk_listener_create(n->loop, n->file.control_listen, &guest_ops,
-                                     on_accept, m);
+    m->listener = rk_listener_create(n->loop, n->file.control_listen, false,
+                                     &guest_ops, on_accept, m);
     if (m->listener)
         return m;
     free(m);
--- a/peers/link.c
+++ b/peers/link.c
@@ -295,7 +295,7 @@
 }
 
 struct rk_listener *
-rk_listener_create(struct rk_loop *loop, const char *addr,
+rk_listener_create(struct rk_loop *loop, const char *addr, bool shared,
                    const struct rk_link_ops *ops,
                    void (*on_accept)(void *ctx, struct rk_link *l), void *ctx)
 {
@@ -307,7 +307,8 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
+    if (shared)
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
     socklen_t len = sizeof(sa);
     if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
         listen(fd, BACKLOG) < 0 ||
--- a/peers/link.h
+++ b/peers/link.h
@@ -43,9 +43,10 @@
 bool rk_link_was_up(const struct rk_link *link);
 void rk_link_set_ctx(struct rk_link *link, void *ctx);
 
-/* Accept links. on_accept sets the link's ctx by rk_link_set_ctx(). */
+/* Accept links. on_accept sets the link's ctx by rk_link_set_ctx(). shared: threads
+ * of this process listen at the same address; see rk_addr_is_free(). */
 struct rk_listener *
-rk_listener_create(struct rk_loop *loop, const char *addr,
+rk_listener_create(struct rk_loop *loop, const char *addr, bool shared,
                    const struct rk_link_ops *ops,
                    void (*on_accept)(void *ctx, struct rk_link *l), void *ctx);
 void rk_listener_destroy(struct rk_listener *l);
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -4,6 +4,7 @@
 #include <argp.h>
 #include <curl/curl.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -13,6 +14,7 @@
 #include <time.h>
 
 #include "callers/callers.h"
+#include "common/addr.h"
 #include "common/eventlog.h"
 #include "common/loop.h"
 #include "common/util.h"
@@ -244,6 +246,16 @@
     return true;
 }
 
+/* The traffic threads share their ports, with nobody else. */
+static bool is_free(const char *listen)
+{
+    struct sockaddr_in addr;
+    if (rk_addr_parse(listen, &addr))
+        return rk_addr_is_free(&addr);
+    rk_fail(RK_EINVAL, "%s: expected ip:port", listen);
+    return false;
+}
+
 static bool create_node(struct node *n)
 {
     uint64_t seed = random_seed();
@@ -251,6 +263,8 @@
     n->views = rk_view_cell_create();
     rk_strcpy(listen, sizeof(listen), or_any(n->file.listen));
     rk_strcpy(forward, sizeof(forward), or_any(n->file.forward_listen));
+    if (!is_free(listen) || !is_free(forward))
+        return false;
     for (size_t i = 0; i < (size_t)n->file.traffic_threads; i++) {
         if (!create_worker(n, i, listen, forward, seed))
             return false;
--- a/serve/forward.c
+++ b/serve/forward.c
@@ -407,7 +407,7 @@
 {
     struct rk_forwards *f = rk_alloc(1, sizeof(*f));
     f->t = t;
-    f->listener = rk_listener_create(t->loop, addr, &in_ops, on_accept, f);
+    f->listener = rk_listener_create(t->loop, addr, true, &in_ops, on_accept, f);
     if (!f->listener) {
         free(f);
         return NULL;
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -230,15 +230,18 @@
         self.sock.close()
 
 
+HELD = []  # sockets that keep the ports of free_port()
+
+
 def free_port():
     """A port the kernel gives, for processes whose address must be known early
-    or stay the same over a restart."""
+    or stay the same over a restart. It is kept, without listening, while this process
+    lives: a process that is told to may listen there, nobody else is given it."""
     s = socket.socket()
     s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     s.bind(("127.0.0.1", 0))
-    port = s.getsockname()[1]
-    s.close()
-    return port
+    HELD.append(s)
+    return s.getsockname()[1]
 
 
 class Cluster:
