enrol, sync: nodes that start together ask the store little

Cause: a node of a first start doesn't know how many there are: each of 295 took itself for one of a few, followed settings and vms, read the lease and listed the nodes three times. Change: it enrols, lists the nodes once 0.35 to 0.7 s later, and is told the rest by bridges; who is told nothing within 3 s asks the store.

--- a/node/duties.c
+++ b/node/duties.c
@@ -20,6 +20,7 @@
 #define LEASE_KIND      "rillknot-leases"
 #define LEASE_NAME      "duties"
 #define USAGE_KIND      "rillknot-usage"
+#define UNLISTED_MS     2000 /* then it stands without knowing who the others are */
 #define STAND_JITTER_MS 1200 /* candidates don't all try at once */
 #define LOST_WAIT_MS    5000 /* who lost the lease stands again later than others */
 #define STRAGGLERS_MS   1500 /* after a window's end: reports on their way */
@@ -138,7 +139,9 @@
 static bool may_stand(const struct rk_duty_keeper *k)
 {
     int64_t since_ms = k->lease.seen_ms ? k->lease.seen_ms : k->started_ms;
-    return k->was_held || rk_mesh_stands(k->n->mesh) ||
+    bool listed =
+        rk_mesh_is_listed(k->n->mesh) || rk_mono_ms() - k->started_ms > UNLISTED_MS;
+    return k->was_held || (listed && rk_mesh_stands(k->n->mesh)) ||
            rk_mono_ms() - since_ms > 3 * (int64_t)k->n->file.lease_ms;
 }
 
--- a/node/enrol.c
+++ b/node/enrol.c
@@ -13,9 +13,11 @@
 #define REGISTER_MIN_MS 200
 #define REGISTER_MAX_MS 2000
 #define SPEC_MAX        192
-#define LISTS           3     /* read at the first start: others enrol meanwhile */
-#define LIST_MS         1500  /* between them */
-#define LOOK_AGAIN_MS   8000  /* the same, after nodes were forgotten */
+#define LISTS           3    /* read at the first start: others enrol meanwhile */
+#define LIST_MS         1500 /* between them */
+#define LOOK_AGAIN_MS   8000 /* the same, after nodes were forgotten */
+#define TOGETHER_MS     350  /* in which nodes of one start have all begun */
+#define SEEDS_MIN       3 /* addresses a node is told, unless the fleet is smaller */
 #define LOST_MS         60000 /* for so long */
 #define MILLI           1000.0
 
@@ -52,7 +54,8 @@
 
 static void list_later(struct rk_mesh *m)
 {
-    int64_t wait_ms = --m->lists_left > 0 ? LIST_MS : LOOK_AGAIN_MS;
+    m->lists_left = rk_mesh_count(m) < RK_MESH_DIRECT ? m->lists_left - 1 : 0;
+    int64_t wait_ms = m->lists_left > 0 ? LIST_MS : LOOK_AGAIN_MS;
     int64_t jitter = rk_rng_below(&m->n->rng, LIST_MS);
     rk_timer_start(m->n->loop, &m->enrol, wait_ms + jitter);
 }
@@ -71,6 +74,7 @@
     for (size_t i = 0; i < len; i++)
         learn(m, &objects[i]);
     RK_EVENT("mesh.enrolled", RK_N("nodes", (int64_t)len));
+    rk_mesh_elect(m, rk_mono_ms());
     rk_mesh_dial(m, rk_mono_ms());
     list_later(m);
 }
@@ -78,7 +82,22 @@
 static void list_nodes(struct rk_mesh *m)
 {
     struct rk_store *store = m->n->store;
-    store->ops->list(store, NODES_KIND, on_nodes, m);
+    /* At the first start of all the others enrol just now; later an old list tells
+     * of nearly all nodes, and they tell of the rest. */
+    bool stale = m->listed || !m->n->file.first_start;
+    store->ops->list(store, NODES_KIND, stale, on_nodes, m);
+}
+
+/* Nodes that start together enrol first: then one list tells each of them who there
+ * is, and in a large fleet nobody needs another, nor to follow the store. */
+static void list_first(struct rk_mesh *m)
+{
+    bool together = m->n->file.first_start && m->n->file.peers_len >= SEEDS_MIN;
+    int64_t jitter = rk_rng_below(&m->n->rng, TOGETHER_MS);
+    if (!together || m->listed)
+        list_nodes(m);
+    else
+        rk_timer_start(m->n->loop, &m->enrol, TOGETHER_MS + jitter);
 }
 
 static void on_enrolled(void *ctx, enum rk_status st,
@@ -102,7 +121,7 @@
         return;
     }
     m->enrolled = true;
-    list_nodes(m);
+    list_first(m);
 }
 
 /* After the first readings the list is read only while nodes may be cut off, by
--- a/node/follow.c
+++ b/node/follow.c
@@ -101,7 +101,7 @@
     f->listing = !f->at;
     f->began_ms = rk_mono_ms();
     if (f->listing)
-        store->ops->list(store, f->kind, on_answer, f);
+        store->ops->list(store, f->kind, false, on_answer, f);
     else
         store->ops->watch(store, f->kind, f->at, watch_ms(f), on_answer, f);
 }
--- a/node/members.c
+++ b/node/members.c
@@ -274,6 +274,11 @@
     return m->direct || (m->bridge && !m->preceded) ? -1 : m->preceded;
 }
 
+bool rk_mesh_is_listed(const struct rk_mesh *m)
+{
+    return m->listed;
+}
+
 bool rk_mesh_is_direct(const struct rk_mesh *m)
 {
     return m->direct;
--- a/node/sync.c
+++ b/node/sync.c
@@ -11,8 +11,9 @@
 #define STALE_MS                                                                   \
     1950 /* what is not confirmed for so long is followed here: a watch of         \
             WATCH_MS and the way of its news are shorter */
-#define STAGGER_MS 100  /* more for each node that comes before this one */
-#define AWAY_MS    2600 /* a store that answers no node for so long was away */
+#define FIRST_TOLD_MS 3000 /* after a first start: 10 s before callers come */
+#define STAGGER_MS    100  /* more for each node that comes before this one */
+#define AWAY_MS       2600 /* a store that answers no node for so long was away */
 
 /* ---- peers ---- */
 
@@ -100,14 +101,23 @@
     return s->behind_since_ms ? rk_mono_ms() - s->behind_since_ms : 0;
 }
 
-/* Should this node follow the store itself? */
+/* Should this node follow the store itself? Nodes that start together, before there
+ * are any calls, wait: in a large fleet those that follow the store tell the
+ * others. */
 static bool should_follow(const struct rk_sync *s)
 {
-    int before = rk_mesh_rank(s->n->mesh); /* nodes that should do so first */
-    if (before < 0 || !rk_sync_ready(s))
+    const struct rk_node *n = s->n;
+    bool starts =
+        n->file.first_start && rk_mono_ms() - n->started_ms < FIRST_TOLD_MS;
+    if (starts && !rk_mesh_is_listed(n->mesh))
+        return false;
+    int before = rk_mesh_rank(n->mesh); /* nodes that should do so first */
+    if (before < 0 || (!rk_sync_ready(s) && !n->file.first_start))
         return true;
     int64_t age_ms = rk_sync_age_ms(s);
-    return age_ms < 0 || age_ms > STALE_MS + before * STAGGER_MS;
+    if (age_ms < 0)
+        return !starts;
+    return age_ms > STALE_MS + before * STAGGER_MS;
 }
 
 static void on_tick(void *ctx)
--- a/objects/store.h
+++ b/objects/store.h
@@ -33,8 +33,9 @@
                              const struct rk_store_object *object);
 
 struct rk_store_ops {
-    void (*list)(struct rk_store *s, const char *kind, rk_store_list_fn *fn,
-                 void *ctx);
+    /* stale: an answer that is seconds old will do, and costs the store less. */
+    void (*list)(struct rk_store *s, const char *kind, bool stale,
+                 rk_store_list_fn *fn, void *ctx);
     /* Changes after a revision, as soon as there are any; empty after wait_ms. */
     void (*watch)(struct rk_store *s, const char *kind, int64_t since,
                   int64_t wait_ms, rk_store_list_fn *fn, void *ctx);
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -46,6 +46,25 @@
         return "%d watches in 5 s" % len(watches)
 
 
+def test_nodes_that_start_together_ask_the_store_little():
+    """Seen: 295 nodes that start at once made 2,700 calls to the store, 9 each: before
+    they knew each other each took itself for one of a few, followed settings and vms,
+    read the lease and listed the nodes three times. Now who bridges follows, and tells
+    the others; the first three here are told too few seeds to wait."""
+    with fleet(nodes=NODES) as d:
+        settled(d)
+        d.wait_ready()
+        time.sleep(3)
+        asked = collections.Counter(
+            r.target.split("?")[0].split("/")[3] for r in d.store.calls
+            if r.method == "GET" and "watch=" not in r.target and "sinceRev" not in r.target)
+        follow = 2 * (len(ZONES) + 3)
+        assert asked["config"] + asked["servers"] <= follow, asked
+        assert asked["rillknot-leases"] <= 3 + 2 * len(ZONES), asked
+        assert asked["rillknot-nodes"] <= NODES + 2 * 3, asked
+        return dict(asked)
+
+
 def test_news_reach_all_when_a_domain_loses_its_bridges():
     with fleet(nodes=NODES) as d:
         settled(d)
