mesh: a bridge that runs late gives way to one of its size

Cause: a bridge at a fifth of its speed is still heard, so it went on bridging and all news of its domain were late. Change: ticks that come 100 ms late (smoothed) are told; such a node counts for a quarter of its machine when bridges are chosen, so that small machines don't take over from large ones that are all late.

proc_hosted_bridges.a_bridge_that_turns_slow_gives_way: not in 8 s before.

--- a/node/digest.c
+++ b/node/digest.c
@@ -213,6 +213,7 @@
         k->told_ms = rk_mono_ms();
         k->unproven = false;
         k->leaving = row->leaving;
+        k->slow = row->slow;
     }
 }
 
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -199,6 +199,7 @@
         row->capacity = k->capacity;
         row->heard = is_told_of(k, now_ms);
         row->leaving = k->leaving;
+        row->slow = k->slow;
         p->member_ptrs[p->digest.n_members++] = row;
     }
     p->digest.members = p->member_ptrs;
--- a/node/members.c
+++ b/node/members.c
@@ -1,5 +1,6 @@
 /* The nodes that are known, who of them is heard, and who bridges each failure
- * domain: the nodes with the most processor time, by a hash among equals. */
+ * domain: the nodes with the most processor time, by a hash among equals; one that
+ * runs late gives way to an equal. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,7 @@
 #define NEW_MS    1500 /* a node that was just learnt of is taken to live */
 #define FORGET_MS 15000
 #define MILLI     1000.0
+#define SLOW_PART 4
 
 size_t rk_mesh_count(const struct rk_mesh *m)
 {
@@ -189,6 +191,14 @@
     size_t len;
 };
 
+/* One that runs late counts for a part of its machine, and not for less: where the
+ * large machines of a domain run late, small ones would only do worse. */
+static struct candidate candidate(int64_t capacity, bool slow, uint64_t hash)
+{
+    return (struct candidate){.capacity = slow ? capacity / SLOW_PART : capacity,
+                              .hash = hash};
+}
+
 static bool precedes(struct candidate a, struct candidate b)
 {
     if (a.capacity != b.capacity)
@@ -238,9 +248,8 @@
 
 void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms)
 {
-    const struct candidate self = {.capacity =
-                                       (int64_t)(m->n->file.cpu_share * MILLI),
-                                   .hash = rk_hash_str(0, m->n->file.id)};
+    const struct candidate self = candidate((int64_t)(m->n->file.cpu_share * MILLI),
+                                            m->slow, rk_hash_str(0, m->n->file.id));
     struct first all[RK_DOMAIN_PRICES];
     size_t len = 0;
     struct first *f = first_of(all, &len, m->n->file.failure_domain);
@@ -250,7 +259,7 @@
     if (!m->n->leaving)
         offer(f, self);
     for (struct member *k = m->members; k; k = k->next) {
-        const struct candidate c = {.capacity = k->capacity, .hash = k->hash};
+        const struct candidate c = candidate(k->capacity, k->slow, k->hash);
         if (!may_bridge(k, now_ms))
             continue;
         if ((f = first_of(all, &len, k->domain)))
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -21,6 +21,11 @@
 #define CONNECT_MS     1000
 #define UNWANTED_MS    5000 /* a link that nobody needs is kept for so long */
 #define ASK_AGAIN_MS   300
+#define LATE_SHARE     0.4 /* weight of a tick: slow after half a second of it */
+/* Ticks come a few ms late; a node that runs at a fifth of its speed is behind by
+ * all it does in between. Digests that are so much later are half as old again. */
+#define LATE_MS      100.0
+#define LATE_OVER_MS 30.0 /* it isn't slow any more */
 
 /* ---- reports out ---- */
 
@@ -391,11 +396,26 @@
     rk_relay_set_peers(m->n->relay, p);
 }
 
+/* A node that gets little of its processor hears, sums and tells others late: it is
+ * no bridge while others can be. */
+static void note_lateness(struct rk_mesh *m, int64_t now_ms)
+{
+    double late_ms = m->due_ms ? (double)(now_ms - m->due_ms) : 0;
+    m->due_ms = now_ms + REPORT_MS;
+    m->late_ms += LATE_SHARE * (late_ms - m->late_ms);
+    bool slow = m->late_ms > (m->slow ? LATE_OVER_MS : LATE_MS);
+    if (slow != m->slow)
+        RK_EVENT("node.slow", RK_N("on", slow),
+                 RK_N("late_ms", (int64_t)m->late_ms));
+    m->slow = slow;
+}
+
 static void on_tick(void *ctx)
 {
     struct rk_mesh *m = ctx;
     int64_t now_ms = rk_mono_ms();
     rk_timer_start(m->n->loop, &m->tick, REPORT_MS);
+    note_lateness(m, now_ms);
     rk_log_flush();
     rk_mesh_review(m, now_ms);
     rk_mesh_elect(m, now_ms);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -67,6 +67,7 @@
     int64_t known_ms;  /* since when it is a member */
     bool heard;        /* as logged last */
     bool leaving;
+    bool slow; /* as it told itself */
     int64_t remembers_ms;
     struct rk_vm_load *loads;
     size_t loads_len;
@@ -91,6 +92,9 @@
     struct member *members;
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol, tell;
+    int64_t due_ms;    /* when the tick is next */
+    double late_ms;    /* how late ticks come, smoothed */
+    bool slow;         /* too late to do more than it has to */
     int64_t told_ms;   /* the peers, last */
     int64_t digest_ms; /* the same, a digest */
     unsigned digests;  /* made so far */
--- a/node/report.c
+++ b/node/report.c
@@ -110,6 +110,7 @@
     p->report.settings_version = rk_sync_version(n->sync);
     p->report.list_revision = rk_sync_list_revision(n->sync);
     p->report.leaving = n->leaving;
+    p->report.slow = m->slow;
     p->report.store_age_ms = rk_sync_age_ms(n->sync);
     p->report.capacity = (int64_t)(n->file.cpu_share * MILLI);
     const char *value;
@@ -254,6 +255,7 @@
     k->heard_ms = rk_mono_ms();
     k->unproven = false;
     k->leaving = r->leaving;
+    k->slow = r->slow;
     k->remembers_ms = r->remembers_ms;
     take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
--- a/node/state.h
+++ b/node/state.h
@@ -76,8 +76,8 @@
 /* Nodes of this domain that should follow the store before this one does; -1: this
  * one should. */
 int rk_mesh_rank(const struct rk_mesh *m);
-/* Does this node know who the others are? Until then it can't tell who should follow
- * the store or hold the duties. */
+/* Does this node know who the others are? Until then it can't tell who should
+ * follow the store or hold the duties. */
 bool rk_mesh_is_listed(const struct rk_mesh *m);
 bool rk_mesh_is_direct(
     const struct rk_mesh *m); /* a small fleet: each tells each */
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3081,7 +3081,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[17] =
 {
   {
     "id",
@@ -3275,6 +3275,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slow",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -3289,6 +3301,7 @@
   12,   /* field[12] = remembers_ms */
   13,   /* field[13] = services */
   4,   /* field[4] = settings_version */
+  16,   /* field[16] = slow */
   14,   /* field[14] = store_age_ms */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
@@ -3297,7 +3310,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -3307,14 +3320,14 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  16,
+  17,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
   (ProtobufCMessageInit) rillknot__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[7] =
 {
   {
     "id",
@@ -3388,6 +3401,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slow",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -3396,11 +3421,12 @@
   4,   /* field[4] = heard */
   0,   /* field[0] = id */
   5,   /* field[5] = leaving */
+  6,   /* field[6] = slow */
 };
 static const ProtobufCIntRange rillknot__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rillknot__node_row__descriptor =
 {
@@ -3410,7 +3436,7 @@
   "Rillknot__NodeRow",
   "rillknot",
   sizeof(Rillknot__NodeRow),
-  6,
+  7,
   rillknot__node_row__field_descriptors,
   rillknot__node_row__field_indices_by_name,
   1,  rillknot__node_row__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -418,10 +418,14 @@
    * Of its machine, in thousandths of a core.
    */
   int64_t capacity;
+  /*
+   * It runs late: others do more for the fleet than it can.
+   */
+  protobuf_c_boolean slow;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -436,10 +440,11 @@
   int64_t capacity;
   protobuf_c_boolean heard;
   protobuf_c_boolean leaving;
+  protobuf_c_boolean slow;
 };
 #define RILLKNOT__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -95,6 +95,37 @@
         return "in force everywhere after %.1f s" % took
 
 
+def throttle(node, stop):
+    """Let a node run a fifth of the time."""
+    while not stop.is_set():
+        node.freeze()
+        time.sleep(0.4)
+        node.thaw()
+        time.sleep(0.1)
+
+
+def test_a_bridge_that_turns_slow_gives_way():
+    """A bridge that runs at a fifth of its speed went on bridging, as it was still
+    heard: all news of its domain were late. Another one takes its place now, and it
+    bridges again once it is as fast as before."""
+    with fleet(nodes=NODES) as d:
+        settled(d)
+        slow = bridges(d, "b-hall")[0]
+        stop = threading.Event()
+        thread = threading.Thread(target=throttle, args=(d.nodes[slow], stop))
+        thread.start()
+        try:
+            wait_until(lambda: not is_bridge(d.nodes[slow]) and
+                       len(bridges(d, "b-hall")) == 2, 8)
+            d.configure([d.route("r", "plain"), d.route("new", "plain")], wait=False)
+            others = [n for i, n in enumerate(d.nodes) if i != slow]
+            d.wait_version(d.version, others, 3)
+        finally:
+            stop.set()
+            thread.join()
+        wait_until(lambda: is_bridge(d.nodes[slow]), 8)
+
+
 def test_a_draining_vm_gets_no_calls_from_any_node():
     with fleet(nodes=NODES) as d:
         settled(d)
