--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -238,7 +238,7 @@
 
 /* Seen: 295 nodes went on sending to vms that did not answer half of their calls.
  * Each node went by its own calls, and sends one to each of 160 vms in a minute.
- * Proof: here 2.4% of the calls were lost from the third second on, where nobody
+ * Proof: here 2.6% of the calls were lost from the third second on, where nobody
  * minding would lose 6.4%; what peers see of a vm counts now. */
 static void a_fleet_spares_vms_that_lose_calls(void **state)
 {
