node: one search for an organisation's and a service's row; one look at the links

Twins of own_use, used_before, find_use, running and merge go. Telling settings sums what waits on all links once a pass instead of once for each node that is due, and members and guests share what sends. No change of behaviour.

--- a/node/digest.c
+++ b/node/digest.c
@@ -80,19 +80,17 @@
 static double own_use(const struct rk_mesh *m, const char *org)
 {
     const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->uses_len; i++)
-        if (!strcmp(r->uses[i].org, org))
-            return r->uses[i].units;
-    return 0;
+    const struct rk_org_use *own =
+        r ? rk_org_use_find(r->uses, r->uses_len, org) : NULL;
+    return own ? own->units : 0;
 }
 
 static double own_read(const struct rk_mesh *m, const char *service)
 {
     const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->services_len; i++)
-        if (!strcmp(r->services[i].service, service))
-            return r->services[i].read_tokens;
-    return 0;
+    const struct rk_service_use *own =
+        r ? rk_service_use_find(r->services, r->services_len, service) : NULL;
+    return own ? own->read_tokens : 0;
 }
 
 static void count_uses(struct rk_mesh *m, const struct digest *d)
@@ -149,21 +147,14 @@
 
 /* ---- taking one in ---- */
 
-static const struct rk_org_use *find_use(const struct digest *d, const char *org)
-{
-    for (size_t i = 0; i < d->uses_len; i++)
-        if (!strcmp(d->uses[i].org, org))
-            return &d->uses[i];
-    return NULL;
-}
-
 /* What all used is told now and then: kept until it is told again. */
 static void take_uses(struct digest *to, const Rillknot__Digest *d)
 {
     struct rk_org_use *uses = rk_alloc(d->n_uses + 1, sizeof(*uses));
     for (size_t i = 0; i < d->n_uses; i++) {
         const Rillknot__OrgUse *told = d->uses[i];
-        const struct rk_org_use *before = find_use(to, told->org);
+        const struct rk_org_use *before =
+            rk_org_use_find(to->uses, to->uses_len, told->org);
         if (before && !told->n_known)
             uses[i] = *before;
         rk_strcpy(uses[i].org, sizeof(uses[i].org), told->org);
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -109,15 +109,15 @@
 static void fill_known(struct making *p, const struct rk_mesh *m, size_t row)
 {
     const struct rk_relay_report *r = m->n->report;
-    for (size_t i = 0; r && i < r->uses_len; i++) {
-        if (strcmp(r->uses[i].org, p->uses[row].org) != 0)
-            continue;
-        uint64_t *known = &p->known[row * RK_QUOTA_PARTS];
-        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
-            known[j] = (uint64_t)r->uses[i].known[j];
-        p->uses[row].known = known;
-        p->uses[row].n_known = RK_QUOTA_PARTS;
-    }
+    const struct rk_org_use *own =
+        r ? rk_org_use_find(r->uses, r->uses_len, p->uses[row].org) : NULL;
+    uint64_t *known = &p->known[row * RK_QUOTA_PARTS];
+    if (!own)
+        return;
+    for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
+        known[j] = (uint64_t)own->known[j];
+    p->uses[row].known = known;
+    p->uses[row].n_known = RK_QUOTA_PARTS;
 }
 
 /* What callers ask for at the nodes that the digest tells of. */
--- a/node/engines.c
+++ b/node/engines.c
@@ -38,9 +38,9 @@
                   const struct rk_service_use *services, size_t len,
                   const char *service)
 {
-    for (size_t i = 0; i < len; i++)
-        if (!strcmp(services[i].service, service))
-            rk_engine_merge(sum, &services[i].engine);
+    const struct rk_service_use *use = rk_service_use_find(services, len, service);
+    if (use)
+        rk_engine_merge(sum, &use->engine);
 }
 
 /* Of this node and those of its domain that it hears. */
--- a/node/loads.c
+++ b/node/loads.c
@@ -113,10 +113,8 @@
 static uint32_t running(const struct rk_service_use *services, size_t len,
                         const char *service)
 {
-    for (size_t i = 0; i < len; i++)
-        if (!strcmp(services[i].service, service))
-            return services[i].running;
-    return 0;
+    const struct rk_service_use *use = rk_service_use_find(services, len, service);
+    return use ? use->running : 0;
 }
 
 uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
--- a/node/report.c
+++ b/node/report.c
@@ -154,10 +154,8 @@
 
 static double used_before(const struct member *k, const char *org)
 {
-    for (size_t i = 0; i < k->uses_len; i++)
-        if (!strcmp(k->uses[i].org, org))
-            return k->uses[i].units;
-    return 0;
+    const struct rk_org_use *before = rk_org_use_find(k->uses, k->uses_len, org);
+    return before ? before->units : 0;
 }
 
 static void count_use(struct member *k, const char *org, double rise)
@@ -199,10 +197,9 @@
 
 static double read_before(const struct member *k, const char *service)
 {
-    for (size_t i = 0; i < k->services_len; i++)
-        if (!strcmp(k->services[i].service, service))
-            return k->services[i].read_tokens;
-    return 0;
+    const struct rk_service_use *before =
+        rk_service_use_find(k->services, k->services_len, service);
+    return before ? before->read_tokens : 0;
 }
 
 static void count_read(struct member *k, const char *service, double rise)
--- a/node/tell.c
+++ b/node/tell.c
@@ -64,60 +64,60 @@
            k->told.sent_version < version;
 }
 
-static void send_settings(struct rk_mesh *m, struct rk_link *link,
+/* One look at who lacks the settings. */
+struct pass {
+    struct rk_mesh *m;
+    int64_t version;
+    size_t waiting; /* bytes, on all links */
+    bool left;      /* somebody has to wait */
+};
+
+static void send_settings(struct pass *p, struct rk_link *link,
                           struct link_told *told)
 {
     const Rillknot__StoreWanted settings = {.settings = true};
     Rillknot__StoreText text;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    rk_sync_tell(m->n->sync, &settings, &text);
+    if (p->waiting >= WAITING_MAX) {
+        p->left = true;
+        return;
+    }
+    rk_sync_tell(p->m->n->sync, &settings, &text);
     frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
     frame.store_text = &text;
     if (!text.settings_zip.len || !rk_link_send(link, &frame))
         return;
+    p->waiting += text.settings_zip.len;
     told->wanted = false;
     told->sent_version = text.settings_revision;
 }
 
 /* Bridges first: they are who answers others. */
-static bool tell_members(struct rk_mesh *m, bool bridges, int64_t version)
+static void tell_members(struct pass *p, bool bridges)
 {
-    bool left = false;
-    for (struct member *k = m->members; k; k = k->next) {
-        if (k->bridge != bridges || !is_due(k, version))
-            continue;
-        if (waiting(m) < WAITING_MAX)
-            send_settings(m, k->link, &k->told);
-        else
-            left = true;
-    }
-    return left;
+    for (struct member *k = p->m->members; k; k = k->next)
+        if (k->bridge == bridges && is_due(k, p->version))
+            send_settings(p, k->link, &k->told);
 }
 
-static bool tell_guests(struct rk_mesh *m, int64_t version)
+static void tell_guests(struct pass *p)
 {
-    bool left = false;
-    for (struct guest *g = m->guests; g; g = g->next) {
-        if (!is_wanted(&g->told, g->link, version))
-            continue;
-        if (waiting(m) < WAITING_MAX)
-            send_settings(m, g->link, &g->told);
-        else
-            left = true;
-    }
-    return left;
+    for (struct guest *g = p->m->guests; g; g = g->next)
+        if (is_wanted(&g->told, g->link, p->version))
+            send_settings(p, g->link, &g->told);
 }
 
 static void pump(void *ctx)
 {
     struct rk_mesh *m = ctx;
-    int64_t version = rk_sync_version(m->n->sync);
-    if (!version)
+    struct pass p = {.m = m, .version = rk_sync_version(m->n->sync)};
+    if (!p.version)
         return;
-    bool left = tell_members(m, true, version);
-    left |= tell_guests(m, version);
-    left |= tell_members(m, false, version);
-    if (left)
+    p.waiting = waiting(m);
+    tell_members(&p, true);
+    tell_guests(&p);
+    tell_members(&p, false);
+    if (p.left)
         rk_timer_start(m->n->loop, &m->tell, PUMP_MS);
 }
 
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -50,6 +50,13 @@
     struct rk_engine_estimate engine; /* learnt here */
 };
 
+/* The row of an organisation, of a service; NULL: none. */
+const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
+                                         const char *org);
+const struct rk_service_use *
+rk_service_use_find(const struct rk_service_use *services, size_t len,
+                    const char *service);
+
 /* What a relay tells control, a few times a second. */
 struct rk_relay_report {
     struct rk_vm_load *loads;
