conn: a buffer whose bytes are sent keeps no more than 2 KB

A node of the large fleet holds up to 592 connections at rest; each that once carried a prompt of 9 KB kept 16 KB. Not measured at size yet.

--- a/common/conn.c
+++ b/common/conn.c
@@ -14,6 +14,7 @@
 #include "common/util.h"
 
 #define READ_BLOCK (32 * 1024)
+#define KEPT_BYTES 2048 /* of a buffer whose bytes are all sent: a usual head */
 #define LINGER_MS  1000 /* for the peer to read the last bytes and close */
 #define USER_TIMEOUT_MS                                                            \
     3000 /* unacknowledged bytes for so long: the path is gone */
@@ -95,6 +96,16 @@
     shutdown(c->fd, SHUT_WR);
 }
 
+/* A node keeps hundreds of connections at rest: what a long prompt needed once isn't
+ * kept for each of them. */
+static void forget_sent(struct rk_conn *c)
+{
+    c->out.len = 0;
+    c->out_pos = 0;
+    if (c->out.cap > KEPT_BYTES)
+        rk_buf_free(&c->out);
+}
+
 static void flush(struct rk_conn *c)
 {
     while (rk_conn_unsent(c)) {
@@ -109,10 +120,8 @@
         c->has_sent = true;
         c->out_pos += (size_t)n;
     }
-    if (!rk_conn_unsent(c)) {
-        c->out.len = 0;
-        c->out_pos = 0;
-    }
+    if (!rk_conn_unsent(c))
+        forget_sent(c);
     if (c->lingering)
         finish_lingering(c);
     watch(c);
