--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -439,6 +439,48 @@
         assert w.left[0][1] - gone < ANSWER_S
 
 
+def test_a_caller_that_left_is_asked_for_nowhere_else():
+    """A vm is silent, the caller leaves before another one would be asked: nothing more
+    is sent, and the silent vm's connection is closed."""
+    closed = []
+
+    def hang(w, req, conn):
+        conn.settimeout(5)
+        try:
+            closed.append(conn.recv(1) == b"")
+        except OSError as e:
+            closed.append(e.errno == errno.ECONNRESET)
+        return False
+    with stream(workers=2, sloMs=300) as d:
+        for w in d.workers:
+            w.fault = hang
+        s = d.connect()
+        s.sendall(b"POST /s/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                  b"Rillknot-Attempt-Id: leaver\r\nContent-Length: 0\r\n\r\n")
+        wait_until(lambda: sum(len(w.seen) for w in d.workers) == 1)
+        s.close()
+        wait_until(lambda: closed, timeout=ANSWER_S)
+        assert closed == [True], closed
+        time.sleep(2.2)  # the vm's silence would be noticed after 1.8 s
+        assert sum(len(w.seen) for w in d.workers) == 1
+
+
+def test_hundreds_of_callers_at_once_are_taken():
+    """Three hundred connections are opened before any of them asks: all get answers."""
+    with plain() as d:
+        callers = [d.connect() for _ in range(300)]
+        for n, s in enumerate(callers):
+            s.sendall(b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: many-%d\r\n\r\n" % n)
+        answers = [read_answer(s) for s in callers]
+        assert all(a.whole for a in answers)
+        served = sum(a.status == 200 for a in answers)
+        refused = sum(a.status == 503 and "retry-after" in a.headers for a in answers)
+        assert served + refused == len(callers) and served, (served, refused)
+        for s in callers:
+            s.close()
+
+
 def test_a_final_answer_at_the_routes_timeout():
     def hang(w, req, conn):
         time.sleep(5)
