enrol, follow: a fleet that comes back at once asks the store for what callers wait for

Cause: of some ten calls that each node made after a kill of all, four are of use to its callers. It enrolled again in vain, listed the nodes anew, read engines' estimates and the lease, and began two watches before it knew who bridges. Change: an old list of nodes and old estimates will do (the store counts such a read for a tenth); a node that finds itself on the list doesn't enrol; who doesn't know the others yet watches after its next tick; only bridges read the lease.

--- a/node/duties.c
+++ b/node/duties.c
@@ -119,7 +119,7 @@
 {
     struct rk_store *store = k->n->store;
     k->busy = true;
-    store->ops->read(store, LEASE_KIND, LEASE_NAME, on_read, k);
+    store->ops->read(store, LEASE_KIND, LEASE_NAME, false, on_read, k);
 }
 
 /* How long this node waits for a sign of the holder. */
--- a/node/enrol.c
+++ b/node/enrol.c
@@ -60,6 +60,18 @@
     rk_timer_start(m->n->loop, &m->enrol, wait_ms + jitter);
 }
 
+static void create_entry(struct rk_mesh *m);
+
+/* Does the list have this node, as it is now? */
+static bool has_own(const struct rk_mesh *m, const struct rk_store_object *objects,
+                    size_t len)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(objects[i].name, m->n->file.id))
+            return !strcmp(rk_json_str(objects[i].spec, "addr"), rk_mesh_addr(m));
+    return false;
+}
+
 static void on_nodes(void *ctx, enum rk_status st,
                      const struct rk_store_object *objects, size_t len, int64_t at)
 {
@@ -70,6 +82,11 @@
         return;
     }
     m->enrol_ms = REGISTER_MIN_MS;
+    m->enrolled = m->enrolled || has_own(m, objects, len);
+    if (!m->enrolled) {
+        create_entry(m); /* new here, or the list is older than this node */
+        return;
+    }
     m->listed = true;
     for (size_t i = 0; i < len; i++)
         learn(m, &objects[i]);
@@ -79,12 +96,9 @@
     list_later(m);
 }
 
-static void list_nodes(struct rk_mesh *m)
+static void list_nodes(struct rk_mesh *m, bool stale)
 {
     struct rk_store *store = m->n->store;
-    /* At the first start of all the others enrol just now; later an old list tells
-     * of nearly all nodes, and they tell of the rest. */
-    bool stale = m->listed || !m->n->file.first_start;
     store->ops->list(store, NODES_KIND, stale, on_nodes, m);
 }
 
@@ -94,10 +108,10 @@
 {
     bool together = m->n->file.first_start && m->n->file.peers_len >= SEEDS_MIN;
     int64_t jitter = rk_rng_below(&m->n->rng, TOGETHER_MS);
-    if (!together || m->listed)
-        list_nodes(m);
-    else
+    if (together)
         rk_timer_start(m->n->loop, &m->enrol, TOGETHER_MS + jitter);
+    else
+        list_nodes(m, false);
 }
 
 static void on_enrolled(void *ctx, enum rk_status st,
@@ -124,28 +138,37 @@
     list_first(m);
 }
 
+static void create_entry(struct rk_mesh *m)
+{
+    struct rk_store *store = m->n->store;
+    char spec[SPEC_MAX];
+    build_spec(m, spec);
+    store->ops->create(store, NODES_KIND, m->n->file.id, spec, on_enrolled, m);
+}
+
 /* After the first readings the list is read only while nodes may be cut off, by
  * those who would reach them. */
 static void tend_list(struct rk_mesh *m)
 {
     bool lost = m->forgotten_ms && rk_mono_ms() - m->forgotten_ms < LOST_MS;
     if (!m->listed || m->lists_left > 0 || (lost && (m->direct || m->bridge)))
-        list_nodes(m);
+        list_nodes(m, m->listed && !m->lists_left);
     else
         rk_timer_start(m->n->loop, &m->enrol, LOOK_AGAIN_MS);
 }
 
+/* A node with an earlier life is on the list, and an old list will do: 295 nodes
+ * that come back at once ask the store for little else than what their callers wait
+ * for. */
 static void on_enrol(void *ctx)
 {
     struct rk_mesh *m = ctx;
-    struct rk_store *store = m->n->store;
-    if (m->enrolled) {
+    if (m->enrolled)
         tend_list(m);
-        return;
-    }
-    char spec[SPEC_MAX];
-    build_spec(m, spec);
-    store->ops->create(store, NODES_KIND, m->n->file.id, spec, on_enrolled, m);
+    else if (m->n->file.first_start)
+        create_entry(m);
+    else
+        list_nodes(m, true);
 }
 
 void rk_enrol_init(struct rk_mesh *m)
--- a/node/remember.c
+++ b/node/remember.c
@@ -27,6 +27,7 @@
     struct rk_remember *m;
     const char *kind;
     int64_t every_ms;
+    bool stale; /* what was true seconds ago will do */
     bool (*build)(struct rk_remember *m, struct rk_buf *b); /* false: nothing */
     void (*restore)(struct rk_remember *m, struct json_object *spec); /* or NULL */
     int64_t revision; /* of the object; 0: not known */
@@ -231,7 +232,7 @@
 static void on_again(void *ctx)
 {
     struct kept *k = ctx;
-    k->m->n->store->ops->read(k->m->n->store, k->kind, NAME, on_read, k);
+    k->m->n->store->ops->read(k->m->n->store, k->kind, NAME, k->stale, on_read, k);
 }
 
 void rk_remember_start(struct rk_remember *m)
@@ -254,6 +255,7 @@
     m->engines = (struct kept){.m = m,
                                .kind = ENGINES_KIND,
                                .every_ms = ENGINES_MS,
+                               .stale = true,
                                .build = build_engines,
                                .restore = restore_engines};
     m->quotas.again = (struct rk_timer){.fn = on_again, .ctx = &m->quotas};
--- a/node/sync.c
+++ b/node/sync.c
@@ -6,8 +6,9 @@
 #include "common/eventlog.h"
 #include "node/sync_impl.h"
 
-#define TICK_MS 250
-#define PACE_MS 200 /* in a large fleet, between watches that brought something */
+#define TICK_MS          250
+#define PACE_MS          200 /* in a large fleet, between watches that brought something */
+#define UNLISTED_PACE_MS (TICK_MS + 50)
 #define STALE_MS                                                                   \
     1950 /* what is not confirmed for so long is followed here: a watch of         \
             WATCH_MS and the way of its news are shorter */
@@ -120,12 +121,23 @@
     return age_ms > STALE_MS + before * STAGGER_MS;
 }
 
+/* A node that doesn't know yet who the others are watches only after its next tick:
+ * most nodes of a large fleet that come back at once need one list of each kind. */
+static void pace_watches(struct rk_sync *s)
+{
+    bool listed = rk_mesh_is_listed(s->n->mesh);
+    s->settings.pace_ms = listed ? 0 : UNLISTED_PACE_MS;
+    s->vms.pace_ms = !listed                         ? UNLISTED_PACE_MS
+                     : rk_mesh_is_direct(s->n->mesh) ? 0
+                                                     : PACE_MS;
+}
+
 static void on_tick(void *ctx)
 {
     struct rk_sync *s = ctx;
     rk_timer_start(s->n->loop, &s->tick, TICK_MS);
     bool follow = should_follow(s);
-    s->vms.pace_ms = rk_mesh_is_direct(s->n->mesh) ? 0 : PACE_MS;
+    pace_watches(s);
     if (follow != s->vms.on)
         RK_EVENT("store.following", RK_N("on", follow),
                  RK_N("age_ms", rk_sync_age_ms(s)),
--- a/objects/store.h
+++ b/objects/store.h
@@ -39,7 +39,7 @@
     /* Changes after a revision, as soon as there are any; empty after wait_ms. */
     void (*watch)(struct rk_store *s, const char *kind, int64_t since,
                   int64_t wait_ms, rk_store_list_fn *fn, void *ctx);
-    void (*read)(struct rk_store *s, const char *kind, const char *name,
+    void (*read)(struct rk_store *s, const char *kind, const char *name, bool stale,
                  rk_store_one_fn *fn, void *ctx);
     /* Conflict if it is there. spec: JSON text. */
     void (*create)(struct rk_store *s, const char *kind, const char *name,
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -65,6 +65,41 @@
         return dict(asked)
 
 
+def calls_since(d, first):
+    """Calls to the store by kind, and how many of all took an answer that may be old."""
+    asked = collections.Counter()
+    for r in d.store.calls[first:]:
+        what = "watch" if "watch=" in r.target else r.target.split("?")[0].split("/")[3]
+        asked[what + (" stale" if "stale=1" in r.target else "")] += "sinceRev" not in r.target
+    return asked
+
+
+def test_a_fleet_that_comes_back_at_once_asks_the_store_little():
+    """Seen: 295 nodes that lost power at once made some 2,800 calls to the store as they
+    came back, ten each, while callers waited. Each enrolled again in vain, took itself
+    for one of a few and so began two watches, read the lease, and asked for the newest
+    where seconds old would do. Settings, vms and quotas are asked for by all, once."""
+    with fleet(nodes=NODES, fixed_addresses=True) as d:
+        settled(d)
+        time.sleep(2)
+        first = len(d.store.calls)
+        for node in d.nodes:
+            node.kill()
+        for index in range(NODES):
+            d.restart_node(index)
+        d.wait_ready()
+        asked = calls_since(d, first)
+        time.sleep(1)
+        settled(d)
+        assert asked["config"] + asked["servers"] + asked["rillknot-quotas"] <= \
+            3 * NODES + 3, asked
+        assert asked["rillknot-nodes stale"] <= NODES, asked
+        assert asked["rillknot-nodes"] <= 2, asked
+        watches = calls_since(d, first)["watch"]
+        assert watches <= 2 * (len(ZONES) * 6), watches
+        return dict(asked)
+
+
 def test_news_reach_all_when_a_domain_loses_its_bridges():
     with fleet(nodes=NODES) as d:
         settled(d)
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -14,7 +14,7 @@
 import time
 import urllib.parse
 
-from cluster import ROOT, Proc
+from cluster import ROOT, Proc, free_port
 
 TEMPLATE = os.path.join(ROOT, "deploy", "entry.json")
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected",
@@ -401,7 +401,9 @@
 class Hosted:
     """A deployment: store, cloud, workers, nodes. Use as a context manager."""
 
-    def __init__(self, nodes=1, zones=("klein-hall",), build=None, bounds=None):
+    def __init__(self, nodes=1, zones=("klein-hall",), build=None, bounds=None,
+                 fixed_addresses=False):
+        self.fixed_addresses = fixed_addresses  # nodes keep theirs over a restart
         self.build = build or os.environ.get("RILLKNOT_BUILD", "build")
         self.zones = list(zones)
         self.bounds = dict(BOUNDS, **(bounds or {}))
@@ -445,11 +447,12 @@
         number = len(self.nodes) + 1
         zone = self.zones[(number - 1) % len(self.zones)]
         any_port = "127.0.0.1:0"
+        control = "127.0.0.1:%d" % (free_port() if self.fixed_addresses else 0)
         fields = {"nodeName": "edge-%s-%d" % (zone, number), "zone": zone,
                   "ip": "127.0.0.1", "portRange": [0, 0],
                   "platform": {"address": self.store.addr},
                   "cloud": {"address": self.cloud.addr},
-                  "listen": {"front": any_port, "readiness": any_port, "control": any_port},
+                  "listen": {"front": any_port, "readiness": any_port, "control": control},
                   "seeds": [n.ready["control"] for n in self.nodes[:3]],
                   "bootstrap": first_start, "bounds": self.bounds,
                   "limits": {"cpuShare": 0.25}}
