--- a/common/conn.c
+++ b/common/conn.c
@@ -96,8 +96,8 @@
     shutdown(c->fd, SHUT_WR);
 }
 
-/* A node keeps hundreds of connections at rest: what a long prompt needed once isn't
- * kept for each of them. */
+/* A node keeps hundreds of connections at rest: what a long prompt needed once
+ * isn't kept for each of them. */
 static void forget_sent(struct rk_conn *c)
 {
     c->out.len = 0;
--- a/node/sync.c
+++ b/node/sync.c
@@ -6,9 +6,10 @@
 #include "common/eventlog.h"
 #include "node/sync_impl.h"
 
-#define TICK_MS          250
-#define PACE_MS          200 /* in a large fleet, between watches that brought something */
-#define UNLISTED_PACE_MS (TICK_MS + 50)
+#define TICK_MS 250
+#define PACE_MS 200 /* in a large fleet, between watches that brought something */
+#define UNLISTED_PACE_MS                                                           \
+    (TICK_MS + 50) /* longer than until it is decided who follows */
 #define STALE_MS                                                                   \
     1950 /* what is not confirmed for so long is followed here: a watch of         \
             WATCH_MS and the way of its news are shorter */
