quota: a side of a cut serves its part

When the cut ended, what the other side had used came at once and was taken for a rate: 29 to 100% refused for a second.

Change: of what was used while more nodes were heard a side counts its part, of its own use everything, so that all sides together stay within the limit; what comes at the end of a cut counts as used, not as a rate.

The tests fail with either half taken out.

--- a/core/quota.c
+++ b/core/quota.c
@@ -22,6 +22,8 @@
 #define UNKEPT_MIN_MS   400.0 /* use that may have missed the last writing */
 #define UNKEPT_PART     0.5   /* of its age: the rest, nothing ran any more */
 #define UNKEPT_SURGE    2.0   /* times its rate then, it may have been used at */
+#define HEALED_TIMES    1.05  /* more nodes than before are heard: a cut is over */
+#define HEALED_MS       1000  /* until all bridges have told what their sides did */
 #define YOUNG_MS        1500 /* of a process that starts again, until others are heard */
 #define FEW_NODES                                                                  \
     16 /* in a larger fleet a node admits a call or so while news is on its way:   \
@@ -299,6 +301,10 @@
         return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
+    /* What another side used while it wasn't heard comes at once: it shows no rate.
+     */
+    if (q->healed_ms && now_ms - q->healed_ms < HEALED_MS)
+        return;
     o->peers_recent = peers_recent(o, now_ms) + units;
     o->peers_recent_ms = now_ms;
     turn_slots(o, now_ms);
@@ -384,6 +390,47 @@
     return false;
 }
 
+/* Keep which part of the nodes was heard when; it was as before until now. */
+static void note_heard(struct rk_quota *q, double part, int64_t now_ms)
+{
+    int64_t now = now_ms / bucket_ms(q);
+    double before = q->heard[q->heard_bucket % RK_QUOTA_BUCKETS];
+    if (now - q->heard_bucket >= RK_QUOTA_BUCKETS)
+        q->heard_bucket = now - RK_QUOTA_BUCKETS;
+    while (++q->heard_bucket < now)
+        q->heard[q->heard_bucket % RK_QUOTA_BUCKETS] = before;
+    q->heard_bucket = now;
+    q->heard[now % RK_QUOTA_BUCKETS] = part;
+}
+
+void rk_quota_hear(struct rk_quota *q, int nodes_heard, int nodes_total,
+                   int64_t now_ms)
+{
+    double before = part_here(q, now_ms);
+    q->nodes_heard = nodes_heard;
+    q->nodes_total = nodes_total;
+    double part = part_here(q, now_ms);
+    if (part > before * HEALED_TIMES)
+        q->healed_ms = now_ms;
+    note_heard(q, part, now_ms);
+}
+
+/* What counts of the known use for a side that hears `part` of the nodes: its own
+ * use, and of what all used while more of them were heard its part, as the other
+ * sides count theirs. All sides together stay within the limit. Counted whole, a
+ * domain that was cut off refused all calls for four seconds, until what all had
+ * used before was less than its part. */
+static double charged(const struct rk_quota *q, const struct rk_quota_org *o,
+                      double part)
+{
+    double total = 0;
+    for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++) {
+        double then = q->heard[i];
+        total += o->used[i] * (then > part ? part / then : 1);
+    }
+    return total;
+}
+
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
                     double units, int64_t now_ms, struct rk_quota_answer *answer)
 {
@@ -394,13 +441,14 @@
     advance(q, o, now_ms);
     note_asked(o, units, now_ms);
     double part = part_here(q, now_ms);
+    note_heard(q, part, now_ms);
     double quota =
         effective(q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * part;
     if (part < 1)
         limit += quota * q->overrun * OVERRUN_SHARE * part;
     double known = sum(o->used);
-    double used = known + unheard(q, o, known, now_ms);
+    double used = charged(q, o, part) + unheard(q, o, known, now_ms) * part;
     double before = forgotten(q, o, quota, rate, now_ms) * part;
     double over = used + before + units - limit;
     answer->used = used;
--- a/core/quota.h
+++ b/core/quota.h
@@ -41,8 +41,11 @@
     int64_t window_ms;
     struct rk_quota_org orgs[RK_QUOTA_ORGS];
     size_t orgs_len;
-    int nodes_heard, nodes_total; /* this one included */
-    double slack;                 /* units that the deployment forgives */
+    int nodes_heard, nodes_total;   /* this one included */
+    double heard[RK_QUOTA_BUCKETS]; /* part of the nodes that was heard, by time */
+    int64_t heard_bucket;           /* number of the newest */
+    int64_t healed_ms; /* when many more were heard again, last; 0: never */
+    double slack;      /* units that the deployment forgives */
     double overrun; /* share of a quota that it forgives; 0 after rk_quota_init() */
     int64_t lag_ms; /* age of what the peers tell */
     int64_t word_ms;   /* when any of them told something last; 0: never */
@@ -64,6 +67,10 @@
     int64_t retry_after_ms; /* when some are free again */
 };
 
+/* So many nodes are heard of all that there are, this one included. */
+void rk_quota_hear(struct rk_quota *q, int nodes_heard, int nodes_total,
+                   int64_t now_ms);
+
 /* A lowered quota takes effect after one window: until then the higher one counts.
  * May units be used? Counts them if so. rate 0: no limit. */
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -219,6 +219,7 @@
     const struct rk_relay_peers *p = m->peers;
     int64_t now_ms = rk_mono_ms();
     rk_place_set_loads(r->place, p->loads, p->loads_len, now_ms);
+    rk_quota_hear(&r->quota, p->nodes_heard, p->nodes_total, now_ms);
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
     /* Once: told again and again, the same use would count in two parts. */
@@ -233,8 +234,6 @@
     rk_quota_remind(&r->quota, p->remembers_ms);
     r->quota.lag_ms = p->lag_ms;
     r->quota.word_ms = p->silent_ms >= 0 ? now_ms - p->silent_ms : 0;
-    r->quota.nodes_heard = p->nodes_heard;
-    r->quota.nodes_total = p->nodes_total;
     rk_relay_peers_free(m->peers);
     free(m);
 }
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -174,6 +174,87 @@
     assert_true(sum <= 900 * 1.1);
 }
 
+/* One side of a cut, as one node that speaks for all of it: so many of 295 nodes
+ * are heard, and before the cut all used a part of the rate for a whole window. */
+#define CUT_MS    20000
+#define CUT_RATE  240000.0
+#define CUT_NODES 295
+#define CUT_SLACK 72000
+#define CUT_UNITS 1000.0
+
+static struct rk_quota side_of_a_cut(int nodes, double load)
+{
+    struct rk_quota q;
+    struct rk_quota_answer answer;
+    rk_quota_init(&q, WINDOW_MS, CUT_SLACK, 0);
+    q.overrun = 0.1;
+    rk_quota_hear(&q, CUT_NODES, CUT_NODES, CUT_MS - WINDOW_MS);
+    rk_quota_admit(&q, "org", CUT_RATE, CUT_RATE, 0, CUT_MS - WINDOW_MS, &answer);
+    for (int ms = CUT_MS - WINDOW_MS; ms < CUT_MS; ms += 250)
+        rk_quota_add(&q, "org", load * CUT_RATE / 4, ms);
+    rk_quota_hear(&q, nodes, CUT_NODES, CUT_MS);
+    return q;
+}
+
+/* Ask a side for units; what it admitted. */
+static double ask_side(struct rk_quota *q, double per_s, int from_ms, int to_ms)
+{
+    struct rk_quota_answer answer;
+    double owed = 0, admitted = 0;
+    for (int ms = from_ms; ms < to_ms; ms += 10)
+        for (owed += per_s / 100; owed >= CUT_UNITS; owed -= CUT_UNITS)
+            if (rk_quota_admit(q, "org", CUT_RATE, CUT_RATE, CUT_UNITS, ms,
+                               &answer))
+                admitted += CUT_UNITS;
+    return admitted;
+}
+
+/* Seen: a domain of 59 of 295 nodes that was cut off refused all calls for four
+ * seconds, and nodes that hear nobody all calls for as long as they do. What all
+ * had used before the cut was counted whole against the part of one side. */
+static void a_side_that_is_cut_off_goes_on_serving_its_part(void **state)
+{
+    (void)state;
+    struct rk_quota q = side_of_a_cut(59, 0.55);
+    double per_s = 0.55 * CUT_RATE * 59 / CUT_NODES;
+    double admitted = ask_side(&q, per_s, CUT_MS, CUT_MS + 6000);
+    assert_true(admitted >= per_s * 6 - 2 * CUT_UNITS);
+}
+
+/* And both sides together stay within what is allowed, however they are pressed. */
+static void sides_that_are_pressed_stay_within_the_quota(void **state)
+{
+    (void)state;
+    const double loads[] = {0, 0.55, 0.9};
+    for (size_t i = 0; i < RK_ARRAY_LEN(loads); i++) {
+        struct rk_quota a = side_of_a_cut(59, loads[i]);
+        struct rk_quota b = side_of_a_cut(CUT_NODES - 59, loads[i]);
+        for (int ms = 1000; ms <= WINDOW_MS; ms += 1000) {
+            struct rk_quota x = a, y = b;
+            double used = loads[i] * CUT_RATE * (WINDOW_MS - ms) / 1000;
+            used += ask_side(&x, 8 * CUT_RATE, CUT_MS, CUT_MS + ms);
+            used += ask_side(&y, 8 * CUT_RATE, CUT_MS, CUT_MS + ms);
+            assert_true(used < CUT_RATE * 9 * 1.1 + CUT_SLACK);
+        }
+    }
+}
+
+/* Seen: for a second after a cut all calls of the smaller organisations were
+ * refused. What the other side had used in it came at once, and was taken for a
+ * rate. */
+static void what_comes_with_the_end_of_a_cut_is_no_rate(void **state)
+{
+    (void)state;
+    struct rk_quota q = side_of_a_cut(59, 0.55);
+    double per_s = 0.55 * CUT_RATE * 59 / CUT_NODES;
+    ask_side(&q, per_s, CUT_MS, CUT_MS + 6000);
+    rk_quota_hear(&q, CUT_NODES, CUT_NODES, CUT_MS + 6000);
+    rk_quota_add(&q, "org", 0.55 * CUT_RATE * 6 * (CUT_NODES - 59) / CUT_NODES,
+                 CUT_MS + 6000);
+    double admitted = ask_side(&q, per_s, CUT_MS + 6000, CUT_MS + 7000);
+    assert_true(admitted >= per_s - 2 * CUT_UNITS);
+}
+
 static void before_it_knows_the_nodes_a_node_takes_them_to_be_many(void **state)
 {
     (void)state;
@@ -688,6 +769,9 @@
         cmocka_unit_test(a_window_admits_its_quota),
         cmocka_unit_test(a_node_that_hears_few_holds_to_their_part),
         cmocka_unit_test(sides_use_what_is_forgiven),
+        cmocka_unit_test(a_side_that_is_cut_off_goes_on_serving_its_part),
+        cmocka_unit_test(sides_that_are_pressed_stay_within_the_quota),
+        cmocka_unit_test(what_comes_with_the_end_of_a_cut_is_no_rate),
         cmocka_unit_test(before_it_knows_the_nodes_a_node_takes_them_to_be_many),
         cmocka_unit_test(a_restart_does_not_double_a_quota),
         cmocka_unit_test(
