mesh: a node without settings is told who there is once in two seconds

Cause (by reading): each report of a node that has no settings yet was answered with a digest of the whole fleet, four times a second; now that nodes of a first start wait to be told, 295 of them would cost a seed 25 KB for each report. The answer goes once in 2 s over a link that takes it. Tried and dropped: none within 3 s of a first start; a node that had its settings from elsewhere meanwhile never heard who there is (proc_hosted_bridges.a_node_restarted_without_the_store_learns_from_its_seeds).

--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -14,6 +14,10 @@
 #define VMS_AT_ONCE  300
 #define VMS_EACH_MAX 8 /* at least one of so many */
 
+/* A node that knows only this one's address is told who there is: 25 KB at 295
+ * nodes, so not with each of its reports. */
+#define ANSWER_AGAIN_MS 2000
+
 /* A digest in the making. */
 struct making {
     Rillknot__Digest digest;
@@ -319,9 +323,15 @@
     tell(m, true, members);
 }
 
-void rk_digest_answer(struct rk_mesh *m, struct rk_link *link)
+void rk_digest_answer(struct rk_mesh *m, struct rk_link *link,
+                      struct link_told *told)
 {
     struct making p;
+    int64_t now_ms = rk_mono_ms();
+    bool answered = told->members_ms && now_ms - told->members_ms < ANSWER_AGAIN_MS;
+    if (answered || !rk_mesh_takes(link))
+        return;
+    told->members_ms = now_ms;
     fill(&p, m, true, true);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -163,7 +163,7 @@
 }
 
 static void take_report(struct rk_mesh *m, struct rk_link *link,
-                        const struct link_told *told, const Rillknot__NodeReport *r)
+                        struct link_told *told, const Rillknot__NodeReport *r)
 {
     if (rk_mesh_is_self(m, r->id, r->addr))
         return;
@@ -181,7 +181,7 @@
             !rk_mesh_find_addr(m, r->peers[i]))
             rk_mesh_learn(m, "", r->peers[i]);
     if (!m->direct && !r->settings_version)
-        rk_digest_answer(m, link);
+        rk_digest_answer(m, link, told);
     rk_mesh_ask_if_behind(m, link, told, r->settings_version, r->list_revision);
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -40,10 +40,11 @@
     struct rk_tally base_uses, base_reads;
 };
 
-/* What a link was told of the settings. */
+/* What a link was told. */
 struct link_told {
     bool wanted;          /* the peer asked and was not answered yet */
     int64_t sent_version; /* 0: none */
+    int64_t members_ms;   /* it was told who the members are, unasked; 0: never */
 };
 
 struct member {
@@ -228,7 +229,8 @@
 /* Tell a digest to those who need it, if this node is a bridge. */
 void rk_digest_tell(struct rk_mesh *m);
 /* Tell who the members are to a node that just knows this one's address. */
-void rk_digest_answer(struct rk_mesh *m, struct rk_link *link);
+void rk_digest_answer(struct rk_mesh *m, struct rk_link *link,
+                      struct link_told *told);
 /* Begin to count as a bridge. */
 void rk_digest_begin(struct rk_mesh *m);
 
