holding: while reclaimable vms can't be had, those that are left don't count

Cause: reclaims come domain by domain within seconds. At the first refused order the reclaimable vms of the other two domains, 34 of 51, still covered the need, so hardly any on-demand vm was ordered until they were told to leave, too; booting takes 4 s.

Change: core/reclaims keeps by domain whether there are any to be had: a domain that loses half of its vms at once, or whose order is refused, is dry until an order is granted; the others are asked at once instead. While all are dry the plan counts on-demand vms alone. On-demand vms that boot count as held, else the plan of the next tick orders them away. No domain gives up vms before those that were taken elsewhere are replaced.

Way that stood: the remaining ones count in full.

Tests: the pattern as a simulation (three domains in six seconds, 14 s without any): with the old rule stand-ins don't cover the load once they could; RapidCheck found two plans of more than a domain may have, one of them old.

--- a/core/holding.c
+++ b/core/holding.c
@@ -28,24 +28,43 @@
     return now > left ? now : left;
 }
 
+static int max(int a, int b)
+{
+    return a > b ? a : b;
+}
+
+static int min(int a, int b)
+{
+    return a < b ? a : b;
+}
+
 /* How many more the platform lets a domain have. Reclaimable vms that can't be had
  * take no room. */
 static int room(const struct rk_holding_input *in,
                 const struct rk_holding_target *targets, size_t i)
 {
     int reclaimable = targets[i].reclaimable;
-    if (in->refused && reclaimable > in->domains[i].reclaimable)
-        reclaimable = in->domains[i].reclaimable;
+    if (in->none)
+        reclaimable = min(reclaimable, in->domains[i].reclaimable);
     return in->max_vms - targets[i].on_demand - reclaimable;
 }
 
+/* Would one more reclaimable vm there have to be got? */
+static bool is_closed(const struct rk_holding_input *in,
+                      const struct rk_holding_target *targets, size_t i)
+{
+    return in->domains[i].closed &&
+           targets[i].reclaimable >= in->domains[i].reclaimable;
+}
+
 /* The domain for one more reclaimable vm: the fewest, then the cheapest. */
 static int next_reclaimable(const struct rk_holding_input *in,
                             const struct rk_holding_target *targets)
 {
     int best = -1;
     for (size_t i = 0; i < in->domains_len; i++) {
-        if (targets[i].on_demand + targets[i].reclaimable >= in->max_vms)
+        if (targets[i].on_demand + targets[i].reclaimable >= in->max_vms ||
+            is_closed(in, targets, i))
             continue;
         if (best < 0 || targets[i].reclaimable < targets[best].reclaimable ||
             (targets[i].reclaimable == targets[best].reclaimable &&
@@ -63,11 +82,12 @@
     int best = -1;
     bool best_held = false;
     for (size_t i = 0; i < in->domains_len; i++) {
-        bool held = targets[i].on_demand < in->domains[i].on_demand;
+        const struct rk_holding_domain *d = &in->domains[i];
+        bool held = targets[i].on_demand < d->on_demand + d->booting;
         if (room(in, targets, i) <= 0 && !held)
             continue;
         if (best < 0 || held > best_held ||
-            (held == best_held && in->domains[i].price < in->domains[best].price)) {
+            (held == best_held && d->price < in->domains[best].price)) {
             best = (int)i;
             best_held = held;
         }
@@ -84,36 +104,52 @@
     return sum;
 }
 
+/* The least of a domain. */
+static int first_reclaimable(const struct rk_holding_input *in,
+                             const struct rk_holding_target *targets, size_t i)
+{
+    int least = min(RECLAIMABLE_MIN, room(in, targets, i));
+    return in->domains[i].closed ? min(least, in->domains[i].reclaimable) : least;
+}
+
+/* A domain whose vms were taken gets some again: until they serve, no other domain
+ * gives up those that stand in for them. */
+static void keep_until_replaced(const struct rk_holding_input *in,
+                                struct rk_holding_target *targets)
+{
+    int held = 0, wanted = 0;
+    for (size_t i = 0; i < in->domains_len; i++) {
+        held += in->domains[i].reclaimable;
+        wanted += targets[i].reclaimable;
+    }
+    for (size_t i = 0; held < wanted && i < in->domains_len; i++) {
+        int kept =
+            min(in->domains[i].reclaimable, in->max_vms - targets[i].on_demand);
+        targets[i].reclaimable = max(targets[i].reclaimable, kept);
+    }
+}
+
 /* On-demand vms above the floor. */
 static int stand_ins(const struct rk_holding_input *in, int floor, bool cheaper)
 {
     int on_demand = 0, reclaimable = 0;
     for (size_t i = 0; i < in->domains_len; i++) {
-        on_demand += in->domains[i].on_demand;
+        on_demand += in->domains[i].on_demand + in->domains[i].booting;
         reclaimable += in->domains[i].reclaimable;
     }
     int held = on_demand > floor ? on_demand - floor : 0;
-    int wanted = (int)ceil(in->need_now * STAND_IN_SHARE) - floor - reclaimable;
+    int left = in->none ? 0 : reclaimable;
+    int wanted = (int)ceil(in->need_now * STAND_IN_SHARE) - floor - left;
     if (wanted < 0)
         wanted = 0;
     if (wanted >= held)
-        return in->refused || !cheaper ? wanted : held;
+        return in->none || !cheaper ? wanted : held;
     if (in->idle)
         return wanted;
     int given_up = (int)((held - wanted) * GIVEN_UP_SHARE);
     return in->settled ? held - (given_up > 1 ? given_up : 1) : held;
 }
 
-static int max(int a, int b)
-{
-    return a > b ? a : b;
-}
-
-static int min(int a, int b)
-{
-    return a < b ? a : b;
-}
-
 /* It was ordered for a demand that this process hasn't seen. */
 static void keep_what_stands(const struct rk_holding_input *in,
                              struct rk_holding_target *targets)
@@ -138,21 +174,24 @@
     memset(targets, 0, RK_HOLDING_DOMAINS * sizeof(*targets));
     for (size_t i = 0; i < in->domains_len; i++) {
         targets[i].on_demand = in->min_vms > 1 ? in->min_vms : 1;
-        int left = in->max_vms - targets[i].on_demand;
-        if (cheaper)
-            targets[i].reclaimable =
-                left < RECLAIMABLE_MIN ? left : RECLAIMABLE_MIN;
         floor += targets[i].on_demand;
+        if (cheaper)
+            targets[i].reclaimable = first_reclaimable(in, targets, i);
     }
     for (int at; cheaper && planned(in, targets) < total;) {
         if ((at = next_reclaimable(in, targets)) < 0)
             break;
         targets[at].reclaimable++;
     }
+    if (cheaper)
+        keep_until_replaced(in, targets);
     for (int more = stand_ins(in, floor, cheaper), at; more > 0; more--) {
         if ((at = next_on_demand(in, targets)) < 0)
             break;
         targets[at].on_demand++;
+        /* One that is held serves on; what would come beside it waits. */
+        if (!in->none && room(in, targets, (size_t)at) < 0)
+            targets[at].reclaimable--;
     }
     if (in->unmeasured)
         keep_what_stands(in, targets);
--- a/core/holding.h
+++ b/core/holding.h
@@ -3,7 +3,10 @@
  * its own, and the loss of all reclaimable vms at once leaves something. What
  * demand asks for above that is reclaimable, spread over the domains. While none
  * of that kind can be had, on-demand vms stand in; they go again half at a time,
- * once reclaimable ones serve in their place. Pure. */
+ * once reclaimable ones serve in their place.
+ *
+ * While none can be had, those that are left don't count: waves of reclaims go from
+ * domain to domain within seconds, an on-demand vm boots in four. Pure. */
 #ifndef RK_CORE_HOLDING_H
 #define RK_CORE_HOLDING_H
 
@@ -20,7 +23,9 @@
     char name[RK_ID_MAX];
     double price;    /* of an on-demand vm */
     int on_demand;   /* held, not leaving */
-    int reclaimable; /* the same, of the other kind */
+    int booting;     /* on-demand ones on top that were ordered and will come */
+    int reclaimable; /* held, not leaving, of the other kind */
+    bool closed;     /* no more reclaimable ones can be had there now */
 };
 
 struct rk_holding_input {
@@ -30,7 +35,7 @@
     double spot_price;    /* of a reclaimable vm, in prices of the others */
     double need;          /* vms, from rk_holding_need(), forgotten slowly */
     double need_now;      /* the same, forgotten soon: for the dear ones */
-    bool refused;         /* lately there were no reclaimable vms to be had */
+    bool none;            /* no reclaimable vms can be had anywhere */
     bool idle;            /* nothing runs: vms may go all at once */
     bool settled;         /* the last on-demand vm went long enough ago */
     bool unmeasured;      /* demand isn't known yet: what stands stays */
--- a/node/orders.c
+++ b/node/orders.c
@@ -1,12 +1,14 @@
 /* Orders for vms: demand is followed at every node, so that whoever takes the
  * duties over knows it; the holder compares the plan with the list and orders the
  * difference. Orders are counts, so a repeated one does no harm. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "cloud/duties.h"
 #include "common/eventlog.h"
 #include "core/holding.h"
+#include "core/reclaims.h"
 #include "node/state.h"
 
 #define SERVICES       8
@@ -14,8 +16,6 @@
 #define KEPT_HALVED_MS 60000.0 /* in which past demand is forgotten by half */
 #define HALVED_MS      8000.0  /* the same, as far as dear vms are kept for it */
 #define ORDER_AGAIN_MS 3000    /* past a vm's boot: the order is repeated */
-#define REFUSED_MS     3000    /* after "none to be had": asked again then */
-#define SHORT_MS       6000    /* after it: on-demand vms may stand in */
 #define SHRINK_MS      4000    /* between on-demand vms that are given up */
 #define IDLE_MS        4000 /* without a call: longer than a start of all takes */
 #define SETTLE_MS      2000 /* after its start a node looks at the list first */
@@ -34,10 +34,16 @@
     size_t domain;
     bool reclaimable;
     bool busy;
+    bool more;  /* than are held: it asks for new ones */
     int target; /* ordered last; -1: none */
     int held;   /* when it was ordered, or the most since */
     int64_t at_ms;
-    int64_t refused_until_ms;
+};
+
+/* What the last plan held, to be logged when it changes. */
+struct plan {
+    int on_demand, reclaimable;
+    bool none;
 };
 
 struct service {
@@ -52,8 +58,10 @@
     bool asked;          /* calls came */
     int at_first;        /* on-demand vms that stood there then */
     int64_t followed_ms; /* since when demand is followed */
-    int64_t refused_ms;  /* "none to be had" was heard last; 0: never */
     int64_t shrunk_ms;   /* an on-demand vm was given up last */
+    struct rk_reclaims_domain reclaims[RK_HOLDING_DOMAINS];
+    size_t domains_len;
+    struct plan plan;
     struct order orders[RK_HOLDING_DOMAINS][2];
 };
 
@@ -161,18 +169,20 @@
              RK_N("domain", (int64_t)order->domain),
              RK_N("reclaimable", order->reclaimable), RK_N("count", order->target),
              RK_S("status", rk_status_str(st)), RK_S("detail", detail));
-    if (st == RK_OK)
+    if (st == RK_OK) {
+        if (order->reclaimable && order->more)
+            rk_reclaims_granted(order->s->reclaims, order->s->domains_len,
+                                order->domain);
         return;
-    if (st == RK_ECONFLICT) {
-        order->refused_until_ms = rk_mono_ms() + REFUSED_MS;
-        order->s->refused_ms = rk_mono_ms();
     }
+    if (st == RK_ECONFLICT && order->reclaimable)
+        rk_reclaims_refused(&order->s->reclaims[order->domain], rk_mono_ms());
     order->target = -1; /* again, with what is known then */
     order->at_ms = rk_mono_ms();
 }
 
 static void send_order(struct order *order, const struct rk_service_info *info,
-                       const struct rk_duty_token *token, int count)
+                       const struct rk_duty_token *token, int held, int count)
 {
     struct rk_duties *duties = order->s->o->n->duties;
     const struct rk_vm_target target = {.service = order->s->name,
@@ -181,28 +191,34 @@
                                         .count = count,
                                         .reclaimable = order->reclaimable};
     order->busy = true;
+    order->more = count > held;
     order->held = 0;
     order->target = count;
     order->at_ms = rk_mono_ms();
     duties->ops->order_vms(duties, token, &target, on_ordered, order);
 }
 
+/* May what was ordered last still be on its way? */
+static bool is_awaited(const struct order *order,
+                       const struct rk_service_info *info)
+{
+    return order->target >= 0 &&
+           rk_mono_ms() - order->at_ms < info->boot_ms + ORDER_AGAIN_MS;
+}
+
 static void tend_order(struct order *order, const struct rk_service_info *info,
                        const struct rk_duty_token *token, int held, int target)
 {
     int64_t now_ms = rk_mono_ms();
-    int64_t patience_ms = info->boot_ms + ORDER_AGAIN_MS;
     bool lost = held < order->held; /* vms left since it was ordered */
-    bool waiting =
-        order->target == target && !lost && now_ms - order->at_ms < patience_ms;
+    bool waiting = order->target == target && !lost && is_awaited(order, info);
     if (held > order->held)
         order->held = held;
-    if (order->busy || held == target || waiting ||
-        now_ms < order->refused_until_ms)
+    if (order->busy || held == target || waiting)
         return;
     if (!order->reclaimable && target < held)
         order->s->shrunk_ms = now_ms;
-    send_order(order, info, token, target);
+    send_order(order, info, token, held, target);
 }
 
 static void count_held(const struct rk_node *n, const struct rk_service_info *info,
@@ -223,6 +239,33 @@
     }
 }
 
+/* Where reclaimable vms were taken, and whether others can be had. */
+static void look_for_reclaims(struct service *s, struct rk_holding_input *in)
+{
+    int64_t now_ms = rk_mono_ms();
+    s->domains_len = in->domains_len;
+    for (size_t i = 0; i < in->domains_len; i++) {
+        struct rk_holding_domain *d = &in->domains[i];
+        rk_reclaims_seen(&s->reclaims[i], d->reclaimable, s->orders[i][1].target,
+                         now_ms);
+        d->closed = !rk_reclaims_may_ask(&s->reclaims[i], now_ms);
+    }
+    in->none = rk_reclaims_none(s->reclaims, in->domains_len);
+}
+
+/* On-demand vms that were ordered and boot: a plan that forgot them would order
+ * them away again. */
+static void count_booting(struct service *s, const struct rk_service_info *info,
+                          struct rk_holding_input *in)
+{
+    for (size_t i = 0; i < in->domains_len; i++) {
+        const struct order *order = &s->orders[i][0];
+        struct rk_holding_domain *d = &in->domains[i];
+        if (is_awaited(order, info) && order->target > d->on_demand)
+            d->booting = order->target - d->on_demand;
+    }
+}
+
 /* Nothing runs. Just after a start that is not known. */
 static bool is_idle(struct service *s)
 {
@@ -232,6 +275,25 @@
     return now_ms - s->busy_ms >= IDLE_MS;
 }
 
+static void log_plan(struct service *s, const struct rk_holding_input *in,
+                     const struct rk_holding_target *targets)
+{
+    struct plan plan = {.none = in->none};
+    for (size_t i = 0; i < in->domains_len; i++) {
+        plan.on_demand += targets[i].on_demand;
+        plan.reclaimable += targets[i].reclaimable;
+    }
+    if (plan.none == s->plan.none && plan.on_demand == s->plan.on_demand &&
+        plan.reclaimable == s->plan.reclaimable)
+        return;
+    s->plan = plan;
+    RK_EVENT("vms.plan", RK_S("service", s->name),
+             RK_N("on_demand", plan.on_demand),
+             RK_N("reclaimable", plan.reclaimable), RK_N("none", plan.none),
+             RK_N("need", (int64_t)ceil(in->need)),
+             RK_N("need_now", (int64_t)ceil(in->need_now)), RK_N("idle", in->idle));
+}
+
 static void tend_service(struct service *s, const struct rk_service_info *info,
                          const struct rk_duty_token *token)
 {
@@ -242,7 +304,6 @@
                                   .need_now = s->need_now,
                                   .idle = is_idle(s)};
     int64_t now_ms = rk_mono_ms();
-    in.refused = s->refused_ms && now_ms - s->refused_ms < SHORT_MS;
     in.unmeasured =
         !s->o->n->file.first_start && now_ms - s->o->n->started_ms < MEASURED_MS;
     in.settled = now_ms - s->shrunk_ms >= SHRINK_MS;
@@ -252,8 +313,11 @@
         d->price = info->prices[i].price;
     }
     count_held(s->o->n, info, &in);
+    look_for_reclaims(s, &in);
+    count_booting(s, info, &in);
     struct rk_holding_target targets[RK_HOLDING_DOMAINS];
     rk_holding_plan(&in, targets);
+    log_plan(s, &in, targets);
     for (size_t i = 0; i < in.domains_len; i++) {
         tend_order(&s->orders[i][0], info, token, in.domains[i].on_demand,
                    targets[i].on_demand);
--- a/tests/run.py
+++ b/tests/run.py
@@ -37,6 +37,7 @@
     "proc_overload": "9     overload",
     "proc_input": "10    bad input",
     "prop_fuzz": "10    bad input, bytes",
+    "prop_holding": "1, 8  how many vms are held, whatever stands and can't be had",
     "prop_core": "2-9   rows, streams, leases, shares in any order",
     "proc_traces": "all   recorded traces as stated",
     "proc_hosted_calls": "hosted  calls by routes: bytes, at most once, streams, time",
