sync: a whole list is no knowledge of what came and went before it

Cause: a node that lists vms (at its start, or as the store forgot its history) keeps no removal from before, but told peers that knew an earlier revision only what it had seen change since. The peer then held the whole list for known and called vms that had left, until the list came whole or they refused.

Change: the revisions between what was known and the list are a hole; a peer that stands in it is told the whole list, others what changed. Removals of vms that were never seen here are remembered, too, as a peer may have seen them come. Ruled out: the whole list for everybody after each relisting, which is 150 KB a node at 600 vms.

--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -46,8 +46,9 @@
     bool list_known;
     int64_t list_revision; /* every change up to it is known */
     struct gone gone[RK_SYNC_GONE_KEPT];
-    size_t gone_len;    /* ever; the newest RK_SYNC_GONE_KEPT are there */
-    int64_t gone_since; /* those since this revision are remembered */
+    size_t gone_len;            /* ever; the newest RK_SYNC_GONE_KEPT are there */
+    int64_t gone_since;         /* those since this revision are remembered, */
+    int64_t hole_from, hole_to; /* but for those that went between these */
     /* A message to a peer in the making. */
     Rillknot__ListRow *rows, **row_ptrs;
     Rillknot__GoneRow gone_rows[RK_SYNC_GONE_KEPT], *gone_ptrs[RK_SYNC_GONE_KEPT];
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -118,9 +118,12 @@
 static bool drop_entry(struct rk_sync *s, const struct gone *told, const char *from)
 {
     struct entry *e = find_entry(s, told->name);
-    if (!e || e->revision > told->revision)
+    if (e && e->revision > told->revision)
         return false;
+    /* Also of one that came and went unseen here: a peer may have seen it come. */
     remember_gone(s, told);
+    if (!e)
+        return false;
     if (told->lapse_ends_ms && !e->row.leaving) {
         if (e->lapse_ends_ms)
             return false;
@@ -174,6 +177,19 @@
     return changed;
 }
 
+/* A whole list tells nothing of what came and went between what was known before
+ * and it: a peer that knows a part of that is told the whole, too. Told only what
+ * changed, it went on calling vms that had left while this node was down. */
+static void note_hole(struct rk_sync *s, int64_t before, int64_t at)
+{
+    if (s->hole_to > before && s->hole_from < before)
+        before = s->hole_from; /* they overlap: one hole */
+    else if (s->hole_to > s->gone_since)
+        s->gone_since = s->hole_to;
+    s->hole_from = before;
+    s->hole_to = at;
+}
+
 /* Those that lapsed and did not come back. */
 static bool drop_lapsed(struct rk_sync *s)
 {
@@ -230,8 +246,10 @@
     struct rk_sync *s = ctx;
     int64_t before = s->list_known ? s->list_revision : 0;
     bool changed = !s->list_known;
-    if (all)
+    if (all) {
         changed |= drop_missing(s, objects, len, at, "store");
+        note_hole(s, before, at);
+    }
     for (size_t i = 0; i < len; i++) {
         if (objects[i].gone)
             changed |= drop_told(s, &objects[i], at);
@@ -291,7 +309,8 @@
 
 void rk_sync_tell_list(struct rk_sync *s, int64_t since, Rillknot__StoreText *out)
 {
-    if (since < s->gone_since || since > s->list_revision)
+    bool in_hole = since > s->hole_from && since < s->hole_to;
+    if (since < s->gone_since || since > s->list_revision || in_hole)
         since = 0; /* the whole list */
     out->list_revision = s->list_revision;
     out->list_since = since;
@@ -327,9 +346,11 @@
     struct rk_store_object *objects = read_rows(text);
     int64_t before = s->list_known ? s->list_revision : 0;
     bool changed = !s->list_known;
-    if (!text->list_since)
+    if (!text->list_since) {
         changed |=
             drop_missing(s, objects, text->n_list, text->list_revision, "peer");
+        note_hole(s, before, text->list_revision);
+    }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= drop_by_peer(s, text->gone[i], text->list_revision);
     for (size_t i = 0; i < text->n_list; i++) {
