orders: the need of vms goes by what is asked, once a call

Change: prompts count once a call, also when it is refused as late or no vm can take it; of the calls in hand those count whose answers have begun.

--- a/core/place.c
+++ b/core/place.c
@@ -414,6 +414,14 @@
     return f;
 }
 
+double rk_place_unread(struct rk_place *p, const struct rk_place_query *q,
+                       const struct rk_place_vm *vm, int64_t now_ms)
+{
+    struct homes homes;
+    find_homes(p, q, vm->service_hash, &homes);
+    return load_of(p, q, vm, home_share(&homes, vm), now_ms).unread;
+}
+
 int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
                   const struct rk_place_vm *vm)
 {
@@ -477,6 +485,7 @@
     }
     vm->calls++;
     vm->running++;
+    vm->unbegun++;
 }
 
 /* Its prompt is read, or will not be. */
@@ -485,6 +494,7 @@
     if (job->first)
         return;
     job->first = true;
+    vm->unbegun--;
     vm->waiting_tokens -= job->load.unread;
     if (vm->waiting_tokens < 0)
         vm->waiting_tokens = 0;
--- a/core/place.h
+++ b/core/place.h
@@ -43,6 +43,7 @@
     bool listed;
     int calls; /* of this node, in hand: kept until none is left */
     int running;
+    int unbegun; /* of these, the ones without a first byte */
     double waiting_tokens;
     uint32_t peers_running;
     double peers_waiting_tokens;
@@ -93,6 +94,10 @@
                                     const struct rk_place_query *q, int64_t now_ms,
                                     struct rk_engine_forecast *first);
 
+/* Tokens of the query's prompt that a vm would have to read. */
+double rk_place_unread(struct rk_place *p, const struct rk_place_query *q,
+                       const struct rk_place_vm *vm, int64_t now_ms);
+
 /* Which of the homes of the query's prefix a vm is; -1: none. */
 int rk_place_home(const struct rk_place *p, const struct rk_place_query *q,
                   const struct rk_place_vm *vm);
--- a/node/digest.c
+++ b/node/digest.c
@@ -178,6 +178,7 @@
         to->services[i] =
             (struct rk_service_use){.read_tokens = use->read_tokens,
                                     .running = use->running,
+                                    .begun = use->begun,
                                     .engine = rk_engines_get(use->engine)};
         rk_strcpy(to->services[i].service, sizeof(to->services[i].service),
                   use->service);
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -25,6 +25,7 @@
     struct rk_vm_load *loads; /* a row for each node and vm, then for each vm */
     size_t loads_len;
     struct rk_tally in_hand; /* calls, by service */
+    struct rk_tally begun;   /* of these, the ones whose answers have begun */
     struct rk_tally asking;  /* units of quotas a second */
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
@@ -65,8 +66,10 @@
 static void add_in_hand(struct making *p, const struct rk_service_use *services,
                         size_t len)
 {
-    for (size_t i = 0; i < len; i++)
+    for (size_t i = 0; i < len; i++) {
         *rk_tally_at(&p->in_hand, services[i].service) += services[i].running;
+        *rk_tally_at(&p->begun, services[i].service) += services[i].begun;
+    }
 }
 
 /* Sum what runs at the nodes of this domain, and of the others if fleet. */
@@ -169,6 +172,7 @@
         use->service = reads->rows[i].name;
         use->read_tokens = reads->rows[i].total;
         use->running = (uint32_t)rk_tally_total(&p->in_hand, use->service);
+        use->begun = (uint32_t)rk_tally_total(&p->begun, use->service);
         struct rk_engine_estimate e = rk_engines_of(m, use->service, fleet);
         if (e.samples > 0) {
             rk_engines_put(&p->engines[i], &e);
@@ -247,6 +251,7 @@
 {
     free(p->loads);
     rk_tally_free(&p->in_hand);
+    rk_tally_free(&p->begun);
     rk_tally_free(&p->asking);
     free(p->vms);
     free(p->vm_ptrs);
--- a/node/loads.c
+++ b/node/loads.c
@@ -110,30 +110,46 @@
     }
 }
 
-static uint32_t running(const struct rk_service_use *services, size_t len,
-                        const char *service)
+static struct rk_in_hand in_hand(const struct rk_service_use *services, size_t len,
+                                 const char *service)
 {
     const struct rk_service_use *use = rk_service_use_find(services, len, service);
-    return use ? use->running : 0;
+    return use ? (struct rk_in_hand){use->running, use->begun}
+               : (struct rk_in_hand){0};
 }
 
-uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
-                          int64_t now_ms)
+static void add_in_hand(struct rk_in_hand *sum, struct rk_in_hand more)
+{
+    sum->running += more.running;
+    sum->begun += more.begun;
+}
+
+static uint32_t less(uint32_t all, uint32_t own)
+{
+    return all > own ? all - own : 0;
+}
+
+struct rk_in_hand rk_loads_in_hand(const struct rk_mesh *m, const char *service,
+                                   int64_t now_ms)
 {
     const struct rk_relay_report *r = m->n->report;
     const struct member *source = rk_digest_of_fleet(m, now_ms);
+    struct rk_in_hand sum = {0};
     if (source) {
-        uint32_t all =
-            running(source->digest.services, source->digest.services_len, service);
-        uint32_t own = r ? running(r->services, r->services_len, service) : 0;
-        return all > own ? all - own : 0;
+        struct rk_in_hand own = {0};
+        sum =
+            in_hand(source->digest.services, source->digest.services_len, service);
+        if (r)
+            own = in_hand(r->services, r->services_len, service);
+        return (struct rk_in_hand){less(sum.running, own.running),
+                                   less(sum.begun, own.begun)};
     }
-    uint32_t sum = 0;
     for (const struct member *k = m->members; k; k = k->next) {
         if (counts(k, now_ms))
-            sum += running(k->services, k->services_len, service);
+            add_in_hand(&sum, in_hand(k->services, k->services_len, service));
         else if (!m->direct && rk_digest_counts(k, now_ms))
-            sum += running(k->digest.services, k->digest.services_len, service);
+            add_in_hand(
+                &sum, in_hand(k->digest.services, k->digest.services_len, service));
     }
     return sum;
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -336,7 +336,9 @@
     struct rk_service_use sum = {.read_tokens =
                                      rk_tally_total(&m->peer_reads, service)};
     rk_strcpy(sum.service, sizeof(sum.service), service);
-    sum.running = rk_loads_running(m, service, now_ms);
+    struct rk_in_hand peers = rk_loads_in_hand(m, service, now_ms);
+    sum.running = peers.running;
+    sum.begun = peers.begun;
     sum.engine = rk_engines_of(m, service, true);
     return sum;
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -195,8 +195,13 @@
 void rk_loads_sum(struct rk_vm_load *sum, const struct rk_vm_load *more);
 void rk_loads_fill(const struct rk_mesh *m, struct rk_relay_peers *p,
                    int64_t now_ms);
-uint32_t rk_loads_running(const struct rk_mesh *m, const char *service,
-                          int64_t now_ms);
+/* Calls of a service that the peers have in hand. */
+struct rk_in_hand {
+    uint32_t running;
+    uint32_t begun; /* of these, the ones whose answers have begun */
+};
+struct rk_in_hand rk_loads_in_hand(const struct rk_mesh *m, const char *service,
+                                   int64_t now_ms);
 /* Add what callers ask for, in units of quotas a second: at the nodes that report
  * to this one, and if fleet, of the other domains by their digests. */
 void rk_loads_add_asking(const struct rk_mesh *m, bool fleet, struct rk_tally *sum,
--- a/node/orders.c
+++ b/node/orders.c
@@ -99,6 +99,7 @@
             continue;
         sum.read_tokens += own->read_tokens;
         sum.running += own->running;
+        sum.begun += own->begun;
     }
     return sum;
 }
@@ -140,7 +141,7 @@
     bool known = s->measured_ms && read >= 0;
     double per_s = known ? read * RK_MS_PER_S / (double)passed_ms : 0;
     double need = rk_holding_need(per_s, rk_engine_read_per_s(&use.engine),
-                                  use.running, (double)info->slots);
+                                  use.begun, (double)info->slots);
     s->asked = s->asked || need > 0;
     s->need = rk_holding_smooth(s->need, need, passed_ms, KEPT_HALVED_MS);
     s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
--- a/node/report.c
+++ b/node/report.c
@@ -74,6 +74,7 @@
         p->services[i].service = r->services[i].service;
         p->services[i].read_tokens = r->services[i].read_tokens;
         p->services[i].running = r->services[i].running;
+        p->services[i].begun = r->services[i].begun;
         if (r->services[i].engine.samples > 0) {
             rk_engines_put(&p->engines[i], &r->services[i].engine);
             p->services[i].engine = &p->engines[i];
@@ -222,6 +223,7 @@
         rk_strcpy(use->service, sizeof(use->service), r->services[i]->service);
         use->read_tokens = r->services[i]->read_tokens;
         use->running = r->services[i]->running;
+        use->begun = r->services[i]->begun;
         use->engine = rk_engines_get(r->services[i]->engine);
         double before = first ? use->read_tokens : read_before(k, use->service);
         count_read(k, use->service, use->read_tokens - before);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2953,7 +2953,7 @@
   (ProtobufCMessageInit) rillknot__engine_estimate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__service_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rillknot__service_use__field_descriptors[5] =
 {
   {
     "service",
@@ -3003,8 +3003,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ServiceUse, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__service_use__field_indices_by_name[] = {
+  4,   /* field[4] = begun */
   3,   /* field[3] = engine */
   1,   /* field[1] = read_tokens */
   2,   /* field[2] = running */
@@ -3013,7 +3026,7 @@
 static const ProtobufCIntRange rillknot__service_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rillknot__service_use__descriptor =
 {
@@ -3023,7 +3036,7 @@
   "Rillknot__ServiceUse",
   "rillknot",
   sizeof(Rillknot__ServiceUse),
-  4,
+  5,
   rillknot__service_use__field_descriptors,
   rillknot__service_use__field_indices_by_name,
   1,  rillknot__service_use__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -358,10 +358,14 @@
   double read_tokens;
   uint32_t running;
   Rillknot__EngineEstimate *engine;
+  /*
+   * Of those in hand, the ones whose answers have begun.
+   */
+  uint32_t begun;
 };
 #define RILLKNOT__SERVICE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__service_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -83,6 +83,12 @@
     report->usage_len = r->usage.len;
 }
 
+static void add_in_hand(struct rk_service_use *use, const struct rk_place_vm *vm)
+{
+    use->running += (uint32_t)vm->running;
+    use->begun += (uint32_t)(vm->running - vm->unbegun);
+}
+
 static void fill_services(const struct rk_relay *r, struct rk_relay_report *report)
 {
     report->services = rk_alloc(r->services_len + 1, sizeof(*report->services));
@@ -94,7 +100,7 @@
             rk_engine_learnt(&rk_place_speed_of(r->place, use->service)->engine);
         for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next)
             if (!strcmp(v->row.service, use->service))
-                use->running += (uint32_t)v->running;
+                add_in_hand(use, v);
     }
 }
 
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -45,8 +45,9 @@
 /* What was asked of an engine service here since the start, and is in hand. */
 struct rk_service_use {
     char service[RK_ID_MAX];
-    double read_tokens; /* of prompts, not found cached */
+    double read_tokens; /* of prompts, not found cached, each call's once */
     uint32_t running;
+    uint32_t begun; /* of these, the ones whose answers have begun */
     struct rk_engine_estimate engine; /* learnt here */
 };
 
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -396,8 +396,20 @@
     return x->forecast.ms - DOUBTS * x->forecast.doubt_ms > target_ms * slack;
 }
 
+/* What is asked of a service counts once a call, however often it is sent and
+ * whether it can be served or not: what is read again, or comes back, because vms
+ * are missing is no demand for more of them. */
+static void note_asked(struct rk_relay_call *x, double tokens)
+{
+    if (x->asked || x->resumes)
+        return;
+    x->asked = true;
+    service_of(x->r, x->query.service)->read_tokens += tokens;
+}
+
 static void refuse_late(struct rk_relay_call *x)
 {
+    note_asked(x, rk_place_unread(x->r->place, &x->query, x->vm, rk_mono_ms()));
     x->vm = NULL;
     rk_count(RK_C_LATE_REFUSED, 1);
     rk_call_give_up(x, HTTP_REFUSED,
@@ -407,7 +419,7 @@
 
 static void note_sent(struct rk_relay_call *x)
 {
-    service_of(x->r, x->query.service)->read_tokens += x->job.load.unread;
+    note_asked(x, x->job.load.unread);
     x->attempts++;
     rk_count(RK_C_ATTEMPTS, 1);
     log_sent(x);
@@ -436,6 +448,7 @@
         exclude_vm(x);
         rk_call_end_attempt(x, RK_PLACE_CALLED_OFF);
     }
+    note_asked(x, x->query.tokens_in);
     give_up_sending(x, "no vm can take it");
 }
 
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -57,6 +57,7 @@
     int attempts;
     bool may_have_run;
     bool resumes; /* the caller goes on with a stream */
+    bool asked;   /* it is counted in what is asked of its service */
     bool ran;     /* it counts for the quota */
     bool begun;   /* the caller has got the head */
     int status;   /* of that head */
