orders: reclaimable vms are ordered before the list is whole; no plan by half an estimate

At the first start of all, vms were ordered after 4.5 s, when all have enrolled. The reclaimable ones need no whole list: they are ordered after 2 s, by the vms that stand by then, and boot meanwhile; none is ordered away before. Each measurement without calls let the estimate fall to 0.8 of what stood there until the next tick, which ordered vms away and again: it is put back in the same step.

--- a/core/holding.c
+++ b/core/holding.c
@@ -200,9 +200,6 @@
         if ((at = next_on_demand(in, targets)) < 0)
             break;
         targets[at].on_demand++;
-        /* One that is held serves on; what would come beside it waits. */
-        if (!in->none && room(in, targets, (size_t)at) < 0)
-            targets[at].reclaimable--;
     }
     if (in->unmeasured)
         keep_what_stands(in, targets);
--- a/node/orders.c
+++ b/node/orders.c
@@ -24,7 +24,10 @@
  * more. On a fleet of 86 nodes all of which were killed, 72 vms went at once
  * without it. */
 #define MEASURED_MS 10000
-#define ENROL_MS    4500 /* the same at the first of all: vms enrol meanwhile */
+/* At the first start of all, vms enrol for so long. None is ordered away by a list
+ * that is not whole; reclaimable ones, which boot for seconds, are ordered already.
+ */
+#define ENROL_MS 4500
 /* Without a call for so long, what stood there at first is no estimate any more. */
 #define ESTIMATE_MS 30000
 
@@ -132,9 +135,10 @@
 static void measure(struct service *s, const struct rk_service_info *info)
 {
     int64_t now_ms = rk_mono_ms(), passed_ms = now_ms - s->measured_ms;
-    estimate(s, now_ms);
-    if (passed_ms < DEMAND_MS)
+    if (passed_ms < DEMAND_MS) {
+        estimate(s, now_ms);
         return;
+    }
     struct rk_service_use use = use_of(s->o->n, s->name);
     double read = use.read_tokens - s->read_before;
     /* A node that started again counts from nothing. */
@@ -147,6 +151,7 @@
     s->need_now = rk_holding_smooth(s->need_now, need, passed_ms, HALVED_MS);
     s->read_before = use.read_tokens;
     s->measured_ms = now_ms;
+    estimate(s, now_ms);
 }
 
 void rk_orders_watch(struct rk_orders *o)
@@ -295,6 +300,11 @@
              RK_N("need_now", (int64_t)ceil(in->need_now)), RK_N("idle", in->idle));
 }
 
+static bool is_enrolling(const struct rk_node *n)
+{
+    return n->file.first_start && rk_mono_ms() - n->started_ms < ENROL_MS;
+}
+
 static void tend_service(struct service *s, const struct rk_service_info *info,
                          const struct rk_duty_token *token)
 {
@@ -320,8 +330,9 @@
     rk_holding_plan(&in, targets);
     log_plan(s, &in, targets);
     for (size_t i = 0; i < in.domains_len; i++) {
-        tend_order(&s->orders[i][0], info, token, in.domains[i].on_demand,
-                   targets[i].on_demand);
+        if (!is_enrolling(s->o->n))
+            tend_order(&s->orders[i][0], info, token, in.domains[i].on_demand,
+                       targets[i].on_demand);
         tend_order(&s->orders[i][1], info, token, in.domains[i].reclaimable,
                    targets[i].reclaimable);
     }
@@ -333,9 +344,8 @@
     rk_orders_watch(o);
     /* Who takes the duties over knows the list, and the vms that are missing are
      * missing now. */
-    int64_t settle_ms = o->n->file.first_start ? ENROL_MS : SETTLE_MS;
     if (!token || !routes || !rk_sync_ready(o->n->sync) ||
-        rk_mono_ms() - o->n->started_ms < settle_ms)
+        rk_mono_ms() - o->n->started_ms < SETTLE_MS)
         return;
     for (size_t i = 0; i < routes->services_len; i++) {
         const struct rk_service_info *info = &routes->services[i];
