orders: news of vms and refused orders are acted on at once

The plan was made anew each 200 ms: up to 0.2 s from a notice to the order for other vms, and 0.2 s more from its refusal to the order for stand-ins, of 2.4 s of notice and 4 s of boot. Now a change of the list and a refusal bring the next look within 5 ms.

--- a/node/duties.c
+++ b/node/duties.c
@@ -17,6 +17,7 @@
 #include "objects/store.h"
 
 #define TICK_MS         200
+#define LOOK_MS         5 /* after news: for those that come together */
 #define LEASE_KIND      "rillknot-leases"
 #define LEASE_NAME      "duties"
 #define USAGE_KIND      "rillknot-usage"
@@ -358,6 +359,12 @@
     rk_usage_forget(&k->n->usage, window - WINDOWS);
 }
 
+void rk_duty_keeper_look(struct rk_duty_keeper *k)
+{
+    if (k->was_held)
+        rk_timer_start(k->n->loop, &k->tick, LOOK_MS);
+}
+
 struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n)
 {
     struct rk_duty_keeper *k = rk_alloc(1, sizeof(*k));
--- a/node/orders.c
+++ b/node/orders.c
@@ -181,10 +181,12 @@
                                 order->domain);
         return;
     }
-    if (st == RK_ECONFLICT && order->reclaimable)
-        rk_reclaims_refused(&order->s->reclaims[order->domain], rk_mono_ms());
     order->target = -1; /* again, with what is known then */
     order->at_ms = rk_mono_ms();
+    if (st == RK_ECONFLICT && order->reclaimable) {
+        rk_reclaims_refused(&order->s->reclaims[order->domain], rk_mono_ms());
+        rk_duty_keeper_look(order->s->o->n->duty_keeper);
+    }
 }
 
 static void send_order(struct order *order, const struct rk_service_info *info,
--- a/node/state.h
+++ b/node/state.h
@@ -125,6 +125,9 @@
                           const char **value);
 void rk_duty_keeper_seen(struct rk_duty_keeper *k, int64_t version,
                          const char *value);
+/* Something that orders go by changed: look at it soon, if this node holds the
+ * duties. */
+void rk_duty_keeper_look(struct rk_duty_keeper *k);
 /* The newest version of the lease that is known here, whoever holds it. */
 bool rk_duty_keeper_newest(const struct rk_duty_keeper *k, int64_t *version,
                            const char **value);
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -212,6 +212,7 @@
     for (size_t i = 0; i < s->entries_len; i++)
         rows[i] = s->entries[i].row;
     rk_relay_set_vms(s->n->relay, rows, s->entries_len);
+    rk_duty_keeper_look(s->n->duty_keeper);
 }
 
 /* Tell peers what changed since a revision of the list. */
