--- a/core/holding.c
+++ b/core/holding.c
@@ -137,8 +137,8 @@
 }
 
 /* On-demand vms above the floor. Once all reclaimable ones that are planned serve,
- * those that stood in go at once: 25 of them for 8 s more cost a hundredth of what a
- * minute's calls are worth. */
+ * those that stood in go at once: 25 of them for 8 s more cost a hundredth of what
+ * a minute's calls are worth. */
 static int stand_ins(const struct rk_holding_input *in, int floor,
                      int planned_reclaimable, bool cheaper)
 {
@@ -160,7 +160,7 @@
     return in->settled ? held - (given_up > 1 ? given_up : 1) : held;
 }
 
-/* It was ordered for a demand that this process hasn't seen. */
+/* It was ordered for a demand that this process hasn't seen, or a version moves. */
 static void keep_what_stands(const struct rk_holding_input *in,
                              struct rk_holding_target *targets)
 {
@@ -196,11 +196,12 @@
     if (cheaper)
         keep_until_replaced(in, targets);
     int reclaimable = sum_reclaimable(in, targets);
-    for (int more = stand_ins(in, floor, reclaimable, cheaper), at; more > 0; more--) {
+    for (int more = stand_ins(in, floor, reclaimable, cheaper), at; more > 0;
+         more--) {
         if ((at = next_on_demand(in, targets)) < 0)
             break;
         targets[at].on_demand++;
     }
-    if (in->unmeasured)
+    if (in->keep)
         keep_what_stands(in, targets);
 }
--- a/core/holding.h
+++ b/core/holding.h
@@ -38,7 +38,7 @@
     bool none;            /* no reclaimable vms can be had anywhere */
     bool idle;            /* nothing runs: vms may go all at once */
     bool settled;         /* the last on-demand vm went long enough ago */
-    bool unmeasured;      /* demand isn't known yet: what stands stays */
+    bool keep;            /* what stands stays: too little is known to do without */
 };
 
 struct rk_holding_target {
--- a/core/place.c
+++ b/core/place.c
@@ -1,4 +1,4 @@
-#include "core/place.h"
+#include "core/place_impl.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -24,31 +24,13 @@
 /* Of tokens, as they count when vms are compared; both by measurement on two sites.
  */
 #define COPY_WEIGHT    1.5 /* of its own prompt: it also holds up all others there */
-#define WAITING_WEIGHT 1.0  /* of what waits: what is told of it is old */
-#define INDEX_FIRST    64   /* places for vms; a power of two */
-#define MEMO_SLOTS     8192 /* a power of two */
+#define WAITING_WEIGHT 1.0 /* of what waits: what is told of it is old */
+#define INDEX_FIRST    64  /* places for vms; a power of two */
 
 /* How much of a shared prefix is taken to be cached at its homes, in their order:
  * those that come later are used only while the first are busy. */
 static const double home_shares[HOMES] = {0.95, 0.7, 0.5, 0.35};
 
-/* A part was read at a vm. */
-struct memo {
-    uint64_t chain, vm;
-    int64_t at_ms;
-};
-
-struct rk_place {
-    char domain[RK_ID_MAX];
-    struct rk_rng rng;
-    struct rk_place_vm *vms;
-    size_t vms_len;
-    struct rk_speeds speeds;
-    struct rk_place_vm **index; /* hash table of vms; NULL: free */
-    size_t index_len;           /* a power of two, twice vms_len or more */
-    struct memo memos[MEMO_SLOTS];
-};
-
 struct rk_place *rk_place_create(const char *domain, uint64_t seed)
 {
     struct rk_place *p = rk_alloc(1, sizeof(*p));
@@ -112,12 +94,14 @@
     return p->index_len ? p->index[place_of(p, id, rk_hash_str(0, id))] : NULL;
 }
 
-static struct rk_place_vm *add(struct rk_place *p, const struct rk_vm_row *row)
+static struct rk_place_vm *add(struct rk_place *p, const struct rk_vm_row *row,
+                               int64_t now_ms)
 {
     struct rk_place_vm *v = rk_alloc(1, sizeof(*v));
     reserve(p);
     v->row = *row;
     v->hash = rk_hash_str(0, row->id);
+    v->warm_from_ms = now_ms + row->cold_ms;
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_speeds_of(&p->speeds, row->service);
     v->next = p->vms;
@@ -145,20 +129,22 @@
         index_vms(p);
 }
 
-void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len)
+void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len,
+                      int64_t now_ms)
 {
     for (struct rk_place_vm *v = p->vms; v; v = v->next)
         v->listed = false;
     for (size_t i = 0; i < len; i++) {
         struct rk_place_vm *v = find(p, rows[i].id);
         if (!v)
-            v = add(p, &rows[i]);
+            v = add(p, &rows[i], now_ms);
         bool leaving = v->row.leaving || rows[i].leaving;
         v->row = rows[i];
         v->row.leaving = leaving; /* it never comes back */
         v->listed = true;
     }
     sweep(p);
+    rk_place_mark_versions(p);
 }
 
 /* What all vms of each service show together, against which one of them is slow. */
@@ -287,11 +273,22 @@
     return false;
 }
 
+/* While a service moves to another version, calls that try it and others don't
+ * meet. */
+static bool is_of_version(const struct rk_place_query *q,
+                          const struct rk_place_vm *v)
+{
+    if (v->row.barred || !v->rollout)
+        return !v->row.barred;
+    return v->is_new ? q->tries && v->gets_new : !q->tries;
+}
+
 static bool can_take(const struct rk_place_query *q, uint32_t service_hash,
                      const struct rk_place_vm *v)
 {
     return v->listed && !v->row.leaving && v->service_hash == service_hash &&
-           !is_excluded(q, v) && !strcmp(v->row.service, q->service);
+           is_of_version(q, v) && !is_excluded(q, v) &&
+           !strcmp(v->row.service, q->service);
 }
 
 /* The vms that all nodes send a prefix to while nothing speaks against it: the
@@ -475,7 +472,9 @@
     if (q->engine) {
         struct homes homes;
         find_homes(p, q, vm->service_hash, &homes);
-        job->load = load_of(p, q, vm, home_share(&homes, vm), now_ms);
+        /* What a new version's vms are taken to keep, they have yet to read. */
+        double share = rk_place_is_trial(vm) ? 0 : home_share(&homes, vm);
+        job->load = load_of(p, q, vm, share, now_ms);
         job->expected_ms = rk_engine_first_ms(&vm->speed->engine, &job->load);
         remember_parts(p, vm, q, now_ms);
         vm->waiting_tokens += job->load.unread;
@@ -483,6 +482,8 @@
         job->in_hand_per_slot = in_hand_per_slot(vm);
         job->expected_ms = rk_speed_plain(vm->speed, job->in_hand_per_slot);
     }
+    if (rk_place_trial_of(vm, q->route, now_ms))
+        job->route = q->route;
     vm->calls++;
     vm->running++;
     vm->unbegun++;
@@ -510,6 +511,9 @@
     if (job->odd)
         return;
     rk_pace_learn(&vm->pace, took_ms, job->expected_ms, now_ms);
+    struct rk_trial_seen *trial = rk_place_trial_of(vm, job->route, now_ms);
+    if (trial)
+        rk_trial_note_time(trial, took_ms, job->expected_ms);
     if (job->engine)
         rk_engine_learn(&vm->speed->engine, &job->load, took_ms);
     else
@@ -539,8 +543,12 @@
 {
     vm->calls--;
     vm->running--;
-    if (end == RK_PLACE_LOST || end == RK_PLACE_ERROR)
+    if (end == RK_PLACE_LOST || end == RK_PLACE_ERROR) {
         note_failure(vm, job, now_ms);
+        struct rk_trial_seen *trial = rk_place_trial_of(vm, job->route, now_ms);
+        if (trial)
+            rk_trial_note_failure(trial, job->first && !job->odd);
+    }
     stop_waiting(vm, job);
     switch (end) {
     case RK_PLACE_DONE:
--- a/core/place.h
+++ b/core/place.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "common/util.h"
+#include "core/rollout.h"
 #include "core/speeds.h"
 
 #define RK_PLACE_PARTS    16
@@ -23,7 +24,10 @@
     int64_t slots;
     bool leaving;
     bool reclaimable;
-    int64_t leaves_in_ms; /* of a leaving one, -1: not told */
+    int64_t leaves_in_ms;          /* of a leaving one, -1: not told */
+    char version[RK_VERSION_TEXT]; /* of its software */
+    int64_t cold_ms; /* it is slow for so long after its start, when it was told */
+    bool barred;     /* of a version that nobody ordered, as far as is known */
 };
 
 /* What nodes have in hand at a vm, and how it served them. */
@@ -51,6 +55,17 @@
     int64_t paused_until_ms;
     struct rk_speed *speed;          /* of its service */
     struct rk_pace pace, peers_pace; /* as this node's calls, as its peers' show */
+    const struct rk_place_rollout *rollout; /* of its service; NULL: none */
+    bool is_new;          /* of the version that the roll-out is to */
+    bool gets_new;        /* it is among those that try it now */
+    int64_t warm_from_ms; /* it is slow until then */
+};
+
+/* A roll-out as this node goes by it, and what its calls showed. */
+struct rk_place_rollout {
+    struct rk_rollout_rule rule; /* without a service: free */
+    bool is_fresh; /* the rule was told lately; else nothing new is tried */
+    struct rk_trial_rows seen;
 };
 
 struct rk_place_part {
@@ -65,7 +80,9 @@
     struct rk_place_part parts[RK_PLACE_PARTS];
     size_t parts_len;
     double tokens_in;
-    uint64_t request; /* a hash: spreads calls that share little */
+    uint64_t request;  /* a hash: spreads calls that share little */
+    const char *route; /* its name; valid as long as the call */
+    bool tries;        /* it goes to a new version where there is one */
     uint64_t excluded[RK_PLACE_EXCLUDED]; /* hashes of vms that failed it */
     size_t excluded_len;
 };
@@ -76,7 +93,29 @@
 void rk_place_destroy(struct rk_place *p);
 
 /* The list as it stands now. */
-void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len);
+void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len,
+                      int64_t now_ms);
+/* Roll-outs as they stand now. What calls showed of one that goes on is kept. */
+void rk_place_set_rollouts(struct rk_place *p, const struct rk_rollout_rule *rules,
+                           size_t len, bool is_fresh);
+const struct rk_place_rollout *
+rk_place_rollouts(const struct rk_place *p); /* all */
+
+/* Is a vm of a version that is only tried yet? */
+bool rk_place_is_trial(const struct rk_place_vm *vm);
+
+/* Calls in hand at vms that a roll-out moves away from, of all nodes. */
+double rk_place_old_running(const struct rk_place_rollout *r,
+                            const struct rk_place *p);
+
+/* The holder's word is old, and the old vms may be gone meanwhile: may the query go
+ * to a new one, as no other can take it? */
+bool rk_place_may_move(const struct rk_place *p, const struct rk_place_query *q);
+
+/* Does the query try a new version? Asked once a call, that all its attempts agree.
+ */
+bool rk_place_tries(const struct rk_place *p, const struct rk_place_query *q);
+
 /* What the peers have in hand; a vm may be told of more than once. */
 void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
                         size_t len, int64_t now_ms);
@@ -109,8 +148,9 @@
     double expected_ms;         /* to its first byte, by the service's speed */
     int64_t sent_ms;
     bool engine;
-    bool first; /* it has got its first byte */
-    bool odd;   /* it goes on with a stream: no measure of the vm's speed */
+    bool first;        /* it has got its first byte */
+    bool odd;          /* it goes on with a stream: no measure of the vm's speed */
+    const char *route; /* of a trial that what it shows counts for; NULL: of none */
 };
 
 void rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
--- /dev/null
+++ b/core/place_impl.h
@@ -0,0 +1,37 @@
+/* State of the choice of vms, shared by place.c and place_versions.c. Not for
+ * others.
+ */
+#ifndef RK_CORE_PLACE_IMPL_H
+#define RK_CORE_PLACE_IMPL_H
+
+#include "core/place.h"
+
+#define MEMO_SLOTS 8192 /* a power of two */
+
+/* A part was read at a vm. */
+struct memo {
+    uint64_t chain, vm;
+    int64_t at_ms;
+};
+
+struct rk_place {
+    char domain[RK_ID_MAX];
+    struct rk_rng rng;
+    struct rk_place_vm *vms;
+    size_t vms_len;
+    struct rk_speeds speeds;
+    struct rk_place_rollout rollouts[RK_ROLLOUTS];
+    struct rk_place_vm **index; /* hash table of vms; NULL: free */
+    size_t index_len;           /* a power of two, twice vms_len or more */
+    struct memo memos[MEMO_SLOTS];
+};
+
+/* Which vms are of the new version of their service, and which of them try it. */
+void rk_place_mark_versions(struct rk_place *p);
+
+/* Where what a call of a route to a vm shows counts; NULL: nowhere. A vm that is
+ * slow from its start shows nothing. */
+struct rk_trial_seen *rk_place_trial_of(const struct rk_place_vm *vm,
+                                        const char *route, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/place_versions.c
@@ -0,0 +1,127 @@
+/* Roll-outs as far as the choice of vms goes: which version a call goes to, and
+ * what calls to both versions showed. */
+#include <string.h>
+
+#include "core/place_impl.h"
+
+static struct rk_place_rollout *rollout_of(struct rk_place *p, const char *service)
+{
+    for (size_t i = 0; i < RK_ROLLOUTS; i++)
+        if (p->rollouts[i].rule.service[0] &&
+            !strcmp(p->rollouts[i].rule.service, service))
+            return &p->rollouts[i];
+    return NULL;
+}
+
+/* How many vms of a roll-out's new version come before one, by rendezvous hashing:
+ * all nodes agree on which try it, and each turn brings others. */
+static size_t count_before(const struct rk_place *p, const struct rk_place_vm *v)
+{
+    uint64_t turn = v->rollout->rule.turn,
+             own = rk_hash(turn, &v->hash, sizeof(v->hash));
+    size_t count = 0;
+    for (const struct rk_place_vm *o = p->vms; o; o = o->next)
+        count += o->rollout == v->rollout && o->is_new && !o->row.leaving &&
+                 rk_hash(turn, &o->hash, sizeof(o->hash)) > own;
+    return count;
+}
+
+void rk_place_mark_versions(struct rk_place *p)
+{
+    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
+        v->rollout = rollout_of(p, v->row.service);
+        v->is_new = v->rollout && !strcmp(v->row.version, v->rollout->rule.version);
+    }
+    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
+        uint32_t vms = v->is_new ? v->rollout->rule.vms : 0;
+        v->gets_new = v->is_new && (!vms || count_before(p, v) < vms);
+    }
+}
+
+static const struct rk_rollout_rule *rule_of(const struct rk_rollout_rule *rules,
+                                             size_t len, const char *service)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(rules[i].service, service))
+            return &rules[i];
+    return NULL;
+}
+
+static void add_rollout(struct rk_place *p, const struct rk_rollout_rule *rule,
+                        bool is_fresh)
+{
+    struct rk_place_rollout *r = rollout_of(p, rule->service);
+    for (size_t i = 0; !r && i < RK_ROLLOUTS; i++)
+        if (!p->rollouts[i].rule.service[0])
+            r = &p->rollouts[i];
+    if (!r)
+        return;
+    if (strcmp(r->rule.version, rule->version) != 0)
+        r->seen.len = 0; /* it began anew */
+    r->rule = *rule;
+    r->is_fresh = is_fresh;
+}
+
+void rk_place_set_rollouts(struct rk_place *p, const struct rk_rollout_rule *rules,
+                           size_t len, bool is_fresh)
+{
+    for (size_t i = 0; i < RK_ROLLOUTS; i++)
+        if (!rule_of(rules, len, p->rollouts[i].rule.service))
+            p->rollouts[i].rule = (struct rk_rollout_rule){0};
+    for (size_t i = 0; i < len; i++)
+        add_rollout(p, &rules[i], is_fresh);
+    rk_place_mark_versions(p);
+}
+
+const struct rk_place_rollout *rk_place_rollouts(const struct rk_place *p)
+{
+    return p->rollouts;
+}
+
+double rk_place_old_running(const struct rk_place_rollout *r,
+                            const struct rk_place *p)
+{
+    double sum = 0;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next)
+        if (v->rollout == r && !v->is_new)
+            sum += v->running + (double)v->peers_running;
+    return sum;
+}
+
+static bool is_small(const struct rk_rollout_rule *rule)
+{
+    return rule->phase == RK_ROLLOUT_TRIAL || rule->phase == RK_ROLLOUT_LOAD;
+}
+
+bool rk_place_is_trial(const struct rk_place_vm *vm)
+{
+    return vm->is_new && is_small(&vm->rollout->rule);
+}
+
+bool rk_place_may_move(const struct rk_place *p, const struct rk_place_query *q)
+{
+    const struct rk_place_rollout *r = rollout_of((struct rk_place *)p, q->service);
+    return r && !r->is_fresh && r->rule.phase != RK_ROLLOUT_GIVEN_BACK;
+}
+
+bool rk_place_tries(const struct rk_place *p, const struct rk_place_query *q)
+{
+    const struct rk_place_rollout *r = rollout_of((struct rk_place *)p, q->service);
+    if (!r)
+        return false;
+    /* While little is tried, who isn't told any more tries nothing. */
+    return (r->is_fresh || !is_small(&r->rule)) &&
+           rk_rollout_tries(&r->rule, q->request);
+}
+
+struct rk_trial_seen *rk_place_trial_of(const struct rk_place_vm *vm,
+                                        const char *route, int64_t now_ms)
+{
+    struct rk_place_rollout *r = (struct rk_place_rollout *)vm->rollout;
+    if (!r || !route || now_ms < vm->warm_from_ms ||
+        r->rule.phase == RK_ROLLOUT_TAKEN || r->rule.phase == RK_ROLLOUT_GIVEN_BACK)
+        return NULL;
+    struct rk_trial_row *row =
+        rk_trial_row_at(&r->seen, route, vm->row.domain, vm->is_new);
+    return row ? &row->seen : NULL;
+}
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -41,6 +41,10 @@
     double retry_burst; /* of all nodes */
     double retry_ratio; /* retries to calls, of all nodes */
     double cpu_share;   /* of a core, that this machine has */
+    /* What a new version of a service may get if it turns out to be bad; no share:
+     * no new versions are ordered here. */
+    double trial_share, trial_slack;
+    double trial_give_up_ms;
 };
 
 /* Fill out from a file. On failure rk_last_error() names key, line and what was
--- a/node/duties.c
+++ b/node/duties.c
@@ -353,6 +353,7 @@
     struct rk_duty_token t;
     bool held = token(k, &t);
     rk_orders_tick(k->orders, held ? &t : NULL);
+    rk_rollouts_tick(k->n->rollouts, held ? &t : NULL);
     if (held)
         rk_remember_tick(k->n->remember);
     int64_t window = rk_wall_ms() / rk_s_to_ms(k->n->file.usage_window_s);
--- a/node/members.c
+++ b/node/members.c
@@ -85,6 +85,7 @@
     free(k->loads);
     free(k->uses);
     free(k->services);
+    free(k->trials);
     rk_digest_free(&k->digest);
     free(k);
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -214,6 +214,12 @@
     case RILLKNOT__FRAME__BODY_USAGE_COUNTS:
         take_counts(m, frame->usage_counts);
         return;
+    case RILLKNOT__FRAME__BODY_ROLLOUT_WORD:
+        rk_rollout_tell_take_word(m, frame->rollout_word);
+        return;
+    case RILLKNOT__FRAME__BODY_ROLLOUT_SEEN:
+        rk_rollout_tell_take_seen(m, frame->rollout_seen);
+        return;
     case RILLKNOT__FRAME__BODY_STORE_WANTED:
         answer_wanted(m, link, told, frame->store_wanted);
         return;
@@ -426,6 +432,7 @@
         tell(m); /* else the relay's reports set the pace */
     rk_digest_tell(m);
     tell_counts(m, now_ms);
+    rk_rollout_tell_seen(m, now_ms);
     tell_relay(m, now_ms);
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -76,6 +76,10 @@
     size_t uses_len;
     struct rk_service_use *services; /* the same */
     size_t services_len;
+    struct rk_rollout_seen *trials; /* the same; sum: of its whole domain */
+    size_t trials_len;
+    bool trials_sum;
+    int64_t trials_ms; /* when it told them */
     struct digest digest;
 };
 
@@ -100,6 +104,8 @@
     int64_t digest_ms; /* the same, a digest */
     unsigned digests;  /* made so far */
     int64_t counts_ms; /* usage told to the holder of the duties, last */
+    int64_t word_ms;   /* the word on roll-outs told, last */
+    int64_t trials_ms; /* what calls showed of them, last */
     int64_t usage_ms;  /* own usage told, last */
     int64_t enrol_ms;
     int lists_left;       /* how often the store's list of nodes is read again */
@@ -239,6 +245,14 @@
 /* Begin to count as a bridge. */
 void rk_digest_begin(struct rk_mesh *m);
 
+/* rollout_tell.c: the holder's word on roll-outs, and what calls showed. */
+void rk_rollout_tell_take_word(struct rk_mesh *m,
+                               const Rillknot__RolloutWord *word);
+void rk_rollout_tell_take_seen(struct rk_mesh *m,
+                               const Rillknot__RolloutSeen *seen);
+/* Tell what calls showed to those who sum it. */
+void rk_rollout_tell_seen(struct rk_mesh *m, int64_t now_ms);
+
 /* enrol.c: write this node to the list, read who is there. */
 void rk_enrol_init(struct rk_mesh *m);
 void rk_enrol_start(struct rk_mesh *m);
--- a/node/node.c
+++ b/node/node.c
@@ -307,6 +307,7 @@
     n->duties = n->platform->create_duties(n->http, n->file.cloud);
     n->sync = rk_sync_create(n);
     n->remember = rk_remember_create(n);
+    n->rollouts = rk_rollouts_create(n);
     n->duty_keeper = rk_duty_keeper_create(n);
     if (create_relay(n) != RK_OK)
         return RK_ESYSTEM;
@@ -345,6 +346,7 @@
     rk_mesh_destroy(n->mesh);
     rk_duty_keeper_destroy(n->duty_keeper);
     rk_remember_destroy(n->remember);
+    rk_rollouts_destroy(n->rollouts);
     rk_sync_destroy(n->sync);
     n->duties->ops->destroy(n->duties);
     n->store->ops->destroy(n->store);
--- a/node/orders.c
+++ b/node/orders.c
@@ -229,20 +229,28 @@
     send_order(order, info, token, held, target);
 }
 
+/* beside[d]: vms of a version that is only tried, by kind. The platform counts
+ * them, too, but they don't serve yet. */
 static void count_held(const struct rk_node *n, const struct rk_service_info *info,
-                       struct rk_holding_input *in)
+                       struct rk_holding_input *in,
+                       struct rk_holding_target beside[RK_HOLDING_DOMAINS])
 {
+    const struct rk_rollout_rule *moving =
+        rk_rollouts_moving(n->rollouts, info->name);
     const struct rk_vm_row *row;
+    memset(beside, 0, RK_HOLDING_DOMAINS * sizeof(*beside));
     for (size_t i = 0; (row = rk_sync_vm_at(n->sync, i)); i++) {
         if (row->leaving || strcmp(row->service, info->name) != 0)
             continue;
+        bool tried = moving && !strcmp(row->version, moving->version);
         for (size_t d = 0; d < in->domains_len; d++) {
-            if (strcmp(in->domains[d].name, row->domain) != 0)
+            struct rk_holding_domain *to = &in->domains[d];
+            if (strcmp(to->name, row->domain) != 0)
                 continue;
             if (row->reclaimable)
-                in->domains[d].reclaimable++;
+                *(tried ? &beside[d].reclaimable : &to->reclaimable) += 1;
             else
-                in->domains[d].on_demand++;
+                *(tried ? &beside[d].on_demand : &to->on_demand) += 1;
         }
     }
 }
@@ -264,13 +272,15 @@
 /* On-demand vms that were ordered and boot: a plan that forgot them would order
  * them away again. */
 static void count_booting(struct service *s, const struct rk_service_info *info,
-                          struct rk_holding_input *in)
+                          struct rk_holding_input *in,
+                          const struct rk_holding_target *beside)
 {
     for (size_t i = 0; i < in->domains_len; i++) {
         const struct order *order = &s->orders[i][0];
         struct rk_holding_domain *d = &in->domains[i];
-        if (is_awaited(order, info) && order->target > d->on_demand)
-            d->booting = order->target - d->on_demand;
+        int there = d->on_demand + beside[i].on_demand;
+        if (is_awaited(order, info) && order->target > there)
+            d->booting = order->target - there;
     }
 }
 
@@ -317,26 +327,31 @@
                                   .need_now = s->need_now,
                                   .idle = is_idle(s)};
     int64_t now_ms = rk_mono_ms();
-    in.unmeasured =
-        !s->o->n->file.first_start && now_ms - s->o->n->started_ms < MEASURED_MS;
+    /* What an order takes away while a version moves may be of either. */
+    in.keep =
+        rk_rollouts_moving(s->o->n->rollouts, s->name) ||
+        (!s->o->n->file.first_start && now_ms - s->o->n->started_ms < MEASURED_MS);
     in.settled = now_ms - s->shrunk_ms >= SHRINK_MS;
     for (size_t i = 0; i < info->prices_len && i < RK_HOLDING_DOMAINS; i++) {
         struct rk_holding_domain *d = &in.domains[in.domains_len++];
         rk_strcpy(d->name, sizeof(d->name), info->prices[i].domain);
         d->price = info->prices[i].price;
     }
-    count_held(s->o->n, info, &in);
+    struct rk_holding_target beside[RK_HOLDING_DOMAINS];
+    count_held(s->o->n, info, &in, beside);
     look_for_reclaims(s, &in);
-    count_booting(s, info, &in);
+    count_booting(s, info, &in, beside);
     struct rk_holding_target targets[RK_HOLDING_DOMAINS];
     rk_holding_plan(&in, targets);
     log_plan(s, &in, targets);
     for (size_t i = 0; i < in.domains_len; i++) {
         if (!is_enrolling(s->o->n))
-            tend_order(&s->orders[i][0], info, token, in.domains[i].on_demand,
-                       targets[i].on_demand);
-        tend_order(&s->orders[i][1], info, token, in.domains[i].reclaimable,
-                   targets[i].reclaimable);
+            tend_order(&s->orders[i][0], info, token,
+                       in.domains[i].on_demand + beside[i].on_demand,
+                       targets[i].on_demand + beside[i].on_demand);
+        tend_order(&s->orders[i][1], info, token,
+                   in.domains[i].reclaimable + beside[i].reclaimable,
+                   targets[i].reclaimable + beside[i].reclaimable);
     }
 }
 
--- a/node/platform.h
+++ b/node/platform.h
@@ -6,6 +6,7 @@
 
 #include "core/dialect.h"
 #include "core/place.h"
+#include "core/rollout.h"
 #include "core/routes.h"
 
 struct json_object;
@@ -18,11 +19,16 @@
     const struct rk_dialect *dialect;
     const char *settings_kind, *settings_name; /* the object with the routes */
     const char *vms_kind;
+    const char *rollouts_kind; /* an object a service, by its name */
     /* RK_EINVAL with a last message when it can't be used. */
     enum rk_status (*parse_routes)(struct json_object *spec,
                                    struct rk_routes **out);
     bool (*parse_vm)(const char *name, struct json_object *spec,
                      struct rk_vm_row *out);
+    bool (*parse_rollout)(struct json_object *spec, struct json_object *status,
+                          struct rk_rollout_order *out);
+    void (*rollout_status)(const char *version, enum rk_rollout_state state,
+                           struct rk_buf *out);
     struct rk_store *(*create_store)(struct rk_http *http, const char *addr);
     struct rk_duties *(*create_duties)(struct rk_http *http, const char *addr);
 };
--- a/node/state.h
+++ b/node/state.h
@@ -16,6 +16,8 @@
 struct rk_sync;
 struct rk_mesh;
 struct rk_duty_keeper;
+struct rk_duty_token;
+struct rk_rollouts;
 
 struct rk_node {
     struct rk_procfile file;
@@ -30,6 +32,7 @@
     struct rk_mesh *mesh;
     struct rk_duty_keeper *duty_keeper;
     struct rk_remember *remember;
+    struct rk_rollouts *rollouts;
     struct rk_usage usage;          /* of all nodes */
     struct rk_relay_report *report; /* the relay's last */
     struct rk_rng rng;
@@ -49,6 +52,8 @@
 int64_t rk_sync_version(const struct rk_sync *s);
 int64_t rk_sync_list_revision(const struct rk_sync *s);
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s);
+/* Tell the relay of the vms again: which may be used has changed. */
+void rk_sync_publish(struct rk_sync *s);
 const struct rk_vm_row *rk_sync_vm_at(const struct rk_sync *s,
                                       size_t i); /* or NULL */
 /* Since the store confirmed, here or to a peer, that all this is the newest; -1:
@@ -93,6 +98,10 @@
 int rk_mesh_total(const struct rk_mesh *m);
 /* Add what callers ask of all nodes, in units of quotas a second. */
 void rk_mesh_add_asking(const struct rk_mesh *m, struct rk_tally *sum);
+/* Tell peers the holder's word on roll-outs, if this node is to. */
+void rk_mesh_tell_rollouts(struct rk_mesh *m);
+/* What calls to both versions showed at all nodes. */
+void rk_mesh_add_trials(const struct rk_mesh *m, struct rk_rollout_seen *sum);
 /* What the peers asked of a service: tokens since this node's start, calls in
  * hand; and what all nodes learnt of its engines. */
 struct rk_service_use rk_mesh_service_use(const struct rk_mesh *m,
@@ -104,7 +113,6 @@
 void rk_orders_destroy(struct rk_orders *o);
 /* While this node holds the duties: look at demand and the list, order what is
  * missing. refused: called when a higher fencing token was seen. */
-struct rk_duty_token;
 void rk_orders_tick(struct rk_orders *o, const struct rk_duty_token *token);
 /* The rest of the time: demand is followed, nothing is ordered. */
 void rk_orders_watch(struct rk_orders *o);
@@ -116,6 +124,32 @@
 void rk_remember_start(struct rk_remember *m); /* read what there is */
 void rk_remember_tick(struct rk_remember *m); /* while this node holds the duties */
 
+/* rollouts.c: versions that operators order for services. */
+struct rk_rollouts *rk_rollouts_create(struct rk_node *n);
+void rk_rollouts_destroy(struct rk_rollouts *r);
+/* token: while this node holds the duties; else NULL. */
+void rk_rollouts_tick(struct rk_rollouts *r, const struct rk_duty_token *token);
+/* Mark the rows of versions that nobody ordered, as far as is known. since[i]: the
+ * store's revision at which row i was seen first. */
+void rk_rollouts_mark(struct rk_rollouts *r, struct rk_vm_row *rows,
+                      const int64_t *since, size_t len);
+/* What the holder says, here or by a peer; false: it is no news. */
+struct rk_rollout_word {
+    int64_t epoch, number;
+    int64_t said_ms;  /* by this node's clock */
+    int64_t known_at; /* every order up to this revision is among the rules */
+    struct rk_rollout_rule rules[RK_ROLLOUTS];
+    size_t len;
+};
+bool rk_rollouts_take(struct rk_rollouts *r, const struct rk_rollout_word *word);
+/* The newest word that is known here; NULL: none. */
+const struct rk_rollout_word *rk_rollouts_word(const struct rk_rollouts *r);
+/* The rule of a service that is moving to another version; NULL: it isn't. */
+const struct rk_rollout_rule *rk_rollouts_moving(const struct rk_rollouts *r,
+                                                 const char *service);
+/* Are versions tried at all here? */
+bool rk_rollouts_are_on(const struct rk_rollouts *r);
+
 /* duties.c: the lease, usage, orders for vms. */
 struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n);
 void rk_duty_keeper_destroy(struct rk_duty_keeper *k);
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -14,6 +14,7 @@
     char *name;
     char *text; /* its contents, for peers */
     int64_t revision;
+    int64_t first_revision; /* under which it was seen first */
     int64_t
         lapse_ends_ms; /* off the store's list, used on till then; 0: it is on */
     struct rk_vm_row row;
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -54,8 +54,8 @@
 {
     return !strcmp(a->addr, b->addr) && !strcmp(a->service, b->service) &&
            !strcmp(a->domain, b->domain) && a->slots == b->slots &&
-           a->leaving == b->leaving && a->reclaimable == b->reclaimable &&
-           a->leaves_in_ms == b->leaves_in_ms;
+           !strcmp(a->version, b->version) && a->leaving == b->leaving &&
+           a->reclaimable == b->reclaimable && a->leaves_in_ms == b->leaves_in_ms;
 }
 
 /* Returns true if traffic has to know. */
@@ -69,8 +69,10 @@
         return false;
     const char *what = e ? "updated" : "added";
     bool was_leaving = e && e->row.leaving;
-    if (!e)
+    if (!e) {
         e = add_entry(s, name);
+        e->first_revision = revision;
+    }
     bool changed = !same_row(&e->row, &row);
     row.leaving = row.leaving || was_leaving;
     free(e->text);
@@ -206,11 +208,16 @@
     return changed;
 }
 
-static void publish_vms(struct rk_sync *s)
+void rk_sync_publish(struct rk_sync *s)
 {
     struct rk_vm_row *rows = rk_alloc(s->entries_len + 1, sizeof(*rows));
-    for (size_t i = 0; i < s->entries_len; i++)
+    int64_t *since = rk_alloc(s->entries_len + 1, sizeof(*since));
+    for (size_t i = 0; i < s->entries_len; i++) {
         rows[i] = s->entries[i].row;
+        since[i] = s->entries[i].first_revision;
+    }
+    rk_rollouts_mark(s->n->rollouts, rows, since, s->entries_len);
+    free(since);
     rk_relay_set_vms(s->n->relay, rows, s->entries_len);
     rk_duty_keeper_look(s->n->duty_keeper);
 }
@@ -263,7 +270,7 @@
         s->list_revision = known;
     s->list_known = true;
     if (changed)
-        publish_vms(s);
+        rk_sync_publish(s);
     if (s->list_revision > before)
         push_list(s, before, "store");
 }
@@ -365,7 +372,7 @@
     s->list_revision = text->list_revision;
     rk_follow_skip(&s->vms, text->list_revision);
     if (changed)
-        publish_vms(s);
+        rk_sync_publish(s);
     push_list(s, before, "peer");
 }
 
@@ -375,7 +382,7 @@
 {
     struct rk_sync *s = ctx;
     if (drop_lapsed(s))
-        publish_vms(s);
+        rk_sync_publish(s);
     await_lapses(s);
 }
 
--- a/objects/store.h
+++ b/objects/store.h
@@ -17,8 +17,9 @@
 struct rk_store_object {
     const char *name;
     int64_t revision;
-    bool gone;                /* of a watch: it was removed */
-    struct json_object *spec; /* its contents, borrowed; may be NULL */
+    bool gone;                  /* of a watch: it was removed */
+    struct json_object *spec;   /* its contents, borrowed; may be NULL */
+    struct json_object *status; /* what became of it, the same way */
 };
 
 /* Each callback comes exactly once, never before the call returned. Statuses:
@@ -48,6 +49,10 @@
     void (*replace)(struct rk_store *s, const char *kind, const char *name,
                     int64_t revision, const char *spec, rk_store_one_fn *fn,
                     void *ctx);
+    /* Replaces only what became of it. Conflict if its revision is another. */
+    void (*replace_status)(struct rk_store *s, const char *kind, const char *name,
+                           int64_t revision, const char *status,
+                           rk_store_one_fn *fn, void *ctx);
     void (*remove)(struct rk_store *s, const char *kind, const char *name,
                    rk_store_one_fn *fn, void *ctx);
     void (*destroy)(struct rk_store *s);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1087,6 +1087,231 @@
   assert(message->base.descriptor == &rillknot__store_wanted__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__rollout_rule__init
+                     (Rillknot__RolloutRule         *message)
+{
+  static const Rillknot__RolloutRule init_value = RILLKNOT__ROLLOUT_RULE__INIT;
+  *message = init_value;
+}
+size_t rillknot__rollout_rule__get_packed_size
+                     (const Rillknot__RolloutRule *message)
+{
+  assert(message->base.descriptor == &rillknot__rollout_rule__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__rollout_rule__pack
+                     (const Rillknot__RolloutRule *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__rollout_rule__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__rollout_rule__pack_to_buffer
+                     (const Rillknot__RolloutRule *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__rollout_rule__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__RolloutRule *
+       rillknot__rollout_rule__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__RolloutRule *)
+     protobuf_c_message_unpack (&rillknot__rollout_rule__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__rollout_rule__free_unpacked
+                     (Rillknot__RolloutRule *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__rollout_rule__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__rollout_word__init
+                     (Rillknot__RolloutWord         *message)
+{
+  static const Rillknot__RolloutWord init_value = RILLKNOT__ROLLOUT_WORD__INIT;
+  *message = init_value;
+}
+size_t rillknot__rollout_word__get_packed_size
+                     (const Rillknot__RolloutWord *message)
+{
+  assert(message->base.descriptor == &rillknot__rollout_word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__rollout_word__pack
+                     (const Rillknot__RolloutWord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__rollout_word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__rollout_word__pack_to_buffer
+                     (const Rillknot__RolloutWord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__rollout_word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__RolloutWord *
+       rillknot__rollout_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__RolloutWord *)
+     protobuf_c_message_unpack (&rillknot__rollout_word__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__rollout_word__free_unpacked
+                     (Rillknot__RolloutWord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__rollout_word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__trial_row__init
+                     (Rillknot__TrialRow         *message)
+{
+  static const Rillknot__TrialRow init_value = RILLKNOT__TRIAL_ROW__INIT;
+  *message = init_value;
+}
+size_t rillknot__trial_row__get_packed_size
+                     (const Rillknot__TrialRow *message)
+{
+  assert(message->base.descriptor == &rillknot__trial_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__trial_row__pack
+                     (const Rillknot__TrialRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__trial_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__trial_row__pack_to_buffer
+                     (const Rillknot__TrialRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__trial_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__TrialRow *
+       rillknot__trial_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__TrialRow *)
+     protobuf_c_message_unpack (&rillknot__trial_row__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__trial_row__free_unpacked
+                     (Rillknot__TrialRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__trial_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__trial_seen__init
+                     (Rillknot__TrialSeen         *message)
+{
+  static const Rillknot__TrialSeen init_value = RILLKNOT__TRIAL_SEEN__INIT;
+  *message = init_value;
+}
+size_t rillknot__trial_seen__get_packed_size
+                     (const Rillknot__TrialSeen *message)
+{
+  assert(message->base.descriptor == &rillknot__trial_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__trial_seen__pack
+                     (const Rillknot__TrialSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__trial_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__trial_seen__pack_to_buffer
+                     (const Rillknot__TrialSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__trial_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__TrialSeen *
+       rillknot__trial_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__TrialSeen *)
+     protobuf_c_message_unpack (&rillknot__trial_seen__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__trial_seen__free_unpacked
+                     (Rillknot__TrialSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__trial_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__rollout_seen__init
+                     (Rillknot__RolloutSeen         *message)
+{
+  static const Rillknot__RolloutSeen init_value = RILLKNOT__ROLLOUT_SEEN__INIT;
+  *message = init_value;
+}
+size_t rillknot__rollout_seen__get_packed_size
+                     (const Rillknot__RolloutSeen *message)
+{
+  assert(message->base.descriptor == &rillknot__rollout_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__rollout_seen__pack
+                     (const Rillknot__RolloutSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__rollout_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__rollout_seen__pack_to_buffer
+                     (const Rillknot__RolloutSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__rollout_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__RolloutSeen *
+       rillknot__rollout_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__RolloutSeen *)
+     protobuf_c_message_unpack (&rillknot__rollout_seen__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__rollout_seen__free_unpacked
+                     (Rillknot__RolloutSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__rollout_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__list_row__init
                      (Rillknot__ListRow         *message)
 {
@@ -3804,6 +4029,495 @@
   (ProtobufCMessageInit) rillknot__store_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rillknot__rollout_rule__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutRule, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__rollout_rule__field_indices_by_name[] = {
+  2,   /* field[2] = phase */
+  6,   /* field[6] = revision */
+  0,   /* field[0] = service */
+  3,   /* field[3] = share */
+  5,   /* field[5] = turn */
+  1,   /* field[1] = version */
+  4,   /* field[4] = vms */
+};
+static const ProtobufCIntRange rillknot__rollout_rule__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor rillknot__rollout_rule__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.RolloutRule",
+  "RolloutRule",
+  "Rillknot__RolloutRule",
+  "rillknot",
+  sizeof(Rillknot__RolloutRule),
+  7,
+  rillknot__rollout_rule__field_descriptors,
+  rillknot__rollout_rule__field_indices_by_name,
+  1,  rillknot__rollout_rule__number_ranges,
+  (ProtobufCMessageInit) rillknot__rollout_rule__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__rollout_word__field_descriptors[6] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutWord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutWord, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutWord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_at",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutWord, known_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rules",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__RolloutWord, n_rules),
+    offsetof(Rillknot__RolloutWord, rules),
+    &rillknot__rollout_rule__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutWord, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__rollout_word__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  5,   /* field[5] = domain */
+  0,   /* field[0] = epoch */
+  3,   /* field[3] = known_at */
+  1,   /* field[1] = number */
+  4,   /* field[4] = rules */
+};
+static const ProtobufCIntRange rillknot__rollout_word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rillknot__rollout_word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.RolloutWord",
+  "RolloutWord",
+  "Rillknot__RolloutWord",
+  "rillknot",
+  sizeof(Rillknot__RolloutWord),
+  6,
+  rillknot__rollout_word__field_descriptors,
+  rillknot__rollout_word__field_indices_by_name,
+  1,  rillknot__rollout_word__number_ranges,
+  (ProtobufCMessageInit) rillknot__rollout_word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__trial_row__field_descriptors[8] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tried",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, tried),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, timed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_sum",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, log_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_sq",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialRow, log_sq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__trial_row__field_indices_by_name[] = {
+  3,   /* field[3] = calls */
+  1,   /* field[1] = domain */
+  4,   /* field[4] = failed */
+  7,   /* field[7] = log_sq */
+  6,   /* field[6] = log_sum */
+  0,   /* field[0] = route */
+  5,   /* field[5] = timed */
+  2,   /* field[2] = tried */
+};
+static const ProtobufCIntRange rillknot__trial_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor rillknot__trial_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.TrialRow",
+  "TrialRow",
+  "Rillknot__TrialRow",
+  "rillknot",
+  sizeof(Rillknot__TrialRow),
+  8,
+  rillknot__trial_row__field_descriptors,
+  rillknot__trial_row__field_indices_by_name,
+  1,  rillknot__trial_row__number_ranges,
+  (ProtobufCMessageInit) rillknot__trial_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__trial_seen__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialSeen, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__TrialSeen, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__TrialSeen, n_rows),
+    offsetof(Rillknot__TrialSeen, rows),
+    &rillknot__trial_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__trial_seen__field_indices_by_name[] = {
+  2,   /* field[2] = rows */
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange rillknot__trial_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rillknot__trial_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.TrialSeen",
+  "TrialSeen",
+  "Rillknot__TrialSeen",
+  "rillknot",
+  sizeof(Rillknot__TrialSeen),
+  3,
+  rillknot__trial_seen__field_descriptors,
+  rillknot__trial_seen__field_indices_by_name,
+  1,  rillknot__trial_seen__number_ranges,
+  (ProtobufCMessageInit) rillknot__trial_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__rollout_seen__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutSeen, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutSeen, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sum",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__RolloutSeen, sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__RolloutSeen, n_trials),
+    offsetof(Rillknot__RolloutSeen, trials),
+    &rillknot__trial_seen__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__rollout_seen__field_indices_by_name[] = {
+  1,   /* field[1] = domain */
+  0,   /* field[0] = id */
+  2,   /* field[2] = sum */
+  3,   /* field[3] = trials */
+};
+static const ProtobufCIntRange rillknot__rollout_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rillknot__rollout_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.RolloutSeen",
+  "RolloutSeen",
+  "Rillknot__RolloutSeen",
+  "rillknot",
+  sizeof(Rillknot__RolloutSeen),
+  4,
+  rillknot__rollout_seen__field_descriptors,
+  rillknot__rollout_seen__field_indices_by_name,
+  1,  rillknot__rollout_seen__number_ranges,
+  (ProtobufCMessageInit) rillknot__rollout_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rillknot__list_row__field_descriptors[3] =
 {
   {
@@ -4050,7 +4764,7 @@
   (ProtobufCMessageInit) rillknot__store_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[16] =
 {
   {
     "gossip",
@@ -4220,6 +4934,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_word",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, rollout_word),
+    &rillknot__rollout_word__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_seen",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, rollout_seen),
+    &rillknot__rollout_seen__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__frame__field_indices_by_name[] = {
   2,   /* field[2] = changes */
@@ -4232,6 +4970,8 @@
   5,   /* field[5] = forward_end */
   0,   /* field[0] = gossip */
   9,   /* field[9] = node_report */
+  15,   /* field[15] = rollout_seen */
+  14,   /* field[14] = rollout_word */
   7,   /* field[7] = state_wanted */
   11,   /* field[11] = store_text */
   10,   /* field[10] = store_wanted */
@@ -4240,7 +4980,7 @@
 static const ProtobufCIntRange rillknot__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor rillknot__frame__descriptor =
 {
@@ -4250,7 +4990,7 @@
   "Rillknot__Frame",
   "rillknot",
   sizeof(Rillknot__Frame),
-  14,
+  16,
   rillknot__frame__field_descriptors,
   rillknot__frame__field_indices_by_name,
   1,  rillknot__frame__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -39,6 +39,11 @@
 typedef struct Rillknot__Digest Rillknot__Digest;
 typedef struct Rillknot__UsageCounts Rillknot__UsageCounts;
 typedef struct Rillknot__StoreWanted Rillknot__StoreWanted;
+typedef struct Rillknot__RolloutRule Rillknot__RolloutRule;
+typedef struct Rillknot__RolloutWord Rillknot__RolloutWord;
+typedef struct Rillknot__TrialRow Rillknot__TrialRow;
+typedef struct Rillknot__TrialSeen Rillknot__TrialSeen;
+typedef struct Rillknot__RolloutSeen Rillknot__RolloutSeen;
 typedef struct Rillknot__ListRow Rillknot__ListRow;
 typedef struct Rillknot__GoneRow Rillknot__GoneRow;
 typedef struct Rillknot__StoreText Rillknot__StoreText;
@@ -526,6 +531,101 @@
     , 0, 0, 0 }
 
 
+/*
+ * What nodes do for a service that moves to another version: core/rollout.h.
+ */
+struct  Rillknot__RolloutRule
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+  uint32_t phase;
+  uint32_t share;
+  uint32_t vms;
+  uint32_t turn;
+  int64_t revision;
+};
+#define RILLKNOT__ROLLOUT_RULE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__rollout_rule__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The word of the holder of the duties on roll-outs, passed on by bridges. Of two, the
+ * one of the later epoch, then of the higher number counts.
+ */
+struct  Rillknot__RolloutWord
+{
+  ProtobufCMessage base;
+  char *domain;
+  int64_t epoch;
+  int64_t number;
+  /*
+   * Since the holder said it.
+   */
+  int64_t age_ms;
+  /*
+   * Every order up to this revision of the store is among the rules.
+   */
+  int64_t known_at;
+  size_t n_rules;
+  Rillknot__RolloutRule **rules;
+};
+#define RILLKNOT__ROLLOUT_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__rollout_word__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Rillknot__TrialRow
+{
+  ProtobufCMessage base;
+  char *route;
+  char *domain;
+  protobuf_c_boolean tried;
+  float calls;
+  float failed;
+  float timed;
+  float log_sum;
+  float log_sq;
+};
+#define RILLKNOT__TRIAL_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__trial_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What calls to both versions of a service showed at the sender since its start.
+ */
+struct  Rillknot__TrialSeen
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+  size_t n_rows;
+  Rillknot__TrialRow **rows;
+};
+#define RILLKNOT__TRIAL_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__trial_seen__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * For the holder; sum: of all nodes of the sender's failure domain.
+ */
+struct  Rillknot__RolloutSeen
+{
+  ProtobufCMessage base;
+  char *id;
+  char *domain;
+  protobuf_c_boolean sum;
+  size_t n_trials;
+  Rillknot__TrialSeen **trials;
+};
+#define RILLKNOT__ROLLOUT_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__rollout_seen__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 struct  Rillknot__ListRow
 {
   ProtobufCMessage base;
@@ -599,7 +699,9 @@
   RILLKNOT__FRAME__BODY_STORE_WANTED = 11,
   RILLKNOT__FRAME__BODY_STORE_TEXT = 12,
   RILLKNOT__FRAME__BODY_DIGEST = 13,
-  RILLKNOT__FRAME__BODY_USAGE_COUNTS = 14
+  RILLKNOT__FRAME__BODY_USAGE_COUNTS = 14,
+  RILLKNOT__FRAME__BODY_ROLLOUT_WORD = 15,
+  RILLKNOT__FRAME__BODY_ROLLOUT_SEEN = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RILLKNOT__FRAME__BODY__CASE)
 } Rillknot__Frame__BodyCase;
 
@@ -622,6 +724,8 @@
     Rillknot__StoreText *store_text;
     Rillknot__Digest *digest;
     Rillknot__UsageCounts *usage_counts;
+    Rillknot__RolloutWord *rollout_word;
+    Rillknot__RolloutSeen *rollout_seen;
   };
 };
 #define RILLKNOT__FRAME__INIT \
@@ -1085,6 +1189,101 @@
 void   rillknot__store_wanted__free_unpacked
                      (Rillknot__StoreWanted *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__RolloutRule methods */
+void   rillknot__rollout_rule__init
+                     (Rillknot__RolloutRule         *message);
+size_t rillknot__rollout_rule__get_packed_size
+                     (const Rillknot__RolloutRule   *message);
+size_t rillknot__rollout_rule__pack
+                     (const Rillknot__RolloutRule   *message,
+                      uint8_t             *out);
+size_t rillknot__rollout_rule__pack_to_buffer
+                     (const Rillknot__RolloutRule   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__RolloutRule *
+       rillknot__rollout_rule__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__rollout_rule__free_unpacked
+                     (Rillknot__RolloutRule *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__RolloutWord methods */
+void   rillknot__rollout_word__init
+                     (Rillknot__RolloutWord         *message);
+size_t rillknot__rollout_word__get_packed_size
+                     (const Rillknot__RolloutWord   *message);
+size_t rillknot__rollout_word__pack
+                     (const Rillknot__RolloutWord   *message,
+                      uint8_t             *out);
+size_t rillknot__rollout_word__pack_to_buffer
+                     (const Rillknot__RolloutWord   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__RolloutWord *
+       rillknot__rollout_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__rollout_word__free_unpacked
+                     (Rillknot__RolloutWord *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__TrialRow methods */
+void   rillknot__trial_row__init
+                     (Rillknot__TrialRow         *message);
+size_t rillknot__trial_row__get_packed_size
+                     (const Rillknot__TrialRow   *message);
+size_t rillknot__trial_row__pack
+                     (const Rillknot__TrialRow   *message,
+                      uint8_t             *out);
+size_t rillknot__trial_row__pack_to_buffer
+                     (const Rillknot__TrialRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__TrialRow *
+       rillknot__trial_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__trial_row__free_unpacked
+                     (Rillknot__TrialRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__TrialSeen methods */
+void   rillknot__trial_seen__init
+                     (Rillknot__TrialSeen         *message);
+size_t rillknot__trial_seen__get_packed_size
+                     (const Rillknot__TrialSeen   *message);
+size_t rillknot__trial_seen__pack
+                     (const Rillknot__TrialSeen   *message,
+                      uint8_t             *out);
+size_t rillknot__trial_seen__pack_to_buffer
+                     (const Rillknot__TrialSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__TrialSeen *
+       rillknot__trial_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__trial_seen__free_unpacked
+                     (Rillknot__TrialSeen *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__RolloutSeen methods */
+void   rillknot__rollout_seen__init
+                     (Rillknot__RolloutSeen         *message);
+size_t rillknot__rollout_seen__get_packed_size
+                     (const Rillknot__RolloutSeen   *message);
+size_t rillknot__rollout_seen__pack
+                     (const Rillknot__RolloutSeen   *message,
+                      uint8_t             *out);
+size_t rillknot__rollout_seen__pack_to_buffer
+                     (const Rillknot__RolloutSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__RolloutSeen *
+       rillknot__rollout_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__rollout_seen__free_unpacked
+                     (Rillknot__RolloutSeen *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__ListRow methods */
 void   rillknot__list_row__init
                      (Rillknot__ListRow         *message);
@@ -1235,6 +1434,21 @@
 typedef void (*Rillknot__StoreWanted_Closure)
                  (const Rillknot__StoreWanted *message,
                   void *closure_data);
+typedef void (*Rillknot__RolloutRule_Closure)
+                 (const Rillknot__RolloutRule *message,
+                  void *closure_data);
+typedef void (*Rillknot__RolloutWord_Closure)
+                 (const Rillknot__RolloutWord *message,
+                  void *closure_data);
+typedef void (*Rillknot__TrialRow_Closure)
+                 (const Rillknot__TrialRow *message,
+                  void *closure_data);
+typedef void (*Rillknot__TrialSeen_Closure)
+                 (const Rillknot__TrialSeen *message,
+                  void *closure_data);
+typedef void (*Rillknot__RolloutSeen_Closure)
+                 (const Rillknot__RolloutSeen *message,
+                  void *closure_data);
 typedef void (*Rillknot__ListRow_Closure)
                  (const Rillknot__ListRow *message,
                   void *closure_data);
@@ -1277,6 +1491,11 @@
 extern const ProtobufCMessageDescriptor rillknot__digest__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__usage_counts__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__rollout_rule__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__rollout_word__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__trial_row__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__trial_seen__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__rollout_seen__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__list_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__gone_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_text__descriptor;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -45,6 +45,7 @@
     free(r->uses);
     free(r->usage);
     free(r->services);
+    free(r->trials);
     free(r);
 }
 
@@ -104,6 +105,24 @@
     }
 }
 
+static void fill_trials(const struct rk_relay *r, struct rk_relay_report *report)
+{
+    const struct rk_place_rollout *rollouts = rk_place_rollouts(r->place);
+    for (size_t i = 0; i < RK_ROLLOUTS; i++) {
+        const struct rk_place_rollout *from = &rollouts[i];
+        if (!from->rule.service[0])
+            continue;
+        report->trials = rk_realloc(report->trials, (report->trials_len + 1) *
+                                                        sizeof(*report->trials));
+        struct rk_rollout_seen *seen = &report->trials[report->trials_len++];
+        *seen = (struct rk_rollout_seen){.rows = from->seen,
+                                         .old_running =
+                                             rk_place_old_running(from, r->place)};
+        rk_strcpy(seen->service, sizeof(seen->service), from->rule.service);
+        rk_strcpy(seen->version, sizeof(seen->version), from->rule.version);
+    }
+}
+
 static void on_report(void *ctx)
 {
     struct rk_relay *r = ctx;
@@ -113,6 +132,7 @@
     fill_uses(r, report);
     fill_usage(r, report);
     fill_services(r, report);
+    fill_trials(r, report);
     report->knows_all = rk_quota_knows_all(&r->quota, rk_mono_ms());
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->version = r->routes ? r->routes->version : 0;
@@ -133,6 +153,9 @@
     size_t uses_len;
     struct rk_service_use *services;
     size_t services_len;
+    struct rk_rollout_rule *rules;
+    size_t rules_len;
+    bool is_fresh;
     int64_t age_ms;
     struct rk_relay_bounds bounds;
 };
@@ -193,7 +216,7 @@
 static void take_vms(void *ctx)
 {
     struct message *m = ctx;
-    rk_place_set_vms(m->r->place, m->rows, m->rows_len);
+    rk_place_set_vms(m->r->place, m->rows, m->rows_len, rk_mono_ms());
     m->r->vms_known = true;
     accept_if_known(m->r);
     free(m->rows);
@@ -252,6 +275,25 @@
     return false;
 }
 
+static void take_rollouts(void *ctx)
+{
+    struct message *m = ctx;
+    rk_place_set_rollouts(m->r->place, m->rules, m->rules_len, m->is_fresh);
+    free(m->rules);
+    free(m);
+}
+
+bool rk_relay_set_rollouts(struct rk_relay *r, struct rk_rollout_rule *rules,
+                           size_t len, bool is_fresh)
+{
+    const struct message m = {
+        .rules = rules, .rules_len = len, .is_fresh = is_fresh};
+    if (post(r, take_rollouts, &m))
+        return true;
+    free(rules);
+    return false;
+}
+
 static void take_bounds(void *ctx)
 {
     struct message *m = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -68,6 +68,8 @@
     size_t usage_len;
     struct rk_service_use *services;
     size_t services_len;
+    struct rk_rollout_seen *trials; /* of versions that are tried */
+    size_t trials_len;
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
     bool knows_all;       /* uses[].kept is all that was used in the window */
     int64_t version;      /* of the routes in force; 0: none */
@@ -122,6 +124,10 @@
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
+/* Roll-outs; is_fresh: their holder told of them lately. */
+bool rk_relay_set_rollouts(struct rk_relay *r, struct rk_rollout_rule *rules,
+                           size_t len, bool is_fresh);
+
 /* Of the bounds, those of retries, and what is forgiven of quotas, change. */
 bool rk_relay_set_bounds(struct rk_relay *r, const struct rk_relay_bounds *bounds);
 
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -115,7 +115,7 @@
     if (promises_not_run(head->status))
         return FATE_REPEAT;
     bool more = x->attempts < x->route->max_attempts && rk_call_repeatable(x);
-    return head->status >= 500 && more ? FATE_REPEAT : FATE_PASS;
+    return head->status >= HTTP_SERVER_ERROR && more ? FATE_REPEAT : FATE_PASS;
 }
 
 static enum rk_head_fate on_head(void *ctx, const struct rk_head *head)
@@ -195,7 +195,8 @@
     /* What follows the last whole event belongs to the answer, too. */
     if (x->events.part.len && x->client)
         rk_client_data(x->client, x->events.part.data, x->events.part.len);
-    rk_call_end_attempt(x, RK_PLACE_DONE);
+    bool failed = x->status >= HTTP_SERVER_ERROR;
+    rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
     rk_call_finish(x);
 }
 
--- a/serve/relay_arrive.c
+++ b/serve/relay_arrive.c
@@ -97,6 +97,8 @@
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
     x->query.request = rk_hash_str(0, x->id);
+    x->query.route = route->name;
+    x->query.tries = rk_place_tries(r->place, &x->query);
     x->end = (struct rk_timer){.fn = rk_call_time_over, .ctx = x};
     x->silent = (struct rk_timer){.fn = rk_call_silent, .ctx = x};
     x->next = r->calls;
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -217,6 +217,9 @@
 
 static void exclude_vm(struct rk_relay_call *x)
 {
+    /* A caller is not made to try a new version twice. */
+    if (x->vm && rk_place_is_trial(x->vm))
+        x->query.tries = false;
     if (x->vm && x->query.excluded_len < RK_PLACE_EXCLUDED)
         x->query.excluded[x->query.excluded_len++] = x->vm->hash;
 }
@@ -426,11 +429,23 @@
     watch_silence(x);
 }
 
+/* A vm of the version that the call goes to; where none of a new version can take
+ * it, one of the old, and the other way round only where the old may be gone. */
+static struct rk_place_vm *choose(struct rk_relay_call *x, int64_t now_ms)
+{
+    struct rk_place *p = x->r->place;
+    struct rk_place_vm *vm = rk_place_choose(p, &x->query, now_ms, &x->forecast);
+    if (vm || (!x->query.tries && !rk_place_may_move(p, &x->query)))
+        return vm;
+    x->query.tries = !x->query.tries;
+    return rk_place_choose(p, &x->query, now_ms, &x->forecast);
+}
+
 void rk_call_send(struct rk_relay_call *x)
 {
     for (int i = 0; i < MAX_CHOICES; i++) {
         int64_t now_ms = rk_mono_ms();
-        x->vm = rk_place_choose(x->r->place, &x->query, now_ms, &x->forecast);
+        x->vm = choose(x, now_ms);
         if (!x->vm)
             break;
         if (comes_too_late(x)) {
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -18,6 +18,7 @@
     HTTP_TIMEOUT = 408,
     HTTP_MISDIRECTED = 421,
     HTTP_QUOTA = 429,
+    HTTP_SERVER_ERROR = 500, /* and above */
     HTTP_BROKEN = 502,
     HTTP_REFUSED = 503,
     HTTP_TOO_LATE = 504,
--- a/tests/prop_holding.cc
+++ b/tests/prop_holding.cc
@@ -38,7 +38,7 @@
     in.none = *rc::gen::arbitrary<bool>();
     in.idle = *rc::gen::arbitrary<bool>();
     in.settled = *rc::gen::arbitrary<bool>();
-    in.unmeasured = *rc::gen::arbitrary<bool>();
+    in.keep = *rc::gen::arbitrary<bool>();
     return in;
 }
 
--- /dev/null
+++ b/tests/prop_rollout.cc
@@ -0,0 +1,153 @@
+// Properties of a roll-out's course, whatever is seen and whenever: it only goes
+// forward, what it ended as it stays, a version that is given back gets nothing,
+// and what a trial lets through is bounded as told.
+#include "tests/props.h"
+
+#include <cstdio>
+
+extern "C" {
+#include "core/rollout.h"
+}
+
+namespace {
+
+constexpr int STEPS = 120;
+
+rk_rollout any_rollout(int64_t now_ms)
+{
+    rk_rollout r = {};
+    rk_rollout_order order = {};
+    snprintf(order.service, sizeof(order.service), "s");
+    snprintf(order.version, sizeof(order.version), "v2");
+    order.duration_ms = *rc::gen::inRange(0, 30000);
+    const rk_rollout_bounds bounds = {*rc::gen::inRange(0, 30) / 100.0,
+                                      static_cast<double>(*rc::gen::inRange(0, 80)),
+                                      5000};
+    rk_rollout_begin(&r, &order, &bounds, now_ms, *rc::gen::inRange(0, 10000));
+    return r;
+}
+
+// More calls to both versions, of which some failed.
+void add_calls(rk_trial_rows *rows)
+{
+    const char *route = *rc::gen::arbitrary<bool>() ? "r" : "s";
+    const char *domain = *rc::gen::arbitrary<bool>() ? "a" : "b";
+    rk_trial_row *row =
+        rk_trial_row_at(rows, route, domain, *rc::gen::arbitrary<bool>());
+    const double calls = *rc::gen::inRange(0, 40);
+    rk_trial_seen more = {};
+    more.calls = calls;
+    more.failed = calls * *rc::gen::inRange(0, 11) / 10.0;
+    more.timed = calls;
+    more.log_sum = calls * *rc::gen::inRange(-20, 21) / 10.0;
+    more.log_sq = more.log_sum * more.log_sum / (calls > 0 ? calls : 1);
+    rk_trial_add(&row->seen, &more);
+}
+
+rk_rollout_view any_view(int64_t now_ms, const rk_trial_rows *rows)
+{
+    rk_rollout_view v = {};
+    v.now_ms = now_ms;
+    v.old_vms = *rc::gen::inRange<size_t>(0, 60);
+    v.new_vms = *rc::gen::inRange<size_t>(0, 60);
+    v.new_domains = *rc::gen::inRange<size_t>(0, 4);
+    v.old_running = *rc::gen::inRange(0, 3);
+    v.seen = rows;
+    return v;
+}
+
+void it_only_goes_forward()
+{
+    int64_t now_ms = 1000;
+    rk_rollout r = any_rollout(now_ms);
+    static rk_trial_rows rows;
+    rows.len = 0;
+    for (int i = 0; i < STEPS; i++) {
+        const rk_rollout_rule before = r.rule;
+        now_ms += *rc::gen::inRange(0, 600);
+        add_calls(&rows);
+        const rk_rollout_view v = any_view(now_ms, &rows);
+        const bool changed = rk_rollout_step(&r, &v);
+        RC_ASSERT(r.rule.phase >= before.phase);
+        RC_ASSERT(changed == (r.rule.revision > before.revision));
+        RC_ASSERT(r.rule.share <= RK_ROLLOUT_ALL);
+        if (before.phase >= RK_ROLLOUT_TAKEN)
+            RC_ASSERT(!changed && r.rule.phase == before.phase);
+        if (r.rule.phase == RK_ROLLOUT_GIVEN_BACK)
+            RC_ASSERT(r.rule.share == 0u);
+    }
+}
+
+// While little is known, a trial gets a part of what a bad version may.
+void a_trial_stays_within_its_part()
+{
+    int64_t now_ms = 1000;
+    rk_rollout r = any_rollout(now_ms);
+    static rk_trial_rows rows;
+    rows.len = 0;
+    rk_trial_row *old_row = rk_trial_row_at(&rows, "r", "a", false);
+    rk_trial_row *new_row = rk_trial_row_at(&rows, "r", "a", true);
+    for (int i = 0; i < STEPS && r.rule.phase == RK_ROLLOUT_TRIAL; i++) {
+        rk_trial_seen some = {};
+        some.calls = some.timed = *rc::gen::inRange(0, 30);
+        rk_trial_add(&old_row->seen, &some);
+        const rk_rollout_view v = any_view(now_ms, &rows);
+        rk_rollout_step(&r, &v);
+        const double may =
+            r.bounds.share * (old_row->seen.calls + new_row->seen.calls) +
+            r.bounds.slack;
+        if (r.rule.phase == RK_ROLLOUT_TRIAL && new_row->seen.calls >= may)
+            RC_ASSERT(r.rule.share == 0u);
+        some.calls = some.timed = r.rule.share ? *rc::gen::inRange(0, 5) : 0;
+        rk_trial_add(&new_row->seen, &some);
+        now_ms += 200;
+    }
+}
+
+// It ends in its time; what has moved by then has three seconds more to end on the
+// old vms.
+void it_ends_in_its_time()
+{
+    int64_t now_ms = 1000;
+    rk_rollout r = any_rollout(now_ms);
+    static rk_trial_rows rows;
+    rows.len = 0;
+    const int64_t ends_ms = r.begun_ms + r.order.duration_ms;
+    while (now_ms < ends_ms) {
+        const rk_rollout_view v = any_view(now_ms, &rows);
+        rk_rollout_step(&r, &v);
+        now_ms += 200;
+    }
+    for (int i = 0; i < 15; i++, now_ms += 200) {
+        const rk_rollout_view v = any_view(now_ms, &rows);
+        rk_rollout_step(&r, &v);
+    }
+    RC_ASSERT(rk_rollout_state_of(&r) >= RK_ROLLOUT_DONE);
+}
+
+// The same call is judged the same by all nodes, and about as many try it as told.
+void calls_try_it_by_their_hash()
+{
+    rk_rollout_rule rule = {};
+    snprintf(rule.version, sizeof(rule.version), "v2");
+    rule.share = *rc::gen::inRange(0u, RK_ROLLOUT_ALL + 1u);
+    const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+    int tried = 0;
+    for (uint64_t i = 0; i < 2000; i++)
+        tried += rk_rollout_tries(&rule, seed + i);
+    const double expected = 2000.0 * rule.share / RK_ROLLOUT_ALL;
+    RC_ASSERT(tried > expected - 150 && tried < expected + 150);
+}
+
+} // namespace
+
+int main()
+{
+    static const Property properties[] = {
+        {"it_only_goes_forward", it_only_goes_forward},
+        {"a_trial_stays_within_its_part", a_trial_stays_within_its_part},
+        {"it_ends_in_its_time", it_ends_in_its_time},
+        {"calls_try_it_by_their_hash", calls_try_it_by_their_hash},
+    };
+    return run_properties(properties);
+}
--- a/tests/run.py
+++ b/tests/run.py
@@ -42,6 +42,8 @@
     "proc_traces": "all   recorded traces as stated",
     "proc_hosted_calls": "hosted  calls by routes: bytes, at most once, streams, time",
     "proc_hosted_input": "hosted  bad input",
+    "proc_hosted_rollouts": "hosted  versions: good ones taken, bad ones given back",
+    "prop_rollout": "hosted  versions, whatever is seen and when",
     "proc_hosted_fleet": "hosted  settings, vms, quotas, duties, stops over several nodes",
     "proc_hosted_engines": "hosted  engines of unknown speed: learnt, told, kept",
     "proc_hosted_bridges": "hosted  a large fleet: bridges, digests, news, quotas, usage",
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -87,7 +87,7 @@
         char domain[RK_ID_MAX];
         snprintf(domain, sizeof(domain), "d%d", i % DOMAINS);
         f->places[i] = rk_place_create(domain, (uint64_t)i + 1);
-        rk_place_set_vms(f->places[i], f->rows, VMS);
+        rk_place_set_vms(f->places[i], f->rows, VMS, 0);
         rk_engine_set_prior(&rk_place_speed_of(f->places[i], "llm")->engine,
                             &learnt);
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -27,7 +27,7 @@
     rows[1] = vm_row("vm-b", "here", 32);
     rows[2] = vm_row("vm-c", "there", 32);
     struct rk_place *p = rk_place_create("here", 1);
-    rk_place_set_vms(p, rows, 3);
+    rk_place_set_vms(p, rows, 3, 0);
     return p;
 }
 
@@ -67,7 +67,7 @@
     struct rk_vm_row rows[3];
     struct rk_place *a = three_vms(rows);
     struct rk_place *b = rk_place_create("there", 99);
-    rk_place_set_vms(b, rows, 3);
+    rk_place_set_vms(b, rows, 3, 0);
     for (int i = 0; i < 50; i++) {
         char parts[64];
         struct rk_engine_forecast first;
@@ -89,9 +89,9 @@
     struct rk_engine_forecast first;
     struct rk_place_job job;
     rows[0].leaving = true;
-    rk_place_set_vms(p, rows, 3);
+    rk_place_set_vms(p, rows, 3, 0);
     rows[0].leaving = false; /* a list that lags doesn't bring it back */
-    rk_place_set_vms(p, rows, 3);
+    rk_place_set_vms(p, rows, 3, 0);
     struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &first);
     assert_string_equal(v->row.id, "vm-b");
     rk_place_sent(p, v, &q, 1000, &job);
@@ -114,7 +114,7 @@
     struct rk_place_job job;
     struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &first);
     rk_place_sent(p, v, &q, 1000, &job);
-    rk_place_set_vms(p, rows, 0);
+    rk_place_set_vms(p, rows, 0, 0);
     assert_null(rk_place_choose(p, &q, 1000, &first));
     assert_ptr_equal(rk_place_vms(p), v);
     rk_place_ended(p, v, &job, RK_PLACE_DONE, 1001);
@@ -153,7 +153,7 @@
         snprintf(rows[i].id, sizeof(rows[i].id), "vm-%d", i);
     }
     for (int round = 0; round < 7; round++) {
-        rk_place_set_vms(p, rows + 100 * round, (size_t)(VMS - 100 * round));
+        rk_place_set_vms(p, rows + 100 * round, (size_t)(VMS - 100 * round), 0);
         struct rk_vm_load load = {.running = 5};
         rk_strcpy(load.id, sizeof(load.id), rows[VMS - 1].id);
         rk_place_set_loads(p, &load, 1, 1000);
@@ -187,7 +187,7 @@
     struct rk_engine_forecast forecast;
     for (uint64_t node = 1; node <= 5; node++) {
         struct rk_place *p = rk_place_create("here", node);
-        rk_place_set_vms(p, rows, 12);
+        rk_place_set_vms(p, rows, 12, 0);
         const char *id = rk_place_choose(p, &q, 1000, &forecast)->row.id;
         assert_true(node == 1 || !strcmp(id, first));
         rk_strcpy(first, sizeof(first), id);
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -144,11 +144,15 @@
             self.oldest = self.revision
             self.cond.notify_all()
 
-    def _write(self, kind, name, spec):
+    def _write(self, kind, name, spec, status=None):
+        """A new spec keeps the status that was recorded."""
+        if status is None:
+            status = self.objects[kind].get(name, {}).get("status")
         self.revision += 1
         made = self.objects[kind].get(name, {}).get("metadata", {}).get("made", self.revision)
         o = {"metadata": {"name": name, "revision": self.revision, "made": made,
-                          "finalizers": [], "deleting": False}, "spec": spec, "status": None}
+                          "finalizers": [], "deleting": False}, "spec": spec,
+             "status": status}
         self.objects[kind][name] = o
         self.log.append((self.revision, kind, False, o))
         self.cond.notify_all()
@@ -229,6 +233,8 @@
         if req.method == "DELETE":
             self._remove(kind, name)
             return 200, o
+        if urllib.parse.urlsplit(req.target).path.endswith("/status"):
+            return 200, self._write(kind, name, o["spec"], body["status"])
         if o["spec"] == body["spec"]:
             return 200, o
         return 200, self._write(kind, name, body["spec"])
@@ -281,7 +287,8 @@
 
     ids = itertools.count(1)
 
-    def __init__(self, service, zone, events=0, slots=6):
+    def __init__(self, service, zone, events=0, slots=6, version="v1"):
+        self.version = version
         self.id = "i-%010x" % next(self.ids)
         self.service, self.zone, self.slots = service, zone, slots
         self.events = events  # of a stream; 0: plain
@@ -291,11 +298,12 @@
         self.seen = []
         self.runs = collections.Counter()
         self.left = []  # requests whose connection closed while they ran
+        self.stopped = False
         super().__init__()
 
     def spec(self, state="ready", spot=False):
         return {"service": self.service, "address": self.addr, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0,
+                "version": self.version, "slots": self.slots, "state": state, "coldLeftMs": 0,
                 "spot": spot, "seqNo": 1}
 
     def handle(self, req, conn):
@@ -310,6 +318,11 @@
                 return result
         return self.run(req, conn)
 
+    def stop_at_once(self):
+        """As a process that is killed: what runs there is lost."""
+        self.stopped = True
+        self.close()
+
     def signature(self, req):
         return "%s.%s" % (self.id, req.get("Rillknot-Attempt-Id"))
 
@@ -372,8 +385,18 @@
             value = value[int(part)] if isinstance(value, list) else value[part]
         return value
 
+    def given(name):
+        try:
+            return look(name)
+        except (KeyError, IndexError):
+            return None
+
     def each(match):
-        items = look(match.group(1))
+        items = given(match.group(1))
+        if items in (None, False):
+            return ""
+        if not isinstance(items, list):
+            items = [items]
         out = []
         for i, item in enumerate(items):
             s = match.group(2).replace("{{.}}", str(item))
@@ -384,7 +407,7 @@
         value = look(match.group(1))
         return json.dumps(value) if isinstance(value, bool) else str(value)
 
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", each, text, flags=re.S)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", each, text, flags=re.S)
     return re.sub(r"\{\{([\w.]+)\}\}", one, text)
 
 
@@ -491,6 +514,40 @@
         self.store.put("servers", worker.id, worker.spec(spot=spot))
         return worker
 
+    def roll_out(self, service, version, duration_s, bad=None, count=None):
+        """An operator's order: workers of a version start beside the old ones. bad: their
+        fault. What the platform does at its end is done here, too: the old ones stop at
+        once, or the new ones drain."""
+        listed = self.store.objects["servers"]
+        old = [w for w in self.workers if w.service == service and w.id in listed]
+        new = [self.add_worker(service, events=w.events, zone=w.zone, slots=w.slots,
+                               version=version) for w in old[:count]]
+        for w in new:
+            w.fault = bad
+        self.store.put("rollouts", service, {"service": service, "targetVersion": version,
+                                             "durationS": duration_s})
+
+        def watch():
+            while True:
+                time.sleep(0.01)
+                state = self.rollout_state(service, version)
+                if state == "completed":
+                    for w in old:
+                        w.stop_at_once()
+                        self.store.drop("servers", w.id)
+                if state == "rolled_back":
+                    for w in new:
+                        self.drain(w)
+                if state in ("completed", "rolled_back"):
+                    return
+        threading.Thread(target=watch, daemon=True).start()
+        return old, new
+
+    def rollout_state(self, service, version=None):
+        """As recorded, of that version if one is named."""
+        status = self.store.objects["rollouts"].get(service, {}).get("status") or {}
+        return status.get("state") if version in (None, status.get("targetVersion")) else None
+
     def drain(self, worker):
         self.store.put("servers", worker.id, worker.spec("draining", worker.spot))
 
