--- a/core/usage.c
+++ b/core/usage.c
@@ -1,5 +1,6 @@
 #include "core/usage.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -67,23 +68,43 @@
 void rk_usage_count(struct rk_usage *u, uint64_t node, int64_t window,
                     const char *org)
 {
-    find(u, node, window, org)->count++;
+    struct rk_usage_row *row = find(u, node, window, org);
+    row->since_ms = u->since_ms;
+    row->count++;
 }
 
 void rk_usage_merge(struct rk_usage *u, const struct rk_usage_row *row)
 {
     struct rk_usage_row *mine = find(u, row->node, row->window, row->org);
-    if (row->count > mine->count)
+    bool later = row->node == RK_USAGE_KEPT && row->since_ms > mine->since_ms;
+    if (later || row->count > mine->count)
         mine->count = row->count;
+    if (later || !mine->since_ms)
+        mine->since_ms = row->since_ms;
+}
+
+static const struct rk_usage_row *kept(const struct rk_usage *u, int64_t window,
+                                       const char *org)
+{
+    if (!u->cap)
+        return NULL;
+    uint32_t at = u->index[place_of(u, RK_USAGE_KEPT, window, org)];
+    return at ? &u->rows[at - 1] : NULL;
 }
 
 uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org)
 {
-    uint64_t sum = 0;
-    for (size_t i = 0; i < u->len; i++)
-        if (u->rows[i].window == window && !strcmp(u->rows[i].org, org))
-            sum += u->rows[i].count;
-    return sum;
+    const struct rk_usage_row *record = kept(u, window, org);
+    uint64_t told = 0, since = 0; /* of all nodes; of those that began after it */
+    for (size_t i = 0; i < u->len; i++) {
+        const struct rk_usage_row *row = &u->rows[i];
+        if (row == record || row->window != window || strcmp(row->org, org) != 0)
+            continue;
+        told += row->count;
+        since += record && row->since_ms > record->since_ms ? row->count : 0;
+    }
+    uint64_t all = record ? record->count + since : 0;
+    return told > all ? told : all;
 }
 
 void rk_usage_forget(struct rk_usage *u, int64_t window)
--- a/core/usage.h
+++ b/core/usage.h
@@ -9,12 +9,16 @@
 
 #include "common/util.h"
 
-/* One node's count. node: a hash of its id and incarnation. */
+/* One node's count. node: a hash of its id and incarnation; or RK_USAGE_KEPT: what
+ * all nodes had counted when that was kept, for a kill of all. */
+#define RK_USAGE_KEPT 0
 struct rk_usage_row {
     uint64_t node;
     int64_t window;
     char org[RK_ID_MAX];
     uint64_t count;
+    int64_t
+        since_ms; /* by the wall clock: since when it counts; when it was kept */
 };
 
 /* Rows in no order, found by an index: a fleet has thousands. */
@@ -22,16 +26,20 @@
     struct rk_usage_row *rows;
     uint32_t *index; /* hash table of row numbers plus one; 0: free */
     size_t len, cap;
+    int64_t since_ms; /* of the rows that are counted here */
 };
 
 /* Add one at this node. */
 void rk_usage_count(struct rk_usage *u, uint64_t node, int64_t window,
                     const char *org);
 
-/* A node's count as told: kept if it is more than what was known. */
+/* A node's count as told: taken if it is more than what was known; what was kept,
+ * if it was later. */
 void rk_usage_merge(struct rk_usage *u, const struct rk_usage_row *row);
 
-/* Sum over all nodes. */
+/* Sum over all nodes. What was kept counts for the nodes that had begun by then,
+ * where it is more than what they told: who was killed before it could tell told
+ * nothing. */
 uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org);
 
 /* Forget windows before `window`. */
--- a/node/duties.c
+++ b/node/duties.c
@@ -321,7 +321,8 @@
 {
     struct rk_node *n = k->n;
     struct rk_duty_token t;
-    if (!rk_sync_routes(n->sync) || !token(k, &t))
+    if (!rk_sync_routes(n->sync) || !token(k, &t) ||
+        !rk_remember_is_read(n->remember))
         return;
     int64_t size_ms = rk_s_to_ms(n->file.usage_window_s);
     int64_t wall_ms = rk_wall_ms(), now_ms = rk_mono_ms();
--- a/node/remember.c
+++ b/node/remember.c
@@ -1,6 +1,7 @@
-/* What must outlast a kill of all nodes at once: the use of quotas. The holder of
- * the duties writes it to the store while there is any; a process that had an
- * earlier life reads it once. */
+/* What must outlast a kill of all nodes at once: the use of quotas, the counts of
+ * windows that aren't reported yet, what was learnt of engines. The holder of the
+ * duties writes it to the store while there is any; a process that had an earlier
+ * life reads it once. */
 #include <inttypes.h>
 #include <json-c/json.h>
 #include <math.h>
@@ -13,13 +14,17 @@
 #include "node/state.h"
 #include "objects/store.h"
 
-#define QUOTAS_KIND  "rillknot-quotas"
-#define ENGINES_KIND "rillknot-engines"
-#define NAME         "recent"
-#define QUOTAS_MS    300   /* between writes: what was used since is guessed */
-#define ENGINES_MS   10000 /* the same: what is older is unlearnt by then */
-#define SOME_SHARE   0.02  /* of a quota: less is not written */
-#define SOME_SAMPLES 20    /* calls that an estimate rests on: fewer say little */
+#define QUOTAS_KIND   "rillknot-quotas"
+#define ENGINES_KIND  "rillknot-engines"
+#define NAME          "recent"
+#define QUOTAS_MS     300   /* between writes: what was used since is guessed */
+#define ENGINES_MS    10000 /* the same: what is older is unlearnt by then */
+#define SOME_SHARE    0.02  /* of a quota: less is not written */
+#define SOME_SAMPLES  20    /* calls that an estimate rests on: fewer say little */
+#define USAGE_WINDOWS 4     /* kept; those before are reported */
+/* What has begun when a write is made, and isn't known to the holder: the age of
+ * news in a large fleet, and half of the time between two writes. */
+#define USAGE_LAG_MS (450 + QUOTAS_MS / 2)
 #define READ_TRIES   4
 #define READ_MS      300
 
@@ -41,6 +46,7 @@
 struct rk_remember {
     struct rk_node *n;
     struct kept quotas, engines;
+    bool is_read; /* quotas and usage */
 };
 
 /* ---- writing ---- */
@@ -74,6 +80,47 @@
     return org && org->rate > 0 && used_of(use) >= quota_of(n, org) * SOME_SHARE;
 }
 
+/* What an organisation's calls of a window come to by the time of a kill, on
+ * average: those of the current window go on as they came since the one before
+ * began. */
+static uint64_t expected_count(const struct rk_node *n, int64_t window,
+                               const char *org)
+{
+    int64_t size_ms = rk_s_to_ms(n->file.usage_window_s), wall_ms = rk_wall_ms();
+    uint64_t count = rk_usage_sum(&n->usage, window, org);
+    if (window != wall_ms / size_ms)
+        return count;
+    uint64_t before = rk_usage_sum(&n->usage, window - 1, org);
+    double passed_ms = (double)(size_ms + wall_ms % size_ms);
+    return count + (uint64_t)((double)(count + before) * USAGE_LAG_MS / passed_ms);
+}
+
+/* Counts of the last windows, as members of an object; false: there are none. */
+static bool add_usage(const struct rk_node *n, struct rk_buf *b)
+{
+    const struct rk_routes *routes = rk_sync_routes(n->sync);
+    int64_t current = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s);
+    bool any = false;
+    for (int64_t window = current - USAGE_WINDOWS + 1; window <= current;
+         window++) {
+        rk_buf_printf(b, "%s\"%" PRId64 "\":{",
+                      window > current - USAGE_WINDOWS + 1 ? "," : "", window);
+        const char *comma = "";
+        for (size_t i = 0; i < routes->orgs_len; i++) {
+            uint64_t count = expected_count(n, window, routes->orgs[i].name);
+            if (!count)
+                continue;
+            rk_buf_addstr(b, comma);
+            rk_buf_json_str(b, routes->orgs[i].name);
+            rk_buf_printf(b, ":%" PRIu64, count);
+            comma = ",";
+            any = true;
+        }
+        rk_buf_addstr(b, "}");
+    }
+    return any;
+}
+
 /* What organisations used of their quotas, and ask for, as JSON; false: nothing. */
 static bool build_quotas(struct rk_remember *m, struct rk_buf *b)
 {
@@ -99,7 +146,9 @@
         rk_buf_printf(&asked, ":%.0f", rk_tally_total(&asking, use->org));
         any = true;
     }
-    rk_buf_printf(b, "},\"asking\":{%s}}", any ? asked.data : "");
+    rk_buf_printf(b, "},\"asking\":{%s},\"usage\":{", any ? asked.data : "");
+    any = add_usage(n, b) || any;
+    rk_buf_addstr(b, "}}");
     rk_buf_free(&asked);
     rk_tally_free(&asking);
     return any;
@@ -178,8 +227,32 @@
     return json_object_get_double(json_object_array_get_idx(parts, i));
 }
 
+static void restore_usage(struct rk_remember *m, struct json_object *spec)
+{
+    struct json_object *windows = rk_json_get(spec, "usage");
+    int64_t kept_ms = rk_json_int(spec, "wall_ms", 0);
+    if (!json_object_is_type(windows, json_type_object))
+        return;
+    json_object_object_foreach(windows, window, counts)
+    {
+        if (!json_object_is_type(counts, json_type_object))
+            continue;
+        json_object_object_foreach(counts, org, count)
+        {
+            struct rk_usage_row row = {.node = RK_USAGE_KEPT,
+                                       .window = strtoll(window, NULL, 10),
+                                       .since_ms = kept_ms};
+            int64_t n = json_object_get_int64(count);
+            row.count = n > 0 ? (uint64_t)n : 0;
+            rk_strcpy(row.org, sizeof(row.org), org);
+            rk_usage_merge(&m->n->usage, &row);
+        }
+    }
+}
+
 static void restore_quotas(struct rk_remember *m, struct json_object *spec)
 {
+    restore_usage(m, spec);
     struct json_object *used = rk_json_get(spec, "used");
     struct json_object *asking = rk_json_get(spec, "asking");
     int64_t age_ms = rk_wall_ms() - rk_json_int(spec, "wall_ms", 0);
@@ -243,7 +316,15 @@
         k->restore(k->m, NULL);
     } else if (++k->tries < READ_TRIES) {
         rk_timer_start(k->m->n->loop, &k->again, READ_MS);
+        return;
     }
+    if (k == &k->m->quotas)
+        k->m->is_read = true;
+}
+
+bool rk_remember_is_read(const struct rk_remember *m)
+{
+    return m->is_read || m->n->file.first_start;
 }
 
 static void on_again(void *ctx)
--- a/node/report.c
+++ b/node/report.c
@@ -57,6 +57,7 @@
         p->usage[n].window = r->usage[i].window;
         p->usage[n].org = r->usage[i].org;
         p->usage[n].count = r->usage[i].count;
+        p->usage[n].since_ms = r->usage[i].since_ms;
         p->usage_ptrs[n] = &p->usage[n];
         n++;
     }
@@ -235,8 +236,10 @@
 
 void rk_report_take_usage(struct rk_node *n, const Rillknot__UsageRow *told)
 {
-    struct rk_usage_row row = {
-        .node = told->node, .window = told->window, .count = told->count};
+    struct rk_usage_row row = {.node = told->node,
+                               .window = told->window,
+                               .count = told->count,
+                               .since_ms = told->since_ms};
     rk_strcpy(row.org, sizeof(row.org), told->org);
     rk_usage_merge(&n->usage, &row);
 }
@@ -279,6 +282,7 @@
         row->window = u->rows[i].window;
         row->org = u->rows[i].org;
         row->count = u->rows[i].count;
+        row->since_ms = u->rows[i].since_ms;
         ptrs[counts.n_rows++] = row;
     }
     counts.rows = ptrs;
--- a/node/state.h
+++ b/node/state.h
@@ -123,6 +123,8 @@
 void rk_remember_destroy(struct rk_remember *m);
 void rk_remember_start(struct rk_remember *m); /* read what there is */
 void rk_remember_tick(struct rk_remember *m); /* while this node holds the duties */
+/* Is what an earlier life kept known, or can't it be had? */
+bool rk_remember_is_read(const struct rk_remember *m);
 
 /* rollouts.c: versions that operators order for services. */
 struct rk_rollouts *rk_rollouts_create(struct rk_node *n);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2998,7 +2998,7 @@
   (ProtobufCMessageInit) rillknot__org_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__usage_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rillknot__usage_row__field_descriptors[5] =
 {
   {
     "node",
@@ -3048,17 +3048,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "since_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__UsageRow, since_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__usage_row__field_indices_by_name[] = {
   3,   /* field[3] = count */
   0,   /* field[0] = node */
   2,   /* field[2] = org */
+  4,   /* field[4] = since_ms */
   1,   /* field[1] = window */
 };
 static const ProtobufCIntRange rillknot__usage_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rillknot__usage_row__descriptor =
 {
@@ -3068,7 +3081,7 @@
   "Rillknot__UsageRow",
   "rillknot",
   sizeof(Rillknot__UsageRow),
-  4,
+  5,
   rillknot__usage_row__field_descriptors,
   rillknot__usage_row__field_indices_by_name,
   1,  rillknot__usage_row__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -328,10 +328,14 @@
   int64_t window;
   char *org;
   uint64_t count;
+  /*
+   * By the wall clock: since when the node counts. Of what was kept (node 0): when.
+   */
+  int64_t since_ms;
 };
 #define RILLKNOT__USAGE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__usage_row__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -433,6 +433,7 @@
                   opt->bounds.first_start ? 0 : rk_mono_ms());
     r->quota.overrun = opt->bounds.quota_overrun;
     r->quota.rng.state = opt->seed + 2;
+    r->usage.since_ms = rk_wall_ms();
     r->store_read = opt->bounds.first_start;
     r->accept = (struct rk_timer){.fn = accept_now, .ctx = r};
     rk_server_set_accepting(r->server, false);
