--- a/core/speeds.c
+++ b/core/speeds.c
@@ -68,14 +68,19 @@
                             .at_ms = now_ms};
 }
 
+void rk_pace_sum(struct rk_pace *sum, const struct rk_pace *more)
+{
+    sum->log_sum += more->log_sum;
+    sum->failed += more->failed;
+    sum->calls += more->calls;
+}
+
 struct rk_pace rk_pace_add(const struct rk_pace *a, const struct rk_pace *b,
                            int64_t now_ms)
 {
     struct rk_pace sum = rk_pace_at(a, now_ms);
     struct rk_pace more = rk_pace_at(b, now_ms);
-    sum.log_sum += more.log_sum;
-    sum.failed += more.failed;
-    sum.calls += more.calls;
+    rk_pace_sum(&sum, &more);
     return sum;
 }
 
--- a/core/speeds.h
+++ b/core/speeds.h
@@ -54,6 +54,8 @@
 /* Those of two, the same way. */
 struct rk_pace rk_pace_add(const struct rk_pace *a, const struct rk_pace *b,
                            int64_t now_ms);
+/* Add sums that were reckoned at about the same time. */
+void rk_pace_sum(struct rk_pace *sum, const struct rk_pace *more);
 /* Can it be one? A peer may tell anything. */
 bool rk_pace_is_sound(const struct rk_pace *p);
 
--- a/node/loads.c
+++ b/node/loads.c
@@ -47,9 +47,7 @@
 {
     sum->running += more->running;
     sum->waiting_tokens += more->waiting_tokens;
-    sum->pace.log_sum += more->pace.log_sum;
-    sum->pace.failed += more->pace.failed;
-    sum->pace.calls += more->pace.calls;
+    rk_pace_sum(&sum->pace, &more->pace);
 }
 
 static void add(struct rk_relay_peers *p, const struct rk_vm_load *loads,
