--- a/node/remember.c
+++ b/node/remember.c
@@ -23,8 +23,8 @@
 #define SOME_SAMPLES  20    /* calls that an estimate rests on: fewer say little */
 #define USAGE_WINDOWS 4     /* kept; those before are reported */
 /* What has begun when a write is made, and isn't known to the holder: the age of
- * news in a large fleet, and half of the time between two writes. */
-#define USAGE_LAG_MS (450 + QUOTAS_MS / 2)
+ * news in a large fleet, 450, and half of QUOTAS_MS. */
+#define USAGE_LAG_MS 600.0
 #define READ_TRIES   4
 #define READ_MS      300
 
