serve: a stream moves with its memory from an engine that leaves

Cause: a reclaim takes a third of the engines with their streams, and the rest read all of these again just when they are fewest; a stream on a route that may not be repeated was cut.

Change: from 1.3 s after the notice on (it is 2.2 s and more) the engine is asked to stop the run and copy its memory to the vm that would be chosen for the call; the same call goes on there behind the last whole event that the caller has, with the first answer's head. It counts as the same run, also where the route allows no second one. Whatever fails (no room, no such run, no answer, the engine dies, the copy is gone) leaves the stream where it is, or goes on as after any other break. Only where the settings say that engines move memory.

Tests: proc_hosted_moves, 13 passed: a move, each failure of it, a second notice, a caller that leaves amid it, engines that don't offer it; each event once and in order.

--- a/core/dialect.c
+++ b/core/dialect.c
@@ -18,7 +18,7 @@
     /* "Expect" is answered by this node, which has the whole body before it sends
      * a byte. */
     const char *const ours[] = {d->key,  d->deadline_ms, d->organisation, d->vm_id,
-                                d->rank, d->fetch_from,  "Expect"};
+                                d->rank, d->fetch_from,  d->go_on_from,   "Expect"};
     const char *const callers[] = {d->request_id, d->model, d->tokens, d->prefix,
                                    d->resume_after};
     if (is_one_of(ours, RK_ARRAY_LEN(ours), name) ||
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -4,8 +4,13 @@
 #ifndef RK_CORE_DIALECT_H
 #define RK_CORE_DIALECT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
+#include "common/util.h"
+
+#define RK_MOVE_HANDLE_MAX 96
+
 struct rk_dialect {
     /* Of requests, set by callers. */
     const char *request_id;
@@ -21,6 +26,16 @@
     const char *rank;       /* urgency at an engine, 0 first */
     const char *fetch_from; /* another engine's address, that keeps a part of the
                                prompt: it is copied instead of read again */
+    const char *go_on_from; /* "ADDRESS/HANDLE": where a run stopped whose memory
+                               the engine has got */
+    /* An order to an engine to stop a request's run and copy its memory to another
+     * engine: its path, its body, and the handle in its answer (false: there is
+     * none).
+     */
+    const char *move_path;
+    void (*move_order)(const char *request_id, const char *to_addr,
+                       struct rk_buf *body);
+    bool (*move_handle)(const char *body, char handle[RK_MOVE_HANDLE_MAX]);
     /* Orders to an upstream that only this system may give: memory set aside or
      * kept, copies of memory sent. Those of this list are never sent by it. */
     const char *const *orders;
--- a/core/place.c
+++ b/core/place.c
@@ -89,7 +89,7 @@
     index_vms(p);
 }
 
-static struct rk_place_vm *find(struct rk_place *p, const char *id)
+struct rk_place_vm *rk_place_find(struct rk_place *p, const char *id)
 {
     return p->index_len ? p->index[place_of(p, id, rk_hash_str(0, id))] : NULL;
 }
@@ -135,10 +135,12 @@
     for (struct rk_place_vm *v = p->vms; v; v = v->next)
         v->listed = false;
     for (size_t i = 0; i < len; i++) {
-        struct rk_place_vm *v = find(p, rows[i].id);
+        struct rk_place_vm *v = rk_place_find(p, rows[i].id);
         if (!v)
             v = add(p, &rows[i], now_ms);
         bool leaving = v->row.leaving || rows[i].leaving;
+        if (leaving && !v->left_ms)
+            v->left_ms = now_ms;
         v->row = rows[i];
         v->row.leaving = leaving; /* it never comes back */
         v->listed = true;
@@ -172,14 +174,12 @@
         v->peers_pace = (struct rk_pace){.at_ms = now_ms};
     }
     for (size_t i = 0; i < len; i++) {
-        struct rk_place_vm *v = find(p, loads[i].id);
+        struct rk_place_vm *v = rk_place_find(p, loads[i].id);
         if (!v)
             continue;
         v->peers_running += loads[i].running;
         v->peers_waiting_tokens += loads[i].waiting_tokens;
-        v->peers_pace.log_sum += loads[i].pace.log_sum;
-        v->peers_pace.failed += loads[i].pace.failed;
-        v->peers_pace.calls += loads[i].pace.calls;
+        rk_pace_sum(&v->peers_pace, &loads[i].pace);
     }
     take_means(p, now_ms);
 }
--- a/core/place.h
+++ b/core/place.h
@@ -56,6 +56,7 @@
     struct rk_speed *speed;          /* of its service */
     struct rk_pace pace, peers_pace; /* as this node's calls, as its peers' show */
     const struct rk_place_rollout *rollout; /* of its service; NULL: none */
+    int64_t left_ms;      /* when it was told to leave; 0: it wasn't */
     bool is_new;          /* of the version that the roll-out is to */
     bool gets_new;        /* it is among those that try it now */
     int64_t warm_from_ms; /* it is slow until then */
@@ -124,6 +125,9 @@
 size_t rk_place_own_loads(const struct rk_place *p, int64_t now_ms,
                           struct rk_vm_load **out);
 
+/* NULL: it isn't known. */
+struct rk_place_vm *rk_place_find(struct rk_place *p, const char *id);
+
 /* Parse "ID:TOKENS,..." into the query's parts. */
 void rk_place_parse_parts(struct rk_place_query *q, const char *text);
 
--- a/core/routes.h
+++ b/core/routes.h
@@ -57,10 +57,10 @@
     char name[RK_ID_MAX];
     int64_t max_conns; /* that one vm takes from all callers */
     bool engine;
-    int64_t slots;            /* calls at once, of an engine */
-    int64_t kv_tokens;        /* its memory */
-    bool fetches;             /* engines copy each other's cached prompt parts */
-    bool scaled;              /* its vms are ordered by this system */
+    int64_t slots;     /* calls at once, of an engine */
+    int64_t kv_tokens; /* its memory */
+    bool moves;        /* its engines copy each other's memory: parts and runs */
+    bool scaled;       /* its vms are ordered by this system */
     int64_t min_vms, max_vms; /* a failure domain */
     int64_t boot_ms;
     double spot_price; /* of a reclaimable vm, in prices of the others */
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -154,6 +154,13 @@
         rk_client_data(x->client, data, len);
 }
 
+/* May it go on at another vm behind the last whole event? */
+static bool goes_by_events(const struct rk_relay_call *x)
+{
+    return x->route->kind == RK_CALL_STREAM &&
+           (x->route->resumable || x->service->moves);
+}
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
     struct rk_relay_call *x = ctx;
@@ -170,10 +177,21 @@
         rk_call_give_up(x, HTTP_BROKEN, 0, "the caller reads too slowly");
         return;
     }
-    if (x->route->resumable)
+    if (goes_by_events(x))
         rk_events_feed(&x->events, data, len, on_event, x);
     else
         rk_client_data(x->client, data, len);
+    rk_call_move(x);
+}
+
+void rk_call_end_whole(struct rk_relay_call *x)
+{
+    /* What follows the last whole event belongs to the answer, too. */
+    if (x->events.part.len && x->client)
+        rk_client_data(x->client, x->events.part.data, x->events.part.len);
+    bool failed = x->status >= HTTP_SERVER_ERROR;
+    rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
+    rk_call_finish(x);
 }
 
 static void on_end(void *ctx)
@@ -192,12 +210,8 @@
     case FATE_PASS:
         break;
     }
-    /* What follows the last whole event belongs to the answer, too. */
-    if (x->events.part.len && x->client)
-        rk_client_data(x->client, x->events.part.data, x->events.part.len);
-    bool failed = x->status >= HTTP_SERVER_ERROR;
-    rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
-    rk_call_finish(x);
+    if (!rk_call_move_takes_end(x, true))
+        rk_call_end_whole(x);
 }
 
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
@@ -206,7 +220,7 @@
     x->up = NULL;
     if (x->fate == FATE_NOT_RUN)
         rk_call_attempt_not_run(x, "the vm did not run it");
-    else
+    else if (!rk_call_move_takes_end(x, false))
         rk_call_attempt_failed(x, f->sent, RK_PLACE_LOST, f->what);
 }
 
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -43,6 +43,7 @@
     if (x->next)
         x->next->prev = x->prev;
     x->r->calls_len--;
+    rk_call_move_free(x);
     rk_events_free(&x->events);
     rk_routes_unref(x->routes);
     free(x);
@@ -202,11 +203,8 @@
     rk_budget_earn(b, bounds->retry_pct);
 }
 
-/* May the call be sent to one more vm? Takes a retry from the budget. */
-static bool may_send_again(struct rk_relay_call *x)
+bool rk_call_take_retry(struct rk_relay_call *x)
 {
-    if (x->attempts >= x->route->max_attempts)
-        return false;
     if (!rk_budget_spend(budget(x))) {
         rk_count(RK_C_RETRY_DENIED, 1);
         return false;
@@ -215,6 +213,12 @@
     return true;
 }
 
+/* May the call be sent to one more vm? Takes a retry from the budget. */
+static bool may_send_again(struct rk_relay_call *x)
+{
+    return x->attempts < x->route->max_attempts && rk_call_take_retry(x);
+}
+
 static void exclude_vm(struct rk_relay_call *x)
 {
     /* A caller is not made to try a new version twice. */
@@ -238,6 +242,7 @@
                             enum rk_place_end end, const char *what)
 {
     log_attempt(x, what, sent);
+    rk_call_move_free(x);
     exclude_vm(x);
     rk_call_end_attempt(x, end);
     rk_timer_stop(x->r->loop, &x->silent);
@@ -337,11 +342,13 @@
     if (x->service->engine)
         rk_buf_printf(b, "%s: %d\r\n", d->rank, rank(x));
     const struct rk_place_vm *source =
-        x->service->fetches
+        x->service->moves
             ? rk_place_source(x->r->place, &x->query, x->vm, rk_mono_ms())
             : NULL;
     if (source)
         add_line(b, d->fetch_from, source->row.addr);
+    if (x->moved_from[0])
+        add_line(b, d->go_on_from, x->moved_from);
     if (x->begun && x->events.last_id[0])
         add_line(b, d->resume_after, x->events.last_id);
     if (body_len || head->body_length >= 0 || head->chunked)
@@ -349,7 +356,7 @@
     rk_buf_addstr(b, "\r\n");
 }
 
-static int max_conns(const struct rk_relay_call *x)
+int rk_call_max_conns(const struct rk_relay_call *x)
 {
     int nodes = x->r->quota.nodes_total > 0 ? x->r->quota.nodes_total : 1;
     int64_t share = x->service->max_conns / nodes;
@@ -374,7 +381,7 @@
         .no_body = rk_client_head(x->client)->method == HTTP_HEAD,
         .max_idle_ms = rk_call_repeatable(x) ? REST_ANY_MS : REST_ONCE_MS,
         .connect_ms = stream ? CONNECT_STREAM_MS : CONNECT_PLAIN_MS,
-        .max_conns = max_conns(x),
+        .max_conns = rk_call_max_conns(x),
         .ops = &rk_call_upstream_ops,
         .ctx = x,
     };
@@ -430,6 +437,7 @@
 {
     note_asked(x, x->job.load.unread);
     x->attempts++;
+    x->move_tried = false;
     rk_count(RK_C_ATTEMPTS, 1);
     log_sent(x);
     watch_silence(x);
@@ -473,6 +481,38 @@
     give_up_sending(x, "no vm can take it");
 }
 
+/* A run that stopped elsewhere goes on at a vm that has got its memory; if it
+ * can't, as after any other break. */
+void rk_call_send_moved(struct rk_relay_call *x, const char *vm_id,
+                        const char *from_addr, const char *handle)
+{
+    int64_t now_ms = rk_mono_ms();
+    struct rk_place_vm *from = x->vm;
+    rk_timer_stop(x->r->loop, &x->silent);
+    x->fate = FATE_NONE;
+    struct rk_place_vm *to = rk_place_find(x->r->place, vm_id);
+    if (to != from)
+        exclude_vm(x);
+    rk_call_end_attempt(x, RK_PLACE_CALLED_OFF);
+    if (!to || (to != from && to->row.leaving)) {
+        rk_call_attempt_failed(x, true, RK_PLACE_CALLED_OFF, "the copy is gone");
+        return;
+    }
+    x->vm = to;
+    rk_place_sent(x->r->place, x->vm, &x->query, now_ms, &x->job);
+    x->job.odd = true;
+    snprintf(x->moved_from, sizeof(x->moved_from), "%s/%s", from_addr, handle);
+    bool sent = start_attempt(x);
+    x->moved_from[0] = '\0'; /* it serves once */
+    if (!sent) {
+        rk_call_attempt_failed(x, true, RK_PLACE_CALLED_OFF, "no connection");
+        return;
+    }
+    note_sent(x);
+    x->attempts--;              /* the same run goes on: the one before has ended */
+    x->move_tried = to == from; /* it went back for want of room elsewhere */
+}
+
 /* ---- timers ---- */
 
 void rk_call_time_over(void *ctx)
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -63,7 +63,10 @@
     bool begun;   /* the caller has got the head */
     int status;   /* of that head */
     struct rk_events events;
-    int64_t first_ms; /* to the first byte; -1 */
+    int64_t first_ms;          /* to the first byte; -1 */
+    struct rk_call_move *move; /* its memory is being copied elsewhere; NULL: no */
+    bool move_tried;           /* at this vm, already */
+    char moved_from[RK_ADDR_MAX + RK_MOVE_HANDLE_MAX]; /* while it is sent there */
 };
 
 /* relay_call.c: ends. The call is gone after them. */
@@ -84,11 +87,27 @@
                             enum rk_place_end end, const char *what);
 void rk_call_attempt_not_run(struct rk_relay_call *x, const char *what);
 
+/* Takes a retry from the budget, if there is one. */
+bool rk_call_take_retry(struct rk_relay_call *x);
+void rk_call_send_moved(struct rk_relay_call *x, const char *vm_id,
+                        const char *from_addr, const char *handle);
+int rk_call_max_conns(const struct rk_relay_call *x); /* to one vm */
+
+/* relay_move.c */
+/* Move the call's run away from its vm, if that leaves and it is worth it. */
+void rk_call_move(struct rk_relay_call *x);
+void rk_call_move_free(struct rk_relay_call *x);
+/* The vm's stream has ended while its memory is being copied; whole: as if it had
+ * come to its end. False: nothing is copied, and the end counts. */
+bool rk_call_move_takes_end(struct rk_relay_call *x, bool whole);
+
 /* relay_call.c: timers. */
 void rk_call_time_over(void *ctx);
 void rk_call_silent(void *ctx);
 
 /* relay_answer.c */
+/* The vm's answer has come to its end. */
+void rk_call_end_whole(struct rk_relay_call *x);
 extern const struct rk_upstream_ops rk_call_upstream_ops;
 bool rk_call_is_hop_header(const char *name);
 /* Is the header named in the Connection header? */
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -286,6 +286,7 @@
     way: it returns None to leave it to the worker, else what handle() returns."""
 
     ids = itertools.count(1)
+    copies = {}  # of runs' memory, by handle: (request's id, address of who holds it)
 
     def __init__(self, service, zone, events=0, slots=6, version="v1"):
         self.version = version
@@ -298,6 +299,10 @@
         self.seen = []
         self.runs = collections.Counter()
         self.left = []  # requests whose connection closed while they ran
+        self.stops = {}  # of streams that run, by request's id
+        self.move_fault = None  # of orders to move a run: full, gone, lost, dies
+        self.moved = []  # requests whose memory was copied away
+        self.went_on = []  # requests that went on from a copy
         self.stopped = False
         super().__init__()
 
@@ -306,8 +311,41 @@
                 "version": self.version, "slots": self.slots, "state": state, "coldLeftMs": 0,
                 "spot": spot, "seqNo": 1}
 
+    def move(self, req, conn):
+        """Stops a run, and copies its memory to another worker."""
+        order = json.loads(req.body)
+        stop = self.stops.get(order["id"])
+        if self.move_fault == "gone" or stop is None:
+            answer_json(conn, 404, {})
+            return True
+        stop.set()
+        if self.move_fault in ("lost", "dies"):
+            if self.move_fault == "dies":
+                self.stop_at_once()
+            time.sleep(5)
+            return False
+        handle = "h-%d" % next(self.ids)
+        full = self.move_fault == "full"
+        Worker.copies[handle] = (order["id"], self.addr if full else order["targetVersion"])
+        self.moved.append(order["id"])
+        answer_json(conn, 503 if full else 200, {"handle": handle, "made": 1})
+        return True
+
+    def has_copy(self, req):
+        """Of the run that the request goes on with; it serves once."""
+        handle = req.get("Kv-From").split("/")[1]
+        ident, addr = Worker.copies.pop(handle, (None, None))
+        if ident != req.get("Rillknot-Attempt-Id") or addr != self.addr:
+            return False
+        self.went_on.append(ident)
+        return True
+
     def handle(self, req, conn):
+        if req.target == "/api/kv-move":
+            return self.move(req, conn)
         self.seen.append(req)
+        if req.get("Kv-From") and not self.has_copy(req):
+            return self.shed(req, conn)
         if req.get("Rillknot-Expect-Instance", self.id) != self.id:
             conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nRillknot-Instance-Id: %s\r\n"
                          b"Content-Length: 0\r\n\r\n" % self.id.encode())
@@ -363,15 +401,19 @@
             time.sleep(tokens / self.tokens_per_s)
         conn.sendall(self.head(req, framing=b"Transfer-Encoding: chunked\r\n",
                                extra=b"Content-Type: text/event-stream\r\n"))
+        stop = self.stops[req.get("Rillknot-Attempt-Id")] = threading.Event()
         for number in range(int(req.get("Last-Event-Id", 0)) + 1, upto + 1):
             if self.gap_s:
                 time.sleep(self.gap_s)
+            if stop.is_set():
+                return False
             data = self.event(req, number)
             try:
                 conn.sendall(b"%x\r\n%s\r\n" % (len(data), data))
             except OSError:
                 self.left.append((req.get("Rillknot-Attempt-Id"), time.monotonic()))
                 raise
+        self.stops.pop(req.get("Rillknot-Attempt-Id"), None)
         if end:
             conn.sendall(b"0\r\n\r\n")
         return True
