usage: windows that still fill are told twice as often, in a module of their own

Cause: in a large fleet counts come to the holder of the duties by bridges, each way once a second: 1.15 s old on average, and taken to be 0.45 s old when they are kept for a kill of all nodes.

Change: windows that still fill are told each 0.5 s, all of the last four each 2 s (70 rows a second instead of 64), and the age that is taken is that of the way they come: 0.25 s from node to node, 0.6 s by bridges. node/usage_tell.c has what mesh.c and report.c had of it.

Ruled out: all rows each 0.5 s (twice the bytes).

--- a/node/mesh.c
+++ b/node/mesh.c
@@ -16,8 +16,7 @@
 #define BRIDGED_LAG_MS 450 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
 #define REPORT_SOON_MS 5   /* after news of the store */
-#define USAGE_MS       1000 /* between tellings of usage in a larger fleet */
-#define DIAL_MS        500  /* between tries to reach a node */
+#define DIAL_MS        500 /* between tries to reach a node */
 #define CONNECT_MS     1000
 #define UNWANTED_MS    5000 /* a link that nobody needs is kept for so long */
 #define ASK_AGAIN_MS   300
@@ -44,12 +43,8 @@
 static void tell(struct rk_mesh *m)
 {
     struct rk_report p;
-    int64_t now_ms = rk_mono_ms();
-    bool usage = m->direct || now_ms - m->usage_ms >= USAGE_MS;
-    m->told_ms = now_ms;
-    if (usage)
-        m->usage_ms = now_ms;
-    rk_report_fill(&p, m, usage);
+    m->told_ms = rk_mono_ms();
+    rk_report_fill(&p, m);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
@@ -125,29 +120,6 @@
     rk_link_send(link, &frame);
 }
 
-/* ---- usage for the holder of the duties ---- */
-
-/* Bridges tell the holder what the nodes of their domain counted. */
-static void tell_counts(struct rk_mesh *m, int64_t now_ms)
-{
-    char id[RK_ID_MAX];
-    rk_duty_keeper_holder(m->n->duty_keeper, id);
-    struct member *holder = m->bridge && id[0] ? rk_mesh_find(m, id) : NULL;
-    if (!holder || now_ms - m->counts_ms < USAGE_MS)
-        return;
-    holder->wanted_ms = now_ms;
-    if (!rk_mesh_takes(holder->link))
-        return;
-    m->counts_ms = now_ms;
-    rk_report_send_counts(m, holder->link);
-}
-
-static void take_counts(struct rk_mesh *m, const Rillknot__UsageCounts *counts)
-{
-    for (size_t i = 0; i < counts->n_rows; i++)
-        rk_report_take_usage(m->n, counts->rows[i]);
-}
-
 /* ---- frames in ---- */
 
 static void relay_soon(struct rk_mesh *m)
@@ -212,7 +184,7 @@
         take_digest(m, link, told, frame->digest);
         return;
     case RILLKNOT__FRAME__BODY_USAGE_COUNTS:
-        take_counts(m, frame->usage_counts);
+        rk_usage_take(m->n, frame->usage_counts->rows, frame->usage_counts->n_rows);
         return;
     case RILLKNOT__FRAME__BODY_ROLLOUT_WORD:
         rk_rollout_tell_take_word(m, frame->rollout_word);
@@ -431,7 +403,7 @@
     if (now_ms - m->told_ms >= REPORT_MS)
         tell(m); /* else the relay's reports set the pace */
     rk_digest_tell(m);
-    tell_counts(m, now_ms);
+    rk_usage_tell_holder(m, now_ms);
     rk_rollout_tell_seen(m, now_ms);
     tell_relay(m, now_ms);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -91,6 +91,11 @@
     struct guest *next;
 };
 
+/* When counts of calls were told last: those of windows that still fill, all. */
+struct rk_usage_told {
+    int64_t new_ms, all_ms;
+};
+
 struct rk_mesh {
     struct rk_node *n;
     struct rk_listener *listener;
@@ -103,10 +108,10 @@
     int64_t told_ms;   /* the peers, last */
     int64_t digest_ms; /* the same, a digest */
     unsigned digests;  /* made so far */
-    int64_t counts_ms; /* usage told to the holder of the duties, last */
-    int64_t word_ms;   /* the word on roll-outs told, last */
-    int64_t trials_ms; /* what calls showed of them, last */
-    int64_t usage_ms;  /* own usage told, last */
+    struct rk_usage_told own_told, counts_told;
+    char counts_to[RK_ID_MAX]; /* the holder of the duties that got counts last */
+    int64_t word_ms;           /* the word on roll-outs told, last */
+    int64_t trials_ms;         /* what calls showed of them, last */
     int64_t enrol_ms;
     int lists_left;       /* how often the store's list of nodes is read again */
     int64_t forgotten_ms; /* a member was forgotten last; 0: never */
@@ -174,14 +179,17 @@
 void rk_mesh_add_news(struct rk_mesh *m, const char *org, double units);
 
 /* report.c: make a report of this node; take in what a member told. */
-void rk_report_fill(struct rk_report *p, struct rk_mesh *m, bool usage);
+void rk_report_fill(struct rk_report *p, struct rk_mesh *m);
 void rk_report_free(struct rk_report *p);
 void rk_report_take(struct member *k, const Rillknot__NodeReport *r);
-void rk_report_take_usage(struct rk_node *n, const Rillknot__UsageRow *row);
 /* Units a second that callers ask for, as told; 0 for what can't be. */
 double rk_report_asking(const Rillknot__OrgUse *told);
-/* Counts of recent windows, of all nodes that are known here. */
-void rk_report_send_counts(struct rk_mesh *m, struct rk_link *link);
+
+/* usage_tell.c: counts of calls by window, if they are due. */
+void rk_usage_fill_report(struct rk_report *p, struct rk_mesh *m);
+void rk_usage_take(struct rk_node *n, Rillknot__UsageRow *const *rows, size_t len);
+/* A bridge tells the holder of the duties what its domain counted. */
+void rk_usage_tell_holder(struct rk_mesh *m, int64_t now_ms);
 
 /* tell.c: settings, to one peer after the other. */
 void rk_tell_init(struct rk_mesh *m);
--- a/node/remember.c
+++ b/node/remember.c
@@ -22,11 +22,8 @@
 #define SOME_SHARE    0.02  /* of a quota: less is not written */
 #define SOME_SAMPLES  20    /* calls that an estimate rests on: fewer say little */
 #define USAGE_WINDOWS 4     /* kept; those before are reported */
-/* What has begun when a write is made, and isn't known to the holder: the age of
- * news in a large fleet, 450, and half of QUOTAS_MS. */
-#define USAGE_LAG_MS 600.0
-#define READ_TRIES   4
-#define READ_MS      300
+#define READ_TRIES    4
+#define READ_MS       300
 
 /* One object. */
 struct kept {
@@ -82,7 +79,7 @@
 
 /* What an organisation's calls of a window come to by the time of a kill, on
  * average: those of the current window go on as they came since the one before
- * began. */
+ * began, while counts are on their way and for half of the time between writes. */
 static uint64_t expected_count(const struct rk_node *n, int64_t window,
                                const char *org)
 {
@@ -92,7 +89,8 @@
         return count;
     uint64_t before = rk_usage_sum(&n->usage, window - 1, org);
     double passed_ms = (double)(size_ms + wall_ms % size_ms);
-    return count + (uint64_t)((double)(count + before) * USAGE_LAG_MS / passed_ms);
+    double lag_ms = (double)rk_mesh_usage_lag_ms(n->mesh) + QUOTAS_MS / 2.0;
+    return count + (uint64_t)((double)(count + before) * lag_ms / passed_ms);
 }
 
 /* Counts of the last windows, as members of an object; false: there are none. */
--- a/node/report.c
+++ b/node/report.c
@@ -8,8 +8,7 @@
 #include "node/mesh_impl.h"
 #include "peers/link.h"
 
-#define USAGE_WINDOWS 4 /* told of, the current one included */
-#define MILLI         1000.0
+#define MILLI 1000.0
 
 static void fill_vms(struct rk_report *p, const struct rk_relay_report *r)
 {
@@ -43,28 +42,6 @@
     p->report.uses = p->use_ptrs;
 }
 
-static void fill_usage(struct rk_report *p, const struct rk_relay_report *r,
-                       int64_t oldest)
-{
-    p->usage = rk_alloc(r->usage_len + 1, sizeof(*p->usage));
-    p->usage_ptrs = rk_alloc(r->usage_len + 1, sizeof(*p->usage_ptrs));
-    size_t n = 0;
-    for (size_t i = 0; i < r->usage_len; i++) {
-        if (r->usage[i].window < oldest)
-            continue;
-        rillknot__usage_row__init(&p->usage[n]);
-        p->usage[n].node = r->usage[i].node;
-        p->usage[n].window = r->usage[i].window;
-        p->usage[n].org = r->usage[i].org;
-        p->usage[n].count = r->usage[i].count;
-        p->usage[n].since_ms = r->usage[i].since_ms;
-        p->usage_ptrs[n] = &p->usage[n];
-        n++;
-    }
-    p->report.n_usage = n;
-    p->report.usage = p->usage_ptrs;
-}
-
 static void fill_services(struct rk_report *p, const struct rk_relay_report *r)
 {
     p->services = rk_alloc(r->services_len + 1, sizeof(*p->services));
@@ -99,7 +76,7 @@
     p->report.peers = p->peers;
 }
 
-void rk_report_fill(struct rk_report *p, struct rk_mesh *m, bool usage)
+void rk_report_fill(struct rk_report *p, struct rk_mesh *m)
 {
     struct rk_node *n = m->n;
     *p = (struct rk_report){0};
@@ -123,12 +100,10 @@
     fill_peers(p, m);
     if (!n->report)
         return;
-    int64_t window = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s);
     p->report.remembers_ms = n->report->remembers_ms;
     fill_vms(p, n->report);
     fill_uses(p, n->report);
-    if (usage)
-        fill_usage(p, n->report, window - USAGE_WINDOWS + 1);
+    rk_usage_fill_report(p, m);
     fill_services(p, n->report);
 }
 
@@ -234,16 +209,6 @@
     k->services_len = r->n_services;
 }
 
-void rk_report_take_usage(struct rk_node *n, const Rillknot__UsageRow *told)
-{
-    struct rk_usage_row row = {.node = told->node,
-                               .window = told->window,
-                               .count = told->count,
-                               .since_ms = told->since_ms};
-    rk_strcpy(row.org, sizeof(row.org), told->org);
-    rk_usage_merge(&n->usage, &row);
-}
-
 void rk_report_take(struct member *k, const Rillknot__NodeReport *r)
 {
     bool first = !k->incarnation;
@@ -262,34 +227,5 @@
     take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
     take_services(k, r, first);
-    for (size_t i = 0; i < r->n_usage; i++)
-        rk_report_take_usage(k->m->n, r->usage[i]);
-}
-
-void rk_report_send_counts(struct rk_mesh *m, struct rk_link *link)
-{
-    const struct rk_usage *u = &m->n->usage;
-    int64_t current = rk_wall_ms() / rk_s_to_ms(m->n->file.usage_window_s);
-    Rillknot__UsageRow *rows = rk_alloc(u->len + 1, sizeof(*rows));
-    Rillknot__UsageRow **ptrs = rk_alloc(u->len + 1, sizeof(*ptrs));
-    Rillknot__UsageCounts counts = RILLKNOT__USAGE_COUNTS__INIT;
-    for (size_t i = 0; i < u->len; i++) {
-        if (u->rows[i].window <= current - USAGE_WINDOWS)
-            continue;
-        Rillknot__UsageRow *row = &rows[counts.n_rows];
-        rillknot__usage_row__init(row);
-        row->node = u->rows[i].node;
-        row->window = u->rows[i].window;
-        row->org = u->rows[i].org;
-        row->count = u->rows[i].count;
-        row->since_ms = u->rows[i].since_ms;
-        ptrs[counts.n_rows++] = row;
-    }
-    counts.rows = ptrs;
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_USAGE_COUNTS;
-    frame.usage_counts = &counts;
-    rk_link_send(link, &frame);
-    free(rows);
-    free(ptrs);
+    rk_usage_take(k->m->n, r->usage, r->n_usage);
 }
--- a/node/state.h
+++ b/node/state.h
@@ -96,6 +96,8 @@
                   bool from_store);
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
+/* Mean age of the counts of calls that the holder of the duties has. */
+int64_t rk_mesh_usage_lag_ms(const struct rk_mesh *m);
 /* Add what callers ask of all nodes, in units of quotas a second. */
 void rk_mesh_add_asking(const struct rk_mesh *m, struct rk_tally *sum);
 /* Tell peers the holder's word on roll-outs, if this node is to. */
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -8,7 +8,8 @@
 
 import faultproxy
 from hosted import Hosted, wait_until
-from proc_hosted_fleet import fleet, large_settings, turn_away, windows
+from proc_hosted_fleet import (check_usage_outlasts_a_kill, fleet, large_settings, turn_away,
+                               windows)
 
 ZONES = ("a-hall", "b-hall", "c-hall")
 NODES = 15
@@ -264,6 +265,16 @@
         return "%s told, %s made" % (told, {w: made[w] for w in told})
 
 
+def test_usage_outlasts_a_kill_of_a_large_fleet():
+    """Seen: the window in which all 70 nodes were killed was reported with 1,651 of its
+    1,955 calls.
+
+    How it came about: counts come to the holder by bridges, each of the two ways once a
+    second, so they were 1.15 s old on average, and taken to be 0.45 s old.
+    Proof: the same here, by the calls that ran."""
+    return check_usage_outlasts_a_kill(nodes=NODES, gap_s=0.002, off=0.18)
+
+
 def test_a_quota_holds_over_a_large_fleet():
     """An organisation asks four times its rate at all nodes, and both bridges of a
     domain are killed meanwhile."""
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -433,29 +433,23 @@
         return "%d windows, %d calls told, %d made in them" % (len(windows(d)), told, ran)
 
 
-def test_usage_outlasts_a_kill_of_all_nodes():
-    """Seen: a window that had ended 3 s before all nodes were killed was reported as 0,
-    the one of the kill as what came after.
-
-    How it came about: what nodes count is told to the holder, who reports a window when
-    nobody is silent any more, 4 s after its end at the latest; all were killed before.
-    Cause: nothing of it lay in the store. Proof: here the window before the kill, and
-    the one it falls in, are counted against the calls that ran."""
+def check_usage_outlasts_a_kill(nodes, gap_s, off):
+    """off: the share by which the window of the kill may be told otherwise."""
     made = collections.Counter()
-    with fleet(nodes=3, bounds={"reportWindowS": 3}) as d:
+    with fleet(nodes=nodes, bounds={"reportWindowS": 3}) as d:
         def call_until(end):
             n = 0
             while time.time() < end:
                 n += 1
-                if d.call("/r/x", node=n % 3).status == 200:
+                if d.call("/r/x", node=n % nodes).status == 200:
                     made[int(time.time()) // 3] += 1
-                time.sleep(0.02)
+                time.sleep(gap_s)
         start = (int(time.time()) // 3 + 1) * 3
         time.sleep(max(0, start - time.time()))
         call_until(start + 3 + 1.2)  # the first window's report is due at 4.5 s
         for node in d.nodes:
             node.kill()
-        for i in range(3):
+        for i in range(nodes):
             d.restart_node(i)
         d.wait_ready()
         call_until(start + 6.5)
@@ -464,10 +458,21 @@
         told = {w: dict(c).get("clinic", 0) for w in (first, first + 1)
                 for c in windows(d)[w]}
         assert abs(told[first] - made[first]) <= 0.05 * made[first] + 2, (told, made)
-        assert abs(told[first + 1] - made[first + 1]) <= 0.3 * made[first + 1], (told, made)
+        assert abs(told[first + 1] - made[first + 1]) <= off * made[first + 1], (told, made)
         return "%s told, %s made" % (told, {w: made[w] for w in told})
 
 
+def test_usage_outlasts_a_kill_of_all_nodes():
+    """Seen: a window that had ended 3 s before all nodes were killed was reported as 0,
+    the one of the kill as what came after.
+
+    How it came about: what nodes count is told to the holder, who reports a window when
+    nobody is silent any more, 4 s after its end at the latest; all were killed before.
+    Cause: nothing of it lay in the store. Proof: here the window before the kill, and
+    the one it falls in, are counted against the calls that ran."""
+    return check_usage_outlasts_a_kill(nodes=3, gap_s=0.02, off=0.3)
+
+
 def test_a_report_whose_answer_is_lost_is_repeated_exactly():
     lost = {"n": 0}
 
