list: what goes compressed is told by fields of its own

Cause: a node of the version before would have taken a message with a revision and no rows for an empty list, and dropped all vms, in a rolling restart. Change: a compressed list has its revision in zip_revision; who doesn't know that takes nothing from it and asks the store once what it knows is stale. What is known already isn't unpacked.

--- a/node/sync.c
+++ b/node/sync.c
@@ -33,10 +33,7 @@
 {
     if (text->settings_zip.len && text->settings_revision > rk_sync_version(s))
         rk_sync_take_settings(s, text);
-    int64_t known = s->list_known ? s->list_revision : 0;
-    /* What begins after what is known here has a gap: a report makes us ask. */
-    if (text->list_revision > known && text->list_since <= known)
-        rk_sync_take_list(s, text);
+    rk_sync_take_list(s, text);
 }
 
 /* ---- how old it is ---- */
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -250,7 +250,7 @@
     const Rillknot__StoreWanted wanted = {.list = true, .list_since = since};
     Rillknot__StoreText text;
     rk_sync_tell(s, &wanted, &text);
-    if (text.list_revision)
+    if (text.list_revision || text.zip_revision)
         rk_mesh_push(s->n->mesh, &text, !strcmp(from, "store"));
     rk_mesh_report(s->n->mesh);
 }
@@ -359,6 +359,9 @@
     out->list_zip.data = (uint8_t *)s->list_zip.data;
     out->list_zip.len = s->list_zip.len;
     out->list_len = s->zip_len;
+    out->zip_revision = s->list_revision;
+    out->list_revision = 0;
+    out->list_since = 0;
     out->n_list = 0;
     out->n_gone = 0;
 }
@@ -417,20 +420,24 @@
                                             (const uint8_t *)packed);
     free(packed);
     if (!rows)
-        RK_WARN("vms.unreadable", RK_N("revision", text->list_revision),
+        RK_WARN("vms.unreadable", RK_N("revision", text->zip_revision),
                 RK_N("bytes", (int64_t)text->list_zip.len));
     return rows;
 }
 
 static void take_rows(struct rk_sync *s, const Rillknot__StoreText *text)
 {
+    int64_t known = s->list_known ? s->list_revision : 0;
+    /* What begins after what is known here has a gap: a report makes us ask. */
+    if (text->list_revision <= known || text->list_since > known)
+        return;
+    s->list_zip.len = 0;
     struct rk_store_object *objects = read_rows(text);
-    int64_t before = s->list_known ? s->list_revision : 0;
     bool changed = !s->list_known;
     if (!text->list_since) {
         changed |=
             drop_missing(s, objects, text->n_list, text->list_revision, "peer");
-        note_hole(s, before, text->list_revision);
+        note_hole(s, known, text->list_revision);
     }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= drop_by_peer(s, text->gone[i], text->list_revision);
@@ -446,21 +453,20 @@
     rk_follow_skip(&s->vms, text->list_revision);
     if (changed)
         rk_sync_publish(s);
-    push_list(s, before, "peer");
+    push_list(s, known, "peer");
 }
 
 void rk_sync_take_list(struct rk_sync *s, const Rillknot__StoreText *text)
 {
-    s->list_zip.len = 0;
+    int64_t known = s->list_known ? s->list_revision : 0;
     if (!text->list_zip.len) {
         take_rows(s, text);
         return;
     }
-    Rillknot__StoreText *rows = unzip_list(text);
+    Rillknot__StoreText *rows =
+        text->zip_revision > known ? unzip_list(text) : NULL;
     if (!rows)
         return;
-    rows->list_revision = text->list_revision;
-    rows->list_since = text->list_since;
     take_rows(s, rows);
     rillknot__store_text__free_unpacked(rows, NULL);
 }
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -4660,7 +4660,7 @@
   (ProtobufCMessageInit) rillknot__gone_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__store_text__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rillknot__store_text__field_descriptors[10] =
 {
   {
     "settings_revision",
@@ -4770,6 +4770,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zip_revision",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreText, zip_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__store_text__field_indices_by_name[] = {
   4,   /* field[4] = gone */
@@ -4781,12 +4793,13 @@
   6,   /* field[6] = settings_len */
   0,   /* field[0] = settings_revision */
   5,   /* field[5] = settings_zip */
+  9,   /* field[9] = zip_revision */
 };
 static const ProtobufCIntRange rillknot__store_text__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor rillknot__store_text__descriptor =
 {
@@ -4796,7 +4809,7 @@
   "Rillknot__StoreText",
   "rillknot",
   sizeof(Rillknot__StoreText),
-  9,
+  10,
   rillknot__store_text__field_descriptors,
   rillknot__store_text__field_indices_by_name,
   2,  rillknot__store_text__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -683,15 +683,17 @@
   size_t n_gone;
   Rillknot__GoneRow **gone;
   /*
-   * In place of list and gone where they are long: a StoreText of these two, packed,
-   * in zlib's format, and how long it is when packed.
+   * In place of the fields of the list where they are long: a StoreText of these,
+   * packed, in zlib's format; how long it is when packed, and its list_revision. A
+   * node that doesn't know these fields is told nothing by it, and asks the store.
    */
   ProtobufCBinaryData list_zip;
   uint32_t list_len;
+  int64_t zip_revision;
 };
 #define RILLKNOT__STORE_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_text__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL, {0,NULL}, 0, 0 }
 
 
 typedef enum {
