rank: a long prompt comes after short ones of its kind at an engine

No choice of a vm can know of these; the engine's own queue can order them, and stood by the routes' priorities alone.

Change: core/rank: the priority of the route or the organisation, and a step more for each 1,500 tokens to be read. A stream that goes on keeps its priority. Whether a call comes too late goes by the priority as before.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -11,6 +11,7 @@
 #include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "core/rank.h"
 
 #define LINE_MAX_LEN      192
 #define PROBLEM_MAX       256
@@ -320,11 +321,17 @@
     }
 }
 
-static int rank(const struct rk_relay_call *x)
+static int promised_rank(const struct rk_relay_call *x)
 {
     return x->org && x->org->rank >= 0 ? x->org->rank : x->route->rank;
 }
 
+/* A stream that goes on is waited for already: its size doesn't count. */
+static int rank(const struct rk_relay_call *x)
+{
+    return rk_rank(promised_rank(x), x->begun ? 0 : x->job.load.unread);
+}
+
 static void build_head(const struct rk_relay_call *x, size_t body_len,
                        struct rk_buf *b)
 {
@@ -408,7 +415,7 @@
     double target_ms = (double)x->route->target_ms;
     if (!x->query.engine || x->attempts || x->begun || target_ms <= 0)
         return false;
-    double slack = rank(x) <= URGENT_RANK ? LATE_URGENT : LATE_OTHERS;
+    double slack = promised_rank(x) <= URGENT_RANK ? LATE_URGENT : LATE_OTHERS;
     return x->forecast.ms - DOUBTS * x->forecast.doubt_ms > target_ms * slack;
 }
 
--- a/tests/proc_hosted_engines.py
+++ b/tests/proc_hosted_engines.py
@@ -52,6 +52,16 @@
         assert ask(d, LONG).status == 200
 
 
+def test_a_long_prompt_comes_after_short_ones_of_its_kind():
+    with engines(FAST) as d:
+        answers = {tokens: ask(d, tokens) for tokens in (400, 4000, 40000)}
+        ranks = {tokens: int(r.get("Rillknot-Request-Priority"))
+                 for tokens, a in answers.items() for w in d.workers for r in w.seen
+                 if r.get("Rillknot-Attempt-Id") == a.ident}
+        assert all(a.status == 200 for a in answers.values())
+        assert ranks[400] < ranks[4000] < ranks[40000] <= 9, ranks
+
+
 def test_a_long_prompt_for_a_slow_engine_is_refused_in_truth():
     with engines(SLOW) as d:
         teach(d)
