--- a/core/place.h
+++ b/core/place.h
@@ -164,10 +164,6 @@
     const char *route; /* of a trial that what it shows counts for; NULL: of none */
 };
 
-/* A job's vm says nothing, and the job waits on: others had better go elsewhere. */
-void rk_place_silent(struct rk_place_vm *vm, const struct rk_place_job *job,
-                     int64_t now_ms);
-
 void rk_place_sent(struct rk_place *p, struct rk_place_vm *vm,
                    const struct rk_place_query *q, int64_t now_ms,
                    struct rk_place_job *job);
@@ -182,6 +178,11 @@
     RK_PLACE_REFUSED, /* it proved that it did not run the call */
     RK_PLACE_CALLED_OFF,
 };
+
+/* A job's vm says nothing, and the job waits on: others had better go elsewhere. */
+void rk_place_silent(struct rk_place_vm *vm, const struct rk_place_job *job,
+                     int64_t now_ms);
+
 void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm,
                     struct rk_place_job *job, enum rk_place_end end,
                     int64_t now_ms);
