rollouts: metrics by version

An operator who moves a service had only log lines to see both versions by. /metrics now has phase, share and vms of each roll-out by service and version, and of the node's own calls since the order how many there were, how many failed and their pace, by service, version and route.

--- a/node/node.c
+++ b/node/node.c
@@ -88,6 +88,7 @@
     rk_counters_render(&b);
     rk_latency_render(&b);
     render_gauges(n, &b);
+    rk_rollouts_render(n->rollouts, &b);
     rk_client_answer(client, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                      b.data, b.len);
     rk_buf_free(&b);
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -41,6 +41,17 @@
     return NULL;
 }
 
+const char *rk_rollouts_before(const struct rk_rollouts *r, const char *service,
+                               const char *version)
+{
+    for (size_t i = 0; i < r->serving_len; i++) {
+        const struct serving *s = &r->serving[i];
+        if (!strcmp(s->service, service))
+            return strcmp(s->version, version) != 0 ? s->version : s->before;
+    }
+    return "";
+}
+
 static size_t count_version(const struct rk_vm_row *rows, size_t len,
                             const struct rk_vm_row *like)
 {
@@ -122,8 +133,11 @@
     for (size_t i = 0; i < r->word.len; i++) {
         const struct rk_rollout_rule *rule = &r->word.rules[i];
         struct serving *s = serving_of(r, rule->service);
-        if (s && rule->phase == RK_ROLLOUT_TAKEN)
-            rk_strcpy(s->version, sizeof(s->version), rule->version);
+        if (!s || rule->phase != RK_ROLLOUT_TAKEN ||
+            !strcmp(s->version, rule->version))
+            continue;
+        rk_strcpy(s->before, sizeof(s->before), s->version);
+        rk_strcpy(s->version, sizeof(s->version), rule->version);
     }
 }
 
--- a/node/rollouts_impl.h
+++ b/node/rollouts_impl.h
@@ -27,6 +27,7 @@
 struct serving {
     char service[RK_ID_MAX];
     char version[RK_VERSION_TEXT];
+    char before[RK_VERSION_TEXT]; /* "": not known */
 };
 
 struct rk_rollouts {
@@ -50,6 +51,10 @@
 const struct rk_rollout_rule *rk_rollout_rule_of(const struct rk_rollout_word *word,
                                                  const char *service);
 
+/* The version that serves beside one that is tried or was taken; "": not known. */
+const char *rk_rollouts_before(const struct rk_rollouts *r, const char *service,
+                               const char *version);
+
 /* rollouts_hold.c */
 void rk_rollouts_init_orders(struct rk_rollouts *r);
 /* This node holds the duties from now on. */
--- a/node/state.h
+++ b/node/state.h
@@ -155,6 +155,11 @@
 /* Are versions tried at all here? */
 bool rk_rollouts_are_on(const struct rk_rollouts *r);
 
+/* rollout_metrics.c: what is known of versions, in the text format of Prometheus.
+ */
+struct rk_buf;
+void rk_rollouts_render(const struct rk_rollouts *r, struct rk_buf *out);
+
 /* duties.c: the lease, usage, orders for vms. */
 struct rk_duty_keeper *rk_duty_keeper_create(struct rk_node *n);
 void rk_duty_keeper_destroy(struct rk_duty_keeper *k);
--- a/tests/proc_hosted_rollouts.py
+++ b/tests/proc_hosted_rollouts.py
@@ -2,6 +2,7 @@
 time and without a call lost, bad ones are given back within their bounds."""
 import collections
 import itertools
+import re
 import threading
 import time
 
@@ -56,7 +57,7 @@
 
 
 def failing(share):
-    """A fault that answers some requests with 500."""
+    """A fault that answers some requests with 500: the first so many of each hundred."""
     numbers = itertools.count()
 
     def fault(worker, req, conn):
@@ -110,6 +111,38 @@
         return check_given_back(d, failing(0.5))
 
 
+def samples(d, node, name):
+    """{(service, version, route or None): value} of a metric at a node."""
+    found = re.findall(r'^rillknot_%s\{service="([^"]*)",version="([^"]*)"'
+                       r'(?:,route="([^"]*)")?\} (\S+)$' % name, d.metrics(node), re.M)
+    return {(s, v, r or None): float(x) for s, v, r, x in found}
+
+
+def test_metrics_tell_both_versions_apart():
+    """Calls and failures by version and route, summed over the nodes, are those that the
+    vms saw; phase, share and vms say where it stands."""
+    with deployment() as d:
+        load = Load(d)
+        old, new = d.roll_out("plain", "v2", DURATION_S, failing(0.5))
+        wait_until(lambda: seen(new) > 0, 6)
+        wait_until(lambda: samples(d, d.nodes[0], "rollout_phase") ==
+                   {("plain", "v2", None): 0}, 2)  # the holder tells it
+        assert samples(d, d.nodes[0], "rollout_vms") == {("plain", "v1", None): 3,
+                                                         ("plain", "v2", None): 3}
+        wait_until(lambda: d.rollout_state("plain") == "rolled_back", DURATION_S + 2)
+        load.stop()
+        time.sleep(0.6)  # the relays' reports
+
+        def total(name, version):
+            return sum(samples(d, n, name).get(("plain", version, "r"), 0) for n in d.nodes)
+        assert samples(d, d.nodes[0], "rollout_phase") == {("plain", "v2", None): 4}
+        assert samples(d, d.nodes[0], "rollout_share") == {("plain", "v2", None): 0}
+        assert total("rollout_calls_total", "v2") == seen(new)
+        assert total("rollout_failed_total", "v2") == min(50, seen(new))
+        assert 0 < total("rollout_calls_total", "v1") <= seen(old)
+        assert total("rollout_failed_total", "v1") == 0
+
+
 def test_a_version_that_is_slow_is_given_back():
     def slow(worker, req, conn):
         time.sleep(0.1)
