usage: a request counts once, however often it is sent again

Change: a request counts with its first run, and sending it again starts no new count; a stream by its first token, unless it fails before it.

--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -28,9 +28,10 @@
     rk_call_log_first(x, seen_ms);
 }
 
-/* A run counts for usage from when it was sent; one of a stream from its first
- * token, so that one that fails before it doesn't count. Counted, a service whose
- * engines failed a third of the streams for 4 s put a window off by 8%. */
+/* A request counts once for usage, from its first run on, however often it is sent
+ * again; of a stream by its first token, unless it fails before. Counted for each
+ * run, a service whose vms failed a third of its calls for 4 s put a window off by
+ * 8%. */
 static void count_beginning(struct rk_relay_call *x, int64_t wall_ms)
 {
     if (x->counted)
@@ -138,10 +139,8 @@
     if (x->fate == FATE_NOT_RUN)
         return RK_HEAD_TAKE;
     bool stream = x->route->kind == RK_CALL_STREAM;
-    if (!stream)
+    if (!stream || head->status / 100 != 2)
         count_beginning(x, x->sent_wall_ms);
-    else if (head->status / 100 != 2)
-        x->ran = true;
     if (x->fate != FATE_PASS)
         return RK_HEAD_TAKE;
     if (stream)
@@ -172,8 +171,7 @@
     if (x->fate != FATE_PASS)
         return;
     note_first(x);
-    if (x->status / 100 == 2)
-        count_beginning(x, rk_wall_ms());
+    count_beginning(x, rk_wall_ms());
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silent, SILENT_STREAM_MS);
     if (!x->client)
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -477,7 +477,6 @@
         rk_place_sent(x->r->place, x->vm, &x->query, now_ms, &x->job);
         x->job.odd = x->begun || x->resumes;
         x->sent_wall_ms = rk_wall_ms();
-        x->counted = false;
         if (start_attempt(x)) {
             note_sent(x);
             return;
