tests: whose connection the store stand-in has is looked up once a connection

The stand-in read the kernel's table of connections for each request, twice; behind tests that leave many closed connections it has 17,000 lines and more, and the store answered so late that a version took over 3 s.

Change: the caller's socket is looked up once for each connection. No check is changed.

--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -9,6 +9,7 @@
 import signal
 import threading
 import time
+import weakref
 
 import faultproxy
 from hosted import Hosted, answer_json, read_answer, reset, wait_until
@@ -50,8 +51,7 @@
         real = d.store.handle
 
         def handle(req, conn):
-            port = conn.getpeername()[1]
-            if any(port in ports_of(pid) for pid in away):
+            if any(comes_from(conn, pid) for pid in away):
                 reset(conn)
                 return False
             return real(req, conn)
@@ -195,7 +195,7 @@
     real = d.store.handle
 
     def handle(req, conn):
-        if conn.getpeername()[1] not in ports_of(node.popen.pid):
+        if not comes_from(conn, node.popen.pid):
             return real(req, conn)
         if how == "silent":
             time.sleep(20)
@@ -231,24 +231,32 @@
             assert len(leaving.seen) == before and d.workers[1].seen
 
 
-def ports_of(pid):
-    """Local ports of a process's TCP connections."""
-    inodes = set()
+INODES = weakref.WeakKeyDictionary()  # of a caller's socket, by connection here
+
+
+def inode_of(conn):
+    """Of the caller's socket. Looked up once a connection: the kernel's table has
+    thousands of lines behind other tests, and took the store 3 s when it was read for
+    each request."""
+    if conn not in INODES:
+        ends = "%04X 0100007F:%04X " % (conn.getpeername()[1], conn.getsockname()[1])
+        with open("/proc/net/tcp") as f:
+            table = f.read()
+        line = table[table.index(ends):].split("\n", 1)[0]
+        INODES[conn] = line.split()[8]
+    return INODES[conn]
+
+
+def comes_from(conn, pid):
+    """Does a process hold the other end of a connection?"""
+    socket = "socket:[%s]" % inode_of(conn)
     for fd in os.listdir("/proc/%d/fd" % pid):
         try:
-            link = os.readlink("/proc/%d/fd/%s" % (pid, fd))
+            if os.readlink("/proc/%d/fd/%s" % (pid, fd)) == socket:
+                return True
         except OSError:
             continue
-        found = re.match(r"socket:\[(\d+)\]", link)
-        if found:
-            inodes.add(found.group(1))
-    ports = set()
-    with open("/proc/%d/net/tcp" % pid) as f:
-        for line in f.readlines()[1:]:
-            parts = line.split()
-            if parts[9] in inodes:
-                ports.add(int(parts[1].split(":")[1], 16))
-    return ports
+    return False
 
 
 def test_a_node_restarted_without_the_store_learns_from_its_peers():
