following: who follows the store for want of news goes on until somebody else hears it

A node that followed because it was told nothing stopped as soon as the store had answered it, as what it knew was fresh by that; it began again 2.2 s later.

Change: reports, digests and their rows say whether a node follows the store and is answered; who follows goes on until a node that comes first does. The rule is a module of its own (core/following), played by RapidCheck over kills, restarts, freezes and refusals: news reach all nodes within a bound stated in steps, one node follows in quiet, the others let go when the first is back.

--- a/node/digest.c
+++ b/node/digest.c
@@ -207,6 +207,7 @@
         k->unproven = false;
         k->leaving = row->leaving;
         k->slow = row->slow;
+        k->hears_store = row->hears_store;
     }
 }
 
@@ -215,6 +216,7 @@
     rk_strcpy(k->domain, sizeof(k->domain), d->domain);
     k->capacity = d->capacity;
     k->slow = d->slow;
+    k->hears_store = d->hears_store;
     k->heard_ms = now_ms;
     k->unproven = false;
 }
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -211,6 +211,7 @@
         row->heard = is_told_of(k, now_ms);
         row->leaving = k->leaving;
         row->slow = k->slow;
+        row->hears_store = k->hears_store;
         p->member_ptrs[p->digest.n_members++] = row;
     }
     p->digest.members = p->member_ptrs;
@@ -229,6 +230,7 @@
     p->digest.fleet = fleet;
     p->digest.capacity = rk_mesh_capacity(m);
     p->digest.slow = m->slow;
+    p->digest.hears_store = rk_sync_hears_store(n->sync);
     p->digest.settings_version = rk_sync_version(n->sync);
     p->digest.list_revision = rk_sync_list_revision(n->sync);
     p->digest.store_age_ms = rk_sync_age_ms(n->sync);
--- a/node/follow.c
+++ b/node/follow.c
@@ -1,12 +1,8 @@
 #include "node/follow.h"
 
 #include "common/eventlog.h"
+#include "core/following.h"
 
-/* A watch that hangs must be noticed within contact; and an answer a watch and a
- * report ago must not look like a store that was away for as long as entries need
- * to lapse, 2.4 s: with watches of 2.5 s it did, in 1 of 3 runs of a test beside
- * others. */
-#define WATCH_MS       1400
 #define WATCH_LOST_MS  200 /* its end tells soon that the store is back */
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS   500 /* with WATCH_LOST_MS: back within 2 s, as entries are */
@@ -88,7 +84,7 @@
 
 static int64_t watch_ms(const struct rk_follow *f)
 {
-    return f->lost ? WATCH_LOST_MS : WATCH_MS;
+    return f->lost ? WATCH_LOST_MS : RK_FOLLOWING_WATCH_MS;
 }
 
 static void next(struct rk_follow *f)
--- a/node/members.c
+++ b/node/members.c
@@ -262,6 +262,7 @@
     bool was_direct = m->direct;
     m->direct = rk_mesh_count(m) < RK_MESH_DIRECT;
     m->preceded = 0;
+    m->served = false;
     if (!m->n->leaving)
         offer(f, self);
     for (struct member *k = m->members; k; k = k->next) {
@@ -270,7 +271,10 @@
             continue;
         if ((f = first_of(all, &len, k->domain)))
             offer(f, c);
-        m->preceded += rk_mesh_is_near(k) && precedes(c, self);
+        if (!rk_mesh_is_near(k) || !precedes(c, self))
+            continue;
+        m->preceded++;
+        m->served = m->served || k->hears_store;
     }
     for (struct member *k = m->members; k; k = k->next) {
         f = may_bridge(k, now_ms) ? first_of(all, &len, k->domain) : NULL;
@@ -289,6 +293,11 @@
     return m->direct || (m->bridge && !m->preceded) ? -1 : m->preceded;
 }
 
+bool rk_mesh_is_served(const struct rk_mesh *m)
+{
+    return m->served;
+}
+
 bool rk_mesh_is_listed(const struct rk_mesh *m)
 {
     return m->listed;
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -68,7 +68,8 @@
     int64_t known_ms;  /* since when it is a member */
     bool heard;        /* as logged last */
     bool leaving;
-    bool slow; /* as it told itself */
+    bool slow;        /* as it told itself */
+    bool hears_store; /* the same */
     int64_t remembers_ms;
     struct rk_vm_load *loads;
     size_t loads_len;
@@ -124,6 +125,7 @@
     bool direct;  /* each node tells each */
     bool bridge;  /* this node bridges its domain */
     int preceded; /* nodes of this domain that come before this one */
+    bool served;  /* one of them hears the store */
     const struct member *catch_up; /* whose knowledge the relay is to take over */
     /* Used by peers since the relay was told. */
     struct rk_org_use *news;
--- a/node/report.c
+++ b/node/report.c
@@ -88,6 +88,7 @@
     p->report.list_revision = rk_sync_list_revision(n->sync);
     p->report.leaving = n->leaving;
     p->report.slow = m->slow;
+    p->report.hears_store = rk_sync_hears_store(m->n->sync);
     p->report.store_age_ms = rk_sync_age_ms(n->sync);
     p->report.capacity = rk_mesh_capacity(m);
     const char *value;
@@ -221,6 +222,7 @@
     k->unproven = false;
     k->leaving = r->leaving;
     k->slow = r->slow;
+    k->hears_store = r->hears_store;
     k->remembers_ms = r->remembers_ms;
     take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
--- a/node/state.h
+++ b/node/state.h
@@ -66,6 +66,8 @@
                      int64_t list_revision);
 /* For how long peers have had settings that are newer than this node's; 0: none. */
 int64_t rk_sync_behind_ms(const struct rk_sync *s);
+/* Does this node follow the store, and does the store answer it? */
+bool rk_sync_hears_store(const struct rk_sync *s);
 /* For a peer that asks; the message's parts belong to s until the next call. */
 void rk_sync_tell(struct rk_sync *s, const Rillknot__StoreWanted *wanted,
                   Rillknot__StoreText *out);
@@ -82,6 +84,8 @@
 /* Nodes of this domain that should follow the store before this one does; -1: this
  * one should. */
 int rk_mesh_rank(const struct rk_mesh *m);
+/* Does a node that should do so first follow the store, and hear it? */
+bool rk_mesh_is_served(const struct rk_mesh *m);
 /* Does this node know who the others are? Until then it can't tell who should
  * follow the store or hold the duties. */
 bool rk_mesh_is_listed(const struct rk_mesh *m);
--- a/node/sync.c
+++ b/node/sync.c
@@ -4,18 +4,13 @@
 #include <stdlib.h>
 
 #include "common/eventlog.h"
+#include "core/following.h"
 #include "node/sync_impl.h"
 
-#define TICK_MS 250
 #define PACE_MS 200 /* in a large fleet, between watches that brought something */
 #define UNLISTED_PACE_MS                                                           \
-    (TICK_MS + 50) /* longer than until it is decided who follows */
-#define STALE_MS                                                                   \
-    1950 /* what is not confirmed for so long is followed here: a watch of         \
-            WATCH_MS and the way of its news are shorter */
-#define FIRST_TOLD_MS 3000 /* after a first start: 10 s before callers come */
-#define STAGGER_MS    100  /* more for each node that comes before this one */
-#define AWAY_MS       2600 /* a store that answers no node for so long was away */
+    (RK_FOLLOWING_TICK_MS + 50) /* longer than until it is decided who follows */
+#define AWAY_MS 2600 /* a store that answers no node for so long was away */
 
 /* ---- peers ---- */
 
@@ -95,28 +90,29 @@
     return first_ms ? rk_mono_ms() - first_ms : -1;
 }
 
+bool rk_sync_hears_store(const struct rk_sync *s)
+{
+    return s->vms.on && !s->vms.lost &&
+           rk_mono_ms() - s->vms.heard_ms < RK_FOLLOWING_STALE_MS;
+}
+
 int64_t rk_sync_behind_ms(const struct rk_sync *s)
 {
     return s->behind_since_ms ? rk_mono_ms() - s->behind_since_ms : 0;
 }
 
-/* Should this node follow the store itself? Nodes that start together, before there
- * are any calls, wait: in a large fleet those that follow the store tell the
- * others. */
 static bool should_follow(const struct rk_sync *s)
 {
     const struct rk_node *n = s->n;
-    bool starts =
-        n->file.first_start && rk_mono_ms() - n->started_ms < FIRST_TOLD_MS;
-    if (starts && !rk_mesh_is_listed(n->mesh))
-        return false;
-    int before = rk_mesh_rank(n->mesh); /* nodes that should do so first */
-    if (before < 0 || (!rk_sync_ready(s) && !n->file.first_start))
-        return true;
-    int64_t age_ms = rk_sync_age_ms(s);
-    if (age_ms < 0)
-        return !starts;
-    return age_ms > STALE_MS + before * STAGGER_MS;
+    const struct rk_following f = {.first_start = n->file.first_start,
+                                   .up_ms = rk_mono_ms() - n->started_ms,
+                                   .listed = rk_mesh_is_listed(n->mesh),
+                                   .ready = rk_sync_ready(s),
+                                   .before = rk_mesh_rank(n->mesh),
+                                   .served = rk_mesh_is_served(n->mesh),
+                                   .follows = s->vms.on,
+                                   .age_ms = rk_sync_age_ms(s)};
+    return rk_following_should(&f);
 }
 
 /* A node that doesn't know yet who the others are watches only after its next tick:
@@ -133,7 +129,7 @@
 static void on_tick(void *ctx)
 {
     struct rk_sync *s = ctx;
-    rk_timer_start(s->n->loop, &s->tick, TICK_MS);
+    rk_timer_start(s->n->loop, &s->tick, RK_FOLLOWING_TICK_MS);
     bool follow = should_follow(s);
     pace_watches(s);
     if (follow != s->vms.on)
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3332,7 +3332,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[18] =
 {
   {
     "id",
@@ -3538,11 +3538,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hears_store",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, hears_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
   15,   /* field[15] = capacity */
   1,   /* field[1] = domain */
+  17,   /* field[17] = hears_store */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
   10,   /* field[10] = lease */
@@ -3561,7 +3574,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -3571,14 +3584,14 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  17,
+  18,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
   (ProtobufCMessageInit) rillknot__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[8] =
 {
   {
     "id",
@@ -3664,12 +3677,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hears_store",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, hears_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   3,   /* field[3] = capacity */
   2,   /* field[2] = domain */
   4,   /* field[4] = heard */
+  7,   /* field[7] = hears_store */
   0,   /* field[0] = id */
   5,   /* field[5] = leaving */
   6,   /* field[6] = slow */
@@ -3677,7 +3703,7 @@
 static const ProtobufCIntRange rillknot__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rillknot__node_row__descriptor =
 {
@@ -3687,14 +3713,14 @@
   "Rillknot__NodeRow",
   "rillknot",
   sizeof(Rillknot__NodeRow),
-  7,
+  8,
   rillknot__node_row__field_descriptors,
   rillknot__node_row__field_indices_by_name,
   1,  rillknot__node_row__number_ranges,
   (ProtobufCMessageInit) rillknot__node_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[19] =
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[20] =
 {
   {
     "id",
@@ -3924,12 +3950,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hears_store",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, hears_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__digest__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   17,   /* field[17] = capacity */
   2,   /* field[2] = domain */
   4,   /* field[4] = fleet */
+  19,   /* field[19] = hears_store */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
   8,   /* field[8] = lease */
@@ -3949,7 +3988,7 @@
 static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor rillknot__digest__descriptor =
 {
@@ -3959,7 +3998,7 @@
   "Rillknot__Digest",
   "rillknot",
   sizeof(Rillknot__Digest),
-  19,
+  20,
   rillknot__digest__field_descriptors,
   rillknot__digest__field_indices_by_name,
   1,  rillknot__digest__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -435,10 +435,14 @@
    * It runs late: others do more for the fleet than it can.
    */
   protobuf_c_boolean slow;
+  /*
+   * It follows the store, and the store answers it.
+   */
+  protobuf_c_boolean hears_store;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -454,10 +458,11 @@
   protobuf_c_boolean heard;
   protobuf_c_boolean leaving;
   protobuf_c_boolean slow;
+  protobuf_c_boolean hears_store;
 };
 #define RILLKNOT__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -502,10 +507,11 @@
    */
   int64_t capacity;
   protobuf_c_boolean slow;
+  protobuf_c_boolean hears_store;
 };
 #define RILLKNOT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
