--- a/core/claims.c
+++ b/core/claims.c
@@ -1,5 +1,3 @@
-#include "core/claims.h"
-
 #include <assert.h>
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -8,216 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BUCKETS           1024
-#define KEY_TEXT_LEN      40 /* 16 + 16 + 8 hex digits */
+#include "core/claims_impl.h"
+
 #define TAKEOVER_PAUSE_MS 15 /* after each lost race for the shard, growing */
 #define RETRY_AFTER_MS    1000
 #define RELOAD_PAUSE_MS   200
 #define AWAY_PATIENCE_PCT 10 /* of the patience, while the platform is away */
-#define SECOND_HASH_SEED  0x5bd1e995
-
-enum entry_state {
-    ENTRY_PENDING,  /* not durable yet */
-    ENTRY_RUNNING,  /* granted, its call goes on */
-    ENTRY_DONE,     /* it ran; answer may be kept */
-    ENTRY_RELEASED, /* durable, proved not to have run */
-    ENTRY_FOREIGN,  /* durable, may have run */
-};
-
-struct ticket {
-    uint64_t id;
-    bool local;
-    int64_t since_ms;
-    struct ticket *next;
-};
-
-struct entry {
-    struct rk_claim_key key;
-    enum entry_state state;
-    bool queued;   /* in the list of those to write */
-    bool in_batch; /* part of the write that is under way or unresolved */
-    int64_t born_ms;
-    struct ticket *tickets;
-    struct rk_answer answer;
-    bool has_answer;
-    struct entry *next;      /* in the bucket */
-    struct entry *next_wait; /* among the pending */
-};
-
-enum owner_state {
-    OWNER_NONE,    /* the ring isn't known */
-    OWNER_READING, /* read_ring is out */
-    OWNER_READY,   /* the ring is known; no I/O is out */
-    OWNER_WRITING, /* write_slot is out */
-    OWNER_CHECKING /* read_slot is out, to learn a write's fate */
-};
-
-struct slot {
-    int64_t version; /* 0: absent */
-    int64_t seq;
-    int64_t newest_wall_ms;
-};
-
-struct rk_claims {
-    struct rk_claims_config cfg;
-    char owner[RK_ID_MAX];
-    const struct rk_claims_ops *ops;
-    void *ctx;
-    enum owner_state state;
-    bool unresolved; /* a write's fate is open: read back before all else */
-    bool ever_ready; /* the ring was read once by this node */
-    bool fenced;     /* our epoch stands in the ring, as far as we know */
-    int64_t epoch;
-    struct slot slots[RK_CLAIM_SLOTS];
-    unsigned current;
-    bool sealed;         /* the current slot takes no more keys */
-    char **current_keys; /* RK_CLAIM_SLOT_KEYS texts of the current slot */
-    size_t current_len;
-    /* The write under way. */
-    unsigned write_slot;
-    int64_t write_expect, write_seq, write_wall_ms;
-    uint64_t nonce;
-    char *write_value;
-    size_t write_new;  /* keys it adds */
-    size_t write_base; /* keys it repeats from the current slot */
-    int takeovers;
-    bool away; /* the platform doesn't answer: claims wait only a little */
-    int64_t not_before_ms;
-    double credit; /* writes that may go out now */
-    int64_t credit_ms;
-    struct entry *buckets[BUCKETS];
-    struct entry *pending, **pending_end;
-    size_t entries, tickets, answer_bytes;
-    int64_t swept_ms;
-};
-
-struct rk_claim_key rk_claim_key_make(const char *organisation, const char *service,
-                                      const char *key, const char *path,
-                                      const void *body, size_t body_len)
-{
-    struct rk_claim_key k;
-    uint64_t seeds[2] = {0, SECOND_HASH_SEED}, out[2];
-    for (int i = 0; i < 2; i++) {
-        uint64_t h = rk_hash_str(seeds[i], organisation);
-        h = rk_hash_str(rk_hash_str(h, "\n"), service);
-        out[i] = rk_hash_str(rk_hash_str(h, "\n"), key);
-    }
-    k.hi = out[0];
-    k.lo = out[1];
-    k.fingerprint = (uint32_t)rk_hash(rk_hash_str(0, path), body, body_len);
-    return k;
-}
-
-/* ---- table of keys ---- */
-
-static struct entry **find(struct rk_claims *c, const struct rk_claim_key *k)
-{
-    struct entry **p = &c->buckets[k->lo % BUCKETS];
-    while (*p && ((*p)->key.hi != k->hi || (*p)->key.lo != k->lo))
-        p = &(*p)->next;
-    return p;
-}
-
-static struct entry *add_entry(struct rk_claims *c, const struct rk_claim_key *k,
-                               enum entry_state state, int64_t born_ms)
-{
-    struct entry **p = find(c, k);
-    assert(!*p);
-    struct entry *e = rk_alloc(1, sizeof(*e));
-    *e = (struct entry){.key = *k, .state = state, .born_ms = born_ms};
-    *p = e;
-    c->entries++;
-    return e;
-}
-
-static void drop_answer(struct rk_claims *c, struct entry *e)
-{
-    if (!e->has_answer)
-        return;
-    c->answer_bytes -= e->answer.len;
-    free(e->answer.body);
-    e->has_answer = false;
-}
-
-static void free_entry(struct rk_claims *c, struct entry **p)
-{
-    struct entry *e = *p;
-    assert(e);
-    *p = e->next;
-    drop_answer(c, e);
-    free(e);
-    c->entries--;
-}
-
-/* Queue an entry for the next write; in the list already, it stays there. */
-static void enqueue(struct rk_claims *c, struct entry *e)
-{
-    if (e->queued)
-        return;
-    e->queued = true;
-    e->next_wait = NULL;
-    *c->pending_end = e;
-    c->pending_end = &e->next_wait;
-}
-
-/* Take the whole list; the caller queues again what stays. */
-static struct entry *take_queue(struct rk_claims *c)
-{
-    struct entry *first = c->pending;
-    for (struct entry *e = first; e; e = e->next_wait)
-        e->queued = false;
-    c->pending = NULL;
-    c->pending_end = &c->pending;
-    return first;
-}
-
-static void add_ticket(struct rk_claims *c, struct entry *e, uint64_t id,
-                       bool local, int64_t now_ms)
-{
-    struct ticket *t = rk_alloc(1, sizeof(*t));
-    *t = (struct ticket){.id = id, .local = local, .since_ms = now_ms};
-    struct ticket **end = &e->tickets;
-    while (*end)
-        end = &(*end)->next;
-    *end = t;
-    c->tickets++;
-}
-
-static struct ticket *pop_ticket(struct rk_claims *c, struct entry *e)
-{
-    struct ticket *t = e->tickets;
-    if (t) {
-        e->tickets = t->next;
-        c->tickets--;
-    }
-    return t;
-}
-
-static void decide(struct rk_claims *c, const struct rk_claim_key *key,
-                   uint64_t ticket, enum rk_claim_decision d, enum rk_verdict v,
-                   const struct rk_answer *answer, int64_t retry_after_ms,
-                   const char *detail)
-{
-    struct rk_claim_result r = {.decision = d,
-                                .verdict = v,
-                                .key = key,
-                                .answer = answer,
-                                .retry_after_ms = retry_after_ms,
-                                .detail = detail};
-    c->ops->decided(c->ctx, ticket, &r);
-}
-
-static void decide_all(struct rk_claims *c, struct entry *e,
-                       enum rk_claim_decision d, enum rk_verdict v,
-                       const struct rk_answer *answer, int64_t retry_after_ms,
-                       const char *detail)
-{
-    struct ticket *t;
-    while ((t = pop_ticket(c, e))) {
-        decide(c, &e->key, t->id, d, v, answer, retry_after_ms, detail);
-        free(t);
-    }
-}
 
 /* ---- making ---- */
 
@@ -247,12 +41,12 @@
 {
     if (!c)
         return;
-    for (size_t i = 0; i < BUCKETS; i++) {
+    for (size_t i = 0; i < RK_CLAIM_BUCKETS; i++) {
         while (c->buckets[i]) {
-            struct ticket *t;
-            while ((t = pop_ticket(c, c->buckets[i])))
+            struct claim_ticket *t;
+            while ((t = rk_claim_pop_ticket(c, c->buckets[i])))
                 free(t);
-            free_entry(c, &c->buckets[i]);
+            rk_claim_free(c, &c->buckets[i]);
         }
     }
     clear_current(c);
@@ -276,59 +70,13 @@
     return c->pending != NULL;
 }
 
-/* ---- slots as text ---- */
-
-static void key_text(char out[KEY_TEXT_LEN + 1], const struct rk_claim_key *k)
-{
-    snprintf(out, KEY_TEXT_LEN + 1, "%016" PRIx64 "%016" PRIx64 "%08" PRIx32, k->hi,
-             k->lo, k->fingerprint);
-}
-
-static bool parse_key(const char *s, struct rk_claim_key *k)
-{
-    return s && strlen(s) == KEY_TEXT_LEN &&
-           sscanf(s, "%16" SCNx64 "%16" SCNx64 "%8" SCNx32, &k->hi, &k->lo,
-                  &k->fingerprint) == 3;
-}
-
-static int64_t get_int(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
-}
-
-static void build_value(struct rk_claims *c)
-{
-    struct rk_buf b = {0};
-    bool full = c->write_base + c->write_new == c->cfg.slot_keys;
-    rk_buf_printf(&b,
-                  "{\"epoch\":%" PRId64 ",\"owner\":\"%s\",\"seq\":%" PRId64
-                  ",\"sealed\":%s,\"newest_ms\":%" PRId64 ",\"nonce\":\"%" PRIx64
-                  "\",\"keys\":[",
-                  c->epoch, c->owner, c->write_seq, full ? "true" : "false",
-                  c->write_wall_ms, c->nonce);
-    size_t n = 0;
-    for (; n < c->write_base; n++)
-        rk_buf_printf(&b, "%s\"%s\"", n ? "," : "", c->current_keys[n]);
-    for (struct entry *e = c->pending; e; e = e->next_wait) {
-        char text[KEY_TEXT_LEN + 1];
-        if (!e->in_batch)
-            continue;
-        key_text(text, &e->key);
-        rk_buf_printf(&b, "%s\"%s\"", n++ ? "," : "", text);
-    }
-    rk_buf_addstr(&b, "]}");
-    free(c->write_value);
-    c->write_value = b.data;
-}
-
 /* ---- committing ---- */
 
 static void refuse_pending(struct rk_claims *c, const char *detail);
 
 static bool slot_is_free(const struct rk_claims *c, unsigned slot, int64_t wall_ms)
 {
-    const struct slot *s = &c->slots[slot];
+    const struct claim_slot *s = &c->slots[slot];
     return !s->version || wall_ms - s->newest_wall_ms > c->cfg.retention_ms;
 }
 
@@ -361,13 +109,13 @@
         c->epoch++;
     size_t room = c->cfg.slot_keys - c->write_base;
     c->write_new = 0;
-    for (struct entry *e = c->pending; e; e = e->next_wait) {
+    for (struct claim_entry *e = c->pending; e; e = e->next_wait) {
         e->in_batch = c->write_new < room;
         c->write_new += e->in_batch;
     }
     /* Unlike any other write's, so that a read-back knows its own. */
     c->nonce = rk_hash_str((uint64_t)wall_ms ^ c->nonce ^ c->cfg.seed, c->owner);
-    build_value(c);
+    rk_claim_build_value(c);
     c->state = OWNER_WRITING;
     c->ops->write_slot(c->ctx, c->cfg.shard, c->write_slot, c->write_expect,
                        c->write_value);
@@ -419,7 +167,7 @@
     c->fenced = false;
     c->unresolved = false;
     clear_current(c);
-    for (struct entry *e = c->pending; e; e = e->next_wait)
+    for (struct claim_entry *e = c->pending; e; e = e->next_wait)
         e->in_batch = false;
     /* Another node believes it owns the shard, too, until its view and ours are
      * one: give way a little longer each time, by an amount of our own. */
@@ -428,9 +176,9 @@
     c->not_before_ms = now_ms + pause + (int64_t)(c->nonce % TAKEOVER_PAUSE_MS);
 }
 
-static void grant(struct rk_claims *c, struct entry *e)
+static void grant(struct rk_claims *c, struct claim_entry *e)
 {
-    struct ticket *t = pop_ticket(c, e);
+    struct claim_ticket *t = rk_claim_pop_ticket(c, e);
     if (!t) {
         e->state = ENTRY_RELEASED; /* everyone left while we wrote */
         return;
@@ -438,14 +186,15 @@
     e->state = ENTRY_RUNNING;
     uint64_t id = t->id;
     free(t);
-    decide(c, &e->key, id, RK_CLAIM_GRANTED, RK_NOT_RUN, NULL, 0, "");
+    rk_claim_decide(c, &e->key, id, RK_CLAIM_GRANTED, RK_NOT_RUN, NULL, 0, "");
 }
 
 static void write_stands(struct rk_claims *c, int64_t version)
 {
-    c->slots[c->write_slot] = (struct slot){.version = version,
-                                            .seq = c->write_seq,
-                                            .newest_wall_ms = c->write_wall_ms};
+    c->slots[c->write_slot] =
+        (struct claim_slot){.version = version,
+                            .seq = c->write_seq,
+                            .newest_wall_ms = c->write_wall_ms};
     if (c->write_slot != c->current || c->write_base == 0)
         clear_current(c);
     c->current = c->write_slot;
@@ -454,15 +203,15 @@
     c->unresolved = false;
     c->fenced = true;
     c->takeovers = 0;
-    struct entry *e = take_queue(c);
-    for (struct entry *next; e; e = next) {
+    struct claim_entry *e = rk_claim_take_queue(c);
+    for (struct claim_entry *next; e; e = next) {
         next = e->next_wait;
         if (!e->in_batch) {
-            enqueue(c, e);
+            rk_claim_enqueue(c, e);
             continue;
         }
-        char text[KEY_TEXT_LEN + 1];
-        key_text(text, &e->key);
+        char text[RK_CLAIM_TEXT_LEN + 1];
+        rk_claim_key_text(text, &e->key);
         c->current_keys[c->current_len++] = rk_strdup(text);
         e->in_batch = false;
         if (e->state == ENTRY_PENDING)
@@ -525,37 +274,37 @@
 static void learn_key(struct rk_claims *c, const char *text, int64_t born_ms)
 {
     struct rk_claim_key k;
-    if (!parse_key(text, &k))
+    if (!rk_claim_parse_key(text, &k))
         return;
-    struct entry *e = *find(c, &k);
+    struct claim_entry *e = *rk_claim_find(c, &k);
     if (!e) {
-        add_entry(c, &k, ENTRY_FOREIGN, born_ms);
+        rk_claim_add(c, &k, ENTRY_FOREIGN, born_ms);
         return;
     }
     if (e->state != ENTRY_PENDING)
         return;
     /* We asked for it, another owner has it: it isn't ours to write. */
-    struct entry *all = take_queue(c);
-    for (struct entry *next; all; all = next) {
+    struct claim_entry *all = rk_claim_take_queue(c);
+    for (struct claim_entry *next; all; all = next) {
         next = all->next_wait;
         if (all != e)
-            enqueue(c, all);
+            rk_claim_enqueue(c, all);
     }
     e->state = ENTRY_FOREIGN;
     e->in_batch = false;
-    decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
-               "the key may have run under another node");
+    rk_claim_decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+                        "the key may have run under another node");
 }
 
 static void learn_slot(struct rk_claims *c, const struct rk_slot_read *r,
                        int64_t now_ms, int64_t wall_ms)
 {
     struct json_object *o = json_tokener_parse(r->value), *keys = NULL, *v;
-    struct slot *s = &c->slots[r->slot];
-    *s = (struct slot){.version = r->version,
-                       .seq = get_int(o, "seq"),
-                       .newest_wall_ms = get_int(o, "newest_ms")};
-    int64_t epoch = get_int(o, "epoch");
+    struct claim_slot *s = &c->slots[r->slot];
+    *s = (struct claim_slot){.version = r->version,
+                             .seq = rk_claim_get_int(o, "seq"),
+                             .newest_wall_ms = rk_claim_get_int(o, "newest_ms")};
+    int64_t epoch = rk_claim_get_int(o, "epoch");
     if (epoch > c->epoch)
         c->epoch = epoch;
     int64_t age = wall_ms - s->newest_wall_ms;
@@ -603,32 +352,33 @@
 
 /* ---- asking ---- */
 
-static bool answer_known(struct rk_claims *c, struct entry *e, uint64_t ticket,
-                         bool local, const struct rk_claim_key *key, int64_t now_ms)
+static bool answer_known(struct rk_claims *c, struct claim_entry *e,
+                         uint64_t ticket, bool local,
+                         const struct rk_claim_key *key, int64_t now_ms)
 {
     if (e->key.fingerprint != key->fingerprint) {
-        decide(c, key, ticket, RK_CLAIM_MISMATCH, RK_MAY_HAVE_RUN, NULL, 0,
-               "the key was used for a different request");
+        rk_claim_decide(c, key, ticket, RK_CLAIM_MISMATCH, RK_MAY_HAVE_RUN, NULL, 0,
+                        "the key was used for a different request");
         return true;
     }
     switch (e->state) {
     case ENTRY_DONE:
-        decide(c, key, ticket, RK_CLAIM_REPLAY, RK_RAN,
-               e->has_answer ? &e->answer : NULL, 0, "the key ran before");
+        rk_claim_decide(c, key, ticket, RK_CLAIM_REPLAY, RK_RAN,
+                        e->has_answer ? &e->answer : NULL, 0, "the key ran before");
         return true;
     case ENTRY_FOREIGN:
-        decide(c, key, ticket, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
-               "the key may have run before");
+        rk_claim_decide(c, key, ticket, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+                        "the key may have run before");
         return true;
     case ENTRY_RUNNING:
     case ENTRY_PENDING:
-        add_ticket(c, e, ticket, local, now_ms);
+        rk_claim_add_ticket(c, e, ticket, local, now_ms);
         return true;
     case ENTRY_RELEASED:
         /* It goes through a commit again: that proves we still own the shard. */
-        add_ticket(c, e, ticket, local, now_ms);
+        rk_claim_add_ticket(c, e, ticket, local, now_ms);
         e->state = ENTRY_PENDING;
-        enqueue(c, e);
+        rk_claim_enqueue(c, e);
         return true;
     }
     return false;
@@ -638,30 +388,30 @@
                    bool local, int64_t now_ms)
 {
     if (c->tickets >= c->cfg.max_tickets) {
-        decide(c, &key, ticket, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
-               RETRY_AFTER_MS, "too many claims wait");
+        rk_claim_decide(c, &key, ticket, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
+                        RETRY_AFTER_MS, "too many claims wait");
         return;
     }
-    struct entry *e = *find(c, &key);
+    struct claim_entry *e = *rk_claim_find(c, &key);
     if (e) {
         answer_known(c, e, ticket, local, &key, now_ms);
     } else {
-        e = add_entry(c, &key, ENTRY_PENDING, now_ms);
-        add_ticket(c, e, ticket, local, now_ms);
-        enqueue(c, e);
+        e = rk_claim_add(c, &key, ENTRY_PENDING, now_ms);
+        rk_claim_add_ticket(c, e, ticket, local, now_ms);
+        rk_claim_enqueue(c, e);
     }
 }
 
 void rk_claims_cancel(struct rk_claims *c, uint64_t ticket)
 {
-    for (size_t i = 0; i < BUCKETS; i++) {
-        for (struct entry *e = c->buckets[i]; e; e = e->next) {
-            struct ticket **p = &e->tickets;
+    for (size_t i = 0; i < RK_CLAIM_BUCKETS; i++) {
+        for (struct claim_entry *e = c->buckets[i]; e; e = e->next) {
+            struct claim_ticket **p = &e->tickets;
             while (*p && (*p)->id != ticket)
                 p = &(*p)->next;
             if (!*p)
                 continue;
-            struct ticket *t = *p;
+            struct claim_ticket *t = *p;
             *p = t->next;
             free(t);
             c->tickets--;
@@ -670,7 +420,7 @@
     }
 }
 
-static void keep_answer(struct rk_claims *c, struct entry *e,
+static void keep_answer(struct rk_claims *c, struct claim_entry *e,
                         const struct rk_answer *a)
 {
     if (!a || c->answer_bytes + a->len > c->cfg.answer_bytes)
@@ -686,26 +436,26 @@
                       enum rk_verdict v, const struct rk_answer *answer,
                       int64_t retry_after_ms)
 {
-    struct entry *e = *find(c, &key);
+    struct claim_entry *e = *rk_claim_find(c, &key);
     if (!e || e->state != ENTRY_RUNNING)
         return;
     switch (v) {
     case RK_NOT_RUN:
         e->state = ENTRY_RELEASED;
-        decide_all(c, e, RK_CLAIM_REFUSED, RK_NOT_RUN, NULL, retry_after_ms,
-                   "the call this one joined did not run");
+        rk_claim_decide_all(c, e, RK_CLAIM_REFUSED, RK_NOT_RUN, NULL,
+                            retry_after_ms, "the call this one joined did not run");
         break;
     case RK_RAN:
         e->state = ENTRY_DONE;
         keep_answer(c, e, answer);
-        decide_all(c, e, RK_CLAIM_REPLAY, RK_RAN,
-                   e->has_answer ? &e->answer : answer, 0,
-                   "the key ran once, for both");
+        rk_claim_decide_all(c, e, RK_CLAIM_REPLAY, RK_RAN,
+                            e->has_answer ? &e->answer : answer, 0,
+                            "the key ran once, for both");
         break;
     case RK_MAY_HAVE_RUN:
         e->state = ENTRY_FOREIGN;
-        decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
-                   "the call this one joined may have run");
+        rk_claim_decide_all(c, e, RK_CLAIM_FOREIGN, RK_MAY_HAVE_RUN, NULL, 0,
+                            "the call this one joined may have run");
         break;
     }
 }
@@ -714,33 +464,34 @@
 
 /* Keep a queued entry if somebody waits for it, if its write may stand, or if
  * it was granted from memory and is still to be written. */
-static void requeue_or_drop(struct rk_claims *c, struct entry *e)
+static void requeue_or_drop(struct rk_claims *c, struct claim_entry *e)
 {
     if (e->tickets || e->in_batch || e->state != ENTRY_PENDING)
-        enqueue(c, e);
+        rk_claim_enqueue(c, e);
     else
-        free_entry(c, find(c, &e->key));
+        rk_claim_free(c, rk_claim_find(c, &e->key));
 }
 
 /* End every waiting claim. Not "not run": without a write of ours that stands
  * we can't know what another owner did with the key. */
 static void refuse_pending(struct rk_claims *c, const char *detail)
 {
-    struct entry *e = take_queue(c);
-    for (struct entry *next; e; e = next) {
+    struct claim_entry *e = rk_claim_take_queue(c);
+    for (struct claim_entry *next; e; e = next) {
         next = e->next_wait;
         if (e->state == ENTRY_PENDING)
-            decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
-                       RETRY_AFTER_MS, detail);
+            rk_claim_decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
+                                RETRY_AFTER_MS, detail);
         requeue_or_drop(c, e);
     }
 }
 
 /* The platform is away. Calls that may go on from memory do, if this node knew
  * the shard; the key stays queued and is written once the platform is back. */
-static void lose_patience(struct rk_claims *c, struct entry *e, int64_t now_ms)
+static void lose_patience(struct rk_claims *c, struct claim_entry *e,
+                          int64_t now_ms)
 {
-    struct ticket *t = e->tickets;
+    struct claim_ticket *t = e->tickets;
     int64_t patience = c->cfg.patience_ms;
     if (c->away)
         patience = patience * AWAY_PATIENCE_PCT / 100;
@@ -750,14 +501,14 @@
         grant(c, e);
         return;
     }
-    decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL, RETRY_AFTER_MS,
-               "the platform can't take the claim");
+    rk_claim_decide_all(c, e, RK_CLAIM_REFUSED, RK_MAY_HAVE_RUN, NULL,
+                        RETRY_AFTER_MS, "the platform can't take the claim");
 }
 
 static void give_up_waiting(struct rk_claims *c, int64_t now_ms)
 {
-    struct entry *e = take_queue(c);
-    for (struct entry *next; e; e = next) {
+    struct claim_entry *e = rk_claim_take_queue(c);
+    for (struct claim_entry *next; e; e = next) {
         next = e->next_wait;
         lose_patience(c, e, now_ms);
         requeue_or_drop(c, e);
@@ -769,11 +520,11 @@
     if (now_ms - c->swept_ms < 1000)
         return;
     c->swept_ms = now_ms;
-    for (size_t i = 0; i < BUCKETS; i++) {
-        for (struct entry **p = &c->buckets[i]; *p;) {
+    for (size_t i = 0; i < RK_CLAIM_BUCKETS; i++) {
+        for (struct claim_entry **p = &c->buckets[i]; *p;) {
             bool idle = !(*p)->queued && (*p)->state != ENTRY_RUNNING;
             if (idle && now_ms - (*p)->born_ms > c->cfg.retention_ms)
-                free_entry(c, p);
+                rk_claim_free(c, p);
             else
                 p = &(*p)->next;
         }
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -1,6 +1,5 @@
-/* State of the choice of vms, shared by place.c and place_versions.c. Not for
- * others.
- */
+/* State of the choice of vms, shared by place.c, place_jobs.c and place_versions.c.
+ * Not for others. */
 #ifndef RK_CORE_PLACE_IMPL_H
 #define RK_CORE_PLACE_IMPL_H
 
@@ -26,6 +25,9 @@
     struct memo memos[MEMO_SLOTS];
 };
 
+/* Forget vms that are off the list and have no call. */
+void rk_place_sweep(struct rk_place *p);
+
 /* Which vms are of the new version of their service, and which of them try it. */
 void rk_place_mark_versions(struct rk_place *p);
 
