mesh: a digest of an earlier version, which tells no capacity, changes none

Nodes are replaced one by one: until the last is, a bridge of the version before would have come last at those that hear it, which is what the digest's capacity mends. Found reading the diff; a unit test.

--- a/core/following.c
+++ b/core/following.c
@@ -1,6 +1,6 @@
 #include "core/following.h"
 
-/* Nodes that start together wait to be told, before there are any calls: 10 s. */
+/* Nodes that start together wait so long to be told: callers come 10 s later. */
 #define FIRST_TOLD_MS 3000
 
 bool rk_following_should(const struct rk_following *f)
--- a/core/following.h
+++ b/core/following.h
@@ -19,6 +19,7 @@
  * news are shorter. */
 #define RK_FOLLOWING_STALE_MS   1950
 #define RK_FOLLOWING_STAGGER_MS 100 /* more for each node that comes before */
+
 /* What a node knows when it decides. */
 struct rk_following {
     bool first_start; /* the deployment starts, nothing runs yet */
--- a/node/digest.c
+++ b/node/digest.c
@@ -214,7 +214,8 @@
 static void take_sender(struct member *k, const Rillknot__Digest *d, int64_t now_ms)
 {
     rk_strcpy(k->domain, sizeof(k->domain), d->domain);
-    k->capacity = d->capacity;
+    if (d->capacity > 0) /* nodes of an earlier version don't tell it */
+        k->capacity = d->capacity;
     k->slow = d->slow;
     k->hears_store = d->hears_store;
     k->heard_ms = now_ms;
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -69,7 +69,7 @@
 
 /* A node hears a digest of another, which tells of members as the other knows them.
  */
-static void digest(struct fleet *f, int to, int from, bool fleet)
+static void digest(struct fleet *f, int to, int from, int64_t capacity)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
     Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
@@ -78,9 +78,9 @@
     d.id = id;
     d.addr = addr;
     d.domain = (char *)domain_of(from);
-    d.capacity = CAPACITY;
+    d.capacity = capacity;
     d.incarnation = 1;
-    d.fleet = fleet;
+    d.fleet = true;
     d.members = ptrs;
     for (struct member *k = f->meshes[from].members; k; k = k->next) {
         Rillknot__NodeRow *row = &rows[d.n_members];
@@ -116,7 +116,7 @@
     for (int to = 0; to < NODES; to++)
         for (int from = 0; from < NODES; from++)
             if (from != to && is_bridge[from])
-                digest(f, to, from, true);
+                digest(f, to, from, CAPACITY);
             else if (from != to)
                 report(f, to, from);
 }
@@ -159,7 +159,21 @@
     report(&f, 0, 1);
     name(id, addr, 1);
     rk_mesh_learn(&f.meshes[2], id, addr); /* by its address alone */
-    digest(&f, 0, 2, true);
+    digest(&f, 0, 2, CAPACITY);
+    assert_int_equal(rk_mesh_find(&f.meshes[0], id)->capacity, CAPACITY);
+    end(&f);
+}
+
+/* While nodes are replaced one by one, some still leave it out of their digests. */
+static void a_digest_without_a_capacity_changes_none(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    begin(&f);
+    report(&f, 0, 1);
+    digest(&f, 0, 1, 0);
+    name(id, addr, 1);
     assert_int_equal(rk_mesh_find(&f.meshes[0], id)->capacity, CAPACITY);
     end(&f);
 }
@@ -169,6 +183,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(nodes_agree_however_they_learnt_of_bridges),
         cmocka_unit_test(what_a_bridge_does_not_know_changes_nothing),
+        cmocka_unit_test(a_digest_without_a_capacity_changes_none),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
