clock: what expires goes by time that a suspended machine counts, too

Cause: CLOCK_MONOTONIC stands still while a machine is suspended, so leases, peers' words, windows of quotas and deadlines looked younger than they were. Change: the one steady clock of all modules is CLOCK_BOOTTIME. A suspension then is what a stopped process sees, and that is what leases, words and timers are made for. Weighed: a module that tells how long the machine stood still, asked by each user of time: some 260 places, each of which could forget it. Left on the kernel's steady clock: waits inside epoll and libcurl; the loop's ticks (250 ms) bound the former, calls of 1.5 s the latter.

--- a/common/util.c
+++ b/common/util.c
@@ -18,9 +18,12 @@
     return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
+/* CLOCK_MONOTONIC stands still while the machine is suspended: what a lease, a
+ * peer's word or a deadline has left would look larger by that time, and a holder
+ * that was suspended for longer than its lease acted on. */
 int64_t rk_mono_us(void)
 {
-    return clock_us(CLOCK_MONOTONIC);
+    return clock_us(CLOCK_BOOTTIME);
 }
 
 int64_t rk_mono_ms(void)
--- a/common/util.h
+++ b/common/util.h
@@ -22,7 +22,9 @@
     return (int64_t)(s * RK_MS_PER_S + 0.5);
 }
 
-/* Monotonic and wall clock, in milliseconds. */
+/* Monotonic and wall clock, in milliseconds. The monotonic one counts the time in
+ * which the machine is suspended: for all that expires that is like a process that
+ * was stopped. Timers of the loop that are due by then run at its next turn. */
 int64_t rk_mono_ms(void);
 int64_t rk_wall_ms(void);
 int64_t rk_mono_us(void);
