vms: a vm that starts again is another life; entries of others name none

Cause: nothing read 'born', so a vm that started again under its id stayed leaving, kept its failures, prefixes and pace of before; an entry with a missing or odd field was used as it could be read, one that turned bad stayed as it was.

Change: platform/vms.c decodes an entry into a row or a refusal with its reason; a bad one names no vm (event vm.rejected, counter vms_rejected_total), the others of the list hold; a row of another type in a page, deep nesting, NUL bytes or a last row without a name no longer end the page. A later 'born' is another vm in core/place: what is in hand ends with the old one and says nothing of the new; loads that peers tell carry the life; an entry of an earlier life that comes late changes nothing.

--- a/core/place.c
+++ b/core/place.c
@@ -63,17 +63,22 @@
 static size_t place_of(const struct rk_place *p, const char *id, uint64_t hash)
 {
     size_t at = hash & (p->index_len - 1);
-    while (p->index[at] &&
-           (p->index[at]->hash != hash || strcmp(p->index[at]->row.id, id) != 0))
+    while (p->index[at] && strcmp(p->index[at]->row.id, id) != 0)
         at = (at + 1) & (p->index_len - 1);
     return at;
 }
 
+static void index_vm(struct rk_place *p, struct rk_place_vm *v)
+{
+    p->index[place_of(p, v->row.id, rk_hash_str(0, v->row.id))] = v;
+}
+
 static void index_vms(struct rk_place *p)
 {
     memset(p->index, 0, p->index_len * sizeof(struct rk_place_vm *));
     for (struct rk_place_vm *v = p->vms; v; v = v->next)
-        p->index[place_of(p, v->row.id, v->hash)] = v;
+        if (!v->over)
+            index_vm(p, v);
 }
 
 /* Room for one more vm. */
@@ -97,17 +102,40 @@
     struct rk_place_vm *v = rk_alloc(1, sizeof(*v));
     reserve(p);
     v->row = *row;
-    v->hash = rk_hash_str(0, row->id);
+    v->hash = rk_vm_life(row);
     v->warm_from_ms = now_ms + row->cold_ms;
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_speeds_of(&p->speeds, row->service);
     v->next = p->vms;
     p->vms = v;
     p->vms_len++;
-    p->index[place_of(p, row->id, v->hash)] = v;
+    index_vm(p, v);
     return v;
 }
 
+bool rk_vm_is_reborn(const struct rk_vm_row *before, const struct rk_vm_row *now)
+{
+    return before->born_ms && now->born_ms > before->born_ms;
+}
+
+uint64_t rk_vm_life(const struct rk_vm_row *row)
+{
+    uint64_t hash = rk_hash_str(0, row->id);
+    return row->born_ms ? rk_hash(hash, &row->born_ms, sizeof(row->born_ms)) : hash;
+}
+
+/* Of its life before nothing is known any more but the calls that are in hand. */
+static struct rk_place_vm *begin_life(struct rk_place *p,
+                                      struct rk_place_vm *before,
+                                      const struct rk_vm_row *row, int64_t now_ms)
+{
+    before->over = true;
+    before->listed = false;
+    before->row.leaving = true;
+    index_vms(p);
+    return add(p, row, now_ms);
+}
+
 /* Forget vms that are off the list and have no call of ours in hand. */
 void rk_place_sweep(struct rk_place *p)
 {
@@ -135,12 +163,16 @@
         struct rk_place_vm *v = rk_place_find(p, rows[i].id);
         if (!v)
             v = add(p, &rows[i], now_ms);
+        else if (rk_vm_is_reborn(&v->row, &rows[i]))
+            v = begin_life(p, v, &rows[i], now_ms);
+        v->listed = true;
+        if (rk_vm_is_reborn(&rows[i], &v->row))
+            continue; /* of an earlier life */
         bool leaving = v->row.leaving || rows[i].leaving;
         if (leaving && !v->left_ms)
             v->left_ms = now_ms;
         v->row = rows[i];
         v->row.leaving = leaving; /* it never comes back */
-        v->listed = true;
     }
     rk_place_sweep(p);
     rk_place_mark_versions(p);
@@ -162,6 +194,12 @@
     }
 }
 
+/* As peers are told; 0: its lives can't be told apart. */
+static uint32_t life_told(const struct rk_place_vm *v)
+{
+    return v->row.born_ms ? (uint32_t)v->hash : 0;
+}
+
 void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
                         size_t len, int64_t now_ms)
 {
@@ -172,7 +210,7 @@
     }
     for (size_t i = 0; i < len; i++) {
         struct rk_place_vm *v = rk_place_find(p, loads[i].id);
-        if (!v)
+        if (!v || (loads[i].life && loads[i].life != life_told(v)))
             continue;
         v->peers_running += loads[i].running;
         v->peers_waiting_tokens += loads[i].waiting_tokens;
@@ -188,10 +226,11 @@
     *out = rk_alloc(p->vms_len + 1, sizeof(**out));
     for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
         struct rk_pace pace = rk_pace_at(&v->pace, now_ms);
-        if (v->running <= 0 && pace.calls < TOLD_CALLS)
+        if (v->over || (v->running <= 0 && pace.calls < TOLD_CALLS))
             continue;
         struct rk_vm_load *load = &(*out)[len++];
         rk_strcpy(load->id, sizeof(load->id), v->row.id);
+        load->life = life_told(v);
         load->running = (uint32_t)v->running;
         load->waiting_tokens = v->waiting_tokens;
         load->pace = pace;
--- a/core/place.h
+++ b/core/place.h
@@ -17,7 +17,9 @@
 
 /* A vm as the platform's list tells it. */
 struct rk_vm_row {
-    char id[RK_ID_MAX]; /* of its incarnation */
+    char id[RK_ID_MAX];
+    int64_t
+        born_ms; /* when this life of it was started, by its clock; 0: not told */
     char addr[RK_ADDR_MAX];
     char service[RK_ID_MAX];
     char domain[RK_ID_MAX];
@@ -33,6 +35,7 @@
 /* What nodes have in hand at a vm, and how it served them. */
 struct rk_vm_load {
     char id[RK_ID_MAX];
+    uint32_t life; /* of rk_vm_life(); 0: not told */
     uint32_t running;
     double waiting_tokens; /* of prompts not begun */
     struct rk_pace pace;   /* as it counts when this is told */
@@ -45,6 +48,7 @@
     uint64_t hash;
     uint32_t service_hash;
     bool listed;
+    bool over; /* it was started again since: kept for the calls in hand */
     int calls; /* of this node, in hand: kept until none is left */
     int running;
     int unbegun; /* of these, the ones without a first byte */
@@ -88,6 +92,11 @@
     size_t excluded_len;
 };
 
+/* Is it another life of the same vm? */
+bool rk_vm_is_reborn(const struct rk_vm_row *before, const struct rk_vm_row *now);
+/* A hash that tells its lives apart. */
+uint64_t rk_vm_life(const struct rk_vm_row *row);
+
 struct rk_place;
 
 struct rk_place *rk_place_create(const char *domain, uint64_t seed);
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -43,19 +43,20 @@
     p->loads_len += len;
 }
 
-static int by_id(const void *a, const void *b)
+static int by_vm(const void *a, const void *b)
 {
-    return strcmp(((const struct rk_vm_load *)a)->id,
-                  ((const struct rk_vm_load *)b)->id);
+    const struct rk_vm_load *x = a, *y = b;
+    int order = strcmp(x->id, y->id);
+    return order ? order : (x->life > y->life) - (x->life < y->life);
 }
 
-/* One row for each vm. */
+/* One row for each life of a vm. */
 static void sum_loads(struct making *p)
 {
     size_t len = 0;
-    qsort(p->loads, p->loads_len, sizeof(*p->loads), by_id);
+    qsort(p->loads, p->loads_len, sizeof(*p->loads), by_vm);
     for (size_t i = 0; i < p->loads_len; i++) {
-        if (len && !strcmp(p->loads[len - 1].id, p->loads[i].id))
+        if (len && !by_vm(&p->loads[len - 1], &p->loads[i]))
             rk_loads_sum(&p->loads[len - 1], &p->loads[i]);
         else
             p->loads[len++] = p->loads[i];
--- a/node/loads.c
+++ b/node/loads.c
@@ -16,6 +16,7 @@
     out->pace_log_sum = (float)load->pace.log_sum;
     out->pace_failed = (float)load->pace.failed;
     out->pace_calls = (float)load->pace.calls;
+    out->life = load->life;
 }
 
 static struct rk_pace read_pace(const Rillknot__VmUse *told)
@@ -36,7 +37,8 @@
     *len = told_len;
     for (size_t i = 0; i < told_len; i++) {
         struct rk_vm_load *load = &(*loads)[i];
-        *load = (struct rk_vm_load){.running = told[i]->running,
+        *load = (struct rk_vm_load){.life = told[i]->life,
+                                    .running = told[i]->running,
                                     .waiting_tokens = told[i]->waiting_tokens,
                                     .pace = read_pace(told[i])};
         rk_strcpy(load->id, sizeof(load->id), told[i]->id);
--- a/node/platform.h
+++ b/node/platform.h
@@ -23,8 +23,9 @@
     /* RK_EINVAL with a last message when it can't be used. */
     enum rk_status (*parse_routes)(struct json_object *spec,
                                    struct rk_routes **out);
-    bool (*parse_vm)(const char *name, struct json_object *spec,
-                     struct rk_vm_row *out);
+    /* The same, when the entry names no vm that can be used. */
+    enum rk_status (*parse_vm)(const char *name, struct json_object *spec,
+                               struct rk_vm_row *out);
     bool (*parse_rollout)(struct json_object *spec, struct json_object *status,
                           struct rk_rollout_order *out);
     void (*rollout_status)(const char *version, enum rk_rollout_state state,
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/zip.h"
 #include "node/sync_impl.h"
@@ -61,7 +62,8 @@
     RK_EVENT("vm.changed", RK_S("vm", row->id), RK_S("what", what),
              RK_S("from", from), RK_S("service", row->service),
              RK_S("domain", row->domain), RK_S("addr", row->addr),
-             RK_N("leaving", row->leaving), RK_N("reclaimable", row->reclaimable));
+             RK_N("leaving", row->leaving), RK_N("reclaimable", row->reclaimable),
+             RK_N("born_ms", row->born_ms));
 }
 
 static bool same_row(const struct rk_vm_row *a, const struct rk_vm_row *b)
@@ -69,7 +71,41 @@
     return !strcmp(a->addr, b->addr) && !strcmp(a->service, b->service) &&
            !strcmp(a->domain, b->domain) && a->slots == b->slots &&
            !strcmp(a->version, b->version) && a->leaving == b->leaving &&
-           a->reclaimable == b->reclaimable && a->leaves_in_ms == b->leaves_in_ms;
+           a->born_ms == b->born_ms && a->reclaimable == b->reclaimable &&
+           a->leaves_in_ms == b->leaves_in_ms;
+}
+
+static bool drop_entry(struct rk_sync *s, const struct gone *told,
+                       const char *from);
+
+/* What stands there now names no vm: none is used, until it does again. */
+static bool reject_entry(struct rk_sync *s, const char *name, int64_t revision,
+                         const char *from)
+{
+    struct gone g = {.revision = revision, .at = revision};
+    RK_WARN("vm.rejected", RK_S("vm", name), RK_S("why", rk_last_error()),
+            RK_S("from", from), RK_N("revision", revision));
+    rk_count(RK_C_VMS_REJECTED, 1);
+    if (!find_entry(s, name))
+        return false;
+    rk_strcpy(g.name, sizeof(g.name), name);
+    return drop_entry(s, &g, from);
+}
+
+/* Keep what is known of a vm, where that doesn't come with what is told now; false:
+ * an earlier life of it told that, and it arrived late. */
+static bool keep_known(struct entry *e, struct rk_vm_row *row, int64_t revision)
+{
+    if (rk_vm_is_reborn(row, &e->row))
+        return false;
+    if (rk_vm_is_reborn(&e->row, row)) {
+        e->first_revision = revision;
+        return true;
+    }
+    if (!row->born_ms)
+        row->born_ms = e->row.born_ms;
+    row->leaving = row->leaving || e->row.leaving;
+    return true;
 }
 
 /* Returns true if traffic has to know. */
@@ -78,17 +114,19 @@
 {
     struct rk_vm_row row;
     struct entry *e = find_entry(s, name);
-    if ((e && e->revision >= revision) ||
-        !s->n->platform->parse_vm(name, spec, &row))
+    if (e && e->revision >= revision)
         return false;
+    if (s->n->platform->parse_vm(name, spec, &row) != RK_OK)
+        return reject_entry(s, name, revision, from);
     const char *what = e ? "updated" : "added";
-    bool was_leaving = e && e->row.leaving;
     if (!e) {
         e = add_entry(s, name);
         e->first_revision = revision;
+    } else if (!keep_known(e, &row, revision)) {
+        e->revision = revision;
+        return false;
     }
     bool changed = !same_row(&e->row, &row);
-    row.leaving = row.leaving || was_leaving;
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
     e->revision = revision;
@@ -282,9 +320,11 @@
         note_hole(s, before, at);
     }
     for (size_t i = 0; i < len; i++) {
+        if (!objects[i].name[0])
+            continue; /* no name that can be read: it is no vm's */
         if (objects[i].gone)
             changed |= drop_told(s, &objects[i], at);
-        else if (objects[i].spec)
+        else
             changed |= set_entry(s, objects[i].name, objects[i].revision,
                                  objects[i].spec, "store");
     }
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2908,7 +2908,7 @@
   (ProtobufCMessageInit) rillknot__state_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__vm_use__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rillknot__vm_use__field_descriptors[7] =
 {
   {
     "id",
@@ -2982,9 +2982,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "life",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmUse, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__vm_use__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  6,   /* field[6] = life */
   5,   /* field[5] = pace_calls */
   4,   /* field[4] = pace_failed */
   3,   /* field[3] = pace_log_sum */
@@ -2994,7 +3007,7 @@
 static const ProtobufCIntRange rillknot__vm_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rillknot__vm_use__descriptor =
 {
@@ -3004,7 +3017,7 @@
   "Rillknot__VmUse",
   "rillknot",
   sizeof(Rillknot__VmUse),
-  6,
+  7,
   rillknot__vm_use__field_descriptors,
   rillknot__vm_use__field_indices_by_name,
   1,  rillknot__vm_use__number_ranges,
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -230,9 +230,21 @@
     return false;
 }
 
+/* Connections that rest, to an earlier life of a vm, lead nowhere. */
+static void forget_earlier_lives(struct rk_relay *r, const struct rk_vm_row *rows,
+                                 size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        const struct rk_place_vm *vm = rk_place_find(r->place, rows[i].id);
+        if (vm && rk_vm_is_reborn(&vm->row, &rows[i]))
+            rk_upstreams_forget(r->upstreams, rows[i].id);
+    }
+}
+
 static void take_vms(void *ctx)
 {
     struct message *m = ctx;
+    forget_earlier_lives(m->r, m->rows, m->rows_len);
     rk_place_set_vms(m->r->place, m->rows, m->rows_len, rk_mono_ms());
     m->r->vms_known = true;
     accept_if_known(m->r);
--- a/serve/relay_suspect.c
+++ b/serve/relay_suspect.c
@@ -180,7 +180,7 @@
 static struct rk_vm_check *check_of(struct rk_relay *r,
                                     const struct rk_place_vm *vm)
 {
-    uint32_t life = (uint32_t)rk_hash_str(0, vm->row.id);
+    uint32_t life = (uint32_t)vm->hash;
     for (struct rk_vm_check *k = r->vm_checks; k; k = k->next)
         if (k->vm == life)
             return k;
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -288,11 +288,13 @@
     free(u);
 }
 
+/* A vm that starts again may do so at another address while calls are still in hand
+ * at the old one. */
 static struct pool *pool_of(struct rk_upstreams *u, const char *vm_id,
                             const char *addr)
 {
     struct pool *p = u->pools;
-    while (p && strcmp(p->vm_id, vm_id) != 0)
+    while (p && (strcmp(p->vm_id, vm_id) != 0 || strcmp(p->addr, addr) != 0))
         p = p->next;
     if (p)
         return p;
@@ -356,6 +358,13 @@
     return call;
 }
 
+void rk_upstreams_forget(struct rk_upstreams *u, const char *vm_id)
+{
+    for (struct pool *p = u->pools; p; p = p->next)
+        while (!strcmp(p->vm_id, vm_id) && p->idle)
+            drop_link(p->idle);
+}
+
 bool rk_upstream_sent(const struct rk_upstream_call *call)
 {
     return call->reused || rk_conn_has_sent(call->link->conn);
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -57,6 +57,9 @@
 struct rk_upstream_call *rk_upstream_start(struct rk_upstreams *u,
                                            const struct rk_upstream_spec *spec);
 
+/* Close the connections to a vm that have no call: it was started again. */
+void rk_upstreams_forget(struct rk_upstreams *u, const char *vm_id);
+
 /* Give up: the connection is closed, no callback comes. */
 void rk_upstream_cancel(struct rk_upstream_call *call);
 
--- a/tests/prop_fuzz.cc
+++ b/tests/prop_fuzz.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <json-c/json.h>
+
 extern "C" {
 #include "callers/parse.h"
 #include "core/call.h"
@@ -17,6 +19,12 @@
 #include "core/settings.h"
 #include "core/stream.h"
 #include "peers/link.h"
+#include "common/status.h"
+#include "core/place.h"
+
+/* platform/drivers.h, which is no C++. */
+enum rk_status rk_hosted_parse_vm(const char *name, struct json_object *spec,
+                                  struct rk_vm_row *out);
 }
 
 namespace {
@@ -229,12 +237,32 @@
     rk_claims_destroy(c);
 }
 
+// An entry of the list of vms, damaged: it is refused, or is a row within its
+// bounds.
+void entries_of_the_list()
+{
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
+        R"("state":"draining","coldLeftMs":20,"spot":true,"leaves_ms":2100,"seqNo":4,)"
+        R"("born":1764740000000,"models":[{"name":"m","version":1}]})";
+    const std::string s = *rc::gen::inRange(0, 8) ? damage(good) : garbage();
+    json_object *o = json_tokener_parse(text(s).c_str());
+    rk_vm_row row;
+    if (rk_hosted_parse_vm("i-1", o, &row) == RK_OK) {
+        RC_ASSERT(row.slots >= 1 && row.cold_ms >= 0 && row.born_ms >= 0);
+        RC_ASSERT(row.service[0] && row.domain[0] && row.version[0]);
+        RC_ASSERT(row.leaves_in_ms >= -1);
+    }
+    json_object_put(o);
+}
+
 } // namespace
 
 int main()
 {
     static const Property properties[] = {
         {"frames", frames},
+        {"entries_of_the_list", entries_of_the_list},
         {"settings", settings},
         {"changes", changes},
         {"streams", streams},
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -304,12 +304,13 @@
         self.moved = []  # requests whose memory was copied away
         self.went_on = []  # requests that went on from a copy
         self.stopped = False
+        self.born = int(time.time() * 1000)
         super().__init__()
 
     def spec(self, state="ready", spot=False):
         return {"service": self.service, "address": self.addr, "zone": self.zone,
                 "version": self.version, "slots": self.slots, "state": state, "coldLeftMs": 0,
-                "spot": spot, "seqNo": 1}
+                "spot": spot, "seqNo": 1, "born": self.born}
 
     def move(self, req, conn):
         """Stops a run, and copies its memory to another worker."""
