--- a/serve/attempts.c
+++ b/serve/attempts.c
@@ -11,7 +11,11 @@
 #include "serve/exchange_impl.h"
 #include "services/attempt.h"
 
-#define MAX_ATTEMPTS   8
+#define MAX_ATTEMPTS 8
+/* A call under which so many VMs were lost, without notice, may be what ends them:
+ * each takes its other calls along. */
+#define LOST_VMS_MAX   3
+#define FIRST_REFUSAL  300 /* HTTP status */
 #define COLLECT_MAX    (1024 * 1024)
 #define SPARE_EVERY_MS 100
 #define RECHECK_MS     25
@@ -46,7 +50,7 @@
 /* After a failed attempt: may another one go out? */
 static bool may_retry(struct rk_exchange *x, enum rk_verdict v, bool overload)
 {
-    if (x->attempts >= MAX_ATTEMPTS ||
+    if (x->attempts >= MAX_ATTEMPTS || x->lost_vms >= LOST_VMS_MAX ||
         !rk_verdict_allows_retry(v, x->policy.repeatable))
         return false;
     /* A lost vm asks for no budget: its work must go somewhere. A refusal or a
@@ -71,6 +75,8 @@
     bool leaving = rk_router_vm_leaving(x->t->router, x->job.vm);
     bool overload =
         end->http_status || (end->handed && !leaving && !x->stream.next);
+    bool refused = end->http_status >= FIRST_REFUSAL;
+    x->lost_vms += end->handed && !end->answered && !refused && !leaving;
     if (!x->sink && v != RK_NOT_RUN) {
         rk_exchange_give_up(x, 504, 0, x->detail);
         return;
--- a/tests/run.py
+++ b/tests/run.py
@@ -43,6 +43,7 @@
     "proc_hosted_calls": "hosted  calls by routes: bytes, at most once, streams, time",
     "proc_hosted_input": "hosted  bad input",
     "proc_hosted_entries": "hosted  vms that start again, entries of another writer",
+    "proc_crashes": "9     a call that ends its vms gets three of them",
     "proc_hosted_crashes": "hosted  a request that ends its vms is sent no more",
     "proc_hosted_moves": "hosted  streams move from engines that leave, whole",
     "proc_hosted_rollouts": "hosted  versions: good ones taken, bad ones given back",
