quota: what the store kept counts as late as it can have been used

Two guesses of core/quota were too low when a record is taken over: what its writer had not heard yet was counted only where it exceeded half of the record's age, not on top of it; and use was spread over its part (1 s) of the window, so that a burst left up to a part too soon. Change: both as a bound from above. Ruled out by the process tests: calls within a quota are refused for it (0 of 158 before and after).

--- a/core/quota.c
+++ b/core/quota.c
@@ -19,7 +19,7 @@
 #define RECENT_SLOTS    3    /* buckets that show what was admitted here lately */
 #define SURGE           3.0 /* peers are taken to admit so many times the mean at most */
 #define RESTORED_MAX_MS 2500  /* what was kept before is too old to go by */
-#define UNKEPT_MIN_MS   400.0 /* use that may have missed the last writing */
+#define UNHEARD_MS      400.0 /* of use that its writer had not heard of yet */
 #define UNKEPT_PART     0.5   /* of its age: the rest, nothing ran any more */
 #define UNKEPT_SURGE    2.0   /* times its rate then, it may have been used at */
 #define HEALED_TIMES    1.05  /* more nodes than before are heard: a cut is over */
@@ -260,17 +260,16 @@
     o->restored_asking = asking;
     double all = 0, newest = parts[0] > parts[1] ? parts[0] : parts[1];
     int64_t part_ms = q->window_ms / RK_QUOTA_PARTS;
+    /* When in its part it was used isn't kept: taken as late as it can have been, it
+     * leaves the window up to a part too late. Spread over the part, a burst left half
+     * a part too soon, and 1.08 of a quota was admitted around a kill of all. */
     for (int64_t i = 0; i < RK_QUOTA_PARTS; i++) {
-        for (int64_t ms = bucket_ms(q) / 2; ms < part_ms; ms += bucket_ms(q))
-            add_restored(q, o, parts[i] * (double)bucket_ms(q) / (double)part_ms,
-                         age_ms + i * part_ms + ms);
+        add_restored(q, o, parts[i], age_ms + i * part_ms);
         all += parts[i];
     }
     double mean = all / RK_QUOTA_PARTS;
     double rate = (newest > mean ? newest : mean) / (double)part_ms;
-    double unkept_ms = (double)age_ms * UNKEPT_PART;
-    if (unkept_ms < UNKEPT_MIN_MS)
-        unkept_ms = UNKEPT_MIN_MS;
+    double unkept_ms = (double)age_ms * UNKEPT_PART + UNHEARD_MS;
     add_restored(q, o, rate * UNKEPT_SURGE * unkept_ms, age_ms / 2);
 }
 
