--- a/common/loop.c
+++ b/common/loop.c
@@ -92,6 +92,8 @@
 bool rk_loop_post(struct rk_loop *l, rk_call_fn *fn, void *ctx)
 {
     struct dispatch_entry e = {.fn = fn, .ctx = ctx};
+    if (atomic_load(&l->stopping))
+        return false;
     RK_TSAN_RELEASE(&l->ring);
     if (!CK_RING_ENQUEUE_MPSC(dispatch, &l->ring, l->ring_buf, &e))
         return false;
--- a/common/loop.h
+++ b/common/loop.h
@@ -47,8 +47,8 @@
 void rk_timer_start(struct rk_loop *loop, struct rk_timer *t, int64_t delay_ms);
 void rk_timer_stop(struct rk_loop *loop, struct rk_timer *t);
 
-/* Queue fn(ctx) to run on the loop's thread. Any thread. False when the queue
- * is full: the caller keeps ctx and answers for it. */
+/* Queue fn(ctx) to run on the loop's thread. Any thread. False when the queue is
+ * full or the loop was stopped: the caller keeps ctx and answers for it. */
 bool rk_loop_post(struct rk_loop *loop, rk_call_fn *fn, void *ctx);
 
 #endif
--- a/control/claims_io.c
+++ b/control/claims_io.c
@@ -26,7 +26,6 @@
     struct shard shards[RK_MAX_SHARDS];
     struct rk_timer tick;
     int failures; /* calls in a row that got no answer, over all shards */
-    bool ended;   /* no thread takes messages any more */
 };
 
 /* One object API call for a shard. */
@@ -244,7 +243,7 @@
 
 static bool post(struct message *m)
 {
-    if (!m->io->ended && rk_loop_post(m->io->c->loop, on_message, m))
+    if (rk_loop_post(m->io->c->loop, on_message, m))
         return true;
     free(m->answer.body);
     free(m);
@@ -293,11 +292,6 @@
     post(m);
 }
 
-void rk_claims_io_end(struct rk_claims_io *io)
-{
-    io->ended = true;
-}
-
 struct rk_claim_port rk_claims_io_port(struct rk_claims_io *io)
 {
     return (struct rk_claim_port){
--- a/control/control.c
+++ b/control/control.c
@@ -151,11 +151,6 @@
     return rk_claims_io_port(c->claims);
 }
 
-void rk_control_end(struct rk_control *c)
-{
-    rk_claims_io_end(c->claims);
-}
-
 const char *rk_control_addr(const struct rk_control *c)
 {
     return rk_gossip_addr(c->gossip);
--- a/control/control.h
+++ b/control/control.h
@@ -36,8 +36,6 @@
 void rk_control_set_traffic(struct rk_control *c, struct rk_traffic **traffic,
                             size_t n);
 struct rk_claim_port rk_control_claim_port(struct rk_control *c);
-/* All threads have ended: what calls still tell when they are ended is dropped. */
-void rk_control_end(struct rk_control *c);
 const char *rk_control_addr(const struct rk_control *c);
 
 /* Publish the first view and start gossip and watches. Control thread, or
--- a/control/state.h
+++ b/control/state.h
@@ -71,6 +71,5 @@
 struct rk_claims_io *rk_claims_io_create(struct rk_control *c);
 void rk_claims_io_destroy(struct rk_claims_io *io);
 struct rk_claim_port rk_claims_io_port(struct rk_claims_io *io);
-void rk_claims_io_end(struct rk_claims_io *io); /* no thread runs any more */
 
 #endif
--- a/core/claims.c
+++ b/core/claims.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json.h"
 #include "core/claims_impl.h"
 
 #define TAKEOVER_PAUSE_MS 15 /* after each lost race for the shard, growing */
@@ -302,9 +303,9 @@
     struct json_object *o = json_tokener_parse(r->value), *keys = NULL, *v;
     struct claim_slot *s = &c->slots[r->slot];
     *s = (struct claim_slot){.version = r->version,
-                             .seq = rk_claim_get_int(o, "seq"),
-                             .newest_wall_ms = rk_claim_get_int(o, "newest_ms")};
-    int64_t epoch = rk_claim_get_int(o, "epoch");
+                             .seq = rk_json_int(o, "seq", 0),
+                             .newest_wall_ms = rk_json_int(o, "newest_ms", 0)};
+    int64_t epoch = rk_json_int(o, "epoch", 0);
     if (epoch > c->epoch)
         c->epoch = epoch;
     int64_t age = wall_ms - s->newest_wall_ms;
--- a/core/claims_impl.h
+++ b/core/claims_impl.h
@@ -5,8 +5,6 @@
 
 #include "core/claims.h"
 
-struct json_object;
-
 #define RK_CLAIM_BUCKETS  1024
 #define RK_CLAIM_TEXT_LEN 40 /* 16 + 16 + 8 hex digits */
 
@@ -117,8 +115,6 @@
 void rk_claim_key_text(char out[RK_CLAIM_TEXT_LEN + 1],
                        const struct rk_claim_key *k);
 bool rk_claim_parse_key(const char *s, struct rk_claim_key *k);
-/* A number of an object; 0: it has none of that name. */
-int64_t rk_claim_get_int(struct json_object *o, const char *name);
 /* The text of the write under way. */
 void rk_claim_build_value(struct rk_claims *c);
 
--- a/core/claims_table.c
+++ b/core/claims_table.c
@@ -1,6 +1,5 @@
 #include <assert.h>
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -152,12 +151,6 @@
                   &k->fingerprint) == 3;
 }
 
-int64_t rk_claim_get_int(struct json_object *o, const char *name)
-{
-    struct json_object *v;
-    return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
-}
-
 void rk_claim_build_value(struct rk_claims *c)
 {
     struct rk_buf b = {0};
--- a/core/place_versions.c
+++ b/core/place_versions.c
@@ -38,15 +38,6 @@
     }
 }
 
-static const struct rk_rollout_rule *rule_of(const struct rk_rollout_rule *rules,
-                                             size_t len, const char *service)
-{
-    for (size_t i = 0; i < len; i++)
-        if (!strcmp(rules[i].service, service))
-            return &rules[i];
-    return NULL;
-}
-
 static void add_rollout(struct rk_place *p, const struct rk_rollout_rule *rule,
                         bool is_fresh)
 {
@@ -66,7 +57,7 @@
                            size_t len, bool is_fresh)
 {
     for (size_t i = 0; i < RK_ROLLOUTS; i++)
-        if (!rule_of(rules, len, p->rollouts[i].rule.service))
+        if (!rk_rollout_rule_find(rules, len, p->rollouts[i].rule.service))
             p->rollouts[i].rule = (struct rk_rollout_rule){0};
     for (size_t i = 0; i < len; i++)
         add_rollout(p, &rules[i], is_fresh);
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -49,6 +49,16 @@
     return NULL;
 }
 
+const struct rk_rollout_rule *
+rk_rollout_rule_find(const struct rk_rollout_rule *rules, size_t len,
+                     const char *service)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(rules[i].service, service))
+            return &rules[i];
+    return NULL;
+}
+
 size_t rk_rollout_add(struct rk_trial_rows *sum, const struct rk_trial_rows *more)
 {
     size_t left_out = 0;
@@ -92,11 +102,17 @@
            r->rule.phase == RK_ROLLOUT_GIVEN_BACK;
 }
 
-/* Part of the time that has passed. */
+/* Of the time ordered, what has passed. */
+static double passed_ms(const struct rk_rollout *r, int64_t now_ms)
+{
+    return (double)(now_ms - r->begun_ms);
+}
+
+/* The same as a part of it. */
 static double passed(const struct rk_rollout *r, int64_t now_ms)
 {
     double all = (double)(r->order.duration_ms > 0 ? r->order.duration_ms : 1);
-    return (double)(now_ms - r->begun_ms) / all;
+    return passed_ms(r, now_ms) / all;
 }
 
 static void enter(struct rk_rollout *r, enum rk_rollout_phase phase, int64_t now_ms)
@@ -173,8 +189,7 @@
     count_calls(v->seen, &all, &tried);
     double gone_ms = fmax(RATE_MS, (double)(v->now_ms - r->phase_ms));
     double per_ms = fmax(all / gone_ms, 1e-6);
-    double left_ms =
-        fmax(RATE_MS, trial_end_ms(r, v) - (double)(v->now_ms - r->begun_ms));
+    double left_ms = fmax(RATE_MS, trial_end_ms(r, v) - passed_ms(r, v->now_ms));
     double may = TRIAL_PART * (r->bounds.share * (all + per_ms * left_ms) +
                                r->bounds.slack) -
                  tried;
@@ -241,17 +256,15 @@
     return all >= TRIED_MIN && tried < TRIED_MIN;
 }
 
-/* Is it time for more than a trial? */
+/* Was it found good, and not too soon? */
 static bool is_tried(const struct rk_rollout *r, const struct rk_rollout_view *v)
 {
-    return (double)(v->now_ms - r->begun_ms) >= trial_end_ms(r, v) ||
-           (passed(r, v->now_ms) >= TRIAL_MIN &&
-            r->finding.verdict == RK_TRIAL_GOOD);
+    return passed(r, v->now_ms) >= TRIAL_MIN && r->finding.verdict == RK_TRIAL_GOOD;
 }
 
 static void step_trial(struct rk_rollout *r, const struct rk_rollout_view *v)
 {
-    bool late = (double)(v->now_ms - r->begun_ms) >= trial_end_ms(r, v);
+    bool late = passed_ms(r, v->now_ms) >= trial_end_ms(r, v);
     set_trial(r, v);
     /* Time is over and it hasn't come, hardly was tried, or more speaks against it
      * than for it. */
@@ -261,7 +274,7 @@
         give_back(r, v->now_ms);
         return;
     }
-    if (!is_tried(r, v) || !v->new_vms)
+    if ((!late && !is_tried(r, v)) || !v->new_vms)
         return;
     if (is_to_load(r, v))
         begin_load(r, v);
@@ -273,7 +286,7 @@
 {
     double all_ms = (double)r->order.duration_ms;
     double end_ms = fmin(SHIFT_END * all_ms, all_ms - SPARE_MS);
-    bool quiet = v->old_running <= 0 || (double)(v->now_ms - r->begun_ms) >= end_ms;
+    bool quiet = v->old_running <= 0 || passed_ms(r, v->now_ms) >= end_ms;
     if (quiet && v->now_ms - r->phase_ms >= DRAIN_MS)
         enter(r, RK_ROLLOUT_TAKEN, v->now_ms);
 }
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -89,6 +89,10 @@
 struct rk_rollout_seen *rk_rollout_seen_of(struct rk_rollout_seen *all, size_t len,
                                            const char *service,
                                            const char *version);
+/* The rule of a service; NULL: there is none. */
+const struct rk_rollout_rule *
+rk_rollout_rule_find(const struct rk_rollout_rule *rules, size_t len,
+                     const char *service);
 /* Add rows to a sum; those that can't be are left out, and counted. */
 size_t rk_rollout_add(struct rk_trial_rows *sum, const struct rk_trial_rows *more);
 
--- a/core/trial.c
+++ b/core/trial.c
@@ -119,9 +119,8 @@
     return calls * slower / spread * (more - slower / 2);
 }
 
-/* Sums of a route ("": of all), without a domain ("": with all). */
-static struct rk_trial_seen sum_of(const struct rk_trial_rows *t, const char *route,
-                                   bool tried, const char *without)
+struct rk_trial_seen rk_trial_sum(const struct rk_trial_rows *t, const char *route,
+                                  bool tried, const char *without)
 {
     struct rk_trial_seen sum = {0};
     for (size_t i = 0; i < t->len; i++) {
@@ -138,11 +137,11 @@
 static double evidence(const struct rk_trial_rows *t, const char *route,
                        bool is_time, const char *without)
 {
-    struct rk_trial_seen tried = sum_of(t, route, true, without);
-    struct rk_trial_seen serving = sum_of(t, route, false, without);
+    struct rk_trial_seen tried = rk_trial_sum(t, route, true, without);
+    struct rk_trial_seen serving = rk_trial_sum(t, route, false, without);
     /* A route that the old version doesn't get is measured against all. */
     if (!serving.calls)
-        serving = sum_of(t, "", false, without);
+        serving = rk_trial_sum(t, "", false, without);
     return is_time ? by_time(&tried, &serving) : by_failures(&tried, &serving);
 }
 
@@ -155,8 +154,8 @@
     worst->evidence = found;
     worst->by_time = is_time;
     rk_strcpy(worst->route, sizeof(worst->route), route);
-    worst->tried = sum_of(t, route, true, "");
-    worst->serving = sum_of(t, route, false, "");
+    worst->tried = rk_trial_sum(t, route, true, "");
+    worst->serving = rk_trial_sum(t, route, false, "");
 }
 
 /* Do the vms of each domain but the worst speak against it? */
@@ -167,7 +166,7 @@
         return true;
     for (size_t i = 0; i < t->len; i++) {
         const char *domain = t->rows[i].domain;
-        struct rk_trial_seen rest = sum_of(t, worst->route, true, domain);
+        struct rk_trial_seen rest = rk_trial_sum(t, worst->route, true, domain);
         if (!t->rows[i].tried)
             continue;
         if (rest.calls < REST_CALLS ||
--- a/core/trial.h
+++ b/core/trial.h
@@ -47,6 +47,10 @@
 /* A call failed; timed: after its first byte. */
 void rk_trial_note_failure(struct rk_trial_seen *s, bool timed);
 void rk_trial_add(struct rk_trial_seen *sum, const struct rk_trial_seen *more);
+/* Sum of one version's rows of a route ("": of all), without a domain ("": with
+ * all). */
+struct rk_trial_seen rk_trial_sum(const struct rk_trial_rows *t, const char *route,
+                                  bool tried, const char *without);
 /* Mean of seen by expected times, in hundredths; 0: none is known. */
 int64_t rk_trial_pace_pct(const struct rk_trial_seen *s);
 /* Can it be one? A peer may tell anything. */
--- a/node/rollout_metrics.c
+++ b/node/rollout_metrics.c
@@ -88,17 +88,6 @@
 
 /* ---- calls ---- */
 
-/* Both versions' rows of one route, over all failure domains. */
-static struct rk_trial_seen sum_of(const struct rk_trial_rows *t, const char *route,
-                                   bool tried)
-{
-    struct rk_trial_seen sum = {0};
-    for (size_t i = 0; i < t->len; i++)
-        if (t->rows[i].tried == tried && !strcmp(t->rows[i].route, route))
-            rk_trial_add(&sum, &t->rows[i].seen);
-    return sum;
-}
-
 static bool is_first_of(const struct rk_trial_rows *t, size_t row)
 {
     for (size_t i = 0; i < row; i++)
@@ -136,7 +125,7 @@
             if (!is_first_of(&seen->rows, j))
                 continue;
             const struct rk_trial_seen sum =
-                sum_of(&seen->rows, row->route, row->tried);
+                rk_trial_sum(&seen->rows, row->route, row->tried, "");
             const char *version =
                 row->tried ? seen->version
                            : rk_rollouts_before(r, seen->service, seen->version);
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -10,10 +10,6 @@
 #include "node/rollouts_impl.h"
 #include "objects/store.h"
 
-#define BEGUN_KIND                                                                 \
-    "rillknot-rollouts" /* when each was ordered, by the wall clock */
-#define SERVICES 32
-#define RETRY_MS 400 /* between tries to write */
 /* A word that is older lets nobody try a version that is not judged yet: holders
  * tell it four times a second, over two bridges at the most. */
 #define FRESH_MS 1500
@@ -44,12 +40,10 @@
 const char *rk_rollouts_before(const struct rk_rollouts *r, const char *service,
                                const char *version)
 {
-    for (size_t i = 0; i < r->serving_len; i++) {
-        const struct serving *s = &r->serving[i];
-        if (!strcmp(s->service, service))
-            return strcmp(s->version, version) != 0 ? s->version : s->before;
-    }
-    return "";
+    const struct serving *s = serving_of((struct rk_rollouts *)r, service);
+    if (!s)
+        return "";
+    return strcmp(s->version, version) != 0 ? s->version : s->before;
 }
 
 static size_t count_version(const struct rk_vm_row *rows, size_t len,
@@ -81,10 +75,7 @@
 const struct rk_rollout_rule *rk_rollout_rule_of(const struct rk_rollout_word *word,
                                                  const char *service)
 {
-    for (size_t i = 0; i < word->len; i++)
-        if (!strcmp(word->rules[i].service, service))
-            return &word->rules[i];
-    return NULL;
+    return rk_rollout_rule_find(word->rules, word->len, service);
 }
 
 const struct rk_rollout_rule *rk_rollouts_moving(const struct rk_rollouts *r,
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -293,7 +293,6 @@
 
 static void destroy_node(struct node *n)
 {
-    rk_control_end(n->control);
     for (size_t i = 0; i < n->workers_len; i++) {
         rk_view_enter(n->workers[i].traffic->views);
         rk_callers_destroy(n->workers[i].callers);
--- a/tests/prop_following.cc
+++ b/tests/prop_following.cc
@@ -213,6 +213,21 @@
     }
 }
 
+// All that happens in one step.
+void step(Domain *d)
+{
+    if (d->now_ms % TELL_MS == 0)
+        tell_all(d);
+    for (size_t i = 0; i < d->nodes.size(); i++) {
+        if (!d->runs(i))
+            continue;
+        if (d->now_ms % RK_FOLLOWING_TICK_MS == 0)
+            decide(d, i);
+        watch(d, i);
+    }
+    spread(d);
+}
+
 // The bound, if the node with `before` nodes in front of it is the first that can
 // follow the store: the age at which it does, decided once in a tick, tried again
 // once it was turned away; bridges that are gone are noticed first.
@@ -255,16 +270,7 @@
             trouble(&d);
             next_ms = d.now_ms + *rc::gen::inRange(50, 1500);
         }
-        if (d.now_ms % TELL_MS == 0)
-            tell_all(&d);
-        for (size_t i = 0; i < d.nodes.size(); i++) {
-            if (!d.runs(i))
-                continue;
-            if (d.now_ms % RK_FOLLOWING_TICK_MS == 0)
-                decide(&d, i);
-            watch(&d, i);
-        }
-        spread(&d);
+        step(&d);
         check(d);
         check_the_others_let_go(d);
     }
@@ -275,14 +281,9 @@
 {
     Domain d = any_domain();
     for (; d.now_ms < END_MS; d.now_ms += STEP_MS) {
-        if (d.now_ms % TELL_MS == 0)
-            tell_all(&d);
-        for (size_t i = 0; i < d.nodes.size(); i++) {
-            if (d.now_ms % RK_FOLLOWING_TICK_MS == 0)
-                decide(&d, i);
-            watch(&d, i);
+        step(&d);
+        for (size_t i = 0; i < d.nodes.size(); i++)
             RC_ASSERT(d.nodes[i].follows == (i == 0));
-        }
     }
 }
 
@@ -299,14 +300,7 @@
     d.nodes[0].refused = d.nodes[1].refused = true;
     int64_t deaf_ms = 0, counted_ms = 0;
     for (; d.now_ms < 60000; d.now_ms += STEP_MS) {
-        if (d.now_ms % TELL_MS == 0)
-            tell_all(&d);
-        for (size_t i = 0; i < d.nodes.size(); i++) {
-            if (d.now_ms % RK_FOLLOWING_TICK_MS == 0)
-                decide(&d, i);
-            watch(&d, i);
-        }
-        spread(&d);
+        step(&d);
         if (d.now_ms < 5000)
             continue;
         counted_ms += STEP_MS;
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -538,8 +538,12 @@
         return node
 
     def restart_node(self, index):
-        """The same node again, as after a kill: the deployment has started before."""
+        """The same node again, as after a kill: the deployment has started before. One that
+        still runs is killed: left, it asked for its store for good, and calls at whoever
+        got that address next."""
         old = self.nodes[index]
+        if old.popen.poll() is None:
+            old.kill()
         with open(old.file) as f:
             text = f.read().replace('"first_start": true', '"first_start": false')
         with open(old.file, "w") as f:
