--- a/core/quota.c
+++ b/core/quota.c
@@ -260,9 +260,10 @@
     o->restored_asking = asking;
     double all = 0, newest = parts[0] > parts[1] ? parts[0] : parts[1];
     int64_t part_ms = q->window_ms / RK_QUOTA_PARTS;
-    /* When in its part it was used isn't kept: taken as late as it can have been, it
-     * leaves the window up to a part too late. Spread over the part, a burst left half
-     * a part too soon, and 1.08 of a quota was admitted around a kill of all. */
+    /* When in its part it was used isn't kept: taken as late as it can have been,
+     * it leaves the window up to a part too late. Spread over the part, a burst
+     * left half a part too soon, and 1.08 of a quota was admitted around a kill of
+     * all. */
     for (int64_t i = 0; i < RK_QUOTA_PARTS; i++) {
         add_restored(q, o, parts[i], age_ms + i * part_ms);
         all += parts[i];
--- a/serve/exchange_impl.h
+++ b/serve/exchange_impl.h
@@ -45,8 +45,8 @@
     struct rk_claim_key key;
     uint32_t shard;
     int attempts, spills;
-    int lost_vms; /* that broke off while they had it, and weren't told to leave */
-    bool no_owner;           /* the owner couldn't be reached: claim here */
+    int lost_vms;  /* that broke off while they had it, and weren't told to leave */
+    bool no_owner; /* the owner couldn't be reached: claim here */
     enum rk_verdict verdict; /* of all attempts so far */
     bool ever_sent;
     struct rk_stream stream;
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -8,9 +8,7 @@
 
 #include "callers/server.h"
 #include "common/counters.h"
-#include "common/eventlog.h"
 #include "common/http1.h"
-#include "common/latency.h"
 #include "core/rank.h"
 
 #define LINE_MAX_LEN      192
@@ -26,7 +24,6 @@
 #define LATE_URGENT       1.5 /* times its target, a predicted first byte may come */
 #define LATE_OTHERS       1.0
 #define DOUBTS            2.0 /* standard errors: one in forty is worse */
-#define LOGGED_ONE_IN     16  /* of calls that ended well */
 
 /* ---- life ---- */
 
@@ -67,56 +64,6 @@
     rk_call_end_attempt(x, end);
 }
 
-/* Calls that ended well are logged as a sample, the same ones by each event. */
-static bool is_sampled(const struct rk_relay_call *x)
-{
-    return rk_hash_str(0, x->id) % LOGGED_ONE_IN == 0;
-}
-
-static void log_sent(const struct rk_relay_call *x)
-{
-    if (!is_sampled(x))
-        return;
-    RK_EVENT("call.sent", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
-             RK_N("attempt", x->attempts),
-             RK_N("first_ms", (int64_t)x->forecast.ms),
-             RK_N("doubt_ms", (int64_t)x->forecast.doubt_ms),
-             RK_N("read_tokens", (int64_t)x->job.load.unread),
-             RK_N("waiting_tokens", (int64_t)x->job.load.waiting),
-             RK_N("running", (int64_t)x->job.load.running),
-             RK_N("home", rk_place_home(x->r->place, &x->query, x->vm)));
-}
-
-void rk_call_log_first(const struct rk_relay_call *x, int64_t seen_ms)
-{
-    if (is_sampled(x))
-        RK_EVENT("call.first", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
-                 RK_N("expected_ms", (int64_t)x->job.expected_ms),
-                 RK_N("seen_ms", seen_ms));
-}
-
-static void log_end(const struct rk_relay_call *x, int status, const char *why)
-{
-    bool well = status && status < HTTP_BAD_REQUEST && !why[0];
-    if (well && !is_sampled(x))
-        return;
-    RK_EVENT("call.end", RK_S("request", x->id), RK_S("route", x->route->name),
-             RK_N("version", x->routes->version), RK_N("status", status),
-             RK_S("why", why), RK_N("attempts", x->attempts),
-             RK_N("may_have_run", x->may_have_run), RK_N("first_ms", x->first_ms),
-             RK_N("took_ms", rk_mono_ms() - x->started_ms));
-}
-
-/* The call's end in the histograms. */
-static void observe(const struct rk_relay_call *x, const char *outcome)
-{
-    if (x->first_ms >= 0)
-        rk_latency_observe(RK_LATENCY_FIRST, x->query.service, outcome,
-                           x->first_ms);
-    rk_latency_observe(RK_LATENCY_WHOLE, x->query.service, outcome,
-                       rk_mono_ms() - x->started_ms);
-}
-
 void rk_call_answer_problem(struct rk_client *client, int status,
                             int64_t retry_after_ms, const char *why)
 {
@@ -138,8 +85,10 @@
 {
     struct rk_client *client = x->client;
     bool begun = x->begun;
-    log_end(x, status, why);
-    observe(x, !x->client ? "gone" : x->may_have_run ? "failed" : "refused");
+    rk_call_log_end(x, status, why);
+    rk_call_observe(x, !x->client        ? "gone"
+                       : x->may_have_run ? "failed"
+                                         : "refused");
     rk_count(x->may_have_run ? RK_C_REFUSED_MAYBE : RK_C_REFUSED_NOT_RUN, 1);
     if (x->org && !x->ran && !x->may_have_run)
         rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
@@ -177,8 +126,8 @@
     bool served = x->status < HTTP_BAD_REQUEST;
     if (served)
         rk_count(RK_C_ANSWERS_OK, 1);
-    log_end(x, x->status, "");
-    observe(x, served ? "served" : "failed");
+    rk_call_log_end(x, x->status, "");
+    rk_call_observe(x, served ? "served" : "failed");
     free_call(x);
     if (client)
         rk_client_end(client);
@@ -238,20 +187,11 @@
         x->query.excluded[x->query.excluded_len++] = x->vm->hash;
 }
 
-static void log_attempt(const struct rk_relay_call *x, const char *what, bool sent)
-{
-    RK_EVENT("call.attempt_failed", RK_S("request", x->id),
-             RK_S("vm", x->vm ? x->vm->row.id : ""), RK_S("what", what),
-             RK_N("sent", sent), RK_N("attempt", x->attempts),
-             RK_N("begun", x->begun),
-             RK_N("after_ms", rk_mono_ms() - x->started_ms));
-}
-
 /* An attempt is over without a final answer; its upstream call is gone. */
 void rk_call_attempt_failed(struct rk_relay_call *x, bool sent,
                             enum rk_place_end end, const char *what)
 {
-    log_attempt(x, what, sent);
+    rk_call_log_attempt(x, what, sent);
     rk_call_move_free(x);
     exclude_vm(x);
     rk_call_end_attempt(x, end);
@@ -282,7 +222,7 @@
 /* The vm proved that the call did not run there. */
 void rk_call_attempt_not_run(struct rk_relay_call *x, const char *what)
 {
-    log_attempt(x, what, true);
+    rk_call_log_attempt(x, what, true);
     exclude_vm(x);
     rk_call_end_attempt(x, RK_PLACE_REFUSED);
     rk_timer_stop(x->r->loop, &x->silent);
@@ -457,7 +397,7 @@
     x->silence_noted = false;
     x->vm_head_ms = x->vm_first_ms = 0;
     rk_count(RK_C_ATTEMPTS, 1);
-    log_sent(x);
+    rk_call_log_sent(x);
     watch_silence(x);
 }
 
@@ -594,8 +534,8 @@
     if (runs_on)
         return; /* it runs on: nobody may learn too late that it was cut off */
     rk_call_cancel_attempt(x, RK_PLACE_CALLED_OFF);
-    log_end(x, 0, "the caller is gone");
-    observe(x, "gone");
+    rk_call_log_end(x, 0, "the caller is gone");
+    rk_call_observe(x, "gone");
     free_call(x);
 }
 
@@ -603,7 +543,7 @@
 {
     struct rk_client *client = x->client;
     rk_call_cancel_attempt(x, RK_PLACE_CALLED_OFF);
-    log_end(x, 0, "this node ends");
+    rk_call_log_end(x, 0, "this node ends");
     free_call(x);
     if (client)
         rk_client_cut(client);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -1,6 +1,7 @@
 /* State of a relayed call, shared by relay_call.c (its life, attempts, ends),
  * relay_answer.c (what a vm answers), relay_arrive.c (what a caller asks) and
- * relay_suspect.c (what ends its VMs). Not for others. Relay thread only. */
+ * relay_suspect.c (what ends its VMs) and relay_log.c. Not for others. Relay thread
+ * only. */
 #ifndef RK_SERVE_RELAY_CALL_IMPL_H
 #define RK_SERVE_RELAY_CALL_IMPL_H
 
@@ -83,8 +84,16 @@
                      const char *why);
 void rk_call_finish(struct rk_relay_call *x);
 
-/* relay_call.c: attempts. */
+/* relay_log.c */
+void rk_call_log_sent(const struct rk_relay_call *x);
 void rk_call_log_first(const struct rk_relay_call *x, int64_t seen_ms);
+void rk_call_log_attempt(const struct rk_relay_call *x, const char *what,
+                         bool sent);
+void rk_call_log_end(const struct rk_relay_call *x, int status, const char *why);
+/* The call's end in the histograms. */
+void rk_call_observe(const struct rk_relay_call *x, const char *outcome);
+
+/* relay_call.c: attempts. */
 bool rk_call_repeatable(const struct rk_relay_call *x);
 void rk_call_earn_retries(struct rk_relay_call *x);
 void rk_call_send(struct rk_relay_call *x);
--- /dev/null
+++ b/serve/relay_log.c
@@ -0,0 +1,64 @@
+/* What a relayed call leaves in the log and the histograms. */
+#include "common/eventlog.h"
+#include "common/latency.h"
+#include "serve/relay_call_impl.h"
+
+#define LOGGED_ONE_IN 16 /* of calls that ended well */
+
+/* Calls that ended well are logged as a sample, the same ones by each event. */
+static bool is_sampled(const struct rk_relay_call *x)
+{
+    return rk_hash_str(0, x->id) % LOGGED_ONE_IN == 0;
+}
+
+void rk_call_log_sent(const struct rk_relay_call *x)
+{
+    if (!is_sampled(x))
+        return;
+    RK_EVENT("call.sent", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
+             RK_N("attempt", x->attempts),
+             RK_N("first_ms", (int64_t)x->forecast.ms),
+             RK_N("doubt_ms", (int64_t)x->forecast.doubt_ms),
+             RK_N("read_tokens", (int64_t)x->job.load.unread),
+             RK_N("waiting_tokens", (int64_t)x->job.load.waiting),
+             RK_N("running", (int64_t)x->job.load.running),
+             RK_N("home", rk_place_home(x->r->place, &x->query, x->vm)));
+}
+
+void rk_call_log_first(const struct rk_relay_call *x, int64_t seen_ms)
+{
+    if (is_sampled(x))
+        RK_EVENT("call.first", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
+                 RK_N("expected_ms", (int64_t)x->job.expected_ms),
+                 RK_N("seen_ms", seen_ms));
+}
+
+void rk_call_log_end(const struct rk_relay_call *x, int status, const char *why)
+{
+    bool well = status && status < HTTP_BAD_REQUEST && !why[0];
+    if (well && !is_sampled(x))
+        return;
+    RK_EVENT("call.end", RK_S("request", x->id), RK_S("route", x->route->name),
+             RK_N("version", x->routes->version), RK_N("status", status),
+             RK_S("why", why), RK_N("attempts", x->attempts),
+             RK_N("may_have_run", x->may_have_run), RK_N("first_ms", x->first_ms),
+             RK_N("took_ms", rk_mono_ms() - x->started_ms));
+}
+
+void rk_call_observe(const struct rk_relay_call *x, const char *outcome)
+{
+    if (x->first_ms >= 0)
+        rk_latency_observe(RK_LATENCY_FIRST, x->query.service, outcome,
+                           x->first_ms);
+    rk_latency_observe(RK_LATENCY_WHOLE, x->query.service, outcome,
+                       rk_mono_ms() - x->started_ms);
+}
+
+void rk_call_log_attempt(const struct rk_relay_call *x, const char *what, bool sent)
+{
+    RK_EVENT("call.attempt_failed", RK_S("request", x->id),
+             RK_S("vm", x->vm ? x->vm->row.id : ""), RK_S("what", what),
+             RK_N("sent", sent), RK_N("attempt", x->attempts),
+             RK_N("begun", x->begun),
+             RK_N("after_ms", rk_mono_ms() - x->started_ms));
+}
