--- a/serve/relay_suspect.c
+++ b/serve/relay_suspect.c
@@ -19,8 +19,9 @@
 
 /* A VM ends soon after it has begun such a request: 36 to 79 ms were seen. What has
  * been answered for so long isn't what ended it; in between it may be, at a slow
- * one. Simulated with ten such requests at once (tests/prop_quarantine.cc, 24 plays):
- * 14 of 461,525 others are stopped for nothing, 41 of 461,388 with 1,000 for both. */
+ * one. Simulated with ten such requests at once (tests/prop_quarantine.cc, 24
+ * plays): 14 of 461,525 others are stopped for nothing, 41 of 461,388 with 1,000
+ * for both. */
 #define JUST_BEGUN_MS 250
 #define INNOCENT_MS   1000
 
