quarantine: who starts while the store is away asks it less and less often

Cause, found in reading: a node that starts again asked for the stopped requests twice a second for as long as the store didn't answer: 77 nodes that all start while it is away are 154 calls a second. Now the wait doubles from 0.5 to 8 s, each with as much again at random; peers tell what is stopped meanwhile. Not measured.

--- a/node/quarantines.c
+++ b/node/quarantines.c
@@ -14,7 +14,10 @@
 
 #define KIND           "rillknot-quarantine"
 #define READ_WITHIN_MS 600 /* of the start: nodes start together */
+/* Tries to read, doubled: all nodes may have started while the store is away, and
+ * peers tell what is stopped, too. */
 #define READ_AGAIN_MS  500
+#define READ_SELDOM_MS 8000
 #define WRITE_AGAIN_MS 1000 /* after the store took none */
 /* Who stopped it writes; if that ends first, others do after this and a random
  * time, so that one of them does for all. */
@@ -27,12 +30,13 @@
     struct rk_node *n;
     struct rk_quarantine table;
     struct rk_timer read;
-    bool busy;         /* an object is being written or removed */
-    uint64_t in_hand;  /* whose object that is */
-    bool removes;      /* it is being removed */
-    int64_t again_ms;  /* not before that is another written */
-    int64_t others_ms; /* this node's wait for who stopped one */
-    bool looks;        /* a list is asked for */
+    int64_t read_again_ms; /* the wait after the next try that fails */
+    bool busy;             /* an object is being written or removed */
+    uint64_t in_hand;      /* whose object that is */
+    bool removes;          /* it is being removed */
+    int64_t again_ms;      /* not before that is another written */
+    int64_t others_ms;     /* this node's wait for who stopped one */
+    bool looks;            /* a list is asked for */
     int64_t looked_ms;
 };
 
@@ -176,13 +180,22 @@
     return row;
 }
 
+static void read_later(struct rk_quarantines *q)
+{
+    int64_t wait_ms = q->read_again_ms;
+    int64_t jitter_ms = rk_rng_below(&q->n->rng, (uint32_t)wait_ms);
+    rk_timer_start(q->n->loop, &q->read, wait_ms + jitter_ms);
+    if (wait_ms < READ_SELDOM_MS)
+        q->read_again_ms = wait_ms * 2;
+}
+
 static void on_read(void *ctx, enum rk_status st,
                     const struct rk_store_object *objects, size_t len, int64_t at)
 {
     (void)at;
     struct rk_quarantines *q = ctx;
     if (st != RK_OK) {
-        rk_timer_start(q->n->loop, &q->read, READ_AGAIN_MS);
+        read_later(q);
         return;
     }
     for (size_t i = 0; i < len; i++) {
@@ -261,6 +274,7 @@
     struct rk_quarantines *q = rk_alloc(1, sizeof(*q));
     q->n = n;
     q->read = (struct rk_timer){.fn = read_now, .ctx = q};
+    q->read_again_ms = READ_AGAIN_MS;
     q->others_ms = OTHERS_WRITE_MS + rk_rng_below(&n->rng, OTHERS_WRITE_MS);
     return q;
 }
