--- a/common/json.h
+++ b/common/json.h
@@ -27,6 +27,14 @@
     return v ? json_object_get_int64(v) : fallback;
 }
 
+/* Length of a list; 0 when it is none. */
+static inline size_t rk_json_len(struct json_object *list)
+{
+    return json_object_is_type(list, json_type_array)
+               ? json_object_array_length(list)
+               : 0;
+}
+
 /* The member as a number; 0 when there is none. */
 static inline double rk_json_real(struct json_object *o, const char *name)
 {
