quota: each of any number of organisations is held to its quota

Cause: a node's table of organisations had 64 places, and a call of one that found none was admitted without a limit. The whole fleet has 333 organisations. Change: the table grows; an index by name (core/names) makes a look-up cost the same however many there are, also for core/tally, whose look-ups compared each name (333 names are some 110,000 comparisons for one message that tells all of them).

Ruled out: a larger constant, which fails again at the next size.

--- /dev/null
+++ b/core/names.c
@@ -0,0 +1,70 @@
+#include "core/names.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/util.h"
+
+#define FIRST_SLOTS 32 /* a power of two */
+
+static const char *name_at(const void *rows, size_t row_size, size_t at)
+{
+    return (const char *)rows + at * row_size;
+}
+
+/* The slot of a name, or the free one where it would stand. */
+static size_t slot_of(const struct rk_names *n, const void *rows, size_t row_size,
+                      const char *name)
+{
+    size_t slot = rk_hash_str(0, name) & (n->cap - 1);
+    while (n->slots[slot] &&
+           strcmp(name_at(rows, row_size, n->slots[slot] - 1), name) != 0)
+        slot = (slot + 1) & (n->cap - 1);
+    return slot;
+}
+
+size_t rk_names_find(const struct rk_names *n, const void *rows, size_t row_size,
+                     const char *name)
+{
+    if (!n->len)
+        return RK_NO_ROW;
+    uint32_t place = n->slots[slot_of(n, rows, row_size, name)];
+    return place ? place - 1 : RK_NO_ROW;
+}
+
+static void put(struct rk_names *n, const void *rows, size_t row_size, size_t at)
+{
+    const char *name = name_at(rows, row_size, at);
+    n->slots[slot_of(n, rows, row_size, name)] = (uint32_t)at + 1;
+}
+
+/* Twice as many slots as rows: one is always free. */
+static void grow(struct rk_names *n, const void *rows, size_t row_size)
+{
+    free(n->slots);
+    n->cap = n->cap ? n->cap * 2 : FIRST_SLOTS;
+    n->slots = rk_alloc(n->cap, sizeof(*n->slots));
+    for (size_t i = 0; i < n->len; i++)
+        put(n, rows, row_size, i);
+}
+
+void rk_names_add(struct rk_names *n, const void *rows, size_t row_size, size_t at)
+{
+    if ((n->len + 1) * 2 > n->cap)
+        grow(n, rows, row_size);
+    put(n, rows, row_size, at);
+    n->len++;
+}
+
+void rk_names_clear(struct rk_names *n)
+{
+    if (n->len)
+        memset(n->slots, 0, n->cap * sizeof(*n->slots));
+    n->len = 0;
+}
+
+void rk_names_free(struct rk_names *n)
+{
+    free(n->slots);
+    *n = (struct rk_names){0};
+}
--- a/core/quota.c
+++ b/core/quota.c
@@ -1,8 +1,10 @@
 #include "core/quota.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
+#define FIRST_ORGS   16
 #define RETRY_MIN_MS 250
 #define RETRY_MAX_MS 2000 /* while a share of calls is admitted */
 #define SLACK_SHARE                                                                \
@@ -51,20 +53,33 @@
     q->forgot_ms = since_ms;
 }
 
+void rk_quota_free(struct rk_quota *q)
+{
+    free(q->orgs);
+    rk_names_free(&q->names);
+    q->orgs = NULL;
+    q->orgs_len = q->orgs_cap = 0;
+}
+
 static int64_t bucket_ms(const struct rk_quota *q)
 {
     return q->window_ms / (RK_QUOTA_BUCKETS - 1);
 }
 
+/* Made when it is new. Valid until the next is made. */
 static struct rk_quota_org *find(struct rk_quota *q, const char *name)
 {
-    for (size_t i = 0; i < q->orgs_len; i++)
-        if (!strcmp(q->orgs[i].name, name))
-            return &q->orgs[i];
-    if (q->orgs_len == RK_QUOTA_ORGS)
-        return NULL;
-    struct rk_quota_org *o = &q->orgs[q->orgs_len++];
+    size_t at = rk_names_find(&q->names, q->orgs, sizeof(*q->orgs), name);
+    if (at != RK_NO_ROW)
+        return &q->orgs[at];
+    if (q->orgs_len == q->orgs_cap) {
+        q->orgs_cap = q->orgs_cap ? q->orgs_cap * 2 : FIRST_ORGS;
+        q->orgs = rk_realloc(q->orgs, q->orgs_cap * sizeof(*q->orgs));
+    }
+    struct rk_quota_org *o = &q->orgs[q->orgs_len];
+    *o = (struct rk_quota_org){0};
     rk_strcpy(o->name, sizeof(o->name), name);
+    rk_names_add(&q->names, q->orgs, sizeof(*q->orgs), q->orgs_len++);
     return o;
 }
 
@@ -270,8 +285,6 @@
     struct rk_quota_org *o = find(q, org);
     double mine[RK_QUOTA_PARTS];
     size_t buckets[RK_QUOTA_PARTS] = {0};
-    if (!o)
-        return;
     rk_quota_tell(q, o, mine, now_ms);
     for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++)
         buckets[part_of(o, i)]++;
@@ -298,7 +311,7 @@
                       int64_t age_ms, int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
-    if (!o || !q->forgot_ms)
+    if (!q->forgot_ms)
         return; /* it, or a peer, remembers itself */
     advance(q, o, now_ms);
     o->restored_asking = asking;
@@ -342,8 +355,6 @@
 void rk_quota_add(struct rk_quota *q, const char *org, double units, int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
-    if (!o)
-        return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
     /* What another side used while it wasn't heard comes at once: it shows no rate.
@@ -471,8 +482,6 @@
 {
     *answer = (struct rk_quota_answer){.share = 1, .retry_after_ms = RETRY_MIN_MS};
     struct rk_quota_org *o = find(q, org);
-    if (!o)
-        return true;
     advance(q, o, now_ms);
     note_asked(o, units, now_ms);
     double part = part_here(q, now_ms);
@@ -506,8 +515,6 @@
                      int64_t now_ms)
 {
     struct rk_quota_org *o = find(q, org);
-    if (!o)
-        return;
     advance(q, o, now_ms);
     o->used[o->bucket % RK_QUOTA_BUCKETS] -= units;
     o->own_total -= units;
--- a/core/quota.h
+++ b/core/quota.h
@@ -9,16 +9,16 @@
 #include <stdint.h>
 
 #include "common/util.h"
+#include "core/names.h"
 
 #define RK_QUOTA_BUCKETS   33 /* one more than a window: the oldest is part */
 #define RK_QUOTA_PARTS     8  /* of a window, as nodes tell each other */
-#define RK_QUOTA_ORGS      64
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
 #define RK_UNKNOWN_NODES   8    /* taken to exist until a list of them is known */
 
 /* One organisation's use. peers_asking is set by the owner. */
 struct rk_quota_org {
-    char name[RK_ID_MAX];
+    char name[RK_ID_MAX]; /* first: see core/names.h */
     double used[RK_QUOTA_BUCKETS]; /* units, by time */
     double own[RK_QUOTA_BUCKETS];  /* of that, admitted here */
     int64_t bucket;                /* number of the newest */
@@ -39,8 +39,9 @@
 
 struct rk_quota {
     int64_t window_ms;
-    struct rk_quota_org orgs[RK_QUOTA_ORGS];
-    size_t orgs_len;
+    struct rk_quota_org *orgs;
+    size_t orgs_len, orgs_cap;
+    struct rk_names names;          /* of orgs */
     int nodes_heard, nodes_total;   /* this one included */
     double heard[RK_QUOTA_BUCKETS]; /* part of the nodes that was heard, by time */
     int64_t heard_bucket;           /* number of the newest */
@@ -60,6 +61,8 @@
 void rk_quota_init(struct rk_quota *q, int64_t window_ms, double slack,
                    int64_t since_ms);
 
+void rk_quota_free(struct rk_quota *q);
+
 /* What decided about a call. */
 struct rk_quota_answer {
     double used, before,
--- a/core/tally.c
+++ b/core/tally.c
@@ -7,10 +7,8 @@
 
 static struct rk_tally_row *find(const struct rk_tally *t, const char *name)
 {
-    for (size_t i = 0; i < t->len; i++)
-        if (!strcmp(t->rows[i].name, name))
-            return &t->rows[i];
-    return NULL;
+    size_t at = rk_names_find(&t->index, t->rows, sizeof(*t->rows), name);
+    return at == RK_NO_ROW ? NULL : &t->rows[at];
 }
 
 double *rk_tally_at(struct rk_tally *t, const char *name)
@@ -22,9 +20,10 @@
         t->cap = t->cap ? t->cap * 2 : FIRST_ROWS;
         t->rows = rk_realloc(t->rows, t->cap * sizeof(*t->rows));
     }
-    row = &t->rows[t->len++];
+    row = &t->rows[t->len];
     *row = (struct rk_tally_row){0};
     rk_strcpy(row->name, sizeof(row->name), name);
+    rk_names_add(&t->index, t->rows, sizeof(*t->rows), t->len++);
     return &row->total;
 }
 
@@ -45,10 +44,12 @@
 void rk_tally_clear(struct rk_tally *t)
 {
     t->len = 0;
+    rk_names_clear(&t->index);
 }
 
 void rk_tally_free(struct rk_tally *t)
 {
     free(t->rows);
+    rk_names_free(&t->index);
     *t = (struct rk_tally){0};
 }
--- a/core/tally.h
+++ b/core/tally.h
@@ -6,15 +6,17 @@
 #include <stddef.h>
 
 #include "common/util.h"
+#include "core/names.h"
 
 struct rk_tally_row {
-    char name[RK_ID_MAX];
+    char name[RK_ID_MAX]; /* first: see core/names.h */
     double total;
 };
 
 struct rk_tally {
     struct rk_tally_row *rows;
     size_t len, cap;
+    struct rk_names index;
 };
 
 /* The counter of a name, made if need be; valid until the next is made. */
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -511,6 +511,7 @@
     rk_server_destroy(r->server);
     rk_upstreams_destroy(r->upstreams);
     rk_place_destroy(r->place);
+    rk_quota_free(&r->quota);
     rk_usage_free(&r->usage);
     rk_routes_unref(r->routes);
     rk_loop_destroy(r->loop);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -13,6 +13,21 @@
 
 #define WINDOW_MS 8000
 
+/* A quota of a test, freed where it goes out of scope. */
+#define SCOPED __attribute__((cleanup(rk_quota_free)))
+
+static struct rk_quota copy_of(const struct rk_quota *q)
+{
+    struct rk_quota copy = *q;
+    copy.orgs = rk_alloc(q->orgs_cap + 1, sizeof(*copy.orgs));
+    copy.names = (struct rk_names){0};
+    for (size_t i = 0; i < q->orgs_len; i++) {
+        copy.orgs[i] = q->orgs[i];
+        rk_names_add(&copy.names, copy.orgs, sizeof(*copy.orgs), i);
+    }
+    return copy;
+}
+
 static double admit_for(struct rk_quota *q, double rate, double burst,
                         int64_t from_ms, int64_t to_ms, int64_t step_ms,
                         double units)
@@ -36,17 +51,36 @@
 static void a_window_admits_its_quota(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(0);
+    SCOPED struct rk_quota q = lone_quota(0);
     double first = admit_for(&q, 100, 100, 100000, 108000, 10, 5);
     assert_in_range((int)first, 880, 900);
     double second = admit_for(&q, 100, 100, 108000, 116000, 10, 5);
     assert_in_range((int)second, 700, 900);
 }
 
+/* Seen: with 333 organisations, a node held the first 64 that it heard of to their
+ * quotas and admitted all calls of the others: its table had no more places. */
+static void each_of_many_organisations_is_held_to_its_quota(void **state)
+{
+    (void)state;
+    const int orgs = 2 * 333;
+    SCOPED struct rk_quota q = lone_quota(0);
+    struct rk_quota_answer answer;
+    char org[RK_ID_MAX];
+    for (int i = 0; i < orgs; i++) {
+        double admitted = 0;
+        snprintf(org, sizeof(org), "org-%d", i);
+        for (int64_t t = 100000; t < 108000; t += 100)
+            if (rk_quota_admit(&q, org, 100, 100, 50, t, &answer))
+                admitted += 50;
+        assert_in_range((int)admitted, 850, 900);
+    }
+}
+
 static void a_node_that_hears_few_holds_to_their_part(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(0);
+    SCOPED struct rk_quota q = lone_quota(0);
     q.nodes_total = 4;
     q.nodes_heard = 1;
     assert_in_range((int)admit_for(&q, 100, 100, 100000, 108000, 10, 1), 215, 226);
@@ -58,7 +92,7 @@
     (void)state;
     double sum = 0;
     for (int side = 1; side <= 6; side += 5) {
-        struct rk_quota q = lone_quota(0);
+        SCOPED struct rk_quota q = lone_quota(0);
         q.overrun = 0.1;
         q.nodes_total = 7;
         q.nodes_heard = side;
@@ -111,7 +145,7 @@
 static void a_side_that_is_cut_off_goes_on_serving_its_part(void **state)
 {
     (void)state;
-    struct rk_quota q = side_of_a_cut(59, 0.55);
+    SCOPED struct rk_quota q = side_of_a_cut(59, 0.55);
     double per_s = 0.55 * CUT_RATE * 59 / CUT_NODES;
     double admitted = ask_side(&q, per_s, CUT_MS, CUT_MS + 6000);
     assert_true(admitted >= per_s * 6 - 2 * CUT_UNITS);
@@ -123,10 +157,10 @@
     (void)state;
     const double loads[] = {0, 0.55, 0.9};
     for (size_t i = 0; i < RK_ARRAY_LEN(loads); i++) {
-        struct rk_quota a = side_of_a_cut(59, loads[i]);
-        struct rk_quota b = side_of_a_cut(CUT_NODES - 59, loads[i]);
+        SCOPED struct rk_quota a = side_of_a_cut(59, loads[i]);
+        SCOPED struct rk_quota b = side_of_a_cut(CUT_NODES - 59, loads[i]);
         for (int ms = 1000; ms <= WINDOW_MS; ms += 1000) {
-            struct rk_quota x = a, y = b;
+            SCOPED struct rk_quota x = copy_of(&a), y = copy_of(&b);
             double used = loads[i] * CUT_RATE * (WINDOW_MS - ms) / 1000;
             used += ask_side(&x, 8 * CUT_RATE, CUT_MS, CUT_MS + ms);
             used += ask_side(&y, 8 * CUT_RATE, CUT_MS, CUT_MS + ms);
@@ -141,7 +175,7 @@
 static void what_comes_with_the_end_of_a_cut_is_no_rate(void **state)
 {
     (void)state;
-    struct rk_quota q = side_of_a_cut(59, 0.55);
+    SCOPED struct rk_quota q = side_of_a_cut(59, 0.55);
     double per_s = 0.55 * CUT_RATE * 59 / CUT_NODES;
     ask_side(&q, per_s, CUT_MS, CUT_MS + 6000);
     rk_quota_hear(&q, CUT_NODES, CUT_NODES, CUT_MS + 6000);
@@ -154,7 +188,7 @@
 static void before_it_knows_the_nodes_a_node_takes_them_to_be_many(void **state)
 {
     (void)state;
-    struct rk_quota q;
+    SCOPED struct rk_quota q;
     rk_quota_init(&q, WINDOW_MS, 0, 0);
     double most = 900.0 / RK_UNKNOWN_NODES + 1;
     assert_true(admit_for(&q, 100, 100, 100000, 108000, 10, 1) <= most);
@@ -166,11 +200,11 @@
 {
     (void)state;
     for (int64_t used_ms = 500; used_ms < WINDOW_MS; used_ms += 500) {
-        struct rk_quota before = lone_quota(0);
+        SCOPED struct rk_quota before = lone_quota(0);
         double spent =
             admit_for(&before, 100, 100, 100000, 100000 + used_ms, 10, 1);
         int64_t start = 100000 + used_ms + 800; /* down meanwhile */
-        struct rk_quota after = lone_quota(start);
+        SCOPED struct rk_quota after = lone_quota(start);
         double more = admit_for(&after, 100, 100, start, 100000 + WINDOW_MS, 10, 1);
         assert_true(spent + more <= 900 * 1.1);
     }
@@ -179,7 +213,7 @@
 static void an_organisation_that_uses_little_is_served_after_a_restart(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     double got = admit_for(&q, 100, 100, 100050, 108050, 20, 1); /* 50 a second */
     assert_true(got >= 390);
 }
@@ -187,7 +221,7 @@
 static void a_lowered_quota_counts_after_a_window(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(0);
+    SCOPED struct rk_quota q = lone_quota(0);
     admit_for(&q, 100, 100, 100000, 104000, 10, 1);
     double soon = admit_for(&q, 10, 10, 104000, 108000, 10, 1);
     assert_true(soon > 300);
@@ -199,7 +233,7 @@
 static void what_peers_used_and_probably_use_counts(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(0);
+    SCOPED struct rk_quota q = lone_quota(0);
     struct rk_quota_answer answer;
     rk_quota_admit(&q, "org", 100, 100, 1, 100000, &answer);
     rk_quota_add(&q, "org", 300, 100150);
@@ -251,6 +285,8 @@
 
 static void free_fleet(struct fleet *f)
 {
+    for (int i = 0; i < f->nodes; i++)
+        rk_quota_free(&f->node[i].q);
     free(f->node);
     free(f);
 }
@@ -480,7 +516,7 @@
 static void a_peer_with_a_memory_lifts_the_caution(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     struct rk_quota_answer answer;
     assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &answer));
     const double parts[RK_QUOTA_PARTS] = {300};
@@ -494,7 +530,7 @@
 static void a_burst_is_taken_over_with_its_time(void **state)
 {
     (void)state;
-    struct rk_quota peer = lone_quota(0), fresh = lone_quota(101500);
+    SCOPED struct rk_quota peer = lone_quota(0), fresh = lone_quota(101500);
     struct rk_quota_answer answer;
     double parts[RK_QUOTA_PARTS];
     for (int i = 0; i < 80; i++)
@@ -515,7 +551,7 @@
 static void what_the_store_kept_holds_after_a_restart(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     const double parts[RK_QUOTA_PARTS] = {880};
     rk_quota_restore(&q, "org", parts, 0, 1000, 100000);
     rk_quota_restored(&q, 1000);
@@ -529,7 +565,7 @@
 {
     (void)state;
     const double parts[RK_QUOTA_PARTS] = {50, 50, 50, 50, 50, 50, 50, 50};
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     rk_quota_restore(&q, "org", parts, 0, 1000, 100000);
     rk_quota_restored(&q, 1000);
     double at_once = admit_for(&q, 100, 100, 100000, 100100, 1, 10);
@@ -543,7 +579,7 @@
 {
     (void)state;
     double parts[RK_QUOTA_PARTS] = {880};
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     assert_false(rk_quota_knows_all(&q, 100000));
     rk_quota_restore(&q, "org", parts, 0, 500, 100000);
     rk_quota_restored(&q, 500);
@@ -552,7 +588,7 @@
     assert_true(parts[0] + parts[1] + parts[2] == 0); /* peers have it themselves */
     rk_quota_keep(&q, &q.orgs[0], 900, 100, parts, 101000);
     assert_true(parts[1] + parts[2] >= 880);
-    struct rk_quota second = lone_quota(101500);
+    SCOPED struct rk_quota second = lone_quota(101500);
     rk_quota_restore(&second, "org", parts, 0, 500, 101500);
     rk_quota_restored(&second, 500);
     assert_true(admit_for(&second, 100, 100, 101500, 105500, 10, 1) <= 21);
@@ -566,13 +602,13 @@
 {
     (void)state;
     double parts[RK_QUOTA_PARTS] = {50};
-    struct rk_quota first = lone_quota(100000);
+    SCOPED struct rk_quota first = lone_quota(100000);
     rk_quota_restore(&first, "org", parts, 0, 4700, 100000);
     rk_quota_restored(&first, 4700);
     assert_true(rk_quota_knows_all(&first, 101000));
     double used = admit_for(&first, 100, 100, 100000, 104000, 10, 1);
     rk_quota_keep(&first, &first.orgs[0], 900, 100, parts, 103900);
-    struct rk_quota second = lone_quota(105000);
+    SCOPED struct rk_quota second = lone_quota(105000);
     rk_quota_restore(&second, "org", parts, 0, 1100, 105000);
     rk_quota_restored(&second, 1100);
     /* All of the quota may have been used just before the first start: within a
@@ -586,7 +622,7 @@
 {
     (void)state;
     const double parts[RK_QUOTA_PARTS] = {50, 50, 50, 50, 50, 50, 50, 50};
-    struct rk_quota q = lone_quota(100000);
+    SCOPED struct rk_quota q = lone_quota(100000);
     rk_quota_restore(&q, "org", parts, 0, 5000, 100000);
     rk_quota_restored(&q, 5000);
     assert_true(admit_for(&q, 100, 100, 100000, 100100, 1, 10) < 50);
@@ -595,7 +631,7 @@
 static void a_refund_is_no_use(void **state)
 {
     (void)state;
-    struct rk_quota q = lone_quota(0);
+    SCOPED struct rk_quota q = lone_quota(0);
     struct rk_quota_answer answer;
     assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100000, &answer));
     assert_false(rk_quota_admit(&q, "org", 10, 10, 90, 100010, &answer));
@@ -608,6 +644,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_window_admits_its_quota),
+        cmocka_unit_test(each_of_many_organisations_is_held_to_its_quota),
         cmocka_unit_test(a_node_that_hears_few_holds_to_their_part),
         cmocka_unit_test(sides_use_what_is_forgiven),
         cmocka_unit_test(a_side_that_is_cut_off_goes_on_serving_its_part),
