usage: all organisations of a window are summed in one pass

Cause: who writes down what must outlast a kill of all asked for the sum of each organisation in each of four windows, each 300 ms, and each sum went over the rows of all nodes: nodes times organisations squared. Change: one pass a window.

--- a/core/usage.c
+++ b/core/usage.c
@@ -92,19 +92,41 @@
     return at ? &u->rows[at - 1] : NULL;
 }
 
-uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org)
+static bool is_kept(const struct rk_usage_row *row)
+{
+    return row->node == RK_USAGE_KEPT;
+}
+
+void rk_usage_sums(const struct rk_usage *u, int64_t window, struct rk_tally *sums)
 {
-    const struct rk_usage_row *record = kept(u, window, org);
-    uint64_t told = 0, since = 0; /* of all nodes; of those that began after it */
+    struct rk_tally since = {0}; /* of nodes that began after what was kept */
+    for (size_t i = 0; i < u->len; i++) {
+        const struct rk_usage_row *row = &u->rows[i];
+        if (row->window != window || is_kept(row))
+            continue;
+        const struct rk_usage_row *record = kept(u, window, row->org);
+        *rk_tally_at(sums, row->org) += (double)row->count;
+        if (record && row->since_ms > record->since_ms)
+            *rk_tally_at(&since, row->org) += (double)row->count;
+    }
     for (size_t i = 0; i < u->len; i++) {
         const struct rk_usage_row *row = &u->rows[i];
-        if (row == record || row->window != window || strcmp(row->org, org) != 0)
+        if (row->window != window || !is_kept(row))
             continue;
-        told += row->count;
-        since += record && row->since_ms > record->since_ms ? row->count : 0;
+        double all = (double)row->count + rk_tally_total(&since, row->org);
+        double *told = rk_tally_at(sums, row->org);
+        *told = all > *told ? all : *told;
     }
-    uint64_t all = record ? record->count + since : 0;
-    return told > all ? told : all;
+    rk_tally_free(&since);
+}
+
+uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org)
+{
+    struct rk_tally sums = {0};
+    rk_usage_sums(u, window, &sums);
+    uint64_t sum = (uint64_t)rk_tally_total(&sums, org);
+    rk_tally_free(&sums);
+    return sum;
 }
 
 void rk_usage_forget(struct rk_usage *u, int64_t window)
--- a/core/usage.h
+++ b/core/usage.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "common/util.h"
+#include "core/tally.h"
 
 /* One node's count. node: a hash of its id and incarnation; or RK_USAGE_KEPT: what
  * all nodes had counted when that was kept, for a kill of all. */
@@ -41,6 +42,9 @@
  * where it is more than what they told: who was killed before it could tell told
  * nothing. */
 uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org);
+/* The same of all organisations that have any, in one pass: a holder of the duties
+ * has rows of each node for each organisation that it serves. sums: empty before. */
+void rk_usage_sums(const struct rk_usage *u, int64_t window, struct rk_tally *sums);
 
 /* Forget windows before `window`. */
 void rk_usage_forget(struct rk_usage *u, int64_t window);
--- a/node/duties.c
+++ b/node/duties.c
@@ -240,14 +240,17 @@
 {
     const struct rk_routes *routes = rk_sync_routes(k->n->sync);
     struct rk_buf b = {0};
+    struct rk_tally sums = {0};
+    rk_usage_sums(&k->n->usage, window, &sums);
     rk_buf_addstr(&b, "{");
     for (size_t i = 0; routes && i < routes->orgs_len; i++) {
         const char *org = routes->orgs[i].name;
         rk_buf_addstr(&b, i ? "," : "");
         rk_buf_json_str(&b, org);
-        rk_buf_printf(&b, ":%" PRIu64, rk_usage_sum(&k->n->usage, window, org));
+        rk_buf_printf(&b, ":%.0f", rk_tally_total(&sums, org));
     }
     rk_buf_addstr(&b, "}");
+    rk_tally_free(&sums);
     return b.data;
 }
 
--- a/node/remember.c
+++ b/node/remember.c
@@ -88,45 +88,64 @@
     return org && org->rate > 0 && used_of(use) >= quota_of(n, org) * SOME_SHARE;
 }
 
+/* Counts of one window, and of the one before it. */
+struct counts {
+    int64_t window;
+    struct rk_tally now, before;
+};
+
 /* What an organisation's calls of a window come to by the time of a kill, on
  * average: those of the current window go on as they came since the one before
  * began, while counts are on their way and for half of the time between writes. */
-static uint64_t expected_count(const struct rk_node *n, int64_t window,
-                               const char *org)
+static double expected_count(const struct rk_node *n, const struct counts *c,
+                             const char *org)
 {
     int64_t size_ms = rk_s_to_ms(n->file.usage_window_s), wall_ms = rk_wall_ms();
-    uint64_t count = rk_usage_sum(&n->usage, window, org);
-    if (window != wall_ms / size_ms)
+    double count = rk_tally_total(&c->now, org);
+    if (c->window != wall_ms / size_ms)
         return count;
-    uint64_t before = rk_usage_sum(&n->usage, window - 1, org);
+    double before = rk_tally_total(&c->before, org);
     double passed_ms = (double)(size_ms + wall_ms % size_ms);
     double lag_ms = (double)rk_mesh_usage_lag_ms(n->mesh) + QUOTAS_MS / 2.0;
-    return count + (uint64_t)((double)(count + before) * lag_ms / passed_ms);
+    return floor(count + (count + before) * lag_ms / passed_ms);
+}
+
+/* Counts of a window as an object; false: there are none. */
+static bool add_window(const struct rk_node *n, const struct counts *c,
+                       struct rk_buf *b)
+{
+    const struct rk_routes *routes = rk_sync_routes(n->sync);
+    bool any = false;
+    rk_buf_printf(b, "\"%" PRId64 "\":{", c->window);
+    for (size_t i = 0; i < routes->orgs_len; i++) {
+        double count = expected_count(n, c, routes->orgs[i].name);
+        if (count <= 0)
+            continue;
+        rk_buf_addstr(b, any ? "," : "");
+        rk_buf_json_str(b, routes->orgs[i].name);
+        rk_buf_printf(b, ":%.0f", count);
+        any = true;
+    }
+    rk_buf_addstr(b, "}");
+    return any;
 }
 
 /* Counts of the last windows, as members of an object; false: there are none. */
 static bool add_usage(const struct rk_node *n, struct rk_buf *b)
 {
-    const struct rk_routes *routes = rk_sync_routes(n->sync);
     int64_t current = rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s);
+    struct counts c = {.window = current - USAGE_WINDOWS};
     bool any = false;
-    for (int64_t window = current - USAGE_WINDOWS + 1; window <= current;
-         window++) {
-        rk_buf_printf(b, "%s\"%" PRId64 "\":{",
-                      window > current - USAGE_WINDOWS + 1 ? "," : "", window);
-        const char *comma = "";
-        for (size_t i = 0; i < routes->orgs_len; i++) {
-            uint64_t count = expected_count(n, window, routes->orgs[i].name);
-            if (!count)
-                continue;
-            rk_buf_addstr(b, comma);
-            rk_buf_json_str(b, routes->orgs[i].name);
-            rk_buf_printf(b, ":%" PRIu64, count);
-            comma = ",";
-            any = true;
-        }
-        rk_buf_addstr(b, "}");
+    rk_usage_sums(&n->usage, c.window, &c.now);
+    for (int i = 0; i < USAGE_WINDOWS; i++) {
+        rk_tally_free(&c.before);
+        c = (struct counts){.window = c.window + 1, .before = c.now};
+        rk_usage_sums(&n->usage, c.window, &c.now);
+        rk_buf_addstr(b, i ? "," : "");
+        any = add_window(n, &c, b) || any;
     }
+    rk_tally_free(&c.before);
+    rk_tally_free(&c.now);
     return any;
 }
 
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -180,6 +180,47 @@
     rk_usage_free(&u);
 }
 
+/* A holder of the duties sums the rows of 985 nodes each 300 ms. Summed for one
+ * organisation after the other, 333 of them, that was most of its processor time. */
+static void all_organisations_are_summed_at_once(void **state)
+{
+    (void)state;
+    struct rk_usage u = {0};
+    struct rk_tally sums = {0};
+    struct rk_rng rng = {.state = 7};
+    for (int i = 0; i < 4000; i++) {
+        uint64_t node = rk_rng_below(&rng, 60); /* 0: RK_USAGE_KEPT */
+        struct rk_usage_row row = {.node = node,
+                                   .window = rk_rng_below(&rng, 2),
+                                   .count = rk_rng_below(&rng, node ? 20 : 300),
+                                   .since_ms = 1 + rk_rng_below(&rng, 5)};
+        snprintf(row.org, sizeof(row.org), "org-%u", rk_rng_below(&rng, 30));
+        rk_usage_merge(&u, &row);
+    }
+    rk_usage_sums(&u, 1, &sums);
+    assert_int_equal(sums.len, 30);
+    for (size_t i = 0; i < sums.len; i++) {
+        const char *org = sums.rows[i].name;
+        const struct rk_usage_row *record = NULL;
+        uint64_t told = 0, since = 0;
+        for (size_t j = 0; j < u.len; j++)
+            if (u.rows[j].node == RK_USAGE_KEPT && u.rows[j].window == 1 &&
+                !strcmp(u.rows[j].org, org))
+                record = &u.rows[j];
+        for (size_t j = 0; j < u.len; j++) {
+            const struct rk_usage_row *row = &u.rows[j];
+            if (row == record || row->window != 1 || strcmp(row->org, org) != 0)
+                continue;
+            told += row->count;
+            since += record && row->since_ms > record->since_ms ? row->count : 0;
+        }
+        uint64_t all = record ? record->count + since : 0;
+        assert_int_equal((uint64_t)sums.rows[i].total, told > all ? told : all);
+    }
+    rk_tally_free(&sums);
+    rk_usage_free(&u);
+}
+
 static void usage_merges_in_any_order(void **state)
 {
     (void)state;
@@ -244,6 +285,7 @@
         cmocka_unit_test(what_nodes_told_counts_where_it_is_more),
         cmocka_unit_test(usage_merges_in_any_order),
         cmocka_unit_test(usage_of_a_large_fleet_is_kept_by_row),
+        cmocka_unit_test(all_organisations_are_summed_at_once),
         cmocka_unit_test(events_are_cut_where_they_end),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
