place: what peers tell costs by the vms that are busy

Cause: each word of the peers, some tens of times a second at a bridge, cleared and summed the rows of all vms with two exponentials each, and each report of a node went over all of them twice. Change: vms with calls in hand, or that showed something lately, are a list of their own (core/place_loads, split off from core/place).

--- a/core/place.c
+++ b/core/place.c
@@ -11,7 +11,6 @@
 #define ERROR_MS                                                                   \
     1200.0 /* cost of a vm that fails each call: a stream notices its silence      \
               after 2.5 s, a plain call after 0.15 s */
-#define TOLD_CALLS 0.05  /* calls that still count; less isn't told */
 #define KNOWN_MS   12000 /* how long a part is taken to stay cached */
 #define HOMES      4     /* vms that a prefix is sent to first */
 #define SHARED_MIN 1000  /* tokens: calls that share less are spread */
@@ -140,9 +139,10 @@
 void rk_place_sweep(struct rk_place *p)
 {
     size_t before = p->vms_len;
+    rk_place_forget_busy(p);
     for (struct rk_place_vm **at = &p->vms; *at;) {
         struct rk_place_vm *v = *at;
-        if (v->listed || v->calls) {
+        if (!rk_place_is_done(v)) {
             at = &v->next;
             continue;
         }
@@ -178,66 +178,6 @@
     rk_place_mark_versions(p);
 }
 
-/* What all vms of each service show together, against which one of them is slow. */
-static void take_means(struct rk_place *p, int64_t now_ms)
-{
-    for (struct rk_speed *s = p->speeds.first; s; s = s->next) {
-        double log_sum = 0, calls = 0;
-        for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
-            if (v->speed != s)
-                continue;
-            struct rk_pace all = rk_pace_add(&v->pace, &v->peers_pace, now_ms);
-            log_sum += all.log_sum;
-            calls += all.calls;
-        }
-        s->pace_mean = calls > 0 ? log_sum / calls : 0;
-    }
-}
-
-/* As peers are told; 0: its lives can't be told apart. */
-static uint32_t life_told(const struct rk_place_vm *v)
-{
-    return v->row.born_ms ? (uint32_t)v->hash : 0;
-}
-
-void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
-                        size_t len, int64_t now_ms)
-{
-    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
-        v->peers_running = 0;
-        v->peers_waiting_tokens = 0;
-        v->peers_pace = (struct rk_pace){.at_ms = now_ms};
-    }
-    for (size_t i = 0; i < len; i++) {
-        struct rk_place_vm *v = rk_place_find(p, loads[i].id);
-        if (!v || (loads[i].life && loads[i].life != life_told(v)))
-            continue;
-        v->peers_running += loads[i].running;
-        v->peers_waiting_tokens += loads[i].waiting_tokens;
-        rk_pace_sum(&v->peers_pace, &loads[i].pace);
-    }
-    take_means(p, now_ms);
-}
-
-size_t rk_place_own_loads(const struct rk_place *p, int64_t now_ms,
-                          struct rk_vm_load **out)
-{
-    size_t len = 0;
-    *out = rk_alloc(p->vms_len + 1, sizeof(**out));
-    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
-        struct rk_pace pace = rk_pace_at(&v->pace, now_ms);
-        if (v->over || (v->running <= 0 && pace.calls < TOLD_CALLS))
-            continue;
-        struct rk_vm_load *load = &(*out)[len++];
-        rk_strcpy(load->id, sizeof(load->id), v->row.id);
-        load->life = life_told(v);
-        load->running = (uint32_t)v->running;
-        load->waiting_tokens = v->waiting_tokens;
-        load->pace = pace;
-    }
-    return len;
-}
-
 /* ---- what is cached where ---- */
 
 void rk_place_parse_parts(struct rk_place_query *q, const char *text)
@@ -541,6 +481,7 @@
     }
     if (rk_place_trial_of(vm, q->route, now_ms))
         job->route = q->route;
+    rk_place_note_busy(p, vm);
     vm->calls++;
     vm->running++;
     vm->unbegun++;
--- a/core/place.h
+++ b/core/place.h
@@ -45,6 +45,8 @@
 struct rk_place_vm {
     struct rk_vm_row row;
     struct rk_place_vm *next;
+    struct rk_place_vm *next_busy;
+    bool is_busy;
     uint64_t hash;
     uint32_t service_hash;
     bool listed;
@@ -133,6 +135,15 @@
  * the caller's to free. */
 size_t rk_place_own_loads(const struct rk_place *p, int64_t now_ms,
                           struct rk_vm_load **out);
+/* Calls of this node in hand at the vms of a service. */
+struct rk_place_in_hand {
+    uint32_t running;
+    uint32_t begun; /* of these, the ones with a first byte */
+};
+struct rk_place_in_hand rk_place_in_hand(const struct rk_place *p,
+                                         const char *service);
+/* Vms that calls are in hand at, here or at peers, or were lately. */
+size_t rk_place_busy_len(const struct rk_place *p);
 
 /* NULL: it isn't known. */
 struct rk_place_vm *rk_place_find(struct rk_place *p, const char *id);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -1,4 +1,5 @@
-/* State of the choice of vms, shared by place.c, place_jobs.c and place_versions.c.
+/* State of the choice of vms, shared by place.c, place_loads.c, place_jobs.c and
+ * place_versions.c.
  * Not for others. */
 #ifndef RK_CORE_PLACE_IMPL_H
 #define RK_CORE_PLACE_IMPL_H
@@ -18,6 +19,8 @@
     struct rk_rng rng;
     struct rk_place_vm *vms;
     size_t vms_len;
+    struct rk_place_vm *busy; /* a list by ->next_busy */
+    size_t busy_len;
     struct rk_speeds speeds;
     struct rk_place_rollout rollouts[RK_ROLLOUTS];
     struct rk_place_vm **index; /* hash table of vms; NULL: free */
@@ -25,6 +28,19 @@
     struct memo memos[MEMO_SLOTS];
 };
 
+/* A vm has a call in hand, here or at a peer, or had one lately. A node of a large
+ * fleet calls a few of thousands, and what is done some times a second goes over
+ * these only. */
+void rk_place_note_busy(struct rk_place *p, struct rk_place_vm *vm);
+/* Those that are to be swept are not busy. */
+void rk_place_forget_busy(struct rk_place *p);
+
+/* Is a vm off the list, without a call that needs its row? */
+static inline bool rk_place_is_done(const struct rk_place_vm *vm)
+{
+    return !vm->listed && !vm->calls;
+}
+
 /* Forget vms that are off the list and have no call. */
 void rk_place_sweep(struct rk_place *p);
 
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -96,12 +96,6 @@
     report->usage_len = r->usage.len;
 }
 
-static void add_in_hand(struct rk_service_use *use, const struct rk_place_vm *vm)
-{
-    use->running += (uint32_t)vm->running;
-    use->begun += (uint32_t)(vm->running - vm->unbegun);
-}
-
 static void fill_services(const struct rk_relay *r, struct rk_relay_report *report)
 {
     report->services = rk_alloc(r->services_len + 1, sizeof(*report->services));
@@ -111,9 +105,9 @@
         use->read_tokens = r->services[i].read_tokens;
         use->engine =
             rk_engine_learnt(&rk_place_speed_of(r->place, use->service)->engine);
-        for (const struct rk_place_vm *v = rk_place_vms(r->place); v; v = v->next)
-            if (!strcmp(v->row.service, use->service))
-                add_in_hand(use, v);
+        struct rk_place_in_hand in_hand = rk_place_in_hand(r->place, use->service);
+        use->running = in_hand.running;
+        use->begun = in_hand.begun;
     }
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -171,6 +171,48 @@
     free(rows);
 }
 
+/* Seen: a node that knows 10,000 vms went over all of them, with two exponentials
+ * each, for each word of its peers, some tens of times a second, though it and they
+ * had calls in hand at a few hundred. */
+static void words_of_peers_cost_by_the_vms_that_are_busy(void **state)
+{
+    (void)state;
+    enum { VMS = 10000, BUSY = 40 };
+    struct rk_vm_row *rows = rk_alloc(VMS, sizeof(*rows));
+    struct rk_vm_load loads[BUSY] = {0}, *own;
+    struct rk_place *p = rk_place_create("here", 1);
+    struct rk_place_query q = engine_query("", 100);
+    struct rk_engine_forecast first;
+    struct rk_place_job job;
+    for (int i = 0; i < VMS; i++) {
+        rows[i] = (struct rk_vm_row){
+            .service = "llm", .domain = "here", .slots = 8, .leaves_in_ms = -1};
+        snprintf(rows[i].id, sizeof(rows[i].id), "vm-%d", i);
+    }
+    rk_place_set_vms(p, rows, VMS, 0);
+    assert_int_equal(rk_place_busy_len(p), 0);
+    for (int i = 0; i < BUSY; i++) {
+        loads[i].running = 1;
+        rk_strcpy(loads[i].id, sizeof(loads[i].id), rows[i].id);
+    }
+    rk_place_set_loads(p, loads, BUSY, 1000);
+    assert_int_equal(rk_place_busy_len(p), BUSY);
+    struct rk_place_vm *v = rk_place_choose(p, &q, 1000, &first);
+    rk_place_sent(p, v, &q, 1000, &job);
+    rk_place_set_loads(p, loads, BUSY / 2, 1250);
+    assert_int_equal(rk_place_busy_len(p), BUSY / 2 + !v->peers_running);
+    assert_int_equal(rk_place_own_loads(p, 1250, &own), 1);
+    assert_string_equal(own[0].id, v->row.id);
+    free(own);
+    assert_int_equal(rk_place_in_hand(p, "llm").running, 1);
+    rk_place_set_vms(p, rows, 0, 1300); /* all are gone, but for the call in hand */
+    assert_int_equal(rk_place_busy_len(p), 1);
+    rk_place_ended(p, v, &job, RK_PLACE_DONE, 1400);
+    assert_int_equal(rk_place_busy_len(p), 0);
+    rk_place_destroy(p);
+    free(rows);
+}
+
 /* A prefix that fills its first vm goes to a second one, the same at all nodes, and
  * not to whoever is idle. */
 static void a_busy_prefix_overflows_to_one_more_vm(void **state)
@@ -313,6 +355,7 @@
         cmocka_unit_test(a_vm_off_the_list_is_kept_while_it_has_calls),
         cmocka_unit_test(what_peers_have_in_hand_counts),
         cmocka_unit_test(many_vms_come_and_go),
+        cmocka_unit_test(words_of_peers_cost_by_the_vms_that_are_busy),
         cmocka_unit_test(a_busy_prefix_overflows_to_one_more_vm),
         cmocka_unit_test(the_home_of_a_prefix_is_taken_to_have_it),
         cmocka_unit_test(a_prefix_is_copied_from_its_first_home_though_it_leaves),
