mesh: members are found by an index of their ids

Cause: a bridge tells who the members are once a second, and each node looked for each of them along the list of all: nodes squared, some 970,000 steps a second at a node of 985 with two bridges. Change: json-c's hash table, as in the list of vms. Ruled out: an index of addresses, too; they are looked for only at a start and when a node comes back at another one.

--- a/node/members.c
+++ b/node/members.c
@@ -1,6 +1,7 @@
 /* The nodes that are known, who of them is heard, and who bridges each failure
  * domain: the nodes with the most processor time, by a hash among equals; one that
  * runs late gives way to an equal. */
+#include <json-c/linkhash.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,7 @@
 #include "node/mesh_impl.h"
 #include "peers/link.h"
 
+#define FIRST_IDS 64
 #define HEARD_MS  900  /* a node silent for longer is not heard */
 #define TOLD_MS   2500 /* a bridge's word that it hears a node, the same */
 #define NEW_MS    1500 /* a node that was just learnt of is taken to live */
@@ -49,12 +51,28 @@
 
 struct member *rk_mesh_find(const struct rk_mesh *m, const char *id)
 {
-    struct member *k = m->members;
-    while (k && strcmp(k->id, id) != 0)
-        k = k->next;
+    void *k = NULL;
+    lh_table_lookup_ex(m->by_id, id, &k);
     return k;
 }
 
+static void forget_id(struct member *k)
+{
+    if (k->id[0])
+        lh_table_delete(k->m->by_id, k->id);
+    k->id[0] = '\0';
+}
+
+static void set_id(struct member *k, const char *id)
+{
+    if (!id[0] || !strcmp(k->id, id))
+        return;
+    forget_id(k);
+    rk_strcpy(k->id, sizeof(k->id), id);
+    k->hash = rk_hash_str(0, id);
+    lh_table_insert(k->m->by_id, k->id, k);
+}
+
 struct member *rk_mesh_find_addr(const struct rk_mesh *m, const char *addr)
 {
     struct member *k = m->members;
@@ -69,8 +87,7 @@
     struct member *k = rk_alloc(1, sizeof(*k));
     k->m = m;
     k->known_ms = rk_mono_ms();
-    k->hash = rk_hash_str(0, id);
-    rk_strcpy(k->id, sizeof(k->id), id);
+    set_id(k, id);
     rk_strcpy(k->addr, sizeof(k->addr), addr);
     k->next = m->members;
     m->members = k;
@@ -81,6 +98,7 @@
 {
     if (k->m->catch_up == k)
         k->m->catch_up = NULL;
+    forget_id(k);
     rk_link_destroy(k->link);
     free(k->loads);
     free(k->uses);
@@ -90,6 +108,11 @@
     free(k);
 }
 
+void rk_mesh_init_members(struct rk_mesh *m)
+{
+    m->by_id = lh_kchar_table_new(FIRST_IDS, NULL);
+}
+
 void rk_mesh_free_members(struct rk_mesh *m)
 {
     while (m->members) {
@@ -97,6 +120,7 @@
         m->members = k->next;
         free_member(k);
     }
+    lh_table_free(m->by_id);
 }
 
 struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr)
@@ -106,10 +130,7 @@
         k = rk_mesh_find_addr(m, addr);
     if (!k)
         k = add_member(m, id, addr);
-    if (id[0]) {
-        rk_strcpy(k->id, sizeof(k->id), id);
-        k->hash = rk_hash_str(0, id);
-    }
+    set_id(k, id);
     if (strcmp(k->addr, addr) != 0) {
         rk_strcpy(k->addr, sizeof(k->addr), addr);
         rk_link_destroy(k->link);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -426,12 +426,14 @@
     m->tick = (struct rk_timer){.fn = on_tick, .ctx = m};
     m->relay_soon = (struct rk_timer){.fn = on_relay_soon, .ctx = m};
     m->soon = (struct rk_timer){.fn = on_soon, .ctx = m};
+    rk_mesh_init_members(m);
     rk_enrol_init(m);
     rk_tell_init(m);
     m->listener = rk_listener_create(n->loop, n->file.control_listen, false,
                                      &guest_ops, on_accept, m);
     if (m->listener)
         return m;
+    rk_mesh_free_members(m);
     free(m);
     return NULL;
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -18,6 +18,7 @@
  * it misses of the store it asks for. */
 #define RK_MESH_BEHIND (256 * 1024)
 
+struct lh_table;
 struct rk_link;
 struct rk_listener;
 
@@ -101,6 +102,7 @@
     struct rk_node *n;
     struct rk_listener *listener;
     struct member *members;
+    struct lh_table *by_id; /* of members that told their names */
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol, tell;
     int64_t due_ms;    /* when the tick is next */
@@ -164,6 +166,7 @@
 struct member *rk_mesh_find_addr(const struct rk_mesh *m, const char *addr);
 /* A node at an address; it may be known by that address only. */
 struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr);
+void rk_mesh_init_members(struct rk_mesh *m);
 void rk_mesh_free_members(struct rk_mesh *m);
 /* Forget who was silent for long, and log who came and went. */
 void rk_mesh_review(struct rk_mesh *m, int64_t now_ms);
