mesh: nodes of a large fleet tell bridges the use of quotas that changed

Cause: each node told each bridge of its domain a row for each organisation that anybody had used, with what it knows of the use of all, four times a second: nodes of a domain times organisations. Change: rows that changed, or are asked for; all of them to a bridge that just began, which asks if it lacks them; what is known of the use of all only to a bridge that remembers less. Mixed versions: changes go only to peers that say they take them.

--- /dev/null
+++ b/core/org_uses.c
@@ -0,0 +1,69 @@
+#include "core/org_uses.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_ROWS 16
+#define ASKING_MIN 1.0 /* units a second: less changes no peer's decision */
+
+const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
+                                         const char *org)
+{
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(uses[i].org, org))
+            return &uses[i];
+    return NULL;
+}
+
+/* Units only rise, or are given back: a row that is as it was says nothing new. What
+ * is asked for fades by itself, and is told until it has. */
+bool rk_org_use_is_news(const struct rk_org_use *use, struct rk_tally *told)
+{
+    bool changed = use->units != rk_tally_total(told, use->org);
+    if (changed)
+        *rk_tally_at(told, use->org) = use->units;
+    return changed || use->asking >= ASKING_MIN;
+}
+
+void rk_org_uses_begin(struct rk_org_uses *u)
+{
+    for (size_t i = 0; i < u->len; i++)
+        u->rows[i].asking = 0;
+}
+
+struct rk_org_use *rk_org_uses_at(struct rk_org_uses *u, const char *org)
+{
+    size_t at = rk_names_find(&u->names, u->rows, sizeof(*u->rows), org);
+    if (at != RK_NO_ROW)
+        return &u->rows[at];
+    if (u->len == u->cap) {
+        u->cap = u->cap ? u->cap * 2 : FIRST_ROWS;
+        u->rows = rk_realloc(u->rows, u->cap * sizeof(*u->rows));
+    }
+    struct rk_org_use *row = &u->rows[u->len];
+    *row = (struct rk_org_use){0};
+    rk_strcpy(row->org, sizeof(row->org), org);
+    rk_names_add(&u->names, u->rows, sizeof(*u->rows), u->len++);
+    return row;
+}
+
+double rk_org_uses_rise(struct rk_org_uses *u, const char *org, double units)
+{
+    struct rk_org_use *row = rk_org_uses_at(u, org);
+    double rise = units - row->units;
+    row->units = units;
+    return rise;
+}
+
+void rk_org_uses_clear(struct rk_org_uses *u)
+{
+    u->len = 0;
+    rk_names_clear(&u->names);
+}
+
+void rk_org_uses_free(struct rk_org_uses *u)
+{
+    free(u->rows);
+    rk_names_free(&u->names);
+    *u = (struct rk_org_uses){0};
+}
--- a/node/digest.c
+++ b/node/digest.c
@@ -61,8 +61,8 @@
     d->based = true;
     rk_tally_clear(&d->base_uses);
     rk_tally_clear(&d->base_reads);
-    for (size_t i = 0; i < d->uses_len; i++)
-        *rk_tally_at(&d->base_uses, d->uses[i].org) = d->uses[i].units;
+    for (size_t i = 0; i < d->uses.len; i++)
+        *rk_tally_at(&d->base_uses, d->uses.rows[i].org) = d->uses.rows[i].units;
     for (size_t i = 0; i < d->services_len; i++)
         *rk_tally_at(&d->base_reads, d->services[i].service) =
             d->services[i].read_tokens;
@@ -95,8 +95,8 @@
 
 static void count_uses(struct rk_mesh *m, const struct digest *d)
 {
-    for (size_t i = 0; i < d->uses_len; i++) {
-        const struct rk_org_use *use = &d->uses[i];
+    for (size_t i = 0; i < d->uses.len; i++) {
+        const struct rk_org_use *use = &d->uses.rows[i];
         double rise = use->units - rk_tally_total(&d->base_uses, use->org);
         if (d->fleet)
             rise -= rk_tally_rise(&m->based_uses, use->org, own_use(m, use->org));
@@ -150,22 +150,15 @@
 /* What all used is told now and then: kept until it is told again. */
 static void take_uses(struct digest *to, const Rillknot__Digest *d)
 {
-    struct rk_org_use *uses = rk_alloc(d->n_uses + 1, sizeof(*uses));
+    rk_org_uses_begin(&to->uses);
     for (size_t i = 0; i < d->n_uses; i++) {
         const Rillknot__OrgUse *told = d->uses[i];
-        const struct rk_org_use *before =
-            rk_org_use_find(to->uses, to->uses_len, told->org);
-        if (before && !told->n_known)
-            uses[i] = *before;
-        rk_strcpy(uses[i].org, sizeof(uses[i].org), told->org);
-        uses[i].units = told->units;
-        uses[i].asking = rk_report_asking(told);
+        struct rk_org_use *row = rk_org_uses_at(&to->uses, told->org);
+        row->units = told->units;
+        row->asking = rk_report_asking(told);
         for (size_t j = 0; j < told->n_known && j < RK_QUOTA_PARTS; j++)
-            uses[i].known[j] = (double)told->known[j];
+            row->known[j] = (double)told->known[j];
     }
-    free(to->uses);
-    to->uses = uses;
-    to->uses_len = d->n_uses;
 }
 
 static void take_services(struct digest *to, const Rillknot__Digest *d)
@@ -218,6 +211,7 @@
         k->capacity = d->capacity;
     k->slow = d->slow;
     k->hears_store = d->hears_store;
+    k->takes_changes = d->takes_changes;
     k->heard_ms = now_ms;
     k->unproven = false;
 }
@@ -230,6 +224,7 @@
     if (to->incarnation != d->incarnation || to->fleet != d->fleet) {
         to->incarnation = d->incarnation;
         to->based = false; /* it counts from nothing */
+        rk_org_uses_clear(&to->uses);
     }
     to->heard_ms = now_ms;
     if (d->fleet)
@@ -260,7 +255,7 @@
 void rk_digest_free(struct digest *d)
 {
     free(d->loads);
-    free(d->uses);
+    rk_org_uses_free(&d->uses);
     free(d->services);
     rk_tally_free(&d->base_uses);
     rk_tally_free(&d->base_reads);
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -231,6 +231,7 @@
     p->digest.fleet = fleet;
     p->digest.capacity = rk_mesh_capacity(m);
     p->digest.slow = m->slow;
+    p->digest.takes_changes = true;
     p->digest.hears_store = rk_sync_hears_store(n->sync);
     p->digest.settings_version = rk_sync_version(n->sync);
     p->digest.list_revision = rk_sync_list_revision(n->sync);
@@ -301,6 +302,7 @@
                       r->services[i].read_tokens);
     for (struct member *k = m->members; k; k = k->next) {
         k->incarnation = 0; /* its next report is where counting begins */
+        k->uses_based = false;
         k->digest.based = false;
     }
 }
--- a/node/loads.c
+++ b/node/loads.c
@@ -158,7 +158,8 @@
                        size_t len, double sign)
 {
     for (size_t i = 0; i < len; i++)
-        *rk_tally_at(sum, uses[i].org) += sign * uses[i].asking;
+        if (uses[i].asking > 0)
+            *rk_tally_at(sum, uses[i].org) += sign * uses[i].asking;
 }
 
 void rk_loads_add_asking(const struct rk_mesh *m, bool fleet, struct rk_tally *sum,
@@ -166,9 +167,9 @@
 {
     for (const struct member *k = m->members; k; k = k->next) {
         if (counts(k, now_ms))
-            add_asking(sum, k->uses, k->uses_len, 1);
+            add_asking(sum, k->uses.rows, k->uses.len, 1);
         else if (fleet && !m->direct && rk_digest_counts(k, now_ms))
-            add_asking(sum, k->digest.uses, k->digest.uses_len, 1);
+            add_asking(sum, k->digest.uses.rows, k->digest.uses.len, 1);
     }
 }
 
@@ -181,7 +182,7 @@
         rk_loads_add_asking(m, true, sum, now_ms);
         return;
     }
-    add_asking(sum, source->digest.uses, source->digest.uses_len, 1);
+    add_asking(sum, source->digest.uses.rows, source->digest.uses.len, 1);
     if (r)
         add_asking(sum, r->uses, r->uses_len, -1);
     for (size_t i = 0; i < sum->len; i++)
--- a/node/members.c
+++ b/node/members.c
@@ -101,7 +101,7 @@
     forget_id(k);
     rk_link_destroy(k->link);
     free(k->loads);
-    free(k->uses);
+    rk_org_uses_free(&k->uses);
     free(k->services);
     free(k->trials);
     rk_digest_free(&k->digest);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -33,8 +33,7 @@
     return link && rk_link_was_up(link) && rk_link_unsent(link) < RK_MESH_BEHIND;
 }
 
-/* Does this node tell a member its report? */
-static bool is_told(const struct member *k)
+bool rk_mesh_is_told(const struct member *k)
 {
     const struct rk_mesh *m = k->m;
     return m->direct || (rk_mesh_is_near(k) && k->bridge);
@@ -49,8 +48,9 @@
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
     for (struct member *k = m->members; k; k = k->next)
-        if (is_told(k) && rk_mesh_takes(k->link))
+        if (rk_mesh_is_told(k) && rk_mesh_takes(k->link))
             rk_link_send(k->link, &frame);
+    rk_report_note_uses(m, &p);
     rk_report_free(&p);
 }
 
@@ -111,6 +111,11 @@
     Rillknot__StoreText text;
     if (wanted->settings)
         rk_tell_wanted(m, told);
+    if (wanted->uses) {
+        m->uses_wanted = true;
+        m->known_wanted = m->known_wanted || wanted->known;
+        rk_mesh_report(m);
+    }
     if (!wanted->list || !rk_mesh_takes(link))
         return;
     rk_sync_tell(m->n->sync, &list, &text);
@@ -134,6 +139,17 @@
         rk_duty_keeper_seen(m->n->duty_keeper, lease->version, lease->value);
 }
 
+void rk_mesh_want_uses(struct rk_link *link, bool known)
+{
+    Rillknot__StoreWanted w = RILLKNOT__STORE_WANTED__INIT;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    w.uses = true;
+    w.known = known;
+    frame.body_case = RILLKNOT__FRAME__BODY_STORE_WANTED;
+    frame.store_wanted = &w;
+    rk_link_send(link, &frame);
+}
+
 static void take_report(struct rk_mesh *m, struct rk_link *link,
                         struct link_told *told, const Rillknot__NodeReport *r)
 {
@@ -154,6 +170,8 @@
             rk_mesh_learn(m, "", r->peers[i]);
     if (!m->direct && !r->settings_version)
         rk_digest_answer(m, link, told);
+    if (rk_report_lacks_uses(k, rk_mono_ms()))
+        rk_mesh_want_uses(link, false);
     rk_mesh_ask_if_behind(m, link, told, r->settings_version, r->list_revision);
 }
 
@@ -265,7 +283,7 @@
 static bool is_needed(const struct member *k)
 {
     const struct rk_mesh *m = k->m;
-    if (is_told(k) || !k->id[0])
+    if (rk_mesh_is_told(k) || !k->id[0])
         return true;
     return m->bridge && (rk_mesh_is_near(k) || k->bridge || !k->domain[0]);
 }
@@ -328,20 +346,20 @@
     p->catch_up = m->catch_up != NULL;
     const struct rk_org_use *uses = NULL;
     for (const struct member *k = m->members; k; k = k->next) {
-        if (!rk_mesh_is_heard(k, now_ms) ||
+        if (!k->knows || !rk_mesh_is_heard(k, now_ms) ||
             (uses && k->remembers_ms <= p->remembers_ms))
             continue;
         p->remembers_ms = k->remembers_ms;
-        p->known_len = k->uses_len;
-        uses = k->uses;
+        p->known_len = k->uses.len;
+        uses = k->uses.rows;
     }
     const struct member *source =
         m->catch_up ? m->catch_up : rk_digest_of_fleet(m, now_ms);
     if (source &&
         (m->catch_up || !uses || source->digest.remembers_ms > p->remembers_ms)) {
         p->remembers_ms = source->digest.remembers_ms;
-        p->known_len = source->digest.uses_len;
-        uses = source->digest.uses;
+        p->known_len = source->digest.uses.len;
+        uses = source->digest.uses.rows;
     }
     p->known = rk_alloc(p->known_len + 1, sizeof(*p->known));
     m->catch_up = NULL;
@@ -404,6 +422,7 @@
     if (now_ms - m->told_ms >= REPORT_MS)
         tell(m); /* else the relay's reports set the pace */
     rk_digest_tell(m);
+    rk_report_ask_known(m, now_ms);
     rk_usage_tell_holder(m, now_ms);
     rk_rollout_tell_seen(m, now_ms);
     rk_quarantines_tick(m->n->quarantines);
@@ -478,7 +497,8 @@
     struct rk_tally *const tallies[] = {
         &m->peer_reads,   &m->domain_uses, &m->fleet_uses,
         &m->domain_reads, &m->fleet_reads, &m->own_uses,
-        &m->own_reads,    &m->based_uses,  &m->based_reads};
+        &m->own_reads,    &m->based_uses,  &m->based_reads,
+        &m->uses_told};
     for (size_t i = 0; i < RK_ARRAY_LEN(tallies); i++)
         rk_tally_free(tallies[i]);
     free(m->news);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -1,6 +1,6 @@
 /* State of the mesh, shared by its files: members.c (the nodes that are known, who
- * bridges), mesh.c (links, who is told what), report.c (what nodes tell of
- * themselves), tell.c (settings to those who lack them), digest.c and digest_tell.c
+ * bridges), mesh.c (links, who is told what), report.c and report_uses.c
+ * (what nodes tell of themselves), tell.c (settings to those who lack them), digest.c and digest_tell.c
  * (what bridges tell of several nodes), loads.c (what runs where) and enrol.c (the
  * list of nodes in the store). Not for others. */
 #ifndef RK_NODE_MESH_IMPL_H
@@ -31,8 +31,7 @@
     int64_t remembers_ms;
     struct rk_vm_load *loads;
     size_t loads_len;
-    struct rk_org_use *uses; /* known[] is told now and then */
-    size_t uses_len;
+    struct rk_org_uses uses; /* known[] is told now and then */
     struct rk_service_use *services;
     size_t services_len;
     /* Its counters when a digest of its kind was counted last. */
@@ -46,6 +45,7 @@
     bool wanted;          /* the peer asked and was not answered yet */
     int64_t sent_version; /* 0: none */
     int64_t members_ms;   /* it was told who the members are, unasked; 0: never */
+    bool has_uses;        /* it was told all rows of uses */
 };
 
 struct member {
@@ -74,8 +74,11 @@
     int64_t remembers_ms;
     struct rk_vm_load *loads;
     size_t loads_len;
-    struct rk_org_use *uses; /* since its start, as told last */
-    size_t uses_len;
+    struct rk_org_uses uses; /* since its start, as told last */
+    bool uses_based;         /* uses has all its rows: changes add to them */
+    bool knows;              /* uses[].known was told */
+    bool takes_changes;      /* it may be told only the rows that changed */
+    int64_t uses_asked_ms;   /* it was asked for all its rows, last */
     struct rk_service_use *services; /* the same */
     size_t services_len;
     struct rk_rollout_seen *trials; /* the same; sum: of its whole domain */
@@ -112,6 +115,9 @@
     int64_t digest_ms; /* the same, a digest */
     unsigned digests;  /* made so far */
     struct rk_usage_told own_told, counts_told;
+    struct rk_tally uses_told; /* own units by organisation, as told last */
+    bool uses_wanted, known_wanted; /* the next report tells all rows, with that */
+    int64_t known_asked_ms;         /* a node was asked what it knows, last */
     char counts_to[RK_ID_MAX]; /* the holder of the duties that got counts last */
     int64_t word_ms;           /* the word on roll-outs told, last */
     int64_t trials_ms;         /* what calls showed of them, last */
@@ -176,9 +182,13 @@
 int64_t rk_mesh_capacity(const struct rk_mesh *m);
 
 /* mesh.c */
+/* Does this node tell a member its report? */
+bool rk_mesh_is_told(const struct member *k);
 /* Is there a link that takes a message now? */
 bool rk_mesh_takes(const struct rk_link *link);
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms);
+/* Ask a peer for all its rows of uses, known: with what it knows of all. */
+void rk_mesh_want_uses(struct rk_link *link, bool known);
 /* Ask a peer that knows more of the store. */
 void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
                            const struct link_told *told, int64_t settings_version,
@@ -190,8 +200,23 @@
 void rk_report_fill(struct rk_report *p, struct rk_mesh *m);
 void rk_report_free(struct rk_report *p);
 void rk_report_take(struct member *k, const Rillknot__NodeReport *r);
+
+/* report_uses.c: the use of quotas, in reports. */
+void rk_report_fill_uses(struct rk_report *p, struct rk_mesh *m,
+                         const struct rk_relay_report *r);
+/* After a report was sent: who could not take it has to be told all. */
+void rk_report_note_uses(struct rk_mesh *m, const struct rk_report *p);
+void rk_report_take_uses(struct member *k, const Rillknot__NodeReport *r,
+                         bool first);
+/* Does a bridge lack rows of a member? It asks for them then. */
+bool rk_report_lacks_uses(struct member *k, int64_t now_ms);
+/* A bridge that remembers less than a node of its domain asks one. */
+void rk_report_ask_known(struct rk_mesh *m, int64_t now_ms);
 /* Units a second that callers ask for, as told; 0 for what can't be. */
 double rk_report_asking(const Rillknot__OrgUse *told);
+/* Does what a member tells of itself count here? In a larger fleet the bridges of
+ * its domain count it, and the others hear of it by their digests. */
+bool rk_report_counts(const struct member *k);
 
 /* usage_tell.c: counts of calls by window, if they are due. */
 void rk_usage_fill_report(struct rk_report *p, struct rk_mesh *m);
--- a/node/report.c
+++ b/node/report.c
@@ -20,26 +20,6 @@
     p->report.vms = p->vm_ptrs;
 }
 
-static void fill_uses(struct rk_report *p, const struct rk_relay_report *r)
-{
-    p->uses = rk_alloc(r->uses_len + 1, sizeof(*p->uses));
-    p->known = rk_alloc(r->uses_len * RK_QUOTA_PARTS + 1, sizeof(*p->known));
-    p->use_ptrs = rk_alloc(r->uses_len + 1, sizeof(*p->use_ptrs));
-    for (size_t i = 0; i < r->uses_len; i++) {
-        rillknot__org_use__init(&p->uses[i]);
-        p->uses[i].org = r->uses[i].org;
-        p->uses[i].units = r->uses[i].units;
-        p->uses[i].asking = (float)r->uses[i].asking;
-        for (size_t j = 0; j < RK_QUOTA_PARTS; j++)
-            p->known[i * RK_QUOTA_PARTS + j] = (uint64_t)r->uses[i].known[j];
-        p->uses[i].n_known = RK_QUOTA_PARTS;
-        p->uses[i].known = &p->known[i * RK_QUOTA_PARTS];
-        p->use_ptrs[i] = &p->uses[i];
-    }
-    p->report.n_uses = r->uses_len;
-    p->report.uses = p->use_ptrs;
-}
-
 static void fill_services(struct rk_report *p, const struct rk_relay_report *r)
 {
     p->services = rk_alloc(r->services_len + 1, sizeof(*p->services));
@@ -91,6 +71,7 @@
     p->report.hears_store = rk_sync_hears_store(m->n->sync);
     p->report.store_age_ms = rk_sync_age_ms(n->sync);
     p->report.capacity = rk_mesh_capacity(m);
+    p->report.takes_changes = true;
     const char *value;
     if (rk_duty_keeper_lease(n->duty_keeper, &p->lease.version, &value)) {
         p->lease.value = (char *)value;
@@ -101,7 +82,7 @@
         return;
     p->report.remembers_ms = n->report->remembers_ms;
     fill_vms(p, n->report);
-    fill_uses(p, n->report);
+    rk_report_fill_uses(p, m, n->report);
     rk_usage_fill_report(p, m);
     fill_services(p, n->report);
 }
@@ -121,56 +102,6 @@
     free(p->peers);
 }
 
-/* Does what a member tells of itself count here? In a larger fleet the bridges of
- * its domain count it, and the others hear of it by their digests. */
-static bool counts(const struct member *k)
-{
-    return k->m->direct || (k->m->bridge && rk_mesh_is_near(k));
-}
-
-static double used_before(const struct member *k, const char *org)
-{
-    const struct rk_org_use *before = rk_org_use_find(k->uses, k->uses_len, org);
-    return before ? before->units : 0;
-}
-
-static void count_use(struct member *k, const char *org, double rise)
-{
-    struct rk_mesh *m = k->m;
-    if (!counts(k) || rise == 0)
-        return;
-    rk_mesh_add_news(m, org, rise);
-    *rk_tally_at(&m->domain_uses, org) += rise;
-    *rk_tally_at(&m->fleet_uses, org) += rise;
-}
-
-/* What the node used since its last report goes to the relay with the next. What a
- * node heard for the first time used before is among what peers remember. */
-static void take_uses(struct member *k, const Rillknot__NodeReport *r, bool first)
-{
-    struct rk_org_use *uses = rk_alloc(r->n_uses + 1, sizeof(*uses));
-    for (size_t i = 0; i < r->n_uses; i++) {
-        rk_strcpy(uses[i].org, sizeof(uses[i].org), r->uses[i]->org);
-        uses[i].units = r->uses[i]->units;
-        uses[i].asking = rk_report_asking(r->uses[i]);
-        for (size_t j = 0; j < r->uses[i]->n_known && j < RK_QUOTA_PARTS; j++)
-            uses[i].known[j] = (double)r->uses[i]->known[j];
-        double before = first ? uses[i].units : used_before(k, uses[i].org);
-        count_use(k, uses[i].org, uses[i].units - before);
-    }
-    free(k->uses);
-    k->uses = uses;
-    k->uses_len = r->n_uses;
-}
-
-double rk_report_asking(const Rillknot__OrgUse *told)
-{
-    if (isfinite(told->asking) && told->asking >= 0)
-        return (double)told->asking;
-    RK_WARN("quota.rejected", RK_S("organisation", told->org));
-    return 0;
-}
-
 static double read_before(const struct member *k, const char *service)
 {
     const struct rk_service_use *before =
@@ -181,7 +112,7 @@
 static void count_read(struct member *k, const char *service, double rise)
 {
     struct rk_mesh *m = k->m;
-    if (!counts(k) || rise <= 0)
+    if (!rk_report_counts(k) || rise <= 0)
         return;
     *rk_tally_at(&m->peer_reads, service) += rise;
     *rk_tally_at(&m->domain_reads, service) += rise;
@@ -213,7 +144,9 @@
     bool first = !k->incarnation;
     if (k->incarnation != r->incarnation) {
         k->incarnation = r->incarnation;
-        k->uses_len = 0; /* it counts from its start */
+        rk_org_uses_clear(&k->uses); /* it counts from its start */
+        k->uses_based = !first;
+        k->knows = false;
         k->services_len = 0;
     }
     rk_strcpy(k->domain, sizeof(k->domain), r->domain);
@@ -223,8 +156,9 @@
     k->leaving = r->leaving;
     k->slow = r->slow;
     k->hears_store = r->hears_store;
+    k->takes_changes = r->takes_changes;
     k->remembers_ms = r->remembers_ms;
-    take_uses(k, r, first);
+    rk_report_take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
     take_services(k, r, first);
     rk_usage_take(k->m->n, r->usage, r->n_usage);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3435,7 +3435,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[21] =
 {
   {
     "id",
@@ -3653,6 +3653,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uses_changed",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, uses_changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "takes_changes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, takes_changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "knows",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, knows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -3661,6 +3697,7 @@
   17,   /* field[17] = hears_store */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
+  20,   /* field[20] = knows */
   10,   /* field[10] = lease */
   6,   /* field[6] = leaving */
   5,   /* field[5] = list_revision */
@@ -3670,14 +3707,16 @@
   4,   /* field[4] = settings_version */
   16,   /* field[16] = slow */
   14,   /* field[14] = store_age_ms */
+  19,   /* field[19] = takes_changes */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
+  18,   /* field[18] = uses_changed */
   7,   /* field[7] = vms */
 };
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -3687,7 +3726,7 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  18,
+  21,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
@@ -3823,7 +3862,7 @@
   (ProtobufCMessageInit) rillknot__node_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[20] =
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[21] =
 {
   {
     "id",
@@ -4065,6 +4104,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_changes",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, takes_changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__digest__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -4084,6 +4135,7 @@
   5,   /* field[5] = settings_version */
   18,   /* field[18] = slow */
   7,   /* field[7] = store_age_ms */
+  20,   /* field[20] = takes_changes */
   12,   /* field[12] = uses */
   11,   /* field[11] = vms */
   16,   /* field[16] = vms_told */
@@ -4091,7 +4143,7 @@
 static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor rillknot__digest__descriptor =
 {
@@ -4101,7 +4153,7 @@
   "Rillknot__Digest",
   "rillknot",
   sizeof(Rillknot__Digest),
-  20,
+  21,
   rillknot__digest__field_descriptors,
   rillknot__digest__field_indices_by_name,
   1,  rillknot__digest__number_ranges,
@@ -4146,7 +4198,7 @@
   (ProtobufCMessageInit) rillknot__usage_counts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__store_wanted__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rillknot__store_wanted__field_descriptors[5] =
 {
   {
     "settings",
@@ -4184,16 +4236,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uses",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreWanted, uses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StoreWanted, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__store_wanted__field_indices_by_name[] = {
+  4,   /* field[4] = known */
   1,   /* field[1] = list */
   2,   /* field[2] = list_since */
   0,   /* field[0] = settings */
+  3,   /* field[3] = uses */
 };
 static const ProtobufCIntRange rillknot__store_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rillknot__store_wanted__descriptor =
 {
@@ -4203,7 +4281,7 @@
   "Rillknot__StoreWanted",
   "rillknot",
   sizeof(Rillknot__StoreWanted),
-  3,
+  5,
   rillknot__store_wanted__field_descriptors,
   rillknot__store_wanted__field_indices_by_name,
   1,  rillknot__store_wanted__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -445,10 +445,22 @@
    * It follows the store, and the store answers it.
    */
   protobuf_c_boolean hears_store;
+  /*
+   * uses are the rows that changed since the last report; else all there are.
+   */
+  protobuf_c_boolean uses_changed;
+  /*
+   * The sender takes such reports.
+   */
+  protobuf_c_boolean takes_changes;
+  /*
+   * Each row has what the sender knows of the use of all.
+   */
+  protobuf_c_boolean knows;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -514,10 +526,14 @@
   int64_t capacity;
   protobuf_c_boolean slow;
   protobuf_c_boolean hears_store;
+  /*
+   * It takes reports whose uses are only the rows that changed.
+   */
+  protobuf_c_boolean takes_changes;
 };
 #define RILLKNOT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -546,10 +562,18 @@
    * The sender knows the list up to this revision; 0: nothing of it.
    */
   int64_t list_since;
+  /*
+   * All rows of the next report's uses: the sender has none to which changes add.
+   */
+  protobuf_c_boolean uses;
+  /*
+   * The same, with what is known of the use of all: the sender remembers less.
+   */
+  protobuf_c_boolean known;
 };
 #define RILLKNOT__STORE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__store_wanted__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -21,15 +21,6 @@
     .idle_ms = 15000,
 };
 
-const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
-                                         const char *org)
-{
-    for (size_t i = 0; i < len; i++)
-        if (!strcmp(uses[i].org, org))
-            return &uses[i];
-    return NULL;
-}
-
 const struct rk_service_use *
 rk_service_use_find(const struct rk_service_use *services, size_t len,
                     const char *service)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -12,6 +12,7 @@
 #include "core/engine.h"
 #include "core/place.h"
 #include "core/quarantine.h"
+#include "core/org_uses.h"
 #include "core/quota.h"
 #include "core/routes.h"
 #include "core/tally.h"
@@ -31,18 +32,6 @@
     bool first_start; /* nothing was used before */
 };
 
-/* What one organisation used here since the start, in units of its quota. */
-struct rk_org_use {
-    char org[RK_ID_MAX];
-    double units;
-    double asking; /* units a second that callers ask for, refused ones included */
-    /* What all used within the quota's window, as far as known here, by parts of
-     * it, the newest first. */
-    double known[RK_QUOTA_PARTS];
-    /* The same, with what the store remembered; only in reports to control. */
-    double kept[RK_QUOTA_PARTS];
-};
-
 /* What was asked of an engine service here since the start, and is in hand. */
 struct rk_service_use {
     char service[RK_ID_MAX];
@@ -52,9 +41,7 @@
     struct rk_engine_estimate engine; /* learnt here */
 };
 
-/* The row of an organisation, of a service; NULL: none. */
-const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
-                                         const char *org);
+/* The row of a service; NULL: none. */
 const struct rk_service_use *
 rk_service_use_find(const struct rk_service_use *services, size_t len,
                     const char *service);
