orders: idle vms beyond all quotas are not ordered once more

Cause: until the first calls come, the on-demand vms that stand there are taken for what will be needed, and as many reclaimable ones are ordered. What holds while a fleet is small: that what stands is of the size of what is asked for. On the whole fleet 9,695 stand for some 385 streams a second. Change: the estimate is at most what the quotas of all organisations come to, four times over, as no engine was measured yet; where an organisation has no quota, as before.

--- a/core/holding.c
+++ b/core/holding.c
@@ -11,6 +11,7 @@
 #define RUNNING_SHARE   0.35 /* of its slots */
 #define RECLAIMABLE_MIN 2    /* a domain, where that kind is cheaper */
 #define STAND_IN_SHARE  0.8  /* of the need that on-demand vms stand in for */
+#define UNMEASURED 4.0 /* times slower than taken for an engine may be */
 #define GIVEN_UP_SHARE  0.5  /* of the stand-ins that are not needed, at a time */
 
 double rk_holding_need(double read_per_s, double vm_per_s, double running,
@@ -21,6 +22,11 @@
     return by_reading > by_running ? by_reading : by_running;
 }
 
+double rk_holding_most(double quotas_per_s, double vm_per_s)
+{
+    return rk_holding_need(quotas_per_s, vm_per_s, 0, 0) * UNMEASURED;
+}
+
 double rk_holding_smooth(double before, double now, int64_t passed_ms,
                          double halved_ms)
 {
--- a/core/holding.h
+++ b/core/holding.h
@@ -50,6 +50,11 @@
 double rk_holding_need(double read_per_s, double vm_per_s, double running,
                        double slots);
 
+/* Vms beyond which nothing can be asked for, however it comes: all organisations
+ * together get no more than their quotas. quotas_per_s: tokens, INFINITY if some have
+ * none; vm_per_s: what a vm is taken to read before any was measured. */
+double rk_holding_most(double quotas_per_s, double vm_per_s);
+
 /* Smooth: up at once, down slowly. passed_ms: since `before` was made; halved_ms:
  * in which what is gone is forgotten by half. */
 double rk_holding_smooth(double before, double now, int64_t passed_ms,
--- a/core/routes.c
+++ b/core/routes.c
@@ -1,5 +1,6 @@
 #include "core/routes.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -181,6 +182,16 @@
     return NULL;
 }
 
+double rk_routes_quotas_per_s(const struct rk_routes *r)
+{
+    double sum = r->orgs_len ? 0 : INFINITY;
+    for (size_t i = 0; i < r->orgs_len; i++) {
+        const struct rk_org_info *org = &r->orgs[i];
+        sum += org->rate > 0 && org->counts_tokens ? org->rate : INFINITY;
+    }
+    return sum;
+}
+
 const char *rk_route_service(const struct rk_route *route, uint32_t pick)
 {
     uint64_t total = 0;
--- a/core/routes.h
+++ b/core/routes.h
@@ -133,6 +133,9 @@
                                                const char *key);
 const struct rk_org_info *rk_routes_org(const struct rk_routes *r,
                                         const char *name);
+/* Tokens a second that the quotas of all organisations come to; INFINITY: some have
+ * none, or count requests. */
+double rk_routes_quotas_per_s(const struct rk_routes *r);
 
 /* The service for one call, by the shares' weights. pick: any number. */
 const char *rk_route_service(const struct rk_route *route, uint32_t pick);
--- a/node/orders.c
+++ b/node/orders.c
@@ -118,18 +118,24 @@
 }
 
 /* Until the first calls come, the on-demand vms that stood there are the best
- * estimate of what will be asked. */
+ * estimate of what will be asked, but for those beyond what organisations may ask
+ * for: of thousands that stood idle each would be ordered once more. */
 static void estimate(struct service *s, int64_t now_ms)
 {
+    const struct rk_node *n = s->o->n;
     if (!s->followed_ms)
         s->followed_ms = now_ms;
     if (s->asked || now_ms - s->followed_ms > ESTIMATE_MS)
         return;
-    int count = count_on_demand(s->o->n, s->name);
+    int count = count_on_demand(n, s->name);
     if (count > s->at_first)
         s->at_first = count;
-    if (s->need < s->at_first)
-        s->need = s->need_now = s->at_first;
+    const struct rk_service_use use = rk_mesh_service_use(n->mesh, s->name);
+    double most = rk_holding_most(rk_routes_quotas_per_s(rk_sync_routes(n->sync)),
+                                  rk_engine_read_per_s(&use.engine));
+    double expected = fmin(s->at_first, ceil(most));
+    if (s->need < expected)
+        s->need = s->need_now = expected;
 }
 
 static void measure(struct service *s, const struct rk_service_info *info)
--- a/tests/test_holding.c
+++ b/tests/test_holding.c
@@ -52,6 +52,30 @@
         assert_int_equal(t[i].on_demand + t[i].reclaimable, 6);
 }
 
+/* Seen: 9,695 vms stood there for 385 streams a second. Before the first call as many
+ * reclaimable ones were ordered beside them, and all of these were held on. */
+static void idle_vms_beyond_all_quotas_are_not_ordered_again(void **state)
+{
+    (void)state;
+    const double reads_per_s = 50000; /* a vm, by what is taken for unmeasured ones */
+    struct rk_holding_target t[RK_HOLDING_DOMAINS];
+    struct rk_holding_input in = {
+        .domains_len = 5, .min_vms = 61, .max_vms = 3879, .spot_price = 0.22};
+    in.need = in.need_now = fmin(9695, rk_holding_most(333 * 18000.0, reads_per_s));
+    in.idle = in.settled = true;
+    for (size_t i = 0; i < in.domains_len; i++)
+        in.domains[i] = (struct rk_holding_domain){.price = 1, .on_demand = 1939};
+    rk_holding_plan(&in, t);
+    int reclaimable = 0;
+    for (size_t i = 0; i < in.domains_len; i++)
+        reclaimable += t[i].reclaimable;
+    assert_true(reclaimable < 1000);
+    assert_true(reclaimable + 5 * 61 >= ceil(in.need));
+    /* Where quotas are what is asked for, twice, what stood there stands. */
+    assert_true(rk_holding_most(245000, reads_per_s) > 9);
+    assert_true(rk_holding_most(INFINITY, reads_per_s) > 9695);
+}
+
 static void on_demand_vms_stand_in_and_go_some_at_a_time(void **state)
 {
     (void)state;
@@ -426,6 +450,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_floor_is_one_on_demand_vm_a_domain),
+        cmocka_unit_test(idle_vms_beyond_all_quotas_are_not_ordered_again),
         cmocka_unit_test(on_demand_vms_stand_in_and_go_some_at_a_time),
         cmocka_unit_test(stand_ins_go_at_once_when_all_are_replaced),
         cmocka_unit_test(a_large_provision_goes_within_a_minute),
