--- a/core/holding.c
+++ b/core/holding.c
@@ -11,7 +11,7 @@
 #define RUNNING_SHARE   0.35 /* of its slots */
 #define RECLAIMABLE_MIN 2    /* a domain, where that kind is cheaper */
 #define STAND_IN_SHARE  0.8  /* of the need that on-demand vms stand in for */
-#define UNMEASURED 4.0 /* times slower than taken for an engine may be */
+#define UNMEASURED      4.0  /* times slower than taken for an engine may be */
 #define GIVEN_UP_SHARE  0.5  /* of the stand-ins that are not needed, at a time */
 
 double rk_holding_need(double read_per_s, double vm_per_s, double running,
--- a/core/holding.h
+++ b/core/holding.h
@@ -51,8 +51,8 @@
                        double slots);
 
 /* Vms beyond which nothing can be asked for, however it comes: all organisations
- * together get no more than their quotas. quotas_per_s: tokens, INFINITY if some have
- * none; vm_per_s: what a vm is taken to read before any was measured. */
+ * together get no more than their quotas. quotas_per_s: tokens, INFINITY if some
+ * have none; vm_per_s: what a vm is taken to read before any was measured. */
 double rk_holding_most(double quotas_per_s, double vm_per_s);
 
 /* Smooth: up at once, down slowly. passed_ms: since `before` was made; halved_ms:
--- a/core/org_uses.c
+++ b/core/org_uses.c
@@ -15,8 +15,8 @@
     return NULL;
 }
 
-/* Units only rise, or are given back: a row that is as it was says nothing new. What
- * is asked for fades by itself, and is told until it has. */
+/* Units only rise, or are given back: a row that is as it was says nothing new.
+ * What is asked for fades by itself, and is told until it has. */
 bool rk_org_use_is_news(const struct rk_org_use *use, struct rk_tally *told)
 {
     bool changed = use->units != rk_tally_total(told, use->org);
--- a/core/org_uses.h
+++ b/core/org_uses.h
@@ -1,7 +1,7 @@
 /* What nodes tell of the use of quotas: rows of organisations, of which only those
  * are told again that changed. A node of a large fleet serves a few of hundreds of
- * organisations a second; a bridge that was told all rows by each node of its domain
- * four times a second did little else. Pure. */
+ * organisations a second; a bridge that was told all rows by each node of its
+ * domain four times a second did little else. Pure. */
 #ifndef RK_CORE_ORG_USES_H
 #define RK_CORE_ORG_USES_H
 
@@ -13,7 +13,8 @@
 #include "core/quota.h"
 #include "core/tally.h"
 
-/* What one organisation used since the start of who tells it, in units of its quota.
+/* What one organisation used since the start of who tells it, in units of its
+ * quota.
  */
 struct rk_org_use {
     char org[RK_ID_MAX]; /* first: see core/names.h */
--- a/core/quota.h
+++ b/core/quota.h
@@ -11,14 +11,14 @@
 #include "common/util.h"
 #include "core/names.h"
 
-#define RK_QUOTA_BUCKETS   33 /* one more than a window: the oldest is part */
-#define RK_QUOTA_PARTS     8  /* of a window, as nodes tell each other */
+#define RK_QUOTA_BUCKETS   33   /* one more than a window: the oldest is part */
+#define RK_QUOTA_PARTS     8    /* of a window, as nodes tell each other */
 #define RK_QUOTA_WINDOW_MS 8000 /* when the deployment tells none */
 #define RK_UNKNOWN_NODES   8    /* taken to exist until a list of them is known */
 
 /* One organisation's use. peers_asking is set by the owner. */
 struct rk_quota_org {
-    char name[RK_ID_MAX]; /* first: see core/names.h */
+    char name[RK_ID_MAX];          /* first: see core/names.h */
     double used[RK_QUOTA_BUCKETS]; /* units, by time */
     double own[RK_QUOTA_BUCKETS];  /* of that, admitted here */
     int64_t bucket;                /* number of the newest */
--- a/core/usage.h
+++ b/core/usage.h
@@ -43,7 +43,8 @@
  * nothing. */
 uint64_t rk_usage_sum(const struct rk_usage *u, int64_t window, const char *org);
 /* The same of all organisations that have any, in one pass: a holder of the duties
- * has rows of each node for each organisation that it serves. sums: empty before. */
+ * has rows of each node for each organisation that it serves. sums: empty before.
+ */
 void rk_usage_sums(const struct rk_usage *u, int64_t window, struct rk_tally *sums);
 
 /* Forget windows before `window`. */
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -8,9 +8,9 @@
 
 #define DIGEST_MS    250
 #define MEMBERS_EACH 4 /* digests, one tells who the members are */
-/* Of these, one tells a domain's nodes also of the nodes of others that bridge none:
- * they need only know that those exist. */
-#define FAR_EACH     4
+/* Of these, one tells a domain's nodes also of the nodes of others that bridge
+ * none: they need only know that those exist. */
+#define FAR_EACH 4
 /* More vms are told in fewer of the digests. At 160 engines, loads that are 500
  * instead of 250 ms apart make the slowest first tokens of a hundred 12% later, 28%
  * under load. */
--- a/node/members.c
+++ b/node/members.c
@@ -13,7 +13,8 @@
 #define FIRST_IDS 64
 #define HEARD_MS  900  /* a node silent for longer is not heard */
 #define TOLD_MS   2500 /* a bridge's word that it hears a node, the same */
-#define FAR_MS    6500 /* the same, of other domains: told to those who bridge none */
+#define FAR_MS    6500 /* the same, of other domains: told to those who bridge none \
+                        */
 #define NEW_MS    1500 /* a node that was just learnt of is taken to live */
 #define FORGET_MS 15000
 #define MILLI     1000.0
@@ -44,8 +45,7 @@
         return false;
     if (k->m->bridge)
         return k->told_ms > now_ms - TOLD_MS;
-    return k->told_ms >
-           k->m->fleet_ms - (rk_mesh_is_near(k) ? TOLD_MS : FAR_MS);
+    return k->told_ms > k->m->fleet_ms - (rk_mesh_is_near(k) ? TOLD_MS : FAR_MS);
 }
 
 bool rk_mesh_is_near(const struct member *k)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -495,10 +495,9 @@
     }
     rk_listener_destroy(m->listener);
     struct rk_tally *const tallies[] = {
-        &m->peer_reads,   &m->domain_uses, &m->fleet_uses,
-        &m->domain_reads, &m->fleet_reads, &m->own_uses,
-        &m->own_reads,    &m->based_uses,  &m->based_reads,
-        &m->uses_told};
+        &m->peer_reads,  &m->domain_uses, &m->fleet_uses, &m->domain_reads,
+        &m->fleet_reads, &m->own_uses,    &m->own_reads,  &m->based_uses,
+        &m->based_reads, &m->uses_told};
     for (size_t i = 0; i < RK_ARRAY_LEN(tallies); i++)
         rk_tally_free(tallies[i]);
     free(m->news);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -1,8 +1,8 @@
 /* State of the mesh, shared by its files: members.c (the nodes that are known, who
  * bridges), mesh.c (links, who is told what), report.c and report_uses.c
- * (what nodes tell of themselves), tell.c (settings to those who lack them), digest.c and digest_tell.c
- * (what bridges tell of several nodes), loads.c (what runs where) and enrol.c (the
- * list of nodes in the store). Not for others. */
+ * (what nodes tell of themselves), tell.c (settings to those who lack them),
+ * digest.c and digest_tell.c (what bridges tell of several nodes), loads.c (what
+ * runs where) and enrol.c (the list of nodes in the store). Not for others. */
 #ifndef RK_NODE_MESH_IMPL_H
 #define RK_NODE_MESH_IMPL_H
 
@@ -115,7 +115,7 @@
     int64_t digest_ms; /* the same, a digest */
     unsigned digests;  /* made so far */
     struct rk_usage_told own_told, counts_told;
-    struct rk_tally uses_told; /* own units by organisation, as told last */
+    struct rk_tally uses_told;      /* own units by organisation, as told last */
     bool uses_wanted, known_wanted; /* the next report tells all rows, with that */
     int64_t known_asked_ms;         /* a node was asked what it knows, last */
     char counts_to[RK_ID_MAX]; /* the holder of the duties that got counts last */
--- a/tests/test_holding.c
+++ b/tests/test_holding.c
@@ -52,12 +52,13 @@
         assert_int_equal(t[i].on_demand + t[i].reclaimable, 6);
 }
 
-/* Seen: 9,695 vms stood there for 385 streams a second. Before the first call as many
- * reclaimable ones were ordered beside them, and all of these were held on. */
+/* Seen: 9,695 vms stood there for 385 streams a second. Before the first call as
+ * many reclaimable ones were ordered beside them, and all of these were held on. */
 static void idle_vms_beyond_all_quotas_are_not_ordered_again(void **state)
 {
     (void)state;
-    const double reads_per_s = 50000; /* a vm, by what is taken for unmeasured ones */
+    const double reads_per_s =
+        50000; /* a vm, by what is taken for unmeasured ones */
     struct rk_holding_target t[RK_HOLDING_DOMAINS];
     struct rk_holding_input in = {
         .domains_len = 5, .min_vms = 61, .max_vms = 3879, .spot_price = 0.22};
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -181,7 +181,8 @@
 }
 
 /* A holder of the duties sums the rows of 985 nodes each 300 ms. Summed for one
- * organisation after the other, 333 of them, that was most of its processor time. */
+ * organisation after the other, 333 of them, that was most of its processor time.
+ */
 static void all_organisations_are_summed_at_once(void **state)
 {
     (void)state;
--- a/tests/test_org_uses.c
+++ b/tests/test_org_uses.c
@@ -66,8 +66,8 @@
     return sum;
 }
 
-/* Seen: each of 207 nodes of a domain told each bridge the rows of all organisations
- * that anybody had used, four times a second. */
+/* Seen: each of 207 nodes of a domain told each bridge the rows of all
+ * organisations that anybody had used, four times a second. */
 static void a_report_has_the_rows_that_changed(void **state)
 {
     (void)state;
