sync: traffic is told what changed of the list of vms

Cause: each change of the list copied all rows to the traffic thread, which looked each of them up: vms times changes. What holds while a fleet is small: that the list is about as long as what changes. Change: rows that changed and ids that left; the whole list at first, while versions are tried (which vms are barred is found out over all of them) and after a full queue.

--- a/core/place.c
+++ b/core/place.c
@@ -154,30 +154,54 @@
         index_vms(p);
 }
 
+/* A row of the list as it stands now; true if a life of its vm ended by that. */
+static bool put_row(struct rk_place *p, const struct rk_vm_row *row, int64_t now_ms)
+{
+    struct rk_place_vm *v = rk_place_find(p, row->id);
+    if (!v)
+        v = add(p, row, now_ms);
+    bool reborn = rk_vm_is_reborn(&v->row, row);
+    if (reborn)
+        v = begin_life(p, v, row, now_ms);
+    v->listed = true;
+    if (rk_vm_is_reborn(row, &v->row))
+        return false; /* of an earlier life */
+    bool leaving = v->row.leaving || row->leaving;
+    if (leaving && !v->left_ms)
+        v->left_ms = now_ms;
+    v->row = *row;
+    v->row.leaving = leaving; /* it never comes back */
+    return reborn;
+}
+
 void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len,
                       int64_t now_ms)
 {
     for (struct rk_place_vm *v = p->vms; v; v = v->next)
         v->listed = false;
-    for (size_t i = 0; i < len; i++) {
-        struct rk_place_vm *v = rk_place_find(p, rows[i].id);
-        if (!v)
-            v = add(p, &rows[i], now_ms);
-        else if (rk_vm_is_reborn(&v->row, &rows[i]))
-            v = begin_life(p, v, &rows[i], now_ms);
-        v->listed = true;
-        if (rk_vm_is_reborn(&rows[i], &v->row))
-            continue; /* of an earlier life */
-        bool leaving = v->row.leaving || rows[i].leaving;
-        if (leaving && !v->left_ms)
-            v->left_ms = now_ms;
-        v->row = rows[i];
-        v->row.leaving = leaving; /* it never comes back */
-    }
+    for (size_t i = 0; i < len; i++)
+        put_row(p, &rows[i], now_ms);
     rk_place_sweep(p);
     rk_place_mark_versions(p);
 }
 
+void rk_place_change_vms(struct rk_place *p, const struct rk_vm_row *rows,
+                         size_t len, const char (*gone)[RK_ID_MAX], size_t gone_len,
+                         int64_t now_ms)
+{
+    bool ended = gone_len > 0;
+    for (size_t i = 0; i < gone_len; i++) {
+        struct rk_place_vm *v = rk_place_find(p, gone[i]);
+        if (v)
+            v->listed = false;
+    }
+    for (size_t i = 0; i < len; i++)
+        ended = put_row(p, &rows[i], now_ms) || ended;
+    if (ended)
+        rk_place_sweep(p);
+    rk_place_mark_versions(p);
+}
+
 /* ---- what is cached where ---- */
 
 void rk_place_parse_parts(struct rk_place_query *q, const char *text)
--- a/core/place.h
+++ b/core/place.h
@@ -107,6 +107,11 @@
 /* The list as it stands now. */
 void rk_place_set_vms(struct rk_place *p, const struct rk_vm_row *rows, size_t len,
                       int64_t now_ms);
+/* What changed of it: vms by their ids that are off it, then rows that are new or
+ * other than before. Costs by what changed. */
+void rk_place_change_vms(struct rk_place *p, const struct rk_vm_row *rows,
+                         size_t len, const char (*gone)[RK_ID_MAX], size_t gone_len,
+                         int64_t now_ms);
 /* Roll-outs as they stand now. What calls showed of one that goes on is kept. */
 void rk_place_set_rollouts(struct rk_place *p, const struct rk_rollout_rule *rules,
                            size_t len, bool is_fresh);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -23,6 +23,7 @@
     size_t busy_len;
     struct rk_speeds speeds;
     struct rk_place_rollout rollouts[RK_ROLLOUTS];
+    bool marked;                /* vms may point to one of them */
     struct rk_place_vm **index; /* hash table of vms; NULL: free */
     size_t index_len;           /* a power of two, twice vms_len or more */
     struct memo memos[MEMO_SLOTS];
--- a/core/place_versions.c
+++ b/core/place_versions.c
@@ -26,8 +26,20 @@
     return count;
 }
 
+static bool has_rollouts(const struct rk_place *p)
+{
+    for (size_t i = 0; i < RK_ROLLOUTS; i++)
+        if (p->rollouts[i].rule.service[0])
+            return true;
+    return false;
+}
+
 void rk_place_mark_versions(struct rk_place *p)
 {
+    bool marks = has_rollouts(p);
+    if (!marks && !p->marked)
+        return;
+    p->marked = marks;
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         v->rollout = rollout_of(p, v->row.service);
         v->is_new = v->rollout && !strcmp(v->row.version, v->rollout->rule.version);
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -1,6 +1,6 @@
 /* State of what a node knows of the store, shared by its files: sync.c (who
- * follows, how fresh it is, the peers' way in and out), sync_settings.c and
- * sync_list.c. Not for others. */
+ * follows, how fresh it is, the peers' way in and out), sync_settings.c,
+ * sync_list.c and sync_publish.c. Not for others. */
 #ifndef RK_NODE_SYNC_IMPL_H
 #define RK_NODE_SYNC_IMPL_H
 
@@ -20,6 +20,7 @@
     int64_t first_revision; /* under which it was seen first */
     int64_t
         lapse_ends_ms; /* off the store's list, used on till then; 0: it is on */
+    bool is_news;      /* traffic has to know its row */
     struct rk_vm_row row;
 };
 
@@ -54,6 +55,10 @@
     size_t gone_len, gone_cap;  /* ever; places */
     int64_t gone_since;         /* those since this revision are remembered, */
     int64_t hole_from, hole_to; /* but for those that went between these */
+    /* What traffic has to know beside the entries that are news. */
+    bool published;          /* it has the list, to which changes add */
+    char (*left)[RK_ID_MAX]; /* vms that are off it since */
+    size_t left_len, left_cap;
     /* A message to a peer in the making. */
     Rillknot__ListRow *rows, **row_ptrs;
     Rillknot__GoneRow *gone_rows, **gone_ptrs;
@@ -68,6 +73,11 @@
 void rk_sync_tell_settings(struct rk_sync *s, Rillknot__StoreText *out);
 void rk_sync_take_settings(struct rk_sync *s, const Rillknot__StoreText *text);
 
+/* sync_publish.c: a vm is off the list. */
+void rk_sync_note_left(struct rk_sync *s, const char *name);
+/* Tell traffic what changed. */
+void rk_sync_publish_changes(struct rk_sync *s);
+
 /* sync_list.c: the same of the list of vms. */
 void rk_sync_list_init(struct rk_sync *s);
 void rk_sync_list_free(struct rk_sync *s);
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -37,6 +37,7 @@
 static void remove_entry(struct rk_sync *s, struct entry *e)
 {
     struct entry *last = s->entries[--s->entries_len];
+    rk_sync_note_left(s, e->name);
     lh_table_delete(s->by_name, e->name);
     s->entries[e->at] = last;
     last->at = e->at;
@@ -132,6 +133,7 @@
     e->revision = revision;
     e->lapse_ends_ms = 0;
     e->row = row;
+    e->is_news = e->is_news || changed;
     if (changed)
         log_vm(&row, what, from);
     return changed;
@@ -268,20 +270,6 @@
     return changed;
 }
 
-void rk_sync_publish(struct rk_sync *s)
-{
-    struct rk_vm_row *rows = rk_alloc(s->entries_len + 1, sizeof(*rows));
-    int64_t *since = rk_alloc(s->entries_len + 1, sizeof(*since));
-    for (size_t i = 0; i < s->entries_len; i++) {
-        rows[i] = s->entries[i]->row;
-        since[i] = s->entries[i]->first_revision;
-    }
-    rk_rollouts_mark(s->n->rollouts, rows, since, s->entries_len);
-    free(since);
-    rk_relay_set_vms(s->n->relay, rows, s->entries_len);
-    rk_duty_keeper_look(s->n->duty_keeper);
-}
-
 /* Tell peers what changed since a revision of the list. */
 static void push_list(struct rk_sync *s, int64_t since, const char *from)
 {
@@ -333,7 +321,7 @@
         s->list_revision = known;
     s->list_known = true;
     if (changed)
-        rk_sync_publish(s);
+        rk_sync_publish_changes(s);
     if (s->list_revision > before)
         push_list(s, before, "store");
 }
@@ -492,7 +480,7 @@
     s->list_revision = text->list_revision;
     rk_follow_skip(&s->vms, text->list_revision);
     if (changed)
-        rk_sync_publish(s);
+        rk_sync_publish_changes(s);
     push_list(s, known, "peer");
 }
 
@@ -518,7 +506,7 @@
     struct rk_sync *s = ctx;
     s->list_zip.len = 0;
     if (drop_lapsed(s))
-        rk_sync_publish(s);
+        rk_sync_publish_changes(s);
     await_lapses(s);
 }
 
@@ -534,6 +522,7 @@
     for (size_t i = 0; i < s->entries_len; i++)
         free_entry(s->entries[i]);
     free(s->entries);
+    free(s->left);
     lh_table_free(s->by_name);
     free(s->rows);
     free(s->row_ptrs);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -158,6 +158,8 @@
     struct rk_routes *routes;
     struct rk_vm_row *rows;
     size_t rows_len;
+    char (*gone)[RK_ID_MAX];
+    size_t gone_len;
     struct rk_relay_peers *peers;
     struct rk_org_use *uses;
     size_t uses_len;
@@ -255,6 +257,29 @@
     return false;
 }
 
+static void change_vms(void *ctx)
+{
+    struct message *m = ctx;
+    forget_earlier_lives(m->r, m->rows, m->rows_len);
+    rk_place_change_vms(m->r->place, m->rows, m->rows_len, m->gone, m->gone_len,
+                        rk_mono_ms());
+    free(m->rows);
+    free(m->gone);
+    free(m);
+}
+
+bool rk_relay_change_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
+                         char (*gone)[RK_ID_MAX], size_t gone_len)
+{
+    const struct message m = {
+        .rows = rows, .rows_len = len, .gone = gone, .gone_len = gone_len};
+    if (post(r, change_vms, &m))
+        return true;
+    free(rows);
+    free(gone);
+    return false;
+}
+
 /* What the fleet learnt of engines is what this node starts from. */
 static void set_priors(struct rk_relay *r, const struct rk_service_use *services,
                        size_t len)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -112,6 +112,9 @@
  * and what was passed is freed. */
 bool rk_relay_set_routes(struct rk_relay *r, struct rk_routes *routes);
 bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
+/* What changed since: ids of vms that are off the list, then rows. */
+bool rk_relay_change_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
+                         char (*gone)[RK_ID_MAX], size_t gone_len);
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
 /* Roll-outs; is_fresh: their holder told of them lately. */
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -171,6 +171,61 @@
     free(rows);
 }
 
+/* Told what changed, a node knows the same as told the whole list each time. */
+static void changes_of_the_list_add_up_to_it(void **state)
+{
+    (void)state;
+    enum { IDS = 40, ROUNDS = 300 };
+    struct rk_rng rng = {.state = 11};
+    struct rk_place *whole = rk_place_create("here", 1);
+    struct rk_place *changed = rk_place_create("here", 1);
+    struct rk_vm_row on[IDS] = {0}; /* without an id: off the list */
+    for (int round = 0; round < ROUNDS; round++) {
+        struct rk_vm_row list[IDS], news[IDS];
+        char gone[IDS][RK_ID_MAX];
+        size_t len = 0, news_len = 0, gone_len = 0;
+        for (int i = 0; i < IDS; i++) {
+            struct rk_vm_row before = on[i];
+            uint32_t what = rk_rng_below(&rng, 12);
+            if (what == 0 && on[i].id[0]) {
+                rk_strcpy(gone[gone_len++], RK_ID_MAX, on[i].id);
+                on[i] = (struct rk_vm_row){0};
+            }
+            if (what == 1 && !on[i].id[0]) {
+                on[i] = (struct rk_vm_row){.service = "llm",
+                                           .born_ms = round + 1,
+                                           .slots = 4,
+                                           .leaves_in_ms = -1};
+                snprintf(on[i].id, sizeof(on[i].id), "vm-%d", i);
+            }
+            if (what == 2 && on[i].id[0])
+                on[i].leaving = true;
+            if (what == 3 && on[i].id[0])
+                on[i].born_ms = round + 1; /* it was started again */
+            if (on[i].id[0])
+                list[len++] = on[i];
+            if (on[i].id[0] && memcmp(&before, &on[i], sizeof(before)) != 0)
+                news[news_len++] = on[i];
+        }
+        rk_place_set_vms(whole, list, len, round);
+        rk_place_change_vms(changed, news, news_len, gone, gone_len, round);
+        size_t count = 0;
+        for (const struct rk_place_vm *v = rk_place_vms(whole); v; v = v->next) {
+            const struct rk_place_vm *other = rk_place_find(changed, v->row.id);
+            assert_non_null(other);
+            assert_true(other->listed == v->listed && other->hash == v->hash);
+            assert_true(other->row.leaving == v->row.leaving);
+            assert_true(other->row.born_ms == v->row.born_ms);
+            count++;
+        }
+        for (const struct rk_place_vm *v = rk_place_vms(changed); v; v = v->next)
+            count--;
+        assert_int_equal(count, 0);
+    }
+    rk_place_destroy(whole);
+    rk_place_destroy(changed);
+}
+
 /* Seen: a node that knows 10,000 vms went over all of them, with two exponentials
  * each, for each word of its peers, some tens of times a second, though it and they
  * had calls in hand at a few hundred. */
@@ -355,6 +410,7 @@
         cmocka_unit_test(a_vm_off_the_list_is_kept_while_it_has_calls),
         cmocka_unit_test(what_peers_have_in_hand_counts),
         cmocka_unit_test(many_vms_come_and_go),
+        cmocka_unit_test(changes_of_the_list_add_up_to_it),
         cmocka_unit_test(words_of_peers_cost_by_the_vms_that_are_busy),
         cmocka_unit_test(a_busy_prefix_overflows_to_one_more_vm),
         cmocka_unit_test(the_home_of_a_prefix_is_taken_to_have_it),
