sync: nodes that are told many changes of the list log one line, and tell nobody

Cause: each of hundreds of nodes logged a line for each vm of a list of thousands, and made the message for peers that only bridges send. The name vm.changed stays for single changes everywhere.

--- a/node/members.c
+++ b/node/members.c
@@ -333,6 +333,11 @@
     return m->direct;
 }
 
+bool rk_mesh_is_bridge(const struct rk_mesh *m)
+{
+    return m->bridge;
+}
+
 bool rk_mesh_stands(const struct rk_mesh *m)
 {
     return m->direct || m->bridge;
--- a/node/state.h
+++ b/node/state.h
@@ -93,6 +93,7 @@
 bool rk_mesh_is_listed(const struct rk_mesh *m);
 bool rk_mesh_is_direct(
     const struct rk_mesh *m); /* a small fleet: each tells each */
+bool rk_mesh_is_bridge(const struct rk_mesh *m); /* of its failure domain */
 /* May this node stand for the lease of the duties, or write to the store what all
  * know? */
 bool rk_mesh_stands(const struct rk_mesh *m);
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -58,8 +58,11 @@
     return e;
 }
 
-static void log_vm(const struct rk_vm_row *row, const char *what, const char *from)
+static void log_vm(const struct rk_sync *s, const struct rk_vm_row *row,
+                   const char *what, const char *from)
 {
+    if (s->in_bulk)
+        return;
     RK_EVENT("vm.changed", RK_S("vm", row->id), RK_S("what", what),
              RK_S("from", from), RK_S("service", row->service),
              RK_S("domain", row->domain), RK_S("addr", row->addr),
@@ -135,7 +138,7 @@
     e->row = row;
     e->is_news = e->is_news || changed;
     if (changed)
-        log_vm(&row, what, from);
+        log_vm(s, &row, what, from);
     return changed;
 }
 
@@ -187,12 +190,12 @@
     if (told->lapse_ends_ms && !e->row.leaving) {
         if (e->lapse_ends_ms)
             return false;
-        log_vm(&e->row, "lapsed", from);
+        log_vm(s, &e->row, "lapsed", from);
         e->lapse_ends_ms = told->lapse_ends_ms;
         await_lapses(s);
         return false;
     }
-    log_vm(&e->row, "removed", from);
+    log_vm(s, &e->row, "removed", from);
     remove_entry(s, e);
     return true;
 }
@@ -263,7 +266,7 @@
         struct entry *e = s->entries[i];
         if (!e->lapse_ends_ms || now_ms < e->lapse_ends_ms)
             continue;
-        log_vm(&e->row, "removed", "time");
+        log_vm(s, &e->row, "removed", "time");
         remove_entry(s, e);
         changed = true;
     }
@@ -274,8 +277,9 @@
 static void push_list(struct rk_sync *s, int64_t since, const char *from)
 {
     const Rillknot__StoreWanted wanted = {.list = true, .list_since = since};
-    Rillknot__StoreText text;
-    rk_sync_tell(s, &wanted, &text);
+    Rillknot__StoreText text = RILLKNOT__STORE_TEXT__INIT;
+    if (rk_mesh_is_bridge(s->n->mesh))
+        rk_sync_tell(s, &wanted, &text);
     if (text.list_revision || text.zip_revision)
         rk_mesh_push(s->n->mesh, &text, !strcmp(from, "store"));
     rk_mesh_report(s->n->mesh);
@@ -453,6 +457,18 @@
     return rows;
 }
 
+/* Many changes at once are a line each in the logs of who follows the store; of the
+ * hundreds of nodes that it tells, each logs that it was told. */
+static void begin_bulk(struct rk_sync *s, const Rillknot__StoreText *text)
+{
+    s->in_bulk = text->n_list + text->n_gone >= ZIP_ROWS;
+    if (s->in_bulk)
+        RK_EVENT("vms.told", RK_N("listed", (int64_t)text->n_list),
+                 RK_N("gone", (int64_t)text->n_gone),
+                 RK_N("since", text->list_since),
+                 RK_N("revision", text->list_revision));
+}
+
 static void take_rows(struct rk_sync *s, const Rillknot__StoreText *text)
 {
     int64_t known = s->list_known ? s->list_revision : 0;
@@ -462,6 +478,7 @@
     s->list_zip.len = 0;
     struct rk_store_object *objects = read_rows(text);
     bool changed = !s->list_known;
+    begin_bulk(s, text);
     if (!text->list_since) {
         changed |=
             drop_missing(s, objects, text->n_list, text->list_revision, "peer");
@@ -476,6 +493,7 @@
         json_object_put(objects[i].spec);
     }
     free(objects);
+    s->in_bulk = false;
     s->list_known = true;
     s->list_revision = text->list_revision;
     rk_follow_skip(&s->vms, text->list_revision);
