sync: rows that a peer tells are parsed one after the other

Cause: a told list was parsed whole before it was taken in, about 1.5 kB a vm at once beside what is kept of it. Change: row by row.

--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -417,15 +417,13 @@
         put_zip(s, out);
 }
 
-/* The message's rows as objects of the store. */
+/* The message's rows as objects of the store, without their contents. */
 static struct rk_store_object *read_rows(const Rillknot__StoreText *text)
 {
     struct rk_store_object *objects = rk_alloc(text->n_list + 1, sizeof(*objects));
     for (size_t i = 0; i < text->n_list; i++)
-        objects[i] = (struct rk_store_object){
-            .name = text->list[i]->name,
-            .revision = text->list[i]->revision,
-            .spec = json_tokener_parse(text->list[i]->text)};
+        objects[i] = (struct rk_store_object){.name = text->list[i]->name,
+                                              .revision = text->list[i]->revision};
     return objects;
 }
 
@@ -457,6 +455,14 @@
     return rows;
 }
 
+static bool take_row(struct rk_sync *s, const Rillknot__ListRow *row)
+{
+    struct json_object *spec = json_tokener_parse(row->text);
+    bool changed = spec && set_entry(s, row->name, row->revision, spec, "peer");
+    json_object_put(spec);
+    return changed;
+}
+
 /* Many changes at once are a line each in the logs of who follows the store; of the
  * hundreds of nodes that it tells, each logs that it was told. */
 static void begin_bulk(struct rk_sync *s, const Rillknot__StoreText *text)
@@ -486,12 +492,8 @@
     }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= drop_by_peer(s, text->gone[i], text->list_revision);
-    for (size_t i = 0; i < text->n_list; i++) {
-        if (objects[i].spec)
-            changed |= set_entry(s, objects[i].name, objects[i].revision,
-                                 objects[i].spec, "peer");
-        json_object_put(objects[i].spec);
-    }
+    for (size_t i = 0; i < text->n_list; i++)
+        changed |= take_row(s, text->list[i]);
     free(objects);
     s->in_bulk = false;
     s->list_known = true;
