--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -4,6 +4,7 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -100,6 +101,26 @@
     rk_routes_unref(r);
 }
 
+static void quotas_bound_what_is_asked_for_only_if_all_have_one(void **state)
+{
+    (void)state;
+    struct rk_routes *r = rk_routes_create();
+    assert_true(isinf(rk_routes_quotas_per_s(r)));
+    for (int i = 0; i < 3; i++) {
+        struct rk_org_info *org = rk_routes_add_org(r);
+        snprintf(org->name, sizeof(org->name), "org-%d", i);
+        org->counts_tokens = true;
+        org->rate = 100;
+    }
+    assert_true(rk_routes_quotas_per_s(r) == 300);
+    r->orgs[1].counts_tokens = false; /* a request may be of any size */
+    assert_true(isinf(rk_routes_quotas_per_s(r)));
+    r->orgs[1].counts_tokens = true;
+    r->orgs[2].rate = 0;
+    assert_true(isinf(rk_routes_quotas_per_s(r)));
+    rk_routes_unref(r);
+}
+
 static void shares_follow_their_weights(void **state)
 {
     (void)state;
@@ -281,6 +302,7 @@
         cmocka_unit_test(longest_prefix_of_the_host_wins),
         cmocka_unit_test(routes_that_can_not_be_used_are_refused),
         cmocka_unit_test(keys_lead_to_their_organisation),
+        cmocka_unit_test(quotas_bound_what_is_asked_for_only_if_all_have_one),
         cmocka_unit_test(shares_follow_their_weights),
         cmocka_unit_test(usage_outlasts_a_kill_of_all),
         cmocka_unit_test(what_nodes_told_counts_where_it_is_more),
