--- a/core/tally.c
+++ b/core/tally.c
@@ -1,5 +1,6 @@
 #include "core/tally.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,6 +21,7 @@
         t->cap = t->cap ? t->cap * 2 : FIRST_ROWS;
         t->rows = rk_realloc(t->rows, t->cap * sizeof(*t->rows));
     }
+    assert(t->rows);
     row = &t->rows[t->len];
     *row = (struct rk_tally_row){0};
     rk_strcpy(row->name, sizeof(row->name), name);
--- a/node/members.c
+++ b/node/members.c
@@ -13,8 +13,9 @@
 #define FIRST_IDS 64
 #define HEARD_MS  900  /* a node silent for longer is not heard */
 #define TOLD_MS   2500 /* a bridge's word that it hears a node, the same */
-#define FAR_MS    6500 /* the same, of other domains: told to those who bridge none \
-                        */
+#define FAR_MS                                                                     \
+    6500 /* the same, of other domains: told to those who bridge none              \
+          */
 #define NEW_MS    1500 /* a node that was just learnt of is taken to live */
 #define FORGET_MS 15000
 #define MILLI     1000.0
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -50,7 +50,7 @@
     size_t entries_len, entries_cap;
     struct lh_table *by_name; /* of json-c */
     bool list_known;
-    bool in_bulk; /* a peer's telling of many changes is taken in */
+    bool in_bulk;               /* a peer's telling of many changes is taken in */
     int64_t list_revision;      /* every change up to it is known */
     struct gone *gone;          /* grows up to RK_SYNC_GONE_KEPT, the newest stay */
     size_t gone_len, gone_cap;  /* ever; places */
