--- a/core/names.h
+++ b/core/names.h
@@ -19,7 +19,8 @@
 /* The place of a name among rows of so many bytes each; RK_NO_ROW: it has none. */
 size_t rk_names_find(const struct rk_names *n, const void *rows, size_t row_size,
                      const char *name);
-/* The row at a place is new; places are added in order, from 0 on. */
+/* The row at a place is new; places are added in order, from 0 on. Of two with one
+ * name, the later is found. */
 void rk_names_add(struct rk_names *n, const void *rows, size_t row_size, size_t at);
 void rk_names_clear(struct rk_names *n); /* no row is left */
 void rk_names_free(struct rk_names *n);
--- a/core/routes.c
+++ b/core/routes.c
@@ -62,6 +62,7 @@
     free(r->routes);
     free(r->services);
     free(r->orgs);
+    rk_names_free(&r->org_names);
     free(r->keys);
     free(r);
 }
@@ -116,6 +117,8 @@
         route->host_hash = host_hash(route->host);
         route->prefix_len = strlen(route->prefix);
     }
+    for (size_t i = 0; i < r->orgs_len; i++)
+        rk_names_add(&r->org_names, r->orgs, sizeof(*r->orgs), i);
     for (size_t i = 0; i < r->keys_len; i++)
         r->keys[i].hash = rk_hash_str(0, r->keys[i].key);
     if (r->keys_len)
@@ -176,10 +179,8 @@
 
 const struct rk_org_info *rk_routes_org(const struct rk_routes *r, const char *name)
 {
-    for (size_t i = 0; i < r->orgs_len; i++)
-        if (!strcmp(r->orgs[i].name, name))
-            return &r->orgs[i];
-    return NULL;
+    size_t at = rk_names_find(&r->org_names, r->orgs, sizeof(*r->orgs), name);
+    return at == RK_NO_ROW ? NULL : &r->orgs[at];
 }
 
 double rk_routes_quotas_per_s(const struct rk_routes *r)
--- a/core/routes.h
+++ b/core/routes.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "common/status.h"
+#include "core/names.h"
 #include "common/util.h"
 
 #define RK_ROUTE_SHARES  8
@@ -70,12 +71,12 @@
 
 /* An organisation and its quota. */
 struct rk_org_info {
-    char name[RK_ID_MAX];
-    int rank;            /* -1: the route's counts */
-    double rate;         /* units a second; 0: no limit */
-    double burst;        /* units on top */
-    bool counts_tokens;  /* else a request is one unit */
-    int64_t plain_units; /* of a request that names no tokens */
+    char name[RK_ID_MAX]; /* first: see core/names.h */
+    int rank;             /* -1: the route's counts */
+    double rate;          /* units a second; 0: no limit */
+    double burst;         /* units on top */
+    bool counts_tokens;   /* else a request is one unit */
+    int64_t plain_units;  /* of a request that names no tokens */
 };
 
 struct rk_org_key {
@@ -102,7 +103,8 @@
     size_t services_len, services_cap;
     struct rk_org_info *orgs;
     size_t orgs_len, orgs_cap;
-    struct rk_org_key *keys; /* sorted by hash once finished */
+    struct rk_names org_names; /* of orgs, once finished */
+    struct rk_org_key *keys;   /* sorted by hash once finished */
     size_t keys_len, keys_cap;
     bool keyed; /* organisations exist, so keys are asked for */
 };
