--- a/node/members.c
+++ b/node/members.c
@@ -180,6 +180,23 @@
     return m->listed || count > RK_UNKNOWN_NODES ? count : RK_UNKNOWN_NODES;
 }
 
+/* Does this node hear a member itself, where all is well? Of the others it hears by
+ * bridges, whose logs tell who came and went. */
+static bool is_own_peer(const struct member *k)
+{
+    const struct rk_mesh *m = k->m;
+    if (m->direct)
+        return true;
+    return rk_mesh_is_near(k) ? m->bridge || k->bridge : m->bridge && k->bridge;
+}
+
+static void log_peer(const struct member *k, const char *event)
+{
+    if (is_own_peer(k))
+        RK_EVENT(event, RK_S("peer", k->id), RK_S("addr", k->addr),
+                 RK_S("domain", k->domain), RK_N("leaving", k->leaving));
+}
+
 void rk_mesh_review(struct rk_mesh *m, int64_t now_ms)
 {
     for (struct member **at = &m->members; *at;) {
@@ -187,8 +204,7 @@
         bool heard = (k->heard_ms || k->told_ms) && rk_mesh_is_alive(k, now_ms);
         if (heard != k->heard) {
             k->heard = heard;
-            RK_EVENT(heard ? "peer.heard" : "peer.silent", RK_S("peer", k->id),
-                     RK_S("domain", k->domain), RK_N("leaving", k->leaving));
+            log_peer(k, heard ? "peer.heard" : "peer.silent");
         }
         int64_t since = k->heard_ms > k->told_ms ? k->heard_ms : k->told_ms;
         if (k->known_ms > since)
@@ -197,7 +213,7 @@
             at = &k->next;
             continue;
         }
-        RK_EVENT("peer.forgotten", RK_S("peer", k->id), RK_S("addr", k->addr));
+        log_peer(k, "peer.forgotten");
         *at = k->next;
         m->forgotten_ms = now_ms;
         free_member(k);
