--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -44,6 +44,7 @@
         n->file.cpu_share = CAPACITY / 1000.0;
         n->mesh = &f->meshes[i];
         f->meshes[i].n = n;
+        rk_mesh_init_members(&f->meshes[i]);
     }
 }
 
