rollouts: an order has a rule from when it is known, not from when it began

Cause: a holder that takes the duties lists the orders, then reads from the store when each began. In between it told its word with the orders' revision, but without their rules. Nodes drop a rule that a newer word lacks, and a version without a rule that came before the word's revision counts as the platform's own replacement: all nodes used the new vms in full until the read was answered. The same happened when an order was taken back before it had begun.

Change: each known order has a rule at once, by the recorded state and the last word; a version that is tried gets nothing until its beginning is known. A dropped order keeps its rule "given back", begun or not.

Ruled out: retries (a vm's own 500 goes back unchanged), counts of the killed node (some 39 calls may be tried at most).

--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -245,6 +245,8 @@
     }
 }
 
+/* Each order that is known has a rule, also before it has begun: without one, its
+ * version would pass for a replacement by the platform itself. */
 static void say(struct rk_rollouts *r)
 {
     struct rk_rollout_word word = {
@@ -253,7 +255,7 @@
         .said_ms = rk_mono_ms(),
         .known_at = r->orders.at};
     for (size_t i = 0; i < RK_ROLLOUTS; i++)
-        if (r->courses[i].used && r->courses[i].begun)
+        if (r->courses[i].used)
             word.rules[word.len++] = r->courses[i].rollout.rule;
     set_word(r, &word, "self");
     rk_mesh_tell_rollouts(r->n->mesh);
--- a/node/rollouts_hold.c
+++ b/node/rollouts_hold.c
@@ -30,12 +30,43 @@
     return free_one;
 }
 
+/* Where an earlier holder was, by its last word. */
+static void go_on(struct course *c)
+{
+    const struct rk_rollout_rule *told =
+        rk_rollout_rule_of(&c->r->word, c->rollout.order.service);
+    struct rk_rollout *r = &c->rollout;
+    if (!told || strcmp(told->version, r->order.version) != 0)
+        return;
+    r->rule.turn = told->turn;
+    r->rule.revision = told->revision + 1;
+    if (told->phase >= RK_ROLLOUT_SHIFT && told->phase > r->rule.phase) {
+        r->rule.phase = told->phase;
+        r->rule.share = told->share;
+    }
+}
+
+/* Its rule until more is known: by the state that was recorded and the last word,
+ * and while it is tried nobody tries it. */
+static void start_course(struct course *c, int64_t passed_ms)
+{
+    const struct rk_procfile *f = &c->r->n->file;
+    const struct rk_rollout_bounds bounds = {.share = f->trial_share,
+                                             .slack = f->trial_slack,
+                                             .give_up_ms =
+                                                 (int64_t)f->trial_give_up_ms};
+    struct rk_rollout_order order = c->rollout.order;
+    order.state = c->recorded;
+    rk_rollout_begin(&c->rollout, &order, &bounds, rk_mono_ms(), passed_ms);
+    go_on(c);
+}
+
 /* An order is taken back: its version gets nothing more, unless it was taken. */
 static void drop_order(struct course *c)
 {
     RK_EVENT("rollout.dropped", RK_S("service", c->rollout.order.service),
              RK_S("version", c->rollout.order.version));
-    c->used = c->begun && c->rollout.rule.phase != RK_ROLLOUT_TAKEN;
+    c->used = c->rollout.rule.phase != RK_ROLLOUT_TAKEN;
     c->dropped = true;
     rk_rollout_drop(&c->rollout, rk_mono_ms());
 }
@@ -73,6 +104,7 @@
     rk_strcpy(c->name, sizeof(c->name), o->name);
     c->heard_wall_ms = rk_wall_ms();
     c->rollout.order = order;
+    start_course(c, 0);
 }
 
 static void apply_orders(void *ctx, const struct rk_store_object *objects,
@@ -98,36 +130,13 @@
 
 /* ---- the holder: when it began ---- */
 
-/* Where an earlier holder was, by its last word. */
-static void go_on(struct course *c)
-{
-    const struct rk_rollout_rule *told =
-        rk_rollout_rule_of(&c->r->word, c->rollout.order.service);
-    struct rk_rollout *r = &c->rollout;
-    if (!told || strcmp(told->version, r->order.version) != 0)
-        return;
-    r->rule.turn = told->turn;
-    r->rule.revision = told->revision + 1;
-    if (told->phase >= RK_ROLLOUT_SHIFT && told->phase > r->rule.phase) {
-        r->rule.phase = told->phase;
-        r->rule.share = told->share;
-    }
-}
-
 static void begin(struct course *c, int64_t wall_ms)
 {
-    const struct rk_procfile *f = &c->r->n->file;
-    const struct rk_rollout_bounds bounds = {.share = f->trial_share,
-                                             .slack = f->trial_slack,
-                                             .give_up_ms =
-                                                 (int64_t)f->trial_give_up_ms};
-    struct rk_rollout_order order = c->rollout.order;
+    const struct rk_rollout_order order = c->rollout.order;
     int64_t passed_ms = rk_wall_ms() - wall_ms;
     if (passed_ms < 0 || passed_ms > order.duration_ms)
         passed_ms = passed_ms < 0 ? 0 : order.duration_ms;
-    order.state = c->recorded;
-    rk_rollout_begin(&c->rollout, &order, &bounds, rk_mono_ms(), passed_ms);
-    go_on(c);
+    start_course(c, passed_ms);
     c->begun = true;
     RK_EVENT("rollout.begun", RK_S("service", order.service),
              RK_S("version", order.version), RK_N("duration_ms", order.duration_ms),
@@ -135,6 +144,11 @@
              RK_S("phase", rk_rollout_phase_str(c->rollout.rule.phase)));
 }
 
+static bool awaits_begin(const struct course *c)
+{
+    return c->used && !c->begun && !c->dropped;
+}
+
 static void on_begun_written(void *ctx, enum rk_status st,
                              const struct rk_store_object *o)
 {
@@ -142,7 +156,7 @@
     (void)o;
     c->busy = false;
     c->again_ms = rk_mono_ms() + RETRY_MS;
-    if (st == RK_OK && c->used && !c->begun)
+    if (st == RK_OK && awaits_begin(c))
         begin(c, c->heard_wall_ms);
 }
 
@@ -153,7 +167,7 @@
     struct rk_store *store = c->r->n->store;
     c->busy = false;
     c->again_ms = rk_mono_ms() + RETRY_MS;
-    if (!c->used || c->begun || (st != RK_OK && st != RK_ENOTFOUND))
+    if (!awaits_begin(c) || (st != RK_OK && st != RK_ENOTFOUND))
         return;
     const char *version = c->rollout.order.version;
     if (st == RK_OK && o && !strcmp(rk_json_str(o->spec, "version"), version)) {
@@ -293,7 +307,7 @@
 void rk_rollouts_hold(struct rk_rollouts *r)
 {
     for (size_t i = 0; i < RK_ROLLOUTS; i++)
-        if (r->courses[i].used)
+        if (r->courses[i].used && !r->courses[i].dropped)
             tend_course(&r->courses[i]);
 }
 
--- a/tests/proc_hosted_rollouts.py
+++ b/tests/proc_hosted_rollouts.py
@@ -198,6 +198,31 @@
             seen(new), total)
 
 
+def test_a_holder_that_cannot_read_when_it_began_lets_nobody_try_meanwhile():
+    """Seen: 102 of 480 calls at a bad version whose holder was killed and came back. It
+    told the order's revision, but no rule until it had read when the roll-out began: all
+    nodes took the new vms for replacements that nobody ordered, and used them in full."""
+    with deployment() as d:
+        load = Load(d)
+        old, new = d.roll_out("plain", "v2", 20.0)
+        wait_until(lambda: d.rollout_state("plain") == "in_progress", 6)
+        holder = holder_of(d)
+        epoch = d.store.objects["rillknot-leases"]["duties"]["spec"]["epoch"]
+        d.store.fault = lambda req: 503 if "rillknot-rollouts" in req.target else None
+        d.nodes[holder].kill()
+        d.restart_node(holder)
+        wait_until(lambda: d.store.objects["rillknot-leases"]["duties"]["spec"]["epoch"]
+                   > epoch, 10)
+        time.sleep(1)  # what was on its way under the holder's last word
+        before = seen(new)
+        time.sleep(2)
+        tried, total = seen(new) - before, seen(old) + seen(new)
+        d.store.fault = None
+        statuses = load.stop()
+        assert tried == 0, (tried, total)
+        assert set(statuses) <= {200, "no node", "cut"}, statuses
+
+
 def holder_of(d):
     spec = d.store.objects["rillknot-leases"]["duties"]["spec"]
     name = spec["holder"].split("/")[0]
@@ -233,6 +258,18 @@
         assert set(statuses) == {200}, statuses
 
 
+def test_an_order_taken_back_before_it_began_gives_the_new_version_nothing():
+    with deployment() as d:
+        load = Load(d)
+        d.store.fault = lambda req: 503 if "rillknot-rollouts" in req.target else None
+        old, new = d.roll_out("plain", "v2", 20.0)
+        time.sleep(1.5)
+        d.store.drop("rollouts", "plain")
+        time.sleep(2)
+        load.stop()
+        assert seen(old) and not seen(new), (seen(old), seen(new))
+
+
 def test_a_version_that_never_comes_is_given_back_in_time():
     with deployment() as d:
         d.roll_out("plain", "v2", 3.0, count=0)
