links: a frame that many links get is packed once

Cause: a bridge packed each digest, list of changes, word and quarantine anew for each node of its domain, some 200 in the whole fleet, and 20 times a second more while vms come and go.

Change: rk_mesh_send() packs once and gives the same bytes to each member that wants them; it is the one loop for digests, reports, changes of the list, words on roll-outs and quarantines, which stood five times.

No test of its own: which members get what is asked by the process tests of bridges and by test_bridges.

--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -331,6 +331,15 @@
     }
 }
 
+/* The fleet's sum goes to the nodes of this domain, this domain's sum to the
+ * bridges of the others. */
+static bool wants_digest(const struct member *k, const void *ctx)
+{
+    const bool *fleet = ctx;
+    return *fleet ? rk_mesh_is_near(k) && !k->bridge
+                  : !rk_mesh_is_near(k) && k->bridge;
+}
+
 static void tell(struct rk_mesh *m, bool fleet, enum members members)
 {
     struct making p;
@@ -338,12 +347,7 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
     frame.digest = &p.digest;
-    for (struct member *k = m->contacts; k; k = k->next_contact) {
-        bool wants = fleet ? rk_mesh_is_near(k) && !k->bridge
-                           : !rk_mesh_is_near(k) && k->bridge;
-        if (wants && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
-    }
+    rk_mesh_send(m, &frame, wants_digest, &fleet);
     free_making(&p);
 }
 
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -39,6 +39,27 @@
     return m->direct || (rk_mesh_is_near(k) && k->bridge);
 }
 
+void rk_mesh_send(struct rk_mesh *m, const Rillknot__Frame *frame,
+                  bool (*wants)(const struct member *k, const void *ctx),
+                  const void *ctx)
+{
+    struct rk_packed_frame packed = {0};
+    for (struct member *k = m->contacts; k; k = k->next_contact) {
+        if (!wants(k, ctx) || !rk_mesh_takes(k->link))
+            continue;
+        if (!packed.len)
+            packed = rk_frame_pack(frame);
+        rk_link_send_packed(k->link, &packed);
+    }
+    rk_packed_frame_free(&packed);
+}
+
+static bool wants_report(const struct member *k, const void *ctx)
+{
+    (void)ctx;
+    return rk_mesh_is_told(k);
+}
+
 static void tell(struct rk_mesh *m)
 {
     struct rk_report p;
@@ -47,9 +68,7 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
-    for (struct member *k = m->contacts; k; k = k->next_contact)
-        if (rk_mesh_is_told(k) && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
+    rk_mesh_send(m, &frame, wants_report, NULL);
     rk_report_note_uses(m, &p);
     rk_report_free(&p);
 }
@@ -67,6 +86,12 @@
 
 /* ---- changes of the list ---- */
 
+static bool wants_change(const struct member *k, const void *ctx)
+{
+    const bool *from_store = ctx;
+    return rk_mesh_is_near(k) || (*from_store && k->bridge);
+}
+
 void rk_mesh_push(struct rk_mesh *m, const Rillknot__StoreText *text,
                   bool from_store)
 {
@@ -75,11 +100,7 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
     frame.store_text = (Rillknot__StoreText *)text;
-    for (struct member *k = m->contacts; k; k = k->next_contact) {
-        bool wants = rk_mesh_is_near(k) || (from_store && k->bridge);
-        if (wants && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
-    }
+    rk_mesh_send(m, &frame, wants_change, &from_store);
 }
 
 void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -195,6 +195,10 @@
 bool rk_mesh_is_told(const struct member *k);
 /* Is there a link that takes a message now? */
 bool rk_mesh_takes(const struct rk_link *link);
+/* Send to each member that wants it, where there is a link that takes it. */
+void rk_mesh_send(struct rk_mesh *m, const Rillknot__Frame *frame,
+                  bool (*wants)(const struct member *k, const void *ctx),
+                  const void *ctx);
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms);
 /* Ask a peer for all its rows of uses, known: with what it knows of all. */
 void rk_mesh_want_uses(struct rk_link *link, bool known);
--- a/node/quarantine_tell.c
+++ b/node/quarantine_tell.c
@@ -70,9 +70,10 @@
     }
 }
 
-static bool wants(const struct member *k)
+static bool wants(const struct member *k, const void *ctx)
 {
     const struct rk_mesh *m = k->m;
+    (void)ctx;
     if (m->direct)
         return true;
     return rk_mesh_is_near(k) ? k->bridge || m->bridge : k->bridge && m->bridge;
@@ -90,9 +91,8 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_QUARANTINE;
     frame.quarantine = &p->told;
-    for (struct member *k = m->contacts; p->told.n_rows && k; k = k->next_contact)
-        if (wants(k) && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
+    if (p->told.n_rows)
+        rk_mesh_send(m, &frame, wants, NULL);
     free(p);
 }
 
--- a/node/rollout_tell.c
+++ b/node/rollout_tell.c
@@ -28,14 +28,19 @@
 
 /* Who passes a word on: the holder to all it reaches, a bridge to the nodes of its
  * domain, and a word of its own domain to the other bridges, too. */
-static bool is_told(const struct member *k, bool own, bool from_near)
+struct word_from {
+    bool own, near; /* said by this node, by one of its domain */
+};
+
+static bool wants_word(const struct member *k, const void *ctx)
 {
     const struct rk_mesh *m = k->m;
+    const struct word_from *from = ctx;
     if (m->direct)
-        return own;
+        return from->own;
     if (!m->bridge)
-        return own && rk_mesh_is_near(k) && k->bridge;
-    return rk_mesh_is_near(k) || (k->bridge && (own || from_near));
+        return from->own && rk_mesh_is_near(k) && k->bridge;
+    return rk_mesh_is_near(k) || (k->bridge && (from->own || from->near));
 }
 
 static void tell_word(struct rk_mesh *m, const char *domain, bool own)
@@ -58,10 +63,9 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_ROLLOUT_WORD;
     frame.rollout_word = &word;
-    bool from_near = !strcmp(domain, m->n->file.failure_domain);
-    for (struct member *k = m->contacts; k; k = k->next_contact)
-        if (is_told(k, own, from_near) && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
+    const struct word_from from = {
+        .own = own, .near = !strcmp(domain, m->n->file.failure_domain)};
+    rk_mesh_send(m, &frame, wants_word, &from);
 }
 
 void rk_mesh_tell_rollouts(struct rk_mesh *m)
--- a/peers/link.c
+++ b/peers/link.c
@@ -230,20 +230,32 @@
         free_link(l);
 }
 
-bool rk_link_send(struct rk_link *l, const Rillknot__Frame *frame)
+struct rk_packed_frame rk_frame_pack(const Rillknot__Frame *frame)
 {
-    if (l->down || l->destroyed)
-        return false;
+    struct rk_packed_frame p = {0};
     size_t len = rillknot__frame__get_packed_size(frame);
-    if (len > RK_FRAME_MAX || l->out.len + len + HEADER_LEN > SEND_BUFFER)
-        return false;
-    uint8_t *packed = rk_alloc(1, len + HEADER_LEN);
+    if (len > RK_FRAME_MAX)
+        return p;
+    p.len = len + HEADER_LEN;
+    p.data = rk_alloc(1, p.len);
     for (int i = 0; i < HEADER_LEN; i++)
-        packed[i] = (uint8_t)(len >> (8 * (HEADER_LEN - 1 - i)));
-    rillknot__frame__pack(frame, packed + HEADER_LEN);
-    rk_buf_add(&l->out, packed, len + HEADER_LEN);
-    free(packed);
-    rk_count(RK_C_LINK_BYTES, len + HEADER_LEN);
+        p.data[i] = (uint8_t)(len >> (8 * (HEADER_LEN - 1 - i)));
+    rillknot__frame__pack(frame, p.data + HEADER_LEN);
+    return p;
+}
+
+void rk_packed_frame_free(struct rk_packed_frame *p)
+{
+    free(p->data);
+    *p = (struct rk_packed_frame){0};
+}
+
+bool rk_link_send_packed(struct rk_link *l, const struct rk_packed_frame *p)
+{
+    if (l->down || l->destroyed || !p->len || l->out.len + p->len > SEND_BUFFER)
+        return false;
+    rk_buf_add(&l->out, p->data, p->len);
+    rk_count(RK_C_LINK_BYTES, p->len);
     /* A failed send shows as an event; callbacks never run from here. */
     if (l->up)
         flush(l);
@@ -251,6 +263,14 @@
     return true;
 }
 
+bool rk_link_send(struct rk_link *l, const Rillknot__Frame *frame)
+{
+    struct rk_packed_frame p = rk_frame_pack(frame);
+    bool sent = rk_link_send_packed(l, &p);
+    rk_packed_frame_free(&p);
+    return sent;
+}
+
 size_t rk_link_unsent(const struct rk_link *l)
 {
     return l->out.len;
--- a/peers/link.h
+++ b/peers/link.h
@@ -30,9 +30,20 @@
                                 const struct rk_link_ops *ops, void *ctx);
 void rk_link_destroy(struct rk_link *link);
 
-/* False when the link is dead or its buffer is full: nothing was sent. */
+/* False when the link is dead, its buffer is full or the frame too long: nothing
+ * was sent. */
 bool rk_link_send(struct rk_link *link, const Rillknot__Frame *frame);
 
+/* A frame as it goes over a link, its length before it. Packed once where many
+ * links get the same: a bridge of a large domain did little else. */
+struct rk_packed_frame {
+    uint8_t *data;
+    size_t len; /* 0: the frame was longer than RK_FRAME_MAX */
+};
+struct rk_packed_frame rk_frame_pack(const Rillknot__Frame *frame);
+void rk_packed_frame_free(struct rk_packed_frame *p);
+bool rk_link_send_packed(struct rk_link *link, const struct rk_packed_frame *p);
+
 /* Bytes that wait for the peer to read. */
 size_t rk_link_unsent(const struct rk_link *l);
 /* Bytes that wait on this machine, the kernel's included; 0 for a link on which
--- a/tools/digest_slopes.c
+++ b/tools/digest_slopes.c
@@ -1,12 +1,12 @@
-/* Measures what taking in a bridge's digest costs a node, in one process, by the
- * size of the fleet: processor time a digest, and contacts, which is what each
- * message goes over. Prints one line a size. */
+/* Measures what a bridge's digest costs, in one process: to pack it, and for a node
+ * to take it in, by the size of the fleet. Prints one line each. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
 #include "node/mesh_impl.h"
+#include "peers/link.h"
 
 #define DOMAINS  5
 #define ORGS     333
@@ -99,10 +99,24 @@
     return us;
 }
 
+static double pack_us(struct words *w)
+{
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
+    frame.digest = &w->digest;
+    double start = cpu_us();
+    for (int i = 0; i < DIGESTS; i++) {
+        struct rk_packed_frame packed = rk_frame_pack(&frame);
+        rk_packed_frame_free(&packed);
+    }
+    return (cpu_us() - start) / DIGESTS;
+}
+
 int main(void)
 {
     struct words *w = rk_alloc(1, sizeof(*w));
     fill(w);
+    printf("packed: %.0f us of processor\n", pack_us(w));
     for (size_t i = 0; i < RK_ARRAY_LEN(sizes); i++)
         printf("%d nodes: %.0f us of processor a digest\n", sizes[i],
                digest_us(w, sizes[i]));
