mesh: traffic is told of what counts, ten times a second at the most

Cause: each digest made a node sum up what its peers have in hand and pass it to the traffic thread, also the ones of a bridge whose word doesn't count while the other's does; a bridge did so 20 ms after each report of 200 nodes, 50 times a second.

Change: only the digest that counts is passed on; a bridge waits 100 ms for what comes together. Else the tick of 250 ms does it, as before.

Ruled out: passing on only with the tick, as what peers used of a quota is then 250 ms older at each node.

--- a/node/digest.c
+++ b/node/digest.c
@@ -92,8 +92,8 @@
     for (size_t i = 0; r && i < r->uses_len; i++) {
         const struct rk_org_use *own = &r->uses[i];
         if (rk_org_uses_has(&d->uses, own->org))
-            rk_mesh_add_news(
-                m, own->org, -rk_tally_rise(&m->based_uses, own->org, own->units));
+            rk_mesh_add_news(m, own->org,
+                             -rk_tally_rise(&m->based_uses, own->org, own->units));
     }
 }
 
@@ -221,7 +221,7 @@
     k->unproven = false;
 }
 
-void rk_digest_take(struct member *k, const Rillknot__Digest *d)
+bool rk_digest_take(struct member *k, const Rillknot__Digest *d)
 {
     struct digest *to = &k->digest;
     int64_t now_ms = rk_mono_ms();
@@ -248,13 +248,14 @@
         to->fleet ? rk_digest_of_fleet(k->m, now_ms)
                   : rk_digest_of_domain(k->m, k->domain, now_ms);
     if (counts != k || (!to->fleet && !k->m->bridge))
-        return;
+        return false;
     count(k);
     /* What was used while no source counted is in what this one knows. */
     if (to->catch_up && d->n_members) {
         to->catch_up = false;
         k->m->catch_up = k;
     }
+    return true;
 }
 
 void rk_digest_free(struct digest *d)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -15,6 +15,8 @@
 #define REPORT_MS      250
 #define BRIDGED_LAG_MS 450 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
+#define RELAY_PACE_MS                                                              \
+    100 /* the same at a bridge, to which one reports each few ms */
 #define REPORT_SOON_MS 5   /* after news of the store */
 #define DIAL_MS        500 /* between tries to reach a node */
 #define CONNECT_MS     1000
@@ -151,7 +153,8 @@
 static void relay_soon(struct rk_mesh *m)
 {
     if (!m->relay_soon.slot)
-        rk_timer_start(m->n->loop, &m->relay_soon, RELAY_SOON_MS);
+        rk_timer_start(m->n->loop, &m->relay_soon,
+                       m->bridge ? RELAY_PACE_MS : RELAY_SOON_MS);
 }
 
 static void take_lease(struct rk_mesh *m, const Rillknot__LeaseRow *lease)
@@ -183,7 +186,8 @@
         rk_tell_soon(m);
     rk_sync_confirm(m->n->sync, r->store_age_ms, r->settings_version,
                     r->list_revision);
-    relay_soon(m);
+    if (rk_report_counts(k))
+        relay_soon(m);
     take_lease(m, r->lease);
     for (size_t i = 0; i < r->n_peers; i++)
         if (!rk_mesh_is_self(m, "", r->peers[i]) &&
@@ -202,10 +206,10 @@
     if (rk_mesh_is_self(m, d->id, d->addr))
         return;
     struct member *k = rk_mesh_learn(m, d->id, d->addr);
-    rk_digest_take(k, d);
+    if (rk_digest_take(k, d))
+        relay_soon(m);
     rk_sync_confirm(m->n->sync, d->store_age_ms, d->settings_version,
                     d->list_revision);
-    relay_soon(m);
     take_lease(m, d->lease);
     rk_mesh_ask_if_behind(m, link, told, d->settings_version, d->list_revision);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -280,7 +280,8 @@
 void rk_engines_fill(const struct rk_mesh *m, struct rk_relay_peers *p);
 
 /* digest.c: what bridges tell. */
-void rk_digest_take(struct member *k, const Rillknot__Digest *d);
+/* True: it is the one of its kind that counts, and the relay has to hear of it. */
+bool rk_digest_take(struct member *k, const Rillknot__Digest *d);
 void rk_digest_free(struct digest *d);
 /* The node whose digest of the fleet counts here; NULL: none is fresh enough. */
 const struct member *rk_digest_of_fleet(const struct rk_mesh *m, int64_t now_ms);
