digest: the second bridge of a domain tells it each second time that it is there

Cause: both bridges tell each node of their domain all that runs and was used, four times a second; a node counts one of the two.

Change: the one that comes second leaves out loads and uses each second time. Its heartbeat stays as it is, so elections don't change; who loses the first bridge goes on with half a second's news, as old as digests between domains make them anyway. A digest without uses leaves those that were told, as one without vms did.

Ruled out: telling half as often, as a node that is silent for 0.9 s isn't heard: one late tick would change the election; each fourth time, as quotas reckon with news that are 0.45 s old.

--- a/node/digest.c
+++ b/node/digest.c
@@ -151,9 +151,12 @@
 
 /* ---- taking one in ---- */
 
-/* What all used is told now and then: kept until it is told again. */
+/* Of a brief digest there is nothing to take. What all used is told now and then:
+ * kept until it is told again. */
 static void take_uses(struct digest *to, const Rillknot__Digest *d)
 {
+    if (!d->n_uses)
+        return;
     rk_org_uses_begin(&to->uses);
     for (size_t i = 0; i < d->n_uses; i++) {
         const Rillknot__OrgUse *told = d->uses[i];
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -16,6 +16,10 @@
  * under load. */
 #define VMS_AT_ONCE  300
 #define VMS_EACH_MAX 8 /* at least one of so many */
+/* Who comes second in its domain tells the domain's nodes each second time only
+ * that it is there: they count the first one's, and need but half a second's news
+ * when that falls silent. */
+#define SECOND_EACH 2
 
 /* A node that knows only this one's address is told who there is: 25 KB at 295
  * nodes, so not with each of its reports. */
@@ -241,7 +245,8 @@
     p->digest.members = p->member_ptrs;
 }
 
-static void fill(struct making *p, struct rk_mesh *m, bool fleet,
+/* brief: without what runs where and what was used, which are then as they were. */
+static void fill(struct making *p, struct rk_mesh *m, bool fleet, bool brief,
                  enum members members)
 {
     struct rk_node *n = m->n;
@@ -268,11 +273,13 @@
         p->digest.lease = &p->lease;
     }
     add_nodes(p, m, fleet);
+    fill_services(p, m, fleet);
+    if (brief)
+        return;
     sum_loads(p);
     if (tells_vms(m, p->loads_len))
         fill_vms(p);
     fill_uses(p, m, fleet, members != NO_MEMBERS);
-    fill_services(p, m, fleet);
     if (members != NO_MEMBERS)
         fill_members(p, m, fleet, members);
 }
@@ -343,7 +350,8 @@
 static void tell(struct rk_mesh *m, bool fleet, enum members members)
 {
     struct making p;
-    fill(&p, m, fleet, members);
+    bool brief = fleet && m->preceded && m->digests % SECOND_EACH;
+    fill(&p, m, fleet, brief, members);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
     frame.digest = &p.digest;
@@ -357,11 +365,11 @@
     if (!m->bridge || now_ms - m->digest_ms < DIGEST_MS)
         return;
     enum members members = members_due(m);
-    m->digests++;
     m->digest_ms = now_ms;
     add_own(m);
     tell(m, false, members);
     tell(m, true, members);
+    m->digests++;
 }
 
 void rk_digest_answer(struct rk_mesh *m, struct rk_link *link,
@@ -373,7 +381,7 @@
     if (answered || !rk_mesh_takes(link))
         return;
     told->members_ms = now_ms;
-    fill(&p, m, true, ALL_MEMBERS);
+    fill(&p, m, true, false, ALL_MEMBERS);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
     frame.digest = &p.digest;
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -14,6 +14,7 @@
 #define NODES    16
 #define NEAR     5 /* of them in the domain of the first */
 #define CAPACITY 250
+#define ASKING   5 /* units a second, as told */
 
 struct fleet {
     struct rk_node nodes[NODES];
@@ -227,6 +228,7 @@
     d.fleet = true;
     use.org = org;
     use.units = units;
+    use.asking = ASKING;
     d.uses = &ptr;
     d.n_uses = 1;
     rk_digest_take(rk_mesh_learn(&f->meshes[to], id, addr), &d);
@@ -261,6 +263,24 @@
     end(&f);
 }
 
+/* The second bridge of a domain tells it in between that it is there, and no more.
+ */
+static void a_brief_digest_leaves_what_was_told(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    struct rk_tally asking = {0};
+    begin(&f);
+    use_digest(&f, 0, 1, "a", 10);
+    digest(&f, 0, 1, CAPACITY);
+    rk_loads_peers_asking(&f.meshes[0], &asking, rk_mono_ms());
+    assert_float_equal(rk_tally_total(&asking, "a"), ASKING, 0.001);
+    assert_float_equal(news_of(&f.meshes[0], "a"), 0, 0.001);
+    rk_tally_free(&asking);
+    free(f.meshes[0].news);
+    end(&f);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -269,6 +289,7 @@
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
         cmocka_unit_test(messages_cost_by_who_tells_them),
         cmocka_unit_test(a_fleets_sum_leaves_out_own_use),
+        cmocka_unit_test(a_brief_digest_leaves_what_was_told),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tools/digest_slopes.c
+++ b/tools/digest_slopes.c
@@ -35,12 +35,18 @@
     for (int i = 0; i < ORGS; i++) {
         snprintf(w->orgs[i], RK_ID_MAX, "org-%d", i);
         rillknot__org_use__init(&w->uses[i]);
+        w->uses[i].units = PER_CALL * i;
+        w->uses[i].asking = (float)PER_CALL;
         w->uses[i].org = w->orgs[i];
         w->use_ptrs[i] = &w->uses[i];
     }
     for (int i = 0; i < VMS; i++) {
         snprintf(w->vm_ids[i], RK_ID_MAX, "i-%010x", i);
         rillknot__vm_use__init(&w->vms[i]);
+        w->vms[i].running = 1;
+        w->vms[i].waiting_tokens = PER_CALL;
+        w->vms[i].pace_calls = w->vms[i].pace_log_sum = 1;
+        w->vms[i].life = (uint32_t)i;
         w->vms[i].id = w->vm_ids[i];
         w->vm_ptrs[i] = &w->vms[i];
     }
@@ -112,7 +118,7 @@
     return us;
 }
 
-static double pack_us(struct words *w)
+static double pack_us(struct words *w, size_t *len)
 {
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
@@ -120,6 +126,7 @@
     double start = cpu_us();
     for (int i = 0; i < DIGESTS; i++) {
         struct rk_packed_frame packed = rk_frame_pack(&frame);
+        *len = packed.len;
         rk_packed_frame_free(&packed);
     }
     return (cpu_us() - start) / DIGESTS;
@@ -129,7 +136,9 @@
 {
     struct words *w = rk_alloc(1, sizeof(*w));
     fill(w);
-    printf("packed: %.0f us of processor\n", pack_us(w));
+    size_t len = 0;
+    double us = pack_us(w, &len);
+    printf("packed: %.0f us of processor, %zu bytes\n", us, len);
     for (size_t i = 0; i < RK_ARRAY_LEN(sizes); i++)
         printf("%d nodes: %.0f us of processor a digest\n", sizes[i],
                digest_us(w, sizes[i]));
