--- a/node/members.c
+++ b/node/members.c
@@ -208,7 +208,7 @@
 static bool is_own_peer(const struct member *k)
 {
     const struct rk_mesh *m = k->m;
-    if (m->direct)
+    if (rk_mesh_count(m) < RK_MESH_DIRECT) /* also before the first election */
         return true;
     return rk_mesh_is_near(k) ? m->bridge || k->bridge : m->bridge && k->bridge;
 }
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -69,6 +69,18 @@
         return "%d of %d nodes were told, %d bridged" % (len(told), NODES, bridged)
 
 
+def test_nodes_that_start_together_log_few_peers():
+    """Seen: each of 985 nodes logged each other just after its start, as it took itself
+    for one of a few until it had elected bridges. Those who hear a peer log it."""
+    with fleet(nodes=24) as d:
+        settled(d)
+        logged = {n.name: sum(e.get("event") == "peer.heard" for e in n.events())
+                  for n in d.nodes if not changes(n)}
+        few = 12 + 2  # as many as tell each other without bridges, and two bridges
+        assert max(logged.values()) <= few, logged
+        return "at most %d lines at %d nodes" % (max(logged.values()), len(logged))
+
+
 def first_list(node):
     """How many nodes the list had that a node read first."""
     return next(e["nodes"] for e in node.events() if e.get("event") == "mesh.enrolled")
