--- a/node/digest.c
+++ b/node/digest.c
@@ -25,7 +25,7 @@
                                    bool fleet, int64_t now_ms, int64_t age_ms)
 {
     const struct member *best = NULL;
-    for (const struct member *k = m->members; k; k = k->next)
+    for (const struct member *k = m->contacts; k; k = k->next_contact)
         if (k->digest.heard_ms && now_ms - k->digest.heard_ms < age_ms &&
             k->digest.fleet == fleet && !strcmp(k->domain, domain) &&
             is_better(k, best))
@@ -71,20 +71,12 @@
 /* All sources of the same kind are counted up to now. */
 static void rebase_all(struct rk_mesh *m, const struct member *counted)
 {
-    for (struct member *k = m->members; k; k = k->next)
+    for (struct member *k = m->contacts; k; k = k->next_contact)
         if (k->digest.heard_ms && k->digest.fleet == counted->digest.fleet &&
             !strcmp(k->domain, counted->domain))
             rebase(&k->digest);
 }
 
-static double own_use(const struct rk_mesh *m, const char *org)
-{
-    const struct rk_relay_report *r = m->n->report;
-    const struct rk_org_use *own =
-        r ? rk_org_use_find(r->uses, r->uses_len, org) : NULL;
-    return own ? own->units : 0;
-}
-
 static double own_read(const struct rk_mesh *m, const char *service)
 {
     const struct rk_relay_report *r = m->n->report;
@@ -93,17 +85,29 @@
     return own ? own->read_tokens : 0;
 }
 
+/* A fleet's sum holds this node's own use, too, which the relay counts itself. */
+static void take_out_own(struct rk_mesh *m, const struct digest *d)
+{
+    const struct rk_relay_report *r = m->n->report;
+    for (size_t i = 0; r && i < r->uses_len; i++) {
+        const struct rk_org_use *own = &r->uses[i];
+        if (rk_org_uses_has(&d->uses, own->org))
+            rk_mesh_add_news(m, own->org,
+                             -rk_tally_rise(&m->based_uses, own->org, own->units));
+    }
+}
+
 static void count_uses(struct rk_mesh *m, const struct digest *d)
 {
     for (size_t i = 0; i < d->uses.len; i++) {
         const struct rk_org_use *use = &d->uses.rows[i];
         double rise = use->units - rk_tally_total(&d->base_uses, use->org);
-        if (d->fleet)
-            rise -= rk_tally_rise(&m->based_uses, use->org, own_use(m, use->org));
-        else
+        if (!d->fleet)
             *rk_tally_at(&m->fleet_uses, use->org) += rise;
         rk_mesh_add_news(m, use->org, rise);
     }
+    if (d->fleet)
+        take_out_own(m, d);
 }
 
 static void count_reads(struct rk_mesh *m, const struct digest *d)
@@ -147,9 +151,12 @@
 
 /* ---- taking one in ---- */
 
-/* What all used is told now and then: kept until it is told again. */
+/* Of a brief digest there is nothing to take. What all used is told now and then:
+ * kept until it is told again. */
 static void take_uses(struct digest *to, const Rillknot__Digest *d)
 {
+    if (!d->n_uses)
+        return;
     rk_org_uses_begin(&to->uses);
     for (size_t i = 0; i < d->n_uses; i++) {
         const Rillknot__OrgUse *told = d->uses[i];
@@ -206,6 +213,7 @@
 
 static void take_sender(struct member *k, const Rillknot__Digest *d, int64_t now_ms)
 {
+    rk_mesh_meet(k);
     rk_strcpy(k->domain, sizeof(k->domain), d->domain);
     if (d->capacity > 0) /* nodes of an earlier version don't tell it */
         k->capacity = d->capacity;
@@ -216,7 +224,7 @@
     k->unproven = false;
 }
 
-void rk_digest_take(struct member *k, const Rillknot__Digest *d)
+bool rk_digest_take(struct member *k, const Rillknot__Digest *d)
 {
     struct digest *to = &k->digest;
     int64_t now_ms = rk_mono_ms();
@@ -243,13 +251,14 @@
         to->fleet ? rk_digest_of_fleet(k->m, now_ms)
                   : rk_digest_of_domain(k->m, k->domain, now_ms);
     if (counts != k || (!to->fleet && !k->m->bridge))
-        return;
+        return false;
     count(k);
     /* What was used while no source counted is in what this one knows. */
     if (to->catch_up && d->n_members) {
         to->catch_up = false;
         k->m->catch_up = k;
     }
+    return true;
 }
 
 void rk_digest_free(struct digest *d)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -15,6 +15,8 @@
 #define REPORT_MS      250
 #define BRIDGED_LAG_MS 450 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
+#define RELAY_PACE_MS                                                              \
+    100 /* the same at a bridge, to which one reports each few ms */
 #define REPORT_SOON_MS 5   /* after news of the store */
 #define DIAL_MS        500 /* between tries to reach a node */
 #define CONNECT_MS     1000
@@ -39,6 +41,27 @@
     return m->direct || (rk_mesh_is_near(k) && k->bridge);
 }
 
+void rk_mesh_send(struct rk_mesh *m, const Rillknot__Frame *frame,
+                  bool (*wants)(const struct member *k, const void *ctx),
+                  const void *ctx)
+{
+    struct rk_packed_frame packed = {0};
+    for (struct member *k = m->contacts; k; k = k->next_contact) {
+        if (!wants(k, ctx) || !rk_mesh_takes(k->link))
+            continue;
+        if (!packed.len)
+            packed = rk_frame_pack(frame);
+        rk_link_send_packed(k->link, &packed);
+    }
+    rk_packed_frame_free(&packed);
+}
+
+static bool wants_report(const struct member *k, const void *ctx)
+{
+    (void)ctx;
+    return rk_mesh_is_told(k);
+}
+
 static void tell(struct rk_mesh *m)
 {
     struct rk_report p;
@@ -47,9 +70,7 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_NODE_REPORT;
     frame.node_report = &p.report;
-    for (struct member *k = m->members; k; k = k->next)
-        if (rk_mesh_is_told(k) && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
+    rk_mesh_send(m, &frame, wants_report, NULL);
     rk_report_note_uses(m, &p);
     rk_report_free(&p);
 }
@@ -67,6 +88,12 @@
 
 /* ---- changes of the list ---- */
 
+static bool wants_change(const struct member *k, const void *ctx)
+{
+    const bool *from_store = ctx;
+    return rk_mesh_is_near(k) || (*from_store && k->bridge);
+}
+
 void rk_mesh_push(struct rk_mesh *m, const Rillknot__StoreText *text,
                   bool from_store)
 {
@@ -75,11 +102,7 @@
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
     frame.store_text = (Rillknot__StoreText *)text;
-    for (struct member *k = m->members; k; k = k->next) {
-        bool wants = rk_mesh_is_near(k) || (from_store && k->bridge);
-        if (wants && rk_mesh_takes(k->link))
-            rk_link_send(k->link, &frame);
-    }
+    rk_mesh_send(m, &frame, wants_change, &from_store);
 }
 
 void rk_mesh_ask_if_behind(struct rk_mesh *m, struct rk_link *link,
@@ -130,7 +153,8 @@
 static void relay_soon(struct rk_mesh *m)
 {
     if (!m->relay_soon.slot)
-        rk_timer_start(m->n->loop, &m->relay_soon, RELAY_SOON_MS);
+        rk_timer_start(m->n->loop, &m->relay_soon,
+                       m->bridge ? RELAY_PACE_MS : RELAY_SOON_MS);
 }
 
 static void take_lease(struct rk_mesh *m, const Rillknot__LeaseRow *lease)
@@ -162,7 +186,8 @@
         rk_tell_soon(m);
     rk_sync_confirm(m->n->sync, r->store_age_ms, r->settings_version,
                     r->list_revision);
-    relay_soon(m);
+    if (rk_report_counts(k))
+        relay_soon(m);
     take_lease(m, r->lease);
     for (size_t i = 0; i < r->n_peers; i++)
         if (!rk_mesh_is_self(m, "", r->peers[i]) &&
@@ -181,10 +206,10 @@
     if (rk_mesh_is_self(m, d->id, d->addr))
         return;
     struct member *k = rk_mesh_learn(m, d->id, d->addr);
-    rk_digest_take(k, d);
+    if (rk_digest_take(k, d))
+        relay_soon(m);
     rk_sync_confirm(m->n->sync, d->store_age_ms, d->settings_version,
                     d->list_revision);
-    relay_soon(m);
     take_lease(m, d->lease);
     rk_mesh_ask_if_behind(m, link, told, d->settings_version, d->list_revision);
 }
@@ -310,6 +335,7 @@
             (k->dialled_ms && now_ms - k->dialled_ms < DIAL_MS))
             continue;
         k->dialled_ms = now_ms;
+        rk_mesh_meet(k);
         k->link = rk_link_connect(m->n->loop, k->addr, &member_ops, k);
     }
 }
@@ -345,7 +371,7 @@
 {
     p->catch_up = m->catch_up != NULL;
     const struct rk_org_use *uses = NULL;
-    for (const struct member *k = m->members; k; k = k->next) {
+    for (const struct member *k = m->contacts; k; k = k->next_contact) {
         if (!k->knows || !rk_mesh_is_heard(k, now_ms) ||
             (uses && k->remembers_ms <= p->remembers_ms))
             continue;
@@ -371,7 +397,7 @@
 static int64_t silent_ms(const struct rk_mesh *m, int64_t now_ms)
 {
     int64_t last_ms = 0;
-    for (const struct member *k = m->members; k; k = k->next)
+    for (const struct member *k = m->contacts; k; k = k->next_contact)
         if (k->heard_ms > last_ms)
             last_ms = k->heard_ms;
     return last_ms ? now_ms - last_ms : -1;
--- a/peers/link.c
+++ b/peers/link.c
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include "common/addr.h"
+#include "common/arena.h"
 #include "common/counters.h"
 #include "common/loop.h"
 #include "common/util.h"
@@ -116,7 +117,19 @@
     return true;
 }
 
-long rk_frame_decode(const uint8_t *data, size_t len, Rillknot__Frame **frame)
+static void *take_piece(void *ctx, size_t len)
+{
+    return rk_arena_take(ctx, len);
+}
+
+static void leave_piece(void *ctx, void *piece)
+{
+    (void)ctx;
+    (void)piece; /* all go together */
+}
+
+static long decode(const uint8_t *data, size_t len, ProtobufCAllocator *allocator,
+                   Rillknot__Frame **frame)
 {
     *frame = NULL;
     if (len < HEADER_LEN)
@@ -127,24 +140,39 @@
         return -1;
     if (len < HEADER_LEN + body)
         return 0;
-    *frame = rillknot__frame__unpack(NULL, body, data + HEADER_LEN);
+    *frame = rillknot__frame__unpack(allocator, body, data + HEADER_LEN);
     return *frame ? (long)(HEADER_LEN + body) : -1;
 }
 
+long rk_frame_decode(const uint8_t *data, size_t len, Rillknot__Frame **frame)
+{
+    return decode(data, len, NULL, frame);
+}
+
+long rk_frame_decode_in(const uint8_t *data, size_t len, struct rk_arena *arena,
+                        Rillknot__Frame **frame)
+{
+    ProtobufCAllocator allocator = {
+        .alloc = take_piece, .free = leave_piece, .allocator_data = arena};
+    return decode(data, len, &allocator, frame);
+}
+
 static bool take_frames(struct rk_link *l)
 {
+    struct rk_arena *arena = rk_loop_scratch(l->loop);
     size_t used = 0;
     while (!l->destroyed && !l->down) {
         Rillknot__Frame *f;
-        long n =
-            rk_frame_decode((uint8_t *)l->in.data + used, l->in.len - used, &f);
+        long n = rk_frame_decode_in((uint8_t *)l->in.data + used, l->in.len - used,
+                                    arena, &f);
+        if (n > 0)
+            l->ops->on_frame(l->ctx, l, f);
+        rk_arena_reset(arena);
         if (n < 0)
             return false;
         if (n == 0)
             break;
         used += (size_t)n;
-        l->ops->on_frame(l->ctx, l, f);
-        rillknot__frame__free_unpacked(f, NULL);
     }
     if (!l->destroyed)
         rk_buf_consume(&l->in, used);
@@ -230,20 +258,32 @@
         free_link(l);
 }
 
-bool rk_link_send(struct rk_link *l, const Rillknot__Frame *frame)
+struct rk_packed_frame rk_frame_pack(const Rillknot__Frame *frame)
 {
-    if (l->down || l->destroyed)
-        return false;
+    struct rk_packed_frame p = {0};
     size_t len = rillknot__frame__get_packed_size(frame);
-    if (len > RK_FRAME_MAX || l->out.len + len + HEADER_LEN > SEND_BUFFER)
-        return false;
-    uint8_t *packed = rk_alloc(1, len + HEADER_LEN);
+    if (len > RK_FRAME_MAX)
+        return p;
+    p.len = len + HEADER_LEN;
+    p.data = rk_alloc(1, p.len);
     for (int i = 0; i < HEADER_LEN; i++)
-        packed[i] = (uint8_t)(len >> (8 * (HEADER_LEN - 1 - i)));
-    rillknot__frame__pack(frame, packed + HEADER_LEN);
-    rk_buf_add(&l->out, packed, len + HEADER_LEN);
-    free(packed);
-    rk_count(RK_C_LINK_BYTES, len + HEADER_LEN);
+        p.data[i] = (uint8_t)(len >> (8 * (HEADER_LEN - 1 - i)));
+    rillknot__frame__pack(frame, p.data + HEADER_LEN);
+    return p;
+}
+
+void rk_packed_frame_free(struct rk_packed_frame *p)
+{
+    free(p->data);
+    *p = (struct rk_packed_frame){0};
+}
+
+bool rk_link_send_packed(struct rk_link *l, const struct rk_packed_frame *p)
+{
+    if (l->down || l->destroyed || !p->len || l->out.len + p->len > SEND_BUFFER)
+        return false;
+    rk_buf_add(&l->out, p->data, p->len);
+    rk_count(RK_C_LINK_BYTES, p->len);
     /* A failed send shows as an event; callbacks never run from here. */
     if (l->up)
         flush(l);
@@ -251,6 +291,14 @@
     return true;
 }
 
+bool rk_link_send(struct rk_link *l, const Rillknot__Frame *frame)
+{
+    struct rk_packed_frame p = rk_frame_pack(frame);
+    bool sent = rk_link_send_packed(l, &p);
+    rk_packed_frame_free(&p);
+    return sent;
+}
+
 size_t rk_link_unsent(const struct rk_link *l)
 {
     return l->out.len;
--- a/peers/link.h
+++ b/peers/link.h
@@ -13,6 +13,7 @@
 
 #define RK_FRAME_MAX (2 * 1024 * 1024)
 
+struct rk_arena;
 struct rk_loop;
 struct rk_link;
 struct rk_listener;
@@ -30,9 +31,20 @@
                                 const struct rk_link_ops *ops, void *ctx);
 void rk_link_destroy(struct rk_link *link);
 
-/* False when the link is dead or its buffer is full: nothing was sent. */
+/* False when the link is dead, its buffer is full or the frame too long: nothing
+ * was sent. */
 bool rk_link_send(struct rk_link *link, const Rillknot__Frame *frame);
 
+/* A frame as it goes over a link, its length before it. Packed once where many
+ * links get the same: a bridge of a large domain did little else. */
+struct rk_packed_frame {
+    uint8_t *data;
+    size_t len; /* 0: the frame was longer than RK_FRAME_MAX */
+};
+struct rk_packed_frame rk_frame_pack(const Rillknot__Frame *frame);
+void rk_packed_frame_free(struct rk_packed_frame *p);
+bool rk_link_send_packed(struct rk_link *link, const struct rk_packed_frame *p);
+
 /* Bytes that wait for the peer to read. */
 size_t rk_link_unsent(const struct rk_link *l);
 /* Bytes that wait on this machine, the kernel's included; 0 for a link on which
@@ -57,5 +69,8 @@
 /* Read frames out of bytes; exposed for tests. Returns the bytes used by the
  * first whole frame and the frame (NULL: none yet), or -1 for garbage. */
 long rk_frame_decode(const uint8_t *data, size_t len, Rillknot__Frame **frame);
+/* The same; the frame lies in the arena and isn't freed by itself. */
+long rk_frame_decode_in(const uint8_t *data, size_t len, struct rk_arena *arena,
+                        Rillknot__Frame **frame);
 
 #endif
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -6,6 +6,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "node/mesh_impl.h"
@@ -13,6 +14,7 @@
 #define NODES    16
 #define NEAR     5 /* of them in the domain of the first */
 #define CAPACITY 250
+#define ASKING   5 /* units a second, as told */
 
 struct fleet {
     struct rk_node nodes[NODES];
@@ -179,12 +181,115 @@
     end(&f);
 }
 
+static int count_contacts(const struct rk_mesh *m)
+{
+    int count = 0;
+    for (const struct member *k = m->contacts; k; k = k->next_contact)
+        count++;
+    return count;
+}
+
+/* Seen: at 985 nodes more than half of a node's processor time went into looking
+ * for the few members that tell it something among all that it knows, some hundred
+ * times a second. Cause: each message was weighed by a walk over all members. What
+ * is walked now are the contacts: who was heard or dialled. */
+static void messages_cost_by_who_tells_them(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    begin(&f);
+    for (int i = 2; i < NODES; i++) {
+        name(id, addr, i);
+        rk_strcpy(rk_mesh_learn(&f.meshes[1], id, addr)->domain, RK_ID_MAX,
+                  domain_of(i));
+    }
+    digest(&f, 0, 1, CAPACITY); /* tells of all others */
+    digest(&f, 0, 1, CAPACITY);
+    assert_int_equal(rk_mesh_count(&f.meshes[0]), NODES - 1);
+    assert_int_equal(count_contacts(&f.meshes[0]), 1);
+    report(&f, 0, 2);
+    assert_int_equal(count_contacts(&f.meshes[0]), 2);
+    end(&f);
+    assert_null(f.meshes[0].contacts);
+}
+
+/* A digest of the fleet's use of one organisation. */
+static void use_digest(struct fleet *f, int to, int from, char *org, double units)
+{
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
+    Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT, *ptr = &use;
+    name(id, addr, from);
+    d.id = id;
+    d.addr = addr;
+    d.domain = (char *)domain_of(from);
+    d.incarnation = 1;
+    d.fleet = true;
+    use.org = org;
+    use.units = units;
+    use.asking = ASKING;
+    d.uses = &ptr;
+    d.n_uses = 1;
+    rk_digest_take(rk_mesh_learn(&f->meshes[to], id, addr), &d);
+}
+
+static double news_of(const struct rk_mesh *m, const char *org)
+{
+    double sum = 0;
+    for (size_t i = 0; i < m->news_len; i++)
+        sum += strcmp(m->news[i].org, org) ? 0 : m->news[i].units;
+    return sum;
+}
+
+/* What the relay counts itself isn't news, and only what a sum can hold is taken
+ * out of it. */
+static void a_fleets_sum_leaves_out_own_use(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    struct rk_org_use own[] = {{.org = "a", .units = 10}, {.org = "b", .units = 7}};
+    struct rk_relay_report report = {.uses = own, .uses_len = 2};
+    begin(&f);
+    f.nodes[0].report = &report;
+    use_digest(&f, 0, 1, "a", 10);
+    own[0].units = 15;
+    use_digest(&f, 0, 1, "a", 40);
+    assert_float_equal(news_of(&f.meshes[0], "a"), 25, 0.001);
+    use_digest(&f, 0, 1, "a", 40);
+    assert_float_equal(news_of(&f.meshes[0], "a"), 25, 0.001);
+    assert_float_equal(news_of(&f.meshes[0], "b"), 0, 0.001);
+    free(f.meshes[0].news);
+    end(&f);
+}
+
+/* The second bridge of a domain tells it in between that it is there, and no more.
+ */
+static void a_brief_digest_leaves_what_was_told(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    struct rk_tally asking = {0};
+    begin(&f);
+    use_digest(&f, 0, 1, "a", 10);
+    digest(&f, 0, 1, CAPACITY);
+    rk_loads_peers_asking(&f.meshes[0], &asking, rk_mono_ms());
+    assert_float_equal(rk_tally_total(&asking, "a"), ASKING, 0.001);
+    assert_float_equal(news_of(&f.meshes[0], "a"), 0, 0.001);
+    rk_tally_free(&asking);
+    free(f.meshes[0].news);
+    end(&f);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(nodes_agree_however_they_learnt_of_bridges),
         cmocka_unit_test(what_a_bridge_does_not_know_changes_nothing),
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
+        cmocka_unit_test(messages_cost_by_who_tells_them),
+        cmocka_unit_test(a_fleets_sum_leaves_out_own_use),
+        cmocka_unit_test(a_brief_digest_leaves_what_was_told),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
