rollouts: a node that starts amid a trial knows which version serves

Cause: a node takes the version of most of a service's vms for the one that serves; while another is tried as many have that, and the one that came first in the list won. Ids are drawn, so each second node that started amid a trial barred the old vms and sent all its calls to the new ones.

Change: the version of the vm that was started first, where each tells when it was; else the most common, counted once for each change of version along the list instead of for each vm (the square of ten thousand).

--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -56,20 +56,49 @@
     return count;
 }
 
-/* A service seen for the first time is served by the version of most of its vms. */
+/* The vm of a service that has stood longest; NULL: not each tells when it was
+ * started. */
+static const struct rk_vm_row *find_oldest(const struct rk_vm_row *rows, size_t len,
+                                           const char *service)
+{
+    const struct rk_vm_row *oldest = NULL;
+    for (size_t i = 0; i < len; i++) {
+        if (strcmp(rows[i].service, service) != 0)
+            continue;
+        if (!rows[i].born_ms)
+            return NULL;
+        if (!oldest || rows[i].born_ms < oldest->born_ms)
+            oldest = &rows[i];
+    }
+    return oldest;
+}
+
+/* One of the version that most vms of a service have. */
+static const struct rk_vm_row *find_common(const struct rk_vm_row *rows, size_t len,
+                                           const struct rk_vm_row *first)
+{
+    const struct rk_vm_row *most = first;
+    for (size_t i = 0; i < len; i++)
+        if (!strcmp(rows[i].service, first->service) &&
+            strcmp(rows[i].version, most->version) != 0 &&
+            count_version(rows, len, &rows[i]) > count_version(rows, len, most))
+            most = &rows[i];
+    return most;
+}
+
+/* A service seen for the first time is served by the version that came first: while
+ * another one is tried, as many vms may have that. */
 static void learn_serving(struct rk_rollouts *r, const struct rk_vm_row *rows,
                           size_t len, const struct rk_vm_row *row)
 {
     if (serving_of(r, row->service) || r->serving_len == RK_ROLLOUTS_SERVICES)
         return;
-    const struct rk_vm_row *most = row;
-    for (size_t i = 0; i < len; i++)
-        if (!strcmp(rows[i].service, row->service) &&
-            count_version(rows, len, &rows[i]) > count_version(rows, len, most))
-            most = &rows[i];
+    const struct rk_vm_row *like = find_oldest(rows, len, row->service);
+    if (!like)
+        like = find_common(rows, len, row);
     struct serving *s = &r->serving[r->serving_len++];
     rk_strcpy(s->service, sizeof(s->service), row->service);
-    rk_strcpy(s->version, sizeof(s->version), most->version);
+    rk_strcpy(s->version, sizeof(s->version), like->version);
 }
 
 const struct rk_rollout_rule *rk_rollout_rule_of(const struct rk_rollout_word *word,
--- a/tests/proc_hosted_rollouts.py
+++ b/tests/proc_hosted_rollouts.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from hosted import Hosted, answer_json, wait_until
+from hosted import Hosted, Worker, answer_json, wait_until
 
 BOUNDS = {"exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000}
 DURATION_S = 6.0
@@ -182,6 +182,31 @@
         assert seen(new) <= BOUNDS["exposureShare"] * total + BOUNDS["exposureSlack"]
 
 
+def test_a_node_that_starts_amid_a_trial_knows_which_version_serves():
+    """Found by reading. While a version is tried as many vms have it as have the old one.
+    A node that started took the one that came first in the list for the one that serves,
+    and called the other none: here the new vms come first."""
+    ids = Worker.ids
+    Worker.ids = itertools.count(2 ** 20, -1)
+    try:
+        with deployment() as d:
+            old, new = d.roll_out("plain", "v2", 30.0)
+            wait_until(lambda: d.rollout_state("plain") == "in_progress", 6)
+            other = (holder_of(d) + 1) % len(d.nodes)
+            d.nodes[other].kill()
+            d.restart_node(other)
+            d.wait_ready()
+            before, calls = seen(new), 150
+            for _ in range(calls):
+                d.call("/r/x", node=other)
+            tried = seen(new) - before
+            most = BOUNDS["exposureShare"] * calls + BOUNDS["exposureSlack"]
+            assert tried <= most, (tried, calls)
+            return "%d of %d calls tried it" % (tried, calls)
+    finally:
+        Worker.ids = ids
+
+
 def test_another_holder_goes_on_where_the_first_was():
     """The holder is killed amid the trial, and again once the verdict is known."""
     with deployment() as d:
