rollout: a time that is over at once is over also in its first millisecond

Seen: proc_hosted_rollouts.a_time_that_is_over_at_once failed 2 of 6, then 1 of 8 times after orders got a rule from when they are known (0 of 8 before that): the version was taken instead of given back.

Cause: of no time at all 0/1 had passed in the millisecond in which it began, so it was not over, but the trial's end was reached and nothing spoke against the version. The rule that is told earlier wakes the holder, which then decides in that very millisecond; before, a tick came in between by chance.

test_rollout.no_time_at_all_is_over_at_once fails before; 12 of 12 plays of the process test's course afterwards.

--- a/core/rollout.c
+++ b/core/rollout.c
@@ -108,11 +108,12 @@
     return (double)(now_ms - r->begun_ms);
 }
 
-/* The same as a part of it. */
+/* The same as a part of it; no time at all is over at once. */
 static double passed(const struct rk_rollout *r, int64_t now_ms)
 {
-    double all = (double)(r->order.duration_ms > 0 ? r->order.duration_ms : 1);
-    return passed_ms(r, now_ms) / all;
+    if (r->order.duration_ms <= 0)
+        return 1;
+    return passed_ms(r, now_ms) / (double)r->order.duration_ms;
 }
 
 static void enter(struct rk_rollout *r, enum rk_rollout_phase phase, int64_t now_ms)
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -452,6 +452,23 @@
     assert_true(taken_after_ms(6000) <= 6000 - 500 + 2 * STEP_MS);
 }
 
+/* Seen: a version ordered for no time at all was taken, one of eight times. Cause:
+ * the holder decided in the very millisecond in which the order began, when none of
+ * its time had passed but the trial's end was reached. */
+static void no_time_at_all_is_over_at_once(void **state)
+{
+    (void)state;
+    struct rk_trial_rows seen = {0};
+    const struct rk_rollout_order order = {.service = "s", .version = "v2"};
+    const struct rk_rollout_bounds bounds = {.share = 0.1, .slack = 50};
+    const struct rk_rollout_view view = {
+        .old_vms = 3, .new_vms = 3, .new_domains = 3, .seen = &seen};
+    struct rk_rollout r = {0};
+    rk_rollout_begin(&r, &order, &bounds, 0, 0);
+    rk_rollout_step(&r, &view);
+    assert_int_equal(r.rule.phase, RK_ROLLOUT_GIVEN_BACK);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -461,6 +478,7 @@
         cmocka_unit_test(a_dark_domain_is_not_blamed_on_the_version),
         cmocka_unit_test(a_version_in_one_domain_is_judged_there),
         cmocka_unit_test(a_short_time_leaves_some_for_the_store),
+        cmocka_unit_test(no_time_at_all_is_over_at_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
