soak: vms of each fleet have ids of their own

Fleets of one soak run side by side, and a port that one frees another may get: a call that strays there (an open finding: a leaving vm got 26 calls) is told apart by the id of the vm that got it.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,6 +10,7 @@
 import argparse
 import collections
 import concurrent.futures
+import itertools
 import os
 import random
 import signal
@@ -50,9 +51,15 @@
         return super().run(req, conn)
 
 
+VMS_MOST = 1 << 16  # of one fleet, in its whole life
+
+
 class Soak:
     def __init__(self, seed, seconds, nodes):
         self.rng = random.Random(seed)
+        # Fleets that run side by side get ports that others just freed: a call that
+        # strays to another fleet's vm is told apart by the vm's id.
+        Worker.ids = itertools.count(seed % (1 << 24) * VMS_MOST + 1)
         self.seed, self.seconds = seed, seconds
         self.problems = []
         self.lock = threading.Lock()
