digest: a brief one says that it is, and nothing is counted from it

Found by reading. There a digest without uses was brief by that alone. A node that starts may hear a brief one first: it took it for the source to count from, and with the next whole one all that was used since the bridge's start was news at once, so that quotas looked used up for a window.

Change: the digest says that it is brief; such a one is a heartbeat, no source, and nothing is taken from it but how many nodes its sender hears. Who is there counts by the last digest that told of members.

test_bridges.a_brief_digest_is_nothing_to_count_from fails before (100,000 units of news).

--- a/node/digest.c
+++ b/node/digest.c
@@ -26,7 +26,7 @@
 {
     const struct member *best = NULL;
     for (const struct member *k = m->contacts; k; k = k->next_contact)
-        if (k->digest.heard_ms && now_ms - k->digest.heard_ms < age_ms &&
+        if (k->digest.is_told && now_ms - k->digest.heard_ms < age_ms &&
             k->digest.fleet == fleet && !strcmp(k->domain, domain) &&
             is_better(k, best))
             best = k;
@@ -151,12 +151,9 @@
 
 /* ---- taking one in ---- */
 
-/* Of a brief digest there is nothing to take. What all used is told now and then:
- * kept until it is told again. */
+/* What all used is told now and then: kept until it is told again. */
 static void take_uses(struct digest *to, const Rillknot__Digest *d)
 {
-    if (!d->n_uses)
-        return;
     rk_org_uses_begin(&to->uses);
     for (size_t i = 0; i < d->n_uses; i++) {
         const Rillknot__OrgUse *told = d->uses[i];
@@ -232,14 +229,18 @@
     if (to->incarnation != d->incarnation || to->fleet != d->fleet) {
         to->incarnation = d->incarnation;
         to->based = false; /* it counts from nothing */
+        to->is_told = false;
         rk_org_uses_clear(&to->uses);
     }
     to->heard_ms = now_ms;
-    if (d->fleet)
-        k->m->fleet_ms = now_ms;
     to->fleet = d->fleet;
     to->nodes_heard = (int)d->nodes_heard;
     to->nodes_total = (int)d->nodes_total;
+    if (d->brief)
+        return false;
+    to->is_told = true;
+    if (d->fleet && d->n_members)
+        k->m->fleet_ms = now_ms;
     if (d->n_members)
         to->remembers_ms = d->remembers_ms;
     if (d->vms_told)
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -245,7 +245,7 @@
     p->digest.members = p->member_ptrs;
 }
 
-/* brief: without what runs where and what was used, which are then as they were. */
+/* brief: a heartbeat; what runs where and what was used is as it was. */
 static void fill(struct making *p, struct rk_mesh *m, bool fleet, bool brief,
                  enum members members)
 {
@@ -273,13 +273,14 @@
         p->digest.lease = &p->lease;
     }
     add_nodes(p, m, fleet);
-    fill_services(p, m, fleet);
+    p->digest.brief = brief;
     if (brief)
         return;
     sum_loads(p);
     if (tells_vms(m, p->loads_len))
         fill_vms(p);
     fill_uses(p, m, fleet, members != NO_MEMBERS);
+    fill_services(p, m, fleet);
     if (members != NO_MEMBERS)
         fill_members(p, m, fleet, members);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -26,6 +26,7 @@
 struct digest {
     int64_t heard_ms; /* 0: none */
     uint64_t incarnation;
+    bool is_told; /* more than that it is there */
     bool fleet;
     int nodes_heard, nodes_total;
     int64_t remembers_ms;
@@ -79,6 +80,7 @@
     bool uses_based;         /* uses has all its rows: changes add to them */
     bool knows;              /* uses[].known was told */
     bool takes_changes;      /* it may be told only the rows that changed */
+    bool takes_brief;        /* digests */
     int64_t uses_asked_ms;   /* it was asked for all its rows, last */
     struct rk_service_use *services; /* the same */
     size_t services_len;
@@ -114,12 +116,12 @@
     struct lh_table *by_id; /* of members that told their names */
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol, tell;
-    int64_t due_ms;    /* when the tick is next */
-    double late_ms;    /* how late ticks come, smoothed */
-    bool slow;         /* too late to do more than it has to */
-    int64_t told_ms;   /* the peers, last */
-    int64_t digest_ms; /* the same, a digest */
-    unsigned digests;  /* made so far */
+    int64_t due_ms;              /* when the tick is next */
+    double late_ms;              /* how late ticks come, smoothed */
+    bool slow;                   /* too late to do more than it has to */
+    int64_t told_ms;             /* the peers, last */
+    int64_t digest_ms;           /* the same, a digest */
+    unsigned digests;            /* made so far */
     struct rk_usage_told own_told, counts_told;
     struct rk_tally uses_told;      /* own units by organisation, as told last */
     bool uses_wanted, known_wanted; /* the next report tells all rows, with that */
@@ -135,7 +137,7 @@
     int64_t asked_ms;                   /* for changes of the list, last */
     const struct link_told *asked_last; /* compared only */
     int64_t wanted_ms;                  /* settings were asked for, last */
-    int64_t fleet_ms; /* when a digest of the fleet was heard last */
+    int64_t fleet_ms; /* when the members of the fleet were told last */
     /* As elected last. */
     bool direct;  /* each node tells each */
     int total;    /* nodes of the fleet, this one included */
--- a/node/report.c
+++ b/node/report.c
@@ -72,6 +72,7 @@
     p->report.store_age_ms = rk_sync_age_ms(n->sync);
     p->report.capacity = rk_mesh_capacity(m);
     p->report.takes_changes = true;
+    p->report.takes_brief = true;
     const char *value;
     if (rk_duty_keeper_lease(n->duty_keeper, &p->lease.version, &value)) {
         p->lease.value = (char *)value;
@@ -158,6 +159,7 @@
     k->slow = r->slow;
     k->hears_store = r->hears_store;
     k->takes_changes = r->takes_changes;
+    k->takes_brief = r->takes_brief;
     k->remembers_ms = r->remembers_ms;
     rk_report_take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3435,7 +3435,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[22] =
 {
   {
     "id",
@@ -3689,6 +3689,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_brief",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, takes_brief),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -3707,6 +3719,7 @@
   4,   /* field[4] = settings_version */
   16,   /* field[16] = slow */
   14,   /* field[14] = store_age_ms */
+  21,   /* field[21] = takes_brief */
   19,   /* field[19] = takes_changes */
   9,   /* field[9] = usage */
   8,   /* field[8] = uses */
@@ -3716,7 +3729,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -3726,7 +3739,7 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  21,
+  22,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
@@ -3862,7 +3875,7 @@
   (ProtobufCMessageInit) rillknot__node_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[21] =
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[22] =
 {
   {
     "id",
@@ -4116,9 +4129,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brief",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, brief),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__digest__field_indices_by_name[] = {
   1,   /* field[1] = addr */
+  21,   /* field[21] = brief */
   17,   /* field[17] = capacity */
   2,   /* field[2] = domain */
   4,   /* field[4] = fleet */
@@ -4143,7 +4169,7 @@
 static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor rillknot__digest__descriptor =
 {
@@ -4153,7 +4179,7 @@
   "Rillknot__Digest",
   "rillknot",
   sizeof(Rillknot__Digest),
-  21,
+  22,
   rillknot__digest__field_descriptors,
   rillknot__digest__field_indices_by_name,
   1,  rillknot__digest__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -457,10 +457,14 @@
    * Each row has what the sender knows of the use of all.
    */
   protobuf_c_boolean knows;
+  /*
+   * The sender takes brief digests.
+   */
+  protobuf_c_boolean takes_brief;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -530,10 +534,14 @@
    * It takes reports whose uses are only the rows that changed.
    */
   protobuf_c_boolean takes_changes;
+  /*
+   * A heartbeat: vms and uses are as they were.
+   */
+  protobuf_c_boolean brief;
 };
 #define RILLKNOT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -263,8 +263,21 @@
     end(&f);
 }
 
-/* The second bridge of a domain tells it in between that it is there, and no more.
- */
+/* A bridge says that it is there, and no more. */
+static void brief_digest(struct fleet *f, int to, int from)
+{
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
+    name(id, addr, from);
+    d.id = id;
+    d.addr = addr;
+    d.domain = (char *)domain_of(from);
+    d.incarnation = 1;
+    d.fleet = true;
+    d.brief = true;
+    rk_digest_take(rk_mesh_learn(&f->meshes[to], id, addr), &d);
+}
+
 static void a_brief_digest_leaves_what_was_told(void **state)
 {
     (void)state;
@@ -272,11 +285,29 @@
     struct rk_tally asking = {0};
     begin(&f);
     use_digest(&f, 0, 1, "a", 10);
-    digest(&f, 0, 1, CAPACITY);
+    brief_digest(&f, 0, 1);
     rk_loads_peers_asking(&f.meshes[0], &asking, rk_mono_ms());
     assert_float_equal(rk_tally_total(&asking, "a"), ASKING, 0.001);
     assert_float_equal(news_of(&f.meshes[0], "a"), 0, 0.001);
     rk_tally_free(&asking);
+    end(&f);
+}
+
+/* A node that starts may hear a brief digest first. Counted from there, all that
+ * was used since the bridge's start would be news when that is told. */
+static void a_brief_digest_is_nothing_to_count_from(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    begin(&f);
+    brief_digest(&f, 0, 1);
+    assert_null(rk_digest_of_fleet(&f.meshes[0], rk_mono_ms()));
+    use_digest(&f, 0, 1, "a", 100000);
+    assert_non_null(rk_digest_of_fleet(&f.meshes[0], rk_mono_ms()));
+    assert_float_equal(news_of(&f.meshes[0], "a"), 0, 0.001);
+    brief_digest(&f, 0, 1);
+    use_digest(&f, 0, 1, "a", 100030);
+    assert_float_equal(news_of(&f.meshes[0], "a"), 30, 0.001);
     free(f.meshes[0].news);
     end(&f);
 }
@@ -290,6 +321,7 @@
         cmocka_unit_test(messages_cost_by_who_tells_them),
         cmocka_unit_test(a_fleets_sum_leaves_out_own_use),
         cmocka_unit_test(a_brief_digest_leaves_what_was_told),
+        cmocka_unit_test(a_brief_digest_is_nothing_to_count_from),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
