digest: a bridge tells as much at a time as its link carries

Cause: a bridge tells each node of its domain the whole sum four times a second, 15 MB/s in the whole fleet's domains of 207 nodes. Where all of a domain's machines with a wide link are gone, one with 20 Mbit/s (2.5 MB/s) bridges: what it can't send waits, heartbeats wait behind it, its nodes take it for dead and elect the next, which fares no better.

Change: core/send_budget bounds what a round may send by what the link carried of the rounds before; whole digests go to as many nodes as that allows, in turn, and the others are told that the bridge is there.

Weighed: more bridges where machines are small (each tells a part: elections, sums and takeovers would have to know parts), passing digests on along a tree within the domain (each level adds its own lateness), longer intervals (heartbeats with them).

--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -339,27 +339,100 @@
     }
 }
 
-/* The fleet's sum goes to the nodes of this domain, this domain's sum to the
- * bridges of the others. */
-static bool wants_digest(const struct member *k, const void *ctx)
+static struct rk_packed_frame pack(struct rk_mesh *m, bool brief,
+                                   enum members members)
 {
-    const bool *fleet = ctx;
-    return *fleet ? rk_mesh_is_near(k) && !k->bridge
-                  : !rk_mesh_is_near(k) && k->bridge;
+    struct making p;
+    fill(&p, m, true, brief, members);
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
+    frame.digest = &p.digest;
+    struct rk_packed_frame packed = rk_frame_pack(&frame);
+    free_making(&p);
+    return packed;
 }
 
-static void tell(struct rk_mesh *m, bool fleet, enum members members)
+static bool wants_domain(const struct member *k, const void *ctx)
+{
+    (void)ctx;
+    return !rk_mesh_is_near(k) && k->bridge;
+}
+
+/* The sum of this domain, to the bridges of the others. */
+static void tell_bridges(struct rk_mesh *m, enum members members)
 {
     struct making p;
-    bool brief = fleet && m->preceded && m->digests % SECOND_EACH;
-    fill(&p, m, fleet, brief, members);
+    fill(&p, m, false, false, members);
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
     frame.digest = &p.digest;
-    rk_mesh_send(m, &frame, wants_digest, &fleet);
+    rk_mesh_send(m, &frame, wants_domain, NULL);
     free_making(&p);
 }
 
+/* Who was told a whole digest longest ago comes first, and who takes no other. */
+static int by_digest(const void *a, const void *b)
+{
+    const struct member *x = *(struct member *const *)a,
+                        *y = *(struct member *const *)b;
+    if (x->takes_brief != y->takes_brief)
+        return x->takes_brief - y->takes_brief;
+    return (x->told.digest > y->told.digest) - (x->told.digest < y->told.digest);
+}
+
+/* The nodes of this domain that are told the fleet's sum. */
+static size_t list_told(const struct rk_mesh *m, struct member **told)
+{
+    size_t len = 0;
+    for (struct member *k = m->contacts; k; k = k->next_contact)
+        if (rk_mesh_is_near(k) && !k->bridge && rk_mesh_takes(k->link))
+            told[len++] = k;
+    qsort(told, len, sizeof(*told), by_digest);
+    return len;
+}
+
+/* Tell whole digests to the first of them, as many as may be; returns how many. */
+static size_t tell_whole(struct rk_mesh *m, struct member **told, size_t len,
+                         size_t most, enum members members)
+{
+    size_t at = 0, sent = 0;
+    if (!len || (!most && told[0]->takes_brief))
+        return 0;
+    /* Where each is told now and then only, it is told who there is each time. */
+    if (m->whole.narrow && members == NO_MEMBERS)
+        members = SOME_MEMBERS;
+    struct rk_packed_frame frame = pack(m, false, members);
+    for (; at < len; at++) {
+        struct member *k = told[at];
+        if (k->takes_brief && sent + frame.len > most)
+            break;
+        rk_link_send_packed(k->link, &frame);
+        k->told.digest = m->digests;
+        sent += frame.len;
+    }
+    rk_send_budget_note(&m->whole, sent);
+    rk_packed_frame_free(&frame);
+    return at;
+}
+
+/* The sum of the fleet, to the nodes of this domain: as many as the link carries in
+ * time are told all, in turn, and the others that this node is there. */
+static void tell_domain(struct rk_mesh *m, enum members members)
+{
+    struct member **told = rk_alloc(rk_mesh_count(m) + 1, sizeof(struct member *));
+    size_t len = list_told(m, told);
+    bool second = m->preceded && m->digests % SECOND_EACH;
+    size_t most = second ? 0 : rk_send_budget_begin(&m->whole, rk_mesh_waiting(m));
+    size_t at = tell_whole(m, told, len, most, members);
+    struct rk_packed_frame frame = {0};
+    if (at < len)
+        frame = pack(m, true, NO_MEMBERS);
+    for (; at < len; at++)
+        rk_link_send_packed(told[at]->link, &frame);
+    rk_packed_frame_free(&frame);
+    free(told);
+}
+
 void rk_digest_tell(struct rk_mesh *m)
 {
     int64_t now_ms = rk_mono_ms();
@@ -368,8 +441,8 @@
     enum members members = members_due(m);
     m->digest_ms = now_ms;
     add_own(m);
-    tell(m, false, members);
-    tell(m, true, members);
+    tell_bridges(m, members);
+    tell_domain(m, members);
     m->digests++;
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -6,6 +6,7 @@
 #ifndef RK_NODE_MESH_IMPL_H
 #define RK_NODE_MESH_IMPL_H
 
+#include "core/send_budget.h"
 #include "core/tally.h"
 #include "node/state.h"
 
@@ -47,6 +48,7 @@
     int64_t sent_version; /* 0: none */
     int64_t members_ms;   /* it was told who the members are, unasked; 0: never */
     bool has_uses;        /* it was told all rows of uses */
+    unsigned digest;      /* the last that it was told whole; 0: none */
 };
 
 struct member {
@@ -122,6 +124,7 @@
     int64_t told_ms;             /* the peers, last */
     int64_t digest_ms;           /* the same, a digest */
     unsigned digests;            /* made so far */
+    struct rk_send_budget whole; /* of digests that aren't brief */
     struct rk_usage_told own_told, counts_told;
     struct rk_tally uses_told;      /* own units by organisation, as told last */
     bool uses_wanted, known_wanted; /* the next report tells all rows, with that */
@@ -240,6 +243,8 @@
 void rk_usage_tell_holder(struct rk_mesh *m, int64_t now_ms);
 
 /* tell.c: settings, to one peer after the other. */
+/* Bytes that wait on this machine, on all links. */
+size_t rk_mesh_waiting(const struct rk_mesh *m);
 void rk_tell_init(struct rk_mesh *m);
 /* A peer told of a version: is it time to ask it for the settings? */
 bool rk_tell_should_ask(struct rk_mesh *m, const struct link_told *from,
--- a/node/tell.c
+++ b/node/tell.c
@@ -34,7 +34,7 @@
 
 /* ---- telling ---- */
 
-static size_t waiting(const struct rk_mesh *m)
+size_t rk_mesh_waiting(const struct rk_mesh *m)
 {
     size_t bytes = 0;
     for (const struct member *k = m->contacts; k; k = k->next_contact)
@@ -113,7 +113,7 @@
     struct pass p = {.m = m, .version = rk_sync_version(m->n->sync)};
     if (!p.version)
         return;
-    p.waiting = waiting(m);
+    p.waiting = rk_mesh_waiting(m);
     tell_members(&p, true);
     tell_guests(&p);
     tell_members(&p, false);
