returning: nodes that come back all at once don't all read the store

Cause: each node that comes back reads the nodes, the settings and the VMs, which grow with the fleet: together its square. At 985 some 5 s of what the store's link carries (by count: 985 x 0.7 MB at 125 MB/s), where a call times out at 1.5 s and is made again.

Change: the store remembers with the quotas how many nodes there are and how large the largest are. A node that comes back reads that first, then waits for its turn (core/returning): the nodes with the largest machines, who will bridge, 4 ms apart, the others a second later. Who is told by peers before reads only its own entry. A fleet of up to 12 waits for nothing; a store that doesn't tell the size within a second is asked as before.

Ruled out: a longer time-out (all would be answered late instead), waiting by a fixed random time (a small fleet would be slower by it, a large one not helped), reading by pages as peers come (as many bytes).

--- a/core/following.c
+++ b/core/following.c
@@ -8,6 +8,8 @@
     bool starts = f->first_start && f->up_ms < FIRST_TOLD_MS;
     if (starts && !f->listed)
         return false;
+    if (f->waits)
+        return f->age_ms > RK_FOLLOWING_STALE_MS; /* told, and not any more */
     if (f->before < 0 || (!f->ready && !f->first_start))
         return true;
     if (f->age_ms < 0)
--- a/core/following.h
+++ b/core/following.h
@@ -26,6 +26,7 @@
     int64_t up_ms;    /* since this node's start */
     bool listed;      /* it knows who the other nodes are */
     bool ready;       /* it has settings and vms */
+    bool waits;       /* it comes back, and others read the store first */
     int before;       /* nodes that should follow first; below 0: it always does */
     bool follows;     /* it follows the store now */
     bool served;      /* one of those does, and the store answers it */
--- a/node/enrol.c
+++ b/node/enrol.c
@@ -19,6 +19,7 @@
 #define TOGETHER_MS     350  /* in which nodes of one start have all begun */
 #define SEEDS_MIN       3 /* addresses a node is told, unless the fleet is smaller */
 #define LOST_MS         60000 /* for so long */
+#define TURN_LOOK_MS    100   /* between looks whether peers told it all */
 
 static void build_spec(const struct rk_mesh *m, char spec[SPEC_MAX])
 {
@@ -156,9 +157,45 @@
         rk_timer_start(m->n->loop, &m->enrol, LOOK_AGAIN_MS);
 }
 
-/* A node with an earlier life is on the list, and an old list will do: 295 nodes
- * that come back at once ask the store for little else than what their callers wait
- * for. */
+static void on_own_entry(void *ctx, enum rk_status st,
+                         const struct rk_store_object *object)
+{
+    struct rk_mesh *m = ctx;
+    bool own = st == RK_OK && object &&
+               !strcmp(rk_json_str(object->spec, "addr"), rk_mesh_addr(m));
+    if (own) {
+        m->enrolled = m->listed = true;
+        m->enrol_ms = REGISTER_MIN_MS;
+        RK_EVENT("mesh.told", RK_N("nodes", (int64_t)rk_mesh_count(m) + 1));
+        list_later(m);
+    } else if (st == RK_OK || st == RK_ENOTFOUND) {
+        create_entry(m); /* new here, or moved */
+    } else {
+        enrol_later(m);
+    }
+}
+
+/* Who was told of all by peers only looks whether it is listed itself. */
+static void read_own_entry(struct rk_mesh *m)
+{
+    struct rk_store *store = m->n->store;
+    store->ops->read(store, NODES_KIND, m->n->file.id, true, on_own_entry, m);
+}
+
+/* A node with an earlier life is on the list, and an old list will do. It waits for
+ * its turn to read it, if peers don't tell it before. */
+static void enrol_again(struct rk_mesh *m)
+{
+    int64_t wait_ms = rk_returning_wait_left_ms(m->n);
+    if (rk_returning_is_told(m->n))
+        read_own_entry(m);
+    else if (wait_ms > 0)
+        rk_timer_start(m->n->loop, &m->enrol,
+                       wait_ms < TURN_LOOK_MS ? wait_ms : TURN_LOOK_MS);
+    else
+        list_nodes(m, true);
+}
+
 static void on_enrol(void *ctx)
 {
     struct rk_mesh *m = ctx;
@@ -167,7 +204,13 @@
     else if (m->n->file.first_start)
         create_entry(m);
     else
-        list_nodes(m, true);
+        enrol_again(m);
+}
+
+void rk_mesh_turn(struct rk_mesh *m)
+{
+    if (!m->enrolled && m->enrol.slot)
+        rk_timer_start(m->n->loop, &m->enrol, 0);
 }
 
 void rk_enrol_init(struct rk_mesh *m)
--- a/node/members.c
+++ b/node/members.c
@@ -188,15 +188,32 @@
 }
 
 /* A node that said that it leaves is gone once it is silent. */
+static bool is_of_fleet(const struct member *k, int64_t now_ms)
+{
+    return k->id[0] && !k->unproven && (!k->leaving || rk_mesh_is_alive(k, now_ms));
+}
+
 static int count_total(const struct rk_mesh *m, int64_t now_ms)
 {
     int count = 1;
     for (const struct member *k = m->members; k; k = k->next)
-        count += k->id[0] && !k->unproven &&
-                 (!k->leaving || rk_mesh_is_alive(k, now_ms));
+        count += is_of_fleet(k, now_ms);
     return count;
 }
 
+struct rk_fleet_size rk_mesh_size(const struct rk_mesh *m)
+{
+    struct rk_fleet_size size = {0};
+    int64_t now_ms = rk_mono_ms();
+    if (!m->listed)
+        return size;
+    rk_fleet_size_add(&size, rk_mesh_capacity(m));
+    for (const struct member *k = m->members; k; k = k->next)
+        if (is_of_fleet(k, now_ms))
+            rk_fleet_size_add(&size, k->capacity);
+    return size;
+}
+
 int rk_mesh_total(const struct rk_mesh *m)
 {
     int count = m->direct ? count_total(m, rk_mono_ms()) : m->total;
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -192,8 +192,6 @@
 void rk_mesh_review(struct rk_mesh *m, int64_t now_ms);
 /* Say who bridges which domain. */
 void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms);
-/* Of this node's machine, in thousandths of a core. */
-int64_t rk_mesh_capacity(const struct rk_mesh *m);
 
 /* mesh.c */
 /* Does this node tell a member its report? */
--- a/node/node.c
+++ b/node/node.c
@@ -380,6 +380,7 @@
         RK_S("control_bound", rk_mesh_bound(n->mesh)),
         RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
         RK_N("first_start", n->file.first_start));
+    rk_returning_start(n);
     rk_remember_start(n->remember);
     rk_quarantines_start(n->quarantines);
     rk_sync_start(n->sync);
--- a/node/remember.c
+++ b/node/remember.c
@@ -184,6 +184,15 @@
     m->usage_wall_ms = usage_time(spec);
 }
 
+/* For nodes that come back all at once. */
+static void add_size(const struct rk_node *n, struct rk_buf *b)
+{
+    const struct rk_fleet_size size = rk_mesh_size(n->mesh);
+    if (size.nodes)
+        rk_buf_printf(b, ",\"nodes\":%d,\"largest\":%d,\"capacity\":%" PRId64,
+                      size.nodes, size.largest, size.capacity);
+}
+
 /* What organisations used of their quotas, and ask for, as JSON; false: nothing. */
 static bool build_quotas(struct rk_remember *m, struct rk_buf *b)
 {
@@ -195,7 +204,9 @@
     if (!rk_sync_routes(n->sync) || !n->report || !n->report->knows_all)
         return false;
     rk_mesh_add_asking(n->mesh, &asking);
-    rk_buf_printf(b, "{\"wall_ms\":%" PRId64 ",\"used\":{", rk_wall_ms());
+    rk_buf_printf(b, "{\"wall_ms\":%" PRId64, rk_wall_ms());
+    add_size(n, b);
+    rk_buf_addstr(b, ",\"used\":{");
     for (size_t i = 0; i < n->report->uses_len; i++) {
         const struct rk_org_use *use = &n->report->uses[i];
         if (!is_kept(n, use))
@@ -325,6 +336,7 @@
 
 static void restore_quotas(struct rk_remember *m, struct json_object *spec)
 {
+    rk_returning_know(m->n, spec);
     restore_usage(m, spec);
     note_usage(m, spec);
     struct json_object *used = rk_json_get(spec, "used");
--- a/node/state.h
+++ b/node/state.h
@@ -4,6 +4,7 @@
 
 #include "common/loop.h"
 #include "core/procfile.h"
+#include "core/returning.h"
 #include "core/usage.h"
 #include "node/platform.h"
 #include "peers/peers.pb-c.h"
@@ -20,6 +21,13 @@
 struct rk_rollouts;
 struct rk_quarantines;
 
+/* Of a node with an earlier life. */
+struct rk_returning {
+    int64_t
+        until_ms; /* it leaves the store's long lists to others; 0: it doesn't */
+    int nodes;    /* of the fleet, by the store; 0: not known */
+};
+
 struct rk_node {
     struct rk_procfile file;
     const struct rk_platform *platform;
@@ -38,6 +46,7 @@
     struct rk_usage usage;          /* of all nodes */
     struct rk_relay_report *report; /* the relay's last */
     struct rk_rng rng;
+    struct rk_returning returning;
     uint64_t incarnation;
     uint64_t hash; /* of id and incarnation */
     int64_t started_ms;
@@ -50,6 +59,8 @@
 struct rk_sync *rk_sync_create(struct rk_node *n);
 void rk_sync_destroy(struct rk_sync *s);
 void rk_sync_start(struct rk_sync *s);
+/* Until when this node waits for its turn has changed. */
+void rk_sync_turn(struct rk_sync *s);
 bool rk_sync_ready(const struct rk_sync *s); /* both are known */
 int64_t rk_sync_version(const struct rk_sync *s);
 int64_t rk_sync_list_revision(const struct rk_sync *s);
@@ -105,6 +116,12 @@
                   bool from_store);
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
+/* The fleet as it is to be remembered; not known: nodes is 0. */
+struct rk_fleet_size rk_mesh_size(const struct rk_mesh *m);
+/* Of this node's machine, in thousandths of a core. */
+int64_t rk_mesh_capacity(const struct rk_mesh *m);
+/* Until when this node waits for its turn has changed. */
+void rk_mesh_turn(struct rk_mesh *m);
 /* Mean age of the counts of calls that the holder of the duties has. */
 int64_t rk_mesh_usage_lag_ms(const struct rk_mesh *m);
 /* Add what callers ask of all nodes, in units of quotas a second. */
@@ -144,6 +161,16 @@
 /* Is what an earlier life kept known, or can't it be had? */
 bool rk_remember_is_read(const struct rk_remember *m);
 
+/* returning.c: a node that comes back leaves the long lists of the store to others
+ * until its turn. */
+struct json_object;
+void rk_returning_start(struct rk_node *n);
+/* What the store has of the fleet; NULL: nothing. */
+void rk_returning_know(struct rk_node *n, struct json_object *spec);
+int64_t rk_returning_wait_left_ms(const struct rk_node *n);
+/* Did peers tell it of most of the nodes that there were? */
+bool rk_returning_is_told(const struct rk_node *n);
+
 /* quarantines.c: requests under which VMs ended, as all nodes know them. */
 struct rk_quarantines *rk_quarantines_create(struct rk_node *n);
 void rk_quarantines_destroy(struct rk_quarantines *q);
--- a/node/sync.c
+++ b/node/sync.c
@@ -108,6 +108,7 @@
                                    .up_ms = rk_mono_ms() - n->started_ms,
                                    .listed = rk_mesh_is_listed(n->mesh),
                                    .ready = rk_sync_ready(s),
+                                   .waits = rk_returning_wait_left_ms(n) > 0,
                                    .before = rk_mesh_rank(n->mesh),
                                    .served = rk_mesh_is_served(n->mesh),
                                    .follows = s->vms.on,
@@ -129,7 +130,9 @@
 static void on_tick(void *ctx)
 {
     struct rk_sync *s = ctx;
-    rk_timer_start(s->n->loop, &s->tick, RK_FOLLOWING_TICK_MS);
+    int64_t turn_ms = rk_returning_wait_left_ms(s->n);
+    bool soon = turn_ms > 0 && turn_ms < RK_FOLLOWING_TICK_MS;
+    rk_timer_start(s->n->loop, &s->tick, soon ? turn_ms : RK_FOLLOWING_TICK_MS);
     bool follow = should_follow(s);
     pace_watches(s);
     if (follow != s->vms.on)
@@ -182,6 +185,11 @@
     on_tick(s);
 }
 
+void rk_sync_turn(struct rk_sync *s)
+{
+    rk_timer_start(s->n->loop, &s->tick, 0);
+}
+
 bool rk_sync_ready(const struct rk_sync *s)
 {
     return s->routes && s->list_known;
--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -374,6 +374,47 @@
             assert d.call("/r/x", node=n).status == 200
 
 
+def test_a_fleet_that_comes_back_at_once_is_told_by_its_largest_nodes():
+    """Seen: of 985 nodes that were all killed none knew a VM 7 s later. Each read the
+    nodes, the settings and the VMs at once, 5 s of what the store's link carries; calls
+    timed out at 1.5 s and were made again. Now the largest machines read first, and the
+    others are told by them before their turn comes."""
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": 20, "burst": 60}]
+    count, large = 24, 6
+    d = Hosted(nodes=0, zones=ZONES, fixed_addresses=True)
+    with d:
+        for n in range(count):
+            d.add_node(limits={"cpuShare": 1.0 if n < large else 0.12})
+        d.add_worker("plain", zone=ZONES[0])
+        d.configure([d.route("r", "plain")], tenants=tenants)
+        d.wait_ready()
+        settled(d)
+        wait_until(lambda: d.cloud.usage, 20)  # somebody holds the duties
+        for n in range(60):
+            d.call("/r/x", node=n % count, ident="before-%d" % n)
+        wait_until(lambda: d.store.objects["rillknot-quotas"].get("recent", {})
+                   .get("spec", {}).get("nodes") == count, 10)
+        for node in d.nodes:
+            node.kill()
+        first, began = len(d.store.calls), time.monotonic()
+        for index in range(count):
+            d.restart_node(index)
+        d.wait_ready()
+        took = time.monotonic() - began
+        time.sleep(1)
+        settled(d)
+        asked = collections.Counter(
+            r.target.split("?")[0].split("/")[3] for r in d.store.calls[first:]
+            if "watch=" not in r.target and "/edge-" not in r.target and
+            "sinceRev=edge" not in r.target)
+        # By the large ones, not by all.
+        for kind in ("config", "servers", "rillknot-nodes"):
+            assert asked[kind] <= 3 * large, asked
+        assert not d.call("/r/x", node=count - 1, ident="after").status != 200
+        return "ready after %.1f s: %s" % (took, dict(asked))
+
+
 def test_a_node_restarted_without_the_store_learns_from_its_seeds():
     """It knows a few addresses only, of nodes that may bridge nothing."""
     with fleet(nodes=NODES) as d:
