--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -6,6 +6,7 @@
 #ifndef RK_NODE_MESH_IMPL_H
 #define RK_NODE_MESH_IMPL_H
 
+#include "core/send_budget.h"
 #include "core/tally.h"
 #include "node/state.h"
 
@@ -26,6 +27,7 @@
 struct digest {
     int64_t heard_ms; /* 0: none */
     uint64_t incarnation;
+    bool is_told; /* more than that it is there */
     bool fleet;
     int nodes_heard, nodes_total;
     int64_t remembers_ms;
@@ -46,6 +48,7 @@
     int64_t sent_version; /* 0: none */
     int64_t members_ms;   /* it was told who the members are, unasked; 0: never */
     bool has_uses;        /* it was told all rows of uses */
+    unsigned digest;      /* the last that it was told whole; 0: none */
 };
 
 struct member {
@@ -79,6 +82,7 @@
     bool uses_based;         /* uses has all its rows: changes add to them */
     bool knows;              /* uses[].known was told */
     bool takes_changes;      /* it may be told only the rows that changed */
+    bool takes_brief;        /* digests */
     int64_t uses_asked_ms;   /* it was asked for all its rows, last */
     struct rk_service_use *services; /* the same */
     size_t services_len;
@@ -114,12 +118,13 @@
     struct lh_table *by_id; /* of members that told their names */
     struct guest *guests;
     struct rk_timer tick, soon, relay_soon, enrol, tell;
-    int64_t due_ms;    /* when the tick is next */
-    double late_ms;    /* how late ticks come, smoothed */
-    bool slow;         /* too late to do more than it has to */
-    int64_t told_ms;   /* the peers, last */
-    int64_t digest_ms; /* the same, a digest */
-    unsigned digests;  /* made so far */
+    int64_t due_ms;              /* when the tick is next */
+    double late_ms;              /* how late ticks come, smoothed */
+    bool slow;                   /* too late to do more than it has to */
+    int64_t told_ms;             /* the peers, last */
+    int64_t digest_ms;           /* the same, a digest */
+    unsigned digests;            /* made so far */
+    struct rk_send_budget whole; /* of digests that aren't brief */
     struct rk_usage_told own_told, counts_told;
     struct rk_tally uses_told;      /* own units by organisation, as told last */
     bool uses_wanted, known_wanted; /* the next report tells all rows, with that */
@@ -135,7 +140,7 @@
     int64_t asked_ms;                   /* for changes of the list, last */
     const struct link_told *asked_last; /* compared only */
     int64_t wanted_ms;                  /* settings were asked for, last */
-    int64_t fleet_ms; /* when a digest of the fleet was heard last */
+    int64_t fleet_ms; /* when the members of the fleet were told last */
     /* As elected last. */
     bool direct;  /* each node tells each */
     int total;    /* nodes of the fleet, this one included */
@@ -187,8 +192,6 @@
 void rk_mesh_review(struct rk_mesh *m, int64_t now_ms);
 /* Say who bridges which domain. */
 void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms);
-/* Of this node's machine, in thousandths of a core. */
-int64_t rk_mesh_capacity(const struct rk_mesh *m);
 
 /* mesh.c */
 /* Does this node tell a member its report? */
@@ -238,6 +241,8 @@
 void rk_usage_tell_holder(struct rk_mesh *m, int64_t now_ms);
 
 /* tell.c: settings, to one peer after the other. */
+/* Bytes that wait on this machine, on all links. */
+size_t rk_mesh_waiting(const struct rk_mesh *m);
 void rk_tell_init(struct rk_mesh *m);
 /* A peer told of a version: is it time to ask it for the settings? */
 bool rk_tell_should_ask(struct rk_mesh *m, const struct link_told *from,
