returning: who is told by a bridge that knows the fleet doesn't wait to know it all

Cause: a node that came back took itself for told once it knew of half of the nodes that there had been. Bridges tell of those that they hear, of other domains each fourth second: in a fleet of 985 most would have read the whole list of nodes at their turn after all. A bridge that just began also told members once a second only, and its digests went to a few nodes at first (256 KB a round).

Change: told is who hears a bridge that knows most of the fleet; the first digests of a process tell members each time; the first round of a bridge may take 1 MB, 0.4 s of a link of 20 Mbit/s.

--- a/core/send_budget.c
+++ b/core/send_budget.c
@@ -1,6 +1,6 @@
 #include "core/send_budget.h"
 
-#define FIRST       (256 * 1024) /* bytes of the first round */
+#define FIRST       (1024 * 1024) /* bytes of the first round: 0.4 s of 20 Mbit/s */
 #define MOST        (64 * 1024 * 1024)
 #define LEAST       (64 * 1024)
 #define GROWTH      2
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -11,6 +11,9 @@
 /* Of these, one tells a domain's nodes also of the nodes of others that bridge
  * none: they need only know that those exist. */
 #define FAR_EACH 4
+/* The first of a process tell the members each time: after a kill of all, who is
+ * heard changes fast, and others know nobody. */
+#define FIRST_DIGESTS 8
 /* More vms are told in fewer of the digests. At 160 engines, loads that are 500
  * instead of 250 ms apart make the slowest first tokens of a hundred 12% later, 28%
  * under load. */
@@ -206,6 +209,8 @@
 
 static enum members members_due(const struct rk_mesh *m)
 {
+    if (m->digests && m->digests < FIRST_DIGESTS)
+        return SOME_MEMBERS;
     if (m->digests % MEMBERS_EACH != 0)
         return NO_MEMBERS;
     return m->digests % (MEMBERS_EACH * FAR_EACH) ? SOME_MEMBERS : ALL_MEMBERS;
--- a/node/members.c
+++ b/node/members.c
@@ -201,6 +201,12 @@
     return count;
 }
 
+int rk_mesh_told_total(const struct rk_mesh *m)
+{
+    const struct member *source = rk_digest_of_fleet(m, rk_mono_ms());
+    return source ? source->digest.nodes_total : 0;
+}
+
 struct rk_fleet_size rk_mesh_size(const struct rk_mesh *m)
 {
     struct rk_fleet_size size = {0};
--- a/node/returning.c
+++ b/node/returning.c
@@ -44,5 +44,5 @@
 bool rk_returning_is_told(const struct rk_node *n)
 {
     return n->returning.nodes > 0 &&
-           2 * rk_mesh_total(n->mesh) > n->returning.nodes;
+           2 * rk_mesh_told_total(n->mesh) > n->returning.nodes;
 }
--- a/node/state.h
+++ b/node/state.h
@@ -116,6 +116,9 @@
                   bool from_store);
 int rk_mesh_heard(const struct rk_mesh *m); /* nodes heard lately, with this one */
 int rk_mesh_total(const struct rk_mesh *m);
+/* Nodes of the fleet by the word of the bridge that tells this one of it; 0: none
+ * does. */
+int rk_mesh_told_total(const struct rk_mesh *m);
 /* The fleet as it is to be remembered; not known: nodes is 0. */
 struct rk_fleet_size rk_mesh_size(const struct rk_mesh *m);
 /* Of this node's machine, in thousandths of a core. */
@@ -168,7 +171,7 @@
 /* What the store has of the fleet; NULL: nothing. */
 void rk_returning_know(struct rk_node *n, struct json_object *spec);
 int64_t rk_returning_wait_left_ms(const struct rk_node *n);
-/* Did peers tell it of most of the nodes that there were? */
+/* Is it told by a bridge that knows most of the nodes that there were? */
 bool rk_returning_is_told(const struct rk_node *n);
 
 /* quarantines.c: requests under which VMs ended, as all nodes know them. */
