tell: whole lists of VMs go to one peer after the other, as settings do

Cause: after a kill of all, each node of a domain asks its bridges for the whole list, again each 300 ms until it has it, and was answered at once each time. On a link of 10 Mbit/s the answers to the same nodes piled up before each other, and before heartbeats.

Change: a whole list waits in the queue in which settings do, 128 KB on all links at a time; who asks again while one is on its way isn't told twice. Changes go at once.

--- a/node/mesh.c
+++ b/node/mesh.c
@@ -129,9 +129,6 @@
                           struct link_told *told,
                           const Rillknot__StoreWanted *wanted)
 {
-    const Rillknot__StoreWanted list = {.list = true,
-                                        .list_since = wanted->list_since};
-    Rillknot__StoreText text;
     if (wanted->settings)
         rk_tell_wanted(m, told);
     if (wanted->uses) {
@@ -139,13 +136,8 @@
         m->known_wanted = m->known_wanted || wanted->known;
         rk_mesh_report(m);
     }
-    if (!wanted->list || !rk_mesh_takes(link))
-        return;
-    rk_sync_tell(m->n->sync, &list, &text);
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
-    frame.store_text = &text;
-    rk_link_send(link, &frame);
+    if (wanted->list)
+        rk_tell_list_wanted(m, link, told, wanted->list_since);
 }
 
 /* ---- frames in ---- */
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -45,6 +45,8 @@
 /* What a link was told. */
 struct link_told {
     bool wanted;          /* the peer asked and was not answered yet */
+    bool list_wanted;     /* the same, for the whole list of vms */
+    bool list_sent;       /* it was told that once */
     int64_t sent_version; /* 0: none */
     int64_t members_ms;   /* it was told who the members are, unasked; 0: never */
     bool has_uses;        /* it was told all rows of uses */
@@ -240,7 +242,7 @@
 /* A bridge tells the holder of the duties what its domain counted. */
 void rk_usage_tell_holder(struct rk_mesh *m, int64_t now_ms);
 
-/* tell.c: settings, to one peer after the other. */
+/* tell.c: settings and whole lists of vms, to one peer after the other. */
 /* Bytes that wait on this machine, on all links. */
 size_t rk_mesh_waiting(const struct rk_mesh *m);
 void rk_tell_init(struct rk_mesh *m);
@@ -251,6 +253,9 @@
 void rk_tell_soon(struct rk_mesh *m);
 /* A peer asked over a link. */
 void rk_tell_wanted(struct rk_mesh *m, struct link_told *told);
+/* The same, for the list of vms as it changed since a revision; 0: all of it. */
+void rk_tell_list_wanted(struct rk_mesh *m, struct rk_link *link,
+                         struct link_told *told, int64_t since);
 
 /* loads.c: what the peers have in hand, and how vms serve them. */
 void rk_loads_put(Rillknot__VmUse *out, struct rk_vm_load *load);
--- a/node/tell.c
+++ b/node/tell.c
@@ -1,8 +1,9 @@
-/* Settings, told to those who lack them: the newest version, to one peer after the
- * other, while little waits on this node's links. A bridge that sent large settings
- * to all nodes of its domain at once filled its link for 7 s (28 nodes, 317 KB, 10
- * Mbit/s); who heard nothing from it meanwhile took it for dead and bridged in its
- * place, with older settings, which it told all nodes in turn. */
+/* Settings and whole lists of vms, told to those who lack them: the newest, to one
+ * peer after the other, while little waits on this node's links. A bridge that sent
+ * large settings to all nodes of its domain at once filled its link for 7 s (28
+ * nodes, 317 KB, 10 Mbit/s); who heard nothing from it meanwhile took it for dead
+ * and bridged in its place, with older settings, which it told all nodes in turn.
+ */
 #include "node/mesh_impl.h"
 #include "peers/link.h"
 
@@ -64,7 +65,7 @@
            k->told.sent_version < version;
 }
 
-/* One look at who lacks the settings. */
+/* One look at who lacks something. */
 struct pass {
     struct rk_mesh *m;
     int64_t version;
@@ -92,27 +93,63 @@
     told->sent_version = text.settings_revision;
 }
 
+/* Returns the bytes sent. */
+static size_t send_list_since(struct rk_mesh *m, struct rk_link *link,
+                              int64_t since)
+{
+    const Rillknot__StoreWanted list = {.list = true, .list_since = since};
+    Rillknot__StoreText text;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    rk_sync_tell(m->n->sync, &list, &text);
+    frame.body_case = RILLKNOT__FRAME__BODY_STORE_TEXT;
+    frame.store_text = &text;
+    struct rk_packed_frame packed = rk_frame_pack(&frame);
+    size_t len = rk_link_send_packed(link, &packed) ? packed.len : 0;
+    rk_packed_frame_free(&packed);
+    return len;
+}
+
+/* Who asks again while it is on its way isn't told twice. */
+static void send_list(struct pass *p, struct rk_link *link, struct link_told *told)
+{
+    if (!told->list_wanted || !rk_mesh_takes(link))
+        return;
+    if (p->waiting >= WAITING_MAX) {
+        p->left = true;
+        return;
+    }
+    told->list_wanted = false;
+    if (told->list_sent && rk_link_waiting(link))
+        return;
+    told->list_sent = true;
+    p->waiting += send_list_since(p->m, link, 0);
+}
+
 /* Bridges first: they are who answers others. */
 static void tell_members(struct pass *p, bool bridges)
 {
-    for (struct member *k = p->m->contacts; k; k = k->next_contact)
-        if (k->bridge == bridges && is_due(k, p->version))
+    for (struct member *k = p->m->contacts; k; k = k->next_contact) {
+        if (k->bridge != bridges)
+            continue;
+        if (is_due(k, p->version))
             send_settings(p, k->link, &k->told);
+        send_list(p, k->link, &k->told);
+    }
 }
 
 static void tell_guests(struct pass *p)
 {
-    for (struct guest *g = p->m->guests; g; g = g->next)
+    for (struct guest *g = p->m->guests; g; g = g->next) {
         if (is_wanted(&g->told, g->link, p->version))
             send_settings(p, g->link, &g->told);
+        send_list(p, g->link, &g->told);
+    }
 }
 
 static void pump(void *ctx)
 {
     struct rk_mesh *m = ctx;
     struct pass p = {.m = m, .version = rk_sync_version(m->n->sync)};
-    if (!p.version)
-        return;
     p.waiting = rk_mesh_waiting(m);
     tell_members(&p, true);
     tell_guests(&p);
@@ -133,6 +170,18 @@
     rk_tell_soon(m);
 }
 
+void rk_tell_list_wanted(struct rk_mesh *m, struct rk_link *link,
+                         struct link_told *told, int64_t since)
+{
+    if (since) {
+        if (rk_mesh_takes(link))
+            send_list_since(m, link, since);
+        return;
+    }
+    told->list_wanted = true;
+    rk_tell_soon(m);
+}
+
 void rk_mesh_tell_settings(struct rk_mesh *m)
 {
     m->wanted_ms = 0;
