--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -70,20 +70,27 @@
     rk_report_take(rk_mesh_learn(&f->meshes[to], id, addr), &r);
 }
 
+/* A digest of the fleet by a node; id and addr are its text. */
+static void init_digest(Rillknot__Digest *d, char *id, char *addr, int from)
+{
+    name(id, addr, from);
+    rillknot__digest__init(d);
+    d->id = id;
+    d->addr = addr;
+    d->domain = (char *)domain_of(from);
+    d->incarnation = 1;
+    d->fleet = true;
+}
+
 /* A node hears a digest of another, which tells of members as the other knows them.
  */
 static void digest(struct fleet *f, int to, int from, int64_t capacity)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
-    Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
+    Rillknot__Digest d;
     Rillknot__NodeRow rows[NODES], *ptrs[NODES];
-    name(id, addr, from);
-    d.id = id;
-    d.addr = addr;
-    d.domain = (char *)domain_of(from);
+    init_digest(&d, id, addr, from);
     d.capacity = capacity;
-    d.incarnation = 1;
-    d.fleet = true;
     d.members = ptrs;
     for (struct member *k = f->meshes[from].members; k; k = k->next) {
         Rillknot__NodeRow *row = &rows[d.n_members];
@@ -218,14 +225,9 @@
 static void use_digest(struct fleet *f, int to, int from, char *org, double units)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
-    Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
+    Rillknot__Digest d;
     Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT, *ptr = &use;
-    name(id, addr, from);
-    d.id = id;
-    d.addr = addr;
-    d.domain = (char *)domain_of(from);
-    d.incarnation = 1;
-    d.fleet = true;
+    init_digest(&d, id, addr, from);
     use.org = org;
     use.units = units;
     use.asking = ASKING;
@@ -267,13 +269,8 @@
 static void brief_digest(struct fleet *f, int to, int from)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
-    Rillknot__Digest d = RILLKNOT__DIGEST__INIT;
-    name(id, addr, from);
-    d.id = id;
-    d.addr = addr;
-    d.domain = (char *)domain_of(from);
-    d.incarnation = 1;
-    d.fleet = true;
+    Rillknot__Digest d;
+    init_digest(&d, id, addr, from);
     d.brief = true;
     rk_digest_take(rk_mesh_learn(&f->meshes[to], id, addr), &d);
 }
