names: rows that grow behind an index are appended in one place

Found by reading the change again: tallies, the rows of organisations' use and the table of quotas each grew, zeroed and named a row and indexed it, with the same lines (two pairs that a search for duplicates lists, too).

Change: rk_names_append() does it for the three. Behaviour stays: 16 rows first, twice as many after that, as all three had it.

No figures of speed were taken: the same work is done.

--- a/core/names.c
+++ b/core/names.c
@@ -6,6 +6,7 @@
 #include "common/util.h"
 
 #define FIRST_SLOTS 32 /* a power of two */
+#define FIRST_ROWS  16
 
 static const char *name_at(const void *rows, size_t row_size, size_t at)
 {
@@ -56,6 +57,20 @@
     n->len++;
 }
 
+void *rk_names_append(struct rk_names *n, void *rows, size_t *len, size_t *cap,
+                      size_t row_size, const char *name)
+{
+    if (*len == *cap) {
+        *cap = *cap ? *cap * 2 : FIRST_ROWS;
+        rows = rk_realloc(rows, *cap * row_size);
+    }
+    char *row = (char *)rows + *len * row_size;
+    memset(row, 0, row_size);
+    rk_strcpy(row, RK_ID_MAX, name);
+    rk_names_add(n, rows, row_size, (*len)++);
+    return rows;
+}
+
 void rk_names_clear(struct rk_names *n)
 {
     if (n->len)
--- a/core/names.h
+++ b/core/names.h
@@ -22,6 +22,11 @@
 /* The row at a place is new; places are added in order, from 0 on. Of two with one
  * name, the later is found. */
 void rk_names_add(struct rk_names *n, const void *rows, size_t row_size, size_t at);
+/* Add a row, zeroed but for its name of RK_ID_MAX bytes at most, to rows that are
+ * indexed in the order in which they stand. Returns the rows, which may have moved;
+ * the new one is the last of *len. */
+void *rk_names_append(struct rk_names *n, void *rows, size_t *len, size_t *cap,
+                      size_t row_size, const char *name);
 void rk_names_clear(struct rk_names *n); /* no row is left */
 void rk_names_free(struct rk_names *n);
 
--- a/core/org_uses.c
+++ b/core/org_uses.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_ROWS 16
 #define ASKING_MIN 1.0 /* units a second: less changes no peer's decision */
 
 const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
@@ -41,15 +40,9 @@
     size_t at = rk_names_find(&u->names, u->rows, sizeof(*u->rows), org);
     if (at != RK_NO_ROW)
         return &u->rows[at];
-    if (u->len == u->cap) {
-        u->cap = u->cap ? u->cap * 2 : FIRST_ROWS;
-        u->rows = rk_realloc(u->rows, u->cap * sizeof(*u->rows));
-    }
-    struct rk_org_use *row = &u->rows[u->len];
-    *row = (struct rk_org_use){0};
-    rk_strcpy(row->org, sizeof(row->org), org);
-    rk_names_add(&u->names, u->rows, sizeof(*u->rows), u->len++);
-    return row;
+    u->rows = rk_names_append(&u->names, u->rows, &u->len, &u->cap,
+                              sizeof(*u->rows), org);
+    return &u->rows[u->len - 1];
 }
 
 double rk_org_uses_rise(struct rk_org_uses *u, const char *org, double units)
--- a/core/quota.c
+++ b/core/quota.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_ORGS   16
 #define RETRY_MIN_MS 250
 #define RETRY_MAX_MS 2000 /* while a share of calls is admitted */
 #define SLACK_SHARE                                                                \
@@ -72,15 +71,9 @@
     size_t at = rk_names_find(&q->names, q->orgs, sizeof(*q->orgs), name);
     if (at != RK_NO_ROW)
         return &q->orgs[at];
-    if (q->orgs_len == q->orgs_cap) {
-        q->orgs_cap = q->orgs_cap ? q->orgs_cap * 2 : FIRST_ORGS;
-        q->orgs = rk_realloc(q->orgs, q->orgs_cap * sizeof(*q->orgs));
-    }
-    struct rk_quota_org *o = &q->orgs[q->orgs_len];
-    *o = (struct rk_quota_org){0};
-    rk_strcpy(o->name, sizeof(o->name), name);
-    rk_names_add(&q->names, q->orgs, sizeof(*q->orgs), q->orgs_len++);
-    return o;
+    q->orgs = rk_names_append(&q->names, q->orgs, &q->orgs_len, &q->orgs_cap,
+                              sizeof(*q->orgs), name);
+    return &q->orgs[q->orgs_len - 1];
 }
 
 /* Empty the buckets that time has passed over. */
--- a/core/tally.c
+++ b/core/tally.c
@@ -1,11 +1,8 @@
 #include "core/tally.h"
 
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_ROWS 16
-
 static struct rk_tally_row *find(const struct rk_tally *t, const char *name)
 {
     size_t at = rk_names_find(&t->index, t->rows, sizeof(*t->rows), name);
@@ -17,16 +14,9 @@
     struct rk_tally_row *row = find(t, name);
     if (row)
         return &row->total;
-    if (t->len == t->cap) {
-        t->cap = t->cap ? t->cap * 2 : FIRST_ROWS;
-        t->rows = rk_realloc(t->rows, t->cap * sizeof(*t->rows));
-    }
-    assert(t->rows);
-    row = &t->rows[t->len];
-    *row = (struct rk_tally_row){0};
-    rk_strcpy(row->name, sizeof(row->name), name);
-    rk_names_add(&t->index, t->rows, sizeof(*t->rows), t->len++);
-    return &row->total;
+    t->rows = rk_names_append(&t->index, t->rows, &t->len, &t->cap,
+                              sizeof(*t->rows), name);
+    return &t->rows[t->len - 1].total;
 }
 
 double rk_tally_total(const struct rk_tally *t, const char *name)
