digest, returning: what was written twice or can't happen

The answer to a node that knows nobody packs its digest by pack(), which packs the same message for all others. rk_returning_know() doesn't look whether it is a first start: only a node with an earlier life reads what the store remembers. An include that nobody needs is gone, loop.c includes its own header first, two comments fit their lines.

Ruled out: one function for a digest to bridges and to nodes, as the former is packed only if somebody wants it.

--- a/common/loop.c
+++ b/common/loop.c
@@ -1,4 +1,3 @@
-#include "common/arena.h"
 #include "common/loop.h"
 
 #include <assert.h>
@@ -10,6 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "common/arena.h"
 #include "common/tsan.h"
 #include "common/util.h"
 
--- a/core/returning.h
+++ b/core/returning.h
@@ -8,7 +8,6 @@
 #ifndef RK_CORE_RETURNING_H
 #define RK_CORE_RETURNING_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 /* The fleet as nodes keep it in the store. Zeroed: not known. */
--- a/node/digest_tell.c
+++ b/node/digest_tell.c
@@ -344,6 +344,7 @@
     }
 }
 
+/* The sum of the fleet. */
 static struct rk_packed_frame pack(struct rk_mesh *m, bool brief,
                                    enum members members)
 {
@@ -454,16 +455,12 @@
 void rk_digest_answer(struct rk_mesh *m, struct rk_link *link,
                       struct link_told *told)
 {
-    struct making p;
     int64_t now_ms = rk_mono_ms();
     bool answered = told->members_ms && now_ms - told->members_ms < ANSWER_AGAIN_MS;
     if (answered || !rk_mesh_takes(link))
         return;
     told->members_ms = now_ms;
-    fill(&p, m, true, false, ALL_MEMBERS);
-    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
-    frame.body_case = RILLKNOT__FRAME__BODY_DIGEST;
-    frame.digest = &p.digest;
-    rk_link_send(link, &frame);
-    free_making(&p);
+    struct rk_packed_frame frame = pack(m, false, ALL_MEMBERS);
+    rk_link_send_packed(link, &frame);
+    rk_packed_frame_free(&frame);
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -15,8 +15,7 @@
 #define REPORT_MS      250
 #define BRIDGED_LAG_MS 450 /* age of what bridges tell of other nodes */
 #define RELAY_SOON_MS  20  /* after a peer's report: for those that come together */
-#define RELAY_PACE_MS                                                              \
-    100 /* the same at a bridge, to which one reports each few ms */
+#define RELAY_PACE_MS  100 /* the same at a bridge: reports come each few ms */
 #define REPORT_SOON_MS 5   /* after news of the store */
 #define DIAL_MS        500 /* between tries to reach a node */
 #define CONNECT_MS     1000
--- a/node/returning.c
+++ b/node/returning.c
@@ -23,8 +23,6 @@
         .capacity = rk_json_int(spec, "capacity", 0)};
     int64_t capacity = rk_mesh_capacity(n->mesh);
     double draw = rk_rng_below(&n->rng, DRAWS) / (double)DRAWS;
-    if (n->file.first_start)
-        return;
     int64_t wait_ms = rk_returning_wait_ms(&size, capacity, draw);
     n->returning.nodes = size.nodes;
     n->returning.until_ms = rk_mono_ms() + wait_ms;
--- a/node/state.h
+++ b/node/state.h
@@ -23,9 +23,8 @@
 
 /* Of a node with an earlier life. */
 struct rk_returning {
-    int64_t
-        until_ms; /* it leaves the store's long lists to others; 0: it doesn't */
-    int nodes;    /* of the fleet, by the store; 0: not known */
+    int64_t until_ms; /* till then others read the store's long lists */
+    int nodes;        /* of the fleet, by the store; 0: not known */
 };
 
 struct rk_node {
