signals: what VMs say of themselves in answers is read and logged

Our logs could not show that an answer named a limit, a leaving or a rest, so 'nobody reads it' and 'it is read and lost' looked alike.

core/vm_signals keeps, for each life of a VM, the limit that its last answer named, that it leaves, and until when it asked this node for rest: apart from the list of VMs, which loses entries while the store is away. serve/relay_signals reads the headers of answers that are certainly the VM's: none of a 421, which another process at its address gives. Events vm.limit, vm.says_leaving, vm.rest, one a change; values that can't be read are counted and logged. The test's stand-ins for VMs name limits, leave and ask for rest in their answers.

--- a/common/counters.h
+++ b/common/counters.h
@@ -40,6 +40,8 @@
       "Calls refused because their first byte would come too late")                \
     X(STOPPED, "stopped_total",                                                    \
       "Calls refused because VMs ended under the same request")                    \
+    X(VM_SIGNALS_BAD, "vm_signals_rejected_total",                                 \
+      "Headers by which VMs speak of themselves that can't be read")               \
     X(VMS_REJECTED, "vms_rejected_total",                                          \
       "Entries of the list that name no VM which can be used")                     \
     X(LOG_DROPPED, "log_lines_dropped_total", "Log lines nobody read in time")
--- a/core/place.c
+++ b/core/place.c
@@ -43,6 +43,7 @@
     }
     free(p->index);
     rk_speeds_free(&p->speeds);
+    rk_vm_signals_free(&p->signals);
     free(p);
 }
 
@@ -105,6 +106,7 @@
     v->warm_from_ms = now_ms + row->cold_ms;
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_speeds_of(&p->speeds, row->service);
+    v->signal = rk_vm_signals_find(&p->signals, v->hash);
     v->next = p->vms;
     p->vms = v;
     p->vms_len++;
--- a/core/place.h
+++ b/core/place.h
@@ -11,6 +11,7 @@
 #include "common/util.h"
 #include "core/rollout.h"
 #include "core/speeds.h"
+#include "core/vm_signals.h"
 
 #define RK_PLACE_PARTS    16
 #define RK_PLACE_EXCLUDED 4
@@ -49,6 +50,7 @@
     bool is_busy;
     uint64_t hash;
     uint32_t service_hash;
+    struct rk_vm_signal *signal; /* what it says of itself; NULL: nothing yet */
     bool listed;
     bool over; /* it was started again since: kept for the calls in hand */
     int calls; /* of this node, in hand: kept until none is left */
@@ -215,6 +217,13 @@
 /* What is known of a service's speed. */
 struct rk_speed *rk_place_speed_of(struct rk_place *p, const char *service);
 
+/* An answer of a vm, which came now, says something of the vm itself. Returns what
+ * changed, as rk_vm_signal_hear(). */
+unsigned rk_place_hear(struct rk_place *p, struct rk_place_vm *vm,
+                       const struct rk_vm_said *said, int64_t now_ms);
+/* Forget what vms said that weren't heard for long. */
+void rk_place_forget_signals(struct rk_place *p, int64_t now_ms);
+
 /* All vms, a list by ->next. */
 const struct rk_place_vm *rk_place_vms(const struct rk_place *p);
 
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -22,6 +22,7 @@
     struct rk_place_vm *busy; /* a list by ->next_busy */
     size_t busy_len;
     struct rk_speeds speeds;
+    struct rk_vm_signals signals;
     struct rk_place_rollout rollouts[RK_ROLLOUTS];
     bool marked;                /* vms may point to one of them */
     struct rk_place_vm **index; /* hash table of vms; NULL: free */
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -12,6 +12,7 @@
 #define ACCEPT_MAX_MS      400 /* of a start, in which new connections wait */
 #define USAGE_KEPT_WINDOWS 6
 #define SUSPECTS_MS        1000 /* for which what was seen of one is reported */
+#define FORGET_EVERY_MS    10000
 
 /* Until the routes tell others. */
 static const struct rk_server_limits default_limits = {
@@ -132,9 +133,18 @@
     }
 }
 
+static void forget_signals(struct rk_relay *r, int64_t now_ms)
+{
+    if (now_ms - r->forgot_ms < FORGET_EVERY_MS)
+        return;
+    r->forgot_ms = now_ms;
+    rk_place_forget_signals(r->place, now_ms);
+}
+
 static void on_report(void *ctx)
 {
     struct rk_relay *r = ctx;
+    forget_signals(r, rk_mono_ms());
     rk_timer_start(r->loop, &r->report, REPORT_MS);
     struct rk_relay_report *report = rk_alloc(1, sizeof(*report));
     report->loads_len = rk_place_own_loads(r->place, rk_mono_ms(), &report->loads);
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -132,6 +132,7 @@
                  RK_S("vm", x->vm->row.id));
         return RK_HEAD_SKIP;
     }
+    rk_call_hear_vm(x, head);
     rk_timer_stop(x->r->loop, &x->silent);
     x->vm_head_ms = rk_mono_ms();
     x->fate = judge(x, head);
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -44,6 +44,7 @@
     struct rk_vm_check *vm_checks;   /* VMs at which calls broke off just now */
     struct rk_rng rng;
     struct rk_timer report;
+    int64_t forgot_ms; /* when old signals of vms were dropped last */
     /* Of a planned stop; 0: none. */
     _Atomic int64_t close_began_ms, close_ends_ms;
 };
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -128,6 +128,10 @@
 /* Its vm ran it to the end. */
 void rk_call_acquit(struct rk_relay_call *x);
 
+/* relay_signals.c */
+/* Take in what an answer of the call's vm says of the vm itself. */
+void rk_call_hear_vm(struct rk_relay_call *x, const struct rk_head *head);
+
 /* relay_call.c: timers. */
 void rk_call_time_over(void *ctx);
 void rk_call_silent(void *ctx);
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -303,6 +303,9 @@
         self.move_fault = None  # of orders to move a run: full, gone, lost, dies
         self.moved = []  # requests whose memory was copied away
         self.went_on = []  # requests that went on from a copy
+        self.limit = None  # requests a second that it takes, named in its answers
+        self.says_leaving = False  # in its answers
+        self.rest_s = 0  # it turns all away, and asks for so much rest
         self.stopped = False
         self.born = int(time.time() * 1000)
         super().__init__()
@@ -351,6 +354,8 @@
             conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nRillknot-Instance-Id: %s\r\n"
                          b"Content-Length: 0\r\n\r\n" % self.id.encode())
             return True
+        if self.rest_s:
+            return self.shed(req, conn)
         if self.fault:
             result = self.fault(self, req, conn)
             if result is not None:
@@ -365,17 +370,27 @@
     def signature(self, req):
         return "%s.%s" % (self.id, req.get("Rillknot-Attempt-Id"))
 
+    def signals(self):
+        """What it says of itself in each answer."""
+        lines = b""
+        if self.limit is not None:
+            lines += b"Server-Limit: %g\r\n" % self.limit
+        if self.says_leaving:
+            lines += b"Server-Leaving: 1\r\n"
+        return lines
+
     def head(self, req, status=200, framing=b"", extra=b""):
         return (b"HTTP/1.1 %d %s\r\nRillknot-Attempt-Id: %s\r\n"
-                b"Rillknot-Server-Signature: %s\r\n%s%s\r\n"
+                b"Rillknot-Server-Signature: %s\r\n%s%s%s\r\n"
                 % (status, REASONS.get(status, "X").encode(),
                    req.get("Rillknot-Attempt-Id").encode(),
-                   self.signature(req).encode(), framing, extra))
+                   self.signature(req).encode(), self.signals(), framing, extra))
 
     def shed(self, req, conn):
+        rest = b"Retry-After: %g\r\n" % self.rest_s if self.rest_s else b""
         conn.sendall(b"HTTP/1.1 503 Service Unavailable\r\nRillknot-Not-Executed: 1\r\n"
-                     b"Rillknot-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                     % req.get("Rillknot-Attempt-Id").encode())
+                     b"Rillknot-Attempt-Id: %s\r\n%s%sContent-Length: 0\r\n\r\n"
+                     % (req.get("Rillknot-Attempt-Id").encode(), self.signals(), rest))
         return True
 
     def body(self, req):
