leaving: tests that fail: a VM that says it leaves gets requests for as long as the store says ready

The store being away isn't needed: the second hypothesis, that the word is read and lost with the list, is out.

--- a/tests/run.py
+++ b/tests/run.py
@@ -47,6 +47,8 @@
     "proc_hosted_crashes": "hosted  a request that ends its vms is sent no more",
     "proc_hosted_signals": "hosted  what vms say of themselves in answers",
     "proc_hosted_limits": "hosted  a vm that names a request limit gets no more",
+    "proc_hosted_leaving": "hosted  a vm that says it leaves gets nothing more",
+    "proc_hosted_rest": "hosted  a vm that asks for rest is left alone",
     "proc_hosted_moves": "hosted  streams move from engines that leave, whole",
     "proc_hosted_rollouts": "hosted  versions: good ones taken, bad ones given back",
     "prop_rollout": "hosted  versions, whatever is seen and when",
