limits: a VM's named limit is shared among the nodes of its domain

Callers saw nothing; VMs that named Server-Limit got many times as much (LIMIT: 15 to 17 requests in 4 s where 11 are allowed).

Cause: what a VM says of itself went no further than the answer. No node read the header, and no node could have kept the limit by itself: it is one for all of them, and may be far under one request a second a node.

Change: who heard a limit tells peers (VmSignals: at once four times, then once a second, 64 rows a message), with the age of the answer; the latest answer decides, also on a limit's end. Each node works out alike who may send: nodes of the VM's own domain that are there, by rendezvous hashing, no more of them than requests a second, each at an even pace that begins empty. The others pass the VM over, homes of a prefix included. Until control has worked that out, all nodes have an equal part. A call that no VM may take is refused at once, not run, with the time until one may in Retry-After. Limits are kept by life of a VM, apart from its list. A limit that wasn't heard of for a second makes its senders prefer the VM by 300 ms, as only an answer tells that it is over.

Ruled out: forgetting by list or settings.

--- a/core/place.c
+++ b/core/place.c
@@ -11,6 +11,8 @@
 #define ERROR_MS                                                                   \
     1200.0 /* cost of a vm that fails each call: a stream notices its silence      \
               after 2.5 s, a plain call after 0.15 s */
+#define STALE_BONUS_MS                                                             \
+    300.0                /* of a vm whose limit may be over: only an answer tells */
 #define KNOWN_MS   12000 /* how long a part is taken to stay cached */
 #define HOMES      4     /* vms that a prefix is sent to first */
 #define SHARED_MIN 1000  /* tokens: calls that share less are spread */
@@ -289,8 +291,8 @@
                      const struct rk_place_vm *v)
 {
     return v->listed && !v->row.leaving && v->service_hash == service_hash &&
-           is_of_version(q, v) && !is_excluded(q, v) &&
-           !strcmp(v->row.service, q->service);
+           !(v->signal && rk_vm_signal_bars(v->signal)) && is_of_version(q, v) &&
+           !is_excluded(q, v) && !strcmp(v->row.service, q->service);
 }
 
 /* The vms that all nodes send a prefix to while nothing speaks against it: the
@@ -355,6 +357,8 @@
     int64_t in_hand = v->running + (int64_t)v->peers_running;
     if (v->row.slots > 0 && in_hand >= v->row.slots)
         ms += FULL_MS;
+    if (v->signal && rk_vm_signal_is_stale(v->signal, now_ms))
+        ms -= STALE_BONUS_MS;
     return ms;
 }
 
@@ -463,7 +467,7 @@
     *first = (struct rk_engine_forecast){0};
     find_homes(p, q, service_hash, &homes);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
-        if (!can_take(q, service_hash, v))
+        if (!can_take(q, service_hash, v) || !rk_place_takes_now(v, now_ms))
             continue;
         double ms;
         struct rk_engine_forecast f = forecast(p, q, v, &homes, now_ms, &ms);
@@ -507,6 +511,8 @@
     }
     if (rk_place_trial_of(vm, q->route, now_ms))
         job->route = q->route;
+    if (vm->signal)
+        rk_vm_signal_sent(vm->signal, now_ms);
     rk_place_note_busy(p, vm);
     vm->calls++;
     vm->running++;
--- a/core/place.h
+++ b/core/place.h
@@ -221,6 +221,22 @@
  * changed, as rk_vm_signal_hear(). */
 unsigned rk_place_hear(struct rk_place *p, struct rk_place_vm *vm,
                        const struct rk_vm_said *said, int64_t now_ms);
+/* What control knows of them, and of this node's part in their limits. */
+void rk_place_set_signals(struct rk_place *p, const struct rk_vm_signal *rows,
+                          size_t len, int64_t now_ms);
+/* Nodes of the fleet: all have an equal part in a limit that was just named, until
+ * control tells another. */
+void rk_place_set_nodes(struct rk_place *p, int nodes);
+/* Copies of what was said lately, and of all limits. Returns how many; *out is the
+ * caller's to free. */
+size_t rk_place_copy_signals(const struct rk_place *p, int64_t now_ms,
+                             struct rk_vm_signal **out);
+/* May a call go to the vm now, by what the vm says of itself? */
+bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms);
+/* Until a vm of the query's service may take a call that none may now, by what they
+ * say of themselves; 0: it isn't that, or nobody can say. */
+int64_t rk_place_wait_ms(const struct rk_place *p, const struct rk_place_query *q,
+                         int64_t now_ms);
 /* Forget what vms said that weren't heard for long. */
 void rk_place_forget_signals(struct rk_place *p, int64_t now_ms);
 
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -23,6 +23,7 @@
     size_t busy_len;
     struct rk_speeds speeds;
     struct rk_vm_signals signals;
+    int nodes; /* of the fleet; 0: not told yet */
     struct rk_place_rollout rollouts[RK_ROLLOUTS];
     bool marked;                /* vms may point to one of them */
     struct rk_place_vm **index; /* hash table of vms; NULL: free */
@@ -46,6 +47,12 @@
 /* Forget vms that are off the list and have no call. */
 void rk_place_sweep(struct rk_place *p);
 
+/* May a call go there now, by what the vm says of itself? */
+static inline bool rk_place_takes_now(const struct rk_place_vm *vm, int64_t now_ms)
+{
+    return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
+}
+
 /* Which vms are of the new version of their service, and which of them try it. */
 void rk_place_mark_versions(struct rk_place *p);
 
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -1,6 +1,13 @@
 /* What vms say of themselves, as the choice of vms goes by it. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/linkhash.h>
+
 #include "core/place_impl.h"
 
+#define TOLD_MS 1000 /* for which a change is copied: a copy may be lost */
+
 unsigned rk_place_hear(struct rk_place *p, struct rk_place_vm *vm,
                        const struct rk_vm_said *said, int64_t now_ms)
 {
@@ -12,14 +19,88 @@
             rk_vm_signals_at(&p->signals, vm->hash, vm->row.domain, now_ms);
     if (!vm->signal)
         return 0;
-    return rk_vm_signal_hear(vm->signal, said, now_ms);
+    unsigned changed = rk_vm_signal_hear(vm->signal, said, now_ms);
+    if (vm->signal->senders == RK_SENDERS_UNKNOWN && p->nodes > 0)
+        rk_vm_signal_set_senders(vm->signal, p->nodes, now_ms);
+    return changed;
+}
+
+void rk_place_set_nodes(struct rk_place *p, int nodes)
+{
+    p->nodes = nodes;
+}
+
+static void find_signals(struct rk_place *p)
+{
+    for (struct rk_place_vm *v = p->vms; v; v = v->next)
+        v->signal = rk_vm_signals_find(&p->signals, v->hash);
+}
+
+void rk_place_set_signals(struct rk_place *p, const struct rk_vm_signal *rows,
+                          size_t len, int64_t now_ms)
+{
+    size_t before = rk_vm_signals_len(&p->signals);
+    for (size_t i = 0; i < len; i++) {
+        struct rk_vm_signal *v =
+            rk_vm_signals_at(&p->signals, rows[i].life, rows[i].domain, now_ms);
+        if (!v)
+            continue;
+        rk_vm_signal_merge(v, &rows[i], now_ms);
+        rk_vm_signal_set_senders(v, rows[i].senders, now_ms);
+    }
+    if (rk_vm_signals_len(&p->signals) != before)
+        find_signals(p);
+}
+
+size_t rk_place_copy_signals(const struct rk_place *p, int64_t now_ms,
+                             struct rk_vm_signal **out)
+{
+    size_t len = 0;
+    struct lh_entry *e;
+    *out = rk_alloc(rk_vm_signals_len(&p->signals) + 1, sizeof(**out));
+    if (!p->signals.by_life)
+        return 0;
+    lh_foreach(p->signals.by_life, e)
+    {
+        const struct rk_vm_signal *v = lh_entry_v(e);
+        if (v->limited || now_ms - v->changed_ms < TOLD_MS)
+            (*out)[len++] = *v;
+    }
+    return len;
+}
+
+bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
+{
+    return rk_place_takes_now(vm, now_ms);
+}
+
+int64_t rk_place_wait_ms(const struct rk_place *p, const struct rk_place_query *q,
+                         int64_t now_ms)
+{
+    int64_t wait_ms = 0;
+    if (!rk_vm_signals_len(&p->signals))
+        return 0;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
+        if (!v->listed || v->row.leaving || v->row.barred ||
+            strcmp(v->row.service, q->service) != 0)
+            continue;
+        int64_t ms = v->signal ? rk_vm_signal_wait_ms(v->signal, now_ms) : 0;
+        if (!ms)
+            return 0;
+        if (!wait_ms || ms < wait_ms)
+            wait_ms = ms;
+    }
+    return wait_ms;
 }
 
+/* Limits of vms on the list stay. */
 void rk_place_forget_signals(struct rk_place *p, int64_t now_ms)
 {
     if (!rk_vm_signals_len(&p->signals))
         return;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next)
+        if (v->listed && v->signal && v->signal->limited)
+            v->signal->heard_ms = now_ms;
     rk_vm_signals_forget(&p->signals, now_ms);
-    for (struct rk_place_vm *v = p->vms; v; v = v->next)
-        v->signal = rk_vm_signals_find(&p->signals, v->hash);
+    find_signals(p);
 }
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -1,10 +1,15 @@
 #include "core/vm_signals.h"
 
 #include <json-c/linkhash.h>
+#include <math.h>
 #include <stdlib.h>
 
 #define FIRST_ROWS 16
 #define KEEP_MS    (120 * RK_MS_PER_S) /* after a VM was heard last */
+/* A VM that takes less is tried at this pace, as only an answer tells that its
+ * limit has risen. */
+#define TRY_PER_S 0.1
+#define STALE_MS  1000
 
 static void free_row(struct lh_entry *e)
 {
@@ -50,16 +55,102 @@
     return v;
 }
 
+/* ---- the limit ---- */
+
+static int senders_of(double limit_per_s, int nodes)
+{
+    if (limit_per_s >= nodes)
+        return nodes;
+    return limit_per_s >= 1 ? (int)limit_per_s : 1;
+}
+
+static uint64_t weight(const struct rk_vm_signal *v, uint64_t node)
+{
+    return rk_hash(v->life, &node, sizeof(node));
+}
+
+/* By rendezvous hashing: the nodes of the greatest weight. */
+int rk_vm_limit_part(const struct rk_vm_signal *v, uint64_t own,
+                     const uint64_t *others, size_t len)
+{
+    uint64_t own_weight = weight(v, own);
+    int senders = senders_of(v->limit_per_s, (int)len + 1), before = 0;
+    for (size_t i = 0; i < len && before < senders; i++)
+        before += weight(v, others[i]) > own_weight;
+    return before < senders ? senders : 0;
+}
+
+void rk_vm_signal_set_senders(struct rk_vm_signal *v, int senders, int64_t now_ms)
+{
+    if (senders > 0 && v->senders == 0)
+        v->part_from_ms = now_ms; /* of another node, that may just have sent */
+    v->senders = senders;
+}
+
+bool rk_vm_signal_bars(const struct rk_vm_signal *v)
+{
+    return v->limited && v->senders <= 0;
+}
+
+/* Between two requests of one of the nodes that share the limit. */
+static int64_t pace_ms(const struct rk_vm_signal *v)
+{
+    double limit_per_s = v->limit_per_s > TRY_PER_S ? v->limit_per_s : TRY_PER_S;
+    int senders = v->senders > 0 ? v->senders : 1;
+    return (int64_t)ceil(senders * RK_MS_PER_S / limit_per_s);
+}
+
+int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
+{
+    if (!v->limited)
+        return 0;
+    if (v->senders == 0)
+        return pace_ms(v);
+    int64_t last_ms = v->sent_ms > v->part_from_ms ? v->sent_ms : v->part_from_ms;
+    int64_t wait_ms = last_ms + pace_ms(v) - now_ms;
+    if (v->senders == RK_SENDERS_UNKNOWN && wait_ms < 1)
+        return 1;
+    return wait_ms > 0 ? wait_ms : 0;
+}
+
+void rk_vm_signal_sent(struct rk_vm_signal *v, int64_t now_ms)
+{
+    v->sent_ms = now_ms;
+}
+
+bool rk_vm_signal_is_stale(const struct rk_vm_signal *v, int64_t now_ms)
+{
+    return v->limited && now_ms - v->limit_ms >= STALE_MS;
+}
+
+/* The part of a limit that was named just now is not known yet; its pace begins
+ * now. */
+static bool set_limit(struct rk_vm_signal *v, bool limited, double limit_per_s,
+                      int64_t heard_ms, int64_t now_ms)
+{
+    v->limit_ms = heard_ms;
+    if (v->limited == limited && v->limit_per_s == limit_per_s)
+        return false;
+    if (limited && !v->limited) {
+        v->senders = RK_SENDERS_UNKNOWN;
+        v->part_from_ms = now_ms;
+    }
+    v->limited = limited;
+    v->limit_per_s = limit_per_s;
+    v->changed_ms = now_ms;
+    return true;
+}
+
+/* ---- what is heard ---- */
+
 static bool hear_limit(struct rk_vm_signal *v, const struct rk_vm_said *said,
                        int64_t now_ms)
 {
     if (!said->limited && !said->unlimited)
         return false;
     double limit_per_s = said->limited ? said->limit_per_s : 0;
-    bool changed = v->limited != said->limited || v->limit_per_s != limit_per_s;
-    v->limited = said->limited;
-    v->limit_per_s = limit_per_s;
-    v->limit_ms = now_ms;
+    bool changed = set_limit(v, said->limited, limit_per_s, now_ms, now_ms);
+    v->own = v->own || changed;
     return changed;
 }
 
@@ -82,6 +173,19 @@
     return changed;
 }
 
+unsigned rk_vm_signal_merge(struct rk_vm_signal *v, const struct rk_vm_signal *told,
+                            int64_t now_ms)
+{
+    v->heard_ms = now_ms;
+    if (told->limit_ms <= v->limit_ms ||
+        !set_limit(v, told->limited, told->limit_per_s, told->limit_ms, now_ms))
+        return 0;
+    v->own = told->own;
+    return RK_VM_LIMIT_CHANGED;
+}
+
+/* ---- the table ---- */
+
 void rk_vm_signals_forget(struct rk_vm_signals *s, int64_t now_ms)
 {
     struct lh_entry *e, *next;
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -55,6 +55,15 @@
     rk_packed_frame_free(&packed);
 }
 
+bool rk_mesh_passes_on(const struct member *k, const void *ctx)
+{
+    const struct rk_mesh *m = k->m;
+    (void)ctx;
+    if (m->direct)
+        return true;
+    return rk_mesh_is_near(k) ? k->bridge || m->bridge : k->bridge && m->bridge;
+}
+
 static bool wants_report(const struct member *k, const void *ctx)
 {
     (void)ctx;
@@ -227,6 +236,9 @@
     case RILLKNOT__FRAME__BODY_QUARANTINE:
         rk_quarantine_take(m, frame->quarantine);
         return;
+    case RILLKNOT__FRAME__BODY_VM_SIGNALS:
+        rk_signal_take(m, frame->vm_signals);
+        return;
     case RILLKNOT__FRAME__BODY_STORE_WANTED:
         answer_wanted(m, link, told, frame->store_wanted);
         return;
@@ -444,6 +456,8 @@
     rk_rollout_tell_seen(m, now_ms);
     rk_quarantines_tick(m->n->quarantines);
     rk_quarantine_tell(m, now_ms);
+    rk_signals_tick(m->n->signals);
+    rk_signal_tell(m, now_ms);
     tell_relay(m, now_ms);
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -135,6 +135,8 @@
     int64_t word_ms;           /* the word on roll-outs told, last */
     int64_t trials_ms;         /* what calls showed of them, last */
     int64_t quarantine_ms; /* requests that VMs end under, those that stay, last */
+    int64_t limits_ms;     /* limits of VMs that stay, last */
+    size_t limits_from;    /* how many of these were told before */
     int64_t enrol_ms;
     int lists_left;       /* how often the store's list of nodes is read again */
     int64_t forgotten_ms; /* a member was forgotten last; 0: never */
@@ -205,6 +207,9 @@
                   bool (*wants)(const struct member *k, const void *ctx),
                   const void *ctx);
 void rk_mesh_dial(struct rk_mesh *m, int64_t now_ms);
+/* For rk_mesh_send(): is a member told what all nodes are to know of, by those who
+ * saw it and by bridges? */
+bool rk_mesh_passes_on(const struct member *k, const void *ctx);
 /* Ask a peer for all its rows of uses, known: with what it knows of all. */
 void rk_mesh_want_uses(struct rk_link *link, bool known);
 /* Ask a peer that knows more of the store. */
@@ -322,6 +327,10 @@
 void rk_quarantine_tell(struct rk_mesh *m, int64_t now_ms);
 void rk_quarantine_take(struct rk_mesh *m, const Rillknot__Quarantine *told);
 
+/* signal_tell.c: what VMs say of themselves. */
+void rk_signal_tell(struct rk_mesh *m, int64_t now_ms);
+void rk_signal_take(struct rk_mesh *m, const Rillknot__VmSignals *told);
+
 /* enrol.c: write this node to the list, read who is there. */
 void rk_enrol_init(struct rk_mesh *m);
 void rk_enrol_start(struct rk_mesh *m);
--- a/node/node.c
+++ b/node/node.c
@@ -71,6 +71,7 @@
         {"vms_listed", (int64_t)rk_sync_vms_len(n->sync)},
         {"calls_in_hand", n->report ? (int64_t)n->report->in_hand : 0},
         {"requests_stopped", (int64_t)rk_quarantines_stopped(n->quarantines)},
+        {"vms_limited", (int64_t)rk_signals_limited(n->signals)},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
@@ -124,6 +125,8 @@
         rk_usage_merge(&n->usage, &n->report->usage[i]);
     rk_quarantines_take(n->quarantines, n->report->suspects,
                         n->report->suspects_len, true);
+    rk_signals_take(n->signals, n->report->signals, n->report->signals_len);
+    rk_signals_tick(n->signals);
     rk_mesh_report(n->mesh);
     free(m);
 }
@@ -314,6 +317,7 @@
     n->remember = rk_remember_create(n);
     n->rollouts = rk_rollouts_create(n);
     n->quarantines = rk_quarantines_create(n);
+    n->signals = rk_signals_create(n);
     n->duty_keeper = rk_duty_keeper_create(n);
     if (create_relay(n) != RK_OK)
         return RK_ESYSTEM;
@@ -354,6 +358,7 @@
     rk_remember_destroy(n->remember);
     rk_rollouts_destroy(n->rollouts);
     rk_quarantines_destroy(n->quarantines);
+    rk_signals_destroy(n->signals);
     rk_sync_destroy(n->sync);
     n->duties->ops->destroy(n->duties);
     n->store->ops->destroy(n->store);
--- a/node/quarantine_tell.c
+++ b/node/quarantine_tell.c
@@ -70,15 +70,6 @@
     }
 }
 
-static bool wants(const struct member *k, const void *ctx)
-{
-    const struct rk_mesh *m = k->m;
-    (void)ctx;
-    if (m->direct)
-        return true;
-    return rk_mesh_is_near(k) ? k->bridge || m->bridge : k->bridge && m->bridge;
-}
-
 void rk_quarantine_tell(struct rk_mesh *m, int64_t now_ms)
 {
     if (!rk_quarantines_table(m->n->quarantines)->len)
@@ -92,7 +83,7 @@
     frame.body_case = RILLKNOT__FRAME__BODY_QUARANTINE;
     frame.quarantine = &p->told;
     if (p->told.n_rows)
-        rk_mesh_send(m, &frame, wants, NULL);
+        rk_mesh_send(m, &frame, rk_mesh_passes_on, NULL);
     free(p);
 }
 
--- a/node/state.h
+++ b/node/state.h
@@ -20,6 +20,7 @@
 struct rk_duty_token;
 struct rk_rollouts;
 struct rk_quarantines;
+struct rk_signals;
 
 /* Of a node with an earlier life. */
 struct rk_returning {
@@ -42,6 +43,7 @@
     struct rk_remember *remember;
     struct rk_rollouts *rollouts;
     struct rk_quarantines *quarantines;
+    struct rk_signals *signals;
     struct rk_usage usage;          /* of all nodes */
     struct rk_relay_report *report; /* the relay's last */
     struct rk_rng rng;
@@ -187,6 +189,17 @@
 const struct rk_quarantine *rk_quarantines_table(const struct rk_quarantines *q);
 size_t rk_quarantines_stopped(const struct rk_quarantines *q); /* how many */
 
+/* signals.c: what VMs say of themselves, as all nodes know it. */
+struct rk_signals *rk_signals_create(struct rk_node *n);
+void rk_signals_destroy(struct rk_signals *s);
+/* Rows of this node's relay, or of a peer. */
+void rk_signals_take(struct rk_signals *s, const struct rk_vm_signal *rows,
+                     size_t len);
+/* Tell the relay what changed, and its part in limits. */
+void rk_signals_tick(struct rk_signals *s);
+const struct rk_vm_signals *rk_signals_table(const struct rk_signals *s);
+size_t rk_signals_limited(const struct rk_signals *s); /* VMs that name a limit */
+
 /* rollouts.c: versions that operators order for services. */
 struct rk_rollouts *rk_rollouts_create(struct rk_node *n);
 void rk_rollouts_destroy(struct rk_rollouts *r);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1402,6 +1402,96 @@
   assert(message->base.descriptor == &rillknot__quarantine__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__vm_signal__init
+                     (Rillknot__VmSignal         *message)
+{
+  static const Rillknot__VmSignal init_value = RILLKNOT__VM_SIGNAL__INIT;
+  *message = init_value;
+}
+size_t rillknot__vm_signal__get_packed_size
+                     (const Rillknot__VmSignal *message)
+{
+  assert(message->base.descriptor == &rillknot__vm_signal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__vm_signal__pack
+                     (const Rillknot__VmSignal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__vm_signal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__vm_signal__pack_to_buffer
+                     (const Rillknot__VmSignal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__vm_signal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__VmSignal *
+       rillknot__vm_signal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__VmSignal *)
+     protobuf_c_message_unpack (&rillknot__vm_signal__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__vm_signal__free_unpacked
+                     (Rillknot__VmSignal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__vm_signal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__vm_signals__init
+                     (Rillknot__VmSignals         *message)
+{
+  static const Rillknot__VmSignals init_value = RILLKNOT__VM_SIGNALS__INIT;
+  *message = init_value;
+}
+size_t rillknot__vm_signals__get_packed_size
+                     (const Rillknot__VmSignals *message)
+{
+  assert(message->base.descriptor == &rillknot__vm_signals__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__vm_signals__pack
+                     (const Rillknot__VmSignals *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__vm_signals__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__vm_signals__pack_to_buffer
+                     (const Rillknot__VmSignals *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__vm_signals__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__VmSignals *
+       rillknot__vm_signals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__VmSignals *)
+     protobuf_c_message_unpack (&rillknot__vm_signals__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__vm_signals__free_unpacked
+                     (Rillknot__VmSignals *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__vm_signals__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__list_row__init
                      (Rillknot__ListRow         *message)
 {
@@ -4970,6 +5060,134 @@
   (ProtobufCMessageInit) rillknot__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rillknot__vm_signal__field_descriptors[5] =
+{
+  {
+    "life",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, limit_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__vm_signal__field_indices_by_name[] = {
+  1,   /* field[1] = domain */
+  0,   /* field[0] = life */
+  4,   /* field[4] = limit_age_ms */
+  3,   /* field[3] = limit_per_s */
+  2,   /* field[2] = limited */
+};
+static const ProtobufCIntRange rillknot__vm_signal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rillknot__vm_signal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.VmSignal",
+  "VmSignal",
+  "Rillknot__VmSignal",
+  "rillknot",
+  sizeof(Rillknot__VmSignal),
+  5,
+  rillknot__vm_signal__field_descriptors,
+  rillknot__vm_signal__field_indices_by_name,
+  1,  rillknot__vm_signal__number_ranges,
+  (ProtobufCMessageInit) rillknot__vm_signal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__vm_signals__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__VmSignals, n_rows),
+    offsetof(Rillknot__VmSignals, rows),
+    &rillknot__vm_signal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__vm_signals__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange rillknot__vm_signals__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rillknot__vm_signals__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.VmSignals",
+  "VmSignals",
+  "Rillknot__VmSignals",
+  "rillknot",
+  sizeof(Rillknot__VmSignals),
+  1,
+  rillknot__vm_signals__field_descriptors,
+  rillknot__vm_signals__field_indices_by_name,
+  1,  rillknot__vm_signals__number_ranges,
+  (ProtobufCMessageInit) rillknot__vm_signals__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rillknot__list_row__field_descriptors[3] =
 {
   {
@@ -5255,7 +5473,7 @@
   (ProtobufCMessageInit) rillknot__store_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor rillknot__frame__field_descriptors[18] =
 {
   {
     "gossip",
@@ -5461,6 +5679,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm_signals",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__Frame, body_case),
+    offsetof(Rillknot__Frame, vm_signals),
+    &rillknot__vm_signals__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__frame__field_indices_by_name[] = {
   2,   /* field[2] = changes */
@@ -5480,11 +5710,12 @@
   11,   /* field[11] = store_text */
   10,   /* field[10] = store_wanted */
   13,   /* field[13] = usage_counts */
+  17,   /* field[17] = vm_signals */
 };
 static const ProtobufCIntRange rillknot__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor rillknot__frame__descriptor =
 {
@@ -5494,7 +5725,7 @@
   "Rillknot__Frame",
   "rillknot",
   sizeof(Rillknot__Frame),
-  17,
+  18,
   rillknot__frame__field_descriptors,
   rillknot__frame__field_indices_by_name,
   1,  rillknot__frame__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -46,6 +46,8 @@
 typedef struct Rillknot__RolloutSeen Rillknot__RolloutSeen;
 typedef struct Rillknot__QuarantineRow Rillknot__QuarantineRow;
 typedef struct Rillknot__Quarantine Rillknot__Quarantine;
+typedef struct Rillknot__VmSignal Rillknot__VmSignal;
+typedef struct Rillknot__VmSignals Rillknot__VmSignals;
 typedef struct Rillknot__ListRow Rillknot__ListRow;
 typedef struct Rillknot__GoneRow Rillknot__GoneRow;
 typedef struct Rillknot__StoreText Rillknot__StoreText;
@@ -715,6 +717,40 @@
     , 0,NULL }
 
 
+/*
+ * What a VM says of itself in its answers: core/vm_signals.h.
+ */
+struct  Rillknot__VmSignal
+{
+  ProtobufCMessage base;
+  /*
+   * Of the VM, and of when it was started.
+   */
+  uint64_t life;
+  char *domain;
+  /*
+   * By the answer that decides, which came so long ago.
+   */
+  protobuf_c_boolean limited;
+  double limit_per_s;
+  uint32_t limit_age_ms;
+};
+#define RILLKNOT__VM_SIGNAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_signal__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Rillknot__VmSignals
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Rillknot__VmSignal **rows;
+};
+#define RILLKNOT__VM_SIGNALS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_signals__descriptor) \
+    , 0,NULL }
+
+
 struct  Rillknot__ListRow
 {
   ProtobufCMessage base;
@@ -799,7 +835,8 @@
   RILLKNOT__FRAME__BODY_USAGE_COUNTS = 14,
   RILLKNOT__FRAME__BODY_ROLLOUT_WORD = 15,
   RILLKNOT__FRAME__BODY_ROLLOUT_SEEN = 16,
-  RILLKNOT__FRAME__BODY_QUARANTINE = 17
+  RILLKNOT__FRAME__BODY_QUARANTINE = 17,
+  RILLKNOT__FRAME__BODY_VM_SIGNALS = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RILLKNOT__FRAME__BODY__CASE)
 } Rillknot__Frame__BodyCase;
 
@@ -825,6 +862,7 @@
     Rillknot__RolloutWord *rollout_word;
     Rillknot__RolloutSeen *rollout_seen;
     Rillknot__Quarantine *quarantine;
+    Rillknot__VmSignals *vm_signals;
   };
 };
 #define RILLKNOT__FRAME__INIT \
@@ -1421,6 +1459,44 @@
 void   rillknot__quarantine__free_unpacked
                      (Rillknot__Quarantine *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__VmSignal methods */
+void   rillknot__vm_signal__init
+                     (Rillknot__VmSignal         *message);
+size_t rillknot__vm_signal__get_packed_size
+                     (const Rillknot__VmSignal   *message);
+size_t rillknot__vm_signal__pack
+                     (const Rillknot__VmSignal   *message,
+                      uint8_t             *out);
+size_t rillknot__vm_signal__pack_to_buffer
+                     (const Rillknot__VmSignal   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__VmSignal *
+       rillknot__vm_signal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__vm_signal__free_unpacked
+                     (Rillknot__VmSignal *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__VmSignals methods */
+void   rillknot__vm_signals__init
+                     (Rillknot__VmSignals         *message);
+size_t rillknot__vm_signals__get_packed_size
+                     (const Rillknot__VmSignals   *message);
+size_t rillknot__vm_signals__pack
+                     (const Rillknot__VmSignals   *message,
+                      uint8_t             *out);
+size_t rillknot__vm_signals__pack_to_buffer
+                     (const Rillknot__VmSignals   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__VmSignals *
+       rillknot__vm_signals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__vm_signals__free_unpacked
+                     (Rillknot__VmSignals *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__ListRow methods */
 void   rillknot__list_row__init
                      (Rillknot__ListRow         *message);
@@ -1592,6 +1668,12 @@
 typedef void (*Rillknot__Quarantine_Closure)
                  (const Rillknot__Quarantine *message,
                   void *closure_data);
+typedef void (*Rillknot__VmSignal_Closure)
+                 (const Rillknot__VmSignal *message,
+                  void *closure_data);
+typedef void (*Rillknot__VmSignals_Closure)
+                 (const Rillknot__VmSignals *message,
+                  void *closure_data);
 typedef void (*Rillknot__ListRow_Closure)
                  (const Rillknot__ListRow *message,
                   void *closure_data);
@@ -1641,6 +1723,8 @@
 extern const ProtobufCMessageDescriptor rillknot__rollout_seen__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__quarantine_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__quarantine__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__vm_signal__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__vm_signals__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__list_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__gone_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_text__descriptor;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -40,6 +40,7 @@
     free(r->services);
     free(r->trials);
     free(r->suspects);
+    free(r->signals);
     free(r);
 }
 
@@ -153,6 +154,8 @@
     fill_services(r, report);
     fill_trials(r, report);
     fill_suspects(r, report);
+    report->signals_len =
+        rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
     report->knows_all = rk_quota_knows_all(&r->quota, rk_mono_ms());
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->version = r->routes ? r->routes->version : 0;
@@ -179,6 +182,8 @@
     size_t rules_len;
     struct rk_quarantine_row *suspects;
     size_t suspects_len;
+    struct rk_vm_signal *signals;
+    size_t signals_len;
     bool is_fresh;
     int64_t age_ms;
     struct rk_relay_bounds bounds;
@@ -308,6 +313,7 @@
     int64_t now_ms = rk_mono_ms();
     rk_place_set_loads(r->place, p->loads, p->loads_len, now_ms);
     rk_quota_hear(&r->quota, p->nodes_heard, p->nodes_total, now_ms);
+    rk_place_set_nodes(r->place, p->nodes_total);
     for (size_t i = 0; i < p->uses_len; i++)
         rk_quota_add(&r->quota, p->uses[i].org, p->uses[i].units, now_ms);
     /* Once: told again and again, the same use would count in two parts. */
@@ -432,6 +438,23 @@
     return false;
 }
 
+static void take_signals(void *ctx)
+{
+    struct message *m = ctx;
+    rk_place_set_signals(m->r->place, m->signals, m->signals_len, rk_mono_ms());
+    free(m->signals);
+    free(m);
+}
+
+bool rk_relay_set_signals(struct rk_relay *r, struct rk_vm_signal *rows, size_t len)
+{
+    const struct message m = {.signals = rows, .signals_len = len};
+    if (post(r, take_signals, &m))
+        return true;
+    free(rows);
+    return false;
+}
+
 static void take_close(void *ctx)
 {
     struct rk_relay *r = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -60,6 +60,8 @@
     size_t trials_len;
     struct rk_quarantine_row *suspects; /* of what was seen here lately */
     size_t suspects_len;
+    struct rk_vm_signal *signals; /* what vms say of themselves */
+    size_t signals_len;
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
     bool knows_all;       /* uses[].kept is all that was used in the window */
     int64_t version;      /* of the routes in force; 0: none */
@@ -136,6 +138,10 @@
 bool rk_relay_set_suspects(struct rk_relay *r, struct rk_quarantine_row *rows,
                            size_t len);
 
+/* What vms say of themselves, and this node's part in their limits. */
+bool rk_relay_set_signals(struct rk_relay *r, struct rk_vm_signal *rows,
+                          size_t len);
+
 /* Any thread: this process ends in so many ms. Connections end with their next
  * answer; calls that can't end by then are refused. */
 void rk_relay_close(struct rk_relay *r, int64_t ends_in_ms);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -101,13 +101,21 @@
         rk_call_answer_problem(client, status, retry_after_ms, why);
 }
 
+/* Where all vms of its service can't take it for what they say of themselves, till
+ * one of them can. */
+static int64_t retry_after_ms(const struct rk_relay_call *x)
+{
+    int64_t wait_ms = rk_place_wait_ms(x->r->place, &x->query, rk_mono_ms());
+    return wait_ms > 0 ? wait_ms : RETRY_AFTER_MS;
+}
+
 /* No attempt is left: the truth about whether it may have run decides. */
 static void give_up_sending(struct rk_relay_call *x, const char *why)
 {
     if (x->may_have_run)
         rk_call_give_up(x, HTTP_BROKEN, 0, why);
     else
-        rk_call_give_up(x, HTTP_REFUSED, RETRY_AFTER_MS, why);
+        rk_call_give_up(x, HTTP_REFUSED, retry_after_ms(x), why);
 }
 
 /* VMs ended under the same request: it goes to no other. */
@@ -455,7 +463,7 @@
     if (to != from)
         exclude_vm(x);
     rk_call_end_attempt(x, RK_PLACE_CALLED_OFF);
-    if (!to || (to != from && to->row.leaving)) {
+    if (!to || (to != from && to->row.leaving) || !rk_place_may_send(to, now_ms)) {
         rk_call_attempt_failed(x, true, RK_PLACE_CALLED_OFF, "the copy is gone");
         return;
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -401,9 +401,60 @@
     rk_speeds_free(&speeds);
 }
 
+/* ---- what vms say of themselves ---- */
+
+static void a_limited_vm_is_chosen_only_at_its_pace(void **state)
+{
+    (void)state;
+    const struct rk_vm_said one = {.limited = true, .limit_per_s = 1};
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000,bb:100", 4100);
+    struct rk_engine_forecast forecast;
+    struct rk_place_job job;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &forecast);
+    rk_place_set_nodes(p, 1);
+    rk_place_hear(p, first, &one, 1000);
+    assert_ptr_not_equal(rk_place_choose(p, &q, 1999, &forecast), first);
+    assert_ptr_equal(rk_place_choose(p, &q, 2000, &forecast), first);
+    rk_place_sent(p, first, &q, 2000, &job);
+    assert_ptr_not_equal(rk_place_choose(p, &q, 2999, &forecast), first);
+    assert_ptr_equal(rk_place_choose(p, &q, 3000, &forecast), first);
+    rk_place_destroy(p);
+}
+
+/* A list without the vm, and with it again, changes nothing of what it said. */
+static void a_limit_outlasts_the_list(void **state)
+{
+    (void)state;
+    const struct rk_vm_said one = {.limited = true, .limit_per_s = 1};
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000", 4000);
+    struct rk_engine_forecast forecast;
+    rows[0].born_ms = 1;
+    rk_place_set_vms(p, rows, 3, 500);
+    rk_place_set_vms(p, rows, 0, 600); /* of its life before, nothing is kept */
+    rk_place_set_vms(p, rows, 3, 700);
+    for (size_t i = 0; i < 3; i++)
+        rk_place_hear(p, rk_place_find(p, rows[i].id), &one, 1000);
+    assert_null(rk_place_choose(p, &q, 1500, &forecast));
+    rk_place_set_vms(p, rows, 0, 1600);
+    rk_place_set_vms(p, rows, 3, 1700);
+    assert_null(rk_place_choose(p, &q, 1800, &forecast));
+    assert_true(rk_place_wait_ms(p, &q, 1800) > 0);
+    rows[0].born_ms = 5; /* another life */
+    rk_place_set_vms(p, rows, 3, 1900);
+    assert_string_equal(rk_place_choose(p, &q, 1900, &forecast)->row.id, "vm-a");
+    assert_int_equal(rk_place_wait_ms(p, &q, 1900), 0);
+    rk_place_destroy(p);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_limited_vm_is_chosen_only_at_its_pace),
+        cmocka_unit_test(a_limit_outlasts_the_list),
         cmocka_unit_test(a_prefix_stays_with_its_vm_until_that_is_busy),
         cmocka_unit_test(nodes_agree_on_the_vm_of_a_prefix),
         cmocka_unit_test(leaving_excluded_and_paused_vms_are_passed_over),
--- a/tests/test_vm_signals.c
+++ b/tests/test_vm_signals.c
@@ -54,6 +54,87 @@
     assert_true(v->limited);
 }
 
+/* ---- limits ---- */
+
+static struct rk_vm_signal *limited(double per_s, int senders, int64_t now_ms)
+{
+    const struct rk_vm_said said = {.limited = true, .limit_per_s = per_s};
+    struct rk_vm_signal *v = row(now_ms);
+    rk_vm_signal_hear(v, &said, now_ms);
+    rk_vm_signal_set_senders(v, senders, now_ms);
+    return v;
+}
+
+static void a_sender_keeps_an_even_pace_from_when_the_limit_was_named(void **state)
+{
+    (void)state;
+    struct rk_vm_signal *v = limited(2, 2, 0);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 0), 1000);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 1000), 0);
+    rk_vm_signal_sent(v, 1500);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 1600), 900);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 2500), 0);
+}
+
+/* The node that had the part before may just have used it. */
+static void a_part_that_was_another_nodes_is_used_after_one_pace(void **state)
+{
+    (void)state;
+    struct rk_vm_signal *v = limited(1, 0, 0);
+    assert_true(rk_vm_signal_bars(v));
+    rk_vm_signal_set_senders(v, 1, 5000);
+    assert_false(rk_vm_signal_bars(v));
+    assert_int_equal(rk_vm_signal_wait_ms(v, 5000), 1000);
+}
+
+static void a_limit_of_nothing_is_tried_each_ten_seconds(void **state)
+{
+    (void)state;
+    struct rk_vm_signal *v = limited(0, 1, 0);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 0), 10000);
+}
+
+static void of_two_words_on_a_limit_the_later_counts(void **state)
+{
+    (void)state;
+    struct rk_vm_signal told = *limited(3, 1, 100);
+    struct rk_vm_signal *v = limited(10, 1, 200);
+    assert_int_equal(rk_vm_signal_merge(v, &told, 300), 0);
+    assert_true(v->limit_per_s == 10);
+    told.limit_ms = 250;
+    told.limited = false;
+    told.limit_per_s = 0;
+    assert_int_equal(rk_vm_signal_merge(v, &told, 300), RK_VM_LIMIT_CHANGED);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 300), 0);
+}
+
+/* Of nodes that know of each other, as many as the limit allows share it, and each
+ * knows how many. */
+static void nodes_agree_on_who_shares_a_limit(void **state)
+{
+    (void)state;
+    const uint64_t nodes[] = {11, 22, 33, 44, 55, 66};
+    const double limits[] = {0.2, 1, 2.9, 6, 50};
+    const int expected[] = {1, 1, 2, 6, 6};
+    for (size_t l = 0; l < RK_ARRAY_LEN(limits); l++) {
+        const struct rk_vm_signal v = {.life = LIFE, .limit_per_s = limits[l]};
+        int senders = 0;
+        for (size_t i = 0; i < RK_ARRAY_LEN(nodes); i++) {
+            uint64_t others[RK_ARRAY_LEN(nodes)];
+            size_t len = 0;
+            for (size_t j = 0; j < RK_ARRAY_LEN(nodes); j++)
+                if (j != i)
+                    others[len++] = nodes[j];
+            int part = rk_vm_limit_part(&v, nodes[i], others, len);
+            assert_true(part == 0 || part == expected[l]);
+            senders += part > 0;
+        }
+        assert_int_equal(senders, expected[l]);
+    }
+}
+
+/* ---- leaving and rest ---- */
+
 static void leaving_is_for_good(void **state)
 {
     (void)state;
@@ -111,6 +192,11 @@
     const struct CMUnitTest tests[] = {
         TEST(the_last_answer_decides_on_the_limit),
         TEST(an_answer_of_nobody_ends_no_limit),
+        TEST(a_sender_keeps_an_even_pace_from_when_the_limit_was_named),
+        TEST(a_part_that_was_another_nodes_is_used_after_one_pace),
+        TEST(a_limit_of_nothing_is_tried_each_ten_seconds),
+        TEST(of_two_words_on_a_limit_the_later_counts),
+        TEST(nodes_agree_on_who_shares_a_limit),
         TEST(leaving_is_for_good),
         TEST(a_rest_lasts_until_the_latest_end_asked_for),
         TEST(it_is_kept_for_two_minutes_and_through_a_rest),
