leaving: a VM that says in an answer that it leaves gets nothing more

Cause: the same as of the limits: the header was read by nobody, and nodes went by the store's list alone. The store being away made it last; it isn't needed.

Change: who hears it passes the VM over at once and tells peers (VmSignal.leaving), who do so, too. The word is kept by life of the VM: a list that has it as ready, or loses its entry and gets it back, changes nothing; another life begins anew. Streams in hand there move as from a VM that the store has as leaving.

Two units for the list. The formatter is told of json-c's loops.

--- a/core/place.c
+++ b/core/place.c
@@ -170,7 +170,7 @@
     v->listed = true;
     if (rk_vm_is_reborn(row, &v->row))
         return false; /* of an earlier life */
-    bool leaving = v->row.leaving || row->leaving;
+    bool leaving = v->row.leaving || row->leaving || rk_place_says_leaving(v);
     if (leaving && !v->left_ms)
         v->left_ms = now_ms;
     v->row = *row;
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -53,6 +53,12 @@
     return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
 }
 
+/* By its own word, whatever the list has. */
+static inline bool rk_place_says_leaving(const struct rk_place_vm *vm)
+{
+    return vm->signal && vm->signal->leaving;
+}
+
 /* Which vms are of the new version of their service, and which of them try it. */
 void rk_place_mark_versions(struct rk_place *p);
 
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -8,6 +8,14 @@
 
 #define TOLD_MS 1000 /* for which a change is copied: a copy may be lost */
 
+static void apply_leaving(struct rk_place_vm *v, int64_t now_ms)
+{
+    if (!rk_place_says_leaving(v) || v->row.leaving)
+        return;
+    v->row.leaving = true;
+    v->left_ms = now_ms;
+}
+
 unsigned rk_place_hear(struct rk_place *p, struct rk_place_vm *vm,
                        const struct rk_vm_said *said, int64_t now_ms)
 {
@@ -22,6 +30,7 @@
     unsigned changed = rk_vm_signal_hear(vm->signal, said, now_ms);
     if (vm->signal->senders == RK_SENDERS_UNKNOWN && p->nodes > 0)
         rk_vm_signal_set_senders(vm->signal, p->nodes, now_ms);
+    apply_leaving(vm, now_ms);
     return changed;
 }
 
@@ -30,26 +39,29 @@
     p->nodes = nodes;
 }
 
-static void find_signals(struct rk_place *p)
+static void find_signals(struct rk_place *p, int64_t now_ms)
 {
-    for (struct rk_place_vm *v = p->vms; v; v = v->next)
+    for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         v->signal = rk_vm_signals_find(&p->signals, v->hash);
+        apply_leaving(v, now_ms);
+    }
 }
 
 void rk_place_set_signals(struct rk_place *p, const struct rk_vm_signal *rows,
                           size_t len, int64_t now_ms)
 {
     size_t before = rk_vm_signals_len(&p->signals);
+    unsigned changed = 0;
     for (size_t i = 0; i < len; i++) {
         struct rk_vm_signal *v =
             rk_vm_signals_at(&p->signals, rows[i].life, rows[i].domain, now_ms);
         if (!v)
             continue;
-        rk_vm_signal_merge(v, &rows[i], now_ms);
+        changed |= rk_vm_signal_merge(v, &rows[i], now_ms);
         rk_vm_signal_set_senders(v, rows[i].senders, now_ms);
     }
-    if (rk_vm_signals_len(&p->signals) != before)
-        find_signals(p);
+    if (rk_vm_signals_len(&p->signals) != before || changed & RK_VM_LEAVING_CHANGED)
+        find_signals(p, now_ms);
 }
 
 size_t rk_place_copy_signals(const struct rk_place *p, int64_t now_ms,
@@ -60,8 +72,7 @@
     *out = rk_alloc(rk_vm_signals_len(&p->signals) + 1, sizeof(**out));
     if (!p->signals.by_life)
         return 0;
-    lh_foreach(p->signals.by_life, e)
-    {
+    lh_foreach (p->signals.by_life, e) {
         const struct rk_vm_signal *v = lh_entry_v(e);
         if (v->limited || now_ms - v->changed_ms < TOLD_MS)
             (*out)[len++] = *v;
@@ -93,14 +104,14 @@
     return wait_ms;
 }
 
-/* Limits of vms on the list stay. */
+/* What counts for a vm on the list stays. */
 void rk_place_forget_signals(struct rk_place *p, int64_t now_ms)
 {
     if (!rk_vm_signals_len(&p->signals))
         return;
     for (const struct rk_place_vm *v = p->vms; v; v = v->next)
-        if (v->listed && v->signal && v->signal->limited)
+        if (v->listed && v->signal && (v->signal->limited || v->signal->leaving))
             v->signal->heard_ms = now_ms;
     rk_vm_signals_forget(&p->signals, now_ms);
-    find_signals(p);
+    find_signals(p, now_ms);
 }
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -143,6 +143,17 @@
 
 /* ---- what is heard ---- */
 
+/* It never comes back. */
+static bool set_leaving(struct rk_vm_signal *v, bool own, int64_t now_ms)
+{
+    if (v->leaving)
+        return false;
+    v->leaving = true;
+    v->own = v->own || own;
+    v->changed_ms = now_ms;
+    return true;
+}
+
 static bool hear_limit(struct rk_vm_signal *v, const struct rk_vm_said *said,
                        int64_t now_ms)
 {
@@ -161,9 +172,8 @@
     v->heard_ms = now_ms;
     if (hear_limit(v, said, now_ms))
         changed |= RK_VM_LIMIT_CHANGED;
-    if (said->leaving && !v->leaving)
+    if (said->leaving && set_leaving(v, true, now_ms))
         changed |= RK_VM_LEAVING_CHANGED;
-    v->leaving = v->leaving || said->leaving;
     if (said->rest_ms > 0) {
         if (v->rest_until_ms <= now_ms)
             changed |= RK_VM_REST_CHANGED;
@@ -176,12 +186,16 @@
 unsigned rk_vm_signal_merge(struct rk_vm_signal *v, const struct rk_vm_signal *told,
                             int64_t now_ms)
 {
+    unsigned changed = 0;
     v->heard_ms = now_ms;
-    if (told->limit_ms <= v->limit_ms ||
-        !set_limit(v, told->limited, told->limit_per_s, told->limit_ms, now_ms))
-        return 0;
-    v->own = told->own;
-    return RK_VM_LIMIT_CHANGED;
+    if (told->limit_ms > v->limit_ms &&
+        set_limit(v, told->limited, told->limit_per_s, told->limit_ms, now_ms)) {
+        v->own = told->own;
+        changed |= RK_VM_LIMIT_CHANGED;
+    }
+    if (told->leaving && set_leaving(v, told->own, now_ms))
+        changed |= RK_VM_LEAVING_CHANGED;
+    return changed;
 }
 
 /* ---- the table ---- */
@@ -191,8 +205,7 @@
     struct lh_entry *e, *next;
     if (!s->by_life)
         return;
-    lh_foreach_safe(s->by_life, e, next)
-    {
+    lh_foreach_safe (s->by_life, e, next) {
         const struct rk_vm_signal *v = lh_entry_v(e);
         if (now_ms - v->heard_ms > KEEP_MS && now_ms >= v->rest_until_ms)
             lh_table_delete_entry(s->by_life, e);
--- a/core/vm_signals.h
+++ b/core/vm_signals.h
@@ -33,7 +33,7 @@
     bool leaving;
     int64_t rest_until_ms; /* of this node alone; 0: never asked for */
     /* Of this node's copy: */
-    bool own; /* what it says of the limit was heard here, not by a peer */
+    bool own;           /* what changed last was heard here, not told by a peer */
     int64_t changed_ms; /* when it came to say something else */
     /* Nodes that share the limit, this one among them; 0: this one has no part in
      * it; RK_SENDERS_UNKNOWN: it wasn't told yet. */
--- a/node/node.c
+++ b/node/node.c
@@ -72,6 +72,7 @@
         {"calls_in_hand", n->report ? (int64_t)n->report->in_hand : 0},
         {"requests_stopped", (int64_t)rk_quarantines_stopped(n->quarantines)},
         {"vms_limited", (int64_t)rk_signals_limited(n->signals)},
+        {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
--- a/node/signal_tell.c
+++ b/node/signal_tell.c
@@ -27,6 +27,10 @@
     rillknot__vm_signal__init(out);
     out->life = v->life;
     out->domain = (char *)v->domain;
+    out->leaving = v->leaving;
+    out->limit_known = v->limit_ms > 0;
+    if (!out->limit_known)
+        return;
     out->limited = v->limited;
     out->limit_per_s = v->limit_per_s;
     out->limit_age_ms = (uint32_t)(now_ms - v->limit_ms);
@@ -35,15 +39,14 @@
 /* Bridges pass on what they hear; others tell what they heard of VMs themselves. */
 static bool is_told_here(const struct rk_mesh *m, const struct rk_vm_signal *v)
 {
-    return v->limit_ms && (v->own || m->bridge);
+    return v->own || m->bridge;
 }
 
 static void put_fresh(struct making *p, const struct rk_mesh *m, int64_t now_ms)
 {
     struct lh_entry *e;
     size_t left = ROWS_MAX;
-    lh_foreach(rk_signals_table(m->n->signals)->by_life, e)
-    {
+    lh_foreach (rk_signals_table(m->n->signals)->by_life, e) {
         const struct rk_vm_signal *v = lh_entry_v(e);
         if (!left || now_ms - v->changed_ms >= FRESH_MS || !is_told_here(m, v))
             continue;
@@ -57,8 +60,7 @@
 {
     struct lh_entry *e;
     size_t at = 0, left = ROWS_MAX;
-    lh_foreach(rk_signals_table(m->n->signals)->by_life, e)
-    {
+    lh_foreach (rk_signals_table(m->n->signals)->by_life, e) {
         const struct rk_vm_signal *v = lh_entry_v(e);
         if (!v->limited || now_ms - v->changed_ms < FRESH_MS || !is_told_here(m, v))
             continue;
@@ -98,7 +100,9 @@
         struct rk_vm_signal v = {.life = from->life,
                                  .limited = from->limited,
                                  .limit_per_s = from->limit_per_s,
-                                 .limit_ms = now_ms - from->limit_age_ms};
+                                 .leaving = from->leaving};
+        if (from->limit_known)
+            v.limit_ms = now_ms - from->limit_age_ms;
         if (!isfinite(v.limit_per_s) || v.limit_per_s < 0) {
             RK_WARN("signal.rejected", RK_S("domain", from->domain));
             continue;
--- a/node/signals.c
+++ b/node/signals.c
@@ -23,17 +23,38 @@
     return &s->table;
 }
 
-size_t rk_signals_limited(const struct rk_signals *s)
+static bool is_limited(const struct rk_vm_signal *v)
+{
+    return v->limited;
+}
+
+static bool says_leaving(const struct rk_vm_signal *v)
+{
+    return v->leaving;
+}
+
+static size_t count(const struct rk_signals *s,
+                    bool (*has)(const struct rk_vm_signal *v))
 {
     struct lh_entry *e;
     size_t len = 0;
     if (!s->table.by_life)
         return 0;
-    lh_foreach(s->table.by_life, e) len +=
-        ((const struct rk_vm_signal *)lh_entry_v(e))->limited;
+    lh_foreach (s->table.by_life, e)
+        len += has(lh_entry_v(e));
     return len;
 }
 
+size_t rk_signals_limited(const struct rk_signals *s)
+{
+    return count(s, is_limited);
+}
+
+size_t rk_signals_leaving(const struct rk_signals *s)
+{
+    return count(s, says_leaving);
+}
+
 void rk_signals_take(struct rk_signals *s, const struct rk_vm_signal *rows,
                      size_t len)
 {
@@ -114,8 +135,7 @@
     size_t len = 0;
     bool all = o->hash != s->nodes;
     s->nodes = o->hash;
-    lh_foreach(s->table.by_life, e)
-    {
+    lh_foreach (s->table.by_life, e) {
         struct rk_vm_signal *v = lh_entry_v(e);
         if (v->senders != RK_SENDERS_UNKNOWN && !all)
             continue;
@@ -132,8 +152,8 @@
 static void tell_again(struct rk_signals *s)
 {
     struct lh_entry *e;
-    lh_foreach(s->table.by_life, e)((struct rk_vm_signal *)lh_entry_v(e))->senders =
-        RK_SENDERS_UNKNOWN;
+    lh_foreach (s->table.by_life, e)
+        ((struct rk_vm_signal *)lh_entry_v(e))->senders = RK_SENDERS_UNKNOWN;
 }
 
 void rk_signals_tick(struct rk_signals *s)
--- a/node/state.h
+++ b/node/state.h
@@ -199,6 +199,7 @@
 void rk_signals_tick(struct rk_signals *s);
 const struct rk_vm_signals *rk_signals_table(const struct rk_signals *s);
 size_t rk_signals_limited(const struct rk_signals *s); /* VMs that name a limit */
+size_t rk_signals_leaving(const struct rk_signals *s); /* that say they leave */
 
 /* rollouts.c: versions that operators order for services. */
 struct rk_rollouts *rk_rollouts_create(struct rk_node *n);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -5060,7 +5060,7 @@
   (ProtobufCMessageInit) rillknot__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__vm_signal__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rillknot__vm_signal__field_descriptors[7] =
 {
   {
     "life",
@@ -5122,18 +5122,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_known",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, limit_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__vm_signal__field_indices_by_name[] = {
   1,   /* field[1] = domain */
+  6,   /* field[6] = leaving */
   0,   /* field[0] = life */
   4,   /* field[4] = limit_age_ms */
+  5,   /* field[5] = limit_known */
   3,   /* field[3] = limit_per_s */
   2,   /* field[2] = limited */
 };
 static const ProtobufCIntRange rillknot__vm_signal__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rillknot__vm_signal__descriptor =
 {
@@ -5143,7 +5169,7 @@
   "Rillknot__VmSignal",
   "rillknot",
   sizeof(Rillknot__VmSignal),
-  5,
+  7,
   rillknot__vm_signal__field_descriptors,
   rillknot__vm_signal__field_indices_by_name,
   1,  rillknot__vm_signal__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -734,10 +734,15 @@
   protobuf_c_boolean limited;
   double limit_per_s;
   uint32_t limit_age_ms;
+  /*
+   * Else the sender knows of no answer that decides.
+   */
+  protobuf_c_boolean limit_known;
+  protobuf_c_boolean leaving;
 };
 #define RILLKNOT__VM_SIGNAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_signal__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Rillknot__VmSignals
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -450,9 +450,53 @@
     rk_place_destroy(p);
 }
 
+/* Its own word counts more than a list that lags behind, or has lost it meanwhile.
+ */
+static void a_vm_that_says_it_leaves_stays_passed_over(void **state)
+{
+    (void)state;
+    const struct rk_vm_said leaves = {.leaving = true};
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000", 4000);
+    struct rk_engine_forecast forecast;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &forecast);
+    char id[RK_ID_MAX];
+    rk_strcpy(id, sizeof(id), first->row.id);
+    rk_place_hear(p, first, &leaves, 1000);
+    assert_true(first->row.leaving);
+    rk_place_set_vms(p, rows, 3, 1100); /* as ready */
+    assert_string_not_equal(rk_place_choose(p, &q, 1100, &forecast)->row.id, id);
+    rk_place_set_vms(p, rows, 0, 1200);
+    rk_place_set_vms(p, rows, 3, 1300);
+    assert_true(rk_place_find(p, id)->row.leaving);
+    rk_place_destroy(p);
+}
+
+/* A peer's word may come before the list has the vm. */
+static void a_word_of_a_vm_that_is_not_known_yet_counts(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = rk_place_create("here", 1);
+    struct rk_place *other = three_vms(rows);
+    const struct rk_vm_signal told = {.life = rk_vm_life(&rows[1]),
+                                      .leaving = true};
+    rk_place_set_signals(p, &told, 1, 100);
+    rk_place_set_signals(other, &told, 1, 100);
+    rk_place_set_vms(p, rows, 3, 200);
+    assert_true(rk_place_find(p, "vm-b")->row.leaving);
+    assert_false(rk_place_find(p, "vm-a")->row.leaving);
+    assert_true(rk_place_find(other, "vm-b")->row.leaving);
+    rk_place_destroy(p);
+    rk_place_destroy(other);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_vm_that_says_it_leaves_stays_passed_over),
+        cmocka_unit_test(a_word_of_a_vm_that_is_not_known_yet_counts),
         cmocka_unit_test(a_limited_vm_is_chosen_only_at_its_pace),
         cmocka_unit_test(a_limit_outlasts_the_list),
         cmocka_unit_test(a_prefix_stays_with_its_vm_until_that_is_busy),
