rest: a VM that asks a node for rest gets nothing from it until that is over

After any refusal it was passed over for 100 ms, and only as the last resort, so that a call whose prefix it holds, or that had no better VM, came again at once and took a retry from the budget.

Change: 503 and 429 with Retry-After keep the VM from being chosen at that node until the latest time asked for, whether or not others are left; kept by life, apart from the list. Where all VMs rest, calls are refused at once, not run, with the time until the first is back. A gauge tells how many rest (vms_resting).

--- a/core/place.h
+++ b/core/place.h
@@ -237,6 +237,8 @@
  * say of themselves; 0: it isn't that, or nobody can say. */
 int64_t rk_place_wait_ms(const struct rk_place *p, const struct rk_place_query *q,
                          int64_t now_ms);
+/* Vms that want nothing from this node now. */
+size_t rk_place_resting(const struct rk_place *p, int64_t now_ms);
 /* Forget what vms said that weren't heard for long. */
 void rk_place_forget_signals(struct rk_place *p, int64_t now_ms);
 
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -80,6 +80,19 @@
     return len;
 }
 
+size_t rk_place_resting(const struct rk_place *p, int64_t now_ms)
+{
+    size_t len = 0;
+    struct lh_entry *e;
+    if (!p->signals.by_life)
+        return 0;
+    lh_foreach (p->signals.by_life, e) {
+        const struct rk_vm_signal *v = lh_entry_v(e);
+        len += v->rest_until_ms > now_ms;
+    }
+    return len;
+}
+
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
 {
     return rk_place_takes_now(vm, now_ms);
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -100,7 +100,7 @@
     return (int64_t)ceil(senders * RK_MS_PER_S / limit_per_s);
 }
 
-int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
+static int64_t limit_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
 {
     if (!v->limited)
         return 0;
@@ -113,6 +113,13 @@
     return wait_ms > 0 ? wait_ms : 0;
 }
 
+int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
+{
+    int64_t rest_ms = v->rest_until_ms - now_ms;
+    int64_t wait_ms = limit_wait_ms(v, now_ms);
+    return rest_ms > wait_ms ? rest_ms : wait_ms;
+}
+
 void rk_vm_signal_sent(struct rk_vm_signal *v, int64_t now_ms)
 {
     v->sent_ms = now_ms;
--- a/node/node.c
+++ b/node/node.c
@@ -73,6 +73,7 @@
         {"requests_stopped", (int64_t)rk_quarantines_stopped(n->quarantines)},
         {"vms_limited", (int64_t)rk_signals_limited(n->signals)},
         {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
+        {"vms_resting", n->report ? (int64_t)n->report->vms_resting : 0},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -156,6 +156,7 @@
     fill_suspects(r, report);
     report->signals_len =
         rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
+    report->vms_resting = rk_place_resting(r->place, rk_mono_ms());
     report->knows_all = rk_quota_knows_all(&r->quota, rk_mono_ms());
     report->remembers_ms = rk_quota_remembers_ms(&r->quota, rk_mono_ms());
     report->version = r->routes ? r->routes->version : 0;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -62,6 +62,7 @@
     size_t suspects_len;
     struct rk_vm_signal *signals; /* what vms say of themselves */
     size_t signals_len;
+    size_t vms_resting;   /* that want nothing from this node now */
     int64_t remembers_ms; /* how far back the knowledge of quotas goes */
     bool knows_all;       /* uses[].kept is all that was used in the window */
     int64_t version;      /* of the routes in force; 0: none */
--- a/tests/proc_hosted_rest.py
+++ b/tests/proc_hosted_rest.py
@@ -31,6 +31,7 @@
         worker.seen = []
         worker.rest_s = 3
         began = time.monotonic()
+        wait_until(lambda: f.d.gauge(f.d.nodes[0], "vms_resting") == 1, 3)
         time.sleep(7)
         found = in_rest(worker, 3)
         assert found <= ALLOWED, "%d requests in a rest" % found
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -492,9 +492,31 @@
     rk_place_destroy(other);
 }
 
+/* Even where no other vm is left. */
+static void a_vm_that_asked_for_rest_is_left_alone_until_its_end(void **state)
+{
+    (void)state;
+    const struct rk_vm_said rests = {.rest_ms = 3000};
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000", 4000);
+    struct rk_engine_forecast forecast;
+    for (size_t i = 0; i < 3; i++)
+        rk_place_hear(p, rk_place_find(p, rows[i].id), &rests,
+                      1000 + 100 * (int64_t)i);
+    assert_null(rk_place_choose(p, &q, 1300, &forecast));
+    assert_int_equal(rk_place_wait_ms(p, &q, 1300), 2700);
+    rk_place_set_vms(p, rows, 0, 1400);
+    rk_place_set_vms(p, rows, 3, 1500);
+    assert_null(rk_place_choose(p, &q, 3999, &forecast));
+    assert_string_equal(rk_place_choose(p, &q, 4000, &forecast)->row.id, "vm-a");
+    rk_place_destroy(p);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_vm_that_asked_for_rest_is_left_alone_until_its_end),
         cmocka_unit_test(a_vm_that_says_it_leaves_stays_passed_over),
         cmocka_unit_test(a_word_of_a_vm_that_is_not_known_yet_counts),
         cmocka_unit_test(a_limited_vm_is_chosen_only_at_its_pace),
