entry: an upstream that asks for rest is left alone there, too

One reader of Retry-After for both programs. The rest is a traffic thread's: with several threads, each learns it by itself. Limits and leaving by answers are no part of the protocol that rillknot-entry speaks.

--- a/core/router.c
+++ b/core/router.c
@@ -389,7 +389,8 @@
     int64_t pause = PAUSE_MS;
     for (int i = FAILURES_TO_PAUSE; i < v->failures && pause < PAUSE_MAX_MS; i++)
         pause *= 2;
-    v->paused_until_ms = now_ms + pause;
+    if (v->paused_until_ms < now_ms + pause)
+        v->paused_until_ms = now_ms + pause;
 }
 
 static void learn_time(struct rk_job *job, double took_ms)
@@ -433,6 +434,14 @@
     job->state = RK_JOB_ENDED;
 }
 
+void rk_router_rest(struct rk_router *r, const struct rk_job *job, int64_t rest_ms,
+                    int64_t now_ms)
+{
+    struct vm *v = &r->vms[job->vm];
+    if (v->paused_until_ms < now_ms + rest_ms)
+        v->paused_until_ms = now_ms + rest_ms;
+}
+
 void rk_router_retry(struct rk_router *r, struct rk_job *job, int64_t now_ms)
 {
     assert(job->state == RK_JOB_SENT);
--- a/core/router.h
+++ b/core/router.h
@@ -97,6 +97,10 @@
 void rk_router_end(struct rk_router *r, struct rk_job *job, bool failed,
                    int64_t now_ms);
 
+/* The vm of a sent job wants nothing for so long. */
+void rk_router_rest(struct rk_router *r, const struct rk_job *job, int64_t rest_ms,
+                    int64_t now_ms);
+
 /* A sent job goes back to the queue, its vm excluded. */
 void rk_router_retry(struct rk_router *r, struct rk_job *job, int64_t now_ms);
 
--- a/core/verdict.c
+++ b/core/verdict.c
@@ -12,6 +12,13 @@
     [RK_RAN] = "ran",
 };
 
+int64_t rk_attempt_rest_ms(long http_status, int64_t asked_ms)
+{
+    bool turned_away =
+        http_status == HTTP_UNAVAILABLE || http_status == HTTP_TOO_MANY;
+    return turned_away && asked_ms > 0 ? asked_ms : 0;
+}
+
 const char *rk_verdict_str(enum rk_verdict v)
 {
     return names[v];
--- a/engines/attempt.c
+++ b/engines/attempt.c
@@ -8,6 +8,7 @@
 #include "common/counters.h"
 #include "common/http.h"
 #include "common/loop.h"
+#include "common/retry_after.h"
 #include "common/util.h"
 #include "core/stream.h"
 
@@ -24,6 +25,7 @@
     struct rk_sse sse;
     struct rk_timer silence;
     int64_t silence_ms;
+    int64_t rest_ms; /* that the answer asks for; -1: it can't be read */
     bool crossed, whole, unwanted;
 };
 
@@ -39,6 +41,8 @@
     struct rk_engine_attempt *a = ctx;
     if (!strcmp(name, "x-request-id") && strcmp(value, a->request_id) != 0)
         a->crossed = true;
+    else if (!strcmp(name, "retry-after"))
+        a->rest_ms = rk_retry_after_ms(value);
 }
 
 static bool on_event(void *ctx, const char *text)
@@ -89,6 +93,7 @@
         .answered =
             whole || (!res->curl_code && res->status != HTTP_OK && !a->crossed),
         .http_status = (int)res->status,
+        .rest_ms = rk_attempt_rest_ms(res->status, a->rest_ms),
     };
     const char *detail = a->crossed    ? "an answer to another request"
                          : a->unwanted ? "a gap in the tokens"
--- a/serve/attempts.c
+++ b/serve/attempts.c
@@ -70,6 +70,8 @@
     enum rk_verdict v = rk_verdict_of(end, &contract);
     const char *at = rk_router_vm_id(x->t->router, x->job.vm);
     log_attempt(x, "attempt.failed", at, rk_verdict_str(v), detail);
+    if (end->rest_ms > 0)
+        rk_router_rest(x->t->router, &x->job, end->rest_ms, rk_mono_ms());
     snprintf(x->detail, sizeof(x->detail), "%s", detail);
     x->verdict = rk_verdict_join(x->verdict, v);
     bool leaving = rk_router_vm_leaving(x->t->router, x->job.vm);
--- a/serve/relay_signals.c
+++ b/serve/relay_signals.c
@@ -1,45 +1,49 @@
 /* What a vm's answer says of the vm itself: read, and passed on to the choice of
  * vms. */
-#include <math.h>
 #include <stdlib.h>
 
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/retry_after.h"
 #include "serve/relay_call_impl.h"
 
-#define REST_MAX_MS (24 * 3600 * RK_MS_PER_S)
+#define RETRY_AFTER "Retry-After"
 #define MILLI       1000.0
 
-/* A number of 0 or more. False: there is none, or none that can be read. */
-static bool read_number(const struct rk_relay_call *x, const struct rk_head *head,
-                        const char *name, double *out)
+static void reject(const struct rk_relay_call *x, const char *name,
+                   const char *text)
 {
-    const char *text = rk_head_get(head, name);
-    char *end;
-    if (!text)
-        return false;
-    *out = strtod(text, &end);
-    if (end != text && !*end && isfinite(*out) && *out >= 0)
-        return true;
     rk_count(RK_C_VM_SIGNALS_BAD, 1);
     RK_WARN("vm.signal_rejected", RK_S("vm", x->vm->row.id), RK_S("header", name),
             RK_S("value", text));
-    return false;
 }
 
-static bool is_turned_away(const struct rk_head *head)
+static bool read_limit(const struct rk_relay_call *x, const struct rk_head *head,
+                       double *per_s)
 {
-    return head->status == HTTP_REFUSED || head->status == HTTP_QUOTA;
+    const char *name = x->r->opt.dialect->limit;
+    const char *text = rk_head_get(head, name);
+    if (!text)
+        return false;
+    if (rk_parse_decimal(text, per_s))
+        return true;
+    reject(x, name, text);
+    return false;
 }
 
 static int64_t read_rest_ms(const struct rk_relay_call *x,
                             const struct rk_head *head)
 {
-    double s;
-    if (!is_turned_away(head) || !read_number(x, head, "Retry-After", &s))
+    const char *text = rk_head_get(head, RETRY_AFTER);
+    bool turned_away = head->status == HTTP_REFUSED || head->status == HTTP_QUOTA;
+    if (!text || !turned_away)
         return 0;
-    return s * RK_MS_PER_S < REST_MAX_MS ? rk_s_to_ms(s) : REST_MAX_MS;
+    int64_t rest_ms = rk_retry_after_ms(text);
+    if (rest_ms >= 0)
+        return rest_ms;
+    reject(x, RETRY_AFTER, text);
+    return 0;
 }
 
 /* Is it certain that the call's vm made the answer? Another process may have got
@@ -59,7 +63,7 @@
     const char *leaving = rk_head_get(head, d->leaving);
     struct rk_vm_said said = {.leaving = leaving && atoi(leaving) > 0,
                               .rest_ms = read_rest_ms(x, head)};
-    said.limited = read_number(x, head, d->limit, &said.limit_per_s);
+    said.limited = read_limit(x, head, &said.limit_per_s);
     said.unlimited =
         !rk_head_get(head, d->limit) && rk_head_get(head, d->signature);
     return said;
--- a/services/attempt.c
+++ b/services/attempt.c
@@ -7,6 +7,7 @@
 #include "common/counters.h"
 #include "common/http.h"
 #include "common/loop.h"
+#include "common/retry_after.h"
 #include "common/util.h"
 #include "core/call.h"
 
@@ -24,6 +25,7 @@
     struct rk_buf body;
     struct rk_timer silence;
     int64_t silence_ms;
+    int64_t rest_ms; /* that the answer asks for; -1: it can't be read */
     bool crossed;
 };
 
@@ -41,6 +43,8 @@
         a->crossed = true;
     else if (!strcmp(name, "content-type"))
         rk_strcpy(a->content_type, sizeof(a->content_type), value);
+    else if (!strcmp(name, "retry-after"))
+        a->rest_ms = rk_retry_after_ms(value);
 }
 
 static bool on_data(void *ctx, const char *data, size_t len)
@@ -60,7 +64,8 @@
     struct rk_service_answer answer = {
         .end = {.handed = res->handed,
                 .answered = !res->curl_code && !a->crossed,
-                .http_status = (int)res->status},
+                .http_status = (int)res->status,
+                .rest_ms = rk_attempt_rest_ms(res->status, a->rest_ms)},
         .content_type = a->content_type,
         .body = a->body.data ? a->body.data : "",
         .len = a->body.len,
--- a/tests/proc_refusals.py
+++ b/tests/proc_refusals.py
@@ -179,3 +179,32 @@
                      headers=h)
         assert again.verdict == "may-have-run", again.body
         assert get_json(c.engines[0].port, "/_runs")["calls"] == 1
+
+
+# Guards against requests to an upstream that has asked for rest, sent again and again.
+def test_an_upstream_that_asks_for_rest_is_left_alone():
+    def turn_away(conn, read, n):
+        read()
+        turned.append(time.monotonic())
+        conn.sendall(b"HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
+
+    def serve(conn, read, n):
+        read()
+        conn.sendall(OK_ANSWER)
+
+    turned, tired, fresh = [], RawUpstream(turn_away), RawUpstream(serve)
+    with small(services=0, engines=0) as c:
+        c.list_vm("tired", tired.port, "klein-hall", "slots", "small")
+        c.list_vm("fresh", fresh.port, "klein-hall", "slots", "small")
+        c.wait_ready()
+        wait_for(lambda: call(c.entries[0].port, "slots/find").whole() and turned, 10,
+                 "a call that is turned away")
+        end = turned[0] + 5
+        while time.monotonic() < end:
+            call(c.entries[0].port, "slots/find")
+            time.sleep(0.02)
+        rested = [t for t in turned if turned[0] + 0.5 < t < turned[0] + 1.9]
+        assert len(rested) <= 2, "%d requests in a rest" % len(rested)
+        assert [t for t in turned if t > turned[0] + 2], "it isn't used again"
+    for up in (tired, fresh):
+        up.close()
