--- a/common/retry_after.h
+++ b/common/retry_after.h
@@ -6,8 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define RK_RETRY_AFTER_MAX_MS (24 * 3600 * 1000) /* longer ones are taken as this  \
-                                                  */
+#define RK_RETRY_AFTER_MAX_MS (24 * 3600 * 1000) /* longer: taken as this */
 
 /* A number of 0 or more with nothing behind it. False: it is none. */
 bool rk_parse_decimal(const char *text, double *out);
