soak: VMs name limits, say that they leave and ask for rest

During the strikes any VM may name a limit, leave by its answers only, or shed with Retry-After; afterwards, in the calm, one of each is there from the start, and is checked: a limit of 1 in any 4 s (11 allowed), nothing to the one that leaves, no more than three requests a node in a rest.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -32,6 +32,12 @@
 QUOTA_WINDOW_S, QUOTA_RATE, QUOTA_BURST, QUOTA_SLACK = 4, 20, 20, 40
 QUOTA_MOST = (QUOTA_RATE * QUOTA_WINDOW_S + QUOTA_BURST) * 1.1 + QUOTA_SLACK
 SETTLE_S = 12  # after the last fault
+IN_TOUCH_S = 3.0  # until all nodes know what a vm says in its answers
+CALM_S = 6.0
+REST_S, REST_WINDOW_S = 3, 2.5
+IN_A_REST = 3  # requests of a node: the one that is told, and two
+LIMIT, LIMIT_WINDOW_S = 1, 4.0
+LIMIT_MOST = 1.5 * LIMIT * LIMIT_WINDOW_S + 5
 PUBLIC, SMALL = "key-public", "key-small"
 
 
@@ -241,7 +247,8 @@
                 self.store_path, self.store_path, self.peer_path, self.peer_path,
                 self.cloud_path, self.worker_path, self.worker_path, self.store_ill,
                 self.store_ill, self.forget, self.change, self.change, self.crash_worker,
-                self.release_worker, self.kill_many]
+                self.release_worker, self.kill_many, self.name_limit, self.ask_rest,
+                self.say_leaving]
 
     def take_node(self, rng):
         with self.lock:
@@ -367,6 +374,35 @@
         proxy.close()
         worker.close()
 
+    def name_limit(self, rng):
+        worker = self.plain_worker(rng)
+        if worker is None:
+            return
+        worker.limit = rng.choice([0.5, 1, 5, 50])
+        time.sleep(0.5 + rng.random() * 5)
+        worker.limit = None
+
+    def ask_rest(self, rng):
+        worker = self.plain_worker(rng)
+        if worker is None:
+            return
+        worker.rest_s = rng.choice([0.2, 1, 3])
+        time.sleep(0.3 + rng.random() * 3)
+        worker.rest_s = 0
+
+    def say_leaving(self, rng):
+        """In its answers only; its entry goes later."""
+        worker = self.plain_worker(rng)
+        if worker is None:
+            return
+        self.add_worker(worker.service, worker.zone, worker.events)
+        worker.says_leaving = True
+        proxy = self.worker_paths.pop(worker.id)
+        time.sleep(3)
+        self.hosted.store.drop("servers", worker.id)
+        proxy.close()
+        worker.close()
+
     def strike(self):
         """Series of faults that overlap."""
         threads = []
@@ -397,6 +433,8 @@
                 proxy.heal()
         for proxy in self.worker_paths.values():
             proxy.heal()
+        for worker in self.hosted.workers:
+            worker.limit, worker.rest_s = None, 0
 
     def check_calm(self):
         """Once all is well again: everything is served, settings arrive, a vm that
@@ -415,17 +453,57 @@
         if leaving:
             self.add_worker(leaving.service, leaving.zone, leaving.events)
             self.publish(leaving, "draining")
-        time.sleep(3)
+        says = self.vms_that_speak()
+        time.sleep(IN_TOUCH_S)
         before = len(leaving.seen) if leaving else 0
         self.calm.set()
-        time.sleep(3)
+        began = time.monotonic()
+        time.sleep(CALM_S)
         if leaving and len(leaving.seen) > before:
             self.problem("a leaving vm got %d calls" % (len(leaving.seen) - before))
+        self.check_signals(says, began)
         served, all_of = self.calm_done[200], sum(self.calm_done.values())
         if all_of < 20 or served < 0.95 * all_of:
             self.problem("after the faults %d of %d served: %s"
                          % (served, all_of, dict(self.calm_done)))
 
+    def vms_that_speak(self):
+        """By service, vms that say in their answers that they leave, name a limit, or
+        want rest; each service has two others."""
+        says = {}
+        with self.lock:
+            listed = [w for w in self.hosted.workers if w.id in self.worker_paths]
+        for what, service in (("leaving", "llm"), ("limit", "llm"), ("rest", "plain")):
+            ready = [w for w in listed if w.service == service and w not in says.values()]
+            if len(ready) < 3:
+                worker = ready[0]
+                self.add_worker(service, worker.zone, worker.events)
+            says[what] = self.rng.choice(ready)
+        says["leaving"].says_leaving = True
+        says["limit"].limit = LIMIT
+        says["rest"].rest_s = REST_S
+        return says
+
+    def check_signals(self, says, since):
+        def most(what, window_s):
+            times = sorted(r.at for r in says[what].seen if r.at >= since)
+            return max((sum(at <= t < at + window_s for t in times) for at in times),
+                       default=0)
+        left = most("leaving", CALM_S)
+        if left and says["leaving"].runs and self.said_before(says["leaving"], since):
+            self.problem("a vm that says it leaves got %d calls" % left)
+        if most("limit", LIMIT_WINDOW_S) > LIMIT_MOST:
+            self.problem("a vm with a limit of %g got %d calls in %g s, %g are allowed" % (
+                LIMIT, most("limit", LIMIT_WINDOW_S), LIMIT_WINDOW_S, LIMIT_MOST))
+        if most("rest", REST_WINDOW_S) > IN_A_REST * self.node_count:
+            self.problem("a vm that asks for rest got %d calls of %d nodes in %g s" % (
+                most("rest", REST_WINDOW_S), self.node_count, REST_WINDOW_S))
+
+    @staticmethod
+    def said_before(worker, since):
+        """Did it answer anybody since it says so, in time for all to know?"""
+        return any(since - IN_TOUCH_S <= r.at < since - 1 for r in worker.seen)
+
     def check_runs(self):
         runs = collections.Counter()
         for worker in self.hosted.workers:
