limits: the test of a limit's end asks for more than the limit gives; mutants of what VMs say

A mutant that never ends a limit passed the test: 10 requests in 6 s come at 5 a second, too. Now the limit is 1 at its end, and 10 requests within 2 s have to follow: it catches the mutant, and passes.

--- a/tests/proc_hosted_limits.py
+++ b/tests/proc_hosted_limits.py
@@ -99,9 +99,11 @@
         used = len(arrivals(limited[0], since))
         assert used >= 0.3 * 5 * 2 * WINDOW_S, used
         check_limit(limited[0], 5, since)
+        limited[0].limit = 1
+        time.sleep(WINDOW_S)
         limited[0].limit = None
         ended = time.monotonic()
-        wait_until(lambda: len(arrivals(limited[0], ended + 1)) >= 10, 6)
+        wait_until(lambda: most_within(arrivals(limited[0], ended), 2) >= 10, 6)
         return "%d used of 40" % used
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -61,6 +61,18 @@
      [("core/admit.c", "VTIME_SCALE / w->weight", "VTIME_SCALE")], "prop_core"),
     ("10", "dot segments pass",
      [("callers/parse.c", 'strstr(rest, "/.")', "0")], "malformed_requests"),
+    ("signals", "each node takes a vm's limit for its own",
+     [("core/vm_signals.c", "return before < senders ? senders : 0;", "return 1;")],
+     "a_limit_of_one_a_second_holds_in_a_fleet_with_bridges"),
+    ("signals", "a limit that is over is kept",
+     [("core/vm_signals.c", "if (!said->limited && !said->unlimited)",
+       "if (!said->limited)")], "a_limit_is_used_and_its_end_is_noticed"),
+    ("signals", "a vm that says it leaves is used as the list has it",
+     [("core/place_impl.h", "return vm->signal && vm->signal->leaving;", "return 0;")],
+     "gets_nothing_while_the_store_is_away"),
+    ("signals", "a vm's rest is forgotten",
+     [("core/vm_signals.c", "return rest_ms > wait_ms ? rest_ms : wait_ms;",
+       "return wait_ms;")], "vms_that_all_ask_for_rest"),
 ]
 
 
