--- a/node/signal_tell.c
+++ b/node/signal_tell.c
@@ -1,6 +1,6 @@
 /* What VMs say of themselves, told to peers: what was just heard at once and a few
  * times, limits that stand once a second, so that who was cut off or starts again
- * learns of them. A row is 30 bytes; most of the time there is none. */
+ * learns of them. A row is 40 bytes; most of the time there is none. */
 #include <json-c/linkhash.h>
 #include <math.h>
 #include <stdlib.h>
