--- a/core/dialect.h
+++ b/core/dialect.h
@@ -43,9 +43,8 @@
     /* Of answers. */
     const char *signature; /* of the upstream that made the body */
     const char *not_run;   /* proves that the request did not run */
-    const char
-        *limit; /* requests a second that the upstream takes from all nodes */
-    const char *leaving; /* "1": the upstream is about to end */
+    const char *limit;     /* requests a second that it takes from all nodes */
+    const char *leaving;   /* "1": the upstream is about to end */
     /* Where the balancer asks whether this node takes new connections. */
     const char *ready_path;
 };
--- a/core/place.c
+++ b/core/place.c
@@ -470,7 +470,7 @@
     *first = (struct rk_engine_forecast){0};
     find_homes(p, q, service_hash, &homes);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
-        if (!can_take(q, service_hash, v) || !rk_place_takes_now(v, now_ms))
+        if (!can_take(q, service_hash, v) || !rk_place_may_send(v, now_ms))
             continue;
         double ms;
         struct rk_engine_forecast f = forecast(p, q, v, &homes, now_ms, &ms);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -47,12 +47,6 @@
 /* Forget vms that are off the list and have no call. */
 void rk_place_sweep(struct rk_place *p);
 
-/* May a call go there now, by what the vm says of itself? */
-static inline bool rk_place_takes_now(const struct rk_place_vm *vm, int64_t now_ms)
-{
-    return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
-}
-
 /* By its own word, whatever the list has. */
 static inline bool rk_place_says_leaving(const struct rk_place_vm *vm)
 {
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -95,7 +95,7 @@
 
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
 {
-    return rk_place_takes_now(vm, now_ms);
+    return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
 }
 
 int64_t rk_place_wait_ms(const struct rk_place *p, const struct rk_place_query *q,
