choice: a refusal that a VM's load explains says nothing of the VM

A VM whose slots are all taken, as far as a node knows, is passed over for that already; counted on top, its refusals would keep it unused after its load is gone.

--- a/core/place.c
+++ b/core/place.c
@@ -357,8 +357,7 @@
         rk_pace_failing(pace) * ERROR_MS + rk_pace_refusing(pace) * TURNED_AWAY_MS;
     if (now_ms < v->paused_until_ms)
         ms += PAUSED_MS;
-    int64_t in_hand = v->running + (int64_t)v->peers_running;
-    if (v->row.slots > 0 && in_hand >= v->row.slots)
+    if (rk_place_is_full(v))
         ms += FULL_MS;
     if (v->signal && rk_vm_signal_is_stale(v->signal, now_ms))
         ms -= STALE_BONUS_MS;
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -47,6 +47,13 @@
 /* Forget vms that are off the list and have no call. */
 void rk_place_sweep(struct rk_place *p);
 
+/* As far as known here, all its slots are taken. */
+static inline bool rk_place_is_full(const struct rk_place_vm *vm)
+{
+    return vm->row.slots > 0 &&
+           vm->running + (int64_t)vm->peers_running >= vm->row.slots;
+}
+
 /* By its own word, whatever the list has. */
 static inline bool rk_place_says_leaving(const struct rk_place_vm *vm)
 {
--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -82,7 +82,8 @@
         pause_vm(vm, now_ms);
         break;
     case RK_PLACE_REFUSED:
-        rk_pace_refuse(&vm->pace, now_ms);
+        if (!rk_place_is_full(vm))
+            rk_pace_refuse(&vm->pace, now_ms);
         if (vm->paused_until_ms < now_ms + PAUSE_REFUSED_MS)
             vm->paused_until_ms = now_ms + PAUSE_REFUSED_MS;
         break;
