mesh: what arrives late of a node's life that has ended counts for nothing

Each change of incarnation, also back, was taken for a node that counts from nothing, and all that it had used in 50 s counted as used now: 2,394,718 units where 1,572,714 are allowed.

Change: a member's lives that ended are remembered (8), and reports and digests of theirs are dropped; only counts of calls by window are taken from them, which are each life's own. Weighed: incarnations that rise with time (clocks of machines differ and jump).

The new unit failed before.

--- a/node/members.c
+++ b/node/members.c
@@ -97,6 +97,20 @@
     return k;
 }
 
+bool rk_mesh_hears_life(struct member *k, uint64_t incarnation)
+{
+    size_t kept = k->ended_len < ENDED_LIVES ? k->ended_len : ENDED_LIVES;
+    if (k->life == incarnation)
+        return true;
+    for (size_t i = 0; i < kept; i++)
+        if (k->ended[i] == incarnation)
+            return false;
+    if (k->life)
+        k->ended[k->ended_len++ % ENDED_LIVES] = k->life;
+    k->life = incarnation;
+    return true;
+}
+
 void rk_mesh_meet(struct member *k)
 {
     if (k->is_contact)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -180,7 +180,8 @@
     if (rk_mesh_is_self(m, r->id, r->addr))
         return;
     struct member *k = rk_mesh_learn(m, r->id, r->addr);
-    rk_report_take(k, r);
+    if (!rk_report_take(k, r))
+        return;
     k->settings_version = r->settings_version;
     if (r->settings_version < rk_sync_version(m->n->sync))
         rk_tell_soon(m);
@@ -206,6 +207,8 @@
     if (rk_mesh_is_self(m, d->id, d->addr))
         return;
     struct member *k = rk_mesh_learn(m, d->id, d->addr);
+    if (!rk_mesh_hears_life(k, d->incarnation))
+        return;
     if (rk_digest_take(k, d))
         relay_soon(m);
     rk_sync_confirm(m->n->sync, d->store_age_ms, d->settings_version,
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -19,6 +19,9 @@
  * it misses of the store it asks for. */
 #define RK_MESH_BEHIND (256 * 1024)
 
+/* Lives of a node that are remembered after it started again. */
+#define ENDED_LIVES 8
+
 struct lh_table;
 struct rk_link;
 struct rk_listener;
@@ -65,6 +68,9 @@
     bool bridge;            /* of its domain, as elected last */
     bool unproven;          /* listed again after it was forgotten, not heard */
     uint64_t incarnation;
+    uint64_t life;               /* the incarnation that spoke last; 0: none did */
+    uint64_t ended[ENDED_LIVES]; /* those before it, in a ring */
+    size_t ended_len;
     struct rk_link *link;     /* that this node opened */
     struct link_told told;    /* of that link */
     int64_t settings_version; /* as it told itself */
@@ -188,6 +194,9 @@
 struct member *rk_mesh_find_addr(const struct rk_mesh *m, const char *addr);
 /* A node at an address; it may be known by that address only. */
 struct member *rk_mesh_learn(struct rk_mesh *m, const char *id, const char *addr);
+/* Does what was said by an incarnation still count? What a node sent before it
+ * started again may arrive after its new life has spoken. */
+bool rk_mesh_hears_life(struct member *k, uint64_t incarnation);
 /* Words are exchanged with it from now on. */
 void rk_mesh_meet(struct member *k);
 void rk_mesh_init_members(struct rk_mesh *m);
@@ -222,7 +231,8 @@
 /* report.c: make a report of this node; take in what a member told. */
 void rk_report_fill(struct rk_report *p, struct rk_mesh *m);
 void rk_report_free(struct rk_report *p);
-void rk_report_take(struct member *k, const Rillknot__NodeReport *r);
+/* False: it is of a life that has ended. */
+bool rk_report_take(struct member *k, const Rillknot__NodeReport *r);
 
 /* report_uses.c: the use of quotas, in reports. */
 void rk_report_fill_uses(struct rk_report *p, struct rk_mesh *m,
--- a/node/report.c
+++ b/node/report.c
@@ -140,9 +140,12 @@
     k->services_len = r->n_services;
 }
 
-void rk_report_take(struct member *k, const Rillknot__NodeReport *r)
+bool rk_report_take(struct member *k, const Rillknot__NodeReport *r)
 {
     bool first = !k->incarnation;
+    rk_usage_take(k->m->n, r->usage, r->n_usage); /* each life's rows are its own */
+    if (!rk_mesh_hears_life(k, r->incarnation))
+        return false;
     rk_mesh_meet(k);
     if (k->incarnation != r->incarnation) {
         k->incarnation = r->incarnation;
@@ -164,5 +167,5 @@
     rk_report_take_uses(k, r, first);
     rk_loads_take(&k->loads, &k->loads_len, r->vms, r->n_vms);
     take_services(k, r, first);
-    rk_usage_take(k->m->n, r->usage, r->n_usage);
+    return true;
 }
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -309,9 +309,52 @@
     end(&f);
 }
 
+/* Seen: a domain that was cut off, and whose nodes were restarted meanwhile, came
+ * back, and organisations that had used a third of their quotas were refused for 8
+ * s: what a node's life before had sent into the cut arrived behind the new life's
+ * reports, and all that it had used in 50 s counted as used now. */
+static void what_arrives_late_of_an_ended_life_counts_for_nothing(void **state)
+{
+    (void)state;
+    struct fleet f;
+    const struct {
+        uint64_t life;
+        double units;
+        double counted; /* so far */
+    } heard[] = {{1, 5000, 0},   {1, 5100, 100}, {2, 40, 140},
+                 {1, 5200, 140}, {2, 50, 150},   {3, 7, 157},
+                 {2, 60, 157},   {1, 9000, 157}, {3, 8, 158}};
+    begin(&f);
+    f.meshes[0].direct = true;
+    for (size_t i = 0; i < RK_ARRAY_LEN(heard); i++) {
+        char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+        Rillknot__NodeReport r = RILLKNOT__NODE_REPORT__INIT;
+        Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT, *uses[] = {&use};
+        name(id, addr, 1);
+        r.id = id;
+        r.addr = addr;
+        r.domain = (char *)domain_of(1);
+        r.incarnation = heard[i].life;
+        use.org = "clinic";
+        use.units = heard[i].units;
+        r.uses = uses;
+        r.n_uses = 1;
+        rk_report_take(rk_mesh_learn(&f.meshes[0], id, addr), &r);
+        double counted = 0;
+        for (size_t j = 0; j < f.meshes[0].news_len; j++)
+            counted += f.meshes[0].news[j].units;
+        assert_true(counted == heard[i].counted);
+    }
+    free(f.meshes[0].news);
+    rk_tally_free(&f.meshes[0].domain_uses);
+    rk_tally_free(&f.meshes[0].fleet_uses);
+    end(&f);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(what_arrives_late_of_an_ended_life_counts_for_nothing),
         cmocka_unit_test(nodes_agree_however_they_learnt_of_bridges),
         cmocka_unit_test(what_a_bridge_does_not_know_changes_nothing),
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
