choice: a VM that turned many calls away at once is tried again within seconds

Cause, of my change before: eight calls in hand were refused at once and all counted, and a refusal whose reason is known, a rest or taken slots, counted beside that reason. Change: a node counts two at the most; none that is explained; what is left of a single one weighs by its square, so that it is forgotten sooner, but not by all nodes at one moment.

Units on the code before: both failed.

--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -61,6 +61,13 @@
     pause_vm(vm, now_ms);
 }
 
+/* Is it known anyway why the vm turned a call away? Then it is passed over for
+ * that, and no longer than that. */
+static bool is_explained(const struct rk_place_vm *vm, int64_t now_ms)
+{
+    return rk_place_is_full(vm) || !rk_place_may_send(vm, now_ms);
+}
+
 void rk_place_ended(struct rk_place *p, struct rk_place_vm *vm,
                     struct rk_place_job *job, enum rk_place_end end, int64_t now_ms)
 {
@@ -82,7 +89,7 @@
         pause_vm(vm, now_ms);
         break;
     case RK_PLACE_REFUSED:
-        if (!rk_place_is_full(vm))
+        if (!is_explained(vm, now_ms))
             rk_pace_refuse(&vm->pace, now_ms);
         if (vm->paused_until_ms < now_ms + PAUSE_REFUSED_MS)
             vm->paused_until_ms = now_ms + PAUSE_REFUSED_MS;
--- a/core/speeds.c
+++ b/core/speeds.c
@@ -20,6 +20,7 @@
 #define PACE_DOUBT 1.5
 /* A vm that turns calls away is tried again after some seconds. */
 #define REFUSED_HALVED_MS 2000.0
+#define REFUSED_MAX       2.0 /* of a node: many at once are one sign */
 #define REFUSED_PRIOR     1.0 /* calls that were taken, added: a refusal is certain */
 #define PACE_CALLS_MAX    1e6 /* what is told above it is no count of calls */
 #define EXPECTED_MIN_MS   5.0 /* below it, ratios are noise */
@@ -124,7 +125,8 @@
 
 double rk_pace_refusing(const struct rk_pace *p)
 {
-    return p->refused / (rk_pace_weight(p) + REFUSED_PRIOR);
+    double refused = p->refused * p->refused; /* what is left of one says little */
+    return refused / (refused + p->calls + REFUSED_PRIOR);
 }
 
 static double log_ratio(double seen_ms, double expected_ms)
@@ -154,5 +156,5 @@
 void rk_pace_refuse(struct rk_pace *p, int64_t now_ms)
 {
     *p = rk_pace_at(p, now_ms);
-    p->refused += 1;
+    p->refused = fmin(p->refused + 1, REFUSED_MAX);
 }
--- a/core/speeds.h
+++ b/core/speeds.h
@@ -39,7 +39,7 @@
     double log_sum; /* of the logarithms of seen by expected times */
     double failed;  /* calls that failed */
     double calls;   /* all of them, but those that the vm turned away */
-    double refused; /* these */
+    double refused; /* these, a few of each node at the most */
     int64_t at_ms;  /* when the sums were reckoned */
 };
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -401,6 +401,61 @@
     rk_speeds_free(&speeds);
 }
 
+/* ---- refusals ---- */
+
+static void turn_away(struct rk_place *p, struct rk_place_vm *v,
+                      const struct rk_place_query *q, int64_t now_ms)
+{
+    struct rk_place_job job;
+    rk_place_sent(p, v, q, now_ms, &job);
+    rk_place_ended(p, v, &job, RK_PLACE_REFUSED, now_ms);
+}
+
+/* By each node, as one tells the other, however many were turned away; and by none
+ * for long after that. */
+static void a_vm_that_turned_calls_away_is_tried_again_after_seconds(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows), *other = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000,bb:100", 4100);
+    struct rk_engine_forecast forecast;
+    struct rk_vm_load *loads;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &forecast);
+    struct rk_place_vm *same = rk_place_find(other, first->row.id);
+    assert_ptr_equal(rk_place_choose(other, &q, 1000, &forecast), same);
+    for (int i = 0; i < 50; i++)
+        turn_away(p, first, &q, 1000);
+    size_t len = rk_place_own_loads(p, 1200, &loads);
+    rk_place_set_loads(other, loads, len, 1200);
+    free(loads);
+    assert_ptr_not_equal(rk_place_choose(p, &q, 2500, &forecast), first);
+    assert_ptr_not_equal(rk_place_choose(other, &q, 2500, &forecast), same);
+    assert_ptr_equal(rk_place_choose(p, &q, 9000, &forecast), first);
+    assert_ptr_equal(rk_place_choose(other, &q, 9000, &forecast), same);
+    rk_place_destroy(p);
+    rk_place_destroy(other);
+}
+
+/* A rest that was asked for ends when it ends. */
+static void a_refusal_that_is_explained_speaks_against_nothing_more(void **state)
+{
+    (void)state;
+    const struct rk_vm_said rests = {.rest_ms = 1000};
+    struct rk_vm_row rows[3];
+    struct rk_place *p = three_vms(rows);
+    struct rk_place_query q = engine_query("aa:4000,bb:100", 4100);
+    struct rk_engine_forecast forecast;
+    struct rk_place_vm *first = rk_place_choose(p, &q, 1000, &forecast);
+    for (int i = 0; i < 8; i++) {
+        rk_place_hear(p, first, &rests, 1000);
+        turn_away(p, first, &q, 1000);
+    }
+    assert_ptr_not_equal(rk_place_choose(p, &q, 1999, &forecast), first);
+    assert_ptr_equal(rk_place_choose(p, &q, 2000, &forecast), first);
+    rk_place_destroy(p);
+}
+
 /* ---- what vms say of themselves ---- */
 
 static void a_limited_vm_is_chosen_only_at_its_pace(void **state)
@@ -516,6 +571,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_vm_that_turned_calls_away_is_tried_again_after_seconds),
+        cmocka_unit_test(a_refusal_that_is_explained_speaks_against_nothing_more),
         cmocka_unit_test(a_vm_that_asked_for_rest_is_left_alone_until_its_end),
         cmocka_unit_test(a_vm_that_says_it_leaves_stays_passed_over),
         cmocka_unit_test(a_word_of_a_vm_that_is_not_known_yet_counts),
