--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -11,7 +11,7 @@
 #define TRY_PER_S 0.1
 /* Senders beyond requests a second: one of them may have no callers. */
 #define SENDERS_MORE 3
-#define STALE_MS  1000
+#define STALE_MS     1000
 
 static void free_row(struct lh_entry *e)
 {
