node: log when silent members leave the fleet's size

Of the removal of a member only nodes that receive its reports wrote a line, so that the logs of a domain that was cut off didn't show when its nodes were forgotten, which sets each node's part of a quota. Each node now writes one line a tick with how many were removed and how many are left.

--- a/node/members.c
+++ b/node/members.c
@@ -269,21 +269,32 @@
                  RK_S("domain", k->domain), RK_N("leaving", k->leaving));
 }
 
+/* Updates and logs whether a member is reachable. */
+static void update_reachable(struct member *k, int64_t now_ms)
+{
+    bool reachable =
+        (k->last_received_ms || k->reported_ms) && rk_mesh_is_alive(k, now_ms);
+    if (reachable == k->was_reachable)
+        return;
+    k->was_reachable = reachable;
+    log_peer(k, reachable ? "peer.heard" : "peer.silent");
+}
+
+/* Returns when a member was last known to be alive, or was added. */
+static int64_t last_alive_ms(const struct member *k)
+{
+    int64_t last_ms = k->last_received_ms > k->reported_ms ? k->last_received_ms
+                                                           : k->reported_ms;
+    return k->added_ms > last_ms ? k->added_ms : last_ms;
+}
+
 void rk_mesh_expire_members(struct rk_mesh *m, int64_t now_ms)
 {
+    int removed = 0;
     for (struct member **at = &m->members; *at;) {
         struct member *k = *at;
-        bool reachable =
-            (k->last_received_ms || k->reported_ms) && rk_mesh_is_alive(k, now_ms);
-        if (reachable != k->was_reachable) {
-            k->was_reachable = reachable;
-            log_peer(k, reachable ? "peer.heard" : "peer.silent");
-        }
-        int64_t last_ms = k->last_received_ms > k->reported_ms ? k->last_received_ms
-                                                               : k->reported_ms;
-        if (k->added_ms > last_ms)
-            last_ms = k->added_ms;
-        if (now_ms - last_ms < REMOVE_MS) {
+        update_reachable(k, now_ms);
+        if (now_ms - last_alive_ms(k) < REMOVE_MS) {
             at = &k->next;
             continue;
         }
@@ -291,7 +302,12 @@
         *at = k->next;
         m->member_removed_ms = now_ms;
         free_member(k);
+        removed++;
     }
+    /* The number of members sets this node's part of each quota. */
+    if (removed)
+        RK_EVENT("mesh.shrunk", RK_N("removed", removed),
+                 RK_N("members", (int64_t)m->members_len));
 }
 
 /* ---- election of bridges ---- */
