tests: nodes forget a domain as soon as a bridge doesn't reach it (fails)

Reproduces the quota that an organisation exceeded while a domain was cut off: after a digest says that a bridge doesn't reach a domain, a node that has known that domain's nodes for over 15 s removes them at once.

--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -402,6 +402,26 @@
         return "%d in a window, %d is the quota" % (most, bound)
 
 
+def test_a_silent_domain_stays_part_of_the_fleet():
+    """Guards against both sides of a partition using whole quotas.
+
+    The nodes that still reached each other forgot those of a domain that was cut off 2 s
+    before, took themselves for the whole fleet and used the whole quota; so did the domain.
+    Nodes of the fleet are known for longer here than a silent one is remembered.
+    """
+    with fleet(nodes=NODES) as d:
+        wait_settled(d)
+        time.sleep(16)
+        frozen = [n for n in d.nodes if "c-hall" in n.name]
+        others = [n for n in d.nodes if n not in frozen]
+        for node in frozen:
+            node.freeze()
+        time.sleep(6)  # all member lists, which come every 4 s, show the loss
+        known = {n.name: d.gauge(n, "nodes_known") for n in others}
+        assert set(known.values()) == {NODES}, known
+        assert all(d.gauge(n, "nodes_heard") == len(others) for n in others)
+
+
 def test_a_restarted_bridge_leads_to_no_failed_calls():
     """Guards against refused calls after a bridge restarts.
 
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -17,6 +17,7 @@
 #define DOMAIN_NODES 5 /* nodes in the domain of the first */
 #define CAPACITY     250
 #define DEMAND       5 /* units a second, as reported */
+#define LONG_AGO_MS  60000
 
 struct fleet {
     struct rk_node nodes[NODES];
@@ -87,8 +88,10 @@
     d->fleet = true;
 }
 
-/* Node `to` receives a digest of node `from` with the members that it knows. */
-static void receive_digest(struct fleet *f, int to, int from, int64_t capacity)
+/* Node `to` receives a digest of node `from` with the members that it knows. The
+ * nodes of the domain `unreachable`, which may be NULL, are reported as that. */
+static void receive_digest_of_cut(struct fleet *f, int to, int from,
+                                  int64_t capacity, const char *unreachable)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
     Rillknot__Digest d;
@@ -103,12 +106,17 @@
         row->addr = k->addr;
         row->domain = k->domain;
         row->capacity = k->capacity;
-        row->heard = true;
+        row->heard = !unreachable || strcmp(k->domain, unreachable) != 0;
         ptrs[d.n_members++] = row;
     }
     rk_digest_receive(rk_mesh_find_or_add(&f->meshes[to], id, addr), &d);
 }
 
+static void receive_digest(struct fleet *f, int to, int from, int64_t capacity)
+{
+    receive_digest_of_cut(f, to, from, capacity, NULL);
+}
+
 /* Fills in which nodes a node elects as bridges; returns the number of those in the
  * first domain. */
 static int elect_bridges(struct fleet *f, int node, bool is_bridge[NODES])
@@ -367,10 +375,40 @@
     fleet_free(&f);
 }
 
+/* Node `from` learns of all nodes, and node `to` of them from its digest, both long
+ * ago. */
+static void learn_of_all_long_ago(struct fleet *f, int to, int from)
+{
+    for (int i = 0; i < NODES; i++)
+        if (i != from)
+            receive_report(f, from, i);
+    receive_digest(f, to, from, CAPACITY);
+    for (struct member *k = f->meshes[to].members; k; k = k->next)
+        k->added_ms -= LONG_AGO_MS;
+}
+
+/* Guards against sides of a partition that each take themselves for the whole
+ * fleet. When a bridge reported that it didn't reach a domain, nodes forgot when
+ * they had known its members to be alive and removed them at once, if they had been
+ * added long ago. Both sides then used the whole quota of each organisation: 11.5
+ * million units where 11.0 million are allowed. */
+static void members_reported_unreachable_stay_members(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    fleet_init(&f);
+    learn_of_all_long_ago(&f, 0, 1);
+    receive_digest_of_cut(&f, 0, 1, CAPACITY, "c-hall");
+    rk_mesh_expire_members(&f.meshes[0], rk_mono_ms());
+    assert_int_equal(rk_mesh_count(&f.meshes[0]), NODES - 1);
+    fleet_free(&f);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(late_reports_of_a_past_incarnation_are_ignored),
+        cmocka_unit_test(members_reported_unreachable_stay_members),
         cmocka_unit_test(nodes_agree_however_they_learnt_of_bridges),
         cmocka_unit_test(a_capacity_unknown_to_a_bridge_changes_none),
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
