node: keep members that a bridge reports as unreachable (QUOTA)

Cause: a bridge's word that it doesn't reach a member erased when that member had last been reported alive. Its removal, due after 15 s of silence, then counted from when it had been added, minutes ago, so that it was removed at once. With one domain's nodes gone from the list, the others took themselves for the whole fleet and used whole quotas 2 s into the cut; so did the domain.

The time of the last good word is now kept beside the state, and removal counts from it.

--- a/node/digest_receive.c
+++ b/node/digest_receive.c
@@ -211,7 +211,7 @@
         rk_strcpy(k->domain, sizeof(k->domain), row->domain);
         if (row->capacity > 0) /* 0: the bridge doesn't know it either */
             k->capacity = row->capacity;
-        k->reported_ms = rk_mono_ms();
+        k->reported_ms = k->last_alive_ms = rk_mono_ms();
         k->unconfirmed = false;
         k->leaving = row->leaving;
         k->slow = row->slow;
--- a/node/members.c
+++ b/node/members.c
@@ -283,8 +283,8 @@
 /* Returns when a member was last known to be alive, or was added. */
 static int64_t last_alive_ms(const struct member *k)
 {
-    int64_t last_ms =
-        k->last_received_ms > k->reported_ms ? k->last_received_ms : k->reported_ms;
+    int64_t last_ms = k->last_received_ms > k->last_alive_ms ? k->last_received_ms
+                                                             : k->last_alive_ms;
     return k->added_ms > last_ms ? k->added_ms : last_ms;
 }
 
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -87,11 +87,14 @@
     int64_t connect_started_ms;   /* 0: never */
     int64_t needed_ms;            /* when the link was needed last */
     int64_t last_received_ms;     /* its last message; 0: none */
-    int64_t reported_ms; /* a bridge last reported it reachable; 0: never */
-    int64_t added_ms;    /* when it became a member */
-    bool was_reachable;  /* as logged last */
-    bool leaving;        /* in a planned stop */
-    bool slow;           /* as it reported: others are preferred as bridges */
+    /* When a bridge last reported it reachable; 0: never, or a bridge has reported
+     * it unreachable since. */
+    int64_t reported_ms;
+    int64_t last_alive_ms; /* like reported_ms, but kept when it is unreachable */
+    int64_t added_ms;      /* when it became a member */
+    bool was_reachable;    /* as logged last */
+    bool leaving;          /* in a planned stop */
+    bool slow;             /* as it reported: others are preferred as bridges */
     bool
         store_reachable; /* as it reported: it watches the store and gets answers */
     int64_t quota_history_ms; /* length of its quota history */
