--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -12,8 +12,8 @@
 
 import faultproxy
 from hosted import Hosted, wait_until
-from proc_hosted_fleet import (check_usage_survives_a_kill, fleet, large_settings, refuse_node,
-                               counts_by_window)
+from proc_hosted_fleet import (check_usage_survives_a_kill, comes_from, counts_by_window, fleet,
+                               large_settings, refuse_node)
 
 ZONES = ("a-hall", "b-hall", "c-hall")
 NODES = 15
@@ -422,6 +422,77 @@
         assert all(d.gauge(n, "nodes_heard") == len(others) for n in others)
 
 
+class Partition:
+    """Cuts a failure domain's nodes off from the other nodes, by proxies before all nodes."""
+
+    def __init__(self):
+        self.domain = None  # the one that is cut off
+        self.proxies = []
+
+    def separates(self, a, b):
+        return self.domain is not None and (a == self.domain) != (b == self.domain)
+
+    def begin(self, domain):
+        self.domain = domain
+        for proxy in self.proxies:
+            proxy.loop.call(proxy.reset_separated)
+
+    def end(self):
+        self.domain = None
+
+
+class NodeProxy(faultproxy.FaultProxy):
+    """The proxy before a node; it resets connections across the partition."""
+
+    def __init__(self, d, partition, domain):
+        self.d, self.partition, self.domain = d, partition, domain
+        partition.proxies.append(self)
+        super().__init__()
+
+    def _accept(self):
+        before = set(self.loop.conns)
+        super()._accept()
+        for conn in set(self.loop.conns) - before:
+            conn.source = next((n.name.split("-", 1)[1].rsplit("-", 1)[0] for n in self.d.nodes
+                                if comes_from(conn.client, n.popen.pid)), None)
+        self.reset_separated()
+
+    def reset_separated(self):
+        for conn in [c for c, proxy in self.loop.conns.items() if proxy is self]:
+            if self.partition.separates(conn.source, self.domain):
+                self._end(conn, abort=True)
+
+
+def partitionable_fleet():
+    """Starts a large fleet; returns it and its Partition."""
+    d, partition = Hosted(nodes=0, zones=ZONES), Partition()
+    for n in range(NODES):
+        proxy = NodeProxy(d, partition, ZONES[n % len(ZONES)])
+        proxy.target = d.add_node(advertise=proxy.addr).ready["control_bound"]
+    d.add_worker("plain", zone=ZONES[0])
+    d.configure([d.route("r", "plain")])
+    return d, partition
+
+
+def test_a_domain_is_reached_again_soon_after_a_cut():
+    """Guards against a partition that goes on after its cause has ended.
+
+    After 5 s both sides had closed their links, and opened none until each had forgotten
+    the other, 15 s into the partition, and read the node list again. Meanwhile each used
+    what it could of the quotas.
+    """
+    d, partition = partitionable_fleet()
+    with d:
+        wait_settled_with_watches_renewed(d)
+        partition.begin("c-hall")
+        time.sleep(8)
+        assert {d.gauge(n, "nodes_heard") for n in d.nodes} == {5, 10}
+        start = time.monotonic()
+        partition.end()
+        wait_until(lambda: all(d.gauge(n, "nodes_heard") == NODES for n in d.nodes), 4)
+        return "after %.1f s" % (time.monotonic() - start)
+
+
 def test_a_restarted_bridge_leads_to_no_failed_calls():
     """Guards against refused calls after a bridge restarts.
 
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -18,6 +18,7 @@
 #define CAPACITY     250
 #define DEMAND       5 /* units a second, as reported */
 #define LONG_AGO_MS  60000
+#define SILENT_MS    6000
 
 struct fleet {
     struct rk_node nodes[NODES];
@@ -404,11 +405,35 @@
     fleet_free(&f);
 }
 
+/* Guards against sides of a partition that don't look for each other once it is
+ * over. Only members that were alive were elected as bridges, so a bridge closed
+ * its links to a domain that was silent for 5 s, and opened none until the domain's
+ * nodes had been removed and listed again: 10 s after the end of a partition of 5.5
+ * s. */
+static void bridges_of_a_silent_domain_stay_elected(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    int elected = 0;
+    fleet_init(&f);
+    for (int i = 1; i < NODES; i++)
+        receive_report(&f, 0, i);
+    for (struct member *k = f.meshes[0].members; k; k = k->next)
+        if (!strcmp(k->domain, "c-hall"))
+            k->last_received_ms -= SILENT_MS;
+    rk_mesh_elect(&f.meshes[0], rk_mono_ms());
+    for (const struct member *k = f.meshes[0].members; k; k = k->next)
+        elected += !strcmp(k->domain, "c-hall") && k->bridge;
+    assert_int_equal(elected, RK_MESH_BRIDGES);
+    fleet_free(&f);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(late_reports_of_a_past_incarnation_are_ignored),
         cmocka_unit_test(members_reported_unreachable_stay_members),
+        cmocka_unit_test(bridges_of_a_silent_domain_stay_elected),
         cmocka_unit_test(nodes_agree_however_they_learnt_of_bridges),
         cmocka_unit_test(a_capacity_unknown_to_a_bridge_changes_none),
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
