node: bridges go on looking for a silent domain (QUOTA)

Cause: only members that are alive were elected as bridges of their domain, and a bridge keeps links to elected ones only. 5 s after a domain had fallen silent, its bridges closed their links to it and opened none, on both sides, until the members had been removed as dead after 15 s and read from the store's list again.

Of a domain that is silent as a whole, the nodes that bridged it last now stay elected, so that links to them are tried twice a second.

--- a/node/members.c
+++ b/node/members.c
@@ -320,6 +320,7 @@
 /* The bridges of a domain, in order of precedence. */
 struct bridges {
     char domain[RK_ID_MAX];
+    bool alive; /* it has candidates that are alive */
     struct rank_key nodes[RK_MESH_BRIDGES];
     size_t len;
 };
@@ -375,9 +376,29 @@
     return b;
 }
 
-static bool may_bridge(const struct member *k, int64_t now_ms)
+static bool may_bridge(const struct member *k)
 {
-    return k->id[0] && k->domain[0] && !k->leaving && rk_mesh_is_alive(k, now_ms);
+    return k->id[0] && k->domain[0] && !k->leaving;
+}
+
+/* Elects the bridges of all domains among the members that are alive. Of a domain
+ * that is silent as a whole, the nodes that bridged it last: it may be cut off, and
+ * is reached again by links to these. */
+static void elect_members(const struct rk_mesh *m, struct bridges *all, size_t *len,
+                          int64_t now_ms)
+{
+    struct bridges *b;
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (!may_bridge(k) || !rk_mesh_is_alive(k, now_ms) ||
+            !(b = bridges_of(all, len, k->domain)))
+            continue;
+        b->alive = true;
+        insert_node(b, rank_key_of(k->capacity, k->slow, k->hash));
+    }
+    for (const struct member *k = m->members; k; k = k->next)
+        if (may_bridge(k) && !rk_mesh_is_same_domain(k) &&
+            (b = bridges_of(all, len, k->domain)) && !b->alive)
+            insert_node(b, rank_key_of(k->capacity, k->slow, k->hash));
 }
 
 int64_t rk_mesh_capacity(const struct rk_mesh *m)
@@ -392,6 +413,7 @@
     struct bridges all[RK_DOMAIN_PRICES_MAX];
     size_t len = 0;
     struct bridges *b = bridges_of(all, &len, m->n->file.failure_domain);
+    b->alive = true;
     bool was_direct = m->direct;
     m->direct = rk_mesh_count(m) < RK_MESH_DIRECT_MAX;
     m->total = count_total(m, now_ms);
@@ -399,19 +421,17 @@
     m->has_store_watch = false;
     if (!m->n->leaving)
         insert_node(b, self);
-    for (struct member *k = m->members; k; k = k->next) {
-        const struct rank_key c = rank_key_of(k->capacity, k->slow, k->hash);
-        if (!may_bridge(k, now_ms))
-            continue;
-        if ((b = bridges_of(all, &len, k->domain)))
-            insert_node(b, c);
-        if (!rk_mesh_is_same_domain(k) || !precedes(c, self))
+    elect_members(m, all, &len, now_ms);
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (!may_bridge(k) || !rk_mesh_is_same_domain(k) ||
+            !rk_mesh_is_alive(k, now_ms) ||
+            !precedes(rank_key_of(k->capacity, k->slow, k->hash), self))
             continue;
         m->rank++;
         m->has_store_watch = m->has_store_watch || k->store_reachable;
     }
     for (struct member *k = m->members; k; k = k->next) {
-        b = may_bridge(k, now_ms) ? bridges_of(all, &len, k->domain) : NULL;
+        b = may_bridge(k) ? bridges_of(all, &len, k->domain) : NULL;
         k->bridge = !m->direct && b && is_elected(b, k->hash);
     }
     bool bridge = !m->direct && is_elected(&all[0], self.hash);
