tests: a store that comes back from an older copy (fails)

The stand-in store sends Store-Era and can come back from an earlier copy: what was written since is lost, revisions are given out again, watches from one that it doesn't have get 410.

--- /dev/null
+++ b/tests/proc_hosted_restore.py
@@ -0,0 +1,83 @@
+"""Tests of a store that comes back from an older copy.
+
+What was written since the copy is lost, its revisions are given out again, and the header
+Store-Era rises. Operators and VMs write again what they had written.
+"""
+import time
+
+from hosted import wait_until
+from proc_hosted_bridges import NODES, wait_settled
+from proc_hosted_fleet import fleet
+
+DRAIN_S = 2.0  # drainMs
+# A VM that the restored list lacks may be used this long: 0.6 s until the nodes notice the
+# store's return, and 1.9 s in which VMs register again.
+GRACE_S = 2.5
+
+
+def raise_revision(d, writes):
+    """Raises the store's revision by objects that no node reads."""
+    for n in range(writes):
+        d.store.put("others", "o%d" % n, {"number": n})
+
+
+def list_a_vm_after_the_copy(d):
+    """Returns a copy of the store and a VM that was listed after it and is in use.
+
+    Its revision, which all nodes know, is 40 above that of the copy.
+    """
+    copy = d.store.copy()
+    raise_revision(d, 40)
+    lost = d.add_worker("plain", zone=d.zones[1])
+    revision = d.store.revision
+    wait_until(lambda: all(d.gauge(n, "list_revision") >= revision for n in d.nodes))
+    return copy, lost
+
+
+def check_unused(d, vm):
+    """Checks that calls to all nodes succeed and that none reaches the VM."""
+    before = len(vm.seen)
+    for n in range(len(d.nodes)):
+        for _ in range(5):
+            assert d.call("/r/x", node=n).status == 200
+    late = len(vm.seen) - before
+    assert not late, "%d calls reached the VM" % late
+
+
+def test_a_vm_removed_after_a_restore_gets_no_calls_from_any_node():
+    """Guards against bridges that don't pass on changes whose revisions fell in a restore.
+
+    The bridges read the removal of a VM, but compared its revision with the higher one from
+    before the restore and didn't send it to the other nodes. These called the VM 3.2 s
+    later, where 3.0 s are allowed, and would have done so until the revisions caught up.
+    """
+    with fleet(nodes=NODES, workers=3) as d:
+        wait_settled(d)
+        copy, lost = list_a_vm_after_the_copy(d)
+        d.store.restore(copy, away_s=1)
+        time.sleep(1)
+        d.store.put("servers", lost.id, lost.spec())
+        time.sleep(1)
+        removed = d.workers[0]
+        d.store.drop("servers", removed.id)
+        time.sleep(DRAIN_S)
+        check_unused(d, removed)
+
+
+def test_a_vm_removed_during_a_restore_gets_no_calls():
+    """Guards against watches that go on in a history that the store no longer has.
+
+    The restored store had given out more revisions than were known at the nodes before
+    their watches came back, so that none was answered 410.
+    """
+    with fleet(nodes=3, workers=3) as d:
+        copy, lost = list_a_vm_after_the_copy(d)
+        removed = d.workers[0]
+
+        def write_past_the_known_revision():
+            d.store.drop("servers", removed.id)
+            raise_revision(d, 60)
+            d.store.put("servers", lost.id, lost.spec())
+        d.store.restore(copy, away_s=0.5, before_return=write_past_the_known_revision)
+        time.sleep(GRACE_S)
+        check_unused(d, removed)
--- a/tests/run.py
+++ b/tests/run.py
@@ -57,6 +57,7 @@
     "prop_rollout": "hosted  rollouts under random reports and timing",
     "proc_hosted_fleet": "hosted  settings, VMs, quotas, leader duties, stops of several nodes",
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
+    "proc_hosted_restore": "hosted  a store that comes back from an older copy",
     "proc_hosted_bridges": "hosted  a large fleet: bridges, digests, updates, quotas, usage",
     "proc_soak": "hosted  the promises under random faults",
 }
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -118,11 +118,11 @@
         pass
 
 
-def answer_json(conn, status, value):
+def answer_json(conn, status, value, headers=b""):
     body = json.dumps(value).encode()
     conn.sendall(b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-                 b"Content-Length: %d\r\n\r\n%s"
-                 % (status, REASON_PHRASES.get(status, "X").encode(), len(body), body))
+                 b"%sContent-Length: %d\r\n\r\n%s"
+                 % (status, REASON_PHRASES.get(status, "X").encode(), headers, len(body), body))
 
 
 class Store(RawServer):
@@ -131,9 +131,14 @@
     fault(request) injects a fault: "lost" executes the request and does not answer,
     "silent" does not execute it either, "reset" resets the connection, a number is
     the status of the answer, and None means no fault.
+
+    era counts how often the store came back from an older copy; each answer has it in the
+    header Store-Era, unless sends_era is False.
     """
 
     def __init__(self):
+        self.era = 1
+        self.sends_era = True
         self.objects = collections.defaultdict(dict)  # kind -> name -> object
         self.log = []  # (revision, kind, whether it was deleted, object)
         self.revision = 100
@@ -159,6 +164,32 @@
             self.oldest_revision = self.revision
             self.cond.notify_all()
 
+    def copy(self):
+        """Return a copy of the current state, for restore()."""
+        with self.cond:
+            return self.revision, {kind: dict(named) for kind, named in self.objects.items()}
+
+    def restore(self, copy, away_s=0.0, before_return=lambda: None):
+        """Come back from an earlier copy after away_s seconds without answers.
+
+        What was written since the copy is lost and its revisions are given out again.
+        Waiting watches end with a reset. before_return may write to the restored state
+        before the first answer.
+        """
+        normal, self.fault = self.fault, lambda req: "reset"
+        for conn in list(self.conns):
+            reset(conn)
+        time.sleep(away_s)
+        with self.cond:
+            self.era += 1
+            self.revision, objects = copy
+            self.objects = collections.defaultdict(dict)
+            self.objects.update({kind: dict(named) for kind, named in objects.items()})
+            self.log = [entry for entry in self.log if entry[0] <= self.revision]
+            self.cond.notify_all()
+        before_return()
+        self.fault = normal
+
     def _write(self, kind, name, spec, status=None):
         """Write an object; without a status, it keeps the recorded one."""
         if status is None:
@@ -189,15 +220,18 @@
             reset(conn)
             return False
         if isinstance(fault, int):
-            answer_json(conn, fault, {})
+            answer_json(conn, fault, {}, self._era_header())
             return True
         status, value = self._answer(req)
         if fault == "lost":
             time.sleep(30)
             return False
-        answer_json(conn, status, value)
+        answer_json(conn, status, value, self._era_header())
         return True
 
+    def _era_header(self):
+        return b"Store-Era: %d\r\n" % self.era if self.sends_era else b""
+
     def _answer(self, req):
         url = urllib.parse.urlsplit(req.target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
@@ -226,7 +260,7 @@
         end = time.monotonic() + wait_ms / 1000
         with self.cond:
             while True:
-                if since < self.oldest_revision:
+                if since < self.oldest_revision or since > self.revision:
                     return 410, {"error": "history is gone"}
                 events = [{"gone": gone, "object": o} for rev, k, gone, o in self.log
                           if k == kind and rev > since]
