--- /dev/null
+++ b/core/revision.h
@@ -0,0 +1,34 @@
+/* Revisions of the object store in one order over all its eras. A store that comes
+ * back from an older copy counts on from the copy's revision, so it gives the same
+ * numbers out again, in a new era. A revision here holds the era above the number
+ * and compares as a single integer. The platform's driver translates; no other code
+ * takes a revision apart, except for logs and metrics. Pure. */
+#ifndef RK_CORE_REVISION_H
+#define RK_CORE_REVISION_H
+
+#include <stdint.h>
+
+/* Bits of the store's own number, and the largest era that fits beside it. */
+#define RK_REVISION_NUMBER_BITS 40
+#define RK_REVISION_ERA_MAX     ((INT64_C(1) << 22) - 1)
+
+/* Returns the revision of a number in an era. Returns 0, which means that there is
+ * no revision, if number is 0. */
+static inline int64_t rk_revision_make(int64_t era, int64_t number)
+{
+    return number ? (era << RK_REVISION_NUMBER_BITS) + number : 0;
+}
+
+/* Returns the era of a revision; 0 if the store sends none. */
+static inline int64_t rk_revision_era(int64_t revision)
+{
+    return revision >> RK_REVISION_NUMBER_BITS;
+}
+
+/* Returns a revision's number, as the store knows it. */
+static inline int64_t rk_revision_number(int64_t revision)
+{
+    return revision & ((INT64_C(1) << RK_REVISION_NUMBER_BITS) - 1);
+}
+
+#endif
--- a/node/node.c
+++ b/node/node.c
@@ -13,6 +13,7 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "core/revision.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -70,7 +71,8 @@
         {"settings_version", n->report ? n->report->routes_version : 0},
         {"settings_age_ms", rk_sync_age_ms(n->sync)},
         {"settings_behind_ms", rk_sync_behind_ms(n->sync)},
-        {"list_revision", rk_sync_list_revision(n->sync)},
+        {"list_revision", rk_revision_number(rk_sync_list_revision(n->sync))},
+        {"store_era", rk_revision_era(rk_sync_list_revision(n->sync))},
         {"nodes_heard", rk_mesh_reachable_count(n->mesh)},
         {"nodes_known", rk_mesh_total(n->mesh)},
         {"vms_listed", (int64_t)rk_sync_vms_len(n->sync)},
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -1,6 +1,7 @@
 #include "node/store_watch.h"
 
 #include "common/eventlog.h"
+#include "core/revision.h"
 #include "core/watch_policy.h"
 
 /* Duration of a watch while the store doesn't answer. It is short, so that the end
@@ -36,7 +37,8 @@
         return;
     f->lost = lost;
     RK_EVENT(lost ? "store.lost" : "store.back", RK_S("kind", f->kind),
-             RK_S("status", rk_status_str(st)), RK_N("at", f->revision));
+             RK_S("status", rk_status_str(st)),
+             RK_N("at", rk_revision_number(f->revision)));
 }
 
 static void retry_later(struct rk_store_watch *f)
@@ -64,7 +66,7 @@
     note_answer(f, st);
     if (st == RK_EGONE) {
         RK_EVENT("store.history_gone", RK_S("kind", f->kind),
-                 RK_N("at", f->revision));
+                 RK_N("at", rk_revision_number(f->revision)));
         f->revision = 0;
         call_store(f);
         return;
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -29,6 +29,7 @@
     char name[RK_ID_MAX];
     int64_t revision;       /* entries of the VM up to this revision are removed */
     int64_t store_revision; /* at which the removal was seen */
+    int64_t last_revision;  /* of its last known entry; 0: none was known */
     int64_t grace_until_ms; /* it may register again until then; 0: it ended */
 };
 
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -9,6 +9,7 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/zip.h"
+#include "core/revision.h"
 #include "node/sync_impl.h"
 
 /* Grace period after an outage of the store. VMs whose entries expired
@@ -92,7 +93,7 @@
 {
     struct removed_vm r = {.revision = revision, .store_revision = revision};
     RK_WARN("vm.rejected", RK_S("vm", name), RK_S("why", rk_last_error()),
-            RK_S("from", from), RK_N("revision", revision));
+            RK_S("from", from), RK_N("revision", rk_revision_number(revision)));
     rk_counter_add(RK_C_VMS_REJECTED, 1);
     if (!find_entry(s, name))
         return false;
@@ -116,13 +117,29 @@
     return true;
 }
 
+/* Returns whether an entry is an old version of a removed one, which the store has
+ * restored. A VM that is in use writes its entry again, under a new number. */
+static bool is_restored_removal(const struct rk_sync *s, const char *name,
+                                int64_t revision)
+{
+    size_t kept = s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+    for (size_t i = 0; i < kept; i++) {
+        const struct removed_vm *r = &s->removed[i];
+        if (rk_revision_era(r->store_revision) < rk_revision_era(revision) &&
+            rk_revision_number(r->last_revision) >= rk_revision_number(revision) &&
+            !r->grace_until_ms && !strcmp(r->name, name))
+            return true;
+    }
+    return false;
+}
+
 /* Adds or updates a VM's entry. Returns true if the relay lacks the change. */
 static bool set_entry(struct rk_sync *s, const char *name, int64_t revision,
                       struct json_object *spec, const char *from)
 {
     struct rk_vm_row row;
     struct entry *e = find_entry(s, name);
-    if (e && e->revision >= revision)
+    if (e ? e->revision >= revision : is_restored_removal(s, name, revision))
         return false;
     if (s->n->platform->parse_vm(name, spec, &row) != RK_OK)
         return reject_entry(s, name, revision, from);
@@ -192,7 +209,9 @@
     if (e && e->revision > vm->revision)
         return false;
     /* Even if this node never saw the VM: a peer may have seen it being added. */
-    record_removal(s, vm);
+    struct removed_vm r = *vm;
+    r.last_revision = e ? e->revision : 0;
+    record_removal(s, &r);
     if (!e)
         return false;
     if (vm->grace_until_ms && !e->row.leaving) {
@@ -315,6 +334,21 @@
     return known < store_revision ? known : store_revision;
 }
 
+/* Notes the first list of a new era of the store. The copy lacks the VMs that
+ * registered after it was taken; they register again within the grace period. */
+static void note_era(struct rk_sync *s, int64_t store_revision, const char *from)
+{
+    if (!s->list_known ||
+        rk_revision_era(store_revision) <= rk_revision_era(s->list_revision))
+        return;
+    RK_EVENT("store.restored", RK_S("from", from),
+             RK_N("era", rk_revision_era(store_revision)),
+             RK_N("era_before", rk_revision_era(s->list_revision)),
+             RK_N("at", rk_revision_number(store_revision)),
+             RK_N("at_before", rk_revision_number(s->list_revision)));
+    s->recovered_ms = rk_mono_ms();
+}
+
 void rk_sync_apply_list(void *ctx, const struct rk_store_object *objects,
                         size_t len, bool all, int64_t store_revision)
 {
@@ -322,6 +356,7 @@
     int64_t before = s->list_known ? s->list_revision : 0;
     bool changed = !s->list_known;
     s->list_zip.len = 0;
+    note_era(s, store_revision, "store");
     if (all) {
         changed |= remove_missing(s, objects, len, store_revision, "store");
         note_gap(s, before, store_revision);
@@ -471,7 +506,8 @@
                                             (const uint8_t *)packed);
     free(packed);
     if (!rows)
-        RK_WARN("vms.unreadable", RK_N("revision", text->zip_revision),
+        RK_WARN("vms.unreadable",
+                RK_N("revision", rk_revision_number(text->zip_revision)),
                 RK_N("bytes", (int64_t)text->list_zip.len));
     return rows;
 }
@@ -493,8 +529,8 @@
     if (s->in_bulk)
         RK_EVENT("vms.told", RK_N("listed", (int64_t)text->n_list),
                  RK_N("gone", (int64_t)text->n_gone),
-                 RK_N("since", text->list_since),
-                 RK_N("revision", text->list_revision));
+                 RK_N("since", rk_revision_number(text->list_since)),
+                 RK_N("revision", rk_revision_number(text->list_revision)));
 }
 
 static void apply_rows(struct rk_sync *s, const Rillknot__StoreText *text)
@@ -505,6 +541,7 @@
     if (text->list_revision <= known || text->list_since > known)
         return;
     s->list_zip.len = 0;
+    note_era(s, text->list_revision, "peer");
     struct rk_store_object *objects = rows_as_objects(text);
     bool changed = !s->list_known;
     begin_bulk(s, text);
--- a/objects/store.h
+++ b/objects/store.h
@@ -1,5 +1,6 @@
 /* Interface to the platform's object store: named objects of a kind, each with a
- * revision that rises with every change. Objects are read, watched, and written on
+ * revision that rises with every change, also when the store comes back from an
+ * older copy (see core/revision.h). Objects are read, watched, and written on
  * condition of their revision. A platform driver implements the operations. Loop
  * thread only. */
 #ifndef RK_OBJECTS_STORE_H
@@ -27,7 +28,8 @@
  * the call returns.
  * RK_EUNAVAILABLE: the call took no effect.
  * RK_EUNKNOWN: the call may have taken effect, or may do so later.
- * RK_EGONE: the store no longer has the requested history.
+ * RK_EGONE: the store no longer has the requested history, or has lost it in a
+ * restore.
  * RK_ECONFLICT: the condition of a write does not hold.
  * RK_ENOTFOUND: there is no such object. */
 
@@ -75,6 +77,9 @@
     /* While a callback runs: the monotonic time at which the first byte of its
      * response arrived, or 0 if none did. */
     int64_t first_byte_at_ms;
+    /* Newest era of the store that this process has seen; 0: none, or the store has
+     * no eras. */
+    int64_t era;
 };
 
 #endif
--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -81,3 +81,80 @@
         d.store.restore(copy, away_s=0.5, before_return=write_past_the_known_revision)
         time.sleep(GRACE_S)
         check_unused(d, removed)
+
+
+def test_a_vm_that_left_before_a_restore_is_unused_until_it_registers_again():
+    """Guards against calls to a removed VM whose entry comes back with an older copy."""
+    with fleet(nodes=3, workers=3) as d:
+        copy, lost = list_a_vm_after_the_copy(d)
+        left = d.workers[0]
+        d.store.drop("servers", left.id)
+        time.sleep(0.5)
+        d.store.restore(copy, away_s=0.5)
+        d.store.put("servers", lost.id, lost.spec())
+        time.sleep(1.5)
+        check_unused(d, left)
+        d.store.put("servers", left.id, left.spec())
+        before = len(left.seen)
+        wait_until(lambda: d.call("/r/x").status == 200 and len(left.seen) > before, 3)
+
+
+def test_a_vm_that_the_restored_copy_lacks_is_used_until_it_registers_again():
+    """Guards against refused calls while VMs that registered after the copy do so again."""
+    with fleet(nodes=3, workers=3) as d:
+        copy = d.store.copy()
+        raise_revision(d, 40)
+        d.add_worker("late", zone=d.zones[1])
+        late = d.workers[-1]
+        d.configure([d.route("r", "plain"), d.route("s", "late")], services=("plain", "late"))
+        wait_until(lambda: all(d.call("/s/x", node=n).status == 200 for n in range(3)))
+        d.store.restore(copy, away_s=0.5)
+        returned = time.monotonic()
+        while time.monotonic() < returned + 3:
+            if time.monotonic() > returned + 1.5 and late.id not in d.store.objects["servers"]:
+                d.store.put("servers", late.id, late.spec())
+            assert [d.call("/s/x", node=n).status for n in range(3)] == [200] * 3
+            time.sleep(0.05)
+
+
+def test_an_answer_without_a_valid_or_with_an_older_era_changes_nothing():
+    """Guards against belief in answers of a state that the store no longer has."""
+    with fleet(nodes=1, workers=2, zones=("a-hall",)) as d:
+        removed, real = d.workers[0], d.store.answer_era
+        d.store.drop("servers", removed.id)
+        wait_until(lambda: any(e.get("what") == "removed" for e in d.nodes[0].events()))
+        d.store.restore(d.store.copy())
+        wait_until(lambda: d.gauge(d.nodes[0], "store_era") == d.store.era, 5)
+        for era in (None, "1", "x", "-3", "3.5"):
+            d.store.answer_era = lambda value=era: value
+            d.store.put("servers", removed.id, removed.spec())
+            time.sleep(0.8)
+            check_unused(d, removed)
+            d.store.drop("servers", removed.id)
+        assert any(e.get("event") == "store.answer_rejected" for e in d.nodes[0].events())
+        d.store.answer_era = real
+        d.store.put("servers", removed.id, removed.spec())
+        before = len(removed.seen)
+        wait_until(lambda: d.call("/r/x").status == 200 and len(removed.seen) > before, 5)
+
+
+def test_settings_stay_in_force_over_a_restore():
+    """Guards against settings that go back to an older version, or that stay at one.
+
+    The copy has a version that was replaced; the operator writes the newest one again, and
+    a later one has a lower revision than what nodes knew before.
+    """
+    with fleet(nodes=NODES) as d:
+        wait_settled(d)
+        copy = d.store.copy()
+        raise_revision(d, 40)
+        newest = d.configure([d.route("r", "plain"), d.route("new", "plain")])
+        spec = d.store.objects["config"]["main"]["spec"]
+        d.store.restore(copy, away_s=1)
+        time.sleep(1)
+        d.store.put("config", "main", spec)
+        assert {d.gauge(n, "settings_version") for n in d.nodes} == {newest}
+        d.configure([d.route("r", "plain"), d.route("newer", "plain")], wait=False)
+        d.wait_version(d.version, timeout=3)
+        for n in range(NODES):
+            assert d.call("/newer/x", node=n).status == 200
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -132,13 +132,13 @@
     "silent" does not execute it either, "reset" resets the connection, a number is
     the status of the answer, and None means no fault.
 
-    era counts how often the store came back from an older copy; each answer has it in the
-    header Store-Era, unless sends_era is False.
+    era counts how often the store came back from an older copy. Each answer has the value
+    of answer_era() in the header Store-Era, unless that is None.
     """
 
     def __init__(self):
         self.era = 1
-        self.sends_era = True
+        self.answer_era = lambda: str(self.era)
         self.objects = collections.defaultdict(dict)  # kind -> name -> object
         self.log = []  # (revision, kind, whether it was deleted, object)
         self.revision = 100
@@ -230,7 +230,8 @@
         return True
 
     def _era_header(self):
-        return b"Store-Era: %d\r\n" % self.era if self.sends_era else b""
+        era = self.answer_era()
+        return b"" if era is None else b"Store-Era: %s\r\n" % era.encode()
 
     def _answer(self, req):
         url = urllib.parse.urlsplit(req.target)
