lease: no fencing token has two holders after a restore of the store

Two ways were weighed for epochs that rise over restores: the era above a counter of holders, and the revision on which the lease's write is conditional. A model (three holders, a store that restores, lost answers, writes on a condition of an older era that the store can't tell) broke the first: a late write of the past era hits the same number, overwrites the new era's lease with an old epoch, and the next holder starts the era's count again. So an epoch is one more than that revision. A lease ends with the era in which it was taken, and a past incarnation of a holder is trusted within one era only, as another may have held the lease since the copy. A restore thus costs one lease's time without a leader.

--- a/core/lease.c
+++ b/core/lease.c
@@ -1,5 +1,6 @@
 #include "common/json.h"
 #include "core/lease.h"
+#include "core/revision.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -10,9 +11,25 @@
     return l->ttl_ms - l->ttl_ms * RK_LEASE_MARGIN_PCT / 100;
 }
 
+void rk_lease_set_era(struct rk_lease *l, int64_t era)
+{
+    if (era <= l->era)
+        return;
+    l->era = era;
+    l->held = false;
+    l->observed_ms = 0;
+}
+
+static int64_t next_epoch(const struct rk_lease *l)
+{
+    int64_t epoch = l->version ? l->version + 1 : rk_revision_make(l->era, 1);
+    return epoch > l->epoch ? epoch : l->epoch + 1;
+}
+
 void rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
                         int64_t now_ms)
 {
+    rk_lease_set_era(l, rk_revision_era(version));
     bool first = !l->observed_ms;
     /* Versions only rise: a read without a higher version is stale or has nothing
      * new. */
@@ -20,12 +37,13 @@
         return;
     l->version = version;
     l->observed_ms = now_ms;
+    l->was_present = l->was_present || version;
     struct json_object *o = version ? json_tokener_parse(value) : NULL;
     l->epoch = rk_json_int(o, "epoch", 0);
     rk_strcpy(l->observed_holder, sizeof(l->observed_holder),
               rk_json_str(o, "holder"));
     l->held = version && !strcmp(l->observed_holder, l->holder) &&
-              l->epoch == l->held_epoch;
+              l->epoch == l->held_epoch && rk_revision_era(l->epoch) == l->era;
     /* Possibly by a write whose response was lost. The lease counts from the start
      * of that write, which the value contains; the start of a later attempt proves
      * nothing. */
@@ -36,12 +54,14 @@
 
 /* Returns whether the holder is a past incarnation of this process. That one has
  * ended, since this one has started. Orders that it sent last carry its own epoch,
- * and nobody else can have taken the lease since. */
+ * and nobody else can have taken the lease since, unless the store has been
+ * restored since. */
 static bool held_by_past_incarnation(const struct rk_lease *l)
 {
     const char *slash = strrchr(l->holder, '/');
     size_t name = slash ? (size_t)(slash - l->holder) + 1 : 0;
-    return name && l->version && strcmp(l->observed_holder, l->holder) != 0 &&
+    return name && l->version && rk_revision_era(l->epoch) == l->era &&
+           strcmp(l->observed_holder, l->holder) != 0 &&
            !strncmp(l->observed_holder, l->holder, name);
 }
 
@@ -49,7 +69,8 @@
                          char value[RK_LEASE_VALUE_MAX], int64_t *expect)
 {
     bool renew = l->held && now_ms - l->renewed_ms >= l->ttl_ms / 3;
-    bool expired = l->observed_ms && (!l->version || held_by_past_incarnation(l) ||
+    bool never_taken = !l->version && !l->was_present && l->era <= 1;
+    bool expired = l->observed_ms && (never_taken || held_by_past_incarnation(l) ||
                                       now_ms - l->observed_ms > l->ttl_ms);
     if (!renew && (l->held || !expired))
         return false;
@@ -61,7 +82,7 @@
         l->observed_ms = now_ms;
         return false;
     }
-    l->held_epoch = still_valid ? l->held_epoch : l->epoch + 1;
+    l->held_epoch = still_valid ? l->held_epoch : next_epoch(l);
     l->write_started_ms = now_ms;
     *expect = l->version;
     snprintf(value, RK_LEASE_VALUE_MAX,
@@ -73,7 +94,9 @@
 void rk_lease_write_done(struct rk_lease *l, enum rk_status st, int64_t version,
                          int64_t now_ms)
 {
-    if (st == RK_OK) {
+    if (st == RK_OK && rk_revision_era(version) > l->era) {
+        rk_lease_set_era(l, rk_revision_era(version));
+    } else if (st == RK_OK) {
         l->held = true;
         l->renewed_ms = l->write_started_ms;
         l->version = version;
--- a/core/lease.h
+++ b/core/lease.h
@@ -6,6 +6,11 @@
  * lease. A process that finds the lease held by its own past incarnation takes it
  * at once.
  *
+ * A store that comes back from an older copy forgets leases. A new epoch is one
+ * more than the revision on which its write is conditional, which contains the
+ * store's era, so that none is given out twice. A lease ends with the era in which
+ * it was taken.
+ *
  * Pure: no I/O, no clock; the caller reads and writes the object. Times are in ms
  * of the caller's monotonic clock. */
 #ifndef RK_CORE_LEASE_H
@@ -27,6 +32,8 @@
 struct rk_lease {
     char holder[RK_ID_MAX]; /* this process: "NAME/INCARNATION", or a name alone */
     int64_t ttl_ms;         /* lease duration */
+    int64_t era;            /* the store's; 0: it has none, or not known yet */
+    bool was_present;       /* the object was there once in this process's life */
     /* Last known state of the object. */
     int64_t version; /* 0: absent */
     int64_t epoch;
@@ -39,8 +46,12 @@
     int64_t write_started_ms; /* start of the write in progress */
 };
 
+/* Sets the store's era. A higher one than before ends this process's lease, and the
+ * object must be read. */
+void rk_lease_set_era(struct rk_lease *l, int64_t era);
+
 /* Processes a read of the object; version 0 if it is absent, and then value is not
- * used. */
+ * used. version is a revision as of core/revision.h. */
 void rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
                         int64_t now_ms);
 
--- a/node/leader.c
+++ b/node/leader.c
@@ -174,6 +174,7 @@
 static void update_lease(struct rk_leader *k)
 {
     struct rk_store *store = k->n->store;
+    rk_lease_set_era(&k->lease, store->era);
     if (k->lease_busy || !is_candidate(k))
         return;
     if (!k->lease.observed_ms || k->must_read) {
--- a/tests/prop_core.cc
+++ b/tests/prop_core.cc
@@ -11,6 +11,7 @@
 #include "core/fair_queue.h"
 #include "core/changelog.h"
 #include "core/lease.h"
+#include "core/revision.h"
 #include "core/members.h"
 #include "core/shards.h"
 #include "core/token_stream.h"
@@ -354,6 +355,114 @@
     }
 }
 
+// A store with one object, which can come back from an older copy of itself.
+struct restorable_store {
+    struct state {
+        int64_t number = 0; // of the last write; 0: there is no object
+        std::string value;
+    };
+    int64_t era = 1, last_number = 0;
+    state now, copy;
+
+    int64_t revision() const
+    {
+        return rk_revision_make(era, now.number);
+    }
+
+    // A write on condition of a number; 0: there must be no object. The condition
+    // may be of an older era, which the store can't tell.
+    bool write(int64_t expected_number, const char *value)
+    {
+        if (expected_number != now.number)
+            return false;
+        now = {++last_number, value};
+        return true;
+    }
+
+    void restore()
+    {
+        now = copy;
+        last_number = copy.number;
+        era++;
+    }
+};
+
+// A holder of the lease and the rules of its caller: after an unknown outcome it
+// reads first, and conditions of an era that is known to be over are not sent.
+struct restorable_holder {
+    struct rk_lease lease;
+    bool must_read = false;
+
+    void read(const restorable_store &store, int64_t now_ms)
+    {
+        rk_lease_set_era(&lease, store.era);
+        rk_lease_read_done(&lease, store.revision(), store.now.value.c_str(),
+                           now_ms);
+        must_read = false;
+    }
+
+    // delay_ms passes between the write's arrival and its answer's.
+    void write(restorable_store &store, int64_t &now_ms, int64_t delay_ms,
+               bool answered)
+    {
+        char text[RK_LEASE_VALUE_MAX];
+        int64_t expect;
+        if (!rk_lease_next_write(&lease, now_ms, text, &expect))
+            return;
+        bool applied = store.write(rk_revision_number(expect), text);
+        bool of_other_era = expect && rk_revision_era(expect) != store.era;
+        int64_t version = store.revision();
+        now_ms += delay_ms;
+        enum rk_status st = !answered || (applied && of_other_era) ? RK_EUNKNOWN
+                            : applied                              ? RK_OK
+                                                                   : RK_ECONFLICT;
+        must_read = st != RK_OK;
+        rk_lease_write_done(&lease, st, version, now_ms);
+    }
+};
+
+// Guards against a fencing token of two holders, and two valid leases at once,
+// after the store has come back from an older copy. Its lease was of an earlier
+// holder, and the next one took the epoch again that another had had.
+void no_epoch_has_two_holders_over_restores()
+{
+    constexpr int kHolders = 3;
+    restorable_store store;
+    restorable_holder holders[kHolders];
+    for (int i = 0; i < kHolders; i++)
+        holders[i].lease = new_lease(i, 0);
+    std::map<int64_t, std::string> holder_of;
+    int64_t now = 1;
+    int steps = *rc::gen::inRange(50, 400);
+    for (int s = 0; s < steps; s++) {
+        int index = *rc::gen::inRange(0, kHolders),
+            action = *rc::gen::inRange(0, 40);
+        restorable_holder &x = holders[index];
+        now += *rc::gen::inRange(0, 400);
+        if (action == 0)
+            store.restore();
+        else if (action <= 3)
+            store.copy = store.now;
+        else if (action == 4)
+            x = {new_lease(index, s + 1), false}; // it was killed and restarted
+        else if (action < 15 || x.must_read || !x.lease.observed_ms)
+            x.read(store, now);
+        else
+            x.write(store, now, *rc::gen::inRange(0, 300),
+                    *rc::gen::inRange(0, 4) != 0);
+        int valid = 0;
+        for (auto &h : holders) {
+            int64_t epoch;
+            if (!rk_lease_valid(&h.lease, now, &epoch))
+                continue;
+            valid++;
+            auto known = holder_of.emplace(epoch, h.lease.holder).first;
+            RC_ASSERT(known->second == h.lease.holder);
+        }
+        RC_ASSERT(valid <= 1);
+    }
+}
+
 // A restarted holder must get its lease back before another node may take it.
 // Otherwise each restart leaves the lease without a holder until it expires.
 void a_restarted_holder_renews_its_lease()
@@ -457,6 +566,8 @@
         {"only_shards_of_a_lost_node_move", only_shards_of_a_lost_node_move},
         {"settings_never_revert", settings_never_revert},
         {"at_most_one_lease_is_valid", at_most_one_lease_is_valid},
+        {"no_epoch_has_two_holders_over_restores",
+         no_epoch_has_two_holders_over_restores},
         {"a_restarted_holder_renews_its_lease",
          a_restarted_holder_renews_its_lease},
         {"shares_follow_weights", shares_follow_weights},
