leader: a restore of the store leads to no second count of a window

At a new era, a node that was the only possible leader until then writes the counts of its windows again, of those not reported yet, too. Another leader reads the counts of windows that ended before, and skips those that the store does not have: somebody may have reported them. The time of the restore is persisted with the use of quotas, for nodes that start later; one that finds a record of an older era takes its own start for it.

--- a/node/leader.c
+++ b/node/leader.c
@@ -63,6 +63,8 @@
     enum window_state state;
     int64_t retry_at_ms; /* no attempt before this time */
     char *counts;        /* JSON text, as the store has it */
+    bool must_rewrite;   /* the store may have lost the counts in a restore */
+    bool rewriting;      /* they are being written again */
 };
 
 struct rk_leader {
@@ -80,6 +82,12 @@
     struct window windows[RECENT_WINDOWS];
     struct rk_orders *orders;
     int64_t first_window; /* number of the first window to report */
+    int64_t era;          /* of the store, as of the last tick; 0: none yet */
+    /* Wall time at which the store's last restore was noticed; 0: never. */
+    int64_t restored_wall_ms;
+    /* Windows that ended before this wall time may have been reported by another
+     * leader, with counts that the store has lost. */
+    int64_t unsafe_wall_ms;
     int64_t started_ms;
 };
 
@@ -324,12 +332,38 @@
     (void)o; /* an object that could not be removed does no harm */
 }
 
+/* Handles the read of a window's counts that another leader may have reported. */
+static void on_window_read(void *ctx, enum rk_status st,
+                           const struct rk_store_object *o)
+{
+    struct window *w = ctx;
+    if (st != RK_ENOTFOUND) {
+        on_window_stored(w, st, o);
+        return;
+    }
+    RK_WARN("usage.skipped", RK_N("window", w->number));
+    w->state = WINDOW_REPORTED;
+}
+
+/* Returns whether another leader may have reported a window with counts that the
+ * store has lost. */
+static bool may_be_reported(const struct window *w)
+{
+    int64_t size_ms = rk_s_to_ms(w->k->n->file.usage_window_s);
+    return (w->number + 1) * size_ms < w->k->unsafe_wall_ms;
+}
+
 /* Writes a window's counts to the store, and removes those of an old window. */
 static void store_window(struct window *w)
 {
     struct rk_store *store = w->k->n->store;
     char name[RK_ID_MAX];
     snprintf(name, sizeof(name), "%" PRId64, w->number);
+    if (may_be_reported(w)) {
+        w->state = WINDOW_STORING;
+        store->ops->read(store, USAGE_KIND, name, false, on_window_read, w);
+        return;
+    }
     char *counts = format_counts(w->k, w->number);
     w->state = WINDOW_STORING;
     store->ops->create(store, USAGE_KIND, name, counts, on_window_stored, w);
@@ -346,7 +380,7 @@
     struct window *w = &k->windows[(size_t)number % RECENT_WINDOWS];
     if (w->number == number)
         return w;
-    if (w->state == WINDOW_STORING || w->state == WINDOW_REPORTING)
+    if (w->state == WINDOW_STORING || w->state == WINDOW_REPORTING || w->rewriting)
         return NULL; /* the callback of a call in flight refers to this slot */
     free(w->counts);
     *w = (struct window){.k = k, .number = number};
@@ -396,6 +430,98 @@
     }
 }
 
+/* ---- restores of the store ---- */
+
+static void on_window_rewritten(void *ctx, enum rk_status st,
+                                const struct rk_store_object *o)
+{
+    struct window *w = ctx;
+    (void)o;
+    w->rewriting = false;
+    w->must_rewrite = st != RK_OK && st != RK_ECONFLICT;
+}
+
+/* Returns how long ago a window ended, in ms; negative: it has not ended yet. */
+static int64_t since_end_ms(const struct window *w)
+{
+    return rk_wall_ms() -
+           (w->number + 1) * rk_s_to_ms(w->k->n->file.usage_window_s);
+}
+
+/* Writes counts that the store lacks, so that the next leader reports the same
+ * ones. This node need not be the leader any more. */
+static void rewrite_windows(struct rk_leader *k)
+{
+    struct rk_store *store = k->n->store;
+    char name[RK_ID_MAX];
+    for (size_t i = 0; i < RECENT_WINDOWS; i++) {
+        struct window *w = &k->windows[i];
+        if (!w->must_rewrite || w->rewriting || since_end_ms(w) < REPORT_DELAY_MS)
+            continue;
+        if (!w->counts)
+            w->counts = format_counts(k, w->number);
+        w->rewriting = true;
+        snprintf(name, sizeof(name), "%" PRId64, w->number);
+        store->ops->create(store, USAGE_KIND, name, w->counts, on_window_rewritten,
+                           w);
+    }
+}
+
+/* Returns whether no other node can have reported a window since this node became
+ * the leader: its lease has to expire before another one takes it, which then
+ * collects the counts. */
+static bool was_only_leader(const struct rk_leader *k)
+{
+    return k->acquired_ms && rk_mono_ms() - k->lease.renewed_ms <
+                                 k->lease.ttl_ms + COUNTS_COLLECTED_MS;
+}
+
+/* Makes the slots of the windows that ended before a restore and that only this
+ * node can have reported. */
+static void prepare_windows(struct rk_leader *k)
+{
+    int64_t size_ms = rk_s_to_ms(k->n->file.usage_window_s);
+    int64_t last = k->restored_wall_ms / size_ms - 1;
+    for (int64_t number = last - RECENT_WINDOWS + 2; number <= last; number++) {
+        bool safe = (number + 1) * size_ms >= k->unsafe_wall_ms;
+        struct window *w = safe ? window_slot(k, number) : NULL;
+        if (w && w->state == WINDOW_NEW)
+            w->must_rewrite = true;
+    }
+}
+
+/* Notices a new era of the store. */
+static void check_era(struct rk_leader *k)
+{
+    int64_t era = k->n->store->era;
+    if (k->era && era > k->era) {
+        k->restored_wall_ms = k->unsafe_wall_ms = rk_wall_ms();
+        if (was_only_leader(k)) {
+            k->unsafe_wall_ms -= rk_mono_ms() - k->acquired_ms;
+            prepare_windows(k);
+        }
+        for (size_t i = 0; i < RECENT_WINDOWS; i++)
+            k->windows[i].must_rewrite =
+                k->windows[i].must_rewrite ||
+                (k->windows[i].counts && k->windows[i].state != WINDOW_STORING);
+    }
+    k->era = era;
+}
+
+int64_t rk_leader_restored_wall_ms(const struct rk_leader *k)
+{
+    return k->restored_wall_ms;
+}
+
+void rk_leader_note_persisted(struct rk_leader *k, int64_t era,
+                              int64_t restored_wall_ms)
+{
+    if (era && era < k->n->store->era)
+        restored_wall_ms = rk_wall_ms();
+    if (restored_wall_ms > k->restored_wall_ms)
+        k->restored_wall_ms = k->unsafe_wall_ms = restored_wall_ms;
+}
+
 /* ---- the tick ---- */
 
 /* Returns whether another node is the leader, as far as is known here: it is
@@ -414,6 +540,8 @@
 {
     struct rk_leader *k = ctx;
     rk_timer_start(k->n->loop, &k->tick, TICK_MS);
+    check_era(k);
+    rewrite_windows(k);
     update_lease(k);
     update_held(k);
     report_due_windows(k);
--- a/node/persist.c
+++ b/node/persist.c
@@ -223,6 +223,8 @@
         return false;
     rk_mesh_add_demand(n->mesh, &demand);
     rk_buf_printf(b, "{\"wall_ms\":%" PRId64, rk_wall_ms());
+    rk_buf_printf(b, ",\"era\":%" PRId64 ",\"restored_wall_ms\":%" PRId64,
+                  n->store->era, rk_leader_restored_wall_ms(n->leader));
     append_fleet_size(n, b);
     rk_buf_addstr(b, ",\"used\":{");
     for (size_t i = 0; i < n->report->quota_usage_len; i++) {
@@ -357,6 +359,8 @@
 static void restore_quotas(struct rk_persist *m, struct json_object *spec)
 {
     rk_read_delay_set_fleet_size(m->n, spec);
+    rk_leader_note_persisted(m->n->leader, rk_json_int(spec, "era", 0),
+                             rk_json_int(spec, "restored_wall_ms", 0));
     restore_usage(m, spec);
     copy_usage(m, spec);
     struct json_object *used = rk_json_get(spec, "used");
--- a/node/state.h
+++ b/node/state.h
@@ -301,6 +301,12 @@
 /* At the leader: schedules a tick soon, as something that orders depend on has
  * changed. */
 void rk_leader_schedule_tick(struct rk_leader *k);
+/* Returns the wall time at which the store's last restore was noticed; 0: never. */
+int64_t rk_leader_restored_wall_ms(const struct rk_leader *k);
+/* Notes the era of the store in which persisted state was written, 0 if it has
+ * none, and the restore that its writer knew of. */
+void rk_leader_note_persisted(struct rk_leader *k, int64_t era,
+                              int64_t restored_wall_ms);
 /* Gets the newest version of the lease that is known here, whoever is the leader.
  * Returns false if none is known. *value belongs to k and is valid until a newer
  * version is known. */
--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -3,6 +3,8 @@
 What was written since the copy is lost, its revisions are given out again, and the header
 Store-Era rises. Operators and VMs write again what they had written.
 """
+import collections
+import threading
 import time
 
 from hosted import wait_until
@@ -158,3 +160,74 @@
         d.wait_version(d.version, timeout=3)
         for n in range(NODES):
             assert d.call("/newer/x", node=n).status == 200
+
+
+def call_until(d, end):
+    """Sends calls to all running nodes until a time, from a thread for each."""
+    def send(node):
+        while time.monotonic() < end and d.nodes[node].popen.poll() is None:
+            try:
+                d.call("/r/x", node=node)
+            except OSError:
+                return
+            time.sleep(0.02)
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(len(d.nodes))]
+    for t in threads:
+        t.start()
+    return threads
+
+
+def kill_leader(d):
+    """Kills the node that reported usage last, and returns its name."""
+    leader = d.cloud.usage[-1][2]
+    next(n for n in d.nodes if n.name == leader).kill()
+    return leader
+
+
+def check_duties(d):
+    """Checks that no fence has two holders and that no window has two counts."""
+    holders, counts = collections.defaultdict(set), collections.defaultdict(set)
+    for window, by_org, leader, fence in d.cloud.usage:
+        holders[fence].add(leader)
+        counts[window].add(tuple(sorted(by_org.items())))
+    assert all(len(h) == 1 for h in holders.values()), dict(holders)
+    assert all(len(c) == 1 for c in counts.values()), dict(counts)
+
+
+def test_a_restore_gives_no_fence_to_two_leaders_and_no_window_two_counts():
+    """Guards against duties done on two histories, each by another leader.
+
+    The copy has the lease of the first leader. The second one's lease and counts are lost:
+    the third took the second one's fencing token again, and reported windows again that
+    the second had reported, with counts of its own.
+    """
+    with fleet(nodes=4, workers=3) as d:
+        threads = call_until(d, time.monotonic() + 22)
+        wait_until(lambda: len(d.cloud.usage) > 2)
+        copy = d.store.copy()
+        first = kill_leader(d)
+        wait_until(lambda: sum(u[2] != first for u in d.cloud.usage) > 2, 12)
+        second = kill_leader(d)
+        d.store.restore(copy, away_s=0.5)
+        wait_until(lambda: any(u[2] not in (first, second) for u in d.cloud.usage), 15)
+        time.sleep(2)
+        for t in threads:
+            t.join()
+        check_duties(d)
+
+
+def test_a_leader_goes_on_after_a_restore_without_another_count():
+    """Guards against windows that are reported twice, or not, by a leader that lives on."""
+    with fleet(nodes=3, workers=3) as d:
+        threads = call_until(d, time.monotonic() + 14)
+        wait_until(lambda: len(d.cloud.usage) > 2)
+        copy = d.store.copy()
+        time.sleep(3)
+        d.store.restore(copy, away_s=0.5)
+        d.store.restore(copy, away_s=0.5)
+        for t in threads:
+            t.join()
+        check_duties(d)
+        windows = sorted({u[0] for u in d.cloud.usage})
+        missing = set(range(windows[0], windows[-1])) - set(windows)
+        assert not missing, (missing, windows)
