quarantines: a restore of the store lifts none

Found by looking for the cause of DRAIN elsewhere: an operator lets a stopped request through by removing its object, and a store that comes back from a copy from before the stop looks the same. For a minute after a restore, missing objects are written again instead. Test: the object was gone for good on the code before (not there 45 s later), and is written again after 20 to 30 s now; the request stays stopped. proc_hosted_quarantine 11 passed, 0 failed.

--- a/node/quarantines.c
+++ b/node/quarantines.c
@@ -28,6 +28,9 @@
 #define CHECK_INTERVAL_MS     10000 /* for objects that operators removed */
 /* Maximum age of the lists that the store may answer from a cache. */
 #define LIST_MAX_AGE_MS 20000
+/* Time after a restore of the store in which a missing object is taken for lost,
+ * not for removed by an operator: some checks. */
+#define RESTORED_MS 60000
 
 struct rk_quarantines {
     struct rk_node *n;
@@ -246,18 +249,31 @@
     send_to_relay(q, row);
 }
 
+/* Has an object written again that the store has lost. */
+static void write_again(struct rk_quarantine_row *row)
+{
+    row->stored = false;
+    row->own = true;
+}
+
 static void on_check(void *ctx, enum rk_status st,
                      const struct rk_store_object *objects, size_t len, int64_t at)
 {
     (void)at;
     struct rk_quarantines *q = ctx;
     int64_t now_ms = rk_mono_ms();
+    bool restored =
+        rk_wall_ms() - rk_leader_restored_wall_ms(q->n->leader) < RESTORED_MS;
     q->checking = false;
     for (size_t i = 0; st == RK_OK && i < q->table.len; i++) {
         struct rk_quarantine_row *row = &q->table.rows[i];
         bool settled = row->stopped && row->stored &&
                        now_ms - row->changed_ms > LIST_MAX_AGE_MS;
-        if (settled && !is_listed(row->request, objects, len))
+        if (!settled || is_listed(row->request, objects, len))
+            continue;
+        if (restored)
+            write_again(row);
+        else
             let_through(q, row);
     }
 }
--- a/tests/proc_hosted_quarantine.py
+++ b/tests/proc_hosted_quarantine.py
@@ -261,6 +261,26 @@
         wait_until(lambda: all(f.ask(n).status == 200 for n in range(3)), 45, step=0.5)
 
 
+def test_a_quarantine_survives_a_restore_of_the_store():
+    """Guards against a quarantine that ends because the store has lost its object.
+
+    A store that came back from a copy from before the quarantine looked as if an operator
+    had removed the object.
+    """
+    with Fleet() as f:
+        copy = f.d.store.copy()
+        f.ask_repeatedly(6)
+        stored = f.d.store.objects["rillknot-quarantine"]
+        name = next(iter(stored))
+        f.d.store.restore(copy, away_s=0.5)
+        for worker in f.d.workers:
+            if not worker.stopped:
+                f.d.store.put("servers", worker.id, worker.spec())
+        wait_until(lambda: name in f.d.store.objects["rillknot-quarantine"], 45)
+        f.ask_repeatedly(3)
+        return f.check_bound()
+
+
 def test_a_crashing_request_is_quarantined_while_the_store_is_down():
     """Guards against a quarantine that needs the store to be reachable."""
     with Fleet() as f:
