soak: the store comes back from an older copy

The stand-in remembers what operators and VMs wrote, so that they can write it again within two seconds of a restore, as the platform says.

--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -146,17 +146,31 @@
         self.cond = threading.Condition()
         self.fault = None
         self.calls = []  # all requests received
+        self.platform_state = {}  # (kind, name) -> spec that put() wrote; None: dropped
         super().__init__()
 
     def put(self, kind, name, spec):
         """Write an object, as an operator or a worker does, and return it."""
         with self.cond:
+            self.platform_state[kind, name] = spec
             return self._write(kind, name, spec)
 
     def drop(self, kind, name):
-        """Delete an object, as an operator or a worker does."""
+        """Delete an object, if it is there, as an operator or a worker does."""
         with self.cond:
-            self._remove(kind, name)
+            self.platform_state[kind, name] = None
+            if name in self.objects[kind]:
+                self._remove(kind, name)
+
+    def write_platform_state_again(self):
+        """Write what operators and workers wrote and a restore has lost."""
+        with self.cond:
+            for (kind, name), spec in self.platform_state.items():
+                found = self.objects[kind].get(name)
+                if spec is None and found:
+                    self._remove(kind, name)
+                elif spec is not None and (not found or found["spec"] != spec):
+                    self._write(kind, name, spec)
 
     def forget_history(self):
         """Discard the change history; watches from an older revision are answered 410."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -268,7 +268,7 @@
                 self.fault_store_path, self.fault_store_path, self.fault_peer_path,
                 self.fault_peer_path, self.fault_cloud_path, self.fault_worker_path,
                 self.fault_worker_path, self.fault_store, self.fault_store,
-                self.drop_store_history, self.change_settings, self.change_settings,
+                self.drop_store_history, self.restore_store, self.change_settings, self.change_settings,
                 self.crash_worker, self.drain_worker, self.kill_many, self.advertise_limit,
                 self.ask_cooldown, self.advertise_leaving]
 
@@ -363,6 +363,18 @@
         time.sleep(0.3 + rng.random() * 3)
         store.fault = None
 
+    def restore_store(self, rng):
+        """Bring the store back from a copy some seconds old.
+
+        Operators and VMs write again what they had written, within two seconds.
+        """
+        store = self.hosted.store
+        copy = store.copy()
+        time.sleep(0.3 + rng.random() * 4)
+        store.restore(copy, away_s=0.1 + rng.random() * 3)
+        time.sleep(rng.random() * 2)
+        store.write_platform_state_again()
+
     def drop_store_history(self, _):
         self.hosted.store.forget_history()
 
