--- a/core/lease.c
+++ b/core/lease.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* In a later era, an absent lease may have been lost in a restore. */
+#define FIRST_ERA 1
+
 static int64_t usable_ms(const struct rk_lease *l)
 {
     return l->ttl_ms - l->ttl_ms * RK_LEASE_MARGIN_PCT / 100;
@@ -69,7 +72,7 @@
                          char value[RK_LEASE_VALUE_MAX], int64_t *expect)
 {
     bool renew = l->held && now_ms - l->renewed_ms >= l->ttl_ms / 3;
-    bool never_taken = !l->version && !l->was_present && l->era <= 1;
+    bool never_taken = !l->version && !l->was_present && l->era <= FIRST_ERA;
     bool expired = l->observed_ms && (never_taken || held_by_past_incarnation(l) ||
                                       now_ms - l->observed_ms > l->ttl_ms);
     if (!renew && (l->held || !expired))
--- a/node/members.c
+++ b/node/members.c
@@ -381,9 +381,9 @@
     return k->id[0] && k->domain[0] && !k->leaving;
 }
 
-/* Elects the bridges of all domains among the members that are alive. Of a domain
- * that is silent as a whole, the nodes that bridged it last: it may be cut off, and
- * is reached again by links to these. */
+/* Elects the bridges of all domains among the members that are alive. In a domain
+ * that is silent as a whole, all members are candidates: it may be cut off, and is
+ * reached again by links to its bridges. */
 static void elect_members(const struct rk_mesh *m, struct bridges *all, size_t *len,
                           int64_t now_ms)
 {
