link: bytes for a lost peer don't count as waiting, however seldom one asks (QUOTA)

A bridge bounds what it sends in a round by what waits on its links. What waits for a peer that acknowledges nothing for 500 ms is not to count; but progress was only measured between calls less than 100 ms apart, and a bridge calls each 250 ms, so that each call began anew. The bytes for lost nodes took the whole budget until the kernel gave up their connections. Class: a measurement with a hidden demand on its caller.

Progress is now measured by the bytes acknowledged, at any distance of calls.

--- a/peers/link.c
+++ b/peers/link.c
@@ -25,8 +25,6 @@
 #define READ_CHUNK_BYTES    (64 * 1024)
 #define LISTEN_BACKLOG      256
 
-/* rk_link_queued_len() compares samples that are less than this apart. */
-#define SAMPLE_MAX_GAP_MS 100
 /* Time without progress after which a path counts as broken. A link that is merely
  * saturated sends something within it. */
 #define STALL_TIMEOUT_MS 500
@@ -43,9 +41,12 @@
     /* If rk_link_destroy() is called in a callback, the link is freed after it. */
     bool in_callback, destroyed;
     struct rk_buf in, out;
-    size_t sampled_bytes; /* waiting at the last call of rk_link_queued_len() */
-    int64_t sampled_ms;   /* when that was */
-    int64_t progress_ms;  /* when fewer bytes waited than at the call before */
+    uint64_t queued_total; /* bytes of all frames so far */
+    /* At the last call of rk_link_queued_len(): bytes that waited, and those that
+     * had been acknowledged. */
+    size_t sampled_waiting;
+    uint64_t sampled_acked;
+    int64_t progress_ms; /* when that call last saw progress, or nothing waiting */
 };
 
 struct rk_listener {
@@ -296,6 +297,7 @@
     if (l->down || l->destroyed || !p->len || l->out.len + p->len > SEND_BUFFER_MAX)
         return false;
     rk_buf_add(&l->out, p->data, p->len);
+    l->queued_total += p->len;
     rk_counter_add(RK_C_LINK_BYTES, p->len);
     /* If sending fails, the socket's next event reports it: callbacks must not run
      * from here. */
@@ -325,11 +327,11 @@
     if (l->fd < 0 || ioctl(l->fd, SIOCOUTQ, &queued) < 0)
         queued = 0; /* not known: count only the own buffer */
     size_t waiting = l->out.len + (size_t)queued;
-    bool is_continuous = now_ms - l->sampled_ms < SAMPLE_MAX_GAP_MS;
-    if (!is_continuous || !l->sampled_bytes || waiting < l->sampled_bytes)
+    uint64_t acked = l->queued_total - waiting;
+    if (!l->sampled_waiting || acked > l->sampled_acked)
         l->progress_ms = now_ms;
-    l->sampled_ms = now_ms;
-    l->sampled_bytes = waiting;
+    l->sampled_waiting = waiting;
+    l->sampled_acked = acked;
     return now_ms - l->progress_ms < STALL_TIMEOUT_MS ? waiting : 0;
 }
 
--- a/peers/link.h
+++ b/peers/link.h
@@ -67,10 +67,10 @@
 size_t rk_link_unsent_len(const struct rk_link *l);
 
 /* Returns the bytes that wait on this machine: those in the link's own send buffer
- * and those in the kernel's that the peer has not acknowledged. Returns 0 if they
- * have not become fewer for 500 ms: the path is broken then, and its bytes take no
- * bandwidth from other links. Progress is measured from call to call. Calls must be
- * less than 100 ms apart; after a longer gap the measurement starts again. */
+ * and those in the kernel's that the peer has not acknowledged. Returns 0 if the
+ * peer has acknowledged none of them for 500 ms: the path is broken then, and its
+ * bytes take no bandwidth from other links. Progress is measured from call to call,
+ * so the result is late by the time between calls. */
 size_t rk_link_queued_len(struct rk_link *l);
 
 /* Returns whether the connection was ever established. If not, no byte has left
