quota: a node restarted beside survivors uses its side's share (QUOTA)

The second part of the quota that is exceeded when over half of all nodes lose power and come back. Those that lived hold to the share of the nodes that they reach. Those that come back use the whole quota for 1.5 s, by what the store says all had used, as nodes that restart together can't reach each other yet. Both are right alone and too much together. A peer that knows a whole window has lived; from its first report on, a restarted node uses the share that it reaches, and is charged that part of what all used before its start.

Test: test_quota.a_node_restarted_beside_survivors_uses_its_sides_share (limit 900 of 900 with half of the nodes reachable before, 450 now). Tried beside it and dropped: to hold to the share from before a partition for a second after its end; two tests of test_quota, which guard callers that were refused then, fail with it.

--- a/core/quota.c
+++ b/core/quota.c
@@ -414,10 +414,13 @@
  * peers restarted at the same time and cannot be reached yet, which does not mean
  * that they are down. When each node acted as if it were alone, each of 295 nodes
  * refused 81 to 100% of the calls of all but the largest organisations for a
- * second, as its share of their quotas is less than one call. */
+ * second, as its share of their quotas is less than one call. A peer that knows a
+ * whole window has not restarted: it uses its side's share, so this node must, too.
+ */
 static bool in_restart_grace(const struct rk_quota *q, int64_t now_ms)
 {
-    return q->since_ms && q->restored && now_ms - q->since_ms < RESTART_GRACE_MS;
+    return q->since_ms && q->restored && q->unknown_before_ms &&
+           now_ms - q->since_ms < RESTART_GRACE_MS;
 }
 
 /* Returns the share of each quota that the reachable nodes may use together. */
@@ -507,7 +510,9 @@
 {
     double total = 0;
     for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++) {
-        double share_then = q->reachable[i];
+        /* What is known of the time before this node's start is the usage of all.
+         */
+        double share_then = q->reachable[i] > 0 ? q->reachable[i] : 1;
         total += o->used[i] * (share_then > share ? share / share_then : 1);
     }
     return total;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -224,6 +224,32 @@
     assert_true(admit_each_step(&q, 100, 100, 100000, 108000, 10, 1) <= most);
 }
 
+/* Guards against a quota of which some nodes use a side's share and others the
+ * whole. Over half of a fleet lost power: those that lived held to their share, and
+ * those that came back, which go by what the store says all had used, used all that
+ * was free. A peer that knows a whole window has lived. */
+static void a_node_restarted_beside_survivors_uses_its_sides_share(void **state)
+{
+    (void)state;
+    const double slices[RK_QUOTA_SLICES] = {50, 50, 50, 50, 50, 50, 50, 50};
+    const double rate = 100, burst = 100, quota = 900;
+    struct rk_quota_decision decision;
+    SCOPED struct rk_quota q;
+    rk_quota_init(&q, WINDOW_MS, 0, 100000);
+    rk_quota_set_reachable(&q, 1, 10, 100000);
+    rk_quota_restore(&q, "org", slices, 50, 300, 100000);
+    rk_quota_restore_done(&q, 300);
+    rk_quota_admit(&q, "org", rate, burst, 1, 100200, &decision);
+    assert_float_equal(decision.limit, quota, 0.001);
+    rk_quota_merge(&q, "org", slices, 100300);
+    rk_quota_peer_history(&q, WINDOW_MS);
+    rk_quota_set_reachable(&q, 5, 10, 100300);
+    assert_true(rk_quota_admit(&q, "org", rate, burst, 1, 100400, &decision));
+    assert_float_equal(decision.limit, quota / 2, 0.001);
+    /* Of what all had used before, this side's part is charged. */
+    assert_in_range((int)decision.used, 190, 230);
+}
+
 /* Guards against a second quota by a restart: if all nodes are killed within a
  * window, the units admitted before and after it must stay within the bound of one
  * window. */
@@ -721,6 +747,7 @@
         cmocka_unit_test(overloaded_sides_stay_within_the_quota),
         cmocka_unit_test(usage_received_after_a_partition_is_no_rate),
         cmocka_unit_test(a_node_assumes_many_nodes_until_it_knows_them),
+        cmocka_unit_test(a_node_restarted_beside_survivors_uses_its_sides_share),
         cmocka_unit_test(a_restart_does_not_double_a_quota),
         cmocka_unit_test(
             an_organisation_that_uses_little_is_served_after_a_restart),
