--- a/node/digest_receive.c
+++ b/node/digest_receive.c
@@ -63,7 +63,6 @@
 
 static void set_baseline(struct digest *d)
 {
-    d->has_baseline = true;
     rk_totals_clear(&d->baseline_uses);
     rk_totals_clear(&d->baseline_reads);
     for (size_t i = 0; i < d->uses.len; i++)
@@ -75,13 +74,20 @@
 }
 
 /* Moves the baselines of all sources of the same sum, as all of them are counted up
- * to now. */
-static void set_baselines(struct rk_mesh *m, const struct member *counted)
+ * to now. A source whose counters are unknown, or known only from some time ago,
+ * because it sent heartbeats only, gets none: usage that has been counted since
+ * would be counted again when it becomes the source. */
+static void set_baselines(struct rk_mesh *m, const struct member *counted,
+                          int64_t now_ms)
 {
-    for (struct member *k = m->contacts; k; k = k->next_contact)
-        if (k->digest.received_ms && k->digest.fleet == counted->digest.fleet &&
-            !strcmp(k->domain, counted->domain))
+    for (struct member *k = m->contacts; k; k = k->next_contact) {
+        if (!k->digest.has_content || k->digest.fleet != counted->digest.fleet ||
+            strcmp(k->domain, counted->domain) != 0)
+            continue;
+        k->digest.has_baseline = now_ms - k->digest.content_ms < SOURCE_MAX_AGE_MS;
+        if (k->digest.has_baseline)
             set_baseline(&k->digest);
+    }
 }
 
 static double own_read_tokens(const struct rk_mesh *m, const char *service)
@@ -145,7 +151,7 @@
                       r->services[i].demand_tokens);
 }
 
-static void count_digest(struct member *k)
+static void count_digest(struct member *k, int64_t now_ms)
 {
     struct rk_mesh *m = k->m;
     if (k->digest.has_baseline) {
@@ -156,7 +162,7 @@
         if (k->digest.fleet)
             set_own_baseline(m);
     }
-    set_baselines(m, k);
+    set_baselines(m, k, now_ms);
 }
 
 /* ---- receiving ---- */
@@ -251,6 +257,7 @@
     if (d->brief)
         return false;
     to->has_content = true;
+    to->content_ms = now_ms;
     if (d->fleet && d->n_members)
         k->m->fleet_members_ms = now_ms;
     if (d->n_members)
@@ -265,7 +272,7 @@
                   : rk_digest_domain_source(k->m, k->domain, now_ms);
     if (counted != k || (!to->fleet && !k->m->bridge))
         return false;
-    count_digest(k);
+    count_digest(k, now_ms);
     /* Usage of the time without a counted source is in this one's quota history. */
     if (to->needs_catch_up && d->n_members) {
         to->needs_catch_up = false;
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -35,8 +35,9 @@
 struct digest {
     int64_t received_ms; /* 0: none was received */
     uint64_t incarnation;
-    bool has_content; /* a full one was received, not only heartbeats */
-    bool fleet;       /* covers the whole fleet, not only the sender's domain */
+    bool has_content;   /* a full one was received, not only heartbeats */
+    int64_t content_ms; /* when the last full one was received */
+    bool fleet;         /* covers the whole fleet, not only the sender's domain */
     int nodes_reachable, nodes_total; /* of what it covers; of the fleet */
     int64_t quota_history_ms;         /* length of the sender's quota history */
     struct rk_vm_load *loads;
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -333,6 +333,56 @@
     fleet_free(&f);
 }
 
+/* Guards against usage that is counted again when another bridge becomes the
+ * source: of a bridge that had only sent heartbeats, all usage since its start
+ * counted as new, up to eight times a quota at a node that had just been restarted.
+ */
+static void a_bridge_known_by_heartbeats_has_no_baseline(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    fleet_init(&f);
+    receive_brief_digest(&f, 0, 2);
+    receive_usage_digest(&f, 0, 1, "a", 100000);
+    receive_usage_digest(&f, 0, 1, "a", 100030);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 30, 0.001);
+    format_name(id, addr, 1);
+    rk_mesh_find(&f.meshes[0], id)->digest.received_ms -= LONG_AGO_MS;
+    receive_usage_digest(&f, 0, 2, "a", 100050);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 30, 0.001);
+    receive_usage_digest(&f, 0, 2, "a", 100060);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 40, 0.001);
+    free(f.meshes[0].peer_uses);
+    fleet_free(&f);
+}
+
+/* Guards against usage that is counted twice when a bridge becomes the source after
+ * seconds of heartbeats: what it had last told was older than what was counted from
+ * the other bridge meanwhile. */
+static void an_outdated_baseline_is_not_counted_from(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    char id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    fleet_init(&f);
+    receive_usage_digest(&f, 0, 1, "a", 100);
+    receive_usage_digest(&f, 0, 2, "a", 100);
+    format_name(id, addr, 2);
+    rk_mesh_find(&f.meshes[0], id)->digest.content_ms -= LONG_AGO_MS;
+    receive_brief_digest(&f, 0, 2);
+    receive_usage_digest(&f, 0, 1, "a", 5100);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 5000, 0.001);
+    format_name(id, addr, 1);
+    rk_mesh_find(&f.meshes[0], id)->digest.received_ms -= LONG_AGO_MS;
+    receive_usage_digest(&f, 0, 2, "a", 5110);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 5000, 0.001);
+    receive_usage_digest(&f, 0, 2, "a", 5130);
+    assert_float_equal(peer_units_of(&f.meshes[0], "a"), 5020, 0.001);
+    free(f.meshes[0].peer_uses);
+    fleet_free(&f);
+}
+
 /* Guards against late reports of a node's past incarnation that count as new usage.
  * A domain was cut off and its nodes were restarted meanwhile. Afterwards the old
  * incarnations' reports arrived behind those of the new ones, all usage of 50 s was
@@ -441,6 +491,8 @@
         cmocka_unit_test(a_fleets_sum_excludes_own_usage),
         cmocka_unit_test(a_brief_digest_keeps_what_was_reported),
         cmocka_unit_test(a_brief_digest_is_no_baseline),
+        cmocka_unit_test(a_bridge_known_by_heartbeats_has_no_baseline),
+        cmocka_unit_test(an_outdated_baseline_is_not_counted_from),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
