--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -174,6 +174,15 @@
            (x->route->resumable || x->service->can_move_kv);
 }
 
+/* Updates the longest pause in the answer. */
+static void record_pause(struct rk_relay_call *x)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (x->last_data_ms && now_ms - x->last_data_ms > x->pause_ms)
+        x->pause_ms = now_ms - x->last_data_ms;
+    x->last_data_ms = now_ms;
+}
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
     struct rk_relay_call *x = ctx;
@@ -182,6 +191,7 @@
     if (x->answer_class != ANSWER_PASS)
         return;
     record_first_byte(x);
+    record_pause(x);
     count_usage(x, rk_wall_ms());
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -82,6 +82,8 @@
     int status;          /* HTTP status of that head */
     struct rk_event_splitter events;
     int64_t first_ms; /* time to first byte as the caller sees it; -1: none yet */
+    int64_t last_data_ms; /* when data last arrived for the caller, monotonic */
+    int64_t pause_ms;     /* longest time between two arrivals of data */
     /* copy of the call's KV cache in progress; NULL: none */
     struct rk_call_move *move;
     bool move_tried;       /* a move away from the current VM was tried */
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -43,6 +43,7 @@
              RK_N("version", x->routes->version), RK_N("status", status),
              RK_S("why", why), RK_N("attempts", x->attempts),
              RK_N("may_have_run", x->may_have_run), RK_N("first_ms", x->first_ms),
+             RK_N("pause_ms", x->pause_ms),
              RK_N("took_ms", rk_mono_ms() - x->started_ms));
 }
 
