--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -9,6 +9,7 @@
 /* How long rk_place_copy_signals() repeats a change, because a copy may be lost
  * on its way. */
 #define CHANGE_REPORT_MS 1000
+#define PERMILLE         1000 /* resolution of a random part of an interval */
 
 static void apply_leaving(struct rk_place_vm *v, int64_t now_ms)
 {
@@ -64,6 +65,9 @@
             continue;
         changed |= rk_vm_signal_merge(v, &rows[i], now_ms);
         rk_vm_signal_set_senders(v, rows[i].senders, now_ms);
+        if (rows[i].is_probe_share)
+            rk_vm_signal_advance_share(v, rk_rng_below(&p->rng, PERMILLE) /
+                                              (double)PERMILLE);
     }
     if (rk_vm_signals_len(&p->signals) != before || changed & RK_VM_LEAVING_CHANGED)
         relink_signals(p, now_ms);
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -15,6 +15,10 @@
 #define EXTRA_SENDERS 3
 /* A limit that was not confirmed for so long may have been lifted. */
 #define LIMIT_STALE_MS 1000
+/* Requests at the limit, of at most one a second, without an answer that confirms
+ * it, after which nodes without a share ask the VM. The nodes that share the limit
+ * get an answer to each request. */
+#define UNCONFIRMED_REQUESTS 5
 
 static void free_row(struct lh_entry *e)
 {
@@ -111,6 +115,19 @@
     return (int64_t)ceil(senders * RK_MS_PER_S / limit_per_s);
 }
 
+bool rk_vm_limit_is_unconfirmed(const struct rk_vm_signal *v, int64_t now_ms)
+{
+    double per_s = fmin(1, fmax(v->limit_per_s, PROBE_RATE_PER_S));
+    double unconfirmed_ms = (double)(now_ms - v->limit_confirmed_ms);
+    return v->limited &&
+           unconfirmed_ms >= UNCONFIRMED_REQUESTS * RK_MS_PER_S / per_s;
+}
+
+void rk_vm_signal_advance_share(struct rk_vm_signal *v, double part)
+{
+    v->share_from_ms -= (int64_t)(part * (double)send_interval_ms(v));
+}
+
 static int64_t limit_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
 {
     if (!v->limited)
--- a/core/vm_signals.h
+++ b/core/vm_signals.h
@@ -48,7 +48,9 @@
      * no share. RK_SENDERS_UNKNOWN: not assigned yet. */
     int senders;
     int64_t share_from_ms; /* since when this node has its share */
-    int64_t sent_ms;       /* last request of this node; 0: none */
+    /* The share was given because nobody had confirmed the limit for long. */
+    bool is_probe_share;
+    int64_t sent_ms; /* last request of this node; 0: none */
 };
 
 /* Value of rk_vm_signal's senders before a share was assigned. */
@@ -86,6 +88,13 @@
 /* Sets the number of nodes that share the limit, this one included; 0: this one
  * has no share. */
 void rk_vm_signal_set_senders(struct rk_vm_signal *v, int senders, int64_t now_ms);
+/* Returns true if no answer confirmed the limit for the time of some requests at
+ * the limit. Whoever knew that it was lifted may have ended, and the nodes without
+ * a share would never ask the VM. */
+bool rk_vm_limit_is_unconfirmed(const struct rk_vm_signal *v, int64_t now_ms);
+/* Moves the node's next request forward by a part (0 to 1) of its send interval, so
+ * that nodes which got their shares together don't send at the same time. */
+void rk_vm_signal_advance_share(struct rk_vm_signal *v, double part);
 /* Returns true if this node may send the VM nothing as long as its signals and
  * shares stay the same. */
 bool rk_vm_signal_blocks(const struct rk_vm_signal *v);
--- a/node/signals.c
+++ b/node/signals.c
@@ -2,7 +2,8 @@
  * choice of the nodes that share a VM's limit: nodes of the VM's failure domain, by
  * rendezvous hashing. Callers in that domain use the VM first, and its nodes get
  * each other's messages themselves, so that they soon agree on which of them are
- * reachable. If the domain has no nodes, all nodes are considered. */
+ * reachable. If the domain has no nodes, all nodes are considered. A limit that
+ * nobody confirms any more is probed by the nodes of the other domains. */
 #include <json-c/linkhash.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,9 @@
 #include "node/mesh_impl.h"
 
 #define EXPIRE_INTERVAL_MS 10000 /* between removals of old rows */
+/* Probes of an unconfirmed limit take at most one part in this many of it, as the
+ * nodes of the VM's domain may still use all of it. */
+#define PROBE_DIVISOR 2
 
 struct rk_signals {
     struct rk_node *n;
@@ -124,15 +128,23 @@
     if (!strcmp(m->n->file.failure_domain, v->domain))
         return rk_vm_limit_senders(v, own, c->near, c->near_len);
     if (has_nodes(m, v->domain))
-        return 0;
+        return v->is_probe_share ? PROBE_DIVISOR * (int)(c->all_len + 1) : 0;
     return rk_vm_limit_senders(v, own, c->all, c->all_len);
 }
 
 /* ---- updates of the relay ---- */
 
+/* Notes whether the limit has to be probed. Returns whether that changed. */
+static bool update_probing(struct rk_vm_signal *v, int64_t now_ms)
+{
+    bool before = v->is_probe_share;
+    v->is_probe_share = rk_vm_limit_is_unconfirmed(v, now_ms);
+    return v->is_probe_share != before;
+}
+
 /* Collects the rows whose limit or share differs from what the relay has. */
 static size_t collect(struct rk_signals *s, struct rk_vm_signal *out,
-                      const struct possible_senders *c)
+                      const struct possible_senders *c, int64_t now_ms)
 {
     struct lh_entry *e;
     size_t len = 0;
@@ -140,7 +152,8 @@
     s->possible_hash = c->hash;
     lh_foreach (s->table.by_incarnation, e) {
         struct rk_vm_signal *v = lh_entry_v(e);
-        if (v->senders != RK_SENDERS_UNKNOWN && !all)
+        bool probing_changed = update_probing(v, now_ms);
+        if (v->senders != RK_SENDERS_UNKNOWN && !all && !probing_changed)
             continue;
         int senders = count_senders(s->n->mesh, v, c);
         if (senders == v->senders)
@@ -167,7 +180,7 @@
         return;
     struct possible_senders possible = find_possible_senders(s->n->mesh, now_ms);
     struct rk_vm_signal *rows = rk_alloc(len, sizeof(*rows));
-    len = collect(s, rows, &possible);
+    len = collect(s, rows, &possible, now_ms);
     free_possible_senders(&possible);
     if (!len)
         free(rows);
--- a/tests/proc_hosted_limits.py
+++ b/tests/proc_hosted_limits.py
@@ -158,3 +158,25 @@
         removed_at = time.monotonic()
         wait_until(lambda: not any(f.d.gauge(n, "vms_limited") for n in f.d.nodes), 8)
         return "known everywhere after %.1f s" % (time.monotonic() - removed_at)
+
+
+def test_a_limit_that_ended_with_the_nodes_that_knew_is_asked_for():
+    """Guards against a VM that nodes of other domains never use again.
+
+    Its limit was lifted while the nodes of its domain restarted. They didn't know that
+    there had been one and told nobody of its end, and the others had no share of it.
+    """
+    with Fleet(nodes=3, workers=3) as f:
+        for worker in f.d.workers[:2]:
+            f.d.drain(worker)
+        last = f.d.workers[2]
+        last.limit = 1
+        wait_until(lambda: f.ask(2) and all(f.d.gauge(n, "vms_limited") for n in f.d.nodes))
+        f.d.nodes[2].kill()
+        last.limit = None
+        f.d.restart_node(2)
+        f.settle()
+        assert f.ask(2).status == 200
+        restarted_at = time.monotonic()
+        wait_until(lambda: f.ask(0).status == 200, 20)
+        return "used again after %.1f s" % (time.monotonic() - restarted_at)
--- a/tests/test_vm_signals.c
+++ b/tests/test_vm_signals.c
@@ -152,6 +152,32 @@
     }
 }
 
+/* Guards against a VM that nodes without a share never use again: those that knew
+ * of the end of its limit may have ended, too. Probes begin after the time of five
+ * requests at the limit and are spread over the send interval. */
+static void an_unconfirmed_limit_is_probed(void **state)
+{
+    (void)state;
+    const struct rk_vm_advertised one_in_five_s = {.limited = true,
+                                                   .limit_per_s = 0.2};
+    struct rk_vm_signal *v = get_row(0);
+    rk_vm_signal_apply(v, &ten_per_s, 10);
+    assert_false(rk_vm_limit_is_unconfirmed(v, 5009));
+    assert_true(rk_vm_limit_is_unconfirmed(v, 5010));
+    rk_vm_signal_apply(v, &ten_per_s, 5010);
+    assert_false(rk_vm_limit_is_unconfirmed(v, 10000));
+    rk_vm_signal_apply(v, &one_in_five_s, 5010);
+    assert_false(rk_vm_limit_is_unconfirmed(v, 30009));
+    assert_true(rk_vm_limit_is_unconfirmed(v, 30010));
+    rk_vm_signal_set_senders(v, 0, 30010);
+    rk_vm_signal_set_senders(v, 4, 30010);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 30010), 20000);
+    rk_vm_signal_advance_share(v, 0.75);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 30010), 5000);
+    rk_vm_signal_apply(v, &no_limit, 30020);
+    assert_false(rk_vm_limit_is_unconfirmed(v, 90000));
+}
+
 /* ---- leaving and cooldown ---- */
 
 /* Guards against new calls at a VM that advertised that it leaves, and then
@@ -224,6 +250,7 @@
         TEST(a_limit_of_zero_allows_a_request_each_ten_seconds),
         TEST(the_later_of_two_limits_counts),
         TEST(nodes_agree_on_who_shares_a_limit),
+        TEST(an_unconfirmed_limit_is_probed),
         TEST(leaving_is_final),
         TEST(the_latest_end_of_cooldowns_counts),
         TEST(rows_expire_after_two_minutes_and_any_cooldown),
