--- a/common/counters.h
+++ b/common/counters.h
@@ -7,7 +7,8 @@
 
 struct rk_buf;
 
-/* X(identifier, metric name without "rillknot_", help text without full stop) */
+/* X(identifier, metric name without "rillknot_", help text without full stop). A
+ * name may end in labels; counters that differ only in these follow each other. */
 #define RK_COUNTERS(X)                                                             \
     X(CALLS, "calls_total", "Calls taken from callers")                            \
     X(ANSWERS_OK, "answers_ok_total", "Whole answers given to callers")            \
@@ -40,6 +41,22 @@
     X(EXPIRED, "expired_total", "Calls whose deadline passed")                     \
     X(QUOTA_REFUSED, "quota_refused_total",                                        \
       "Calls beyond an organisation's quota")                                      \
+    X(QUOTA_ADMITTED_0, "quota_admitted_class{class=\"0\"}",                       \
+      "Calls admitted by an organisation's quota, by class")                       \
+    X(QUOTA_ADMITTED_1, "quota_admitted_class{class=\"1\"}",                       \
+      "Calls admitted by an organisation's quota, by class")                       \
+    X(QUOTA_ADMITTED_2, "quota_admitted_class{class=\"2\"}",                       \
+      "Calls admitted by an organisation's quota, by class")                       \
+    X(QUOTA_ADMITTED_3, "quota_admitted_class{class=\"3\"}",                       \
+      "Calls admitted by an organisation's quota, by class")                       \
+    X(QUOTA_REFUSED_0, "quota_refused_class{class=\"0\"}",                         \
+      "Calls refused by an organisation's quota, by class")                        \
+    X(QUOTA_REFUSED_1, "quota_refused_class{class=\"1\"}",                         \
+      "Calls refused by an organisation's quota, by class")                        \
+    X(QUOTA_REFUSED_2, "quota_refused_class{class=\"2\"}",                         \
+      "Calls refused by an organisation's quota, by class")                        \
+    X(QUOTA_REFUSED_3, "quota_refused_class{class=\"3\"}",                         \
+      "Calls refused by an organisation's quota, by class")                        \
     X(LATE_REFUSED, "late_refused_total",                                          \
       "Calls refused because their first byte would come too late")                \
     X(QUARANTINED, "stopped_total",                                                \
--- a/core/org_usage.h
+++ b/core/org_usage.h
@@ -20,6 +20,7 @@
     char org[RK_ID_MAX]; /* must be first: see core/name_index.h */
     double units;
     double demand_per_s; /* units/s requested by callers, refused calls included */
+    double class_demand_per_s[RK_QUOTA_CLASSES]; /* its parts by class */
     /* Units that all nodes used within the quota window, as far as the reporting
      * node knows, per window slice, newest first. */
     double used_slices[RK_QUOTA_SLICES];
@@ -32,6 +33,36 @@
 const struct rk_org_use *rk_org_use_find(const struct rk_org_use *uses, size_t len,
                                          const char *org);
 
+/* ---- demand by organisation ---- */
+
+/* Demand of one organisation at several nodes. */
+struct rk_org_demand {
+    char org[RK_ID_MAX];            /* must be first: see core/name_index.h */
+    double per_s[RK_QUOTA_CLASSES]; /* units/s per class, refused calls included */
+};
+
+/* Demand by organisation. All zero: empty. */
+struct rk_org_demands {
+    struct rk_org_demand *rows;
+    size_t len, cap;
+    struct rk_name_index names;
+};
+
+/* Returns the demand of an organisation, or NULL if there is none. */
+const struct rk_org_demand *rk_org_demands_find(const struct rk_org_demands *d,
+                                                const char *org);
+/* Adds the demand of len records, multiplied by sign, to the rows of their
+ * organisations. sign: 1, or -1 to subtract. Skips records without demand. */
+void rk_org_demands_add(struct rk_org_demands *d, const struct rk_org_use *uses,
+                        size_t len, double sign);
+/* Sets negative values to 0. */
+void rk_org_demands_clamp(struct rk_org_demands *d);
+/* Sets the peers' demand of all organisations of a quota; those without a row have
+ * none. */
+void rk_org_demands_apply(const struct rk_org_demands *d, struct rk_quota *q);
+/* Frees what d owns and resets it to empty. */
+void rk_org_demands_free(struct rk_org_demands *d);
+
 /* ---- sending ---- */
 
 /* Returns whether a record has to be sent to peers that have received all earlier
--- a/core/quota.c
+++ b/core/quota.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RETRY_MIN_MS 250
-#define RETRY_MAX_MS 2000 /* while only a share of the calls is admitted */
 /* Share of the slack that admission uses; the rest covers what peers admit before
  * this node receives their reports. */
 #define SLACK_SHARE 0.6
@@ -42,8 +40,6 @@
 /* In a larger fleet a node admits about one call per report delay, which says
  * nothing about the other nodes. */
 #define SMALL_FLEET_NODES 16
-#define DRAW_RANGE        65536  /* resolution of the random admission draw */
-#define DEMAND_TAU_MS     1000.0 /* decay time constant of a node's demand */
 /* Free units are spread over this many report delays. With 1.0 a fleet used 0.91 of
  * a quota under excess demand, with 1.5 only 0.80. In return the limit is exceeded
  * less when reports are a third older than assumed: 1.03 of what is allowed instead
@@ -198,14 +194,11 @@
     return reported > estimate ? reported : estimate;
 }
 
-static double recent_demand(const struct rk_quota_org *o, int64_t now_ms)
-{
-    return o->demand * exp(-(double)(now_ms - o->demand_ms) / DEMAND_TAU_MS);
-}
-
 double rk_quota_demand(const struct rk_quota_org *o, int64_t now_ms)
 {
-    return recent_demand(o, now_ms) * RK_MS_PER_S / DEMAND_TAU_MS;
+    double demand[RK_QUOTA_CLASSES];
+    rk_class_demand_per_s(&o->demand, now_ms, demand);
+    return rk_quota_class_sum(demand);
 }
 
 /* Returns the units/s requested at all nodes, corrected for the time since the
@@ -214,8 +207,10 @@
                                  const struct rk_quota_org *o, int64_t now_ms)
 {
     double age_ms = (double)(now_ms - q->unknown_before_ms);
-    double observed = rk_quota_demand(o, now_ms) + o->peers_demand;
-    return fmax(observed / (1 - exp(-age_ms / DEMAND_TAU_MS)), o->restored_demand);
+    double observed =
+        rk_quota_demand(o, now_ms) + rk_quota_class_sum(o->peers_demand);
+    return fmax(observed / (1 - exp(-age_ms / RK_QUOTA_DEMAND_TAU_MS)),
+                o->restored_demand);
 }
 
 /* Returns the usage to assume before a restart of all nodes: the persisted usage if
@@ -407,7 +402,7 @@
         need -= o->used[(o->bucket + i) % RK_QUOTA_BUCKETS];
         ms += bucket_ms(q);
     }
-    return ms > RETRY_MIN_MS ? ms : RETRY_MIN_MS;
+    return ms > RK_QUOTA_RETRY_MIN_MS ? ms : RK_QUOTA_RETRY_MIN_MS;
 }
 
 /* Returns whether this node has just restarted with recent persisted usage. Its
@@ -432,45 +427,51 @@
     return (double)q->nodes_reachable / q->nodes_total;
 }
 
-static void record_demand(struct rk_quota_org *o, double units, int64_t now_ms)
+/* Returns whether this node is the only one that uses its share of the quotas. */
+static bool is_alone(const struct rk_quota *q, int64_t now_ms)
 {
-    o->demand = recent_demand(o, now_ms) + units;
-    o->demand_ms = now_ms;
+    return q->nodes_reachable <= 1 && !in_restart_grace(q, now_ms);
 }
 
-/* Returns the share of calls to admit while free_units are free. All nodes see the
+/* Fills demand with the units/s requested per class at all reachable nodes. */
+static void demand_of_all(const struct rk_quota *q, const struct rk_quota_org *o,
+                          int call_class, int64_t now_ms,
+                          double demand[RK_QUOTA_CLASSES])
+{
+    rk_class_demand_per_s(&o->demand, now_ms, demand);
+    double peers_demand = rk_quota_class_sum(o->peers_demand);
+    if (in_restart_grace(q, now_ms) && o->restored_demand > peers_demand) {
+        rk_quota_class_scale(
+            demand, rk_quota_class_sum(demand) + o->restored_demand, call_class);
+        return;
+    }
+    for (size_t c = 0; c < RK_QUOTA_CLASSES; c++)
+        demand[c] += o->peers_demand[c];
+}
+
+/* Sets the shares of calls to admit while free_units are free. All nodes see the
  * same units become free, and learn only later what the others used of them. So
- * every node admits calls with the same probability, chosen so that all nodes
- * together use no more than that until the next reports arrive. This holds for any
- * number of nodes and for nodes with few calls each, and refuses nothing while
- * free_units cover the demand. */
-static double admitted_share(const struct rk_quota *q, const struct rk_quota_org *o,
-                             double free_units, int64_t now_ms)
-{
-    double peers_demand = o->peers_demand;
-    if (in_restart_grace(q, now_ms) && o->restored_demand > peers_demand)
-        peers_demand = o->restored_demand;
-    double demand_per_ms =
-        (rk_quota_demand(o, now_ms) + peers_demand) / RK_MS_PER_S;
-    double peers_per_ms = peers_rate(o, now_ms); /* follows a rise sooner */
+ * every node admits calls of a class with the same probability, chosen so that all
+ * nodes together use no more than that until the next reports arrive. This holds
+ * for any number of nodes and for nodes with few calls each, and refuses nothing
+ * while free_units cover the demand. */
+static void set_shares(const struct rk_quota *q, const struct rk_quota_org *o,
+                       double free_units, int call_class, int64_t now_ms,
+                       struct rk_quota_decision *answer)
+{
+    double demand[RK_QUOTA_CLASSES], shares[RK_QUOTA_CLASSES];
+    demand_of_all(q, o, call_class, now_ms, demand);
+    double demand_per_ms = rk_quota_class_sum(demand) / RK_MS_PER_S;
+    /* The peers' rate of usage follows a rise sooner than their demand. The rate
+     * does not decay without reports, so a node without peers ignores it. */
+    double peers_per_ms = is_alone(q, now_ms) ? 0 : peers_rate(o, now_ms);
     if (peers_per_ms > demand_per_ms)
         demand_per_ms = peers_per_ms;
-    double demand = demand_per_ms * PACING_LAGS * (double)q->lag_ms;
-    return free_units < demand ? free_units / demand : 1;
-}
-
-/* Draws whether a call is among the admitted share, and if not, sets the retry
- * delay. */
-static bool draw_admission(struct rk_quota *q, double share,
-                           struct rk_quota_decision *answer)
-{
-    answer->share = share;
-    if (share >= 1 || rk_rng_below(&q->rng, DRAW_RANGE) < share * DRAW_RANGE)
-        return true;
-    double wait_ms = RETRY_MIN_MS / share;
-    answer->retry_after_ms =
-        wait_ms < RETRY_MAX_MS ? (int64_t)wait_ms : RETRY_MAX_MS;
-    return false;
+    double total = demand_per_ms * PACING_LAGS * (double)q->lag_ms;
+    rk_quota_class_scale(demand, total, call_class);
+    rk_quota_class_shares(demand, free_units, shares);
+    answer->share = free_units < total ? free_units / total : 1;
+    answer->class_share = shares[call_class];
 }
 
 /* Records the share of the nodes that is reachable now; the buckets since the last
@@ -519,13 +520,14 @@
 }
 
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
-                    double units, int64_t now_ms, struct rk_quota_decision *answer)
+                    double units, int call_class, int64_t now_ms,
+                    struct rk_quota_decision *answer)
 {
-    *answer =
-        (struct rk_quota_decision){.share = 1, .retry_after_ms = RETRY_MIN_MS};
+    *answer = (struct rk_quota_decision){
+        .share = 1, .class_share = 1, .retry_after_ms = RK_QUOTA_RETRY_MIN_MS};
     struct rk_quota_org *o = find_or_add(q, org);
     advance(q, o, now_ms);
-    record_demand(o, units, now_ms);
+    rk_class_demand_add(&o->demand, call_class, units, now_ms);
     double share = reachable_share(q, now_ms);
     record_reachable_share(q, share, now_ms);
     double quota = effective_quota(
@@ -545,9 +547,13 @@
         answer->retry_after_ms = ms_until_free(q, o, excess);
         return false;
     }
-    if (rate > 0 && (q->nodes_reachable > 1 || in_restart_grace(q, now_ms)) &&
-        !draw_admission(q, admitted_share(q, o, units - excess, now_ms), answer))
-        return false;
+    if (rate > 0 &&
+        (!is_alone(q, now_ms) || rk_quota_classes_mixed(o->demand.units))) {
+        set_shares(q, o, units - excess, call_class, now_ms, answer);
+        if (!rk_quota_class_draw(&q->rng, answer->class_share,
+                                 &answer->retry_after_ms))
+            return false;
+    }
     o->used[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->own[o->bucket % RK_QUOTA_BUCKETS] += units;
     o->own_net_units += units;
--- a/core/quota.h
+++ b/core/quota.h
@@ -13,6 +13,7 @@
 
 #include "common/util.h"
 #include "core/name_index.h"
+#include "core/quota_classes.h"
 
 /* One bucket more than a window, as the oldest bucket lies only partly within
  * it. */
@@ -33,11 +34,11 @@
     int64_t peers_reported_ms; /* time of the peers' last report of usage */
     double peers_slots[2]; /* peers' units in the current and the previous slot */
     int64_t peers_slot;    /* number of the current slot */
-    double demand;         /* units requested here, decaying exponentially */
-    int64_t demand_ms;     /* when demand was last updated */
-    double peers_demand;   /* units/s requested at the peers; set by the owner */
-    double quota;          /* units per window, as last set */
-    double old_quota;      /* higher quota still in force after a reduction */
+    struct rk_class_demand demand; /* requested here, per class */
+    /* Units/s requested at the peers per class; set by the owner. */
+    double peers_demand[RK_QUOTA_CLASSES];
+    double quota;     /* units per window, as last set */
+    double old_quota; /* higher quota still in force after a reduction */
     int64_t old_quota_until_ms;
     /* Units used by all nodes before a restart. */
     double restored[RK_QUOTA_BUCKETS];
@@ -85,7 +86,8 @@
     /* In units: usage known and estimated within the window, usage assumed before a
      * restart, and the limit for both. */
     double used, used_before_restart, limit;
-    double share;           /* share of calls admitted while little is free */
+    double share; /* share that can be admitted of all calls while little is free */
+    double class_share;     /* share of the calls of this call's class */
     int64_t retry_after_ms; /* when units are expected to be free again */
 };
 
@@ -94,11 +96,12 @@
                             int nodes_total, int64_t now_ms);
 
 /* Decides whether a call that costs `units` is admitted, and counts it if so. rate:
- * units/s, 0: no limit; burst: units on top of the rate in each window. A lowered
- * quota takes effect after one window; until then the higher one is in force.
- * *answer is filled in either case. */
+ * units/s, 0: no limit; burst: units on top of the rate in each window. call_class:
+ * see rk_quota_class(). A lowered quota takes effect after one window; until then
+ * the higher one is in force. *answer is filled in either case. */
 bool rk_quota_admit(struct rk_quota *q, const char *org, double rate, double burst,
-                    double units, int64_t now_ms, struct rk_quota_decision *answer);
+                    double units, int call_class, int64_t now_ms,
+                    struct rk_quota_decision *answer);
 
 /* Adds units that peers admitted since their previous report; negative for
  * refunds. */
--- a/node/digest_receive.c
+++ b/node/digest_receive.c
@@ -176,7 +176,7 @@
         const Rillknot__OrgUse *from = d->uses[i];
         struct rk_org_use *row = rk_org_uses_get(&to->uses, from->org);
         row->units = from->units;
-        row->demand_per_s = rk_report_demand(from);
+        rk_report_receive_demand(row, from);
         for (size_t j = 0; j < from->n_known && j < RK_QUOTA_SLICES; j++)
             row->used_slices[j] = (double)from->known[j];
     }
--- a/node/digest_send.c
+++ b/node/digest_send.c
@@ -39,10 +39,11 @@
     size_t loads_len;
     struct rk_totals in_flight; /* calls in flight, by service */
     struct rk_totals begun;     /* of these, calls whose answers have begun */
-    struct rk_totals demand;    /* quota units/s, by organisation */
+    struct rk_org_demands demand;
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
     uint64_t *known;
+    float *class_demand;
     Rillknot__ServiceUse *services, **service_ptrs;
     Rillknot__EngineEstimate *engines;
     Rillknot__NodeRow *members, **member_ptrs;
@@ -156,9 +157,17 @@
 {
     const struct rk_relay_report *r = m->n->report;
     rk_loads_add_demand(m, fleet, &p->demand, rk_mono_ms());
-    for (size_t i = 0; r && i < r->quota_usage_len; i++)
-        *rk_totals_get(&p->demand, r->quota_usage[i].org) +=
-            r->quota_usage[i].demand_per_s;
+    if (r)
+        rk_org_demands_add(&p->demand, r->quota_usage, r->quota_usage_len, 1);
+}
+
+static void fill_demand(struct digest_builder *p, size_t row)
+{
+    const struct rk_org_demand *demand =
+        rk_org_demands_find(&p->demand, p->uses[row].org);
+    if (demand)
+        rk_report_put_demand(&p->uses[row], demand->per_s,
+                             &p->class_demand[row * RK_QUOTA_CLASSES]);
 }
 
 static void fill_uses(struct digest_builder *p, const struct rk_mesh *m, bool fleet,
@@ -168,12 +177,14 @@
     p->uses = rk_alloc(uses->len + 1, sizeof(*p->uses));
     p->use_ptrs = rk_alloc(uses->len + 1, sizeof(*p->use_ptrs));
     p->known = rk_alloc(uses->len * RK_QUOTA_SLICES + 1, sizeof(*p->known));
+    p->class_demand =
+        rk_alloc(uses->len * RK_QUOTA_CLASSES + 1, sizeof(*p->class_demand));
     add_demand(p, m, fleet);
     for (size_t i = 0; i < uses->len; i++) {
         rillknot__org_use__init(&p->uses[i]);
         p->uses[i].org = uses->rows[i].name;
         p->uses[i].units = uses->rows[i].total;
-        p->uses[i].asking = (float)rk_totals_value(&p->demand, p->uses[i].org);
+        fill_demand(p, i);
         if (with_history)
             fill_history(p, m, i);
         p->use_ptrs[i] = &p->uses[i];
@@ -310,12 +321,13 @@
     free(p->loads);
     rk_totals_free(&p->in_flight);
     rk_totals_free(&p->begun);
-    rk_totals_free(&p->demand);
+    rk_org_demands_free(&p->demand);
     free(p->vms);
     free(p->vm_ptrs);
     free(p->uses);
     free(p->use_ptrs);
     free(p->known);
+    free(p->class_demand);
     free(p->services);
     free(p->engines);
     free(p->service_ptrs);
--- a/node/loads.c
+++ b/node/loads.c
@@ -161,26 +161,18 @@
     return sum;
 }
 
-static void add_demand(struct rk_totals *sum, const struct rk_org_use *uses,
-                       size_t len, double sign)
-{
-    for (size_t i = 0; i < len; i++)
-        if (uses[i].demand_per_s > 0)
-            *rk_totals_get(sum, uses[i].org) += sign * uses[i].demand_per_s;
-}
-
-void rk_loads_add_demand(const struct rk_mesh *m, bool fleet, struct rk_totals *sum,
-                         int64_t now_ms)
+void rk_loads_add_demand(const struct rk_mesh *m, bool fleet,
+                         struct rk_org_demands *sum, int64_t now_ms)
 {
     for (const struct member *k = m->contacts; k; k = k->next_contact) {
         if (is_report_counted(k, now_ms))
-            add_demand(sum, k->uses.rows, k->uses.len, 1);
+            rk_org_demands_add(sum, k->uses.rows, k->uses.len, 1);
         else if (fleet && !m->direct && rk_digest_is_counted(k, now_ms))
-            add_demand(sum, k->digest.uses.rows, k->digest.uses.len, 1);
+            rk_org_demands_add(sum, k->digest.uses.rows, k->digest.uses.len, 1);
     }
 }
 
-void rk_loads_add_peer_demand(const struct rk_mesh *m, struct rk_totals *sum,
+void rk_loads_add_peer_demand(const struct rk_mesh *m, struct rk_org_demands *sum,
                               int64_t now_ms)
 {
     const struct rk_relay_report *r = m->n->report;
@@ -189,18 +181,16 @@
         rk_loads_add_demand(m, true, sum, now_ms);
         return;
     }
-    add_demand(sum, source->digest.uses.rows, source->digest.uses.len, 1);
+    rk_org_demands_add(sum, source->digest.uses.rows, source->digest.uses.len, 1);
     if (r)
-        add_demand(sum, r->quota_usage, r->quota_usage_len, -1);
-    for (size_t i = 0; i < sum->len; i++)
-        if (sum->rows[i].total < 0)
-            sum->rows[i].total = 0; /* own demand rose since that digest */
+        rk_org_demands_add(sum, r->quota_usage, r->quota_usage_len, -1);
+    rk_org_demands_clamp(sum); /* own demand may have risen since that digest */
 }
 
-void rk_mesh_add_demand(const struct rk_mesh *m, struct rk_totals *sum)
+void rk_mesh_add_demand(const struct rk_mesh *m, struct rk_org_demands *sum)
 {
     const struct rk_relay_report *r = m->n->report;
     rk_loads_add_peer_demand(m, sum, rk_mono_ms());
     if (r)
-        add_demand(sum, r->quota_usage, r->quota_usage_len, 1);
+        rk_org_demands_add(sum, r->quota_usage, r->quota_usage_len, 1);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -201,6 +201,7 @@
     Rillknot__VmUse *vms, **vm_ptrs;
     Rillknot__OrgUse *uses, **use_ptrs;
     uint64_t *known;
+    float *class_demand;
     Rillknot__UsageRow *usage, **usage_ptrs;
     Rillknot__ServiceUse *services, **service_ptrs;
     Rillknot__EngineEstimate *engines;
@@ -293,8 +294,13 @@
 /* At a bridge with a shorter quota history than a node of its domain: requests that
  * node's. */
 void rk_report_request_history(struct rk_mesh *m, int64_t now_ms);
-/* Returns the demand in a received row, in units/s; 0 if the value is invalid. */
-double rk_report_demand(const Rillknot__OrgUse *in);
+/* Reads the demand per class, in units/s, from a received row; see
+ * rk_quota_class_decode() for rows without classes and with invalid values. */
+void rk_report_receive_demand(struct rk_org_use *row, const Rillknot__OrgUse *in);
+/* Sets the demand of a row that is sent. classes: room for RK_QUOTA_CLASSES values
+ * that must outlive the row. */
+void rk_report_put_demand(Rillknot__OrgUse *out,
+                          const double demand[RK_QUOTA_CLASSES], float *classes);
 /* Returns whether a member's own report is counted here. In a larger fleet only the
  * bridges of its domain count it; the other nodes count their digests. */
 bool rk_report_is_counted(const struct member *k);
@@ -344,12 +350,12 @@
 };
 struct rk_in_flight rk_loads_in_flight(const struct rk_mesh *m, const char *service,
                                        int64_t now_ms);
-/* Adds the demand, in quota units/s by organisation, of the members whose reports
- * are counted here and, if fleet, of the other domains by their digests. */
-void rk_loads_add_demand(const struct rk_mesh *m, bool fleet, struct rk_totals *sum,
-                         int64_t now_ms);
+/* Adds the demand, in quota units/s by organisation and class, of the members whose
+ * reports are counted here and, if fleet, of the other domains by their digests. */
+void rk_loads_add_demand(const struct rk_mesh *m, bool fleet,
+                         struct rk_org_demands *sum, int64_t now_ms);
 /* Adds the demand of all peers, by the best source available. */
-void rk_loads_add_peer_demand(const struct rk_mesh *m, struct rk_totals *sum,
+void rk_loads_add_peer_demand(const struct rk_mesh *m, struct rk_org_demands *sum,
                               int64_t now_ms);
 
 /* ---- engines.c: the nodes' estimates of engine speed ---- */
--- a/node/persist.c
+++ b/node/persist.c
@@ -214,7 +214,7 @@
 static bool build_quotas(struct rk_persist *m, struct rk_buf *b)
 {
     struct rk_node *n = m->n;
-    struct rk_totals demand = {0};
+    struct rk_org_demands demand = {0};
     struct rk_buf demand_text = {0};
     bool any = false;
     /* After a restart, persisted usage is taken to be complete. */
@@ -237,14 +237,16 @@
         append_slices(b, use);
         rk_buf_addstr(&demand_text, any ? "," : "");
         rk_buf_json_str(&demand_text, use->org);
-        rk_buf_printf(&demand_text, ":%.0f", rk_totals_value(&demand, use->org));
+        const struct rk_org_demand *row = rk_org_demands_find(&demand, use->org);
+        rk_buf_printf(&demand_text, ":%.0f",
+                      row ? rk_quota_class_sum(row->per_s) : 0);
         any = true;
     }
     rk_buf_printf(b, "},\"asking\":{%s}", any ? demand_text.data : "");
     any = append_usage(m, b) || any;
     rk_buf_addstr(b, "}");
     rk_buf_free(&demand_text);
-    rk_totals_free(&demand);
+    rk_org_demands_free(&demand);
     return any;
 }
 
--- a/node/report.c
+++ b/node/report.c
@@ -96,6 +96,7 @@
     free(p->vm_ptrs);
     free(p->uses);
     free(p->known);
+    free(p->class_demand);
     free(p->use_ptrs);
     free(p->usage);
     free(p->usage_ptrs);
--- a/node/report_quota_usage.c
+++ b/node/report_quota_usage.c
@@ -33,13 +33,22 @@
     p->uses[row].known = slices;
 }
 
+void rk_report_put_demand(Rillknot__OrgUse *out,
+                          const double demand[RK_QUOTA_CLASSES], float *classes)
+{
+    out->asking = (float)rk_quota_class_sum(demand);
+    out->n_asking_classes = rk_quota_class_encode(demand, classes);
+    out->asking_classes = classes;
+}
+
 static void put_row(struct rk_report *p, const struct rk_org_use *use)
 {
     Rillknot__OrgUse *row = &p->uses[p->report.n_uses];
     rillknot__org_use__init(row);
     row->org = (char *)use->org;
     row->units = use->units;
-    row->asking = (float)use->demand_per_s;
+    rk_report_put_demand(row, use->class_demand_per_s,
+                         &p->class_demand[p->report.n_uses * RK_QUOTA_CLASSES]);
     p->use_ptrs[p->report.n_uses++] = row;
 }
 
@@ -51,6 +60,8 @@
     p->uses = rk_alloc(r->quota_usage_len + 1, sizeof(*p->uses));
     p->known =
         rk_alloc(r->quota_usage_len * RK_QUOTA_SLICES + 1, sizeof(*p->known));
+    p->class_demand = rk_alloc(r->quota_usage_len * RK_QUOTA_CLASSES + 1,
+                               sizeof(*p->class_demand));
     p->use_ptrs = rk_alloc(r->quota_usage_len + 1, sizeof(*p->use_ptrs));
     for (size_t i = 0; i < r->quota_usage_len; i++) {
         const struct rk_org_use *use = &r->quota_usage[i];
@@ -85,12 +96,12 @@
     return k->m->direct || (k->m->bridge && rk_mesh_is_same_domain(k));
 }
 
-double rk_report_demand(const Rillknot__OrgUse *in)
+void rk_report_receive_demand(struct rk_org_use *row, const Rillknot__OrgUse *in)
 {
-    if (isfinite(in->asking) && in->asking >= 0)
-        return (double)in->asking;
-    RK_WARN("quota.rejected", RK_S("organisation", in->org));
-    return 0;
+    if (!rk_quota_class_decode((double)in->asking, in->asking_classes,
+                               in->n_asking_classes, row->class_demand_per_s))
+        RK_WARN("quota.rejected", RK_S("organisation", in->org));
+    row->demand_per_s = rk_quota_class_sum(row->class_demand_per_s);
 }
 
 /* Adds units that a member used to the sums for the relay and for digests. */
@@ -124,7 +135,7 @@
         const Rillknot__OrgUse *in = r->uses[i];
         double increase = rk_org_uses_set_units(&k->uses, in->org, in->units);
         struct rk_org_use *row = rk_org_uses_get(&k->uses, in->org);
-        row->demand_per_s = rk_report_demand(in);
+        rk_report_receive_demand(row, in);
         receive_history(row, in);
         if (k->has_all_uses && !first)
             count_use(k, in->org, increase);
--- a/node/state.h
+++ b/node/state.h
@@ -148,8 +148,8 @@
 void rk_mesh_read_delay_changed(struct rk_mesh *m);
 /* Returns the mean age in ms of the leader's counts of calls. */
 int64_t rk_mesh_usage_lag_ms(const struct rk_mesh *m);
-/* Adds the demand at all nodes, in quota units/s by organisation. */
-void rk_mesh_add_demand(const struct rk_mesh *m, struct rk_totals *sum);
+/* Adds the demand at all nodes, in quota units/s by organisation and class. */
+void rk_mesh_add_demand(const struct rk_mesh *m, struct rk_org_demands *sum);
 /* Returns whether a node is reachable from here or by a bridge's report. */
 bool rk_mesh_is_reachable(const struct rk_mesh *m, const char *id);
 /* Returns whether this node acts for a missing leader: it is the first of the
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3127,7 +3127,7 @@
   (ProtobufCMessageInit) rillknot__vm_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rillknot__org_use__field_descriptors[5] =
 {
   {
     "org",
@@ -3177,9 +3177,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asking_classes",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Rillknot__OrgUse, n_asking_classes),
+    offsetof(Rillknot__OrgUse, asking_classes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__org_use__field_indices_by_name[] = {
   3,   /* field[3] = asking */
+  4,   /* field[4] = asking_classes */
   2,   /* field[2] = known */
   0,   /* field[0] = org */
   1,   /* field[1] = units */
@@ -3187,7 +3200,7 @@
 static const ProtobufCIntRange rillknot__org_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rillknot__org_use__descriptor =
 {
@@ -3197,7 +3210,7 @@
   "Rillknot__OrgUse",
   "rillknot",
   sizeof(Rillknot__OrgUse),
-  4,
+  5,
   rillknot__org_use__field_descriptors,
   rillknot__org_use__field_indices_by_name,
   1,  rillknot__org_use__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -475,10 +475,17 @@
    * Smoothed demand in units per second, refused calls included.
    */
   float asking;
+  /*
+   * The same by priority class, the most urgent first. Classes after the last value
+   * have no demand. Without any value, `asking` counts wholly in the last class, as
+   * in rows of earlier versions.
+   */
+  size_t n_asking_classes;
+  float *asking_classes;
 };
 #define RILLKNOT__ORG_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__org_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -50,7 +50,7 @@
     free(p->loads);
     free(p->quota_usage_added);
     free(p->quota_history);
-    rk_totals_free(&p->quota_demand);
+    rk_org_demands_free(&p->quota_demand);
     free(p->services);
     free(p);
 }
@@ -77,7 +77,9 @@
         struct rk_org_use *use = &report->quota_usage[report->quota_usage_len++];
         rk_strcpy(use->org, sizeof(use->org), r->quota.orgs[i].name);
         use->units = r->quota.orgs[i].own_net_units;
-        use->demand_per_s = rk_quota_demand(&r->quota.orgs[i], rk_mono_ms());
+        rk_class_demand_per_s(&r->quota.orgs[i].demand, rk_mono_ms(),
+                              use->class_demand_per_s);
+        use->demand_per_s = rk_quota_class_sum(use->class_demand_per_s);
         rk_quota_report(&r->quota, &r->quota.orgs[i], use->used_slices,
                         rk_mono_ms());
         fill_persisted_usage(r, &r->quota.orgs[i], use);
@@ -342,9 +344,7 @@
     for (size_t i = 0; apply_history && i < p->quota_history_len; i++)
         rk_quota_merge(&r->quota, p->quota_history[i].org,
                        p->quota_history[i].used_slices, now_ms);
-    for (size_t i = 0; i < r->quota.orgs_len; i++)
-        r->quota.orgs[i].peers_demand =
-            rk_totals_value(&p->quota_demand, r->quota.orgs[i].name);
+    rk_org_demands_apply(&p->quota_demand, &r->quota);
     set_engine_priors(r, p->services, p->services_len);
     rk_quota_peer_history(&r->quota, p->quota_history_ms);
     r->quota.lag_ms = p->report_lag_ms;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -95,8 +95,8 @@
      * longest history or, if catch_up is set, to the new source of digests */
     struct rk_org_use *quota_history;
     size_t quota_history_len;
-    struct rk_totals quota_demand; /* quota units/s that callers request at peers */
-    struct rk_service_load *services; /* only the engine estimates are set */
+    struct rk_org_demands quota_demand; /* what callers request at peers */
+    struct rk_service_load *services;   /* only the engine estimates are set */
     size_t services_len;
     int64_t quota_history_ms; /* length of that peer's history */
     /* apply known[] even if its history is shorter than the quota window, because
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -130,24 +130,47 @@
     return now_ms + left_ms > atomic_load(&r->stop_ends_ms);
 }
 
+/* Counts a call of an organisation that has a quota. */
+static void count_decision(const struct rk_org_info *org, int call_class,
+                           bool admitted)
+{
+    static const enum rk_counter by_class[RK_QUOTA_CLASSES][2] = {
+        {RK_C_QUOTA_REFUSED_0, RK_C_QUOTA_ADMITTED_0},
+        {RK_C_QUOTA_REFUSED_1, RK_C_QUOTA_ADMITTED_1},
+        {RK_C_QUOTA_REFUSED_2, RK_C_QUOTA_ADMITTED_2},
+        {RK_C_QUOTA_REFUSED_3, RK_C_QUOTA_ADMITTED_3},
+    };
+    if (org->rate > 0)
+        rk_counter_add(by_class[call_class][admitted], 1);
+    if (!admitted)
+        rk_counter_add(RK_C_QUOTA_REFUSED, 1);
+}
+
 /* Charges the call to its organisation's quota. Returns false if the quota is used
  * up; the call is then refused and freed. */
 static bool admit(struct rk_relay_call *x)
 {
     struct rk_quota *q = &x->r->quota;
     struct rk_quota_decision answer;
-    if (!x->org || rk_quota_admit(q, x->org->name, x->org->rate, x->org->burst,
-                                  x->units, x->started_ms, &answer))
+    if (!x->org)
+        return true;
+    /* The organisation's own rank orders organisations at engines; the class
+     * orders the calls within one organisation. */
+    int call_class = rk_quota_class(x->query.engine, x->route->rank);
+    bool admitted = rk_quota_admit(q, x->org->name, x->org->rate, x->org->burst,
+                                   x->units, call_class, x->started_ms, &answer);
+    count_decision(x->org, call_class, admitted);
+    if (admitted)
         return true;
-    rk_counter_add(RK_C_QUOTA_REFUSED, 1);
-    RK_EVENT("quota.refused", RK_S("request", x->id),
-             RK_S("organisation", x->org->name), RK_N("units", (int64_t)x->units),
-             RK_N("used", (int64_t)answer.used),
-             RK_N("before", (int64_t)answer.used_before_restart),
-             RK_N("limit", (int64_t)answer.limit),
-             RK_N("share_pct", (int64_t)(answer.share * PCT)),
-             RK_N("nodes_heard", q->nodes_reachable),
-             RK_N("nodes_total", q->nodes_total));
+    RK_EVENT(
+        "quota.refused", RK_S("request", x->id), RK_S("organisation", x->org->name),
+        RK_N("units", (int64_t)x->units), RK_N("used", (int64_t)answer.used),
+        RK_N("before", (int64_t)answer.used_before_restart),
+        RK_N("limit", (int64_t)answer.limit),
+        RK_N("share_pct", (int64_t)(answer.share * PCT)), RK_N("class", call_class),
+        RK_N("class_share_pct", (int64_t)(answer.class_share * PCT)),
+        RK_N("nodes_heard", q->nodes_reachable),
+        RK_N("nodes_total", q->nodes_total));
     x->units = 0;
     rk_call_give_up(x, HTTP_TOO_MANY_REQUESTS, answer.retry_after_ms,
                     "the organisation's quota is used up");
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -302,14 +302,16 @@
 {
     (void)state;
     static struct fleet f;
-    struct rk_totals demand = {0};
+    struct rk_org_demands demand = {0};
     fleet_init(&f);
     receive_usage_digest(&f, 0, 1, "a", 10);
     receive_brief_digest(&f, 0, 1);
     rk_loads_add_peer_demand(&f.meshes[0], &demand, rk_mono_ms());
-    assert_float_equal(rk_totals_value(&demand, "a"), DEMAND, 0.001);
+    const struct rk_org_demand *a = rk_org_demands_find(&demand, "a");
+    assert_non_null(a);
+    assert_float_equal(rk_quota_class_sum(a->per_s), DEMAND, 0.001);
     assert_float_equal(peer_units_of(&f.meshes[0], "a"), 0, 0.001);
-    rk_totals_free(&demand);
+    rk_org_demands_free(&demand);
     fleet_free(&f);
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -12,6 +12,7 @@
 #include "core/quota.h"
 
 #define WINDOW_MS 8000
+#define CLASS     0 /* of all calls; tests/test_quota_classes.c has several */
 
 /* Frees a quota when it goes out of scope. */
 #define SCOPED __attribute__((cleanup(rk_quota_free)))
@@ -36,7 +37,7 @@
     double sum = 0;
     struct rk_quota_decision decision;
     for (int64_t t = from_ms; t < to_ms; t += step_ms)
-        if (rk_quota_admit(q, "org", rate, burst, units, t, &decision))
+        if (rk_quota_admit(q, "org", rate, burst, units, CLASS, t, &decision))
             sum += units;
     return sum;
 }
@@ -75,7 +76,7 @@
         double admitted = 0;
         snprintf(org, sizeof(org), "org-%d", i);
         for (int64_t t = 100000; t < 108000; t += 100)
-            if (rk_quota_admit(&q, org, 100, 100, 50, t, &decision))
+            if (rk_quota_admit(&q, org, 100, 100, 50, CLASS, t, &decision))
                 admitted += 50;
         assert_in_range((int)admitted, 850, 900);
     }
@@ -105,7 +106,8 @@
         q.nodes_total = 7;
         q.nodes_reachable = side;
         struct rk_quota_decision decision;
-        assert_true(rk_quota_admit(&q, "org", 100, 100, 1, 100000, &decision));
+        assert_true(
+            rk_quota_admit(&q, "org", 100, 100, 1, CLASS, 100000, &decision));
         assert_true(decision.limit > 900.0 * side / 7);
         sum += decision.limit;
     }
@@ -132,7 +134,7 @@
     q.overrun = 0.1;
     rk_quota_set_reachable(&q, PARTITION_NODES, PARTITION_NODES,
                            PARTITION_START_MS - WINDOW_MS);
-    rk_quota_admit(&q, "org", PARTITION_RATE, PARTITION_RATE, 0,
+    rk_quota_admit(&q, "org", PARTITION_RATE, PARTITION_RATE, 0, CLASS,
                    PARTITION_START_MS - WINDOW_MS, &decision);
     for (int ms = PARTITION_START_MS - WINDOW_MS; ms < PARTITION_START_MS;
          ms += 250)
@@ -151,7 +153,7 @@
         for (pending += per_s / 100; pending >= UNITS_PER_CALL;
              pending -= UNITS_PER_CALL)
             if (rk_quota_admit(q, "org", PARTITION_RATE, PARTITION_RATE,
-                               UNITS_PER_CALL, ms, &decision))
+                               UNITS_PER_CALL, CLASS, ms, &decision))
                 admitted += UNITS_PER_CALL;
     return admitted;
 }
@@ -239,12 +241,13 @@
     rk_quota_set_reachable(&q, 1, 10, 100000);
     rk_quota_restore(&q, "org", slices, 50, 300, 100000);
     rk_quota_restore_done(&q, 300);
-    rk_quota_admit(&q, "org", rate, burst, 1, 100200, &decision);
+    rk_quota_admit(&q, "org", rate, burst, 1, CLASS, 100200, &decision);
     assert_float_equal(decision.limit, quota, 0.001);
     rk_quota_merge(&q, "org", slices, 100300);
     rk_quota_peer_history(&q, WINDOW_MS);
     rk_quota_set_reachable(&q, 5, 10, 100300);
-    assert_true(rk_quota_admit(&q, "org", rate, burst, 1, 100400, &decision));
+    assert_true(
+        rk_quota_admit(&q, "org", rate, burst, 1, CLASS, 100400, &decision));
     assert_float_equal(decision.limit, quota / 2, 0.001);
     /* Of what all had used before, this side's part is charged. */
     assert_in_range((int)decision.used, 190, 230);
@@ -300,10 +303,10 @@
     (void)state;
     SCOPED struct rk_quota q = single_node_quota(0);
     struct rk_quota_decision decision;
-    rk_quota_admit(&q, "org", 100, 100, 1, 100000, &decision);
+    rk_quota_admit(&q, "org", 100, 100, 1, CLASS, 100000, &decision);
     rk_quota_add_peers(&q, "org", 300, 100150);
     rk_quota_add_peers(&q, "org", 300, 100250);
-    assert_false(rk_quota_admit(&q, "org", 100, 100, 10, 100260, &decision));
+    assert_false(rk_quota_admit(&q, "org", 100, 100, 10, CLASS, 100260, &decision));
     assert_true(decision.retry_after_ms > 0);
 }
 
@@ -367,7 +370,7 @@
                               double burst, double units)
 {
     struct rk_quota_decision decision;
-    if (!rk_quota_admit(&f->node[node].q, "org", rate, burst, units,
+    if (!rk_quota_admit(&f->node[node].q, "org", rate, burst, units, CLASS,
                         100000 + step * STEP_MS, &decision))
         return;
     f->node[node].own += units;
@@ -407,7 +410,7 @@
         double peers = f->total[then] - n->past_own[at];
         rk_quota_add_peers(&n->q, "org", peers - n->reported,
                            100000 + step * STEP_MS);
-        n->q.orgs[0].peers_demand = f->demand[then] - n->past_demand[at];
+        n->q.orgs[0].peers_demand[CLASS] = f->demand[then] - n->past_demand[at];
         n->reported = peers;
     }
 }
@@ -605,7 +608,8 @@
     (void)state;
     SCOPED struct rk_quota q = single_node_quota(100000);
     struct rk_quota_decision decision;
-    assert_false(rk_quota_admit(&q, "org", 100, 100, 100, 100100, &decision));
+    assert_false(
+        rk_quota_admit(&q, "org", 100, 100, 100, CLASS, 100100, &decision));
     const double slices[RK_QUOTA_SLICES] = {300};
     rk_quota_merge(&q, "org", slices, 100200);
     rk_quota_peer_history(&q, WINDOW_MS);
@@ -623,15 +627,16 @@
     struct rk_quota_decision decision;
     double slices[RK_QUOTA_SLICES];
     for (int i = 0; i < 80; i++)
-        rk_quota_admit(&peer, "org", 100, 100, 10, 100000 + i * 10, &decision);
+        rk_quota_admit(&peer, "org", 100, 100, 10, CLASS, 100000 + i * 10,
+                       &decision);
     rk_quota_report(&peer, &peer.orgs[0], slices, 101600);
     rk_quota_merge(&fresh, "org", slices, 101600);
     rk_quota_peer_history(&fresh, WINDOW_MS);
     for (int64_t t = 102000; t < 107500; t += 500) {
-        rk_quota_admit(&fresh, "org", 100, 100, 0, t, &decision);
+        rk_quota_admit(&fresh, "org", 100, 100, 0, CLASS, t, &decision);
         assert_true(decision.used >= 799);
     }
-    rk_quota_admit(&fresh, "org", 100, 100, 0, 110000, &decision);
+    rk_quota_admit(&fresh, "org", 100, 100, 0, CLASS, 110000, &decision);
     assert_true(decision.used < 1);
 }
 
@@ -729,10 +734,10 @@
     (void)state;
     SCOPED struct rk_quota q = single_node_quota(0);
     struct rk_quota_decision decision;
-    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100000, &decision));
-    assert_false(rk_quota_admit(&q, "org", 10, 10, 90, 100010, &decision));
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, CLASS, 100000, &decision));
+    assert_false(rk_quota_admit(&q, "org", 10, 10, 90, CLASS, 100010, &decision));
     rk_quota_refund(&q, "org", 90, 100020);
-    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, 100030, &decision));
+    assert_true(rk_quota_admit(&q, "org", 10, 10, 90, CLASS, 100030, &decision));
     assert_true(rk_quota_used(&q.orgs[0]) == 90);
 }
 
