--- a/tests/run.py
+++ b/tests/run.py
@@ -55,6 +55,7 @@
     "proc_hosted_moves": "hosted  streams move unbroken from leaving engines",
     "proc_hosted_rollouts": "hosted  rollouts: good versions committed, bad rolled back",
     "prop_rollout": "hosted  rollouts under random reports and timing",
+    "prop_quota_classes": "hosted  shares of priority classes for any demand",
     "proc_hosted_fleet": "hosted  settings, VMs, quotas, leader duties, stops of several nodes",
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
     "proc_hosted_restore": "hosted  a store that comes back from an older copy",
--- a/tests/test_bridges.c
+++ b/tests/test_bridges.c
@@ -238,20 +238,39 @@
     assert_null(f.meshes[0].contacts);
 }
 
-/* Node `to` receives a digest of the fleet with one organisation's quota usage. */
-static void receive_usage_digest(struct fleet *f, int to, int from, char *org,
-                                 double units)
+/* Node `to` receives a digest of the fleet with one row of quota usage. */
+static void receive_row_digest(struct fleet *f, int to, int from,
+                               Rillknot__OrgUse *use)
 {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX];
     Rillknot__Digest d;
-    Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT, *ptr = &use;
     init_digest(&d, id, addr, from);
+    d.uses = &use;
+    d.n_uses = 1;
+    rk_digest_receive(rk_mesh_find_or_add(&f->meshes[to], id, addr), &d);
+}
+
+/* Node `to` receives a digest of the fleet with one organisation's quota usage. */
+static void receive_usage_digest(struct fleet *f, int to, int from, char *org,
+                                 double units)
+{
+    Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT;
     use.org = org;
     use.units = units;
     use.asking = DEMAND;
-    d.uses = &ptr;
-    d.n_uses = 1;
-    rk_digest_receive(rk_mesh_find_or_add(&f->meshes[to], id, addr), &d);
+    receive_row_digest(f, to, from, &use);
+}
+
+/* The same with demand per class. */
+static void receive_classes_digest(struct fleet *f, int to, int from, char *org,
+                                   const double demand[RK_QUOTA_CLASSES])
+{
+    Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT;
+    float classes[RK_QUOTA_CLASSES];
+    use.org = org;
+    use.units = 1;
+    rk_report_put_demand(&use, demand, classes);
+    receive_row_digest(f, to, from, &use);
 }
 
 /* Units of an organisation that peers used and that were not passed to the relay
@@ -315,6 +334,70 @@
     fleet_free(&f);
 }
 
+/* Guards against demand that changes its class between two nodes: the values of a
+ * row pass through the wire format, as they were and in rows of an earlier version,
+ * and an invalid one must not reach the sums. */
+static void a_packed_row_keeps_its_classes(void **state)
+{
+    (void)state;
+    static const struct {
+        double sent[RK_QUOTA_CLASSES];
+        bool with_classes;
+        float first; /* value sent in place of the first class, unless 0 */
+        double received[RK_QUOTA_CLASSES];
+    } rows[] = {{{200, 0, 0, 12000}, true, 0, {200, 0, 0, 12000}},
+                {{200, 2400, 0, 0}, true, 0, {200, 2400, 0, 0}},
+                {{0, 0, 0, 12000}, true, 0, {0, 0, 0, 12000}},
+                {{200, 0, 0, 12000}, false, 0, {0, 0, 0, 12200}},
+                {{200, 0, 0, 12000}, true, -1, {0, 0, 0, 12200}}};
+    for (size_t i = 0; i < RK_ARRAY_LEN(rows); i++) {
+        Rillknot__OrgUse use = RILLKNOT__ORG_USE__INIT;
+        float classes[RK_QUOTA_CLASSES];
+        uint8_t wire[256];
+        struct rk_org_use row = {.demand_per_s = 1};
+        use.org = "clinic";
+        rk_report_put_demand(&use, rows[i].sent, classes);
+        if (!rows[i].with_classes)
+            use.n_asking_classes = 0;
+        if (rows[i].first != 0)
+            classes[0] = rows[i].first;
+        size_t len = rillknot__org_use__pack(&use, wire);
+        Rillknot__OrgUse *in = rillknot__org_use__unpack(NULL, len, wire);
+        assert_non_null(in);
+        rk_report_receive_demand(&row, in);
+        rillknot__org_use__free_unpacked(in, NULL);
+        assert_memory_equal(row.class_demand_per_s, rows[i].received,
+                            sizeof(row.class_demand_per_s));
+        assert_true(row.demand_per_s == rk_quota_class_sum(rows[i].received));
+    }
+}
+
+/* Guards against own demand that counts twice, and against negative demand: a
+ * digest of the fleet includes the node's own, which may have risen since in one
+ * class. */
+static void a_fleets_demand_excludes_own_per_class(void **state)
+{
+    (void)state;
+    static struct fleet f;
+    struct rk_org_demands demand = {0};
+    struct rk_org_use own[] = {{.org = "a",
+                                .units = 10,
+                                .demand_per_s = 9,
+                                .class_demand_per_s = {7, 0, 2, 0}}};
+    struct rk_relay_report report = {.quota_usage = own, .quota_usage_len = 1};
+    const double fleet_demand[RK_QUOTA_CLASSES] = {5, 3, 6, 0};
+    const double expected[RK_QUOTA_CLASSES] = {0, 3, 4, 0};
+    fleet_init(&f);
+    f.nodes[0].report = &report;
+    receive_classes_digest(&f, 0, 1, "a", fleet_demand);
+    rk_loads_add_peer_demand(&f.meshes[0], &demand, rk_mono_ms());
+    const struct rk_org_demand *a = rk_org_demands_find(&demand, "a");
+    assert_non_null(a);
+    assert_memory_equal(a->per_s, expected, sizeof(expected));
+    rk_org_demands_free(&demand);
+    fleet_free(&f);
+}
+
 /* Guards against a jump in quota usage at a node that has just started: if a brief
  * digest came first and served as the baseline, all usage since the bridge's start
  * would count as new with the next full digest. */
@@ -491,6 +574,8 @@
         cmocka_unit_test(a_digest_without_a_capacity_changes_none),
         cmocka_unit_test(messages_walk_only_contacts),
         cmocka_unit_test(a_fleets_sum_excludes_own_usage),
+        cmocka_unit_test(a_packed_row_keeps_its_classes),
+        cmocka_unit_test(a_fleets_demand_excludes_own_per_class),
         cmocka_unit_test(a_brief_digest_keeps_what_was_reported),
         cmocka_unit_test(a_brief_digest_is_no_baseline),
         cmocka_unit_test(a_bridge_known_by_heartbeats_has_no_baseline),
--- a/tests/test_org_usage.c
+++ b/tests/test_org_usage.c
@@ -127,11 +127,42 @@
     rk_totals_free(&n.reported);
 }
 
+/* Guards against peers' demand that stays at an organisation which its peers no
+ * longer request from, and against demand of a class that outlives the report that
+ * had it. */
+static void demand_ends_with_the_reports_that_had_it(void **state)
+{
+    (void)state;
+    struct rk_quota q;
+    struct rk_quota_decision decision;
+    struct rk_org_uses uses = {0};
+    struct rk_org_demands sum = {0}, none = {0};
+    rk_quota_init(&q, 0, 0, 0);
+    rk_quota_admit(&q, "a", 0, 0, 1, 0, 100000, &decision);
+    struct rk_org_use *row = rk_org_uses_get(&uses, "a");
+    row->demand_per_s = 9;
+    row->class_demand_per_s[1] = 9;
+    rk_org_demands_add(&sum, uses.rows, uses.len, 1);
+    rk_org_demands_add(&sum, uses.rows, uses.len, 1);
+    rk_org_demands_apply(&sum, &q);
+    assert_true(q.orgs[0].peers_demand[1] == 18 && q.orgs[0].peers_demand[0] == 0);
+    rk_org_demands_apply(&none, &q);
+    assert_true(q.orgs[0].peers_demand[1] == 0);
+    rk_org_uses_begin(&uses);
+    rk_org_demands_add(&none, uses.rows, uses.len, 1);
+    assert_int_equal(none.len, 0);
+    assert_true(uses.rows[0].class_demand_per_s[1] == 0);
+    rk_quota_free(&q);
+    rk_org_uses_free(&uses);
+    rk_org_demands_free(&sum);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_report_has_only_changed_rows),
         cmocka_unit_test(a_new_bridge_counts_all_usage_once),
+        cmocka_unit_test(demand_ends_with_the_reports_that_had_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
