--- a/tests/test_quota_shares.c
+++ b/tests/test_quota_shares.c
@@ -176,6 +176,31 @@
     assert_in_range(long_admitted, long_alike * 9 / 10, long_alike);
 }
 
+/* Guards against restarted nodes that take the demand for what they see themselves
+ * and admit all calls: until they reach their peers, the persisted demand counts,
+ * in the node's own mix of classes. */
+static void a_restarted_node_splits_the_persisted_demand(void **state)
+{
+    (void)state;
+    struct rk_quota q;
+    struct rk_quota_decision plain, long_call;
+    /* With what is assumed of the 300 ms since, 84,000 of the 90,000 units are
+     * used. */
+    const double slices[RK_QUOTA_SLICES] = {40000};
+    rk_quota_init(&q, 8000, 0, 100000);
+    q.nodes_total = 67;
+    rk_quota_restore(&q, "org", slices, 100000, 300, 100000);
+    rk_quota_restore_done(&q, 300);
+    rk_quota_admit(&q, "org", 10000, 10000, 100, 0, 100200, &plain);
+    rk_quota_admit(&q, "org", 10000, 10000, 100, 3, 100200, &long_call);
+    rk_quota_admit(&q, "org", 10000, 10000, 100, 0, 100200, &plain);
+    assert_float_equal(plain.share, 6000 / 37500.0, 0.01);
+    assert_float_equal(long_call.class_share, plain.share / 4, 0.01);
+    /* Two thirds of the node's own demand are plain calls. */
+    assert_float_equal(plain.class_share, (1 - 0.25 / 3) * plain.share * 1.5, 0.01);
+    rk_quota_free(&q);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -186,6 +211,7 @@
         cmocka_unit_test(rows_of_other_versions_and_invalid_ones_are_read),
         cmocka_unit_test(retry_delays_of_refusals_spread),
         cmocka_unit_test(a_node_without_peers_serves_plain_calls_first),
+        cmocka_unit_test(a_restarted_node_splits_the_persisted_demand),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
