--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -425,6 +425,8 @@
     x->move_tried = false;
     x->silence_reported = false;
     x->vm_head_ms = x->vm_first_ms = 0;
+    rk_strcpy(x->last_vm, sizeof(x->last_vm), x->vm->row.id);
+    rk_strcpy(x->last_vm_domain, sizeof(x->last_vm_domain), x->vm->row.domain);
     rk_counter_add(RK_C_ATTEMPTS, 1);
     rk_call_log_sent(x);
     start_silence_timer(x);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -84,6 +84,9 @@
     int64_t first_ms; /* time to first byte as the caller sees it; -1: none yet */
     int64_t last_data_ms; /* when data last arrived for the caller, monotonic */
     int64_t pause_ms;     /* longest time between two arrivals of data */
+    /* Id and failure domain of the VM of the last attempt, kept for the log after
+     * the attempt has ended; "": none yet. */
+    char last_vm[RK_ID_MAX], last_vm_domain[RK_ID_MAX];
     /* copy of the call's KV cache in progress; NULL: none */
     struct rk_call_move *move;
     bool move_tried;       /* a move away from the current VM was tried */
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -40,10 +40,14 @@
     if (success && !is_sampled(x))
         return;
     RK_EVENT("call.end", RK_S("request", x->id), RK_S("route", x->route->name),
+             RK_S("organisation", x->org ? x->org->name : ""),
+             RK_S("vm", x->last_vm), RK_S("domain", x->last_vm_domain),
              RK_N("version", x->routes->version), RK_N("status", status),
              RK_S("why", why), RK_N("attempts", x->attempts),
              RK_N("may_have_run", x->may_have_run), RK_N("first_ms", x->first_ms),
              RK_N("pause_ms", x->pause_ms),
+             RK_N("target_ms", x->route->target_first_byte_ms),
+             RK_N("target_gap_ms", x->route->target_gap_ms),
              RK_N("took_ms", rk_mono_ms() - x->started_ms));
 }
 
