--- a/tests/run.py
+++ b/tests/run.py
@@ -59,6 +59,7 @@
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
     "proc_hosted_restore": "hosted  a store that comes back from an older copy",
     "proc_hosted_bridges": "hosted  a large fleet: bridges, digests, updates, quotas, usage",
+    "proc_load_report": "hosted  the report from the logs: who waited, who was refused",
     "proc_soak": "hosted  the promises under random faults",
 }
 
