--- a/core/place.c
+++ b/core/place.c
@@ -23,14 +23,6 @@
 /* Upper bound of the random cost that keeps nodes from all choosing the same VM. */
 #define JITTER_MS 2
 
-/* ---- cached prefixes and preferred VMs ---- */
-
-/* How long in ms a prompt segment is assumed to stay in the cache of a VM. */
-#define PREFIX_CACHE_TTL_MS 12000
-/* Number of preferred VMs of a prefix. */
-#define MAX_PREFERRED 4
-/* Calls that share fewer prompt tokens than this are spread over all VMs. */
-#define SHARED_MIN_TOKENS 1000
 /* Cost of a VM that is not preferred, in multiples of the fixed part of the time to
  * the first token. A VM that is better than the preferred ones by less than this is
  * not used, because the loads that peers reported are old and all nodes act on the
@@ -46,10 +38,6 @@
 /* Initial size of the index of VMs; a power of two. */
 #define INDEX_INITIAL_SLOTS 64
 
-/* Share of a shared prefix that is assumed to be cached at each of its preferred
- * VMs, in their order. The later ones are used only while the first are busy. */
-static const double cached_shares[MAX_PREFERRED] = {0.95, 0.7, 0.5, 0.35};
-
 struct rk_place *rk_place_create(const char *domain, uint64_t seed)
 {
     struct rk_place *p = rk_alloc(1, sizeof(*p));
@@ -234,75 +222,6 @@
     rk_place_mark_versions(p);
 }
 
-/* ---- prefix cache ---- */
-
-void rk_place_parse_segments(struct rk_place_query *q, const char *text)
-{
-    uint64_t prefix_hash = 0;
-    q->segments_len = 0;
-    while (*text && q->segments_len < RK_PLACE_MAX_SEGMENTS) {
-        size_t id = strcspn(text, ":,");
-        prefix_hash = rk_hash(prefix_hash, text, id);
-        text += id;
-        long tokens = *text == ':' ? strtol(text + 1, NULL, 10) : 0;
-        q->segments[q->segments_len++] =
-            (struct rk_place_segment){.prefix_hash = prefix_hash,
-                                      .tokens = tokens > 0 ? (uint32_t)tokens : 0};
-        text += strcspn(text, ",");
-        if (*text == ',')
-            text++;
-    }
-}
-
-static struct prefix_entry *prefix_slot(struct rk_place *p, uint64_t prefix_hash,
-                                        uint64_t vm)
-{
-    return &p->prefix_cache[(prefix_hash ^ vm * 0x9e3779b97f4a7c15ULL) &
-                            (PREFIX_CACHE_SLOTS - 1)];
-}
-
-/* Returns true if a prompt with this prefix was sent to the VM recently. */
-static bool is_cached(struct rk_place *p, uint64_t prefix_hash, uint64_t vm,
-                      int64_t now_ms)
-{
-    const struct prefix_entry *e = prefix_slot(p, prefix_hash, vm);
-    return e->prefix_hash == prefix_hash && e->vm == vm &&
-           now_ms - e->at_ms < PREFIX_CACHE_TTL_MS;
-}
-
-/* Returns the key that keeps calls with a common prefix together: the hash of
- * all segments but the last, which is the call's own, or of the only segment. */
-static uint64_t affinity_key(const struct rk_place_query *q)
-{
-    if (q->segments_len >= 2)
-        return q->segments[q->segments_len - 2].prefix_hash;
-    return q->segments_len ? q->segments[0].prefix_hash : 0;
-}
-
-static double shared_prefix_tokens(const struct rk_place_query *q)
-{
-    double sum = 0;
-    for (size_t i = 0; i + 1 < q->segments_len; i++)
-        sum += q->segments[i].tokens;
-    return sum;
-}
-
-/* Returns the prompt tokens that the VM need not read: those of segments
- * recently sent there, or the given share of the shared prefix if that is more. */
-static double cached_tokens(struct rk_place *p, const struct rk_place_query *q,
-                            const struct rk_place_vm *v, double share,
-                            int64_t now_ms)
-{
-    double sum = 0;
-    for (size_t i = 0; i < q->segments_len; i++) {
-        if (!is_cached(p, q->segments[i].prefix_hash, v->hash, now_ms))
-            break;
-        sum += q->segments[i].tokens;
-    }
-    double assumed = shared_prefix_tokens(q) * share;
-    return sum > assumed ? sum : assumed;
-}
-
 /* ---- choice ---- */
 
 static bool is_excluded(const struct rk_place_query *q, const struct rk_place_vm *v)
@@ -324,10 +243,8 @@
                      : !q->wants_new_version;
 }
 
-/* Returns true if the VM may get the call, apart from limits and cooldowns that end
- * by themselves. */
-static bool is_eligible(const struct rk_place_query *q, uint32_t service_hash,
-                        const struct rk_place_vm *v)
+bool rk_place_is_eligible(const struct rk_place_query *q, uint32_t service_hash,
+                          const struct rk_place_vm *v)
 {
     return v->listed && !v->row.leaving && v->service_hash == service_hash &&
            !(v->signal && rk_vm_signal_blocks(v->signal)) &&
@@ -335,61 +252,6 @@
            !strcmp(v->row.service, q->service);
 }
 
-/* The VMs that all nodes try first for a prefix: the highest ranked ones by
- * rendezvous hashing. */
-struct preferred {
-    const struct rk_place_vm *vms[MAX_PREFERRED];
-    uint64_t weights[MAX_PREFERRED];
-    size_t len;
-    bool shared; /* ranked for a shared prefix, not for a single request */
-};
-
-/* Inserts the VM, in the order of weights, if it is among the highest ranked. */
-static void offer_preferred(struct preferred *h, const struct rk_place_vm *v,
-                            uint64_t weight)
-{
-    size_t at = h->len;
-    while (at > 0 && weight > h->weights[at - 1])
-        at--;
-    if (at == MAX_PREFERRED)
-        return;
-    if (h->len < MAX_PREFERRED)
-        h->len++;
-    for (size_t i = h->len - 1; i > at; i--) {
-        h->vms[i] = h->vms[i - 1];
-        h->weights[i] = h->weights[i - 1];
-    }
-    h->vms[at] = v;
-    h->weights[at] = weight;
-}
-
-static void find_preferred(const struct rk_place *p, const struct rk_place_query *q,
-                           uint32_t service_hash, struct preferred *h)
-{
-    *h = (struct preferred){.shared = shared_prefix_tokens(q) >= SHARED_MIN_TOKENS};
-    uint64_t key = h->shared ? affinity_key(q) : q->request_hash;
-    if (!q->engine)
-        return;
-    for (const struct rk_place_vm *v = p->vms; v; v = v->next)
-        if (is_eligible(q, service_hash, v))
-            offer_preferred(h, v, rk_hash(key, &v->hash, sizeof(v->hash)));
-}
-
-static int preferred_index(const struct preferred *h, const struct rk_place_vm *v)
-{
-    for (size_t i = 0; i < h->len; i++)
-        if (h->vms[i] == v)
-            return (int)i;
-    return -1;
-}
-
-/* Returns the share of the shared prefix that is assumed to be cached at the VM. */
-static double cached_share(const struct preferred *h, const struct rk_place_vm *v)
-{
-    int at = preferred_index(h, v);
-    return h->shared && at >= 0 ? cached_shares[at] : 0;
-}
-
 /* Returns the costs that are due to the VM's failures, refusals, pause and full
  * slots, less the bonus for a limit that may have been lifted. */
 static double health_penalty_ms(const struct rk_place_vm *v,
@@ -413,7 +275,8 @@
                                            const struct rk_place_vm *v,
                                            double share, int64_t now_ms)
 {
-    double unread = q->prompt_tokens - cached_tokens(p, q, v, share, now_ms);
+    double unread =
+        q->prompt_tokens - rk_place_cached_tokens(p, q, v, share, now_ms);
     return (struct rk_engine_load){
         .uncached_tokens = unread > 0 ? unread : 0,
         .waiting_tokens = v->waiting_tokens + v->peers_waiting_tokens,
@@ -446,7 +309,7 @@
 static struct rk_engine_forecast predict(struct rk_place *p,
                                          const struct rk_place_query *q,
                                          const struct rk_place_vm *v,
-                                         const struct preferred *preferred,
+                                         const struct rk_place_preferred *preferred,
                                          int64_t now_ms, double *cost_ms)
 {
     struct rk_vm_health health =
@@ -461,11 +324,11 @@
         return f;
     }
     struct rk_engine_load load =
-        expected_load(p, q, v, cached_share(preferred, v), now_ms);
+        expected_load(p, q, v, rk_place_cached_share(preferred, v), now_ms);
     f = rk_engine_predict(&v->speed->engine, &load);
     f.ms *= slowdown;
     *cost_ms = engine_cost_ms(v, &load) * slowdown + penalty_ms;
-    if (preferred_index(preferred, v) < 0)
+    if (rk_place_preferred_position(preferred, v) < 0)
         *cost_ms += NON_PREFERRED_FACTOR * v->speed->engine.coef[0];
     return f;
 }
@@ -473,57 +336,25 @@
 double rk_place_unread_tokens(struct rk_place *p, const struct rk_place_query *q,
                               const struct rk_place_vm *vm, int64_t now_ms)
 {
-    struct preferred preferred;
-    find_preferred(p, q, vm->service_hash, &preferred);
-    return expected_load(p, q, vm, cached_share(&preferred, vm), now_ms)
+    struct rk_place_preferred preferred;
+    rk_place_find_preferred(p, q, vm->service_hash, &preferred);
+    return expected_load(p, q, vm, rk_place_cached_share(&preferred, vm), now_ms)
         .uncached_tokens;
 }
 
-int rk_place_preferred_index(const struct rk_place *p,
-                             const struct rk_place_query *q,
-                             const struct rk_place_vm *vm)
-{
-    struct preferred preferred;
-    find_preferred(p, q, vm->service_hash, &preferred);
-    return preferred_index(&preferred, vm);
-}
-
-/* A leaving VM may be the source, because it keeps its cache until it is gone.
- * VMs that were started recently may rank before others, but have no prefixes
- * cached yet. */
-const struct rk_place_vm *rk_place_copy_source(const struct rk_place *p,
-                                               const struct rk_place_query *q,
-                                               const struct rk_place_vm *vm,
-                                               int64_t now_ms)
-{
-    const struct rk_place_vm *best = NULL;
-    uint64_t key = affinity_key(q), best_weight = 0;
-    if (shared_prefix_tokens(q) < SHARED_MIN_TOKENS)
-        return NULL;
-    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
-        uint64_t weight = rk_hash(key, &v->hash, sizeof(v->hash));
-        if (v == vm || !v->listed || v->service_hash != vm->service_hash ||
-            v->is_new != vm->is_new || now_ms < v->paused_until_ms ||
-            (best && weight <= best_weight))
-            continue;
-        best = v;
-        best_weight = weight;
-    }
-    return best;
-}
-
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
                                     const struct rk_place_query *q, int64_t now_ms,
                                     struct rk_engine_forecast *first)
 {
     uint32_t service_hash = (uint32_t)rk_hash_str(0, q->service);
-    struct preferred preferred;
+    struct rk_place_preferred preferred;
     struct rk_place_vm *best = NULL;
     double best_ms = INFINITY;
     *first = (struct rk_engine_forecast){0};
-    find_preferred(p, q, service_hash, &preferred);
+    rk_place_find_preferred(p, q, service_hash, &preferred);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
-        if (!is_eligible(q, service_hash, v) || !rk_place_may_send(v, now_ms))
+        if (!rk_place_is_eligible(q, service_hash, v) ||
+            !rk_place_may_send(v, now_ms))
             continue;
         double ms;
         struct rk_engine_forecast f = predict(p, q, v, &preferred, now_ms, &ms);
@@ -539,31 +370,21 @@
     return best;
 }
 
-/* Records that all segments of the prompt were sent to the VM. */
-static void cache_segments(struct rk_place *p, const struct rk_place_vm *vm,
-                           const struct rk_place_query *q, int64_t now_ms)
-{
-    for (size_t i = 0; i < q->segments_len; i++)
-        *prefix_slot(p, q->segments[i].prefix_hash, vm->hash) =
-            (struct prefix_entry){.prefix_hash = q->segments[i].prefix_hash,
-                                  .vm = vm->hash,
-                                  .at_ms = now_ms};
-}
-
 void rk_place_note_sent(struct rk_place *p, struct rk_place_vm *vm,
                         const struct rk_place_query *q, int64_t now_ms,
                         struct rk_place_job *job)
 {
     *job = (struct rk_place_job){.engine = q->engine, .sent_ms = now_ms};
     if (q->engine) {
-        struct preferred preferred;
-        find_preferred(p, q, vm->service_hash, &preferred);
+        struct rk_place_preferred preferred;
+        rk_place_find_preferred(p, q, vm->service_hash, &preferred);
         /* The VMs of a canary have not read any prefixes yet, so that none of their
          * prefixes is assumed to be cached. */
-        double share = rk_place_is_canary(vm) ? 0 : cached_share(&preferred, vm);
+        double share =
+            rk_place_is_canary(vm) ? 0 : rk_place_cached_share(&preferred, vm);
         job->load = expected_load(p, q, vm, share, now_ms);
         job->expected_ms = rk_engine_predict_ms(&vm->speed->engine, &job->load);
-        cache_segments(p, vm, q, now_ms);
+        rk_place_cache_segments(p, vm, q, now_ms);
         vm->waiting_tokens += job->load.uncached_tokens;
     } else {
         job->in_flight_per_slot = in_flight_per_slot(vm);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -1,5 +1,5 @@
-/* Internal state of the placement, shared by place.c, place_jobs.c,
- * place_loads.c, place_signals.c and place_rollouts.c. Not to be included by
+/* Internal state of the placement, shared by place.c, place_jobs.c, place_loads.c,
+ * place_preferred.c, place_signals.c and place_rollouts.c. Not to be included by
  * other files. */
 #ifndef RK_CORE_PLACE_IMPL_H
 #define RK_CORE_PLACE_IMPL_H
@@ -66,6 +66,43 @@
     return vm->signal && vm->signal->leaving;
 }
 
+/* Returns true if the VM may get the call, apart from limits and cooldowns that end
+ * by themselves. */
+bool rk_place_is_eligible(const struct rk_place_query *q, uint32_t service_hash,
+                          const struct rk_place_vm *v);
+
+/* Number of preferred VMs of a prefix. */
+#define PLACE_MAX_PREFERRED 4
+
+/* The VMs that all nodes try first for a prefix: the highest ranked ones by
+ * rendezvous hashing. */
+struct rk_place_preferred {
+    const struct rk_place_vm *vms[PLACE_MAX_PREFERRED];
+    uint64_t weights[PLACE_MAX_PREFERRED];
+    size_t len;
+    bool shared; /* ranked for a shared prefix, not for a single request */
+};
+
+/* Finds the preferred VMs of the query's prefix, or of the request if its shared
+ * prefix is short. Finds none for plain services. */
+void rk_place_find_preferred(const struct rk_place *p,
+                             const struct rk_place_query *q, uint32_t service_hash,
+                             struct rk_place_preferred *h);
+/* Returns the VM's index among the preferred VMs, or -1. */
+int rk_place_preferred_position(const struct rk_place_preferred *h,
+                                const struct rk_place_vm *v);
+/* Returns the share of the shared prefix that is assumed to be cached at the VM. */
+double rk_place_cached_share(const struct rk_place_preferred *h,
+                             const struct rk_place_vm *v);
+/* Returns the prompt tokens that the VM need not read: those of segments
+ * recently sent there, or the given share of the shared prefix if that is more. */
+double rk_place_cached_tokens(struct rk_place *p, const struct rk_place_query *q,
+                              const struct rk_place_vm *v, double share,
+                              int64_t now_ms);
+/* Records that all segments of the prompt were sent to the VM. */
+void rk_place_cache_segments(struct rk_place *p, const struct rk_place_vm *vm,
+                             const struct rk_place_query *q, int64_t now_ms);
+
 /* Updates for each VM its rollout, whether it is of the new version, and whether
  * it gets the calls of the rollout. */
 void rk_place_mark_versions(struct rk_place *p);
