--- a/core/place.c
+++ b/core/place.c
@@ -120,6 +120,7 @@
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_service_speeds_get(&p->speeds, row->service);
     v->signal = rk_vm_signals_find(&p->signals, v->hash);
+    v->speed_factor = 1;
     v->next = p->vms;
     p->vms = v;
     p->vms_len++;
@@ -304,6 +305,16 @@
     return (v->running + (double)v->peers_running) / slots;
 }
 
+/* Returns the factor by which times at the VM exceed those of a mean VM of its
+ * service now. The short-term slowdown is taken relative to the lasting factor, so
+ * that no call counts twice. */
+static double current_slowdown(const struct rk_place_vm *v,
+                               const struct rk_vm_health *health)
+{
+    double mean = v->speed->mean_log_ratio + log(v->speed_factor);
+    return rk_vm_health_slowdown(health, mean) * v->speed_factor;
+}
+
 /* Returns the predicted time to the first byte at the VM and stores the cost by
  * which VMs are compared in *cost_ms. */
 static struct rk_engine_forecast predict(struct rk_place *p,
@@ -314,7 +325,7 @@
 {
     struct rk_vm_health health =
         rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
-    double slowdown = rk_vm_health_slowdown(&health, v->speed->mean_log_ratio);
+    double slowdown = current_slowdown(v, &health);
     double penalty_ms = health_penalty_ms(v, &health, now_ms);
     struct rk_engine_forecast f = {0};
     if (!q->engine) {
@@ -327,6 +338,7 @@
         expected_load(p, q, v, rk_place_cached_share(preferred, v), now_ms);
     f = rk_engine_predict(&v->speed->engine, &load);
     f.ms *= slowdown;
+    f.std_error_ms *= v->speed_factor;
     *cost_ms = engine_cost_ms(v, &load) * slowdown + penalty_ms;
     if (rk_place_preferred_position(preferred, v) < 0)
         *cost_ms += NON_PREFERRED_FACTOR * v->speed->engine.coef[0];
--- a/core/place.h
+++ b/core/place.h
@@ -17,6 +17,7 @@
 #include "core/rollout.h"
 #include "core/service_speed.h"
 #include "core/vm_signals.h"
+#include "core/vm_speed.h"
 
 /* Most prompt segments of a query, and most VMs that it can exclude. */
 #define RK_PLACE_MAX_SEGMENTS 16
@@ -77,6 +78,13 @@
     struct rk_service_speed *speed; /* speed of its service; not owned */
     /* Health as seen by calls of this node, and as reported by peers. */
     struct rk_vm_health health, peers_health;
+    struct rk_vm_speed
+        lasting_speed; /* of this incarnation, from all nodes' calls */
+    double
+        speed_factor;  /* of its times to its service's mean; 1: like the others */
+    int speed_step;    /* speed_factor rounded by rk_vm_speed_step() */
+    int reported_step; /* the last one that rk_place_next_speed_change() returned */
+    int64_t step_reported_ms;               /* when that was; 0: never */
     const struct rk_place_rollout *rollout; /* rollout of its service; NULL: none */
     int64_t
         leaving_since_ms; /* when its leaving became known; 0: it isn't leaving */
@@ -189,6 +197,23 @@
  * recently. */
 size_t rk_place_active_len(const struct rk_place *p);
 
+/* Returns an active VM whose speed step differs from the one that this function
+ * returned last for the VM (0 at first), and marks it as returned; NULL if there is
+ * none. A VM is returned at most once in 5 s. */
+const struct rk_place_vm *rk_place_next_speed_change(struct rk_place *p,
+                                                     int64_t now_ms);
+
+/* The learnt speed of a VM. */
+struct rk_place_speed {
+    char vm[RK_ID_MAX];
+    int factor_pct; /* the VM's times in percent of its service's mean */
+};
+/* Stores the speeds that are not 100% in *out. Returns their number. The caller
+ * frees *out. */
+size_t rk_place_copy_speeds(const struct rk_place *p, struct rk_place_speed **out);
+/* Returns the VM's speed factor in percent. */
+int rk_place_speed_pct(const struct rk_place_vm *vm);
+
 /* Returns the current incarnation of the VM with this id, or NULL if it is
  * unknown. The record belongs to p. */
 struct rk_place_vm *rk_place_find(struct rk_place *p, const char *id);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -75,10 +75,10 @@
 #define PLACE_MAX_PREFERRED 4
 
 /* The VMs that all nodes try first for a prefix: the highest ranked ones by
- * rendezvous hashing. */
+ * rendezvous hashing, which is weighted by their learnt speed. */
 struct rk_place_preferred {
     const struct rk_place_vm *vms[PLACE_MAX_PREFERRED];
-    uint64_t weights[PLACE_MAX_PREFERRED];
+    uint64_t ranks[PLACE_MAX_PREFERRED];
     size_t len;
     bool shared; /* ranked for a shared prefix, not for a single request */
 };
--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -35,10 +35,12 @@
         rk_place_canary_stats(vm, job->canary_route, now_ms);
     if (canary)
         rk_canary_add_time(canary, took_ms, job->expected_ms);
+    /* The speed of the service is that of its mean VM. */
+    double mean_vm_ms = took_ms / vm->speed_factor;
     if (job->engine)
-        rk_engine_learn(&vm->speed->engine, &job->load, took_ms);
+        rk_engine_learn(&vm->speed->engine, &job->load, mean_vm_ms);
     else
-        rk_service_speed_note_plain(vm->speed, job->in_flight_per_slot, took_ms);
+        rk_service_speed_note_plain(vm->speed, job->in_flight_per_slot, mean_vm_ms);
 }
 
 /* The duration counts only before the first byte of a new call. A resumed
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -2,11 +2,17 @@
  * of the VMs that these calls show. The cost of each function grows with the
  * number of active VMs, for the means also with that of services, but not with that
  * of all VMs. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "core/place_impl.h"
 
+/* Least time between two reports of a change of the same VM's speed. */
+#define SPEED_REPORT_INTERVAL_MS 5000
+/* A factor of 1. */
+#define PERCENT 100
+
 /* A VM without calls in flight is reported, and kept active, only while its health
  * record holds at least this many calls, after decay. */
 #define MIN_REPORTED_CALLS 0.05
@@ -46,6 +52,16 @@
     }
 }
 
+/* Returns true if the VM stays active without peers' loads. A VM whose speed factor
+ * is not 1 stays, because only the records of active VMs decay: it would count as
+ * slow for good. */
+static bool stays_active(const struct rk_place_vm *v, int64_t now_ms)
+{
+    struct rk_vm_health health = rk_vm_health_decayed(&v->health, now_ms);
+    return v->calls || rk_vm_health_weight(&health) >= MIN_REPORTED_CALLS ||
+           v->speed_factor != 1;
+}
+
 /* Clears the peers' loads and takes VMs off the list of active VMs that only
  * those had kept there. */
 static void clear_peer_loads(struct rk_place *p, int64_t now_ms)
@@ -55,22 +71,32 @@
         v->peers_running = 0;
         v->peers_waiting_tokens = 0;
         v->peers_health = (struct rk_vm_health){.at_ms = now_ms};
-        struct rk_vm_health health = rk_vm_health_decayed(&v->health, now_ms);
-        if (!v->calls && rk_vm_health_weight(&health) < MIN_REPORTED_CALLS)
-            remove_active(p, at);
-        else
+        if (stays_active(v, now_ms))
             at = &v->next_active;
+        else
+            remove_active(p, at);
     }
 }
 
 /* ---- loads ---- */
 
-/* Updates the mean latency ratio of each service over all its VMs. A single VM
- * counts as slow only relative to this mean. */
+/* Adds the recent calls of all nodes to the long-term records. */
+static void observe_speeds(struct rk_place *p, int64_t now_ms)
+{
+    for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        struct rk_vm_health all =
+            rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+        rk_vm_speed_observe(&v->lasting_speed, &all, now_ms);
+    }
+}
+
+/* Updates the mean latency ratios of each service over all its VMs. A single VM
+ * counts as slow only relative to these means. */
 static void update_mean_log_ratios(struct rk_place *p, int64_t now_ms)
 {
     for (struct rk_service_speed *s = p->speeds.first; s; s = s->next) {
         double log_sum = 0, calls = 0;
+        double lasting_log_sum = 0, lasting_calls = 0;
         for (const struct rk_place_vm *v = p->active; v; v = v->next_active) {
             if (v->speed != s)
                 continue;
@@ -78,8 +104,21 @@
                 rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
             log_sum += all.log_sum;
             calls += all.calls;
+            lasting_log_sum += v->lasting_speed.log_sum;
+            lasting_calls += v->lasting_speed.calls;
         }
         s->mean_log_ratio = calls > 0 ? log_sum / calls : 0;
+        s->mean_lasting_log_ratio =
+            lasting_calls > 0 ? lasting_log_sum / lasting_calls : 0;
+    }
+}
+
+static void update_speed_factors(struct rk_place *p)
+{
+    for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        v->speed_factor =
+            rk_vm_speed_factor(&v->lasting_speed, v->speed->mean_lasting_log_ratio);
+        v->speed_step = rk_vm_speed_step(v->speed_factor);
     }
 }
 
@@ -105,7 +144,9 @@
         v->peers_health.at_ms = now_ms;
         rk_vm_health_accumulate(&v->peers_health, &loads[i].health);
     }
+    observe_speeds(p, now_ms);
     update_mean_log_ratios(p, now_ms);
+    update_speed_factors(p);
 }
 
 size_t rk_place_own_loads(const struct rk_place *p, int64_t now_ms,
@@ -128,6 +169,45 @@
     return len;
 }
 
+/* ---- speeds ---- */
+
+int rk_place_speed_pct(const struct rk_place_vm *vm)
+{
+    return (int)lround(vm->speed_factor * PERCENT);
+}
+
+size_t rk_place_copy_speeds(const struct rk_place *p, struct rk_place_speed **out)
+{
+    size_t len = 0;
+    *out = rk_alloc(p->active_len + 1, sizeof(**out));
+    for (const struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        int pct = rk_place_speed_pct(v);
+        if (v->superseded || !v->listed || pct == PERCENT)
+            continue;
+        struct rk_place_speed *speed = &(*out)[len++];
+        rk_strcpy(speed->vm, sizeof(speed->vm), v->row.id);
+        speed->factor_pct = pct;
+    }
+    return len;
+}
+
+const struct rk_place_vm *rk_place_next_speed_change(struct rk_place *p,
+                                                     int64_t now_ms)
+{
+    for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        if (v->superseded || !v->listed || v->speed_step == v->reported_step ||
+            (v->step_reported_ms &&
+             now_ms - v->step_reported_ms < SPEED_REPORT_INTERVAL_MS))
+            continue;
+        v->reported_step = v->speed_step;
+        v->step_reported_ms = now_ms;
+        return v;
+    }
+    return NULL;
+}
+
+/* ---- calls of this node ---- */
+
 struct rk_place_in_flight rk_place_in_flight(const struct rk_place *p,
                                              const char *service)
 {
--- a/core/place_preferred.c
+++ b/core/place_preferred.c
@@ -2,6 +2,7 @@
  * nodes try first for it, so that few VMs read the same prefix. */
 #include "core/place_impl.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -83,12 +84,30 @@
 
 /* ---- preferred VMs ---- */
 
-/* Inserts the VM, in the order of weights, if it is among the highest ranked. */
+/* Number of values of a hash: 2^64. */
+#define HASH_VALUES 18446744073709551616.0
+
+/* Returns the VM's rank for the key in weighted rendezvous hashing: the highest one
+ * is first. The chance to be first is proportional to the VM's weight, 1 / factor.
+ * The factor is rounded to its step, so that nodes agree. A VM of step 0 is ranked
+ * by its hash, of which the rank u^(1 / weight) is a generalisation (Schindelhauer
+ * and Schomaker, "Weighted Distributed Hash Tables", 2005). */
+static uint64_t rank_of(const struct rk_place_vm *v, uint64_t key)
+{
+    uint64_t hash = rk_hash(key, &v->hash, sizeof(v->hash));
+    if (!v->speed_step)
+        return hash;
+    double u = ((double)hash + 0.5) / HASH_VALUES;
+    double rank = pow(u, exp2(v->speed_step / 2.0)) * HASH_VALUES;
+    return rank < HASH_VALUES ? (uint64_t)rank : UINT64_MAX;
+}
+
+/* Inserts the VM, in the order of ranks, if it is among the highest ranked. */
 static void offer_preferred(struct rk_place_preferred *h,
-                            const struct rk_place_vm *v, uint64_t weight)
+                            const struct rk_place_vm *v, uint64_t rank)
 {
     size_t at = h->len;
-    while (at > 0 && weight > h->weights[at - 1])
+    while (at > 0 && rank > h->ranks[at - 1])
         at--;
     if (at == PLACE_MAX_PREFERRED)
         return;
@@ -96,10 +115,10 @@
         h->len++;
     for (size_t i = h->len - 1; i > at; i--) {
         h->vms[i] = h->vms[i - 1];
-        h->weights[i] = h->weights[i - 1];
+        h->ranks[i] = h->ranks[i - 1];
     }
     h->vms[at] = v;
-    h->weights[at] = weight;
+    h->ranks[at] = rank;
 }
 
 void rk_place_find_preferred(const struct rk_place *p,
@@ -113,7 +132,7 @@
         return;
     for (const struct rk_place_vm *v = p->vms; v; v = v->next)
         if (rk_place_is_eligible(q, service_hash, v))
-            offer_preferred(h, v, rk_hash(key, &v->hash, sizeof(v->hash)));
+            offer_preferred(h, v, rank_of(v, key));
 }
 
 int rk_place_preferred_position(const struct rk_place_preferred *h,
@@ -150,17 +169,17 @@
                                                int64_t now_ms)
 {
     const struct rk_place_vm *best = NULL;
-    uint64_t key = affinity_key(q), best_weight = 0;
+    uint64_t key = affinity_key(q), best_rank = 0;
     if (shared_prefix_tokens(q) < SHARED_MIN_TOKENS)
         return NULL;
     for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
-        uint64_t weight = rk_hash(key, &v->hash, sizeof(v->hash));
+        uint64_t rank = rank_of(v, key);
         if (v == vm || !v->listed || v->service_hash != vm->service_hash ||
             v->is_new != vm->is_new || now_ms < v->paused_until_ms ||
-            (best && weight <= best_weight))
+            (best && rank <= best_rank))
             continue;
         best = v;
-        best_weight = weight;
+        best_rank = rank;
     }
     return best;
 }
--- a/core/service_speed.c
+++ b/core/service_speed.c
@@ -12,10 +12,6 @@
 #define PLAIN_MAX_RATIO 4.0
 /* Bounds the log ratio: 12 times as slow or as fast. */
 #define MAX_LOG_RATIO 2.5
-/* Time after which a call counts half as much. A VM that became four times as
- * slow gets fewer calls after a second, and one that is no longer used is tried
- * again after some seconds. */
-#define HEALTH_HALF_LIFE_MS 1500.0
 /* Calls with the expected result that are added to the sums, so that a few calls
  * have little effect. */
 #define PRIOR_CALLS 3.0
@@ -92,7 +88,7 @@
 {
     struct rk_vm_health now = {.at_ms = now_ms};
     if (p->calls > 0) {
-        double factor = decay_factor(p, HEALTH_HALF_LIFE_MS, now_ms);
+        double factor = decay_factor(p, RK_VM_HEALTH_HALF_LIFE_MS, now_ms);
         now.log_sum = p->log_sum * factor;
         now.failed = p->failed * factor;
         now.calls = p->calls * factor;
--- a/core/service_speed.h
+++ b/core/service_speed.h
@@ -23,6 +23,8 @@
     /* Mean log ratio of actual to expected time, over the recent calls to all its
      * VMs. */
     double mean_log_ratio;
+    /* The same over the long-term records of its VMs (vm_speed.h). */
+    double mean_lasting_log_ratio;
 };
 
 /* The speeds of all services; zeroed: empty. */
@@ -46,6 +48,13 @@
 void rk_service_speed_note_plain(struct rk_service_speed *s,
                                  double in_flight_per_slot, double took_ms);
 
+/* Time after which a call counts half as much in the health of a VM, and the mean
+ * time that it counts: the half-life divided by ln 2. A VM that became four times
+ * as slow gets fewer calls after a second, and one that is no longer used is tried
+ * again after some seconds. */
+#define RK_VM_HEALTH_HALF_LIFE_MS 1500.0
+#define RK_VM_HEALTH_MEAN_MS      (RK_VM_HEALTH_HALF_LIFE_MS / 0.69314718055994531)
+
 /* Health of a VM: how long its recent calls took relative to what the speed of
  * its service predicts, and how many failed or were refused. The weight of each
  * call decays exponentially. Sums of several nodes can be added. */
--- a/node/node.c
+++ b/node/node.c
@@ -14,6 +14,7 @@
 #include "common/http1.h"
 #include "common/latency.h"
 #include "core/revision.h"
+#include "node/metric_label.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -88,6 +89,18 @@
                       gauges[i].name, gauges[i].name, gauges[i].value);
 }
 
+/* VMs with a speed of 100% are left out: of thousands, nearly all have it. */
+static void render_speeds(const struct rk_node *n, struct rk_buf *out)
+{
+    const struct rk_relay_report *report = n->report;
+    rk_buf_addstr(out, "# TYPE rillknot_vm_speed_pct gauge\n");
+    for (size_t i = 0; report && i < report->speeds_len; i++) {
+        rk_buf_addstr(out, "rillknot_vm_speed_pct{");
+        rk_metric_put_label(out, "vm", report->speeds[i].vm);
+        rk_buf_printf(out, "} %d\n", report->speeds[i].factor_pct);
+    }
+}
+
 static void on_metrics_request(void *ctx, struct rk_client *client)
 {
     struct rk_node *n = ctx;
@@ -99,6 +112,7 @@
     rk_counters_render(&b);
     rk_latency_render(&b);
     render_gauges(n, &b);
+    render_speeds(n, &b);
     rk_rollouts_render(n->rollouts, &b);
     rk_client_answer(client, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                      b.data, b.len);
--- a/node/rollout_metrics.c
+++ b/node/rollout_metrics.c
@@ -6,34 +6,19 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/metric_label.h"
 #include "node/rollouts_impl.h"
 
-/* Appends a label. Backslash, quote and line feed are escaped as Prometheus' text
- * format requires. */
-static void put_label(struct rk_buf *out, const char *name, const char *value)
-{
-    rk_buf_printf(out, "%s=\"", name);
-    for (const char *c = value; *c; c++) {
-        if (*c == '\\' || *c == '"')
-            rk_buf_printf(out, "\\%c", *c);
-        else if (*c == '\n')
-            rk_buf_addstr(out, "\\n");
-        else
-            rk_buf_printf(out, "%c", *c);
-    }
-    rk_buf_addstr(out, "\"");
-}
-
 static void put_sample(struct rk_buf *out, const char *name, const char *service,
                        const char *version, const char *route, double value)
 {
     rk_buf_printf(out, "rillknot_%s{", name);
-    put_label(out, "service", service);
+    rk_metric_put_label(out, "service", service);
     rk_buf_addstr(out, ",");
-    put_label(out, "version", version);
+    rk_metric_put_label(out, "version", version);
     if (route) {
         rk_buf_addstr(out, ",");
-        put_label(out, "route", route);
+        rk_metric_put_label(out, "route", route);
     }
     rk_buf_printf(out, "} %.15g\n", value);
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -42,6 +42,7 @@
     free(r->canaries);
     free(r->suspects);
     free(r->signals);
+    free(r->speeds);
     free(r);
 }
 
@@ -164,6 +165,7 @@
     fill_suspects(r, report);
     report->signals_len =
         rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
+    report->speeds_len = rk_place_copy_speeds(r->place, &report->speeds);
     report->vms_in_cooldown = rk_place_cooldown_len(r->place, rk_mono_ms());
     report->quota_history_complete = rk_quota_is_complete(&r->quota, rk_mono_ms());
     report->quota_history_ms = rk_quota_history_ms(&r->quota, rk_mono_ms());
@@ -328,6 +330,7 @@
     const struct rk_relay_peers *p = m->peers;
     int64_t now_ms = rk_mono_ms();
     rk_place_set_loads(r->place, p->loads, p->loads_len, now_ms);
+    rk_relay_log_speed_changes(r, now_ms);
     rk_quota_set_reachable(&r->quota, p->nodes_reachable, p->nodes_total, now_ms);
     rk_place_set_node_count(r->place, p->nodes_total);
     for (size_t i = 0; i < p->quota_usage_added_len; i++)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -70,6 +70,8 @@
     size_t suspects_len;
     struct rk_vm_signal *signals; /* state that VMs advertised in their answers */
     size_t signals_len;
+    struct rk_place_speed *speeds; /* learnt speeds of VMs that are not 100% */
+    size_t speeds_len;
     size_t vms_in_cooldown; /* VMs in a cooldown towards this node */
     /* how far back this node's quota history goes, at most the window */
     int64_t quota_history_ms;
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -55,6 +55,9 @@
     _Atomic int64_t stop_began_ms, stop_ends_ms;
 };
 
+/* Logs changes of the VMs' speed steps; relay_log.c. */
+void rk_relay_log_speed_changes(struct rk_relay *r, int64_t now_ms);
+
 /* Starts a call for the complete request of a client, or refuses it. */
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client);
 
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -1,4 +1,4 @@
-/* Log events and histograms of relayed calls. */
+/* Log events and histograms of relayed calls, and of what they show about VMs. */
 #include "common/eventlog.h"
 #include "common/latency.h"
 #include "serve/relay_call_impl.h"
@@ -23,7 +23,8 @@
              RK_N("read_tokens", (int64_t)x->job.load.uncached_tokens),
              RK_N("waiting_tokens", (int64_t)x->job.load.waiting_tokens),
              RK_N("running", (int64_t)x->job.load.running),
-             RK_N("home", rk_place_preferred_index(x->r->place, &x->query, x->vm)));
+             RK_N("home", rk_place_preferred_index(x->r->place, &x->query, x->vm)),
+             RK_N("speed_pct", rk_place_speed_pct(x->vm)));
 }
 
 void rk_call_log_first_byte(const struct rk_relay_call *x, int64_t observed_ms)
@@ -65,3 +66,13 @@
              RK_N("begun", x->begun),
              RK_N("after_ms", rk_mono_ms() - x->started_ms));
 }
+
+void rk_relay_log_speed_changes(struct rk_relay *r, int64_t now_ms)
+{
+    const struct rk_place_vm *vm;
+    while ((vm = rk_place_next_speed_change(r->place, now_ms)))
+        RK_EVENT("vm.speed", RK_S("vm", vm->row.id),
+                 RK_S("service", vm->row.service), RK_N("step", vm->speed_step),
+                 RK_N("speed_pct", rk_place_speed_pct(vm)),
+                 RK_N("calls", (int64_t)vm->lasting_speed.calls));
+}
