--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -16,7 +16,7 @@
     "no-lateness-refusals": ("serve/relay_call.c", "target_ms <= 0)\n        return false;",
                              "target_ms <= 0 || x->r)\n        return false;"),
     "no-pace-of-vms": ("core/service_speed.c", "return p->log_ratio != 0 ?", "return 0 && now_ms ?"),
-    "no-homes": ("core/place.c", "    if (!q->engine)\n        return;\n    for",
+    "no-homes": ("core/place_preferred.c", "    if (!q->engine)\n        return;\n    for",
                  "    if (p)\n        return;\n    for"),
     "no-ranks": ("serve/relay_call.c", "return x->org && x->org->rank >= 0 ? x->org->rank : x->route->rank;",
                  "return x->org ? 1 : 1;"),
