--- a/core/place.c
+++ b/core/place.c
@@ -280,7 +280,7 @@
         q->prompt_tokens - rk_place_cached_tokens(p, q, v, share, now_ms);
     return (struct rk_engine_load){
         .uncached_tokens = unread > 0 ? unread : 0,
-        .waiting_tokens = v->waiting_tokens + v->peers_waiting_tokens,
+        .waiting_tokens = v->waiting_tokens + rk_place_peers_waiting(p, v, now_ms),
         .running = v->running + (double)v->peers_running};
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -177,6 +177,8 @@
 bool rk_place_wants_new_version(const struct rk_place *p,
                                 const struct rk_place_query *q);
 
+/* Sets the typical age of peers' loads on arrival; 0 until it is set. */
+void rk_place_set_report_lag(struct rk_place *p, int64_t lag_ms);
 /* Replaces the loads that peers reported. A VM may occur more than once: its
  * rows are added up. Rows of unknown VMs or of other incarnations are ignored. */
 void rk_place_set_loads(struct rk_place *p, const struct rk_vm_load *loads,
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -23,6 +23,8 @@
     struct rk_place_vm *active; /* linked list by next_active */
     size_t active_len;
     struct rk_service_speeds speeds;
+    int64_t loads_ms; /* when the peers' loads were received */
+    int64_t report_lag_ms;
     struct rk_vm_signals signals;
     int nodes; /* nodes of the fleet; 0: not known yet */
     struct rk_place_rollout rollouts[RK_ROLLOUTS];
@@ -52,6 +54,11 @@
 /* Frees VMs that are no longer listed and have no call of this node in flight. */
 void rk_place_sweep(struct rk_place *p);
 
+/* Returns the prompt tokens of peers' calls that still wait at the engine: those
+ * that they reported, less what the engine has read since. */
+double rk_place_peers_waiting(const struct rk_place *p,
+                              const struct rk_place_vm *vm, int64_t now_ms);
+
 /* Returns true if all slots of the VM are taken, as far as this node knows. */
 static inline bool rk_place_is_full(const struct rk_place_vm *vm)
 {
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -110,6 +110,8 @@
         s->mean_log_ratio = calls > 0 ? log_sum / calls : 0;
         s->mean_lasting_log_ratio =
             lasting_calls > 0 ? lasting_log_sum / lasting_calls : 0;
+        struct rk_engine_estimate estimate = rk_engine_get_estimate(&s->engine);
+        s->read_per_ms = rk_engine_read_per_s(&estimate) / RK_MS_PER_S;
     }
 }
 
@@ -133,6 +135,7 @@
                         size_t len, int64_t now_ms)
 {
     clear_peer_loads(p, now_ms);
+    p->loads_ms = now_ms;
     for (size_t i = 0; i < len; i++) {
         struct rk_place_vm *v = rk_place_find(p, loads[i].id);
         if (!v || (loads[i].incarnation &&
@@ -149,6 +152,23 @@
     update_speed_factors(p);
 }
 
+void rk_place_set_report_lag(struct rk_place *p, int64_t lag_ms)
+{
+    p->report_lag_ms = lag_ms;
+}
+
+/* An engine reads what waits within less time than a report takes. When the
+ * reported tokens counted in full, all nodes avoided the same busy engines and met
+ * at the same idle ones: bursts of 60,000 tokens within 0.4 s were twice as
+ * frequent as with engines chosen at random (88 nodes, 60 engines). */
+double rk_place_peers_waiting(const struct rk_place *p,
+                              const struct rk_place_vm *vm, int64_t now_ms)
+{
+    double age_ms = (double)(now_ms - p->loads_ms + p->report_lag_ms);
+    double read = vm->speed->read_per_ms * age_ms / vm->speed_factor;
+    return fmax(0, vm->peers_waiting_tokens - read);
+}
+
 size_t rk_place_own_loads(const struct rk_place *p, int64_t now_ms,
                           struct rk_vm_load **out)
 {
--- a/core/service_speed.h
+++ b/core/service_speed.h
@@ -25,6 +25,7 @@
     double mean_log_ratio;
     /* The same over the long-term records of its VMs (vm_speed.h). */
     double mean_lasting_log_ratio;
+    double read_per_ms; /* prompt tokens that an engine reads per ms; 0: unknown */
 };
 
 /* The speeds of all services; zeroed: empty. */
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -331,6 +331,7 @@
     struct rk_relay *r = m->r;
     const struct rk_relay_peers *p = m->peers;
     int64_t now_ms = rk_mono_ms();
+    rk_place_set_report_lag(r->place, p->report_lag_ms);
     rk_place_set_loads(r->place, p->loads, p->loads_len, now_ms);
     rk_relay_log_speed_changes(r, now_ms);
     rk_quota_set_reachable(&r->quota, p->nodes_reachable, p->nodes_total, now_ms);
