--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -463,12 +463,18 @@
                 self._end(conn, abort=True)
 
 
-def partitionable_fleet():
-    """Starts a large fleet; returns it and its Partition."""
-    d, partition = Hosted(nodes=0, zones=ZONES), Partition()
-    for n in range(NODES):
+def partitionable_nodes(count, **kw):
+    """Starts nodes behind proxies; returns the deployment and its Partition."""
+    d, partition = Hosted(nodes=0, zones=ZONES, **kw), Partition()
+    for n in range(count):
         proxy = NodeProxy(d, partition, ZONES[n % len(ZONES)])
         proxy.target = d.add_node(advertise=proxy.addr).ready["control_bound"]
+    return d, partition
+
+
+def partitionable_fleet():
+    """Starts a large fleet; returns it and its Partition."""
+    d, partition = partitionable_nodes(NODES)
     d.add_worker("plain", zone=ZONES[0])
     d.configure([d.route("r", "plain")])
     return d, partition
--- a/tests/signals.py
+++ b/tests/signals.py
@@ -19,19 +19,34 @@
     processes on exit. With events > 0 the VMs are engines that stream that many events,
     else plain services. d is the Hosted deployment."""
 
-    def __init__(self, nodes=8, workers=9, events=3, kind="streaming", **kw):
+    def __init__(self, nodes=8, workers=9, events=3, kind="streaming", prompts=PROMPTS,
+                 **kw):
+        self.prompts = prompts  # headers, used in turn
         self.stop = threading.Event()
         self.answers = []  # (monotonic time sent, node's index, answer)
         self.callers = []
-        self.d = Hosted(nodes=nodes, zones=ZONES, **kw).start()
-        engine = {"engine": {"slots": 32, "kvCapacity": 100000}} if events else {}
+        self.d = self.start_nodes(nodes, **kw)
         for n in range(workers):
             self.add(ZONES[n % len(ZONES)], events)
-        self.d.configure([self.d.route("s", "llm", kind, resumable=bool(events))],
-                         services=[dict(name="llm", healthPath="/healthz", maxConns=2000,
-                                        protocol="h1", tls=False, **engine)])
+        self.configure(kind, events)
         self.settle()
 
+    def start_nodes(self, nodes, **kw):
+        """Starts the nodes and returns the deployment."""
+        return Hosted(nodes=nodes, zones=ZONES, **kw).start()
+
+    def configure(self, kind, events):
+        """Writes the settings: one route to the VMs."""
+        self.d.configure([self.d.route("s", "llm", kind, resumable=bool(events))],
+                         services=[self.service(events)])
+
+    @staticmethod
+    def service(events):
+        """Returns the settings of the VMs' service."""
+        engine = {"engine": {"slots": 32, "kvCapacity": 100000}} if events else {}
+        return dict(name="llm", healthPath="/healthz", maxConns=2000, protocol="h1",
+                    tls=False, **engine)
+
     def settle(self):
         """Waits until every node is ready and has received reports of all nodes."""
         self.d.wait_ready()
@@ -59,28 +74,29 @@
         sent = time.monotonic()
         try:
             answer = self.d.call("/s/x", node=node, deadline=3000,
-                                 headers=(PROMPTS[number % len(PROMPTS)], TOKENS))
+                                 headers=(self.prompts[number % len(self.prompts)], TOKENS))
         except OSError:  # the node is restarting
             return None
         self.answers.append((sent, node, answer))
         return answer
 
-    def _call_until_stopped(self, node, first_number, pause_s):
+    def _call_until_stopped(self, ask, node, first_number, pause_s):
         """Calls the node every pause_s seconds, varying the prompt, until the fleet
         stops."""
         for number in itertools.count(first_number):
             if self.stop.is_set():
                 return
-            self.ask(node, number)
+            ask(node, number)
             time.sleep(pause_s)
 
-    def run_callers(self, per_s, nodes=None):
+    def run_callers(self, per_s, nodes=None, ask=None):
         """Starts callers that send per_s calls a second in total, evenly to the given
-        nodes (default: all), until the fleet stops."""
+        nodes (default: all), until the fleet stops. ask(node, number) sends one call
+        (default: self.ask)."""
         nodes = list(nodes or range(len(self.d.nodes)))
         for n in nodes:
             caller = threading.Thread(target=self._call_until_stopped,
-                                      args=(n, n, len(nodes) / per_s))
+                                      args=(ask or self.ask, n, n, len(nodes) / per_s))
             self.callers.append(caller)
             caller.start()
 
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -894,6 +894,19 @@
             return body, buf, True
 
 
+def max_units_in_window(uses, window_s):
+    """Return the most units in any window of window_s; uses holds (time, units)."""
+    uses = sorted(uses)
+    first, units, most = 0, 0, 0
+    for at, used in uses:
+        units += used
+        while at - uses[first][0] >= window_s:
+            units -= uses[first][1]
+            first += 1
+        most = max(most, units)
+    return most
+
+
 def wait_until(condition, timeout=20, step=0.02):
     """Poll condition until it is true; raise AssertionError after timeout seconds."""
     end = time.monotonic() + timeout
