--- a/tests/run.py
+++ b/tests/run.py
@@ -56,6 +56,8 @@
     "proc_hosted_rollouts": "hosted  rollouts: good versions committed, bad rolled back",
     "prop_rollout": "hosted  rollouts under random reports and timing",
     "proc_hosted_fleet": "hosted  settings, VMs, quotas, leader duties, stops of several nodes",
+    "proc_hosted_classes": "hosted  plain calls of an organisation above its quota are served",
+    "proc_hosted_speeds": "hosted  an engine that stays slow gets fewer calls",
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
     "proc_hosted_restore": "hosted  a store that comes back from an older copy",
     "proc_hosted_bridges": "hosted  a large fleet: bridges, digests, updates, quotas, usage",
