--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import faultproxy  # noqa: E402
-from hosted import Hosted, Worker, read_answer  # noqa: E402
+from hosted import Hosted, Worker, max_units_in_window, read_answer  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SEEDS_FILE = os.path.join(ROOT, "tests", "soak-seeds.txt")
@@ -33,8 +33,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 CALLERS = 6
 QUOTA_WINDOW_S, QUOTA_RATE, QUOTA_BURST, QUOTA_SLACK = 4, 20, 20, 40
-# Runs allowed in a quota window: the quota and 10% of it, and the slack.
-QUOTA_MAX_RUNS = (QUOTA_RATE * QUOTA_WINDOW_S + QUOTA_BURST) * 1.1 + QUOTA_SLACK
+# Units allowed in a quota window: the quota and 10% of it, and the slack.
+QUOTA_MAX_UNITS = (QUOTA_RATE * QUOTA_WINDOW_S + QUOTA_BURST) * 1.1 + QUOTA_SLACK
 SETTLE_S = 12  # time for the nodes to become ready after the last fault
 SIGNAL_SPREAD_S = 3.0  # until all nodes have received the signals in a VM's answers
 RECOVERY_CHECK_S = 6.0  # length of the check after the faults
@@ -44,7 +44,14 @@
 LIMIT, LIMIT_WINDOW_S = 1, 4.0  # calls/s that a VM advertises
 # Calls allowed in the window: half more than the limit, and 5.
 LIMIT_MAX_CALLS = 1.5 * LIMIT * LIMIT_WINDOW_S + 5
-PUBLIC_KEY, SMALL_KEY = "key-public", "key-small"
+PUBLIC_KEY, SMALL_KEY, MIXED_KEY = "key-public", "key-small", "key-mixed"
+# The organisation "mixed" has the same quota as "small" and requests several times as
+# much, with plain calls of one unit and with long ones.
+PLAIN_UNITS, LONG_UNITS = 1, 10
+MIN_COMPARED = 30  # calls of each kind from which on the shares of refusals are compared
+SLOW_RATIO = 2.4  # how much longer the calls of the slow VM take
+# The slow VM must get more than this share of the calls that an equal VM gets.
+SLOW_MIN_SHARE = 0.05
 
 
 class SlowWorker(Worker):
@@ -53,13 +60,15 @@
     def __init__(self, *args, **kw):
         super().__init__(*args, **kw)
         self.rng = random.Random(self.id)
-        self.ran_at = []  # (time, tenant)
+        self.ran_at = []  # (time, tenant, quota units)
         self.gap_s = 0.01
+        self.first_byte_ratio = 1  # how much longer it takes than other VMs
 
     def run(self, req, conn):
-        if not self.events:
-            time.sleep(0.005 + self.rng.random() * 0.03)
-        self.ran_at.append((time.monotonic(), req.get("Rillknot-Tenant-Id")))
+        time.sleep((0.005 + self.rng.random() * 0.03) * self.first_byte_ratio)
+        tokens = req.get("Rillknot-Token-Usage", "%d,0" % PLAIN_UNITS).split(",")
+        self.ran_at.append((time.monotonic(), req.get("Rillknot-Tenant-Id"),
+                            sum(int(n) for n in tokens)))
         return super().run(req, conn)
 
 
@@ -87,6 +96,8 @@
         self.run_once_ids = set()  # ids of requests that may run at most once
         self.faults_over = threading.Event()
         self.answers_after_faults = collections.Counter()  # by status
+        self.mixed_answers = collections.Counter()  # by kind and status
+        self.slow = None  # an engine that is slower than the others for the whole run
         self.faults = []  # start time and kind
         self.bounds = {"quotaWindowS": QUOTA_WINDOW_S, "quotaSlack": QUOTA_SLACK}
         self.hosted = Hosted(nodes=0, zones=ZONES, bounds=self.bounds)
@@ -119,6 +130,9 @@
         for zone in ZONES:
             self.add_worker("plain", zone)
             self.add_worker("llm", zone, events=12)
+        self.slow = self.add_worker("llm", ZONES[0], events=12)
+        self.slow.first_byte_ratio = SLOW_RATIO
+        self.slow.gap_s *= SLOW_RATIO
         self.configure()
         d.wait_ready()
 
@@ -143,13 +157,16 @@
         route = d.route
         routes = [route("once", "plain", "non_idempotent"), route("repeat", "plain"),
                   route("stream", "llm", "streaming", resumable=True),
-                  route("raw", "llm", "streaming")]
+                  route("raw", "llm", "streaming"),
+                  route("long", "llm", "streaming", priority=2)]
         name = "gen-%d" % (len(self.settings_routes) + 1)
         all_routes = self.settings_routes + [name]
         routes += [route(g, "plain") for g in all_routes]
         tenants = [{"name": "public", "apiKeys": [PUBLIC_KEY], "ratePerS": 0},
                    {"name": "small", "apiKeys": [SMALL_KEY], "ratePerS": QUOTA_RATE,
-                    "burst": QUOTA_BURST}]
+                    "burst": QUOTA_BURST},
+                   {"name": "mixed", "apiKeys": [MIXED_KEY], "unit": "token_stream",
+                    "plainTokens": PLAIN_UNITS, "ratePerS": QUOTA_RATE, "burst": QUOTA_BURST}]
         d.configure(routes, services=("plain", "llm"), tenants=tenants, wait=False)
         self.settings_routes = all_routes
 
@@ -192,21 +209,25 @@
     def send_one(self, rng, conn, node, ident, rest, seen):
         """Send a request and check its answer; return whether conn can be reused."""
         kind = rng.choice(["once", "once", "repeat", "stream", "stream", "raw", "small",
-                           "gen", "nobody"])
-        path, key = kind, PUBLIC_KEY
+                           "gen", "nobody", "plain", "long"])
+        path, key, more = kind, PUBLIC_KEY, ""
         if kind == "small":
             path, key = "repeat", SMALL_KEY
+        elif kind == "plain":
+            path, key = "repeat", MIXED_KEY
+        elif kind == "long":
+            key, more = MIXED_KEY, "Rillknot-Token-Usage: %d,2\r\n" % (LONG_UNITS - 2)
         elif kind == "nobody":
             path, key = "repeat", "key-unknown"
         elif kind == "gen":
             path = rng.choice(self.settings_routes)
         body = b"b" * rng.randrange(0, 3000)
-        if kind in ("once", "raw"):
+        if kind in ("once", "raw", "long"):
             with self.lock:
                 self.run_once_ids.add(ident)
         head = ("POST /%s/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: %s\r\n"
-                "Rillknot-Attempt-Id: %s\r\nRillknot-Deadline-Ms: 3000\r\n"
-                "Content-Length: %d\r\n\r\n" % (path, key, ident, len(body)))
+                "Rillknot-Attempt-Id: %s\r\nRillknot-Deadline-Ms: 3000\r\n%s"
+                "Content-Length: %d\r\n\r\n" % (path, key, ident, more, len(body)))
         try:
             conn.sendall(head.encode() + body)
         except OSError:
@@ -221,8 +242,10 @@
         faults_over = self.faults_over.is_set()
         with self.lock:
             self.answers[a.status] += 1
-            if faults_over and kind not in ("nobody", "small"):
+            if faults_over and kind not in ("nobody", "small", "plain", "long"):
                 self.answers_after_faults[a.status] += 1
+            if kind in ("plain", "long"):
+                self.mixed_answers[kind, a.status] += 1
             if a.status in NOT_RUN_STATUSES and a.whole:
                 self.refused_ids.append(ident)
         if a.status == 200 and a.whole:
@@ -241,7 +264,7 @@
         if a.headers.get("rillknot-attempt-id") != ident:
             self.problem("%s got the answer of %s" %
                          (ident, a.headers.get("rillknot-attempt-id")))
-        if kind in ("stream", "raw"):
+        if kind in ("stream", "raw", "long"):
             expected = b"".join(b"id: %d\ndata: %s token %d\n\n" % (i, ident.encode(), i)
                                 for i in range(1, 13))
             if a.body != expected:
@@ -385,9 +408,13 @@
             self.configure()
 
     def choose_worker(self, rng):
-        """Return a listed worker whose service has at least two others, else None."""
+        """Return a listed worker whose service has at least two others, else None.
+
+        The slow VM is neither returned nor counted.
+        """
         with self.lock:
-            alive = [w for w in self.hosted.workers if w.id in self.worker_proxies]
+            alive = [w for w in self.hosted.workers
+                     if w.id in self.worker_proxies and w is not self.slow]
         per_service = collections.Counter(w.service for w in alive)
         removable = [w for w in alive if per_service[w.service] > 2]
         return rng.choice(removable) if removable else None
@@ -505,6 +532,7 @@
         self.faults_over.set()
         began = time.monotonic()
         time.sleep(RECOVERY_CHECK_S)
+        self.check_slow(began)
         if leaving and len(leaving.seen) > before:
             self.problem("a leaving VM got %d calls" % (len(leaving.seen) - before))
         self.check_signals(signalling, began)
@@ -520,7 +548,8 @@
         """
         signalling = {}
         with self.lock:
-            listed = [w for w in self.hosted.workers if w.id in self.worker_proxies]
+            listed = [w for w in self.hosted.workers
+                      if w.id in self.worker_proxies and w is not self.slow]
         for what, service in (("leaving", "llm"), ("limit", "llm"), ("rest", "plain")):
             ready = [w for w in listed if w.service == service and w not in signalling.values()]
             if len(ready) < 3:
@@ -574,17 +603,38 @@
                 self.problem("%s was answered as not run, but ran" % ident)
 
     def check_quota(self):
-        """Check the runs of the limited organisation in any period of QUOTA_WINDOW_S."""
-        times = sorted(t for w in self.hosted.workers for t, org in w.ran_at
-                       if org == "small")
-        first = 0
-        for last, t in enumerate(times):
-            while t - times[first] > QUOTA_WINDOW_S:
-                first += 1
-            if last - first + 1 > QUOTA_MAX_RUNS:
-                self.problem("quota: %d runs in %d s, %d are allowed"
-                             % (last - first + 1, QUOTA_WINDOW_S, QUOTA_MAX_RUNS))
-                return
+        """Check what the limited organisations used in any period of QUOTA_WINDOW_S."""
+        for limited in ("small", "mixed"):
+            most = max_units_in_window([(t, units) for w in self.hosted.workers
+                                        for t, org, units in w.ran_at if org == limited],
+                                       QUOTA_WINDOW_S)
+            if most > QUOTA_MAX_UNITS:
+                self.problem("quota: %d units of %s in %d s, %d are allowed"
+                             % (most, limited, QUOTA_WINDOW_S, QUOTA_MAX_UNITS))
+
+    def check_classes(self):
+        """Check that an organisation above its quota had fewer of its plain calls refused
+        than of its long ones."""
+        refused, total = {}, {}
+        for kind in ("plain", "long"):
+            refused[kind] = self.mixed_answers[kind, 429]
+            total[kind] = refused[kind] + self.mixed_answers[kind, 200]
+        if min(total.values()) >= MIN_COMPARED and \
+                refused["plain"] * total["long"] >= refused["long"] * total["plain"]:
+            self.problem("classes: %d of %d plain and %d of %d long calls were refused" % (
+                refused["plain"], total["plain"], refused["long"], total["long"]))
+
+    def check_slow(self, since):
+        """Check that the slow VM got calls after the faults."""
+        with self.lock:
+            others = [w for w in self.hosted.workers
+                      if w.service == "llm" and w.id in self.worker_proxies
+                      and w is not self.slow]
+        calls = {w: sum(r.at >= since for r in list(w.seen)) for w in others + [self.slow]}
+        mean = sum(calls[w] for w in others) / len(others)
+        if calls[self.slow] <= SLOW_MIN_SHARE * mean:
+            self.problem("the slow VM got %d calls, the others %.1f on average"
+                         % (calls[self.slow], mean))
 
     def check_leaders(self):
         """Check that usage windows have one count and fencing tokens one leader each."""
@@ -614,6 +664,7 @@
                 thread.join()
             self.check_runs()
             self.check_quota()
+            self.check_classes()
             self.check_leaders()
             self.note_logs()
             self.hosted.stop()
