--- a/tests/proc_hosted_bridges.py
+++ b/tests/proc_hosted_bridges.py
@@ -453,6 +453,7 @@
         before = set(self.loop.conns)
         super()._accept()
         for conn in set(self.loop.conns) - before:
+            conn.source = None  # stays if the lookup fails, as when a node ends meanwhile
             conn.source = next((n.name.split("-", 1)[1].rsplit("-", 1)[0] for n in self.d.nodes
                                 if comes_from(conn.client, n.popen.pid)), None)
         self.reset_separated()
