--- a/core/quota_classes.c
+++ b/core/quota_classes.c
@@ -12,6 +12,8 @@
 #define RETRY_MAX_MS 2000.0 /* longest mean delay while a share is admitted */
 /* A retry delay is drawn between this many times its mean and 1 more. */
 #define RETRY_SPREAD_MIN 0.5
+/* Part by which the time until units are free is varied. */
+#define DELAY_VARIATION 0.25
 
 int rk_quota_class(bool engine, int route_rank)
 {
@@ -62,6 +64,13 @@
     return false;
 }
 
+int64_t rk_quota_vary_delay(struct rk_rng *rng, int64_t delay_ms)
+{
+    double part = rk_rng_below(rng, DRAW_RANGE) / (double)DRAW_RANGE;
+    return (int64_t)((double)delay_ms *
+                     (1 - DELAY_VARIATION + 2 * DELAY_VARIATION * part));
+}
+
 double rk_quota_class_sum(const double demand[RK_QUOTA_CLASSES])
 {
     double sum = 0;
--- a/core/quota_classes.h
+++ b/core/quota_classes.h
@@ -53,6 +53,10 @@
  * at the same time do not all return at once. */
 bool rk_quota_class_draw(struct rk_rng *rng, double share, int64_t *retry_after_ms);
 
+/* Returns the delay varied by up to a quarter, so that callers for whom the window
+ * has no room do not all return at once either. */
+int64_t rk_quota_vary_delay(struct rk_rng *rng, int64_t delay_ms);
+
 /* Returns the sum over the classes. */
 double rk_quota_class_sum(const double demand[RK_QUOTA_CLASSES]);
 
