--- a/core/quota.c
+++ b/core/quota.c
@@ -545,9 +545,11 @@
     answer->limit = limit;
     double demand[RK_QUOTA_CLASSES];
     demand_of_all(q, o, call_class, now_ms, demand);
-    bool fits = rate > 0 && rk_quota_class_fits(demand, call_class, limit,
-                                                limit - charged - before - units,
-                                                q->lag_ms + REPORT_LAG_MS);
+    /* In a partition the usage of the other sides is not known at all. */
+    bool fits = rate > 0 && share >= 1 &&
+                rk_quota_class_fits(demand, call_class, limit,
+                                    limit - charged - before - units,
+                                    q->lag_ms + REPORT_LAG_MS);
     if (rate > 0 && !fits &&
         excess + rk_quota_class_reserve(demand, call_class, limit) > 0) {
         answer->retry_after_ms =
