--- a/core/quota_classes.c
+++ b/core/quota_classes.c
@@ -77,7 +77,8 @@
     for (int c = 0; c <= call_class; c++)
         per_s += demand[c];
     double unknown = per_s * (double)blind_ms / RK_MS_PER_S;
-    return unknown <= limit * SMALL_SHARE && unknown <= free_units;
+    double kept = limit * SMALL_SHARE;
+    return unknown <= kept && unknown <= free_units - kept;
 }
 
 double rk_quota_class_reserve(const double demand[RK_QUOTA_CLASSES], int call_class,
