--- a/core/quota.c
+++ b/core/quota.c
@@ -453,18 +453,19 @@
         demand[c] += o->peers_demand[c];
 }
 
-/* Sets the shares of calls to admit while free_units are free. All nodes see the
- * same units become free, and learn only later what the others used of them. So
- * every node admits calls of a class with the same probability, chosen so that all
- * nodes together use no more than that until the next reports arrive. This holds
- * for any number of nodes and for nodes with few calls each, and refuses nothing
- * while free_units cover the demand. */
+/* Sets the shares of calls to admit while free_units are free. demand: units/s of
+ * all nodes per class; it becomes what they request until the next reports. All
+ * nodes see the same units become free, and learn only later what the others used
+ * of them. So every node admits calls of a class with the same probability, chosen
+ * so that all nodes together use no more than that until the next reports arrive.
+ * This holds for any number of nodes and for nodes with few calls each, and refuses
+ * nothing while free_units cover the demand. */
 static void set_shares(const struct rk_quota *q, const struct rk_quota_org *o,
-                       double free_units, int call_class, int64_t now_ms,
+                       double demand[RK_QUOTA_CLASSES], double free_units,
+                       int call_class, int64_t now_ms,
                        struct rk_quota_decision *answer)
 {
-    double demand[RK_QUOTA_CLASSES], shares[RK_QUOTA_CLASSES];
-    demand_of_all(q, o, call_class, now_ms, demand);
+    double shares[RK_QUOTA_CLASSES];
     double demand_per_ms = rk_quota_class_sum(demand) / RK_MS_PER_S;
     /* The peers' rate of usage follows a rise sooner than their demand. The rate
      * does not decay without reports, so a node without peers ignores it. */
@@ -562,7 +563,7 @@
     }
     if (rate > 0 && !fits &&
         (!is_alone(q, now_ms) || rk_quota_classes_mixed(o->demand.units))) {
-        set_shares(q, o, units - excess, call_class, now_ms, answer);
+        set_shares(q, o, demand, units - excess, call_class, now_ms, answer);
         if (!rk_quota_class_draw(&q->rng, answer->class_share,
                                  &answer->retry_after_ms))
             return false;
--- a/core/quota_classes.h
+++ b/core/quota_classes.h
@@ -57,9 +57,10 @@
  * estimate of what peers have not reported. demand: units/s per class; free_units:
  * units that the limit leaves beside the known usage; blind_ms: time until the next
  * reports. That is so if all that the call's class and more urgent ones request in
- * that time is a small part of the limit and fits. The estimate follows bursts of
- * costlier classes, which are refused by then: with it a third of the plain calls
- * was refused although they need a hundredth of the quota (67 nodes, five times the
+ * that time is a small part of the limit and fits beside as much that stays free
+ * for a partition that is not known yet. The estimate follows bursts of costlier
+ * classes, which are refused by then: with it a third of the plain calls was
+ * refused although they need a hundredth of the quota (67 nodes, five times the
  * quota requested). */
 bool rk_quota_class_fits(const double demand[RK_QUOTA_CLASSES], int call_class,
                          double limit, double free_units, int64_t blind_ms);
