tests: nodes that lose their links to the VMs, failing

Cause: a node sends calls over its own links only, and nothing tells it that it is the one without a path. Reproduced with real nodes, each cut one with links of its own (tools/vm_links.py): connects unanswered, reset or refused.

--- /dev/null
+++ b/tests/proc_hosted_partition.py
@@ -0,0 +1,226 @@
+"""Tests of nodes that lose their links to the VMs while callers, store and peers reach them."""
+import collections
+import concurrent.futures
+import json
+import time
+
+from hosted import Hosted, wait_until
+from vm_links import CUTS, REFUSED, RESET_ALL, UNANSWERED, VmLinks, wait_for_own_links
+
+ZONES = ("klein-hall", "eros-hall")
+NODES = 4  # two in each zone
+NOTICED_S = 3.0  # from then on a node that lost its links has to serve (contactMs)
+PER_S, CALLS = 30, 90  # calls of each kind at the nodes that lost their links
+MAX_FAILED = 0.02  # of the first attempts of callers
+EVENTS = 4
+# Attempts of a call to reach a VM, on average: two find out, and one is the peer's.
+MAX_ATTEMPTS = 3
+REJECTED_S = 0.5  # a call that no node can serve is rejected by then
+USED_AGAIN_S = 3.0
+
+KINDS = {"plain": ("plain", "idempotent"), "once": ("plain", "non_idempotent"),
+         "chat": ("llm", "streaming")}
+
+
+class Partition:
+    """A fleet in which some nodes have links to the VMs of their own."""
+
+    def __init__(self, cut_nodes=(0,), nodes=NODES, zones=ZONES, vms=3, **kw):
+        self.d = Hosted(nodes=0, zones=zones, **kw)
+        self.vms = vms  # of each service
+        self.links = {}
+        for i in range(nodes):
+            more = {}
+            if i in cut_nodes:
+                self.links[i] = VmLinks(self.d.store)
+                more["platform"] = {"address": self.links[i].addr}
+            self.d.add_node(**more)
+
+    def __enter__(self):
+        d = self.d
+        for i in range(self.vms):
+            zone = d.zones[i % len(d.zones)]
+            d.add_worker("plain", zone=zone, slots=32)
+            d.add_worker("llm", zone=zone, slots=64, events=EVENTS)
+        d.configure([d.route(name, service, kind, resumable=kind == "streaming")
+                     for name, (service, kind) in KINDS.items()],
+                    services=("plain", {"name": "llm", "kind": "model", "healthPath": "/healthz",
+                                        "maxConns": 200, "protocol": "h1", "tls": False}))
+        d.wait_ready()
+        for i, links in self.links.items():
+            wait_for_own_links(d, i, links, "/plain/x")
+        return self
+
+    def __exit__(self, *args):
+        self.d.__exit__(*args)
+        for links in self.links.values():
+            links.close()
+
+    def cut(self, how, **kw):
+        for links in self.links.values():
+            links.cut(how, **kw)
+
+    def heal(self):
+        for links in self.links.values():
+            links.heal()
+
+    def call_all(self, per_s=PER_S, count=CALLS, nodes=None, kinds=tuple(KINDS)):
+        """Send calls of each kind to each node at a rate; return answers by (node, kind)."""
+        nodes = list(self.links) if nodes is None else nodes
+        answers = collections.defaultdict(list)
+        with concurrent.futures.ThreadPoolExecutor(64) as pool:
+            start = time.monotonic()
+            for n in range(count):
+                time.sleep(max(0.0, start + n / per_s - time.monotonic()))
+                for node in nodes:
+                    for kind in kinds:
+                        answers[node, kind].append(pool.submit(
+                            self.d.call, "/%s/x" % kind, node, deadline=2000))
+            return {key: [f.result() for f in fs] for key, fs in answers.items()}
+
+    def events(self, node, name):
+        """Return the log lines of a node with an event."""
+        found = []
+        with open(self.d.nodes[node].log) as f:
+            for line in f:
+                try:
+                    entry = json.loads(line)
+                except ValueError:
+                    continue
+                if entry.get("event") == name:
+                    found.append(entry)
+        return found
+
+
+def is_served(answer):
+    return answer.status == 200 and answer.whole
+
+
+def failed_shares(answers):
+    return {key: sum(not is_served(a) for a in got) / len(got) for key, got in answers.items()}
+
+
+def check_served(p, answers):
+    shares = failed_shares(answers)
+    assert max(shares.values()) <= MAX_FAILED, shares
+    for got in answers.values():
+        for a in got:
+            assert p.d.runs(a.ident) <= 1, a.ident
+    return "failed at most %.3f" % max(shares.values())
+
+
+def check_cut(how, **kw):
+    with Partition(**kw) as p:
+        p.call_all(count=10)
+        p.cut(how)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        return check_served(p, p.call_all())
+
+
+def test_a_node_without_a_path_to_any_vm_serves_through_peers_unanswered():
+    """Guards against calls that fail at a node whose connects to all VMs get no answer."""
+    return check_cut(UNANSWERED)
+
+
+def test_a_node_without_a_path_to_any_vm_serves_through_peers_reset():
+    """Guards against calls that fail at a node whose connections to all VMs are reset."""
+    return check_cut(RESET_ALL)
+
+
+def test_a_node_without_a_path_to_any_vm_serves_through_peers_refused():
+    """Guards against calls that fail at a node whose new connections to VMs are refused while
+    open ones live on."""
+    return check_cut(REFUSED)
+
+
+def test_a_domain_without_a_path_to_any_vm_serves_through_another_domain():
+    """Guards against calls that fail when all nodes of a failure domain lose all VMs."""
+    return check_cut(UNANSWERED, cut_nodes=(0, 2))
+
+
+def test_attempts_of_a_call_are_bounded_when_all_connects_are_refused():
+    """Guards against a reconnect storm: a call whose connects are refused at once was sent to
+    VM after VM without end, at the cost of the node's whole processor share."""
+    with Partition(vms=9) as p:
+        p.cut(RESET_ALL)
+        sent = sum(len(a) for a in p.call_all(count=30).values())
+        failed = len(p.events(0, "call.attempt_failed"))
+        assert failed <= MAX_ATTEMPTS * sent, (failed, sent)
+        return "%d failed attempts of %d calls" % (failed, sent)
+
+
+def test_calls_that_no_node_can_serve_are_rejected_at_once():
+    """Guards against calls that are held until their deadline though no node reaches a VM, and
+    against nodes that pass a call back and forth."""
+    with Partition(cut_nodes=(0, 1), nodes=2) as p:
+        p.cut(UNANSWERED)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        for got in p.call_all(count=20).values():
+            for a in got:
+                assert a.status == 503 and float(a.headers["retry-after"]) > 0, a.status
+                assert a.took_s <= REJECTED_S, a.took_s
+
+
+def test_a_node_uses_the_vms_itself_when_its_links_are_back():
+    """Guards against a node that goes on sending calls through its peers, or rejects them,
+    after the cut."""
+    with Partition() as p:
+        for how in CUTS:
+            p.cut(how)
+            p.call_all(count=int(PER_S * NOTICED_S))
+            p.heal()
+            time.sleep(USED_AGAIN_S)
+            before = sum(link.passed for link in p.links[0].proxies.values())
+            answers = p.call_all(count=20)
+            check_served(p, answers)
+            assert sum(link.passed for link in p.links[0].proxies.values()) > before, how
+
+
+def test_a_node_that_lost_some_vms_uses_the_others():
+    """Guards against a node that takes the loss of some of its links for that of all."""
+    with Partition() as p:
+        lost = {w.addr for w in p.d.workers[:2]}
+        p.cut(UNANSWERED, select=lambda target: target in lost)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        before = sum(link.passed for link in p.links[0].proxies.values())
+        check_served(p, p.call_all())
+        assert sum(link.passed for link in p.links[0].proxies.values()) > before
+
+
+def test_a_cut_does_not_put_requests_under_suspicion():
+    """Guards against a node that takes the loss of its own links for the end of the VMs and
+    suspects the requests that they were running."""
+    with Partition() as p:
+        for w in p.d.workers:
+            w.gap_s = 0.2
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            running = [pool.submit(p.d.call, "/chat/x", 0, deadline=8000) for _ in range(16)]
+            time.sleep(0.3)
+            p.cut(RESET_ALL)
+            answers = [f.result() for f in running]
+        wait_until(lambda: p.events(0, "call.attempt_failed"))
+        time.sleep(0.5)
+        assert not p.events(0, "request.suspected")
+        assert sum(is_served(a) for a in answers) >= len(answers) - 1
+
+
+def test_a_forwarded_call_counts_once_in_its_quota():
+    """Guards against forwarded calls that are charged at both nodes, or at none."""
+    quota = 60  # units in a window of 4 s
+    tenants = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream",
+                "plainTokens": 1, "ratePerS": quota / 4, "burst": 0}]
+    with Partition() as p:
+        p.cut(UNANSWERED)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        p.d.version += 1
+        spec = dict(p.d.store.objects["config"]["main"]["spec"], tenants=tenants)
+        spec["version"] = p.d.version
+        p.d.store.put("config", "main", spec)
+        p.d.wait_version(spec["version"])
+        time.sleep(5)
+        served = sum(is_served(a) for got in p.call_all(count=160, per_s=40, kinds=("plain",))
+                     .values() for a in got)
+        assert 0.6 * quota <= served <= quota, served
+        return "%d of %d units" % (served, quota)
+
+
--- a/tools/faultproxy.py
+++ b/tools/faultproxy.py
@@ -18,6 +18,7 @@
 
 # UP_ONLY passes only data to the target, DOWN_ONLY only data to the client.
 PASS, SILENT, UP_ONLY, DOWN_ONLY, RESET = "pass", "silent", "up-only", "down-only", "reset"
+QUEUE_FILLERS = 4  # more than the shortest queue of pending connections holds
 FRAME_HEADER_BYTES = 4  # a message between nodes begins with its length, big endian
 
 
@@ -132,7 +133,9 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(256)
-        self.addr = "127.0.0.1:%d" % self.sock.getsockname()[1]
+        self.address = self.sock.getsockname()
+        self.fillers = []  # connections that fill the queue of ignore_connects()
+        self.addr = "127.0.0.1:%d" % self.address[1]
         self.loop.call(lambda: self.loop.watch(self.sock, self._accept))
 
     def set_fault(self, mode, delay_s=0.0):
@@ -145,6 +148,47 @@
         """End the fault."""
         self.mode, self.delay_s = PASS, 0.0
 
+    def refuse_connects(self):
+        """Refuse new connections; established ones go on. Ends with accept_connects()."""
+        self.loop.call(self._stop_listening)
+
+    def ignore_connects(self):
+        """Leave connects unanswered; established connections go on.
+
+        The queue of pending connections is filled, so that the kernel drops the opening
+        packets of others. Ends with accept_connects().
+        """
+        self.loop.call(self._fill_queue)
+
+    def accept_connects(self):
+        """Accept connections again."""
+        self.loop.call(self._listen)
+
+    def _stop_listening(self):
+        """Refuse connects but keep the port, which a closed socket would give up."""
+        self.loop.unwatch(self.sock)
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # it does not listen
+
+    def _fill_queue(self):
+        self.loop.unwatch(self.sock)
+        self.sock.listen(0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    def _listen(self):
+        self._stop_listening()
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
+        self.sock.listen(256)
+        self.loop.watch(self.sock, self._accept)
+
     def close(self):
         self.loop.call(self._close)
 
