--- a/common/counters.h
+++ b/common/counters.h
@@ -29,6 +29,9 @@
       "Answers dropped: not for this attempt")                                     \
     X(FORWARDS, "forwards_total", "Calls forwarded to a peer")                     \
     X(FORWARDED_IN, "forwarded_in_total", "Calls taken from a peer")               \
+    X(FORWARDS_REFUSED, "forwards_refused_total",                                  \
+      "Forwarded calls that the peer could not take")                              \
+    X(VM_PROBES, "vm_probes_total", "Connects to VMs that may be unreachable")     \
     X(CLAIMS, "claims_total", "Idempotency keys claimed")                          \
     X(CLAIM_COMMITS, "claim_commits_total", "Claim records written")               \
     X(CLAIM_REPLAYS, "claim_replays_total", "Repeated keys answered from memory")  \
--- a/core/place.c
+++ b/core/place.c
@@ -53,6 +53,7 @@
         free(v);
     }
     free(p->index);
+    rk_place_reaches_free(p);
     rk_service_speeds_free(&p->speeds);
     rk_vm_signals_free(&p->signals);
     free(p);
@@ -119,6 +120,7 @@
     v->cold_until_ms = now_ms + row->cold_ms;
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_service_speeds_get(&p->speeds, row->service);
+    v->reach = rk_place_reach_get(p, row->service);
     v->signal = rk_vm_signals_find(&p->signals, v->hash);
     v->speed_factor = 1;
     v->next = p->vms;
@@ -247,7 +249,8 @@
 bool rk_place_is_eligible(const struct rk_place_query *q, uint32_t service_hash,
                           const struct rk_place_vm *v)
 {
-    return v->listed && !v->row.leaving && v->service_hash == service_hash &&
+    return v->listed && !v->row.leaving && !v->unreachable_since_ms &&
+           v->service_hash == service_hash &&
            !(v->signal && rk_vm_signal_blocks(v->signal)) &&
            matches_version(q, v) && !is_excluded(q, v) &&
            !strcmp(v->row.service, q->service);
--- a/core/place.h
+++ b/core/place.h
@@ -76,6 +76,12 @@
     int losses_in_row;
     int64_t paused_until_ms;
     struct rk_service_speed *speed; /* speed of its service; not owned */
+    struct rk_place_reach *reach;   /* of its service; not owned */
+    /* When connecting to it first failed after the last success; 0: it has not. */
+    int64_t unreachable_since_ms;
+    int64_t heard_ms;   /* when this node last heard from it; 0: never */
+    int64_t probed_ms;  /* when it was last probed; 0: never */
+    bool probe_pending; /* to be probed, as a call met silence or a reset */
     /* Health as seen by calls of this node, and as reported by peers. */
     struct rk_vm_health health, peers_health;
     struct rk_vm_speed
@@ -94,6 +100,17 @@
     int64_t cold_until_ms; /* its calls don't count in the rollout until then */
 };
 
+/* What this node knows of its paths to the VMs of a service. */
+struct rk_place_reach {
+    char service[RK_ID_MAX];
+    struct rk_place_reach *next;
+    int64_t connected_ms; /* last successful connect to any of its VMs; 0: none */
+    int64_t lost_ms;      /* when the service became unreachable; 0: it is not */
+    int failed_vms;       /* VMs that became unreachable since the last success */
+    int probes_left;      /* of VMs that have not failed, after the first failure */
+    bool reported_lost;   /* as rk_place_next_reach_change() returned it last */
+};
+
 /* A rollout as this node applies it, and statistics of its calls. */
 struct rk_place_rollout {
     struct rk_rollout_rule rule; /* no service: this entry is free */
@@ -279,9 +296,10 @@
 /* How an attempt ended. */
 enum rk_place_outcome {
     RK_PLACE_DONE,
-    RK_PLACE_ERROR,   /* the VM answered that the call failed */
-    RK_PLACE_LOST,    /* the VM was unreachable, unresponsive, or broke off */
-    RK_PLACE_REFUSED, /* the VM proved that it did not run the call */
+    RK_PLACE_ERROR,     /* the VM answered that the call failed */
+    RK_PLACE_LOST,      /* the VM was unresponsive, or broke off */
+    RK_PLACE_UNREACHED, /* no connection to the VM could be made */
+    RK_PLACE_REFUSED,   /* the VM proved that it did not run the call */
     RK_PLACE_CANCELLED,
 };
 
@@ -330,6 +348,37 @@
  * received for 120 s. Limits and leaving signals of listed VMs are kept. */
 void rk_place_expire_signals(struct rk_place *p, int64_t now_ms);
 
+/* ---- reachability (place_reach.c) ----
+ *
+ * A VM to which this node cannot connect gets no calls until a probe connects to
+ * it. If that happens at all VMs of a service, or at several with no success in
+ * between, the node itself has lost its path to the service. */
+
+/* Records a sign of life of the VM: a new connection to it was established and
+ * stayed open (connected), or bytes arrived. */
+void rk_place_note_heard(struct rk_place_vm *vm, bool connected, int64_t now_ms);
+/* Records that connecting to the VM failed. */
+void rk_place_note_unreachable(struct rk_place *p, struct rk_place_vm *vm,
+                               int64_t now_ms);
+/* Requests a probe of the VM, because an open connection to it was silent or was
+ * reset. */
+void rk_place_suspect(struct rk_place_vm *vm);
+/* Returns false if this node has lost its path to the service. */
+bool rk_place_reaches_service(const struct rk_place *p, const char *service);
+/* Returns true if a VM of the service is unreachable. */
+bool rk_place_has_unreachable(const struct rk_place *p, const char *service);
+/* Returns the number of unreachable VMs of all services. */
+size_t rk_place_unreachable_len(const struct rk_place *p);
+/* Returns true if this node heard from a VM other than vm since since_ms: from one
+ * of the same service, or from any if the service has no other. */
+bool rk_place_heard_other(const struct rk_place *p, const struct rk_place_vm *vm,
+                          int64_t since_ms);
+/* Returns a VM to probe now and marks it as probed; NULL if none is due. */
+struct rk_place_vm *rk_place_next_probe(struct rk_place *p, int64_t now_ms);
+/* Returns a service that was lost or reached again since this function returned it
+ * last; NULL if there is none. Its lost_ms tells which. */
+const struct rk_place_reach *rk_place_next_reach_change(struct rk_place *p);
+
 /* Returns the linked list (by next) of all VMs. It belongs to p. */
 const struct rk_place_vm *rk_place_vms(const struct rk_place *p);
 
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -1,6 +1,6 @@
 /* Internal state of the placement, shared by place.c, place_jobs.c, place_loads.c,
- * place_preferred.c, place_signals.c and place_rollouts.c. Not to be included by
- * other files. */
+ * place_preferred.c, place_reach.c, place_signals.c and place_rollouts.c. Not to be
+ * included by other files. */
 #ifndef RK_CORE_PLACE_IMPL_H
 #define RK_CORE_PLACE_IMPL_H
 
@@ -23,7 +23,8 @@
     struct rk_place_vm *active; /* linked list by next_active */
     size_t active_len;
     struct rk_service_speeds speeds;
-    int64_t loads_ms; /* when the peers' loads were received */
+    struct rk_place_reach *reaches; /* linked list by next, one per service */
+    int64_t loads_ms;               /* when the peers' loads were received */
     int64_t report_lag_ms;
     struct rk_vm_signals signals;
     int nodes; /* nodes of the fleet; 0: not known yet */
@@ -51,6 +52,10 @@
     return !vm->listed && !vm->calls;
 }
 
+/* Returns the record of the service, which is created if needed. p owns it. */
+struct rk_place_reach *rk_place_reach_get(struct rk_place *p, const char *service);
+void rk_place_reaches_free(struct rk_place *p);
+
 /* Frees VMs that are no longer listed and have no call of this node in flight. */
 void rk_place_sweep(struct rk_place *p);
 
--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -83,8 +83,11 @@
 {
     vm->calls--;
     vm->running--;
-    if (end == RK_PLACE_LOST || end == RK_PLACE_ERROR) {
+    bool failed = end == RK_PLACE_LOST || end == RK_PLACE_ERROR;
+    /* What a node observes that has lost its own path says nothing about the VM. */
+    if (failed && !vm->reach->lost_ms)
         note_failure(vm, job, now_ms);
+    if (failed || end == RK_PLACE_UNREACHED) {
         struct rk_canary_stats *canary =
             rk_place_canary_stats(vm, job->canary_route, now_ms);
         if (canary)
@@ -107,6 +110,7 @@
             vm->paused_until_ms = now_ms + PAUSE_REFUSED_MS;
         break;
     case RK_PLACE_ERROR:
+    case RK_PLACE_UNREACHED:
     case RK_PLACE_CANCELLED:
         break;
     }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -11,6 +11,8 @@
 #define REPORT_INTERVAL_MS  200
 #define ACCEPT_DELAY_MAX_MS 400 /* longest delay of new connections at start */
 #define USAGE_WINDOWS_KEPT  6   /* reported besides the current one */
+/* Bytes that a forwarding peer may add to the headers of a call. */
+#define FORWARD_HEADER_BYTES 1024
 /* How long a changed quarantine row is repeated in reports. */
 #define SUSPECT_REPORT_MS         1000
 #define SIGNAL_EXPIRY_INTERVAL_MS 10000
@@ -153,6 +155,13 @@
     rk_place_expire_signals(r->place, now_ms);
 }
 
+static size_t busy_count(const struct rk_relay *r)
+{
+    size_t forwarded =
+        r->forward_server ? rk_server_busy_count(r->forward_server) : 0;
+    return r->calls_len + rk_server_busy_count(r->server) + forwarded;
+}
+
 static void on_report(void *ctx)
 {
     struct rk_relay *r = ctx;
@@ -169,12 +178,13 @@
         rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
     report->speeds_len = rk_place_copy_speeds(r->place, &report->speeds);
     report->vms_in_cooldown = rk_place_cooldown_len(r->place, rk_mono_ms());
+    report->vms_unreachable = rk_place_unreachable_len(r->place);
     report->quota_history_complete = rk_quota_is_complete(&r->quota, rk_mono_ms());
     report->quota_history_ms = rk_quota_history_ms(&r->quota, rk_mono_ms());
     rk_quota_report_shares(&r->quota, report->quota_history_shares, rk_mono_ms());
     report->routes_version = r->routes ? r->routes->version : 0;
     report->vms_known = r->vms_known;
-    report->busy_count = r->calls_len + rk_server_busy_count(r->server);
+    report->busy_count = busy_count(r);
     r->opt.on_report(r->opt.ctx, report);
 }
 
@@ -237,7 +247,7 @@
     struct message *m = ctx;
     struct rk_relay *r = m->r;
     const struct rk_caller_limits *l = &m->routes->limits;
-    const struct rk_server_limits limits = {
+    struct rk_server_limits limits = {
         .header_bytes = (size_t)l->header_bytes,
         .body_bytes = (size_t)l->body_bytes,
         .header_ms = l->header_ms,
@@ -245,6 +255,10 @@
         .max_clients = r->opt.max_clients,
     };
     rk_server_set_limits(r->server, &limits);
+    limits.header_bytes += FORWARD_HEADER_BYTES;
+    limits.idle_ms = default_limits.idle_ms;
+    if (r->forward_server)
+        rk_server_set_limits(r->forward_server, &limits);
     rk_routes_unref(r->routes);
     r->routes = m->routes;
     accept_if_ready(r);
@@ -338,6 +352,7 @@
     rk_relay_log_speed_changes(r, now_ms);
     rk_quota_set_reachable(&r->quota, p->nodes_reachable, p->nodes_total, now_ms);
     rk_place_set_node_count(r->place, p->nodes_total);
+    rk_relay_forwards_set(r, p->forward_peers, p->forward_peers_len);
     if (p->usage_gap_ms)
         rk_quota_fill_gap(&r->quota, p->usage_gap_ms, now_ms);
     for (size_t i = 0; i < p->quota_usage_added_len; i++)
@@ -494,6 +509,8 @@
 {
     struct rk_relay *r = ctx;
     rk_server_set_closing(r->server);
+    if (r->forward_server)
+        rk_server_set_closing(r->forward_server);
 }
 
 void rk_relay_begin_stop(struct rk_relay *r, int64_t ends_in_ms)
@@ -508,6 +525,8 @@
 {
     struct rk_relay *r = ctx;
     rk_server_close_idle(r->server);
+    if (r->forward_server)
+        rk_server_close_idle(r->forward_server);
 }
 
 void rk_relay_close_idle_clients(struct rk_relay *r)
@@ -518,7 +537,7 @@
 static void apply_stop_idle(void *ctx)
 {
     struct rk_relay *r = ctx;
-    if (r->calls_len || rk_server_busy_count(r->server))
+    if (busy_count(r))
         return;
     rk_loop_stop(r->loop);
     r->opt.on_stopped(r->opt.ctx);
@@ -541,6 +560,11 @@
     rk_relay_call_start(ctx, client);
 }
 
+static void on_forwarded_request(void *ctx, struct rk_client *client)
+{
+    rk_relay_call_start_forwarded(ctx, client);
+}
+
 static void on_client_gone(void *ctx, void *user)
 {
     (void)ctx;
@@ -551,16 +575,32 @@
 static const struct rk_server_ops server_ops = {.on_request = on_request,
                                                 .on_disconnect = on_client_gone};
 
-struct rk_relay *rk_relay_create(const struct rk_relay_options *opt)
+static const struct rk_server_ops forward_server_ops = {
+    .on_request = on_forwarded_request, .on_disconnect = on_client_gone};
+
+/* Returns false if an address can't be bound. */
+static bool create_servers(struct rk_relay *r)
 {
-    struct rk_relay *r = rk_alloc(1, sizeof(*r));
-    r->opt = *opt;
-    r->loop = rk_loop_create();
+    const struct rk_relay_options *opt = &r->opt;
     struct rk_server_limits limits = default_limits;
     limits.max_clients = opt->max_clients;
     r->server =
         rk_server_create(r->loop, opt->listen_addr, &limits, &server_ops, r);
-    if (!r->server) {
+    if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
+        return r->server != NULL;
+    limits.header_bytes += FORWARD_HEADER_BYTES;
+    r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
+                                         &forward_server_ops, r);
+    return r->forward_server != NULL;
+}
+
+struct rk_relay *rk_relay_create(const struct rk_relay_options *opt)
+{
+    struct rk_relay *r = rk_alloc(1, sizeof(*r));
+    r->opt = *opt;
+    r->loop = rk_loop_create();
+    if (!create_servers(r)) {
+        rk_server_destroy(r->server);
         rk_loop_destroy(r->loop);
         free(r);
         return NULL;
@@ -577,6 +617,8 @@
     r->accept_timer = (struct rk_timer){.fn = start_accepting, .ctx = r};
     rk_server_set_accepting(r->server, false);
     rk_timer_start(r->loop, &r->accept_timer, ACCEPT_DELAY_MAX_MS);
+    rk_relay_probes_init(r);
+    rk_relay_forwards_init(r);
     r->report_timer = (struct rk_timer){.fn = on_report, .ctx = r};
     rk_timer_start(r->loop, &r->report_timer, REPORT_INTERVAL_MS);
     return r;
@@ -587,7 +629,10 @@
     while (r->calls)
         rk_relay_call_abort(r->calls);
     rk_relay_vm_checks_free(r);
+    rk_relay_probes_free(r);
+    rk_relay_forwards_free(r);
     rk_server_destroy(r->server);
+    rk_server_destroy(r->forward_server);
     rk_upstream_pools_destroy(r->upstreams);
     rk_place_destroy(r->place);
     rk_quota_free(&r->quota);
@@ -606,3 +651,8 @@
 {
     return rk_server_addr(r->server);
 }
+
+const char *rk_relay_forward_addr(const struct rk_relay *r)
+{
+    return r->forward_server ? rk_server_addr(r->forward_server) : "";
+}
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -73,6 +73,7 @@
     struct rk_place_speed *speeds; /* learnt speeds of VMs that are not 100% */
     size_t speeds_len;
     size_t vms_in_cooldown; /* VMs in a cooldown towards this node */
+    size_t vms_unreachable; /* VMs to which this node cannot connect */
     /* how far back this node's quota history goes, at most the window */
     int64_t quota_history_ms;
     /* shares of the nodes that it covers, per window slice, newest first */
@@ -88,6 +89,16 @@
 /* Frees a report and its arrays. */
 void rk_relay_report_free(struct rk_relay_report *r);
 
+/* Most peers to which a node forwards calls. */
+#define RK_FORWARD_PEERS_MAX 16
+
+/* A peer that takes forwarded calls. */
+struct rk_forward_peer {
+    char id[RK_ID_MAX];
+    char addr[RK_ADDR_MAX]; /* of its listener for forwarded calls */
+    bool same_domain;       /* in this node's failure domain */
+};
+
 /* Peers' state, sent by control. It owns its arrays. */
 struct rk_relay_peers {
     struct rk_vm_load *loads; /* load of VMs caused by all peers' calls */
@@ -110,6 +121,8 @@
     bool backfill_history;
     /* time without a counted report, before a new source of reports; 0: none */
     int64_t usage_gap_ms;
+    struct rk_forward_peer forward_peers[RK_FORWARD_PEERS_MAX];
+    size_t forward_peers_len;
     int nodes_reachable, nodes_total; /* including this node */
     int64_t report_lag_ms;            /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
@@ -121,6 +134,8 @@
 struct rk_relay_options {
     const struct rk_dialect *dialect;
     const char *listen_addr; /* address for callers, ip:port */
+    /* Address for calls that peers forward, ip:port; "": none are taken. */
+    const char *forward_addr;
     char domain[RK_ID_MAX];
     uint64_t node_hash; /* hash of this node's id and incarnation */
     uint64_t seed;
@@ -143,6 +158,9 @@
 void rk_relay_run(struct rk_relay *r);
 /* Returns the bound address. Owned by the relay. */
 const char *rk_relay_addr(const struct rk_relay *r);
+/* Returns the bound address for forwarded calls, "" if there is none. Owned by the
+ * relay. */
+const char *rk_relay_forward_addr(const struct rk_relay *r);
 
 /* ---- messages to the relay ----
  *
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -73,7 +73,7 @@
     return false;
 }
 
-static void begin_answer(struct rk_relay_call *x, const struct rk_head *head)
+void rk_call_begin_answer(struct rk_relay_call *x, const struct rk_head *head)
 {
     struct rk_buf b = {0};
     const char *connection = rk_head_get(head, "Connection");
@@ -100,9 +100,7 @@
            rk_head_get(head, x->r->opt.dialect->not_run) != NULL;
 }
 
-/* Returns true for statuses from which a caller concludes that its call did not
- * run, although this VM has not proved it. */
-static bool implies_not_run(int status)
+bool rk_call_implies_not_run(int status)
 {
     return status == HTTP_TOO_MANY_REQUESTS || status == HTTP_UNAVAILABLE ||
            status == HTTP_REQUEST_TIMEOUT || status == HTTP_MISDIRECTED_REQUEST;
@@ -120,7 +118,9 @@
         return success ? ANSWER_PASS : ANSWER_RETRY;
     if (success)
         return ANSWER_PASS;
-    if (implies_not_run(head->status))
+    /* The caller would conclude that the call did not run, which this VM has not
+     * proved. */
+    if (rk_call_implies_not_run(head->status))
         return ANSWER_RETRY;
     bool retry_left = x->attempts < x->route->max_attempts && rk_call_repeatable(x);
     return head->status >= HTTP_SERVER_ERROR && retry_left ? ANSWER_RETRY
@@ -137,6 +137,7 @@
                  RK_S("vm", x->vm->row.id));
         return RK_HEAD_SKIP;
     }
+    rk_relay_note_heard(x->r, x->vm, !rk_upstream_is_reused(x->up));
     rk_call_read_signals(x, head);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
@@ -154,7 +155,7 @@
     if (stream)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
     if (!x->begun)
-        begin_answer(x, head);
+        rk_call_begin_answer(x, head);
     return RK_HEAD_ACCEPT;
 }
 
@@ -183,41 +184,53 @@
     x->last_data_ms = now_ms;
 }
 
-static void on_body(void *ctx, const char *data, size_t len)
+bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len)
 {
-    struct rk_relay_call *x = ctx;
-    if (!x->vm_first_ms)
-        x->vm_first_ms = rk_mono_ms();
-    if (x->answer_class != ANSWER_PASS)
-        return;
-    record_first_byte(x);
     record_pause(x);
-    count_usage(x, rk_wall_ms());
-    if (x->route->kind == RK_CALL_STREAM)
-        rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
     if (!x->client)
-        return;
+        return true;
     if (rk_client_unsent_len(x->client) > UNSENT_MAX_BYTES) {
         rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
         rk_call_give_up(x, HTTP_BAD_GATEWAY, 0, "the caller reads too slowly");
-        return;
+        return false;
     }
     if (delivers_complete_events(x))
         rk_event_splitter_feed(&x->events, data, len, on_event, x);
     else
         rk_client_data(x->client, data, len);
-    rk_call_try_move(x);
+    return true;
 }
 
-void rk_call_end_complete(struct rk_relay_call *x)
+static void on_body(void *ctx, const char *data, size_t len)
+{
+    struct rk_relay_call *x = ctx;
+    if (!x->vm_first_ms)
+        x->vm_first_ms = rk_mono_ms();
+    rk_relay_note_heard(x->r, x->vm, false);
+    if (x->answer_class != ANSWER_PASS)
+        return;
+    record_first_byte(x);
+    count_usage(x, rk_wall_ms());
+    if (x->route->kind == RK_CALL_STREAM)
+        rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
+    if (rk_call_pass_body(x, data, len) && x->client)
+        rk_call_try_move(x);
+}
+
+void rk_call_finish_answer(struct rk_relay_call *x)
 {
     /* Bytes after the last complete event belong to the answer, too. */
     if (x->events.partial.len && x->client)
         rk_client_data(x->client, x->events.partial.data, x->events.partial.len);
+    rk_call_finish(x);
+}
+
+void rk_call_end_complete(struct rk_relay_call *x)
+{
     bool failed = x->status >= HTTP_SERVER_ERROR;
     rk_call_clear_suspicion(x);
     rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
-    rk_call_finish(x);
+    rk_call_finish_answer(x);
 }
 
 static void on_end(void *ctx)
@@ -240,16 +253,31 @@
         rk_call_end_complete(x);
 }
 
+/* A reset may come from the VM itself, because of the call; a probe tells. */
+static void note_failed_connection(struct rk_relay_call *x,
+                                   const struct rk_upstream_failure *f)
+{
+    if (!f->error)
+        return;
+    if (f->may_have_reached)
+        rk_relay_suspect_vm(x->r, x->vm);
+    else
+        rk_relay_note_unreachable(x->r, x->vm);
+}
+
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
 {
     struct rk_relay_call *x = ctx;
     x->up = NULL;
+    note_failed_connection(x, f);
     if (x->answer_class != ANSWER_NOT_RUN && f->may_have_reached)
         rk_call_suspect(x);
     if (x->answer_class == ANSWER_NOT_RUN)
         rk_call_attempt_not_run(x, "the vm did not run it");
     else if (!rk_call_move_stream_ended(x, false))
-        rk_call_attempt_failed(x, f->may_have_reached, RK_PLACE_LOST, f->cause);
+        rk_call_attempt_failed(
+            x, f->may_have_reached,
+            f->may_have_reached ? RK_PLACE_LOST : RK_PLACE_UNREACHED, f->cause);
 }
 
 const struct rk_upstream_ops rk_call_upstream_ops = {
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -27,8 +27,12 @@
 /* How many VMs are tried for one attempt if their connection limits are reached or
  * connecting fails at once. */
 #define MAX_CONNECT_TRIES 4
-#define MAX_CONNS_DEFAULT 64 /* per VM */
-#define URGENT_RANK       0  /* the most urgent rank */
+/* Attempts of one call that may fail before a byte is sent: after these, a peer is
+ * asked first, and none is made any more. */
+#define MAX_UNSENT_BEFORE_PEERS 2
+#define MAX_UNSENT              4
+#define MAX_CONNS_DEFAULT       64 /* per VM */
+#define URGENT_RANK             0  /* the most urgent rank */
 /* Multiple of the route's target that the predicted time to first byte may
  * reach. */
 #define LATENESS_URGENT 1.5
@@ -61,6 +65,7 @@
 
 void rk_call_end_attempt(struct rk_relay_call *x, enum rk_place_outcome end)
 {
+    x->peer[0] = '\0';
     if (!x->vm)
         return;
     rk_place_note_end(x->r->place, x->vm, &x->job, end, rk_mono_ms());
@@ -130,6 +135,19 @@
         rk_call_give_up(x, HTTP_UNAVAILABLE, retry_after_ms(x), why);
 }
 
+/* Ends a call that no VM can take, as far as this node knows. */
+static void give_up_unplaced(struct rk_relay_call *x)
+{
+    struct rk_client *client = x->client;
+    if (!x->is_forwarded || x->may_have_run || x->begun || !client) {
+        give_up_sending(x, "no vm can take it");
+        return;
+    }
+    rk_call_log_end(x, HTTP_UNAVAILABLE, "no vm can take it");
+    free_call(x);
+    rk_call_refuse_forwarded(client, RK_FORWARD_NO_VM);
+}
+
 /* Ends a call whose request is quarantined; it is sent to no further VM. */
 static void give_up_quarantined(struct rk_relay_call *x)
 {
@@ -183,6 +201,11 @@
     rk_retry_budget_earn(b, bounds->retry_pct);
 }
 
+bool rk_call_has_retry(struct rk_relay_call *x)
+{
+    return rk_retry_budget_has(retry_budget(x));
+}
+
 bool rk_call_take_retry(struct rk_relay_call *x)
 {
     if (!rk_retry_budget_spend(retry_budget(x))) {
@@ -193,9 +216,7 @@
     return true;
 }
 
-/* Returns true if the call may be sent to another VM. Takes a retry from the
- * budget. */
-static bool take_another_attempt(struct rk_relay_call *x)
+bool rk_call_take_attempt(struct rk_relay_call *x)
 {
     return x->attempts < x->route->max_attempts && rk_call_take_retry(x);
 }
@@ -219,15 +240,17 @@
     rk_call_end_attempt(x, end);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->answer_class = ANSWER_PENDING;
-    if (!sent)
+    if (!sent) {
         x->attempts--; /* it never reached a VM */
-    else
+        x->unsent++;
+    } else {
         x->may_have_run = true;
+    }
     if (!x->client) {
         rk_call_give_up(x, 0, 0, what);
         return;
     }
-    bool again = !sent || (rk_call_repeatable(x) && take_another_attempt(x));
+    bool again = !sent || (rk_call_repeatable(x) && rk_call_take_attempt(x));
     if (x->begun && !x->route->resumable)
         again = false;
     if (!again) {
@@ -248,7 +271,7 @@
     rk_call_end_attempt(x, RK_PLACE_REFUSED);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->answer_class = ANSWER_PENDING;
-    if (x->client && take_another_attempt(x))
+    if (x->client && rk_call_take_attempt(x))
         rk_call_send(x);
     else
         give_up_sending(x, what);
@@ -282,13 +305,14 @@
     return !rk_call_is_hop_header(name) && !rk_call_is_nominated(connection, name);
 }
 
-static void copy_headers(const struct rk_relay_call *x, const struct rk_head *head,
-                         struct rk_buf *b)
+void rk_call_copy_headers(const struct rk_relay_call *x, bool key, struct rk_buf *b)
 {
+    const struct rk_head *head = rk_client_head(x->client);
     const char *connection = rk_head_get(head, "Connection");
     for (size_t i = 0; i < head->lines_len; i++) {
         const char *name = rk_head_name(head, i);
-        if (is_passed_on(x, connection, name))
+        bool is_key = key && !strcasecmp(name, x->r->opt.dialect->api_key);
+        if (is_key || is_passed_on(x, connection, name))
             add_line(b, name, rk_head_value(head, i));
     }
 }
@@ -314,7 +338,7 @@
     int64_t left_ms = x->deadline_ms - rk_mono_ms();
     rk_buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_str(head->method),
                   rk_head_target(head));
-    copy_headers(x, head, b);
+    rk_call_copy_headers(x, false, b);
     rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms,
                   left_ms > 1 ? left_ms : 1);
     add_line(b, d->vm_id, x->vm->row.id);
@@ -344,6 +368,11 @@
     return share > 0 ? (int)share : MAX_CONNS_DEFAULT;
 }
 
+int64_t rk_call_max_idle_ms(const struct rk_relay_call *x)
+{
+    return rk_call_repeatable(x) ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
+}
+
 /* Sends the call to x->vm. Returns false if no byte can have been sent. */
 static bool start_attempt(struct rk_relay_call *x)
 {
@@ -360,8 +389,7 @@
         .body = body,
         .body_len = body_len,
         .no_body = rk_client_head(x->client)->method == HTTP_HEAD,
-        .max_idle_ms =
-            rk_call_repeatable(x) ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS,
+        .max_idle_ms = rk_call_max_idle_ms(x),
         .connect_ms = stream ? CONNECT_TIMEOUT_STREAM_MS : CONNECT_TIMEOUT_PLAIN_MS,
         .max_conns = rk_call_max_conns(x),
         .ops = &rk_call_upstream_ops,
@@ -372,14 +400,19 @@
     return x->up != NULL;
 }
 
-static void start_silence_timer(struct rk_relay_call *x)
+void rk_call_start_silence_timer(struct rk_relay_call *x, int64_t plain_ms,
+                                 int64_t stream_ms)
 {
     if (!rk_call_repeatable(x) || x->attempts >= x->route->max_attempts)
         return;
     bool stream = x->route->kind == RK_CALL_STREAM;
     rk_timer_start(x->r->loop, &x->silence_timer,
-                   stream ? STREAM_SILENCE_MS + x->route->target_first_byte_ms
-                          : PLAIN_SILENCE_MS);
+                   stream ? stream_ms + x->route->target_first_byte_ms : plain_ms);
+}
+
+static void start_silence_timer(struct rk_relay_call *x)
+{
+    rk_call_start_silence_timer(x, PLAIN_SILENCE_MS, STREAM_SILENCE_MS);
 }
 
 /* Returns true if the predicted first byte is so late that the answer is worth
@@ -446,12 +479,10 @@
     return rk_place_choose(p, &x->query, now_ms, &x->forecast);
 }
 
-void rk_call_send(struct rk_relay_call *x)
+/* Sends the call to a VM, or ends it because its answer would come too late.
+ * Returns false if no VM can take it. */
+static bool send_to_vm(struct rk_relay_call *x)
 {
-    if (rk_call_is_quarantined(x)) {
-        give_up_quarantined(x);
-        return;
-    }
     for (int i = 0; i < MAX_CONNECT_TRIES; i++) {
         int64_t now_ms = rk_mono_ms();
         x->vm = choose_vm(x, now_ms);
@@ -459,20 +490,39 @@
             break;
         if (misses_target(x)) {
             refuse_late(x);
-            return;
+            return true;
         }
         rk_place_note_sent(x->r->place, x->vm, &x->query, now_ms, &x->job);
         x->job.resumes_stream = x->begun || x->is_resume;
         x->sent_wall_ms = rk_wall_ms();
         if (start_attempt(x)) {
             record_sent(x);
-            return;
+            return true;
         }
         exclude_vm(x);
         rk_call_end_attempt(x, RK_PLACE_CANCELLED);
     }
+    return false;
+}
+
+void rk_call_send(struct rk_relay_call *x)
+{
+    struct rk_place *p = x->r->place;
+    if (rk_call_is_quarantined(x)) {
+        give_up_quarantined(x);
+        return;
+    }
+    bool reached = rk_place_reaches_service(p, x->query.service);
+    bool peers_first = !reached || x->unsent >= MAX_UNSENT_BEFORE_PEERS;
+    if (peers_first && rk_call_forward(x))
+        return;
+    if (reached && x->unsent < MAX_UNSENT && send_to_vm(x))
+        return;
+    if (!peers_first && rk_place_has_unreachable(p, x->query.service) &&
+        rk_call_forward(x))
+        return;
     count_demand(x, x->query.prompt_tokens);
-    give_up_sending(x, "no vm can take it");
+    give_up_unplaced(x);
 }
 
 void rk_call_resume_moved(struct rk_relay_call *x, const char *vm_id,
@@ -548,7 +598,13 @@
     struct rk_relay_call *x = ctx;
     if (!rk_call_repeatable(x) || x->attempts >= x->route->max_attempts)
         return;
-    if (!rk_retry_budget_has(retry_budget(x)) || !has_other_vm(x)) {
+    if (x->peer[0]) {
+        rk_call_forward_silent(x);
+        return;
+    }
+    if (x->vm)
+        rk_relay_suspect_vm(x->r, x->vm);
+    if (!rk_call_has_retry(x) || !has_other_vm(x)) {
         keep_waiting(x);
         return;
     }
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -15,6 +15,8 @@
 struct rk_upstream_pools;
 struct rk_upstream_call;
 struct rk_vm_check;
+struct rk_vm_probe;
+struct rk_forward_table;
 
 /* Services of which a relay keeps state. When the table is full, it is emptied. */
 #define RK_RELAY_SERVICES 32
@@ -48,6 +50,10 @@
     size_t calls_len;
     struct rk_quarantine quarantine; /* suspected and quarantined requests */
     struct rk_vm_check *vm_checks;   /* checks of VMs at which calls broke off */
+    struct rk_vm_probe *vm_probes;   /* probes in progress */
+    struct rk_timer probe_timer;
+    struct rk_server *forward_server;  /* calls of peers; NULL: none are taken */
+    struct rk_forward_table *forwards; /* peers that take calls of this node */
     struct rk_rng rng;
     struct rk_timer report_timer;
     int64_t signals_expired_ms; /* last expiry of VM signals, monotonic */
@@ -60,6 +66,8 @@
 
 /* Starts a call for the complete request of a client, or refuses it. */
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client);
+/* The same for a call that a peer has taken from its caller and forwards. */
+void rk_relay_call_start_forwarded(struct rk_relay *r, struct rk_client *client);
 
 /* Handles the loss of the call's client. A call of the kind RK_CALL_ONCE that is at
  * a VM keeps running; any other call, also a stream, is cancelled and freed. */
@@ -73,4 +81,23 @@
 /* relay_quarantine.c: cancels and frees all checks of VMs. */
 void rk_relay_vm_checks_free(struct rk_relay *r);
 
+/* ---- relay_probe.c ---- */
+void rk_relay_probes_init(struct rk_relay *r);
+void rk_relay_probes_free(struct rk_relay *r);
+/* Starts the probes that are due, now or within 100 ms. */
+void rk_relay_start_probes(struct rk_relay *r);
+/* Record what this node observed of a VM; see rk_place_note_heard(),
+ * rk_place_note_unreachable() and rk_place_suspect(). */
+void rk_relay_note_heard(struct rk_relay *r, struct rk_place_vm *vm,
+                         bool connected);
+void rk_relay_note_unreachable(struct rk_relay *r, struct rk_place_vm *vm);
+void rk_relay_suspect_vm(struct rk_relay *r, struct rk_place_vm *vm);
+
+/* ---- relay_forward.c ---- */
+void rk_relay_forwards_init(struct rk_relay *r);
+void rk_relay_forwards_free(struct rk_relay *r);
+/* Replaces the peers to which calls can be forwarded. */
+void rk_relay_forwards_set(struct rk_relay *r, const struct rk_forward_peer *peers,
+                           size_t len);
+
 #endif
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -1,7 +1,8 @@
 /* State of a relayed call, shared by relay_call.c (life cycle and attempts),
  * relay_answer.c (the VM's answer), relay_request.c (the caller's request),
  * relay_kv_move.c (moves between engines), relay_signals.c (what VMs advertise),
- * relay_quarantine.c (requests that crash VMs) and relay_log.c. Relay thread only.
+ * relay_quarantine.c (requests that crash VMs), relay_forward.c (calls forwarded to
+ * peers), relay_probe.c (reachability of VMs) and relay_log.c. Relay thread only.
  */
 #ifndef RK_SERVE_RELAY_CALL_IMPL_H
 #define RK_SERVE_RELAY_CALL_IMPL_H
@@ -10,6 +11,7 @@
 #include "services/upstream.h"
 
 #define REQUEST_ID_MAX 96 /* including the terminating NUL */
+#define MAX_FORWARDS   3  /* peers to which one call is sent */
 /* Longest silence of a VM within a stream, after which another VM is tried if the
  * stream is resumable. The route's target for the first byte is added until the
  * head has arrived. */
@@ -60,6 +62,8 @@
     struct rk_timer deadline_timer;
     /* fires when the VM sends nothing for too long */
     struct rk_timer silence_timer;
+    /* A peer has taken the call from its caller, admitted it and forwards it. */
+    bool is_forwarded;
     /* ---- the current attempt ---- */
     struct rk_upstream_call *up; /* NULL: none in progress */
     struct rk_place_vm *vm;
@@ -72,8 +76,14 @@
     int64_t sent_wall_ms; /* wall-clock time at which it was sent */
     /* The request is counted in its organisation's usage, once in all attempts. */
     bool usage_counted;
+    /* The peer to which the attempt is forwarded; "": it is sent to a VM. */
+    char peer[RK_ID_MAX];
     /* ---- all attempts ---- */
     int attempts;
+    int unsent; /* attempts that failed before a byte was sent */
+    /* Hashes of the ids of the peers to which the call was forwarded. */
+    uint64_t tried_peers[MAX_FORWARDS];
+    size_t tried_peers_len;
     bool may_have_run;
     bool is_resume;      /* the caller resumes a stream */
     bool demand_counted; /* counted in the demand for its service */
@@ -140,11 +150,25 @@
  * byte of the request may have reached the VM. what: reason for the log. */
 void rk_call_attempt_failed(struct rk_relay_call *x, bool sent,
                             enum rk_place_outcome end, const char *what);
+/* Starts the timer of the attempt's silence, if another attempt is possible.
+ * plain_ms, stream_ms: the longest silence of each kind. */
+void rk_call_start_silence_timer(struct rk_relay_call *x, int64_t plain_ms,
+                                 int64_t stream_ms);
+/* Returns true if the call may be sent once more. Takes a retry from the budget. */
+bool rk_call_take_attempt(struct rk_relay_call *x);
+/* Appends the headers of the caller's request that are passed on. key: the API key,
+ * too. */
+void rk_call_copy_headers(const struct rk_relay_call *x, bool key,
+                          struct rk_buf *b);
+/* Returns the longest idle time of a connection that may carry the call. */
+int64_t rk_call_max_idle_ms(const struct rk_relay_call *x);
 /* Handles an attempt whose VM proved that the call did not run there. */
 void rk_call_attempt_not_run(struct rk_relay_call *x, const char *what);
 
 /* Takes a retry from the service's budget. Returns false if there is none. */
 bool rk_call_take_retry(struct rk_relay_call *x);
+/* Returns true if the service's budget has a retry. */
+bool rk_call_has_retry(struct rk_relay_call *x);
 /* Resumes a stream at the VM that has received a copy of its KV cache, or at its
  * own VM, which still has it. Falls back to rk_call_attempt_failed() if the VM
  * cannot take the call. */
@@ -188,7 +212,38 @@
 void rk_call_on_deadline(void *ctx);
 void rk_call_on_silence(void *ctx);
 
+/* ---- relay_forward.c ---- */
+/* Forwards the call to a peer that may reach a VM. Returns false if there is no
+ * such peer, or if the call was forwarded to this node. */
+bool rk_call_forward(struct rk_relay_call *x);
+/* Handles a peer that is silent about the call. */
+void rk_call_forward_silent(struct rk_relay_call *x);
+/* Why a node does not take a forwarded call. */
+enum rk_forward_refusal {
+    RK_FORWARD_NO_VM,  /* it reaches no VM that can take it */
+    RK_FORWARD_BEHIND, /* its routes are older, or differ */
+    RK_FORWARD_STOPS,  /* it stops soon */
+};
+/* Answers a forwarded call that this node does not take; the peer tries another
+ * node. */
+void rk_call_refuse_forwarded(struct rk_client *client,
+                              enum rk_forward_refusal why);
+/* Reads the header of a forwarded call. Returns false if it is missing or
+ * invalid. */
+bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
+                             int *attempts);
+
 /* ---- relay_answer.c ---- */
+/* Passes the head of an answer on to the caller. */
+void rk_call_begin_answer(struct rk_relay_call *x, const struct rk_head *head);
+/* Passes a part of the body on to the caller. Returns false if that ended the call,
+ * because the caller reads too slowly. */
+bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len);
+/* Ends the call after the whole answer was passed on. */
+void rk_call_finish_answer(struct rk_relay_call *x);
+/* Returns true for statuses from which a caller concludes that its call did not
+ * run. */
+bool rk_call_implies_not_run(int status);
 /* Ends the call after the VM's complete answer. */
 void rk_call_end_complete(struct rk_relay_call *x);
 /* Callbacks of a relayed call's upstream call. */
--- /dev/null
+++ b/serve/relay_forward.c
@@ -0,0 +1,342 @@
+/* Forwards calls to peers that reach the VMs, when this node does not, and takes
+ * such calls from peers. A forwarded call is an HTTP request to the peer's listener
+ * for such calls, with the caller's headers and one more: the version of the routes
+ * by which it was admitted, and its attempts so far. The peer routes it, and passes
+ * the VM's answer back; it does not forward it once more. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "callers/server.h"
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "common/http1.h"
+#include "serve/relay_call_impl.h"
+
+#define HEADER_FORWARDED "Rillknot-Forwarded" /* "VERSION ATTEMPTS" */
+/* Header of the answer to a call that the peer does not take; see
+ * refusal_names. */
+#define HEADER_REFUSED     "Rillknot-Forward-Refused"
+#define CONNECT_TIMEOUT_MS 100
+#define MAX_CONNS          256 /* to one peer */
+/* How long a peer gets no calls after it was unreachable or silent, and no calls of
+ * a service after it refused one because it reaches no VM of it. */
+#define PEER_DOWN_MS    1000
+#define PEER_REFUSED_MS 500
+/* Longest silence of a peer. It may send the call to two VMs, one after the other,
+ * when the first one is silent. */
+#define PLAIN_SILENCE_MS        400
+#define STREAM_PEER_SILENCE_MS  (2 * STREAM_SILENCE_MS)
+#define REFUSED_RETRY_AFTER     "0.3"
+#define REFUSED_HEADERS_MAX_LEN 128
+
+static const char *const refusal_names[] = {
+    [RK_FORWARD_NO_VM] = "no-vm",
+    [RK_FORWARD_BEHIND] = "behind",
+    [RK_FORWARD_STOPS] = "stops",
+};
+
+struct forward_peer {
+    struct rk_forward_peer row;
+    uint64_t hash; /* of its id */
+    int64_t down_until_ms;
+    /* It refused a call of this service. */
+    char refused_service[RK_ID_MAX];
+    int64_t refused_until_ms;
+};
+
+struct rk_forward_table {
+    struct forward_peer peers[RK_FORWARD_PEERS_MAX];
+    size_t len;
+};
+
+void rk_relay_forwards_init(struct rk_relay *r)
+{
+    r->forwards = rk_alloc(1, sizeof(*r->forwards));
+}
+
+void rk_relay_forwards_free(struct rk_relay *r)
+{
+    free(r->forwards);
+}
+
+static struct forward_peer *find_peer(struct rk_forward_table *t, const char *id)
+{
+    for (size_t i = 0; i < t->len; i++)
+        if (!strcmp(t->peers[i].row.id, id))
+            return &t->peers[i];
+    return NULL;
+}
+
+void rk_relay_forwards_set(struct rk_relay *r, const struct rk_forward_peer *peers,
+                           size_t len)
+{
+    struct rk_forward_table next = {.len = len};
+    for (size_t i = 0; i < len; i++) {
+        const struct forward_peer *known = find_peer(r->forwards, peers[i].id);
+        if (known)
+            next.peers[i] = *known;
+        next.peers[i].row = peers[i];
+        next.peers[i].hash = rk_hash_str(0, peers[i].id);
+    }
+    *r->forwards = next;
+}
+
+/* ---- choice of a peer ---- */
+
+static bool was_tried(const struct rk_relay_call *x, const struct forward_peer *p)
+{
+    for (size_t i = 0; i < x->tried_peers_len; i++)
+        if (x->tried_peers[i] == p->hash)
+            return true;
+    return false;
+}
+
+static bool may_take(const struct rk_relay_call *x, const struct forward_peer *p,
+                     int64_t now_ms)
+{
+    bool refused = now_ms < p->refused_until_ms &&
+                   !strcmp(p->refused_service, x->query.service);
+    return now_ms >= p->down_until_ms && !refused && !was_tried(x, p);
+}
+
+/* Returns a random one of the peers that may take the call, of this failure domain
+ * if there is one; NULL if there is none. After a peer of this domain has refused
+ * the call, those of other domains come first: the domain may be cut off. */
+static struct forward_peer *choose_peer(struct rk_relay_call *x)
+{
+    struct rk_forward_table *t = x->r->forwards;
+    struct forward_peer *best = NULL;
+    bool best_near = false;
+    int64_t now_ms = rk_mono_ms();
+    size_t start = t->len ? rk_rng_below(&x->r->rng, (uint32_t)t->len) : 0;
+    for (size_t i = 0; i < t->len; i++) {
+        struct forward_peer *p = &t->peers[(start + i) % t->len];
+        bool near = p->row.same_domain == !x->tried_peers_len;
+        if (!may_take(x, p, now_ms) || (best && (best_near || !near)))
+            continue;
+        best = p;
+        best_near = near;
+    }
+    return best;
+}
+
+/* ---- the request ---- */
+
+static void build_head(const struct rk_relay_call *x, size_t body_len,
+                       struct rk_buf *b)
+{
+    const struct rk_head *head = rk_client_head(x->client);
+    const struct rk_dialect *d = x->r->opt.dialect;
+    int64_t left_ms = x->deadline_ms - rk_mono_ms();
+    rk_buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_str(head->method),
+                  rk_head_target(head));
+    rk_call_copy_headers(x, true, b);
+    rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms,
+                  left_ms > 1 ? left_ms : 1);
+    if (x->begun && x->events.last_id[0])
+        rk_buf_printf(b, "%s: %s\r\n", d->resume_after, x->events.last_id);
+    rk_buf_printf(b, HEADER_FORWARDED ": %" PRId64 " %d\r\n", x->routes->version,
+                  x->attempts);
+    if (body_len || head->body_length >= 0 || head->chunked)
+        rk_buf_printf(b, "Content-Length: %zu\r\n", body_len);
+    rk_buf_addstr(b, "\r\n");
+}
+
+static const struct rk_upstream_ops forward_ops;
+
+static bool start(struct rk_relay_call *x, const struct forward_peer *p)
+{
+    size_t body_len;
+    const char *body = rk_client_body(x->client, &body_len);
+    struct rk_buf head = {0};
+    build_head(x, body_len, &head);
+    const struct rk_upstream_spec spec = {
+        .vm_id = p->row.id,
+        .addr = p->row.addr,
+        .head = head.data,
+        .head_len = head.len,
+        .body = body,
+        .body_len = body_len,
+        .no_body = rk_client_head(x->client)->method == HTTP_HEAD,
+        .max_idle_ms = rk_call_max_idle_ms(x),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .max_conns = MAX_CONNS,
+        .ops = &forward_ops,
+        .ctx = x,
+    };
+    x->up = rk_upstream_start(x->r->upstreams, &spec);
+    rk_buf_free(&head);
+    return x->up != NULL;
+}
+
+static void start_silence_timer(struct rk_relay_call *x)
+{
+    rk_call_start_silence_timer(x, PLAIN_SILENCE_MS, STREAM_PEER_SILENCE_MS);
+}
+
+bool rk_call_forward(struct rk_relay_call *x)
+{
+    if (x->is_forwarded || !x->client)
+        return false;
+    while (x->tried_peers_len < MAX_FORWARDS) {
+        struct forward_peer *p = choose_peer(x);
+        if (!p)
+            return false;
+        x->tried_peers[x->tried_peers_len++] = p->hash;
+        if (!start(x, p))
+            continue;
+        rk_strcpy(x->peer, sizeof(x->peer), p->row.id);
+        x->attempts++;
+        x->vm_head_ms = x->vm_first_ms = 0;
+        x->last_vm[0] = x->last_vm_domain[0] = '\0';
+        rk_counter_add(RK_C_FORWARDS, 1);
+        start_silence_timer(x);
+        return true;
+    }
+    return false;
+}
+
+/* ---- the answer ---- */
+
+static void note_peer_down(struct rk_relay_call *x)
+{
+    struct forward_peer *p = find_peer(x->r->forwards, x->peer);
+    if (p)
+        p->down_until_ms = rk_mono_ms() + PEER_DOWN_MS;
+}
+
+static void note_peer_refused(struct rk_relay_call *x, const char *why)
+{
+    struct forward_peer *p = find_peer(x->r->forwards, x->peer);
+    rk_counter_add(RK_C_FORWARDS_REFUSED, 1);
+    if (!p || !strcmp(why, refusal_names[RK_FORWARD_BEHIND]))
+        return;
+    rk_strcpy(p->refused_service, sizeof(p->refused_service), x->query.service);
+    p->refused_until_ms = rk_mono_ms() + PEER_REFUSED_MS;
+}
+
+static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
+{
+    struct rk_relay_call *x = ctx;
+    const struct rk_dialect *d = x->r->opt.dialect;
+    const char *refused = rk_head_get(head, HEADER_REFUSED);
+    bool success = head->status / 100 == 2;
+    rk_timer_stop(x->r->loop, &x->silence_timer);
+    x->vm_head_ms = rk_mono_ms();
+    if (refused) {
+        note_peer_refused(x, refused);
+        x->answer_class = ANSWER_NOT_RUN;
+        return RK_HEAD_ACCEPT;
+    }
+    /* A stream that has begun can only go on with a success. */
+    if (x->begun && !success) {
+        x->answer_class = ANSWER_RETRY;
+        return RK_HEAD_ACCEPT;
+    }
+    x->answer_class = ANSWER_PASS;
+    if (rk_call_implies_not_run(head->status) && !rk_head_get(head, d->signature)) {
+        if (x->org && !x->may_have_run)
+            rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
+    } else {
+        x->ran = true;
+    }
+    if (x->route->kind == RK_CALL_STREAM)
+        rk_timer_start(x->r->loop, &x->silence_timer, STREAM_PEER_SILENCE_MS);
+    if (!x->begun)
+        rk_call_begin_answer(x, head);
+    return RK_HEAD_ACCEPT;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+    struct rk_relay_call *x = ctx;
+    if (x->answer_class != ANSWER_PASS)
+        return;
+    if (x->route->kind == RK_CALL_STREAM)
+        rk_timer_start(x->r->loop, &x->silence_timer, STREAM_PEER_SILENCE_MS);
+    rk_call_pass_body(x, data, len);
+}
+
+/* The peer has not taken the call: it is as if it had not been forwarded. */
+static void try_next(struct rk_relay_call *x)
+{
+    x->attempts--;
+    x->answer_class = ANSWER_PENDING;
+    x->peer[0] = '\0';
+    rk_timer_stop(x->r->loop, &x->silence_timer);
+    if (x->client)
+        rk_call_send(x);
+    else
+        rk_call_give_up(x, 0, 0, "the caller is gone");
+}
+
+static void on_end(void *ctx)
+{
+    struct rk_relay_call *x = ctx;
+    x->up = NULL;
+    switch (x->answer_class) {
+    case ANSWER_NOT_RUN:
+        try_next(x);
+        return;
+    case ANSWER_RETRY:
+        rk_call_attempt_failed(x, true, RK_PLACE_ERROR,
+                               "the peer answered a failure");
+        return;
+    case ANSWER_PENDING:
+    case ANSWER_PASS:
+        break;
+    }
+    rk_call_end_attempt(x, RK_PLACE_DONE);
+    rk_call_finish_answer(x);
+}
+
+static void on_fail(void *ctx, const struct rk_upstream_failure *f)
+{
+    struct rk_relay_call *x = ctx;
+    x->up = NULL;
+    if (x->answer_class == ANSWER_NOT_RUN) {
+        try_next(x);
+        return;
+    }
+    if (!f->may_have_reached)
+        note_peer_down(x);
+    rk_call_attempt_failed(x, f->may_have_reached, RK_PLACE_LOST, f->cause);
+}
+
+static const struct rk_upstream_ops forward_ops = {
+    .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail};
+
+void rk_call_forward_silent(struct rk_relay_call *x)
+{
+    if (!rk_call_has_retry(x)) {
+        start_silence_timer(x);
+        return;
+    }
+    bool sent = !x->up || rk_upstream_may_have_sent(x->up);
+    note_peer_down(x);
+    if (x->up)
+        rk_upstream_cancel(x->up);
+    x->up = NULL;
+    rk_call_attempt_failed(x, sent, RK_PLACE_LOST, "the peer is silent");
+}
+
+/* ---- calls of peers ---- */
+
+void rk_call_refuse_forwarded(struct rk_client *client, enum rk_forward_refusal why)
+{
+    char headers[REFUSED_HEADERS_MAX_LEN];
+    snprintf(headers, sizeof(headers),
+             HEADER_REFUSED ": %s\r\nRetry-After: " REFUSED_RETRY_AFTER "\r\n",
+             refusal_names[why]);
+    rk_client_answer(client, HTTP_UNAVAILABLE, headers, "", 0);
+}
+
+bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
+                             int *attempts)
+{
+    const char *text = rk_head_get(head, HEADER_FORWARDED);
+    return text && sscanf(text, "%" SCNd64 " %d", routes_version, attempts) == 2 &&
+           *attempts >= 0;
+}
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -177,6 +177,61 @@
     return false;
 }
 
+/* Returns false, with the refusal in *why, if this node can't take a forwarded call
+ * that was sent with these routes. */
+static bool can_take_forwarded(struct rk_relay *r, struct rk_client *client,
+                               int64_t routes_version, int64_t *left_ms,
+                               enum rk_forward_refusal *why)
+{
+    const struct rk_head *head = rk_client_head(client);
+    const struct rk_org_info *org;
+    *why = RK_FORWARD_BEHIND;
+    if (!r->routes || !r->vms_known || r->routes->version < routes_version)
+        return false;
+    const struct rk_route *route = find_route(r, client);
+    if (!route || !find_org(r, route, head, &org))
+        return false;
+    *left_ms = time_left(r, route, head);
+    *why = RK_FORWARD_STOPS;
+    return !outlasts_stop(r, *left_ms);
+}
+
+/* The peer has admitted the call: it is not charged to the organisation's quota
+ * again. */
+void rk_relay_call_start_forwarded(struct rk_relay *r, struct rk_client *client)
+{
+    const struct rk_head *head = rk_client_head(client);
+    const char *id = rk_head_get(head, r->opt.dialect->request_id);
+    const struct rk_org_info *org;
+    enum rk_forward_refusal why;
+    int64_t routes_version, left_ms;
+    int attempts;
+    if (!id || strlen(id) >= REQUEST_ID_MAX ||
+        !rk_call_parse_forwarded(head, &routes_version, &attempts)) {
+        refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a forwarded call");
+        return;
+    }
+    rk_counter_add(RK_C_FORWARDED_IN, 1);
+    if (!can_take_forwarded(r, client, routes_version, &left_ms, &why)) {
+        rk_call_refuse_forwarded(client, why);
+        return;
+    }
+    if (left_ms <= 0) {
+        refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
+        return;
+    }
+    const struct rk_route *route = find_route(r, client);
+    find_org(r, route, head, &org);
+    struct rk_relay_call *x = create_call(r, client, route, org);
+    x->is_forwarded = true;
+    x->units = 0;
+    x->attempts = attempts;
+    x->deadline_ms = x->started_ms + left_ms;
+    rk_timer_start(r->loop, &x->deadline_timer, left_ms);
+    rk_call_earn_retries(x);
+    rk_call_send(x);
+}
+
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
 {
     const struct rk_head *head = rk_client_head(client);
@@ -215,6 +270,8 @@
     rk_timer_start(r->loop, &x->deadline_timer, left_ms);
     if (!admit(x))
         return;
-    rk_call_earn_retries(x);
+    /* Otherwise the call is forwarded, and the peer that sends it to a VM earns. */
+    if (rk_place_reaches_service(r->place, x->query.service))
+        rk_call_earn_retries(x);
     rk_call_send(x);
 }
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -397,6 +397,11 @@
     return call->reused || rk_conn_has_sent(call->conn->tcp);
 }
 
+bool rk_upstream_is_reused(const struct rk_upstream_call *call)
+{
+    return call->reused;
+}
+
 void rk_upstream_cancel(struct rk_upstream_call *call)
 {
     struct pooled_conn *c = call->conn;
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -77,4 +77,7 @@
  * a reused connection. */
 bool rk_upstream_may_have_sent(const struct rk_upstream_call *call);
 
+/* Returns whether the connection of the call had served an earlier call. */
+bool rk_upstream_is_reused(const struct rk_upstream_call *call);
+
 #endif
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -189,19 +189,23 @@
 
 def test_a_cut_does_not_put_requests_under_suspicion():
     """Guards against a node that takes the loss of its own links for the end of the VMs and
-    suspects the requests that they were running."""
+    suspects the requests that they were running.
+
+    The streams resume through peers; there are fewer than the node has retries (40 shared by
+    4 nodes).
+    """
     with Partition() as p:
         for w in p.d.workers:
             w.gap_s = 0.2
-        with concurrent.futures.ThreadPoolExecutor(16) as pool:
-            running = [pool.submit(p.d.call, "/chat/x", 0, deadline=8000) for _ in range(16)]
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            running = [pool.submit(p.d.call, "/chat/x", 0, deadline=8000) for _ in range(8)]
             time.sleep(0.3)
             p.cut(RESET_ALL)
             answers = [f.result() for f in running]
         wait_until(lambda: p.events(0, "call.attempt_failed"))
         time.sleep(0.5)
         assert not p.events(0, "request.suspected")
-        assert sum(is_served(a) for a in answers) >= len(answers) - 1
+        assert all(is_served(a) for a in answers), [a.status for a in answers]
 
 
 def test_a_forwarded_call_counts_once_in_its_quota():
--- a/tools/faultproxy.py
+++ b/tools/faultproxy.py
@@ -129,11 +129,10 @@
         self.send_credit = 0.0  # bytes that rate allows now
         self.credit_time = time.monotonic()
         self.loop = shared_loop()
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(("127.0.0.1", 0))
+        self.reserved = self._bind(("127.0.0.1", 0))  # keeps the port while nothing listens
+        self.address = self.reserved.getsockname()
+        self.sock = self._bind(self.address)
         self.sock.listen(256)
-        self.address = self.sock.getsockname()
         self.fillers = []  # connections that fill the queue of ignore_connects()
         self.addr = "127.0.0.1:%d" % self.address[1]
         self.loop.call(lambda: self.loop.watch(self.sock, self._accept))
@@ -165,12 +164,8 @@
         self.loop.call(self._listen)
 
     def _stop_listening(self):
-        """Refuse connects but keep the port, which a closed socket would give up."""
         self.loop.unwatch(self.sock)
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # it does not listen
+        self.sock.close()
 
     def _fill_queue(self):
         self.loop.unwatch(self.sock)
@@ -186,15 +181,23 @@
         for filler in self.fillers:
             filler.close()
         self.fillers = []
+        self.sock = self._bind(self.address)
         self.sock.listen(256)
         self.loop.watch(self.sock, self._accept)
 
+    @staticmethod
+    def _bind(address):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+        return sock
+
     def close(self):
         self.loop.call(self._close)
 
     def _close(self):
-        self.loop.unwatch(self.sock)
-        self.sock.close()
+        self._stop_listening()
+        self.reserved.close()
         self._reset()
 
     def _reset(self):
--- a/tools/vm_links.py
+++ b/tools/vm_links.py
@@ -33,23 +33,30 @@
             if target not in self.proxies:
                 self.proxies[target] = FaultProxy(target)
                 if self.how:
-                    self._cut_link(self.proxies[target])
+                    self._stop_connects(self.proxies[target])
+                    self._stop_data(self.proxies[target])
             return self.proxies[target]
 
     def cut(self, how, select=lambda target: True):
         """Cut the links to the VMs whose address select() chooses."""
         self.how = how
-        for target, link in self.proxies.items():
-            if select(target):
-                self._cut_link(link)
-
-    def _cut_link(self, link):
+        links = [link for target, link in self.proxies.items() if select(target)]
+        # First new connections, then open ones: none is made between two resets.
+        for link in links:
+            self._stop_connects(link)
+        for link in links:
+            self._stop_data(link)
+
+    def _stop_connects(self, link):
         if self.how == UNANSWERED:
             link.ignore_connects()
+        else:
+            link.refuse_connects()
+
+    def _stop_data(self, link):
+        if self.how == UNANSWERED:
             link.set_fault(SILENT)
-            return
-        link.refuse_connects()
-        if self.how == RESET_ALL:
+        elif self.how == RESET_ALL:
             link.set_fault(RESET)
 
     def heal(self):
