quarantine: a node that lost its path suspects no requests

Cause: one refused connect was the whole proof. Change: it counts only if this node heard from another VM since the calls broke off, of the same service if that has others.

--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -17,6 +17,10 @@
  * break off meanwhile, and its process has ended by then. */
 #define CHECK_DELAY_MS     30
 #define CONNECT_TIMEOUT_MS 150
+/* A refused connection shows that the VM has ended only if this node still hears
+ * from other VMs. It waits for that at most so long, checking at intervals. */
+#define OTHERS_WAIT_MS     400
+#define OTHERS_INTERVAL_MS 20
 #define SUSPECTS_MAX       64 /* per VM */
 
 /* A VM that is crashed by a request ends soon after it has begun it: 36 to 79 ms
@@ -35,7 +39,8 @@
     char vm_id[RK_ID_MAX], addr[RK_ADDR_MAX];
     uint32_t vm_incarnation; /* hash of the VM's incarnation */
     struct rk_timer timer;
-    struct rk_conn *conn; /* NULL until the timer has fired */
+    struct rk_conn *conn; /* NULL until the timer has fired, and while it waits */
+    int64_t started_ms;
     struct suspect {
         struct rk_quarantine_row identity; /* request, organisation and route */
         char call_id[REQUEST_ID_MAX];
@@ -129,6 +134,27 @@
     free(k);
 }
 
+/* Decides on a refused connection as soon as another VM was heard since the calls
+ * broke off. If none is, the path is lost, and nothing is known of the VM. */
+static void wait_for_others(void *ctx)
+{
+    struct rk_vm_check *k = ctx;
+    struct rk_place_vm *vm = rk_place_find(k->r->place, k->vm_id);
+    bool is_current = vm && (uint32_t)vm->hash == k->vm_incarnation;
+    if (!is_current || rk_place_heard_other(k->r->place, vm, k->started_ms)) {
+        record_vm_end(k);
+        free_check(k);
+        return;
+    }
+    if (rk_mono_ms() - k->started_ms >= OTHERS_WAIT_MS) {
+        RK_EVENT("vm.end_unknown", RK_S("vm", k->vm_id),
+                 RK_N("suspects", (int64_t)k->suspects_len));
+        free_check(k);
+        return;
+    }
+    rk_timer_start(k->r->loop, &k->timer, OTHERS_INTERVAL_MS);
+}
+
 /* The VM is running, so the calls broke off for another reason. */
 static void on_up(void *ctx)
 {
@@ -141,10 +167,17 @@
 {
     struct rk_vm_check *k = ctx;
     rk_conn_abort(k->conn);
+    k->conn = NULL;
     /* Other errors may come from a network partition, so the VM may be running. */
-    if (error == ECONNREFUSED || error == ECONNRESET)
-        record_vm_end(k);
-    free_check(k);
+    if (error != ECONNREFUSED && error != ECONNRESET) {
+        free_check(k);
+        return;
+    }
+    struct rk_place_vm *vm = rk_place_find(k->r->place, k->vm_id);
+    if (vm && (uint32_t)vm->hash == k->vm_incarnation)
+        rk_relay_note_unreachable(k->r, vm);
+    k->timer.fn = wait_for_others;
+    wait_for_others(k);
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
@@ -196,8 +229,10 @@
         if (k->vm_incarnation == incarnation)
             return k;
     struct rk_vm_check *k = rk_alloc(1, sizeof(*k));
-    *k = (struct rk_vm_check){
-        .r = r, .vm_incarnation = incarnation, .next = r->vm_checks};
+    *k = (struct rk_vm_check){.r = r,
+                              .vm_incarnation = incarnation,
+                              .started_ms = rk_mono_ms(),
+                              .next = r->vm_checks};
     k->timer = (struct rk_timer){.fn = connect_to_vm, .ctx = k};
     rk_strcpy(k->vm_id, sizeof(k->vm_id), vm->row.id);
     rk_strcpy(k->addr, sizeof(k->addr), vm->row.addr);
