node: peers take the calls of a node without a path to the VMs

Cause: a node sent calls over its own links only, although peers with a path are a millisecond away. Change: nodes take forwarded calls at a port of their own (forward_listen), announce it in reports, digests and member lists, and give the relay up to eight alive peers of their domain and eight of others.

--- a/node/digest_receive.c
+++ b/node/digest_receive.c
@@ -267,6 +267,8 @@
         k->leaving = row->leaving;
         k->slow = row->slow;
         k->store_reachable = row->hears_store;
+        if (row->forward_port) /* 0: the bridge doesn't know it either */
+            k->forward_port = row->forward_port;
     }
 }
 
@@ -275,6 +277,7 @@
 {
     rk_mesh_add_contact(k);
     rk_strcpy(k->domain, sizeof(k->domain), d->domain);
+    k->forward_port = d->forward_port;
     if (d->capacity > 0) /* 0: a node of an earlier version */
         k->capacity = d->capacity;
     k->slow = d->slow;
--- a/node/digest_send.c
+++ b/node/digest_send.c
@@ -271,6 +271,7 @@
         row->leaving = k->leaving;
         row->slow = k->slow;
         row->hears_store = k->store_reachable;
+        row->forward_port = k->forward_port;
         p->member_ptrs[p->digest.n_members++] = row;
     }
     p->digest.members = p->member_ptrs;
@@ -288,6 +289,7 @@
     p->digest.id = n->file.id;
     p->digest.addr = (char *)rk_mesh_addr(m);
     p->digest.domain = n->file.failure_domain;
+    p->digest.forward_port = rk_mesh_forward_port(m);
     p->digest.incarnation = n->incarnation;
     p->digest.fleet = fleet;
     p->digest.capacity = rk_mesh_capacity(m);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -97,6 +97,7 @@
     int64_t last_alive_ms; /* like reported_ms, but kept when it is unreachable */
     int64_t added_ms;      /* when it became a member */
     bool was_reachable;    /* as logged last */
+    uint32_t forward_port; /* at which it takes forwarded calls; 0: none */
     bool leaving;          /* in a planned stop */
     bool slow;             /* as it reported: others are preferred as bridges */
     bool
@@ -256,6 +257,14 @@
  * rank. All nodes that know the same members elect the same bridges. */
 void rk_mesh_elect(struct rk_mesh *m, int64_t now_ms);
 
+/* ---- forward_peers.c: peers that take forwarded calls ---- */
+
+/* Returns the port at which this node takes forwarded calls; 0: none. */
+uint32_t rk_mesh_forward_port(const struct rk_mesh *m);
+/* Fills in the peers to which the relay can forward calls. */
+void rk_mesh_fill_forward_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
+                                int64_t now_ms);
+
 /* ---- mesh.c ---- */
 
 /* Returns whether this node sends its reports to the member. */
--- a/node/node.c
+++ b/node/node.c
@@ -82,6 +82,7 @@
         {"vms_limited", (int64_t)rk_signals_limited(n->signals)},
         {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
         {"vms_resting", n->report ? (int64_t)n->report->vms_in_cooldown : 0},
+        {"vms_unreachable", n->report ? (int64_t)n->report->vms_unreachable : 0},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
@@ -296,6 +297,7 @@
     struct rk_relay_options opt = {
         .dialect = n->platform->dialect,
         .listen_addr = f->listen,
+        .forward_addr = f->forward_listen,
         .node_hash = n->hash,
         .seed = rk_rng_next(&n->rng),
         .max_clients = (int)f->max_connections,
@@ -411,6 +413,7 @@
         RK_S("ready", rk_server_addr(n->ready_server)),
         RK_S("control", rk_mesh_addr(n->mesh)),
         RK_S("control_bound", rk_mesh_bound(n->mesh)),
+        RK_S("forward", rk_relay_forward_addr(n->relay)),
         RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
         RK_N("first_start", n->file.first_start));
     rk_read_delay_start(n);
--- a/node/report.c
+++ b/node/report.c
@@ -78,6 +78,7 @@
     p->report.capacity = rk_mesh_capacity(m);
     p->report.takes_changes = true;
     p->report.takes_brief = true;
+    p->report.forward_port = rk_mesh_forward_port(m);
     const char *value;
     if (rk_leader_own_lease(n->leader, &p->lease.version, &value)) {
         p->lease.value = (char *)value;
@@ -198,6 +199,7 @@
     k->store_reachable = r->hears_store;
     k->accepts_changes = r->takes_changes;
     k->accepts_brief = r->takes_brief;
+    k->forward_port = r->forward_port;
     k->quota_history_ms = r->remembers_ms;
     rk_report_receive_shares(k->quota_history_shares, r->known_shares,
                              r->n_known_shares);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3551,7 +3551,7 @@
   (ProtobufCMessageInit) rillknot__lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[23] =
+static const ProtobufCFieldDescriptor rillknot__node_report__field_descriptors[24] =
 {
   {
     "id",
@@ -3829,11 +3829,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forward_port",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeReport, forward_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_report__field_indices_by_name[] = {
   2,   /* field[2] = addr */
   15,   /* field[15] = capacity */
   1,   /* field[1] = domain */
+  23,   /* field[23] = forward_port */
   17,   /* field[17] = hears_store */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
@@ -3858,7 +3871,7 @@
 static const ProtobufCIntRange rillknot__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor rillknot__node_report__descriptor =
 {
@@ -3868,14 +3881,14 @@
   "Rillknot__NodeReport",
   "rillknot",
   sizeof(Rillknot__NodeReport),
-  23,
+  24,
   rillknot__node_report__field_descriptors,
   rillknot__node_report__field_indices_by_name,
   1,  rillknot__node_report__number_ranges,
   (ProtobufCMessageInit) rillknot__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rillknot__node_row__field_descriptors[9] =
 {
   {
     "id",
@@ -3973,11 +3986,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forward_port",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__NodeRow, forward_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__node_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   3,   /* field[3] = capacity */
   2,   /* field[2] = domain */
+  8,   /* field[8] = forward_port */
   4,   /* field[4] = heard */
   7,   /* field[7] = hears_store */
   0,   /* field[0] = id */
@@ -3987,7 +4013,7 @@
 static const ProtobufCIntRange rillknot__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rillknot__node_row__descriptor =
 {
@@ -3997,14 +4023,14 @@
   "Rillknot__NodeRow",
   "rillknot",
   sizeof(Rillknot__NodeRow),
-  8,
+  9,
   rillknot__node_row__field_descriptors,
   rillknot__node_row__field_indices_by_name,
   1,  rillknot__node_row__number_ranges,
   (ProtobufCMessageInit) rillknot__node_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[23] =
+static const ProtobufCFieldDescriptor rillknot__digest__field_descriptors[24] =
 {
   {
     "id",
@@ -4282,6 +4308,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forward_port",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__Digest, forward_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__digest__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -4289,6 +4327,7 @@
   17,   /* field[17] = capacity */
   2,   /* field[2] = domain */
   4,   /* field[4] = fleet */
+  23,   /* field[23] = forward_port */
   19,   /* field[19] = hears_store */
   0,   /* field[0] = id */
   3,   /* field[3] = incarnation */
@@ -4311,7 +4350,7 @@
 static const ProtobufCIntRange rillknot__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor rillknot__digest__descriptor =
 {
@@ -4321,7 +4360,7 @@
   "Rillknot__Digest",
   "rillknot",
   sizeof(Rillknot__Digest),
-  23,
+  24,
   rillknot__digest__field_descriptors,
   rillknot__digest__field_indices_by_name,
   1,  rillknot__digest__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -674,10 +674,14 @@
    */
   size_t n_known_shares;
   float *known_shares;
+  /*
+   * Port of the sender's address at which it takes forwarded calls; 0: none.
+   */
+  uint32_t forward_port;
 };
 #define RILLKNOT__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -704,10 +708,14 @@
    */
   protobuf_c_boolean slow;
   protobuf_c_boolean hears_store;
+  /*
+   * As in NodeReport; 0: none, or not known.
+   */
+  uint32_t forward_port;
 };
 #define RILLKNOT__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -784,10 +792,14 @@
    */
   size_t n_known_shares;
   float *known_shares;
+  /*
+   * Of the sender, as in NodeReport.
+   */
+  uint32_t forward_port;
 };
 #define RILLKNOT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
