relay: calls that would be late at the VMs in reach go to a peer

Change: such a call is forwarded first if VMs of its service are out of reach. Bytes that were under way when calls broke off no longer count as a sign that other VMs are reachable: a node's check of VMs waits 10 ms more.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -440,8 +440,17 @@
     find_or_add_service(x->r, x->query.service)->uncached_prompt_tokens += tokens;
 }
 
+/* Refuses a call whose answer would come too late. If this node reaches only some
+ * VMs of the service, the others may have room: a peer is asked first. */
 static void refuse_late(struct rk_relay_call *x)
 {
+    if (rk_place_has_unreachable(x->r->place, x->query.service)) {
+        struct rk_place_vm *vm = x->vm;
+        x->vm = NULL;
+        if (rk_call_forward(x))
+            return;
+        x->vm = vm;
+    }
     count_demand(
         x, rk_place_unread_tokens(x->r->place, &x->query, x->vm, rk_mono_ms()));
     x->vm = NULL;
--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -19,7 +19,9 @@
 #define CONNECT_TIMEOUT_MS 150
 /* A refused connection shows that the VM has ended only if this node still hears
  * from other VMs. It waits for that at most so long, checking at intervals. */
-#define OTHERS_WAIT_MS     400
+#define OTHERS_WAIT_MS 400
+/* Bytes that were under way when the calls broke off have arrived by then. */
+#define OTHERS_MARGIN_MS   10
 #define OTHERS_INTERVAL_MS 20
 #define SUSPECTS_MAX       64 /* per VM */
 
@@ -141,7 +143,8 @@
     struct rk_vm_check *k = ctx;
     struct rk_place_vm *vm = rk_place_find(k->r->place, k->vm_id);
     bool is_current = vm && (uint32_t)vm->hash == k->vm_incarnation;
-    if (!is_current || rk_place_heard_other(k->r->place, vm, k->started_ms)) {
+    if (!is_current ||
+        rk_place_heard_other(k->r->place, vm, k->started_ms + OTHERS_MARGIN_MS)) {
         record_vm_end(k);
         free_check(k);
         return;
