brittle VMs get no more calls than they have slots

Change: it is a signal of the VM like its limit, sent to all nodes and repeated once a second, so restarted nodes know it. A brittle VM gets at most as many calls as it has slots, of which each node uses its share and of the free ones too; after a refusal a node sends it nothing until its share of half of N allows one more. An answer without the header ends it. The log tells refusals of forwarded calls from ends of calls.

--- a/core/dialect.h
+++ b/core/dialect.h
@@ -47,6 +47,7 @@
     const char *not_run;    /* proves that the request did not run */
     const char *rate_limit; /* requests/s that the VM accepts from all nodes */
     const char *leaving;    /* "1": the VM is about to end */
+    const char *brittle;    /* refusals/s for want of room that the VM stands */
     /* Path at which the balancer asks whether this node takes new connections. */
     const char *ready_path;
 };
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -71,6 +71,10 @@
            vm->running + (int64_t)vm->peers_running >= vm->row.slots;
 }
 
+/* Returns true unless the VM is brittle and this node's share of its slots is
+ * taken. */
+bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm);
+
 /* Returns true if the VM itself has advertised that it leaves, whatever the list
  * says. */
 static inline bool rk_place_advertises_leaving(const struct rk_place_vm *vm)
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -23,8 +23,8 @@
                                 const struct rk_vm_advertised *advertised,
                                 int64_t now_ms)
 {
-    bool has_signals =
-        advertised->limited || advertised->leaving || advertised->cooldown_ms > 0;
+    bool has_signals = advertised->limited || advertised->leaving ||
+                       advertised->brittle || advertised->cooldown_ms > 0;
     if (!vm->signal && !has_signals)
         return 0;
     if (!vm->signal)
@@ -83,7 +83,7 @@
         return 0;
     lh_foreach (p->signals.by_incarnation, e) {
         const struct rk_vm_signal *v = lh_entry_v(e);
-        if (v->limited || now_ms - v->changed_ms < CHANGE_REPORT_MS)
+        if (v->limited || v->brittle || now_ms - v->changed_ms < CHANGE_REPORT_MS)
             (*out)[len++] = *v;
     }
     return len;
@@ -102,6 +102,21 @@
     return len;
 }
 
+/* A brittle VM gets at most as many calls as it has slots. The calls that peers
+ * sent since their last reports are not known, so each node uses its share of the
+ * slots, and of those that seem free. */
+bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm)
+{
+    if (!vm->signal || !vm->signal->brittle || vm->row.slots <= 0)
+        return true;
+    int64_t nodes = p->nodes > 0 ? p->nodes : 1;
+    int64_t free_slots = vm->row.slots - vm->running - (int64_t)vm->peers_running;
+    if (free_slots <= 0)
+        return false;
+    int64_t share = (vm->row.slots + free_slots) / nodes;
+    return vm->running < (share > 0 ? share : 1);
+}
+
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
 {
     return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
@@ -126,13 +141,14 @@
     return wait_ms;
 }
 
-/* Limits and leaving signals of listed VMs don't expire. */
+/* Limits, leaving and brittle signals of listed VMs don't expire. */
 void rk_place_expire_signals(struct rk_place *p, int64_t now_ms)
 {
     if (!rk_vm_signals_len(&p->signals))
         return;
     for (const struct rk_place_vm *v = p->vms; v; v = v->next)
-        if (v->listed && v->signal && (v->signal->limited || v->signal->leaving))
+        if (v->listed && v->signal &&
+            (v->signal->limited || v->signal->leaving || v->signal->brittle))
             v->signal->last_received_ms = now_ms;
     rk_vm_signals_expire(&p->signals, now_ms);
     relink_signals(p, now_ms);
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -19,6 +19,12 @@
  * it, after which nodes without a share ask the VM. The nodes that share the limit
  * get an answer to each request. */
 #define UNCONFIRMED_REQUESTS 5
+/* Of the refusals that a brittle VM stands, the part that nodes may cause. */
+#define REFUSALS_USED_SHARE 0.5
+/* Bounds of the time for which a node sends a brittle VM nothing after a refusal.
+ */
+#define REFUSED_WAIT_MIN_MS 200
+#define REFUSED_WAIT_MAX_MS 10000
 
 static void free_row(struct lh_entry *e)
 {
@@ -141,11 +147,25 @@
     return wait_ms > 0 ? wait_ms : 0;
 }
 
+void rk_vm_signal_note_refused(struct rk_vm_signal *v, int nodes, int64_t now_ms)
+{
+    if (!v->brittle)
+        return;
+    double per_s =
+        v->refusals_per_s * REFUSALS_USED_SHARE / (nodes > 0 ? nodes : 1);
+    double wait_ms = per_s > 0 ? RK_MS_PER_S / per_s : REFUSED_WAIT_MAX_MS;
+    wait_ms = fmin(fmax(wait_ms, REFUSED_WAIT_MIN_MS), REFUSED_WAIT_MAX_MS);
+    v->refused_until_ms = now_ms + (int64_t)wait_ms;
+}
+
 int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms)
 {
-    int64_t cooldown_ms = v->cooldown_until_ms - now_ms;
     int64_t wait_ms = limit_wait_ms(v, now_ms);
-    return cooldown_ms > wait_ms ? cooldown_ms : wait_ms;
+    int64_t cooldown_ms = v->cooldown_until_ms - now_ms;
+    int64_t refused_ms = v->brittle ? v->refused_until_ms - now_ms : 0;
+    if (cooldown_ms > wait_ms)
+        wait_ms = cooldown_ms;
+    return refused_ms > wait_ms ? refused_ms : wait_ms;
 }
 
 void rk_vm_signal_note_sent(struct rk_vm_signal *v, int64_t now_ms)
@@ -176,6 +196,18 @@
     return true;
 }
 
+static bool set_brittle(struct rk_vm_signal *v, bool brittle, double refusals_per_s,
+                        int64_t answer_ms, int64_t now_ms)
+{
+    v->brittle_confirmed_ms = answer_ms;
+    if (v->brittle == brittle && v->refusals_per_s == refusals_per_s)
+        return false;
+    v->brittle = brittle;
+    v->refusals_per_s = refusals_per_s;
+    v->changed_ms = now_ms;
+    return true;
+}
+
 /* ---- received signals ---- */
 
 /* Leaving is final for an incarnation. */
@@ -201,6 +233,19 @@
     return changed;
 }
 
+static bool apply_advertised_brittle(struct rk_vm_signal *v,
+                                     const struct rk_vm_advertised *advertised,
+                                     int64_t now_ms)
+{
+    if (!advertised->brittle && !advertised->sturdy)
+        return false;
+    double refusals_per_s = advertised->brittle ? advertised->refusals_per_s : 0;
+    bool changed =
+        set_brittle(v, advertised->brittle, refusals_per_s, now_ms, now_ms);
+    v->is_own = v->is_own || changed;
+    return changed;
+}
+
 unsigned rk_vm_signal_apply(struct rk_vm_signal *v,
                             const struct rk_vm_advertised *advertised,
                             int64_t now_ms)
@@ -209,6 +254,8 @@
     v->last_received_ms = now_ms;
     if (apply_advertised_limit(v, advertised, now_ms))
         changed |= RK_VM_LIMIT_CHANGED;
+    if (apply_advertised_brittle(v, advertised, now_ms))
+        changed |= RK_VM_BRITTLE_CHANGED;
     if (advertised->leaving && set_leaving(v, true, now_ms))
         changed |= RK_VM_LEAVING_CHANGED;
     if (advertised->cooldown_ms > 0) {
@@ -231,6 +278,12 @@
         v->is_own = reported->is_own;
         changed |= RK_VM_LIMIT_CHANGED;
     }
+    if (reported->brittle_confirmed_ms > v->brittle_confirmed_ms &&
+        set_brittle(v, reported->brittle, reported->refusals_per_s,
+                    reported->brittle_confirmed_ms, now_ms)) {
+        v->is_own = reported->is_own;
+        changed |= RK_VM_BRITTLE_CHANGED;
+    }
     if (reported->leaving && set_leaving(v, reported->is_own, now_ms))
         changed |= RK_VM_LEAVING_CHANGED;
     return changed;
--- a/core/vm_signals.h
+++ b/core/vm_signals.h
@@ -1,8 +1,9 @@
 /* Signals that VMs advertise in their answers, kept per incarnation of a VM: the
- * request rate that they accept from all nodes together, that they are leaving, and
- * a cooldown requested of this node. They are kept independently of the list of
- * VMs, which lags behind and loses entries while the platform's store is
- * unavailable.
+ * request rate that they accept from all nodes together, that they are leaving,
+ * that they are brittle, and a cooldown requested of this node. A brittle VM falls
+ * over if it has to refuse more than some requests a second for want of room. They
+ * are kept independently of the list of VMs, which lags behind and loses entries
+ * while the platform's store is unavailable.
  *
  * The nodes that share a limit are its senders. Each sends at an even interval.
  * Does no I/O and reads no clock. */
@@ -24,6 +25,10 @@
     double limit_per_s; /* requests per second, 0 or more; valid if limited */
     bool unlimited;     /* the answer is the VM's own and names no limit */
     bool leaving;
+    bool brittle;
+    double refusals_per_s; /* that the VM stands, 0 or more; valid if brittle */
+    bool
+        sturdy; /* the answer is the VM's own and does not say that it is brittle */
     int64_t cooldown_ms; /* requested cooldown; 0: none */
 };
 
@@ -39,6 +44,9 @@
      * is none; 0: no answer yet. */
     int64_t limit_confirmed_ms;
     bool leaving;
+    bool brittle;
+    double refusals_per_s;        /* from all nodes together; valid if brittle */
+    int64_t brittle_confirmed_ms; /* as limit_confirmed_ms */
     int64_t
         cooldown_until_ms; /* end of the cooldown of this node; 0: there was none */
     /* The members below are of this node's copy only. */
@@ -51,6 +59,9 @@
     /* The share was given because nobody had confirmed the limit for long. */
     bool is_probe_share;
     int64_t sent_ms; /* last request of this node; 0: none */
+    /* Until then this node sends a brittle VM nothing, because it refused a
+     * request. */
+    int64_t refused_until_ms;
 };
 
 /* Value of rk_vm_signal's senders before a share was assigned. */
@@ -66,6 +77,7 @@
     RK_VM_LIMIT_CHANGED = 1,
     RK_VM_LEAVING_CHANGED = 2,
     RK_VM_COOLDOWN_CHANGED = 4,
+    RK_VM_BRITTLE_CHANGED = 8,
 };
 
 /* Returns the record of an incarnation, or NULL if there is none. The table owns
@@ -102,6 +114,10 @@
  * share in the limit, until another node may. Returns 0 if this node may send
  * now. */
 int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms);
+/* Records that the VM refused a request of this node. If it is brittle, this node
+ * sends it nothing until its share of the refusals allows one more. nodes: of the
+ * fleet. */
+void rk_vm_signal_note_refused(struct rk_vm_signal *v, int nodes, int64_t now_ms);
 /* Records that this node sends a request now. */
 void rk_vm_signal_note_sent(struct rk_vm_signal *v, int64_t now_ms);
 /* Returns true if the limit was not confirmed for so long that it may be lifted.
--- a/node/signal_messages.c
+++ b/node/signal_messages.c
@@ -1,7 +1,8 @@
 /* Messages about the signals that VMs advertise in their answers. A signal that
  * just changed is sent at once and a few times. A limit is sent once a second for
- * as long as it holds, so that nodes that were cut off or restarted get it. A row
- * has 40 bytes; most of the time there is none. */
+ * as long as it holds, and that a VM is brittle likewise, so that nodes that were
+ * cut off or restarted get it. A row has 40 bytes; most of the time there is none.
+ */
 #include <json-c/linkhash.h>
 #include <math.h>
 #include <stdlib.h>
@@ -31,11 +32,17 @@
     out->domain = (char *)v->domain;
     out->leaving = v->leaving;
     out->limit_known = v->limit_confirmed_ms > 0;
-    if (!out->limit_known)
-        return;
-    out->limited = v->limited;
-    out->limit_per_s = v->limit_per_s;
-    out->limit_age_ms = (uint32_t)(now_ms - v->limit_confirmed_ms);
+    if (out->limit_known) {
+        out->limited = v->limited;
+        out->limit_per_s = v->limit_per_s;
+        out->limit_age_ms = (uint32_t)(now_ms - v->limit_confirmed_ms);
+    }
+    out->brittle_known = v->brittle_confirmed_ms > 0;
+    if (out->brittle_known) {
+        out->brittle = v->brittle;
+        out->refusals_per_s = v->refusals_per_s;
+        out->brittle_age_ms = (uint32_t)(now_ms - v->brittle_confirmed_ms);
+    }
 }
 
 /* Bridges forward all signals; other nodes send those that they got from VMs. */
@@ -58,16 +65,16 @@
     }
 }
 
-/* Adds limits that hold. If they don't fit into one message, successive messages
- * continue with the next ones. */
+/* Adds limits that hold, and brittle VMs. If they don't fit into one message,
+ * successive messages continue with the next ones. */
 static void add_limits(struct message *p, struct rk_mesh *m, int64_t now_ms)
 {
     struct lh_entry *e;
     size_t at = 0, left = ROWS_MAX;
     lh_foreach (rk_signals_table(m->n->signals)->by_incarnation, e) {
         const struct rk_vm_signal *v = lh_entry_v(e);
-        if (!v->limited || now_ms - v->changed_ms < CHANGED_FOR_MS ||
-            !is_sent_here(m, v))
+        if ((!v->limited && !v->brittle) ||
+            now_ms - v->changed_ms < CHANGED_FOR_MS || !is_sent_here(m, v))
             continue;
         if (at++ < m->limits_offset || !left)
             continue;
@@ -105,10 +112,15 @@
         struct rk_vm_signal v = {.incarnation = from->life,
                                  .limited = from->limited,
                                  .limit_per_s = from->limit_per_s,
-                                 .leaving = from->leaving};
+                                 .leaving = from->leaving,
+                                 .brittle = from->brittle,
+                                 .refusals_per_s = from->refusals_per_s};
         if (from->limit_known)
             v.limit_confirmed_ms = now_ms - from->limit_age_ms;
-        if (!isfinite(v.limit_per_s) || v.limit_per_s < 0) {
+        if (from->brittle_known)
+            v.brittle_confirmed_ms = now_ms - from->brittle_age_ms;
+        if (!isfinite(v.limit_per_s) || v.limit_per_s < 0 ||
+            !isfinite(v.refusals_per_s) || v.refusals_per_s < 0) {
             RK_WARN("signal.rejected", RK_S("domain", from->domain));
             continue;
         }
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -5164,7 +5164,7 @@
   (ProtobufCMessageInit) rillknot__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__vm_signal__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rillknot__vm_signal__field_descriptors[11] =
 {
   {
     "life",
@@ -5250,8 +5250,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusals_per_s",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, refusals_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle_age_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, brittle_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle_known",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__VmSignal, brittle_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__vm_signal__field_indices_by_name[] = {
+  7,   /* field[7] = brittle */
+  9,   /* field[9] = brittle_age_ms */
+  10,   /* field[10] = brittle_known */
   1,   /* field[1] = domain */
   6,   /* field[6] = leaving */
   0,   /* field[0] = life */
@@ -5259,11 +5310,12 @@
   5,   /* field[5] = limit_known */
   3,   /* field[3] = limit_per_s */
   2,   /* field[2] = limited */
+  8,   /* field[8] = refusals_per_s */
 };
 static const ProtobufCIntRange rillknot__vm_signal__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor rillknot__vm_signal__descriptor =
 {
@@ -5273,7 +5325,7 @@
   "Rillknot__VmSignal",
   "rillknot",
   sizeof(Rillknot__VmSignal),
-  7,
+  11,
   rillknot__vm_signal__field_descriptors,
   rillknot__vm_signal__field_indices_by_name,
   1,  rillknot__vm_signal__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -1060,10 +1060,18 @@
    * The VM will end soon.
    */
   protobuf_c_boolean leaving;
+  /*
+   * As limited, limit_per_s, limit_age_ms and limit_known: whether the VM falls over if
+   * it has to refuse more requests per second than that, from all nodes together.
+   */
+  protobuf_c_boolean brittle;
+  double refusals_per_s;
+  uint32_t brittle_age_ms;
+  protobuf_c_boolean brittle_known;
 };
 #define RILLKNOT__VM_SIGNAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_signal__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -8,6 +8,7 @@
 
 #include "callers/server.h"
 #include "common/counters.h"
+#include "common/eventlog.h"
 #include "common/http1.h"
 #include "core/engine_rank.h"
 
@@ -143,7 +144,8 @@
         give_up_sending(x, "no vm can take it");
         return;
     }
-    rk_call_log_end(x, HTTP_UNAVAILABLE, "no vm can take it");
+    RK_EVENT("forward.refused", RK_S("request", x->id),
+             RK_S("service", x->query.service));
     free_call(x);
     rk_call_refuse_forwarded(client, RK_FORWARD_NO_VM);
 }
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -23,7 +23,7 @@
 /* How long a peer gets no calls after it was unreachable or silent, and no calls of
  * a service after it refused one because it reaches no VM of it. */
 #define PEER_DOWN_MS    1000
-#define PEER_REFUSED_MS 500
+#define PEER_REFUSED_MS 1000
 /* Longest silence of a peer. It may send the call to two VMs, one after the other,
  * when the first one is silent. */
 #define PLAIN_SILENCE_MS        400
@@ -192,6 +192,7 @@
         x->vm_head_ms = x->vm_first_ms = 0;
         x->last_vm[0] = x->last_vm_domain[0] = '\0';
         rk_counter_add(RK_C_FORWARDS, 1);
+        rk_call_log_forwarded(x);
         start_silence_timer(x);
         return true;
     }
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -27,6 +27,13 @@
              RK_N("speed_pct", rk_place_speed_pct(x->vm)));
 }
 
+void rk_call_log_forwarded(const struct rk_relay_call *x)
+{
+    if (is_sampled(x))
+        RK_EVENT("forward.start", RK_S("request", x->id), RK_S("peer", x->peer),
+                 RK_N("attempt", x->attempts));
+}
+
 void rk_call_log_first_byte(const struct rk_relay_call *x, int64_t observed_ms)
 {
     if (is_sampled(x))
--- a/serve/relay_signals.c
+++ b/serve/relay_signals.c
@@ -1,5 +1,5 @@
-/* Reads what a VM's answer says about the VM itself (rate limit, leaving, cooldown)
- * and passes it to placement. */
+/* Reads what a VM's answer says about the VM itself (rate limit, leaving, brittle,
+ * cooldown) and passes it to placement. */
 #include <stdlib.h>
 
 #include "common/counters.h"
@@ -19,10 +19,11 @@
             RK_S("value", text));
 }
 
-static bool parse_limit(const struct rk_relay_call *x, const struct rk_head *head,
-                        double *per_s)
+/* Reads a rate from the header with this name. Returns false if it is missing or
+ * invalid. */
+static bool parse_rate(const struct rk_relay_call *x, const struct rk_head *head,
+                       const char *name, double *per_s)
 {
-    const char *name = x->r->opt.dialect->rate_limit;
     const char *text = rk_head_get(head, name);
     if (!text)
         return false;
@@ -65,9 +66,11 @@
     const char *leaving = rk_head_get(head, d->leaving);
     struct rk_vm_advertised signals = {.leaving = leaving && atoi(leaving) > 0,
                                        .cooldown_ms = parse_cooldown_ms(x, head)};
-    signals.limited = parse_limit(x, head, &signals.limit_per_s);
-    signals.unlimited =
-        !rk_head_get(head, d->rate_limit) && rk_head_get(head, d->signature);
+    bool is_signed = rk_head_get(head, d->signature) != NULL;
+    signals.limited = parse_rate(x, head, d->rate_limit, &signals.limit_per_s);
+    signals.unlimited = is_signed && !rk_head_get(head, d->rate_limit);
+    signals.brittle = parse_rate(x, head, d->brittle, &signals.refusals_per_s);
+    signals.sturdy = is_signed && !rk_head_get(head, d->brittle);
     return signals;
 }
 
@@ -80,6 +83,9 @@
                  RK_N("limit_per_1000_s", (int64_t)(v->limit_per_s * MILLI)));
     if (changed & RK_VM_LEAVING_CHANGED)
         RK_EVENT("vm.says_leaving", RK_S("vm", id), RK_S("request", x->id));
+    if (changed & RK_VM_BRITTLE_CHANGED)
+        RK_EVENT("vm.brittle", RK_S("vm", id), RK_N("brittle", v->brittle),
+                 RK_N("refusals_per_1000_s", (int64_t)(v->refusals_per_s * MILLI)));
     if (changed & RK_VM_COOLDOWN_CHANGED)
         RK_EVENT("vm.rest", RK_S("vm", id), RK_S("request", x->id),
                  RK_N("rest_ms", v->cooldown_until_ms - rk_mono_ms()));
--- a/tests/run.py
+++ b/tests/run.py
@@ -61,6 +61,7 @@
     "proc_hosted_speeds": "hosted  an engine that stays slow gets fewer calls",
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
     "proc_hosted_partition": "hosted  nodes without links to the VMs serve through their peers",
+    "proc_hosted_brittle": "hosted  VMs that fall over when they have to refuse requests",
     "proc_hosted_restore": "hosted  a store that comes back from an older copy",
     "proc_hosted_bridges": "hosted  a large fleet: bridges, digests, updates, quotas, usage",
     "proc_load_report": "hosted  the report from the logs: who waited, who was refused",
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -363,6 +363,7 @@
     returns; if it returns None, the worker answers.
     """
 
+    FALL_S = 2.0
     ids = itertools.count(1)
     # Copies of requests' KV caches, by handle: (request id, address of the worker that
     # holds the copy).
@@ -384,6 +385,16 @@
         self.moved = []  # ids of requests whose KV cache was copied to another worker
         self.resumed_from_copy = []  # ids of requests that resumed from a copied KV cache
         self.limit = None  # accepted requests/s, advertised in each answer
+        # Refusals/s for want of room that it stands, advertised in each answer. Beyond them it
+        # falls over: it resets all connections for FALL_S. None: not brittle.
+        self.brittle = None
+        self.room = None  # most requests at once, those that wait included; None: no limit
+        self.work_s = 0.0  # time that a plain request takes
+        self.active = 0  # requests being run, and those that wait
+        self.free_slots = threading.Semaphore(slots)
+        self.room_lock = threading.Lock()
+        self.refused_at = collections.deque()  # times of the refusals within a second
+        self.fallen_until, self.falls = 0.0, 0
         self.says_leaving = False  # whether each answer advertises that the VM leaves
         self.retry_after_s = 0  # if not 0: refuses all requests and asks for this cooldown
         self.stopped = False
@@ -449,7 +460,16 @@
             result = self.fault(self, req, conn)
             if result is not None:
                 return result
-        return self.run(req, conn)
+        if time.monotonic() < self.fallen_until:
+            reset(conn)
+            return False
+        if not self.enter():
+            return self.refuse_request(req, conn)
+        try:
+            return self.run(req, conn)
+        finally:
+            with self.room_lock:
+                self.active -= 1
 
     def stop_at_once(self):
         """Stop like a killed process; running requests are lost."""
@@ -464,10 +484,30 @@
         lines = b""
         if self.limit is not None:
             lines += b"Server-Limit: %g\r\n" % self.limit
+        if self.brittle is not None:
+            lines += b"Server-Brittle: %g\r\n" % self.brittle
         if self.says_leaving:
             lines += b"Server-Leaving: 1\r\n"
         return lines
 
+    def enter(self):
+        """Take a place for a request; return whether there was one."""
+        with self.room_lock:
+            if self.room is None or self.active < self.room:
+                self.active += 1
+                return True
+            now = time.monotonic()
+            self.refused_at.append(now)
+            while self.refused_at[0] < now - 1:
+                self.refused_at.popleft()
+            if self.brittle is not None and len(self.refused_at) > self.brittle:
+                self.refused_at.clear()
+                self.falls += 1
+                self.fallen_until = now + self.FALL_S
+                for conn in list(self.conns):
+                    reset(conn)
+            return False
+
     def head(self, req, status=200, framing=b"", extra=b""):
         """Return the status line and the headers of an answer."""
         return (b"HTTP/1.1 %d %s\r\nRillknot-Attempt-Id: %s\r\n"
@@ -492,6 +532,9 @@
         self.runs[req.get("Rillknot-Attempt-Id")] += 1
         if self.events:
             return self.stream(req, conn, self.events)
+        if self.work_s:
+            with self.free_slots:
+                time.sleep(self.work_s)
         body = self.body(req)
         conn.sendall(self.head(req, framing=b"Content-Length: %d\r\n" % len(body)) + body)
         return True
