--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -2,9 +2,11 @@
 import collections
 import concurrent.futures
 import json
+import random
+import threading
 import time
 
-from hosted import Hosted, wait_until
+from hosted import Hosted, Request, Worker, read_answer, wait_until
 from vm_links import CUTS, REFUSED, RESET_ALL, UNANSWERED, VmLinks, wait_for_own_links
 
 ZONES = ("klein-hall", "eros-hall")
@@ -228,3 +230,107 @@
         return "%d of %d units" % (served, quota)
 
 
+
+
+class RandomCuts:
+    """A series of cuts, kills and restarts that overlap, beside callers on kept connections."""
+
+    STEPS, STEP_S = 12, 0.7
+    SETTLE_S = 5.0
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.down = None  # index of the node that is killed; None: none
+
+    def step(self, p):
+        action = self.rng.choice(("cut", "cut", "heal", "kill", "restart"))
+        if action == "cut":
+            for links in self.rng.sample(list(p.links.values()), 1 + self.rng.randrange(2)):
+                links.heal()
+                links.cut(self.rng.choice(CUTS))
+        elif action == "heal":
+            self.rng.choice(list(p.links.values())).heal()
+        elif action == "kill" and self.down is None:
+            self.down = self.rng.randrange(NODES)
+            p.d.nodes[self.down].kill()
+        elif action == "restart" and self.down is not None:
+            self.restart(p)
+
+    def restart(self, p):
+        if self.down is not None:
+            p.d.restart_node(self.down)
+        self.down = None
+
+
+def keep_calling(p, stop, answers, seed):
+    """Send calls of random kinds, on one connection for as long as the node keeps it open."""
+    rng = random.Random(seed)
+    while not stop.is_set():
+        node, kind, rest = rng.randrange(NODES), rng.choice(list(KINDS)), []
+        try:
+            s = p.d.connect(node)
+        except OSError:
+            time.sleep(0.05)
+            continue
+        for _ in range(rng.randrange(1, 20)):
+            ident = "%016x" % next(p.d.ids)
+            try:
+                s.sendall(b"POST /%s/x HTTP/1.1\r\nHost: api.example\r\nRillknot-Attempt-Id: %s\r\n"
+                          b"Rillknot-Deadline-Ms: 1500\r\nX-Api-Key: key-1\r\n"
+                          b"Content-Length: 2\r\n\r\nhi" % (kind.encode(), ident.encode()))
+                answer = read_answer(s, "POST", rest)
+            except OSError:
+                break
+            answers.append((kind, ident, answer))
+            if answer.status == 0 or not answer.whole or stop.is_set():
+                break
+            time.sleep(0.02)
+        s.close()
+
+
+def check_answers(p, answers):
+    """Check that each call ran once where it must, and that answers are whole and its own."""
+    for kind, ident, a in answers:
+        if kind == "once":
+            assert p.d.runs(ident) <= 1, ident
+        if a.status in (429, 503) and kind == "once":
+            assert p.d.runs(ident) == 0, (ident, a.status)
+        if a.status != 200 or not a.whole:
+            continue
+        assert ident.encode() in a.body, (ident, a.body)
+        if kind == "chat":
+            expected = b"".join(Worker.event(Request("POST", "", {"rillknot-attempt-id": ident},
+                                                     b""), n) for n in range(1, EVENTS + 1))
+            assert a.body == expected, (ident, a.body)
+
+
+def run_random_cuts(seed):
+    series, answers, stop = RandomCuts(seed), [], threading.Event()
+    with Partition(cut_nodes=(0, 1, 2)) as p:
+        callers = [threading.Thread(target=keep_calling, args=(p, stop, answers, seed * 100 + i))
+                   for i in range(12)]
+        for t in callers:
+            t.start()
+        for _ in range(series.STEPS):
+            time.sleep(series.STEP_S)
+            series.step(p)
+        series.restart(p)
+        p.heal()
+        time.sleep(series.SETTLE_S)
+        p.d.wait_ready()
+        after = p.call_all(count=20, nodes=range(NODES))
+        stop.set()
+        for t in callers:
+            t.join()
+        check_answers(p, answers)
+        check_served(p, after)
+        for i in range(NODES):
+            assert not p.events(i, "request.stopped"), "a request was quarantined"
+        served = sum(is_served(a) for _, _, a in answers)
+        return "%d of %d served beside the faults" % (served, len(answers))
+
+
+def test_random_cuts_kills_and_restarts():
+    """Guards against calls that run twice, answers of other calls, and nodes that do not
+    recover, when cuts of links to the VMs overlap with kills and restarts of nodes."""
+    return run_random_cuts(7)
--- a/tests/test_vm_signals.c
+++ b/tests/test_vm_signals.c
@@ -238,11 +238,77 @@
     assert_null(rk_vm_signals_get_or_add(&table, UINT64_MAX - 1, "", 0));
 }
 
+/* ---- brittle VMs ---- */
+
+static const struct rk_vm_advertised brittle = {.brittle = true,
+                                                .refusals_per_s = 10};
+static const struct rk_vm_advertised sturdy = {.sturdy = true};
+
+/* Guards against a VM that counts as brittle for ever, or is taken for sturdy by an
+ * answer of something else than the VM. */
+static void the_last_answer_says_whether_a_vm_is_brittle(void **state)
+{
+    (void)state;
+    const struct rk_vm_advertised unidentified = {0};
+    struct rk_vm_signal *v = get_row(0);
+    assert_int_equal(rk_vm_signal_apply(v, &brittle, 10), RK_VM_BRITTLE_CHANGED);
+    assert_int_equal(rk_vm_signal_apply(v, &unidentified, 20), 0);
+    assert_true(v->brittle);
+    assert_int_equal(rk_vm_signal_apply(v, &sturdy, 30), RK_VM_BRITTLE_CHANGED);
+    assert_false(v->brittle);
+}
+
+/* Guards against an older report of a peer that undoes what the VM itself said. */
+static void an_older_report_does_not_make_a_vm_brittle(void **state)
+{
+    (void)state;
+    struct rk_vm_signal *v = get_row(0);
+    struct rk_vm_signal report = {
+        .brittle = true, .refusals_per_s = 10, .brittle_confirmed_ms = 20};
+    rk_vm_signal_apply(v, &sturdy, 30);
+    assert_int_equal(rk_vm_signal_merge(v, &report, 40), 0);
+    report.brittle_confirmed_ms = 35;
+    assert_int_equal(rk_vm_signal_merge(v, &report, 40), RK_VM_BRITTLE_CHANGED);
+}
+
+/* Guards against nodes that together make a brittle VM refuse more than it stands:
+ * four nodes that send whenever they may, and are refused each time. */
+static void refusals_stay_below_what_a_brittle_vm_stands(void **state)
+{
+    (void)state;
+    struct rk_vm_signal nodes[4] = {{0}};
+    int refused = 0;
+    for (int n = 0; n < 4; n++)
+        rk_vm_signal_apply(&nodes[n], &brittle, 0);
+    for (int64_t now_ms = 1000; now_ms < 2000; now_ms++)
+        for (int n = 0; n < 4; n++) {
+            if (rk_vm_signal_wait_ms(&nodes[n], now_ms))
+                continue;
+            rk_vm_signal_note_refused(&nodes[n], 4, now_ms);
+            refused++;
+        }
+    assert_in_range(refused, 1, 10);
+}
+
+/* Guards against refusals of a VM that is not brittle keeping calls from it. */
+static void a_refusal_of_a_sturdy_vm_causes_no_wait(void **state)
+{
+    (void)state;
+    struct rk_vm_signal *v = get_row(0);
+    rk_vm_signal_apply(v, &sturdy, 10);
+    rk_vm_signal_note_refused(v, 4, 20);
+    assert_int_equal(rk_vm_signal_wait_ms(v, 20), 0);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, reset_table, reset_table)
 
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        TEST(the_last_answer_says_whether_a_vm_is_brittle),
+        TEST(an_older_report_does_not_make_a_vm_brittle),
+        TEST(refusals_stay_below_what_a_brittle_vm_stands),
+        TEST(a_refusal_of_a_sturdy_vm_causes_no_wait),
         TEST(the_last_answer_sets_the_limit),
         TEST(an_unidentified_answer_ends_no_limit),
         TEST(senders_space_their_requests_evenly),
