placement: what a node without a path observes does not count in rollouts

Such a node reported its failed calls to VMs of a new version as that version's failures, which could roll back a good one. Change: calls that fail while the path to their service is lost count neither in the VMs' health nor in a rollout. A check of a VM that ends in a time-out marks the VM as unreachable, as a refused one does.

--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -85,9 +85,9 @@
     vm->running--;
     bool failed = end == RK_PLACE_LOST || end == RK_PLACE_ERROR;
     /* What a node observes that has lost its own path says nothing about the VM. */
-    if (failed && !vm->reach->lost_ms)
-        note_failure(vm, job, now_ms);
-    if (failed || end == RK_PLACE_UNREACHED) {
+    if (!vm->reach->lost_ms && (failed || end == RK_PLACE_UNREACHED)) {
+        if (failed)
+            note_failure(vm, job, now_ms);
         struct rk_canary_stats *canary =
             rk_place_canary_stats(vm, job->canary_route, now_ms);
         if (canary)
--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -171,14 +171,14 @@
     struct rk_vm_check *k = ctx;
     rk_conn_abort(k->conn);
     k->conn = NULL;
+    struct rk_place_vm *vm = rk_place_find(k->r->place, k->vm_id);
+    if (vm && (uint32_t)vm->hash == k->vm_incarnation)
+        rk_relay_note_unreachable(k->r, vm);
     /* Other errors may come from a network partition, so the VM may be running. */
     if (error != ECONNREFUSED && error != ECONNRESET) {
         free_check(k);
         return;
     }
-    struct rk_place_vm *vm = rk_place_find(k->r->place, k->vm_id);
-    if (vm && (uint32_t)vm->hash == k->vm_incarnation)
-        rk_relay_note_unreachable(k->r, vm);
     k->timer.fn = wait_for_others;
     wait_for_others(k);
 }
