relay: heads of requests have a file of their own; forwarded calls read once more

A peer's refusal was passed on as "has not run" also for a call that may have run at a VM of this node before (repeatable calls only): it is retried or ends with 502 now. A caller's own Rillknot-Forwarded header is dropped; its test passes a made-up one.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -4,13 +4,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "callers/server.h"
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
-#include "core/engine_rank.h"
 
 /* Bytes of the headers and of the body of an error answer. */
 #define LINE_MAX_LEN              192
@@ -281,88 +279,6 @@
 
 /* ---- sending ---- */
 
-static void add_line(struct rk_buf *b, const char *name, const char *value)
-{
-    rk_buf_printf(b, "%s: %s\r\n", name, value);
-}
-
-/* Returns true if a header of the caller's request is passed on to the VM. Headers
- * that Connection lists concern only the caller's connection and are dropped,
- * except the dialect's headers that are meant for the VM. */
-static bool is_passed_on(const struct rk_relay_call *x, const char *connection,
-                         const char *name)
-{
-    const struct rk_dialect *d = x->r->opt.dialect;
-    switch (rk_dialect_header_owner(d, name)) {
-    case RK_HEADER_RESERVED:
-        return false;
-    case RK_HEADER_CALLER:
-        /* After the first event of a VM, this node sets the point of resumption
-         * itself. */
-        return !(x->begun && x->events.last_id[0] &&
-                 !strcasecmp(name, d->resume_after));
-    case RK_HEADER_OTHER:
-        break;
-    }
-    return !rk_call_is_hop_header(name) && !rk_call_is_nominated(connection, name);
-}
-
-void rk_call_copy_headers(const struct rk_relay_call *x, bool key, struct rk_buf *b)
-{
-    const struct rk_head *head = rk_client_head(x->client);
-    const char *connection = rk_head_get(head, "Connection");
-    for (size_t i = 0; i < head->lines_len; i++) {
-        const char *name = rk_head_name(head, i);
-        bool is_key = key && !strcasecmp(name, x->r->opt.dialect->api_key);
-        if (is_key || is_passed_on(x, connection, name))
-            add_line(b, name, rk_head_value(head, i));
-    }
-}
-
-/* Returns the rank promised to the organisation or, without one, the route's. */
-static int base_rank(const struct rk_relay_call *x)
-{
-    return x->org && x->org->rank >= 0 ? x->org->rank : x->route->rank;
-}
-
-/* Returns the rank at the engine. The prompt size counts only until the caller has
- * received the head: the caller of a resumed stream is already reading it. */
-static int engine_rank(const struct rk_relay_call *x)
-{
-    return rk_engine_rank(base_rank(x), x->begun ? 0 : x->job.load.uncached_tokens);
-}
-
-static void build_head(const struct rk_relay_call *x, size_t body_len,
-                       struct rk_buf *b)
-{
-    const struct rk_head *head = rk_client_head(x->client);
-    const struct rk_dialect *d = x->r->opt.dialect;
-    int64_t left_ms = x->deadline_ms - rk_mono_ms();
-    rk_buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_str(head->method),
-                  rk_head_target(head));
-    rk_call_copy_headers(x, false, b);
-    rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms,
-                  left_ms > 1 ? left_ms : 1);
-    add_line(b, d->vm_id, x->vm->row.id);
-    if (x->org)
-        add_line(b, d->organisation, x->org->name);
-    if (x->service->engine)
-        rk_buf_printf(b, "%s: %d\r\n", d->rank, engine_rank(x));
-    const struct rk_place_vm *source =
-        x->service->can_move_kv
-            ? rk_place_copy_source(x->r->place, &x->query, x->vm, rk_mono_ms())
-            : NULL;
-    if (source)
-        add_line(b, d->kv_source, source->row.addr);
-    if (x->kv_source[0])
-        add_line(b, d->kv_moved_from, x->kv_source);
-    if (x->begun && x->events.last_id[0])
-        add_line(b, d->resume_after, x->events.last_id);
-    if (body_len || head->body_length >= 0 || head->chunked)
-        rk_buf_printf(b, "Content-Length: %zu\r\n", body_len);
-    rk_buf_addstr(b, "\r\n");
-}
-
 int rk_call_max_conns(const struct rk_relay_call *x)
 {
     int nodes = x->r->quota.nodes_total > 0 ? x->r->quota.nodes_total : 1;
@@ -370,36 +286,35 @@
     return share > 0 ? (int)share : MAX_CONNS_DEFAULT;
 }
 
-int64_t rk_call_max_idle_ms(const struct rk_relay_call *x)
+bool rk_call_start_upstream(struct rk_relay_call *x, struct rk_upstream_spec *spec,
+                            struct rk_buf *head)
 {
-    return rk_call_repeatable(x) ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
+    spec->head = head->data;
+    spec->head_len = head->len;
+    spec->body = rk_client_body(x->client, &spec->body_len);
+    spec->no_body = rk_client_head(x->client)->method == HTTP_HEAD;
+    spec->max_idle_ms =
+        rk_call_repeatable(x) ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
+    spec->ctx = x;
+    x->up = rk_upstream_start(x->r->upstreams, spec);
+    rk_buf_free(head);
+    return x->up != NULL;
 }
 
 /* Sends the call to x->vm. Returns false if no byte can have been sent. */
 static bool start_attempt(struct rk_relay_call *x)
 {
-    size_t body_len;
-    const char *body = rk_client_body(x->client, &body_len);
-    struct rk_buf head = {0};
-    build_head(x, body_len, &head);
     bool stream = x->route->kind == RK_CALL_STREAM;
-    const struct rk_upstream_spec spec = {
+    struct rk_buf head = {0};
+    struct rk_upstream_spec spec = {
         .vm_id = x->vm->row.id,
         .addr = x->vm->row.addr,
-        .head = head.data,
-        .head_len = head.len,
-        .body = body,
-        .body_len = body_len,
-        .no_body = rk_client_head(x->client)->method == HTTP_HEAD,
-        .max_idle_ms = rk_call_max_idle_ms(x),
         .connect_ms = stream ? CONNECT_TIMEOUT_STREAM_MS : CONNECT_TIMEOUT_PLAIN_MS,
         .max_conns = rk_call_max_conns(x),
         .ops = &rk_call_upstream_ops,
-        .ctx = x,
     };
-    x->up = rk_upstream_start(x->r->upstreams, &spec);
-    rk_buf_free(&head);
-    return x->up != NULL;
+    rk_call_build_head(x, &head);
+    return rk_call_start_upstream(x, &spec, &head);
 }
 
 void rk_call_start_silence_timer(struct rk_relay_call *x, int64_t plain_ms,
@@ -426,7 +341,8 @@
     double target_ms = (double)x->route->target_first_byte_ms;
     if (!x->query.engine || x->attempts || x->begun || target_ms <= 0)
         return false;
-    double slack = base_rank(x) <= URGENT_RANK ? LATENESS_URGENT : LATENESS_OTHERS;
+    double slack =
+        rk_call_base_rank(x) <= URGENT_RANK ? LATENESS_URGENT : LATENESS_OTHERS;
     return x->forecast.ms - CONFIDENCE_STDERRS * x->forecast.std_error_ms >
            target_ms * slack;
 }
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -1,8 +1,9 @@
 /* State of a relayed call, shared by relay_call.c (life cycle and attempts),
  * relay_answer.c (the VM's answer), relay_request.c (the caller's request),
  * relay_kv_move.c (moves between engines), relay_signals.c (what VMs advertise),
- * relay_quarantine.c (requests that crash VMs), relay_forward.c (calls forwarded to
- * peers), relay_probe.c (reachability of VMs) and relay_log.c. Relay thread only.
+ * relay_quarantine.c (requests that crash VMs), relay_head.c (heads of requests),
+ * relay_forward.c (calls forwarded to peers), relay_probe.c (reachability of VMs)
+ * and relay_log.c. Relay thread only.
  */
 #ifndef RK_SERVE_RELAY_CALL_IMPL_H
 #define RK_SERVE_RELAY_CALL_IMPL_H
@@ -11,7 +12,9 @@
 #include "services/upstream.h"
 
 #define REQUEST_ID_MAX 96 /* including the terminating NUL */
-#define MAX_FORWARDS   3  /* peers to which one call is sent */
+/* Header of a forwarded call: "VERSION ATTEMPTS". */
+#define RK_HEADER_FORWARDED "Rillknot-Forwarded"
+#define MAX_FORWARDS        5 /* peers to which one call is sent */
 /* Longest silence of a VM within a stream, after which another VM is tried if the
  * stream is resumable. The route's target for the first byte is added until the
  * head has arrived. */
@@ -157,12 +160,11 @@
                                  int64_t stream_ms);
 /* Returns true if the call may be sent once more. Takes a retry from the budget. */
 bool rk_call_take_attempt(struct rk_relay_call *x);
-/* Appends the headers of the caller's request that are passed on. key: the API key,
- * too. */
-void rk_call_copy_headers(const struct rk_relay_call *x, bool key,
-                          struct rk_buf *b);
-/* Returns the longest idle time of a connection that may carry the call. */
-int64_t rk_call_max_idle_ms(const struct rk_relay_call *x);
+/* Sends the caller's request with this head to the VM or peer that *spec names; the
+ * rest of *spec is filled in. Frees the head. Returns false if no byte can have
+ * been sent. */
+bool rk_call_start_upstream(struct rk_relay_call *x, struct rk_upstream_spec *spec,
+                            struct rk_buf *head);
 /* Handles an attempt whose VM proved that the call did not run there. */
 void rk_call_attempt_not_run(struct rk_relay_call *x, const char *what);
 
@@ -179,6 +181,17 @@
  * default if the service states no limit or the share is below one. */
 int rk_call_max_conns(const struct rk_relay_call *x);
 
+/* ---- relay_head.c ---- */
+/* Returns the rank promised to the organisation or, without one, the route's. */
+int rk_call_base_rank(const struct rk_relay_call *x);
+/* Builds the head of the request to x->vm. */
+void rk_call_build_head(const struct rk_relay_call *x, struct rk_buf *b);
+/* Adds the request line, the caller's headers that are passed on, and those that
+ * are the same at a VM and at a peer. key: the API key, too. */
+void rk_call_begin_head(const struct rk_relay_call *x, bool key, struct rk_buf *b);
+/* Adds the length of the body and the end of the head. */
+void rk_call_end_head(const struct rk_relay_call *x, struct rk_buf *b);
+
 /* ---- relay_kv_move.c ---- */
 /* Starts to move the stream away from its VM if that VM is leaving, another one can
  * take it, and the retry budget allows it. */
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -14,7 +14,6 @@
 #include "common/http1.h"
 #include "serve/relay_call_impl.h"
 
-#define HEADER_FORWARDED "Rillknot-Forwarded" /* "VERSION ATTEMPTS" */
 /* Header of the answer to a call that the peer does not take; see
  * refusal_names. */
 #define HEADER_REFUSED     "Rillknot-Forward-Refused"
@@ -23,7 +22,7 @@
 /* How long a peer gets no calls after it was unreachable or silent, and no calls of
  * a service after it refused one because it reaches no VM of it. */
 #define PEER_DOWN_MS    1000
-#define PEER_REFUSED_MS 1000
+#define PEER_REFUSED_MS 2000
 /* Longest silence of a peer. It may send the call to two VMs, one after the other,
  * when the first one is silent. */
 #define PLAIN_SILENCE_MS        400
@@ -124,51 +123,23 @@
 
 /* ---- the request ---- */
 
-static void build_head(const struct rk_relay_call *x, size_t body_len,
-                       struct rk_buf *b)
-{
-    const struct rk_head *head = rk_client_head(x->client);
-    const struct rk_dialect *d = x->r->opt.dialect;
-    int64_t left_ms = x->deadline_ms - rk_mono_ms();
-    rk_buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_str(head->method),
-                  rk_head_target(head));
-    rk_call_copy_headers(x, true, b);
-    rk_buf_printf(b, "%s: %" PRId64 "\r\n", d->deadline_ms,
-                  left_ms > 1 ? left_ms : 1);
-    if (x->begun && x->events.last_id[0])
-        rk_buf_printf(b, "%s: %s\r\n", d->resume_after, x->events.last_id);
-    rk_buf_printf(b, HEADER_FORWARDED ": %" PRId64 " %d\r\n", x->routes->version,
-                  x->attempts);
-    if (body_len || head->body_length >= 0 || head->chunked)
-        rk_buf_printf(b, "Content-Length: %zu\r\n", body_len);
-    rk_buf_addstr(b, "\r\n");
-}
-
 static const struct rk_upstream_ops forward_ops;
 
 static bool start(struct rk_relay_call *x, const struct forward_peer *p)
 {
-    size_t body_len;
-    const char *body = rk_client_body(x->client, &body_len);
     struct rk_buf head = {0};
-    build_head(x, body_len, &head);
-    const struct rk_upstream_spec spec = {
+    struct rk_upstream_spec spec = {
         .vm_id = p->row.id,
         .addr = p->row.addr,
-        .head = head.data,
-        .head_len = head.len,
-        .body = body,
-        .body_len = body_len,
-        .no_body = rk_client_head(x->client)->method == HTTP_HEAD,
-        .max_idle_ms = rk_call_max_idle_ms(x),
         .connect_ms = CONNECT_TIMEOUT_MS,
         .max_conns = MAX_CONNS,
         .ops = &forward_ops,
-        .ctx = x,
     };
-    x->up = rk_upstream_start(x->r->upstreams, &spec);
-    rk_buf_free(&head);
-    return x->up != NULL;
+    rk_call_begin_head(x, true, &head);
+    rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d\r\n",
+                  x->routes->version, x->attempts);
+    rk_call_end_head(x, &head);
+    return rk_call_start_upstream(x, &spec, &head);
 }
 
 static void start_silence_timer(struct rk_relay_call *x)
@@ -231,18 +202,18 @@
         x->answer_class = ANSWER_NOT_RUN;
         return RK_HEAD_ACCEPT;
     }
-    /* A stream that has begun can only go on with a success. */
-    if (x->begun && !success) {
+    bool not_run =
+        rk_call_implies_not_run(head->status) && !rk_head_get(head, d->signature);
+    /* A stream that has begun can only go on with a success, and a call that may
+     * have run at a VM of this node must not be reported as not run. */
+    if ((x->begun && !success) || (x->may_have_run && not_run)) {
         x->answer_class = ANSWER_RETRY;
         return RK_HEAD_ACCEPT;
     }
     x->answer_class = ANSWER_PASS;
-    if (rk_call_implies_not_run(head->status) && !rk_head_get(head, d->signature)) {
-        if (x->org && !x->may_have_run)
-            rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
-    } else {
-        x->ran = true;
-    }
+    x->ran = !not_run;
+    if (x->org && not_run)
+        rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_PEER_SILENCE_MS);
     if (!x->begun)
@@ -337,7 +308,7 @@
 bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
                              int *attempts)
 {
-    const char *text = rk_head_get(head, HEADER_FORWARDED);
+    const char *text = rk_head_get(head, RK_HEADER_FORWARDED);
     return text && sscanf(text, "%" SCNd64 " %d", routes_version, attempts) == 2 &&
            *attempts >= 0;
 }
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -177,23 +177,29 @@
     return false;
 }
 
-/* Returns false, with the refusal in *why, if this node can't take a forwarded call
- * that was sent with these routes. */
+/* What a forwarded call needs here. */
+struct forwarded_call {
+    const struct rk_route *route;
+    const struct rk_org_info *org; /* NULL: none is needed */
+    int64_t left_ms;               /* until its deadline */
+};
+
+/* Fills in *call. Returns false, with the refusal in *why, if this node can't take
+ * a call that was sent with routes of this version. */
 static bool can_take_forwarded(struct rk_relay *r, struct rk_client *client,
-                               int64_t routes_version, int64_t *left_ms,
+                               int64_t routes_version, struct forwarded_call *call,
                                enum rk_forward_refusal *why)
 {
     const struct rk_head *head = rk_client_head(client);
-    const struct rk_org_info *org;
     *why = RK_FORWARD_BEHIND;
     if (!r->routes || !r->vms_known || r->routes->version < routes_version)
         return false;
-    const struct rk_route *route = find_route(r, client);
-    if (!route || !find_org(r, route, head, &org))
+    call->route = find_route(r, client);
+    if (!call->route || !find_org(r, call->route, head, &call->org))
         return false;
-    *left_ms = time_left(r, route, head);
+    call->left_ms = time_left(r, call->route, head);
     *why = RK_FORWARD_STOPS;
-    return !outlasts_stop(r, *left_ms);
+    return !outlasts_stop(r, call->left_ms);
 }
 
 /* The peer has admitted the call: it is not charged to the organisation's quota
@@ -202,9 +208,9 @@
 {
     const struct rk_head *head = rk_client_head(client);
     const char *id = rk_head_get(head, r->opt.dialect->request_id);
-    const struct rk_org_info *org;
+    struct forwarded_call call;
     enum rk_forward_refusal why;
-    int64_t routes_version, left_ms;
+    int64_t routes_version;
     int attempts;
     if (!id || strlen(id) >= REQUEST_ID_MAX ||
         !rk_call_parse_forwarded(head, &routes_version, &attempts)) {
@@ -212,22 +218,20 @@
         return;
     }
     rk_counter_add(RK_C_FORWARDED_IN, 1);
-    if (!can_take_forwarded(r, client, routes_version, &left_ms, &why)) {
+    if (!can_take_forwarded(r, client, routes_version, &call, &why)) {
         rk_call_refuse_forwarded(client, why);
         return;
     }
-    if (left_ms <= 0) {
+    if (call.left_ms <= 0) {
         refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
         return;
     }
-    const struct rk_route *route = find_route(r, client);
-    find_org(r, route, head, &org);
-    struct rk_relay_call *x = create_call(r, client, route, org);
+    struct rk_relay_call *x = create_call(r, client, call.route, call.org);
     x->is_forwarded = true;
     x->units = 0;
     x->attempts = attempts;
-    x->deadline_ms = x->started_ms + left_ms;
-    rk_timer_start(r->loop, &x->deadline_timer, left_ms);
+    x->deadline_ms = x->started_ms + call.left_ms;
+    rk_timer_start(r->loop, &x->deadline_timer, call.left_ms);
     rk_call_earn_retries(x);
     rk_call_send(x);
 }
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -189,6 +189,20 @@
         assert sum(link.passed for link in p.links[0].proxies.values()) > before
 
 
+def test_a_caller_cannot_pose_as_a_peer():
+    """Guards against callers that set the header of forwarded calls, to raise the count of
+    attempts or to get round the quota."""
+    with Partition() as p:
+        p.cut(RESET_ALL)
+        p.call_all(count=30)
+        fake = [("Rillknot-Forwarded", "999999 99")]
+        for node in (0, 1):
+            a = p.d.call("/plain/x", node, headers=fake)
+            assert is_served(a), a.status
+        for w in p.d.workers:
+            assert not any(req.get("Rillknot-Forwarded") for req in w.seen)
+
+
 def test_a_cut_does_not_put_requests_under_suspicion():
     """Guards against a node that takes the loss of its own links for the end of the VMs and
     suspects the requests that they were running.
