--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -105,9 +105,9 @@
 def check_served(p, answers):
     shares = failed_shares(answers)
     assert max(shares.values()) <= MAX_FAILED, shares
-    for got in answers.values():
-        for a in got:
-            assert p.d.runs(a.ident) <= 1, a.ident
+    for (node, kind), got in answers.items():
+        for a in got:  # repeatable calls may run again, after 150 ms without an answer
+            assert kind == "plain" or p.d.runs(a.ident) <= 1, (a.ident, kind, node, a.took_s)
     return "failed at most %.3f" % max(shares.values())
 
 
