placement: a service whose VMs were all replaced is reached again

Cause: the loss of a service ends with a successful probe, and probes end with the last unreachable VM on the list; those that come in its place are not probed. A VM whose calls are stopped while it is unreachable, and that is used again later, had the same fate. Change: what is known of VMs that get no calls is dropped, and a loss with the last of them. Found by reading.

--- a/core/place.h
+++ b/core/place.h
@@ -373,7 +373,8 @@
  * of the same service, or from any if the service has no other. */
 bool rk_place_heard_other(const struct rk_place *p, const struct rk_place_vm *vm,
                           int64_t since_ms);
-/* Returns a VM to probe now and marks it as probed; NULL if none is due. */
+/* Returns a VM to probe now and marks it as probed; NULL if none is due. Drops what
+ * is known of VMs that get no calls. */
 struct rk_place_vm *rk_place_next_probe(struct rk_place *p, int64_t now_ms);
 /* Returns a service that was lost or reached again since this function returned it
  * last; NULL if there is none. Its lost_ms tells which. */
--- a/core/place_reach.c
+++ b/core/place_reach.c
@@ -172,9 +172,26 @@
     return v->probe_pending || shows_whether_lost(v);
 }
 
+/* VMs that get no calls anyway are not probed, so what is known of them is dropped,
+ * and with the last unreachable VM the loss of a service. Otherwise a service whose
+ * VMs were all replaced, or a VM that is used again later, would stay lost. */
+static void drop_unusable(struct rk_place *p)
+{
+    for (struct rk_place_vm *v = p->vms; v; v = v->next)
+        if (!is_usable(v))
+            v->unreachable_since_ms = 0;
+    for (struct rk_place_reach *r = p->reaches; r; r = r->next) {
+        if (!r->lost_ms || rk_place_has_unreachable(p, r->service))
+            continue;
+        r->lost_ms = 0;
+        r->failed_vms = 0;
+    }
+}
+
 struct rk_place_vm *rk_place_next_probe(struct rk_place *p, int64_t now_ms)
 {
     struct rk_place_vm *due = NULL;
+    drop_unusable(p);
     for (struct rk_place_vm *v = p->vms; v; v = v->next)
         if (is_probe_due(v, now_ms) && (!due || v->probed_ms < due->probed_ms))
             due = v;
--- a/serve/relay_probe.c
+++ b/serve/relay_probe.c
@@ -147,6 +147,7 @@
             break;
         start_probe(r, vm);
     }
+    log_changes(r);
     if (vm || r->vm_probes || rk_place_unreachable_len(r->place))
         rk_timer_start(r->loop, &r->probe_timer, TICK_MS);
 }
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -178,6 +178,22 @@
             assert sum(link.passed for link in p.links[0].proxies.values()) > before, how
 
 
+def test_a_service_whose_vms_all_ended_is_served_by_new_ones():
+    """Guards against a service that stays lost for ever: its VMs ended, left the list, and
+    nobody probed those that came in their place."""
+    with Partition(nodes=2, cut_nodes=()) as p:
+        for w in p.d.workers:
+            w.stop_at_once()
+        p.call_all(count=30, nodes=[0, 1])
+        for w in p.d.workers:
+            p.d.store.drop("servers", w.id)
+        p.call_all(count=30, nodes=[0, 1])
+        p.d.add_worker("plain", slots=32)
+        p.d.add_worker("llm", slots=64, events=EVENTS)
+        time.sleep(1)
+        check_served(p, p.call_all(count=20, nodes=[0, 1]))
+
+
 def test_a_node_that_lost_some_vms_uses_the_others():
     """Guards against a node that takes the loss of some of its links for that of all."""
     with Partition() as p:
--- a/tests/test_place_reach.c
+++ b/tests/test_place_reach.c
@@ -94,6 +94,41 @@
     rk_place_destroy(p);
 }
 
+/* Guards against a service that stays lost for ever: all of its VMs were replaced
+ * while they were unreachable, and nobody probes the new ones. */
+static void a_lost_service_is_reached_when_its_vms_are_replaced(void **state)
+{
+    (void)state;
+    struct rk_place *p = create();
+    struct rk_vm_row row = {.slots = 8, .leaves_in_ms = -1};
+    const char removed[1][RK_ID_MAX] = {"vm-9"};
+    rk_strcpy(row.id, sizeof(row.id), "vm-new");
+    rk_strcpy(row.service, sizeof(row.service), "other");
+    rk_place_note_unreachable(p, vm(p, VMS), 100);
+    rk_place_change_vms(p, NULL, 0, removed, 1, 200);
+    assert_null(rk_place_next_probe(p, 300));
+    rk_place_change_vms(p, &row, 1, NULL, 0, 400);
+    assert_true(rk_place_reaches_service(p, "other"));
+    rk_place_destroy(p);
+}
+
+/* Guards against a VM that is never used again: it was unreachable when its calls
+ * were stopped, so that its probes ended, and gets calls again later. */
+static void a_vm_that_is_used_again_is_not_unreachable(void **state)
+{
+    (void)state;
+    struct rk_place *p = create();
+    struct rk_vm_row row = vm(p, 0)->row;
+    rk_place_note_unreachable(p, vm(p, 0), 100);
+    row.blocked = true;
+    rk_place_change_vms(p, &row, 1, NULL, 0, 200);
+    assert_int_equal(count_probes(p, 1000), 3); /* others, after the failure */
+    row.blocked = false;
+    rk_place_change_vms(p, &row, 1, NULL, 0, 1100);
+    assert_int_equal(rk_place_unreachable_len(p), 0);
+    rk_place_destroy(p);
+}
+
 /* Guards against a storm of probes, and against a lost path that is found out call
  * by call: the first failure probes the VM itself and three others. */
 static void the_first_failure_probes_three_other_vms(void **state)
@@ -160,6 +195,8 @@
         cmocka_unit_test(an_unreachable_vm_gets_no_calls_until_a_connect_succeeds),
         cmocka_unit_test(a_service_is_lost_when_vms_fail_without_a_success),
         cmocka_unit_test(a_service_is_lost_when_its_only_vm_fails),
+        cmocka_unit_test(a_lost_service_is_reached_when_its_vms_are_replaced),
+        cmocka_unit_test(a_vm_that_is_used_again_is_not_unreachable),
         cmocka_unit_test(the_first_failure_probes_three_other_vms),
         cmocka_unit_test(probes_become_rarer),
         cmocka_unit_test(calls_lost_with_the_path_do_not_count_in_a_vms_health),
