placement: one search for a service's reachability; links count their bytes

Read once more: place_reach.c searched for a service in two loops, and dropping a loss searched for the record it already held; the bytes that a node sent over its links were summed at five places of the tests. One function each now. Behaviour and assertions are as before.

--- a/core/place_reach.c
+++ b/core/place_reach.c
@@ -15,11 +15,18 @@
 #define PROBE_INTERVAL_MAX_MS 2000
 #define PROBE_AGE_DIVISOR     10
 
-struct rk_place_reach *rk_place_reach_get(struct rk_place *p, const char *service)
+static struct rk_place_reach *find_reach(const struct rk_place *p,
+                                         const char *service)
 {
     struct rk_place_reach *r = p->reaches;
     while (r && strcmp(r->service, service) != 0)
         r = r->next;
+    return r;
+}
+
+struct rk_place_reach *rk_place_reach_get(struct rk_place *p, const char *service)
+{
+    struct rk_place_reach *r = find_reach(p, service);
     if (r)
         return r;
     r = rk_alloc(1, sizeof(*r));
@@ -93,30 +100,27 @@
     vm->probe_pending = true;
 }
 
-static const struct rk_place_reach *find_reach(const struct rk_place *p,
-                                               const char *service)
-{
-    const struct rk_place_reach *r = p->reaches;
-    while (r && strcmp(r->service, service) != 0)
-        r = r->next;
-    return r;
-}
-
 bool rk_place_reaches_service(const struct rk_place *p, const char *service)
 {
     const struct rk_place_reach *r = find_reach(p, service);
     return !r || !r->lost_ms;
 }
 
-bool rk_place_has_unreachable(const struct rk_place *p, const char *service)
+static bool has_unreachable(const struct rk_place *p,
+                            const struct rk_place_reach *r)
 {
-    const struct rk_place_reach *r = find_reach(p, service);
-    for (const struct rk_place_vm *v = r ? p->vms : NULL; v; v = v->next)
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next)
         if (v->reach == r && is_usable(v) && v->unreachable_since_ms)
             return true;
     return false;
 }
 
+bool rk_place_has_unreachable(const struct rk_place *p, const char *service)
+{
+    const struct rk_place_reach *r = find_reach(p, service);
+    return r && has_unreachable(p, r);
+}
+
 size_t rk_place_unreachable_len(const struct rk_place *p)
 {
     size_t len = 0;
@@ -181,7 +185,7 @@
         if (!is_usable(v))
             v->unreachable_since_ms = 0;
     for (struct rk_place_reach *r = p->reaches; r; r = r->next) {
-        if (!r->lost_ms || rk_place_has_unreachable(p, r->service))
+        if (!r->lost_ms || has_unreachable(p, r))
             continue;
         r->lost_ms = 0;
         r->failed_vms = 0;
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -172,10 +172,10 @@
             p.call_all(count=int(PER_S * NOTICED_S))
             p.heal()
             time.sleep(USED_AGAIN_S)
-            before = sum(link.passed for link in p.links[0].proxies.values())
+            before = p.links[0].passed()
             answers = p.call_all(count=20)
             check_served(p, answers)
-            assert sum(link.passed for link in p.links[0].proxies.values()) > before, how
+            assert p.links[0].passed() > before, how
 
 
 def test_a_service_whose_vms_all_ended_is_served_by_new_ones():
@@ -200,9 +200,9 @@
         lost = {w.addr for w in p.d.workers[:2]}
         p.cut(UNANSWERED, select=lambda target: target in lost)
         p.call_all(count=int(PER_S * NOTICED_S))
-        before = sum(link.passed for link in p.links[0].proxies.values())
+        before = p.links[0].passed()
         check_served(p, p.call_all())
-        assert sum(link.passed for link in p.links[0].proxies.values()) > before
+        assert p.links[0].passed() > before
 
 
 def test_a_caller_cannot_pose_as_a_peer():
--- a/tools/vm_links.py
+++ b/tools/vm_links.py
@@ -37,6 +37,10 @@
                     self._stop_data(self.proxies[target])
             return self.proxies[target]
 
+    def passed(self):
+        """Return the bytes that the node has sent to VMs over its links."""
+        return sum(link.passed for link in self.proxies.values())
+
     def cut(self, how, select=lambda target: True):
         """Cut the links to the VMs whose address select() chooses."""
         self.how = how
@@ -91,16 +95,13 @@
 
     Nodes also learn of VMs from each other; then the VMs are listed anew.
     """
-    def passed():
-        return sum(link.passed for link in links.proxies.values())
-
     def settled():
         for worker in d.workers:
             d.store.put("servers", worker.id, dict(worker.spec(), seqNo=next(d.ids)))
-        before = passed()
+        before = links.passed()
         others = [i for i in range(len(d.nodes)) if i != node]
         served = all(d.call(target, i).status == 200 for i in others * 4)
-        after = passed()
+        after = links.passed()
         return served and after == before and \
-            all(d.call(target, node).status == 200 for _ in range(4)) and passed() > after
+            all(d.call(target, node).status == 200 for _ in range(4)) and links.passed() > after
     wait_until(settled, 20, 0.3)
