brittle VMs: of more nodes than slots only some use each VM

Before more nodes than a VM has slots, one call of each node is already more than it has room for, and so is each node's first refusal. No share of the free slots helps: nobody knows what the others have sent since their last reports. Nodes therefore made brittle VMs fall over under overload, again and again.

Now as many nodes share such a VM of a plain service as it has slots and half of the refusals that it stands, chosen by rendezvous hashing, those of its own domain first (node/brittle_shares). The others forward its service's calls to them, as nodes without a path do. A peer whose share is taken says so (no-room); after two of these the call is rejected. Engines stay shared by all: their calls last longer than reports take. If a node takes no forwarded calls, all share all VMs.

The simulation forwards as the nodes do now; loads and bounds are unchanged.

--- a/core/place.c
+++ b/core/place.c
@@ -369,7 +369,7 @@
     rk_place_find_preferred(p, q, service_hash, &preferred);
     for (struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!rk_place_is_eligible(q, service_hash, v) ||
-            !rk_place_may_send(v, now_ms) || !rk_place_has_room(p, v))
+            !rk_place_may_send(v, now_ms) || !rk_place_has_room(p, v, q->engine))
             continue;
         double ms;
         struct rk_engine_forecast f = predict(p, q, v, &preferred, now_ms, &ms);
--- a/core/place.h
+++ b/core/place.h
@@ -337,6 +337,15 @@
                              struct rk_vm_signal **out);
 /* Returns true if the VM's limit and cooldown permit a call now. */
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms);
+/* Whether this node may use the VMs of a service, if these are brittle and only
+ * some nodes share each of them. */
+enum rk_place_share {
+    RK_PLACE_NOT_SHARED,  /* all nodes may use some VM */
+    RK_PLACE_HAS_SHARE,   /* this node may use some of them */
+    RK_PLACE_LACKS_SHARE, /* only peers may use those that this node reaches */
+};
+enum rk_place_share rk_place_brittle_share(const struct rk_place *p,
+                                           const struct rk_place_query *q);
 /* Returns the time in ms until the limit or cooldown of some VM of the query's
  * service permits the call. Returns 0 if one permits it now, if there is no such
  * VM, or if no VM has advertised anything. */
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -71,9 +71,16 @@
            vm->running + (int64_t)vm->peers_running >= vm->row.slots;
 }
 
+/* Returns the number of nodes that share a brittle VM's slots, 0 if this node has
+ * no share. All nodes share an engine: its calls last longer than reports take, so
+ * that its free slots are known, and fewer nodes for each engine would read more
+ * prefixes twice. The VM must have a signal. */
+int rk_place_sharing_nodes(const struct rk_place *p, const struct rk_place_vm *vm,
+                           bool engine);
 /* Returns true unless the VM is brittle and this node's share of its slots is
- * taken. */
-bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm);
+ * taken. engine: it is an engine. */
+bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm,
+                       bool engine);
 
 /* Returns true if the VM itself has advertised that it leaves, whatever the list
  * says. */
--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -107,7 +107,8 @@
         if (!is_refusal_expected(vm, now_ms))
             rk_vm_health_note_refusal(&vm->health, now_ms);
         if (vm->signal)
-            rk_vm_signal_note_refused(vm->signal, p->nodes, now_ms);
+            rk_vm_signal_note_refused(
+                vm->signal, rk_place_sharing_nodes(p, vm, job->engine), now_ms);
         if (vm->paused_until_ms < now_ms + PAUSE_REFUSED_MS)
             vm->paused_until_ms = now_ms + PAUSE_REFUSED_MS;
         break;
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -65,6 +65,7 @@
             continue;
         changed |= rk_vm_signal_merge(v, &rows[i], now_ms);
         rk_vm_signal_set_senders(v, rows[i].senders, now_ms);
+        v->brittle_senders = rows[i].brittle_senders;
         if (rows[i].is_probe_share)
             rk_vm_signal_advance_share(v, rk_rng_below(&p->rng, PERMILLE) /
                                               (double)PERMILLE);
@@ -102,21 +103,52 @@
     return len;
 }
 
+int rk_place_sharing_nodes(const struct rk_place *p, const struct rk_place_vm *vm,
+                           bool engine)
+{
+    if (!engine && vm->signal->brittle_senders != RK_SENDERS_UNKNOWN)
+        return vm->signal->brittle_senders;
+    return p->nodes > 0 ? p->nodes : 1;
+}
+
 /* A brittle VM gets at most as many calls as it has slots. The calls that peers
  * sent since their last reports are not known, so each node uses its share of the
  * slots, and of those that seem free. */
-bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm)
+bool rk_place_has_room(const struct rk_place *p, const struct rk_place_vm *vm,
+                       bool engine)
 {
     if (!vm->signal || !vm->signal->brittle || vm->row.slots <= 0)
         return true;
-    int64_t nodes = p->nodes > 0 ? p->nodes : 1;
+    int64_t nodes = rk_place_sharing_nodes(p, vm, engine);
     int64_t free_slots = vm->row.slots - vm->running - (int64_t)vm->peers_running;
-    if (free_slots <= 0)
+    if (!nodes || free_slots <= 0)
         return false;
     int64_t share = (vm->row.slots + free_slots) / nodes;
     return vm->running < (share > 0 ? share : 1);
 }
 
+enum rk_place_share rk_place_brittle_share(const struct rk_place *p,
+                                           const struct rk_place_query *q)
+{
+    enum rk_place_share share = RK_PLACE_NOT_SHARED;
+    if (q->engine || !rk_vm_signals_len(&p->signals))
+        return RK_PLACE_NOT_SHARED;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
+        if (!v->listed || v->row.leaving || v->row.blocked ||
+            v->unreachable_since_ms || strcmp(v->row.service, q->service) != 0)
+            continue;
+        bool shared = v->signal && v->signal->brittle &&
+                      v->signal->brittle_senders != RK_SENDERS_UNKNOWN;
+        if (!shared)
+            return RK_PLACE_NOT_SHARED;
+        if (v->signal->brittle_senders > 0)
+            share = RK_PLACE_HAS_SHARE;
+        else if (share == RK_PLACE_NOT_SHARED)
+            share = RK_PLACE_LACKS_SHARE;
+    }
+    return share;
+}
+
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
 {
     return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
--- a/core/vm_signals.c
+++ b/core/vm_signals.c
@@ -3,6 +3,7 @@
 #include <json-c/linkhash.h>
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define INITIAL_ROWS 16
 /* How long a record is kept after the last answer of the VM or report about it. */
@@ -68,6 +69,7 @@
     v = rk_alloc(1, sizeof(*v));
     v->incarnation = incarnation;
     v->last_received_ms = now_ms;
+    v->brittle_senders = RK_SENDERS_UNKNOWN;
     rk_strcpy(v->domain, sizeof(v->domain), domain);
     lh_table_insert(s->by_incarnation, table_key(incarnation), v);
     return v;
@@ -147,6 +149,40 @@
     return wait_ms > 0 ? wait_ms : 0;
 }
 
+/* ---- brittle VMs ---- */
+
+size_t rk_vm_brittle_senders_max(const struct rk_vm_signal *v, int64_t slots)
+{
+    if (slots <= 0)
+        return 0;
+    double max = (double)slots + floor(v->refusals_per_s * REFUSALS_USED_SHARE);
+    return (size_t)fmin(max, RK_BRITTLE_SENDERS_MAX);
+}
+
+/* The nodes of the highest weight, by rendezvous hashing. */
+size_t rk_vm_brittle_senders(const struct rk_vm_signal *v, const uint64_t *nodes,
+                             size_t len, size_t max, size_t *out)
+{
+    uint64_t weights[RK_BRITTLE_SENDERS_MAX];
+    size_t chosen = 0;
+    for (size_t i = 0; i < len; i++) {
+        uint64_t weight = node_weight(v, nodes[i]);
+        size_t at = chosen;
+        while (at > 0 && weight > weights[at - 1])
+            at--;
+        if (at == max)
+            continue;
+        if (chosen < max)
+            chosen++;
+        size_t moved = chosen - 1 - at;
+        memmove(&weights[at + 1], &weights[at], moved * sizeof(*weights));
+        memmove(&out[at + 1], &out[at], moved * sizeof(*out));
+        weights[at] = weight;
+        out[at] = i;
+    }
+    return chosen;
+}
+
 void rk_vm_signal_note_refused(struct rk_vm_signal *v, int nodes, int64_t now_ms)
 {
     if (!v->brittle)
--- a/core/vm_signals.h
+++ b/core/vm_signals.h
@@ -18,6 +18,8 @@
 
 /* Most incarnations that a table holds. */
 #define RK_VM_SIGNALS_MAX 16384
+/* Most nodes that share the slots of a brittle VM, if not all nodes do. */
+#define RK_BRITTLE_SENDERS_MAX 64
 
 /* Signals of one answer. */
 struct rk_vm_advertised {
@@ -62,9 +64,13 @@
     /* Until then this node sends a brittle VM nothing, because it refused a
      * request. */
     int64_t refused_until_ms;
+    /* Number of nodes that share the slots of a brittle VM, this one included. 0:
+     * this node has no share. RK_SENDERS_UNKNOWN: all nodes have one. */
+    int brittle_senders;
 };
 
-/* Value of rk_vm_signal's senders before a share was assigned. */
+/* Value of rk_vm_signal's senders before a share was assigned, and of its
+ * brittle_senders while all nodes share. */
 #define RK_SENDERS_UNKNOWN (-1)
 
 /* Table of signals; zeroed: empty. */
@@ -100,6 +106,16 @@
 /* Sets the number of nodes that share the limit, this one included; 0: this one
  * has no share. */
 void rk_vm_signal_set_senders(struct rk_vm_signal *v, int senders, int64_t now_ms);
+/* Returns how many nodes may share a brittle VM's slots. If each of them sends a
+ * request at the same time, the VM refuses no more than nodes may cause. Returns 0
+ * if the number of its slots is not known. */
+size_t rk_vm_brittle_senders_max(const struct rk_vm_signal *v, int64_t slots);
+/* Chooses at most max nodes, given by the hashes of their ids, that share a brittle
+ * VM's slots, and writes their indexes to out. max: RK_BRITTLE_SENDERS_MAX at most.
+ * Nodes that know the same set agree on the result. Returns the number of nodes
+ * chosen. */
+size_t rk_vm_brittle_senders(const struct rk_vm_signal *v, const uint64_t *nodes,
+                             size_t len, size_t max, size_t *out);
 /* Returns true if no answer confirmed the limit for the time of some requests at
  * the limit. Whoever knew that it was lifted may have ended, and the nodes without
  * a share would never ask the VM. */
@@ -115,8 +131,8 @@
  * now. */
 int64_t rk_vm_signal_wait_ms(const struct rk_vm_signal *v, int64_t now_ms);
 /* Records that the VM refused a request of this node. If it is brittle, this node
- * sends it nothing until its share of the refusals allows one more. nodes: of the
- * fleet. */
+ * sends it nothing until its share of the refusals allows one more. nodes: that
+ * share it. */
 void rk_vm_signal_note_refused(struct rk_vm_signal *v, int nodes, int64_t now_ms);
 /* Records that this node sends a request now. */
 void rk_vm_signal_note_sent(struct rk_vm_signal *v, int64_t now_ms);
--- a/node/forward_peers.c
+++ b/node/forward_peers.c
@@ -1,22 +1,13 @@
 /* Chooses the peers that take this node's calls when it has no path to the VMs:
  * some of its own failure domain and some of the others, by rendezvous hashing, so
- * that nodes which lose their paths together choose different ones. */
+ * that nodes which lose their paths together choose different ones. Peers that
+ * share brittle VMs are listed by service. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "node/mesh_impl.h"
 
-/* Half of the peers are of this failure domain, half of others. */
-#define PEERS_PER_GROUP (RK_FORWARD_PEERS_MAX / 2)
-
-/* The peers of a group with the highest weights, highest first. */
-struct group {
-    const struct member *members[PEERS_PER_GROUP];
-    uint64_t weights[PEERS_PER_GROUP];
-    size_t len;
-};
-
 uint32_t rk_mesh_forward_port(const struct rk_mesh *m)
 {
     const char *addr = rk_relay_forward_addr(m->n->relay);
@@ -24,29 +15,42 @@
     return colon ? (uint32_t)strtoul(colon + 1, NULL, 10) : 0;
 }
 
-static void insert(struct group *g, const struct member *k, uint64_t weight)
+void rk_peer_group_offer(struct rk_peer_group *g, const char *id, uint64_t weight)
 {
     size_t at = g->len;
     while (at > 0 && weight > g->weights[at - 1])
         at--;
-    if (at == PEERS_PER_GROUP)
+    if (at == RK_PEER_GROUP_MAX || (at > 0 && !strcmp(g->ids[at - 1], id)))
         return;
-    if (g->len < PEERS_PER_GROUP)
+    if (g->len < RK_PEER_GROUP_MAX)
         g->len++;
     size_t moved = g->len - 1 - at;
-    memmove(&g->members[at + 1], &g->members[at], moved * sizeof(g->members[0]));
+    memmove(&g->ids[at + 1], &g->ids[at], moved * sizeof(g->ids[0]));
     memmove(&g->weights[at + 1], &g->weights[at], moved * sizeof(g->weights[0]));
-    g->members[at] = k;
+    rk_strcpy(g->ids[at], sizeof(g->ids[at]), id);
     g->weights[at] = weight;
 }
 
-static void put_group(const struct group *g, struct rk_relay_peers *p)
+static bool may_take_calls(const struct member *k, int64_t now_ms)
+{
+    return k->id[0] && k->forward_port && !k->leaving && strchr(k->addr, ':') &&
+           rk_mesh_is_alive(k, now_ms);
+}
+
+/* Adds the peers of a group that may take calls now. service: of these calls; "":
+ * any. */
+static void put_group(const struct rk_mesh *m, const struct rk_peer_group *g,
+                      const char *service, struct rk_relay_peers *p, int64_t now_ms)
 {
     for (size_t i = 0; i < g->len; i++) {
-        const struct member *k = g->members[i];
+        const struct member *k = rk_mesh_find(m, g->ids[i]);
+        if (!k || !may_take_calls(k, now_ms) ||
+            p->forward_peers_len == RK_FORWARD_PEERS_MAX)
+            continue;
         struct rk_forward_peer *out = &p->forward_peers[p->forward_peers_len++];
         int host_len = (int)(strrchr(k->addr, ':') - k->addr);
         rk_strcpy(out->id, sizeof(out->id), k->id);
+        rk_strcpy(out->service, sizeof(out->service), service);
         snprintf(out->addr, sizeof(out->addr), "%.*s:%u", host_len, k->addr,
                  k->forward_port);
         out->same_domain = rk_mesh_is_same_domain(k);
@@ -56,15 +60,19 @@
 void rk_mesh_fill_forward_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
                                 int64_t now_ms)
 {
-    struct group near = {0}, far = {0};
+    struct rk_peer_group near = {0}, far = {0};
+    const struct rk_brittle_services *brittle =
+        rk_signals_brittle_services(m->n->signals);
     uint64_t own = rk_hash_str(0, m->n->file.id);
-    for (const struct member *k = m->members; k; k = k->next) {
-        if (!k->id[0] || !k->forward_port || k->leaving || !strchr(k->addr, ':') ||
-            !rk_mesh_is_alive(k, now_ms))
-            continue;
-        insert(rk_mesh_is_same_domain(k) ? &near : &far, k,
-               rk_hash(own, &k->hash, sizeof(k->hash)));
+    for (const struct member *k = m->members; k; k = k->next)
+        if (may_take_calls(k, now_ms))
+            rk_peer_group_offer(rk_mesh_is_same_domain(k) ? &near : &far, k->id,
+                                rk_hash(own, &k->hash, sizeof(k->hash)));
+    put_group(m, &near, "", p, now_ms);
+    put_group(m, &far, "", p, now_ms);
+    for (size_t i = 0; i < brittle->len; i++) {
+        const struct rk_brittle_service *row = &brittle->rows[i];
+        put_group(m, &row->near, row->service, p, now_ms);
+        put_group(m, &row->far, row->service, p, now_ms);
     }
-    put_group(&near, p);
-    put_group(&far, p);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -24,6 +24,11 @@
  * data. */
 #define RK_MESH_UNSENT_MAX (256 * 1024)
 
+/* Most peers of a group, and most services with brittle VMs that only some nodes
+ * use. */
+#define RK_PEER_GROUP_MAX       8
+#define RK_BRITTLE_SERVICES_MAX 4
+
 /* Number of a node's past incarnations that are kept. */
 #define PAST_INCARNATIONS 8
 
@@ -130,6 +135,26 @@
     struct inbound_link *next;
 };
 
+/* Peers of one failure domain, or of all others, to which calls can be forwarded:
+ * the ones with the highest weights, highest first. */
+struct rk_peer_group {
+    char ids[RK_PEER_GROUP_MAX][RK_ID_MAX];
+    uint64_t weights[RK_PEER_GROUP_MAX];
+    size_t len;
+};
+
+/* A plain service whose brittle VMs are each shared by some of the nodes, and such
+ * nodes of this failure domain and of others. */
+struct rk_brittle_service {
+    char service[RK_ID_MAX];
+    struct rk_peer_group near, far;
+};
+
+struct rk_brittle_services {
+    struct rk_brittle_service rows[RK_BRITTLE_SERVICES_MAX];
+    size_t len;
+};
+
 /* When counts of calls were sent last: of windows that still fill, and of all. */
 struct rk_usage_sent {
     int64_t current_ms, all_ms;
@@ -259,12 +284,21 @@
 
 /* ---- forward_peers.c: peers that take forwarded calls ---- */
 
+/* Adds a peer to the group if its weight is among the highest. */
+void rk_peer_group_offer(struct rk_peer_group *g, const char *id, uint64_t weight);
 /* Returns the port at which this node takes forwarded calls; 0: none. */
 uint32_t rk_mesh_forward_port(const struct rk_mesh *m);
 /* Fills in the peers to which the relay can forward calls. */
 void rk_mesh_fill_forward_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
                                 int64_t now_ms);
 
+/* ---- brittle_shares.c: the nodes that share brittle VMs ---- */
+
+/* Sets brittle_senders of the brittle VMs in the table, and the peers that share
+ * them. */
+void rk_brittle_share(struct rk_node *n, struct rk_vm_signals *table,
+                      struct rk_brittle_services *services);
+
 /* ---- mesh.c ---- */
 
 /* Returns whether this node sends its reports to the member. */
--- a/node/signals.c
+++ b/node/signals.c
@@ -19,9 +19,18 @@
     struct rk_node *n;
     struct rk_vm_signals table;
     uint64_t possible_hash; /* at the last computation of shares */
+    bool changed;           /* a signal has changed since */
+    int64_t list_revision;  /* of the VM list then */
+    struct rk_brittle_services brittle;
     int64_t expired_ms;
 };
 
+const struct rk_brittle_services *
+rk_signals_brittle_services(const struct rk_signals *s)
+{
+    return &s->brittle;
+}
+
 const struct rk_vm_signals *rk_signals_table(const struct rk_signals *s)
 {
     return &s->table;
@@ -66,8 +75,10 @@
     for (size_t i = 0; i < len; i++) {
         struct rk_vm_signal *v = rk_vm_signals_get_or_add(
             &s->table, rows[i].incarnation, rows[i].domain, now_ms);
-        if (v && rk_vm_signal_merge(v, &rows[i], now_ms))
-            v->senders = RK_SENDERS_UNKNOWN;
+        if (!v || !rk_vm_signal_merge(v, &rows[i], now_ms))
+            continue;
+        v->senders = RK_SENDERS_UNKNOWN;
+        s->changed = true;
     }
 }
 
@@ -96,7 +107,7 @@
         if (!may_send(k, now_ms))
             continue;
         c.all[c.all_len++] = k->hash;
-        c.hash += rk_hash_str(k->hash, k->domain);
+        c.hash += rk_hash_str(k->hash ^ k->forward_port, k->domain);
         if (rk_mesh_is_same_domain(k))
             c.near[c.near_len++] = k->hash;
     }
@@ -142,7 +153,19 @@
     return v->is_probe_share != before;
 }
 
-/* Collects the rows whose limit or share differs from what the relay has. */
+/* Updates the shares of brittle VMs if the nodes, the list of VMs or a signal has
+ * changed. */
+static void update_brittle_shares(struct rk_signals *s, bool nodes_changed)
+{
+    int64_t revision = rk_sync_list_revision(s->n->sync);
+    if (!nodes_changed && !s->changed && revision == s->list_revision)
+        return;
+    s->changed = false;
+    s->list_revision = revision;
+    rk_brittle_share(s->n, &s->table, &s->brittle);
+}
+
+/* Collects the rows whose signals or shares differ from what the relay has. */
 static size_t collect(struct rk_signals *s, struct rk_vm_signal *out,
                       const struct possible_senders *c, int64_t now_ms)
 {
@@ -150,6 +173,7 @@
     size_t len = 0;
     bool all = c->hash != s->possible_hash;
     s->possible_hash = c->hash;
+    update_brittle_shares(s, all);
     lh_foreach (s->table.by_incarnation, e) {
         struct rk_vm_signal *v = lh_entry_v(e);
         bool probing_changed = update_probing(v, now_ms);
--- a/node/state.h
+++ b/node/state.h
@@ -22,6 +22,7 @@
 struct rk_rollouts;
 struct rk_quarantines;
 struct rk_signals;
+struct rk_brittle_services;
 
 /* The read delay of a restarted node: it leaves the store's long lists to other
  * nodes first, so that a restart of the whole fleet doesn't overload the store. */
@@ -240,6 +241,9 @@
 void rk_signals_tick(struct rk_signals *s);
 /* Returns the table, owned by s. */
 const struct rk_vm_signals *rk_signals_table(const struct rk_signals *s);
+/* Returns the services whose brittle VMs only some nodes use, owned by s. */
+const struct rk_brittle_services *
+rk_signals_brittle_services(const struct rk_signals *s);
 /* Returns the number of VMs that advertise a limit. */
 size_t rk_signals_limited(const struct rk_signals *s);
 /* Returns the number of VMs that advertise that they leave. */
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -90,13 +90,15 @@
 void rk_relay_report_free(struct rk_relay_report *r);
 
 /* Most peers to which a node forwards calls. */
-#define RK_FORWARD_PEERS_MAX 16
+#define RK_FORWARD_PEERS_MAX 80
 
 /* A peer that takes forwarded calls. */
 struct rk_forward_peer {
     char id[RK_ID_MAX];
     char addr[RK_ADDR_MAX]; /* of its listener for forwarded calls */
     bool same_domain;       /* in this node's failure domain */
+    /* Plain service of which it shares brittle VMs; "": it may take any call. */
+    char service[RK_ID_MAX];
 };
 
 /* Peers' state, sent by control. It owns its arrays. */
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -144,8 +144,11 @@
     }
     RK_EVENT("forward.refused", RK_S("request", x->id),
              RK_S("service", x->query.service));
+    bool no_room =
+        rk_place_brittle_share(x->r->place, &x->query) == RK_PLACE_HAS_SHARE;
     free_call(x);
-    rk_call_refuse_forwarded(client, RK_FORWARD_NO_VM);
+    rk_call_refuse_forwarded(client,
+                             no_room ? RK_FORWARD_NO_ROOM : RK_FORWARD_NO_VM);
 }
 
 /* Ends a call whose request is quarantined; it is sent to no further VM. */
@@ -439,14 +442,17 @@
         give_up_quarantined(x);
         return;
     }
-    bool reached = rk_place_reaches_service(p, x->query.service);
-    bool peers_first = !reached || x->unsent >= MAX_UNSENT_BEFORE_PEERS;
+    enum rk_place_share share = rk_place_brittle_share(p, &x->query);
+    bool usable = rk_place_reaches_service(p, x->query.service) &&
+                  share != RK_PLACE_LACKS_SHARE;
+    bool peers_first = !usable || x->unsent >= MAX_UNSENT_BEFORE_PEERS;
     if (peers_first && rk_call_forward(x))
         return;
-    if (reached && x->unsent < MAX_UNSENT && send_to_vm(x))
+    if (usable && x->unsent < MAX_UNSENT && send_to_vm(x))
         return;
-    if (!peers_first && rk_place_has_unreachable(p, x->query.service) &&
-        rk_call_forward(x))
+    bool peers_may_have_room = share == RK_PLACE_HAS_SHARE ||
+                               rk_place_has_unreachable(p, x->query.service);
+    if (!peers_first && peers_may_have_room && rk_call_forward(x))
         return;
     count_demand(x, x->query.prompt_tokens);
     give_up_unplaced(x);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -87,6 +87,7 @@
     /* Hashes of the ids of the peers to which the call was forwarded. */
     uint64_t tried_peers[MAX_FORWARDS];
     size_t tried_peers_len;
+    int peers_without_room; /* of those, that refused it for want of room */
     bool may_have_run;
     bool is_resume;      /* the caller resumes a stream */
     bool demand_counted; /* counted in the demand for its service */
@@ -234,9 +235,10 @@
 void rk_call_forward_silent(struct rk_relay_call *x);
 /* Why a node does not take a forwarded call. */
 enum rk_forward_refusal {
-    RK_FORWARD_NO_VM,  /* it reaches no VM that can take it */
-    RK_FORWARD_BEHIND, /* its routes are older, or differ */
-    RK_FORWARD_STOPS,  /* it stops soon */
+    RK_FORWARD_NO_VM,   /* it reaches no VM that can take it */
+    RK_FORWARD_NO_ROOM, /* its share of brittle VMs is taken */
+    RK_FORWARD_BEHIND,  /* its routes are older, or differ */
+    RK_FORWARD_STOPS,   /* it stops soon */
 };
 /* Answers a forwarded call that this node does not take; the peer tries another
  * node. */
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -23,6 +23,8 @@
  * a service after it refused one because it reaches no VM of it. */
 #define PEER_DOWN_MS    1000
 #define PEER_REFUSED_MS 2000
+/* Peers without room that a call is forwarded to; then it is rejected. */
+#define MAX_WITHOUT_ROOM 2
 /* Longest silence of a peer. It may send the call to two VMs, one after the other,
  * when the first one is silent. */
 #define PLAIN_SILENCE_MS        400
@@ -32,6 +34,7 @@
 
 static const char *const refusal_names[] = {
     [RK_FORWARD_NO_VM] = "no-vm",
+    [RK_FORWARD_NO_ROOM] = "no-room",
     [RK_FORWARD_BEHIND] = "behind",
     [RK_FORWARD_STOPS] = "stops",
 };
@@ -60,7 +63,10 @@
     free(r->forwards);
 }
 
-static struct forward_peer *find_peer(struct rk_forward_table *t, const char *id)
+/* Returns an entry of the peer, which may have several; NULL if there is none. What
+ * is known of the peer is the same in all of them. */
+static const struct forward_peer *find_peer(const struct rk_forward_table *t,
+                                            const char *id)
 {
     for (size_t i = 0; i < t->len; i++)
         if (!strcmp(t->peers[i].row.id, id))
@@ -97,26 +103,34 @@
 {
     bool refused = now_ms < p->refused_until_ms &&
                    !strcmp(p->refused_service, x->query.service);
-    return now_ms >= p->down_until_ms && !refused && !was_tried(x, p);
+    bool other_service =
+        p->row.service[0] && strcmp(p->row.service, x->query.service) != 0;
+    return now_ms >= p->down_until_ms && !refused && !other_service &&
+           !was_tried(x, p);
 }
 
-/* Returns a random one of the peers that may take the call, of this failure domain
- * if there is one; NULL if there is none. After a peer of this domain has refused
- * the call, those of other domains come first: the domain may be cut off. */
+/* Orders peers that may take the call; the highest one is the best. Peers that
+ * share brittle VMs of its service come first, then those of this failure domain.
+ * After a peer of this domain has refused the call, those of other domains come
+ * first: the domain may be cut off. */
+static int preference(const struct rk_relay_call *x, const struct forward_peer *p)
+{
+    int near = p->row.same_domain == !x->tried_peers_len;
+    return p->row.service[0] ? 2 + near : near;
+}
+
+/* Returns a random one of the best peers for the call; NULL if there is none. */
 static struct forward_peer *choose_peer(struct rk_relay_call *x)
 {
     struct rk_forward_table *t = x->r->forwards;
     struct forward_peer *best = NULL;
-    bool best_near = false;
     int64_t now_ms = rk_mono_ms();
     size_t start = t->len ? rk_rng_below(&x->r->rng, (uint32_t)t->len) : 0;
     for (size_t i = 0; i < t->len; i++) {
         struct forward_peer *p = &t->peers[(start + i) % t->len];
-        bool near = p->row.same_domain == !x->tried_peers_len;
-        if (!may_take(x, p, now_ms) || (best && (best_near || !near)))
-            continue;
-        best = p;
-        best_near = near;
+        if (may_take(x, p, now_ms) &&
+            (!best || preference(x, p) > preference(x, best)))
+            best = p;
     }
     return best;
 }
@@ -149,7 +163,7 @@
 
 bool rk_call_forward(struct rk_relay_call *x)
 {
-    if (x->is_forwarded || !x->client)
+    if (x->is_forwarded || !x->client || x->peers_without_room >= MAX_WITHOUT_ROOM)
         return false;
     while (x->tried_peers_len < MAX_FORWARDS) {
         struct forward_peer *p = choose_peer(x);
@@ -174,19 +188,28 @@
 
 static void note_peer_down(struct rk_relay_call *x)
 {
-    struct forward_peer *p = find_peer(x->r->forwards, x->peer);
-    if (p)
-        p->down_until_ms = rk_mono_ms() + PEER_DOWN_MS;
+    struct rk_forward_table *t = x->r->forwards;
+    for (size_t i = 0; i < t->len; i++)
+        if (!strcmp(t->peers[i].row.id, x->peer))
+            t->peers[i].down_until_ms = rk_mono_ms() + PEER_DOWN_MS;
 }
 
 static void note_peer_refused(struct rk_relay_call *x, const char *why)
 {
-    struct forward_peer *p = find_peer(x->r->forwards, x->peer);
+    struct rk_forward_table *t = x->r->forwards;
     rk_counter_add(RK_C_FORWARDS_REFUSED, 1);
-    if (!p || !strcmp(why, refusal_names[RK_FORWARD_BEHIND]))
+    if (!strcmp(why, refusal_names[RK_FORWARD_NO_ROOM]))
+        x->peers_without_room++;
+    if (strcmp(why, refusal_names[RK_FORWARD_NO_VM]) != 0 &&
+        strcmp(why, refusal_names[RK_FORWARD_STOPS]) != 0)
         return;
-    rk_strcpy(p->refused_service, sizeof(p->refused_service), x->query.service);
-    p->refused_until_ms = rk_mono_ms() + PEER_REFUSED_MS;
+    for (size_t i = 0; i < t->len; i++) {
+        struct forward_peer *p = &t->peers[i];
+        if (strcmp(p->row.id, x->peer) != 0)
+            continue;
+        rk_strcpy(p->refused_service, sizeof(p->refused_service), x->query.service);
+        p->refused_until_ms = rk_mono_ms() + PEER_REFUSED_MS;
+    }
 }
 
 static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
--- a/tests/proc_hosted_brittle.py
+++ b/tests/proc_hosted_brittle.py
@@ -1,4 +1,5 @@
 """Tests of VMs that advertise that they fall over if they have to refuse many requests."""
+import collections
 import concurrent.futures
 import time
 
@@ -8,6 +9,8 @@
 QUEUE = 2  # requests that may wait at a VM beyond its slots
 WORK_S = 0.05
 REFUSALS_PER_S = 4  # that a VM stands
+MANY_NODES, MANY_SLOTS = 14, 2  # one call of each node is more than a VM has room for
+USUAL_SERVED = 0.95  # of a load that the VMs can bear
 NOTICED_S = 3.0  # from then on the nodes have to heed what VMs advertise (contactMs)
 OVERLOAD_S = 6.0
 THREADS = 24  # callers at each node; all VMs together run 12 requests at once
@@ -15,12 +18,12 @@
 MAX_FALLS = 2 + VMS / 10
 
 
-def fleet():
-    d = Hosted(nodes=NODES, zones=("klein-hall", "eros-hall"), bounds={"budgetExtra": 1000})
+def fleet(nodes=NODES, slots=SLOTS):
+    d = Hosted(nodes=nodes, zones=("klein-hall", "eros-hall"), bounds={"budgetExtra": 1000})
     d.start()
     for i in range(VMS):
-        w = d.add_worker("plain", zone=d.zones[i % 2], slots=SLOTS)
-        w.room, w.work_s = SLOTS + QUEUE, WORK_S
+        w = d.add_worker("plain", zone=d.zones[i % 2], slots=slots)
+        w.room, w.work_s = slots + QUEUE, WORK_S
     d.configure([d.route("r", "plain")])
     d.wait_ready()
     return d
@@ -42,6 +45,22 @@
         return [s for j in jobs for s in j.result()]
 
 
+def usual_load(d, seconds):
+    """Make a quarter of the calls that the VMs can serve, evenly spread; return statuses."""
+    end = time.monotonic() + seconds
+    interval_s = 4 * WORK_S * len(d.nodes) / (VMS * MANY_SLOTS)
+
+    def caller(node):
+        statuses = []
+        time.sleep(interval_s * node / len(d.nodes))
+        while time.monotonic() < end:
+            statuses.append(d.call("/r/x", node).status)
+            time.sleep(interval_s)
+        return statuses
+    with concurrent.futures.ThreadPoolExecutor(len(d.nodes)) as pool:
+        return [s for statuses in pool.map(caller, range(len(d.nodes))) for s in statuses]
+
+
 def set_brittle(d, refusals_per_s):
     for w in d.workers:
         w.brittle = refusals_per_s
@@ -70,6 +89,39 @@
         return "%d falls, %d of %d served" % (falls(d), served, capacity)
 
 
+def many_nodes():
+    """Start more nodes than a VM has slots, which know that the VMs are brittle."""
+    d = fleet(MANY_NODES, MANY_SLOTS)
+    set_brittle(d, REFUSALS_PER_S)
+    usual_load(d, NOTICED_S)
+    set_brittle(d, REFUSALS_PER_S)
+    return d
+
+
+def test_brittle_vms_stand_an_overload_by_more_nodes_than_slots():
+    """Guards against nodes of which each sends a brittle VM one call, which together are more
+    than it has room for."""
+    with many_nodes() as d:
+        statuses = overload(d, OVERLOAD_S, threads=4)
+        served = statuses.count(200)
+        capacity = VMS * MANY_SLOTS / WORK_S * OVERLOAD_S
+        assert falls(d) <= MAX_FALLS, (falls(d), served)
+        assert served >= 0.5 * capacity, (served, capacity)
+        return "%d falls, %d of %d served" % (falls(d), served, capacity)
+
+
+def test_nodes_without_a_share_of_brittle_vms_forward_a_usual_load():
+    """Guards against calls that are refused at nodes which don't use any of the brittle VMs
+    themselves, while the VMs have room."""
+    with many_nodes() as d:
+        statuses = usual_load(d, OVERLOAD_S)
+        assert statuses.count(200) >= USUAL_SERVED * len(statuses), collections.Counter(statuses)
+        assert not falls(d), falls(d)
+        forwarded = sum(d.gauge(n, "forwards_total") for n in d.nodes)
+        assert forwarded, "no call was forwarded"
+        return "%d of %d served, %d forwarded" % (statuses.count(200), len(statuses), forwarded)
+
+
 def test_a_restarted_node_knows_of_brittle_vms():
     """Guards against a node that has just started and fills VMs of which its peers know that
     they are brittle."""
--- a/tests/test_brittle_fleet.c
+++ b/tests/test_brittle_fleet.c
@@ -1,6 +1,6 @@
 /* Simulation of a fleet without a network in front of brittle VMs of a plain
  * service: whether the nodes together make them refuse more calls than they stand.
- */
+ * Where only some nodes share each VM, the others forward their calls. */
 #include <stdarg.h>
 #include <stddef.h>
 #include <setjmp.h>
@@ -22,6 +22,7 @@
 #define RUN_MS         10000
 #define SECOND_MS      1000
 #define USUAL_LOAD     0.2
+#define MAX_FORWARDS   2 /* of a call that peers have no room for */
 
 struct call {
     int node, vm;
@@ -36,7 +37,10 @@
     int running[VMS];
     int64_t refused_ms[VMS][REFUSALS_PER_S + 1]; /* last refusals, a ring */
     int refused[VMS];
-    int served, refused_sum, falls;
+    int served, refused_sum, falls, forwarded;
+    uint64_t hashes[NODES_MAX];
+    int sharing[VMS * NODES_MAX]; /* nodes that share some VM */
+    size_t sharing_len;
 };
 
 static struct rk_place_vm *vm_of(struct fleet *f, int node, int vm)
@@ -59,11 +63,32 @@
     }
     for (int n = 0; n < nodes; n++) {
         f->nodes[n] = rk_place_create("here", (uint64_t)n + 1);
+        f->hashes[n] = rk_hash(0, &n, sizeof(n));
         rk_place_set_node_count(f->nodes[n], nodes);
         rk_place_set_vms(f->nodes[n], rows, VMS, 0);
     }
 }
 
+/* Lets some of the nodes share each VM, if there are more than may. */
+static void share_vms(struct fleet *f)
+{
+    size_t chosen[RK_BRITTLE_SENDERS_MAX];
+    for (int i = 0; i < VMS; i++) {
+        const struct rk_vm_signal *signal = vm_of(f, 0, i)->signal;
+        size_t max = rk_vm_brittle_senders_max(signal, SLOTS);
+        if ((size_t)f->nodes_len <= max)
+            continue;
+        size_t len = rk_vm_brittle_senders(signal, f->hashes, (size_t)f->nodes_len,
+                                           max, chosen);
+        for (int n = 0; n < f->nodes_len; n++)
+            vm_of(f, n, i)->signal->brittle_senders = 0;
+        for (size_t k = 0; k < len; k++) {
+            vm_of(f, (int)chosen[k], i)->signal->brittle_senders = (int)len;
+            f->sharing[f->sharing_len++] = (int)chosen[k];
+        }
+    }
+}
+
 static void make_brittle(struct fleet *f, int64_t now_ms)
 {
     const struct rk_vm_advertised brittle = {.brittle = true,
@@ -71,7 +96,8 @@
     for (int n = 0; n < f->nodes_len; n++)
         for (int i = 0; i < VMS; i++)
             rk_place_apply_signals(f->nodes[n], vm_of(f, n, i), &brittle, now_ms);
-    f->served = f->refused_sum = f->falls = 0;
+    share_vms(f);
+    f->served = f->refused_sum = f->falls = f->forwarded = 0;
 }
 
 static void destroy(struct fleet *f)
@@ -105,27 +131,41 @@
     *last = now_ms;
 }
 
-static void send(struct fleet *f, int node, int64_t now_ms)
+/* Returns false if the node has no room for a call. */
+static bool send(struct fleet *f, int node, int64_t now_ms)
 {
     struct rk_place_query q = {.service = "plain"};
     struct rk_engine_forecast forecast;
     struct rk_place_vm *vm = rk_place_choose(f->nodes[node], &q, now_ms, &forecast);
     struct rk_place_job job;
     if (!vm)
-        return;
+        return false;
     int number = vm->row.id[3] - '0';
     rk_place_note_sent(f->nodes[node], vm, &q, now_ms, &job);
     if (f->running[number] >= SLOTS) {
         rk_place_note_end(f->nodes[node], vm, &job, RK_PLACE_REFUSED, now_ms);
         refuse(f, number, now_ms);
-        return;
+        return true;
     }
     f->running[number]++;
     for (int i = 0; i < CALLS_MAX; i++)
         if (!f->calls[i].ends_ms) {
             f->calls[i] = (struct call){node, number, now_ms + WORK_MS, job};
-            return;
+            break;
         }
+    return true;
+}
+
+/* Sends a call of a caller at the node. Nodes that share VMs take it if the node
+ * itself does not. */
+static void take(struct fleet *f, struct rk_rng *rng, int node, int64_t now_ms)
+{
+    bool taken = send(f, node, now_ms);
+    for (int i = 0; i < MAX_FORWARDS && !taken && f->sharing_len; i++) {
+        int peer = f->sharing[rk_rng_below(rng, (uint32_t)f->sharing_len)];
+        f->forwarded++;
+        taken = send(f, peer, now_ms);
+    }
 }
 
 /* Each node gets what its peers reported last. */
@@ -155,7 +195,7 @@
             report(f, now_ms);
         for (due += calls_per_ms * 2 * rk_rng_below(&rng, 1000) / 1000.0; due >= 1;
              due--)
-            send(f, (int)rk_rng_below(&rng, (uint32_t)f->nodes_len), now_ms);
+            take(f, &rng, (int)rk_rng_below(&rng, (uint32_t)f->nodes_len), now_ms);
     }
 }
 
@@ -168,8 +208,8 @@
     run(&f, load, 1000 + RUN_MS);
     double capacity = (double)VMS * SLOTS * RUN_MS / WORK_MS;
     double offered = load < 1 ? load * capacity : capacity;
-    printf("%d nodes, load %.1f: %d falls, %d refused, %.2f served\n", nodes, load,
-           f.falls, f.refused_sum, f.served / offered);
+    printf("%d nodes, load %.1f: %d falls, %d refused, %d forwarded, %.2f served\n",
+           nodes, load, f.falls, f.refused_sum, f.forwarded, f.served / offered);
     assert_in_range(f.falls, 0, 2);
     assert_true(f.served >= served_min * offered);
     destroy(&f);
--- a/tests/test_vm_signals.c
+++ b/tests/test_vm_signals.c
@@ -290,6 +290,34 @@
     assert_in_range(refused, 1, 10);
 }
 
+/* Guards against nodes that disagree on which of them share a brittle VM, or that
+ * are more than may. */
+static void nodes_agree_on_who_shares_a_brittle_vm(void **state)
+{
+    (void)state;
+    uint64_t nodes[30];
+    size_t chosen[RK_BRITTLE_SENDERS_MAX], again[RK_BRITTLE_SENDERS_MAX];
+    struct rk_vm_signal *v = get_row(0);
+    rk_vm_signal_apply(v, &brittle, 0);
+    assert_int_equal(rk_vm_brittle_senders_max(v, 6), 6 + 5);
+    assert_int_equal(rk_vm_brittle_senders_max(v, 1000), RK_BRITTLE_SENDERS_MAX);
+    assert_int_equal(rk_vm_brittle_senders_max(v, 0), 0);
+    for (size_t i = 0; i < RK_ARRAY_LEN(nodes); i++)
+        nodes[i] = rk_hash(0, &i, sizeof(i));
+    assert_int_equal(
+        rk_vm_brittle_senders(v, nodes, RK_ARRAY_LEN(nodes), 11, chosen), 11);
+    for (size_t i = 0; i < RK_ARRAY_LEN(nodes) / 2; i++) {
+        uint64_t other = nodes[i];
+        nodes[i] = nodes[RK_ARRAY_LEN(nodes) - 1 - i];
+        nodes[RK_ARRAY_LEN(nodes) - 1 - i] = other;
+    }
+    assert_int_equal(
+        rk_vm_brittle_senders(v, nodes, RK_ARRAY_LEN(nodes), 11, again), 11);
+    for (size_t i = 0; i < 11; i++)
+        assert_int_equal(again[i], RK_ARRAY_LEN(nodes) - 1 - chosen[i]);
+    assert_int_equal(rk_vm_brittle_senders(v, nodes, 3, 11, chosen), 3);
+}
+
 /* Guards against refusals of a VM that is not brittle keeping calls from it. */
 static void a_refusal_of_a_sturdy_vm_causes_no_wait(void **state)
 {
@@ -308,6 +336,7 @@
         TEST(the_last_answer_says_whether_a_vm_is_brittle),
         TEST(an_older_report_does_not_make_a_vm_brittle),
         TEST(refusals_stay_below_what_a_brittle_vm_stands),
+        TEST(nodes_agree_on_who_shares_a_brittle_vm),
         TEST(a_refusal_of_a_sturdy_vm_causes_no_wait),
         TEST(the_last_answer_sets_the_limit),
         TEST(an_unidentified_answer_ends_no_limit),
