placement: equal VMs get equal numbers of calls

The random part of a VM's cost was 0 or 1 ms. Among VMs of the same cost the first one on the list won each tie, three of four choices between two, and the list begins with the VM that was added last. At low load most costs are equal: of six equal engines with ten calls a second each the last one got 172 calls and the first 107; on average the first one got 0.8 of an equal share.

The test of two equal VMs saw 73 of 300 choices before and 120 to 180 are asked. a_slow_vm_is_avoided_for_a_while relied on the tie: it asked that one choice hits the VM that was slow. It now counts 300 choices: none while the VM is slow, at least a third when it is not; the old code fails that, with 62.

--- a/core/place.c
+++ b/core/place.c
@@ -21,7 +21,8 @@
  * to a request shows whether it was. */
 #define STALE_LIMIT_BONUS_MS 300.0
 /* Upper bound of the random cost that keeps nodes from all choosing the same VM. */
-#define JITTER_MS 2
+#define JITTER_US 2000
+#define US_PER_MS 1000.0
 
 /* Cost of a VM that is not preferred, in multiples of the fixed part of the time to
  * the first token. A VM that is better than the preferred ones by less than this is
@@ -375,7 +376,7 @@
         struct rk_engine_forecast f = predict(p, q, v, &preferred, now_ms, &ms);
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += CROSS_DOMAIN_COST_MS;
-        ms += rk_rng_below(&p->rng, JITTER_MS);
+        ms += rk_rng_below(&p->rng, JITTER_US) / US_PER_MS;
         if (ms < best_ms) {
             best_ms = ms;
             *first = f;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -376,6 +376,34 @@
 
 /* ---- latency ---- */
 
+#define CHOICES 300
+
+/* Returns how often, of CHOICES times, the VM is chosen. */
+static int count_choices(struct rk_place *p, const struct rk_place_query *q,
+                         const struct rk_place_vm *vm, int64_t now_ms)
+{
+    struct rk_engine_forecast forecast;
+    int count = 0;
+    for (int i = 0; i < CHOICES; i++)
+        count += rk_place_choose(p, q, now_ms, &forecast) == vm;
+    return count;
+}
+
+/* Guards against equal VMs of which the one that was listed last gets most calls:
+ * of six engines it got 1.6 times the calls of the first one. */
+static void equal_vms_get_equal_calls(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = create_with_three_vms(rows);
+    struct rk_place_query q = engine_query("", 2000);
+    /* The third one is in another domain. */
+    for (int i = 0; i < 2; i++)
+        assert_in_range(count_choices(p, &q, rk_place_find(p, rows[i].id), 1000),
+                        CHOICES * 2 / 5, CHOICES * 3 / 5);
+    rk_place_destroy(p);
+}
+
 /* Guards against calls to a VM that is much slower than its service, and against
  * one that is never tried again. */
 static void a_slow_vm_is_avoided_for_a_while(void **state)
@@ -392,8 +420,8 @@
         rk_place_note_first_byte(slow, &job, 1000 + (int64_t)(job.expected_ms * 6));
         rk_place_note_end(p, slow, &job, RK_PLACE_DONE, 1600);
     }
-    assert_ptr_not_equal(rk_place_choose(p, &q, 1700, &forecast), slow);
-    assert_ptr_equal(rk_place_choose(p, &q, 60000, &forecast), slow);
+    assert_int_equal(count_choices(p, &q, slow, 1700), 0);
+    assert_in_range(count_choices(p, &q, slow, 60000), CHOICES / 3, CHOICES);
     rk_place_destroy(p);
 }
 
@@ -623,6 +651,7 @@
         cmocka_unit_test(the_preferred_vm_is_assumed_to_cache_its_prefix),
         cmocka_unit_test(a_prefix_is_copied_from_a_leaving_vm),
         cmocka_unit_test(short_prefixes_are_not_copied),
+        cmocka_unit_test(equal_vms_get_equal_calls),
         cmocka_unit_test(a_slow_vm_is_avoided_for_a_while),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
