placement: a slow VM that gets no calls is tried

A VM that counts as slow is measured by the calls that it gets. One that looked worse than all others got none, so nobody learnt when it was fast again: its record had to decay first.

If a VM whose factor is over 1 had less than a tenth of the mean recent calls of its service's VMs, nodes send it single calls, about one in the time of two reports in the whole fleet, until it has. If recent calls show that it is less slow, the share is 0.8. A trial is a first attempt that the prediction for the slow VM serves within its route's target; VMs that failed or refused calls lately get none.

--- a/core/place.c
+++ b/core/place.c
@@ -358,6 +358,15 @@
         .uncached_tokens;
 }
 
+/* Returns true if the call may measure the VM: it is the call's first attempt and
+ * its first byte comes in time there. */
+static bool may_try(const struct rk_place_query *q, const struct rk_place_vm *v,
+                    const struct rk_engine_forecast *f, int64_t now_ms)
+{
+    return v->trial_due && !q->excluded_len && now_ms >= v->paused_until_ms &&
+           !rk_place_is_full(v) && q->target_ms > 0 && f->ms <= q->target_ms;
+}
+
 struct rk_place_vm *rk_place_choose(struct rk_place *p,
                                     const struct rk_place_query *q, int64_t now_ms,
                                     struct rk_engine_forecast *first)
@@ -377,6 +386,8 @@
         if (strcmp(v->row.domain, p->domain) != 0)
             ms += CROSS_DOMAIN_COST_MS;
         ms += rk_rng_below(&p->rng, JITTER_US) / US_PER_MS;
+        if (may_try(q, v, &f, now_ms))
+            ms = -INFINITY;
         if (ms < best_ms) {
             best_ms = ms;
             *first = f;
@@ -412,6 +423,7 @@
     if (vm->signal)
         rk_vm_signal_note_sent(vm->signal, now_ms);
     rk_place_mark_active(p, vm);
+    vm->trial_due = false;
     vm->calls++;
     vm->running++;
     vm->awaiting_first_byte++;
--- a/core/place.h
+++ b/core/place.h
@@ -89,6 +89,7 @@
     double
         speed_factor;  /* of its times to its service's mean; 1: like the others */
     int speed_step;    /* speed_factor rounded by rk_vm_speed_step() */
+    bool trial_due;    /* the next call that it can serve in time measures it */
     int reported_step; /* the last one that rk_place_next_speed_change() returned */
     int64_t step_reported_ms;               /* when that was; 0: never */
     const struct rk_place_rollout *rollout; /* rollout of its service; NULL: none */
@@ -136,6 +137,7 @@
     uint64_t
         request_hash;  /* hash of the request; spreads calls that share little */
     const char *route; /* name of the route; must stay valid until the call ends */
+    double target_ms;  /* by which the first byte should come; 0: none */
     bool wants_new_version; /* uses the new version of a service in rollout */
     /* Hashes of the VMs that failed the call. */
     uint64_t excluded[RK_PLACE_MAX_EXCLUDED];
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -17,6 +17,16 @@
  * record holds at least this many calls, after decay. */
 #define MIN_REPORTED_CALLS 0.05
 
+/* Part of the mean calls of its service's VMs that a slow VM gets at least. With
+ * fewer, its speed is measured by trials: more of them once these show that it is
+ * less slow than it was. */
+#define TRIAL_SHARE          0.1
+#define TRIAL_SHARE_IMPROVED 0.8
+/* Part of the logarithm of its factor below which its recent calls, of this number
+ * at least, show that. */
+#define IMPROVED_LOG_SHARE 0.5
+#define IMPROVED_MIN_CALLS 1
+
 /* ---- active VMs ---- */
 
 void rk_place_mark_active(struct rk_place *p, struct rk_place_vm *vm)
@@ -96,6 +106,7 @@
 {
     for (struct rk_service_speed *s = p->speeds.first; s; s = s->next) {
         double log_sum = 0, calls = 0;
+        size_t vms = 0;
         double lasting_log_sum = 0, lasting_calls = 0;
         for (const struct rk_place_vm *v = p->active; v; v = v->next_active) {
             if (v->speed != s)
@@ -104,10 +115,12 @@
                 rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
             log_sum += all.log_sum;
             calls += all.calls;
+            vms++;
             lasting_log_sum += v->lasting_speed.log_sum;
             lasting_calls += v->lasting_speed.calls;
         }
         s->mean_log_ratio = calls > 0 ? log_sum / calls : 0;
+        s->calls_per_vm = vms > 0 ? calls / (double)vms : 0;
         s->mean_lasting_log_ratio =
             lasting_calls > 0 ? lasting_log_sum / lasting_calls : 0;
         struct rk_engine_estimate estimate = rk_engine_get_estimate(&s->engine);
@@ -124,6 +137,41 @@
     }
 }
 
+static bool has_improved(const struct rk_place_vm *v,
+                         const struct rk_vm_health *recent)
+{
+    double log_max =
+        v->speed->mean_log_ratio + IMPROVED_LOG_SHARE * log(v->speed_factor);
+    return recent->calls >= IMPROVED_MIN_CALLS &&
+           recent->log_sum < log_max * recent->calls;
+}
+
+/* Returns true if the VM counts as slow and gets too few calls to show whether it
+ * still is. A VM that fails or refuses calls is not tried. */
+static bool needs_trial(const struct rk_place_vm *v, int64_t now_ms)
+{
+    struct rk_vm_health all =
+        rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+    double in_flight = v->running + (double)v->peers_running;
+    double share = has_improved(v, &all) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
+    return v->speed_factor > 1 && all.failed < MIN_REPORTED_CALLS &&
+           all.refused < MIN_REPORTED_CALLS &&
+           all.calls + in_flight < share * v->speed->calls_per_vm;
+}
+
+/* Calls of a trial are known to peers a report later. Until then other nodes may
+ * begin one, too: the fleet begins one in the time of two reports, on average. */
+static void schedule_trials(struct rk_place *p, int64_t now_ms)
+{
+    uint32_t nodes = p->nodes > 0 ? (uint32_t)p->nodes : 1;
+    for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        if (!needs_trial(v, now_ms))
+            v->trial_due = false;
+        else if (!rk_rng_below(&p->rng, 2 * nodes))
+            v->trial_due = true;
+    }
+}
+
 /* Returns the incarnation as reported to peers, or 0 if the VM's incarnations
  * can't be told apart. */
 static uint32_t reported_incarnation(const struct rk_place_vm *v)
@@ -150,6 +198,7 @@
     observe_speeds(p, now_ms);
     update_mean_log_ratios(p, now_ms);
     update_speed_factors(p);
+    schedule_trials(p, now_ms);
 }
 
 void rk_place_set_report_lag(struct rk_place *p, int64_t lag_ms)
--- a/core/service_speed.h
+++ b/core/service_speed.h
@@ -25,7 +25,8 @@
     double mean_log_ratio;
     /* The same over the long-term records of its VMs (vm_speed.h). */
     double mean_lasting_log_ratio;
-    double read_per_ms; /* prompt tokens that an engine reads per ms; 0: unknown */
+    double read_per_ms;  /* prompt tokens that an engine reads per ms; 0: unknown */
+    double calls_per_vm; /* mean of the recent calls to its VMs, decaying */
 };
 
 /* The speeds of all services; zeroed: empty. */
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -107,6 +107,7 @@
     x->query.engine = x->service->engine;
     x->query.request_hash = rk_hash_str(0, x->id);
     x->query.route = route->name;
+    x->query.target_ms = (double)route->target_first_byte_ms;
     x->query.wants_new_version = rk_place_wants_new_version(r->place, &x->query);
     x->deadline_timer = (struct rk_timer){.fn = rk_call_on_deadline, .ctx = x};
     x->silence_timer = (struct rk_timer){.fn = rk_call_on_silence, .ctx = x};
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -5,6 +5,7 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -425,6 +426,65 @@
     rk_place_destroy(p);
 }
 
+#define REPORT_MS 250
+
+/* Reports the calls of peers for so long: a call in each report to the second VM,
+ * and with slow_too also to the first one, where it takes exp(1) times as long. */
+static void report_calls(struct rk_place *p, bool slow_too, int64_t from_ms,
+                         int64_t to_ms)
+{
+    struct rk_vm_load loads[2];
+    memset(loads, 0, sizeof(loads));
+    rk_strcpy(loads[0].id, sizeof(loads[0].id), "vm-b");
+    rk_strcpy(loads[1].id, sizeof(loads[1].id), "vm-a");
+    for (int64_t now_ms = from_ms; now_ms < to_ms; now_ms += REPORT_MS) {
+        loads[0].health = (struct rk_vm_health){.calls = 40, .at_ms = now_ms};
+        loads[1].health =
+            (struct rk_vm_health){.calls = 10, .log_sum = 10, .at_ms = now_ms};
+        rk_place_set_loads(p, loads, slow_too ? 2 : 1, now_ms);
+    }
+}
+
+/* Returns how many of the calls that this node sends in ten seconds, one in each
+ * report's time, go to the slow VM. */
+static int count_sent(struct rk_place *p, const struct rk_place_query *q,
+                      const struct rk_place_vm *slow, int64_t from_ms)
+{
+    struct rk_engine_forecast forecast;
+    int count = 0;
+    for (int64_t now_ms = from_ms; now_ms < from_ms + 10000; now_ms += REPORT_MS) {
+        struct rk_place_job job;
+        report_calls(p, false, now_ms, now_ms + 1);
+        struct rk_place_vm *to = rk_place_choose(p, q, now_ms, &forecast);
+        rk_place_note_sent(p, to, q, now_ms, &job);
+        double took_ms = job.expected_ms * (to == slow ? exp(1) : 1);
+        rk_place_note_first_byte(to, &job, now_ms + (int64_t)took_ms);
+        rk_place_note_end(p, to, &job, RK_PLACE_DONE, now_ms + (int64_t)took_ms);
+        count += to == slow;
+    }
+    return count;
+}
+
+/* Guards against a slow VM that gets no calls, so that nobody learns when it is
+ * fast again. Calls that would be late there must not measure it. */
+static void a_slow_vm_without_calls_is_tried(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = create_with_three_vms(rows);
+    const struct rk_place_vm *slow = rk_place_find(p, "vm-a");
+    struct rk_place_query q = engine_query("", 8000);
+    rk_place_set_node_count(p, 1);
+    report_calls(p, true, 0, 20000);
+    assert_true(slow->speed_factor > 1.5);
+    q.target_ms = 1;
+    assert_int_equal(count_sent(p, &q, slow, 20000), 0);
+    report_calls(p, true, 30000, 50000);
+    q.target_ms = 10000;
+    assert_in_range(count_sent(p, &q, slow, 50000), 2, 20);
+    rk_place_destroy(p);
+}
+
 /* Guards against an unresponsive VM that does not count as slow, because calls that
  * are given up without a first byte leave no measurement. */
 static void unanswered_calls_count_as_slow(void **state)
@@ -653,6 +713,7 @@
         cmocka_unit_test(short_prefixes_are_not_copied),
         cmocka_unit_test(equal_vms_get_equal_calls),
         cmocka_unit_test(a_slow_vm_is_avoided_for_a_while),
+        cmocka_unit_test(a_slow_vm_without_calls_is_tried),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
     };
--- a/tests/test_speed_fleet.c
+++ b/tests/test_speed_fleet.c
@@ -126,6 +126,7 @@
     snprintf(domain, sizeof(domain), "d%d", node % DOMAINS);
     f->places[node] = rk_place_create(domain, (uint64_t)node + 1);
     rk_place_set_vms(f->places[node], f->rows, VMS, 0);
+    rk_place_set_node_count(f->places[node], NODES);
     rk_engine_set_prior(&rk_place_service_speed(f->places[node], "llm")->engine,
                         &learnt);
 }
@@ -218,7 +219,8 @@
 
 static struct rk_place_query make_query(struct fleet *f, const struct class *k)
 {
-    struct rk_place_query q = {.service = "llm", .engine = true};
+    struct rk_place_query q = {
+        .service = "llm", .engine = true, .target_ms = k->target_ms};
     char parts[128];
     int own =
         (int)fmin(exponential(f, k->own_tokens), k->most_tokens - k->shared_tokens);
