--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -133,9 +133,11 @@
     enum rk_place_share share = RK_PLACE_NOT_SHARED;
     if (q->engine || !rk_vm_signals_len(&p->signals))
         return RK_PLACE_NOT_SHARED;
+    uint32_t service_hash = (uint32_t)rk_hash_str(0, q->service);
     for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!v->listed || v->row.leaving || v->row.blocked ||
-            v->unreachable_since_ms || strcmp(v->row.service, q->service) != 0)
+            v->unreachable_since_ms || v->service_hash != service_hash ||
+            strcmp(v->row.service, q->service) != 0)
             continue;
         bool shared = v->signal && v->signal->brittle &&
                       v->signal->brittle_senders != RK_SENDERS_UNKNOWN;
