quota: a peer's history adds only what is missing at its age

Callers of a node that had just been restarted had plain calls refused which the quota had room for: 5 to 10 of 100 at a fleet of six. The node merges a peer's history when it starts, and once more half a second later. That history was reported a little earlier, so bursts in it lie in other slices than the same usage that the node knows, and each slice was filled up by itself: 50,000 to 130,000 of 1.2 million units counted twice until the window had passed (traced: 1,328,788 used at the restarted node, 1,215,082 to 1,218,372 at its peers).

Now cumulative sums are compared from the oldest slice on: of the usage of any age and older the node knows no less than the peer. The unit test saw 1100 of 800 units before.

--- a/core/quota.c
+++ b/core/quota.c
@@ -369,20 +369,35 @@
         slices[slice_of(o, i)] += o->restored[i];
 }
 
+/* Computes what has to be added to each slice so that, of the usage of any age and
+ * older, not less is known than is reported. Slices are not compared one by one:
+ * the same usage may lie in two neighbouring slices, as the nodes' clocks and the
+ * times of their reports differ, and would count twice. */
+static void find_missing(const double known[RK_QUOTA_SLICES],
+                         const double reported[RK_QUOTA_SLICES],
+                         double missing[RK_QUOTA_SLICES])
+{
+    double ahead = 0; /* of the usage so far, known less reported */
+    for (size_t i = RK_QUOTA_SLICES; i-- > 0;) {
+        ahead += known[i] - reported[i];
+        missing[i] = ahead < 0 ? -ahead : 0;
+        ahead += missing[i];
+    }
+}
+
 void rk_quota_merge(struct rk_quota *q, const char *org,
                     const double slices[RK_QUOTA_SLICES], int64_t now_ms)
 {
     struct rk_quota_org *o = find_or_add(q, org);
-    double known[RK_QUOTA_SLICES];
+    double known[RK_QUOTA_SLICES], missing[RK_QUOTA_SLICES];
     size_t buckets[RK_QUOTA_SLICES] = {0};
     rk_quota_report(q, o, known, now_ms);
     for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++)
         buckets[slice_of(o, i)]++;
+    find_missing(known, slices, missing);
     for (size_t i = 0; i < RK_QUOTA_BUCKETS; i++) {
         size_t slice = slice_of(o, i);
-        double missing = slices[slice] - known[slice];
-        if (missing > 0)
-            o->used[i] += missing / (double)buckets[slice];
+        o->used[i] += missing[slice] / (double)buckets[slice];
     }
 }
 
--- a/core/quota.h
+++ b/core/quota.h
@@ -128,7 +128,8 @@
 void rk_quota_peer_history(struct rk_quota *q, int64_t remembers_ms);
 
 /* Merges what a peer knows of the usage of all nodes, in units per window slice,
- * newest first. Slices of which this node knows more stay as they are. */
+ * newest first: afterwards, of the usage of any age and older, this node knows no
+ * less than the peer. */
 void rk_quota_merge(struct rk_quota *q, const char *org,
                     const double slices[RK_QUOTA_SLICES], int64_t now_ms);
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -737,6 +737,35 @@
     assert_true(decision.used < 1);
 }
 
+static double total_used(struct rk_quota *q, int64_t now_ms)
+{
+    double slices[RK_QUOTA_SLICES], total = 0;
+    rk_quota_report(q, &q->orgs[0], slices, now_ms);
+    for (size_t i = 0; i < RK_QUOTA_SLICES; i++)
+        total += slices[i];
+    return total;
+}
+
+/* Guards against usage that counts twice at a restarted node, which merges a peer's
+ * history a second time: that was reported half a slice earlier, so that its bursts
+ * lie in other slices. The node refused 5 to 10 of 100 plain calls, which the quota
+ * had room for, until the window had passed. */
+static void a_late_history_adds_only_what_is_missing(void **state)
+{
+    (void)state;
+    SCOPED struct rk_quota q = single_node_quota(100000);
+    const int64_t slice_ms = WINDOW_MS / RK_QUOTA_SLICES;
+    const double slices[RK_QUOTA_SLICES] = {0, 200, 0, 200, 0, 200, 0, 200};
+    const double with_more[RK_QUOTA_SLICES] = {100, 200, 0, 200, 0, 200, 0, 200};
+    rk_quota_merge(&q, "org", slices, 100000);
+    rk_quota_peer_history(&q, WINDOW_MS);
+    assert_float_equal(total_used(&q, 100000), 800, 0.001);
+    rk_quota_merge(&q, "org", slices, 100000 + slice_ms / 2);
+    assert_in_range((int)total_used(&q, 100000 + slice_ms / 2), 700, 820);
+    rk_quota_merge(&q, "org", with_more, 100000 + slice_ms / 2);
+    assert_in_range((int)total_used(&q, 100000 + slice_ms / 2), 895, 905);
+}
+
 /* Guards against a quota that is used in one second, and again after a restart of
  * all nodes: the persisted usage must count until that second leaves the window. */
 static void persisted_usage_counts_after_a_restart(void **state)
@@ -887,6 +916,7 @@
         cmocka_unit_test(a_restarted_fleet_holds_an_overloaded_quota),
         cmocka_unit_test(a_peers_history_ends_the_caution_after_a_restart),
         cmocka_unit_test(a_burst_in_a_peers_history_keeps_its_time),
+        cmocka_unit_test(a_late_history_adds_only_what_is_missing),
         cmocka_unit_test(persisted_usage_counts_after_a_restart),
         cmocka_unit_test(persisted_usage_leaves_the_window_evenly),
         cmocka_unit_test(restored_usage_is_persisted_again),
