--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -26,6 +26,9 @@
  * at least, show that. */
 #define IMPROVED_LOG_SHARE 0.5
 #define IMPROVED_MIN_CALLS 1
+/* Failed or refused calls, decaying, from which on a VM gets no trials: one keeps
+ * them away for 1.5 s. */
+#define TRIAL_MAX_FAILED 0.5
 
 /* ---- active VMs ---- */
 
@@ -154,8 +157,8 @@
         rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
     double in_flight = v->running + (double)v->peers_running;
     double share = has_improved(v, &all) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
-    return v->speed_factor > 1 && all.failed < MIN_REPORTED_CALLS &&
-           all.refused < MIN_REPORTED_CALLS &&
+    return v->speed_factor > 1 && all.failed < TRIAL_MAX_FAILED &&
+           all.refused < TRIAL_MAX_FAILED &&
            all.calls + in_flight < share * v->speed->calls_per_vm;
 }
 
