relay: a call without a share of brittle VMs earns retries once

A call that a node can only forward earns its service's retry budget at the peer that sends it to a VM. That was decided by the path to the service alone, so a call of a node without a share of the brittle VMs earned at both, and the fleet could make up to twice the retries for such calls. Both places now ask the same function.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -435,6 +435,13 @@
     return false;
 }
 
+bool rk_call_may_use_vms(const struct rk_relay_call *x)
+{
+    const struct rk_place *p = x->r->place;
+    return rk_place_reaches_service(p, x->query.service) &&
+           rk_place_brittle_share(p, &x->query) != RK_PLACE_LACKS_SHARE;
+}
+
 void rk_call_send(struct rk_relay_call *x)
 {
     struct rk_place *p = x->r->place;
@@ -442,16 +449,15 @@
         give_up_quarantined(x);
         return;
     }
-    enum rk_place_share share = rk_place_brittle_share(p, &x->query);
-    bool usable = rk_place_reaches_service(p, x->query.service) &&
-                  share != RK_PLACE_LACKS_SHARE;
+    bool usable = rk_call_may_use_vms(x);
     bool peers_first = !usable || x->unsent >= MAX_UNSENT_BEFORE_PEERS;
     if (peers_first && rk_call_forward(x))
         return;
     if (usable && x->unsent < MAX_UNSENT && send_to_vm(x))
         return;
-    bool peers_may_have_room = share == RK_PLACE_HAS_SHARE ||
-                               rk_place_has_unreachable(p, x->query.service);
+    bool peers_may_have_room =
+        rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
+        rk_place_has_unreachable(p, x->query.service);
     if (!peers_first && peers_may_have_room && rk_call_forward(x))
         return;
     count_demand(x, x->query.prompt_tokens);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -143,6 +143,9 @@
 bool rk_call_repeatable(const struct rk_relay_call *x);
 /* Credits the service's retry budget for a new call. */
 void rk_call_earn_retries(struct rk_relay_call *x);
+/* Returns false if this node can send the call only to a peer: it has lost its path
+ * to the service, or has no share of its brittle VMs. */
+bool rk_call_may_use_vms(const struct rk_relay_call *x);
 /* Chooses a VM and sends the call to it, or ends the call if that is impossible. */
 void rk_call_send(struct rk_relay_call *x);
 /* Reports the end of the current attempt to placement, without touching the
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -276,7 +276,7 @@
     if (!admit(x))
         return;
     /* Otherwise the call is forwarded, and the peer that sends it to a VM earns. */
-    if (rk_place_reaches_service(r->place, x->query.service))
+    if (rk_call_may_use_vms(x))
         rk_call_earn_retries(x);
     rk_call_send(x);
 }
