placement: a VM at which calls failed is tried after 5 s

Traced by logging each VM's record: the VM did not count as slow (factor 1, hence no trials), but two calls had failed there 4 s before the window. The cost of a failure decays to the differences between idle VMs, a few ms, only after 12 s; until then all calls went to one other VM. Trials of slow VMs didn't cover that.

VMs with failed calls are now tried like slow ones, once the record of failures is under a tenth of a call: 5 s after one failure, 6.5 s after two. One that is both slow and had failures is tried from half a call on, as before.

The new unit test failed on the code before (0 calls in ten seconds).

--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -26,9 +26,12 @@
  * at least, show that. */
 #define IMPROVED_LOG_SHARE 0.5
 #define IMPROVED_MIN_CALLS 1
-/* Failed or refused calls, decaying, from which on a VM gets no trials: one keeps
- * them away for 1.5 s. */
-#define TRIAL_MAX_FAILED 0.5
+/* Failed or refused calls, decaying, from which on a slow VM gets no trials: one
+ * keeps them away for 1.5 s. */
+#define TRIAL_MAX_FAILED_SLOW 0.5
+/* The same of a VM that is avoided only because of its failed calls: one keeps them
+ * away for 5 s. */
+#define TRIAL_MAX_FAILED 0.1
 
 /* ---- active VMs ---- */
 
@@ -149,17 +152,21 @@
            recent->log_sum < log_max * recent->calls;
 }
 
-/* Returns true if the VM counts as slow and gets too few calls to show whether it
- * still is. A VM that fails or refuses calls is not tried. */
+/* Returns true if the VM counts as slow, or calls failed there some time ago, and
+ * it gets too few calls to show whether that is still so. A VM that fails or
+ * refuses calls now is not tried. */
 static bool needs_trial(const struct rk_place_vm *v, int64_t now_ms)
 {
-    if (v->speed_factor <= 1)
-        return false;
     struct rk_vm_health all =
         rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+    bool slow = v->speed_factor > 1;
+    if (!slow && all.failed <= 0)
+        return false;
+    double max_failed = slow ? TRIAL_MAX_FAILED_SLOW : TRIAL_MAX_FAILED;
     double in_flight = v->running + (double)v->peers_running;
-    double share = has_improved(v, &all) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
-    return all.failed < TRIAL_MAX_FAILED && all.refused < TRIAL_MAX_FAILED &&
+    double share =
+        slow && has_improved(v, &all) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
+    return all.failed < max_failed && all.refused < max_failed &&
            all.calls + in_flight < share * v->speed->calls_per_vm;
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -485,6 +485,33 @@
     rk_place_destroy(p);
 }
 
+/* Guards against a VM that gets no calls for long because a few failed there, and
+ * against calls to it while it still fails. */
+static void a_vm_at_which_calls_failed_is_tried_after_seconds(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = create_with_three_vms(rows);
+    struct rk_place_vm *failing = rk_place_find(p, "vm-a");
+    struct rk_place_query q = engine_query("", 8000);
+    q.target_ms = 10000;
+    rk_place_set_node_count(p, 1);
+    report_calls(p, false, 0, 20000);
+    for (int i = 0; i < 2; i++) {
+        struct rk_place_job job;
+        rk_place_note_sent(p, failing, &q, 20000, &job);
+        rk_place_note_end(p, failing, &job, RK_PLACE_LOST, 20000);
+    }
+    for (int64_t now_ms = 20000; now_ms < 24000; now_ms += REPORT_MS) {
+        struct rk_engine_forecast forecast;
+        report_calls(p, false, now_ms, now_ms + 1);
+        assert_ptr_not_equal(rk_place_choose(p, &q, now_ms, &forecast), failing);
+    }
+    assert_true(failing->speed_factor <= 1);
+    assert_in_range(count_sent(p, &q, failing, 24000), 1, 10);
+    rk_place_destroy(p);
+}
+
 /* Guards against an unresponsive VM that does not count as slow, because calls that
  * are given up without a first byte leave no measurement. */
 static void unanswered_calls_count_as_slow(void **state)
@@ -714,6 +741,7 @@
         cmocka_unit_test(equal_vms_get_equal_calls),
         cmocka_unit_test(a_slow_vm_is_avoided_for_a_while),
         cmocka_unit_test(a_slow_vm_without_calls_is_tried),
+        cmocka_unit_test(a_vm_at_which_calls_failed_is_tried_after_seconds),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
     };
