placement: recent calls of all nodes are added up once for each report

Three functions that run one after the other for each report of peers' loads decayed and added the same two records of each active VM: for the long-term record, for the mean of its service, and, since trials began, for the decision on a trial. The sum is now kept in the VM's record, and decayed once.

--- a/core/place.h
+++ b/core/place.h
@@ -84,6 +84,7 @@
     bool probe_pending; /* to be probed, as a call met silence or a reset */
     /* Health as seen by calls of this node, and as reported by peers. */
     struct rk_vm_health health, peers_health;
+    struct rk_vm_health recent; /* both together, when peers' loads came last */
     struct rk_vm_speed
         lasting_speed; /* of this incarnation, from all nodes' calls */
     double
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -96,19 +96,18 @@
 
 /* ---- loads ---- */
 
-/* Adds the recent calls of all nodes to the long-term records. */
+/* Updates the recent calls of all nodes and adds them to the long-term records. */
 static void observe_speeds(struct rk_place *p, int64_t now_ms)
 {
     for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
-        struct rk_vm_health all =
-            rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
-        rk_vm_speed_observe(&v->lasting_speed, &all, now_ms);
+        v->recent = rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+        rk_vm_speed_observe(&v->lasting_speed, &v->recent, now_ms);
     }
 }
 
 /* Updates the mean latency ratios of each service over all its VMs. A single VM
  * counts as slow only relative to these means. */
-static void update_mean_log_ratios(struct rk_place *p, int64_t now_ms)
+static void update_mean_log_ratios(struct rk_place *p)
 {
     for (struct rk_service_speed *s = p->speeds.first; s; s = s->next) {
         double log_sum = 0, calls = 0;
@@ -117,10 +116,8 @@
         for (const struct rk_place_vm *v = p->active; v; v = v->next_active) {
             if (v->speed != s)
                 continue;
-            struct rk_vm_health all =
-                rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
-            log_sum += all.log_sum;
-            calls += all.calls;
+            log_sum += v->recent.log_sum;
+            calls += v->recent.calls;
             vms++;
             lasting_log_sum += v->lasting_speed.log_sum;
             lasting_calls += v->lasting_speed.calls;
@@ -143,40 +140,37 @@
     }
 }
 
-static bool has_improved(const struct rk_place_vm *v,
-                         const struct rk_vm_health *recent)
+static bool has_improved(const struct rk_place_vm *v)
 {
     double log_max =
         v->speed->mean_log_ratio + IMPROVED_LOG_SHARE * log(v->speed_factor);
-    return recent->calls >= IMPROVED_MIN_CALLS &&
-           recent->log_sum < log_max * recent->calls;
+    return v->recent.calls >= IMPROVED_MIN_CALLS &&
+           v->recent.log_sum < log_max * v->recent.calls;
 }
 
 /* Returns true if the VM counts as slow, or calls failed there some time ago, and
  * it gets too few calls to show whether that is still so. A VM that fails or
  * refuses calls now is not tried. */
-static bool needs_trial(const struct rk_place_vm *v, int64_t now_ms)
+static bool needs_trial(const struct rk_place_vm *v)
 {
-    struct rk_vm_health all =
-        rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+    const struct rk_vm_health *recent = &v->recent;
     bool slow = v->speed_factor > 1;
-    if (!slow && all.failed <= 0)
+    if (!slow && recent->failed <= 0)
         return false;
     double max_failed = slow ? TRIAL_MAX_FAILED_SLOW : TRIAL_MAX_FAILED;
     double in_flight = v->running + (double)v->peers_running;
-    double share =
-        slow && has_improved(v, &all) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
-    return all.failed < max_failed && all.refused < max_failed &&
-           all.calls + in_flight < share * v->speed->calls_per_vm;
+    double share = slow && has_improved(v) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
+    return recent->failed < max_failed && recent->refused < max_failed &&
+           recent->calls + in_flight < share * v->speed->calls_per_vm;
 }
 
 /* Calls of a trial are known to peers a report later. Until then other nodes may
  * begin one, too: the fleet begins one in the time of two reports, on average. */
-static void schedule_trials(struct rk_place *p, int64_t now_ms)
+static void schedule_trials(struct rk_place *p)
 {
     uint32_t nodes = p->nodes > 0 ? (uint32_t)p->nodes : 1;
     for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
-        if (!needs_trial(v, now_ms))
+        if (!needs_trial(v))
             v->trial_due = false;
         else if (!rk_rng_below(&p->rng, 2 * nodes))
             v->trial_due = true;
@@ -207,9 +201,9 @@
         rk_vm_health_accumulate(&v->peers_health, &loads[i].health);
     }
     observe_speeds(p, now_ms);
-    update_mean_log_ratios(p, now_ms);
+    update_mean_log_ratios(p);
     update_speed_factors(p);
-    schedule_trials(p, now_ms);
+    schedule_trials(p);
 }
 
 void rk_place_set_report_lag(struct rk_place *p, int64_t lag_ms)
