placement: VMs are eligible by the common check of the list

rk_place_is_eligible() and matches_version() tested again what rk_place_is_usable() says: listed, not leaving, not blocked. The latter is now called, and the check of versions is about versions only. No behaviour changes.

--- a/core/place.c
+++ b/core/place.c
@@ -241,8 +241,8 @@
 static bool matches_version(const struct rk_place_query *q,
                             const struct rk_place_vm *v)
 {
-    if (v->row.blocked || !v->rollout)
-        return !v->row.blocked;
+    if (!v->rollout)
+        return true;
     return v->is_new ? q->wants_new_version && v->gets_rollout_calls
                      : !q->wants_new_version;
 }
@@ -250,7 +250,7 @@
 bool rk_place_is_eligible(const struct rk_place_query *q, uint32_t service_hash,
                           const struct rk_place_vm *v)
 {
-    return v->listed && !v->row.leaving && !v->unreachable_since_ms &&
+    return rk_place_is_usable(v) && !v->unreachable_since_ms &&
            v->service_hash == service_hash &&
            !(v->signal && rk_vm_signal_blocks(v->signal)) &&
            matches_version(q, v) && !is_excluded(q, v) &&
