relay: whether peers have room is asked only before a call may go to them

rk_call_send() went over all VMs twice for calls that it was about to reject, because their path was lost or their connects had failed, and that had been offered to peers already. The question is a function of its own now, asked after the cheap conditions.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -442,9 +442,15 @@
            rk_place_brittle_share(p, &x->query) != RK_PLACE_LACKS_SHARE;
 }
 
+static bool may_peers_have_room(const struct rk_relay_call *x)
+{
+    const struct rk_place *p = x->r->place;
+    return rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
+           rk_place_has_unreachable(p, x->query.service);
+}
+
 void rk_call_send(struct rk_relay_call *x)
 {
-    struct rk_place *p = x->r->place;
     if (rk_call_is_quarantined(x)) {
         give_up_quarantined(x);
         return;
@@ -455,10 +461,7 @@
         return;
     if (usable && x->unsent < MAX_UNSENT && send_to_vm(x))
         return;
-    bool peers_may_have_room =
-        rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
-        rk_place_has_unreachable(p, x->query.service);
-    if (!peers_first && peers_may_have_room && rk_call_forward(x))
+    if (!peers_first && may_peers_have_room(x) && rk_call_forward(x))
         return;
     count_demand(x, x->query.prompt_tokens);
     give_up_unplaced(x);
