--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -249,27 +249,22 @@
                                                .target = "/a/b",
                                                .body = "x",
                                                .body_len = 1};
-    struct rk_request_identity changed = fields;
+    struct rk_request_identity changed[7];
     uint64_t request = rk_quarantine_hash(&fields);
-    assert_int_equal(request, rk_quarantine_hash(&changed));
-    changed.body_len = 0;
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
-    changed = fields;
-    changed.body = "y";
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
-    changed = fields;
-    changed.method = "PUT";
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
-    changed = fields;
-    changed.target = "/a/c";
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
-    changed = fields;
-    changed.org = "rank";
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
-    changed = fields;
-    changed.host = "api.example/a"; /* the same characters in a row */
-    changed.target = "/b";
-    assert_int_not_equal(request, rk_quarantine_hash(&changed));
+    for (size_t i = 0; i < RK_ARRAY_LEN(changed); i++) {
+        changed[i] = fields;
+        assert_int_equal(request, rk_quarantine_hash(&changed[i]));
+    }
+    changed[0].body_len = 0;
+    changed[1].body = "y";
+    changed[2].method = "PUT";
+    changed[3].target = "/a/c";
+    changed[4].org = "rank";
+    changed[5].host = "api.example/a"; /* the same characters in a row */
+    changed[5].target = "/b";
+    changed[6].host = "api.elsewhere";
+    for (size_t i = 0; i < RK_ARRAY_LEN(changed); i++)
+        assert_int_not_equal(request, rk_quarantine_hash(&changed[i]));
 }
 
 /* Guards against a restored store that never gets the object of a stopped request
