relay: call.end and call.attempt_failed say how the answer was framed

A stream that was broken off reached callers as a whole one. A close that was taken for the end of an answer, a misread chunked answer and a move all log the same call.end: a success. The events now have framing: length, chunked, close, or empty before a head has come. proc_hosted_calls passes as before; no decision changes.

--- a/common/http1.c
+++ b/common/http1.c
@@ -29,6 +29,23 @@
     return NULL;
 }
 
+enum rk_framing rk_head_framing(const struct rk_head *h)
+{
+    if (h->chunked)
+        return RK_FRAMING_CHUNKED;
+    return h->body_length >= 0 ? RK_FRAMING_LENGTH : RK_FRAMING_CLOSE;
+}
+
+const char *rk_framing_name(enum rk_framing framing)
+{
+    static const char *const names[] = {
+        [RK_FRAMING_LENGTH] = "length",
+        [RK_FRAMING_CHUNKED] = "chunked",
+        [RK_FRAMING_CLOSE] = "close",
+    };
+    return names[framing];
+}
+
 static struct rk_http1 *reader_of(http_parser *p)
 {
     return p->data;
--- a/common/http1.h
+++ b/common/http1.h
@@ -14,6 +14,13 @@
 
 #define RK_HEAD_LINES_MAX 96 /* most header lines of a head */
 
+/* How the end of a response's body is marked. */
+enum rk_framing {
+    RK_FRAMING_LENGTH,  /* by Content-Length */
+    RK_FRAMING_CHUNKED, /* by a last chunk */
+    RK_FRAMING_CLOSE,   /* only by the end of the connection */
+};
+
 /* The head of a message: the start line and the header lines. */
 struct rk_head {
     struct rk_buf text; /* the NUL-terminated strings of the head */
@@ -37,6 +44,10 @@
 /* Return the name and the value of a header line; line is below lines_len. */
 const char *rk_head_name(const struct rk_head *h, size_t line);
 const char *rk_head_value(const struct rk_head *h, size_t line);
+/* Returns how the body of a response that may have one is framed. */
+enum rk_framing rk_head_framing(const struct rk_head *h);
+/* Returns "length", "chunked" or "close". */
+const char *rk_framing_name(enum rk_framing framing);
 /* Returns a request's target, as it was sent. */
 const char *rk_head_target(const struct rk_head *h);
 
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -141,6 +141,7 @@
     rk_call_read_signals(x, head);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
+    x->framing = rk_head_framing(head);
     x->answer_class = classify_answer(x, head);
     /* Without an id, a success cannot be matched to the request. */
     if (!id && x->answer_class == ANSWER_PASS && head->status / 100 == 2)
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -8,6 +8,7 @@
 #ifndef RK_SERVE_RELAY_CALL_IMPL_H
 #define RK_SERVE_RELAY_CALL_IMPL_H
 
+#include "common/http1.h"
 #include "serve/relay_call.h"
 #include "services/upstream.h"
 
@@ -76,7 +77,8 @@
      * yet. */
     int64_t vm_head_ms, vm_first_ms;
     enum answer_class answer_class;
-    int64_t sent_wall_ms; /* wall-clock time at which it was sent */
+    enum rk_framing framing; /* of the answer, once its head has arrived */
+    int64_t sent_wall_ms;    /* wall-clock time at which it was sent */
     /* The request is counted in its organisation's usage, once in all attempts. */
     bool usage_counted;
     /* The peer to which the attempt is forwarded; "": it is sent to a VM. */
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -220,6 +220,7 @@
     bool success = head->status / 100 == 2;
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
+    x->framing = rk_head_framing(head);
     if (refused) {
         note_peer_refused(x, refused);
         x->answer_class = ANSWER_NOT_RUN;
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -42,6 +42,12 @@
                  RK_N("seen_ms", observed_ms));
 }
 
+/* Returns the framing of the attempt's answer; "": its head has not arrived. */
+static const char *framing_name(const struct rk_relay_call *x)
+{
+    return x->vm_head_ms ? rk_framing_name(x->framing) : "";
+}
+
 void rk_call_log_end(const struct rk_relay_call *x, int status, const char *why)
 {
     bool success = status && status < HTTP_BAD_REQUEST && !why[0];
@@ -51,9 +57,9 @@
              RK_S("organisation", x->org ? x->org->name : ""),
              RK_S("vm", x->last_vm), RK_S("domain", x->last_vm_domain),
              RK_N("version", x->routes->version), RK_N("status", status),
-             RK_S("why", why), RK_N("attempts", x->attempts),
-             RK_N("may_have_run", x->may_have_run), RK_N("first_ms", x->first_ms),
-             RK_N("pause_ms", x->pause_ms),
+             RK_S("why", why), RK_S("framing", framing_name(x)),
+             RK_N("attempts", x->attempts), RK_N("may_have_run", x->may_have_run),
+             RK_N("first_ms", x->first_ms), RK_N("pause_ms", x->pause_ms),
              RK_N("target_ms", x->route->target_first_byte_ms),
              RK_N("target_gap_ms", x->route->target_gap_ms),
              RK_N("took_ms", rk_mono_ms() - x->started_ms));
@@ -74,7 +80,7 @@
     RK_EVENT("call.attempt_failed", RK_S("request", x->id),
              RK_S("vm", x->vm ? x->vm->row.id : ""), RK_S("what", what),
              RK_N("sent", sent), RK_N("attempt", x->attempts),
-             RK_N("begun", x->begun),
+             RK_N("begun", x->begun), RK_S("framing", framing_name(x)),
              RK_N("after_ms", rk_mono_ms() - x->started_ms));
 }
 
