tests: streams that end early under each framing of their bodies

The stand-in VM frames its answers by chunks, by their length, or by nothing but the end of the connection. A model says for each framing, kind of end and byte whether an answer may look whole; a stream is cut at each of its bytes and compared with it.

A route that may be resumed is not resumed. A move that stops the run and whose answer is lost ends the same way, at an end between two events.

--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -75,8 +75,7 @@
         w.runs[req.get("Rillknot-Attempt-Id")] += 1
         w.stream(req, conn, upto, end=False)
         if part:
-            piece = w.event(req, upto + 1)[:part]
-            conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            w.send_body(conn, w.framing, w.event(req, upto + 1)[:part])
             time.sleep(0.05)
         reset(conn)
         return False
--- /dev/null
+++ b/tests/proc_hosted_framing.py
@@ -0,0 +1,211 @@
+"""Tests of answers that end early, under each framing of their bodies.
+
+A body ends with its last chunk, after its Content-Length, or only with its connection. In
+the last case nothing but the body itself can tell a whole stream from one that was broken
+off, as the system closes the connections of a process that crashed in the normal way, too.
+"""
+import time
+
+from hosted import FRAMINGS, Hosted, reset, wait_until
+
+EVENTS = 3
+SHORT_ID = "framed-id"
+
+
+def deployment(workers=1, nodes=1, events=EVENTS, resumable=False, attempts=1):
+    """Starts nodes with streaming workers behind one route."""
+    d = Hosted(nodes=nodes, bounds={"budgetExtra": 4000}).start()
+    for _ in range(workers):
+        d.add_worker("llm", events=events, slots=64)
+    d.configure([d.route("s", "llm", "streaming", resumable=resumable, maxAttempts=attempts)],
+                services=["llm"])
+    d.wait_ready()
+    return d
+
+
+def body_of(worker, ident, first=1):
+    """Returns the body of a whole stream, from its first event on."""
+    return b"".join(b"id: %d\ndata: %s token %d\n\n" % (n, ident.encode(), n)
+                    for n in range(first, worker.events + 1))
+
+
+def break_off(framing, sent, by_reset=False, mark_end=False):
+    """Returns a worker fault that sends so many bytes of a stream's body and no more.
+
+    by_reset: then resets the connection, instead of closing it in order. mark_end: sends
+    the last chunk of a chunked body, too.
+    """
+    def fault(w, req, conn):
+        ident = req.get("Rillknot-Attempt-Id")
+        w.runs[ident] += 1
+        body = body_of(w, ident, int(req.get("Last-Event-Id", 0)) + 1)
+        conn.sendall(w.head(req, framing=w.framing_header(framing, len(body)),
+                            extra=b"Content-Type: text/event-stream\r\n"))
+        if sent:
+            w.send_body(conn, framing, body[:sent])
+        if mark_end and framing == "chunked":
+            return w.end_body(conn, framing)
+        if by_reset:
+            time.sleep(0.02)
+            reset(conn)
+            return False
+        # The connection of a complete answer is kept for the next one.
+        return framing == "length" and sent == len(body)
+    return fault
+
+
+def may_look_whole(body, framing, sent, by_reset, mark_end):
+    """Returns whether a caller may take the answer for a whole one.
+
+    Without framing, a stream that stops between two events can't be told from a whole one.
+    """
+    if by_reset:
+        return False
+    if framing == "chunked":
+        return mark_end
+    if framing == "length":
+        return sent == len(body)
+    return sent > 0 and body[:sent].endswith(b"\n\n")
+
+
+def check_cut_at_each_byte(framing, by_reset=False, mark_end=False):
+    """Cuts a stream that may not be resumed at each of its bytes."""
+    with deployment() as d:
+        worker = d.workers[0]
+        body = body_of(worker, SHORT_ID)
+        wrong = []
+        for sent in range(len(body) + 1):
+            worker.fault = break_off(framing, sent, by_reset, mark_end)
+            a = d.call("/s/x", ident=SHORT_ID)
+            looks_whole = a.status == 200 and a.whole
+            if looks_whole != may_look_whole(body, framing, sent, by_reset, mark_end) \
+                    or not body.startswith(a.body if a.status == 200 else b""):
+                wrong.append((sent, a.status, a.whole, a.body))
+        assert not wrong, (len(wrong), wrong[:3])
+
+
+def test_an_unframed_stream_cut_inside_an_event_looks_cut():
+    """Guards against a stream without framing that is framed as complete after its VM has
+    broken it off amid an event, at any byte."""
+    check_cut_at_each_byte("close")
+
+
+def test_an_unframed_stream_that_is_reset_looks_cut():
+    """Guards against a reset that is taken for the end of a stream without framing."""
+    check_cut_at_each_byte("close", by_reset=True)
+
+
+def test_a_chunked_stream_is_whole_only_with_its_last_chunk():
+    """Guards against a chunked stream whose missing last chunk is made up."""
+    check_cut_at_each_byte("chunked")
+    check_cut_at_each_byte("chunked", mark_end=True)
+
+
+def test_a_stream_with_a_length_is_whole_only_at_its_length():
+    """Guards against a stream that ends before its Content-Length and looks whole."""
+    check_cut_at_each_byte("length")
+
+
+def call_until_broken_off(d, worker):
+    """Repeats calls, each of which must be whole, until a worker has broken one off."""
+    def broken():
+        a = d.call("/s/x", deadline=3000)
+        assert a.status == 200 and a.whole, (a.status, a.whole, a.body)
+        assert a.body == body_of(worker, a.ident), a.body
+        return worker.runs[a.ident]
+    wait_until(broken, 10)
+
+
+def test_an_unframed_stream_cut_inside_an_event_is_resumed():
+    """Guards against a stream without framing that is not resumed, though its route allows
+    it and its VM has broken it off amid an event."""
+    with deployment(workers=2, resumable=True, attempts=2) as d:
+        worker = d.workers[0]
+        event = len(body_of(worker, "%016x" % 1)) // EVENTS
+        for sent in (0, 1, event - 1, event + 9, 2 * event + 1, 3 * event - 1):
+            worker.fault = break_off("close", sent)
+            call_until_broken_off(d, worker)
+
+
+def test_an_unframed_stream_is_whole_with_its_last_event():
+    """Guards against a whole stream without framing that is resumed or cut."""
+    for resumable in (False, True):
+        with deployment(workers=2, resumable=resumable, attempts=2) as d:
+            for w in d.workers:
+                w.framing = "close"
+            for _ in range(8):
+                a = d.call("/s/x")
+                assert a.whole and a.body == body_of(d.workers[0], a.ident), a.body
+                assert d.runs(a.ident) == 1
+
+
+def test_what_follows_the_last_event_of_an_unframed_stream_is_no_event():
+    """Guards against empty lines or a comment behind the last event that are taken for an
+    event which was broken off."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        conn.sendall(w.head(req, extra=b"Content-Type: text/event-stream\r\n") +
+                     b"id: 1\r\ndata: a\r\n\r\n\r\n: that is all\r\n")
+        return False
+    for resumable in (False, True):
+        with deployment(resumable=resumable) as d:
+            d.workers[0].fault = fault
+            a = d.call("/s/x")
+            assert a.whole and a.body.endswith(b"data: a\r\n\r\n\r\n: that is all\r\n"), a.body
+
+
+def test_an_unframed_answer_that_is_no_event_stream_passes():
+    """Guards against a JSON answer or a failure on a streaming route that is searched for
+    events."""
+    def answer(status):
+        def fault(w, req, conn):
+            conn.sendall(w.head(req, status, extra=b"Content-Type: application/json\r\n") +
+                         b"{\"id\": 1}")
+            return False
+        return fault
+    with deployment() as d:
+        for status in (200, 400, 500):
+            d.workers[0].fault = answer(status)
+            a = d.call("/s/x")
+            assert (a.status, a.whole, a.body) == (status, True, b"{\"id\": 1}")
+
+
+def test_a_resumed_stream_may_have_no_more_events():
+    """Guards against an endless resume: a VM from which a caller takes up a stream after its
+    last event answers with no event at all."""
+    with deployment(workers=2, resumable=True, attempts=2) as d:
+        for w in d.workers:
+            w.framing = "close"
+        a = d.call("/s/x", headers=[("Last-Event-Id", str(EVENTS))])
+        assert a.status == 200 and a.whole and a.body == b"", (a.status, a.body)
+        assert d.runs(a.ident) == 1
+
+
+def test_plain_answers_pass_under_each_framing():
+    """Guards against a plain answer that depends on its framing."""
+    with Hosted() as d:
+        worker = d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        for framing in FRAMINGS:
+            worker.framing = framing
+            for _ in range(3):
+                a = d.call("/r/x")
+                assert a.status == 200 and a.whole and a.ident.encode() in a.body
+
+
+def test_a_call_that_ends_early_is_logged_with_its_framing():
+    """Guards against logs that don't tell a stream that was broken off from a whole one."""
+    with deployment(workers=2, resumable=True, attempts=2) as d:
+        for w in d.workers:
+            w.fault = break_off("close", 5)
+        a = d.call("/s/x")
+        assert not a.whole or a.status != 200
+
+        def logged(name):
+            return [e for e in d.nodes[0].events()
+                    if e["event"] == name and e["request"] == a.ident]
+        wait_until(lambda: logged("call.end"), 5)
+        failed = logged("call.attempt_failed")
+        assert {e["framing"] for e in failed + logged("call.end")} == {"close"}, failed
+        assert "inside an event" in failed[0]["what"], failed
--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -13,13 +13,14 @@
 EVENTS = 60  # with 50 ms between them, longer than a leaving VM keeps its streams
 
 
-def deployment(moves=True, workers=3, resumable=True, **kw):
+def deployment(moves=True, workers=3, resumable=True, framing="chunked", **kw):
     """Starts one node with engines that can copy the KV cache of runs, if `moves` is set."""
     engine = {"name": "llm", "healthPath": "/healthz", "maxConns": 200,
               "engine": {"slots": 32, "kvCapacity": 100000, "moves": moves}}
     d = Hosted(nodes=1, bounds={"budgetExtra": 400}).start()
     for _ in range(workers):
-        d.add_worker("llm", events=EVENTS, slots=32).gap_s = 0.05
+        worker = d.add_worker("llm", events=EVENTS, slots=32)
+        worker.gap_s, worker.framing = 0.05, framing
     d.configure([d.route("s", "llm", "streaming", timeoutMs=8000, resumable=resumable,
                          **kw)],
                 services=[engine])
@@ -82,12 +83,12 @@
         assert len(arrivals(d, stream)) == 2
 
 
-def check_fallback(fault):
+def check_fallback(fault, **kw):
     """Checks that a stream is whole although its move fails by `fault`.
 
     Returns the deployment, the first worker and the stream's requests.
     """
-    with deployment() as d:
+    with deployment(**kw) as d:
         stream = Stream(d)
         first = wait_begun(d, stream)
         first.move_fault = fault
@@ -150,6 +151,28 @@
     assert len(seen) == 2 and seen[-1].get("Last-Event-Id")
 
 
+def test_an_unframed_stream_that_is_stopped_for_a_move_is_not_whole():
+    """Guards against a run that is stopped for a move and taken for a whole answer.
+
+    The engine closes the stream between two events. Without framing, that looks like the
+    end of the answer.
+    """
+    for fault in ("lost", "dies", "gone"):
+        check_fallback(fault, framing="close")
+
+
+def test_an_unframed_stream_moves():
+    """Guards against a move that loses a stream without framing."""
+    for fault in (None, "full"):
+        with deployment(framing="close") as d:
+            stream = Stream(d)
+            first = wait_begun(d, stream)
+            first.move_fault = fault
+            d.drain(first)
+            stream.check_whole()
+            assert [w for w in d.workers if stream.request in w.resumed_from_copy]
+
+
 def test_a_stream_is_resumed_when_its_engine_crashes_during_a_copy():
     """Guards against a stream that is lost when its engine crashes during the copy."""
     _, _, seen = check_fallback("dies")
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -240,6 +240,32 @@
         assert all(is_served(a) for a in answers), [a.status for a in answers]
 
 
+def test_a_forwarded_stream_cut_inside_an_event_is_resumed():
+    """Guards against an unframed stream whose VM breaks it off inside an event and which the
+    peer, or the node that forwarded it, passes on as a whole one."""
+    broken = set()
+
+    def break_once(w, req, conn):
+        """Closes each request's first stream inside its third event."""
+        ident = req.get("Rillknot-Attempt-Id")
+        if ident in broken:
+            return None
+        broken.add(ident)
+        w.stream(req, conn, 2, end=False)
+        w.send_body(conn, w.framing, w.event(req, 3)[:9])
+        return False
+    with Partition(bounds={"budgetExtra": 4000}) as p:
+        p.cut(UNANSWERED)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        for w in p.d.workers:
+            if w.events:
+                w.framing, w.fault = "close", break_once
+        for a in p.call_all(count=20, kinds=("chat",))[0, "chat"]:
+            assert is_served(a) and a.ident in broken, a.status
+            assert a.body == b"".join(Worker.event(Request("", "", {
+                "rillknot-attempt-id": a.ident}, b""), n) for n in range(1, EVENTS + 1)), a.body
+
+
 def test_a_forwarded_call_counts_once_in_its_quota():
     """Guards against forwarded calls that are charged at both nodes, or at none."""
     quota = 60  # units in a window of 4 s
--- a/tests/proc_hosted_quarantine.py
+++ b/tests/proc_hosted_quarantine.py
@@ -8,6 +8,7 @@
 
 Here an engine crashes as soon as it has begun to run a certain body.
 """
+import socket
 import threading
 import time
 
@@ -17,6 +18,7 @@
 PROPAGATION_S = 3.0  # after the third crash, until each reachable node knows of it
 LATE_ARRIVALS_MAX = 3  # requests that may reach VMs later than that
 CRASH_DELAY_S = 0.05  # from when an engine has begun to run the body
+CLOSE_DELAY_S = 0.005  # until the nodes have read the close of a crashed engine's streams
 REPLACE_DELAY_S = 0.3  # from a crash to the replacement
 TENANTS = [{"name": name, "apiKeys": [key], "unit": "token_stream", "plainTokens": 1,
             "ratePerS": 0, "burst": 0} for name, key in (("clinic", "key-1"), ("rank", "key-2"))]
@@ -26,8 +28,9 @@
     """Nodes with engines that crash on CRASHING_BODY; each crashed one is soon replaced."""
 
     def __init__(self, nodes=3, workers=6, zones=("a-hall", "b-hall", "c-hall"), events=6,
-                 kind="streaming", service="llm", restarted=False, **kw):
+                 kind="streaming", service="llm", restarted=False, framing="chunked", **kw):
         self.events, self.service, self.restarted = events, service, restarted
+        self.framing = framing  # of streams
         self.crash_times = []  # time.monotonic() of each crash
         self.lock = threading.Lock()
         self.d = Hosted(nodes=nodes, zones=zones, **kw).start()
@@ -58,6 +61,8 @@
         """Adds a worker that crashes on CRASHING_BODY."""
         worker = self.d.add_worker(self.service, events=self.events, zone=zone, slots=32)
         worker.gap_s = 0.02
+        if self.events:
+            worker.framing = self.framing
         worker.fault = self.crash_fault
 
     def crash_fault(self, worker, req, conn):
@@ -66,7 +71,13 @@
             return None
         if self.events:
             worker.stream(req, conn, 1, end=False)
+        if self.framing == "close":
+            worker.send_body(conn, worker.framing, worker.event(req, 2)[:9])
         time.sleep(CRASH_DELAY_S)
+        if self.framing == "close":
+            # The system closes the connections of a crashed process in order.
+            conn.shutdown(socket.SHUT_WR)
+            time.sleep(CLOSE_DELAY_S)
         with self.lock:
             if not worker.stopped:
                 self.crash_times.append(time.monotonic())
@@ -123,6 +134,14 @@
         return f.check_bound()
 
 
+def test_a_request_that_crashes_vms_inside_an_event_is_quarantined():
+    """Guards against a request that is cleared of suspicion by each VM that it crashes, as
+    a stream without framing that ends inside an event is taken for a whole answer."""
+    with Fleet(framing="close") as f:
+        f.ask_repeatedly(9)
+        return f.check_bound()
+
+
 def test_a_quarantine_survives_a_kill_of_all_nodes():
     """Guards against a quarantine that is lost with the nodes' memory.
 
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -35,6 +35,11 @@
         return self.headers.get(name.lower(), fallback)
 
 
+# How an answer's body may be delimited: by chunks, by its length, or only by the end of its
+# connection.
+FRAMINGS = ("chunked", "length", "close")
+
+
 class RawServer:
     """An HTTP/1.1 server on raw sockets, so that a test can answer with any bytes.
 
@@ -382,6 +387,7 @@
         self.id = "i-%010x" % next(self.ids)
         self.service, self.zone, self.slots = service, zone, slots
         self.events = events  # number of events in a stream; 0: plain service
+        self.framing = "chunked" if events else "length"  # one of FRAMINGS
         self.gap_s = 0.0  # delay before each event
         self.tokens_per_s = 0  # prefill rate before the first event; 0: no delay
         self.fault = None
@@ -554,8 +560,28 @@
             with self.free_slots:
                 time.sleep(self.work_s)
         body = self.body(req)
-        conn.sendall(self.head(req, framing=b"Content-Length: %d\r\n" % len(body)) + body)
-        return True
+        framing = self.framing
+        conn.sendall(self.head(req, framing=self.framing_header(framing, len(body))))
+        self.send_body(conn, framing, body)
+        return self.end_body(conn, framing)
+
+    @staticmethod
+    def framing_header(framing, length):
+        """Return the header line that delimits a body of this length."""
+        return {"chunked": b"Transfer-Encoding: chunked\r\n",
+                "length": b"Content-Length: %d\r\n" % length, "close": b""}[framing]
+
+    @staticmethod
+    def send_body(conn, framing, data):
+        """Send a part of a body."""
+        conn.sendall(b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data)
+
+    @staticmethod
+    def end_body(conn, framing):
+        """Complete an answer; return whether its connection stays open."""
+        if framing == "chunked":
+            conn.sendall(b"0\r\n\r\n")
+        return framing != "close"
 
     @staticmethod
     def event(req, number):
@@ -563,31 +589,31 @@
             number, req.get("Rillknot-Attempt-Id").encode(), number)
 
     def stream(self, req, conn, upto, end=True):
-        """Send the events after Last-Event-Id up to number upto, each in a chunk.
+        """Send the events after Last-Event-Id up to number upto.
 
-        end: send the last chunk, too, which completes the answer.
+        end: complete the answer. Returns whether the connection stays open.
         """
         if self.tokens_per_s:
             tokens = float(req.get("Rillknot-Token-Usage", "0,0").split(",")[0])
             time.sleep(tokens / self.tokens_per_s)
-        conn.sendall(self.head(req, framing=b"Transfer-Encoding: chunked\r\n",
+        framing = self.framing
+        first = int(req.get("Last-Event-Id", 0)) + 1
+        whole = sum(len(self.event(req, n)) for n in range(first, self.events + 1))
+        conn.sendall(self.head(req, framing=self.framing_header(framing, whole),
                                extra=b"Content-Type: text/event-stream\r\n"))
         stop = self.stops[req.get("Rillknot-Attempt-Id")] = threading.Event()
-        for number in range(int(req.get("Last-Event-Id", 0)) + 1, upto + 1):
+        for number in range(first, upto + 1):
             if self.gap_s:
                 time.sleep(self.gap_s)
             if stop.is_set():
                 return False
-            data = self.event(req, number)
             try:
-                conn.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+                self.send_body(conn, framing, self.event(req, number))
             except OSError:
                 self.left.append((req.get("Rillknot-Attempt-Id"), time.monotonic()))
                 raise
         self.stops.pop(req.get("Rillknot-Attempt-Id"), None)
-        if end:
-            conn.sendall(b"0\r\n\r\n")
-        return True
+        return self.end_body(conn, framing) if end else True
 
 
 def render(text, fields):
