relay: a stream that ends inside an event has been broken off

What callers saw: a 200 framed as complete whose stream had been broken off, and no resume.

Cause: an answer with neither a length nor chunks ends with its connection, and the system closes the connections of a crashed process in order. The end of the input was taken for the end of the message; the bytes after the last event were passed on and the answer was ended.

A stream's position between its events is now followed byte by byte, also on routes that may not be resumed. Where only the close marks the end, a close inside an event, or before the first one of a stream that nobody resumes, is a broken answer: it is resumed where the route allows it and cut otherwise, the VM is probed, the request stays suspect, and the attempt counts as lost. Streams with chunks or a length, empty lines and comments behind the last event, and bodies that are no event stream pass as before.

--- a/common/http1.c
+++ b/common/http1.c
@@ -31,6 +31,8 @@
 
 enum rk_framing rk_head_framing(const struct rk_head *h)
 {
+    if (h->status == 204 || h->status == 304)
+        return RK_FRAMING_LENGTH; /* they have no body */
     if (h->chunked)
         return RK_FRAMING_CHUNKED;
     return h->body_length >= 0 ? RK_FRAMING_LENGTH : RK_FRAMING_CLOSE;
--- a/common/http1.h
+++ b/common/http1.h
@@ -16,7 +16,7 @@
 
 /* How the end of a response's body is marked. */
 enum rk_framing {
-    RK_FRAMING_LENGTH,  /* by Content-Length */
+    RK_FRAMING_LENGTH,  /* by Content-Length, or a status that allows no body */
     RK_FRAMING_CHUNKED, /* by a last chunk */
     RK_FRAMING_CLOSE,   /* only by the end of the connection */
 };
@@ -44,7 +44,8 @@
 /* Return the name and the value of a header line; line is below lines_len. */
 const char *rk_head_name(const struct rk_head *h, size_t line);
 const char *rk_head_value(const struct rk_head *h, size_t line);
-/* Returns how the body of a response that may have one is framed. */
+/* Returns how the body of a response is framed. Of a response to a HEAD request it
+ * is meaningless. */
 enum rk_framing rk_head_framing(const struct rk_head *h);
 /* Returns "length", "chunked" or "close". */
 const char *rk_framing_name(enum rk_framing framing);
--- a/core/event_splitter.c
+++ b/core/event_splitter.c
@@ -2,6 +2,32 @@
 
 #include <string.h>
 
+void rk_event_position_add(struct rk_event_position *p, const char *data,
+                           size_t len)
+{
+    for (const char *at = data; at < data + len; at++) {
+        if (*at == '\r')
+            continue;
+        if (*at != '\n') {
+            p->in_comment = p->in_line ? p->in_comment : *at == ':';
+            p->in_line = true;
+            continue;
+        }
+        if (p->in_line && !p->in_comment)
+            p->in_event = true;
+        if (!p->in_line && p->in_event) {
+            p->in_event = false;
+            p->has_events = true;
+        }
+        p->in_line = false;
+    }
+}
+
+bool rk_event_position_is_inside(const struct rk_event_position *p)
+{
+    return p->in_line || p->in_event;
+}
+
 /* Returns the length of the first whole event, the empty line at its end included;
  * 0: there is none. An empty line at the very start doesn't end an event. */
 static size_t event_length(const char *data, size_t len)
--- a/core/event_splitter.h
+++ b/core/event_splitter.h
@@ -19,6 +19,23 @@
     bool failed;                   /* the buffer would have exceeded RK_EVENT_MAX */
 };
 
+/* Where a stream stands between its events, byte by byte. Lines end with LF or
+ * CRLF. Zeroed, it is at the start of a stream. */
+struct rk_event_position {
+    bool in_line;    /* the last line has not ended */
+    bool in_comment; /* that line is a comment */
+    bool in_event;   /* a line of an event came after the last empty line */
+    bool has_events; /* an event was complete */
+};
+
+/* Adds bytes of the stream. */
+void rk_event_position_add(struct rk_event_position *p, const char *data,
+                           size_t len);
+
+/* Returns true if the stream must not end here: an event or a line is not complete.
+ * Empty lines and comments belong to no event. */
+bool rk_event_position_is_inside(const struct rk_event_position *p);
+
 /* Takes one whole event of len bytes, its empty line included, and its id ("": it
  * has none, or a longer one than RK_EVENT_ID_MAX holds). data is borrowed for the
  * call. */
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -13,7 +13,8 @@
 #include "common/latency.h"
 #include "serve/relay_call_impl.h"
 
-#define UNSENT_MAX_BYTES (4 * 1024 * 1024) /* buffered for a slow caller */
+#define EVENT_STREAM_TYPE "text/event-stream"
+#define UNSENT_MAX_BYTES  (4 * 1024 * 1024) /* buffered for a slow caller */
 
 /* Records the attempt's time to first byte and the error of its prediction. */
 static void record_first_byte(struct rk_relay_call *x)
@@ -127,6 +128,18 @@
                                                            : ANSWER_PASS;
 }
 
+/* Returns true if the answer's body consists of events. */
+static bool is_event_stream(const struct rk_relay_call *x,
+                            const struct rk_head *head)
+{
+    if (x->route->kind != RK_CALL_STREAM || head->status / 100 != 2 ||
+        rk_client_head(x->client)->method == HTTP_HEAD)
+        return false;
+    const char *type = rk_head_get(head, "Content-Type");
+    return !type ||
+           !strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE));
+}
+
 static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
 {
     struct rk_relay_call *x = ctx;
@@ -142,6 +155,8 @@
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
     x->framing = rk_head_framing(head);
+    x->is_event_stream = is_event_stream(x, head);
+    x->position = (struct rk_event_position){0};
     x->answer_class = classify_answer(x, head);
     /* Without an id, a success cannot be matched to the request. */
     if (!id && x->answer_class == ANSWER_PASS && head->status / 100 == 2)
@@ -212,6 +227,8 @@
         return;
     record_first_byte(x);
     count_usage(x, rk_wall_ms());
+    if (x->is_event_stream)
+        rk_event_position_add(&x->position, data, len);
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
     if (rk_call_pass_body(x, data, len) && x->client)
@@ -234,6 +251,45 @@
     rk_call_finish_answer(x);
 }
 
+/* A reset may come from the VM itself, because of the call; a probe tells. */
+static void note_failed_connection(struct rk_relay_call *x,
+                                   const struct rk_upstream_failure *f)
+{
+    if (!f->error)
+        return;
+    if (f->may_have_reached)
+        rk_relay_suspect_vm(x->r, x->vm);
+    else
+        rk_relay_note_unreachable(x->r, x->vm);
+}
+
+/* Handles an answer that was broken off, or did not come. */
+static void lose_answer(struct rk_relay_call *x,
+                        const struct rk_upstream_failure *f)
+{
+    note_failed_connection(x, f);
+    if (x->answer_class != ANSWER_NOT_RUN && f->may_have_reached)
+        rk_call_suspect(x);
+    if (x->answer_class == ANSWER_NOT_RUN)
+        rk_call_attempt_not_run(x, "the vm did not run it");
+    else if (!rk_call_move_stream_ended(x, false))
+        rk_call_attempt_failed(
+            x, f->may_have_reached,
+            f->may_have_reached ? RK_PLACE_LOST : RK_PLACE_UNREACHED, f->cause);
+}
+
+/* Returns true if a VM that ended its answer in order has broken it off.
+ * Connections of a crashed process are closed in order, too. Without framing, only
+ * the stream itself then tells: it ends inside an event, or has none. */
+static bool is_broken_off(const struct rk_relay_call *x)
+{
+    if (x->framing != RK_FRAMING_CLOSE || !x->is_event_stream)
+        return false;
+    bool is_continued = x->is_resume || x->events.last_id[0];
+    return rk_event_position_is_inside(&x->position) ||
+           (!x->position.has_events && !is_continued);
+}
+
 static void on_end(void *ctx)
 {
     struct rk_relay_call *x = ctx;
@@ -250,35 +306,21 @@
     case ANSWER_PASS:
         break;
     }
+    if (is_broken_off(x)) {
+        const struct rk_upstream_failure broken = {
+            .may_have_reached = true, .cause = "the vm closed inside an event"};
+        lose_answer(x, &broken);
+        return;
+    }
     if (!rk_call_move_stream_ended(x, true))
         rk_call_end_complete(x);
 }
 
-/* A reset may come from the VM itself, because of the call; a probe tells. */
-static void note_failed_connection(struct rk_relay_call *x,
-                                   const struct rk_upstream_failure *f)
-{
-    if (!f->error)
-        return;
-    if (f->may_have_reached)
-        rk_relay_suspect_vm(x->r, x->vm);
-    else
-        rk_relay_note_unreachable(x->r, x->vm);
-}
-
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
 {
     struct rk_relay_call *x = ctx;
     x->up = NULL;
-    note_failed_connection(x, f);
-    if (x->answer_class != ANSWER_NOT_RUN && f->may_have_reached)
-        rk_call_suspect(x);
-    if (x->answer_class == ANSWER_NOT_RUN)
-        rk_call_attempt_not_run(x, "the vm did not run it");
-    else if (!rk_call_move_stream_ended(x, false))
-        rk_call_attempt_failed(
-            x, f->may_have_reached,
-            f->may_have_reached ? RK_PLACE_LOST : RK_PLACE_UNREACHED, f->cause);
+    lose_answer(x, f);
 }
 
 const struct rk_upstream_ops rk_call_upstream_ops = {
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -78,7 +78,9 @@
     int64_t vm_head_ms, vm_first_ms;
     enum answer_class answer_class;
     enum rk_framing framing; /* of the answer, once its head has arrived */
-    int64_t sent_wall_ms;    /* wall-clock time at which it was sent */
+    bool is_event_stream;    /* the answer is one */
+    struct rk_event_position position; /* of that stream */
+    int64_t sent_wall_ms;              /* wall-clock time at which it was sent */
     /* The request is counted in its organisation's usage, once in all attempts. */
     bool usage_counted;
     /* The peer to which the attempt is forwarded; "": it is sent to a VM. */
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -322,6 +322,38 @@
     rk_buf_addstr(ctx, "|");
 }
 
+/* Guards against an end inside an event that is taken for one between events, and
+ * the reverse, at each byte of a stream and in reads of any size. */
+static void the_position_tells_where_a_stream_may_end(void **state)
+{
+    (void)state;
+    /* '|' marks where the stream may end; it isn't part of it. */
+    static const char marked[] = "\n|: hi\n|\n|id: 1\ndata: a\n\n|"
+                                 "id:2\r\ndata: b\r\n\r\n|\r|\n|: bye\n|";
+    char text[sizeof(marked)];
+    bool may_end[sizeof(marked)] = {0}; /* after so many bytes */
+    size_t len = 0;
+    for (const char *at = marked; *at; at++) {
+        if (*at == '|')
+            may_end[len] = true;
+        else
+            text[len++] = *at;
+    }
+    for (size_t cut = 1; cut <= len; cut++) {
+        struct rk_event_position p = {0};
+        for (size_t at = 0; at < len;) {
+            size_t n = cut < len - at ? cut : len - at;
+            rk_event_position_add(&p, text + at, n);
+            at += n;
+            assert_int_equal(!rk_event_position_is_inside(&p), may_end[at]);
+        }
+        assert_true(p.has_events);
+    }
+    struct rk_event_position comments = {0};
+    rk_event_position_add(&comments, ": hi\n\n", strlen(": hi\n\n"));
+    assert_false(comments.has_events);
+}
+
 /* Guards against a splitter that depends on where reads end: bytes in pieces of any
  * size must give the same events, and only whole ones. */
 static void events_do_not_depend_on_read_sizes(void **state)
@@ -363,6 +395,7 @@
         cmocka_unit_test(usage_merges_in_any_order),
         cmocka_unit_test(usage_of_a_large_fleet_is_kept_by_row),
         cmocka_unit_test(sums_of_all_organisations_match_single_sums),
+        cmocka_unit_test(the_position_tells_where_a_stream_may_end),
         cmocka_unit_test(events_do_not_depend_on_read_sizes),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
