moves: the close of an unframed stream during a move is not its end

An engine that is ordered to move a run stops it and closes its stream between two events. If the answer to the order is lost, or comes after the close, a stream without framing was taken for a whole one: 31 of 60 events reached the caller, framed as complete.

The call keeps that its VM may have stopped the run, until the order is answered with a refusal or the call is sent again. A close of an unframed stream is then no end: the stream is resumed where its route allows it and cut otherwise.

--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -243,8 +243,19 @@
     rk_call_finish(x);
 }
 
-void rk_call_end_complete(struct rk_relay_call *x)
+/* Returns true if only the close of the VM's connection ended the stream. */
+static bool is_unframed_stream(const struct rk_relay_call *x)
 {
+    return x->framing == RK_FRAMING_CLOSE && x->is_event_stream;
+}
+
+void rk_call_answer_ended(struct rk_relay_call *x)
+{
+    if (x->may_be_stopped && is_unframed_stream(x)) {
+        rk_call_attempt_failed(x, true, RK_PLACE_CANCELLED,
+                               "the vm may have stopped it for a move");
+        return;
+    }
     bool failed = x->status >= HTTP_SERVER_ERROR;
     rk_call_clear_suspicion(x);
     rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
@@ -283,7 +294,7 @@
  * the stream itself then tells: it ends inside an event, or has none. */
 static bool is_broken_off(const struct rk_relay_call *x)
 {
-    if (x->framing != RK_FRAMING_CLOSE || !x->is_event_stream)
+    if (!is_unframed_stream(x))
         return false;
     bool is_continued = x->is_resume || x->events.last_id[0];
     return rk_event_position_is_inside(&x->position) ||
@@ -313,7 +324,7 @@
         return;
     }
     if (!rk_call_move_stream_ended(x, true))
-        rk_call_end_complete(x);
+        rk_call_answer_ended(x);
 }
 
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -386,6 +386,7 @@
     count_demand(x, x->job.load.uncached_tokens);
     x->attempts++;
     x->move_tried = false;
+    x->may_be_stopped = false;
     x->silence_reported = false;
     x->vm_head_ms = x->vm_first_ms = 0;
     rk_strcpy(x->last_vm, sizeof(x->last_vm), x->vm->row.id);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -108,6 +108,7 @@
     /* copy of the call's KV cache in progress; NULL: none */
     struct rk_call_move *move;
     bool move_tried;       /* a move away from the current VM was tried */
+    bool may_be_stopped;   /* the current VM may have stopped the run for a move */
     bool silence_reported; /* for the current attempt */
     /* "ADDRESS/HANDLE" of the KV cache copy, set while the attempt that uses it is
      * sent; else "" */
@@ -267,8 +268,9 @@
 /* Returns true for statuses from which a caller concludes that its call did not
  * run. */
 bool rk_call_implies_not_run(int status);
-/* Ends the call after the VM's complete answer. */
-void rk_call_end_complete(struct rk_relay_call *x);
+/* Ends the call after the VM has ended its answer in order, unless that may have
+ * been because the run was stopped for a move. */
+void rk_call_answer_ended(struct rk_relay_call *x);
 /* Callbacks of a relayed call's upstream call. */
 extern const struct rk_upstream_ops rk_call_upstream_ops;
 /* Returns true for headers that concern only one connection, and for
--- a/serve/relay_kv_move.c
+++ b/serve/relay_kv_move.c
@@ -92,7 +92,7 @@
     log_move(m, what);
     rk_call_move_free(x);
     if (stream_complete)
-        rk_call_end_complete(x);
+        rk_call_answer_ended(x);
     else if (stream_ended)
         rk_call_attempt_failed(x, true, RK_PLACE_CANCELLED, "the vm left");
 }
@@ -151,6 +151,7 @@
     if (stopped && m->status != 200)
         rk_strcpy(m->to_id, sizeof(m->to_id), m->x->vm->row.id);
     if (!stopped) {
+        m->x->may_be_stopped = false;
         end_without_copy(m, "refused");
     } else if (m->stream_ended) {
         resume_at_copy(m);
@@ -163,6 +164,7 @@
 {
     struct rk_call_move *m = ctx;
     m->up = NULL;
+    m->x->may_be_stopped = f->may_have_reached;
     end_without_copy(m, f->cause);
 }
 
@@ -220,7 +222,8 @@
     rk_strcpy(m->to_id, sizeof(m->to_id), to->row.id);
     x->move = m;
     x->move_tried = true;
-    if (send_order(m, to))
+    x->may_be_stopped = send_order(m, to);
+    if (x->may_be_stopped)
         rk_timer_start(x->r->loop, &m->timer, ORDER_TIMEOUT_MS);
     else
         rk_call_move_free(x);
