relay: an event that is too long cuts its stream

What callers saw: of a stream with one event of 400,000 bytes, 262,137 to 262,244 bytes and a last chunk, as if it were whole, also where the VM framed it by chunks.

Cause: the splitter of events holds 256 KiB, sets failed beyond that and ignores what follows; nothing read failed. Class: an overflow that looks like the end. The stream is cut now, the attempt cancelled, and call.end says why. A resume would meet the same event at another VM.

--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -200,20 +200,31 @@
     x->last_data_ms = now_ms;
 }
 
+/* Cuts an answer that has begun, though its VM goes on with it. */
+static void cut_answer(struct rk_relay_call *x, const char *why)
+{
+    rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
+    rk_call_give_up(x, HTTP_BAD_GATEWAY, 0, why);
+}
+
 bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len)
 {
     record_pause(x);
     if (!x->client)
         return true;
     if (rk_client_unsent_len(x->client) > UNSENT_MAX_BYTES) {
-        rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
-        rk_call_give_up(x, HTTP_BAD_GATEWAY, 0, "the caller reads too slowly");
+        cut_answer(x, "the caller reads too slowly");
         return false;
     }
-    if (delivers_complete_events(x))
-        rk_event_splitter_feed(&x->events, data, len, on_event, x);
-    else
+    if (!delivers_complete_events(x)) {
         rk_client_data(x->client, data, len);
+        return true;
+    }
+    rk_event_splitter_feed(&x->events, data, len, on_event, x);
+    if (x->events.failed) {
+        cut_answer(x, "an event of the stream is too long");
+        return false;
+    }
     return true;
 }
 
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -261,7 +261,7 @@
 /* Passes the head of an answer on to the caller. */
 void rk_call_begin_answer(struct rk_relay_call *x, const struct rk_head *head);
 /* Passes a part of the body on to the caller. Returns false if that ended the call,
- * because the caller reads too slowly. */
+ * because the caller reads too slowly or an event exceeds RK_EVENT_MAX. */
 bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len);
 /* Ends the call after the whole answer was passed on. */
 void rk_call_finish_answer(struct rk_relay_call *x);
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -10,6 +10,7 @@
 
 EVENTS = 3
 SHORT_ID = "framed-id"
+EVENT_MAX_BYTES = 256 * 1024  # longest event of a stream that may be resumed
 
 
 def deployment(workers=1, nodes=1, events=EVENTS, resumable=False, attempts=1):
@@ -181,6 +182,33 @@
         assert d.runs(a.ident) == 1
 
 
+def long_event(framing, length):
+    """Returns a worker fault that sends a whole stream with one event of so many bytes."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        body = b"id: 1\ndata: " + b"x" * length + b"\n\n"
+        conn.sendall(w.head(req, framing=w.framing_header(framing, len(body)),
+                            extra=b"Content-Type: text/event-stream\r\n"))
+        w.send_body(conn, framing, body)
+        return w.end_body(conn, framing)
+    return fault
+
+
+def test_a_stream_with_a_long_event_is_whole_or_looks_cut():
+    """Guards against a stream that ends at an event longer than the node can hold, framed as
+    complete."""
+    for resumable in (False, True):
+        with deployment(workers=1, resumable=resumable) as d:
+            for framing in FRAMINGS:
+                for length in (1000, EVENT_MAX_BYTES - 100, EVENT_MAX_BYTES + 100, 400000):
+                    d.workers[0].fault = long_event(framing, length)
+                    a = d.call("/s/x")
+                    whole = len(a.body) == length + len(b"id: 1\ndata: \n\n")
+                    assert not (a.status == 200 and a.whole) or whole, \
+                        (framing, length, a.status, len(a.body))
+                    assert whole or length > EVENT_MAX_BYTES - 100, (framing, length, a.status)
+
+
 def test_plain_answers_pass_under_each_framing():
     """Guards against a plain answer that depends on its framing."""
     with Hosted() as d:
