relay: call.resumed says which stream goes on, by whom and at which version

The logs of streams that went on at another version had neither a VM's version nor a sign that a call takes a stream up, so that a node's own resume, a caller's and a move looked alike. Resumed streams are logged in full, with the id that the caller names in the dialect's header (Resumes); call.sent and call.attempt_failed have the VM's version.

--- a/core/dialect.c
+++ b/core/dialect.c
@@ -21,8 +21,8 @@
     const char *const reserved[] = {
         d->api_key, d->deadline_ms, d->organisation,  d->vm_id,
         d->rank,    d->kv_source,   d->kv_moved_from, "Expect"};
-    const char *const callers[] = {d->request_id, d->model, d->tokens, d->prefix,
-                                   d->resume_after};
+    const char *const callers[] = {d->request_id, d->model,        d->tokens,
+                                   d->prefix,     d->resume_after, d->resumes};
     if (is_one_of(reserved, RK_ARRAY_LEN(reserved), name) ||
         is_one_of(d->reserved_headers, d->reserved_headers_len, name))
         return RK_HEADER_RESERVED;
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -22,6 +22,9 @@
     const char *tokens;       /* "IN,OUT": tokens of the prompt, most to generate */
     const char *prefix;       /* "ID:TOKENS,...": prompt segments, in order */
     const char *resume_after; /* id of the last event that the caller received */
+    /* Request id of the caller's attempt that brought the first event of the stream
+     * that it takes up. */
+    const char *resumes;
     /* Headers of requests, set for upstreams; values that callers sent are
      * dropped. */
     const char *organisation;
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -393,6 +393,8 @@
     rk_strcpy(x->last_vm_domain, sizeof(x->last_vm_domain), x->vm->row.domain);
     rk_counter_add(RK_C_ATTEMPTS, 1);
     rk_call_log_sent(x);
+    if (x->job.resumes_stream)
+        rk_call_log_resumed(x);
     start_silence_timer(x);
 }
 
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -132,9 +132,11 @@
 void rk_call_finish(struct rk_relay_call *x);
 
 /* ---- relay_log.c ---- */
-/* Log the events of a call: it was sent, or forwarded to a peer, its first byte
- * came after observed_ms, an attempt failed, it ended. */
+/* Log the events of a call: it was sent, it was sent to go on with a stream, it was
+ * forwarded to a peer, its first byte came after observed_ms, an attempt failed, it
+ * ended. */
 void rk_call_log_sent(const struct rk_relay_call *x);
+void rk_call_log_resumed(const struct rk_relay_call *x);
 void rk_call_log_forwarded(const struct rk_relay_call *x);
 void rk_call_log_first_byte(const struct rk_relay_call *x, int64_t observed_ms);
 void rk_call_log_attempt_failed(const struct rk_relay_call *x, const char *what,
--- a/serve/relay_log.c
+++ b/serve/relay_log.c
@@ -1,4 +1,5 @@
 /* Log events and histograms of relayed calls, and of what they show about VMs. */
+#include "callers/server.h"
 #include "common/eventlog.h"
 #include "common/latency.h"
 #include "serve/relay_call_impl.h"
@@ -17,7 +18,7 @@
     if (!is_sampled(x))
         return;
     RK_EVENT("call.sent", RK_S("request", x->id), RK_S("vm", x->vm->row.id),
-             RK_N("attempt", x->attempts),
+             RK_S("vm_version", x->vm->row.version), RK_N("attempt", x->attempts),
              RK_N("first_ms", (int64_t)x->forecast.ms),
              RK_N("doubt_ms", (int64_t)x->forecast.std_error_ms),
              RK_N("read_tokens", (int64_t)x->job.load.uncached_tokens),
@@ -27,6 +28,25 @@
              RK_N("speed_pct", rk_place_speed_pct(x->vm)));
 }
 
+/* Returns the value of a header of the caller's request; "": there is none. */
+static const char *caller_header(const struct rk_relay_call *x, const char *name)
+{
+    const char *value =
+        x->client ? rk_head_get(rk_client_head(x->client), name) : "";
+    return value ? value : "";
+}
+
+void rk_call_log_resumed(const struct rk_relay_call *x)
+{
+    const struct rk_dialect *d = x->r->opt.dialect;
+    RK_EVENT("call.resumed", RK_S("request", x->id),
+             RK_S("resumes", caller_header(x, d->resumes)),
+             RK_S("by", x->begun ? "node" : "caller"),
+             RK_S("after",
+                  x->begun ? x->events.last_id : caller_header(x, d->resume_after)),
+             RK_S("vm", x->vm->row.id), RK_S("vm_version", x->vm->row.version));
+}
+
 void rk_call_log_forwarded(const struct rk_relay_call *x)
 {
     if (is_sampled(x))
@@ -78,8 +98,9 @@
                                 bool sent)
 {
     RK_EVENT("call.attempt_failed", RK_S("request", x->id),
-             RK_S("vm", x->vm ? x->vm->row.id : ""), RK_S("what", what),
-             RK_N("sent", sent), RK_N("attempt", x->attempts),
+             RK_S("vm", x->vm ? x->vm->row.id : ""),
+             RK_S("vm_version", x->vm ? x->vm->row.version : ""),
+             RK_S("what", what), RK_N("sent", sent), RK_N("attempt", x->attempts),
              RK_N("begun", x->begun), RK_S("framing", framing_name(x)),
              RK_N("after_ms", rk_mono_ms() - x->started_ms));
 }
