--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -395,6 +395,7 @@
         self.may_read_rest = threading.Event()  # of a request that was answered early
         self.seen = []  # all requests received, except orders to move a KV cache
         self.runs = collections.Counter()  # executions by request id
+        self.events_sent = collections.Counter()  # whole events of streams by request id
         self.left = []  # (request id, time) of streams that the caller's side closed
         self.stops = {}  # threading.Event to stop a running stream, by request id
         self.move_fault = None  # see move()
@@ -616,6 +617,7 @@
             except OSError:
                 self.left.append((req.get("Rillknot-Attempt-Id"), time.monotonic()))
                 raise
+            self.events_sent[req.get("Rillknot-Attempt-Id")] += 1
         self.stops.pop(req.get("Rillknot-Attempt-Id"), None)
         return self.end_body(conn, framing) if end else True
 
