placement: a stream that has begun stays at its software version

The version belongs to the call from its first event, by value. The query has it, so that each choice of a VM heeds it: attempts, moves, the question whether another VM could take a silent call. A rollout's phase does not override it, except that a version that was rolled back gets nothing. With no VM of its version left, the stream is cut. The source of a copied prefix has the same version.

--- a/core/place.c
+++ b/core/place.c
@@ -237,12 +237,18 @@
 }
 
 /* During a rollout, calls that use the new version and the other calls go to
- * separate VMs. */
+ * separate VMs. A stream that has begun stays at its version, unless that was
+ * rolled back. */
 static bool matches_version(const struct rk_place_query *q,
                             const struct rk_place_vm *v)
 {
+    if (q->version[0] && strcmp(q->version, v->row.version) != 0)
+        return false;
     if (!v->rollout)
         return true;
+    if (q->version[0])
+        return !v->is_new || (v->gets_rollout_calls &&
+                              v->rollout->rule.phase != RK_ROLLOUT_ROLLED_BACK);
     return v->is_new ? q->wants_new_version && v->gets_rollout_calls
                      : !q->wants_new_version;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -140,6 +140,8 @@
     const char *route; /* name of the route; must stay valid until the call ends */
     double target_ms;  /* by which the first byte should come; 0: none */
     bool wants_new_version; /* uses the new version of a service in rollout */
+    /* Software version of the VMs that may take it; "": any. */
+    char version[RK_VERSION_MAX];
     /* Hashes of the VMs that failed the call. */
     uint64_t excluded[RK_PLACE_MAX_EXCLUDED];
     size_t excluded_len;
@@ -255,8 +257,8 @@
 double rk_place_unread_tokens(struct rk_place *p, const struct rk_place_query *q,
                               const struct rk_place_vm *vm, int64_t now_ms);
 
-/* Returns another VM that probably has the query's prefix cached, so that vm can
- * copy what it lacks. Returns NULL if there is none, or if the prefix is too short
+/* Returns another VM of the same software version that probably has the query's
+ * prefix cached, so that vm can copy what it lacks. Returns NULL if there is none, or if the prefix is too short
  * to be worth a copy. */
 const struct rk_place_vm *rk_place_copy_source(const struct rk_place *p,
                                                const struct rk_place_query *q,
--- a/core/place_preferred.c
+++ b/core/place_preferred.c
@@ -167,8 +167,8 @@
     for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
         uint64_t rank = rank_of(v, key);
         if (v == vm || !v->listed || v->service_hash != vm->service_hash ||
-            v->is_new != vm->is_new || now_ms < v->paused_until_ms ||
-            (best && rank <= best_rank))
+            strcmp(v->row.version, vm->row.version) != 0 ||
+            now_ms < v->paused_until_ms || (best && rank <= best_rank))
             continue;
         best = v;
         best_rank = rank;
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -175,10 +175,19 @@
     return RK_HEAD_ACCEPT;
 }
 
+/* The caller gets the first event of a stream: the stream may only go on at VMs of
+ * the same software version. */
+static void bind_version(struct rk_relay_call *x)
+{
+    if (x->vm && !x->query.version[0])
+        rk_strcpy(x->query.version, sizeof(x->query.version), x->vm->row.version);
+}
+
 static void on_event(void *ctx, const char *data, size_t len, const char *id)
 {
     (void)id;
     struct rk_relay_call *x = ctx;
+    bind_version(x);
     if (x->client)
         rk_client_data(x->client, data, len);
 }
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -481,7 +481,9 @@
     if (to != from)
         exclude_vm(x);
     rk_call_end_attempt(x, RK_PLACE_CANCELLED);
-    if (!to || (to != from && to->row.leaving) || !rk_place_may_send(to, now_ms)) {
+    if (!to || (to != from && to->row.leaving) ||
+        strcmp(to->row.version, x->query.version) != 0 ||
+        !rk_place_may_send(to, now_ms)) {
         rk_call_attempt_failed(x, true, RK_PLACE_CANCELLED, "the copy is gone");
         return;
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -44,6 +44,49 @@
     return q;
 }
 
+/* Returns the version of the VM that is chosen for a stream of this version; "":
+ * none is. */
+static const char *chosen_version(struct rk_place *p, const char *version,
+                                  bool wants_new_version)
+{
+    struct rk_engine_forecast forecast;
+    struct rk_place_query q = engine_query("aa:100", 100);
+    q.wants_new_version = wants_new_version;
+    rk_strcpy(q.version, sizeof(q.version), version);
+    const struct rk_place_vm *v = rk_place_choose(p, &q, 0, &forecast);
+    return v ? v->row.version : "";
+}
+
+/* Guards against a stream that has begun and goes on at another software version,
+ * with a rollout in any phase or without one. */
+static void a_begun_stream_stays_at_its_version(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[4];
+    for (int i = 0; i < 4; i++) {
+        char id[] = {'v', 'm', (char)('a' + i), 0};
+        rows[i] = vm_row(id, "here", 32);
+        rk_strcpy(rows[i].version, sizeof(rows[i].version), i % 2 ? "2" : "1");
+    }
+    struct rk_place *p = rk_place_create("here", 1);
+    rk_place_set_vms(p, rows, 4, 0);
+    assert_string_equal(chosen_version(p, "1", false), "1");
+    assert_string_equal(chosen_version(p, "2", false), "2");
+    assert_string_equal(chosen_version(p, "3", false), "");
+    for (enum rk_rollout_phase phase = RK_ROLLOUT_CANARY;
+         phase <= RK_ROLLOUT_ROLLED_BACK; phase++) {
+        struct rk_rollout_rule rule = {
+            .service = "llm", .version = "2", .phase = phase};
+        rk_place_set_rollouts(p, &rule, 1, true);
+        for (int wants_new = 0; wants_new < 2; wants_new++) {
+            const char *expected = phase == RK_ROLLOUT_ROLLED_BACK ? "" : "2";
+            assert_string_equal(chosen_version(p, "1", wants_new), "1");
+            assert_string_equal(chosen_version(p, "2", wants_new), expected);
+        }
+    }
+    rk_place_destroy(p);
+}
+
 /* Guards against a prefix that is prefilled at several VMs without need, and
  * against calls that queue at its VM behind a long prompt. */
 static void a_prefix_stays_with_its_vm_until_that_is_busy(void **state)
@@ -726,6 +769,7 @@
         cmocka_unit_test(signals_of_a_vm_not_listed_yet_count),
         cmocka_unit_test(a_limited_vm_is_chosen_only_at_its_rate),
         cmocka_unit_test(a_limit_outlasts_gaps_in_the_list),
+        cmocka_unit_test(a_begun_stream_stays_at_its_version),
         cmocka_unit_test(a_prefix_stays_with_its_vm_until_that_is_busy),
         cmocka_unit_test(nodes_agree_on_the_vm_of_a_prefix),
         cmocka_unit_test(leaving_excluded_and_paused_vms_are_not_chosen),
