--- a/common/counters.h
+++ b/common/counters.h
@@ -20,6 +20,10 @@
     X(RETRIES, "retries_total", "Attempts after the first")                        \
     X(RETRY_DENIED, "retry_denied_total", "Retries the budget refused")            \
     X(RESUMES, "stream_resumes_total", "Streams resumed at another upstream")      \
+    X(RESUMES_UNKNOWN, "stream_resumes_unknown_total",                             \
+      "Streams not taken up because their version is not known")                   \
+    X(STREAM_VERSIONS_TOLD, "stream_versions_told_total",                          \
+      "Versions of streams sent to peers")                                         \
     X(KV_MOVES, "kv_moves_total", "Streams that took their KV cache along")        \
     X(RECOMPUTED, "recomputed_tokens_total",                                       \
       "Tokens prefilled again after a move")                                       \
--- a/core/place.h
+++ b/core/place.h
@@ -258,8 +258,8 @@
                               const struct rk_place_vm *vm, int64_t now_ms);
 
 /* Returns another VM of the same software version that probably has the query's
- * prefix cached, so that vm can copy what it lacks. Returns NULL if there is none, or if the prefix is too short
- * to be worth a copy. */
+ * prefix cached, so that vm can copy what it lacks. Returns NULL if there is none,
+ * or if the prefix is too short to be worth a copy. */
 const struct rk_place_vm *rk_place_copy_source(const struct rk_place *p,
                                                const struct rk_place_query *q,
                                                const struct rk_place_vm *vm,
--- /dev/null
+++ b/core/stream_versions.h
@@ -0,0 +1,154 @@
+/* Software versions of streams. VMs of several versions may serve side by side, and
+ * events of two versions do not fit together: a stream may go on only at the
+ * version that began it. Its caller may take it up at any node, which has to find
+ * out that version.
+ *
+ * A table keeps the versions of streams that began recently, here or at peers that
+ * told this node. Two peers are told of each stream, chosen by rendezvous hashing
+ * of the stream, in two failure domains where possible; a node asks the peers that
+ * may have been told. Nothing has to be told of a service while only one version
+ * serves.
+ *
+ * Pure: no I/O and no clock. Not thread-safe. Times are in ms of the caller's
+ * monotonic clock. */
+#ifndef RK_CORE_STREAM_VERSIONS_H
+#define RK_CORE_STREAM_VERSIONS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/util.h"
+#include "core/rollout.h"
+
+/* Most peers that are told of streams. In a larger fleet, the same of its nodes are
+ * used by all. */
+#define RK_STREAM_PEERS_MAX 64
+/* Peers that are told of one stream. */
+#define RK_STREAM_HOLDERS 2
+/* Most peers that are asked for one stream: some of each failure domain. */
+#define RK_STREAM_ASKED_PER_DOMAIN 2
+#define RK_STREAM_ASKED_MAX        16
+/* Most streams that are kept; further ones are not recorded. */
+#define RK_STREAMS_MAX 65536
+
+/* A peer that can be told of streams and asked for them. */
+struct rk_stream_peer {
+    uint64_t hash; /* of its id */
+    uint64_t domain_hash;
+    char addr[RK_ADDR_MAX]; /* of its listener for peers' calls */
+};
+
+/* The version of a stream. */
+struct rk_stream_version {
+    uint64_t stream;       /* see rk_stream_hash(); 0: a free slot */
+    uint64_t service_hash; /* 0: told by a peer */
+    int64_t expires_ms;
+    bool is_told; /* to peers, or by one */
+    char version[RK_VERSION_MAX];
+};
+
+/* A version of a service that has VMs, or had some. */
+struct rk_version_sighting {
+    uint64_t service_hash;
+    char version[RK_VERSION_MAX];
+    bool is_listed;         /* VMs of it are on the list now */
+    int64_t last_listed_ms; /* until when, if there are none */
+    /* Since when it has been the service's only version, as a peer observed; only
+     * valid if is_vouched. */
+    int64_t only_since_ms;
+    bool is_vouched;
+};
+
+/* Zero-initialise with rk_stream_versions_init(), release with
+ * rk_stream_versions_free(). */
+struct rk_stream_versions {
+    struct rk_stream_version *slots; /* hash table with open addressing */
+    size_t slots_len;                /* 0 or a power of two */
+    size_t used;
+    struct rk_version_sighting *sightings;
+    size_t sightings_len;
+    int64_t started_ms;
+    bool first_start; /* no stream began before started_ms */
+    /* How long after its first event a stream can be taken up. */
+    int64_t lifetime_ms;
+};
+
+/* first_start: the deployment starts for the first time. */
+void rk_stream_versions_init(struct rk_stream_versions *s, int64_t now_ms,
+                             bool first_start);
+void rk_stream_versions_free(struct rk_stream_versions *s);
+
+/* Raises the lifetime of streams. It never becomes shorter, as streams that have
+ * begun keep theirs. */
+void rk_stream_versions_set_lifetime(struct rk_stream_versions *s, int64_t ms);
+
+/* Returns a hash that identifies a stream within the deployment: by its
+ * organisation ("": none), its service and the caller's attempt that brought its
+ * first event. Never 0. */
+uint64_t rk_stream_hash(const char *org, const char *service,
+                        const char *request_id);
+
+/* ---- streams ---- */
+
+/* Records the version of a stream for ttl_ms. service: if it began at this node;
+ * NULL: a peer told it. */
+void rk_stream_versions_note(struct rk_stream_versions *s, uint64_t stream,
+                             const char *service, const char *version,
+                             int64_t ttl_ms, int64_t now_ms);
+/* Returns the record of a stream, or NULL. It is valid until the next call. */
+struct rk_stream_version *rk_stream_versions_find(struct rk_stream_versions *s,
+                                                  uint64_t stream, int64_t now_ms);
+/* Returns a stream that began here at a service that needs it to be told, and of
+ * which no peer was told; NULL if there is none. *at is the position to go on from,
+ * 0 at first. */
+struct rk_stream_version *
+rk_stream_versions_next_untold(struct rk_stream_versions *s, size_t *at,
+                               int64_t now_ms);
+/* Removes expired streams. */
+void rk_stream_versions_expire(struct rk_stream_versions *s, int64_t now_ms);
+
+/* ---- versions of services ---- */
+
+/* Which versions of a service may have begun streams that can still be taken up. */
+enum rk_service_versions {
+    RK_VERSIONS_ONE,
+    RK_VERSIONS_SEVERAL,
+    /* one or none that this node knows of, but it has not watched for long enough
+     */
+    RK_VERSIONS_UNSURE,
+};
+
+/* Update what is listed: begin, one note for each listed VM, end. */
+void rk_stream_versions_begin_list(struct rk_stream_versions *s);
+void rk_stream_versions_note_listed(struct rk_stream_versions *s,
+                                    const char *service, const char *version);
+void rk_stream_versions_end_list(struct rk_stream_versions *s, int64_t now_ms);
+
+/* *only gets the version if it is RK_VERSIONS_ONE; it is valid until the next
+ * call. */
+enum rk_service_versions rk_stream_versions_of_service(struct rk_stream_versions *s,
+                                                       const char *service,
+                                                       const char **only,
+                                                       int64_t now_ms);
+
+/* Records that no other version of the service has served for the lifetime of a
+ * stream, as a peer has observed. */
+void rk_stream_versions_vouch(struct rk_stream_versions *s, const char *service,
+                              const char *version, int64_t now_ms);
+
+/* ---- peers ---- */
+
+/* Chooses the peers to be told of a stream that began in own_domain. Returns their
+ * number. */
+size_t rk_stream_holders(const struct rk_stream_peer *peers, size_t len,
+                         uint64_t stream, uint64_t own_domain,
+                         const struct rk_stream_peer *out[RK_STREAM_HOLDERS]);
+/* Chooses the peers to be asked for a stream, wherever it began. Returns their
+ * number. */
+size_t
+rk_stream_peers_to_ask(const struct rk_stream_peer *peers, size_t len,
+                       uint64_t stream,
+                       const struct rk_stream_peer *out[RK_STREAM_ASKED_MAX]);
+
+#endif
--- a/node/forward_peers.c
+++ b/node/forward_peers.c
@@ -1,7 +1,10 @@
 /* Chooses the peers that take this node's calls when it has no path to the VMs:
  * some of its own failure domain and some of the others, by rendezvous hashing, so
  * that nodes which lose their paths together choose different ones. Peers that
- * share brittle VMs are listed by service. */
+ * share brittle VMs are listed by service.
+ *
+ * Also chooses the peers that keep the versions of streams: in a large fleet some
+ * of each failure domain, the same ones at all nodes. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +36,13 @@
            rk_mesh_is_alive(k, now_ms);
 }
 
+/* Writes the address of a peer's listener for forwarded calls. */
+static void forward_addr(const struct member *k, char addr[RK_ADDR_MAX])
+{
+    int host_len = (int)(strrchr(k->addr, ':') - k->addr);
+    snprintf(addr, RK_ADDR_MAX, "%.*s:%u", host_len, k->addr, k->forward_port);
+}
+
 /* Adds the peers of a group that may take calls now. service: of these calls; "":
  * any. */
 static void put_group(const struct rk_mesh *m, const struct rk_peer_group *g,
@@ -44,11 +54,9 @@
             p->forward_peers_len == RK_FORWARD_PEERS_MAX)
             continue;
         struct rk_forward_peer *out = &p->forward_peers[p->forward_peers_len++];
-        int host_len = (int)(strrchr(k->addr, ':') - k->addr);
         rk_strcpy(out->id, sizeof(out->id), k->id);
         rk_strcpy(out->service, sizeof(out->service), service);
-        snprintf(out->addr, sizeof(out->addr), "%.*s:%u", host_len, k->addr,
-                 k->forward_port);
+        forward_addr(k, out->addr);
         out->same_domain = rk_mesh_is_same_domain(k);
     }
 }
@@ -72,3 +80,66 @@
         put_group(m, &row->far, row->service, p, now_ms);
     }
 }
+
+/* ---- peers that keep the versions of streams ---- */
+
+/* Most failure domains from which peers are chosen. */
+#define STREAM_DOMAINS_MAX (RK_STREAM_ASKED_MAX / RK_STREAM_ASKED_PER_DOMAIN)
+
+/* The peers of a failure domain, those with the highest ranks first. */
+struct stream_domain {
+    uint64_t hash;
+    uint64_t ranks[RK_STREAM_PEERS_MAX];
+    const struct member *members[RK_STREAM_PEERS_MAX];
+    size_t len;
+};
+
+/* Returns the entry of a failure domain, which is added if there is room; else
+ * NULL. */
+static struct stream_domain *get_stream_domain(struct stream_domain *domains,
+                                               size_t *len, uint64_t hash)
+{
+    for (size_t i = 0; i < *len; i++)
+        if (domains[i].hash == hash)
+            return &domains[i];
+    if (*len == STREAM_DOMAINS_MAX)
+        return NULL;
+    domains[*len].hash = hash;
+    return &domains[(*len)++];
+}
+
+/* All nodes rank a peer alike, by its id only. */
+static void offer_stream_peer(struct stream_domain *d, const struct member *k)
+{
+    size_t at = rk_ranks_insert(d->ranks, &d->len, RK_STREAM_PEERS_MAX, k->hash);
+    if (at == RK_STREAM_PEERS_MAX)
+        return;
+    memmove(&d->members[at + 1], &d->members[at],
+            (d->len - 1 - at) * sizeof(d->members[0]));
+    d->members[at] = k;
+}
+
+void rk_mesh_fill_stream_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
+                               int64_t now_ms)
+{
+    struct stream_domain domains[STREAM_DOMAINS_MAX] = {0};
+    size_t domains_len = 0;
+    for (const struct member *k = m->members; k; k = k->next) {
+        if (!k->domain[0] || !rk_mesh_may_take_calls(k, now_ms))
+            continue;
+        struct stream_domain *d =
+            get_stream_domain(domains, &domains_len, rk_hash_str(0, k->domain));
+        if (d)
+            offer_stream_peer(d, k);
+    }
+    for (size_t i = 0; i < domains_len; i++) {
+        size_t most = RK_STREAM_PEERS_MAX / domains_len;
+        for (size_t n = 0; n < domains[i].len && n < most; n++) {
+            const struct member *k = domains[i].members[n];
+            struct rk_stream_peer *out = &p->stream_peers[p->stream_peers_len++];
+            *out = (struct rk_stream_peer){.hash = k->hash,
+                                           .domain_hash = domains[i].hash};
+            forward_addr(k, out->addr);
+        }
+    }
+}
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -496,6 +496,7 @@
     if (m->direct || m->bridge)
         m->fleet_counted_ms = now_ms;
     rk_mesh_fill_forward_peers(m, p, now_ms);
+    rk_mesh_fill_stream_peers(m, p, now_ms);
     p->nodes_reachable = rk_mesh_reachable_count(m);
     p->nodes_total = rk_mesh_total(m);
     p->report_lag_ms = m->direct ? REPORT_MS : BRIDGED_LAG_MS;
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -293,6 +293,9 @@
 /* Fills in the peers to which the relay can forward calls. */
 void rk_mesh_fill_forward_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
                                 int64_t now_ms);
+/* Fills in the peers that are told of streams and asked for them. */
+void rk_mesh_fill_stream_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
+                               int64_t now_ms);
 
 /* ---- brittle_shares.c: the nodes that share brittle VMs ---- */
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1672,6 +1672,96 @@
   assert(message->base.descriptor == &rillknot__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__stream_version__init
+                     (Rillknot__StreamVersion         *message)
+{
+  static const Rillknot__StreamVersion init_value = RILLKNOT__STREAM_VERSION__INIT;
+  *message = init_value;
+}
+size_t rillknot__stream_version__get_packed_size
+                     (const Rillknot__StreamVersion *message)
+{
+  assert(message->base.descriptor == &rillknot__stream_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__stream_version__pack
+                     (const Rillknot__StreamVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__stream_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__stream_version__pack_to_buffer
+                     (const Rillknot__StreamVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__stream_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__StreamVersion *
+       rillknot__stream_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__StreamVersion *)
+     protobuf_c_message_unpack (&rillknot__stream_version__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__stream_version__free_unpacked
+                     (Rillknot__StreamVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__stream_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rillknot__stream_versions__init
+                     (Rillknot__StreamVersions         *message)
+{
+  static const Rillknot__StreamVersions init_value = RILLKNOT__STREAM_VERSIONS__INIT;
+  *message = init_value;
+}
+size_t rillknot__stream_versions__get_packed_size
+                     (const Rillknot__StreamVersions *message)
+{
+  assert(message->base.descriptor == &rillknot__stream_versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__stream_versions__pack
+                     (const Rillknot__StreamVersions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__stream_versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__stream_versions__pack_to_buffer
+                     (const Rillknot__StreamVersions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__stream_versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__StreamVersions *
+       rillknot__stream_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__StreamVersions *)
+     protobuf_c_message_unpack (&rillknot__stream_versions__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__stream_versions__free_unpacked
+                     (Rillknot__StreamVersions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__stream_versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rillknot__member_row__field_descriptors[10] =
 {
   {
@@ -5914,3 +6004,144 @@
   (ProtobufCMessageInit) rillknot__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rillknot__stream_version__field_descriptors[6] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "only",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, only),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "several",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, several),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__stream_version__field_indices_by_name[] = {
+  4,   /* field[4] = only */
+  1,   /* field[1] = service */
+  5,   /* field[5] = several */
+  0,   /* field[0] = stream */
+  3,   /* field[3] = ttl_ms */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange rillknot__stream_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rillknot__stream_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.StreamVersion",
+  "StreamVersion",
+  "Rillknot__StreamVersion",
+  "rillknot",
+  sizeof(Rillknot__StreamVersion),
+  6,
+  rillknot__stream_version__field_descriptors,
+  rillknot__stream_version__field_indices_by_name,
+  1,  rillknot__stream_version__number_ranges,
+  (ProtobufCMessageInit) rillknot__stream_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__stream_versions__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__StreamVersions, n_rows),
+    offsetof(Rillknot__StreamVersions, rows),
+    &rillknot__stream_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__stream_versions__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange rillknot__stream_versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rillknot__stream_versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.StreamVersions",
+  "StreamVersions",
+  "Rillknot__StreamVersions",
+  "rillknot",
+  sizeof(Rillknot__StreamVersions),
+  1,
+  rillknot__stream_versions__field_descriptors,
+  rillknot__stream_versions__field_indices_by_name,
+  1,  rillknot__stream_versions__number_ranges,
+  (ProtobufCMessageInit) rillknot__stream_versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -52,6 +52,8 @@
 typedef struct Rillknot__GoneRow Rillknot__GoneRow;
 typedef struct Rillknot__StoreText Rillknot__StoreText;
 typedef struct Rillknot__Frame Rillknot__Frame;
+typedef struct Rillknot__StreamVersion Rillknot__StreamVersion;
+typedef struct Rillknot__StreamVersions Rillknot__StreamVersions;
 
 
 /* --- enums --- */
@@ -1217,6 +1219,56 @@
     , RILLKNOT__FRAME__BODY__NOT_SET, {0} }
 
 
+/*
+ * The software version of a stream; core/stream_versions.h.
+ */
+struct  Rillknot__StreamVersion
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the stream's organisation, service and first attempt.
+   */
+  uint64_t stream;
+  char *service;
+  /*
+   * In a request: the version that the receiver is told; empty: it is asked. In a
+   * response to a question: the version; empty: not known.
+   */
+  char *version;
+  /*
+   * How long the receiver is to keep it.
+   */
+  int64_t ttl_ms;
+  /*
+   * In a response: the only version of the service that served for the lifetime of
+   * a stream; empty: there were several, or that is not known.
+   */
+  char *only;
+  /*
+   * In a response: several versions of the service served within that time.
+   */
+  protobuf_c_boolean several;
+};
+#define RILLKNOT__STREAM_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__stream_version__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The body of a request to a node's listener for peers' calls, and of the response,
+ * which has a row for each one of the request, in the same order.
+ */
+struct  Rillknot__StreamVersions
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Rillknot__StreamVersion **rows;
+};
+#define RILLKNOT__STREAM_VERSIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__stream_versions__descriptor) \
+    , 0,NULL }
+
+
 /* Rillknot__MemberRow methods */
 void   rillknot__member_row__init
                      (Rillknot__MemberRow         *message);
@@ -1920,6 +1972,44 @@
 void   rillknot__frame__free_unpacked
                      (Rillknot__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__StreamVersion methods */
+void   rillknot__stream_version__init
+                     (Rillknot__StreamVersion         *message);
+size_t rillknot__stream_version__get_packed_size
+                     (const Rillknot__StreamVersion   *message);
+size_t rillknot__stream_version__pack
+                     (const Rillknot__StreamVersion   *message,
+                      uint8_t             *out);
+size_t rillknot__stream_version__pack_to_buffer
+                     (const Rillknot__StreamVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__StreamVersion *
+       rillknot__stream_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__stream_version__free_unpacked
+                     (Rillknot__StreamVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Rillknot__StreamVersions methods */
+void   rillknot__stream_versions__init
+                     (Rillknot__StreamVersions         *message);
+size_t rillknot__stream_versions__get_packed_size
+                     (const Rillknot__StreamVersions   *message);
+size_t rillknot__stream_versions__pack
+                     (const Rillknot__StreamVersions   *message,
+                      uint8_t             *out);
+size_t rillknot__stream_versions__pack_to_buffer
+                     (const Rillknot__StreamVersions   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__StreamVersions *
+       rillknot__stream_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__stream_versions__free_unpacked
+                     (Rillknot__StreamVersions *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Rillknot__MemberRow_Closure)
@@ -2033,6 +2123,12 @@
 typedef void (*Rillknot__Frame_Closure)
                  (const Rillknot__Frame *message,
                   void *closure_data);
+typedef void (*Rillknot__StreamVersion_Closure)
+                 (const Rillknot__StreamVersion *message,
+                  void *closure_data);
+typedef void (*Rillknot__StreamVersions_Closure)
+                 (const Rillknot__StreamVersions *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -2076,6 +2172,8 @@
 extern const ProtobufCMessageDescriptor rillknot__gone_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__store_text__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__frame__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__stream_version__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__stream_versions__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -166,6 +166,7 @@
 {
     struct rk_relay *r = ctx;
     expire_signals(r, rk_mono_ms());
+    rk_relay_versions_tell_pending(r);
     rk_timer_start(r->loop, &r->report_timer, REPORT_INTERVAL_MS);
     struct rk_relay_report *report = rk_alloc(1, sizeof(*report));
     report->loads_len = rk_place_own_loads(r->place, rk_mono_ms(), &report->loads);
@@ -261,6 +262,7 @@
         rk_server_set_limits(r->forward_server, &limits);
     rk_routes_unref(r->routes);
     r->routes = m->routes;
+    rk_relay_versions_set_routes(r, r->routes);
     accept_if_ready(r);
     free(m);
 }
@@ -290,6 +292,7 @@
     struct message *m = ctx;
     close_stale_connections(m->r, m->rows, m->rows_len);
     rk_place_set_vms(m->r->place, m->rows, m->rows_len, rk_mono_ms());
+    rk_relay_versions_update_list(m->r);
     m->r->vms_known = true;
     accept_if_ready(m->r);
     free(m->rows);
@@ -310,6 +313,7 @@
     close_stale_connections(m->r, m->rows, m->rows_len);
     rk_place_change_vms(m->r->place, m->rows, m->rows_len, m->removed,
                         m->removed_len, rk_mono_ms());
+    rk_relay_versions_update_list(m->r);
     free(m->rows);
     free(m->removed);
     free(m);
@@ -353,6 +357,7 @@
     rk_quota_set_reachable(&r->quota, p->nodes_reachable, p->nodes_total, now_ms);
     rk_place_set_node_count(r->place, p->nodes_total);
     rk_relay_forwards_set(r, p->forward_peers, p->forward_peers_len);
+    rk_relay_versions_set_peers(r, p->stream_peers, p->stream_peers_len);
     if (p->usage_gap_ms)
         rk_quota_fill_gap(&r->quota, p->usage_gap_ms, now_ms);
     for (size_t i = 0; i < p->quota_usage_added_len; i++)
@@ -562,6 +567,10 @@
 
 static void on_forwarded_request(void *ctx, struct rk_client *client)
 {
+    if (rk_relay_versions_is_request(client)) {
+        rk_relay_versions_answer(ctx, client);
+        return;
+    }
     rk_relay_call_start_forwarded(ctx, client);
 }
 
@@ -619,6 +628,7 @@
     rk_timer_start(r->loop, &r->accept_timer, ACCEPT_DELAY_MAX_MS);
     rk_relay_probes_init(r);
     rk_relay_forwards_init(r);
+    rk_relay_versions_init(r);
     r->report_timer = (struct rk_timer){.fn = on_report, .ctx = r};
     rk_timer_start(r->loop, &r->report_timer, REPORT_INTERVAL_MS);
     return r;
@@ -631,6 +641,7 @@
     rk_relay_vm_checks_free(r);
     rk_relay_probes_free(r);
     rk_relay_forwards_free(r);
+    rk_relay_versions_free(r);
     rk_server_destroy(r->server);
     rk_server_destroy(r->forward_server);
     rk_upstream_pools_destroy(r->upstreams);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -16,6 +16,7 @@
 #include "core/org_usage.h"
 #include "core/quota.h"
 #include "core/routes.h"
+#include "core/stream_versions.h"
 #include "core/totals.h"
 #include "core/usage.h"
 
@@ -125,6 +126,8 @@
     int64_t usage_gap_ms;
     struct rk_forward_peer forward_peers[RK_FORWARD_PEERS_MAX];
     size_t forward_peers_len;
+    struct rk_stream_peer stream_peers[RK_STREAM_PEERS_MAX];
+    size_t stream_peers_len;
     int nodes_reachable, nodes_total; /* including this node */
     int64_t report_lag_ms;            /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -80,9 +80,13 @@
     const char *connection = rk_head_get(head, "Connection");
     for (size_t i = 0; i < head->lines_len; i++) {
         const char *name = rk_head_name(head, i);
-        if (!rk_call_is_hop_header(name) && !rk_call_is_nominated(connection, name))
+        if (!rk_call_is_hop_header(name) &&
+            !rk_call_is_nominated(connection, name) &&
+            strcasecmp(name, RK_HEADER_STREAM_VERSION) != 0)
             rk_buf_printf(&b, "%s: %s\r\n", name, rk_head_value(head, i));
     }
+    if (x->is_forwarded && x->query.version[0])
+        rk_buf_printf(&b, RK_HEADER_STREAM_VERSION ": %s\r\n", x->query.version);
     x->begun = true;
     x->status = head->status;
     if (x->first_ms < 0)
@@ -170,24 +174,19 @@
         return RK_HEAD_ACCEPT;
     if (stream)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
+    /* The peer has to know the version before the first event. */
+    if (x->is_forwarded && x->is_event_stream)
+        rk_call_bind_version(x);
     if (!x->begun)
         rk_call_begin_answer(x, head);
     return RK_HEAD_ACCEPT;
 }
 
-/* The caller gets the first event of a stream: the stream may only go on at VMs of
- * the same software version. */
-static void bind_version(struct rk_relay_call *x)
-{
-    if (x->vm && !x->query.version[0])
-        rk_strcpy(x->query.version, sizeof(x->query.version), x->vm->row.version);
-}
-
 static void on_event(void *ctx, const char *data, size_t len, const char *id)
 {
     (void)id;
     struct rk_relay_call *x = ctx;
-    bind_version(x);
+    rk_call_bind_version(x);
     if (x->client)
         rk_client_data(x->client, data, len);
 }
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -57,6 +57,7 @@
         x->next->prev = x->prev;
     x->r->calls_len--;
     rk_call_move_free(x);
+    rk_call_ask_free(x);
     rk_event_splitter_free(&x->events);
     rk_routes_unref(x->routes);
     free(x);
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -17,6 +17,7 @@
 struct rk_vm_check;
 struct rk_vm_probe;
 struct rk_forward_table;
+struct rk_relay_versions;
 
 /* Services of which a relay keeps state. When the table is full, it is emptied. */
 #define RK_RELAY_SERVICES 32
@@ -52,8 +53,9 @@
     struct rk_vm_check *vm_checks;   /* checks of VMs at which calls broke off */
     struct rk_vm_probe *vm_probes;   /* probes in progress */
     struct rk_timer probe_timer;
-    struct rk_server *forward_server;  /* calls of peers; NULL: none are taken */
-    struct rk_forward_table *forwards; /* peers that take calls of this node */
+    struct rk_server *forward_server;   /* calls of peers; NULL: none are taken */
+    struct rk_forward_table *forwards;  /* peers that take calls of this node */
+    struct rk_relay_versions *versions; /* of streams */
     struct rk_rng rng;
     struct rk_timer report_timer;
     int64_t signals_expired_ms; /* last expiry of VM signals, monotonic */
@@ -100,4 +102,21 @@
 void rk_relay_forwards_set(struct rk_relay *r, const struct rk_forward_peer *peers,
                            size_t len);
 
+/* ---- relay_versions.c ---- */
+void rk_relay_versions_init(struct rk_relay *r);
+void rk_relay_versions_free(struct rk_relay *r);
+/* Replaces the peers that are told of streams and asked for them. */
+void rk_relay_versions_set_peers(struct rk_relay *r,
+                                 const struct rk_stream_peer *peers, size_t len);
+/* Called after the routes, or the list of VMs, have changed. */
+void rk_relay_versions_set_routes(struct rk_relay *r,
+                                  const struct rk_routes *routes);
+void rk_relay_versions_update_list(struct rk_relay *r);
+/* Tells peers of streams that began here before that was needed. */
+void rk_relay_versions_tell_pending(struct rk_relay *r);
+/* Returns true if a peer's request is about versions of streams. */
+bool rk_relay_versions_is_request(struct rk_client *client);
+/* Answers such a request. */
+void rk_relay_versions_answer(struct rk_relay *r, struct rk_client *client);
+
 #endif
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -16,6 +16,9 @@
 /* Header of a forwarded call: "VERSION ATTEMPTS". */
 #define RK_HEADER_FORWARDED "Rillknot-Forwarded"
 #define MAX_FORWARDS        5 /* peers to which one call is sent */
+/* Header of a forwarded call, and of its answer: the software version at which the
+ * stream goes on, or begins. */
+#define RK_HEADER_STREAM_VERSION "Rillknot-Stream-Version"
 /* Longest silence of a VM within a stream, after which another VM is tried if the
  * stream is resumable. The route's target for the first byte is added until the
  * head has arrived. */
@@ -85,6 +88,9 @@
     bool usage_counted;
     /* The peer to which the attempt is forwarded; "": it is sent to a VM. */
     char peer[RK_ID_MAX];
+    /* Version of the VM to which that peer sent it, as its answer says; "": not
+     * known. */
+    char peer_version[RK_VERSION_MAX];
     /* ---- all attempts ---- */
     int attempts;
     int unsent; /* attempts that failed before a byte was sent */
@@ -93,11 +99,14 @@
     size_t tried_peers_len;
     int peers_without_room; /* of those, that refused it for want of room */
     bool may_have_run;
-    bool is_resume;      /* the caller resumes a stream */
-    bool demand_counted; /* counted in the demand for its service */
-    bool ran;            /* an attempt has run, so the quota is not refunded */
-    bool begun;          /* the caller has received the answer's head */
-    int status;          /* HTTP status of that head */
+    bool is_resume;          /* the caller resumes a stream */
+    uint64_t stream;         /* see rk_stream_hash(); 0: it can't be resumed */
+    bool version_bound;      /* the caller got an event: query.version is final */
+    struct rk_call_ask *ask; /* question to peers in progress; NULL: none */
+    bool demand_counted;     /* counted in the demand for its service */
+    bool ran;                /* an attempt has run, so the quota is not refunded */
+    bool begun;              /* the caller has received the answer's head */
+    int status;              /* HTTP status of that head */
     struct rk_event_splitter events;
     int64_t first_ms; /* time to first byte as the caller sees it; -1: none yet */
     int64_t last_data_ms; /* when data last arrived for the caller, monotonic */
@@ -229,6 +238,16 @@
  * the cause of the VM's end. This clears it of suspicion. */
 void rk_call_clear_suspicion(struct rk_relay_call *x);
 
+/* ---- relay_versions.c ---- */
+/* Sends a call that takes up a stream, once the stream's version is known, or
+ * rejects it. */
+void rk_call_resume(struct rk_relay_call *x);
+/* Called when the caller gets an event: from the first one on, the stream may only
+ * go on at VMs of the same software version. */
+void rk_call_bind_version(struct rk_relay_call *x);
+/* Ends a question to peers, if there is one. */
+void rk_call_ask_free(struct rk_relay_call *x);
+
 /* ---- relay_signals.c ---- */
 /* Evaluates what the headers of an answer say about the state of its VM. */
 void rk_call_read_signals(struct rk_relay_call *x, const struct rk_head *head);
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -152,6 +152,8 @@
     rk_call_begin_head(x, true, &head);
     rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d\r\n",
                   x->routes->version, x->attempts);
+    if (x->query.version[0])
+        rk_buf_printf(&head, RK_HEADER_STREAM_VERSION ": %s\r\n", x->query.version);
     rk_call_end_head(x, &head);
     return rk_call_start_upstream(x, &spec, &head);
 }
@@ -217,10 +219,12 @@
     struct rk_relay_call *x = ctx;
     const struct rk_dialect *d = x->r->opt.dialect;
     const char *refused = rk_head_get(head, HEADER_REFUSED);
+    const char *version = rk_head_get(head, RK_HEADER_STREAM_VERSION);
     bool success = head->status / 100 == 2;
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
     x->framing = rk_head_framing(head);
+    rk_strcpy(x->peer_version, sizeof(x->peer_version), version ? version : "");
     if (refused) {
         note_peer_refused(x, refused);
         x->answer_class = ANSWER_NOT_RUN;
--- a/serve/relay_head.c
+++ b/serve/relay_head.c
@@ -19,7 +19,8 @@
                          const char *name)
 {
     const struct rk_dialect *d = x->r->opt.dialect;
-    if (!strcasecmp(name, RK_HEADER_FORWARDED))
+    if (!strcasecmp(name, RK_HEADER_FORWARDED) ||
+        !strcasecmp(name, RK_HEADER_STREAM_VERSION))
         return false; /* from a peer, or made up by a caller */
     switch (rk_dialect_header_owner(d, name)) {
     case RK_HEADER_RESERVED:
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -1,4 +1,5 @@
 /* Evaluates a caller's request: route, organisation, deadline and quota. */
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -67,7 +68,6 @@
         x->query.prompt_tokens = strtod(tokens, &end);
         out = *end == ',' ? strtod(end + 1, NULL) : 0;
     }
-    x->is_resume = rk_head_get(head, d->resume_after) != NULL;
     if (prefix)
         rk_place_parse_segments(&x->query, prefix);
     if (x->org && x->org->counts_tokens)
@@ -86,6 +86,49 @@
     return ms < route->timeout_ms ? ms : route->timeout_ms;
 }
 
+/* Returns the request id of the caller's attempt that brought the first event of
+ * the stream that it takes up, or this request's own id. */
+static const char *stream_id(const struct rk_relay *r, const struct rk_head *head)
+{
+    const struct rk_dialect *d = r->opt.dialect;
+    const char *resumes = rk_head_get(head, d->resumes);
+    return rk_head_get(head, d->resume_after) && resumes
+               ? resumes
+               : rk_head_get(head, d->request_id);
+}
+
+/* Returns false if the request names the stream that it takes up in a way that
+ * can't be the id of one. */
+static bool names_stream_well(const struct rk_relay *r, const struct rk_head *head)
+{
+    const char *name = r->opt.dialect->resumes;
+    size_t times = 0;
+    for (size_t i = 0; i < head->lines_len; i++)
+        times += !strcasecmp(rk_head_name(head, i), name);
+    if (!times)
+        return true;
+    const char *value = rk_head_get(head, name);
+    size_t len = strlen(value);
+    for (size_t i = 0; i < len; i++)
+        if (!isgraph((unsigned char)value[i]) || value[i] == ',')
+            return false;
+    return times == 1 && len > 0 && len < REQUEST_ID_MAX;
+}
+
+/* Notes which stream the call begins or takes up. */
+static void identify_stream(struct rk_relay_call *x, const struct rk_head *head)
+{
+    const struct rk_dialect *d = x->r->opt.dialect;
+    x->is_resume = rk_head_get(head, d->resume_after) != NULL;
+    /* Without the id of its first attempt, a stream that is taken up is not known.
+     */
+    if (x->route->kind != RK_CALL_STREAM || !x->route->resumable ||
+        (x->is_resume && !rk_head_get(head, d->resumes)))
+        return;
+    x->stream = rk_stream_hash(x->org ? x->org->name : "", x->query.service,
+                               stream_id(x->r, head));
+}
+
 static struct rk_relay_call *create_call(struct rk_relay *r,
                                          struct rk_client *client,
                                          const struct rk_route *route,
@@ -102,7 +145,7 @@
                                 .first_ms = -1};
     rk_strcpy(x->id, sizeof(x->id), rk_head_get(head, r->opt.dialect->request_id));
     x->query.service =
-        rk_route_pick_service(route, (uint32_t)rk_hash_str(0, x->id));
+        rk_route_pick_service(route, (uint32_t)rk_hash_str(0, stream_id(r, head)));
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
     x->query.request_hash = rk_hash_str(0, x->id);
@@ -118,10 +161,22 @@
     r->calls = x;
     r->calls_len++;
     parse_tokens(x, head);
+    identify_stream(x, head);
     rk_client_set_user(client, x);
     return x;
 }
 
+/* Sends the call to a VM or a peer, or ends it if that is impossible. */
+static void send_call(struct rk_relay_call *x)
+{
+    bool takes_up = x->is_resume && x->route->kind == RK_CALL_STREAM &&
+                    x->route->resumable && !x->query.version[0];
+    if (takes_up)
+        rk_call_resume(x);
+    else
+        rk_call_send(x);
+}
+
 /* Returns true if the call might outlast the planned stop of this process. */
 static bool outlasts_stop(struct rk_relay *r, int64_t left_ms)
 {
@@ -233,8 +288,11 @@
     x->attempts = attempts;
     x->deadline_ms = x->started_ms + call.left_ms;
     rk_timer_start(r->loop, &x->deadline_timer, call.left_ms);
+    const char *version = rk_head_get(head, RK_HEADER_STREAM_VERSION);
+    if (version)
+        rk_strcpy(x->query.version, sizeof(x->query.version), version);
     rk_call_earn_retries(x);
-    rk_call_send(x);
+    send_call(x);
 }
 
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
@@ -261,6 +319,10 @@
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a request id");
         return;
     }
+    if (!names_stream_well(r, head)) {
+        refuse(r, client, HTTP_BAD_REQUEST, 0, "expected the id of one stream");
+        return;
+    }
     int64_t left_ms = time_left(r, route, head);
     if (left_ms <= 0) {
         refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
@@ -278,5 +340,5 @@
     /* Otherwise the call is forwarded, and the peer that sends it to a VM earns. */
     if (rk_call_may_use_vms(x))
         rk_call_earn_retries(x);
-    rk_call_send(x);
+    send_call(x);
 }
--- /dev/null
+++ b/serve/relay_versions.c
@@ -0,0 +1,517 @@
+/* Finds out at which software version a stream goes on that its caller takes up,
+ * and tells peers the versions of streams that began here; see
+ * core/stream_versions.h. Peers are asked and told over their listeners for
+ * forwarded calls. A caller's resume waits for the answers of those that are asked;
+ * if nobody knows the stream's version and several may be it, the call is rejected
+ * as not run. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "callers/server.h"
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "common/http1.h"
+#include "peers/peers.pb-c.h"
+#include "serve/relay_call_impl.h"
+
+#define STREAM_VERSIONS_PATH "/stream-versions"
+#define CONTENT_TYPE         "application/x-protobuf"
+/* A stream can be taken up for so long after the route's time-out. */
+#define RESUME_GRACE_MS (10 * RK_MS_PER_S)
+/* Longest wait for the peers that are asked. */
+#define ASK_TIMEOUT_MS     150
+#define CONNECT_TIMEOUT_MS 100
+#define TELL_TIMEOUT_MS    1000
+#define MAX_CONNS          16 /* to one peer */
+/* Idle time after which a connection is not used again. Peers close theirs after
+ * 15 s. */
+#define MAX_IDLE_MS 10000
+/* Rows of a request, and untold streams that are told in one round. */
+#define MAX_ROWS      256
+#define BODY_MAX      (256 * 1024) /* bytes of an answer */
+#define MAX_IN_FLIGHT 512          /* requests to peers */
+/* Longest time for which a peer may have a stream kept. */
+#define TTL_MAX_MS (10 * 60 * RK_MS_PER_S)
+
+/* A request to a peer: a question for a call, or streams that it is told. */
+struct version_request {
+    struct rk_relay *r;
+    struct version_request *next, **prev;
+    struct rk_relay_call *call; /* NULL: not a question */
+    char service[RK_ID_MAX];    /* of the only row; "": there are several */
+    char addr[RK_ADDR_MAX];
+    struct rk_buf sent, answer;
+    struct rk_upstream_call *up;
+    struct rk_timer timer;
+    int status;
+    bool is_repeated; /* sent again on another connection */
+};
+
+struct rk_relay_versions {
+    struct rk_stream_versions table;
+    uint64_t domain_hash; /* this node's failure domain */
+    struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
+    size_t peers_len;
+    struct version_request *requests; /* in flight */
+    size_t requests_len;
+};
+
+/* What the peers have answered that were asked for a call's stream. */
+struct rk_call_ask {
+    int pending;      /* answers that have not come */
+    bool saw_several; /* a peer knows of several versions, but not the stream's */
+    bool has_only;    /* a peer knows that there was only one */
+    char only[RK_VERSION_MAX];
+};
+
+void rk_relay_versions_init(struct rk_relay *r)
+{
+    struct rk_relay_versions *v = rk_alloc(1, sizeof(*v));
+    rk_stream_versions_init(&v->table, rk_mono_ms(), r->opt.bounds.first_start);
+    v->domain_hash = rk_hash_str(0, r->opt.domain);
+    r->versions = v;
+}
+
+static void free_request(struct version_request *q)
+{
+    if (q->up)
+        rk_upstream_cancel(q->up);
+    rk_timer_stop(q->r->loop, &q->timer);
+    *q->prev = q->next;
+    if (q->next)
+        q->next->prev = q->prev;
+    q->r->versions->requests_len--;
+    rk_buf_free(&q->sent);
+    rk_buf_free(&q->answer);
+    free(q);
+}
+
+void rk_relay_versions_free(struct rk_relay *r)
+{
+    struct rk_relay_versions *v = r->versions;
+    for (struct version_request *q = v->requests, *next; q; q = next) {
+        next = q->next;
+        free_request(q);
+    }
+    rk_stream_versions_free(&v->table);
+    free(v);
+}
+
+void rk_relay_versions_set_peers(struct rk_relay *r,
+                                 const struct rk_stream_peer *peers, size_t len)
+{
+    memcpy(r->versions->peers, peers, len * sizeof(*peers));
+    r->versions->peers_len = len;
+}
+
+void rk_relay_versions_set_routes(struct rk_relay *r,
+                                  const struct rk_routes *routes)
+{
+    int64_t longest_ms = 0;
+    for (size_t i = 0; i < routes->routes_len; i++) {
+        const struct rk_route *route = &routes->routes[i];
+        if (route->kind == RK_CALL_STREAM && route->resumable &&
+            route->timeout_ms > longest_ms)
+            longest_ms = route->timeout_ms;
+    }
+    rk_stream_versions_set_lifetime(&r->versions->table,
+                                    longest_ms + RESUME_GRACE_MS);
+}
+
+void rk_relay_versions_update_list(struct rk_relay *r)
+{
+    struct rk_stream_versions *table = &r->versions->table;
+    rk_stream_versions_begin_list(table);
+    for (const struct rk_place_vm *vm = rk_place_vms(r->place); vm; vm = vm->next)
+        if (vm->listed)
+            rk_stream_versions_note_listed(table, vm->row.service, vm->row.version);
+    rk_stream_versions_end_list(table, rk_mono_ms());
+}
+
+/* ---- requests to peers ---- */
+
+static const struct rk_upstream_ops request_ops;
+static void finish_request(struct version_request *q);
+
+static void on_timeout(void *ctx)
+{
+    struct version_request *q = ctx;
+    q->status = 0;
+    finish_request(q);
+}
+
+/* Returns false if nothing was sent. */
+static bool send_request(struct version_request *q)
+{
+    struct rk_buf head = {0};
+    rk_buf_printf(&head,
+                  "POST " STREAM_VERSIONS_PATH " HTTP/1.1\r\nHost: %s\r\n"
+                  "Content-Type: " CONTENT_TYPE "\r\nContent-Length: %zu\r\n\r\n",
+                  q->addr, q->sent.len);
+    const struct rk_upstream_spec spec = {
+        .vm_id = q->addr,
+        .addr = q->addr,
+        .head = head.data,
+        .head_len = head.len,
+        .body = q->sent.data,
+        .body_len = q->sent.len,
+        .max_idle_ms = MAX_IDLE_MS,
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .max_conns = MAX_CONNS,
+        .ops = &request_ops,
+        .ctx = q,
+    };
+    q->answer.len = 0;
+    q->answer.max = BODY_MAX;
+    q->up = rk_upstream_start(q->r->upstreams, &spec);
+    rk_buf_free(&head);
+    return q->up != NULL;
+}
+
+/* Sends rows to a peer; call: for which it is asked, or NULL. Returns false if
+ * nothing was sent. */
+static bool start_request(struct rk_relay *r, const char *addr,
+                          Rillknot__StreamVersions *rows,
+                          struct rk_relay_call *call)
+{
+    struct rk_relay_versions *v = r->versions;
+    if (v->requests_len >= MAX_IN_FLIGHT)
+        return false;
+    struct version_request *q = rk_alloc(1, sizeof(*q));
+    *q = (struct version_request){.r = r, .call = call, .next = v->requests};
+    rk_strcpy(q->addr, sizeof(q->addr), addr);
+    if (rows->n_rows == 1)
+        rk_strcpy(q->service, sizeof(q->service), rows->rows[0]->service);
+    q->timer = (struct rk_timer){.fn = on_timeout, .ctx = q};
+    q->prev = &v->requests;
+    if (q->next)
+        q->next->prev = &q->next;
+    v->requests = q;
+    v->requests_len++;
+    q->sent.len = rillknot__stream_versions__get_packed_size(rows);
+    q->sent.data = rk_alloc(q->sent.len + 1, 1);
+    q->sent.cap = q->sent.len + 1;
+    rillknot__stream_versions__pack(rows, (uint8_t *)q->sent.data);
+    if (!send_request(q)) {
+        free_request(q);
+        return false;
+    }
+    rk_timer_start(r->loop, &q->timer, call ? ASK_TIMEOUT_MS : TELL_TIMEOUT_MS);
+    return true;
+}
+
+static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
+{
+    struct version_request *q = ctx;
+    q->status = head->status;
+    return RK_HEAD_ACCEPT;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+    struct version_request *q = ctx;
+    rk_buf_add(&q->answer, data, len); /* one that is too long can't be read */
+}
+
+static void on_end(void *ctx)
+{
+    struct version_request *q = ctx;
+    q->up = NULL;
+    finish_request(q);
+}
+
+static void on_fail(void *ctx, const struct rk_upstream_failure *f)
+{
+    struct version_request *q = ctx;
+    q->up = NULL;
+    q->status = 0;
+    /* The peer may have closed the connection while it was idle. */
+    if (f->reused && !q->is_repeated) {
+        q->is_repeated = true;
+        if (send_request(q))
+            return;
+    }
+    finish_request(q);
+}
+
+static const struct rk_upstream_ops request_ops = {
+    .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail};
+
+/* ---- the version of a call's stream ---- */
+
+void rk_call_ask_free(struct rk_relay_call *x)
+{
+    if (!x->ask)
+        return;
+    for (struct version_request *q = x->r->versions->requests, *next; q; q = next) {
+        next = q->next;
+        if (q->call == x)
+            free_request(q);
+    }
+    free(x->ask);
+    x->ask = NULL;
+}
+
+static enum rk_service_versions versions_of(const struct rk_relay_call *x,
+                                            const char **only)
+{
+    return rk_stream_versions_of_service(&x->r->versions->table, x->query.service,
+                                         only, rk_mono_ms());
+}
+
+static void reject_unknown(struct rk_relay_call *x)
+{
+    rk_call_ask_free(x);
+    rk_counter_add(RK_C_RESUMES_UNKNOWN, 1);
+    rk_call_give_up(x, HTTP_UNAVAILABLE, RETRY_AFTER_MS,
+                    "the version of the stream is not known");
+}
+
+static void send_at_version(struct rk_relay_call *x, const char *version)
+{
+    rk_call_ask_free(x);
+    rk_strcpy(x->query.version, sizeof(x->query.version), version);
+    rk_call_send(x);
+}
+
+/* Decides by the answers that have come. Where this node knows of one version only,
+ * its list of VMs may be old, so that a peer's word counts against it. */
+static void decide(struct rk_relay_call *x)
+{
+    const struct rk_call_ask *ask = x->ask;
+    const char *only;
+    char version[RK_VERSION_MAX] = "";
+    if (!ask->saw_several && ask->has_only)
+        rk_stream_versions_vouch(&x->r->versions->table, x->query.service,
+                                 ask->only, rk_mono_ms());
+    if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
+        (!ask->has_only || !strcmp(only, ask->only)))
+        rk_strcpy(version, sizeof(version), only);
+    if (version[0])
+        send_at_version(x, version);
+    else
+        reject_unknown(x);
+}
+
+/* Handles what a peer answered about a call's stream; row NULL: nothing. */
+static void receive_answer(struct rk_relay_call *x,
+                           const Rillknot__StreamVersion *row)
+{
+    struct rk_call_ask *ask = x->ask;
+    ask->pending--;
+    if (row && row->version[0] && strlen(row->version) < RK_VERSION_MAX) {
+        send_at_version(x, row->version);
+        return;
+    }
+    if (row && row->several)
+        ask->saw_several = true;
+    if (row && row->only[0])
+        ask->has_only = rk_strcpy(ask->only, sizeof(ask->only), row->only);
+    if (!ask->pending)
+        decide(x);
+}
+
+/* Ends a request to a peer. */
+static void finish_request(struct version_request *q)
+{
+    struct rk_relay *r = q->r;
+    struct rk_relay_call *call = q->call;
+    char service[RK_ID_MAX];
+    rk_strcpy(service, sizeof(service), q->service);
+    Rillknot__StreamVersions *rows =
+        q->status == 200 ? rillknot__stream_versions__unpack(
+                               NULL, q->answer.len, (uint8_t *)q->answer.data)
+                         : NULL;
+    const Rillknot__StreamVersion *row =
+        rows && rows->n_rows ? rows->rows[0] : NULL;
+    free_request(q);
+    if (call)
+        receive_answer(call, row);
+    else if (row && service[0] && row->only[0])
+        rk_stream_versions_vouch(&r->versions->table, service, row->only,
+                                 rk_mono_ms());
+    if (rows)
+        rillknot__stream_versions__free_unpacked(rows, NULL);
+}
+
+/* Asks the peers that may know the stream's version. Returns false if there are
+ * none. */
+static bool ask_peers(struct rk_relay_call *x)
+{
+    struct rk_relay_versions *v = x->r->versions;
+    const struct rk_stream_peer *peers[RK_STREAM_ASKED_MAX];
+    size_t n = rk_stream_peers_to_ask(v->peers, v->peers_len, x->stream, peers);
+    Rillknot__StreamVersion row = RILLKNOT__STREAM_VERSION__INIT;
+    Rillknot__StreamVersion *rows[] = {&row};
+    Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
+    body.rows = rows;
+    body.n_rows = 1;
+    row.stream = x->stream;
+    row.service = (char *)x->query.service;
+    x->ask = rk_alloc(1, sizeof(*x->ask));
+    for (size_t i = 0; i < n; i++)
+        x->ask->pending += start_request(x->r, peers[i]->addr, &body, x);
+    if (x->ask->pending)
+        return true;
+    rk_call_ask_free(x);
+    return false;
+}
+
+void rk_call_resume(struct rk_relay_call *x)
+{
+    const char *only;
+    const struct rk_stream_version *known =
+        x->stream ? rk_stream_versions_find(&x->r->versions->table, x->stream,
+                                            rk_mono_ms())
+                  : NULL;
+    if (known)
+        send_at_version(x, known->version);
+    else if (x->stream && ask_peers(x))
+        return;
+    else if (versions_of(x, &only) == RK_VERSIONS_ONE)
+        rk_call_send(x);
+    else
+        reject_unknown(x);
+}
+
+/* ---- telling peers ---- */
+
+static void fill_row(Rillknot__StreamVersion *row,
+                     const struct rk_stream_version *e, int64_t now_ms)
+{
+    *row = (Rillknot__StreamVersion)RILLKNOT__STREAM_VERSION__INIT;
+    row->stream = e->stream;
+    row->version = (char *)e->version;
+    row->ttl_ms = e->expires_ms - now_ms;
+}
+
+/* Tells the holders of these streams, which began here. service: of all of them, or
+ * "". */
+static void tell(struct rk_relay *r, struct rk_stream_version **streams, size_t len,
+                 const char *service)
+{
+    struct rk_relay_versions *v = r->versions;
+    int64_t now_ms = rk_mono_ms();
+    Rillknot__StreamVersion rows[MAX_ROWS], *refs[MAX_ROWS];
+    for (size_t p = 0; p < v->peers_len; p++) {
+        Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
+        for (size_t i = 0; i < len; i++) {
+            const struct rk_stream_peer *holders[RK_STREAM_HOLDERS];
+            size_t n = rk_stream_holders(v->peers, v->peers_len, streams[i]->stream,
+                                         v->domain_hash, holders);
+            if (!(n > 0 && holders[0] == &v->peers[p]) &&
+                !(n > 1 && holders[1] == &v->peers[p]))
+                continue;
+            fill_row(&rows[body.n_rows], streams[i], now_ms);
+            rows[body.n_rows].service = (char *)service;
+            refs[body.n_rows] = &rows[body.n_rows];
+            body.n_rows++;
+        }
+        body.rows = refs;
+        if (body.n_rows && start_request(r, v->peers[p].addr, &body, NULL))
+            rk_counter_add(RK_C_STREAM_VERSIONS_TOLD, body.n_rows);
+    }
+    for (size_t i = 0; i < len; i++)
+        streams[i]->is_told = v->peers_len > 0;
+}
+
+void rk_call_bind_version(struct rk_relay_call *x)
+{
+    const char *version = x->vm ? x->vm->row.version : x->peer_version;
+    const char *only;
+    if (x->version_bound || !version[0])
+        return;
+    x->version_bound = true;
+    if (!x->query.version[0])
+        rk_strcpy(x->query.version, sizeof(x->query.version), version);
+    if (!x->stream || x->is_forwarded)
+        return; /* the peer that has the caller records it */
+    struct rk_stream_versions *table = &x->r->versions->table;
+    int64_t now_ms = rk_mono_ms();
+    rk_stream_versions_note(table, x->stream, x->query.service, version,
+                            table->lifetime_ms, now_ms);
+    struct rk_stream_version *e = rk_stream_versions_find(table, x->stream, now_ms);
+    if (e && versions_of(x, &only) != RK_VERSIONS_ONE)
+        tell(x->r, &e, 1, x->query.service);
+}
+
+void rk_relay_versions_tell_pending(struct rk_relay *r)
+{
+    struct rk_stream_versions *table = &r->versions->table;
+    struct rk_stream_version *streams[MAX_ROWS];
+    size_t len = 0, at = 0;
+    int64_t now_ms = rk_mono_ms();
+    while (len < MAX_ROWS &&
+           (streams[len] = rk_stream_versions_next_untold(table, &at, now_ms)))
+        len++;
+    if (len && r->versions->peers_len)
+        tell(r, streams, len, "");
+}
+
+/* ---- questions of peers ---- */
+
+bool rk_relay_versions_is_request(struct rk_client *client)
+{
+    return !strcmp(rk_head_target(rk_client_head(client)), STREAM_VERSIONS_PATH);
+}
+
+/* Handles a peer's row and fills in the answer. version gets the stream's. */
+static void answer_row(struct rk_relay *r, const Rillknot__StreamVersion *row,
+                       Rillknot__StreamVersion *out, char version[RK_VERSION_MAX])
+{
+    struct rk_stream_versions *table = &r->versions->table;
+    int64_t now_ms = rk_mono_ms();
+    const char *only = "";
+    *out = (Rillknot__StreamVersion)RILLKNOT__STREAM_VERSION__INIT;
+    if (row->stream && row->version[0] && strlen(row->version) < RK_VERSION_MAX &&
+        row->ttl_ms > 0 && row->ttl_ms <= TTL_MAX_MS) {
+        rk_stream_versions_note(table, row->stream, NULL, row->version, row->ttl_ms,
+                                now_ms);
+    } else if (!row->version[0]) {
+        const struct rk_stream_version *known =
+            rk_stream_versions_find(table, row->stream, now_ms);
+        if (known) {
+            rk_strcpy(version, RK_VERSION_MAX, known->version);
+            out->version = version;
+        }
+    }
+    if (!row->service[0])
+        return;
+    enum rk_service_versions state =
+        rk_stream_versions_of_service(table, row->service, &only, now_ms);
+    out->several = state == RK_VERSIONS_SEVERAL;
+    if (state == RK_VERSIONS_ONE)
+        out->only = (char *)only;
+}
+
+void rk_relay_versions_answer(struct rk_relay *r, struct rk_client *client)
+{
+    size_t len;
+    const char *data = rk_client_body(client, &len);
+    Rillknot__StreamVersions *rows =
+        rillknot__stream_versions__unpack(NULL, len, (const uint8_t *)data);
+    if (!rows || rows->n_rows > MAX_ROWS) {
+        if (rows)
+            rillknot__stream_versions__free_unpacked(rows, NULL);
+        rk_call_answer_problem(client, HTTP_BAD_REQUEST, 0, "expected streams");
+        return;
+    }
+    Rillknot__StreamVersion out[MAX_ROWS], *refs[MAX_ROWS];
+    char versions[MAX_ROWS][RK_VERSION_MAX];
+    Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
+    body.n_rows = rows->n_rows;
+    body.rows = refs;
+    for (size_t i = 0; i < rows->n_rows; i++) {
+        answer_row(r, rows->rows[i], &out[i], versions[i]);
+        refs[i] = &out[i];
+    }
+    size_t packed_len = rillknot__stream_versions__get_packed_size(&body);
+    uint8_t *packed = rk_alloc(packed_len + 1, 1);
+    rillknot__stream_versions__pack(&body, packed);
+    rk_client_answer(client, 200, "Content-Type: " CONTENT_TYPE "\r\n",
+                     (const char *)packed, packed_len);
+    free(packed);
+    rillknot__stream_versions__free_unpacked(rows, NULL);
+}
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -258,6 +258,8 @@
             time.sleep(0.5)
             running_ids = [(r.get("Rillknot-Attempt-Id"), 1) for w in f.workers("v1")
                            for r in w.seen[-2:]]
+            for w in f.d.workers:
+                w.gap_s = 0.02  # all are taken up within the lifetime of a stream
             assert f.check_taken_up(running_ids, [0, 1, 2]) == len(running_ids)
             assert f.check_taken_up(begun, [0, 1, 2]) > STREAMS / 2
             assert all(r.result().whole for r in running)
--- /dev/null
+++ b/tests/test_stream_versions.c
@@ -0,0 +1,201 @@
+/* Unit tests of the table of streams' versions: what a node may conclude from its
+ * list of VMs, and whether those that are asked include those that were told. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/stream_versions.h"
+
+#define LIFETIME_MS 20000
+
+static void list(struct rk_stream_versions *s, int64_t now_ms, const char *versions)
+{
+    rk_stream_versions_begin_list(s);
+    for (const char *v = versions; *v; v++)
+        rk_stream_versions_note_listed(s, "llm", (char[]){*v, 0});
+    rk_stream_versions_end_list(s, now_ms);
+}
+
+static struct rk_stream_versions create(bool first_start)
+{
+    struct rk_stream_versions s;
+    rk_stream_versions_init(&s, 1000, first_start);
+    rk_stream_versions_set_lifetime(&s, LIFETIME_MS);
+    return s;
+}
+
+static void check_state(struct rk_stream_versions *s, int64_t now_ms,
+                        enum rk_service_versions state, const char *only)
+{
+    const char *found = "";
+    assert_int_equal(rk_stream_versions_of_service(s, "llm", &found, now_ms),
+                     state);
+    assert_string_equal(found, only);
+}
+
+/* Guards against a version that is guessed while streams of another one can still
+ * be taken up. */
+static void a_version_counts_for_the_lifetime_of_its_streams(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    check_state(&s, 1000, RK_VERSIONS_UNSURE, "");
+    list(&s, 1000, "1");
+    check_state(&s, 1000, RK_VERSIONS_ONE, "1");
+    list(&s, 2000, "112");
+    check_state(&s, 2000, RK_VERSIONS_SEVERAL, "");
+    list(&s, 3000, "2");
+    check_state(&s, 3000 + LIFETIME_MS - 1, RK_VERSIONS_SEVERAL, "");
+    check_state(&s, 3000 + LIFETIME_MS, RK_VERSIONS_ONE, "2");
+    list(&s, 50000, "");
+    check_state(&s, 50000, RK_VERSIONS_ONE, "2");
+    list(&s, 51000, "3");
+    check_state(&s, 51000, RK_VERSIONS_SEVERAL, "");
+    check_state(&s, 50000 + LIFETIME_MS, RK_VERSIONS_ONE, "3");
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against a restarted node that takes the one version on its list for the
+ * only one that has served. */
+static void a_restarted_node_is_unsure_until_it_has_watched(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(false);
+    list(&s, 1000, "1");
+    check_state(&s, 1000, RK_VERSIONS_UNSURE, "");
+    check_state(&s, 1000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_vouch(&s, "llm", "2", 2000); /* not on the list */
+    check_state(&s, 2000, RK_VERSIONS_UNSURE, "");
+    rk_stream_versions_vouch(&s, "llm", "1", 2000);
+    check_state(&s, 2000, RK_VERSIONS_ONE, "1");
+    list(&s, 3000, "12");
+    check_state(&s, 3000, RK_VERSIONS_SEVERAL, "");
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against streams that are forgotten, kept for ever, or confused. */
+static void streams_are_kept_until_they_expire(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    char id[16];
+    for (int i = 0; i < 5000; i++) {
+        snprintf(id, sizeof(id), "r%d", i);
+        rk_stream_versions_note(&s, rk_stream_hash("a", "llm", id), "llm",
+                                i % 2 ? "1" : "2", 1000 + i, 0);
+    }
+    for (int i = 0; i < 5000; i++) {
+        snprintf(id, sizeof(id), "r%d", i);
+        uint64_t stream = rk_stream_hash("a", "llm", id);
+        const struct rk_stream_version *e =
+            rk_stream_versions_find(&s, stream, 3000);
+        assert_int_equal(e != NULL, 1000 + i > 3000);
+        if (e)
+            assert_string_equal(e->version, i % 2 ? "1" : "2");
+        assert_null(rk_stream_versions_find(&s, rk_stream_hash("b", "llm", id), 0));
+        assert_null(
+            rk_stream_versions_find(&s, rk_stream_hash("a", "other", id), 0));
+    }
+    rk_stream_versions_expire(&s, 3000);
+    assert_int_equal(s.used, 5000 - 2001);
+    rk_stream_versions_expire(&s, 6000);
+    assert_int_equal(s.used, 0);
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against streams that began before another version came, and that no peer
+ * is told of. */
+static void streams_are_pending_once_another_version_comes(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    size_t at = 0;
+    list(&s, 1000, "1");
+    rk_stream_versions_note(&s, 7, "llm", "1", LIFETIME_MS, 1000);
+    rk_stream_versions_note(&s, 8, NULL, "1", LIFETIME_MS, 1000); /* a peer's */
+    assert_null(rk_stream_versions_next_untold(&s, &at, 1000));
+    list(&s, 2000, "12");
+    at = 0;
+    struct rk_stream_version *e = rk_stream_versions_next_untold(&s, &at, 2000);
+    assert_non_null(e);
+    assert_int_equal(e->stream, 7);
+    assert_null(rk_stream_versions_next_untold(&s, &at, 2000));
+    e->is_told = true;
+    at = 0;
+    assert_null(rk_stream_versions_next_untold(&s, &at, 2000));
+    rk_stream_versions_free(&s);
+}
+
+/* Fills in the peers of one node: all nodes but itself. Returns their number. */
+static size_t peers_of(int node, int nodes, int domains, struct rk_stream_peer *out)
+{
+    size_t len = 0;
+    for (int i = 0; i < nodes; i++) {
+        uint64_t domain = (uint64_t)(i % domains) + 1;
+        if (i != node)
+            out[len++] = (struct rk_stream_peer){.hash = rk_hash(5, &i, sizeof(i)),
+                                                 .domain_hash = domain};
+    }
+    return len;
+}
+
+static bool is_asked(uint64_t holder, const struct rk_stream_peer *const *asked,
+                     size_t len)
+{
+    for (size_t i = 0; i < len; i++)
+        if (asked[i]->hash == holder)
+            return true;
+    return false;
+}
+
+/* Guards against a node that doesn't ask the peers that were told, in fleets of any
+ * size and number of failure domains, and against both being in one domain. */
+static void those_that_were_told_are_asked(void **state)
+{
+    (void)state;
+    struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
+    const struct rk_stream_peer *holders[RK_STREAM_HOLDERS];
+    const struct rk_stream_peer *asked[RK_STREAM_ASKED_MAX];
+    for (int domains = 1; domains <= 7; domains++) {
+        for (int nodes = 2; nodes <= 24; nodes++) {
+            for (uint64_t stream = 1; stream < 40; stream++) {
+                int origin = (int)(stream % (uint64_t)nodes);
+                int asker = (origin + 1 + (int)stream) % nodes;
+                size_t len = peers_of(origin, nodes, domains, peers);
+                size_t told = rk_stream_holders(
+                    peers, len, stream, (uint64_t)(origin % domains) + 1, holders);
+                assert_int_equal(told, nodes > 2 ? 2 : 1);
+                if (domains > 1 && nodes > 3)
+                    assert_int_not_equal(holders[0]->domain_hash,
+                                         holders[1]->domain_hash);
+                uint64_t hashes[RK_STREAM_HOLDERS];
+                for (size_t i = 0; i < told; i++)
+                    hashes[i] = holders[i]->hash;
+                len = peers_of(asker, nodes, domains, peers);
+                size_t n = rk_stream_peers_to_ask(peers, len, stream, asked);
+                uint64_t own = rk_hash(5, &asker, sizeof(asker));
+                /* In a single domain, the origin may take the place of the second
+                 * one, and knows the stream. */
+                for (size_t i = 0; i < (domains > 1 ? told : 1); i++)
+                    assert_true(asker == origin || hashes[i] == own ||
+                                is_asked(hashes[i], asked, n));
+            }
+        }
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_version_counts_for_the_lifetime_of_its_streams),
+        cmocka_unit_test(a_restarted_node_is_unsure_until_it_has_watched),
+        cmocka_unit_test(streams_are_kept_until_they_expire),
+        cmocka_unit_test(streams_are_pending_once_another_version_comes),
+        cmocka_unit_test(those_that_were_told_are_asked),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
