--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -177,13 +177,13 @@
     s->sightings_len = kept;
 }
 
+/* Returns true if no other version can have served for the lifetime of a stream
+ * unnoticed. */
 static bool has_watched(const struct rk_stream_versions *s,
                         const struct rk_version_sighting *v, int64_t now_ms)
 {
-    int64_t since_ms = v->is_vouched && v->only_since_ms < s->started_ms
-                           ? v->only_since_ms
-                           : s->started_ms;
-    return s->first_start || now_ms - since_ms >= s->lifetime_ms;
+    return s->first_start || v->is_vouched ||
+           now_ms - s->started_ms >= s->lifetime_ms;
 }
 
 static enum rk_service_versions state_of(const struct rk_stream_versions *s,
@@ -216,12 +216,12 @@
 void rk_stream_versions_vouch(struct rk_stream_versions *s, const char *service,
                               const char *version, int64_t now_ms)
 {
-    struct rk_version_sighting *v =
-        find_sighting(s, rk_hash_str(0, service), version);
-    if (!v)
-        return; /* no VM of it is known here */
-    if (!v->is_vouched || now_ms - s->lifetime_ms < v->only_since_ms)
-        v->only_since_ms = now_ms - s->lifetime_ms;
+    uint64_t service_hash = rk_hash_str(0, service);
+    struct rk_version_sighting *v = find_sighting(s, service_hash, version);
+    if (!v) {
+        v = get_sighting(s, service_hash, version);
+        v->last_listed_ms = now_ms; /* it served until now, as far as known */
+    }
     v->is_vouched = true;
 }
 
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -54,10 +54,7 @@
     char version[RK_VERSION_MAX];
     bool is_listed;         /* VMs of it are on the list now */
     int64_t last_listed_ms; /* until when, if there are none */
-    /* Since when it has been the service's only version, as a peer observed; only
-     * valid if is_vouched. */
-    int64_t only_since_ms;
-    bool is_vouched;
+    bool is_vouched;        /* was the only one before this node started */
 };
 
 /* Zero-initialise with rk_stream_versions_init(), release with
@@ -133,7 +130,7 @@
                                                        int64_t now_ms);
 
 /* Records that no other version of the service has served for the lifetime of a
- * stream, as a peer has observed. */
+ * stream, as a peer has observed, or this node before a restart. */
 void rk_stream_versions_vouch(struct rk_stream_versions *s, const char *service,
                               const char *version, int64_t now_ms);
 
--- a/node/persist.c
+++ b/node/persist.c
@@ -33,8 +33,10 @@
 /* An organisation that used less than this share of its quota is left out. */
 #define MIN_QUOTA_SHARE 0.02
 /* An estimate made of fewer calls is too uncertain to be persisted. */
-#define MIN_SAMPLES   20
-#define USAGE_WINDOWS 4 /* persisted; older ones are reported already */
+#define MIN_SAMPLES 20
+/* Versions may have come and gone since an older object was written. */
+#define ONLY_VERSION_MAX_AGE_MS 5000
+#define USAGE_WINDOWS           4 /* persisted; older ones are reported already */
 /* Calls counted lately may be this many times fewer than the mean by chance:
  * bridges send counts twice a second. */
 #define GROWTH_MARGIN 3.0
@@ -231,6 +233,20 @@
     rk_buf_addstr(b, "]");
 }
 
+/* Appends the services of which only one version has served lately. */
+static void append_only_versions(const struct rk_node *n, struct rk_buf *b)
+{
+    rk_buf_addstr(b, ",\"only\":{");
+    for (size_t i = 0; i < n->report->only_versions_len; i++) {
+        const struct rk_only_version *row = &n->report->only_versions[i];
+        rk_buf_addstr(b, i ? "," : "");
+        rk_buf_json_str(b, row->service);
+        rk_buf_addstr(b, ":");
+        rk_buf_json_str(b, row->version);
+    }
+    rk_buf_addstr(b, "}");
+}
+
 /* Builds the object with the use of quotas and demand by organisation. */
 static bool build_quotas(struct rk_persist *m, struct rk_buf *b)
 {
@@ -248,6 +264,7 @@
                   n->store->era, rk_leader_restored_wall_ms(n->leader));
     append_fleet_size(n, b);
     append_shares(n, b);
+    append_only_versions(n, b);
     rk_buf_addstr(b, ",\"used\":{");
     for (size_t i = 0; i < n->report->quota_usage_len; i++) {
         const struct rk_org_use *use = &n->report->quota_usage[i];
@@ -380,6 +397,29 @@
     }
 }
 
+/* Without this, resumes would be rejected for the lifetime of a stream after a kill
+ * of all nodes, though one version has served all the time. */
+static void restore_only_versions(struct rk_persist *m, struct json_object *spec,
+                                  int64_t age_ms)
+{
+    struct json_object *only = rk_json_get(spec, "only");
+    if (age_ms > ONLY_VERSION_MAX_AGE_MS ||
+        !json_object_is_type(only, json_type_object))
+        return;
+    size_t len = 0;
+    struct rk_only_version *rows =
+        rk_alloc((size_t)json_object_object_length(only) + 1, sizeof(*rows));
+    json_object_object_foreach(only, service, version)
+    {
+        const char *text = json_object_get_string(version);
+        if (json_object_is_type(version, json_type_string) &&
+            rk_strcpy(rows[len].service, sizeof(rows[len].service), service) &&
+            rk_strcpy(rows[len].version, sizeof(rows[len].version), text))
+            len++;
+    }
+    rk_relay_restore_only_versions(m->n->relay, rows, len);
+}
+
 static void restore_quotas(struct rk_persist *m, struct json_object *spec)
 {
     rk_read_delay_set_fleet_size(m->n, spec);
@@ -394,6 +434,7 @@
     for (size_t i = 0; i < RK_QUOTA_SLICES; i++)
         shares[i] = fmin(1, fmax(0, slice_at(persisted_shares, i)));
     int64_t age_ms = rk_wall_ms() - rk_json_int(spec, "wall_ms", 0);
+    restore_only_versions(m, spec, age_ms);
     if (!json_object_is_type(used, json_type_object)) {
         RK_EVENT("quota.nothing_restored", RK_N("object", spec != NULL));
         rk_relay_restore_quota_usage(m->n->relay, NULL, 0, shares, INT64_MAX);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -45,6 +45,7 @@
     free(r->suspects);
     free(r->signals);
     free(r->speeds);
+    free(r->only_versions);
     free(r);
 }
 
@@ -178,6 +179,8 @@
     report->signals_len =
         rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
     report->speeds_len = rk_place_copy_speeds(r->place, &report->speeds);
+    report->only_versions_len =
+        rk_relay_versions_copy_only(r, &report->only_versions);
     report->vms_in_cooldown = rk_place_cooldown_len(r->place, rk_mono_ms());
     report->vms_unreachable = rk_place_unreachable_len(r->place);
     report->quota_history_complete = rk_quota_is_complete(&r->quota, rk_mono_ms());
@@ -209,6 +212,8 @@
     size_t suspects_len;
     struct rk_vm_signal *signals;
     size_t signals_len;
+    struct rk_only_version *only_versions;
+    size_t only_versions_len;
     bool is_fresh;
     double shares[RK_QUOTA_SLICES];
     int64_t age_ms;
@@ -454,6 +459,25 @@
     return false;
 }
 
+static void apply_only_versions(void *ctx)
+{
+    struct message *m = ctx;
+    for (size_t i = 0; i < m->only_versions_len; i++)
+        rk_relay_versions_vouch(m->r, &m->only_versions[i]);
+    free(m->only_versions);
+    free(m);
+}
+
+bool rk_relay_restore_only_versions(struct rk_relay *r,
+                                    struct rk_only_version *rows, size_t len)
+{
+    const struct message m = {.only_versions = rows, .only_versions_len = len};
+    if (post(r, apply_only_versions, &m))
+        return true;
+    free(rows);
+    return false;
+}
+
 static void apply_engine_priors(void *ctx)
 {
     struct message *m = ctx;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -52,6 +52,12 @@
 rk_service_load_find(const struct rk_service_load *services, size_t len,
                      const char *service);
 
+/* The only version of a service that served for the lifetime of a stream. */
+struct rk_only_version {
+    char service[RK_ID_MAX];
+    char version[RK_VERSION_MAX];
+};
+
 /* Report of a relay to control, made every 200 ms. It owns its arrays. */
 struct rk_relay_report {
     struct rk_vm_load *loads; /* load of VMs caused by this node's calls */
@@ -73,6 +79,8 @@
     size_t signals_len;
     struct rk_place_speed *speeds; /* learnt speeds of VMs that are not 100% */
     size_t speeds_len;
+    struct rk_only_version *only_versions; /* of services that have had one */
+    size_t only_versions_len;
     size_t vms_in_cooldown; /* VMs in a cooldown towards this node */
     size_t vms_unreachable; /* VMs to which this node cannot connect */
     /* how far back this node's quota history goes, at most the window */
@@ -200,6 +208,10 @@
                                   size_t len, const double shares[RK_QUOTA_SLICES],
                                   int64_t age_ms);
 
+/* Restores which services had only one version before a restart. */
+bool rk_relay_restore_only_versions(struct rk_relay *r,
+                                    struct rk_only_version *rows, size_t len);
+
 /* Sets the persisted estimates of engine speed, used until peers report newer
  * ones. */
 bool rk_relay_set_engine_priors(struct rk_relay *r,
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -112,6 +112,11 @@
 void rk_relay_versions_set_routes(struct rk_relay *r,
                                   const struct rk_routes *routes);
 void rk_relay_versions_update_list(struct rk_relay *r);
+/* Stores the services that have had only one version in *out. Returns their number.
+ * The caller frees *out. */
+size_t rk_relay_versions_copy_only(struct rk_relay *r,
+                                   struct rk_only_version **out);
+void rk_relay_versions_vouch(struct rk_relay *r, const struct rk_only_version *row);
 /* Tells peers of streams that began here before that was needed. */
 void rk_relay_versions_tell_pending(struct rk_relay *r);
 /* Returns true if a peer's request is about versions of streams. */
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -130,6 +130,29 @@
     rk_stream_versions_end_list(table, rk_mono_ms());
 }
 
+size_t rk_relay_versions_copy_only(struct rk_relay *r, struct rk_only_version **out)
+{
+    size_t len = 0;
+    *out = rk_alloc(r->services_len + 1, sizeof(**out));
+    for (size_t i = 0; i < r->services_len; i++) {
+        struct rk_only_version *row = &(*out)[len];
+        const char *only;
+        if (rk_stream_versions_of_service(&r->versions->table, r->services[i].name,
+                                          &only, rk_mono_ms()) != RK_VERSIONS_ONE)
+            continue;
+        rk_strcpy(row->service, sizeof(row->service), r->services[i].name);
+        rk_strcpy(row->version, sizeof(row->version), only);
+        len++;
+    }
+    return len;
+}
+
+void rk_relay_versions_vouch(struct rk_relay *r, const struct rk_only_version *row)
+{
+    rk_stream_versions_vouch(&r->versions->table, row->service, row->version,
+                             rk_mono_ms());
+}
+
 /* ---- requests to peers ---- */
 
 static const struct rk_upstream_ops request_ops;
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -275,6 +275,20 @@
         assert f.check_taken_up(begun, [0]) == STREAMS
 
 
+def test_one_version_is_known_after_a_kill_of_all_nodes():
+    """Guards against resumes that are rejected after a kill of all nodes, though only one
+    version has ever served."""
+    with Versions(versions=("v1", "v1", "v1")) as f:
+        begun = [f.begin(n % 3) for n in range(STREAMS)]
+        time.sleep(1)  # what is to be persisted has been
+        for n in range(3):
+            f.d.nodes[n].kill()
+        for n in range(3):
+            f.d.restart_node(n)
+        f.settle()
+        assert f.check_taken_up(begun, [0, 1, 2]) == STREAMS
+
+
 def test_a_stream_of_another_organisation_is_not_taken_up():
     """Guards against an organisation that takes up, or finds out about, another one's streams."""
     with Versions() as f:
