soak, partitions: streams of two versions are broken off and taken up

The soak's engines run two versions, their events name it, and callers take up streams that break off, at any node, with Resumes. A stream with events of two versions, in one answer or over two, is a problem.

--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from hosted import Hosted, Request, Worker, read_answer, wait_until
+from hosted import Hosted, Request, Worker, read_answer, reset, wait_until
 from vm_links import CUTS, REFUSED, RESET_ALL, UNANSWERED, VmLinks, wait_for_own_links
 
 ZONES = ("klein-hall", "eros-hall")
@@ -266,6 +266,46 @@
                 "rillknot-attempt-id": a.ident}, b""), n) for n in range(1, EVENTS + 1)), a.body
 
 
+def versions_of(d, *idents):
+    """Returns the versions of the workers that sent events in these attempts."""
+    return {w.version for w in d.workers for i in idents if w.events_sent[i]}
+
+
+def test_a_forwarded_stream_goes_on_at_its_version():
+    """Guards against a stream that begins through a peer and goes on at another version: after
+    a break, or when its caller takes it up at that node or at another one."""
+    broken = set()
+
+    def break_once(w, req, conn):
+        """Closes each request's first stream after its second event, amid the third."""
+        ident = req.get("Rillknot-Attempt-Id")
+        if ident in broken or req.get("Last-Event-Id"):
+            return None
+        broken.add(ident)
+        w.stream(req, conn, 2, end=False)
+        w.send_body(conn, w.framing, w.event(req, 3)[:9])
+        reset(conn)
+        return False
+    with Partition(vms=6, bounds={"budgetExtra": 4000}) as p:
+        engines = [w for w in p.d.workers if w.events]
+        for n, w in enumerate(engines):
+            w.version = "v%d" % (n % 2 + 1)
+            p.d.store.put("servers", w.id, w.spec())
+        p.cut(UNANSWERED)
+        p.call_all(count=int(PER_S * NOTICED_S))
+        for w in engines:
+            w.fault = break_once
+        answers = p.call_all(count=20, kinds=("chat",))[0, "chat"]
+        for a in answers:
+            assert is_served(a) and a.ident in broken, a.status
+            assert len(versions_of(p.d, a.ident)) == 1, versions_of(p.d, a.ident)
+        for n, a in enumerate(answers):
+            headers = [("Last-Event-Id", "2"), ("Resumes", a.ident)]
+            again = p.d.call("/chat/x", n % NODES, deadline=2000, headers=headers)
+            assert is_served(again), (n, again.status, again.body)
+            assert len(versions_of(p.d, a.ident, again.ident)) == 1
+
+
 def test_a_forwarded_call_counts_once_in_its_quota():
     """Guards against forwarded calls that are charged at both nodes, or at none."""
     quota = 60  # units in a window of 4 s
--- a/tests/proc_soak.py
+++ b/tests/proc_soak.py
@@ -14,7 +14,7 @@
     """Runs the soak with one seed. Fails if it found a problem, or if too few calls
     were answered with 200 for its checks to mean anything. Calls to the slow VM have a
     test of their own."""
-    problems, answers_by_status, faults = soak.soak(seed, SECONDS, NODES)
+    problems, answers_by_status, faults, _ = soak.soak(seed, SECONDS, NODES)
     others = [p for p in problems if not is_of_slow_vm(p) and not p.startswith("logs: ")]
     assert not others, "\n".join(problems + faults)
     assert answers_by_status.get(200, 0) > 50, answers_by_status
@@ -36,7 +36,7 @@
     """Guards against a slow VM that gets no calls, so that nobody learns when it is fast
     again."""
     for seed in (20261202, 7):
-        problems, _, faults = soak.soak(seed, SECONDS, NODES)
+        problems, _, faults, _ = soak.soak(seed, SECONDS, NODES)
         slow = [p for p in problems if is_of_slow_vm(p)]
         assert not slow, "\n".join(problems + faults)
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -15,6 +15,7 @@
 import itertools
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -55,6 +56,8 @@
 SLOW_MIN_SHARE = 0.05
 BREAK_SHARE = 0.02  # of the engines' streams that are broken off inside an event
 EVENTS = 12  # of a stream
+VERSIONS = ("v1", "v2")  # of the engines' software
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) token (\d+) (v\d+)\n\n")
 
 
 class SlowWorker(Worker):
@@ -67,6 +70,8 @@
         self.gap_s = 0.01
         self.first_byte_ratio = 1  # how much longer it takes than other VMs
         self.framings = {}  # of the last answer to a request, by its id
+        if self.events:
+            self.version = self.rng.choice(VERSIONS)
 
     def run(self, req, conn):
         time.sleep((0.005 + self.rng.random() * 0.03) * self.first_byte_ratio)
@@ -77,6 +82,11 @@
             return self.break_off(req, conn)
         return super().run(req, conn)
 
+    def event(self, req, number):
+        """Return an event, which names the version of the worker's software."""
+        return b"id: %d\ndata: %s token %d %s\n\n" % (
+            number, req.get("Rillknot-Attempt-Id").encode(), number, self.version.encode())
+
     def choose_framing(self, req):
         """Draw the framing of a stream; a plain answer has a length."""
         framing = self.rng.choice(FRAMINGS) if self.events else self.framing
@@ -120,6 +130,7 @@
         self.faults_over = threading.Event()
         self.answers_after_faults = collections.Counter()  # by status
         self.mixed_answers = collections.Counter()  # by kind and status
+        self.taken_up = collections.Counter()  # streams taken up, by status
         self.slow = None  # an engine that is slower than the others for the whole run
         self.faults = []  # start time and kind
         self.bounds = {"quotaWindowS": QUOTA_WINDOW_S, "quotaSlack": QUOTA_SLACK}
@@ -259,6 +270,8 @@
             return False
         answer = read_answer(conn, "POST", rest)
         self.check_answer(kind, path, ident, node, answer, seen)
+        if kind == "stream" and answer.status == 200 and not answer.whole:
+            self.take_up(rng, ident, answer.body)
         return answer.status != 0 and answer.whole and not (rest and rest[-1]) and \
             answer.headers.get("connection") != "close"
 
@@ -290,19 +303,53 @@
             self.problem("%s got the answer of %s" %
                          (ident, a.headers.get("rillknot-attempt-id")))
         if kind in ("stream", "raw", "long"):
-            events = [b"id: %d\ndata: %s token %d\n\n" % (i, ident.encode(), i)
-                      for i in range(1, EVENTS + 1)]
-            if a.body != b"".join(events) and not self.may_end_early(ident, events, a.body):
+            if not self.is_stream(ident, a.body):
                 self.problem("%s: incomplete stream: %r" % (ident, a.body[:200]))
         elif a.body != b"answer of %s to %s" % (signature.split(".")[0].encode(),
                                                 ident.encode()):
             self.problem("%s: not the body that its VM sent: %r" % (ident, a.body[:120]))
 
-    def may_end_early(self, ident, events, body):
-        """Return whether nobody can tell that the stream was broken off: a VM's connection
-        was closed between two events, and the answer had no framing."""
+    def is_stream(self, ident, body, first=1, version=None):
+        """Return whether a body is a whole stream, from its event `first` on, of one version.
+
+        Nobody can tell that a stream was broken off if a VM's connection was closed between
+        two events and the answer had no framing. version: of the events before, None if
+        there are none.
+        """
+        events = EVENT.findall(body)
         unframed = any(w.framings.get(ident) == "close" for w in self.hosted.workers)
-        return unframed and any(body == b"".join(events[:n]) for n in range(1, EVENTS))
+        last = first + len(events) - 1
+        versions = {e[3] for e in events} | ({version} if version else set())
+        return EVENT.sub(b"", body) == b"" and len(versions) <= 1 and \
+            all(e[1] == ident.encode() for e in events) and \
+            [int(e[0]) for e in events] == list(range(first, last + 1)) and \
+            (last == EVENTS or (unframed and last >= first))
+
+    def take_up(self, rng, ident, body):
+        """Take up a stream that was broken off, at any node, and check how it goes on."""
+        events = EVENT.findall(body)
+        node = self.hosted.nodes[rng.randrange(self.node_count)]
+        conn = self.connect(node) if events and int(events[-1][0]) < EVENTS else None
+        if conn is None:
+            return
+        last, version, again = int(events[-1][0]), events[-1][3], ident + "-again"
+        try:
+            conn.sendall(("POST /stream/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: %s\r\n"
+                          "Rillknot-Attempt-Id: %s\r\nRillknot-Deadline-Ms: 3000\r\n"
+                          "Last-Event-Id: %d\r\nResumes: %s\r\nContent-Length: 0\r\n\r\n"
+                          % (PUBLIC_KEY, again, last, ident)).encode())
+            a = read_answer(conn, "POST", [])
+        except OSError:
+            return
+        finally:
+            conn.close()
+        with self.lock:
+            self.taken_up[a.status] += 1
+        found = {e[3] for e in EVENT.findall(a.body)} if a.status == 200 else set()
+        if found - {version}:
+            self.problem("%s: began at %s and was taken up at %s" % (ident, version, found))
+        elif a.status == 200 and a.whole and not self.is_stream(again, a.body, last + 1, version):
+            self.problem("%s: incomplete stream after a resume: %r" % (ident, a.body[:200]))
 
     def check_settings_version(self, path, node, a, seen):
         """Check that a process never goes back to older settings than it has served."""
@@ -713,9 +760,10 @@
 
 
 def soak(seed, seconds, nodes):
-    """Run one seed; return its problems, the answers by status, and the faults."""
+    """Run one seed; return its problems, the answers by status, the faults, and the streams
+    that were taken up, by status."""
     s = Soak(seed, seconds, nodes).run_soak()
-    return s.problems, dict(s.answers), s.faults
+    return s.problems, dict(s.answers), s.faults, dict(s.taken_up)
 
 
 def known_seeds():
@@ -746,8 +794,9 @@
     p.add_argument("--regress", action="store_true")
     args = p.parse_args()
     if args.one is not None:
-        problems, answers, faults = soak(args.one, args.seconds, args.nodes)
-        print("seed %d: answers %s, %d faults" % (args.one, answers, len(faults)))
+        problems, answers, faults, taken_up = soak(args.one, args.seconds, args.nodes)
+        print("seed %d: answers %s, taken up %s, %d faults"
+              % (args.one, answers, taken_up, len(faults)))
         for text in problems:
             print("  " + text)
         if problems:
