--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -21,6 +21,8 @@
 
 /* Services of which a relay keeps state. When the table is full, it is emptied. */
 #define RK_RELAY_SERVICES 32
+/* Bytes that a forwarding peer may add to the headers of a call. */
+#define RK_FORWARD_HEADER_BYTES 1024
 
 /* Per-service state of a relay. */
 struct rk_relay_service {
@@ -63,6 +65,12 @@
     _Atomic int64_t stop_began_ms, stop_ends_ms;
 };
 
+/* relay.c: returns the number of calls in flight, and of connections with a
+ * request, a part of one, or unsent answer bytes. */
+size_t rk_relay_busy_count(const struct rk_relay *r);
+/* relay_messages.c: begins to accept callers' connections; ctx is the relay. */
+void rk_relay_start_accepting(void *ctx);
+
 /* Logs changes of the VMs' speed steps; relay_log.c. */
 void rk_relay_log_speed_changes(struct rk_relay *r, int64_t now_ms);
 
