relay: Resumes counts only in requests that take up a stream

A header of that name on another route, or without Last-Event-Id, was checked and could be answered 400. The service of a route with several is chosen by the stream's id only then, too.

--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -86,15 +86,25 @@
     return ms < route->timeout_ms ? ms : route->timeout_ms;
 }
 
+/* Returns true if the request takes up a stream. */
+static bool takes_up_stream(const struct rk_relay *r, const struct rk_route *route,
+                            const struct rk_head *head)
+{
+    return route->kind == RK_CALL_STREAM && route->resumable &&
+           rk_head_get(head, r->opt.dialect->resume_after) != NULL;
+}
+
 /* Returns the request id of the caller's attempt that brought the first event of
- * the stream that it takes up, or this request's own id. */
-static const char *stream_id(const struct rk_relay *r, const struct rk_head *head)
+ * the stream that it takes up, "" if the request doesn't name it, or this request's
+ * own id if it takes up none. */
+static const char *stream_id(const struct rk_relay *r, const struct rk_route *route,
+                             const struct rk_head *head)
 {
     const struct rk_dialect *d = r->opt.dialect;
+    if (!takes_up_stream(r, route, head))
+        return rk_head_get(head, d->request_id);
     const char *resumes = rk_head_get(head, d->resumes);
-    return rk_head_get(head, d->resume_after) && resumes
-               ? resumes
-               : rk_head_get(head, d->request_id);
+    return resumes ? resumes : "";
 }
 
 /* Returns false if the request names the stream that it takes up in a way that
@@ -118,15 +128,11 @@
 /* Notes which stream the call begins or takes up. */
 static void identify_stream(struct rk_relay_call *x, const struct rk_head *head)
 {
-    const struct rk_dialect *d = x->r->opt.dialect;
-    x->is_resume = rk_head_get(head, d->resume_after) != NULL;
-    /* Without the id of its first attempt, a stream that is taken up is not known.
-     */
-    if (x->route->kind != RK_CALL_STREAM || !x->route->resumable ||
-        (x->is_resume && !rk_head_get(head, d->resumes)))
-        return;
-    x->stream = rk_stream_hash(x->org ? x->org->name : "", x->query.service,
-                               stream_id(x->r, head));
+    const char *id = stream_id(x->r, x->route, head);
+    x->is_resume = rk_head_get(head, x->r->opt.dialect->resume_after) != NULL;
+    if (x->route->kind == RK_CALL_STREAM && x->route->resumable && id[0])
+        x->stream =
+            rk_stream_hash(x->org ? x->org->name : "", x->query.service, id);
 }
 
 static struct rk_relay_call *create_call(struct rk_relay *r,
@@ -144,8 +150,8 @@
                                 .started_ms = rk_mono_ms(),
                                 .first_ms = -1};
     rk_strcpy(x->id, sizeof(x->id), rk_head_get(head, r->opt.dialect->request_id));
-    x->query.service =
-        rk_route_pick_service(route, (uint32_t)rk_hash_str(0, stream_id(r, head)));
+    x->query.service = rk_route_pick_service(
+        route, (uint32_t)rk_hash_str(0, stream_id(r, route, head)));
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
     x->query.request_hash = rk_hash_str(0, x->id);
@@ -169,9 +175,8 @@
 /* Sends the call to a VM or a peer, or ends it if that is impossible. */
 static void send_call(struct rk_relay_call *x)
 {
-    bool takes_up = x->is_resume && x->route->kind == RK_CALL_STREAM &&
-                    x->route->resumable && !x->query.version[0];
-    if (takes_up)
+    bool takes_up = takes_up_stream(x->r, x->route, rk_client_head(x->client));
+    if (takes_up && !x->query.version[0])
         rk_call_resume(x);
     else
         rk_call_send(x);
@@ -319,7 +324,7 @@
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a request id");
         return;
     }
-    if (!names_stream_well(r, head)) {
+    if (takes_up_stream(r, route, head) && !names_stream_well(r, head)) {
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected the id of one stream");
         return;
     }
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -310,6 +310,8 @@
         a = f.d.call("/s/x", headers=twice)
         assert a.status == 400 and f.d.runs(a.ident) == 0, a.status
         assert f.take_up(ident, last).status == 200
+        # It says nothing in a request that takes up no stream.
+        assert f.d.call("/s/x", headers=[("Resumes", "a b")]).status == 200
 
 
 def test_a_stream_moves_to_an_engine_of_its_version():
