--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -16,7 +16,7 @@
 void rk_stream_versions_free(struct rk_stream_versions *s)
 {
     free(s->slots);
-    free(s->sightings);
+    free(s->served);
 }
 
 void rk_stream_versions_set_lifetime(struct rk_stream_versions *s, int64_t ms)
@@ -113,28 +113,26 @@
 
 /* ---- versions of services ---- */
 
-static struct rk_version_sighting *find_sighting(struct rk_stream_versions *s,
-                                                 uint64_t service_hash,
-                                                 const char *version)
+static struct rk_served_version *find_served(struct rk_stream_versions *s,
+                                             uint64_t service_hash,
+                                             const char *version)
 {
-    for (size_t i = 0; i < s->sightings_len; i++)
-        if (s->sightings[i].service_hash == service_hash &&
-            !strcmp(s->sightings[i].version, version))
-            return &s->sightings[i];
+    for (size_t i = 0; i < s->served_len; i++)
+        if (s->served[i].service_hash == service_hash &&
+            !strcmp(s->served[i].version, version))
+            return &s->served[i];
     return NULL;
 }
 
-static struct rk_version_sighting *get_sighting(struct rk_stream_versions *s,
-                                                uint64_t service_hash,
-                                                const char *version)
+static struct rk_served_version *
+get_served(struct rk_stream_versions *s, uint64_t service_hash, const char *version)
 {
-    struct rk_version_sighting *found = find_sighting(s, service_hash, version);
+    struct rk_served_version *found = find_served(s, service_hash, version);
     if (found)
         return found;
-    s->sightings =
-        rk_realloc(s->sightings, (s->sightings_len + 1) * sizeof(*s->sightings));
-    struct rk_version_sighting *v = &s->sightings[s->sightings_len++];
-    *v = (struct rk_version_sighting){.service_hash = service_hash};
+    s->served = rk_realloc(s->served, (s->served_len + 1) * sizeof(*s->served));
+    struct rk_served_version *v = &s->served[s->served_len++];
+    *v = (struct rk_served_version){.service_hash = service_hash};
     rk_strcpy(v->version, sizeof(v->version), version);
     return v;
 }
@@ -143,8 +141,8 @@
  * for those that were listed. */
 void rk_stream_versions_begin_list(struct rk_stream_versions *s)
 {
-    for (size_t i = 0; i < s->sightings_len; i++) {
-        struct rk_version_sighting *v = &s->sightings[i];
+    for (size_t i = 0; i < s->served_len; i++) {
+        struct rk_served_version *v = &s->served[i];
         if (v->is_listed)
             v->last_listed_ms = -1;
         v->is_listed = false;
@@ -154,12 +152,12 @@
 void rk_stream_versions_note_listed(struct rk_stream_versions *s,
                                     const char *service, const char *version)
 {
-    get_sighting(s, rk_hash_str(0, service), version)->is_listed = true;
+    get_served(s, rk_hash_str(0, service), version)->is_listed = true;
 }
 
 /* Returns true if streams that began at the version can still be taken up. */
 static bool is_in_use(const struct rk_stream_versions *s,
-                      const struct rk_version_sighting *v, int64_t now_ms)
+                      const struct rk_served_version *v, int64_t now_ms)
 {
     return v->is_listed || now_ms - v->last_listed_ms < s->lifetime_ms;
 }
@@ -167,22 +165,22 @@
 void rk_stream_versions_end_list(struct rk_stream_versions *s, int64_t now_ms)
 {
     size_t kept = 0;
-    for (size_t i = 0; i < s->sightings_len; i++) {
-        struct rk_version_sighting *v = &s->sightings[i];
+    for (size_t i = 0; i < s->served_len; i++) {
+        struct rk_served_version *v = &s->served[i];
         if (!v->is_listed && v->last_listed_ms < 0)
             v->last_listed_ms = now_ms;
         if (is_in_use(s, v, now_ms))
-            s->sightings[kept++] = *v;
+            s->served[kept++] = *v;
     }
-    s->sightings_len = kept;
+    s->served_len = kept;
 }
 
 /* Returns true if no other version can have served for the lifetime of a stream
  * unnoticed. */
 static bool has_watched(const struct rk_stream_versions *s,
-                        const struct rk_version_sighting *v, int64_t now_ms)
+                        const struct rk_served_version *v, int64_t now_ms)
 {
-    return s->first_start || v->is_vouched ||
+    return s->first_start || v->was_only ||
            now_ms - s->started_ms >= s->lifetime_ms;
 }
 
@@ -190,9 +188,9 @@
                                          uint64_t service_hash, const char **only,
                                          int64_t now_ms)
 {
-    const struct rk_version_sighting *found = NULL;
-    for (size_t i = 0; i < s->sightings_len; i++) {
-        const struct rk_version_sighting *v = &s->sightings[i];
+    const struct rk_served_version *found = NULL;
+    for (size_t i = 0; i < s->served_len; i++) {
+        const struct rk_served_version *v = &s->served[i];
         if (v->service_hash != service_hash || !is_in_use(s, v, now_ms))
             continue;
         if (found)
@@ -213,21 +211,21 @@
     return state_of(s, rk_hash_str(0, service), only, now_ms);
 }
 
-void rk_stream_versions_vouch(struct rk_stream_versions *s, const char *service,
-                              const char *version, int64_t now_ms)
+void rk_stream_versions_note_only(struct rk_stream_versions *s, const char *service,
+                                  const char *version, int64_t now_ms)
 {
     uint64_t service_hash = rk_hash_str(0, service);
-    struct rk_version_sighting *v = find_sighting(s, service_hash, version);
+    struct rk_served_version *v = find_served(s, service_hash, version);
     if (!v) {
-        v = get_sighting(s, service_hash, version);
+        v = get_served(s, service_hash, version);
         v->last_listed_ms = now_ms; /* it served until now, as far as known */
     }
-    v->is_vouched = true;
+    v->was_only = true;
 }
 
 struct rk_stream_version *
-rk_stream_versions_next_untold(struct rk_stream_versions *s, size_t *at,
-                               int64_t now_ms)
+rk_stream_versions_next_pending(struct rk_stream_versions *s, size_t *at,
+                                int64_t now_ms)
 {
     const char *only;
     for (; *at < s->slots_len; ++*at) {
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -49,12 +49,12 @@
 };
 
 /* A version of a service that has VMs, or had some. */
-struct rk_version_sighting {
+struct rk_served_version {
     uint64_t service_hash;
     char version[RK_VERSION_MAX];
     bool is_listed;         /* VMs of it are on the list now */
     int64_t last_listed_ms; /* until when, if there are none */
-    bool is_vouched;        /* was the only one before this node started */
+    bool was_only;          /* was the only one before this node started */
 };
 
 /* Zero-initialise with rk_stream_versions_init(), release with
@@ -63,8 +63,8 @@
     struct rk_stream_version *slots; /* hash table with open addressing */
     size_t slots_len;                /* 0 or a power of two */
     size_t used;
-    struct rk_version_sighting *sightings;
-    size_t sightings_len;
+    struct rk_served_version *served;
+    size_t served_len;
     int64_t started_ms;
     bool first_start; /* no stream began before started_ms */
     /* How long after its first event a stream can be taken up. */
@@ -100,8 +100,8 @@
  * which no peer was told; NULL if there is none. *at is the position to go on from,
  * 0 at first. */
 struct rk_stream_version *
-rk_stream_versions_next_untold(struct rk_stream_versions *s, size_t *at,
-                               int64_t now_ms);
+rk_stream_versions_next_pending(struct rk_stream_versions *s, size_t *at,
+                                int64_t now_ms);
 /* Removes expired streams. */
 void rk_stream_versions_expire(struct rk_stream_versions *s, int64_t now_ms);
 
@@ -131,8 +131,8 @@
 
 /* Records that no other version of the service has served for the lifetime of a
  * stream, as a peer has observed, or this node before a restart. */
-void rk_stream_versions_vouch(struct rk_stream_versions *s, const char *service,
-                              const char *version, int64_t now_ms);
+void rk_stream_versions_note_only(struct rk_stream_versions *s, const char *service,
+                                  const char *version, int64_t now_ms);
 
 /* ---- peers ---- */
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -124,7 +124,8 @@
  * The caller frees *out. */
 size_t rk_relay_versions_copy_only(struct rk_relay *r,
                                    struct rk_only_version **out);
-void rk_relay_versions_vouch(struct rk_relay *r, const struct rk_only_version *row);
+void rk_relay_versions_note_only(struct rk_relay *r,
+                                 const struct rk_only_version *row);
 /* Tells peers of streams that began here before that was needed. */
 void rk_relay_versions_tell_pending(struct rk_relay *r);
 /* Returns true if a peer's request is about versions of streams. */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -279,7 +279,7 @@
 {
     struct message *m = ctx;
     for (size_t i = 0; i < m->only_versions_len; i++)
-        rk_relay_versions_vouch(m->r, &m->only_versions[i]);
+        rk_relay_versions_note_only(m->r, &m->only_versions[i]);
     free(m->only_versions);
     free(m);
 }
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -28,7 +28,7 @@
 /* Idle time after which a connection is not used again. Peers close theirs after
  * 15 s. */
 #define MAX_IDLE_MS 10000
-/* Rows of a request, and untold streams that are told in one round. */
+/* Rows of a request, and pending streams that are told in one round. */
 #define MAX_ROWS      256
 #define BODY_MAX      (256 * 1024) /* bytes of an answer */
 #define MAX_IN_FLIGHT 512          /* requests to peers */
@@ -147,10 +147,11 @@
     return len;
 }
 
-void rk_relay_versions_vouch(struct rk_relay *r, const struct rk_only_version *row)
+void rk_relay_versions_note_only(struct rk_relay *r,
+                                 const struct rk_only_version *row)
 {
-    rk_stream_versions_vouch(&r->versions->table, row->service, row->version,
-                             rk_mono_ms());
+    rk_stream_versions_note_only(&r->versions->table, row->service, row->version,
+                                 rk_mono_ms());
 }
 
 /* ---- requests to peers ---- */
@@ -307,8 +308,8 @@
     const char *only;
     char version[RK_VERSION_MAX] = "";
     if (!ask->saw_several && ask->has_only)
-        rk_stream_versions_vouch(&x->r->versions->table, x->query.service,
-                                 ask->only, rk_mono_ms());
+        rk_stream_versions_note_only(&x->r->versions->table, x->query.service,
+                                     ask->only, rk_mono_ms());
     if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
         (!ask->has_only || !strcmp(only, ask->only)))
         rk_strcpy(version, sizeof(version), only);
@@ -353,8 +354,8 @@
     if (call)
         receive_answer(call, row);
     else if (row && service[0] && row->only[0])
-        rk_stream_versions_vouch(&r->versions->table, service, row->only,
-                                 rk_mono_ms());
+        rk_stream_versions_note_only(&r->versions->table, service, row->only,
+                                     rk_mono_ms());
     if (rows)
         rillknot__stream_versions__free_unpacked(rows, NULL);
 }
@@ -410,34 +411,59 @@
     row->ttl_ms = e->expires_ms - now_ms;
 }
 
+/* A stream that peers are told, and these peers. */
+struct told_stream {
+    struct rk_stream_version *row;
+    const struct rk_stream_peer *holders[RK_STREAM_HOLDERS];
+    size_t holders_len;
+};
+
+static bool has_holder(const struct told_stream *t,
+                       const struct rk_stream_peer *peer)
+{
+    for (size_t i = 0; i < t->holders_len; i++)
+        if (t->holders[i] == peer)
+            return true;
+    return false;
+}
+
+/* Tells a peer those of the streams of which it is a holder. */
+static void tell_peer(struct rk_relay *r, const struct rk_stream_peer *peer,
+                      const struct told_stream *streams, size_t len,
+                      const char *service)
+{
+    Rillknot__StreamVersion rows[MAX_ROWS], *refs[MAX_ROWS];
+    Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
+    int64_t now_ms = rk_mono_ms();
+    for (size_t i = 0; i < len; i++) {
+        if (!has_holder(&streams[i], peer))
+            continue;
+        fill_row(&rows[body.n_rows], streams[i].row, now_ms);
+        rows[body.n_rows].service = (char *)service;
+        refs[body.n_rows] = &rows[body.n_rows];
+        body.n_rows++;
+    }
+    body.rows = refs;
+    if (body.n_rows && start_request(r, peer->addr, &body, NULL))
+        rk_counter_add(RK_C_STREAM_VERSIONS_TOLD, body.n_rows);
+}
+
 /* Tells the holders of these streams, which began here. service: of all of them, or
  * "". */
-static void tell(struct rk_relay *r, struct rk_stream_version **streams, size_t len,
+static void tell(struct rk_relay *r, struct rk_stream_version **rows, size_t len,
                  const char *service)
 {
-    struct rk_relay_versions *v = r->versions;
-    int64_t now_ms = rk_mono_ms();
-    Rillknot__StreamVersion rows[MAX_ROWS], *refs[MAX_ROWS];
-    for (size_t p = 0; p < v->peers_len; p++) {
-        Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
-        for (size_t i = 0; i < len; i++) {
-            const struct rk_stream_peer *holders[RK_STREAM_HOLDERS];
-            size_t n = rk_stream_holders(v->peers, v->peers_len, streams[i]->stream,
-                                         v->domain_hash, holders);
-            if (!(n > 0 && holders[0] == &v->peers[p]) &&
-                !(n > 1 && holders[1] == &v->peers[p]))
-                continue;
-            fill_row(&rows[body.n_rows], streams[i], now_ms);
-            rows[body.n_rows].service = (char *)service;
-            refs[body.n_rows] = &rows[body.n_rows];
-            body.n_rows++;
-        }
-        body.rows = refs;
-        if (body.n_rows && start_request(r, v->peers[p].addr, &body, NULL))
-            rk_counter_add(RK_C_STREAM_VERSIONS_TOLD, body.n_rows);
+    const struct rk_relay_versions *v = r->versions;
+    struct told_stream streams[MAX_ROWS];
+    for (size_t i = 0; i < len; i++) {
+        struct told_stream *t = &streams[i];
+        t->row = rows[i];
+        t->holders_len = rk_stream_holders(v->peers, v->peers_len, rows[i]->stream,
+                                           v->domain_hash, t->holders);
+        rows[i]->is_told = t->holders_len > 0;
     }
-    for (size_t i = 0; i < len; i++)
-        streams[i]->is_told = v->peers_len > 0;
+    for (size_t p = 0; p < v->peers_len; p++)
+        tell_peer(r, &v->peers[p], streams, len, service);
 }
 
 void rk_call_bind_version(struct rk_relay_call *x)
@@ -467,7 +493,7 @@
     size_t len = 0, at = 0;
     int64_t now_ms = rk_mono_ms();
     while (len < MAX_ROWS &&
-           (streams[len] = rk_stream_versions_next_untold(table, &at, now_ms)))
+           (streams[len] = rk_stream_versions_next_pending(table, &at, now_ms)))
         len++;
     if (len && r->versions->peers_len)
         tell(r, streams, len, "");
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -68,14 +68,14 @@
     list(&s, 1000, "1");
     check_state(&s, 1000, RK_VERSIONS_UNSURE, "");
     check_state(&s, 1000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
-    rk_stream_versions_vouch(&s, "llm", "1", 2000);
+    rk_stream_versions_note_only(&s, "llm", "1", 2000);
     check_state(&s, 2000, RK_VERSIONS_ONE, "1");
     list(&s, 3000, "12");
     check_state(&s, 3000, RK_VERSIONS_SEVERAL, "");
     rk_stream_versions_free(&s);
     /* The only version before the restart is not the one that is listed. */
     s = create(false);
-    rk_stream_versions_vouch(&s, "llm", "1", 1000);
+    rk_stream_versions_note_only(&s, "llm", "1", 1000);
     list(&s, 1100, "2");
     check_state(&s, 1100, RK_VERSIONS_SEVERAL, "");
     rk_stream_versions_free(&s);
@@ -121,16 +121,16 @@
     list(&s, 1000, "1");
     rk_stream_versions_note(&s, 7, "llm", "1", LIFETIME_MS, 1000);
     rk_stream_versions_note(&s, 8, NULL, "1", LIFETIME_MS, 1000); /* a peer's */
-    assert_null(rk_stream_versions_next_untold(&s, &at, 1000));
+    assert_null(rk_stream_versions_next_pending(&s, &at, 1000));
     list(&s, 2000, "12");
     at = 0;
-    struct rk_stream_version *e = rk_stream_versions_next_untold(&s, &at, 2000);
+    struct rk_stream_version *e = rk_stream_versions_next_pending(&s, &at, 2000);
     assert_non_null(e);
     assert_int_equal(e->stream, 7);
-    assert_null(rk_stream_versions_next_untold(&s, &at, 2000));
+    assert_null(rk_stream_versions_next_pending(&s, &at, 2000));
     e->is_told = true;
     at = 0;
-    assert_null(rk_stream_versions_next_untold(&s, &at, 2000));
+    assert_null(rk_stream_versions_next_pending(&s, &at, 2000));
     rk_stream_versions_free(&s);
 }
 
