tests: the stand-in VM writes a plain answer at once

Traced to the stand-in: since it knows framings, it wrote head and body apart, and the kernel held the body back until the head was acknowledged: 40 ms a call, 850 calls instead of 1,780. The product has no part in it.

--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -562,8 +562,10 @@
                 time.sleep(self.work_s)
         body = self.body(req)
         framing = self.choose_framing(req)
-        conn.sendall(self.head(req, framing=self.framing_header(framing, len(body))))
-        self.send_body(conn, framing, body)
+        head = self.head(req, framing=self.framing_header(framing, len(body)))
+        # In one write: the kernel holds a second small one back until the first is
+        # acknowledged, for up to 40 ms.
+        conn.sendall(head + self.framed(framing, body))
         return self.end_body(conn, framing)
 
     def choose_framing(self, req):
@@ -577,9 +579,13 @@
                 "length": b"Content-Length: %d\r\n" % length, "close": b""}[framing]
 
     @staticmethod
-    def send_body(conn, framing, data):
+    def framed(framing, data):
+        """Return a part of a body with its framing."""
+        return b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data
+
+    def send_body(self, conn, framing, data):
         """Send a part of a body."""
-        conn.sendall(b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data)
+        conn.sendall(self.framed(framing, data))
 
     @staticmethod
     def end_body(conn, framing):
