--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -70,19 +70,23 @@
     if ((s->used + 1) * 2 <= s->slots_len)
         return true;
     rk_stream_versions_expire(s, now_ms);
-    if ((s->used + 1) * 2 > s->slots_len && s->used < RK_STREAMS_MAX)
+    /* Streams expire all the time. A table that is left just below its limit would
+     * be rebuilt for each new one. */
+    if (s->used * 4 > s->slots_len && s->slots_len < 2 * RK_STREAMS_MAX)
         rebuild(s, s->slots_len * 2, now_ms);
     return (s->used + 1) * 2 <= s->slots_len;
 }
 
-void rk_stream_versions_note(struct rk_stream_versions *s, uint64_t stream,
-                             const char *service, const char *version,
-                             int64_t ttl_ms, int64_t now_ms)
+struct rk_stream_version *rk_stream_versions_note(struct rk_stream_versions *s,
+                                                  uint64_t stream,
+                                                  const char *service,
+                                                  const char *version,
+                                                  int64_t ttl_ms, int64_t now_ms)
 {
     struct rk_stream_version *e = rk_stream_versions_find(s, stream, now_ms);
     if (!e) {
         if (!reserve(s, now_ms))
-            return;
+            return NULL;
         e = slot_of(s, stream);
         s->used += !e->stream;
         *e = (struct rk_stream_version){.stream = stream};
@@ -94,6 +98,7 @@
         e->service_hash = rk_hash_str(0, service);
     else
         e->is_told = true;
+    return e;
 }
 
 struct rk_stream_version *rk_stream_versions_find(struct rk_stream_versions *s,
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -89,10 +89,13 @@
 /* ---- streams ---- */
 
 /* Records the version of a stream for ttl_ms. service: if it began at this node;
- * NULL: a peer told it. */
-void rk_stream_versions_note(struct rk_stream_versions *s, uint64_t stream,
-                             const char *service, const char *version,
-                             int64_t ttl_ms, int64_t now_ms);
+ * NULL: a peer told it. Returns its record, which is valid until the next call, or
+ * NULL if there are too many. */
+struct rk_stream_version *rk_stream_versions_note(struct rk_stream_versions *s,
+                                                  uint64_t stream,
+                                                  const char *service,
+                                                  const char *version,
+                                                  int64_t ttl_ms, int64_t now_ms);
 /* Returns the record of a stream, or NULL. It is valid until the next call. */
 struct rk_stream_version *rk_stream_versions_find(struct rk_stream_versions *s,
                                                   uint64_t stream, int64_t now_ms);
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -236,6 +236,12 @@
     return true;
 }
 
+/* Returns true if only the close of the VM's connection ends the stream. */
+static bool is_unframed_stream(const struct rk_relay_call *x)
+{
+    return x->framing == RK_FRAMING_CLOSE && x->is_event_stream;
+}
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
     struct rk_relay_call *x = ctx;
@@ -246,7 +252,7 @@
         return;
     record_first_byte(x);
     count_usage(x, rk_wall_ms());
-    if (x->is_event_stream)
+    if (is_unframed_stream(x))
         rk_event_position_add(&x->position, data, len);
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
@@ -262,12 +268,6 @@
     rk_call_finish(x);
 }
 
-/* Returns true if only the close of the VM's connection ended the stream. */
-static bool is_unframed_stream(const struct rk_relay_call *x)
-{
-    return x->framing == RK_FRAMING_CLOSE && x->is_event_stream;
-}
-
 void rk_call_answer_ended(struct rk_relay_call *x)
 {
     if (x->may_be_stopped && is_unframed_stream(x)) {
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -82,7 +82,7 @@
     enum answer_class answer_class;
     enum rk_framing framing; /* of the answer, once its head has arrived */
     bool is_event_stream;    /* the answer is one */
-    struct rk_event_position position; /* of that stream */
+    struct rk_event_position position; /* of that stream, if it has no framing */
     int64_t sent_wall_ms;              /* wall-clock time at which it was sent */
     /* The request is counted in its organisation's usage, once in all attempts. */
     bool usage_counted;
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -4,14 +4,11 @@
  * forwarded calls. A caller's resume waits for the answers of those that are asked;
  * if nobody knows the stream's version and several may be it, the call is rejected
  * as not run. */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "callers/server.h"
 #include "common/counters.h"
-#include "common/eventlog.h"
 #include "common/http1.h"
 #include "peers/peers.pb-c.h"
 #include "serve/relay_call_impl.h"
@@ -478,10 +475,9 @@
     if (!x->stream || x->is_forwarded)
         return; /* the peer that has the caller records it */
     struct rk_stream_versions *table = &x->r->versions->table;
-    int64_t now_ms = rk_mono_ms();
-    rk_stream_versions_note(table, x->stream, x->query.service, version,
-                            table->lifetime_ms, now_ms);
-    struct rk_stream_version *e = rk_stream_versions_find(table, x->stream, now_ms);
+    struct rk_stream_version *e =
+        rk_stream_versions_note(table, x->stream, x->query.service, version,
+                                table->lifetime_ms, rk_mono_ms());
     if (e && versions_of(x, &only) != RK_VERSIONS_ONE)
         tell(x->r, &e, 1, x->query.service);
 }
