quarantine: request.suspected tells the segments of the prompt

Nothing in the logs could show whether calls under which VMs ended share a part of their prompts. The event now has the ids of all segments but the last, which is the request's own; core/prompt_segments parses as many as the header holds.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -59,6 +59,7 @@
     rk_call_move_free(x);
     rk_call_ask_free(x);
     rk_event_splitter_free(&x->events);
+    rk_prompt_segments_free(&x->segments);
     rk_routes_unref(x->routes);
     free(x);
 }
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -9,6 +9,7 @@
 #define RK_SERVE_RELAY_CALL_IMPL_H
 
 #include "common/http1.h"
+#include "core/prompt_segments.h"
 #include "serve/relay_call.h"
 #include "services/upstream.h"
 
@@ -62,6 +63,7 @@
     const struct rk_service_info *service;
     const struct rk_org_info *org; /* NULL: none */
     uint64_t fingerprint; /* see rk_call_fingerprint(); 0: not computed yet */
+    struct rk_prompt_segments segments;
     struct rk_place_query query;
     double units; /* cost in the organisation's quota */
     int64_t started_ms, deadline_ms;
--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -24,6 +24,8 @@
 #define OTHERS_MARGIN_MS   10
 #define OTHERS_INTERVAL_MS 20
 #define SUSPECTS_MAX       64 /* per VM */
+/* Ids of a suspect's prompt segments in the log. */
+#define SEGMENTS_LOG_MAX 256
 
 /* A VM that is crashed by a request ends soon after it has begun it: 36 to 79 ms
  * were observed. A call counts as just begun for JUST_BEGUN_MS, and is cleared if
@@ -46,6 +48,7 @@
     struct suspect {
         struct rk_quarantine_row identity; /* request, organisation and route */
         char call_id[REQUEST_ID_MAX];
+        char segments[SEGMENTS_LOG_MAX]; /* of its prompt, by id */
         enum rk_suspicion suspicion;
     } suspects[SUSPECTS_MAX];
     size_t suspects_len;
@@ -103,8 +106,8 @@
     rk_quarantine_format(s->identity.request, name);
     RK_EVENT("request.suspected", RK_S("request", s->call_id),
              RK_S("fingerprint", name), RK_S("organisation", s->identity.org),
-             RK_S("route", s->identity.route), RK_S("vm", k->vm_id),
-             RK_N("suspicion", s->suspicion));
+             RK_S("route", s->identity.route), RK_S("segments", s->segments),
+             RK_S("vm", k->vm_id), RK_N("suspicion", s->suspicion));
 }
 
 static void record_vm_end(struct rk_vm_check *k)
@@ -288,6 +291,7 @@
     *s = (struct suspect){.suspicion = suspicion,
                           .identity.request = x->fingerprint};
     rk_strcpy(s->call_id, sizeof(s->call_id), x->id);
+    rk_prompt_segments_format(&x->segments, s->segments, sizeof(s->segments));
     rk_strcpy(s->identity.org, sizeof(s->identity.org), x->org ? x->org->name : "");
     rk_strcpy(s->identity.route, sizeof(s->identity.route), x->route->name);
 }
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -68,8 +68,11 @@
         x->query.prompt_tokens = strtod(tokens, &end);
         out = *end == ',' ? strtod(end + 1, NULL) : 0;
     }
-    if (prefix)
+    if (prefix) {
         rk_place_parse_segments(&x->query, prefix);
+        x->segments = rk_prompt_segments_parse(x->org ? x->org->name : "",
+                                               x->query.service, prefix);
+    }
     if (x->org && x->org->counts_tokens)
         x->units =
             tokens ? x->query.prompt_tokens + out : (double)x->org->default_units;
