--- a/tests/run.py
+++ b/tests/run.py
@@ -49,6 +49,7 @@
     "proc_hosted_entries": "hosted  restarted VMs, entries written by another program",
     "proc_crashes": "9     a call that crashes its VMs is sent to three at most",
     "proc_hosted_quarantine": "hosted  a request that crashes its VMs is stopped",
+    "proc_hosted_segments": "hosted  a prompt segment that crashes its VMs is stopped",
     "proc_hosted_signals": "hosted  signals that VMs send in their answers",
     "proc_hosted_limits": "hosted  a VM gets no more requests than its advertised limit",
     "proc_hosted_leaving": "hosted  a VM that signals its leaving gets no more calls",
