quarantine: prompt segments that crash VMs are stopped

Cause: the quarantine remembers whole requests, by a hash of all they hold. No two of these requests are alike, so none got to its third end.

Change: rows of the table may be of a segment, by organisation, service and id. A segment is stopped after three ends of VMs that had just begun different requests with it, one end after the other; after five if VMs are known to have answered on it before. It is cleared by a VM that answers on it after its first end and lives, and it is not stopped while another suspect accounts for nearly all of its ends and is the likelier cause: one on which no VM has answered, a clearly rarer one, one with more ends. Ends count from half a second on (1.5 s for a segment that was sound), so that peers' word on other suspects, and on survivors, has come. Rows go to peers and to the platform's store as those of requests do. All segments but the last are looked at, however many there are.

--- a/core/prompt_segments.c
+++ b/core/prompt_segments.c
@@ -45,6 +45,17 @@
     *s = (struct rk_prompt_segments){0};
 }
 
+struct rk_prompt_segments
+rk_prompt_segments_copy(const struct rk_prompt_segments *s)
+{
+    struct rk_prompt_segments copy = {.len = s->len};
+    if (!s->len)
+        return copy;
+    copy.items = rk_alloc(s->len, sizeof(*copy.items));
+    memcpy(copy.items, s->items, s->len * sizeof(*copy.items));
+    return copy;
+}
+
 void rk_prompt_segments_format(const struct rk_prompt_segments *s, char *out,
                                size_t size)
 {
--- a/core/prompt_segments.h
+++ b/core/prompt_segments.h
@@ -32,6 +32,9 @@
 struct rk_prompt_segments
 rk_prompt_segments_parse(const char *org, const char *service, const char *text);
 void rk_prompt_segments_free(struct rk_prompt_segments *s);
+/* Returns a copy, to be freed as well. */
+struct rk_prompt_segments
+rk_prompt_segments_copy(const struct rk_prompt_segments *s);
 
 /* Formats the ids for a log, separated by commas; cut if the text is too long. */
 void rk_prompt_segments_format(const struct rk_prompt_segments *s, char *out,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -1,4 +1,4 @@
-#include "core/quarantine.h"
+#include "core/quarantine_impl.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -111,12 +111,15 @@
         (struct rk_quarantine_row){.request = names->request, .changed_ms = now_ms};
     rk_strcpy(row->org, sizeof(row->org), names->org);
     rk_strcpy(row->route, sizeof(row->route), names->route);
+    rk_strcpy(row->segment, sizeof(row->segment), names->segment);
+    rk_strcpy(row->service, sizeof(row->service), names->service);
     return row;
 }
 
 /* ---- evidence ---- */
 
-static struct rk_vm_end *find_end(struct rk_quarantine_row *row, uint32_t vm)
+const struct rk_vm_end *rk_quarantine_find_end(const struct rk_quarantine_row *row,
+                                               uint32_t vm)
 {
     for (size_t i = 0; i < row->ends_len; i++)
         if (row->ends[i].vm == vm)
@@ -140,27 +143,53 @@
 /* Returns whether the end is new or weighs more than it was recorded with. */
 static bool add_end(struct rk_quarantine_row *row, struct rk_vm_end end)
 {
-    struct rk_vm_end *known = find_end(row, end.vm);
+    const struct rk_vm_end *known = rk_quarantine_find_end(row, end.vm);
     if (known && known->suspicion >= end.suspicion)
         return false;
-    struct rk_vm_end *to = known ? known : slot_for(row, end.suspicion);
+    struct rk_vm_end *to =
+        known ? &row->ends[known - row->ends] : slot_for(row, end.suspicion);
     if (!to)
         return false;
     *to = end;
     return true;
 }
 
-/* Returns whether the VM had just begun a stopped request when it ended. Other
- * requests are not suspected of that end. */
-static bool is_explained(struct rk_quarantine *q,
-                         const struct rk_quarantine_row *except, uint32_t vm)
+/* Returns whether a segment accounts for all ends of VMs that had just begun a
+ * request, and for more. The segment may then be why the request was stopped. */
+static bool accounts_for(const struct rk_quarantine_row *segment,
+                         const struct rk_quarantine_row *request)
 {
-    for (size_t i = 0; i < q->len; i++) {
-        struct rk_quarantine_row *row = &q->rows[i];
-        if (row == except || !row->stopped)
+    size_t common = 0;
+    for (size_t i = 0; i < request->ends_len; i++) {
+        if (request->ends[i].suspicion < RK_HAD_JUST_BEGUN)
             continue;
-        const struct rk_vm_end *end = find_end(row, vm);
-        if (end && end->suspicion == RK_HAD_JUST_BEGUN)
+        const struct rk_vm_end *end =
+            rk_quarantine_find_end(segment, request->ends[i].vm);
+        if (!end || end->suspicion < RK_HAD_JUST_BEGUN)
+            return false;
+        common++;
+    }
+    return segment->ends_len > common;
+}
+
+static bool explains(const struct rk_quarantine_row *other,
+                     const struct rk_quarantine_row *row,
+                     const struct rk_vm_end *end)
+{
+    const struct rk_vm_end *cause = rk_quarantine_find_end(other, end->vm);
+    if (!cause || cause->suspicion < RK_HAD_JUST_BEGUN)
+        return false;
+    return rk_quarantine_is_segment(other) || !rk_quarantine_is_segment(row) ||
+           !accounts_for(row, other);
+}
+
+bool rk_quarantine_is_explained(const struct rk_quarantine *q,
+                                const struct rk_quarantine_row *row,
+                                const struct rk_vm_end *end)
+{
+    for (size_t i = 0; i < q->len; i++) {
+        const struct rk_quarantine_row *other = &q->rows[i];
+        if (other != row && other->stopped && explains(other, row, end))
             return true;
     }
     return false;
@@ -170,7 +199,7 @@
 {
     int sum = 0;
     for (size_t i = 0; i < row->ends_len; i++)
-        if (!is_explained(q, row, row->ends[i].vm))
+        if (!rk_quarantine_is_explained(q, row, &row->ends[i]))
             sum += (int)row->ends[i].suspicion;
     return sum;
 }
@@ -181,7 +210,7 @@
     if (row->ends_len < RK_QUARANTINE_ENDS)
         return;
     for (size_t i = row->ends_len; i-- > 0;)
-        if (is_explained(q, row, row->ends[i].vm))
+        if (rk_quarantine_is_explained(q, row, &row->ends[i]))
             row->ends[i] = row->ends[--row->ends_len];
 }
 
@@ -196,7 +225,7 @@
         int ends = 0;
         for (size_t j = 0; j < row->ends_len; j++)
             ends += row->ends[j].suspicion == RK_HAD_JUST_BEGUN;
-        count += row != except && ends >= 2;
+        count += row != except && !rk_quarantine_is_segment(row) && ends >= 2;
     }
     return count;
 }
@@ -208,14 +237,23 @@
     return RK_QUARANTINE_LIMIT + (crowded ? RK_HAD_JUST_BEGUN : 0);
 }
 
-/* Stops the request if its evidence suffices; returns whether it did. */
-static bool judge(struct rk_quarantine *q, struct rk_quarantine_row *row)
+static bool request_is_to_blame(struct rk_quarantine *q,
+                                const struct rk_quarantine_row *row)
 {
-    int sum = row->stopped ? 0 : evidence(q, row);
-    if (sum < RK_QUARANTINE_LIMIT || sum < limit(q, row))
+    int sum = evidence(q, row);
+    return sum >= RK_QUARANTINE_LIMIT && sum >= limit(q, row);
+}
+
+/* Stops the request or segment if its evidence suffices; returns whether it did. */
+static bool judge(struct rk_quarantine *q, struct rk_quarantine_row *row,
+                  int64_t now_ms)
+{
+    if (row->stopped)
         return false;
-    row->stopped = true;
-    return true;
+    row->stopped = rk_quarantine_is_segment(row)
+                       ? rk_quarantine_segment_is_to_blame(q, row, now_ms)
+                       : request_is_to_blame(q, row);
+    return row->stopped;
 }
 
 static bool is_harmless(const struct rk_quarantine *q, uint64_t request,
@@ -238,7 +276,23 @@
         return false;
     row->changed_ms = now_ms;
     row->own = true;
-    return judge(q, row);
+    if (rk_quarantine_is_segment(row))
+        rk_quarantine_apply_sound(q, row, now_ms);
+    return judge(q, row, now_ms);
+}
+
+bool rk_quarantine_judge_segments(struct rk_quarantine *q, int64_t now_ms)
+{
+    bool stops = false;
+    for (size_t i = 0; i < q->len; i++) {
+        struct rk_quarantine_row *row = &q->rows[i];
+        if (!rk_quarantine_is_segment(row) || !judge(q, row, now_ms))
+            continue;
+        row->changed_ms = now_ms;
+        row->own = true;
+        stops = true;
+    }
+    return stops;
 }
 
 bool rk_quarantine_is_stopped(struct rk_quarantine *q, uint64_t request,
@@ -251,9 +305,9 @@
     return true;
 }
 
-static void reset_row(struct rk_quarantine_row *row, uint32_t cleared)
+void rk_quarantine_reset_row(struct rk_quarantine_row *row, uint32_t generation)
 {
-    row->generation = cleared;
+    row->generation = generation;
     row->stopped = false;
     row->ends_len = 0;
 }
@@ -263,7 +317,7 @@
     struct rk_quarantine_row *row = rk_quarantine_find(q, request);
     if (!row || (!row->ends_len && !row->stopped))
         return;
-    reset_row(row, row->generation + 1);
+    rk_quarantine_reset_row(row, row->generation + 1);
     row->changed_ms = now_ms;
     row->own = true;
 }
@@ -311,6 +365,8 @@
                            const struct rk_quarantine_row *remote)
 {
     bool changed = merge_stored(row, remote);
+    changed = (remote->was_sound && !row->was_sound) || changed;
+    row->was_sound = row->was_sound || remote->was_sound;
     changed = (remote->stopped && !row->stopped) || changed;
     row->stopped = row->stopped || remote->stopped;
     for (size_t i = 0; i < remote->ends_len; i++)
@@ -329,14 +385,20 @@
     known = find_or_add(q, row, now_ms);
     bool changed = row->generation > known->generation;
     if (changed) {
-        reset_row(known, row->generation);
+        rk_quarantine_reset_row(known, row->generation);
         known->stored = false; /* the node that reset it updates the store */
     }
     changed = merge_evidence(known, row) || changed;
-    bool newly_stopped = judge(q, known);
-    if (changed || newly_stopped) {
+    if (changed) {
+        known->changed_ms = now_ms;
+        known->own = own;
+    }
+    if (rk_quarantine_is_segment(known))
+        changed = rk_quarantine_apply_sound(q, known, now_ms) || changed;
+    bool newly_stopped = judge(q, known, now_ms);
+    if (newly_stopped) {
         known->changed_ms = now_ms;
-        known->own = own || newly_stopped;
+        known->own = true;
     }
     /* The peers do not know that the request completed here. */
     if (is_harmless(q, row->request, now_ms))
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -483,7 +483,7 @@
 /* Sends canary statistics, if due, to the nodes that sum them. */
 void rk_rollout_send_stats(struct rk_mesh *m, int64_t now_ms);
 
-/* ---- quarantine_messages.c: requests under which VMs ended ---- */
+/* ---- quarantine_messages.c: requests and segments under which VMs ended ---- */
 
 void rk_quarantine_send(struct rk_mesh *m, int64_t now_ms);
 void rk_quarantine_receive(struct rk_mesh *m, const Rillknot__Quarantine *msg);
--- a/node/node.c
+++ b/node/node.c
@@ -79,6 +79,8 @@
         {"vms_listed", (int64_t)rk_sync_vms_len(n->sync)},
         {"calls_in_hand", n->report ? (int64_t)n->report->busy_count : 0},
         {"requests_stopped", (int64_t)rk_quarantines_stopped(n->quarantines)},
+        {"segments_stopped",
+         (int64_t)rk_quarantines_stopped_segments(n->quarantines)},
         {"vms_limited", (int64_t)rk_signals_limited(n->signals)},
         {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
         {"vms_resting", n->report ? (int64_t)n->report->vms_in_cooldown : 0},
--- a/node/quarantines.c
+++ b/node/quarantines.c
@@ -1,7 +1,7 @@
-/* Requests under which VMs ended, merged from this node's relay, peers and the
- * store, and sent on to the relay. Each stopped request is also written to the
- * platform's store as an object, as all nodes may be killed at once. An operator
- * lets a request through again by removing its object. */
+/* Requests and prompt segments under which VMs ended, merged from this node's
+ * relay, peers and the store, and sent on to the relay. Each one that is stopped is
+ * also written to the platform's store as an object, as all nodes may be killed at
+ * once. An operator lets it through again by removing its object. */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -53,7 +53,17 @@
 {
     size_t n = 0;
     for (size_t i = 0; i < q->table.len; i++)
-        n += q->table.rows[i].stopped;
+        n += q->table.rows[i].stopped &&
+             !rk_quarantine_is_segment(&q->table.rows[i]);
+    return n;
+}
+
+size_t rk_quarantines_stopped_segments(const struct rk_quarantines *q)
+{
+    size_t n = 0;
+    for (size_t i = 0; i < q->table.len; i++)
+        n +=
+            q->table.rows[i].stopped && rk_quarantine_is_segment(&q->table.rows[i]);
     return n;
 }
 
@@ -67,9 +77,21 @@
     rk_relay_set_suspects(q->n->relay, copy, 1);
 }
 
+static void log_segment_change(const struct rk_quarantine_row *row)
+{
+    RK_WARN(row->stopped ? "segment.stopped" : "segment.let_through",
+            RK_S("segment", row->segment), RK_S("organisation", row->org),
+            RK_S("service", row->service), RK_N("vms", (int64_t)row->ends_len),
+            RK_N("was_sound", row->was_sound), RK_N("seen_here", row->own));
+}
+
 static void log_change(const struct rk_quarantine_row *row)
 {
     char name[RK_QUARANTINE_NAME_MAX];
+    if (rk_quarantine_is_segment(row)) {
+        log_segment_change(row);
+        return;
+    }
     rk_quarantine_format(row->request, name);
     RK_WARN(row->stopped ? "request.stopped" : "request.let_through",
             RK_S("fingerprint", name), RK_S("organisation", row->org),
@@ -133,8 +155,15 @@
     rk_quarantine_format(row->request, name);
     rk_buf_addstr(&b, "{\"organisation\":");
     rk_buf_json_str(&b, row->org);
-    rk_buf_addstr(&b, ",\"route\":");
-    rk_buf_json_str(&b, row->route);
+    if (rk_quarantine_is_segment(row)) {
+        rk_buf_addstr(&b, ",\"service\":");
+        rk_buf_json_str(&b, row->service);
+        rk_buf_addstr(&b, ",\"segment\":");
+        rk_buf_json_str(&b, row->segment);
+    } else {
+        rk_buf_addstr(&b, ",\"route\":");
+        rk_buf_json_str(&b, row->route);
+    }
     rk_buf_printf(
         &b, ",\"vms\":%zu,\"cleared\":%" PRIu32 ",\"wall_ms\":%" PRId64 ",\"by\":",
         row->ends_len, row->generation, rk_wall_ms());
@@ -192,6 +221,8 @@
     rk_quarantine_set_stored(&row, true, era);
     rk_strcpy(row.org, sizeof(row.org), rk_json_str(o->spec, "organisation"));
     rk_strcpy(row.route, sizeof(row.route), rk_json_str(o->spec, "route"));
+    rk_strcpy(row.service, sizeof(row.service), rk_json_str(o->spec, "service"));
+    rk_strcpy(row.segment, sizeof(row.segment), rk_json_str(o->spec, "segment"));
     return row;
 }
 
@@ -306,8 +337,9 @@
 void rk_quarantines_check_store(struct rk_quarantines *q)
 {
     int64_t now_ms = rk_mono_ms();
-    if (q->checking || !rk_quarantines_stopped(q) ||
-        now_ms - q->checked_ms < CHECK_INTERVAL_MS)
+    bool has_stopped =
+        rk_quarantines_stopped(q) || rk_quarantines_stopped_segments(q);
+    if (q->checking || !has_stopped || now_ms - q->checked_ms < CHECK_INTERVAL_MS)
         return;
     q->checking = true;
     q->checked_ms = now_ms;
@@ -320,6 +352,7 @@
 {
     struct rk_quarantines *q = rk_alloc(1, sizeof(*q));
     q->n = n;
+    q->table.started_ms = rk_mono_ms();
     q->read = (struct rk_timer){.fn = read_store, .ctx = q};
     q->read_retry_ms = READ_RETRY_MIN_MS;
     q->others_delay_ms =
--- a/node/state.h
+++ b/node/state.h
@@ -210,11 +210,12 @@
  * of the persisted number of nodes, so that it needn't read the list of nodes. */
 bool rk_read_delay_has_digests(const struct rk_node *n);
 
-/* ---- quarantines.c: requests under which VMs ended, merged over all nodes ---- */
+/* ---- quarantines.c: requests and prompt segments under which VMs ended, merged
+ * over all nodes ---- */
 
 struct rk_quarantines *rk_quarantines_create(struct rk_node *n);
 void rk_quarantines_destroy(struct rk_quarantines *q);
-/* Schedules the reading of the stopped requests from the store. */
+/* Schedules the reading of what is stopped from the store. */
 void rk_quarantines_start(struct rk_quarantines *q);
 /* Writes a row to the store, or removes one, if that is due and this node's job. */
 void rk_quarantines_tick(struct rk_quarantines *q);
@@ -229,6 +230,8 @@
 const struct rk_quarantine *rk_quarantines_table(const struct rk_quarantines *q);
 /* Returns the number of stopped requests. */
 size_t rk_quarantines_stopped(const struct rk_quarantines *q);
+/* Returns the number of prompt segments that are stopped. */
+size_t rk_quarantines_stopped_segments(const struct rk_quarantines *q);
 
 /* ---- signals.c: signals that VMs advertise, merged over all nodes ---- */
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &rillknot__rollout_seen__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rillknot__segment_end__init
+                     (Rillknot__SegmentEnd         *message)
+{
+  static const Rillknot__SegmentEnd init_value = RILLKNOT__SEGMENT_END__INIT;
+  *message = init_value;
+}
+size_t rillknot__segment_end__get_packed_size
+                     (const Rillknot__SegmentEnd *message)
+{
+  assert(message->base.descriptor == &rillknot__segment_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rillknot__segment_end__pack
+                     (const Rillknot__SegmentEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rillknot__segment_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rillknot__segment_end__pack_to_buffer
+                     (const Rillknot__SegmentEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rillknot__segment_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rillknot__SegmentEnd *
+       rillknot__segment_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rillknot__SegmentEnd *)
+     protobuf_c_message_unpack (&rillknot__segment_end__descriptor,
+                                allocator, len, data);
+}
+void   rillknot__segment_end__free_unpacked
+                     (Rillknot__SegmentEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rillknot__segment_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rillknot__quarantine_row__init
                      (Rillknot__QuarantineRow         *message)
 {
@@ -5074,7 +5119,97 @@
   (ProtobufCMessageInit) rillknot__rollout_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__quarantine_row__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rillknot__segment_end__field_descriptors[5] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__SegmentEnd, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspicion",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__SegmentEnd, suspicion),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "carrier",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__SegmentEnd, carrier),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__SegmentEnd, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ran_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__SegmentEnd, ran_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rillknot__segment_end__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = carrier */
+  4,   /* field[4] = ran_ms */
+  1,   /* field[1] = suspicion */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange rillknot__segment_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rillknot__segment_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rillknot.SegmentEnd",
+  "SegmentEnd",
+  "Rillknot__SegmentEnd",
+  "rillknot",
+  sizeof(Rillknot__SegmentEnd),
+  5,
+  rillknot__segment_end__field_descriptors,
+  rillknot__segment_end__field_indices_by_name,
+  1,  rillknot__segment_end__number_ranges,
+  (ProtobufCMessageInit) rillknot__segment_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rillknot__quarantine_row__field_descriptors[13] =
 {
   {
     "request",
@@ -5184,6 +5319,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "segment",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__QuarantineRow, segment),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__QuarantineRow, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "was_sound",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__QuarantineRow, was_sound),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "segment_ends",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rillknot__QuarantineRow, n_segment_ends),
+    offsetof(Rillknot__QuarantineRow, segment_ends),
+    &rillknot__segment_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__quarantine_row__field_indices_by_name[] = {
   3,   /* field[3] = cleared */
@@ -5192,14 +5375,18 @@
   1,   /* field[1] = org */
   0,   /* field[0] = request */
   2,   /* field[2] = route */
+  9,   /* field[9] = segment */
+  12,   /* field[12] = segment_ends */
+  10,   /* field[10] = service */
   4,   /* field[4] = stopped */
   5,   /* field[5] = stored */
   8,   /* field[8] = stored_era */
+  11,   /* field[11] = was_sound */
 };
 static const ProtobufCIntRange rillknot__quarantine_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor rillknot__quarantine_row__descriptor =
 {
@@ -5209,7 +5396,7 @@
   "Rillknot__QuarantineRow",
   "rillknot",
   sizeof(Rillknot__QuarantineRow),
-  9,
+  13,
   rillknot__quarantine_row__field_descriptors,
   rillknot__quarantine_row__field_indices_by_name,
   1,  rillknot__quarantine_row__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Rillknot__TrialRow Rillknot__TrialRow;
 typedef struct Rillknot__TrialSeen Rillknot__TrialSeen;
 typedef struct Rillknot__RolloutSeen Rillknot__RolloutSeen;
+typedef struct Rillknot__SegmentEnd Rillknot__SegmentEnd;
 typedef struct Rillknot__QuarantineRow Rillknot__QuarantineRow;
 typedef struct Rillknot__Quarantine Rillknot__Quarantine;
 typedef struct Rillknot__VmSignal Rillknot__VmSignal;
@@ -980,16 +981,48 @@
 
 
 /*
- * A request under which VMs ended; see core/quarantine.h.
+ * The end of a VM that was running a request with a prompt segment.
  */
-struct  Rillknot__QuarantineRow
+struct  Rillknot__SegmentEnd
 {
   ProtobufCMessage base;
+  /*
+   * Hash of the VM's incarnation.
+   */
+  uint32_t vm;
+  /*
+   * As enum rk_suspicion.
+   */
+  uint32_t suspicion;
   /*
    * Hash of the request.
    */
+  uint32_t carrier;
+  /*
+   * Time since the end, and from the begin of the run to the end.
+   */
+  uint32_t age_ms;
+  uint32_t ran_ms;
+};
+#define RILLKNOT__SEGMENT_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rillknot__segment_end__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * A request or a prompt segment under which VMs ended; see core/quarantine.h.
+ */
+struct  Rillknot__QuarantineRow
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the request, or key of the segment.
+   */
   uint64_t request;
   char *org;
+  /*
+   * Empty in rows of segments.
+   */
   char *route;
   /*
    * How often a complete response or an operator reset the evidence.
@@ -1015,10 +1048,19 @@
    * Era of the store in which `stored` was found; 0: not known.
    */
   uint64_t stored_era;
+  /*
+   * Only in rows of segments, which have no just_begun and no may_have_begun: the id
+   * of the segment, its service, and whether VMs answered on it before the ends.
+   */
+  char *segment;
+  char *service;
+  protobuf_c_boolean was_sound;
+  size_t n_segment_ends;
+  Rillknot__SegmentEnd **segment_ends;
 };
 #define RILLKNOT__QUARANTINE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__quarantine_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
@@ -1820,6 +1862,25 @@
 void   rillknot__rollout_seen__free_unpacked
                      (Rillknot__RolloutSeen *message,
                       ProtobufCAllocator *allocator);
+/* Rillknot__SegmentEnd methods */
+void   rillknot__segment_end__init
+                     (Rillknot__SegmentEnd         *message);
+size_t rillknot__segment_end__get_packed_size
+                     (const Rillknot__SegmentEnd   *message);
+size_t rillknot__segment_end__pack
+                     (const Rillknot__SegmentEnd   *message,
+                      uint8_t             *out);
+size_t rillknot__segment_end__pack_to_buffer
+                     (const Rillknot__SegmentEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Rillknot__SegmentEnd *
+       rillknot__segment_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rillknot__segment_end__free_unpacked
+                     (Rillknot__SegmentEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Rillknot__QuarantineRow methods */
 void   rillknot__quarantine_row__init
                      (Rillknot__QuarantineRow         *message);
@@ -2099,6 +2160,9 @@
 typedef void (*Rillknot__RolloutSeen_Closure)
                  (const Rillknot__RolloutSeen *message,
                   void *closure_data);
+typedef void (*Rillknot__SegmentEnd_Closure)
+                 (const Rillknot__SegmentEnd *message,
+                  void *closure_data);
 typedef void (*Rillknot__QuarantineRow_Closure)
                  (const Rillknot__QuarantineRow *message,
                   void *closure_data);
@@ -2164,6 +2228,7 @@
 extern const ProtobufCMessageDescriptor rillknot__trial_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__trial_seen__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__rollout_seen__descriptor;
+extern const ProtobufCMessageDescriptor rillknot__segment_end__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__quarantine_row__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__quarantine__descriptor;
 extern const ProtobufCMessageDescriptor rillknot__vm_signal__descriptor;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -173,6 +173,8 @@
     fill_usage_counts(r, report);
     fill_services(r, report);
     fill_canaries(r, report);
+    if (rk_quarantine_judge_segments(&r->quarantine, rk_mono_ms()))
+        rk_relay_cancel_quarantined(r);
     fill_suspects(r, report);
     report->signals_len =
         rk_place_copy_signals(r->place, rk_mono_ms(), &report->signals);
@@ -249,6 +251,7 @@
     r->upstreams = rk_upstream_pools_create(r->loop);
     r->place = rk_place_create(opt->domain, opt->seed);
     r->rng.state = opt->seed + 1;
+    r->quarantine.started_ms = rk_mono_ms();
     rk_quota_init(&r->quota, opt->bounds.quota_window_ms, opt->bounds.quota_slack,
                   opt->bounds.first_start ? 0 : rk_mono_ms());
     r->quota.overrun = opt->bounds.quota_overrun;
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -250,6 +250,7 @@
     rk_relay_note_heard(x->r, x->vm, false);
     if (x->answer_class != ANSWER_PASS)
         return;
+    rk_call_check_survival(x);
     record_first_byte(x);
     count_usage(x, rk_wall_ms());
     if (is_unframed_stream(x))
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -391,6 +391,7 @@
     x->may_be_stopped = false;
     x->silence_reported = false;
     x->vm_head_ms = x->vm_first_ms = 0;
+    x->segments_cleared = false;
     rk_strcpy(x->last_vm, sizeof(x->last_vm), x->vm->row.id);
     rk_strcpy(x->last_vm_domain, sizeof(x->last_vm_domain), x->vm->row.domain);
     rk_counter_add(RK_C_ATTEMPTS, 1);
@@ -430,6 +431,7 @@
         rk_place_note_sent(x->r->place, x->vm, &x->query, now_ms, &x->job);
         x->job.resumes_stream = x->begun || x->is_resume;
         x->sent_wall_ms = rk_wall_ms();
+        x->sent_ms = now_ms;
         if (start_attempt(x)) {
             record_sent(x);
             return true;
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -63,7 +63,8 @@
     const struct rk_service_info *service;
     const struct rk_org_info *org; /* NULL: none */
     uint64_t fingerprint; /* see rk_call_fingerprint(); 0: not computed yet */
-    struct rk_prompt_segments segments;
+    struct rk_prompt_segments segments; /* of the prompt, without the last */
+    bool segments_cleared;              /* a VM answered on them and lived */
     struct rk_place_query query;
     double units; /* cost in the organisation's quota */
     int64_t started_ms, deadline_ms;
@@ -85,7 +86,8 @@
     enum rk_framing framing; /* of the answer, once its head has arrived */
     bool is_event_stream;    /* the answer is one */
     struct rk_event_position position; /* of that stream, if it has no framing */
-    int64_t sent_wall_ms;              /* wall-clock time at which it was sent */
+    /* When it was sent, by the wall clock and by the monotonic one. */
+    int64_t sent_wall_ms, sent_ms;
     /* The request is counted in its organisation's usage, once in all attempts. */
     bool usage_counted;
     /* The peer to which the attempt is forwarded; "": it is sent to a VM. */
@@ -229,7 +231,8 @@
 /* Returns the fingerprint that identifies repeats of the same request, as defined
  * by core/quarantine.h. 0 if it was not computed before the client went away. */
 uint64_t rk_call_fingerprint(struct rk_relay_call *x);
-/* Returns true if the request is quarantined because VMs ended while running it. */
+/* Returns true if the request, or a segment of its prompt, is quarantined because
+ * VMs ended while running it. */
 bool rk_call_is_quarantined(struct rk_relay_call *x);
 /* Called when the VM's connection broke off after the call was sent, before the
  * attempt is ended: starts a check whether the VM has ended, with this call as a
@@ -239,6 +242,9 @@
 /* Records that a VM ran the request to its end, or for so long that it cannot be
  * the cause of the VM's end. This clears it of suspicion. */
 void rk_call_clear_suspicion(struct rk_relay_call *x);
+/* Called when a part of the answer arrives: clears the prompt's segments of
+ * suspicion once the VM has been answering for long. */
+void rk_call_check_survival(struct rk_relay_call *x);
 
 /* ---- relay_versions.c ---- */
 /* Sends a call that takes up a stream, once the stream's version is known, or
--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -1,7 +1,7 @@
-/* Finds requests that crash VMs. When calls to a VM break off, this node connects
- * to the VM. If the connection is refused the VM has ended, and its calls are
- * recorded as suspects, except those that it had run for long. Calls that it had
- * just begun count most. */
+/* Finds requests and prompt segments that crash VMs. When calls to a VM break off,
+ * this node connects to the VM. If the connection is refused the VM has ended, and
+ * its calls are recorded as suspects, with the segments of their prompts, except
+ * those that it had run for long. Calls that it had just begun count most. */
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -48,8 +48,10 @@
     struct suspect {
         struct rk_quarantine_row identity; /* request, organisation and route */
         char call_id[REQUEST_ID_MAX];
-        char segments[SEGMENTS_LOG_MAX]; /* of its prompt, by id */
+        struct rk_prompt_segments segments;
+        char service[RK_ID_MAX];
         enum rk_suspicion suspicion;
+        int64_t began_ms, at_ms; /* when the VM began it, and broke it off */
     } suspects[SUSPECTS_MAX];
     size_t suspects_len;
 };
@@ -69,17 +71,52 @@
     return x->fingerprint;
 }
 
+static bool has_stopped_segment(const struct rk_relay_call *x, int64_t now_ms)
+{
+    for (size_t i = 0; i < x->segments.len; i++)
+        if (rk_quarantine_is_stopped(&x->r->quarantine, x->segments.items[i].key,
+                                     now_ms))
+            return true;
+    return false;
+}
+
 bool rk_call_is_quarantined(struct rk_relay_call *x)
 {
     struct rk_quarantine *q = &x->r->quarantine;
-    return q->len &&
-           rk_quarantine_is_stopped(q, rk_call_fingerprint(x), rk_mono_ms());
+    int64_t now_ms = rk_mono_ms();
+    return q->len && (has_stopped_segment(x, now_ms) ||
+                      rk_quarantine_is_stopped(q, rk_call_fingerprint(x), now_ms));
+}
+
+/* Returns when the VM began the call, as far as is known. */
+static int64_t begun_ms(const struct rk_relay_call *x)
+{
+    return x->vm_first_ms ? x->vm_first_ms : x->vm_head_ms;
+}
+
+static void clear_segments(struct rk_relay_call *x, int64_t now_ms)
+{
+    x->segments_cleared = true;
+    for (size_t i = 0; i < x->segments.len; i++)
+        rk_quarantine_segment_survived(&x->r->quarantine, x->segments.items[i].key,
+                                       begun_ms(x), now_ms);
 }
 
 void rk_call_clear_suspicion(struct rk_relay_call *x)
 {
+    int64_t now_ms = rk_mono_ms();
     if (rk_call_fingerprint(x))
-        rk_quarantine_completed(&x->r->quarantine, x->fingerprint, rk_mono_ms());
+        rk_quarantine_completed(&x->r->quarantine, x->fingerprint, now_ms);
+    if (x->status < HTTP_BAD_REQUEST)
+        clear_segments(x, now_ms);
+}
+
+void rk_call_check_survival(struct rk_relay_call *x)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (!x->segments_cleared && x->segments.len && x->vm_first_ms &&
+        now_ms - x->vm_first_ms > CLEARED_AFTER_MS)
+        clear_segments(x, now_ms);
 }
 
 void rk_relay_cancel_quarantined(struct rk_relay *r)
@@ -102,41 +139,67 @@
 
 static void log_suspect(const struct rk_vm_check *k, const struct suspect *s)
 {
-    char name[RK_QUARANTINE_NAME_MAX];
+    char name[RK_QUARANTINE_NAME_MAX], segments[SEGMENTS_LOG_MAX];
     rk_quarantine_format(s->identity.request, name);
+    rk_prompt_segments_format(&s->segments, segments, sizeof(segments));
     RK_EVENT("request.suspected", RK_S("request", s->call_id),
              RK_S("fingerprint", name), RK_S("organisation", s->identity.org),
-             RK_S("route", s->identity.route), RK_S("segments", s->segments),
+             RK_S("route", s->identity.route), RK_S("segments", segments),
              RK_S("vm", k->vm_id), RK_N("suspicion", s->suspicion));
 }
 
-static void record_vm_end(struct rk_vm_check *k)
+/* Records the end against the request and against the segments of its prompt.
+ * Returns whether one of them is stopped as a result. */
+static bool add_end(struct rk_vm_check *k, const struct suspect *s)
 {
     struct rk_quarantine *q = &k->r->quarantine;
+    int64_t now_ms = rk_mono_ms();
+    const struct rk_vm_end end = {.vm = k->vm_incarnation,
+                                  .suspicion = s->suspicion,
+                                  .carrier = (uint32_t)s->identity.request,
+                                  .began_ms = s->began_ms,
+                                  .at_ms = s->at_ms};
+    bool stops = false;
+    for (size_t i = 0; i < s->segments.len; i++) {
+        const struct rk_prompt_segment *segment = &s->segments.items[i];
+        struct rk_quarantine_row row = {.request = segment->key};
+        rk_strcpy(row.org, sizeof(row.org), s->identity.org);
+        rk_strcpy(row.segment, sizeof(row.segment), segment->id);
+        rk_strcpy(row.service, sizeof(row.service), s->service);
+        stops = rk_quarantine_add_end(q, &row, end, now_ms) || stops;
+    }
+    return rk_quarantine_add_end(q, &s->identity, end, now_ms) || stops;
+}
+
+static void record_vm_end(struct rk_vm_check *k)
+{
     bool stops = false;
     RK_EVENT("vm.ended_under_calls", RK_S("vm", k->vm_id),
              RK_N("suspects", (int64_t)k->suspects_len));
     for (size_t i = 0; i < k->suspects_len; i++) {
         const struct suspect *s = &k->suspects[i];
-        const struct rk_vm_end end = {.vm = k->vm_incarnation,
-                                      .suspicion = s->suspicion};
         log_suspect(k, s);
-        if (!rk_quarantine_add_end(q, &s->identity, end, rk_mono_ms()))
-            continue;
-        stops = true;
+        stops = add_end(k, s) || stops;
     }
     if (stops)
         rk_relay_cancel_quarantined(k->r);
 }
 
+static void destroy_check(struct rk_vm_check *k)
+{
+    rk_timer_stop(k->r->loop, &k->timer);
+    for (size_t i = 0; i < k->suspects_len; i++)
+        rk_prompt_segments_free(&k->suspects[i].segments);
+    free(k);
+}
+
 static void free_check(struct rk_vm_check *k)
 {
     struct rk_vm_check **at = &k->r->vm_checks;
     while (*at != k)
         at = &(*at)->next;
     *at = k->next;
-    rk_timer_stop(k->r->loop, &k->timer);
-    free(k);
+    destroy_check(k);
 }
 
 /* Decides on a refused connection as soon as another VM was heard since the calls
@@ -219,8 +282,7 @@
         next = k->next;
         if (k->conn)
             rk_conn_abort(k->conn);
-        rk_timer_stop(r->loop, &k->timer);
-        free(k);
+        destroy_check(k);
     }
     r->vm_checks = NULL;
 }
@@ -252,13 +314,12 @@
  * the call at once and answers at its end. */
 static enum rk_suspicion suspicion_of(const struct rk_relay_call *x)
 {
-    int64_t begun_ms = x->vm_first_ms ? x->vm_first_ms : x->vm_head_ms;
     int64_t now_ms = rk_mono_ms();
     if (x->vm_first_ms && now_ms - x->vm_first_ms > CLEARED_AFTER_MS)
         return RK_NOT_SUSPECT;
-    if (begun_ms)
-        return now_ms - begun_ms <= JUST_BEGUN_MS ? RK_HAD_JUST_BEGUN
-                                                  : RK_MAY_HAVE_BEGUN;
+    if (begun_ms(x))
+        return now_ms - begun_ms(x) <= JUST_BEGUN_MS ? RK_HAD_JUST_BEGUN
+                                                     : RK_MAY_HAVE_BEGUN;
     return x->query.engine ? RK_MAY_HAVE_BEGUN : RK_HAD_JUST_BEGUN;
 }
 
@@ -288,10 +349,14 @@
     struct suspect *s = suspect_slot(k, suspicion);
     if (!s)
         return;
+    rk_prompt_segments_free(&s->segments);
     *s = (struct suspect){.suspicion = suspicion,
-                          .identity.request = x->fingerprint};
+                          .identity.request = x->fingerprint,
+                          .segments = rk_prompt_segments_copy(&x->segments),
+                          .began_ms = begun_ms(x) ? begun_ms(x) : x->sent_ms,
+                          .at_ms = rk_mono_ms()};
     rk_strcpy(s->call_id, sizeof(s->call_id), x->id);
-    rk_prompt_segments_format(&x->segments, s->segments, sizeof(s->segments));
+    rk_strcpy(s->service, sizeof(s->service), x->query.service);
     rk_strcpy(s->identity.org, sizeof(s->identity.org), x->org ? x->org->name : "");
     rk_strcpy(s->identity.route, sizeof(s->identity.route), x->route->name);
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -214,8 +214,9 @@
     (void)state;
     struct rk_quarantine_row key = make_row(1, "rank");
     for (uint32_t vm = 1; vm <= 3; vm++)
-        rk_quarantine_add_end(&table, &key,
-                              (struct rk_vm_end){vm, RK_HAD_JUST_BEGUN}, 1);
+        rk_quarantine_add_end(
+            &table, &key,
+            (struct rk_vm_end){.vm = vm, .suspicion = RK_HAD_JUST_BEGUN}, 1);
     for (uint32_t i = 0; i < 20 * RK_QUARANTINE_ROWS; i++)
         note_end(100 + i, 10 + i, RK_HAD_JUST_BEGUN);
     assert_true(is_stopped(1));
