relay: what VMs take is used in full, whichever node the callers are at

Cause: a VM's limit and its connections are shared by the number of nodes. The one that gets all calls used its share and rejected the rest, while the shares of the others lay idle. Class: a fixed share of what all nodes have together.

Change: a call that a node can't send because its share is used goes to a peer, as calls already do where a node has no path to the VMs. No share moves, so the limits hold at any moment. A peer without room says for how long, and gets no call of the service until then; after two the call is rejected. A call earns retries once, at the node that first sends it to a VM: with both nodes on its way it would have earned twice.

proc_hosted_limits.test_a_limit_that_ended_with_the_nodes_that_knew asked one node faster than the limit; its peers now take such calls and learn the limit from the VM, so that the test's case did not come about. It asks within the limit now, and waits until the other node has itself heard from the VM.

--- a/core/place.h
+++ b/core/place.h
@@ -351,6 +351,15 @@
 };
 enum rk_place_share rk_place_brittle_share(const struct rk_place *p,
                                            const struct rk_place_query *q);
+/* How this node may use the limits that VMs of a query's service advertise, of
+ * which some nodes have a share each. */
+enum rk_place_limit {
+    RK_PLACE_LIMIT_NONE,  /* some VM has no limit, or none that peers share */
+    RK_PLACE_LIMIT_SHARE, /* this node has a share in some of them */
+    RK_PLACE_LIMIT_PEERS, /* only peers have */
+};
+enum rk_place_limit rk_place_limit_share(const struct rk_place *p,
+                                         const struct rk_place_query *q);
 /* Returns the time in ms until the limit or cooldown of some VM of the query's
  * service permits the call. Returns 0 if one permits it now, if there is no such
  * VM, or if no VM has advertised anything. */
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -151,6 +151,25 @@
     return share;
 }
 
+enum rk_place_limit rk_place_limit_share(const struct rk_place *p,
+                                         const struct rk_place_query *q)
+{
+    enum rk_place_limit limit = RK_PLACE_LIMIT_NONE;
+    if (!rk_vm_signals_len(&p->signals) || p->nodes < 2)
+        return RK_PLACE_LIMIT_NONE;
+    for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
+        if (!rk_place_is_usable(v) || strcmp(v->row.service, q->service) != 0)
+            continue;
+        if (!v->signal || !v->signal->limited)
+            return RK_PLACE_LIMIT_NONE;
+        if (v->signal->senders > 0)
+            limit = RK_PLACE_LIMIT_SHARE;
+        else if (limit == RK_PLACE_LIMIT_NONE)
+            limit = RK_PLACE_LIMIT_PEERS;
+    }
+    return limit;
+}
+
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
 {
     return !vm->signal || !rk_vm_signal_wait_ms(vm->signal, now_ms);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -136,6 +136,15 @@
         rk_call_give_up(x, HTTP_UNAVAILABLE, retry_after_ms(x), why);
 }
 
+/* Returns true if this node may use some of what VMs take, though not now. */
+static bool has_share(const struct rk_relay_call *x)
+{
+    const struct rk_place *p = x->r->place;
+    return x->lacks_conns ||
+           rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
+           rk_place_limit_share(p, &x->query) == RK_PLACE_LIMIT_SHARE;
+}
+
 /* Ends a call that no VM can take, as far as this node knows. */
 static void give_up_unplaced(struct rk_relay_call *x)
 {
@@ -146,11 +155,11 @@
     }
     RK_EVENT("forward.refused", RK_S("request", x->id),
              RK_S("service", x->query.service));
-    bool no_room =
-        rk_place_brittle_share(x->r->place, &x->query) == RK_PLACE_HAS_SHARE;
+    enum rk_forward_refusal why =
+        has_share(x) ? RK_FORWARD_NO_ROOM : RK_FORWARD_NO_VM;
+    int64_t wait_ms = rk_place_retry_after_ms(x->r->place, &x->query, rk_mono_ms());
     free_call(x);
-    rk_call_refuse_forwarded(client,
-                             no_room ? RK_FORWARD_NO_ROOM : RK_FORWARD_NO_VM);
+    rk_call_refuse_forwarded(client, why, wait_ms);
 }
 
 /* Ends a call whose request is quarantined; it is sent to no further VM. */
@@ -197,10 +206,14 @@
     return &find_or_add_service(x->r, x->query.service)->budget;
 }
 
-void rk_call_earn_retries(struct rk_relay_call *x)
+/* Credits the service's retry budget for a call, where it is sent to a VM first. */
+static void earn_retries(struct rk_relay_call *x)
 {
     const struct rk_relay_bounds *bounds = &x->r->opt.bounds;
     struct rk_retry_budget *b = retry_budget(x);
+    if (x->retries_earned)
+        return;
+    x->retries_earned = true;
     rk_retry_budget_set_share(b, bounds->retry_burst, x->r->quota.nodes_total,
                               bounds->first_start);
     rk_retry_budget_earn(b, bounds->retry_pct);
@@ -386,6 +399,7 @@
 static void record_sent(struct rk_relay_call *x)
 {
     count_demand(x, x->job.load.uncached_tokens);
+    earn_retries(x);
     x->attempts++;
     x->move_tried = false;
     x->may_be_stopped = false;
@@ -436,6 +450,7 @@
             record_sent(x);
             return true;
         }
+        x->lacks_conns = true;
         exclude_vm(x);
         rk_call_end_attempt(x, RK_PLACE_CANCELLED);
     }
@@ -449,10 +464,13 @@
            rk_place_brittle_share(p, &x->query) != RK_PLACE_LACKS_SHARE;
 }
 
+/* Returns true if peers may take a call that this node can't send. What VMs take is
+ * shared by all nodes, whichever of them the callers use. */
 static bool may_peers_have_room(const struct rk_relay_call *x)
 {
     const struct rk_place *p = x->r->place;
-    return rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
+    return has_share(x) ||
+           rk_place_limit_share(p, &x->query) == RK_PLACE_LIMIT_PEERS ||
            rk_place_has_unreachable(p, x->query.service);
 }
 
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -102,6 +102,8 @@
     uint64_t tried_peers[MAX_FORWARDS];
     size_t tried_peers_len;
     int peers_without_room; /* of those, that refused it for want of room */
+    bool lacks_conns;    /* this node's share of a VM's connections was used up */
+    bool retries_earned; /* credited in a retry budget, here or at a peer */
     bool may_have_run;
     bool is_resume;          /* the caller resumes a stream */
     uint64_t stream;         /* see rk_stream_hash(); 0: it can't be resumed */
@@ -161,8 +163,6 @@
 /* ---- relay_call.c: attempts ---- */
 /* Returns true if the call may run more than once. */
 bool rk_call_repeatable(const struct rk_relay_call *x);
-/* Credits the service's retry budget for a new call. */
-void rk_call_earn_retries(struct rk_relay_call *x);
 /* Returns false if this node can send the call only to a peer: it has lost its path
  * to the service, or has no share of its brittle VMs. */
 bool rk_call_may_use_vms(const struct rk_relay_call *x);
@@ -273,14 +273,14 @@
 /* Why a node does not take a forwarded call. */
 enum rk_forward_refusal {
     RK_FORWARD_NO_VM,   /* it reaches no VM that can take it */
-    RK_FORWARD_NO_ROOM, /* its share of brittle VMs is taken */
+    RK_FORWARD_NO_ROOM, /* its share of what VMs take is used up */
     RK_FORWARD_BEHIND,  /* its routes are older, or differ */
     RK_FORWARD_STOPS,   /* it stops soon */
 };
 /* Answers a forwarded call that this node does not take; the peer tries another
- * node. */
-void rk_call_refuse_forwarded(struct rk_client *client,
-                              enum rk_forward_refusal why);
+ * node. retry_after_ms: until this node may take one; 0: not known. */
+void rk_call_refuse_forwarded(struct rk_client *client, enum rk_forward_refusal why,
+                              int64_t retry_after_ms);
 /* Reads the header of a forwarded call. Returns false if it is missing or
  * invalid. */
 bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -12,24 +12,25 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/retry_after.h"
 #include "serve/relay_call_impl.h"
 
 /* Header of the answer to a call that the peer does not take; see
  * refusal_names. */
 #define HEADER_REFUSED     "Rillknot-Forward-Refused"
+#define HEADER_RETRY_AFTER "Retry-After"
 #define CONNECT_TIMEOUT_MS 100
 #define MAX_CONNS          256 /* to one peer */
 /* How long a peer gets no calls after it was unreachable or silent, and no calls of
  * a service after it refused one because it reaches no VM of it. */
 #define PEER_DOWN_MS    1000
-#define PEER_REFUSED_MS 2000
+#define PEER_REFUSED_MS 2000 /* longest, if the peer says how long */
 /* Peers without room that a call is forwarded to; then it is rejected. */
 #define MAX_WITHOUT_ROOM 2
 /* Longest silence of a peer. It may send the call to two VMs, one after the other,
  * when the first one is silent. */
 #define PLAIN_SILENCE_MS        400
 #define STREAM_PEER_SILENCE_MS  (2 * STREAM_SILENCE_MS)
-#define REFUSED_RETRY_AFTER     "0.3"
 #define REFUSED_HEADERS_MAX_LEN 128
 
 static const char *const refusal_names[] = {
@@ -196,21 +197,35 @@
             t->peers[i].down_until_ms = rk_mono_ms() + PEER_DOWN_MS;
 }
 
-static void note_peer_refused(struct rk_relay_call *x, const char *why)
+/* Returns for how long a peer that refused a call gets no other of its service. */
+static int64_t refused_for_ms(const struct rk_head *head, const char *why)
+{
+    if (!strcmp(why, refusal_names[RK_FORWARD_NO_VM]) ||
+        !strcmp(why, refusal_names[RK_FORWARD_STOPS]))
+        return PEER_REFUSED_MS;
+    const char *retry_after = rk_head_get(head, HEADER_RETRY_AFTER);
+    int64_t ms = retry_after ? rk_retry_after_ms(retry_after) : 0;
+    if (strcmp(why, refusal_names[RK_FORWARD_NO_ROOM]) != 0 || ms < 0)
+        return 0;
+    return ms < PEER_REFUSED_MS ? ms : PEER_REFUSED_MS;
+}
+
+static void note_peer_refused(struct rk_relay_call *x, const struct rk_head *head,
+                              const char *why)
 {
     struct rk_forward_table *t = x->r->forwards;
+    int64_t wait_ms = refused_for_ms(head, why);
     rk_counter_add(RK_C_FORWARDS_REFUSED, 1);
     if (!strcmp(why, refusal_names[RK_FORWARD_NO_ROOM]))
         x->peers_without_room++;
-    if (strcmp(why, refusal_names[RK_FORWARD_NO_VM]) != 0 &&
-        strcmp(why, refusal_names[RK_FORWARD_STOPS]) != 0)
+    if (!wait_ms)
         return;
     for (size_t i = 0; i < t->len; i++) {
         struct forward_peer *p = &t->peers[i];
         if (strcmp(p->row.id, x->peer) != 0)
             continue;
         rk_strcpy(p->refused_service, sizeof(p->refused_service), x->query.service);
-        p->refused_until_ms = rk_mono_ms() + PEER_REFUSED_MS;
+        p->refused_until_ms = rk_mono_ms() + wait_ms;
     }
 }
 
@@ -226,7 +241,7 @@
     x->framing = rk_head_framing(head);
     rk_strcpy(x->peer_version, sizeof(x->peer_version), version ? version : "");
     if (refused) {
-        note_peer_refused(x, refused);
+        note_peer_refused(x, head, refused);
         x->answer_class = ANSWER_NOT_RUN;
         return RK_HEAD_ACCEPT;
     }
@@ -324,12 +339,16 @@
 
 /* ---- calls of peers ---- */
 
-void rk_call_refuse_forwarded(struct rk_client *client, enum rk_forward_refusal why)
+void rk_call_refuse_forwarded(struct rk_client *client, enum rk_forward_refusal why,
+                              int64_t retry_after_ms)
 {
     char headers[REFUSED_HEADERS_MAX_LEN];
-    snprintf(headers, sizeof(headers),
-             HEADER_REFUSED ": %s\r\nRetry-After: " REFUSED_RETRY_AFTER "\r\n",
-             refusal_names[why]);
+    int len = snprintf(headers, sizeof(headers), HEADER_REFUSED ": %s\r\n",
+                       refusal_names[why]);
+    if (retry_after_ms > 0)
+        snprintf(headers + len, sizeof(headers) - (size_t)len,
+                 HEADER_RETRY_AFTER ": %.3f\r\n",
+                 (double)retry_after_ms / RK_MS_PER_S);
     rk_client_answer(client, HTTP_UNAVAILABLE, headers, "", 0);
 }
 
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -283,7 +283,7 @@
     }
     rk_counter_add(RK_C_FORWARDED_IN, 1);
     if (!can_take_forwarded(r, client, routes_version, &call, &why)) {
-        rk_call_refuse_forwarded(client, why);
+        rk_call_refuse_forwarded(client, why, 0);
         return;
     }
     if (call.left_ms <= 0) {
@@ -299,7 +299,7 @@
     const char *version = rk_head_get(head, RK_HEADER_STREAM_VERSION);
     if (version)
         rk_strcpy(x->query.version, sizeof(x->query.version), version);
-    rk_call_earn_retries(x);
+    x->retries_earned = attempts > 0;
     send_call(x);
 }
 
@@ -345,8 +345,5 @@
     rk_timer_start(r->loop, &x->deadline_timer, left_ms);
     if (!admit(x))
         return;
-    /* Otherwise the call is forwarded, and the peer that sends it to a VM earns. */
-    if (rk_call_may_use_vms(x))
-        rk_call_earn_retries(x);
     send_call(x);
 }
--- a/tests/proc_hosted_limits.py
+++ b/tests/proc_hosted_limits.py
@@ -171,12 +171,16 @@
             f.d.drain(worker)
         last = f.d.workers[2]
         last.limit = 1
-        wait_until(lambda: f.ask(2) and all(f.d.gauge(n, "vms_limited") for n in f.d.nodes))
+        # Within the limit: calls beyond it go to peers, which then know it from the VM.
+        wait_until(lambda: f.ask(2) and all(f.d.gauge(n, "vms_limited") for n in f.d.nodes),
+                   step=1.5)
         f.d.nodes[2].kill()
         last.limit = None
         f.d.restart_node(2)
         f.settle()
         assert f.ask(2).status == 200
         restarted_at = time.monotonic()
-        wait_until(lambda: f.ask(0).status == 200, 20)
+        # Its peer with the share takes its calls meanwhile.
+        wait_until(lambda: f.ask(0).status == 200
+                   and not f.d.gauge(f.d.nodes[0], "vms_limited"), 20)
         return "used again after %.1f s" % (time.monotonic() - restarted_at)
