relay: probes count in a node's share of a VM's connections

Cause: a VM resets connections beyond what it takes from all nodes together. Nodes keep to their shares of that, but a probe of a VM that was silent or reset a connection opened one more, so that VMs which take 12 had up to 14, reset one, and that led to the next probe.

Change: a probe takes one of the node's connections. At the share an idle one is closed for it; if all have calls, it comes later.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -297,13 +297,19 @@
 
 /* ---- sending ---- */
 
-int rk_call_max_conns(const struct rk_relay_call *x)
+int rk_relay_max_conns(const struct rk_relay *r,
+                       const struct rk_service_info *service)
 {
-    int nodes = x->r->quota.nodes_total > 0 ? x->r->quota.nodes_total : 1;
-    int64_t share = x->service->max_conns / nodes;
+    int nodes = r->quota.nodes_total > 0 ? r->quota.nodes_total : 1;
+    int64_t share = service->max_conns / nodes;
     return share > 0 ? (int)share : MAX_CONNS_DEFAULT;
 }
 
+int rk_call_max_conns(const struct rk_relay_call *x)
+{
+    return rk_relay_max_conns(x->r, x->service);
+}
+
 bool rk_call_start_upstream(struct rk_relay_call *x, struct rk_upstream_spec *spec,
                             struct rk_buf *head)
 {
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -203,6 +203,9 @@
                           const char *from_addr, const char *handle);
 /* Returns this node's share of the connections that the service allows per VM, or a
  * default if the service states no limit or the share is below one. */
+int rk_relay_max_conns(const struct rk_relay *r,
+                       const struct rk_service_info *service);
+/* Returns the same for the service of a call. */
 int rk_call_max_conns(const struct rk_relay_call *x);
 
 /* ---- relay_head.c ---- */
--- a/serve/relay_probe.c
+++ b/serve/relay_probe.c
@@ -1,5 +1,7 @@
 /* Probes of VMs: connects to those that this node may not reach, without a request,
- * so that no caller's call has to find out. */
+ * so that no caller's call has to find out. A probe counts in this node's share of
+ * a VM's connections: a VM resets those beyond its limit. */
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,7 +20,7 @@
 struct rk_vm_probe {
     struct rk_relay *r;
     struct rk_vm_probe *next;
-    char vm_id[RK_ID_MAX];
+    char vm_id[RK_ID_MAX], addr[RK_ADDR_MAX];
     uint64_t vm_hash; /* of the incarnation */
     struct rk_conn *conn;
     struct rk_timer hold;
@@ -37,6 +39,7 @@
 {
     rk_conn_abort(k->conn);
     rk_timer_stop(k->r->loop, &k->hold);
+    rk_upstream_release_conn(k->r->upstreams, k->vm_id, k->addr);
     free(k);
 }
 
@@ -119,15 +122,29 @@
                                              .on_eof = on_eof,
                                              .on_error = on_error};
 
+/* Returns false if all of this node's connections to the VM have calls. */
+static bool reserve_conn(struct rk_relay *r, const struct rk_place_vm *vm)
+{
+    const struct rk_service_info *service =
+        r->routes ? rk_routes_service(r->routes, vm->row.service) : NULL;
+    int max_conns = service ? rk_relay_max_conns(r, service) : INT_MAX;
+    return rk_upstream_reserve_conn(r->upstreams, vm->row.id, vm->row.addr,
+                                    max_conns);
+}
+
 static void start_probe(struct rk_relay *r, struct rk_place_vm *vm)
 {
+    if (!reserve_conn(r, vm))
+        return;
     struct rk_vm_probe *k = rk_alloc(1, sizeof(*k));
     *k = (struct rk_vm_probe){.r = r, .vm_hash = vm->hash};
     k->hold = (struct rk_timer){.fn = on_held, .ctx = k};
     rk_strcpy(k->vm_id, sizeof(k->vm_id), vm->row.id);
+    rk_strcpy(k->addr, sizeof(k->addr), vm->row.addr);
     k->conn =
         rk_conn_connect(r->loop, vm->row.addr, CONNECT_TIMEOUT_MS, &probe_ops, k);
     if (!k->conn) {
+        rk_upstream_release_conn(r->upstreams, k->vm_id, k->addr);
         free(k);
         rk_relay_note_unreachable(r, vm);
         return;
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -341,15 +341,38 @@
         release_conn(c);
 }
 
+/* Returns whether a connection may be opened without exceeding the limit. At the
+ * limit, closes an idle one. */
+static bool make_room(struct pool *p, int max_conns)
+{
+    if (p->open >= max_conns)
+        close_oldest_idle(p);
+    return p->open < max_conns;
+}
+
+bool rk_upstream_reserve_conn(struct rk_upstream_pools *u, const char *vm_id,
+                              const char *addr, int max_conns)
+{
+    struct pool *p = get_pool(u, vm_id, addr);
+    if (!make_room(p, max_conns))
+        return false;
+    p->open++;
+    return true;
+}
+
+void rk_upstream_release_conn(struct rk_upstream_pools *u, const char *vm_id,
+                              const char *addr)
+{
+    get_pool(u, vm_id, addr)->open--;
+}
+
 /* Returns a new connection, or NULL if the limit is reached or connecting fails. At
  * the limit, the new connection replaces an idle one that is too old for the call:
  * otherwise idle connections left by a burst would block the VM for seconds. */
 static struct pooled_conn *open_conn(struct pool *p,
                                      const struct rk_upstream_spec *spec)
 {
-    if (p->open >= spec->max_conns)
-        close_oldest_idle(p);
-    if (p->open >= spec->max_conns)
+    if (!make_room(p, spec->max_conns))
         return NULL;
     struct pooled_conn *c = rk_alloc(1, sizeof(*c));
     c->tcp = rk_conn_connect(p->u->loop, p->addr, spec->connect_ms, &conn_ops, c);
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -69,6 +69,13 @@
 
 /* Closes the idle connections to a VM. Used when the VM was restarted. */
 void rk_upstream_pools_close_idle(struct rk_upstream_pools *u, const char *vm_id);
+/* Takes one of the max_conns connections to an address of the VM for other use. If
+ * all are open, closes an idle one. Returns false if all have calls. */
+bool rk_upstream_reserve_conn(struct rk_upstream_pools *u, const char *vm_id,
+                              const char *addr, int max_conns);
+/* Gives it back. */
+void rk_upstream_release_conn(struct rk_upstream_pools *u, const char *vm_id,
+                              const char *addr);
 
 /* Cancels and frees a call and resets its connection. No callback is called. */
 void rk_upstream_cancel(struct rk_upstream_call *call);
--- a/tests/proc_hosted_one_node.py
+++ b/tests/proc_hosted_one_node.py
@@ -8,6 +8,7 @@
 """
 import concurrent.futures
 import random
+import socket
 import threading
 import time
 
@@ -140,12 +141,19 @@
         return figures + ", %d connections at a VM at most" % watch.most
 
 
-def established(port):
-    """Returns how many connections to a local port are established, as the kernel sees it: a
-    VM's threads notice late that one was closed."""
-    with open("/proc/net/tcp") as f:
-        rows = [line.split() for line in f.readlines()[1:]]
-    return sum(row[3] == "01" and int(row[1].split(":")[1], 16) == port for row in rows)
+def is_open(conn):
+    """Returns whether the node still has a VM's connection. The VM's threads notice late that
+    one was closed."""
+    try:
+        return conn.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
+def count_open(worker):
+    return sum(is_open(conn) for conn in list(worker.conns))
 
 
 class ConnectionWatch:
@@ -158,7 +166,7 @@
 
     def run(self):
         while not self.stopped.wait(0.005):
-            self.most = max([self.most] + [established(w.port) for w in self.d.workers])
+            self.most = max([self.most] + [count_open(w) for w in self.d.workers])
 
     def __enter__(self):
         self.thread.start()
