relay: the attempts of a forwarded call are counted at one node

Cause: a peer that has taken a call could send it to two VMs, 150 ms apart. Its node takes it for silent after 400 ms, counts one attempt, and asks another peer, which could do the same.

Change: a peer sends a forwarded call to one VM. Its own failure (502 without a VM's signature) is a failed attempt at the node that took the call, which decides whether to send it again. A stream is bound to the version that the peer names with the head, as it was bound at the peer before. The header says whether the call has earned its retry.

--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -14,7 +14,8 @@
 #include "services/upstream.h"
 
 #define REQUEST_ID_MAX 96 /* including the terminating NUL */
-/* Header of a forwarded call: "VERSION ATTEMPTS". */
+/* Header of a forwarded call: "VERSION ATTEMPTS EARNED"; see struct rk_forwarded.
+ */
 #define RK_HEADER_FORWARDED "Rillknot-Forwarded"
 #define MAX_FORWARDS        5 /* peers to which one call is sent */
 /* Header of a forwarded call, and of its answer: the software version at which the
@@ -284,10 +285,14 @@
  * node. retry_after_ms: until this node may take one; 0: not known. */
 void rk_call_refuse_forwarded(struct rk_client *client, enum rk_forward_refusal why,
                               int64_t retry_after_ms);
-/* Reads the header of a forwarded call. Returns false if it is missing or
- * invalid. */
-bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
-                             int *attempts);
+/* What the header of a forwarded call says. */
+struct rk_forwarded {
+    int64_t routes_version; /* of the routes by which it was admitted */
+    int attempts;           /* to be counted as made */
+    bool retries_earned;    /* credited in a retry budget; older nodes don't say */
+};
+/* Reads that header. Returns false if it is missing or invalid. */
+bool rk_call_parse_forwarded(const struct rk_head *head, struct rk_forwarded *out);
 
 /* ---- relay_answer.c ---- */
 /* Passes the head of an answer on to the caller. */
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -140,6 +140,15 @@
 
 static const struct rk_upstream_ops forward_ops;
 
+/* Returns the attempts that the peer has to count as made, so that it sends the
+ * call to one VM. This node counts that as one attempt: the peer may fall silent,
+ * and how many VMs it tried would not be known. */
+static int attempts_to_count(const struct rk_relay_call *x)
+{
+    int all_but_one = x->route->max_attempts - 1;
+    return x->attempts > all_but_one ? x->attempts : all_but_one;
+}
+
 static bool start(struct rk_relay_call *x, const struct forward_peer *p)
 {
     struct rk_buf head = {0};
@@ -151,8 +160,8 @@
         .ops = &forward_ops,
     };
     rk_call_begin_head(x, true, &head);
-    rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d\r\n",
-                  x->routes->version, x->attempts);
+    rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d %d\r\n",
+                  x->routes->version, attempts_to_count(x), x->retries_earned);
     if (x->query.version[0])
         rk_buf_printf(&head, RK_HEADER_STREAM_VERSION ": %s\r\n", x->query.version);
     rk_call_end_head(x, &head);
@@ -247,14 +256,19 @@
     }
     bool not_run =
         rk_call_implies_not_run(head->status) && !rk_head_get(head, d->signature);
-    /* A stream that has begun can only go on with a success, and a call that may
-     * have run at a VM of this node must not be reported as not run. */
-    if ((x->begun && !success) || (x->may_have_run && not_run)) {
+    /* The peer's own failure means that its attempt failed. A stream that has begun
+     * can only go on with a success, and a call that may have run at a VM of this
+     * node must not be reported as not run. */
+    bool failed =
+        head->status == HTTP_BAD_GATEWAY && !rk_head_get(head, d->signature);
+    if (failed || (x->begun && !success) || (x->may_have_run && not_run)) {
         x->answer_class = ANSWER_RETRY;
         return RK_HEAD_ACCEPT;
     }
     x->answer_class = ANSWER_PASS;
     x->ran = !not_run;
+    if (x->peer_version[0])
+        rk_call_bind_version(x);
     if (x->org && not_run)
         rk_quota_refund(&x->r->quota, x->org->name, x->units, rk_mono_ms());
     if (x->route->kind == RK_CALL_STREAM)
@@ -352,10 +366,13 @@
     rk_client_answer(client, HTTP_UNAVAILABLE, headers, "", 0);
 }
 
-bool rk_call_parse_forwarded(const struct rk_head *head, int64_t *routes_version,
-                             int *attempts)
+bool rk_call_parse_forwarded(const struct rk_head *head, struct rk_forwarded *out)
 {
     const char *text = rk_head_get(head, RK_HEADER_FORWARDED);
-    return text && sscanf(text, "%" SCNd64 " %d", routes_version, attempts) == 2 &&
-           *attempts >= 0;
+    int earned = 0;
+    int fields = text ? sscanf(text, "%" SCNd64 " %d %d", &out->routes_version,
+                               &out->attempts, &earned)
+                      : 0;
+    out->retries_earned = earned;
+    return fields >= 2 && out->attempts >= 0;
 }
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -274,15 +274,14 @@
     const char *id = rk_head_get(head, r->opt.dialect->request_id);
     struct forwarded_call call;
     enum rk_forward_refusal why;
-    int64_t routes_version;
-    int attempts;
+    struct rk_forwarded forwarded;
     if (!id || strlen(id) >= REQUEST_ID_MAX ||
-        !rk_call_parse_forwarded(head, &routes_version, &attempts)) {
+        !rk_call_parse_forwarded(head, &forwarded)) {
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a forwarded call");
         return;
     }
     rk_counter_add(RK_C_FORWARDED_IN, 1);
-    if (!can_take_forwarded(r, client, routes_version, &call, &why)) {
+    if (!can_take_forwarded(r, client, forwarded.routes_version, &call, &why)) {
         rk_call_refuse_forwarded(client, why, 0);
         return;
     }
@@ -293,13 +292,13 @@
     struct rk_relay_call *x = create_call(r, client, call.route, call.org);
     x->is_forwarded = true;
     x->units = 0;
-    x->attempts = attempts;
+    x->attempts = forwarded.attempts;
     x->deadline_ms = x->started_ms + call.left_ms;
     rk_timer_start(r->loop, &x->deadline_timer, call.left_ms);
     const char *version = rk_head_get(head, RK_HEADER_STREAM_VERSION);
     if (version)
         rk_strcpy(x->query.version, sizeof(x->query.version), version);
-    x->retries_earned = attempts > 0;
+    x->retries_earned = forwarded.retries_earned;
     send_call(x);
 }
 
--- a/tests/proc_hosted_partition.py
+++ b/tests/proc_hosted_partition.py
@@ -430,3 +430,18 @@
     """Guards against calls that run twice, answers of other calls, and nodes that do not
     recover, when cuts of links to the VMs overlap with kills and restarts of nodes."""
     return run_random_cuts(7)
+
+
+def test_a_forwarded_call_runs_at_no_more_vms_than_its_route_allows():
+    """Guards against a peer that sends a call to two slow VMs while its node, to which the peer
+    seems silent, asks another peer: up to four VMs ran a call of a route that allows two."""
+    with Partition(bounds={"budgetExtra": 4000}) as p:
+        p.cut(UNANSWERED)
+        p.call_all(count=int(PER_S * NOTICED_S), kinds=("plain",))
+        for w in p.d.workers:
+            w.work_s = 1.2
+        answers = p.call_all(per_s=10, count=30, kinds=("plain",))[0, "plain"]
+        most = max(sum(any(r.get("Rillknot-Attempt-Id") == a.ident for r in w.seen)
+                       for w in p.d.workers) for a in answers)
+        assert most <= 2, "%d vms had one call" % most
+        return "%d of %d served" % (sum(map(is_served, answers)), len(answers))
