quarantine: what is stopped is repeated before what is suspected

By reading: a message repeats 16 rows of each kind. While more are halfway to being stopped, as in a storm of VMs' ends, a stopped one could be left out, and a node that restarts while the store is away would not hear of it. Not reproduced; proc_hosted_segments.test_a_restarted_node_learns_of_a_quarantined_segment holds.

--- a/node/quarantine_messages.c
+++ b/node/quarantine_messages.c
@@ -99,12 +99,12 @@
 };
 
 static void fill_rows(struct message *p, const struct rk_mesh *m, bool segments,
-                      struct room *left, int64_t now_ms)
+                      bool stopped, struct room *left, int64_t now_ms)
 {
     const struct rk_quarantine *q = rk_quarantines_table(m->n->quarantines);
     for (size_t i = q->len; i-- > 0;) {
         const struct rk_quarantine_row *row = &q->rows[i];
-        if (rk_quarantine_is_segment(row) != segments)
+        if (rk_quarantine_is_segment(row) != segments || row->stopped != stopped)
             continue;
         if (rk_quarantine_is_near_limit(row) && left->repeated) {
             left->repeated--;
@@ -117,7 +117,7 @@
 }
 
 /* Segments come first: they are few, and one of them may account for the ends of
- * many requests. */
+ * many requests. Of each kind, what is stopped comes before what is suspected. */
 static void fill(struct message *p, const struct rk_mesh *m, bool repeat,
                  int64_t now_ms)
 {
@@ -125,9 +125,11 @@
                         .repeated = repeat ? REPEAT_ROWS_MAX : 0};
     rillknot__quarantine__init(&p->msg);
     p->msg.rows = p->row_ptrs;
-    fill_rows(p, m, true, &left, now_ms);
+    fill_rows(p, m, true, true, &left, now_ms);
+    fill_rows(p, m, true, false, &left, now_ms);
     left.repeated = repeat ? REPEAT_ROWS_MAX : 0;
-    fill_rows(p, m, false, &left, now_ms);
+    fill_rows(p, m, false, true, &left, now_ms);
+    fill_rows(p, m, false, false, &left, now_ms);
 }
 
 void rk_quarantine_send(struct rk_mesh *m, int64_t now_ms)
