quarantine: a VM that ends late clears no segment

Traced by the nodes' logs: a restarted node sent requests with the stopped segment for 0.4 s, until it heard of it; a second later it let the segment through at all nodes. Their VMs had ended more than a second after they had begun, as the test's process was held up, and a run of a second counted as survived, though the VM ended under it.

Change: what a VM's end interrupts clears the request only, as before, and no segment. A segment is cleared by a whole answer, or one that is still coming after a second.

--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -243,8 +243,8 @@
  * suspect. If the VM had been answering the call for long, the request is cleared
  * of suspicion instead. */
 void rk_call_suspect(struct rk_relay_call *x);
-/* Records that a VM ran the request to its end, or for so long that it cannot be
- * the cause of the VM's end. This clears it of suspicion. */
+/* Records that a VM ran the request to its end. This clears it, and the segments of
+ * its prompt, of suspicion. */
 void rk_call_clear_suspicion(struct rk_relay_call *x);
 /* Called when a part of the answer arrives: clears the prompt's segments of
  * suspicion once the VM has been answering for long. */
--- a/serve/relay_quarantine.c
+++ b/serve/relay_quarantine.c
@@ -102,11 +102,16 @@
                                        begun_ms(x), now_ms);
 }
 
-void rk_call_clear_suspicion(struct rk_relay_call *x)
+static void clear_request(struct rk_relay_call *x, int64_t now_ms)
 {
-    int64_t now_ms = rk_mono_ms();
     if (rk_call_fingerprint(x))
         rk_quarantine_completed(&x->r->quarantine, x->fingerprint, now_ms);
+}
+
+void rk_call_clear_suspicion(struct rk_relay_call *x)
+{
+    int64_t now_ms = rk_mono_ms();
+    clear_request(x, now_ms);
     if (x->status < HTTP_BAD_REQUEST)
         clear_segments(x, now_ms);
 }
@@ -339,8 +344,9 @@
 void rk_call_suspect(struct rk_relay_call *x)
 {
     enum rk_suspicion suspicion = suspicion_of(x);
+    /* The VM has not lived on, so this says nothing for the prompt's segments. */
     if (suspicion == RK_NOT_SUSPECT)
-        rk_call_clear_suspicion(x);
+        clear_request(x, rk_mono_ms());
     /* A VM that is leaving ends anyway, with all its calls. */
     if (!x->vm || x->vm->row.leaving || suspicion == RK_NOT_SUSPECT ||
         !rk_call_fingerprint(x))
