tests: the metrics page is read once the call is recorded

Traced by reading: rk_client_data() writes the answer's body to the socket at once, and rk_call_finish() records the call after that, so the caller can ask for the page in between. The test waits for the family now, up to 5 s; what it checks of the page is as before.

--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -697,6 +697,8 @@
     """Guards against a metrics page that a Prometheus parser rejects."""
     with plain(workers=1) as d:
         d.call("/r/x")
+        # The node records a call after it has sent the last byte of the answer.
+        wait_until(lambda: "rillknot_whole_ms_count" in d.metrics(d.nodes[0]), 5)
         text = d.metrics(d.nodes[0])
         assert d.gauge(d.nodes[0], "calls_total") == 1
         families = {f.name: f for f in text_string_to_metric_families(text)}
