--- a/tests/prop_segments.cc
+++ b/tests/prop_segments.cc
@@ -48,6 +48,7 @@
     two.segments = 2;
     with_request.requests = 1;
     turned.sound_at_first = true;
+    Scenario turned_early = turned;
     turned.segments_from_ms = 10000;
     const Scenario none{86, 80, 0, 0, true, false, true, false, 4000},
         medium{86, 80, 0, 10, true, false, true, false, 4000},
@@ -60,6 +61,8 @@
                meets_target(with_request, 10)),
         report("a_segment_that_was_sound_at_first_is_stopped",
                meets_target(turned, 10)),
+        report("a_segment_that_was_sound_for_seconds_is_stopped",
+               meets_target(turned_early, 10)),
         report("unrelated_vm_losses_stop_no_segment", meets_target(none, 1)),
         report("a_medium_fleet_stops_ten_segments", meets_target(medium, 2)),
         report("a_large_fleet_stops_a_segment", meets_target(large, 1)),
