prompt segments: one parser of the header; a trailing comma begins no segment

core/prompt_segments and the placement each parsed "ID:TOKENS,...". They differed on a trailing comma: the quarantine then took the request's own segment for a shared one, so that it could be stopped. Both read by rk_segment_text_next() now, with the placement's rule: nothing follows the comma.

Test: test_segments.a_trailing_comma_begins_no_segment failed before.

--- a/core/place_preferred.c
+++ b/core/place_preferred.c
@@ -1,6 +1,7 @@
 /* Prefix caches of the VMs, and the preferred VMs of each prefix: those that all
  * nodes try first for it, so that few VMs read the same prefix. */
 #include "core/place_impl.h"
+#include "core/prompt_segments.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -19,19 +20,14 @@
 
 void rk_place_parse_segments(struct rk_place_query *q, const char *text)
 {
+    struct rk_segment_text segment;
     uint64_t prefix_hash = 0;
     q->segments_len = 0;
-    while (*text && q->segments_len < RK_PLACE_MAX_SEGMENTS) {
-        size_t id = strcspn(text, ":,");
-        prefix_hash = rk_hash(prefix_hash, text, id);
-        text += id;
-        long tokens = *text == ':' ? strtol(text + 1, NULL, 10) : 0;
-        q->segments[q->segments_len++] =
-            (struct rk_place_segment){.prefix_hash = prefix_hash,
-                                      .tokens = tokens > 0 ? (uint32_t)tokens : 0};
-        text += strcspn(text, ",");
-        if (*text == ',')
-            text++;
+    while (q->segments_len < RK_PLACE_MAX_SEGMENTS &&
+           rk_segment_text_next(&text, &segment)) {
+        prefix_hash = rk_hash(prefix_hash, segment.id, segment.id_len);
+        q->segments[q->segments_len++] = (struct rk_place_segment){
+            .prefix_hash = prefix_hash, .tokens = segment.tokens};
     }
 }
 
--- a/core/prompt_segments.c
+++ b/core/prompt_segments.c
@@ -13,11 +13,26 @@
     return h ? h : 1;
 }
 
-static size_t count_commas(const char *text)
+bool rk_segment_text_next(const char **text, struct rk_segment_text *out)
 {
+    const char *at = *text;
+    if (!*at)
+        return false;
+    *out = (struct rk_segment_text){.id = at, .id_len = strcspn(at, ":,")};
+    at += out->id_len;
+    long tokens = *at == ':' ? strtol(at + 1, NULL, 10) : 0;
+    out->tokens = tokens > 0 ? (uint32_t)tokens : 0;
+    at += strcspn(at, ",");
+    *text = *at ? at + 1 : at;
+    return true;
+}
+
+static size_t count_segments(const char *text)
+{
+    struct rk_segment_text segment;
     size_t n = 0;
-    for (; *text; text++)
-        n += *text == ',';
+    while (rk_segment_text_next(&text, &segment))
+        n++;
     return n;
 }
 
@@ -25,16 +40,16 @@
 rk_prompt_segments_parse(const char *org, const char *service, const char *text)
 {
     struct rk_prompt_segments s = {0};
-    size_t shared = count_commas(text); /* one segment less than there are */
-    if (!shared)
+    struct rk_segment_text segment;
+    size_t count = count_segments(text);
+    if (count < 2)
         return s;
-    s.items = rk_alloc(shared, sizeof(*s.items));
-    for (; s.len < shared; s.len++) {
-        struct rk_prompt_segment *item = &s.items[s.len];
-        size_t id_len = strcspn(text, ":,");
-        item->key = hash_segment(org, service, text, id_len);
-        snprintf(item->id, sizeof(item->id), "%.*s", (int)id_len, text);
-        text += strcspn(text, ",") + 1;
+    s.items = rk_alloc(count - 1, sizeof(*s.items));
+    while (s.len < count - 1 && rk_segment_text_next(&text, &segment)) {
+        struct rk_prompt_segment *item = &s.items[s.len++];
+        item->key = hash_segment(org, service, segment.id, segment.id_len);
+        snprintf(item->id, sizeof(item->id), "%.*s", (int)segment.id_len,
+                 segment.id);
     }
     return s;
 }
--- a/core/prompt_segments.h
+++ b/core/prompt_segments.h
@@ -7,11 +7,22 @@
 #ifndef RK_CORE_PROMPT_SEGMENTS_H
 #define RK_CORE_PROMPT_SEGMENTS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "common/util.h"
 
+/* A segment in the text "ID:TOKENS,...", the segments of a prompt in order. */
+struct rk_segment_text {
+    const char *id; /* within the text, not NUL-terminated */
+    size_t id_len;
+    uint32_t tokens; /* 0: not given, or not positive */
+};
+/* Reads the segment that *text points to, and sets *text to the next one. Returns
+ * false at the end of the text. */
+bool rk_segment_text_next(const char **text, struct rk_segment_text *out);
+
 /* Size of a segment's id for logs and the store, the terminating NUL included. A
  * longer id is cut there; its key tells it apart all the same. */
 #define RK_SEGMENT_ID_MAX 40
--- a/tests/test_segments.c
+++ b/tests/test_segments.c
@@ -247,6 +247,18 @@
     rk_prompt_segments_free(&s);
 }
 
+/* Guards against a request's own segment that is taken for a shared one because a
+ * comma follows it. */
+static void a_trailing_comma_begins_no_segment(void **state)
+{
+    (void)state;
+    struct rk_prompt_segments s =
+        rk_prompt_segments_parse("clinic", "llm", "id0:5,id1:5,");
+    assert_int_equal(1, s.len);
+    assert_string_equal("id0", s.items[0].id);
+    rk_prompt_segments_free(&s);
+}
+
 /* Guards against an organisation that has a segment of another one stopped, by
  * sending its id. */
 static void segments_differ_by_organisation_service_and_id(void **state)
@@ -296,6 +308,7 @@
         cmocka_unit_test_setup(a_node_that_has_just_started_stops_nothing,
                                reset_tables),
         cmocka_unit_test(all_segments_but_the_last_are_parsed),
+        cmocka_unit_test(a_trailing_comma_begins_no_segment),
         cmocka_unit_test(segments_differ_by_organisation_service_and_id),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
