placement, node, tests: shares, counts of what is stopped and threads in one place

The limits' shares had an enum of their own with the meaning of enum rk_place_share; what one more VM adds is one function for both now. Two loops counted stopped rows, and two classes of a test ran a thread in the same way.

--- a/core/place.h
+++ b/core/place.h
@@ -342,8 +342,8 @@
                              struct rk_vm_signal **out);
 /* Returns true if the VM's limit and cooldown permit a call now. */
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms);
-/* Whether this node may use the VMs of a service, if these are brittle and only
- * some nodes share each of them. */
+/* Whether this node may use the VMs of a service, if these are brittle or advertise
+ * limits, and only some nodes share each of them. */
 enum rk_place_share {
     RK_PLACE_NOT_SHARED,  /* all nodes may use some VM */
     RK_PLACE_HAS_SHARE,   /* this node may use some of them */
@@ -351,14 +351,9 @@
 };
 enum rk_place_share rk_place_brittle_share(const struct rk_place *p,
                                            const struct rk_place_query *q);
-/* How this node may use the limits that VMs of a query's service advertise, of
- * which some nodes have a share each. */
-enum rk_place_limit {
-    RK_PLACE_LIMIT_NONE,  /* some VM has no limit, or none that peers share */
-    RK_PLACE_LIMIT_SHARE, /* this node has a share in some of them */
-    RK_PLACE_LIMIT_PEERS, /* only peers have */
-};
-enum rk_place_limit rk_place_limit_share(const struct rk_place *p,
+/* Returns the same for the limits that the VMs of the query's service advertise:
+ * RK_PLACE_NOT_SHARED if some VM has none, or if there are no peers. */
+enum rk_place_share rk_place_limit_share(const struct rk_place *p,
                                          const struct rk_place_query *q);
 /* Returns the time in ms until the limit or cooldown of some VM of the query's
  * service permits the call. Returns 0 if one permits it now, if there is no such
--- a/core/place_preferred.c
+++ b/core/place_preferred.c
@@ -4,7 +4,6 @@
 #include "core/prompt_segments.h"
 
 #include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* How long in ms a prompt segment is assumed to stay in the cache of a VM. */
--- a/core/place_signals.c
+++ b/core/place_signals.c
@@ -127,6 +127,15 @@
     return vm->running < (share > 0 ? share : 1);
 }
 
+/* Returns the share in a service's VMs, with one more VM that `senders` nodes
+ * share, as in struct rk_vm_signal. */
+static enum rk_place_share add_share(enum rk_place_share share, int senders)
+{
+    if (senders > 0)
+        return RK_PLACE_HAS_SHARE;
+    return share == RK_PLACE_NOT_SHARED ? RK_PLACE_LACKS_SHARE : share;
+}
+
 enum rk_place_share rk_place_brittle_share(const struct rk_place *p,
                                            const struct rk_place_query *q)
 {
@@ -143,31 +152,25 @@
                       v->signal->brittle_senders != RK_SENDERS_UNKNOWN;
         if (!shared)
             return RK_PLACE_NOT_SHARED;
-        if (v->signal->brittle_senders > 0)
-            share = RK_PLACE_HAS_SHARE;
-        else if (share == RK_PLACE_NOT_SHARED)
-            share = RK_PLACE_LACKS_SHARE;
+        share = add_share(share, v->signal->brittle_senders);
     }
     return share;
 }
 
-enum rk_place_limit rk_place_limit_share(const struct rk_place *p,
+enum rk_place_share rk_place_limit_share(const struct rk_place *p,
                                          const struct rk_place_query *q)
 {
-    enum rk_place_limit limit = RK_PLACE_LIMIT_NONE;
+    enum rk_place_share share = RK_PLACE_NOT_SHARED;
     if (!rk_vm_signals_len(&p->signals) || p->nodes < 2)
-        return RK_PLACE_LIMIT_NONE;
+        return RK_PLACE_NOT_SHARED;
     for (const struct rk_place_vm *v = p->vms; v; v = v->next) {
         if (!rk_place_is_usable(v) || strcmp(v->row.service, q->service) != 0)
             continue;
         if (!v->signal || !v->signal->limited)
-            return RK_PLACE_LIMIT_NONE;
-        if (v->signal->senders > 0)
-            limit = RK_PLACE_LIMIT_SHARE;
-        else if (limit == RK_PLACE_LIMIT_NONE)
-            limit = RK_PLACE_LIMIT_PEERS;
+            return RK_PLACE_NOT_SHARED;
+        share = add_share(share, v->signal->senders);
     }
-    return limit;
+    return share;
 }
 
 bool rk_place_may_send(const struct rk_place_vm *vm, int64_t now_ms)
--- a/node/quarantines.c
+++ b/node/quarantines.c
@@ -49,22 +49,24 @@
     return &q->table;
 }
 
-size_t rk_quarantines_stopped(const struct rk_quarantines *q)
+static size_t count_stopped(const struct rk_quarantines *q, bool segments)
 {
     size_t n = 0;
-    for (size_t i = 0; i < q->table.len; i++)
-        n += q->table.rows[i].stopped &&
-             !rk_quarantine_is_segment(&q->table.rows[i]);
+    for (size_t i = 0; i < q->table.len; i++) {
+        const struct rk_quarantine_row *row = &q->table.rows[i];
+        n += row->stopped && rk_quarantine_is_segment(row) == segments;
+    }
     return n;
 }
 
+size_t rk_quarantines_stopped(const struct rk_quarantines *q)
+{
+    return count_stopped(q, false);
+}
+
 size_t rk_quarantines_stopped_segments(const struct rk_quarantines *q)
 {
-    size_t n = 0;
-    for (size_t i = 0; i < q->table.len; i++)
-        n +=
-            q->table.rows[i].stopped && rk_quarantine_is_segment(&q->table.rows[i]);
-    return n;
+    return count_stopped(q, true);
 }
 
 /* ---- merging ---- */
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -142,7 +142,7 @@
     const struct rk_place *p = x->r->place;
     return x->lacks_conns ||
            rk_place_brittle_share(p, &x->query) == RK_PLACE_HAS_SHARE ||
-           rk_place_limit_share(p, &x->query) == RK_PLACE_LIMIT_SHARE;
+           rk_place_limit_share(p, &x->query) == RK_PLACE_HAS_SHARE;
 }
 
 /* Ends a call that no VM can take, as far as this node knows. */
@@ -476,7 +476,7 @@
 {
     const struct rk_place *p = x->r->place;
     return has_share(x) ||
-           rk_place_limit_share(p, &x->query) == RK_PLACE_LIMIT_PEERS ||
+           rk_place_limit_share(p, &x->query) == RK_PLACE_LACKS_SHARE ||
            rk_place_has_unreachable(p, x->query.service);
 }
 
--- a/tests/proc_hosted_one_node.py
+++ b/tests/proc_hosted_one_node.py
@@ -23,18 +23,16 @@
 WORKERS = 60  # threads that make calls
 
 
-class Load:
-    """Calls at an even rate, each on a new connection; who gets them may change."""
+class Background:
+    """A thread that runs until the end of a with block."""
 
-    def __init__(self, d, per_s, target="/r/x", seed=20261204):
-        self.d, self.per_s, self.target = d, per_s, target
-        self.rng = random.Random(seed)
-        self.nodes = list(range(len(d.nodes)))  # those that get new connections
-        self.calls = []  # (time of sending, node, status, whether the answer was whole)
+    def __init__(self):
         self.stopped = threading.Event()
-        self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.thread = threading.Thread(target=self.run)
 
+    def run(self):
+        raise NotImplementedError
+
     def __enter__(self):
         self.thread.start()
         return self
@@ -42,6 +40,21 @@
     def __exit__(self, *_):
         self.stopped.set()
         self.thread.join()
+
+
+class Load(Background):
+    """Calls at an even rate, each on a new connection; who gets them may change."""
+
+    def __init__(self, d, per_s, target="/r/x", seed=20261204):
+        self.d, self.per_s, self.target = d, per_s, target
+        self.rng = random.Random(seed)
+        self.nodes = list(range(len(d.nodes)))  # those that get new connections
+        self.calls = []  # (time of sending, node, status, whether the answer was whole)
+        self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        super().__init__()
+
+    def __exit__(self, *failure):
+        super().__exit__(*failure)
         self.pool.shutdown()
 
     def run(self):
@@ -156,26 +169,17 @@
     return sum(is_open(conn) for conn in list(worker.conns))
 
 
-class ConnectionWatch:
+class ConnectionWatch(Background):
     """Follows how many connections the VMs have."""
 
     def __init__(self, d):
         self.d, self.most = d, 0
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self.run)
+        super().__init__()
 
     def run(self):
         while not self.stopped.wait(0.005):
             self.most = max([self.most] + [count_open(w) for w in self.d.workers])
 
-    def __enter__(self):
-        self.thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self.stopped.set()
-        self.thread.join()
-
 
 def test_a_fleet_at_its_limit_rejects_at_once():
     """Guards against calls that go from node to node when no node can send them, and hold
