--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,8 +6,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from deployment import (BEAT_S, DRAIN_S, LLM, PLAIN, PROMPT, ZONES, Client, Deployment,  # noqa: E402
-                        Record, events_of)
+from deployment import (BEAT_S, DRAIN_S, LLM, PLAIN, PROMPT, ZONES, Client,  # noqa: E402
+                        Deployment, Record, events_of)
 from hosted import wait_until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
