--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,160 +1,191 @@
-"""An engine crashes under streams without a length: callers get them as complete."""
+"""Machines are added whose names share their first 30 bytes with others: two leaders."""
 import collections
+import json
 import os
-import random
-import subprocess
 import sys
 import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from deployment import (BEAT_S, LLM, PROMPT, ROOT, ZONES, Client, Deployment, Record,  # noqa: E402
-                        events_of)
+from deployment import (BOUNDS, DRAIN_S, LLM, PLAIN, PROMPT, Client, Deployment,  # noqa: E402
+                        Record, services)
+import hosted  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-EVENTS, GAP_S = 100, 0.025  # of a chat
-# For 5 s at a time, so many in a hundred answers of half the engines carry no length.
-PERCENT, SHARE, UNFRAMED_S = 5, 0.5, 5
-CLIENTS, ROUNDS, DOWN_S = 48, 6, 4
+# The platform names a machine by its class, its zone and a number.
+LONG_ZONES = ("klein-hall-windhoek-central-hospital", "eros-hall-windhoek-private-hospital",
+              "olympia-hall-katutura-state-hospital")
+LEASE_S = BOUNDS["leaseMs"] / 1000
+BOOT_S = 4.0
+CALM_S, ADDED_S = 15, 40  # before and after machines are added
 
 record = Record(os.path.join(HERE, "record.txt"))
 stopping = threading.Event()
-answers, lock = {}, threading.Lock()
-
-
-class EngineProcess:
-    """An engine's process, and what it has written."""
-
-    def __init__(self, d, number):
-        self.d, self.id, self.zone = d, "i-%010x" % number, ZONES[number % 3]
-        args = [sys.executable, os.path.join(ROOT, "review", "engine.py"), self.id, self.zone,
-                str(EVENTS), str(GAP_S)]
-        self.popen = subprocess.Popen(args, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                                      text=True)
-        self.running = {}  # framing of the streams that it runs
-        self.addr = self.popen.stdout.readline().split()[1]
-        threading.Thread(target=self.read, daemon=True).start()
-        d.store.put("servers", self.id, {
-            "service": LLM, "address": self.addr, "zone": self.zone, "version": "v1",
-            "slots": 128, "state": "ready", "coldLeftMs": 0, "seqNo": 1})
-
-    def read(self):
-        for line in self.popen.stdout:
-            words = line.split()
-            if words[0] == "begin":
-                self.running[words[1]] = words[3]
-                record("engine  %s begins %s after event %s, framing %s", self.id, words[1],
-                       words[2], words[3])
-            else:
-                self.running.pop(words[1], None)
-                record("engine  %s has sent all of %s", self.id, words[1])
-
-    def set_unframed(self, percent):
-        self.popen.stdin.write("%d\n" % percent)
-        self.popen.stdin.flush()
-
-    def kill(self):
-        """Crash: SIGKILL. The entry goes after three silent heartbeats."""
-        self.popen.kill()
-        self.popen.wait()
-        record("engine  %s is killed while it runs %s", self.id, " ".join(
-            "%s (%s)" % item for item in self.running.items()))
-        threading.Timer(3 * BEAT_S, self.d.store.drop, ("servers", self.id)).start()
-
-
-def chats(d, number):
-    rng = random.Random(number)
-    client = Client(d, number % 3)
+
+
+class Platform(hosted.Cloud):
+    """The platform's API: checks fences, and carries out the orders that it takes."""
+
+    def __init__(self):
+        self.taken = []  # (time, duty, subject, holder, fence) of calls that were taken
+        self.d = None
+        self.order_lock = threading.Lock()
+        super().__init__()
+
+    def handle(self, req, conn):
+        body = json.loads(req.body)
+        fence, holder = int(req.get("Rillknot-Fencing-Token")), req.get("Rillknot-Duty-Holder")
+        usage = req.target == "/usage"
+        subject = "usage" if usage else (body["service"], body["zone"])
+        with self.order_lock:
+            stale = fence < self.highest_fence.get(subject, 0)
+            record("call    %s by %s, fence %d: %s%s", req.target, holder, fence,
+                   json.dumps(body), ", refused" if stale else "")
+            if not stale:
+                self.taken.append((time.monotonic(), req.target, subject, holder, fence))
+            more = super().handle(req, conn)
+        if not stale and not usage:
+            threading.Thread(target=self.carry_out, args=(body,), daemon=True).start()
+        return more
+
+    def carry_out(self, body):
+        spot, zone = bool(body.get("spot")), body["zone"]
+        held = [w for w in self.d.workers if w.service == body["service"] and w.zone == zone
+                and w.spot == spot and not w.going]
+        for w in held[body["desiredCount"]:]:
+            w.going = True
+            self.d.drain(w)
+            threading.Thread(target=self.end, args=(w,), daemon=True).start()
+        if len(held) < body["desiredCount"]:
+            time.sleep(BOOT_S)
+            held = [w for w in self.d.workers if w.service == body["service"]
+                    and w.zone == zone and w.spot == spot and not w.going]
+            for _ in range(body["desiredCount"] - len(held)):
+                add_engine(self.d, zone, spot)
+
+    def end(self, worker):
+        time.sleep(DRAIN_S + 0.5)
+        try:
+            worker.stop_at_once()
+        except OSError:
+            return
+        self.d.store.drop("servers", worker.id)
+
+
+def add_engine(d, zone, spot=False):
+    w = d.add_worker(LLM, events=20, zone=zone, slots=128, spot=spot)
+    w.gap_s, w.going = 0.02, False
+    return w
+
+
+def replace(d):
+    """The platform replaces three engines of a zone, one a second; a new one starts first."""
+    by_zone = collections.defaultdict(list)
+    for w in d.workers:
+        if w.service == LLM and not w.going:
+            by_zone[w.zone].append(w)
+    for w in max(by_zone.values(), key=len)[:3]:
+        new = add_engine(d, w.zone, w.spot)
+        record("engine  %s takes the place of %s in %s", new.id, w.id, w.zone)
+        time.sleep(0.3)
+        w.going = True
+        d.drain(w)
+        threading.Thread(target=d.cloud.end, args=(w,), daemon=True).start()
+        time.sleep(0.7)
+
+
+def chats(d, node):
+    """A client that sends about one chat a second."""
+    client, n = Client(d, node), 0
     while not stopping.is_set():
-        ident = "%016x" % rng.getrandbits(64)
+        n += 1
         try:
-            answer, _ = client.send("POST", "/lohu930/2f", ident, 15000, b"y" * 1400, PROMPT)
+            client.send("POST", "/lohu930/2f", "d%02d%013x" % (node, n), 15000, b"y" * 1400,
+                        PROMPT)
         except OSError:
-            time.sleep(0.1)
-            continue
-        got = events_of(answer.body)
-        record("chat    %s answered %d, %s, %d events", ident, answer.status,
-               "complete" if answer.whole else "cut", len(got))
-        with lock:
-            answers[ident] = (answer, got)
-        time.sleep(rng.random())
-
-
-def crash_one(engines):
-    """Kill an engine that runs a stream without a length; return whether there was one."""
-    for engine in engines:
-        if "close" in list(engine.running.values()):
-            time.sleep(0.5)
-            engines.remove(engine)
-            engine.kill()
-            return True
-    return False
-
-
-def play_round(d, engines, numbers):
-    """Half the engines answer some streams without a length; with TROUBLE one crashes."""
-    some = engines[:int(len(engines) * SHARE)]
-    record("engines %s answer %d in 100 streams without a length for %d s",
-           " ".join(e.id for e in some), PERCENT, UNFRAMED_S)
-    for engine in some:
-        engine.set_unframed(PERCENT)
-    end, crashed = time.monotonic() + UNFRAMED_S, False
-    while time.monotonic() < end:
-        if TROUBLE and not crashed:
-            crashed = crash_one(engines)
-        time.sleep(0.02)
-    for engine in engines:
-        engine.set_unframed(0)
-    if crashed:
-        time.sleep(DOWN_S - 1)
-        engines.append(EngineProcess(d, next(numbers)))
-    time.sleep(1)
-
-
-def play(d, engines):
-    numbers = iter(range(1, 1000))
-    for _ in range(3):
+            pass
+        time.sleep(1)
+
+
+def scaled_services():
+    llm, plain = services()
+    llm["scaling"] = {"min": 1, "max": 6, "bootS": BOOT_S, "spotPrice": 0.22,
+                      "zonePrices": dict(zip(LONG_ZONES, (0.85, 1.2, 1.0)))}
+    return [llm, plain]
+
+
+def returns(calls):
+    """Return the triples of calls for one subject by the holders A, B, A within leaseMs."""
+    found, by_subject = [], collections.defaultdict(list)
+    for call in calls:
+        by_subject[call[2]].append(call)
+    for of_subject in by_subject.values():
+        for i, a in enumerate(of_subject):
+            other = None
+            for b in of_subject[i + 1:]:
+                if b[0] - a[0] > LEASE_S:
+                    break
+                if b[3] != a[3]:
+                    other = other or b
+                elif other:
+                    found.append((a, other, b))
+                    break
+    return found
+
+
+def play(d):
+    for _ in LONG_ZONES:
         d.add_node()
-    for _ in range(9):
-        engines.append(EngineProcess(d, next(numbers)))
-    d.settings()
+    for i in range(9):
+        add_engine(d, LONG_ZONES[i % 3])
+    for zone in LONG_ZONES:
+        d.add_worker(PLAIN, zone=zone, slots=6).going = False
+    d.settings(services=scaled_services())
     d.wait_ready()
-    for i in range(CLIENTS):
+    for i in range(3):
         threading.Thread(target=chats, args=(d, i), daemon=True).start()
-    time.sleep(3)
-    for _ in range(ROUNDS):
-        play_round(d, engines, numbers)
-    stopping.set()
-    time.sleep(EVENTS * GAP_S + 2)
+    time.sleep(CALM_S)
+    if TROUBLE:
+        for _ in LONG_ZONES:
+            d.add_node(first_start=False)
+    for _ in range(4):
+        time.sleep(ADDED_S / 4)
+        replace(d)
 
 
 def main():
-    d, engines = Deployment(record), []
+    d = Deployment(record, LONG_ZONES)
+    d.cloud.close()
+    d.cloud = Platform()
+    d.cloud.d = d
     try:
-        play(d, engines)
+        play(d)
+        alive = all(n.popen.poll() is None for n in d.nodes)
     except Exception as e:  # the case couldn't run
         record("failed  %r", e)
         print("couldn't run: %r" % e)
         return 2
     finally:
         stopping.set()
-        for engine in engines:
-            engine.popen.kill()
         d.finish()
-    wrong, kinds = [], collections.Counter()
-    for ident, (answer, got) in answers.items():
-        complete = answer.status == 200 and answer.whole
-        kinds["complete" if complete else "cut" if answer.status == 200 else answer.status] += 1
-        if complete and got != list(range(1, EVENTS + 1)):
-            wrong.append(ident)
-            record("wrong   %s ended as complete, with events %s to %s of %d", ident,
-                   got[0] if got else "-", got[-1] if got else "-", EVENTS)
-    text = "%d of %d chats ended as complete before their last event; all: %s" % (
-        len(wrong), len(answers), dict(kinds))
+    if not alive:
+        print("couldn't run: a node has ended")
+        return 2
+    leaders = collections.Counter()
+    for node in d.nodes:
+        leaders[node.name] = sum(e.get("event") == "lease.taken" for e in node.events())
+        record("leader  %s took the lease %d times", node.name, leaders[node.name])
+    usage = sum(c[1] == "/usage" for c in d.cloud.taken)
+    found = returns(d.cloud.taken)
+    for a, b, c in found:
+        record("A, B, A %s: %s, %s, %s within %.2f s, fences %d, %d, %d", a[2], a[3], b[3],
+               c[3], c[0] - a[0], a[4], b[4], c[4])
+    text = ("holders acted in the order A, B, A within leaseMs %d times; the lease was taken "
+            "%d times; %d usage reports" % (len(found), sum(leaders.values()), usage))
     record("result  %s", text)
     print(text)
-    return 1 if wrong else 0
+    return 1 if found else 0
 
 
 code = main()
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,4 @@
 import sys
 sys.path[:0] = ["review", "tools"]
 import deployment
-compile(open("review/engine.py").read(), "engine.py", "exec")
 '
