--- a/review/deployment.py
+++ b/review/deployment.py
@@ -76,6 +76,23 @@
             self.file.flush()
 
 
+started = []  # every process that was started here
+
+
+def end_all():
+    """End every process that was started and still runs."""
+    for popen in started:
+        if popen.poll() is None:
+            popen.kill()
+            popen.wait()
+
+
+def on_sigterm(number, frame):
+    """End as a case that couldn't run, as when its time is over."""
+    end_all()
+    os._exit(2)
+
+
 class NodeProc(Proc):
     """A node's process; its settings file is named by a variable, as on the platform."""
 
@@ -83,6 +100,7 @@
         self.args, self.log, self.file = args, log, path
         self.popen = subprocess.Popen(args, cwd=ROOT, env=env, stdout=open(log, "wb"),
                                       stderr=subprocess.STDOUT)
+        started.append(self.popen)
         self.ready = self.wait_event("node.started")
 
 
@@ -92,6 +110,7 @@
     def __init__(self, record, zones=ZONES):
         super().__init__(nodes=0, zones=zones, bounds=BOUNDS)
         self.record = record
+        signal.signal(signal.SIGTERM, on_sigterm)
 
     def _start(self, path):
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
@@ -155,9 +174,7 @@
                        **kw)
 
     def finish(self):
-        for node in self.nodes:
-            if node.popen.poll() is None:
-                node.kill()
+        end_all()
         self.stop()
 
 
