lease: a holder is a name, an address and an incarnation, none of them cut

Cause: the holder was written as "%.30s/%08x" of name and incarnation. A process takes the lease of its own past incarnation at once, and the other machine's name, without its end, was its own.

Change: the holder is the whole name, the control address and the whole incarnation. A past incarnation has the same name and the same address. A process listens there alone, so no other running process has it, also when a machine and its replacement have one name. Values of earlier versions have no address and are never taken for a past incarnation. rk_leader_id(), which addresses usage counts and canary statistics to the leader, gave the cut name too and gives the whole one. The keeper's lease, cut after 28 bytes, the same.

proc_hosted_fleet.vms_are_not_scaled_down_just_after_a_restart_of_all_nodes starts its nodes at fixed addresses, as machines have them: otherwise the restarted leader would wait until its lease expires, and the early order that it guards against could not come.

--- a/core/lease.c
+++ b/core/lease.c
@@ -2,8 +2,9 @@
 #include "core/lease.h"
 #include "core/revision.h"
 
+#include <assert.h>
 #include <inttypes.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* In a later era, an absent lease may have been lost in a restore. */
@@ -29,6 +30,53 @@
     return epoch > l->epoch ? epoch : l->epoch + 1;
 }
 
+/* Parses the members "holder", which is "NAME/INCARNATION" with the incarnation in
+ * hexadecimal, and "addr", which values of earlier versions lack. */
+static struct rk_lease_identity parse_identity(struct json_object *o)
+{
+    struct rk_lease_identity id = {0};
+    const char *holder = rk_json_str(o, "holder");
+    const char *slash = strrchr(holder, '/');
+    size_t name_len = slash ? (size_t)(slash - holder) : strlen(holder);
+    /* Without its end, a longer name or address would be another machine's. */
+    if (name_len >= sizeof(id.name) ||
+        !rk_strcpy(id.addr, sizeof(id.addr), rk_json_str(o, "addr")))
+        return (struct rk_lease_identity){0};
+    memcpy(id.name, holder, name_len);
+    id.incarnation = slash ? strtoull(slash + 1, NULL, 16) : 0;
+    return id;
+}
+
+static void format_value(const struct rk_lease *l, int64_t now_ms,
+                         char value[RK_LEASE_VALUE_MAX])
+{
+    struct rk_buf holder = {0}, b = {0};
+    rk_buf_printf(&holder, "%s/%016" PRIx64, l->self.name, l->self.incarnation);
+    rk_buf_addstr(&b, "{\"holder\":");
+    rk_buf_json_str(&b, holder.data);
+    rk_buf_addstr(&b, ",\"addr\":");
+    rk_buf_json_str(&b, l->self.addr);
+    rk_buf_printf(&b, ",\"epoch\":%" PRId64 ",\"beat\":%" PRId64 "}", l->held_epoch,
+                  now_ms);
+    bool fits = rk_strcpy(value, RK_LEASE_VALUE_MAX, b.data);
+    assert(fits);
+    (void)fits;
+    rk_buf_free(&holder);
+    rk_buf_free(&b);
+}
+
+static bool is_same_machine(const struct rk_lease_identity *a,
+                            const struct rk_lease_identity *b)
+{
+    return !strcmp(a->name, b->name) && !strcmp(a->addr, b->addr);
+}
+
+static bool is_same_process(const struct rk_lease_identity *a,
+                            const struct rk_lease_identity *b)
+{
+    return is_same_machine(a, b) && a->incarnation == b->incarnation;
+}
+
 void rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
                         int64_t now_ms)
 {
@@ -43,9 +91,8 @@
     l->was_present = l->was_present || version;
     struct json_object *o = version ? json_tokener_parse(value) : NULL;
     l->epoch = rk_json_int(o, "epoch", 0);
-    rk_strcpy(l->observed_holder, sizeof(l->observed_holder),
-              rk_json_str(o, "holder"));
-    l->held = version && !strcmp(l->observed_holder, l->holder) &&
+    l->observed_holder = parse_identity(o);
+    l->held = version && is_same_process(&l->observed_holder, &l->self) &&
               l->epoch == l->held_epoch && rk_revision_era(l->epoch) == l->era;
     /* Possibly by a write whose response was lost. The lease counts from the start
      * of that write, which the value contains; the start of a later attempt proves
@@ -56,16 +103,14 @@
 }
 
 /* Returns whether the holder is a past incarnation of this process. That one has
- * ended, since this one has started. Orders that it sent last carry its own epoch,
- * and nobody else can have taken the lease since, unless the store has been
- * restored since. */
+ * ended, since this one listens at its address. Orders that it sent last carry its
+ * own epoch, and nobody else can have taken the lease since, unless the store has
+ * been restored since. */
 static bool held_by_past_incarnation(const struct rk_lease *l)
 {
-    const char *slash = strrchr(l->holder, '/');
-    size_t name = slash ? (size_t)(slash - l->holder) + 1 : 0;
-    return name && l->version && rk_revision_era(l->epoch) == l->era &&
-           strcmp(l->observed_holder, l->holder) != 0 &&
-           !strncmp(l->observed_holder, l->holder, name);
+    return l->self.addr[0] && l->version && rk_revision_era(l->epoch) == l->era &&
+           is_same_machine(&l->observed_holder, &l->self) &&
+           !is_same_process(&l->observed_holder, &l->self);
 }
 
 bool rk_lease_next_write(struct rk_lease *l, int64_t now_ms,
@@ -88,9 +133,7 @@
     l->held_epoch = still_valid ? l->held_epoch : next_epoch(l);
     l->write_started_ms = now_ms;
     *expect = l->version;
-    snprintf(value, RK_LEASE_VALUE_MAX,
-             "{\"holder\":\"%s\",\"epoch\":%" PRId64 ",\"beat\":%" PRId64 "}",
-             l->holder, l->held_epoch, now_ms);
+    format_value(l, now_ms, value);
     return true;
 }
 
@@ -105,7 +148,7 @@
         l->version = version;
         l->epoch = l->held_epoch;
         l->observed_ms = now_ms;
-        rk_strcpy(l->observed_holder, sizeof(l->observed_holder), l->holder);
+        l->observed_holder = l->self;
     } else if (st == RK_ECONFLICT) {
         l->held = false;
         /* The known state is outdated: read before the next attempt. */
--- a/core/lease.h
+++ b/core/lease.h
@@ -3,8 +3,8 @@
  * whole lease duration by its own clock. The holder may rely on the lease
  * from the start of its last successful write, for the lease duration less a
  * margin, and checks this before each order. Every order carries the epoch of the
- * lease. A process that finds the lease held by its own past incarnation takes it
- * at once.
+ * lease. A process that finds the lease held by its own past incarnation, which had
+ * the same name and the same address, takes it at once.
  *
  * A store that comes back from an older copy forgets leases. A new epoch is one
  * more than the revision on which its write is conditional, which contains the
@@ -25,19 +25,31 @@
 /* Percentage of the lease duration, at its end, during which the holder sends no
  * orders. */
 #define RK_LEASE_MARGIN_PCT 20
-#define RK_LEASE_VALUE_MAX  192 /* bytes of the object's value, with the NUL */
+/* Bytes of the object's value, with the NUL. The longest identity fits, also with
+ * each of its bytes escaped. */
+#define RK_LEASE_VALUE_MAX 512
 
-/* A process's view of a lease. The owner sets holder and ttl_ms; everything else
+/* A process as holder of the lease. A name alone does not identify a machine: a
+ * machine and its replacement may run at the same time under the same name. */
+struct rk_lease_identity {
+    char name[RK_ID_MAX]; /* of the machine */
+    /* The process listens there alone, so that no other running process has the
+     * same one; "": not known, and then past incarnations are not recognised. */
+    char addr[RK_ADDR_MAX];
+    uint64_t incarnation; /* random number of the process */
+};
+
+/* A process's view of a lease. The owner sets self and ttl_ms; everything else
  * starts at zero. */
 struct rk_lease {
-    char holder[RK_ID_MAX]; /* this process: "NAME/INCARNATION", or a name alone */
-    int64_t ttl_ms;         /* lease duration */
-    int64_t era;            /* the store's; 0: it has none, or not known yet */
-    bool was_present;       /* the object was there once in this process's life */
+    struct rk_lease_identity self; /* this process */
+    int64_t ttl_ms;                /* lease duration */
+    int64_t era;      /* the store's; 0: it has none, or not known yet */
+    bool was_present; /* the object was there once in this process's life */
     /* Last known state of the object. */
     int64_t version; /* 0: absent */
     int64_t epoch;
-    char observed_holder[RK_ID_MAX];
+    struct rk_lease_identity observed_holder;
     int64_t observed_ms; /* when this version was first observed; 0: must be read */
     /* State of this process as holder. */
     bool held;
--- a/keeper/keeper.c
+++ b/keeper/keeper.c
@@ -81,6 +81,7 @@
     struct rk_link *entry_link; /* NULL while not connected */
     int64_t queried_ms;         /* time of the last query to the entry node */
     char entry_id[RK_ID_MAX];   /* "" until its first message */
+    char member_id[RK_ID_MAX];  /* of this keeper among the members */
     struct rk_members *members;
     struct rk_changelog *changelog;
     struct rk_config *config; /* NULL until settings are known */
@@ -154,7 +155,7 @@
     k->queried_ms = rk_mono_ms();
     Rillknot__StateWanted w = RILLKNOT__STATE_WANTED__INIT;
     w.head = rk_changelog_head(k->changelog);
-    w.from = k->lease.holder;
+    w.from = k->member_id;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
     frame.body_case = RILLKNOT__FRAME__BODY_STATE_WANTED;
     frame.state_wanted = &w;
@@ -553,15 +554,17 @@
     k->changelog = rk_changelog_create();
     k->sent_orders = rk_alloc(MAX_SENT_ORDERS, sizeof(*k->sent_orders));
     k->lease.ttl_ms = 6000; /* until the settings are known */
-    /* The name differs between runs, so that the lease of an earlier run is never
-     * taken for this one's. */
-    snprintf(k->lease.holder, sizeof(k->lease.holder), "%.28s-%08x", procfile->id,
-             (unsigned)seed);
+    /* The incarnation differs between runs, so that the lease of an earlier run is
+     * never taken for this one's. A keeper has no listener, and hence no address.
+     */
+    rk_strcpy(k->lease.self.name, sizeof(k->lease.self.name), procfile->id);
+    k->lease.self.incarnation = seed;
+    snprintf(k->member_id, sizeof(k->member_id), "keeper-%016" PRIx64, seed);
     snprintf(k->lease_name, sizeof(k->lease_name), "leases/%s",
              procfile->failure_domain);
     /* Leaving, so that this row is not counted when bridges are determined. */
     struct rk_member self = {.state = RK_MEMBER_ALIVE, .leaving = true};
-    rk_strcpy(self.id, sizeof(self.id), k->lease.holder);
+    rk_strcpy(self.id, sizeof(self.id), k->member_id);
     rk_strcpy(self.domain, sizeof(self.domain), procfile->failure_domain);
     k->members = rk_members_create(&self);
     k->tick_timer = (struct rk_timer){.fn = on_tick, .ctx = k};
--- a/node/leader.c
+++ b/node/leader.c
@@ -70,10 +70,9 @@
 struct rk_leader {
     struct rk_node *n;
     struct rk_lease lease;
-    char holder[RK_ID_MAX]; /* this process as lease holder: "ID/INCARNATION" */
-    bool lease_busy;        /* a read or write of the lease is in flight */
-    bool must_read;         /* the lease has to be read before the next write */
-    bool was_held;          /* as of the last update_held() */
+    bool lease_busy; /* a read or write of the lease is in flight */
+    bool must_read;  /* the lease has to be read before the next write */
+    bool was_held;   /* as of the last update_held() */
     int64_t acquired_ms, lost_ms; /* when was_held changed last; 0: never */
     int64_t jitter_ms;
     struct rk_timer tick;
@@ -107,7 +106,8 @@
         k->lost_ms = rk_mono_ms();
     RK_EVENT(held ? "lease.taken" : "lease.lost",
              RK_N("epoch", k->lease.held_epoch),
-             RK_S("seen_holder", k->lease.observed_holder),
+             RK_S("seen_holder", k->lease.observed_holder.name),
+             RK_S("seen_addr", k->lease.observed_holder.addr),
              RK_N("seen_epoch", k->lease.epoch));
 }
 
@@ -241,8 +241,7 @@
 
 void rk_leader_id(const struct rk_leader *k, char id[RK_ID_MAX])
 {
-    rk_strcpy(id, RK_ID_MAX, k->lease.observed_holder);
-    id[strcspn(id, "/")] = '\0';
+    rk_strcpy(id, RK_ID_MAX, k->lease.observed_holder.name);
 }
 
 /* The platform has seen a higher fencing token, so there is a newer leader: gives
@@ -574,9 +573,8 @@
     k->orders = rk_orders_create(n);
     k->started_ms = rk_mono_ms();
     k->tick = (struct rk_timer){.fn = on_tick, .ctx = k};
-    snprintf(k->holder, sizeof(k->holder), "%.30s/%08x", n->file.id,
-             (unsigned)n->incarnation);
-    rk_strcpy(k->lease.holder, sizeof(k->lease.holder), k->holder);
+    k->lease.self.incarnation = n->incarnation;
+    rk_strcpy(k->lease.self.name, sizeof(k->lease.self.name), n->file.id);
     k->lease.ttl_ms = (int64_t)n->file.lease_ms;
     k->jitter_ms = rk_rng_below(&n->rng, LEASE_JITTER_MS);
     k->first_window =
@@ -588,6 +586,9 @@
 
 void rk_leader_start(struct rk_leader *k)
 {
+    /* The address is known once the listener has been created. */
+    rk_strcpy(k->lease.self.addr, sizeof(k->lease.self.addr),
+              rk_mesh_addr(k->n->mesh));
     rk_timer_start(k->n->loop, &k->tick, k->jitter_ms);
 }
 
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -681,6 +681,25 @@
         assert len([r for r in d.cloud.refused if r[2] == old_leader.name]) <= 1
 
 
+def test_nodes_whose_names_begin_alike_do_not_take_each_others_lease():
+    """Guards against a leader that takes another node for its own past incarnation.
+
+    The name of the lease's holder was cut after 30 bytes. Of two nodes of a domain with a
+    long name, each took the lease from the other at each tick, and both ordered VMs.
+    """
+    zones = ("klein-hall-windhoek-central-hospital", "eros-hall-windhoek-private-hospital")
+    with fleet(nodes=4, zones=zones) as d:
+        for zone in zones:
+            d.add_worker("llm", events=3, zone=zone, slots=32)
+        d.configure([d.route("r", "plain"), d.route("s", "llm", "streaming")],
+                    services=["plain", engine_service(zonePrices=dict.fromkeys(zones, 1.0))])
+        wait_until(lambda: d.cloud.usage and d.cloud.orders, 20)
+        time.sleep(4)
+        taken = [n.name for n in d.nodes for e in n.events() if e.get("event") == "lease.taken"]
+        acted = {u[2] for u in d.cloud.usage} | {o[4] for o in d.cloud.orders}
+        assert len(taken) == 1 and acted == set(taken), (collections.Counter(taken), acted)
+
+
 def engine_service(**scaling):
     """Returns an engine service with automatic scaling.
 
@@ -725,9 +744,10 @@
     ordered 2 reclaimable VMs in each domain instead of 20, by a demand that no node had
     measured yet; a second later it ordered 32. Seconds of calls were late or lost. The
     existing VMs were ordered for a demand that the restarted nodes have not seen, so they
-    stay until it is known.
+    stay until it is known. The nodes keep their addresses, so that the leader need not wait
+    until its lease expires.
     """
-    with Hosted(nodes=2, zones=("a-hall",)) as d:
+    with Hosted(nodes=2, zones=("a-hall",), fixed_addresses=True) as d:
         for zone in ("a-hall", "b-hall"):
             d.add_worker("llm", events=3, zone=zone, slots=32)
         d.configure([d.route("s", "llm", "streaming")], services=[engine_service()])
--- a/tests/prop_core.cc
+++ b/tests/prop_core.cc
@@ -299,7 +299,9 @@
 struct rk_lease new_lease(int node, int incarnation)
 {
     struct rk_lease l = {};
-    snprintf(l.holder, sizeof(l.holder), "h%d/%d", node, incarnation);
+    snprintf(l.self.name, sizeof(l.self.name), "h%d", node);
+    snprintf(l.self.addr, sizeof(l.self.addr), "127.0.0.%d:7600", node + 1);
+    l.self.incarnation = (uint64_t)incarnation;
     l.ttl_ms = 1000;
     return l;
 }
@@ -456,8 +458,10 @@
             if (!rk_lease_valid(&h.lease, now, &epoch))
                 continue;
             valid++;
-            auto known = holder_of.emplace(epoch, h.lease.holder).first;
-            RC_ASSERT(known->second == h.lease.holder);
+            std::string holder = h.lease.self.name + std::string("/") +
+                                 std::to_string(h.lease.self.incarnation);
+            auto known = holder_of.emplace(epoch, holder).first;
+            RC_ASSERT(known->second == holder);
         }
         RC_ASSERT(valid <= 1);
     }
--- a/tests/test_clock.c
+++ b/tests/test_clock.c
@@ -85,7 +85,7 @@
 static void a_lease_expires_during_a_suspension(void **state)
 {
     (void)state;
-    struct rk_lease l = {.holder = "node-1", .ttl_ms = LEASE_MS};
+    struct rk_lease l = {.self = {.name = "node-1"}, .ttl_ms = LEASE_MS};
     char value[RK_LEASE_VALUE_MAX];
     int64_t expect, epoch;
     rk_lease_read_done(&l, 0, "", rk_mono_ms());
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -527,7 +527,7 @@
 static void a_candidate_reads_the_lease_after_a_lost_race(void **state)
 {
     (void)state;
-    struct rk_lease l = {.holder = "me", .ttl_ms = 1000};
+    struct rk_lease l = {.self = {.name = "me"}, .ttl_ms = 1000};
     char value[RK_LEASE_VALUE_MAX];
     int64_t expect;
     rk_lease_read_done(&l, 0, "", 1);
