upstreams: an answer that the call doesn't need is not awaited without end

What callers saw: a VM that had refused a call, or failed it, and whose body never ended held the call until its deadline (504 after 2.0 s), though another VM was free. Answers to other requests, or interim ones, without end did the same to streams, and each was a line of the log: 56,298 lines in a test of 0.8 s.

Cause: the body of an answer that is not passed on was read to its end, with no limit but the deadline; answers to other requests were skipped without a limit, and interim ones were not counted.

Change: rk_head_action has RK_HEAD_DISCARD. Such a response is read to its end, so that the connection can be reused, for 100 ms and 64 KiB at most; then the call ends as if it had. At most 8 responses or 1 MiB are skipped for a call, and 16 interim ones are read.

--- a/common/http1.c
+++ b/common/http1.c
@@ -152,8 +152,11 @@
 static int on_complete(http_parser *p)
 {
     struct rk_http1 *r = reader_of(p);
-    if (p->type == HTTP_RESPONSE && r->head.status / 100 == 1)
-        return 0; /* an interim response: the final one follows */
+    if (p->type == HTTP_RESPONSE && r->head.status / 100 == 1) {
+        /* The final response follows. */
+        r->too_large = ++r->interim_len > RK_INTERIM_MAX;
+        return r->too_large ? -1 : 0;
+    }
     r->ended = true;
     http_parser_pause(p, 1);
     return 0;
@@ -218,6 +221,7 @@
     r->ended = false;
     r->head_done = false;
     r->head_len = 0;
+    r->interim_len = 0;
     r->head.text.len = 0;
     http_parser_pause(&r->parser, 0);
 }
--- a/common/http1.h
+++ b/common/http1.h
@@ -13,6 +13,7 @@
 #include "common/util.h"
 
 #define RK_HEAD_LINES_MAX 96 /* most header lines of a head */
+#define RK_INTERIM_MAX    16 /* most interim responses (1xx) before a response */
 
 /* How the end of a response's body is marked. */
 enum rk_framing {
@@ -75,10 +76,12 @@
     size_t head_max; /* limit of head_len */
     /* Bytes of the head read so far. Of the start line, only the target counts. */
     size_t head_len;
+    int interim_len; /* interim responses that preceded this message */
 };
 
 /* Initialises a reader of requests or, if requests is false, of responses. A head
- * of more than head_max bytes or RK_HEAD_LINES_MAX lines fails as too large. */
+ * of more than head_max bytes or RK_HEAD_LINES_MAX lines fails as too large, and so
+ * does a response after more than RK_INTERIM_MAX interim ones. */
 void rk_http1_init(struct rk_http1 *r, bool requests, size_t head_max,
                    const struct rk_http1_ops *ops, void *ctx);
 /* Frees what the reader allocated; r itself is the caller's. */
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -166,12 +166,12 @@
     if (!id && x->answer_class == ANSWER_PASS && head->status / 100 == 2)
         x->answer_class = ANSWER_RETRY;
     if (x->answer_class == ANSWER_NOT_RUN)
-        return RK_HEAD_ACCEPT;
+        return RK_HEAD_DISCARD;
     bool stream = x->route->kind == RK_CALL_STREAM;
     if (!stream || head->status / 100 != 2)
         count_usage(x, x->sent_wall_ms);
     if (x->answer_class != ANSWER_PASS)
-        return RK_HEAD_ACCEPT;
+        return RK_HEAD_DISCARD;
     if (stream)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_SILENCE_MS);
     /* The peer has to know the version before the first event. */
@@ -248,8 +248,6 @@
     if (!x->vm_first_ms)
         x->vm_first_ms = rk_mono_ms();
     rk_relay_note_heard(x->r, x->vm, false);
-    if (x->answer_class != ANSWER_PASS)
-        return;
     rk_call_check_survival(x);
     record_first_byte(x);
     count_usage(x, rk_wall_ms());
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -252,7 +252,7 @@
     if (refused) {
         note_peer_refused(x, head, refused);
         x->answer_class = ANSWER_NOT_RUN;
-        return RK_HEAD_ACCEPT;
+        return RK_HEAD_DISCARD;
     }
     bool not_run =
         rk_call_implies_not_run(head->status) && !rk_head_get(head, d->signature);
@@ -263,7 +263,7 @@
         head->status == HTTP_BAD_GATEWAY && !rk_head_get(head, d->signature);
     if (failed || (x->begun && !success) || (x->may_have_run && not_run)) {
         x->answer_class = ANSWER_RETRY;
-        return RK_HEAD_ACCEPT;
+        return RK_HEAD_DISCARD;
     }
     x->answer_class = ANSWER_PASS;
     x->ran = !not_run;
@@ -281,8 +281,6 @@
 static void on_body(void *ctx, const char *data, size_t len)
 {
     struct rk_relay_call *x = ctx;
-    if (x->answer_class != ANSWER_PASS)
-        return;
     if (x->route->kind == RK_CALL_STREAM)
         rk_timer_start(x->r->loop, &x->silence_timer, STREAM_PEER_SILENCE_MS);
     rk_call_pass_body(x, data, len);
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -14,6 +14,13 @@
 /* Idle connections are used for this much less time than the VM advertises. */
 #define KEEP_ALIVE_MARGIN_MS 1200
 #define SWEEP_INTERVAL_MS    1000
+/* A response that is discarded is read to its end, so that its connection can be
+ * reused, unless it has more bytes or takes longer. */
+#define DISCARDED_MAX_BYTES (64 * 1024)
+#define DISCARD_TIMEOUT_MS  100
+/* Limits of the responses to other requests that a call skips. */
+#define SKIPPED_MAX_BYTES (1024 * 1024)
+#define SKIPPED_MAX       8
 
 /* A connection to a VM. It is idle in its pool, or serves a call. */
 struct pooled_conn {
@@ -23,13 +30,16 @@
     struct rk_upstream_call *call;    /* NULL: idle */
     struct pooled_conn *next, **prev; /* in the idle list of the pool */
     int64_t idle_since_ms;
-    int64_t keep_alive_ms; /* how long it can be used after it became idle */
-    bool has_served;       /* has served an earlier call */
-    bool reusable;         /* the responses so far allow keep-alive */
-    bool skipping_answer;  /* discards a response to another request */
+    int64_t keep_alive_ms;      /* how long it can be used after it became idle */
+    bool has_served;            /* has served an earlier call */
+    bool reusable;              /* the responses so far allow keep-alive */
+    enum rk_head_action action; /* for the current response */
+    int skipped_len;            /* responses that the current call has skipped */
+    size_t unused_bytes; /* of bodies that the current call skips or discards */
     bool is_closed_by_vm;
     bool released; /* aborted; freed in the loop's next iteration */
-    struct rk_timer timer;
+    struct rk_timer
+        timer; /* ends a discarded response; frees a released connection */
 };
 
 /* The connections to one address of a VM. */
@@ -82,6 +92,7 @@
     if (c->released)
         return;
     c->released = true;
+    rk_timer_stop(c->pool->u->loop, &c->timer);
     rk_conn_abort(c->tcp);
     unlink_idle(c);
     c->pool->open--;
@@ -137,19 +148,24 @@
     struct rk_upstream_call *call = c->call;
     if (!call)
         return true; /* cancelled while this input is parsed */
-    c->skipping_answer = call->ops->on_head(call->ctx, head) == RK_HEAD_SKIP;
+    c->action = call->ops->on_head(call->ctx, head);
     if (c->released || !c->call)
         return true;
-    c->reusable = c->reusable && head->keep_alive && !c->skipping_answer;
+    bool skipped = c->action == RK_HEAD_SKIP;
+    c->reusable = c->reusable && head->keep_alive && !skipped;
     c->keep_alive_ms = parse_keep_alive_ms(head);
-    return c->skipping_answer || !call->no_body;
+    if (c->action == RK_HEAD_DISCARD)
+        rk_timer_start(c->pool->u->loop, &c->timer, DISCARD_TIMEOUT_MS);
+    return skipped || !call->no_body;
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
 {
     struct pooled_conn *c = ctx;
-    if (c->call && !c->skipping_answer)
+    if (c->call && c->action == RK_HEAD_ACCEPT)
         c->call->ops->on_body(c->call->ctx, data, len);
+    else
+        c->unused_bytes += len;
 }
 
 static void on_end(void *ctx)
@@ -160,17 +176,18 @@
 static const struct rk_http1_ops reader_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_end};
 
-/* Ends a call whose response is complete. has_surplus: bytes followed the
- * response. */
-static void complete_call(struct pooled_conn *c, bool has_surplus)
+/* Ends a call whose response is complete, or is not needed any more. reusable: its
+ * connection has nothing but that response. */
+static void complete_call(struct pooled_conn *c, bool reusable)
 {
     struct rk_upstream_call *call = c->call;
     const struct rk_upstream_ops *ops = call->ops;
     void *ctx = call->ctx;
     c->call = NULL;
     free(call);
+    rk_timer_stop(c->pool->u->loop, &c->timer);
     /* A connection with unsent bytes of this request can't be reused. */
-    bool keep = c->reusable && !has_surplus && !c->is_closed_by_vm &&
+    bool keep = c->reusable && reusable && !c->is_closed_by_vm &&
                 !rk_conn_unsent_len(c->tcp) && c->keep_alive_ms > 0;
     if (keep) {
         rk_http1_next(&c->reader);
@@ -182,6 +199,32 @@
     ops->on_end(ctx);
 }
 
+static void on_discard_timeout(void *ctx)
+{
+    complete_call(ctx, false);
+}
+
+/* Returns whether a response that the call doesn't need exceeds its limits. */
+static bool is_unused_too_long(const struct pooled_conn *c)
+{
+    if (c->action == RK_HEAD_DISCARD)
+        return c->unused_bytes > DISCARDED_MAX_BYTES;
+    return c->unused_bytes > SKIPPED_MAX_BYTES || c->skipped_len > SKIPPED_MAX;
+}
+
+/* Ends the call if a response that it doesn't need is too long. Returns whether it
+ * has ended. */
+static bool end_if_too_long(struct pooled_conn *c)
+{
+    if (!is_unused_too_long(c))
+        return false;
+    if (c->action == RK_HEAD_DISCARD)
+        complete_call(c, false);
+    else
+        fail_call(c, 0, "the vm answers other requests only");
+    return true;
+}
+
 /* Parses responses until the call's own is complete. */
 static void feed(struct pooled_conn *c, const char *data, size_t len)
 {
@@ -195,14 +238,15 @@
         }
         data += n;
         len -= n;
-        if (!c->reader.ended)
-            return;
-        if (!c->skipping_answer) {
-            complete_call(c, len > 0);
+        if (c->reader.ended && c->action != RK_HEAD_SKIP) {
+            complete_call(c, len == 0);
             return;
         }
+        c->skipped_len += c->reader.ended;
+        if (end_if_too_long(c) || !c->reader.ended)
+            return;
         rk_http1_next(&c->reader);
-        c->skipping_answer = false;
+        c->action = RK_HEAD_ACCEPT;
     }
 }
 
@@ -226,8 +270,8 @@
     c->is_closed_by_vm = true;
     rk_http1_eof(&c->reader);
     if (!c->released && c->call) {
-        if (c->reader.ended && !c->skipping_answer)
-            complete_call(c, false);
+        if (c->reader.ended && c->action != RK_HEAD_SKIP)
+            complete_call(c, true);
         else
             fail_call(c, 0, "the vm closed before its answer was whole");
     }
@@ -382,6 +426,7 @@
     }
     c->pool = p;
     c->reusable = true;
+    c->timer = (struct rk_timer){.fn = on_discard_timeout, .ctx = c};
     rk_http1_init(&c->reader, false, HEAD_MAX_BYTES, &reader_ops, c);
     p->open++;
     return c;
@@ -403,6 +448,9 @@
                                       .no_body = spec->no_body,
                                       .reused = c->has_served};
     c->call = call;
+    c->action = RK_HEAD_ACCEPT;
+    c->skipped_len = 0;
+    c->unused_bytes = 0;
     rk_conn_write(c->tcp, spec->head, spec->head_len);
     rk_conn_write(c->tcp, spec->body, spec->body_len);
     return call;
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -19,6 +19,9 @@
 enum rk_head_action {
     RK_HEAD_ACCEPT, /* it answers the call */
     RK_HEAD_SKIP, /* it answers another request: discard it and read the next one */
+    /* It answers the call, whose user needs no body. The call ends with the
+     * response, or without its end if that is late or far. */
+    RK_HEAD_DISCARD,
 };
 
 struct rk_upstream_failure {
@@ -31,7 +34,8 @@
 /* Exactly one of on_end() and on_fail() ends a call, unless it is cancelled. The
  * call may be cancelled in on_head() and on_body(), and must not be used in or
  * after on_end() and on_fail(). on_body() gets the body in pieces, without chunk
- * framing. */
+ * framing; it is not called for a response that is discarded or skipped. A call
+ * fails if the responses that are skipped don't end. */
 struct rk_upstream_ops {
     enum rk_head_action (*on_head)(void *ctx, const struct rk_head *head);
     void (*on_body)(void *ctx, const char *data, size_t len);
--- /dev/null
+++ b/tests/proc_hosted_endless.py
@@ -0,0 +1,275 @@
+"""Tests of VMs that send bytes without end, in a head or a body.
+
+Such a VM stops only when its connection is closed. What it sends is no answer, or more than
+one, and must not hold a call that another VM can take, fill the node's memory or its log, or
+slow down the calls of others.
+"""
+import collections
+import os
+import threading
+import time
+
+from hosted import Hosted, reset, wait_until
+
+BLOCK = 16 * 1024
+STALL_S = 20  # a VM whose connection is neither read nor closed for this long gives up
+MEMORY_MB = 260  # memoryMb of the deployments' machines
+# By the route's target and time-out: a call that another VM can take is answered in time.
+DEADLINE_MS = 2000
+
+
+class Flood:
+    """A worker fault that sends a start, and then a block again and again until the
+    connection is closed. Counts the connections that it floods."""
+
+    def __init__(self, block, start=b"", gap_s=0.0):
+        self.block, self.start, self.gap_s = block, start, gap_s
+        self.begun, self.ended = 0, 0
+        self.bytes = collections.Counter()  # by request id
+
+    def __call__(self, worker, req, conn):
+        ident = req.get("Rillknot-Attempt-Id")
+        self.begun += 1
+        worker.runs[ident] += 1
+        conn.settimeout(STALL_S)
+        try:
+            conn.sendall(self.fill(self.start, worker, req))
+            block = self.fill(self.block, worker, req)
+            while True:
+                conn.sendall(block)
+                self.bytes[ident] += len(block)
+                time.sleep(self.gap_s)
+        except OSError:
+            pass
+        finally:
+            self.ended += 1
+        reset(conn)
+        return False
+
+    @staticmethod
+    def fill(text, worker, req):
+        """Replaces @HEAD@ by the status line and the headers of a good answer."""
+        head = worker.head(req)
+        return text.replace(b"@HEAD@", head[:-2]) if b"@HEAD@" in text else text
+
+
+def block_of(line):
+    return line * (BLOCK // len(line) + 1)
+
+
+NOT_RUN = b"HTTP/1.1 503 X\r\nRillknot-Not-Executed: 1\r\n"
+OTHERS = (b"HTTP/1.1 200 OK\r\nRillknot-Attempt-Id: other\r\nRillknot-Server-Signature: x\r\n")
+
+# What is no answer, or not the call's: another VM must answer instead.
+HEADS = {
+    "noise": Flood(block_of(b"\x8f\x01noise")),
+    "blank lines": Flood(block_of(b"\r\n")),
+    "a reason phrase": Flood(block_of(b"x"), b"HTTP/1.1 200 "),
+    "a header name": Flood(block_of(b"x"), b"HTTP/1.1 200 OK\r\n"),
+    "a header value": Flood(block_of(b"x"), b"HTTP/1.1 200 OK\r\nX: "),
+    "header lines": Flood(block_of(b"X: y\r\n"), b"HTTP/1.1 200 OK\r\n"),
+    "interim answers": Flood(block_of(b"HTTP/1.1 100 Continue\r\n\r\n")),
+    "answers to other requests": Flood(block_of(OTHERS + b"Content-Length: 0\r\n\r\n")),
+}
+BODIES = {
+    "the body of an answer to another request": Flood(block_of(b"x"), OTHERS + b"\r\n"),
+    "the body of a refusal": Flood(block_of(b"x"), NOT_RUN + b"\r\n"),
+    "the chunks of a refusal": Flood(block_of(b"4\r\nabcd\r\n"),
+                                     NOT_RUN + b"Transfer-Encoding: chunked\r\n\r\n"),
+    "the body of a failure": Flood(block_of(b"x"), b"HTTP/1.1 500 X\r\n\r\n"),
+    "the body of a success without a signature": Flood(block_of(b"x"),
+                                                       b"HTTP/1.1 200 OK\r\n\r\n"),
+}
+CHUNKED = b"@HEAD@Transfer-Encoding: chunked\r\n\r\n"
+# What follows the head of a good answer, which a plain call's caller has by then.
+CHUNKS = {
+    "noise for chunks": Flood(block_of(b"\x8f\x01"), CHUNKED),
+    "a chunk's size": Flood(block_of(b"0"), CHUNKED),
+    "a chunk's extension": Flood(block_of(b"x"), CHUNKED + b"4;"),
+    "trailers": Flood(block_of(b"X: y\r\n"), CHUNKED + b"0\r\n"),
+}
+
+
+def deployment(kind="idempotent", workers=2, events=0, **route):
+    """Starts a node and workers behind one route."""
+    d = Hosted(nodes=1, bounds={"budgetExtra": 4000}).start()
+    for _ in range(workers):
+        d.add_worker("plain", events=events, slots=64)
+    d.configure([d.route("r", "plain", kind, timeoutMs=4000, **route)])
+    d.wait_ready()
+    return d
+
+
+def memory_mb(node):
+    """Returns the peak of a node's resident memory."""
+    with open("/proc/%d/status" % node.popen.pid) as f:
+        line = next(x for x in f if x.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
+def flood_first_attempts(d, flood):
+    """Makes each request's first attempt at any of the workers flood."""
+    def fault(worker, req, conn):
+        first = not d.runs(req.get("Rillknot-Attempt-Id"))
+        return flood(worker, req, conn) if first else None
+    for w in d.workers:
+        w.fault = fault
+
+
+def call_flooded(d, flood):
+    """Sends a call whose first attempt floods, and returns its answer."""
+    flood_first_attempts(d, flood)
+    before = flood.begun
+    a = d.call("/r/x", deadline=DEADLINE_MS)
+    assert flood.begun > before, (a.status, a.body)
+    return a
+
+
+def check_closed(flood, timeout=1):
+    """Checks that the node closes the connections that are flooded."""
+    wait_until(lambda: flood.ended == flood.begun, timeout)
+
+
+def check_answered_by_the_other_vm(floods, **kw):
+    """Checks that calls are answered whole and in time though their first VM floods."""
+    with deployment(**kw) as d:
+        wrong = {}
+        for what, flood in floods.items():
+            a = call_flooded(d, flood)
+            ended = time.monotonic()
+            if a.status != 200 or not a.whole or a.took_s * 1000 > DEADLINE_MS:
+                wrong[what] = (a.status, a.whole, round(a.took_s, 2))
+                continue
+            try:
+                check_closed(flood)
+            except AssertionError:
+                wrong[what] = "still open after %.1f s" % (time.monotonic() - ended)
+        assert not wrong, wrong
+        assert memory_mb(d.nodes[0]) < MEMORY_MB, memory_mb(d.nodes[0])
+        lines = sum(1 for _ in open(d.nodes[0].log, "rb"))
+        assert lines < 2000, "%d lines of log" % lines
+
+
+def test_a_head_without_end_is_answered_by_another_vm():
+    """Guards against calls that wait for a head that never ends, until their deadline."""
+    check_answered_by_the_other_vm(HEADS)
+
+
+def test_a_body_without_end_that_is_no_answer_is_not_awaited():
+    """Guards against calls that wait for the end of a body that the caller does not get.
+
+    The VM has refused the call, or has failed, and only the body goes on for ever.
+    """
+    check_answered_by_the_other_vm(BODIES)
+
+
+def test_a_stream_whose_head_has_no_end_is_answered_by_another_vm():
+    """Guards against the same in streams, whose silence is borne for longer."""
+    check_answered_by_the_other_vm(dict(HEADS, **BODIES, **CHUNKS), kind="streaming", events=3,
+                                   resumable=True)
+
+
+def test_a_chunked_answer_without_end_looks_cut_at_once():
+    """Guards against an answer that is held, or looks whole, as its chunks never end.
+
+    The caller has its head, so that no other VM can answer.
+    """
+    with deployment() as d:
+        for what, flood in CHUNKS.items():
+            a = call_flooded(d, flood)
+            assert not a.whole and a.took_s < 1, (what, a.status, a.whole, a.took_s)
+            check_closed(flood)
+
+
+def test_a_call_that_runs_once_ends_in_time_though_bytes_go_on():
+    """Guards against calls that outlast their deadline, or are reported as not run.
+
+    They may have run, so that no other VM may answer them.
+    """
+    with deployment("non_idempotent") as d:
+        for what, flood in dict(HEADS, **BODIES, **CHUNKS).items():
+            if "refusal" in what:
+                continue
+            a = call_flooded(d, flood)
+            assert a.status in (500, 502, 504) or not a.whole, (what, a.status)
+            assert a.took_s * 1000 < DEADLINE_MS + 500, (what, a.took_s)
+            assert d.runs(a.ident) == 1, (what, d.runs(a.ident))
+            check_closed(flood)
+
+
+def test_an_answer_without_end_is_cut_at_the_deadline():
+    """Guards against an answer that goes on for ever and holds its caller, or looks whole."""
+    with deployment(workers=1) as d:
+        flood = Flood(block_of(b"x"), b"@HEAD@\r\n", gap_s=0.01)
+        a = call_flooded(d, flood)
+        assert a.status in (0, 200) and not a.whole, (a.status, a.whole)
+        assert a.took_s * 1000 < DEADLINE_MS + 500, a.took_s
+        check_closed(flood)
+
+
+def test_callers_that_leave_end_what_their_vm_sends():
+    """Guards against a VM that goes on to send what nobody reads any more."""
+    with deployment("streaming", workers=1, events=3) as d:
+        d.workers[0].fault = flood = Flood(
+            block_of(b"data: x\n\n"), b"@HEAD@Content-Type: text/event-stream\r\n\r\n", 0.01)
+        for i in range(8):
+            s = d.connect()
+            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: left-%d\r\nRillknot-Deadline-Ms: 3000\r\n"
+                      b"Content-Length: 0\r\n\r\n" % i)
+            assert s.recv(1000)
+            s.close()
+        check_closed(flood, 0.5)
+
+
+def test_other_calls_are_served_while_vms_flood():
+    """Guards against floods that keep a node from serving the calls of others.
+
+    Half of the VMs flood, and 24 callers are at it at a time.
+    """
+    with deployment(workers=4) as d:
+        kinds = list(dict(HEADS, **BODIES).values())
+        for w in d.workers[:2]:
+            w.fault = lambda w, req, conn: kinds[w.runs.total() % len(kinds)](w, req, conn)
+        statuses, lock = collections.Counter(), threading.Lock()
+        end = time.monotonic() + 6
+
+        def call():
+            while time.monotonic() < end:
+                a = d.call("/r/x", deadline=DEADLINE_MS)
+                with lock:
+                    statuses[a.status if a.whole else "cut"] += 1
+        threads = [threading.Thread(target=call) for _ in range(24)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        assert statuses[200] >= 0.95 * statuses.total(), statuses
+        assert d.nodes[0].popen.poll() is None
+        assert memory_mb(d.nodes[0]) < MEMORY_MB, memory_mb(d.nodes[0])
+        return "%s, log of %d kB" % (dict(statuses), os.path.getsize(d.nodes[0].log) // 1024)
+
+
+def test_an_order_to_move_a_stream_that_is_answered_without_end():
+    """Guards against a stream that is lost, or held, as the order to move it floods."""
+    engine = {"name": "plain", "healthPath": "/healthz", "maxConns": 200,
+              "engine": {"slots": 32, "kvCapacity": 100000, "moves": True}}
+    for block, start in ((block_of(b"x"), b"HTTP/1.1 200 OK\r\n\r\n"),
+                         (block_of(b"X: y\r\n"), b"HTTP/1.1 200 OK\r\n"),
+                         (block_of(b"HTTP/1.1 100 C\r\n\r\n"), b"")):
+        with deployment("streaming", events=60) as d:
+            d.configure([d.route("r", "plain", "streaming", timeoutMs=8000, resumable=True)],
+                        services=[engine])
+            flood = Flood(block, start)
+            for w in d.workers:
+                w.gap_s = 0.05
+                w.move = lambda req, conn, w=w: flood(w, req, conn)
+            answers = []
+            t = threading.Thread(target=lambda: answers.append(d.call("/r/x", deadline=8000)))
+            t.start()
+            wait_until(lambda: any(w.stops for w in d.workers), 5)
+            time.sleep(0.2)
+            d.drain(next(w for w in d.workers if w.stops))
+            t.join()
+            assert flood.begun and answers[0].status == 200 and answers[0].whole, answers[0].status
+            check_closed(flood)
--- a/tests/run.py
+++ b/tests/run.py
@@ -45,6 +45,7 @@
     "proc_traces": "all   recorded traces with their expected outcomes",
     "proc_hosted_calls": "hosted  routed calls: bytes, at most once, streams, timing",
     "proc_hosted_framing": "hosted  answers that end early, under each framing",
+    "proc_hosted_endless": "hosted  VMs that send bytes without end",
     "proc_hosted_input": "hosted  bad input",
     "proc_hosted_entries": "hosted  restarted VMs, entries written by another program",
     "proc_crashes": "9     a call that crashes its VMs is sent to three at most",
