streams: one with an event that never ends goes on at another VM

What callers saw: a resumable stream was cut when its VM sent more than 256 KiB without the end of an event, though another VM was free and the call had attempts left.

Cause: the event was taken for one that no VM can send, and the call was given up.

Change: the attempt has failed, like any stream that breaks off, and the stream goes on after its last whole event. A caller whose event is that long gets what it got before: the answer looks cut, after the route's attempts.

--- a/core/event_splitter.c
+++ b/core/event_splitter.c
@@ -98,6 +98,7 @@
 void rk_event_splitter_restart(struct rk_event_splitter *e)
 {
     e->partial.len = 0;
+    e->failed = false;
 }
 
 void rk_event_splitter_free(struct rk_event_splitter *e)
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -215,6 +215,15 @@
     rk_call_give_up(x, HTTP_BAD_GATEWAY, 0, why);
 }
 
+/* Ends an attempt whose stream can't be passed on. The events before may be gone on
+ * with at another VM. */
+static void fail_stream(struct rk_relay_call *x, const char *why)
+{
+    rk_upstream_cancel(x->up);
+    x->up = NULL;
+    rk_call_attempt_failed(x, true, RK_PLACE_ERROR, why);
+}
+
 bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len)
 {
     record_pause(x);
@@ -230,7 +239,7 @@
     }
     rk_event_splitter_feed(&x->events, data, len, on_event, x);
     if (x->events.failed) {
-        cut_answer(x, "an event of the stream is too long");
+        fail_stream(x, "an event of the stream is too long");
         return false;
     }
     return true;
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -297,8 +297,9 @@
 /* ---- relay_answer.c ---- */
 /* Passes the head of an answer on to the caller. */
 void rk_call_begin_answer(struct rk_relay_call *x, const struct rk_head *head);
-/* Passes a part of the body on to the caller. Returns false if that ended the call,
- * because the caller reads too slowly or an event exceeds RK_EVENT_MAX. */
+/* Passes a part of the body on to the caller. Returns false if that ended the
+ * attempt, as an event exceeds RK_EVENT_MAX or the caller reads too slowly; it may
+ * have ended the call, too. */
 bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len);
 /* Ends the call after the whole answer was passed on. */
 void rk_call_finish_answer(struct rk_relay_call *x);
--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -207,6 +207,28 @@
         check_closed(flood)
 
 
+def test_a_stream_with_an_event_without_end_goes_on_at_another_vm():
+    """Guards against a stream that is given up as one VM sends an event that never ends."""
+    with deployment("streaming", events=3, resumable=True) as d:
+        first = b"@HEAD@Content-Type: text/event-stream\r\n\r\n"
+        flood = Flood(block_of(b"data: x\n"), first)
+        a = call_flooded(d, flood)
+        assert a.status == 200 and a.whole, (a.status, a.whole)
+        assert a.body == b"".join(d.workers[1].event(Request(a.ident), n)
+                                  for n in (1, 2, 3)), a.body[:200]
+        check_closed(flood)
+
+
+class Request:
+    """The part of a request that events are made of."""
+
+    def __init__(self, ident):
+        self.ident = ident
+
+    def get(self, _name, _fallback=""):
+        return self.ident
+
+
 def test_callers_that_leave_end_what_their_vm_sends():
     """Guards against a VM that goes on to send what nobody reads any more."""
     with deployment("streaming", workers=1, events=3) as d:
