relay: a caller that reads slowly holds its VM, not the node's memory

What was seen: 90 callers that did not read answers without end made a node's memory peak at 316 to 337 MB; 260 MB are allowed, so that it would be killed with all its calls.

Cause: the node kept up to 4 MiB for each caller, and cut an answer beyond that.

Change: beyond 64 KiB that a caller has not taken, the node stops reading from its VM until the caller has taken them. A held connection does not look for the VM's close, so that bytes which the VM sent before it closed are not lost. The silence of a held VM is not counted. Slow callers of large answers are no longer cut.

--- a/callers/server.c
+++ b/callers/server.c
@@ -374,8 +374,17 @@
     drop_disconnected(ctx);
 }
 
-static const struct rk_conn_ops conn_ops = {
-    .on_data = on_data, .on_eof = on_eof, .on_error = on_error};
+static void on_drained(void *ctx)
+{
+    struct rk_client *c = ctx;
+    if (c->state == CLIENT_ANSWERING && c->s->ops->on_drained)
+        c->s->ops->on_drained(c->s->ctx, c->user);
+}
+
+static const struct rk_conn_ops conn_ops = {.on_data = on_data,
+                                            .on_eof = on_eof,
+                                            .on_error = on_error,
+                                            .on_drained = on_drained};
 
 static void on_timer(void *ctx)
 {
--- a/callers/server.h
+++ b/callers/server.h
@@ -33,6 +33,9 @@
     /* Called when the caller disconnects before its response has ended. `user` is
      * the value of rk_client_set_user(). The client must not be used any more. */
     void (*on_disconnect)(void *ctx, void *user);
+    /* Called when all bytes of a response that has not ended have been passed to
+     * the kernel, after some had to wait; may be NULL. */
+    void (*on_drained)(void *ctx, void *user);
 };
 
 /* Listens on addr ("ip:port"; the kernel chooses the port if it is 0) and accepts
--- a/common/conn.c
+++ b/common/conn.c
@@ -28,6 +28,7 @@
     int fd;
     bool connecting;
     bool paused;
+    bool held;      /* paused without noticing the peer's close */
     bool lingering; /* closed by the owner: sends the rest, waits for the peer */
     bool fin_sent;
     bool has_sent;
@@ -63,8 +64,8 @@
 
 static void update_watch(struct rk_conn *c)
 {
-    uint32_t events = EPOLLRDHUP;
-    if (!c->paused && !c->connecting)
+    uint32_t events = c->held ? 0 : EPOLLRDHUP;
+    if (!c->paused && !c->held && !c->connecting)
         events |= EPOLLIN;
     if (c->connecting || rk_conn_unsent_len(c))
         events |= EPOLLOUT;
@@ -275,6 +276,14 @@
     update_watch(c);
 }
 
+void rk_conn_set_held(struct rk_conn *c, bool held)
+{
+    if (c->released || !c->ops || c->held == held)
+        return;
+    c->held = held;
+    update_watch(c);
+}
+
 static void discard_data(void *ctx, const char *data, size_t len)
 {
     (void)ctx;
--- a/common/conn.h
+++ b/common/conn.h
@@ -55,6 +55,11 @@
  * read, and on_data is not called for them any more. */
 void rk_conn_set_paused(struct rk_conn *c, bool paused);
 
+/* Stops (true) or resumes reading, so that the peer can't send more than the kernel
+ * buffers. Unlike a paused connection, a held one loses no received bytes: the
+ * peer's close is noticed once they have been read. */
+void rk_conn_set_held(struct rk_conn *c, bool held);
+
 /* Closes the connection in order and frees c: sends the queued bytes and lets the
  * peer read them and close, for one second at most. A connection that has ended
  * already or is still connecting is closed at once. No callback follows. */
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -215,11 +215,21 @@
         rk_relay_call_caller_gone(user);
 }
 
+static void on_client_drained(void *ctx, void *user)
+{
+    (void)ctx;
+    if (user)
+        rk_relay_call_resume_reading(user);
+}
+
 static const struct rk_server_ops server_ops = {.on_request = on_request,
-                                                .on_disconnect = on_client_gone};
+                                                .on_disconnect = on_client_gone,
+                                                .on_drained = on_client_drained};
 
 static const struct rk_server_ops forward_server_ops = {
-    .on_request = on_forwarded_request, .on_disconnect = on_client_gone};
+    .on_request = on_forwarded_request,
+    .on_disconnect = on_client_gone,
+    .on_drained = on_client_drained};
 
 /* Returns false if an address can't be bound. */
 static bool create_servers(struct rk_relay *r)
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -14,7 +14,7 @@
 #include "serve/relay_call_impl.h"
 
 #define EVENT_STREAM_TYPE "text/event-stream"
-#define UNSENT_MAX_BYTES  (4 * 1024 * 1024) /* buffered for a slow caller */
+#define UNSENT_MAX_BYTES  (64 * 1024) /* buffered for a slow caller */
 
 /* Records the attempt's time to first byte and the error of its prediction. */
 static void record_first_byte(struct rk_relay_call *x)
@@ -208,11 +208,26 @@
     x->last_data_ms = now_ms;
 }
 
-/* Cuts an answer that has begun, though its VM goes on with it. */
-static void cut_answer(struct rk_relay_call *x, const char *why)
+/* Stops reading from the VM until a slow caller has taken what there is. Otherwise
+ * the node would buffer all that a VM sends, for each such caller. */
+static void hold_for_slow_caller(struct rk_relay_call *x)
 {
-    rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
-    rk_call_give_up(x, HTTP_BAD_GATEWAY, 0, why);
+    if (!x->up || rk_client_unsent_len(x->client) <= UNSENT_MAX_BYTES)
+        return;
+    x->is_held = true;
+    rk_upstream_set_held(x->up, true);
+    rk_timer_stop(x->r->loop, &x->silence_timer);
+}
+
+void rk_relay_call_resume_reading(struct rk_relay_call *x)
+{
+    if (!x->is_held || !x->up)
+        return;
+    x->is_held = false;
+    rk_upstream_set_held(x->up, false);
+    if (x->route->kind == RK_CALL_STREAM)
+        rk_timer_start(x->r->loop, &x->silence_timer,
+                       x->peer[0] ? STREAM_PEER_SILENCE_MS : STREAM_SILENCE_MS);
 }
 
 /* Ends an attempt whose stream can't be passed on. The events before may be gone on
@@ -229,12 +244,9 @@
     record_pause(x);
     if (!x->client)
         return true;
-    if (rk_client_unsent_len(x->client) > UNSENT_MAX_BYTES) {
-        cut_answer(x, "the caller reads too slowly");
-        return false;
-    }
     if (!delivers_complete_events(x)) {
         rk_client_data(x->client, data, len);
+        hold_for_slow_caller(x);
         return true;
     }
     rk_event_splitter_feed(&x->events, data, len, on_event, x);
@@ -242,6 +254,7 @@
         fail_stream(x, "an event of the stream is too long");
         return false;
     }
+    hold_for_slow_caller(x);
     return true;
 }
 
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -320,6 +320,7 @@
     spec->max_idle_ms =
         rk_call_repeatable(x) ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
     spec->ctx = x;
+    x->is_held = false;
     x->up = rk_upstream_start(x->r->upstreams, spec);
     rk_buf_free(head);
     return x->up != NULL;
@@ -598,8 +599,10 @@
         rk_call_fingerprint(x);
     x->client = NULL;
     /* Cutting off a non-repeatable call would leave its outcome unknown. */
-    if (runs_on)
+    if (runs_on) {
+        rk_relay_call_resume_reading(x);
         return;
+    }
     rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
     rk_call_log_end(x, 0, "the caller is gone");
     rk_call_record_latency(x, "gone");
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -83,6 +83,10 @@
  * a VM keeps running; any other call, also a stream, is cancelled and freed. */
 void rk_relay_call_caller_gone(struct rk_relay_call *call);
 
+/* Goes on reading the answer if that was stopped for a slow caller, which has now
+ * taken what was there. */
+void rk_relay_call_resume_reading(struct rk_relay_call *call);
+
 /* Ends the call and its connections because the relay shuts down. */
 void rk_relay_call_abort(struct rk_relay_call *call);
 
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -25,6 +25,8 @@
  * stream is resumable. The route's target for the first byte is added until the
  * head has arrived. */
 #define STREAM_SILENCE_MS 1500
+/* The same of a peer, which may try two VMs, one after the other. */
+#define STREAM_PEER_SILENCE_MS (2 * STREAM_SILENCE_MS)
 /* Default Retry-After of a refusal. */
 #define RETRY_AFTER_MS 300
 /* Retry-After of a quarantined request. Its state rarely changes sooner, and after
@@ -126,6 +128,8 @@
     bool move_tried;       /* a move away from the current VM was tried */
     bool may_be_stopped;   /* the current VM may have stopped the run for a move */
     bool silence_reported; /* for the current attempt */
+    bool is_held; /* the current attempt is not read until the caller has read more
+                   */
     /* "ADDRESS/HANDLE" of the KV cache copy, set while the attempt that uses it is
      * sent; else "" */
     char kv_source[RK_ADDR_MAX + RK_MOVE_HANDLE_MAX];
@@ -298,8 +302,7 @@
 /* Passes the head of an answer on to the caller. */
 void rk_call_begin_answer(struct rk_relay_call *x, const struct rk_head *head);
 /* Passes a part of the body on to the caller. Returns false if that ended the
- * attempt, as an event exceeds RK_EVENT_MAX or the caller reads too slowly; it may
- * have ended the call, too. */
+ * attempt, as an event exceeds RK_EVENT_MAX; it may have ended the call, too. */
 bool rk_call_pass_body(struct rk_relay_call *x, const char *data, size_t len);
 /* Ends the call after the whole answer was passed on. */
 void rk_call_finish_answer(struct rk_relay_call *x);
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -30,7 +30,6 @@
 /* Longest silence of a peer. It may send the call to two VMs, one after the other,
  * when the first one is silent. */
 #define PLAIN_SILENCE_MS        400
-#define STREAM_PEER_SILENCE_MS  (2 * STREAM_SILENCE_MS)
 #define REFUSED_HEADERS_MAX_LEN 128
 
 static const char *const refusal_names[] = {
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -473,6 +473,11 @@
     return call->reused;
 }
 
+void rk_upstream_set_held(struct rk_upstream_call *call, bool held)
+{
+    rk_conn_set_held(call->conn->tcp, held);
+}
+
 void rk_upstream_cancel(struct rk_upstream_call *call)
 {
     struct pooled_conn *c = call->conn;
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -81,6 +81,9 @@
 void rk_upstream_release_conn(struct rk_upstream_pools *u, const char *vm_id,
                               const char *addr);
 
+/* Stops (true) or resumes reading the response. */
+void rk_upstream_set_held(struct rk_upstream_call *call, bool held);
+
 /* Cancels and frees a call and resets its connection. No callback is called. */
 void rk_upstream_cancel(struct rk_upstream_call *call);
 
--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -5,11 +5,12 @@
 slow down the calls of others.
 """
 import collections
+import itertools
 import os
 import threading
 import time
 
-from hosted import Hosted, reset, wait_until
+from hosted import FRAMINGS, Hosted, read_answer, reset, wait_until
 
 BLOCK = 16 * 1024
 STALL_S = 20  # a VM whose connection is neither read nor closed for this long gives up
@@ -229,6 +230,53 @@
         return self.ident
 
 
+def test_callers_that_read_slowly_do_not_fill_the_memory():
+    """Guards against a node that buffers answers without end for callers that do not read.
+
+    Up to 4 MiB were kept for each call, so that 70 of them took more than the machine has.
+    """
+    callers = 90
+    with deployment(workers=1) as d:
+        d.workers[0].fault = Flood(block_of(b"x"), b"@HEAD@\r\n")
+        conns = [d.connect() for _ in range(callers)]
+        for i, s in enumerate(conns):
+            s.sendall(b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: slow-%d\r\nRillknot-Deadline-Ms: 3000\r\n\r\n" % i)
+        time.sleep(3.5)
+        peak = memory_mb(d.nodes[0])
+        for s in conns:
+            s.close()
+        assert peak < MEMORY_MB, "%.0f MB" % peak
+        return "%.0f MB at the peak" % peak
+
+
+def test_an_answer_is_whole_for_a_caller_that_pauses():
+    """Guards against an answer that loses its end as its VM closes while the caller pauses.
+
+    The node stops reading from the VM meanwhile. What the VM sent before it closed its
+    connection must arrive all the same.
+    """
+    body = os.urandom(1 << 16) * 48
+    for kind, framing in itertools.product(("idempotent", "non_idempotent", "streaming"),
+                                           FRAMINGS):
+        with deployment(kind, workers=1) as d:
+            def fault(w, req, conn, framing=framing):
+                conn.sendall(w.head(req, framing=w.framing_header(framing, len(body)),
+                                    extra=b"Content-Type: image/png\r\n"))
+                w.send_body(conn, framing, body)
+                w.end_body(conn, framing)
+                return False
+            d.workers[0].fault = fault
+            s = d.connect()
+            s.sendall(b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: paused\r\nRillknot-Deadline-Ms: 4000\r\n\r\n")
+            time.sleep(0.8)
+            a = read_answer(s)
+            s.close()
+            assert a.status == 200 and a.whole and a.body == body, \
+                (kind, framing, a.status, a.whole, len(a.body))
+
+
 def test_callers_that_leave_end_what_their_vm_sends():
     """Guards against a VM that goes on to send what nobody reads any more."""
     with deployment("streaming", workers=1, events=3) as d:
