--- a/core/place.c
+++ b/core/place.c
@@ -158,9 +158,10 @@
     return add_vm(p, row, now_ms);
 }
 
-void rk_place_sweep(struct rk_place *p)
+static void sweep(struct rk_place *p)
 {
     size_t before = p->vms_len;
+    p->has_removable = false;
     rk_place_prune_active(p);
     for (struct rk_place_vm **at = &p->vms; *at;) {
         struct rk_place_vm *v = *at;
@@ -176,6 +177,12 @@
         index_rebuild(p);
 }
 
+void rk_place_sweep(struct rk_place *p)
+{
+    if (p->has_removable)
+        sweep(p);
+}
+
 /* Adds or updates the VM of a list row. Returns true if this ended an
  * incarnation of the VM. */
 static bool upsert_row(struct rk_place *p, const struct rk_vm_row *row,
@@ -205,7 +212,7 @@
         v->listed = false;
     for (size_t i = 0; i < len; i++)
         upsert_row(p, &rows[i], now_ms);
-    rk_place_sweep(p);
+    sweep(p);
     rk_place_mark_versions(p);
 }
 
@@ -222,7 +229,7 @@
     for (size_t i = 0; i < len; i++)
         incarnation_ended = upsert_row(p, &rows[i], now_ms) || incarnation_ended;
     if (incarnation_ended)
-        rk_place_sweep(p);
+        sweep(p);
     rk_place_mark_versions(p);
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -313,8 +313,14 @@
 void rk_place_note_unresponsive(struct rk_place_vm *vm,
                                 const struct rk_place_job *job, int64_t now_ms);
 
-/* Ends an attempt and updates the VM's health and pauses. May free vm if it is no
- * longer listed. */
+/* Frees the VMs that are no longer listed and have no call of this node in flight.
+ * They are kept until then, as a call that goes on to its next attempt may still
+ * refer to the VM of the last one. To be called where no VM is in use; so are
+ * rk_place_set_vms() and rk_place_change_vms(). */
+void rk_place_sweep(struct rk_place *p);
+
+/* Ends an attempt and updates the VM's health and pauses. vm stays valid until the
+ * next sweep. */
 void rk_place_note_end(struct rk_place *p, struct rk_place_vm *vm,
                        struct rk_place_job *job, enum rk_place_outcome end,
                        int64_t now_ms);
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -20,6 +20,7 @@
     struct rk_rng rng;
     struct rk_place_vm *vms;
     size_t vms_len;
+    bool has_removable; /* some VMs may be removable, see rk_place_is_removable() */
     struct rk_place_vm *active; /* linked list by next_active */
     size_t active_len;
     struct rk_service_speeds speeds;
@@ -41,8 +42,7 @@
  * a peer, now or recently. A node of a large fleet calls a few of thousands of
  * VMs, so work that is done several times a second goes over this list only. */
 void rk_place_mark_active(struct rk_place *p, struct rk_place_vm *vm);
-/* Removes the VMs that rk_place_sweep() is about to free from the list of active
- * VMs. */
+/* Removes the VMs that a sweep is about to free from the list of active VMs. */
 void rk_place_prune_active(struct rk_place *p);
 
 /* Returns true if the VM is no longer listed and no call of this node needs its
@@ -56,9 +56,6 @@
 struct rk_place_reach *rk_place_reach_get(struct rk_place *p, const char *service);
 void rk_place_reaches_free(struct rk_place *p);
 
-/* Frees VMs that are no longer listed and have no call of this node in flight. */
-void rk_place_sweep(struct rk_place *p);
-
 /* Returns the prompt tokens of peers' calls that still wait at the engine: those
  * that they reported, less what the engine has read since. */
 double rk_place_peers_waiting(const struct rk_place *p,
--- a/core/place_jobs.c
+++ b/core/place_jobs.c
@@ -117,6 +117,5 @@
     case RK_PLACE_CANCELLED:
         break;
     }
-    if (!vm->listed && !vm->calls)
-        rk_place_sweep(p);
+    p->has_removable = p->has_removable || rk_place_is_removable(vm);
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -164,6 +164,7 @@
 static void on_report(void *ctx)
 {
     struct rk_relay *r = ctx;
+    rk_place_sweep(r->place);
     expire_signals(r, rk_mono_ms());
     rk_relay_versions_tell_pending(r);
     rk_timer_start(r->loop, &r->report_timer, REPORT_INTERVAL_MS);
--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -113,6 +113,27 @@
         assert len(arrivals(d, stream)) == 2
 
 
+def test_a_stream_moves_back_to_a_leaving_engine_whose_entry_has_lapsed():
+    """Guards against a node that goes on with a VM whose record it has just freed.
+
+    The engine's entry is gone, and the run that returns to it, as no other engine has room,
+    was this node's last call there. The node crashed, or named another VM in its request.
+    """
+    with deployment() as d:
+        stream = Stream(d)
+        first = wait_begun(d, stream)
+        first.move_fault = "full"
+        d.drain(first)
+        time.sleep(0.5)
+        d.store.drop("servers", first.id)
+        stream.check_whole()
+        seen = arrivals(d, stream)
+        assert first.resumed_from_copy == [stream.request]
+        assert [r.get("Rillknot-Expect-Instance") for r in seen] == [first.id] * 2, \
+            [(r.get("Rillknot-Expect-Instance"), r.get("Kv-From")) for r in seen]
+        assert d.nodes[0].popen.poll() is None
+
+
 def test_a_stream_that_may_not_be_repeated_moves_too():
     """Guards against a stream that is cut although a move is no second run.
 
--- a/tests/prop_lives.cc
+++ b/tests/prop_lives.cc
@@ -129,6 +129,7 @@
     rk_place_set_vms(p, &current, 1, 3);
     for (Call &call : calls)
         rk_place_note_end(p, call.vm, &call.job, RK_PLACE_LOST, 4);
+    rk_place_sweep(p);
     const rk_place_vm *vm = rk_place_find(p, current.id);
     RC_ASSERT(vm->losses_in_row == 0 && vm->paused_until_ms == 0 &&
               vm->running == 0);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -157,7 +157,8 @@
     rk_place_destroy(p);
 }
 
-/* Guards against a VM that is freed while calls in flight refer to it. */
+/* Guards against a VM that is freed while calls in flight refer to it, or by the
+ * end of an attempt, whose call may go on at the same VM. */
 static void a_vm_that_is_not_listed_is_kept_while_it_has_calls(void **state)
 {
     (void)state;
@@ -171,7 +172,15 @@
     rk_place_set_vms(p, rows, 0, 0);
     assert_null(rk_place_choose(p, &q, 1000, &forecast));
     assert_ptr_equal(rk_place_vms(p), v);
-    rk_place_note_end(p, v, &job, RK_PLACE_DONE, 1001);
+    rk_place_sweep(p);
+    assert_ptr_equal(rk_place_vms(p), v);
+    rk_place_note_end(p, v, &job, RK_PLACE_CANCELLED, 1001);
+    assert_ptr_equal(rk_place_vms(p), v);
+    rk_place_note_sent(p, v, &q, 1001, &job);
+    rk_place_sweep(p);
+    assert_ptr_equal(rk_place_vms(p), v);
+    rk_place_note_end(p, v, &job, RK_PLACE_DONE, 1002);
+    rk_place_sweep(p);
     assert_null(rk_place_vms(p));
     rk_place_destroy(p);
 }
@@ -325,6 +334,7 @@
     rk_place_set_vms(p, rows, 0, 1300); /* only the one with a call is kept */
     assert_int_equal(rk_place_active_len(p), 1);
     rk_place_note_end(p, v, &job, RK_PLACE_DONE, 1400);
+    rk_place_sweep(p);
     assert_int_equal(rk_place_active_len(p), 0);
     rk_place_destroy(p);
     free(rows);
