streams: one whose last event id is not known is cut, not begun anew

An id with a carriage return was sent to the next VM as a header of its own.

Cause: an id that did not fit 32 bytes was taken for none, so the older one stayed, or none; without an id the next attempt had no Last-Event-Id.

--- a/core/event_splitter.c
+++ b/core/event_splitter.c
@@ -46,31 +46,60 @@
     return 0;
 }
 
-/* Copies the value of an event's last "id:" line that fits; "": there is none. */
-static void find_id(const char *data, size_t len, char id[RK_EVENT_ID_MAX])
+/* What an event says of its place in the stream. */
+struct event_id {
+    bool is_event;  /* it has more than comments */
+    bool has_id;    /* it has an "id:" line */
+    const char *id; /* value of the last of them */
+    size_t len;
+};
+
+static void parse_line(const char *line, size_t len, struct event_id *out)
+{
+    out->is_event = out->is_event || (len && line[0] != ':');
+    if (len <= 3 || memcmp(line, "id:", 3) != 0)
+        return;
+    size_t skip = line[3] == ' ' ? 4 : 3;
+    out->has_id = true;
+    out->id = line + skip;
+    out->len = len - skip;
+}
+
+static struct event_id parse_event(const char *data, size_t len)
 {
-    id[0] = '\0';
+    struct event_id out = {0};
     for (const char *line = data, *end = data + len; line < end;) {
         const char *stop = memchr(line, '\n', (size_t)(end - line));
         if (!stop)
-            return;
+            break;
         size_t chars = (size_t)(stop - line);
         if (chars && line[chars - 1] == '\r')
             chars--;
-        if (chars > 3 && !memcmp(line, "id:", 3)) {
-            const char *v = line + 3;
-            size_t n = chars - 3;
-            if (*v == ' ') {
-                v++;
-                n--;
-            }
-            if (n < RK_EVENT_ID_MAX) {
-                memcpy(id, v, n);
-                id[n] = '\0';
-            }
-        }
+        parse_line(line, chars, &out);
         line = stop + 1;
     }
+    return out;
+}
+
+/* Returns whether an id can be sent to a VM as the value of a header. */
+static bool is_usable_id(const struct event_id *event)
+{
+    for (size_t i = 0; i < event->len; i++)
+        if ((unsigned char)event->id[i] < ' ' || event->id[i] == '\x7f')
+            return false;
+    return event->len < RK_EVENT_ID_MAX;
+}
+
+/* Notes an event that is passed on. An id that is too long is not cut, as its
+ * beginning would be another event's: the stream then can't be resumed. */
+static void note_event(struct rk_event_splitter *e, const struct event_id *event)
+{
+    e->has_events = e->has_events || event->is_event;
+    if (!event->has_id)
+        return;
+    size_t len = is_usable_id(event) ? event->len : 0;
+    memcpy(e->last_id, event->id, len);
+    e->last_id[len] = '\0';
 }
 
 void rk_event_splitter_feed(struct rk_event_splitter *e, const char *data,
@@ -85,16 +114,19 @@
     }
     size_t at = 0, n;
     while ((n = event_length(e->partial.data + at, e->partial.len - at))) {
-        char id[RK_EVENT_ID_MAX];
-        find_id(e->partial.data + at, n, id);
-        if (id[0])
-            rk_strcpy(e->last_id, sizeof(e->last_id), id);
-        fn(ctx, e->partial.data + at, n, id);
+        const struct event_id event = parse_event(e->partial.data + at, n);
+        note_event(e, &event);
+        fn(ctx, e->partial.data + at, n);
         at += n;
     }
     rk_buf_consume(&e->partial, at);
 }
 
+bool rk_event_splitter_may_resume(const struct rk_event_splitter *e)
+{
+    return !e->has_events || e->last_id[0];
+}
+
 void rk_event_splitter_restart(struct rk_event_splitter *e)
 {
     e->partial.len = 0;
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -182,9 +182,8 @@
     return RK_HEAD_ACCEPT;
 }
 
-static void on_event(void *ctx, const char *data, size_t len, const char *id)
+static void on_event(void *ctx, const char *data, size_t len)
 {
-    (void)id;
     struct rk_relay_call *x = ctx;
     rk_call_bind_version(x);
     if (x->client)
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -128,6 +128,43 @@
             call_until_broken_off(d, worker)
 
 
+def named_events(ids, upto):
+    """Returns a worker fault that sends events with these ids, and resets after upto of
+    them, unless the request goes on with the stream."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        after = req.get("Last-Event-Id")
+        first = ids.index(after) + 1 if after else 0
+        last = len(ids) if after else upto
+        conn.sendall(w.head(req, framing=w.framing_header("chunked", 0),
+                            extra=b"Content-Type: text/event-stream\r\n"))
+        for n in range(first, last):
+            line = b"id: %s\n" % ids[n].encode() if ids[n] else b""
+            w.send_body(conn, "chunked", b"%sdata: %d\n\n" % (line, n))
+        if last == len(ids):
+            return w.end_body(conn, "chunked")
+        time.sleep(0.05)
+        reset(conn)
+        return False
+    return fault
+
+
+def test_a_broken_stream_with_long_or_no_ids_repeats_no_event():
+    """Guards against events that come twice as a stream is begun anew after a break.
+
+    Event ids of 32 bytes or more, as UUIDs are, were taken for none.
+    """
+    uuids = ["%08d-3f1c-4a77-9e52-c07a5d1be6f0" % n for n in range(6)]
+    for ids, resumes in ((uuids, True), ([u * 8 for u in uuids], False), ([""] * 6, False)):
+        with deployment(workers=2, resumable=True, attempts=2) as d:
+            for w in d.workers:
+                w.fault = named_events(ids, 3)
+            a = d.call("/s/x")
+            found = [int(x[6:]) for x in a.body.split(b"\n") if x.startswith(b"data: ")]
+            assert found == list(range(6 if resumes else 3)), (ids[0], found)
+            assert a.whole == resumes, (ids[0], a.status, a.whole)
+
+
 def test_an_unframed_stream_is_whole_with_its_last_event():
     """Guards against a whole stream without framing that is resumed or cut."""
     for resumable in (False, True):
--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -160,6 +160,23 @@
         assert len(arrivals(d, stream)) == 1
 
 
+def test_a_stream_that_may_not_be_repeated_is_cut_when_its_copy_has_expired():
+    """Guards against a second run of a non-resumable stream whose copy is turned away.
+
+    The route has another attempt, but the caller has a part of the first run.
+    """
+    with deployment(resumable=False, maxAttempts=2) as d:
+        stream = Stream(d)
+        first = wait_begun(d, stream)
+        for w in d.workers:
+            w.take_copy = lambda req: False
+        d.drain(first)
+        stream.join(15)
+        seen = arrivals(d, stream)
+        assert len(seen) == 2 and seen[1].get("Kv-From"), [r.get("Kv-From") for r in seen]
+        assert stream.answer.status == 200 and not stream.answer.whole
+
+
 def test_a_run_unknown_to_its_engine_goes_on_where_it_is():
     """Guards against a stream that is cut because its engine doesn't know the run to move."""
     _, _, seen = check_fallback("gone")
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -315,9 +315,8 @@
 
 /* ---- events ---- */
 
-static void collect_event(void *ctx, const char *data, size_t len, const char *id)
+static void collect_event(void *ctx, const char *data, size_t len)
 {
-    (void)id;
     rk_buf_add(ctx, data, len);
     rk_buf_addstr(ctx, "|");
 }
@@ -381,6 +380,52 @@
     }
 }
 
+/* Feeds one event with an id of so many bytes, and returns whether the stream can
+ * go on after it. */
+static bool may_resume_after_id(size_t id_len, char byte)
+{
+    struct rk_event_splitter e = {0};
+    struct rk_buf out = {0}, text = {0};
+    rk_buf_addstr(&text, "id: 7\ndata: a\n\n");
+    rk_event_splitter_feed(&e, text.data, text.len, collect_event, &out);
+    assert_true(rk_event_splitter_may_resume(&e));
+    text.len = 0;
+    rk_buf_addstr(&text, "id: ");
+    for (size_t i = 0; i < id_len; i++)
+        rk_buf_add(&text, &byte, 1);
+    rk_buf_addstr(&text, "\ndata: b\n\n");
+    rk_event_splitter_feed(&e, text.data, text.len, collect_event, &out);
+    bool may_resume = rk_event_splitter_may_resume(&e);
+    assert_int_equal(strlen(e.last_id), may_resume ? id_len : 0);
+    rk_event_splitter_free(&e);
+    rk_buf_free(&out);
+    rk_buf_free(&text);
+    return may_resume;
+}
+
+/* Guards against a stream that goes on after an older event than the last one, as
+ * the last one's id is long: events would come twice. An id that is a header of its
+ * own must not be sent. */
+static void a_stream_goes_on_only_after_a_known_id(void **state)
+{
+    (void)state;
+    assert_true(may_resume_after_id(1, 'a'));
+    assert_true(may_resume_after_id(36, 'a'));
+    assert_true(may_resume_after_id(RK_EVENT_ID_MAX - 1, 'a'));
+    assert_false(may_resume_after_id(RK_EVENT_ID_MAX, 'a'));
+    assert_false(may_resume_after_id(RK_EVENT_ID_MAX + 100, 'a'));
+    assert_false(may_resume_after_id(3, '\r'));
+    assert_false(may_resume_after_id(3, '\0'));
+    struct rk_event_splitter e = {0};
+    struct rk_buf out = {0};
+    rk_event_splitter_feed(&e, ": comment\n\n", 11, collect_event, &out);
+    assert_true(rk_event_splitter_may_resume(&e));
+    rk_event_splitter_feed(&e, "data: no id\n\n", 13, collect_event, &out);
+    assert_false(rk_event_splitter_may_resume(&e));
+    rk_event_splitter_free(&e);
+    rk_buf_free(&out);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -397,6 +442,7 @@
         cmocka_unit_test(sums_of_all_organisations_match_single_sums),
         cmocka_unit_test(the_position_tells_where_a_stream_may_end),
         cmocka_unit_test(events_do_not_depend_on_read_sizes),
+        cmocka_unit_test(a_stream_goes_on_only_after_a_known_id),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
