settings: an entry whose text is too long is left out, not cut to another one's

Cause: the result of rk_strcpy(), which tells whether a text fitted, was not used where the platform's configuration is read.

Change: a route, service, organisation or key whose text is too long, or no text, is left out and logged as settings.entry_rejected; the others are in force. Hosts, prefixes and keys may have 255 bytes instead of 127.

--- a/core/routes.h
+++ b/core/routes.h
@@ -15,7 +15,7 @@
 #include "common/util.h"
 
 #define RK_ROUTE_SHARES_MAX  8   /* services of a route */
-#define RK_ROUTE_TEXT_MAX    128 /* bytes of a text, the NUL included */
+#define RK_ROUTE_TEXT_MAX    256 /* bytes of a text, the NUL included */
 #define RK_DOMAIN_PRICES_MAX 16  /* failure domains with a price */
 
 /* How often a call may run. */
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -1,4 +1,5 @@
 """Tests of bad input: a hosted node answers it clearly, runs nothing and doesn't crash."""
+import collections
 import socket
 import threading
 import time
@@ -97,6 +98,35 @@
         assert len(rejected()) == len(bad) - 1 and all(e["why"] for e in rejected())
 
 
+def test_names_and_keys_that_are_too_long_are_left_out():
+    """Guards against identifiers that are cut to another one's.
+
+    Organisations whose names share their first 47 bytes were one organisation to VMs, and a
+    key of 128 bytes was never accepted. An entry that does not fit is left out and logged,
+    and the others are in force.
+    """
+    long = "clinic-otjiwarongo-state-hospital-outpatient-department"  # 55 bytes
+    with plain(workers=1) as d:
+        tenant = {"unit": "token_stream", "plainTokens": 1, "ratePerS": 0, "burst": 0}
+        keys = ["key-1", "k" * 128, "k" * 255, "k" * 256, None, 7]
+        d.configure([d.route("r", "plain"), d.route("s" * 60, "plain")],
+                    tenants=[dict(tenant, name="clinic", apiKeys=keys),
+                             dict(tenant, name=long + "-a", apiKeys=["key-a"]),
+                             dict(tenant, name="c" * 47, apiKeys=["key-c"])])
+        expected = {"key-1": "clinic", "k" * 128: "clinic", "k" * 255: "clinic",
+                    "k" * 256: None, "key-a": None, "key-c": "c" * 47, "k" * 127: None}
+        for key, tenant in expected.items():
+            ident = "t-%s-%d" % (key[-1], len(key))
+            a = d.call("/r/x", key=key, ident=ident)
+            assert a.status == (200 if tenant else 401), (key, a.status)
+            seen = [r.get("Rillknot-Tenant-Id") for r in d.workers[0].seen
+                    if r.get("Rillknot-Attempt-Id") == ident]
+            assert seen == ([tenant] if tenant else []), (key, seen)
+        rejected = collections.Counter(e["kind"] for e in d.nodes[0].events()
+                                       if e["event"] == "settings.entry_rejected")
+        assert rejected == {"api_key": 3, "organisation": 1, "route": 1}, rejected
+
+
 def test_a_valid_version_before_an_invalid_one_is_applied():
     """Guards against a valid version that is skipped because an invalid one follows it.
 
