streams: an end without framing is believed only of a VM that lives

Cause: the kernel closes the connections of a killed process in order, and such a close between two events was taken for the end of the answer.

Change: the node connects to the VM once before it ends such an answer. A process that has ended takes no connection: the answer was broken off, and the stream goes on after its last event or is cut.

--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -288,6 +288,14 @@
     rk_call_finish(x);
 }
 
+static void finish_attempt(struct rk_relay_call *x)
+{
+    bool failed = x->status >= HTTP_SERVER_ERROR;
+    rk_call_clear_suspicion(x);
+    rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
+    rk_call_finish_answer(x);
+}
+
 void rk_call_answer_ended(struct rk_relay_call *x)
 {
     if (x->may_be_stopped && is_unframed_stream(x)) {
@@ -295,10 +303,8 @@
                                "the vm may have stopped it for a move");
         return;
     }
-    bool failed = x->status >= HTTP_SERVER_ERROR;
-    rk_call_clear_suspicion(x);
-    rk_call_end_attempt(x, failed ? RK_PLACE_ERROR : RK_PLACE_DONE);
-    rk_call_finish_answer(x);
+    if (!is_unframed_stream(x) || !rk_call_start_end_check(x))
+        finish_attempt(x);
 }
 
 /* A reset may come from the VM itself, because of the call; a probe tells. */
@@ -328,6 +334,16 @@
             f->may_have_reached ? RK_PLACE_LOST : RK_PLACE_UNREACHED, f->cause);
 }
 
+void rk_call_end_checked(struct rk_relay_call *x, bool vm_lives)
+{
+    const struct rk_upstream_failure broken = {
+        .may_have_reached = true, .cause = "the vm closed and does not answer"};
+    if (vm_lives)
+        finish_attempt(x);
+    else
+        lose_answer(x, &broken);
+}
+
 /* Returns true if a VM that ended its answer in order has broken it off.
  * Connections of a crashed process are closed in order, too. Without framing, only
  * the stream itself then tells: it ends inside an event, or has none. */
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -58,6 +58,7 @@
     x->r->calls_len--;
     rk_call_move_free(x);
     rk_call_ask_free(x);
+    rk_call_end_check_free(x);
     rk_event_splitter_free(&x->events);
     rk_prompt_segments_free(&x->segments);
     rk_routes_unref(x->routes);
@@ -69,6 +70,7 @@
     x->peer[0] = '\0';
     if (!x->vm)
         return;
+    rk_call_end_check_free(x);
     rk_place_note_end(x->r->place, x->vm, &x->job, end, rk_mono_ms());
     x->vm = NULL;
 }
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -112,10 +112,11 @@
     uint64_t stream;         /* see rk_stream_hash(); 0: it can't be resumed */
     bool version_bound;      /* the caller got an event: query.version is final */
     struct rk_call_ask *ask; /* question to peers in progress; NULL: none */
-    bool demand_counted;     /* counted in the demand for its service */
-    bool ran;                /* an attempt has run, so the quota is not refunded */
-    bool begun;              /* the caller has received the answer's head */
-    int status;              /* HTTP status of that head */
+    struct rk_call_end_check *end_check; /* of the attempt's VM; NULL: none */
+    bool demand_counted;                 /* counted in the demand for its service */
+    bool ran;   /* an attempt has run, so the quota is not refunded */
+    bool begun; /* the caller has received the answer's head */
+    int status; /* HTTP status of that head */
     struct rk_event_splitter events;
     int64_t first_ms; /* time to first byte as the caller sees it; -1: none yet */
     int64_t last_data_ms; /* when data last arrived for the caller, monotonic */
@@ -224,6 +225,14 @@
 /* Adds the length of the body and the end of the head. */
 void rk_call_end_head(const struct rk_relay_call *x, struct rk_buf *b);
 
+/* ---- relay_end_check.c ---- */
+/* Starts to check whether the VM lives that has ended a stream in order. The end of
+ * the call then waits for rk_call_end_checked(). Returns false if that is not
+ * possible. */
+bool rk_call_start_end_check(struct rk_relay_call *x);
+/* Ends a check in progress, if any, without a result. */
+void rk_call_end_check_free(struct rk_relay_call *x);
+
 /* ---- relay_kv_move.c ---- */
 /* Starts to move the stream away from its VM if that VM is leaving, another one can
  * take it, and the retry budget allows it. */
@@ -312,6 +321,9 @@
 /* Ends the call after the VM has ended its answer in order, unless that may have
  * been because the run was stopped for a move. */
 void rk_call_answer_ended(struct rk_relay_call *x);
+/* Ends the attempt after that VM was checked: if it does not live, it has broken
+ * its answer off. */
+void rk_call_end_checked(struct rk_relay_call *x, bool vm_lives);
 /* Callbacks of a relayed call's upstream call. */
 extern const struct rk_upstream_ops rk_call_upstream_ops;
 /* Returns true for headers that concern only one connection, and for
--- /dev/null
+++ b/serve/relay_end_check.c
@@ -0,0 +1,84 @@
+/* Checks whether a VM lives that has ended a stream without framing between two
+ * events. A crash closes its connections in order, too, and only the VM's listener
+ * then tells: a process that has ended refuses connections. The end of the caller's
+ * answer waits for the result, which is the time of a connect. */
+#include <stdlib.h>
+
+#include "common/conn.h"
+#include "common/eventlog.h"
+#include "serve/relay_call_impl.h"
+
+#define CONNECT_TIMEOUT_MS 250
+
+struct rk_call_end_check {
+    struct rk_relay_call *x;
+    struct rk_conn *conn;
+};
+
+void rk_call_end_check_free(struct rk_relay_call *x)
+{
+    struct rk_call_end_check *k = x->end_check;
+    if (!k)
+        return;
+    rk_conn_abort(k->conn);
+    rk_upstream_release_conn(x->r->upstreams, x->vm->row.id, x->vm->row.addr);
+    free(k);
+    x->end_check = NULL;
+}
+
+static void end_check(struct rk_call_end_check *k, bool vm_lives)
+{
+    struct rk_relay_call *x = k->x;
+    rk_call_end_check_free(x);
+    rk_call_end_checked(x, vm_lives);
+}
+
+static void on_connected(void *ctx)
+{
+    end_check(ctx, true);
+}
+
+static void on_data(void *ctx, const char *data, size_t len)
+{
+    (void)data;
+    (void)len;
+    end_check(ctx, true);
+}
+
+static void on_eof(void *ctx)
+{
+    end_check(ctx, true);
+}
+
+static void on_error(void *ctx, int error)
+{
+    struct rk_call_end_check *k = ctx;
+    RK_EVENT("call.end_unconfirmed", RK_S("request", k->x->id),
+             RK_S("vm", k->x->vm->row.id), RK_N("errno", error));
+    end_check(k, false);
+}
+
+static const struct rk_conn_ops check_ops = {.on_connected = on_connected,
+                                             .on_data = on_data,
+                                             .on_eof = on_eof,
+                                             .on_error = on_error};
+
+bool rk_call_start_end_check(struct rk_relay_call *x)
+{
+    const struct rk_vm_row *row = &x->vm->row;
+    if (!rk_upstream_reserve_conn(x->r->upstreams, row->id, row->addr,
+                                  rk_call_max_conns(x)))
+        return false;
+    struct rk_call_end_check *k = rk_alloc(1, sizeof(*k));
+    k->x = x;
+    k->conn =
+        rk_conn_connect(x->r->loop, row->addr, CONNECT_TIMEOUT_MS, &check_ops, k);
+    if (!k->conn) {
+        rk_upstream_release_conn(x->r->upstreams, row->id, row->addr);
+        free(k);
+        return false;
+    }
+    rk_timer_stop(x->r->loop, &x->silence_timer);
+    x->end_check = k;
+    return true;
+}
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -4,6 +4,7 @@
 the last case nothing but the body itself can tell a whole stream from one that was broken
 off, as the system closes the connections of a process that crashed in the normal way, too.
 """
+import socket
 import time
 
 from hosted import FRAMINGS, Hosted, reset, wait_until
@@ -165,6 +166,59 @@
             assert a.whole == resumes, (ids[0], a.status, a.whole)
 
 
+def crash_between_events(d, upto):
+    """Returns a worker fault that sends whole events without framing, and then ends as a
+    killed process: the kernel closes its listener and its connections in order."""
+    def fault(w, req, conn):
+        ident = req.get("Rillknot-Attempt-Id")
+        first = int(req.get("Last-Event-Id", 0)) + 1
+        crashes = not any(other.stopped for other in d.workers)
+        conn.sendall(w.head(req, extra=b"Content-Type: text/event-stream\r\n"))
+        w.runs[ident] += 1
+        last = upto if crashes else w.events
+        conn.sendall(b"".join(w.event(req, n) for n in range(first, last + 1)))
+        if crashes:
+            w.stopped = True
+            w.sock.shutdown(socket.SHUT_RDWR)
+            w.sock.close()
+        return False
+    return fault
+
+
+def test_an_unframed_stream_whose_vm_crashes_between_events_is_not_whole():
+    """Guards against a stream without framing that ends as complete when its VM is killed.
+
+    It stops between two events, so that the stream itself can't tell.
+    """
+    for resumable in (True, False):
+        for upto in range(1, EVENTS + 1):
+            with deployment(workers=2, resumable=resumable, attempts=2) as d:
+                for w in d.workers:
+                    w.fault = crash_between_events(d, upto)
+                a = d.call("/s/x", ident=SHORT_ID)
+                sent = body_of(d.workers[0], SHORT_ID)
+                assert a.status == 200 and a.whole == resumable, (upto, a.status, a.whole)
+                if resumable:
+                    assert a.body == sent, (upto, a.body)
+                else:
+                    assert sent.startswith(a.body), (upto, a.body)
+
+
+def test_callers_that_leave_while_an_end_is_checked_leave_no_call_in_flight():
+    """Guards against a call that is used after its caller has left during the check."""
+    with deployment() as d:
+        d.workers[0].framing = "close"
+        for _ in range(60):
+            s = d.connect()
+            s.sendall(b"POST /s/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: %016x\r\nRillknot-Deadline-Ms: 2000\r\n"
+                      b"Content-Length: 0\r\n\r\n" % next(d.ids))
+            s.recv(200)
+            reset(s)
+        a = d.call("/s/x")
+        assert a.status == 200 and a.whole, (a.status, a.whole)
+
+
 def test_an_unframed_stream_is_whole_with_its_last_event():
     """Guards against a whole stream without framing that is resumed or cut."""
     for resumable in (False, True):
