upstreams: a connection whose answer ended while it was held is read again

Found by reading the change that holds VMs for slow callers: where the last bytes of an answer make a slow caller's backlog exceed its limit, the connection was kept for reuse without being read, and the next call there would wait until its deadline.

Change: the end of a call ends the hold of its connection.

Measured: test_upstream.a_connection_that_was_held_is_read_by_the_next_call fails without the change and passes; callers were not seen to meet it in 256 answers of up to 4 MiB to callers that don't read.

--- a/services/upstream.c
+++ b/services/upstream.c
@@ -189,6 +189,7 @@
     /* A connection with unsent bytes of this request can't be reused. */
     bool keep = c->reusable && reusable && !c->is_closed_by_vm &&
                 !rk_conn_unsent_len(c->tcp) && c->keep_alive_ms > 0;
+    rk_conn_set_held(c->tcp, false); /* the response may have ended while it was */
     if (keep) {
         rk_http1_next(&c->reader);
         c->has_served = true;
