usage windows: one that ended just before a restore was noticed is reported

Cause: a new leader skips windows that ended before it noticed the restore and whose counts the store lacks, as another leader may have reported them. Traced: window 50 ended at 51.00, the restore was noticed at 51.13 to 51.3, and skipped at 54.11. But no leader reports a window sooner than 1.5 s after its end.

Change: rk_restores_init() takes the least delay of reports, less 0.5 s for the clocks' difference; windows that ended within it before the restore was noticed are reported.

--- a/core/restores.h
+++ b/core/restores.h
@@ -17,9 +17,10 @@
 #include <stdint.h>
 
 struct rk_restores {
-    int64_t era;        /* of the store, as noted last; 0: none yet */
-    bool record_read;   /* the record was read, or the store has none */
-    int64_t noticed_ms; /* time at which the last restore was noticed */
+    int64_t era;             /* of the store, as noted last; 0: none yet */
+    bool record_read;        /* the record was read, or the store has none */
+    int64_t report_delay_ms; /* see rk_restores_init() */
+    int64_t noticed_ms;      /* time at which the last restore was noticed */
     /* Windows that ended before this may have been reported by another process,
      * with counts that the store has lost. */
     int64_t unsafe_ms;
@@ -32,8 +33,10 @@
 };
 
 /* Sets up *r. first_start: the deployment starts for the first time, so that there
- * is no record to read. */
-void rk_restores_init(struct rk_restores *r, bool first_start);
+ * is no record to read. report_delay_ms: no process reports a window sooner after
+ * the window's end, by any process's clock. */
+void rk_restores_init(struct rk_restores *r, bool first_start,
+                      int64_t report_delay_ms);
 
 /* Notes the store's era. Returns whether the store was restored since the last
  * call. only_leader_since_ms: no other process can have reported a window since
--- a/node/leader.c
+++ b/node/leader.c
@@ -38,6 +38,8 @@
  * to the leader; the second one applies while a node is unreachable. */
 #define REPORT_DELAY_MS             1500
 #define REPORT_DELAY_UNREACHABLE_MS 4000
+/* Largest difference between the wall clocks of two nodes that is allowed for. */
+#define CLOCK_DIFFERENCE_MS 500
 /* Time after which a new leader has the counts of all domains: bridges send them to
  * the leader alone, twice a second, and learn within a second who it is.
  * Without this, a window was reported with 36% of its calls. */
@@ -404,6 +406,15 @@
            rk_mono_ms() - k->acquired_ms >= COUNTS_COLLECTED_MS;
 }
 
+/* Returns the least delay in ms between a window's end and its report at any node,
+ * by the clock of any other. */
+static int64_t least_report_delay_ms(const struct rk_node *n)
+{
+    int64_t late_ms = rk_s_to_ms(n->file.usage_late_s) - REPORT_MARGIN_MS;
+    int64_t delay_ms = late_ms < REPORT_DELAY_MS ? late_ms : REPORT_DELAY_MS;
+    return delay_ms > CLOCK_DIFFERENCE_MS ? delay_ms - CLOCK_DIFFERENCE_MS : 0;
+}
+
 static void report_due_windows(struct rk_leader *k)
 {
     struct rk_node *n = k->n;
@@ -570,7 +581,7 @@
     k->n = n;
     k->orders = rk_orders_create(n);
     k->started_ms = rk_mono_ms();
-    rk_restores_init(&k->restores, n->file.first_start);
+    rk_restores_init(&k->restores, n->file.first_start, least_report_delay_ms(n));
     k->tick = (struct rk_timer){.fn = on_tick, .ctx = k};
     k->lease.self.incarnation = n->incarnation;
     rk_strcpy(k->lease.self.name, sizeof(k->lease.self.name), n->file.id);
