--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -142,8 +142,8 @@
     if (t->ended < 2 && !t->failed)
         rk_upstream_cancel(t->current);
     rk_upstream_pools_destroy(t->pools);
-    rk_timer_start(t->loop, &limit, 1); /* frees the connections */
-    rk_loop_run(t->loop);
+    rk_loop_step(t->loop, 1); /* frees the connections, and then what they own */
+    rk_loop_step(t->loop, 1);
     pthread_join(vm, NULL);
     rk_loop_destroy(t->loop);
     close(fd);
