relay, settings: comments and a name in the usual terms

Read as a newcomer would: may_go_on() is may_continue(), and three comments say what holds instead of how it came about.

--- a/core/event_splitter.h
+++ b/core/event_splitter.h
@@ -48,7 +48,7 @@
 void rk_event_splitter_feed(struct rk_event_splitter *e, const char *data,
                             size_t len, rk_event_splitter_fn *fn, void *ctx);
 
-/* Returns whether another VM can go on with the stream without repeating an event:
+/* Returns whether another VM can continue the stream without repeating an event:
  * none was passed on, or the last id is known. */
 bool rk_event_splitter_may_resume(const struct rk_event_splitter *e);
 
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -229,8 +229,8 @@
                        x->peer[0] ? STREAM_PEER_SILENCE_MS : STREAM_SILENCE_MS);
 }
 
-/* Ends an attempt whose stream can't be passed on. The events before may be gone on
- * with at another VM. */
+/* Ends an attempt whose stream can't be passed on. Another VM may continue the
+ * stream after its last whole event. */
 static void fail_stream(struct rk_relay_call *x, const char *why)
 {
     rk_upstream_cancel(x->up);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -251,9 +251,9 @@
         x->query.excluded[x->query.excluded_len++] = x->vm->hash;
 }
 
-/* Returns whether another attempt may go on with the answer that the caller has a
- * part of, if it has one. */
-static bool may_go_on(const struct rk_relay_call *x)
+/* Returns whether another attempt is allowed after what the caller has received: no
+ * part of an answer, or a part that another VM can continue. */
+static bool may_continue(const struct rk_relay_call *x)
 {
     return !x->begun ||
            (x->route->resumable && rk_event_splitter_may_resume(&x->events));
@@ -278,7 +278,7 @@
         rk_call_give_up(x, 0, 0, what);
         return;
     }
-    bool again = may_go_on(x) &&
+    bool again = may_continue(x) &&
                  (!sent || (rk_call_repeatable(x) && rk_call_take_attempt(x)));
     if (!again) {
         give_up_sending(x, what);
@@ -298,7 +298,7 @@
     rk_call_end_attempt(x, RK_PLACE_REFUSED);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->answer_class = ANSWER_PENDING;
-    if (x->client && may_go_on(x) && rk_call_take_attempt(x))
+    if (x->client && may_continue(x) && rk_call_take_attempt(x))
         rk_call_send(x);
     else
         give_up_sending(x, what);
