node: the log is not freed while a thread that may log still runs

What could be seen: nothing by callers, as all calls have ended by then. A node that was told to stop could crash or hang at its very end when its process file changed, or SIGHUP came, just then.

Change: the log is flushed and not freed, and the process ends by _exit(), so that exit handlers of libraries don't run beside threads either. With the address sanitizer it ends by exit(), as the leak check is an exit handler.

--- a/programs/node.c
+++ b/programs/node.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <sys/stat.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "common/eventlog.h"
 #include "common/status.h"
@@ -113,6 +114,16 @@
     return NULL;
 }
 
+/* Ends the process when the node has stopped. Functions that libraries run at the
+ * exit are left out: other threads may still use those libraries. */
+static _Noreturn void end_process(int status)
+{
+#ifdef __SANITIZE_ADDRESS__
+    exit(status); /* leaks are looked for at the exit */
+#endif
+    _exit(status);
+}
+
 static void block_signals(void)
 {
     sigset_t set;
@@ -148,7 +159,7 @@
     pthread_create(&signal_thread, NULL, run_signal_thread, node);
     pthread_detach(signal_thread);
     rk_node_run(node);
-    /* The signal thread still uses the node, so the node isn't destroyed here. */
-    rk_log_shutdown();
-    return 0;
+    /* The signal thread still uses the node and the log, so neither is freed. */
+    rk_log_flush();
+    end_process(0);
 }
