node: reading the process file delays no stop

What callers saw: on a node whose process file is on a mount that hangs, SIGTERM had no effect. It went on taking calls until the platform killed it, and lost all of them.

Cause: the thread that waits for SIGTERM also reads the process file, which may block.

Change: a thread of its own waits for SIGTERM and SIGINT and does nothing else; another one takes SIGHUP and polls the process file.

--- a/programs/node.c
+++ b/programs/node.c
@@ -93,22 +93,18 @@
     return changed;
 }
 
-static void *run_signal_thread(void *arg)
+static void *run_reload_thread(void *arg)
 {
     struct rk_node *node = arg;
     const struct timespec poll_interval = {.tv_sec = PROCFILE_POLL_S};
     struct timespec last_mtime = {0};
     sigset_t set;
     sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
     procfile_changed(&last_mtime);
     for (;;) {
         int sig = sigtimedwait(&set, NULL, &poll_interval);
-        if (sig == SIGTERM || sig == SIGINT)
-            rk_node_begin_stop(node);
-        else if (procfile_changed(&last_mtime) || sig == SIGHUP)
+        if (procfile_changed(&last_mtime) || sig == SIGHUP)
             reload(node);
     }
     return NULL;
@@ -124,6 +120,21 @@
     _exit(status);
 }
 
+/* A reload may block, as it reads a file. Only this thread waits for the signal to
+ * stop, so that nothing else delays a stop. */
+static void *run_stop_thread(void *arg)
+{
+    struct rk_node *node = arg;
+    sigset_t set;
+    int sig;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigwait(&set, &sig);
+    rk_node_begin_stop(node);
+    return NULL;
+}
+
 static void block_signals(void)
 {
     sigset_t set;
@@ -155,11 +166,13 @@
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
         return 1;
     }
-    pthread_t signal_thread;
-    pthread_create(&signal_thread, NULL, run_signal_thread, node);
-    pthread_detach(signal_thread);
+    pthread_t reload_thread, stop_thread;
+    pthread_create(&reload_thread, NULL, run_reload_thread, node);
+    pthread_create(&stop_thread, NULL, run_stop_thread, node);
+    pthread_setname_np(reload_thread, "reload");
+    pthread_setname_np(stop_thread, "stop");
     rk_node_run(node);
-    /* The signal thread still uses the node and the log, so neither is freed. */
+    /* These threads still use the node and the log, so neither is freed. */
     rk_log_flush();
     end_process(0);
 }
