node: a planned stop that hangs ends in time and tells where

Cause: not known. Nothing bounded the time from node.stopped to the end of the process, and a stop whose control thread hangs had no bound at all.

Change: the thread that waits for SIGTERM goes on to watch the stop. 0.4 s before stop_s, or 1 s after node.stopped, it writes the stacks of the other threads to standard error, without a lock or an allocation, and ends the process with exit status 1.

--- a/node/node.c
+++ b/node/node.c
@@ -30,6 +30,10 @@
 #define IDLE_CLOSE_MS 400
 /* A stop ends this long before the platform kills the process after stop_s. */
 #define STOP_MARGIN_MS 700
+/* A stop that goes on this long before that time hangs. */
+#define HANG_MARGIN_MS 400
+/* Time from the end of the control loop to the end of the process. */
+#define END_TIMEOUT_MS 1000
 
 static const struct rk_server_limits admin_limits = {
     .header_bytes = ADMIN_HEADER_BYTES,
@@ -184,6 +188,7 @@
     RK_EVENT("node.stopped",
              RK_N("in_hand", n->report ? (int64_t)n->report->busy_count : 0),
              RK_N("took_ms", rk_mono_ms() - n->leaving_since_ms));
+    atomic_store(&n->stopped_ms, rk_mono_ms());
     rk_relay_stop(n->relay);
     rk_loop_stop(n->loop);
 }
@@ -238,9 +243,20 @@
 
 void rk_node_begin_stop(struct rk_node *n)
 {
+    atomic_store(&n->stop_requested_ms, rk_mono_ms());
     rk_loop_post(n->loop, begin_stop, n);
 }
 
+bool rk_node_stop_hangs(const struct rk_node *n)
+{
+    int64_t now_ms = rk_mono_ms();
+    int64_t requested_ms = atomic_load(&n->stop_requested_ms);
+    int64_t stopped_ms = atomic_load(&n->stopped_ms);
+    int64_t limit_ms = atomic_load(&n->stop_ms) - HANG_MARGIN_MS;
+    return (requested_ms && now_ms - requested_ms >= limit_ms) ||
+           (stopped_ms && now_ms - stopped_ms >= END_TIMEOUT_MS);
+}
+
 /* Returns the retry budget in percent of the calls. */
 static int64_t retry_pct(const struct rk_procfile *file)
 {
@@ -269,6 +285,7 @@
     struct reload_message *m = ctx;
     struct rk_procfile *file = &m->n->file;
     file->stop_s = m->file.stop_s;
+    atomic_store(&m->n->stop_ms, rk_s_to_ms(file->stop_s));
     file->usage_late_s = m->file.usage_late_s;
     file->lease_ms = m->file.lease_ms;
     file->quota_slack = m->file.quota_slack;
@@ -365,6 +382,7 @@
                        file->dialect);
     struct rk_node *n = rk_alloc(1, sizeof(*n));
     n->file = *file;
+    atomic_store(&n->stop_ms, rk_s_to_ms(file->stop_s));
     n->platform = platform;
     n->rng.state = random_seed();
     n->incarnation = rk_rng_next(&n->rng);
@@ -425,6 +443,7 @@
     rk_mesh_start(n->mesh);
     rk_leader_start(n->leader);
     pthread_create(&traffic, NULL, run_relay, n->relay);
+    pthread_setname_np(traffic, "relay");
     rk_loop_run(n->loop);
     pthread_join(traffic, NULL);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -5,6 +5,8 @@
 #ifndef RK_NODE_NODE_H
 #define RK_NODE_NODE_H
 
+#include <stdbool.h>
+
 #include "common/status.h"
 
 struct rk_node;
@@ -25,6 +27,9 @@
  * from the store's node list, closes its connections and ends within the process
  * file's stop_s. */
 void rk_node_begin_stop(struct rk_node *n);
+/* Any thread. Returns true if a planned stop takes longer than stop_s allows, or
+ * the process has not ended soon after it. */
+bool rk_node_stop_hangs(const struct rk_node *n);
 /* Any thread. Applies those members of a copy of the process file that can change
  * while the process runs; the others are ignored. */
 void rk_node_reload(struct rk_node *n, const struct rk_procfile *file);
--- a/node/state.h
+++ b/node/state.h
@@ -3,6 +3,8 @@
 #ifndef RK_NODE_STATE_H
 #define RK_NODE_STATE_H
 
+#include <stdatomic.h>
+
 #include "common/loop.h"
 #include "core/procfile.h"
 #include "core/read_delay.h"
@@ -59,6 +61,10 @@
     bool leaving; /* in a planned stop */
     int64_t leaving_since_ms;
     struct rk_timer stop;
+    /* When a planned stop was requested and when it was complete, monotonic; 0: not
+     * yet. These three are set and read by any thread. */
+    _Atomic int64_t stop_requested_ms, stopped_ms;
+    _Atomic int64_t stop_ms; /* longest duration of a stop, of the process file */
 };
 
 /* ---- sync.c: settings and the VM list, from the store or from peers ---- */
--- a/programs/node.c
+++ b/programs/node.c
@@ -13,12 +13,14 @@
 #include <unistd.h>
 
 #include "common/eventlog.h"
+#include "common/stack_dump.h"
 #include "common/status.h"
 #include "core/procfile.h"
 #include "node/node.h"
 
 #define PROCFILE_VARIABLE "RILLKNOT_CONFIG"
 #define PROCFILE_POLL_S   2 /* interval between checks for a changed process file */
+#define STOP_POLL_US      (100 * 1000) /* between checks whether a stop hangs */
 
 static struct {
     const char *procfile;
@@ -132,7 +134,14 @@
     sigaddset(&set, SIGINT);
     sigwait(&set, &sig);
     rk_node_begin_stop(node);
-    return NULL;
+    while (!rk_node_stop_hangs(node))
+        usleep(STOP_POLL_US);
+    /* Not an event: a thread that hangs may hold the log's lock. */
+    static const char text[] = "rillknot-node: the stop hangs\n";
+    ssize_t n = write(STDERR_FILENO, text, sizeof(text) - 1);
+    (void)n;
+    rk_stack_dump_others();
+    _exit(1);
 }
 
 static void block_signals(void)
@@ -159,6 +168,7 @@
         return 0;
     }
     block_signals();
+    rk_stack_dump_init();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     rk_log_init(file.id, file.failure_domain, args.level);
     struct rk_node *node;
--- a/tests/proc_hosted_stops.py
+++ b/tests/proc_hosted_stops.py
@@ -1,13 +1,20 @@
 """Tests of planned stops: a node ends in time whatever its threads wait for."""
+import ctypes
 import os
 import signal
 import socket
+import subprocess
+import sys
 import time
 
-from hosted import Hosted
+sys.path.append(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
+from hosted import Hosted  # noqa: E402
 
 END_S = 1.0  # a process has ended so long after its grace period
 RELOAD_INTERVAL_S = 0.001
+PTRACE_SEIZE, PTRACE_INTERRUPT = 0x4206, 0x4207
+WALL = 0x40000000  # waitpid() for any thread
+HOLD_MAX_S = 20
 
 
 def deployment():
@@ -56,6 +63,65 @@
         assert wait_end(node, d.bounds["graceS"]) == 0
 
 
+def thread_id(pid, name):
+    """Return the id of a process's thread of this name."""
+    for tid in os.listdir("/proc/%d/task" % pid):
+        with open("/proc/%d/task/%s/comm" % (pid, tid)) as f:
+            if f.read().strip() == name:
+                return int(tid)
+    raise AssertionError("no thread %s" % name)
+
+
+def hold_thread(tid):
+    """Stop a thread of another process until that process ends, as if the thread hung."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    for request in (PTRACE_SEIZE, PTRACE_INTERRUPT):
+        if libc.ptrace(request, tid, None, None) != 0:
+            raise OSError(ctypes.get_errno(), "ptrace")
+    print("held", flush=True)
+    end = time.monotonic() + HOLD_MAX_S
+    while time.monotonic() < end:
+        pid, status = os.waitpid(tid, WALL | os.WNOHANG)
+        if pid and not os.WIFSTOPPED(status):
+            return
+        time.sleep(0.02)
+
+
+def check_ends_though_held(name):
+    """Check that SIGTERM ends a node one of whose threads hangs, and that it says which."""
+    with deployment() as d:
+        node = d.nodes[0]
+        tid = thread_id(node.popen.pid, name)
+        # A process of its own: the kernel reports what becomes of the thread to the one that
+        # holds it.
+        holder = subprocess.Popen([sys.executable, os.path.abspath(__file__), str(tid)],
+                                  stdout=subprocess.PIPE)
+        try:
+            assert holder.stdout.readline() == b"held\n"
+            node.signal(signal.SIGTERM)
+            assert wait_end(node, d.bounds["graceS"]) == 1
+        finally:
+            holder.kill()
+            holder.wait()
+        with open(node.log) as f:
+            text = f.read()
+        assert "the stop hangs" in text and "thread %d (%s):" % (tid, name) in text, text[-3000:]
+        assert "rillknot-node(+0x" in text, text[-3000:]  # the stack of another thread
+
+
+def test_a_stop_ends_though_the_control_thread_hangs():
+    """Guards against a process that hangs in its stop until it is killed.
+
+    It also has to tell where its threads are.
+    """
+    check_ends_though_held("rillknot-node")
+
+
+def test_a_stop_ends_though_the_relay_hangs():
+    """The same for the thread of the traffic, which the control thread joins."""
+    check_ends_though_held("relay")
+
+
 def test_a_stop_amid_all_that_may_delay_it_ends_in_time():
     """Guards against a stop that waits for operators, half requests, reloads or the store."""
     with deployment() as d:
@@ -75,3 +141,7 @@
         assert node.popen.poll() == 0, node.popen.poll()
         for s in held:
             s.close()
+
+
+if __name__ == "__main__":
+    hold_thread(int(sys.argv[1]))
