tests: what ends calls, VMs, settings and nodes, in random orders

Cause: the node that went on with a freed VM record was found by reading. No test played moves, lapsed entries, VMs that restart under their id, changed settings, callers that leave and node stops before or after each other.

--- a/tests/run.py
+++ b/tests/run.py
@@ -45,6 +45,7 @@
     "proc_traces": "all   recorded traces with their expected outcomes",
     "proc_hosted_calls": "hosted  routed calls: bytes, at most once, streams, timing",
     "proc_hosted_framing": "hosted  answers that end early, under each framing",
+    "proc_hosted_lifetimes": "hosted  nodes outlive random orders of what ends calls and VMs",
     "proc_hosted_stops": "hosted  a planned stop ends in time whatever a node waits for",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
     "proc_hosted_input": "hosted  bad input",
