moves: a stream whose destination is full goes on at a third engine

What callers saw: streams that broke off midway though sound engines were free.

Cause: the order to move had taken the node's only retry, and it was spent on a return to a VM that soon ends; the resume after that had none left.

Change: a stream that may run again is resumed at once at another engine, for the same retry; not at the one that had no room. Others return to their engine, as before. kv_moves_total counts copies only.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -541,6 +541,42 @@
     x->move_tried = to == from;
 }
 
+/* Returns true if a VM other than the current one can take the call. */
+static bool has_other_vm(const struct rk_relay_call *x)
+{
+    struct rk_place_query other = x->query;
+    struct rk_engine_forecast forecast;
+    if (x->vm && other.excluded_len < RK_PLACE_MAX_EXCLUDED)
+        other.excluded[other.excluded_len++] = x->vm->hash;
+    const struct rk_place_vm *vm =
+        rk_place_choose(x->r->place, &other, rk_mono_ms(), &forecast);
+    return vm && vm != x->vm;
+}
+
+bool rk_call_resume_elsewhere(struct rk_relay_call *x, const char *full_id)
+{
+    struct rk_place_query *q = &x->query;
+    const struct rk_place_vm *full = rk_place_find(x->r->place, full_id);
+    size_t excluded_before = q->excluded_len;
+    if (!rk_call_repeatable(x) || x->attempts >= x->route->max_attempts ||
+        !may_continue(x))
+        return false;
+    if (full && q->excluded_len < RK_PLACE_MAX_EXCLUDED)
+        q->excluded[q->excluded_len++] = full->hash;
+    if (!has_other_vm(x)) {
+        q->excluded_len = excluded_before;
+        return false;
+    }
+    rk_timer_stop(x->r->loop, &x->silence_timer);
+    x->answer_class = ANSWER_PENDING;
+    x->may_have_run = true;
+    exclude_vm(x);
+    rk_call_end_attempt(x, RK_PLACE_CANCELLED);
+    rk_counter_add(RK_C_RESUMES, 1);
+    rk_call_send(x);
+    return true;
+}
+
 /* ---- timers ---- */
 
 void rk_call_on_deadline(void *ctx)
@@ -554,18 +590,6 @@
     rk_call_give_up(x, HTTP_GATEWAY_TIMEOUT, 0, "its time is over");
 }
 
-/* Returns true if a VM other than the current one can take the call. */
-static bool has_other_vm(const struct rk_relay_call *x)
-{
-    struct rk_place_query other = x->query;
-    struct rk_engine_forecast forecast;
-    if (x->vm && other.excluded_len < RK_PLACE_MAX_EXCLUDED)
-        other.excluded[other.excluded_len++] = x->vm->hash;
-    const struct rk_place_vm *vm =
-        rk_place_choose(x->r->place, &other, rk_mono_ms(), &forecast);
-    return vm && vm != x->vm;
-}
-
 /* Reports the unresponsive VM to placement, once per attempt, and waits on. */
 static void keep_waiting(struct rk_relay_call *x)
 {
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -34,6 +34,7 @@
 #define QUARANTINE_RETRY_AFTER_MS (60 * RK_MS_PER_S)
 
 enum {
+    HTTP_OK = 200,
     HTTP_BAD_REQUEST = 400,
     HTTP_UNAUTHORIZED = 401,
     HTTP_NOT_FOUND = 404,
@@ -207,6 +208,10 @@
  * cannot take the call. */
 void rk_call_resume_moved(struct rk_relay_call *x, const char *vm_id,
                           const char *from_addr, const char *handle);
+/* Resumes a stream, whose run has stopped, at a VM that is neither its own nor
+ * `full_id`, for a retry that was taken before. Returns false, and does nothing, if
+ * the stream may not run again or no such VM can take it. */
+bool rk_call_resume_elsewhere(struct rk_relay_call *x, const char *full_id);
 /* Returns this node's share of the connections that the service allows per VM, or a
  * default if the service states no limit or the share is below one. */
 int rk_relay_max_conns(const struct rk_relay *r,
--- a/serve/relay_kv_move.c
+++ b/serve/relay_kv_move.c
@@ -5,7 +5,10 @@
  *
  * Compared with a resume, the prompt need not be computed again at a time when
  * engines are scarce, and the caller's pause is that of the copy instead of several
- * hundred ms. If any step fails, the call stays where it is or is resumed. */
+ * hundred ms. If any step fails, the call stays where it is or is resumed. If the
+ * run has stopped and the other engine has no room, a stream that may run again is
+ * resumed at a third one: its own engine would soon cut it off. Any other stream
+ * goes on at its own engine. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,7 +37,7 @@
     struct rk_relay_call *x;
     struct rk_upstream_call *up; /* the order to the engine */
     struct rk_timer timer;
-    char to_id[RK_ID_MAX]; /* the VM that receives the copy */
+    char to_id[RK_ID_MAX]; /* the VM that is to receive the copy */
     int status;
     struct rk_buf body;
     /* of the copy; "": the order is not answered yet */
@@ -67,20 +70,24 @@
              RK_N("took_ms", rk_mono_ms() - m->began_ms));
 }
 
-/* Resumes the call at the copy. The old run has stopped and the KV cache is
- * there. */
-static void resume_at_copy(struct rk_call_move *m)
+/* Goes on with a call whose old run has stopped: at the VM that has the copy or, if
+ * that one had no room for it, at another VM or where it was. */
+static void resume(struct rk_call_move *m)
 {
     struct rk_relay_call *x = m->x;
     char handle[RK_MOVE_HANDLE_MAX], from[RK_ADDR_MAX], to[RK_ID_MAX];
+    bool copied = m->status == HTTP_OK;
     rk_strcpy(handle, sizeof(handle), m->handle);
     rk_strcpy(from, sizeof(from), x->vm->row.addr);
     rk_strcpy(to, sizeof(to), m->to_id);
-    log_move(m, "copied");
+    log_move(m, copied ? "copied" : "no room");
     rk_call_move_free(x);
-    rk_counter_add(RK_C_KV_MOVES, 1);
+    if (copied)
+        rk_counter_add(RK_C_KV_MOVES, 1);
     rk_event_splitter_restart(&x->events);
-    rk_call_resume_moved(x, to, from, handle);
+    if (!copied && rk_call_resume_elsewhere(x, to))
+        return;
+    rk_call_resume_moved(x, copied ? to : x->vm->row.id, from, handle);
 }
 
 /* Ends a move without a copy. If the stream has ended meanwhile, it is complete or
@@ -109,7 +116,7 @@
     if (x->up)
         rk_upstream_cancel(x->up);
     x->up = NULL;
-    resume_at_copy(m);
+    resume(m);
 }
 
 bool rk_call_move_stream_ended(struct rk_relay_call *x, bool stream_complete)
@@ -120,7 +127,7 @@
     m->stream_ended = true;
     m->stream_complete = stream_complete;
     if (m->handle[0])
-        resume_at_copy(m);
+        resume(m);
     return true;
 }
 
@@ -146,15 +153,11 @@
     m->up = NULL;
     rk_timer_stop(m->x->r->loop, &m->timer);
     bool stopped = d->move_handle(m->body.data ? m->body.data : "", m->handle);
-    /* The run was stopped but the target has no room: it continues at the old VM
-     * until that leaves. */
-    if (stopped && m->status != 200)
-        rk_strcpy(m->to_id, sizeof(m->to_id), m->x->vm->row.id);
     if (!stopped) {
         m->x->may_be_stopped = false;
         end_without_copy(m, "refused");
     } else if (m->stream_ended) {
-        resume_at_copy(m);
+        resume(m);
     } else {
         rk_timer_start(m->x->r->loop, &m->timer, STREAM_END_TIMEOUT_MS);
     }
