moves: an order that moved nothing gives its retry back

What callers saw: a stream cut when its leaving engine ended, at a node with one retry: the order to move it, which the engine had refused, had taken that retry.

Cause: the retry was taken for the order, but pays for the arrival of the run at another VM, which an order that is refused or never sent doesn't cause.

Change: a move that ends without the run having been stopped returns its retry. An order that got no answer keeps it, as the run may have been stopped.

--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -74,4 +74,10 @@
     return true;
 }
 
+/* Gives back the tokens of a retry that was not sent. */
+static inline void rk_retry_budget_refund(struct rk_retry_budget *b)
+{
+    rk_retry_budget_earn(b, RK_RETRY_BUDGET_COST);
+}
+
 #endif
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -236,6 +236,11 @@
     return true;
 }
 
+void rk_call_return_retry(struct rk_relay_call *x)
+{
+    rk_retry_budget_refund(retry_budget(x));
+}
+
 bool rk_call_take_attempt(struct rk_relay_call *x)
 {
     return x->attempts < x->route->max_attempts && rk_call_take_retry(x);
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -201,6 +201,8 @@
 
 /* Takes a retry from the service's budget. Returns false if there is none. */
 bool rk_call_take_retry(struct rk_relay_call *x);
+/* Gives back a retry that was taken and not sent. */
+void rk_call_return_retry(struct rk_relay_call *x);
 /* Returns true if the service's budget has a retry. */
 bool rk_call_has_retry(struct rk_relay_call *x);
 /* Resumes a stream at the VM that has received a copy of its KV cache, or at its
--- a/serve/relay_kv_move.c
+++ b/serve/relay_kv_move.c
@@ -91,13 +91,16 @@
 }
 
 /* Ends a move without a copy. If the stream has ended meanwhile, it is complete or
- * is handled like any broken stream. */
+ * is handled like any broken stream. Otherwise the run goes on where it is, and the
+ * retry of the move is left. */
 static void end_without_copy(struct rk_call_move *m, const char *what)
 {
     struct rk_relay_call *x = m->x;
     bool stream_ended = m->stream_ended, stream_complete = m->stream_complete;
     log_move(m, what);
     rk_call_move_free(x);
+    if (!x->may_be_stopped)
+        rk_call_return_retry(x);
     if (stream_complete)
         rk_call_answer_ended(x);
     else if (stream_ended)
@@ -229,5 +232,5 @@
     if (x->may_be_stopped)
         rk_timer_start(x->r->loop, &m->timer, ORDER_TIMEOUT_MS);
     else
-        rk_call_move_free(x);
+        end_without_copy(m, "no connection");
 }
--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -221,6 +221,20 @@
     assert len(seen) == 1
 
 
+def test_a_move_that_moved_nothing_costs_no_retry():
+    """Guards against a stream that is cut as its node's only retry went to a refused move."""
+    with deployment(retries=1) as d:
+        stream = Stream(d)
+        first = wait_begun(d, stream)
+        first.move_fault = "gone"
+        d.drain(first)
+        wait_until(lambda: first.move_orders, 5)
+        time.sleep(0.3)
+        first.stop_at_once()
+        stream.check_whole()
+        assert len(arrivals(d, stream)) == 2
+
+
 def test_a_stream_is_resumed_when_the_answer_to_its_move_is_lost():
     """Guards against a stream that ends because the answer to its move is lost."""
     _, _, seen = check_fallback("lost")
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -399,6 +399,7 @@
         self.left = []  # (request id, time) of streams that the caller's side closed
         self.stops = {}  # threading.Event to stop a running stream, by request id
         self.move_fault = None  # see move()
+        self.move_orders = 0  # received, whatever came of them
         self.moved = []  # ids of requests whose KV cache was copied to another worker
         self.resumed_from_copy = []  # ids of requests that resumed from a copied KV cache
         self.limit = None  # accepted requests/s, advertised in each answer
@@ -432,6 +433,7 @@
         stops the stream but makes no copy and does not answer, "dies" also stops the worker.
         """
         order = json.loads(req.body)
+        self.move_orders += 1
         stop = self.stops.get(order["id"])
         if self.move_fault == "gone" or stop is None:
             answer_json(conn, 404, {})
