callers: heads that a VM may read in another way than the node are refused

What callers could do: send `Rillknot-Tenant-Id : other`, which passed unchecked to the VM. One that skips the blank before the colon takes the caller for another organisation; with Content-Length or Transfer-Encoding it sees another end of the request.

Cause: http-parser takes blanks in names, tabs and form feeds in targets and control characters in values, and the node passed on what it took.

Change: a request is answered 400 unless its names are tokens, its values have no control character but tabs, and its target has neither blanks nor control characters.

Measured: heads_that_two_parsers_read_differently_are_refused, the first head was answered 200 before; 11 of 11 are answered 400 now, and none reaches a VM. A tab in a value passes as before.

--- a/common/http1.c
+++ b/common/http1.c
@@ -1,5 +1,6 @@
 #include "common/http1.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -122,12 +123,46 @@
     return append_text(r, s, len);
 }
 
+/* Returns true if a name is a token (RFC 9110, 5.6.2). */
+static bool is_token(const char *name)
+{
+    const char *c = name;
+    while (*c && (isalnum((unsigned char)*c) || strchr("!#$%&'*+-.^_`|~", *c)))
+        c++;
+    return c > name && !*c;
+}
+
+/* Returns true if a text has no control characters, tabs in values aside, and no
+ * blanks unless it is a value. */
+static bool is_clean(const char *text, bool value)
+{
+    for (const char *c = text; *c; c++) {
+        bool blank = *c == ' ' || *c == '\t';
+        if ((unsigned char)*c == 0x7f || (blank ? !value : (unsigned char)*c < ' '))
+            return false;
+    }
+    return true;
+}
+
+/* Returns false for heads that http-parser accepts though they are malformed. A VM
+ * that ignores a blank before the colon would read another header than this node
+ * has checked. */
+static bool is_well_formed(const struct rk_head *h)
+{
+    for (size_t i = 0; i < h->lines_len; i++)
+        if (!is_token(rk_head_name(h, i)) || !is_clean(rk_head_value(h, i), true))
+            return false;
+    return is_clean(rk_head_target(h), false);
+}
+
 static int on_head(http_parser *p)
 {
     struct rk_http1 *r = reader_of(p);
     struct rk_head *h = &r->head;
     begin_string(r);
     r->head_done = true;
+    if (p->type == HTTP_REQUEST && !is_well_formed(h))
+        return -1;
     h->method = (enum http_method)p->method;
     h->status = p->status_code;
     h->major = p->http_major;
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -53,6 +53,28 @@
         assert d.nodes[0].popen.poll() is None
 
 
+def test_heads_that_two_parsers_read_differently_are_refused():
+    """Guards against a header or a target that a VM reads in another way than the node.
+
+    A VM that skips the blank before a colon takes the caller for another organisation, or
+    the body for chunks.
+    """
+    begin = b"POST /r/x HTTP/1.1\r\n" + HEAD
+    cases = [begin + line + b"\r\nContent-Length: 0\r\n\r\n" for line in (
+        b"Rillknot-Tenant-Id : other", b"Rillknot-Tenant-Id\t: other", b"X-Api-Key : other",
+        b"Transfer-Encoding : chunked", b"Content-Length : 5", b"Rillknot Tenant-Id: other",
+        b"X-Note: a\x01b", b"X-Note: a\x7fb", b"X-(Note): a")]
+    cases += [b"POST /r/x%s HTTP/1.1\r\n" % byte + HEAD + b"Content-Length: 0\r\n\r\n"
+              for byte in (b"\ty", b"\x0cy")]
+    with plain(workers=1) as d:
+        for data in cases:
+            assert send_raw(d, data).status == 400, data
+        assert not d.workers[0].seen
+        tab = begin + b"X-Note: a\tb\r\nContent-Length: 0\r\n\r\n"
+        assert send_raw(d, tab).status == 200
+        assert d.workers[0].seen[0].get("X-Note") == "a\tb"
+
+
 def test_a_half_sent_head_and_body_end_in_time():
     """Guards against incomplete requests that hold a connection open or reach a worker."""
     with plain(workers=1) as d:
