relay: a check's connection is given back to the address that it was taken of

What callers saw: nothing by themselves; a VM saw more connections than its maxConns, and an address that a VM came back to might never be connected to again.

Cause: the check whether a VM lives that ended a stream reserves one of the VM's connections, and named it by the VM's row when it gave it back. If the entry got another address meanwhile, the old one kept a connection for good, and the new one had one too many: the class of the freed VM record, a record that changes while a call relies on it.

Change: the check keeps id and address of what it has reserved, as probes do.

Other users of a VM's row over time were read: moves, probes, checks of ended VMs and calls of peers keep copies or end with the attempt.

--- a/serve/relay_end_check.c
+++ b/serve/relay_end_check.c
@@ -13,6 +13,8 @@
 struct rk_call_end_check {
     struct rk_relay_call *x;
     struct rk_conn *conn;
+    /* of the reserved connection: the VM's row may change meanwhile */
+    char vm_id[RK_ID_MAX], addr[RK_ADDR_MAX];
 };
 
 void rk_call_end_check_free(struct rk_relay_call *x)
@@ -21,7 +23,7 @@
     if (!k)
         return;
     rk_conn_abort(k->conn);
-    rk_upstream_release_conn(x->r->upstreams, x->vm->row.id, x->vm->row.addr);
+    rk_upstream_release_conn(x->r->upstreams, k->vm_id, k->addr);
     free(k);
     x->end_check = NULL;
 }
@@ -71,6 +73,8 @@
         return false;
     struct rk_call_end_check *k = rk_alloc(1, sizeof(*k));
     k->x = x;
+    rk_strcpy(k->vm_id, sizeof(k->vm_id), row->id);
+    rk_strcpy(k->addr, sizeof(k->addr), row->addr);
     k->conn =
         rk_conn_connect(x->r->loop, row->addr, CONNECT_TIMEOUT_MS, &check_ops, k);
     if (!k->conn) {
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -5,22 +5,24 @@
 off, as the system closes the connections of a process that crashed in the normal way, too.
 """
 import socket
+import threading
 import time
 
-from hosted import FRAMINGS, Hosted, reset, wait_until
+from hosted import FRAMINGS, Hosted, Worker, reset, wait_until
 
 EVENTS = 3
 SHORT_ID = "framed-id"
 EVENT_MAX_BYTES = 256 * 1024  # longest event of a stream that may be resumed
 
 
-def deployment(workers=1, nodes=1, events=EVENTS, resumable=False, attempts=1):
+def deployment(workers=1, nodes=1, events=EVENTS, resumable=False, attempts=1, max_conns=200):
     """Starts nodes with streaming workers behind one route."""
     d = Hosted(nodes=nodes, bounds={"budgetExtra": 4000}).start()
     for _ in range(workers):
         d.add_worker("llm", events=events, slots=64)
     d.configure([d.route("s", "llm", "streaming", resumable=resumable, maxAttempts=attempts)],
-                services=["llm"])
+                services=[{"name": "llm", "healthPath": "/healthz", "maxConns": max_conns,
+                           "protocol": "h1", "tls": False}])
     d.wait_ready()
     return d
 
@@ -328,3 +330,55 @@
         failed = logged("call.attempt_failed")
         assert {e["framing"] for e in failed + logged("call.end")} == {"close"}, failed
         assert "inside an event" in failed[0]["what"], failed
+
+
+def block_connects(worker):
+    """Makes connects to a worker hang: its listener takes no more, and its queue is full.
+
+    Returns the connections that fill the queue.
+    """
+    worker.sock.shutdown(socket.SHUT_RDWR)
+    worker.sock.close()
+    worker.sock = socket.socket()
+    worker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    worker.sock.bind(("127.0.0.1", worker.port))
+    worker.sock.listen(0)
+    fill = []
+    for _ in range(4):
+        s = socket.socket()
+        s.setblocking(False)
+        s.connect_ex(("127.0.0.1", worker.port))
+        fill.append(s)
+    return fill
+
+
+def test_a_vm_that_moves_while_its_stream_is_checked_keeps_its_connection_limit():
+    """Guards against a connection that is given back to another address than it was taken of.
+
+    A stream without framing has ended, and the node connects to its VM to ask whether that
+    lives. Meanwhile the VM's entry gets another address.
+    """
+    with deployment(max_conns=1) as d:
+        first = d.workers[0]
+        first.events, first.gap_s, first.framing = 12, 0.05, "close"
+        stream = threading.Thread(target=d.call, args=("/s/x",), kwargs={"deadline": 2000})
+        stream.start()
+        wait_until(lambda: first.events_sent, 5)
+        fill = block_connects(first)
+        wait_until(lambda: sum(first.events_sent.values()) == 12, 5)
+        second = Worker("llm", first.zone, 12, first.slots)
+        second.id, second.born, second.framing = first.id, first.born, "chunked"
+        second.gap_s = 0.05
+        d.workers.append(second)
+        d.store.put("servers", second.id, second.spec())
+        stream.join()
+        calls = [threading.Thread(target=d.call, args=("/s/x",), kwargs={"deadline": 2000})
+                 for _ in range(3)]
+        for t in calls:
+            t.start()
+        time.sleep(0.4)
+        assert second.seen and len(second.conns) == 1, (len(second.seen), len(second.conns))
+        for t in calls:
+            t.join()
+        for s in fill:
+            s.close()
