answers: a 304 with a Content-Length has no body

What callers saw: the head of a 304 at once, then nothing until the deadline, when their connection was reset, with the next request on it.

Cause: http-parser waits for a body of that length, which a 304 never has.

Change: the reader skips the body of a 204 or 304, as its framing already said.

Measured: a_304_with_a_length_has_no_body, the second request got no answer within 1 s before; both are answered on one connection now.

--- a/common/http1.c
+++ b/common/http1.c
@@ -30,10 +30,17 @@
     return NULL;
 }
 
+/* Returns true for responses that have no body, whatever their length says: that of
+ * a 304 is the length of the body that was not sent. */
+static bool is_bodiless(int status)
+{
+    return status == 204 || status == 304;
+}
+
 enum rk_framing rk_head_framing(const struct rk_head *h)
 {
-    if (h->status == 204 || h->status == 304)
-        return RK_FRAMING_LENGTH; /* they have no body */
+    if (is_bodiless(h->status))
+        return RK_FRAMING_LENGTH;
     if (h->chunked)
         return RK_FRAMING_CHUNKED;
     return h->body_length >= 0 ? RK_FRAMING_LENGTH : RK_FRAMING_CLOSE;
@@ -174,7 +181,8 @@
     h->keep_alive = http_should_keep_alive(p);
     if (p->type == HTTP_RESPONSE && h->status / 100 == 1)
         return 0;
-    return r->ops->on_head(r->ctx, h) ? 0 : 1;
+    bool has_body = r->ops->on_head(r->ctx, h);
+    return has_body && !is_bodiless(h->status) ? 0 : 1;
 }
 
 static int on_body(http_parser *p, const char *s, size_t len)
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -832,3 +832,31 @@
         time.sleep(int(timeout.group(1)))
         s.sendall(request("second"))
         assert read_answer(s).status == 200
+
+
+def test_a_304_with_a_length_has_no_body():
+    """Guards against a caller that waits for a body that a 304 never has.
+
+    Its length is that of the body that was not sent. The connections go on to be used.
+    """
+    def not_modified(w, req, conn):
+        if req.method != "GET":
+            return None
+        conn.sendall(w.head(req, 304, b"Content-Length: 5\r\n"))
+        return True
+
+    with plain(workers=1) as d:
+        d.workers[0].fault = not_modified
+        s = d.connect()
+        s.settimeout(1)
+        head = (b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                b"Rillknot-Attempt-Id: %s\r\n\r\n")
+        for ident in (b"first", b"second"):
+            s.sendall(head % ident)
+            answer = b""
+            while b"\r\n\r\n" not in answer:
+                answer += s.recv(4096)
+            assert answer.startswith(b"HTTP/1.1 304"), answer
+            assert b"Rillknot-Attempt-Id: " + ident in answer
+        assert d.call("/r/x").status == 200
+        assert d.gauge(d.nodes[0], "calls_in_hand") == 0
