placement: a slow VM is tried by the time since its last call, too

Cause: a slow VM is tried once its recent calls are below a tenth of the mean, by a sum that halves in 1.5 s. A VM that had just been called as often as the others was left out for 5 s.

Change: a VM without a call in flight is also tried when its last call, at any node, is longer ago than a tenth of the mean pace allows. The share of trials stays.

--- a/core/place.h
+++ b/core/place.h
@@ -91,6 +91,7 @@
         speed_factor;  /* of its times to its service's mean; 1: like the others */
     int speed_step;    /* speed_factor rounded by rk_vm_speed_step() */
     bool trial_due;    /* the next call that it can serve in time measures it */
+    int64_t called_ms; /* last report of loads that showed calls there; 0: none */
     int reported_step; /* the last one that rk_place_next_speed_change() returned */
     int64_t step_reported_ms;               /* when that was; 0: never */
     const struct rk_place_rollout *rollout; /* rollout of its service; NULL: none */
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -22,6 +22,8 @@
  * less slow than it was. */
 #define TRIAL_SHARE          0.1
 #define TRIAL_SHARE_IMPROVED 0.8
+/* Least growth of the recent calls that shows a new one. */
+#define NEW_CALL 0.5
 /* Part of the logarithm of its factor below which its recent calls, of this number
  * at least, show that. */
 #define IMPROVED_LOG_SHARE 0.5
@@ -96,11 +98,19 @@
 
 /* ---- loads ---- */
 
+static double calls_in_flight(const struct rk_place_vm *v)
+{
+    return v->running + (double)v->peers_running;
+}
+
 /* Updates the recent calls of all nodes and adds them to the long-term records. */
 static void observe_speeds(struct rk_place *p, int64_t now_ms)
 {
     for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
+        double before = rk_vm_health_decayed(&v->recent, now_ms).calls;
         v->recent = rk_vm_health_combined(&v->health, &v->peers_health, now_ms);
+        if (calls_in_flight(v) > 0 || v->recent.calls >= before + NEW_CALL)
+            v->called_ms = now_ms;
         rk_vm_speed_observe(&v->lasting_speed, &v->recent, now_ms);
     }
 }
@@ -148,29 +158,41 @@
            v->recent.log_sum < log_max * v->recent.calls;
 }
 
+/* Returns true if the VM's part of the calls is below this share of the mean: by
+ * its recent calls or, while those still hold many from before it was avoided, by
+ * the time since the last one. */
+static bool is_called_rarely(const struct rk_place_vm *v, double share,
+                             int64_t now_ms)
+{
+    double calls = share * v->speed->calls_per_vm;
+    double interval_ms = calls > 0 ? RK_VM_HEALTH_MEAN_MS / calls : INFINITY;
+    return v->recent.calls + calls_in_flight(v) < calls ||
+           (calls_in_flight(v) <= 0 &&
+            (double)(now_ms - v->called_ms) > interval_ms);
+}
+
 /* Returns true if the VM counts as slow, or calls failed there some time ago, and
  * it gets too few calls to show whether that is still so. A VM that fails or
  * refuses calls now is not tried. */
-static bool needs_trial(const struct rk_place_vm *v)
+static bool needs_trial(const struct rk_place_vm *v, int64_t now_ms)
 {
     const struct rk_vm_health *recent = &v->recent;
     bool slow = v->speed_factor > 1;
     if (!slow && recent->failed <= 0)
         return false;
     double max_failed = slow ? TRIAL_MAX_FAILED_SLOW : TRIAL_MAX_FAILED;
-    double in_flight = v->running + (double)v->peers_running;
     double share = slow && has_improved(v) ? TRIAL_SHARE_IMPROVED : TRIAL_SHARE;
     return recent->failed < max_failed && recent->refused < max_failed &&
-           recent->calls + in_flight < share * v->speed->calls_per_vm;
+           is_called_rarely(v, share, now_ms);
 }
 
 /* Calls of a trial are known to peers a report later. Until then other nodes may
  * begin one, too: the fleet begins one in the time of two reports, on average. */
-static void schedule_trials(struct rk_place *p)
+static void schedule_trials(struct rk_place *p, int64_t now_ms)
 {
     uint32_t nodes = p->nodes > 0 ? (uint32_t)p->nodes : 1;
     for (struct rk_place_vm *v = p->active; v; v = v->next_active) {
-        if (!needs_trial(v))
+        if (!needs_trial(v, now_ms))
             v->trial_due = false;
         else if (!rk_rng_below(&p->rng, 2 * nodes))
             v->trial_due = true;
@@ -203,7 +225,7 @@
     observe_speeds(p, now_ms);
     update_mean_log_ratios(p);
     update_speed_factors(p);
-    schedule_trials(p);
+    schedule_trials(p, now_ms);
 }
 
 void rk_place_set_report_lag(struct rk_place *p, int64_t lag_ms)
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -481,21 +481,41 @@
 
 #define REPORT_MS 250
 
-/* Reports the calls of peers for so long: a call in each report to the second VM,
- * and with slow_too also to the first one, where it takes exp(1) times as long. */
-static void report_calls(struct rk_place *p, bool slow_too, int64_t from_ms,
-                         int64_t to_ms)
+/* Reports recent calls of peers at the second VM and, unless slow_calls is 0, so
+ * many at the first one, where they take exp(1) times as long. */
+static void report_recent(struct rk_place *p, double slow_calls, int64_t now_ms)
 {
     struct rk_vm_load loads[2];
     memset(loads, 0, sizeof(loads));
     rk_strcpy(loads[0].id, sizeof(loads[0].id), "vm-b");
     rk_strcpy(loads[1].id, sizeof(loads[1].id), "vm-a");
-    for (int64_t now_ms = from_ms; now_ms < to_ms; now_ms += REPORT_MS) {
-        loads[0].health = (struct rk_vm_health){.calls = 40, .at_ms = now_ms};
-        loads[1].health =
-            (struct rk_vm_health){.calls = 10, .log_sum = 10, .at_ms = now_ms};
-        rk_place_set_loads(p, loads, slow_too ? 2 : 1, now_ms);
-    }
+    loads[0].health = (struct rk_vm_health){.calls = 40, .at_ms = now_ms};
+    loads[1].health = (struct rk_vm_health){
+        .calls = slow_calls, .log_sum = slow_calls, .at_ms = now_ms};
+    rk_place_set_loads(p, loads, slow_calls > 0 ? 2 : 1, now_ms);
+}
+
+/* Does so for a time, with ten calls at the first VM if slow_too is set. */
+static void report_calls(struct rk_place *p, bool slow_too, int64_t from_ms,
+                         int64_t to_ms)
+{
+    for (int64_t now_ms = from_ms; now_ms < to_ms; now_ms += REPORT_MS)
+        report_recent(p, slow_too ? 10 : 0, now_ms);
+}
+
+/* Sends a call, which takes exp(1) times as long at the slow VM. Returns whether it
+ * was sent there. */
+static bool send_call(struct rk_place *p, const struct rk_place_query *q,
+                      const struct rk_place_vm *slow, int64_t now_ms)
+{
+    struct rk_engine_forecast forecast;
+    struct rk_place_job job;
+    struct rk_place_vm *to = rk_place_choose(p, q, now_ms, &forecast);
+    rk_place_note_sent(p, to, q, now_ms, &job);
+    double took_ms = job.expected_ms * (to == slow ? exp(1) : 1);
+    rk_place_note_first_byte(to, &job, now_ms + (int64_t)took_ms);
+    rk_place_note_end(p, to, &job, RK_PLACE_DONE, now_ms + (int64_t)took_ms);
+    return to == slow;
 }
 
 /* Returns how many of the calls that this node sends in ten seconds, one in each
@@ -503,17 +523,10 @@
 static int count_sent(struct rk_place *p, const struct rk_place_query *q,
                       const struct rk_place_vm *slow, int64_t from_ms)
 {
-    struct rk_engine_forecast forecast;
     int count = 0;
     for (int64_t now_ms = from_ms; now_ms < from_ms + 10000; now_ms += REPORT_MS) {
-        struct rk_place_job job;
-        report_calls(p, false, now_ms, now_ms + 1);
-        struct rk_place_vm *to = rk_place_choose(p, q, now_ms, &forecast);
-        rk_place_note_sent(p, to, q, now_ms, &job);
-        double took_ms = job.expected_ms * (to == slow ? exp(1) : 1);
-        rk_place_note_first_byte(to, &job, now_ms + (int64_t)took_ms);
-        rk_place_note_end(p, to, &job, RK_PLACE_DONE, now_ms + (int64_t)took_ms);
-        count += to == slow;
+        report_recent(p, 0, now_ms);
+        count += send_call(p, q, slow, now_ms);
     }
     return count;
 }
@@ -538,6 +551,30 @@
     rk_place_destroy(p);
 }
 
+/* Guards against a VM that gets no calls for seconds once it counts as slow, as the
+ * many that it had before still count. The other one gets some 18 calls a second.
+ */
+static void a_slow_vm_is_tried_soon_after_its_last_call(void **state)
+{
+    (void)state;
+    struct rk_vm_row rows[3];
+    struct rk_place *p = create_with_three_vms(rows);
+    const struct rk_place_vm *slow = rk_place_find(p, "vm-a");
+    struct rk_place_query q = engine_query("", 8000);
+    int count = 0;
+    q.target_ms = 10000;
+    rk_place_set_node_count(p, 1);
+    report_calls(p, true, 0, 20000);
+    assert_true(slow->speed_factor > 1.5);
+    for (int64_t ms = 0; ms < 2500; ms += REPORT_MS) {
+        report_recent(p, 10 * exp2(-(double)ms / RK_VM_HEALTH_HALF_LIFE_MS),
+                      20000 + ms);
+        count += send_call(p, &q, slow, 20000 + ms);
+    }
+    assert_in_range(count, 1, 4);
+    rk_place_destroy(p);
+}
+
 /* Guards against a VM that gets no calls for long because a few failed there, and
  * against calls to it while it still fails. */
 static void a_vm_at_which_calls_failed_is_tried_after_seconds(void **state)
@@ -795,6 +832,7 @@
         cmocka_unit_test(equal_vms_get_equal_calls),
         cmocka_unit_test(a_slow_vm_is_avoided_for_a_while),
         cmocka_unit_test(a_slow_vm_without_calls_is_tried),
+        cmocka_unit_test(a_slow_vm_is_tried_soon_after_its_last_call),
         cmocka_unit_test(a_vm_at_which_calls_failed_is_tried_after_seconds),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
