tests: stand-in VMs send small writes at once

Cause, traced by the log in 4 of 16 runs: the stand-in writes the head of a stream and its first event apart. On connections that acknowledge late the kernel held the event back for 40 ms, so that one VM answered after 41 to 45 ms and the others after 11. Placement took it for a slower one, rightly, and the four prefixes were cached at the others then.

Change: the stand-ins' connections have TCP_NODELAY, as servers' have. The test is unchanged.

--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -64,6 +64,9 @@
                 conn, _ = self.sock.accept()
             except OSError:
                 return
+            # As servers do: otherwise the first event of a stream waits up to 40 ms for the
+            # acknowledgement of its head, on some connections only.
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections += 1
             self.conns.add(conn)
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
