callers: pipelined requests are taken one after the other

What callers could do: send a call and 6,000 requests of 18 bytes behind it. The node's memory peaked at 287 MB (memoryMb is 260), and the process may be ended for that with all its calls.

Cause: the end of a request that is answered at once began the next one on the same stack, with a copy of all that followed: half of the square of the buffer.

Change: feed_pipelined() goes through the buffer in a loop; a request that ends on its stack leaves the next one to it.

--- a/callers/server.c
+++ b/callers/server.c
@@ -40,6 +40,9 @@
     enum client_state state;
     struct rk_buf body;
     struct rk_buf pipelined; /* bytes after the current request */
+    size_t pipelined_pos;    /* how many of them were read */
+    bool feeding;            /* feed_pipelined() is on the stack */
+    bool closed;             /* will be freed in the loop's next iteration */
     struct rk_timer timer;
     void *user;
     bool chunked;            /* the response's body is sent in chunks */
@@ -60,7 +63,7 @@
     bool closing; /* every response closes its connection */
 };
 
-static void feed(struct rk_client *c, const char *data, size_t len);
+static void feed_pipelined(struct rk_client *c);
 
 /* ---- closing a connection ---- */
 
@@ -81,6 +84,7 @@
     if (c->next)
         c->next->prev = c->prev;
     c->s->clients_len--;
+    c->closed = true;
     c->timer.fn = free_client;
     rk_timer_start(c->s->loop, &c->timer, 0);
 }
@@ -207,14 +211,9 @@
     c->body.len = 0;
     c->user = NULL;
     rk_http1_next(&c->reader);
-    rk_conn_set_paused(c->conn, false);
     wait_for_request(c);
-    if (!c->pipelined.len)
-        return;
-    struct rk_buf pipelined = c->pipelined;
-    c->pipelined = (struct rk_buf){0};
-    feed(c, pipelined.data, pipelined.len);
-    rk_buf_free(&pipelined);
+    if (!c->feeding)
+        feed_pipelined(c);
 }
 
 void rk_client_end(struct rk_client *c)
@@ -305,19 +304,25 @@
 static const struct rk_http1_ops reader_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_end};
 
+static size_t unread_len(const struct rk_client *c)
+{
+    return c->pipelined.len - c->pipelined_pos;
+}
+
 /* Buffers bytes that follow the current request. Reading is paused while there are
  * too many. */
 static void save_pipelined(struct rk_client *c, const char *data, size_t len)
 {
-    if (!len)
+    if (!len || c->closed)
         return;
     rk_buf_add(&c->pipelined, data, len);
-    if (c->pipelined.len > PIPELINED_PAUSE_BYTES)
+    if (unread_len(c) > PIPELINED_PAUSE_BYTES)
         rk_conn_set_paused(c->conn, true);
 }
 
-/* Parses input up to the end of one request and passes a complete one on. */
-static void feed(struct rk_client *c, const char *data, size_t len)
+/* Parses input up to the end of one request and passes a complete one on. Returns
+ * the number of bytes that were read. */
+static size_t feed(struct rk_client *c, const char *data, size_t len)
 {
     bool is_first_byte = !rk_http1_has_begun(&c->reader);
     size_t n = rk_http1_feed(&c->reader, data, len);
@@ -326,29 +331,49 @@
                      : c->reader.too_large ? 431
                                            : 400;
         refuse_request(c, status);
-        return;
+        return len;
     }
     if (!c->reader.ended) {
         if (is_first_byte)
             rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
         else if (c->reader.head_done)
             rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
-        return;
+        return n;
     }
     rk_timer_stop(c->s->loop, &c->timer);
-    save_pipelined(c, data + n, len - n);
     c->state = CLIENT_IN_FLIGHT;
     c->s->ops->on_request(c->s->ctx, c);
+    return n;
+}
+
+/* Goes through the buffered bytes until a request waits for its response. Requests
+ * that are answered at once are taken one after the other here, and not by each
+ * one's end, as a caller may send thousands of them in one block. */
+static void feed_pipelined(struct rk_client *c)
+{
+    c->feeding = true;
+    while (!c->closed && c->state == CLIENT_READING && unread_len(c))
+        c->pipelined_pos +=
+            feed(c, c->pipelined.data + c->pipelined_pos, unread_len(c));
+    c->feeding = false;
+    if (c->closed)
+        return;
+    rk_buf_consume(&c->pipelined, c->pipelined_pos);
+    c->pipelined_pos = 0;
+    if (!c->pipelined.len)
+        rk_buf_free(&c->pipelined);
+    rk_conn_set_paused(c->conn, c->pipelined.len > PIPELINED_PAUSE_BYTES);
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
 {
     struct rk_client *c = ctx;
-    if (c->state != CLIENT_READING) {
-        save_pipelined(c, data, len);
-        return;
-    }
-    feed(c, data, len);
+    size_t n = 0;
+    if (c->state == CLIENT_READING)
+        n = feed(c, data, len);
+    save_pipelined(c, data + n, len - n);
+    if (!c->closed && c->state == CLIENT_READING)
+        feed_pipelined(c);
 }
 
 /* Ends a connection that was closed or reset by the caller, or that the server
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -6,6 +6,7 @@
 
 from hosted import Hosted, read_answer, wait_until
 from proc_hosted_calls import plain
+from proc_hosted_endless import MEMORY_MB, memory_mb
 
 HEAD = (b"Host: api.example\r\nX-Api-Key: key-1\r\nRillknot-Attempt-Id: bad\r\n")
 
@@ -75,6 +76,31 @@
         assert d.workers[0].seen[0].get("X-Note") == "a\tb"
 
 
+def test_thousands_of_pipelined_requests_take_little_memory():
+    """Guards against a node that copies the rest of what a caller has sent with each request.
+
+    Requests that are answered at once, without a VM, were taken one inside the other. Here
+    they wait behind a call. All are answered, in order, and a call behind them is served.
+    """
+    count = 6000
+    with plain(workers=1) as d:
+        d.workers[0].work_s = 0.5
+        s = d.connect()
+        call = b"GET /r/x HTTP/1.1\r\n" + HEAD + b"\r\n"
+        sender = threading.Thread(target=s.sendall,
+                                  args=(call + b"GET / HTTP/1.1\r\n\r\n" * count + call,))
+        sender.start()
+        rest, statuses = [], collections.Counter()
+        assert read_answer(s, rest=rest).status == 200
+        for _ in range(count):
+            statuses[read_answer(s, rest=rest).status] += 1
+        assert statuses == {404: count}, statuses
+        assert read_answer(s, rest=rest).status == 200
+        sender.join()
+        assert memory_mb(d.nodes[0]) < MEMORY_MB, memory_mb(d.nodes[0])
+        return "%d MB at most" % memory_mb(d.nodes[0])
+
+
 def test_a_half_sent_head_and_body_end_in_time():
     """Guards against incomplete requests that hold a connection open or reach a worker."""
     with plain(workers=1) as d:
