node, moves: the report of a stop that hangs never blocks; a refund adds one retry

Found by reading the diff. The first line of that report was written without asking whether standard error takes it, so that a full pipe held the thread that ends the process. A refund to a budget that had not begun, as after its table was emptied, gave the whole burst.

Measured: the five tests of proc_hosted_stops pass as before; neither case has a test of its own.

--- a/common/stack_dump.c
+++ b/common/stack_dump.c
@@ -1,12 +1,10 @@
 #include "common/stack_dump.h"
 
-#include <dirent.h>
 #include <errno.h>
 #include <execinfo.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -61,9 +59,9 @@
     sigaction(SIGUSR2, &action, NULL);
 }
 
-static void write_line(const char *line, size_t len)
+static void write_line(const char *line)
 {
-    if (is_writable() && write(STDERR_FILENO, line, len) < 0)
+    if (is_writable() && write(STDERR_FILENO, line, strlen(line)) < 0)
         return; /* there is no other place to report to */
 }
 
@@ -84,8 +82,8 @@
 {
     char name[NAME_MAX_LEN], line[LINE_MAX_LEN];
     read_name(tid, name);
-    int len = snprintf(line, sizeof(line), "thread %s (%s):\n", tid, name);
-    write_line(line, (size_t)len);
+    snprintf(line, sizeof(line), "thread %s (%s):\n", tid, name);
+    write_line(line);
     atomic_store(&answered, false);
     if (syscall(SYS_tgkill, getpid(), atoi(tid), SIGUSR2) != 0)
         return; /* the thread has ended */
@@ -93,14 +91,15 @@
     while (!atomic_load(&answered) && rk_mono_ms() < end_ms)
         poll(NULL, 0, POLL_MS);
     if (!atomic_load(&answered))
-        write_line("no answer\n", strlen("no answer\n"));
+        write_line("no answer\n");
 }
 
-void rk_stack_dump_others(void)
+void rk_stack_dump_others(const char *heading)
 {
     _Alignas(struct kernel_dirent) char entries[DIR_BYTES];
     long own = syscall(SYS_gettid), len;
     int dir = open("/proc/self/task", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    write_line(heading);
     if (dir < 0)
         return;
     while ((len = syscall(SYS_getdents64, dir, entries, sizeof(entries))) > 0) {
--- a/common/stack_dump.h
+++ b/common/stack_dump.h
@@ -8,9 +8,9 @@
  * To be called before other threads start. */
 void rk_stack_dump_init(void);
 
-/* Writes the name and the stack of each other thread. Of a thread that doesn't run
- * its handler in time, only the name is written. Nothing is written while standard
- * error would block. */
-void rk_stack_dump_others(void);
+/* Writes a line, and the name and the stack of each other thread. Of a thread that
+ * doesn't run its handler in time, only the name is written. Nothing is written
+ * while standard error would block. */
+void rk_stack_dump_others(const char *heading);
 
 #endif
--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -77,7 +77,9 @@
 /* Gives back the tokens of a retry that was not sent. */
 static inline void rk_retry_budget_refund(struct rk_retry_budget *b)
 {
-    rk_retry_budget_earn(b, RK_RETRY_BUDGET_COST);
+    b->tokens_x100 += RK_RETRY_BUDGET_COST;
+    if (b->tokens_x100 > rk_retry_budget_cap(b))
+        b->tokens_x100 = rk_retry_budget_cap(b);
 }
 
 #endif
--- a/programs/node.c
+++ b/programs/node.c
@@ -137,10 +137,7 @@
     while (!rk_node_stop_hangs(node))
         usleep(STOP_POLL_US);
     /* Not an event: a thread that hangs may hold the log's lock. */
-    static const char text[] = "rillknot-node: the stop hangs\n";
-    ssize_t n = write(STDERR_FILENO, text, sizeof(text) - 1);
-    (void)n;
-    rk_stack_dump_others();
+    rk_stack_dump_others("rillknot-node: the stop hangs\n");
     _exit(1);
 }
 
