tests: wait by time, not by number of calls, for the first call at the other VM

Cause: the test gave up after 40 calls at worker 0. Among idle VMs that are alike a node keeps its order for some 100 ms, then turns to the next.

Change: the test calls for up to 10 s until a stream was resumed, as call_until_resumed() does, and each of these calls must be whole now.

--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -175,12 +175,16 @@
             assert_none_forged(seen)
     with stream() as d:
         d.workers[1].fault = cut_after(2)
-        resumed = []
-        while not resumed and len(d.workers[0].seen) < 40:
-            d.call("/s/x", deadline=7000, headers=forged_headers())
-            resumed = [r for r in d.workers[0].seen if r.get("Last-Event-Id")]
-        assert resumed
-        for seen in resumed:
+
+        def resumed():
+            """Returns the requests with which worker 0 was asked to resume a stream."""
+            return [r for r in d.workers[0].seen if r.get("Last-Event-Id")]
+
+        def call_and_see_a_resume():
+            assert d.call("/s/x", deadline=7000, headers=forged_headers()).whole
+            return resumed()
+        wait_until(call_and_see_a_resume, 10)  # fails if the faulty worker is never chosen
+        for seen in resumed():
             assert_none_forged(seen)
 
 
