store: a watch that keeps getting 410 is not started again without a pause

What callers saw: nothing by themselves. A store that had come back without history got thousands of calls a second from each node, just when VMs had to write their entries, and the leader its lease, again.

Cause: a 410 was followed by a list at once, and that by a watch. If the watch got 410, too, this went on without a delay, unlike all other failures.

Change: the first 410 is followed by a list at once, as before; those after it at the intervals of other retries, until a watch is answered.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -58,6 +58,22 @@
         f->revision = 0;
 }
 
+/* Lists the objects again: at once, or after a delay if the last list has not
+ * helped either. A store that has no history would otherwise get hundreds of calls
+ * a second from each node. */
+static void on_history_gone(struct rk_store_watch *f)
+{
+    RK_EVENT("store.history_gone", RK_S("kind", f->kind),
+             RK_N("at", rk_revision_number(f->revision)));
+    bool again = f->history_gone;
+    f->history_gone = true;
+    f->revision = 0;
+    if (again)
+        retry_later(f);
+    else
+        call_store(f);
+}
+
 static void on_answer(void *ctx, enum rk_status st,
                       const struct rk_store_object *objects, size_t len, int64_t at)
 {
@@ -65,10 +81,7 @@
     f->busy = false;
     note_answer(f, st);
     if (st == RK_EGONE) {
-        RK_EVENT("store.history_gone", RK_S("kind", f->kind),
-                 RK_N("at", rk_revision_number(f->revision)));
-        f->revision = 0;
-        call_store(f);
+        on_history_gone(f);
         return;
     }
     if (st != RK_OK) {
@@ -77,7 +90,10 @@
         retry_later(f);
         return;
     }
-    f->retry_ms = RETRY_FIRST_MS;
+    if (!f->listing)
+        f->history_gone = false;
+    if (!f->history_gone)
+        f->retry_ms = RETRY_FIRST_MS;
     /* Peers may have sent newer changes in the meantime. */
     if (at >= f->revision) {
         f->apply(f->ctx, objects, len, f->listing, at);
--- a/node/store_watch.h
+++ b/node/store_watch.h
@@ -31,6 +31,7 @@
     bool enabled;        /* watching, by rk_store_watch_enable() */
     /* Private. */
     bool busy, listing;      /* a call is in progress; it is a list */
+    bool history_gone;       /* no watch was answered since the last 410 */
     int64_t call_started_ms; /* when that call was made */
     int64_t retry_ms;        /* next delay after an error */
     struct rk_timer timer;   /* for the next call */
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -18,6 +18,8 @@
 import faultproxy
 from hosted import Hosted, answer_json, read_answer, reset, wait_until
 
+# Reads that the platform's store serves, and the nodes that may watch it.
+STORE_READS_PER_S, WATCHING_NODES = 2000, 12
 
 def fleet(nodes=3, workers=2, kind="idempotent", zones=("a-hall", "b-hall", "c-hall"),
           tenants=None, **kw):
@@ -319,6 +321,25 @@
         wait_until(lambda: d.call("/v3/x").status == 200 and w.seen)
 
 
+def test_a_store_without_history_is_not_polled_in_a_loop():
+    """Guards against nodes that overload a store which answers each watch with 410.
+
+    They list its objects at intervals instead, so that changes still arrive.
+    """
+    with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
+        d.store.oldest_revision = 1 << 40
+        time.sleep(0.5)
+        before, period_s = len(d.store.calls), 3
+        time.sleep(period_s)
+        reads = sum(req.method == "GET" for req in d.store.calls[before:])
+        per_s = reads / period_s / len(d.nodes)
+        assert 0 < per_s <= STORE_READS_PER_S / WATCHING_NODES, per_s
+        d.configure([d.route("v", "plain")], wait=False)
+        d.wait_version(d.version, timeout=2)
+        assert d.call("/v/x").status == 200
+        return "%.1f reads a second by each node" % per_s
+
+
 def test_a_draining_vm_gets_no_new_calls():
     """Guards against calls to a VM after all nodes know that it drains."""
     with fleet(nodes=2, zones=("a-hall", "b-hall")) as d:
