soak: the nodes' reads of the store have a bound

2,000 reads a second by the twelve nodes that may watch the store, 167 a node and second: 833 for five nodes.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -54,6 +54,8 @@
 SLOW_RATIO = 2.4  # how much longer the calls of the slow VM take
 # The slow VM must get more than this share of the calls that an equal VM gets.
 SLOW_MIN_SHARE = 0.05
+# Reads that the platform's store serves in a second, divided by the nodes that may watch it.
+STORE_MAX_READS_PER_NODE = 2000 / 12
 BREAK_SHARE = 0.02  # of the engines' streams that are broken off inside an event
 EVENTS = 12  # of a stream
 VERSIONS = ("v1", "v2")  # of the engines' software
@@ -719,6 +721,14 @@
             self.problem("the slow VM got %d calls, the others %.1f on average"
                          % (calls[self.slow], mean))
 
+    def check_store_reads(self):
+        """Check how often the nodes read the store in any second."""
+        most = max_units_in_window([(r.at, 1) for r in self.hosted.store.calls
+                                    if r.method == "GET"], 1)
+        if most > STORE_MAX_READS_PER_NODE * self.node_count:
+            self.problem("the store was read %d times in a second, %d are allowed"
+                         % (most, STORE_MAX_READS_PER_NODE * self.node_count))
+
     def check_leaders(self):
         """Check that usage windows have one count and fencing tokens one leader each."""
         counts, leaders = {}, {}
@@ -749,6 +759,7 @@
             self.check_quota()
             self.check_classes()
             self.check_leaders()
+            self.check_store_reads()
             self.note_logs()
             self.hosted.stop()
         return self
