speeds: revert long-term records in the reports to new peers

A quarantine that comes later costs VMs, which is worse than a slow VM used for ten seconds.

Suspected: the records are relative to each sender's own predictions, and a node that had just started took them from several peers.

--- a/core/place.h
+++ b/core/place.h
@@ -52,8 +52,6 @@
     uint32_t running;
     double waiting_tokens; /* unread prompt tokens of calls without a first token */
     struct rk_vm_health health; /* decayed to the time of the report */
-    /* Long-term record of all nodes' calls; zeroed: the peer did not send it. */
-    struct rk_vm_speed lasting_speed;
 };
 
 /* State of a VM. Other files may read it; only the placement writes it. */
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -221,7 +221,6 @@
         v->peers_waiting_tokens += loads[i].waiting_tokens;
         v->peers_health.at_ms = now_ms;
         rk_vm_health_accumulate(&v->peers_health, &loads[i].health);
-        rk_vm_speed_adopt(&v->lasting_speed, &loads[i].lasting_speed, now_ms);
     }
     observe_speeds(p, now_ms);
     update_mean_log_ratios(p);
@@ -262,7 +261,6 @@
         load->running = (uint32_t)v->running;
         load->waiting_tokens = v->waiting_tokens;
         load->health = health;
-        load->lasting_speed = v->lasting_speed;
     }
     return len;
 }
--- a/core/vm_speed.c
+++ b/core/vm_speed.c
@@ -20,10 +20,6 @@
  * slow for 600 ms at a time, 15% of the time, factors of up to 1.07 were seen:
  * calls within one slow period are no independent samples. */
 #define MIN_FACTOR 1.1
-/* A peer's record is adopted if it holds this many times the calls. Those of nodes
- * that have run for as long differ by less. */
-#define ADOPT_MIN_RATIO  2.0
-#define REPORTED_SUM_MAX 1e6 /* larger sums in a report are invalid */
 
 void rk_vm_speed_observe(struct rk_vm_speed *s, const struct rk_vm_health *recent,
                          int64_t now_ms)
@@ -39,21 +35,6 @@
     s->at_ms = now_ms;
 }
 
-void rk_vm_speed_adopt(struct rk_vm_speed *s, const struct rk_vm_speed *from,
-                       int64_t now_ms)
-{
-    if (from->calls <= s->calls * ADOPT_MIN_RATIO)
-        return;
-    *s = *from;
-    s->at_ms = now_ms;
-}
-
-bool rk_vm_speed_is_valid(const struct rk_vm_speed *s)
-{
-    return s->calls >= 0 && s->calls <= REPORTED_SUM_MAX &&
-           fabs(s->log_sum) <= REPORTED_SUM_MAX;
-}
-
 double rk_vm_speed_factor(const struct rk_vm_speed *s, double mean_log_ratio)
 {
     double calls = s->calls + PRIOR_CALLS;
--- a/core/vm_speed.h
+++ b/core/vm_speed.h
@@ -5,7 +5,6 @@
 #ifndef RK_CORE_VM_SPEED_H
 #define RK_CORE_VM_SPEED_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #include "core/service_speed.h"
@@ -28,13 +27,6 @@
  * not later than the last observation. */
 void rk_vm_speed_observe(struct rk_vm_speed *s, const struct rk_vm_health *recent,
                          int64_t now_ms);
-/* Replaces the record by one that a peer sent now, if that holds many more calls:
- * this node has not seen the VM for as long. */
-void rk_vm_speed_adopt(struct rk_vm_speed *s, const struct rk_vm_speed *from,
-                       int64_t now_ms);
-/* Returns true if the values are within bounds. Records from peers must be
- * checked, as they can hold anything. */
-bool rk_vm_speed_is_valid(const struct rk_vm_speed *s);
 /* Returns the ratio of the VM's times to its service's mean, between 1 /
  * RK_VM_SPEED_FACTOR_MAX and RK_VM_SPEED_FACTOR_MAX. It is exactly 1 while the
  * difference may be chance. mean_log_ratio: mean of log_sum over all calls in the
--- a/node/digest_send.c
+++ b/node/digest_send.c
@@ -114,14 +114,13 @@
     }
 }
 
-static void fill_vms(struct digest_builder *p, const struct rk_mesh *m, bool fleet)
+static void fill_vms(struct digest_builder *p)
 {
     size_t len = p->loads_len;
-    bool with_lasting_speed = fleet && rk_loads_peer_lacks_speeds(m);
     p->vms = rk_alloc(len + 1, sizeof(*p->vms));
     p->vm_ptrs = rk_alloc(len + 1, sizeof(*p->vm_ptrs));
     for (size_t i = 0; i < len; i++) {
-        rk_loads_encode(&p->vms[i], &p->loads[i], with_lasting_speed);
+        rk_loads_encode(&p->vms[i], &p->loads[i]);
         p->vm_ptrs[i] = &p->vms[i];
     }
     p->digest.n_vms = len;
@@ -316,7 +315,7 @@
         return;
     sum_loads(p);
     if (is_vms_round(m, p->loads_len))
-        fill_vms(p, m, fleet);
+        fill_vms(p);
     fill_uses(p, m, fleet, members != NO_MEMBERS);
     fill_services(p, m, fleet);
     if (members != NO_MEMBERS)
--- a/node/loads.c
+++ b/node/loads.c
@@ -7,12 +7,7 @@
 #include "common/eventlog.h"
 #include "node/mesh_impl.h"
 
-/* Time after the first report of a peer's incarnation in which it is sent the
- * long-term records of the VMs' speeds: some reports, as one may be lost. */
-#define NEW_PEER_MS 5000
-
-void rk_loads_encode(Rillknot__VmUse *out, struct rk_vm_load *load,
-                     bool with_lasting_speed)
+void rk_loads_encode(Rillknot__VmUse *out, struct rk_vm_load *load)
 {
     rillknot__vm_use__init(out);
     out->id = load->id;
@@ -23,19 +18,6 @@
     out->pace_calls = (float)load->health.calls;
     out->pace_refused = (float)load->health.refused;
     out->life = load->incarnation;
-    if (!with_lasting_speed)
-        return;
-    out->lasting_log_sum = (float)load->lasting_speed.log_sum;
-    out->lasting_calls = (float)load->lasting_speed.calls;
-}
-
-bool rk_loads_peer_lacks_speeds(const struct rk_mesh *m)
-{
-    int64_t since_ms = rk_mono_ms() - NEW_PEER_MS;
-    for (const struct member *k = m->contacts; k; k = k->next_contact)
-        if (k->incarnation && k->incarnation_since_ms > since_ms)
-            return true;
-    return false;
 }
 
 static struct rk_vm_health decode_health(const Rillknot__VmUse *from)
@@ -50,16 +32,6 @@
     return (struct rk_vm_health){0};
 }
 
-static struct rk_vm_speed decode_lasting_speed(const Rillknot__VmUse *from)
-{
-    const struct rk_vm_speed speed = {.log_sum = from->lasting_log_sum,
-                                      .calls = from->lasting_calls};
-    if (rk_vm_speed_is_valid(&speed))
-        return speed;
-    RK_WARN("pace.rejected", RK_S("vm", from->id));
-    return (struct rk_vm_speed){0};
-}
-
 void rk_loads_decode(struct rk_vm_load **loads, size_t *len, Rillknot__VmUse **from,
                      size_t from_len)
 {
@@ -70,8 +42,7 @@
         *load = (struct rk_vm_load){.incarnation = from[i]->life,
                                     .running = from[i]->running,
                                     .waiting_tokens = from[i]->waiting_tokens,
-                                    .health = decode_health(from[i]),
-                                    .lasting_speed = decode_lasting_speed(from[i])};
+                                    .health = decode_health(from[i])};
         rk_strcpy(load->id, sizeof(load->id), from[i]->id);
     }
 }
@@ -81,9 +52,6 @@
     sum->running += more->running;
     sum->waiting_tokens += more->waiting_tokens;
     rk_vm_health_accumulate(&sum->health, &more->health);
-    /* Both are of all nodes' calls: they are not added. */
-    if (more->lasting_speed.calls > sum->lasting_speed.calls)
-        sum->lasting_speed = more->lasting_speed;
 }
 
 static void append_loads(struct rk_relay_peers *p, const struct rk_vm_load *loads,
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -115,9 +115,8 @@
     bool has_all_uses;        /* uses has all its rows: changes can be applied */
     bool has_quota_history;   /* its quota history was received */
     int64_t reports_since_ms; /* when its first report arrived; 0: none */
-    int64_t incarnation_since_ms; /* the same, of this incarnation */
-    bool accepts_changes; /* it accepts reports of only the rows that changed */
-    bool accepts_brief;   /* it accepts digests that are only heartbeats */
+    bool accepts_changes;     /* it accepts reports of only the rows that changed */
+    bool accepts_brief;       /* it accepts digests that are only heartbeats */
     int64_t uses_requested_ms;        /* when all its rows were requested last */
     struct rk_service_load *services; /* since its start */
     size_t services_len;
@@ -404,10 +403,7 @@
 /* ---- loads.c: calls in flight, VMs' health and demand at the peers ---- */
 
 /* Encodes a load. out refers to load. */
-void rk_loads_encode(Rillknot__VmUse *out, struct rk_vm_load *load,
-                     bool with_lasting_speed);
-/* Returns whether a peer may not know the VMs' speeds, as it has just started. */
-bool rk_loads_peer_lacks_speeds(const struct rk_mesh *m);
+void rk_loads_encode(Rillknot__VmUse *out, struct rk_vm_load *load);
 /* Decodes received loads into *loads, which is reallocated. */
 void rk_loads_decode(struct rk_vm_load **loads, size_t *len, Rillknot__VmUse **from,
                      size_t from_len);
--- a/node/report.c
+++ b/node/report.c
@@ -12,14 +12,12 @@
 /* From the first report of a node until its peers have counted what it used. */
 #define CATCH_UP_MS 500
 
-static void fill_vms(struct rk_report *p, const struct rk_mesh *m,
-                     const struct rk_relay_report *r)
+static void fill_vms(struct rk_report *p, const struct rk_relay_report *r)
 {
-    bool with_lasting_speed = rk_loads_peer_lacks_speeds(m);
     p->vms = rk_alloc(r->loads_len + 1, sizeof(*p->vms));
     p->vm_ptrs = rk_alloc(r->loads_len + 1, sizeof(*p->vm_ptrs));
     for (size_t i = 0; i < r->loads_len; i++) {
-        rk_loads_encode(&p->vms[i], &r->loads[i], with_lasting_speed);
+        rk_loads_encode(&p->vms[i], &r->loads[i]);
         p->vm_ptrs[i] = &p->vms[i];
     }
     p->report.n_vms = r->loads_len;
@@ -92,7 +90,7 @@
     p->report.remembers_ms = n->report->quota_history_ms;
     p->report.known_shares = p->known_shares;
     p->report.n_known_shares = rk_report_put_shares(n->report, p->known_shares);
-    fill_vms(p, m, n->report);
+    fill_vms(p, n->report);
     rk_report_fill_uses(p, m, n->report);
     rk_usage_fill_report(p, m);
     fill_services(p, n->report);
@@ -187,7 +185,6 @@
         schedule_catch_up(k, r);
     if (k->incarnation != r->incarnation) {
         k->incarnation = r->incarnation;
-        k->incarnation_since_ms = rk_mono_ms();
         rk_org_uses_clear(&k->uses); /* its counters began at 0 */
         k->has_all_uses = !first || started_together(k, r);
         k->has_quota_history = false;
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -3133,7 +3133,7 @@
   (ProtobufCMessageInit) rillknot__state_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__vm_use__field_descriptors[10] =
+static const ProtobufCFieldDescriptor rillknot__vm_use__field_descriptors[8] =
 {
   {
     "id",
@@ -3231,35 +3231,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "lasting_log_sum",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Rillknot__VmUse, lasting_log_sum),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lasting_calls",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Rillknot__VmUse, lasting_calls),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned rillknot__vm_use__field_indices_by_name[] = {
   0,   /* field[0] = id */
-  9,   /* field[9] = lasting_calls */
-  8,   /* field[8] = lasting_log_sum */
   6,   /* field[6] = life */
   5,   /* field[5] = pace_calls */
   4,   /* field[4] = pace_failed */
@@ -3271,7 +3245,7 @@
 static const ProtobufCIntRange rillknot__vm_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rillknot__vm_use__descriptor =
 {
@@ -3281,7 +3255,7 @@
   "Rillknot__VmUse",
   "rillknot",
   sizeof(Rillknot__VmUse),
-  10,
+  8,
   rillknot__vm_use__field_descriptors,
   rillknot__vm_use__field_indices_by_name,
   1,  rillknot__vm_use__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -451,16 +451,10 @@
    * Calls that the VM refused recently, decayed in the same way.
    */
   float pace_refused;
-  /*
-   * Sent while one of the sender's peers has just started: the long-term record of
-   * the VM's speed, of all nodes' calls; see core/vm_speed.h.
-   */
-  float lasting_log_sum;
-  float lasting_calls;
 };
 #define RILLKNOT__VM_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__vm_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
