one wait for the stop signal, one cap of the retry budget, one bound on reads of the store

Cause: the change since wrote three things a second time: the wait for SIGTERM of rillknot-node and rillknot-entry, the cap of the retry budget in a refund, and the bound on reads of the store in the soak and in proc_hosted_fleet.

Change: rk_process_wait_stop_signal(), rk_retry_budget_add() and STORE_MAX_READS_PER_NODE in tools/hosted.py serve both. Behaviour, checks and bounds are the same.

--- a/common/process.h
+++ b/common/process.h
@@ -1,7 +1,9 @@
-/* The end of a process. */
+/* How a process is told to stop, and its end. */
 #ifndef RK_COMMON_PROCESS_H
 #define RK_COMMON_PROCESS_H
 
+/* Waits for SIGTERM or SIGINT, which all threads have blocked. */
+void rk_process_wait_stop_signal(void);
 /* Ends the process without the functions that libraries run at the exit: other
  * threads may still use those libraries, and on a busy disk it takes seconds to
  * load code that has not run before. */
--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -44,6 +44,13 @@
     b->started = true;
 }
 
+static inline void rk_retry_budget_add(struct rk_retry_budget *b, int64_t x100)
+{
+    b->tokens_x100 += x100;
+    if (b->tokens_x100 > rk_retry_budget_cap(b))
+        b->tokens_x100 = rk_retry_budget_cap(b);
+}
+
 /* Credits one call with pct hundredths of a token. Without
  * rk_retry_budget_set_share(), the first call also gives the whole cap, unless pct
  * is 0. */
@@ -53,9 +60,7 @@
         b->started = true;
         b->tokens_x100 = pct ? rk_retry_budget_cap(b) : 0;
     }
-    b->tokens_x100 += pct;
-    if (b->tokens_x100 > rk_retry_budget_cap(b))
-        b->tokens_x100 = rk_retry_budget_cap(b);
+    rk_retry_budget_add(b, pct);
 }
 
 /* Returns whether the budget covers a retry; takes nothing. */
@@ -77,9 +82,7 @@
 /* Gives back the tokens of a retry that was not sent. */
 static inline void rk_retry_budget_refund(struct rk_retry_budget *b)
 {
-    b->tokens_x100 += RK_RETRY_BUDGET_COST;
-    if (b->tokens_x100 > rk_retry_budget_cap(b))
-        b->tokens_x100 = rk_retry_budget_cap(b);
+    rk_retry_budget_add(b, RK_RETRY_BUDGET_COST);
 }
 
 #endif
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -61,7 +61,7 @@
 }
 
 /* Lists the objects again: at once, or after a delay if the last list has not
- * helped either. A store that has no history would otherwise get hundreds of calls
+ * helped either. A store that has no history would otherwise get thousands of calls
  * a second from each node. */
 static void on_history_gone(struct rk_store_watch *f)
 {
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -17,8 +17,8 @@
 #include "callers/callers.h"
 #include "common/addr.h"
 #include "common/eventlog.h"
-#include "common/process.h"
 #include "common/loop.h"
+#include "common/process.h"
 #include "common/util.h"
 #include "control/control.h"
 #include "core/procfile.h"
@@ -195,12 +195,7 @@
 static void *run_signal_thread(void *arg)
 {
     struct node *n = arg;
-    sigset_t set;
-    int sig;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigwait(&set, &sig);
+    rk_process_wait_stop_signal();
     planned_stop(n);
     for (size_t i = 0; i < n->workers_len; i++)
         rk_loop_stop(n->workers[i].traffic->loop);
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -11,8 +11,8 @@
 #include <unistd.h>
 
 #include "common/eventlog.h"
-#include "common/process.h"
 #include "common/loop.h"
+#include "common/process.h"
 #include "core/procfile.h"
 #include "keeper/keeper.h"
 
--- a/programs/node.c
+++ b/programs/node.c
@@ -118,12 +118,7 @@
 static void *run_stop_thread(void *arg)
 {
     struct rk_node *node = arg;
-    sigset_t set;
-    int sig;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigwait(&set, &sig);
+    rk_process_wait_stop_signal();
     rk_node_begin_stop(node);
     while (!rk_node_stop_hangs(node))
         usleep(STOP_POLL_US);
--- a/tests/proc_hosted_fleet.py
+++ b/tests/proc_hosted_fleet.py
@@ -16,10 +16,9 @@
 import weakref
 
 import faultproxy
-from hosted import Hosted, answer_json, read_answer, reset, wait_until
+from hosted import (STORE_MAX_READS_PER_NODE, Hosted, answer_json, read_answer, reset,
+                    wait_until)
 
-# Reads that the platform's store serves, and the nodes that may watch it.
-STORE_READS_PER_S, WATCHING_NODES = 2000, 12
 
 def fleet(nodes=3, workers=2, kind="idempotent", zones=("a-hall", "b-hall", "c-hall"),
           tenants=None, **kw):
@@ -328,7 +327,7 @@
     time.sleep(period_s)
     reads = sum(req.method == "GET" for req in d.store.calls[before:])
     per_s = reads / period_s / len(d.nodes)
-    assert 0 < per_s <= STORE_READS_PER_S / WATCHING_NODES, per_s
+    assert 0 < per_s <= STORE_MAX_READS_PER_NODE, per_s
     d.configure([d.route("v", "plain")], wait=False)
     d.wait_version(d.version, timeout=2)
     assert d.call("/v/x").status == 200
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -19,6 +19,8 @@
 from cluster import ROOT, Proc, free_port
 
 TEMPLATE = os.path.join(ROOT, "deploy", "entry.json")
+# Reads that the platform's store serves in a second, divided by the nodes that may watch it.
+STORE_MAX_READS_PER_NODE = 2000 / 12
 REASON_PHRASES = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected",
            429: "Too Many", 503: "Unavailable"}
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,7 +25,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import faultproxy  # noqa: E402
-from hosted import FRAMINGS, Hosted, Worker, max_units_in_window, read_answer  # noqa: E402
+from hosted import (FRAMINGS, STORE_MAX_READS_PER_NODE, Hosted, Worker,  # noqa: E402
+                    max_units_in_window, read_answer)
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SEEDS_FILE = os.path.join(ROOT, "tests", "soak-seeds.txt")
@@ -54,8 +55,6 @@
 SLOW_RATIO = 2.4  # how much longer the calls of the slow VM take
 # The slow VM must get more than this share of the calls that an equal VM gets.
 SLOW_MIN_SHARE = 0.05
-# Reads that the platform's store serves in a second, divided by the nodes that may watch it.
-STORE_MAX_READS_PER_NODE = 2000 / 12
 BREAK_SHARE = 0.02  # of the engines' streams that are broken off inside an event
 EVENTS = 12  # of a stream
 VERSIONS = ("v1", "v2")  # of the engines' software
