stack dump, util: a node that ends by a signal says why and where

Nodes ended by themselves on the users' machines and left nothing: a signal wrote no line, and a failed allocation called abort() without a word. SIGABRT, SIGBUS, SIGFPE, SIGILL and SIGSEGV now write the signal, the thread and its stack to standard error before the process ends by that signal; a failed allocation writes its size. With the address and thread sanitizers their own handlers stay.

--- a/common/stack_dump.c
+++ b/common/stack_dump.c
@@ -51,14 +51,6 @@
     errno = saved_errno;
 }
 
-void rk_stack_dump_init(void)
-{
-    void *frame;
-    struct sigaction action = {.sa_handler = on_asked, .sa_flags = SA_RESTART};
-    backtrace(&frame, 1); /* its first call loads a library */
-    sigaction(SIGUSR2, &action, NULL);
-}
-
 static void write_line(const char *line)
 {
     if (is_writable() && write(STDERR_FILENO, line, strlen(line)) < 0)
@@ -78,6 +70,45 @@
         close(fd);
 }
 
+/* The disposition is the default one again, so that the signal, which is blocked
+ * until the handler returns, ends the process then. */
+static void on_fatal_signal(int sig)
+{
+    char tid[NAME_MAX_LEN], name[NAME_MAX_LEN], line[LINE_MAX_LEN];
+    void *frames[FRAMES_MAX];
+    snprintf(tid, sizeof(tid), "%ld", syscall(SYS_gettid));
+    read_name(tid, name);
+    snprintf(line, sizeof(line), "fatal signal %d (SIG%s), thread %s (%s):\n", sig,
+             sigabbrev_np(sig), tid, name);
+    write_line(line);
+    int len = backtrace(frames, FRAMES_MAX);
+    if (is_writable())
+        backtrace_symbols_fd(frames, len, STDERR_FILENO);
+    raise(sig);
+}
+
+static void handle_fatal_signals(void)
+{
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    static const int signals[] = {SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSEGV};
+    struct sigaction action = {.sa_handler = on_fatal_signal,
+                               .sa_flags = SA_RESETHAND};
+    for (size_t i = 0; i < RK_ARRAY_LEN(signals); i++)
+        sigaction(signals[i], &action, NULL);
+#else
+    (void)on_fatal_signal;
+#endif
+}
+
+void rk_stack_dump_init(void)
+{
+    void *frame;
+    struct sigaction action = {.sa_handler = on_asked, .sa_flags = SA_RESTART};
+    backtrace(&frame, 1); /* its first call loads a library */
+    sigaction(SIGUSR2, &action, NULL);
+    handle_fatal_signals();
+}
+
 static void dump_thread(const char *tid)
 {
     char name[NAME_MAX_LEN], line[LINE_MAX_LEN];
--- a/common/util.c
+++ b/common/util.c
@@ -6,10 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-#define FNV_OFFSET  0xcbf29ce484222325ULL
-#define FNV_PRIME   0x100000001b3ULL
-#define BUF_MIN_CAP 256
+#define FNV_OFFSET     0xcbf29ce484222325ULL
+#define FNV_PRIME      0x100000001b3ULL
+#define BUF_MIN_CAP    256
+#define ALLOC_LINE_MAX 64
 
 static int64_t clock_us(clockid_t id)
 {
@@ -96,11 +98,22 @@
     return fits;
 }
 
+/* Ends the process with a line on standard error. */
+static _Noreturn void fail_alloc(size_t n, size_t size)
+{
+    char line[ALLOC_LINE_MAX];
+    int len =
+        snprintf(line, sizeof(line), "out of memory: %zu x %zu bytes\n", n, size);
+    if (write(STDERR_FILENO, line, (size_t)len) < 0)
+        abort(); /* there is no other place to report to */
+    abort();
+}
+
 void *rk_alloc(size_t n, size_t size)
 {
     void *p = calloc(n, size);
     if (!p)
-        abort();
+        fail_alloc(n, size);
     return p;
 }
 
@@ -108,7 +121,7 @@
 {
     void *q = realloc(p, size);
     if (!q)
-        abort();
+        fail_alloc(1, size);
     return q;
 }
 
