procfile: one odd figure of the process file keeps no node from starting

What callers saw: nothing was served. Where the platform had no value for one of the bounds, the template left `"stop_s": ,`, which is no JSON, and each node ended with status 2 within 0.1 s, again at each start. A figure out of range, null or of another type did the same, though all others were sound.

Cause: the template's gaps stood without quotes, and the file was refused as a whole for one figure.

A reload keeps the value in force of such a figure and takes over the sound ones beside it. A file that is no JSON object (now with its line), and a text that is missing, too long or no string still end the start.

--- a/core/procfile.h
+++ b/core/procfile.h
@@ -12,7 +12,9 @@
 #include "common/status.h"
 #include "common/util.h"
 
-#define RK_MAX_PEERS 64
+#define RK_MAX_PEERS            64
+#define RK_PROCFILE_PROBLEMS    32
+#define RK_PROCFILE_PROBLEM_MAX 192 /* bytes, with the terminating NUL */
 
 /* A settings file. The names of the members are the keys of the file; addresses are
  * ip:port where nothing else is said. */
@@ -54,12 +56,24 @@
      * none. */
     double trial_share, trial_slack;
     double trial_give_up_ms;
+    /* What the file has wrong and the process can do without: "LINE: /KEY: ", what
+     * was expected and what is used instead. Further ones are left out. */
+    char problems[RK_PROCFILE_PROBLEMS][RK_PROCFILE_PROBLEM_MAX];
+    size_t problems_len;
 };
 
-/* Reads *out from a file, with defaults for keys that it lacks. On failure, *out
- * must not be used, and rk_last_error() names the path and, where there is one, the
- * key, its line and what was expected. */
-enum rk_status rk_procfile_load(const char *path, struct rk_procfile *out);
+/* Reads *out from a file, with defaults for keys that it lacks. A figure that is
+ * out of range or of another type, a peer that is no text, and an unknown key are
+ * added to out->problems. The value of such a figure in *in_force stays; without
+ * one (NULL), the default or the nearest bound is used. On failure, *out must not
+ * be used, and rk_last_error() names the path and, where there is one, the key, its
+ * line and what was expected. */
+enum rk_status rk_procfile_load(const char *path,
+                                const struct rk_procfile *in_force,
+                                struct rk_procfile *out);
+
+/* Logs each of file->problems as a warning. path: of the file. */
+void rk_procfile_log_problems(const struct rk_procfile *file, const char *path);
 
 /* Returns the content of a file, NUL-terminated, which the caller frees; NULL, with
  * rk_last_error() set, if it can't be opened or is larger than 4 MiB. */
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -324,7 +324,7 @@
 {
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     static struct node n;
-    if (rk_procfile_load(args.procfile, &n.file) != RK_OK) {
+    if (rk_procfile_load(args.procfile, NULL, &n.file) != RK_OK) {
         fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
         return 2;
     }
@@ -337,6 +337,7 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     /* The "listening" event is logged even with --quiet: it carries the ports. */
     rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
+    rk_procfile_log_problems(&n.file, args.procfile);
     if (!create_node(&n)) {
         fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
         return 1;
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -74,7 +74,7 @@
 {
     static struct rk_procfile file;
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    if (rk_procfile_load(procfile, &file) != RK_OK) {
+    if (rk_procfile_load(procfile, NULL, &file) != RK_OK) {
         fprintf(stderr, "rillknot-keeper: %s\n", rk_last_error());
         return 2;
     }
@@ -88,6 +88,7 @@
         seed = (uint64_t)getpid();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     rk_log_init(file.id, file.failure_domain, RK_LOG_INFO);
+    rk_procfile_log_problems(&file, procfile);
     struct rk_loop *loop = rk_loop_create();
     int signal_fd = watch_stop_signals(loop);
     struct rk_keeper *keeper = rk_keeper_create(loop, &file, seed);
--- a/programs/node.c
+++ b/programs/node.c
@@ -73,14 +73,22 @@
     0,
     0};
 
-/* Reads the process file again. If it is invalid, the node keeps its old values. */
+/* The process file as last read. Once the threads run, owned by the reload thread.
+ */
+static struct rk_procfile in_force;
+
+/* Reads the process file again. The node keeps its old values if the file is
+ * invalid, and the old value of each figure that is. */
 static void reload(struct rk_node *node)
 {
-    struct rk_procfile file;
-    if (rk_procfile_load(args.procfile, &file) == RK_OK)
-        rk_node_reload(node, &file);
-    else
+    static struct rk_procfile file;
+    if (rk_procfile_load(args.procfile, &in_force, &file) != RK_OK) {
         RK_WARN("node.reload_failed", RK_S("why", rk_last_error()));
+        return;
+    }
+    rk_procfile_log_problems(&file, args.procfile);
+    in_force = file;
+    rk_node_reload(node, &file);
 }
 
 /* Returns whether the process file's modification time differs from *last_mtime,
@@ -138,24 +146,34 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
+/* Prints the result of --check and returns the exit status. */
+static int print_check(void)
+{
+    for (size_t i = 0; i < in_force.problems_len; i++)
+        fprintf(stderr, "rillknot-node: %s:%s\n", args.procfile,
+                in_force.problems[i]);
+    if (in_force.problems_len)
+        return 2;
+    printf("%s: ok\n", args.procfile);
+    return 0;
+}
+
 int main(int argc, char **argv)
 {
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    static struct rk_procfile file;
-    if (rk_procfile_load(args.procfile, &file) != RK_OK) {
+    if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
         return 2;
     }
-    if (args.check) {
-        printf("%s: ok\n", args.procfile);
-        return 0;
-    }
+    if (args.check)
+        return print_check();
     block_signals();
     rk_stack_dump_init();
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    rk_log_init(file.id, file.failure_domain, args.level);
+    rk_log_init(in_force.id, in_force.failure_domain, args.level);
+    rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
-    if (rk_node_create(&file, &node) != RK_OK) {
+    if (rk_node_create(&in_force, &node) != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
         return 1;
     }
--- /dev/null
+++ b/tests/proc_hosted_start.py
@@ -0,0 +1,160 @@
+"""A node starts whatever is wrong with a figure of its process file, and where it can't
+start it says why."""
+import concurrent.futures
+import json
+import os
+import re
+import subprocess
+
+from hosted import Hosted
+
+START_S = 10
+# Figures of the process file that deploy/entry.json fills from fields of the platform.
+TEMPLATE_FIELDS = {
+    "stop_s": "graceS", "lease_ms": "leaseMs", "usage_window_s": "reportWindowS",
+    "usage_late_s": "usageLateS", "quota_window_s": "quotaWindowS",
+    "quota_slack": "quotaSlack", "quota_overrun": "quotaOverrun",
+    "retry_burst": "budgetExtra", "retry_ratio": "retryBudgetRatio",
+    "trial_slack": "exposureSlack", "trial_give_up_ms": "rollbackMs"}
+FIGURES = sorted(TEMPLATE_FIELDS) + ["traffic_threads", "notice_ms", "max_body",
+                                     "max_connections", "cpu_share", "trial_share"]
+MISSING = object()
+BAD_VALUES = [None, -1, 1e18, "", "text", True, [], {}, 10**30]
+# 0 and fractions are in range for some figures; a node starts with them, too.
+ODD_VALUES = [MISSING, 0, 0.5]
+PARALLEL = 4
+
+
+class Start:
+    """A start of a node with a process file of its own, which ends with the test."""
+
+    def __init__(self, d, text, name):
+        self.path = os.path.join(d.dir, "%s.json" % name)
+        with open(self.path, "w") as f:
+            f.write(text)
+        self.command = [os.path.join(d.build, "rillknot-node"), self.path]
+
+    def check(self):
+        """Return the exit status and the lines of --check."""
+        r = subprocess.run(self.command[:1] + ["--check", self.path], capture_output=True,
+                           text=True, timeout=START_S, check=False)
+        return r.returncode, r.stderr.splitlines()
+
+    def events(self):
+        """Start the node and return its events until node.started; the node is killed then."""
+        p = subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                             text=True)
+        events, lines = [], []
+        for line in p.stdout:
+            lines.append(line)
+            if line.startswith("{"):
+                events.append(json.loads(line))
+                if events[-1].get("event") == "node.started":
+                    break
+        started = bool(events) and events[-1]["event"] == "node.started"
+        p.kill()
+        p.communicate()
+        assert started, "".join(lines)
+        return events
+
+
+def process_file(d):
+    """Return the process file of a running node, parsed."""
+    with open(d.nodes[0].file) as f:
+        return json.loads(re.sub(r"^\s*//.*$", "", f.read(), flags=re.M))
+
+
+def problems(events):
+    return [e["what"] for e in events if e["event"] == "procfile.problem"]
+
+
+def start_with(d, base, key, value):
+    """Start a node with one figure replaced; return an error, or None."""
+    conf = dict(base, id="x")
+    conf.update({"listen": "127.0.0.1:0", "control_listen": "127.0.0.1:0",
+                 "ready_listen": "127.0.0.1:0"})
+    conf.pop(key, None)
+    if value is not MISSING:
+        conf[key] = value
+    start = Start(d, json.dumps(conf), "%s-%d" % (key, next(d.ids)))
+    is_bad = value is not MISSING and value not in ODD_VALUES
+    try:
+        found = problems(start.events())
+    except AssertionError as e:
+        return "%s = %r: did not start: %s" % (key, value, e)
+    if is_bad and not any("/%s: expected" % key in p for p in found):
+        return "%s = %r: not in the log: %s" % (key, value, found)
+    status, lines = start.check()
+    if (status != 0) != bool(found) or len(lines) != len(found):
+        return "%s = %r: --check: %d, %s; log: %s" % (key, value, status, lines, found)
+    return None
+
+
+def test_one_odd_figure_keeps_no_node_from_starting():
+    """Guards against a fleet that ends with status 2 as one figure of its process file is
+    missing, out of range or of another type. The log and --check must name it."""
+    with Hosted(nodes=1) as d:
+        base = process_file(d)
+        cases = [(key, value) for key in FIGURES for value in BAD_VALUES + ODD_VALUES]
+        with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+            errors = list(pool.map(lambda c: start_with(d, base, *c), cases))
+        errors = [e for e in errors if e]
+        assert not errors, "%d of %d:\n%s" % (len(errors), len(cases), "\n".join(errors[:20]))
+        return "%d starts" % len(cases)
+
+
+def test_a_platform_that_leaves_out_a_field_gets_a_node():
+    """Guards against a template whose gaps are no JSON where the platform has no value."""
+    with Hosted(nodes=1) as d:
+        for key, field in sorted(TEMPLATE_FIELDS.items()):
+            bounds = dict(d.bounds, exposureShare=0.1, exposureSlack=5, rollbackMs=900)
+            bounds.pop(field)
+            node = d.add_node(bounds=bounds)
+            found = problems(node.events())
+            assert len(found) == 1 and "/%s: expected" % key in found[0], (field, found)
+            node.kill()
+        node = d.add_node(bounds={}, limits={}, bootstrap=False)
+        assert "cpu_share" in str(problems(node.events())), problems(node.events())
+
+
+def test_a_given_zero_is_no_missing_figure():
+    """Guards against a budget of 0 retries that is taken for the default of 20."""
+    with Hosted(nodes=1, bounds={"budgetExtra": 0, "quotaSlack": 0}) as d:
+        assert not problems(d.nodes[0].events())
+        assert int(process_file(d)["retry_burst"]) == 0
+
+
+def test_a_reload_with_a_bad_figure_keeps_the_value_in_force():
+    """Guards against a default that a reload installs in place of a sound value, and
+    against one bad figure that keeps the sound ones beside it from being taken over."""
+    with Hosted(nodes=1, bounds={"quotaSlack": 77}) as d:
+        node = d.nodes[0]
+        conf = process_file(d)
+        conf.update(stop_s=-3, quota_slack="many", retry_ratio=0.4, unheard_of=1)
+        with open(node.file, "w") as f:
+            json.dump(conf, f)
+        reloaded = node.wait_event("node.reloaded", START_S)
+        assert reloaded["stop_ms"] == d.bounds["graceS"] * 1000, reloaded
+        assert reloaded["quota_slack"] == 77 and reloaded["retry_pct"] == 40, reloaded
+        found = problems(node.events())
+        for key in ("stop_s", "quota_slack", "unheard_of"):
+            assert any("/%s: expected" % key in p for p in found), (key, found)
+        assert len(found) == 3, found
+
+
+def test_what_has_no_default_ends_the_start_with_its_place():
+    """Guards against a mistake that ends a node without naming the file, line and key."""
+    with Hosted(nodes=1) as d:
+        base = process_file(d)
+        too_long = '{\n"id": "%s"}' % ("x" * 99)
+        cases = [(":3: expected a JSON object", '{"id": "a",\n"stop_s":\n,}'),
+                 (":1: expected a JSON object", "[]"),
+                 (":1: /id: expected a value", json.dumps(dict(base, id=None))),
+                 (": /platform: expected a value", '{"id": "a", "failure_domain": "b"}'),
+                 (":2: /id: expected a string of at most 47 characters", too_long),
+                 (":2: /listen: expected a string", '{\n"listen": 5}')]
+        for expected, text in cases:
+            r = subprocess.run(Start(d, text, "bad").command, capture_output=True, text=True,
+                               timeout=START_S, check=False)
+            assert r.returncode == 2, (text, r)
+            assert expected in r.stderr and len(r.stderr.splitlines()) == 1, (expected, r)
--- a/tests/run.py
+++ b/tests/run.py
@@ -47,6 +47,7 @@
     "proc_hosted_framing": "hosted  answers that end early, under each framing",
     "proc_hosted_lifetimes": "hosted  nodes outlive random orders of what ends calls and VMs",
     "proc_hosted_stops": "hosted  a planned stop ends in time whatever a node waits for",
+    "proc_hosted_start": "hosted  a node starts whatever is odd in its figures, or says why",
     "proc_hosted_ends": "hosted  a node that ends by itself says why",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
     "proc_hosted_input": "hosted  bad input",
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -662,7 +662,9 @@
         return "".join(out)
 
     def expand_field(match):
-        value = lookup(match.group(1))
+        value = lookup_or_none(match.group(1))
+        if value is None:
+            return ""
         return json.dumps(value) if isinstance(value, bool) else str(value)
 
     text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", expand_section, text, flags=re.S)
