node: wait at the start for addresses that are taken

What callers saw: a node that was started while the process before it was still in its planned stop, or while a client of another process had one of its ports, ended with status 1 within 0.02 s, again at each start until the address was free.

Cause: bind() was tried once. Now all addresses are checked before the first is bound, so that no caller connects to a node that waits; each that is taken is logged (listener.waiting, listener.free) and tried again every 200 ms, until 2 s after the longest planned stop, at least 65 s. A port whose client closed its connection first stays taken for 60 s, also for a listener with SO_REUSEADDR (seen with bind() on loopback). An address that is malformed still ends the start at once, and SIGTERM ends the wait with status 0. A node serves without its metrics until their address is free.

--- a/common/addr.c
+++ b/common/addr.c
@@ -37,8 +37,12 @@
         fd >= 0 &&
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
         bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) == 0;
-    if (!is_free)
-        rk_fail(RK_ESYSTEM, "port %u: %s", ntohs(addr->sin_port), strerror(errno));
+    if (!is_free) {
+        char ip[INET_ADDRSTRLEN];
+        int err = errno;
+        inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof(ip));
+        rk_fail(RK_ESYSTEM, "%s:%u: %s", ip, ntohs(addr->sin_port), strerror(err));
+    }
     if (fd >= 0)
         close(fd);
     return is_free;
--- a/common/process.c
+++ b/common/process.c
@@ -2,18 +2,32 @@
 
 #include <signal.h>
 #include <stdlib.h>
+#include <time.h>
 #include <unistd.h>
 
-void rk_process_wait_stop_signal(void)
+static sigset_t stop_signals(void)
 {
     sigset_t set;
-    int sig;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    return set;
+}
+
+void rk_process_wait_stop_signal(void)
+{
+    const sigset_t set = stop_signals();
+    int sig;
     sigwait(&set, &sig);
 }
 
+bool rk_process_wait_stop_signal_for(int timeout_ms)
+{
+    const sigset_t set = stop_signals();
+    const struct timespec timeout = {.tv_nsec = timeout_ms * 1000000L};
+    return sigtimedwait(&set, NULL, &timeout) > 0;
+}
+
 void rk_process_end(int status)
 {
 #ifdef __SANITIZE_ADDRESS__
--- a/node/node.c
+++ b/node/node.c
@@ -14,6 +14,7 @@
 #include "common/http1.h"
 #include "common/latency.h"
 #include "core/revision.h"
+#include "node/listen_wait.h"
 #include "node/metric_label.h"
 #include "node/state.h"
 #include "objects/store.h"
@@ -22,6 +23,7 @@
 #define ADMIN_IDLE_MS      10000
 #define ADMIN_CLIENTS      32
 #define STOP_CHECK_MS      50
+#define METRICS_RETRY_MS   1000
 /* Time until the load balancer in front has noticed that this node isn't ready, and
  * sends no more connections to it. */
 #define BALANCER_DRAIN_MS 2600
@@ -330,17 +332,58 @@
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
 
-static enum rk_status create_servers(struct rk_node *n)
+static enum rk_status create_mesh(struct rk_node *n)
+{
+    n->mesh = rk_mesh_create(n);
+    return n->mesh ? RK_OK : RK_ESYSTEM;
+}
+
+static enum rk_status create_ready_server(struct rk_node *n)
 {
     n->ready_server = rk_server_create(n->loop, n->file.ready_listen, &admin_limits,
                                        &ready_ops, n);
-    if (!n->ready_server)
-        return RK_ESYSTEM;
-    if (!n->file.metrics_listen[0])
-        return RK_OK;
+    return n->ready_server ? RK_OK : RK_ESYSTEM;
+}
+
+static bool create_metrics_server(struct rk_node *n)
+{
     n->metrics_server = rk_server_create(n->loop, n->file.metrics_listen,
                                          &admin_limits, &metrics_ops, n);
-    return n->metrics_server ? RK_OK : RK_ESYSTEM;
+    return n->metrics_server != NULL;
+}
+
+static void on_metrics_retry(void *ctx)
+{
+    struct rk_node *n = ctx;
+    if (create_metrics_server(n))
+        RK_EVENT("listener.free", RK_S("listener", "metrics"),
+                 RK_S("addr", rk_server_addr(n->metrics_server)),
+                 RK_N("waited_ms", rk_mono_ms() - n->started_ms));
+    else
+        rk_timer_start(n->loop, &n->metrics_retry, METRICS_RETRY_MS);
+}
+
+/* A node serves without its metrics. */
+static void start_metrics(struct rk_node *n)
+{
+    if (!n->file.metrics_listen[0] || create_metrics_server(n))
+        return;
+    RK_WARN("listener.waiting", RK_S("listener", "metrics"),
+            RK_S("addr", n->file.metrics_listen), RK_S("why", rk_last_error()));
+    rk_timer_start(n->loop, &n->metrics_retry, METRICS_RETRY_MS);
+}
+
+/* Calls create() until it succeeds. Its addresses were free, but another process
+ * may have taken one since. */
+static enum rk_status create_listening(struct rk_node *n, int64_t deadline_ms,
+                                       enum rk_status (*create)(struct rk_node *))
+{
+    while (create(n) != RK_OK) {
+        enum rk_status st = rk_listen_wait_retry(deadline_ms);
+        if (st != RK_OK)
+            return st;
+    }
+    return RK_OK;
 }
 
 static uint64_t random_seed(void)
@@ -356,7 +399,7 @@
     return seed;
 }
 
-static enum rk_status create_components(struct rk_node *n)
+static enum rk_status create_components(struct rk_node *n, int64_t deadline_ms)
 {
     n->loop = rk_loop_create();
     n->http = rk_http_create(n->loop);
@@ -368,10 +411,14 @@
     n->quarantines = rk_quarantines_create(n);
     n->signals = rk_signals_create(n);
     n->leader = rk_leader_create(n);
-    if (create_relay(n) != RK_OK)
-        return RK_ESYSTEM;
-    n->mesh = rk_mesh_create(n);
-    return n->mesh ? create_servers(n) : RK_ESYSTEM;
+    enum rk_status st = create_listening(n, deadline_ms, create_relay);
+    if (st == RK_OK)
+        st = create_listening(n, deadline_ms, create_mesh);
+    if (st == RK_OK)
+        st = create_listening(n, deadline_ms, create_ready_server);
+    if (st == RK_OK)
+        start_metrics(n);
+    return st;
 }
 
 enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out)
@@ -380,6 +427,10 @@
     if (!platform)
         return rk_fail(RK_EINVAL, "/dialect: expected a known platform, not '%s'",
                        file->dialect);
+    int64_t deadline_ms = rk_listen_deadline_ms(file);
+    enum rk_status st = rk_listen_wait(file, deadline_ms);
+    if (st != RK_OK)
+        return st;
     struct rk_node *n = rk_alloc(1, sizeof(*n));
     n->file = *file;
     atomic_store(&n->stop_ms, rk_s_to_ms(file->stop_s));
@@ -389,7 +440,8 @@
     n->hash = rk_hash(n->incarnation, file->id, strlen(file->id));
     n->started_ms = rk_mono_ms();
     n->stop = (struct rk_timer){.fn = on_stop_check, .ctx = n};
-    enum rk_status st = create_components(n);
+    n->metrics_retry = (struct rk_timer){.fn = on_metrics_retry, .ctx = n};
+    st = create_components(n, deadline_ms);
     if (st != RK_OK)
         return st; /* what was created so far isn't freed: the process ends */
     *out = n;
@@ -399,6 +451,7 @@
 void rk_node_destroy(struct rk_node *n)
 {
     rk_timer_stop(n->loop, &n->stop);
+    rk_timer_stop(n->loop, &n->metrics_retry);
     rk_server_destroy(n->ready_server);
     rk_server_destroy(n->metrics_server);
     rk_relay_destroy(n->relay);
--- a/node/node.h
+++ b/node/node.h
@@ -12,9 +12,11 @@
 struct rk_node;
 struct rk_procfile;
 
-/* Creates a node with a copy of the process file and binds its addresses. The
- * caller owns *out. On failure, *out is not set and rk_last_error() gives the
- * reason; the process has to end, as what was created so far is not freed. */
+/* Creates a node with a copy of the process file and binds its addresses, after
+ * waiting for those that are taken (node/listen_wait.h); that of the metrics may be
+ * bound later. The caller owns *out. On failure, *out is not set and
+ * rk_last_error() gives the reason (RK_EGONE: the process was told to stop
+ * meanwhile); the process has to end, as what was created so far is not freed. */
 enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out);
 /* Frees a node. To be called after rk_node_run() has returned. */
 void rk_node_destroy(struct rk_node *n);
--- a/node/state.h
+++ b/node/state.h
@@ -61,6 +61,7 @@
     bool leaving; /* in a planned stop */
     int64_t leaving_since_ms;
     struct rk_timer stop;
+    struct rk_timer metrics_retry; /* until the metrics listener is bound */
     /* When a planned stop was requested and when it was complete, monotonic; 0: not
      * yet. These three are set and read by any thread. */
     _Atomic int64_t stop_requested_ms, stopped_ms;
--- a/programs/node.c
+++ b/programs/node.c
@@ -173,9 +173,11 @@
     rk_log_init(in_force.id, in_force.failure_domain, args.level);
     rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
-    if (rk_node_create(&in_force, &node) != RK_OK) {
+    enum rk_status st = rk_node_create(&in_force, &node);
+    if (st != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
-        return 1;
+        rk_log_flush();
+        rk_process_end(st == RK_EGONE ? 0 : 1);
     }
     pthread_t reload_thread, stop_thread;
     pthread_create(&reload_thread, NULL, run_reload_thread, node);
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -4,11 +4,16 @@
 import json
 import os
 import re
+import signal
+import socket
 import subprocess
+import time
 
-from hosted import Hosted
+from cluster import Proc, free_port
+from hosted import Hosted, http
 
 START_S = 10
+HOLD_S = 2
 # Figures of the process file that deploy/entry.json fills from fields of the platform.
 TEMPLATE_FIELDS = {
     "stop_s": "graceS", "lease_ms": "leaseMs", "usage_window_s": "reportWindowS",
@@ -158,3 +163,126 @@
                                timeout=START_S, check=False)
             assert r.returncode == 2, (text, r)
             assert expected in r.stderr and len(r.stderr.splitlines()) == 1, (expected, r)
+
+
+# Keys of the process file and the names of the listeners in events.
+LISTENERS = {"listen": "callers", "forward_listen": "forward", "control_listen": "control",
+             "ready_listen": "ready"}
+
+
+def hold_address():
+    """Take a port as another process does; return the sockets and the address."""
+    s = socket.socket()
+    s.bind(("127.0.0.1", 0))
+    s.listen(1)
+    return [s], "127.0.0.1:%d" % s.getsockname()[1]
+
+
+def hold_by_connection():
+    """The same as the local port of a connection, which the peer closes first."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    client = socket.create_connection(listener.getsockname())
+    peer, _ = listener.accept()
+    return [listener, peer, client], "127.0.0.1:%d" % client.getsockname()[1]
+
+
+def close(sockets):
+    for s in sockets:
+        s.close()
+
+
+def with_addresses(d, addresses, **more):
+    """Return the start of a node that listens at these addresses, and at any others."""
+    conf = dict(process_file(d), id="y", **more)
+    conf.update({key: "127.0.0.1:0" for key in list(LISTENERS) + ["metrics_listen"]})
+    conf.update(addresses)
+    return Start(d, json.dumps(conf), "held-%d" % next(d.ids))
+
+
+def check_waits_for(d, key, hold=hold_address):
+    """Check that a node gets an address that is taken when it starts."""
+    held, addr = hold()
+    node = Proc(with_addresses(d, {key: addr}).command,
+                os.path.join(d.dir, "%s-%d.log" % (key, next(d.ids))), "")
+    try:
+        event = node.wait_event("listener.waiting", START_S)
+        assert (event["listener"], event["addr"]) == (LISTENERS[key], addr), event
+        assert "in use" in event["why"], event
+        time.sleep(HOLD_S)
+        assert node.popen.poll() is None
+        close(held)
+        started = node.wait_event("node.started", START_S)
+        assert addr in started.values(), started
+        free = node.wait_event("listener.free", START_S)
+        assert free["addr"] == addr and free["waited_ms"] >= HOLD_S * 1000, free
+    finally:
+        node.kill()
+
+
+def test_a_node_waits_for_an_address_that_is_taken():
+    """Guards against a node that ends as the process before it, still in its stop, has its
+    address, or a client of another process has its port."""
+    with Hosted(nodes=1) as d:
+        with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+            list(pool.map(lambda key: check_waits_for(d, key), LISTENERS))
+        check_waits_for(d, "listen", hold_by_connection)
+
+
+def test_a_node_takes_over_from_one_that_is_stopping():
+    """The same with two real processes: the second is started while the first stops."""
+    with Hosted(nodes=1) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        addr = {"listen": "127.0.0.1:%d" % free_port()}
+        start = with_addresses(d, addr)
+        first = Proc(start.command, start.path + ".1.log", "node.started")
+        caller = socket.create_connection(("127.0.0.1", d.port(addr["listen"])))
+        caller.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\n")
+        first.signal(signal.SIGTERM)
+        second = Proc(start.command, start.path + ".2.log", "node.started")
+        try:
+            assert first.popen.wait(START_S) == 0
+            assert second.popen.poll() is None
+        finally:
+            caller.close()
+            first.kill()
+            second.kill()
+
+
+def test_a_node_that_waits_for_an_address_can_be_stopped():
+    """Guards against a start that is deaf to SIGTERM."""
+    with Hosted(nodes=1) as d:
+        held, addr = hold_address()
+        node = Proc(with_addresses(d, {"listen": addr}).command,
+                    os.path.join(d.dir, "stopped.log"), "listener.waiting")
+        node.signal(signal.SIGTERM)
+        assert node.popen.wait(2) == 0
+        close(held)
+
+
+def test_an_address_that_is_none_ends_the_start_at_once():
+    """Guards against a wait for an address that can't be one."""
+    with Hosted(nodes=1) as d:
+        for key in LISTENERS:
+            r = subprocess.run(with_addresses(d, {key: "nowhere"}).command, timeout=1,
+                               capture_output=True, text=True, check=False)
+            assert r.returncode == 1 and "nowhere: expected ip:port" in r.stderr, r
+
+
+def test_a_node_serves_without_its_metrics():
+    """Guards against a node that ends as its metrics can't be read. Once the address is free,
+    they can."""
+    with Hosted(nodes=1) as d:
+        held, addr = hold_address()
+        start = with_addresses(d, {"metrics_listen": addr})
+        node = Proc(start.command, start.path + ".log", "node.started")
+        try:
+            assert node.ready["metrics"] == "", node.ready
+            assert node.wait_event("listener.waiting", START_S)["addr"] == addr
+            close(held)
+            assert node.wait_event("listener.free", START_S)["addr"] == addr
+            assert http(d.port(addr), "GET", "/metrics").status == 200
+        finally:
+            node.kill()
