node, entry: a thread or a descriptor that the system refuses ends the start with a line

What callers saw: nothing of a node whose relay thread could not be created, though it had logged node.started. Where the reload or the stop thread could not be created, the process ended by SIGSEGV, as pthread_setname_np() was given a thread that did not exist. Where there was no descriptor for a loop, an assertion ended it.

Cause: nobody looked at the result of pthread_create(). rk_process_start_thread() does; node.started is logged after the relay's thread runs. A node serves without the thread that reads the process file again (node.reload_unavailable). epoll_create1(), eventfd() and socket() end the start with the call or the address and the reason, and a missing descriptor is not waited for as a taken address is.

The retry of a listener whose address is taken between its check and bind() is gone: it also waited where the system has no descriptors.

--- a/callers/server.c
+++ b/callers/server.c
@@ -468,6 +468,10 @@
         return -1;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
+        return -1;
+    }
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
         listen(fd, LISTEN_BACKLOG) < 0) {
--- a/common/addr.c
+++ b/common/addr.c
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "common/status.h"
 #include "common/util.h"
 
 bool rk_addr_parse(const char *s, struct sockaddr_in *out)
@@ -27,23 +26,27 @@
            inet_pton(AF_INET, ip, &out->sin_addr) == 1;
 }
 
-bool rk_addr_is_free(const struct sockaddr_in *addr)
+static enum rk_status fail_bind(const struct sockaddr_in *addr, int err)
+{
+    char ip[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof(ip));
+    enum rk_status st =
+        err == EADDRINUSE || err == EADDRNOTAVAIL ? RK_ECONFLICT : RK_ESYSTEM;
+    return rk_fail(st, "%s:%u: %s", ip, ntohs(addr->sin_port), strerror(err));
+}
+
+enum rk_status rk_addr_check_free(const struct sockaddr_in *addr)
 {
     if (!addr->sin_port)
-        return true;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        return RK_OK;
     int one = 1;
-    bool is_free =
-        fd >= 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
-        bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) == 0;
-    if (!is_free) {
-        char ip[INET_ADDRSTRLEN];
-        int err = errno;
-        inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof(ip));
-        rk_fail(RK_ESYSTEM, "%s:%u: %s", ip, ntohs(addr->sin_port), strerror(err));
-    }
-    if (fd >= 0)
-        close(fd);
-    return is_free;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return fail_bind(addr, errno);
+    enum rk_status st = RK_OK;
+    if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) != 0 ||
+        bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0)
+        st = fail_bind(addr, errno);
+    close(fd);
+    return st;
 }
--- a/common/addr.h
+++ b/common/addr.h
@@ -5,6 +5,8 @@
 
 #include <stdbool.h>
 
+#include "common/status.h"
+
 struct sockaddr_in;
 
 /* Parses s, a numeric IPv4 address, a colon and a port from 0 to 65535. The port is
@@ -12,10 +14,11 @@
  * else; *out is then not to be used. */
 bool rk_addr_parse(const char *s, struct sockaddr_in *out);
 
-/* Returns whether a socket can be bound to the address; if not, rk_last_error()
- * says why. Port 0 always counts as free. Processes whose sockets use SO_REUSEPORT
- * can take the same port without an error, so a process calls this once before its
- * threads open such sockets. */
-bool rk_addr_is_free(const struct sockaddr_in *addr);
+/* Returns RK_OK if a socket can be bound to the address, RK_ECONFLICT if the
+ * address is taken or this machine doesn't have it, and RK_ESYSTEM if the system
+ * fails otherwise; rk_last_error() names the address. Port 0 is always free.
+ * Processes whose sockets use SO_REUSEPORT can take the same port without an error,
+ * so a process calls this once before its threads open such sockets. */
+enum rk_status rk_addr_check_free(const struct sockaddr_in *addr);
 
 #endif
--- a/common/loop.c
+++ b/common/loop.c
@@ -4,12 +4,15 @@
 #include <ck_ring.h>
 #include <errno.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 #include "common/arena.h"
+#include "common/process.h"
 #include "common/tsan.h"
 #include "common/util.h"
 
@@ -45,12 +48,20 @@
     struct rk_arena *scratch;
 };
 
+/* Returns fd. Ends the process if the call that should have returned it failed. */
+static int check_fd(int fd, const char *call)
+{
+    if (fd >= 0)
+        return fd;
+    fprintf(stderr, "%s: %s\n", call, strerror(errno));
+    rk_process_end(EXIT_FAILURE);
+}
+
 struct rk_loop *rk_loop_create(void)
 {
     struct rk_loop *l = rk_alloc(1, sizeof(*l));
-    l->epfd = epoll_create1(EPOLL_CLOEXEC);
-    l->wakefd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-    assert(l->epfd >= 0 && l->wakefd >= 0);
+    l->epfd = check_fd(epoll_create1(EPOLL_CLOEXEC), "epoll_create1");
+    l->wakefd = check_fd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK), "eventfd");
     l->ring_buf = rk_alloc(DISPATCH_SLOTS, sizeof(*l->ring_buf));
     ck_ring_init(&l->ring, DISPATCH_SLOTS);
     l->scratch = rk_arena_create();
--- a/common/loop.h
+++ b/common/loop.h
@@ -27,7 +27,8 @@
     size_t slot;    /* index in the loop's heap plus one; 0 while stopped */
 };
 
-/* Never returns NULL. */
+/* Never returns NULL. Ends the process, with a line on standard error, if the
+ * system gives it no descriptor. */
 struct rk_loop *rk_loop_create(void);
 /* Functions still in the queue are not called any more. loop may be NULL. */
 void rk_loop_destroy(struct rk_loop *loop);
--- a/common/process.c
+++ b/common/process.c
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -28,6 +29,16 @@
     return sigtimedwait(&set, NULL, &timeout) > 0;
 }
 
+enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
+                                       void *(*run)(void *arg), void *arg)
+{
+    int err = pthread_create(out, NULL, run, arg);
+    if (err)
+        return rk_fail(RK_ESYSTEM, "thread %s: %s", name, strerror(err));
+    pthread_setname_np(*out, name);
+    return RK_OK;
+}
+
 void rk_process_end(int status)
 {
 #ifdef __SANITIZE_ADDRESS__
--- a/common/process.h
+++ b/common/process.h
@@ -1,13 +1,20 @@
-/* How a process is told to stop, and its end. */
+/* The threads of a process, how it is told to stop, and its end. */
 #ifndef RK_COMMON_PROCESS_H
 #define RK_COMMON_PROCESS_H
 
+#include <pthread.h>
 #include <stdbool.h>
 
+#include "common/status.h"
+
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
 /* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
 bool rk_process_wait_stop_signal_for(int timeout_ms);
+/* Starts a thread that calls run(arg). name: at most 15 characters. Returns
+ * RK_ESYSTEM and sets rk_last_error() if the system creates none. */
+enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
+                                       void *(*run)(void *arg), void *arg);
 /* Ends the process without the functions that libraries run at the exit: other
  * threads may still use those libraries, and on a busy disk it takes seconds to
  * load code that has not run before. */
--- a/node/listen_wait.c
+++ b/node/listen_wait.c
@@ -27,22 +27,16 @@
     return rk_mono_ms() + (wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
 }
 
-enum rk_status rk_listen_wait_retry(int64_t deadline_ms)
-{
-    if (rk_mono_ms() >= deadline_ms)
-        return RK_ESYSTEM;
-    if (rk_process_wait_stop_signal_for(RETRY_MS))
-        return rk_fail(RK_EGONE, "told to stop while waiting for an address");
-    return RK_OK;
-}
-
 static enum rk_status check_free(struct listener *l, int64_t since_ms,
                                  int64_t deadline_ms)
 {
     struct sockaddr_in addr;
     if (!rk_addr_parse(l->addr, &addr))
         return rk_fail(RK_EINVAL, "%s: expected ip:port", l->addr);
-    l->is_free = rk_addr_is_free(&addr);
+    enum rk_status st = rk_addr_check_free(&addr);
+    if (st != RK_OK && st != RK_ECONFLICT)
+        return st;
+    l->is_free = st == RK_OK;
     if (l->is_free && l->waiting)
         RK_EVENT("listener.free", RK_S("listener", l->name), RK_S("addr", l->addr),
                  RK_N("waited_ms", rk_mono_ms() - since_ms));
@@ -69,14 +63,16 @@
             bool is_used = l->addr != file->forward_listen || l->addr[0];
             if (!is_used || l->is_free)
                 continue;
-            if (check_free(l, since_ms, deadline_ms) != RK_OK)
-                return RK_EINVAL;
+            enum rk_status st = check_free(l, since_ms, deadline_ms);
+            if (st != RK_OK)
+                return st;
             all_free = all_free && l->is_free;
         }
         if (all_free)
             return RK_OK;
-        enum rk_status st = rk_listen_wait_retry(deadline_ms);
-        if (st != RK_OK)
-            return st;
+        if (rk_mono_ms() >= deadline_ms)
+            return RK_ECONFLICT;
+        if (rk_process_wait_stop_signal_for(RETRY_MS))
+            return rk_fail(RK_EGONE, "told to stop while waiting for an address");
     }
 }
--- a/node/listen_wait.h
+++ b/node/listen_wait.h
@@ -16,12 +16,9 @@
 
 /* Waits until the addresses for callers, peers and readiness checks are all free.
  * Logs each that isn't, and when it is. Fails with rk_last_error() naming the
- * address: RK_EINVAL at once if it is malformed, RK_ESYSTEM at the deadline, and
- * RK_EGONE when the process is told to stop. */
+ * address: RK_EINVAL at once if it is malformed, RK_ESYSTEM at once if the system
+ * fails, RK_ECONFLICT at the deadline, and RK_EGONE when the process is told to
+ * stop. */
 enum rk_status rk_listen_wait(const struct rk_procfile *file, int64_t deadline_ms);
 
-/* Waits until the next attempt to listen is due. Fails as rk_listen_wait() does,
- * with the last error kept at the deadline. */
-enum rk_status rk_listen_wait_retry(int64_t deadline_ms);
-
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -13,6 +13,7 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/process.h"
 #include "core/revision.h"
 #include "node/listen_wait.h"
 #include "node/metric_label.h"
@@ -373,19 +374,6 @@
     rk_timer_start(n->loop, &n->metrics_retry, METRICS_RETRY_MS);
 }
 
-/* Calls create() until it succeeds. Its addresses were free, but another process
- * may have taken one since. */
-static enum rk_status create_listening(struct rk_node *n, int64_t deadline_ms,
-                                       enum rk_status (*create)(struct rk_node *))
-{
-    while (create(n) != RK_OK) {
-        enum rk_status st = rk_listen_wait_retry(deadline_ms);
-        if (st != RK_OK)
-            return st;
-    }
-    return RK_OK;
-}
-
 static uint64_t random_seed(void)
 {
     uint64_t seed = (uint64_t)rk_wall_ms() ^ (uint64_t)rk_mono_us() << 20;
@@ -399,7 +387,7 @@
     return seed;
 }
 
-static enum rk_status create_components(struct rk_node *n, int64_t deadline_ms)
+static enum rk_status create_components(struct rk_node *n)
 {
     n->loop = rk_loop_create();
     n->http = rk_http_create(n->loop);
@@ -411,11 +399,11 @@
     n->quarantines = rk_quarantines_create(n);
     n->signals = rk_signals_create(n);
     n->leader = rk_leader_create(n);
-    enum rk_status st = create_listening(n, deadline_ms, create_relay);
+    enum rk_status st = create_relay(n);
     if (st == RK_OK)
-        st = create_listening(n, deadline_ms, create_mesh);
+        st = create_mesh(n);
     if (st == RK_OK)
-        st = create_listening(n, deadline_ms, create_ready_server);
+        st = create_ready_server(n);
     if (st == RK_OK)
         start_metrics(n);
     return st;
@@ -427,8 +415,7 @@
     if (!platform)
         return rk_fail(RK_EINVAL, "/dialect: expected a known platform, not '%s'",
                        file->dialect);
-    int64_t deadline_ms = rk_listen_deadline_ms(file);
-    enum rk_status st = rk_listen_wait(file, deadline_ms);
+    enum rk_status st = rk_listen_wait(file, rk_listen_deadline_ms(file));
     if (st != RK_OK)
         return st;
     struct rk_node *n = rk_alloc(1, sizeof(*n));
@@ -441,7 +428,7 @@
     n->started_ms = rk_mono_ms();
     n->stop = (struct rk_timer){.fn = on_stop_check, .ctx = n};
     n->metrics_retry = (struct rk_timer){.fn = on_metrics_retry, .ctx = n};
-    st = create_components(n, deadline_ms);
+    st = create_components(n);
     if (st != RK_OK)
         return st; /* what was created so far isn't freed: the process ends */
     *out = n;
@@ -478,9 +465,13 @@
     return NULL;
 }
 
-void rk_node_run(struct rk_node *n)
+enum rk_status rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
+    enum rk_status st =
+        rk_process_start_thread(&traffic, "relay", run_relay, n->relay);
+    if (st != RK_OK)
+        return st;
     RK_EVENT(
         "node.started", RK_S("listen", rk_relay_addr(n->relay)),
         RK_S("ready", rk_server_addr(n->ready_server)),
@@ -495,8 +486,7 @@
     rk_sync_start(n->sync);
     rk_mesh_start(n->mesh);
     rk_leader_start(n->leader);
-    pthread_create(&traffic, NULL, run_relay, n->relay);
-    pthread_setname_np(traffic, "relay");
     rk_loop_run(n->loop);
     pthread_join(traffic, NULL);
+    return RK_OK;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -22,8 +22,9 @@
 void rk_node_destroy(struct rk_node *n);
 
 /* Runs the control loop on the calling thread and the relay on another one. Returns
- * when a planned stop is complete. */
-void rk_node_run(struct rk_node *n);
+ * RK_OK when a planned stop is complete, and RK_ESYSTEM at once if the other thread
+ * can't be created: see rk_last_error(). */
+enum rk_status rk_node_run(struct rk_node *n);
 
 /* Any thread. Begins a planned stop: the node is no longer ready, removes itself
  * from the store's node list, closes its connections and ends within the process
--- a/peers/link.c
+++ b/peers/link.c
@@ -378,6 +378,10 @@
         return NULL;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
+        return NULL;
+    }
     int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (shared)
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -268,7 +268,7 @@
 {
     struct sockaddr_in addr;
     if (rk_addr_parse(listen, &addr))
-        return rk_addr_is_free(&addr);
+        return rk_addr_check_free(&addr) == RK_OK;
     rk_fail(RK_EINVAL, "%s: expected ip:port", listen);
     return false;
 }
@@ -308,6 +308,17 @@
     return true;
 }
 
+/* Returns false if the system doesn't create one of them. */
+static bool start_threads(struct node *n, pthread_t *signal_thread)
+{
+    for (size_t i = 0; i < n->workers_len; i++)
+        if (rk_process_start_thread(&n->workers[i].thread, "traffic", run_worker,
+                                    &n->workers[i]) != RK_OK)
+            return false;
+    return rk_process_start_thread(signal_thread, "signal", run_signal_thread, n) ==
+           RK_OK;
+}
+
 static void destroy_node(struct node *n)
 {
     for (size_t i = 0; i < n->workers_len; i++) {
@@ -344,10 +355,12 @@
     }
     rk_log_set_level(args.level);
     rk_control_start(n.control);
-    for (size_t i = 0; i < n.workers_len; i++)
-        pthread_create(&n.workers[i].thread, NULL, run_worker, &n.workers[i]);
     pthread_t signal_thread;
-    pthread_create(&signal_thread, NULL, run_signal_thread, &n);
+    if (!start_threads(&n, &signal_thread)) {
+        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_log_flush();
+        rk_process_end(1);
+    }
     rk_control_run(n.control);
     pthread_join(signal_thread, NULL);
     destroy_node(&n);
--- a/programs/node.c
+++ b/programs/node.c
@@ -146,6 +146,14 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
+/* Ends a process whose start failed. st: RK_EGONE if it was told to stop. */
+static _Noreturn void end_start(enum rk_status st)
+{
+    fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+    rk_log_flush();
+    rk_process_end(st == RK_EGONE ? 0 : 1);
+}
+
 /* Prints the result of --check and returns the exit status. */
 static int print_check(void)
 {
@@ -174,17 +182,18 @@
     rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
     enum rk_status st = rk_node_create(&in_force, &node);
-    if (st != RK_OK) {
-        fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
-        rk_log_flush();
-        rk_process_end(st == RK_EGONE ? 0 : 1);
-    }
+    if (st != RK_OK)
+        end_start(st);
     pthread_t reload_thread, stop_thread;
-    pthread_create(&reload_thread, NULL, run_reload_thread, node);
-    pthread_create(&stop_thread, NULL, run_stop_thread, node);
-    pthread_setname_np(reload_thread, "reload");
-    pthread_setname_np(stop_thread, "stop");
-    rk_node_run(node);
+    st = rk_process_start_thread(&stop_thread, "stop", run_stop_thread, node);
+    if (st != RK_OK)
+        end_start(st);
+    if (rk_process_start_thread(&reload_thread, "reload", run_reload_thread,
+                                node) != RK_OK)
+        RK_WARN("node.reload_unavailable", RK_S("why", rk_last_error()));
+    st = rk_node_run(node);
+    if (st != RK_OK)
+        end_start(st);
     /* These threads still use the node and the log, so neither is freed. */
     rk_log_flush();
     rk_process_end(0);
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -47,20 +48,26 @@
 
     def events(self):
         """Start the node and return its events until node.started; the node is killed then."""
-        p = subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
-                             text=True)
-        events, lines = [], []
-        for line in p.stdout:
-            lines.append(line)
-            if line.startswith("{"):
-                events.append(json.loads(line))
-                if events[-1].get("event") == "node.started":
-                    break
-        started = bool(events) and events[-1]["event"] == "node.started"
+        p = self.popen()
+        text = read_until_started(p)
         p.kill()
         p.communicate()
-        assert started, "".join(lines)
-        return events
+        assert "node.started" in text, text
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    def popen(self, **kw):
+        return subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                                text=True, **kw)
+
+
+def read_until_started(p):
+    """Return a node's output up to node.started, or all if it ends before."""
+    text = ""
+    for line in p.stdout:
+        text += line
+        if "node.started" in line:
+            break
+    return text
 
 
 def process_file(d):
@@ -286,3 +293,65 @@
             assert http(d.port(addr), "GET", "/metrics").status == 200
         finally:
             node.kill()
+
+
+# Fails the call of pthread_create() whose number, from 1 on, is in FAILING_THREAD.
+FAILING_THREADS = """
+#include <dlfcn.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+int pthread_create(pthread_t *t, const pthread_attr_t *a, void *(*run)(void *), void *arg)
+{
+    static int calls;
+    int (*next)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *) =
+        dlsym(RTLD_NEXT, "pthread_create");
+    return ++calls == atoi(getenv("FAILING_THREAD")) ? EAGAIN : next(t, a, run, arg);
+}
+"""
+
+
+def start_without_thread(d, library, number):
+    """Start a node whose thread of this number can't be created; return the process."""
+    env = dict(os.environ, LD_PRELOAD=library, FAILING_THREAD=str(number),
+               ASAN_OPTIONS="verify_asan_link_order=0")
+    return with_addresses(d, {}).popen(env=env)
+
+
+def test_a_node_without_a_thread_does_not_say_that_it_started():
+    """Guards against a node that says it started and serves nothing, as its relay's thread
+    could not be created, or is deaf to SIGTERM, as the other one could not."""
+    with Hosted(nodes=1) as d:
+        library = os.path.join(d.dir, "failing_threads.so")
+        subprocess.run(["cc", "-shared", "-fPIC", "-D_GNU_SOURCE", "-x", "c", "-", "-o",
+                        library], check=True, input=FAILING_THREADS.encode())
+        for number, name in ((1, "stop"), (3, "relay")):
+            p = start_without_thread(d, library, number)
+            out, _ = p.communicate(timeout=START_S)
+            assert p.returncode == 1 and "node.started" not in out, (name, out)
+            assert "thread %s: Resource temporarily unavailable" % name in out, (name, out)
+        # Without the thread that reads the process file again, it can serve.
+        p = start_without_thread(d, library, 2)
+        out = read_until_started(p)
+        p.send_signal(signal.SIGTERM)
+        p.communicate(timeout=d.bounds["graceS"] + START_S)
+        assert "node.reload_unavailable" in out and p.returncode == 0, out
+
+
+def test_a_node_with_too_few_descriptors_says_so():
+    """Guards against a failed assertion where the kernel gives no descriptor."""
+    with Hosted(nodes=1) as d:
+        ended = 0
+        for fds in range(4, 40):
+            p = with_addresses(d, {}).popen(
+                preexec_fn=lambda n=fds: resource.setrlimit(resource.RLIMIT_NOFILE, (n, n)))
+            out = read_until_started(p)
+            if "node.started" in out:
+                p.kill()
+                p.communicate()
+                break
+            p.communicate(timeout=START_S)
+            ended += 1
+            assert p.returncode in (1, 2) and "Too many open files" in out, (fds, out)
+        assert ended, "no limit was too low"
+        return "%d descriptors needed" % fds
