node: the log says why a start failed and what the process may use

What the users kept told nothing of a node that ends at a limit of its machine, and a start that failed was seen on standard error alone. node.start_failed carries the reason and the exit status, also for a process file that can't be used; node.started carries the descriptors, the address space (-1: no limit), the share of the processor and the duration of a planned stop.

proc_hosted_start before: 4 of 13 failed for lack of the event or of its fields. Now 13 of 13. A fifth failure, of the test of taken addresses, was the test's own: it closed a connection so that its port could stay taken for 60 s (TIME_WAIT), seen in 2 of 5 runs; it resets the connection now, 4 of 4 at once.

--- a/node/node.c
+++ b/node/node.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "callers/server.h"
 #include "cloud/leader_api.h"
@@ -465,6 +466,31 @@
     return NULL;
 }
 
+/* Returns a limit of the process divided by unit; -1: there is none. */
+static int64_t get_limit(__rlimit_resource_t resource, int64_t unit)
+{
+    struct rlimit limit;
+    if (getrlimit(resource, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return -1;
+    return (int64_t)limit.rlim_cur / unit;
+}
+
+static void log_started(struct rk_node *n)
+{
+    const char *metrics =
+        n->metrics_server ? rk_server_addr(n->metrics_server) : "";
+    RK_EVENT("node.started", RK_S("listen", rk_relay_addr(n->relay)),
+             RK_S("ready", rk_server_addr(n->ready_server)),
+             RK_S("control", rk_mesh_addr(n->mesh)),
+             RK_S("control_bound", rk_mesh_bound(n->mesh)),
+             RK_S("forward", rk_relay_forward_addr(n->relay)),
+             RK_S("metrics", metrics), RK_N("first_start", n->file.first_start),
+             RK_N("descriptors", get_limit(RLIMIT_NOFILE, 1)),
+             RK_N("address_space_kb", get_limit(RLIMIT_AS, 1024)),
+             RK_N("cpu_share_pct", (int64_t)(n->file.cpu_share * 100)),
+             RK_N("stop_ms", rk_s_to_ms(n->file.stop_s)));
+}
+
 enum rk_status rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
@@ -472,14 +498,7 @@
         rk_process_start_thread(&traffic, "relay", run_relay, n->relay);
     if (st != RK_OK)
         return st;
-    RK_EVENT(
-        "node.started", RK_S("listen", rk_relay_addr(n->relay)),
-        RK_S("ready", rk_server_addr(n->ready_server)),
-        RK_S("control", rk_mesh_addr(n->mesh)),
-        RK_S("control_bound", rk_mesh_bound(n->mesh)),
-        RK_S("forward", rk_relay_forward_addr(n->relay)),
-        RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
-        RK_N("first_start", n->file.first_start));
+    log_started(n);
     rk_read_delay_start(n);
     rk_persist_start(n->persist);
     rk_quarantines_start(n->quarantines);
--- a/programs/node.c
+++ b/programs/node.c
@@ -146,12 +146,20 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
+static void log_start_failed(int status)
+{
+    RK_LOG(RK_LOG_ERROR, "node.start_failed", RK_S("why", rk_last_error()),
+           RK_N("status", status));
+}
+
 /* Ends a process whose start failed. st: RK_EGONE if it was told to stop. */
 static _Noreturn void end_start(enum rk_status st)
 {
+    int status = st == RK_EGONE ? 0 : 1;
     fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+    log_start_failed(status);
     rk_log_flush();
-    rk_process_end(st == RK_EGONE ? 0 : 1);
+    rk_process_end(status);
 }
 
 /* Prints the result of --check and returns the exit status. */
@@ -171,6 +179,11 @@
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+        if (!args.check) {
+            rk_log_init("", "", args.level);
+            log_start_failed(2);
+            rk_log_shutdown();
+        }
         return 2;
     }
     if (args.check)
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -11,7 +11,7 @@
 import time
 
 from cluster import Proc, free_port
-from hosted import Hosted, http
+from hosted import Hosted, http, reset
 
 START_S = 10
 HOLD_S = 2
@@ -70,6 +70,14 @@
     return text
 
 
+def check_start_failed(text, why, status):
+    """Check that the log of a process whose start failed says why in its last event."""
+    lines = [line for line in text.splitlines() if line.startswith("{")]
+    event = json.loads(lines[-1]) if lines else {}
+    assert event.get("event") == "node.start_failed" and event["level"] == "error", text
+    assert why in event["why"] and event["status"] == status, event
+
+
 def process_file(d):
     """Return the process file of a running node, parsed."""
     with open(d.nodes[0].file) as f:
@@ -170,6 +178,7 @@
                                timeout=START_S, check=False)
             assert r.returncode == 2, (text, r)
             assert expected in r.stderr and len(r.stderr.splitlines()) == 1, (expected, r)
+            check_start_failed(r.stdout, expected, 2)
 
 
 # Keys of the process file and the names of the listeners in events.
@@ -186,7 +195,7 @@
 
 
 def hold_by_connection():
-    """The same as the local port of a connection, which the peer closes first."""
+    """The same as the local port of a connection."""
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(1)
@@ -197,7 +206,7 @@
 
 def close(sockets):
     for s in sockets:
-        s.close()
+        reset(s)  # an orderly close could leave the port taken for 60 s (TIME_WAIT)
 
 
 def with_addresses(d, addresses, **more):
@@ -276,6 +285,7 @@
             r = subprocess.run(with_addresses(d, {key: "nowhere"}).command, timeout=1,
                                capture_output=True, text=True, check=False)
             assert r.returncode == 1 and "nowhere: expected ip:port" in r.stderr, r
+            check_start_failed(r.stdout, "nowhere: expected ip:port", 1)
 
 
 def test_a_node_serves_without_its_metrics():
@@ -329,7 +339,7 @@
             p = start_without_thread(d, library, number)
             out, _ = p.communicate(timeout=START_S)
             assert p.returncode == 1 and "node.started" not in out, (name, out)
-            assert "thread %s: Resource temporarily unavailable" % name in out, (name, out)
+            check_start_failed(out, "thread %s: Resource temporarily unavailable" % name, 1)
         # Without the thread that reads the process file again, it can serve.
         p = start_without_thread(d, library, 2)
         out = read_until_started(p)
@@ -355,3 +365,25 @@
             assert p.returncode in (1, 2) and "Too many open files" in out, (fds, out)
         assert ended, "no limit was too low"
         return "%d descriptors needed" % fds
+
+
+def test_a_node_says_what_it_may_use():
+    """Guards against logs that leave open whether a node ended at a limit of its machine."""
+    limits = {resource.RLIMIT_NOFILE: 3075, resource.RLIMIT_AS: 1 << 30}
+
+    def set_limits():
+        for kind, value in limits.items():
+            resource.setrlimit(kind, (value, value))
+
+    with Hosted(nodes=1) as d:
+        started = d.nodes[0].ready
+        assert started["address_space_kb"] == -1 and started["cpu_share_pct"] == 25, started
+        if "address" in d.build or "thread" in d.build:
+            limits.pop(resource.RLIMIT_AS)  # the sanitizers reserve terabytes
+        p = with_addresses(d, {}).popen(preexec_fn=set_limits)
+        started = json.loads(read_until_started(p).splitlines()[-1])
+        p.kill()
+        p.communicate()
+        assert started["descriptors"] == 3075, started
+        expected = 1 << 20 if resource.RLIMIT_AS in limits else -1
+        assert started["address_space_kb"] == expected, started
