--- a/node/listen_wait.c
+++ b/node/listen_wait.c
@@ -12,8 +12,7 @@
 #define RETRY_MS 200
 /* Time beyond stop_s, for a process that is killed at its end. */
 #define MARGIN_MS 2000
-/* A client's port stays taken for 60 s after its connection was closed (TIME_WAIT).
- */
+/* A client's port stays taken for 60 s after its connection's end (TIME_WAIT). */
 #define WAIT_MIN_MS 65000
 
 struct listener {
--- a/programs/node.c
+++ b/programs/node.c
@@ -73,8 +73,7 @@
     0,
     0};
 
-/* The process file as last read. Once the threads run, owned by the reload thread.
- */
+/* The process file as last read. Owned by the reload thread once that runs. */
 static struct rk_procfile in_force;
 
 /* Reads the process file again. The node keeps its old values if the file is
