--- a/node/node.c
+++ b/node/node.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "callers/server.h"
 #include "cloud/leader_api.h"
@@ -13,7 +14,9 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/process.h"
 #include "core/revision.h"
+#include "node/listen_wait.h"
 #include "node/metric_label.h"
 #include "node/state.h"
 #include "objects/store.h"
@@ -22,6 +25,7 @@
 #define ADMIN_IDLE_MS      10000
 #define ADMIN_CLIENTS      32
 #define STOP_CHECK_MS      50
+#define METRICS_RETRY_MS   1000
 /* Time until the load balancer in front has noticed that this node isn't ready, and
  * sends no more connections to it. */
 #define BALANCER_DRAIN_MS 2600
@@ -330,17 +334,45 @@
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
 
-static enum rk_status create_servers(struct rk_node *n)
+static enum rk_status create_mesh(struct rk_node *n)
+{
+    n->mesh = rk_mesh_create(n);
+    return n->mesh ? RK_OK : RK_ESYSTEM;
+}
+
+static enum rk_status create_ready_server(struct rk_node *n)
 {
     n->ready_server = rk_server_create(n->loop, n->file.ready_listen, &admin_limits,
                                        &ready_ops, n);
-    if (!n->ready_server)
-        return RK_ESYSTEM;
-    if (!n->file.metrics_listen[0])
-        return RK_OK;
+    return n->ready_server ? RK_OK : RK_ESYSTEM;
+}
+
+static bool create_metrics_server(struct rk_node *n)
+{
     n->metrics_server = rk_server_create(n->loop, n->file.metrics_listen,
                                          &admin_limits, &metrics_ops, n);
-    return n->metrics_server ? RK_OK : RK_ESYSTEM;
+    return n->metrics_server != NULL;
+}
+
+static void on_metrics_retry(void *ctx)
+{
+    struct rk_node *n = ctx;
+    if (create_metrics_server(n))
+        RK_EVENT("listener.free", RK_S("listener", "metrics"),
+                 RK_S("addr", rk_server_addr(n->metrics_server)),
+                 RK_N("waited_ms", rk_mono_ms() - n->started_ms));
+    else
+        rk_timer_start(n->loop, &n->metrics_retry, METRICS_RETRY_MS);
+}
+
+/* A node serves without its metrics. */
+static void start_metrics(struct rk_node *n)
+{
+    if (!n->file.metrics_listen[0] || create_metrics_server(n))
+        return;
+    RK_WARN("listener.waiting", RK_S("listener", "metrics"),
+            RK_S("addr", n->file.metrics_listen), RK_S("why", rk_last_error()));
+    rk_timer_start(n->loop, &n->metrics_retry, METRICS_RETRY_MS);
 }
 
 static uint64_t random_seed(void)
@@ -368,10 +400,14 @@
     n->quarantines = rk_quarantines_create(n);
     n->signals = rk_signals_create(n);
     n->leader = rk_leader_create(n);
-    if (create_relay(n) != RK_OK)
-        return RK_ESYSTEM;
-    n->mesh = rk_mesh_create(n);
-    return n->mesh ? create_servers(n) : RK_ESYSTEM;
+    enum rk_status st = create_relay(n);
+    if (st == RK_OK)
+        st = create_mesh(n);
+    if (st == RK_OK)
+        st = create_ready_server(n);
+    if (st == RK_OK)
+        start_metrics(n);
+    return st;
 }
 
 enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out)
@@ -380,6 +416,9 @@
     if (!platform)
         return rk_fail(RK_EINVAL, "/dialect: expected a known platform, not '%s'",
                        file->dialect);
+    enum rk_status st = rk_listen_wait(file, rk_listen_deadline_ms(file));
+    if (st != RK_OK)
+        return st;
     struct rk_node *n = rk_alloc(1, sizeof(*n));
     n->file = *file;
     atomic_store(&n->stop_ms, rk_s_to_ms(file->stop_s));
@@ -389,7 +428,8 @@
     n->hash = rk_hash(n->incarnation, file->id, strlen(file->id));
     n->started_ms = rk_mono_ms();
     n->stop = (struct rk_timer){.fn = on_stop_check, .ctx = n};
-    enum rk_status st = create_components(n);
+    n->metrics_retry = (struct rk_timer){.fn = on_metrics_retry, .ctx = n};
+    st = create_components(n);
     if (st != RK_OK)
         return st; /* what was created so far isn't freed: the process ends */
     *out = n;
@@ -399,6 +439,7 @@
 void rk_node_destroy(struct rk_node *n)
 {
     rk_timer_stop(n->loop, &n->stop);
+    rk_timer_stop(n->loop, &n->metrics_retry);
     rk_server_destroy(n->ready_server);
     rk_server_destroy(n->metrics_server);
     rk_relay_destroy(n->relay);
@@ -425,25 +466,46 @@
     return NULL;
 }
 
-void rk_node_run(struct rk_node *n)
+/* Returns a limit of the process divided by unit; -1: there is none. */
+static int64_t get_limit(__rlimit_resource_t resource, int64_t unit)
+{
+    struct rlimit limit;
+    if (getrlimit(resource, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return -1;
+    return (int64_t)limit.rlim_cur / unit;
+}
+
+static void log_started(struct rk_node *n)
+{
+    const char *metrics =
+        n->metrics_server ? rk_server_addr(n->metrics_server) : "";
+    RK_EVENT("node.started", RK_S("listen", rk_relay_addr(n->relay)),
+             RK_S("ready", rk_server_addr(n->ready_server)),
+             RK_S("control", rk_mesh_addr(n->mesh)),
+             RK_S("control_bound", rk_mesh_bound(n->mesh)),
+             RK_S("forward", rk_relay_forward_addr(n->relay)),
+             RK_S("metrics", metrics), RK_N("first_start", n->file.first_start),
+             RK_N("descriptors", get_limit(RLIMIT_NOFILE, 1)),
+             RK_N("address_space_kb", get_limit(RLIMIT_AS, 1024)),
+             RK_N("cpu_share_pct", (int64_t)(n->file.cpu_share * 100)),
+             RK_N("stop_ms", rk_s_to_ms(n->file.stop_s)));
+}
+
+enum rk_status rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
-    RK_EVENT(
-        "node.started", RK_S("listen", rk_relay_addr(n->relay)),
-        RK_S("ready", rk_server_addr(n->ready_server)),
-        RK_S("control", rk_mesh_addr(n->mesh)),
-        RK_S("control_bound", rk_mesh_bound(n->mesh)),
-        RK_S("forward", rk_relay_forward_addr(n->relay)),
-        RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
-        RK_N("first_start", n->file.first_start));
+    enum rk_status st =
+        rk_process_start_thread(&traffic, "relay", run_relay, n->relay);
+    if (st != RK_OK)
+        return st;
+    log_started(n);
     rk_read_delay_start(n);
     rk_persist_start(n->persist);
     rk_quarantines_start(n->quarantines);
     rk_sync_start(n->sync);
     rk_mesh_start(n->mesh);
     rk_leader_start(n->leader);
-    pthread_create(&traffic, NULL, run_relay, n->relay);
-    pthread_setname_np(traffic, "relay");
     rk_loop_run(n->loop);
     pthread_join(traffic, NULL);
+    return RK_OK;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -12,16 +12,19 @@
 struct rk_node;
 struct rk_procfile;
 
-/* Creates a node with a copy of the process file and binds its addresses. The
- * caller owns *out. On failure, *out is not set and rk_last_error() gives the
- * reason; the process has to end, as what was created so far is not freed. */
+/* Creates a node with a copy of the process file and binds its addresses, after
+ * waiting for those that are taken (node/listen_wait.h); that of the metrics may be
+ * bound later. The caller owns *out. On failure, *out is not set and
+ * rk_last_error() gives the reason (RK_EGONE: the process was told to stop
+ * meanwhile); the process has to end, as what was created so far is not freed. */
 enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out);
 /* Frees a node. To be called after rk_node_run() has returned. */
 void rk_node_destroy(struct rk_node *n);
 
 /* Runs the control loop on the calling thread and the relay on another one. Returns
- * when a planned stop is complete. */
-void rk_node_run(struct rk_node *n);
+ * RK_OK when a planned stop is complete, and RK_ESYSTEM at once if the other thread
+ * can't be created: see rk_last_error(). */
+enum rk_status rk_node_run(struct rk_node *n);
 
 /* Any thread. Begins a planned stop: the node is no longer ready, removes itself
  * from the store's node list, closes its connections and ends within the process
--- a/programs/node.c
+++ b/programs/node.c
@@ -73,14 +73,21 @@
     0,
     0};
 
-/* Reads the process file again. If it is invalid, the node keeps its old values. */
+/* The process file as last read. Owned by the reload thread once that runs. */
+static struct rk_procfile in_force;
+
+/* Reads the process file again. The node keeps its old values if the file is
+ * invalid, and the old value of each figure that is. */
 static void reload(struct rk_node *node)
 {
-    struct rk_procfile file;
-    if (rk_procfile_load(args.procfile, &file) == RK_OK)
-        rk_node_reload(node, &file);
-    else
+    static struct rk_procfile file;
+    if (rk_procfile_load(args.procfile, &in_force, &file) != RK_OK) {
         RK_WARN("node.reload_failed", RK_S("why", rk_last_error()));
+        return;
+    }
+    rk_procfile_log_problems(&file, args.procfile);
+    in_force = file;
+    rk_node_reload(node, &file);
 }
 
 /* Returns whether the process file's modification time differs from *last_mtime,
@@ -138,33 +145,67 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
+static void log_start_failed(int status)
+{
+    RK_LOG(RK_LOG_ERROR, "node.start_failed", RK_S("why", rk_last_error()),
+           RK_N("status", status));
+}
+
+/* Ends a process whose start failed. st: RK_EGONE if it was told to stop. */
+static _Noreturn void end_start(enum rk_status st)
+{
+    int status = st == RK_EGONE ? 0 : 1;
+    fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+    log_start_failed(status);
+    rk_log_flush();
+    rk_process_end(status);
+}
+
+/* Prints the result of --check and returns the exit status. */
+static int print_check(void)
+{
+    for (size_t i = 0; i < in_force.problems_len; i++)
+        fprintf(stderr, "rillknot-node: %s:%s\n", args.procfile,
+                in_force.problems[i]);
+    if (in_force.problems_len)
+        return 2;
+    printf("%s: ok\n", args.procfile);
+    return 0;
+}
+
 int main(int argc, char **argv)
 {
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    static struct rk_procfile file;
-    if (rk_procfile_load(args.procfile, &file) != RK_OK) {
+    if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+        if (!args.check) {
+            rk_log_init("", "", args.level);
+            log_start_failed(2);
+            rk_log_shutdown();
+        }
         return 2;
     }
-    if (args.check) {
-        printf("%s: ok\n", args.procfile);
-        return 0;
-    }
+    if (args.check)
+        return print_check();
     block_signals();
     rk_stack_dump_init();
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    rk_log_init(file.id, file.failure_domain, args.level);
+    rk_log_init(in_force.id, in_force.failure_domain, args.level);
+    rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
-    if (rk_node_create(&file, &node) != RK_OK) {
-        fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
-        return 1;
-    }
+    enum rk_status st = rk_node_create(&in_force, &node);
+    if (st != RK_OK)
+        end_start(st);
     pthread_t reload_thread, stop_thread;
-    pthread_create(&reload_thread, NULL, run_reload_thread, node);
-    pthread_create(&stop_thread, NULL, run_stop_thread, node);
-    pthread_setname_np(reload_thread, "reload");
-    pthread_setname_np(stop_thread, "stop");
-    rk_node_run(node);
+    st = rk_process_start_thread(&stop_thread, "stop", run_stop_thread, node);
+    if (st != RK_OK)
+        end_start(st);
+    if (rk_process_start_thread(&reload_thread, "reload", run_reload_thread,
+                                node) != RK_OK)
+        RK_WARN("node.reload_unavailable", RK_S("why", rk_last_error()));
+    st = rk_node_run(node);
+    if (st != RK_OK)
+        end_start(st);
     /* These threads still use the node and the log, so neither is freed. */
     rk_log_flush();
     rk_process_end(0);
