callers: decide on a request's head before its body is read

Callers saw a node end for want of memory: 100 half-sent bodies of 4 MB were held by a node even without a valid key, as a request was judged only when its body was whole. The head alone says route, key, request id, stream, deadline and whether the node stops.

The server now asks its owner once the head is complete and the body isn't. A refused request is answered at once and its connection closes in order (the rest is read and dropped for a second), so that the answer isn't lost to a reset. 100 Continue is sent only after that. Requests that arrive whole are answered as before, keep-alive included.

--- a/callers/server.c
+++ b/callers/server.c
@@ -42,6 +42,7 @@
     struct rk_buf pipelined; /* bytes after the current request */
     size_t pipelined_pos;    /* how many of them were read */
     bool feeding;            /* feed_pipelined() is on the stack */
+    bool head_accepted;      /* the rest of the body is read */
     bool closed;             /* will be freed in the loop's next iteration */
     struct rk_timer timer;
     void *user;
@@ -181,7 +182,8 @@
     c->no_body =
         c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
     c->close_after_answer =
-        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive;
+        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive ||
+        !c->reader.ended; /* the start of the next request is not known */
     snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
              reason_phrase(status));
     write_str(c, line);
@@ -210,6 +212,7 @@
 {
     c->body.len = 0;
     c->user = NULL;
+    c->head_accepted = false;
     rk_http1_next(&c->reader);
     wait_for_request(c);
     if (!c->feeding)
@@ -276,13 +279,10 @@
 static bool on_head(void *ctx, const struct rk_head *head)
 {
     struct rk_client *c = ctx;
-    const char *expect = rk_head_get(head, "Expect");
     if (head->major != 1)
         c->refuse_status = 505;
     else if (head->body_length > (int64_t)c->limits.body_bytes)
         c->refuse_status = 413;
-    else if (expect && !strcasecmp(expect, "100-continue"))
-        write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
     return true;
 }
 
@@ -320,6 +320,21 @@
         rk_conn_set_paused(c->conn, true);
 }
 
+/* Asks the owner, once, whether to read the rest of a body. Returns false if the
+ * request was answered instead. */
+static bool accept_head(struct rk_client *c)
+{
+    const char *expect = rk_head_get(&c->reader.head, "Expect");
+    if (c->head_accepted)
+        return true;
+    if (c->s->ops->on_head && !c->s->ops->on_head(c->s->ctx, c))
+        return false;
+    c->head_accepted = true;
+    if (expect && !strcasecmp(expect, "100-continue"))
+        write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
 /* Parses input up to the end of one request and passes a complete one on. Returns
  * the number of bytes that were read. */
 static size_t feed(struct rk_client *c, const char *data, size_t len)
@@ -334,6 +349,8 @@
         return len;
     }
     if (!c->reader.ended) {
+        if (c->reader.head_done && !accept_head(c))
+            return len;
         if (is_first_byte)
             rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
         else if (c->reader.head_done)
--- a/callers/server.h
+++ b/callers/server.h
@@ -27,6 +27,10 @@
 };
 
 struct rk_server_ops {
+    /* Called with the head of a request whose body has not been received whole.
+     * Returns whether to read the body; otherwise the callee has answered, and the
+     * connection ends with that answer. May be NULL: all bodies are read. */
+    bool (*on_head)(void *ctx, struct rk_client *client);
     /* Called with each complete request. Its head and body stay valid until its
      * response ends or the caller disconnects. */
     void (*on_request)(void *ctx, struct rk_client *client);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -200,6 +200,11 @@
     rk_relay_call_start(ctx, client);
 }
 
+static bool on_head(void *ctx, struct rk_client *client)
+{
+    return rk_relay_call_accept_head(ctx, client);
+}
+
 static void on_forwarded_request(void *ctx, struct rk_client *client)
 {
     if (rk_relay_versions_is_request(client)) {
@@ -223,7 +228,8 @@
         rk_relay_call_resume_reading(user);
 }
 
-static const struct rk_server_ops server_ops = {.on_request = on_request,
+static const struct rk_server_ops server_ops = {.on_head = on_head,
+                                                .on_request = on_request,
                                                 .on_disconnect = on_client_gone,
                                                 .on_drained = on_client_drained};
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -74,6 +74,9 @@
 /* Logs changes of the VMs' speed steps; relay_log.c. */
 void rk_relay_log_speed_changes(struct rk_relay *r, int64_t now_ms);
 
+/* Returns whether to read the body of a request by what its head says; otherwise
+ * the request has been refused. */
+bool rk_relay_call_accept_head(struct rk_relay *r, struct rk_client *client);
 /* Starts a call for the complete request of a client, or refuses it. */
 void rk_relay_call_start(struct rk_relay *r, struct rk_client *client);
 /* The same for a call that a peer has taken from its caller and forwards. */
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -241,8 +241,8 @@
     return false;
 }
 
-/* What a forwarded call needs here. */
-struct forwarded_call {
+/* What a request's head says of its call. */
+struct call_spec {
     const struct rk_route *route;
     const struct rk_org_info *org; /* NULL: none is needed */
     int64_t left_ms;               /* until its deadline */
@@ -251,7 +251,7 @@
 /* Fills in *call. Returns false, with the refusal in *why, if this node can't take
  * a call that was sent with routes of this version. */
 static bool can_take_forwarded(struct rk_relay *r, struct rk_client *client,
-                               int64_t routes_version, struct forwarded_call *call,
+                               int64_t routes_version, struct call_spec *call,
                                enum rk_forward_refusal *why)
 {
     const struct rk_head *head = rk_client_head(client);
@@ -272,7 +272,7 @@
 {
     const struct rk_head *head = rk_client_head(client);
     const char *id = rk_head_get(head, r->opt.dialect->request_id);
-    struct forwarded_call call;
+    struct call_spec call;
     enum rk_forward_refusal why;
     struct rk_forwarded forwarded;
     if (!id || strlen(id) >= REQUEST_ID_MAX ||
@@ -302,46 +302,65 @@
     send_call(x);
 }
 
-void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
+/* Evaluates a request's head and fills in *call. Returns false if the request was
+ * refused. */
+static bool accept_head(struct rk_relay *r, struct rk_client *client,
+                        struct call_spec *call)
 {
     const struct rk_head *head = rk_client_head(client);
     const char *id = rk_head_get(head, r->opt.dialect->request_id);
-    const struct rk_org_info *org;
-    rk_counter_add(RK_C_CALLS, 1);
     if (!r->routes) {
         refuse(r, client, HTTP_UNAVAILABLE, RETRY_AFTER_MS,
                "no routes are known yet");
-        return;
+        return false;
     }
-    const struct rk_route *route = find_route(r, client);
-    if (!route) {
+    call->route = find_route(r, client);
+    if (!call->route) {
         refuse(r, client, HTTP_NOT_FOUND, 0, "no such route");
-        return;
+        return false;
     }
-    if (!find_org(r, route, head, &org)) {
+    if (!find_org(r, call->route, head, &call->org)) {
         refuse(r, client, HTTP_UNAUTHORIZED, 0, "the key is not known");
-        return;
+        return false;
     }
     if (!id || strlen(id) >= REQUEST_ID_MAX) {
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected a request id");
-        return;
+        return false;
     }
-    if (takes_up_stream(r, route, head) && !names_stream_well(r, head)) {
+    if (takes_up_stream(r, call->route, head) && !names_stream_well(r, head)) {
         refuse(r, client, HTTP_BAD_REQUEST, 0, "expected the id of one stream");
-        return;
+        return false;
     }
-    int64_t left_ms = time_left(r, route, head);
-    if (left_ms <= 0) {
+    call->left_ms = time_left(r, call->route, head);
+    if (call->left_ms <= 0) {
         refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
-        return;
+        return false;
     }
-    if (outlasts_stop(r, left_ms)) {
+    if (outlasts_stop(r, call->left_ms)) {
         refuse(r, client, HTTP_UNAVAILABLE, 1, "this node stops");
-        return;
+        return false;
     }
-    struct rk_relay_call *x = create_call(r, client, route, org);
-    x->deadline_ms = x->started_ms + left_ms;
-    rk_timer_start(r->loop, &x->deadline_timer, left_ms);
+    return true;
+}
+
+bool rk_relay_call_accept_head(struct rk_relay *r, struct rk_client *client)
+{
+    struct call_spec call;
+    if (accept_head(r, client, &call))
+        return true;
+    rk_counter_add(RK_C_CALLS, 1);
+    return false;
+}
+
+void rk_relay_call_start(struct rk_relay *r, struct rk_client *client)
+{
+    struct call_spec call;
+    rk_counter_add(RK_C_CALLS, 1);
+    if (!accept_head(r, client, &call))
+        return;
+    struct rk_relay_call *x = create_call(r, client, call.route, call.org);
+    x->deadline_ms = x->started_ms + call.left_ms;
+    rk_timer_start(r->loop, &x->deadline_timer, call.left_ms);
     if (!admit(x))
         return;
     send_call(x);
--- /dev/null
+++ b/tests/proc_hosted_memory.py
@@ -0,0 +1,133 @@
+"""Tests of what a node holds for its callers: bytes that they send slowly or don't read.
+
+The bound is the memory of the deployments' smallest machines.
+"""
+import threading
+import time
+
+from hosted import Hosted, read_answer
+from proc_hosted_endless import memory_mb
+
+MEMORY_MB = 120  # of the smallest machines
+LONG_BODY = 4 * 1024 * 1024
+SOUND_CALLS = 20
+DEADLINE_MS = 2000
+LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 1500,
+          "idleTimeoutMs": 6000}
+
+
+def small_node():
+    """Starts a node with the memory of the smallest machines, and two workers."""
+    d = Hosted(nodes=0)
+    d.add_node(limits={"cpuShare": 0.25, "memoryMb": MEMORY_MB})
+    for _ in range(2):
+        d.add_worker("plain")
+    d.configure([d.route("r", "plain")], limits=LIMITS)
+    d.wait_ready()
+    return d
+
+
+def send_half(d, length, key=b"X-Api-Key: key-1\r\n", number=0):
+    """Sends a request without its last byte and returns the connection."""
+    s = d.connect()
+    try:
+        s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\n" + key +
+                  b"Rillknot-Attempt-Id: half-%d\r\nContent-Length: %d\r\n\r\n" %
+                  (number, length) + b"x" * (length - 1))
+    except OSError:
+        pass  # refused before all was sent
+    return s
+
+
+def send_halves(d, count, length, threads=4, **kw):
+    """Sends requests without their last bytes and returns their connections."""
+    conns = [None] * count
+
+    def run(first):
+        for i in range(first, count, threads):
+            conns[i] = send_half(d, length, number=i, **kw)
+
+    senders = [threading.Thread(target=run, args=(i,)) for i in range(threads)]
+    for t in senders:
+        t.start()
+    for t in senders:
+        t.join()
+    return conns
+
+
+def assert_served(d):
+    """Makes sound calls one after the other; each is served within its deadline."""
+    for _ in range(SOUND_CALLS):
+        a = d.call("/r/x", deadline=DEADLINE_MS)
+        assert a.status == 200 and a.took_s < DEADLINE_MS / 1000, (a.status, a.took_s)
+
+
+def assert_small(d):
+    """The node's peak is below its machine's memory, and it runs. Returns the figure."""
+    assert d.nodes[0].popen.poll() is None
+    peak = memory_mb(d.nodes[0])
+    assert peak < MEMORY_MB, "%d MB" % peak
+    return "%d MB at most" % peak
+
+
+def answers(conns, timeout_s=0.5):
+    """Returns the answers that have arrived on the connections; None: not yet."""
+    out = []
+    for s in conns:
+        s.settimeout(timeout_s)
+        a = read_answer(s)
+        out.append(a if a.status else None)
+    return out
+
+
+def test_a_body_is_not_read_before_its_head_is_accepted():
+    """Guards against bodies that are read whole, and held, for calls that are refused anyway.
+
+    Without a valid key, 100 half-sent bodies of 4 MB were held by a node at once.
+    """
+    with small_node() as d:
+        conns = send_halves(d, 100, LONG_BODY, key=b"X-Api-Key: unknown\r\n")
+        statuses = [a and a.status for a in answers(conns[:20])]
+        assert_served(d)
+        figure = assert_small(d)
+        # The client may lose the answer to the reset, as it goes on sending for long.
+        assert set(statuses) <= {401, None} and 401 in statuses, statuses
+        assert not [r for w in d.workers for r in w.seen
+                    if r.get("Rillknot-Attempt-Id").startswith("half")]
+        return figure
+
+
+def test_a_refusal_before_the_body_reaches_a_caller_that_goes_on_sending():
+    """Guards against a refusal that is lost to a reset because the body is still unread."""
+    with small_node() as d:
+        s = d.connect()
+        s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: unknown\r\n"
+                  b"Rillknot-Attempt-Id: late\r\nContent-Length: 100000\r\n\r\n")
+        time.sleep(0.1)
+        s.sendall(b"x" * 100000)
+        a = read_answer(s)
+        assert a.status == 401 and a.whole, a.status
+        assert a.headers.get("connection") == "close", a.headers
+        # A short request that arrives whole keeps its connection.
+        s = d.connect()
+        for _ in range(2):
+            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: unknown\r\n"
+                      b"Rillknot-Attempt-Id: short\r\nContent-Length: 2\r\n\r\nhi")
+            a = read_answer(s)
+            assert a.status == 401 and a.headers.get("connection") != "close", a.headers
+        s.close()
+
+
+def test_a_caller_that_waits_for_100_is_refused_instead():
+    """Guards against a caller that is asked to send a body which is refused then."""
+    with small_node() as d:
+        head = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nExpect: 100-continue\r\n"
+                b"Rillknot-Attempt-Id: e\r\nContent-Length: 5\r\n")
+        s = d.connect()
+        s.sendall(head + b"X-Api-Key: unknown\r\n\r\n")
+        assert read_answer(s).status == 401
+        s = d.connect()
+        s.sendall(head + b"X-Api-Key: key-1\r\n\r\n")
+        assert s.recv(4096) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        s.sendall(b"hello")
+        assert read_answer(s).status == 200
