acceptor: pause accepting while the process has no descriptor left

At a node whose descriptors were used up, accept() failed with EMFILE and the level-triggered event of the listener came again at once: the loop didn't hand back the processor, and the calls in flight got what was left.

At the cap of connections a new caller also takes the place of the one that has been idle for longest, where it was turned away before.

--- a/callers/server.c
+++ b/callers/server.c
@@ -7,11 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/epoll.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <arpa/inet.h>
 
+#include "common/acceptor.h"
 #include "common/addr.h"
 #include "common/conn.h"
 #include "common/http1.h"
@@ -20,7 +21,7 @@
 #include "common/util.h"
 
 #define LISTEN_BACKLOG            1024
-#define ACCEPT_BATCH              64 /* connections accepted per loop iteration */
+#define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
 #define HEADER_LINE_MAX           128
 #define KEEP_ALIVE_ADVERTISED_PCT 80 /* percent of the idle time-out */
@@ -34,6 +35,8 @@
 struct rk_client {
     struct rk_server *s;
     struct rk_client *next, **prev;
+    TAILQ_ENTRY(rk_client) idle_entry;
+    bool in_idle_list;
     struct rk_conn *conn;
     struct rk_http1 reader;
     struct rk_server_limits limits;
@@ -54,13 +57,15 @@
 
 struct rk_server {
     struct rk_loop *loop;
-    int fd;
+    struct rk_acceptor acceptor;
     char addr[RK_ADDR_MAX];
     struct rk_server_limits limits;
     const struct rk_server_ops *ops;
     void *ctx;
     struct rk_client *clients;
     size_t clients_len;
+    /* Connections without a part of a request, the one that waits longest first. */
+    TAILQ_HEAD(, rk_client) idle;
     bool closing; /* every response closes its connection */
 };
 
@@ -77,10 +82,20 @@
     free(c);
 }
 
-/* Removes the client from the server's list. Its functions may be on the stack, so
+static void set_in_idle_list(struct rk_client *c, bool on)
+{
+    if (c->in_idle_list)
+        TAILQ_REMOVE(&c->s->idle, c, idle_entry);
+    c->in_idle_list = on;
+    if (on)
+        TAILQ_INSERT_TAIL(&c->s->idle, c, idle_entry);
+}
+
+/* Removes the client from the server's lists. Its functions may be on the stack, so
  * its memory is freed in the loop's next iteration. */
 static void unlink_and_free_later(struct rk_client *c)
 {
+    set_in_idle_list(c, false);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
@@ -96,13 +111,16 @@
     unlink_and_free_later(c);
 }
 
-/* Closes the connection unless it has unread bytes. rk_conn_close() would discard a
- * request that crosses the close, and its caller would get no reset. Callers lost
- * requests that way where other links were saturated and a close took a second. */
-static void close_idle(struct rk_client *c)
+/* Closes the connection unless it has unread bytes, and returns whether it did.
+ * rk_conn_close() would discard a request that crosses the close, and its caller
+ * would get no reset. Callers lost requests that way where other links were
+ * saturated and a close took a second. */
+static bool close_idle(struct rk_client *c)
 {
-    if (rk_conn_close_idle(c->conn))
-        unlink_and_free_later(c);
+    if (!rk_conn_close_idle(c->conn))
+        return false;
+    unlink_and_free_later(c);
+    return true;
 }
 
 static void abort_client(struct rk_client *c)
@@ -115,6 +133,7 @@
 static void wait_for_request(struct rk_client *c)
 {
     c->state = CLIENT_READING;
+    set_in_idle_list(c, true);
     rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
 }
 
@@ -340,6 +359,7 @@
 static size_t feed(struct rk_client *c, const char *data, size_t len)
 {
     bool is_first_byte = !rk_http1_has_begun(&c->reader);
+    set_in_idle_list(c, false);
     size_t n = rk_http1_feed(&c->reader, data, len);
     if (c->reader.failed || c->refuse_status) {
         int status = c->refuse_status      ? c->refuse_status
@@ -443,9 +463,30 @@
 
 /* ---- accepting connections ---- */
 
-static void add_client(struct rk_server *s, int fd)
+static bool is_idle(const struct rk_client *c)
+{
+    return c->state == CLIENT_READING && !rk_http1_has_begun(&c->reader) &&
+           !rk_conn_unsent_len(c->conn);
+}
+
+/* Closes the connection that has been idle for longest. Returns false if none was
+ * found. */
+static bool close_oldest_idle(void *ctx)
+{
+    struct rk_server *s = ctx;
+    for (int i = 0; i < EVICTION_TRIES && !TAILQ_EMPTY(&s->idle); i++) {
+        struct rk_client *c = TAILQ_FIRST(&s->idle);
+        if (is_idle(c) && close_idle(c))
+            return true;
+        set_in_idle_list(c, true); /* the next try begins with another one */
+    }
+    return false;
+}
+
+static void add_client(void *ctx, int fd)
 {
-    if (s->clients_len >= (size_t)s->limits.max_clients) {
+    struct rk_server *s = ctx;
+    if (s->clients_len >= (size_t)s->limits.max_clients && !close_oldest_idle(s)) {
         close(fd);
         return;
     }
@@ -464,18 +505,6 @@
     wait_for_request(c);
 }
 
-static void on_accept(void *ctx, int fd, uint32_t events)
-{
-    (void)events;
-    struct rk_server *s = ctx;
-    for (int i = 0; i < ACCEPT_BATCH; i++) {
-        int client = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (client < 0)
-            return;
-        add_client(s, client);
-    }
-}
-
 static int listen_at(const char *addr)
 {
     struct sockaddr_in sin;
@@ -503,15 +532,17 @@
     if (fd < 0)
         return NULL;
     struct rk_server *s = rk_alloc(1, sizeof(*s));
-    *s = (struct rk_server){
-        .loop = loop, .fd = fd, .limits = *limits, .ops = ops, .ctx = ctx};
+    *s =
+        (struct rk_server){.loop = loop, .limits = *limits, .ops = ops, .ctx = ctx};
+    TAILQ_INIT(&s->idle);
     struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
     char ip[INET_ADDRSTRLEN];
     inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip));
     snprintf(s->addr, sizeof(s->addr), "%s:%u", ip, ntohs(sin.sin_port));
-    rk_loop_watch(loop, fd, EPOLLIN, on_accept, s);
+    rk_acceptor_start(&s->acceptor, loop, fd, s->addr, add_client,
+                      close_oldest_idle, s);
     return s;
 }
 
@@ -519,8 +550,7 @@
 {
     if (!s)
         return;
-    rk_loop_watch(s->loop, s->fd, 0, NULL, NULL);
-    close(s->fd);
+    rk_acceptor_close(&s->acceptor);
     while (s->clients)
         drop_disconnected(s->clients);
     free(s);
@@ -538,10 +568,7 @@
 
 void rk_server_set_accepting(struct rk_server *s, bool on)
 {
-    if (on)
-        rk_loop_watch(s->loop, s->fd, EPOLLIN, on_accept, s);
-    else
-        rk_loop_watch(s->loop, s->fd, 0, NULL, NULL);
+    rk_acceptor_set_on(&s->acceptor, on);
 }
 
 void rk_server_set_closing(struct rk_server *s)
@@ -549,12 +576,6 @@
     s->closing = true;
 }
 
-static bool is_idle(const struct rk_client *c)
-{
-    return c->state == CLIENT_READING && !rk_http1_has_begun(&c->reader) &&
-           !rk_conn_unsent_len(c->conn);
-}
-
 void rk_server_close_idle(struct rk_server *s)
 {
     for (struct rk_client *c = s->clients, *next; c; c = next) {
--- a/callers/server.h
+++ b/callers/server.h
@@ -23,7 +23,8 @@
     int64_t idle_ms;     /* time-out between requests, and without data in a body;
                             for the first wait in a body whose head came in one
                             read, header_ms counts instead */
-    int max_clients;     /* open connections; further ones are closed at once */
+    int max_clients; /* open connections; for a further one, an idle one is closed,
+                        or that one itself at once */
 };
 
 struct rk_server_ops {
--- a/peers/link.c
+++ b/peers/link.c
@@ -14,6 +14,7 @@
 #include <linux/sockios.h>
 #include <unistd.h>
 
+#include "common/acceptor.h"
 #include "common/addr.h"
 #include "common/arena.h"
 #include "common/counters.h"
@@ -52,7 +53,7 @@
 
 struct rk_listener {
     struct rk_loop *loop;
-    int fd;
+    struct rk_acceptor acceptor;
     const struct rk_link_ops *ops;
     void (*on_accept)(void *ctx, struct rk_link *l);
     void *ctx;
@@ -352,19 +353,13 @@
     l->ctx = ctx;
 }
 
-static void on_listener_event(void *ctx, int fd, uint32_t events)
+static void on_socket_accepted(void *ctx, int fd)
 {
-    (void)events;
     struct rk_listener *l = ctx;
-    for (;;) {
-        int c = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (c < 0)
-            return;
-        struct rk_link *link = make_link(l->loop, c, l->ops, NULL);
-        link->up = link->was_up = true;
-        l->on_accept(l->ctx, link);
-        update_events(link);
-    }
+    struct rk_link *link = make_link(l->loop, fd, l->ops, NULL);
+    link->up = link->was_up = true;
+    l->on_accept(l->ctx, link);
+    update_events(link);
 }
 
 struct rk_listener *
@@ -392,11 +387,11 @@
     }
     struct rk_listener *l = rk_alloc(1, sizeof(*l));
     *l = (struct rk_listener){
-        .loop = loop, .fd = fd, .ops = ops, .on_accept = on_accept, .ctx = ctx};
+        .loop = loop, .ops = ops, .on_accept = on_accept, .ctx = ctx};
     char ip[INET_ADDRSTRLEN];
     inet_ntop(AF_INET, &sa.sin_addr, ip, sizeof(ip));
     snprintf(l->addr, sizeof(l->addr), "%s:%u", ip, ntohs(sa.sin_port));
-    rk_loop_watch(loop, fd, EPOLLIN, on_listener_event, l);
+    rk_acceptor_start(&l->acceptor, loop, fd, l->addr, on_socket_accepted, NULL, l);
     return l;
 }
 
@@ -404,8 +399,7 @@
 {
     if (!l)
         return;
-    rk_loop_watch(l->loop, l->fd, 0, NULL, NULL);
-    close(l->fd);
+    rk_acceptor_close(&l->acceptor);
     free(l);
 }
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -50,6 +50,7 @@
     "proc_hosted_ends": "hosted  a node that ends by itself says why",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
     "proc_hosted_input": "hosted  bad input",
+    "proc_hosted_descriptors": "hosted  a node with few descriptors serves on",
     "proc_hosted_memory": "hosted  a node holds no more than its machine has, whatever callers do",
     "proc_hosted_entries": "hosted  restarted VMs, entries written by another program",
     "proc_crashes": "9     a call that crashes its VMs is sent to three at most",
