node: callers leave descriptors for VMs, peers and the store

The cap of callers' connections was 3,000 whatever the machine gives a process: small ones have 3,075 descriptors, 200 of them for files. Callers alone could use them up, so that none was left for VMs, or the machine ended the process.

The lower one of RLIMIT_NOFILE and the new key max_fds (limits.maxFds) is divided at the start: up to 200 for files, of the rest two thirds for callers and a twelfth for forwarded calls. node.resources says so.

--- a/node/node.c
+++ b/node/node.c
@@ -15,6 +15,7 @@
 #include "common/latency.h"
 #include "core/revision.h"
 #include "node/metric_label.h"
+#include "node/resources.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -313,13 +314,15 @@
 static enum rk_status create_relay(struct rk_node *n)
 {
     const struct rk_procfile *f = &n->file;
+    const struct rk_resources resources = rk_resources_get(f);
     struct rk_relay_options opt = {
         .dialect = n->platform->dialect,
         .listen_addr = f->listen,
         .forward_addr = f->forward_listen,
         .node_hash = n->hash,
         .seed = rk_rng_next(&n->rng),
-        .max_clients = (int)f->max_connections,
+        .max_clients = resources.callers,
+        .max_forward_clients = resources.forwards,
         .bounds = relay_bounds(f),
         .on_report = on_report,
         .on_stopped = on_stopped,
@@ -425,6 +428,13 @@
     return NULL;
 }
 
+static void log_resources(const struct rk_node *n)
+{
+    const struct rk_resources r = rk_resources_get(&n->file);
+    RK_EVENT("node.resources", RK_N("descriptors", r.descriptors),
+             RK_N("callers", r.callers), RK_N("forwards", r.forwards));
+}
+
 void rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
@@ -436,6 +446,7 @@
         RK_S("forward", rk_relay_forward_addr(n->relay)),
         RK_S("metrics", n->metrics_server ? rk_server_addr(n->metrics_server) : ""),
         RK_N("first_start", n->file.first_start));
+    log_resources(n);
     rk_read_delay_start(n);
     rk_persist_start(n->persist);
     rk_quarantines_start(n->quarantines);
--- /dev/null
+++ b/node/resources.c
@@ -0,0 +1,30 @@
+#include "node/resources.h"
+
+#include <sys/resource.h>
+
+#include "core/procfile.h"
+
+#define FILES_MAX 200 /* descriptors that are not for sockets */
+
+static int64_t min_of(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
+}
+
+static int64_t count_descriptors(const struct rk_procfile *file)
+{
+    struct rlimit limit;
+    int64_t fds = (int64_t)file->max_fds;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < (rlim_t)fds)
+        fds = (int64_t)limit.rlim_cur;
+    return fds;
+}
+
+struct rk_resources rk_resources_get(const struct rk_procfile *file)
+{
+    struct rk_resources r = {.descriptors = count_descriptors(file)};
+    int64_t sockets = r.descriptors - min_of(FILES_MAX, r.descriptors / 4);
+    r.callers = (int)min_of(file->max_connections, sockets * 2 / 3);
+    r.forwards = (int)min_of(file->max_connections, sockets / 12);
+    return r;
+}
--- /dev/null
+++ b/node/resources.h
@@ -0,0 +1,19 @@
+/* Divides what the process may use of its machine: descriptors and memory. */
+#ifndef RK_NODE_RESOURCES_H
+#define RK_NODE_RESOURCES_H
+
+#include <stdint.h>
+
+struct rk_procfile;
+
+struct rk_resources {
+    int64_t descriptors; /* that the process may have open */
+    int callers;         /* most open connections of callers */
+    int forwards;        /* most open connections of peers that forward calls */
+};
+
+/* Divides the lower of the process file's limits and the system's. What callers and
+ * peers don't get is left for files, VMs, control links and the store. */
+struct rk_resources rk_resources_get(const struct rk_procfile *file);
+
+#endif
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -249,6 +249,7 @@
     if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
         return r->server != NULL;
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
+    limits.max_clients = opt->max_forward_clients;
     r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
                                          &forward_server_ops, r);
     return r->forward_server != NULL;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -153,6 +153,8 @@
     uint64_t node_hash; /* hash of this node's id and incarnation */
     uint64_t seed;
     int max_clients; /* limit of open connections of callers */
+    /* limit of open connections of peers that forward calls */
+    int max_forward_clients;
     struct rk_relay_bounds bounds;
     /* Called on the relay's thread. The callee owns the report. */
     void (*on_report)(void *ctx, struct rk_relay_report *report);
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -79,6 +79,7 @@
     rk_server_set_limits(r->server, &limits);
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.idle_ms = FORWARD_IDLE_MS;
+    limits.max_clients = r->opt.max_forward_clients;
     if (r->forward_server)
         rk_server_set_limits(r->forward_server, &limits);
     rk_routes_unref(r->routes);
--- a/tests/proc_hosted_descriptors.py
+++ b/tests/proc_hosted_descriptors.py
@@ -3,18 +3,26 @@
 import resource
 import time
 
-from hosted import Hosted
+from hosted import Hosted, read_answer
 from proc_hosted_memory import assert_served
 
+FEW = 256  # descriptors of a node in these tests
 CPU_SHARE_MAX = 0.5
 CALL = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
         b"Rillknot-Attempt-Id: d\r\nContent-Length: 2\r\n\r\nhi")
 
 
-def one_node():
-    """Starts a node with a worker."""
-    d = Hosted()
-    d.start()
+def few_descriptors(system=None, max_fds=None):
+    """Starts a node that may open few descriptors, by the system's limit or its machine's."""
+    d = Hosted(nodes=0)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (system, hard))
+    limits = {"cpuShare": 0.25}
+    if max_fds:
+        limits["maxFds"] = max_fds
+    d.add_node(limits=limits)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
     d.add_worker("plain")
     d.configure([d.route("r", "plain")])
     d.wait_ready()
@@ -42,12 +50,68 @@
     return "%.2f of a core" % share
 
 
+def serve_beside_idle_callers(d):
+    """Opens more connections than the node has descriptors; further callers are served, and
+    descriptors are left for VMs. Returns the figures."""
+    node = d.nodes[0]
+    conns = [d.connect() for _ in range(2 * FEW)]
+    time.sleep(0.5)
+    figure = assert_calm(node)
+    assert_served(d)
+    most = open_count(node)
+    assert most < FEW * 9 // 10, most
+    for s in conns:
+        s.close()
+    assert node.popen.poll() is None
+    return "%d descriptors, %s" % (most, figure)
+
+
+def test_idle_callers_leave_descriptors_for_vms():
+    """Guards against callers' connections that take all descriptors the system allows.
+
+    The cap of callers' connections didn't depend on it: no VM could be reached any more, and
+    further callers waited for ever.
+    """
+    with few_descriptors(system=FEW) as d:
+        return serve_beside_idle_callers(d)
+
+
+def test_callers_leave_descriptors_within_the_machines_limit():
+    """Guards against callers' connections that take more descriptors than the machine gives.
+
+    The process may open more by the system's limit, and is ended for it by the machine.
+    """
+    with few_descriptors(max_fds=FEW) as d:
+        return serve_beside_idle_callers(d)
+
+
+def test_the_oldest_idle_connection_makes_room():
+    """Guards against a new caller that is turned away for connections that nobody uses.
+
+    Connections that were used last stay open.
+    """
+    with few_descriptors(max_fds=FEW) as d:
+        old = [d.connect() for _ in range(100)]
+        used = d.connect()
+        for _ in range(3):
+            used.sendall(CALL)
+            assert read_answer(used).status == 200
+            new = [d.connect() for _ in range(40)]
+            for s in new:
+                s.sendall(CALL)
+                assert read_answer(s).status == 200
+        used.sendall(CALL)
+        assert read_answer(used).status == 200
+        for s in old:
+            s.close()
+
+
 def test_a_node_without_descriptors_does_not_spin():
     """Guards against a loop that accepts and fails again and again.
 
     Connections that can't be accepted wait in the kernel and make the listener ready.
     """
-    with one_node() as d:
+    with few_descriptors() as d:
         node = d.nodes[0]
         before = resource.prlimit(node.popen.pid, resource.RLIMIT_NOFILE)
         conns = [d.connect() for _ in range(2)]
