callers: idle connections keep no long buffers

Each connection kept the buffer of its longest request body, up to 8 MB, and of its longest head for as long as it stayed open: callers with keep-alive filled a node's memory though nothing was in flight.

After a request, buffers of more than 2 KB (body) and 4 KB (head) are freed.

--- a/callers/server.c
+++ b/callers/server.c
@@ -21,6 +21,7 @@
 #include "common/util.h"
 
 #define LISTEN_BACKLOG            1024
+#define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
 #define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
 #define HEADER_LINE_MAX           128
@@ -230,6 +231,8 @@
 static void next_request(struct rk_client *c)
 {
     c->body.len = 0;
+    if (c->body.cap > BODY_RETAINED_MAX)
+        rk_buf_free(&c->body);
     c->user = NULL;
     c->head_accepted = false;
     rk_http1_next(&c->reader);
--- a/common/http1.c
+++ b/common/http1.c
@@ -5,7 +5,8 @@
 #include <string.h>
 #include <strings.h>
 
-#define HEAD_SLACK 64 /* bytes of a head that are not part of its strings */
+#define HEAD_SLACK        64 /* bytes of a head that are not part of its strings */
+#define HEAD_RETAINED_MAX 4096 /* largest buffer to keep for the next head */
 
 const char *rk_head_name(const struct rk_head *h, size_t line)
 {
@@ -266,6 +267,8 @@
     r->head_len = 0;
     r->interim_len = 0;
     r->head.text.len = 0;
+    if (r->head.text.cap > HEAD_RETAINED_MAX)
+        rk_buf_free(&r->head.text);
     http_parser_pause(&r->parser, 0);
 }
 
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -131,3 +131,17 @@
         assert s.recv(4096) == b"HTTP/1.1 100 Continue\r\n\r\n"
         s.sendall(b"hello")
         assert read_answer(s).status == 200
+
+
+def test_idle_connections_keep_no_long_buffers():
+    """Guards against connections that keep the buffer of a long body while they are idle."""
+    with small_node() as d:
+        for w in d.workers:
+            w.framing = "length"
+        conns = [d.connect() for _ in range(40)]
+        for i, s in enumerate(conns):
+            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: long-%d\r\nContent-Length: %d\r\n\r\n"
+                      % (i, LONG_BODY) + b"x" * LONG_BODY)
+            assert read_answer(s).status == 200
+        return assert_small(d)
