memory: one account of what is buffered, bounded by the machine's memory

common/memory.h counts the bytes of requests being read, of those that follow a request in flight, and of unsent output (answers to callers, requests to VMs and peers), charged where the buffers grow. Two fifths of memory_mb (limits.memoryMb) may be buffered:

- At the limit, a call gets 503 with Retry-After before its body is read, or before it is sent to a VM: not run is true.
A peer's forwarded call is refused as without room.
- Requests that are not whole may hold three eighths of that, forwarded ones one eighth.
Beyond it the largest, of these the oldest, get 503: small calls are served beside an attack.
What runs already is not broken off.
- From half of the budget on, a connection reads 4 KB at a time instead of 32, reads no further requests behind one in flight, and a VM's answer is held from 4 KB unsent on.

Buffers grow to the size that is known to come and no longer to the next power of two.

memory.full and memory.back are logged, rillknot_buffered_bytes, _caller_connections and _memory_refused_total are new.

--- a/callers/server.c
+++ b/callers/server.c
@@ -17,11 +17,14 @@
 #include "common/conn.h"
 #include "common/http1.h"
 #include "common/loop.h"
+#include "common/memory.h"
 #include "common/status.h"
 #include "common/util.h"
 
 #define LISTEN_BACKLOG            1024
+#define SIZE_CLASSES              32   /* of requests that are not whole */
 #define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
+#define MEMORY_RETRY_AFTER        "Retry-After: 1\r\n"
 #define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
 #define HEADER_LINE_MAX           128
@@ -38,6 +41,9 @@
     struct rk_client *next, **prev;
     TAILQ_ENTRY(rk_client) idle_entry;
     bool in_idle_list;
+    TAILQ_ENTRY(rk_client) unfinished_entry;
+    size_t unfinished; /* bytes held of a request that is not whole */
+    size_t charged;    /* bytes in the account of memory */
     struct rk_conn *conn;
     struct rk_http1 reader;
     struct rk_server_limits limits;
@@ -67,6 +73,10 @@
     size_t clients_len;
     /* Connections without a part of a request, the one that waits longest first. */
     TAILQ_HEAD(, rk_client) idle;
+    /* Connections with a part of a request, by the binary logarithm of the bytes
+     * held of it; in each class the one that reached it first is the first. */
+    TAILQ_HEAD(, rk_client) unfinished[SIZE_CLASSES];
+    size_t unfinished_bytes;
     bool closing; /* every response closes its connection */
 };
 
@@ -80,6 +90,7 @@
     rk_http1_free(&c->reader);
     rk_buf_free(&c->body);
     rk_buf_free(&c->pipelined);
+    rk_memory_charge(&c->charged, 0);
     free(c);
 }
 
@@ -92,11 +103,42 @@
         TAILQ_INSERT_TAIL(&c->s->idle, c, idle_entry);
 }
 
+static int size_class(size_t bytes)
+{
+    int log = 0;
+    while (bytes >>= 1)
+        log++;
+    return log < SIZE_CLASSES ? log : SIZE_CLASSES - 1;
+}
+
+static void set_unfinished(struct rk_client *c, size_t bytes)
+{
+    struct rk_server *s = c->s;
+    int before = size_class(c->unfinished), after = size_class(bytes);
+    if (c->unfinished && (!bytes || before != after))
+        TAILQ_REMOVE(&s->unfinished[before], c, unfinished_entry);
+    if (bytes && (!c->unfinished || before != after))
+        TAILQ_INSERT_TAIL(&s->unfinished[after], c, unfinished_entry);
+    s->unfinished_bytes += bytes - c->unfinished;
+    c->unfinished = bytes;
+}
+
+/* Brings the accounts of the client's buffers up to date. */
+static void update_accounts(struct rk_client *c)
+{
+    size_t request = c->reader.head.text.cap + c->body.cap;
+    bool is_part = c->state == CLIENT_READING && !c->closed && !c->in_idle_list;
+    rk_memory_charge(&c->charged, request + c->pipelined.cap);
+    if (c->unfinished != (is_part ? request : 0))
+        set_unfinished(c, is_part ? request : 0);
+}
+
 /* Removes the client from the server's lists. Its functions may be on the stack, so
  * its memory is freed in the loop's next iteration. */
 static void unlink_and_free_later(struct rk_client *c)
 {
     set_in_idle_list(c, false);
+    set_unfinished(c, 0);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
@@ -237,6 +279,7 @@
     c->head_accepted = false;
     rk_http1_next(&c->reader);
     wait_for_request(c);
+    update_accounts(c);
     if (!c->feeding)
         feed_pipelined(c);
 }
@@ -290,12 +333,26 @@
 
 /* Responds with a status and closes the connection, because the end of the refused
  * request, and so the start of the next one, is not known. */
-static void refuse_request(struct rk_client *c, int status)
+static void refuse_request(struct rk_client *c, int status, const char *headers)
 {
     rk_timer_stop(c->s->loop, &c->timer);
     c->close_after_answer = true;
     c->reader.head.minor = 1;
-    rk_client_answer(c, status, "", "", 0);
+    rk_client_answer(c, status, headers, "", 0);
+}
+
+/* Refuses the largest requests that are not whole until the others keep within
+ * their limit. */
+static void limit_unfinished(struct rk_server *s)
+{
+    size_t most = s->limits.unfinished_bytes;
+    int i = SIZE_CLASSES - 1;
+    while (most && s->unfinished_bytes > most) {
+        while (TAILQ_EMPTY(&s->unfinished[i]))
+            i--;
+        rk_memory_count_refusal();
+        refuse_request(TAILQ_FIRST(&s->unfinished[i]), 503, MEMORY_RETRY_AFTER);
+    }
 }
 
 static bool on_head(void *ctx, const struct rk_head *head)
@@ -313,7 +370,9 @@
     struct rk_client *c = ctx;
     if (c->refuse_status)
         return;
-    c->body.max = c->limits.body_bytes;
+    c->body.max = c->reader.head.body_length > 0
+                      ? (size_t)c->reader.head.body_length
+                      : c->limits.body_bytes;
     if (len && !rk_buf_add(&c->body, data, len))
         c->refuse_status = 413;
 }
@@ -331,6 +390,12 @@
     return c->pipelined.len - c->pipelined_pos;
 }
 
+/* Returns how many bytes are read of the requests after the current one. */
+static size_t pipelined_max(void)
+{
+    return rk_memory_is_scarce() ? 0 : PIPELINED_PAUSE_BYTES;
+}
+
 /* Buffers bytes that follow the current request. Reading is paused while there are
  * too many. */
 static void save_pipelined(struct rk_client *c, const char *data, size_t len)
@@ -338,7 +403,8 @@
     if (!len || c->closed)
         return;
     rk_buf_add(&c->pipelined, data, len);
-    if (unread_len(c) > PIPELINED_PAUSE_BYTES)
+    update_accounts(c);
+    if (unread_len(c) > pipelined_max())
         rk_conn_set_paused(c->conn, true);
 }
 
@@ -368,10 +434,14 @@
         int status = c->refuse_status      ? c->refuse_status
                      : c->reader.too_large ? 431
                                            : 400;
-        refuse_request(c, status);
+        refuse_request(c, status, "");
         return len;
     }
     if (!c->reader.ended) {
+        update_accounts(c);
+        limit_unfinished(c->s);
+        if (c->closed)
+            return len;
         if (c->reader.head_done && !accept_head(c))
             return len;
         if (is_first_byte)
@@ -382,6 +452,7 @@
     }
     rk_timer_stop(c->s->loop, &c->timer);
     c->state = CLIENT_IN_FLIGHT;
+    update_accounts(c);
     c->s->ops->on_request(c->s->ctx, c);
     return n;
 }
@@ -402,7 +473,8 @@
     c->pipelined_pos = 0;
     if (!c->pipelined.len)
         rk_buf_free(&c->pipelined);
-    rk_conn_set_paused(c->conn, c->pipelined.len > PIPELINED_PAUSE_BYTES);
+    update_accounts(c);
+    rk_conn_set_paused(c->conn, c->pipelined.len > pipelined_max());
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
@@ -457,7 +529,7 @@
     if (c->state != CLIENT_READING)
         return;
     if (rk_http1_has_begun(&c->reader))
-        refuse_request(c, 408);
+        refuse_request(c, 408, "");
     else if (rk_conn_unsent_len(c->conn))
         wait_for_request(c); /* the last response is not sent yet */
     else
@@ -538,6 +610,8 @@
     *s =
         (struct rk_server){.loop = loop, .limits = *limits, .ops = ops, .ctx = ctx};
     TAILQ_INIT(&s->idle);
+    for (int i = 0; i < SIZE_CLASSES; i++)
+        TAILQ_INIT(&s->unfinished[i]);
     struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
@@ -595,3 +669,8 @@
         busy += !is_idle(c);
     return busy;
 }
+
+size_t rk_server_client_count(const struct rk_server *s)
+{
+    return s->clients_len;
+}
--- a/callers/server.h
+++ b/callers/server.h
@@ -19,10 +19,13 @@
 struct rk_server_limits {
     size_t header_bytes; /* of a request line and its headers */
     size_t body_bytes;   /* of a request body */
-    int64_t header_ms;   /* time-out from the first byte of a head to its end */
-    int64_t idle_ms;     /* time-out between requests, and without data in a body;
-                            for the first wait in a body whose head came in one
-                            read, header_ms counts instead */
+    /* Bytes held of requests that are not whole; 0: no limit. Beyond it, the
+     * largest of them are refused with 503. */
+    size_t unfinished_bytes;
+    int64_t header_ms; /* time-out from the first byte of a head to its end */
+    int64_t idle_ms;   /* time-out between requests, and without data in a body;
+                          for the first wait in a body whose head came in one
+                          read, header_ms counts instead */
     int max_clients; /* open connections; for a further one, an idle one is closed,
                         or that one itself at once */
 };
@@ -106,4 +109,7 @@
 /* Returns the bytes of responses that the kernel has not taken yet. */
 size_t rk_client_unsent_len(const struct rk_client *c);
 
+/* Returns how many connections are open. */
+size_t rk_server_client_count(const struct rk_server *s);
+
 #endif
--- a/common/conn.c
+++ b/common/conn.c
@@ -11,9 +11,12 @@
 
 #include "common/addr.h"
 #include "common/loop.h"
+#include "common/memory.h"
 #include "common/util.h"
 
 #define READ_BLOCK_LEN (32 * 1024)
+/* The same while memory is scarce. */
+#define SCARCE_BLOCK_LEN (4 * 1024 - 1)
 /* Largest output buffer to keep after its bytes are sent: holds a usual head. */
 #define RETAINED_MAX 2048
 /* Time for the peer to read the last bytes and to close. */
@@ -36,6 +39,7 @@
     uint32_t watched_events; /* epoll events */
     struct rk_buf out;       /* bytes to send */
     size_t out_pos;          /* how many of them the kernel has taken */
+    size_t charged;          /* bytes of out in the account of memory */
     struct rk_timer timer;   /* limits the connect or the lingering */
 };
 
@@ -43,6 +47,7 @@
 {
     struct rk_conn *c = ctx;
     rk_buf_free(&c->out);
+    rk_memory_charge(&c->charged, 0);
     free(c);
 }
 
@@ -110,6 +115,7 @@
     c->out_pos = 0;
     if (c->out.cap > RETAINED_MAX)
         rk_buf_free(&c->out);
+    rk_memory_charge(&c->charged, c->out.cap);
 }
 
 static void flush(struct rk_conn *c)
@@ -155,7 +161,8 @@
 static void read_block(struct rk_conn *c)
 {
     static _Thread_local char block[READ_BLOCK_LEN];
-    ssize_t n = recv(c->fd, block, sizeof(block), 0);
+    size_t max = rk_memory_is_scarce() ? SCARCE_BLOCK_LEN : sizeof(block);
+    ssize_t n = recv(c->fd, block, max, 0);
     if (n < 0) {
         if (errno != EAGAIN && errno != EINTR)
             notify_end(c, errno);
@@ -253,6 +260,7 @@
     if (c->released || c->fd < 0 || !len)
         return;
     rk_buf_add(&c->out, data, len);
+    rk_memory_charge(&c->charged, c->out.cap);
     if (c->connecting)
         return;
     flush(c);
--- a/common/counters.h
+++ b/common/counters.h
@@ -72,6 +72,8 @@
       "Headers by which VMs speak of themselves that can't be read")               \
     X(VMS_REJECTED, "vms_rejected_total",                                          \
       "Entries of the list that name no VM which can be used")                     \
+    X(MEMORY_REFUSED, "memory_refused_total",                                      \
+      "Requests refused because the node buffers too much")                        \
     X(LOG_DROPPED, "log_lines_dropped_total", "Log lines nobody read in time")
 
 enum rk_counter {
--- /dev/null
+++ b/common/memory.c
@@ -0,0 +1,73 @@
+#include "common/memory.h"
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+#include "common/counters.h"
+#include "common/eventlog.h"
+#include "common/util.h"
+
+/* Without a refusal for so long, there is room again. */
+#define QUIET_MS 5000
+
+static _Atomic size_t budget;
+static _Atomic size_t used;
+
+void rk_memory_set_budget(size_t bytes)
+{
+    atomic_store_explicit(&budget, bytes, memory_order_relaxed);
+}
+
+void rk_memory_charge(size_t *charged, size_t bytes)
+{
+    if (*charged == bytes)
+        return;
+    /* Unsigned wrap-around subtracts when the owner holds less than before. */
+    atomic_fetch_add_explicit(&used, bytes - *charged, memory_order_relaxed);
+    *charged = bytes;
+}
+
+size_t rk_memory_used(void)
+{
+    return atomic_load_explicit(&used, memory_order_relaxed);
+}
+
+bool rk_memory_has_room(size_t bytes)
+{
+    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    size_t now = rk_memory_used();
+    return !most || (now <= most && bytes <= most - now);
+}
+
+bool rk_memory_is_scarce(void)
+{
+    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    return most && rk_memory_used() > most / 2;
+}
+
+void rk_memory_count_refusal(void)
+{
+    rk_counter_add(RK_C_MEMORY_REFUSED, 1);
+}
+
+void rk_memory_log_changes(void)
+{
+    static uint64_t logged, seen;
+    static int64_t refused_ms;
+    static bool is_full;
+    uint64_t refused = rk_counter_value(RK_C_MEMORY_REFUSED);
+    int64_t now_ms = rk_mono_ms();
+    if (refused != seen)
+        refused_ms = now_ms;
+    seen = refused;
+    bool full = refused != logged && now_ms - refused_ms < QUIET_MS;
+    if (full == is_full)
+        return;
+    is_full = full;
+    RK_WARN(full ? "memory.full" : "memory.back",
+            RK_N("buffered", (int64_t)rk_memory_used()),
+            RK_N("budget", (int64_t)atomic_load(&budget)),
+            RK_N("refused", (int64_t)(refused - logged)));
+    if (!full)
+        logged = refused;
+}
--- a/common/util.c
+++ b/common/util.c
@@ -137,8 +137,10 @@
         return false;
     if (b->len + len + 1 > b->cap) {
         size_t cap = b->cap ? b->cap * 2 : BUF_MIN_CAP;
-        while (cap < b->len + len + 1)
-            cap *= 2;
+        if (b->max && cap > b->max + 1)
+            cap = b->max + 1;
+        if (cap < b->len + len + 1)
+            cap = b->len + len + 1;
         b->data = rk_realloc(b->data, cap);
         b->cap = cap;
     }
--- a/core/procfile.c
+++ b/core/procfile.c
@@ -68,6 +68,7 @@
     REAL(retry_burst, 0, 1000000, 20),
     REAL(retry_ratio, 0, 1, 0),
     REAL(cpu_share, 0, 1024, 1),
+    REAL(memory_mb, 16, 1000000000, 256),
     REAL(max_fds, 16, 1000000000, 1000000),
     REAL(trial_share, 0, 1, 0),
     REAL(trial_slack, 0, 1000000, 0),
--- a/core/procfile.h
+++ b/core/procfile.h
@@ -48,6 +48,7 @@
     double retry_burst;    /* retries of all nodes beyond retry_ratio */
     double retry_ratio;    /* retries per call, of all nodes */
     double cpu_share;      /* CPU cores that this machine gives the process */
+    double memory_mb;      /* memory that it gives the process, in MiB */
     double max_fds;        /* descriptors that it gives the process */
     /* Bounds for the canary of a new version that may be bad: the share of the
      * calls of its service (0: this deployment orders no new versions), calls on
--- a/node/node.c
+++ b/node/node.c
@@ -13,6 +13,7 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/memory.h"
 #include "core/revision.h"
 #include "node/metric_label.h"
 #include "node/resources.h"
@@ -90,6 +91,8 @@
         {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
         {"vms_resting", n->report ? (int64_t)n->report->vms_in_cooldown : 0},
         {"vms_unreachable", n->report ? (int64_t)n->report->vms_unreachable : 0},
+        {"buffered_bytes", (int64_t)rk_memory_used()},
+        {"caller_connections", n->report ? (int64_t)n->report->connections : 0},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
@@ -323,12 +326,14 @@
         .seed = rk_rng_next(&n->rng),
         .max_clients = resources.callers,
         .max_forward_clients = resources.forwards,
+        .buffer_bytes = (size_t)resources.buffer_bytes,
         .bounds = relay_bounds(f),
         .on_report = on_report,
         .on_stopped = on_stopped,
         .ctx = n,
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
+    rk_memory_set_budget((size_t)resources.buffer_bytes);
     n->relay = rk_relay_create(&opt);
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
@@ -432,7 +437,8 @@
 {
     const struct rk_resources r = rk_resources_get(&n->file);
     RK_EVENT("node.resources", RK_N("descriptors", r.descriptors),
-             RK_N("callers", r.callers), RK_N("forwards", r.forwards));
+             RK_N("callers", r.callers), RK_N("forwards", r.forwards),
+             RK_N("buffer_bytes", r.buffer_bytes));
 }
 
 void rk_node_run(struct rk_node *n)
--- a/node/resources.c
+++ b/node/resources.c
@@ -4,7 +4,11 @@
 
 #include "core/procfile.h"
 
-#define FILES_MAX 200 /* descriptors that are not for sockets */
+#define FILES_MAX    200 /* descriptors that are not for sockets */
+#define BYTES_PER_MB (1024 * 1024)
+/* Of the memory. The rest is for the lists of VMs and settings, for what each
+ * connection and call needs, and for what the allocator can't use. */
+#define BUFFER_SHARE 0.4
 
 static int64_t min_of(int64_t a, int64_t b)
 {
@@ -24,6 +28,7 @@
 {
     struct rk_resources r = {.descriptors = count_descriptors(file)};
     int64_t sockets = r.descriptors - min_of(FILES_MAX, r.descriptors / 4);
+    r.buffer_bytes = (int64_t)(file->memory_mb * BYTES_PER_MB * BUFFER_SHARE);
     r.callers = (int)min_of(file->max_connections, sockets * 2 / 3);
     r.forwards = (int)min_of(file->max_connections, sockets / 12);
     return r;
--- a/programs/node.c
+++ b/programs/node.c
@@ -150,6 +150,7 @@
         printf("%s: ok\n", args.procfile);
         return 0;
     }
+    rk_process_tune_allocator();
     block_signals();
     rk_stack_dump_init();
     curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -5,12 +5,17 @@
 
 #include "callers/server.h"
 #include "common/eventlog.h"
+#include "common/memory.h"
 #include "serve/relay_call.h"
 #include "services/upstream.h"
 
 #define REPORT_INTERVAL_MS  200
 #define ACCEPT_DELAY_MAX_MS 400 /* longest delay of new connections at start */
 #define USAGE_WINDOWS_KEPT  6   /* reported besides the current one */
+/* Eighths of the buffers' budget that requests which are not whole may hold: of
+ * callers and, one, of peers. Half is left for calls in flight. */
+#define UNFINISHED_SHARES        8
+#define UNFINISHED_CALLER_SHARES 3
 /* How long a changed quarantine row is repeated in reports. */
 #define SUSPECT_REPORT_MS         1000
 #define SIGNAL_EXPIRY_INTERVAL_MS 10000
@@ -190,6 +195,8 @@
     report->routes_version = r->routes ? r->routes->version : 0;
     report->vms_known = r->vms_known;
     report->busy_count = rk_relay_busy_count(r);
+    report->connections = rk_server_client_count(r->server);
+    rk_memory_log_changes();
     r->opt.on_report(r->opt.ctx, report);
 }
 
@@ -238,18 +245,26 @@
     .on_disconnect = on_client_gone,
     .on_drained = on_client_drained};
 
+size_t rk_relay_unfinished_max(const struct rk_relay *r, bool forwarded)
+{
+    size_t share = r->opt.buffer_bytes / UNFINISHED_SHARES;
+    return forwarded ? share : (UNFINISHED_CALLER_SHARES * share);
+}
+
 /* Returns false if an address can't be bound. */
 static bool create_servers(struct rk_relay *r)
 {
     const struct rk_relay_options *opt = &r->opt;
     struct rk_server_limits limits = default_limits;
     limits.max_clients = opt->max_clients;
+    limits.unfinished_bytes = rk_relay_unfinished_max(r, false);
     r->server =
         rk_server_create(r->loop, opt->listen_addr, &limits, &server_ops, r);
     if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
         return r->server != NULL;
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.max_clients = opt->max_forward_clients;
+    limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
     r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
                                          &forward_server_ops, r);
     return r->forward_server != NULL;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -94,6 +94,7 @@
     /* Calls in flight plus connections with a request, a part of one, or unsent
      * answer bytes. A call whose caller waits counts in both; 0 means idle. */
     size_t busy_count;
+    size_t connections; /* of callers */
 };
 /* Frees a report and its arrays. */
 void rk_relay_report_free(struct rk_relay_report *r);
@@ -155,6 +156,8 @@
     int max_clients; /* limit of open connections of callers */
     /* limit of open connections of peers that forward calls */
     int max_forward_clients;
+    size_t
+        buffer_bytes; /* the process's budget, see common/memory.h; 0: no limit */
     struct rk_relay_bounds bounds;
     /* Called on the relay's thread. The callee owns the report. */
     void (*on_report)(void *ctx, struct rk_relay_report *report);
--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -11,10 +11,13 @@
 #include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/memory.h"
 #include "serve/relay_call_impl.h"
 
 #define EVENT_STREAM_TYPE "text/event-stream"
 #define UNSENT_MAX_BYTES  (64 * 1024) /* buffered for a slow caller */
+/* The same while memory is scarce. */
+#define UNSENT_SCARCE_BYTES (4 * 1024)
 
 /* Records the attempt's time to first byte and the error of its prediction. */
 static void record_first_byte(struct rk_relay_call *x)
@@ -211,7 +214,8 @@
  * the node would buffer all that a VM sends, for each such caller. */
 static void hold_for_slow_caller(struct rk_relay_call *x)
 {
-    if (!x->up || rk_client_unsent_len(x->client) <= UNSENT_MAX_BYTES)
+    size_t max = rk_memory_is_scarce() ? UNSENT_SCARCE_BYTES : UNSENT_MAX_BYTES;
+    if (!x->up || rk_client_unsent_len(x->client) <= max)
         return;
     x->is_held = true;
     rk_upstream_set_held(x->up, true);
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -75,11 +75,13 @@
         .header_ms = l->header_ms,
         .idle_ms = l->idle_ms,
         .max_clients = r->opt.max_clients,
+        .unfinished_bytes = rk_relay_unfinished_max(r, false),
     };
     rk_server_set_limits(r->server, &limits);
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.idle_ms = FORWARD_IDLE_MS;
     limits.max_clients = r->opt.max_forward_clients;
+    limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
     if (r->forward_server)
         rk_server_set_limits(r->forward_server, &limits);
     rk_routes_unref(r->routes);
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -10,10 +10,14 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/memory.h"
 #include "serve/relay_call_impl.h"
 
 #define PCT 100
 
+#define BODY_COPIES           2 /* that are held of a body while it is sent to a VM */
+#define MEMORY_RETRY_AFTER_MS 1000
+
 /* For this long after a stop began, calls of any length are accepted: the balancer
  * may still send calls because it does not know of the stop yet. */
 #define STOP_ACCEPT_ALL_MS 2700
@@ -289,6 +293,13 @@
         refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
         return;
     }
+    size_t body_len;
+    rk_client_body(client, &body_len);
+    if (!rk_memory_has_room(body_len)) {
+        rk_memory_count_refusal();
+        rk_call_refuse_forwarded(client, RK_FORWARD_NO_ROOM, MEMORY_RETRY_AFTER_MS);
+        return;
+    }
     struct rk_relay_call *x = create_call(r, client, call.route, call.org);
     x->is_forwarded = true;
     x->units = 0;
@@ -343,10 +354,24 @@
     return true;
 }
 
+/* Refuses a request if this node buffers too much to take these further bytes of
+ * its body. Returns false if it did. */
+static bool has_memory(struct rk_relay *r, struct rk_client *client, size_t bytes)
+{
+    if (rk_memory_has_room(bytes))
+        return true;
+    rk_memory_count_refusal();
+    refuse(r, client, HTTP_UNAVAILABLE, MEMORY_RETRY_AFTER_MS,
+           "this node has no memory for it");
+    return false;
+}
+
 bool rk_relay_call_accept_head(struct rk_relay *r, struct rk_client *client)
 {
     struct call_spec call;
-    if (accept_head(r, client, &call))
+    int64_t length = rk_client_head(client)->body_length;
+    size_t copies = length > 0 ? BODY_COPIES * (size_t)length : 0;
+    if (accept_head(r, client, &call) && has_memory(r, client, copies))
         return true;
     rk_counter_add(RK_C_CALLS, 1);
     return false;
@@ -356,7 +381,9 @@
 {
     struct call_spec call;
     rk_counter_add(RK_C_CALLS, 1);
-    if (!accept_head(r, client, &call))
+    size_t body_len;
+    rk_client_body(client, &body_len);
+    if (!accept_head(r, client, &call) || !has_memory(r, client, body_len))
         return;
     struct rk_relay_call *x = create_call(r, client, call.route, call.org);
     x->deadline_ms = x->started_ms + call.left_ms;
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from hosted import Hosted, read_answer
+from hosted import Hosted, read_answer, wait_until
 from proc_hosted_endless import memory_mb
 
 MEMORY_MB = 120  # of the smallest machines
@@ -16,11 +16,11 @@
           "idleTimeoutMs": 6000}
 
 
-def small_node():
-    """Starts a node with the memory of the smallest machines, and two workers."""
+def small_node(workers=2):
+    """Starts a node with the memory of the smallest machines, and workers."""
     d = Hosted(nodes=0)
     d.add_node(limits={"cpuShare": 0.25, "memoryMb": MEMORY_MB})
-    for _ in range(2):
+    for _ in range(workers):
         d.add_worker("plain")
     d.configure([d.route("r", "plain")], limits=LIMITS)
     d.wait_ready()
@@ -133,6 +133,91 @@
         assert read_answer(s).status == 200
 
 
+def check_half_sent(count, length):
+    """Holds half-sent bodies at a node and makes sound calls beside them. Returns the
+    figures."""
+    with small_node() as d:
+        conns = []
+        sender = threading.Thread(target=lambda: conns.extend(send_halves(d, count, length)))
+        sender.start()
+        while sender.is_alive():
+            assert_served(d)
+        sender.join()
+        assert_served(d)
+        figure = assert_small(d)
+        refused = [a for a in answers(conns[-100:], 0.01) if a]
+        assert all(a.status == 503 and float(a.headers["retry-after"]) > 0 or a.status == 408
+                   for a in refused), [(a.status, a.headers) for a in refused]
+        assert not [r for w in d.workers for r in w.seen
+                    if r.get("Rillknot-Attempt-Id").startswith("half")]
+        total = d.gauge(d.nodes[0], "memory_refused_total")
+        assert total > 0
+        full = [e for e in d.nodes[0].events() if e["event"] == "memory.full"]
+        assert 1 <= len(full) <= 3, len(full)
+        return "%s, %d refused" % (figure, total)
+
+
+def test_long_bodies_that_never_end_do_not_fill_the_memory():
+    """Guards against callers that fill a node's memory with bodies whose last byte never comes.
+
+    100 calls of 4 MB held 392 MB at a machine that has 120.
+    """
+    return check_half_sent(100, LONG_BODY)
+
+
+def test_many_bodies_that_never_end_do_not_fill_the_memory():
+    """Guards against the same by many callers, each with a body that is usual in length."""
+    return check_half_sent(2500, 70000)
+
+
+def test_requests_behind_a_call_do_not_fill_the_memory():
+    """Guards against bytes that callers send behind a request which is being run.
+
+    Up to 64 KB, and a block, were held for each of some thousand callers.
+    """
+    with small_node(workers=9) as d:
+        for w in d.workers:
+            w.free_slots, w.work_s = threading.Semaphore(1000), 2.0
+        head = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                b"Rillknot-Attempt-Id: behind-%d\r\nContent-Length: ")
+        conns = []
+        for i in range(1700):
+            s = d.connect()
+            s.setblocking(False)
+            s.send(head % i + b"2\r\n\r\nhi" + head % i + b"65000\r\n\r\n" + b"x" * 64999)
+            conns.append(s)
+        time.sleep(0.5)
+        buffered = d.gauge(d.nodes[0], "buffered_bytes") / 1e6
+        figure = assert_small(d)
+        for s in conns:
+            s.close()
+        for w in d.workers:
+            w.work_s = 0.0
+        time.sleep(0.5)
+        assert_served(d)
+        return "%s, %.1f MB buffered" % (figure, buffered)
+
+
+def test_callers_that_do_not_read_do_not_fill_the_memory():
+    """Guards against long answers that are held for callers which don't read them."""
+    with small_node() as d:
+        for w in d.workers:
+            w.body = lambda req: b"y" * (LONG_BODY if req.get("X-Long") else 5)
+        conns = []
+        for i in range(100):
+            s = d.connect()
+            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"X-Long: 1\r\nRillknot-Attempt-Id: slow-%d\r\n"
+                      b"Content-Length: 2\r\n\r\nhi" % i)
+            conns.append(s)
+            if i % 20 == 19:
+                assert_served(d)
+        figure = assert_small(d)
+        for s in conns:
+            s.close()
+        return figure
+
+
 def test_idle_connections_keep_no_long_buffers():
     """Guards against connections that keep the buffer of a long body while they are idle."""
     with small_node() as d:
@@ -144,4 +229,5 @@
                       b"Rillknot-Attempt-Id: long-%d\r\nContent-Length: %d\r\n\r\n"
                       % (i, LONG_BODY) + b"x" * LONG_BODY)
             assert read_answer(s).status == 200
+        wait_until(lambda: d.gauge(d.nodes[0], "buffered_bytes") < LONG_BODY, 2)
         return assert_small(d)
