--- a/common/process.h
+++ b/common/process.h
@@ -2,8 +2,8 @@
 #ifndef RK_COMMON_PROCESS_H
 #define RK_COMMON_PROCESS_H
 
-/* Makes the allocator give large buffers back to the system when they are freed, and
- * keeps its overhead small. Called before the first thread is started. */
+/* Makes the allocator give large buffers back to the system when they are freed,
+ * and keeps its overhead small. Called before the first thread is started. */
 void rk_process_tune_allocator(void);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
