--- a/callers/server.c
+++ b/callers/server.c
@@ -7,20 +7,26 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/epoll.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <arpa/inet.h>
 
+#include "common/acceptor.h"
 #include "common/addr.h"
 #include "common/conn.h"
 #include "common/http1.h"
 #include "common/loop.h"
+#include "common/memory.h"
 #include "common/status.h"
 #include "common/util.h"
 
 #define LISTEN_BACKLOG            1024
-#define ACCEPT_BATCH              64 /* connections accepted per loop iteration */
+#define SIZE_CLASSES              32   /* of requests that are not whole */
+#define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
+#define BODY_RESERVED_MAX         (64 * 1024) /* longest body allocated in one piece */
+#define MEMORY_RETRY_AFTER        "Retry-After: 1\r\n"
+#define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
 #define HEADER_LINE_MAX           128
 #define KEEP_ALIVE_ADVERTISED_PCT 80 /* percent of the idle time-out */
@@ -34,6 +40,11 @@
 struct rk_client {
     struct rk_server *s;
     struct rk_client *next, **prev;
+    TAILQ_ENTRY(rk_client) idle_entry;
+    bool in_idle_list;
+    TAILQ_ENTRY(rk_client) unfinished_entry;
+    size_t unfinished; /* bytes held of a request that is not whole */
+    size_t charged;    /* bytes in the account of memory */
     struct rk_conn *conn;
     struct rk_http1 reader;
     struct rk_server_limits limits;
@@ -42,6 +53,7 @@
     struct rk_buf pipelined; /* bytes after the current request */
     size_t pipelined_pos;    /* how many of them were read */
     bool feeding;            /* feed_pipelined() is on the stack */
+    bool head_accepted;      /* the rest of the body is read */
     bool closed;             /* will be freed in the loop's next iteration */
     struct rk_timer timer;
     void *user;
@@ -53,13 +65,19 @@
 
 struct rk_server {
     struct rk_loop *loop;
-    int fd;
+    struct rk_acceptor acceptor;
     char addr[RK_ADDR_MAX];
     struct rk_server_limits limits;
     const struct rk_server_ops *ops;
     void *ctx;
     struct rk_client *clients;
     size_t clients_len;
+    /* Connections without a part of a request, the one that waits longest first. */
+    TAILQ_HEAD(, rk_client) idle;
+    /* Connections with a part of a request, by the binary logarithm of the bytes
+     * held of it; in each class the one that reached it first is the first. */
+    TAILQ_HEAD(, rk_client) unfinished[SIZE_CLASSES];
+    size_t unfinished_bytes;
     bool closing; /* every response closes its connection */
 };
 
@@ -73,13 +91,55 @@
     rk_http1_free(&c->reader);
     rk_buf_free(&c->body);
     rk_buf_free(&c->pipelined);
+    rk_memory_charge(&c->charged, 0);
     free(c);
 }
 
-/* Removes the client from the server's list. Its functions may be on the stack, so
+static void set_in_idle_list(struct rk_client *c, bool on)
+{
+    if (c->in_idle_list)
+        TAILQ_REMOVE(&c->s->idle, c, idle_entry);
+    c->in_idle_list = on;
+    if (on)
+        TAILQ_INSERT_TAIL(&c->s->idle, c, idle_entry);
+}
+
+static int size_class(size_t bytes)
+{
+    int log = 0;
+    while (bytes >>= 1)
+        log++;
+    return log < SIZE_CLASSES ? log : SIZE_CLASSES - 1;
+}
+
+static void set_unfinished(struct rk_client *c, size_t bytes)
+{
+    struct rk_server *s = c->s;
+    int before = size_class(c->unfinished), after = size_class(bytes);
+    if (c->unfinished && (!bytes || before != after))
+        TAILQ_REMOVE(&s->unfinished[before], c, unfinished_entry);
+    if (bytes && (!c->unfinished || before != after))
+        TAILQ_INSERT_TAIL(&s->unfinished[after], c, unfinished_entry);
+    s->unfinished_bytes += bytes - c->unfinished;
+    c->unfinished = bytes;
+}
+
+/* Brings the accounts of the client's buffers up to date. */
+static void update_accounts(struct rk_client *c)
+{
+    size_t request = c->reader.head.text.cap + c->body.cap;
+    bool is_part = c->state == CLIENT_READING && !c->closed && !c->in_idle_list;
+    rk_memory_charge(&c->charged, request + c->pipelined.cap);
+    if (c->unfinished != (is_part ? request : 0))
+        set_unfinished(c, is_part ? request : 0);
+}
+
+/* Removes the client from the server's lists. Its functions may be on the stack, so
  * its memory is freed in the loop's next iteration. */
 static void unlink_and_free_later(struct rk_client *c)
 {
+    set_in_idle_list(c, false);
+    set_unfinished(c, 0);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
@@ -95,13 +155,16 @@
     unlink_and_free_later(c);
 }
 
-/* Closes the connection unless it has unread bytes. rk_conn_close() would discard a
- * request that crosses the close, and its caller would get no reset. Callers lost
- * requests that way where other links were saturated and a close took a second. */
-static void close_idle(struct rk_client *c)
+/* Closes the connection unless it has unread bytes, and returns whether it did.
+ * rk_conn_close() would discard a request that crosses the close, and its caller
+ * would get no reset. Callers lost requests that way where other links were
+ * saturated and a close took a second. */
+static bool close_idle(struct rk_client *c)
 {
-    if (rk_conn_close_idle(c->conn))
-        unlink_and_free_later(c);
+    if (!rk_conn_close_idle(c->conn))
+        return false;
+    unlink_and_free_later(c);
+    return true;
 }
 
 static void abort_client(struct rk_client *c)
@@ -114,6 +177,7 @@
 static void wait_for_request(struct rk_client *c)
 {
     c->state = CLIENT_READING;
+    set_in_idle_list(c, true);
     rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
 }
 
@@ -181,7 +245,8 @@
     c->no_body =
         c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
     c->close_after_answer =
-        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive;
+        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive ||
+        !c->reader.ended; /* the start of the next request is not known */
     snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
              reason_phrase(status));
     write_str(c, line);
@@ -209,9 +274,13 @@
 static void next_request(struct rk_client *c)
 {
     c->body.len = 0;
+    if (c->body.cap > BODY_RETAINED_MAX)
+        rk_buf_free(&c->body);
     c->user = NULL;
+    c->head_accepted = false;
     rk_http1_next(&c->reader);
     wait_for_request(c);
+    update_accounts(c);
     if (!c->feeding)
         feed_pipelined(c);
 }
@@ -265,24 +334,35 @@
 
 /* Responds with a status and closes the connection, because the end of the refused
  * request, and so the start of the next one, is not known. */
-static void refuse_request(struct rk_client *c, int status)
+static void refuse_request(struct rk_client *c, int status, const char *headers)
 {
     rk_timer_stop(c->s->loop, &c->timer);
     c->close_after_answer = true;
     c->reader.head.minor = 1;
-    rk_client_answer(c, status, "", "", 0);
+    rk_client_answer(c, status, headers, "", 0);
+}
+
+/* Refuses the largest requests that are not whole until the others keep within
+ * their limit. */
+static void limit_unfinished(struct rk_server *s)
+{
+    size_t most = s->limits.unfinished_bytes;
+    int i = SIZE_CLASSES - 1;
+    while (most && s->unfinished_bytes > most) {
+        while (TAILQ_EMPTY(&s->unfinished[i]))
+            i--;
+        rk_memory_count_refusal();
+        refuse_request(TAILQ_FIRST(&s->unfinished[i]), 503, MEMORY_RETRY_AFTER);
+    }
 }
 
 static bool on_head(void *ctx, const struct rk_head *head)
 {
     struct rk_client *c = ctx;
-    const char *expect = rk_head_get(head, "Expect");
     if (head->major != 1)
         c->refuse_status = 505;
     else if (head->body_length > (int64_t)c->limits.body_bytes)
         c->refuse_status = 413;
-    else if (expect && !strcasecmp(expect, "100-continue"))
-        write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
     return true;
 }
 
@@ -291,7 +371,10 @@
     struct rk_client *c = ctx;
     if (c->refuse_status)
         return;
-    c->body.max = c->limits.body_bytes;
+    int64_t length = c->reader.head.body_length;
+    c->body.max = length > 0 ? (size_t)length : c->limits.body_bytes;
+    if (length > 0 && length <= BODY_RESERVED_MAX)
+        rk_buf_reserve(&c->body, (size_t)length);
     if (len && !rk_buf_add(&c->body, data, len))
         c->refuse_status = 413;
 }
@@ -309,6 +392,12 @@
     return c->pipelined.len - c->pipelined_pos;
 }
 
+/* Returns how many bytes are read of the requests after the current one. */
+static size_t pipelined_max(void)
+{
+    return rk_memory_is_scarce() ? 0 : PIPELINED_PAUSE_BYTES;
+}
+
 /* Buffers bytes that follow the current request. Reading is paused while there are
  * too many. */
 static void save_pipelined(struct rk_client *c, const char *data, size_t len)
@@ -316,24 +405,47 @@
     if (!len || c->closed)
         return;
     rk_buf_add(&c->pipelined, data, len);
-    if (unread_len(c) > PIPELINED_PAUSE_BYTES)
+    update_accounts(c);
+    if (unread_len(c) > pipelined_max())
         rk_conn_set_paused(c->conn, true);
 }
 
+/* Asks the owner, once, whether to read the rest of a body. Returns false if the
+ * request was answered instead. */
+static bool accept_head(struct rk_client *c)
+{
+    const char *expect = rk_head_get(&c->reader.head, "Expect");
+    if (c->head_accepted)
+        return true;
+    if (c->s->ops->on_head && !c->s->ops->on_head(c->s->ctx, c))
+        return false;
+    c->head_accepted = true;
+    if (expect && !strcasecmp(expect, "100-continue"))
+        write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
 /* Parses input up to the end of one request and passes a complete one on. Returns
  * the number of bytes that were read. */
 static size_t feed(struct rk_client *c, const char *data, size_t len)
 {
     bool is_first_byte = !rk_http1_has_begun(&c->reader);
+    set_in_idle_list(c, false);
     size_t n = rk_http1_feed(&c->reader, data, len);
     if (c->reader.failed || c->refuse_status) {
         int status = c->refuse_status      ? c->refuse_status
                      : c->reader.too_large ? 431
                                            : 400;
-        refuse_request(c, status);
+        refuse_request(c, status, "");
         return len;
     }
     if (!c->reader.ended) {
+        update_accounts(c);
+        limit_unfinished(c->s);
+        if (c->closed)
+            return len;
+        if (c->reader.head_done && !accept_head(c))
+            return len;
         if (is_first_byte)
             rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
         else if (c->reader.head_done)
@@ -342,6 +454,7 @@
     }
     rk_timer_stop(c->s->loop, &c->timer);
     c->state = CLIENT_IN_FLIGHT;
+    update_accounts(c);
     c->s->ops->on_request(c->s->ctx, c);
     return n;
 }
@@ -362,7 +475,8 @@
     c->pipelined_pos = 0;
     if (!c->pipelined.len)
         rk_buf_free(&c->pipelined);
-    rk_conn_set_paused(c->conn, c->pipelined.len > PIPELINED_PAUSE_BYTES);
+    update_accounts(c);
+    rk_conn_set_paused(c->conn, c->pipelined.len > pipelined_max());
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
@@ -417,7 +531,7 @@
     if (c->state != CLIENT_READING)
         return;
     if (rk_http1_has_begun(&c->reader))
-        refuse_request(c, 408);
+        refuse_request(c, 408, "");
     else if (rk_conn_unsent_len(c->conn))
         wait_for_request(c); /* the last response is not sent yet */
     else
@@ -426,9 +540,30 @@
 
 /* ---- accepting connections ---- */
 
-static void add_client(struct rk_server *s, int fd)
+static bool is_idle(const struct rk_client *c)
+{
+    return c->state == CLIENT_READING && !rk_http1_has_begun(&c->reader) &&
+           !rk_conn_unsent_len(c->conn);
+}
+
+/* Closes the connection that has been idle for longest. Returns false if none was
+ * found. */
+static bool close_oldest_idle(void *ctx)
+{
+    struct rk_server *s = ctx;
+    for (int i = 0; i < EVICTION_TRIES && !TAILQ_EMPTY(&s->idle); i++) {
+        struct rk_client *c = TAILQ_FIRST(&s->idle);
+        if (is_idle(c) && close_idle(c))
+            return true;
+        set_in_idle_list(c, true); /* the next try begins with another one */
+    }
+    return false;
+}
+
+static void add_client(void *ctx, int fd)
 {
-    if (s->clients_len >= (size_t)s->limits.max_clients) {
+    struct rk_server *s = ctx;
+    if (s->clients_len >= (size_t)s->limits.max_clients && !close_oldest_idle(s)) {
         close(fd);
         return;
     }
@@ -447,18 +582,6 @@
     wait_for_request(c);
 }
 
-static void on_accept(void *ctx, int fd, uint32_t events)
-{
-    (void)events;
-    struct rk_server *s = ctx;
-    for (int i = 0; i < ACCEPT_BATCH; i++) {
-        int client = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (client < 0)
-            return;
-        add_client(s, client);
-    }
-}
-
 static int listen_at(const char *addr)
 {
     struct sockaddr_in sin;
@@ -490,15 +613,19 @@
     if (fd < 0)
         return NULL;
     struct rk_server *s = rk_alloc(1, sizeof(*s));
-    *s = (struct rk_server){
-        .loop = loop, .fd = fd, .limits = *limits, .ops = ops, .ctx = ctx};
+    *s =
+        (struct rk_server){.loop = loop, .limits = *limits, .ops = ops, .ctx = ctx};
+    TAILQ_INIT(&s->idle);
+    for (int i = 0; i < SIZE_CLASSES; i++)
+        TAILQ_INIT(&s->unfinished[i]);
     struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
     char ip[INET_ADDRSTRLEN];
     inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip));
     snprintf(s->addr, sizeof(s->addr), "%s:%u", ip, ntohs(sin.sin_port));
-    rk_loop_watch(loop, fd, EPOLLIN, on_accept, s);
+    rk_acceptor_start(&s->acceptor, loop, fd, s->addr, add_client,
+                      close_oldest_idle, s);
     return s;
 }
 
@@ -506,8 +633,7 @@
 {
     if (!s)
         return;
-    rk_loop_watch(s->loop, s->fd, 0, NULL, NULL);
-    close(s->fd);
+    rk_acceptor_close(&s->acceptor);
     while (s->clients)
         drop_disconnected(s->clients);
     free(s);
@@ -525,10 +651,7 @@
 
 void rk_server_set_accepting(struct rk_server *s, bool on)
 {
-    if (on)
-        rk_loop_watch(s->loop, s->fd, EPOLLIN, on_accept, s);
-    else
-        rk_loop_watch(s->loop, s->fd, 0, NULL, NULL);
+    rk_acceptor_set_on(&s->acceptor, on);
 }
 
 void rk_server_set_closing(struct rk_server *s)
@@ -536,12 +659,6 @@
     s->closing = true;
 }
 
-static bool is_idle(const struct rk_client *c)
-{
-    return c->state == CLIENT_READING && !rk_http1_has_begun(&c->reader) &&
-           !rk_conn_unsent_len(c->conn);
-}
-
 void rk_server_close_idle(struct rk_server *s)
 {
     for (struct rk_client *c = s->clients, *next; c; c = next) {
@@ -558,3 +675,8 @@
         busy += !is_idle(c);
     return busy;
 }
+
+size_t rk_server_client_count(const struct rk_server *s)
+{
+    return s->clients_len;
+}
--- a/common/process.h
+++ b/common/process.h
@@ -1,4 +1,4 @@
-/* The threads of a process, how it is told to stop, and its end. */
+/* The memory and the threads of a process, how it is told to stop, and its end. */
 #ifndef RK_COMMON_PROCESS_H
 #define RK_COMMON_PROCESS_H
 
@@ -7,6 +7,9 @@
 
 #include "common/status.h"
 
+/* Makes the allocator give large buffers back to the system when they are freed,
+ * and keeps its overhead small. Called before the first thread is started. */
+void rk_process_tune_allocator(void);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
 /* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
--- a/node/node.c
+++ b/node/node.c
@@ -14,10 +14,12 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/memory.h"
 #include "common/process.h"
 #include "core/revision.h"
 #include "node/listen_wait.h"
 #include "node/metric_label.h"
+#include "node/resources.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -93,6 +95,8 @@
         {"vms_say_leaving", (int64_t)rk_signals_leaving(n->signals)},
         {"vms_resting", n->report ? (int64_t)n->report->vms_in_cooldown : 0},
         {"vms_unreachable", n->report ? (int64_t)n->report->vms_unreachable : 0},
+        {"buffered_bytes", (int64_t)rk_memory_used()},
+        {"caller_connections", n->report ? (int64_t)n->report->connections : 0},
         {"leaving", n->leaving},
     };
     for (size_t i = 0; i < RK_ARRAY_LEN(gauges); i++)
@@ -317,19 +321,23 @@
 static enum rk_status create_relay(struct rk_node *n)
 {
     const struct rk_procfile *f = &n->file;
+    const struct rk_resources resources = rk_resources_get(f);
     struct rk_relay_options opt = {
         .dialect = n->platform->dialect,
         .listen_addr = f->listen,
         .forward_addr = f->forward_listen,
         .node_hash = n->hash,
         .seed = rk_rng_next(&n->rng),
-        .max_clients = (int)f->max_connections,
+        .max_clients = resources.callers,
+        .max_forward_clients = resources.forwards,
+        .buffer_bytes = (size_t)resources.buffer_bytes,
         .bounds = relay_bounds(f),
         .on_report = on_report,
         .on_stopped = on_stopped,
         .ctx = n,
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
+    rk_memory_set_budget((size_t)resources.buffer_bytes);
     n->relay = rk_relay_create(&opt);
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
@@ -491,6 +499,14 @@
              RK_N("stop_ms", rk_s_to_ms(n->file.stop_s)));
 }
 
+static void log_resources(const struct rk_node *n)
+{
+    const struct rk_resources r = rk_resources_get(&n->file);
+    RK_EVENT("node.resources", RK_N("descriptors", r.descriptors),
+             RK_N("callers", r.callers), RK_N("forwards", r.forwards),
+             RK_N("buffer_bytes", r.buffer_bytes));
+}
+
 enum rk_status rk_node_run(struct rk_node *n)
 {
     pthread_t traffic;
@@ -499,6 +515,7 @@
     if (st != RK_OK)
         return st;
     log_started(n);
+    log_resources(n);
     rk_read_delay_start(n);
     rk_persist_start(n->persist);
     rk_quarantines_start(n->quarantines);
--- a/programs/node.c
+++ b/programs/node.c
@@ -187,6 +187,7 @@
     }
     if (args.check)
         return print_check();
+    rk_process_tune_allocator();
     block_signals();
     rk_stack_dump_init();
     curl_global_init(CURL_GLOBAL_DEFAULT);
--- /dev/null
+++ b/tests/proc_hosted_descriptors.py
@@ -0,0 +1,132 @@
+"""Tests of a node that has few descriptors: it serves on and doesn't spin."""
+import os
+import resource
+import time
+
+from hosted import Hosted, read_answer
+from proc_hosted_memory import assert_served
+
+FEW = 256  # descriptors of a node in these tests
+CPU_SHARE_MAX = 0.5
+CALL = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+        b"Rillknot-Attempt-Id: d\r\nContent-Length: 2\r\n\r\nhi")
+
+
+def few_descriptors(system=None, max_fds=None):
+    """Starts a node that may open few descriptors, by the system's limit or its machine's."""
+    d = Hosted(nodes=0)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (system, hard))
+    limits = {"cpuShare": 0.25}
+    if max_fds:
+        limits["maxFds"] = max_fds
+    d.add_node(limits=limits)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    d.add_worker("plain")
+    d.configure([d.route("r", "plain")])
+    d.wait_ready()
+    return d
+
+
+def open_count(node):
+    """Returns how many descriptors a node has open."""
+    return len(os.listdir("/proc/%d/fd" % node.popen.pid))
+
+
+def cpu_s(node):
+    """Returns the CPU time that a node has used, in seconds."""
+    with open("/proc/%d/stat" % node.popen.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def assert_calm(node):
+    """The node uses less than half a core."""
+    start, used = time.monotonic(), cpu_s(node)
+    time.sleep(1.5)
+    share = (cpu_s(node) - used) / (time.monotonic() - start)
+    assert share < CPU_SHARE_MAX, "%.2f of a core" % share
+    return "%.2f of a core" % share
+
+
+def serve_beside_idle_callers(d):
+    """Opens more connections than the node has descriptors; further callers are served, and
+    descriptors are left for VMs. Returns the figures."""
+    node = d.nodes[0]
+    conns = [d.connect() for _ in range(2 * FEW)]
+    time.sleep(0.5)
+    figure = assert_calm(node)
+    assert_served(d)
+    most = open_count(node)
+    assert most < FEW * 9 // 10, most
+    for s in conns:
+        s.close()
+    assert node.popen.poll() is None
+    return "%d descriptors, %s" % (most, figure)
+
+
+def test_idle_callers_leave_descriptors_for_vms():
+    """Guards against callers' connections that take all descriptors the system allows.
+
+    The cap of callers' connections didn't depend on it: no VM could be reached any more, and
+    further callers waited for ever.
+    """
+    with few_descriptors(system=FEW) as d:
+        return serve_beside_idle_callers(d)
+
+
+def test_callers_leave_descriptors_within_the_machines_limit():
+    """Guards against callers' connections that take more descriptors than the machine gives.
+
+    The process may open more by the system's limit, and is ended for it by the machine.
+    """
+    with few_descriptors(max_fds=FEW) as d:
+        return serve_beside_idle_callers(d)
+
+
+def test_the_oldest_idle_connection_makes_room():
+    """Guards against a new caller that is turned away for connections that nobody uses.
+
+    Connections that were used last stay open.
+    """
+    with few_descriptors(max_fds=FEW) as d:
+        old = [d.connect() for _ in range(100)]
+        used = d.connect()
+        for _ in range(3):
+            used.sendall(CALL)
+            assert read_answer(used).status == 200
+            new = [d.connect() for _ in range(40)]
+            for s in new:
+                s.sendall(CALL)
+                assert read_answer(s).status == 200
+        used.sendall(CALL)
+        assert read_answer(used).status == 200
+        for s in old:
+            s.close()
+
+
+def test_a_node_without_descriptors_does_not_spin():
+    """Guards against a loop that accepts and fails again and again.
+
+    Connections that can't be accepted wait in the kernel and make the listener ready.
+    """
+    with few_descriptors() as d:
+        node = d.nodes[0]
+        before = resource.prlimit(node.popen.pid, resource.RLIMIT_NOFILE)
+        conns = [d.connect() for _ in range(2)]
+        for s in conns:
+            s.sendall(CALL[:-1])
+        time.sleep(0.2)
+        resource.prlimit(node.popen.pid, resource.RLIMIT_NOFILE, (open_count(node), before[1]))
+        for _ in range(20):
+            conns.append(d.connect())
+            conns[-1].sendall(CALL[:-1])
+        figure = assert_calm(node)
+        paused = [e for e in node.events() if e["event"] == "accept.paused"]
+        assert 1 <= len(paused) <= 3, len(paused)
+        resource.prlimit(node.popen.pid, resource.RLIMIT_NOFILE, before)
+        assert_served(d)
+        for s in conns:
+            s.close()
+        return figure
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -23,7 +23,8 @@
     "retry_burst": "budgetExtra", "retry_ratio": "retryBudgetRatio",
     "trial_slack": "exposureSlack", "trial_give_up_ms": "rollbackMs"}
 FIGURES = sorted(TEMPLATE_FIELDS) + ["traffic_threads", "notice_ms", "max_body",
-                                     "max_connections", "cpu_share", "trial_share"]
+                                     "max_connections", "cpu_share", "memory_mb", "max_fds",
+                                     "trial_share"]
 MISSING = object()
 BAD_VALUES = [None, -1, 1e18, "", "text", True, [], {}, 10**30]
 # 0 and fractions are in range for some figures; a node starts with them, too.
