--- /dev/null
+++ b/tests/proc_hosted_odd_objects.py
@@ -0,0 +1,50 @@
+"""Objects of the store with odd values: a node neither ends nor stops serving on what it reads,
+and serves again once sound objects are written."""
+from hosted import Hosted, wait_until
+
+MAX = 2 ** 63 - 1
+
+
+def deployment(nodes=1):
+    d = Hosted(nodes=nodes)
+    d.start()
+    d.add_worker("plain")
+    d.configure([d.route("r", "plain")])
+    d.wait_ready()
+    return d
+
+
+def logged(d, event):
+    return [e for e in d.nodes[0].events() if e.get("event") == event]
+
+
+def test_settings_with_a_time_beyond_any_clock_serve_calls():
+    """Guards against times of the settings that overflow when they are added to a clock.
+
+    The deadline of each call was in the past then, and with the undefined sanitizer the node
+    ended.
+    """
+    with deployment() as d:
+        d.configure([d.route("r", "plain", timeoutMs=MAX, sloMs=MAX, itlTargetMs=MAX),
+                     d.route("s", "plain", "streaming", timeoutMs=MAX, sloMs=MAX,
+                             resumable=True)])
+        assert d.call("/r/x", deadline=MAX).status == 200
+        assert d.call("/s/x", deadline=MAX).status == 200
+        bounded = {e["field"] for e in logged(d, "settings.number_bounded")}
+        assert bounded == {"timeoutMs", "sloMs", "itlTargetMs"}, bounded
+        assert d.nodes[0].popen.poll() is None
+
+
+def test_settings_with_a_version_that_none_can_follow_are_rejected():
+    """Guards against a version that is so large that no later settings take effect."""
+    with deployment() as d:
+        before = d.version
+        for version in (MAX, 2 ** 53, 1e300, -MAX, float("nan")):
+            seen = len(logged(d, "settings.rejected")) + len(logged(d, "settings.version"))
+            d.store.put("config", "main", dict(d.store.objects["config"]["main"]["spec"],
+                                               version=version))
+            wait_until(lambda n=seen: len(logged(d, "settings.rejected")) +
+                       len(logged(d, "settings.version")) > n, 5)
+        assert d.gauge(d.nodes[0], "settings_version") == before
+        d.configure([d.route("later", "plain")])
+        assert d.call("/later/x").status == 200
--- a/tests/run.py
+++ b/tests/run.py
@@ -46,6 +46,7 @@
     "proc_hosted_calls": "hosted  routed calls: bytes, at most once, streams, timing",
     "proc_hosted_framing": "hosted  answers that end early, under each framing",
     "proc_hosted_lifetimes": "hosted  nodes outlive random orders of what ends calls and VMs",
+    "proc_hosted_odd_objects": "hosted  nodes outlive odd values in the store's objects",
     "proc_hosted_stops": "hosted  a planned stop ends in time whatever a node waits for",
     "proc_hosted_ends": "hosted  a node that ends by itself says why",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
