lease: an epoch that can't be a lease's is not counted on

Seen: with epoch 2^63-1 in the lease object, a node with the undefined sanitizer ended at core/lease.c:30 when it took the lease, and each node after it. On the release build the next epoch was -2^63: the cloud answered 409 to each call of the leader, so that no usage was reported and no VM ordered.

Cause: the next epoch was one more than any number that was read.

An epoch is never above the version of its object, since a write's epoch is at most one more than the version that it is conditional on. A peer's lease version is taken only if it can be a revision.

Tests: test_lease (overflow before) and proc_hosted_odd_objects.test_a_lease_with_an_epoch_beyond_all_others_is_taken_over (before: 2 refused calls with fence -2^63 on the release build; nodes ended with the sanitizers).

--- a/core/lease.c
+++ b/core/lease.c
@@ -77,7 +77,30 @@
     return is_same_machine(a, b) && a->incarnation == b->incarnation;
 }
 
-void rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
+/* Takes over a value of the current version. Returns false if its epoch can't be
+ * that of a lease. */
+static bool read_value(struct rk_lease *l, struct json_object *o, int64_t now_ms)
+{
+    int64_t epoch = rk_json_int(o, "epoch", 0);
+    l->held = false;
+    l->observed_holder = (struct rk_lease_identity){0};
+    if (epoch < 0 || epoch > l->version)
+        return false;
+    l->epoch = epoch;
+    l->observed_holder = parse_identity(o);
+    /* Possibly by a write whose response was lost. The lease counts from the start
+     * of that write, which the value contains; the start of a later attempt proves
+     * nothing. */
+    int64_t written_ms = rk_json_int(o, "beat", 0);
+    l->held = l->version && is_same_process(&l->observed_holder, &l->self) &&
+              l->epoch == l->held_epoch && rk_revision_era(l->epoch) == l->era &&
+              written_ms >= 0 && written_ms <= now_ms;
+    if (l->held)
+        l->renewed_ms = written_ms;
+    return true;
+}
+
+bool rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
                         int64_t now_ms)
 {
     rk_lease_set_era(l, rk_revision_era(version));
@@ -85,21 +108,14 @@
     /* Versions only rise: a read without a higher version is stale or has nothing
      * new. */
     if (version <= l->version && !first)
-        return;
+        return true;
     l->version = version;
     l->observed_ms = now_ms;
     l->was_present = l->was_present || version;
     struct json_object *o = version ? json_tokener_parse(value) : NULL;
-    l->epoch = rk_json_int(o, "epoch", 0);
-    l->observed_holder = parse_identity(o);
-    l->held = version && is_same_process(&l->observed_holder, &l->self) &&
-              l->epoch == l->held_epoch && rk_revision_era(l->epoch) == l->era;
-    /* Possibly by a write whose response was lost. The lease counts from the start
-     * of that write, which the value contains; the start of a later attempt proves
-     * nothing. */
-    if (l->held)
-        l->renewed_ms = rk_json_int(o, "beat", 0);
+    bool valid = read_value(l, o, now_ms);
     json_object_put(o);
+    return valid;
 }
 
 /* Returns whether the holder is a past incarnation of this process. That one has
--- a/core/lease.h
+++ b/core/lease.h
@@ -63,8 +63,11 @@
 void rk_lease_set_era(struct rk_lease *l, int64_t era);
 
 /* Processes a read of the object; version 0 if it is absent, and then value is not
- * used. version is a revision as of core/revision.h. */
-void rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
+ * used. version is a revision as of core/revision.h, at most RK_REVISION_MAX.
+ * Returns false if the value's epoch can't be that of a lease: an epoch is never
+ * above the version of its object. Nobody holds the lease then, and its epoch is as
+ * known before. */
+bool rk_lease_read_done(struct rk_lease *l, int64_t version, const char *value,
                         int64_t now_ms);
 
 /* Returns whether to write the object now, to renew or take the lease. If so, fills
--- a/core/revision.h
+++ b/core/revision.h
@@ -6,11 +6,15 @@
 #ifndef RK_CORE_REVISION_H
 #define RK_CORE_REVISION_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Bits of the store's own number, and the largest era that fits beside it. */
 #define RK_REVISION_NUMBER_BITS 40
 #define RK_REVISION_ERA_MAX     ((INT64_C(1) << 22) - 1)
+#define RK_REVISION_NUMBER_MAX  ((INT64_C(1) << RK_REVISION_NUMBER_BITS) - 1)
+#define RK_REVISION_MAX                                                            \
+    ((RK_REVISION_ERA_MAX << RK_REVISION_NUMBER_BITS) + RK_REVISION_NUMBER_MAX)
 
 /* Returns the revision of a number in an era. Returns 0, which means that there is
  * no revision, if number is 0. */
@@ -19,6 +23,12 @@
     return number ? (era << RK_REVISION_NUMBER_BITS) + number : 0;
 }
 
+/* Returns whether a number can be a revision. */
+static inline bool rk_revision_is_valid(int64_t revision)
+{
+    return revision >= 0 && revision <= RK_REVISION_MAX;
+}
+
 /* Returns the era of a revision; 0 if the store sends none. */
 static inline int64_t rk_revision_era(int64_t revision)
 {
@@ -28,7 +38,7 @@
 /* Returns a revision's number, as the store knows it. */
 static inline int64_t rk_revision_number(int64_t revision)
 {
-    return revision & ((INT64_C(1) << RK_REVISION_NUMBER_BITS) - 1);
+    return revision & RK_REVISION_NUMBER_MAX;
 }
 
 #endif
--- a/node/leader.c
+++ b/node/leader.c
@@ -16,6 +16,7 @@
 #include "common/eventlog.h"
 #include "core/lease.h"
 #include "core/restores.h"
+#include "core/revision.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -109,10 +110,18 @@
              RK_N("seen_epoch", k->lease.epoch));
 }
 
+static void note_lease_value(struct rk_leader *k, int64_t version,
+                             const char *value)
+{
+    if (!rk_lease_read_done(&k->lease, version, value, rk_mono_ms()))
+        RK_WARN("lease.rejected", RK_S("field", "epoch"), RK_N("version", version),
+                RK_S("value", value));
+}
+
 static void apply_lease_object(struct rk_leader *k, const struct rk_store_object *o)
 {
     const char *value = o && o->spec ? json_object_to_json_string(o->spec) : "{}";
-    rk_lease_read_done(&k->lease, o ? o->revision : 0, value, rk_mono_ms());
+    note_lease_value(k, o ? o->revision : 0, value);
     rk_strcpy(k->read_value, sizeof(k->read_value), o ? value : "");
     k->must_read = false;
 }
@@ -218,9 +227,9 @@
 
 void rk_leader_note_lease(struct rk_leader *k, int64_t version, const char *value)
 {
-    if (!k->lease_busy) {
+    if (!k->lease_busy && rk_revision_is_valid(version)) {
         bool newer = version > k->lease.version;
-        rk_lease_read_done(&k->lease, version, value, rk_mono_ms());
+        note_lease_value(k, version, value);
         if (newer)
             rk_strcpy(k->read_value, sizeof(k->read_value), value);
     }
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -48,3 +48,21 @@
         assert d.gauge(d.nodes[0], "settings_version") == before
         d.configure([d.route("later", "plain")])
         assert d.call("/later/x").status == 200
+
+
+def test_a_lease_with_an_epoch_beyond_all_others_is_taken_over():
+    """Guards against a lease's epoch that overflows when the next leader counts on from it.
+
+    The next epoch was negative then, so that the cloud refused all of the leader's calls, and
+    with the undefined sanitizer the node ended, and each one after it.
+    """
+    with deployment(nodes=2) as d:
+        wait_until(lambda: d.cloud.usage, 15)
+        for epoch in (MAX, -MAX):
+            fence = d.cloud.highest_fence["usage"]
+            d.store.put("rillknot-leases", "duties",
+                        {"holder": "edge-gone/1", "addr": "127.0.0.1:9", "epoch": epoch, "beat": 1})
+            wait_until(lambda f=fence: d.cloud.highest_fence["usage"] > f, 15)
+        assert all(n.popen.poll() is None for n in d.nodes)
+        assert not d.cloud.refused, d.cloud.refused
+        assert any(logged(d, "lease.rejected"))
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -129,6 +129,40 @@
     }
 }
 
+/* Guards against an epoch that overflows when the next one is made of it, and
+ * against a write time in the future, by which a lease would never end. */
+static void values_out_of_range_end_no_lease_and_overflow_nothing(void **state)
+{
+    (void)state;
+    const char *values[] = {
+        "{\"holder\":\"edge-9/1\",\"epoch\":9223372036854775807,\"beat\":2}",
+        "{\"holder\":\"edge-9/1\",\"epoch\":1e300,\"beat\":2}",
+        "{\"holder\":\"edge-9/1\",\"epoch\":-9223372036854775808,\"beat\":2}",
+        "{\"holder\":\"edge-9/1\",\"epoch\":8,\"beat\":2}",
+    };
+    for (size_t i = 0; i < RK_ARRAY_LEN(values); i++) {
+        struct rk_lease l = new_lease("edge-1", ADDR_A, 2);
+        char own[RK_LEASE_VALUE_MAX];
+        int64_t expect, epoch;
+        assert_true(rk_lease_read_done(&l, 5, "{\"epoch\":5}", 10));
+        assert_false(rk_lease_read_done(&l, 7, values[i], 11));
+        assert_false(rk_lease_next_write(&l, 12, own, &expect));
+        assert_true(rk_lease_next_write(&l, 13 + TTL_MS, own, &expect));
+        rk_lease_write_done(&l, RK_OK, 8, 14 + TTL_MS);
+        assert_true(rk_lease_valid(&l, 15 + TTL_MS, &epoch));
+        assert_int_equal(epoch, 8);
+    }
+    struct rk_lease l = new_lease("edge-1", ADDR_A, 2);
+    int64_t epoch;
+    l.held_epoch = 1;
+    assert_true(rk_lease_read_done(&l, 1,
+                                   "{\"holder\":\"edge-1/0000000000000002\","
+                                   "\"addr\":\"" ADDR_A
+                                   "\",\"epoch\":1,\"beat\":9223372036854775807}",
+                                   10));
+    assert_false(rk_lease_valid(&l, 11, &epoch));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -137,6 +171,7 @@
         cmocka_unit_test(a_past_incarnation_is_recognised),
         cmocka_unit_test(the_longest_value_fits),
         cmocka_unit_test(other_values_belong_to_another_holder),
+        cmocka_unit_test(values_out_of_range_end_no_lease_and_overflow_nothing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
