store: revisions beyond the largest, or none, are no position to go on from

Seen: with 2^63-1 as a revision in the store's answers, a node with the undefined sanitizer ended (core/revision.h, signed overflow), and a node of the release build took no settings for the 20 s of the test after sound answers had come back. With answers that name no revision, a node listed at once again: 2,400 to 4,700 calls/s, against the 2,000 reads/s that all nodes may make.

Cause: the number was added to its era unchecked, and an answer that doesn't lead on was followed by the next call without a delay.

Tests, failed before as above: test_revisions_beyond_the_largest_... and test_a_store_that_names_no_revision_... of proc_hosted_odd_objects.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -97,7 +97,9 @@
         !f->listing && !len && rk_mono_ms() - f->call_started_ms < WATCH_MIN_MS;
     if (!f->listing)
         f->history_gone = false;
-    if (!f->history_gone && !not_held)
+    /* The next call would get the same answer at once. */
+    bool no_progress = !at || at < f->since || (len && at == f->since);
+    if (!f->history_gone && !not_held && !no_progress)
         f->retry_ms = RETRY_FIRST_MS;
     /* Peers may have sent newer changes in the meantime. */
     if (at >= f->revision) {
@@ -109,7 +111,7 @@
         list_next(f);
     int64_t delay_ms =
         burst && f->min_interval_ms < BURST_MS ? BURST_MS : f->min_interval_ms;
-    if (not_held)
+    if (not_held || no_progress)
         retry_later(f);
     else if (len && delay_ms)
         rk_timer_start(f->n->loop, &f->timer, delay_ms);
@@ -129,7 +131,8 @@
         return;
     rk_timer_stop(f->n->loop, &f->timer);
     f->busy = true;
-    f->listing = !f->revision;
+    f->since = f->revision;
+    f->listing = !f->since;
     f->call_started_ms = rk_mono_ms();
     if (f->listing)
         store->ops->list(store, f->kind, false, on_answer, f);
--- a/node/store_watch.h
+++ b/node/store_watch.h
@@ -33,6 +33,7 @@
     bool busy, listing;      /* a call is in progress; it is a list */
     bool history_gone;       /* no watch was answered since the last 410 */
     int64_t call_started_ms; /* when that call was made */
+    int64_t since;           /* revision that it refers to; 0: a list */
     int64_t retry_ms;        /* next delay after an error */
     struct rk_timer timer;   /* for the next call */
 };
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -1,5 +1,8 @@
 """Objects of the store with odd values: a node neither ends nor stops serving on what it reads,
 and serves again once sound objects are written."""
+import time
+
+import odd_objects
 from hosted import Hosted, wait_until
 
 MAX = 2 ** 63 - 1
@@ -7,6 +10,8 @@
 
 def deployment(nodes=1):
     d = Hosted(nodes=nodes)
+    d.store.close()
+    d.store = odd_objects.OddStore()
     d.start()
     d.add_worker("plain")
     d.configure([d.route("r", "plain")])
@@ -66,3 +71,51 @@
         assert all(n.popen.poll() is None for n in d.nodes)
         assert not d.cloud.refused, d.cloud.refused
         assert any(logged(d, "lease.rejected"))
+
+
+def change_numbers(d, value):
+    """Have the store send value as its revision, and as that of each object; None: leave it out."""
+    def change(answer):
+        objects = [answer] + answer.get("entries", []) + \
+            [e["object"] for e in answer.get("events", [])]
+        for o in objects:
+            member, name = (o["metadata"], "revision") if "metadata" in o else (o, "at")
+            member[name] = value
+            if value is None:
+                del member[name]
+        return answer
+    d.store.change_answer = change
+
+
+def check_serves_again(d):
+    d.store.change_answer = None
+    d.configure([d.route("later", "plain")])
+    assert d.call("/later/x").status == 200
+    assert all(n.popen.poll() is None for n in d.nodes)
+
+
+def test_revisions_beyond_the_largest_are_not_counted_on():
+    """Guards against a revision of the store that overflows when its era is added to it."""
+    with deployment() as d:
+        for number in (MAX, -MAX, 2 ** 53):
+            change_numbers(d, number)
+            time.sleep(0.5)
+            d.configure([d.route("r", "plain")], wait=False)
+            time.sleep(0.5)
+        check_serves_again(d)
+        assert any(logged(d, "store.revision_rejected"))
+
+
+def test_a_store_that_names_no_revision_is_not_asked_without_pause():
+    """Guards against a node that lists at once again, thousands of times a second, as the list
+    names no revision to watch from."""
+    with deployment() as d:
+        change_numbers(d, None)
+        d.configure([d.route("r", "plain")], wait=False)
+        time.sleep(0.5)
+        before, seconds = len(d.store.calls), 3
+        time.sleep(seconds)
+        rate = (len(d.store.calls) - before) / seconds
+        check_serves_again(d)
+        assert rate < 40, rate
+    return "%d calls/s" % rate
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -258,9 +258,12 @@
         if fault == "lost":
             time.sleep(30)
             return False
-        answer_json(conn, status, value, self._era_header())
+        self.send(conn, status, value)
         return True
 
+    def send(self, conn, status, value):
+        answer_json(conn, status, value, self._era_header())
+
     def _era_header(self):
         era = self.answer_era()
         return b"" if era is None else b"Store-Era: %s\r\n" % era.encode()
