persist: numbers of a record are bounded where they are read

Seen: a restarted node whose record named 2^31-1 nodes was not ready within the 20 s of the test (its read delay was months); with a wall time of -2^63 it ended under the undefined sanitizer. By reading the code: a restore of the store that lies in the future had each leader skip all windows until then, and write that time again; counts of a window far ahead were never removed; a text that is longer than an organisation's name counted for its beginning.

Cause: any number and name of the record was taken.

Numbers are read by common/number_field (moved from platform/). A fleet that is larger than any is not believed, a restore is at most now, counts are those of recent windows, and names that don't fit are left out. The same bound holds for the time of a rollout's order.

--- a/platform/fields.c
+++ b/common/number_field.c
@@ -1,4 +1,4 @@
-#include "platform/fields.h"
+#include "common/number_field.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -14,7 +14,7 @@
     char value_text[NUMBER_TEXT_MAX], used_text[NUMBER_TEXT_MAX];
     snprintf(value_text, sizeof(value_text), "%.10g", value);
     snprintf(used_text, sizeof(used_text), "%.10g", used);
-    RK_WARN("settings.number_bounded", RK_S("kind", kind), RK_S("field", f->name),
+    RK_WARN("object.number_bounded", RK_S("kind", kind), RK_S("field", f->name),
             RK_S("value", value_text), RK_S("used", used_text));
 }
 
--- a/platform/fields.h
+++ b/common/number_field.h
@@ -1,7 +1,7 @@
-/* Numbers of the platform's objects with their bounds. Each number is bounded once,
+/* Numbers of JSON objects with their bounds. Each number is bounded once,
  * where it is parsed, so that no other code has to allow for sums that overflow. */
-#ifndef RK_PLATFORM_FIELDS_H
-#define RK_PLATFORM_FIELDS_H
+#ifndef RK_COMMON_NUMBER_FIELD_H
+#define RK_COMMON_NUMBER_FIELD_H
 
 #include <json-c/json.h>
 #include <stdint.h>
--- a/node/persist.c
+++ b/node/persist.c
@@ -21,7 +21,9 @@
 
 #include "common/eventlog.h"
 #include "common/json.h"
+#include "common/number_field.h"
 #include "core/restores.h"
+#include "core/revision.h"
 #include "core/usage_growth.h"
 #include "node/state.h"
 #include "objects/store.h"
@@ -50,6 +52,32 @@
 #define READ_RETRY_MIN_MS 150
 #define READ_RETRY_MAX_MS 500
 
+#define WALL_MAX_MS 9e15 /* of any time in a record */
+#define COUNT_MAX   1e15 /* of calls, or of units of a quota */
+/* A record with more organisations is restored up to here. */
+#define ORGS_MAX       20000
+#define USAGE_ROWS_MAX (4 * ORGS_MAX)
+/* Older windows are not reported any more. */
+#define RESTORED_WINDOWS 8
+
+#define NUMBER(n, hi)                                                              \
+    {                                                                              \
+        .name = n, .max = hi                                                       \
+    }
+
+static const struct {
+    struct rk_number_field wall_ms, usage_wall_ms, era, restored_wall_ms, count,
+        slice, demand;
+} record_fields = {
+    .wall_ms = NUMBER("wall_ms", WALL_MAX_MS),
+    .usage_wall_ms = NUMBER("usage_wall_ms", WALL_MAX_MS),
+    .era = NUMBER("era", (double)RK_REVISION_ERA_MAX),
+    .restored_wall_ms = NUMBER("restored_wall_ms", WALL_MAX_MS),
+    .count = NUMBER("usage", COUNT_MAX),
+    .slice = NUMBER("used", COUNT_MAX),
+    .demand = NUMBER("asking", COUNT_MAX),
+};
+
 /* An object of the store with persisted state. */
 struct persisted_object {
     struct rk_persist *m;
@@ -206,7 +234,9 @@
  * single time for all their members. */
 static int64_t usage_wall_time(struct json_object *spec)
 {
-    return rk_json_int(spec, "usage_wall_ms", rk_json_int(spec, "wall_ms", 0));
+    return rk_json_get(spec, "usage_wall_ms")
+               ? rk_field_int(spec, QUOTAS_KIND, &record_fields.usage_wall_ms)
+               : rk_field_int(spec, QUOTAS_KIND, &record_fields.wall_ms);
 }
 
 /* Copies the store's counts, for when this node has to act for the leader. */
@@ -379,7 +409,32 @@
 {
     if (!json_object_is_type(slices, json_type_array))
         return 0;
-    return json_object_get_double(json_object_array_get_idx(slices, i));
+    return rk_field_value(json_object_array_get_idx(slices, i), QUOTAS_KIND,
+                          &record_fields.slice);
+}
+
+/* Returns whether a window may still be reported, or is the current one by the
+ * clock of another node. Rows of later windows would never be removed. */
+static bool is_recent_window(const struct rk_persist *m, int64_t window)
+{
+    int64_t current = rk_wall_ms() / rk_s_to_ms(m->n->file.usage_window_s);
+    return window >= current - RESTORED_WINDOWS && window <= current + 1;
+}
+
+static void restore_window(struct rk_persist *m, int64_t window,
+                           struct json_object *counts, int64_t counted_wall_ms)
+{
+    json_object_object_foreach(counts, org, count)
+    {
+        struct rk_usage_row row = {.node = RK_USAGE_PERSISTED,
+                                   .window = window,
+                                   .count = (uint64_t)rk_field_value(
+                                       count, QUOTAS_KIND, &record_fields.count),
+                                   .since_ms = counted_wall_ms};
+        if (m->n->usage.len < USAGE_ROWS_MAX &&
+            rk_strcpy(row.org, sizeof(row.org), org))
+            rk_usage_merge(&m->n->usage, &row);
+    }
 }
 
 static void restore_usage(struct rk_persist *m, struct json_object *spec)
@@ -390,18 +445,10 @@
         return;
     json_object_object_foreach(windows, window, counts)
     {
-        if (!json_object_is_type(counts, json_type_object))
-            continue;
-        json_object_object_foreach(counts, org, count)
-        {
-            struct rk_usage_row row = {.node = RK_USAGE_PERSISTED,
-                                       .window = strtoll(window, NULL, 10),
-                                       .since_ms = counted_wall_ms};
-            int64_t n = json_object_get_int64(count);
-            row.count = n > 0 ? (uint64_t)n : 0;
-            rk_strcpy(row.org, sizeof(row.org), org);
-            rk_usage_merge(&m->n->usage, &row);
-        }
+        int64_t number = strtoll(window, NULL, 10);
+        if (json_object_is_type(counts, json_type_object) &&
+            is_recent_window(m, number))
+            restore_window(m, number, counts, counted_wall_ms);
     }
 }
 
@@ -430,9 +477,14 @@
 
 static void restore_quotas(struct rk_persist *m, struct json_object *spec)
 {
-    const struct rk_restores_record record = {
-        .era = rk_json_int(spec, "era", 0),
-        .noticed_ms = rk_json_int(spec, "restored_wall_ms", 0)};
+    int64_t now_ms = rk_wall_ms();
+    struct rk_restores_record record = {
+        .era = rk_field_int(spec, QUOTAS_KIND, &record_fields.era),
+        .noticed_ms =
+            rk_field_int(spec, QUOTAS_KIND, &record_fields.restored_wall_ms)};
+    /* With a restore in the future, windows would be skipped until then. */
+    if (record.noticed_ms > now_ms)
+        record.noticed_ms = now_ms;
     rk_read_delay_set_fleet_size(m->n, spec);
     rk_leader_note_record(m->n->leader, spec ? &record : NULL);
     restore_usage(m, spec);
@@ -443,7 +495,8 @@
     double shares[RK_QUOTA_SLICES];
     for (size_t i = 0; i < RK_QUOTA_SLICES; i++)
         shares[i] = fmin(1, fmax(0, slice_at(persisted_shares, i)));
-    int64_t age_ms = rk_wall_ms() - rk_json_int(spec, "wall_ms", 0);
+    int64_t age_ms =
+        now_ms - rk_field_int(spec, QUOTAS_KIND, &record_fields.wall_ms);
     restore_only_versions(m, spec, age_ms);
     if (!json_object_is_type(used, json_type_object)) {
         RK_EVENT("quota.nothing_restored", RK_N("object", spec != NULL));
@@ -451,13 +504,16 @@
         return;
     }
     size_t len = (size_t)json_object_object_length(used), n = 0;
-    struct rk_org_use *uses = rk_alloc(len + 1, sizeof(*uses));
+    struct rk_org_use *uses =
+        rk_alloc((len < ORGS_MAX ? len : ORGS_MAX) + 1, sizeof(*uses));
     json_object_object_foreach(used, org, slices)
     {
-        rk_strcpy(uses[n].org, sizeof(uses[n].org), org);
+        if (n == ORGS_MAX || !rk_strcpy(uses[n].org, sizeof(uses[n].org), org))
+            continue;
         for (size_t i = 0; i < RK_QUOTA_SLICES; i++)
             uses[n].used_slices[i] = slice_at(slices, i);
-        uses[n].demand_per_s = fmax(0, rk_json_real(demand, org));
+        uses[n].demand_per_s = rk_field_value(rk_json_get(demand, org), QUOTAS_KIND,
+                                              &record_fields.demand);
         n++;
     }
     RK_EVENT("quota.restored", RK_N("organisations", (int64_t)n),
@@ -489,8 +545,8 @@
     struct rk_service_load *services = rk_alloc(len + 1, sizeof(*services));
     json_object_object_foreach(spec, service, estimate)
     {
-        rk_strcpy(services[n].service, sizeof(services[n].service), service);
-        services[n++].engine = parse_estimate(estimate);
+        if (rk_strcpy(services[n].service, sizeof(services[n].service), service))
+            services[n++].engine = parse_estimate(estimate);
     }
     RK_EVENT("engines.restored", RK_N("services", (int64_t)n));
     rk_relay_set_engine_priors(m->n->relay, services, n);
--- a/node/read_delay.c
+++ b/node/read_delay.c
@@ -3,13 +3,25 @@
  * it needs. */
 #include "common/eventlog.h"
 #include "common/json.h"
+#include "common/number_field.h"
 #include "node/state.h"
 
 /* If the store doesn't return the fleet's size within this time, the node reads
  * everything: the store may be slow and the fleet small. */
 #define FLEET_SIZE_TIMEOUT_MS 1000
+#define NODES_MAX             20000 /* a record with this many is not believed */
+#define RECORD_KIND           "rillknot-quotas"
 #define DRAW_STEPS            4096 /* resolution of the random draw */
 
+/* A delay grows with the number of nodes: with a number that no fleet has, a
+ * restarted node would never read the lists. */
+static const struct rk_number_field nodes_field = {.name = "nodes",
+                                                   .max = NODES_MAX};
+static const struct rk_number_field largest_field = {.name = "largest",
+                                                     .max = NODES_MAX};
+static const struct rk_number_field capacity_field = {.name = "capacity",
+                                                      .max = 9e15};
+
 void rk_read_delay_start(struct rk_node *n)
 {
     if (!n->file.first_start)
@@ -21,10 +33,12 @@
     /* The record came late, and the lists have been read without it. */
     if (!rk_read_delay_left_ms(n) && rk_sync_ready(n->sync))
         return;
-    const struct rk_fleet_size size = {
-        .nodes = (int)rk_json_int(spec, "nodes", 0),
-        .largest = (int)rk_json_int(spec, "largest", 0),
-        .capacity = rk_json_int(spec, "capacity", 0)};
+    struct rk_fleet_size size = {
+        .nodes = (int)rk_field_int(spec, RECORD_KIND, &nodes_field),
+        .largest = (int)rk_field_int(spec, RECORD_KIND, &largest_field),
+        .capacity = rk_field_int(spec, RECORD_KIND, &capacity_field)};
+    if (size.nodes == NODES_MAX || size.largest > size.nodes)
+        size = (struct rk_fleet_size){0};
     int64_t capacity = rk_mesh_capacity(n->mesh);
     double draw = rk_rng_below(&n->rng, DRAW_STEPS) / (double)DRAW_STEPS;
     int64_t wait_ms = rk_read_delay_ms(&size, capacity, draw);
--- a/node/rollouts_leader.c
+++ b/node/rollouts_leader.c
@@ -7,6 +7,7 @@
 
 #include "common/eventlog.h"
 #include "common/json.h"
+#include "common/number_field.h"
 #include "core/sizing.h"
 #include "node/rollouts_impl.h"
 #include "objects/store.h"
@@ -16,6 +17,8 @@
 #define ORDER_TIME_KIND "rillknot-rollouts"
 #define STORE_RETRY_MS  400
 
+static const struct rk_number_field order_time = {.name = "wall_ms", .max = 9e15};
+
 /* ---- orders ---- */
 
 /* Returns the run of an order's object, or a free slot; NULL: there is none. */
@@ -176,7 +179,7 @@
         return;
     const char *version = run->rollout.order.version;
     if (st == RK_OK && o && !strcmp(rk_json_str(o->spec, "version"), version)) {
-        start_run(run, rk_json_int(o->spec, "wall_ms", 0));
+        start_run(run, rk_field_int(o->spec, ORDER_TIME_KIND, &order_time));
         return;
     }
     struct rk_buf b = {0};
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -35,7 +35,7 @@
                              resumable=True)])
         assert d.call("/r/x", deadline=MAX).status == 200
         assert d.call("/s/x", deadline=MAX).status == 200
-        bounded = {e["field"] for e in logged(d, "settings.number_bounded")}
+        bounded = {e["field"] for e in logged(d, "object.number_bounded")}
         assert bounded == {"timeoutMs", "sloMs", "itlTargetMs"}, bounded
         assert d.nodes[0].popen.poll() is None
 
@@ -119,3 +119,31 @@
         check_serves_again(d)
         assert rate < 40, rate
     return "%d calls/s" % rate
+
+
+ODD_RECORD = {
+    "wall_ms": -MAX - 1, "era": MAX, "restored_wall_ms": MAX, "nodes": 2 ** 31 - 1,
+    "largest": 2 ** 31 - 1, "capacity": 1, "shares": [float("nan"), MAX],
+    "used": {"clinic": [float("nan"), -1e300], "x" * 300: 1}, "asking": {"clinic": 1e300},
+    "usage_wall_ms": MAX, "usage": {"9223372036854775807": {"clinic": 5}, "x": {"x" * 300: -1}}}
+
+
+def test_an_odd_record_keeps_no_restarted_node_from_serving():
+    """Guards against a number of the persisted record that a restarted node counts on.
+
+    With the number of nodes at 2^31, a node waited for months before it read the lists. With a
+    restore of the store in the future, no leader reported a window any more, and each wrote that
+    time again.
+    """
+    with deployment(nodes=2) as d:
+        wait_until(lambda: d.cloud.usage, 15)
+        for n in d.nodes:
+            n.kill()
+        d.store.put("rillknot-quotas", "recent", ODD_RECORD)
+        reported = len(d.cloud.usage)
+        for i in range(2):
+            d.restart_node(i)
+        d.wait_ready()
+        wait_until(lambda: d.call("/r/x").status == 200, 5)
+        wait_until(lambda: len(d.cloud.usage) > reported + 1, 15)
+        assert all(n.popen.poll() is None for n in d.nodes)
