mesh: an entry of the node list with no callable address is left out

Seen, by reading the code: an entry whose address is longer than one replaced the address of the member of that name by its beginning, and as the two never compared equal, its link was destroyed at each read of the list.

An entry whose name or address no node can have is left out and logged (mesh.entry_rejected); the capacity is bounded. Test: the same as for the odd record, whose node list now has two such entries.

--- a/node/members.c
+++ b/node/members.c
@@ -3,9 +3,11 @@
  * those with the lowest hash of their id. A slow node counts with a quarter of
  * its share. */
 #include <json-c/linkhash.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/addr.h"
 #include "common/eventlog.h"
 #include "core/quota.h"
 #include "node/mesh_impl.h"
@@ -185,6 +187,13 @@
     return k;
 }
 
+bool rk_mesh_is_identity(const char *id, const char *addr)
+{
+    struct sockaddr_in sin;
+    return strlen(id) < RK_ID_MAX && strlen(addr) < RK_ADDR_MAX &&
+           rk_addr_parse(addr, &sin) && sin.sin_port;
+}
+
 bool rk_mesh_is_self(const struct rk_mesh *m, const char *id, const char *addr)
 {
     return !strcmp(id, m->n->file.id) || !strcmp(addr, rk_mesh_addr(m));
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -256,6 +256,9 @@
 /* Returns whether the member is reachable from this node or by a bridge's report,
  * or was added too recently to tell. */
 bool rk_mesh_is_alive(const struct member *k, int64_t now_ms);
+/* Returns whether a node can have this id and this address; id "": not known. What
+ * the store or a peer says of another one is not used. */
+bool rk_mesh_is_identity(const char *id, const char *addr);
 bool rk_mesh_is_self(const struct rk_mesh *m, const char *id, const char *addr);
 /* Returns whether the member is in this node's failure domain. */
 bool rk_mesh_is_same_domain(const struct member *k);
--- a/node/registration.c
+++ b/node/registration.c
@@ -6,6 +6,7 @@
 
 #include "common/eventlog.h"
 #include "common/json.h"
+#include "common/number_field.h"
 #include "node/mesh_impl.h"
 #include "objects/store.h"
 
@@ -31,6 +32,9 @@
 /* Interval of checks, in the read delay, whether peers have reported the nodes. */
 #define READ_DELAY_CHECK_MS 100
 
+static const struct rk_number_field capacity_field = {.name = "capacity",
+                                                      .max = 1e6};
+
 static void build_spec(const struct rk_mesh *m, char spec[SPEC_MAX])
 {
     snprintf(spec, SPEC_MAX, "{\"addr\":\"%s\",\"domain\":\"%s\",\"capacity\":%d}",
@@ -54,14 +58,18 @@
 static void add_listed_node(struct rk_mesh *m, const struct rk_store_object *o)
 {
     const char *addr = rk_json_str(o->spec, "addr");
-    if (!addr[0] || rk_mesh_is_self(m, o->name, addr))
+    if (rk_mesh_is_self(m, o->name, addr))
+        return;
+    if (!o->name[0] || !rk_mesh_is_identity(o->name, addr)) {
+        RK_WARN("mesh.entry_rejected", RK_S("node", o->name), RK_S("addr", addr));
         return;
+    }
     bool known = rk_mesh_find(m, o->name) != NULL;
     struct member *k = rk_mesh_find_or_add(m, o->name, addr);
     if (!k->domain[0])
         rk_strcpy(k->domain, sizeof(k->domain), rk_json_str(o->spec, "domain"));
     if (!k->capacity)
-        k->capacity = rk_json_int(o->spec, "capacity", 0);
+        k->capacity = rk_field_int(o->spec, NODES_KIND, &capacity_field);
     if (!known)
         k->unconfirmed = m->member_removed_ms != 0;
 }
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -140,10 +140,13 @@
         for n in d.nodes:
             n.kill()
         d.store.put("rillknot-quotas", "recent", ODD_RECORD)
+        d.store.put("rillknot-nodes", "edge-odd", {"addr": "9" * 300, "domain": [], "capacity": MAX})
+        d.store.put("rillknot-nodes", "x" * 300, {"addr": "127.0.0.1:9", "capacity": 0.5})
         reported = len(d.cloud.usage)
         for i in range(2):
             d.restart_node(i)
         d.wait_ready()
         wait_until(lambda: d.call("/r/x").status == 200, 5)
         wait_until(lambda: len(d.cloud.usage) > reported + 1, 15)
+        assert {e["node"][:8] for e in logged(d, "mesh.entry_rejected")} == {"edge-odd", "xxxxxxxx"}
         assert all(n.popen.poll() is None for n in d.nodes)
