json: what a text takes once it is parsed is bounded

Seen, on the release build, as peaks of a node that holds 13 MB otherwise: 2286 MB after one answer of the store of 9 MB with empty objects, 364 MB after one of 10 MB with numbers, 589 MB after settings of 1 MB whose routes have no members, 585 MB with such services. A small node has 120 MB.

Cause: json-c takes 700 bytes and more for an empty object, and each item of a list took a row of 1 KB, valid or not.

--- /dev/null
+++ b/common/json_text.h
@@ -0,0 +1,24 @@
+/* Parses JSON texts of other programs within a limit of memory. An empty object of
+ * 3 bytes takes more than 700 bytes once it is parsed: an answer of 9 MB took 2.3
+ * GB. */
+#ifndef RK_COMMON_JSON_TEXT_H
+#define RK_COMMON_JSON_TEXT_H
+
+#include <json-c/json.h>
+#include <stddef.h>
+
+/* Limit that leaves a node of 120 MB the rest of its memory. */
+#define RK_JSON_PARSED_MAX_BYTES (40 * 1024 * 1024)
+
+/* Beyond json-c's default of 32: one deep object would have all others of an answer
+ * lost with it. */
+#define RK_JSON_NESTING_MAX 512
+
+/* Returns an upper estimate of the bytes that a text takes once it is parsed. */
+size_t rk_json_parsed_size(const char *text, size_t len);
+/* Parses a text of at most RK_JSON_PARSED_MAX_BYTES by that estimate and of
+ * RK_JSON_NESTING_MAX levels. Returns NULL, with a last error message, if it is
+ * larger or no JSON. The caller owns the value. */
+struct json_object *rk_json_parse(const char *text, size_t len);
+
+#endif
--- a/node/persist.c
+++ b/node/persist.c
@@ -54,8 +54,9 @@
 
 #define WALL_MAX_MS 9e15 /* of any time in a record */
 #define COUNT_MAX   1e15 /* of calls, or of units of a quota */
-/* A record with more organisations is restored up to here. */
+/* A record with more organisations or services is restored up to here. */
 #define ORGS_MAX       20000
+#define SERVICES_MAX   2000
 #define USAGE_ROWS_MAX (4 * ORGS_MAX)
 /* Older windows are not reported any more. */
 #define RESTORED_WINDOWS 8
@@ -542,10 +543,12 @@
     if (!json_object_is_type(spec, json_type_object))
         return;
     size_t len = (size_t)json_object_object_length(spec), n = 0;
+    len = len < SERVICES_MAX ? len : SERVICES_MAX;
     struct rk_service_load *services = rk_alloc(len + 1, sizeof(*services));
     json_object_object_foreach(spec, service, estimate)
     {
-        if (rk_strcpy(services[n].service, sizeof(services[n].service), service))
+        if (n < len &&
+            rk_strcpy(services[n].service, sizeof(services[n].service), service))
             services[n++].engine = parse_estimate(estimate);
     }
     RK_EVENT("engines.restored", RK_N("services", (int64_t)n));
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -8,6 +8,7 @@
 
 #include "common/counters.h"
 #include "common/eventlog.h"
+#include "common/json_text.h"
 #include "common/zip.h"
 #include "core/revision.h"
 #include "node/sync_impl.h"
@@ -514,7 +515,7 @@
 
 static bool apply_row(struct rk_sync *s, const Rillknot__ListRow *row)
 {
-    struct json_object *spec = json_tokener_parse(row->text);
+    struct json_object *spec = rk_json_parse(row->text, strlen(row->text));
     bool changed = spec && set_entry(s, row->name, row->revision, spec, "peer");
     json_object_put(spec);
     return changed;
--- a/node/sync_settings.c
+++ b/node/sync_settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/eventlog.h"
+#include "common/json_text.h"
 #include "common/zip.h"
 #include "node/sync_impl.h"
 
@@ -113,7 +114,7 @@
             ? NULL
             : rk_zlib_decompress(text->settings_zip.data, text->settings_zip.len,
                                  text->settings_len);
-    struct json_object *spec = plain ? json_tokener_parse(plain) : NULL;
+    struct json_object *spec = plain ? rk_json_parse(plain, strlen(plain)) : NULL;
     free(plain);
     if (!spec)
         RK_WARN("settings.unreadable", RK_N("version", text->settings_revision),
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -1,5 +1,6 @@
 """Objects of the store with odd values: a node neither ends nor stops serving on what it reads,
 and serves again once sound objects are written."""
+import re
 import time
 
 import odd_objects
@@ -150,3 +151,41 @@
         wait_until(lambda: len(d.cloud.usage) > reported + 1, 15)
         assert {e["node"][:8] for e in logged(d, "mesh.entry_rejected")} == {"edge-odd", "xxxxxxxx"}
         assert all(n.popen.poll() is None for n in d.nodes)
+
+
+LARGE_TEXTS = {
+    "an answer of many numbers": (None, b'{"entries":[' + b"0," * 5000000 + b'0],"at":200}'),
+    "an answer of many empty objects": (None, b'{"entries":[' + b"{}," * 3000000 + b'{}],"at":200}'),
+    "routes without members": ("config", '{"version":9999,"routes":[%s{}],"services":[]}' %
+                               ("{}," * 330000)),
+    "services without members": ("config", '{"version":9998,"routes":[],"services":[%s{}]}' %
+                                 ("{}," * 330000)),
+    "keys": ("config", '{"version":9997,"routes":[],"services":[],"tenants":[{"name":"clinic",'
+             '"apiKeys":[%s"a"]}]}' % ('"a",' * 250000)),
+    "organisations of a record": ("rillknot-quotas", '{"used":{%s"a":[]}}' % "".join(
+        '"%x":[],' % i for i in range(90000))),
+}
+
+
+def test_large_texts_are_held_in_little_memory():
+    """Guards against a node that ends for lack of memory: a text of the store that takes many
+    times its size once it is parsed."""
+    peaks = {}
+    for what, (kind, text) in LARGE_TEXTS.items():
+        with deployment() as d:
+            if kind is None:
+                d.store.odd_body = lambda body, t=text: t
+                d.configure([d.route("r", "plain")], wait=False)
+            elif kind == "config":
+                d.store.put("config", "main", odd_objects.RawJson(text))
+            else:
+                d.nodes[0].kill()
+                d.store.put(kind, "recent", odd_objects.RawJson(text))
+                d.restart_node(0)
+            time.sleep(2)
+            wait_until(lambda: d.ready(d.nodes[0]), 10)
+            with open("/proc/%d/status" % d.nodes[0].popen.pid) as f:
+                peaks[what] = int(re.search(r"VmHWM:\s+(\d+)", f.read()).group(1)) // 1024
+    if not any(x in d.build for x in ("address", "thread", "oldaddr")):
+        assert max(peaks.values()) < 80, peaks
+    return "%d MB at most" % max(peaks.values())
