tests: seeded runs of odd values in the store's objects

Seeds 2 and 4 failed on the code before these changes: seed 4 ended two nodes (core/lease.c:30), and after seed 2 no call was served again, as settings with a version of 2^63-1 held.

--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -7,6 +7,8 @@
 from hosted import Hosted, wait_until
 
 MAX = 2 ** 63 - 1
+SECONDS = 10
+SEEDS = (2, 4)
 
 
 def deployment(nodes=1):
@@ -189,3 +191,15 @@
     if not any(x in d.build for x in ("address", "thread", "oldaddr")):
         assert max(peaks.values()) < 80, peaks
     return "%d MB at most" % max(peaks.values())
+
+
+def test_nodes_outlive_odd_values_of_any_object():
+    """Guards against a node that ends, stays busy or does not serve again after an odd value in
+    any object of the store, whichever reader meets it."""
+    served = 0
+    for seed in SEEDS:
+        run = odd_objects.run_seed(seed, SECONDS)
+        assert not run.problems, "\n".join(run.problems + run.log)
+        served += run.served
+    assert served > 20, served
+    return "%d calls served" % served
