proc_hosted_versions: kills of all nodes beside changes of versions

Five shapes with three nodes: the old version leaves while the nodes are down, or just before; a third one comes and leaves around the kill; all VMs are replaced by another version; two kills in a row. No stream may go on at another version than its own.

--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -54,6 +54,22 @@
     def workers(self, version):
         return [w for w in self.d.workers if w.version == version]
 
+    def kill_all(self):
+        """Kills all nodes at once."""
+        for n in self.d.nodes:
+            n.kill()
+
+    def restart_all(self):
+        """Starts all nodes again and waits until they are ready."""
+        for n in range(len(self.d.nodes)):
+            self.d.restart_node(n)
+        self.settle()
+
+    def drop(self, version):
+        """Removes a version's workers from the list; they serve on."""
+        for w in self.workers(version):
+            self.d.store.drop("servers", w.id)
+
     def versions_of(self, *idents):
         """Returns the versions of the workers that sent events in these attempts."""
         return {w.version for w in self.d.workers for i in idents if w.events_sent[i]}
@@ -220,14 +236,58 @@
     """Guards against nodes that have forgotten all versions and guess."""
     with Versions(nodes=3) as f:
         begun = [f.begin(n % 3) for n in range(STREAMS)]
-        for n in range(3):
-            f.d.nodes[n].kill()
-        for n in range(3):
-            f.d.restart_node(n)
-        f.settle()
+        f.kill_all()
+        f.restart_all()
         f.check_taken_up(begun, [0, 1, 2])
 
 
+def test_streams_are_not_mixed_after_a_kill_of_all_nodes_beside_a_change_of_versions():
+    """Guards against streams that go on at another version when nodes that have forgotten
+    everything see only a part of the versions that served."""
+    def old_leaves_while_nodes_are_down(f):
+        f.kill_all()
+        f.drop("v1")
+
+    def new_comes_and_leaves(f):
+        f.add("v3")
+        time.sleep(0.5)
+        f.kill_all()
+        f.drop("v3")
+
+    def old_leaves_just_before(f):
+        f.drop("v1")
+        time.sleep(0.3)
+        f.kill_all()
+
+    def all_are_replaced(f):
+        f.kill_all()
+        for version in ("v1", "v2"):
+            f.drop(version)
+        for zone in ZONES:
+            f.add("v3", zone)
+
+    def two_kills(f):
+        f.kill_all()
+        f.restart_all()
+        f.drop("v1")
+        f.kill_all()
+
+    def take_up_after(change):
+        with Versions(nodes=3) as f:
+            begun = [f.begin(n % 3) for n in range(STREAMS)]
+            change(f)
+            f.restart_all()
+            return f.check_taken_up(begun, [0, 1, 2])
+
+    changes = (old_leaves_while_nodes_are_down, new_comes_and_leaves, old_leaves_just_before,
+               all_are_replaced, two_kills)
+    with concurrent.futures.ThreadPoolExecutor(len(changes)) as pool:
+        went_on = list(pool.map(take_up_after, changes))
+    assert went_on[changes.index(all_are_replaced)] == 0, went_on
+    return ", ".join("%s: %d of %d went on" % (c.__name__, n, STREAMS)
+                     for c, n in zip(changes, went_on))
+
+
 def test_a_stream_of_a_version_that_is_gone_is_rejected():
     """Guards against a stream that goes on at the only version that is left."""
     with Versions(versions=("v1", "v1", "v2", "v2")) as f:
@@ -281,11 +341,8 @@
     with Versions(versions=("v1", "v1", "v1")) as f:
         begun = [f.begin(n % 3) for n in range(STREAMS)]
         time.sleep(1)  # what is to be persisted has been
-        for n in range(3):
-            f.d.nodes[n].kill()
-        for n in range(3):
-            f.d.restart_node(n)
-        f.settle()
+        f.kill_all()
+        f.restart_all()
         assert f.check_taken_up(begun, [0, 1, 2]) == STREAMS
 
 
