streams: versions are recorded in the platform's store, and read after a kill of all

Callers saw: after a kill of all nodes while two versions served, each stream that they took up again was rejected with 503 until a lifetime had passed, though VMs of its version were there.

Cause: the versions of streams were known to nodes only.

Now the peers that are told of streams send new ones to one node of their failure domain every 200 ms, and that node writes an object of the kind rillknot-streams: streams by version and rest of lifetime, those with the longest first, 512 KB at most, at 128 KB/s at most, on condition of the revision; a conflict merges. After a restart the nodes that keep streams list these objects. An object of another era is not believed, groups that can't be read are skipped and logged. A stream's version never changes, so that an old record lacks streams but names no wrong version. A stream that isn't listed stays unknown and is rejected.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -5,6 +5,8 @@
 
 /* Initial size of the table of streams; a power of two. */
 #define INITIAL_SLOTS 64
+/* A stream is recorded again if its lifetime has become longer by this. */
+#define RECORD_AGAIN_MS RK_MS_PER_S
 
 void rk_stream_versions_init(struct rk_stream_versions *s, int64_t now_ms,
                              bool first_start)
@@ -92,6 +94,8 @@
         *e = (struct rk_stream_version){.stream = stream};
         rk_strcpy(e->version, sizeof(e->version), version);
     }
+    if (now_ms + ttl_ms > e->expires_ms + RECORD_AGAIN_MS)
+        e->is_recorded = false;
     if (now_ms + ttl_ms > e->expires_ms)
         e->expires_ms = now_ms + ttl_ms;
     if (service)
@@ -244,6 +248,27 @@
     return NULL;
 }
 
+struct rk_stream_version *
+rk_stream_versions_next_shared(struct rk_stream_versions *s, size_t *at,
+                               int64_t now_ms)
+{
+    const char *only;
+    while (*at < s->slots_len) {
+        struct rk_stream_version *e = &s->slots[(*at)++];
+        if (e->stream && now_ms < e->expires_ms &&
+            (e->is_told ||
+             state_of(s, e->service_hash, &only, now_ms) != RK_VERSIONS_ONE))
+            return e;
+    }
+    return NULL;
+}
+
+void rk_stream_versions_forget_recorded(struct rk_stream_versions *s)
+{
+    for (size_t i = 0; i < s->slots_len; i++)
+        s->slots[i].is_recorded = false;
+}
+
 /* ---- peers ---- */
 
 /* Returns the peer with the highest rank for the stream among those that belong to
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -44,7 +44,8 @@
     uint64_t stream;       /* see rk_stream_hash(); 0: a free slot */
     uint64_t service_hash; /* 0: told by a peer */
     int64_t expires_ms;
-    bool is_told; /* to peers, or by one */
+    bool is_told;     /* to peers, or by one */
+    bool is_recorded; /* or sent to the peer that does this */
     char version[RK_VERSION_MAX];
 };
 
@@ -105,6 +106,13 @@
 struct rk_stream_version *
 rk_stream_versions_next_pending(struct rk_stream_versions *s, size_t *at,
                                 int64_t now_ms);
+/* Returns the next stream whose version peers know or have to know, or NULL. *at is
+ * the position to go on from, 0 at first. */
+struct rk_stream_version *
+rk_stream_versions_next_shared(struct rk_stream_versions *s, size_t *at,
+                               int64_t now_ms);
+/* Marks all streams as not recorded. */
+void rk_stream_versions_forget_recorded(struct rk_stream_versions *s);
 /* Removes expired streams. */
 void rk_stream_versions_expire(struct rk_stream_versions *s, int64_t now_ms);
 
--- a/node/forward_peers.c
+++ b/node/forward_peers.c
@@ -119,19 +119,61 @@
     d->members[at] = k;
 }
 
-void rk_mesh_fill_stream_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
-                               int64_t now_ms)
+/* Collects the failure domains, this node's first. is_alive: only of members that
+ * may take calls now. Returns their number. */
+static size_t collect_domains(const struct rk_mesh *m, int64_t now_ms,
+                              bool is_alive,
+                              struct stream_domain domains[STREAM_DOMAINS_MAX])
 {
-    struct stream_domain domains[STREAM_DOMAINS_MAX] = {0};
-    size_t domains_len = 0;
+    size_t len = 0;
+    get_stream_domain(domains, &len, rk_hash_str(0, m->n->file.failure_domain));
     for (const struct member *k = m->members; k; k = k->next) {
-        if (!k->domain[0] || !rk_mesh_may_take_calls(k, now_ms))
+        if (!k->domain[0] || (is_alive && !rk_mesh_may_take_calls(k, now_ms)))
             continue;
         struct stream_domain *d =
-            get_stream_domain(domains, &domains_len, rk_hash_str(0, k->domain));
+            get_stream_domain(domains, &len, rk_hash_str(0, k->domain));
         if (d)
             offer_stream_peer(d, k);
     }
+    return len;
+}
+
+/* Returns the number of members of this node's domain with a higher rank. */
+static size_t count_better(const struct rk_mesh *m, const struct stream_domain *own)
+{
+    uint64_t hash = rk_hash_str(0, m->n->file.id);
+    size_t n = 0;
+    while (n < own->len && own->ranks[n] > hash)
+        n++;
+    return n;
+}
+
+bool rk_mesh_keeps_streams(const struct rk_mesh *m)
+{
+    struct stream_domain domains[STREAM_DOMAINS_MAX] = {0};
+    size_t len = collect_domains(m, rk_mono_ms(), false, domains);
+    return count_better(m, &domains[0]) < RK_STREAM_PEERS_MAX / len;
+}
+
+/* Chooses the node that writes the record of this node's domain: the one with the
+ * highest rank. Of the others, only those that are told of streams send it theirs.
+ */
+static void fill_stream_writer(const struct rk_mesh *m,
+                               const struct stream_domain *own, size_t most,
+                               struct rk_relay_peers *p)
+{
+    size_t better = count_better(m, own);
+    p->writes_stream_record = better == 0;
+    if (better && better < most)
+        forward_addr(own->members[0], p->stream_writer);
+}
+
+void rk_mesh_fill_stream_peers(const struct rk_mesh *m, struct rk_relay_peers *p,
+                               int64_t now_ms)
+{
+    struct stream_domain domains[STREAM_DOMAINS_MAX] = {0};
+    size_t domains_len = collect_domains(m, now_ms, true, domains);
+    fill_stream_writer(m, &domains[0], RK_STREAM_PEERS_MAX / domains_len, p);
     for (size_t i = 0; i < domains_len; i++) {
         size_t most = RK_STREAM_PEERS_MAX / domains_len;
         for (size_t n = 0; n < domains[i].len && n < most; n++) {
--- a/node/node.c
+++ b/node/node.c
@@ -157,6 +157,7 @@
                          n->report->suspects_len, true);
     rk_signals_merge(n->signals, n->report->signals, n->report->signals_len);
     rk_signals_tick(n->signals);
+    rk_stream_records_tick(n->stream_records, n->report);
     rk_mesh_schedule_report(n->mesh);
     free(m);
 }
@@ -366,6 +367,7 @@
     n->persist = rk_persist_create(n);
     n->rollouts = rk_rollouts_create(n);
     n->quarantines = rk_quarantines_create(n);
+    n->stream_records = rk_stream_records_create(n);
     n->signals = rk_signals_create(n);
     n->leader = rk_leader_create(n);
     if (create_relay(n) != RK_OK)
@@ -408,6 +410,7 @@
     rk_persist_destroy(n->persist);
     rk_rollouts_destroy(n->rollouts);
     rk_quarantines_destroy(n->quarantines);
+    rk_stream_records_destroy(n->stream_records);
     rk_signals_destroy(n->signals);
     rk_sync_destroy(n->sync);
     n->leader_api->ops->destroy(n->leader_api);
@@ -439,6 +442,7 @@
     rk_read_delay_start(n);
     rk_persist_start(n->persist);
     rk_quarantines_start(n->quarantines);
+    rk_stream_records_start(n->stream_records);
     rk_sync_start(n->sync);
     rk_mesh_start(n->mesh);
     rk_leader_start(n->leader);
--- a/node/state.h
+++ b/node/state.h
@@ -50,6 +50,7 @@
     struct rk_persist *persist;
     struct rk_rollouts *rollouts;
     struct rk_quarantines *quarantines;
+    struct rk_stream_records *stream_records;
     struct rk_signals *signals;
     struct rk_usage usage; /* counts of calls: own ones and those received */
     struct rk_relay_report *report; /* the relay's last one; NULL: none yet */
@@ -131,6 +132,9 @@
 bool rk_mesh_is_direct(const struct rk_mesh *m);
 /* Returns whether this node is a bridge of its failure domain. */
 bool rk_mesh_is_bridge(const struct rk_mesh *m);
+/* Returns whether this node is among those that are told the versions of streams
+ * and asked for them. */
+bool rk_mesh_keeps_streams(const struct rk_mesh *m);
 /* Returns whether this node may run for the leader's lease, and write what all
  * nodes know to the store. */
 bool rk_mesh_is_candidate(const struct rk_mesh *m);
@@ -202,6 +206,17 @@
  * fleet's size if that is due. */
 void rk_persist_tick_acting(struct rk_persist *m);
 
+/* ---- stream_records.c: versions of streams, in the store ---- */
+
+struct rk_stream_records;
+struct rk_stream_records *rk_stream_records_create(struct rk_node *n);
+void rk_stream_records_destroy(struct rk_stream_records *s);
+/* Starts to read the records of all failure domains. */
+void rk_stream_records_start(struct rk_stream_records *s);
+/* Takes the domain's record from a report of the relay, and writes what is due. */
+void rk_stream_records_tick(struct rk_stream_records *s,
+                            struct rk_relay_report *report);
+
 /* ---- read_delay.c: the read delay of a restarted node ---- */
 
 struct json_object;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -44,6 +44,7 @@
     free(r->signals);
     free(r->speeds);
     free(r->only_versions);
+    free(r->stream_record);
     free(r);
 }
 
@@ -182,6 +183,7 @@
     report->speeds_len = rk_place_copy_speeds(r->place, &report->speeds);
     report->only_versions_len =
         rk_relay_versions_copy_only(r, &report->only_versions);
+    report->stream_record = rk_relay_versions_record(r);
     report->vms_in_cooldown = rk_place_cooldown_len(r->place, rk_mono_ms());
     report->vms_unreachable = rk_place_unreachable_len(r->place);
     report->quota_history_complete = rk_quota_is_complete(&r->quota, rk_mono_ms());
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -16,6 +16,7 @@
 #include "core/org_usage.h"
 #include "core/quota.h"
 #include "core/routes.h"
+#include "core/stream_records.h"
 #include "core/stream_versions.h"
 #include "core/totals.h"
 #include "core/usage.h"
@@ -81,6 +82,9 @@
     size_t speeds_len;
     struct rk_only_version *only_versions; /* of services that have had one */
     size_t only_versions_len;
+    /* members of the domain's record of streams, without braces, if this node
+     * writes it and it has changed; NULL: none */
+    char *stream_record;
     size_t vms_in_cooldown; /* VMs in a cooldown towards this node */
     size_t vms_unreachable; /* VMs to which this node cannot connect */
     /* how far back this node's quota history goes, at most the window */
@@ -136,6 +140,10 @@
     size_t forward_peers_len;
     struct rk_stream_peer stream_peers[RK_STREAM_PEERS_MAX];
     size_t stream_peers_len;
+    /* Which node writes the domain's record of streams: this one, or a peer with
+     * this address for calls; "": it is not this node that sends streams to it. */
+    bool writes_stream_record;
+    char stream_writer[RK_ADDR_MAX];
     int nodes_reachable, nodes_total; /* including this node */
     int64_t report_lag_ms;            /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
@@ -212,6 +220,10 @@
 bool rk_relay_restore_only_versions(struct rk_relay *r,
                                     struct rk_only_version *rows, size_t len);
 
+/* Restores versions of streams from the records that nodes have written. */
+bool rk_relay_restore_streams(struct rk_relay *r, struct rk_stream_record *rows,
+                              size_t len);
+
 /* Sets the persisted estimates of engine speed, used until peers report newer
  * ones. */
 bool rk_relay_set_engine_priors(struct rk_relay *r,
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -119,7 +119,7 @@
 void rk_relay_versions_free(struct rk_relay *r);
 /* Replaces the peers that are told of streams and asked for them. */
 void rk_relay_versions_set_peers(struct rk_relay *r,
-                                 const struct rk_stream_peer *peers, size_t len);
+                                 const struct rk_relay_peers *p);
 /* Called after the routes, or the list of VMs, have changed. */
 void rk_relay_versions_set_routes(struct rk_relay *r,
                                   const struct rk_routes *routes);
@@ -132,6 +132,13 @@
                                  const struct rk_only_version *row);
 /* Tells peers of streams that began here before that was needed. */
 void rk_relay_versions_tell_pending(struct rk_relay *r);
+/* Sends new streams to the peer that writes the domain's record of them. At that
+ * node, returns the changed record's members, which the caller frees; NULL: it has
+ * not changed, or is not due yet. */
+char *rk_relay_versions_record(struct rk_relay *r);
+/* Adds streams of records that were read. */
+void rk_relay_versions_restore(struct rk_relay *r,
+                               const struct rk_stream_record *rows, size_t len);
 /* Returns true if a peer's request is about versions of streams. */
 bool rk_relay_versions_is_request(struct rk_client *client);
 /* Answers such a request. */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -30,6 +30,8 @@
     size_t signals_len;
     struct rk_only_version *only_versions;
     size_t only_versions_len;
+    struct rk_stream_record *streams;
+    size_t streams_len;
     bool is_fresh;
     double shares[RK_QUOTA_SLICES];
     int64_t age_ms;
@@ -178,7 +180,7 @@
     rk_quota_set_reachable(&r->quota, p->nodes_reachable, p->nodes_total, now_ms);
     rk_place_set_node_count(r->place, p->nodes_total);
     rk_relay_forwards_set(r, p->forward_peers, p->forward_peers_len);
-    rk_relay_versions_set_peers(r, p->stream_peers, p->stream_peers_len);
+    rk_relay_versions_set_peers(r, p);
     if (p->usage_gap_ms)
         rk_quota_fill_gap(&r->quota, p->usage_gap_ms, now_ms);
     for (size_t i = 0; i < p->quota_usage_added_len; i++)
@@ -294,6 +296,24 @@
     return false;
 }
 
+static void apply_streams(void *ctx)
+{
+    struct message *m = ctx;
+    rk_relay_versions_restore(m->r, m->streams, m->streams_len);
+    free(m->streams);
+    free(m);
+}
+
+bool rk_relay_restore_streams(struct rk_relay *r, struct rk_stream_record *rows,
+                              size_t len)
+{
+    if (post(r, apply_streams,
+             &(struct message){.streams = rows, .streams_len = len}))
+        return true;
+    free(rows);
+    return false;
+}
+
 static void apply_engine_priors(void *ctx)
 {
     struct message *m = ctx;
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -4,6 +4,7 @@
  * forwarded calls. A caller's resume waits for the answers of those that are asked;
  * if nobody knows the stream's version and several may be it, the call is rejected
  * as not run. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -31,6 +32,8 @@
 #define MAX_IN_FLIGHT 512          /* requests to peers */
 /* Longest time for which a peer may have a stream kept. */
 #define TTL_MAX_MS (10 * 60 * RK_MS_PER_S)
+/* A large record is written less often. */
+#define RECORD_BYTES_PER_S (128 * 1024)
 
 /* A request to a peer: a question for a call, or streams that it is told. */
 struct version_request {
@@ -51,6 +54,11 @@
     uint64_t domain_hash; /* this node's failure domain */
     struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
     size_t peers_len;
+    /* As in struct rk_relay_peers. */
+    bool writes_record;
+    char record_writer[RK_ADDR_MAX];
+    bool record_changed;
+    int64_t next_record_ms;           /* earliest time of the next record */
     struct version_request *requests; /* in flight */
     size_t requests_len;
 };
@@ -96,11 +104,17 @@
     free(v);
 }
 
-void rk_relay_versions_set_peers(struct rk_relay *r,
-                                 const struct rk_stream_peer *peers, size_t len)
+void rk_relay_versions_set_peers(struct rk_relay *r, const struct rk_relay_peers *p)
 {
-    memcpy(r->versions->peers, peers, len * sizeof(*peers));
-    r->versions->peers_len = len;
+    struct rk_relay_versions *v = r->versions;
+    memcpy(v->peers, p->stream_peers, p->stream_peers_len * sizeof(*v->peers));
+    v->peers_len = p->stream_peers_len;
+    if (v->writes_record == p->writes_stream_record &&
+        !strcmp(v->record_writer, p->stream_writer))
+        return;
+    v->writes_record = p->writes_stream_record;
+    rk_strcpy(v->record_writer, sizeof(v->record_writer), p->stream_writer);
+    rk_stream_versions_forget_recorded(&v->table); /* the new writer needs them */
 }
 
 void rk_relay_versions_set_routes(struct rk_relay *r,
@@ -495,6 +509,69 @@
         tell(r, streams, len, "");
 }
 
+/* ---- records ---- */
+
+/* Takes streams that are not recorded yet and marks them. Returns their number. */
+static size_t take_unrecorded(struct rk_stream_versions *table, int64_t now_ms,
+                              Rillknot__StreamVersion *rows, size_t max)
+{
+    struct rk_stream_version *e;
+    size_t len = 0, at = 0;
+    while (len < max && (e = rk_stream_versions_next_shared(table, &at, now_ms))) {
+        if (e->is_recorded)
+            continue;
+        e->is_recorded = true;
+        fill_row(&rows[len++], e, now_ms);
+    }
+    return len;
+}
+
+/* Returns the members of the record; NULL if it lists no streams. */
+static char *pack_record(struct rk_relay_versions *v)
+{
+    struct rk_buf b = {0};
+    rk_buf_printf(&b, "\"wall_ms\":%" PRId64 ",\"groups\":", rk_wall_ms());
+    if (rk_stream_records_pack(&v->table, rk_mono_ms(), &b)) {
+        int64_t wait_ms = (int64_t)b.len * RK_MS_PER_S / RECORD_BYTES_PER_S;
+        v->next_record_ms = rk_mono_ms() + wait_ms;
+        return b.data;
+    }
+    rk_buf_free(&b);
+    return NULL;
+}
+
+char *rk_relay_versions_record(struct rk_relay *r)
+{
+    struct rk_relay_versions *v = r->versions;
+    Rillknot__StreamVersion rows[MAX_ROWS], *refs[MAX_ROWS];
+    Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
+    int64_t now_ms = rk_mono_ms();
+    if (!v->writes_record && !v->record_writer[0])
+        return NULL;
+    body.rows = refs;
+    body.n_rows = take_unrecorded(&v->table, now_ms, rows, MAX_ROWS);
+    for (size_t i = 0; i < body.n_rows; i++)
+        refs[i] = &rows[i];
+    if (body.n_rows && !v->writes_record)
+        start_request(r, v->record_writer, &body, NULL);
+    v->record_changed = v->record_changed || body.n_rows;
+    if (!v->writes_record || !v->record_changed || now_ms < v->next_record_ms)
+        return NULL;
+    v->record_changed = false;
+    return pack_record(v);
+}
+
+void rk_relay_versions_restore(struct rk_relay *r,
+                               const struct rk_stream_record *rows, size_t len)
+{
+    struct rk_relay_versions *v = r->versions;
+    int64_t now_ms = rk_mono_ms();
+    for (size_t i = 0; i < len; i++)
+        rk_stream_versions_note(&v->table, rows[i].stream, NULL, rows[i].version,
+                                rows[i].ttl_ms, now_ms);
+    v->record_changed = true;
+}
+
 /* ---- questions of peers ---- */
 
 bool rk_relay_versions_is_request(struct rk_client *client)
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -241,6 +241,23 @@
         f.check_taken_up(begun, [0, 1, 2])
 
 
+def test_streams_go_on_after_a_kill_of_all_nodes():
+    """Guards against streams that are all lost when no node is left that knows their versions,
+    though VMs of these versions are there, after one kill and after two in a row."""
+    went_on = []
+    with Versions(nodes=3) as f:
+        begun = [f.begin(n % 3) for n in range(2 * STREAMS)]
+        time.sleep(1)  # what is to be persisted has been
+        for _ in range(2):
+            f.kill_all()
+            f.restart_all()
+            went_on.append(f.check_taken_up(begun, [0, 1, 2]))
+            unknown = [("%016x" % next(f.d.ids), 3) for _ in range(3)]
+            assert f.check_taken_up(unknown, [0, 1, 2]) == 0
+    assert min(went_on) > len(begun) * 3 / 4, (went_on, len(begun))
+    return "%s of %d went on" % (went_on, len(begun))
+
+
 def test_streams_are_not_mixed_after_a_kill_of_all_nodes_beside_a_change_of_versions():
     """Guards against streams that go on at another version when nodes that have forgotten
     everything see only a part of the versions that served."""
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -6,8 +6,11 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "common/json.h"
+#include "core/stream_records.h"
 #include "core/stream_versions.h"
 
 #define LIFETIME_MS 20000
@@ -192,6 +195,121 @@
     }
 }
 
+/* Returns the streams of a table's record, as read age_ms later. */
+static size_t pack_and_unpack(struct rk_stream_versions *s, int64_t now_ms,
+                              int64_t age_ms, struct rk_stream_record **out)
+{
+    struct rk_buf b = {0};
+    size_t skipped, packed = rk_stream_records_pack(s, now_ms, &b);
+    assert_true(b.len <= RK_STREAM_RECORD_MAX_BYTES);
+    struct json_object *groups = json_tokener_parse(b.data);
+    size_t len = rk_stream_records_unpack(groups, age_ms, out, &skipped);
+    assert_int_equal(skipped, 0);
+    assert_true(len <= packed);
+    json_object_put(groups);
+    rk_buf_free(&b);
+    return len;
+}
+
+/* Guards against records that change a stream's version or make it live longer, and
+ * that list streams which nobody needs to be told. */
+static void a_record_keeps_version_and_lifetime(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    struct rk_stream_record *out;
+    list(&s, 0, "1");
+    rk_stream_versions_note(&s, 1, "llm", "1", LIFETIME_MS, 0);
+    assert_int_equal(pack_and_unpack(&s, 0, 0, &out), 0); /* one version only */
+    free(out);
+    list(&s, 0, "12");
+    rk_stream_versions_note(&s, UINT64_MAX, NULL, "\"\\", 5999, 0);
+    rk_stream_versions_note(&s, 3, NULL, "1", LIFETIME_MS - 1, 0);
+    rk_stream_versions_note(&s, 4, NULL, "1", RK_MS_PER_S - 1, 0); /* too short */
+    assert_int_equal(pack_and_unpack(&s, 1, 2000, &out), 3);
+    for (size_t i = 0; i < 3; i++) {
+        const struct rk_stream_version *e =
+            rk_stream_versions_find(&s, out[i].stream, 0);
+        assert_string_equal(out[i].version, e->version);
+        assert_true(out[i].ttl_ms > 0 && out[i].ttl_ms <= e->expires_ms - 2001);
+    }
+    free(out);
+    assert_int_equal(pack_and_unpack(&s, 1, 5000, &out), 2);
+    free(out);
+    assert_int_equal(pack_and_unpack(&s, 1, LIFETIME_MS, &out), 0);
+    free(out);
+    /* The clock of the writer is ahead. */
+    assert_int_equal(pack_and_unpack(&s, 1, -60000, &out), 3);
+    assert_true(out[0].ttl_ms <= LIFETIME_MS);
+    free(out);
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against a record that the store refuses for its size, and one that then
+ * lacks the newest streams. */
+static void a_record_is_bounded_and_keeps_the_newest(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    struct rk_stream_record *out;
+    for (uint64_t i = 1; i <= RK_STREAMS_MAX; i++)
+        rk_stream_versions_note(&s, i << 32 | i, NULL, i % 2 ? "1" : "2",
+                                2000 + (int64_t)i, 0);
+    size_t len = pack_and_unpack(&s, 0, 0, &out);
+    assert_true(len > RK_STREAMS_MAX / 4 && len < RK_STREAMS_MAX);
+    for (size_t i = 0; i < len; i++)
+        assert_true((out[i].stream >> 32) > RK_STREAMS_MAX - len - RK_MS_PER_S);
+    free(out);
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against a node that ends at a record of odd contents, or believes it. */
+static void odd_records_are_skipped(void **state)
+{
+    (void)state;
+    static const char *const odd[] = {
+        "null",
+        "{}",
+        "[]",
+        "\"x\"",
+        "[null, 1, [], {}, \"x\"]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":\"\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":[1]}]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":\"00000000000000a\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":\"00000000000000aG\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":\"0000000000000000\"}]",
+        "[{\"version\":\"\",\"ttl_ms\":5000,\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":7,\"ttl_ms\":5000,\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":\"12345678901234567890123456789012345\",\"ttl_ms\":5000,"
+        "\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":\"1\",\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":-1,\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":9223372036854775807,"
+        "\"streams\":\"00000000000000ab\"}]",
+        "[{\"version\":\"1\",\"ttl_ms\":5000,"
+        "\"streams\":\"00000000000000ab\\u000000000000000ac\"}]",
+    };
+    struct rk_stream_record *out;
+    size_t skipped;
+    for (size_t i = 0; i < RK_ARRAY_LEN(odd); i++) {
+        struct json_object *groups = json_tokener_parse(odd[i]);
+        int64_t age_ms = i % 2 ? INT64_MAX : INT64_MIN;
+        size_t len = rk_stream_records_unpack(groups, age_ms, &out, &skipped);
+        assert_int_equal(skipped, rk_json_len(groups));
+        assert_int_equal(len, 0);
+        free(out);
+        json_object_put(groups);
+    }
+    struct json_object *groups = json_tokener_parse(
+        "[1, "
+        "{\"version\":\"1\",\"ttl_ms\":5000,\"streams\":\"00000000000000ab\"}]");
+    assert_int_equal(rk_stream_records_unpack(groups, 0, &out, &skipped), 1);
+    assert_int_equal(out[0].stream, 0xab);
+    assert_int_equal(skipped, 1);
+    free(out);
+    json_object_put(groups);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -200,6 +318,9 @@
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
         cmocka_unit_test(those_that_were_told_are_asked),
+        cmocka_unit_test(a_record_keeps_version_and_lifetime),
+        cmocka_unit_test(a_record_is_bounded_and_keeps_the_newest),
+        cmocka_unit_test(odd_records_are_skipped),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
