proc_hosted_versions: records of streams that are late, odd, foreign or from before a restore

Nodes get ready, and reject at once, while the records can't be read; they read them later. One that another node has written is merged.

--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -258,6 +258,69 @@
     return "%s of %d went on" % (went_on, len(begun))
 
 
+def test_streams_go_on_when_their_records_can_be_read_late():
+    """Guards against nodes that aren't ready, or let callers wait, while the records of
+    streams can't be read, and that never read them then; odd records are skipped."""
+    odd = ([], {}, {"era": "x", "groups": 1}, {"era": 1, "wall_ms": -2 ** 63, "groups": [1]},
+           {"era": 1, "wall_ms": 2 ** 63 - 1, "groups": [{"ttl_ms": {}, "streams": [[]]}]})
+    with Versions(nodes=3) as f:
+        begun = [f.begin(n % 3) for n in range(STREAMS)]
+        time.sleep(1)  # what is to be persisted has been
+        for n, spec in enumerate(odd):
+            f.d.store.put("rillknot-streams", "odd-%d" % n, spec)
+        f.d.store.fault = lambda req: 503 if "/rillknot-streams" in req.target else None
+        f.kill_all()
+        f.restart_all()
+        assert f.check_taken_up(begun, [0, 1, 2]) == 0
+        f.d.store.fault = None
+        ident, last = begun[0]
+        wait_until(lambda: f.take_up(ident, last).status == 200)
+        went_on = f.check_taken_up(begun, [0, 1, 2])
+        assert went_on > STREAMS * 3 / 4, went_on
+
+
+def test_a_record_of_streams_from_before_a_restore_is_not_believed():
+    """Guards against records of a copy of the store, in which what was written since the copy
+    is missing."""
+    with Versions(nodes=3) as f:
+        begun = [f.begin(n % 3) for n in range(STREAMS)]
+        time.sleep(1)  # what is to be persisted has been
+        f.kill_all()
+        f.d.store.restore(f.d.store.copy())
+        f.restart_all()
+        assert f.check_taken_up(begun, [0, 1, 2]) == 0
+        begun = [f.begin(n % 3) for n in range(STREAMS)]
+        time.sleep(1)
+        f.kill_all()
+        f.restart_all()
+        went_on = f.check_taken_up(begun, [0, 1, 2])
+        assert went_on > STREAMS * 3 / 4, went_on
+
+
+def test_a_record_that_another_node_has_written_is_merged():
+    """Guards against a writer that replaces another one's record, or gives up, when two nodes
+    take themselves for the writer."""
+    with Versions(nodes=3) as f:
+        begun = [f.begin(n % 3) for n in range(STREAMS)]
+        time.sleep(1)
+        records = f.d.store.objects["rillknot-streams"]
+        assert records
+        for name, record in list(records.items()):
+            spec = record["spec"]
+            foreign = {"version": "v9", "ttl_ms": 15000, "streams": "%016x" % (1 << 60)}
+            f.d.store.put("rillknot-streams", name, dict(spec, groups=[foreign]))
+        begun += [f.begin(n % 3) for n in range(3)]
+
+        def is_merged():
+            groups = [str(o["spec"]["groups"]) for o in records.values()]
+            return all("v1" in g and "v9" in g for g in groups)
+        wait_until(is_merged)
+        f.kill_all()
+        f.restart_all()
+        went_on = f.check_taken_up(begun, [0, 1, 2])
+        assert went_on > len(begun) * 3 / 4, went_on
+
+
 def test_streams_are_not_mixed_after_a_kill_of_all_nodes_beside_a_change_of_versions():
     """Guards against streams that go on at another version when nodes that have forgotten
     everything see only a part of the versions that served."""
