--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -552,8 +552,9 @@
     body.n_rows = take_unrecorded(&v->table, now_ms, rows, MAX_ROWS);
     for (size_t i = 0; i < body.n_rows; i++)
         refs[i] = &rows[i];
-    if (body.n_rows && !v->writes_record)
-        start_request(r, v->record_writer, &body, NULL);
+    if (body.n_rows && !v->writes_record &&
+        !start_request(r, v->record_writer, &body, NULL))
+        rk_stream_versions_forget_recorded(&v->table);
     v->record_changed = v->record_changed || body.n_rows;
     if (!v->writes_record || !v->record_changed || now_ms < v->next_record_ms)
         return NULL;
