conn: the kernel buffers little for callers that don't read

A caller that doesn't read an answer had the kernel buffer it up to the system's limit of a send buffer. While 50 such answers of 4 MB were held, socket memory on the host rose by some 200 MB (other processes ran there, too). The node can't see it, but it is the machine's memory.

Accepted connections set TCP_NOTSENT_LOWAT to 256 KB: beyond that the bytes stay with the node, which stops reading from the VM. What is in flight isn't limited by it.

--- a/common/conn.c
+++ b/common/conn.c
@@ -19,6 +19,9 @@
 #define SCARCE_BLOCK_LEN (4 * 1024 - 1)
 /* Largest output buffer to keep after its bytes are sent: holds a usual head. */
 #define RETAINED_MAX 2048
+/* Bytes that the kernel buffers for an accepted connection besides those in flight.
+ * Otherwise it takes megabytes for each peer that doesn't read. */
+#define KERNEL_UNSENT_MAX (256 * 1024)
 /* Time for the peer to read the last bytes and to close. */
 #define LINGER_MS 1000
 /* The connection has failed when sent bytes stay unacknowledged for so long. */
@@ -244,6 +247,8 @@
 struct rk_conn *rk_conn_adopt(struct rk_loop *loop, int fd,
                               const struct rk_conn_ops *ops, void *ctx)
 {
+    int unsent = KERNEL_UNSENT_MAX;
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent, sizeof(unsent));
     struct rk_conn *c = create(loop, fd, ops, ctx);
     update_watch(c);
     return c;
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -2,15 +2,17 @@
 
 The bound is the memory of the deployments' smallest machines.
 """
+import socket
 import threading
 import time
 
 from hosted import Hosted, read_answer, wait_until
-from proc_hosted_endless import memory_mb
+from proc_hosted_endless import BLOCK, Flood, memory_mb
 
 MEMORY_MB = 120  # of the smallest machines
 LONG_BODY = 4 * 1024 * 1024
 SOUND_CALLS = 20
+TAKEN_MAX_MB = 3  # of an answer that is not read
 DEADLINE_MS = 2000
 LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 1500,
           "idleTimeoutMs": 6000}
@@ -231,3 +233,34 @@
             assert read_answer(s).status == 200
         wait_until(lambda: d.gauge(d.nodes[0], "buffered_bytes") < LONG_BODY, 2)
         return assert_small(d)
+
+
+def test_the_kernel_holds_little_for_callers_that_do_not_read():
+    """Guards against megabytes of each answer in the kernel, whose memory is the machine's, too.
+
+    A node can see only what it holds itself. What it has taken of an answer that nobody reads
+    shows both.
+    """
+    with small_node() as d:
+        flood = Flood(b"z" * BLOCK, b"@HEAD@Content-Length: 100000000\r\n\r\n")
+
+        def fault(worker, req, conn):
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BLOCK)
+            return flood(worker, req, conn)
+
+        for w in d.workers:
+            w.fault = fault
+        conns = []
+        for i in range(10):
+            s = socket.socket()
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            s.connect(("127.0.0.1", d.port(d.nodes[0].ready["listen"])))
+            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                      b"Rillknot-Attempt-Id: unread-%d\r\nContent-Length: 2\r\n\r\nhi" % i)
+            conns.append(s)
+        time.sleep(1.5)
+        taken = max(flood.bytes.values()) / 1e6
+        assert len(flood.bytes) == 10 and taken < TAKEN_MAX_MB, "%.1f MB" % taken
+        for s in conns:
+            s.close()
+        return "%.1f MB of an answer at most" % taken
