--- a/tests/run.py
+++ b/tests/run.py
@@ -48,6 +48,7 @@
     "proc_hosted_lifetimes": "hosted  nodes outlive random orders of what ends calls and VMs",
     "proc_hosted_stops": "hosted  a planned stop ends in time whatever a node waits for",
     "proc_hosted_ends": "hosted  a node that ends by itself says why",
+    "proc_hosted_fleet_ends": "hosted  no node of a fleet ends by itself in series of faults",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
     "proc_hosted_input": "hosted  bad input",
     "proc_hosted_entries": "hosted  restarted VMs, entries written by another program",
