--- a/tools/odd_objects.py
+++ b/tools/odd_objects.py
@@ -258,6 +258,10 @@
         self.d.restart_node(index)
         return self.d.nodes[index].name
 
+    def changes(self):
+        """Return how many changes were made."""
+        return len(self.log)
+
     # ---- checks ----
 
     def check_node(self, node):
@@ -302,6 +306,7 @@
                     answer = self.call_once(index, number)
                     self.problem("%s does not serve call %d again: %s"
                                  % (node.name, number, answer and (answer.status, answer.body)))
+                    return
 
     def check_memory(self):
         if not self.sanitized and self.max_rss_kb > RSS_MAX_KB:
@@ -350,7 +355,8 @@
     return OddObjects(seed, seconds, build).run()
 
 
-def main():
+def run_seeds(runner):
+    """Run a command line's seeds, each in a process of its own; return the exit code."""
     p = argparse.ArgumentParser()
     p.add_argument("--build", default="build/address")
     p.add_argument("--seeds", type=int, default=10)
@@ -360,18 +366,18 @@
     p.add_argument("--one", type=int)
     args = p.parse_args()
     if args.one is not None:
-        run = OddObjects(args.one, args.seconds, args.build)
+        run = runner(args.one, args.seconds, args.build)
         try:
             run.run()
         finally:
             print("\n".join(run.problems + run.log if run.problems else []))
             print("seed %d: %d served, %d changes, %d ends, %d MB at most, %d problems"
-                  % (args.one, run.served, len(run.log), run.ended, run.max_rss_kb // 1024,
+                  % (args.one, run.served, run.changes(), run.ended, run.max_rss_kb // 1024,
                      len(run.problems)))
         return 1 if run.problems else 0
 
     def play(seed):
-        r = subprocess.run([sys.executable, os.path.abspath(__file__), "--one", str(seed),
+        r = subprocess.run([sys.executable, os.path.abspath(sys.argv[0]), "--one", str(seed),
                             "--build", args.build, "--seconds", str(args.seconds)],
                            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
         return seed, r.returncode, r.stdout.decode("utf-8", "replace")
@@ -386,4 +392,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(OddObjects))
