--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -193,6 +193,27 @@
     return "%d MB at most" % max(peaks.values())
 
 
+MANY_VMS, PAGE = 7000, 500
+
+
+def test_a_long_list_of_vms_is_read():
+    """Guards against a node that never gets ready as the list of a large fleet's VMs takes much
+    memory, though each of its pages does not."""
+    with deployment() as d:
+        d.nodes[0].kill()
+        listed = next(iter(d.store.objects["servers"].values()))["spec"]
+        spec = dict(listed, service="other", stage="combined",
+                    models=[{"name": "m", "version": 1, "adapters": []}])
+        d.store.page = PAGE
+        with d.store.cond:
+            for i in range(MANY_VMS):
+                d.store._write("servers", "i-%08x" % i,
+                               dict(spec, address="127.0.0.1:%d" % (1024 + i)))
+        d.restart_node(0)
+        d.wait_ready()
+        assert d.call("/r/x").status == 200
+
+
 def test_nodes_outlive_odd_values_of_any_object():
     """Guards against a node that ends, stays busy or does not serve again after an odd value in
     any object of the store, whichever reader meets it."""
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -155,6 +155,7 @@
     """
 
     def __init__(self):
+        self.page = 5  # objects; small, so that paging is exercised
         self.era = 1
         self.answer_era = lambda: str(self.era)
         self.objects = collections.defaultdict(dict)  # kind -> name -> object
@@ -287,7 +288,7 @@
         """
         with self.cond:
             names = sorted(n for n in self.objects[kind] if n > after)
-            page = names[:5]  # small pages, so that paging is exercised
+            page = names[:self.page]
             return 200, {"entries": [self.objects[kind][n] for n in page],
                          "more": len(names) > len(page), "at": self.revision}
 
