forwarding: peers' calls beyond the connections are refused as not run

A review showed: a node with few descriptors closed peers' connections beyond its cap unread.

Such connections are taken now. Beyond the limit a connection ends with its answer, beyond twice the limit a call is answered as without room, so that the peer tries another node or answers 503. The callers' share goes from two thirds of the sockets to seven twelfths, as forwarded calls may take a sixth.

--- a/callers/server.c
+++ b/callers/server.c
@@ -325,6 +325,11 @@
     return c->body.data ? c->body.data : "";
 }
 
+void rk_client_close_after_answer(struct rk_client *c)
+{
+    c->close_after_answer = true;
+}
+
 void rk_client_set_user(struct rk_client *c, void *user)
 {
     c->user = user;
--- a/callers/server.h
+++ b/callers/server.h
@@ -87,6 +87,8 @@
 /* Sets the value that is passed on when the caller disconnects. It is reset to NULL
  * with the next request. */
 void rk_client_set_user(struct rk_client *c, void *user);
+/* Ends the client's connection with the response to its request. */
+void rk_client_close_after_answer(struct rk_client *client);
 
 /* Sends a complete response with a body of `len` bytes. `headers` is "" or header
  * lines that each end with CRLF. The client must not be used for this request any
--- a/node/resources.c
+++ b/node/resources.c
@@ -29,7 +29,7 @@
     struct rk_resources r = {.descriptors = count_descriptors(file)};
     int64_t sockets = r.descriptors - min_of(FILES_MAX, r.descriptors / 4);
     r.buffer_bytes = (int64_t)(file->memory_mb * BYTES_PER_MB * BUFFER_SHARE);
-    r.callers = (int)min_of(file->max_connections, sockets * 2 / 3);
+    r.callers = (int)min_of(file->max_connections, sockets * 7 / 12);
     r.forwards = (int)min_of(file->max_connections, sockets / 12);
     return r;
 }
--- a/node/resources.h
+++ b/node/resources.h
@@ -10,7 +10,7 @@
     int64_t descriptors;  /* that the process may have open */
     int callers;          /* most open connections of callers */
     int64_t buffer_bytes; /* buffered for callers, VMs and peers, see memory.h */
-    int forwards;         /* most open connections of peers that forward calls */
+    int forwards; /* connections of peers to keep open; twice as many serve */
 };
 
 /* Divides the lower of the process file's limits and the system's. What callers and
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -1,5 +1,6 @@
 #include "serve/relay.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -265,7 +266,7 @@
     if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
         return r->server != NULL;
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
-    limits.max_clients = opt->max_forward_clients;
+    limits.max_clients = INT_MAX; /* see has_room_for_forwarded() */
     limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
     r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
                                          &forward_server_ops, r);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -162,7 +162,8 @@
     uint64_t node_hash; /* hash of this node's id and incarnation */
     uint64_t seed;
     int max_clients; /* limit of open connections of callers */
-    /* limit of open connections of peers that forward calls */
+    /* Connections of peers that are kept open for further calls; twice as many are
+     * served. */
     int max_forward_clients;
     size_t
         buffer_bytes; /* the process's budget, see common/memory.h; 0: no limit */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -1,5 +1,6 @@
 /* Messages of the control thread to a relay. Each is posted to the relay's loop and
  * applied on its thread; it owns what its pointers lead to. */
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -82,7 +83,7 @@
     rk_server_set_limits(r->server, &limits);
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.idle_ms = FORWARD_IDLE_MS;
-    limits.max_clients = r->opt.max_forward_clients;
+    limits.max_clients = INT_MAX;
     limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
     if (r->forward_server)
         rk_server_set_limits(r->forward_server, &limits);
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -270,6 +270,20 @@
     return !outlasts_stop(r, call->left_ms);
 }
 
+/* Returns whether there are connections to spare for a peer's call. Beyond their
+ * limit, each ends with its answer; beyond twice the limit, calls are refused. A
+ * connection that is closed unread would not do: the peer, which has sent its
+ * request by then, could not tell whether the call ran. */
+static bool has_room_for_forwarded(const struct rk_relay *r,
+                                   struct rk_client *client)
+{
+    size_t len = rk_server_client_count(r->forward_server);
+    size_t most = (size_t)r->opt.max_forward_clients;
+    if (len > most)
+        rk_client_close_after_answer(client);
+    return len <= 2 * most;
+}
+
 /* The peer has admitted the call: it is not charged to the organisation's quota
  * again. */
 void rk_relay_call_start_forwarded(struct rk_relay *r, struct rk_client *client)
@@ -295,6 +309,10 @@
     }
     size_t body_len;
     rk_client_body(client, &body_len);
+    if (!has_room_for_forwarded(r, client)) {
+        rk_call_refuse_forwarded(client, RK_FORWARD_NO_ROOM, RETRY_AFTER_MS);
+        return;
+    }
     if (!rk_memory_has_room(body_len)) {
         rk_memory_count_refusal();
         rk_call_refuse_forwarded(client, RK_FORWARD_NO_ROOM, MEMORY_RETRY_AFTER_MS);
--- a/tests/proc_hosted_descriptors.py
+++ b/tests/proc_hosted_descriptors.py
@@ -1,10 +1,13 @@
 """Tests of a node that has few descriptors: it serves on and doesn't spin."""
+import collections
+import concurrent.futures
 import os
 import resource
 import time
 
-from hosted import Hosted, read_answer
+from hosted import Hosted, read_answer, wait_until
 from proc_hosted_memory import assert_served
+from vm_links import RESET_ALL, VmLinks, wait_for_own_links
 
 FEW = 256  # descriptors of a node in these tests
 CPU_SHARE_MAX = 0.5
@@ -29,6 +32,37 @@
     return d
 
 
+CALLS = 60  # forwarded at once
+
+
+def test_forwarded_calls_beyond_the_connections_are_refused_as_not_run():
+    """Guards against a peer's connection that is closed unread at a node with few descriptors:
+    the caller of a call that may run once got 502, though it had not run."""
+    d = Hosted(nodes=0, bounds={"budgetExtra": 4000})
+    links = VmLinks(d.store)
+    d.add_node(platform={"address": links.addr})
+    d.add_node(limits={"cpuShare": 0.25, "maxFds": FEW})
+    with d:
+        for _ in range(2):
+            d.add_worker("plain", slots=400)
+        d.configure([d.route("p", "plain", "non_idempotent", timeoutMs=8000)],
+                    services=[{"name": "plain", "healthPath": "/healthz", "maxConns": 2000}])
+        d.wait_ready()
+        wait_for_own_links(d, 0, links, "/p/x")
+        links.cut(RESET_ALL)
+        wait_until(lambda: d.call("/p/x").status == 200, 8)
+        time.sleep(1)
+        for w in d.workers:
+            w.work_s = 0.5
+        with concurrent.futures.ThreadPoolExecutor(CALLS) as pool:
+            answers = list(pool.map(lambda _: d.call("/p/x", deadline=6000), range(CALLS)))
+        by_status = collections.Counter(a.status for a in answers)
+        assert set(by_status) <= {200, 429, 503} and by_status[200] > 10, by_status
+        assert not [a.ident for a in answers if a.status != 200 and d.runs(a.ident)]
+        links.close()
+        return by_status
+
+
 def open_count(node):
     """Returns how many descriptors a node has open."""
     return len(os.listdir("/proc/%d/fd" % node.popen.pid))
