node: SIGHUP during the start does not end the process

The signal is blocked first now. What the loader takes before main() stays.

test_a_reload_signal_during_the_start_ends_no_node, with a pipe as the process file: failed before (the node was gone), passes now.

--- a/programs/node.c
+++ b/programs/node.c
@@ -134,6 +134,15 @@
     _exit(1);
 }
 
+/* SIGHUP would end a process that has not yet read its file. */
+static void block_reload_signal(void)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    sigprocmask(SIG_BLOCK, &set, NULL);
+}
+
 static void block_signals(void)
 {
     sigset_t set;
@@ -175,6 +184,7 @@
 
 int main(int argc, char **argv)
 {
+    block_reload_signal();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
         fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -279,6 +279,27 @@
         close(held)
 
 
+def test_a_reload_signal_during_the_start_ends_no_node():
+    """Guards against a SIGHUP whose default action ends a node that still reads its file.
+
+    A pipe holds the node there.
+    """
+    with Hosted(nodes=1) as d:
+        start = with_addresses(d, {})
+        with open(start.path) as f:
+            text = f.read()
+        os.unlink(start.path)
+        os.mkfifo(start.path)
+        p = start.popen()
+        with open(start.path, "w") as f:  # returns once the node has opened the pipe
+            p.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+            f.write(text)
+        assert "node.started" in read_until_started(p), p.poll()
+        p.kill()
+        p.communicate()
+
+
 def test_an_address_that_is_none_ends_the_start_at_once():
     """Guards against a wait for an address that can't be one."""
     with Hosted(nodes=1) as d:
