stream records: longer lifetimes are recorded as the longest that is read

A review showed: with a time-out of a resumable route over 590 s a record was written with lifetimes that no reader takes, and all streams were unknown after a kill of all nodes; peers ignored such rows, too.

--- a/core/stream_records.c
+++ b/core/stream_records.c
@@ -35,7 +35,10 @@
     size_t len = 0, at = 0;
     const struct rk_stream_version *e;
     while ((e = rk_stream_versions_next_shared(s, &at, now_ms))) {
-        int64_t ttl_steps = (e->expires_ms - now_ms) / TTL_STEP_MS;
+        int64_t ttl_ms = e->expires_ms - now_ms;
+        if (ttl_ms > RK_STREAM_RECORD_TTL_MAX_MS)
+            ttl_ms = RK_STREAM_RECORD_TTL_MAX_MS;
+        int64_t ttl_steps = ttl_ms / TTL_STEP_MS;
         if (ttl_steps > 0)
             out[len++] = (struct packed_stream){.e = e, .ttl_steps = ttl_steps};
     }
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -589,8 +589,9 @@
     const char *only = "";
     *out = (Rillknot__StreamVersion)RILLKNOT__STREAM_VERSION__INIT;
     if (row->stream && row->version[0] && strlen(row->version) < RK_VERSION_MAX &&
-        row->ttl_ms > 0 && row->ttl_ms <= TTL_MAX_MS) {
-        rk_stream_versions_note(table, row->stream, NULL, row->version, row->ttl_ms,
+        row->ttl_ms > 0) {
+        int64_t ttl_ms = row->ttl_ms < TTL_MAX_MS ? row->ttl_ms : TTL_MAX_MS;
+        rk_stream_versions_note(table, row->stream, NULL, row->version, ttl_ms,
                                 now_ms);
     } else if (!row->version[0]) {
         const struct rk_stream_version *known =
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -263,6 +263,20 @@
     rk_stream_versions_free(&s);
 }
 
+/* Guards against streams that are written with a lifetime which no reader takes. */
+static void long_lifetimes_are_recorded_as_the_longest_one(void **state)
+{
+    (void)state;
+    const int64_t day_ms = 24 * 3600 * RK_MS_PER_S;
+    struct rk_stream_versions s = create(true);
+    struct rk_stream_record *rows;
+    rk_stream_versions_note(&s, 7, NULL, "1", day_ms, 0);
+    assert_int_equal(pack_and_unpack(&s, 1, 0, &rows), 1);
+    assert_int_equal(rows[0].ttl_ms, RK_STREAM_RECORD_TTL_MAX_MS);
+    free(rows);
+    rk_stream_versions_free(&s);
+}
+
 /* Guards against a node that ends at a record of odd contents, or believes it. */
 static void odd_records_are_skipped(void **state)
 {
@@ -320,6 +334,7 @@
         cmocka_unit_test(those_that_were_told_are_asked),
         cmocka_unit_test(a_record_keeps_version_and_lifetime),
         cmocka_unit_test(a_record_is_bounded_and_keeps_the_newest),
+        cmocka_unit_test(long_lifetimes_are_recorded_as_the_longest_one),
         cmocka_unit_test(odd_records_are_skipped),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
