--- a/common/json_text.h
+++ b/common/json_text.h
@@ -1,13 +1,12 @@
-/* Parses JSON texts of other programs within a limit of memory. An empty object of
- * 3 bytes takes more than 700 bytes once it is parsed: an answer of 9 MB took 2.3
- * GB. */
+/* Parses JSON texts of other programs within a limit of memory: an empty object of 3
+ * bytes takes more than 700 once it is parsed. */
 #ifndef RK_COMMON_JSON_TEXT_H
 #define RK_COMMON_JSON_TEXT_H
 
 #include <json-c/json.h>
 #include <stddef.h>
 
-/* Limit that leaves a node of 120 MB the rest of its memory. */
+/* Limit for one text, of what a node of 120 MB may use. */
 #define RK_JSON_PARSED_MAX_BYTES (40 * 1024 * 1024)
 
 /* Beyond json-c's default of 32: one deep object would have all others of an answer
