--- a/common/json_text.h
+++ b/common/json_text.h
@@ -1,5 +1,5 @@
-/* Parses JSON texts of other programs within a limit of memory: an empty object of 3
- * bytes takes more than 700 once it is parsed. */
+/* Parses JSON texts of other programs within a limit of memory: an empty object of
+ * 3 bytes takes more than 700 once it is parsed. */
 #ifndef RK_COMMON_JSON_TEXT_H
 #define RK_COMMON_JSON_TEXT_H
 
