--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -41,6 +41,14 @@
     return s
 
 
+def send_rest(s, data):
+    """Sends the end of a request, if the connection is still open."""
+    try:
+        s.sendall(data)
+    except OSError:
+        pass  # refused and closed
+
+
 def send_halves(d, count, length, threads=4, **kw):
     """Sends requests without their last bytes and returns their connections."""
     conns = [None] * count
@@ -247,6 +255,38 @@
         return figure
 
 
+def test_long_bodies_in_flight_do_not_fill_the_memory():
+    """Guards against whole bodies of calls in flight that fill a node's memory.
+
+    60 calls of 4 MB took 158 MB at a machine that has 120.
+    """
+    with small_node(workers=4) as d:
+        for w in d.workers:
+            w.free_slots, w.work_s = threading.Semaphore(1000), 1.0
+        count = 60
+        conns = []
+        for i in range(count):
+            # One after the other: the bound on unfinished bodies is another one.
+            conns.append(send_half(d, LONG_BODY, number=i))
+            send_rest(conns[-1], b"x")
+        got = [read_answer(s) for s in conns]
+        figure = assert_small(d)
+        refused = [a for a in got if a.status == 503]
+        served = [a for a in got if a.status == 200]
+        assert served and refused, [a.status for a in got]
+        # A client loses the answer if it goes on sending for longer than the node waits.
+        assert all(a.status in (200, 503, 0) for a in got), [a.status for a in got]
+        total = d.gauge(d.nodes[0], "memory_refused_total")
+        assert total == count - len(served), total
+        assert all(float(a.headers["retry-after"]) > 0 for a in refused)
+        ran = [d.runs("half-%d" % i) for i in range(count)]
+        assert [n > 0 for n in ran] == [a.status == 200 for a in got], ran
+        for w in d.workers:
+            w.work_s = 0.0
+        assert_served(d)
+        return "%s, %d served, %d refused" % (figure, len(served), len(refused))
+
+
 def test_idle_connections_keep_no_long_buffers():
     """Guards against connections that keep the buffer of a long body while they are idle."""
     with small_node() as d:
