callers: weigh a long body against those that were accepted before

Callers were asked to send long bodies for which there was no room together: a head was weighed against what was held, and an accepted body that had not arrived yet counted for nothing. With 30 heads of 4 MB accepted at once at a machine of 120 MB, buffers took 54.5 and 62.9 MB of 50.3.

An accepted body over 64 KB now announces what it will take. It isn't charged, so nothing is refused for it but other long bodies, at their heads.

--- a/callers/server.c
+++ b/callers/server.c
@@ -44,6 +44,8 @@
     TAILQ_ENTRY(rk_client) unfinished_entry;
     size_t unfinished; /* bytes held of a request that is not whole */
     size_t charged;    /* bytes in the account of memory */
+    size_t announced;  /* bytes that the request will take once it is whole */
+    size_t expected;   /* how many of them are not held yet, in the same account */
     struct rk_conn *conn;
     struct rk_http1 reader;
     struct rk_server_limits limits;
@@ -129,6 +131,9 @@
     size_t request = c->reader.head.text.cap + c->body.cap;
     bool is_part = c->state == CLIENT_READING && !c->closed && !c->in_idle_list;
     rk_memory_charge(&c->charged, request + c->pipelined.cap);
+    rk_memory_expect(&c->expected, is_part && c->announced > request
+                                       ? c->announced - request
+                                       : 0);
     if (c->unfinished != (is_part ? request : 0))
         set_unfinished(c, is_part ? request : 0);
 }
@@ -139,6 +144,7 @@
 {
     set_in_idle_list(c, false);
     set_unfinished(c, 0);
+    rk_memory_expect(&c->expected, 0);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
@@ -277,6 +283,7 @@
         rk_buf_free(&c->body);
     c->user = NULL;
     c->head_accepted = false;
+    c->announced = 0;
     rk_http1_next(&c->reader);
     wait_for_request(c);
     update_accounts(c);
@@ -324,6 +331,12 @@
     return c->body.data ? c->body.data : "";
 }
 
+void rk_client_announce(struct rk_client *c, size_t bytes)
+{
+    c->announced = bytes;
+    update_accounts(c);
+}
+
 void rk_client_set_user(struct rk_client *c, void *user)
 {
     c->user = user;
--- a/callers/server.h
+++ b/callers/server.h
@@ -84,6 +84,11 @@
 const struct rk_head *rk_client_head(const struct rk_client *c);
 const char *rk_client_body(const struct rk_client *c, size_t *len);
 
+/* Announces how many bytes the current request will take once its body is whole.
+ * Until then, those that are not held yet are expected in the account of memory
+ * (rk_memory_expect()). Called by on_head(). */
+void rk_client_announce(struct rk_client *c, size_t bytes);
+
 /* Sets the value that is passed on when the caller disconnects. It is reset to NULL
  * with the next request. */
 void rk_client_set_user(struct rk_client *c, void *user);
--- a/common/memory.c
+++ b/common/memory.c
@@ -12,19 +12,31 @@
 
 static _Atomic size_t budget;
 static _Atomic size_t used;
+static _Atomic size_t expected_bytes;
 
 void rk_memory_set_budget(size_t bytes)
 {
     atomic_store_explicit(&budget, bytes, memory_order_relaxed);
 }
 
-void rk_memory_charge(size_t *charged, size_t bytes)
+/* Replaces an owner's share of a total. */
+static void set_share(_Atomic size_t *total, size_t *share, size_t bytes)
 {
-    if (*charged == bytes)
+    if (*share == bytes)
         return;
-    /* Unsigned wrap-around subtracts when the owner holds less than before. */
-    atomic_fetch_add_explicit(&used, bytes - *charged, memory_order_relaxed);
-    *charged = bytes;
+    /* Unsigned wrap-around subtracts when the share shrinks. */
+    atomic_fetch_add_explicit(total, bytes - *share, memory_order_relaxed);
+    *share = bytes;
+}
+
+void rk_memory_charge(size_t *charged, size_t bytes)
+{
+    set_share(&used, charged, bytes);
+}
+
+void rk_memory_expect(size_t *expected, size_t bytes)
+{
+    set_share(&expected_bytes, expected, bytes);
 }
 
 size_t rk_memory_used(void)
@@ -32,11 +44,21 @@
     return atomic_load_explicit(&used, memory_order_relaxed);
 }
 
-bool rk_memory_has_room(size_t bytes)
+static bool fits(size_t taken, size_t bytes)
 {
     size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
-    size_t now = rk_memory_used();
-    return !most || (now <= most && bytes <= most - now);
+    return !most || (taken <= most && bytes <= most - taken);
+}
+
+bool rk_memory_has_room(size_t bytes)
+{
+    return fits(rk_memory_used(), bytes);
+}
+
+bool rk_memory_has_unclaimed(size_t bytes)
+{
+    size_t claimed = atomic_load_explicit(&expected_bytes, memory_order_relaxed);
+    return fits(rk_memory_used() + claimed, bytes);
 }
 
 bool rk_memory_is_scarce(void)
--- a/common/memory.h
+++ b/common/memory.h
@@ -14,12 +14,20 @@
  * to the owner and starts at 0. */
 void rk_memory_charge(size_t *charged, size_t bytes);
 
+/* Sets how many bytes an owner will hold beyond its charge, as its peer has
+ * announced them. *expected belongs to the owner and starts at 0. */
+void rk_memory_expect(size_t *expected, size_t bytes);
+
 /* Returns how many bytes are charged. */
 size_t rk_memory_used(void);
 
 /* Returns whether this many further bytes fit into the budget. */
 bool rk_memory_has_room(size_t bytes);
 
+/* Returns whether this many further bytes fit into the budget beside those that
+ * other owners expect. */
+bool rk_memory_has_unclaimed(size_t bytes);
+
 /* Returns whether more than half of the budget is used: connections buffer less. */
 bool rk_memory_is_scarce(void);
 
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -16,6 +16,7 @@
 #define PCT 100
 
 #define BODY_COPIES           2 /* that are held of a body while it is sent to a VM */
+#define SHORT_BODY_MAX        (64 * 1024)
 #define MEMORY_RETRY_AFTER_MS 1000
 
 /* For this long after a stop began, calls of any length are accepted: the balancer
@@ -354,25 +355,36 @@
     return true;
 }
 
-/* Refuses a request if this node buffers too much to take these further bytes of
- * its body. Returns false if it did. */
-static bool has_memory(struct rk_relay *r, struct rk_client *client, size_t bytes)
+static void refuse_for_memory(struct rk_relay *r, struct rk_client *client)
 {
-    if (rk_memory_has_room(bytes))
-        return true;
     rk_memory_count_refusal();
     refuse(r, client, HTTP_UNAVAILABLE, MEMORY_RETRY_AFTER_MS,
            "this node has no memory for it");
-    return false;
+}
+
+/* Returns whether the body that a request's head announces can be held. Only long
+ * bodies claim memory that they do not hold yet, and only long ones are refused for
+ * such claims: they may come slowly. */
+static bool claim_memory(struct rk_client *client)
+{
+    int64_t length = rk_client_head(client)->body_length;
+    size_t bytes = length > 0 ? BODY_COPIES * (size_t)length : 0;
+    if (length <= SHORT_BODY_MAX)
+        return rk_memory_has_room(bytes);
+    if (!rk_memory_has_unclaimed(bytes))
+        return false;
+    rk_client_announce(client, bytes);
+    return true;
 }
 
 bool rk_relay_call_accept_head(struct rk_relay *r, struct rk_client *client)
 {
     struct call_spec call;
-    int64_t length = rk_client_head(client)->body_length;
-    size_t copies = length > 0 ? BODY_COPIES * (size_t)length : 0;
-    if (accept_head(r, client, &call) && has_memory(r, client, copies))
-        return true;
+    if (accept_head(r, client, &call)) {
+        if (claim_memory(client))
+            return true;
+        refuse_for_memory(r, client);
+    }
     rk_counter_add(RK_C_CALLS, 1);
     return false;
 }
@@ -383,8 +395,12 @@
     rk_counter_add(RK_C_CALLS, 1);
     size_t body_len;
     rk_client_body(client, &body_len);
-    if (!accept_head(r, client, &call) || !has_memory(r, client, body_len))
+    if (!accept_head(r, client, &call))
         return;
+    if (!rk_memory_has_room(body_len)) {
+        refuse_for_memory(r, client);
+        return;
+    }
     struct rk_relay_call *x = create_call(r, client, call.route, call.org);
     x->deadline_ms = x->started_ms + call.left_ms;
     rk_timer_start(r->loop, &x->deadline_timer, call.left_ms);
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -29,18 +29,23 @@
     return d
 
 
-def send_half(d, length, key=b"X-Api-Key: key-1\r\n", number=0):
-    """Sends a request without its last byte and returns the connection."""
+def send_part(d, length, sent, key=b"X-Api-Key: key-1\r\n", number=0):
+    """Sends a request with a part of its body and returns the connection."""
     s = d.connect()
     try:
         s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\n" + key +
                   b"Rillknot-Attempt-Id: half-%d\r\nContent-Length: %d\r\n\r\n" %
-                  (number, length) + b"x" * (length - 1))
+                  (number, length) + b"x" * sent)
     except OSError:
         pass  # refused before all was sent
     return s
 
 
+def send_half(d, length, **kw):
+    """Sends a request without its last byte and returns the connection."""
+    return send_part(d, length, length - 1, **kw)
+
+
 def send_rest(s, data):
     """Sends the end of a request, if the connection is still open."""
     try:
@@ -80,6 +85,12 @@
     return "%d MB at most" % peak
 
 
+def assert_refused_for_memory(got):
+    """Those of the answers that have arrived ask their callers to come again."""
+    assert all(a.status == 503 and float(a.headers["retry-after"]) > 0 for a in got if a), [
+        (a.status, a.headers) for a in got if a]
+
+
 def answers(conns, timeout_s=0.5):
     """Returns the answers that have arrived on the connections; None: not yet."""
     out = []
@@ -190,13 +201,7 @@
         count, length = 600, 60000
         for w in d.workers:
             w.free_slots = threading.Semaphore(1000)
-        conns = []
-        for i in range(count):
-            s = d.connect()
-            s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
-                      b"Rillknot-Attempt-Id: trickle-%d\r\nContent-Length: %d\r\n\r\nx" %
-                      (i, length))
-            conns.append(s)
+        conns = [send_part(d, length, 1, number=i) for i in range(count)]
         assert d.gauge(d.nodes[0], "memory_refused_total") == 0
         for s in conns:
             s.sendall(b"x" * (length - 1))
@@ -287,6 +292,53 @@
         return "%s, %d served, %d refused" % (figure, len(served), len(refused))
 
 
+def test_accepted_bodies_have_room_to_arrive():
+    """Guards against callers that may begin long bodies for which there is no room together.
+
+    Each head was weighed against what was held, not against what others had announced, and the
+    bodies that came then were held beyond the budget.
+    """
+    with small_node(workers=4) as d:
+        node = d.nodes[0]
+        for w in d.workers:
+            w.free_slots, w.work_s = threading.Semaphore(1000), 1.0
+        conns = [send_part(d, LONG_BODY, 1, number=i) for i in range(30)]
+        early = answers(conns, 0.01)
+        accepted = [s for s, a in zip(conns, early) if not a]
+        assert 3 <= len(accepted), len(accepted)
+        assert_refused_for_memory(early)
+        peak = 0
+        rest = b"x" * (LONG_BODY - 1)
+        whole = len(accepted) // 2
+        for i, s in enumerate(accepted):
+            s.settimeout(5)
+            send_rest(s, rest if i < whole else rest[1:])
+            peak = max(peak, d.gauge(node, "buffered_bytes"))
+        for s in accepted[whole:]:
+            send_rest(s, b"x")
+        late = [read_answer(s) for s in accepted]
+        budget = next(e["buffer_bytes"] for e in node.events()
+                      if e["event"] == "node.resources")
+        assert peak <= budget, "%.1f of %.1f MB" % (peak / 1e6, budget / 1e6)
+        assert [a.status for a in late] == [200] * len(late), [a.status for a in late]
+        return "%s, %.1f of %.1f MB buffered, %d accepted" % (
+            assert_small(d), peak / 1e6, budget / 1e6, len(accepted))
+
+
+def test_short_bodies_do_not_wait_for_announced_ones():
+    """Guards against a few callers that announce long bodies and keep all others out."""
+    with small_node() as d:
+        conns = [send_part(d, LONG_BODY, 1, number=i) for i in range(30)]
+        for _ in range(10):
+            a = d.call("/r/x", body=b"x" * 60000)
+            assert a.status == 200, a.status
+        assert_served(d)
+        for s in conns:
+            s.close()
+        # What was announced is free again when its connection has ended.
+        wait_until(lambda: d.call("/r/x", body=b"x" * LONG_BODY).status == 200, 2)
+
+
 def test_idle_connections_keep_no_long_buffers():
     """Guards against connections that keep the buffer of a long body while they are idle."""
     with small_node() as d:
