conn: bound the closed connections that wait for their peers

A node opened far more descriptors than its machine allows: an answered connection that is closed waits up to a second for its caller's close, and was not counted any more. Callers that don't close had 8,316 descriptors open at a limit of 256.

A thread now keeps at most so many of them as a share of its sockets, and ends the one that waits longest for a further one; it has had the most time to be read.

--- a/common/conn.c
+++ b/common/conn.c
@@ -3,9 +3,11 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -44,8 +46,14 @@
     size_t out_pos;          /* how many of them the kernel has taken */
     size_t charged;          /* bytes of out in the account of memory */
     struct rk_timer timer;   /* limits the connect or the lingering */
+    TAILQ_ENTRY(rk_conn) lingering_entry;
 };
 
+static _Atomic int linger_max;
+/* Closed connections of this thread, the one that waits longest first. */
+static _Thread_local TAILQ_HEAD(, rk_conn) lingering;
+static _Thread_local int lingering_len;
+
 static void free_conn(void *ctx)
 {
     struct rk_conn *c = ctx;
@@ -58,6 +66,11 @@
  * still be on the call stack. */
 static void release(struct rk_conn *c)
 {
+    if (c->lingering) {
+        c->lingering = false;
+        lingering_len--;
+        TAILQ_REMOVE(&lingering, c, lingering_entry);
+    }
     if (c->fd >= 0) {
         rk_loop_watch(c->loop, c->fd, 0, NULL, NULL);
         close(c->fd);
@@ -324,6 +337,23 @@
 static const struct rk_conn_ops linger_ops = {
     .on_data = discard_data, .on_eof = on_linger_eof, .on_error = on_linger_error};
 
+void rk_conn_set_linger_max(int count)
+{
+    atomic_store_explicit(&linger_max, count, memory_order_relaxed);
+}
+
+static void add_lingering(struct rk_conn *c)
+{
+    int most = atomic_load_explicit(&linger_max, memory_order_relaxed);
+    if (!lingering_len)
+        TAILQ_INIT(&lingering);
+    c->lingering = true;
+    lingering_len++;
+    TAILQ_INSERT_TAIL(&lingering, c, lingering_entry);
+    if (most && lingering_len > most)
+        release(TAILQ_FIRST(&lingering));
+}
+
 void rk_conn_close(struct rk_conn *c)
 {
     if (!c->ops || c->connecting) {
@@ -331,7 +361,7 @@
         return;
     }
     rk_conn_set_owner(c, &linger_ops, c);
-    c->lingering = true;
+    add_lingering(c);
     rk_conn_set_paused(c, false);
     rk_timer_start(c->loop, &c->timer, LINGER_MS);
     flush(c);
--- a/common/conn.h
+++ b/common/conn.h
@@ -63,6 +63,11 @@
 /* Sets the size of the kernel's buffer for received bytes. */
 void rk_conn_set_receive_buffer(struct rk_conn *c, int bytes);
 
+/* Sets how many closed connections of a thread may wait for their peers to close;
+ * 0, the initial value: no limit. Beyond it, the one that waits longest is ended.
+ */
+void rk_conn_set_linger_max(int count);
+
 /* Closes the connection in order and frees c: sends the queued bytes and lets the
  * peer read them and close, for one second at most. A connection that has ended
  * already or is still connecting is closed at once. No callback follows. */
--- a/node/node.c
+++ b/node/node.c
@@ -9,6 +9,7 @@
 
 #include "callers/server.h"
 #include "cloud/leader_api.h"
+#include "common/conn.h"
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http.h"
@@ -340,6 +341,7 @@
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
     rk_memory_set_budget((size_t)resources.buffer_bytes);
+    rk_conn_set_linger_max(resources.lingering);
     n->relay = rk_relay_create(&opt);
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
--- a/node/resources.c
+++ b/node/resources.c
@@ -46,5 +46,6 @@
     r.callers = (int)min_of(file->max_connections, sockets * 2 / 3);
     r.receive_bytes = receive_bytes(memory_bytes, r.callers);
     r.forwards = (int)min_of(file->max_connections, sockets / 12);
+    r.lingering = 1 + (int)min_of(r.callers, sockets / 12);
     return r;
 }
--- a/node/resources.h
+++ b/node/resources.h
@@ -12,7 +12,8 @@
     int64_t buffer_bytes; /* buffered for callers, VMs and peers, see memory.h */
     /* of the kernel for each connection of a caller; 0: the system's default */
     int receive_bytes;
-    int forwards; /* most open connections of peers that forward calls */
+    int lingering; /* most closed connections that wait for their peers */
+    int forwards;  /* most open connections of peers that forward calls */
 };
 
 /* Divides the lower of the process file's limits and the system's. What callers and
--- a/tests/proc_hosted_descriptors.py
+++ b/tests/proc_hosted_descriptors.py
@@ -106,6 +106,34 @@
             s.close()
 
 
+def test_callers_that_do_not_close_take_few_descriptors():
+    """Guards against answered connections that wait for their callers' close, uncounted.
+
+    Each waits for a second at most, but thousands of them were open where 256 are allowed.
+    """
+    with few_descriptors(max_fds=FEW) as d:
+        node = d.nodes[0]
+        most, conns, stop = 0, [], time.monotonic() + 2
+        statuses = []
+        while time.monotonic() < stop:
+            for _ in range(20):
+                s = d.connect()
+                s.sendall(b"POST /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                          b"Content-Length: 0\r\n\r\n")
+                conns.append(s)
+            most = max(most, open_count(node))
+            statuses.append(d.call("/r/x", deadline=2000).status)
+            for s in conns[:-10 * FEW]:
+                s.close()
+            conns = conns[-10 * FEW:]
+        assert most < FEW * 9 // 10, most
+        assert set(statuses) == {200}, statuses
+        for s in conns[-FEW // 4:]:
+            assert read_answer(s).status == 404
+        assert node.popen.poll() is None
+        return "%d descriptors, %d calls beside" % (most, len(statuses))
+
+
 def test_a_node_without_descriptors_does_not_spin():
     """Guards against a loop that accepts and fails again and again.
 
