--- a/callers/server.c
+++ b/callers/server.c
@@ -21,10 +21,11 @@
 #include "common/status.h"
 #include "common/util.h"
 
-#define LISTEN_BACKLOG            1024
-#define SIZE_CLASSES              32   /* of requests that are not whole */
-#define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
-#define BODY_RESERVED_MAX         (64 * 1024) /* longest body allocated in one piece */
+#define LISTEN_BACKLOG    1024
+#define SIZE_CLASSES      32   /* of requests that are not whole */
+#define BODY_RETAINED_MAX 2048 /* largest buffer to keep for the next body */
+/* A smaller window makes a long upload slow over links with a long round trip. */
+#define LONG_BODY_RECEIVE_BYTES   (64 * 1024)
 #define MEMORY_RETRY_AFTER        "Retry-After: 1\r\n"
 #define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
@@ -45,6 +46,8 @@
     TAILQ_ENTRY(rk_client) unfinished_entry;
     size_t unfinished; /* bytes held of a request that is not whole */
     size_t charged;    /* bytes in the account of memory */
+    size_t announced;  /* bytes that the request will take once it is whole */
+    size_t expected;   /* how many of them are not held yet, in the same account */
     struct rk_conn *conn;
     struct rk_http1 reader;
     struct rk_server_limits limits;
@@ -130,6 +133,9 @@
     size_t request = c->reader.head.text.cap + c->body.cap;
     bool is_part = c->state == CLIENT_READING && !c->closed && !c->in_idle_list;
     rk_memory_charge(&c->charged, request + c->pipelined.cap);
+    rk_memory_expect(&c->expected, is_part && c->announced > request
+                                       ? c->announced - request
+                                       : 0);
     if (c->unfinished != (is_part ? request : 0))
         set_unfinished(c, is_part ? request : 0);
 }
@@ -140,6 +146,7 @@
 {
     set_in_idle_list(c, false);
     set_unfinished(c, 0);
+    rk_memory_expect(&c->expected, 0);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
@@ -270,6 +277,13 @@
         write_str(c, "\r\n");
 }
 
+static void set_receive_buffer(struct rk_client *c, int bytes)
+{
+    int usual = c->limits.receive_bytes;
+    if (usual && usual < LONG_BODY_RECEIVE_BYTES)
+        rk_conn_set_receive_buffer(c->conn, bytes);
+}
+
 /* Goes on to the next request, a part or all of which may be buffered already. */
 static void next_request(struct rk_client *c)
 {
@@ -278,6 +292,9 @@
         rk_buf_free(&c->body);
     c->user = NULL;
     c->head_accepted = false;
+    if (c->announced)
+        set_receive_buffer(c, c->limits.receive_bytes);
+    c->announced = 0;
     rk_http1_next(&c->reader);
     wait_for_request(c);
     update_accounts(c);
@@ -330,6 +347,13 @@
     c->close_after_answer = true;
 }
 
+void rk_client_announce(struct rk_client *c, size_t bytes)
+{
+    c->announced = bytes;
+    set_receive_buffer(c, LONG_BODY_RECEIVE_BYTES);
+    update_accounts(c);
+}
+
 void rk_client_set_user(struct rk_client *c, void *user)
 {
     c->user = user;
@@ -376,10 +400,9 @@
     struct rk_client *c = ctx;
     if (c->refuse_status)
         return;
-    int64_t length = c->reader.head.body_length;
-    c->body.max = length > 0 ? (size_t)length : c->limits.body_bytes;
-    if (length > 0 && length <= BODY_RESERVED_MAX)
-        rk_buf_reserve(&c->body, (size_t)length);
+    c->body.max = c->reader.head.body_length > 0
+                      ? (size_t)c->reader.head.body_length
+                      : c->limits.body_bytes;
     if (len && !rk_buf_add(&c->body, data, len))
         c->refuse_status = 413;
 }
@@ -587,7 +610,7 @@
     wait_for_request(c);
 }
 
-static int listen_at(const char *addr)
+static int listen_at(const char *addr, int receive_bytes)
 {
     struct sockaddr_in sin;
     int one = 1;
@@ -601,6 +624,10 @@
         return -1;
     }
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    /* Accepted sockets inherit it. */
+    if (receive_bytes)
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                   sizeof(receive_bytes));
     if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
         listen(fd, LISTEN_BACKLOG) < 0) {
         rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
@@ -614,7 +641,7 @@
                                    const struct rk_server_limits *limits,
                                    const struct rk_server_ops *ops, void *ctx)
 {
-    int fd = listen_at(addr);
+    int fd = listen_at(addr, limits->receive_bytes);
     if (fd < 0)
         return NULL;
     struct rk_server *s = rk_alloc(1, sizeof(*s));
--- a/callers/server.h
+++ b/callers/server.h
@@ -28,6 +28,10 @@
                           read, header_ms counts instead */
     int max_clients; /* open connections; for a further one, an idle one is closed,
                         or that one itself at once */
+    /* Size of the kernel's receive buffer of each connection; 0: the system's
+     * default. Takes effect when the server is created. A long body that was
+     * announced (rk_client_announce()) gets more. */
+    int receive_bytes;
 };
 
 struct rk_server_ops {
@@ -84,6 +88,11 @@
 const struct rk_head *rk_client_head(const struct rk_client *c);
 const char *rk_client_body(const struct rk_client *c, size_t *len);
 
+/* Announces how many bytes the current request will take once its body is whole.
+ * Until then, those that are not held yet are expected in the account of memory
+ * (rk_memory_expect()). Called by on_head(). */
+void rk_client_announce(struct rk_client *c, size_t bytes);
+
 /* Sets the value that is passed on when the caller disconnects. It is reset to NULL
  * with the next request. */
 void rk_client_set_user(struct rk_client *c, void *user);
--- a/node/node.c
+++ b/node/node.c
@@ -9,6 +9,7 @@
 
 #include "callers/server.h"
 #include "cloud/leader_api.h"
+#include "common/conn.h"
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http.h"
@@ -331,6 +332,7 @@
         .seed = rk_rng_next(&n->rng),
         .max_clients = resources.callers,
         .max_forward_clients = resources.forwards,
+        .receive_bytes = resources.receive_bytes,
         .buffer_bytes = (size_t)resources.buffer_bytes,
         .bounds = relay_bounds(f),
         .on_report = on_report,
@@ -339,6 +341,7 @@
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
     rk_memory_set_budget((size_t)resources.buffer_bytes);
+    rk_conn_set_linger_max(resources.lingering);
     n->relay = rk_relay_create(&opt);
     return n->relay ? RK_OK : RK_ESYSTEM;
 }
@@ -507,7 +510,8 @@
     const struct rk_resources r = rk_resources_get(&n->file);
     RK_EVENT("node.resources", RK_N("descriptors", r.descriptors),
              RK_N("callers", r.callers), RK_N("forwards", r.forwards),
-             RK_N("buffer_bytes", r.buffer_bytes));
+             RK_N("buffer_bytes", r.buffer_bytes),
+             RK_N("receive_bytes", r.receive_bytes));
 }
 
 enum rk_status rk_node_run(struct rk_node *n)
