callers: the idle time-out holds for the whole body

Callers whose head arrived in one read with the first byte of its body got 408 after headerTimeoutMs (1.5 s) without a further byte, where idleTimeoutMs (6 s) is what they may rest within a body. Cause: the timer was chosen by whether the first byte had just come, not by whether the head was complete; a comment called that an exception.

The new test fails without the change (no 200 after a pause of 1.5 s at a head time-out of 0.3 s) and passes with it; a head that trickles still ends at its own time-out, and a silent body at the idle one.

--- a/callers/server.c
+++ b/callers/server.c
@@ -462,10 +462,10 @@
             return len;
         if (c->reader.head_done && !accept_head(c))
             return len;
-        if (is_first_byte)
-            rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
-        else if (c->reader.head_done)
+        if (c->reader.head_done)
             rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
+        else if (is_first_byte)
+            rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
         return n;
     }
     rk_timer_stop(c->s->loop, &c->timer);
--- a/callers/server.h
+++ b/callers/server.h
@@ -23,9 +23,7 @@
      * largest of them are refused with 503. */
     size_t unfinished_bytes;
     int64_t header_ms; /* time-out from the first byte of a head to its end */
-    int64_t idle_ms;   /* time-out between requests, and without data in a body;
-                          for the first wait in a body whose head came in one
-                          read, header_ms counts instead */
+    int64_t idle_ms;   /* time-out between requests, and without data in a body */
     int max_clients; /* open connections; for a further one, an idle one is closed,
                         or that one itself at once */
 };
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -116,6 +116,35 @@
         assert not d.workers[0].seen
 
 
+def test_a_body_may_pause_for_as_long_as_the_idle_timeout():
+    """Guards against bodies that are refused for the time-out of their heads.
+
+    A head that arrived in one read with the first byte of its body left the body that time.
+    """
+    limits = {"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 300,
+              "idleTimeoutMs": 5000}
+    head = b"POST /r/x HTTP/1.1\r\n" + HEAD + b"Content-Length: 5\r\n\r\n"
+    with plain(workers=1) as d:
+        d.configure([d.route("r", "plain")], limits=limits)
+        for sent in (head, head + b"h"):
+            s = d.connect()
+            s.sendall(sent)
+            time.sleep(1.5)
+            s.sendall((head + b"hello")[len(sent):])
+            assert read_answer(s).status == 200
+        s = d.connect()
+        s.sendall(head[:-2])
+        start = time.monotonic()
+        assert read_answer(s).status == 408
+        assert time.monotonic() - start < 4.5
+        s = d.connect()
+        s.sendall(head + b"h")
+        s.settimeout(30)
+        start = time.monotonic()
+        assert read_answer(s).status == 408
+        assert time.monotonic() - start > 4.5
+
+
 def test_invalid_settings_are_rejected():
     """Guards against invalid settings that take effect or are rejected without a reason."""
     with plain(workers=1) as d:
