process: a log file that may not grow does not end a process

Nodes ended by SIGXFSZ (exit by signal 25, no line) as soon as their log, which goes to standard output, reached the process's limit on the size of files, and again right after each start, as the log goes on in the same file. All nodes of a fleet meet that alike, the sooner the more they log. Cause: of the two signals by which the system answers a write that it refuses, only SIGPIPE was ignored. Both are now, in one place and before anything is written, in all three programs that serve; the write fails with EFBIG, and lines are dropped and counted as they are behind a pipe that nobody reads.

--- a/common/process.c
+++ b/common/process.c
@@ -18,6 +18,12 @@
     mallopt(M_ARENA_MAX, ARENAS_MAX);
 }
 
+void rk_process_ignore_write_signals(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN);
+}
+
 static sigset_t stop_signals(void)
 {
     sigset_t set;
--- a/common/process.h
+++ b/common/process.h
@@ -10,6 +10,10 @@
 /* Makes the allocator give large buffers back to the system when they are freed,
  * and keeps its overhead small. Called before the first thread is started. */
 void rk_process_tune_allocator(void);
+/* Makes a write that the system refuses fail, with EPIPE or EFBIG, instead of
+ * ending the process: its log may be a pipe that is closed or a file that may not
+ * grow. */
+void rk_process_ignore_write_signals(void);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
 /* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -333,6 +333,7 @@
 
 int main(int argc, char **argv)
 {
+    rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     static struct node n;
     if (rk_procfile_load(args.procfile, NULL, &n.file) != RK_OK) {
@@ -344,7 +345,6 @@
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     /* The "listening" event is logged even with --quiet: it carries the ports. */
     rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -64,7 +64,6 @@
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     sigprocmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
     int fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
     rk_loop_watch(loop, fd, EPOLLIN, on_stop_signal, loop);
     return fd;
@@ -73,6 +72,7 @@
 int main(int argc, char **argv)
 {
     static struct rk_procfile file;
+    rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(procfile, NULL, &file) != RK_OK) {
         fprintf(stderr, "rillknot-keeper: %s\n", rk_last_error());
--- a/programs/node.c
+++ b/programs/node.c
@@ -151,7 +151,6 @@
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
 }
 
 static void log_start_failed(int status)
@@ -184,6 +183,7 @@
 
 int main(int argc, char **argv)
 {
+    rk_process_ignore_write_signals();
     block_reload_signal();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
--- a/tests/proc_hosted_ends.py
+++ b/tests/proc_hosted_ends.py
@@ -1,9 +1,19 @@
-"""A node that ends by itself says why: on standard error, with the thread and its stack."""
+"""A node that ends by itself says why: on standard error, with the thread and its stack.
+Nothing that its log can't take ends it."""
+import json
+import os
+import resource
 import signal
+import subprocess
+import tempfile
 
+from cluster import Proc, free_port
+from fakes import BUILD
 from hosted import Hosted
 
 END_S = 5
+LOG_ROOM_BYTES = 2000  # a few events
+CHANGES = 20
 
 
 def check_says_why(sig):
@@ -26,3 +36,48 @@
 def test_a_node_that_aborts_tells_where():
     """The same for a failed assertion or allocation."""
     check_says_why(signal.SIGABRT)
+
+
+def limit_log(proc, room):
+    """Lets a process's log grow by this many bytes and no more. Returns its largest size."""
+    size = os.path.getsize(proc.log) + room
+    resource.prlimit(proc.popen.pid, resource.RLIMIT_FSIZE, (size, size))
+    return size
+
+
+def test_a_log_file_that_may_not_grow_does_not_end_a_node():
+    """Guards against a node that ends by SIGXFSZ when its log reaches the limit of a file.
+
+    It ended again after each start, as the log went on in the same file.
+    """
+    with Hosted(nodes=1) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        size = limit_log(d.nodes[0], LOG_ROOM_BYTES)
+        for i in range(CHANGES):
+            d.configure([d.route("r", "plain"), d.route("r%d" % i, "plain")])
+            assert d.call("/r/x").status == 200
+        assert os.path.getsize(d.nodes[0].log) == size
+        assert d.nodes[0].stop() == 0
+
+
+def test_a_log_file_that_is_full_keeps_no_process_from_starting():
+    """Guards against the same at the start, in every program that serves."""
+    addr = {k: "127.0.0.1:%d" % free_port() for k in ("listen", "control_listen",
+                                                      "forward_listen", "entry")}
+    conf = {"id": "a", "failure_domain": "klein-hall", "notice_ms": 2000, "peers": [],
+            "platform": "http://127.0.0.1:%d" % free_port(), **addr}
+    for program in ("rillknot-entry", "rillknot-keeper"):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "conf.json")
+            with open(path, "w") as f:
+                json.dump(conf, f)
+            p = Proc(["prlimit", "--fsize=0", os.path.join(BUILD, program), path],
+                     os.path.join(folder, "log"), "")
+            try:
+                p.popen.wait(1)
+            except subprocess.TimeoutExpired:
+                pass
+            assert p.popen.poll() is None, p.popen.poll()
+            assert p.stop() == 0
