listeners: a start keeps the addresses that it has found free

Callers saw a node that was started again and again: it ended with status 1 as another process took an address between the check that it was free and the bind. rillknot-entry did not wait at all, and ended with status 1 while the process before it was in its planned stop. (rillknot-keeper listens at no address.)

Cause: node/listen_wait.c bound each address, closed the socket, and each component bound its own again later. An address that had been free once was not looked at again.

common/listen.c opens the sockets of a process once. It retries the bind itself, of all that are missing; none listens before all are bound, so that callers are refused rather than left waiting. If listen() finds that another socket with SO_REUSEADDR was first, all are closed and bound again. The components get listening sockets, and their own three copies of socket, bind and listen are gone, with their errors. Traffic threads of rillknot-entry open further sockets with SO_REUSEPORT after the first one listens without it, so that a second process can't join between a check and the bind.

--- a/callers/callers.c
+++ b/callers/callers.c
@@ -2,7 +2,6 @@
 
 #include <inttypes.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,7 +9,6 @@
 
 #include "callers/pages.h"
 #include "callers/parse.h"
-#include "common/addr.h"
 #include "common/counters.h"
 #include "common/loop.h"
 #include "common/status.h"
@@ -32,7 +30,6 @@
     struct rk_timer timer; /* runs MHD for its time-outs and resumed connections */
     uint64_t next_id;
     size_t requests_len; /* requests that MHD has not completed */
-    uint16_t port;
 };
 
 /* A caller's request and its response. MHD's per-request pointer refers to it. */
@@ -395,31 +392,25 @@
 struct rk_frontend *rk_frontend_create(struct rk_traffic *t,
                                        const struct rk_frontend_options *opt)
 {
-    struct sockaddr_in addr;
-    if (!rk_addr_parse(opt->listen_addr, &addr)) {
-        rk_fail(RK_EINVAL, "%s: expected ip:port", opt->listen_addr);
-        return NULL;
-    }
     struct rk_frontend *c = rk_alloc(1, sizeof(*c));
     c->t = t;
     c->opt = *opt;
     c->timer = (struct rk_timer){.fn = run_mhd, .ctx = c};
-    c->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(addr.sin_port), NULL, NULL,
-        on_request_progress, c, MHD_OPTION_SOCK_ADDR, &addr,
-        MHD_OPTION_NOTIFY_COMPLETED, on_request_completed, c,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_TIMEOUT,
-        opt->idle_timeout_s, MHD_OPTION_CONNECTION_LIMIT, opt->max_connections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
+    c->daemon =
+        MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+                         on_request_progress, c, MHD_OPTION_LISTEN_SOCKET,
+                         opt->listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
+                         on_request_completed, c, MHD_OPTION_CONNECTION_TIMEOUT,
+                         opt->idle_timeout_s, MHD_OPTION_CONNECTION_LIMIT,
+                         opt->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                         (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_END);
     if (!c->daemon) {
-        rk_fail(RK_ESYSTEM, "%s: can't listen", opt->listen_addr);
+        rk_fail(RK_ESYSTEM, "the HTTP server can't be started");
         free(c);
         return NULL;
     }
     c->epoll_fd =
         MHD_get_daemon_info(c->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    c->port = MHD_get_daemon_info(c->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     rk_loop_watch(t->loop, c->epoll_fd, EPOLLIN, on_epoll, c);
     rk_timer_start(t->loop, &c->timer, 0);
     return c;
@@ -435,11 +426,6 @@
     free(c);
 }
 
-uint16_t rk_frontend_port(const struct rk_frontend *c)
-{
-    return c->port;
-}
-
 size_t rk_frontend_active_requests(const struct rk_frontend *c)
 {
     return c->requests_len;
--- a/callers/callers.h
+++ b/callers/callers.h
@@ -24,20 +24,19 @@
 struct rk_traffic;
 
 struct rk_frontend_options {
-    const char *listen_addr; /* "ip:port"; the kernel chooses the port if it is 0 */
-    const char *id_prefix;   /* start of request ids; unique to this run and thread;
-                                must stay valid until destroy */
-    size_t max_body;         /* largest request body, bytes */
+    int listen_fd;         /* listening socket; owned by the front end */
+    const char *id_prefix; /* start of request ids; unique to this run and thread;
+                              must stay valid until destroy */
+    size_t max_body;       /* largest request body, bytes */
     unsigned max_connections;
     unsigned idle_timeout_s; /* inactivity after which a connection is closed, s */
     int64_t max_upload_ms;   /* time limit for receiving a request body */
     size_t max_response_buffer; /* most response bytes buffered for a caller */
 };
 
-/* Starts to listen on opt->listen and serves requests on the loop of `t`, which
- * must outlive the result. Copies *opt, but not the strings that it points to.
- * Returns NULL and sets rk_last_error() if the address is malformed or can't be
- * bound.
+/* Serves requests on the loop of `t`, which must outlive the result. Copies *opt,
+ * but not the strings that it points to. Returns NULL and sets rk_last_error() if
+ * the server can't be started.
  *
  * This and the other functions are called on the traffic thread of `t`, or before
  * it runs. */
@@ -48,9 +47,6 @@
  * Does nothing if c is NULL. */
 void rk_frontend_destroy(struct rk_frontend *c);
 
-/* Returns the port that it listens on, in host byte order. */
-uint16_t rk_frontend_port(const struct rk_frontend *c);
-
 /* Returns the number of open requests: their heads were received, their responses
  * are not completely written. */
 size_t rk_frontend_active_requests(const struct rk_frontend *c);
--- a/callers/server.c
+++ b/callers/server.c
@@ -13,15 +13,14 @@
 #include <arpa/inet.h>
 
 #include "common/acceptor.h"
-#include "common/addr.h"
 #include "common/conn.h"
 #include "common/http1.h"
+#include "common/listen.h"
 #include "common/loop.h"
 #include "common/memory.h"
 #include "common/status.h"
 #include "common/util.h"
 
-#define LISTEN_BACKLOG            1024
 #define SIZE_CLASSES              32   /* of requests that are not whole */
 #define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
 #define MEMORY_RETRY_AFTER        "Retry-After: 1\r\n"
@@ -598,48 +597,17 @@
     wait_for_request(c);
 }
 
-static int listen_at(const char *addr)
-{
-    struct sockaddr_in sin;
-    int one = 1;
-    if (!rk_addr_parse(addr, &sin)) {
-        rk_fail(RK_EINVAL, "%s: expected ip:port", addr);
-        return -1;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
-        return -1;
-    }
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
-        listen(fd, LISTEN_BACKLOG) < 0) {
-        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
-struct rk_server *rk_server_create(struct rk_loop *loop, const char *addr,
+struct rk_server *rk_server_create(struct rk_loop *loop, int fd,
                                    const struct rk_server_limits *limits,
                                    const struct rk_server_ops *ops, void *ctx)
 {
-    int fd = listen_at(addr);
-    if (fd < 0)
-        return NULL;
     struct rk_server *s = rk_alloc(1, sizeof(*s));
     *s =
         (struct rk_server){.loop = loop, .limits = *limits, .ops = ops, .ctx = ctx};
     TAILQ_INIT(&s->idle);
     for (int i = 0; i < SIZE_CLASSES; i++)
         TAILQ_INIT(&s->unfinished[i]);
-    struct sockaddr_in sin = {0};
-    socklen_t len = sizeof(sin);
-    getsockname(fd, (struct sockaddr *)&sin, &len);
-    char ip[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip));
-    snprintf(s->addr, sizeof(s->addr), "%s:%u", ip, ntohs(sin.sin_port));
+    rk_listen_addr(fd, s->addr);
     rk_acceptor_start(&s->acceptor, loop, fd, s->addr, add_client,
                       close_oldest_idle, s);
     return s;
--- a/callers/server.h
+++ b/callers/server.h
@@ -44,10 +44,9 @@
     void (*on_drained)(void *ctx, void *user);
 };
 
-/* Listens on addr ("ip:port"; the kernel chooses the port if it is 0) and accepts
- * connections. Copies *limits; ops and loop must outlive the server. Returns NULL
- * and sets rk_last_error() if addr is malformed or can't be bound. */
-struct rk_server *rk_server_create(struct rk_loop *loop, const char *addr,
+/* Accepts connections at fd, a listening socket that the server owns from then on,
+ * see common/listen.h. Copies *limits; ops and loop must outlive the server. */
+struct rk_server *rk_server_create(struct rk_loop *loop, int fd,
                                    const struct rk_server_limits *limits,
                                    const struct rk_server_ops *ops, void *ctx);
 
--- a/control/control.c
+++ b/control/control.c
@@ -106,10 +106,6 @@
     c->config = rk_config_create(rk_changelog_tree(c->changelog), 0);
     c->publish_timer = (struct rk_timer){.fn = publish, .ctx = c};
     c->gossip = rk_gossip_create(c);
-    if (!c->gossip) {
-        rk_control_destroy(c);
-        return NULL;
-    }
     struct rk_member self = {.incarnation = (uint64_t)rk_wall_ms()};
     rk_strcpy(self.id, sizeof(self.id), opt->id);
     rk_strcpy(self.domain, sizeof(self.domain), opt->domain);
--- a/control/control.h
+++ b/control/control.h
@@ -19,7 +19,7 @@
 struct rk_control_options {
     char id[RK_ID_MAX];                    /* node id */
     char domain[RK_ID_MAX];                /* failure domain */
-    char control_listen[RK_ADDR_MAX];      /* address to listen on for gossip */
+    int listen_fd;                         /* listening socket for gossip; owned */
     char control_advertise[RK_ADDR_MAX];   /* "": the address bound */
     char forward_advertise[RK_ADDR_MAX];   /* sent to peers; must not be "" */
     char platform[RK_ADDR_MAX * 2];        /* "http://ip:port" */
@@ -29,8 +29,7 @@
     struct rk_view_cell *view_cell; /* borrowed; receives the snapshots */
 };
 
-/* Creates the control thread's state. opt is copied. Returns NULL when the control
- * address can't be bound; rk_last_error() then has the reason. */
+/* Creates the control thread's state. opt is copied. */
 struct rk_control *rk_control_create(const struct rk_control_options *opt);
 void rk_control_destroy(struct rk_control *c);
 
--- a/control/gossip.c
+++ b/control/gossip.c
@@ -564,12 +564,8 @@
     struct rk_gossip *g = rk_alloc(1, sizeof(*g));
     g->c = c;
     g->round_timer = (struct rk_timer){.fn = on_round, .ctx = g};
-    g->listener = rk_listener_create(c->loop, c->opt.control_listen, false,
-                                     &inbound_ops, on_accept, g);
-    if (!g->listener) {
-        free(g);
-        return NULL;
-    }
+    g->listener =
+        rk_listener_create(c->loop, c->opt.listen_fd, &inbound_ops, on_accept, g);
     return g;
 }
 
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -549,7 +549,7 @@
 
 /* ---- creation ---- */
 
-struct rk_mesh *rk_mesh_create(struct rk_node *n)
+struct rk_mesh *rk_mesh_create(struct rk_node *n, int listen_fd)
 {
     struct rk_mesh *m = rk_alloc(1, sizeof(*m));
     m->n = n;
@@ -560,13 +560,9 @@
     rk_mesh_init_members(m);
     rk_registration_init(m);
     rk_transfer_init(m);
-    m->listener = rk_listener_create(n->loop, n->file.control_listen, false,
-                                     &inbound_ops, on_accept, m);
-    if (m->listener)
-        return m;
-    rk_mesh_free_members(m);
-    free(m);
-    return NULL;
+    m->listener =
+        rk_listener_create(n->loop, listen_fd, &inbound_ops, on_accept, m);
+    return m;
 }
 
 const char *rk_mesh_bound(const struct rk_mesh *m)
--- a/node/node.c
+++ b/node/node.c
@@ -15,10 +15,10 @@
 #include "common/http.h"
 #include "common/http1.h"
 #include "common/latency.h"
+#include "common/listen.h"
 #include "common/memory.h"
 #include "common/process.h"
 #include "core/revision.h"
-#include "node/listen_wait.h"
 #include "node/metric_label.h"
 #include "node/resources.h"
 #include "node/state.h"
@@ -320,14 +320,17 @@
 
 /* ---- creation ---- */
 
-static enum rk_status create_relay(struct rk_node *n)
+enum listener { LISTEN_CALLERS, LISTEN_CONTROL, LISTEN_READY, LISTEN_FORWARD };
+#define LISTENERS_LEN (LISTEN_FORWARD + 1)
+
+static void create_relay(struct rk_node *n, const struct rk_listen_socket *sockets)
 {
     const struct rk_procfile *f = &n->file;
     const struct rk_resources resources = rk_resources_get(f);
     struct rk_relay_options opt = {
         .dialect = n->platform->dialect,
-        .listen_addr = f->listen,
-        .forward_addr = f->forward_listen,
+        .listen_fd = sockets[LISTEN_CALLERS].fd,
+        .forward_fd = sockets[LISTEN_FORWARD].fd,
         .node_hash = n->hash,
         .seed = rk_rng_next(&n->rng),
         .max_clients = resources.callers,
@@ -342,27 +345,17 @@
     rk_memory_set_budget((size_t)resources.buffer_bytes);
     rk_conn_set_linger_max(resources.lingering);
     n->relay = rk_relay_create(&opt);
-    return n->relay ? RK_OK : RK_ESYSTEM;
-}
-
-static enum rk_status create_mesh(struct rk_node *n)
-{
-    n->mesh = rk_mesh_create(n);
-    return n->mesh ? RK_OK : RK_ESYSTEM;
-}
-
-static enum rk_status create_ready_server(struct rk_node *n)
-{
-    n->ready_server = rk_server_create(n->loop, n->file.ready_listen, &admin_limits,
-                                       &ready_ops, n);
-    return n->ready_server ? RK_OK : RK_ESYSTEM;
 }
 
 static bool create_metrics_server(struct rk_node *n)
 {
-    n->metrics_server = rk_server_create(n->loop, n->file.metrics_listen,
-                                         &admin_limits, &metrics_ops, n);
-    return n->metrics_server != NULL;
+    enum rk_status st;
+    int fd = rk_listen_open(n->file.metrics_listen, &st);
+    if (fd < 0)
+        return false;
+    n->metrics_server =
+        rk_server_create(n->loop, fd, &admin_limits, &metrics_ops, n);
+    return true;
 }
 
 static void on_metrics_retry(void *ctx)
@@ -399,7 +392,8 @@
     return seed;
 }
 
-static enum rk_status create_components(struct rk_node *n)
+static void create_components(struct rk_node *n,
+                              const struct rk_listen_socket *sockets)
 {
     n->loop = rk_loop_create();
     n->http = rk_http_create(n->loop);
@@ -412,14 +406,26 @@
     n->stream_records = rk_stream_records_create(n);
     n->signals = rk_signals_create(n);
     n->leader = rk_leader_create(n);
-    enum rk_status st = create_relay(n);
-    if (st == RK_OK)
-        st = create_mesh(n);
-    if (st == RK_OK)
-        st = create_ready_server(n);
-    if (st == RK_OK)
-        start_metrics(n);
-    return st;
+    create_relay(n, sockets);
+    n->mesh = rk_mesh_create(n, sockets[LISTEN_CONTROL].fd);
+    n->ready_server = rk_server_create(n->loop, sockets[LISTEN_READY].fd,
+                                       &admin_limits, &ready_ops, n);
+    start_metrics(n);
+}
+
+static enum rk_status listen_all(const struct rk_procfile *file,
+                                 struct rk_listen_socket sockets[LISTENERS_LEN])
+{
+    const struct rk_listen_socket all[LISTENERS_LEN] = {
+        [LISTEN_CALLERS] = {.name = "callers", .addr = file->listen},
+        [LISTEN_CONTROL] = {.name = "control", .addr = file->control_listen},
+        [LISTEN_READY] = {.name = "ready", .addr = file->ready_listen},
+        [LISTEN_FORWARD] = {
+            .name = "forward", .addr = file->forward_listen, .fd = -1}};
+    memcpy(sockets, all, sizeof(all));
+    size_t len = file->forward_listen[0] ? LISTENERS_LEN : LISTEN_FORWARD;
+    return rk_listen_wait(sockets, len,
+                          rk_listen_deadline_ms(rk_s_to_ms(file->stop_s)));
 }
 
 enum rk_status rk_node_create(const struct rk_procfile *file, struct rk_node **out)
@@ -428,7 +434,8 @@
     if (!platform)
         return rk_fail(RK_EINVAL, "/dialect: expected a known platform, not '%s'",
                        file->dialect);
-    enum rk_status st = rk_listen_wait(file, rk_listen_deadline_ms(file));
+    struct rk_listen_socket sockets[LISTENERS_LEN];
+    enum rk_status st = listen_all(file, sockets);
     if (st != RK_OK)
         return st;
     struct rk_node *n = rk_alloc(1, sizeof(*n));
@@ -441,9 +448,7 @@
     n->started_ms = rk_mono_ms();
     n->stop = (struct rk_timer){.fn = on_stop_check, .ctx = n};
     n->metrics_retry = (struct rk_timer){.fn = on_metrics_retry, .ctx = n};
-    st = create_components(n);
-    if (st != RK_OK)
-        return st; /* what was created so far isn't freed: the process ends */
+    create_components(n, sockets);
     *out = n;
     return RK_OK;
 }
--- a/node/state.h
+++ b/node/state.h
@@ -111,8 +111,8 @@
 
 /* ---- mesh.c, members.c and others: links to the other nodes ---- */
 
-/* Returns NULL if the control address can't be bound. */
-struct rk_mesh *rk_mesh_create(struct rk_node *n);
+/* listen_fd: listening socket for the other nodes, owned by the mesh. */
+struct rk_mesh *rk_mesh_create(struct rk_node *n, int listen_fd);
 void rk_mesh_destroy(struct rk_mesh *m);
 /* Returns the address at which peers reach this node. */
 const char *rk_mesh_addr(const struct rk_mesh *m);
--- a/peers/link.c
+++ b/peers/link.c
@@ -18,13 +18,13 @@
 #include "common/addr.h"
 #include "common/arena.h"
 #include "common/counters.h"
+#include "common/listen.h"
 #include "common/loop.h"
 #include "common/util.h"
 
 #define LENGTH_PREFIX_BYTES 4
 #define SEND_BUFFER_MAX     (8 * 1024 * 1024)
 #define READ_CHUNK_BYTES    (64 * 1024)
-#define LISTEN_BACKLOG      256
 
 /* Time without progress after which a path counts as broken. A link that is merely
  * saturated sends something within it. */
@@ -363,38 +363,13 @@
 }
 
 struct rk_listener *
-rk_listener_create(struct rk_loop *loop, const char *addr, bool shared,
-                   const struct rk_link_ops *ops,
+rk_listener_create(struct rk_loop *loop, int fd, const struct rk_link_ops *ops,
                    void (*on_accept)(void *ctx, struct rk_link *l), void *ctx)
 {
-    struct sockaddr_in sa;
-    if (!rk_addr_parse(addr, &sa)) {
-        rk_fail(RK_EINVAL, "%s: expected ip:port", addr);
-        return NULL;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
-        return NULL;
-    }
-    int one = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (shared)
-        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
-    socklen_t len = sizeof(sa);
-    if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
-        listen(fd, LISTEN_BACKLOG) < 0 ||
-        getsockname(fd, (struct sockaddr *)&sa, &len) < 0) {
-        rk_fail(RK_ESYSTEM, "%s: %s", addr, strerror(errno));
-        close(fd);
-        return NULL;
-    }
     struct rk_listener *l = rk_alloc(1, sizeof(*l));
     *l = (struct rk_listener){
         .loop = loop, .ops = ops, .on_accept = on_accept, .ctx = ctx};
-    char ip[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &sa.sin_addr, ip, sizeof(ip));
-    snprintf(l->addr, sizeof(l->addr), "%s:%u", ip, ntohs(sa.sin_port));
+    rk_listen_addr(fd, l->addr);
     rk_acceptor_start(&l->acceptor, loop, fd, l->addr, on_socket_accepted, NULL, l);
     return l;
 }
--- a/peers/link.h
+++ b/peers/link.h
@@ -83,14 +83,11 @@
 /* Sets the ctx that the link's callbacks get. */
 void rk_link_set_ctx(struct rk_link *link, void *ctx);
 
-/* Accepts links at addr ("ip:port"; the kernel chooses the port if it is 0). The
- * links use `ops`. on_accept() gets each new link, owns it from then on and sets
- * the ctx of its callbacks by rk_link_set_ctx(). `shared` lets several threads of
- * this process listen at the same address; see rk_addr_is_free(). Returns NULL and
- * sets rk_last_error() if addr is malformed or can't be bound. */
+/* Accepts links at fd, a listening socket that the listener owns from then on, see
+ * common/listen.h. The links use `ops`. on_accept() gets each new link, owns it
+ * from then on and sets the ctx of its callbacks by rk_link_set_ctx(). */
 struct rk_listener *
-rk_listener_create(struct rk_loop *loop, const char *addr, bool shared,
-                   const struct rk_link_ops *ops,
+rk_listener_create(struct rk_loop *loop, int fd, const struct rk_link_ops *ops,
                    void (*on_accept)(void *ctx, struct rk_link *l), void *ctx);
 
 /* Stops listening and frees l; accepted links stay. Does nothing if l is NULL. */
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -5,7 +5,6 @@
 #include <argp.h>
 #include <curl/curl.h>
 #include <inttypes.h>
-#include <netinet/in.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -15,8 +14,8 @@
 #include <time.h>
 
 #include "callers/callers.h"
-#include "common/addr.h"
 #include "common/eventlog.h"
+#include "common/listen.h"
 #include "common/loop.h"
 #include "common/process.h"
 #include "common/util.h"
@@ -29,6 +28,7 @@
 #define UPLOAD_TIMEOUT_MS 20000
 #define MAX_PENDING_BYTES (1024 * 1024)
 #define DRAIN_POLL_MS     50
+#define ID_PREFIX_LEN     24 /* most characters of the node's id in request ids */
 /* A stopping node reports "leaving" at /health for at least this long, and waits
  * until no call has been in flight for this long, so that the external balancer
  * notices. */
@@ -213,41 +213,41 @@
     return addr[0] ? addr : "127.0.0.1:0";
 }
 
-static bool create_control(struct node *n, const char *forward_addr, uint64_t seed)
+static void create_control(struct node *n, int listen_fd, uint64_t seed)
 {
-    struct rk_control_options opt = {.rng_seed = seed, .view_cell = n->views};
+    struct rk_control_options opt = {
+        .rng_seed = seed, .view_cell = n->views, .listen_fd = listen_fd};
+    const char *forward_addr = rk_traffic_forward_addr(n->workers[0].traffic);
     const struct rk_procfile *f = &n->file;
     rk_strcpy(opt.id, sizeof(opt.id), f->id);
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
     rk_strcpy(opt.platform, sizeof(opt.platform), f->platform);
-    rk_strcpy(opt.control_listen, RK_ADDR_MAX, addr_or_any(f->control_listen));
     rk_strcpy(opt.control_advertise, RK_ADDR_MAX, f->control_advertise);
     rk_strcpy(opt.forward_advertise, RK_ADDR_MAX,
               f->forward_advertise[0] ? f->forward_advertise : forward_addr);
     memcpy(opt.seeds, f->peers, sizeof(opt.seeds));
     opt.seeds_len = f->peers_len;
     n->control = rk_control_create(&opt);
-    return n->control != NULL;
 }
 
-static bool create_worker(struct node *n, size_t i, const char *listen,
-                          const char *forward, uint64_t seed)
+static bool create_worker(struct node *n, size_t i, int listen_fd, int forward_fd,
+                          uint64_t seed)
 {
     struct worker *w = &n->workers[i];
     const struct rk_traffic_options opt = {.index = (unsigned)i,
-                                           .forward_addr = forward,
+                                           .forward_fd = forward_fd,
                                            .seed = seed,
                                            .policy = args.policy,
                                            .views = n->views};
     w->traffic = rk_traffic_create(&opt);
-    if (!w->traffic)
-        return false;
     /* The time, modulo 2^24 ms, keeps request ids from repeating after a restart.
      */
-    snprintf(w->id_prefix, sizeof(w->id_prefix), "%.24s-%x%u", n->file.id,
+    char id[ID_PREFIX_LEN + 1];
+    rk_strcpy(id, sizeof(id), n->file.id);
+    snprintf(w->id_prefix, sizeof(w->id_prefix), "%s-%x%u", id,
              (unsigned)(rk_wall_ms() & 0xffffff), (unsigned)i);
     const struct rk_frontend_options caller_opt = {
-        .listen_addr = listen,
+        .listen_fd = listen_fd,
         .id_prefix = w->id_prefix,
         .max_body = (size_t)n->file.max_body,
         .max_connections = (unsigned)n->file.max_connections,
@@ -262,50 +262,68 @@
     return true;
 }
 
-/* Checks that no other process listens on the address. The traffic threads share
- * their ports by SO_REUSEPORT, which would let a second process share them, too. */
-static bool is_addr_free(const char *listen)
+enum listener { LISTEN_CALLERS, LISTEN_FORWARD, LISTEN_CONTROL, LISTENERS_LEN };
+
+static enum rk_status listen_all(const struct rk_procfile *f,
+                                 struct rk_listen_socket sockets[LISTENERS_LEN])
 {
-    struct sockaddr_in addr;
-    if (rk_addr_parse(listen, &addr))
-        return rk_addr_check_free(&addr) == RK_OK;
-    rk_fail(RK_EINVAL, "%s: expected ip:port", listen);
-    return false;
+    const struct rk_listen_socket all[LISTENERS_LEN] = {
+        [LISTEN_CALLERS] = {.name = "callers", .addr = addr_or_any(f->listen)},
+        [LISTEN_FORWARD] = {.name = "forward",
+                            .addr = addr_or_any(f->forward_listen)},
+        [LISTEN_CONTROL] = {.name = "control",
+                            .addr = addr_or_any(f->control_listen)}};
+    memcpy(sockets, all, sizeof(all));
+    return rk_listen_wait(sockets, LISTENERS_LEN,
+                          rk_listen_deadline_ms(f->notice_ms));
 }
 
-static bool create_node(struct node *n)
+/* The first thread gets the sockets; each other one opens its own beside them. */
+static bool create_workers(struct node *n, const struct rk_listen_socket *sockets,
+                           uint64_t seed)
 {
-    uint64_t seed = random_seed();
-    char listen[RK_ADDR_MAX], forward[RK_ADDR_MAX];
-    n->views = rk_view_cell_create();
-    rk_strcpy(listen, sizeof(listen), addr_or_any(n->file.listen));
-    rk_strcpy(forward, sizeof(forward), addr_or_any(n->file.forward_listen));
-    if (!is_addr_free(listen) || !is_addr_free(forward))
+    int listen_fd = sockets[LISTEN_CALLERS].fd;
+    int forward_fd = sockets[LISTEN_FORWARD].fd;
+    if (!create_worker(n, 0, listen_fd, forward_fd, seed))
         return false;
-    for (size_t i = 0; i < (size_t)n->file.traffic_threads; i++) {
-        if (!create_worker(n, i, listen, forward, seed))
+    for (size_t i = 1; i < (size_t)n->file.traffic_threads; i++) {
+        int own_listen_fd = rk_listen_open_shared(listen_fd);
+        int own_forward_fd = rk_listen_open_shared(forward_fd);
+        if (own_listen_fd < 0 || own_forward_fd < 0 ||
+            !create_worker(n, i, own_listen_fd, own_forward_fd, seed))
             return false;
-        if (i > 0)
-            continue;
-        /* The other threads listen on the ports that the first one was given. */
-        char *colon = strrchr(listen, ':');
-        snprintf(colon, (size_t)(listen + sizeof(listen) - colon), ":%u",
-                 rk_frontend_port(n->workers[0].callers));
-        rk_strcpy(forward, sizeof(forward),
-                  rk_traffic_forward_addr(n->workers[0].traffic));
     }
-    if (!create_control(n, forward, seed))
-        return false;
+    return true;
+}
+
+static void log_listening(struct node *n, int listen_fd)
+{
+    char addr[RK_ADDR_MAX];
+    rk_listen_addr(listen_fd, addr);
+    RK_EVENT("listening", RK_N("port", strtol(strrchr(addr, ':') + 1, NULL, 10)),
+             RK_S("control", rk_control_addr(n->control)),
+             RK_S("forward", rk_traffic_forward_addr(n->workers[0].traffic)));
+}
+
+static enum rk_status create_node(struct node *n)
+{
+    uint64_t seed = random_seed();
+    struct rk_listen_socket sockets[LISTENERS_LEN];
+    enum rk_status st = listen_all(&n->file, sockets);
+    if (st != RK_OK)
+        return st;
+    n->views = rk_view_cell_create();
+    if (!create_workers(n, sockets, seed))
+        return RK_ESYSTEM;
+    create_control(n, sockets[LISTEN_CONTROL].fd, seed);
     struct rk_traffic *traffic[RK_MAX_TRAFFIC_THREADS];
     for (size_t i = 0; i < n->workers_len; i++) {
         traffic[i] = n->workers[i].traffic;
         traffic[i]->opt.claims = rk_control_claim_port(n->control);
     }
     rk_control_set_traffic(n->control, traffic, n->workers_len);
-    RK_EVENT("listening", RK_N("port", rk_frontend_port(n->workers[0].callers)),
-             RK_S("control", rk_control_addr(n->control)),
-             RK_S("forward", forward));
-    return true;
+    log_listening(n, sockets[LISTEN_CALLERS].fd);
+    return RK_OK;
 }
 
 /* Returns false if the system doesn't create one of them. */
@@ -349,9 +367,11 @@
     /* The "listening" event is logged even with --quiet: it carries the ports. */
     rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
     rk_procfile_log_problems(&n.file, args.procfile);
-    if (!create_node(&n)) {
+    enum rk_status st = create_node(&n);
+    if (st != RK_OK) {
         fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
-        return 1;
+        rk_log_flush();
+        return st == RK_EGONE ? 0 : 1; /* RK_EGONE: told to stop */
     }
     rk_log_set_level(args.level);
     rk_control_start(n.control);
--- a/serve/forward.c
+++ b/serve/forward.c
@@ -418,16 +418,12 @@
 
 /* ---- create and destroy ---- */
 
-struct rk_forwards *rk_forwards_create(struct rk_traffic *t, const char *addr)
+struct rk_forwards *rk_forwards_create(struct rk_traffic *t, int listen_fd)
 {
     struct rk_forwards *f = rk_alloc(1, sizeof(*f));
     f->t = t;
     f->listener =
-        rk_listener_create(t->loop, addr, true, &inbound_ops, on_accept, f);
-    if (!f->listener) {
-        free(f);
-        return NULL;
-    }
+        rk_listener_create(t->loop, listen_fd, &inbound_ops, on_accept, f);
     return f;
 }
 
--- a/serve/forward.h
+++ b/serve/forward.h
@@ -14,8 +14,8 @@
 struct rk_exchange;
 struct rk_member;
 
-/* Listens on addr (ip:port). Returns NULL if the address cannot be bound. */
-struct rk_forwards *rk_forwards_create(struct rk_traffic *t, const char *addr);
+/* Takes calls at listen_fd, a listening socket that it owns from then on. */
+struct rk_forwards *rk_forwards_create(struct rk_traffic *t, int listen_fd);
 /* Closes all links. Outbound calls are ended as lost, inbound calls are
  * cancelled. */
 void rk_forwards_destroy(struct rk_forwards *f);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -254,23 +254,20 @@
     return forwarded ? share : (UNFINISHED_CALLER_SHARES * share);
 }
 
-/* Returns false if an address can't be bound. */
-static bool create_servers(struct rk_relay *r)
+static void create_servers(struct rk_relay *r)
 {
     const struct rk_relay_options *opt = &r->opt;
     struct rk_server_limits limits = default_limits;
     limits.max_clients = opt->max_clients;
     limits.unfinished_bytes = rk_relay_unfinished_max(r, false);
-    r->server =
-        rk_server_create(r->loop, opt->listen_addr, &limits, &server_ops, r);
-    if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
-        return r->server != NULL;
+    r->server = rk_server_create(r->loop, opt->listen_fd, &limits, &server_ops, r);
+    if (opt->forward_fd < 0)
+        return;
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.max_clients = INT_MAX; /* see has_room_for_forwarded() */
     limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
-    r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
-                                         &forward_server_ops, r);
-    return r->forward_server != NULL;
+    r->forward_server =
+        rk_server_create(r->loop, opt->forward_fd, &limits, &forward_server_ops, r);
 }
 
 struct rk_relay *rk_relay_create(const struct rk_relay_options *opt)
@@ -278,12 +275,7 @@
     struct rk_relay *r = rk_alloc(1, sizeof(*r));
     r->opt = *opt;
     r->loop = rk_loop_create();
-    if (!create_servers(r)) {
-        rk_server_destroy(r->server);
-        rk_loop_destroy(r->loop);
-        free(r);
-        return NULL;
-    }
+    create_servers(r);
     r->upstreams = rk_upstream_pools_create(r->loop);
     r->place = rk_place_create(opt->domain, opt->seed);
     r->rng.state = opt->seed + 1;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -155,9 +155,9 @@
 /* Options of a relay. Its callbacks receive ctx. */
 struct rk_relay_options {
     const struct rk_dialect *dialect;
-    const char *listen_addr; /* address for callers, ip:port */
-    /* Address for calls that peers forward, ip:port; "": none are taken. */
-    const char *forward_addr;
+    int listen_fd; /* listening socket for callers; owned by the relay */
+    /* The same for calls that peers forward; -1: none are taken. */
+    int forward_fd;
     char domain[RK_ID_MAX];
     uint64_t node_hash; /* hash of this node's id and incarnation */
     uint64_t seed;
@@ -175,8 +175,7 @@
     void *ctx;
 };
 
-/* Binds the listening address; the caller starts the thread. Returns NULL if the
- * address cannot be bound: see rk_last_error(). *opt is copied, its dialect must
+/* Creates the relay; the caller starts the thread. *opt is copied, its dialect must
  * outlive the relay. */
 struct rk_relay *rk_relay_create(const struct rk_relay_options *opt);
 /* Ends all calls and frees the relay. Call it after the thread has ended. */
--- a/serve/traffic.c
+++ b/serve/traffic.c
@@ -42,11 +42,7 @@
     t->views = rk_view_reader_create(opt->views);
     t->recheck_timer = (struct rk_timer){.fn = on_recheck, .ctx = t};
     rk_loop_set_hooks(t->loop, enter_batch, leave_batch, t);
-    t->forwards = rk_forwards_create(t, opt->forward_addr);
-    if (!t->forwards) {
-        rk_traffic_destroy(t);
-        return NULL;
-    }
+    t->forwards = rk_forwards_create(t, opt->forward_fd);
     return t;
 }
 
--- a/serve/traffic.h
+++ b/serve/traffic.h
@@ -57,8 +57,8 @@
 
 /* Options of a traffic thread. views must outlive it. */
 struct rk_traffic_options {
-    unsigned index;           /* of the thread within its process */
-    const char *forward_addr; /* listens for calls forwarded by peers */
+    unsigned index; /* of the thread within its process */
+    int forward_fd; /* listening socket for calls forwarded by peers; owned */
     uint64_t seed;
     enum rk_route_policy policy;
     struct rk_view_cell *views;
@@ -85,8 +85,7 @@
     struct rk_timer recheck_timer; /* runs while jobs are queued */
 };
 
-/* Creates the thread's state; the caller starts the thread. Returns NULL if the
- * forward address cannot be bound: see rk_last_error(). */
+/* Creates the thread's state; the caller starts the thread. */
 struct rk_traffic *rk_traffic_create(const struct rk_traffic_options *opt);
 /* Ends all calls without notifying their sinks. Call it after the thread has
  * ended. */
