proc_hosted_start: hold a port that no outgoing connection is given

Traced (trial): the test's own steps in a loop beside several hundred short connections a second. /proc/net/tcp at each start that failed shows the port, which lies in ip_local_port_range, as the local port of a connection of the other process in TIME_WAIT: the kernel had given it to that between the release and the node's next try, and it is taken for 60 s from then on. The node waits for it for 65 s, as it says in its log.

The ports that these tests hold now lie below that range.

--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -1,8 +1,10 @@
 """A node starts whatever is wrong with a figure of its process file, and where it can't
 start it says why."""
 import concurrent.futures
+import errno
 import json
 import os
+import random
 import re
 import resource
 import signal
@@ -15,6 +17,7 @@
 
 START_S = 10
 HOLD_S = 2
+LOWEST_PORT = 10000
 # Figures of the process file that deploy/entry.json fills from fields of the platform.
 TEMPLATE_FIELDS = {
     "stop_s": "graceS", "lease_ms": "leaseMs", "usage_window_s": "reportWindowS",
@@ -187,20 +190,37 @@
              "ready_listen": "ready"}
 
 
+def bind_apart(reuse=0):
+    """Return a socket bound to a port that the kernel gives to no outgoing connection.
+
+    A port of the kernel's choice may go to any connection of the machine between its release
+    and the node's next try, and is taken for a minute more after that (TIME_WAIT).
+    """
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as f:
+        first = int(f.read().split()[0])
+    while True:
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
+        try:
+            s.bind(("127.0.0.1", random.randrange(LOWEST_PORT, first)))
+            return s
+        except OSError:
+            s.close()
+
+
 def hold_address():
     """Take a port as another process does; return the sockets and the address."""
-    s = socket.socket()
-    s.bind(("127.0.0.1", 0))
+    s = bind_apart()
     s.listen(1)
     return [s], "127.0.0.1:%d" % s.getsockname()[1]
 
 
 def hold_by_connection():
     """The same as the local port of a connection."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
+    listener = bind_apart()
     listener.listen(1)
-    client = socket.create_connection(listener.getsockname())
+    client = bind_apart()
+    client.connect(listener.getsockname())
     peer, _ = listener.accept()
     return [listener, peer, client], "127.0.0.1:%d" % client.getsockname()[1]
 
@@ -247,6 +267,31 @@
         check_waits_for(d, "listen", hold_by_connection)
 
 
+def test_a_node_waits_for_an_address_that_is_taken_meanwhile():
+    """Guards against a node that ends as another process takes its address between the
+    check that it is free and its use, and callers that wait at a node that doesn't serve."""
+    with Hosted(nodes=1) as d:
+        rival = bind_apart(reuse=1)  # as the node's own socket: both can be bound
+        addr = "127.0.0.1:%d" % rival.getsockname()[1]
+        held, ready_addr = hold_address()
+        node = Proc(with_addresses(d, {"listen": addr, "ready_listen": ready_addr}).command,
+                    os.path.join(d.dir, "meanwhile.log"), "")
+        try:
+            assert node.wait_event("listener.waiting", START_S)["addr"] == ready_addr
+            caller = socket.socket()
+            assert caller.connect_ex(rival.getsockname()) == errno.ECONNREFUSED
+            rival.listen(1)
+            close(held)
+            time.sleep(HOLD_S)
+            assert node.popen.poll() is None, open(node.log).read()
+            assert addr in [e["addr"] for e in node.events() if e["event"] == "listener.waiting"]
+            close([rival])
+            started = node.wait_event("node.started", START_S)
+            assert (started["listen"], started["ready"]) == (addr, ready_addr), started
+        finally:
+            node.kill()
+
+
 def test_a_node_takes_over_from_one_that_is_stopping():
     """The same with two real processes: the second is started while the first stops."""
     with Hosted(nodes=1) as d:
