store watch: list the objects after an answer that can't be parsed

Cause: a watch answers with all changes since its revision. The object stays in these changes after it was replaced or removed, so each further watch from the same revision failed with a protocol error, without end.

Why it works: after an answer that isn't JSON the next call is a list, which has only the current objects. As long as one of these can't be parsed, the list fails too, and is repeated after a delay.

The test of random objects now prints its problems last and cuts its lines, as the runner prints the end of a message.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -89,6 +89,10 @@
     if (st != RK_OK) {
         if (st == RK_EUNKNOWN && f->n->store->first_byte_at_ms)
             list_next(f); /* cut off midway: the answer is too long for the link */
+        /* An object that can't be parsed stays in the changes since then, also
+         * after it was replaced, but not in the list. */
+        if (st == RK_EPROTO)
+            f->revision = 0;
         retry_later(f);
         return;
     }
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -109,6 +109,31 @@
         assert any(logged(d, "store.revision_rejected"))
 
 
+TOO_DEEP = odd_objects.RawJson("[" * 5000 + "]" * 5000)
+
+
+def test_settings_that_cannot_be_parsed_do_not_outlast_their_replacement():
+    """Guards against a watch that meets an answer without end that can't be parsed: the object
+    stays in the changes since the watch's revision, also after it was replaced."""
+    with deployment(nodes=2) as d:
+        d.store.put("config", "main", TOO_DEEP)
+        wait_until(lambda: any(e["kind"] == "config" for e in logged(d, "store.lost")), 5)
+        version = d.configure([d.route("later", "plain")], wait=False)
+        d.wait_version(version, timeout=5)
+        assert d.call("/later/x").status == 200
+
+
+def test_an_entry_of_a_vm_that_cannot_be_parsed_does_not_outlast_its_removal():
+    """Guards against the same in the list of VMs: no later VM would be used."""
+    with deployment(nodes=2) as d:
+        d.store.put("servers", "i-deep", TOO_DEEP)
+        wait_until(lambda: any(e["kind"] == "servers" for e in logged(d, "store.lost")), 5)
+        d.store.drop("servers", "i-deep")
+        d.add_worker("other")
+        d.configure([d.route("later", "other")], services=("plain", "other"))
+        wait_until(lambda: d.call("/later/x").status == 200, 5)
+
+
 def test_a_store_that_names_no_revision_is_not_asked_without_pause():
     """Guards against a node that lists at once again, thousands of times a second, as the list
     names no revision to watch from."""
@@ -214,13 +239,21 @@
         assert d.call("/r/x").status == 200
 
 
+LINE_MAX = 200
+
+
+def report(run):
+    """Return a run's changes and, last, what was wrong, as long messages are cut."""
+    return "\n".join(line[:LINE_MAX] for line in run.log + run.problems)
+
+
 def test_nodes_outlive_odd_values_of_any_object():
     """Guards against a node that ends, stays busy or does not serve again after an odd value in
     any object of the store, whichever reader meets it."""
     served = 0
     for seed in SEEDS:
         run = odd_objects.run_seed(seed, SECONDS)
-        assert not run.problems, "\n".join(run.problems + run.log)
+        assert not run.problems, report(run)
         served += run.served
     assert served > 20, served
     return "%d calls served" % served
