conn: the kernel's buffer of a connection that carries much grows no further

What callers saw: none; a machine may lose its node to it. Linux grows a connection's receive buffer with what is read from it, up to 6 MB and more. 20 callers that had sent three bodies of 4 MB each, and then went on sending behind a running call, left 10.3 MB unread in the kernel of a machine of 120 MB; half a megabyte each.

Once a read fills its block of 32 KB, SO_RCVBUF is set to 64 KB, which is what a connection has at first, or to a 1,024th of the buffers' budget where that is more. So the kernel's own growth ends at the initial size, and no byte that a peer was allowed to send is dropped. Connections that never carry so much at once get no further system call.

--- a/common/conn.c
+++ b/common/conn.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "common/addr.h"
+#include "common/counters.h"
 #include "common/loop.h"
 #include "common/memory.h"
 #include "common/util.h"
@@ -40,6 +41,7 @@
     bool lingering; /* closed by the owner: sends the rest, waits for the peer */
     bool fin_sent;
     bool has_sent;
+    bool is_receive_bounded;
     bool released;           /* the timer will free the memory */
     uint32_t watched_events; /* epoll events */
     struct rk_buf out;       /* bytes to send */
@@ -173,6 +175,19 @@
         flush(c);
 }
 
+/* Keeps the kernel's buffer from growing with what the connection carries.
+ * Otherwise it takes megabytes for a peer that goes on sending when reading is
+ * paused. The buffers of connections that carry little don't grow. */
+static void bound_receiving(struct rk_conn *c)
+{
+    int bytes = (int)rk_memory_receive_bytes();
+    if (c->is_receive_bounded || !bytes)
+        return;
+    c->is_receive_bounded = true;
+    setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    rk_counter_add(RK_C_RECEIVE_BOUNDED, 1);
+}
+
 /* Reads one block. epoll is level-triggered: unread bytes raise the event again. */
 static void read_block(struct rk_conn *c)
 {
@@ -188,6 +203,8 @@
         notify_end(c, 0);
         return;
     }
+    if ((size_t)n == sizeof(block))
+        bound_receiving(c);
     if (c->ops)
         c->ops->on_data(c->ctx, block, (size_t)n);
 }
@@ -310,6 +327,11 @@
     update_watch(c);
 }
 
+void rk_conn_keep_receive_buffer(struct rk_conn *c)
+{
+    c->is_receive_bounded = true;
+}
+
 static void discard_data(void *ctx, const char *data, size_t len)
 {
     (void)ctx;
--- a/common/conn.h
+++ b/common/conn.h
@@ -60,6 +60,10 @@
  * peer's close is noticed once they have been read. */
 void rk_conn_set_held(struct rk_conn *c, bool held);
 
+/* Leaves the kernel's buffer for received bytes as it is, however much the
+ * connection carries: its owner has bounded it. */
+void rk_conn_keep_receive_buffer(struct rk_conn *c);
+
 /* Sets how many closed connections of a thread may wait for their peers to close;
  * 0, the initial value: no limit. Beyond it, the one that waits longest is ended.
  */
--- a/common/counters.h
+++ b/common/counters.h
@@ -74,6 +74,8 @@
       "Entries of the list that name no VM which can be used")                     \
     X(MEMORY_REFUSED, "memory_refused_total",                                      \
       "Requests refused because the node buffers too much")                        \
+    X(RECEIVE_BOUNDED, "receive_buffers_bounded_total",                            \
+      "Connections whose buffer in the kernel grows no further")                   \
     X(LOG_DROPPED, "log_lines_dropped_total", "Log lines nobody read in time")
 
 enum rk_counter {
--- a/common/memory.c
+++ b/common/memory.c
@@ -9,6 +9,10 @@
 
 /* Without a refusal for so long, there is room again. */
 #define QUIET_MS 5000
+/* Of the budget, for the kernel's buffer of one connection that carries much. */
+#define RECEIVE_SHARES 1024
+/* What Linux gives a connection at first, in terms of SO_RCVBUF. */
+#define RECEIVE_BYTES_MIN ((size_t)64 * 1024)
 
 static _Atomic size_t budget;
 static _Atomic size_t used;
@@ -67,6 +71,15 @@
     return most && rk_memory_used() > most / 2;
 }
 
+size_t rk_memory_receive_bytes(void)
+{
+    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    size_t share = most / RECEIVE_SHARES;
+    if (!most)
+        return 0;
+    return share > RECEIVE_BYTES_MIN ? share : RECEIVE_BYTES_MIN;
+}
+
 void rk_memory_count_refusal(void)
 {
     rk_counter_add(RK_C_MEMORY_REFUSED, 1);
--- a/common/memory.h
+++ b/common/memory.h
@@ -31,6 +31,10 @@
 /* Returns whether more than half of the budget is used: connections buffer less. */
 bool rk_memory_is_scarce(void);
 
+/* Returns how many bytes the kernel may hold unread for a connection that carries
+ * much, as SO_RCVBUF has it; 0: no limit. */
+size_t rk_memory_receive_bytes(void);
+
 /* Counts a request that was refused for want of room. */
 void rk_memory_count_refusal(void);
 
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -13,6 +13,7 @@
 LONG_BODY = 4 * 1024 * 1024
 SOUND_CALLS = 20
 TAKEN_MAX_MB = 2  # of an answer that is not read
+UNREAD_MAX_MB = 0.25  # in the kernel, of a connection that is not read
 DEADLINE_MS = 2000
 LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 1500,
           "idleTimeoutMs": 6000}
@@ -279,6 +280,44 @@
         assert unread and total < MEMORY_MB, "%.0f MB, %.1f of them unread" % (total, unread)
 
 
+def test_callers_of_long_bodies_leave_little_unread_in_the_kernel():
+    """Guards against buffers of the kernel that grow with long bodies and are filled then.
+
+    A few callers that send on behind a call are enough then.
+    """
+    with small_node(workers=2) as d:
+        port = d.port(d.nodes[0].ready["listen"])
+        head = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                b"Rillknot-Attempt-Id: grown-%d-%d\r\nContent-Length: ")
+        for w in d.workers:
+            w.free_slots = threading.Semaphore(1000)
+        conns = [d.connect() for _ in range(20)]
+        for i, s in enumerate(conns):
+            for k in range(3):
+                s.sendall(head % (i, k) + b"%d\r\n\r\n" % LONG_BODY + b"x" * LONG_BODY)
+                assert read_answer(s).status == 200
+        for w in d.workers:
+            w.work_s = 2.0
+        for i, s in enumerate(conns):
+            s.sendall(head % (i, 9) + b"2\r\n\r\nhi")
+        time.sleep(0.3)
+        unread = 0
+        block = head % (0, 10) + b"%d\r\n\r\n" % LONG_BODY + b"x" * LONG_BODY
+        for _ in range(8):
+            for s in conns:
+                s.setblocking(False)
+                try:
+                    s.send(block)
+                except BlockingIOError:
+                    pass
+            time.sleep(0.1)
+            unread = max(unread, unread_mb(port))
+        for s in conns:
+            s.close()
+        assert 0 < unread < len(conns) * UNREAD_MAX_MB, "%.1f MB unread" % unread
+        return "%.1f MB unread" % unread
+
+
 def test_callers_that_do_not_read_do_not_fill_the_memory():
     """Guards against long answers that are held for callers which don't read them."""
     with small_node() as d:
