callers: many connections that are not read get small buffers in the kernel

What callers saw: none; a machine may lose its node to it, as bytes that have arrived and were not read are its memory. 1,700 callers with 64 KB behind a running call left 80.5 MB of them in the kernel beside 52 MB resident, at a machine of 120 MB.

While the callers' connections, full with what Linux takes for one at first, would take more than three quarters of the buffers' budget (576 connections at 120 MB), the listener has a receive buffer of 16 KB, which accepted sockets inherit; below half of that it has its own again, and SO_BUF_LOCK lets the kernel size it. Forwarded calls have a quarter of the budget. Buffers of open connections stay: the kernel would drop what their peers were allowed to send, and wait for it to be sent again.

--- a/callers/server.c
+++ b/callers/server.c
@@ -15,16 +15,20 @@
 #include "common/acceptor.h"
 #include "common/addr.h"
 #include "common/conn.h"
+#include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/loop.h"
 #include "common/memory.h"
 #include "common/status.h"
 #include "common/util.h"
 
-#define LISTEN_BACKLOG            1024
-#define SIZE_CLASSES              32   /* of requests that are not whole */
-#define BODY_RETAINED_MAX         2048 /* largest buffer to keep for the next body */
-#define MEMORY_RETRY_AFTER        "Retry-After: 1\r\n"
+#define LISTEN_BACKLOG     1024
+#define SIZE_CLASSES       32   /* of requests that are not whole */
+#define BODY_RETAINED_MAX  2048 /* largest buffer to keep for the next body */
+#define MEMORY_RETRY_AFTER "Retry-After: 1\r\n"
+/* What the kernel takes from a connection that is not read, by Linux's defaults. */
+#define UNREAD_USUAL_BYTES        ((size_t)64 * 1024)
+#define CROWDED_RECEIVE_BUFFER    (16 * 1024)
 #define EVICTION_TRIES            8 /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
 #define HEADER_LINE_MAX           128
@@ -66,6 +70,8 @@
 
 struct rk_server {
     struct rk_loop *loop;
+    int receive_buffer; /* SO_RCVBUF of new connections on an ordinary day */
+    bool is_crowded;    /* new connections get a small one */
     struct rk_acceptor acceptor;
     char addr[RK_ADDR_MAX];
     struct rk_server_limits limits;
@@ -138,6 +144,27 @@
         set_unfinished(c, is_part ? request : 0);
 }
 
+/* Gives new connections a small buffer in the kernel while there are so many that
+ * usual ones, full of bytes that are not read, would exceed the limit. Accepted
+ * sockets inherit the listener's; that of an open connection is left as it is,
+ * since the kernel would drop bytes that its peer has been allowed to send. */
+static void update_crowded(struct rk_server *s)
+{
+    size_t full = s->clients_len * UNREAD_USUAL_BYTES;
+    bool crowded = full > s->limits.unread_bytes / (s->is_crowded ? 2 : 1);
+    if (!s->limits.unread_bytes || crowded == s->is_crowded || s->acceptor.fd < 0)
+        return;
+    int bytes = crowded ? CROWDED_RECEIVE_BUFFER : s->receive_buffer;
+    int unlocked = 0;
+    s->is_crowded = crowded;
+    setsockopt(s->acceptor.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    if (!crowded) /* fails on kernels before 5.14, where the size stays fixed */
+        setsockopt(s->acceptor.fd, SOL_SOCKET, SO_BUF_LOCK, &unlocked,
+                   sizeof(unlocked));
+    RK_EVENT("callers.receive_buffer", RK_S("address", s->addr),
+             RK_N("bytes", bytes), RK_N("connections", (int64_t)s->clients_len));
+}
+
 /* Removes the client from the server's lists. Its functions may be on the stack, so
  * its memory is freed in the loop's next iteration. */
 static void unlink_and_free_later(struct rk_client *c)
@@ -149,6 +176,7 @@
     if (c->next)
         c->next->prev = c->prev;
     c->s->clients_len--;
+    update_crowded(c->s);
     c->closed = true;
     c->timer.fn = free_client;
     rk_timer_start(c->s->loop, &c->timer, 0);
@@ -595,6 +623,9 @@
     s->clients_len++;
     rk_http1_init(&c->reader, true, c->limits.header_bytes, &reader_ops, c);
     c->conn = rk_conn_adopt(s->loop, fd, &conn_ops, c);
+    if (s->is_crowded)
+        rk_conn_keep_receive_buffer(c->conn);
+    update_crowded(s);
     wait_for_request(c);
 }
 
@@ -621,6 +652,15 @@
     return fd;
 }
 
+/* Returns the value with which SO_RCVBUF is set to what it is: Linux doubles it. */
+static int usual_receive_buffer(int fd)
+{
+    int bytes = 0;
+    socklen_t len = sizeof(bytes);
+    getsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, &len);
+    return bytes / 2;
+}
+
 struct rk_server *rk_server_create(struct rk_loop *loop, const char *addr,
                                    const struct rk_server_limits *limits,
                                    const struct rk_server_ops *ops, void *ctx)
@@ -634,6 +674,7 @@
     TAILQ_INIT(&s->idle);
     for (int i = 0; i < SIZE_CLASSES; i++)
         TAILQ_INIT(&s->unfinished[i]);
+    s->receive_buffer = usual_receive_buffer(fd);
     struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
--- a/callers/server.h
+++ b/callers/server.h
@@ -22,6 +22,10 @@
     /* Bytes held of requests that are not whole; 0: no limit. Beyond it, the
      * largest of them are refused with 503. */
     size_t unfinished_bytes;
+    /* Bytes that the kernel may hold of what all connections have sent and the
+     * server has not read; 0: no limit. Takes effect by the number of connections,
+     * for those that are accepted later. */
+    size_t unread_bytes;
     int64_t header_ms; /* time-out from the first byte of a head to its end */
     int64_t idle_ms;   /* time-out between requests, and without data in a body */
     int max_clients; /* open connections; for a further one, an idle one is closed,
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -17,6 +17,9 @@
  * callers and, one, of peers. Half is left for calls in flight. */
 #define UNFINISHED_SHARES        8
 #define UNFINISHED_CALLER_SHARES 3
+/* Of a size as large as the budget, for what the kernel holds unread. */
+#define UNREAD_SHARES        4
+#define UNREAD_CALLER_SHARES 3
 /* How long a changed quarantine row is repeated in reports. */
 #define SUSPECT_REPORT_MS         1000
 #define SIGNAL_EXPIRY_INTERVAL_MS 10000
@@ -248,6 +251,12 @@
     .on_disconnect = on_client_gone,
     .on_drained = on_client_drained};
 
+size_t rk_relay_unread_max(const struct rk_relay *r, bool forwarded)
+{
+    size_t share = r->opt.buffer_bytes / UNREAD_SHARES;
+    return forwarded ? share : (UNREAD_CALLER_SHARES * share);
+}
+
 size_t rk_relay_unfinished_max(const struct rk_relay *r, bool forwarded)
 {
     size_t share = r->opt.buffer_bytes / UNFINISHED_SHARES;
@@ -261,6 +270,7 @@
     struct rk_server_limits limits = default_limits;
     limits.max_clients = opt->max_clients;
     limits.unfinished_bytes = rk_relay_unfinished_max(r, false);
+    limits.unread_bytes = rk_relay_unread_max(r, false);
     r->server =
         rk_server_create(r->loop, opt->listen_addr, &limits, &server_ops, r);
     if (!r->server || !opt->forward_addr || !opt->forward_addr[0])
@@ -268,6 +278,7 @@
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.max_clients = INT_MAX; /* see has_room_for_forwarded() */
     limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
+    limits.unread_bytes = rk_relay_unread_max(r, true);
     r->forward_server = rk_server_create(r->loop, opt->forward_addr, &limits,
                                          &forward_server_ops, r);
     return r->forward_server != NULL;
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -77,6 +77,8 @@
 /* Returns how many bytes of requests that are not whole the server for callers, or
  * that for forwarded calls, may hold; 0: no limit. */
 size_t rk_relay_unfinished_max(const struct rk_relay *r, bool forwarded);
+/* The same of what the kernel holds of requests that were not read. */
+size_t rk_relay_unread_max(const struct rk_relay *r, bool forwarded);
 /* Returns whether to read the body of a request by what its head says; otherwise
  * the request has been refused. */
 bool rk_relay_call_accept_head(struct rk_relay *r, struct rk_client *client);
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -79,12 +79,14 @@
         .idle_ms = l->idle_ms,
         .max_clients = r->opt.max_clients,
         .unfinished_bytes = rk_relay_unfinished_max(r, false),
+        .unread_bytes = rk_relay_unread_max(r, false),
     };
     rk_server_set_limits(r->server, &limits);
     limits.header_bytes += RK_FORWARD_HEADER_BYTES;
     limits.idle_ms = FORWARD_IDLE_MS;
     limits.max_clients = INT_MAX;
     limits.unfinished_bytes = rk_relay_unfinished_max(r, true);
+    limits.unread_bytes = rk_relay_unread_max(r, true);
     if (r->forward_server)
         rk_server_set_limits(r->forward_server, &limits);
     rk_routes_unref(r->routes);
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -277,7 +277,9 @@
         total = unread + (0 if is_sanitized(d) else memory_mb(d.nodes[0]))
         for s in conns:
             s.close()
-        assert unread and total < MEMORY_MB, "%.0f MB, %.1f of them unread" % (total, unread)
+        figure = "%.0f MB, %.1f of them unread" % (total, unread)
+        assert unread and total < MEMORY_MB, figure
+        return figure
 
 
 def test_callers_of_long_bodies_leave_little_unread_in_the_kernel():
@@ -318,6 +320,28 @@
         return "%.1f MB unread" % unread
 
 
+def test_connections_get_usual_buffers_again_after_a_crowd():
+    """Guards against small buffers of the kernel that outlast the crowd they were for."""
+    with small_node() as d:
+        node = d.nodes[0]
+
+        def sizes():
+            return [e["bytes"] for e in node.events() if e["event"] == "callers.receive_buffer"]
+
+        for i in range(300):
+            assert d.call("/r/x").status == 200
+        assert not sizes()
+        for _ in range(2):
+            conns = [d.connect() for _ in range(700)]
+            wait_until(lambda: len(sizes()) % 2 == 1, 3)
+            for s in conns:
+                s.close()
+            wait_until(lambda: len(sizes()) % 2 == 0, 3)
+        small, usual = sizes()[:2]
+        assert sizes() == [small, usual] * 2 and small < usual, sizes()
+        assert_served(d)
+
+
 def test_callers_that_do_not_read_do_not_fill_the_memory():
     """Guards against long answers that are held for callers which don't read them."""
     with small_node() as d:
