--- a/Makefile
+++ b/Makefile
@@ -35,11 +35,11 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(if $(findstring .pb-c.,$<),-Wno-all) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) $(if $(findstring .pb-c.,$<),-Wno-all) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -MMD -c -o $@ $<
+	$(CXX) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/librillknot.a: $(LIB_OBJ)
 	@rm -f $@
