process: no connection gets the number of a closed output

A process that was started with standard output or error closed wrote its log into whatever got the number 1 or 2: an epoll descriptor, an eventfd or a listening socket, and at another order of its first steps a connection of a caller. Its log was lost, and 8 bytes of a line at a time were added to the eventfd that wakes a loop.

--- a/common/process.c
+++ b/common/process.c
@@ -1,5 +1,6 @@
 #include "common/process.h"
 
+#include <fcntl.h>
 #include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -11,7 +12,6 @@
  * allocator raises it to the size of the largest buffer that was freed. */
 #define MMAP_THRESHOLD (128 * 1024)
 #define ARENAS_MAX     2 /* the relay's, and one for all other threads */
-
 void rk_process_tune_allocator(void)
 {
     mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
@@ -24,6 +24,18 @@
     signal(SIGXFSZ, SIG_IGN);
 }
 
+void rk_process_open_standard_files(void)
+{
+    int fd;
+    do { /* open() returns the lowest number that is free */
+        fd = open("/dev/null", O_RDWR);
+        if (fd < 0)
+            fd = open("/", O_RDONLY);
+    } while (fd >= 0 && fd <= STDERR_FILENO);
+    if (fd >= 0)
+        close(fd);
+}
+
 static sigset_t stop_signals(void)
 {
     sigset_t set;
--- a/common/process.h
+++ b/common/process.h
@@ -14,6 +14,10 @@
  * ending the process: its log may be a pipe that is closed or a file that may not
  * grow. */
 void rk_process_ignore_write_signals(void);
+/* Opens those of the descriptors 0, 1 and 2 that are closed, at /dev/null, so that
+ * no connection gets the number that the log is written to. Called before anything
+ * else is opened. */
+void rk_process_open_standard_files(void);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
 /* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
