stderr: a process does not wait for a standard error that nobody reads

A start that failed did not end where standard error was a full pipe: rillknot-node waited in the write of its one line, before it wrote node.start_failed and exited. The lines of a failed allocation and of a crash could wait in the same way, the latter between the first and the last frame of a stack.

common/stderr.c writes to standard error only what it takes at once. The stack dump had such a check of its own, once for all frames; it now uses the same functions, and each frame is checked.

Evidence: test_a_standard_error_that_nobody_reads_holds_up_no_end fails on (rillknot-node has not ended after 12 s) and passes here.

--- a/common/loop.c
+++ b/common/loop.c
@@ -13,6 +13,7 @@
 
 #include "common/arena.h"
 #include "common/process.h"
+#include "common/stderr.h"
 #include "common/tsan.h"
 #include "common/util.h"
 
@@ -53,7 +54,7 @@
 {
     if (fd >= 0)
         return fd;
-    fprintf(stderr, "%s: %s\n", call, strerror(errno));
+    rk_stderr_printf("%s: %s\n", call, strerror(errno));
     rk_process_end(EXIT_FAILURE);
 }
 
--- a/common/stack_dump.c
+++ b/common/stack_dump.c
@@ -13,6 +13,7 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include "common/stderr.h"
 #include "common/util.h"
 
 #define FRAMES_MAX   64
@@ -33,30 +34,17 @@
 
 static atomic_bool answered; /* by the thread that was asked last */
 
-static bool is_writable(void)
-{
-    struct pollfd out = {.fd = STDERR_FILENO, .events = POLLOUT};
-    return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
-}
-
 static void on_asked(int sig)
 {
     (void)sig;
     int saved_errno = errno;
     void *frames[FRAMES_MAX];
     int len = backtrace(frames, FRAMES_MAX);
-    if (is_writable())
-        backtrace_symbols_fd(frames, len, STDERR_FILENO);
+    rk_stderr_write_stack(frames, len);
     atomic_store(&answered, true);
     errno = saved_errno;
 }
 
-static void write_line(const char *line)
-{
-    if (is_writable() && write(STDERR_FILENO, line, strlen(line)) < 0)
-        return; /* there is no other place to report to */
-}
-
 /* Reads the name of a thread of this process. */
 static void read_name(const char *tid, char name[NAME_MAX_LEN])
 {
@@ -80,10 +68,9 @@
     read_name(tid, name);
     snprintf(line, sizeof(line), "fatal signal %d (SIG%s), thread %s (%s):\n", sig,
              sigabbrev_np(sig), tid, name);
-    write_line(line);
+    rk_stderr_write(line);
     int len = backtrace(frames, FRAMES_MAX);
-    if (is_writable())
-        backtrace_symbols_fd(frames, len, STDERR_FILENO);
+    rk_stderr_write_stack(frames, len);
     raise(sig);
 }
 
@@ -114,7 +101,7 @@
     char name[NAME_MAX_LEN], line[LINE_MAX_LEN];
     read_name(tid, name);
     snprintf(line, sizeof(line), "thread %s (%s):\n", tid, name);
-    write_line(line);
+    rk_stderr_write(line);
     atomic_store(&answered, false);
     if (syscall(SYS_tgkill, getpid(), atoi(tid), SIGUSR2) != 0)
         return; /* the thread has ended */
@@ -122,7 +109,7 @@
     while (!atomic_load(&answered) && rk_mono_ms() < end_ms)
         poll(NULL, 0, POLL_MS);
     if (!atomic_load(&answered))
-        write_line("no answer\n");
+        rk_stderr_write("no answer\n");
 }
 
 void rk_stack_dump_others(const char *heading)
@@ -130,7 +117,7 @@
     _Alignas(struct kernel_dirent) char entries[DIR_BYTES];
     long own = syscall(SYS_gettid), len;
     int dir = open("/proc/self/task", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    write_line(heading);
+    rk_stderr_write(heading);
     if (dir < 0)
         return;
     while ((len = syscall(SYS_getdents64, dir, entries, sizeof(entries))) > 0) {
--- a/common/util.c
+++ b/common/util.c
@@ -6,7 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
+
+#include "common/stderr.h"
 
 #define FNV_OFFSET     0xcbf29ce484222325ULL
 #define FNV_PRIME      0x100000001b3ULL
@@ -102,10 +103,8 @@
 static _Noreturn void fail_alloc(size_t n, size_t size)
 {
     char line[ALLOC_LINE_MAX];
-    int len =
-        snprintf(line, sizeof(line), "out of memory: %zu x %zu bytes\n", n, size);
-    if (write(STDERR_FILENO, line, (size_t)len) < 0)
-        abort(); /* there is no other place to report to */
+    snprintf(line, sizeof(line), "out of memory: %zu x %zu bytes\n", n, size);
+    rk_stderr_write(line);
     abort();
 }
 
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -18,6 +18,7 @@
 #include "common/listen.h"
 #include "common/loop.h"
 #include "common/process.h"
+#include "common/stderr.h"
 #include "common/util.h"
 #include "control/control.h"
 #include "core/procfile.h"
@@ -356,7 +357,7 @@
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     static struct node n;
     if (rk_procfile_load(args.procfile, NULL, &n.file) != RK_OK) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         return 2;
     }
     sigset_t set;
@@ -370,7 +371,7 @@
     rk_procfile_log_problems(&n.file, args.procfile);
     enum rk_status st = create_node(&n);
     if (st != RK_OK) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         rk_log_flush();
         return st == RK_EGONE ? 0 : 1; /* RK_EGONE: told to stop */
     }
@@ -378,7 +379,7 @@
     rk_control_start(n.control);
     pthread_t signal_thread;
     if (!start_threads(&n, &signal_thread)) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         rk_log_flush();
         rk_process_end(1);
     }
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -13,6 +13,7 @@
 #include "common/eventlog.h"
 #include "common/loop.h"
 #include "common/process.h"
+#include "common/stderr.h"
 #include "core/procfile.h"
 #include "keeper/keeper.h"
 
@@ -76,12 +77,12 @@
     rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(procfile, NULL, &file) != RK_OK) {
-        fprintf(stderr, "rillknot-keeper: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-keeper: %s\n", rk_last_error());
         return 2;
     }
     if (!file.entry[0]) {
-        fprintf(stderr, "rillknot-keeper: %s: /entry: expected ip:port\n",
-                procfile);
+        rk_stderr_printf("rillknot-keeper: %s: /entry: expected ip:port\n",
+                         procfile);
         return 2;
     }
     uint64_t seed = 0;
--- a/programs/node.c
+++ b/programs/node.c
@@ -16,6 +16,7 @@
 #include "common/process.h"
 #include "common/stack_dump.h"
 #include "common/status.h"
+#include "common/stderr.h"
 #include "core/procfile.h"
 #include "node/node.h"
 
@@ -163,7 +164,7 @@
 static _Noreturn void end_start(enum rk_status st)
 {
     int status = st == RK_EGONE ? 0 : 1;
-    fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+    rk_stderr_printf("rillknot-node: %s\n", rk_last_error());
     log_start_failed(status);
     rk_log_flush();
     rk_process_end(status);
@@ -188,7 +189,7 @@
     block_reload_signal();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
-        fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-node: %s\n", rk_last_error());
         if (!args.check) {
             rk_log_init("", "", args.level);
             log_start_failed(2);
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -264,6 +264,28 @@
                 p.wait()
 
 
+def test_a_standard_error_that_nobody_reads_holds_up_no_end():
+    """Guards against a process that waits for its standard error instead of ending: at a
+    start that fails, and at a crash."""
+    with deployment() as d:
+        out = Output("full-pipe", "")
+        path = os.path.join(d.dir, "bad.json")
+        for program, status in (("node", 2), ("entry", 2), ("keeper", 2)):
+            with open(path, "w") as f:
+                f.write("{")
+            p = subprocess.Popen([os.path.join(BUILD, "rillknot-%s" % program), path],
+                                 stdout=subprocess.DEVNULL, stderr=out.fd)
+            assert wait(p, STOP_S) == status, program
+        for sig in (signal.SIGSEGV, signal.SIGABRT):
+            node = Node(d, stderr="full-pipe", stdout="full-pipe")
+            assert node.check_serves_or_says_why()
+            node.popen.send_signal(sig)
+            status = wait(node.popen, STOP_S)
+            assert status == -sig or IS_SANITIZED and status == 1, (sig, status)
+            node.close()
+        out.close()
+
+
 def wait(p, seconds):
     """Return the exit status of a process, or None after seconds; it is killed then."""
     try:
