process: stacks do not depend on the limit of the process's

Where the limit of the stack was low (ulimit -s 64), a node said node.started and ended by SIGSEGV at its first reload or call, without a line in its log, at each start again: the threads get stacks of that size by default, and the main thread can't grow further. Where it was high (1 GB) beside a limit of the address space, no thread could be created, and each start ended with status 1.

Threads get stacks of 1 MB (8 MB with the sanitizers). The main thread raises its own limit up to the hard one; if that is lower, the start ends with status 1 and names it.

--- a/common/process.c
+++ b/common/process.c
@@ -1,10 +1,13 @@
 #include "common/process.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <malloc.h>
 #include <signal.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -12,6 +15,13 @@
  * allocator raises it to the size of the largest buffer that was freed. */
 #define MMAP_THRESHOLD (128 * 1024)
 #define ARENAS_MAX     2 /* the relay's, and one for all other threads */
+/* Of each thread. The sanitizers' frames are larger. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define STACK_BYTES (8 * 1024 * 1024)
+#else
+#define STACK_BYTES (1024 * 1024)
+#endif
+
 void rk_process_tune_allocator(void)
 {
     mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
@@ -59,10 +69,28 @@
     return sigtimedwait(&set, NULL, &timeout) > 0;
 }
 
+enum rk_status rk_process_prepare_stack(void)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_STACK, &limit) != 0 || limit.rlim_cur >= STACK_BYTES)
+        return RK_OK; /* RLIM_INFINITY is the largest number */
+    if (limit.rlim_max < STACK_BYTES)
+        return rk_fail(RK_ESYSTEM, "stack limit: %ju bytes, at least %d are needed",
+                       (uintmax_t)limit.rlim_max, STACK_BYTES);
+    limit.rlim_cur = STACK_BYTES;
+    if (setrlimit(RLIMIT_STACK, &limit) != 0)
+        return rk_fail(RK_ESYSTEM, "stack limit: %s", strerror(errno));
+    return RK_OK;
+}
+
 enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
                                        void *(*run)(void *arg), void *arg)
 {
-    int err = pthread_create(out, NULL, run, arg);
+    pthread_attr_t attr;
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, STACK_BYTES);
+    int err = pthread_create(out, &attr, run, arg);
+    pthread_attr_destroy(&attr);
     if (err)
         return rk_fail(RK_ESYSTEM, "thread %s: %s", name, strerror(err));
     pthread_setname_np(*out, name);
--- a/common/process.h
+++ b/common/process.h
@@ -18,12 +18,16 @@
  * no connection gets the number that the log is written to. Called before anything
  * else is opened. */
 void rk_process_open_standard_files(void);
+/* Makes room for the main thread's stack, up to the hard limit. Returns RK_ESYSTEM
+ * and sets rk_last_error() if that is too low. */
+enum rk_status rk_process_prepare_stack(void);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
 /* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
 bool rk_process_wait_stop_signal_for(int timeout_ms);
-/* Starts a thread that calls run(arg). name: at most 15 characters. Returns
- * RK_ESYSTEM and sets rk_last_error() if the system creates none. */
+/* Starts a thread that calls run(arg), with a stack whose size doesn't depend on
+ * the limits of the process. name: at most 15 characters. Returns RK_ESYSTEM and
+ * sets rk_last_error() if the system creates none. */
 enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
                                        void *(*run)(void *arg), void *arg);
 /* Ends the process without the functions that libraries run at the exit: other
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -369,7 +369,9 @@
     /* The "listening" event is logged even with --quiet: it carries the ports. */
     rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
     rk_procfile_log_problems(&n.file, args.procfile);
-    enum rk_status st = create_node(&n);
+    enum rk_status st = rk_process_prepare_stack();
+    if (st == RK_OK)
+        st = create_node(&n);
     if (st != RK_OK) {
         rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         rk_log_flush();
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -91,6 +91,10 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     rk_log_init(file.id, file.failure_domain, RK_LOG_INFO);
     rk_procfile_log_problems(&file, procfile);
+    if (rk_process_prepare_stack() != RK_OK) {
+        rk_stderr_printf("rillknot-keeper: %s\n", rk_last_error());
+        return 1;
+    }
     struct rk_loop *loop = rk_loop_create();
     int signal_fd = watch_stop_signals(loop);
     struct rk_keeper *keeper = rk_keeper_create(loop, &file, seed);
--- a/programs/node.c
+++ b/programs/node.c
@@ -206,7 +206,9 @@
     rk_log_init(in_force.id, in_force.failure_domain, args.level);
     rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
-    enum rk_status st = rk_node_create(&in_force, &node);
+    enum rk_status st = rk_process_prepare_stack();
+    if (st == RK_OK)
+        st = rk_node_create(&in_force, &node);
     if (st != RK_OK)
         end_start(st);
     pthread_t reload_thread, stop_thread;
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -264,6 +264,30 @@
                 p.wait()
 
 
+def test_a_small_stack_ends_no_node_later():
+    """Guards against threads whose stacks are as small as the limit of the process's: a node
+    said that it had started and ended by SIGSEGV, without a line, at its first call."""
+    if IS_SANITIZED:
+        return "not run: the sanitizers need larger stacks"
+    with deployment() as d:
+        assert check(d, limits=["stack-soft"])
+        node = Node(d, limits=["stack"])
+        try:
+            if not node.check_serves_or_says_why():
+                assert "stack" in node.texts(), node.texts()
+        finally:
+            node.close()
+
+
+def test_a_large_stack_limit_keeps_no_node_from_starting():
+    """Guards against threads that are not created as their stacks, as large as the limit,
+    don't fit into the address space."""
+    with deployment() as d:
+        limits = ["stack-large"] + ([] if IS_SANITIZED else ["as"])
+        assert check(d, limits=limits)
+        assert check(d, limits=["stack-unlimited"])
+
+
 def test_a_standard_error_that_nobody_reads_holds_up_no_end():
     """Guards against a process that waits for its standard error instead of ending: at a
     start that fails, and at a crash."""
@@ -296,6 +320,62 @@
         return None
 
 
+# Fails each open of /dev/urandom.
+NO_URANDOM = """
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+FILE *fopen(const char *path, const char *mode)
+{
+    FILE *(*next)(const char *, const char *) = dlsym(RTLD_NEXT, "fopen");
+    errno = ENOENT;
+    return strcmp(path, "/dev/urandom") ? next(path, mode) : NULL;
+}
+"""
+
+
+def build_preload(d):
+    library = os.path.join(d.dir, "no_urandom.so")
+    subprocess.run(["cc", "-shared", "-fPIC", "-D_GNU_SOURCE", "-x", "c", "-", "-o", library],
+                   check=True, input=NO_URANDOM.encode())
+    return library
+
+
+def draw(rng, library):
+    """Return random surroundings."""
+    names = [n for n in LIMITS if not n.startswith("stack")]
+    limits = rng.sample(names, rng.randrange(3))
+    if rng.random() < 0.5:
+        limits.append(rng.choice([n for n in LIMITS if n.startswith("stack")]))
+    if IS_SANITIZED:
+        limits = [n for n in limits if not n.startswith(SIZE_LIMITS)]
+    more = {key: True for key in ("env", "cwd", "batch") if rng.random() < 0.5}
+    if rng.random() < 0.3:
+        more["stdin"] = "closed"
+    if rng.random() < 0.3 and not IS_SANITIZED:
+        more["preload"] = library
+    return dict(more, limits=limits, stdout=rng.choice(OUTPUTS), stderr=rng.choice(OUTPUTS))
+
+
+def run_combinations(seed, count):
+    """Return how many of the nodes served; raise with all that failed."""
+    rng = random.Random(seed)
+    with deployment() as d:
+        cases = [draw(rng, build_preload(d)) for _ in range(count)]
+        with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+            futures = [pool.submit(check, d, **case) for case in cases]
+        errors = [str(f.exception()) for f in futures if f.exception()]
+        assert not errors, "seed %d: %d of %d:\n%s" % (seed, len(errors), count,
+                                                       "\n".join(errors))
+        return sum(f.result() for f in futures)
+
+
+def test_no_surroundings_end_a_node_later():
+    """Guards against surroundings, and pairs of them, that end, hang or spin a node."""
+    return "%d of %d served" % (run_combinations(SEED, COMBINATIONS), COMBINATIONS)
+
+
 def pause(node, rng):
     node.popen.send_signal(signal.SIGSTOP)
     time.sleep(rng.uniform(0.3, 2.5))
