eventlog: a terminal that nobody reads does not hang a process

A node whose log was a terminal that nobody read answered nothing more: poll() reports a terminal as writable when it has room for a byte, and the write of a block waited for the rest with the log's lock held. A pipe that several processes write to can fill between poll() and write() in the same way.

Standard output and error are opened again, without blocking, if they are a terminal or a pipe: the flags of the descriptors themselves are shared with other processes. If that fails, the descriptors are used as before.

--- a/common/eventlog.c
+++ b/common/eventlog.c
@@ -9,11 +9,12 @@
 #include <unistd.h>
 
 #include "common/counters.h"
+#include "common/process.h"
 #include "common/util.h"
 
 #define LINE_MAX_BYTES 4000
 #define RING_BYTES     (64 * 1024)
-/* A pipe that poll() reports as writable takes this many bytes without blocking. */
+/* A pipe with room takes this many bytes whole or not at all (PIPE_BUF). */
 #define WRITE_MAX_BYTES 4096
 
 /* Lines that standard output hasn't taken yet. When the ring is full, new lines are
@@ -25,6 +26,8 @@
     uint64_t dropped;
 } ring = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
+/* Standard output; see rk_process_open_nonblocking(). */
+static int out_fd = STDOUT_FILENO;
 static log4c_category_t *category;
 static char process_name[RK_ID_MAX];
 static char domain_name[RK_ID_MAX];
@@ -70,12 +73,12 @@
 /* Writes as much as standard output takes without blocking. */
 static void ring_drain(void)
 {
-    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    struct pollfd out = {.fd = out_fd, .events = POLLOUT};
     while (ring.len && poll(&out, 1, 0) == 1 && (out.revents & POLLOUT)) {
         size_t n = RING_BYTES - ring.start;
         n = n < ring.len ? n : ring.len;
         n = n < WRITE_MAX_BYTES ? n : WRITE_MAX_BYTES;
-        ssize_t written = write(STDOUT_FILENO, ring.bytes + ring.start, n);
+        ssize_t written = write(out_fd, ring.bytes + ring.start, n);
         if (written <= 0)
             return;
         ring.start = (ring.start + (size_t)written) % RING_BYTES;
@@ -128,6 +131,7 @@
 {
     rk_strcpy(process_name, sizeof(process_name), process);
     rk_strcpy(domain_name, sizeof(domain_name), domain);
+    out_fd = rk_process_open_nonblocking(STDOUT_FILENO);
     log4c_init();
     log4c_layout_type_set(&json_line_layout);
     log4c_layout_t *layout = log4c_layout_get("rillknot");
--- a/common/process.c
+++ b/common/process.c
@@ -5,9 +5,11 @@
 #include <malloc.h>
 #include <signal.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -15,6 +17,7 @@
  * allocator raises it to the size of the largest buffer that was freed. */
 #define MMAP_THRESHOLD (128 * 1024)
 #define ARENAS_MAX     2 /* the relay's, and one for all other threads */
+#define FD_PATH_MAX    32
 /* Of each thread. The sanitizers' frames are larger. */
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 #define STACK_BYTES (8 * 1024 * 1024)
@@ -46,6 +49,23 @@
         close(fd);
 }
 
+int rk_process_open_nonblocking(int fd)
+{
+    struct stat given, opened;
+    char path[FD_PATH_MAX];
+    if (fstat(fd, &given) != 0 || !(S_ISFIFO(given.st_mode) || isatty(fd)))
+        return fd;
+    snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+    int own = open(path, O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+    if (own < 0)
+        return fd;
+    if (fstat(own, &opened) == 0 && opened.st_dev == given.st_dev &&
+        opened.st_ino == given.st_ino)
+        return own;
+    close(own);
+    return fd;
+}
+
 static sigset_t stop_signals(void)
 {
     sigset_t set;
--- a/common/process.h
+++ b/common/process.h
@@ -18,6 +18,10 @@
  * no connection gets the number that the log is written to. Called before anything
  * else is opened. */
 void rk_process_open_standard_files(void);
+/* Returns a descriptor for writing to what fd refers to without waiting: a terminal
+ * or pipe opened again, as the flags of fd are shared with other processes. Returns
+ * fd itself if that is something else or can't be opened. */
+int rk_process_open_nonblocking(int fd);
 /* Makes room for the main thread's stack, up to the hard limit. Returns RK_ESYSTEM
  * and sets rk_last_error() if that is too low. */
 enum rk_status rk_process_prepare_stack(void);
--- a/common/stderr.c
+++ b/common/stderr.c
@@ -8,17 +8,26 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "common/process.h"
+
 #define TEXT_MAX_BYTES 1024
 
+static int err_fd = STDERR_FILENO;
+
+void rk_stderr_init(void)
+{
+    err_fd = rk_process_open_nonblocking(STDERR_FILENO);
+}
+
 static bool is_writable(void)
 {
-    struct pollfd out = {.fd = STDERR_FILENO, .events = POLLOUT};
+    struct pollfd out = {.fd = err_fd, .events = POLLOUT};
     return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
 }
 
 void rk_stderr_write(const char *text)
 {
-    if (is_writable() && write(STDERR_FILENO, text, strlen(text)) < 0)
+    if (is_writable() && write(err_fd, text, strlen(text)) < 0)
         return; /* there is no other place to report to */
 }
 
@@ -35,5 +44,5 @@
 void rk_stderr_write_stack(void *const *frames, int len)
 {
     for (int i = 0; i < len && is_writable(); i++)
-        backtrace_symbols_fd(&frames[i], 1, STDERR_FILENO);
+        backtrace_symbols_fd(&frames[i], 1, err_fd);
 }
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -353,6 +353,7 @@
 int main(int argc, char **argv)
 {
     rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     static struct node n;
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -74,6 +74,7 @@
 {
     static struct rk_procfile file;
     rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(procfile, NULL, &file) != RK_OK) {
--- a/programs/node.c
+++ b/programs/node.c
@@ -185,6 +185,7 @@
 int main(int argc, char **argv)
 {
     rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     block_reload_signal();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -47,7 +47,7 @@
     "data": (resource.RLIMIT_DATA, SMALL_BYTES, SMALL_BYTES),
 }
 SIZE_LIMITS = ("as", "data", "stack")  # the sanitizers need more
-OUTPUTS = ("file", "closed", "full-device", "full-pipe", "broken-pipe")
+OUTPUTS = ("file", "closed", "full-device", "full-pipe", "broken-pipe", "full-terminal")
 
 
 def fill(fd):
@@ -75,7 +75,7 @@
             self.reader, self.fd = os.openpty()
         else:
             self.fd = os.open(path, os.O_CREAT | os.O_RDWR | os.O_APPEND)
-        if kind in ("full-pipe"):
+        if kind in ("full-pipe", "full-terminal"):
             fill(self.fd)
         if kind == "full-terminal":
             os.read(self.reader, 700)  # less than a line of the log, or than a block of lines
@@ -310,6 +310,13 @@
         out.close()
 
 
+def test_a_terminal_that_nobody_reads_holds_up_no_node():
+    """Guards against a node that hangs, with all its threads, in a write to its log: a
+    terminal with room for a byte is said to be writable, and a block then waits for it."""
+    with deployment() as d:
+        assert check(d, stdout="full-terminal", stderr="full-terminal")
+
+
 def wait(p, seconds):
     """Return the exit status of a process, or None after seconds; it is killed then."""
     try:
