--- a/common/process.c
+++ b/common/process.c
@@ -1,9 +1,15 @@
 #include "common/process.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <malloc.h>
 #include <signal.h>
+#include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -11,6 +17,13 @@
  * allocator raises it to the size of the largest buffer that was freed. */
 #define MMAP_THRESHOLD (128 * 1024)
 #define ARENAS_MAX     2 /* the relay's, and one for all other threads */
+#define FD_PATH_MAX    32
+/* Of each thread. The sanitizers' frames are larger. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define STACK_BYTES (8 * 1024 * 1024)
+#else
+#define STACK_BYTES (1024 * 1024)
+#endif
 
 void rk_process_tune_allocator(void)
 {
@@ -24,6 +37,35 @@
     signal(SIGXFSZ, SIG_IGN);
 }
 
+void rk_process_open_standard_files(void)
+{
+    int fd;
+    do { /* open() returns the lowest number that is free */
+        fd = open("/dev/null", O_RDWR);
+        if (fd < 0)
+            fd = open("/", O_RDONLY);
+    } while (fd >= 0 && fd <= STDERR_FILENO);
+    if (fd >= 0)
+        close(fd);
+}
+
+int rk_process_open_nonblocking(int fd)
+{
+    struct stat given, opened;
+    char path[FD_PATH_MAX];
+    if (fstat(fd, &given) != 0 || !(S_ISFIFO(given.st_mode) || isatty(fd)))
+        return fd;
+    snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+    int own = open(path, O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+    if (own < 0)
+        return fd;
+    if (fstat(own, &opened) == 0 && opened.st_dev == given.st_dev &&
+        opened.st_ino == given.st_ino)
+        return own;
+    close(own);
+    return fd;
+}
+
 static sigset_t stop_signals(void)
 {
     sigset_t set;
@@ -47,10 +89,28 @@
     return sigtimedwait(&set, NULL, &timeout) > 0;
 }
 
+enum rk_status rk_process_prepare_stack(void)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_STACK, &limit) != 0 || limit.rlim_cur >= STACK_BYTES)
+        return RK_OK; /* RLIM_INFINITY is the largest number */
+    if (limit.rlim_max < STACK_BYTES)
+        return rk_fail(RK_ESYSTEM, "stack limit: %ju bytes, at least %d are needed",
+                       (uintmax_t)limit.rlim_max, STACK_BYTES);
+    limit.rlim_cur = STACK_BYTES;
+    if (setrlimit(RLIMIT_STACK, &limit) != 0)
+        return rk_fail(RK_ESYSTEM, "stack limit: %s", strerror(errno));
+    return RK_OK;
+}
+
 enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
                                        void *(*run)(void *arg), void *arg)
 {
-    int err = pthread_create(out, NULL, run, arg);
+    pthread_attr_t attr;
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, STACK_BYTES);
+    int err = pthread_create(out, &attr, run, arg);
+    pthread_attr_destroy(&attr);
     if (err)
         return rk_fail(RK_ESYSTEM, "thread %s: %s", name, strerror(err));
     pthread_setname_np(*out, name);
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -18,6 +18,7 @@
 #include "common/listen.h"
 #include "common/loop.h"
 #include "common/process.h"
+#include "common/stderr.h"
 #include "common/util.h"
 #include "control/control.h"
 #include "core/procfile.h"
@@ -351,11 +352,13 @@
 
 int main(int argc, char **argv)
 {
+    rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     static struct node n;
     if (rk_procfile_load(args.procfile, NULL, &n.file) != RK_OK) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         return 2;
     }
     sigset_t set;
@@ -367,9 +370,11 @@
     /* The "listening" event is logged even with --quiet: it carries the ports. */
     rk_log_init(n.file.id, n.file.failure_domain, RK_LOG_INFO);
     rk_procfile_log_problems(&n.file, args.procfile);
-    enum rk_status st = create_node(&n);
+    enum rk_status st = rk_process_prepare_stack();
+    if (st == RK_OK)
+        st = create_node(&n);
     if (st != RK_OK) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         rk_log_flush();
         return st == RK_EGONE ? 0 : 1; /* RK_EGONE: told to stop */
     }
@@ -377,7 +382,7 @@
     rk_control_start(n.control);
     pthread_t signal_thread;
     if (!start_threads(&n, &signal_thread)) {
-        fprintf(stderr, "rillknot-entry: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-entry: %s\n", rk_last_error());
         rk_log_flush();
         rk_process_end(1);
     }
--- a/programs/keeper.c
+++ b/programs/keeper.c
@@ -13,6 +13,7 @@
 #include "common/eventlog.h"
 #include "common/loop.h"
 #include "common/process.h"
+#include "common/stderr.h"
 #include "core/procfile.h"
 #include "keeper/keeper.h"
 
@@ -72,15 +73,17 @@
 int main(int argc, char **argv)
 {
     static struct rk_procfile file;
+    rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(procfile, NULL, &file) != RK_OK) {
-        fprintf(stderr, "rillknot-keeper: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-keeper: %s\n", rk_last_error());
         return 2;
     }
     if (!file.entry[0]) {
-        fprintf(stderr, "rillknot-keeper: %s: /entry: expected ip:port\n",
-                procfile);
+        rk_stderr_printf("rillknot-keeper: %s: /entry: expected ip:port\n",
+                         procfile);
         return 2;
     }
     uint64_t seed = 0;
@@ -89,6 +92,10 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     rk_log_init(file.id, file.failure_domain, RK_LOG_INFO);
     rk_procfile_log_problems(&file, procfile);
+    if (rk_process_prepare_stack() != RK_OK) {
+        rk_stderr_printf("rillknot-keeper: %s\n", rk_last_error());
+        return 1;
+    }
     struct rk_loop *loop = rk_loop_create();
     int signal_fd = watch_stop_signals(loop);
     struct rk_keeper *keeper = rk_keeper_create(loop, &file, seed);
--- a/programs/node.c
+++ b/programs/node.c
@@ -16,6 +16,7 @@
 #include "common/process.h"
 #include "common/stack_dump.h"
 #include "common/status.h"
+#include "common/stderr.h"
 #include "core/procfile.h"
 #include "node/node.h"
 
@@ -163,7 +164,7 @@
 static _Noreturn void end_start(enum rk_status st)
 {
     int status = st == RK_EGONE ? 0 : 1;
-    fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+    rk_stderr_printf("rillknot-node: %s\n", rk_last_error());
     log_start_failed(status);
     rk_log_flush();
     rk_process_end(status);
@@ -183,11 +184,13 @@
 
 int main(int argc, char **argv)
 {
+    rk_process_open_standard_files();
+    rk_stderr_init();
     rk_process_ignore_write_signals();
     block_reload_signal();
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     if (rk_procfile_load(args.procfile, NULL, &in_force) != RK_OK) {
-        fprintf(stderr, "rillknot-node: %s\n", rk_last_error());
+        rk_stderr_printf("rillknot-node: %s\n", rk_last_error());
         if (!args.check) {
             rk_log_init("", "", args.level);
             log_start_failed(2);
@@ -204,7 +207,9 @@
     rk_log_init(in_force.id, in_force.failure_domain, args.level);
     rk_procfile_log_problems(&in_force, args.procfile);
     struct rk_node *node;
-    enum rk_status st = rk_node_create(&in_force, &node);
+    enum rk_status st = rk_process_prepare_stack();
+    if (st == RK_OK)
+        st = rk_node_create(&in_force, &node);
     if (st != RK_OK)
         end_start(st);
     pthread_t reload_thread, stop_thread;
