peers: bound each number where a message enters, and distrust far revisions

Callers saw: after one frame of one peer, no change of the list of VMs or of the settings took effect at any node, so that new VMs got no calls and calls failed once the old ones had left; no leader reported usage. A restarted node heard the same again from the others.

Cause: the revision of a peer's list was believed at any size. The next watch took its era for the store's (refer_to() in platform/store.c), so that all answers of the store counted as answers of a past era, at each node that was told the revision. Other numbers of peers were checked by some of their readers only.

Why it works: peers/frame_bounds.c checks all numbers of a frame before it is passed on, by the message descriptors and a table of bounds, and removes the row (of a list of VMs, which is only of use as a whole, the frame). A revision that is more than 1,024 eras or 2^24 changes ahead of what is known here is not believed; a node that is really so far behind reads the store. Both are logged at most once a second.

--- a/core/revision.h
+++ b/core/revision.h
@@ -41,4 +41,20 @@
     return revision & RK_REVISION_NUMBER_MAX;
 }
 
+/* How far a peer's revision may be ahead of the newest one that is known here. A
+ * node that is further behind reads the store itself. */
+#define RK_REVISION_ERA_STEP_MAX    1024
+#define RK_REVISION_NUMBER_STEP_MAX (INT64_C(1) << 24)
+
+/* Returns whether a peer may know a revision. known: the newest one that is known
+ * here; 0: none. era: the newest one that is known here. */
+static inline bool rk_revision_is_plausible(int64_t revision, int64_t known,
+                                            int64_t era)
+{
+    return rk_revision_is_valid(revision) &&
+           rk_revision_era(revision) - era <= RK_REVISION_ERA_STEP_MAX &&
+           (!known || rk_revision_number(revision) - rk_revision_number(known) <=
+                          RK_REVISION_NUMBER_STEP_MAX);
+}
+
 #endif
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -17,13 +17,14 @@
 #define BRIDGED_LAG_MS 450
 /* Delay of the relay's update after a peer's report, to combine reports that arrive
  * together. It is longer at a bridge, which gets a report every few ms. */
-#define RELAY_DELAY_MS        20
-#define BRIDGE_RELAY_DELAY_MS 100
-#define REPORT_DELAY_MS       5   /* before a report ahead of the regular one */
-#define RECONNECT_MS          500 /* between attempts to connect to a node */
-#define CONNECT_TIMEOUT_MS    1000
-#define IDLE_LINK_MS          5000 /* for which an unneeded link is kept */
-#define LIST_REQUEST_RETRY_MS 300
+#define RELAY_DELAY_MS           20
+#define BRIDGE_RELAY_DELAY_MS    100
+#define REPORT_DELAY_MS          5   /* before a report ahead of the regular one */
+#define RECONNECT_MS             500 /* between attempts to connect to a node */
+#define CONNECT_TIMEOUT_MS       1000
+#define IDLE_LINK_MS             5000 /* for which an unneeded link is kept */
+#define LIST_REQUEST_RETRY_MS    300
+#define REVISION_LOG_INTERVAL_MS 1000 /* between log lines on implausible ones */
 /* Weight of a tick in the smoothed delay: a node is slow after half a second of
  * late ticks. */
 #define LATENESS_WEIGHT 0.4
@@ -160,6 +161,58 @@
 
 /* ---- receiving ---- */
 
+static bool is_plausible(const struct rk_mesh *m, int64_t revision)
+{
+    return rk_sync_is_plausible(m->n->sync, revision);
+}
+
+/* Returns whether all revisions of a frame are plausible. */
+static bool has_plausible_revisions(const struct rk_mesh *m,
+                                    const Rillknot__Frame *frame)
+{
+    switch (frame->body_case) {
+    case RILLKNOT__FRAME__BODY_NODE_REPORT: {
+        const Rillknot__NodeReport *r = frame->node_report;
+        return is_plausible(m, r->list_revision) &&
+               (!r->lease || is_plausible(m, r->lease->version));
+    }
+    case RILLKNOT__FRAME__BODY_DIGEST: {
+        const Rillknot__Digest *d = frame->digest;
+        return is_plausible(m, d->list_revision) &&
+               (!d->lease || is_plausible(m, d->lease->version));
+    }
+    case RILLKNOT__FRAME__BODY_ROLLOUT_WORD:
+        return is_plausible(m, frame->rollout_word->epoch) &&
+               is_plausible(m, frame->rollout_word->known_at);
+    default:
+        return true; /* of a list, sync_list.c checks each row */
+    }
+}
+
+/* Returns the id of a frame's sender, or its failure domain. */
+static const char *frame_sender(const Rillknot__Frame *frame)
+{
+    if (frame->body_case == RILLKNOT__FRAME__BODY_NODE_REPORT)
+        return frame->node_report->id;
+    return frame->body_case == RILLKNOT__FRAME__BODY_DIGEST
+               ? frame->digest->id
+               : frame->rollout_word->domain;
+}
+
+static bool accepts_revisions(struct rk_mesh *m, const Rillknot__Frame *frame)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (has_plausible_revisions(m, frame))
+        return true;
+    if (now_ms - m->revision_logged_ms >= REVISION_LOG_INTERVAL_MS) {
+        m->revision_logged_ms = now_ms;
+        RK_WARN("peer.revision_rejected", RK_N("message", frame->body_case),
+                RK_S("from", frame_sender(frame)),
+                RK_N("known", rk_sync_list_revision(m->n->sync)));
+    }
+    return false;
+}
+
 static void schedule_relay_update(struct rk_mesh *m)
 {
     if (!m->relay_timer.slot)
@@ -233,6 +286,8 @@
 static void receive_frame(struct rk_mesh *m, struct rk_link *link,
                           struct link_state *state, const Rillknot__Frame *frame)
 {
+    if (!accepts_revisions(m, frame))
+        return;
     switch (frame->body_case) {
     case RILLKNOT__FRAME__BODY_NODE_REPORT:
         receive_report(m, link, state, frame->node_report);
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -228,6 +228,7 @@
      * how much of this node's own counters is included. */
     struct rk_totals domain_uses, fleet_uses, domain_reads, fleet_reads;
     struct rk_totals included_uses, included_reads;
+    int64_t revision_logged_ms; /* last log line on an implausible revision */
     /* At other nodes: own counters at the last fleet digest that was counted. */
     struct rk_totals baseline_uses, baseline_reads;
 };
--- a/node/state.h
+++ b/node/state.h
@@ -97,6 +97,9 @@
  * revision were the newest age_ms ago. Negative age_ms: never confirmed. */
 void rk_sync_confirm(struct rk_sync *s, int64_t age_ms, int64_t settings_version,
                      int64_t list_revision);
+/* Returns whether a peer may know a revision of the store: one that is far above
+ * the store's would make the store's answers look old. */
+bool rk_sync_is_plausible(const struct rk_sync *s, int64_t revision);
 /* Returns for how many ms peers have had settings newer than this node's; 0: they
  * have none. */
 int64_t rk_sync_behind_ms(const struct rk_sync *s);
--- a/node/sync.c
+++ b/node/sync.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "common/eventlog.h"
+#include "core/revision.h"
 #include "core/watch_policy.h"
 #include "node/sync_impl.h"
 
@@ -214,6 +215,14 @@
     return s->list_known ? s->list_revision : 0;
 }
 
+bool rk_sync_is_plausible(const struct rk_sync *s, int64_t revision)
+{
+    int64_t known = rk_sync_list_revision(s), era = s->n->store->era;
+    if (rk_revision_era(known) > era)
+        era = rk_revision_era(known);
+    return rk_revision_is_plausible(revision, known, era);
+}
+
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s)
 {
     return s->routes;
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -12,6 +12,7 @@
 #include "common/zip.h"
 #include "core/revision.h"
 #include "node/sync_impl.h"
+#include "peers/frame_bounds.h"
 
 /* Grace period after an outage of the store. VMs whose entries expired
  * during the outage register again within this time. */
@@ -506,6 +507,12 @@
         rows = rillknot__store_text__unpack(NULL, text->list_len,
                                             (const uint8_t *)packed);
     free(packed);
+    struct rk_odd_number odd = {0};
+    size_t removed = 0;
+    if (rows && !rk_message_check_numbers(&rows->base, &removed, &odd)) {
+        rillknot__store_text__free_unpacked(rows, NULL);
+        rows = NULL;
+    }
     if (!rows)
         RK_WARN("vms.unreadable",
                 RK_N("revision", rk_revision_number(text->zip_revision)),
@@ -534,12 +541,29 @@
                  RK_N("revision", rk_revision_number(text->list_revision)));
 }
 
+/* Returns whether the list and all of its rows have revisions that a peer may know.
+ * Rows can't be left out: the list is complete up to its revision. */
+static bool has_plausible_rows(const struct rk_sync *s,
+                               const Rillknot__StoreText *text)
+{
+    bool plausible = rk_sync_is_plausible(s, text->list_revision);
+    for (size_t i = 0; i < text->n_list; i++)
+        plausible = plausible && rk_sync_is_plausible(s, text->list[i]->revision);
+    for (size_t i = 0; i < text->n_gone; i++)
+        plausible = plausible && rk_sync_is_plausible(s, text->gone[i]->revision);
+    if (!plausible)
+        RK_WARN("vms.revision_rejected", RK_N("revision", text->list_revision),
+                RK_N("known", s->list_revision));
+    return plausible;
+}
+
 static void apply_rows(struct rk_sync *s, const Rillknot__StoreText *text)
 {
     int64_t known = s->list_known ? s->list_revision : 0;
     /* Changes after a later revision than the one known here would leave a gap. The
      * peer's next report makes this node request what it lacks. */
-    if (text->list_revision <= known || text->list_since > known)
+    if (text->list_revision <= known || text->list_since > known ||
+        !has_plausible_rows(s, text))
         return;
     s->list_zip.len = 0;
     note_era(s, text->list_revision, "peer");
--- a/peers/link.c
+++ b/peers/link.c
@@ -18,13 +18,16 @@
 #include "common/addr.h"
 #include "common/arena.h"
 #include "common/counters.h"
+#include "common/eventlog.h"
 #include "common/loop.h"
 #include "common/util.h"
+#include "peers/frame_bounds.h"
 
 #define LENGTH_PREFIX_BYTES 4
 #define SEND_BUFFER_MAX     (8 * 1024 * 1024)
 #define READ_CHUNK_BYTES    (64 * 1024)
 #define LISTEN_BACKLOG      256
+#define ODD_LOG_INTERVAL_MS 1000 /* between log lines on odd numbers of a peer */
 
 /* Time without progress after which a path counts as broken. A link that is merely
  * saturated sends something within it. */
@@ -49,6 +52,7 @@
     uint64_t sampled_acked;
     int64_t progress_ms; /* when that call last saw progress, or nothing waiting */
     bool progressed;     /* that call saw progress */
+    int64_t odd_logged_ms; /* last log line on an odd number of the peer */
 };
 
 struct rk_listener {
@@ -168,6 +172,36 @@
     return decode(data, len, &allocator, frame);
 }
 
+static void log_odd_number(struct rk_link *l, const struct rk_odd_number *odd,
+                           bool whole_frame, size_t removed)
+{
+    struct sockaddr_in sa = {0};
+    socklen_t len = sizeof(sa);
+    char value[32], ip[INET_ADDRSTRLEN] = "";
+    int64_t now_ms = rk_mono_ms();
+    if (l->odd_logged_ms && now_ms - l->odd_logged_ms < ODD_LOG_INTERVAL_MS)
+        return;
+    l->odd_logged_ms = now_ms;
+    if (!getpeername(l->fd, (struct sockaddr *)&sa, &len))
+        inet_ntop(AF_INET, &sa.sin_addr, ip, sizeof(ip));
+    snprintf(value, sizeof(value), "%.10g", odd->value);
+    RK_WARN("peer.number_rejected", RK_S("ip", ip),
+            RK_N("port", ntohs(sa.sin_port)), RK_S("message", odd->message),
+            RK_S("field", odd->field), RK_S("value", value),
+            RK_N("whole_frame", whole_frame), RK_N("rows", (int64_t)removed));
+}
+
+/* Removes what a frame says with odd numbers. Returns whether to use the rest. */
+static bool check_numbers(struct rk_link *l, Rillknot__Frame *f)
+{
+    struct rk_odd_number odd = {0};
+    size_t removed = 0;
+    bool usable = rk_message_check_numbers(&f->base, &removed, &odd);
+    if (odd.message)
+        log_odd_number(l, &odd, !usable, removed);
+    return usable;
+}
+
 /* Passes all complete frames in the input buffer on. Returns false if the input is
  * malformed. */
 static bool dispatch_frames(struct rk_link *l)
@@ -178,7 +212,7 @@
         Rillknot__Frame *f;
         long n = rk_frame_decode_in((uint8_t *)l->in.data + used, l->in.len - used,
                                     arena, &f);
-        if (n > 0)
+        if (n > 0 && check_numbers(l, f))
             l->ops->on_frame(l->ctx, l, f);
         rk_arena_reset(arena);
         if (n < 0)
