versions: a record that says "one version only" is checked against the VM list's history

What callers saw: only v1 serves; v2 comes, begins streams and leaves again; all nodes are killed and come back within 5 s. A stream of v2 that its caller takes up is answered 200 and goes on at v1: text of two versions (ORDER).

Cause: after a kill of all, nodes believe the leader's last record, at most 5 s old, that a service has had one version only. It says nothing of what came after it was written. It is written every 300 ms, so the window is small while the store takes writes, and up to 5 s while it is slow or refuses them.

Fix: the record names the revision of the VM list that it reflects (that of the relay that made it, not of the moment of writing). A restarted node asks the store for the changes of the VM list since then, and drops each service at which another version shows up in them.

--- a/node/persist.c
+++ b/node/persist.c
@@ -106,6 +106,7 @@
     char *usage;
     int64_t usage_wall_ms;
     struct rk_usage_growth growth; /* of the counts, at the leader */
+    struct rk_version_history *versions;
 };
 
 /* ---- writing ---- */
@@ -271,9 +272,12 @@
     rk_buf_addstr(b, "]");
 }
 
-/* Appends the services of which only one version has served lately. */
+/* Appends the services of which only one version has served lately, and the
+ * revision of the VM list that this reflects. */
 static void append_only_versions(const struct rk_node *n, struct rk_buf *b)
 {
+    rk_buf_printf(b, ",\"vms_revision\":%" PRId64,
+                  rk_sync_relay_revision(n->sync, n->report->vms_revision));
     rk_buf_addstr(b, ",\"only\":{");
     for (size_t i = 0; i < n->report->only_versions_len; i++) {
         const struct rk_only_version *row = &n->report->only_versions[i];
@@ -473,7 +477,9 @@
             rk_strcpy(rows[len].version, sizeof(rows[len].version), text))
             len++;
     }
-    rk_relay_restore_only_versions(m->n->relay, rows, len);
+    rk_version_history_check(m->versions, rows, len,
+                             rk_json_int(spec, "vms_revision", 0),
+                             ONLY_VERSION_MAX_AGE_MS - (age_ms > 0 ? age_ms : 0));
 }
 
 static void restore_quotas(struct rk_persist *m, struct json_object *spec)
@@ -599,6 +605,7 @@
 {
     struct rk_persist *m = rk_alloc(1, sizeof(*m));
     m->n = n;
+    m->versions = rk_version_history_create(n);
     m->quotas = (struct persisted_object){.m = m,
                                           .kind = QUOTAS_KIND,
                                           .interval_ms = QUOTAS_INTERVAL_MS,
@@ -620,6 +627,7 @@
 {
     rk_timer_stop(m->n->loop, &m->quotas.retry);
     rk_timer_stop(m->n->loop, &m->engines.retry);
+    rk_version_history_destroy(m->versions);
     rk_usage_growth_free(&m->growth);
     free(m->usage);
     free(m);
--- a/node/state.h
+++ b/node/state.h
@@ -82,6 +82,9 @@
 int64_t rk_sync_version(const struct rk_sync *s);
 /* Returns the revision of the store up to which the VM list is known; 0: none. */
 int64_t rk_sync_list_revision(const struct rk_sync *s);
+/* Returns the revision of the store up to which the relay had the VM list when it
+ * reported that it had applied an update with the revision applied. */
+int64_t rk_sync_relay_revision(const struct rk_sync *s, int64_t applied);
 /* Returns the routes in use, owned by s; NULL: none. */
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s);
 /* Sends the VM list to the relay again, as the set of usable VMs has changed. */
@@ -218,6 +221,18 @@
 void rk_stream_records_tick(struct rk_stream_records *s,
                             struct rk_relay_report *report);
 
+/* ---- version_history.c: the only versions of services before a restart ---- */
+
+struct rk_version_history;
+struct rk_version_history *rk_version_history_create(struct rk_node *n);
+void rk_version_history_destroy(struct rk_version_history *h);
+/* Tells the relay those of the rows that still held when this node started. They
+ * reflect the VM list of a revision of the store and are believed for for_ms more.
+ * Takes ownership of rows. */
+void rk_version_history_check(struct rk_version_history *h,
+                              struct rk_only_version *rows, size_t len,
+                              int64_t since, int64_t for_ms);
+
 /* ---- read_delay.c: the read delay of a restarted node ---- */
 
 struct json_object;
--- a/node/sync.c
+++ b/node/sync.c
@@ -214,6 +214,12 @@
     return s->list_known ? s->list_revision : 0;
 }
 
+int64_t rk_sync_relay_revision(const struct rk_sync *s, int64_t applied)
+{
+    return s->list_known && applied == s->published_revision ? s->list_revision
+                                                             : applied;
+}
+
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s)
 {
     return s->routes;
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -65,6 +65,7 @@
     /* The relay has the list, except for entries with needs_publish and for the
      * removal of the VMs named in unsent_removed. */
     bool published;
+    int64_t published_revision; /* list_revision at the last update of the relay */
     char (*unsent_removed)[RK_ID_MAX];
     size_t unsent_removed_len, unsent_removed_cap;
     /* Buffers of the message to a peer that is being built. */
--- a/node/sync_publish.c
+++ b/node/sync_publish.c
@@ -43,7 +43,9 @@
     }
     rk_rollouts_mark_blocked(s->n->rollouts, rows, first_revisions, s->entries_len);
     free(first_revisions);
-    note_relay_update(s, rk_relay_set_vms(s->n->relay, rows, s->entries_len));
+    s->published_revision = s->list_revision;
+    note_relay_update(s, rk_relay_set_vms(s->n->relay, rows, s->entries_len,
+                                          s->published_revision));
 }
 
 static size_t take_changes(struct rk_sync *s, struct rk_vm_row **rows)
@@ -74,6 +76,7 @@
     char(*removed)[RK_ID_MAX] = rk_alloc(removed_len + 1, sizeof(*removed));
     if (removed_len)
         memcpy(removed, s->unsent_removed, removed_len * sizeof(*removed));
-    note_relay_update(
-        s, rk_relay_update_vms(s->n->relay, rows, len, removed, removed_len));
+    s->published_revision = s->list_revision;
+    note_relay_update(s, rk_relay_update_vms(s->n->relay, rows, len, removed,
+                                             removed_len, s->published_revision));
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -197,6 +197,7 @@
     rk_quota_report_shares(&r->quota, report->quota_history_shares, rk_mono_ms());
     report->routes_version = r->routes ? r->routes->version : 0;
     report->vms_known = r->vms_known;
+    report->vms_revision = r->vms_revision;
     report->busy_count = rk_relay_busy_count(r);
     report->connections = rk_server_client_count(r->server);
     rk_memory_log_changes();
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -95,6 +95,7 @@
                                     window */
     int64_t routes_version;      /* of the routes in force; 0: none received yet */
     bool vms_known;              /* a list of VMs has been received */
+    int64_t vms_revision;        /* of the object store, which that list reflects */
     /* Calls in flight plus connections with a request, a part of one, or unsent
      * answer bytes. A call whose caller waits counts in both; 0 means idle. */
     size_t busy_count;
@@ -198,12 +199,15 @@
 
 /* Replaces the routes. */
 bool rk_relay_set_routes(struct rk_relay *r, struct rk_routes *routes);
-/* Replaces the whole list of VMs. */
-bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len);
+/* Replaces the whole list of VMs. revision: of the object store that it reflects.
+ */
+bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
+                      int64_t revision);
 /* Applies changes to the list of VMs: first removes the VMs with the ids in
- * removed, then adds or replaces rows. */
+ * removed, then adds or replaces rows. revision: as for rk_relay_set_vms(). */
 bool rk_relay_update_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
-                         char (*removed)[RK_ID_MAX], size_t removed_len);
+                         char (*removed)[RK_ID_MAX], size_t removed_len,
+                         int64_t revision);
 /* Updates the peers' state. */
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -43,6 +43,7 @@
     struct rk_usage usage;
     struct rk_routes *routes; /* NULL: none received yet */
     bool vms_known;
+    int64_t vms_revision; /* see struct rk_relay_report */
     /* usage persisted before a restart has been applied, or there is none */
     bool quotas_restored;
     /* runs while new connections are held back at start */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -18,6 +18,7 @@
     size_t rows_len;
     char (*removed)[RK_ID_MAX];
     size_t removed_len;
+    int64_t revision;
     struct rk_relay_peers *peers;
     struct rk_org_use *uses;
     size_t uses_len;
@@ -121,14 +122,17 @@
     rk_place_set_vms(m->r->place, m->rows, m->rows_len, rk_mono_ms());
     rk_relay_versions_update_list(m->r);
     m->r->vms_known = true;
+    m->r->vms_revision = m->revision;
     accept_if_ready(m->r);
     free(m->rows);
     free(m);
 }
 
-bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len)
+bool rk_relay_set_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
+                      int64_t revision)
 {
-    if (post(r, apply_vms, &(struct message){.rows = rows, .rows_len = len}))
+    const struct message m = {.rows = rows, .rows_len = len, .revision = revision};
+    if (post(r, apply_vms, &m))
         return true;
     free(rows);
     return false;
@@ -141,16 +145,19 @@
     rk_place_change_vms(m->r->place, m->rows, m->rows_len, m->removed,
                         m->removed_len, rk_mono_ms());
     rk_relay_versions_update_list(m->r);
+    m->r->vms_revision = m->revision;
     free(m->rows);
     free(m->removed);
     free(m);
 }
 
 bool rk_relay_update_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
-                         char (*removed)[RK_ID_MAX], size_t removed_len)
+                         char (*removed)[RK_ID_MAX], size_t removed_len,
+                         int64_t revision)
 {
     const struct message m = {.rows = rows,
                               .rows_len = len,
+                              .revision = revision,
                               .removed = removed,
                               .removed_len = removed_len};
     if (post(r, apply_vm_changes, &m))
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -426,6 +426,35 @@
         assert f.check_taken_up(begun, [0, 1, 2]) == STREAMS
 
 
+def refuse_records(req):
+    """A fault of the store: nodes can't write what they persist."""
+    return 503 if req.method != "GET" and "/rillknot-" in req.target else None
+
+
+def test_a_version_that_came_after_the_last_record_and_left_is_not_forgotten():
+    """Guards against streams that go on at another version after a kill of all nodes because
+    a record from before that version came says that there has been only one."""
+    with Versions(versions=("v1", "v1", "v1")) as f:
+        for n in range(3):
+            f.begin(n)
+        time.sleep(1)  # what is to be persisted has been
+        f.d.store.fault = refuse_records
+        for zone in ZONES:
+            f.add("v2", zone)
+        begun = []
+
+        def has_begun_at_both():
+            begun.extend(f.begin(n) for n in range(3))
+            return all(any(f.versions_of(ident) == {v} for ident, _ in begun)
+                       for v in ("v1", "v2"))
+        wait_until(has_begun_at_both)
+        f.kill_all()
+        f.drop("v2")
+        f.d.store.fault = None
+        f.restart_all()
+        f.check_taken_up(begun, [0, 1, 2])
+
+
 def test_a_stream_of_another_organisation_is_not_taken_up():
     """Guards against an organisation that takes up, or finds out about, another one's streams."""
     with Versions() as f:
