tests: stop of a peer with calls in hand: waits for these calls, not for any four runs

test_a_peers_calls_in_hand_when_the_notice_is_over waited until four runs were counted at the service. The stand-in counts runs without a key by request id, and two calls of the set-up are among them ("runs before the calls: 2" in 3 of 3 starts). So the peer was stopped when any two of the four calls ran, and the others, which hadn't been sent, were rightly answered as not run: 2 of 50 runs beside load 19 to 23, with (503, not-run) for one and two of four calls.

The test now waits until each of the four keys runs. A second test compares what is answered with what the service counted, while the peer stops 0 to 0.1 s after eight calls began: none that ran may be answered as not run, and none runs twice. It asks for what the first one can't: calls that are claimed, queued or on their way.

--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -1,4 +1,5 @@
 """Promise 6: a planned stop of an entry node cuts off no request."""
+import concurrent.futures
 import json
 import os
 import signal
@@ -129,6 +130,19 @@
         assert isinstance(out[0], Answer) and out[0].whole(), (out[0].status, out[0].error)
 
 
+def confirm_all(entry, count):
+    """Starts calls with keys at once. Returns their answers by key, None until they have
+    ended, and their threads."""
+    results = {"k%d" % n: None for n in range(count)}
+
+    def confirm(key):
+        results[key] = call(entry.port, "slots/confirm", key)
+    calls = [threading.Thread(target=confirm, args=(key,)) for key in results]
+    for t in calls:
+        t.start()
+    return results, calls
+
+
 def test_a_peers_calls_in_hand_when_the_notice_is_over():
     """Forwarded calls of a peer still run when the notice of a planned stop is over: the
     node must exit without an error, and no such call may be reported as not run.
@@ -139,17 +153,38 @@
     links, which cancelled the same calls through addresses that were no longer valid."""
     with forwarding_cluster(proc_extra={"notice_ms": 400}) as c:
         a, b = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
-        results = []
-        calls = [threading.Thread(target=lambda n=n: results.append(
-            call(a.port, "slots/confirm", "k%d" % n))) for n in range(4)]
-        for t in calls:
-            t.start()
-        wait_for(lambda: len(c.runs()) >= 4, 20, "the calls to run")
+        results, calls = confirm_all(a, 4)
+        wait_for(lambda: len(results.keys() & c.runs().keys()) == 4, 20, "the calls to run")
         assert b.stop() == 0
         for t in calls:
             t.join()
-        assert all(x.verdict != "not-run" for x in results), [
-            (x.status, x.verdict) for x in results]
+        assert all(x.verdict != "not-run" for x in results.values()), [
+            (key, x.status, x.verdict) for key, x in sorted(results.items())]
+
+
+def test_calls_that_a_stopping_peer_has_not_run_are_told_apart():
+    """Forwarded calls are claimed, queued or running when the peer stops.
+
+    Guards against a call that ran and is answered as not run."""
+    def stop_after(delay_s):
+        with forwarding_cluster(proc_extra={"notice_ms": 100}) as c:
+            a, b = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+            results, calls = confirm_all(a, 8)
+            time.sleep(delay_s)
+            assert b.stop() == 0
+            for t in calls:
+                t.join()
+            not_run = {key for key, x in results.items() if x.verdict == "not-run"}
+            time.sleep(2)  # calls that are still on their way to the service have started
+            ran = c.runs()
+            assert not not_run & ran.keys(), (delay_s, [
+                (key, x.status, x.verdict, ran.get(key)) for key, x in sorted(results.items())])
+            assert all(ran[key] == 1 for key in results if key in ran), ran
+            return "%d of %d ran, %d not run" % (
+                len(results.keys() & ran.keys()), len(results), len(not_run))
+
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        return "; ".join(pool.map(stop_after, (0, 0.01, 0.03, 0.1)))
 
 
 def test_a_stop_does_not_wait_for_what_libraries_do_at_the_exit():
