forward: a call refused because its peer's connection did not come up is not sent later

What callers saw: 503, "The request was not run", for calls with a key that ran a moment later: the promise of "not run" was broken, and a caller that retried elsewhere would have had its call run twice.

Cause: a forwarded call waits 500 ms for the peer's acknowledgement. If the connection isn't up by then, nothing has been sent, so the call is taken for not run. But its message, and the cancellation behind it, stayed in the link's buffer. When the connection came up (a SYN is sent again after a second), both were sent: the peer began the call, and let it run on, as a call that may not be repeated is not stopped by a cancellation.

Evidence: the new test freezes a peer whose listen queue is full for 0.65 s.

Fix: a link that isn't up when a call's time is over is dropped with all that waits in it. Its other calls haven't been sent either and are told so at once; the next call opens a new connection.

--- a/serve/forward.c
+++ b/serve/forward.c
@@ -104,17 +104,6 @@
     rk_link_send(p->link, &frame);
 }
 
-static void on_ack_timeout(void *ctx)
-{
-    struct outbound *o = ctx;
-    struct peer *p = o->peer;
-    uint64_t id = o->id;
-    bool may_have_left = rk_link_was_up(p->link);
-    send_cancel(p, id);
-    remove_outbound(p, id);
-    fail_call(p->f, id, may_have_left, "the peer doesn't answer");
-}
-
 static void on_outbound_frame(void *ctx, struct rk_link *link,
                               const Rillknot__Frame *frame)
 {
@@ -175,10 +164,8 @@
     }
 }
 
-static void on_outbound_down(void *ctx, struct rk_link *link)
+static void drop_peer(struct peer *p)
 {
-    (void)link;
-    struct peer *p = ctx;
     struct peer **at = &p->f->peers;
     while (*at != p)
         at = &(*at)->next;
@@ -186,6 +173,27 @@
     free_peer(p);
 }
 
+static void on_outbound_down(void *ctx, struct rk_link *link)
+{
+    (void)link;
+    drop_peer(ctx);
+}
+
+static void on_ack_timeout(void *ctx)
+{
+    struct outbound *o = ctx;
+    struct peer *p = o->peer;
+    uint64_t id = o->id;
+    if (!rk_link_was_up(p->link)) {
+        /* What waits for the connection would still be sent once it is up. */
+        drop_peer(p);
+        return;
+    }
+    send_cancel(p, id);
+    remove_outbound(p, id);
+    fail_call(p->f, id, true, "the peer doesn't answer");
+}
+
 static const struct rk_link_ops outbound_ops = {.on_frame = on_outbound_frame,
                                                 .on_down = on_outbound_down};
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -127,14 +127,18 @@
            "wait_for"]
 
 
-def forwarding_cluster(**kw):
+def forwarding_cluster(warm=True, **kw):
     """Returns a cluster of two failure domains of which only eros-hall has the service,
-    so that the entry node of klein-hall forwards its calls."""
+    so that the entry node of klein-hall forwards its calls.
+
+    warm: it has forwarded one already.
+    """
     c = cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0, services=0, **kw)
     c.add_service("eros-hall-s0", "eros-hall", args=["--work-ms", "1500"])
     c.wait_ready()
     a = c.entry("klein-hall-e0")
     # eros-hall-e0 advertises spare capacity by gossip only after its first call.
     call(c.entry("eros-hall-e0").port, "slots/find")
-    wait_for(lambda: call(a.port, "slots/find").whole(), 30, "a forwarded call to succeed")
+    if warm:
+        wait_for(lambda: call(a.port, "slots/find").whole(), 30, "a forwarded call to succeed")
     return c
--- a/tests/proc_refusals.py
+++ b/tests/proc_refusals.py
@@ -1,6 +1,7 @@
 """Promise 3: a refusal that reports a booking or a ride as not run is true. The tests
 compare the verdict that the caller receives with the upstream's own count of runs."""
 import socket
+import threading
 import time
 
 from cluster import Answer, call, chat, wait_for
@@ -233,3 +234,39 @@
         assert [t for t in refused_at if t > refused_at[0] + 2], "the VM is not used again"
     for upstream in (cooling, serving):
         upstream.close()
+
+
+def test_calls_that_wait_for_a_peers_connection_are_not_sent_after_their_refusal():
+    """A frozen peer's listener takes no connections until its callers were refused.
+
+    Guards against calls that are answered as not run because the connection to the peer
+    didn't come up, and are sent, and run, when it does."""
+    with forwarding_cluster(warm=False) as c:
+        a, b = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+        time.sleep(1)  # a has heard of b's free slots
+        forward_addr = ("127.0.0.1", int(b.conf["forward_listen"].split(":")[1]))
+        answers = {"k%d" % n: None for n in range(8)}
+
+        def confirm(key):
+            answers[key] = call(a.port, "slots/confirm", key)
+        callers = [threading.Thread(target=confirm, args=(key,)) for key in answers]
+        b.freeze()
+        backlog = []
+        for _ in range(400):  # a full backlog makes further connects hang
+            s = socket.socket()
+            s.setblocking(False)
+            s.connect_ex(forward_addr)
+            backlog.append(s)
+        for t in callers:
+            t.start()
+        time.sleep(0.65)  # longer than a call waits for a peer's acknowledgement
+        b.thaw()
+        for t in callers:
+            t.join()
+        for s in backlog:
+            s.close()
+        time.sleep(3)  # connects were tried again, and what was sent has run
+        runs = c.runs()
+        for key, answer in answers.items():
+            check_verdict(answer, runs.get(key, 0))
+        return ", ".join("%s %s" % (x.status, x.verdict) for x in answers.values())
