--- a/node/sync.c
+++ b/node/sync.c
@@ -223,6 +223,12 @@
     return rk_revision_is_plausible(revision, known, era);
 }
 
+int64_t rk_sync_relay_revision(const struct rk_sync *s, int64_t applied)
+{
+    return s->list_known && applied == s->published_revision ? s->list_revision
+                                                             : applied;
+}
+
 const struct rk_routes *rk_sync_routes(const struct rk_sync *s)
 {
     return s->routes;
