link: the links of a node share a bound of memory

What callers saw: none; a machine may lose its node to it. Each link buffered up to 8 MB to send and 2 MB of a frame that was not whole, outside the account of memory and for as long as the connection lasted. 100 connections to the control port that each held back the last byte of a frame of 2 MB took 211 MB at a machine of 120; 87 peers that don't read could take 8 MB each until the kernel gives them up. A buffer that had held a long frame stayed as long.

Links charge what they buffer. Together they take a quarter of the budget: beyond it a link takes no frame that would leave more than 64 KB waiting, so that peers which read go on getting reports, and closes on more input of a long frame. Beyond half of it, links whose long frame isn't whole after a second are closed, which frees what silent peers hold and leaves room for a frame that comes now. Empty buffers over 64 KB are freed.

--- a/common/memory.c
+++ b/common/memory.c
@@ -23,6 +23,11 @@
     atomic_store_explicit(&budget, bytes, memory_order_relaxed);
 }
 
+size_t rk_memory_budget(void)
+{
+    return atomic_load_explicit(&budget, memory_order_relaxed);
+}
+
 /* Replaces an owner's share of a total. */
 static void set_share(_Atomic size_t *total, size_t *share, size_t bytes)
 {
@@ -50,7 +55,7 @@
 
 static bool fits(size_t taken, size_t bytes)
 {
-    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    size_t most = rk_memory_budget();
     return !most || (taken <= most && bytes <= most - taken);
 }
 
@@ -67,13 +72,13 @@
 
 bool rk_memory_is_scarce(void)
 {
-    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    size_t most = rk_memory_budget();
     return most && rk_memory_used() > most / 2;
 }
 
 size_t rk_memory_receive_bytes(void)
 {
-    size_t most = atomic_load_explicit(&budget, memory_order_relaxed);
+    size_t most = rk_memory_budget();
     size_t share = most / RECEIVE_SHARES;
     if (!most)
         return 0;
@@ -101,7 +106,7 @@
     is_full = full;
     RK_WARN(full ? "memory.full" : "memory.back",
             RK_N("buffered", (int64_t)rk_memory_used()),
-            RK_N("budget", (int64_t)atomic_load(&budget)),
+            RK_N("budget", (int64_t)rk_memory_budget()),
             RK_N("refused", (int64_t)(refused - logged)));
     if (!full)
         logged = refused;
--- a/common/memory.h
+++ b/common/memory.h
@@ -18,6 +18,9 @@
  * announced them. *expected belongs to the owner and starts at 0. */
 void rk_memory_expect(size_t *expected, size_t bytes);
 
+/* Returns how many bytes may be buffered; 0: no limit. */
+size_t rk_memory_budget(void);
+
 /* Returns how many bytes are charged. */
 size_t rk_memory_used(void);
 
--- a/peers/link.c
+++ b/peers/link.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,12 +20,22 @@
 #include "common/arena.h"
 #include "common/counters.h"
 #include "common/loop.h"
+#include "common/memory.h"
 #include "common/util.h"
 
 #define LENGTH_PREFIX_BYTES 4
 #define SEND_BUFFER_MAX     (8 * 1024 * 1024)
 #define READ_CHUNK_BYTES    (64 * 1024)
 #define LISTEN_BACKLOG      256
+/* Largest buffer to keep when it is empty. */
+#define RETAINED_MAX (64 * 1024)
+/* Of the account of memory, for the buffers of all links. */
+#define BUDGET_SHARES 4
+/* A link takes so much beyond that share. */
+#define ALWAYS_BUFFERED_MAX (64 * 1024)
+/* Beyond half of the share, a link is closed whose frame is not whole after: */
+#define PART_TIMEOUT_MS        1000
+#define PART_CHECK_INTERVAL_MS 250
 
 /* Time without progress after which a path counts as broken. A link that is merely
  * saturated sends something within it. */
@@ -42,6 +53,9 @@
     /* If rk_link_destroy() is called in a callback, the link is freed after it. */
     bool in_callback, destroyed;
     struct rk_buf in, out;
+    size_t charged;             /* bytes of both in the account of memory */
+    struct rk_timer part_timer; /* runs while a long frame is not whole */
+    int64_t part_since_ms;
     uint64_t queued_total; /* bytes of all frames so far */
     /* At the last call of rk_link_queued_len(): bytes that waited, and those that
      * had been acknowledged. */
@@ -51,6 +65,9 @@
     bool progressed;     /* that call saw progress */
 };
 
+/* Bytes that all links buffer. */
+static _Atomic size_t buffered;
+
 struct rk_listener {
     struct rk_loop *loop;
     struct rk_acceptor acceptor;
@@ -60,6 +77,29 @@
     char addr[RK_ADDR_MAX];
 };
 
+static void on_part_timer(void *ctx);
+
+/* Frees large buffers that are empty, and brings the accounts up to date. */
+static void update_accounts(struct rk_link *l)
+{
+    if (!l->in.len && l->in.cap > RETAINED_MAX)
+        rk_buf_free(&l->in);
+    if (!l->out.len && l->out.cap > RETAINED_MAX)
+        rk_buf_free(&l->out);
+    size_t bytes = l->in.cap + l->out.cap;
+    /* Unsigned wrap-around subtracts. */
+    atomic_fetch_add_explicit(&buffered, bytes - l->charged, memory_order_relaxed);
+    rk_memory_charge(&l->charged, bytes);
+}
+
+/* Returns whether all links buffer less than a fraction of their share. */
+static bool is_within_share(size_t further, size_t fraction)
+{
+    size_t most = rk_memory_budget() / BUDGET_SHARES / fraction;
+    return !most ||
+           atomic_load_explicit(&buffered, memory_order_relaxed) + further <= most;
+}
+
 static struct rk_link *make_link(struct rk_loop *loop, int fd,
                                  const struct rk_link_ops *ops, void *ctx)
 {
@@ -67,6 +107,7 @@
     *l = (struct rk_link){.loop = loop, .fd = fd, .ops = ops, .ctx = ctx};
     l->in.max = RK_FRAME_MAX + LENGTH_PREFIX_BYTES + READ_CHUNK_BYTES;
     l->out.max = SEND_BUFFER_MAX;
+    l->part_timer = (struct rk_timer){.fn = on_part_timer, .ctx = l};
     int one = 1, limit = UNACKED_TIMEOUT_MS;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
@@ -75,8 +116,10 @@
 
 static void free_link(struct rk_link *l)
 {
+    rk_timer_stop(l->loop, &l->part_timer);
     rk_buf_free(&l->in);
     rk_buf_free(&l->out);
+    update_accounts(l);
     free(l);
 }
 
@@ -95,11 +138,35 @@
         return;
     l->down = true;
     l->up = false;
+    rk_timer_stop(l->loop, &l->part_timer);
     close_fd(l);
     if (!l->destroyed)
         l->ops->on_down(l->ctx, l);
 }
 
+/* Ends links whose frames don't become whole while others need the memory. */
+static void on_part_timer(void *ctx)
+{
+    struct rk_link *l = ctx;
+    bool is_late = rk_mono_ms() - l->part_since_ms >= PART_TIMEOUT_MS;
+    if (is_late && !is_within_share(0, 2))
+        mark_down(l);
+    else
+        rk_timer_start(l->loop, &l->part_timer, PART_CHECK_INTERVAL_MS);
+}
+
+/* Watches over a frame that is not whole and takes much memory. was_len: the bytes
+ * of it before this input; 0: none, or it has become whole. */
+static void watch_part(struct rk_link *l, size_t was_len)
+{
+    if (l->in.len <= RETAINED_MAX) {
+        rk_timer_stop(l->loop, &l->part_timer);
+    } else if (was_len <= RETAINED_MAX || l->in.len <= was_len) {
+        l->part_since_ms = rk_mono_ms();
+        rk_timer_start(l->loop, &l->part_timer, PART_CHECK_INTERVAL_MS);
+    }
+}
+
 static void on_socket_event(void *ctx, int fd, uint32_t events);
 
 /* Waits for writability, too, while connecting or with bytes to send. */
@@ -203,8 +270,12 @@
             return true;
         if (n <= 0)
             return false;
+        size_t was_len = l->in.len;
+        if (was_len > ALWAYS_BUFFERED_MAX && !is_within_share((size_t)n, 1))
+            return false;
         if (!rk_buf_add(&l->in, chunk, (size_t)n) || !dispatch_frames(l))
             return false;
+        watch_part(l, was_len);
         if (l->destroyed || l->down || (size_t)n < sizeof(chunk))
             return true;
     }
@@ -243,6 +314,8 @@
     l->in_callback = false;
     if (l->destroyed)
         free_link(l);
+    else
+        update_accounts(l);
 }
 
 struct rk_link *rk_link_connect(struct rk_loop *loop, const char *addr,
@@ -296,7 +369,9 @@
 
 bool rk_link_send_packed(struct rk_link *l, const struct rk_packed_frame *p)
 {
-    if (l->down || l->destroyed || !p->len || l->out.len + p->len > SEND_BUFFER_MAX)
+    size_t waiting = l->out.len + p->len;
+    if (l->down || l->destroyed || !p->len || waiting > SEND_BUFFER_MAX ||
+        (waiting > ALWAYS_BUFFERED_MAX && !is_within_share(p->len, 1)))
         return false;
     rk_buf_add(&l->out, p->data, p->len);
     l->queued_total += p->len;
@@ -306,6 +381,7 @@
     if (l->up)
         flush(l);
     update_events(l);
+    update_accounts(l);
     return true;
 }
 
--- a/peers/link.h
+++ b/peers/link.h
@@ -42,7 +42,9 @@
 void rk_link_destroy(struct rk_link *link);
 
 /* Queues a frame. Returns false, and queues nothing, if the link is down, its send
- * buffer is full or the frame is longer than RK_FRAME_MAX. Never calls back. */
+ * buffer is full, all links together buffer a quarter of the memory's budget and
+ * this one some of it, or the frame is longer than RK_FRAME_MAX. Never calls back.
+ */
 bool rk_link_send(struct rk_link *link, const Rillknot__Frame *frame);
 
 /* A serialized frame with its length in front. It serves to send one frame over
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -13,6 +13,8 @@
 LONG_BODY = 4 * 1024 * 1024
 SOUND_CALLS = 20
 TAKEN_MAX_MB = 2  # of an answer that is not read
+LINKS = 100  # to the control port
+FRAME_MAX = 2 * 1024 * 1024
 UNREAD_MAX_MB = 0.25  # in the kernel, of a connection that is not read
 DEADLINE_MS = 2000
 LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 1500,
@@ -299,7 +301,7 @@
                 s.sendall(head % (i, k) + b"%d\r\n\r\n" % LONG_BODY + b"x" * LONG_BODY)
                 assert read_answer(s).status == 200
         for w in d.workers:
-            w.work_s = 2.0
+            w.work_s = 10.0
         for i, s in enumerate(conns):
             s.sendall(head % (i, 9) + b"2\r\n\r\nhi")
         time.sleep(0.3)
@@ -342,6 +344,29 @@
         assert_served(d)
 
 
+def test_frames_that_never_end_do_not_fill_the_memory():
+    """Guards against a node's memory being filled by long frames whose last byte never comes."""
+    with small_node() as d:
+        node = d.nodes[0]
+        port = d.port(node.ready["control"])
+        conns = []
+        for _ in range(LINKS):
+            s = socket.create_connection(("127.0.0.1", port))
+            s.settimeout(1)
+            try:
+                s.sendall(FRAME_MAX.to_bytes(4, "big") + b"x" * (FRAME_MAX - 1))
+            except OSError:
+                pass  # closed before all was sent
+            conns.append(s)
+        assert_served(d)
+        figure = assert_small(d)
+        # The memory is free again, although the connections are still open.
+        wait_until(lambda: d.gauge(node, "buffered_bytes") < LINKS * FRAME_MAX / 10, 5)
+        for s in conns:
+            s.close()
+        return figure
+
+
 def test_callers_that_do_not_read_do_not_fill_the_memory():
     """Guards against long answers that are held for callers which don't read them."""
     with small_node() as d:
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -11,14 +11,18 @@
 #include <unistd.h>
 
 #include "common/loop.h"
+#include "common/memory.h"
 #include "common/util.h"
 #include "peers/link.h"
 
-#define ROUND_MS        250 /* between samples, like a bridge's rounds */
-#define ROUNDS          8
-#define STEP_MS         10
-#define FRAME_BYTES     (256 * 1024)
-#define SLOW_READ_BYTES (4 * 1024) /* that a slow peer reads each STEP_MS */
+#define ROUND_MS          250 /* between samples, like a bridge's rounds */
+#define ROUNDS            8
+#define STEP_MS           10
+#define FRAME_BYTES       (256 * 1024)
+#define PEERS             20
+#define BUDGET_BYTES      ((size_t)16 * 1024 * 1024)
+#define SHORT_FRAME_BYTES (16 * 1024)
+#define SLOW_READ_BYTES   (4 * 1024) /* that a slow peer reads each STEP_MS */
 
 /* A peer behind a plain socket with small buffers. */
 struct peer {
@@ -86,12 +90,18 @@
     }
 }
 
-static void send_bytes(struct peer *p)
+static bool try_send_bytes(struct peer *p)
 {
     struct rk_packed_frame frame = {.data = rk_alloc(1, FRAME_BYTES),
                                     .len = FRAME_BYTES};
-    assert_true(rk_link_send_packed(p->link, &frame));
+    bool sent = rk_link_send_packed(p->link, &frame);
     rk_packed_frame_free(&frame);
+    return sent;
+}
+
+static void send_bytes(struct peer *p)
+{
+    assert_true(try_send_bytes(p));
 }
 
 /* Guards against nodes that get no quota usage while others are lost. A bridge
@@ -129,11 +139,66 @@
     peer_free(&p);
 }
 
+/* Connects to peers that don't read, and sends to each as much as its link takes.
+ */
+static void fill_links(struct peer *peers)
+{
+    for (int i = 0; i < PEERS; i++) {
+        peer_init(&peers[i], false);
+        rk_loop_step(peers[i].loop, STEP_MS);
+        while (try_send_bytes(&peers[i]))
+            continue;
+    }
+}
+
+/* Guards against peers that don't read and fill the node's memory together: each
+ * link buffered up to 8 MB, whatever the others held. */
+static void links_to_peers_that_do_not_read_share_a_bound(void **state)
+{
+    (void)state;
+    static struct peer peers[PEERS];
+    size_t waiting = 0;
+    rk_memory_set_budget(BUDGET_BYTES);
+    fill_links(peers);
+    for (int i = 0; i < PEERS; i++)
+        waiting += rk_link_unsent_len(peers[i].link);
+    assert_true(waiting <= BUDGET_BYTES / 4);
+    assert_true(rk_memory_used() <= BUDGET_BYTES / 2);
+    for (int i = 0; i < PEERS; i++)
+        peer_free(&peers[i]);
+    assert_int_equal(rk_memory_used(), 0);
+    rk_memory_set_budget(0);
+}
+
+/* Guards against a bound for all links that silences those to peers which read. */
+static void a_peer_that_reads_gets_frames_while_others_do_not(void **state)
+{
+    (void)state;
+    static struct peer peers[PEERS];
+    struct peer reading;
+    rk_memory_set_budget(BUDGET_BYTES);
+    fill_links(peers);
+    peer_init(&reading, true);
+    for (int i = 0; i < ROUNDS; i++) {
+        struct rk_packed_frame frame = {.data = rk_alloc(1, SHORT_FRAME_BYTES),
+                                        .len = SHORT_FRAME_BYTES};
+        assert_true(rk_link_send_packed(reading.link, &frame));
+        rk_packed_frame_free(&frame);
+        run_round(&reading);
+    }
+    peer_free(&reading);
+    for (int i = 0; i < PEERS; i++)
+        peer_free(&peers[i]);
+    rk_memory_set_budget(0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(bytes_for_a_lost_peer_do_not_count_as_waiting),
         cmocka_unit_test(bytes_for_a_slow_peer_count_as_waiting),
+        cmocka_unit_test(links_to_peers_that_do_not_read_share_a_bound),
+        cmocka_unit_test(a_peer_that_reads_gets_frames_while_others_do_not),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
