acceptor: a closed one has no descriptor

A server that is destroyed closes its acceptor before its connections. As these end, the receive buffer of the listener was set on a descriptor that was closed, or another's by then, if there had been many. Not seen; found by reading.

--- a/common/acceptor.c
+++ b/common/acceptor.c
@@ -92,4 +92,5 @@
     rk_timer_stop(a->loop, &a->pause);
     rk_loop_watch(a->loop, a->fd, 0, NULL, NULL);
     close(a->fd);
+    a->fd = -1;
 }
