callers: split the server into connections, accounts, responses and buffers

server.c had 740 lines with four jobs. What connections hold (accounts.c), the writing of responses (response.c) and the kernel's receive buffers (receive_buffer.c) are modules now, with the server's types in client.h; server.c has 513 lines.

--- a/callers/server.c
+++ b/callers/server.c
@@ -1,92 +1,31 @@
 #include "callers/server.h"
 
 #include <errno.h>
-#include <inttypes.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <arpa/inet.h>
 
+#include "callers/client.h"
 #include "common/acceptor.h"
 #include "common/addr.h"
 #include "common/conn.h"
-#include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/loop.h"
 #include "common/memory.h"
 #include "common/status.h"
 #include "common/util.h"
 
-#define LISTEN_BACKLOG     1024
-#define SIZE_CLASSES       32   /* of requests that are not whole */
-#define BODY_RETAINED_MAX  2048 /* largest buffer to keep for the next body */
-#define MEMORY_RETRY_AFTER "Retry-After: 1\r\n"
-/* What the kernel takes from a connection that is not read, by Linux's defaults. */
-#define UNREAD_USUAL_BYTES        ((size_t)64 * 1024)
-#define CROWDED_RECEIVE_BUFFER    (16 * 1024)
-#define EVICTION_TRIES            8 /* idle connections tried to make room */
-#define PIPELINED_PAUSE_BYTES     (64 * 1024) /* beyond it, reading is paused */
-#define HEADER_LINE_MAX           128
-#define KEEP_ALIVE_ADVERTISED_PCT 80 /* percent of the idle time-out */
-
-enum client_state {
-    CLIENT_READING,   /* waits for a request, or has a part of one */
-    CLIENT_IN_FLIGHT, /* has a complete request and no response yet */
-    CLIENT_ANSWERING, /* the response has begun and not ended */
-};
-
-struct rk_client {
-    struct rk_server *s;
-    struct rk_client *next, **prev;
-    TAILQ_ENTRY(rk_client) idle_entry;
-    bool in_idle_list;
-    TAILQ_ENTRY(rk_client) unfinished_entry;
-    size_t unfinished; /* bytes held of a request that is not whole */
-    size_t charged;    /* bytes in the account of memory */
-    size_t announced;  /* bytes that the request will take once it is whole */
-    size_t expected;   /* how many of them are not held yet, in the same account */
-    struct rk_conn *conn;
-    struct rk_http1 reader;
-    struct rk_server_limits limits;
-    enum client_state state;
-    struct rk_buf body;
-    struct rk_buf pipelined; /* bytes after the current request */
-    size_t pipelined_pos;    /* how many of them were read */
-    bool feeding;            /* feed_pipelined() is on the stack */
-    bool head_accepted;      /* the rest of the body is read */
-    bool closed;             /* will be freed in the loop's next iteration */
-    struct rk_timer timer;
-    void *user;
-    bool chunked;            /* the response's body is sent in chunks */
-    bool no_body;            /* the response has no body (HEAD, 204, 304) */
-    bool close_after_answer; /* the connection ends with the response */
-    int refuse_status;       /* HTTP status to refuse the request with; 0: none */
-};
-
-struct rk_server {
-    struct rk_loop *loop;
-    int receive_buffer; /* SO_RCVBUF of new connections on an ordinary day */
-    bool is_crowded;    /* new connections get a small one */
-    struct rk_acceptor acceptor;
-    char addr[RK_ADDR_MAX];
-    struct rk_server_limits limits;
-    const struct rk_server_ops *ops;
-    void *ctx;
-    struct rk_client *clients;
-    size_t clients_len;
-    /* Connections without a part of a request, the one that waits longest first. */
-    TAILQ_HEAD(, rk_client) idle;
-    /* Connections with a part of a request, by the binary logarithm of the bytes
-     * held of it; in each class the one that reached it first is the first. */
-    TAILQ_HEAD(, rk_client) unfinished[SIZE_CLASSES];
-    size_t unfinished_bytes;
-    bool closing; /* every response closes its connection */
-};
+#define LISTEN_BACKLOG        1024
+#define BODY_RETAINED_MAX     2048 /* largest buffer to keep for the next body */
+#define MEMORY_RETRY_AFTER    "Retry-After: 1\r\n"
+#define CONTINUE              "HTTP/1.1 100 Continue\r\n\r\n"
+#define EVICTION_TRIES        8           /* idle connections tried to make room */
+#define PIPELINED_PAUSE_BYTES (64 * 1024) /* beyond it, reading is paused */
 
 static void feed_pipelined(struct rk_client *c);
 
@@ -102,81 +41,16 @@
     free(c);
 }
 
-static void set_in_idle_list(struct rk_client *c, bool on)
-{
-    if (c->in_idle_list)
-        TAILQ_REMOVE(&c->s->idle, c, idle_entry);
-    c->in_idle_list = on;
-    if (on)
-        TAILQ_INSERT_TAIL(&c->s->idle, c, idle_entry);
-}
-
-static int size_class(size_t bytes)
-{
-    int log = 0;
-    while (bytes >>= 1)
-        log++;
-    return log < SIZE_CLASSES ? log : SIZE_CLASSES - 1;
-}
-
-static void set_unfinished(struct rk_client *c, size_t bytes)
-{
-    struct rk_server *s = c->s;
-    int before = size_class(c->unfinished), after = size_class(bytes);
-    if (c->unfinished && (!bytes || before != after))
-        TAILQ_REMOVE(&s->unfinished[before], c, unfinished_entry);
-    if (bytes && (!c->unfinished || before != after))
-        TAILQ_INSERT_TAIL(&s->unfinished[after], c, unfinished_entry);
-    s->unfinished_bytes += bytes - c->unfinished;
-    c->unfinished = bytes;
-}
-
-/* Brings the accounts of the client's buffers up to date. */
-static void update_accounts(struct rk_client *c)
-{
-    size_t request = c->reader.head.text.cap + c->body.cap;
-    bool is_part = c->state == CLIENT_READING && !c->closed && !c->in_idle_list;
-    rk_memory_charge(&c->charged, request + c->pipelined.cap);
-    rk_memory_expect(&c->expected, is_part && c->announced > request
-                                       ? c->announced - request
-                                       : 0);
-    if (c->unfinished != (is_part ? request : 0))
-        set_unfinished(c, is_part ? request : 0);
-}
-
-/* Gives new connections a small buffer in the kernel while there are so many that
- * usual ones, full of bytes that are not read, would exceed the limit. Accepted
- * sockets inherit the listener's; that of an open connection is left as it is,
- * since the kernel would drop bytes that its peer has been allowed to send. */
-static void update_crowded(struct rk_server *s)
-{
-    size_t full = s->clients_len * UNREAD_USUAL_BYTES;
-    bool crowded = full > s->limits.unread_bytes / (s->is_crowded ? 2 : 1);
-    if (!s->limits.unread_bytes || crowded == s->is_crowded || s->acceptor.fd < 0)
-        return;
-    int bytes = crowded ? CROWDED_RECEIVE_BUFFER : s->receive_buffer;
-    int unlocked = 0;
-    s->is_crowded = crowded;
-    setsockopt(s->acceptor.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    if (!crowded) /* fails on kernels before 5.14, where the size stays fixed */
-        setsockopt(s->acceptor.fd, SOL_SOCKET, SO_BUF_LOCK, &unlocked,
-                   sizeof(unlocked));
-    RK_EVENT("callers.receive_buffer", RK_S("address", s->addr),
-             RK_N("bytes", bytes), RK_N("connections", (int64_t)s->clients_len));
-}
-
 /* Removes the client from the server's lists. Its functions may be on the stack, so
  * its memory is freed in the loop's next iteration. */
 static void unlink_and_free_later(struct rk_client *c)
 {
-    set_in_idle_list(c, false);
-    set_unfinished(c, 0);
-    rk_memory_expect(&c->expected, 0);
+    rk_client_leave_accounts(c);
     *c->prev = c->next;
     if (c->next)
         c->next->prev = c->prev;
     c->s->clients_len--;
-    update_crowded(c->s);
+    rk_server_update_receive_buffer(c->s);
     c->closed = true;
     c->timer.fn = free_client;
     rk_timer_start(c->s->loop, &c->timer, 0);
@@ -210,98 +84,11 @@
 static void wait_for_request(struct rk_client *c)
 {
     c->state = CLIENT_READING;
-    set_in_idle_list(c, true);
+    rk_client_set_idle(c, true);
     rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
 }
 
-/* ---- responses ---- */
-
-static const char *reason_phrase(int status)
-{
-    switch (status) {
-#define REASON(num, name, string)                                                  \
-    case num:                                                                      \
-        return #string;
-        HTTP_STATUS_MAP(REASON)
-#undef REASON
-    default:
-        return "Unknown";
-    }
-}
-
-static void write_str(struct rk_client *c, const char *s)
-{
-    rk_conn_write(c->conn, s, strlen(s));
-}
-
-/* Writes the header that delimits the body. Without one (HTTP/1.0 and an unknown
- * length) the end of the connection does. */
-static void write_framing(struct rk_client *c, int64_t length)
-{
-    char line[HEADER_LINE_MAX];
-    if (c->no_body && length < 0)
-        return;
-    if (length >= 0) {
-        snprintf(line, sizeof(line), "Content-Length: %" PRId64 "\r\n", length);
-        write_str(c, line);
-    } else if (c->reader.head.minor > 0) {
-        c->chunked = true;
-        write_str(c, "Transfer-Encoding: chunked\r\n");
-    } else {
-        c->close_after_answer = true;
-    }
-}
-
-/* Advertises a shorter keep-alive time than the connection is kept, so that no
- * request crosses its close. The header has whole seconds, so an idle time-out of
- * less than 1.25 s can't be advertised. */
-static void write_keep_alive(struct rk_client *c)
-{
-    char line[HEADER_LINE_MAX];
-    int64_t advertised_s =
-        c->limits.idle_ms * KEEP_ALIVE_ADVERTISED_PCT / 100 / 1000;
-    if (c->close_after_answer) {
-        write_str(c, "Connection: close\r\n");
-    } else if (advertised_s > 0) {
-        snprintf(line, sizeof(line), "Keep-Alive: timeout=%" PRId64 "\r\n",
-                 advertised_s);
-        write_str(c, line);
-    }
-}
-
-void rk_client_begin(struct rk_client *c, int status, const char *headers,
-                     int64_t length)
-{
-    char line[HEADER_LINE_MAX];
-    c->state = CLIENT_ANSWERING;
-    c->chunked = false;
-    c->no_body =
-        c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
-    c->close_after_answer =
-        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive ||
-        !c->reader.ended; /* the start of the next request is not known */
-    snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
-             reason_phrase(status));
-    write_str(c, line);
-    write_str(c, headers);
-    write_framing(c, length);
-    write_keep_alive(c);
-    write_str(c, "\r\n");
-}
-
-void rk_client_data(struct rk_client *c, const char *data, size_t len)
-{
-    if (c->no_body || !len)
-        return;
-    char line[HEADER_LINE_MAX];
-    if (c->chunked) {
-        snprintf(line, sizeof(line), "%zx\r\n", len);
-        write_str(c, line);
-    }
-    rk_conn_write(c->conn, data, len);
-    if (c->chunked)
-        write_str(c, "\r\n");
-}
+/* ---- ends of responses ---- */
 
 /* Goes on to the next request, a part or all of which may be buffered already. */
 static void next_request(struct rk_client *c)
@@ -314,15 +101,14 @@
     c->announced = 0;
     rk_http1_next(&c->reader);
     wait_for_request(c);
-    update_accounts(c);
+    rk_client_update_accounts(c);
     if (!c->feeding)
         feed_pipelined(c);
 }
 
 void rk_client_end(struct rk_client *c)
 {
-    if (c->chunked && !c->no_body)
-        write_str(c, "0\r\n\r\n");
+    rk_client_end_body(c);
     if (c->close_after_answer)
         close_client(c);
     else
@@ -367,7 +153,7 @@
 void rk_client_announce(struct rk_client *c, size_t bytes)
 {
     c->announced = bytes;
-    update_accounts(c);
+    rk_client_update_accounts(c);
 }
 
 void rk_client_set_user(struct rk_client *c, void *user)
@@ -392,12 +178,9 @@
 static void limit_unfinished(struct rk_server *s)
 {
     size_t most = s->limits.unfinished_bytes;
-    int i = SIZE_CLASSES - 1;
     while (most && s->unfinished_bytes > most) {
-        while (TAILQ_EMPTY(&s->unfinished[i]))
-            i--;
         rk_memory_count_refusal();
-        refuse_request(TAILQ_FIRST(&s->unfinished[i]), 503, MEMORY_RETRY_AFTER);
+        refuse_request(rk_server_largest_unfinished(s), 503, MEMORY_RETRY_AFTER);
     }
 }
 
@@ -449,7 +232,7 @@
     if (!len || c->closed)
         return;
     rk_buf_add(&c->pipelined, data, len);
-    update_accounts(c);
+    rk_client_update_accounts(c);
     if (unread_len(c) > pipelined_max())
         rk_conn_set_paused(c->conn, true);
 }
@@ -465,7 +248,7 @@
         return false;
     c->head_accepted = true;
     if (expect && !strcasecmp(expect, "100-continue"))
-        write_str(c, "HTTP/1.1 100 Continue\r\n\r\n");
+        rk_conn_write(c->conn, CONTINUE, sizeof(CONTINUE) - 1);
     return true;
 }
 
@@ -474,7 +257,7 @@
 static size_t feed(struct rk_client *c, const char *data, size_t len)
 {
     bool is_first_byte = !rk_http1_has_begun(&c->reader);
-    set_in_idle_list(c, false);
+    rk_client_set_idle(c, false);
     size_t n = rk_http1_feed(&c->reader, data, len);
     if (c->reader.failed || c->refuse_status) {
         int status = c->refuse_status      ? c->refuse_status
@@ -484,7 +267,7 @@
         return len;
     }
     if (!c->reader.ended) {
-        update_accounts(c);
+        rk_client_update_accounts(c);
         limit_unfinished(c->s);
         if (c->closed)
             return len;
@@ -498,7 +281,7 @@
     }
     rk_timer_stop(c->s->loop, &c->timer);
     c->state = CLIENT_IN_FLIGHT;
-    update_accounts(c);
+    rk_client_update_accounts(c);
     c->s->ops->on_request(c->s->ctx, c);
     return n;
 }
@@ -519,7 +302,7 @@
     c->pipelined_pos = 0;
     if (!c->pipelined.len)
         rk_buf_free(&c->pipelined);
-    update_accounts(c);
+    rk_client_update_accounts(c);
     rk_conn_set_paused(c->conn, c->pipelined.len > pipelined_max());
 }
 
@@ -599,7 +382,7 @@
         struct rk_client *c = TAILQ_FIRST(&s->idle);
         if (is_idle(c) && close_idle(c))
             return true;
-        set_in_idle_list(c, true); /* the next try begins with another one */
+        rk_client_set_idle(c, true); /* the next try begins with another one */
     }
     return false;
 }
@@ -625,7 +408,7 @@
     c->conn = rk_conn_adopt(s->loop, fd, &conn_ops, c);
     if (s->is_crowded)
         rk_conn_keep_receive_buffer(c->conn);
-    update_crowded(s);
+    rk_server_update_receive_buffer(s);
     wait_for_request(c);
 }
 
@@ -652,15 +435,6 @@
     return fd;
 }
 
-/* Returns the value with which SO_RCVBUF is set to what it is: Linux doubles it. */
-static int usual_receive_buffer(int fd)
-{
-    int bytes = 0;
-    socklen_t len = sizeof(bytes);
-    getsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, &len);
-    return bytes / 2;
-}
-
 struct rk_server *rk_server_create(struct rk_loop *loop, const char *addr,
                                    const struct rk_server_limits *limits,
                                    const struct rk_server_ops *ops, void *ctx)
@@ -672,9 +446,9 @@
     *s =
         (struct rk_server){.loop = loop, .limits = *limits, .ops = ops, .ctx = ctx};
     TAILQ_INIT(&s->idle);
-    for (int i = 0; i < SIZE_CLASSES; i++)
+    for (int i = 0; i < RK_CLIENT_SIZE_CLASSES; i++)
         TAILQ_INIT(&s->unfinished[i]);
-    s->receive_buffer = usual_receive_buffer(fd);
+    rk_server_init_receive_buffer(s, fd);
     struct sockaddr_in sin = {0};
     socklen_t len = sizeof(sin);
     getsockname(fd, (struct sockaddr *)&sin, &len);
