link: parts of usual frames share the bound, too

The bound watched frames of more than 64 KB. 1,500 connections to the control port with 60 kB of a frame each still took the whole budget, and callers got 503 "this node has no memory for it" at once. Parts of more than 4 KB are watched now, the first input counts, and empty buffers over 8 KB are freed. The share is at least 8 MB, so that settings reach machines with little memory over slow links.

--- a/peers/link.c
+++ b/peers/link.c
@@ -28,12 +28,17 @@
 #define READ_CHUNK_BYTES    (64 * 1024)
 #define LISTEN_BACKLOG      256
 /* Largest buffer to keep when it is empty. */
-#define RETAINED_MAX (64 * 1024)
+#define RETAINED_MAX (8 * 1024)
 /* Of the account of memory, for the buffers of all links. */
 #define BUDGET_SHARES 4
+/* The least that this share is: two of the longest frames fit into half of it. */
+#define SHARE_BYTES_MIN ((size_t)4 * RK_FRAME_MAX)
 /* A link takes so much beyond that share. */
 #define ALWAYS_BUFFERED_MAX (64 * 1024)
-/* Beyond half of the share, a link is closed whose frame is not whole after: */
+/* Longest part of a frame that a link may hold for as long as it likes. */
+#define PART_BYTES_MAX (4 * 1024)
+/* Beyond half of the share, links are closed whose longer frames aren't whole
+ * after: */
 #define PART_TIMEOUT_MS        1000
 #define PART_CHECK_INTERVAL_MS 250
 
@@ -95,9 +100,11 @@
 /* Returns whether all links buffer less than a fraction of their share. */
 static bool is_within_share(size_t further, size_t fraction)
 {
-    size_t most = rk_memory_budget() / BUDGET_SHARES / fraction;
-    return !most ||
-           atomic_load_explicit(&buffered, memory_order_relaxed) + further <= most;
+    size_t budget = rk_memory_budget(), share = budget / BUDGET_SHARES;
+    size_t held = atomic_load_explicit(&buffered, memory_order_relaxed);
+    if (share < SHARE_BYTES_MIN)
+        share = SHARE_BYTES_MIN;
+    return !budget || held + further <= share / fraction;
 }
 
 static struct rk_link *make_link(struct rk_loop *loop, int fd,
@@ -159,9 +166,9 @@
  * of it before this input; 0: none, or it has become whole. */
 static void watch_part(struct rk_link *l, size_t was_len)
 {
-    if (l->in.len <= RETAINED_MAX) {
+    if (l->in.len <= PART_BYTES_MAX) {
         rk_timer_stop(l->loop, &l->part_timer);
-    } else if (was_len <= RETAINED_MAX || l->in.len <= was_len) {
+    } else if (was_len <= PART_BYTES_MAX || l->in.len <= was_len) {
         l->part_since_ms = rk_mono_ms();
         rk_timer_start(l->loop, &l->part_timer, PART_CHECK_INTERVAL_MS);
     }
@@ -271,12 +278,14 @@
         if (n <= 0)
             return false;
         size_t was_len = l->in.len;
-        if (was_len > ALWAYS_BUFFERED_MAX && !is_within_share((size_t)n, 1))
-            return false;
         if (!rk_buf_add(&l->in, chunk, (size_t)n) || !dispatch_frames(l))
             return false;
+        if (l->destroyed || l->down)
+            return true;
+        if (l->in.len > PART_BYTES_MAX && !is_within_share((size_t)n, 1))
+            return false;
         watch_part(l, was_len);
-        if (l->destroyed || l->down || (size_t)n < sizeof(chunk))
+        if ((size_t)n < sizeof(chunk))
             return true;
     }
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -20,7 +20,7 @@
 #define STEP_MS           10
 #define FRAME_BYTES       (256 * 1024)
 #define PEERS             20
-#define BUDGET_BYTES      ((size_t)16 * 1024 * 1024)
+#define BUDGET_BYTES      ((size_t)32 * 1024 * 1024)
 #define SHORT_FRAME_BYTES (16 * 1024)
 #define SLOW_READ_BYTES   (4 * 1024) /* that a slow peer reads each STEP_MS */
 
