resources: read the limits of the process in one place

node.started and node.resources asked the system for RLIMIT_NOFILE each, in node.c and in resources.c. rk_resources_get() reads the limits once, at the start, and both events log what it found, with the fields that they had (proc_hosted_start.test_a_node_says_what_it_may_use).

--- a/node/node.c
+++ b/node/node.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 
 #include "callers/server.h"
 #include "cloud/leader_api.h"
@@ -20,7 +19,6 @@
 #include "common/process.h"
 #include "core/revision.h"
 #include "node/metric_label.h"
-#include "node/resources.h"
 #include "node/state.h"
 #include "objects/store.h"
 
@@ -326,24 +324,24 @@
 static void create_relay(struct rk_node *n, const struct rk_listen_socket *sockets)
 {
     const struct rk_procfile *f = &n->file;
-    const struct rk_resources resources = rk_resources_get(f);
+    const struct rk_resources *resources = &n->resources;
     struct rk_relay_options opt = {
         .dialect = n->platform->dialect,
         .listen_fd = sockets[LISTEN_CALLERS].fd,
         .forward_fd = sockets[LISTEN_FORWARD].fd,
         .node_hash = n->hash,
         .seed = rk_rng_next(&n->rng),
-        .max_clients = resources.callers,
-        .max_forward_clients = resources.forwards,
-        .buffer_bytes = (size_t)resources.buffer_bytes,
+        .max_clients = resources->callers,
+        .max_forward_clients = resources->forwards,
+        .buffer_bytes = (size_t)resources->buffer_bytes,
         .bounds = relay_bounds(f),
         .on_report = on_report,
         .on_stopped = on_stopped,
         .ctx = n,
     };
     rk_strcpy(opt.domain, sizeof(opt.domain), f->failure_domain);
-    rk_memory_set_budget((size_t)resources.buffer_bytes);
-    rk_conn_set_linger_max(resources.lingering);
+    rk_memory_set_budget((size_t)resources->buffer_bytes);
+    rk_conn_set_linger_max(resources->lingering);
     n->relay = rk_relay_create(&opt);
 }
 
@@ -440,6 +438,7 @@
         return st;
     struct rk_node *n = rk_alloc(1, sizeof(*n));
     n->file = *file;
+    n->resources = rk_resources_get(file);
     atomic_store(&n->stop_ms, rk_s_to_ms(file->stop_s));
     n->platform = platform;
     n->rng.state = random_seed();
@@ -484,37 +483,31 @@
     return NULL;
 }
 
-/* Returns a limit of the process divided by unit; -1: there is none. */
-static int64_t get_limit(__rlimit_resource_t resource, int64_t unit)
-{
-    struct rlimit limit;
-    if (getrlimit(resource, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-        return -1;
-    return (int64_t)limit.rlim_cur / unit;
-}
-
 static void log_started(struct rk_node *n)
 {
+    const struct rk_resources *r = &n->resources;
+    int64_t address_space = r->address_space_limit;
     const char *metrics =
         n->metrics_server ? rk_server_addr(n->metrics_server) : "";
-    RK_EVENT("node.started", RK_S("listen", rk_relay_addr(n->relay)),
-             RK_S("ready", rk_server_addr(n->ready_server)),
-             RK_S("control", rk_mesh_addr(n->mesh)),
-             RK_S("control_bound", rk_mesh_bound(n->mesh)),
-             RK_S("forward", rk_relay_forward_addr(n->relay)),
-             RK_S("metrics", metrics), RK_N("first_start", n->file.first_start),
-             RK_N("descriptors", get_limit(RLIMIT_NOFILE, 1)),
-             RK_N("address_space_kb", get_limit(RLIMIT_AS, 1024)),
-             RK_N("cpu_share_pct", (int64_t)(n->file.cpu_share * 100)),
-             RK_N("stop_ms", rk_s_to_ms(n->file.stop_s)));
+    RK_EVENT(
+        "node.started", RK_S("listen", rk_relay_addr(n->relay)),
+        RK_S("ready", rk_server_addr(n->ready_server)),
+        RK_S("control", rk_mesh_addr(n->mesh)),
+        RK_S("control_bound", rk_mesh_bound(n->mesh)),
+        RK_S("forward", rk_relay_forward_addr(n->relay)), RK_S("metrics", metrics),
+        RK_N("first_start", n->file.first_start),
+        RK_N("descriptors", r->descriptor_limit),
+        RK_N("address_space_kb", address_space < 0 ? -1 : address_space / 1024),
+        RK_N("cpu_share_pct", (int64_t)(n->file.cpu_share * 100)),
+        RK_N("stop_ms", rk_s_to_ms(n->file.stop_s)));
 }
 
 static void log_resources(const struct rk_node *n)
 {
-    const struct rk_resources r = rk_resources_get(&n->file);
-    RK_EVENT("node.resources", RK_N("descriptors", r.descriptors),
-             RK_N("callers", r.callers), RK_N("forwards", r.forwards),
-             RK_N("buffer_bytes", r.buffer_bytes));
+    const struct rk_resources *r = &n->resources;
+    RK_EVENT("node.resources", RK_N("descriptors", r->descriptors),
+             RK_N("callers", r->callers), RK_N("forwards", r->forwards),
+             RK_N("buffer_bytes", r->buffer_bytes));
 }
 
 enum rk_status rk_node_run(struct rk_node *n)
--- a/node/state.h
+++ b/node/state.h
@@ -10,6 +10,7 @@
 #include "core/read_delay.h"
 #include "core/usage.h"
 #include "node/platform.h"
+#include "node/resources.h"
 #include "peers/peers.pb-c.h"
 #include "serve/relay.h"
 
@@ -37,6 +38,7 @@
 
 struct rk_node {
     struct rk_procfile file;
+    struct rk_resources resources; /* at the start */
     const struct rk_platform *platform;
     struct rk_loop *loop;
     struct rk_http *http;
