fleet_soak: limit the size of each log

A real machine limits the files of a process, and a log that reached the limit ended nodes by SIGXFSZ. Logs of the fleet's nodes may now grow to 32 KB, which many reach.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -35,6 +35,7 @@
 MEMORY_MB, MAX_FDS, CPU_SHARE = 120, 3075, 0.09
 BOUNDS = {"graceS": 8, "leaseMs": 3000, "reportWindowS": 5, "usageLateS": 10,
           "quotaWindowS": 8, "quotaSlack": 140000, "quotaOverrun": 0.1, "budgetExtra": 216}
+LOG_MAX_BYTES = 32 << 10  # of a process's log, a limit that many logs reach
 FRONT, READY, CONTROL, METRICS, FORWARD = range(7001, 7006)  # ports, below those of clients
 START_TIMEOUT_S = 30
 STOP_MARGIN_S = 4  # beyond the grace period
@@ -98,8 +99,8 @@
 
     def __init__(self, machine, log):
         # prlimit becomes the node: it executes the program in its own process.
-        self.proc = Proc(["prlimit", "--nofile=%d" % MAX_FDS, machine.program, machine.file],
-                         log, ready_event="")
+        self.proc = Proc(["prlimit", "--nofile=%d" % MAX_FDS, "--fsize=%d" % LOG_MAX_BYTES,
+                          machine.program, machine.file], log, ready_event="")
         self.popen, self.log = self.proc.popen, log
         self.started_at = time.monotonic()
         self.serving = False  # has logged that it has started
