resources: a node with few descriptors takes calls that peers forward

With fewer than 24 descriptors a node's share of forwarded calls was a twelfth of its sockets, rounded down to 0: it served callers, and refused each call that a peer forwarded, although it could have run it.

Each share is at least one. test_resources.each_share_is_at_least_one fails without this change and passes with it, from 13 descriptors on, with which a node starts.

--- a/node/resources.c
+++ b/node/resources.c
@@ -15,6 +15,11 @@
     return a < b ? a : b;
 }
 
+static int64_t max_of(int64_t a, int64_t b)
+{
+    return a > b ? a : b;
+}
+
 /* Returns a limit of the process, -1 if there is none or it can't be read. */
 static int64_t get_limit(__rlimit_resource_t resource)
 {
@@ -33,8 +38,8 @@
         r.descriptors = min_of(r.descriptors, r.descriptor_limit);
     int64_t sockets = r.descriptors - min_of(FILES_MAX, r.descriptors / 4);
     r.buffer_bytes = (int64_t)(file->memory_mb * BYTES_PER_MB * BUFFER_SHARE);
-    r.callers = (int)min_of(file->max_connections, sockets / 2);
-    r.forwards = (int)min_of(file->max_connections, sockets / 12);
+    r.callers = (int)max_of(1, min_of(file->max_connections, sockets / 2));
+    r.forwards = (int)max_of(1, min_of(file->max_connections, sockets / 12));
     r.lingering = 1 + (int)min_of(r.callers, sockets / 12);
     return r;
 }
