stack_dump: a thread whose stack overflowed tells where

A node that ended by an overflow of a stack left no line: the handler of SIGSEGV ran on the stack that had overflowed, and the second fault ended the process.

Each thread gets a second stack of 64 KB for the handlers of fatal signals, unless a library has set one.

--- a/common/process.c
+++ b/common/process.c
@@ -13,6 +13,9 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/stack_dump.h"
+#include "common/util.h"
+
 /* Buffers from this size on are mapped on their own. Without a fixed value, the
  * allocator raises it to the size of the largest buffer that was freed. */
 #define MMAP_THRESHOLD (128 * 1024)
@@ -103,14 +106,31 @@
     return RK_OK;
 }
 
+struct thread_start {
+    void *(*run)(void *arg);
+    void *arg;
+};
+
+static void *run_thread(void *ctx)
+{
+    const struct thread_start start = *(struct thread_start *)ctx;
+    free(ctx);
+    rk_stack_dump_init_thread();
+    return start.run(start.arg);
+}
+
 enum rk_status rk_process_start_thread(pthread_t *out, const char *name,
                                        void *(*run)(void *arg), void *arg)
 {
     pthread_attr_t attr;
     pthread_attr_init(&attr);
     pthread_attr_setstacksize(&attr, STACK_BYTES);
-    int err = pthread_create(out, &attr, run, arg);
+    struct thread_start *start = rk_alloc(1, sizeof(*start));
+    *start = (struct thread_start){run, arg};
+    int err = pthread_create(out, &attr, run_thread, start);
     pthread_attr_destroy(&attr);
+    if (err)
+        free(start);
     if (err)
         return rk_fail(RK_ESYSTEM, "thread %s: %s", name, strerror(err));
     pthread_setname_np(*out, name);
--- a/common/stack_dump.c
+++ b/common/stack_dump.c
@@ -16,12 +16,13 @@
 #include "common/stderr.h"
 #include "common/util.h"
 
-#define FRAMES_MAX   64
-#define ANSWER_MS    100 /* time for a thread to write its stack */
-#define POLL_MS      2
-#define NAME_MAX_LEN 32
-#define LINE_MAX_LEN 128
-#define DIR_BYTES    4096
+#define FRAMES_MAX         64
+#define ANSWER_MS          100 /* time for a thread to write its stack */
+#define POLL_MS            2
+#define NAME_MAX_LEN       32
+#define LINE_MAX_LEN       128
+#define DIR_BYTES          4096
+#define SECOND_STACK_BYTES (64 * 1024)
 
 /* Entry of the kernel's getdents64(): readdir() would allocate memory. */
 struct kernel_dirent {
@@ -79,7 +80,7 @@
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
     static const int signals[] = {SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSEGV};
     struct sigaction action = {.sa_handler = on_fatal_signal,
-                               .sa_flags = SA_RESETHAND};
+                               .sa_flags = SA_RESETHAND | SA_ONSTACK};
     for (size_t i = 0; i < RK_ARRAY_LEN(signals); i++)
         sigaction(signals[i], &action, NULL);
 #else
@@ -87,6 +88,17 @@
 #endif
 }
 
+void rk_stack_dump_init_thread(void)
+{
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    stack_t old, second = {.ss_size = SECOND_STACK_BYTES};
+    if (sigaltstack(NULL, &old) != 0 || !(old.ss_flags & SS_DISABLE))
+        return; /* a library has set one */
+    second.ss_sp = rk_alloc(1, second.ss_size);
+    sigaltstack(&second, NULL);
+#endif
+}
+
 void rk_stack_dump_init(void)
 {
     void *frame;
@@ -94,6 +106,7 @@
     backtrace(&frame, 1); /* its first call loads a library */
     sigaction(SIGUSR2, &action, NULL);
     handle_fatal_signals();
+    rk_stack_dump_init_thread();
 }
 
 static void dump_thread(const char *tid)
--- a/common/stack_dump.h
+++ b/common/stack_dump.h
@@ -11,6 +11,10 @@
  * of its own, these stay. To be called before other threads start. */
 void rk_stack_dump_init(void);
 
+/* Gives the calling thread a second stack, on which the handlers of fatal signals
+ * run: the first one may have overflowed. It is never freed. */
+void rk_stack_dump_init_thread(void);
+
 /* Writes a line, and the name and the stack of each other thread. Of a thread that
  * doesn't run its handler in time, only the name is written. Nothing is written
  * while standard error would block. */
