--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -319,6 +319,7 @@
 
     def judge_end(self, m, p):
         code = p.popen.returncode
+        self.counts["full logs"] += os.path.getsize(p.log) >= LOG_MAX_BYTES
         if p.killed and code == -signal.SIGKILL:
             return
         if p.stop_sent_at and code == 0:
