--- a/tests/test_listen.c
+++ b/tests/test_listen.c
@@ -50,9 +50,8 @@
         set_any(sockets);
         sockets[i].addr = addr;
         int64_t start_ms = rk_mono_ms();
-        assert_int_equal(
-            rk_listen_wait(sockets, LISTENERS_LEN, start_ms + WAIT_MS),
-            RK_ECONFLICT);
+        assert_int_equal(rk_listen_wait(sockets, LISTENERS_LEN, start_ms + WAIT_MS),
+                         RK_ECONFLICT);
         assert_true(rk_mono_ms() - start_ms >= WAIT_MS);
         assert_non_null(strstr(rk_last_error(), addr));
         assert_non_null(strstr(rk_last_error(), "in use"));
