http1: an interim response has no body, and none switches protocols

Callers saw: an answer without a head. A VM answered 100 or 101 with a Content-Length and bytes after it; the caller got these bytes first, such as `0\r\n\r\n` or `{"handle":7}`, then, on the same connection, the head of the 502.

Cause: for a response of 1xx the parser's callback said that a body may follow, so a body with a length or with chunks was read and passed on, while the head of an interim response is not.

Why it works: a head of 1xx ends its message, as RFC 9110 says, so that what follows is read as the next head; 101 fails the answer, as no request of ours asks for another protocol.

--- a/common/http1.c
+++ b/common/http1.c
@@ -180,8 +180,10 @@
                          ? -1
                          : (int64_t)p->content_length;
     h->keep_alive = http_should_keep_alive(p);
+    if (p->type == HTTP_RESPONSE && h->status == HTTP_STATUS_SWITCHING_PROTOCOLS)
+        return -1; /* no request asks for that */
     if (p->type == HTTP_RESPONSE && h->status / 100 == 1)
-        return 0;
+        return 1; /* has no body, whatever its headers say */
     bool has_body = r->ops->on_head(r->ctx, h);
     return has_body && !is_bodiless(h->status) ? 0 : 1;
 }
--- /dev/null
+++ b/tests/proc_hosted_odd_answers.py
@@ -0,0 +1,46 @@
+"""Odd answers of VMs and of the cloud API, and odd requests of peers."""
+import odd_objects
+from hosted import Hosted
+
+SECONDS = 8
+SEED = 106
+BODY = b"0\r\n\r\n"
+
+
+def check_interim(head, rest, expected):
+    """Have the VM answer with an interim head, what looks like its body, and the rest."""
+    def fault(w, req, conn):
+        conn.sendall(head + BODY + (rest and w.head(req, framing=rest)))
+        return False
+    with Hosted() as d:
+        d.start()
+        d.add_worker("plain").fault = fault
+        d.configure([d.route("r", "plain", maxAttempts=1)])
+        d.wait_ready()
+        a = d.call("/r/x")
+        assert a.status in expected, (a.status, a.body)
+        assert a.body != BODY
+
+
+def test_an_interim_answer_with_a_length_has_no_body():
+    """Guards against the body that an answer of 100 claims to have: its bytes were sent to the
+    caller ahead of the head of the answer."""
+    for head in (b"HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n",
+                 b"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n"):
+        check_interim(head, b"", (502, 503))
+        check_interim(head, b"Content-Length: 0\r\n", (502, 503))
+
+
+def test_an_answer_that_switches_protocols_is_none():
+    """Guards against the bytes of another protocol, which no request asks for."""
+    check_interim(b"HTTP/1.1 101 X\r\nContent-Length: 5\r\n\r\n", b"", (502, 503))
+    check_interim(b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", b"", (502, 503))
+
+
+def test_nodes_outlive_odd_answers_and_requests():
+    """Guards against a node that ends, stays busy, sends callers what is no answer or does not
+    serve again after odd answers of VMs or of the cloud API, or odd requests of peers."""
+    run = odd_objects.OddAnswers(SEED, SECONDS).run()
+    assert not run.problems, odd_objects.report(run)
+    assert run.served > 20 and run.odd_answers > 20, (run.served, run.odd_answers)
+    return "%d calls served, %d odd answers" % (run.served, run.odd_answers)
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -239,21 +239,13 @@
         assert d.call("/r/x").status == 200
 
 
-LINE_MAX = 200
-
-
-def report(run):
-    """Return a run's changes and, last, what was wrong, as long messages are cut."""
-    return "\n".join(line[:LINE_MAX] for line in run.log + run.problems)
-
-
 def test_nodes_outlive_odd_values_of_any_object():
     """Guards against a node that ends, stays busy or does not serve again after an odd value in
     any object of the store, whichever reader meets it."""
     served = 0
     for seed in SEEDS:
         run = odd_objects.run_seed(seed, SECONDS)
-        assert not run.problems, report(run)
+        assert not run.problems, odd_objects.report(run)
         served += run.served
     assert served > 20, served
     return "%d calls served" % served
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -339,9 +339,12 @@
 
     refuse_spot: orders of spot VMs are refused, as if there were no spot capacity.
     fault(request) may return a status to answer with, or "lost": the request is
-    executed and not answered.
+    executed and not answered. odd_answer(conn) may answer itself, and returns what handle()
+    returns; if it returns None, the cloud answers.
     """
 
+    odd_answer = None
+
     def __init__(self):
         self.usage = []  # accepted reports: (window, counts, leader, fence)
         self.orders = []  # accepted: (service, zone, spot, count, leader, fence)
@@ -360,6 +363,9 @@
         if isinstance(fault, int):
             answer_json(conn, fault, {})
             return True
+        result = self.odd_answer(conn) if self.odd_answer else None
+        if result is not None:
+            return result
         if fence < self.highest_fence.get(subject, 0):
             self.refused.append((subject, fence, leader))
             answer_json(conn, 409, {"error": "a higher fence was seen"})
@@ -958,9 +964,12 @@
             buf += part
         head, buf = buf.split(b"\r\n\r\n", 1)
         lines = head.decode("latin-1").split("\r\n")
-        status = int(lines[0].split(" ")[1])
-        headers = dict((k.lower(), v.strip()) for k, v in
-                       (x.split(":", 1) for x in lines[1:]))
+        try:
+            status = int(lines[0].split(" ")[1])
+            headers = dict((k.lower(), v.strip()) for k, v in
+                           (x.split(":", 1) for x in lines[1:]))
+        except (IndexError, ValueError):
+            raise ValueError("malformed head: %.300r" % head) from None
         body, buf, whole = read_body(s, headers, buf, method)
     except OSError:
         return Answer(0, {}, buf, False)
--- a/tools/odd_objects.py
+++ b/tools/odd_objects.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
-"""Plays odd values in the store's objects against real nodes.
+"""Plays odd values in what real nodes read.
 
 Objects of any kind are changed in the stand-in store: figures at and beyond the limits of
 their types, members of other types, long texts, deep nesting, duplicate members, answers that
-are no JSON. Sound objects are written in between, and nodes are restarted. Run it with nodes
-that are built with the address and undefined sanitizers, and with the release build for the
-memory that nodes hold. A seed repeats the order of the changes.
+are no JSON. VMs and the cloud API give odd answers: status lines, headers, framing, bodies. The
+listener for peers' calls gets odd requests. Sound objects are written in between, and nodes are
+restarted. Run it with nodes that are built with the address and undefined sanitizers, and with
+the release build for the memory that nodes hold. A seed repeats the order of the changes.
 
     tools/odd_objects.py [--build DIR] [--seeds N] [--first SEED] [--seconds S] [--jobs N]
 """
@@ -16,6 +17,7 @@
 import os
 import random
 import re
+import socket
 import subprocess
 import sys
 import threading
@@ -39,6 +41,20 @@
 TEXTS = ("", "NaN", "-1", "9" * 400, "x" * LONG_BYTES, "%s%n", "\0", "\ud800", "../..", "\u00e9" * 99)
 ODD_BODIES = (b"", b"{", b"null", b"[]", b"{\"entries\":7}", b"\0" * 64, b"\xff\xfe{}",
               b"[" * 100000, b"{\"a\":" * 100000, b"\"" + b"x" * HUGE_BYTES + b"\"")
+ODD_ANSWER_SHARE = 0.15  # of the answers of VMs and of the cloud API
+ODD_STATUSES = (b"200", b"503", b"429", b"421", b"404", b"409", b"500", b"204", b"304", b"100",
+                b"101", b"000", b"999", b"99999999999", b"-1", b"", b"2e2")
+ODD_HEADERS = (b"Server-Limit", b"Server-Brittle", b"Retry-After", b"Rillknot-Not-Executed",
+               b"Rillknot-Attempt-Id", b"Rillknot-Server-Signature", b"Rillknot-Stream-Version",
+               b"Rillknot-Deadline-Ms", b"Rillknot-Forward-Refused", b"Content-Length",
+               b"Transfer-Encoding", b"Connection", b"Content-Type", b"X" * 300, b"", b" a")
+ODD_HEADER_VALUES = (b"", b"0", b"-1", b"1e300", b"nan", b"inf", b"9" * 400, b"0x7fffffff",
+                     b"9223372036854775807", b"18446744073709551616", b"chunked", b"x" * 5000,
+                     b"\xff\xfe", b"a\0b", b"close", b"1, 2", b"0.0000001")
+LONG_RESTS = (b"1e300", b"0x7fffffff", b"9223372036854775807", b"18446744073709551616")
+ODD_PARTS = (b"", b"\0" * 9, b"x" * 100, b"ffffffffffffffff\r\nx", b"0\r\n\r\n", b"-1\r\nx\r\n",
+             b"id: 1\ndata: x\n\n", b"id: 9223372036854775807\ndata: x\n\n", b"data:" * 2000,
+             b"{\"handle\":7}", b"HTTP/1.1 200 OK\r\n\r\n", b"\xff" * 50)
 SAMPLES = (
     ("rollouts", "plain", {"service": "plain", "targetVersion": "v2", "durationS": 4}),
     ("rillknot-rollouts", "plain", {"version": "v2", "wall_ms": 1700000000000}),
@@ -138,12 +154,38 @@
     return spec
 
 
+def odd_head(rng, first_line):
+    """Return a head with odd headers, some of them twice."""
+    lines = [first_line]
+    for _ in range(rng.choice([0, 1, 2, 5, 200])):
+        name, value = rng.choice(ODD_HEADERS), rng.choice(ODD_HEADER_VALUES)
+        if name != b"Retry-After" or value not in LONG_RESTS:  # a VM's rest is kept, up to a day
+            lines.append(name + b": " + value)
+    if rng.random() < 0.5:
+        lines.append(b"Content-Length: %d" % rng.choice([0, 5, 100]))
+    return b"\r\n".join(lines) + rng.choice([b"\r\n\r\n"] * 8 + [b"\n\n", b"\r\n", b""])
+
+
+def odd_response(rng):
+    head = odd_head(rng, b"HTTP/1.1 %s X" % rng.choice(ODD_STATUSES))
+    return head + b"".join(rng.choice(ODD_PARTS) for _ in range(rng.randrange(4)))
+
+
+def odd_peer_request(rng):
+    """Return a request to the listener for peers' calls."""
+    path = rng.choice([b"/stream-versions", b"/repeat/x", b"/chat/x", b"", b"/" + b"x" * 9000])
+    head = odd_head(rng, b"POST %s HTTP/1.1\r\nHost: x" % path)
+    return head + b"".join(rng.choice(ODD_PARTS) for _ in range(rng.randrange(4)))
+
+
 class OddObjects:
     """One run: a deployment, its callers, the changes and the checks.
 
     problems lists what was found wrong; log holds the changes with their times.
     """
 
+    odd_answers_on = False
+
     def __init__(self, seed, seconds, build=None):
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
@@ -155,6 +197,7 @@
         self.sanitized = any(x in self.d.build for x in ("address", "thread"))
         self.stop = threading.Event()
         self.problems, self.log, self.served, self.ended = [], [], 0, 0
+        self.odd_answers = 0
         self.max_rss_kb = 0
         self.cpu = {}  # process id -> (time, seconds of a core used until then)
         self.began = time.monotonic()
@@ -188,16 +231,32 @@
             for _ in range(2):
                 self.d.add_worker("plain", zone=zone)
                 self.d.add_worker("llm", events=8, slots=32, zone=zone).gap_s = 0.02
+        for number, w in enumerate(self.d.workers):
+            rng = random.Random(self.seed * 100 + number)
+            w.fault = lambda w, req, conn, r=rng: self.odd_answer_of(r, conn)
+        self.d.cloud.odd_answer = \
+            lambda conn, r=random.Random(self.seed): self.odd_answer_of(r, conn)
         self.configure()
         self.d.wait_ready()
 
+    def odd_answer_of(self, rng, conn):
+        """Send an odd answer and return False, or None to have a sound one sent."""
+        if not self.odd_answers_on or rng.random() > ODD_ANSWER_SHARE:
+            return None
+        self.odd_answers += 1
+        conn.sendall(odd_response(rng))
+        return False
+
     def call_once(self, node, number):
         route = ("repeat", "chat", "once", "both")[number % 4]
         try:
             return self.d.call("/%s/x" % route, node=node, timeout=5,
                                headers=[("Rillknot-Token-Usage", "1000,30"),
                                         ("Rillknot-Prompt-Prefix", "aa:900,bb:100")])
-        except (OSError, ValueError, AttributeError):
+        except OSError:
+            return None
+        except ValueError as e:
+            self.problem("a malformed answer to /%s: %s" % (route, e))
             return None
 
     def caller(self, number):
@@ -244,6 +303,21 @@
         self.d.store.odd_body = lambda body: body[:int(len(body) * cut)] if truncate else odd
         return "truncated" if truncate else "%.40r" % odd
 
+    def odd_request(self):
+        """Send a node's listener for peers' calls some odd requests."""
+        node = self.d.nodes[self.rng.randrange(NODES)]
+        data = odd_peer_request(self.rng)
+        try:
+            port = int(node.ready["forward"].rsplit(":", 1)[1])
+            with socket.create_connection(("127.0.0.1", port), 1) as s:
+                s.sendall(data)
+                s.shutdown(socket.SHUT_WR)
+                s.settimeout(0.05)
+                s.recv(65536)
+        except OSError:
+            pass  # closed by the node, or no answer yet
+        return "%.60r" % data
+
     def write_sound(self):
         self.d.store.odd_body = None
         for w in self.d.workers:
@@ -296,6 +370,7 @@
             self.d.restart_node(index)
 
     def check_serves(self):
+        self.odd_answers_on = False
         self.write_sound()
         for index, node in enumerate(self.d.nodes):
             for number in range(4):
@@ -314,9 +389,13 @@
 
     # ---- the run ----
 
+    def events(self):
+        """Return the kinds of changes, each as often as its weight."""
+        return ([self.change_object] * 30 + [self.add_object] * 3 + [self.odd_answer] * 3 +
+                [self.write_sound] * 2)
+
     def play(self):
-        kinds = ([self.change_object] * 30 + [self.add_object] * 3 + [self.odd_answer] * 3 +
-                 [self.write_sound] * 2)
+        kinds = self.events()
         restarts = sorted(self.rng.random() * self.seconds for _ in range(RESTARTS_PER_RUN))
         while time.monotonic() < self.began + self.seconds:
             time.sleep(self.rng.random() * 2 * GAP_S)
@@ -349,6 +428,23 @@
         return self
 
 
+class OddAnswers(OddObjects):
+    """One run with odd objects, and also odd answers and odd requests of peers."""
+
+    odd_answers_on = True
+
+    def events(self):
+        return super().events() + [self.odd_request] * 20
+
+
+REPORT_LINE_MAX = 200
+
+
+def report(run):
+    """Return a run's changes and, last, what was wrong, as the runner cuts long messages."""
+    return "\n".join(line[:REPORT_LINE_MAX] for line in run.log + run.problems)
+
+
 def run_seed(seed, seconds, build=None):
     """Play one seed and return the finished run. Raises AssertionError on a sanitizer's
     report."""
@@ -392,4 +488,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_seeds(OddObjects))
+    sys.exit(run_seeds(OddAnswers))
