relay: cap the rates that VMs advertise

Operators saw, with the bounds of peers' numbers: a VM that advertises a limit of 1e300 requests per second had each of its peers' reports rejected, one log line a second at each node for as long as the limit held.

Cause: the rate was taken over at any size from the VM's answer and told to peers.

Evidence: test_a_limit_beyond_any_rate_is_told_to_peers failed before (the event peer.number_rejected at the other node) and passes now.

Why it works: a rate is capped where the header is read, by the same constant that bounds it in peers' messages.

--- a/core/vm_signals.h
+++ b/core/vm_signals.h
@@ -16,6 +16,9 @@
 
 #include "common/util.h"
 
+/* Requests or refusals per second beyond which a VM's rate is no limit any more. */
+#define RK_VM_RATE_MAX_PER_S 1e9
+
 /* Most incarnations that a table holds. */
 #define RK_VM_SIGNALS_MAX 16384
 /* Most nodes that share the slots of a brittle VM, if not all nodes do. */
--- a/peers/frame_bounds.c
+++ b/peers/frame_bounds.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/revision.h"
+#include "core/vm_signals.h"
 #include "peers/peers.pb-c.h"
 
 /* Of numbers without a row in the table below. Hashes, of a fixed size, may have
@@ -18,7 +19,6 @@
 #define DURATION_MAX_MS (100.0 * 365 * 24 * 3600 * 1000)
 #define CALLS_MAX       1e8 /* in flight, in a fleet */
 #define NODES_MAX       1e6
-#define PER_S_MAX       1e9
 #define PORT_MAX        65535
 #define INCREMENTS_MAX  1e9 /* of a counter of changes */
 /* Within the bounds of each field; most numbers are. */
@@ -67,8 +67,8 @@
     REVISION(rollout_word, "known_at"),
     {OF(quarantine_row), "cleared", 0, INCREMENTS_MAX},
     {OF(quarantine_row), "stored_era", 0, (double)RK_REVISION_ERA_MAX},
-    {OF(vm_signal), "limit_per_s", 0, PER_S_MAX},
-    {OF(vm_signal), "refusals_per_s", 0, PER_S_MAX},
+    {OF(vm_signal), "limit_per_s", 0, RK_VM_RATE_MAX_PER_S},
+    {OF(vm_signal), "refusals_per_s", 0, RK_VM_RATE_MAX_PER_S},
     REVISION(list_row, "revision"),
     REVISION(gone_row, "revision"),
     DURATION(gone_row, "lapse_left_ms"),
--- a/serve/relay_signals.c
+++ b/serve/relay_signals.c
@@ -1,5 +1,6 @@
 /* Reads what a VM's answer says about the VM itself (rate limit, leaving, brittle,
  * cooldown) and passes it to placement. */
+#include <math.h>
 #include <stdlib.h>
 
 #include "common/counters.h"
@@ -19,18 +20,20 @@
             RK_S("value", text));
 }
 
-/* Reads a rate from the header with this name. Returns false if it is missing or
- * invalid. */
+/* Reads a rate, RK_VM_RATE_MAX_PER_S at most, from the header with this name.
+ * Returns false if it is missing or invalid. */
 static bool parse_rate(const struct rk_relay_call *x, const struct rk_head *head,
                        const char *name, double *per_s)
 {
     const char *text = rk_head_get(head, name);
     if (!text)
         return false;
-    if (rk_parse_decimal(text, per_s))
-        return true;
-    reject_signal(x, name, text);
-    return false;
+    if (!rk_parse_decimal(text, per_s)) {
+        reject_signal(x, name, text);
+        return false;
+    }
+    *per_s = fmin(*per_s, RK_VM_RATE_MAX_PER_S);
+    return true;
 }
 
 /* Returns the cooldown that a refusal requests by Retry-After; 0 if none. */
--- a/tests/proc_hosted_odd_answers.py
+++ b/tests/proc_hosted_odd_answers.py
@@ -1,4 +1,6 @@
 """Odd answers of VMs and of the cloud API, and odd requests of peers."""
+import time
+
 import odd_objects
 from hosted import Hosted
 
@@ -37,6 +39,22 @@
     check_interim(b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", b"", (502, 503))
 
 
+def test_a_limit_beyond_any_rate_is_told_to_peers():
+    """Guards against a limit of a VM that peers reject as no node's: they would log each report
+    of it, once a second, as long as it holds."""
+    with Hosted(nodes=2) as d:
+        d.start()
+        worker = d.add_worker("plain")
+        worker.limit, worker.brittle = 1e300, 1e300
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        assert d.call("/r/x").status == 200
+        time.sleep(2)
+        events = [e.get("event") for n in d.nodes for e in n.events()]
+        assert "vm.limit" in events
+        assert "peer.number_rejected" not in events
+
+
 def test_nodes_outlive_odd_answers_and_requests():
     """Guards against a node that ends, stays busy, sends callers what is no answer or does not
     serve again after odd answers of VMs or of the cloud API, or odd requests of peers."""
