--- a/peers/frame_bounds.c
+++ b/peers/frame_bounds.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/revision.h"
+#include "core/vm_signals.h"
 #include "peers/peers.pb-c.h"
 
 /* Of numbers without a row in the table below. Hashes, of a fixed size, may have
@@ -14,11 +15,11 @@
           */
 #define REAL_MAX_DEFAULT 1e15
 
-#define REVISION_MAX    ((double)RK_REVISION_MAX)
+/* The largest one that a double represents exactly. */
+#define REVISION_MAX    ((double)(RK_REVISION_MAX - 511))
 #define DURATION_MAX_MS (100.0 * 365 * 24 * 3600 * 1000)
 #define CALLS_MAX       1e8 /* in flight, in a fleet */
 #define NODES_MAX       1e6
-#define PER_S_MAX       1e9
 #define PORT_MAX        65535
 #define INCREMENTS_MAX  1e9 /* of a counter of changes */
 /* Within the bounds of each field; most numbers are. */
@@ -42,8 +43,7 @@
     }
 
 static const struct bounds table[] = {
-    DURATION(forward_begin, "deadline_left_ms"),
-    DURATION(forward_end, "retry_after_ms"),
+    {OF(forward_begin), "deadline_left_ms", -INT_MAX_DEFAULT, INT_MAX_DEFAULT},
     {OF(vm_use), "running", 0, CALLS_MAX},
     {OF(usage_row), "count", 0, INT_MAX_DEFAULT},
     {OF(service_use), "running", 0, CALLS_MAX},
@@ -67,8 +67,8 @@
     REVISION(rollout_word, "known_at"),
     {OF(quarantine_row), "cleared", 0, INCREMENTS_MAX},
     {OF(quarantine_row), "stored_era", 0, (double)RK_REVISION_ERA_MAX},
-    {OF(vm_signal), "limit_per_s", 0, PER_S_MAX},
-    {OF(vm_signal), "refusals_per_s", 0, PER_S_MAX},
+    {OF(vm_signal), "limit_per_s", 0, RK_VM_RATE_MAX_PER_S},
+    {OF(vm_signal), "refusals_per_s", 0, RK_VM_RATE_MAX_PER_S},
     REVISION(list_row, "revision"),
     REVISION(gone_row, "revision"),
     DURATION(gone_row, "lapse_left_ms"),
