conn: a long message bounds the kernel's buffer, however it is read

Whether a read fills its block doesn't tell a long message: a node that reads as fast as a VM sends gets less each time, while the kernel's buffer grows. Bytes read since the last write are counted now, and 64 KB of them bound the buffer.

--- a/common/conn.c
+++ b/common/conn.c
@@ -29,6 +29,9 @@
 #define LINGER_MS 1000
 /* The connection has failed when sent bytes stay unacknowledged for so long. */
 #define USER_TIMEOUT_MS 3000
+/* What a connection may carry at once before its buffer in the kernel is bounded.
+ */
+#define LONG_MESSAGE_BYTES ((size_t)64 * 1024)
 
 struct rk_conn {
     struct rk_loop *loop;
@@ -42,6 +45,7 @@
     bool fin_sent;
     bool has_sent;
     bool is_receive_bounded;
+    size_t read_since_write;
     bool released;           /* the timer will free the memory */
     uint32_t watched_events; /* epoll events */
     struct rk_buf out;       /* bytes to send */
@@ -175,9 +179,9 @@
         flush(c);
 }
 
-/* Keeps the kernel's buffer from growing with what the connection carries.
- * Otherwise it takes megabytes for a peer that goes on sending when reading is
- * paused. The buffers of connections that carry little don't grow. */
+/* Keeps the kernel's buffer from growing with a long message. Otherwise it takes
+ * megabytes from a peer that goes on sending when reading is paused. Short messages
+ * don't make it grow. */
 static void bound_receiving(struct rk_conn *c)
 {
     int bytes = (int)rk_memory_receive_bytes();
@@ -203,7 +207,8 @@
         notify_end(c, 0);
         return;
     }
-    if ((size_t)n == sizeof(block))
+    c->read_since_write += (size_t)n;
+    if (c->read_since_write >= LONG_MESSAGE_BYTES)
         bound_receiving(c);
     if (c->ops)
         c->ops->on_data(c->ctx, block, (size_t)n);
@@ -294,6 +299,7 @@
 {
     if (c->released || c->fd < 0 || !len)
         return;
+    c->read_since_write = 0;
     rk_buf_add(&c->out, data, len);
     rk_memory_charge(&c->charged, c->out.cap);
     if (c->connecting)
