conn: the kernel's buffer is bounded while memory is scarce, too

What callers saw: none; a machine may lose its node to it. While more than half of the buffers' budget is used, a node reads blocks of 4 KB, and the size of a full block was compared with that of the usual one (32 KB). So no connection was bounded just when memory was short: 20 callers that had sent three bodies of 1 MB each left 8.1 MB unread, 0 of 20 bounded.

--- a/common/conn.c
+++ b/common/conn.c
@@ -203,7 +203,7 @@
         notify_end(c, 0);
         return;
     }
-    if ((size_t)n == sizeof(block))
+    if ((size_t)n == max)
         bound_receiving(c);
     if (c->ops)
         c->ops->on_data(c->ctx, block, (size_t)n);
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -320,6 +320,57 @@
         return "%.1f MB unread" % unread
 
 
+def test_the_kernel_holds_little_of_long_bodies_while_memory_is_scarce():
+    """Guards against buffers of the kernel that grow without bound once memory is scarce.
+
+    A node reads in smaller blocks then, and none of them counted as a full one.
+    """
+    with small_node(workers=4) as d:
+        node, count, length = d.nodes[0], 20, 1000000
+        d.configure([d.route("r", "plain", timeoutMs=60000)], limits=LIMITS)
+        port = d.port(node.ready["listen"])
+        head = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                b"Rillknot-Attempt-Id: scarce-%d-%d\r\nContent-Length: %d\r\n\r\n")
+        for w in d.workers:
+            w.free_slots, w.work_s = threading.Semaphore(1000), 30.0
+        held = []
+        for i in range(7):
+            held.append(send_half(d, LONG_BODY, number=i))
+            send_rest(held[-1], b"x")
+            wait_until(lambda n=i: d.runs("half-%d" % n), 5)
+        budget = next(e["buffer_bytes"] for e in node.events() if e["event"] == "node.resources")
+        time.sleep(0.5)
+        assert d.gauge(node, "buffered_bytes") > budget / 2
+        bounded = d.gauge(node, "receive_buffers_bounded_total")
+        for w in d.workers:
+            w.work_s = 0.0
+        conns = [d.connect() for _ in range(count)]
+        for i, s in enumerate(conns):
+            for k in range(3):
+                s.sendall(head % (i, k, length) + b"x" * length)
+                assert read_answer(s).status == 200
+        assert d.gauge(node, "buffered_bytes") > budget / 2
+        assert d.gauge(node, "receive_buffers_bounded_total") == bounded + count
+        for w in d.workers:
+            w.work_s = 3.0
+        unread = 0
+        for i, s in enumerate(conns):
+            s.sendall(head % (i, 8, 2) + b"hi")
+            s.setblocking(False)
+        for i in range(8):
+            for s in conns:
+                try:
+                    s.send(head % (i, 9, LONG_BODY) + b"x" * LONG_BODY)
+                except (BlockingIOError, ConnectionError):
+                    pass  # full, or refused for want of memory
+            time.sleep(0.1)
+            unread = max(unread, unread_mb(port))
+        for s in conns + held:
+            s.close()
+        assert 0 < unread < count * UNREAD_MAX_MB, "%.1f MB unread" % unread
+        return "%.1f MB unread" % unread
+
+
 def test_connections_get_usual_buffers_again_after_a_crowd():
     """Guards against small buffers of the kernel that outlast the crowd they were for."""
     with small_node() as d:
