--- a/peers/frame_bounds.c
+++ b/peers/frame_bounds.c
@@ -8,11 +8,10 @@
 #include "core/vm_signals.h"
 #include "peers/peers.pb-c.h"
 
-/* Of numbers without a row in the table below. Hashes, of a fixed size, may have
- * any value, and so may repeated numbers, which their readers check. */
-#define INT_MAX_DEFAULT                                                            \
-    9e15 /* doubles represent all integers up to here exactly                      \
-          */
+/* Bounds of numbers without a row in the table below: doubles represent all
+ * integers up to the first one exactly. Hashes, of a fixed size, may have any
+ * value, and so may repeated numbers, which their readers check. */
+#define INT_MAX_DEFAULT  9e15
 #define REAL_MAX_DEFAULT 1e15
 
 /* The largest one that a double represents exactly. */
