tests: kills of all nodes beside random changes of versions and faults of the store

tools/version_sequences.py runs three real nodes, by seed: versions come (in one or three domains) and leave, the store refuses or delays records, forgets its history or comes back from an older copy, single nodes restart, all nodes are killed three times, in three of ten twice in a row, and versions change while they are down. Each stream is taken up after each kill: an answer of 200 must be whole and all of one version, any other a 503 that didn't run, and of the streams that were recorded, at least half must go on.

--- a/tests/run.py
+++ b/tests/run.py
@@ -65,6 +65,7 @@
     "proc_hosted_cooldown": "hosted  a cooldown requested by a VM is kept",
     "proc_hosted_moves": "hosted  streams move unbroken from leaving engines",
     "proc_hosted_versions": "hosted  streams go on at the version that began them",
+    "proc_hosted_version_sequences": "hosted  kills beside changes of versions, by seed",
     "proc_hosted_rollouts": "hosted  rollouts: good versions committed, bad rolled back",
     "prop_rollout": "hosted  rollouts under random reports and timing",
     "prop_restores": "hosted  one count for a window over restores of the store",
