--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -134,6 +134,36 @@
         wait_until(lambda: d.call("/later/x").status == 200, 5)
 
 
+def test_a_page_that_is_no_list_removes_no_vms():
+    """Guards against a list of which a later page is an odd answer: the VMs from there on were
+    taken for removed, and not used again until their entries changed."""
+    with deployment(nodes=2) as d:
+        for _ in range(11):  # more than two pages
+            d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        wait_until(lambda: len([e for e in logged(d, "vm.changed") if e["what"] == "added"]) == 12,
+                   5)
+        odd = []
+
+        def change(answer):
+            entries = answer.get("entries", [])
+            if not answer.get("more") and any(o["metadata"]["name"] == last for o in entries):
+                odd.append(answer)
+                return {"at": answer["at"]}
+            return answer
+
+        last = max(w.id for w in d.workers)
+        d.store.change_answer = change
+        d.store.put("servers", "a-deep", TOO_DEEP)
+        wait_until(lambda: any(e["kind"] == "servers" for e in logged(d, "store.lost")), 5)
+        d.store.drop("servers", "a-deep")
+        wait_until(lambda: odd, 5)
+        time.sleep(1)
+        d.store.change_answer = None
+        assert not [e for e in logged(d, "vm.changed") if e["what"] == "removed"]
+        check_serves_again(d)
+
+
 def test_a_store_that_names_no_revision_is_not_asked_without_pause():
     """Guards against a node that lists at once again, thousands of times a second, as the list
     names no revision to watch from."""
