proc_hosted_memory: measure what a connection gets after a crowd

The test read the log's sizes alone: with the two calls of setsockopt that give the listener its usual size again taken out, it passed, while new connections stayed at 32 KB (ss: 131,072 before the crowd, 32,768 in it, 32,768 after; with the calls 131,072 after).

It needs SO_BUF_LOCK (Linux 5.14), as the return itself does.

--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -379,9 +379,26 @@
         def sizes():
             return [e["bytes"] for e in node.events() if e["event"] == "callers.receive_buffer"]
 
+        def unread():
+            """Returns how much the kernel takes of what a new connection sends behind a call."""
+            head = (b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                    b"Rillknot-Attempt-Id: behind\r\nContent-Length: ")
+            s = d.connect()
+            s.sendall(head + b"2\r\n\r\nhi")
+            time.sleep(0.2)
+            s.setblocking(False)
+            s.send(head + b"%d\r\n\r\n" % LONG_BODY + b"x" * LONG_BODY)
+            time.sleep(0.3)
+            taken = unread_mb(d.port(node.ready["listen"]))
+            s.close()
+            return taken
+
         for i in range(300):
             assert d.call("/r/x").status == 200
         assert not sizes()
+        for w in d.workers:
+            w.work_s = 1.0
+        before = unread()
         for _ in range(2):
             conns = [d.connect() for _ in range(700)]
             wait_until(lambda: len(sizes()) % 2 == 1, 3)
@@ -390,7 +407,13 @@
             wait_until(lambda: len(sizes()) % 2 == 0, 3)
         small, usual = sizes()[:2]
         assert sizes() == [small, usual] * 2 and small < usual, sizes()
+        time.sleep(0.5)
+        after = unread()
+        assert after > before / 2 > 0, (before, after)
+        for w in d.workers:
+            w.work_s = 0.0
         assert_served(d)
+        return "%.3f MB before, %.3f after" % (before, after)
 
 
 def test_callers_that_do_not_read_do_not_fill_the_memory():
