json_text: one object that is nested too deep keeps no list from being read

Callers saw: no VM that was added later was used, and restarted nodes did not get ready, at all nodes, for as long as the store held one object nested deeper than 512 levels, of whatever kind.

What is nested too deep is read as 0 now, so that the object's other members and all other objects are read; each reader checks types already.

--- a/common/json_text.h
+++ b/common/json_text.h
@@ -9,15 +9,15 @@
 /* Limit for one text, of what a node of 120 MB may use. */
 #define RK_JSON_PARSED_MAX_BYTES (40 * 1024 * 1024)
 
-/* Beyond json-c's default of 32: one deep object would have all others of an answer
- * lost with it. */
+/* Levels of objects and arrays. What is nested deeper is read as 0, so that one
+ * deep object does not have all others of an answer lost with it. */
 #define RK_JSON_NESTING_MAX 512
 
 /* Returns an upper estimate of the bytes that a text takes once it is parsed. */
 size_t rk_json_parsed_size(const char *text, size_t len);
-/* Parses a text of at most RK_JSON_PARSED_MAX_BYTES by that estimate and of
- * RK_JSON_NESTING_MAX levels. Returns NULL, with a last error message, if it is
- * larger or no JSON. The caller owns the value. */
+/* Parses a text of at most RK_JSON_PARSED_MAX_BYTES by that estimate. Returns NULL,
+ * with a last error message, if it is larger or no JSON. The caller owns the value.
+ */
 struct json_object *rk_json_parse(const char *text, size_t len);
 
 #endif
