--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -140,6 +140,18 @@
         wait_until(lambda: d.call("/r/x").status == 200 and len(removed.seen) > before, 5)
 
 
+def test_an_era_far_ahead_is_left_again():
+    """Guards against one odd answer after which all later answers of the store are rejected."""
+    with fleet(nodes=2) as d:
+        d.store.answer_era = lambda: "4000000"
+        d.configure([d.route("r", "plain")], wait=False)
+        wait_until(lambda: any(e["event"] == "store.restored" for e in d.nodes[0].events()), 5)
+        d.store.answer_era = lambda: str(d.store.era)
+        version = d.configure([d.route("later", "plain")], wait=False)
+        d.wait_version(version, timeout=10)
+        assert d.call("/later/x").status == 200
+
+
 def test_settings_stay_in_force_over_a_restore():
     """Guards against settings that go back to an older version, or that stay at one.
 
