util: the monotonic clock begins long before the machine's boot

Callers saw: nothing is served. On a machine that booted less than 2 s ago, nodes end by SIGSEGV within a second of their start, at changing places.

A peer's history is then written ahead of the array. The address sanitizer's build: index -1 out of bounds, core/quota.c:580. It lasts as long as a window: 8 s, or an hour with the longest one that the process file takes. Elsewhere 0 stands for "never".

Change: the clock begins 100 days before the boot, so that no window reaches below 0, for all readers at once.

--- a/common/util.c
+++ b/common/util.c
@@ -13,6 +13,8 @@
 #define FNV_PRIME      0x100000001b3ULL
 #define BUF_MIN_CAP    256
 #define ALLOC_LINE_MAX 64
+/* Longer than any window or age that is subtracted from a time. */
+#define MONO_ORIGIN_US (INT64_C(100) * 86400 * 1000000)
 
 static int64_t clock_us(clockid_t id)
 {
@@ -26,7 +28,7 @@
  * that was suspended for longer than its lease went on acting as the leader. */
 int64_t rk_mono_us(void)
 {
-    return clock_us(CLOCK_BOOTTIME);
+    return MONO_ORIGIN_US + clock_us(CLOCK_BOOTTIME);
 }
 
 int64_t rk_mono_ms(void)
--- a/common/util.h
+++ b/common/util.h
@@ -27,7 +27,9 @@
 /* Returns the monotonic clock in milliseconds (rk_mono_us(): in microseconds). It
  * goes on while the machine is suspended, so that leases and deadlines expire
  * during that time, as they do while the process is stopped. Loop timers that fall
- * due meanwhile run in the loop's next iteration. */
+ * due meanwhile run in the loop's next iteration. The clock begins 100 days before
+ * the machine's boot, so that 0 can stand for "never", and a time minus a window is
+ * positive. */
 int64_t rk_mono_ms(void);
 /* Returns the wall clock: milliseconds since the Unix epoch. */
 int64_t rk_wall_ms(void);
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,20 +34,77 @@
 
 
 @contextlib.contextmanager
-def slow_exits():
-    """Processes that are started meanwhile have a library that delays exit().
-
-    It stands for libraries whose code is not in memory when they are to run it.
-    """
+def preloaded(source, **variables):
+    """Processes that are started meanwhile run with a library and environment variables."""
     with tempfile.TemporaryDirectory() as folder:
-        library = os.path.join(folder, "slow_exit.so")
+        library = os.path.join(folder, "preloaded.so")
         subprocess.run(["cc", "-shared", "-fPIC", "-x", "c", "-", "-o", library], check=True,
-                       input=SLOW_EXIT.encode())
-        os.environ["LD_PRELOAD"] = library
+                       input=source.encode())
+        variables["LD_PRELOAD"] = library
+        # A library that doesn't come first ends a process of the address sanitizer's build.
+        variables["ASAN_OPTIONS"] = "verify_asan_link_order=0"
+        before = {name: os.environ.get(name) for name in variables}
+        os.environ.update(variables)
         try:
             yield
         finally:
-            del os.environ["LD_PRELOAD"]
+            for name, value in before.items():
+                if value is None:
+                    del os.environ[name]
+                else:
+                    os.environ[name] = value
+
+
+def slow_exits():
+    """Processes that are started meanwhile have a library that delays exit().
+
+    It stands for libraries whose code is not in memory when they are to run it.
+    """
+    return preloaded(SLOW_EXIT)
+
+
+# Sets the clocks of a process at its start; NTP sets the wall clock right after a time.
+SHIFTED_CLOCKS = """
+#include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+static long long uptime_shift_s, wall_shift_s, wall_right_at_s = -1;
+static long long read_s(clockid_t id)
+{
+    struct timespec ts;
+    syscall(SYS_clock_gettime, id, &ts);
+    return ts.tv_sec;
+}
+__attribute__((constructor)) static void set_clocks(void)
+{
+    const char *uptime = getenv("UPTIME_S"), *wall = getenv("WALL_S"),
+               *right = getenv("WALL_RIGHT_AFTER_S");
+    if (uptime)
+        uptime_shift_s = atoll(uptime) - read_s(CLOCK_BOOTTIME);
+    if (wall)
+        wall_shift_s = atoll(wall) - read_s(CLOCK_REALTIME);
+    if (right)
+        wall_right_at_s = read_s(CLOCK_BOOTTIME) + atoll(right);
+}
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+    int result = syscall(SYS_clock_gettime, id, ts);
+    if (result)
+        return result;
+    if (id == CLOCK_MONOTONIC || id == CLOCK_BOOTTIME)
+        ts->tv_sec += uptime_shift_s;
+    if (id == CLOCK_REALTIME && (wall_right_at_s < 0 || read_s(CLOCK_BOOTTIME) < wall_right_at_s))
+        ts->tv_sec += wall_shift_s;
+    return 0;
+}
+"""
+
+
+def shifted_clocks(**clocks):
+    """Processes that are started meanwhile have shifted clocks, in seconds: uptime_s of the
+    machine and wall_s since 1970 at their start, wall_right_after_s until the latter is right."""
+    return preloaded(SHIFTED_CLOCKS, **{name.upper(): str(s) for name, s in clocks.items()})
 
 
 class RawUpstream:
--- /dev/null
+++ b/tests/proc_hosted_clocks.py
@@ -0,0 +1,38 @@
+"""Clocks of machines that have just booted, have run for years, or don't know the date yet."""
+import time
+
+from fakes import shifted_clocks
+from proc_hosted_fleet import fleet
+
+NODES = 3
+# How long nodes are watched: more than the window of a quota.
+WATCH_S = 10
+YEAR_S = 365 * 86400
+
+
+def watch(d, seconds=WATCH_S):
+    """Call all nodes for a time; none may end. Return the share of calls that was served."""
+    statuses = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for n in range(NODES):
+            statuses.append(d.call("/r/x", node=n).status)
+        codes = [n.popen.poll() for n in d.nodes]
+        assert codes == [None] * NODES, codes
+        time.sleep(0.05)
+    return statuses.count(200) / len(statuses)
+
+
+def test_nodes_run_on_machines_that_have_just_booted():
+    """Guards against times before the boot that are used as indexes, and end nodes at their start."""
+    for uptime_s in (0, 1, 4):
+        with shifted_clocks(uptime_s=uptime_s), fleet(nodes=NODES) as d:
+            share = watch(d)
+            assert share == 1, (uptime_s, share)
+
+
+def test_nodes_run_on_machines_that_booted_years_ago():
+    """Guards against uptimes that are cut to 32 bits."""
+    with shifted_clocks(uptime_s=12 * YEAR_S), fleet(nodes=NODES) as d:
+        share = watch(d)
+        assert share == 1, share
--- a/tests/run.py
+++ b/tests/run.py
@@ -79,6 +79,7 @@
     "proc_hosted_speeds": "hosted  an engine that stays slow gets fewer calls",
     "proc_hosted_engines": "hosted  engine speeds: learnt, sent to peers, persisted",
     "proc_hosted_one_node": "hosted  a node that gets all new connections serves them",
+    "proc_hosted_clocks": "hosted  machines that have just booted, or whose date is not set",
     "proc_hosted_partition": "hosted  nodes without links to the VMs serve through their peers",
     "proc_hosted_brittle": "hosted  VMs that fall over when they have to refuse requests",
     "proc_hosted_restore": "hosted  a store that comes back from an older copy",
--- a/tests/test_clock.c
+++ b/tests/test_clock.c
@@ -18,6 +18,8 @@
 #define SUSPENDED_S 60
 #define LEASE_MS    3000
 #define SLACK_MS    5000
+/* Longest window of the process file. */
+#define WINDOW_MAX_MS (86400 * RK_MS_PER_S)
 
 static time_t suspended_s;
 
@@ -45,6 +47,21 @@
                     SUSPENDED_S * RK_MS_PER_S + SLACK_MS);
 }
 
+/* Guards against a clock near 0, where 0 can't stand for "never" and a time minus a
+ * window is negative. */
+static void
+the_clock_is_far_from_zero_on_a_machine_that_has_just_booted(void **state)
+{
+    (void)state;
+    struct timespec ts;
+    syscall(SYS_clock_gettime, CLOCK_BOOTTIME, &ts);
+    time_t before_s = suspended_s;
+    suspended_s = -ts.tv_sec;
+    int64_t now_ms = rk_mono_ms();
+    suspended_s = before_s;
+    assert_true(now_ms > WINDOW_MAX_MS);
+}
+
 static void on_deadline(void *ctx)
 {
     int64_t *fired_ms = ctx;
@@ -100,6 +117,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_clock_counts_suspended_time),
+        cmocka_unit_test(
+            the_clock_is_far_from_zero_on_a_machine_that_has_just_booted),
         cmocka_unit_test(a_lease_expires_during_a_suspension),
         cmocka_unit_test(a_timer_due_during_a_suspension_fires_on_resume),
     };
