leader: a slot without a window is not taken for window 0

Callers saw: nodes end by SIGSEGV one after the other while the date of their machines is that of 1970 (no battery, no NTP yet): each that gets the lease.

Cause: the slots of usage windows are all 0 at first, and window 0, the first one of 1970, was taken for one that is there, with no pointer to its leader.

Change: a slot holds a window once it has its leader; no window before 1970 is reported.

--- a/node/leader.c
+++ b/node/leader.c
@@ -62,8 +62,8 @@
 };
 
 struct window {
-    struct rk_leader *k;
-    int64_t number; /* wall time divided by the size of a window */
+    struct rk_leader *k; /* NULL: the slot has held no window yet */
+    int64_t number;      /* wall time divided by the size of a window */
     enum window_state state;
     int64_t retry_at_ms; /* no attempt before this time */
     char *counts;        /* JSON text, as the store has it */
@@ -388,7 +388,7 @@
 static struct window *window_slot(struct rk_leader *k, int64_t number)
 {
     struct window *w = &k->windows[(size_t)number % RECENT_WINDOWS];
-    if (w->number == number)
+    if (w->k && w->number == number)
         return w;
     if (w->state == WINDOW_STORING || w->state == WINDOW_REPORTING || w->rewriting)
         return NULL; /* the callback of a call in flight refers to this slot */
@@ -600,6 +600,8 @@
         rk_wall_ms() / rk_s_to_ms(n->file.usage_window_s) - RECENT_WINDOWS;
     if (n->file.first_start)
         k->first_window += RECENT_WINDOWS;
+    if (k->first_window < 0)
+        k->first_window = 0; /* the wall clock has not been set yet */
     return k;
 }
 
--- a/tests/proc_hosted_clocks.py
+++ b/tests/proc_hosted_clocks.py
@@ -2,6 +2,7 @@
 import time
 
 from fakes import shifted_clocks
+from hosted import wait_until
 from proc_hosted_fleet import fleet
 
 NODES = 3
@@ -36,3 +37,13 @@
     with shifted_clocks(uptime_s=12 * YEAR_S), fleet(nodes=NODES) as d:
         share = watch(d)
         assert share == 1, share
+
+
+def test_nodes_run_while_the_date_is_that_of_1970():
+    """Guards against dates that are taken for none, and against the step when the date is set."""
+    with shifted_clocks(wall_s=0, wall_right_after_s=6), fleet(nodes=NODES) as d:
+        share = watch(d)
+        assert share == 1, share
+        version = d.configure([d.route("r", "plain"), d.route("later", "plain")], wait=False)
+        d.wait_version(version, timeout=5)
+        wait_until(lambda: all(d.call("/later/x", node=n).status == 200 for n in range(NODES)), 5)
