forward: an owner without settings does not end the calls for its keys

Cause: a node listens for forwarded calls before it has its settings. It ended such a call with "this node has no settings yet", and the sender took that for the owner's word on the key: final, and not known whether it ran.

Change: the peer says that it is not ready, and the sender goes on as if the owner could not be reached: it claims the key in the store itself, which fences claims. An older sender sees the verdict that it saw before.

--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -2864,7 +2864,7 @@
   (ProtobufCMessageInit) rillknot__forward_data__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__forward_end__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rillknot__forward_end__field_descriptors[10] =
 {
   {
     "id",
@@ -2974,10 +2974,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_ready",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__ForwardEnd, not_ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__forward_end__field_indices_by_name[] = {
   4,   /* field[4] = detail */
   0,   /* field[0] = id */
+  9,   /* field[9] = not_ready */
   6,   /* field[6] = not_sent */
   7,   /* field[7] = replayed */
   8,   /* field[8] = resume */
@@ -2989,7 +3002,7 @@
 static const ProtobufCIntRange rillknot__forward_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor rillknot__forward_end__descriptor =
 {
@@ -2999,7 +3012,7 @@
   "Rillknot__ForwardEnd",
   "rillknot",
   sizeof(Rillknot__ForwardEnd),
-  9,
+  10,
   rillknot__forward_end__field_descriptors,
   rillknot__forward_end__field_indices_by_name,
   1,  rillknot__forward_end__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -373,10 +373,14 @@
    * The stream can be resumed at another node.
    */
   protobuf_c_boolean resume;
+  /*
+   * The peer has no settings yet, and knows nothing of the call's key.
+   */
+  protobuf_c_boolean not_ready;
 };
 #define RILLKNOT__FORWARD_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__forward_end__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/forward.c
+++ b/serve/forward.c
@@ -8,7 +8,9 @@
 #include "core/members.h"
 #include "peers/link.h"
 #include "serve/exchange.h"
+#include "serve/exchange_impl.h"
 #include "serve/traffic.h"
+#include "serve/view.h"
 
 /* A peer that does not acknowledge a call within this time counts as lost for that
  * call. */
@@ -140,7 +142,7 @@
                                      .resume = e->resume,
                                      .retry_after_ms = e->retry_after_ms,
                                      .detail = e->detail};
-        rk_exchange_on_peer_end(x, &o, false);
+        rk_exchange_on_peer_end(x, &o, e->not_ready);
     }
 }
 
@@ -328,8 +330,30 @@
     rk_link_send(c->link, &frame);
 }
 
+/* Refuses a call while this node has no settings. An owner knows nothing of the
+ * call's key then, so that the sender has to claim it. */
+static void refuse_unready(struct conn *c, const Rillknot__ForwardBegin *b)
+{
+    Rillknot__ForwardEnd e = RILLKNOT__FORWARD_END__INIT;
+    e.id = b->id;
+    e.status = 503;
+    e.verdict = b->to_owner ? RK_MAY_HAVE_RUN : RK_NOT_RUN;
+    e.retry_after_ms = RK_OVERLOAD_RETRY_MS;
+    e.detail = "the peer has no settings yet";
+    e.not_sent = true;
+    e.not_ready = true;
+    Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
+    frame.body_case = RILLKNOT__FRAME__BODY_FORWARD_END;
+    frame.forward_end = &e;
+    rk_link_send(c->link, &frame);
+}
+
 static void accept_call(struct conn *c, const Rillknot__ForwardBegin *b)
 {
+    if (!rk_traffic_view(c->f->t)->config->head) {
+        refuse_unready(c, b);
+        return;
+    }
     struct rk_request r = {
         .deadline_in_ms = b->deadline_left_ms,
         .resume_from = b->resume_from,
--- a/tests/proc_once.py
+++ b/tests/proc_once.py
@@ -284,3 +284,26 @@
         assert len(runs) > 100, len(runs)
         return "%d arrivals of %d keys, %d complete answers, %d keys run, none twice" % (
             total, len(answers), whole, len(runs))
+
+
+def test_keys_of_an_owner_without_settings_are_claimed_elsewhere():
+    """An owner that has just restarted, and has no settings yet, must not end calls.
+
+    Guards against calls that are answered 503 "may have run" although nobody ran them, as
+    their key's owner can't look up the key yet.
+    """
+    with cluster(domains=["klein-hall", "eros-hall"], engines=0, entries=1,
+                 platform_cut=True, peer_cuts=True) as c:
+        a, b = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+        wait_for(lambda: all(call(a.port, "slots/confirm", "w%d" % i).whole()
+                             for i in range(8)), 30, "keys to be claimed")
+        c.platform_proxies[b.name].cut()
+        c.cuts[b.name, "control"].cut()
+        c.cuts[a.name, "control"].cut()
+        b.kill()
+        c.add_entry(b.name, b.domain)
+        answers = run_concurrently([lambda i=i: call(a.port, "slots/confirm", "k%d" % i)
+                                    for i in range(40)])
+        failed = [(x.status, x.verdict, x.body) for x in answers if not x.whole()]
+        assert not failed, (len(failed), failed[0])
+        assert all(n == 1 for n in c.runs().values())
