conn: a send that fails in the node's own kernel ends the connection

Callers saw: no answer until their time was over, from the first send that the kernel refused for want of memory or a filter refused (ENOBUFS, ENOMEM, EPERM). Later bytes of the same message were sent, so that it had a hole.

Cause: what a failed send left was dropped, and an epoll event was expected to report the error. The socket is sound there, and no event comes.

Change: such an error is reported to the connection's owner from the event loop, and nothing is sent any more after a failed send. Errors of the peer's side are reported by their events as before, after what was received has been read.

--- a/common/conn.c
+++ b/common/conn.c
@@ -44,6 +44,7 @@
     bool lingering; /* closed by the owner: sends the rest, waits for the peer */
     bool fin_sent;
     bool has_sent;
+    int send_error; /* errno of a failed send; 0: none */
     bool is_receive_bounded;
     size_t read_since_write;
     bool released;           /* the timer will free the memory */
@@ -51,7 +52,8 @@
     struct rk_buf out;       /* bytes to send */
     size_t out_pos;          /* how many of them the kernel has taken */
     size_t charged;          /* bytes of out in the account of memory */
-    struct rk_timer timer;   /* limits the connect or the lingering */
+    struct rk_timer timer;   /* limits the connect or the lingering, or reports a
+                              * failed send */
     TAILQ_ENTRY(rk_conn) lingering_entry;
 };
 
@@ -140,6 +142,22 @@
     rk_memory_charge(&c->charged, c->out.cap);
 }
 
+/* Returns whether a send failed here, so that no epoll event will report it. */
+static bool is_local_error(int error)
+{
+    return error == ENOBUFS || error == ENOMEM || error == EPERM;
+}
+
+/* Drops what was to be sent. The owner, which may be in a write, is told from the
+ * event loop. */
+static void fail_send(struct rk_conn *c, int error)
+{
+    c->out_pos = c->out.len;
+    c->send_error = error;
+    if (is_local_error(error) && !c->lingering)
+        rk_timer_start(c->loop, &c->timer, 0);
+}
+
 static void flush(struct rk_conn *c)
 {
     while (rk_conn_unsent_len(c)) {
@@ -148,8 +166,7 @@
         if (n < 0) {
             if (errno == EAGAIN || errno == EINTR)
                 break;
-            /* Drop the rest: an epoll event will report the error. */
-            c->out_pos = c->out.len;
+            fail_send(c, errno);
             break;
         }
         c->has_sent = true;
@@ -241,8 +258,8 @@
     struct rk_conn *c = ctx;
     if (c->lingering)
         release(c);
-    else
-        notify_end(c, ETIMEDOUT);
+    else if (c->ops)
+        notify_end(c, c->send_error ? c->send_error : ETIMEDOUT);
 }
 
 static struct rk_conn *create(struct rk_loop *loop, int fd,
@@ -297,7 +314,7 @@
 
 void rk_conn_write(struct rk_conn *c, const void *data, size_t len)
 {
-    if (c->released || c->fd < 0 || !len)
+    if (c->released || c->fd < 0 || c->send_error || !len)
         return;
     c->read_since_write = 0;
     rk_buf_add(&c->out, data, len);
