call: a caller's count of tokens is a number that sums can hold

Callers saw: after one request with `Rillknot-Token-Usage: 1e308,1e308` all calls of that engine service were answered 503, for as long as it was watched (20 s); after one with `nan` an organisation had no quota any more.

Cause: the header was read by strtod() as it stands. The work that waits at an engine and the model of its speed became infinite, and then no number; a sum of the quota window that is no number is never above the limit, and a negative count gave units back.

Change: the counts are parsed and bounded where they enter (core/token_usage.h).

--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -11,6 +11,7 @@
 #include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/memory.h"
+#include "core/token_usage.h"
 #include "serve/relay_call_impl.h"
 
 #define PCT 100
@@ -67,12 +68,9 @@
     const struct rk_dialect *d = x->r->opt.dialect;
     const char *tokens = rk_head_get(head, d->tokens);
     const char *prefix = rk_head_get(head, d->prefix);
-    double out = 0;
-    if (tokens) {
-        char *end;
-        x->query.prompt_tokens = strtod(tokens, &end);
-        out = *end == ',' ? strtod(end + 1, NULL) : 0;
-    }
+    struct rk_token_usage usage = {0};
+    bool counted = tokens && rk_token_usage_parse(tokens, &usage);
+    x->query.prompt_tokens = usage.prompt;
     if (prefix) {
         rk_place_parse_segments(&x->query, prefix);
         x->segments = rk_prompt_segments_parse(x->org ? x->org->name : "",
@@ -80,7 +78,7 @@
     }
     if (x->org && x->org->counts_tokens)
         x->units =
-            tokens ? x->query.prompt_tokens + out : (double)x->org->default_units;
+            counted ? usage.prompt + usage.output : (double)x->org->default_units;
     else
         x->units = 1;
 }
--- /dev/null
+++ b/tests/proc_hosted_odd_calls.py
@@ -0,0 +1,49 @@
+"""Odd values in the headers of callers' requests and of VMs' answers."""
+import time
+
+from hosted import Hosted
+
+ODD_USAGES = ("nan", "nan,nan", "inf,inf", "1e308,1e308", "-1e300,0", "0,-1e300", "-inf,inf",
+              "1e400", "", ",", "x", "-0", "9" * 400, "0x1p1000,1")
+LIMITED = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream", "plainTokens": 10,
+            "ratePerS": 100, "burst": 100}]
+
+
+def usage(text):
+    return [("Rillknot-Token-Usage", text)]
+
+
+def statuses(d, text, count, node=0):
+    return [d.call("/r/x", headers=usage(text), node=node).status for _ in range(count)]
+
+
+def test_odd_token_counts_do_not_lift_a_quota():
+    """Guards against a count of tokens that is negative or no number: it entered the sum of
+    the quota window, after which any call of the organisation was within its quota."""
+    with Hosted(nodes=2) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")], tenants=LIMITED)
+        d.wait_ready()
+        for text in ODD_USAGES:
+            statuses(d, text, 1)
+        answers = statuses(d, "100,0", 20)
+        assert answers.count(200) <= 5, answers
+
+
+def test_odd_token_counts_leave_engines_usable():
+    """Guards against a count of tokens that makes the work that waits at an engine infinite or
+    no number: the engine was then never chosen again."""
+    with Hosted(nodes=1) as d:
+        engine = {"name": "llm", "healthPath": "/healthz", "maxConns": 200,
+                  "engine": {"slots": 32, "kvCapacity": 100000, "moves": False}}
+        workers = [d.add_worker("llm", events=3, slots=32) for _ in range(2)]
+        d.configure([d.route("r", "llm", "streaming", sloMs=1000)], services=[engine])
+        d.wait_ready()
+        for text in ODD_USAGES:
+            statuses(d, text, 3)
+        time.sleep(1)
+        before = [sum(w.runs.values()) for w in workers]
+        answers = statuses(d, "1000,30", 60)
+        used = [sum(w.runs.values()) - b for w, b in zip(workers, before)]
+        assert answers == [200] * 60, answers
+        assert min(used) >= 6, used
