quota: a call beyond the whole quota does not keep the others out

Callers saw: all calls of an organisation with a quota answered 429 for 14 to 16 s after one request that named more tokens than the quota holds.

Cause: demand includes the units of refused calls, in full. Next to a call of 1e9 units no share was left for the others until it had decayed.

--- a/tests/proc_hosted_odd_calls.py
+++ b/tests/proc_hosted_odd_calls.py
@@ -1,7 +1,7 @@
 """Odd values in the headers of callers' requests and of VMs' answers."""
 import time
 
-from hosted import Hosted
+from hosted import Hosted, wait_until
 
 ODD_USAGES = ("nan", "nan,nan", "inf,inf", "1e308,1e308", "-1e300,0", "0,-1e300", "-inf,inf",
               "1e400", "", ",", "x", "-0", "9" * 400, "0x1p1000,1")
@@ -47,3 +47,18 @@
         used = [sum(w.runs.values()) - b for w, b in zip(workers, before)]
         assert answers == [200] * 60, answers
         assert min(used) >= 6, used
+
+
+def test_a_call_beyond_the_quota_does_not_use_it_up():
+    """Guards against calls that are larger than the whole quota: they were refused, but their
+    tokens counted as the organisation's demand, so that its other calls were refused for as
+    long as it took to decay."""
+    with Hosted(nodes=2) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")], tenants=LIMITED)
+        d.wait_ready()
+        for text in ODD_USAGES:
+            statuses(d, text, 1)
+        for node in range(2):
+            wait_until(lambda n=node: statuses(d, "10,0", 1, node=n) == [200],
+                       2 * d.bounds["quotaWindowS"], step=0.3)
