call: the segments of a prompt count as memory

Callers saw: nothing yet; a node of 120 MB took 189 MB for 900 calls with heads of 8 kB, and would be ended for it.

Cause: each segment that `Rillknot-Prompt-Prefix` names is kept in 48 bytes while its call lasts, "a," in two bytes of the head. No account had these.

Change: they are charged to the account of memory; where it is full, further calls are refused as not run.

--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -9,6 +9,7 @@
 #include "common/counters.h"
 #include "common/eventlog.h"
 #include "common/http1.h"
+#include "common/memory.h"
 
 /* Bytes of the headers and of the body of an error answer. */
 #define LINE_MAX_LEN              192
@@ -61,6 +62,7 @@
     rk_call_end_check_free(x);
     rk_event_splitter_free(&x->events);
     rk_prompt_segments_free(&x->segments);
+    rk_memory_charge(&x->segments_charged, 0);
     rk_routes_unref(x->routes);
     free(x);
 }
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -68,6 +68,7 @@
     const struct rk_org_info *org; /* NULL: none */
     uint64_t fingerprint; /* see rk_call_fingerprint(); 0: not computed yet */
     struct rk_prompt_segments segments; /* of the prompt, without the last */
+    size_t segments_charged;            /* bytes of them in the account of memory */
     bool segments_cleared;              /* a VM answered on them and lived */
     struct rk_place_query query;
     double units; /* cost in the organisation's quota */
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -75,6 +75,8 @@
         rk_place_parse_segments(&x->query, prefix);
         x->segments = rk_prompt_segments_parse(x->org ? x->org->name : "",
                                                x->query.service, prefix);
+        rk_memory_charge(&x->segments_charged,
+                         x->segments.len * sizeof(*x->segments.items));
     }
     if (x->org && x->org->counts_tokens)
         x->units =
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -538,6 +538,37 @@
             assert_small(d), peak / 1e6, budget / 1e6, len(accepted))
 
 
+def test_prompts_of_thousands_of_segments_do_not_fill_the_memory():
+    """Guards against heads of 8 kB that name thousands of short segments: each call held 25
+    times its head for them, in no account, and 900 calls more than a machine's memory."""
+    calls, wave = 900, 30
+    with small_node(workers=3) as d:
+        d.configure([d.route("r", "plain", timeoutMs=20000)], limits=LIMITS,
+                    services=[{"name": "plain", "healthPath": "/healthz", "maxConns": 2000}])
+        for w in d.workers:
+            w.slots, w.work_s, w.free_slots = calls, 10, threading.Semaphore(calls)
+        head = (b"GET /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+                b"Rillknot-Prompt-Prefix: %s\r\nRillknot-Attempt-Id: segments-%d\r\n\r\n")
+        conns = []
+        for number in range(calls):
+            conns.append(d.connect())
+            conns[-1].sendall(head % (b"a," * 3900, number))
+            if number % wave == wave - 1:
+                time.sleep(0.2)
+        got = [a.status for a in answers(conns, 0.01) if a]
+        for w in d.workers:
+            w.work_s = 0
+        assert_small(d)
+        assert set(got) <= {200, 503}, got
+        sent = sum(len(w.seen) for w in d.workers)
+        assert sent >= wave, sent
+        for c in conns:
+            c.close()
+        wait_until(lambda: d.call("/r/x").status == 200, DEADLINE_MS / 1000)
+        return "%d calls sent to VMs, %d refused, %d MB" % (sent, got.count(503),
+                                                            memory_mb(d.nodes[0]))
+
+
 def test_short_bodies_do_not_wait_for_announced_ones():
     """Guards against a few callers that announce long bodies and keep all others out."""
     with small_node() as d:
