call: a cooldown that a VM asks for lasts a minute at most

Change: 60 s at a time. A VM that still refuses then asks again, at the cost of one call that it doesn't run.

--- a/serve/relay_signals.c
+++ b/serve/relay_signals.c
@@ -11,6 +11,8 @@
 
 #define RETRY_AFTER "Retry-After"
 #define MILLI       1000.0
+/* Longest cooldown that a VM can request at a time. */
+#define COOLDOWN_MAX_MS (60 * RK_MS_PER_S)
 
 static void reject_signal(const struct rk_relay_call *x, const char *name,
                           const char *text)
@@ -36,7 +38,9 @@
     return true;
 }
 
-/* Returns the cooldown that a refusal requests by Retry-After; 0 if none. */
+/* Returns the cooldown that a refusal requests by Retry-After; 0 if none. A longer
+ * one is cut: VMs that all ask for a day by mistake would not be used again before
+ * they restart. One that still refuses then asks again. */
 static int64_t parse_cooldown_ms(const struct rk_relay_call *x,
                                  const struct rk_head *head)
 {
@@ -47,7 +51,7 @@
         return 0;
     int64_t cooldown_ms = rk_retry_after_ms(text);
     if (cooldown_ms >= 0)
-        return cooldown_ms;
+        return cooldown_ms < COOLDOWN_MAX_MS ? cooldown_ms : COOLDOWN_MAX_MS;
     reject_signal(x, RETRY_AFTER, text);
     return 0;
 }
--- a/tests/proc_hosted_cooldown.py
+++ b/tests/proc_hosted_cooldown.py
@@ -85,3 +85,16 @@
         wait_until(lambda: worker.seen)
         worker.retry_after_s = 0
         wait_until(lambda: worker.runs, 4)
+
+
+def test_a_cooldown_of_a_day_lasts_a_minute():
+    """Guards against VMs that ask for a day by mistake: where all of a service did, its calls
+    were refused until the VMs were restarted, and callers were told to come back tomorrow."""
+    with Fleet(nodes=1, workers=2) as f:
+        for worker in f.d.workers:
+            worker.retry_after_s = 86400
+        answers = [f.d.call("/s/x") for _ in range(6)]
+        assert {a.status for a in answers} == {503}, [a.status for a in answers]
+        rests = [e["rest_ms"] for e in f.d.nodes[0].events() if e.get("event") == "vm.rest"]
+        assert len(rests) == 2 and max(rests) <= 60000, rests
+        assert float(answers[-1].headers["retry-after"]) <= 60, answers[-1].headers
