server: a body has the route's time-out to arrive

Callers saw: nothing by themselves; callers that send a body a byte at a time could hold all connections of a node for as long as they liked.

Cause: each byte began the idle time-out anew, and nothing bounded the whole.

Change: once its head is accepted, a request must be whole within the route's `timeoutMs`, the longest time that the operator wants it held, and within the idle time-out where that is longer. Beyond that it is refused with 408; it has not run.

--- a/callers/client.h
+++ b/callers/client.h
@@ -37,6 +37,7 @@
     struct rk_server_limits limits;
     enum client_state state;
     struct rk_buf body;
+    int64_t body_until_ms;   /* when the body must be whole; 0: not bounded */
     struct rk_buf pipelined; /* bytes after the current request */
     size_t pipelined_pos;    /* how many of them were read */
     bool feeding;            /* feed_pipelined() is on the stack */
--- a/callers/server.c
+++ b/callers/server.c
@@ -98,6 +98,7 @@
     c->user = NULL;
     c->head_accepted = false;
     c->announced = 0;
+    c->body_until_ms = 0;
     rk_http1_next(&c->reader);
     wait_for_request(c);
     rk_client_update_accounts(c);
@@ -149,6 +150,12 @@
     c->close_after_answer = true;
 }
 
+void rk_client_limit_body_time(struct rk_client *c, int64_t timeout_ms)
+{
+    int64_t idle_ms = c->limits.idle_ms;
+    c->body_until_ms = rk_mono_ms() + (timeout_ms > idle_ms ? timeout_ms : idle_ms);
+}
+
 void rk_client_announce(struct rk_client *c, size_t bytes)
 {
     c->announced = bytes;
@@ -251,6 +258,15 @@
     return true;
 }
 
+/* Returns how long to wait for more of a body, in ms. */
+static int64_t body_wait_ms(const struct rk_client *c)
+{
+    int64_t left_ms = c->body_until_ms - rk_mono_ms();
+    if (!c->body_until_ms || left_ms > c->limits.idle_ms)
+        return c->limits.idle_ms;
+    return left_ms > 0 ? left_ms : 0;
+}
+
 /* Parses input up to the end of one request and passes a complete one on. Returns
  * the number of bytes that were read. */
 static size_t feed(struct rk_client *c, const char *data, size_t len)
@@ -273,7 +289,7 @@
         if (c->reader.head_done && !accept_head(c))
             return len;
         if (c->reader.head_done)
-            rk_timer_start(c->s->loop, &c->timer, c->limits.idle_ms);
+            rk_timer_start(c->s->loop, &c->timer, body_wait_ms(c));
         else if (is_first_byte)
             rk_timer_start(c->s->loop, &c->timer, c->limits.header_ms);
         return n;
--- a/callers/server.h
+++ b/callers/server.h
@@ -89,6 +89,9 @@
  * Until then, those that are not held yet are expected in the account of memory
  * (rk_memory_expect()). Called by on_head(). */
 void rk_client_announce(struct rk_client *c, size_t bytes);
+/* Bounds the time until the request's body is whole, from now on: to timeout_ms,
+ * and to the idle time-out at least. The request is refused with 408 then. */
+void rk_client_limit_body_time(struct rk_client *c, int64_t timeout_ms);
 
 /* Sets the value that is passed on when the caller disconnects. It is reset to NULL
  * with the next request. */
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -399,6 +399,7 @@
 {
     struct call_spec call;
     if (accept_head(r, client, &call)) {
+        rk_client_limit_body_time(client, call.route->timeout_ms);
         if (claim_memory(client))
             return true;
         refuse_for_memory(r, client);
--- a/tests/proc_hosted_input.py
+++ b/tests/proc_hosted_input.py
@@ -145,6 +145,30 @@
         assert time.monotonic() - start > 4.5
 
 
+def test_a_body_that_trickles_ends_in_time():
+    """Guards against bodies that come a byte at a time: each byte began the idle time-out
+    anew, so that callers could hold all connections of a node for as long as they liked."""
+    limits = {"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 1000,
+              "idleTimeoutMs": 1500}
+    with plain(workers=1) as d:
+        d.configure([d.route("r", "plain", timeoutMs=2500)], limits=limits)
+        for framing in (b"Content-Length: 1000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n"):
+            s = d.connect()
+            s.sendall(b"POST /r/x HTTP/1.1\r\n" + HEAD + framing)
+            s.settimeout(0.3)
+            answer, start = b"", time.monotonic()
+            while not answer and time.monotonic() - start < 9:
+                try:
+                    s.sendall(b"h" if b"Length" in framing else b"1\r\nh\r\n")
+                    answer = s.recv(4096)
+                except socket.timeout:
+                    pass
+            assert answer.startswith(b"HTTP/1.1 408 "), answer
+            assert time.monotonic() - start > 2
+        assert not d.workers[0].seen
+        assert d.call("/r/x").status == 200
+
+
 def test_invalid_settings_are_rejected():
     """Guards against invalid settings that take effect or are rejected without a reason."""
     with plain(workers=1) as d:
