upstream: a VM's Keep-Alive time is bounded where it is read

Callers saw: nothing on the release build, where the connection was not reused; with the undefined sanitizer the node ended.

Cause: the seconds of `Keep-Alive: timeout=` were multiplied by 1,000.

Change: times beyond an hour are cut to it.

--- a/services/upstream.c
+++ b/services/upstream.c
@@ -13,7 +13,9 @@
 #define KEEP_ALIVE_DEFAULT_MS 8000
 /* Idle connections are used for this much less time than the VM advertises. */
 #define KEEP_ALIVE_MARGIN_MS 1200
-#define SWEEP_INTERVAL_MS    1000
+/* Longer times that a VM advertises are cut to this. */
+#define KEEP_ALIVE_MAX_S  3600
+#define SWEEP_INTERVAL_MS 1000
 /* A response that is discarded is read to its end, so that its connection can be
  * reused, unless it has more bytes or takes longer. */
 #define DISCARDED_MAX_BYTES (64 * 1024)
@@ -136,8 +138,12 @@
     const char *timeout = value ? strstr(value, "timeout=") : NULL;
     if (!timeout)
         return KEEP_ALIVE_DEFAULT_MS;
-    int64_t ms = strtol(timeout + strlen("timeout="), NULL, 10) * RK_MS_PER_S;
-    return ms - KEEP_ALIVE_MARGIN_MS;
+    int64_t s = strtol(timeout + strlen("timeout="), NULL, 10);
+    if (s <= 0)
+        return 0;
+    if (s > KEEP_ALIVE_MAX_S)
+        s = KEEP_ALIVE_MAX_S;
+    return s * RK_MS_PER_S - KEEP_ALIVE_MARGIN_MS;
 }
 
 /* ---- responses ---- */
--- a/tests/proc_hosted_odd_answers.py
+++ b/tests/proc_hosted_odd_answers.py
@@ -62,3 +62,16 @@
     assert not run.problems, odd_objects.report(run)
     assert run.served > 20 and run.odd_answers > 20, (run.served, run.odd_answers)
     return "%d calls served, %d odd answers" % (run.served, run.odd_answers)
+
+
+def test_keep_alive_times_beyond_any_clock_are_harmless():
+    """Guards against a Keep-Alive time whose milliseconds don't fit 64 bits."""
+    times = ("9223372036854775807", "-9223372036854775808", "99999999999999999999", "-1", "",
+             "nan", "9223372036854775", "1, timeout=2")
+    with Hosted(nodes=1) as d:
+        worker = d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        for text in times:
+            worker.signals = lambda t=text: b"Keep-Alive: timeout=%s\r\n" % t.encode()
+            assert [d.call("/r/x").status for _ in range(3)] == [200] * 3, text
