forward: a peer's count of attempts is one that a route can have

Callers saw: nothing, as no node sends such a count; a request to the listener for peers' calls with 2,147,483,647 attempts ended a node that was built with the undefined sanitizer, and ran on the release build.

Cause: the count was only looked at for being negative, and the next attempt overflowed it.

Change: more than 1,000, the bound of `maxAttempts`, is no forwarded call: 400.

--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -19,6 +19,7 @@
  * refusal_names. */
 #define HEADER_REFUSED     "Rillknot-Forward-Refused"
 #define HEADER_RETRY_AFTER "Retry-After"
+#define ATTEMPTS_MAX       1000 /* as of a route's maxAttempts */
 #define CONNECT_TIMEOUT_MS 100
 #define MAX_CONNS          256 /* to one peer */
 /* How long a peer gets no calls after it was unreachable or silent, and no calls of
@@ -371,5 +372,5 @@
                                &out->attempts, &earned)
                       : 0;
     out->retries_earned = earned;
-    return fields >= 2 && out->attempts >= 0;
+    return fields >= 2 && out->attempts >= 0 && out->attempts <= ATTEMPTS_MAX;
 }
--- a/tests/proc_hosted_odd_answers.py
+++ b/tests/proc_hosted_odd_answers.py
@@ -2,7 +2,7 @@
 import time
 
 import odd_objects
-from hosted import Hosted
+from hosted import Hosted, http
 
 SECONDS = 8
 SEED = 106
@@ -75,3 +75,20 @@
         for text in times:
             worker.signals = lambda t=text: b"Keep-Alive: timeout=%s\r\n" % t.encode()
             assert [d.call("/r/x").status for _ in range(3)] == [200] * 3, text
+
+
+def test_odd_attempts_of_a_forwarded_call_are_refused():
+    """Guards against a peer's count of attempts that overflows at the next one."""
+    with Hosted(nodes=1) as d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        port = d.port(d.nodes[0].ready["forward"])
+        for text in ("0 2147483647", "0 4294967295 1", "0 99999999999999999999", "0 -1 1", "0",
+                     "99999999999999999999 0", "nan nan"):
+            a = http(port, "POST", "/r/x", [
+                ("Host", "api.example"), ("X-Api-Key", "key-1"), ("Rillknot-Forwarded", text),
+                ("Rillknot-Attempt-Id", "forwarded")])
+            assert a.status in (400, 503), (text, a.status)
+        assert not d.workers[0].seen
+        assert d.call("/r/x").status == 200
