tests: reports and crashes of all processes of a node fail a run

Seen: a sanitizer's report, or a crash, of a node that a test restarted later failed no test. tools/fleet_soak.py read no log for reports at all, and removed the logs of a run without problems.

Cause: Hosted looked into the last log of each node only, and nothing looked at how earlier processes had ended. A process that the thread sanitizer reports on goes on, so its exit status tells nothing when it is killed.

Change: Hosted keeps all processes that it started and reads all logs of its folder; a crash is a signal of that kind that the test has not sent. The fleet soak reads the log of each process when it has ended, and sets no limit on the size of logs where a report has to fit in.

Evidence: the three new tests of proc_hosted_ends fail without the change ("not noticed", twice, and no problem listed) and pass with it; the other four of the file pass with and without.

--- a/tests/proc_hosted_ends.py
+++ b/tests/proc_hosted_ends.py
@@ -8,6 +8,7 @@
 import tempfile
 
 from cluster import Proc, free_port
+from fleet_soak import FleetSoak, choose_network
 from fakes import BUILD
 from hosted import Hosted
 
@@ -38,6 +39,47 @@
     check_says_why(signal.SIGABRT)
 
 
+def test_a_sanitizers_report_of_an_earlier_process_of_a_node_fails_a_test():
+    """Guards against reports that nobody sees: only the last log of each node was read."""
+    try:
+        with Hosted(nodes=1) as d:
+            with open(d.nodes[0].log, "ab") as log:
+                log.write(b"WARNING: ThreadSanitizer: data race\n")
+            d.restart_node(0)
+    except AssertionError as e:
+        assert "ThreadSanitizer: data race" in str(e), e
+        return
+    raise AssertionError("the report was not noticed")
+
+
+def test_a_crash_of_an_earlier_process_of_a_node_fails_a_test():
+    """Guards against nodes that end by themselves in a test which starts them again."""
+    try:
+        with Hosted(nodes=1) as d:
+            os.kill(d.nodes[0].popen.pid, signal.SIGSEGV)
+            d.nodes[0].popen.wait(END_S)
+            d.restart_node(0)
+    except AssertionError as e:
+        assert "crashed" in str(e), e
+        return
+    raise AssertionError("the crash was not noticed")
+
+
+def test_a_sanitizers_report_of_a_killed_process_fails_a_fleet_soak():
+    """Guards against reports that nobody sees: no log of a killed process was read."""
+    run = FleetSoak(1, 1, 1)
+    run.add_machine(0, choose_network())
+    machine = run.machines[0]
+    machine.start()
+    machine.process.proc.wait_event("node.started")
+    with open(machine.process.log, "ab") as log:
+        log.write(b"WARNING: ThreadSanitizer: data race\n")
+    run.kill([machine], END_S)
+    run.watch_process(machine)
+    run.d.stop()
+    assert run.problems and "ThreadSanitizer: data race" in run.problems[0], run.problems
+
+
 def limit_log(proc, room):
     """Lets a process's log grow by this many bytes and no more. Returns its largest size."""
     size = os.path.getsize(proc.log) + room
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -20,6 +20,18 @@
 START_TIMEOUT_S = 60
 
 
+def sanitizer_report(log):
+    """Return the beginning of a sanitizer's report in a log, "" if there is none."""
+    with open(log, "rb") as f:
+        text = f.read()
+    found = re.search(rb"\w+Sanitizer|runtime error:", text)
+    return text[found.start():found.start() + 4000].decode("utf-8", "replace") if found else ""
+
+
+# Signals by which a process ends for a fault of its own.
+CRASH_SIGNALS = {signal.SIGABRT, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGSEGV}
+
+
 class Proc:
     """A child process that writes its output, a log of JSON events, into a file.
 
@@ -28,6 +40,7 @@
 
     def __init__(self, args, log, ready_event="listening"):
         self.args, self.log = args, log
+        self.signals_sent = set()
         self.popen = subprocess.Popen(args, stdout=open(log, "wb"),
                                       stderr=subprocess.STDOUT)
         self.ready = None
@@ -66,8 +79,14 @@
 
     def signal(self, sig):
         if self.popen.poll() is None:
+            self.signals_sent.add(sig)
             self.popen.send_signal(sig)
 
+    def has_crashed(self):
+        """Return whether it has ended by a signal of a crash that nobody sent."""
+        status = self.popen.poll()
+        return -(status or 0) in CRASH_SIGNALS - self.signals_sent
+
     def freeze(self):
         self.signal(signal.SIGSTOP)
 
@@ -500,14 +519,9 @@
     def _check_sanitizers(self):
         """Raise AssertionError if a sanitizer reported anything in a log."""
         for p in self.procs.values():
-            with open(p.log, "rb") as f:
-                text = f.read()
-            for marker in (b"ThreadSanitizer", b"AddressSanitizer", b"LeakSanitizer",
-                           b"runtime error:"):
-                at = text.find(marker)
-                if at >= 0:
-                    raise AssertionError("%s: %s" % (
-                        p.name, text[at:at + 4000].decode("utf-8", "replace")))
+            report = sanitizer_report(p.log)
+            if report:
+                raise AssertionError("%s: %s" % (p.name, report))
 
     def __enter__(self):
         return self
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -25,7 +25,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from cluster import Proc  # noqa: E402
+from cluster import Proc, sanitizer_report  # noqa: E402
 from hosted import (TEMPLATE, Hosted, RawServer, Worker, answer_json,  # noqa: E402
                     read_answer, render, reset)
 from lifetimes import MOVE_FAULTS  # noqa: E402
@@ -94,12 +94,18 @@
             reset(conn)
 
 
+def log_limit(machine):
+    """Return the limit of a process's log, which would cut off a sanitizer's report."""
+    sanitized = os.path.basename(os.path.dirname(machine.program)) in ("address", "thread")
+    return "unlimited" if sanitized else str(LOG_MAX_BYTES)
+
+
 class Process:
     """One life of a node's process, with what was done to it and seen of it."""
 
     def __init__(self, machine, log):
         # prlimit becomes the node: it executes the program in its own process.
-        self.proc = Proc(["prlimit", "--nofile=%d" % MAX_FDS, "--fsize=%d" % LOG_MAX_BYTES,
+        self.proc = Proc(["prlimit", "--nofile=%d" % MAX_FDS, "--fsize=%s" % log_limit(machine),
                           machine.program, machine.file], log, ready_event="")
         self.popen, self.log = self.proc.popen, log
         self.started_at = time.monotonic()
@@ -309,6 +315,7 @@
             return
         if p.popen.poll() is not None:
             self.judge_end(m, p)
+            self.check_log(m, p)
             m.process = None
         elif not p.check_started() and now - p.started_at > START_TIMEOUT_S:
             self.problem("%s has not started after %d s" % (m.name, START_TIMEOUT_S))
@@ -330,6 +337,12 @@
                      % (m.name, code, time.monotonic() - p.started_at, p.killed,
                         bool(p.stop_sent_at), p.last_lines()))
 
+    def check_log(self, m, p):
+        """Note a sanitizer's report, also of a process that was killed."""
+        report = sanitizer_report(p.log)
+        if report:
+            self.problem("%s: %s: %s" % (m.name, p.log, report))
+
     def sample(self):
         total = 0.0
         for m in self.machines:
@@ -666,6 +679,7 @@
                 if m.process.popen.poll() is not None:
                     self.judge_end(m, m.process)
                 m.process.kill()
+                self.check_log(m, m.process)
         self.d.stop()
         if not self.problems:
             shutil.rmtree(self.d.dir, ignore_errors=True)
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -5,6 +5,7 @@
 threads of the test's process, on ports that the kernel chooses.
 """
 import collections
+import glob
 import itertools
 import json
 import os
@@ -16,7 +17,7 @@
 import time
 import urllib.parse
 
-from cluster import ROOT, Proc, free_port
+from cluster import ROOT, Proc, free_port, sanitizer_report
 
 TEMPLATE = os.path.join(ROOT, "deploy", "entry.json")
 # Reads that the platform's store serves in a second, divided by the nodes that may watch it.
@@ -711,6 +712,7 @@
         self.store, self.cloud = Store(), Cloud()
         self.dir = tempfile.mkdtemp(prefix="rillknot-hosted-")
         self.workers, self.nodes = [], []
+        self.processes = []  # all that were started, also of nodes that were restarted since
         self.version = 0
         self.ids = itertools.count(1)
         self.initial_nodes = nodes
@@ -726,10 +728,21 @@
 
     def __exit__(self, *_):
         self.stop()
-        for node in self.nodes:
-            with open(node.log, "rb") as f:
-                if b"Sanitizer" in f.read():
-                    raise AssertionError("a sanitizer's report: %s" % node.log)
+        self.check_processes()
+        self.check_logs()
+
+    def check_processes(self):
+        """Raise AssertionError if a node has crashed."""
+        for p in self.processes:
+            if p.has_crashed():
+                raise AssertionError("crashed, status %d: %s" % (p.popen.returncode, p.log))
+
+    def check_logs(self):
+        """Raise AssertionError if a sanitizer has reported something of any process."""
+        for log in glob.glob(os.path.join(self.dir, "*.log")):
+            report = sanitizer_report(log)
+            if report:
+                raise AssertionError("a sanitizer's report: %s: %s" % (log, report))
 
     def stop(self):
         for node in self.nodes:
@@ -774,6 +787,7 @@
                     "node.started")
         node.name, node.file = fields["nodeName"], path
         self.nodes.append(node)
+        self.processes.append(node)
         return node
 
     def restart_node(self, index):
@@ -793,6 +807,7 @@
                     "%s.%d.log" % (old.file, next(self.ids)), "node.started")
         node.name, node.file = old.name, old.file
         self.nodes[index] = node
+        self.processes.append(node)
         return node
 
     def add_worker(self, service, events=0, zone=None, spot=False, **kw):
