server: no request is read while earlier answers are not

Seen: three connections that sent 24 MB of requests for an unknown path and read no answer made a node of 120 MB grow by 90 MB; the same at the port of the metrics, 24 MB of requests, by 527 MB. There was no limit: the node took all that was sent.

Cause: each request that can be answered at once was, whatever was unsent of the answers before. The bounds on memory look at bodies, at bytes behind a call in flight and at answers of VMs, and this is none of these.

Change: with more than 64 KB unsent, the next request is left unread, buffered bytes included, and reading is paused; it goes on once the kernel has taken all. Received bytes are fed in order also when a paused connection still delivers some.

--- a/callers/server.c
+++ b/callers/server.c
@@ -25,6 +25,8 @@
 #define CONTINUE              "HTTP/1.1 100 Continue\r\n\r\n"
 #define EVICTION_TRIES        8           /* idle connections tried to make room */
 #define PIPELINED_PAUSE_BYTES (64 * 1024) /* beyond it, reading is paused */
+/* Beyond so many unsent bytes of answers, no further request is read. */
+#define UNSENT_PAUSE_BYTES (64 * 1024)
 
 static void feed_pipelined(struct rk_client *c);
 
@@ -224,6 +226,14 @@
     return rk_memory_is_scarce() ? 0 : PIPELINED_PAUSE_BYTES;
 }
 
+/* Returns whether the next request can be read. Otherwise a caller that sends
+ * requests and reads no answer would fill the memory with answers. */
+static bool is_ready_for_request(const struct rk_client *c)
+{
+    return c->state == CLIENT_READING &&
+           rk_conn_unsent_len(c->conn) <= UNSENT_PAUSE_BYTES;
+}
+
 /* Buffers bytes that follow the current request. Reading is paused while there are
  * too many. */
 static void save_pipelined(struct rk_client *c, const char *data, size_t len)
@@ -285,13 +295,14 @@
     return n;
 }
 
-/* Goes through the buffered bytes until a request waits for its response. Requests
+/* Goes through the buffered bytes until a request waits for its response, or the
+ * caller has to read earlier ones first; on_drained() goes on then. Requests
  * that are answered at once are taken one after the other here, and not by each
  * one's end, as a caller may send thousands of them in one block. */
 static void feed_pipelined(struct rk_client *c)
 {
     c->feeding = true;
-    while (!c->closed && c->state == CLIENT_READING && unread_len(c))
+    while (!c->closed && is_ready_for_request(c) && unread_len(c))
         c->pipelined_pos +=
             feed(c, c->pipelined.data + c->pipelined_pos, unread_len(c));
     c->feeding = false;
@@ -302,14 +313,16 @@
     if (!c->pipelined.len)
         rk_buf_free(&c->pipelined);
     rk_client_update_accounts(c);
-    rk_conn_set_paused(c->conn, c->pipelined.len > pipelined_max());
+    bool waits_for_caller = c->state == CLIENT_READING && !is_ready_for_request(c);
+    rk_conn_set_paused(c->conn,
+                       waits_for_caller || c->pipelined.len > pipelined_max());
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
 {
     struct rk_client *c = ctx;
     size_t n = 0;
-    if (c->state == CLIENT_READING)
+    if (is_ready_for_request(c) && !unread_len(c))
         n = feed(c, data, len);
     save_pipelined(c, data + n, len - n);
     if (!c->closed && c->state == CLIENT_READING)
@@ -342,7 +355,9 @@
 static void on_drained(void *ctx)
 {
     struct rk_client *c = ctx;
-    if (c->state == CLIENT_ANSWERING && c->s->ops->on_drained)
+    if (c->state == CLIENT_READING)
+        feed_pipelined(c);
+    else if (c->state == CLIENT_ANSWERING && c->s->ops->on_drained)
         c->s->ops->on_drained(c->s->ctx, c->user);
 }
 
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -16,6 +16,9 @@
 FRAME_MAX = 2 * 1024 * 1024
 UNREAD_MAX_MB = 0.25  # in the kernel, of a connection that is not read
 DEADLINE_MS = 2000
+MANY_REQUESTS_BYTES = 8 * 1024 * 1024
+UNREAD_ANSWERS_MB = 10  # of three connections, besides what a node holds at its start
+LATE_ANSWERS, LATE_ANSWERS_MB = 800, 3  # more than the kernel takes of them
 LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 1500,
           "idleTimeoutMs": 6000}
 
@@ -596,3 +599,80 @@
         for s in conns:
             s.close()
         return "%.1f MB of an answer at most" % taken
+
+
+def send_unread(addr, request, length=MANY_REQUESTS_BYTES):
+    """Send requests and read no answer. Returns the connection and how many bytes were sent."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    s.connect(("127.0.0.1", Hosted.port(addr)))
+    s.settimeout(1)
+    sent, block = 0, request * (65536 // len(request))
+    try:
+        while sent < length:
+            sent += s.send(block)
+    except OSError:
+        pass
+    return s, sent
+
+
+def check_pipelined(addr_of, request):
+    """Check that a node holds few answers of callers which read none, and serves others."""
+    with small_node() as d:
+        node = d.nodes[0]
+        before = memory_mb(node)
+        slowest, stop = [0.0], threading.Event()
+
+        def ask():
+            while not stop.is_set():
+                slowest[0] = max(slowest[0], d.page(node.ready["ready"], "/api/readyz").took_s)
+                time.sleep(0.02)
+        asker = threading.Thread(target=ask)
+        asker.start()
+        opened = [send_unread(addr_of(node), request) for _ in range(3)]
+        time.sleep(1)
+        stop.set()
+        asker.join()
+        grown = memory_mb(node) - before
+        assert grown < UNREAD_ANSWERS_MB or is_sanitized(d), "%d MB" % grown
+        assert_served(d)
+        for s, _ in opened:
+            s.close()
+        return "%d MB more, %d KB sent, slowest page %.2f s" % (
+            grown, sum(sent for _, sent in opened) >> 10, slowest[0])
+
+
+def test_answers_that_are_not_read_do_not_fill_the_memory():
+    """Guards against a caller that sends requests without end and reads no answer.
+
+    Each was answered, and the answers waited without a limit.
+    """
+    return check_pipelined(lambda node: node.ready["listen"],
+                           b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+
+
+def test_metrics_that_are_not_read_do_not_fill_the_memory():
+    """The same at the operators' port, where answers are a hundred times as long as requests.
+
+    They were rendered one after the other, and the node's control thread did nothing else.
+    """
+    return check_pipelined(lambda node: node.ready["metrics"],
+                           b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+
+
+def test_answers_that_are_read_late_all_arrive():
+    """Guards against a caller whose further requests stay unread once it has read its answers."""
+    with small_node() as d:
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        s.connect(("127.0.0.1", Hosted.port(d.nodes[0].ready["metrics"])))
+        s.settimeout(10)
+        s.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * LATE_ANSWERS)
+        time.sleep(0.5)
+        rest = []
+        answers = [read_answer(s, "GET", rest) for _ in range(LATE_ANSWERS)]
+        assert all(a.status == 200 and a.whole for a in answers), [a.status for a in answers]
+        size = sum(len(a.body) for a in answers)
+        s.close()
+        assert size > LATE_ANSWERS_MB << 20, size
+        return "%d KB in %d answers" % (size >> 10, LATE_ANSWERS)
