tests: a date that is ahead at the start and set right later

Callers saw: nothing. No usage is reported any more, for as long as the date was ahead, until the nodes restart.

Cause: rk_leader_create() takes the window of the date at the start for the first one that this node may report (first_window). With the date set back, all true windows lie before it, at each node that started meanwhile.

--- a/tests/proc_hosted_clocks.py
+++ b/tests/proc_hosted_clocks.py
@@ -9,6 +9,7 @@
 # How long nodes are watched: more than the window of a quota.
 WATCH_S = 10
 YEAR_S = 365 * 86400
+HOUR_S = 3600
 NO_BOOT_CLOCK = """
 #include <errno.h>
 #include <sys/syscall.h>
@@ -62,6 +63,20 @@
         wait_until(lambda: all(d.call("/later/x", node=n).status == 200 for n in range(NODES)), 5)
 
 
+def test_usage_is_reported_after_a_date_ahead_is_set_right():
+    """Guards against windows that no leader reports, as they ended before the date of its start."""
+    right_after_s = 6
+    with shifted_clocks(wall_s=int(time.time()) + HOUR_S,
+                        wall_right_after_s=right_after_s), fleet(nodes=NODES) as d:
+        time.sleep(right_after_s)
+        first = int(time.time()) + 1
+        share = watch(d, 2 * WATCH_S)
+        assert share == 1, share
+        windows = sorted({window for window, *_ in d.cloud.usage})
+        last = int(time.time())
+        assert [w for w in windows if first <= w < last], (first, last, windows)
+
+
 def test_nodes_run_without_the_clock_that_counts_suspended_time():
     """Guards against times that were never read, where the kernel lacks CLOCK_BOOTTIME."""
     with preloaded(NO_BOOT_CLOCK), fleet(nodes=NODES) as d:
