tests: sends that are refused with other errors of the node's own kernel

Callers saw: no answer until their time is over, where a filter of system calls or a security module refuses a send with EACCES or another errno.

Cause: is_local_error() lists ENOBUFS, ENOMEM and EPERM. For any other error an epoll event is expected, and since nothing is sent after a failed send, so that the connection is mute for ever.

Evidence: the owner is told of none of EACCES, EIO, ENOSYS, EINVAL, in each run.

--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -126,10 +126,38 @@
     close(fds[1]);
 }
 
+/* Guards against a connection that waits for ever after a send that a filter of
+ * system calls or a security module refused with an error of its own choice. */
+static void a_send_refused_with_any_error_is_reported(void **state)
+{
+    (void)state;
+    static const int errors[] = {EACCES, EIO, ENOSYS, EINVAL};
+    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++) {
+        int fds[2];
+        assert_int_equal(
+            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds),
+            0);
+        struct rk_loop *loop = rk_loop_create();
+        struct owner owner = {0};
+        struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
+        send_error = errors[i];
+        rk_conn_write(c, "x", 1);
+        send_error = 0;
+        rk_loop_step(loop, STEP_MS);
+        assert_int_equal(owner.errors, 1);
+        assert_int_equal(owner.error, errors[i]);
+        rk_conn_abort(c);
+        rk_loop_step(loop, STEP_MS);
+        rk_loop_destroy(loop);
+        close(fds[1]);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_failed_send_is_reported),
+        cmocka_unit_test(a_send_refused_with_any_error_is_reported),
         cmocka_unit_test(nothing_is_sent_after_a_failed_send),
         cmocka_unit_test(a_connection_ended_after_a_failed_send_is_not_reported),
     };
