tests: calls that are larger than the quota, again and again

Callers saw: 429 for calls within the quota, while one caller repeats a call that asks for more units than the whole quota.

--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -885,10 +885,40 @@
     assert_true(rk_quota_used(&q.orgs[0]) == 90);
 }
 
+/* Returns the units of small calls admitted in 20 s, which ask for half of the
+ * quota, beside calls that ask for more units than the whole quota; 0: none. */
+static double admit_beside_large_calls(double large_units)
+{
+    SCOPED struct rk_quota q = single_node_quota(0);
+    struct rk_quota_decision decision;
+    double sum = 0;
+    q.nodes_total = q.nodes_reachable = 3;
+    for (int64_t t = 100000; t < 120000; t += 100) {
+        if (large_units > 0 && t % 200 == 0)
+            assert_false(rk_quota_admit(&q, "org", 200, 0, large_units, CLASS, t,
+                                        &decision));
+        if (rk_quota_admit(&q, "org", 200, 0, 10, CLASS, t, &decision))
+            sum += 10;
+    }
+    return sum;
+}
+
+/* Guards against calls that can never be admitted, but take a share of the quota
+ * from the others again and again. */
+static void calls_larger_than_the_quota_take_nothing_from_others(void **state)
+{
+    (void)state;
+    double alone = admit_beside_large_calls(0);
+    assert_true(alone > 0);
+    assert_int_equal((int)admit_beside_large_calls(2000), (int)alone);
+    assert_int_equal((int)admit_beside_large_calls(1e9), (int)alone);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_window_admits_its_quota),
+        cmocka_unit_test(calls_larger_than_the_quota_take_nothing_from_others),
         cmocka_unit_test(each_of_many_organisations_is_held_to_its_quota),
         cmocka_unit_test(a_node_that_reaches_few_uses_their_share),
         cmocka_unit_test(partition_sides_use_the_allowed_overrun),
