quota: a call that can never be admitted is no demand

Callers saw: 429 for calls within the quota, while one caller of the organisation repeats a call that asks for more units than the whole quota.

Change: only calls that the limit has room for at all are demand.

--- a/core/quota.c
+++ b/core/quota.c
@@ -679,18 +679,16 @@
         .share = 1, .class_share = 1, .retry_after_ms = RK_QUOTA_RETRY_MIN_MS};
     struct rk_quota_org *o = find_or_add(q, org);
     advance(q, o, now_ms);
-    double whole = rate * (double)q->window_ms / RK_MS_PER_S + burst;
-    /* A call that is larger than the quota takes no more than the quota from
-     * others. In full, one mistaken count would be the only demand for many
-     * seconds. */
-    rk_class_demand_add(&o->demand, call_class,
-                        rate > 0 ? fmin(units, whole) : units, now_ms);
     double share = reachable_share(q, now_ms);
     record_reachable_share(q, share, now_ms);
-    double quota = effective_quota(q, o, whole, now_ms);
+    double quota = effective_quota(
+        q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * share;
     if (share < 1)
         limit += quota * q->overrun * OVERRUN_SHARE * share;
+    /* A call that can never be admitted takes no share from others. */
+    if (rate <= 0 || units <= limit)
+        rk_class_demand_add(&o->demand, call_class, units, now_ms);
     double known = sum(o->used);
     double charged = charged_usage(q, o, share);
     double used = charged + unreported_usage(q, o, known, now_ms) * share;
