conn: a send refused with any error of the own kernel is reported

Callers saw: no answer until their time is over, where a filter of system calls or a security module refuses a send with EACCES, EIO, ENOSYS or EINVAL.

Cause: named three errors that no event follows; there are many more.

Change: the errors that an event follows are named instead. Found by the review.

--- a/common/conn.c
+++ b/common/conn.c
@@ -142,10 +142,12 @@
     rk_memory_charge(&c->charged, c->out.cap);
 }
 
-/* Returns whether a send failed here, so that no epoll event will report it. */
-static bool is_local_error(int error)
+/* Returns whether a send failed as the connection has ended, which an epoll event
+ * reports after what was received has been read. */
+static bool has_ended(int error)
 {
-    return error == ENOBUFS || error == ENOMEM || error == EPERM;
+    return error == EPIPE || error == ECONNRESET || error == ECONNABORTED ||
+           error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH;
 }
 
 /* Drops what was to be sent. The owner, which may be in a write, is told from the
@@ -154,7 +156,7 @@
 {
     c->out_pos = c->out.len;
     c->send_error = error;
-    if (is_local_error(error) && !c->lingering)
+    if (!has_ended(error) && !c->lingering)
         rk_timer_start(c->loop, &c->timer, 0);
 }
 
