leader: usage is reported again after the date was set back

Callers saw: nothing. Operators: no usage is reported for as long as the date of all nodes had been ahead when they started.

Cause: the window of the date at the start is the first one that a node may report, so that it doesn't report what others did before it. With the date set right, all windows lie before it.

Change: when the date goes back beyond that window, the current one becomes the first. Found by the review.

--- a/node/leader.c
+++ b/node/leader.c
@@ -433,6 +433,8 @@
     int64_t size_ms = rk_s_to_ms(n->file.usage_window_s);
     int64_t wall_ms = rk_wall_ms(), now_ms = rk_mono_ms();
     int64_t current = wall_ms / size_ms;
+    if (current < k->first_window)
+        k->first_window = current; /* the wall clock was set back */
     for (int64_t number = current - RECENT_WINDOWS + 1; number < current;
          number++) {
         if (number < k->first_window ||
