tests: odd headers of callers and odd answers to orders

tools/odd_calls.py plays odd values in every header of callers that a node reads, in answers to orders that move a KV cache, in events and heads of streams, in Keep-Alive times and in records of streams' versions, and checks that organisations' quotas hold afterwards. The stand-in VM takes an odd Last-Event-Id for none, as it died of it.

--- a/tests/proc_hosted_odd_calls.py
+++ b/tests/proc_hosted_odd_calls.py
@@ -1,8 +1,12 @@
 """Odd values in the headers of callers' requests and of VMs' answers."""
 import time
 
+import odd_calls
+import odd_objects
 from hosted import Hosted, wait_until
 
+SEED, SECONDS = 107, 8
+
 ODD_USAGES = ("nan", "nan,nan", "inf,inf", "1e308,1e308", "-1e300,0", "0,-1e300", "-inf,inf",
               "1e400", "", ",", "x", "-0", "9" * 400, "0x1p1000,1")
 LIMITED = [{"name": "clinic", "apiKeys": ["key-1"], "unit": "token_stream", "plainTokens": 10,
@@ -62,3 +66,13 @@
         for node in range(2):
             wait_until(lambda n=node: statuses(d, "10,0", 1, node=n) == [200],
                        2 * d.bounds["quotaWindowS"], step=0.3)
+
+
+def test_nodes_outlive_odd_calls_and_odd_orders():
+    """Guards against a node that ends, stays busy, does not serve again or forgets quotas
+    after odd headers of callers, odd answers to orders, or odd records of streams."""
+    run = odd_calls.OddCalls(SEED, SECONDS).run()
+    assert not run.problems, odd_objects.report(run)
+    assert run.served > 20 and run.odd_answers > 5, (run.served, run.odd_answers)
+    return "%d calls served, %d odd answers, %d orders" % (run.served, run.odd_answers,
+                                                           run.move_orders())
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -618,6 +618,12 @@
         return b"id: %d\ndata: %s token %d\n\n" % (
             number, req.get("Rillknot-Attempt-Id").encode(), number)
 
+    @staticmethod
+    def last_event(req):
+        """Return the number after which a request takes its stream up; 0: it names none."""
+        value = req.get("Last-Event-Id", "")
+        return int(value) if value.isascii() and value.isdigit() else 0
+
     def stream(self, req, conn, upto, end=True):
         """Send the events after Last-Event-Id up to number upto.
 
@@ -627,7 +633,7 @@
             tokens = float(req.get("Rillknot-Token-Usage", "0,0").split(",")[0])
             time.sleep(tokens / self.tokens_per_s)
         framing = self.choose_framing(req)
-        first = int(req.get("Last-Event-Id", 0)) + 1
+        first = self.last_event(req) + 1
         whole = sum(len(self.event(req, n)) for n in range(first, self.events + 1))
         conn.sendall(self.head(req, framing=self.framing_header(framing, whole),
                                extra=b"Content-Type: text/event-stream\r\n"))
