engines: a handle that no header can carry is none

Callers saw: nothing; a VM whose answer to a move named a handle with an end of line added headers of its choice to the request that went to another VM.

Cause: the handle went from the JSON text into the head as it stands.

--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -4,11 +4,12 @@
 of a prompt is copied between engines in the same way. When a copy fails, the prompt is
 read again.
 """
+import json
 import re
 import threading
 import time
 
-from hosted import Hosted, wait_until
+from hosted import Hosted, answer_json, wait_until
 
 EVENTS = 60  # with 50 ms between them, longer than a leaving VM keeps its streams
 
@@ -52,9 +53,14 @@
         assert found == list(range(1, EVENTS + 1)), found
 
 
+def running_workers_of(d, ident):
+    """Returns the workers that run a request's stream now."""
+    return [w for w in d.workers if ident in w.stops]
+
+
 def running_workers(d, stream):
     """Returns the workers that run the stream now."""
-    return [w for w in d.workers if stream.request in w.stops]
+    return running_workers_of(d, stream.request)
 
 
 def wait_begun(d, stream):
@@ -246,6 +252,25 @@
         check_fallback(fault, framing="close")
 
 
+def test_a_handle_that_no_header_can_carry_is_none():
+    """Guards against a handle whose end of line adds headers of the VM's choice to a request to
+    another VM."""
+    for framing, handle in (("chunked", "h-1\r\nX-Injected: 1"), ("chunked", "x" * 300)):
+        with deployment(framing=framing) as d:
+            def move(req, conn, d=d, handle=handle):
+                ident = json.loads(req.body)["id"]
+                for w in running_workers_of(d, ident):
+                    w.stops[ident].set()
+                answer_json(conn, 200, {"handle": handle, "made": 1})
+                return True
+            for w in d.workers:
+                w.move = move
+            stream = Stream(d)
+            d.drain(wait_begun(d, stream))
+            stream.check_whole()
+            assert not [r for r in arrivals(d, stream) if r.get("X-Injected")], handle
+
+
 def test_an_unframed_stream_moves():
     """Guards against a move that loses a stream without framing."""
     for fault, resumable in ((None, True), ("full", False)):
