call: a stopped stream whose copy has no usable handle is not whole

Callers saw: a stream of 60 events that ended after 29 like a whole one, when an engine answered a move with 200 and a handle that is too long or no text.

Cause: an answer without a usable handle was taken for a refusal, after which the run goes on. With 200 the run has stopped; a stream without framing then looks complete.

Change: after 200 the run counts as one that may have been stopped, and is resumed elsewhere.

--- a/serve/relay_kv_move.c
+++ b/serve/relay_kv_move.c
@@ -157,7 +157,8 @@
     rk_timer_stop(m->x->r->loop, &m->timer);
     bool stopped = d->move_handle(m->body.data ? m->body.data : "", m->handle);
     if (!stopped) {
-        m->x->may_be_stopped = false;
+        /* Of a copy that was made, only the handle can't be used. */
+        m->x->may_be_stopped = m->status == HTTP_OK;
         end_without_copy(m, "refused");
     } else if (m->stream_ended) {
         resume(m);
--- a/tests/proc_hosted_moves.py
+++ b/tests/proc_hosted_moves.py
@@ -254,8 +254,10 @@
 
 def test_a_handle_that_no_header_can_carry_is_none():
     """Guards against a handle whose end of line adds headers of the VM's choice to a request to
-    another VM."""
-    for framing, handle in (("chunked", "h-1\r\nX-Injected: 1"), ("chunked", "x" * 300)):
+    another VM, and against a stream that is taken for whole: its run has been stopped, only
+    the handle of its copy can't be used."""
+    for framing, handle in (("chunked", "h-1\r\nX-Injected: 1"), ("chunked", "x" * 300),
+                            ("close", "a b"), ("close", 7)):
         with deployment(framing=framing) as d:
             def move(req, conn, d=d, handle=handle):
                 ident = json.loads(req.body)["id"]
