platform: names that no header can carry are left out

Callers saw: nothing; requests of an organisation whose name has an end of line reached VMs with headers that the name adds, and so for a VM's id, which others than the platform can write.

Cause: names of the store's objects went into heads as they stand, and a name with a NUL was cut to another one's.

--- a/common/util.c
+++ b/common/util.c
@@ -101,6 +101,14 @@
     return fits;
 }
 
+bool rk_is_header_text(const char *s)
+{
+    for (; *s; s++)
+        if ((unsigned char)*s < ' ' || *s == '\x7f')
+            return false;
+    return true;
+}
+
 /* Ends the process with a line on standard error. */
 static _Noreturn void fail_alloc(size_t n, size_t size)
 {
--- a/common/util.h
+++ b/common/util.h
@@ -58,6 +58,10 @@
  * NUL-terminated. Returns false if src was truncated. */
 bool rk_strcpy(char *dst, size_t size, const char *src);
 
+/* Returns whether a text has no control characters, so that a header can carry it.
+ */
+bool rk_is_header_text(const char *s);
+
 /* Allocate like calloc(), realloc() and strdup(), but abort the process when memory
  * runs out. The caller frees the result with free(). */
 void *rk_alloc(size_t n, size_t size);
--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -26,6 +26,27 @@
     return [e for e in d.nodes[0].events() if e.get("event") == event]
 
 
+def test_names_that_no_header_can_carry_are_left_out():
+    """Guards against names with an end of line, which added headers of their own to requests to
+    VMs: of an organisation, and of a VM in the list that others write too."""
+    tenant = {"unit": "token_stream", "plainTokens": 1, "ratePerS": 0, "burst": 0}
+    with Hosted() as d:
+        worker, odd = d.add_worker("plain"), d.add_worker("plain")
+        d.configure([d.route("r", "plain")],
+                    tenants=[dict(tenant, name="clinic\r\nX-Injected: 1", apiKeys=["key-1"]),
+                             dict(tenant, name="clinic\0b", apiKeys=["key-2"]),
+                             dict(tenant, name="lab", apiKeys=["key-3"])])
+        d.wait_ready()
+        d.store.drop("servers", odd.id)
+        odd.id = "i-1\r\nX-Injected: 1"
+        d.store.put("servers", odd.id, odd.spec())
+        time.sleep(1)
+        answers = {key: [d.call("/r/x", key=key).status for _ in range(10)]
+                   for key in ("key-1", "key-2", "key-3")}
+        assert not [r for w in (worker, odd) for r in w.seen if r.get("X-Injected")]
+        assert answers == {"key-1": [401] * 10, "key-2": [401] * 10, "key-3": [200] * 10}, answers
+
+
 def test_settings_with_a_time_beyond_any_clock_serve_calls():
     """Guards against times of the settings that overflow when they are added to a clock.
 
