loop: a loop that goes round for nothing is counted and named

A node that uses a whole core told nothing of it: no metric of the event loops, and no event with the callback.

rillknot_loop_turns_total counts the turns of all loops. loop.spins names the descriptor or timer, the epoll events and the callback, if 4,000 turns in a row within 2 s had that one cause only and read nothing and accepted nothing; once in 10 s, rillknot_loop_spins_total counts all. A node with 0.09 of a core that spins turns some 10,000 times a second.

--- a/common/acceptor.c
+++ b/common/acceptor.c
@@ -51,6 +51,7 @@
     for (int i = 0; i < BATCH_MAX && a->on; i++) {
         int conn = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (conn >= 0) {
+            rk_loop_note_progress(a->loop);
             a->on_accept(a->ctx, conn);
             continue;
         }
--- a/common/conn.c
+++ b/common/conn.c
@@ -207,6 +207,7 @@
         notify_end(c, 0);
         return;
     }
+    rk_loop_note_progress(c->loop);
     c->read_since_write += (size_t)n;
     if (c->read_since_write >= LONG_MESSAGE_BYTES)
         bound_receiving(c);
--- a/common/counters.h
+++ b/common/counters.h
@@ -76,6 +76,9 @@
       "Requests refused because the node buffers too much")                        \
     X(RECEIVE_BOUNDED, "receive_buffers_bounded_total",                            \
       "Connections whose buffer in the kernel grows no further")                   \
+    X(LOOP_TURNS, "loop_turns_total", "Turns of the event loops")                  \
+    X(LOOP_SPINS, "loop_spins_total",                                              \
+      "Series of thousands of turns of a loop for one event")                      \
     X(LOG_DROPPED, "log_lines_dropped_total", "Log lines nobody read in time")
 
 enum rk_counter {
--- a/common/http.c
+++ b/common/http.c
@@ -191,6 +191,7 @@
 static size_t write_cb(char *data, size_t size, size_t n, void *ctx)
 {
     struct rk_http_req *r = ctx;
+    rk_loop_note_progress(r->http->loop);
     restart_inactivity(r);
     if (r->handlers.on_data && !r->handlers.on_data(r->ctx, data, size * n))
         return 0;
--- a/common/loop.c
+++ b/common/loop.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <ck_ring.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -12,6 +13,8 @@
 #include <unistd.h>
 
 #include "common/arena.h"
+#include "common/counters.h"
+#include "common/eventlog.h"
 #include "common/process.h"
 #include "common/stderr.h"
 #include "common/tsan.h"
@@ -21,6 +24,12 @@
 #define EVENT_BATCH_MAX 64
 #define IDLE_WAIT_MS    60000
 
+/* A loop spins if so many turns in a row, within the time below, have the same
+ * cause only. */
+#define SPIN_TURNS              4000
+#define SPIN_MS                 2000
+#define SPIN_REPORT_INTERVAL_MS 10000
+
 struct dispatch_entry {
     rk_callback_fn *fn;
     void *ctx;
@@ -32,6 +41,13 @@
     uint32_t events;
 };
 
+/* What a turn of the loop was for: a descriptor, or else a timer. */
+struct cause {
+    int fd; /* -1: a timer */
+    uint32_t events;
+    void *fn; /* NULL: nothing, or several things */
+};
+
 CK_RING_PROTOTYPE(dispatch, dispatch_entry)
 
 struct rk_loop {
@@ -47,6 +63,10 @@
     ck_ring_t ring;
     struct dispatch_entry *ring_buf;
     struct rk_arena *scratch;
+    bool progressed;   /* in this turn */
+    struct cause last; /* of the last turn */
+    int same_turns;    /* turns in a row of that cause */
+    int64_t same_since_ms, spin_reported_ms;
 };
 
 /* Returns fd. Ends the process if the call that should have returned it failed. */
@@ -219,11 +239,62 @@
     sift_up(l, l->heap_len++);
 }
 
-static void run_timers(struct rk_loop *l)
+/* Adds a callback to the causes of a turn. */
+static void add_cause(struct cause *c, bool *is_first, int fd, uint32_t events,
+                      void *fn)
+{
+    if (*is_first)
+        *c = (struct cause){.fd = fd, .events = events, .fn = fn};
+    else if (c->fd != fd || c->fn != fn)
+        c->fn = NULL;
+    *is_first = false;
+}
+
+void rk_loop_note_progress(struct rk_loop *l)
+{
+    l->progressed = true;
+}
+
+static void report_spin(struct rk_loop *l, int64_t now_ms)
+{
+    Dl_info info = {0};
+    char offset[32];
+    rk_counter_add(RK_C_LOOP_SPINS, 1);
+    if (l->spin_reported_ms &&
+        now_ms - l->spin_reported_ms < SPIN_REPORT_INTERVAL_MS)
+        return;
+    l->spin_reported_ms = now_ms;
+    dladdr(l->last.fn, &info);
+    snprintf(offset, sizeof(offset), "+0x%zx",
+             (size_t)((char *)l->last.fn - (char *)info.dli_fbase));
+    RK_WARN("loop.spins", RK_N("turns", l->same_turns),
+            RK_N("ms", now_ms - l->same_since_ms), RK_N("fd", l->last.fd),
+            RK_N("events", l->last.events), RK_S("callback", offset));
+}
+
+/* Counts a turn, and reports a loop that goes round for one cause: nothing is done
+ * about it, so that it comes up again at once. */
+static void note_turn(struct rk_loop *l, const struct cause *c)
+{
+    rk_counter_add(RK_C_LOOP_TURNS, 1);
+    bool same = !l->progressed && c->fn && c->fn == l->last.fn &&
+                c->fd == l->last.fd && c->events == l->last.events;
+    if (same && ++l->same_turns < SPIN_TURNS)
+        return;
+    int64_t now_ms = same ? rk_mono_ms() : 0;
+    if (same && now_ms - l->same_since_ms <= SPIN_MS)
+        report_spin(l, now_ms);
+    l->last = *c;
+    l->same_turns = 0;
+    l->same_since_ms = rk_mono_ms();
+}
+
+static void run_timers(struct rk_loop *l, struct cause *cause, bool *is_first)
 {
     int64_t now = rk_mono_ms();
     while (l->heap_len && l->heap[0]->due_ms <= now) {
         struct rk_timer *t = l->heap[0];
+        add_cause(cause, is_first, -1, 0, (void *)t->fn);
         rk_timer_stop(l, t);
         t->fn(t->ctx);
     }
@@ -242,6 +313,9 @@
 void rk_loop_step(struct rk_loop *l, int max_ms)
 {
     struct epoll_event ready[EVENT_BATCH_MAX];
+    struct cause cause = {.fd = -1};
+    l->progressed = false;
+    bool is_first = true;
     int n =
         epoll_wait(l->epfd, ready, EVENT_BATCH_MAX, epoll_timeout_ms(l, max_ms));
     if (l->before_batch)
@@ -249,16 +323,19 @@
     for (int i = 0; i < n; i++) {
         int fd = ready[i].data.fd;
         if (fd == l->wakefd) {
+            add_cause(&cause, &is_first, fd, 0, NULL);
             run_dispatched(l);
             continue;
         }
         struct watch w = l->watches[fd];
+        add_cause(&cause, &is_first, fd, ready[i].events, (void *)w.fn);
         if (w.events)
             w.fn(w.ctx, fd, ready[i].events);
     }
-    run_timers(l);
+    run_timers(l, &cause, &is_first);
     if (l->after_batch)
         l->after_batch(l->hook_ctx);
+    note_turn(l, &cause);
 }
 
 void rk_loop_run(struct rk_loop *l)
--- a/common/loop.h
+++ b/common/loop.h
@@ -59,6 +59,11 @@
 void rk_loop_watch(struct rk_loop *loop, int fd, uint32_t events, rk_fd_fn *fn,
                    void *ctx);
 
+/* Notes that the current callback has read bytes or accepted a connection. A loop
+ * that wakes thousands of times for one event, and for nothing, is reported as
+ * loop.spins. */
+void rk_loop_note_progress(struct rk_loop *loop);
+
 /* Starts the timer, or restarts it if it is running. It fires once, after delay_ms;
  * a delay below 0 counts as 0. */
 void rk_timer_start(struct rk_loop *loop, struct rk_timer *t, int64_t delay_ms);
--- a/peers/link.c
+++ b/peers/link.c
@@ -311,6 +311,7 @@
             return true;
         if (n <= 0)
             return false;
+        rk_loop_note_progress(l->loop);
         size_t was_len = l->in.len;
         if (!rk_buf_add(&l->in, chunk, (size_t)n) || !dispatch_frames(l))
             return false;
