tests: odd states of connections, and the processor time of idle nodes

tools/idle_cpu.py leaves connections of callers, VMs, peers, operators, the store and the cloud half closed, reset, unread, full, with urgent data or with bytes behind their end, suspends nodes, lists VMs that can't be reached, and then measures each thread of the nodes for 2 s. The bound is 0.05 of a core: the smallest machines have 0.09 in all. No loop may report a spin.

--- a/tests/run.py
+++ b/tests/run.py
@@ -53,6 +53,7 @@
     "proc_listen": "all   listening addresses that are taken or shared",
     "proc_hosted_stops": "hosted  a planned stop ends in time whatever a node waits for",
     "proc_hosted_start": "hosted  a node starts whatever is odd in its figures, or says why",
+    "proc_hosted_idle_cpu": "hosted  idle nodes use no processor, however connections are left",
     "proc_hosted_ends": "hosted  a node that ends by itself says why",
     "proc_hosted_fleet_ends": "hosted  no node of a fleet ends by itself in series of faults",
     "proc_hosted_endless": "hosted  VMs that send bytes without end",
