store: a wrong era is not believed at once, and is left again

Callers and operators saw: one answer of the store with an era above the true one, and the node that got it rejected all later answers: no settings, no VMs, no lease. Peers took the era from its revisions, and all nodes had to be restarted at once.

Cause: the era that the driver believes was the highest that any answer or revision had named, for good.

Open: if all processes start anew at once after a wrong era, leases' epochs begin below those of that era (docs/design/store-eras.md).

--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -152,6 +152,54 @@
         assert d.call("/later/x").status == 200
 
 
+def test_one_odd_era_changes_nothing():
+    """Guards against a single answer with a higher era after which all true ones are rejected."""
+    with fleet(nodes=1, zones=("a-hall",)) as d:
+        for era in ("2", "900", "4000000"):
+            odd = [era]
+            d.store.answer_era = lambda: odd.pop() if odd else str(d.store.era)
+            wait_until(lambda: not odd)
+            version = d.configure([d.route("r", "plain"), d.route("e" + era, "plain")], wait=False)
+            d.wait_version(version, timeout=3)
+        assert not any(e["event"] == "store.restored" for e in d.nodes[0].events())
+
+
+def spread_an_odd_era(d, era):
+    """Has the store name an era until some node believes it, and the true one from then on."""
+    d.store.answer_era = lambda: era
+    d.configure([d.route("r", "plain")], wait=False)
+    wait_until(lambda: any(e["event"] == "store.restored" for n in d.nodes for e in n.events()), 5)
+    d.store.answer_era = lambda: str(d.store.era)
+
+
+def test_an_odd_era_that_was_believed_stops_neither_removals_nor_reports():
+    """Guards against nodes that know an odd era from peers, and take part in its end apart.
+
+    Their revisions would differ, so that removals of VMs don't reach all of them, or each
+    would count the true era higher than the other. A restarted node knows none of it.
+    """
+    for era in ("4", "4000000"):
+        with fleet(nodes=NODES, workers=3) as d:
+            wait_settled(d)
+            threads = call_until(d, time.monotonic() + 30)
+            wait_until(lambda: len(d.cloud.usage) > 1, 10)
+            spread_an_odd_era(d, era)
+            time.sleep(8)
+            removed = d.workers[0]
+            d.store.drop("servers", removed.id)
+            time.sleep(DRAIN_S + 1)
+            check_unused(d, removed)
+            eras = {d.gauge(n, "store_era") for n in d.nodes}
+            assert len(eras) == 1, eras
+            check_reports_go_on(d)
+            d.nodes[0].kill()
+            d.restart_node(0)
+            d.configure([d.route("r", "plain"), d.route("later", "plain")], wait=False)
+            d.wait_version(d.version, timeout=10)
+            for t in threads:
+                t.join()
+
+
 def test_settings_stay_in_force_over_a_restore():
     """Guards against settings that go back to an older version, or that stay at one.
 
