--- a/objects/store.h
+++ b/objects/store.h
@@ -37,8 +37,7 @@
 typedef void rk_store_list_fn(void *ctx, enum rk_status st,
                               const struct rk_store_object *objects, size_t len,
                               int64_t at);
-/* object is the current object, with RK_ECONFLICT, too; NULL if the response does
- * not contain it. */
+/* object is the current object, with RK_ECONFLICT, too; NULL if it is not known. */
 typedef void rk_store_object_fn(void *ctx, enum rk_status st,
                                 const struct rk_store_object *object);
 
--- a/tests/proc_hosted_odd_answers.py
+++ b/tests/proc_hosted_odd_answers.py
@@ -1,8 +1,9 @@
-"""Odd answers of VMs and of the cloud API, and odd requests of peers."""
+"""Odd answers of VMs, of the cloud API and of the store, and odd requests of peers."""
 import time
 
 import odd_objects
-from hosted import Hosted
+from hosted import Hosted, wait_until
+from proc_hosted_fleet import fleet
 
 SECONDS = 8
 SEED = 106
@@ -39,6 +40,50 @@
     check_interim(b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", b"", (502, 503))
 
 
+def loses_first_create(store, kind):
+    """The store executes the first create of a kind without an answer, and refuses later ones
+    without the object that is there."""
+    seen = []
+
+    def fault(req):
+        if req.method != "POST" or not req.target.endswith("/" + kind) or seen:
+            return None
+        seen.append(req)
+        return "lost"
+    store.shows_existing, store.fault = False, fault
+    return seen
+
+
+def test_a_node_whose_entry_was_written_without_an_answer_registers():
+    """Guards against a node that creates its entry again and again, as a refusal doesn't show
+    that the entry is there, and never reads the list of nodes."""
+    with fleet(nodes=2) as d:
+        seen = loses_first_create(d.store, "rillknot-nodes")
+        node = d.add_node()
+        wait_until(lambda: any(e["event"] == "mesh.enrolled" for e in node.events()), 8)
+        assert seen
+
+
+def test_a_record_that_was_written_without_an_answer_is_written_again():
+    """Guards against a leader that creates a record again and again, as a refusal doesn't show
+    the record's revision: what quotas were used is lost with the next kill of all nodes."""
+    d = Hosted(nodes=2)
+    seen = loses_first_create(d.store, "rillknot-quotas")
+    with d:
+        d.add_worker("plain")
+        d.configure([d.route("r", "plain")])
+        d.wait_ready()
+        records = d.store.objects["rillknot-quotas"]
+        written = set()
+
+        def is_written_again():
+            assert d.call("/r/x").status == 200
+            written.update(o["metadata"]["revision"] for o in records.values())
+            return len(written) > 3
+        wait_until(is_written_again, 12)
+        assert seen
+
+
 def test_a_limit_beyond_any_rate_is_told_to_peers():
     """Guards against a limit of a VM that peers reject as no node's: they would log each report
     of it, once a second, as long as it holds."""
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -152,8 +152,12 @@
 
     era counts how often the store came back from an older copy. Each answer has the value
     of answer_era() in the header Store-Era, unless that is None.
+
+    shows_existing: a refused create is answered with the object that is there.
     """
 
+    shows_existing = True
+
     def __init__(self):
         self.page = 5  # objects; small, so that paging is exercised
         self.era = 1
@@ -314,7 +318,7 @@
         if req.method == "POST":
             name = body["metadata"]["name"]
             if name in self.objects[kind]:
-                return 409, self.objects[kind][name]
+                return 409, self.objects[kind][name] if self.shows_existing else {}
             return 200, self._write(kind, name, body["spec"])
         o = self.objects[kind].get(name)
         if o is None:
