place: services whose VMs are gone are forgotten

A node grew by 411 to 564 bytes with each service that had ever had a VM, and went through a longer list with each new VM.

Cause: the speed (368 bytes) and the reachability (88) of a service were created with its first VM and freed only at the end.

Change: VMs are counted at both records. When VMs are removed, the oldest records without VMs are freed, but for 256.

--- a/core/place.c
+++ b/core/place.c
@@ -121,7 +121,9 @@
     v->cold_until_ms = now_ms + row->cold_ms;
     v->service_hash = (uint32_t)rk_hash_str(0, row->service);
     v->speed = rk_service_speeds_get(&p->speeds, row->service);
+    v->speed->vms++;
     v->reach = rk_place_reach_get(p, row->service);
+    v->reach->vms++;
     v->signal = rk_vm_signals_find(&p->signals, v->hash);
     v->speed_factor = 1;
     v->next = p->vms;
@@ -171,10 +173,15 @@
         }
         *at = v->next;
         p->vms_len--;
+        v->speed->vms--;
+        v->reach->vms--;
         free(v);
     }
-    if (p->vms_len != before)
-        index_rebuild(p);
+    if (p->vms_len == before)
+        return;
+    index_rebuild(p);
+    rk_service_speeds_trim(&p->speeds);
+    rk_place_reaches_trim(p);
 }
 
 void rk_place_sweep(struct rk_place *p)
--- a/core/place.h
+++ b/core/place.h
@@ -107,6 +107,7 @@
 struct rk_place_reach {
     char service[RK_ID_MAX];
     struct rk_place_reach *next;
+    size_t vms;           /* VMs that use the record */
     int64_t connected_ms; /* last successful connect to any of its VMs; 0: none */
     int64_t lost_ms;      /* when the service became unreachable; 0: it is not */
     int failed_vms;       /* VMs that became unreachable since the last success */
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -54,6 +54,8 @@
 
 /* Returns the record of the service, which is created if needed. p owns it. */
 struct rk_place_reach *rk_place_reach_get(struct rk_place *p, const char *service);
+/* Frees the records of services without VMs, but for RK_IDLE_SERVICES_MAX. */
+void rk_place_reaches_trim(struct rk_place *p);
 void rk_place_reaches_free(struct rk_place *p);
 
 /* Returns the prompt tokens of peers' calls that still wait at the engine: those
--- a/core/place_reach.c
+++ b/core/place_reach.c
@@ -36,6 +36,20 @@
     return r;
 }
 
+void rk_place_reaches_trim(struct rk_place *p)
+{
+    size_t idle = 0;
+    for (struct rk_place_reach **at = &p->reaches; *at;) {
+        struct rk_place_reach *r = *at;
+        if (r->vms || ++idle <= RK_IDLE_SERVICES_MAX) {
+            at = &r->next;
+            continue;
+        }
+        *at = r->next;
+        free(r);
+    }
+}
+
 void rk_place_reaches_free(struct rk_place *p)
 {
     for (struct rk_place_reach *r = p->reaches, *next; r; r = next) {
--- a/core/service_speed.c
+++ b/core/service_speed.c
@@ -48,6 +48,21 @@
     return speed;
 }
 
+/* The newest records are first. */
+void rk_service_speeds_trim(struct rk_service_speeds *s)
+{
+    size_t idle = 0;
+    for (struct rk_service_speed **at = &s->first; *at;) {
+        struct rk_service_speed *speed = *at;
+        if (speed->vms || ++idle <= RK_IDLE_SERVICES_MAX) {
+            at = &speed->next;
+            continue;
+        }
+        *at = speed->next;
+        free(speed);
+    }
+}
+
 void rk_service_speeds_free(struct rk_service_speeds *s)
 {
     for (struct rk_service_speed *at = s->first, *next; at; at = next) {
--- a/core/service_speed.h
+++ b/core/service_speed.h
@@ -16,6 +16,7 @@
 struct rk_service_speed {
     char service[RK_ID_MAX];
     struct rk_service_speed *next;
+    size_t vms; /* VMs that use the record, counted by its owner */
     /* Model of the time to the first token, of an engine service. */
     struct rk_engine engine;
     /* Smoothed time of a plain call that waits for nothing. */
@@ -29,15 +30,20 @@
     double calls_per_vm; /* mean of the recent calls to its VMs, decaying */
 };
 
+/* Services without VMs that are kept, in case VMs of them come back. */
+#define RK_IDLE_SERVICES_MAX 256
+
 /* The speeds of all services; zeroed: empty. */
 struct rk_service_speeds {
     struct rk_service_speed *first;
 };
 
 /* Returns the record of the service, which is created if needed. It stays valid
- * until rk_service_speeds_free(). */
+ * until rk_service_speeds_trim() or rk_service_speeds_free(). */
 struct rk_service_speed *rk_service_speeds_get(struct rk_service_speeds *s,
                                                const char *service);
+/* Frees the oldest records without VMs beyond RK_IDLE_SERVICES_MAX. */
+void rk_service_speeds_trim(struct rk_service_speeds *s);
 /* Frees all records. */
 void rk_service_speeds_free(struct rk_service_speeds *s);
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -59,6 +59,7 @@
     "proc_hosted_input": "hosted  bad input",
     "proc_hosted_descriptors": "hosted  a node with few descriptors serves on",
     "proc_hosted_memory": "hosted  a node holds no more than its machine has, whatever callers do",
+    "proc_hosted_growth": "hosted  a node keeps nothing of identifiers that never come again",
     "proc_hosted_entries": "hosted  restarted VMs, entries written by another program",
     "proc_crashes": "9     a call that crashes its VMs is sent to three at most",
     "proc_hosted_quarantine": "hosted  a request that crashes its VMs is stopped",
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -631,6 +631,48 @@
     rk_service_speeds_free(&speeds);
 }
 
+/* Adds a VM of a new service, and returns the service's record. The older records
+ * follow it. */
+static const struct rk_place_reach *newest_reach(struct rk_place *p,
+                                                 struct rk_vm_row rows[2])
+{
+    rk_strcpy(rows[1].id, RK_ID_MAX, "newest");
+    rk_strcpy(rows[1].service, RK_ID_MAX, "newest");
+    rk_place_set_vms(p, rows, 2, 0);
+    return rk_place_find(p, "newest")->reach;
+}
+
+/* Guards against records of services that are never freed: 480 bytes were kept of
+ * each service that had ever had a VM. */
+static void services_without_vms_are_forgotten(void **state)
+{
+    (void)state;
+    struct rk_place *p = rk_place_create("here", 1);
+    struct rk_vm_row rows[2] = {{.slots = 8, .leaves_in_ms = -1}};
+    rk_strcpy(rows[0].id, RK_ID_MAX, "lasting");
+    rk_strcpy(rows[0].service, RK_ID_MAX, "lasting");
+    for (int i = 0; i < 10 * RK_IDLE_SERVICES_MAX; i++) {
+        rows[1] = rows[0];
+        snprintf(rows[1].id, sizeof(rows[1].id), "vm-%d", i);
+        snprintf(rows[1].service, sizeof(rows[1].service), "service-%d", i);
+        rk_place_set_vms(p, rows, 2, i);
+    }
+    rk_place_set_vms(p, rows, 1, 0);
+    const struct rk_place_vm *lasting = rk_place_find(p, "lasting");
+    assert_ptr_equal(rk_place_service_speed(p, "lasting"), lasting->speed);
+    size_t speeds = 0, reaches = 0;
+    for (const struct rk_service_speed *s = lasting->speed; s; s = s->next)
+        assert_string_equal(s->service, "lasting"); /* the oldest record */
+    for (const struct rk_service_speed *s = rk_place_service_speed(p, "newest"); s;
+         s = s->next)
+        speeds++;
+    for (const struct rk_place_reach *r = newest_reach(p, rows); r; r = r->next)
+        reaches++;
+    assert_in_range(speeds, 1, RK_IDLE_SERVICES_MAX + 2);
+    assert_in_range(reaches, 1, RK_IDLE_SERVICES_MAX + 2);
+    rk_place_destroy(p);
+}
+
 /* ---- refusals ---- */
 
 /* Simulates a call that the VM refuses. */
@@ -836,6 +878,7 @@
         cmocka_unit_test(a_vm_at_which_calls_failed_is_tried_after_seconds),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
+        cmocka_unit_test(services_without_vms_are_forgotten),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
