stream versions: an old list of VMs does not make a version the only one

Callers saw text joined of two software versions: a node that had been frozen, or cut off from the store and from its peers, while another version served took the one version that it knew for the only one, and took streams of the other one up at it. Nodes that had been killed and came back believed its word.

Cause: a node concluded "one version for a lifetime" from its list of VMs, whether or not it had followed the list. A list that jumps, by a watch that shows a version's coming and leaving at once or by a peer's changes, shows nothing of a version that came and left in between.

Now the traffic thread is told when the store last confirmed the list, here or at a peer. With a list that is older than 4 s, or that was within a lifetime, a node counts as one that has just started: it tells peers of all streams, and rejects a stream that nobody knows, unless a peer without such a gap knows of one version only.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -11,8 +11,9 @@
 void rk_stream_versions_init(struct rk_stream_versions *s, int64_t now_ms,
                              bool first_start)
 {
-    *s = (struct rk_stream_versions){.started_ms = now_ms,
-                                     .first_start = first_start};
+    *s = (struct rk_stream_versions){.watching_since_ms = now_ms,
+                                     .first_start = first_start,
+                                     .confirmed_ms = now_ms};
 }
 
 void rk_stream_versions_free(struct rk_stream_versions *s)
@@ -184,13 +185,29 @@
     s->served_len = kept;
 }
 
+void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms)
+{
+    if (at_ms <= s->confirmed_ms)
+        return;
+    bool has_gap = at_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS;
+    s->confirmed_ms = at_ms;
+    if (!has_gap)
+        return;
+    s->watching_since_ms = at_ms;
+    s->first_start = false;
+    for (size_t i = 0; i < s->served_len; i++)
+        s->served[i].was_only = false;
+}
+
 /* Returns true if no other version can have served for the lifetime of a stream
  * unnoticed. */
 static bool has_watched(const struct rk_stream_versions *s,
                         const struct rk_served_version *v, int64_t now_ms)
 {
+    if (now_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS)
+        return false;
     return s->first_start || v->was_only ||
-           now_ms - s->started_ms >= s->lifetime_ms;
+           now_ms - s->watching_since_ms >= s->lifetime_ms;
 }
 
 static enum rk_service_versions state_of(const struct rk_stream_versions *s,
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -31,6 +31,9 @@
 #define RK_STREAM_ASKED_MAX        16
 /* Most streams that are kept; further ones are not recorded. */
 #define RK_STREAMS_MAX 65536
+/* A list of VMs that was not confirmed as current for so long may lack versions
+ * that came and left since. */
+#define RK_STREAM_LIST_AGE_MAX_MS 4000
 
 /* A peer that can be told of streams and asked for them. */
 struct rk_stream_peer {
@@ -66,8 +69,9 @@
     size_t used;
     struct rk_served_version *served;
     size_t served_len;
-    int64_t started_ms;
-    bool first_start; /* no stream began before started_ms */
+    int64_t watching_since_ms; /* the list of VMs was followed since then */
+    bool first_start;          /* no stream began before watching_since_ms */
+    int64_t confirmed_ms;      /* when the list was last known to be current */
     /* How long after its first event a stream can be taken up. */
     int64_t lifetime_ms;
 };
@@ -133,6 +137,10 @@
                                     const char *service, const char *version);
 void rk_stream_versions_end_list(struct rk_stream_versions *s, int64_t now_ms);
 
+/* Notes that the list of VMs was current at at_ms, by the store's word. After a
+ * gap, versions may have served unnoticed. */
+void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms);
+
 /* *only gets the version if it is RK_VERSIONS_ONE; it is valid until the next
  * call. */
 enum rk_service_versions rk_stream_versions_of_service(struct rk_stream_versions *s,
--- a/node/state.h
+++ b/node/state.h
@@ -98,6 +98,9 @@
 /* Returns the time in ms since the store confirmed, to this node or to a peer, that
  * both settings and list are the newest; -1: it never did. */
 int64_t rk_sync_age_ms(const struct rk_sync *s);
+/* Returns when the store last confirmed, to this node or to a peer, that the list
+ * is the newest; 0: it never did. */
+int64_t rk_sync_list_confirmed_ms(const struct rk_sync *s);
 /* Takes over a peer's confirmation: settings up to a version and the list up to a
  * revision were the newest age_ms ago. Negative age_ms: never confirmed. */
 void rk_sync_confirm(struct rk_sync *s, int64_t age_ms, int64_t settings_version,
--- a/node/sync.c
+++ b/node/sync.c
@@ -89,10 +89,15 @@
         s->list_confirmed_ms = later(s->list_confirmed_ms, at_ms);
 }
 
+int64_t rk_sync_list_confirmed_ms(const struct rk_sync *s)
+{
+    return later(s->vms.answered_ms, s->list_confirmed_ms);
+}
+
 int64_t rk_sync_age_ms(const struct rk_sync *s)
 {
     int64_t settings_ms = later(s->settings.answered_ms, s->settings_confirmed_ms);
-    int64_t list_ms = later(s->vms.answered_ms, s->list_confirmed_ms);
+    int64_t list_ms = rk_sync_list_confirmed_ms(s);
     int64_t first_ms = settings_ms < list_ms ? settings_ms : list_ms;
     return first_ms ? rk_mono_ms() - first_ms : -1;
 }
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -147,7 +147,8 @@
     bool writes_stream_record;
     char stream_writer[RK_ADDR_MAX];
     int nodes_reachable, nodes_total; /* including this node */
-    int64_t report_lag_ms;            /* typical age of peers' reports on arrival */
+    int64_t list_confirmed_ms; /* when the list of VMs was last current; 0: never */
+    int64_t report_lag_ms;     /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
 };
 /* Frees the message and its arrays. */
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -109,6 +109,7 @@
     struct rk_relay_versions *v = r->versions;
     memcpy(v->peers, p->stream_peers, p->stream_peers_len * sizeof(*v->peers));
     v->peers_len = p->stream_peers_len;
+    rk_stream_versions_confirm_list(&v->table, p->list_confirmed_ms);
     if (v->writes_record == p->writes_stream_record &&
         !strcmp(v->record_writer, p->stream_writer))
         return;
--- a/tests/run.py
+++ b/tests/run.py
@@ -68,6 +68,7 @@
     "proc_hosted_leaving": "hosted  a VM that signals its leaving gets no more calls",
     "proc_hosted_cooldown": "hosted  a cooldown requested by a VM is kept",
     "proc_hosted_moves": "hosted  streams move unbroken from leaving engines",
+    "proc_hosted_version_gaps": "hosted  a node with an old list does not guess versions",
     "proc_hosted_versions": "hosted  streams go on at the version that began them",
     "proc_hosted_version_sequences": "hosted  kills beside changes of versions, by seed",
     "proc_hosted_rollouts": "hosted  rollouts: good versions committed, bad rolled back",
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -23,6 +23,14 @@
     rk_stream_versions_end_list(s, now_ms);
 }
 
+/* Follows the list of VMs without a gap up to now_ms. */
+static void follow(struct rk_stream_versions *s, int64_t now_ms)
+{
+    while (s->confirmed_ms + 1000 < now_ms)
+        rk_stream_versions_confirm_list(s, s->confirmed_ms + 1000);
+    rk_stream_versions_confirm_list(s, now_ms);
+}
+
 static struct rk_stream_versions create(bool first_start)
 {
     struct rk_stream_versions s;
@@ -35,6 +43,7 @@
                         enum rk_service_versions state, const char *only)
 {
     const char *found = "";
+    follow(s, now_ms);
     assert_int_equal(rk_stream_versions_of_service(s, "llm", &found, now_ms),
                      state);
     assert_string_equal(found, only);
@@ -84,6 +93,31 @@
     rk_stream_versions_free(&s);
 }
 
+/* Guards against a version that is taken for the only one although another one may
+ * have come and left while the list of VMs was not followed. */
+static void a_gap_in_the_list_leaves_versions_unsure(void **state)
+{
+    (void)state;
+    const char *only;
+    for (int first_start = 0; first_start < 2; first_start++) {
+        struct rk_stream_versions s = create(first_start);
+        list(&s, 1000, "1");
+        rk_stream_versions_note_only(&s, "llm", "1", 1000);
+        check_state(&s, 1500, RK_VERSIONS_ONE, "1");
+        int64_t old_ms = 1500 + RK_STREAM_LIST_AGE_MAX_MS;
+        assert_int_equal(rk_stream_versions_of_service(&s, "llm", &only, old_ms),
+                         RK_VERSIONS_ONE);
+        assert_int_equal(
+            rk_stream_versions_of_service(&s, "llm", &only, old_ms + 1),
+            RK_VERSIONS_UNSURE);
+        rk_stream_versions_confirm_list(&s, 10000);
+        check_state(&s, 10000, RK_VERSIONS_UNSURE, "");
+        check_state(&s, 9999 + LIFETIME_MS, RK_VERSIONS_UNSURE, "");
+        check_state(&s, 10000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
+        rk_stream_versions_free(&s);
+    }
+}
+
 /* Guards against streams that are forgotten, kept for ever, or confused. */
 static void streams_are_kept_until_they_expire(void **state)
 {
@@ -329,6 +363,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_version_counts_for_the_lifetime_of_its_streams),
         cmocka_unit_test(a_restarted_node_is_unsure_until_it_has_watched),
+        cmocka_unit_test(a_gap_in_the_list_leaves_versions_unsure),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
         cmocka_unit_test(those_that_were_told_are_asked),
