stream versions: nothing is concluded before the settings are known

A restarted node with the list of VMs and without settings told a peer that asked that the version on its list was the only one, so that the peer could take a stream of a version that had left up at it: text of two versions. The lifetime of streams was 0 until the settings came, which counted as having watched for long enough. Peers' calls are answered from the start on, callers' only when list and settings are there.

Such a node says now that it is not sure. Found by reading; seen in test_stream_versions.nothing_is_concluded_before_the_lifetime_is_known, which failed before (one version instead of unsure). Not seen with real nodes, where the settings follow the list within milliseconds unless they are large or the link is slow.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -204,7 +204,7 @@
 static bool has_watched(const struct rk_stream_versions *s,
                         const struct rk_served_version *v, int64_t now_ms)
 {
-    if (now_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS)
+    if (!s->lifetime_ms || now_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS)
         return false;
     return s->first_start || v->was_only ||
            now_ms - s->watching_since_ms >= s->lifetime_ms;
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -72,7 +72,7 @@
     int64_t watching_since_ms; /* the list of VMs was followed since then */
     bool first_start;          /* no stream began before watching_since_ms */
     int64_t confirmed_ms;      /* when the list was last known to be current */
-    /* How long after its first event a stream can be taken up. */
+    /* How long after its first event a stream can be taken up; 0: not known yet. */
     int64_t lifetime_ms;
 };
 
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -93,6 +93,20 @@
     rk_stream_versions_free(&s);
 }
 
+/* Guards against a restarted node that takes the version on its list for the only one
+ * before the settings say how long streams can be taken up, and tells peers so. */
+static void nothing_is_concluded_before_the_lifetime_is_known(void **state)
+{
+    (void)state;
+    for (int first_start = 0; first_start < 2; first_start++) {
+        struct rk_stream_versions s;
+        rk_stream_versions_init(&s, 1000, first_start);
+        list(&s, 1000, "2");
+        check_state(&s, 1001, RK_VERSIONS_UNSURE, "");
+        rk_stream_versions_free(&s);
+    }
+}
+
 /* Guards against a version that is taken for the only one although another one may
  * have come and left while the list of VMs was not followed. */
 static void a_gap_in_the_list_leaves_versions_unsure(void **state)
@@ -363,6 +377,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_version_counts_for_the_lifetime_of_its_streams),
         cmocka_unit_test(a_restarted_node_is_unsure_until_it_has_watched),
+        cmocka_unit_test(nothing_is_concluded_before_the_lifetime_is_known),
         cmocka_unit_test(a_gap_in_the_list_leaves_versions_unsure),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
