--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -93,8 +93,9 @@
     rk_stream_versions_free(&s);
 }
 
-/* Guards against a restarted node that takes the version on its list for the only one
- * before the settings say how long streams can be taken up, and tells peers so. */
+/* Guards against a restarted node that takes the version on its list for the only
+ * one before the settings say how long streams can be taken up, and tells peers so.
+ */
 static void nothing_is_concluded_before_the_lifetime_is_known(void **state)
 {
     (void)state;
