quota: persisted usage is relied on after seconds without nodes

After a kill of all nodes, callers of every organisation were refused for their quota for a whole window, also within it, streams that they took up again among them.

Cause: the record of used quotas is written every 0.3 s, but its age was 2.88 s when it was read, since nodes had been down for 2.6 s. A record older than 2.5 s was not relied on: an organisation that asks for more than its rate counts as having used all of its quota just before the start, for a window. In truth nothing is used while there is no node, and what the record shows leaves the window bit by bit.

Records up to half a window old are relied on now. How long nodes were down is not known, so that the usage after an older record is assumed as before (at its rate for its whole age and 0.8 s more), but as late as possible, just before the start.

--- a/core/quota.c
+++ b/core/quota.c
@@ -25,7 +25,11 @@
 #define RECENT_BUCKETS 3
 /* Maximum rate assumed of peers, as a multiple of the mean. */
 #define PEERS_SURGE_MAX 3.0
-#define RESTORED_MAX_MS 2500 /* maximum age of reliable persisted usage */
+/* Maximum age of reliable persisted usage: this, or a part of the window. What was
+ * used after a record was written counts as just before the start if the record is
+ * older than RESTORED_MAX_MS: how long nodes were down is not known. */
+#define RESTORED_MAX_MS   2500
+#define RESTORED_MAX_PART 0.5
 /* A persisted record lacks the peers' usage of about this time, in ms, as its
  * writer had not received it yet. */
 #define UNREPORTED_MS 400.0
@@ -437,13 +441,15 @@
     if (demand_per_s > 0)
         rate = fmin(rate, demand_per_s / RK_MS_PER_S);
     double unsaved_ms = (double)age_ms * UNSAVED_ACTIVE_SHARE + UNREPORTED_MS;
-    add_restored(q, o, rate * UNSAVED_SURGE * unsaved_ms, age_ms / 2);
+    int64_t unsaved_age_ms = age_ms <= RESTORED_MAX_MS ? age_ms / 2 : 0;
+    add_restored(q, o, rate * UNSAVED_SURGE * unsaved_ms, unsaved_age_ms);
 }
 
 void rk_quota_restore_done(struct rk_quota *q, int64_t age_ms)
 {
     q->restore_read = true;
-    q->restored = age_ms <= RESTORED_MAX_MS;
+    q->restored = age_ms <= RESTORED_MAX_MS ||
+                  (double)age_ms <= (double)q->window_ms * RESTORED_MAX_PART;
 }
 
 /* Returns the quota in force: the highest one of the past window. */
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -872,6 +872,27 @@
     assert_true(admit_each_step(&q, 100, 100, 100000, 100100, 1, 10) < 50);
 }
 
+/* Guards against organisations that are refused for a whole window after all nodes
+ * were down for some seconds: the record is older by that time, in which nothing
+ * was used, and the units that it shows leave the window one after the other. */
+static void usage_leaves_the_window_after_seconds_without_nodes(void **state)
+{
+    (void)state;
+    const double slices[RK_QUOTA_SLICES] = {100, 100, 100, 100, 100, 100, 100, 100};
+    const int64_t start_ms = 100000, down_ms = 2600, unsaved_ms = 300;
+    SCOPED struct rk_quota q = single_node_quota(start_ms);
+    rk_quota_restore(&q, "org", slices, 100, down_ms + unsaved_ms, start_ms);
+    rk_quota_restore_done(&q, down_ms + unsaved_ms);
+    double used = 0;
+    for (int64_t s = 0; s < 5; s++) {
+        int64_t from_ms = start_ms + s * 1000, to_ms = from_ms + 1000;
+        used += admit_each_step(&q, 100, 100, from_ms, to_ms, 10, 2);
+        double before = 100 * (double)(8000 - down_ms - (s + 1) * 1000) / 1000;
+        assert_true(used + (before > 0 ? before : 0) <= 900);
+    }
+    assert_true(used >= 200);
+}
+
 /* Guards against units that count as used after their call was refunded. */
 static void a_refund_reduces_the_usage(void **state)
 {
@@ -923,6 +944,7 @@
         cmocka_unit_test(possible_usage_is_persisted),
         cmocka_unit_test(usage_received_at_once_is_no_rate_after_a_restart),
         cmocka_unit_test(old_persisted_usage_is_a_lower_bound),
+        cmocka_unit_test(usage_leaves_the_window_after_seconds_without_nodes),
         cmocka_unit_test(a_refund_reduces_the_usage),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_quota_kills.c
+++ b/tests/test_quota_kills.c
@@ -515,6 +515,28 @@
         check_series(&series[i]);
 }
 
+/* Guards against a quota that is used twice, or an organisation within its quota
+ * that is refused for a window, when the persisted usage is older by the seconds in
+ * which there was no node. */
+static void kills_of_all_for_seconds_keep_the_quota(void **state)
+{
+    (void)state;
+    check_series(&(struct series){"all for 2.6 s", {{0, 2600, 1.0}}});
+}
+
+/* The same for longer, and beside another kill. */
+static void long_kills_of_all_keep_the_quota(void **state)
+{
+    (void)state;
+    static const struct series series[] = {
+        {"all for 3.5 s", {{0, 3500, 1.0}}},
+        {"half, then all for 3 s", {{0, 1500, 0.5}, {3000, 3000, 1.0}}},
+        {"all for 3 s, then for 1 s", {{0, 3000, 1.0}, {4500, 1000, 1.0}}},
+    };
+    for (size_t i = 0; i < RK_ARRAY_LEN(series); i++)
+        check_series(&series[i]);
+}
+
 /* Guards against an organisation within its quota that is refused for seconds when
  * all nodes are killed soon after a partition: what the other side had used came in
  * one piece and was taken for a rate. A quarter of its calls was refused. */
@@ -538,6 +560,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(kills_of_any_share_keep_the_quota),
+        cmocka_unit_test(kills_of_all_for_seconds_keep_the_quota),
+        cmocka_unit_test(long_kills_of_all_keep_the_quota),
         cmocka_unit_test(a_kill_after_a_cut_refuses_few_calls),
         cmocka_unit_test(kills_inside_a_cut_keep_the_quota),
     };
