digest: no rows of loads are not sorted

Seen: with the sanitizers' build, restarted nodes of a large fleet end by themselves: node/digest_send.c:75, null pointer passed as argument 1 of qsort(). On the release build no effect was seen; C declares it undefined.

Cause: a node that sends a digest before any load is known has no rows, and no array. No test told: the node was started again, and a report of the undefined behaviour sanitizer was looked for by a word that it lacks.

--- a/node/digest_send.c
+++ b/node/digest_send.c
@@ -72,7 +72,8 @@
 static void sum_loads(struct digest_builder *p)
 {
     size_t len = 0;
-    qsort(p->loads, p->loads_len, sizeof(*p->loads), by_vm);
+    if (p->loads_len)
+        qsort(p->loads, p->loads_len, sizeof(*p->loads), by_vm);
     for (size_t i = 0; i < p->loads_len; i++) {
         if (len && !by_vm(&p->loads[len - 1], &p->loads[i]))
             rk_loads_sum(&p->loads[len - 1], &p->loads[i]);
