tests: windows around a change of leaders after the date was set back

Callers saw: nothing. Usage of 3 to 4 windows of a second is not reported when the leader is killed, if the date of the nodes had been ahead when they started.

Cause: since the first window that a node may report goes back with the date, but in report_due_windows() only, behind the check of the lease. A node that becomes the leader later still has the one of its start, takes the current window for the first, and skips those that the leader before it had not reported yet.

--- a/tests/proc_hosted_clocks.py
+++ b/tests/proc_hosted_clocks.py
@@ -77,6 +77,24 @@
         assert [w for w in windows if first <= w < last], (first, last, windows)
 
 
+def test_a_later_leader_reports_all_windows_after_a_date_ahead_was_set_right():
+    """Guards against windows that are lost when the lease goes to a node which keeps the date of
+    its start, ahead, for the first that it may report."""
+    right_after_s = 5
+    with shifted_clocks(wall_s=int(time.time()) + HOUR_S,
+                        wall_right_after_s=right_after_s), fleet(nodes=NODES) as d:
+        time.sleep(right_after_s)
+        watch(d, WATCH_S)
+        first = int(time.time()) - WATCH_S // 2
+        leader = d.cloud.usage[-1][2]
+        [n for n in d.nodes if n.name == leader][0].kill()
+        time.sleep(WATCH_S)
+        windows = {window for window, *_ in d.cloud.usage}
+        last = int(time.time()) - d.bounds["usageLateS"]
+        missing = [w for w in range(first, last) if w not in windows]
+        assert not missing, (first, last, missing)
+
+
 def test_nodes_run_without_the_clock_that_counts_suspended_time():
     """Guards against times that were never read, where the kernel lacks CLOCK_BOOTTIME."""
     with preloaded(NO_BOOT_CLOCK), fleet(nodes=NODES) as d:
