tests: an end that is reported before a failed send is reported once

The review took the guard in common/conn.c out: test_conn passed, and the address sanitizer found a use after free.

--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -153,12 +153,36 @@
     }
 }
 
+/* Guards against a record that is freed while its owner still has it, when an event
+ * reports the end before the failed send is reported. */
+static void an_end_before_a_failed_send_is_reported_once(void **state)
+{
+    (void)state;
+    int fds[2];
+    assert_int_equal(
+        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
+    struct rk_loop *loop = rk_loop_create();
+    struct owner owner = {0};
+    struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
+    close(fds[1]);
+    send_error = ENOBUFS;
+    rk_conn_write(c, "x", 1);
+    send_error = 0;
+    rk_loop_step(loop, STEP_MS);
+    rk_loop_step(loop, STEP_MS);
+    assert_int_equal(owner.errors + owner.ends, 1);
+    rk_conn_abort(c);
+    rk_loop_step(loop, STEP_MS);
+    rk_loop_destroy(loop);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_failed_send_is_reported),
         cmocka_unit_test(a_send_refused_with_any_error_is_reported),
         cmocka_unit_test(nothing_is_sent_after_a_failed_send),
+        cmocka_unit_test(an_end_before_a_failed_send_is_reported_once),
         cmocka_unit_test(a_connection_ended_after_a_failed_send_is_not_reported),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
