leader: each node notices that the date was set back

Callers saw: nothing. Usage of 3 to 4 windows of a second was not reported when the leader was killed, if the date of the nodes had been ahead at their start.

Cause: moved the first window to report back at the leader only, behind the check of its lease. The next leader took its current window for the first.

Change: each node does so at each tick. Found by the review.

--- a/node/leader.c
+++ b/node/leader.c
@@ -433,8 +433,6 @@
     int64_t size_ms = rk_s_to_ms(n->file.usage_window_s);
     int64_t wall_ms = rk_wall_ms(), now_ms = rk_mono_ms();
     int64_t current = wall_ms / size_ms;
-    if (current < k->first_window)
-        k->first_window = current; /* the wall clock was set back */
     for (int64_t number = current - RECENT_WINDOWS + 1; number < current;
          number++) {
         if (number < k->first_window ||
@@ -555,9 +553,21 @@
            since_renewal_ms < k->lease.ttl_ms * 2 / 3;
 }
 
+/* Returns the number of the current window. If the wall clock was set back beyond
+ * the first window to report, that becomes the current one, at each node: any of
+ * them may be the next leader. */
+static int64_t note_window(struct rk_leader *k)
+{
+    int64_t window = rk_wall_ms() / rk_s_to_ms(k->n->file.usage_window_s);
+    if (window < k->first_window)
+        k->first_window = window;
+    return window;
+}
+
 static void on_tick(void *ctx)
 {
     struct rk_leader *k = ctx;
+    int64_t window = note_window(k);
     rk_timer_start(k->n->loop, &k->tick, TICK_MS);
     check_era(k);
     rewrite_windows(k);
@@ -574,7 +584,6 @@
     } else if (!has_reachable_leader(k) && rk_mesh_is_acting_leader(k->n->mesh)) {
         rk_persist_tick_acting(k->n->persist);
     }
-    int64_t window = rk_wall_ms() / rk_s_to_ms(k->n->file.usage_window_s);
     rk_usage_remove_before(&k->n->usage, window - RECENT_WINDOWS);
 }
 
