--- a/common/conn.c
+++ b/common/conn.c
@@ -248,8 +248,8 @@
         finish_connect(c);
         return;
     }
-    /* Before flush(), which drops the queue and lets the owner take the rest of the
-     * received bytes for requests that can be answered. */
+    /* Not after flush(): it drops the queue, and the owner of an empty queue goes
+     * on to answer what it has received. */
     if (c->paused && (events & (EPOLLERR | EPOLLHUP))) {
         notify_end(c, socket_error(c));
         return;
