--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -643,11 +643,17 @@
             conns[-1].sendall(head % (b"a," * 3900, number))
             if number % wave == wave - 1:
                 time.sleep(0.2)
-        got = [a.status for a in answers(conns, 0.01) if a]
+        by_number = answers(conns, 0.01)
+        got = [a.status for a in by_number if a]
         for w in d.workers:
             w.work_s = 0
         assert_small(d)
-        assert set(got) <= {200, 503}, got
+        assert set(got) <= {200, 502, 503}, got
+        # A VM that has been sent a call and stays silent may have run it.
+        unsure = {"segments-%d" % n for n, a in enumerate(by_number) if a and a.status == 502}
+        silent = {e["request"] for e in d.nodes[0].events()
+                  if e["event"] == "call.attempt_failed" and e["sent"]}
+        assert unsure <= silent, unsure - silent
         sent = sum(len(w.seen) for w in d.workers)
         assert sent >= wave, sent
         for c in conns:
