--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -53,77 +54,66 @@
 static const struct rk_conn_ops ops = {
     .on_data = on_data, .on_eof = on_eof, .on_error = on_error};
 
-/* Guards against a connection that waits for ever after a send that failed without
- * an event, and against an owner that is called during its own write. */
-static void a_failed_send_is_reported(void **state)
-{
-    (void)state;
-    static const int errors[] = {ENOBUFS, ENOMEM, EPERM};
-    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++) {
-        int fds[2];
-        assert_int_equal(
-            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds),
-            0);
-        struct rk_loop *loop = rk_loop_create();
-        struct owner owner = {0};
-        struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
-        send_error = errors[i];
-        rk_conn_write(c, "x", 1);
-        assert_int_equal(owner.errors, 0);
-        send_error = 0;
-        rk_loop_step(loop, STEP_MS);
-        assert_int_equal(owner.errors, 1);
-        assert_int_equal(owner.error, errors[i]);
-        rk_conn_abort(c);
-        rk_loop_step(loop, STEP_MS);
-        assert_int_equal(owner.errors + owner.ends, 1);
-        rk_loop_destroy(loop);
-        close(fds[1]);
-    }
-}
+/* A connection and its peer's socket. */
+struct fixture {
+    struct rk_loop *loop;
+    struct rk_conn *conn;
+    struct owner owner;
+    int peer;
+};
 
-/* Guards against a failed send that is reported after its owner ended the
- * connection. */
-static void a_connection_ended_after_a_failed_send_is_not_reported(void **state)
+static void connect_pair(struct fixture *f)
 {
-    (void)state;
     int fds[2];
     assert_int_equal(
         socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
-    struct rk_loop *loop = rk_loop_create();
-    struct owner owner = {0};
-    struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
-    send_error = ENOBUFS;
-    rk_conn_write(c, "x", 1);
+    *f = (struct fixture){.loop = rk_loop_create(), .peer = fds[1]};
+    f->conn = rk_conn_adopt(f->loop, fds[0], &ops, &f->owner);
+}
+
+static void write_failing(struct fixture *f, const char *text, int error)
+{
+    send_error = error;
+    rk_conn_write(f->conn, text, strlen(text));
     send_error = 0;
-    rk_conn_close(c);
-    close(fds[1]);
-    rk_loop_step(loop, STEP_MS);
-    rk_loop_step(loop, STEP_MS);
-    assert_int_equal(owner.errors + owner.ends, 0);
-    rk_loop_destroy(loop);
 }
 
-/* Guards against a message with a hole, after one of its sends failed. */
-static void nothing_is_sent_after_a_failed_send(void **state)
+static void step(struct fixture *f)
+{
+    rk_loop_step(f->loop, STEP_MS);
+}
+
+/* Ends the loop after what was freed later is free. */
+static void end(struct fixture *f)
+{
+    step(f);
+    rk_loop_destroy(f->loop);
+    close(f->peer);
+}
+
+/* Checks that the owner is told of a failed send, after its own write. */
+static void check_reported(int error)
+{
+    struct fixture f;
+    connect_pair(&f);
+    write_failing(&f, "x", error);
+    assert_int_equal(f.owner.errors, 0);
+    step(&f);
+    assert_int_equal(f.owner.errors, 1);
+    assert_int_equal(f.owner.error, error);
+    rk_conn_abort(f.conn);
+    end(&f);
+    assert_int_equal(f.owner.errors + f.owner.ends, 1);
+}
+
+/* Guards against a connection that waits for ever after a send that failed without
+ * an event, and against an owner that is called during its own write. */
+static void a_failed_send_is_reported(void **state)
 {
     (void)state;
-    int fds[2];
-    char received;
-    assert_int_equal(
-        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
-    struct rk_loop *loop = rk_loop_create();
-    struct owner owner = {0};
-    struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
-    send_error = ENOBUFS;
-    rk_conn_write(c, "head", 4);
-    send_error = 0;
-    rk_conn_write(c, "body", 4);
-    assert_int_equal(recv(fds[1], &received, 1, 0), -1);
-    rk_conn_abort(c);
-    rk_loop_step(loop, STEP_MS);
-    rk_loop_destroy(loop);
-    close(fds[1]);
+    static const int errors[] = {ENOBUFS, ENOMEM, EPERM};
+    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++)
+        check_reported(errors[i]);
 }
 
 /* Guards against a connection that waits for ever after a send that a filter of
@@ -132,25 +122,22 @@
 {
     (void)state;
     static const int errors[] = {EACCES, EIO, ENOSYS, EINVAL};
-    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++) {
-        int fds[2];
-        assert_int_equal(
-            socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds),
-            0);
-        struct rk_loop *loop = rk_loop_create();
-        struct owner owner = {0};
-        struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
-        send_error = errors[i];
-        rk_conn_write(c, "x", 1);
-        send_error = 0;
-        rk_loop_step(loop, STEP_MS);
-        assert_int_equal(owner.errors, 1);
-        assert_int_equal(owner.error, errors[i]);
-        rk_conn_abort(c);
-        rk_loop_step(loop, STEP_MS);
-        rk_loop_destroy(loop);
-        close(fds[1]);
-    }
+    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++)
+        check_reported(errors[i]);
+}
+
+/* Guards against a message with a hole, after one of its sends failed. */
+static void nothing_is_sent_after_a_failed_send(void **state)
+{
+    (void)state;
+    struct fixture f;
+    char received;
+    connect_pair(&f);
+    write_failing(&f, "head", ENOBUFS);
+    rk_conn_write(f.conn, "body", 4);
+    assert_int_equal(recv(f.peer, &received, 1, 0), -1);
+    rk_conn_abort(f.conn);
+    end(&f);
 }
 
 /* Guards against a record that is freed while its owner still has it, when an event
@@ -158,22 +145,31 @@
 static void an_end_before_a_failed_send_is_reported_once(void **state)
 {
     (void)state;
-    int fds[2];
-    assert_int_equal(
-        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
-    struct rk_loop *loop = rk_loop_create();
-    struct owner owner = {0};
-    struct rk_conn *c = rk_conn_adopt(loop, fds[0], &ops, &owner);
-    close(fds[1]);
-    send_error = ENOBUFS;
-    rk_conn_write(c, "x", 1);
-    send_error = 0;
-    rk_loop_step(loop, STEP_MS);
-    rk_loop_step(loop, STEP_MS);
-    assert_int_equal(owner.errors + owner.ends, 1);
-    rk_conn_abort(c);
-    rk_loop_step(loop, STEP_MS);
-    rk_loop_destroy(loop);
+    struct fixture f;
+    connect_pair(&f);
+    shutdown(f.peer, SHUT_RDWR);
+    write_failing(&f, "x", ENOBUFS);
+    step(&f);
+    step(&f);
+    assert_int_equal(f.owner.errors + f.owner.ends, 1);
+    rk_conn_abort(f.conn);
+    end(&f);
+}
+
+/* Guards against a failed send that is reported after its owner ended the
+ * connection. */
+static void a_connection_ended_after_a_failed_send_is_not_reported(void **state)
+{
+    (void)state;
+    struct fixture f;
+    connect_pair(&f);
+    write_failing(&f, "x", ENOBUFS);
+    rk_conn_close(f.conn);
+    shutdown(f.peer, SHUT_RDWR);
+    step(&f);
+    step(&f);
+    assert_int_equal(f.owner.errors + f.owner.ends, 0);
+    end(&f);
 }
 
 int main(void)
