--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -11,6 +11,7 @@
 #include "common/eventlog.h"
 #include "common/http1.h"
 #include "common/memory.h"
+#include "core/token_usage.h"
 #include "serve/relay_call_impl.h"
 
 #define PCT 100
@@ -67,20 +68,19 @@
     const struct rk_dialect *d = x->r->opt.dialect;
     const char *tokens = rk_head_get(head, d->tokens);
     const char *prefix = rk_head_get(head, d->prefix);
-    double out = 0;
-    if (tokens) {
-        char *end;
-        x->query.prompt_tokens = strtod(tokens, &end);
-        out = *end == ',' ? strtod(end + 1, NULL) : 0;
-    }
+    struct rk_token_usage usage = {0};
+    bool counted = tokens && rk_token_usage_parse(tokens, &usage);
+    x->query.prompt_tokens = usage.prompt;
     if (prefix) {
         rk_place_parse_segments(&x->query, prefix);
         x->segments = rk_prompt_segments_parse(x->org ? x->org->name : "",
                                                x->query.service, prefix);
+        rk_memory_charge(&x->segments_charged,
+                         x->segments.len * sizeof(*x->segments.items));
     }
     if (x->org && x->org->counts_tokens)
         x->units =
-            tokens ? x->query.prompt_tokens + out : (double)x->org->default_units;
+            counted ? usage.prompt + usage.output : (double)x->org->default_units;
     else
         x->units = 1;
 }
@@ -399,6 +399,7 @@
 {
     struct call_spec call;
     if (accept_head(r, client, &call)) {
+        rk_client_limit_body_time(client, call.route->timeout_ms);
         if (claim_memory(client))
             return true;
         refuse_for_memory(r, client);
