--- a/common/conn.c
+++ b/common/conn.c
@@ -142,10 +142,12 @@
     rk_memory_charge(&c->charged, c->out.cap);
 }
 
-/* Returns whether a send failed here, so that no epoll event will report it. */
-static bool is_local_error(int error)
+/* Returns whether a send failed as the connection has ended, which an epoll event
+ * reports after what was received has been read. */
+static bool has_ended(int error)
 {
-    return error == ENOBUFS || error == ENOMEM || error == EPERM;
+    return error == EPIPE || error == ECONNRESET || error == ECONNABORTED ||
+           error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH;
 }
 
 /* Drops what was to be sent. The owner, which may be in a write, is told from the
@@ -154,7 +156,7 @@
 {
     c->out_pos = c->out.len;
     c->send_error = error;
-    if (is_local_error(error) && !c->lingering)
+    if (!has_ended(error) && !c->lingering)
         rk_timer_start(c->loop, &c->timer, 0);
 }
 
@@ -179,11 +181,17 @@
     update_watch(c);
 }
 
-static void finish_connect(struct rk_conn *c)
+static int socket_error(const struct rk_conn *c)
 {
     int error = 0;
     socklen_t len = sizeof(error);
     getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+    return error;
+}
+
+static void finish_connect(struct rk_conn *c)
+{
+    int error = socket_error(c);
     if (error) {
         notify_end(c, error);
         return;
@@ -224,6 +232,7 @@
         notify_end(c, 0);
         return;
     }
+    rk_loop_note_progress(c->loop);
     c->read_since_write += (size_t)n;
     if (c->read_since_write >= LONG_MESSAGE_BYTES)
         bound_receiving(c);
@@ -239,6 +248,12 @@
         finish_connect(c);
         return;
     }
+    /* Before flush(), which drops the queue and lets the owner take the rest of the
+     * received bytes for requests that can be answered. */
+    if (c->paused && (events & (EPOLLERR | EPOLLHUP))) {
+        notify_end(c, socket_error(c));
+        return;
+    }
     if (events & EPOLLOUT) {
         bool had_unsent = rk_conn_unsent_len(c) > 0;
         flush(c);
@@ -247,7 +262,7 @@
             c->ops->on_drained(c->ctx);
     }
     bool readable = events & (EPOLLIN | EPOLLERR | EPOLLHUP);
-    if (!c->released && readable && (!c->paused || !(events & EPOLLIN)))
+    if (!c->released && readable && !c->paused)
         read_block(c);
     else if (!c->released && c->ops && c->paused && (events & EPOLLRDHUP))
         notify_end(c, 0);
--- a/core/quota.c
+++ b/core/quota.c
@@ -25,7 +25,11 @@
 #define RECENT_BUCKETS 3
 /* Maximum rate assumed of peers, as a multiple of the mean. */
 #define PEERS_SURGE_MAX 3.0
-#define RESTORED_MAX_MS 2500 /* maximum age of reliable persisted usage */
+/* Maximum age of reliable persisted usage: this, or a part of the window. What was
+ * used after a record was written counts as just before the start if the record is
+ * older than RESTORED_MAX_MS: how long nodes were down is not known. */
+#define RESTORED_MAX_MS   2500
+#define RESTORED_MAX_PART 0.5
 /* A persisted record lacks the peers' usage of about this time, in ms, as its
  * writer had not received it yet. */
 #define UNREPORTED_MS 400.0
@@ -437,13 +441,15 @@
     if (demand_per_s > 0)
         rate = fmin(rate, demand_per_s / RK_MS_PER_S);
     double unsaved_ms = (double)age_ms * UNSAVED_ACTIVE_SHARE + UNREPORTED_MS;
-    add_restored(q, o, rate * UNSAVED_SURGE * unsaved_ms, age_ms / 2);
+    int64_t unsaved_age_ms = age_ms <= RESTORED_MAX_MS ? age_ms / 2 : 0;
+    add_restored(q, o, rate * UNSAVED_SURGE * unsaved_ms, unsaved_age_ms);
 }
 
 void rk_quota_restore_done(struct rk_quota *q, int64_t age_ms)
 {
     q->restore_read = true;
-    q->restored = age_ms <= RESTORED_MAX_MS;
+    q->restored = age_ms <= RESTORED_MAX_MS ||
+                  (double)age_ms <= (double)q->window_ms * RESTORED_MAX_PART;
 }
 
 /* Returns the quota in force: the highest one of the past window. */
@@ -679,18 +685,16 @@
         .share = 1, .class_share = 1, .retry_after_ms = RK_QUOTA_RETRY_MIN_MS};
     struct rk_quota_org *o = find_or_add(q, org);
     advance(q, o, now_ms);
-    double whole = rate * (double)q->window_ms / RK_MS_PER_S + burst;
-    /* A call that is larger than the quota takes no more than the quota from
-     * others. In full, one mistaken count would be the only demand for many
-     * seconds. */
-    rk_class_demand_add(&o->demand, call_class,
-                        rate > 0 ? fmin(units, whole) : units, now_ms);
     double share = reachable_share(q, now_ms);
     record_reachable_share(q, share, now_ms);
-    double quota = effective_quota(q, o, whole, now_ms);
+    double quota = effective_quota(
+        q, o, rate * (double)q->window_ms / RK_MS_PER_S + burst, now_ms);
     double limit = (quota + q->slack * SLACK_SHARE) * share;
     if (share < 1)
         limit += quota * q->overrun * OVERRUN_SHARE * share;
+    /* A call that can never be admitted takes no share from others. */
+    if (rate <= 0 || units <= limit)
+        rk_class_demand_add(&o->demand, call_class, units, now_ms);
     double known = sum(o->used);
     double charged = charged_usage(q, o, share);
     double used = charged + unreported_usage(q, o, known, now_ms) * share;
--- a/objects/store.h
+++ b/objects/store.h
@@ -19,8 +19,9 @@
 struct rk_store_object {
     const char *name;
     int64_t revision;
-    bool removed;               /* the object was removed; set by watches only */
-    struct json_object *spec;   /* desired state; borrowed, may be NULL */
+    bool removed;             /* the object was removed; set by watches only */
+    struct json_object *spec; /* desired state; borrowed, may be NULL */
+    const char *spec_text;    /* its JSON text; set by list_texts only, else NULL */
     struct json_object *status; /* reported state; borrowed, may be NULL */
 };
 
@@ -37,8 +38,7 @@
 typedef void rk_store_list_fn(void *ctx, enum rk_status st,
                               const struct rk_store_object *objects, size_t len,
                               int64_t at);
-/* object is the current object, with RK_ECONFLICT, too; NULL if the response does
- * not contain it. */
+/* object is the current object, with RK_ECONFLICT, too; NULL if it is not known. */
 typedef void rk_store_object_fn(void *ctx, enum rk_status st,
                                 const struct rk_store_object *object);
 
@@ -47,6 +47,11 @@
      * which costs the store less. */
     void (*list)(struct rk_store *s, const char *kind, bool stale,
                  rk_store_list_fn *fn, void *ctx);
+    /* Like list, for kinds with thousands of objects: each has only spec_text,
+     * neither spec nor status. Parsed objects take over ten times the memory of
+     * their text. */
+    void (*list_texts)(struct rk_store *s, const char *kind, rk_store_list_fn *fn,
+                       void *ctx);
     /* Reports changes after the revision since, as soon as there are any; reports
      * an empty list after wait_ms without a change. */
     void (*watch)(struct rk_store *s, const char *kind, int64_t since,
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -872,6 +872,27 @@
     assert_true(admit_each_step(&q, 100, 100, 100000, 100100, 1, 10) < 50);
 }
 
+/* Guards against organisations that are refused for a whole window after all nodes
+ * were down for some seconds: the record is older by that time, in which nothing
+ * was used, and the units that it shows leave the window one after the other. */
+static void usage_leaves_the_window_after_seconds_without_nodes(void **state)
+{
+    (void)state;
+    const double slices[RK_QUOTA_SLICES] = {100, 100, 100, 100, 100, 100, 100, 100};
+    const int64_t start_ms = 100000, down_ms = 2600, unsaved_ms = 300;
+    SCOPED struct rk_quota q = single_node_quota(start_ms);
+    rk_quota_restore(&q, "org", slices, 100, down_ms + unsaved_ms, start_ms);
+    rk_quota_restore_done(&q, down_ms + unsaved_ms);
+    double used = 0;
+    for (int64_t s = 0; s < 5; s++) {
+        int64_t from_ms = start_ms + s * 1000, to_ms = from_ms + 1000;
+        used += admit_each_step(&q, 100, 100, from_ms, to_ms, 10, 2);
+        double before = 100 * (double)(8000 - down_ms - (s + 1) * 1000) / 1000;
+        assert_true(used + (before > 0 ? before : 0) <= 900);
+    }
+    assert_true(used >= 200);
+}
+
 /* Guards against units that count as used after their call was refunded. */
 static void a_refund_reduces_the_usage(void **state)
 {
@@ -885,10 +906,40 @@
     assert_true(rk_quota_used(&q.orgs[0]) == 90);
 }
 
+/* Returns the units of small calls admitted in 20 s, which ask for half of the
+ * quota, beside calls that ask for more units than the whole quota; 0: none. */
+static double admit_beside_large_calls(double large_units)
+{
+    SCOPED struct rk_quota q = single_node_quota(0);
+    struct rk_quota_decision decision;
+    double sum = 0;
+    q.nodes_total = q.nodes_reachable = 3;
+    for (int64_t t = 100000; t < 120000; t += 100) {
+        if (large_units > 0 && t % 200 == 0)
+            assert_false(rk_quota_admit(&q, "org", 200, 0, large_units, CLASS, t,
+                                        &decision));
+        if (rk_quota_admit(&q, "org", 200, 0, 10, CLASS, t, &decision))
+            sum += 10;
+    }
+    return sum;
+}
+
+/* Guards against calls that can never be admitted, but take a share of the quota
+ * from the others again and again. */
+static void calls_larger_than_the_quota_take_nothing_from_others(void **state)
+{
+    (void)state;
+    double alone = admit_beside_large_calls(0);
+    assert_true(alone > 0);
+    assert_int_equal((int)admit_beside_large_calls(2000), (int)alone);
+    assert_int_equal((int)admit_beside_large_calls(1e9), (int)alone);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_window_admits_its_quota),
+        cmocka_unit_test(calls_larger_than_the_quota_take_nothing_from_others),
         cmocka_unit_test(each_of_many_organisations_is_held_to_its_quota),
         cmocka_unit_test(a_node_that_reaches_few_uses_their_share),
         cmocka_unit_test(partition_sides_use_the_allowed_overrun),
@@ -923,6 +974,7 @@
         cmocka_unit_test(possible_usage_is_persisted),
         cmocka_unit_test(usage_received_at_once_is_no_rate_after_a_restart),
         cmocka_unit_test(old_persisted_usage_is_a_lower_bound),
+        cmocka_unit_test(usage_leaves_the_window_after_seconds_without_nodes),
         cmocka_unit_test(a_refund_reduces_the_usage),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -153,8 +153,12 @@
 
     era counts how often the store came back from an older copy. Each answer has the value
     of answer_era() in the header Store-Era, unless that is None.
+
+    shows_existing: a refused create is answered with the object that is there.
     """
 
+    shows_existing = True
+
     def __init__(self):
         self.page = 5  # objects; small, so that paging is exercised
         self.era = 1
@@ -315,7 +319,7 @@
         if req.method == "POST":
             name = body["metadata"]["name"]
             if name in self.objects[kind]:
-                return 409, self.objects[kind][name]
+                return 409, self.objects[kind][name] if self.shows_existing else {}
             return 200, self._write(kind, name, body["spec"])
         o = self.objects[kind].get(name)
         if o is None:
@@ -619,6 +623,12 @@
         return b"id: %d\ndata: %s token %d\n\n" % (
             number, req.get("Rillknot-Attempt-Id").encode(), number)
 
+    @staticmethod
+    def last_event(req):
+        """Return the number after which a request takes its stream up; 0: it names none."""
+        value = req.get("Last-Event-Id", "")
+        return int(value) if value.isascii() and value.isdigit() else 0
+
     def stream(self, req, conn, upto, end=True):
         """Send the events after Last-Event-Id up to number upto.
 
@@ -628,7 +638,7 @@
             tokens = float(req.get("Rillknot-Token-Usage", "0,0").split(",")[0])
             time.sleep(tokens / self.tokens_per_s)
         framing = self.choose_framing(req)
-        first = int(req.get("Last-Event-Id", 0)) + 1
+        first = self.last_event(req) + 1
         whole = sum(len(self.event(req, n)) for n in range(first, self.events + 1))
         conn.sendall(self.head(req, framing=self.framing_header(framing, whole),
                                extra=b"Content-Type: text/event-stream\r\n"))
