tests: logs of processes are opened for appending

Cause: the test adds a line to a running node's log; the node wrote at its own offset and so over that line whenever it logged between the two. Sanitizers' own reports were not affected, as a process writes these itself. Change: logs are opened for appending, and the test lets the node log after the line.

--- a/tests/proc_hosted_ends.py
+++ b/tests/proc_hosted_ends.py
@@ -40,11 +40,16 @@
 
 
 def test_a_sanitizers_report_of_an_earlier_process_of_a_node_fails_a_test():
-    """Guards against reports that nobody sees: only the last log of each node was read."""
+    """Guards against reports that nobody sees: only the last log of each node was read.
+
+    A node that logged on overwrote what had been added to its log.
+    """
     try:
         with Hosted(nodes=1) as d:
             with open(d.nodes[0].log, "ab") as log:
                 log.write(b"WARNING: ThreadSanitizer: data race\n")
+            d.nodes[0].signal(signal.SIGHUP)
+            d.nodes[0].wait_event("node.reloaded")
             d.restart_node(0)
     except AssertionError as e:
         assert "ThreadSanitizer: data race" in str(e), e
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -41,8 +41,9 @@
     def __init__(self, args, log, ready_event="listening"):
         self.args, self.log = args, log
         self.signals_sent = set()
-        self.popen = subprocess.Popen(args, stdout=open(log, "wb"),
-                                      stderr=subprocess.STDOUT)
+        # Appending, as tests add lines to the log of a running process.
+        with open(log, "wb"), open(log, "ab") as out:
+            self.popen = subprocess.Popen(args, stdout=out, stderr=subprocess.STDOUT)
         self.ready = None
         if ready_event:
             self.ready = self.wait_event(ready_event)
