keeper: start tokens hold the whole name of a failure domain

Operators saw: of two failure domains whose names share their first 20 bytes, the second one to start a VM got none; its keeper was told the VM of the first. Cause: the idempotency token had the name cut to 20 bytes, the lease's epoch and a number, and each domain has epochs and numbers of its own, so that both sent the same token. Change: the token has room for the whole name; the platform's stand-in keeps tokens whole, too.

--- a/cloud/cloud.h
+++ b/cloud/cloud.h
@@ -39,12 +39,18 @@
  * the same token, which returns the same VM. */
 typedef void rk_cloud_vm_fn(void *ctx, enum rk_status st, const char *vm);
 
+/* Size of a start token: a failure domain's name and two numbers of up to 20
+ * digits, each with a separator. */
+#define RK_START_TOKEN_MAX (RK_ID_MAX + 2 * 21)
+
 /* Parameters of a VM start. */
 struct rk_vm_start_request {
     char vm_class[RK_ID_MAX];
     char domain[RK_ID_MAX]; /* failure domain */
     char service[RK_ID_MAX];
-    char token[RK_ID_MAX]; /* idempotency token: a repeated start is harmless */
+    /* Idempotency token, unique among all failure domains: a repeated start is
+     * harmless. */
+    char token[RK_START_TOKEN_MAX];
 };
 
 /* Starts a VM. The request is copied. */
--- a/keeper/keeper.c
+++ b/keeper/keeper.c
@@ -343,7 +343,7 @@
     rk_strcpy(s->request.vm_class, RK_ID_MAX, vm_class);
     rk_strcpy(s->request.domain, RK_ID_MAX, k->procfile->failure_domain);
     rk_strcpy(s->request.service, RK_ID_MAX, svc->name);
-    snprintf(s->request.token, RK_ID_MAX, "%.20s-%" PRId64 "-%" PRIu64,
+    snprintf(s->request.token, sizeof(s->request.token), "%s-%" PRId64 "-%" PRIu64,
              k->procfile->failure_domain, epoch, ++k->tokens_used);
     send_start_request(s);
 }
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -42,6 +42,7 @@
 #define MAX_VMS     2000
 #define MAX_NOTICES 4000
 #define MAX_NAME    160
+#define TOKEN_MAX   128
 #define MAX_VALUE   (1024 * 1024)
 
 struct object {
@@ -55,7 +56,7 @@
 struct vm {
     char id[RK_ID_MAX], addr[RK_ADDR_MAX], domain[RK_ID_MAX];
     char service[RK_ID_MAX], vm_class[RK_ID_MAX], state[16];
-    char token[RK_ID_MAX]; /* of the order that started it; "": none */
+    char token[TOKEN_MAX]; /* of the order that started it; "": none */
     int64_t incarnation;
     int64_t revision; /* of the last change */
 };
--- a/tests/proc_keeper.py
+++ b/tests/proc_keeper.py
@@ -120,6 +120,32 @@
         return "%d VMs started for 1 missing although a keeper was killed" % starts
 
 
+def test_domains_with_like_names_start_vms_of_their_own():
+    """Guards against start tokens that are equal in two failure domains.
+
+    A domain's name was cut after 20 bytes in them, so that the second domain's keeper was given
+    the VM that the first one had started.
+    """
+    domains = ["klein-hall-of-windhoek-north", "klein-hall-of-windhoek-south"]
+    with cluster(domains=domains, keepers=True, services=0, engines=2) as c:
+        for domain in domains:
+            c.add_engine("spare-" + domain[-5:], domain, state="spare")
+        set_lease(c, 3000)
+        wait_for(lambda: set(started_vms(c)) >= set(domains), 30, "a VM for each domain")
+        vms = started_vms(c)
+        assert vms == {domain: "spare-" + domain[-5:] for domain in domains}, vms
+
+
+def started_vms(c):
+    """Returns the first VM that was started in each failure domain."""
+    vms = {}
+    for k in c.keepers:
+        for e in k.events():
+            if e.get("event") == "vm.start" and e["vm"]:
+                vms.setdefault(e["failure_domain"], e["vm"])
+    return vms
+
+
 def test_engines_that_check_no_fences_get_only_harmless_orders():
     """Engines that don't check fencing tokens would also obey late orders of a former
     lease holder. They must get load orders only, which do no harm when late or
