tools: one runner plays the seeds of each randomised tool

Cause: the arguments and the loop over seeds stood in idle_cpu, lifetimes and odd_objects. Change: tools/seeds.py has both; behaviour and defaults are as before.

--- a/tools/idle_cpu.py
+++ b/tools/idle_cpu.py
@@ -9,18 +9,16 @@
 
     tools/idle_cpu.py [--build DIR] [--seeds N] [--first SEED] [--batches N] [--jobs N]
 """
-import argparse
-import concurrent.futures
 import os
 import random
 import socket
-import subprocess
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from hosted import Hosted, RawServer, reset, wait_until  # noqa: E402
+from seeds import make_parser, play_each  # noqa: E402
 
 NODES = 2
 CPU_SHARE_MAX = 0.05  # of a core, each thread; the smallest machines have 0.09 in all
@@ -364,13 +362,8 @@
 
 
 def main():
-    p = argparse.ArgumentParser()
-    p.add_argument("--build", default="build")
-    p.add_argument("--seeds", type=int, default=10)
-    p.add_argument("--first", type=int, default=int(time.time()))
+    p = make_parser("build", seeds=10, jobs=2)
     p.add_argument("--batches", type=int, default=4)
-    p.add_argument("--jobs", type=int, default=2)
-    p.add_argument("--one", type=int)
     args = p.parse_args()
     if args.one is not None:
         run = run_seed(args.one, args.batches, args.build)
@@ -378,20 +371,7 @@
         print("seed %d: %d batches, %.3f of a core at the most, %d problems"
               % (args.one, len(run.log), run.most, len(run.problems)))
         return 1 if run.problems else 0
-
-    def play(seed):
-        r = subprocess.run([sys.executable, os.path.abspath(__file__), "--one", str(seed),
-                            "--build", args.build, "--batches", str(args.batches)],
-                           stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
-        return seed, r.returncode, r.stdout.decode("utf-8", "replace")
-
-    failed = 0
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        for seed, code, out in pool.map(play, range(args.first, args.first + args.seeds)):
-            failed += code != 0
-            print(out.strip() if code == 0 else "FAILED seed %d\n%s" % (seed, out), flush=True)
-    print("%d of %d seeds failed" % (failed, args.seeds))
-    return 1 if failed else 0
+    return play_each(args, os.path.abspath(__file__), "--batches", str(args.batches))
 
 
 if __name__ == "__main__":
--- a/tools/lifetimes.py
+++ b/tools/lifetimes.py
@@ -8,19 +8,17 @@
 
     tools/lifetimes.py [--build DIR] [--seeds N] [--first SEED] [--seconds S] [--jobs N]
 """
-import argparse
-import concurrent.futures
 import os
 import random
 import re
 import socket
-import subprocess
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from hosted import FRAMINGS, Hosted, Worker, read_answer, reset, wait_until  # noqa: E402
+from seeds import make_parser, play_each  # noqa: E402
 
 NODES = 2
 EVENTS, GAP_S = 80, 0.04  # of a stream, which outlasts the delay of a move by seconds
@@ -303,13 +301,8 @@
 
 
 def main():
-    p = argparse.ArgumentParser()
-    p.add_argument("--build", default="build/address")
-    p.add_argument("--seeds", type=int, default=50)
-    p.add_argument("--first", type=int, default=int(time.time()))
+    p = make_parser("build/address", seeds=50, jobs=4)
     p.add_argument("--seconds", type=float, default=10)
-    p.add_argument("--jobs", type=int, default=4)
-    p.add_argument("--one", type=int)
     args = p.parse_args()
     if args.one is not None:
         run = run_seed(args.one, args.seconds, args.build)
@@ -317,20 +310,7 @@
         print("seed %d: %d served, %d events, %d runs moved, %d went on from a copy, %d problems"
               % ((args.one, run.served, len(run.log)) + run.moved() + (len(run.problems),)))
         return 1 if run.problems else 0
-
-    def play(seed):
-        r = subprocess.run([sys.executable, os.path.abspath(__file__), "--one", str(seed),
-                            "--build", args.build, "--seconds", str(args.seconds)],
-                           stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
-        return seed, r.returncode, r.stdout.decode("utf-8", "replace")
-
-    failed = 0
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        for seed, code, out in pool.map(play, range(args.first, args.first + args.seeds)):
-            failed += code != 0
-            print(out.strip() if code == 0 else "FAILED seed %d\n%s" % (seed, out), flush=True)
-    print("%d of %d seeds failed" % (failed, args.seeds))
-    return 1 if failed else 0
+    return play_each(args, os.path.abspath(__file__), "--seconds", str(args.seconds))
 
 
 if __name__ == "__main__":
--- a/tools/odd_objects.py
+++ b/tools/odd_objects.py
@@ -10,21 +10,19 @@
 
     tools/odd_objects.py [--build DIR] [--seeds N] [--first SEED] [--seconds S] [--jobs N]
 """
-import argparse
-import concurrent.futures
 import copy
 import json
 import os
 import random
 import re
 import socket
-import subprocess
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from hosted import Hosted, Store, wait_until  # noqa: E402
+from seeds import make_parser, play_each  # noqa: E402
 
 NODES = 3
 CALLERS = 4
@@ -453,13 +451,8 @@
 
 def run_seeds(runner):
     """Run a command line's seeds, each in a process of its own; return the exit code."""
-    p = argparse.ArgumentParser()
-    p.add_argument("--build", default="build/address")
-    p.add_argument("--seeds", type=int, default=10)
-    p.add_argument("--first", type=int, default=int(time.time()))
+    p = make_parser("build/address", seeds=10, jobs=2)
     p.add_argument("--seconds", type=float, default=20)
-    p.add_argument("--jobs", type=int, default=2)
-    p.add_argument("--one", type=int)
     args = p.parse_args()
     if args.one is not None:
         run = runner(args.one, args.seconds, args.build)
@@ -471,20 +464,7 @@
                   % (args.one, run.served, run.changes(), run.ended, run.max_rss_kb // 1024,
                      len(run.problems)))
         return 1 if run.problems else 0
-
-    def play(seed):
-        r = subprocess.run([sys.executable, os.path.abspath(sys.argv[0]), "--one", str(seed),
-                            "--build", args.build, "--seconds", str(args.seconds)],
-                           stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
-        return seed, r.returncode, r.stdout.decode("utf-8", "replace")
-
-    failed = 0
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        for seed, code, out in pool.map(play, range(args.first, args.first + args.seeds)):
-            failed += code != 0
-            print(out.strip() if code == 0 else "FAILED seed %d\n%s" % (seed, out), flush=True)
-    print("%d of %d seeds failed" % (failed, args.seeds))
-    return 1 if failed else 0
+    return play_each(args, os.path.abspath(sys.argv[0]), "--seconds", str(args.seconds))
 
 
 if __name__ == "__main__":
