tests: set-ups that stood twice

Cause: the process file of a lone entry node or keeper, and the deployment whose organisation has made odd calls, were written out in two tests each. Change: one function each; no check changed. Evidence: proc_hosted_ends, proc_hosted_odd_calls and the two tests of closed outputs passed.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,13 +1,14 @@
 """Helpers of the process tests: clusters of common shapes, an upstream that closes
 a connection at an exact byte, and the check of a verdict against run counts."""
 import contextlib
+import json
 import os
 import socket
 import subprocess
 import tempfile
 import threading
 
-from cluster import Cluster, call, wait_for
+from cluster import Cluster, call, free_port, wait_for
 
 BUILD = os.environ.get("RILLKNOT_BUILD", "build")
 
@@ -26,6 +27,19 @@
     return cluster(**kw)
 
 
+def write_lone_process_file(folder):
+    """Writes the process file of an entry node or a keeper that reaches no platform and no
+    peers. Returns its path."""
+    conf = {"id": "a", "failure_domain": "klein-hall", "notice_ms": 2000, "peers": []}
+    for name in ("listen", "control_listen", "forward_listen", "entry"):
+        conf[name] = "127.0.0.1:%d" % free_port()
+    conf["platform"] = "http://127.0.0.1:%d" % free_port()
+    path = os.path.join(folder, "conf.json")
+    with open(path, "w") as f:
+        json.dump(conf, f)
+    return path
+
+
 # A library whose function for the exit takes longer than any grace period here.
 SLOW_EXIT = """
 #include <unistd.h>
--- a/tests/proc_hosted_ends.py
+++ b/tests/proc_hosted_ends.py
@@ -1,15 +1,14 @@
 """A node that ends by itself says why: on standard error, with the thread and its stack.
 Nothing that its log can't take ends it."""
-import json
 import os
 import resource
 import signal
 import subprocess
 import tempfile
 
-from cluster import Proc, free_port
+from cluster import Proc
 from fleet_soak import FleetSoak, choose_network
-from fakes import BUILD
+from fakes import BUILD, write_lone_process_file
 from hosted import Hosted
 
 END_S = 5
@@ -111,15 +110,9 @@
 
 def test_a_log_file_that_is_full_keeps_no_process_from_starting():
     """Guards against the same at the start, in every program that serves."""
-    addr = {k: "127.0.0.1:%d" % free_port() for k in ("listen", "control_listen",
-                                                      "forward_listen", "entry")}
-    conf = {"id": "a", "failure_domain": "klein-hall", "notice_ms": 2000, "peers": [],
-            "platform": "http://127.0.0.1:%d" % free_port(), **addr}
     for program in ("rillknot-entry", "rillknot-keeper"):
         with tempfile.TemporaryDirectory() as folder:
-            path = os.path.join(folder, "conf.json")
-            with open(path, "w") as f:
-                json.dump(conf, f)
+            path = write_lone_process_file(folder)
             p = Proc(["prlimit", "--fsize=0", os.path.join(BUILD, program), path],
                      os.path.join(folder, "log"), "")
             try:
--- a/tests/proc_hosted_odd_calls.py
+++ b/tests/proc_hosted_odd_calls.py
@@ -1,4 +1,5 @@
 """Odd values in the headers of callers' requests and of VMs' answers."""
+import contextlib
 import time
 
 import odd_calls
@@ -21,15 +22,22 @@
     return [d.call("/r/x", headers=usage(text), node=node).status for _ in range(count)]
 
 
-def test_odd_token_counts_do_not_lift_a_quota():
-    """Guards against a count of tokens that is negative or no number: it entered the sum of
-    the quota window, after which any call of the organisation was within its quota."""
+@contextlib.contextmanager
+def after_odd_usages():
+    """Two nodes and an organisation with a quota that has made a call with each odd usage."""
     with Hosted(nodes=2) as d:
         d.add_worker("plain")
         d.configure([d.route("r", "plain")], tenants=LIMITED)
         d.wait_ready()
         for text in ODD_USAGES:
             statuses(d, text, 1)
+        yield d
+
+
+def test_odd_token_counts_do_not_lift_a_quota():
+    """Guards against a count of tokens that is negative or no number: it entered the sum of
+    the quota window, after which any call of the organisation was within its quota."""
+    with after_odd_usages() as d:
         answers = statuses(d, "100,0", 20)
         assert answers.count(200) <= 5, answers
 
@@ -57,12 +65,7 @@
     """Guards against calls that are larger than the whole quota: they were refused, but their
     tokens counted as the organisation's demand, so that its other calls were refused for as
     long as it took to decay."""
-    with Hosted(nodes=2) as d:
-        d.add_worker("plain")
-        d.configure([d.route("r", "plain")], tenants=LIMITED)
-        d.wait_ready()
-        for text in ODD_USAGES:
-            statuses(d, text, 1)
+    with after_odd_usages() as d:
         for node in range(2):
             wait_until(lambda n=node: statuses(d, "10,0", 1, node=n) == [200],
                        2 * d.bounds["quotaWindowS"], step=0.3)
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -13,7 +13,7 @@
 import time
 
 from cluster import free_port
-from fakes import BUILD
+from fakes import BUILD, write_lone_process_file
 from hosted import Hosted, http, wait_until
 from proc_hosted_start import Start, process_file
 
@@ -243,15 +243,9 @@
 
 def test_a_closed_standard_output_is_no_connection_of_another_program():
     """The same for the programs that are no hosted node."""
-    addr = {k: "127.0.0.1:%d" % free_port() for k in ("listen", "control_listen",
-                                                      "forward_listen", "entry")}
-    conf = {"id": "a", "failure_domain": "klein-hall", "notice_ms": 2000, "peers": [],
-            "platform": "http://127.0.0.1:%d" % free_port(), **addr}
     for program in ("rillknot-entry", "rillknot-keeper"):
         with tempfile.TemporaryDirectory() as folder:
-            path = os.path.join(folder, "conf.json")
-            with open(path, "w") as f:
-                json.dump(conf, f)
+            path = write_lone_process_file(folder)
             p = subprocess.Popen([os.path.join(BUILD, program), path],
                                  preexec_fn=lambda: os.closerange(0, 1000), close_fds=False)
             try:
