claims: the age of a slot is counted by the monotonic clock

A caller of rillknot-entry that sent a key twice had it run twice when the owner's date was that of 1970 at the first claim: after a restart with the right date, the key was granted again a second later.

Cause: load_slot() took the difference between the date in the slot and its own date for the age of the keys, however wrong the first was, so that a slot of 1970 was past its retention at once. An owner whose date was set right while it ran also took its own slots for reusable, and replaced keys that it had written a moment before.

A slot's age is now known by dates only where both can be right: a date before 2024 is that of a clock that was not set, and proves no age, nor does one ahead of the reader's. Such a slot counts as written when it was read. From then on, and for slots that this owner wrote, the age is counted by the monotonic clock, as that of the keys in memory was already, so a later step of the date changes nothing.

Evidence: test_claims.a_date_of_1970_does_not_free_keys (was listed) and the new a_date_that_is_set_does_not_free_slots failed before and pass; a_key_past_its_retention_is_free passes before and after. prop_claims and prop_fuzz pass with 400 cases each. The simulation of prop_claims began at the date 1; it has one of 2027 now, or its slots would not age.

Not covered: a date that is set back by more than the retention to one after 2024 still shortens the retention after a restart.

--- a/core/claims.c
+++ b/core/claims.c
@@ -13,6 +13,8 @@
 #define RETRY_AFTER_MS      1000 /* for callers whose claim is refused */
 #define REREAD_DELAY_MS     200  /* after a failed read */
 #define DOWN_TIMEOUT_PCT    10   /* of the time-out, while the platform is down */
+/* 2024-01-01. A wall clock with an earlier date was not set. */
+#define DATE_MIN_MS INT64_C(1704067200000)
 
 /* ---- creation ---- */
 
@@ -77,22 +79,22 @@
 
 /* Returns whether a slot is absent or all its keys are past the retention. */
 static bool slot_is_reusable(const struct rk_claims *c, unsigned slot,
-                             int64_t wall_ms)
+                             int64_t now_ms)
 {
     const struct claim_slot *s = &c->slots[slot];
-    return !s->version || wall_ms - s->newest_wall_ms > c->cfg.retention_ms;
+    return !s->version || now_ms - s->written_ms > c->cfg.retention_ms;
 }
 
 /* Chooses the slot of the next write. Returns false if the ring is full of keys
  * that must be retained. */
-static bool choose_write_slot(struct rk_claims *c, int64_t wall_ms)
+static bool choose_write_slot(struct rk_claims *c, int64_t now_ms, int64_t wall_ms)
 {
     unsigned slot = c->current;
     c->write_base = c->current_len;
     c->write_seq = c->slots[slot].seq;
     if (c->sealed) {
         slot = (slot + 1) % RK_CLAIM_SLOTS;
-        if (!slot_is_reusable(c, slot, wall_ms))
+        if (!slot_is_reusable(c, slot, now_ms))
             return false;
         c->write_base = 0;
         c->write_seq++;
@@ -103,9 +105,9 @@
     return true;
 }
 
-static void start_write(struct rk_claims *c, int64_t wall_ms)
+static void start_write(struct rk_claims *c, int64_t now_ms, int64_t wall_ms)
 {
-    if (!choose_write_slot(c, wall_ms)) {
+    if (!choose_write_slot(c, now_ms, wall_ms)) {
         refuse_pending(c, "the shard's ring is full");
         return;
     }
@@ -165,7 +167,7 @@
         c->ops->read_slot(c->ctx, c->cfg.shard, c->write_slot);
     } else if (c->state == OWNER_READY) {
         c->write_tokens -= 1;
-        start_write(c, wall_ms);
+        start_write(c, now_ms, wall_ms);
     }
 }
 
@@ -203,12 +205,10 @@
 
 /* Records that a write took effect: its slot and keys are durable, and its claims
  * are granted. */
-static void commit_write(struct rk_claims *c, int64_t version)
+static void commit_write(struct rk_claims *c, int64_t version, int64_t now_ms)
 {
-    c->slots[c->write_slot] =
-        (struct claim_slot){.version = version,
-                            .seq = c->write_seq,
-                            .newest_wall_ms = c->write_wall_ms};
+    c->slots[c->write_slot] = (struct claim_slot){
+        .version = version, .seq = c->write_seq, .written_ms = now_ms};
     if (c->write_slot != c->current || c->write_base == 0)
         clear_current(c);
     c->current = c->write_slot;
@@ -238,7 +238,7 @@
 {
     assert(c->state == OWNER_WRITING);
     if (st == RK_OK) {
-        commit_write(c, version);
+        commit_write(c, version, now_ms);
     } else if (st == RK_ECONFLICT && !c->unresolved) {
         step_down(c, now_ms);
     } else {
@@ -271,7 +271,7 @@
                        !strcmp(json_object_get_string(nonce), own_nonce);
     json_object_put(o);
     if (took_effect) {
-        commit_write(c, version);
+        commit_write(c, version, now_ms);
     } else if (version == c->write_expect) {
         /* The write did not take effect yet, but still may: only the same write can
          * be sent safely. */
@@ -314,6 +314,15 @@
                         "the key may have run under another node");
 }
 
+/* Returns the age of the newest key of a slot, as far as the wall clocks of its
+ * writer and of this node prove it: 0 if either was not set or they disagree. */
+static int64_t proved_age_ms(int64_t newest_ms, int64_t wall_ms)
+{
+    if (newest_ms < DATE_MIN_MS || wall_ms < newest_ms)
+        return 0;
+    return wall_ms - newest_ms;
+}
+
 /* Takes over a slot that was read, and its keys unless they are past the
  * retention. */
 static void load_slot(struct rk_claims *c, const struct rk_claim_slot_value *r,
@@ -321,13 +330,13 @@
 {
     struct json_object *o = json_tokener_parse(r->value), *keys = NULL, *v;
     struct claim_slot *s = &c->slots[r->slot];
+    int64_t age = proved_age_ms(rk_json_int(o, "newest_ms", 0), wall_ms);
     *s = (struct claim_slot){.version = r->version,
                              .seq = rk_json_int(o, "seq", 0),
-                             .newest_wall_ms = rk_json_int(o, "newest_ms", 0)};
+                             .written_ms = now_ms - age};
     int64_t epoch = rk_json_int(o, "epoch", 0);
     if (epoch > c->epoch)
         c->epoch = epoch;
-    int64_t age = wall_ms - s->newest_wall_ms;
     json_object_object_get_ex(o, "keys", &keys);
     size_t len = keys ? json_object_array_length(keys) : 0;
     if (len > c->cfg.slot_keys)
@@ -335,7 +344,7 @@
     bool retained = age <= c->cfg.retention_ms;
     for (size_t i = 0; retained && i < len; i++)
         load_key(c, json_object_get_string(json_object_array_get_idx(keys, i)),
-                 now_ms - (age > 0 ? age : 0));
+                 s->written_ms);
     if (s->seq >= c->slots[c->current].seq) {
         c->current = r->slot;
         c->sealed = json_object_object_get_ex(o, "sealed", &v) &&
--- a/core/claims_impl.h
+++ b/core/claims_impl.h
@@ -49,9 +49,9 @@
 };
 
 struct claim_slot {
-    int64_t version;        /* 0: absent */
-    int64_t seq;            /* the current slot has the highest */
-    int64_t newest_wall_ms; /* wall clock of its last write */
+    int64_t version;    /* 0: absent */
+    int64_t seq;        /* the current slot has the highest */
+    int64_t written_ms; /* monotonic: no key in it is newer */
 };
 
 struct rk_claims {
--- a/tests/prop_claims.cc
+++ b/tests/prop_claims.cc
@@ -20,6 +20,7 @@
 // More than a ring of RK_CLAIM_SLOTS slots of 3 keys holds.
 constexpr int kKeys = 120;
 constexpr int64_t kRetentionMs = 1000000;
+constexpr int64_t kStartDateMs = 1800000000000; // in 2027
 
 // A slot of the ring in the store; version 0: it was never written.
 struct Slot {
@@ -57,6 +58,11 @@
     int grant_count = 0;
 };
 
+int64_t wall_ms(const Simulation &sim)
+{
+    return kStartDateMs + sim.now;
+}
+
 struct rk_claim_key key_of(int k)
 {
     std::string name = "k" + std::to_string(k);
@@ -147,7 +153,7 @@
         if (delivery == WRITE_DROPPED || delivery == WRITE_DELAYED) {
             if (delivery == WRITE_DELAYED)
                 sim.delayed_writes.push_back(op);
-            rk_claims_on_written(o->claims, RK_EUNKNOWN, 0, sim.now, sim.now);
+            rk_claims_on_written(o->claims, RK_EUNKNOWN, 0, sim.now, wall_ms(sim));
             return;
         }
         bool ok = apply_write(sim, op, &version);
@@ -155,7 +161,7 @@
                              answer_lost ? RK_EUNKNOWN
                              : ok        ? RK_OK
                                          : RK_ECONFLICT,
-                             version, sim.now, sim.now);
+                             version, sim.now, wall_ms(sim));
     } else if (op.kind == Op::ReadRing) {
         std::vector<struct rk_claim_slot_value> slots;
         for (auto &e : sim.store)
@@ -163,14 +169,14 @@
                 slots.push_back(
                     {e.first, e.second.version, e.second.value.c_str()});
         rk_claims_on_ring(o->claims, answer_lost ? RK_EUNKNOWN : RK_OK,
-                          slots.data(), slots.size(), sim.now, sim.now);
+                          slots.data(), slots.size(), sim.now, wall_ms(sim));
     } else if (op.kind == Op::ReadSlot) {
         Slot &s = sim.store[op.slot];
         enum rk_status st = answer_lost ? RK_EUNKNOWN
                             : s.version ? RK_OK
                                         : RK_ENOTFOUND;
         rk_claims_on_slot(o->claims, st, s.version, s.value.c_str(), sim.now,
-                          sim.now);
+                          wall_ms(sim));
     }
 }
 
@@ -217,7 +223,7 @@
         uint64_t t = ++sim.last_ticket;
         sim.ticket_key[t] = arg % kKeys;
         rk_claims_request(o->claims, t, key_of(arg % kKeys), false, sim.now);
-        rk_claims_tick(o->claims, sim.now, sim.now);
+        rk_claims_tick(o->claims, sim.now, wall_ms(sim));
         break;
     }
     case 3:
@@ -230,7 +236,7 @@
         break;
     case 7:
         sim.now += arg % 150;
-        rk_claims_tick(o->claims, sim.now, sim.now);
+        rk_claims_tick(o->claims, sim.now, wall_ms(sim));
         break;
     case 8:
         finish_call(o, arg / 3, arg % 3);
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -60,21 +60,21 @@
 
 static const struct rk_claims_ops ops = {read_ring, write_slot, read_slot, decided};
 
-static void start(struct fixture *f, uint64_t seed)
+static void start(struct fixture *f, uint64_t seed, size_t slot_keys)
 {
     const struct rk_claims_config cfg = {.owner = "a",
                                          .retention_ms = RETENTION_MS,
                                          .claim_timeout_ms = 1000,
                                          .answer_bytes = 1000,
                                          .max_tickets = 10,
-                                         .seed = seed};
+                                         .seed = seed,
+                                         .slot_keys = slot_keys};
     f->claims = rk_claims_create(&cfg, &ops, f);
 }
 
-static enum rk_claim_decision claim(struct fixture *f, int64_t now_ms,
-                                    int64_t wall_ms)
+static enum rk_claim_decision claim(struct fixture *f, struct rk_claim_key key,
+                                    int64_t now_ms, int64_t wall_ms)
 {
-    const struct rk_claim_key key = {.lo = 1, .hi = 2, .fingerprint = 3};
     const struct rk_claim_slot_value slot = {f->slot, f->version, f->value};
     f->reads = f->writes = false;
     rk_claims_request(f->claims, 1, key, false, now_ms);
@@ -94,13 +94,13 @@
 {
     struct fixture f = {0};
     const struct rk_claim_key key = {.lo = 1, .hi = 2, .fingerprint = 3};
-    start(&f, 1);
-    assert_int_equal(claim(&f, NOW_MS, first_wall_ms), RK_CLAIM_GRANTED);
+    start(&f, 1, RK_CLAIM_SLOT_KEYS);
+    assert_int_equal(claim(&f, key, NOW_MS, first_wall_ms), RK_CLAIM_GRANTED);
     rk_claims_finish(f.claims, key, RK_RAN, NULL, 0);
     rk_claims_destroy(f.claims);
     f.decisions = 0;
-    start(&f, 2);
-    enum rk_claim_decision decision = claim(&f, NOW_MS + 1000, wall_ms);
+    start(&f, 2, RK_CLAIM_SLOT_KEYS);
+    enum rk_claim_decision decision = claim(&f, key, NOW_MS + 1000, wall_ms);
     rk_claims_destroy(f.claims);
     return decision;
 }
@@ -116,10 +116,40 @@
     assert_int_not_equal(claim_again(5000, SET_RIGHT_MS), RK_CLAIM_GRANTED);
 }
 
+/* Guards against keys that are never free again. */
+static void a_key_past_its_retention_is_free(void **state)
+{
+    (void)state;
+    assert_int_not_equal(claim_again(SET_RIGHT_MS, SET_RIGHT_MS + RETENTION_MS),
+                         RK_CLAIM_GRANTED);
+    assert_int_equal(claim_again(SET_RIGHT_MS, SET_RIGHT_MS + RETENTION_MS + 1),
+                     RK_CLAIM_GRANTED);
+}
+
+/* Guards against an owner that replaces slots whose keys it has just written, as
+ * its date was that of 1970 then and has been set since. */
+static void a_date_that_is_set_does_not_free_slots(void **state)
+{
+    (void)state;
+    struct fixture f = {0};
+    struct rk_claim_key key = {.lo = 1, .hi = 2, .fingerprint = 3};
+    start(&f, 1, 1);
+    for (; key.lo <= RK_CLAIM_SLOTS; key.lo++)
+        assert_int_equal(claim(&f, key, NOW_MS, 5000), RK_CLAIM_GRANTED);
+    assert_int_equal(claim(&f, key, NOW_MS + 1000, SET_RIGHT_MS), RK_CLAIM_REFUSED);
+    key.lo++;
+    assert_int_equal(
+        claim(&f, key, NOW_MS + RETENTION_MS + 1, SET_RIGHT_MS + RETENTION_MS),
+        RK_CLAIM_GRANTED);
+    rk_claims_destroy(f.claims);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_date_of_1970_does_not_free_keys),
+        cmocka_unit_test(a_key_past_its_retention_is_free),
+        cmocka_unit_test(a_date_that_is_set_does_not_free_slots),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
