loop: watches that the kernel had no room for are added again

Seen: where the kernel refuses additions to an epoll set for 4 s of a process's start (ENOSPC, the limit of epoll watches that all processes of a user share, or ENOMEM), the process goes on, says nothing and serves nothing: its listeners, connections and the wake-ups between its threads are never watched. Cause: the result of epoll_ctl() was used only to tell a reused descriptor; a refused watch was noted as made. Change: a refused watch is kept as such and added again every 50 ms; loop.watch_failed says how many there are. The descriptor that wakes a loop goes the same way.

--- a/common/loop.c
+++ b/common/loop.c
@@ -30,6 +30,10 @@
 #define SPIN_MS                 2000
 #define SPIN_REPORT_INTERVAL_MS 10000
 
+/* Interval at which watches that the kernel had no room for are added again. */
+#define REWATCH_INTERVAL_MS          50
+#define UNWATCHED_REPORT_INTERVAL_MS 10000
+
 struct dispatch_entry {
     rk_callback_fn *fn;
     void *ctx;
@@ -39,6 +43,7 @@
     rk_fd_fn *fn;
     void *ctx;
     uint32_t events;
+    bool unwatched; /* the kernel had no room for it: not in the epoll set */
 };
 
 /* What a turn of the loop was for: a descriptor, or else a timer. */
@@ -56,7 +61,10 @@
     atomic_bool stopping;
     struct watch *watches; /* indexed by fd */
     size_t watches_len;
-    struct rk_timer **heap; /* min-heap by due_ms */
+    size_t unwatched;              /* watches that are not in the epoll set */
+    struct rk_timer rewatch;       /* runs while there are any */
+    int64_t unwatched_reported_ms; /* 0: never */
+    struct rk_timer **heap;        /* min-heap by due_ms */
     size_t heap_len, heap_cap;
     rk_callback_fn *before_batch, *after_batch;
     void *hook_ctx;
@@ -69,6 +77,9 @@
     int64_t same_since_ms, spin_reported_ms;
 };
 
+static void on_rewatch(void *ctx);
+static void on_wake(void *ctx, int fd, uint32_t events);
+
 /* Returns fd. Ends the process if the call that should have returned it failed. */
 static int check_fd(int fd, const char *call)
 {
@@ -86,8 +97,8 @@
     l->ring_buf = rk_alloc(DISPATCH_SLOTS, sizeof(*l->ring_buf));
     ck_ring_init(&l->ring, DISPATCH_SLOTS);
     l->scratch = rk_arena_create();
-    struct epoll_event ev = {.events = EPOLLIN, .data.fd = l->wakefd};
-    epoll_ctl(l->epfd, EPOLL_CTL_ADD, l->wakefd, &ev);
+    l->rewatch = (struct rk_timer){.fn = on_rewatch, .ctx = l};
+    rk_loop_watch(l, l->wakefd, EPOLLIN, on_wake, l);
     return l;
 }
 
@@ -154,6 +165,65 @@
     }
 }
 
+static void on_wake(void *ctx, int fd, uint32_t events)
+{
+    (void)fd;
+    (void)events;
+    run_dispatched(ctx);
+}
+
+/* Brings the epoll set in line with a watch. Returns false if the kernel has no
+ * room for it. */
+static bool update_epoll(struct rk_loop *l, int fd, int op, uint32_t events)
+{
+    struct epoll_event ev = {.events = events, .data.fd = fd};
+    if (epoll_ctl(l->epfd, op, fd, &ev) == 0 || op == EPOLL_CTL_DEL)
+        return true;
+    /* If the fd was closed without ending its watch and its number was reused,
+     * epoll and the table disagree on whether it is registered. */
+    if (errno == EEXIST)
+        op = EPOLL_CTL_MOD;
+    else if (errno == ENOENT)
+        op = EPOLL_CTL_ADD;
+    else
+        return errno != ENOSPC && errno != ENOMEM;
+    return epoll_ctl(l->epfd, op, fd, &ev) == 0 ||
+           (errno != ENOSPC && errno != ENOMEM);
+}
+
+static void set_unwatched(struct rk_loop *l, struct watch *w, bool unwatched)
+{
+    l->unwatched += (size_t)unwatched - (size_t)w->unwatched;
+    w->unwatched = unwatched;
+    if (!l->unwatched)
+        rk_timer_stop(l, &l->rewatch);
+    else if (!l->rewatch.slot)
+        rk_timer_start(l, &l->rewatch, REWATCH_INTERVAL_MS);
+}
+
+static void report_unwatched(struct rk_loop *l)
+{
+    int64_t now_ms = rk_mono_ms();
+    if (l->unwatched_reported_ms &&
+        now_ms - l->unwatched_reported_ms < UNWATCHED_REPORT_INTERVAL_MS)
+        return;
+    l->unwatched_reported_ms = now_ms;
+    RK_WARN("loop.watch_failed", RK_N("watches", (int64_t)l->unwatched));
+}
+
+static void on_rewatch(void *ctx)
+{
+    struct rk_loop *l = ctx;
+    report_unwatched(l);
+    for (size_t i = 0; i < l->watches_len && l->unwatched; i++) {
+        struct watch *w = &l->watches[i];
+        if (w->unwatched && update_epoll(l, (int)i, EPOLL_CTL_ADD, w->events))
+            set_unwatched(l, w, false);
+    }
+    if (l->unwatched)
+        rk_timer_start(l, &l->rewatch, REWATCH_INTERVAL_MS);
+}
+
 void rk_loop_watch(struct rk_loop *l, int fd, uint32_t events, rk_fd_fn *fn,
                    void *ctx)
 {
@@ -166,17 +236,16 @@
         l->watches_len = len;
     }
     struct watch *w = &l->watches[fd];
-    struct epoll_event ev = {.events = events, .data.fd = fd};
-    if (!events) {
-        epoll_ctl(l->epfd, EPOLL_CTL_DEL, fd, &ev);
-    } else if (epoll_ctl(l->epfd, w->events ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
-                         &ev) < 0) {
-        /* The fd was closed without ending its watch and its number was reused, so
-         * epoll and the table disagree on whether it is registered. */
-        epoll_ctl(l->epfd, errno == EEXIST ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
-                  &ev);
-    }
-    *w = (struct watch){.fn = fn, .ctx = ctx, .events = events};
+    int op = EPOLL_CTL_ADD;
+    if (!events)
+        op = EPOLL_CTL_DEL;
+    else if (w->events)
+        op = EPOLL_CTL_MOD;
+    bool done = update_epoll(l, fd, op, events);
+    w->fn = fn;
+    w->ctx = ctx;
+    w->events = events;
+    set_unwatched(l, w, !done);
 }
 
 static void heap_set(struct rk_loop *l, size_t i, struct rk_timer *t)
@@ -322,13 +391,10 @@
         l->before_batch(l->hook_ctx);
     for (int i = 0; i < n; i++) {
         int fd = ready[i].data.fd;
-        if (fd == l->wakefd) {
-            add_cause(&cause, &is_first, fd, 0, NULL);
-            run_dispatched(l);
-            continue;
-        }
         struct watch w = l->watches[fd];
-        add_cause(&cause, &is_first, fd, ready[i].events, (void *)w.fn);
+        /* Posted functions are no sign of a loop that spins. */
+        add_cause(&cause, &is_first, fd, ready[i].events,
+                  fd == l->wakefd ? NULL : (void *)w.fn);
         if (w.events)
             w.fn(w.ctx, fd, ready[i].events);
     }
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -13,8 +13,9 @@
 import time
 
 from cluster import free_port
-from fakes import BUILD
+from fakes import BUILD, preloaded
 from hosted import Hosted, http, wait_until
+from proc_hosted_fleet import fleet
 from proc_hosted_start import Start, process_file
 
 SEED = 20261204
@@ -226,6 +227,45 @@
         node.close()
 
 
+# Fails two of so many additions to epoll sets, or all within some time of the process's start.
+FAILING_EPOLL = """
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <time.h>
+static time_t started;
+__attribute__((constructor)) static void start(void) { started = time(NULL); }
+int epoll_ctl(int set, int op, int fd, struct epoll_event *event)
+{
+    static int (*next)(int, int, int, struct epoll_event *);
+    static int calls;
+    if (!next)
+        next = dlsym(RTLD_NEXT, "epoll_ctl");
+    if (op == EPOLL_CTL_ADD && (time(NULL) - started < atoi(getenv("EPOLL_FULL_S")) ||
+                                __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED) %
+                                        atoi(getenv("EPOLL_FAILS_EACH")) < 2)) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return next(set, op, fd, event);
+}
+"""
+
+
+def test_nodes_serve_where_the_kernel_has_no_room_for_epoll_watches():
+    """Guards against listeners, connections and wake-ups that nobody watches for ever, since the
+    kernel's limit of epoll watches, which a user's processes share, was reached for a moment."""
+    for full_s, each in ((0, 5), (4, 1 << 30)):
+        with preloaded(FAILING_EPOLL, EPOLL_FULL_S=str(full_s), EPOLL_FAILS_EACH=str(each)), \
+                fleet() as d:
+            statuses = [d.call("/r/x", node=n % 3).status for n in range(120)]
+            assert statuses == [200] * len(statuses), statuses
+            assert [n.popen.poll() for n in d.nodes] == [None] * 3
+            assert any(e["event"] == "loop.watch_failed" for n in d.nodes for e in n.events())
+
+
 def test_a_closed_standard_output_is_no_connection():
     """Guards against a socket that gets the number of a standard output that was closed at
     the start: the log was then written into a connection, or lost with it."""
