relay: a retry budget is kept for each service, however many there are

Seen: at a node that calls 40 services in turn, each call to failing VMs was sent twice: 80 arrivals of 40 calls, 52 are allowed by a budget of a tenth and 8. At a restarted node such calls would never be sent again, as it starts without tokens. Cause: a relay had records for 32 services, and forgot all of them when one more was called. At a first start a new record has the whole burst. Change: the table grows. A record goes once its service has been out of the settings for a minute, so that a service that leaves and returns gets no new burst.

--- a/serve/relay.c
+++ b/serve/relay.c
@@ -325,6 +325,7 @@
     rk_usage_free(&r->usage);
     rk_routes_unref(r->routes);
     rk_loop_destroy(r->loop);
+    free(r->services);
     free(r);
 }
 
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -32,7 +32,10 @@
 #define MAX_UNSENT_BEFORE_PEERS 2
 #define MAX_UNSENT              4
 #define MAX_CONNS_DEFAULT       64 /* per VM */
-#define URGENT_RANK             0  /* the most urgent rank */
+/* A service that leaves the settings and returns gets no new burst of retries
+ * within this time. */
+#define SERVICE_KEPT_MS 60000
+#define URGENT_RANK     0 /* the most urgent rank */
 /* Multiple of the route's target that the predicted time to first byte may
  * reach. */
 #define LATENESS_URGENT 1.5
@@ -190,21 +193,40 @@
 
 /* ---- retries ---- */
 
+/* The result is valid until the next service is added. */
 static struct rk_relay_service *find_or_add_service(struct rk_relay *r,
                                                     const char *name)
 {
     for (size_t i = 0; i < r->services_len; i++)
         if (!strcmp(r->services[i].name, name))
             return &r->services[i];
-    /* A full table may consist of services that have left the configuration. */
-    if (r->services_len == RK_RELAY_SERVICES)
-        r->services_len = 0;
+    if (r->services_len == r->services_cap) {
+        r->services_cap = r->services_cap ? r->services_cap * 2 : 8;
+        r->services =
+            rk_realloc(r->services, r->services_cap * sizeof(*r->services));
+    }
     struct rk_relay_service *s = &r->services[r->services_len++];
     *s = (struct rk_relay_service){0};
     rk_strcpy(s->name, sizeof(s->name), name);
     return s;
 }
 
+void rk_relay_remove_services(struct rk_relay *r)
+{
+    int64_t now_ms = rk_mono_ms();
+    size_t kept = 0;
+    for (size_t i = 0; i < r->services_len; i++) {
+        struct rk_relay_service s = r->services[i];
+        if (rk_routes_service(r->routes, s.name))
+            s.left_ms = 0;
+        else if (!s.left_ms)
+            s.left_ms = now_ms;
+        if (!s.left_ms || now_ms - s.left_ms < SERVICE_KEPT_MS)
+            r->services[kept++] = s;
+    }
+    r->services_len = kept;
+}
+
 static struct rk_retry_budget *retry_budget(struct rk_relay_call *x)
 {
     return &find_or_add_service(x->r, x->query.service)->budget;
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -19,15 +19,15 @@
 struct rk_forward_table;
 struct rk_relay_versions;
 
-/* Services of which a relay keeps state. When the table is full, it is emptied. */
-#define RK_RELAY_SERVICES 32
 /* Bytes that a forwarding peer may add to the headers of a call. */
 #define RK_FORWARD_HEADER_BYTES 1024
 
-/* Per-service state of a relay. */
+/* State of a service that calls were made to. */
 struct rk_relay_service {
     char name[RK_ID_MAX];
-    struct rk_retry_budget budget; /* retry budget */
+    int64_t
+        left_ms; /* when the settings without it came, monotonic; 0: it is there */
+    struct rk_retry_budget budget;
     /* uncached prompt tokens requested of engines since the entry was added,
      * refused calls included; see struct rk_service_load */
     double uncached_prompt_tokens;
@@ -48,8 +48,8 @@
     bool quotas_restored;
     /* runs while new connections are held back at start */
     struct rk_timer accept_timer;
-    struct rk_relay_service services[RK_RELAY_SERVICES];
-    size_t services_len;
+    struct rk_relay_service *services;
+    size_t services_len, services_cap;
     struct rk_relay_call *calls;
     size_t calls_len;
     struct rk_quarantine quarantine; /* suspected and quarantined requests */
@@ -96,6 +96,10 @@
  * taken what was there. */
 void rk_relay_call_resume_reading(struct rk_relay_call *call);
 
+/* Removes what is known of services that left the settings a while ago. To be
+ * called after each change of the settings. */
+void rk_relay_remove_services(struct rk_relay *r);
+
 /* Ends the call and its connections because the relay shuts down. */
 void rk_relay_call_abort(struct rk_relay_call *call);
 
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -93,6 +93,7 @@
     rk_routes_unref(r->routes);
     r->routes = m->routes;
     rk_relay_versions_set_routes(r, r->routes);
+    rk_relay_remove_services(r);
     accept_if_ready(r);
     free(m);
 }
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -20,6 +20,7 @@
 from hosted import FRAMINGS, Hosted, http, read_answer, reset, wait_until
 
 IMMEDIATE_S = 1.0  # bound for an immediate answer, on a busy machine as well
+OTHER_SERVICES = 39  # beside the one that fails
 LONG_BODY = 900000  # bytes, far more than a worker receives before it reads
 
 
@@ -306,13 +307,15 @@
             assert a.status == 200 and a.took_s < 2
 
 
+def fail(w, req, conn):
+    """Worker fault: closes the connection of a request that it has run."""
+    w.runs[req.get("Rillknot-Attempt-Id")] += 1
+    reset(conn)
+    return False
+
+
 def test_retries_stay_within_their_budget():
     """Guards against a retry storm when every worker fails."""
-
-    def fail(w, req, conn):
-        w.runs[req.get("Rillknot-Attempt-Id")] += 1
-        reset(conn)
-        return False
     with plain(bounds={"budgetExtra": 8, "retryBudgetRatio": 0.1}) as d:
         for w in d.workers:
             w.fault = fail
@@ -323,6 +326,41 @@
         assert calls < arrivals <= calls * 1.1 + 8, arrivals
 
 
+def call_services(d, rounds):
+    """Calls all services in turn; return how often requests arrived at the failing one."""
+    before = sum(len(w.seen) for w in d.workers[:2])
+    for _ in range(rounds):
+        d.call("/r/x")
+        for n in range(OTHER_SERVICES):
+            assert d.call("/s-%d/x" % n).status == 200
+    return sum(len(w.seen) for w in d.workers[:2]) - before
+
+
+def test_retries_of_one_of_many_services_stay_within_its_budget():
+    """Guards against retry budgets that are forgotten where a node calls many services.
+
+    The records of all services went when a 33rd one was called: at a first start each
+    service then had its burst again, so that every call to failing VMs was sent twice, and
+    at a restarted node it never had a retry.
+    """
+    with plain(bounds={"budgetExtra": 8, "retryBudgetRatio": 0.1}) as d:
+        others = ["s-%d" % n for n in range(OTHER_SERVICES)]
+        for service in others:
+            d.add_worker(service)
+        for w in d.workers[:2]:
+            w.fault = fail
+        d.configure([d.route("r", "plain")] + [d.route(s, s) for s in others],
+                    services=["plain"] + others)
+        wait_until(lambda: all(d.call("/%s/x" % s).status == 200 for s in others))
+        calls = 40
+        arrivals = call_services(d, calls)
+        assert calls < arrivals <= calls * 1.1 + 8, arrivals
+        d.restart_node(0)
+        d.wait_ready()
+        arrivals = call_services(d, calls)
+        assert calls < arrivals <= calls * 1.1 + 1, arrivals
+
+
 def slow_answer(w, req, conn):
     """Worker fault: answers correctly after 400 ms."""
     time.sleep(0.4)
