acceptor: a listener whose connections cannot be accepted is paused

Seen: where accept4() fails at each call with an error other than a want of descriptors or memory (EPERM of a firewall or a filter of system calls), a connection that waits keeps the loop going round at a full core. Cause: such an error ended the batch, the listener stayed readable, and the next turn tried again at once. Change: the batch goes on, as most of these errors are of one connection, which is gone then; a batch of 64 that accepts none pauses the listener for 50 ms and logs why, as a want of descriptors does.

--- a/common/acceptor.c
+++ b/common/acceptor.c
@@ -44,27 +44,38 @@
     a->reported_ms = now_ms;
 }
 
+static void pause_accepting(struct rk_acceptor *a, int error)
+{
+    report(a, error);
+    rk_timer_start(a->loop, &a->pause, PAUSE_MS);
+    watch(a);
+}
+
 static void on_event(void *ctx, int fd, uint32_t events)
 {
     (void)events;
     struct rk_acceptor *a = ctx;
+    int accepted = 0, error = 0;
     for (int i = 0; i < BATCH_MAX && a->on; i++) {
         int conn = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (conn >= 0) {
+            accepted++;
             rk_loop_note_progress(a->loop);
             a->on_accept(a->ctx, conn);
             continue;
         }
-        if (!is_shortage(errno))
+        error = errno;
+        if (error == EAGAIN)
             return;
-        int error = errno;
-        if (a->make_room && a->make_room(a->ctx))
-            continue;
-        report(a, error);
-        rk_timer_start(a->loop, &a->pause, PAUSE_MS);
-        watch(a);
-        return;
+        if (is_shortage(error) && !(a->make_room && a->make_room(a->ctx))) {
+            pause_accepting(a, error);
+            return;
+        }
+        /* Other errors are those of a single connection, which is gone now. */
     }
+    /* The errors are not of single connections if nothing else comes. */
+    if (error && !accepted && a->on)
+        pause_accepting(a, error);
 }
 
 void rk_acceptor_start(struct rk_acceptor *a, struct rk_loop *loop, int fd,
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -25,6 +25,7 @@
 HOLD_S = 1.0
 STOP_S = 12  # the platform's notice and a margin
 BUSY_SHARE = 0.7  # of a core, of a node with a few calls
+IDLE_SHARE = 0.1  # of a core, of a node without any
 LOG_ROOM_BYTES = 2000
 TEXT_CHARS = 1500  # of a log, in a failure
 SMALL_BYTES = 120 << 20
@@ -98,6 +99,13 @@
                 os.close(fd)
 
 
+def proc_cpu_s(popen):
+    """Return the processor time of a process."""
+    with open("/proc/%d/stat" % popen.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class Node:
     """A node at addresses of its own in surroundings: names of LIMITS, and stdout, stderr,
     stdin (one of OUTPUTS or closed), env, cwd, batch, preload."""
@@ -145,9 +153,7 @@
             return 0
 
     def cpu_s(self):
-        with open("/proc/%d/stat" % self.popen.pid) as f:
-            fields = f.read().rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return proc_cpu_s(self.popen)
 
     def check_serves_or_says_why(self):
         """Return whether the node serves; fail if it ended without a reason, or hangs."""
@@ -266,6 +272,46 @@
             assert any(e["event"] == "loop.watch_failed" for n in d.nodes for e in n.events())
 
 
+# Fails accept4() with EPERM while the file named by NO_ACCEPT exists.
+FAILING_ACCEPT = """
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+int accept4(int fd, struct sockaddr *addr, socklen_t *len, int flags)
+{
+    int (*next)(int, struct sockaddr *, socklen_t *, int) = dlsym(RTLD_NEXT, "accept4");
+    if (access(getenv("NO_ACCEPT"), F_OK) != 0)
+        return next(fd, addr, len, flags);
+    errno = EPERM;
+    return -1;
+}
+"""
+
+
+def test_a_connection_that_cannot_be_accepted_does_not_keep_a_node_busy():
+    """Guards against a loop that tries a connection again and again, at a full core, where the
+    kernel refuses to hand it over for another reason than want of descriptors or memory."""
+    with tempfile.TemporaryDirectory() as folder:
+        flag = os.path.join(folder, "no-accept")
+        with preloaded(FAILING_ACCEPT, NO_ACCEPT=flag), deployment() as d:
+            node = d.nodes[0]
+            with open(flag, "w"):
+                pass
+            waiting = d.connect()
+            time.sleep(0.5)
+            cpu = proc_cpu_s(node.popen)
+            time.sleep(HOLD_S)
+            busy = (proc_cpu_s(node.popen) - cpu) / HOLD_S
+            os.unlink(flag)
+            wait_until(lambda: d.call("/r/x").status == 200, 3)
+            waiting.close()
+            assert busy < IDLE_SHARE, "%.2f of a core" % busy
+            assert any(e["event"] == "accept.paused" for e in node.events())
+
+
 def test_a_closed_standard_output_is_no_connection():
     """Guards against a socket that gets the number of a standard output that was closed at
     the start: the log was then written into a connection, or lost with it."""
