tests: duties go on after all nodes have started in an older or a wrong era

Cause: open point of the postmortem, that lease epochs begin below those given out before if all processes start anew in a wrong era of the store, so that duties could be refused for good. Seen: they are not.

--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -388,3 +388,49 @@
         d.store.fault = None
         restart_all(d)
         check_reports_go_on(d)
+
+
+def check_fences_rise(d):
+    """Checks that no duty was accepted with a lower fence than one before."""
+    fences = [u[3] for u in d.cloud.usage]
+    assert fences == sorted(fences), fences
+
+
+def change_store(d, state, era):
+    """Has the store come back in a state, in an era that may be lower than before."""
+    d.store.restore(state, 0.3, lambda: setattr(d.store, "era", era))
+
+
+def test_duties_go_on_after_all_nodes_started_with_an_older_copy():
+    """Guards against a fence that stays below those given out before, so that duties are refused
+    for good. All nodes start while the store answers in the era before, from a copy of it; the
+    newer state is back 5 s later."""
+    with fleet(nodes=3, workers=3) as d:
+        served_until_reported(d, 3)
+        copy = d.store.copy()
+        raise_revision(d, 40)
+        d.store.restore(d.store.copy(), 0.3)
+        wait_until(lambda: d.cloud.usage[-1][3] >> 40 == 2, 20)
+        newer, era = d.store.copy(), d.store.era
+        kill_all(d)
+        change_store(d, copy, era - 1)
+        restart_all(d)
+        time.sleep(5)
+        change_store(d, newer, era)
+        check_reports_go_on(d)
+        check_fences_rise(d)
+
+
+def test_duties_go_on_after_all_nodes_started_anew_in_a_wrong_era():
+    """Guards against the same where the store names a wrong era, in which duties are done, until
+    all nodes are killed. What the nodes keep in the store tells the later ones of that era."""
+    with fleet(nodes=3, workers=3) as d:
+        served_until_reported(d, 3)
+        d.store.answer_era = lambda: "4"
+        wait_until(lambda: d.cloud.usage[-1][3] >> 40 == 4, 20)
+        time.sleep(1)
+        kill_all(d)
+        d.store.answer_era = lambda: str(d.store.era)
+        restart_all(d)
+        check_reports_go_on(d)
+        check_fences_rise(d)
