--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -13,8 +13,9 @@
 import time
 
 from cluster import free_port
-from fakes import BUILD, write_lone_process_file
+from fakes import BUILD, preloaded, write_lone_process_file
 from hosted import Hosted, http, wait_until
+from proc_hosted_fleet import fleet
 from proc_hosted_start import Start, process_file
 
 SEED = 20261204
@@ -24,6 +25,7 @@
 HOLD_S = 1.0
 STOP_S = 12  # the platform's notice and a margin
 BUSY_SHARE = 0.7  # of a core, of a node with a few calls
+IDLE_SHARE = 0.1  # of a core, of a node without any
 LOG_ROOM_BYTES = 2000
 TEXT_CHARS = 1500  # of a log, in a failure
 SMALL_BYTES = 120 << 20
@@ -97,6 +99,13 @@
                 os.close(fd)
 
 
+def proc_cpu_s(popen):
+    """Return the processor time of a process."""
+    with open("/proc/%d/stat" % popen.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class Node:
     """A node at addresses of its own in surroundings: names of LIMITS, and stdout, stderr,
     stdin (one of OUTPUTS or closed), env, cwd, batch, preload."""
@@ -144,9 +153,7 @@
             return 0
 
     def cpu_s(self):
-        with open("/proc/%d/stat" % self.popen.pid) as f:
-            fields = f.read().rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return proc_cpu_s(self.popen)
 
     def check_serves_or_says_why(self):
         """Return whether the node serves; fail if it ended without a reason, or hangs."""
@@ -226,6 +233,85 @@
         node.close()
 
 
+# Fails two of so many additions to epoll sets, or all within some time of the process's start.
+FAILING_EPOLL = """
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <time.h>
+static time_t started;
+__attribute__((constructor)) static void start(void) { started = time(NULL); }
+int epoll_ctl(int set, int op, int fd, struct epoll_event *event)
+{
+    static int (*next)(int, int, int, struct epoll_event *);
+    static int calls;
+    if (!next)
+        next = dlsym(RTLD_NEXT, "epoll_ctl");
+    if (op == EPOLL_CTL_ADD && (time(NULL) - started < atoi(getenv("EPOLL_FULL_S")) ||
+                                __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED) %
+                                        atoi(getenv("EPOLL_FAILS_EACH")) < 2)) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return next(set, op, fd, event);
+}
+"""
+
+
+def test_nodes_serve_where_the_kernel_has_no_room_for_epoll_watches():
+    """Guards against listeners, connections and wake-ups that nobody watches for ever, since the
+    kernel's limit of epoll watches, which a user's processes share, was reached for a moment."""
+    for full_s, each in ((0, 5), (4, 1 << 30)):
+        with preloaded(FAILING_EPOLL, EPOLL_FULL_S=str(full_s), EPOLL_FAILS_EACH=str(each)), \
+                fleet() as d:
+            statuses = [d.call("/r/x", node=n % 3).status for n in range(120)]
+            assert statuses == [200] * len(statuses), statuses
+            assert [n.popen.poll() for n in d.nodes] == [None] * 3
+            assert any(e["event"] == "loop.watch_failed" for n in d.nodes for e in n.events())
+
+
+# Fails accept4() with EPERM while the file named by NO_ACCEPT exists.
+FAILING_ACCEPT = """
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+int accept4(int fd, struct sockaddr *addr, socklen_t *len, int flags)
+{
+    int (*next)(int, struct sockaddr *, socklen_t *, int) = dlsym(RTLD_NEXT, "accept4");
+    if (access(getenv("NO_ACCEPT"), F_OK) != 0)
+        return next(fd, addr, len, flags);
+    errno = EPERM;
+    return -1;
+}
+"""
+
+
+def test_a_connection_that_cannot_be_accepted_does_not_keep_a_node_busy():
+    """Guards against a loop that tries a connection again and again, at a full core, where the
+    kernel refuses to hand it over for another reason than want of descriptors or memory."""
+    with tempfile.TemporaryDirectory() as folder:
+        flag = os.path.join(folder, "no-accept")
+        with preloaded(FAILING_ACCEPT, NO_ACCEPT=flag), deployment() as d:
+            node = d.nodes[0]
+            with open(flag, "w"):
+                pass
+            waiting = d.connect()
+            time.sleep(0.5)
+            cpu = proc_cpu_s(node.popen)
+            time.sleep(HOLD_S)
+            busy = (proc_cpu_s(node.popen) - cpu) / HOLD_S
+            os.unlink(flag)
+            wait_until(lambda: d.call("/r/x").status == 200, 3)
+            waiting.close()
+            assert busy < IDLE_SHARE, "%.2f of a core" % busy
+            assert any(e["event"] == "accept.paused" for e in node.events())
+
+
 def test_a_closed_standard_output_is_no_connection():
     """Guards against a socket that gets the number of a standard output that was closed at
     the start: the log was then written into a connection, or lost with it."""
