streams: a service's only version is not taken for another service's stream

Callers that took up a stream after its route had been moved to another service, or split otherwise, got an answer of 200 whose events came from two software versions.

Cause: a stream is identified together with its service. At the service to which the resume was routed nobody knew the stream, and a service with one version for a lifetime needs no knowledge of a stream: "the only version of this service" was sent the resume, though the stream had begun at the other service. The leader's record carried the mistake over a kill of all nodes.

A hash of which resumable streams go to which services, with the shares, now belongs to what a node concludes. A change of it leaves the node unsure for a lifetime, as a start does; the record and the answers of peers name it, and neither is believed with another one. A peer with another hash counts as one that knows of several versions, as its settings or this node's are old.

--- a/core/routes.c
+++ b/core/routes.c
@@ -212,3 +212,27 @@
     }
     return route->shares[0].service;
 }
+
+static uint64_t hash_shares(uint64_t hash, const struct rk_route *route)
+{
+    for (size_t i = 0; i < route->shares_len; i++) {
+        const struct rk_route_share *share = &route->shares[i];
+        hash = rk_hash_str(hash, share->service);
+        hash = rk_hash(hash, &share->weight, sizeof(share->weight));
+    }
+    return hash;
+}
+
+uint64_t rk_routes_resumable_hash(const struct rk_routes *r)
+{
+    uint64_t hash = 0;
+    for (size_t i = 0; i < r->routes_len; i++) {
+        const struct rk_route *route = &r->routes[i];
+        if (route->kind != RK_CALL_STREAM || !route->resumable)
+            continue;
+        hash = rk_hash_str(rk_hash_str(hash, route->host), route->prefix);
+        hash = hash_shares(hash, route);
+    }
+    hash &= INT64_MAX;
+    return hash ? hash : 1;
+}
--- a/core/routes.h
+++ b/core/routes.h
@@ -163,4 +163,8 @@
  * random number or a hash; equal numbers give the same service. */
 const char *rk_route_pick_service(const struct rk_route *route, uint32_t pick);
 
+/* Returns a hash of which requests for streams that can be taken up go to which
+ * services: from 1 to INT64_MAX. */
+uint64_t rk_routes_resumable_hash(const struct rk_routes *r);
+
 #endif
--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -185,18 +185,34 @@
     s->served_len = kept;
 }
 
+/* Drops what is known of versions that are not listed: streams may have begun
+ * unnoticed before at_ms. */
+static void restart_watch(struct rk_stream_versions *s, int64_t at_ms)
+{
+    s->watching_since_ms = at_ms;
+    s->first_start = false;
+    for (size_t i = 0; i < s->served_len; i++)
+        s->served[i].was_only = false;
+}
+
 void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms)
 {
     if (at_ms <= s->confirmed_ms)
         return;
     bool has_gap = at_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS;
     s->confirmed_ms = at_ms;
-    if (!has_gap)
+    if (has_gap)
+        restart_watch(s, at_ms);
+}
+
+void rk_stream_versions_set_routing(struct rk_stream_versions *s, uint64_t routing,
+                                    int64_t now_ms)
+{
+    if (routing == s->routing)
         return;
-    s->watching_since_ms = at_ms;
-    s->first_start = false;
-    for (size_t i = 0; i < s->served_len; i++)
-        s->served[i].was_only = false;
+    if (s->routing)
+        restart_watch(s, now_ms);
+    s->routing = routing;
 }
 
 /* Returns true if no other version can have served for the lifetime of a stream
@@ -206,7 +222,7 @@
 {
     if (!s->lifetime_ms || now_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS)
         return false;
-    return s->first_start || v->was_only ||
+    return s->first_start || (v->was_only && v->only_routing == s->routing) ||
            now_ms - s->watching_since_ms >= s->lifetime_ms;
 }
 
@@ -238,7 +254,8 @@
 }
 
 void rk_stream_versions_note_only(struct rk_stream_versions *s, const char *service,
-                                  const char *version, int64_t now_ms)
+                                  const char *version, uint64_t routing,
+                                  int64_t now_ms)
 {
     uint64_t service_hash = rk_hash_str(0, service);
     struct rk_served_version *v = find_served(s, service_hash, version);
@@ -247,6 +264,7 @@
         v->last_listed_ms = now_ms; /* it served until now, as far as known */
     }
     v->was_only = true;
+    v->only_routing = routing;
 }
 
 struct rk_stream_version *
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -59,6 +59,7 @@
     bool is_listed;         /* VMs of it are on the list now */
     int64_t last_listed_ms; /* until when, if there are none */
     bool was_only;          /* was the only one before this node started */
+    uint64_t only_routing;  /* with which routing, if was_only */
 };
 
 /* Zero-initialise with rk_stream_versions_init(), release with
@@ -72,6 +73,7 @@
     int64_t watching_since_ms; /* the list of VMs was followed since then */
     bool first_start;          /* no stream began before watching_since_ms */
     int64_t confirmed_ms;      /* when the list was last known to be current */
+    uint64_t routing; /* see rk_stream_versions_set_routing(); 0: not known yet */
     /* How long after its first event a stream can be taken up; 0: not known yet. */
     int64_t lifetime_ms;
 };
@@ -85,6 +87,12 @@
  * begun keep theirs. */
 void rk_stream_versions_set_lifetime(struct rk_stream_versions *s, int64_t ms);
 
+/* Notes which requests go to which services; routing: a hash of this. After a
+ * change, a stream may have begun at another service than the one that its resume
+ * goes to, so that the only version of the latter may be the wrong one. */
+void rk_stream_versions_set_routing(struct rk_stream_versions *s, uint64_t routing,
+                                    int64_t now_ms);
+
 /* Returns a hash that identifies a stream within the deployment: by its
  * organisation ("": none), its service and the caller's attempt that brought its
  * first event. Never 0. */
@@ -149,9 +157,11 @@
                                                        int64_t now_ms);
 
 /* Records that no other version of the service has served for the lifetime of a
- * stream, as a peer has observed, or this node before a restart. */
+ * stream, as a peer has observed, or this node before a restart. That holds while
+ * requests are routed as they were then; routing 0: not known. */
 void rk_stream_versions_note_only(struct rk_stream_versions *s, const char *service,
-                                  const char *version, int64_t now_ms);
+                                  const char *version, uint64_t routing,
+                                  int64_t now_ms);
 
 /* ---- peers ---- */
 
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -6204,7 +6204,7 @@
   (ProtobufCMessageInit) rillknot__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__stream_version__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rillknot__stream_version__field_descriptors[7] =
 {
   {
     "stream",
@@ -6278,9 +6278,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "routing",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, routing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__stream_version__field_indices_by_name[] = {
   4,   /* field[4] = only */
+  6,   /* field[6] = routing */
   1,   /* field[1] = service */
   5,   /* field[5] = several */
   0,   /* field[0] = stream */
@@ -6290,7 +6303,7 @@
 static const ProtobufCIntRange rillknot__stream_version__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rillknot__stream_version__descriptor =
 {
@@ -6300,7 +6313,7 @@
   "Rillknot__StreamVersion",
   "rillknot",
   sizeof(Rillknot__StreamVersion),
-  6,
+  7,
   rillknot__stream_version__field_descriptors,
   rillknot__stream_version__field_indices_by_name,
   1,  rillknot__stream_version__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -1294,10 +1294,15 @@
    * In a response: several versions of the service served within that time.
    */
   protobuf_c_boolean several;
+  /*
+   * In a response: hash of which requests go to which services, with which the
+   * responder observed this; 0: not known.
+   */
+  uint64_t routing;
 };
 #define RILLKNOT__STREAM_VERSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__stream_version__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -65,9 +65,11 @@
 
 /* What the peers have answered that were asked for a call's stream. */
 struct rk_call_ask {
-    int pending;      /* answers that have not come */
-    bool saw_several; /* a peer knows of several versions, but not the stream's */
-    bool has_only;    /* a peer knows that there was only one */
+    int pending; /* answers that have not come */
+    /* A peer knows of several versions, or routes requests otherwise, but does not
+     * know the stream. */
+    bool saw_several;
+    bool has_only; /* a peer that routes alike knows that there was only one */
     char only[RK_VERSION_MAX];
 };
 
@@ -130,6 +132,8 @@
     }
     rk_stream_versions_set_lifetime(&r->versions->table,
                                     longest_ms + RESUME_GRACE_MS);
+    rk_stream_versions_set_routing(&r->versions->table,
+                                   rk_routes_resumable_hash(routes), rk_mono_ms());
 }
 
 void rk_relay_versions_update_list(struct rk_relay *r)
@@ -154,6 +158,7 @@
             continue;
         rk_strcpy(row->service, sizeof(row->service), r->services[i].name);
         rk_strcpy(row->version, sizeof(row->version), only);
+        row->routing = r->versions->table.routing;
         len++;
     }
     return len;
@@ -163,7 +168,7 @@
                                  const struct rk_only_version *row)
 {
     rk_stream_versions_note_only(&r->versions->table, row->service, row->version,
-                                 rk_mono_ms());
+                                 row->routing, rk_mono_ms());
 }
 
 /* ---- requests to peers ---- */
@@ -313,15 +318,18 @@
 }
 
 /* Decides by the answers that have come. Where this node knows of one version only,
- * its list of VMs may be old, so that a peer's word counts against it. */
+ * its list of VMs or its routes may be old, so that a peer's word counts against
+ * it.
+ */
 static void decide(struct rk_relay_call *x)
 {
     const struct rk_call_ask *ask = x->ask;
+    struct rk_stream_versions *table = &x->r->versions->table;
     const char *only;
     char version[RK_VERSION_MAX] = "";
     if (!ask->saw_several && ask->has_only)
-        rk_stream_versions_note_only(&x->r->versions->table, x->query.service,
-                                     ask->only, rk_mono_ms());
+        rk_stream_versions_note_only(table, x->query.service, ask->only,
+                                     table->routing, rk_mono_ms());
     if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
         (!ask->has_only || !strcmp(only, ask->only)))
         rk_strcpy(version, sizeof(version), only);
@@ -341,9 +349,10 @@
         send_at_version(x, row->version);
         return;
     }
-    if (row && row->several)
+    bool routes_alike = row && row->routing == x->r->versions->table.routing;
+    if (row && (row->several || (row->routing && !routes_alike)))
         ask->saw_several = true;
-    if (row && row->only[0])
+    if (routes_alike && row->only[0])
         ask->has_only = rk_strcpy(ask->only, sizeof(ask->only), row->only);
     if (!ask->pending)
         decide(x);
@@ -367,7 +376,7 @@
         receive_answer(call, row);
     else if (row && service[0] && row->only[0])
         rk_stream_versions_note_only(&r->versions->table, service, row->only,
-                                     rk_mono_ms());
+                                     row->routing, rk_mono_ms());
     if (rows)
         rillknot__stream_versions__free_unpacked(rows, NULL);
 }
@@ -607,6 +616,7 @@
     enum rk_service_versions state =
         rk_stream_versions_of_service(table, row->service, &only, now_ms);
     out->several = state == RK_VERSIONS_SEVERAL;
+    out->routing = table->routing;
     if (state == RK_VERSIONS_ONE)
         out->only = (char *)only;
 }
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -145,6 +145,43 @@
     assert_string_equal(rk_route_pick_service(&route, 5), "b");
 }
 
+/* Guards against a change of which requests go to which services that is not
+ * noticed, so that a stream goes on at another service's version. */
+static void the_hash_of_routes_shows_where_streams_go(void **state)
+{
+    (void)state;
+    struct rk_routes *r = rk_routes_create();
+    uint64_t hashes[5];
+    assert_in_range(rk_routes_resumable_hash(r), 1, INT64_MAX);
+    rk_routes_add_route(r)->kind = RK_CALL_ONCE;
+    struct rk_route *route = rk_routes_add_route(r);
+    *route = (struct rk_route){.host = "h",
+                               .prefix = "/s/",
+                               .kind = RK_CALL_STREAM,
+                               .resumable = true,
+                               .shares = {{"a", 90}, {"b", 10}},
+                               .shares_len = 2};
+    hashes[0] = rk_routes_resumable_hash(r);
+    route->shares[0].weight = 80;
+    hashes[1] = rk_routes_resumable_hash(r);
+    route->shares_len = 1;
+    hashes[2] = rk_routes_resumable_hash(r);
+    strcpy(route->prefix, "/");
+    hashes[3] = rk_routes_resumable_hash(r);
+    route->resumable = false;
+    hashes[4] = rk_routes_resumable_hash(r);
+    for (size_t i = 0; i < 5; i++) {
+        assert_in_range(hashes[i], 1, INT64_MAX);
+        for (size_t j = 0; j < i; j++)
+            assert_true(hashes[i] != hashes[j]);
+    }
+    /* Changes of other routes leave it as it was. */
+    route->resumable = true;
+    strcpy(r->routes[0].prefix, "/plain/");
+    assert_true(rk_routes_resumable_hash(r) == hashes[3]);
+    rk_routes_unref(r);
+}
+
 /* ---- usage ---- */
 
 /* Guards against rows that the index loses as it grows, or after old windows are
@@ -434,6 +471,7 @@
         cmocka_unit_test(keys_map_to_their_organisation),
         cmocka_unit_test(quotas_bound_demand_only_if_all_organisations_have_one),
         cmocka_unit_test(shares_follow_their_weights),
+        cmocka_unit_test(the_hash_of_routes_shows_where_streams_go),
         cmocka_unit_test(usage_outlasts_a_kill_of_all),
         cmocka_unit_test(growth_follows_callers_that_stop),
         cmocka_unit_test(reported_counts_win_where_they_are_higher),
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -80,14 +80,14 @@
     list(&s, 1000, "1");
     check_state(&s, 1000, RK_VERSIONS_UNSURE, "");
     check_state(&s, 1000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
-    rk_stream_versions_note_only(&s, "llm", "1", 2000);
+    rk_stream_versions_note_only(&s, "llm", "1", 0, 2000);
     check_state(&s, 2000, RK_VERSIONS_ONE, "1");
     list(&s, 3000, "12");
     check_state(&s, 3000, RK_VERSIONS_SEVERAL, "");
     rk_stream_versions_free(&s);
     /* The only version before the restart is not the one that is listed. */
     s = create(false);
-    rk_stream_versions_note_only(&s, "llm", "1", 1000);
+    rk_stream_versions_note_only(&s, "llm", "1", 0, 1000);
     list(&s, 1100, "2");
     check_state(&s, 1100, RK_VERSIONS_SEVERAL, "");
     rk_stream_versions_free(&s);
@@ -117,7 +117,7 @@
     for (int first_start = 0; first_start < 2; first_start++) {
         struct rk_stream_versions s = create(first_start);
         list(&s, 1000, "1");
-        rk_stream_versions_note_only(&s, "llm", "1", 1000);
+        rk_stream_versions_note_only(&s, "llm", "1", 0, 1000);
         check_state(&s, 1500, RK_VERSIONS_ONE, "1");
         int64_t old_ms = 1500 + RK_STREAM_LIST_AGE_MAX_MS;
         assert_int_equal(rk_stream_versions_of_service(&s, "llm", &only, old_ms),
@@ -133,6 +133,45 @@
     }
 }
 
+/* Guards against a service's only version that is taken for that of a stream which
+ * began at another service, as requests were routed there before. */
+static void a_change_of_routing_leaves_versions_unsure(void **state)
+{
+    (void)state;
+    for (int first_start = 0; first_start < 2; first_start++) {
+        struct rk_stream_versions s = create(first_start);
+        rk_stream_versions_set_routing(&s, 7, 1000);
+        list(&s, 1000, "1");
+        rk_stream_versions_note_only(&s, "llm", "1", 7, 1000);
+        check_state(&s, 1500, RK_VERSIONS_ONE, "1");
+        rk_stream_versions_set_routing(&s, 7, 2000);
+        check_state(&s, 2000, RK_VERSIONS_ONE, "1");
+        rk_stream_versions_set_routing(&s, 8, 3000);
+        check_state(&s, 3000, RK_VERSIONS_UNSURE, "");
+        rk_stream_versions_set_routing(&s, 7, 4000);
+        check_state(&s, 3999 + LIFETIME_MS, RK_VERSIONS_UNSURE, "");
+        check_state(&s, 4000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
+        rk_stream_versions_free(&s);
+    }
+}
+
+/* Guards against a peer's or a record's only version that is believed although it
+ * was observed with other routes, or with routes that it does not name. */
+static void an_only_version_holds_with_the_routing_it_was_seen_with(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(false);
+    rk_stream_versions_note_only(&s, "llm", "1", 7, 1000);
+    list(&s, 1000, "1");
+    rk_stream_versions_set_routing(&s, 8, 1000);
+    check_state(&s, 1100, RK_VERSIONS_UNSURE, "");
+    rk_stream_versions_note_only(&s, "llm", "1", 0, 1200);
+    check_state(&s, 1200, RK_VERSIONS_UNSURE, "");
+    rk_stream_versions_note_only(&s, "llm", "1", 8, 1300);
+    check_state(&s, 1300, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_free(&s);
+}
+
 /* Guards against streams that are forgotten, kept for ever, or confused. */
 static void streams_are_kept_until_they_expire(void **state)
 {
@@ -380,6 +419,8 @@
         cmocka_unit_test(a_restarted_node_is_unsure_until_it_has_watched),
         cmocka_unit_test(nothing_is_concluded_before_the_lifetime_is_known),
         cmocka_unit_test(a_gap_in_the_list_leaves_versions_unsure),
+        cmocka_unit_test(a_change_of_routing_leaves_versions_unsure),
+        cmocka_unit_test(an_only_version_holds_with_the_routing_it_was_seen_with),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
         cmocka_unit_test(those_that_were_told_are_asked),
