forward: a peer with newer routes refuses a stream of another service

A stream that was taken up, and forwarded to a peer with newer settings, could go on at another service: the peer routed the call anew, and took the version that the sender had found out for one of its own service, where VMs of that name may serve as well. A new stream that was forwarded so was recorded under the wrong service.

The header of a forwarded call names the service, and a peer whose routes say another one for a stream that can be taken up refuses it as not run ("behind"), as it does when its routes are older. Older nodes neither send nor read the name.

--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -14,8 +14,8 @@
 #include "services/upstream.h"
 
 #define REQUEST_ID_MAX 96 /* including the terminating NUL */
-/* Header of a forwarded call: "VERSION ATTEMPTS EARNED"; see struct rk_forwarded.
- */
+/* Header of a forwarded call: "VERSION ATTEMPTS EARNED SERVICE"; see struct
+ * rk_forwarded. */
 #define RK_HEADER_FORWARDED "Rillknot-Forwarded"
 #define MAX_FORWARDS        5 /* peers to which one call is sent */
 /* Header of a forwarded call, and of its answer: the software version at which the
@@ -308,9 +308,10 @@
                               int64_t retry_after_ms);
 /* What the header of a forwarded call says. */
 struct rk_forwarded {
-    int64_t routes_version; /* of the routes by which it was admitted */
-    int attempts;           /* to be counted as made */
-    bool retries_earned;    /* credited in a retry budget; older nodes don't say */
+    int64_t routes_version;  /* of the routes by which it was admitted */
+    int attempts;            /* to be counted as made */
+    bool retries_earned;     /* credited in a retry budget; older nodes don't say */
+    char service[RK_ID_MAX]; /* that it goes to; "": older nodes don't say */
 };
 /* Reads that header. Returns false if it is missing or invalid. */
 bool rk_call_parse_forwarded(const struct rk_head *head, struct rk_forwarded *out);
--- a/serve/relay_forward.c
+++ b/serve/relay_forward.c
@@ -160,8 +160,9 @@
         .ops = &forward_ops,
     };
     rk_call_begin_head(x, true, &head);
-    rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d %d\r\n",
-                  x->routes->version, attempts_to_count(x), x->retries_earned);
+    rk_buf_printf(&head, RK_HEADER_FORWARDED ": %" PRId64 " %d %d %s\r\n",
+                  x->routes->version, attempts_to_count(x), x->retries_earned,
+                  x->query.service);
     if (x->query.version[0])
         rk_buf_printf(&head, RK_HEADER_STREAM_VERSION ": %s\r\n", x->query.version);
     rk_call_end_head(x, &head);
@@ -367,10 +368,14 @@
 bool rk_call_parse_forwarded(const struct rk_head *head, struct rk_forwarded *out)
 {
     const char *text = rk_head_get(head, RK_HEADER_FORWARDED);
-    int earned = 0;
-    int fields = text ? sscanf(text, "%" SCNd64 " %d %d", &out->routes_version,
-                               &out->attempts, &earned)
+    int earned = 0, service_at = 0;
+    int fields = text ? sscanf(text, "%" SCNd64 " %d %d %n", &out->routes_version,
+                               &out->attempts, &earned, &service_at)
                       : 0;
+    out->service[0] = '\0';
+    if (service_at &&
+        !rk_strcpy(out->service, sizeof(out->service), text + service_at))
+        return false;
     out->retries_earned = earned;
     return fields >= 2 && out->attempts >= 0 && out->attempts <= ATTEMPTS_MAX;
 }
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -143,6 +143,15 @@
             rk_stream_hash(x->org ? x->org->name : "", x->query.service, id);
 }
 
+/* Returns the service to which the request is routed. */
+static const char *pick_service(const struct rk_relay *r,
+                                const struct rk_route *route,
+                                const struct rk_head *head)
+{
+    return rk_route_pick_service(
+        route, (uint32_t)rk_hash_str(0, stream_id(r, route, head)));
+}
+
 static struct rk_relay_call *create_call(struct rk_relay *r,
                                          struct rk_client *client,
                                          const struct rk_route *route,
@@ -158,8 +167,7 @@
                                 .started_ms = rk_mono_ms(),
                                 .first_ms = -1};
     rk_strcpy(x->id, sizeof(x->id), rk_head_get(head, r->opt.dialect->request_id));
-    x->query.service = rk_route_pick_service(
-        route, (uint32_t)rk_hash_str(0, stream_id(r, route, head)));
+    x->query.service = pick_service(r, route, head);
     x->service = rk_routes_service(r->routes, x->query.service);
     x->query.engine = x->service->engine;
     x->query.request_hash = rk_hash_str(0, x->id);
@@ -253,18 +261,29 @@
     int64_t left_ms;               /* until its deadline */
 };
 
+/* Returns whether a stream that can be taken up would go to another service than
+ * the peer's routes say, where versions have other meanings. */
+static bool goes_elsewhere(const struct rk_relay *r, const struct rk_route *route,
+                           const struct rk_head *head, const char *service)
+{
+    return service[0] && route->kind == RK_CALL_STREAM && route->resumable &&
+           strcmp(service, pick_service(r, route, head)) != 0;
+}
+
 /* Fills in *call. Returns false, with the refusal in *why, if this node can't take
- * a call that was sent with routes of this version. */
+ * the call. */
 static bool can_take_forwarded(struct rk_relay *r, struct rk_client *client,
-                               int64_t routes_version, struct call_spec *call,
-                               enum rk_forward_refusal *why)
+                               const struct rk_forwarded *forwarded,
+                               struct call_spec *call, enum rk_forward_refusal *why)
 {
     const struct rk_head *head = rk_client_head(client);
     *why = RK_FORWARD_BEHIND;
-    if (!r->routes || !r->vms_known || r->routes->version < routes_version)
+    if (!r->routes || !r->vms_known ||
+        r->routes->version < forwarded->routes_version)
         return false;
     call->route = find_route(r, client);
-    if (!call->route || !find_org(r, call->route, head, &call->org))
+    if (!call->route || !find_org(r, call->route, head, &call->org) ||
+        goes_elsewhere(r, call->route, head, forwarded->service))
         return false;
     call->left_ms = time_left(r, call->route, head);
     *why = RK_FORWARD_STOPS;
@@ -300,7 +319,7 @@
         return;
     }
     rk_counter_add(RK_C_FORWARDED_IN, 1);
-    if (!can_take_forwarded(r, client, forwarded.routes_version, &call, &why)) {
+    if (!can_take_forwarded(r, client, &forwarded, &call, &why)) {
         rk_call_refuse_forwarded(client, why, 0);
         return;
     }
--- a/tests/proc_hosted_version_routes.py
+++ b/tests/proc_hosted_version_routes.py
@@ -5,7 +5,7 @@
 """
 import time
 
-from hosted import wait_until
+from hosted import http, wait_until
 from proc_hosted_versions import EVENTS, STREAMS, TENANTS, ZONES, Versions
 
 ENGINE = {"slots": 64, "kvCapacity": 100000, "moves": False}
@@ -75,3 +75,29 @@
                 route_to(f, "llm2", wait=False)
             f.restart_all()
             assert f.check_taken_up(begun, [0, 1, 2]) == 0
+
+
+def forward(f, service):
+    """Forwards a resume at v1 of a service to node 1, as a peer does; returns the answer and
+    the services that sent events."""
+    ident = "%016x" % next(f.d.ids)
+    a = http(f.d.port(f.d.nodes[1].ready["forward"]), "POST", "/s/x", [
+        ("Host", "api.example"), ("X-Api-Key", "key-1"), ("Rillknot-Attempt-Id", ident),
+        ("Rillknot-Forwarded", "1 0 0 " + service), ("Rillknot-Stream-Version", "v1"),
+        ("Last-Event-Id", "3"), ("Resumes", "first")])
+    return a, {w.service for w in f.d.workers if w.events_sent[ident]}
+
+
+def test_a_forwarded_resume_stays_at_its_service():
+    """Guards against a peer with newer routes that sends a forwarded resume to another service,
+    which has a version of the same name."""
+    with start_two_services() as f:
+        f.d.add_worker("llm2", events=EVENTS, zone=ZONES[0], slots=64, version="v1")
+        time.sleep(0.5)
+        a, services = forward(f, "llm")
+        assert a.status == 200 and services == {"llm"}, (a.status, services)
+        route_to(f, "llm2")
+        a, services = forward(f, "llm")
+        assert a.status == 503 and not services, (a.status, services)
+        a, services = forward(f, "llm2")
+        assert a.status == 200 and services == {"llm2"}, (a.status, services)
