--- a/tests/run.py
+++ b/tests/run.py
@@ -24,7 +24,7 @@
 sys.path.append("/usr/lib/python3/dist-packages")
 
 PROPERTY_SEED = "20261202"
-PARALLEL_TESTS = 3  # each process test starts up to a dozen processes
+PARALLEL_TESTS = 4  # each process test starts up to a dozen processes
 TEST_TIMEOUT_S = 400
 
 # The promises that each test file covers, in the order in which --prove prints them.
