process: a wait for a signal that fails is no signal

Seen: where sigwait() or sigtimedwait() returns at once without a signal (a trial with EAGAIN), a node begins a planned stop right after its start and ends with status 0, at each start again; its reload thread, and a start that waits for an address, go round without a wait. Cause: the stop thread took any return of sigwait() for SIGTERM, and the others took any failure for the end of their interval. Change: one function waits for signals. It returns 0 when none has come, after a pause if the system ended the wait early, and whoever waits for the signal to stop waits again. That any system does this was not seen.

--- a/common/process.c
+++ b/common/process.c
@@ -21,6 +21,9 @@
 #define MMAP_THRESHOLD (128 * 1024)
 #define ARENAS_MAX     2 /* the relay's, and one for all other threads */
 #define FD_PATH_MAX    32
+#define STOP_WAIT_MS   60000 /* of one wait for a signal to stop */
+/* Pause after a wait for a signal that the system ended too early. */
+#define EARLY_PAUSE_MS 50
 /* Of each thread. The sanitizers' frames are larger. */
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 #define STACK_BYTES (8 * 1024 * 1024)
@@ -78,18 +81,32 @@
     return set;
 }
 
+int rk_process_wait_signal(const sigset_t *set, int64_t timeout_ms)
+{
+    const struct timespec timeout = {.tv_sec = timeout_ms / RK_MS_PER_S,
+                                     .tv_nsec = timeout_ms % RK_MS_PER_S * 1000000};
+    int64_t end_ms = rk_mono_ms() + timeout_ms;
+    int sig = sigtimedwait(set, NULL, &timeout);
+    if (sig > 0)
+        return sig;
+    int64_t left_ms = end_ms - rk_mono_ms();
+    if (left_ms > 0)
+        usleep((useconds_t)(left_ms < EARLY_PAUSE_MS ? left_ms : EARLY_PAUSE_MS) *
+               1000);
+    return 0;
+}
+
 void rk_process_wait_stop_signal(void)
 {
     const sigset_t set = stop_signals();
-    int sig;
-    sigwait(&set, &sig);
+    while (!rk_process_wait_signal(&set, STOP_WAIT_MS))
+        ;
 }
 
 bool rk_process_wait_stop_signal_for(int timeout_ms)
 {
     const sigset_t set = stop_signals();
-    const struct timespec timeout = {.tv_nsec = timeout_ms * 1000000L};
-    return sigtimedwait(&set, NULL, &timeout) > 0;
+    return rk_process_wait_signal(&set, timeout_ms) > 0;
 }
 
 enum rk_status rk_process_prepare_stack(void)
--- a/common/process.h
+++ b/common/process.h
@@ -3,7 +3,9 @@
 #define RK_COMMON_PROCESS_H
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "common/status.h"
 
@@ -25,9 +27,13 @@
 /* Makes room for the main thread's stack, up to the hard limit. Returns RK_ESYSTEM
  * and sets rk_last_error() if that is too low. */
 enum rk_status rk_process_prepare_stack(void);
+/* Waits for one of the signals of the set, which all threads have blocked, and
+ * returns it; 0: none has come. If the system ends the wait too early, pauses, so
+ * that callers that wait again and again don't spin. */
+int rk_process_wait_signal(const sigset_t *set, int64_t timeout_ms);
 /* Waits for SIGTERM or SIGINT, which all threads have blocked. */
 void rk_process_wait_stop_signal(void);
-/* Waits for them at most timeout_ms, below 1,000. Returns whether one came. */
+/* Waits for them at most timeout_ms. Returns whether one came. */
 bool rk_process_wait_stop_signal_for(int timeout_ms);
 /* Starts a thread that calls run(arg), with a stack whose size doesn't depend on
  * the limits of the process. name: at most 15 characters. Returns RK_ESYSTEM and
--- a/programs/node.c
+++ b/programs/node.c
@@ -21,7 +21,7 @@
 #include "node/node.h"
 
 #define PROCFILE_VARIABLE "RILLKNOT_CONFIG"
-#define PROCFILE_POLL_S   2 /* interval between checks for a changed process file */
+#define PROCFILE_POLL_MS  2000 /* between checks for a changed process file */
 #define STOP_POLL_US      (100 * 1000) /* between checks whether a stop hangs */
 
 static struct {
@@ -107,14 +107,13 @@
 static void *run_reload_thread(void *arg)
 {
     struct rk_node *node = arg;
-    const struct timespec poll_interval = {.tv_sec = PROCFILE_POLL_S};
     struct timespec last_mtime = {0};
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGHUP);
     procfile_changed(&last_mtime);
     for (;;) {
-        int sig = sigtimedwait(&set, NULL, &poll_interval);
+        int sig = rk_process_wait_signal(&set, PROCFILE_POLL_MS);
         if (procfile_changed(&last_mtime) || sig == SIGHUP)
             reload(node);
     }
--- a/tests/proc_hosted_surroundings.py
+++ b/tests/proc_hosted_surroundings.py
@@ -312,6 +312,51 @@
             assert any(e["event"] == "accept.paused" for e in node.events())
 
 
+# Fails waits for signals at once while the file named by NO_WAIT exists.
+FAILING_WAITS = """
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+int sigtimedwait(const sigset_t *set, siginfo_t *info, const struct timespec *timeout)
+{
+    int (*next)(const sigset_t *, siginfo_t *, const struct timespec *) =
+        dlsym(RTLD_NEXT, "sigtimedwait");
+    if (access(getenv("NO_WAIT"), F_OK) != 0)
+        return next(set, info, timeout);
+    errno = EAGAIN;
+    return -1;
+}
+int sigwait(const sigset_t *set, int *sig)
+{
+    int (*next)(const sigset_t *, int *) = dlsym(RTLD_NEXT, "sigwait");
+    return access(getenv("NO_WAIT"), F_OK) == 0 ? EAGAIN : next(set, sig);
+}
+"""
+
+
+def test_a_wait_for_a_signal_that_fails_is_no_signal():
+    """Guards against a node that stops by itself, or whose reload thread spins, where the system
+    ends a wait for signals too early."""
+    with tempfile.TemporaryDirectory() as folder:
+        flag = os.path.join(folder, "no-wait")
+        with open(flag, "w"):
+            pass
+        with preloaded(FAILING_WAITS, NO_WAIT=flag), deployment() as d:
+            node = d.nodes[0]
+            cpu = proc_cpu_s(node.popen)
+            time.sleep(HOLD_S)
+            busy = (proc_cpu_s(node.popen) - cpu) / HOLD_S
+            assert d.call("/r/x").status == 200
+            assert node.popen.poll() is None and not any(
+                e["event"] == "node.stopping" for e in node.events())
+            assert busy < IDLE_SHARE, "%.2f of a core" % busy
+            os.unlink(flag)
+            assert node.stop() == 0
+
+
 def test_a_closed_standard_output_is_no_connection():
     """Guards against a socket that gets the number of a standard output that was closed at
     the start: the log was then written into a connection, or lost with it."""
