tests: a rollout that is not completed shows what the nodes logged of it

proc_hosted_rollouts.test_two_services_roll_out_at_once_and_one_order_replaces_another said only that its condition was not met within 10 s. It names the states and the rollouts' events now; the condition and the time are the same.

--- a/tests/proc_hosted_rollouts.py
+++ b/tests/proc_hosted_rollouts.py
@@ -14,6 +14,7 @@
 BOUNDS = {"exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000}
 DURATION_S = 6.0
 ZONES = ("a-hall", "b-hall", "c-hall")
+HEADER_FIELDS = ("wall_ms", "mono_us", "level", "process", "failure_domain", "event")
 
 
 class Load:
@@ -393,6 +394,20 @@
         assert not [w.left for w in old if w.left]
 
 
+def wait_completed(d, services, timeout):
+    """Waits until the services' rollouts are completed; if they are not, says what the nodes
+    logged of them."""
+    try:
+        wait_until(lambda: all(d.rollout_state(s) == "completed" for s in services), timeout)
+    except AssertionError:
+        states = {s: d.rollout_state(s) for s in services}
+        logged = [(e["wall_ms"], e["process"], e["event"],
+                   {k: e[k] for k in e if k not in HEADER_FIELDS})
+                  for n in d.nodes for e in n.events()
+                  if e.get("event") in ("rollout.begun", "rollout.phase", "rollout.record")]
+        raise AssertionError("%s at %d: %s" % (states, time.time() * 1000, logged)) from None
+
+
 def test_two_services_roll_out_at_once_and_one_order_replaces_another():
     """Guards against rollouts of two services that disturb each other.
 
@@ -413,8 +428,7 @@
         d.start_rollout("plain", "v3", DURATION_S)
         time.sleep(1)
         got = calls_seen(replaced)
-        wait_until(lambda: d.rollout_state("plain") == "completed" and
-                   d.rollout_state("other") == "completed", DURATION_S + 4)
+        wait_completed(d, ("plain", "other"), DURATION_S + 4)
         assert calls_seen(replaced) == got
         time.sleep(0.5)
         statuses = load.stop()
