loop: a start waits while the kernel has no file for an event loop

What callers saw: a node that started while the kernel was short of files waited for its listeners, and then ended with status 1 and one line on standard error as epoll_create1() or eventfd() failed.

Cause: rk_loop_create() ended the process at any error. Of a node's start, the listeners alone waited for a shortage to pass.

Why it works: ENFILE and ENOMEM, which pass when other processes give files back, are retried for 10 s. A process's own limit (EMFILE) still ends it at once.

--- a/common/loop.c
+++ b/common/loop.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "common/arena.h"
@@ -34,6 +35,10 @@
 #define REWATCH_INTERVAL_MS          50
 #define UNWATCHED_REPORT_INTERVAL_MS 10000
 
+/* How long a new loop waits while the kernel is short of files or memory. */
+#define SHORTAGE_MAX_MS   10000
+#define SHORTAGE_RETRY_MS 50
+
 struct dispatch_entry {
     rk_callback_fn *fn;
     void *ctx;
@@ -80,9 +85,27 @@
 static void on_rewatch(void *ctx);
 static void on_wake(void *ctx, int fd, uint32_t events);
 
-/* Returns fd. Ends the process if the call that should have returned it failed. */
-static int check_fd(int fd, const char *call)
+static int open_epoll(void)
+{
+    return epoll_create1(EPOLL_CLOEXEC);
+}
+
+static int open_eventfd(void)
+{
+    return eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+}
+
+/* Returns a descriptor that a call of this name opens. While the kernel is short of
+ * files or memory, which all processes share, the call is repeated. Ends the
+ * process if it fails otherwise, or for too long. */
+static int open_fd(int (*open)(void), const char *call)
 {
+    const struct timespec pause = {.tv_nsec = SHORTAGE_RETRY_MS * 1000000L};
+    int64_t deadline_ms = rk_mono_ms() + SHORTAGE_MAX_MS;
+    int fd;
+    while ((fd = open()) < 0 && (errno == ENFILE || errno == ENOMEM) &&
+           rk_mono_ms() < deadline_ms)
+        nanosleep(&pause, NULL);
     if (fd >= 0)
         return fd;
     rk_stderr_printf("%s: %s\n", call, strerror(errno));
@@ -92,8 +115,8 @@
 struct rk_loop *rk_loop_create(void)
 {
     struct rk_loop *l = rk_alloc(1, sizeof(*l));
-    l->epfd = check_fd(epoll_create1(EPOLL_CLOEXEC), "epoll_create1");
-    l->wakefd = check_fd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK), "eventfd");
+    l->epfd = open_fd(open_epoll, "epoll_create1");
+    l->wakefd = open_fd(open_eventfd, "eventfd");
     l->ring_buf = rk_alloc(DISPATCH_SLOTS, sizeof(*l->ring_buf));
     ck_ring_init(&l->ring, DISPATCH_SLOTS);
     l->scratch = rk_arena_create();
--- a/tests/proc_hosted_start.py
+++ b/tests/proc_hosted_start.py
@@ -445,26 +445,57 @@
     int (*next)(int, int) = dlsym(RTLD_NEXT, "listen");
     return fails("listen", ENOBUFS) ? -1 : next(fd, backlog);
 }
+int epoll_create1(int flags)
+{
+    int (*next)(int) = dlsym(RTLD_NEXT, "epoll_create1");
+    return fails("epoll_create1", ENFILE) ? -1 : next(flags);
+}
+int eventfd(unsigned int count, int flags)
+{
+    int (*next)(unsigned int, int) = dlsym(RTLD_NEXT, "eventfd");
+    return fails("eventfd", ENFILE) ? -1 : next(count, flags);
+}
 """
 
 
+def start_short_of(d, library, call):
+    """Start a node for which a call fails for 2 s; fail if it does not start. Return its log."""
+    env = dict(os.environ, LD_PRELOAD=library, SHORT_CALL=call,
+               ASAN_OPTIONS="verify_asan_link_order=0")
+    p = with_addresses(d, {}).popen(env=env)
+    out = read_until_started(p)
+    status = p.poll()
+    p.send_signal(signal.SIGTERM)
+    p.communicate(timeout=d.bounds["graceS"] + START_S)
+    assert "node.started" in out, (call, status, out)
+    assert p.returncode == 0, (call, p.returncode)
+    return out
+
+
+def build_short_kernel(d):
+    library = os.path.join(d.dir, "short_kernel.so")
+    subprocess.run(["cc", "-shared", "-fPIC", "-D_GNU_SOURCE", "-x", "c", "-", "-o",
+                    library], check=True, input=SHORT_KERNEL.encode())
+    return library
+
+
 def test_a_start_waits_while_the_kernel_is_short_of_memory_or_files():
     """Guards against nodes that end at their start, with status 1, as all of a host's nodes start
     at one moment and the kernel has no file or memory for a listener just then."""
     with Hosted(nodes=1) as d:
-        library = os.path.join(d.dir, "short_kernel.so")
-        subprocess.run(["cc", "-shared", "-fPIC", "-D_GNU_SOURCE", "-x", "c", "-", "-o",
-                        library], check=True, input=SHORT_KERNEL.encode())
+        library = build_short_kernel(d)
         for call in ("socket", "bind", "listen"):
-            env = dict(os.environ, LD_PRELOAD=library, SHORT_CALL=call,
-                       ASAN_OPTIONS="verify_asan_link_order=0")
-            p = with_addresses(d, {}).popen(env=env)
-            out = read_until_started(p)
-            status = p.poll()
-            p.send_signal(signal.SIGTERM)
-            p.communicate(timeout=d.bounds["graceS"] + START_S)
-            assert "node.started" in out and "listener.waiting" in out, (call, status, out)
-            assert p.returncode == 0, (call, p.returncode)
+            out = start_short_of(d, library, call)
+            assert "listener.waiting" in out, (call, out)
+
+
+def test_a_start_waits_while_the_kernel_has_no_file_for_an_event_loop():
+    """Guards against nodes that end at their start, with status 1, as the kernel is short of
+    files after the listeners are bound."""
+    with Hosted(nodes=1) as d:
+        library = build_short_kernel(d)
+        for call in ("epoll_create1", "eventfd"):
+            start_short_of(d, library, call)
 
 
 def test_a_node_with_too_few_descriptors_says_so():
