streams: the order in which routes are listed is no change of them

What callers saw: all nodes were killed, and the settings listed the same routes in another order when they came back: 0 of 12 streams of a service with one version went on, where 12 of 12 do with the same order.

Cause: the hash of routes for streams depended on their order. Requests go to the longest matching prefix, so that the order has a meaning for routes with the same host and prefix only.

Why it works: the hash is the sum of the hashes of those routes that requests reach.

--- a/core/routes.c
+++ b/core/routes.c
@@ -223,16 +223,28 @@
     return hash;
 }
 
+/* Returns whether no request reaches a route, because an earlier one has the same
+ * host and prefix. */
+static bool is_shadowed(const struct rk_routes *r, size_t route)
+{
+    const struct rk_route *own = &r->routes[route];
+    for (size_t i = 0; i < route; i++)
+        if (!strcasecmp(r->routes[i].host, own->host) &&
+            !strcmp(r->routes[i].prefix, own->prefix))
+            return true;
+    return false;
+}
+
 uint64_t rk_routes_resumable_hash(const struct rk_routes *r)
 {
-    uint64_t hash = 0;
+    uint64_t sum = 0; /* a sum, as the order of routes has no meaning */
     for (size_t i = 0; i < r->routes_len; i++) {
         const struct rk_route *route = &r->routes[i];
-        if (route->kind != RK_CALL_STREAM || !route->resumable)
+        if (route->kind != RK_CALL_STREAM || !route->resumable || is_shadowed(r, i))
             continue;
-        hash = rk_hash_str(rk_hash_str(hash, route->host), route->prefix);
-        hash = hash_shares(hash, route);
+        uint64_t hash = rk_hash_str(rk_hash_str(0, route->host), route->prefix);
+        sum += hash_shares(hash, route);
     }
-    hash &= INT64_MAX;
-    return hash ? hash : 1;
+    sum &= INT64_MAX;
+    return sum ? sum : 1;
 }
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -145,6 +145,42 @@
     assert_string_equal(rk_route_pick_service(&route, 5), "b");
 }
 
+/* Guards against streams that are rejected after a reload of settings which list
+ * the same routes in another order. */
+static void the_hash_of_routes_does_not_depend_on_their_order(void **state)
+{
+    (void)state;
+    struct rk_routes *r = rk_routes_create();
+    struct rk_route a = {.host = "h",
+                         .prefix = "/s/",
+                         .kind = RK_CALL_STREAM,
+                         .resumable = true,
+                         .shares = {{"a", 90}, {"b", 10}},
+                         .shares_len = 2};
+    struct rk_route b = a;
+    strcpy(b.prefix, "/t/");
+    strcpy(b.shares[0].service, "c");
+    *rk_routes_add_route(r) = a;
+    *rk_routes_add_route(r) = b;
+    uint64_t hash = rk_routes_resumable_hash(r);
+    r->routes[0] = b;
+    r->routes[1] = a;
+    assert_true(rk_routes_resumable_hash(r) == hash);
+    /* Two routes that exchange their services are a change. */
+    strcpy(r->routes[0].shares[0].service, "a");
+    strcpy(r->routes[1].shares[0].service, "c");
+    assert_true(rk_routes_resumable_hash(r) != hash);
+    /* Of two routes for the same requests, the first counts. */
+    r->routes[0] = a;
+    r->routes[1] = a;
+    strcpy(r->routes[1].shares[0].service, "c");
+    hash = rk_routes_resumable_hash(r);
+    strcpy(r->routes[0].shares[0].service, "c");
+    strcpy(r->routes[1].shares[0].service, "a");
+    assert_true(rk_routes_resumable_hash(r) != hash);
+    rk_routes_unref(r);
+}
+
 /* Guards against a change of which requests go to which services that is not
  * noticed, so that a stream goes on at another service's version. */
 static void the_hash_of_routes_shows_where_streams_go(void **state)
@@ -472,6 +508,7 @@
         cmocka_unit_test(quotas_bound_demand_only_if_all_organisations_have_one),
         cmocka_unit_test(shares_follow_their_weights),
         cmocka_unit_test(the_hash_of_routes_shows_where_streams_go),
+        cmocka_unit_test(the_hash_of_routes_does_not_depend_on_their_order),
         cmocka_unit_test(usage_outlasts_a_kill_of_all),
         cmocka_unit_test(growth_follows_callers_that_stop),
         cmocka_unit_test(reported_counts_win_where_they_are_higher),
