--- a/tests/proc_hosted_version_routes.py
+++ b/tests/proc_hosted_version_routes.py
@@ -9,6 +9,7 @@
 from proc_hosted_versions import EVENTS, STREAMS, TENANTS, ZONES, Versions
 
 ENGINE = {"slots": 64, "kvCapacity": 100000, "moves": False}
+LIFETIME_S = 18  # of a stream: the time-out of its route and 10 s
 
 
 def route_to(f, service, wait=True, split=None):
@@ -23,14 +24,15 @@
     f.d.configure([route, other], services=services, tenants=TENANTS, wait=wait)
 
 
-def start_two_services(split=None):
+def start_two_services(split=None, **kw):
     """Starts nodes with service llm at v1 and llm2 at v2, both in use; /s/ goes to llm."""
-    f = Versions(versions=("v1", "v1", "v1"))
+    f = Versions(versions=("v1", "v1", "v1"), **kw)
     for zone in ZONES:
         worker = f.d.add_worker("llm2", events=EVENTS, zone=zone, slots=64, version="v2")
         worker.gap_s = 0.02
     route_to(f, "llm", split=split)
-    wait_until(lambda: all(f.d.call("/t/x", n, deadline=6000).whole for n in range(3)))
+    wait_until(lambda: all(f.d.call("/t/x", n, deadline=6000).whole
+                           for n in range(len(f.d.nodes))))
     time.sleep(1)  # what is to be persisted has been
     return f
 
--- a/tests/proc_hosted_versions.py
+++ b/tests/proc_hosted_versions.py
@@ -22,8 +22,8 @@
     """Nodes with engines of several versions, and what is known of each stream's events."""
 
     def __init__(self, nodes=3, versions=("v1", "v1", "v1", "v2", "v2", "v2"), zones=ZONES,
-                 moves=False, resumable=True, **kw):
-        self.d = Hosted(nodes=nodes, zones=zones, bounds={"budgetExtra": 4000}, **kw).start()
+                 moves=False, resumable=True, hosted=Hosted, **kw):
+        self.d = hosted(nodes=nodes, zones=zones, bounds={"budgetExtra": 4000}, **kw).start()
         for n, version in enumerate(versions):
             self.add(version, zones[n % len(zones)])
         engine = {"slots": 64, "kvCapacity": 100000, "moves": moves}
