streams: each service has a hash of the requests that go to it

Callers saw: all nodes were killed, another service got a route while they were down, and 0 of 12 streams of an unchanged route were taken up; 12 of 12 go on without that route. Cause: one hash stood for the routes of all services, so that any change of a route for streams left nodes unsure of the versions of all services for the lifetime of a stream. Change: a hash for each service, of the routes that lead to it with their shares, and of the more specific routes whose requests would fall back to it if they were gone. Hosts are compared by their hashes first, as routes may be thousands.

--- a/core/routes.c
+++ b/core/routes.c
@@ -213,6 +213,35 @@
     return route->shares[0].service;
 }
 
+static bool is_resumable(const struct rk_route *route)
+{
+    return route->kind == RK_CALL_STREAM && route->resumable;
+}
+
+static bool same_hosts(const struct rk_route *a, const struct rk_route *b)
+{
+    return a->host_hash == b->host_hash && !strcasecmp(a->host, b->host);
+}
+
+/* Returns whether no request reaches a route, because an earlier one has the same
+ * host and prefix. */
+static bool is_shadowed(const struct rk_routes *r, const struct rk_route *route)
+{
+    for (const struct rk_route *earlier = r->routes; earlier < route; earlier++)
+        if (same_hosts(earlier, route) && !strcmp(earlier->prefix, route->prefix))
+            return true;
+    return false;
+}
+
+/* Returns whether requests of a route would go to another one if it was gone. */
+static bool falls_back_to(const struct rk_route *route,
+                          const struct rk_route *other)
+{
+    size_t len = strlen(other->prefix);
+    return other != route && same_hosts(other, route) &&
+           !strncmp(route->prefix, other->prefix, len) && route->prefix[len];
+}
+
 static uint64_t hash_shares(uint64_t hash, const struct rk_route *route)
 {
     for (size_t i = 0; i < route->shares_len; i++) {
@@ -223,28 +252,33 @@
     return hash;
 }
 
-/* Returns whether no request reaches a route, because an earlier one has the same
- * host and prefix. */
-static bool is_shadowed(const struct rk_routes *r, size_t route)
+/* Adds to the hashes of the services of a route. Sums, as the order in which routes
+ * are listed has no meaning. */
+static void add_to_services(const struct rk_routes *r, const struct rk_route *route,
+                            uint64_t value, uint64_t *hashes)
 {
-    const struct rk_route *own = &r->routes[route];
-    for (size_t i = 0; i < route; i++)
-        if (!strcasecmp(r->routes[i].host, own->host) &&
-            !strcmp(r->routes[i].prefix, own->prefix))
-            return true;
-    return false;
+    for (size_t i = 0; i < route->shares_len; i++) {
+        const struct rk_service_info *service =
+            rk_routes_service(r, route->shares[i].service);
+        if (service)
+            hashes[service - r->services] += value;
+    }
 }
 
-uint64_t rk_routes_resumable_hash(const struct rk_routes *r)
+uint64_t *rk_routes_resumable_hashes(const struct rk_routes *r)
 {
-    uint64_t sum = 0; /* a sum, as the order of routes has no meaning */
+    uint64_t *hashes = rk_alloc(r->services_len + 1, sizeof(*hashes));
     for (size_t i = 0; i < r->routes_len; i++) {
         const struct rk_route *route = &r->routes[i];
-        if (route->kind != RK_CALL_STREAM || !route->resumable || is_shadowed(r, i))
+        if (!is_resumable(route) || is_shadowed(r, route))
             continue;
-        uint64_t hash = rk_hash_str(rk_hash_str(0, route->host), route->prefix);
-        sum += hash_shares(hash, route);
+        uint64_t requests = rk_hash_str(rk_hash_str(0, route->host), route->prefix);
+        add_to_services(r, route, hash_shares(requests, route), hashes);
+        for (size_t j = 0; j < r->routes_len; j++)
+            if (is_resumable(&r->routes[j]) && falls_back_to(route, &r->routes[j]))
+                add_to_services(r, &r->routes[j], requests, hashes);
     }
-    sum &= INT64_MAX;
-    return sum ? sum : 1;
+    for (size_t i = 0; i < r->services_len; i++)
+        hashes[i] &= INT64_MAX;
+    return hashes;
 }
--- a/core/routes.h
+++ b/core/routes.h
@@ -163,8 +163,9 @@
  * random number or a hash; equal numbers give the same service. */
 const char *rk_route_pick_service(const struct rk_route *route, uint32_t pick);
 
-/* Returns a hash of which requests for streams that can be taken up go to which
- * services: from 1 to INT64_MAX. */
-uint64_t rk_routes_resumable_hash(const struct rk_routes *r);
+/* Returns a hash for each of r->services, from 0 to INT64_MAX, of which requests
+ * for streams that can be taken up go there, and of which would if another route
+ * was gone. 0: none do. The caller frees the array. */
+uint64_t *rk_routes_resumable_hashes(const struct rk_routes *r);
 
 #endif
--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -20,6 +20,7 @@
 {
     free(s->slots);
     free(s->served);
+    free(s->routings);
 }
 
 void rk_stream_versions_set_lifetime(struct rk_stream_versions *s, int64_t ms)
@@ -185,34 +186,62 @@
     s->served_len = kept;
 }
 
-/* Drops what is known of versions that are not listed: streams may have begun
- * unnoticed before at_ms. */
-static void restart_watch(struct rk_stream_versions *s, int64_t at_ms)
+void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms)
 {
+    if (at_ms <= s->confirmed_ms)
+        return;
+    bool has_gap = at_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS;
+    s->confirmed_ms = at_ms;
+    if (!has_gap)
+        return;
     s->watching_since_ms = at_ms;
     s->first_start = false;
     for (size_t i = 0; i < s->served_len; i++)
         s->served[i].was_only = false;
 }
 
-void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms)
+static const struct rk_service_routing *
+find_routing(const struct rk_stream_versions *s, uint64_t service_hash)
 {
-    if (at_ms <= s->confirmed_ms)
-        return;
-    bool has_gap = at_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS;
-    s->confirmed_ms = at_ms;
-    if (has_gap)
-        restart_watch(s, at_ms);
+    for (size_t i = 0; i < s->routings_len; i++)
+        if (s->routings[i].service_hash == service_hash)
+            return &s->routings[i];
+    return NULL;
 }
 
-void rk_stream_versions_set_routing(struct rk_stream_versions *s, uint64_t routing,
-                                    int64_t now_ms)
+static void forget_only(struct rk_stream_versions *s, uint64_t service_hash)
 {
-    if (routing == s->routing)
-        return;
-    if (s->routing)
-        restart_watch(s, now_ms);
-    s->routing = routing;
+    for (size_t i = 0; i < s->served_len; i++)
+        if (s->served[i].service_hash == service_hash)
+            s->served[i].was_only = false;
+}
+
+void rk_stream_versions_set_routings(struct rk_stream_versions *s,
+                                     struct rk_service_routing *rows, size_t len,
+                                     int64_t now_ms)
+{
+    for (size_t i = 0; i < len && s->routings_known; i++) {
+        const struct rk_service_routing *old =
+            find_routing(s, rows[i].service_hash);
+        if (old && old->hash == rows[i].hash) {
+            rows[i].changed_ms = old->changed_ms;
+            continue;
+        }
+        rows[i].changed_ms = now_ms;
+        forget_only(s, rows[i].service_hash);
+    }
+    free(s->routings);
+    s->routings = rows;
+    s->routings_len = len;
+    s->routings_known = true;
+}
+
+uint64_t rk_stream_versions_routing(const struct rk_stream_versions *s,
+                                    const char *service)
+{
+    const struct rk_service_routing *routing =
+        find_routing(s, rk_hash_str(0, service));
+    return routing ? routing->hash : 0;
 }
 
 /* Returns true if no other version can have served for the lifetime of a stream
@@ -220,10 +249,18 @@
 static bool has_watched(const struct rk_stream_versions *s,
                         const struct rk_served_version *v, int64_t now_ms)
 {
+    static const struct rk_service_routing none;
+    const struct rk_service_routing *routing = find_routing(s, v->service_hash);
+    int64_t since_ms = s->watching_since_ms;
+    if (!routing)
+        routing = &none;
     if (!s->lifetime_ms || now_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS)
         return false;
-    return s->first_start || (v->was_only && v->only_routing == s->routing) ||
-           now_ms - s->watching_since_ms >= s->lifetime_ms;
+    if (routing->changed_ms > since_ms)
+        since_ms = routing->changed_ms;
+    return (s->first_start && !routing->changed_ms) ||
+           (v->was_only && v->only_routing == routing->hash) ||
+           now_ms - since_ms >= s->lifetime_ms;
 }
 
 static enum rk_service_versions state_of(const struct rk_stream_versions *s,
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -62,6 +62,13 @@
     uint64_t only_routing;  /* with which routing, if was_only */
 };
 
+/* Which requests go to a service. */
+struct rk_service_routing {
+    uint64_t service_hash;
+    uint64_t hash;      /* see rk_routes_resumable_hashes() */
+    int64_t changed_ms; /* 0: not since the first settings */
+};
+
 /* Zero-initialise with rk_stream_versions_init(), release with
  * rk_stream_versions_free(). */
 struct rk_stream_versions {
@@ -73,7 +80,9 @@
     int64_t watching_since_ms; /* the list of VMs was followed since then */
     bool first_start;          /* no stream began before watching_since_ms */
     int64_t confirmed_ms;      /* when the list was last known to be current */
-    uint64_t routing; /* see rk_stream_versions_set_routing(); 0: not known yet */
+    struct rk_service_routing *routings;
+    size_t routings_len;
+    bool routings_known; /* rk_stream_versions_set_routings() was called */
     /* How long after its first event a stream can be taken up; 0: not known yet. */
     int64_t lifetime_ms;
 };
@@ -87,11 +96,16 @@
  * begun keep theirs. */
 void rk_stream_versions_set_lifetime(struct rk_stream_versions *s, int64_t ms);
 
-/* Notes which requests go to which services; routing: a hash of this. After a
- * change, a stream may have begun at another service than the one that its resume
- * goes to, so that the only version of the latter may be the wrong one. */
-void rk_stream_versions_set_routing(struct rk_stream_versions *s, uint64_t routing,
-                                    int64_t now_ms);
+/* Notes which requests go to which services: one row for each service, with its
+ * service_hash and hash. Takes over rows. After a change, a stream may have begun
+ * at another service than the one that its resume goes to, so that the only version
+ * of the latter may be the wrong one. */
+void rk_stream_versions_set_routings(struct rk_stream_versions *s,
+                                     struct rk_service_routing *rows, size_t len,
+                                     int64_t now_ms);
+/* Returns the hash of which requests go to a service; 0: none do, or not known. */
+uint64_t rk_stream_versions_routing(const struct rk_stream_versions *s,
+                                    const char *service);
 
 /* Returns a hash that identifies a stream within the deployment: by its
  * organisation ("": none), its service and the caller's attempt that brought its
@@ -158,7 +172,7 @@
 
 /* Records that no other version of the service has served for the lifetime of a
  * stream, as a peer has observed, or this node before a restart. That holds while
- * requests are routed as they were then; routing 0: not known. */
+ * requests are routed to it as they were then; routing 0: not known. */
 void rk_stream_versions_note_only(struct rk_stream_versions *s, const char *service,
                                   const char *version, uint64_t routing,
                                   int64_t now_ms);
--- a/node/persist.c
+++ b/node/persist.c
@@ -272,22 +272,26 @@
     rk_buf_addstr(b, "]");
 }
 
-/* Appends the services of which only one version has served lately, the revision of
- * the VM list that this reflects, and the routing that it holds for. */
+/* Appends the services of which only one version has served lately, the routing of
+ * each with which that holds, and the revision of the VM list that this reflects.
+ */
 static void append_only_versions(const struct rk_node *n, struct rk_buf *b)
 {
+    const struct rk_only_version *rows = n->report->only_versions;
     rk_buf_printf(b, ",\"vms_revision\":%" PRId64,
                   rk_sync_relay_revision(n->sync, n->report->vms_revision));
-    if (n->report->only_versions_len)
-        rk_buf_printf(b, ",\"routing\":%" PRIu64,
-                      n->report->only_versions[0].routing);
     rk_buf_addstr(b, ",\"only\":{");
     for (size_t i = 0; i < n->report->only_versions_len; i++) {
-        const struct rk_only_version *row = &n->report->only_versions[i];
         rk_buf_addstr(b, i ? "," : "");
-        rk_buf_json_str(b, row->service);
+        rk_buf_json_str(b, rows[i].service);
         rk_buf_addstr(b, ":");
-        rk_buf_json_str(b, row->version);
+        rk_buf_json_str(b, rows[i].version);
+    }
+    rk_buf_addstr(b, "},\"routing\":{");
+    for (size_t i = 0; i < n->report->only_versions_len; i++) {
+        rk_buf_addstr(b, i ? "," : "");
+        rk_buf_json_str(b, rows[i].service);
+        rk_buf_printf(b, ":%" PRIu64, rows[i].routing);
     }
     rk_buf_addstr(b, "}");
 }
@@ -470,12 +474,13 @@
         !json_object_is_type(only, json_type_object))
         return;
     size_t len = 0;
-    int64_t routing = rk_json_int(spec, "routing", 0);
+    struct json_object *routings = rk_json_get(spec, "routing");
     struct rk_only_version *rows =
         rk_alloc((size_t)json_object_object_length(only) + 1, sizeof(*rows));
     json_object_object_foreach(only, service, version)
     {
         const char *text = json_object_get_string(version);
+        int64_t routing = rk_json_int(routings, service, 0);
         rows[len].routing = routing > 0 ? (uint64_t)routing : 0;
         if (json_object_is_type(version, json_type_string) &&
             rk_strcpy(rows[len].service, sizeof(rows[len].service), service) &&
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -1295,7 +1295,7 @@
    */
   protobuf_c_boolean several;
   /*
-   * In a response: hash of which requests go to which services, with which the
+   * In a response: hash of which requests go to the service, with which the
    * responder observed this; 0: not known.
    */
   uint64_t routing;
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -55,7 +55,7 @@
 
 /* The only version of a service that served for the lifetime of a stream. */
 struct rk_only_version {
-    uint64_t routing; /* see rk_routes_resumable_hash(); 0: not known */
+    uint64_t routing; /* see rk_routes_resumable_hashes(); 0: not known */
     char service[RK_ID_MAX];
     char version[RK_VERSION_MAX];
 };
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -120,6 +120,21 @@
     rk_stream_versions_forget_recorded(&v->table); /* the new writer needs them */
 }
 
+static void set_routings(struct rk_stream_versions *table,
+                         const struct rk_routes *routes)
+{
+    uint64_t *hashes = rk_routes_resumable_hashes(routes);
+    struct rk_service_routing *rows =
+        rk_alloc(routes->services_len + 1, sizeof(*rows));
+    for (size_t i = 0; i < routes->services_len; i++) {
+        rows[i].service_hash = rk_hash_str(0, routes->services[i].name);
+        rows[i].hash = hashes[i];
+    }
+    rk_stream_versions_set_routings(table, rows, routes->services_len,
+                                    rk_mono_ms());
+    free(hashes);
+}
+
 void rk_relay_versions_set_routes(struct rk_relay *r,
                                   const struct rk_routes *routes)
 {
@@ -132,8 +147,7 @@
     }
     rk_stream_versions_set_lifetime(&r->versions->table,
                                     longest_ms + RESUME_GRACE_MS);
-    rk_stream_versions_set_routing(&r->versions->table,
-                                   rk_routes_resumable_hash(routes), rk_mono_ms());
+    set_routings(&r->versions->table, routes);
 }
 
 void rk_relay_versions_update_list(struct rk_relay *r)
@@ -158,7 +172,8 @@
             continue;
         rk_strcpy(row->service, sizeof(row->service), r->services[i].name);
         rk_strcpy(row->version, sizeof(row->version), only);
-        row->routing = r->versions->table.routing;
+        row->routing =
+            rk_stream_versions_routing(&r->versions->table, row->service);
         len++;
     }
     return len;
@@ -328,8 +343,9 @@
     const char *only;
     char version[RK_VERSION_MAX] = "";
     if (!ask->saw_several && ask->has_only)
-        rk_stream_versions_note_only(table, x->query.service, ask->only,
-                                     table->routing, rk_mono_ms());
+        rk_stream_versions_note_only(
+            table, x->query.service, ask->only,
+            rk_stream_versions_routing(table, x->query.service), rk_mono_ms());
     if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
         (!ask->has_only || !strcmp(only, ask->only)))
         rk_strcpy(version, sizeof(version), only);
@@ -349,7 +365,9 @@
         send_at_version(x, row->version);
         return;
     }
-    bool routes_alike = row && row->routing == x->r->versions->table.routing;
+    bool routes_alike =
+        row && row->routing == rk_stream_versions_routing(&x->r->versions->table,
+                                                          x->query.service);
     if (row && (row->several || (row->routing && !routes_alike)))
         ask->saw_several = true;
     if (routes_alike && row->only[0])
@@ -616,7 +634,7 @@
     enum rk_service_versions state =
         rk_stream_versions_of_service(table, row->service, &only, now_ms);
     out->several = state == RK_VERSIONS_SEVERAL;
-    out->routing = table->routing;
+    out->routing = rk_stream_versions_routing(table, row->service);
     if (state == RK_VERSIONS_ONE)
         out->only = (char *)only;
 }
