KNOWN-RED: a good version that is not completed in a fleet with bridges

proc_hosted_rollouts.test_a_fleet_with_bridges_rolls_back_and_commits_versions failed in 1 of 1 run of its module at load 45 to 110, as the good version was not completed within 8 s, and in 0 of 6 at load 31 to 37. The run said no more than that; the test shows the rollout's events now, under the same condition and time. Whether the version was rolled back by its times, as in the test of two services, is not known.

--- a/tests/proc_hosted_rollouts.py
+++ b/tests/proc_hosted_rollouts.py
@@ -363,7 +363,7 @@
         assert set(load.statuses) <= {200, 502}, load.statuses
         load.statuses.clear()
         d.start_rollout("plain", "v3", DURATION_S)
-        wait_until(lambda: d.rollout_state("plain") == "completed", DURATION_S + 2)
+        wait_completed(d, ("plain",), DURATION_S + 2)
         time.sleep(1)
         statuses = load.stop()
         assert set(statuses) == {200}, statuses
