--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -116,6 +116,28 @@
     assert_int_not_equal(claim_again(5000, SET_RIGHT_MS), RK_CLAIM_GRANTED);
 }
 
+/* Guards against a key that runs twice within its retention, as its owner's date
+ * was set back by more than that when another key of its slot was written. */
+static void a_date_that_is_set_back_does_not_free_keys(void **state)
+{
+    (void)state;
+    struct fixture f = {0};
+    const struct rk_claim_key key = {.lo = 1, .hi = 2, .fingerprint = 3};
+    const struct rk_claim_key other = {.lo = 7, .hi = 2, .fingerprint = 3};
+    start(&f, 1, RK_CLAIM_SLOT_KEYS);
+    assert_int_equal(claim(&f, key, NOW_MS, SET_RIGHT_MS), RK_CLAIM_GRANTED);
+    assert_int_equal(
+        claim(&f, other, NOW_MS + 1000, SET_RIGHT_MS - 2 * RETENTION_MS),
+        RK_CLAIM_GRANTED);
+    rk_claims_destroy(f.claims);
+    f.decisions = 0;
+    start(&f, 2, RK_CLAIM_SLOT_KEYS);
+    enum rk_claim_decision decision =
+        claim(&f, key, NOW_MS + 2000, SET_RIGHT_MS + 2000);
+    rk_claims_destroy(f.claims);
+    assert_int_not_equal(decision, RK_CLAIM_GRANTED);
+}
+
 /* Guards against keys that are never free again. */
 static void a_key_past_its_retention_is_free(void **state)
 {
@@ -148,6 +170,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_date_of_1970_does_not_free_keys),
+        cmocka_unit_test(a_date_that_is_set_back_does_not_free_keys),
         cmocka_unit_test(a_key_past_its_retention_is_free),
         cmocka_unit_test(a_date_that_is_set_does_not_free_slots),
     };
