--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -133,14 +133,21 @@
     }
 }
 
-static void set_routing(struct rk_stream_versions *s, uint64_t hash, int64_t now_ms)
+/* Sets the routing of "llm", and that of "other" unless its hash is 0. */
+static void set_routings(struct rk_stream_versions *s, uint64_t hash,
+                         uint64_t other_hash, int64_t now_ms)
 {
     struct rk_service_routing *rows = rk_alloc(2, sizeof(*rows));
     rows[0].service_hash = rk_hash_str(0, "llm");
     rows[0].hash = hash;
     rows[1].service_hash = rk_hash_str(0, "other");
-    rows[1].hash = (uint64_t)now_ms;
-    rk_stream_versions_set_routings(s, rows, 2, now_ms);
+    rows[1].hash = other_hash;
+    rk_stream_versions_set_routings(s, rows, other_hash ? 2 : 1, now_ms);
+}
+
+static void set_routing(struct rk_stream_versions *s, uint64_t hash, int64_t now_ms)
+{
+    set_routings(s, hash, 0, now_ms);
 }
 
 /* Guards against a service's only version that is taken for that of a stream which
@@ -165,6 +172,31 @@
     }
 }
 
+/* Guards against streams that are rejected after a change of another service's
+ * routes, and against a service that came with a change of routes and is taken for
+ * one that nothing has changed for. */
+static void a_change_of_routing_is_that_of_a_service(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    const char *only;
+    list(&s, 1000, "1");
+    set_routing(&s, 7, 1000);
+    set_routings(&s, 7, 5, 2000);
+    check_state(&s, 2000, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_begin_list(&s);
+    rk_stream_versions_note_listed(&s, "llm", "1");
+    rk_stream_versions_note_listed(&s, "other", "2");
+    rk_stream_versions_end_list(&s, 2000);
+    assert_int_equal(rk_stream_versions_of_service(&s, "other", &only, 2000),
+                     RK_VERSIONS_UNSURE);
+    /* A service that left the settings and returned has changed, too. */
+    rk_stream_versions_set_routings(&s, NULL, 0, 2200);
+    set_routing(&s, 7, 2500);
+    check_state(&s, 2500, RK_VERSIONS_UNSURE, "");
+    rk_stream_versions_free(&s);
+}
+
 /* Guards against a peer's or a record's only version that is believed although it
  * was observed with other routes, or with routes that it does not name. */
 static void an_only_version_holds_with_the_routing_it_was_seen_with(void **state)
@@ -430,6 +462,7 @@
         cmocka_unit_test(nothing_is_concluded_before_the_lifetime_is_known),
         cmocka_unit_test(a_gap_in_the_list_leaves_versions_unsure),
         cmocka_unit_test(a_change_of_routing_leaves_versions_unsure),
+        cmocka_unit_test(a_change_of_routing_is_that_of_a_service),
         cmocka_unit_test(an_only_version_holds_with_the_routing_it_was_seen_with),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
