tests: a kill beside a moved route waits for a record of the only version

The test passed without the check of a record's routing (1 of 1 run): its nodes had settings for less than a stream's lifetime, so that no record named an only version. It waits for a lifetime now: it fails without the check and passes with it (1 of 1 run each).

--- a/tests/proc_hosted_version_routes.py
+++ b/tests/proc_hosted_version_routes.py
@@ -68,6 +68,7 @@
     routes have changed since, or just before they were killed."""
     def move_beside_a_kill(is_moved_before):
         with start_two_services() as f:
+            time.sleep(LIFETIME_S)  # before, no record says that there is one version
             begun = [f.begin(n % 3) for n in range(STREAMS)]
             time.sleep(1)
             if is_moved_before:
