--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -25,8 +25,9 @@
 /* State of a service that calls were made to. */
 struct rk_relay_service {
     char name[RK_ID_MAX];
-    int64_t
-        left_ms; /* when the settings without it came, monotonic; 0: it is there */
+    /* When settings without the service came, by the monotonic clock; 0: it is in
+     * the settings. */
+    int64_t left_ms;
     struct rk_retry_budget budget;
     /* uncached prompt tokens requested of engines since the entry was added,
      * refused calls included; see struct rk_service_load */
