tests: growth of services is measured once their retry budgets are gone

Cause: retry budgets are kept for 60 s after their service has left the settings, and four rounds take some 30 s, so that the measured rounds still filled that table. Change: rounds fill the tables until 75 s have passed; the bounds are as before.

--- a/tests/proc_hosted_growth.py
+++ b/tests/proc_hosted_growth.py
@@ -6,6 +6,7 @@
 """
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
                                 "tools"))
@@ -15,6 +16,8 @@
 KEPT_BYTES_MAX = 17  # of each identifier
 REMOVED_VMS = 4200  # a node remembers the last 4,096
 FILL_ROUNDS, ROUNDS = 4, 3
+SERVICE_KEPT_S = 60  # a service's retry budget outlasts its leaving for so long
+MARGIN_S = 15  # until the record is gone and its memory is used again
 MEASURES_MAX, HEAP_STEPS_MAX = 3, 1
 HEAP_VARIES_BYTES = 4 * 1024  # with what is in flight
 # By which private memory may be larger at one moment than at another: pages partly in use.
@@ -36,14 +39,22 @@
     return "address" in g.d.build or "thread" in g.d.build
 
 
-def check(kind, count, first=0):
+def fill_tables(g, kind, count, kept_s):
+    """Use identifiers for some rounds, and until the first of them are kept no longer."""
+    start = time.monotonic()
+    g.measure(kind, FILL_ROUNDS - 1, count)
+    while time.monotonic() - start < kept_s:
+        g.measure(kind, 1, count)
+
+
+def check(kind, count, first=0, kept_s=0):
     """Check what a node keeps of the identifiers of a kind, after rounds that fill its tables.
-    first: VMs that come and go before, to fill the record of removed ones. Returns the
-    figures."""
+    first: VMs that come and go before, to fill the record of removed ones. kept_s: for how long
+    it keeps an identifier. Returns the figures."""
     g = Growth(seed=SEED)
     with g.d:
         g.vms(first)
-        g.measure(kind, FILL_ROUNDS - 1, count)
+        fill_tables(g, kind, count, kept_s)
         figures, heap_steps = [], 0
         for _ in range(MEASURES_MAX):
             heap, private, got = measure_growth(g, kind, count)
@@ -74,7 +85,7 @@
 
 def test_services_that_left_leave_nothing_behind():
     """Guards against a node that grows with each service that has ever had a VM."""
-    return check("services", 300, REMOVED_VMS)
+    return check("services", 300, REMOVED_VMS, SERVICE_KEPT_S + MARGIN_S)
 
 
 def test_organisations_that_left_leave_nothing_behind():
