tests: the long list of VMs is set up in one place

Cause: two tests of memory began with the same five lines, and a comment's end stood on a line of its own. Change: one function; the comment fits its lines. No check changed.

--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -333,9 +333,7 @@
 }
 
 /* Decides by the answers that have come. Where this node knows of one version only,
- * its list of VMs or its routes may be old, so that a peer's word counts against
- * it.
- */
+ * its list of VMs or its routes may be old, so that a peer's word counts more. */
 static void decide(struct rk_relay_call *x)
 {
     const struct rk_call_ask *ask = x->ask;
--- a/tests/proc_hosted_memory.py
+++ b/tests/proc_hosted_memory.py
@@ -500,15 +500,20 @@
                 tenants=tenants, limits=LIMITS, wait=False)
 
 
+def wait_long_list(d):
+    """List thousands of VMs beside long settings; return once the node has read the list."""
+    d.store.page = 500
+    list_vms(d, LISTED_VMS, 1)
+    long_settings(d)
+    d.store.forget_history()
+    wait_until(lambda: d.gauge(d.nodes[0], "vms_listed") >= LISTED_VMS)
+
+
 def test_a_long_list_of_vms_leaves_room_for_callers():
     """Guards against a list of thousands of VMs that takes tens of MB while it is read: parsed
     objects of all its pages were held until the last one."""
     with small_node(workers=4) as d:
-        d.store.page = 500
-        list_vms(d, LISTED_VMS, 1)
-        long_settings(d)
-        d.store.forget_history()
-        wait_until(lambda: d.gauge(d.nodes[0], "vms_listed") >= LISTED_VMS)
+        wait_long_list(d)
         # All are replaced while the store is away, and listed again.
         d.store.fault = lambda req: 503
         for i in range(LISTED_VMS):
@@ -533,11 +538,7 @@
     has 120.
     """
     with small_node(workers=4) as d:
-        d.store.page = 500
-        list_vms(d, LISTED_VMS, 1)
-        long_settings(d)
-        d.store.forget_history()
-        wait_until(lambda: d.gauge(d.nodes[0], "vms_listed") >= LISTED_VMS)
+        wait_long_list(d)
         over = threading.Event()
 
         def press():
