--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -272,12 +272,14 @@
 void rk_call_check_survival(struct rk_relay_call *x);
 
 /* ---- relay_versions.c ---- */
-/* Sends a call that takes up a stream, once the stream's version is known, or
- * rejects it. */
-void rk_call_resume(struct rk_relay_call *x);
 /* Called when the caller gets an event: from the first one on, the stream may only
  * go on at VMs of the same software version. */
 void rk_call_bind_version(struct rk_relay_call *x);
+
+/* ---- relay_resume.c ---- */
+/* Sends a call that takes up a stream, once the stream's version is known, or
+ * rejects it. */
+void rk_call_resume(struct rk_relay_call *x);
 /* Ends a question to peers, if there is one. */
 void rk_call_ask_free(struct rk_relay_call *x);
 
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -1,9 +1,6 @@
-/* Finds out at which software version a stream goes on that its caller takes up,
- * and tells peers the versions of streams that began here; see
- * core/stream_versions.h. Peers are asked and told over their listeners for
- * forwarded calls. A caller's resume waits for the answers of those that are asked;
- * if nobody knows the stream's version and several may be it, the call is rejected
- * as not run. */
+/* Versions of streams that began here: tells peers, answers their questions and
+ * writes records; see core/stream_versions.h. Peers are asked and told over their
+ * listeners for forwarded calls. */
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,8 +8,7 @@
 #include "callers/server.h"
 #include "common/counters.h"
 #include "common/http1.h"
-#include "peers/peers.pb-c.h"
-#include "serve/relay_call_impl.h"
+#include "serve/relay_versions_impl.h"
 
 #define STREAM_VERSIONS_PATH "/stream-versions"
 #define CONTENT_TYPE         "application/x-protobuf"
@@ -35,44 +31,6 @@
 /* A large record is written less often. */
 #define RECORD_BYTES_PER_S (128 * 1024)
 
-/* A request to a peer: a question for a call, or streams that it is told. */
-struct version_request {
-    struct rk_relay *r;
-    struct version_request *next, **prev;
-    struct rk_relay_call *call; /* NULL: not a question */
-    char service[RK_ID_MAX];    /* of the only row; "": there are several */
-    char addr[RK_ADDR_MAX];
-    struct rk_buf sent, answer;
-    struct rk_upstream_call *up;
-    struct rk_timer timer;
-    int status;
-    bool is_repeated; /* sent again on another connection */
-};
-
-struct rk_relay_versions {
-    struct rk_stream_versions table;
-    uint64_t domain_hash; /* this node's failure domain */
-    struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
-    size_t peers_len;
-    /* As in struct rk_relay_peers. */
-    bool writes_record;
-    char record_writer[RK_ADDR_MAX];
-    bool record_changed;
-    int64_t next_record_ms;           /* earliest time of the next record */
-    struct version_request *requests; /* in flight */
-    size_t requests_len;
-};
-
-/* What the peers have answered that were asked for a call's stream. */
-struct rk_call_ask {
-    int pending; /* answers that have not come */
-    /* A peer knows of several versions, or routes requests otherwise, but does not
-     * know the stream. */
-    bool saw_several;
-    bool has_only; /* a peer that routes alike knows that there was only one */
-    char only[RK_VERSION_MAX];
-};
-
 void rk_relay_versions_init(struct rk_relay *r)
 {
     struct rk_relay_versions *v = rk_alloc(1, sizeof(*v));
@@ -81,7 +39,7 @@
     r->versions = v;
 }
 
-static void free_request(struct version_request *q)
+static void free_request(struct rk_version_request *q)
 {
     if (q->up)
         rk_upstream_cancel(q->up);
@@ -98,7 +56,7 @@
 void rk_relay_versions_free(struct rk_relay *r)
 {
     struct rk_relay_versions *v = r->versions;
-    for (struct version_request *q = v->requests, *next; q; q = next) {
+    for (struct rk_version_request *q = v->requests, *next; q; q = next) {
         next = q->next;
         free_request(q);
     }
@@ -189,17 +147,17 @@
 /* ---- requests to peers ---- */
 
 static const struct rk_upstream_ops request_ops;
-static void finish_request(struct version_request *q);
+static void finish_request(struct rk_version_request *q);
 
 static void on_timeout(void *ctx)
 {
-    struct version_request *q = ctx;
+    struct rk_version_request *q = ctx;
     q->status = 0;
     finish_request(q);
 }
 
 /* Returns false if nothing was sent. */
-static bool send_request(struct version_request *q)
+static bool send_request(struct rk_version_request *q)
 {
     struct rk_buf head = {0};
     rk_buf_printf(&head,
@@ -226,17 +184,15 @@
     return q->up != NULL;
 }
 
-/* Sends rows to a peer; call: for which it is asked, or NULL. Returns false if
- * nothing was sent. */
-static bool start_request(struct rk_relay *r, const char *addr,
-                          Rillknot__StreamVersions *rows,
-                          struct rk_relay_call *call)
+bool rk_version_request_start(struct rk_relay *r, const char *addr,
+                              Rillknot__StreamVersions *rows,
+                              struct rk_relay_call *call)
 {
     struct rk_relay_versions *v = r->versions;
     if (v->requests_len >= MAX_IN_FLIGHT)
         return false;
-    struct version_request *q = rk_alloc(1, sizeof(*q));
-    *q = (struct version_request){.r = r, .call = call, .next = v->requests};
+    struct rk_version_request *q = rk_alloc(1, sizeof(*q));
+    *q = (struct rk_version_request){.r = r, .call = call, .next = v->requests};
     rk_strcpy(q->addr, sizeof(q->addr), addr);
     if (rows->n_rows == 1)
         rk_strcpy(q->service, sizeof(q->service), rows->rows[0]->service);
@@ -260,27 +216,27 @@
 
 static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
 {
-    struct version_request *q = ctx;
+    struct rk_version_request *q = ctx;
     q->status = head->status;
     return RK_HEAD_ACCEPT;
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
 {
-    struct version_request *q = ctx;
+    struct rk_version_request *q = ctx;
     rk_buf_add(&q->answer, data, len); /* one that is too long can't be read */
 }
 
 static void on_end(void *ctx)
 {
-    struct version_request *q = ctx;
+    struct rk_version_request *q = ctx;
     q->up = NULL;
     finish_request(q);
 }
 
 static void on_fail(void *ctx, const struct rk_upstream_failure *f)
 {
-    struct version_request *q = ctx;
+    struct rk_version_request *q = ctx;
     q->up = NULL;
     q->status = 0;
     /* The peer may have closed the connection while it was idle. */
@@ -295,87 +251,18 @@
 static const struct rk_upstream_ops request_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail};
 
-/* ---- the version of a call's stream ---- */
-
-void rk_call_ask_free(struct rk_relay_call *x)
+void rk_version_requests_cancel(struct rk_relay_call *call)
 {
-    if (!x->ask)
-        return;
-    for (struct version_request *q = x->r->versions->requests, *next; q; q = next) {
+    for (struct rk_version_request *q = call->r->versions->requests, *next; q;
+         q = next) {
         next = q->next;
-        if (q->call == x)
+        if (q->call == call)
             free_request(q);
     }
-    free(x->ask);
-    x->ask = NULL;
-}
-
-static enum rk_service_versions versions_of(const struct rk_relay_call *x,
-                                            const char **only)
-{
-    return rk_stream_versions_of_service(&x->r->versions->table, x->query.service,
-                                         only, rk_mono_ms());
-}
-
-static void reject_unknown(struct rk_relay_call *x)
-{
-    rk_call_ask_free(x);
-    rk_counter_add(RK_C_RESUMES_UNKNOWN, 1);
-    rk_call_give_up(x, HTTP_UNAVAILABLE, RETRY_AFTER_MS,
-                    "the version of the stream is not known");
-}
-
-static void send_at_version(struct rk_relay_call *x, const char *version)
-{
-    rk_call_ask_free(x);
-    rk_strcpy(x->query.version, sizeof(x->query.version), version);
-    rk_call_send(x);
-}
-
-/* Decides by the answers that have come. Where this node knows of one version only,
- * its list of VMs or its routes may be old, so that a peer's word counts more. */
-static void decide(struct rk_relay_call *x)
-{
-    const struct rk_call_ask *ask = x->ask;
-    struct rk_stream_versions *table = &x->r->versions->table;
-    const char *only;
-    char version[RK_VERSION_MAX] = "";
-    if (!ask->saw_several && ask->has_only)
-        rk_stream_versions_note_only(
-            table, x->query.service, ask->only,
-            rk_stream_versions_routing(table, x->query.service), rk_mono_ms());
-    if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
-        (!ask->has_only || !strcmp(only, ask->only)))
-        rk_strcpy(version, sizeof(version), only);
-    if (version[0])
-        send_at_version(x, version);
-    else
-        reject_unknown(x);
-}
-
-/* Handles what a peer answered about a call's stream; row NULL: nothing. */
-static void receive_answer(struct rk_relay_call *x,
-                           const Rillknot__StreamVersion *row)
-{
-    struct rk_call_ask *ask = x->ask;
-    ask->pending--;
-    if (row && row->version[0] && strlen(row->version) < RK_VERSION_MAX) {
-        send_at_version(x, row->version);
-        return;
-    }
-    bool routes_alike =
-        row && row->routing == rk_stream_versions_routing(&x->r->versions->table,
-                                                          x->query.service);
-    if (row && (row->several || (row->routing && !routes_alike)))
-        ask->saw_several = true;
-    if (routes_alike && row->only[0])
-        ask->has_only = rk_strcpy(ask->only, sizeof(ask->only), row->only);
-    if (!ask->pending)
-        decide(x);
 }
 
 /* Ends a request to a peer. */
-static void finish_request(struct version_request *q)
+static void finish_request(struct rk_version_request *q)
 {
     struct rk_relay *r = q->r;
     struct rk_relay_call *call = q->call;
@@ -389,7 +276,7 @@
         rows && rows->n_rows ? rows->rows[0] : NULL;
     free_request(q);
     if (call)
-        receive_answer(call, row);
+        rk_call_receive_version(call, row);
     else if (row && service[0] && row->only[0])
         rk_stream_versions_note_only(&r->versions->table, service, row->only,
                                      row->routing, rk_mono_ms());
@@ -397,46 +284,6 @@
         rillknot__stream_versions__free_unpacked(rows, NULL);
 }
 
-/* Asks the peers that may know the stream's version. Returns false if there are
- * none. */
-static bool ask_peers(struct rk_relay_call *x)
-{
-    struct rk_relay_versions *v = x->r->versions;
-    const struct rk_stream_peer *peers[RK_STREAM_ASKED_MAX];
-    size_t n = rk_stream_peers_to_ask(v->peers, v->peers_len, x->stream, peers);
-    Rillknot__StreamVersion row = RILLKNOT__STREAM_VERSION__INIT;
-    Rillknot__StreamVersion *rows[] = {&row};
-    Rillknot__StreamVersions body = RILLKNOT__STREAM_VERSIONS__INIT;
-    body.rows = rows;
-    body.n_rows = 1;
-    row.stream = x->stream;
-    row.service = (char *)x->query.service;
-    x->ask = rk_alloc(1, sizeof(*x->ask));
-    for (size_t i = 0; i < n; i++)
-        x->ask->pending += start_request(x->r, peers[i]->addr, &body, x);
-    if (x->ask->pending)
-        return true;
-    rk_call_ask_free(x);
-    return false;
-}
-
-void rk_call_resume(struct rk_relay_call *x)
-{
-    const char *only;
-    const struct rk_stream_version *known =
-        x->stream ? rk_stream_versions_find(&x->r->versions->table, x->stream,
-                                            rk_mono_ms())
-                  : NULL;
-    if (known)
-        send_at_version(x, known->version);
-    else if (x->stream && ask_peers(x))
-        return;
-    else if (versions_of(x, &only) == RK_VERSIONS_ONE)
-        rk_call_send(x);
-    else
-        reject_unknown(x);
-}
-
 /* ---- telling peers ---- */
 
 static void fill_row(Rillknot__StreamVersion *row,
@@ -481,7 +328,7 @@
         body.n_rows++;
     }
     body.rows = refs;
-    if (body.n_rows && start_request(r, peer->addr, &body, NULL))
+    if (body.n_rows && rk_version_request_start(r, peer->addr, &body, NULL))
         rk_counter_add(RK_C_STREAM_VERSIONS_TOLD, body.n_rows);
 }
 
@@ -518,7 +365,8 @@
     struct rk_stream_version *e =
         rk_stream_versions_note(table, x->stream, x->query.service, version,
                                 table->lifetime_ms, rk_mono_ms());
-    if (e && versions_of(x, &only) != RK_VERSIONS_ONE)
+    if (e && rk_stream_versions_of_service(table, x->query.service, &only,
+                                           rk_mono_ms()) != RK_VERSIONS_ONE)
         tell(x->r, &e, 1, x->query.service);
 }
 
@@ -579,7 +427,7 @@
     for (size_t i = 0; i < body.n_rows; i++)
         refs[i] = &rows[i];
     if (body.n_rows && !v->writes_record &&
-        !start_request(r, v->record_writer, &body, NULL))
+        !rk_version_request_start(r, v->record_writer, &body, NULL))
         rk_stream_versions_forget_recorded(&v->table);
     v->record_changed = v->record_changed || body.n_rows;
     if (!v->writes_record || !v->record_changed || now_ms < v->next_record_ms)
