streams: the log tells what the version of a resumed stream was derived from

The log named who takes a stream up and at which version, but not whether that version came from a record, from a peer, or was taken for the only one, nor how many of the asked peers had answered and how old the list of VMs was. Without these, a node that decides alone can't be told from a lost record. No change of what is decided.

--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -6,11 +6,15 @@
 #include <string.h>
 
 #include "common/counters.h"
+#include "common/eventlog.h"
+#include "core/revision.h"
 #include "serve/relay_versions_impl.h"
 
 /* What the peers have answered that were asked for a call's stream. */
 struct rk_call_ask {
-    int pending; /* answers that have not come */
+    int asked;
+    int pending;  /* answers that have not come */
+    int answered; /* answers that could be read */
     /* A peer knows of several versions, or routes requests otherwise, but does not
      * know the stream. */
     bool saw_several;
@@ -34,16 +38,32 @@
                                          only, rk_mono_ms());
 }
 
+/* from: who named the version, "": nobody. */
+static void log_version(const struct rk_relay_call *x, const char *from,
+                        const char *version)
+{
+    const struct rk_relay_versions *v = x->r->versions;
+    RK_EVENT("stream.version", RK_S("request", x->id),
+             RK_S("service", x->query.service), RK_S("from", from),
+             RK_S("version", version), RK_N("asked", x->ask ? x->ask->asked : 0),
+             RK_N("answered", x->ask ? x->ask->answered : 0),
+             RK_N("list_age_ms", rk_mono_ms() - v->table.confirmed_ms),
+             RK_N("list_revision", rk_revision_number(x->r->vms_revision)));
+}
+
 static void reject_unknown(struct rk_relay_call *x)
 {
+    log_version(x, "", "");
     rk_call_ask_free(x);
     rk_counter_add(RK_C_RESUMES_UNKNOWN, 1);
     rk_call_give_up(x, HTTP_UNAVAILABLE, RETRY_AFTER_MS,
                     "the version of the stream is not known");
 }
 
-static void send_at_version(struct rk_relay_call *x, const char *version)
+static void send_at_version(struct rk_relay_call *x, const char *from,
+                            const char *version)
 {
+    log_version(x, from, version);
     rk_call_ask_free(x);
     rk_strcpy(x->query.version, sizeof(x->query.version), version);
     rk_call_send(x);
@@ -65,7 +85,7 @@
         (!ask->has_only || !strcmp(only, ask->only)))
         rk_strcpy(version, sizeof(version), only);
     if (version[0])
-        send_at_version(x, version);
+        send_at_version(x, "only", version);
     else
         reject_unknown(x);
 }
@@ -75,8 +95,9 @@
 {
     struct rk_call_ask *ask = x->ask;
     ask->pending--;
+    ask->answered += row != NULL;
     if (row && row->version[0] && strlen(row->version) < RK_VERSION_MAX) {
-        send_at_version(x, row->version);
+        send_at_version(x, "peer", row->version);
         return;
     }
     bool routes_alike =
@@ -107,6 +128,7 @@
     x->ask = rk_alloc(1, sizeof(*x->ask));
     for (size_t i = 0; i < n; i++)
         x->ask->pending += rk_version_request_start(x->r, peers[i]->addr, &body, x);
+    x->ask->asked = (int)n;
     if (x->ask->pending)
         return true;
     rk_call_ask_free(x);
@@ -121,11 +143,13 @@
                                             rk_mono_ms())
                   : NULL;
     if (known)
-        send_at_version(x, known->version);
+        send_at_version(x, "record", known->version);
     else if (x->stream && ask_peers(x))
         return;
-    else if (versions_of(x, &only) == RK_VERSIONS_ONE)
+    else if (versions_of(x, &only) == RK_VERSIONS_ONE) {
+        log_version(x, "only", only);
         rk_call_send(x);
-    else
+    } else {
         reject_unknown(x);
+    }
 }
