--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -215,12 +215,12 @@
 class CutProxy:
     """A TCP proxy on loopback whose connections a test can cut and allow again."""
 
-    def __init__(self, target):
+    def __init__(self, target, host="127.0.0.1", port=0):
         self.target = target
         self.is_cut = False
         self.conns = []
         self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
+        self.sock.bind((host, port))
         self.sock.listen(128)
         self.port = self.sock.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
