streams: a node asks the store before it takes silence of its peers for one version

Callers that took up a stream got events of two software versions in one answer. A node that is cut off or stands still for some tenths of a second while VMs of another version join has an old list of VMs. If the nodes through which streams began at these VMs end, the peers that are asked don't answer, and their silence was counted as "there is no other version"; the list may have been current up to 4 s ago. stream.version showed it for each joined stream: from only, 2 asked, 0 answered, with a list revision from before the new version.

Such a resume now waits, 0.3 s at most, until the store has returned all changes of settings and list, and was asked for them after the resume had come. A node decides alone only if each peer that it asks has answered and no listed node is silent. The store's answer doesn't count if it is behind what peers have reported.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -186,18 +186,22 @@
     s->served_len = kept;
 }
 
+void rk_stream_versions_note_gap(struct rk_stream_versions *s, int64_t now_ms)
+{
+    s->watching_since_ms = now_ms;
+    s->first_start = false;
+    for (size_t i = 0; i < s->served_len; i++)
+        s->served[i].was_only = false;
+}
+
 void rk_stream_versions_confirm_list(struct rk_stream_versions *s, int64_t at_ms)
 {
     if (at_ms <= s->confirmed_ms)
         return;
     bool has_gap = at_ms - s->confirmed_ms > RK_STREAM_LIST_AGE_MAX_MS;
     s->confirmed_ms = at_ms;
-    if (!has_gap)
-        return;
-    s->watching_since_ms = at_ms;
-    s->first_start = false;
-    for (size_t i = 0; i < s->served_len; i++)
-        s->served[i].was_only = false;
+    if (has_gap)
+        rk_stream_versions_note_gap(s, at_ms);
 }
 
 static const struct rk_service_routing *
@@ -304,6 +308,44 @@
     v->only_routing = routing;
 }
 
+void rk_stream_versions_note_served(struct rk_stream_versions *s,
+                                    const char *service, const char *version,
+                                    int64_t now_ms)
+{
+    struct rk_served_version *v = get_served(s, rk_hash_str(0, service), version);
+    if (!v->is_listed)
+        v->last_listed_ms = now_ms;
+}
+
+void rk_stream_versions_note_checked(struct rk_stream_versions *s, int64_t asked_ms)
+{
+    rk_stream_versions_confirm_list(s, asked_ms);
+    if (asked_ms > s->checked_ms)
+        s->checked_ms = asked_ms;
+}
+
+/* ---- streams that are taken up ---- */
+
+enum rk_stream_verdict rk_stream_versions_judge(struct rk_stream_versions *s,
+                                                const char *service,
+                                                const struct rk_stream_inquiry *q,
+                                                const char **only, int64_t now_ms)
+{
+    if (q->saw_several)
+        return RK_STREAM_UNKNOWN;
+    if (q->only[0])
+        rk_stream_versions_note_only(
+            s, service, q->only, rk_stream_versions_routing(s, service), now_ms);
+    if (rk_stream_versions_of_service(s, service, only, now_ms) !=
+            RK_VERSIONS_ONE ||
+        (q->only[0] && strcmp(*only, q->only) != 0))
+        return RK_STREAM_UNKNOWN;
+    return q->is_complete || s->checked_ms >= q->arrived_ms ? RK_STREAM_GOES_ON
+                                                            : RK_STREAM_UNCHECKED;
+}
+
+/* ---- streams that peers have to know ---- */
+
 struct rk_stream_version *
 rk_stream_versions_next_pending(struct rk_stream_versions *s, size_t *at,
                                 int64_t now_ms)
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -80,6 +80,8 @@
     int64_t watching_since_ms; /* the list of VMs was followed since then */
     bool first_start;          /* no stream began before watching_since_ms */
     int64_t confirmed_ms;      /* when the list was last known to be current */
+    /* When the store was last asked for all changes that this table reflects. */
+    int64_t checked_ms;
     struct rk_service_routing *routings;
     size_t routings_len;
     bool routings_known; /* rk_stream_versions_set_routings() was called */
@@ -177,6 +179,50 @@
                                   const char *version, uint64_t routing,
                                   int64_t now_ms);
 
+/* Notes that a version of a service may have begun streams although the list never
+ * showed it: its VMs came and left between two updates. */
+void rk_stream_versions_note_served(struct rk_stream_versions *s,
+                                    const char *service, const char *version,
+                                    int64_t now_ms);
+
+/* Notes that VMs of any service and version may have come and left unnoticed until
+ * now_ms. */
+void rk_stream_versions_note_gap(struct rk_stream_versions *s, int64_t now_ms);
+
+/* Notes that the table has all changes of the list and of the routes that the store
+ * returned when it was asked at asked_ms. */
+void rk_stream_versions_note_checked(struct rk_stream_versions *s,
+                                     int64_t asked_ms);
+
+/* ---- streams that are taken up ---- */
+
+/* What peers know of a stream that is taken up here and whose version neither they
+ * nor this node have a record of. */
+struct rk_stream_inquiry {
+    int64_t arrived_ms; /* of the request that takes it up */
+    /* Each node that may have been told of the stream was asked and has answered,
+     * and none may have begun it without being heard. */
+    bool is_complete;
+    /* A peer knows of several versions, or routes requests otherwise. */
+    bool saw_several;
+    char only[RK_VERSION_MAX]; /* according to a peer that routes alike; "": none */
+};
+
+enum rk_stream_verdict {
+    RK_STREAM_GOES_ON, /* at the only version */
+    RK_STREAM_UNKNOWN, /* several versions may have begun it */
+    /* It goes on at the only version if the store shows no other one. No answer of
+     * a peer is not an answer, and the list that this node has may be older than
+     * the stream: it decides once the store was asked after the request arrived. */
+    RK_STREAM_UNCHECKED,
+};
+
+/* *only gets the version if the stream goes on; it is valid until the next call. */
+enum rk_stream_verdict rk_stream_versions_judge(struct rk_stream_versions *s,
+                                                const char *service,
+                                                const struct rk_stream_inquiry *q,
+                                                const char **only, int64_t now_ms);
+
 /* ---- peers ---- */
 
 /* Chooses the peers to be told of a stream that began in own_domain. Returns their
--- a/node/node.c
+++ b/node/node.c
@@ -182,6 +182,19 @@
     free(m);
 }
 
+static void check_store(void *ctx)
+{
+    struct rk_node *n = ctx;
+    rk_sync_check_store(n->sync);
+}
+
+/* On the relay's thread. A question that is not sent is given up by its asker. */
+static void on_check_wanted(void *ctx)
+{
+    struct rk_node *n = ctx;
+    rk_loop_post(n->loop, check_store, n);
+}
+
 /* ---- planned stop ---- */
 
 static void on_node_removed(void *ctx, enum rk_status st,
@@ -337,6 +350,7 @@
         .buffer_bytes = (size_t)resources->buffer_bytes,
         .bounds = relay_bounds(f),
         .on_report = on_report,
+        .on_check_wanted = on_check_wanted,
         .on_stopped = on_stopped,
         .ctx = n,
     };
--- a/node/state.h
+++ b/node/state.h
@@ -101,6 +101,9 @@
 /* Returns when the store last confirmed, to this node or to a peer, that the list
  * is the newest; 0: it never did. */
 int64_t rk_sync_list_confirmed_ms(const struct rk_sync *s);
+/* Asks the store whether settings and list are current. Once they are, the relay is
+ * told when the store was asked. */
+void rk_sync_check_store(struct rk_sync *s);
 /* Takes over a peer's confirmation: settings up to a version and the list up to a
  * revision were the newest age_ms ago. Negative age_ms: never confirmed. */
 void rk_sync_confirm(struct rk_sync *s, int64_t age_ms, int64_t settings_version,
--- a/node/sync.c
+++ b/node/sync.c
@@ -80,6 +80,7 @@
 {
     int64_t at_ms = rk_mono_ms() - age_ms;
     note_reported_version(s, settings_version);
+    s->newest_list_reported = later(s->newest_list_reported, list_revision);
     if (age_ms < 0)
         return;
     note_store_answer(s, at_ms);
@@ -182,12 +183,14 @@
     rk_store_watch_init(&s->vms);
     s->tick = (struct rk_timer){.fn = on_tick, .ctx = s};
     rk_sync_list_init(s);
+    rk_sync_check_init(s);
     return s;
 }
 
 void rk_sync_destroy(struct rk_sync *s)
 {
     rk_timer_stop(s->n->loop, &s->tick);
+    rk_sync_check_stop(s);
     rk_store_watch_destroy(&s->settings);
     rk_store_watch_destroy(&s->vms);
     rk_sync_list_free(s);
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -33,6 +33,18 @@
     int64_t grace_until_ms; /* it may register again until then; 0: it ended */
 };
 
+/* A question to the store whether settings and list are current. */
+struct rk_sync_check {
+    struct rk_sync *sync;
+    struct rk_timer timer;
+    int64_t asked_ms;        /* when the last one was sent */
+    int64_t wanted_until_ms; /* it is repeated until then if it fails */
+    int64_t
+        settings_since; /* the settings' revision that it refers to; 0: a list */
+    int pending;        /* answers that have not come */
+    bool failed;
+};
+
 struct rk_sync {
     struct rk_node *n;
     struct rk_store_watch settings, vms;
@@ -40,7 +52,9 @@
     /* Latest time at which a peer's settings, or its list, were the newest and this
      * node had the same; 0: never. */
     int64_t settings_confirmed_ms, list_confirmed_ms;
-    int64_t newest_reported; /* newest settings version that a peer reported */
+    struct rk_sync_check check;
+    int64_t newest_reported;      /* newest settings version that a peer reported */
+    int64_t newest_list_reported; /* the same of the list's revision */
     int64_t behind_since_ms; /* since when it is newer than here; 0: it isn't */
     int64_t answered_ms;     /* last answer of the store, here or to a peer */
     int64_t recovered_ms;    /* end of the store's last outage; 0: none */
@@ -86,6 +100,11 @@
 /* Applies settings received from a peer, if they are newer and valid. */
 void rk_sync_receive_settings(struct rk_sync *s, const Rillknot__StoreText *text);
 
+/* ---- sync_check.c ---- */
+
+void rk_sync_check_init(struct rk_sync *s);
+void rk_sync_check_stop(struct rk_sync *s);
+
 /* ---- sync_publish.c ---- */
 
 /* Notes the removal of a VM, for the next update of the relay. */
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -148,6 +148,7 @@
     bool writes_stream_record;
     char stream_writer[RK_ADDR_MAX];
     int nodes_reachable, nodes_total; /* including this node */
+    bool hears_all; /* the nodes are known, and all of them are reachable */
     int64_t list_confirmed_ms; /* when the list of VMs was last current; 0: never */
     int64_t report_lag_ms;     /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
@@ -173,6 +174,10 @@
     struct rk_relay_bounds bounds;
     /* Called on the relay's thread. The callee owns the report. */
     void (*on_report)(void *ctx, struct rk_relay_report *report);
+    /* Called on the relay's thread when it wants to know whether its routes and its
+     * list of VMs are current: the store is to be asked from now on, and
+     * rk_relay_note_checked() called. */
+    void (*on_check_wanted)(void *ctx);
     /* Called on the relay's thread when rk_relay_stop_if_idle() has stopped it. */
     void (*on_stopped)(void *ctx);
     void *ctx;
@@ -209,6 +214,13 @@
 bool rk_relay_update_vms(struct rk_relay *r, struct rk_vm_row *rows, size_t len,
                          char (*removed)[RK_ID_MAX], size_t removed_len,
                          int64_t revision);
+/* Tells the relay that it has all changes of the routes and of the list of VMs that
+ * the store returned when it was asked at asked_ms. Call it after these were
+ * sent. */
+bool rk_relay_note_checked(struct rk_relay *r, int64_t asked_ms);
+/* Tells the relay of a VM that came and left between two updates of the list. Its
+ * service is "" if it is not known. */
+bool rk_relay_note_served(struct rk_relay *r, const struct rk_vm_row *vm);
 /* Updates the peers' state. */
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -153,6 +153,12 @@
 /* Adds streams of records that were read. */
 void rk_relay_versions_restore(struct rk_relay *r,
                                const struct rk_stream_record *rows, size_t len);
+/* Notes that the list of VMs and the routes have all changes that the store
+ * returned when it was asked at asked_ms. */
+void rk_relay_versions_note_checked(struct rk_relay *r, int64_t asked_ms);
+/* Notes a VM that came and left between two updates of the list. Its service is ""
+ * if it is not known. */
+void rk_relay_versions_note_served(struct rk_relay *r, const struct rk_vm_row *vm);
 /* Returns true if a peer's request is about versions of streams. */
 bool rk_relay_versions_is_request(struct rk_client *client);
 /* Answers such a request. */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -34,6 +34,8 @@
     size_t only_versions_len;
     struct rk_stream_record *streams;
     size_t streams_len;
+    struct rk_vm_row vm;
+    int64_t asked_ms;
     bool is_fresh;
     double shares[RK_QUOTA_SLICES];
     int64_t age_ms;
@@ -170,6 +172,30 @@
     return false;
 }
 
+static void apply_checked(void *ctx)
+{
+    struct message *m = ctx;
+    rk_relay_versions_note_checked(m->r, m->asked_ms);
+    free(m);
+}
+
+bool rk_relay_note_checked(struct rk_relay *r, int64_t asked_ms)
+{
+    return post(r, apply_checked, &(struct message){.asked_ms = asked_ms});
+}
+
+static void apply_served(void *ctx)
+{
+    struct message *m = ctx;
+    rk_relay_versions_note_served(m->r, &m->vm);
+    free(m);
+}
+
+bool rk_relay_note_served(struct rk_relay *r, const struct rk_vm_row *vm)
+{
+    return post(r, apply_served, &(struct message){.vm = *vm});
+}
+
 /* Uses the estimates learned by other nodes as the starting point of this
  * node's. */
 static void set_engine_priors(struct rk_relay *r,
--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -10,34 +10,41 @@
 #include "core/revision.h"
 #include "serve/relay_versions_impl.h"
 
-/* What the peers have answered that were asked for a call's stream. */
+/* Longest time from a resume to its decision. */
+#define RESUME_WAIT_MS 300
+
+/* A resume that waits for peers, or for the store. */
 struct rk_call_ask {
+    struct rk_relay_call *x;
+    struct rk_call_ask *next, **prev; /* of those that wait for the store */
+    struct rk_timer timer;
+    struct rk_stream_inquiry inquiry;
     int asked;
     int pending;  /* answers that have not come */
     int answered; /* answers that could be read */
-    /* A peer knows of several versions, or routes requests otherwise, but does not
-     * know the stream. */
-    bool saw_several;
-    bool has_only; /* a peer that routes alike knows that there was only one */
-    char only[RK_VERSION_MAX];
 };
 
+static void stop_waiting(struct rk_call_ask *ask)
+{
+    if (!ask->prev)
+        return;
+    *ask->prev = ask->next;
+    if (ask->next)
+        ask->next->prev = ask->prev;
+    ask->prev = NULL;
+}
+
 void rk_call_ask_free(struct rk_relay_call *x)
 {
     if (!x->ask)
         return;
     rk_version_requests_cancel(x);
+    rk_timer_stop(x->r->loop, &x->ask->timer);
+    stop_waiting(x->ask);
     free(x->ask);
     x->ask = NULL;
 }
 
-static enum rk_service_versions versions_of(const struct rk_relay_call *x,
-                                            const char **only)
-{
-    return rk_stream_versions_of_service(&x->r->versions->table, x->query.service,
-                                         only, rk_mono_ms());
-}
-
 /* from: who named the version, "": nobody. */
 static void log_version(const struct rk_relay_call *x, const char *from,
                         const char *version)
@@ -69,31 +76,63 @@
     rk_call_send(x);
 }
 
-/* Decides by the answers that have come. Where this node knows of one version only,
- * its list of VMs or its routes may be old, so that a peer's word counts more. */
+/* Has the resume wait until the store has been asked. */
+static void check_store(struct rk_relay_call *x)
+{
+    struct rk_relay_versions *v = x->r->versions;
+    struct rk_call_ask *ask = x->ask;
+    if (ask->prev)
+        return;
+    ask->next = v->checks;
+    ask->prev = &v->checks;
+    if (ask->next)
+        ask->next->prev = &ask->next;
+    v->checks = ask;
+    x->r->opt.on_check_wanted(x->r->opt.ctx);
+}
+
+/* Decides by the answers that have come and by what this node knows. */
 static void decide(struct rk_relay_call *x)
 {
-    const struct rk_call_ask *ask = x->ask;
-    struct rk_stream_versions *table = &x->r->versions->table;
+    struct rk_relay_versions *v = x->r->versions;
     const char *only;
-    char version[RK_VERSION_MAX] = "";
-    if (!ask->saw_several && ask->has_only)
-        rk_stream_versions_note_only(
-            table, x->query.service, ask->only,
-            rk_stream_versions_routing(table, x->query.service), rk_mono_ms());
-    if (!ask->saw_several && versions_of(x, &only) == RK_VERSIONS_ONE &&
-        (!ask->has_only || !strcmp(only, ask->only)))
-        rk_strcpy(version, sizeof(version), only);
-    if (version[0])
-        send_at_version(x, "only", version);
+    enum rk_stream_verdict verdict = rk_stream_versions_judge(
+        &v->table, x->query.service, &x->ask->inquiry, &only, rk_mono_ms());
+    if (verdict == RK_STREAM_GOES_ON)
+        send_at_version(x, "only", only);
+    else if (verdict == RK_STREAM_UNCHECKED)
+        check_store(x);
     else
         reject_unknown(x);
 }
 
+static void on_resume_timeout(void *ctx)
+{
+    struct rk_call_ask *ask = ctx;
+    reject_unknown(ask->x);
+}
+
+void rk_relay_versions_note_checked(struct rk_relay *r, int64_t asked_ms)
+{
+    struct rk_relay_versions *v = r->versions;
+    bool wants_more = false;
+    rk_stream_versions_note_checked(&v->table, asked_ms);
+    for (struct rk_call_ask *ask = v->checks, *next; ask; ask = next) {
+        next = ask->next;
+        if (ask->inquiry.arrived_ms > asked_ms)
+            wants_more = true;
+        else if (!ask->pending)
+            decide(ask->x);
+    }
+    if (wants_more)
+        r->opt.on_check_wanted(r->opt.ctx);
+}
+
 void rk_call_receive_version(struct rk_relay_call *x,
                              const Rillknot__StreamVersion *row)
 {
     struct rk_call_ask *ask = x->ask;
+    struct rk_stream_inquiry *q = &ask->inquiry;
     ask->pending--;
     ask->answered += row != NULL;
     if (row && row->version[0] && strlen(row->version) < RK_VERSION_MAX) {
@@ -104,18 +143,22 @@
         row && row->routing == rk_stream_versions_routing(&x->r->versions->table,
                                                           x->query.service);
     if (row && (row->several || (row->routing && !routes_alike)))
-        ask->saw_several = true;
+        q->saw_several = true;
     if (routes_alike && row->only[0])
-        ask->has_only = rk_strcpy(ask->only, sizeof(ask->only), row->only);
+        rk_strcpy(q->only, sizeof(q->only), row->only);
+    if (!row) {
+        q->is_complete = false;
+        check_store(x); /* while others may still answer */
+    }
     if (!ask->pending)
         decide(x);
 }
 
-/* Asks the peers that may know the stream's version. Returns false if there are
- * none. */
-static bool ask_peers(struct rk_relay_call *x)
+/* Asks the peers that may know the stream's version. */
+static void ask_peers(struct rk_relay_call *x)
 {
     struct rk_relay_versions *v = x->r->versions;
+    struct rk_call_ask *ask = x->ask;
     const struct rk_stream_peer *peers[RK_STREAM_ASKED_MAX];
     size_t n = rk_stream_peers_to_ask(v->peers, v->peers_len, x->stream, peers);
     Rillknot__StreamVersion row = RILLKNOT__STREAM_VERSION__INIT;
@@ -125,31 +168,40 @@
     body.n_rows = 1;
     row.stream = x->stream;
     row.service = (char *)x->query.service;
-    x->ask = rk_alloc(1, sizeof(*x->ask));
     for (size_t i = 0; i < n; i++)
-        x->ask->pending += rk_version_request_start(x->r, peers[i]->addr, &body, x);
-    x->ask->asked = (int)n;
-    if (x->ask->pending)
-        return true;
-    rk_call_ask_free(x);
-    return false;
+        ask->pending += rk_version_request_start(x->r, peers[i]->addr, &body, x);
+    ask->asked = (int)n;
+    if (ask->pending < ask->asked)
+        ask->inquiry.is_complete = false;
+}
+
+static void inquire(struct rk_relay_call *x)
+{
+    struct rk_call_ask *ask = rk_alloc(1, sizeof(*ask));
+    x->ask = ask;
+    ask->x = x;
+    ask->inquiry.arrived_ms = rk_mono_ms();
+    ask->inquiry.is_complete = x->r->versions->hears_all;
+    ask->timer = (struct rk_timer){.fn = on_resume_timeout, .ctx = ask};
+    rk_timer_start(x->r->loop, &ask->timer, RESUME_WAIT_MS);
+    if (x->stream)
+        ask_peers(x);
+    else
+        ask->inquiry.is_complete = false; /* no peer can be asked for it */
+    if (!ask->pending)
+        decide(x);
+    else if (!ask->inquiry.is_complete)
+        check_store(x);
 }
 
 void rk_call_resume(struct rk_relay_call *x)
 {
-    const char *only;
     const struct rk_stream_version *known =
         x->stream ? rk_stream_versions_find(&x->r->versions->table, x->stream,
                                             rk_mono_ms())
                   : NULL;
     if (known)
         send_at_version(x, "record", known->version);
-    else if (x->stream && ask_peers(x))
-        return;
-    else if (versions_of(x, &only) == RK_VERSIONS_ONE) {
-        log_version(x, "only", only);
-        rk_call_send(x);
-    } else {
-        reject_unknown(x);
-    }
+    else
+        inquire(x);
 }
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -69,6 +69,7 @@
     struct rk_relay_versions *v = r->versions;
     memcpy(v->peers, p->stream_peers, p->stream_peers_len * sizeof(*v->peers));
     v->peers_len = p->stream_peers_len;
+    v->hears_all = p->hears_all;
     rk_stream_versions_confirm_list(&v->table, p->list_confirmed_ms);
     if (v->writes_record == p->writes_stream_record &&
         !strcmp(v->record_writer, p->stream_writer))
@@ -144,6 +145,16 @@
                                  row->routing, rk_mono_ms());
 }
 
+void rk_relay_versions_note_served(struct rk_relay *r, const struct rk_vm_row *vm)
+{
+    struct rk_stream_versions *table = &r->versions->table;
+    if (vm->service[0])
+        rk_stream_versions_note_served(table, vm->service, vm->version,
+                                       rk_mono_ms());
+    else
+        rk_stream_versions_note_gap(table, rk_mono_ms());
+}
+
 /* ---- requests to peers ---- */
 
 static const struct rk_upstream_ops request_ops;
--- a/serve/relay_versions_impl.h
+++ b/serve/relay_versions_impl.h
@@ -25,6 +25,8 @@
     uint64_t domain_hash; /* this node's failure domain */
     struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
     size_t peers_len;
+    bool hears_all;             /* as in struct rk_relay_peers */
+    struct rk_call_ask *checks; /* resumes that wait for the store */
     /* As in struct rk_relay_peers. */
     bool writes_record;
     char record_writer[RK_ADDR_MAX];
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -214,6 +214,73 @@
     rk_stream_versions_free(&s);
 }
 
+static void check_verdict(struct rk_stream_versions *s,
+                          const struct rk_stream_inquiry *q, int64_t now_ms,
+                          enum rk_stream_verdict verdict)
+{
+    const char *only = "";
+    assert_int_equal(rk_stream_versions_judge(s, "llm", q, &only, now_ms), verdict);
+    if (verdict == RK_STREAM_GOES_ON)
+        assert_string_equal(only, "1");
+}
+
+/* Guards against a stream that goes on at another version because peers did not
+ * answer and the list of VMs is older than the stream. */
+static void silence_of_peers_is_no_proof_of_one_version(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    struct rk_stream_inquiry q = {.arrived_ms = 2000, .is_complete = true};
+    list(&s, 1000, "1");
+    check_verdict(&s, &q, 2000, RK_STREAM_GOES_ON);
+    q.is_complete = false;
+    check_verdict(&s, &q, 2000, RK_STREAM_UNCHECKED);
+    /* What counts is when the store was asked, not when it has answered. */
+    rk_stream_versions_confirm_list(&s, 2005);
+    check_verdict(&s, &q, 2010, RK_STREAM_UNCHECKED);
+    rk_stream_versions_note_checked(&s, 1999);
+    check_verdict(&s, &q, 2010, RK_STREAM_UNCHECKED);
+    rk_stream_versions_note_checked(&s, 2000);
+    check_verdict(&s, &q, 2010, RK_STREAM_GOES_ON);
+    list(&s, 2020, "12");
+    check_verdict(&s, &q, 2020, RK_STREAM_UNKNOWN);
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against a peer's word that counts less than this node's own list. */
+static void a_peer_that_knows_more_is_believed(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    struct rk_stream_inquiry q = {.arrived_ms = 1000, .is_complete = true};
+    list(&s, 1000, "1");
+    q.saw_several = true;
+    check_verdict(&s, &q, 1000, RK_STREAM_UNKNOWN);
+    q.saw_several = false;
+    rk_strcpy(q.only, sizeof(q.only), "1");
+    check_verdict(&s, &q, 1000, RK_STREAM_GOES_ON);
+    rk_strcpy(q.only, sizeof(q.only), "2");
+    check_verdict(&s, &q, 1000, RK_STREAM_UNKNOWN);
+    rk_stream_versions_free(&s);
+}
+
+/* Guards against versions that served unnoticed between two updates of the list. */
+static void versions_between_two_updates_are_noted(void **state)
+{
+    (void)state;
+    struct rk_stream_versions s = create(true);
+    list(&s, 1000, "1");
+    rk_stream_versions_note_served(&s, "llm", "1", 1500);
+    check_state(&s, 1500, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_note_served(&s, "llm", "2", 2000);
+    check_state(&s, 1999 + LIFETIME_MS, RK_VERSIONS_SEVERAL, "");
+    check_state(&s, 2000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_note_gap(&s, 30000);
+    check_state(&s, 30000, RK_VERSIONS_UNSURE, "");
+    check_state(&s, 30000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
+    rk_stream_versions_free(&s);
+}
+
 /* Guards against streams that are forgotten, kept for ever, or confused. */
 static void streams_are_kept_until_they_expire(void **state)
 {
@@ -464,6 +531,9 @@
         cmocka_unit_test(a_change_of_routing_leaves_versions_unsure),
         cmocka_unit_test(a_change_of_routing_is_that_of_a_service),
         cmocka_unit_test(an_only_version_holds_with_the_routing_it_was_seen_with),
+        cmocka_unit_test(silence_of_peers_is_no_proof_of_one_version),
+        cmocka_unit_test(a_peer_that_knows_more_is_believed),
+        cmocka_unit_test(versions_between_two_updates_are_noted),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
         cmocka_unit_test(those_that_were_told_are_asked),
