streams: versions that came and left between two updates of the list are noted

A caller that took up a stream got events of two versions although the node had read the newest list: VMs of the other version had come, begun the stream and left the list while the node was out of step. The list's changes showed it, but all of them are applied before the relay is told, and a whole list, read when the store had lost its history, doesn't show it at all.

The relay is now told of a VM that is removed, or changes its version, before the relay knew it; without its version, and after a whole list that replaces lost changes, the node is unsure of all services, as after a start.

--- a/node/sync_check.c
+++ b/node/sync_check.c
@@ -33,7 +33,7 @@
     RK_EVENT("store.checked", RK_N("current", !c->failed),
              RK_N("took_ms", rk_mono_ms() - c->asked_ms),
              RK_N("revision", rk_revision_number(rk_sync_list_revision(s))));
-    if (c->failed || !s->published ||
+    if (c->failed || !s->published || !rk_sync_repeat_unpublished(s) ||
         !rk_relay_note_checked(s->n->relay, c->asked_ms))
         schedule_check(c);
     else
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -154,6 +154,8 @@
         return false;
     }
     bool changed = !same_row(&e->row, &row);
+    if (e->needs_publish && strcmp(e->row.version, row.version) != 0)
+        rk_sync_note_unpublished(s, &e->row);
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
     e->revision = revision;
@@ -242,6 +244,33 @@
     return true;
 }
 
+/* Returns whether a removal of the VM is recorded. */
+static bool is_removed(const struct rk_sync *s, const char *name)
+{
+    size_t kept = s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+    for (size_t i = 0; i < kept; i++)
+        if (!strcmp(s->removed[i].name, name))
+            return true;
+    return false;
+}
+
+/* Notes a VM that is removed and that the relay has not been told of. spec: its
+ * last contents; NULL: not known. */
+static void note_unseen(struct rk_sync *s, const char *name,
+                        struct json_object *spec)
+{
+    const struct entry *e = find_entry(s, name);
+    struct rk_vm_row row;
+    if (e && e->needs_publish)
+        rk_sync_note_unpublished(s, &e->row);
+    else if (e || is_removed(s, name))
+        return;
+    else if (spec && s->n->platform->parse_vm(name, spec, &row) == RK_OK)
+        rk_sync_note_unpublished(s, &row);
+    else
+        rk_sync_note_unpublished(s, NULL);
+}
+
 /* Handles a removal that the store reports. It may have the revision of the VM's
  * last change, when the removal has none of its own. */
 static bool handle_store_removal(struct rk_sync *s, const struct rk_store_object *o,
@@ -251,6 +280,7 @@
     struct removed_vm r = {.revision = o->revision,
                            .store_revision = store_revision,
                            .grace_until_ms = grace_until_ms(s)};
+    note_unseen(s, o->name, o->spec);
     if (e && e->revision > r.revision)
         r.revision = e->revision;
     rk_strcpy(r.name, sizeof(r.name), o->name);
@@ -375,6 +405,8 @@
     if (all) {
         changed |= remove_missing(s, objects, len, store_revision, "store");
         note_gap(s, before, store_revision);
+        if (before && before < store_revision)
+            rk_sync_note_unpublished(s, NULL);
     }
     for (size_t i = 0; i < len; i++) {
         if (!objects[i].name[0])
@@ -500,6 +532,7 @@
 {
     struct removed_vm r = {.revision = row->revision,
                            .store_revision = store_revision};
+    note_unseen(s, row->name, NULL);
     if (row->lapse_left_ms > 0)
         r.grace_until_ms = rk_mono_ms() + row->lapse_left_ms;
     rk_strcpy(r.name, sizeof(r.name), row->name);
@@ -586,6 +619,8 @@
         changed |=
             remove_missing(s, objects, text->n_list, text->list_revision, "peer");
         note_gap(s, known, text->list_revision);
+        if (known)
+            rk_sync_note_unpublished(s, NULL);
     }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= handle_peer_removal(s, text->gone[i], text->list_revision);
--- a/tests/proc_hosted_version_lag.py
+++ b/tests/proc_hosted_version_lag.py
@@ -147,6 +147,40 @@
     check_lag(Frozen, killed=(0,))
 
 
+def check_version_left(lag, forget_history=False):
+    """Checks that streams aren't joined whose version came and left while a node lagged."""
+    with start() as f:
+        lagging = lag(f)
+        lagging.begin()
+        begun = begin_at_v2(f)
+        f.drop("v2")
+        if forget_history:
+            f.d.store.forget_history()
+        for n in (0, 1):
+            f.d.nodes[n].kill()
+        lagging.end()
+        take_up_at_once(f, begun)
+        time.sleep(0.5)  # the list is current by now
+        take_up_at_once(f, begun)
+
+
+def test_a_version_that_came_and_left_unseen_is_not_forgotten():
+    """Guards against streams that go on at another version because theirs came and left between
+    two updates of a node's list."""
+    check_version_left(CutOff)
+
+
+def test_a_version_that_came_and_left_in_lost_history_is_not_forgotten():
+    """Guards against the same where the store has lost the changes, so that the node sees
+    only a whole list."""
+    check_version_left(CutOff, forget_history=True)
+
+
+def test_a_version_that_came_and_left_while_a_node_stood_still_is_not_forgotten():
+    """Guards against the same at a node that stood still."""
+    check_version_left(Frozen)
+
+
 def check_goes_on(lag):
     """Checks that streams of the only version go on at the node that was out of step."""
     with start() as f:
