stop: calls that are expected to outlast a planned stop are refused from its beginning

Callers of a node that stops as planned, in calm, got no answer: their connections were closed at the end of the grace period, amid calls that the VM was running, among them calls that must not run twice. For 2.7 s after SIGTERM each call was accepted whatever its length, as the balancer may not know of the stop yet; with a grace period of 4 s, of which the stop uses 3.3 s, a call of 1.5 s that came after 1.8 s could not end in time.

What is accepted in that time now follows from what is left of the stop: a call whose deadline ends later has to be one of a kind that usually takes less. Refusals are 503 at once, not run.

--- a/core/routes.h
+++ b/core/routes.h
@@ -23,6 +23,7 @@
     RK_CALL_REPEATABLE, /* more than once */
     RK_CALL_ONCE,       /* at most once per request id */
     RK_CALL_STREAM,     /* a stream of events: once, unless it is resumable */
+    RK_CALL_KINDS
 };
 
 /* A service that gets a share of a route's calls. */
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -263,8 +263,9 @@
                           size_t len);
 
 /* Any thread: begins a planned stop that ends in ends_in_ms. Each connection is
- * closed after its next answer. Calls that might outlast the stop are refused,
- * except in the first 2.7 s, in which the balancer learns of the stop. */
+ * closed after its next answer. Calls that might outlast the stop are refused. In
+ * the first 2.7 s, in which the balancer learns of the stop, a call is expected to
+ * take no longer than others of its kind did; after that, as long as it may. */
 void rk_relay_begin_stop(struct rk_relay *r, int64_t ends_in_ms);
 /* Any thread: closes idle client connections. */
 void rk_relay_close_idle_clients(struct rk_relay *r);
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -178,28 +178,24 @@
                     "vms ended under this request");
 }
 
-void rk_call_finish(struct rk_relay_call *x)
+/* ---- services ---- */
+
+static struct rk_relay_service *find_service(const struct rk_relay *r,
+                                             const char *name)
 {
-    struct rk_client *client = x->client;
-    bool served = x->status < HTTP_BAD_REQUEST;
-    if (served)
-        rk_counter_add(RK_C_ANSWERS_OK, 1);
-    rk_call_log_end(x, x->status, "");
-    rk_call_record_latency(x, served ? "served" : "failed");
-    free_call(x);
-    if (client)
-        rk_client_end(client);
+    for (size_t i = 0; i < r->services_len; i++)
+        if (!strcmp(r->services[i].name, name))
+            return &r->services[i];
+    return NULL;
 }
 
-/* ---- retries ---- */
-
 /* The result is valid until the next service is added. */
 static struct rk_relay_service *find_or_add_service(struct rk_relay *r,
                                                     const char *name)
 {
-    for (size_t i = 0; i < r->services_len; i++)
-        if (!strcmp(r->services[i].name, name))
-            return &r->services[i];
+    struct rk_relay_service *found = find_service(r, name);
+    if (found)
+        return found;
     if (r->services_len == r->services_cap) {
         r->services_cap = r->services_cap ? r->services_cap * 2 : 8;
         r->services =
@@ -211,6 +207,25 @@
     return s;
 }
 
+int64_t rk_relay_expected_ms(const struct rk_relay *r, const struct rk_route *route)
+{
+    int64_t longest_ms = -1;
+    for (size_t i = 0; i < route->shares_len; i++) {
+        const struct rk_relay_service *s =
+            find_service(r, route->shares[i].service);
+        int64_t ms = s ? rk_duration_expected_ms(&s->durations[route->kind]) : -1;
+        if (ms > longest_ms)
+            longest_ms = ms;
+    }
+    return longest_ms;
+}
+
+static void record_duration(struct rk_relay_call *x)
+{
+    struct rk_relay_service *s = find_or_add_service(x->r, x->query.service);
+    rk_duration_add(&s->durations[x->route->kind], rk_mono_ms() - x->started_ms);
+}
+
 void rk_relay_remove_services(struct rk_relay *r)
 {
     int64_t now_ms = rk_mono_ms();
@@ -227,6 +242,25 @@
     r->services_len = kept;
 }
 
+/* ---- the end of a call ---- */
+
+void rk_call_finish(struct rk_relay_call *x)
+{
+    struct rk_client *client = x->client;
+    bool served = x->status < HTTP_BAD_REQUEST;
+    if (served)
+        rk_counter_add(RK_C_ANSWERS_OK, 1);
+    rk_call_log_end(x, x->status, "");
+    rk_call_record_latency(x, served ? "served" : "failed");
+    if (served)
+        record_duration(x);
+    free_call(x);
+    if (client)
+        rk_client_end(client);
+}
+
+/* ---- retries ---- */
+
 static struct rk_retry_budget *retry_budget(struct rk_relay_call *x)
 {
     return &find_or_add_service(x->r, x->query.service)->budget;
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -4,6 +4,7 @@
 #define RK_SERVE_RELAY_CALL_H
 
 #include "common/loop.h"
+#include "core/duration.h"
 #include "core/retry_budget.h"
 #include "core/event_splitter.h"
 #include "core/quarantine.h"
@@ -29,6 +30,7 @@
      * the settings. */
     int64_t left_ms;
     struct rk_retry_budget budget;
+    struct rk_duration durations[RK_CALL_KINDS]; /* of calls that were served */
     /* uncached prompt tokens requested of engines since the entry was added,
      * refused calls included; see struct rk_service_load */
     double uncached_prompt_tokens;
@@ -97,6 +99,11 @@
  * taken what was there. */
 void rk_relay_call_resume_reading(struct rk_relay_call *call);
 
+/* Returns how long few calls of the route exceed, going by those that were served;
+ * -1: none was. */
+int64_t rk_relay_expected_ms(const struct rk_relay *r,
+                             const struct rk_route *route);
+
 /* Removes what is known of services that left the settings a while ago. To be
  * called after each change of the settings. */
 void rk_relay_remove_services(struct rk_relay *r);
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -20,9 +20,10 @@
 #define SHORT_BODY_MAX        (64 * 1024)
 #define MEMORY_RETRY_AFTER_MS 1000
 
-/* For this long after a stop began, calls of any length are accepted: the balancer
- * may still send calls because it does not know of the stop yet. */
-#define STOP_ACCEPT_ALL_MS 2700
+/* For this long after a stop began, the balancer may still send calls because it
+ * does not know of the stop yet: those are accepted that usually end before the
+ * stop does, whatever their deadline. */
+#define STOP_NOTICED_MS 2700
 
 /* Refuses a request for which no call was created. */
 static void refuse(struct rk_relay *r, struct rk_client *client, int status,
@@ -199,12 +200,16 @@
 }
 
 /* Returns true if the call might outlast the planned stop of this process. */
-static bool outlasts_stop(struct rk_relay *r, int64_t left_ms)
+static bool outlasts_stop(struct rk_relay *r, const struct rk_route *route,
+                          int64_t left_ms)
 {
     int64_t began_ms = atomic_load(&r->stop_began_ms), now_ms = rk_mono_ms();
-    if (!began_ms || now_ms - began_ms < STOP_ACCEPT_ALL_MS)
+    int64_t stop_left_ms = atomic_load(&r->stop_ends_ms) - now_ms;
+    if (!began_ms || left_ms <= stop_left_ms)
         return false;
-    return now_ms + left_ms > atomic_load(&r->stop_ends_ms);
+    int64_t expected_ms = rk_relay_expected_ms(r, route);
+    return now_ms - began_ms >= STOP_NOTICED_MS || expected_ms < 0 ||
+           expected_ms > stop_left_ms;
 }
 
 /* Counts a call of an organisation that has a quota. */
@@ -287,7 +292,7 @@
         return false;
     call->left_ms = time_left(r, call->route, head);
     *why = RK_FORWARD_STOPS;
-    return !outlasts_stop(r, call->left_ms);
+    return !outlasts_stop(r, call->route, call->left_ms);
 }
 
 /* Returns whether there are connections to spare for a peer's call. Beyond their
@@ -385,7 +390,7 @@
         refuse(r, client, HTTP_REQUEST_TIMEOUT, 0, "the deadline has passed");
         return false;
     }
-    if (outlasts_stop(r, call->left_ms)) {
+    if (outlasts_stop(r, call->route, call->left_ms)) {
         refuse(r, client, HTTP_UNAVAILABLE, 1, "this node stops");
         return false;
     }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -12,6 +12,7 @@
 #include "core/retry_budget.h"
 #include "core/completion.h"
 #include "core/config.h"
+#include "core/duration.h"
 #include "core/lease.h"
 #include "core/plan.h"
 #include "core/prefix_index.h"
@@ -641,6 +642,25 @@
     rk_buf_free(&b);
 }
 
+/* Guards against calls that are cut at the end of a stop because their expected
+ * duration is that of the average call, or one of long ago. */
+static void few_calls_exceed_the_expected_duration(void **state)
+{
+    (void)state;
+    struct rk_duration d = {0};
+    assert_int_equal(rk_duration_expected_ms(&d), -1);
+    rk_duration_add(&d, 1500);
+    assert_int_equal(rk_duration_expected_ms(&d), 1500);
+    for (int i = 0; i < 1000; i++)
+        rk_duration_add(&d, 100 + i * 7919 % 1901);
+    int64_t ms = rk_duration_expected_ms(&d);
+    assert_true(ms >= 1900 && ms < 4000);
+    for (int i = 0; i < 50; i++)
+        rk_duration_add(&d, 20);
+    ms = rk_duration_expected_ms(&d);
+    assert_true(ms >= 20 && ms < 40);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -663,6 +683,7 @@
         cmocka_unit_test(the_budget_bounds_retries),
         cmocka_unit_test(a_restart_of_all_nodes_renews_no_retries),
         cmocka_unit_test(a_candidate_reads_the_lease_after_a_lost_race),
+        cmocka_unit_test(few_calls_exceed_the_expected_duration),
         cmocka_unit_test(process_files_are_checked),
         cmocka_unit_test(bad_figures_are_replaced),
         cmocka_unit_test(bad_peers_and_many_problems_are_listed),
