stop: a call that outlasts a planned stop gets an answer

Calls that were in hand when a planned stop ended, because they took longer than calls of their kind had before, got no answer at all: the connection was closed. A caller could not tell such a call from one that never ran.

0.15 s before the end of the stop, the relay answers all callers that wait: 502 for a call that may have run, 503 for one that was sent to no VM, and a forwarded call that was sent to none is refused so that the peer sends it elsewhere. An answer that has begun is broken off, as before.

--- a/node/node.c
+++ b/node/node.c
@@ -35,6 +35,9 @@
 #define IDLE_CLOSE_MS 400
 /* A stop ends this long before the platform kills the process after stop_s. */
 #define STOP_MARGIN_MS 700
+/* Callers that still wait are answered this long before the end of a stop, so that
+ * the answers are sent. */
+#define ANSWER_MARGIN_MS 150
 /* A stop that goes on this long before that time hangs. */
 #define HANG_MARGIN_MS 400
 /* Time from the end of the control loop to the end of the process. */
@@ -241,9 +244,12 @@
         finish_stop(n);
         return;
     }
-    if (elapsed_ms >= BALANCER_DRAIN_MS)
+    bool ends_now = elapsed_ms >= stop_limit_ms(n) - ANSWER_MARGIN_MS;
+    if (ends_now)
+        rk_relay_end_calls(n->relay);
+    if (ends_now || elapsed_ms >= BALANCER_DRAIN_MS)
         rk_relay_close_idle_clients(n->relay);
-    if (elapsed_ms >= BALANCER_DRAIN_MS + IDLE_CLOSE_MS)
+    if (ends_now || elapsed_ms >= BALANCER_DRAIN_MS + IDLE_CLOSE_MS)
         rk_relay_stop_if_idle(n->relay);
     rk_timer_start(n->loop, &n->stop, STOP_CHECK_MS);
 }
@@ -256,7 +262,7 @@
     n->leaving = true;
     n->leaving_since_ms = rk_mono_ms();
     RK_EVENT("node.leaving", RK_N("notice_ms", rk_s_to_ms(n->file.stop_s)));
-    rk_relay_begin_stop(n->relay, stop_limit_ms(n));
+    rk_relay_begin_stop(n->relay, stop_limit_ms(n) - ANSWER_MARGIN_MS);
     rk_mesh_schedule_report(n->mesh);
     n->store->ops->remove(n->store, "rillknot-nodes", n->file.id, on_node_removed,
                           n);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -267,6 +267,8 @@
  * the first 2.7 s, in which the balancer learns of the stop, a call is expected to
  * take no longer than others of its kind did; after that, as long as it may. */
 void rk_relay_begin_stop(struct rk_relay *r, int64_t ends_in_ms);
+/* Any thread: answers all callers that still wait in a planned stop. */
+void rk_relay_end_calls(struct rk_relay *r);
 /* Any thread: closes idle client connections. */
 void rk_relay_close_idle_clients(struct rk_relay *r);
 /* Any thread: stops the relay if no call is in flight and no connection has a
--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -642,12 +642,18 @@
 
 /* ---- timers ---- */
 
-void rk_call_on_deadline(void *ctx)
+/* Notes that a VM may have got the request of the attempt in progress. */
+static void note_may_have_run(struct rk_relay_call *x)
 {
-    struct rk_relay_call *x = ctx;
     if (x->up && rk_upstream_may_have_sent(x->up) &&
         x->answer_class != ANSWER_NOT_RUN)
         x->may_have_run = true;
+}
+
+void rk_call_on_deadline(void *ctx)
+{
+    struct rk_relay_call *x = ctx;
+    note_may_have_run(x);
     rk_call_cancel_attempt(x, x->begun ? RK_PLACE_CANCELLED : RK_PLACE_LOST);
     rk_counter_add(RK_C_EXPIRED, 1);
     rk_call_give_up(x, HTTP_GATEWAY_TIMEOUT, 0, "its time is over");
@@ -705,6 +711,30 @@
     free_call(x);
 }
 
+static void end_for_stop(struct rk_relay_call *x)
+{
+    struct rk_client *client = x->client;
+    if (!client)
+        return;
+    note_may_have_run(x);
+    rk_call_cancel_attempt(x, RK_PLACE_CANCELLED);
+    if (!x->is_forwarded || x->may_have_run || x->begun) {
+        rk_call_give_up(x, x->may_have_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
+                        x->may_have_run ? 0 : RETRY_AFTER_MS, "this node stops");
+        return;
+    }
+    free_call(x);
+    rk_call_refuse_forwarded(client, RK_FORWARD_STOPS, 0);
+}
+
+void rk_relay_calls_end_for_stop(struct rk_relay *r)
+{
+    for (struct rk_relay_call *x = r->calls, *next; x; x = next) {
+        next = x->next;
+        end_for_stop(x);
+    }
+}
+
 void rk_relay_call_abort(struct rk_relay_call *x)
 {
     struct rk_client *client = x->client;
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -108,6 +108,10 @@
  * called after each change of the settings. */
 void rk_relay_remove_services(struct rk_relay *r);
 
+/* Answers all callers that wait, because a planned stop ends before their calls
+ * have. Answers that have begun are broken off. */
+void rk_relay_calls_end_for_stop(struct rk_relay *r);
+
 /* Ends the call and its connections because the relay shuts down. */
 void rk_relay_call_abort(struct rk_relay_call *call);
 
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -426,6 +426,16 @@
     rk_loop_post(r->loop, apply_close, r);
 }
 
+static void apply_end_calls(void *ctx)
+{
+    rk_relay_calls_end_for_stop(ctx);
+}
+
+void rk_relay_end_calls(struct rk_relay *r)
+{
+    rk_loop_post(r->loop, apply_end_calls, r);
+}
+
 static void apply_close_idle(void *ctx)
 {
     struct rk_relay *r = ctx;
--- a/tests/proc_hosted_late_calls.py
+++ b/tests/proc_hosted_late_calls.py
@@ -86,6 +86,19 @@
     assert statuses.get(502, 0) == 0 and statuses[200] > 0, statuses
 
 
+def test_calls_that_take_longer_than_a_grace_period_get_an_answer():
+    """Guards against calls that are cut without an answer as they take longer than expected."""
+    statuses, made = check_late_calls(4, work_s=0.02)
+    assert statuses[200] > 40, statuses
+    with start(4, work_s=0.02) as d:
+        assert all(d.call("/r/x", deadline=DEADLINE_MS).status == 200 for _ in range(8))
+        d.workers[0].work_s = 5.0
+        d.nodes[0].signal(signal.SIGTERM)
+        made = call_until(d, time.monotonic() + 4)
+        statuses = check_answers(d, made)
+        assert statuses[502] > 0, statuses
+
+
 def test_calls_of_unknown_duration_are_not_cut_in_a_short_grace_period():
     """Guards against calls that are cut at a node that has made no calls before its stop."""
     statuses, made = check_late_calls(4, work_s=1.5, warm_calls=0)
