tests: streams taken up in simulated fleets whose nodes are out of step

The tests of real processes show single orders of events. Fleets of 2 to 9 nodes in 1 to 3 domains are simulated over core/stream_versions.h: versions join and leave, lists arrive up to 0.3 s late, nodes are frozen, cut off or killed, several at once right after one is back.

--- a/tests/run.py
+++ b/tests/run.py
@@ -75,6 +75,7 @@
     "proc_hosted_version_sequences": "hosted  kills beside changes of versions, by seed",
     "proc_hosted_rollouts": "hosted  rollouts: good versions committed, bad rolled back",
     "prop_rollout": "hosted  rollouts under random reports and timing",
+    "prop_resumes": "hosted  streams of two versions at nodes that are out of step",
     "prop_restores": "hosted  one count for a window over restores of the store",
     "prop_quota_classes": "hosted  shares of priority classes for any demand",
     "proc_hosted_fleet": "hosted  settings, VMs, quotas, leader duties, stops of several nodes",
