streams: a silent node may still begin streams at a version that left

A node was cut off from the store and its peers; a version was replaced, or a route moved, and others followed that for longer than a stream lives, so that they were sure of one version. The cut-off node went on by its old list.

A node now keeps which nodes fell silent without a planned stop, also after they were removed from its members. A version that left, or a route that changed, since 4 s before the first of them fell silent counts as in use, or as just changed, until the node has been heard again for 2 s, or for an hour.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -317,6 +317,24 @@
         v->last_listed_ms = now_ms;
 }
 
+void rk_stream_versions_note_silent(struct rk_stream_versions *s,
+                                    int64_t silent_since_ms, int64_t now_ms)
+{
+    /* It may not have heard of changes that came shortly before. */
+    int64_t known_ms = silent_since_ms - RK_STREAM_LIST_AGE_MAX_MS;
+    for (size_t i = 0; i < s->served_len; i++) {
+        struct rk_served_version *v = &s->served[i];
+        if (!v->is_listed && v->last_listed_ms >= known_ms &&
+            is_in_use(s, v, now_ms))
+            v->last_listed_ms = now_ms;
+    }
+    for (size_t i = 0; i < s->routings_len; i++) {
+        struct rk_service_routing *routing = &s->routings[i];
+        if (routing->changed_ms && routing->changed_ms >= known_ms)
+            routing->changed_ms = now_ms;
+    }
+}
+
 void rk_stream_versions_note_checked(struct rk_stream_versions *s, int64_t asked_ms)
 {
     rk_stream_versions_confirm_list(s, asked_ms);
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -189,6 +189,12 @@
  * now_ms. */
 void rk_stream_versions_note_gap(struct rk_stream_versions *s, int64_t now_ms);
 
+/* Notes that a node has been silent since silent_since_ms and may still begin
+ * streams by the list and the routes that it had then. To be called again while it
+ * is. */
+void rk_stream_versions_note_silent(struct rk_stream_versions *s,
+                                    int64_t silent_since_ms, int64_t now_ms);
+
 /* Notes that the table has all changes of the list and of the routes that the store
  * returned when it was asked at asked_ms. */
 void rk_stream_versions_note_checked(struct rk_stream_versions *s,
--- a/node/members.c
+++ b/node/members.c
@@ -303,6 +303,7 @@
     for (struct member **at = &m->members; *at;) {
         struct member *k = *at;
         update_reachable(k, now_ms);
+        rk_mesh_note_silence(m, k, last_alive_ms(k), now_ms);
         if (now_ms - last_alive_ms(k) < REMOVE_MS) {
             at = &k->next;
             continue;
@@ -313,6 +314,7 @@
         free_member(k);
         removed++;
     }
+    rk_mesh_expire_silent(m, now_ms);
     /* The number of members sets this node's part of each quota. */
     if (removed)
         RK_EVENT("mesh.shrunk", RK_N("removed", removed),
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -555,6 +555,7 @@
     p->nodes_reachable = rk_mesh_reachable_count(m);
     p->nodes_total = rk_mesh_total(m);
     p->hears_all = m->has_node_list && p->nodes_reachable >= p->nodes_total;
+    p->silent_since_ms = rk_mesh_silent_since_ms(m);
     p->list_confirmed_ms = rk_sync_list_confirmed_ms(m->n->sync);
     p->report_lag_ms = m->direct ? REPORT_MS : BRIDGED_LAG_MS;
     p->since_report_ms = since_reported_ms(m, now_ms);
@@ -667,5 +668,6 @@
     for (size_t i = 0; i < RK_ARRAY_LEN(all); i++)
         rk_totals_free(all[i]);
     free(m->peer_uses);
+    free(m->silent);
     free(m);
 }
--- a/node/mesh_impl.h
+++ b/node/mesh_impl.h
@@ -127,6 +127,14 @@
     struct digest digest;
 };
 
+/* A node that ended, or was cut off, without a planned stop. It is kept after its
+ * member was removed, as it may serve on. */
+struct silent_node {
+    uint64_t hash; /* of its id */
+    int64_t since_ms;
+    int64_t heard_ms; /* when it was heard again; 0: it wasn't */
+};
+
 /* A link that a peer opened to this node. */
 struct inbound_link {
     struct rk_mesh *m;
@@ -169,6 +177,8 @@
      * these are few at most nodes, so per-message work goes over this list only. */
     struct member *contacts;
     struct lh_table *by_id; /* members whose ids are known */
+    struct silent_node *silent;
+    size_t silent_len, silent_cap;
     struct inbound_link *inbound;
     struct rk_timer tick, report_timer, relay_timer, registration_timer,
         transfer_timer;
@@ -503,4 +513,15 @@
 void rk_registration_init(struct rk_mesh *m);
 void rk_registration_start(struct rk_mesh *m);
 
+/* ---- silent_nodes.c ---- */
+
+/* Notes whether a member is alive; last_alive_ms: when it was last known to be. */
+void rk_mesh_note_silence(struct rk_mesh *m, const struct member *k,
+                          int64_t last_alive_ms, int64_t now_ms);
+/* Forgets the silent nodes that are back, or have been silent for very long. */
+void rk_mesh_expire_silent(struct rk_mesh *m, int64_t now_ms);
+/* Returns since when a node that may still serve has been silent: the first one of
+ * those; 0: none is. */
+int64_t rk_mesh_silent_since_ms(const struct rk_mesh *m);
+
 #endif
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -149,6 +149,9 @@
     char stream_writer[RK_ADDR_MAX];
     int nodes_reachable, nodes_total; /* including this node */
     bool hears_all; /* the nodes are known, and all of them are reachable */
+    /* Since when a node that may still serve has been silent: the first one of
+     * those; 0: none is. */
+    int64_t silent_since_ms;
     int64_t list_confirmed_ms; /* when the list of VMs was last current; 0: never */
     int64_t report_lag_ms;     /* typical age of peers' reports on arrival */
     int64_t since_report_ms; /* time since any peer reported usage; -1: none did */
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -71,6 +71,8 @@
     v->peers_len = p->stream_peers_len;
     v->hears_all = p->hears_all;
     rk_stream_versions_confirm_list(&v->table, p->list_confirmed_ms);
+    if (p->silent_since_ms)
+        rk_stream_versions_note_silent(&v->table, p->silent_since_ms, rk_mono_ms());
     if (v->writes_record == p->writes_stream_record &&
         !strcmp(v->record_writer, p->stream_writer))
         return;
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -281,6 +281,32 @@
     rk_stream_versions_free(&s);
 }
 
+/* Guards against a version that is taken for the only one while a silent node may
+ * still begin streams by the list, or the routes, from before a change. */
+static void a_silent_node_may_serve_by_an_old_list(void **state)
+{
+    (void)state;
+    const int64_t long_ms = 100000, back_ms = 3000 + long_ms;
+    struct rk_stream_versions s = create(true);
+    list(&s, 1000, "12");
+    set_routing(&s, 7, 1000);
+    list(&s, 3000, "2");
+    for (int64_t t = 3000; t <= back_ms; t += 250)
+        rk_stream_versions_note_silent(&s, 2000, t);
+    check_state(&s, back_ms, RK_VERSIONS_SEVERAL, "");
+    check_state(&s, back_ms + LIFETIME_MS, RK_VERSIONS_ONE, "2");
+    /* It has heard of what came long before. */
+    int64_t now_ms = back_ms + LIFETIME_MS;
+    rk_stream_versions_note_silent(&s, now_ms, now_ms);
+    check_state(&s, now_ms, RK_VERSIONS_ONE, "2");
+    set_routing(&s, 8, now_ms + 1000);
+    for (int64_t t = now_ms + 1000; t <= now_ms + long_ms; t += 250)
+        rk_stream_versions_note_silent(&s, now_ms, t);
+    check_state(&s, now_ms + long_ms, RK_VERSIONS_UNSURE, "");
+    check_state(&s, now_ms + long_ms + LIFETIME_MS, RK_VERSIONS_ONE, "2");
+    rk_stream_versions_free(&s);
+}
+
 /* Guards against streams that are forgotten, kept for ever, or confused. */
 static void streams_are_kept_until_they_expire(void **state)
 {
@@ -534,6 +560,7 @@
         cmocka_unit_test(silence_of_peers_is_no_proof_of_one_version),
         cmocka_unit_test(a_peer_that_knows_more_is_believed),
         cmocka_unit_test(versions_between_two_updates_are_noted),
+        cmocka_unit_test(a_silent_node_may_serve_by_an_old_list),
         cmocka_unit_test(streams_are_kept_until_they_expire),
         cmocka_unit_test(streams_are_pending_once_another_version_comes),
         cmocka_unit_test(those_that_were_told_are_asked),
