--- a/serve/relay_call.c
+++ b/serve/relay_call.c
@@ -32,10 +32,7 @@
 #define MAX_UNSENT_BEFORE_PEERS 2
 #define MAX_UNSENT              4
 #define MAX_CONNS_DEFAULT       64 /* per VM */
-/* A service that leaves the settings and returns gets no new burst of retries
- * within this time. */
-#define SERVICE_KEPT_MS 60000
-#define URGENT_RANK     0 /* the most urgent rank */
+#define URGENT_RANK             0  /* the most urgent rank */
 /* Multiple of the route's target that the predicted time to first byte may
  * reach. */
 #define LATENESS_URGENT 1.5
@@ -178,72 +175,6 @@
                     "vms ended under this request");
 }
 
-/* ---- services ---- */
-
-static struct rk_relay_service *find_service(const struct rk_relay *r,
-                                             const char *name)
-{
-    for (size_t i = 0; i < r->services_len; i++)
-        if (!strcmp(r->services[i].name, name))
-            return &r->services[i];
-    return NULL;
-}
-
-/* The result is valid until the next service is added. */
-static struct rk_relay_service *find_or_add_service(struct rk_relay *r,
-                                                    const char *name)
-{
-    struct rk_relay_service *found = find_service(r, name);
-    if (found)
-        return found;
-    if (r->services_len == r->services_cap) {
-        r->services_cap = r->services_cap ? r->services_cap * 2 : 8;
-        r->services =
-            rk_realloc(r->services, r->services_cap * sizeof(*r->services));
-    }
-    struct rk_relay_service *s = &r->services[r->services_len++];
-    *s = (struct rk_relay_service){0};
-    rk_strcpy(s->name, sizeof(s->name), name);
-    return s;
-}
-
-int64_t rk_relay_expected_ms(const struct rk_relay *r, const struct rk_route *route)
-{
-    int64_t longest_ms = -1;
-    for (size_t i = 0; i < route->shares_len; i++) {
-        const struct rk_relay_service *s =
-            find_service(r, route->shares[i].service);
-        int64_t ms = s ? rk_duration_expected_ms(&s->durations[route->kind]) : -1;
-        if (ms > longest_ms)
-            longest_ms = ms;
-    }
-    return longest_ms;
-}
-
-static void record_duration(struct rk_relay_call *x)
-{
-    struct rk_relay_service *s = find_or_add_service(x->r, x->query.service);
-    rk_duration_add(&s->durations[x->route->kind], rk_mono_ms() - x->started_ms);
-}
-
-void rk_relay_remove_services(struct rk_relay *r)
-{
-    int64_t now_ms = rk_mono_ms();
-    size_t kept = 0;
-    for (size_t i = 0; i < r->services_len; i++) {
-        struct rk_relay_service s = r->services[i];
-        if (rk_routes_service(r->routes, s.name))
-            s.left_ms = 0;
-        else if (!s.left_ms)
-            s.left_ms = now_ms;
-        if (!s.left_ms || now_ms - s.left_ms < SERVICE_KEPT_MS)
-            r->services[kept++] = s;
-    }
-    r->services_len = kept;
-}
-
-/* ---- the end of a call ---- */
-
 void rk_call_finish(struct rk_relay_call *x)
 {
     struct rk_client *client = x->client;
@@ -253,7 +184,8 @@
     rk_call_log_end(x, x->status, "");
     rk_call_record_latency(x, served ? "served" : "failed");
     if (served)
-        record_duration(x);
+        rk_relay_note_duration(x->r, x->query.service, x->route->kind,
+                               rk_mono_ms() - x->started_ms);
     free_call(x);
     if (client)
         rk_client_end(client);
@@ -263,7 +195,7 @@
 
 static struct rk_retry_budget *retry_budget(struct rk_relay_call *x)
 {
-    return &find_or_add_service(x->r, x->query.service)->budget;
+    return &rk_relay_get_service(x->r, x->query.service)->budget;
 }
 
 /* Credits the service's retry budget for a call, where it is sent to a VM first. */
@@ -452,7 +384,7 @@
     if (x->demand_counted || x->is_resume)
         return;
     x->demand_counted = true;
-    find_or_add_service(x->r, x->query.service)->uncached_prompt_tokens += tokens;
+    rk_relay_get_service(x->r, x->query.service)->uncached_prompt_tokens += tokens;
 }
 
 /* Refuses a call whose answer would come too late. If this node reaches only some
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -99,15 +99,6 @@
  * taken what was there. */
 void rk_relay_call_resume_reading(struct rk_relay_call *call);
 
-/* Returns how long few calls of the route exceed, going by those that were served;
- * -1: none was. */
-int64_t rk_relay_expected_ms(const struct rk_relay *r,
-                             const struct rk_route *route);
-
-/* Removes what is known of services that left the settings a while ago. To be
- * called after each change of the settings. */
-void rk_relay_remove_services(struct rk_relay *r);
-
 /* Answers all callers that wait, because a planned stop ends before their calls
  * have. Answers that have begun are broken off. */
 void rk_relay_calls_end_for_stop(struct rk_relay *r);
@@ -120,6 +111,21 @@
 /* relay_quarantine.c: cancels and frees all checks of VMs. */
 void rk_relay_vm_checks_free(struct rk_relay *r);
 
+/* ---- relay_services.c ---- */
+/* Returns the service's state, which is added if there is none. It is valid until
+ * the next service is added. */
+struct rk_relay_service *rk_relay_get_service(struct rk_relay *r, const char *name);
+/* Removes what is known of services that left the settings a while ago. To be
+ * called after each change of the settings. */
+void rk_relay_remove_services(struct rk_relay *r);
+/* Records how long a call took that was served. */
+void rk_relay_note_duration(struct rk_relay *r, const char *service,
+                            enum rk_call_kind kind, int64_t ms);
+/* Returns a time that few calls of the route exceed, going by those that were
+ * served; -1: none was. */
+int64_t rk_relay_expected_ms(const struct rk_relay *r,
+                             const struct rk_route *route);
+
 /* ---- relay_probe.c ---- */
 void rk_relay_probes_init(struct rk_relay *r);
 void rk_relay_probes_free(struct rk_relay *r);
