streams: a resume that waits for the store is rejected as soon as it can't go on

A resume that waited for the store was rejected only after 0.3 s when the store had lost the history that was asked for, though nothing could prove one version any more. Waiting resumes are judged again after each change of what is known of versions, and lost history leaves the node unsure at once.

--- a/node/sync_check.c
+++ b/node/sync_check.c
@@ -61,6 +61,8 @@
     if (is_current) {
         rk_sync_apply_list(s, objects, len, false, at);
         rk_store_watch_skip_to(&s->vms, at);
+    } else if (st == RK_EGONE) {
+        rk_sync_note_unpublished(s, NULL);
     }
     finish_answer(c, is_current);
 }
--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -112,20 +112,26 @@
     reject_unknown(ask->x);
 }
 
-void rk_relay_versions_note_checked(struct rk_relay *r, int64_t asked_ms)
+void rk_relay_resumes_judge(struct rk_relay *r)
 {
-    struct rk_relay_versions *v = r->versions;
-    bool wants_more = false;
-    rk_stream_versions_note_checked(&v->table, asked_ms);
-    for (struct rk_call_ask *ask = v->checks, *next; ask; ask = next) {
+    for (struct rk_call_ask *ask = r->versions->checks, *next; ask; ask = next) {
         next = ask->next;
-        if (ask->inquiry.arrived_ms > asked_ms)
-            wants_more = true;
-        else if (!ask->pending)
+        if (!ask->pending)
             decide(ask->x);
     }
-    if (wants_more)
+}
+
+void rk_relay_versions_note_checked(struct rk_relay *r, int64_t asked_ms)
+{
+    struct rk_relay_versions *v = r->versions;
+    rk_stream_versions_note_checked(&v->table, asked_ms);
+    rk_relay_resumes_judge(r);
+    for (const struct rk_call_ask *ask = v->checks; ask; ask = ask->next) {
+        if (ask->inquiry.arrived_ms <= asked_ms)
+            continue;
         r->opt.on_check_wanted(r->opt.ctx);
+        return;
+    }
 }
 
 void rk_call_receive_version(struct rk_relay_call *x,
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -119,6 +119,7 @@
         if (vm->listed)
             rk_stream_versions_note_listed(table, vm->row.service, vm->row.version);
     rk_stream_versions_end_list(table, rk_mono_ms());
+    rk_relay_resumes_judge(r);
 }
 
 size_t rk_relay_versions_copy_only(struct rk_relay *r, struct rk_only_version **out)
@@ -155,6 +156,7 @@
                                        rk_mono_ms());
     else
         rk_stream_versions_note_gap(table, rk_mono_ms());
+    rk_relay_resumes_judge(r);
 }
 
 /* ---- requests to peers ---- */
--- a/serve/relay_versions_impl.h
+++ b/serve/relay_versions_impl.h
@@ -46,6 +46,9 @@
 void rk_version_requests_cancel(struct rk_relay_call *call);
 
 /* ---- relay_resume.c ---- */
+/* Decides on the resumes that wait for the store, after what is known of versions
+ * has changed. */
+void rk_relay_resumes_judge(struct rk_relay *r);
 /* Handles what a peer answered about a call's stream; row NULL: nothing. */
 void rk_call_receive_version(struct rk_relay_call *x,
                              const Rillknot__StreamVersion *row);
