tests: streams are joined on the word of peers that can't know

Callers that took up a stream got events of two software versions at nodes that had asked their peers, and each of these had answered. An answer counts as "there is no other version" although the peer has just started and knows of none, or was cut off itself; and a node that has started since believes such a peer, where the check of the store shows its own list only.

--- a/tests/run.py
+++ b/tests/run.py
@@ -73,6 +73,7 @@
     "proc_hosted_moves": "hosted  streams move unbroken from leaving engines",
     "proc_hosted_version_gaps": "hosted  a node with an old list does not guess versions",
     "proc_hosted_version_lag": "hosted  a node that was out of step asks before it decides",
+    "proc_hosted_version_words": "hosted  a peer that doesn't know proves no version",
     "proc_hosted_version_cuts": "hosted  a silent node may serve by an old list",
     "proc_hosted_versions": "hosted  streams go on at the version that began them",
     "proc_hosted_version_sequences": "hosted  kills beside changes of versions, by seed",
