tests: calls of mixed durations are refused from the beginning of a stop

Calls that a planned stop leaves enough time for got 503 from the first moment on: some calls of their service and kind took 0.02 s and some 2 s, so that mean and three deviations came to more than 3.15 s, which no call had taken.

--- a/tests/proc_hosted_late_calls.py
+++ b/tests/proc_hosted_late_calls.py
@@ -110,3 +110,21 @@
     statuses, made = check_late_calls(8, work_s=0.5)
     early = [a.status for at, a in made if at < BALANCER_S]
     assert set(early) == {200}, collections.Counter(early)
+
+
+def test_calls_of_mixed_durations_are_accepted_while_the_longest_fits():
+    """Guards against refusals of all calls from the beginning of a stop because some calls of
+    their kind are short and some are long, though the rest of the stop is enough for each."""
+    grace_s, long_s = 4, 2.0
+    with start(grace_s, work_s=0.02) as d:
+        d.add_worker("plain", slots=200).work_s = long_s
+        d.wait_ready()
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            warm = list(pool.map(lambda _: d.call("/r/x", deadline=DEADLINE_MS), range(32)))
+        assert sum(a.took_s > long_s / 2 for a in warm) > 4, "all calls ran at one worker"
+        d.nodes[0].signal(signal.SIGTERM)
+        made = call_until(d, time.monotonic() + grace_s)
+        check_answers(d, made)
+        # 3.15 s of the stop are left for answers.
+        early = [a.status for at, a in made if at < 0.8]
+        assert set(early) == {200}, collections.Counter(early)
