stop: the expected duration of calls is no longer than the longest one of late

In a stop, calls were refused that could be served: the mean of calls of 0.02 and 2 s and three deviations is 3.8 s, more than the 3.15 s that are left of a grace period of 4 s.

--- a/core/duration.h
+++ b/core/duration.h
@@ -10,7 +10,8 @@
 /* Zero-initialise. */
 struct rk_duration {
     double mean_ms, deviation_ms;
-    int64_t count; /* of the calls that were added */
+    double longest_ms; /* it decays with each shorter call */
+    int64_t count;     /* of the calls that were added */
 };
 
 void rk_duration_add(struct rk_duration *d, int64_t ms);
