streams: a resume that nobody knows goes on only once the store has been asked

The store is asked for each such resume, while the peers are asked; only then does an only version count. A peer's word on the time before this node's start counts if the peer's list was confirmed after that start; its answer says how old the list is. The least time between two questions grows with the fleet, 4 ms for each node, up to 0.3 s.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -358,8 +358,13 @@
             RK_VERSIONS_ONE ||
         (q->only[0] && strcmp(*only, q->only) != 0))
         return RK_STREAM_UNKNOWN;
-    return q->is_complete || s->checked_ms >= q->arrived_ms ? RK_STREAM_GOES_ON
-                                                            : RK_STREAM_UNCHECKED;
+    return s->checked_ms >= q->arrived_ms ? RK_STREAM_GOES_ON : RK_STREAM_UNCHECKED;
+}
+
+bool rk_stream_versions_trusts(const struct rk_stream_versions *s,
+                               int64_t list_age_ms, int64_t now_ms)
+{
+    return list_age_ms >= 0 && now_ms - list_age_ms >= s->watching_since_ms;
 }
 
 /* ---- streams that peers have to know ---- */
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -206,9 +206,6 @@
  * nor this node have a record of. */
 struct rk_stream_inquiry {
     int64_t arrived_ms; /* of the request that takes it up */
-    /* Each node that may have been told of the stream was asked and has answered,
-     * and none may have begun it without being heard. */
-    bool is_complete;
     /* A peer knows of several versions, or routes requests otherwise. */
     bool saw_several;
     char only[RK_VERSION_MAX]; /* according to a peer that routes alike; "": none */
@@ -217,9 +214,10 @@
 enum rk_stream_verdict {
     RK_STREAM_GOES_ON, /* at the only version */
     RK_STREAM_UNKNOWN, /* several versions may have begun it */
-    /* It goes on at the only version if the store shows no other one. No answer of
-     * a peer is not an answer, and the list that this node has may be older than
-     * the stream: it decides once the store was asked after the request arrived. */
+    /* It goes on at the only version if the store shows no other one. The peers
+     * that were told of the stream may have ended, those that answer may not have
+     * heard of it, and the list that this node has may be older than the stream: it
+     * decides once the store was asked after the request arrived. */
     RK_STREAM_UNCHECKED,
 };
 
@@ -229,6 +227,13 @@
                                                 const struct rk_stream_inquiry *q,
                                                 const char **only, int64_t now_ms);
 
+/* Returns true if what a peer says of an only version covers the time before this
+ * node followed the list. list_age_ms: how long ago the peer's list was confirmed
+ * as current. Without this, a node that has just started believes a peer whose list
+ * is older than the streams. */
+bool rk_stream_versions_trusts(const struct rk_stream_versions *s,
+                               int64_t list_age_ms, int64_t now_ms);
+
 /* ---- peers ---- */
 
 /* Chooses the peers to be told of a stream that began in own_domain. Returns their
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -554,7 +554,6 @@
     rk_mesh_fill_stream_peers(m, p, now_ms);
     p->nodes_reachable = rk_mesh_reachable_count(m);
     p->nodes_total = rk_mesh_total(m);
-    p->hears_all = m->has_node_list && p->nodes_reachable >= p->nodes_total;
     p->silent_since_ms = rk_mesh_silent_since_ms(m);
     p->list_confirmed_ms = rk_sync_list_confirmed_ms(m->n->sync);
     p->report_lag_ms = m->direct ? REPORT_MS : BRIDGED_LAG_MS;
--- a/node/sync_check.c
+++ b/node/sync_check.c
@@ -7,16 +7,28 @@
 #include "core/revision.h"
 #include "node/sync_impl.h"
 
-/* Least time between two checks, and before a failed one is repeated. */
-#define CHECK_INTERVAL_MS 50
+/* Least time between two checks, and before a failed one is repeated; it grows with
+ * the number of nodes, which share the store. */
+#define INTERVAL_MIN_MS      50
+#define INTERVAL_MAX_MS      300
+#define INTERVAL_PER_NODE_MS 4
 /* A check that has failed is repeated for so long. */
 #define CHECK_WANTED_MS 300
 /* The changes that are asked for have been made already. */
 #define WATCH_WAIT_MS 1
 
+static int64_t interval_ms(const struct rk_node *n)
+{
+    int64_t ms = INTERVAL_PER_NODE_MS * (int64_t)rk_mesh_total(n->mesh);
+    if (ms > INTERVAL_MAX_MS)
+        return INTERVAL_MAX_MS;
+    return ms > INTERVAL_MIN_MS ? ms : INTERVAL_MIN_MS;
+}
+
 static void schedule_check(struct rk_sync_check *c)
 {
-    int64_t now_ms = rk_mono_ms(), next_ms = c->asked_ms + CHECK_INTERVAL_MS;
+    int64_t now_ms = rk_mono_ms();
+    int64_t next_ms = c->asked_ms + interval_ms(c->sync->n);
     if (!c->pending && now_ms < c->wanted_until_ms)
         rk_timer_start(c->sync->n->loop, &c->timer,
                        next_ms > now_ms ? next_ms - now_ms : 0);
--- a/peers/peers.pb-c.c
+++ b/peers/peers.pb-c.c
@@ -6204,7 +6204,7 @@
   (ProtobufCMessageInit) rillknot__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rillknot__stream_version__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rillknot__stream_version__field_descriptors[8] =
 {
   {
     "stream",
@@ -6290,8 +6290,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rillknot__StreamVersion, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rillknot__stream_version__field_indices_by_name[] = {
+  7,   /* field[7] = list_age_ms */
   4,   /* field[4] = only */
   6,   /* field[6] = routing */
   1,   /* field[1] = service */
@@ -6303,7 +6316,7 @@
 static const ProtobufCIntRange rillknot__stream_version__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rillknot__stream_version__descriptor =
 {
@@ -6313,7 +6326,7 @@
   "Rillknot__StreamVersion",
   "rillknot",
   sizeof(Rillknot__StreamVersion),
-  7,
+  8,
   rillknot__stream_version__field_descriptors,
   rillknot__stream_version__field_indices_by_name,
   1,  rillknot__stream_version__number_ranges,
--- a/peers/peers.pb-c.h
+++ b/peers/peers.pb-c.h
@@ -1299,10 +1299,15 @@
    * responder observed this; 0: not known.
    */
   uint64_t routing;
+  /*
+   * In a response with an only version: 1 more than how long ago the responder's list
+   * of VMs was confirmed as current, in ms; 0: not known.
+   */
+  uint32_t list_age_ms;
 };
 #define RILLKNOT__STREAM_VERSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rillknot__stream_version__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -148,7 +148,6 @@
     bool writes_stream_record;
     char stream_writer[RK_ADDR_MAX];
     int nodes_reachable, nodes_total; /* including this node */
-    bool hears_all; /* the nodes are known, and all of them are reachable */
     /* Since when a node that may still serve has been silent: the first one of
      * those; 0: none is. */
     int64_t silent_since_ms;
--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -150,12 +150,8 @@
                                                           x->query.service);
     if (row && (row->several || (row->routing && !routes_alike)))
         q->saw_several = true;
-    if (routes_alike && row->only[0])
+    if (routes_alike && rk_version_row_names_only(x->r, row))
         rk_strcpy(q->only, sizeof(q->only), row->only);
-    if (!row) {
-        q->is_complete = false;
-        check_store(x); /* while others may still answer */
-    }
     if (!ask->pending)
         decide(x);
 }
@@ -177,8 +173,6 @@
     for (size_t i = 0; i < n; i++)
         ask->pending += rk_version_request_start(x->r, peers[i]->addr, &body, x);
     ask->asked = (int)n;
-    if (ask->pending < ask->asked)
-        ask->inquiry.is_complete = false;
 }
 
 static void inquire(struct rk_relay_call *x)
@@ -187,17 +181,14 @@
     x->ask = ask;
     ask->x = x;
     ask->inquiry.arrived_ms = rk_mono_ms();
-    ask->inquiry.is_complete = x->r->versions->hears_all;
     ask->timer = (struct rk_timer){.fn = on_resume_timeout, .ctx = ask};
     rk_timer_start(x->r->loop, &ask->timer, RESUME_WAIT_MS);
     if (x->stream)
         ask_peers(x);
+    if (ask->pending)
+        check_store(x); /* while the peers answer */
     else
-        ask->inquiry.is_complete = false; /* no peer can be asked for it */
-    if (!ask->pending)
         decide(x);
-    else if (!ask->inquiry.is_complete)
-        check_store(x);
 }
 
 void rk_call_resume(struct rk_relay_call *x)
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -69,7 +69,6 @@
     struct rk_relay_versions *v = r->versions;
     memcpy(v->peers, p->stream_peers, p->stream_peers_len * sizeof(*v->peers));
     v->peers_len = p->stream_peers_len;
-    v->hears_all = p->hears_all;
     rk_stream_versions_confirm_list(&v->table, p->list_confirmed_ms);
     if (p->silent_since_ms)
         rk_stream_versions_note_silent(&v->table, p->silent_since_ms, rk_mono_ms());
@@ -266,6 +265,14 @@
 static const struct rk_upstream_ops request_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail};
 
+bool rk_version_row_names_only(const struct rk_relay *r,
+                               const Rillknot__StreamVersion *row)
+{
+    return row->only[0] && row->list_age_ms &&
+           rk_stream_versions_trusts(&r->versions->table,
+                                     (int64_t)row->list_age_ms - 1, rk_mono_ms());
+}
+
 void rk_version_requests_cancel(struct rk_relay_call *call)
 {
     for (struct rk_version_request *q = call->r->versions->requests, *next; q;
@@ -292,7 +299,7 @@
     free_request(q);
     if (call)
         rk_call_receive_version(call, row);
-    else if (row && service[0] && row->only[0])
+    else if (row && service[0] && rk_version_row_names_only(r, row))
         rk_stream_versions_note_only(&r->versions->table, service, row->only,
                                      row->routing, rk_mono_ms());
     if (rows)
@@ -496,8 +503,10 @@
         rk_stream_versions_of_service(table, row->service, &only, now_ms);
     out->several = state == RK_VERSIONS_SEVERAL;
     out->routing = rk_stream_versions_routing(table, row->service);
-    if (state == RK_VERSIONS_ONE)
+    if (state == RK_VERSIONS_ONE) {
         out->only = (char *)only;
+        out->list_age_ms = (uint32_t)(now_ms - table->confirmed_ms) + 1;
+    }
 }
 
 void rk_relay_versions_answer(struct rk_relay *r, struct rk_client *client)
--- a/serve/relay_versions_impl.h
+++ b/serve/relay_versions_impl.h
@@ -25,7 +25,6 @@
     uint64_t domain_hash; /* this node's failure domain */
     struct rk_stream_peer peers[RK_STREAM_PEERS_MAX];
     size_t peers_len;
-    bool hears_all;             /* as in struct rk_relay_peers */
     struct rk_call_ask *checks; /* resumes that wait for the store */
     /* As in struct rk_relay_peers. */
     bool writes_record;
@@ -42,6 +41,9 @@
 bool rk_version_request_start(struct rk_relay *r, const char *addr,
                               Rillknot__StreamVersions *rows,
                               struct rk_relay_call *call);
+/* Returns true if a peer's answer names the only version, and can know that. */
+bool rk_version_row_names_only(const struct rk_relay *r,
+                               const Rillknot__StreamVersion *row);
 /* Cancels the questions for a call. */
 void rk_version_requests_cancel(struct rk_relay_call *call);
 
--- a/tests/prop_resumes.cc
+++ b/tests/prop_resumes.cc
@@ -356,9 +356,6 @@
             return known->version;
         struct rk_stream_inquiry q = {};
         q.arrived_ms = now_ms;
-        q.is_complete = true;
-        for (size_t i = 0; i < nodes.size(); i++)
-            q.is_complete = q.is_complete && (&nodes[i] == &n || hears(n, i));
         std::vector<struct rk_stream_peer> peers = peers_of(n);
         const struct rk_stream_peer *asked[RK_STREAM_ASKED_MAX];
         size_t len =
@@ -374,10 +371,8 @@
     std::string ask(const Node &n, Node &peer, uint64_t stream,
                     struct rk_stream_inquiry *q)
     {
-        if (!is_in_touch(peer) || now_ms < n.cut_until_ms) {
-            q->is_complete = false;
+        if (!is_in_touch(peer) || now_ms < n.cut_until_ms)
             return "";
-        }
         struct rk_stream_version *known =
             rk_stream_versions_find(&peer.table, stream, now_ms);
         if (known)
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -230,10 +230,8 @@
 {
     (void)state;
     struct rk_stream_versions s = create(true);
-    struct rk_stream_inquiry q = {.arrived_ms = 2000, .is_complete = true};
+    struct rk_stream_inquiry q = {.arrived_ms = 2000};
     list(&s, 1000, "1");
-    check_verdict(&s, &q, 2000, RK_STREAM_GOES_ON);
-    q.is_complete = false;
     check_verdict(&s, &q, 2000, RK_STREAM_UNCHECKED);
     /* What counts is when the store was asked, not when it has answered. */
     rk_stream_versions_confirm_list(&s, 2005);
@@ -252,8 +250,9 @@
 {
     (void)state;
     struct rk_stream_versions s = create(true);
-    struct rk_stream_inquiry q = {.arrived_ms = 1000, .is_complete = true};
+    struct rk_stream_inquiry q = {.arrived_ms = 1000};
     list(&s, 1000, "1");
+    rk_stream_versions_note_checked(&s, 1000);
     q.saw_several = true;
     check_verdict(&s, &q, 1000, RK_STREAM_UNKNOWN);
     q.saw_several = false;
