streams: names that the review stumbled over

note_served was about VMs that are gone beside calls that are served, unpublished did not say to whom, and check_store stood twice. No behaviour changes.

--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -308,9 +308,8 @@
     v->only_routing = routing;
 }
 
-void rk_stream_versions_note_served(struct rk_stream_versions *s,
-                                    const char *service, const char *version,
-                                    int64_t now_ms)
+void rk_stream_versions_note_past(struct rk_stream_versions *s, const char *service,
+                                  const char *version, int64_t now_ms)
 {
     struct rk_served_version *v = get_served(s, rk_hash_str(0, service), version);
     if (!v->is_listed)
--- a/core/stream_versions.h
+++ b/core/stream_versions.h
@@ -181,9 +181,8 @@
 
 /* Notes that a version of a service may have begun streams although the list never
  * showed it: its VMs came and left between two updates. */
-void rk_stream_versions_note_served(struct rk_stream_versions *s,
-                                    const char *service, const char *version,
-                                    int64_t now_ms);
+void rk_stream_versions_note_past(struct rk_stream_versions *s, const char *service,
+                                  const char *version, int64_t now_ms);
 
 /* Notes that VMs of any service and version may have come and left unnoticed until
  * now_ms. */
--- a/node/sync_check.c
+++ b/node/sync_check.c
@@ -45,7 +45,7 @@
     RK_EVENT("store.checked", RK_N("current", !c->failed),
              RK_N("took_ms", rk_mono_ms() - c->asked_ms),
              RK_N("revision", rk_revision_number(rk_sync_list_revision(s))));
-    if (c->failed || !s->published || !rk_sync_repeat_unpublished(s) ||
+    if (c->failed || !s->published || !rk_sync_repeat_past_vms(s) ||
         !rk_relay_note_checked(s->n->relay, c->asked_ms))
         schedule_check(c);
     else
@@ -74,7 +74,7 @@
         rk_sync_apply_list(s, objects, len, false, at);
         rk_store_watch_skip_to(&s->vms, at);
     } else if (st == RK_EGONE) {
-        rk_sync_note_unpublished(s, NULL);
+        rk_sync_note_past_vm(s, NULL);
     }
     finish_answer(c, is_current);
 }
--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -79,7 +79,7 @@
     /* The relay has the list, except for entries with needs_publish and for the
      * removal of the VMs named in unsent_removed. */
     bool published;
-    bool unpublished_lost;      /* see rk_sync_repeat_unpublished() */
+    bool past_vm_lost;          /* see rk_sync_repeat_past_vms() */
     int64_t published_revision; /* list_revision at the last update of the relay */
     char (*unsent_removed)[RK_ID_MAX];
     size_t unsent_removed_len, unsent_removed_cap;
@@ -110,9 +110,9 @@
 
 /* Tells the relay of a VM that came and left, or changed its version, between two
  * of its updates; NULL: of any VMs that may have. */
-void rk_sync_note_unpublished(struct rk_sync *s, const struct rk_vm_row *row);
+void rk_sync_note_past_vm(struct rk_sync *s, const struct rk_vm_row *row);
 /* Does so again if the relay's queue was full. Returns false if it still is. */
-bool rk_sync_repeat_unpublished(struct rk_sync *s);
+bool rk_sync_repeat_past_vms(struct rk_sync *s);
 /* Notes the removal of a VM, for the next update of the relay. */
 void rk_sync_note_removed(struct rk_sync *s, const char *name);
 /* Sends the changes of the list since the last update to the relay. */
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -155,7 +155,7 @@
     }
     bool changed = !same_row(&e->row, &row);
     if (e->needs_publish && strcmp(e->row.version, row.version) != 0)
-        rk_sync_note_unpublished(s, &e->row);
+        rk_sync_note_past_vm(s, &e->row);
     free(e->text);
     e->text = rk_strdup(json_object_to_json_string(spec));
     e->revision = revision;
@@ -262,13 +262,13 @@
     const struct entry *e = find_entry(s, name);
     struct rk_vm_row row;
     if (e && e->needs_publish)
-        rk_sync_note_unpublished(s, &e->row);
+        rk_sync_note_past_vm(s, &e->row);
     else if (e || is_removed(s, name))
         return;
     else if (spec && s->n->platform->parse_vm(name, spec, &row) == RK_OK)
-        rk_sync_note_unpublished(s, &row);
+        rk_sync_note_past_vm(s, &row);
     else
-        rk_sync_note_unpublished(s, NULL);
+        rk_sync_note_past_vm(s, NULL);
 }
 
 /* Handles a removal that the store reports. It may have the revision of the VM's
@@ -406,7 +406,7 @@
         changed |= remove_missing(s, objects, len, store_revision, "store");
         note_gap(s, before, store_revision);
         if (before && before < store_revision)
-            rk_sync_note_unpublished(s, NULL);
+            rk_sync_note_past_vm(s, NULL);
     }
     for (size_t i = 0; i < len; i++) {
         if (!objects[i].name[0])
@@ -620,7 +620,7 @@
             remove_missing(s, objects, text->n_list, text->list_revision, "peer");
         note_gap(s, known, text->list_revision);
         if (known)
-            rk_sync_note_unpublished(s, NULL);
+            rk_sync_note_past_vm(s, NULL);
     }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= handle_peer_removal(s, text->gone[i], text->list_revision);
--- a/node/sync_publish.c
+++ b/node/sync_publish.c
@@ -22,20 +22,20 @@
               sizeof(*s->unsent_removed), name);
 }
 
-void rk_sync_note_unpublished(struct rk_sync *s, const struct rk_vm_row *row)
+void rk_sync_note_past_vm(struct rk_sync *s, const struct rk_vm_row *row)
 {
     static const struct rk_vm_row unknown;
-    s->unpublished_lost = s->unpublished_lost ||
-                          !rk_relay_note_served(s->n->relay, row ? row : &unknown);
+    s->past_vm_lost = s->past_vm_lost ||
+                      !rk_relay_note_past_vm(s->n->relay, row ? row : &unknown);
 }
 
-bool rk_sync_repeat_unpublished(struct rk_sync *s)
+bool rk_sync_repeat_past_vms(struct rk_sync *s)
 {
-    bool lost = s->unpublished_lost;
-    s->unpublished_lost = false;
+    bool lost = s->past_vm_lost;
+    s->past_vm_lost = false;
     if (lost)
-        rk_sync_note_unpublished(s, NULL);
-    return !s->unpublished_lost;
+        rk_sync_note_past_vm(s, NULL);
+    return !s->past_vm_lost;
 }
 
 /* Notes an update of the relay. If its queue was full, the next update has the
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -222,7 +222,7 @@
 bool rk_relay_note_checked(struct rk_relay *r, int64_t asked_ms);
 /* Tells the relay of a VM that came and left between two updates of the list. Its
  * service is "" if it is not known. */
-bool rk_relay_note_served(struct rk_relay *r, const struct rk_vm_row *vm);
+bool rk_relay_note_past_vm(struct rk_relay *r, const struct rk_vm_row *vm);
 /* Updates the peers' state. */
 bool rk_relay_set_peers(struct rk_relay *r, struct rk_relay_peers *peers);
 
--- a/serve/relay_call.h
+++ b/serve/relay_call.h
@@ -123,8 +123,8 @@
                             enum rk_call_kind kind, int64_t ms);
 /* Returns a time that few calls of the route exceed, going by those that were
  * served; -1: none was. */
-int64_t rk_relay_expected_ms(const struct rk_relay *r,
-                             const struct rk_route *route);
+int64_t rk_relay_expected_duration_ms(const struct rk_relay *r,
+                                      const struct rk_route *route);
 
 /* ---- relay_probe.c ---- */
 void rk_relay_probes_init(struct rk_relay *r);
@@ -175,7 +175,7 @@
 void rk_relay_versions_note_checked(struct rk_relay *r, int64_t asked_ms);
 /* Notes a VM that came and left between two updates of the list. Its service is ""
  * if it is not known. */
-void rk_relay_versions_note_served(struct rk_relay *r, const struct rk_vm_row *vm);
+void rk_relay_versions_note_past_vm(struct rk_relay *r, const struct rk_vm_row *vm);
 /* Returns true if a peer's request is about versions of streams. */
 bool rk_relay_versions_is_request(struct rk_client *client);
 /* Answers such a request. */
--- a/serve/relay_messages.c
+++ b/serve/relay_messages.c
@@ -184,16 +184,16 @@
     return post(r, apply_checked, &(struct message){.asked_ms = asked_ms});
 }
 
-static void apply_served(void *ctx)
+static void apply_past_vm(void *ctx)
 {
     struct message *m = ctx;
-    rk_relay_versions_note_served(m->r, &m->vm);
+    rk_relay_versions_note_past_vm(m->r, &m->vm);
     free(m);
 }
 
-bool rk_relay_note_served(struct rk_relay *r, const struct rk_vm_row *vm)
+bool rk_relay_note_past_vm(struct rk_relay *r, const struct rk_vm_row *vm)
 {
-    return post(r, apply_served, &(struct message){.vm = *vm});
+    return post(r, apply_past_vm, &(struct message){.vm = *vm});
 }
 
 /* Uses the estimates learned by other nodes as the starting point of this
--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -207,7 +207,7 @@
     int64_t stop_left_ms = atomic_load(&r->stop_ends_ms) - now_ms;
     if (!began_ms || left_ms <= stop_left_ms)
         return false;
-    int64_t expected_ms = rk_relay_expected_ms(r, route);
+    int64_t expected_ms = rk_relay_expected_duration_ms(r, route);
     return now_ms - began_ms >= STOP_NOTICED_MS || expected_ms < 0 ||
            expected_ms > stop_left_ms;
 }
--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -77,7 +77,7 @@
 }
 
 /* Has the resume wait until the store has been asked. */
-static void check_store(struct rk_relay_call *x)
+static void wait_for_check(struct rk_relay_call *x)
 {
     struct rk_relay_versions *v = x->r->versions;
     struct rk_call_ask *ask = x->ask;
@@ -101,7 +101,7 @@
     if (verdict == RK_STREAM_GOES_ON)
         send_at_version(x, "only", only);
     else if (verdict == RK_STREAM_UNCHECKED)
-        check_store(x);
+        wait_for_check(x);
     else
         reject_unknown(x);
 }
@@ -186,7 +186,7 @@
     if (x->stream)
         ask_peers(x);
     if (ask->pending)
-        check_store(x); /* while the peers answer */
+        wait_for_check(x); /* while the peers answer */
     else
         decide(x);
 }
--- a/serve/relay_services.c
+++ b/serve/relay_services.c
@@ -33,7 +33,8 @@
     return s;
 }
 
-int64_t rk_relay_expected_ms(const struct rk_relay *r, const struct rk_route *route)
+int64_t rk_relay_expected_duration_ms(const struct rk_relay *r,
+                                      const struct rk_route *route)
 {
     int64_t longest_ms = -1;
     for (size_t i = 0; i < route->shares_len; i++) {
--- a/serve/relay_versions.c
+++ b/serve/relay_versions.c
@@ -147,12 +147,11 @@
                                  row->routing, rk_mono_ms());
 }
 
-void rk_relay_versions_note_served(struct rk_relay *r, const struct rk_vm_row *vm)
+void rk_relay_versions_note_past_vm(struct rk_relay *r, const struct rk_vm_row *vm)
 {
     struct rk_stream_versions *table = &r->versions->table;
     if (vm->service[0])
-        rk_stream_versions_note_served(table, vm->service, vm->version,
-                                       rk_mono_ms());
+        rk_stream_versions_note_past(table, vm->service, vm->version, rk_mono_ms());
     else
         rk_stream_versions_note_gap(table, rk_mono_ms());
     rk_relay_resumes_judge(r);
--- a/tests/prop_resumes.cc
+++ b/tests/prop_resumes.cc
@@ -177,8 +177,8 @@
                 break;
             apply(n.listed, c);
             if (!c.joins)
-                rk_stream_versions_note_served(&n.table, SERVICE, c.version.c_str(),
-                                               now_ms);
+                rk_stream_versions_note_past(&n.table, SERVICE, c.version.c_str(),
+                                             now_ms);
             n.changes_known++;
             changed = true;
         }
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -269,9 +269,9 @@
     (void)state;
     struct rk_stream_versions s = create(true);
     list(&s, 1000, "1");
-    rk_stream_versions_note_served(&s, "llm", "1", 1500);
+    rk_stream_versions_note_past(&s, "llm", "1", 1500);
     check_state(&s, 1500, RK_VERSIONS_ONE, "1");
-    rk_stream_versions_note_served(&s, "llm", "2", 2000);
+    rk_stream_versions_note_past(&s, "llm", "2", 2000);
     check_state(&s, 1999 + LIFETIME_MS, RK_VERSIONS_SEVERAL, "");
     check_state(&s, 2000 + LIFETIME_MS, RK_VERSIONS_ONE, "1");
     rk_stream_versions_note_gap(&s, 30000);
