tests: answers without end of the cloud API, of peers, and to probes

Only calls' VMs and one order to move a stream were played before.

A flood counts its connections under a lock, as its threads could lose one.

--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -10,13 +10,14 @@
 import threading
 import time
 
-from hosted import FRAMINGS, Hosted, read_answer, reset, wait_until
+from hosted import FRAMINGS, Hosted, RawServer, read_answer, reset, wait_until
 from proc_hosted_partition import Partition
 from vm_links import RESET_ALL
 
 BLOCK = 16 * 1024
 STALL_S = 20  # a VM whose connection is neither read nor closed for this long gives up
 MEMORY_MB = 260  # memoryMb of the deployments' machines
+SMALL_MB = 120  # of the smallest machines
 # By the route's target and time-out: a call that another VM can take is answered in time.
 DEADLINE_MS = 2000
 
@@ -29,15 +30,21 @@
         self.block, self.start, self.gap_s = block, start, gap_s
         self.begun, self.ended = 0, 0
         self.bytes = collections.Counter()  # by request id
+        self.lock = threading.Lock()
 
     def __call__(self, worker, req, conn):
         ident = req.get("Rillknot-Attempt-Id")
-        self.begun += 1
         worker.runs[ident] += 1
+        return self.send(conn, self.fill(self.start, worker, req),
+                         self.fill(self.block, worker, req), ident)
+
+    def send(self, conn, start, block, ident=None):
+        """Floods a connection and returns False, as handle() does."""
+        with self.lock:
+            self.begun += 1
         conn.settimeout(STALL_S)
         try:
-            conn.sendall(self.fill(self.start, worker, req))
-            block = self.fill(self.block, worker, req)
+            conn.sendall(start)
             while True:
                 conn.sendall(block)
                 self.bytes[ident] += len(block)
@@ -45,10 +52,15 @@
         except OSError:
             pass
         finally:
-            self.ended += 1
+            with self.lock:
+                self.ended += 1
         reset(conn)
         return False
 
+    def send_plain(self, conn):
+        """Floods a connection of a server that is no worker."""
+        return self.send(conn, self.start, self.block)
+
     @staticmethod
     def fill(text, worker, req):
         """Replaces @HEAD@ by the status line and the headers of a good answer."""
@@ -83,6 +95,7 @@
     "the body of a success without a signature": Flood(block_of(b"x"),
                                                        b"HTTP/1.1 200 OK\r\n\r\n"),
 }
+CHUNKED_OK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNKED = b"@HEAD@Transfer-Encoding: chunked\r\n\r\n"
 # What follows the head of a good answer, which a plain call's caller has by then.
 CHUNKS = {
@@ -351,7 +364,10 @@
               "engine": {"slots": 32, "kvCapacity": 100000, "moves": True}}
     for block, start in ((block_of(b"x"), b"HTTP/1.1 200 OK\r\n\r\n"),
                          (block_of(b"X: y\r\n"), b"HTTP/1.1 200 OK\r\n"),
-                         (block_of(b"HTTP/1.1 100 C\r\n\r\n"), b"")):
+                         (block_of(b"HTTP/1.1 100 C\r\n\r\n"), b""),
+                         (block_of(b"x"), CHUNKED_OK + b"4;"),
+                         (block_of(b"1\r\nx\r\n"), CHUNKED_OK),
+                         (block_of(b"X: y\r\n"), CHUNKED_OK + b"0\r\n")):
         with deployment("streaming", events=60) as d:
             d.configure([d.route("r", "plain", "streaming", timeoutMs=8000, resumable=True)],
                         services=[engine])
@@ -368,3 +384,173 @@
             t.join()
             assert flood.begun and answers[0].status == 200 and answers[0].whole, answers[0].status
             check_closed(flood)
+
+
+OK = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+LONG = 1 << 40  # bytes that a head announces
+# Answers of the store or the cloud API.
+ANSWERS = dict(HEADS, **{
+    "a body by length": Flood(block_of(b"x"), OK + b"Content-Length: %d\r\n\r\n" % LONG),
+    "a body by close": Flood(block_of(b"x"), OK + b"\r\n"),
+    "a list": Flood(block_of(b"{},"), OK + b"\r\n{\"entries\":["),
+    "nested lists": Flood(block_of(b"["), OK + b"\r\n"),
+    "a failure's body": Flood(block_of(b"x"), b"HTTP/1.1 500 X\r\n\r\n"),
+    "chunks": Flood(block_of(b"4\r\nabcd\r\n"), OK + b"Transfer-Encoding: chunked\r\n\r\n"),
+    "a chunk's size": Flood(block_of(b"0"), OK + b"Transfer-Encoding: chunked\r\n\r\n"),
+    "a chunk's extension": Flood(block_of(b"x"),
+                                 OK + b"Transfer-Encoding: chunked\r\n\r\n4;"),
+    "trailers": Flood(block_of(b"X: y\r\n"), OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"),
+})
+
+
+def small_deployment(nodes=1, workers=2):
+    """Starts nodes with the memory of the smallest machines, and workers."""
+    d = Hosted(nodes=0)
+    for _ in range(nodes):
+        d.add_node(limits={"cpuShare": 0.25, "memoryMb": SMALL_MB})
+    for _ in range(workers):
+        d.add_worker("plain", slots=64)
+    d.configure([d.route("r", "plain")])
+    d.wait_ready()
+    return d
+
+
+def check_calls(d, seconds):
+    """Makes calls one after the other, all of which are served in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        a = d.call("/r/x", deadline=DEADLINE_MS)
+        assert a.status == 200 and a.whole, (a.status, a.body)
+
+
+def check_small(d):
+    """Checks that the first node keeps within its machine's memory. Returns the figure."""
+    assert d.nodes[0].popen.poll() is None
+    peak = memory_mb(d.nodes[0])
+    assert peak < SMALL_MB or any(x in d.build for x in ("address", "thread")), "%d MB" % peak
+    return "%.0f MB" % peak
+
+
+def test_answers_of_the_cloud_without_end_do_not_fill_the_memory():
+    """Guards against a node that keeps what the cloud API sends without end, or waits for it."""
+    with small_deployment() as d:
+        floods = itertools.cycle(ANSWERS.values())
+        used = []
+
+        def odd_answer(conn):
+            used.append(next(floods))
+            return used[-1].send_plain(conn)
+        d.cloud.odd_answer = odd_answer
+        end = time.monotonic() + 60
+        while len(used) < len(ANSWERS) and time.monotonic() < end:
+            check_calls(d, 0.5)
+        d.cloud.odd_answer = None
+        figure = check_small(d)
+        reports = len(d.cloud.usage)
+        wait_until(lambda: len(d.cloud.usage) > reports, 10)
+        for flood in set(used):
+            check_closed(flood, 5)
+        return "%s, %d answers" % (figure, len(used))
+
+
+class FloodingServer(RawServer):
+    """Takes a port over and floods each connection: at once, or after its request."""
+
+    def __init__(self, port, floods, at_once=True):
+        self.floods, self.at_once = itertools.cycle(floods), at_once
+        super().__init__(port)
+
+    def _serve(self, conn):
+        if self.at_once:
+            next(self.floods).send_plain(conn)
+            self.conns.discard(conn)
+        else:
+            super()._serve(conn)
+
+    def handle(self, req, conn):
+        return next(self.floods).send_plain(conn)
+
+
+def test_a_vm_that_floods_each_connection_at_once_does_not_fill_the_memory():
+    """Guards against a node that keeps what a VM sends without a request, to probes above all.
+
+    The VM is unreachable first, so that the node probes it.
+    """
+    with small_deployment(workers=3) as d:
+        gone = d.workers[0]
+        gone.close()
+        end = time.monotonic() + 5
+        while not d.gauge(d.nodes[0], "vm_probes_total") and time.monotonic() < end:
+            check_calls(d, 0.1)
+        flood = Flood(block_of(b"x"))
+        server = FloodingServer(gone.port, [flood])
+        check_calls(d, 4)
+        assert flood.begun and d.gauge(d.nodes[0], "vm_probes_total"), flood.begun
+        check_closed(flood)
+        figure = check_small(d)
+        server.close()
+        return "%s, %d connections" % (figure, flood.begun)
+
+
+def test_a_vm_that_floods_the_check_after_a_stream_does_not_hold_it():
+    """Guards against a stream whose end waits for a VM that answers a bare connect without end."""
+    with deployment("streaming", workers=1, events=3, resumable=True) as d:
+        w = d.workers[0]
+        w.framing = "close"
+        flood, serve = Flood(block_of(b"x")), w._serve
+        w._serve = lambda conn: serve(conn) if w.connections == 1 else flood.send_plain(conn)
+        wait_until(lambda: not w.conns, 5)
+        w.connections = 0
+        a = d.call("/r/x", deadline=DEADLINE_MS)
+        assert a.status == 200 and a.whole and a.took_s < 1, (a.status, a.whole, a.took_s)
+        assert flood.begun
+        check_closed(flood)
+        return "%.0f MB" % memory_mb(d.nodes[0])
+
+
+REFUSED_BY_A_PEER = b"HTTP/1.1 503 X\r\nRillknot-Forward-Refused: no-room\r\n\r\n"
+
+
+def test_a_peer_that_answers_without_end_does_not_fill_the_memory():
+    """Guards against a node that keeps what comes without end from a peer's ports, or waits for it.
+
+    The peer has been replaced by what floods both ports: that of forwarded calls, to which the
+    node's calls go as its links to the VMs are cut, and that of the peers' links.
+    """
+    frames = Flood(block_of(b"\0\0\0\1x"))
+    links = [frames, HEADS["noise"], Flood(block_of(b"x"), (1 << 20).to_bytes(4, "big")),
+             Flood(block_of(b"x"), b"\xff\xff\xff\xff")]
+    with Partition(nodes=3, vms=2, bounds={"budgetExtra": 4000}) as p:
+        d = p.d
+        p.cut(RESET_ALL)
+        wait_until(lambda: d.call("/plain/x").status == 200 and any(
+            e.get("event") == "service.unreachable" for e in d.nodes[0].events()), 5)
+        floods = dict(HEADS, refusal=Flood(block_of(b"x"), REFUSED_BY_A_PEER))
+        forward, control = (d.port(d.nodes[1].ready[x]) for x in ("forward", "control"))
+        d.nodes[1].kill()
+        servers = [FloodingServer(forward, floods.values(), at_once=False),
+                   FloodingServer(control, links)]
+        begun = sum(f.begun for f in floods.values())
+        statuses, lock = collections.Counter(), threading.Lock()
+        end = time.monotonic() + 4
+
+        def call():
+            while time.monotonic() < end:
+                a = d.call("/plain/x", deadline=DEADLINE_MS)
+                with lock:
+                    statuses[a.status if a.whole else "cut"] += 1
+        threads = [threading.Thread(target=call) for _ in range(8)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        for flood in list(floods.values()) + links:
+            check_closed(flood, 2)
+        begun = sum(f.begun for f in floods.values()) - begun
+        figure = check_small(d)
+        for s in servers:
+            s.close()
+        assert begun and links[0].begun, (begun, links[0].begun)
+        assert statuses[200] >= 0.98 * statuses.total(), statuses
+        return "%s, %s, %d forwarded calls flooded, %d links" % (
+            figure, dict(statuses), begun, sum(f.begun for f in links))
