http: bound the headers of a response, with its trailers

What callers saw: a node that reads from a store which sends trailers without end would be killed for its memory, with all its calls: 1,701 MB after 4 s on a machine of 120 MB.

Cause: libcurl (7.88.1) bounds the head of a response, but keeps each trailer for its headers API, without a limit. Time-outs do not help, as bytes keep coming.

Now a request ends after 64 KiB of headers, counted over interim responses, the head and the trailers; trailers reach the same callback. All clients of common/http.c have the bound.

--- a/common/http.c
+++ b/common/http.c
@@ -10,8 +10,11 @@
 #include "common/loop.h"
 #include "common/util.h"
 
-#define HEADER_NAME_MAX     64
-#define HEADER_VALUE_MAX    512
+#define HEADER_NAME_MAX  64
+#define HEADER_VALUE_MAX 512
+/* Of a response's headers, with those of interim responses and its trailers:
+ * libcurl keeps all trailers. */
+#define HEADERS_MAX_BYTES   ((size_t)64 * 1024)
 #define IDLE_CONNS_MAX      64L
 #define IDLE_CONN_MAX_AGE_S 20L
 
@@ -32,6 +35,7 @@
     void *ctx;
     bool may_have_reached;
     bool no_resend;
+    size_t header_bytes;        /* received so far */
     struct rk_timer inactivity; /* time-out of the wait for the next byte */
     int64_t stall_ms;
     char error[CURL_ERROR_SIZE];
@@ -203,6 +207,9 @@
     struct rk_http_req *r = ctx;
     size_t len = size * n;
     restart_inactivity(r);
+    r->header_bytes += len;
+    if (r->header_bytes > HEADERS_MAX_BYTES)
+        return 0; /* ends the request */
     char *colon = memchr(line, ':', len);
     if (!colon || !r->handlers.on_header)
         return len;
--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -7,6 +7,7 @@
 import collections
 import itertools
 import os
+import socket
 import threading
 import time
 
@@ -431,6 +432,27 @@
     return "%.0f MB" % peak
 
 
+def test_answers_of_the_store_without_end_do_not_fill_the_memory():
+    """Guards against a node that keeps what the store sends without end: 1.7 GB of trailers.
+
+    All its requests to the store are answered so, one kind after the other.
+    """
+    figures = {}
+    with small_deployment() as d:
+        for what, flood in ANSWERS.items():
+            d.store.handle = lambda req, conn, flood=flood: flood.send_plain(conn)
+            for conn in list(d.store.conns):
+                conn.shutdown(socket.SHUT_RDWR)
+            check_calls(d, 1.5)
+            del d.store.handle
+            assert flood.begun, what
+            check_closed(flood, 10)
+            figures[what] = check_small(d)
+        d.configure([d.route("r", "plain"), d.route("s", "plain")])
+        assert d.call("/s/x").status == 200
+        return figures
+
+
 def test_answers_of_the_cloud_without_end_do_not_fill_the_memory():
     """Guards against a node that keeps what the cloud API sends without end, or waits for it."""
     with small_deployment() as d:
