tests: lists of the store that go on page after page

Cause: up to 64 pages of a list are kept, each bounded, but not their sum, and several lists are read at once.

--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -525,7 +525,7 @@
         w.connections = 0
         a = d.call("/r/x", deadline=DEADLINE_MS)
         assert a.status == 200 and a.whole and a.took_s < 1, (a.status, a.whole, a.took_s)
-        assert flood.begun
+        wait_until(lambda: flood.begun, 2)  # the check ends before the VM notices it
         check_closed(flood)
         return "%.0f MB" % memory_mb(d.nodes[0])
 
@@ -576,3 +576,27 @@
         assert statuses[200] >= 0.98 * statuses.total(), statuses
         return "%s, %s, %d forwarded calls flooded, %d links" % (
             figure, dict(statuses), begun, sum(f.begun for f in links))
+
+
+def test_a_list_of_the_store_without_end_does_not_fill_the_memory():
+    """Guards against a node that keeps each page of a list, however many there are.
+
+    Each page has two objects of 1 MB, the most that the store accepts.
+    """
+    with small_deployment() as d:
+        answer, numbers, pad = d.store._answer, itertools.count(), "x" * 1000000
+
+        def answer_more(req):
+            status, value = answer(req)
+            if "events" in value:
+                return 410, {"error": "history is gone"}
+            if "entries" in value:
+                more = [{"metadata": {"name": "zz%06d" % next(numbers), "revision": 5},
+                         "spec": {"pad": pad}} for _ in range(2)]
+                value = dict(value, entries=value["entries"] + more, more=True)
+            return status, value
+        d.store._answer = answer_more
+        d.configure([d.route("r", "plain"), d.route("s", "plain")], wait=False)
+        check_calls(d, 5)
+        assert next(numbers), "no list was read"
+        return check_small(d)
