entry: calls that outlast a planned stop get an answer

Callers of an entry node whose calls were in hand when the notice of a planned stop was over got no answer: the connection closed, also for calls that the service ran.

planned_stop() only handed over resumable streams and ended the loops amid all other calls. 0.15 s before the end, each call is now ended with what is known of it: 502 if it may have run, 503 if it was not sent. Calls that wait are not dispatched meanwhile, and calls that come later are refused with 503.

--- a/programs/entry.c
+++ b/programs/entry.c
@@ -37,6 +37,9 @@
 /* Resumable streams are ended this long before the notice time is over, so that
  * callers can resume them at another node. */
 #define HANDOVER_LEAD_MS 1000
+/* Callers that still wait are answered this long before the notice time is over, so
+ * that their answers can be sent. */
+#define ANSWER_MARGIN_MS 150
 
 struct worker {
     pthread_t thread;
@@ -143,6 +146,19 @@
     rk_traffic_end_resumable_streams(w->traffic);
 }
 
+/* Runs on the traffic thread. */
+static void end_calls(void *ctx)
+{
+    struct worker *w = ctx;
+    rk_traffic_end_calls(w->traffic);
+}
+
+static void post_to_all(struct node *n, void (*fn)(void *ctx))
+{
+    for (size_t i = 0; i < n->workers_len; i++)
+        rk_loop_post(n->workers[i].traffic->loop, fn, &n->workers[i]);
+}
+
 /* Returns the sum of the threads' last counts, and requests a new count from each
  * thread. */
 static size_t total_in_flight(struct node *n)
@@ -164,12 +180,12 @@
 /* Drains the node. Health reports "leaving", but new calls are still served.
  * Returns once no call has been in flight for MIN_LEAVING_MS, or when the notice
  * time is over. Shortly before the notice time is over, resumable streams are ended
- * so that callers resume them at another node. */
+ * so that callers resume them at another node, and then all other calls. */
 static void planned_stop(struct node *n)
 {
     int64_t start_ms = rk_mono_ms(), notice_ms = n->file.notice_ms,
             idle_since_ms = start_ms;
-    bool handed_over = false;
+    bool handed_over = false, ended = false;
     RK_EVENT("node.leaving", RK_N("notice_ms", notice_ms));
     rk_control_leave(n->control);
     for (size_t i = 0; i < n->workers_len; i++)
@@ -183,9 +199,11 @@
             break;
         if (!handed_over && now_ms - start_ms > notice_ms - HANDOVER_LEAD_MS) {
             handed_over = true;
-            for (size_t i = 0; i < n->workers_len; i++)
-                rk_loop_post(n->workers[i].traffic->loop, hand_over_streams,
-                             &n->workers[i]);
+            post_to_all(n, hand_over_streams);
+        }
+        if (!ended && now_ms - start_ms > notice_ms - ANSWER_MARGIN_MS) {
+            ended = true;
+            post_to_all(n, end_calls);
         }
         sleep_ms(DRAIN_POLL_MS);
     }
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -14,6 +14,7 @@
 #include "serve/view.h"
 #include "services/attempt.h"
 
+#define STOP_DETAIL     "this node stops"
 #define ID_BUCKETS      4096
 #define REPLAY_BODY_MAX (64 * 1024) /* bytes */
 #define MOVE_MARGIN_MS  500         /* time reserved for the move itself */
@@ -283,9 +284,9 @@
 
 /* ---- start and abort ---- */
 
-/* Cancels the attempt in progress and ends the call. If it was sent, its verdict is
- * at best that it may have run. */
-static void abandon(struct rk_exchange *x, int status, const char *detail)
+/* Cancels the attempt in progress. If it was sent, the call's verdict is at best
+ * that it may have run. */
+static void cancel_attempt(struct rk_exchange *x)
 {
     struct rk_traffic *t = x->t;
     bool sent = x->engine || x->service || x->state == X_FORWARDED;
@@ -298,6 +299,13 @@
     x->ever_sent = x->ever_sent || sent;
     if (sent)
         x->verdict = rk_verdict_worst(x->verdict, RK_MAY_HAVE_RUN);
+}
+
+/* Cancels the attempt in progress and ends the call. */
+static void abandon(struct rk_exchange *x, int status, const char *detail)
+{
+    struct rk_traffic *t = x->t;
+    cancel_attempt(x);
     rk_exchange_give_up(x, status, 0, detail);
     rk_exchange_dispatch(t);
 }
@@ -412,6 +420,10 @@
     RK_EVENT("call.start", RK_S("request", x->req.id), RK_S("path", x->req.path),
              RK_S("organisation", x->req.org), RK_N("hops", x->req.hops));
     const struct rk_config *cfg = rk_traffic_view(t)->config;
+    if (t->ends_calls) {
+        rk_exchange_give_up(x, 503, RK_OVERLOAD_RETRY_MS, STOP_DETAIL);
+        return NULL;
+    }
     if ((int64_t)t->exchanges_len > cfg->max_calls) {
         rk_exchange_give_up(x, 503, RK_OVERLOAD_RETRY_MS,
                             "this node has all the calls it takes");
@@ -474,7 +486,7 @@
 void rk_exchange_abort(struct rk_exchange *x)
 {
     x->sink = NULL;
-    abandon(x, 499, "this node stops");
+    abandon(x, 499, STOP_DETAIL);
 }
 
 /* ---- view changes and shutdown ---- */
@@ -556,3 +568,17 @@
         rk_exchange_finish(x, &o);
     }
 }
+
+void rk_exchange_end_all(struct rk_traffic *t)
+{
+    for (struct rk_exchange *x = t->exchanges, *next; x; x = next) {
+        next = x->next;
+        if (!x->sink)
+            continue;
+        /* Without dispatching: the calls that wait have to stay unsent. */
+        cancel_attempt(x);
+        bool not_run = x->verdict == RK_NOT_RUN;
+        rk_exchange_give_up(x, not_run ? 503 : 502,
+                            not_run ? RK_OVERLOAD_RETRY_MS : 0, STOP_DETAIL);
+    }
+}
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -45,6 +45,9 @@
 /* Ends all repeatable streams with an outcome that lets the caller resume them at
  * another node. */
 void rk_exchange_end_resumable(struct rk_traffic *t);
+/* Ends all calls whose callers wait with an outcome that tells whether they may
+ * have run. */
+void rk_exchange_end_all(struct rk_traffic *t);
 /* Sends every queued call that the router can place now. */
 void rk_exchange_dispatch(struct rk_traffic *t);
 /* Returns the call's id, which is unique within the thread. */
--- a/serve/traffic.c
+++ b/serve/traffic.c
@@ -88,6 +88,13 @@
     rk_exchange_end_resumable(t);
 }
 
+void rk_traffic_end_calls(struct rk_traffic *t)
+{
+    t->ends_calls = true;
+    rk_exchange_end_resumable(t);
+    rk_exchange_end_all(t);
+}
+
 /* Counts this node and the peers of its failure domain that are not leaving. */
 static int serving_nodes(const struct rk_view *v)
 {
--- a/tests/proc_hosted_late_calls.py
+++ b/tests/proc_hosted_late_calls.py
@@ -48,17 +48,20 @@
 def check_answers(d, made):
     """Checks that each answer is complete and true; returns how many have which status."""
     statuses = collections.Counter()
+    slowest = 0
     for at, a in made:
         runs = d.runs(a.ident)
         statuses[a.status] += 1
         if not a.status:
             assert not runs, "a call made at %.2f s ran and got no answer" % at
+            slowest = max(slowest, a.took_s)
             continue
         assert a.whole, (at, a.status)
         if a.status in NOT_RUN:
             assert not runs, "a call made at %.2f s ran and got %d" % (at, a.status)
         else:
             assert a.status in (200, 502) and runs <= 1, (at, a.status, runs)
+    statuses["slowest"] = slowest
     return dict(statuses)
 
 
@@ -184,9 +187,10 @@
             s.sendall(body[-1:])
     except OSError:
         pass
+    sent = time.monotonic()
     for ident in idents:
         a = read_answer(s, "POST", rest)
-        a.ident = ident
+        a.ident, a.took_s = ident, time.monotonic() - sent
         answers.append(a)
     return answers
 
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -1,4 +1,5 @@
 """Promise 6: a planned stop of an entry node cuts off no request."""
+import collections
 import concurrent.futures
 import json
 import os
@@ -8,9 +9,10 @@
 import time
 
 from cluster import Answer, Proc, call, chat, free_port, request, wait_for
-from fakes import BUILD, cluster, forwarding_cluster, slow_exits, small_cluster
+from fakes import BUILD, check_verdict, cluster, forwarding_cluster, slow_exits, small_cluster
 
 PROMPT = "Prepare the patient for the visit at the clinic in Otjiwarongo. " * 10
+CALL_INTERVAL_S = 0.05  # between late calls
 
 
 class Balancer:
@@ -207,3 +209,70 @@
             finally:
                 p.popen.kill()
                 p.popen.wait()
+
+
+def call_through_a_stop(c, entry, stopped, settle_s):
+    """Makes calls at an entry node at a steady rate, from 1 s before the SIGTERM of nodes until
+    these have ended, and checks their answers. Returns how many ended with which status and
+    verdict."""
+    began, made = time.monotonic(), []
+    told = False
+    with concurrent.futures.ThreadPoolExecutor(200) as pool:
+        while any(e.popen.poll() is None for e in stopped):
+            if not told and time.monotonic() - began >= 1:
+                told = True
+                for e in stopped:
+                    e.signal(signal.SIGTERM)
+            key = "k%d" % len(made)
+            made.append((time.monotonic() - began, key,
+                         pool.submit(call, entry.port, "slots/confirm", key)))
+            time.sleep(CALL_INTERVAL_S)
+    assert all(e.popen.poll() == 0 for e in stopped)
+    time.sleep(settle_s)  # what the service still runs has been counted
+    runs, ended = c.runs(), collections.Counter()
+    for at, key, f in made:
+        a = f.result()
+        ended[a.status, a.verdict] += 1
+        if not a.status:
+            assert not runs.get(key), "a call made at %.2f s ran and got no answer" % at
+            continue
+        assert not a.error, (at, a.status, a.error)
+        check_verdict(a, runs.get(key, 0))
+        assert not (a.status in (429, 503) and runs.get(key)), (at, a.status)
+    assert ended[200, "ran"] > 0, ended
+    return dict(ended)
+
+
+def calls_in_a_stop(notice_ms, work_ms):
+    with small_cluster(engines=0, service_args=["--work-ms", str(work_ms)],
+                       proc_extra={"notice_ms": notice_ms}) as c:
+        entry = c.entries[0]
+        assert call(entry.port, "slots/confirm", "first").whole()
+        return call_through_a_stop(c, entry, [entry], work_ms / 1000 + 0.5)
+
+
+def test_late_calls_in_a_planned_stop_are_not_cut():
+    """Guards against calls that are taken late in a stop, passed on, and cut at its end without
+    an answer."""
+    return str([calls_in_a_stop(notice_ms, work_ms)
+                for notice_ms, work_ms in ((3000, 50), (4000, 1500))])
+
+
+def forwarded_calls_in_a_stop(*stopped):
+    """Checks notices that are shorter and longer than the calls."""
+    out = []
+    for notice_ms in (1200, 4000):
+        with forwarding_cluster(proc_extra={"notice_ms": notice_ms}) as c:
+            out.append(call_through_a_stop(c, c.entry("klein-hall-e0"),
+                                           [c.entry(name) for name in stopped], 2))
+    return str(out)
+
+
+def test_late_forwarded_calls_in_a_planned_stop_are_not_cut():
+    """Guards against the same for calls that a stopping node took for a peer."""
+    return forwarded_calls_in_a_stop("eros-hall-e0")
+
+
+def test_late_forwarded_calls_are_not_cut_if_both_nodes_stop_at_once():
+    """Guards against the same if the node that forwards stops too."""
+    return forwarded_calls_in_a_stop("klein-hall-e0", "eros-hall-e0")
