server: requests received behind another are answered before a stop closes their connection

A caller that sends requests one after the other without waiting for answers lost those behind the first one in a planned stop: the first answer closed the connection, up to 0.7 s after the others had been received whole. They had not been passed on, but their callers got no answer that says so.

A response closes its connection in a stop unless more has been received behind its request.

--- a/callers/response.c
+++ b/callers/response.c
@@ -70,8 +70,11 @@
     c->chunked = false;
     c->no_body =
         c->reader.head.method == HTTP_HEAD || status == 204 || status == 304;
+    /* Requests that were received behind this one are answered before their
+     * connection closes. */
+    bool closes = c->s->closing && c->pipelined.len == c->pipelined_pos;
     c->close_after_answer =
-        c->close_after_answer || c->s->closing || !c->reader.head.keep_alive ||
+        c->close_after_answer || closes || !c->reader.head.keep_alive ||
         !c->reader.ended; /* the start of the next request is not known */
     snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
              reason_phrase(status));
--- a/callers/server.h
+++ b/callers/server.h
@@ -69,7 +69,7 @@
 void rk_server_set_accepting(struct rk_server *s, bool on);
 
 /* Makes each response that begins from now on close its connection, and announce
- * that with "Connection: close". */
+ * that with "Connection: close", unless more was received behind its request. */
 void rk_server_set_closing(struct rk_server *s);
 
 /* Closes the connections that have neither a request, nor a part of one, nor unsent
--- a/tests/proc_hosted_late_calls.py
+++ b/tests/proc_hosted_late_calls.py
@@ -17,6 +17,7 @@
 DEADLINE_MS = 6000
 NOT_RUN = (429, 503, 408, 421)  # statuses that promise this
 BALANCER_S = 2.5  # after which the balancer has noticed a stop
+LOSS_SLACK_S = 0.2  # a received call whose connection closes later counts as cut
 CUT_NOTICED_S = 3.0  # after which a node has noticed that it lost its VMs
 
 
@@ -48,20 +49,18 @@
 def check_answers(d, made):
     """Checks that each answer is complete and true; returns how many have which status."""
     statuses = collections.Counter()
-    slowest = 0
     for at, a in made:
         runs = d.runs(a.ident)
         statuses[a.status] += 1
         if not a.status:
             assert not runs, "a call made at %.2f s ran and got no answer" % at
-            slowest = max(slowest, a.took_s)
+            assert a.took_s <= LOSS_SLACK_S, "unanswered after %.2f s" % a.took_s
             continue
         assert a.whole, (at, a.status)
         if a.status in NOT_RUN:
             assert not runs, "a call made at %.2f s ran and got %d" % (at, a.status)
         else:
             assert a.status in (200, 502) and runs <= 1, (at, a.status, runs)
-    statuses["slowest"] = slowest
     return dict(statuses)
 
 
