--- a/serve/relay_request.c
+++ b/serve/relay_request.c
@@ -24,6 +24,8 @@
  * does not know of the stop yet: those are accepted that usually end before the
  * stop does, whatever their deadline. */
 #define STOP_NOTICED_MS 2700
+/* Such a call may take this much longer than expected. */
+#define STOP_SLACK_MS 200
 
 /* Refuses a request for which no call was created. */
 static void refuse(struct rk_relay *r, struct rk_client *client, int status,
@@ -209,7 +211,7 @@
         return false;
     int64_t expected_ms = rk_relay_expected_duration_ms(r, route);
     return now_ms - began_ms >= STOP_NOTICED_MS || expected_ms < 0 ||
-           expected_ms > stop_left_ms;
+           expected_ms + STOP_SLACK_MS > stop_left_ms;
 }
 
 /* Counts a call of an organisation that has a quota. */
