streams: a restarted node's list does not make its peers unsure

Traced: the restarted node, as a bridge, sends its whole list with the store's revision, which is past that of its peers. They took that for changes that they had lost, and were as unsure of all versions as after a start (logged: unsure since 9 ms after the restart, with a list from 1.4 s before).

A whole list counts as lost changes only at a node that doesn't follow the store itself at that moment, and not in the second after the first list, when peers and the store both send one.

--- a/node/sync_impl.h
+++ b/node/sync_impl.h
@@ -66,6 +66,7 @@
     size_t entries_len, entries_cap;
     struct lh_table *by_name; /* of json-c: entries by name */
     bool list_known;
+    int64_t list_known_ms; /* since when */
     bool in_bulk;          /* many changes from a peer are being applied */
     int64_t list_revision; /* every change up to it is known */
     /* Ring of the last removals. removed_len counts all of them; removed_cap grows
--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -18,6 +18,9 @@
  * during the outage register again within this time. */
 #define GRACE_MS 1900
 
+/* Time from the first list until a whole list means that changes were lost. */
+#define START_MS 1000
+
 #define REMOVED_INITIAL_CAP 64
 #define NAMES_INITIAL_SIZE  64
 /* A message with at least this many rows is compressed. The list of 3,000 VMs
@@ -334,6 +337,22 @@
     s->gap_to = to;
 }
 
+/* Tells the relay that VMs may have come and left unnoticed, as a whole list came
+ * in place of the changes since a revision. At a start, peers and the store both
+ * send one. */
+static void note_unseen_changes(struct rk_sync *s, int64_t from, int64_t to)
+{
+    if (from && from < to && rk_mono_ms() - s->list_known_ms >= START_MS)
+        rk_sync_note_past_vm(s, NULL);
+}
+
+static void set_list_known(struct rk_sync *s)
+{
+    if (!s->list_known)
+        s->list_known_ms = rk_mono_ms();
+    s->list_known = true;
+}
+
 /* Removes the entries whose grace period has ended. Returns true if the relay lacks
  * the change. */
 static bool remove_expired(struct rk_sync *s)
@@ -405,8 +424,7 @@
     if (all) {
         changed |= remove_missing(s, objects, len, store_revision, "store");
         note_gap(s, before, store_revision);
-        if (before && before < store_revision)
-            rk_sync_note_past_vm(s, NULL);
+        note_unseen_changes(s, before, store_revision);
     }
     for (size_t i = 0; i < len; i++) {
         if (!objects[i].name[0])
@@ -419,7 +437,7 @@
     int64_t known = known_revision(objects, len, all, store_revision);
     if (known > s->list_revision)
         s->list_revision = known;
-    s->list_known = true;
+    set_list_known(s);
     if (changed)
         rk_sync_publish_changes(s);
     if (s->list_revision > before)
@@ -619,8 +637,8 @@
         changed |=
             remove_missing(s, objects, text->n_list, text->list_revision, "peer");
         note_gap(s, known, text->list_revision);
-        if (known)
-            rk_sync_note_past_vm(s, NULL);
+        if (!s->vms.enabled || s->vms.lost) /* else the watch brings the changes */
+            note_unseen_changes(s, known, text->list_revision);
     }
     for (size_t i = 0; i < text->n_gone; i++)
         changed |= handle_peer_removal(s, text->gone[i], text->list_revision);
@@ -628,7 +646,7 @@
         changed |= apply_row(s, text->list[i]);
     free(objects);
     s->in_bulk = false;
-    s->list_known = true;
+    set_list_known(s);
     s->list_revision = text->list_revision;
     rk_store_watch_skip_to(&s->vms, text->list_revision);
     if (changed)
