mesh: the question to the store after a peer's restart is asked where reports come in

The check of incarnations called it, which unit tests of members run without a node's settings and lists: test_bridges, late_reports_of_a_past_incarnation ended by SIGSEGV. Nodes always have these.

--- a/node/members.c
+++ b/node/members.c
@@ -113,15 +113,9 @@
     for (size_t i = 0; i < len; i++)
         if (k->past_incarnations[i] == incarnation)
             return false;
-    if (k->last_incarnation) {
+    if (k->last_incarnation)
         k->past_incarnations[k->past_len++ % PAST_INCARNATIONS] =
             k->last_incarnation;
-        /* The restarted node relies on what its peers know of versions if their
-         * lists were confirmed after its start. A large fleet would ask the store
-         * too often. */
-        if (k->m->direct)
-            rk_sync_check_store(k->m->n->sync);
-    }
     k->last_incarnation = incarnation;
     return true;
 }
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -243,8 +243,14 @@
     if (rk_mesh_is_self(m, r->id, r->addr))
         return;
     struct member *k = rk_mesh_find_or_add(m, r->id, r->addr);
+    uint64_t incarnation_before = k->last_incarnation;
     if (!rk_report_receive(k, r))
         return;
+    /* A restarted node relies on what its peers know of versions if their lists
+     * were confirmed after its start. A large fleet would ask the store too often.
+     */
+    if (m->direct && incarnation_before && incarnation_before != r->incarnation)
+        rk_sync_check_store(m->n->sync);
     k->settings_version = r->settings_version;
     if (r->settings_version < rk_sync_version(m->n->sync))
         rk_transfer_schedule(m);
