entry: a stopping node refuses forwarded calls before it exits

Cause: a stopping rillknot-entry exits once its last count of calls, up to 50 ms old, was 0 for 500 ms. Peers may learn that it leaves a gossip round or more later (1 s), and forward keys to it as to their owner meanwhile. A call that came after the count was cut amid its claim: the slot had been written, so that the peer, which then claims the key itself, answered 409 'the key may have run under another node', though it had not run.

Change: before it exits, the node refuses forwarded calls as a node without settings does, so that the sender claims the key, and waits for those taken before.

--- a/programs/entry.c
+++ b/programs/entry.c
@@ -29,6 +29,7 @@
 #define UPLOAD_TIMEOUT_MS 20000
 #define MAX_PENDING_BYTES (1024 * 1024)
 #define DRAIN_POLL_MS     50
+#define FORWARDS_POLL_MS  2
 #define ID_PREFIX_LEN     24 /* most characters of the node's id in request ids */
 /* A stopping node reports "leaving" at /health for at least this long, and waits
  * until no call has been in flight for this long, so that the external balancer
@@ -49,6 +50,7 @@
     /* Calls in flight and responses not yet written in full, as last counted by the
      * traffic thread. A call may be counted twice. */
     _Atomic size_t in_flight;
+    _Atomic bool refuses_forwards;
 };
 
 struct node {
@@ -146,6 +148,15 @@
     rk_traffic_end_resumable_streams(w->traffic);
 }
 
+/* Runs on the traffic thread. */
+static void refuse_forwards(void *ctx)
+{
+    struct worker *w = ctx;
+    rk_traffic_refuse_forwards(w->traffic);
+    update_in_flight(w);
+    atomic_store(&w->refuses_forwards, true);
+}
+
 /* Runs on the traffic thread. */
 static void end_calls(void *ctx)
 {
@@ -177,10 +188,29 @@
     nanosleep(&ts, NULL);
 }
 
+static bool all_refuse_forwards(struct node *n)
+{
+    for (size_t i = 0; i < n->workers_len; i++)
+        if (!atomic_load(&n->workers[i].refuses_forwards))
+            return false;
+    return true;
+}
+
+/* Waits for the calls that peers forwarded since the last count: peers may learn
+ * late that this node leaves. An exit amid a claim would leave its key in doubt. */
+static void end_forwards(struct node *n, int64_t until_ms)
+{
+    post_to_all(n, refuse_forwards);
+    while (rk_mono_ms() < until_ms &&
+           (!all_refuse_forwards(n) || total_in_flight(n)))
+        sleep_ms(FORWARDS_POLL_MS);
+}
+
 /* Drains the node. Health reports "leaving", but new calls are still served.
  * Returns once no call has been in flight for MIN_LEAVING_MS, or when the notice
- * time is over. Shortly before the notice time is over, resumable streams are ended
- * so that callers resume them at another node, and then all other calls. */
+ * time is over; peers' calls are refused by then. Shortly before the notice time is
+ * over, resumable streams are ended so that callers resume them at another node, and
+ * then all other calls. */
 static void planned_stop(struct node *n)
 {
     int64_t start_ms = rk_mono_ms(), notice_ms = n->file.notice_ms,
@@ -207,6 +237,7 @@
         }
         sleep_ms(DRAIN_POLL_MS);
     }
+    end_forwards(n, start_ms + notice_ms);
     RK_EVENT("node.stopped", RK_N("in_hand", (int64_t)total_in_flight(n)),
              RK_N("took_ms", rk_mono_ms() - start_ms));
 }
--- a/serve/forward.c
+++ b/serve/forward.c
@@ -330,16 +330,17 @@
     rk_link_send(c->link, &frame);
 }
 
-/* Refuses a call while this node has no settings. An owner knows nothing of the
- * call's key then, so that the sender has to claim it. */
-static void refuse_unready(struct conn *c, const Rillknot__ForwardBegin *b)
+/* Refuses a call that this node can't claim or run. Nothing was done with its key
+ * here, so that the sender can claim it. */
+static void refuse_call(struct conn *c, const Rillknot__ForwardBegin *b,
+                        const char *detail)
 {
     Rillknot__ForwardEnd e = RILLKNOT__FORWARD_END__INIT;
     e.id = b->id;
     e.status = 503;
     e.verdict = b->to_owner ? RK_MAY_HAVE_RUN : RK_NOT_RUN;
     e.retry_after_ms = RK_OVERLOAD_RETRY_MS;
-    e.detail = "the peer has no settings yet";
+    e.detail = (char *)detail;
     e.not_sent = true;
     e.not_ready = true;
     Rillknot__Frame frame = RILLKNOT__FRAME__INIT;
@@ -351,7 +352,11 @@
 static void accept_call(struct conn *c, const Rillknot__ForwardBegin *b)
 {
     if (!rk_traffic_view(c->f->t)->config->head) {
-        refuse_unready(c, b);
+        refuse_call(c, b, "the peer has no settings yet");
+        return;
+    }
+    if (c->f->t->refuses_forwards) {
+        refuse_call(c, b, "the peer stops");
         return;
     }
     struct rk_request r = {
--- a/serve/traffic.c
+++ b/serve/traffic.c
@@ -88,6 +88,11 @@
     rk_exchange_end_resumable(t);
 }
 
+void rk_traffic_refuse_forwards(struct rk_traffic *t)
+{
+    t->refuses_forwards = true;
+}
+
 void rk_traffic_end_calls(struct rk_traffic *t)
 {
     t->ends_calls = true;
--- a/serve/traffic.h
+++ b/serve/traffic.h
@@ -83,6 +83,7 @@
     _Atomic uint32_t free_slots; /* free slots reported to peers; read by control */
     int64_t free_slots_ms;       /* last update of free_slots, monotonic */
     struct rk_timer recheck_timer; /* runs while jobs are queued */
+    bool refuses_forwards;         /* a planned stop ends: peers' calls are refused */
     bool ends_calls;               /* a planned stop ends: new calls are refused */
 };
 
@@ -117,6 +118,9 @@
  * the reclaim notice. */
 void rk_traffic_end_resumable_streams(struct rk_traffic *t);
 
+/* Refuses calls that peers forward from now on. Their peers handle them instead. */
+void rk_traffic_refuse_forwards(struct rk_traffic *t);
+
 /* Ends all calls, and refuses those that come later. Used right before the end of a
  * planned stop. */
 void rk_traffic_end_calls(struct rk_traffic *t);
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -111,6 +111,37 @@
         return rolling_restart(c, 15000, 40)
 
 
+def stop_owner_under_calls(first_call_s):
+    """Stops an owner of claims of which a peer doesn't learn, and sends calls to the peer from
+    a time on. Returns their answers and how often each key ran."""
+    with cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0,
+                 peer_cuts=True) as c:
+        peer, owner = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+        for name in ("klein-hall-e0", "eros-hall-e0"):
+            c.cuts[name, "control"].cut()
+        owner.signal(signal.SIGTERM)
+        time.sleep(first_call_s)
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            answers = []
+            for n in range(40):
+                answers.append(pool.submit(call, peer.port, "slots/confirm", "late%d" % n))
+                time.sleep(0.004)
+            answers = [a.result() for a in answers]
+        assert owner.popen.wait(20) == 0
+        return answers, c.runs()
+
+
+def test_an_owner_of_claims_stops_while_calls_are_forwarded_to_it():
+    """Guards against a key in doubt, because the owner exited amid its claim: calls that were
+    forwarded since the stopping node last counted its calls were cut."""
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        stops = list(pool.map(stop_owner_under_calls, [0.46 + 0.01 * n for n in range(20)]))
+    failed = [(a.status, a.verdict, a.body[-160:]) for answers, _ in stops for a in answers
+              if not a.whole()]
+    assert not failed, (len(failed), failed[:3])
+    assert all(n == 1 for _, runs in stops for n in runs.values())
+
+
 def test_streams_longer_than_the_notice_are_handed_over():
     """Streams that last longer than the notice of 2.5 s must be resumed at a peer."""
     with cluster(entries=2, engines=2, proc_extra={"notice_ms": 2500}) as c:
