persist: the record's era is noted whether or not versions are restored

Cause: nodes that start while the store names a lower era than the nodes before them believed have to count theirs on from that one, or the platform refuses their fencing tokens for good. They learned it from the revision of the VM list beside the services of one version, when they asked the store for the changes since. If no service had had one version only, nothing named the era. That is common since a whole list that may hide changes makes the relay unsure of the versions.

Change: the record's own era is noted when the record is read, if it is not implausibly far ahead; the revision beside the versions is checked likewise.

--- a/node/persist.c
+++ b/node/persist.c
@@ -470,7 +470,9 @@
                                   int64_t age_ms)
 {
     struct json_object *only = rk_json_get(spec, "only");
+    int64_t list_revision = rk_json_int(spec, "vms_revision", 0);
     if (age_ms > ONLY_VERSION_MAX_AGE_MS ||
+        !rk_sync_is_plausible(m->n->sync, list_revision) ||
         !json_object_is_type(only, json_type_object))
         return;
     size_t len = 0;
@@ -487,11 +489,19 @@
             rk_strcpy(rows[len].version, sizeof(rows[len].version), text))
             len++;
     }
-    rk_version_history_check(m->versions, rows, len,
-                             rk_json_int(spec, "vms_revision", 0),
+    rk_version_history_check(m->versions, rows, len, list_revision,
                              ONLY_VERSION_MAX_AGE_MS - (age_ms > 0 ? age_ms : 0));
 }
 
+/* The nodes before this one may have believed an era above the one that the store
+ * names, and led in it: fencing tokens have to stay above theirs. */
+static void restore_era(struct rk_persist *m, int64_t era)
+{
+    struct rk_store *store = m->n->store;
+    if (era > store->era && era - store->era <= RK_REVISION_ERA_STEP_MAX)
+        store->ops->note_era(store, era);
+}
+
 static void restore_quotas(struct rk_persist *m, struct json_object *spec)
 {
     int64_t now_ms = rk_wall_ms();
@@ -504,6 +514,7 @@
         record.noticed_ms = now_ms;
     rk_read_delay_set_fleet_size(m->n, spec);
     rk_leader_note_record(m->n->leader, spec ? &record : NULL);
+    restore_era(m, record.era);
     restore_usage(m, spec);
     copy_usage(m, spec);
     struct json_object *used = rk_json_get(spec, "used");
--- a/objects/store.h
+++ b/objects/store.h
@@ -73,6 +73,8 @@
     /* Removes the object, whatever its revision. */
     void (*remove)(struct rk_store *s, const char *kind, const char *name,
                    rk_store_object_fn *fn, void *ctx);
+    /* Notes an era of the store that earlier processes have believed. */
+    void (*note_era)(struct rk_store *s, int64_t era);
     void (*destroy)(struct rk_store *s);
 };
 
--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -421,10 +421,12 @@
         check_fences_rise(d)
 
 
-def test_duties_go_on_after_all_nodes_started_anew_in_a_wrong_era():
-    """Guards against the same where the store names a wrong era, in which duties are done, until
-    all nodes are killed. What the nodes keep in the store tells the later ones of that era."""
+def check_duties_after_a_wrong_era(versions):
+    """Kills all nodes while the store names a wrong era, in which duties are done, and starts
+    them as it names the right one. The workers run so many versions."""
     with fleet(nodes=3, workers=3) as d:
+        for n in range(1, versions):
+            d.add_worker("plain", version="v%d" % (n + 1))
         served_until_reported(d, 3)
         d.store.answer_era = lambda: "4"
         wait_until(lambda: d.cloud.usage[-1][3] >> 40 == 4, 20)
@@ -434,3 +436,14 @@
         restart_all(d)
         check_reports_go_on(d)
         check_fences_rise(d)
+
+
+def test_duties_go_on_after_all_nodes_started_anew_in_a_wrong_era():
+    """Guards against the same where the store names a wrong era, in which duties are done, until
+    all nodes are killed. What the nodes keep in the store tells the later ones of that era."""
+    check_duties_after_a_wrong_era(versions=1)
+
+
+def test_duties_go_on_after_a_wrong_era_in_which_two_versions_served():
+    """Guards against an era that later nodes know only by what is kept of single versions."""
+    check_duties_after_a_wrong_era(versions=2)
