--- a/programs/entry.c
+++ b/programs/entry.c
@@ -209,8 +209,8 @@
 /* Drains the node. Health reports "leaving", but new calls are still served.
  * Returns once no call has been in flight for MIN_LEAVING_MS, or when the notice
  * time is over; peers' calls are refused by then. Shortly before the notice time is
- * over, resumable streams are ended so that callers resume them at another node, and
- * then all other calls. */
+ * over, resumable streams are ended so that callers resume them at another node,
+ * and then all other calls. */
 static void planned_stop(struct node *n)
 {
     int64_t start_ms = rk_mono_ms(), notice_ms = n->file.notice_ms,
