--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -1,5 +1,6 @@
 """Objects of the store with odd values: a node neither ends nor stops serving on what it reads,
 and serves again once sound objects are written."""
+import itertools
 import re
 import time
 
@@ -204,6 +205,34 @@
         check_serves_again(d)
 
 
+def test_a_list_that_is_not_read_to_its_end_removes_no_vms():
+    """Guards against a list with too many pages that counts as complete: the VMs on the pages
+    that were not read were taken for removed."""
+    with deployment() as d:
+        d.configure([d.route("r", "plain")])
+        wait_until(lambda: d.call("/r/x").status == 200, 5)
+        answer, numbers = d.store._answer, itertools.count()
+
+        def answer_more(req):
+            status, value = answer(req)
+            if "events" in value:
+                return 410, {"error": "history is gone"}
+            if "servers" in req.target and "entries" in value:
+                name = "a%07d" % next(numbers)
+                filler = {"metadata": {"name": name, "revision": d.store.revision}, "spec": {}}
+                value = dict(value, entries=[filler], more=True)
+            return status, value
+        d.store._answer = answer_more
+        end = time.monotonic() + 6
+        while time.monotonic() < end:
+            assert d.call("/r/x").status == 200
+            time.sleep(0.02)
+        assert next(numbers) > 64
+        assert not [e for e in logged(d, "vm.changed") if e["what"] == "removed"]
+        d.store._answer = answer
+        check_serves_again(d)
+
+
 def test_a_store_that_names_no_revision_is_not_asked_without_pause():
     """Guards against a node that lists at once again, thousands of times a second, as the list
     names no revision to watch from."""
