--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -372,6 +372,7 @@
             m.start_at = 0.0
             p.stop_sent_at = time.monotonic()
             p.proc.signal(signal.SIGTERM)
+            self.counts["planned stops begun"] += 1
 
     # ---- callers ----
 
