placement: a VM is tried again even if no trial was drawn within 6.5 s of a failure

Cause: a VM at which a call failed is avoided until a trial shows that it serves. From 5 s after the failure on, a trial begins with each report by a draw, one in two at a single node. But only active VMs get trials, and the VM counted as idle 6.5 s after the failure: in one of eight cases no trial had begun, and the VM got no call until its record had lost its weight, after some 11 s.

Change: a VM that is avoided because of its failures stays active.

--- a/core/place.c
+++ b/core/place.c
@@ -277,12 +277,22 @@
            !strcmp(v->row.service, q->service);
 }
 
+static double failure_cost_ms(const struct rk_vm_health *health)
+{
+    return rk_vm_health_failure_share(health) * FAILURE_COST_MS;
+}
+
+bool rk_place_is_avoided(const struct rk_vm_health *health)
+{
+    return failure_cost_ms(health) > JITTER_US / US_PER_MS;
+}
+
 /* Returns the costs that are due to the VM's failures, refusals, pause and full
  * slots, less the bonus for a limit that may have been lifted. */
 static double health_penalty_ms(const struct rk_place_vm *v,
                                 const struct rk_vm_health *health, int64_t now_ms)
 {
-    double ms = rk_vm_health_failure_share(health) * FAILURE_COST_MS +
+    double ms = failure_cost_ms(health) +
                 rk_vm_health_refusal_share(health) * REFUSAL_COST_MS;
     if (now_ms < v->paused_until_ms)
         ms += PAUSED_COST_MS;
--- a/core/place_impl.h
+++ b/core/place_impl.h
@@ -69,6 +69,10 @@
     return vm->listed && !vm->row.leaving && !vm->row.blocked;
 }
 
+/* Returns true if a VM with this record gets no calls while others are as fast,
+ * because of its failed calls. */
+bool rk_place_is_avoided(const struct rk_vm_health *health);
+
 /* Returns true if all slots of the VM are taken, as far as this node knows. */
 static inline bool rk_place_is_full(const struct rk_place_vm *vm)
 {
--- a/core/place_loads.c
+++ b/core/place_loads.c
@@ -72,12 +72,12 @@
 
 /* Returns true if the VM stays active without peers' loads. A VM whose speed factor
  * is not 1 stays, because only the records of active VMs decay: it would count as
- * slow for good. */
+ * slow for good. One that is avoided stays, because only active VMs get trials. */
 static bool stays_active(const struct rk_place_vm *v, int64_t now_ms)
 {
     struct rk_vm_health health = rk_vm_health_decayed(&v->health, now_ms);
     return v->calls || rk_vm_health_weight(&health) >= MIN_REPORTED_CALLS ||
-           v->speed_factor != 1;
+           v->speed_factor != 1 || rk_place_is_avoided(&health);
 }
 
 /* Clears the peers' loads and takes VMs off the list of active VMs that only
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -575,6 +575,34 @@
     rk_place_destroy(p);
 }
 
+/* Guards against a VM at which a single call failed and that gets no calls for over
+ * ten seconds: in one of eight cases no trial had begun when its record was so
+ * small that it counted as idle. */
+static void a_vm_at_which_a_call_failed_is_tried_whatever_is_drawn(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        struct rk_vm_row rows[2] = {vm_row("vm-a", "here", 32),
+                                    vm_row("vm-b", "here", 32)};
+        struct rk_place *p = rk_place_create("here", seed);
+        struct rk_place_query q = engine_query("", 8000);
+        struct rk_place_job job;
+        bool tried = false;
+        q.target_ms = 10000;
+        rk_place_set_vms(p, rows, 2, 0);
+        rk_place_set_node_count(p, 1);
+        struct rk_place_vm *failing = rk_place_find(p, "vm-a");
+        rk_place_note_sent(p, failing, &q, 20000, &job);
+        rk_place_note_end(p, failing, &job, RK_PLACE_LOST, 20000);
+        for (int64_t now_ms = 20000; now_ms < 30000; now_ms += 2 * REPORT_MS) {
+            report_recent(p, 0, now_ms);
+            tried = tried || send_call(p, &q, failing, now_ms);
+        }
+        assert_true(tried);
+        rk_place_destroy(p);
+    }
+}
+
 /* Guards against a VM that gets no calls for long because a few failed there, and
  * against calls to it while it still fails. */
 static void a_vm_at_which_calls_failed_is_tried_after_seconds(void **state)
@@ -876,6 +904,7 @@
         cmocka_unit_test(a_slow_vm_without_calls_is_tried),
         cmocka_unit_test(a_slow_vm_is_tried_soon_after_its_last_call),
         cmocka_unit_test(a_vm_at_which_calls_failed_is_tried_after_seconds),
+        cmocka_unit_test(a_vm_at_which_a_call_failed_is_tried_whatever_is_drawn),
         cmocka_unit_test(unanswered_calls_count_as_slow),
         cmocka_unit_test(plain_call_times_are_learned),
         cmocka_unit_test(services_without_vms_are_forgotten),
