entry: calls taken late in a stop are handed over, too

The wait for calls that peers forwarded since the last count was a loop of its own, which handed over no streams and answered no calls at the end of the notice. It is part of the one loop of a planned stop now.

--- a/programs/entry.c
+++ b/programs/entry.c
@@ -196,48 +196,53 @@
     return true;
 }
 
-/* Waits for the calls that peers forwarded since the last count: peers may learn
- * late that this node leaves. An exit amid a claim would leave its key in doubt. */
-static void end_forwards(struct node *n, int64_t until_ms)
+/* Steps of a planned stop that have been taken. */
+struct stop_steps {
+    bool streams_handed_over, calls_ended, forwards_refused;
+};
+
+/* Shortly before the notice time is over, ends resumable streams, so that callers
+ * resume them at another node, and then all other calls. */
+static void end_late_calls(struct node *n, struct stop_steps *done, int64_t left_ms)
 {
-    post_to_all(n, refuse_forwards);
-    while (rk_mono_ms() < until_ms &&
-           (!all_refuse_forwards(n) || total_in_flight(n)))
-        sleep_ms(FORWARDS_POLL_MS);
+    if (!done->streams_handed_over && left_ms < HANDOVER_LEAD_MS) {
+        done->streams_handed_over = true;
+        post_to_all(n, hand_over_streams);
+    }
+    if (!done->calls_ended && left_ms < ANSWER_MARGIN_MS) {
+        done->calls_ended = true;
+        post_to_all(n, end_calls);
+    }
 }
 
-/* Drains the node. Health reports "leaving", but new calls are still served.
- * Returns once no call has been in flight for MIN_LEAVING_MS, or when the notice
- * time is over; peers' calls are refused by then. Shortly before the notice time is
- * over, resumable streams are ended so that callers resume them at another node,
- * and then all other calls. */
+/* Drains the node. Health reports "leaving", but new calls are still served. Once
+ * no call has been in flight for MIN_LEAVING_MS, calls of peers, which may not know
+ * yet that this node leaves, are refused, and those that came since the last count
+ * are waited for: an exit amid a claim would leave its key in doubt. Returns at the
+ * latest when the notice time is over. */
 static void planned_stop(struct node *n)
 {
-    int64_t start_ms = rk_mono_ms(), notice_ms = n->file.notice_ms,
-            idle_since_ms = start_ms;
-    bool handed_over = false, ended = false;
-    RK_EVENT("node.leaving", RK_N("notice_ms", notice_ms));
+    int64_t start_ms = rk_mono_ms(), end_ms = start_ms + n->file.notice_ms;
+    int64_t now_ms, idle_since_ms = start_ms;
+    struct stop_steps done = {0};
+    RK_EVENT("node.leaving", RK_N("notice_ms", n->file.notice_ms));
     rk_control_leave(n->control);
     for (size_t i = 0; i < n->workers_len; i++)
         atomic_store(&n->workers[i].in_flight, 1);
-    while (rk_mono_ms() - start_ms < notice_ms) {
-        int64_t now_ms = rk_mono_ms();
+    while ((now_ms = rk_mono_ms()) < end_ms) {
+        /* Counts from before the refusals say nothing. */
+        bool counts_are_final = all_refuse_forwards(n);
         if (total_in_flight(n))
             idle_since_ms = now_ms;
-        else if (now_ms - idle_since_ms >= MIN_LEAVING_MS &&
-                 now_ms - start_ms >= MIN_LEAVING_MS)
+        else if (counts_are_final)
             break;
-        if (!handed_over && now_ms - start_ms > notice_ms - HANDOVER_LEAD_MS) {
-            handed_over = true;
-            post_to_all(n, hand_over_streams);
-        }
-        if (!ended && now_ms - start_ms > notice_ms - ANSWER_MARGIN_MS) {
-            ended = true;
-            post_to_all(n, end_calls);
+        if (!done.forwards_refused && now_ms - idle_since_ms >= MIN_LEAVING_MS) {
+            done.forwards_refused = true;
+            post_to_all(n, refuse_forwards);
         }
-        sleep_ms(DRAIN_POLL_MS);
+        end_late_calls(n, &done, end_ms - now_ms);
+        sleep_ms(done.forwards_refused ? FORWARDS_POLL_MS : DRAIN_POLL_MS);
     }
-    end_forwards(n, start_ms + notice_ms);
     RK_EVENT("node.stopped", RK_N("in_hand", (int64_t)total_in_flight(n)),
              RK_N("took_ms", rk_mono_ms() - start_ms));
 }
