--- a/serve/traffic.h
+++ b/serve/traffic.h
@@ -83,8 +83,8 @@
     _Atomic uint32_t free_slots; /* free slots reported to peers; read by control */
     int64_t free_slots_ms;       /* last update of free_slots, monotonic */
     struct rk_timer recheck_timer; /* runs while jobs are queued */
-    bool refuses_forwards;         /* a planned stop ends: peers' calls are refused */
-    bool ends_calls;               /* a planned stop ends: new calls are refused */
+    bool refuses_forwards; /* a planned stop ends: peers' calls are refused */
+    bool ends_calls;       /* a planned stop ends: new calls are refused */
 };
 
 /* Creates the thread's state; the caller starts the thread. */
