--- a/serve/relay_resume.c
+++ b/serve/relay_resume.c
@@ -1,7 +1,9 @@
 /* Finds out at which software version a stream goes on that its caller takes up;
  * see core/stream_versions.h. A resume waits for the answers of the peers that are
- * asked; if nobody knows the stream's version and several may be it, the call is
- * rejected as not run. */
+ * asked. If nobody knows the stream's version, it also waits until the store was
+ * asked for changes of the settings and the VM list, as one that has joined of late
+ * may be unknown to all. If several may be it then, or the store was not reached,
+ * the call is rejected as not run. */
 #include <stdlib.h>
 #include <string.h>
 
