entry: a node that is never idle refuses forwarded calls before its notice is over

Cause (found by the review): a stopping node with callers of its own never reached the 0.5 s without a call after which it refuses forwarded calls. Those that came in the last 0.15 s of the notice were answered 503, may have run, for good, as were those whose claim was not decided yet, though their senders, which did not know that the node leaves, could have claimed the keys.

Change: forwarded calls are refused at the latest when streams are handed over, 1 s before the notice is over.

--- a/programs/entry.c
+++ b/programs/entry.c
@@ -36,7 +36,8 @@
  * notices. */
 #define MIN_LEAVING_MS 500
 /* Resumable streams are ended this long before the notice time is over, so that
- * callers can resume them at another node. */
+ * callers can resume them at another node, and calls of peers are refused from then
+ * on, so that the claims of those that came before are decided. */
 #define HANDOVER_LEAD_MS 1000
 /* Callers that still wait are answered this long before the notice time is over, so
  * that their answers can be sent. */
@@ -216,10 +217,11 @@
 }
 
 /* Drains the node. Health reports "leaving", but new calls are still served. Once
- * no call has been in flight for MIN_LEAVING_MS, calls of peers, which may not know
- * yet that this node leaves, are refused, and those that came since the last count
- * are waited for: an exit amid a claim would leave its key in doubt. Returns at the
- * latest when the notice time is over. */
+ * no call has been in flight for MIN_LEAVING_MS, or the notice time is nearly
+ * over, calls of peers, which may not know yet that this node
+ * leaves, are refused. Those that came since the last count are waited for: an exit
+ * amid a claim would leave its key in doubt. Returns at the latest when the notice
+ * time is over. */
 static void planned_stop(struct node *n)
 {
     int64_t start_ms = rk_mono_ms(), end_ms = start_ms + n->file.notice_ms;
@@ -234,9 +236,10 @@
         bool counts_are_final = all_refuse_forwards(n);
         if (total_in_flight(n))
             idle_since_ms = now_ms;
-        else if (counts_are_final)
+        else if (counts_are_final && now_ms - idle_since_ms >= MIN_LEAVING_MS)
             break;
-        if (!done.forwards_refused && now_ms - idle_since_ms >= MIN_LEAVING_MS) {
+        if (!done.forwards_refused && (now_ms - idle_since_ms >= MIN_LEAVING_MS ||
+                                       end_ms - now_ms < HANDOVER_LEAD_MS)) {
             done.forwards_refused = true;
             post_to_all(n, refuse_forwards);
         }
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -113,7 +113,8 @@
 
 def stop_owner_under_calls(first_call_s):
     """Stops an owner of claims of which a peer doesn't learn, and sends calls to the peer from
-    a time on. Returns their answers and how often each key ran."""
+    a time on. Returns their answers, how often each key ran, and how many calls the owner
+    refused."""
     with cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0,
                  peer_cuts=True) as c:
         peer, owner = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
@@ -128,7 +129,9 @@
                 time.sleep(0.004)
             answers = [a.result() for a in answers]
         assert owner.popen.wait(20) == 0
-        return answers, c.runs()
+        with open(peer.log) as log:
+            refused = log.read().count('"detail":"the peer stops"')
+        return answers, c.runs(), refused
 
 
 def test_an_owner_of_claims_stops_while_calls_are_forwarded_to_it():
@@ -136,10 +139,47 @@
     forwarded since the stopping node last counted its calls were cut."""
     with concurrent.futures.ThreadPoolExecutor(4) as pool:
         stops = list(pool.map(stop_owner_under_calls, [0.46 + 0.01 * n for n in range(20)]))
-    failed = [(a.status, a.verdict, a.body[-160:]) for answers, _ in stops for a in answers
+    failed = [(a.status, a.verdict, a.body[-160:]) for answers, _, _ in stops for a in answers
               if not a.whole()]
     assert not failed, (len(failed), failed[:3])
-    assert all(n == 1 for _, runs in stops for n in runs.values())
+    assert all(n == 1 for _, runs, _ in stops for n in runs.values())
+    refused = sum(n for _, _, n in stops)
+    assert refused, "no call came that late"
+    return "%d calls refused by the owner and served by the peer" % refused
+
+
+def test_an_owner_of_claims_that_is_never_idle_stops_while_calls_are_forwarded_to_it():
+    """Guards against calls that a stopping owner refuses for good, though their senders, which
+    don't know that it leaves, could claim their keys."""
+    with cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0, peer_cuts=True,
+                 proc_extra={"notice_ms": 2000}) as c:
+        peer, owner = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+        for name in ("klein-hall-e0", "eros-hall-e0"):
+            c.cuts[name, "control"].cut()
+
+        def keep_busy(n):
+            for i in range(10000):
+                if owner.popen.poll() is not None:
+                    return
+                call(owner.port, "slots/confirm", "busy%d-%d" % (n, i))
+        busy = [threading.Thread(target=keep_busy, args=(n,)) for n in range(2)]
+        for t in busy:
+            t.start()
+        owner.signal(signal.SIGTERM)
+        time.sleep(0.8)
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            answers = []
+            for n in range(200):
+                answers.append(pool.submit(call, peer.port, "slots/confirm", "late%d" % n))
+                time.sleep(0.006)
+            answers = [a.result() for a in answers]
+        code = owner.popen.wait(20)
+        assert code == 0, code
+        for t in busy:
+            t.join()
+        failed = [(a.status, a.verdict, a.body[-160:]) for a in answers if not a.whole()]
+        assert not failed, (len(failed), failed[:3])
+        assert all(n == 1 for n in c.runs().values())
 
 
 def test_streams_longer_than_the_notice_are_handed_over():
