--- a/tests/proc_hosted_odd_objects.py
+++ b/tests/proc_hosted_odd_objects.py
@@ -227,7 +227,7 @@
         while time.monotonic() < end:
             assert d.call("/r/x").status == 200
             time.sleep(0.02)
-        assert next(numbers) > 64
+        assert next(numbers) > 256  # a list that was read to the limit
         assert not [e for e in logged(d, "vm.changed") if e["what"] == "removed"]
         d.store._answer = answer
         check_serves_again(d)
@@ -338,6 +338,21 @@
         assert d.call("/r/x").status == 200
 
 
+def test_entries_too_long_for_a_vm_do_not_keep_the_list_from_being_read():
+    """Guards against a node that serves nothing after a start as another writer's entries take
+    up the memory that a list may take."""
+    with deployment() as d:
+        d.nodes[0].kill()
+        listed = next(iter(d.store.objects["servers"].values()))["spec"]
+        d.store.page = 4
+        with d.store.cond:
+            for i in range(40):
+                d.store._write("servers", "i-%08x" % i, dict(listed, pad="x" * 900000))
+        d.restart_node(0)
+        d.wait_ready()
+        assert d.call("/r/x").status == 200
+
+
 def test_nodes_outlive_odd_values_of_any_object():
     """Guards against a node that ends, stays busy or does not serve again after an odd value in
     any object of the store, whichever reader meets it."""
