--- a/tests/proc_hosted_restore.py
+++ b/tests/proc_hosted_restore.py
@@ -421,16 +421,17 @@
         check_fences_rise(d)
 
 
-def check_duties_after_a_wrong_era(versions):
+def check_duties_after_a_wrong_era(versions, led_s=1):
     """Kills all nodes while the store names a wrong era, in which duties are done, and starts
-    them as it names the right one. The workers run so many versions."""
+    them as it names the right one. The workers run so many versions; duties are done in the
+    wrong era for led_s."""
     with fleet(nodes=3, workers=3) as d:
         for n in range(1, versions):
             d.add_worker("plain", version="v%d" % (n + 1))
         served_until_reported(d, 3)
         d.store.answer_era = lambda: "4"
         wait_until(lambda: d.cloud.usage[-1][3] >> 40 == 4, 20)
-        time.sleep(1)
+        time.sleep(led_s)
         kill_all(d)
         d.store.answer_era = lambda: str(d.store.era)
         restart_all(d)
@@ -447,3 +448,9 @@
 def test_duties_go_on_after_a_wrong_era_in_which_two_versions_served():
     """Guards against an era that later nodes know only by what is kept of single versions."""
     check_duties_after_a_wrong_era(versions=2)
+
+
+def test_duties_go_on_after_a_wrong_era_that_no_record_names_yet():
+    """Guards against usage that is refused for good, as all nodes were killed after the first
+    duty of a wrong era and before the record of quotas was written in it."""
+    check_duties_after_a_wrong_era(versions=1, led_s=0)
