--- a/programs/entry.c
+++ b/programs/entry.c
@@ -217,11 +217,10 @@
 }
 
 /* Drains the node. Health reports "leaving", but new calls are still served. Once
- * no call has been in flight for MIN_LEAVING_MS, or the notice time is nearly
- * over, calls of peers, which may not know yet that this node
- * leaves, are refused. Those that came since the last count are waited for: an exit
- * amid a claim would leave its key in doubt. Returns at the latest when the notice
- * time is over. */
+ * no call has been in flight for MIN_LEAVING_MS, or the notice time is nearly over,
+ * calls of peers, which may not know yet that this node leaves, are refused. Those
+ * that came since the last count are waited for: an exit amid a claim would leave
+ * its key in doubt. Returns at the latest when the notice time is over. */
 static void planned_stop(struct node *n)
 {
     int64_t start_ms = rk_mono_ms(), end_ms = start_ms + n->file.notice_ms;
