--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -122,12 +122,17 @@
     return true;
 }
 
+static size_t kept_removals(const struct rk_sync *s)
+{
+    return s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+}
+
 /* Returns whether an entry is an old version of a removed one, which the store has
  * restored. A VM that is in use writes its entry again, under a new number. */
 static bool is_restored_removal(const struct rk_sync *s, const char *name,
                                 int64_t revision)
 {
-    size_t kept = s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+    size_t kept = kept_removals(s);
     for (size_t i = 0; i < kept; i++) {
         const struct removed_vm *r = &s->removed[i];
         if (rk_revision_era(r->store_revision) < rk_revision_era(revision) &&
@@ -250,7 +255,7 @@
 /* Returns whether a removal of the VM is recorded. */
 static bool is_removed(const struct rk_sync *s, const char *name)
 {
-    size_t kept = s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+    size_t kept = kept_removals(s);
     for (size_t i = 0; i < kept; i++)
         if (!strcmp(s->removed[i].name, name))
             return true;
@@ -468,7 +473,7 @@
 static void fill_removals(struct rk_sync *s, int64_t since,
                           Rillknot__StoreText *out)
 {
-    size_t kept = s->removed_len < s->removed_cap ? s->removed_len : s->removed_cap;
+    size_t kept = kept_removals(s);
     int64_t now_ms = rk_mono_ms();
     s->removed_rows =
         rk_realloc(s->removed_rows, (kept + 1) * sizeof(*s->removed_rows));
