forward: a check that could not decide is gone

A stopping node refuses forwarded calls before it ends calls, so that ends_calls adds nothing to refuses_forwards there. Behaviour is the same.

--- a/serve/forward.c
+++ b/serve/forward.c
@@ -355,7 +355,7 @@
         refuse_call(c, b, "the peer has no settings yet");
         return;
     }
-    if (c->f->t->refuses_forwards || c->f->t->ends_calls) {
+    if (c->f->t->refuses_forwards) {
         refuse_call(c, b, "the peer stops");
         return;
     }
