--- a/tests/proc_hosted_endless.py
+++ b/tests/proc_hosted_endless.py
@@ -124,6 +124,24 @@
     return int(line.split()[1]) / 1024
 
 
+def call_at_once(d, path, callers, seconds):
+    """Keeps so many callers busy; returns how often each status, or "cut", was seen."""
+    statuses, lock = collections.Counter(), threading.Lock()
+    end = time.monotonic() + seconds
+
+    def call():
+        while time.monotonic() < end:
+            a = d.call(path, deadline=DEADLINE_MS)
+            with lock:
+                statuses[a.status if a.whole else "cut"] += 1
+    threads = [threading.Thread(target=call) for _ in range(callers)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    return statuses
+
+
 def flood_first_attempts(d, flood):
     """Makes each request's first attempt at any of the workers flood."""
     def fault(worker, req, conn):
@@ -340,19 +358,7 @@
         kinds = list(dict(HEADS, **BODIES).values())
         for w in d.workers[:2]:
             w.fault = lambda w, req, conn: kinds[w.runs.total() % len(kinds)](w, req, conn)
-        statuses, lock = collections.Counter(), threading.Lock()
-        end = time.monotonic() + 6
-
-        def call():
-            while time.monotonic() < end:
-                a = d.call("/r/x", deadline=DEADLINE_MS)
-                with lock:
-                    statuses[a.status if a.whole else "cut"] += 1
-        threads = [threading.Thread(target=call) for _ in range(24)]
-        for t in threads:
-            t.start()
-        for t in threads:
-            t.join()
+        statuses = call_at_once(d, "/r/x", callers=24, seconds=6)
         assert statuses[200] >= 0.95 * statuses.total(), statuses
         assert d.nodes[0].popen.poll() is None
         assert memory_mb(d.nodes[0]) < MEMORY_MB, memory_mb(d.nodes[0])
@@ -553,19 +559,7 @@
         servers = [FloodingServer(forward, floods.values(), at_once=False),
                    FloodingServer(control, links)]
         begun = sum(f.begun for f in floods.values())
-        statuses, lock = collections.Counter(), threading.Lock()
-        end = time.monotonic() + 4
-
-        def call():
-            while time.monotonic() < end:
-                a = d.call("/plain/x", deadline=DEADLINE_MS)
-                with lock:
-                    statuses[a.status if a.whole else "cut"] += 1
-        threads = [threading.Thread(target=call) for _ in range(8)]
-        for t in threads:
-            t.start()
-        for t in threads:
-            t.join()
+        statuses = call_at_once(d, "/plain/x", callers=8, seconds=4)
         for flood in list(floods.values()) + links:
             check_closed(flood, 2)
         begun = sum(f.begun for f in floods.values()) - begun
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -111,23 +111,34 @@
         return rolling_restart(c, 15000, 40)
 
 
+def cut_gossip(c):
+    """Cuts the control links of the two entry nodes, and returns the nodes: neither learns that
+    the other one leaves."""
+    for name in ("klein-hall-e0", "eros-hall-e0"):
+        c.cuts[name, "control"].cut()
+    return c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
+
+
+def confirm_at_intervals(entry, count, interval_s):
+    """Begins a call with a key of its own in each interval, and returns the answers."""
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        answers = []
+        for n in range(count):
+            answers.append(pool.submit(call, entry.port, "slots/confirm", "late%d" % n))
+            time.sleep(interval_s)
+        return [a.result() for a in answers]
+
+
 def stop_owner_under_calls(first_call_s):
     """Stops an owner of claims of which a peer doesn't learn, and sends calls to the peer from
     a time on. Returns their answers, how often each key ran, and how many calls the owner
     refused."""
     with cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0,
                  peer_cuts=True) as c:
-        peer, owner = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
-        for name in ("klein-hall-e0", "eros-hall-e0"):
-            c.cuts[name, "control"].cut()
+        peer, owner = cut_gossip(c)
         owner.signal(signal.SIGTERM)
         time.sleep(first_call_s)
-        with concurrent.futures.ThreadPoolExecutor(16) as pool:
-            answers = []
-            for n in range(40):
-                answers.append(pool.submit(call, peer.port, "slots/confirm", "late%d" % n))
-                time.sleep(0.004)
-            answers = [a.result() for a in answers]
+        answers = confirm_at_intervals(peer, 40, interval_s=0.004)
         assert owner.popen.wait(20) == 0
         with open(peer.log) as log:
             refused = log.read().count('"detail":"the peer stops"')
@@ -153,9 +164,7 @@
     don't know that it leaves, could claim their keys."""
     with cluster(domains=["klein-hall", "eros-hall"], entries=1, engines=0, peer_cuts=True,
                  proc_extra={"notice_ms": 2000}) as c:
-        peer, owner = c.entry("klein-hall-e0"), c.entry("eros-hall-e0")
-        for name in ("klein-hall-e0", "eros-hall-e0"):
-            c.cuts[name, "control"].cut()
+        peer, owner = cut_gossip(c)
 
         def keep_busy(n):
             for i in range(10000):
@@ -167,12 +176,7 @@
             t.start()
         owner.signal(signal.SIGTERM)
         time.sleep(0.8)
-        with concurrent.futures.ThreadPoolExecutor(16) as pool:
-            answers = []
-            for n in range(200):
-                answers.append(pool.submit(call, peer.port, "slots/confirm", "late%d" % n))
-                time.sleep(0.006)
-            answers = [a.result() for a in answers]
+        answers = confirm_at_intervals(peer, 200, interval_s=0.006)
         code = owner.popen.wait(20)
         assert code == 0, code
         for t in busy:
