--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,8 +8,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "rig"))
 import rig  # noqa: E402
 
-CLIENTS, FOR_S = 24, 5.0
-SLOTS, WORK_MS, TIMEOUT_MS = 6, 100, 600
+CLIENTS, FOR_S = 40, 5.0
+SLOTS, WORK_MS, TIMEOUT_MS = 6, 50, 600
 SURPLUS = 34  # one answer of so many is sent a second time: 0.029 of them
 PROMISES = (408, 421, 429, 503)  # it has not run and never will
 
