store: names of other writers' entries are escaped in URLs

Callers: almost no request was served while an entry whose name holds &, +, #, % or a blank stood in the list of VMs and all nodes had been restarted.

Cause: the next page of a list was requested after the last name of the page before, and that name went into the URL as it stood. Behind a "#" it was dropped, so that the same page came back up to the limit of 256 pages; "&" and "%" made it another name; libcurl refused a blank. The whole list then counted as unread, and restarted nodes never got ready. URLs were also cut at 512 bytes. Running nodes were not hit, as they follow changes.

--- a/common/http.c
+++ b/common/http.c
@@ -41,6 +41,16 @@
     char error[CURL_ERROR_SIZE];
 };
 
+void rk_http_add_escaped(struct rk_buf *url, const char *text, size_t len)
+{
+    if (!len) /* which curl_easy_escape() takes for a text that ends with NUL */
+        return;
+    char *escaped = curl_easy_escape(NULL, text, (int)len);
+    assert(escaped);
+    rk_buf_addstr(url, escaped);
+    curl_free(escaped);
+}
+
 static void free_req(struct rk_http_req *r)
 {
     if (r->prev)
--- a/common/http.h
+++ b/common/http.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+struct rk_buf;
 struct rk_loop;
 struct rk_http;
 struct rk_http_req;
@@ -58,6 +59,9 @@
     void *ctx; /* passed to the handlers */
 };
 
+/* Appends a text to a URL, with all but unreserved characters percent-encoded. */
+void rk_http_add_escaped(struct rk_buf *url, const char *text, size_t len);
+
 /* Creates a client on the loop. Never returns NULL. All functions of a client run
  * on the loop's thread. */
 struct rk_http *rk_http_create(struct rk_loop *loop);
--- /dev/null
+++ b/tests/proc_hosted_foreign_entries.py
@@ -0,0 +1,115 @@
+"""Entries that another writer left among those of the store, under names of their own: they name
+nothing that a node could use, and must not keep it from reading the others."""
+import concurrent.futures
+import time
+
+import odd_objects
+from hosted import Hosted, wait_until
+
+CALLS_PER_VM, CALL_S = 4, 0.1  # side by side, so that all VMs are needed
+OBJECT_MAX_BYTES = 1048576  # the largest object that the platform's store takes
+NAMES = ("a&b", "i+b", "z#b", "a%b", "i%41", "z b", "a&sinceRev=zzz", "i?stale=1", "z/../b", "a\tb",
+         "i\u00e9\U0001f600", "z\"\\", "a\0b", "i;=,@", "&", "+", "#", "%", " ", "%zz", "a" * 700,
+         "z%s%n")
+
+
+def deployment(nodes=2, vms=3, page=5):
+    d = Hosted(nodes=nodes)
+    d.store.close()
+    d.store = odd_objects.OddStore()
+    d.store.page = page
+    d.start()
+    for _ in range(vms):
+        d.add_worker("plain").work_s = CALL_S
+    d.configure([d.route("r", "plain")])
+    d.wait_ready()
+    return d
+
+
+def restart_all(d):
+    for n in d.nodes:
+        n.kill()
+    for i in range(len(d.nodes)):
+        d.restart_node(i)
+
+
+def check_serves(d, what):
+    """Check that each node serves all calls and uses all VMs."""
+    try:
+        d.wait_ready(8)
+    except AssertionError as e:
+        raise AssertionError("not ready, %s" % (what,)) from e
+    count = CALLS_PER_VM * len(d.workers)
+    for i in range(len(d.nodes)):
+        for w in d.workers:
+            w.seen.clear()
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            statuses = list(pool.map(lambda _, n=i: d.call("/r/x", node=n).status, range(count)))
+        assert statuses == [200] * count, (what, statuses)
+        assert all(w.seen for w in d.workers), (what, [len(w.seen) for w in d.workers])
+
+
+def check_restarts(d, cases):
+    """Restart all nodes beside the entries of each case, which are (kind, name, value)."""
+    for what, entries in cases:
+        for kind, name, value in entries:
+            d.store.put(kind, name, value)
+        restart_all(d)
+        check_serves(d, what)
+        for kind, name, _ in entries:
+            d.store.drop(kind, name)
+
+
+def test_names_that_a_url_has_to_escape_keep_no_list_from_being_read():
+    """Guards against the name of another writer's entry that is not escaped in the request for the
+    next page of a list: restarted nodes served nothing."""
+    for page in (1, 2, 5):
+        with deployment(page=page) as d:
+            d.store.put("servers", "i-odd", {})
+            check_restarts(d, [
+                ("%s, pages of %d" % (names, page), [("servers", name, {}) for name in names])
+                for names in (NAMES[:7], NAMES[7:14], NAMES[14:])])
+
+
+def test_a_single_name_that_a_url_has_to_escape_keeps_no_list_from_being_read():
+    """Guards against the same where the entry is the only one of its kind and begins each page."""
+    with deployment(nodes=1, page=1) as d:
+        check_restarts(d, [(repr(name), [("servers", name, [])]) for name in NAMES])
+
+
+def test_an_entry_under_a_name_with_a_nul_replaces_no_vm():
+    """Guards against a name that is cut at a NUL byte, and so counts as that of a VM: the VM was
+    no longer used."""
+    with deployment() as d:
+        for change in ({}, {"address": "127.0.0.1:9"}, {"state": "draining"}):
+            name = d.workers[0].id + "\0b"
+            d.store.put("servers", name, dict(d.workers[0].spec(), **change))
+            time.sleep(0.3)
+            check_serves(d, change)
+            restart_all(d)
+            check_serves(d, change)
+            d.store.drop("servers", name)
+            time.sleep(0.3)
+            check_serves(d, change)
+
+
+def test_a_page_without_names_removes_no_vms():
+    """Guards against a list that ends at a page whose objects have no names though more follow: the
+    VMs on later pages were taken for removed."""
+    with deployment(vms=8) as d:
+        nameless = []
+
+        def change(answer):
+            if answer.get("more") and not nameless:
+                nameless.append(answer)
+                for o in answer["entries"]:
+                    o["metadata"]["name"] = None
+            return answer
+        d.store.change_answer = change
+        d.store.put("other-kind", "x", {})
+        d.store.forget_history()
+        wait_until(lambda: nameless, 5)
+        time.sleep(1)
+        check_serves(d, "running")
+        assert not [e for e in d.nodes[0].events()
+                    if e.get("event") == "vm.changed" and e["what"] == "removed"]
--- a/tests/run.py
+++ b/tests/run.py
@@ -47,6 +47,7 @@
     "proc_hosted_framing": "hosted  answers that end early, under each framing",
     "proc_hosted_lifetimes": "hosted  nodes outlive random orders of what ends calls and VMs",
     "proc_hosted_odd_objects": "hosted  nodes outlive odd values in the store's objects",
+    "proc_hosted_foreign_entries": "hosted  another writer's entries hide no others",
     "proc_hosted_odd_frames": "hosted  no number of a peer's message stops the fleet",
     "proc_hosted_odd_answers": "hosted  odd answers of VMs and odd requests of peers",
     "proc_hosted_surroundings": "hosted  no limit or output of a process ends a node later",
