store: one entry's contents hide no other entries

Cause: values nested deeper than 512 levels were left out before parsing, but the memory that an answer takes was estimated before that: 800 bytes for each brace, 140 MB for 1 MB of them. So the whole list counted as too large. The same held for flat entries of many empty objects, and for brackets inside texts, which were counted as values.

The estimate now follows what is left out, and knows texts. If a list still takes too much, its largest values are left out until the others fit.

--- a/common/json_text.c
+++ b/common/json_text.c
@@ -1,5 +1,6 @@
 #include "common/json_text.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,52 +12,176 @@
 #define OBJECT_BYTES 800
 #define ARRAY_BYTES  400
 #define VALUE_BYTES  64
+/* Parts that take less memory are not worth leaving out. */
+#define PART_MIN_BYTES (64 * 1024)
+#define PARTS_MIN_CAP  16
+/* Name of the member whose own members count as parts, instead of itself. */
+#define METADATA "\"metadata\""
 
-size_t rk_json_parsed_size(const char *text, size_t len)
+/* A place in a text, behind the token that was read last. */
+struct scan {
+    const char *text;
+    size_t len;
+    size_t at;
+    char token;         /* a bracket or a comma; 0: the end of the text */
+    size_t string;      /* where the last string began */
+    size_t string_len;  /* its length, with its quotes */
+    int level;          /* objects and arrays around the place */
+    size_t parsed_size; /* of the text up to the place, once it is parsed */
+};
+
+static void skip_string(struct scan *s)
+{
+    s->string = s->at - 1;
+    while (s->at < s->len && s->text[s->at] != '"')
+        s->at += s->text[s->at] == '\\' ? 2 : 1;
+    s->at = s->at < s->len ? s->at + 1 : s->len;
+    s->string_len = s->at - s->string;
+}
+
+static bool is_token(char c)
 {
-    size_t size = len;
-    for (size_t i = 0; i < len; i++) {
-        if (text[i] == '{')
-            size += OBJECT_BYTES;
-        else if (text[i] == '[')
-            size += ARRAY_BYTES;
-        else if (text[i] == ',')
-            size += VALUE_BYTES;
+    return c == '{' || c == '}' || c == '[' || c == ']' || c == ',';
+}
+
+/* Goes on to the next bracket or comma. Returns false at the end of the text. */
+static bool next_token(struct scan *s)
+{
+    size_t before = s->at;
+    s->token = 0;
+    while (s->at < s->len && !s->token) {
+        char c = s->text[s->at++];
+        if (c == '"')
+            skip_string(s);
+        else if (is_token(c))
+            s->token = c;
     }
-    return size;
+    s->parsed_size += s->at - before;
+    if (s->token == '{' || s->token == '[') {
+        s->level++;
+        s->parsed_size += s->token == '{' ? OBJECT_BYTES : ARRAY_BYTES;
+    } else if (s->token == '}' || s->token == ']') {
+        s->level--;
+    } else if (s->token == ',') {
+        s->parsed_size += VALUE_BYTES;
+    }
+    return s->token != 0;
+}
+
+static bool is_opening(const struct scan *s)
+{
+    return s->token == '{' || s->token == '[';
+}
+
+static bool is_closing(const struct scan *s)
+{
+    return s->token == '}' || s->token == ']';
 }
 
-/* Returns the end of a string that begins at text[at], behind its closing quote. */
-static size_t skip_string(const char *text, size_t len, size_t at)
+size_t rk_json_parsed_size(const char *text, size_t len)
 {
-    for (at++; at < len && text[at] != '"'; at++)
-        at += text[at] == '\\';
-    return at + 1;
+    struct scan s = {.text = text, .len = len};
+    while (next_token(&s))
+        ;
+    return s.parsed_size;
 }
 
-/* Returns a copy of the text in which 0 stands for each object and array that is
- * nested too deep; NULL if there is none. */
-static char *cut_too_deep(const char *text, size_t len)
+/* Puts 0 in the place of a value. */
+static void blank(char *text, size_t begin, size_t end)
 {
-    char *copy = NULL;
+    memset(text + begin, ' ', end - begin);
+    text[begin] = '0';
+}
+
+/* Blanks what is nested too deep. Returns false, and blanks nothing, if text is
+ * NULL and there is such a value in the scanned text. */
+static bool blank_too_deep(const char *scanned, size_t len, char *text)
+{
+    struct scan s = {.text = scanned, .len = len};
     size_t begin = 0;
-    int level = 0;
-    for (size_t i = 0; i < len; i++) {
-        if (text[i] == '"') {
-            i = skip_string(text, len, i) - 1;
-        } else if (text[i] == '{' || text[i] == '[') {
-            if (++level == RK_JSON_NESTING_MAX + 1)
-                begin = i;
-        } else if (text[i] == '}' || text[i] == ']') {
-            if (level-- != RK_JSON_NESTING_MAX + 1)
-                continue;
-            if (!copy)
-                copy = memcpy(rk_alloc(1, len + 1), text, len);
-            memset(copy + begin, ' ', i + 1 - begin);
-            copy[begin] = '0';
+    while (next_token(&s)) {
+        if (is_opening(&s) && s.level == RK_JSON_NESTING_MAX + 1) {
+            if (!text)
+                return false;
+            begin = s.at - 1;
+        } else if (is_closing(&s) && s.level == RK_JSON_NESTING_MAX) {
+            blank(text, begin, s.at);
         }
     }
-    return copy;
+    return true;
+}
+
+/* An object or array of a text. */
+struct part {
+    size_t begin, end;
+    size_t parsed_size;
+};
+
+struct parts {
+    struct part *all;
+    size_t len, cap;
+};
+
+static void add_part(struct parts *p, struct part part)
+{
+    if (part.parsed_size < PART_MIN_BYTES)
+        return;
+    if (p->len == p->cap) {
+        p->cap = p->cap ? p->cap * 2 : PARTS_MIN_CAP;
+        p->all = rk_realloc(p->all, p->cap * sizeof(*p->all));
+    }
+    p->all[p->len++] = part;
+}
+
+/* Finds the parts at a level; see rk_json_trim(). Returns the parsed size of the
+ * text. */
+static size_t find_parts(const char *text, size_t len, int level,
+                         struct parts *parts)
+{
+    struct scan s = {.text = text, .len = len};
+    struct part part = {0};
+    size_t size_before = 0;
+    int part_level = level;
+    while (next_token(&s)) {
+        if (is_opening(&s) && s.level == level)
+            part_level = s.string_len == strlen(METADATA) &&
+                                 !memcmp(text + s.string, METADATA, s.string_len)
+                             ? level + 1
+                             : level;
+        if (is_opening(&s) && s.level == part_level) {
+            part.begin = s.at - 1;
+            size_before = s.parsed_size;
+        } else if (is_closing(&s) && s.level == part_level - 1) {
+            part.end = s.at;
+            part.parsed_size = s.parsed_size - size_before;
+            add_part(parts, part);
+        }
+    }
+    return s.parsed_size;
+}
+
+static int by_size_descending(const void *a, const void *b)
+{
+    const struct part *x = a, *y = b;
+    return (x->parsed_size < y->parsed_size) - (x->parsed_size > y->parsed_size);
+}
+
+size_t rk_json_trim(char *text, size_t len, int level, size_t max)
+{
+    blank_too_deep(text, len, text);
+    size_t size = rk_json_parsed_size(text, len);
+    if (size <= max)
+        return size;
+    struct parts parts = {0};
+    size = find_parts(text, len, level, &parts);
+    if (parts.len)
+        qsort(parts.all, parts.len, sizeof(*parts.all), by_size_descending);
+    for (size_t i = 0; i < parts.len && size > max; i++) {
+        blank(text, parts.all[i].begin, parts.all[i].end);
+        size -= parts.all[i].parsed_size;
+    }
+    free(parts.all);
+    return size;
 }
 
 static struct json_object *parse(const char *text, size_t len)
@@ -77,8 +202,22 @@
 
 struct json_object *rk_json_parse(const char *text, size_t len)
 {
-    char *cut = cut_too_deep(text, len);
-    struct json_object *o = parse(cut ? cut : text, len);
-    free(cut);
+    if (blank_too_deep(text, len, NULL))
+        return parse(text, len);
+    char *copy = memcpy(rk_alloc(1, len + 1), text, len);
+    blank_too_deep(text, len, copy);
+    struct json_object *o = parse(copy, len);
+    free(copy);
+    return o;
+}
+
+struct json_object *rk_json_parse_list(const char *text, size_t len, int level)
+{
+    if (rk_json_parsed_size(text, len) <= RK_JSON_PARSED_MAX_BYTES)
+        return rk_json_parse(text, len);
+    char *copy = memcpy(rk_alloc(1, len + 1), text, len);
+    rk_json_trim(copy, len, level, RK_JSON_PARSED_MAX_BYTES);
+    struct json_object *o = parse(copy, len);
+    free(copy);
     return o;
 }
--- a/objects/store.h
+++ b/objects/store.h
@@ -15,6 +15,10 @@
 struct json_object;
 struct rk_store;
 
+/* Longest JSON text of a spec in a list of texts; a longer one is reported as "{}".
+ */
+#define RK_STORE_TEXT_MAX_BYTES (64 * 1024)
+
 /* An object as the store returned it; valid during the callback only. */
 struct rk_store_object {
     const char *name;
--- a/tests/proc_hosted_foreign_entries.py
+++ b/tests/proc_hosted_foreign_entries.py
@@ -13,6 +13,27 @@
          "z%s%n")
 
 
+def nested(opening, closing, depth):
+    return odd_objects.RawJson(opening * depth + "1" + closing * depth)
+
+
+def deep_values():
+    """Return values that are nested up to the size that the store takes."""
+    found = []
+    for opening, closing in (("[", "]"), ('{"a":', "}"), ('[{"a":', "}]"), ('{"a":[0,', "]}")):
+        deepest = (OBJECT_MAX_BYTES - 1000) // len(opening + closing)
+        found += [nested(opening, closing, depth) for depth in (600, 5000, 40000, deepest)]
+    return found
+
+
+def dense_values():
+    """Return flat values that take many times their size once they are parsed."""
+    return [odd_objects.RawJson(text) for text in (
+        "[%s0]" % ("{}," * 349000), "[%s0]" % ("[]," * 349000), "[%s0]" % ("0," * 520000),
+        '{"address":[%s{}]}' % ("{}," * 340000), '"%s"' % ("{" * 1000000),
+        "{%s}" % ",".join('"%x":{}' % i for i in range(80000)))]
+
+
 def deployment(nodes=2, vms=3, page=5):
     d = Hosted(nodes=nodes)
     d.store.close()
@@ -77,6 +98,54 @@
         check_restarts(d, [(repr(name), [("servers", name, [])]) for name in NAMES])
 
 
+def test_deep_values_up_to_the_store_s_size_keep_no_list_from_being_read():
+    """Guards against an entry that is nested so deep that the whole answer counted as too large to
+    be parsed: restarted nodes served nothing while it stood."""
+    with deployment(nodes=1) as d:
+        check_restarts(d, [("%d bytes %s" % (len(v.text), v.text[:8]), [("servers", "a&deep", v)])
+                           for v in deep_values()])
+
+
+def test_dense_values_keep_no_list_from_being_read():
+    """Guards against the same by a flat entry that takes much memory once it is parsed, and by
+    brackets inside a text."""
+    with deployment(nodes=1) as d:
+        check_restarts(d, [(v.text[:12], [("servers", "i dense", v)]) for v in dense_values()])
+
+
+def test_many_large_entries_keep_no_list_from_being_read():
+    """Guards against the same by several entries that fit one by one, but not together."""
+    values = deep_values()[3::4] + dense_values()
+    with deployment(nodes=1, page=4) as d:
+        check_restarts(d, [("all", [("servers", "a#%02d" % i, v) for i, v in enumerate(values)])])
+
+
+def test_such_entries_of_other_kinds_keep_no_node_from_serving():
+    """Guards against the same in the other lists that a node reads."""
+    kinds = ("config", "rillknot-nodes", "rillknot-streams", "rillknot-quarantine", "rollouts")
+    values = (deep_values()[3], deep_values()[7], dense_values()[0])
+    with deployment() as d:
+        check_restarts(d, [
+            (kind, [(kind, name, v) for name, v in zip(("a&b", "m#n", "z z"), values)])
+            for kind in kinds])
+
+
+def test_entries_that_appear_while_nodes_run_keep_no_change_from_being_seen():
+    """Guards against running nodes that stop following the list of VMs as such an entry appears in
+    its changes."""
+    values = deep_values()[3::4] + dense_values()[:3]
+    with deployment() as d:
+        for i, value in enumerate(values):
+            name = NAMES[i]
+            d.store.put("servers", name, value)
+            d.store.drop("servers", d.workers.pop().id)
+            d.add_worker("plain").work_s = CALL_S
+            time.sleep(0.5)
+            check_serves(d, "running")
+            d.store.drop("servers", name)
+        assert all(n.popen.poll() is None for n in d.nodes)
+
+
 def test_an_entry_under_a_name_with_a_nul_replaces_no_vm():
     """Guards against a name that is cut at a NUL byte, and so counts as that of a VM: the VM was
     no longer used."""
