sync_list: entries with long names or contents are no VMs' to all nodes alike

Callers: a VM was no longer used once another writer's entry was removed whose name begins with the VM's 47 bytes: the name was cut where the removal is recorded. And running nodes used a VM whose entry is longer than 64 KiB, while restarted ones did not, as lists leave such contents out; its whole text also went to all peers.

Names that are too long for a VM's are not recorded as removed; long contents are rejected on either way.

Tests (failed before, pass now): proc_hosted_foreign_entries.

--- a/node/sync_list.c
+++ b/node/sync_list.c
@@ -143,15 +143,31 @@
     return false;
 }
 
+/* Parses a VM's entry, whose JSON text is returned in *text. */
+static enum rk_status parse_entry(const struct rk_sync *s, const char *name,
+                                  struct json_object *spec, struct rk_vm_row *row,
+                                  const char **text)
+{
+    enum rk_status st = s->n->platform->parse_vm(name, spec, row);
+    if (st != RK_OK)
+        return st;
+    *text = json_object_to_json_string_ext(spec, JSON_C_TO_STRING_PLAIN);
+    if (strlen(*text) > RK_STORE_TEXT_MAX_BYTES) /* lists leave it out, too */
+        return rk_fail(RK_EINVAL, "expected a text of at most %d bytes",
+                       RK_STORE_TEXT_MAX_BYTES);
+    return RK_OK;
+}
+
 /* Adds or updates a VM's entry. Returns true if the relay lacks the change. */
 static bool set_entry(struct rk_sync *s, const char *name, int64_t revision,
                       struct json_object *spec, const char *from)
 {
     struct rk_vm_row row;
+    const char *text;
     struct entry *e = find_entry(s, name);
     if (e ? e->revision >= revision : is_restored_removal(s, name, revision))
         return false;
-    if (s->n->platform->parse_vm(name, spec, &row) != RK_OK)
+    if (parse_entry(s, name, spec, &row, &text) != RK_OK)
         return reject_entry(s, name, revision, from);
     const char *what = e ? "updated" : "added";
     if (!e) {
@@ -165,7 +181,7 @@
     if (e->needs_publish && strcmp(e->row.version, row.version) != 0)
         rk_sync_note_past_vm(s, &e->row);
     free(e->text);
-    e->text = rk_strdup(json_object_to_json_string(spec));
+    e->text = rk_strdup(text);
     e->revision = revision;
     e->grace_until_ms = 0;
     e->row = row;
@@ -279,6 +295,13 @@
         rk_sync_note_past_vm(s, NULL);
 }
 
+/* Returns whether a VM may have this name. A longer one would be cut where it is
+ * recorded, and then may be another VM's. */
+static bool is_vm_name(const char *name)
+{
+    return name[0] && strlen(name) < RK_ID_MAX;
+}
+
 /* Handles a removal that the store reports. It may have the revision of the VM's
  * last change, when the removal has none of its own. */
 static bool handle_store_removal(struct rk_sync *s, const struct rk_store_object *o,
@@ -288,6 +311,8 @@
     struct removed_vm r = {.revision = o->revision,
                            .store_revision = store_revision,
                            .grace_until_ms = grace_until_ms(s)};
+    if (!is_vm_name(o->name))
+        return false;
     note_unseen(s, o->name, o->spec);
     if (e && e->revision > r.revision)
         r.revision = e->revision;
@@ -555,6 +580,8 @@
 {
     struct removed_vm r = {.revision = row->revision,
                            .store_revision = store_revision};
+    if (!is_vm_name(row->name))
+        return false;
     note_unseen(s, row->name, NULL);
     if (row->lapse_left_ms > 0)
         r.grace_until_ms = rk_mono_ms() + row->lapse_left_ms;
--- a/tests/proc_hosted_foreign_entries.py
+++ b/tests/proc_hosted_foreign_entries.py
@@ -34,6 +34,20 @@
         "{%s}" % ",".join('"%x":{}' % i for i in range(80000)))]
 
 
+def odd_entries(spec):
+    """Return a VM's contents with members that no VM can have."""
+    addresses = ["127.0.0.1:%s" % port for port in
+                 ("0", "65536", "99999", "-1", "4294967376", "18446744073709551617", "1e3",
+                  "9" * 400, "")] + ["127.0.0.1", "[::1]:80", "256.0.0.1:80", ":80", "", 80, [], {}]
+    numbers = [odd_objects.RawJson(x) for x in
+               ("1e999", "-1e999", "9" * 400, "-" + "9" * 400, "18446744073709551616", "1e308",
+                "9" * 200000)]
+    found = [dict(spec, address=x) for x in addresses]
+    for member in ("slots", "seqNo", "coldLeftMs", "born", "leaves_ms"):
+        found += [dict(spec, **{member: x}) for x in numbers]
+    return found
+
+
 def deployment(nodes=2, vms=3, page=5):
     d = Hosted(nodes=nodes)
     d.store.close()
@@ -162,6 +176,52 @@
             check_serves(d, change)
 
 
+def test_an_entry_under_a_long_name_removes_no_vm():
+    """Guards against a name that is cut to the size of a VM's, and so counts as that of a VM whose
+    entry is removed."""
+    with deployment() as d:
+        worker = d.workers[0]
+        d.store.drop("servers", worker.id)
+        worker.id = "i" * 47
+        d.store.put("servers", worker.id, worker.spec())
+        d.store.put("servers", worker.id + "x", {})
+        wait_until(lambda: all(n.popen.poll() is None for n in d.nodes) and
+                   d.call("/r/x").status == 200, 5)
+        d.store.drop("servers", worker.id + "x")
+        time.sleep(0.5)
+        check_serves(d, "removed")
+
+
+def test_an_entry_too_long_for_a_vm_is_used_by_no_node():
+    """Guards against an entry that nodes take from the changes of the list but not from the list:
+    its VM was used by running nodes only, and peers were sent its whole text."""
+    with deployment() as d:
+        worker = d.add_worker("plain")
+        d.store.put("servers", worker.id, dict(worker.spec(), pad="x" * 900000))
+        d.workers.remove(worker)
+        for what in ("running", "restarted"):
+            time.sleep(0.5)
+            worker.seen.clear()
+            check_serves(d, what)
+            assert not worker.seen, what
+            restart_all(d)
+        worker.close()
+
+
+def test_numbers_and_ports_out_of_range_end_no_node():
+    """Guards against a node that ends, or stops following the list, by an entry with a number or a
+    port that is out of range."""
+    with deployment() as d:
+        entries = odd_entries(d.workers[0].spec())
+        for i, spec in enumerate(entries):
+            d.store.put("servers", "odd %d" % i, spec)
+        time.sleep(1)
+        check_serves(d, "running")
+        restart_all(d)
+        check_serves(d, "restarted")
+        assert all(n.popen.poll() is None for n in d.nodes)
+
+
 def test_a_page_without_names_removes_no_vms():
     """Guards against a list that ends at a page whose objects have no names though more follow: the
     VMs on later pages were taken for removed."""
