vmlist: odd rows hide no VMs, and are none

Callers of rillknot-entry: a node that started read no VM at all while another writer's row was nested deeper than 32 levels, as json-c's default parser fails there. A row with an address or a port that is none was used like a VM's, and identifiers were cut to fit.

Test (failed before, passes now): proc_input.odd_rows_of_the_vm_list_hide_no_vms.

--- a/objects/objects.c
+++ b/objects/objects.c
@@ -7,10 +7,12 @@
 
 #include "common/counters.h"
 #include "common/json.h"
+#include "common/json_text.h"
 #include "common/rest.h"
 #include "common/util.h"
 
-#define URL_MAX 768
+#define URL_MAX          768
+#define ROW_MEMBER_LEVEL 3 /* of JSON, at which a row of a list has its members */
 
 struct rk_objects {
     struct rk_http *http;
@@ -43,7 +45,9 @@
 {
     enum rk_status st = response->status;
     struct json_object *array =
-        st == RK_OK ? json_tokener_parse(response->body) : NULL;
+        st == RK_OK ? rk_json_parse_list(response->body, strlen(response->body),
+                                         ROW_MEMBER_LEVEL)
+                    : NULL;
     if (st == RK_OK && !json_object_is_type(array, json_type_array))
         st = RK_EPROTO;
     size_t len = st == RK_OK ? json_object_array_length(array) : 0;
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -16,6 +16,8 @@
  * Test controls:
  *   POST   /_vms           adds or changes a row; a VM in state "spare" isn't
  *          listed, and can be started by the cloud API
+ *   POST   /_rows          the body, a JSON text, is listed as a VM's row as it is;
+ *          an empty one ends that
  *   POST   /_reclaim       {"id","in_ms","list"}: adds a notice; unless "list" is
  *          set, the VM list lags and doesn't show the VM as leaving
  *   GET    /_stats         counts of calls by kind
@@ -73,6 +75,7 @@
     int64_t revision; /* raised by each change of an object, VM or notice */
     struct object *objects;
     size_t objects_len;
+    char *odd_row; /* JSON text that is listed as a VM's row, too; NULL: none */
     struct vm *vms;
     size_t vms_len;
     struct notice *notices;
@@ -279,10 +282,23 @@
         rk_buf_addstr(&b, n++ ? "," : "");
         add_vm_json(&b, &plat.vms[i]);
     }
+    if (plat.odd_row) {
+        rk_buf_addstr(&b, b.len > 1 ? "," : "");
+        rk_buf_addstr(&b, plat.odd_row);
+    }
     rk_buf_addstr(&b, "]\n");
     return reply_rows(req, &b);
 }
 
+static enum MHD_Result set_odd_row(struct si_req *req)
+{
+    pthread_mutex_lock(&plat.lock);
+    free(plat.odd_row);
+    plat.odd_row = req->body.len ? rk_strdup(req->body.data) : NULL;
+    pthread_mutex_unlock(&plat.lock);
+    return si_reply(req, 200, "", 0, NULL);
+}
+
 static struct vm *find_vm(const char *id)
 {
     for (size_t i = 0; i < plat.vms_len; i++)
@@ -434,6 +450,8 @@
         return si_set_fault(req, &plat.start_fault);
     if (!strcmp(req->path, "/_vms"))
         return add_vm(req);
+    if (!strcmp(req->path, "/_rows"))
+        return set_odd_row(req);
     if (!strcmp(req->path, "/_reclaim"))
         return add_notice(req);
     return reply_stats(req);
--- a/tests/proc_input.py
+++ b/tests/proc_input.py
@@ -119,3 +119,33 @@
         s.close()
         assert growth_kb < 16000, growth_kb
         return "memory grew by %d kB" % growth_kb
+
+
+ODD_ROW = ('{"id":%s,"addr":%s,"failure_domain":"klein-hall","service":"slots","vm_class":"small",'
+           '"incarnation":1,"state":"live","token":%s}')
+ODD_IDS = ('"odd"', '"odd&"', '"%s"' % ("x" * 300), '"a\\u0000b"', '"a\\nb"', '""', "7", "null")
+ODD_ADDRESSES = ('"127.0.0.1:99999"', '"127.0.0.1:0"', '"127.0.0.1:-1"', '"%s"' % ("9" * 400),
+                 '"127.0.0.1:4294967376"', '""', "80", "{}", "null")
+
+
+def test_odd_rows_of_the_vm_list_hide_no_vms():
+    """Guards against a row of another writer that is nested deep, large or no VM's: a node that
+    started then read no row of the list, or sent calls to an address that is none."""
+    tokens = ["%s1%s" % (a * n, b * n) for a, b in (("[", "]"), ('{"a":', "}"))
+              for n in (31, 600, 100000)] + ["[%s0]" % ("{}," * 300000), "9" * 400, "1e999"]
+    rows = [ODD_ROW % ('"odd"', '"127.0.0.1:9"', token) for token in tokens[:-2]]
+    rows += [ODD_ROW % (ident, '"127.0.0.1:99999"', "0") for ident in ODD_IDS]
+    rows += [ODD_ROW % ('"odd"', addr, token) for addr in ODD_ADDRESSES for token in tokens[-2:]]
+    rows += [tokens[2], "null", "7", '"x"', "[]", "{}"]
+    with small_cluster(services=1) as c:
+        entry = c.entries[0]
+        for i, row in enumerate(rows):
+            assert request(c.platform.port, "POST", "/_rows", row.encode()).status == 200
+            if i % 4 == 0:
+                entry.kill()
+                entry = c.add_entry(entry.name, entry.domain)
+                c.wait_ready()
+            answers = [call(entry.port, "slots/confirm", "k-%d-%d" % (i, n)) for n in range(3)]
+            assert all(a.whole() and a.status == 200 for a in answers), \
+                (row[:90], [(a.status, a.error) for a in answers])
+        assert entry.popen.poll() is None
