claims: odd slots of the ring end no owner

A slot of the ring whose member "keys" is no list ended rillknot-entry by an assertion of json-c, and each process after it that took the shard over; so did a nonce of null. An object beside the slots counted as slot 0, whatever its name.

Test (aborted before, passes now): test_claims.odd_slots_end_no_owner.

--- a/control/claims_io.c
+++ b/control/claims_io.c
@@ -17,6 +17,7 @@
 #define MAX_ANSWER_BYTES    (2 * 1024 * 1024) /* stored answers of one shard */
 #define MAX_TICKETS         4096              /* waiting claims of one shard */
 #define TICKET_THREAD_SHIFT 56 /* a ticket's top byte is its thread's index */
+#define SLOT_DIGITS         2  /* of a slot's number in the name of its object */
 
 struct shard {
     struct rk_claims_io *io;
@@ -63,7 +64,17 @@
 /* Formats the name of the object that holds a slot. */
 static void slot_name(char out[RK_OBJECT_NAME_MAX], uint32_t shard, unsigned slot)
 {
-    snprintf(out, RK_OBJECT_NAME_MAX, "claims/%03u/%02u", shard, slot);
+    snprintf(out, RK_OBJECT_NAME_MAX, "claims/%03u/%0*u", shard, SLOT_DIGITS, slot);
+}
+
+/* Returns the slot that an object of a ring holds; RK_CLAIM_SLOTS: it is none's. */
+static unsigned parse_slot(const char *name)
+{
+    const char *slash = strrchr(name, '/');
+    const char *digits = slash ? slash + 1 : "";
+    size_t len = strspn(digits, "0123456789");
+    bool is_number = len == SLOT_DIGITS && !digits[len];
+    return is_number ? (unsigned)strtoul(digits, NULL, 10) : RK_CLAIM_SLOTS;
 }
 
 static void on_ring_read(void *ctx, enum rk_status st,
@@ -75,11 +86,9 @@
     count_unanswered(op->s->io, st);
     struct rk_claim_slot_value *slots = rk_alloc(len + 1, sizeof(*slots));
     for (size_t i = 0; i < len; i++) {
-        const char *slash = strrchr(objects[i].name, '/');
-        slots[i] = (struct rk_claim_slot_value){.version = objects[i].version,
+        slots[i] = (struct rk_claim_slot_value){.slot = parse_slot(objects[i].name),
+                                                .version = objects[i].version,
                                                 .value = objects[i].value};
-        slots[i].slot =
-            slash ? (unsigned)strtoul(slash + 1, NULL, 10) : RK_CLAIM_SLOTS;
     }
     rk_claims_on_ring(op->s->claims, st, slots, len, rk_mono_ms(), rk_wall_ms());
     schedule_tick(op->s->io);
--- a/core/claims.c
+++ b/core/claims.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "common/json.h"
+#include "common/json_text.h"
 #include "core/claims_impl.h"
 
 #define TAKEOVER_BACKOFF_MS 15   /* per race for the shard lost in a row */
@@ -264,11 +265,10 @@
         c->not_before_ms = now_ms + REREAD_DELAY_MS;
         return;
     }
-    struct json_object *o = json_tokener_parse(value), *nonce;
+    struct json_object *o = rk_json_parse(value, strlen(value));
     char own_nonce[24];
     snprintf(own_nonce, sizeof(own_nonce), "%" PRIx64, c->nonce);
-    bool took_effect = json_object_object_get_ex(o, "nonce", &nonce) &&
-                       !strcmp(json_object_get_string(nonce), own_nonce);
+    bool took_effect = !strcmp(rk_json_str(o, "nonce"), own_nonce);
     json_object_put(o);
     if (took_effect) {
         commit_write(c, version, now_ms);
@@ -323,12 +323,20 @@
     return wall_ms - newest_ms;
 }
 
+/* Returns a key of a slot, which the list owns; "" for one that is null. */
+static const char *slot_key(struct json_object *keys, size_t i)
+{
+    struct json_object *key = json_object_array_get_idx(keys, i);
+    return key ? json_object_get_string(key) : "";
+}
+
 /* Takes over a slot that was read, and its keys unless they are past the
  * retention. */
 static void load_slot(struct rk_claims *c, const struct rk_claim_slot_value *r,
                       int64_t now_ms, int64_t wall_ms)
 {
-    struct json_object *o = json_tokener_parse(r->value), *keys = NULL, *v;
+    struct json_object *o = rk_json_parse(r->value, strlen(r->value));
+    struct json_object *keys = rk_json_get(o, "keys");
     struct claim_slot *s = &c->slots[r->slot];
     int64_t age = proved_age_ms(rk_json_int(o, "newest_ms", 0), wall_ms);
     *s = (struct claim_slot){.version = r->version,
@@ -337,22 +345,19 @@
     int64_t epoch = rk_json_int(o, "epoch", 0);
     if (epoch > c->epoch)
         c->epoch = epoch;
-    json_object_object_get_ex(o, "keys", &keys);
-    size_t len = keys ? json_object_array_length(keys) : 0;
+    size_t len = rk_json_len(keys);
     if (len > c->cfg.slot_keys)
         len = c->cfg.slot_keys;
     bool retained = age <= c->cfg.retention_ms;
     for (size_t i = 0; retained && i < len; i++)
-        load_key(c, json_object_get_string(json_object_array_get_idx(keys, i)),
-                 s->written_ms);
+        load_key(c, slot_key(keys, i), s->written_ms);
     if (s->seq >= c->slots[c->current].seq) {
         c->current = r->slot;
-        c->sealed = json_object_object_get_ex(o, "sealed", &v) &&
-                    json_object_get_boolean(v);
+        c->sealed = json_object_get_boolean(rk_json_get(o, "sealed"));
         clear_current(c);
         for (; c->current_len < len; c->current_len++)
-            c->current_keys[c->current_len] = rk_strdup(json_object_get_string(
-                json_object_array_get_idx(keys, c->current_len)));
+            c->current_keys[c->current_len] =
+                rk_strdup(slot_key(keys, c->current_len));
     }
     json_object_put(o);
 }
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -166,6 +166,32 @@
     rk_claims_destroy(f.claims);
 }
 
+/* Guards against an owner that ends by what another writer has put into a slot. */
+static void odd_slots_end_no_owner(void **state)
+{
+    (void)state;
+    static const char *const values[] = {
+        "",
+        "null",
+        "7",
+        "[]",
+        "{\"keys\":7}",
+        "{\"keys\":{}}",
+        "{\"keys\":\"x\"}",
+        "{\"keys\":[null,7,{},[],\"x\"],\"seq\":9}",
+        "{\"keys\":null,\"nonce\":null,\"sealed\":[]}",
+        "{\"seq\":99999999999999999999999,\"epoch\":1e999}",
+    };
+    const struct rk_claim_key key = {.lo = 1, .hi = 2, .fingerprint = 3};
+    for (size_t i = 0; i < RK_ARRAY_LEN(values); i++) {
+        struct fixture f = {.version = 1};
+        rk_strcpy(f.value, sizeof(f.value), values[i]);
+        start(&f, 1, RK_CLAIM_SLOT_KEYS);
+        claim(&f, key, NOW_MS, SET_RIGHT_MS);
+        rk_claims_destroy(f.claims);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -173,6 +199,7 @@
         cmocka_unit_test(a_date_that_is_set_back_does_not_free_keys),
         cmocka_unit_test(a_key_past_its_retention_is_free),
         cmocka_unit_test(a_date_that_is_set_does_not_free_slots),
+        cmocka_unit_test(odd_slots_end_no_owner),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
