relay: a late copy of a refusal is no answer to the next call

Cause: refusals of VMs have no request id. A faulty VM sent one a second time when the next request had come on that connection, and it was believed to be for that request.

A connection is closed after an answer without an id, so no copy of it can meet a later request. Such an answer is not passed on either, whatever its status: a copy of a 404 or 500 was taken for the next call's answer, too.

--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -165,9 +165,13 @@
     x->is_event_stream = is_event_stream(x, head);
     x->position = (struct rk_event_position){0};
     x->answer_class = classify_answer(x, head);
-    /* Without an id, a success cannot be matched to the request. */
-    if (!id && x->answer_class == ANSWER_PASS && head->status / 100 == 2)
+    /* Without an id, an answer can't be matched to the request. Only refusals have
+     * none. A late copy of one would be taken for the answer to the next request on
+     * this connection, and that it did not run. */
+    if (!id && x->answer_class == ANSWER_PASS)
         x->answer_class = ANSWER_RETRY;
+    if (!id)
+        rk_upstream_close_after(x->up);
     if (x->answer_class == ANSWER_NOT_RUN)
         return RK_HEAD_DISCARD;
     bool stream = x->route->kind == RK_CALL_STREAM;
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -485,6 +485,11 @@
     rk_conn_set_held(call->conn->tcp, held);
 }
 
+void rk_upstream_close_after(struct rk_upstream_call *call)
+{
+    call->conn->reusable = false;
+}
+
 void rk_upstream_cancel(struct rk_upstream_call *call)
 {
     struct pooled_conn *c = call->conn;
--- a/services/upstream.h
+++ b/services/upstream.h
@@ -84,6 +84,10 @@
 /* Stops (true) or resumes reading the response. */
 void rk_upstream_set_held(struct rk_upstream_call *call, bool held);
 
+/* Closes the connection after the response that on_head() is called for, whatever
+ * its head says. */
+void rk_upstream_close_after(struct rk_upstream_call *call);
+
 /* Cancels and frees a call and resets its connection. No callback is called. */
 void rk_upstream_cancel(struct rk_upstream_call *call);
 
--- a/tests/proc_hosted_calls.py
+++ b/tests/proc_hosted_calls.py
@@ -4,7 +4,9 @@
 whole or visibly cut, broken streams are resumed at another worker, and each call gets a
 final answer in time.
 """
+import concurrent.futures
 import errno
+import itertools
 import json
 import os
 import re
@@ -457,6 +459,69 @@
             time.sleep(0.05)
 
 
+REFUSALS = ((503, b""), (429, b""), (421, b""), (400, b""), (503, b"Retry-After: 0.1\r\n"),
+            (404, b""), (500, b""))
+
+
+def repeats_refusals(after):
+    """Return a worker fault that refuses each second request by an answer without an id.
+
+    It repeats it on that connection when the request after so many others has come there, and
+    then runs that one.
+    """
+    lock = threading.Lock()
+    count, repeats, refused = itertools.count(), {}, []
+
+    def fault(w, req, conn):
+        with lock:
+            due, left = repeats.get(conn, (b"", -1))
+            repeats[conn] = due, left - 1
+            n = next(count)
+        if due and left == 0:
+            conn.sendall(due)
+            time.sleep(0.03)
+            return None
+        if due and left > 0 or n % 2:
+            return None
+        status, extra = REFUSALS[n // 2 % len(REFUSALS)]
+        # Only a refusal is declared as not run.
+        extra += b"Rillknot-Not-Executed: 1\r\n" if status in (400, 421, 429, 503) else b""
+        due = b"HTTP/1.1 %d X\r\n%sContent-Length: 0\r\n\r\n" % (status, extra)
+        refused.append(req.get("Rillknot-Attempt-Id"))
+        repeats[conn] = due, after
+        conn.sendall(due)
+        return True
+    return fault, refused
+
+
+def test_a_late_copy_of_a_refusal_is_no_answer_to_the_next_call():
+    """Guards against a refusal without an id that comes a second time and is taken for the answer
+    to the next call on its connection: the caller was told that it did not run, though it did."""
+    refusals = 0
+    for kind in ("non_idempotent", "streaming"):
+        for after in (0, 1, 2):
+            with plain(workers=2, kind=kind, attempts=1) as d:
+                refused = []
+                for w in d.workers:
+                    w.fault, seen = repeats_refusals(after)
+                    refused.append(seen)
+
+                def call_in_turn(_):
+                    answers = []
+                    for _ in range(40):  # a VM gets few calls for a moment after a refusal
+                        answers.append(d.call("/r/x"))
+                        time.sleep(0.02)
+                    return answers
+                with concurrent.futures.ThreadPoolExecutor(4) as pool:
+                    answers = sum(pool.map(call_in_turn, range(4)), [])
+                wrong = [(a.status, a.ident) for a in answers if a.status != 200 and d.runs(a.ident)]
+                assert not wrong, (kind, after, wrong)
+                assert not [a.ident for a in answers if d.runs(a.ident) > 1]
+                assert len(sum(refused, [])) > len(REFUSALS), (kind, after, refused)
+                refusals += len(sum(refused, []))
+    return "%d refusals" % refusals
+
+
 def test_an_answer_without_length_ends_with_its_connection():
     """Guards against an answer without framing that is taken for a cut one."""
 
