http1: responses that are no HTTP are failures

Cause: heads were checked for requests only. http-parser accepts blanks in names and any number below 1000 as a status, with any number of digits and blanks.

Responses are checked like requests, and their first line by its bytes, also behind interim responses. A transfer coding other than chunked is refused in both directions, as it was passed on without its name.

--- a/common/http1.c
+++ b/common/http1.c
@@ -94,11 +94,27 @@
     return 0;
 }
 
+/* Returns whether a text has control characters other than tabs. */
+static bool has_control(const char *s, size_t len)
+{
+    for (size_t i = 0; i < len; i++)
+        if (s[i] != '\t' && ((unsigned char)s[i] < ' ' || s[i] == 0x7f))
+            return true;
+    return false;
+}
+
 static int on_url(http_parser *p, const char *s, size_t len)
 {
     return append_text(reader_of(p), s, len);
 }
 
+/* Called for parts of the reason phrase. */
+static int on_reason(http_parser *p, const char *s, size_t len)
+{
+    (void)p;
+    return has_control(s, len) ? -1 : 0;
+}
+
 static int on_field(http_parser *p, const char *s, size_t len)
 {
     struct rk_http1 *r = reader_of(p);
@@ -131,36 +147,74 @@
     return append_text(r, s, len);
 }
 
-/* Returns true if a name is a token (RFC 9110, 5.6.2). */
-static bool is_token(const char *name)
+bool rk_http1_is_token(const char *text, size_t len)
 {
-    const char *c = name;
-    while (*c && (isalnum((unsigned char)*c) || strchr("!#$%&'*+-.^_`|~", *c)))
-        c++;
-    return c > name && !*c;
+    size_t i = 0;
+    while (i < len && text[i] &&
+           (isalnum((unsigned char)text[i]) || strchr("!#$%&'*+-.^_`|~", text[i])))
+        i++;
+    return len && i == len;
 }
 
-/* Returns true if a text has no control characters, tabs in values aside, and no
- * blanks unless it is a value. */
-static bool is_clean(const char *text, bool value)
+static bool is_word(const char *text, size_t len, const char *word)
 {
-    for (const char *c = text; *c; c++) {
-        bool blank = *c == ' ' || *c == '\t';
-        if ((unsigned char)*c == 0x7f || (blank ? !value : (unsigned char)*c < ' '))
+    return len == strlen(word) && !strncasecmp(text, word, len);
+}
+
+/* Returns whether the body has no other transfer coding than chunked. Another one
+ * would be passed on without its name. */
+static bool has_known_coding(const struct rk_head *h)
+{
+    int codings = 0;
+    for (size_t i = 0; i < h->lines_len; i++) {
+        if (strcasecmp(rk_head_name(h, i), "Transfer-Encoding") != 0)
+            continue;
+        const char *value = rk_head_value(h, i);
+        size_t len = strlen(value);
+        while (len && (value[len - 1] == ' ' || value[len - 1] == '\t'))
+            len--;
+        codings++;
+        if (!is_word(value, len, "chunked") && !is_word(value, len, "identity"))
             return false;
     }
-    return true;
+    return codings <= 1;
 }
 
 /* Returns false for heads that http-parser accepts though they are malformed. A VM
  * that ignores a blank before the colon would read another header than this node
- * has checked. */
+ * has checked, and so would a caller. */
 static bool is_well_formed(const struct rk_head *h)
 {
     for (size_t i = 0; i < h->lines_len; i++)
-        if (!is_token(rk_head_name(h, i)) || !is_clean(rk_head_value(h, i), true))
+        if (!rk_http1_is_token(rk_head_name(h, i), strlen(rk_head_name(h, i))) ||
+            has_control(rk_head_value(h, i), strlen(rk_head_value(h, i))))
             return false;
-    return is_clean(rk_head_target(h), false);
+    const char *target = rk_head_target(h);
+    return !has_control(target, strlen(target)) && !strpbrk(target, " \t") &&
+           has_known_coding(h);
+}
+
+/* http-parser accepts any number below 1000, and several blanks before it. */
+bool rk_http1_is_status_line(const char *line, size_t len)
+{
+    static const char version[] = "HTTP/1.";
+    if (len <= RK_STATUS_LEN || memcmp(line, version, sizeof(version) - 1) != 0)
+        return false;
+    const char *minor = line + sizeof(version) - 1;
+    const char *status = line + RK_STATUS_LEN - 3;
+    return isdigit((unsigned char)*minor) && minor[1] == ' ' && status[0] >= '1' &&
+           status[0] <= '5' && isdigit((unsigned char)status[1]) &&
+           isdigit((unsigned char)status[2]) &&
+           (status[3] == ' ' || status[3] == '\r' || status[3] == '\n');
+}
+
+/* Keeps the beginning of a response's first line. Like http-parser, it passes over
+ * empty lines before that. */
+static void keep_status_line(struct rk_http1 *r, const char *data, size_t len)
+{
+    for (size_t i = 0; i < len && r->status_line_len <= RK_STATUS_LEN; i++)
+        if (r->status_line_len || (data[i] != '\r' && data[i] != '\n'))
+            r->status_line[r->status_line_len++] = data[i];
 }
 
 static int on_head(http_parser *p)
@@ -169,7 +223,9 @@
     struct rk_head *h = &r->head;
     begin_string(r);
     r->head_done = true;
-    if (p->type == HTTP_REQUEST && !is_well_formed(h))
+    if (!is_well_formed(h) ||
+        (p->type == HTTP_RESPONSE &&
+         !rk_http1_is_status_line(r->status_line, r->status_line_len)))
         return -1;
     h->method = (enum http_method)p->method;
     h->status = p->status_code;
@@ -201,6 +257,8 @@
     if (p->type == HTTP_RESPONSE && r->head.status / 100 == 1) {
         /* The final response follows. */
         r->too_large = ++r->interim_len > RK_INTERIM_MAX;
+        r->is_interim = true;
+        http_parser_pause(p, 1);
         return r->too_large ? -1 : 0;
     }
     r->ended = true;
@@ -211,6 +269,7 @@
 static const http_parser_settings settings = {
     .on_message_begin = on_begin,
     .on_url = on_url,
+    .on_status = on_reason,
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_head,
@@ -234,7 +293,10 @@
     rk_buf_free(&r->head.text);
 }
 
-static size_t execute(struct rk_http1 *r, const char *data, size_t len)
+/* Returns how many bytes were used. is_interim: they end with an interim response.
+ * The callback that ends a message may free the reader. */
+static size_t execute(struct rk_http1 *r, const char *data, size_t len,
+                      bool *is_interim)
 {
     size_t used = http_parser_execute(&r->parser, &settings, data, len);
     enum http_errno err = HTTP_PARSER_ERRNO(&r->parser);
@@ -244,22 +306,40 @@
         r->failed = true;
     if (r->parser.upgrade)
         r->failed = true; /* CONNECT and Upgrade are not supported */
+    *is_interim = r->is_interim && !r->failed;
     if (r->ended)
         r->ops->on_end(r->ctx);
     return used;
 }
 
+/* Goes on to the response that follows an interim one. */
+static void leave_interim(struct rk_http1 *r)
+{
+    if (!r->is_interim)
+        return;
+    r->is_interim = false;
+    r->status_line_len = 0;
+    http_parser_pause(&r->parser, 0);
+}
+
 size_t rk_http1_feed(struct rk_http1 *r, const char *data, size_t len)
 {
-    if (r->ended || r->failed || !len)
-        return 0;
-    return execute(r, data, len);
+    size_t used = 0;
+    bool goes_on = !r->ended && !r->failed;
+    while (goes_on && used < len) {
+        leave_interim(r);
+        keep_status_line(r, data + used, len - used);
+        used += execute(r, data + used, len - used, &goes_on);
+    }
+    return used;
 }
 
 void rk_http1_eof(struct rk_http1 *r)
 {
+    bool is_interim;
+    leave_interim(r);
     if (!r->ended && !r->failed)
-        execute(r, "", 0);
+        execute(r, "", 0, &is_interim);
 }
 
 void rk_http1_next(struct rk_http1 *r)
@@ -268,6 +348,8 @@
     r->head_done = false;
     r->head_len = 0;
     r->interim_len = 0;
+    r->is_interim = false;
+    r->status_line_len = 0;
     r->head.text.len = 0;
     if (r->head.text.cap > HEAD_RETAINED_MAX)
         rk_buf_free(&r->head.text);
--- a/common/http1.h
+++ b/common/http1.h
@@ -14,6 +14,7 @@
 
 #define RK_HEAD_LINES_MAX 96 /* most header lines of a head */
 #define RK_INTERIM_MAX    16 /* most interim responses (1xx) before a response */
+#define RK_STATUS_LEN     12 /* "HTTP/1.1 200" */
 
 /* How the end of a response's body is marked. */
 enum rk_framing {
@@ -74,9 +75,13 @@
     bool failed;     /* the data is no valid message, or asks for an upgrade */
     bool too_large;  /* failed because the head exceeds its limits */
     size_t head_max; /* limit of head_len */
+    /* The beginning of a response's first line, with the byte after its status. */
+    char status_line[RK_STATUS_LEN + 1];
+    size_t status_line_len;
     /* Bytes of the head read so far. Of the start line, only the target counts. */
     size_t head_len;
     int interim_len; /* interim responses that preceded this message */
+    bool is_interim; /* the response that has ended is one */
 };
 
 /* Initialises a reader of requests or, if requests is false, of responses. A head
@@ -87,6 +92,13 @@
 /* Frees what the reader allocated; r itself is the caller's. */
 void rk_http1_free(struct rk_http1 *r);
 
+/* Returns whether a text is a token, as names of headers are (RFC 9110, 5.6.2). */
+bool rk_http1_is_token(const char *text, size_t len);
+
+/* Returns whether a response's first line, of which the byte after the status is
+ * needed, has a version of HTTP/1 and a status of three digits from 100 to 599. */
+bool rk_http1_is_status_line(const char *line, size_t len);
+
 /* Reads data and calls the callbacks. Returns how many bytes were used: fewer than
  * len if a message ended before the last byte, or if reading failed. */
 size_t rk_http1_feed(struct rk_http1 *r, const char *data, size_t len);
