upstream: a reset amid an upload ends no answer

Callers: a part of a 200 without a length as a whole answer, when its VM reset the connection while the upload was still being written.

Cause: a send that meets the reset takes its error from the socket, and reading then tells of an orderly close, which ends such an answer. The send's error is the reason of the end now. A VM that ends amid an upload may also close in order, if it has read what had come; so a close does not end a success without a length while a part of the request is unsent.

--- a/common/conn.c
+++ b/common/conn.c
@@ -217,6 +217,17 @@
     rk_counter_add(RK_C_RECEIVE_BOUNDED, 1);
 }
 
+/* Returns why a connection has ended of which the kernel reports error, 0 for an
+ * orderly close. A failed send has taken the error of a reset from the socket, so
+ * that the kernel reports an orderly close from then on. After EPIPE it is one: the
+ * peer closed before it reset the connection because of what was sent. */
+static int end_error(const struct rk_conn *c, int error)
+{
+    if (error || c->send_error == EPIPE)
+        return error;
+    return c->send_error;
+}
+
 /* Reads one block. epoll is level-triggered: unread bytes raise the event again. */
 static void read_block(struct rk_conn *c)
 {
@@ -229,7 +240,7 @@
         return;
     }
     if (n == 0) {
-        notify_end(c, 0);
+        notify_end(c, end_error(c, 0));
         return;
     }
     rk_loop_note_progress(c->loop);
@@ -251,7 +262,7 @@
     /* Not after flush(): it drops the queue, and the owner of an empty queue goes
      * on to answer what it has received. */
     if (c->paused && (events & (EPOLLERR | EPOLLHUP))) {
-        notify_end(c, socket_error(c));
+        notify_end(c, end_error(c, socket_error(c)));
         return;
     }
     if (events & EPOLLOUT) {
@@ -344,6 +355,11 @@
     return c->out.len - c->out_pos;
 }
 
+bool rk_conn_has_sent_all(const struct rk_conn *c)
+{
+    return !c->send_error && !rk_conn_unsent_len(c);
+}
+
 bool rk_conn_has_sent(const struct rk_conn *c)
 {
     return c->has_sent;
--- a/common/conn.h
+++ b/common/conn.h
@@ -46,6 +46,9 @@
 /* Returns how many written bytes have not been passed to the kernel yet. */
 size_t rk_conn_unsent_len(const struct rk_conn *c);
 
+/* Returns whether all written bytes have been passed to the kernel. */
+bool rk_conn_has_sent_all(const struct rk_conn *c);
+
 /* Returns whether any byte has been passed to the kernel. Until the connection is
  * established, written bytes stay in the queue. */
 bool rk_conn_has_sent(const struct rk_conn *c);
--- a/services/upstream.c
+++ b/services/upstream.c
@@ -267,6 +267,17 @@
     feed(c, data, len);
 }
 
+/* Returns whether the VM's close would end a success that has no other end while a
+ * part of the request is unsent. A VM that ends amid the request closes like that,
+ * and one that has answered early reads the rest before it closes. */
+static bool is_closed_amid_request(const struct pooled_conn *c)
+{
+    const struct rk_head *head = &c->reader.head;
+    return c->reader.head_done && head->status / 100 == 2 &&
+           rk_head_framing(head) == RK_FRAMING_CLOSE &&
+           !rk_conn_has_sent_all(c->tcp);
+}
+
 static void on_eof(void *ctx)
 {
     struct pooled_conn *c = ctx;
@@ -274,6 +285,10 @@
         release_conn(c);
         return;
     }
+    if (is_closed_amid_request(c)) {
+        fail_call(c, 0, "the vm closed before it had read the request");
+        return;
+    }
     c->is_closed_by_vm = true;
     rk_http1_eof(&c->reader);
     if (!c->released && c->call) {
--- a/tests/proc_hosted_answer_heads.py
+++ b/tests/proc_hosted_answer_heads.py
@@ -1,10 +1,16 @@
 """Answers that are no HTTP, or end before they are whole: callers get a failure, or what looks
 broken off, and never a success that the VM did not send."""
+import collections
 import itertools
+import socket
+import time
 
-from hosted import Hosted
+from hosted import Hosted, reset, wait_until
 
 BODY = b"0123456789" * 80
+LONG_BODY = 6000000  # bytes, far more than the kernels on the way hold
+LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": LONG_BODY, "headerTimeoutMs": 3000,
+          "idleTimeoutMs": 15000}
 CONTROLS = [bytes([c]) for c in range(0x20) if c not in b"\t\r\n"] + [b"\x7f"]
 STATUS_LINES = [b"HTTP/1.1 %s" % s for s in (
     b"000 X", b"000", b"020 X", b"20 X", b"2 X", b"0200 OK", b"00200 OK", b"099 X", b"600 X",
@@ -27,7 +33,7 @@
 def deployment(kind="idempotent", events=0):
     d = Hosted(bounds={"budgetExtra": 4000}).start()
     d.add_worker("plain", events=events)
-    d.configure([d.route("r", "plain", kind, maxAttempts=1)])
+    d.configure([d.route("r", "plain", kind, maxAttempts=1)], limits=LIMITS)
     d.wait_ready()
     return d
 
@@ -144,3 +150,43 @@
                     if a.status < 500:
                         wrong.append((kind, framing, cut, a.status, a.whole, a.body))
     assert not wrong, (len(wrong), wrong[:5])
+
+
+def ends_upload(how, status, part, read):
+    """Return a function that answers a long upload at once without a length, and then ends the
+    connection: by a reset, a close, or a close that is followed by a reset."""
+    def answer_early(w, req, conn):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        if read:
+            conn.recv(read)
+        conn.sendall(w.head(req, status) + BODY[:part])
+        if how == "close":
+            conn.shutdown(socket.SHUT_WR)
+            time.sleep(0.02)
+        elif how == "late reset":
+            time.sleep(0.1)
+        reset(conn)
+        raise OSError
+    return answer_early
+
+
+def test_an_unframed_answer_that_is_reset_amid_the_upload_is_not_whole():
+    """Guards against a reset that is noticed by a send and then taken for the end of an answer
+    without a length: its first part was passed on as a whole success."""
+    wrong, calls = [], 0
+    for kind in ("idempotent", "non_idempotent", "streaming"):
+        with deployment(kind) as d:
+            worker = d.workers[0]
+            for how, part, read in itertools.product(
+                    ("reset", "close", "late reset"), (1, 400, len(BODY)), (0, 200000)):
+                for _ in range(3):
+                    worker.answer_early = lambda req, conn, f=ends_upload(how, 200, part, read): \
+                        f(worker, req, conn)
+                    a = d.call("/r/x", body=b"x" * LONG_BODY)
+                    calls += 1
+                    if a.status == 200 and a.whole:
+                        wrong.append((kind, how, part, read))
+            worker.answer_early = lambda req, conn: False
+            wait_until(lambda: d.call("/r/x", body=b"x" * LONG_BODY).status == 200, 5)
+    assert not wrong, (len(wrong), calls, collections.Counter(w[:2] for w in wrong))
+    return "%d calls" % calls
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -172,6 +172,37 @@
     end(&f);
 }
 
+/* Ends a connection whose send failed, as the kernel does after a reset: its error
+ * is gone with the send, and reading tells of an orderly close. */
+static struct owner end_after_failed_send(int error)
+{
+    struct fixture f;
+    connect_pair(&f);
+    write_failing(&f, "x", error);
+    shutdown(f.peer, SHUT_RDWR);
+    step(&f);
+    step(&f);
+    struct owner owner = f.owner;
+    rk_conn_abort(f.conn);
+    end(&f);
+    return owner;
+}
+
+/* Guards against a reset that a send meets first and that is then taken for an
+ * orderly close, which ends an answer without a length. */
+static void a_reset_that_a_send_met_is_no_orderly_close(void **state)
+{
+    (void)state;
+    static const int errors[] = {ECONNRESET, ECONNABORTED, ETIMEDOUT, EHOSTUNREACH};
+    for (size_t i = 0; i < RK_ARRAY_LEN(errors); i++) {
+        struct owner owner = end_after_failed_send(errors[i]);
+        assert_int_equal(owner.ends, 0);
+        assert_int_equal(owner.errors, 1);
+        assert_int_equal(owner.error, errors[i]);
+    }
+    assert_int_equal(end_after_failed_send(EPIPE).ends, 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -180,6 +211,7 @@
         cmocka_unit_test(nothing_is_sent_after_a_failed_send),
         cmocka_unit_test(an_end_before_a_failed_send_is_reported_once),
         cmocka_unit_test(a_connection_ended_after_a_failed_send_is_not_reported),
+        cmocka_unit_test(a_reset_that_a_send_met_is_no_orderly_close),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
