http: answers that end inside their head, or are no HTTP, have failed

Callers of rillknot-entry: a whole 200 with an empty body, when a service stopped inside its answer's head and closed. Of the store, a write whose answer was cut there counted as acknowledged.

Cause: libcurl takes the end of the connection for the end of the answer, and ignores lines that it can't read. The empty line behind the head is required now, and each line has to be HTTP.

--- a/common/http.c
+++ b/common/http.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+#include "common/http1.h"
 #include "common/loop.h"
 #include "common/util.h"
 
@@ -36,6 +37,7 @@
     bool may_have_reached;
     bool no_resend;
     size_t header_bytes;        /* received so far */
+    bool head_ended;            /* the empty line after the head was received */
     struct rk_timer inactivity; /* time-out of the wait for the next byte */
     int64_t stall_ms;
     char error[CURL_ERROR_SIZE];
@@ -74,6 +76,11 @@
         .error = r->error[0] ? r->error : curl_easy_strerror(code),
     };
     curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &res.status);
+    /* libcurl takes a head that the server broke off for a whole answer. */
+    if (code == CURLE_OK && !r->head_ended) {
+        res.curl_code = CURLE_RECV_ERROR;
+        res.error = "the answer ends inside its head";
+    }
     r->handlers.on_done(r->ctx, &res);
     free_req(r);
 }
@@ -212,17 +219,10 @@
     return size * n;
 }
 
-static size_t header_cb(char *line, size_t size, size_t n, void *ctx)
+/* Passes a header line on. */
+static void pass_header(const struct rk_http_req *r, const char *line, size_t len,
+                        const char *colon)
 {
-    struct rk_http_req *r = ctx;
-    size_t len = size * n;
-    restart_inactivity(r);
-    r->header_bytes += len;
-    if (r->header_bytes > HEADERS_MAX_BYTES)
-        return 0; /* ends the request */
-    char *colon = memchr(line, ':', len);
-    if (!colon || !r->handlers.on_header)
-        return len;
     char name[HEADER_NAME_MAX] = "", value[HEADER_VALUE_MAX] = "";
     size_t name_len = (size_t)(colon - line);
     for (size_t i = 0; i < name_len && i < sizeof(name) - 1; i++)
@@ -237,6 +237,31 @@
         value_len = sizeof(value) - 1;
     memcpy(value, v, value_len);
     r->handlers.on_header(r->ctx, name, value);
+}
+
+/* Called for each line of a head, its status line and the empty line included, and
+ * for trailers. Returning 0 ends the request. */
+static size_t header_cb(char *line, size_t size, size_t n, void *ctx)
+{
+    struct rk_http_req *r = ctx;
+    size_t len = size * n;
+    restart_inactivity(r);
+    r->header_bytes += len;
+    if (r->header_bytes > HEADERS_MAX_BYTES)
+        return 0;
+    if (*line == '\r' || *line == '\n') {
+        r->head_ended = true;
+        return len;
+    }
+    const char *colon = memchr(line, ':', len);
+    if (colon && rk_http1_is_token(line, (size_t)(colon - line))) {
+        if (r->handlers.on_header)
+            pass_header(r, line, len, colon);
+        return len;
+    }
+    if (!rk_http1_is_status_line(line, len))
+        return 0;
+    r->head_ended = false;
     return len;
 }
 
--- a/tests/proc_refusals.py
+++ b/tests/proc_refusals.py
@@ -270,3 +270,41 @@
         for key, answer in answers.items():
             check_verdict(answer, runs.get(key, 0))
         return ", ".join("%s %s" % (x.status, x.verdict) for x in answers.values())
+
+
+SOUND_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+ODD_HEADS = [b"HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\nok" % status for status in (
+    b"000 X", b"020 X", b"20 X", b"0200 OK", b"600 X", b"999 X", b"200OK", b"", b"2e2 OK")] + \
+    [SOUND_HEAD + line + b"\r\nContent-Length: 2\r\n\r\nok" for line in (
+        b"X Cache: miss", b"X-Cache : miss", b"X\tCache: miss", b": miss", b"X-Cache",
+        b"X\x01Cache: miss", b"X\x7fCache: miss", b" X-Cache: miss")]
+
+
+def test_answers_that_are_no_http_or_end_inside_their_head_are_failures():
+    """Guards against an answer that ends inside its head, or whose head is no HTTP, and reaches the
+    caller as a whole 200 with an empty or short body."""
+    cut = [SOUND_HEAD[:n] for n in range(1, len(SOUND_HEAD) + 1)] + \
+        [SOUND_HEAD + b"Content-Length: 2\r\n", SOUND_HEAD + b"Transfer-Encoding: chunked\r\n\r"]
+    heads, sent = cut + ODD_HEADS, []
+
+    def behave(conn, read, n):
+        read()
+        if len(sent) < len(heads):
+            sent.append(heads[len(sent)])
+            conn.sendall(sent[-1])
+        else:
+            conn.sendall(OK_ANSWER)
+    upstream = RawUpstream(behave)
+    with small_cluster(services=0, engines=0) as c:
+        c.list_vm("raw", upstream.port, "klein-hall", "slots", "small")
+        c.wait_ready()
+        wrong, calls = [], 0
+        while len(sent) < len(heads):
+            before, calls = len(sent), calls + 1
+            a = call(c.entries[0].port, "slots/confirm", "k%d" % calls)
+            if len(sent) > before and a.status < 400:
+                wrong.append((sent[-1], a.status, a.body))
+            assert calls < 20 * len(heads), len(sent)
+        wait_for(lambda: call(c.entries[0].port, "slots/confirm", "sound").status == 200, 10,
+                 "the upstream to serve again")
+    assert not wrong, (len(wrong), wrong[:5])
