--- a/tests/run.py
+++ b/tests/run.py
@@ -50,6 +50,7 @@
     "proc_hosted_foreign_entries": "hosted  another writer's entries hide no others",
     "proc_hosted_odd_frames": "hosted  no number of a peer's message stops the fleet",
     "proc_hosted_answer_heads": "hosted  answers that are no HTTP, or are reset, are failures",
+    "proc_hosted_recovery": "hosted  served again in time after kills of all nodes",
     "proc_hosted_odd_answers": "hosted  odd answers of VMs and odd requests of peers",
     "proc_hosted_surroundings": "hosted  no limit or output of a process ends a node later",
     "proc_listen": "all   listening addresses that are taken or shared",
