--- a/serve/relay_answer.c
+++ b/serve/relay_answer.c
@@ -147,6 +147,14 @@
            !strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE));
 }
 
+/* Returns how the answer's body ends. That of a HEAD request has none. */
+static enum rk_framing get_framing(const struct rk_relay_call *x,
+                                   const struct rk_head *head)
+{
+    bool no_body = x->client && rk_client_head(x->client)->method == HTTP_HEAD;
+    return no_body ? RK_FRAMING_LENGTH : rk_head_framing(head);
+}
+
 static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
 {
     struct rk_relay_call *x = ctx;
@@ -161,7 +169,7 @@
     rk_call_read_signals(x, head);
     rk_timer_stop(x->r->loop, &x->silence_timer);
     x->vm_head_ms = rk_mono_ms();
-    x->framing = rk_head_framing(head);
+    x->framing = get_framing(x, head);
     x->is_event_stream = is_event_stream(x, head);
     x->position = (struct rk_event_position){0};
     x->answer_class = classify_answer(x, head);
@@ -265,10 +273,15 @@
     return true;
 }
 
-/* Returns true if only the close of the VM's connection ends the stream. */
+/* Returns true if only the close of the VM's connection ends the answer. */
+static bool is_unframed(const struct rk_relay_call *x)
+{
+    return x->framing == RK_FRAMING_CLOSE;
+}
+
 static bool is_unframed_stream(const struct rk_relay_call *x)
 {
-    return x->framing == RK_FRAMING_CLOSE && x->is_event_stream;
+    return is_unframed(x) && x->is_event_stream;
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
@@ -311,7 +324,7 @@
                                "the vm may have stopped it for a move");
         return;
     }
-    if (!is_unframed_stream(x) || !rk_call_start_end_check(x))
+    if (!is_unframed(x) || !rk_call_start_end_check(x))
         finish_attempt(x);
 }
 
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -4,6 +4,7 @@
 the last case nothing but the body itself can tell a whole stream from one that was broken
 off, as the system closes the connections of a process that crashed in the normal way, too.
 """
+import itertools
 import socket
 import threading
 import time
@@ -382,3 +383,65 @@
             t.join()
         for s in fill:
             s.close()
+
+
+def crash_amid_body(d, body, sent, status):
+    """Returns a worker fault that sends a part of a plain answer without framing, and then ends as
+    a killed process; the other workers answer as a whole."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        crashes = not any(other.stopped for other in d.workers)
+        conn.sendall(w.head(req, status) + (body[:sent] if crashes else body))
+        if crashes:
+            w.stopped = True
+            w.sock.shutdown(socket.SHUT_RDWR)
+            w.sock.close()
+        return False
+    return fault
+
+
+def test_an_unframed_plain_answer_whose_vm_crashes_is_not_whole():
+    """Guards against a part of a plain answer without framing that ends as a whole one when its VM
+    is killed."""
+    body = b"0123456789" * 100
+    for kind, sent, status in itertools.product(("idempotent", "non_idempotent"),
+                                                (0, 1, 500, 999), (200, 404)):
+        with Hosted(bounds={"budgetExtra": 4000}) as d:
+            for _ in range(2):
+                d.add_worker("plain")
+            for w in d.workers:
+                w.fault = crash_amid_body(d, body, sent, status)
+            d.configure([d.route("r", "plain", kind, maxAttempts=1)])
+            d.wait_ready()
+            a = d.call("/r/x")
+            assert a.status == 502 or not a.whole, (kind, sent, status, a.status, a.body[:9])
+            a = d.call("/r/x", deadline=4000)
+            assert a.status == status and a.whole and a.body == body, (kind, sent, a.status)
+            a = d.call("/r/x", method="HEAD")
+            assert a.status == status, a.status
+
+
+def test_a_vm_is_not_judged_by_one_connection_after_an_unframed_answer():
+    """Guards against a check of a VM that believes its first connection: a process that ends may
+    still take one and reset it, and one that lives may reset one as it has too many."""
+    body = b"0123456789" * 100
+    for lives in (True, False):
+        with Hosted(bounds={"budgetExtra": 4000}) as d:
+            w = d.add_worker("plain")
+            d.configure([d.route("r", "plain", maxAttempts=1)])
+            d.wait_ready()
+
+            def reset_one(conn):
+                if not lives:
+                    w.sock.shutdown(socket.SHUT_RDWR)
+                    w.sock.close()
+                reset(conn)
+                del w._serve
+
+            def fault(w, req, conn):
+                w._serve = reset_one
+                conn.sendall(w.head(req) + body[:len(body) if lives else 500])
+                return False
+            w.fault = fault
+            a = d.call("/r/x")
+            assert (a.status == 200 and a.whole) == lives, (lives, a.status, a.whole)
