conn: answers that are still read outlast a planned stop

Cause: a stopping node closes a connection with its answer, and connections that only send the rest did not count as busy. They were also dropped after a second, however steadily the caller read; now they go on as long as it takes some bytes each second, by what the kernel still holds.

--- a/common/conn.c
+++ b/common/conn.c
@@ -8,8 +8,10 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/queue.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <linux/sockios.h>
 
 #include "common/addr.h"
 #include "common/counters.h"
@@ -25,7 +27,7 @@
 /* Bytes that the kernel buffers for an accepted connection besides those in flight.
  * Otherwise it takes megabytes for each peer that doesn't read. */
 #define KERNEL_UNSENT_MAX (256 * 1024)
-/* Time for the peer to read the last bytes and to close. */
+/* Time for the peer to read some of the last bytes, or to close after them. */
 #define LINGER_MS 1000
 /* The connection has failed when sent bytes stay unacknowledged for so long. */
 #define USER_TIMEOUT_MS 3000
@@ -51,6 +53,7 @@
     uint32_t watched_events; /* epoll events */
     struct rk_buf out;       /* bytes to send */
     size_t out_pos;          /* how many of them the kernel has taken */
+    size_t undelivered;      /* at the last check while lingering */
     size_t charged;          /* bytes of out in the account of memory */
     struct rk_timer timer;   /* limits the connect or the lingering, or reports a
                               * failed send */
@@ -279,11 +282,34 @@
         notify_end(c, 0);
 }
 
+/* Returns how many written bytes the peer has not acknowledged. The kernel takes
+ * more of them only in large steps, so that a slow peer's progress shows in what it
+ * still holds. */
+static size_t undelivered_len(const struct rk_conn *c)
+{
+    int in_kernel = 0;
+    if (ioctl(c->fd, SIOCOUTQ, &in_kernel) < 0)
+        in_kernel = 0;
+    return rk_conn_unsent_len(c) + (size_t)in_kernel;
+}
+
+/* Goes on lingering as long as the peer reads. */
+static void check_lingering(struct rk_conn *c)
+{
+    size_t left = undelivered_len(c);
+    bool goes_on = rk_conn_unsent_len(c) && left < c->undelivered;
+    c->undelivered = left;
+    if (goes_on)
+        rk_timer_start(c->loop, &c->timer, LINGER_MS);
+    else
+        release(c);
+}
+
 static void on_timer(void *ctx)
 {
     struct rk_conn *c = ctx;
     if (c->lingering)
-        release(c);
+        check_lingering(c);
     else if (c->ops)
         notify_end(c, c->send_error ? c->send_error : ETIMEDOUT);
 }
@@ -424,6 +450,17 @@
         release(TAILQ_FIRST(&lingering));
 }
 
+size_t rk_conn_flushing_count(void)
+{
+    size_t count = 0;
+    struct rk_conn *c;
+    if (!lingering_len)
+        return 0;
+    TAILQ_FOREACH(c, &lingering, lingering_entry)
+    count += rk_conn_unsent_len(c) > 0;
+    return count;
+}
+
 void rk_conn_close(struct rk_conn *c)
 {
     if (!c->ops || c->connecting) {
@@ -435,6 +472,7 @@
     rk_conn_set_paused(c, false);
     rk_timer_start(c->loop, &c->timer, LINGER_MS);
     flush(c);
+    c->undelivered = undelivered_len(c);
 }
 
 bool rk_conn_close_idle(struct rk_conn *c)
--- a/common/conn.h
+++ b/common/conn.h
@@ -72,11 +72,15 @@
  */
 void rk_conn_set_linger_max(int count);
 
-/* Closes the connection in order and frees c: sends the queued bytes and lets the
- * peer read them and close, for one second at most. A connection that has ended
- * already or is still connecting is closed at once. No callback follows. */
+/* Closes the connection in order and frees c: sends the queued bytes as long as the
+ * peer reads some of them each second, and gives it a second to close after that. A
+ * connection that has ended already or is still connecting is closed at once. No
+ * callback follows. */
 void rk_conn_close(struct rk_conn *c);
 
+/* Returns how many closed connections of this thread still have bytes to send. */
+size_t rk_conn_flushing_count(void);
+
 /* Closes an idle connection at once and frees c. Data that arrives after the close
  * is answered by the kernel with a reset, so the peer knows that it was not read.
  * Returns false, and changes nothing, if received bytes are waiting to be read. */
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "callers/server.h"
+#include "common/conn.h"
 #include "common/eventlog.h"
 #include "common/memory.h"
 #include "serve/relay_call.h"
@@ -168,7 +169,8 @@
 {
     size_t forwarded =
         r->forward_server ? rk_server_busy_count(r->forward_server) : 0;
-    return r->calls_len + rk_server_busy_count(r->server) + forwarded;
+    return r->calls_len + rk_server_busy_count(r->server) + forwarded +
+           rk_conn_flushing_count();
 }
 
 static void on_report(void *ctx)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -98,7 +98,8 @@
     bool vms_known;              /* a list of VMs has been received */
     int64_t vms_revision;        /* of the object store, which that list reflects */
     /* Calls in flight plus connections with a request, a part of one, or unsent
-     * answer bytes. A call whose caller waits counts in both; 0 means idle. */
+     * answer bytes, those that are being closed included. A call whose caller waits
+     * counts in both; 0 means idle. */
     size_t busy_count;
     size_t connections; /* of callers */
 };
--- a/tests/proc_hosted_late_calls.py
+++ b/tests/proc_hosted_late_calls.py
@@ -7,6 +7,7 @@
 import collections
 import concurrent.futures
 import signal
+import socket
 import threading
 import time
 
@@ -18,6 +19,8 @@
 NOT_RUN = (429, 503, 408, 421)  # statuses that promise this
 BALANCER_S = 2.5  # after which the balancer has noticed a stop
 LOSS_SLACK_S = 0.2  # a received call whose connection closes later counts as cut
+LONG_ANSWER = 1200000  # bytes, far more than the kernels on the way hold
+SLOW_RATES = (800000, 600000)  # bytes/s that callers read
 CUT_NOTICED_S = 3.0  # after which a node has noticed that it lost its VMs
 
 
@@ -321,3 +324,39 @@
 def test_forwarded_calls_are_not_cut_if_both_nodes_stop_at_once():
     """Guards against the same if the node that forwards stops too."""
     return str([check_forwarded((0, 1), kind) for kind in ("non_idempotent", "idempotent")])
+
+
+def read_slowly(d, rate):
+    """Makes a call and reads its answer, so many bytes a second; returns the body's length."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    s.settimeout(5)
+    s.connect(("127.0.0.1", d.port(d.nodes[0].ready["listen"])))
+    s.sendall(b"POST /r/x HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\n"
+              b"Rillknot-Attempt-Id: slow-%d\r\nRillknot-Deadline-Ms: %d\r\n"
+              b"Content-Length: 0\r\n\r\n" % (id(s), DEADLINE_MS))
+    data = b""
+    while b"\r\n\r\n" not in data or len(data.split(b"\r\n\r\n", 1)[1]) < LONG_ANSWER:
+        try:
+            part = s.recv(rate // 20)
+        except OSError:
+            break
+        if not part:
+            break
+        data += part
+        time.sleep(len(part) / rate)
+    s.close()
+    return len(data.partition(b"\r\n\r\n")[2])
+
+
+def test_answers_that_are_read_slowly_outlast_a_stop():
+    """Guards against a stopping node that ends while callers still read their answers: their
+    connections were closed with the answer and did not count as busy."""
+    with start(8, 3.2, "idempotent") as d:
+        d.workers[0].body = lambda req: b"x" * LONG_ANSWER
+        with concurrent.futures.ThreadPoolExecutor(12) as pool:
+            made = [pool.submit(read_slowly, d, rate) for rate in SLOW_RATES for _ in range(3)]
+            time.sleep(0.2)
+            d.nodes[0].signal(signal.SIGTERM)
+            lengths = [f.result() for f in made]
+        assert lengths == [LONG_ANSWER] * len(lengths), lengths
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -203,6 +204,45 @@
     assert_int_equal(end_after_failed_send(EPIPE).ends, 1);
 }
 
+#define QUEUED_BYTES (1024 * 1024)
+#define READ_BYTES   (20 * 1024)
+#define READ_WAIT_MS 40
+
+/* Closes a connection with queued bytes. Returns how many of them a peer receives
+ * that reads in steps, or nothing for the first silent_ms. */
+static size_t read_closed(int silent_ms)
+{
+    static char block[READ_BYTES];
+    struct fixture f;
+    char *text = rk_alloc(1, QUEUED_BYTES);
+    size_t received = 0;
+    ssize_t n = 1;
+    connect_pair(&f);
+    rk_conn_write(f.conn, text, QUEUED_BYTES);
+    rk_conn_close(f.conn);
+    for (int waited = 0; n; waited += READ_WAIT_MS) {
+        usleep(READ_WAIT_MS * RK_MS_PER_S);
+        rk_loop_step(f.loop, 0);
+        if (waited < silent_ms)
+            continue;
+        n = recv(f.peer, block, sizeof(block), 0);
+        received += n > 0 ? (size_t)n : 0;
+    }
+    assert_int_equal(rk_conn_flushing_count(), 0);
+    free(text);
+    end(&f);
+    return received;
+}
+
+/* Guards against a closed connection whose last bytes are dropped after a second
+ * though its peer reads on, and against one that waits for a peer that does not. */
+static void a_closed_connection_sends_as_long_as_its_peer_reads(void **state)
+{
+    (void)state;
+    assert_int_equal(read_closed(0), QUEUED_BYTES);
+    assert_true(read_closed(2500) < QUEUED_BYTES);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -212,6 +252,7 @@
         cmocka_unit_test(an_end_before_a_failed_send_is_reported_once),
         cmocka_unit_test(a_connection_ended_after_a_failed_send_is_not_reported),
         cmocka_unit_test(a_reset_that_a_send_met_is_no_orderly_close),
+        cmocka_unit_test(a_closed_connection_sends_as_long_as_its_peer_reads),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
