--- a/common/json_text.c
+++ b/common/json_text.c
@@ -93,22 +93,25 @@
     text[begin] = '0';
 }
 
-/* Blanks what is nested too deep. Returns false, and blanks nothing, if text is
- * NULL and there is such a value in the scanned text. */
-static bool blank_too_deep(const char *scanned, size_t len, char *text)
+static bool is_too_deep(const char *text, size_t len)
 {
-    struct scan s = {.text = scanned, .len = len};
+    struct scan s = {.text = text, .len = len};
+    while (next_token(&s))
+        if (s.level > RK_JSON_NESTING_MAX)
+            return true;
+    return false;
+}
+
+static void blank_too_deep(char *text, size_t len)
+{
+    struct scan s = {.text = text, .len = len};
     size_t begin = 0;
     while (next_token(&s)) {
-        if (is_opening(&s) && s.level == RK_JSON_NESTING_MAX + 1) {
-            if (!text)
-                return false;
+        if (is_opening(&s) && s.level == RK_JSON_NESTING_MAX + 1)
             begin = s.at - 1;
-        } else if (is_closing(&s) && s.level == RK_JSON_NESTING_MAX) {
+        else if (is_closing(&s) && s.level == RK_JSON_NESTING_MAX)
             blank(text, begin, s.at);
-        }
     }
-    return true;
 }
 
 /* An object or array of a text. */
@@ -168,7 +171,7 @@
 
 size_t rk_json_trim(char *text, size_t len, int level, size_t max)
 {
-    blank_too_deep(text, len, text);
+    blank_too_deep(text, len);
     size_t size = rk_json_parsed_size(text, len);
     if (size <= max)
         return size;
@@ -202,10 +205,10 @@
 
 struct json_object *rk_json_parse(const char *text, size_t len)
 {
-    if (blank_too_deep(text, len, NULL))
+    if (!is_too_deep(text, len))
         return parse(text, len);
     char *copy = memcpy(rk_alloc(1, len + 1), text, len);
-    blank_too_deep(text, len, copy);
+    blank_too_deep(copy, len);
     struct json_object *o = parse(copy, len);
     free(copy);
     return o;
--- a/objects/objects.c
+++ b/objects/objects.c
@@ -11,8 +11,9 @@
 #include "common/rest.h"
 #include "common/util.h"
 
-#define URL_MAX          768
-#define ROW_MEMBER_LEVEL 3 /* of JSON, at which a row of a list has its members */
+#define URL_MAX 768
+/* Level of JSON at which a row of a list has its members. */
+#define ROW_MEMBER_LEVEL 3
 
 struct rk_objects {
     struct rk_http *http;
--- a/vmlist/vmlist.c
+++ b/vmlist/vmlist.c
@@ -14,9 +14,10 @@
 #include "common/rest.h"
 #include "common/util.h"
 
-#define URL_MAX          256
-#define ROW_MEMBER_LEVEL 3 /* of JSON, at which a row of the list has its members  \
-                            */
+#define URL_MAX 256
+#define ROW_MEMBER_LEVEL                                                           \
+    3 /* of JSON, at which a row of the list has its members                       \
+       */
 
 /* A call in flight. */
 struct op {
