end check: the VM that answered is asked, not whoever has its address

Cause: the check took any process that listens at the address for the VM. It asks for the VM's state at the service's health path now: another VM's id, or 421, shows that the one that answered is gone. A VM that takes the connection and is silent for 100 ms counts as alive, as one without a free slot.

--- a/core/dialect.h
+++ b/core/dialect.h
@@ -46,11 +46,12 @@
     const char *const *reserved_headers;
     size_t reserved_headers_len;
     /* Headers of answers. */
-    const char *signature;  /* names the upstream that made the body */
-    const char *not_run;    /* proves that the request did not run */
-    const char *rate_limit; /* requests/s that the VM accepts from all nodes */
-    const char *leaving;    /* "1": the VM is about to end */
-    const char *brittle;    /* refusals/s for want of room that the VM stands */
+    const char *signature;    /* names the upstream that made the body */
+    const char *not_run;      /* proves that the request did not run */
+    const char *rate_limit;   /* requests/s that the VM accepts from all nodes */
+    const char *leaving;      /* "1": the VM is about to end */
+    const char *brittle;      /* refusals/s for want of room that the VM stands */
+    const char *answering_vm; /* the VM that sent an answer */
     /* Path at which the balancer asks whether this node takes new connections. */
     const char *ready_path;
 };
--- a/core/routes.h
+++ b/core/routes.h
@@ -61,6 +61,8 @@
 /* A service, and how this system scales it. */
 struct rk_service_info {
     char name[RK_ID_MAX];
+    char health_path[RK_ROUTE_TEXT_MAX]; /* at which a VM tells its state; "": none
+                                          */
     int64_t max_conns; /* connections that one VM accepts from all nodes */
     bool engine;       /* its VMs are model engines */
     int64_t slots;     /* calls that an engine runs at once */
--- a/serve/relay_call_impl.h
+++ b/serve/relay_call_impl.h
@@ -234,8 +234,8 @@
 void rk_call_end_head(const struct rk_relay_call *x, struct rk_buf *b);
 
 /* ---- relay_end_check.c ---- */
-/* Starts to check whether the VM lives that has ended a stream in order. The end of
- * the call then waits for rk_call_end_checked(). Returns false if that is not
+/* Starts to check whether the VM lives that has ended an answer in order. The end
+ * of the call then waits for rk_call_end_checked(). Returns false if that is not
  * possible. */
 bool rk_call_start_end_check(struct rk_relay_call *x);
 /* Ends a check in progress, if any, without a result. */
--- a/serve/relay_end_check.c
+++ b/serve/relay_end_check.c
@@ -1,27 +1,30 @@
 /* Checks whether a VM lives that has ended an answer without framing, a stream
- * between two events. A crash closes its connections in order, too, and only the
- * VM's listener then tells: a process that has ended refuses connections. While it
- * ends, its listener may outlast its other connections and still take new ones,
- * which are reset a moment later. A VM that lives may reset a connection, too, as
- * it has too many; it takes the next one. The end of the caller's answer waits for
- * the result. */
+ * between two events. A crash closes its connections in order, too. A process that
+ * has ended refuses connections; while it ends, its listener may outlast its other
+ * connections and still take new ones, which are reset a moment later; and once the
+ * VM has started again, another incarnation answers. So the VM is asked for its
+ * state, on a new connection. A VM that lives may reset that, too, as it has too
+ * many; it takes the next one. The end of the caller's answer waits for the result.
+ */
 #include <stdlib.h>
+#include <string.h>
 
-#include "common/conn.h"
 #include "common/eventlog.h"
+#include "common/http1.h"
 #include "serve/relay_call_impl.h"
 
 #define CONNECT_TIMEOUT_MS 250
-/* A connection that stays open for this long shows that the VM lives. */
-#define HOLD_MS 20
+/* A VM that has taken the connection and not closed it by then lives; it answers
+ * later if it has no slot free. */
+#define ANSWER_TIMEOUT_MS 100
 
 struct rk_call_end_check {
     struct rk_relay_call *x;
-    struct rk_conn *conn;
-    bool is_second; /* connection; the first one was closed by the VM */
-    struct rk_timer hold;
-    /* of the reserved connection: the VM's row may change meanwhile */
-    char vm_id[RK_ID_MAX], addr[RK_ADDR_MAX];
+    struct rk_upstream_call *up;
+    bool is_second; /* request; the VM closed the connection of the first one */
+    struct rk_timer timer;
+    char vm_id[RK_ID_MAX],
+        addr[RK_ADDR_MAX]; /* the VM's row may change meanwhile */
 };
 
 void rk_call_end_check_free(struct rk_relay_call *x)
@@ -29,100 +32,106 @@
     struct rk_call_end_check *k = x->end_check;
     if (!k)
         return;
-    rk_conn_abort(k->conn);
-    rk_timer_stop(x->r->loop, &k->hold);
-    rk_upstream_release_conn(x->r->upstreams, k->vm_id, k->addr);
+    if (k->up)
+        rk_upstream_cancel(k->up);
+    rk_timer_stop(x->r->loop, &k->timer);
     free(k);
     x->end_check = NULL;
 }
 
-static void end_check(struct rk_call_end_check *k, bool vm_lives)
+static void end_check(struct rk_call_end_check *k, bool vm_lives, const char *cause)
 {
     struct rk_relay_call *x = k->x;
+    if (!vm_lives)
+        RK_EVENT("call.end_unconfirmed", RK_S("request", x->id),
+                 RK_S("vm", k->vm_id), RK_S("cause", cause));
     rk_call_end_check_free(x);
     rk_call_end_checked(x, vm_lives);
 }
 
-static void on_held(void *ctx)
+static void on_timeout(void *ctx)
 {
-    end_check(ctx, true);
+    struct rk_call_end_check *k = ctx;
+    if (rk_upstream_may_have_sent(k->up))
+        end_check(k, true, "");
+    else
+        rk_timer_start(k->x->r->loop, &k->timer, ANSWER_TIMEOUT_MS);
 }
 
-static void on_connected(void *ctx)
+static enum rk_head_action on_head(void *ctx, const struct rk_head *head)
 {
     struct rk_call_end_check *k = ctx;
-    if (k->is_second)
-        end_check(k, true);
-    else
-        rk_timer_start(k->x->r->loop, &k->hold, HOLD_MS);
+    const char *id = rk_head_get(head, k->x->r->opt.dialect->answering_vm);
+    bool is_other = head->status == HTTP_MISDIRECTED_REQUEST ||
+                    (id && strcmp(id, k->vm_id) != 0);
+    end_check(k, !is_other, "another vm has its address");
+    return RK_HEAD_DISCARD;
 }
 
-static void on_data(void *ctx, const char *data, size_t len)
+static void on_body(void *ctx, const char *data, size_t len)
 {
+    (void)ctx;
     (void)data;
     (void)len;
-    end_check(ctx, true);
 }
 
-static void on_error(void *ctx, int error);
-static void on_eof(void *ctx);
-
-static const struct rk_conn_ops check_ops = {.on_connected = on_connected,
-                                             .on_data = on_data,
-                                             .on_eof = on_eof,
-                                             .on_error = on_error};
-
-/* Replaces the connection; returns false, and leaves it, if none can be opened. */
-static bool connect_to_vm(struct rk_call_end_check *k)
+/* Not called, as the head ends the check. */
+static void on_end(void *ctx)
 {
-    struct rk_conn *conn =
-        rk_conn_connect(k->x->r->loop, k->addr, CONNECT_TIMEOUT_MS, &check_ops, k);
-    if (!conn)
-        return false;
-    if (k->conn)
-        rk_conn_abort(k->conn);
-    k->conn = conn;
-    return true;
+    (void)ctx;
 }
 
-/* Handles the end of a connection: 0 or an errno. */
-static void handle_end(struct rk_call_end_check *k, int error)
-{
-    bool was_connected = k->hold.slot;
-    rk_timer_stop(k->x->r->loop, &k->hold);
-    if (was_connected) {
-        k->is_second = true;
-        if (connect_to_vm(k))
-            return;
-    }
-    RK_EVENT("call.end_unconfirmed", RK_S("request", k->x->id),
-             RK_S("vm", k->x->vm->row.id), RK_N("errno", error));
-    end_check(k, false);
-}
+static bool send_request(struct rk_call_end_check *k);
 
-static void on_eof(void *ctx)
+static void on_fail(void *ctx, const struct rk_upstream_failure *f)
 {
-    handle_end(ctx, 0);
+    struct rk_call_end_check *k = ctx;
+    k->up = NULL;
+    rk_timer_stop(k->x->r->loop, &k->timer);
+    bool is_first = !k->is_second;
+    k->is_second = true;
+    if (f->may_have_reached && is_first && send_request(k))
+        return;
+    end_check(k, f->may_have_reached && !is_first, f->cause);
 }
 
-static void on_error(void *ctx, int error)
+static const struct rk_upstream_ops check_ops = {
+    .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail};
+
+static bool send_request(struct rk_call_end_check *k)
 {
-    handle_end(ctx, error);
+    const struct rk_relay_call *x = k->x;
+    const char *path = x->service->health_path;
+    struct rk_buf head = {0};
+    /* Without the id of a request, a VM runs nothing, whatever the path. */
+    rk_buf_printf(&head,
+                  "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nConnection: close\r\n"
+                  "\r\n",
+                  path[0] == '/' && !strchr(path, ' ') ? path : "/", k->addr,
+                  x->r->opt.dialect->vm_id, k->vm_id);
+    const struct rk_upstream_spec spec = {.vm_id = k->vm_id,
+                                          .addr = k->addr,
+                                          .head = head.data,
+                                          .head_len = head.len,
+                                          .connect_ms = CONNECT_TIMEOUT_MS,
+                                          .max_conns = rk_call_max_conns(x),
+                                          .ops = &check_ops,
+                                          .ctx = k};
+    k->up = rk_upstream_start(x->r->upstreams, &spec);
+    rk_buf_free(&head);
+    if (k->up)
+        rk_timer_start(x->r->loop, &k->timer, ANSWER_TIMEOUT_MS);
+    return k->up != NULL;
 }
 
 bool rk_call_start_end_check(struct rk_relay_call *x)
 {
-    const struct rk_vm_row *row = &x->vm->row;
-    if (!rk_upstream_reserve_conn(x->r->upstreams, row->id, row->addr,
-                                  rk_call_max_conns(x)))
-        return false;
     struct rk_call_end_check *k = rk_alloc(1, sizeof(*k));
     k->x = x;
-    k->hold = (struct rk_timer){.fn = on_held, .ctx = k};
-    rk_strcpy(k->vm_id, sizeof(k->vm_id), row->id);
-    rk_strcpy(k->addr, sizeof(k->addr), row->addr);
-    if (!connect_to_vm(k)) {
-        rk_upstream_release_conn(x->r->upstreams, row->id, row->addr);
+    k->timer = (struct rk_timer){.fn = on_timeout, .ctx = k};
+    rk_strcpy(k->vm_id, sizeof(k->vm_id), x->vm->row.id);
+    rk_strcpy(k->addr, sizeof(k->addr), x->vm->row.addr);
+    if (!send_request(k)) {
         free(k);
         return false;
     }
--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -445,3 +445,33 @@
             w.fault = fault
             a = d.call("/r/x")
             assert (a.status == 200 and a.whole) == lives, (lives, a.status, a.whole)
+
+
+def restart_amid_answer(d, upto):
+    """Returns a worker fault that sends a part of an answer without framing and ends; by then,
+    another incarnation listens at the address."""
+    def fault(w, req, conn):
+        w.runs[req.get("Rillknot-Attempt-Id")] += 1
+        whole = body_of(w, req.get("Rillknot-Attempt-Id")) if w.events else b"0123456789" * 100
+        kind = b"Content-Type: text/event-stream\r\n" if w.events else b""
+        conn.sendall(w.head(req, extra=kind) + whole[:len(whole) * upto // EVENTS])
+        w.sock.shutdown(socket.SHUT_RDWR)
+        w.sock.close()
+        d.workers.append(Worker(w.service, w.zone, w.events, port=w.port))
+        return False
+    return fault
+
+
+def test_an_unframed_answer_is_not_confirmed_by_another_incarnation():
+    """Guards against an answer without framing that ends as whole as another incarnation of its
+    crashed VM, or another VM, has the address by the time the end arrives."""
+    for events, upto in itertools.product((0, EVENTS), range(1, EVENTS)):
+        with Hosted(bounds={"budgetExtra": 4000}) as d:
+            w = d.add_worker("plain", events=events)
+            w.fault = restart_amid_answer(d, upto)
+            d.configure([d.route("r", "plain", "streaming" if events else "idempotent",
+                                 resumable=False, maxAttempts=1)])
+            d.wait_ready()
+            a = d.call("/r/x", ident=SHORT_ID)
+            assert len(d.workers) == 2
+            assert a.status == 502 or not a.whole, (events, upto, a.status, a.body)
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -499,6 +499,10 @@
     def handle(self, req, conn):
         if req.target == "/api/kv-move":
             return self.move(req, conn)
+        if req.method == "GET" and req.target == "/healthz":
+            conn.sendall(b"HTTP/1.1 200 OK\r\nRillknot-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                         % self.id.encode())
+            return True
         self.seen.append(req)
         if req.get("Kv-From") and not self.take_copy(req):
             return self.refuse_request(req, conn)
