--- a/tests/proc_hosted_framing.py
+++ b/tests/proc_hosted_framing.py
@@ -182,8 +182,7 @@
         conn.sendall(b"".join(w.event(req, n) for n in range(first, last + 1)))
         if crashes:
             w.stopped = True
-            w.sock.shutdown(socket.SHUT_RDWR)
-            w.sock.close()
+            w.stop_listening()
         return False
     return fault
 
@@ -394,8 +393,7 @@
         conn.sendall(w.head(req, status) + (body[:sent] if crashes else body))
         if crashes:
             w.stopped = True
-            w.sock.shutdown(socket.SHUT_RDWR)
-            w.sock.close()
+            w.stop_listening()
         return False
     return fault
 
@@ -433,8 +431,7 @@
 
             def reset_one(conn):
                 if not lives:
-                    w.sock.shutdown(socket.SHUT_RDWR)
-                    w.sock.close()
+                    w.stop_listening()
                 reset(conn)
                 del w._serve
 
@@ -455,8 +452,7 @@
         whole = body_of(w, req.get("Rillknot-Attempt-Id")) if w.events else b"0123456789" * 100
         kind = b"Content-Type: text/event-stream\r\n" if w.events else b""
         conn.sendall(w.head(req, extra=kind) + whole[:len(whole) * upto // EVENTS])
-        w.sock.shutdown(socket.SHUT_RDWR)
-        w.sock.close()
+        w.stop_listening()
         d.workers.append(Worker(w.service, w.zone, w.events, port=w.port))
         return False
     return fault
--- a/tools/hosted.py
+++ b/tools/hosted.py
@@ -113,10 +113,13 @@
         req.body, req.at = buf[:length], time.monotonic()
         return req, buf[length:]
 
-    def close(self):
-        """Stop listening and reset all connections, as when a VM has disappeared."""
+    def stop_listening(self):
         self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
+
+    def close(self):
+        """Stop listening and reset all connections, as when a VM has disappeared."""
+        self.stop_listening()
         for conn in list(self.conns):
             reset(conn)
 
