json_text: a response is scanned twice, not four times

The store trimmed a response, which leaves deep values out and estimates its size, and rk_json_parse() then did both again. It parses what was trimmed directly now; the other callers share one way. No change of behaviour; test_json_text, proc_hosted_foreign_entries and proc_hosted_odd_objects pass.

--- a/common/json_text.c
+++ b/common/json_text.c
@@ -15,6 +15,7 @@
 /* Parts that take less memory are not worth leaving out. */
 #define PART_MIN_BYTES (64 * 1024)
 #define PARTS_MIN_CAP  16
+#define NO_LEVEL       0 /* no value is at it */
 /* Name of the member whose own members count as parts, instead of itself. */
 #define METADATA "\"metadata\""
 
@@ -93,15 +94,6 @@
     text[begin] = '0';
 }
 
-static bool is_too_deep(const char *text, size_t len)
-{
-    struct scan s = {.text = text, .len = len};
-    while (next_token(&s))
-        if (s.level > RK_JSON_NESTING_MAX)
-            return true;
-    return false;
-}
-
 static void blank_too_deep(char *text, size_t len)
 {
     struct scan s = {.text = text, .len = len};
@@ -136,10 +128,8 @@
     p->all[p->len++] = part;
 }
 
-/* Finds the parts at a level; see rk_json_trim(). Returns the parsed size of the
- * text. */
-static size_t find_parts(const char *text, size_t len, int level,
-                         struct parts *parts)
+/* Finds the parts at a level; see rk_json_trim(). */
+static void find_parts(const char *text, size_t len, int level, struct parts *parts)
 {
     struct scan s = {.text = text, .len = len};
     struct part part = {0};
@@ -160,7 +150,6 @@
             add_part(parts, part);
         }
     }
-    return s.parsed_size;
 }
 
 static int by_size_descending(const void *a, const void *b)
@@ -176,7 +165,7 @@
     if (size <= max)
         return size;
     struct parts parts = {0};
-    size = find_parts(text, len, level, &parts);
+    find_parts(text, len, level, &parts);
     if (parts.len)
         qsort(parts.all, parts.len, sizeof(*parts.all), by_size_descending);
     for (size_t i = 0; i < parts.len && size > max; i++) {
@@ -187,13 +176,8 @@
     return size;
 }
 
-static struct json_object *parse(const char *text, size_t len)
+struct json_object *rk_json_parse_trimmed(const char *text, size_t len)
 {
-    if (rk_json_parsed_size(text, len) > RK_JSON_PARSED_MAX_BYTES) {
-        rk_fail(RK_EINVAL, "expected a text of at most %d MB once it is parsed",
-                RK_JSON_PARSED_MAX_BYTES / (1024 * 1024));
-        return NULL;
-    }
     struct json_tokener *t = json_tokener_new_ex(RK_JSON_NESTING_MAX + 2);
     struct json_object *o = json_tokener_parse_ex(t, text, (int)len);
     if (!o)
@@ -203,24 +187,21 @@
     return o;
 }
 
-struct json_object *rk_json_parse(const char *text, size_t len)
+struct json_object *rk_json_parse_list(const char *text, size_t len, int level)
 {
-    if (!is_too_deep(text, len))
-        return parse(text, len);
+    struct json_object *o = NULL;
     char *copy = memcpy(rk_alloc(1, len + 1), text, len);
-    blank_too_deep(copy, len);
-    struct json_object *o = parse(copy, len);
+    if (rk_json_trim(copy, len, level, RK_JSON_PARSED_MAX_BYTES) <=
+        RK_JSON_PARSED_MAX_BYTES)
+        o = rk_json_parse_trimmed(copy, len);
+    else
+        rk_fail(RK_EINVAL, "expected a text of at most %d MB once it is parsed",
+                RK_JSON_PARSED_MAX_BYTES / (1024 * 1024));
     free(copy);
     return o;
 }
 
-struct json_object *rk_json_parse_list(const char *text, size_t len, int level)
+struct json_object *rk_json_parse(const char *text, size_t len)
 {
-    if (rk_json_parsed_size(text, len) <= RK_JSON_PARSED_MAX_BYTES)
-        return rk_json_parse(text, len);
-    char *copy = memcpy(rk_alloc(1, len + 1), text, len);
-    rk_json_trim(copy, len, level, RK_JSON_PARSED_MAX_BYTES);
-    struct json_object *o = parse(copy, len);
-    free(copy);
-    return o;
+    return rk_json_parse_list(text, len, NO_LEVEL);
 }
--- a/common/json_text.h
+++ b/common/json_text.h
@@ -24,6 +24,10 @@
  * left, which may still exceed max. */
 size_t rk_json_trim(char *text, size_t len, int level, size_t max);
 
+/* Parses a text that rk_json_trim() has been applied to, whatever its size. Returns
+ * NULL, with a last error message, if it is no JSON. The caller owns the value. */
+struct json_object *rk_json_parse_trimmed(const char *text, size_t len);
+
 /* Parses a text of at most RK_JSON_PARSED_MAX_BYTES by that estimate. Returns NULL,
  * with a last error message, if it is larger or no JSON. The caller owns the value.
  */
