conn: a reset that a send met is recognised at one place

The rule stood at two of the calls of notify_end(); it is in that function now, for all of them. http1 uses rk_is_header_text() for a request's target, and two comments and includes are in order.

--- a/common/conn.c
+++ b/common/conn.c
@@ -1,17 +1,17 @@
 #include "common/conn.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/queue.h>
 #include <sys/ioctl.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <linux/sockios.h>
 
 #include "common/addr.h"
 #include "common/counters.h"
@@ -108,10 +108,15 @@
 }
 
 /* Notifies the owner, once, that the connection has ended. error is an errno, or 0
- * if the peer closed in order. */
+ * if the kernel reports an orderly close. It does so, too, if a failed send has
+ * taken the error of a reset from the socket; but after EPIPE the close was
+ * orderly: the peer closed before it reset the connection because of what was sent.
+ */
 static void notify_end(struct rk_conn *c, int error)
 {
     const struct rk_conn_ops *ops = c->ops;
+    if (!error && c->send_error != EPIPE)
+        error = c->send_error;
     if (!ops) {
         release(c);
         return;
@@ -220,17 +225,6 @@
     rk_counter_add(RK_C_RECEIVE_BOUNDED, 1);
 }
 
-/* Returns why a connection has ended of which the kernel reports error, 0 for an
- * orderly close. A failed send has taken the error of a reset from the socket, so
- * that the kernel reports an orderly close from then on. After EPIPE it is one: the
- * peer closed before it reset the connection because of what was sent. */
-static int end_error(const struct rk_conn *c, int error)
-{
-    if (error || c->send_error == EPIPE)
-        return error;
-    return c->send_error;
-}
-
 /* Reads one block. epoll is level-triggered: unread bytes raise the event again. */
 static void read_block(struct rk_conn *c)
 {
@@ -243,7 +237,7 @@
         return;
     }
     if (n == 0) {
-        notify_end(c, end_error(c, 0));
+        notify_end(c, 0);
         return;
     }
     rk_loop_note_progress(c->loop);
@@ -265,7 +259,7 @@
     /* Not after flush(): it drops the queue, and the owner of an empty queue goes
      * on to answer what it has received. */
     if (c->paused && (events & (EPOLLERR | EPOLLHUP))) {
-        notify_end(c, end_error(c, socket_error(c)));
+        notify_end(c, socket_error(c));
         return;
     }
     if (events & EPOLLOUT) {
--- a/common/http1.c
+++ b/common/http1.c
@@ -190,8 +190,7 @@
             has_control(rk_head_value(h, i), strlen(rk_head_value(h, i))))
             return false;
     const char *target = rk_head_target(h);
-    return !has_control(target, strlen(target)) && !strpbrk(target, " \t") &&
-           has_known_coding(h);
+    return rk_is_header_text(target) && !strchr(target, ' ') && has_known_coding(h);
 }
 
 /* http-parser accepts any number below 1000, and several blanks before it. */
--- a/serve/relay_end_check.c
+++ b/serve/relay_end_check.c
@@ -23,8 +23,8 @@
     struct rk_upstream_call *up;
     bool is_second; /* request; the VM closed the connection of the first one */
     struct rk_timer timer;
-    char vm_id[RK_ID_MAX],
-        addr[RK_ADDR_MAX]; /* the VM's row may change meanwhile */
+    /* The VM's row may change meanwhile. */
+    char vm_id[RK_ID_MAX], addr[RK_ADDR_MAX];
 };
 
 void rk_call_end_check_free(struct rk_relay_call *x)
